Fix the shared interfaces: seams, records, codec, messenger

Cause: the parts are built side by side, so what they share has to stand first. Conclusion: one definition per record (the dataclass), no generator in the build.

--- /dev/null
+++ b/src/rainsail/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch work: job intake, the dispatcher and its policies."""
--- /dev/null
+++ b/src/rainsail/batch/interface.py
@@ -0,0 +1,53 @@
+"""What a dispatcher decides, apart from I/O.
+
+A ``DispatchPolicy`` is pure: it sees a ``RunnerView`` and answers how many batch items a runner
+may hold, and whether running ones must step aside now. ``rainsail.batch.dispatcher`` does the
+I/O for the runners that its gateway owns.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerView:
+    """One owned runner as the dispatcher knows it at ``now_s`` (gateway clock).
+
+    ``online_running`` counts this gateway's own online requests on it at this moment,
+    ``reported_running`` and ``reported_waiting`` the last load report, ``report_age_s`` old.
+    ``online_arrivals_per_s`` is the estimated rate of online requests to this runner.
+    """
+
+    runner: str
+    now_s: float
+    slots: int
+    online_running: int
+    online_waiting: int
+    batch_running: int
+    reported_running: int
+    reported_running_low: int
+    reported_waiting: int
+    kv_tokens_used: int
+    kv_tokens_total: int
+    report_age_s: float
+    online_arrivals_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class BatchAllowance:
+    """How many batch items may run on a runner now; below what runs, the rest is preempted."""
+
+    items: int
+    reason: str
+
+
+class DispatchPolicy(Protocol):
+    """Decides the batch share of one runner."""
+
+    name: str
+    low_priority: bool
+    """Whether batch items are sent to engines with low priority."""
+
+    def allowance(self, view: RunnerView) -> BatchAllowance:
+        """Return the allowance; called on every arrival, end, report and timer tick."""
+        ...
--- /dev/null
+++ b/src/rainsail/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one thin module per command group."""
--- /dev/null
+++ b/src/rainsail/consensus/interface.py
@@ -0,0 +1,67 @@
+"""What the control service sees of a replicated group.
+
+``rainsail.consensus.driver.GroupDriver`` implements ``Group`` over the pure core
+(``rainsail.consensus.core``), a ``GroupStorage`` and a ``Messenger``.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from rainsail.control.messages import GroupStatusReply
+from rainsail.errors import Fault
+from rainsail.state.commands import Command, CommandOutcome, GroupId
+
+
+class Group(Protocol):
+    """One replicated group on this replica."""
+
+    group: GroupId
+
+    def is_leader(self) -> bool:
+        """Tell whether this replica is leader and holds the read lease now."""
+        ...
+
+    def leader(self) -> str:
+        """Return the name of the leader as last heard of, or an empty string."""
+        ...
+
+    def term(self) -> int:
+        """Return the current term."""
+        ...
+
+    def propose(self, command: Command) -> "Deferred[Result[tuple[int, CommandOutcome], Fault]]":
+        """Commit and apply; fires with (index, outcome). Fault NOT_LEADER: not appended.
+
+        Fault with outcome UNKNOWN: leadership was lost while the entry was under way.
+        """
+        ...
+
+    def read_barrier(self) -> "Deferred[Result[int, Fault]]":
+        """Fire with an applied index that covers everything committed when it was called."""
+        ...
+
+    def on_applied(self, listener: Callable[[int], None]) -> None:
+        """Call ``listener(applied_index)`` after each batch of entries is applied."""
+        ...
+
+    def on_leadership(self, listener: Callable[[bool], None]) -> None:
+        """Call ``listener(True)`` when leadership begins, ``listener(False)`` when it ends.
+
+        It begins when the first entry of the new term is applied.
+        """
+        ...
+
+    def status(self) -> GroupStatusReply:
+        """Return this replica's view of the group."""
+        ...
+
+    def transfer_leadership(self) -> "Deferred[Result[None, Fault]]":
+        """Hand leadership to the most advanced voter (before a planned stop)."""
+        ...
+
+    def stop(self) -> None:
+        """Stop timers and refuse further calls; durable state stays as synced."""
+        ...
--- /dev/null
+++ b/src/rainsail/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control: the operator API, watches, configuration leases and the reconcile loops."""
--- /dev/null
+++ b/src/rainsail/control/messages.py
@@ -0,0 +1,233 @@
+"""Messages between gateways, operators' front ends and replicas.
+
+Every request is served by the leader of its group; another replica answers ``Fault`` with code
+NOT_LEADER and the leader's name in ``peer`` (empty when unknown). ``LeaderClient`` follows it.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from rainsail.errors import Fault
+from rainsail.resources.specs import Kind, Resource, WatchEvent
+from rainsail.state.commands import Command, CommandOutcome, GroupId, ItemRef, JobView
+from rainsail.state.interface import ResultRow
+from rainsail.wire.codec import wire_record
+
+wire_record(Fault)
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ProposeRequest:
+    """Commit and apply a command. A TIMEOUT leaves it open whether it took effect."""
+
+    group: GroupId
+    command: Command
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ProposeReply:
+    """What applying the command returned (possibly a typed fault), and its log index."""
+
+    outcome: CommandOutcome
+    index: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ListRequest:
+    """Read resources at the leader, under its read lease. Empty kinds: all kinds."""
+
+    group: GroupId
+    kinds: tuple[Kind, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ListReply:
+    """All resources asked for, and the revision they were read at."""
+
+    revision: int
+    in_force_revision: int
+    resources: tuple[Resource, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ConfigPoll:
+    """Long poll of a gateway: acknowledges a revision, renews its lease, waits for news.
+
+    ``incarnation`` is new with every start of the gateway. The reply comes at once when there
+    are events after ``applied_revision``, else after ``wait_s``.
+    """
+
+    group: GroupId
+    gateway: str
+    incarnation: str
+    applied_revision: int
+    wait_s: float
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ConfigPollReply:
+    """Events after the poll's revision; ``compacted`` asks the gateway to list again.
+
+    The configuration lease holds ``lease_s`` seconds from the moment that the gateway SENT the
+    poll, on the gateway's own monotonic clock.
+    """
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+    in_force_revision: int
+    compacted: bool
+    lease_s: float
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RenewItemLeases:
+    """Renew all item leases of a holder; sent every ITEM_LEASE_RENEWAL_PERIOD_S."""
+
+    group: GroupId
+    holder: str
+    running: tuple[ItemRef, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RenewItemLeasesReply:
+    """``stop`` lists those that the holder must cancel: revoked, cancelled or finished."""
+
+    stop: tuple[ItemRef, ...]
+    lease_s: float
+    backlog: dict[str, int]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class JobsRequest:
+    """Read one job, or with an empty id all jobs of a tenant (empty tenant: all)."""
+
+    group: GroupId
+    job_id: str
+    tenant: str = ""
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class JobsReply:
+    """The jobs found."""
+
+    jobs: tuple[JobView, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ResultsRequest:
+    """Read a page of finished items of a job."""
+
+    group: GroupId
+    job_id: str
+    first_index: int
+    limit: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ResultsReply:
+    """A page of results, and the index to go on from (-1: no more)."""
+
+    rows: tuple[ResultRow, ...]
+    next_index: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class SessionRequest:
+    """Read a session's place and transcript."""
+
+    group: GroupId
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class TenantDemand:
+    """Tokens that a tenant used and was refused at one gateway since its last report."""
+
+    tenant: str
+    used_tokens: float
+    refused_tokens: float
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class QuotaReport:
+    """A gateway's demand per tenant over ``period_s``; the reply lends it shares."""
+
+    group: GroupId
+    gateway: str
+    period_s: float
+    demands: tuple[TenantDemand, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaShare:
+    """The part of a tenant's token rate lent to one gateway until ``QuotaShares.valid_s``."""
+
+    tenant: str
+    tokens_per_second: float
+    burst_tokens: float
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class QuotaShares:
+    """Shares lent to the reporting gateway, valid ``valid_s`` from when the report was sent."""
+
+    shares: tuple[QuotaShare, ...]
+    valid_s: float
+
+
+class GroupHealth(StrEnum):
+    """Whether a group tolerates the losses that it is meant for."""
+
+    HEALTHY = "Healthy"
+    DEGRADED = "Degraded"
+    REPAIRING = "Repairing"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """One member of a group as the leader sees it."""
+
+    replica: str
+    identity: str
+    voter: bool
+    reachable: bool
+    match_index: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class GroupStatusRequest:
+    """Ask a replica for its view of a group; every replica answers, leader or not."""
+
+    group: GroupId
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class GroupStatusReply:
+    """The group's state; ``losses_borne`` is how many further losses keep a quorum."""
+
+    replica: str
+    leader: str
+    term: int
+    commit_index: int
+    applied_index: int
+    revision: int
+    health: GroupHealth
+    losses_borne: int
+    members: tuple[MemberStatus, ...]
--- /dev/null
+++ b/src/rainsail/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""The emulated platform: model engines, weight store and machine list."""
--- /dev/null
+++ b/src/rainsail/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The client side of the model engines' protocol."""
--- /dev/null
+++ b/src/rainsail/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Load, traces, replay, checkers, reports and plots."""
--- /dev/null
+++ b/src/rainsail/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: caller API, admission, routing, retries, streams and sessions."""
--- /dev/null
+++ b/src/rainsail/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Resources: what operators declare and watch."""
--- /dev/null
+++ b/src/rainsail/resources/specs.py
@@ -0,0 +1,238 @@
+"""Specs and statuses of every resource kind.
+
+A spec is what an operator (or, for Gateway and Session, a gateway) declares; a status is what
+the system reports back. All are frozen records that cross the wire and the log unchanged.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from rainsail.wire.codec import wire_record
+
+
+class Kind(StrEnum):
+    """The resource kinds."""
+
+    SERVICE = "Service"
+    MODEL_VERSION = "ModelVersion"
+    ADAPTER = "Adapter"
+    SESSION = "Session"
+    TENANT = "Tenant"
+    RUNNER = "Runner"
+    GATEWAY = "Gateway"
+    REPLICA = "Replica"
+
+
+class RequestClass(StrEnum):
+    """How a request is to be treated."""
+
+    ONLINE = "online"
+    BATCH = "batch"
+    NON_REPEATABLE = "non_repeatable"
+
+
+class RunnerRole(StrEnum):
+    """What a runner's engine works on."""
+
+    MIXED = "mixed"
+    ONLINE_ONLY = "online_only"
+    BATCH_ONLY = "batch_only"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A callable model service; callers name it as ``model``.
+
+    ``active_version`` names the ModelVersion to serve (empty: none yet), ``runners`` how many
+    runners must have it ready. ``batch_weight`` is the site's setting between batch throughput
+    (1.0) and the online tail (0.0).
+    """
+
+    active_version: str = ""
+    runners: int = 1
+    default_class: RequestClass = RequestClass.ONLINE
+    batch_weight: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ModelVersionSpec:
+    """One version of a service's weights in the weight store."""
+
+    service: str
+    weights: str
+    weight_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterSpec:
+    """A small set of weights loaded beside a service's active version."""
+
+    service: str
+    weights: str
+    weight_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class SessionSpec:
+    """A long-lived session of one tenant with one service."""
+
+    tenant: str
+    service: str
+    adapter: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TenantSpec:
+    """A tenant's limits and keys.
+
+    ``tokens_per_second`` and ``burst_tokens`` bound its online tokens over the whole fleet;
+    ``weight`` is its share under contention. Key hashes are hex SHA-256 of the API keys.
+    """
+
+    tokens_per_second: float
+    burst_tokens: float
+    weight: float = 1.0
+    key_hashes: tuple[str, ...] = ()
+    operator: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerSpec:
+    """A runner: one model engine. ``address`` is the base URL of its engine API."""
+
+    address: str
+    region: str
+    zone: str
+    service: str
+    drain: bool = False
+    role: RunnerRole = RunnerRole.MIXED
+    batch_slots: int = 16
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySpec:
+    """A gateway process; registered by the gateway itself when it starts."""
+
+    region: str
+    zone: str
+    incarnation: str
+    drain: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaSpec:
+    """A replica process as the operator wants it; ``drain`` asks it to leave its groups."""
+
+    region: str
+    zone: str
+    drain: bool = False
+
+
+Spec = (
+    ServiceSpec
+    | ModelVersionSpec
+    | AdapterSpec
+    | SessionSpec
+    | TenantSpec
+    | RunnerSpec
+    | GatewaySpec
+    | ReplicaSpec
+)
+
+SPEC_TYPES: dict[Kind, type] = {
+    Kind.SERVICE: ServiceSpec,
+    Kind.MODEL_VERSION: ModelVersionSpec,
+    Kind.ADAPTER: AdapterSpec,
+    Kind.SESSION: SessionSpec,
+    Kind.TENANT: TenantSpec,
+    Kind.RUNNER: RunnerSpec,
+    Kind.GATEWAY: GatewaySpec,
+    Kind.REPLICA: ReplicaSpec,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """One statement about a resource, and the revision of the resource it speaks of."""
+
+    type: str
+    value: bool
+    reason: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerStatus:
+    """What is loaded on a runner, under which fence, and whether it takes work.
+
+    ``fence`` is the highest order number sent to the engine; engines refuse lower ones.
+    """
+
+    loaded_version: str = ""
+    loading_version: str = ""
+    adapters: tuple[str, ...] = ()
+    fence: int = 0
+    ready: bool = False
+    reachable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class SessionStatus:
+    """Where a session lives. ``fence`` rises with every move; only its holder may use it."""
+
+    runner: str = ""
+    gateway: str = ""
+    fence: int = 0
+    turns: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceStatus:
+    """How many runners serve the active version, and which version was active before."""
+
+    ready_runners: int = 0
+    ready_version: str = ""
+
+
+Status = RunnerStatus | SessionStatus | ServiceStatus
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceKey:
+    """Identifies a resource."""
+
+    kind: Kind
+    name: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class Resource:
+    """A resource as stored.
+
+    ``revision`` is the store revision of the last change of any part of it, ``generation``
+    the store revision of the last change of its spec.
+    """
+
+    key: ResourceKey
+    spec: Spec
+    revision: int
+    generation: int
+    status: Status | None = None
+    conditions: tuple[Condition, ...] = field(default=())
+
+
+class EventType(StrEnum):
+    """What happened to a resource."""
+
+    PUT = "put"
+    DELETED = "deleted"
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """One change as seen by a watch; for DELETED, ``resource`` is the last one stored."""
+
+    type: EventType
+    revision: int
+    resource: Resource
--- /dev/null
+++ b/src/rainsail/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated settings: one TOML file per process."""
--- /dev/null
+++ b/src/rainsail/state/interface.py
@@ -0,0 +1,85 @@
+"""What the consensus driver and the control service see of the state machine."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from rainsail.resources.specs import Kind, Resource, ResourceKey, WatchEvent
+from rainsail.state.commands import Command, CommandOutcome, ItemPhase, JobView, SessionView
+
+
+class StateMachine(Protocol):
+    """Deterministic state: the same commands in the same order give the same state."""
+
+    def apply(self, index: int, command: Command) -> CommandOutcome:
+        """Apply the committed command at log ``index``; a ``Fault`` outcome changed nothing."""
+        ...
+
+    def snapshot(self) -> Iterator[bytes]:
+        """Yield the whole state as chunks; the state must not change while iterating."""
+        ...
+
+    def restore(self, chunks: Iterable[bytes]) -> None:
+        """Replace the whole state by a snapshot's chunks."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class ResultRow:
+    """One finished item: its result text, or why it was set aside or cancelled."""
+
+    index: int
+    custom_id: str
+    phase: ItemPhase
+    text: str
+    failure: str
+
+
+class ReplicatedReader(Protocol):
+    """Reads of the replicated state (``rainsail.state.machine.ReplicatedState``)."""
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last resource change."""
+        ...
+
+    @property
+    def in_force_revision(self) -> int:
+        """The highest revision marked as in force everywhere."""
+        ...
+
+    def get(self, key: ResourceKey) -> Resource | None:
+        """Return one resource."""
+        ...
+
+    def list_resources(self, kind: Kind | None = None) -> list[Resource]:
+        """Return resources in key order."""
+        ...
+
+    def events_since(self, revision: int, limit: int) -> list[WatchEvent] | None:
+        """Return events after ``revision`` in order, or None when it is compacted away."""
+        ...
+
+    def jobs(self) -> list[JobView]:
+        """Return every job in id order."""
+        ...
+
+    def job(self, job_id: str) -> JobView | None:
+        """Return one job."""
+        ...
+
+    def results(self, job_id: str, first_index: int, limit: int) -> list[ResultRow]:
+        """Return finished items from ``first_index`` on in index order."""
+        ...
+
+    def holders(self) -> list[str]:
+        """Return every holder with a live lease, sorted."""
+        ...
+
+    def backlog(self, service: str) -> int:
+        """Return the number of pending items of a service's sealed jobs."""
+        ...
+
+    def session(self, name: str) -> SessionView | None:
+        """Return a session's place and transcript."""
+        ...
--- /dev/null
+++ b/src/rainsail/storage/interface.py
@@ -0,0 +1,144 @@
+"""The file seam and the durable log seen through it.
+
+Everything durable goes through ``FileSystem``. ``rainsail.storage.local_files.LocalFileSystem``
+is the real one (syncs run in a worker thread); ``rainsail.simulation.disk.SimulatedDisk`` loses
+unsynced bytes at a crash, tears the last record, fails or lies about syncs and fills up.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from rainsail.errors import Fault
+
+
+class File(Protocol):
+    """An open file. Bytes count as durable only after a successful ``sync``."""
+
+    def append(self, data: bytes) -> None:
+        """Write at the end; raises ``OSError`` (for instance when the disk is full)."""
+        ...
+
+    def sync(self) -> "Deferred[Result[None, Fault]]":
+        """Make everything appended so far durable; a fault is fatal for the replica."""
+        ...
+
+    def truncate(self, size: int) -> None:
+        """Cut the file to ``size`` bytes (durable with the next sync)."""
+        ...
+
+    def size(self) -> int:
+        """Return the current size in bytes."""
+        ...
+
+    def close(self) -> None:
+        """Close without syncing."""
+        ...
+
+
+class FileSystem(Protocol):
+    """One data folder. Paths are relative to it, with forward slashes."""
+
+    def open(self, path: str) -> File:
+        """Open for appending, creating the file and its folders when missing."""
+        ...
+
+    def read(self, path: str) -> bytes:
+        """Return the whole content; raises ``FileNotFoundError``."""
+        ...
+
+    def exists(self, path: str) -> bool:
+        """Tell whether a file exists."""
+        ...
+
+    def list(self, folder: str) -> list[str]:
+        """Return the sorted names in a folder (empty when it does not exist)."""
+        ...
+
+    def rename(self, source: str, target: str) -> None:
+        """Rename atomically (durable with the next ``sync_folder``)."""
+        ...
+
+    def remove(self, path: str) -> None:
+        """Remove a file (durable with the next ``sync_folder``)."""
+        ...
+
+    def sync_folder(self, folder: str) -> "Deferred[Result[None, Fault]]":
+        """Make creations, renames and removals in a folder durable."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """One entry of a group's log."""
+
+    index: int
+    term: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HardState:
+    """What a replica must never forget: its term and its vote in that term."""
+
+    term: int
+    voted_for: str
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotMeta:
+    """The place of a snapshot in the log and the membership at that place."""
+
+    last_index: int
+    last_term: int
+    membership: bytes
+
+
+class GroupStorage(Protocol):
+    """The durable state of one group on one replica.
+
+    Writes are queued by ``append``, ``truncate_from`` and ``save_hard_state`` in call order and
+    become durable together with the next successful ``sync``.
+    """
+
+    hard_state: HardState
+    first_index: int
+    last_index: int
+    snapshot_meta: SnapshotMeta | None
+
+    def append(self, entries: tuple[LogEntry, ...]) -> None:
+        """Queue entries that follow ``last_index``."""
+        ...
+
+    def truncate_from(self, index: int) -> None:
+        """Queue the removal of all entries from ``index`` on."""
+        ...
+
+    def save_hard_state(self, state: HardState) -> None:
+        """Queue a new hard state."""
+        ...
+
+    def sync(self) -> "Deferred[Result[None, Fault]]":
+        """Make everything queued durable with one sync."""
+        ...
+
+    def entries(self, first: int, last: int, max_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries ``first..last`` inclusive, at least one, up to ``max_bytes``."""
+        ...
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, of the snapshot's last entry, or None."""
+        ...
+
+    def save_snapshot(
+        self, meta: SnapshotMeta, chunks: Iterator[bytes]
+    ) -> "Deferred[Result[None, Fault]]":
+        """Write a snapshot durably, then drop the log up to ``meta.last_index``."""
+        ...
+
+    def read_snapshot(self) -> Iterator[bytes]:
+        """Yield the chunks of the current snapshot."""
+        ...
--- /dev/null
+++ b/src/rainsail/wire/codec.py
@@ -0,0 +1,269 @@
+"""Avro codec for frozen dataclasses.
+
+The Avro schema of a record is derived from the dataclass's type hints, so the dataclass is the
+only definition. Supported field types: ``int`` (long), ``float`` (double), ``str``, ``bytes``,
+``bool``, ``StrEnum`` (string), nested dataclasses, unions of those with ``None``,
+``tuple[T, ...]`` (array), ``dict[str, T]`` (map). Unions of several dataclasses become Avro
+unions of records.
+
+``encode(message)`` prefixes the body with the CRC-32C of the registered type name, so that
+``decode`` finds the type without a schema exchange. Both ends run the same schemas: the
+fingerprint of all registered schemas (``protocol_fingerprint``) is compared when a connection
+is opened.
+"""
+
+import dataclasses
+import io
+import struct
+import types
+import typing
+from collections.abc import Callable
+from enum import StrEnum
+from functools import cache
+from typing import Any, TypeVar
+
+import crc32c
+import fastavro
+
+T = TypeVar("T")
+Converter = Callable[[Any], Any]
+
+_TYPE_ID = struct.Struct("<I")
+_PRIMITIVES: dict[Any, str] = {
+    int: "long",
+    float: "double",
+    str: "string",
+    bytes: "bytes",
+    bool: "boolean",
+}
+
+
+class CodecError(ValueError):
+    """Bytes that are not a valid encoding of a registered record."""
+
+
+def _identity(value: Any) -> Any:
+    return value
+
+
+def _union_members(hint: Any) -> tuple[Any, ...] | None:
+    if typing.get_origin(hint) in (typing.Union, types.UnionType):
+        return typing.get_args(hint)
+    return None
+
+
+def _avro_type(hint: Any, defined: set[str]) -> Any:
+    if hint in _PRIMITIVES:
+        return _PRIMITIVES[hint]
+    if hint is type(None):
+        return "null"
+    members = _union_members(hint)
+    if members is not None:
+        ordered = sorted(members, key=lambda member: member is not type(None))
+        return [_avro_type(member, defined) for member in ordered]
+    origin = typing.get_origin(hint)
+    if origin is tuple:
+        return {"type": "array", "items": _avro_type(typing.get_args(hint)[0], defined)}
+    if origin is dict:
+        return {"type": "map", "values": _avro_type(typing.get_args(hint)[1], defined)}
+    if isinstance(hint, type) and issubclass(hint, StrEnum):
+        return "string"
+    if dataclasses.is_dataclass(hint):
+        return _record_schema(hint, defined)
+    raise TypeError(f"no Avro type for {hint!r}")
+
+
+def _record_schema(cls: Any, defined: set[str]) -> Any:
+    name = f"rainsail.{cls.__name__}"
+    if name in defined:
+        return name
+    defined.add(name)
+    hints = typing.get_type_hints(cls)
+    fields = [
+        {"name": field.name, "type": _avro_type(hints[field.name], defined)}
+        for field in dataclasses.fields(cls)
+    ]
+    return {"type": "record", "name": name, "fields": fields}
+
+
+@cache
+def parsed_schema(cls: Any) -> Any:
+    """Return the parsed Avro schema of a dataclass."""
+    return fastavro.parse_schema(_record_schema(cls, set()))
+
+
+@cache
+def _writer(hint: Any) -> Converter:
+    """Return a function from a typed value to fastavro's plain value."""
+    members = _union_members(hint)
+    if members is not None:
+        return _union_writer(members)
+    origin = typing.get_origin(hint)
+    if origin is tuple:
+        item = _writer(typing.get_args(hint)[0])
+        return list if item is _identity else lambda value: [item(each) for each in value]
+    if origin is dict:
+        item = _writer(typing.get_args(hint)[1])
+        if item is _identity:
+            return _identity
+        return lambda value: {key: item(each) for key, each in value.items()}
+    if dataclasses.is_dataclass(hint):
+        return _record_writer(hint)
+    return _identity
+
+
+def _record_writer(cls: Any) -> Converter:
+    built: list[tuple[str, Converter]] = []
+
+    def write(value: Any) -> dict[str, Any]:
+        if not built:
+            hints = typing.get_type_hints(cls)
+            built.extend((f.name, _writer(hints[f.name])) for f in dataclasses.fields(cls))
+        return {name: convert(getattr(value, name)) for name, convert in built}
+
+    return write
+
+
+def _union_writer(members: tuple[Any, ...]) -> Converter:
+    records: list[Any] = [member for member in members if dataclasses.is_dataclass(member)]
+    if not records:
+        others = [_writer(m) for m in members if m is not type(None)]
+        convert = others[0]
+        return lambda value: None if value is None else convert(value)
+    by_type = {cls: (f"rainsail.{cls.__name__}", _writer(cls)) for cls in records}
+
+    def write(value: Any) -> Any:
+        if value is None:
+            return None
+        name, convert = by_type[type(value)]
+        return (name, convert(value))
+
+    return write
+
+
+@cache
+def _reader(hint: Any) -> Converter:
+    """Return a function from fastavro's plain value to the typed value."""
+    members = _union_members(hint)
+    if members is not None:
+        return _union_reader(members)
+    origin = typing.get_origin(hint)
+    if origin is tuple:
+        item = _reader(typing.get_args(hint)[0])
+        return tuple if item is _identity else lambda value: tuple([item(each) for each in value])
+    if origin is dict:
+        item = _reader(typing.get_args(hint)[1])
+        if item is _identity:
+            return _identity
+        return lambda value: {key: item(each) for key, each in value.items()}
+    if dataclasses.is_dataclass(hint):
+        return _record_reader(hint)
+    if isinstance(hint, type) and issubclass(hint, StrEnum):
+        return hint
+    return _identity
+
+
+def _record_reader(cls: Any) -> Converter:
+    built: list[tuple[str, Converter]] = []
+
+    def read(value: Any) -> Any:
+        if not built:
+            hints = typing.get_type_hints(cls)
+            built.extend((f.name, _reader(hints[f.name])) for f in dataclasses.fields(cls))
+        return cls(*[convert(value[name]) for name, convert in built])
+
+    return read
+
+
+def _union_reader(members: tuple[Any, ...]) -> Converter:
+    records: list[Any] = [member for member in members if dataclasses.is_dataclass(member)]
+    if not records:
+        others = [_reader(m) for m in members if m is not type(None)]
+        convert = others[0]
+        return lambda value: None if value is None else convert(value)
+    by_name = {f"rainsail.{cls.__name__}": _reader(cls) for cls in records}
+
+    def read(value: Any) -> Any:
+        if value is None:
+            return None
+        name, plain = value
+        return by_name[name](plain)
+
+    return read
+
+
+def encode_body(message: Any) -> bytes:
+    """Encode a dataclass without a type prefix."""
+    cls = type(message)
+    buffer = io.BytesIO()
+    fastavro.schemaless_writer(buffer, parsed_schema(cls), _writer(cls)(message))
+    return buffer.getvalue()
+
+
+def decode_body(cls: Any, data: bytes) -> Any:
+    """Decode the bytes of one known dataclass; raises ``CodecError``."""
+    buffer = io.BytesIO(data)
+    try:
+        plain = fastavro.schemaless_reader(
+            buffer,
+            parsed_schema(cls),
+            None,
+            return_record_name=True,
+            return_record_name_override=False,
+        )
+        value = _reader(cls)(plain)
+    except (
+        EOFError,
+        ValueError,
+        IndexError,
+        KeyError,
+        TypeError,
+        OverflowError,
+        MemoryError,
+        RecursionError,
+        struct.error,
+    ) as error:
+        raise CodecError(f"not a {cls.__name__}: {error!r}") from error
+    if buffer.tell() != len(data):
+        raise CodecError(f"{len(data) - buffer.tell()} bytes follow a {cls.__name__}")
+    return value
+
+
+_REGISTRY: dict[int, Any] = {}
+_TYPE_IDS: dict[Any, bytes] = {}
+
+
+def wire_record(cls: type[T]) -> type[T]:
+    """Class decorator: register a frozen dataclass as a top-level record of the protocol."""
+    number = crc32c.crc32c(cls.__name__.encode())
+    known = _REGISTRY.get(number)
+    if known is not None and known.__qualname__ != cls.__qualname__:
+        raise TypeError(f"{cls.__name__} and {known.__name__} share a type id")
+    _REGISTRY[number] = cls
+    _TYPE_IDS[cls] = _TYPE_ID.pack(number)
+    return cls
+
+
+def encode(message: Any) -> bytes:
+    """Encode a registered record with its type id."""
+    return _TYPE_IDS[type(message)] + encode_body(message)
+
+
+def decode(data: bytes) -> Any:
+    """Decode a registered record; raises ``CodecError``."""
+    if len(data) < _TYPE_ID.size:
+        raise CodecError("too short for a type id")
+    (number,) = _TYPE_ID.unpack_from(data)
+    cls = _REGISTRY.get(number)
+    if cls is None:
+        raise CodecError(f"unknown type id {number:#010x}")
+    return decode_body(cls, data[_TYPE_ID.size :])
+
+
+def protocol_fingerprint() -> int:
+    """Return the CRC-32C over the schemas of all registered records, in name order."""
+    total = 0
+    for cls in sorted(_REGISTRY.values(), key=lambda each: each.__name__):
+        canonical = fastavro.schema.to_parsing_canonical_form(parsed_schema(cls))
+        total = crc32c.crc32c(canonical.encode(), total)
+    return total
--- /dev/null
+++ b/src/rainsail/wire/messenger.py
@@ -0,0 +1,144 @@
+"""Typed messages between processes: one-way sends and calls with a reply.
+
+``Transport`` is the network seam. ``rainsail.wire.tcp.TcpTransport`` carries envelopes over
+TCP (TLS when set); ``rainsail.simulation.network.SimulatedTransport`` over a virtual network.
+Everything above the seam uses ``Messenger``. A message may be lost, delayed, duplicated or
+reordered; a call whose reply does not come in time ends with a TIMEOUT fault whose outcome is
+UNKNOWN. A fault with NOT_RUN from ``call`` means that the message was certainly never sent, or
+that the peer itself said so.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any, Protocol, TypeVar
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
+from twisted.python.failure import Failure
+
+from rainsail.errors import Fault, FaultCode, Outcome, RainsailError
+from rainsail.runtime.clock import Clock
+
+ProcessName = str
+"""The unique name of a process, for instance ``replica-2`` or ``gateway-a1``."""
+
+Reply = TypeVar("Reply")
+Handler = Callable[[ProcessName, Any], Any]
+"""Takes (source, message). For calls: returns a reply record, a Fault, a Result or a Deferred."""
+
+
+class EnvelopeKind(IntEnum):
+    """How an envelope is to be handled."""
+
+    ONE_WAY = 0
+    CALL = 1
+    REPLY = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """One message on its way; ``call_id`` ties a reply to its call (0 for one-way)."""
+
+    kind: EnvelopeKind
+    call_id: int
+    message: Any
+
+
+class Transport(Protocol):
+    """Carries envelopes between named processes."""
+
+    name: ProcessName
+
+    def send(self, destination: ProcessName, envelope: Envelope) -> Fault | None:
+        """Send without waiting; a fault means that nothing was sent (peer not reachable)."""
+        ...
+
+    def listen(self, deliver: Callable[[ProcessName, Envelope], None]) -> None:
+        """Set the function that gets every arriving envelope with the name of its sender."""
+        ...
+
+
+class Messenger:
+    """Sends, calls and serves typed messages over one transport."""
+
+    def __init__(self, transport: Transport, clock: Clock) -> None:
+        self.name = transport.name
+        self._transport = transport
+        self._clock = clock
+        self._handlers: dict[type, Handler] = {}
+        self._waiting: dict[int, tuple[Deferred[Any], Any, ProcessName]] = {}
+        self._next_call_id = 1
+        transport.listen(self._deliver)
+
+    def serve(self, message_type: type, handler: Handler) -> None:
+        """Handle each arriving message of ``message_type``; one handler per type."""
+        self._handlers[message_type] = handler
+
+    def send(self, destination: ProcessName, message: Any) -> Fault | None:
+        """Send one way; a fault means that nothing was sent."""
+        return self._transport.send(destination, Envelope(EnvelopeKind.ONE_WAY, 0, message))
+
+    def call(
+        self, destination: ProcessName, message: Any, timeout_s: float
+    ) -> "Deferred[Result[Any, Fault]]":
+        """Send and wait for the reply; never errbacks."""
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        fault = self._transport.send(destination, Envelope(EnvelopeKind.CALL, call_id, message))
+        if fault is not None:
+            return succeed(Error(fault))
+        done: Deferred[Any] = Deferred()
+        step = f"call.{type(message).__name__}"
+        timer = self._clock.callLater(timeout_s, self._expire, call_id, step, timeout_s)
+        self._waiting[call_id] = (done, timer, destination)
+        return done
+
+    def _expire(self, call_id: int, step: str, timeout_s: float) -> None:
+        done, _, peer = self._waiting.pop(call_id)
+        detail = f"no reply within {timeout_s:g} s"
+        done.callback(Error(Fault(FaultCode.TIMEOUT, step, detail, peer, Outcome.UNKNOWN)))
+
+    def _deliver(self, source: ProcessName, envelope: Envelope) -> None:
+        if envelope.kind == EnvelopeKind.REPLY:
+            self._finish_call(source, envelope)
+            return
+        handler = self._handlers.get(type(envelope.message))
+        if handler is None:
+            name = type(envelope.message).__name__
+            fault = Fault(FaultCode.INVALID, "messenger.deliver", f"no handler for {name}")
+            if envelope.kind == EnvelopeKind.CALL:
+                self._reply(source, envelope.call_id, fault)
+            return
+        if envelope.kind == EnvelopeKind.ONE_WAY:
+            handler(source, envelope.message)
+            return
+        answer = maybeDeferred(handler, source, envelope.message)
+        answer.addErrback(self._handler_failed)
+        answer.addCallback(lambda reply: self._reply(source, envelope.call_id, reply))
+
+    def _handler_failed(self, failure: Failure) -> Fault:
+        if isinstance(failure.value, RainsailError):
+            return failure.value.fault
+        detail = f"{failure.type.__name__ if failure.type else ''}: {failure.value}"
+        return Fault(FaultCode.INTERNAL, "messenger.handler", detail, self.name, Outcome.UNKNOWN)
+
+    def _reply(self, destination: ProcessName, call_id: int, reply: Any) -> None:
+        if isinstance(reply, Result):
+            reply = reply.ok if reply.is_ok() else reply.error
+        self._transport.send(destination, Envelope(EnvelopeKind.REPLY, call_id, reply))
+
+    def _finish_call(self, source: ProcessName, envelope: Envelope) -> None:
+        waiting = self._waiting.pop(envelope.call_id, None)
+        if waiting is None:
+            return
+        done, timer, peer = waiting
+        if peer != source:
+            self._waiting[envelope.call_id] = waiting
+            return
+        timer.cancel()
+        message = envelope.message
+        if isinstance(message, Fault):
+            done.callback(Error(message if message.peer else message.at(source)))
+        else:
+            done.callback(Ok(message))
--- /dev/null
+++ b/tools/run_features.py
@@ -0,0 +1,106 @@
+"""Run every behave feature in parallel worker processes and add up behave's own results.
+
+Prints each failing worker's output whole and ends with one line,
+``scenarios: N passed, N failed``. Exits 1 when a scenario failed, when a worker
+ended without a result, or when no scenario ran at all.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+WORKER_TIMEOUT_S = 900
+KNOWN_RED_FILE = Path("KNOWN-RED.txt")
+
+
+@dataclass(frozen=True)
+class FeatureResult:
+    """What behave reported for one feature file."""
+
+    feature: Path
+    passed: int
+    failed_names: tuple[str, ...]
+    exit_code: int
+    output: str
+
+
+def run_feature(feature: Path) -> FeatureResult:
+    """Run one feature file in its own process and read behave's JSON report."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-color", "--no-capture"]
+        command += ["-f", "json", "-o", str(report), "-f", "plain", str(feature)]
+        environment = {**os.environ, "PYTHONHASHSEED": os.environ.get("PYTHONHASHSEED", "0")}
+        finished = subprocess.run(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            timeout=WORKER_TIMEOUT_S,
+            env=environment,
+        )
+        scenarios = read_scenarios(report)
+    passed = sum(1 for _, status in scenarios if status == "passed")
+    failed = tuple(name for name, status in scenarios if status != "passed")
+    return FeatureResult(feature, passed, failed, finished.returncode, finished.stdout)
+
+
+def read_scenarios(report: Path) -> list[tuple[str, str]]:
+    """Return (scenario name, status) for each scenario in a behave JSON report."""
+    if not report.exists() or not report.read_text().strip():
+        return []
+    found = []
+    for feature in json.loads(report.read_text()):
+        for element in feature.get("elements", []):
+            if element.get("type") == "background":
+                continue
+            found.append((element["name"], element.get("status", "untested")))
+    return found
+
+
+def known_red() -> dict[str, str]:
+    """Return the scenario names listed in KNOWN-RED.txt with their lines (three at most)."""
+    if not KNOWN_RED_FILE.exists():
+        return {}
+    lines = [line for line in KNOWN_RED_FILE.read_text().splitlines() if line.strip()]
+    lines = [line for line in lines if not line.startswith("#")]
+    if len(lines) > 3:
+        raise SystemExit("KNOWN-RED.txt lists more than three scenarios")
+    return {line.split(" | ")[0].strip(): line for line in lines}
+
+
+def main() -> int:
+    """Run all features (or those named on the command line); return the exit code."""
+    features = [Path(name) for name in sys.argv[1:]] or sorted(Path("features").rglob("*.feature"))
+    workers = max(1, (os.cpu_count() or 2) // 2)
+    with ThreadPoolExecutor(workers) as pool:
+        results = list(pool.map(run_feature, features))
+    listed = known_red()
+    failed = []
+    broken = []
+    for result in results:
+        bad = [name for name in result.failed_names if name not in listed]
+        failed += bad
+        if bad or (result.exit_code != 0 and not result.failed_names):
+            print(result.output)
+        if result.exit_code != 0 and not result.failed_names:
+            broken.append(str(result.feature))
+        for name in result.failed_names:
+            if name in listed:
+                print(f"known red: {listed[name]}")
+    passed = sum(result.passed for result in results)
+    for name in broken:
+        print(f"no result from {name}")
+    for name in failed:
+        print(f"failed: {name}")
+    print(f"scenarios: {passed} passed, {len(failed) + len(broken)} failed")
+    return 0 if passed and not failed and not broken else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
