--- a/src/rainsail/wire/codec.py
+++ b/src/rainsail/wire/codec.py
@@ -194,9 +194,9 @@
 
 def encode_body(message: Any) -> bytes:
     """Encode a dataclass without a type prefix."""
-    cls = type(message)
-    buffer = io.BytesIO()
     record: Any = type(message)
+    buffer = io.BytesIO()
+    fastavro.schemaless_writer(buffer, parsed_schema(record), _writer(record)(message))
     return buffer.getvalue()
 
 
