--- /dev/null
+++ b/src/rainsail/experiment/history.py
@@ -0,0 +1,315 @@
+"""The recorded history of a run: what callers, operators and engines saw, in time order.
+
+Checkers read a history and nothing else. A simulated run and a run of real daemons record the
+same events, so the same checkers judge both. Times are seconds of one observer's monotonic
+clock. On disk a history is an Avro container file of ``HistoryRecord``.
+"""
+
+import hashlib
+from dataclasses import dataclass
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+import fastavro
+
+from rainsail.errors import Outcome
+from rainsail.resources.specs import RequestClass
+from rainsail.wire.codec import (
+    CodecError,
+    encode_body,
+    parsed_schema,
+    read_plain,
+    wire_record,
+    write_plain,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSent:
+    """A caller sends a request. ``expected_text`` is the whole right answer."""
+
+    time_s: float
+    request_id: str
+    send_id: str
+    gateway: str
+    tenant: str
+    class_: RequestClass
+    expected_text: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAnswered:
+    """A caller has its final answer to one send, or has given up waiting (``lost``).
+
+    ``text`` is what the caller put together from the parts it received.
+    """
+
+    time_s: float
+    request_id: str
+    send_id: str
+    outcome: Outcome
+    text: str
+    first_part_s: float
+    fault: str
+    lost: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineStarted:
+    """An engine takes new work (an attempt of a request or of an item)."""
+
+    time_s: float
+    runner: str
+    request_id: str
+    attempt_id: str
+    batch: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFinished:
+    """An engine ran an attempt to its end."""
+
+    time_s: float
+    runner: str
+    request_id: str
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class OnlineQueued:
+    """An online request waited in an engine while a batch attempt ran beside it."""
+
+    time_s: float
+    runner: str
+    request_id: str
+    waited_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """A client's job submission was answered with an accepted (sealed) job."""
+
+    time_s: float
+    job_key: str
+    job_id: str
+    content_digest: str
+    item_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobCancelAccepted:
+    """An operator's cancel was answered as done."""
+
+    time_s: float
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResultRead:
+    """A client read one finished item. ``phase`` is an ``ItemPhase`` value."""
+
+    time_s: float
+    job_id: str
+    index: int
+    phase: str
+    text: str
+    expected_text: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobRead:
+    """A client read a job's phase and counts."""
+
+    time_s: float
+    job_id: str
+    phase: str
+    completed: int
+    set_aside: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeSent:
+    """An operator sends a change with an expected revision; ``value`` marks its content."""
+
+    time_s: float
+    operator: str
+    change_id: str
+    resource: str
+    expected_revision: int
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeAnswered:
+    """The answer to a change: accepted at ``revision``, or refused with a code."""
+
+    time_s: float
+    operator: str
+    change_id: str
+    resource: str
+    accepted: bool
+    revision: int
+    code: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceRead:
+    """A read confirmed by the leader, begun at ``begun_s``."""
+
+    time_s: float
+    begun_s: float
+    reader: str
+    resource: str
+    revision: int
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayApplied:
+    """A gateway incarnation applied a configuration revision."""
+
+    time_s: float
+    gateway: str
+    incarnation: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayAdmitted:
+    """A gateway let new work in while holding a configuration revision."""
+
+    time_s: float
+    gateway: str
+    incarnation: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class InForceReported:
+    """An operator saw that every revision up to ``revision`` is in force."""
+
+    time_s: float
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class DrainDeclared:
+    """A runner's drain was accepted (or its machine was listed as leaving)."""
+
+    time_s: float
+    runner: str
+    declared: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """A process was asked to stop as planned; ``finished`` when it has."""
+
+    time_s: float
+    process: str
+    finished: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FaultInjected:
+    """The run brought about a failure."""
+
+    time_s: float
+    kind: str
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class FaultsEnded:
+    """From here on no failure is under way; everything accepted must complete."""
+
+    time_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnded:
+    """The run is over; ``complete`` is False when it was cut short."""
+
+    time_s: float
+    complete: bool
+
+
+Event = (
+    RequestSent
+    | RequestAnswered
+    | EngineStarted
+    | EngineFinished
+    | OnlineQueued
+    | JobAccepted
+    | JobCancelAccepted
+    | ResultRead
+    | JobRead
+    | ChangeSent
+    | ChangeAnswered
+    | ResourceRead
+    | GatewayApplied
+    | GatewayAdmitted
+    | InForceReported
+    | DrainDeclared
+    | PlannedStop
+    | FaultInjected
+    | FaultsEnded
+    | RunEnded
+)
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class HistoryRecord:
+    """One event in a history file."""
+
+    event: Event
+
+
+class HistoryKind(StrEnum):
+    """Where a history comes from."""
+
+    SIMULATED = "simulated"
+    REAL = "real"
+
+
+class History:
+    """Events in the order in which they were recorded, with a running hash."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+        self._hash = hashlib.sha256()
+
+    def record(self, event: Event) -> None:
+        """Append an event and add it to the hash."""
+        self.events.append(event)
+        self._hash.update(encode_body(HistoryRecord(event)))
+
+    def sha256(self) -> str:
+        """Return the hex SHA-256 over all events so far."""
+        return self._hash.hexdigest()
+
+    def of_type(self, event_type: type) -> list[Any]:
+        """Return the events of one type in order."""
+        return [event for event in self.events if type(event) is event_type]
+
+
+def write_history(path: Path, history: History) -> None:
+    """Write a history as an Avro container file."""
+    schema = parsed_schema(HistoryRecord)
+    with path.open("wb") as file:
+        plain = (write_plain(HistoryRecord(event)) for event in history.events)
+        fastavro.writer(file, schema, plain, codec="deflate")
+
+
+def read_history(path: Path) -> History:
+    """Read a history file; raises ``CodecError`` when it is not one."""
+    history = History()
+    try:
+        with path.open("rb") as file:
+            for plain in fastavro.reader(file, return_record_name=True):
+                history.record(read_plain(HistoryRecord, plain).event)
+    except (ValueError, EOFError, KeyError, IndexError, TypeError, StopIteration) as error:
+        raise CodecError(f"{path} is not a history: {error!r}") from error
+    return history
--- a/src/rainsail/wire/codec.py
+++ b/src/rainsail/wire/codec.py
@@ -192,6 +192,16 @@
     return read
 
 
+def write_plain(message: Any) -> Any:
+    """Return a dataclass as fastavro's plain value, for Avro container files."""
+    return _writer(type(message))(message)
+
+
+def read_plain(cls: Any, plain: Any) -> Any:
+    """Return the dataclass of fastavro's plain value (read with ``return_record_name``)."""
+    return _reader(cls)(plain)
+
+
 def encode_body(message: Any) -> bytes:
     """Encode a dataclass without a type prefix."""
     record: Any = type(message)
