--- a/src/rainsail/wire/codec.py
+++ b/src/rainsail/wire/codec.py
@@ -194,7 +194,8 @@
 
 def write_plain(message: Any) -> Any:
     """Return a dataclass as fastavro's plain value, for Avro container files."""
-    return _writer(type(message))(message)
+    record: Any = type(message)
+    return _writer(record)(message)
 
 
 def read_plain(cls: Any, plain: Any) -> Any:
