Add the segment log, the real data folder and the replica identity

A replica needs its log, its vote and its name to outlive the process.

Records are Avro bodies framed with length, CRC-32C, group id and kind. A record also says how much of its file was durable when it was written, which decides between a torn tail and damage. Writes gather while a sync is under way, so one sync covers a batch. The identity is made with the data folder; a folder of another fleet, another replica or a newer format is refused.

The FileSystem seam gets read_range, to read old entries back in chunks.

--- /dev/null
+++ b/src/rainsail/storage/identity.py
@@ -0,0 +1,135 @@
+"""The identity of a replica, made together with its data folder."""
+
+import random
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from rainsail.errors import Fault
+from rainsail.storage.faults import storage_fault
+from rainsail.storage.interface import FileSystem
+from rainsail.storage.log_records import FORMAT_VERSION
+from rainsail.storage.records import RecordKind, encode_record, scan
+from rainsail.wire.codec import CodecError, decode_body, encode_body
+
+IDENTITY_PATH = "identity"
+_TEMPORARY_PATH = "identity.part"
+_IDENTITY_BITS = 128
+_NO_GROUP = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FormatRecord:
+    """First record of the identity file, in every format: the version of the folder's files."""
+
+    format_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class DataFolderRecord:
+    """Second record of the identity file: whose data folder it is."""
+
+    fleet: str
+    replica: str
+    identity: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaIdentity:
+    """Who a replica is. ``is_new`` says that the data folder was made just now.
+
+    A replica whose disk was lost finds an empty folder and gets another ``identity``, so it can't
+    be taken for the one that voted before.
+    """
+
+    fleet: str
+    replica: str
+    identity: str
+    is_new: bool
+
+
+def load_or_create_identity(
+    files: FileSystem, fleet: str, replica: str, random: random.Random
+) -> "Deferred[Result[ReplicaIdentity, Fault]]":
+    """Read the data folder's identity, or make one when the folder is empty.
+
+    Refuses, with a STORAGE fault, a folder of another fleet or replica, one of a newer format, a
+    damaged identity file, and a folder that holds groups but no identity.
+    """
+    return Deferred.fromCoroutine(_load_or_create(files, fleet, replica, random))
+
+
+async def _load_or_create(
+    files: FileSystem, fleet: str, replica: str, random: random.Random
+) -> Result[ReplicaIdentity, Fault]:
+    try:
+        if files.exists(IDENTITY_PATH):
+            return _check(read_identity(files), fleet, replica)
+        if any(name.startswith("group-") for name in files.list("")):
+            return Error(_fault("the folder holds groups but no identity"))
+        return await _create(files, fleet, replica, random)
+    except OSError as error:
+        return Error(_fault(str(error)))
+
+
+def read_identity(files: FileSystem) -> Result[DataFolderRecord, Fault]:
+    """Read the identity file; a newer format is a fault. Raises ``OSError`` when unreadable."""
+    data = files.read(IDENTITY_PATH)
+    scanned = scan(data, _NO_GROUP)
+    if scanned.damage is not None:
+        return Error(_fault(scanned.damage.reason, scanned.damage.offset))
+    if [record.kind for record in scanned.records[:1]] != [RecordKind.FORMAT]:
+        return Error(_fault("no format record", 0))
+    try:
+        version = decode_body(FormatRecord, scanned.records[0].body).format_version
+        if version > FORMAT_VERSION:
+            known = f"this program knows up to {FORMAT_VERSION}"
+            return Error(_fault(f"data folder has format {version}, {known}", 0))
+        if [record.kind for record in scanned.records[1:]] != [RecordKind.IDENTITY]:
+            return Error(_fault("no identity record", scanned.end))
+        found: DataFolderRecord = decode_body(DataFolderRecord, scanned.records[1].body)
+    except CodecError as error:
+        return Error(_fault(str(error), 0))
+    return Ok(found)
+
+
+def _check(
+    read: Result[DataFolderRecord, Fault], fleet: str, replica: str
+) -> Result[ReplicaIdentity, Fault]:
+    if read.is_error():
+        return Error(read.error)
+    found = read.ok
+    if found.fleet != fleet:
+        return Error(_fault(f"data folder belongs to fleet {found.fleet!r}, not {fleet!r}"))
+    if found.replica != replica:
+        return Error(_fault(f"data folder belongs to replica {found.replica!r}, not {replica!r}"))
+    return Ok(ReplicaIdentity(fleet, replica, found.identity, is_new=False))
+
+
+async def _create(
+    files: FileSystem, fleet: str, replica: str, random: random.Random
+) -> Result[ReplicaIdentity, Fault]:
+    identity = f"{random.getrandbits(_IDENTITY_BITS):032x}"
+    format_body = encode_body(FormatRecord(FORMAT_VERSION))
+    body = encode_body(DataFolderRecord(fleet, replica, identity))
+    data = encode_record(_NO_GROUP, RecordKind.FORMAT, format_body)
+    data += encode_record(_NO_GROUP, RecordKind.IDENTITY, body)
+    file = files.open(_TEMPORARY_PATH)
+    try:
+        file.truncate(0)
+        file.append(data)
+        synced = await file.sync()
+    finally:
+        file.close()
+    if synced.is_error():
+        return Error(synced.error)
+    files.rename(_TEMPORARY_PATH, IDENTITY_PATH)
+    renamed = await files.sync_folder("")
+    if renamed.is_error():
+        return Error(renamed.error)
+    return Ok(ReplicaIdentity(fleet, replica, identity, is_new=True))
+
+
+def _fault(reason: str, offset: int | None = None) -> Fault:
+    return storage_fault("identity", IDENTITY_PATH, reason, offset)
--- a/src/rainsail/storage/interface.py
+++ b/src/rainsail/storage/interface.py
@@ -50,6 +50,10 @@
         """Return the whole content; raises ``FileNotFoundError``."""
         ...
 
+    def read_range(self, path: str, offset: int, size: int) -> bytes:
+        """Return up to ``size`` bytes from ``offset`` on; raises ``FileNotFoundError``."""
+        ...
+
     def exists(self, path: str) -> bool:
         """Tell whether a file exists."""
         ...
--- /dev/null
+++ b/src/rainsail/storage/log_index.py
@@ -0,0 +1,127 @@
+"""The log of one group as seen in memory: terms, places on disk and the newest entries."""
+
+from array import array
+from bisect import bisect_right
+
+from rainsail.storage.interface import LogEntry
+
+_OFFSET_BITS = 32
+_OFFSET_MASK = (1 << _OFFSET_BITS) - 1
+_EVICTION_SHARE = 8
+"""The cache is cut back once it exceeds its bound by one part in this many."""
+
+
+class LogIndex:
+    """Terms of all entries, their places on disk, and a cache of the newest entries.
+
+    ``base_index`` and ``base_term`` name the entry before the first one held. Terms are held as
+    runs, so ``term_at`` costs O(log of the number of term changes).
+    """
+
+    def __init__(self, cache_bytes: int) -> None:
+        self._bound_bytes = cache_bytes
+        self._clear(0, 0)
+
+    def _clear(self, base_index: int, base_term: int) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.last_index = base_index
+        self._run_starts: list[int] = []
+        self._run_terms: list[int] = []
+        self._cache: list[LogEntry] = []
+        self._cached_bytes = 0
+        self._places_start = base_index + 1
+        self._places: array[int] = array("Q")
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop every entry; the next one follows ``index``."""
+        self._clear(index, term)
+
+    def append(self, entry: LogEntry) -> None:
+        """Add the entry after ``last_index``; raises ``ValueError`` for any other."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
+        if not self._run_terms or self._run_terms[-1] != entry.term:
+            self._run_starts.append(entry.index)
+            self._run_terms.append(entry.term)
+        self._cache.append(entry)
+        self._cached_bytes += len(entry.payload)
+        self.last_index = entry.index
+
+    def place(self, segment: int, offset: int) -> None:
+        """Note where the next entry without a place was written."""
+        self._places.append(segment << _OFFSET_BITS | offset)
+
+    def place_of(self, index: int) -> tuple[int, int]:
+        """Return the segment and the offset of a written entry."""
+        packed = self._places[index - self._places_start]
+        return packed >> _OFFSET_BITS, packed & _OFFSET_MASK
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entries from ``index`` on; their places stay until ``forget_places``."""
+        while self._run_starts and self._run_starts[-1] >= index:
+            self._run_starts.pop()
+            self._run_terms.pop()
+        keep = max(0, index - self.cache_first)
+        self._cached_bytes -= sum(len(entry.payload) for entry in self._cache[keep:])
+        del self._cache[keep:]
+        self.last_index = min(self.last_index, max(index - 1, self.base_index))
+
+    def forget_places(self, index: int) -> None:
+        """Drop the places from ``index`` on, when the truncation is written."""
+        del self._places[max(0, index - self._places_start) :]
+
+    def drop_until(self, index: int) -> None:
+        """Drop the entries up to ``index``, which must be held."""
+        self.base_term = self.term_at(index) or 0
+        position = bisect_right(self._run_starts, index + 1) - 1
+        if position >= 0:
+            del self._run_starts[:position], self._run_terms[:position]
+            self._run_starts[0] = max(self._run_starts[0], index + 1)
+        cached = max(0, index + 1 - self.cache_first)
+        self._evict(cached)
+        del self._places[: max(0, index + 1 - self._places_start)]
+        self._places_start = max(self._places_start, index + 1)
+        self.base_index = index
+        if index == self.last_index:
+            self._run_starts.clear()
+            self._run_terms.clear()
+
+    @property
+    def cache_first(self) -> int:
+        """The index of the first cached entry (``last_index + 1`` when none is)."""
+        return self.last_index + 1 - len(self._cache)
+
+    @property
+    def cached_entries(self) -> int:
+        """How many entries are held in memory."""
+        return len(self._cache)
+
+    def cached(self, first: int, last: int) -> list[LogEntry]:
+        """Return cached entries ``first..last``."""
+        start = first - self.cache_first
+        return self._cache[start : start + last - first + 1]
+
+    def shrink(self, durable_index: int) -> None:
+        """Cut the cache to its bound; entries after ``durable_index`` stay."""
+        if self._cached_bytes <= self._bound_bytes + self._bound_bytes // _EVICTION_SHARE:
+            return
+        limit = min(len(self._cache), durable_index + 1 - self.cache_first)
+        excess = self._cached_bytes - self._bound_bytes
+        count = 0
+        while count < limit and excess > 0:
+            excess -= len(self._cache[count].payload)
+            count += 1
+        self._evict(count)
+
+    def _evict(self, count: int) -> None:
+        self._cached_bytes -= sum(len(entry.payload) for entry in self._cache[:count])
+        del self._cache[:count]
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry or of the one before the first; None elsewhere."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._run_terms[bisect_right(self._run_starts, index) - 1]
--- /dev/null
+++ b/src/rainsail/storage/log_records.py
@@ -0,0 +1,33 @@
+"""Bodies of the log's records: Avro, encoded through the wire codec."""
+
+from dataclasses import dataclass
+
+FORMAT_VERSION = 1
+"""Version of the files of a data folder. A newer one is refused."""
+
+
+@dataclass(frozen=True, slots=True)
+class SegmentHeader:
+    """First record of a segment: the state of the log where the segment begins."""
+
+    format_version: int
+    sequence: int
+    last_index: int
+    last_term: int
+    hard_term: int
+    voted_for: str
+
+
+@dataclass(frozen=True, slots=True)
+class Truncation:
+    """Every entry from ``first_removed`` on is removed."""
+
+    first_removed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """Every entry is removed; the next one follows ``last_index`` (a snapshot was installed)."""
+
+    last_index: int
+    last_term: int
--- /dev/null
+++ b/src/rainsail/storage/log_replay.py
@@ -0,0 +1,89 @@
+"""Rebuilds a log in memory from the segments read back."""
+
+from expression import Error, Ok, Result
+
+from rainsail.errors import Fault
+from rainsail.storage.faults import storage_fault
+from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
+from rainsail.storage.log_index import LogIndex
+from rainsail.storage.log_records import Reset, Truncation
+from rainsail.storage.records import Record, RecordKind
+from rainsail.storage.segment_log import ScannedSegment
+from rainsail.wire.codec import CodecError, decode_body
+
+
+class ReplayedLog:
+    """The log and the hard state after the segments replayed so far."""
+
+    def __init__(self, cache_bytes: int) -> None:
+        self.index = LogIndex(cache_bytes)
+        self.hard_state = HardState(0, "")
+
+    def replay(self, segment: ScannedSegment, is_first: bool) -> Result[None, Fault]:
+        """Apply one segment; a record that doesn't fit the ones before it is a fault."""
+        offset = 0
+        try:
+            self._begin(segment, is_first)
+            for record in segment.records:
+                offset = record.offset
+                self._apply(record, segment.sequence)
+        except (CodecError, ValueError) as error:
+            return Error(storage_fault("open", segment.path, str(error), offset))
+        return Ok(None)
+
+    def _begin(self, segment: ScannedSegment, is_first: bool) -> None:
+        header = segment.header
+        hard_state = HardState(header.hard_term, header.voted_for)
+        if is_first:
+            self.index.reset(header.last_index, header.last_term)
+            self.hard_state = hard_state
+            return
+        found = (self.index.last_index, self.index.term_at(self.index.last_index))
+        if found != (header.last_index, header.last_term) or hard_state != self.hard_state:
+            raise ValueError(f"does not follow the segment before it, which ends at {found[0]}")
+
+    def _apply(self, record: Record, sequence: int) -> None:
+        if record.kind == RecordKind.ENTRY:
+            entry: LogEntry = decode_body(LogEntry, record.body)
+            self.index.append(entry)
+            self.index.place(sequence, record.offset)
+            self.index.shrink(entry.index)
+        elif record.kind == RecordKind.HARD_STATE:
+            self.hard_state = decode_body(HardState, record.body)
+        elif record.kind == RecordKind.TRUNCATION:
+            self._truncate(decode_body(Truncation, record.body).first_removed)
+        elif record.kind == RecordKind.RESET:
+            reset: Reset = decode_body(Reset, record.body)
+            self.index.reset(reset.last_index, reset.last_term)
+        elif record.kind != RecordKind.DURABLE_MARK:
+            raise ValueError(f"unexpected record kind {record.kind.name}")
+
+    def _truncate(self, first_removed: int) -> None:
+        if first_removed <= self.index.base_index:
+            raise ValueError(f"truncation from {first_removed} reaches below the log")
+        self.index.truncate_from(first_removed)
+        self.index.forget_places(first_removed)
+
+    def fit_snapshot(self, meta: SnapshotMeta | None) -> bool:
+        """Fit the log to the newest snapshot; False when entries between them are missing.
+
+        A log that does not hold the snapshot's last entry with the same term is replaced by the
+        snapshot: a crash came between installing it and resetting the log.
+        """
+        if meta is None:
+            return self.index.base_index == 0
+        if self.index.base_index > meta.last_index:
+            return False
+        if self.index.term_at(meta.last_index) != meta.last_term:
+            self.index.reset(meta.last_index, meta.last_term)
+        return True
+
+
+def replay_segments(segments: list[ScannedSegment], cache_bytes: int) -> Result[ReplayedLog, Fault]:
+    """Replay segments that follow each other without a gap."""
+    replayed = ReplayedLog(cache_bytes)
+    for position, segment in enumerate(segments):
+        result = replayed.replay(segment, position == 0)
+        if result.is_error():
+            return Error(result.error)
+    return Ok(replayed)
