Carry envelopes between processes over TCP and load their settings

Cause: the parts of a fleet could only be assembled in memory; there was no transport, no settings file and no log.

Change: TcpTransport frames envelopes by Twisted's length-prefixed receiver, starts each connection with a hello (process, fleet, protocol fingerprint), dials lazily with jittered backoff, queues up to a bound while a connection opens, refuses sends beyond a buffer bound and ends the calls of a lost link at once: not run when they never left, unknown otherwise. Mutual TLS checks the certificate's common name against the hello. Settings come from one TOML file, the environment and flags, with the key path in each problem. Logs go to a ring in memory that is dumped on error; metrics have a registry per process.

Conclusion: daemons can talk; TLS and hostile input are not covered by a feature yet.

--- /dev/null
+++ b/src/rainsail/settings/process.py
@@ -0,0 +1,137 @@
+"""Sections of the settings that no single concern owns: the process, its addresses, its fleet."""
+
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from rainsail.wire.address import PeerAddress, parse_address
+
+FROZEN = ConfigDict(frozen=True, extra="forbid")
+NAME_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$"
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+"""Lower-case letters, digits, dots and dashes, 63 at most."""
+
+
+def _check_address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+"""``IP:PORT`` with an IP number, never a host name."""
+
+
+class Role(StrEnum):
+    """What a process does."""
+
+    REPLICA = "replica"
+    GATEWAY = "gateway"
+    EMULATOR = "emulator"
+
+
+class ProcessSection(BaseModel):
+    """Who this process is."""
+
+    model_config = FROZEN
+
+    name: Name = Field(description="Name of the process, unique in the fleet")
+    fleet: Name = Field(description="Name of the fleet; processes of other fleets are refused")
+    region: Name = Field(default="local", description="Region that the process stands in")
+    zone: Name = Field(description="Zone that the process stands in")
+    roles: tuple[Role, ...] = Field(
+        default=(Role.REPLICA, Role.GATEWAY, Role.EMULATOR),
+        min_length=1,
+        description="Roles of `rainsail run`: replica, gateway, emulator; `up` runs all",
+    )
+    data_folder: Path = Field(
+        default=Path("data"), description="Folder that holds every file the process writes"
+    )
+
+
+class AddressSection(BaseModel):
+    """Where this process listens."""
+
+    model_config = FROZEN
+
+    internal: Address = Field(
+        default="127.0.0.1:7300", description="IP:PORT of the protocol between processes"
+    )
+    operator_api: Address = Field(
+        default="127.0.0.1:7301", description="IP:PORT of the operator API (replica role)"
+    )
+    caller_api: Address = Field(
+        default="127.0.0.1:7302", description="IP:PORT of the caller API (gateway role)"
+    )
+    status: Address | None = Field(
+        default=None, description="IP:PORT of /healthz, /readyz and /metrics; none when left out"
+    )
+
+
+class PeerEntry(BaseModel):
+    """A process that this one may connect to."""
+
+    model_config = FROZEN
+
+    address: Address = Field(description="IP:PORT of the peer's internal protocol")
+    zone: Name = Field(default="local", description="Zone of the peer")
+
+
+class ReplicaEntry(BaseModel):
+    """A replica of the root group."""
+
+    model_config = FROZEN
+
+    name: Name = Field(description="Process name of the replica")
+    region: Name = Field(default="local", description="Region of the replica")
+    zone: Name = Field(description="Zone of the replica")
+    address: Address = Field(description="IP:PORT of its internal protocol")
+    operator_api: Address | None = Field(
+        default=None, description="IP:PORT of its operator API; for `up` and the command line"
+    )
+
+
+class GatewayEntry(BaseModel):
+    """A gateway that `up` starts."""
+
+    model_config = FROZEN
+
+    name: Name = Field(description="Process name of the gateway")
+    region: Name = Field(default="local", description="Region of the gateway")
+    zone: Name = Field(description="Zone of the gateway")
+    caller_api: Address = Field(description="IP:PORT of its caller API")
+    address: Address | None = Field(
+        default=None, description="IP:PORT of its internal protocol, when it listens"
+    )
+
+
+class EngineEntry(BaseModel):
+    """An emulated engine that the emulator role starts."""
+
+    model_config = FROZEN
+
+    runner: Name = Field(description="Name of the runner")
+    region: Name = Field(default="local", description="Region of the runner")
+    zone: Name = Field(description="Zone of the runner")
+    service: Name = Field(description="Service that the runner belongs to")
+    address: Address = Field(description="IP:PORT of the engine's HTTP API")
+
+
+class LogSection(BaseModel):
+    """The ring of log records in memory."""
+
+    model_config = FROZEN
+
+    ring_records: int = Field(default=4096, gt=0, description="Records that the ring holds")
+    print_level: str = Field(
+        default="WARNING",
+        pattern="^(DEBUG|INFO|WARNING|ERROR|CRITICAL)$",
+        description="Records from this level up are printed to stderr as well",
+    )
+
+
+def peer_address(text: str) -> PeerAddress:
+    """Return a checked address of the settings as a value."""
+    return parse_address(text)
--- /dev/null
+++ b/src/rainsail/wire/connection.py
@@ -0,0 +1,209 @@
+"""One connection to a peer: the hello first, then envelopes, with keepalive frames between."""
+
+from typing import Any, Protocol
+
+from twisted.python.failure import Failure
+
+from rainsail.errors import Fault, FaultCode
+from rainsail.wire.codec import CodecError, decode, encode
+from rainsail.wire.envelope import decode_envelope
+from rainsail.wire.framing import FramedConnection
+from rainsail.wire.hello import Hello, HelloRefused, check_hello
+from rainsail.wire.messenger import Envelope, ProcessName
+from rainsail.wire.settings import WireSettings
+from rainsail.wire.tls import certified_name
+
+STEP = "wire.connection"
+KEEPALIVE_FRAME = b""
+REFUSAL_FLUSH_S = 1.0
+"""Time that a refusal has to leave before the connection is aborted."""
+
+
+class ConnectionOwner(Protocol):
+    """What a connection tells the transport that it belongs to."""
+
+    def connection_opened(self, connection: "PeerConnection") -> None:
+        """The hellos have been exchanged; ``connection.peer`` names the other side."""
+        ...
+
+    def envelope_received(self, peer: ProcessName, envelope: Envelope) -> None:
+        """An envelope arrived on an open connection."""
+        ...
+
+    def connection_closed(self, connection: "PeerConnection", fault: Fault) -> None:
+        """The connection is gone; called once, also when it never opened."""
+        ...
+
+
+class PeerConnection(FramedConnection):
+    """Exchanges hellos, then carries envelopes.
+
+    ``expected`` names the dialled process; it is None on accepted connections, which say hello
+    only after they have accepted the other side's.
+    """
+
+    def __init__(
+        self,
+        owner: ConnectionOwner,
+        clock: Any,
+        hello: Hello,
+        settings: WireSettings,
+        expected: ProcessName | None,
+        tls: bool,
+    ) -> None:
+        super().__init__(settings.max_frame_bytes, settings.outgoing_buffer_bytes)
+        self.peer: ProcessName = expected or ""
+        self.is_open = False
+        self._owner = owner
+        self._clock = clock
+        self._hello = hello
+        self._settings = settings
+        self._expected = expected
+        self._tls = tls
+        self._fault: Fault | None = None
+        self._ended = False
+        self._timer: Any = None
+        self._sent_s = 0.0
+        self._received_s = 0.0
+
+    @property
+    def was_dialled(self) -> bool:
+        """Tell whether this side opened the connection."""
+        return self._expected is not None
+
+    # --- Twisted's callbacks ---------------------------------------------------------------
+
+    def connectionMade(self) -> None:
+        """Start the exchange of hellos."""
+        super().connectionMade()
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self._sent_s = self._received_s = self._clock.seconds()
+        self._timer = self._clock.callLater(self._settings.hello_timeout_s, self._hello_late)
+        if self._expected is not None:
+            self.send_frame(encode(self._hello))
+
+    def dataReceived(self, data: bytes) -> None:
+        """Note that the peer lives and take the frames in ``data``."""
+        if self._ended:
+            return
+        self._received_s = self._clock.seconds()
+        super().dataReceived(data)
+
+    def stringReceived(self, string: bytes) -> None:
+        """Take one frame."""
+        if self._ended:
+            return
+        if not self.is_open:
+            self._take_hello(string)
+        elif string != KEEPALIVE_FRAME:
+            self._take_envelope(string)
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        """Close: a frame longer than the bound is announced; none of it is gathered."""
+        self.close(self._invalid(FaultCode.TOO_LARGE, f"frame of {length} bytes announced"))
+
+    def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
+        """Tell the owner once."""
+        self._ended = True
+        self.is_open = False
+        self._cancel_timer()
+        self.stopProducing()
+        detail = reason.getErrorMessage() if reason is not None else "closed"
+        fault = self._fault or Fault(FaultCode.UNAVAILABLE, STEP, detail, self.peer)
+        self._owner.connection_closed(self, fault)
+
+    # --- the transport's calls ---------------------------------------------------------------
+
+    def send_envelope(self, data: bytes) -> Fault | None:
+        """Send an encoded envelope; a fault means that it was not sent."""
+        fault = self.send_frame(data)
+        if fault is not None:
+            return fault.at(self.peer)
+        self._sent_s = self._clock.seconds()
+        return None
+
+    def close(self, fault: Fault) -> None:
+        """Close at once for ``fault``; what has not been written yet is dropped."""
+        if self._fault is None:
+            self._fault = fault
+        self._ended = True
+        self.is_open = False
+        self.transport.abortConnection()
+
+    # --- the hello ----------------------------------------------------------------------------
+
+    def _take_hello(self, frame: bytes) -> None:
+        try:
+            message = decode(frame)
+        except CodecError as error:
+            self.close(self._invalid(FaultCode.INVALID, f"no hello: {error}"))
+            return
+        if isinstance(message, HelloRefused):
+            self.close(self._invalid(FaultCode.FORBIDDEN, f"refused by the peer: {message.reason}"))
+        elif isinstance(message, Hello):
+            self._judge_hello(message)
+        else:
+            name = type(message).__name__
+            self.close(self._invalid(FaultCode.FORBIDDEN, f"{name} arrived before the hello"))
+
+    def _judge_hello(self, other: Hello) -> None:
+        certified = certified_name(self.transport) if self._tls else None
+        fault = check_hello(self._hello, other, self._expected, certified)
+        if fault is not None:
+            self._refuse(fault)
+            return
+        if self._expected is None:
+            self.send_frame(encode(self._hello))
+        self.peer = other.process
+        self.is_open = True
+        self.accept_large_frames()
+        self._cancel_timer()
+        self._watch_link()
+        self._owner.connection_opened(self)
+
+    def _refuse(self, fault: Fault) -> None:
+        """Tell the peer why, then close."""
+        self._fault = fault
+        self._ended = True
+        self._cancel_timer()
+        self.send_frame(encode(HelloRefused(fault.detail)))
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        self._timer = self._clock.callLater(REFUSAL_FLUSH_S, self.transport.abortConnection)
+
+    def _hello_late(self) -> None:
+        self._timer = None
+        detail = f"no hello within {self._settings.hello_timeout_s:g} s"
+        self.close(self._invalid(FaultCode.TIMEOUT, detail))
+
+    # --- envelopes and keepalive -------------------------------------------------------------
+
+    def _take_envelope(self, frame: bytes) -> None:
+        try:
+            envelope = decode_envelope(frame)
+        except CodecError as error:
+            self.close(self._invalid(FaultCode.INVALID, str(error)))
+            return
+        self._owner.envelope_received(self.peer, envelope)
+
+    def _watch_link(self) -> None:
+        """Send a keepalive on a quiet link, close one whose peer is silent."""
+        now_s = self._clock.seconds()
+        silent_s = now_s - self._received_s
+        if silent_s >= self._settings.dead_peer_timeout_s:
+            self._timer = None
+            detail = f"silent for {silent_s:.1f} s"
+            self.close(self._invalid(FaultCode.UNAVAILABLE, detail))
+            return
+        if now_s - self._sent_s >= self._settings.keepalive_period_s:
+            self.send_envelope(KEEPALIVE_FRAME)
+        self._timer = self._clock.callLater(self._settings.keepalive_period_s, self._watch_link)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _invalid(self, code: FaultCode, detail: str) -> Fault:
+        return Fault(code, STEP, detail, self.peer)
--- /dev/null
+++ b/src/rainsail/wire/tcp.py
@@ -0,0 +1,284 @@
+"""The transport of daemons: envelopes over TCP, with mutual TLS when settings name the files.
+
+A process dials the peers whose addresses it knows, when it first sends to them, and answers
+every other peer over the connection that this peer opened. A link that is lost ends the calls
+sent on it at once: NOT_RUN when they never left, UNKNOWN otherwise.
+"""
+
+from collections.abc import Callable
+from random import Random, SystemRandom
+from typing import Any
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import (
+    SSL4ClientEndpoint,
+    SSL4ServerEndpoint,
+    TCP4ClientEndpoint,
+    TCP4ServerEndpoint,
+    TCP6ClientEndpoint,
+    TCP6ServerEndpoint,
+)
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from rainsail.errors import Fault, FaultCode, Outcome, RainsailError
+from rainsail.logs import logger
+from rainsail.wire.address import PeerAddress
+from rainsail.wire.calls import UnansweredCalls
+from rainsail.wire.codec import protocol_fingerprint
+from rainsail.wire.connection import PeerConnection
+from rainsail.wire.dialler import DialState, QueuedEnvelope
+from rainsail.wire.envelope import encode_envelope
+from rainsail.wire.hello import Hello
+from rainsail.wire.messenger import Envelope, EnvelopeKind, ProcessName
+from rainsail.wire.settings import TlsSettings, WireSettings
+from rainsail.wire.tls import certificate_options, own_certified_name
+
+STEP = "wire.tcp"
+
+
+class TcpTransport:
+    """Implements ``rainsail.wire.messenger.Transport`` over TCP."""
+
+    def __init__(
+        self,
+        name: ProcessName,
+        peers: dict[ProcessName, PeerAddress],
+        reactor: Any,
+        tls: TlsSettings | None = None,
+        settings: WireSettings = WireSettings(),
+        fleet: str = "",
+        random: Random | None = None,
+    ) -> None:
+        """Raise ``RainsailError`` for unusable TLS files, or without TLS off loopback."""
+        self.name = name
+        self._peers = dict(peers)
+        self._reactor = reactor
+        self._settings = settings
+        self._random = random or Random(SystemRandom().getrandbits(64))
+        self._tls_options = _tls_options(name, tls)
+        self._hello = Hello(name, fleet, protocol_fingerprint())
+        self._deliver: Callable[[ProcessName, Envelope], None] | None = None
+        self._dialled: dict[ProcessName, PeerConnection] = {}
+        self._accepted: dict[ProcessName, PeerConnection] = {}
+        self._dials: dict[ProcessName, DialState] = {}
+        self._connections: dict[PeerConnection, None] = {}
+        self._calls = UnansweredCalls()
+        self._ports: list[Any] = []
+        self._stopped = False
+        for address in self._peers.values():
+            self._check_exposure(address)
+        if tls is None:
+            logger.bind(process=name).info("TLS is off: only loopback addresses are used")
+
+    # --- Transport ------------------------------------------------------------------------------
+
+    def listen(self, deliver: Callable[[ProcessName, Envelope], None]) -> None:
+        """Set the function that gets every arriving envelope with the name of its sender."""
+        self._deliver = deliver
+
+    def send(self, destination: ProcessName, envelope: Envelope) -> Fault | None:
+        """Send without waiting; a fault means that nothing was sent."""
+        if self._stopped:
+            return self._fault(FaultCode.UNAVAILABLE, "the transport has been stopped", destination)
+        if destination == self.name:
+            self._reactor.callLater(0, self._hand_up, destination, envelope)
+            return None
+        data = encode_envelope(envelope)
+        connection = self._dialled.get(destination) or self._accepted.get(destination)
+        call_id = envelope.call_id if envelope.kind == EnvelopeKind.CALL else 0
+        if connection is not None:
+            return self._send_on(connection, QueuedEnvelope(data, call_id))
+        return self._queue_for(destination, QueuedEnvelope(data, call_id))
+
+    # --- lifecycle -------------------------------------------------------------------------------
+
+    def listen_on(self, host: str, port: int) -> "Deferred[Result[int, Fault]]":
+        """Accept peers; fires with the port in use (port 0 picks a free one)."""
+        return Deferred.fromCoroutine(self._listen_on(PeerAddress(host, port)))
+
+    async def _listen_on(self, address: PeerAddress) -> Result[int, Fault]:
+        try:
+            self._check_exposure(address)
+            port = await self._server_endpoint(address).listen(_AcceptingFactory(self))
+        except RainsailError as error:
+            return Error(error.fault)
+        except Exception as error:
+            return Error(self._fault(FaultCode.UNAVAILABLE, f"{address}: {error}", ""))
+        self._ports.append(port)
+        return Ok(port.getHost().port)
+
+    def set_peer(self, name: ProcessName, address: PeerAddress) -> None:
+        """Learn or change where a peer listens; an open connection is kept."""
+        self._check_exposure(address)
+        self._peers[name] = address
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        self._stopped = True
+        ports, self._ports = self._ports, []
+        for port in ports:
+            await _as_deferred(port.stopListening())
+        for connection in list(self._connections):
+            connection.close(self._fault(FaultCode.UNAVAILABLE, "stopping", connection.peer))
+
+    # --- ConnectionOwner -------------------------------------------------------------------------
+
+    def connection_opened(self, connection: PeerConnection) -> None:
+        """Use an open connection for its peer."""
+        peer = connection.peer
+        if connection.was_dialled:
+            self._dialled[peer] = connection
+            for queued in self._dial_state(peer).opened():
+                self._send_queued(connection, queued)
+            return
+        former = self._accepted.get(peer)
+        self._accepted[peer] = connection
+        if former is not None:
+            former.close(self._fault(FaultCode.UNAVAILABLE, "the peer connected anew", peer))
+
+    def envelope_received(self, peer: ProcessName, envelope: Envelope) -> None:
+        """Hand an envelope up."""
+        if envelope.kind == EnvelopeKind.REPLY:
+            self._calls.answered(peer, envelope.call_id)
+        self._hand_up(peer, envelope)
+
+    def connection_closed(self, connection: PeerConnection, fault: Fault) -> None:
+        """Forget a connection and end the calls that were sent on it."""
+        self._connections.pop(connection, None)
+        peer = connection.peer
+        for links in (self._dialled, self._accepted):
+            if links.get(peer) is connection:
+                del links[peer]
+        if connection.was_dialled and self._dial_state(peer).dialling:
+            self._dial_failed(peer, fault)
+        for call_id in self._calls.take_lost(peer, connection):
+            self._end_call(peer, call_id, fault, Outcome.UNKNOWN)
+        logger.bind(process=self.name, peer=peer).debug("connection closed: {}", fault)
+
+    # --- sending --------------------------------------------------------------------------------
+
+    def _send_on(self, connection: PeerConnection, queued: QueuedEnvelope) -> Fault | None:
+        fault = connection.send_envelope(queued.data)
+        if fault is None and queued.call_id:
+            self._calls.sent(connection.peer, queued.call_id, connection)
+        return fault
+
+    def _send_queued(self, connection: PeerConnection, queued: QueuedEnvelope) -> None:
+        fault = self._send_on(connection, queued)
+        if fault is not None and queued.call_id:
+            self._end_call(connection.peer, queued.call_id, fault, Outcome.NOT_RUN)
+
+    def _queue_for(self, destination: ProcessName, queued: QueuedEnvelope) -> Fault | None:
+        address = self._peers.get(destination)
+        if address is None:
+            return self._fault(FaultCode.UNAVAILABLE, "not connected", destination)
+        if len(queued.data) > self._settings.max_frame_bytes:
+            detail = f"{len(queued.data)} bytes are over the frame bound"
+            return self._fault(FaultCode.TOO_LARGE, detail, destination)
+        state = self._dial_state(destination)
+        fault = state.refusal(self._reactor.seconds()) or state.enqueue(queued)
+        if fault is not None:
+            return fault.at(destination)
+        if not state.dialling:
+            self._dial(destination, address, state)
+        return None
+
+    def _dial_state(self, peer: ProcessName) -> DialState:
+        state = self._dials.get(peer)
+        if state is None:
+            state = self._dials[peer] = DialState(self._random, self._settings)
+        return state
+
+    def _dial(self, peer: ProcessName, address: PeerAddress, state: DialState) -> None:
+        state.dialling = True
+        factory = Factory.forProtocol(lambda: self._new_connection(peer))
+        attempt = self._client_endpoint(address).connect(factory)
+        attempt.addErrback(self._connect_failed, peer)
+
+    def _connect_failed(self, failure: Failure, peer: ProcessName) -> None:
+        detail = failure.getErrorMessage()
+        self._dial_failed(peer, self._fault(FaultCode.UNAVAILABLE, detail, peer))
+
+    def _dial_failed(self, peer: ProcessName, fault: Fault) -> None:
+        logger.bind(process=self.name, peer=peer).info("cannot connect: {}", fault)
+        for queued in self._dial_state(peer).failed(self._reactor.seconds()):
+            if queued.call_id:
+                self._end_call(peer, queued.call_id, fault, Outcome.NOT_RUN)
+
+    def _end_call(self, peer: ProcessName, call_id: int, fault: Fault, outcome: Outcome) -> None:
+        """Give the messenger the fault as the reply."""
+        ended = Fault(FaultCode.UNAVAILABLE, fault.step, fault.detail, peer, outcome)
+        self._hand_up(peer, Envelope(EnvelopeKind.REPLY, call_id, ended))
+
+    def _hand_up(self, peer: ProcessName, envelope: Envelope) -> None:
+        if self._deliver is not None and not self._stopped:
+            self._deliver(peer, envelope)
+
+    # --- sockets --------------------------------------------------------------------------------
+
+    def accept_connection(self) -> PeerConnection | None:
+        """Return the protocol of an arriving connection; None when there are too many."""
+        if len(self._connections) >= self._settings.max_accepted_connections:
+            return None
+        return self._new_connection(None)
+
+    def _new_connection(self, expected: ProcessName | None) -> PeerConnection:
+        tls = self._tls_options is not None
+        connection = PeerConnection(self, self._reactor, self._hello, self._settings, expected, tls)
+        self._connections[connection] = None
+        return connection
+
+    def _client_endpoint(self, address: PeerAddress) -> Any:
+        timeout_s = self._settings.connect_timeout_s
+        if self._tls_options is not None:
+            return SSL4ClientEndpoint(
+                self._reactor, address.host, address.port, self._tls_options, timeout_s
+            )
+        kind = TCP6ClientEndpoint if ":" in address.host else TCP4ClientEndpoint
+        return kind(self._reactor, address.host, address.port, timeout_s)
+
+    def _server_endpoint(self, address: PeerAddress) -> Any:
+        if self._tls_options is not None:
+            return SSL4ServerEndpoint(
+                self._reactor, address.port, self._tls_options, interface=address.host
+            )
+        kind = TCP6ServerEndpoint if ":" in address.host else TCP4ServerEndpoint
+        return kind(self._reactor, address.port, interface=address.host)
+
+    def _check_exposure(self, address: PeerAddress) -> None:
+        if self._tls_options is None and not address.is_loopback():
+            detail = f"{address} is not a loopback address, so TLS must be on"
+            raise RainsailError(self._fault(FaultCode.INVALID, detail, ""))
+
+    def _fault(self, code: FaultCode, detail: str, peer: ProcessName) -> Fault:
+        return Fault(code, STEP, detail, peer)
+
+
+class _AcceptingFactory(Factory):
+    """Builds the protocol of each accepted connection."""
+
+    noisy = False
+
+    def __init__(self, transport: TcpTransport) -> None:
+        self._transport = transport
+
+    def buildProtocol(self, addr: Any) -> PeerConnection | None:
+        """Return a connection, or None to have it closed at once."""
+        return self._transport.accept_connection()
+
+
+def _tls_options(name: ProcessName, tls: TlsSettings | None) -> Any:
+    if tls is None:
+        return None
+    certified = own_certified_name(tls)
+    if certified != name:
+        detail = f"{tls.certificate_file} certifies {certified!r}, this process is {name!r}"
+        raise RainsailError(Fault(FaultCode.INVALID, STEP, detail))
+    return certificate_options(tls)
+
+
+async def _as_deferred(value: Any) -> None:
+    if isinstance(value, Deferred):
+        await value
