Add the replicated state machine

Cause: the log needs a deterministic state to apply commands to. Change: resources under one revision with an event window and first answers by change id; the batch ledger with packed item ranges, fenced leases, results that are committed once and fair selection by tenant and deadline; claims, sessions;

--- /dev/null
+++ b/src/rainsail/state/job.py
@@ -0,0 +1,161 @@
+"""One job of the batch ledger: its items, leases, counts and results."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from rainsail.state.commands import ItemPhase, JobPhase, JobSpec, JobView
+from rainsail.state.interface import ResultRow
+from rainsail.state.job_items import CANCELLED, ITEM_PHASES, PENDING, JobItems
+from rainsail.state.lease_queue import QueuedJob
+from rainsail.state.result_log import FinishedItem, ResultLog
+from rainsail.wire.codec import wire_record
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Who runs an item, under which fence, and the tokens its tenant was charged."""
+
+    index: int
+    holder: str
+    fence: int
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ItemNote:
+    """What is kept of a few unfinished items: failed attempts and what they generated."""
+
+    index: int
+    attempts: int
+    generated_prefix: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class StoredJob:
+    """A job without its item bodies and results, for a snapshot."""
+
+    job_id: str
+    spec: JobSpec
+    phase: JobPhase
+    sequence: int
+    item_phases: bytes
+    leases: tuple[Lease, ...]
+    notes: tuple[ItemNote, ...]
+
+
+class Job:
+    """A job as the ledger keeps it. ``sequence`` is its place in order of opening."""
+
+    __slots__ = (
+        "cancelled",
+        "completed",
+        "items",
+        "job_id",
+        "leases",
+        "notes",
+        "pending",
+        "phase",
+        "results",
+        "sequence",
+        "set_aside",
+        "spec",
+    )
+
+    def __init__(self, job_id: str, spec: JobSpec, sequence: int) -> None:
+        self.job_id = job_id
+        self.spec = spec
+        self.sequence = sequence
+        self.phase = JobPhase.OPEN
+        self.items = JobItems(spec.item_count)
+        self.results = ResultLog(spec.item_count)
+        self.leases: dict[int, Lease] = {}
+        self.notes: dict[int, ItemNote] = {}
+        self.pending = 0
+        self.completed = 0
+        self.set_aside = 0
+        self.cancelled = 0
+
+    def queued(self) -> QueuedJob:
+        """Return the job's place among the jobs of its tenant."""
+        return QueuedJob(self.spec.deadline_unix_s, self.sequence, self.job_id)
+
+    def view(self) -> JobView:
+        """Return phase and counts as a value."""
+        return JobView(
+            self.job_id,
+            self.spec,
+            self.phase,
+            self.pending,
+            len(self.leases),
+            self.completed,
+            self.set_aside,
+            self.cancelled,
+        )
+
+    def note(self, index: int) -> ItemNote:
+        """Return what is kept of an item; most items have nothing."""
+        return self.notes.get(index) or ItemNote(index, 0, "")
+
+    def keep_note(self, note: ItemNote) -> None:
+        """Keep a note of an item, or nothing when it says nothing."""
+        if note.attempts or note.generated_prefix:
+            self.notes[note.index] = note
+        else:
+            self.notes.pop(note.index, None)
+
+    def is_done(self) -> bool:
+        """Tell whether every item of the accepted job has ended."""
+        return self.phase is JobPhase.SEALED and not self.pending and not self.leases
+
+    def result_rows(self, first_index: int, limit: int) -> Iterator[ResultRow]:
+        """Yield up to ``limit`` finished items from ``first_index`` on."""
+        finished = self.items.finished_from(first_index)
+        for _, index in zip(range(limit), finished, strict=False):
+            yield self._result_row(index)
+
+    def _result_row(self, index: int) -> ResultRow:
+        phase = self.items.phases[index]
+        if phase == CANCELLED:
+            custom_id = self.items.body(index).custom_id
+            return ResultRow(index, custom_id, ItemPhase.CANCELLED, "", "the job was cancelled")
+        item = self.results.get(index)
+        return ResultRow(index, item.custom_id, ITEM_PHASES[phase], item.text, item.failure)
+
+    def finish(self, index: int, phase: int, item: FinishedItem) -> None:
+        """Store an item's end; the caller keeps the counts."""
+        self.notes.pop(index, None)
+        self.items.set_phase(index, phase)
+        self.results.append(index, item)
+
+    def record(self) -> StoredJob:
+        """Return the job without bodies and results, for a snapshot."""
+        return StoredJob(
+            self.job_id,
+            self.spec,
+            self.phase,
+            self.sequence,
+            bytes(self.items.phases),
+            tuple(self.leases[index] for index in sorted(self.leases)),
+            tuple(self.notes[index] for index in sorted(self.notes)),
+        )
+
+    @classmethod
+    def restored(cls, record: StoredJob) -> "Job":
+        """Return the job of a snapshot's record."""
+        job = cls(record.job_id, record.spec, record.sequence)
+        job.phase = record.phase
+        job.items.phases[:] = record.item_phases
+        job.leases = {lease.index: lease for lease in record.leases}
+        job.notes = {note.index: note for note in record.notes}
+        job.recount()
+        return job
+
+    def recount(self) -> None:
+        """Count the items by phase."""
+        phases = self.items.phases
+        by_phase = {phase: phases.count(code) for code, phase in ITEM_PHASES.items()}
+        self.pending = phases.count(PENDING)
+        self.completed = by_phase[ItemPhase.COMPLETED]
+        self.set_aside = by_phase[ItemPhase.SET_ASIDE]
+        self.cancelled = by_phase[ItemPhase.CANCELLED]
--- /dev/null
+++ b/src/rainsail/state/machine.py
@@ -0,0 +1,220 @@
+"""The replicated state machine: applies committed commands to the stores.
+
+Applying is deterministic: it reads no clock, draws nothing at random and depends on no hash
+order, so that replicas that applied the same commands hold the same snapshot, byte by byte.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from rainsail.resources.specs import Kind, Resource, ResourceKey, TenantSpec, WatchEvent
+from rainsail.state.change_window import AnsweredChange, ChangeWindow, IdentifiedChange
+from rainsail.state.claims import Claim, ClaimStore
+from rainsail.state.commands import (
+    AddItems,
+    AppendTurn,
+    AttachSession,
+    CancelJob,
+    ClaimRequest,
+    Command,
+    CommandOutcome,
+    CommitResults,
+    DeleteResource,
+    Done,
+    FinishRequest,
+    ForgetJob,
+    ItemRef,
+    JobView,
+    LeaseItems,
+    MarkInForce,
+    NoOperation,
+    OpenJob,
+    PutResource,
+    PutStatus,
+    ResourceChanged,
+    ReturnItems,
+    RevokeLeases,
+    SealJob,
+    SessionView,
+)
+from rainsail.state.interface import ResultRow
+from rainsail.state.ledger import Ledger
+from rainsail.state.resource_store import ResourceStore, StoredEvent, StoreRevisions
+from rainsail.state.sessions import SessionFenceFloor, SessionStore, StoredSession
+from rainsail.state.settings import StateSettings
+from rainsail.state.snapshot import (
+    SNAPSHOT_FORMAT,
+    SnapshotRecord,
+    SnapshotStart,
+    decode_parts,
+    encode_parts,
+)
+
+DEFAULT_TENANT_WEIGHT = 1.0
+
+Apply = Callable[[Any], CommandOutcome]
+
+
+class ReplicatedState:
+    """Resources, batch ledger, request claims and sessions of one group."""
+
+    def __init__(self, settings: StateSettings | None = None) -> None:
+        self._settings = settings or StateSettings()
+        self._reset()
+
+    def _reset(self) -> None:
+        self._applied_index = 0
+        self._resources = ResourceStore(self._settings.event_window_count)
+        self._changes = ChangeWindow(self._settings.change_window_count)
+        self._ledger = Ledger(self._settings, self._tenant_weight)
+        self._claims = ClaimStore(self._settings)
+        self._sessions = SessionStore()
+        self._appliers = self._make_appliers()
+
+    def _make_appliers(self) -> dict[type, Apply]:
+        leases = self._ledger.leases
+        return {
+            NoOperation: lambda command: Done(),
+            PutResource: self._once(self._resources.put),
+            DeleteResource: self._once(self._delete),
+            PutStatus: self._resources.put_status,
+            MarkInForce: self._resources.mark_in_force,
+            OpenJob: self._ledger.open,
+            AddItems: self._ledger.add_items,
+            SealJob: self._ledger.seal,
+            CancelJob: self._once(self._ledger.cancel),
+            ForgetJob: self._ledger.forget,
+            LeaseItems: leases.lease,
+            CommitResults: leases.commit,
+            ReturnItems: leases.give_back,
+            RevokeLeases: leases.revoke,
+            ClaimRequest: self._claims.claim,
+            FinishRequest: self._claims.finish,
+            AttachSession: self._sessions.attach,
+            AppendTurn: self._sessions.append_turn,
+        }
+
+    def _once(self, apply: Apply) -> Apply:
+        """Return ``apply`` with the first answer given again to a re-sent change."""
+
+        def apply_once(command: IdentifiedChange) -> CommandOutcome:
+            answer = self._changes.first_answer(command)
+            if answer is None:
+                answer = apply(command)
+                self._changes.remember(command, answer)
+            return answer
+
+        return apply_once
+
+    def _delete(self, command: DeleteResource) -> CommandOutcome:
+        outcome = self._resources.delete(command)
+        if isinstance(outcome, ResourceChanged) and command.key.kind is Kind.SESSION:
+            self._sessions.remove(command.key.name)
+        return outcome
+
+    def _tenant_weight(self, tenant: str) -> float:
+        resource = self._resources.get(ResourceKey(Kind.TENANT, tenant))
+        if resource is None or not isinstance(resource.spec, TenantSpec):
+            return DEFAULT_TENANT_WEIGHT
+        return resource.spec.weight
+
+    # --- StateMachine ---
+
+    def apply(self, index: int, command: Command) -> CommandOutcome:
+        """Apply the committed command at log ``index``; a ``Fault`` outcome changed nothing."""
+        self._applied_index = index
+        return self._appliers[type(command)](command)
+
+    def snapshot(self) -> Iterator[bytes]:
+        """Yield the whole state as chunks; the state must not change while iterating."""
+        return encode_parts(self._records(), self._settings.snapshot_chunk_bytes)
+
+    def _records(self) -> Iterator[SnapshotRecord]:
+        yield SnapshotStart(SNAPSHOT_FORMAT, self._applied_index)
+        yield from self._resources.records()
+        yield from self._changes.records()
+        yield from self._ledger.records()
+        yield from self._claims.records()
+        yield from self._sessions.records()
+
+    def restore(self, chunks: Iterable[bytes]) -> None:
+        """Replace the whole state by a snapshot's; raises ``RainsailError`` on a damaged one."""
+        self._reset()
+        for record in decode_parts(chunks):
+            self._restore_record(record)
+        self._ledger.leases.finish_restore()
+
+    def _restore_record(self, record: SnapshotRecord) -> None:
+        if isinstance(record, SnapshotStart):
+            self._applied_index = record.applied_index
+        elif isinstance(record, StoreRevisions | Resource | StoredEvent):
+            self._resources.restore(record)
+        elif isinstance(record, AnsweredChange):
+            self._changes.restore(record)
+        elif isinstance(record, Claim):
+            self._claims.restore(record)
+        elif isinstance(record, SessionFenceFloor | StoredSession):
+            self._sessions.restore(record)
+        else:
+            self._ledger.restore(record)
+
+    # --- ReplicatedReader ---
+
+    @property
+    def applied_index(self) -> int:
+        """The log index of the last command applied."""
+        return self._applied_index
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last resource change."""
+        return self._resources.revision
+
+    @property
+    def in_force_revision(self) -> int:
+        """The highest revision marked as in force everywhere."""
+        return self._resources.in_force_revision
+
+    def get(self, key: ResourceKey) -> Resource | None:
+        """Return one resource."""
+        return self._resources.get(key)
+
+    def list_resources(self, kind: Kind | None = None) -> list[Resource]:
+        """Return resources in key order."""
+        return self._resources.list_resources(kind)
+
+    def events_since(self, revision: int, limit: int) -> list[WatchEvent] | None:
+        """Return events after ``revision`` in order, or None when it is compacted away."""
+        return self._resources.events_since(revision, limit)
+
+    def jobs(self) -> list[JobView]:
+        """Return every job in id order."""
+        return self._ledger.jobs()
+
+    def job(self, job_id: str) -> JobView | None:
+        """Return one job."""
+        return self._ledger.job(job_id)
+
+    def results(self, job_id: str, first_index: int, limit: int) -> list[ResultRow]:
+        """Return finished items from ``first_index`` on in index order."""
+        return self._ledger.results(job_id, first_index, limit)
+
+    def holders(self) -> list[str]:
+        """Return every holder with a live lease, sorted."""
+        return self._ledger.leases.holders()
+
+    def held_by(self, holder: str) -> list[ItemRef]:
+        """Return the items leased to a holder, by job and index."""
+        return self._ledger.leases.held_by(holder)
+
+    def is_current(self, holder: str, ref: ItemRef) -> bool:
+        """Tell whether an item is still leased to the holder under this fence."""
+        return self._ledger.leases.is_current(holder, ref)
+
+    def backlog(self, service: str) -> int:
+        """Return the number of pending items of a service's sealed jobs."""
+        return self._ledger.leases.backlog(service)
+
+    def session(self, name: str) -> SessionView | None:
+        """Return a session's place and transcript."""
+        return self._sessions.get(name)
--- /dev/null
+++ b/src/rainsail/state/result_log.py
@@ -0,0 +1,86 @@
+"""The results of one job's finished items: appended once, read by index.
+
+Records lie one after the other in segments, each headed by its item's index and its size, so
+that the place of each record can be found again from the segments alone.
+"""
+
+import struct
+from array import array
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from rainsail.wire.codec import decode_body, encode_body, wire_record
+
+SEGMENT_BYTES = 65_536
+_HEADER = struct.Struct("<II")
+_SEGMENT_SHIFT = 32
+_OFFSET_MASK = (1 << _SEGMENT_SHIFT) - 1
+
+
+@dataclass(frozen=True, slots=True)
+class FinishedItem:
+    """How an item ended: its text, or why it was set aside."""
+
+    custom_id: str
+    text: str
+    generated_tokens: int
+    failure: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class StoredResults:
+    """One segment of a job's results, for a snapshot."""
+
+    job_id: str
+    segment: bytes
+
+
+class ResultLog:
+    """Results in segments and the place of each, as segment number and offset in one number."""
+
+    __slots__ = ("_item_count", "_places", "_segments")
+
+    def __init__(self, item_count: int) -> None:
+        self._item_count = item_count
+        self._places: array[int] = array("Q")
+        self._segments: list[bytearray] = []
+
+    def append(self, index: int, item: FinishedItem) -> None:
+        """Append the result of an item that has none yet."""
+        if not self._segments or len(self._segments[-1]) >= SEGMENT_BYTES:
+            self._segments.append(bytearray())
+        payload = encode_body(item)
+        segment = self._segments[-1]
+        self._set_place(index, len(self._segments) - 1, len(segment))
+        segment += _HEADER.pack(index, len(payload))
+        segment += payload
+
+    def _set_place(self, index: int, segment: int, offset: int) -> None:
+        if not self._places:
+            self._places = array("Q", bytes(8 * self._item_count))
+        self._places[index] = segment << _SEGMENT_SHIFT | offset
+
+    def get(self, index: int) -> FinishedItem:
+        """Return the result of an item that has one."""
+        place = self._places[index]
+        segment = self._segments[place >> _SEGMENT_SHIFT]
+        offset = place & _OFFSET_MASK
+        _, size = _HEADER.unpack_from(segment, offset)
+        start = offset + _HEADER.size
+        return decode_body(FinishedItem, bytes(segment[start : start + size]))
+
+    def records(self, job_id: str) -> Iterator[StoredResults]:
+        """Yield every segment for a snapshot."""
+        for segment in self._segments:
+            yield StoredResults(job_id, bytes(segment))
+
+    def restore(self, record: StoredResults) -> None:
+        """Take one segment of a snapshot and find the places of its records."""
+        segment = bytearray(record.segment)
+        self._segments.append(segment)
+        offset = 0
+        while offset < len(segment):
+            index, size = _HEADER.unpack_from(segment, offset)
+            self._set_place(index, len(self._segments) - 1, offset)
+            offset += _HEADER.size + size
