--- /dev/null
+++ b/features/support/control.py
@@ -0,0 +1,307 @@
+"""A small control plane on the virtual clock: replicas in memory, a network, gateways."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from expression import Error, Ok
+from twisted.internet.defer import Deferred, succeed
+
+from rainsail.control.config_view import ConfigView
+from rainsail.control.leader_client import LeaderClient
+from rainsail.control.messages import GroupHealth, GroupStatusReply
+from rainsail.control.service import ControlService
+from rainsail.control.settings import ControlSettings
+from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.resources.specs import GatewaySpec, Kind, ResourceKey, ServiceSpec
+from rainsail.simulation.clock import SkewedClock, VirtualClock
+from rainsail.state.commands import ANY_REVISION, ROOT_GROUP, PutResource
+from rainsail.state.machine import ReplicatedState
+from rainsail.state.settings import StateSettings
+from rainsail.wire.envelope import decode_envelope, encode_envelope
+from rainsail.wire.messenger import Messenger
+
+READ_LEASE_S = 1.0
+COMMIT_DELAY_S = 0.004
+ONE_WAY_DELAY_S = 0.001
+
+
+class MemoryNetwork:
+    """Carries encoded envelopes after a fixed delay; processes can be cut off in silence."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.clock = clock
+        self.cut: dict[str, bool] = {}
+        self.bytes_received: dict[str, int] = {}
+        self.bytes_sent: dict[str, int] = {}
+        self.lose_replies_of: dict[str, bool] = {}
+        self._receivers: dict[str, Callable] = {}
+
+    def send(self, source: str, destination: str, envelope) -> Fault | None:
+        """Carry one envelope; what a cut process sends or should get is lost."""
+        if destination not in self._receivers:
+            return Fault(FaultCode.UNAVAILABLE, "network.send", "no such process", destination)
+        data = encode_envelope(envelope)
+        self.bytes_sent[source] = self.bytes_sent.get(source, 0) + len(data)
+        if self.lose_replies_of.get(source):
+            return None
+        self.clock.callLater(ONE_WAY_DELAY_S, self._arrive, source, destination, data)
+        return None
+
+    def _arrive(self, source: str, destination: str, data: bytes) -> None:
+        if self.cut.get(source) or self.cut.get(destination):
+            return
+        self.bytes_received[destination] = self.bytes_received.get(destination, 0) + len(data)
+        self._receivers[destination](source, decode_envelope(data))
+
+    def attach(self, name: str, receive: Callable) -> None:
+        """Add or replace a process."""
+        self._receivers[name] = receive
+
+
+class MemoryTransport:
+    """One process's end of a ``MemoryNetwork``."""
+
+    def __init__(self, network: MemoryNetwork, name: str) -> None:
+        self.name = name
+        self._network = network
+
+    def send(self, destination, envelope):
+        """Send one envelope."""
+        return self._network.send(self.name, destination, envelope)
+
+    def listen(self, deliver):
+        """Receive what comes for this process."""
+        self._network.attach(self.name, deliver)
+
+
+class MemoryGroup:
+    """One replica's member of a group whose committed log is shared in memory."""
+
+    group = ROOT_GROUP
+
+    def __init__(self, fleet: "ControlFleet", name: str, state: ReplicatedState) -> None:
+        self.name = name
+        self.state = state
+        self.lagging = False
+        self.believes_until_s = -1.0
+        self._fleet = fleet
+        self._applied = 0
+        self._open: list[Deferred] = []
+        self._applied_listeners: list[Callable[[int], None]] = []
+        self._leadership_listeners: list[Callable[[bool], None]] = []
+
+    def is_leader(self):
+        """Tell whether this replica leads; cut off, it believes so for its read lease only."""
+        if self._fleet.leader_name != self.name and self.believes_until_s < 0:
+            return False
+        if self._fleet.network.cut.get(self.name):
+            return self._fleet.clock.seconds() < self.believes_until_s
+        return self._fleet.leader_name == self.name
+
+    def leader(self):
+        """Return the leader's name, as far as a replica that is not cut off knows."""
+        return "" if self._fleet.network.cut.get(self.name) else self._fleet.leader_name
+
+    def propose(self, command):
+        """Commit after the delay; while cut off nothing commits."""
+        if not self.is_leader():
+            return succeed(
+                Error(Fault(FaultCode.NOT_LEADER, "group.propose", "not leader", self.leader()))
+            )
+        done: Deferred = Deferred()
+        self._open.append(done)
+        self._fleet.clock.callLater(COMMIT_DELAY_S, self._commit, command, done)
+        return done
+
+    def _commit(self, command, done):
+        if self._fleet.network.cut.get(self.name) or self._fleet.leader_name != self.name:
+            return
+        self._open.remove(done)
+        self._fleet.log.append(command)
+        index = len(self._fleet.log)
+        outcomes = self.catch_up()
+        for other in self._fleet.groups.values():
+            if other is not self and not other.lagging:
+                self._fleet.clock.callLater(ONE_WAY_DELAY_S, other.follow)
+        done.callback(Ok((index, outcomes[-1])))
+
+    def follow(self):
+        """Apply what is committed unless cut off or lagging."""
+        if not self.lagging and not self._fleet.network.cut.get(self.name):
+            self.catch_up()
+
+    def catch_up(self):
+        """Apply everything committed; return the outcomes."""
+        outcomes = []
+        while self._applied < len(self._fleet.log):
+            self._applied += 1
+            outcomes.append(self.state.apply(self._applied, self._fleet.log[self._applied - 1]))
+        for listener in self._applied_listeners:
+            listener(self._applied)
+        return outcomes
+
+    def read_barrier(self):
+        """Fire at once: the leader of this double has applied what is committed."""
+        return succeed(Ok(self._applied))
+
+    def on_applied(self, listener):
+        """Note a listener."""
+        self._applied_listeners.append(listener)
+
+    def on_leadership(self, listener):
+        """Note a listener."""
+        self._leadership_listeners.append(listener)
+
+    def tell_leadership(self, leading):
+        """Begin or end a leadership; proposals under way end as unknown."""
+        if not leading:
+            ended, self._open = self._open, []
+            for done in ended:
+                fault = Fault(
+                    FaultCode.UNAVAILABLE, "group.propose", "deposed", outcome=Outcome.UNKNOWN
+                )
+                done.callback(Error(fault))
+        for listener in self._leadership_listeners:
+            listener(leading)
+
+    def status(self):
+        """Return a plain view."""
+        return GroupStatusReply(
+            self.name,
+            self.leader(),
+            1,
+            len(self._fleet.log),
+            self._applied,
+            self.state.revision,
+            GroupHealth.HEALTHY,
+            1,
+            (),
+        )
+
+
+@dataclass(eq=False)
+class GatewayProcess:
+    """A gateway's configuration view with its own clock, and what it applied."""
+
+    name: str
+    clock: SkewedClock
+    view: ConfigView
+    revisions: list[int] = field(default_factory=list)
+
+
+class ControlFleet:
+    """Replicas r1, r2, ... with control services, gateways and operators' clients."""
+
+    def __init__(
+        self, replicas: int = 3, settings: ControlSettings | None = None, event_window: int = 10_000
+    ) -> None:
+        self.clock = VirtualClock()
+        self.network = MemoryNetwork(self.clock)
+        self.settings = settings or ControlSettings()
+        self.log: list = []
+        self.leader_name = ""
+        self.groups: dict[str, MemoryGroup] = {}
+        self.gateways: dict[str, GatewayProcess] = {}
+        self._event_window = event_window
+        for number in range(1, replicas + 1):
+            self._add_replica(f"r{number}")
+        self.elect("r1")
+
+    def _add_replica(self, name: str) -> None:
+        state = ReplicatedState(StateSettings(event_window_count=self._event_window))
+        group = MemoryGroup(self, name, state)
+        messenger = Messenger(MemoryTransport(self.network, name), self.clock)
+        self.groups[name] = group
+        ControlService(
+            {ROOT_GROUP: group}, {ROOT_GROUP: state}, messenger, self.clock, self.settings
+        ).start()
+
+    @property
+    def leader(self) -> MemoryGroup:
+        """Return the leader's group."""
+        return self.groups[self.leader_name]
+
+    def elect(self, name: str) -> None:
+        """Make a replica leader; the old one, unless cut off, learns of it at once."""
+        old = self.leader_name
+        self.leader_name = name
+        if old and not self.network.cut.get(old):
+            self.groups[old].tell_leadership(False)
+        self.groups[name].lagging = False
+        self.groups[name].catch_up()
+        self.groups[name].tell_leadership(True)
+
+    def cut_off(self, name: str) -> None:
+        """Cut a process off in silence."""
+        if name == self.leader_name:
+            self.groups[name].believes_until_s = self.clock.seconds() + READ_LEASE_S
+        self.network.cut[name] = True
+
+    def heal(self, name: str) -> None:
+        """Connect a process again."""
+        self.network.cut[name] = False
+        if name in self.groups:
+            self.groups[name].believes_until_s = -1.0
+            if name != self.leader_name:
+                self.groups[name].tell_leadership(False)
+            self.groups[name].follow()
+
+    def client(self, name: str) -> LeaderClient:
+        """Return a leader client of a new process."""
+        messenger = Messenger(MemoryTransport(self.network, name), self.clock)
+        return self._client(name, messenger, self.clock)
+
+    def _client(self, name: str, messenger: Messenger, clock) -> LeaderClient:
+        return LeaderClient(
+            messenger, tuple(self.groups), clock, random.Random(name), self.settings
+        )
+
+    def start_gateway(self, name: str, incarnation: str = "a", rate: float = 1.0) -> GatewayProcess:
+        """Start a gateway's configuration view."""
+        clock = SkewedClock(self.clock, rate)
+        messenger = Messenger(MemoryTransport(self.network, name), clock)
+        view = ConfigView(
+            name,
+            incarnation,
+            GatewaySpec("south", "z1", incarnation),
+            messenger,
+            self._client(name, messenger, clock),
+            clock,
+            random.Random(f"{name}/{incarnation}"),
+            self.settings,
+        )
+        gateway = GatewayProcess(name, clock, view)
+        view.on_event(lambda event: gateway.revisions.append(event.revision))
+        self.gateways[name] = gateway
+        view.start()
+        return gateway
+
+    def finish(self, deferred, limit_s: float = 30.0):
+        """Run virtual time until a Deferred has fired; return its result."""
+        fired: list = []
+        deferred.addCallback(fired.append)
+        end_s = self.clock.seconds() + limit_s
+        while not fired and self.clock.run_next(end_s):
+            pass
+        assert fired, f"nothing came within {limit_s} virtual seconds"
+        return fired[0]
+
+    def wait_until(self, condition: Callable[[], bool], limit_s: float = 30.0) -> float:
+        """Run virtual time until a condition holds; return the seconds that took."""
+        start_s = self.clock.seconds()
+        while not condition() and self.clock.run_next(start_s + limit_s):
+            pass
+        assert condition(), f"not reached within {limit_s} virtual seconds"
+        return self.clock.seconds() - start_s
+
+    def change(self, name: str = "assistant", runners: int = 1, expected: int = ANY_REVISION):
+        """Return a change of a service with its own change id."""
+        change_id = f"{name}/{runners}/{expected}/{len(self.log)}"
+        return service_change(change_id, name, runners, expected)
+
+
+def service_change(change_id: str, name: str, runners: int, expected: int = ANY_REVISION):
+    """Return a put of a Service."""
+    key = ResourceKey(Kind.SERVICE, name)
+    return PutResource(change_id, key, ServiceSpec(runners=runners), expected)
--- /dev/null
+++ b/src/rainsail/control/group_control.py
@@ -0,0 +1,132 @@
+"""What the leader of one group keeps in memory, and how it serves gateways' requests."""
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from rainsail.consensus.interface import Group
+from rainsail.control.config_leases import ConfigLeaseTable, LeaseHolder, LeaseTerms
+from rainsail.control.faults import not_leader
+from rainsail.control.in_force import InForceLoop
+from rainsail.control.item_lease_loop import ItemLeaseLoop
+from rainsail.control.item_leases import ItemLeaseTable
+from rainsail.control.long_poll import LongPolls
+from rainsail.control.messages import (
+    ConfigPoll,
+    ConfigPollReply,
+    QuotaReport,
+    QuotaShares,
+    RenewItemLeases,
+    RenewItemLeasesReply,
+)
+from rainsail.control.quota import QuotaLender, QuotaTerms
+from rainsail.control.settings import ControlSettings
+from rainsail.control.stale_items import items_to_stop
+from rainsail.errors import Fault
+from rainsail.resources.specs import Kind, ResourceKey, TenantSpec
+from rainsail.runtime.clock import Clock
+from rainsail.state.interface import ReplicatedReader
+
+
+class GroupControl:
+    """The leader's duties for one group; idle on a replica that does not lead."""
+
+    def __init__(
+        self, group: Group, state: ReplicatedReader, clock: Clock, settings: ControlSettings
+    ) -> None:
+        self.group = group
+        self.state = state
+        self._clock = clock
+        self._settings = settings
+        margin = settings.clock_rate_margin
+        self._config_leases = ConfigLeaseTable(LeaseTerms(settings.config_lease_s, margin))
+        self._item_leases = ItemLeaseTable(LeaseTerms(settings.item_lease_s, margin))
+        self._quota = QuotaLender(
+            QuotaTerms(settings.quota_share_s, margin, settings.quota_reserve_fraction)
+        )
+        self._polls = LongPolls(
+            state, clock, settings.poll_coalesce_s, settings.max_events_per_poll
+        )
+        self._polls.guard(self._poll_fault)
+        self._in_force = InForceLoop(
+            group, state, self._config_leases, clock, settings.in_force_period_s, self.serving
+        )
+        self._item_loop = ItemLeaseLoop(
+            group, state, self._item_leases, clock, settings.item_lease_check_period_s, self.serving
+        )
+        self._leading = False
+
+    def start(self) -> None:
+        """Follow the group's leadership and what it applies."""
+        self.group.on_leadership(self._leadership_changed)
+        self.group.on_applied(lambda index: self._polls.state_applied())
+        if self.group.is_leader():
+            self._leadership_changed(True)
+
+    def stop(self) -> None:
+        """End the leader's duties and refuse what is parked."""
+        self._leadership_changed(False)
+
+    def serving(self) -> bool:
+        """Tell whether this replica leads now, with its read lease."""
+        return self._leading and self.group.is_leader()
+
+    async def linearizable_read(self, step: str) -> Result[None, Fault]:
+        """Make sure that a read of the state now sees everything committed before the call."""
+        if not self.serving():
+            return Error(not_leader(step, self.group))
+        barrier = await self.group.read_barrier()
+        if barrier.is_error():
+            return Error(barrier.error)
+        if not self.serving():
+            return Error(not_leader(step, self.group))
+        return Ok(None)
+
+    def config_poll(self, poll: ConfigPoll) -> "Fault | Deferred[ConfigPollReply | Fault]":
+        """Grant or renew a configuration lease and answer with news, now or later."""
+        if not self.serving():
+            return not_leader("control.config_poll", self.group)
+        holder = LeaseHolder(poll.gateway, poll.incarnation)
+        floor = self._in_force.floor_revision()
+        now_s = self._clock.seconds()
+        lease_s = self._config_leases.renew(holder, poll.applied_revision, floor, now_s)
+        wait_s = min(poll.wait_s, self._settings.poll_wait_s)
+        return self._polls.answer(poll.applied_revision, lease_s, wait_s)
+
+    def renew_item_leases(self, request: RenewItemLeases) -> Fault | RenewItemLeasesReply:
+        """Renew a holder's batch leases; tell it what to stop and what waits."""
+        if not self.serving():
+            return not_leader("control.renew_item_leases", self.group)
+        lease_s = self._item_leases.renew(request.holder, self._clock.seconds())
+        stop = items_to_stop(self.state, request.holder, request.running)
+        return RenewItemLeasesReply(stop, lease_s, self._backlog())
+
+    def quota_report(self, report: QuotaReport) -> Fault | QuotaShares:
+        """Lend the reporting gateway its shares of the tenants' rates."""
+        if not self.serving():
+            return not_leader("control.quota_report", self.group)
+        limits = {}
+        for demand in report.demands:
+            resource = self.state.get(ResourceKey(Kind.TENANT, demand.tenant))
+            if resource is not None and isinstance(resource.spec, TenantSpec):
+                limits[demand.tenant] = resource.spec
+        return self._quota.lend(report, limits, self._clock.seconds())
+
+    def _backlog(self) -> dict[str, int]:
+        services = [each.key.name for each in self.state.list_resources(Kind.SERVICE)]
+        return {name: self.state.backlog(name) for name in services}
+
+    def _poll_fault(self) -> Fault | None:
+        return None if self.serving() else not_leader("control.config_poll", self.group)
+
+    def _leadership_changed(self, leading: bool) -> None:
+        self._leading = leading
+        if leading:
+            now_s = self._clock.seconds()
+            self._config_leases.begin(now_s)
+            self._quota.begin(now_s)
+            self._in_force.begin()
+            self._item_loop.begin()
+            return
+        self._in_force.end()
+        self._item_loop.end()
+        self._polls.refuse_all(not_leader("control.config_poll", self.group))
--- /dev/null
+++ b/src/rainsail/control/in_force.py
@@ -0,0 +1,72 @@
+"""The leader's loop that marks revisions as in force, at a bounded rate and batched.
+
+At most one MarkInForce is under way, and at most one starts per period, so a burst of changes
+costs few marks: each covers everything acknowledged so far.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from rainsail.consensus.interface import Group
+from rainsail.control.config_leases import ConfigLeaseTable
+from rainsail.runtime.clock import Clock
+from rainsail.state.commands import MarkInForce
+from rainsail.state.interface import ReplicatedReader
+
+
+class InForceLoop:
+    """Proposes MarkInForce while this replica leads."""
+
+    def __init__(
+        self,
+        group: Group,
+        state: ReplicatedReader,
+        leases: ConfigLeaseTable,
+        clock: Clock,
+        period_s: float,
+        serving: Callable[[], bool],
+    ) -> None:
+        self._group = group
+        self._state = state
+        self._leases = leases
+        self._clock = clock
+        self._period_s = period_s
+        self._serving = serving
+        self._proposed_revision = 0
+        self._under_way = False
+        self._timer: Any = None
+
+    def floor_revision(self) -> int:
+        """Return the revision below which no gateway may get a lease.
+
+        It covers marks that are proposed and may still be committed.
+        """
+        return max(self._state.in_force_revision, self._proposed_revision)
+
+    def begin(self) -> None:
+        """Start with a leadership."""
+        self.end()
+        self._proposed_revision = 0
+        self._timer = self._clock.callLater(self._period_s, self._tick)
+
+    def end(self) -> None:
+        """Stop with the leadership."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _tick(self) -> None:
+        self._timer = self._clock.callLater(self._period_s, self._tick)
+        if self._under_way or not self._serving():
+            return
+        if self._state.in_force_revision >= self._state.revision:
+            return
+        target = self._leases.in_force_revision(self._state.revision, self._clock.seconds())
+        if target is None or target <= self._state.in_force_revision:
+            return
+        self._proposed_revision = max(self._proposed_revision, target)
+        self._under_way = True
+        self._group.propose(MarkInForce(target)).addBoth(self._finished)
+
+    def _finished(self, _: Any) -> None:
+        self._under_way = False
--- /dev/null
+++ b/src/rainsail/control/leader_client.py
@@ -0,0 +1,142 @@
+"""Finds the leader of a group, follows it, and retries what is safe to send again."""
+
+import random as random_module
+from dataclasses import replace
+from typing import Any
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from rainsail.control.messages import ConfigPoll, ProposeReply, ProposeRequest
+from rainsail.control.repeat_safety import repeat_safety
+from rainsail.control.settings import ControlSettings
+from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.runtime.clock import Clock, sleep
+from rainsail.state.commands import ROOT_GROUP, Command, CommandOutcome, GroupId
+from rainsail.wire.messenger import Messenger
+
+FINAL_CODES = frozenset(
+    {
+        FaultCode.INVALID,
+        FaultCode.UNAUTHENTICATED,
+        FaultCode.FORBIDDEN,
+        FaultCode.NOT_FOUND,
+        FaultCode.CONFLICT,
+        FaultCode.REVISION_COMPACTED,
+        FaultCode.TOO_LARGE,
+        FaultCode.OVER_LIMIT,
+        FaultCode.FENCED,
+        FaultCode.CANCELLED,
+    }
+)
+"""Codes that another attempt would meet again."""
+
+
+class LeaderClient:
+    """Sends requests to a group's leader (implements ``ControlClient``)."""
+
+    def __init__(
+        self,
+        messenger: Messenger,
+        replicas: tuple[str, ...],
+        clock: Clock,
+        random: random_module.Random,
+        settings: ControlSettings,
+    ) -> None:
+        self._messenger = messenger
+        self._replicas = replicas
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._leaders: dict[GroupId, str] = {}
+        self._turns: dict[GroupId, int] = {}
+
+    def propose(
+        self, command: Command, timeout_s: float, group: GroupId = ROOT_GROUP
+    ) -> "Deferred[Result[CommandOutcome, Fault]]":
+        """Commit a command at the leader; a fault outcome of the command is an Error too."""
+        return Deferred.fromCoroutine(self._propose(command, timeout_s, group))
+
+    def call(self, request: Any, timeout_s: float) -> "Deferred[Result[Any, Fault]]":
+        """Send a request record to its group's leader; reads are always sent again."""
+        return Deferred.fromCoroutine(self._attempts(request, timeout_s, True))
+
+    async def _propose(
+        self, command: Command, timeout_s: float, group: GroupId
+    ) -> Result[CommandOutcome, Fault]:
+        repeatable = repeat_safety(command).safe
+        request = ProposeRequest(group, command)
+        answer = await self._attempts(request, timeout_s, repeatable)
+        if answer.is_error():
+            return Error(answer.error)
+        reply: ProposeReply = answer.ok
+        if isinstance(reply.outcome, Fault):
+            return Error(reply.outcome)
+        return Ok(reply.outcome)
+
+    async def _attempts(
+        self, request: Any, timeout_s: float, repeatable: bool
+    ) -> Result[Any, Fault]:
+        deadline_s = self._clock.seconds() + timeout_s
+        may_have_run = False
+        failures = 0
+        while True:
+            target = self._target(request.group)
+            left_s = deadline_s - self._clock.seconds()
+            answer = await self._messenger.call(
+                target, request, min(left_s, self._attempt_timeout_s(request))
+            )
+            if answer.is_ok():
+                self._leaders[request.group] = target
+                return Ok(answer.ok)
+            fault: Fault = answer.error
+            redirected = self._learn(request.group, target, fault)
+            may_have_run = may_have_run or fault.outcome != Outcome.NOT_RUN
+            if fault.code in FINAL_CODES or (may_have_run and not repeatable):
+                return Error(_with_truth(fault, may_have_run))
+            wait_s = (
+                0.0 if redirected and failures < len(self._replicas) else self._wait_s(failures)
+            )
+            failures += 1
+            if self._clock.seconds() + wait_s >= deadline_s:
+                return Error(_with_truth(fault, may_have_run))
+            if wait_s > 0:
+                await sleep(self._clock, wait_s)
+
+    def _target(self, group: GroupId) -> str:
+        known = self._leaders.get(group)
+        if known is not None:
+            return known
+        turn = self._turns.get(group)
+        if turn is None:
+            turn = self._random.randrange(len(self._replicas))
+        self._turns[group] = turn + 1
+        return self._replicas[turn % len(self._replicas)]
+
+    def _learn(self, group: GroupId, target: str, fault: Fault) -> bool:
+        """Note what a fault says of the leader; return True when it names another replica."""
+        named = fault.code == FaultCode.NOT_LEADER and fault.peer not in ("", target)
+        if named and fault.peer in self._replicas:
+            self._leaders[group] = fault.peer
+            return True
+        if fault.code not in FINAL_CODES:
+            self._leaders.pop(group, None)
+        return False
+
+    def _wait_s(self, failures: int) -> float:
+        longest_s = min(
+            self._settings.backoff_limit_s, self._settings.backoff_first_s * 2 ** min(failures, 16)
+        )
+        return longest_s * self._random.uniform(0.5, 1.0)
+
+    def _attempt_timeout_s(self, request: Any) -> float:
+        if isinstance(request, ConfigPoll):
+            return request.wait_s + self._settings.poll_grace_s
+        return self._settings.attempt_timeout_s
+
+
+def _with_truth(fault: Fault, may_have_run: bool) -> Fault:
+    """Return the fault, saying UNKNOWN when an earlier attempt may have taken effect."""
+    if may_have_run and fault.outcome == Outcome.NOT_RUN:
+        return replace(fault, outcome=Outcome.UNKNOWN)
+    return fault
--- /dev/null
+++ b/src/rainsail/control/long_poll.py
@@ -0,0 +1,106 @@
+"""Parks the gateways' configuration polls until there are events or their wait is over.
+
+Replies are shared: gateways that are at the same revision get the same reply object, so reading
+the events and building the reply costs once per change, not once per gateway.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from rainsail.control.messages import ConfigPollReply
+from rainsail.errors import Fault
+from rainsail.runtime.clock import Clock
+from rainsail.state.interface import ReplicatedReader
+
+
+@dataclass(eq=False, slots=True)
+class ParkedPoll:
+    """One poll on hold."""
+
+    applied_revision: int
+    lease_s: float
+    done: "Deferred[ConfigPollReply | Fault]"
+    timer: Any
+
+
+class LongPolls:
+    """The parked polls of one group on its leader."""
+
+    def __init__(
+        self, state: ReplicatedReader, clock: Clock, coalesce_s: float, max_events: int
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._coalesce_s = coalesce_s
+        self._max_events = max_events
+        self._parked: dict[int, ParkedPoll] = {}
+        self._next_number = 0
+        self._flush_timer: Any = None
+        self._check: Callable[[], Fault | None] = lambda: None
+
+    def guard(self, check: Callable[[], Fault | None]) -> None:
+        """Set the function asked before each reply; a fault is answered in place of it."""
+        self._check = check
+
+    def answer(
+        self, applied_revision: int, lease_s: float, wait_s: float
+    ) -> "Deferred[ConfigPollReply | Fault]":
+        """Answer at once when there are events (or no lease was granted), else park."""
+        done: Deferred[ConfigPollReply | Fault] = Deferred()
+        if self._state.revision > applied_revision or lease_s == 0.0 or wait_s <= 0:
+            done.callback(self._reply(applied_revision, lease_s))
+            return done
+        number = self._next_number
+        self._next_number += 1
+        timer = self._clock.callLater(wait_s, self._release, number)
+        self._parked[number] = ParkedPoll(applied_revision, lease_s, done, timer)
+        return done
+
+    def state_applied(self) -> None:
+        """Note that the state may have moved; parked polls are answered soon."""
+        if self._flush_timer is None and self._parked:
+            self._flush_timer = self._clock.callLater(self._coalesce_s, self._flush)
+
+    def refuse_all(self, fault: Fault) -> None:
+        """Answer every parked poll with a fault (leadership has ended)."""
+        parked = list(self._parked.values())
+        self._parked.clear()
+        for poll in parked:
+            poll.timer.cancel()
+            poll.done.callback(fault)
+
+    def __len__(self) -> int:
+        return len(self._parked)
+
+    def _flush(self) -> None:
+        self._flush_timer = None
+        revision = self._state.revision
+        shared: dict[tuple[int, float], ConfigPollReply | Fault] = {}
+        behind = [n for n, poll in self._parked.items() if poll.applied_revision < revision]
+        for number in behind:
+            poll = self._parked.pop(number)
+            poll.timer.cancel()
+            key = (poll.applied_revision, poll.lease_s)
+            if key not in shared:
+                shared[key] = self._reply(*key)
+            poll.done.callback(shared[key])
+
+    def _release(self, number: int) -> None:
+        poll = self._parked.pop(number)
+        poll.done.callback(self._reply(poll.applied_revision, poll.lease_s))
+
+    def _reply(self, applied_revision: int, lease_s: float) -> ConfigPollReply | Fault:
+        fault = self._check()
+        if fault is not None:
+            return fault
+        events = self._state.events_since(applied_revision, self._max_events)
+        return ConfigPollReply(
+            events=tuple(events or ()),
+            revision=self._state.revision,
+            in_force_revision=self._state.in_force_revision,
+            compacted=events is None,
+            lease_s=lease_s,
+        )
--- /dev/null
+++ b/src/rainsail/control/resource_endpoints.py
@@ -0,0 +1,104 @@
+"""Reads and changes of resources for the operator API, apart from HTTP."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from rainsail.control.interface import ControlClient
+from rainsail.control.messages import ListReply, ListRequest
+from rainsail.control.resource_json import JsonObject, merged_spec_json, spec_from_json
+from rainsail.errors import Fault, FaultCode
+from rainsail.resources.specs import Kind, Resource, ResourceKey
+from rainsail.state.commands import (
+    ANY_REVISION,
+    ROOT_GROUP,
+    Command,
+    DeleteResource,
+    PutResource,
+    ResourceChanged,
+)
+
+STEP = "operator_api.resources"
+BODY_KEYS = ("change_id", "expected_revision", "spec")
+
+
+class ResourceEndpoints:
+    """Turns operators' requests into reads at the leader and proposed commands."""
+
+    def __init__(self, client: ControlClient, timeout_s: float) -> None:
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def read_all(self, kinds: tuple[Kind, ...]) -> Result[ListReply, Fault]:
+        """List resources through the leader."""
+        return await self._client.call(ListRequest(ROOT_GROUP, kinds), self._timeout_s)
+
+    async def read_one(self, key: ResourceKey) -> Result[tuple[Resource, int], Fault]:
+        """Read one resource through the leader, with the revision in force."""
+        listed = await self.read_all((key.kind,))
+        if listed.is_error():
+            return Error(listed.error)
+        for resource in listed.ok.resources:
+            if resource.key == key:
+                return Ok((resource, listed.ok.in_force_revision))
+        return Error(Fault(FaultCode.NOT_FOUND, STEP, f"no {key.kind} {key.name!r}"))
+
+    async def put(self, key: ResourceKey, body: JsonObject) -> Result[ResourceChanged, Fault]:
+        """Create or replace a resource from ``{"spec", "expected_revision", "change_id"}``."""
+        change = _read_change(body)
+        if change.is_error():
+            return Error(change.error)
+        spec = spec_from_json(key.kind, body.get("spec"))
+        if spec.is_error():
+            return Error(spec.error)
+        change_id, expected = change.ok
+        return await self._change(PutResource(change_id, key, spec.ok, expected))
+
+    async def patch(self, key: ResourceKey, body: JsonObject) -> Result[ResourceChanged, Fault]:
+        """Merge ``spec`` into the current one; a race is answered as a conflict."""
+        change = _read_change(body)
+        if change.is_error():
+            return Error(change.error)
+        patch = body.get("spec")
+        if not isinstance(patch, dict):
+            return Error(Fault(FaultCode.INVALID, STEP, "spec: expected an object"))
+        current = await self.read_one(key)
+        if current.is_error():
+            return Error(current.error)
+        resource, _ = current.ok
+        spec = spec_from_json(key.kind, merged_spec_json(resource.spec, patch))
+        if spec.is_error():
+            return Error(spec.error)
+        change_id, expected = change.ok
+        if expected == ANY_REVISION:
+            expected = resource.revision
+        return await self._change(PutResource(change_id, key, spec.ok, expected))
+
+    async def delete(self, key: ResourceKey, body: JsonObject) -> Result[ResourceChanged, Fault]:
+        """Delete a resource."""
+        change = _read_change(body)
+        if change.is_error():
+            return Error(change.error)
+        change_id, expected = change.ok
+        return await self._change(DeleteResource(change_id, key, expected))
+
+    async def _change(self, command: Command) -> Result[Any, Fault]:
+        return await self._client.propose(command, self._timeout_s)
+
+
+def _read_change(body: JsonObject) -> Result[tuple[str, int], Fault]:
+    """Read change id and expected revision; unknown keys are refused."""
+    for key in sorted(body):
+        if key not in BODY_KEYS:
+            known = ", ".join(BODY_KEYS)
+            return Error(
+                Fault(FaultCode.INVALID, STEP, f"{key}: unknown key, expected one of {known}")
+            )
+    change_id = body.get("change_id", "")
+    if not isinstance(change_id, str):
+        return Error(Fault(FaultCode.INVALID, STEP, "change_id: expected a string"))
+    expected = body.get("expected_revision", ANY_REVISION)
+    if not isinstance(expected, int) or isinstance(expected, bool) or expected < ANY_REVISION:
+        detail = "expected_revision: expected an integer of at least 0"
+        return Error(Fault(FaultCode.INVALID, STEP, detail))
+    return Ok((change_id, expected))
--- /dev/null
+++ b/src/rainsail/control/service.py
@@ -0,0 +1,153 @@
+"""Serves control's messages on a replica: the leader answers, any other names the leader."""
+
+from collections.abc import Callable
+from typing import Any
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from rainsail.consensus.interface import Group
+from rainsail.control.faults import not_leader, unknown_group
+from rainsail.control.group_control import GroupControl
+from rainsail.control.messages import (
+    ConfigPoll,
+    GroupStatusReply,
+    GroupStatusRequest,
+    JobsReply,
+    JobsRequest,
+    ListReply,
+    ListRequest,
+    ProposeReply,
+    ProposeRequest,
+    QuotaReport,
+    RenewItemLeases,
+    ResultsReply,
+    ResultsRequest,
+    SessionRequest,
+)
+from rainsail.control.settings import ControlSettings
+from rainsail.errors import Fault, FaultCode
+from rainsail.resources.specs import Resource
+from rainsail.runtime.clock import Clock
+from rainsail.state.commands import GroupId, SessionView
+from rainsail.state.interface import ReplicatedReader
+from rainsail.wire.messenger import Messenger
+
+NO_MORE_ROWS = -1
+"""``ResultsReply.next_index`` of the last page."""
+
+
+class ControlService:
+    """Answers gateways and operators' front ends for every group of this replica."""
+
+    def __init__(
+        self,
+        groups: dict[GroupId, Group],
+        states: dict[GroupId, ReplicatedReader],
+        messenger: Messenger,
+        clock: Clock,
+        settings: ControlSettings,
+    ) -> None:
+        self._messenger = messenger
+        self._settings = settings
+        self._controls = {
+            number: GroupControl(group, states[number], clock, settings)
+            for number, group in groups.items()
+        }
+
+    def start(self) -> None:
+        """Serve the messages and take up the leader's duties where this replica leads."""
+        handlers: list[tuple[type, Callable[[GroupControl, Any], Any]]] = [
+            (ProposeRequest, self._propose),
+            (ListRequest, self._list),
+            (ConfigPoll, GroupControl.config_poll),
+            (RenewItemLeases, GroupControl.renew_item_leases),
+            (QuotaReport, GroupControl.quota_report),
+            (JobsRequest, self._jobs),
+            (ResultsRequest, self._results),
+            (SessionRequest, self._session),
+            (GroupStatusRequest, self._status),
+        ]
+        for message_type, handler in handlers:
+            self._messenger.serve(message_type, self._for_group(handler))
+        for control in self._controls.values():
+            control.start()
+
+    def stop(self) -> None:
+        """End the leader's duties; parked polls are refused."""
+        for control in self._controls.values():
+            control.stop()
+
+    def _for_group(self, handler: Callable[[GroupControl, Any], Any]) -> Callable[[str, Any], Any]:
+        def handle(source: str, request: Any) -> Any:
+            control = self._controls.get(request.group)
+            if control is None:
+                return unknown_group(f"control.{type(request).__name__}", request.group)
+            answer = handler(control, request)
+            return Deferred.fromCoroutine(answer) if hasattr(answer, "send") else answer
+
+        return handle
+
+    async def _propose(
+        self, control: GroupControl, request: ProposeRequest
+    ) -> Result[ProposeReply, Fault]:
+        if not control.serving():
+            return Error(not_leader("control.propose", control.group))
+        committed = await control.group.propose(request.command)
+        if committed.is_error():
+            return Error(committed.error)
+        index, outcome = committed.ok
+        return Ok(ProposeReply(outcome, index))
+
+    async def _list(self, control: GroupControl, request: ListRequest) -> Result[ListReply, Fault]:
+        readable = await control.linearizable_read("control.list")
+        if readable.is_error():
+            return Error(readable.error)
+        state = control.state
+        found = _resources(state, request)
+        return Ok(ListReply(state.revision, state.in_force_revision, tuple(found)))
+
+    async def _jobs(self, control: GroupControl, request: JobsRequest) -> Result[JobsReply, Fault]:
+        readable = await control.linearizable_read("control.jobs")
+        if readable.is_error():
+            return Error(readable.error)
+        if request.job_id:
+            job = control.state.job(request.job_id)
+            found = [] if job is None else [job]
+        else:
+            found = control.state.jobs()
+        mine = [job for job in found if request.tenant in ("", job.spec.tenant)]
+        return Ok(JobsReply(tuple(mine)))
+
+    async def _results(
+        self, control: GroupControl, request: ResultsRequest
+    ) -> Result[ResultsReply, Fault]:
+        readable = await control.linearizable_read("control.results")
+        if readable.is_error():
+            return Error(readable.error)
+        if control.state.job(request.job_id) is None:
+            return Error(Fault(FaultCode.NOT_FOUND, "control.results", request.job_id))
+        limit = max(1, min(request.limit, self._settings.max_list_rows))
+        rows = control.state.results(request.job_id, request.first_index, limit)
+        next_index = rows[-1].index + 1 if len(rows) == limit else NO_MORE_ROWS
+        return Ok(ResultsReply(tuple(rows), next_index))
+
+    async def _session(
+        self, control: GroupControl, request: SessionRequest
+    ) -> Result[SessionView, Fault]:
+        readable = await control.linearizable_read("control.session")
+        if readable.is_error():
+            return Error(readable.error)
+        session = control.state.session(request.session)
+        if session is None:
+            return Error(Fault(FaultCode.NOT_FOUND, "control.session", request.session))
+        return Ok(session)
+
+    async def _status(self, control: GroupControl, request: GroupStatusRequest) -> GroupStatusReply:
+        return control.group.status()
+
+
+def _resources(state: ReplicatedReader, request: ListRequest) -> list[Resource]:
+    if not request.kinds:
+        return state.list_resources()
+    return [each for kind in request.kinds for each in state.list_resources(kind)]
