--- /dev/null
+++ b/features/support/consensus.py
@@ -0,0 +1,203 @@
+"""A replicated group in a virtual world, for the consensus features and the fail-over bench."""
+
+import random
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from rainsail.consensus.driver import GroupDriver
+from rainsail.consensus.membership import MemberSpec
+from rainsail.consensus.settings import ConsensusSettings
+from rainsail.errors import Fault
+from rainsail.simulation.clock import SkewedClock, VirtualClock
+from rainsail.simulation.disk import SimulatedDisk
+from rainsail.simulation.network import SimulatedNetwork, SimulatedTransport
+from rainsail.state.commands import Command, CommandOutcome, Done, MarkInForce
+from rainsail.storage.group_storage import open_group_storage
+from rainsail.storage.identity import load_or_create_identity
+from rainsail.storage.settings import StorageSettings
+from rainsail.wire.messenger import Messenger
+
+GROUP = 0
+FLEET = "test"
+RUN_LIMIT_S = 60.0
+
+
+class RecordingState:
+    """A state machine that remembers the numbers it was given, in order."""
+
+    def __init__(self) -> None:
+        self.numbers: list[int] = []
+
+    def apply(self, index: int, command: Command) -> CommandOutcome:
+        """Append the number of a MarkInForce command."""
+        if isinstance(command, MarkInForce):
+            self.numbers.append(command.revision)
+        return Done()
+
+    def snapshot(self) -> Iterator[bytes]:
+        """Yield ten numbers a chunk."""
+        for first in range(0, len(self.numbers), 10):
+            yield ",".join(map(str, self.numbers[first : first + 10])).encode()
+
+    def restore(self, chunks: Iterable[bytes]) -> None:
+        """Take the numbers of a snapshot."""
+        self.numbers = [int(number) for chunk in chunks for number in chunk.split(b",")]
+
+
+@dataclass
+class RunningMember:
+    """One replica's process."""
+
+    clock: SkewedClock
+    transport: SimulatedTransport
+    state: RecordingState
+    driver: GroupDriver | None = None
+    faults: list[Fault] = field(default_factory=list)
+    leadership: list[bool] = field(default_factory=list)
+
+
+class SimulatedGroup:
+    """Replicas of one group over a simulated network and simulated disks."""
+
+    def __init__(
+        self, names: list[str], seed: int = 0, settings: ConsensusSettings | None = None
+    ) -> None:
+        self.clock = VirtualClock()
+        self.random = random.Random(seed)
+        self.network = SimulatedNetwork(self.clock, random.Random(self.random.random()))
+        self.settings = settings if settings is not None else ConsensusSettings()
+        self.names = names
+        self.disks: dict[str, SimulatedDisk] = {}
+        self.running: dict[str, RunningMember] = {}
+        self.acknowledged: list[int] = []
+        self.next_number = 1
+        for name in names:
+            self.start(name)
+
+    # --- processes -----------------------------------------------------------------------
+
+    def start(self, name: str, rate: float = 1.0) -> None:
+        """Start a replica's process on its disk."""
+        clock = SkewedClock(self.clock, rate)
+        if name not in self.disks:
+            self.disks[name] = SimulatedDisk(self.clock, random.Random(self.random.random()))
+        transport = self.network.transport(name)
+        member = RunningMember(clock, transport, RecordingState())
+        self.running[name] = member
+        generator = random.Random(self.random.random())
+        identity = load_or_create_identity(self.disks[name], FLEET, name, generator)
+        identity.addCallback(lambda found: self._open(name, member, found.ok, generator))
+
+    def _open(self, name: str, member: RunningMember, identity: Any, generator: Any) -> None:
+        opened = open_group_storage(self.disks[name], GROUP, StorageSettings())
+        opened.addCallback(lambda storage: self._run(name, member, identity, storage.ok, generator))
+
+    def _run(
+        self, name: str, member: RunningMember, identity: Any, storage: Any, generator: Any
+    ) -> None:
+        if self.running.get(name) is not member:
+            return
+        member.driver = GroupDriver(
+            GROUP,
+            name,
+            identity,
+            storage,
+            member.state,
+            Messenger(member.transport, member.clock),
+            member.clock,
+            generator,
+            self.settings,
+            tuple(MemberSpec(each, "") for each in self.names),
+        )
+        member.driver.on_fatal(member.faults.append)
+        member.driver.on_leadership(member.leadership.append)
+        member.driver.start()
+
+    def crash(self, name: str) -> None:
+        """Cut the power of a replica's machine."""
+        member = self.running.pop(name)
+        member.clock.stop()
+        member.transport.close()
+        self.disks[name].crash()
+
+    def lose_disk(self, name: str) -> None:
+        """Crash a replica and lose its disk."""
+        self.crash(name)
+        self.disks[name].wipe()
+
+    def freeze(self, name: str) -> None:
+        """Pause a replica's process."""
+        self.running[name].clock.freeze()
+        self.network.freeze(name)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        self.running[name].clock.thaw()
+        self.network.thaw(name)
+
+    # --- looking -------------------------------------------------------------------------
+
+    def driver(self, name: str) -> GroupDriver:
+        """Return a running replica's driver."""
+        driver = self.running[name].driver
+        assert driver is not None, f"{name} is not open yet"
+        return driver
+
+    def leaders(self) -> list[str]:
+        """Return every replica that leads under a lease now."""
+        running = ((name, member.driver) for name, member in self.running.items())
+        return [name for name, driver in running if driver is not None and driver.is_leader()]
+
+    def leader(self) -> str:
+        """Return the one leader; runs until there is one."""
+        self.run_until(lambda: len(self.leaders()) > 0, "a leader")
+        found = self.leaders()
+        assert len(found) == 1, f"leaders: {found}"
+        return found[0]
+
+    def run_until(
+        self, condition: Callable[[], bool], what: str, limit_s: float = RUN_LIMIT_S
+    ) -> None:
+        """Run the virtual world until something holds."""
+        deadline_s = self.clock.seconds() + limit_s
+        while not condition():
+            if not self.clock.run_next(deadline_s):
+                raise AssertionError(f"not reached within {limit_s:g} virtual seconds: {what}")
+
+    # --- commands ------------------------------------------------------------------------
+
+    def commit(self, count: int = 1) -> None:
+        """Commit numbers through whichever leader there is, retrying each until acknowledged."""
+        for _ in range(count):
+            number = self.next_number
+            self.next_number += 1
+            self.run_until(lambda number=number: self._try_commit(number), f"commit of {number}")
+
+    def _try_commit(self, number: int) -> bool:
+        leaders = self.leaders()
+        if not leaders:
+            return False
+        results: list[Any] = []
+        self.driver(leaders[0]).propose(MarkInForce(number)).addCallback(results.append)
+        self.run_until(lambda: bool(results), "an answer to a proposal")
+        if results[0].is_ok():
+            self.acknowledged.append(number)
+        return results[0].is_ok()
+
+    def propose(self, name: str, number: int) -> list[Any]:
+        """Propose at one replica; the list gets the result when it is there."""
+        results: list[Any] = []
+        self.driver(name).propose(MarkInForce(number)).addCallback(results.append)
+        return results
+
+    def read(self, name: str) -> list[Any]:
+        """Ask for a read barrier at one replica; the list gets the result when it is there."""
+        results: list[Any] = []
+        self.driver(name).read_barrier().addCallback(results.append)
+        return results
+
+    def holds_acknowledged(self, name: str) -> bool:
+        """Tell whether a replica has applied every acknowledged number, in order."""
+        applied = iter(self.running[name].state.numbers)
+        return all(number in applied for number in self.acknowledged)
--- /dev/null
+++ b/src/rainsail/consensus/applier.py
@@ -0,0 +1,134 @@
+"""Applies committed entries in order and answers the proposals that wait for them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from rainsail.consensus.log_window import LogWindow
+from rainsail.consensus.membership import membership_of_payload
+from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.state.commands import Command, CommandOutcome
+from rainsail.state.interface import StateMachine
+from rainsail.storage.interface import LogEntry
+from rainsail.wire.codec import decode
+
+ProposalResult = Result[tuple[int, CommandOutcome], Fault]
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A command on its way, with the Deferred of its proposer."""
+
+    command: Command
+    payload: bytes
+    done: "Deferred[ProposalResult]"
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    term: int
+    proposal: Proposal
+
+
+@dataclass(slots=True)
+class _ReadWait:
+    index: int
+    done: "Deferred[Result[int, Fault]]"
+
+
+class Applier:
+    """Feeds the state machine from the log, up to the commit index."""
+
+    def __init__(self, log: LogWindow, state_machine: StateMachine, applied: int) -> None:
+        self._log = log
+        self._state_machine = state_machine
+        self._waiting: dict[int, _Waiting] = {}
+        self._reads: list[_ReadWait] = []
+        self.applied_index = applied
+        self.commit_index = applied
+        self.bytes_since_snapshot = 0
+        self.on_applied: list[Callable[[int], None]] = []
+
+    @property
+    def waiting(self) -> int:
+        """How many proposals are appended and not yet applied."""
+        return len(self._waiting)
+
+    def expect(self, index: int, term: int, proposal: Proposal) -> None:
+        """Answer ``proposal`` when the entry at ``index`` is applied."""
+        self._waiting[index] = _Waiting(term, proposal)
+
+    def wait_applied(self, index: int, done: "Deferred[Result[int, Fault]]") -> None:
+        """Fire ``done`` with the applied index once it reaches ``index``."""
+        if self.applied_index >= index:
+            done.callback(Ok(self.applied_index))
+            return
+        self._reads.append(_ReadWait(index, done))
+
+    def fail_waiting(self, fault: Fault) -> None:
+        """Answer everything that waits with a fault (leadership lost, or stopped)."""
+        waiting = self._waiting
+        reads = self._reads
+        self._waiting = {}
+        self._reads = []
+        for each in waiting.values():
+            each.proposal.done.callback(Error(fault))
+        for read in reads:
+            read.done.callback(Error(fault))
+
+    def restored(self, index: int) -> None:
+        """The state machine now stands at ``index`` (restored from a snapshot)."""
+        self.applied_index = index
+        self.commit_index = max(self.commit_index, index)
+        self.bytes_since_snapshot = 0
+        self._release_reads()
+
+    def apply_batch(self, limit: int) -> bool:
+        """Apply up to ``limit`` entries; True when more is left."""
+        end = min(self.commit_index, self.applied_index + limit)
+        if end == self.applied_index:
+            return False
+        answers: list[tuple[Proposal, ProposalResult]] = []
+        for index in range(self.applied_index + 1, end + 1):
+            answer = self._apply(self._log.entry(index))
+            if answer is not None:
+                answers.append(answer)
+            self.applied_index = index
+        for listener in self.on_applied:
+            listener(self.applied_index)
+        for proposal, result in answers:
+            proposal.done.callback(result)
+        self._release_reads()
+        return self.applied_index < self.commit_index
+
+    def _apply(self, entry: LogEntry) -> tuple[Proposal, ProposalResult] | None:
+        self.bytes_since_snapshot += len(entry.payload)
+        waiting = self._waiting.pop(entry.index, None)
+        if waiting is not None and waiting.term == entry.term:
+            outcome = self._state_machine.apply(entry.index, waiting.proposal.command)
+            return waiting.proposal, Ok((entry.index, outcome))
+        if membership_of_payload(entry.payload) is None:
+            self._state_machine.apply(entry.index, decode(entry.payload).command)
+        if waiting is None:
+            return None
+        return waiting.proposal, Error(overruled())
+
+    def _release_reads(self) -> None:
+        ready = [read for read in self._reads if read.index <= self.applied_index]
+        if not ready:
+            return
+        self._reads = [read for read in self._reads if read.index > self.applied_index]
+        for read in ready:
+            read.done.callback(Ok(self.applied_index))
+
+
+def overruled() -> Fault:
+    """Return the fault of a proposal whose entry another leader replaced."""
+    return Fault(
+        FaultCode.NOT_LEADER,
+        "consensus.propose",
+        "another leader's entry took its place",
+        outcome=Outcome.UNKNOWN,
+    )
--- /dev/null
+++ b/src/rainsail/consensus/core.py
@@ -0,0 +1,205 @@
+"""The consensus core of one member: every input gives ``Effects``, with no I/O of its own.
+
+Inputs are ticks, messages, proposals, reads, and the driver's reports of synced writes and stored
+snapshots. ``now`` is always the member's own monotonic time in seconds.
+"""
+
+import random as random_module
+
+from rainsail.consensus import (
+    election,
+    founding,
+    lease,
+    membership_change,
+    reads,
+    replication,
+    roles,
+    snapshots,
+    transfer,
+)
+from rainsail.consensus.core_state import CoreState, Role
+from rainsail.consensus.effects import Effects
+from rainsail.consensus.log_window import LogWindow
+from rainsail.consensus.membership import Membership
+from rainsail.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    FoundingVoteReply,
+    FoundingVoteRequest,
+    GroupMessage,
+    Hello,
+    PreVoteReply,
+    PreVoteRequest,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from rainsail.consensus.settings import ConsensusSettings
+from rainsail.errors import Fault
+from rainsail.state.commands import GroupId
+from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
+
+
+class ConsensusCore:
+    """Election, replication, membership, leases and reads of one member, as pure decisions."""
+
+    def __init__(
+        self,
+        group: GroupId,
+        replica: str,
+        identity: str,
+        bootstrap: tuple[str, ...],
+        settings: ConsensusSettings,
+        random: random_module.Random,
+        hard_state: HardState,
+        log: LogWindow,
+        now: float,
+    ) -> None:
+        self.state = CoreState(
+            group, replica, identity, bootstrap, settings, random, hard_state, log, now
+        )
+
+    def tick(self, now: float) -> Effects:
+        """Do what is due at ``now``."""
+        state = self.state
+        if state.role == Role.LEADER:
+            self._tick_leader(now)
+        elif now >= state.election_deadline_s:
+            if state.membership.members:
+                self._tick_campaign(now)
+            elif not state.installing:
+                founding.tick_empty(state, now)
+        return state.take_effects()
+
+    def _tick_leader(self, now: float) -> None:
+        state = self.state
+        if lease.has_lost_quorum(state, now):
+            roles.become_follower(state, state.term, now)
+            return
+        transfer.tick(state, now)
+        if state.role == Role.LEADER and now >= state.next_heartbeat_s:
+            replication.begin_round(state, now)
+
+    def _tick_campaign(self, now: float) -> None:
+        state = self.state
+        if state.installing:
+            state.reset_election_deadline(now)
+            return
+        if state.membership.find(state.identity) is None:
+            founding.say_hello(state)
+        if state.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            roles.become_follower(state, state.term, now)
+        election.campaign(state, now)
+
+    def next_wakeup_s(self) -> float:
+        """Return the time of the next tick that may do something."""
+        state = self.state
+        if state.role != Role.LEADER:
+            return state.election_deadline_s
+        if state.transfer_target:
+            return min(state.next_heartbeat_s, state.transfer_deadline_s)
+        return state.next_heartbeat_s
+
+    def receive(self, source: str, message: GroupMessage, now: float) -> Effects:
+        """Take a message from a replica; one for another identity is only answered with Hello."""
+        state = self.state
+        if message.target and message.target != state.identity:
+            if not isinstance(message, Hello):
+                hello = Hello(state.group, 0, state.identity, message.sender, state.replica)
+                state.send(source, hello)
+            return state.take_effects()
+        self._dispatch(source, message, now)
+        if state.role == Role.LEADER:
+            self._after_leader_input(now)
+        return state.take_effects()
+
+    def _dispatch(self, source: str, message: GroupMessage, now: float) -> None:
+        state = self.state
+        match message:
+            case AppendRequest():
+                replication.handle_append_request(state, source, message, now)
+            case AppendReply():
+                replication.handle_append_reply(state, message, now)
+            case PreVoteRequest():
+                election.handle_pre_vote_request(state, source, message, now)
+            case PreVoteReply():
+                election.handle_pre_vote_reply(state, message, now)
+            case VoteRequest():
+                election.handle_vote_request(state, source, message, now)
+            case VoteReply():
+                election.handle_vote_reply(state, message, now)
+            case SnapshotChunk():
+                snapshots.handle_chunk(state, source, message, now)
+            case SnapshotReply():
+                snapshots.handle_reply(state, message, now)
+            case TimeoutNow():
+                election.handle_timeout_now(state, message, now)
+            case FoundingVoteRequest():
+                founding.handle_request(state, source, message, now)
+            case FoundingVoteReply():
+                founding.handle_reply(state, message, now)
+            case Hello():
+                founding.handle_hello(state, source, message)
+
+    def _after_leader_input(self, now: float) -> None:
+        state = self.state
+        if membership_change.is_removed(state):
+            replication.begin_round(state, now)
+            roles.become_follower(state, state.term, now)
+            return
+        if state.transfer_target:
+            transfer.continue_when_ready(state)
+
+    def propose(self, payloads: list[bytes], now: float) -> tuple[int, Effects]:
+        """Append entries of the current term; returns the first index, 0 when not the leader."""
+        state = self.state
+        if state.role != Role.LEADER or state.transfer_target:
+            return 0, state.take_effects()
+        first = state.log.last_index + 1
+        for offset, payload in enumerate(payloads):
+            state.append(LogEntry(first + offset, state.term, payload))
+        replication.replicate(state)
+        return first, state.take_effects()
+
+    def change_membership(self, membership: Membership, now: float) -> tuple[Fault | None, Effects]:
+        """Append a single-step membership change, or say why not now."""
+        fault = membership_change.propose(self.state, membership)
+        return fault, self.state.take_effects()
+
+    def read(self, request: int, now: float) -> Effects:
+        """Begin a read barrier; ``reads_ready`` or ``reads_failed`` of some later input ends it."""
+        reads.request_read(self.state, request, now)
+        return self.state.take_effects()
+
+    def transfer_leadership(self, now: float) -> tuple[bool, Effects]:
+        """Begin to hand leadership over; False when there is nobody to hand it to."""
+        begun = transfer.begin(self.state, now)
+        return begun, self.state.take_effects()
+
+    def synced(self, sequence: int, now: float) -> Effects:
+        """Note that all writes up to a sequence number are durable."""
+        state = self.state
+        state.writes.synced(sequence)
+        if state.writes.all_synced():
+            election.own_vote_synced(state, now)
+            founding.own_vote_synced(state, now)
+        if state.role == Role.LEADER:
+            replication.advance_commit(state)
+            self._after_leader_input(now)
+        return state.take_effects()
+
+    def snapshot_taken(self, index: int) -> Effects:
+        """Note a stored snapshot of this member's own state up to an applied index."""
+        snapshots.taken(self.state, index)
+        return self.state.take_effects()
+
+    def snapshot_installed(self, meta: SnapshotMeta, now: float) -> Effects:
+        """Note that a received snapshot is stored and the state restored from it."""
+        snapshots.installed(self.state, meta, now)
+        return self.state.take_effects()
+
+    def holds_lease(self, now: float) -> bool:
+        """Tell whether this member leads and may answer reads at once."""
+        return lease.holds_lease(self.state, now)
--- /dev/null
+++ b/src/rainsail/consensus/core_state.py
@@ -0,0 +1,241 @@
+"""The volatile and durable state of one member, and the small operations that all parts share."""
+
+import random as random_module
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from rainsail.consensus.effects import Effects, Outgoing
+from rainsail.consensus.log_window import LogWindow
+from rainsail.consensus.membership import Membership
+from rainsail.consensus.messages import GroupMessage
+from rainsail.consensus.settings import ConsensusSettings
+from rainsail.state.commands import GroupId
+from rainsail.storage.interface import HardState, LogEntry
+
+
+class Role(StrEnum):
+    """What a member does now."""
+
+    EMPTY = "empty"
+    """No membership is known: it waits to be founded or to be added."""
+    FOUNDER = "founder"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+ALLOWED_ROLE_CHANGES: dict[Role, tuple[Role, ...]] = {
+    Role.EMPTY: (Role.FOUNDER, Role.FOLLOWER),
+    Role.FOUNDER: (Role.EMPTY, Role.FOLLOWER, Role.LEADER),
+    Role.FOLLOWER: (Role.PRE_CANDIDATE, Role.CANDIDATE),
+    Role.PRE_CANDIDATE: (Role.FOLLOWER, Role.CANDIDATE),
+    Role.CANDIDATE: (Role.FOLLOWER, Role.PRE_CANDIDATE, Role.LEADER),
+    Role.LEADER: (Role.FOLLOWER,),
+}
+
+
+class ProgressMode(StrEnum):
+    """How the leader feeds a follower."""
+
+    PROBE = "probe"
+    """One append at a time, until the logs are known to agree."""
+    REPLICATE = "replicate"
+    """Pipelined appends within the in-flight limit."""
+    SNAPSHOT = "snapshot"
+    """The follower is behind the log: it gets the snapshot."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one follower. Times are on the leader's monotonic clock."""
+
+    next_index: int
+    match_index: int = 0
+    mode: ProgressMode = ProgressMode.PROBE
+    probe_sent: bool = False
+    in_flight: deque[tuple[int, int]] = field(default_factory=deque)
+    in_flight_bytes: int = 0
+    snapshot_offset: int = 0
+    acked_round: int = 0
+    acked_sent_at_s: float = float("-inf")
+    heard_at_s: float = float("-inf")
+
+    def reset_in_flight(self) -> None:
+        """Forget what was sent and not acknowledged."""
+        self.in_flight.clear()
+        self.in_flight_bytes = 0
+
+    def acknowledge(self, index: int) -> None:
+        """Free the in-flight bytes up to an index."""
+        while self.in_flight and self.in_flight[0][0] <= index:
+            self.in_flight_bytes -= self.in_flight.popleft()[1]
+
+
+class WriteTracker:
+    """Which writes are synced: each batch of writes has a number, synced in order."""
+
+    def __init__(self, last_index: int) -> None:
+        self.sequence = 0
+        self.synced_index = last_index
+        self._waiting: deque[tuple[int, int]] = deque()
+
+    def wrote(self, last_index: int) -> int:
+        """Note a batch of writes after which the log ends at ``last_index``."""
+        self.sequence += 1
+        self._waiting.append((self.sequence, last_index))
+        return self.sequence
+
+    def truncated_from(self, index: int) -> None:
+        """Entries from ``index`` on no longer count as synced."""
+        self.synced_index = min(self.synced_index, index - 1)
+        self._waiting = deque((at, min(last, index - 1)) for at, last in self._waiting)
+
+    def synced(self, sequence: int) -> None:
+        """Note that all batches up to a number are synced."""
+        while self._waiting and self._waiting[0][0] <= sequence:
+            self.synced_index = max(self.synced_index, self._waiting.popleft()[1])
+
+    def restart_at(self, index: int) -> None:
+        """The log now ends at ``index``, durably (behind an installed snapshot)."""
+        self.synced_index = index
+        self._waiting = deque((at, index) for at, _ in self._waiting)
+
+    def all_synced(self) -> bool:
+        """Tell whether no write is waiting for its sync."""
+        return not self._waiting
+
+
+@dataclass(slots=True)
+class PendingRead:
+    """A read barrier that waits for a round to be confirmed by a quorum."""
+
+    request: int
+    index: int
+    round: int
+
+
+@dataclass(slots=True)
+class IncomingSnapshot:
+    """The chunks received so far of one leader's snapshot."""
+
+    sender: str
+    last_index: int
+    last_term: int
+    chunks: list[bytes] = field(default_factory=list)
+
+
+class CoreState:
+    """One member's consensus state. All times are seconds of the member's own monotonic clock."""
+
+    def __init__(
+        self,
+        group: GroupId,
+        replica: str,
+        identity: str,
+        bootstrap: tuple[str, ...],
+        settings: ConsensusSettings,
+        random: random_module.Random,
+        hard_state: HardState,
+        log: LogWindow,
+        now: float,
+    ) -> None:
+        self.group = group
+        self.replica = replica
+        self.identity = identity
+        self.bootstrap = bootstrap
+        self.settings = settings
+        self.random = random
+        self.log = log
+        self.term = hard_state.term
+        self.voted_for = hard_state.voted_for
+        self.role = Role.FOLLOWER if log.membership.members else Role.EMPTY
+        self.leader = ""
+        self.leader_replica = ""
+        self.commit_index = log.base_index
+        self.writes = WriteTracker(log.last_index)
+        self.effects = Effects()
+        # A restarted member may have acknowledged a leader just before it stopped, so it keeps
+        # its vote back for a whole election timeout.
+        was_used = bool(log.membership.members) or hard_state.term > 0
+        self.heard_leader_at_s = now if was_used else float("-inf")
+        self.election_deadline_s = now
+        self.votes: dict[str, bool] = {}
+        self.founding_votes: dict[str, str] = {}
+        self.campaign_is_transfer = False
+        self.progress: dict[str, Progress] = {}
+        self.round = 0
+        self.round_sent_at_s: dict[int, float] = {}
+        self.next_heartbeat_s = now
+        self.leader_since_s = now
+        self.term_start_index = 0
+        self.transfer_target = ""
+        self.transfer_deadline_s = 0.0
+        self.transfer_sent = False
+        self.reads: list[PendingRead] = []
+        self.installing = False
+        self.incoming: IncomingSnapshot | None = None
+        self.snapshot_index = log.base_index
+        self.newcomers: dict[str, str] = {}
+        self.reset_election_deadline(now)
+
+    @property
+    def membership(self) -> Membership:
+        """The latest membership in the log; it counts from when it is appended."""
+        return self.log.membership
+
+    def change_role(self, role: Role) -> None:
+        """Take another role; a change that the table doesn't allow is a programming error."""
+        if role == self.role:
+            return
+        if role not in ALLOWED_ROLE_CHANGES[self.role]:
+            raise AssertionError(f"role change from {self.role} to {role}")
+        self.role = role
+
+    def reset_election_deadline(self, now: float) -> None:
+        """Draw the next moment at which this member campaigns if it hears no leader."""
+        timeout = self.settings.election_timeout_s
+        spread = timeout * self.settings.election_timeout_spread
+        self.election_deadline_s = now + timeout + self.random.random() * spread
+
+    def send(self, replica: str, message: GroupMessage) -> None:
+        """Send at once."""
+        self.effects.messages.append(Outgoing(replica, message))
+
+    def send_after_sync(self, replica: str, message: GroupMessage) -> None:
+        """Send when everything written so far is synced."""
+        self.effects.after_sync.append(Outgoing(replica, message))
+
+    def save_hard_state(self, term: int, voted_for: str) -> None:
+        """Change the term and the vote; durable with the next sync."""
+        self.term = term
+        self.voted_for = voted_for
+        self.effects.hard_state = HardState(term, voted_for)
+
+    def append(self, entry: LogEntry) -> None:
+        """Append to the log; durable with the next sync."""
+        self.log.append(entry)
+        self.effects.append.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop entries that a leader has overruled; a committed one is never dropped."""
+        if index <= self.commit_index:
+            raise AssertionError(f"truncation from {index} at commit {self.commit_index}")
+        self.log.truncate_from(index)
+        self.writes.truncated_from(index)
+        self.effects.truncate_from = index
+
+    def commit_to(self, index: int) -> None:
+        """Raise the commit index."""
+        if index > self.commit_index:
+            self.commit_index = index
+            self.effects.commit_index = index
+
+    def take_effects(self) -> Effects:
+        """Return what was gathered since the last call and number its writes."""
+        effects = self.effects
+        self.effects = Effects()
+        if effects.has_writes():
+            effects.write_sequence = self.writes.wrote(self.log.last_index)
+        return effects
--- /dev/null
+++ b/src/rainsail/consensus/election.py
@@ -0,0 +1,156 @@
+"""Elections: pre-vote, vote, and the rule by which a leader's voters keep their votes back."""
+
+from rainsail.consensus import roles
+from rainsail.consensus.core_state import CoreState, Role
+from rainsail.consensus.messages import (
+    PreVoteReply,
+    PreVoteRequest,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+
+
+def campaign(state: CoreState, now: float) -> None:
+    """Start a pre-vote: ask whether a campaign could be won, without touching any term."""
+    state.reset_election_deadline(now)
+    if not state.membership.is_voter(state.identity):
+        return
+    state.leader = ""
+    state.leader_replica = ""
+    state.change_role(Role.PRE_CANDIDATE)
+    state.votes = {state.identity: True}
+    if has_won(state):
+        start_vote(state, now, transfer=False)
+        return
+    for member in state.membership.voters():
+        if member.identity == state.identity:
+            continue
+        request = PreVoteRequest(
+            state.group,
+            state.term,
+            state.identity,
+            member.identity,
+            state.term + 1,
+            state.log.last_index,
+            state.log.last_term,
+        )
+        state.send(member.replica, request)
+
+
+def start_vote(state: CoreState, now: float, transfer: bool) -> None:
+    """Campaign in the next term; the requests leave when the vote for itself is synced."""
+    state.change_role(Role.CANDIDATE)
+    state.reset_election_deadline(now)
+    state.save_hard_state(state.term + 1, state.identity)
+    state.leader = ""
+    state.leader_replica = ""
+    state.campaign_is_transfer = transfer
+    state.votes = {}
+    for member in state.membership.voters():
+        if member.identity == state.identity:
+            continue
+        request = VoteRequest(
+            state.group,
+            state.term,
+            state.identity,
+            member.identity,
+            state.log.last_index,
+            state.log.last_term,
+            transfer,
+        )
+        state.send_after_sync(member.replica, request)
+
+
+def own_vote_synced(state: CoreState, now: float) -> None:
+    """Count the candidate's own vote once it is durable."""
+    if state.role != Role.CANDIDATE or state.voted_for != state.identity:
+        return
+    state.votes[state.identity] = True
+    if has_won(state):
+        roles.become_leader(state, now)
+
+
+def has_won(state: CoreState) -> bool:
+    """Tell whether a majority of the voters, by identity, has granted."""
+    granted = [m for m in state.membership.voters() if state.votes.get(m.identity, False)]
+    return len(granted) >= state.membership.quorum()
+
+
+def keeps_vote_back(state: CoreState, now: float) -> bool:
+    """Tell whether this member follows a live leader, whose lease its vote would break."""
+    if state.role == Role.LEADER:
+        return True
+    return now - state.heard_leader_at_s < state.settings.election_timeout_s
+
+
+def is_up_to_date(state: CoreState, last_index: int, last_term: int) -> bool:
+    """Tell whether a candidate's log holds at least what this member's log holds."""
+    return (last_term, last_index) >= (state.log.last_term, state.log.last_index)
+
+
+def handle_pre_vote_request(
+    state: CoreState, source: str, message: PreVoteRequest, now: float
+) -> None:
+    """Answer whether this member would vote; nothing changes."""
+    granted = (
+        message.proposed_term > state.term
+        and not keeps_vote_back(state, now)
+        and is_up_to_date(state, message.last_index, message.last_term)
+    )
+    reply = PreVoteReply(
+        state.group, state.term, state.identity, message.sender, message.proposed_term, granted
+    )
+    state.send(source, reply)
+
+
+def handle_pre_vote_reply(state: CoreState, message: PreVoteReply, now: float) -> None:
+    """Count a pre-vote; campaign for real when a majority would vote."""
+    if message.term > state.term and not message.granted:
+        roles.become_follower(state, message.term, now)
+        return
+    if state.role != Role.PRE_CANDIDATE or message.proposed_term != state.term + 1:
+        return
+    state.votes[message.sender] = message.granted
+    if has_won(state):
+        start_vote(state, now, transfer=False)
+
+
+def handle_vote_request(state: CoreState, source: str, message: VoteRequest, now: float) -> None:
+    """Give the vote of a term at most once; the answer leaves when the vote is synced."""
+    if message.term > state.term:
+        if not message.transfer and keeps_vote_back(state, now):
+            return
+        roles.become_follower(state, message.term, now)
+    granted = (
+        message.term == state.term
+        and state.role in (Role.FOLLOWER, Role.EMPTY)
+        and state.voted_for in ("", message.sender)
+        and is_up_to_date(state, message.last_index, message.last_term)
+    )
+    if granted:
+        state.save_hard_state(state.term, message.sender)
+        state.reset_election_deadline(now)
+    reply = VoteReply(state.group, state.term, state.identity, message.sender, granted)
+    state.send_after_sync(source, reply)
+
+
+def handle_vote_reply(state: CoreState, message: VoteReply, now: float) -> None:
+    """Count a vote of this term."""
+    if message.term > state.term:
+        roles.become_follower(state, message.term, now)
+        return
+    if state.role != Role.CANDIDATE or message.term != state.term:
+        return
+    state.votes[message.sender] = message.granted
+    if has_won(state):
+        roles.become_leader(state, now)
+
+
+def handle_timeout_now(state: CoreState, message: TimeoutNow, now: float) -> None:
+    """Campaign at once for the leader that hands over."""
+    if message.term != state.term or state.leader != message.sender:
+        return
+    if state.role != Role.FOLLOWER or not state.membership.is_voter(state.identity):
+        return
+    start_vote(state, now, transfer=True)
--- /dev/null
+++ b/src/rainsail/consensus/founding.py
@@ -0,0 +1,93 @@
+"""Founding a group: once, by the first replica of the bootstrap list, with every one's vote.
+
+The founding is an election in which every bootstrap replica must grant, and only a replica with
+an empty log does. Once one replica holds the founding entry no second founding can succeed, so a
+replica that comes back with an empty disk can't start the group anew.
+"""
+
+from rainsail.consensus import roles
+from rainsail.consensus.core_state import CoreState, Role
+from rainsail.consensus.messages import FoundingVoteReply, FoundingVoteRequest, Hello
+
+
+def is_empty(state: CoreState) -> bool:
+    """Tell whether this replica's disk holds nothing of the group."""
+    return state.log.last_index == 0 and not state.membership.members
+
+
+def is_founder(state: CoreState) -> bool:
+    """Tell whether this replica is the one that may found the group."""
+    return bool(state.bootstrap) and state.bootstrap[0] == state.replica
+
+
+def tick_empty(state: CoreState, now: float) -> None:
+    """Try to found the group, and make this replica's identity known."""
+    state.election_deadline_s = now + state.settings.hello_period_s
+    if is_founder(state):
+        start_founding(state, now)
+    say_hello(state)
+
+
+def say_hello(state: CoreState) -> None:
+    """Tell the replicas of the bootstrap list under which identity this one runs."""
+    for name in state.bootstrap:
+        if name != state.replica:
+            state.send(name, Hello(state.group, state.term, state.identity, "", state.replica))
+
+
+def start_founding(state: CoreState, now: float) -> None:
+    """Ask every bootstrap replica for its vote in a new term."""
+    state.change_role(Role.FOUNDER)
+    state.save_hard_state(state.term + 1, state.identity)
+    state.founding_votes = {}
+    for name in state.bootstrap:
+        if name == state.replica:
+            continue
+        request = FoundingVoteRequest(state.group, state.term, state.identity, "", state.bootstrap)
+        state.send_after_sync(name, request)
+
+
+def handle_request(state: CoreState, source: str, message: FoundingVoteRequest, now: float) -> None:
+    """Vote for a founding, only with an empty log and for the same list of names."""
+    granted = False
+    if is_empty(state) and message.replicas == state.bootstrap:
+        if message.term > state.term:
+            roles.become_follower(state, message.term, now)
+        if message.term == state.term and state.voted_for in ("", message.sender):
+            granted = True
+            state.save_hard_state(state.term, message.sender)
+    reply = FoundingVoteReply(
+        state.group, state.term, state.identity, message.sender, state.replica, granted
+    )
+    state.send_after_sync(source, reply)
+
+
+def handle_reply(state: CoreState, message: FoundingVoteReply, now: float) -> None:
+    """Count a founding vote; found the group when every name has granted."""
+    if state.role != Role.FOUNDER:
+        return
+    if message.term > state.term:
+        roles.become_follower(state, message.term, now)
+        return
+    if message.term == state.term and message.granted and message.replica in state.bootstrap:
+        state.founding_votes[message.replica] = message.sender
+        found_when_unanimous(state, now)
+
+
+def own_vote_synced(state: CoreState, now: float) -> None:
+    """Count the founder's own vote once it is durable."""
+    if state.role == Role.FOUNDER and state.voted_for == state.identity:
+        state.founding_votes[state.replica] = state.identity
+        found_when_unanimous(state, now)
+
+
+def found_when_unanimous(state: CoreState, now: float) -> None:
+    """Found the group when every bootstrap name has an identity."""
+    if all(name in state.founding_votes for name in state.bootstrap):
+        roles.found_group(state, now)
+
+
+def handle_hello(state: CoreState, source: str, message: Hello) -> None:
+    """Remember which identity a replica of ours runs under now, for a repair."""
+    if state.membership.find(message.sender) is None:
+        state.newcomers[message.replica] = message.sender
--- /dev/null
+++ b/src/rainsail/consensus/reads.py
@@ -0,0 +1,37 @@
+"""Read barriers: under the lease at once, else after a round that a quorum confirms."""
+
+from rainsail.consensus import lease, replication
+from rainsail.consensus.core_state import CoreState, PendingRead, Role
+from rainsail.consensus.effects import ReadReady
+
+
+def request_read(state: CoreState, request: int, now: float) -> None:
+    """Ask for an index that covers everything committed anywhere up to now."""
+    if state.role != Role.LEADER:
+        state.effects.reads_failed.append(request)
+        return
+    if state.commit_index >= state.term_start_index and lease.holds_lease(state, now):
+        state.effects.reads_ready.append(ReadReady(request, state.commit_index))
+        return
+    # Until an entry of this term is committed, the commit index may lag behind what an earlier
+    # leader has committed; the term's first entry covers all of that.
+    index = max(state.commit_index, state.term_start_index)
+    if state.reads and state.round_sent_at_s.get(state.round) == now:
+        state.reads.append(PendingRead(request, index, state.round))
+        return
+    state.reads.append(PendingRead(request, index, state.round + 1))
+    replication.begin_round(state, now)
+
+
+def finish_confirmed(state: CoreState) -> None:
+    """Release the barriers whose round a quorum has answered."""
+    if not state.reads:
+        return
+    confirmed = lease.quorum_round(state)
+    waiting = []
+    for read in state.reads:
+        if read.round <= confirmed:
+            state.effects.reads_ready.append(ReadReady(read.request, read.index))
+        else:
+            waiting.append(read)
+    state.reads = waiting
--- /dev/null
+++ b/src/rainsail/consensus/recovery.py
@@ -0,0 +1,24 @@
+"""Builds a member's log from its storage at the start."""
+
+from rainsail.consensus.log_window import LogWindow
+from rainsail.consensus.membership import EMPTY_MEMBERSHIP, membership_of_payload
+from rainsail.state.interface import StateMachine
+from rainsail.storage.interface import GroupStorage
+
+READ_BYTES = 4 * 1024 * 1024
+
+
+def recover_log(storage: GroupStorage, state_machine: StateMachine) -> LogWindow:
+    """Restore the state machine from the snapshot, and read the log behind it."""
+    log = LogWindow()
+    meta = storage.snapshot_meta
+    if meta is not None:
+        state_machine.restore(storage.read_snapshot())
+        membership = membership_of_payload(meta.membership)
+        log = LogWindow(meta.last_index, meta.last_term, membership or EMPTY_MEMBERSHIP)
+    index = log.last_index + 1
+    while index <= storage.last_index:
+        for entry in storage.entries(index, storage.last_index, READ_BYTES):
+            log.append(entry)
+        index = log.last_index + 1
+    return log
--- /dev/null
+++ b/src/rainsail/consensus/roles.py
@@ -0,0 +1,68 @@
+"""Changes of role: stepping down, becoming leader."""
+
+from rainsail.consensus import replication
+from rainsail.consensus.core_state import CoreState, Progress, Role
+from rainsail.consensus.membership import Membership, MemberSpec, encode_membership
+from rainsail.state.commands import CommandRecord, NoOperation
+from rainsail.storage.interface import LogEntry
+from rainsail.wire.codec import encode
+
+NO_OPERATION_PAYLOAD = encode(CommandRecord(NoOperation()))
+
+
+def become_follower(state: CoreState, term: int, now: float) -> None:
+    """Follow in ``term`` (the current one or a later one)."""
+    was_leader = state.role == Role.LEADER
+    if term > state.term:
+        state.save_hard_state(term, "")
+        state.leader = ""
+        state.leader_replica = ""
+    if was_leader:
+        end_leadership(state)
+        state.reset_election_deadline(now)
+    state.votes.clear()
+    state.founding_votes.clear()
+    has_group = bool(state.membership.members)
+    state.change_role(Role.FOLLOWER if has_group else Role.EMPTY)
+
+
+def end_leadership(state: CoreState) -> None:
+    """Forget what only a leader keeps, and fail the barriers that wait."""
+    state.effects.leadership_lost = True
+    state.effects.reads_failed += [read.request for read in state.reads]
+    state.reads.clear()
+    state.progress.clear()
+    state.round_sent_at_s.clear()
+    state.transfer_target = ""
+    if state.leader == state.identity:
+        state.leader = ""
+        state.leader_replica = ""
+
+
+def become_leader(state: CoreState, now: float) -> None:
+    """Lead the current term: append an entry of it and begin the first heartbeat round."""
+    state.change_role(Role.LEADER)
+    state.leader = state.identity
+    state.leader_replica = state.replica
+    state.leader_since_s = now
+    state.round = 0
+    state.round_sent_at_s.clear()
+    state.transfer_target = ""
+    state.reads.clear()
+    state.progress = {
+        member.identity: Progress(next_index=state.log.last_index + 1, heard_at_s=now)
+        for member in state.membership.members
+        if member.identity != state.identity
+    }
+    state.term_start_index = state.log.last_index + 1
+    state.append(LogEntry(state.term_start_index, state.term, NO_OPERATION_PAYLOAD))
+    state.effects.leadership_won = True
+    replication.begin_round(state, now)
+
+
+def found_group(state: CoreState, now: float) -> None:
+    """Lead the founding term: the first entry binds every name to the identity that voted."""
+    members = [MemberSpec(name, state.founding_votes[name]) for name in state.bootstrap]
+    payload = encode_membership(Membership(tuple(members)))
+    state.append(LogEntry(1, state.term, payload))
+    become_leader(state, now)
--- /dev/null
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -0,0 +1,141 @@
+"""Takes, sends and installs snapshots for one member."""
+
+from collections.abc import Callable
+
+from expression import Result
+
+from rainsail.consensus.applier import Applier
+from rainsail.consensus.core import ConsensusCore
+from rainsail.consensus.effects import Effects, Outgoing, SnapshotInstall, SnapshotOrder
+from rainsail.consensus.membership import encode_membership
+from rainsail.consensus.messages import SnapshotChunk
+from rainsail.consensus.snapshot_source import SnapshotSource
+from rainsail.errors import Fault
+from rainsail.runtime.clock import Clock
+from rainsail.state.interface import StateMachine
+from rainsail.storage.interface import GroupStorage, SnapshotMeta
+
+
+class SnapshotWorker:
+    """One snapshot at a time is written, either this member's own or a received one."""
+
+    def __init__(
+        self,
+        storage: GroupStorage,
+        state_machine: StateMachine,
+        applier: Applier,
+        core: ConsensusCore,
+        clock: Clock,
+        send: Callable[[list[Outgoing]], None],
+        take: Callable[[Effects], None],
+        on_fault: Callable[[Fault], None],
+    ) -> None:
+        self._storage = storage
+        self._state_machine = state_machine
+        self._applier = applier
+        self._core = core
+        self._clock = clock
+        self._send = send
+        self._take = take
+        self._on_fault = on_fault
+        self._source = SnapshotSource(storage)
+        self._writing = False
+        self._waiting_install: SnapshotInstall | None = None
+        self._stopped = False
+        self._last_index = self._core.state.log.base_index
+
+    @property
+    def installing(self) -> bool:
+        """Whether a received snapshot is being stored; nothing may be applied meanwhile."""
+        return self._core.state.installing
+
+    def stop(self) -> None:
+        """Report nothing any more."""
+        self._stopped = True
+
+    # --- own snapshots -------------------------------------------------------------------
+
+    def take_when_due(self) -> None:
+        """Write a snapshot when the log since the last one has grown past the settings."""
+        settings = self._core.state.settings
+        applied = self._applier.applied_index
+        due = (
+            applied - self._last_index >= settings.snapshot_log_entries
+            or self._applier.bytes_since_snapshot >= settings.snapshot_log_bytes
+        )
+        if not due or self._writing or self.installing:
+            return
+        self._writing = True
+        self._applier.bytes_since_snapshot = 0
+        meta = self._meta_at(applied)
+        chunks = list(self._state_machine.snapshot())
+        done = self._storage.save_snapshot(meta, iter(chunks))
+        done.addCallback(self._taken, meta)
+
+    def _meta_at(self, index: int) -> SnapshotMeta:
+        log = self._core.state.log
+        term = log.term_at(index)
+        assert term is not None
+        return SnapshotMeta(index, term, encode_membership(log.membership_at(index)))
+
+    def _taken(self, result: Result[None, Fault], meta: SnapshotMeta) -> None:
+        self._writing = False
+        if self._stopped:
+            return
+        if result.is_error():
+            self._on_fault(result.error)
+            return
+        self._last_index = meta.last_index
+        self._take(self._core.snapshot_taken(meta.last_index))
+        waiting = self._waiting_install
+        if waiting is not None:
+            self._waiting_install = None
+            self.install(waiting)
+
+    # --- snapshots to others -------------------------------------------------------------
+
+    def send_chunk(self, order: SnapshotOrder) -> None:
+        """Send one chunk of the stored snapshot."""
+        chunk = self._source.chunk(order.identity, order.offset)
+        meta = self._storage.snapshot_meta
+        if chunk is None or meta is None:
+            return
+        state = self._core.state
+        message = SnapshotChunk(
+            state.group,
+            state.term,
+            state.identity,
+            order.identity,
+            meta.last_index,
+            meta.last_term,
+            meta.membership,
+            chunk.offset,
+            chunk.data,
+            chunk.last,
+            order.round,
+        )
+        self._send([Outgoing(order.replica, message)])
+
+    # --- snapshots from the leader -------------------------------------------------------
+
+    def install(self, install: SnapshotInstall) -> None:
+        """Store a received snapshot, then restore the state from it."""
+        if self._writing:
+            self._waiting_install = install
+            return
+        self._writing = True
+        done = self._storage.save_snapshot(install.meta, iter(install.chunks))
+        done.addCallback(self._installed, install)
+
+    def _installed(self, result: Result[None, Fault], install: SnapshotInstall) -> None:
+        self._writing = False
+        if self._stopped:
+            return
+        if result.is_error():
+            self._on_fault(result.error)
+            return
+        self._state_machine.restore(install.chunks)
+        self._last_index = install.meta.last_index
+        self._applier.restored(install.meta.last_index)
+        now = self._clock.seconds()
+        self._take(self._core.snapshot_installed(install.meta, now))
--- /dev/null
+++ b/src/rainsail/consensus/status.py
@@ -0,0 +1,74 @@
+"""The leader's view of its group as a status reply."""
+
+from rainsail.consensus.core_state import CoreState, Role
+from rainsail.consensus.membership import MemberSpec
+from rainsail.consensus.replication import match_index_of
+from rainsail.control.messages import GroupHealth, GroupStatusReply, MemberStatus
+
+
+def is_reachable(state: CoreState, member: MemberSpec, now: float) -> bool:
+    """Tell whether a member was heard of lately; a follower speaks for itself and its leader."""
+    if member.identity == state.identity:
+        return True
+    if state.role != Role.LEADER:
+        heard_lately = now - state.heard_leader_at_s < state.settings.unreachable_after_s
+        return member.identity == state.leader and heard_lately
+    progress = state.progress.get(member.identity)
+    return progress is not None and now - progress.heard_at_s < state.settings.unreachable_after_s
+
+
+def losses_borne(state: CoreState, now: float) -> int:
+    """Return how many further voters may be lost while a caught-up majority stays."""
+    if state.role != Role.LEADER:
+        return 0
+    good = [member for member in state.membership.voters() if is_sound(state, member, now)]
+    return max(0, len(good) - state.membership.quorum())
+
+
+def is_sound(state: CoreState, member: MemberSpec, now: float) -> bool:
+    """Tell whether a member is reachable and has nearly everything synced."""
+    lag = state.commit_index - match_index_of(state, member.identity)
+    return is_reachable(state, member, now) and lag <= state.settings.caught_up_entries
+
+
+def health(state: CoreState, now: float) -> GroupHealth:
+    """Return whether the group bears the losses it is meant for."""
+    if state.role != Role.LEADER:
+        return GroupHealth.DEGRADED
+    members = state.membership.members
+    if any(not member.voter for member in members):
+        return GroupHealth.REPAIRING
+    if len(members) > len({member.replica for member in members}):
+        return GroupHealth.REPAIRING
+    intended = max(len(state.bootstrap), 1)
+    sound = [member for member in members if is_sound(state, member, now)]
+    if len(sound) >= intended:
+        return GroupHealth.HEALTHY
+    return GroupHealth.DEGRADED
+
+
+def status_reply(
+    state: CoreState, applied_index: int, revision: int, now: float
+) -> GroupStatusReply:
+    """Build the reply; only a leader's speaks of health, another replica's says Degraded."""
+    members = tuple(
+        MemberStatus(
+            member.replica,
+            member.identity,
+            member.voter,
+            is_reachable(state, member, now),
+            match_index_of(state, member.identity),
+        )
+        for member in state.membership.members
+    )
+    return GroupStatusReply(
+        state.replica,
+        state.leader_replica,
+        state.term,
+        state.commit_index,
+        applied_index,
+        revision,
+        health(state, now),
+        losses_borne(state, now),
+        members,
+    )
--- /dev/null
+++ b/src/rainsail/consensus/transfer.py
@@ -0,0 +1,58 @@
+"""Handing leadership over: stop taking proposals, catch the target up, let it campaign.
+
+Once a transfer has begun the leader never uses its read lease again in this term, because the
+target's campaign asks voters to vote although they follow a live leader. If the target has not
+taken over within an election timeout, the old leader steps down.
+"""
+
+from rainsail.consensus import roles
+from rainsail.consensus.core_state import CoreState, Role
+from rainsail.consensus.messages import TimeoutNow
+
+
+def begin(state: CoreState, now: float) -> bool:
+    """Begin to hand over to the most advanced voter; False when there is none."""
+    if state.role != Role.LEADER:
+        return False
+    if state.transfer_target:
+        return True
+    target = most_advanced_voter(state)
+    if not target:
+        return False
+    state.transfer_target = target
+    state.transfer_deadline_s = now + state.settings.election_timeout_s
+    state.transfer_sent = False
+    continue_when_ready(state)
+    return True
+
+
+def most_advanced_voter(state: CoreState) -> str:
+    """Return the identity of the other voter that holds most of the log (empty: none)."""
+    best = ""
+    best_index = -1
+    for member in state.membership.voters():
+        progress = state.progress.get(member.identity)
+        if progress is not None and progress.match_index > best_index:
+            best = member.identity
+            best_index = progress.match_index
+    return best
+
+
+def continue_when_ready(state: CoreState) -> None:
+    """Tell the target to campaign once it holds the whole log."""
+    progress = state.progress.get(state.transfer_target)
+    member = state.membership.find(state.transfer_target)
+    if progress is None or member is None or state.transfer_sent:
+        return
+    if progress.match_index == state.log.last_index:
+        state.transfer_sent = True
+        state.send(
+            member.replica,
+            TimeoutNow(state.group, state.term, state.identity, member.identity),
+        )
+
+
+def tick(state: CoreState, now: float) -> None:
+    """Step down when the target has not taken over in time."""
+    if state.transfer_target and now >= state.transfer_deadline_s:
+        roles.become_follower(state, state.term, now)
