--- /dev/null
+++ b/src/rainsail/emulator/attempt.py
@@ -0,0 +1,80 @@
+"""One attempt on an emulated engine: its chunks, its readers and its end."""
+
+from typing import Any
+
+from rainsail.emulator.answers import token_text
+from rainsail.emulator.scheduler import Sequence
+from rainsail.engine.interface import (
+    AttemptEnd,
+    AttemptListener,
+    Chunk,
+    EndReason,
+    GenerateRequest,
+)
+
+
+class Attempt:
+    """Keeps every chunk until it is forgotten, so that a reader can come back for them."""
+
+    __slots__ = (
+        "answer",
+        "chunks",
+        "deadline_timer",
+        "end",
+        "readers",
+        "request",
+        "sequence",
+        "timer",
+    )
+
+    def __init__(self, request: GenerateRequest, sequence: Sequence, answer: str) -> None:
+        self.request = request
+        self.sequence = sequence
+        self.answer = answer
+        self.chunks: list[Chunk] = []
+        self.end: AttemptEnd | None = None
+        self.readers: list[AttemptListener] = []
+        self.timer: Any = None
+        self.deadline_timer: Any = None
+
+    def attach(self, from_sequence: int, reader: AttemptListener) -> None:
+        """Give a reader the chunks from ``from_sequence`` on and what is still to come."""
+        for chunk in self.chunks[from_sequence:]:
+            reader.on_chunk(chunk)
+        if self.end is not None:
+            reader.on_end(self.end)
+            return
+        self.readers.append(reader)
+
+    def detach(self, reader: AttemptListener) -> None:
+        """Take a reader off."""
+        self.readers = [each for each in self.readers if each is not reader]
+
+    def add_tokens(self, first: int, end: int) -> None:
+        """Append the answer's tokens from ``first`` up to ``end`` as one chunk."""
+        if end <= first:
+            return
+        text = token_text(self.answer, first, end)
+        attempt_id = self.request.attempt_id
+        chunk = Chunk(attempt_id, len(self.chunks), first, text, end - first)
+        self.chunks.append(chunk)
+        for reader in self.readers:
+            reader.on_chunk(chunk)
+
+    def finish(self, reason: EndReason, detail: str = "", retry_after_s: float = 0.0) -> AttemptEnd:
+        """End the attempt and tell its readers."""
+        generated = max(0, self.sequence.emitted - self.sequence.first_token)
+        end = AttemptEnd(
+            self.request.attempt_id,
+            reason,
+            len(self.chunks),
+            self.sequence.prompt_tokens,
+            generated,
+            detail,
+            retry_after_s,
+        )
+        self.end = end
+        readers, self.readers = self.readers, []
+        for reader in readers:
+            reader.on_end(end)
+        return end
--- /dev/null
+++ b/src/rainsail/emulator/engine.py
@@ -0,0 +1,412 @@
+"""An emulated model engine: the platform of the brief on any clock.
+
+The same code runs on the wall clock (behind ``rainsail.emulator.engine_server``) and on the
+virtual clock (behind ``rainsail.simulation.engine_link``). Calls are made directly; what the
+network does to them is the adapter's matter.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from expression import Result
+
+from rainsail.emulator.answers import expected_answer
+from rainsail.emulator.attempt import Attempt
+from rainsail.emulator.model_state import ModelState
+from rainsail.emulator.prefix_cache import PrefixCache
+from rainsail.emulator.publisher import EventPublisher
+from rainsail.emulator.scheduler import BatchScheduler, Sequence, StepResult
+from rainsail.emulator.session_store import SessionStore
+from rainsail.emulator.settings import EngineSettings
+from rainsail.emulator.weight_store import WeightStore
+from rainsail.engine.interface import (
+    AttemptEnd,
+    AttemptListener,
+    CacheEvent,
+    EndReason,
+    EngineOrder,
+    GenerateRequest,
+    KvState,
+    LoadReport,
+    OrderReply,
+)
+from rainsail.engine.prefix import block_hashes, count_tokens
+from rainsail.errors import Fault
+from rainsail.runtime.clock import Clock
+
+_WHOLE_ANSWER = 1 << 60
+"""Tokens per chunk of an answer that is not streamed."""
+
+
+@dataclass(slots=True, eq=False)
+class ExecutionRecord:
+    """One attempt that the engine began to run; what a checker counts.
+
+    Times are in seconds of the engine's clock; ``ended_s`` and ``reason`` are None while it runs.
+    """
+
+    request_id: str
+    attempt_id: str
+    started_s: float
+    session: str = ""
+    fence: int = 0
+    ended_s: float | None = None
+    reason: EndReason | None = None
+
+
+class EmulatedEngine:
+    """Runs generate attempts in one continuous batch and takes fenced orders."""
+
+    def __init__(
+        self,
+        runner: str,
+        clock: Clock,
+        random: Random,
+        settings: EngineSettings,
+        weight_store: WeightStore,
+    ) -> None:
+        self.runner = runner
+        self.executions: list[ExecutionRecord] = []
+        self.draining = False
+        self.alive = False
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._weight_store = weight_store
+        self._incarnations = 0
+        self._crash_listeners: list[Callable[[], None]] = []
+        self._order_fence = 0
+        self.restart()
+
+    # --- life -----------------------------------------------------------------------------
+
+    def restart(self) -> None:
+        """Start with empty memory: no weights, no streams, no cache, a new incarnation.
+
+        The highest order fence survives, as the platform keeps it with the machine.
+        """
+        self.crash()
+        self._incarnations += 1
+        self.incarnation = f"{self.runner}/{self._incarnations}"
+        self.draining = False
+        self._attempts: dict[str, Attempt] = {}
+        self._by_sequence: dict[Sequence, Attempt] = {}
+        self._records: dict[str, ExecutionRecord] = {}
+        self._retained: deque[tuple[float, str]] = deque()
+        self._cache = PrefixCache(self._settings.cache_blocks)
+        self._scheduler = BatchScheduler(self._settings, self._cache)
+        self._sessions = SessionStore()
+        self._model = ModelState(self._weight_store, self._is_idle, self._on_swap)
+        self._model.fence = self._order_fence
+        self._publisher = EventPublisher(
+            self.runner,
+            self.incarnation,
+            self._clock,
+            self._random,
+            self._settings,
+            self._measure,
+            self._cache.blocks,
+        )
+        self._step_timer: Any = None
+        self._stepping = False
+        self._report_sequence = 0
+        self._measured_at_s = self._clock.seconds()
+        self._measured_tokens = 0
+        self.alive = True
+
+    def on_crash(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever the engine dies (its connections break)."""
+        self._crash_listeners.append(listener)
+
+    def crash(self) -> None:
+        """Die at once: streams fall silent, only the crash listeners hear of it."""
+        if not self.alive:
+            return
+        self.alive = False
+        self._order_fence = self._model.fence
+        self._publisher.close()
+        self._model.stop_loads()
+        _cancel(self._step_timer)
+        self._step_timer = None
+        for attempt in self._attempts.values():
+            attempt.readers = []
+            _cancel(attempt.timer)
+            _cancel(attempt.deadline_timer)
+        now = self._clock.seconds()
+        for record in self._records.values():
+            record.ended_s = now
+            record.reason = EndReason.LOST
+        self._records = {}
+        for listener in self._crash_listeners:
+            listener()
+
+    def preload(self, version: str, adapters: tuple[str, ...] = ()) -> None:
+        """Start with weights already there (for tests and for a platform set up beforehand)."""
+        self._model.loaded_version = version
+        self._model.adapters = adapters
+
+    # --- attempts -------------------------------------------------------------------------
+
+    def generate(self, request: GenerateRequest, reader: AttemptListener) -> None:
+        """Start an attempt, or refuse it at once; the same attempt id joins the running one."""
+        known = self._attempts.get(request.attempt_id)
+        if known is not None:
+            known.attach(0, reader)
+            return
+        sequence, answer = self._plan(request)
+        refusal = self._refusal(request, sequence)
+        if refusal:
+            reader.on_end(self._refused(request, refusal))
+            return
+        attempt = Attempt(request, sequence, answer)
+        attempt.readers.append(reader)
+        self._attempts[request.attempt_id] = attempt
+        self._by_sequence[sequence] = attempt
+        if request.deadline_s > 0:
+            attempt.deadline_timer = self._clock.callLater(
+                request.deadline_s, self._deadline, attempt
+            )
+        self._scheduler.add(sequence)
+        self._wake()
+
+    def attach(self, attempt_id: str, from_sequence: int, reader: AttemptListener) -> bool:
+        """Resume a stream from a chunk sequence on; False when the attempt is not known."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return False
+        if attempt.end is None and not attempt.readers:
+            _cancel(attempt.timer)
+            attempt.timer = None
+        attempt.attach(from_sequence, reader)
+        return True
+
+    def detach(self, attempt_id: str, reader: AttemptListener) -> None:
+        """Take a lost reader off; an attempt that nobody reads is cancelled after a while."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt.end is not None:
+            return
+        attempt.detach(reader)
+        if not attempt.readers:
+            _cancel(attempt.timer)
+            grace_s = self._settings.detached_grace_s
+            attempt.timer = self._clock.callLater(grace_s, self._give_up, attempt)
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Cancel an attempt; return whether it was still running or waiting."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt.end is not None:
+            return False
+        self._stop(attempt, EndReason.CANCELLED, "cancelled by the caller")
+        return True
+
+    # --- orders, sessions, events ---------------------------------------------------------
+
+    def order(self, order: EngineOrder) -> Result[OrderReply, Fault]:
+        """Take a fenced order."""
+        return self._model.take(order)
+
+    def export_kv(self, session: str, fence: int) -> Result[KvState, Fault]:
+        """Export a session and stop it here: its running attempts end as cancelled."""
+        exported = self._sessions.export(session, fence)
+        if exported.is_ok():
+            for attempt in list(self._by_sequence.values()):
+                if attempt.request.session == session:
+                    self._stop(attempt, EndReason.CANCELLED, "the session was exported")
+        return exported
+
+    def import_kv(self, state: KvState) -> Result[None, Fault]:
+        """Import a session; its prefix blocks need no prefill here."""
+        restored = self._sessions.restore(state)
+        if restored.is_ok():
+            self._publisher.cache_changed(self._cache.store(restored.ok))
+        return restored.map(lambda _: None)
+
+    def subscribe(
+        self,
+        on_load: Callable[[LoadReport], None],
+        on_cache: Callable[[CacheEvent], None],
+    ) -> Callable[[], None]:
+        """Follow load reports and cache events; the returned function ends it."""
+        return self._publisher.subscribe(on_load, on_cache)
+
+    # --- inner work -----------------------------------------------------------------------
+
+    def _plan(self, request: GenerateRequest) -> tuple[Sequence, str]:
+        answer = expected_answer(request.model, request.prompt, request.max_tokens, request.seed)
+        first = count_tokens(request.forced_prefix)
+        sequence = Sequence(
+            request.priority,
+            count_tokens(request.prompt),
+            block_hashes(request.prompt),
+            first,
+            count_tokens(answer),
+            request.max_tokens,
+            self._settings.tokens_per_chunk if request.stream else _WHOLE_ANSWER,
+        )
+        return sequence, answer
+
+    def _refusal(self, request: GenerateRequest, sequence: Sequence) -> str:
+        if self.draining:
+            return "the engine is draining"
+        if self._model.swapping:
+            return "the engine is changing its version"
+        refusal = self._model.refusal(request)
+        if refusal:
+            return refusal
+        if not self._scheduler.fits_ever(sequence):
+            return f"{sequence.reserved_tokens} tokens do not fit the KV cache"
+        if self._scheduler.waiting >= self._settings.max_waiting:
+            return "the engine's queue is full"
+        if request.session:
+            fault = self._sessions.admit(request.session, request.fence)
+            return fault.detail if fault is not None else ""
+        return ""
+
+    def _refused(self, request: GenerateRequest, detail: str) -> AttemptEnd:
+        return AttemptEnd(
+            request.attempt_id,
+            EndReason.REFUSED,
+            0,
+            count_tokens(request.prompt),
+            0,
+            detail,
+            self._settings.refusal_retry_after_s,
+        )
+
+    def _wake(self) -> None:
+        if self._step_timer is None and self.alive and not self._stepping:
+            self._begin_step()
+
+    def _begin_step(self) -> None:
+        duration_s = self._scheduler.begin_step(admit=not self._model.swapping)
+        if duration_s is None:
+            self._step_timer = None
+            self._model.swap_if_idle()
+            return
+        self._step_timer = self._clock.callLater(duration_s, self._finish_step)
+        self._record_starts()
+
+    def _finish_step(self) -> None:
+        self._step_timer = None
+        self._stepping = True
+        try:
+            self._publish_step(self._scheduler.finish_step())
+        finally:
+            self._stepping = False
+        if self.alive:
+            self._wake()
+
+    def _publish_step(self, result: StepResult) -> None:
+        for change in result.cache_changes:
+            self._publisher.cache_changed(change)
+        for emission in result.emissions:
+            attempt = self._by_sequence.get(emission.sequence)
+            if attempt is None:
+                continue
+            attempt.add_tokens(emission.first, emission.end)
+            if emission.finished:
+                self._complete(attempt)
+
+    def _record_starts(self) -> None:
+        for sequence in self._scheduler.take_started():
+            request = self._by_sequence[sequence].request
+            record = ExecutionRecord(
+                request.request_id,
+                request.attempt_id,
+                self._clock.seconds(),
+                request.session,
+                request.fence,
+            )
+            self.executions.append(record)
+            self._records[request.attempt_id] = record
+
+    def _complete(self, attempt: Attempt) -> None:
+        request = attempt.request
+        if request.session:
+            whole = request.prompt + attempt.answer
+            tokens = count_tokens(whole)
+            blocks = block_hashes(whole)
+            self._publisher.cache_changed(self._cache.store(blocks))
+            self._sessions.remember(request.session, request.fence, tokens, blocks)
+        limited = attempt.sequence.total_tokens >= request.max_tokens
+        self._end(attempt, EndReason.LENGTH if limited else EndReason.STOP, "")
+
+    def _deadline(self, attempt: Attempt) -> None:
+        if attempt.sequence.started:
+            self._stop(attempt, EndReason.CANCELLED, "the deadline has passed")
+        else:
+            self._stop(attempt, EndReason.REFUSED, "the deadline passed in the queue")
+
+    def _give_up(self, attempt: Attempt) -> None:
+        self._stop(attempt, EndReason.CANCELLED, "nobody read the stream")
+
+    def _stop(self, attempt: Attempt, reason: EndReason, detail: str) -> None:
+        if attempt.end is None:
+            self._scheduler.remove(attempt.sequence)
+            self._end(attempt, reason, detail)
+
+    def _end(self, attempt: Attempt, reason: EndReason, detail: str) -> None:
+        del self._by_sequence[attempt.sequence]
+        _cancel(attempt.timer)
+        _cancel(attempt.deadline_timer)
+        record = self._records.pop(attempt.request.attempt_id, None)
+        if record is not None:
+            record.ended_s = self._clock.seconds()
+            record.reason = reason
+        self._retain(attempt)
+        attempt.finish(reason, detail)
+
+    def _retain(self, attempt: Attempt) -> None:
+        """Keep an ended attempt for a while, and forget those whose time has passed."""
+        now = self._clock.seconds()
+        while self._retained and self._retained[0][0] <= now:
+            self._attempts.pop(self._retained.popleft()[1], None)
+        until_s = now + self._settings.retain_chunks_s
+        self._retained.append((until_s, attempt.request.attempt_id))
+
+    def _is_idle(self) -> bool:
+        return self._scheduler.running == 0
+
+    def _on_swap(self) -> None:
+        self._cache.clear()
+        self._publisher.cache_cleared()
+        for sequence in self._scheduler.waiting_sequences():
+            attempt = self._by_sequence[sequence]
+            refusal = self._model.refusal(attempt.request)
+            if refusal:
+                started = sequence.started
+                self._stop(attempt, EndReason.CANCELLED if started else EndReason.REFUSED, refusal)
+        self._wake()
+
+    def _measure(self) -> LoadReport:
+        now = self._clock.seconds()
+        elapsed = now - self._measured_at_s
+        generated = self._scheduler.tokens_generated - self._measured_tokens
+        self._measured_at_s = now
+        self._measured_tokens = self._scheduler.tokens_generated
+        self._report_sequence += 1
+        return LoadReport(
+            self.runner,
+            self.incarnation,
+            self._report_sequence,
+            self._settings.load_report_lag_s,
+            self._scheduler.running,
+            self._scheduler.running_low,
+            self._scheduler.waiting,
+            self._scheduler.kv_tokens_used,
+            self._settings.kv_tokens_total,
+            generated / elapsed if elapsed > 0 else 0.0,
+            self._model.loaded_version,
+            self._model.loading_version,
+            self._model.adapters,
+            self._model.fence,
+            self.draining,
+        )
+
+
+def _cancel(timer: Any) -> None:
+    if timer is not None and timer.active():
+        timer.cancel()
--- /dev/null
+++ b/src/rainsail/emulator/weight_store.py
@@ -0,0 +1,75 @@
+"""The emulated weight store: one byte rate shared equally by all loads under way."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+
+from rainsail.emulator.settings import WeightStoreSettings
+from rainsail.runtime.clock import Clock
+
+_BYTES_DONE = 0.5
+"""Fewer bytes than this left count as loaded (rounding of the shares)."""
+
+
+@dataclass(slots=True, eq=False)
+class _Load:
+    remaining_bytes: float
+    done: "Deferred[None]"
+
+
+class WeightStore:
+    """Fetches weights at a shared rate; the more loads, the slower each."""
+
+    def __init__(self, clock: Clock, settings: WeightStoreSettings | None = None) -> None:
+        self._clock = clock
+        self._settings = settings or WeightStoreSettings()
+        self._loads: list[_Load] = []
+        self._shared_at_s = clock.seconds()
+        self._timer: Any = None
+
+    @property
+    def loads_under_way(self) -> int:
+        """The number of loads that share the rate now."""
+        return len(self._loads)
+
+    def fetch(self, weight_bytes: int) -> "Deferred[None]":
+        """Load ``weight_bytes``; fires when they are there; can be cancelled."""
+        if weight_bytes <= 0:
+            return succeed(None)
+        self._share_out()
+        load = _Load(float(weight_bytes), Deferred(self._forget))
+        self._loads.append(load)
+        self._schedule()
+        return load.done
+
+    def _forget(self, done: "Deferred[None]") -> None:
+        self._share_out()
+        self._loads = [load for load in self._loads if load.done is not done]
+        self._schedule()
+
+    def _share_out(self) -> None:
+        now = self._clock.seconds()
+        if self._loads:
+            rate = self._settings.bytes_per_second / len(self._loads)
+            for load in self._loads:
+                load.remaining_bytes -= (now - self._shared_at_s) * rate
+        self._shared_at_s = now
+
+    def _schedule(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+        if not self._loads:
+            return
+        least = max(0.0, min(load.remaining_bytes for load in self._loads))
+        delay_s = least * len(self._loads) / self._settings.bytes_per_second
+        self._timer = self._clock.callLater(delay_s, self._finish_due)
+
+    def _finish_due(self) -> None:
+        self._share_out()
+        finished = [load for load in self._loads if load.remaining_bytes <= _BYTES_DONE]
+        self._loads = [load for load in self._loads if load.remaining_bytes > _BYTES_DONE]
+        self._schedule()
+        for load in finished:
+            load.done.callback(None)
--- /dev/null
+++ b/src/rainsail/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform around rainsail: the list of machines."""
