Run batch items on the idle capacity of owned runners

Cause: jobs had a ledger but nothing took them in or ran them.

Change: JobIntake stores a job in ranges of bounded size, one at a time, under an id that follows from tenant and key, so a re-sent job goes on where it ended. Dispatcher leases items ahead of need, runs them with low priority, and on every change of a runner asks the policy how many it may hold; what is above that is cancelled at the engine and put back with its text. Results and returns go to the ledger in batches that are sent until answered. Leases are renewed, revoked items cancelled, and after a lapse everything is stopped without being told.

Conclusion: the path is whole; the policy's settings are not tuned.

--- /dev/null
+++ b/features/batch/dispatch.feature
@@ -0,0 +1,108 @@
+Feature: Batch items run on idle capacity and complete exactly once
+
+  Scenario: every item of a job completes with its whole answer
+    Given a batch fleet of 2 runners and 1 gateway
+    When a batch job of 40 items is submitted
+    Then the batch job completes within 60 s
+    And every batch result is the whole answer of its item
+    And the ledger took one result per batch item
+
+  Scenario: a worker that dies with items in flight loses none
+    Given a batch fleet of 2 runners and 1 gateway
+    When a batch job of 40 items is submitted
+    And the batch fleet runs for 1.3 s
+    And the engine of runner-0 dies with batch items in flight
+    Then the batch job completes within 60 s
+    And every batch result is the whole answer of its item
+    And the ledger took one result per batch item
+
+  Scenario: a cancelled job stops at the engines
+    Given a batch fleet of 2 runners and 1 gateway
+    When a batch job of 40 items with answers of 2000 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And the batch job is cancelled
+    Then no engine runs batch items after 1.2 s
+    And the batch job stays cancelled and takes no more results
+
+  Scenario: a poison item is set aside with its reason and the job goes on
+    Given a batch fleet of 2 runners and 1 gateway
+    When a batch job of 12 items, one of them poison, is submitted
+    Then the batch job completes within 60 s
+    And one batch item was set aside after 5 attempts because the engine died
+
+  Scenario: batch steps aside within 50 ms of a burst in the middle of a heap
+    Given a batch fleet of 1 runners and 1 gateway
+    When a batch job of 200 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And 8 online requests arrive at runner-0 at once
+    Then runner-0 runs no batch items 50 ms later
+    And the batch job completes within 400 s
+    And every batch result is the whole answer of its item
+
+  Scenario: a preempted item goes on after the text that it had
+    Given a batch fleet of 1 runners and 1 gateway
+    When a batch job of 8 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 2 s
+    And 8 online requests arrive at runner-0 at once
+    And the batch job completes
+    Then the engines generated few batch tokens twice
+    And every batch result is the whole answer of its item
+
+  Scenario: a preempted item that can't go on here is returned with its text
+    Given a batch fleet of 1 runners and 1 gateway
+    When a batch job of 8 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 2 s
+    And online requests keep runner-0 full for 5 s
+    Then the ledger keeps the text of returned batch items
+
+  Scenario: a paused gateway's items are run by another, and it stops its own when it wakes
+    Given a batch fleet of 2 runners and 2 gateways
+    When a batch job of 40 items with answers of 2000 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And gateway-0 is paused for 20 s
+    Then gateway-0 runs no batch item under a lapsed lease 0.1 s after it wakes
+    And the batch job completes within 400 s
+    And every batch result is the whole answer of its item
+    And the ledger took one result per batch item
+
+  Scenario: a lease command whose answer is lost is sent again under the same request id
+    Given a batch fleet of 1 runners and 1 gateway
+    And the control plane loses the answer of the first batch lease command
+    When a batch job of 8 items is submitted
+    Then the batch job completes within 60 s
+    And both batch lease commands had one request id
+
+  Scenario: a commit whose answer is lost is sent again and counted once
+    Given a batch fleet of 1 runners and 1 gateway
+    And the control plane loses the answer of the first batch commit
+    When a batch job of 8 items is submitted
+    Then the batch job completes within 60 s
+    And the ledger took one result per batch item
+
+  Scenario: a planned stop returns what is held
+    Given a batch fleet of 1 runners and 1 gateway
+    When a batch job of 40 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And the batch dispatcher of gateway-0 stops
+    Then the ledger shows no leased batch items
+    And no engine runs batch items after 0.1 s
+
+  Scenario: a draining runner gets no new items and gives up those that run
+    Given a batch fleet of 2 runners and 1 gateway
+    When a batch job of 200 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And the engine of runner-1 says that it is draining
+    Then runner-1 runs no batch items 1500 ms later
+    And the batch job completes within 400 s
+
+  Scenario: the tenant with much waiting does not hold up the other
+    Given a batch fleet of 1 runners and 1 gateway
+    When tenant broker has a batch job of 400 items
+    And tenant exporter submits a batch job of 20 items
+    Then the job of tenant exporter completes while that of tenant broker goes on
+
+  Scenario: of one tenant's jobs the one with the earlier deadline completes first
+    Given a batch fleet of 1 runners and 1 gateway
+    When tenant broker submits a batch job of 60 items due in 8 hours
+    And tenant broker submits a batch job of 60 items due in 1 hour
+    Then the batch job due in 1 hour completes first
--- /dev/null
+++ b/src/rainsail/batch/dispatcher.py
@@ -0,0 +1,313 @@
+"""Runs leased batch items on the idle capacity of the runners that a gateway owns.
+
+On every change of a runner (an online request arrives or ends, a load report comes in) the
+policy says how many items the runner may hold; what is above that steps aside at once, what is
+below is filled from items leased ahead of need.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList
+
+from rainsail.batch import preemption
+from rainsail.batch.fleet_view import BatchFleet
+from rainsail.batch.held_item import HeldItem
+from rainsail.batch.interface import DispatchPolicy
+from rainsail.batch.item_returns import ItemReturns
+from rainsail.batch.item_runner import ItemRun, RunEnd
+from rainsail.batch.lease_keeper import LeaseKeeper
+from rainsail.batch.lease_pool import LeasePool
+from rainsail.batch.result_committer import ResultCommitter
+from rainsail.batch.settings import BatchSettings
+from rainsail.control.interface import ConfigReader, ControlClient
+from rainsail.engine.interface import EngineClient, Priority
+from rainsail.resources.specs import Kind, ResourceKey, RunnerSpec
+from rainsail.runtime.clock import Clock
+from rainsail.state.commands import GroupId, ItemRef, ItemResult
+
+
+@dataclass(slots=True)
+class DispatchCounts:
+    """What became of the items that this dispatcher started."""
+
+    started: int = 0
+    finished: int = 0
+    preempted: int = 0
+    failed: int = 0
+    not_run: int = 0
+    revoked: int = 0
+    lapses: int = 0
+
+
+class Dispatcher:
+    """The batch side of one gateway. ``holder`` is the gateway's incarnation."""
+
+    def __init__(
+        self,
+        holder: str,
+        fleet: BatchFleet,
+        config: ConfigReader,
+        control: ControlClient,
+        engine: EngineClient,
+        clock: Clock,
+        random: random.Random,
+        settings: BatchSettings,
+        policy: DispatchPolicy,
+    ) -> None:
+        self._holder = holder
+        self._fleet = fleet
+        self._config = config
+        self._control = control
+        self._engine = engine
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._policy = policy
+        self.counts = DispatchCounts()
+        self.committer = ResultCommitter(holder, control, clock, random, settings)
+        self.returns = ItemReturns(holder, control, clock, random, settings)
+        self._keeper = LeaseKeeper(
+            holder,
+            control,
+            clock,
+            settings,
+            self._held_refs,
+            self._stop_revoked,
+            self._lease_lapsed,
+            self._note_backlog,
+        )
+        self._pools: dict[str, LeasePool] = {}
+        self._runs: dict[str, dict[str, ItemRun]] = {}
+        self._allowances: dict[str, int] = {}
+        self._not_before_s: dict[str, float] = {}
+        self._evaluating = ""
+        self._attempts = 0
+        self._running = False
+        self._timers: list[Any] = []
+
+    # --- start and stop ----------------------------------------------------------------
+
+    def start(self) -> None:
+        """Begin to lease and run items."""
+        self._running = True
+        self._fleet.on_change(self._runner_changed)
+        self._tick()
+        self._renew()
+
+    def stop(self) -> "Deferred[None]":
+        """Stop every item, return it, and fire once the ledger has heard of all."""
+        self._running = False
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        for runner in list(self._runs):
+            for run in list(self._runs[runner].values()):
+                self._step_aside(run)
+        for pool in self._pools.values():
+            for held in pool.stop():
+                self.returns.add(held)
+        drained = DeferredList([self.committer.drain(), self.returns.drain()])
+        return drained.addCallback(lambda _: None)
+
+    def _tick(self) -> None:
+        self._keeper.check()
+        runners = self._runners()
+        self._allowances = {name: self._allowances.get(name, 0) for name in runners}
+        for runner in runners:
+            self._evaluate(runner)
+        for service, pool in self._pools.items():
+            for held in pool.take_stale():
+                self.returns.add(held)
+            pool.want(self._wanted(service))
+        self._schedule(self._settings.tick_s, self._tick)
+
+    def _renew(self) -> None:
+        self._keeper.renew_all()
+        self._schedule(self._settings.lease_renewal_period_s, self._renew)
+
+    def _schedule(self, delay_s: float, call: Callable[[], None]) -> None:
+        if not self._running:
+            return
+        self._timers = [timer for timer in self._timers if timer.active()]
+        self._timers.append(self._clock.callLater(delay_s, call))
+
+    # --- what each runner may hold --------------------------------------------------------
+
+    def _runners(self) -> list[str]:
+        """Return the runners owned, then those owned before that still run items."""
+        owned = [runner.name for runner in self._fleet.owned_runners()]
+        known = dict.fromkeys(owned)
+        known.update(dict.fromkeys(name for name, runs in self._runs.items() if runs))
+        return list(known)
+
+    def _runner_changed(self, runner: str) -> None:
+        if self._running and runner != self._evaluating:
+            self._keeper.check()
+            self._evaluate(runner)
+
+    def _evaluate(self, runner: str) -> None:
+        """Bring a runner to its allowance: preempt what is above, fill what is below."""
+        previous = self._evaluating
+        self._evaluating = runner
+        try:
+            allowance = self._allowance(runner)
+            self._allowances[runner] = allowance
+            running = len(self._runs.get(runner, ()))
+            if running > allowance:
+                self._preempt(runner, running - allowance)
+            elif running < allowance:
+                self._fill(runner, allowance - running)
+        finally:
+            self._evaluating = previous
+
+    def _allowance(self, runner: str) -> int:
+        if self._spec(runner) is None or not self._fleet.usable(runner):
+            return 0
+        if runner not in (owned.name for owned in self._fleet.owned_runners()):
+            return 0
+        allowance = self._policy.allowance(self._fleet.view(runner)).items
+        if self._clock.seconds() < self._not_before_s.get(runner, 0.0):
+            return min(allowance, len(self._runs.get(runner, ())))
+        return allowance
+
+    def _spec(self, runner: str) -> RunnerSpec | None:
+        resource = self._config.get(ResourceKey(Kind.RUNNER, runner))
+        if resource is None or not isinstance(resource.spec, RunnerSpec):
+            return None
+        return resource.spec
+
+    def _preempt(self, runner: str, count: int) -> None:
+        runs = list(self._runs[runner].values())
+        for run in preemption.choose_victims(runs, count):
+            self.counts.preempted += 1
+            held = self._stop_run(run)
+            self._pool(held.service).put_back(held)
+
+    def _fill(self, runner: str, count: int) -> None:
+        spec = self._spec(runner)
+        if spec is None:
+            return
+        pool = self._pool(spec.service)
+        for _ in range(count):
+            held = pool.take()
+            if held is None:
+                break
+            if self._keeper.valid(held.group):
+                self._start_run(runner, spec, held)
+        pool.want(self._wanted(spec.service))
+
+    def _wanted(self, service: str) -> int:
+        """Return how many items to keep ready: the free places and a few per runner."""
+        wanted = 0
+        for runner, allowance in self._allowances.items():
+            spec = self._spec(runner)
+            if allowance == 0 or spec is None or spec.service != service:
+                continue
+            spare = allowance - len(self._runs.get(runner, ()))
+            wanted += max(0, spare) + self._settings.prefetch_items_per_runner
+        return wanted
+
+    # --- runs -----------------------------------------------------------------------------
+
+    def _start_run(self, runner: str, spec: RunnerSpec, held: HeldItem) -> None:
+        self._attempts += 1
+        attempt_id = f"{self._holder}/b{self._attempts}"
+        run = ItemRun(
+            held, runner, spec.address, attempt_id, self._engine, self._clock, self._run_ended
+        )
+        self._runs.setdefault(runner, {})[attempt_id] = run
+        self.counts.started += 1
+        self._fleet.attempt_started(runner, attempt_id, True, run.kv_tokens)
+        run.start(Priority.LOW if self._policy.low_priority else Priority.HIGH)
+
+    def _run_ended(self, run: ItemRun, end: RunEnd, detail: str, retry_after_s: float) -> None:
+        self._forget_run(run)
+        held = run.held.waiting(run.text, self._clock.seconds())
+        if end is RunEnd.FINISHED:
+            self.counts.finished += 1
+            result = ItemResult(held.ref, run.text, run.tokens)
+            self.committer.add(held.group, result)
+        elif end is RunEnd.FAILED:
+            self.counts.failed += 1
+            self.returns.add(held, detail)
+        else:
+            self.counts.not_run += 1
+            delay_s = max(retry_after_s, self._settings.tick_s)
+            self._not_before_s[run.runner] = self._clock.seconds() + delay_s
+            self._keep(held)
+        if self._running:
+            self._evaluate(run.runner)
+
+    def _keep(self, held: HeldItem) -> None:
+        if self._running:
+            self._pool(held.service).put_back(held)
+        else:
+            self.returns.add(held)
+
+    def _step_aside(self, run: ItemRun) -> None:
+        self.returns.add(self._stop_run(run))
+
+    def _stop_run(self, run: ItemRun) -> HeldItem:
+        """Cancel a run at its engine; returns the item with the text generated so far."""
+        run.stop()
+        self._forget_run(run)
+        return run.held.waiting(run.text, self._clock.seconds())
+
+    def _forget_run(self, run: ItemRun) -> None:
+        self._runs[run.runner].pop(run.attempt_id, None)
+        self._fleet.attempt_ended(run.runner, run.attempt_id)
+
+    # --- leases ---------------------------------------------------------------------------
+
+    def _pool(self, service: str) -> LeasePool:
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = LeasePool(
+                service,
+                self._holder,
+                self._control,
+                self._clock,
+                self._random,
+                self._settings,
+                self._keeper.note_leased,
+            )
+            self._pools[service] = pool
+        return pool
+
+    def _held_refs(self, group: GroupId) -> list[ItemRef]:
+        refs = self.committer.pending_refs(group)
+        for pool in self._pools.values():
+            refs.extend(pool.refs(group))
+        for runs in self._runs.values():
+            refs.extend(run.held.ref for run in runs.values() if run.held.group == group)
+        return refs
+
+    def _note_backlog(self, group: GroupId, backlog: dict[str, int]) -> None:
+        for service, pool in self._pools.items():
+            pool.note_backlog(group, backlog.get(service, 0))
+            pool.want(self._wanted(service))
+
+    def _stop_revoked(self, group: GroupId, refs: tuple[ItemRef, ...]) -> None:
+        """Cancel at the engines what the ledger no longer wants run by this holder."""
+        for ref in refs:
+            for pool in self._pools.values():
+                pool.drop(group, ref)
+        for runs in list(self._runs.values()):
+            for run in list(runs.values()):
+                if run.held.group == group and run.held.ref in refs:
+                    self.counts.revoked += 1
+                    self._stop_run(run)
+
+    def _lease_lapsed(self, group: GroupId) -> None:
+        """Stop every item of a group; the ledger ignores the returns of revoked leases."""
+        self.counts.lapses += 1
+        for runs in list(self._runs.values()):
+            for run in list(runs.values()):
+                if run.held.group == group:
+                    self._step_aside(run)
+        for pool in self._pools.values():
+            for held in pool.take_group(group):
+                self.returns.add(held)
--- /dev/null
+++ b/src/rainsail/batch/fleet_view.py
@@ -0,0 +1,43 @@
+"""What the dispatcher needs of a gateway's view of the fleet (``gateway.fleet.RunnerFleet``)."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from rainsail.batch.interface import RunnerView
+
+
+class OwnedRunner(Protocol):
+    """A runner that this gateway owns."""
+
+    @property
+    def name(self) -> str:
+        """The runner's resource name."""
+        ...
+
+
+class BatchFleet(Protocol):
+    """The part of the fleet view that batch work reads and tells."""
+
+    def owned_runners(self) -> Sequence[OwnedRunner]:
+        """Return the runners that this gateway owns now, in name order."""
+        ...
+
+    def view(self, runner: str) -> RunnerView:
+        """Return what is known of a runner now."""
+        ...
+
+    def usable(self, runner: str) -> bool:
+        """Tell whether a runner takes new work: ready, reachable, not draining, not ejected."""
+        ...
+
+    def on_change(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with a runner's name whenever its view has changed."""
+        ...
+
+    def attempt_started(self, runner: str, attempt_id: str, batch: bool, tokens: int) -> None:
+        """Count an attempt that is sent to a runner."""
+        ...
+
+    def attempt_ended(self, runner: str, attempt_id: str) -> None:
+        """Count the end of an attempt."""
+        ...
--- /dev/null
+++ b/src/rainsail/batch/intake.py
@@ -0,0 +1,226 @@
+"""Takes callers' jobs into the ledger, and reads and cancels them.
+
+A job is accepted once it is sealed. Its id follows from the tenant and the job key, so a client
+that sends a job again after a lost answer, through any gateway, goes on with the same job.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred, DeferredSemaphore
+
+from rainsail.batch.content import content_digest, item_ranges
+from rainsail.batch.groups import group_of_job, job_id_of
+from rainsail.batch.settings import BatchSettings
+from rainsail.control.interface import ControlClient
+from rainsail.control.messages import JobsReply, JobsRequest, ResultsReply, ResultsRequest
+from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.clock import Clock, sleep
+from rainsail.state.commands import (
+    AddItems,
+    CancelJob,
+    Command,
+    GroupId,
+    ItemBody,
+    JobPhase,
+    JobSpec,
+    JobView,
+    OpenJob,
+    SealJob,
+)
+
+RETRIED_CODES = (
+    FaultCode.TIMEOUT,
+    FaultCode.UNAVAILABLE,
+    FaultCode.OVERLOADED,
+    FaultCode.NOT_LEADER,
+)
+"""Faults after which a ledger command of the intake is sent again; each is idempotent."""
+
+
+class JobIntake:
+    """Files and batches of callers to ledger commands."""
+
+    def __init__(
+        self,
+        control: ControlClient,
+        clock: Clock,
+        random: random.Random,
+        settings: BatchSettings,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._control = control
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._wall_clock = wall_clock
+        self._submissions = DeferredSemaphore(settings.concurrent_submissions)
+
+    def submit(
+        self,
+        tenant: str,
+        job_key: str,
+        service: str,
+        items: tuple[ItemBody, ...],
+        deadline_unix_s: float,
+        adapter: str = "",
+    ) -> "Deferred[Result[JobView, Fault]]":
+        """Store a job and accept it.
+
+        CONFLICT when the tenant used the key with other content; after any other fault the
+        same call may be made again and goes on where the first one ended.
+        """
+        refusal = self._refusal(job_key, items, deadline_unix_s)
+        if refusal is not None:
+            return Deferred.fromCoroutine(_answer(Error(refusal)))
+        spec = JobSpec(
+            job_key=job_key,
+            tenant=tenant,
+            service=service,
+            item_count=len(items),
+            content_digest=content_digest(service, adapter, items),
+            deadline_unix_s=deadline_unix_s,
+            adapter=adapter,
+        )
+        return self._submissions.run(self._start_store, spec, items)
+
+    def _refusal(
+        self, job_key: str, items: tuple[ItemBody, ...], deadline_unix_s: float
+    ) -> Fault | None:
+        if not job_key:
+            return _invalid("the job key is empty")
+        if not items:
+            return _invalid("the job has no items")
+        if len(items) > self._settings.max_job_items:
+            limit = self._settings.max_job_items
+            return Fault(FaultCode.TOO_LARGE, "batch.intake", f"more than {limit} items")
+        if deadline_unix_s <= self._wall_clock():
+            return _invalid("the deadline has passed")
+        if any(item.max_tokens <= 0 for item in items):
+            return _invalid("an item's max_tokens is not positive")
+        if len({item.custom_id for item in items}) < len(items):
+            return _invalid("two items have the same custom id")
+        return None
+
+    def _start_store(
+        self, spec: JobSpec, items: tuple[ItemBody, ...]
+    ) -> "Deferred[Result[JobView, Fault]]":
+        return Deferred.fromCoroutine(self._store(spec, items))
+
+    async def _store(self, spec: JobSpec, items: tuple[ItemBody, ...]) -> "Result[JobView, Fault]":
+        job_id = job_id_of(spec.tenant, spec.job_key)
+        group = group_of_job(job_id, self._settings.groups)
+        opened = await self._propose(OpenJob(job_id, spec), group)
+        if opened.is_error():
+            return Error(opened.error)
+        view = opened.ok
+        if isinstance(view, JobView):
+            job_id = view.job_id
+            if view.phase is not JobPhase.OPEN:
+                return Ok(view)
+        for first_index, part in item_ranges(
+            items, self._settings.range_bytes, self._settings.range_items
+        ):
+            added = await self._propose(AddItems(job_id, first_index, part), group)
+            if added.is_error():
+                return Error(added.error)
+        sealed = await self._propose(SealJob(job_id), group)
+        if sealed.is_error():
+            return Error(sealed.error)
+        if isinstance(sealed.ok, JobView):
+            return Ok(sealed.ok)
+        return await self._read_job(spec.tenant, job_id)
+
+    async def _propose(self, command: Command, group: GroupId) -> "Result[Any, Fault]":
+        """Propose an idempotent command, again after faults that may pass."""
+        attempt = 1
+        while True:
+            proposed: Result[Any, Fault] = await self._control.propose(
+                command, self._settings.command_timeout_s, group
+            )
+            if proposed.is_ok() or proposed.error.code not in RETRIED_CODES:
+                return proposed
+            if attempt >= self._settings.submit_attempts:
+                return proposed
+            attempt += 1
+            await sleep(self._clock, self._retry_delay_s(proposed.error))
+
+    def _retry_delay_s(self, fault: Fault) -> float:
+        base_s = fault.retry_after_s or self._settings.retry_delay_s
+        return base_s * self._random.uniform(0.5, 1.5)
+
+    def job(self, tenant: str, job_id: str) -> "Deferred[Result[JobView, Fault]]":
+        """Read one job; NOT_FOUND also when it is another tenant's."""
+        return Deferred.fromCoroutine(self._read_job(tenant, job_id))
+
+    async def _read_job(self, tenant: str, job_id: str) -> "Result[JobView, Fault]":
+        group = group_of_job(job_id, self._settings.groups)
+        reply: Result[JobsReply, Fault] = await self._control.call(
+            JobsRequest(group, job_id, tenant), self._settings.command_timeout_s
+        )
+        if reply.is_error():
+            return Error(reply.error)
+        for view in reply.ok.jobs:
+            if view.job_id == job_id and view.spec.tenant == tenant:
+                return Ok(view)
+        return Error(Fault(FaultCode.NOT_FOUND, "batch.intake", f"no job {job_id}"))
+
+    def jobs(self, tenant: str) -> "Deferred[Result[tuple[JobView, ...], Fault]]":
+        """Read every job of a tenant, over all groups, in id order."""
+        return Deferred.fromCoroutine(self._read_jobs(tenant))
+
+    async def _read_jobs(self, tenant: str) -> "Result[tuple[JobView, ...], Fault]":
+        views: list[JobView] = []
+        for group in self._settings.groups:
+            reply: Result[JobsReply, Fault] = await self._control.call(
+                JobsRequest(group, "", tenant), self._settings.command_timeout_s
+            )
+            if reply.is_error():
+                return Error(reply.error)
+            views.extend(view for view in reply.ok.jobs if view.spec.tenant == tenant)
+        return Ok(tuple(sorted(views, key=lambda view: view.job_id)))
+
+    def cancel(self, tenant: str, job_id: str) -> "Deferred[Result[JobView, Fault]]":
+        """Cancel a job: its leases are revoked and engines are told to stop."""
+        return Deferred.fromCoroutine(self._cancel(tenant, job_id))
+
+    async def _cancel(self, tenant: str, job_id: str) -> "Result[JobView, Fault]":
+        found = await self._read_job(tenant, job_id)
+        if found.is_error():
+            return found
+        change_id = f"cancel-{job_id}-{self._random.getrandbits(64):016x}"
+        group = group_of_job(job_id, self._settings.groups)
+        cancelled = await self._propose(CancelJob(job_id, change_id), group)
+        if cancelled.is_error():
+            return Error(cancelled.error)
+        if isinstance(cancelled.ok, JobView):
+            return Ok(cancelled.ok)
+        return await self._read_job(tenant, job_id)
+
+    def results(
+        self, tenant: str, job_id: str, first: int, limit: int
+    ) -> "Deferred[Result[ResultsReply, Fault]]":
+        """Read a page of finished items in index order, from index ``first`` on."""
+        return Deferred.fromCoroutine(self._read_results(tenant, job_id, first, limit))
+
+    async def _read_results(
+        self, tenant: str, job_id: str, first: int, limit: int
+    ) -> "Result[ResultsReply, Fault]":
+        found = await self._read_job(tenant, job_id)
+        if found.is_error():
+            return Error(found.error)
+        group = group_of_job(job_id, self._settings.groups)
+        reply: Result[ResultsReply, Fault] = await self._control.call(
+            ResultsRequest(group, job_id, first, limit), self._settings.command_timeout_s
+        )
+        return reply
+
+
+async def _answer(result: "Result[JobView, Fault]") -> "Result[JobView, Fault]":
+    return result
+
+
+def _invalid(detail: str) -> Fault:
+    return Fault(FaultCode.INVALID, "batch.intake", detail)
--- /dev/null
+++ b/src/rainsail/batch/item_runner.py
@@ -0,0 +1,151 @@
+"""Runs one leased item as one attempt on one engine."""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from expression import Result
+
+from rainsail.batch.held_item import HeldItem
+from rainsail.engine.interface import (
+    AttemptEnd,
+    Chunk,
+    EndReason,
+    EngineClient,
+    GenerateRequest,
+    Priority,
+)
+from rainsail.engine.prefix import count_tokens
+from rainsail.errors import Fault
+from rainsail.runtime.clock import Clock
+
+CANCEL_RETRY_DELAY_S = 0.1
+"""Seconds before a cancel is sent again when it failed or chunks still come."""
+CANCEL_ATTEMPTS = 5
+"""Times that a cancel is sent; the engine's stream dies with its reader after that."""
+
+
+class RunEnd(StrEnum):
+    """How a run ended, as far as the item is concerned."""
+
+    FINISHED = "finished"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+
+
+class ItemRun:
+    """One attempt of an item; hears the engine and gathers the text.
+
+    ``on_end(run, end, detail, retry_after_s)`` is called once, and never after ``stop``.
+    """
+
+    def __init__(
+        self,
+        held: HeldItem,
+        runner: str,
+        address: str,
+        attempt_id: str,
+        engine: EngineClient,
+        clock: Clock,
+        on_end: "Callable[[ItemRun, RunEnd, str, float], None]",
+    ) -> None:
+        self.held = held
+        self.runner = runner
+        self.attempt_id = attempt_id
+        self._address = address
+        self._engine = engine
+        self._clock = clock
+        self._on_end = on_end
+        self._texts: list[str] = []
+        self._ahead: dict[int, Chunk] = {}
+        self._next_sequence = 0
+        self._cancels = 0
+        self._cancel_sent_at_s = 0.0
+        self.stopped = False
+        self.ended = False
+        self.tokens = count_tokens(held.generated_prefix)
+        self.kv_tokens = held.kv_tokens
+
+    def start(self, priority: Priority) -> None:
+        """Send the item to the engine."""
+        leased = self.held.leased
+        request = GenerateRequest(
+            attempt_id=self.attempt_id,
+            request_id=f"{leased.ref.job_id}/{leased.ref.index}",
+            model=self.held.service,
+            version="",
+            prompt=leased.body.prompt,
+            max_tokens=leased.body.max_tokens,
+            priority=priority,
+            adapter=leased.adapter,
+            forced_prefix=self.held.generated_prefix,
+        )
+        self._engine.generate(self._address, request, self)
+
+    @property
+    def text(self) -> str:
+        """The text so far, the prefix of earlier attempts included."""
+        return self.held.generated_prefix + "".join(self._texts)
+
+    def stop(self) -> None:
+        """Cancel at the engine; nothing is reported after this."""
+        if self.stopped or self.ended:
+            return
+        self.stopped = True
+        self._send_cancel()
+
+    def on_chunk(self, chunk: Chunk) -> None:
+        """Take a chunk in any order; chunks of other attempts and repeats are dropped."""
+        if chunk.attempt_id != self.attempt_id or self.ended:
+            return
+        if self.stopped:
+            self._cancel_again()
+            return
+        if chunk.sequence < self._next_sequence:
+            return
+        self._ahead[chunk.sequence] = chunk
+        self._join_chunks()
+
+    def _join_chunks(self) -> None:
+        while self._next_sequence in self._ahead:
+            chunk = self._ahead.pop(self._next_sequence)
+            self._next_sequence += 1
+            self._texts.append(chunk.text)
+            self.tokens = chunk.offset + chunk.tokens
+            self.kv_tokens += chunk.tokens
+
+    def on_end(self, end: AttemptEnd) -> None:
+        """Take the attempt's end."""
+        if end.attempt_id != self.attempt_id or self.ended:
+            return
+        self.ended = True
+        if self.stopped:
+            return
+        run_end, detail = self._judge(end)
+        self._on_end(self, run_end, detail, end.retry_after_s)
+
+    def _judge(self, end: AttemptEnd) -> tuple[RunEnd, str]:
+        if end.reason in (EndReason.STOP, EndReason.LENGTH):
+            if self._next_sequence < end.chunk_count:
+                missing = end.chunk_count - self._next_sequence
+                return RunEnd.FAILED, f"{missing} chunks missing from {self.runner}"
+            return RunEnd.FINISHED, ""
+        if end.reason is EndReason.LOST:
+            return RunEnd.FAILED, f"link to {self.runner} lost: {end.detail}"
+        return RunEnd.NOT_RUN, end.detail
+
+    def _cancel_again(self) -> None:
+        since_s = self._clock.seconds() - self._cancel_sent_at_s
+        if since_s >= CANCEL_RETRY_DELAY_S and self._cancels < CANCEL_ATTEMPTS:
+            self._send_cancel()
+
+    def _send_cancel(self) -> None:
+        if self.ended or self._cancels >= CANCEL_ATTEMPTS:
+            return
+        self._cancels += 1
+        self._cancel_sent_at_s = self._clock.seconds()
+        cancelled = self._engine.cancel(self._address, self.attempt_id)
+        cancelled.addCallback(self._cancel_answered)
+
+    def _cancel_answered(self, result: "Result[bool, Fault]") -> None:
+        if result.is_error():
+            self._clock.callLater(CANCEL_RETRY_DELAY_S, self._send_cancel)
--- /dev/null
+++ b/src/rainsail/batch/policies/lagged_cap.py
@@ -0,0 +1,22 @@
+"""A cap by the lagged load report alone: what most systems do first.
+
+The report is up to a second old, so a burst is seen late, and items that run stay.
+"""
+
+from dataclasses import dataclass
+
+from rainsail.batch.interface import BatchAllowance, RunnerView
+
+
+@dataclass(slots=True)
+class LaggedCapPolicy:
+    """Gives batch the slots that the last report showed free of online work."""
+
+    name: str = "lagged_cap"
+    low_priority: bool = False
+
+    def allowance(self, view: RunnerView) -> BatchAllowance:
+        """Return the slots reported free, or what runs already when that is more."""
+        online = max(0, view.reported_running + view.reported_waiting - view.batch_running)
+        free = max(0, view.slots - online)
+        return BatchAllowance(max(free, view.batch_running), f"{online} reported online")
--- /dev/null
+++ b/src/rainsail/batch/policies/shared_queue.py
@@ -0,0 +1,17 @@
+"""Batch items are sent like online requests: normal priority, as many as there are slots."""
+
+from dataclasses import dataclass
+
+from rainsail.batch.interface import BatchAllowance, RunnerView
+
+
+@dataclass(slots=True)
+class SharedQueuePolicy:
+    """Fills every slot and never steps aside."""
+
+    name: str = "shared_queue"
+    low_priority: bool = False
+
+    def allowance(self, view: RunnerView) -> BatchAllowance:
+        """Return all slots."""
+        return BatchAllowance(view.slots, "shared queue")
--- /dev/null
+++ b/src/rainsail/batch/settings.py
@@ -0,0 +1,73 @@
+"""Settings of batch work: intake, leases, commits and the dispatch policy."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+GUAYAQUIL_BATCH_WEIGHT = 0.9
+"""Preset of the site that weighs throughput first: its reports must all land overnight."""
+TAOYUAN_BATCH_WEIGHT = 0.2
+"""Preset of the site that weighs the online tail first: a late answer leaves guests waiting."""
+
+
+class BatchSettings(BaseModel):
+    """How batch jobs are taken in and how their items run on idle capacity."""
+
+    model_config = ConfigDict(frozen=True)
+
+    groups: tuple[int, ...] = Field(
+        default=(0,),
+        min_length=1,
+        description="Replicated groups that keep batch ledgers; a job's group is chosen by hash.",
+    )
+    range_bytes: int = Field(
+        default=256 * 1024, gt=0, description="Most bytes of items in one ledger command."
+    )
+    range_items: int = Field(
+        default=1000, gt=0, description="Most items in one ledger command of the intake."
+    )
+    max_job_items: int = Field(default=600_000, gt=0, description="Most items in one job.")
+    concurrent_submissions: int = Field(
+        default=4, gt=0, description="Jobs whose items one gateway stores at the same time."
+    )
+    command_timeout_s: float = Field(
+        default=5.0, gt=0, description="Seconds that one ledger command may take with retries."
+    )
+    retry_delay_s: float = Field(
+        default=0.2, gt=0, description="Mean seconds before a failed ledger command is sent again."
+    )
+    submit_attempts: int = Field(
+        default=5, gt=0, description="Times that the intake sends one command before it gives up."
+    )
+    lease_renewal_period_s: float = Field(
+        default=1.0, gt=0, description="Seconds between renewals of the item leases."
+    )
+    item_lease_s: float = Field(
+        default=5.0, gt=0, description="Length of an item lease until a renewal states another."
+    )
+    prefetch_items_per_runner: int = Field(
+        default=4, ge=0, description="Leased items kept ready per owned runner."
+    )
+    lease_max_items: int = Field(
+        default=256, gt=0, description="Most items asked for in one lease command."
+    )
+    lease_max_tokens: int = Field(
+        default=1_000_000, gt=0, description="Most tokens asked for in one lease command."
+    )
+    hold_s: float = Field(
+        default=3.0, gt=0, description="Seconds that a leased item may wait before it is returned."
+    )
+    commit_period_s: float = Field(
+        default=0.05, gt=0, description="Seconds that a result may wait for others to join it."
+    )
+    commit_max_items: int = Field(
+        default=128, gt=0, description="Most results or returned items in one ledger command."
+    )
+    tick_s: float = Field(
+        default=0.05, gt=0, description="Seconds between looks at runners on which nothing changed."
+    )
+    policy: str = Field(default="preemptive", description="Name of the dispatch policy.")
+    batch_weight: float = Field(
+        default=0.5,
+        ge=0.0,
+        le=1.0,
+        description="0: least harm to the online tail; 1: most batch throughput.",
+    )
