Add the gateway's core: fleet view, router, admission, attempts, sessions

Cause: the dispatcher, the callers' API and the assembled process need the parts of a gateway. Change: RunnerFleet (lagged reports corrected by own work, cache views, draining, ejection, ownership by rendezvous hash), a pure router with explained decisions, token admission with fair queues, attempts with chunk sequence checks, resume and replay, claims of non-repeatable requests, sessions, the runner keeper and the planned stop.

--- /dev/null
+++ b/features/gateway/requests.feature
@@ -0,0 +1,33 @@
+Feature: A gateway answers each caller whole and tells the truth about refusals
+
+  Scenario: Online requests are streamed whole over all runners
+    Given a gateway fleet of 3 runners and 1 gateway
+    When 30 gateway callers ask at once
+    And 10 seconds of gateway time pass
+    Then every gateway caller has its own whole answer
+    And every runner of the gateway fleet has run requests
+
+  Scenario: A non-repeatable request sent again to another gateway gets the recorded answer
+    Given a gateway fleet of 3 runners and 2 gateways
+    When a non-repeatable request "ping" is sent to gateway 0
+    And 5 seconds of gateway time pass
+    And a non-repeatable request "ping" is sent to gateway 1
+    And 5 seconds of gateway time pass
+    Then every gateway caller has its own whole answer
+    And request "ping" was run 1 time by the gateway fleet
+
+  Scenario: A second gateway does not run a request that is under way at the first
+    Given a gateway fleet of 3 runners and 2 gateways
+    When a non-repeatable request "ping" is sent to gateway 0
+    And 0.1 seconds of gateway time pass
+    And a non-repeatable request "ping" is sent to gateway 1
+    And 5 seconds of gateway time pass
+    Then gateway caller 0 has its own whole answer
+    And gateway caller 1 was told "unknown"
+    And request "ping" was run 1 time by the gateway fleet
+
+  Scenario: A gateway without a configuration lease refuses new work as not run
+    Given a gateway fleet of 3 runners and 1 gateway
+    And gateway 0 has lost its configuration lease
+    When 1 gateway caller asks at once
+    Then gateway caller 0 was told "not_run" at once with a time to come back
--- /dev/null
+++ b/src/rainsail/gateway/claims.py
@@ -0,0 +1,75 @@
+"""Claims of non-repeatable requests: committed before anything is sent, finished after the end.
+
+The claimant's name is unique for each submission, so that a claim command that control sends
+again gets its first answer, while a second submission of the same id, here or at another
+gateway, is told what is known of the first.
+"""
+
+import hashlib
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+
+from rainsail.control.interface import ControlClient
+from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.gateway.interface import CallerRequest
+from rainsail.gateway.settings import RetrySettings
+from rainsail.state.commands import ClaimRequest, ClaimResult, CommandOutcome, FinishRequest
+
+STEP = "gateway.claim"
+
+
+def content_digest(request: CallerRequest) -> str:
+    """Return the hex SHA-256 of what a request asks for."""
+    digest = hashlib.sha256()
+    for part in (request.model, request.adapter, str(request.max_tokens), request.prompt):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    return digest.hexdigest()
+
+
+class ClaimKeeper:
+    """Claims and finishes non-repeatable requests through control."""
+
+    def __init__(self, control: ControlClient, settings: RetrySettings) -> None:
+        self._control = control
+        self._settings = settings
+
+    def claim(
+        self, request: CallerRequest, claimant: str
+    ) -> "Deferred[Result[ClaimResult, Fault]]":
+        """Claim a request's id; a fault is NOT_RUN, for nothing has been sent."""
+        command = ClaimRequest(
+            request.tenant, request.request_id, content_digest(request), claimant
+        )
+        done = self._control.propose(command, self._settings.claim_timeout_s)
+        return done.addCallback(self._take_claim, request, claimant)
+
+    def _take_claim(
+        self, reply: Result[object, Fault], request: CallerRequest, claimant: str
+    ) -> Result[ClaimResult, Fault]:
+        if reply.is_ok() and isinstance(reply.ok, ClaimResult):
+            return Ok(reply.ok)
+        if reply.is_ok():
+            return Error(Fault(FaultCode.INTERNAL, STEP, "unexpected reply to a claim"))
+        cause = reply.error
+        if cause.outcome == Outcome.UNKNOWN:
+            self.finish(request, claimant, Outcome.NOT_RUN)
+        retry_s = cause.retry_after_s or self._settings.claim_timeout_s
+        return Error(
+            Fault(
+                cause.code,
+                STEP,
+                cause.detail,
+                cause.peer,
+                Outcome.NOT_RUN,
+                None if cause.code == FaultCode.CONFLICT else retry_s,
+            )
+        )
+
+    def finish(
+        self, request: CallerRequest, claimant: str, outcome: Outcome, response: str = ""
+    ) -> "Deferred[Result[CommandOutcome, Fault]]":
+        """Record how a claimed request ended; NOT_RUN releases the claim."""
+        command = FinishRequest(request.tenant, request.request_id, claimant, outcome, response)
+        return self._control.propose(command, self._settings.claim_timeout_s)
--- /dev/null
+++ b/src/rainsail/gateway/engine_feed.py
@@ -0,0 +1,79 @@
+"""Keeps one subscription to an engine's load reports and cache events open."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from rainsail.engine.interface import CacheEvent, EngineClient, LoadReport
+from rainsail.errors import Fault
+from rainsail.gateway.settings import FleetSettings
+from rainsail.runtime.clock import Clock
+
+
+class EngineFeed:
+    """Subscribes, and subscribes again with jittered back-off when the subscription is lost."""
+
+    def __init__(
+        self,
+        address: str,
+        engine: EngineClient,
+        clock: Clock,
+        random: Random,
+        settings: FleetSettings,
+        on_load: Callable[[LoadReport], None],
+        on_cache: Callable[[CacheEvent], None],
+        on_lost: Callable[[], None],
+    ) -> None:
+        self.address = address
+        self._engine = engine
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._on_load = on_load
+        self._on_cache = on_cache
+        self._on_lost = on_lost
+        self._failures = 0
+        self._subscription = 0
+        self._cancel: Callable[[], None] | None = None
+        self._timer: Any = None
+
+    def start(self) -> None:
+        """Open the subscription."""
+        self._timer = None
+        self._subscription += 1
+        number = self._subscription
+
+        def take_load(report: LoadReport) -> None:
+            if number == self._subscription:
+                self._failures = 0
+                self._on_load(report)
+
+        def take_cache(event: CacheEvent) -> None:
+            if number == self._subscription:
+                self._on_cache(event)
+
+        def take_loss(fault: Fault) -> None:
+            if number == self._subscription:
+                self._lost()
+
+        self._cancel = self._engine.subscribe(self.address, take_load, take_cache, take_loss)
+
+    def _lost(self) -> None:
+        self._subscription += 1
+        self._cancel = None
+        self._failures += 1
+        self._on_lost()
+        base_s = self._settings.resubscribe_base_s * 2.0 ** min(self._failures - 1, 10)
+        delay_s = min(base_s, self._settings.resubscribe_limit_s)
+        delay_s *= 0.5 + self._random.random()
+        self._timer = self._clock.callLater(delay_s, self.start)
+
+    def stop(self) -> None:
+        """Close the subscription for good."""
+        self._subscription += 1
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._cancel is not None:
+            self._cancel()
+            self._cancel = None
--- /dev/null
+++ b/src/rainsail/gateway/fair_queue.py
@@ -0,0 +1,89 @@
+"""Weighted fair queueing between tenants by virtual finish times counted in tokens."""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+Item = TypeVar("Item")
+
+
+@dataclass(slots=True)
+class _Entry(Generic[Item]):
+    item: Item
+    cost: float
+    weight: float
+
+
+class FairQueue(Generic[Item]):
+    """One first-in-first-out queue per tenant; the tenant with the least finish time is next.
+
+    A tenant's finish time starts from the queue's virtual time when it comes back from being
+    idle, so that idle time earns no credit and a flood delays only its sender.
+    """
+
+    def __init__(self) -> None:
+        self._queues: dict[str, deque[_Entry[Item]]] = {}
+        self._finish: dict[str, float] = {}
+        self._virtual = 0.0
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def queued(self, tenant: str) -> int:
+        """Return how many items of a tenant wait."""
+        return len(self._queues.get(tenant, ()))
+
+    def tenants(self) -> list[str]:
+        """Return the tenants that have items waiting."""
+        return list(self._queues)
+
+    def push(self, tenant: str, weight: float, cost: float, item: Item) -> None:
+        """Add an item at the end of its tenant's queue."""
+        self._queues.setdefault(tenant, deque()).append(_Entry(item, cost, weight))
+        self._size += 1
+
+    def pop(self, eligible: Callable[[Item], bool]) -> Item | None:
+        """Take the next item whose tenant's head is eligible; None when there is none."""
+        order = sorted((self._head_finish(tenant), tenant) for tenant in self._queues)
+        for finish, tenant in order:
+            queue = self._queues[tenant]
+            if not eligible(queue[0].item):
+                continue
+            entry = queue.popleft()
+            self._virtual = max(self._virtual, finish - entry.cost / entry.weight)
+            self._finish[tenant] = finish
+            self._removed(tenant)
+            return entry.item
+        return None
+
+    def _head_finish(self, tenant: str) -> float:
+        head = self._queues[tenant][0]
+        start = max(self._virtual, self._finish.get(tenant, 0.0))
+        return start + head.cost / head.weight
+
+    def _removed(self, tenant: str) -> None:
+        self._size -= 1
+        if not self._queues[tenant]:
+            del self._queues[tenant]
+        if not self._queues:
+            self._finish.clear()
+            self._virtual = 0.0
+
+    def heads(self) -> Iterator[Item]:
+        """Yield the first item of each tenant."""
+        for queue in self._queues.values():
+            yield queue[0].item
+
+    def remove(self, tenant: str, item: Item) -> bool:
+        """Take an item out of its place; return False when it was not waiting."""
+        queue = self._queues.get(tenant)
+        if queue is None:
+            return False
+        for entry in queue:
+            if entry.item is item:
+                queue.remove(entry)
+                self._removed(tenant)
+                return True
+        return False
--- /dev/null
+++ b/src/rainsail/gateway/runner_keeper.py
@@ -0,0 +1,188 @@
+"""Sends fenced orders to the runners that this gateway owns and reports their status."""
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from expression import Result
+
+from rainsail.control.interface import ConfigReader, ControlClient
+from rainsail.engine.interface import EngineClient, EngineOrder, OrderKind, OrderReply
+from rainsail.errors import Fault
+from rainsail.gateway.fleet import RunnerFleet
+from rainsail.gateway.runner_state import RunnerState
+from rainsail.gateway.settings import GatewaySettings
+from rainsail.resources.specs import (
+    AdapterSpec,
+    Kind,
+    ModelVersionSpec,
+    ResourceKey,
+    RunnerStatus,
+)
+from rainsail.runtime.clock import Clock
+from rainsail.state.commands import CommandOutcome, PutStatus
+
+
+def wanted_orders(
+    status: RunnerStatus,
+    loaded_version: str,
+    loading_version: str,
+    adapters: tuple[str, ...],
+    weight_bytes: dict[str, int],
+) -> tuple[EngineOrder, ...]:
+    """Return the orders that bring an engine to what its status wants. Pure.
+
+    Nothing is unloaded here: a version is replaced by the engine when the next has loaded.
+    """
+    fence = status.fence
+    wanted = status.loading_version
+    if wanted and wanted not in (loaded_version, loading_version):
+        return (EngineOrder(fence, OrderKind.LOAD_VERSION, wanted, weight_bytes.get(wanted, 0)),)
+    if loading_version:
+        return ()
+    missing = [name for name in status.adapters if name not in adapters]
+    surplus = [name for name in adapters if name not in status.adapters]
+    load = [
+        EngineOrder(fence, OrderKind.LOAD_ADAPTER, name, weight_bytes.get(name, 0))
+        for name in missing
+    ]
+    unload = [EngineOrder(fence, OrderKind.UNLOAD_ADAPTER, name) for name in surplus]
+    return tuple(load + unload)
+
+
+def observed_status(state: RunnerState, silent: bool) -> RunnerStatus:
+    """Return the status that an owner reports for a runner, from the engine's own report."""
+    report = state.report
+    if silent:
+        return replace(state.status, ready=False, reachable=False)
+    if report is None:
+        return state.status
+    loading = state.status.loading_version
+    if loading and report.loaded_version == loading:
+        loading = ""
+    return replace(
+        state.status,
+        loaded_version=report.loaded_version,
+        loading_version=loading,
+        ready=bool(report.loaded_version) and not report.draining,
+        reachable=True,
+    )
+
+
+@dataclass(slots=True)
+class _SentOrder:
+    order: EngineOrder
+    sent_s: float
+
+
+class RunnerKeeper:
+    """Looks at each owned runner now and then, and when it changes."""
+
+    def __init__(
+        self,
+        gateway: str,
+        fleet: RunnerFleet,
+        config: ConfigReader,
+        control: ControlClient,
+        engine: EngineClient,
+        clock: Clock,
+        random: Random,
+        settings: GatewaySettings,
+    ) -> None:
+        self._gateway = gateway
+        self._fleet = fleet
+        self._config = config
+        self._control = control
+        self._engine = engine
+        self._clock = clock
+        self._random = random
+        self._settings = settings.keeper
+        self._sent: dict[tuple[str, OrderKind, str], _SentOrder] = {}
+        self._writing: dict[str, int] = {}
+        self._stopped = False
+        fleet.on_change(self._look_soon)
+
+    def start(self) -> None:
+        """Begin to look at owned runners."""
+        self._tick()
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._stopped = True
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        for state in self._fleet.owned_runners():
+            self._look(state)
+        delay_s = self._settings.check_period_s * (0.9 + 0.2 * self._random.random())
+        self._clock.callLater(delay_s, self._tick)
+
+    def _look_soon(self, runner: str) -> None:
+        state = self._fleet.runner(runner)
+        if state is not None and state.owned and not self._stopped:
+            self._look(state)
+
+    def _look(self, state: RunnerState) -> None:
+        now_s = self._clock.seconds()
+        silent = state.is_silent(now_s)
+        if state.report is not None and not silent:
+            self._send_orders(state, now_s)
+        self._write_status(state, silent)
+
+    # --- orders ---------------------------------------------------------------------------------
+
+    def _send_orders(self, state: RunnerState, now_s: float) -> None:
+        report = state.report
+        if report is None:
+            return
+        orders = wanted_orders(
+            state.status,
+            report.loaded_version,
+            report.loading_version,
+            report.adapters,
+            self._weight_bytes(state.status),
+        )
+        for order in orders:
+            key = (state.name, order.kind, order.target)
+            sent = self._sent.get(key)
+            recent = sent is not None and now_s - sent.sent_s < self._settings.order_resend_s
+            if sent is not None and recent and sent.order.fence == order.fence:
+                continue
+            self._sent[key] = _SentOrder(order, now_s)
+            self._engine.order(state.spec.address, order).addCallback(self._ordered)
+
+    def _ordered(self, reply: Result[OrderReply, Fault]) -> None:
+        """Leave the effect to the next load report; a refused fence means a newer owner."""
+
+    def _weight_bytes(self, status: RunnerStatus) -> dict[str, int]:
+        sizes = {}
+        version = self._config.get(ResourceKey(Kind.MODEL_VERSION, status.loading_version))
+        if version is not None and isinstance(version.spec, ModelVersionSpec):
+            sizes[status.loading_version] = version.spec.weight_bytes
+        for name in status.adapters:
+            adapter = self._config.get(ResourceKey(Kind.ADAPTER, name))
+            if adapter is not None and isinstance(adapter.spec, AdapterSpec):
+                sizes[name] = adapter.spec.weight_bytes
+        return sizes
+
+    # --- status ---------------------------------------------------------------------------------
+
+    def _write_status(self, state: RunnerState, silent: bool) -> None:
+        observed = observed_status(state, silent)
+        if observed == state.status or self._writing.get(state.name) == state.revision:
+            return
+        if not self._config.lease_valid():
+            return
+        self._writing[state.name] = state.revision
+        resource = self._config.get(ResourceKey(Kind.RUNNER, state.name))
+        conditions = resource.conditions if resource is not None else ()
+        command = PutStatus(
+            ResourceKey(Kind.RUNNER, state.name), observed, conditions, state.revision
+        )
+        done = self._control.propose(command, self._settings.command_timeout_s)
+        done.addCallback(self._written, state.name)
+
+    def _written(self, reply: Result[CommandOutcome, Fault], runner: str) -> None:
+        """After a fault the next look writes again, with the revision read by then."""
+        if reply.is_error():
+            self._writing.pop(runner, None)
