Serve watches, patches and jobs to operators

Cause: operators could read and change resources but not watch them or submit jobs. Change: watches read the applied state of any replica from a revision on, so they go on at another replica; slow ones are told and cut, compacted revisions get a typed line. Patches merge on the newest revision. Jobs go through the intake. Conclusion: 22 scenarios pass, among them races with equal revisions, a change re-sent across fail-over, and a watch that moves to a lagging replica. HTTP itself has no scenario yet.

--- a/features/support/control.py
+++ b/features/support/control.py
@@ -1,5 +1,6 @@
 """A small control plane on the virtual clock: replicas in memory, a network, gateways."""
 
+import json
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +13,7 @@
 from rainsail.control.messages import GroupHealth, GroupStatusReply
 from rainsail.control.service import ControlService
 from rainsail.control.settings import ControlSettings
+from rainsail.control.watcher import WatchHub
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.resources.specs import GatewaySpec, Kind, ResourceKey, ServiceSpec
 from rainsail.simulation.clock import SkewedClock, VirtualClock
@@ -22,6 +24,7 @@
 from rainsail.wire.messenger import Messenger
 
 READ_LEASE_S = 1.0
+WATCH_BUFFER_EVENTS = 20
 COMMIT_DELAY_S = 0.004
 ONE_WAY_DELAY_S = 0.001
 
@@ -305,3 +308,35 @@
     """Return a put of a Service."""
     key = ResourceKey(Kind.SERVICE, name)
     return PutResource(change_id, key, ServiceSpec(runners=runners), expected)
+
+
+class WatchClient:
+    """A watcher's client that reads lines as they come."""
+
+    def __init__(self, fleet: ControlFleet, replica: str, revision: int, kinds) -> None:
+        group = fleet.groups[replica]
+        settings = fleet.settings.model_copy(update={"watch_buffer_events": WATCH_BUFFER_EVENTS})
+        self.hub = WatchHub(group.state, fleet.clock, settings)
+        self.lines: list[dict] = []
+        self.ended = False
+        self._revision = revision
+        self.watcher = self.hub.watch(self, revision, kinds)
+        group.on_applied(lambda index: self.hub.state_applied())
+        self.watcher.start()
+
+    def write_line(self, line: bytes) -> None:
+        """Read one line."""
+        self.lines.append(json.loads(line))
+
+    def end(self) -> None:
+        """The watch ended."""
+        self.ended = True
+
+    def close(self) -> None:
+        """Go away."""
+        self.watcher.stop()
+
+    def last_revision(self) -> int:
+        """Return the last revision read of a change or a bookmark."""
+        read = [line["revision"] for line in self.lines if "error" not in line]
+        return read[-1] if read else self._revision
--- a/src/rainsail/control/operator_api.py
+++ b/src/rainsail/control/operator_api.py
@@ -1,40 +1,40 @@
 """The operators' HTTP API: JSON over klein, served by every replica."""
 
-from collections.abc import Awaitable, Callable
+import random as random_module
+import time
+from collections.abc import Callable
 from typing import Any
 
-from expression import Error, Ok, Result
 from klein import Klein
-from twisted.internet.defer import Deferred
 
+from rainsail.batch.intake import JobIntake
+from rainsail.batch.settings import BatchSettings
 from rainsail.consensus.interface import Group
-from rainsail.control.http_bodies import (
-    answer_fault,
-    answer_json,
-    bearer_token,
-    read_json_object,
-)
+from rainsail.control.http_bodies import answer_fault, answer_json
 from rainsail.control.interface import ControlClient
-from rainsail.control.operator_auth import Authenticator, Caller, KeyAuthenticator
+from rainsail.control.job_endpoints import JobEndpoints
+from rainsail.control.job_routes import JobRoutes
+from rainsail.control.operator_auth import Authenticator, KeyAuthenticator
+from rainsail.control.operator_gate import OperatorGate
 from rainsail.control.resource_endpoints import ResourceEndpoints
-from rainsail.control.resource_json import (
-    JsonObject,
-    kind_from_text,
-    plain,
-    resource_to_json,
-)
+from rainsail.control.resource_json import plain
+from rainsail.control.resource_routes import ResourceRoutes
 from rainsail.control.settings import ControlSettings
-from rainsail.errors import Fault, FaultCode
-from rainsail.resources.specs import Kind, ResourceKey
+from rainsail.control.watch_routes import WatchRoutes
+from rainsail.control.watcher import WatchHub
 from rainsail.runtime.clock import Clock
-from rainsail.state.commands import ResourceChanged
 from rainsail.state.interface import ReplicatedReader
 
-STEP = "operator_api.request"
+METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
 class OperatorApi:
-    """Routes of the operator API; ``app`` is the klein application."""
+    """Routes of the operator API; ``app`` is the klein application.
+
+    ``authenticate`` takes a bearer token (by default: the keys of the settings and of the
+    tenants), ``metrics`` returns the text of ``/metrics``. ``random`` spreads the retries of
+    job submissions, ``wall_clock`` (Unix seconds) turns callers' deadlines into points in time.
+    """
 
     def __init__(
         self,
@@ -45,118 +45,31 @@
         settings: ControlSettings,
         authenticate: Authenticator | None = None,
         metrics: Callable[[], bytes] | None = None,
+        random: random_module.Random | None = None,
+        wall_clock: Callable[[], float] = time.time,
+        batch: BatchSettings | None = None,
     ) -> None:
         self.app = Klein()
+        self.watches = WatchHub(state, clock, settings)
+        self.resources = ResourceEndpoints(client, settings.request_timeout_s)
         self._group = group
-        self._state = state
-        self._clock = clock
-        self._settings = settings
-        self._authenticate = authenticate or KeyAuthenticator(state, settings.operator_key_hashes)
         self._metrics = metrics
-        self._resources = ResourceEndpoints(client, settings.request_timeout_s)
-        self._add_routes()
-
-    def _add_routes(self) -> None:
-        route = self.app.route
-        route("/v1/resources", methods=["GET"])(self._list_all)
-        route("/v1/resources/<kind>", methods=["GET"])(self._list_kind)
-        route("/v1/resources/<kind>/<name>", methods=["GET"])(self._read_one)
-        for method, change in (
-            ("PUT", self._resources.put),
-            ("PATCH", self._resources.patch),
-            ("DELETE", self._resources.delete),
-        ):
-            endpoint = f"change_{method}"
-            handler = self._changer(change)
-            route("/v1/resources/<kind>/<name>", methods=[method], endpoint=endpoint)(handler)
-        route("/v1/status", methods=["GET"])(self._status)
-        route("/healthz", methods=["GET"])(self._healthz)
-        route("/readyz", methods=["GET"])(self._readyz)
-        route("/metrics", methods=["GET"])(self._metrics_text)
-
-    def _operator(self, request: Any) -> Result[Caller, Fault]:
-        caller = self._authenticate(bearer_token(request))
-        if caller is None:
-            return Error(Fault(FaultCode.UNAUTHENTICATED, STEP, "the bearer token is not known"))
-        if not caller.operator:
-            return Error(Fault(FaultCode.FORBIDDEN, STEP, "only operators may do this"))
-        return Ok(caller)
-
-    async def _list_all(self, request: Any) -> bytes:
-        return await self._list(request, None)
-
-    async def _list_kind(self, request: Any, kind: str) -> bytes:
-        return await self._list(request, kind)
-
-    async def _list(self, request: Any, kind_text: str | None) -> bytes:
-        caller = self._operator(request)
-        if caller.is_error():
-            return answer_fault(request, caller.error)
-        kinds: tuple[Kind, ...] = ()
-        if kind_text is not None:
-            kind = kind_from_text(kind_text)
-            if kind.is_error():
-                return answer_fault(request, kind.error)
-            kinds = (kind.ok,)
-        listed = await self._resources.read_all(kinds)
-        if listed.is_error():
-            return answer_fault(request, listed.error)
-        reply = listed.ok
-        body = {
-            "revision": reply.revision,
-            "in_force_revision": reply.in_force_revision,
-            "resources": [
-                resource_to_json(each, reply.in_force_revision) for each in reply.resources
-            ],
-        }
-        return answer_json(request, body)
-
-    async def _read_one(self, request: Any, kind: str, name: str) -> bytes:
-        key = self._key(request, kind, name)
-        if key.is_error():
-            return answer_fault(request, key.error)
-        found = await self._resources.read_one(key.ok)
-        if found.is_error():
-            return answer_fault(request, found.error)
-        resource, in_force_revision = found.ok
-        return answer_json(request, resource_to_json(resource, in_force_revision))
-
-    def _changer(
-        self,
-        change: Callable[[ResourceKey, JsonObject], Awaitable[Result[ResourceChanged, Fault]]],
-    ) -> Callable[..., Any]:
-        async def handle(request: Any, kind: str, name: str) -> bytes:
-            key = self._key(request, kind, name)
-            if key.is_error():
-                return answer_fault(request, key.error)
-            body = read_json_object(request, self._settings.max_body_bytes)
-            if body.is_error():
-                return answer_fault(request, body.error)
-            changed = await change(key.ok, body.ok)
-            if changed.is_error():
-                return answer_fault(request, changed.error)
-            answer = {
-                "revision": changed.ok.revision,
-                "resource": resource_to_json(changed.ok.resource),
-            }
-            return answer_json(request, answer)
-
-        def handler(request: Any, kind: str, name: str) -> "Deferred[bytes]":
-            return Deferred.fromCoroutine(handle(request, kind, name))
-
-        return handler
-
-    def _key(self, request: Any, kind_text: str, name: str) -> Result[ResourceKey, Fault]:
-        caller = self._operator(request)
-        if caller.is_error():
-            return Error(caller.error)
-        kind = kind_from_text(kind_text)
-        if kind.is_error():
-            return Error(kind.error)
-        return Ok(ResourceKey(kind.ok, name))
+        batch = batch or BatchSettings()
+        intake = JobIntake(client, clock, random or random_module.Random(), batch, wall_clock)
+        self.jobs = JobEndpoints(client, intake, batch, wall_clock, settings.request_timeout_s)
+        known_keys = KeyAuthenticator(state, settings.operator_key_hashes)
+        self._gate = OperatorGate(authenticate or known_keys)
+        ResourceRoutes(self.app, self._gate, self.resources, settings.max_body_bytes)
+        WatchRoutes(self.app, self._gate, state, self.watches, clock, settings)
+        JobRoutes(self.app, self._gate, self.jobs, settings)
+        self.app.route("/v1/status", methods=["GET"])(self._status)
+        self.app.route("/healthz", methods=["GET"])(self._healthz)
+        self.app.route("/readyz", methods=["GET"])(self._readyz)
+        self.app.route("/metrics", methods=["GET"])(self._metrics_text)
+        group.on_applied(lambda index: self.watches.state_applied())
 
     def _status(self, request: Any) -> bytes:
-        caller = self._operator(request)
+        caller = self._gate.operator(request)
         if caller.is_error():
             return answer_fault(request, caller.error)
         return answer_json(request, plain(self._group.status()))
@@ -170,5 +83,5 @@
         return answer_json(request, body, 200 if leader else 503)
 
     def _metrics_text(self, request: Any) -> bytes:
-        request.setHeader(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+        request.setHeader(b"content-type", METRICS_CONTENT_TYPE)
         return self._metrics() if self._metrics is not None else b""
--- a/src/rainsail/control/resource_endpoints.py
+++ b/src/rainsail/control/resource_endpoints.py
@@ -7,7 +7,7 @@
 from rainsail.control.interface import ControlClient
 from rainsail.control.messages import ListReply, ListRequest
 from rainsail.control.resource_json import JsonObject, merged_spec_json, spec_from_json
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.resources.specs import Kind, Resource, ResourceKey
 from rainsail.state.commands import (
     ANY_REVISION,
@@ -20,6 +20,8 @@
 
 STEP = "operator_api.resources"
 BODY_KEYS = ("change_id", "expected_revision", "spec")
+PATCH_ATTEMPTS = 5
+"""How often a patch without an expected revision meets a newer one before it is a conflict."""
 
 
 class ResourceEndpoints:
@@ -55,13 +57,34 @@
         return await self._change(PutResource(change_id, key, spec.ok, expected))
 
     async def patch(self, key: ResourceKey, body: JsonObject) -> Result[ResourceChanged, Fault]:
-        """Merge ``spec`` into the current one; a race is answered as a conflict."""
+        """Merge ``spec`` into the current one.
+
+        Without an expected revision, nothing is changed when the values hold already (so a
+        re-sent patch is answered well), and a race with another change (a status, another
+        key) is tried again on the newer one. With one, a race is a conflict.
+        """
         change = _read_change(body)
         if change.is_error():
             return Error(change.error)
         patch = body.get("spec")
         if not isinstance(patch, dict):
             return Error(Fault(FaultCode.INVALID, STEP, "spec: expected an object"))
+        change_id, expected = change.ok
+        answer: Result[ResourceChanged, Fault] = Error(
+            Fault(FaultCode.CONFLICT, STEP, "the resource kept changing")
+        )
+        for attempt in range(PATCH_ATTEMPTS):
+            attempt_id = change_id
+            if change_id and expected == ANY_REVISION:
+                attempt_id = f"{change_id}/patch-{attempt}"
+            answer = await self._patch_once(key, patch, attempt_id, expected)
+            if answer.is_ok() or not _lost_race(answer.error, expected):
+                break
+        return answer
+
+    async def _patch_once(
+        self, key: ResourceKey, patch: JsonObject, change_id: str, expected: int
+    ) -> Result[ResourceChanged, Fault]:
         current = await self.read_one(key)
         if current.is_error():
             return Error(current.error)
@@ -69,10 +92,10 @@
         spec = spec_from_json(key.kind, merged_spec_json(resource.spec, patch))
         if spec.is_error():
             return Error(spec.error)
-        change_id, expected = change.ok
-        if expected == ANY_REVISION:
-            expected = resource.revision
-        return await self._change(PutResource(change_id, key, spec.ok, expected))
+        if expected == ANY_REVISION and spec.ok == resource.spec:
+            return Ok(ResourceChanged(resource, resource.revision))
+        wanted = resource.revision if expected == ANY_REVISION else expected
+        return await self._change(PutResource(change_id, key, spec.ok, wanted))
 
     async def delete(self, key: ResourceKey, body: JsonObject) -> Result[ResourceChanged, Fault]:
         """Delete a resource."""
@@ -86,6 +109,16 @@
         return await self._client.propose(command, self._timeout_s)
 
 
+def _lost_race(fault: Fault, expected: int) -> bool:
+    """Tell whether a patch met a newer revision and may be merged into that one.
+
+    A conflict without a current revision says that the change id was used before, for another
+    content: the first answer to it is not known here, so it is not tried again.
+    """
+    newer = fault.code == FaultCode.CONFLICT and fault.current_revision is not None
+    return newer and expected == ANY_REVISION and fault.outcome == Outcome.NOT_RUN
+
+
 def _read_change(body: JsonObject) -> Result[tuple[str, int], Fault]:
     """Read change id and expected revision; unknown keys are refused."""
     for key in sorted(body):
--- a/src/rainsail/control/settings.py
+++ b/src/rainsail/control/settings.py
@@ -51,7 +51,7 @@
         10.0, gt=0, description="How long the operator API tries one request at the leader."
     )
     max_body_bytes: int = Field(
-        8 * 1024 * 1024, gt=0, description="Largest request body of the operator API."
+        32 * 1024 * 1024, gt=0, description="Largest request body of the operator API."
     )
     max_list_rows: int = Field(1000, gt=0, description="Most rows in one page of results.")
     watch_buffer_events: int = Field(
--- a/src/rainsail/control/stale_items.py
+++ b/src/rainsail/control/stale_items.py
@@ -10,8 +10,8 @@
 class LeaseLookup(Protocol):
     """A reader that can tell whether a holder still holds one leased item."""
 
-    def holds(self, holder: str, ref: ItemRef) -> bool:
-        """Tell whether ``holder`` holds the item under exactly that fence."""
+    def is_current(self, holder: str, ref: ItemRef) -> bool:
+        """Tell whether the item is still leased to ``holder`` under exactly that fence."""
         ...
 
 
@@ -20,7 +20,7 @@
 ) -> tuple[ItemRef, ...]:
     """Return the items whose lease was revoked, or whose job or item is finished."""
     if isinstance(state, LeaseLookup):
-        return tuple(ref for ref in running if not state.holds(holder, ref))
+        return tuple(ref for ref in running if not state.is_current(holder, ref))
     if holder not in state.holders():
         return running
     return tuple(ref for ref in running if not _job_goes_on(state, ref.job_id))
