--- /dev/null
+++ b/src/rainsail/cli/flags.py
@@ -0,0 +1,42 @@
+"""Words of the command line, made ready for ``fire``: repeated flags, and text kept as text."""
+
+from collections.abc import Sequence
+
+from fire.parser import DefaultParseValue
+
+SET_FLAG = "--set"
+_SEPARATOR = "\n"
+
+
+def join_repeated(words: Sequence[str], flag: str = SET_FLAG) -> list[str]:
+    """Join every ``flag VALUE`` and ``flag=VALUE`` into one ``flag=VALUE``."""
+    rest: list[str] = []
+    values: list[str] = []
+    remaining = iter(words)
+    for word in remaining:
+        if word == flag:
+            values.append(next(remaining, ""))
+        elif word.startswith(f"{flag}="):
+            values.append(word.removeprefix(f"{flag}="))
+        else:
+            rest.append(word)
+    if values:
+        rest.append(f"{flag}={_SEPARATOR.join(values)}")
+    return rest
+
+
+def repeated(joined: str) -> tuple[str, ...]:
+    """Return the values that ``join_repeated`` joined."""
+    return tuple(joined.split(_SEPARATOR)) if joined else ()
+
+
+def keep_text(word: str) -> str:
+    """Quote what ``fire`` would read as a number, list or the like (``1e3``, ``007``)."""
+    if not word.startswith("-"):
+        return _quoted(word)
+    flag, equals, value = word.partition("=")
+    return f"{flag}={_quoted(value)}" if equals else word
+
+
+def _quoted(value: str) -> str:
+    return value if DefaultParseValue(value) == value else repr(value)
--- /dev/null
+++ b/src/rainsail/cli/resource_files.py
@@ -0,0 +1,76 @@
+"""Reading files of resources to apply: TOML (``[[resources]]``) or a JSON list."""
+
+import json
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from rainsail.cli.exit_codes import bad_input
+from rainsail.control.resource_json import kind_from_text, spec_from_json
+from rainsail.resources.specs import Kind
+
+
+@dataclass(frozen=True, slots=True)
+class DeclaredResource:
+    """One resource of a file; the spec is plain JSON, checked against its kind."""
+
+    kind: Kind
+    name: str
+    spec: dict[str, Any]
+
+
+def read_resources(path: Path) -> list[DeclaredResource]:
+    """Return the resources of a file, or end the command naming entry and field."""
+    entries = read_entries(path, "resources")
+    return [_declared(f"{path}: resources[{n}]", entry) for n, entry in enumerate(entries)]
+
+
+def read_entries(path: Path, key: str) -> list[Any]:
+    """Return the list under ``key`` of a TOML or JSON file (JSON may be the bare list)."""
+    tree = read_tree(path)
+    entries = tree.get(key) if isinstance(tree, dict) else tree
+    if not isinstance(entries, list):
+        raise bad_input(f"{path}: {key}: expected a list")
+    return entries
+
+
+def read_tree(path: Path) -> Any:
+    """Return the content of a TOML or JSON file, or end the command saying what is wrong."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise bad_input(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError as error:
+        raise bad_input(f"{path}: expected UTF-8 text: {error}") from None
+    try:
+        return json.loads(text) if path.suffix == ".json" else tomllib.loads(text)
+    except ValueError as error:
+        raise bad_input(f"{path}: {error}") from None
+
+
+def kind_of(text: str) -> Kind:
+    """Return the kind named, in any case; ends the command for another word."""
+    kind = kind_from_text(text)
+    if kind.is_error():
+        raise bad_input(kind.error.detail)
+    return kind.ok
+
+
+def _declared(where: str, entry: Any) -> DeclaredResource:
+    if not isinstance(entry, dict):
+        raise bad_input(f"{where}: expected a table with kind, name and spec")
+    for key in entry:
+        if key not in ("kind", "name", "spec"):
+            raise bad_input(f"{where}.{key}: unknown key")
+    kind = kind_from_text(str(entry.get("kind", "")))
+    if kind.is_error():
+        raise bad_input(f"{where}.{kind.error.detail}")
+    name = entry.get("name")
+    if not isinstance(name, str) or not name:
+        raise bad_input(f"{where}.name: expected a name")
+    spec = entry.get("spec", {})
+    checked = spec_from_json(kind.ok, spec)
+    if checked.is_error():
+        raise bad_input(f"{where}.{checked.error.detail}")
+    return DeclaredResource(kind.ok, name, spec)
--- a/src/rainsail/settings/model.py
+++ b/src/rainsail/settings/model.py
@@ -11,6 +11,7 @@
 
 from rainsail.batch.settings import BatchSettings
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.control.controllers.settings import ControllerSettings
 from rainsail.control.settings import ControlSettings
 from rainsail.emulator.settings import EngineSettings, MachineListSettings, WeightStoreSettings
 from rainsail.gateway.settings import GatewaySettings
@@ -70,6 +71,9 @@
         default=ControlSettings.model_validate({}),
         description="Resources, watches and their clients",
     )
+    controllers: ControllerSettings = Field(
+        default=ControllerSettings.model_validate({}), description="Reconcile loops of the leader"
+    )
     state: StateSettings = Field(
         default=StateSettings.model_validate({}), description="The replicated state"
     )
@@ -139,7 +143,7 @@
         names = [entry.name for entry in self.replicas]
         if Role.REPLICA not in self.process.roles or not names:
             return
-        if len(names) > 1 and self.process.name not in names and not self.gateways:
+        if self.process.name not in names and not self.gateways:
             raise ValueError(
                 f"process.name: expected one of the replicas ({', '.join(names)}) "
                 f"for the replica role, got {self.process.name!r}"
