Show sessions' places and run the first reconcile loops

Cause: gateways read a declared session before they attach it, and nobody yet told runners what to load. Change: a Session resource begins a session; its place is shown in the status after each attachment. Readers tell whether a holder still holds an item under its fence.

--- /dev/null
+++ b/src/rainsail/control/controllers/placement.py
@@ -0,0 +1,173 @@
+"""Placement and roll-out: tells runners which version and adapters to load, in step.
+
+The controller writes ``loading_version``, ``adapters`` and a raised ``fence`` into the status of a
+runner; the gateway that owns the runner sends the order under that fence and reports back, also
+whether it is ready: an engine may answer with its old version while it fetches the next. Here it
+counts as answering nobody from the order on. Every write expects the revision that the decision
+was made on, so a lost race is planned anew.
+"""
+
+from dataclasses import replace
+
+from rainsail.control.controllers.conditions import READY, ROLLING_OUT, with_condition
+from rainsail.control.controllers.machines import MachineView
+from rainsail.control.controllers.planner import FirstSeen
+from rainsail.control.controllers.rollout import (
+    RolloutView,
+    choose_switches,
+    is_complete,
+    ready_count,
+)
+from rainsail.control.controllers.runner_view import RunnerView, view_runners
+from rainsail.control.controllers.settings import ControllerSettings
+from rainsail.resources.specs import (
+    AdapterSpec,
+    Condition,
+    Kind,
+    ModelVersionSpec,
+    Resource,
+    ResourceKey,
+    RunnerStatus,
+    ServiceSpec,
+    ServiceStatus,
+)
+from rainsail.state.commands import Command, PutStatus
+from rainsail.state.interface import ReplicatedReader
+
+
+class PlacementPlanner:
+    """Plans loads for every service and reports how far each has come."""
+
+    name = "placement"
+
+    def __init__(self, settings: ControllerSettings, machines: MachineView | None = None) -> None:
+        self._settings = settings
+        self._machines = machines
+        self._loads = FirstSeen()
+        self._adapter_changes: dict[str, float] = {}
+
+    def begin(self) -> None:
+        """Count the age of every load afresh."""
+        self._loads.clear()
+        self._adapter_changes.clear()
+
+    def plan(self, state: ReplicatedReader, now_s: float) -> list[Command]:
+        """Return status changes of runners and services."""
+        runners = view_runners(state, self._machines)
+        stalled = self._stalled(runners, now_s)
+        places = self._places(runners, stalled, now_s)
+        commands: list[Command] = []
+        for service in state.list_resources(Kind.SERVICE):
+            if not isinstance(service.spec, ServiceSpec):
+                continue
+            own = tuple(each for each in runners if each.spec.service == service.key.name)
+            problem = version_problem(state, service.key.name, service.spec.active_version)
+            if problem:
+                commands += _report(service, 0, False, problem)
+                continue
+            view = RolloutView(
+                service.spec.active_version,
+                service.spec.runners,
+                own,
+                stalled,
+                places,
+                self._settings.max_concurrent_loads,
+            )
+            adapters = wanted_adapters(state, service.key.name)
+            switches = choose_switches(view)
+            commands += [_switch(runner, view.version, adapters) for runner in switches]
+            places -= sum(1 for runner in switches if not runner.loading)
+            changes = self._adapter_commands(view, adapters, places, now_s)
+            places -= len(changes)
+            commands += changes
+            commands += report_rollout(service, view)
+        return commands
+
+    def _stalled(self, runners: list[RunnerView], now_s: float) -> frozenset[str]:
+        loading = [runner for runner in runners if runner.loading]
+        keys: list[object] = [(each.name, each.target, each.status.fence) for each in loading]
+        ages_s = self._loads.ages_s(keys, now_s)
+        return frozenset(
+            runner.name
+            for runner, age_s in zip(loading, ages_s, strict=True)
+            if age_s >= self._settings.load_stall_s
+        )
+
+    def _places(self, runners: list[RunnerView], stalled: frozenset[str], now_s: float) -> int:
+        """Return how many further loads the weight store may be asked for."""
+        pacing_s = self._settings.adapter_pacing_s
+        self._adapter_changes = {
+            name: since_s
+            for name, since_s in self._adapter_changes.items()
+            if now_s - since_s < pacing_s
+        }
+        loading = sum(1 for each in runners if each.loading and each.name not in stalled)
+        return self._settings.max_concurrent_loads - loading - len(self._adapter_changes)
+
+    def _adapter_commands(
+        self, view: RolloutView, adapters: tuple[str, ...], places: int, now_s: float
+    ) -> list[Command]:
+        outdated = [
+            runner
+            for runner in view.runners
+            if runner.serving == view.version and runner.status.adapters != adapters
+        ]
+        chosen = outdated[: max(0, places)]
+        for runner in chosen:
+            self._adapter_changes[runner.name] = now_s
+        return [_put(runner, replace(runner.status, adapters=adapters)) for runner in chosen]
+
+
+def version_problem(state: ReplicatedReader, service: str, version: str) -> str:
+    """Return why a version can't be loaded, or an empty string."""
+    if not version:
+        return "no active version"
+    resource = state.get(ResourceKey(Kind.MODEL_VERSION, version))
+    if resource is None or not isinstance(resource.spec, ModelVersionSpec):
+        return f"version {version} is not declared"
+    if resource.spec.service != service:
+        return f"version {version} is one of service {resource.spec.service}"
+    return ""
+
+
+def wanted_adapters(state: ReplicatedReader, service: str) -> tuple[str, ...]:
+    """Return the names of a service's adapters in order."""
+    return tuple(
+        resource.key.name
+        for resource in state.list_resources(Kind.ADAPTER)
+        if isinstance(resource.spec, AdapterSpec) and resource.spec.service == service
+    )
+
+
+def _switch(runner: RunnerView, version: str, adapters: tuple[str, ...]) -> PutStatus:
+    return _put(runner, replace(runner.status, loading_version=version, adapters=adapters))
+
+
+def _put(runner: RunnerView, status: RunnerStatus) -> PutStatus:
+    resource = runner.resource
+    ordered = replace(status, fence=runner.status.fence + 1)
+    return PutStatus(resource.key, ordered, resource.conditions, resource.revision)
+
+
+def report_rollout(service: Resource, view: RolloutView) -> list[Command]:
+    """Return the report of a service's progress, or nothing when it is stored already."""
+    ready = ready_count(view)
+    complete = is_complete(view)
+    reason = f"{ready} of {view.wanted} runners ready with {view.version}"
+    return _report(service, ready, not complete, reason, view.version if complete else None)
+
+
+def _report(
+    service: Resource, ready: int, rolling: bool, reason: str, reached: str | None = None
+) -> list[Command]:
+    before = service.status if isinstance(service.status, ServiceStatus) else ServiceStatus()
+    status = ServiceStatus(ready, before.ready_version if reached is None else reached)
+    spec = service.spec
+    is_ready = isinstance(spec, ServiceSpec) and ready >= spec.runners and bool(ready)
+    conditions = service.conditions
+    for type_, value in ((READY, is_ready), (ROLLING_OUT, rolling)):
+        condition = Condition(type_, value, reason, service.generation)
+        conditions = with_condition(conditions, condition)
+    if (status, conditions) == (service.status, service.conditions):
+        return []
+    return [PutStatus(service.key, status, conditions, service.revision)]
--- /dev/null
+++ b/src/rainsail/control/controllers/retention.py
@@ -0,0 +1,79 @@
+"""Forgets what nobody needs any more: finished and never accepted jobs, departed gateways.
+
+Ages count from when this leader first saw the thing, so that a change of leader keeps it longer,
+never shorter, and no replica needs to agree on a clock.
+"""
+
+from collections.abc import Callable
+
+from rainsail.control.controllers.planner import FirstSeen
+from rainsail.control.controllers.settings import ControllerSettings
+from rainsail.resources.specs import Kind
+from rainsail.state.commands import Command, DeleteResource, ForgetJob, JobPhase, JobView
+from rainsail.state.interface import ReplicatedReader
+
+GatewayLastSeen = Callable[[str], float | None]
+"""Returns when a gateway was last heard of in the leader's monotonic seconds, if ever."""
+
+
+class JobRetentionPlanner:
+    """Forgets jobs a while after they have finished, or when they were never accepted."""
+
+    name = "job_retention"
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        self._settings = settings
+        self._seen = FirstSeen()
+
+    def begin(self) -> None:
+        """Start counting ages afresh."""
+        self._seen.clear()
+
+    def plan(self, state: ReplicatedReader, now_s: float) -> list[Command]:
+        """Return a ``ForgetJob`` for each job that is past its retention."""
+        jobs = [job for job in state.jobs() if job.phase is not JobPhase.SEALED]
+        ages_s = self._seen.ages_s([(job.job_id, job.phase) for job in jobs], now_s)
+        return [
+            ForgetJob(job.job_id)
+            for job, age_s in zip(jobs, ages_s, strict=True)
+            if age_s >= self._retention_s(job)
+        ]
+
+    def _retention_s(self, job: JobView) -> float:
+        if job.phase is JobPhase.OPEN:
+            return self._settings.open_job_retention_s
+        return self._settings.job_retention_s
+
+
+class GatewayRetentionPlanner:
+    """Deletes Gateway resources of gateways that have not been heard of for long."""
+
+    name = "gateway_retention"
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        self._settings = settings
+        self._last_seen: GatewayLastSeen | None = None
+        self._seen = FirstSeen()
+
+    def set_last_seen(self, last_seen: GatewayLastSeen) -> None:
+        """Say how to find out when a gateway was last heard of; without it none is deleted."""
+        self._last_seen = last_seen
+
+    def begin(self) -> None:
+        """Start counting ages afresh."""
+        self._seen.clear()
+
+    def plan(self, state: ReplicatedReader, now_s: float) -> list[Command]:
+        """Return a deletion for each gateway that has been silent past its retention."""
+        if self._last_seen is None:
+            return []
+        gateways = state.list_resources(Kind.GATEWAY)
+        ages_s = self._seen.ages_s([gateway.key for gateway in gateways], now_s)
+        commands: list[Command] = []
+        for gateway, age_s in zip(gateways, ages_s, strict=True):
+            heard_s = self._last_seen(gateway.key.name)
+            silent_s = age_s if heard_s is None else min(age_s, now_s - heard_s)
+            if silent_s >= self._settings.gateway_retention_s:
+                change_id = f"gateway-retention/{gateway.key.name}/{gateway.revision}"
+                commands.append(DeleteResource(change_id, gateway.key, gateway.revision))
+        return commands
--- a/src/rainsail/state/interface.py
+++ b/src/rainsail/state/interface.py
@@ -5,7 +5,14 @@
 from typing import Protocol
 
 from rainsail.resources.specs import Kind, Resource, ResourceKey, WatchEvent
-from rainsail.state.commands import Command, CommandOutcome, ItemPhase, JobView, SessionView
+from rainsail.state.commands import (
+    Command,
+    CommandOutcome,
+    ItemPhase,
+    ItemRef,
+    JobView,
+    SessionView,
+)
 
 
 class StateMachine(Protocol):
@@ -76,6 +83,14 @@
         """Return every holder with a live lease, sorted."""
         ...
 
+    def held_by(self, holder: str) -> list[ItemRef]:
+        """Return the items leased to a holder, by job and index."""
+        ...
+
+    def holds(self, holder: str, ref: ItemRef) -> bool:
+        """Tell whether an item is still leased to the holder under exactly this fence."""
+        ...
+
     def backlog(self, service: str) -> int:
         """Return the number of pending items of a service's sealed jobs."""
         ...
--- a/src/rainsail/state/item_leases.py
+++ b/src/rainsail/state/item_leases.py
@@ -79,7 +79,7 @@
         """Return the items leased to a holder, by job and index."""
         return [self._ref(*held) for held in sorted(self._held.get(holder, ()))]
 
-    def is_current(self, holder: str, ref: ItemRef) -> bool:
+    def holds(self, holder: str, ref: ItemRef) -> bool:
         """Tell whether an item is still leased to the holder under this fence."""
         lease = self._lease(ref)
         return lease is not None and (lease.holder, lease.fence) == (holder, ref.fence)
@@ -137,7 +137,7 @@
         """
         known = self._requests.first_answer(command.holder, command.request_id)
         if known is not None:
-            current = [ref for ref in known if self.is_current(command.holder, ref)]
+            current = [ref for ref in known if self.holds(command.holder, ref)]
             return self._leased([self._leased_item(ref) for ref in current], command.service)
         items = self._lease_new(command)
         refs = tuple(item.ref for item in items)
@@ -213,7 +213,7 @@
             return CommitVerdict.ALREADY_COMMITTED
         if phase == CANCELLED:
             return CommitVerdict.CANCELLED
-        if not self.is_current(holder, ref):
+        if not self.holds(holder, ref):
             return CommitVerdict.FENCED
         self._end_lease(job, job.leases[ref.index])
         custom_id = job.items.body(ref.index).custom_id
@@ -228,7 +228,7 @@
     def give_back(self, command: ReturnItems) -> Done:
         """Take items back; those that are no longer the holder's are left alone."""
         for item in command.items:
-            if self.is_current(command.holder, item.ref):
+            if self.holds(command.holder, item.ref):
                 self._take_back(self._jobs[item.ref.job_id], item)
         return Done()
 
--- a/src/rainsail/state/machine.py
+++ b/src/rainsail/state/machine.py
@@ -75,7 +75,7 @@
         leases = self._ledger.leases
         return {
             NoOperation: lambda command: Done(),
-            PutResource: self._once(self._resources.put),
+            PutResource: self._once(self._put),
             DeleteResource: self._once(self._delete),
             PutStatus: self._resources.put_status,
             MarkInForce: self._resources.mark_in_force,
@@ -90,7 +90,7 @@
             RevokeLeases: leases.revoke,
             ClaimRequest: self._claims.claim,
             FinishRequest: self._claims.finish,
-            AttachSession: self._sessions.attach,
+            AttachSession: self._attach,
             AppendTurn: self._sessions.append_turn,
         }
 
@@ -106,6 +106,18 @@
 
         return apply_once
 
+    def _put(self, command: PutResource) -> CommandOutcome:
+        outcome = self._resources.put(command)
+        if isinstance(outcome, ResourceChanged) and command.key.kind is Kind.SESSION:
+            self._sessions.declare(command.key.name)
+        return outcome
+
+    def _attach(self, command: AttachSession) -> CommandOutcome:
+        outcome = self._sessions.attach(command)
+        if isinstance(outcome, SessionView):
+            self._resources.report_session(outcome)
+        return outcome
+
     def _delete(self, command: DeleteResource) -> CommandOutcome:
         outcome = self._resources.delete(command)
         if isinstance(outcome, ResourceChanged) and command.key.kind is Kind.SESSION:
@@ -207,9 +219,9 @@
         """Return the items leased to a holder, by job and index."""
         return self._ledger.leases.held_by(holder)
 
-    def is_current(self, holder: str, ref: ItemRef) -> bool:
+    def holds(self, holder: str, ref: ItemRef) -> bool:
         """Tell whether an item is still leased to the holder under this fence."""
-        return self._ledger.leases.is_current(holder, ref)
+        return self._ledger.leases.holds(holder, ref)
 
     def backlog(self, service: str) -> int:
         """Return the number of pending items of a service's sealed jobs."""
--- a/src/rainsail/state/resource_store.py
+++ b/src/rainsail/state/resource_store.py
@@ -16,6 +16,7 @@
     Kind,
     Resource,
     ResourceKey,
+    SessionStatus,
     WatchEvent,
 )
 from rainsail.state.commands import (
@@ -26,6 +27,7 @@
     PutResource,
     PutStatus,
     ResourceChanged,
+    SessionView,
 )
 from rainsail.state.faults import conflict, invalid, not_found
 from rainsail.wire.codec import wire_record
@@ -129,6 +131,15 @@
         )
         return self._store(changed)
 
+    def report_session(self, view: SessionView) -> None:
+        """Show a session's place in its resource's status, when it has a resource."""
+        current = self.get(ResourceKey(Kind.SESSION, view.session))
+        if current is None:
+            return
+        status = SessionStatus(view.runner, view.gateway, view.fence, len(view.turns))
+        if status != current.status:
+            self._store(replace(current, status=status, revision=self.revision + 1))
+
     def mark_in_force(self, command: MarkInForce) -> Done:
         """Raise the revision that is in force everywhere; it never falls or runs ahead."""
         reached = min(command.revision, self.revision)
--- a/src/rainsail/state/sessions.py
+++ b/src/rainsail/state/sessions.py
@@ -1,4 +1,9 @@
-"""Sessions: where each lives, under which fence, and its transcript."""
+"""Sessions: where each lives, under which fence, and its transcript.
+
+A session begins with its resource, or with its first attachment. One that was deleted and is
+declared again begins at the highest fence of any deleted session, so that nothing that was sent
+under an old fence counts for the new one.
+"""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -10,6 +15,9 @@
 from rainsail.state.faults import conflict, fenced, invalid, not_found
 from rainsail.wire.codec import wire_record
 
+NEVER_ATTACHED = -1
+"""``attached_from`` of a session that has no place yet."""
+
 
 @wire_record
 @dataclass(frozen=True, slots=True)
@@ -33,18 +41,30 @@
 
     __slots__ = ("attached_from", "fence", "gateway", "name", "runner", "turns")
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, fence: int) -> None:
         self.name = name
         self.gateway = ""
         self.runner = ""
-        self.fence = 0
-        self.attached_from = 0
+        self.fence = fence
+        self.attached_from = NEVER_ATTACHED
         self.turns: list[Turn] = []
 
     def view(self) -> SessionView:
         """Return the session as a value."""
         return SessionView(self.name, self.gateway, self.runner, self.fence, tuple(self.turns))
 
+    def pin(self, command: AttachSession) -> None:
+        """Take the place of an attachment under the next fence."""
+        self.attached_from = command.expected_fence
+        self.fence += 1
+        self.gateway = command.gateway
+        self.runner = command.runner
+
+
+def _is_resent(session: Session, command: AttachSession) -> bool:
+    asked = (command.expected_fence, command.gateway, command.runner)
+    return asked == (session.attached_from, session.gateway, session.runner)
+
 
 class SessionStore:
     """All sessions. A removed session's fences are not used again under its name."""
@@ -58,44 +78,33 @@
         session = self._sessions.get(name)
         return None if session is None else session.view()
 
+    def declare(self, name: str) -> None:
+        """Begin a session whose resource was put, unless it is there already."""
+        if name not in self._sessions:
+            self._sessions[name] = Session(name, self._fence_floor)
+
     def attach(self, command: AttachSession) -> SessionView | Fault:
         """Pin a session to a gateway and runner under a new fence.
 
-        A session that is not there is expected at fence 0 and created. The same attachment sent
-        again gets the same answer; any other with an old fence is a conflict.
+        A session that is not there is begun. The same attachment sent again gets the same
+        answer; any other that expects an old fence is a conflict naming the current one.
         """
         if not command.session:
             return invalid("attach_session", "a session needs a name")
-        session = self._sessions.get(command.session)
-        if session is None:
-            return self._create(command)
-        if self._is_resent(session, command):
+        known = self._sessions.get(command.session)
+        session = known or Session(command.session, self._fence_floor)
+        if _is_resent(session, command):
             return session.view()
-        if command.expected_fence != session.fence:
+        if command.expected_fence != session.fence and known is not None:
             detail = f"session {command.session!r} is at fence {session.fence}"
             return conflict("attach_session", detail, current_revision=session.fence)
-        self._pin(session, command, session.fence + 1)
-        return session.view()
-
-    def _create(self, command: AttachSession) -> SessionView | Fault:
-        if command.expected_fence != 0:
+        if command.expected_fence not in (0, session.fence):
             detail = f"there is no session {command.session!r}"
-            return conflict("attach_session", detail, current_revision=0)
-        session = Session(command.session)
+            return conflict("attach_session", detail, current_revision=session.fence)
         self._sessions[command.session] = session
-        self._pin(session, command, self._fence_floor + 1)
+        session.pin(command)
         return session.view()
 
-    def _pin(self, session: Session, command: AttachSession, fence: int) -> None:
-        session.attached_from = command.expected_fence
-        session.fence = fence
-        session.gateway = command.gateway
-        session.runner = command.runner
-
-    def _is_resent(self, session: Session, command: AttachSession) -> bool:
-        asked = (command.expected_fence, command.gateway, command.runner)
-        return asked == (session.attached_from, session.gateway, session.runner)
-
     def append_turn(self, command: AppendTurn) -> Done | Fault:
         """Append a turn; a turn that is there already is not appended again."""
         session = self._sessions.get(command.session)
@@ -131,10 +140,9 @@
             self._fence_floor = record.fence
             return
         view = record.view
-        session = Session(view.session)
+        session = Session(view.session, view.fence)
         session.gateway = view.gateway
         session.runner = view.runner
-        session.fence = view.fence
         session.attached_from = record.attached_from
         session.turns = list(view.turns)
         self._sessions[view.session] = session
