--- a/src/rainsail/emulator/engine.py
+++ b/src/rainsail/emulator/engine.py
@@ -367,6 +367,15 @@
         until_s = now + self._settings.retain_chunks_s
         self._retained.append((until_s, attempt.request.attempt_id))
 
+    def waiting_requests(self) -> list[GenerateRequest]:
+        """Return the requests that wait for a place in the batch, in order."""
+        return [self._by_sequence[each].request for each in self._scheduler.waiting_sequences()]
+
+    def running_requests(self) -> list[GenerateRequest]:
+        """Return the requests in the running batch."""
+        waiting = set(self._scheduler.waiting_sequences())
+        return [a.request for each, a in self._by_sequence.items() if each not in waiting]
+
     def _is_idle(self) -> bool:
         return self._scheduler.running == 0
 
--- /dev/null
+++ b/src/rainsail/emulator/machine_list.py
@@ -0,0 +1,56 @@
+"""The emulated list of machines, behind the truth by a setting; and its HTTP form."""
+
+from typing import Any
+
+from expression import Ok, Result
+from klein import Klein
+from twisted.internet.defer import Deferred, succeed
+
+from rainsail.emulator.settings import MachineListSettings
+from rainsail.errors import Fault
+from rainsail.platform.machine_list import MACHINES, Machine, MachineState
+from rainsail.runtime.clock import Clock
+
+
+class EmulatedMachineList:
+    """Takes changes at once and shows them ``lag_s`` later; implements ``MachineListClient``."""
+
+    def __init__(self, clock: Clock, settings: MachineListSettings | None = None) -> None:
+        self._clock = clock
+        self._settings = settings or MachineListSettings.model_validate({})
+        self._shown: dict[str, Machine] = {}
+
+    def seed(self, machines: tuple[Machine, ...]) -> None:
+        """Show machines without a lag: the fleet as it was set up."""
+        for machine in machines:
+            self._shown[machine.name] = machine
+
+    def put(self, name: str, address: str, state: MachineState = MachineState.LIVE) -> None:
+        """Add or change a machine."""
+        machine = Machine(name, address, state)
+        self._clock.callLater(self._settings.lag_s, self._shown.__setitem__, name, machine)
+
+    def remove(self, name: str) -> None:
+        """Take a machine off the list."""
+        self._clock.callLater(self._settings.lag_s, self._shown.pop, name, None)
+
+    def machines(self) -> tuple[Machine, ...]:
+        """Return the machines as shown now, in name order."""
+        return tuple(self._shown[name] for name in sorted(self._shown))
+
+    def fetch(self) -> "Deferred[Result[tuple[Machine, ...], Fault]]":
+        """Return the machines as shown now."""
+        return succeed(Ok(self.machines()))
+
+
+class MachineListServer:
+    """Serves ``GET /machines``; mount ``app.resource()`` on a site."""
+
+    def __init__(self, machines: EmulatedMachineList) -> None:
+        self.app = Klein()
+        self._machines = machines
+        self.app.route("/machines", methods=["GET"])(self._list)
+
+    def _list(self, request: Any) -> bytes:
+        request.setHeader(b"content-type", b"application/json")
+        return MACHINES.dump_json(self._machines.machines())
--- a/src/rainsail/emulator/weight_store.py
+++ b/src/rainsail/emulator/weight_store.py
@@ -27,12 +27,19 @@
         self._loads: list[_Load] = []
         self._shared_at_s = clock.seconds()
         self._timer: Any = None
+        self._divisor = 1.0
 
     @property
     def loads_under_way(self) -> int:
         """The number of loads that share the rate now."""
         return len(self._loads)
 
+    def slow_down(self, divisor: float) -> None:
+        """Divide the configured rate by ``divisor`` from now on (1.0: the full rate again)."""
+        self._share_out()
+        self._divisor = divisor
+        self._schedule()
+
     def fetch(self, weight_bytes: int) -> "Deferred[None]":
         """Load ``weight_bytes``; fires when they are there; can be cancelled."""
         if weight_bytes <= 0:
@@ -51,7 +58,7 @@
     def _share_out(self) -> None:
         now = self._clock.seconds()
         if self._loads:
-            rate = self._settings.bytes_per_second / len(self._loads)
+            rate = self._rate() / len(self._loads)
             for load in self._loads:
                 load.remaining_bytes -= (now - self._shared_at_s) * rate
         self._shared_at_s = now
@@ -63,9 +70,12 @@
         if not self._loads:
             return
         least = max(0.0, min(load.remaining_bytes for load in self._loads))
-        delay_s = least * len(self._loads) / self._settings.bytes_per_second
+        delay_s = least * len(self._loads) / self._rate()
         self._timer = self._clock.callLater(delay_s, self._finish_due)
 
+    def _rate(self) -> float:
+        return self._settings.bytes_per_second / self._divisor
+
     def _finish_due(self) -> None:
         self._share_out()
         finished = [load for load in self._loads if load.remaining_bytes <= _BYTES_DONE]
--- /dev/null
+++ b/src/rainsail/engine/sse.py
@@ -0,0 +1,85 @@
+"""An incremental parser of server-sent events, written for many small frames.
+
+Frames of one ``data:`` line ended by a blank line (what engines send) take a short path; every
+other form that the WHATWG specification allows (CR line ends, comments, event names, several
+data lines) is understood too.
+"""
+
+from dataclasses import dataclass
+
+DEFAULT_MAX_FRAME_BYTES = 4 * 1024 * 1024
+_DATA_PREFIX = b"data: "
+_DATA_PREFIX_LENGTH = len(_DATA_PREFIX)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSentEvent:
+    """One event: its name (``message`` when none was given) and its data."""
+
+    name: str
+    data: bytes
+
+
+class SseError(ValueError):
+    """A frame that is longer than allowed."""
+
+
+class SseParser:
+    """Turns received bytes into the data of events, whatever the boundaries of the reads."""
+
+    def __init__(self, max_frame_bytes: int = DEFAULT_MAX_FRAME_BYTES) -> None:
+        self._max_frame_bytes = max_frame_bytes
+        self._rest = b""
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of a frame that is not complete yet."""
+        return len(self._rest)
+
+    def feed(self, data: bytes) -> list[ServerSentEvent]:
+        """Take bytes; return the events completed by them. Raises ``SseError``."""
+        return [event for frame in self._frames(data) if (event := _parse_frame(frame)) is not None]
+
+    def feed_data(self, data: bytes) -> list[bytes]:
+        """Take bytes; return only the data of the events completed by them (the fast path)."""
+        found = []
+        for frame in self._frames(data):
+            if frame.startswith(_DATA_PREFIX) and b"\n" not in frame:
+                found.append(frame[_DATA_PREFIX_LENGTH:])
+                continue
+            event = _parse_frame(frame)
+            if event is not None:
+                found.append(event.data)
+        return found
+
+    def _frames(self, data: bytes) -> list[bytes]:
+        if self._rest:
+            data = self._rest + data
+        if b"\r" in data:
+            data = self._normalise(data)
+        frames = data.split(b"\n\n")
+        self._rest = frames.pop()
+        if len(self._rest) > self._max_frame_bytes:
+            raise SseError(f"a frame is longer than {self._max_frame_bytes} bytes")
+        return frames
+
+    @staticmethod
+    def _normalise(data: bytes) -> bytes:
+        """Make every line end a line feed; a final CR waits, as an LF may follow."""
+        held = b"\r" if data.endswith(b"\r") else b""
+        body = data[:-1] if held else data
+        return body.replace(b"\r\n", b"\n").replace(b"\r", b"\n") + held
+
+
+def _parse_frame(frame: bytes) -> ServerSentEvent | None:
+    name = "message"
+    lines = []
+    for line in frame.split(b"\n"):
+        field, _, value = line.partition(b":")
+        if value.startswith(b" "):
+            value = value[1:]
+        if field == b"data":
+            lines.append(value)
+        elif field == b"event":
+            name = value.decode("utf-8", "replace")
+    return ServerSentEvent(name, b"\n".join(lines)) if lines else None
--- /dev/null
+++ b/src/rainsail/platform/machine_list.py
@@ -0,0 +1,83 @@
+"""The platform's list of live and leaving machines, read over HTTP.
+
+The list lags behind the machines; it is one hint among others (an engine's own word, missed
+heartbeats), and the earliest sign of leaving counts.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+from expression import Error, Ok, Result
+from pydantic import TypeAdapter, ValidationError
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from rainsail.errors import Fault, FaultCode
+
+MAX_LIST_BYTES = 8 * 1024 * 1024
+"""A longer answer is refused; 12,000 machines take about 1.5 MB."""
+
+_FETCH_STEP = "machine_list.fetch"
+
+
+class MachineState(StrEnum):
+    """Whether a machine is to be used."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """One machine as the platform lists it; ``address`` is host and port, or a base URL."""
+
+    name: str
+    address: str
+    state: MachineState = MachineState.LIVE
+
+
+MACHINES = TypeAdapter(tuple[Machine, ...])
+"""Validates and writes the list's JSON form."""
+
+
+class MachineListClient(Protocol):
+    """Reads the list."""
+
+    def fetch(self) -> "Deferred[Result[tuple[Machine, ...], Fault]]":
+        """Return the machines in name order; never errbacks."""
+        ...
+
+
+class HttpMachineListClient:
+    """Reads the list from ``GET <base URL>/machines``."""
+
+    def __init__(self, agent: Any, base_url: str, timeout_s: float = 5.0) -> None:
+        self._http = HTTPClient(agent)
+        self._url = f"{base_url.rstrip('/')}/machines"
+        self._timeout_s = timeout_s
+
+    def fetch(self) -> "Deferred[Result[tuple[Machine, ...], Fault]]":
+        """Read the list; UNAVAILABLE when it cannot be had, INTERNAL when it is malformed."""
+        fetched: Deferred[Any] = Deferred.fromCoroutine(self._fetch())
+        return fetched.addErrback(self._failed)
+
+    async def _fetch(self) -> Result[tuple[Machine, ...], Fault]:
+        response = await self._http.get(self._url, timeout=self._timeout_s)
+        if response.length > MAX_LIST_BYTES if isinstance(response.length, int) else False:
+            return Error(self._fault(FaultCode.TOO_LARGE, f"{response.length} bytes"))
+        body = await response.content()
+        if response.code != 200:
+            return Error(self._fault(FaultCode.UNAVAILABLE, f"status {response.code}"))
+        try:
+            return Ok(MACHINES.validate_json(body))
+        except ValidationError as error:
+            detail = f"malformed list: {error.error_count()} errors"
+            return Error(self._fault(FaultCode.INTERNAL, detail))
+
+    def _failed(self, failure: Failure) -> Result[tuple[Machine, ...], Fault]:
+        return Error(self._fault(FaultCode.UNAVAILABLE, str(failure.value) or str(failure.type)))
+
+    def _fault(self, code: FaultCode, detail: str) -> Fault:
+        return Fault(code, _FETCH_STEP, detail, self._url)
