--- a/src/rainsail/control/controllers/placement.py
+++ b/src/rainsail/control/controllers/placement.py
@@ -7,7 +7,7 @@
 was made on, so a lost race is planned anew.
 """
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from rainsail.control.controllers.conditions import READY, ROLLING_OUT, with_condition
 from rainsail.control.controllers.machines import MachineView
@@ -35,6 +35,19 @@
 from rainsail.state.interface import ReplicatedReader
 
 
+@dataclass(frozen=True, slots=True)
+class _Ages:
+    """Seconds, under this leadership: of a load, of a runner's silence, of a service's version."""
+
+    load_s: dict[str, float]
+    silent_s: dict[str, float]
+    version_s: dict[str, float]
+
+
+def _spec(service: Resource) -> ServiceSpec:
+    return service.spec if isinstance(service.spec, ServiceSpec) else ServiceSpec()
+
+
 class PlacementPlanner:
     """Plans loads for every service and reports how far each has come."""
 
@@ -44,35 +57,30 @@
         self._settings = settings
         self._machines = machines
         self._loads = FirstSeen()
+        self._silences = FirstSeen()
+        self._versions = FirstSeen()
         self._adapter_changes: dict[str, float] = {}
 
     def begin(self) -> None:
         """Count the age of every load afresh."""
         self._loads.clear()
+        self._silences.clear()
+        self._versions.clear()
         self._adapter_changes.clear()
 
     def plan(self, state: ReplicatedReader, now_s: float) -> list[Command]:
         """Return status changes of runners and services."""
         runners = view_runners(state, self._machines)
-        stalled = self._stalled(runners, now_s)
-        places = self._places(runners, stalled, now_s)
+        services = state.list_resources(Kind.SERVICE)
+        ages = self._observe(runners, services, now_s)
+        places = self._places(runners, ages, now_s)
         commands: list[Command] = []
-        for service in state.list_resources(Kind.SERVICE):
-            if not isinstance(service.spec, ServiceSpec):
-                continue
-            own = tuple(each for each in runners if each.spec.service == service.key.name)
-            problem = version_problem(state, service.key.name, service.spec.active_version)
+        for service in services:
+            view = self._rollout_view(service, runners, ages, places)
+            problem = version_problem(state, service.key.name, view.version)
             if problem:
                 commands += _report(service, 0, False, problem)
                 continue
-            view = RolloutView(
-                service.spec.active_version,
-                service.spec.runners,
-                own,
-                stalled,
-                places,
-                self._settings.max_concurrent_loads,
-            )
             adapters = wanted_adapters(state, service.key.name)
             switches = choose_switches(view)
             commands += [_switch(runner, view.version, adapters) for runner in switches]
@@ -83,17 +91,39 @@
             commands += report_rollout(service, view)
         return commands
 
-    def _stalled(self, runners: list[RunnerView], now_s: float) -> frozenset[str]:
+    def _observe(self, runners: list[RunnerView], services: list[Resource], now_s: float) -> _Ages:
         loading = [runner for runner in runners if runner.loading]
-        keys: list[object] = [(each.name, each.target, each.status.fence) for each in loading]
-        ages_s = self._loads.ages_s(keys, now_s)
-        return frozenset(
-            runner.name
-            for runner, age_s in zip(loading, ages_s, strict=True)
-            if age_s >= self._settings.load_stall_s
+        load_keys = [(each.name, each.target, each.status.fence) for each in loading]
+        load_ages_s = self._loads.ages_s(load_keys, now_s)
+        names = [runner.name for runner in loading]
+        versions = [(each.key.name, _spec(each).active_version) for each in services]
+        version_ages_s = self._versions.ages_s(versions, now_s)
+        return _Ages(
+            dict(zip(names, load_ages_s, strict=True)),
+            dict(zip(names, self._silences.ages_s(names, now_s), strict=True)),
+            dict(zip((name for name, _ in versions), version_ages_s, strict=True)),
+        )
+
+    def _rollout_view(
+        self, service: Resource, runners: list[RunnerView], ages: _Ages, places: int
+    ) -> RolloutView:
+        spec = _spec(service)
+        own = tuple(each for each in runners if each.spec.service == service.key.name)
+        version_age_s = ages.version_s[service.key.name]
+        return RolloutView(
+            spec.active_version,
+            spec.runners,
+            own,
+            frozenset(each.name for each in own if self._is_stalled(each, ages)),
+            frozenset(each.name for each in own if ages.silent_s.get(each.name, 0) > version_age_s),
+            places,
+            self._settings.max_concurrent_loads,
         )
 
-    def _places(self, runners: list[RunnerView], stalled: frozenset[str], now_s: float) -> int:
+    def _is_stalled(self, runner: RunnerView, ages: _Ages) -> bool:
+        return ages.load_s.get(runner.name, 0.0) >= self._settings.load_stall_s
+
+    def _places(self, runners: list[RunnerView], ages: _Ages, now_s: float) -> int:
         """Return how many further loads the weight store may be asked for."""
         pacing_s = self._settings.adapter_pacing_s
         self._adapter_changes = {
@@ -101,7 +131,7 @@
             for name, since_s in self._adapter_changes.items()
             if now_s - since_s < pacing_s
         }
-        loading = sum(1 for each in runners if each.loading and each.name not in stalled)
+        loading = sum(1 for each in runners if each.loading and not self._is_stalled(each, ages))
         return self._settings.max_concurrent_loads - loading - len(self._adapter_changes)
 
     def _adapter_commands(
@@ -140,7 +170,10 @@
 
 
 def _switch(runner: RunnerView, version: str, adapters: tuple[str, ...]) -> PutStatus:
-    return _put(runner, replace(runner.status, loading_version=version, adapters=adapters))
+    """Return the order; a runner that is turned round counts again once its owner says so."""
+    ready = runner.status.ready and not runner.loading
+    status = replace(runner.status, loading_version=version, adapters=adapters, ready=ready)
+    return _put(runner, status)
 
 
 def _put(runner: RunnerView, status: RunnerStatus) -> PutStatus:
@@ -162,8 +195,7 @@
 ) -> list[Command]:
     before = service.status if isinstance(service.status, ServiceStatus) else ServiceStatus()
     status = ServiceStatus(ready, before.ready_version if reached is None else reached)
-    spec = service.spec
-    is_ready = isinstance(spec, ServiceSpec) and ready >= spec.runners and bool(ready)
+    is_ready = 0 < ready >= _spec(service).runners
     conditions = service.conditions
     for type_, value in ((READY, is_ready), (ROLLING_OUT, rolling)):
         condition = Condition(type_, value, reason, service.generation)
--- a/src/rainsail/control/controllers/planner.py
+++ b/src/rainsail/control/controllers/planner.py
@@ -1,5 +1,6 @@
 """What every reconcile loop is made of: a pure plan over the replicated state."""
 
+from collections.abc import Hashable, Sequence
 from typing import Protocol
 
 from rainsail.state.commands import Command
@@ -28,13 +29,13 @@
     """When each thing was first seen under this leadership, in the leader's monotonic seconds."""
 
     def __init__(self) -> None:
-        self._first_seen_s: dict[object, float] = {}
+        self._first_seen_s: dict[Hashable, float] = {}
 
     def clear(self) -> None:
         """Forget everything."""
         self._first_seen_s.clear()
 
-    def ages_s(self, keys: list[object], now_s: float) -> list[float]:
+    def ages_s(self, keys: Sequence[Hashable], now_s: float) -> list[float]:
         """Return for how long each key has been seen without a break; forget all others."""
         self._first_seen_s = {key: self._first_seen_s.get(key, now_s) for key in keys}
         return [now_s - self._first_seen_s[key] for key in keys]
--- a/src/rainsail/control/controllers/rollout.py
+++ b/src/rainsail/control/controllers/rollout.py
@@ -12,16 +12,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutView:
-    """One service's wish and its runners; ``stalled`` names runners whose load takes too long.
+    """One service's wish and its runners.
 
-    ``places`` is how many further loads the whole fleet may begin, ``max_loads`` how many of
-    this service may be under way at a time.
+    ``stalled`` names runners whose load takes too long, ``ill`` those that answered nobody
+    already when the version was chosen, so that they prove nothing about it. ``places`` is how
+    many further loads the whole fleet may begin, ``max_loads`` how many of this service may be
+    under way at a time.
     """
 
     version: str
     wanted: int
     runners: tuple[RunnerView, ...]
     stalled: frozenset[str]
+    ill: frozenset[str]
     places: int
     max_loads: int
 
@@ -46,13 +49,15 @@
     version still answers and none has become ready with this one.
     """
     pending = [
-        runner for runner in view.runners if runner.target == view.version and runner.loading
+        runner
+        for runner in view.runners
+        if runner.target == view.version and runner.loading and runner.name not in view.ill
     ]
     served = {runner.serving: None for runner in view.runners if runner.serving}
     suspicious = bool(served) and view.version not in served
     if not suspicious:
         pending = [runner for runner in pending if runner.name not in view.stalled]
-    return len(pending) + len(turned)
+    return len(pending) + sum(1 for runner in turned if runner.name not in view.ill)
 
 
 def _replaceable(view: RolloutView, others: list[RunnerView], places: int) -> list[RunnerView]:
