Assemble replicas and gateways and run a whole fleet on the virtual clock

Cause: the parts have to act together before any of them grows. Change: ReplicaNode and GatewayNode put the parts together over handed-in seams; a simulated fleet (5 replicas, a gateway per zone, the sites' engines) with callers, job clients and racing operators; nineteen kinds of fault drawn from the seed; a run that records a history, checks it and prints one JSON line; shrinking of fault plans.

--- /dev/null
+++ b/src/rainsail/assembly/gateway.py
@@ -0,0 +1,124 @@
+"""A gateway: caller requests, owned runners and the dispatcher of batch items."""
+
+from collections.abc import Generator
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from rainsail.assembly.seams import GatewaySeams
+from rainsail.batch.dispatcher import Dispatcher
+from rainsail.batch.intake import JobIntake
+from rainsail.batch.policies import make_policy
+from rainsail.batch.settings import BatchSettings
+from rainsail.control.config_view import ConfigView
+from rainsail.control.leader_client import LeaderClient
+from rainsail.control.settings import ControlSettings
+from rainsail.gateway.core import GatewayCore
+from rainsail.gateway.fleet import RunnerFleet
+from rainsail.gateway.runner_keeper import RunnerKeeper
+from rainsail.gateway.settings import GatewaySettings
+from rainsail.resources.specs import GatewaySpec
+from rainsail.wire.messenger import Messenger
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayConfig:
+    """What a gateway is told: its name, its place and the replicas of the root group."""
+
+    name: str
+    region: str
+    zone: str
+    replicas: tuple[str, ...]
+    control: ControlSettings = field(default_factory=ControlSettings)
+    gateway: GatewaySettings = field(default_factory=GatewaySettings)
+    batch: BatchSettings = field(default_factory=BatchSettings)
+
+
+class GatewayNode:
+    """Assembles a gateway; a restarted gateway is a new node with a new incarnation."""
+
+    def __init__(self, config: GatewayConfig, seams: GatewaySeams) -> None:
+        node = seams.node
+        self.config = config
+        self.incarnation = f"{node.random.getrandbits(64):016x}"
+        self.messenger = Messenger(node.transport, node.clock)
+        self.client = LeaderClient(
+            self.messenger, config.replicas, node.clock, node.random, config.control
+        )
+        self.view = ConfigView(
+            config.name,
+            self.incarnation,
+            GatewaySpec(config.region, config.zone, self.incarnation),
+            self.messenger,
+            self.client,
+            node.clock,
+            node.random,
+            config.control,
+        )
+        self.fleet = RunnerFleet(
+            config.name,
+            config.zone,
+            self.view,
+            seams.engine,
+            node.clock,
+            node.random,
+            config.gateway,
+        )
+        self.core = GatewayCore(
+            config.name,
+            self.incarnation,
+            config.zone,
+            self.view,
+            self.client,
+            seams.engine,
+            self.fleet,
+            node.clock,
+            node.random,
+            config.gateway,
+        )
+        self.keeper = RunnerKeeper(
+            config.name,
+            self.fleet,
+            self.view,
+            self.client,
+            seams.engine,
+            node.clock,
+            node.random,
+            config.gateway,
+        )
+        self.intake = JobIntake(self.client, node.clock, node.random, config.batch, node.wall_clock)
+        self.dispatcher = Dispatcher(
+            f"{config.name}/{self.incarnation}",
+            self.fleet,
+            self.view,
+            self.client,
+            seams.engine,
+            node.clock,
+            node.random,
+            config.batch,
+            make_policy(config.batch),
+        )
+
+    def start(self) -> None:
+        """Start following the configuration; work is taken once the first lease holds."""
+        self.view.start()
+        self.fleet.start()
+        self.core.start()
+        self.keeper.start()
+        self.dispatcher.start()
+
+    @inlineCallbacks
+    def planned_stop(self) -> Generator[Deferred[Any], Any, None]:
+        """Give batch items back, finish what callers wait for, then stop."""
+        batch_returned = self.dispatcher.stop()
+        yield self.core.drain()
+        yield batch_returned
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop every timer and subscription."""
+        self.keeper.stop()
+        self.core.stop()
+        self.fleet.stop()
+        self.view.stop()
--- /dev/null
+++ b/src/rainsail/assembly/machine_watch.py
@@ -0,0 +1,62 @@
+"""Follows the platform's machine list, so that planners can look at it without waiting."""
+
+from typing import Any
+
+from expression import Result
+
+from rainsail.control.controllers.machines import MachineState
+from rainsail.errors import Fault
+from rainsail.platform import machine_list
+from rainsail.platform.machine_list import Machine, MachineListClient
+from rainsail.runtime.clock import Clock
+
+FETCH_PERIOD_S = 2.0
+"""Seconds between two fetches; the list itself lags by more."""
+
+
+class MachineWatch:
+    """Keeps the last machine list that was fetched; implements ``MachineView``.
+
+    A machine that was listed once and is missing from a later list is gone. After a failed fetch
+    the last list stands: the list only ever takes runners out of use, it never brings work back.
+    """
+
+    def __init__(self, client: MachineListClient, clock: Clock) -> None:
+        self._client = client
+        self._clock = clock
+        self._states: dict[str, MachineState] = {}
+        self._timer: Any = None
+        self._stopped = False
+
+    def start(self) -> None:
+        """Fetch now and then every FETCH_PERIOD_S."""
+        self._client.fetch().addCallback(self._take)
+
+    def stop(self) -> None:
+        """Fetch no more."""
+        self._stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def machine_state(self, name: str) -> MachineState | None:
+        """Return what is known of a machine; None when it was never listed."""
+        return self._states.get(name)
+
+    def _take(self, result: Result[tuple[Machine, ...], Fault]) -> None:
+        if self._stopped:
+            return
+        if result.is_ok():
+            self._replace(result.ok)
+        self._timer = self._clock.callLater(FETCH_PERIOD_S, self.start)
+
+    def _replace(self, machines: tuple[Machine, ...]) -> None:
+        listed = {machine.name: _state(machine) for machine in machines}
+        for name in self._states:
+            listed.setdefault(name, MachineState.GONE)
+        self._states = listed
+
+
+def _state(machine: Machine) -> MachineState:
+    if machine.state == machine_list.MachineState.LEAVING:
+        return MachineState.LEAVING
+    return MachineState.LIVE
--- /dev/null
+++ b/src/rainsail/assembly/seams.py
@@ -0,0 +1,41 @@
+"""The seams that a node is built over."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rainsail.engine.interface import EngineClient
+from rainsail.platform.machine_list import MachineListClient
+from rainsail.runtime.clock import Clock
+from rainsail.storage.interface import FileSystem
+from rainsail.wire.messenger import Transport
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSeams:
+    """What every node needs from outside.
+
+    ``wall_clock`` returns Unix seconds; it serves only deadlines that callers state.
+    """
+
+    clock: Clock
+    transport: Transport
+    random: random.Random
+    wall_clock: Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaSeams:
+    """A replica's seams: a node's, its data folder and the platform's machine list."""
+
+    node: NodeSeams
+    files: FileSystem
+    machine_list: MachineListClient | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySeams:
+    """A gateway's seams: a node's and the client of the engines."""
+
+    node: NodeSeams
+    engine: EngineClient
--- /dev/null
+++ b/src/rainsail/cli/simulate.py
@@ -0,0 +1,93 @@
+"""``rainsail simulate`` and ``rainsail defects``."""
+
+from pathlib import Path
+
+from rainsail.cli.exit_codes import CommandEnd, ExitCode, bad_input
+from rainsail.cli.output import progress_bar
+from rainsail.experiment.history import write_history
+from rainsail.simulation.defects import DEFECTS, applied_defect
+from rainsail.simulation.fault_plan import FaultPlan, read_plan, write_plan
+from rainsail.simulation.run import RunResult, SimulationRun
+from rainsail.simulation.shrink import shrink_plan
+from rainsail.simulation.site_plan import SITES
+
+MOST_SHRINK_RUNS = 60
+
+
+def simulate(
+    site: str = "guayaquil",
+    seed: int = 1,
+    minutes: float = 2.0,
+    faults: str = "all",
+    defect: str = "",
+    history: str = "",
+    shrink: str = "",
+) -> None:
+    """Run a site on the virtual clock under failures and check its history.
+
+    Args:
+        site: guayaquil or taoyuan.
+        seed: every random choice of the run depends on it alone.
+        minutes: virtual minutes of traffic.
+        faults: "all" draws failures of every kind, "none" draws none, else a plan's file.
+        defect: name of a known-bad variant to run with (see ``rainsail defects``).
+        history: file to write the recorded history to (Avro).
+        shrink: file to write the shortest failing fault plan to, when the run fails.
+
+    Exit code 0 when no checker found a violation, 3 when one did. The last line on stdout is one
+    JSON object.
+    """
+    if site not in SITES:
+        raise bad_input(f"--site: expected one of {', '.join(SITES)}, got {site!r}")
+    if defect and defect not in DEFECTS:
+        raise bad_input(f"--defect: no known-bad variant {defect!r}; see rainsail defects")
+    with applied_defect(defect):
+        run = SimulationRun(SITES[site](), seed, minutes)
+        plan = _plan_of(faults, run)
+        with progress_bar("virtual seconds", minutes * 60) as bar:
+            done_s = 0.0
+
+            def progress(now_s: float) -> None:
+                nonlocal done_s
+                bar.advance(now_s - done_s)
+                done_s = now_s
+
+            result = run.run(plan, progress)
+        if history:
+            write_history(Path(history), run.history)
+        if shrink and result.violations:
+            _shrink(site, seed, minutes, plan, result, Path(shrink))
+    print(result.to_json(), flush=True)
+    if result.violations:
+        raise CommandEnd(ExitCode.VIOLATION)
+
+
+def _plan_of(faults: str, run: SimulationRun) -> FaultPlan:
+    if faults == "all":
+        return run.drawn_plan()
+    if faults == "none":
+        return FaultPlan()
+    read = read_plan(Path(faults))
+    if read.is_error():
+        raise bad_input(read.error.detail)
+    return read.ok
+
+
+def _shrink(
+    site: str, seed: int, minutes: float, plan: FaultPlan, failed: RunResult, target: Path
+) -> None:
+    """Write the shortest plan found that still breaks one of the same invariants."""
+    checkers = {violation.checker for violation in failed.violations}
+
+    def still_fails(candidate: FaultPlan) -> bool:
+        result = SimulationRun(SITES[site](), seed, minutes).run(candidate)
+        return any(violation.checker in checkers for violation in result.violations)
+
+    write_plan(target, shrink_plan(plan, still_fails, MOST_SHRINK_RUNS))
+    print(f"shortest failing plan written to {target}")
+
+
+def defects() -> None:
+    """List the known-bad variants, the checker that catches each, and how."""
+    for defect in DEFECTS.values():
+        print(f"{defect.name:24} {defect.checker:18} {defect.description}")
--- a/src/rainsail/runtime/clock.py
+++ b/src/rainsail/runtime/clock.py
@@ -9,7 +9,17 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from twisted.internet.interfaces import IDelayedCall
+
+class Timer(Protocol):
+    """A scheduled call; Twisted's ``IDelayedCall`` has these methods too."""
+
+    def active(self) -> int | bool:
+        """Tell whether the call is still to come."""
+        ...
+
+    def cancel(self) -> None:
+        """Take the call back; raises when it was made or taken back before."""
+        ...
 
 
 class Clock(Protocol):
@@ -21,7 +31,7 @@
 
     def callLater(
         self, delay: float, callable: Callable[..., Any], *args: object, **kw: object
-    ) -> IDelayedCall:
+    ) -> Timer:
         """Call ``callable`` after ``delay`` seconds; the returned timer can be cancelled."""
         ...
 
@@ -38,7 +48,7 @@
 
     def callLater(
         self, delay: float, callable: Callable[..., Any], *args: object, **kw: object
-    ) -> IDelayedCall:
+    ) -> Timer:
         """Schedule on the reactor."""
         return self._reactor.callLater(delay, callable, *args, **kw)
 
--- /dev/null
+++ b/src/rainsail/simulation/fault_plan.py
@@ -0,0 +1,146 @@
+"""Fault plans: which failure hits which target, when and for how long.
+
+A plan is drawn from a seed, written to and read from JSON, and shrunk by ``shrink``. All
+failures of a drawn plan end by ``end_s``, so that the rest of the run shows recovery.
+"""
+
+import random
+from enum import StrEnum
+from pathlib import Path
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from rainsail.errors import Fault, FaultCode
+
+
+class FaultKind(StrEnum):
+    """The failures that a run can bring about."""
+
+    ENGINE_CRASH = "engine_crash"
+    ENGINE_LINK_CUT = "engine_link_cut"
+    REPLICA_CRASH = "replica_crash"
+    REPLICA_DISK_LOSS = "replica_disk_loss"
+    SECOND_LOSS_AFTER_REPAIR = "second_loss_after_repair"
+    REPLICA_FREEZE = "replica_freeze"
+    SYNC_FAILURE = "sync_failure"
+    LEADER_SILENT_CUT = "leader_silent_cut"
+    ZONE_CUT = "zone_cut"
+    ONE_WAY_LOSS = "one_way_loss"
+    DEGRADED_NETWORK = "degraded_network"
+    GATEWAY_CRASH = "gateway_crash"
+    GATEWAY_FREEZE = "gateway_freeze"
+    LOST_ANSWERS = "lost_answers"
+    WEIGHT_STORE_STARVED = "weight_store_starved"
+    RUNNER_DRAIN = "runner_drain"
+    MACHINE_LEAVES = "machine_leaves"
+    GATEWAY_PLANNED_STOP = "gateway_planned_stop"
+    REPLICA_PLANNED_STOP = "replica_planned_stop"
+
+
+class FaultAction(BaseModel):
+    """One failure. ``target`` is a process, runner or zone name; empty: the run picks it."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    kind: FaultKind = Field(description="What fails.")
+    target: str = Field(description="Process, runner or zone; empty for the leader or for all.")
+    start_s: float = Field(ge=0, description="Virtual seconds from the start of the run.")
+    duration_s: float = Field(ge=0, description="How long it lasts, in virtual seconds.")
+
+
+class FaultPlan(BaseModel):
+    """The failures of one run, in order of their start."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    actions: tuple[FaultAction, ...] = Field(default=(), description="The failures.")
+
+
+class FaultTargets(BaseModel):
+    """What a plan can hit."""
+
+    model_config = ConfigDict(frozen=True)
+
+    replicas: tuple[str, ...]
+    gateways: tuple[str, ...]
+    runners: tuple[str, ...]
+    zones: tuple[str, ...]
+
+
+MEAN_GAP_S = 5.0
+"""Mean virtual time between the starts of two failures of a drawn plan."""
+
+FIRST_FAULT_S = 10.0
+"""The fleet has this long to start before the first failure."""
+
+_DISK_KINDS = (FaultKind.REPLICA_DISK_LOSS, FaultKind.SECOND_LOSS_AFTER_REPAIR)
+_DISK_LOSS_SPACING_S = 30.0
+
+
+def draw_plan(draw: random.Random, targets: FaultTargets, end_s: float) -> FaultPlan:
+    """Draw failures of all kinds, alone and overlapping, that end by ``end_s``.
+
+    Losses of disks keep ``_DISK_LOSS_SPACING_S`` apart (the pair that one
+    SECOND_LOSS_AFTER_REPAIR makes aside), since a group of five bears two at once.
+    """
+    actions = []
+    last_disk_loss_s = -_DISK_LOSS_SPACING_S
+    start_s = FIRST_FAULT_S + draw.expovariate(1 / MEAN_GAP_S)
+    while start_s < end_s - 2.0:
+        kind = draw.choice(list(FaultKind))
+        duration_s = min(draw.uniform(1.0, _longest_s(kind)), end_s - start_s)
+        near_disk_loss = start_s - last_disk_loss_s < _DISK_LOSS_SPACING_S
+        if kind not in _DISK_KINDS or not near_disk_loss:
+            target = _draw_target(draw, kind, targets)
+            actions.append(
+                FaultAction(kind=kind, target=target, start_s=start_s, duration_s=duration_s)
+            )
+            if kind in _DISK_KINDS:
+                last_disk_loss_s = start_s
+        start_s += draw.expovariate(1 / MEAN_GAP_S)
+    return FaultPlan(actions=tuple(actions))
+
+
+def _longest_s(kind: FaultKind) -> float:
+    long_kinds = (FaultKind.LEADER_SILENT_CUT, FaultKind.RUNNER_DRAIN, FaultKind.MACHINE_LEAVES)
+    return 30.0 if kind in long_kinds else 12.0
+
+
+def _draw_target(draw: random.Random, kind: FaultKind, targets: FaultTargets) -> str:
+    if kind in (FaultKind.LEADER_SILENT_CUT, FaultKind.DEGRADED_NETWORK, FaultKind.LOST_ANSWERS):
+        return ""
+    if kind == FaultKind.WEIGHT_STORE_STARVED:
+        return ""
+    if kind == FaultKind.ZONE_CUT:
+        return draw.choice(targets.zones)
+    if kind in (FaultKind.GATEWAY_CRASH, FaultKind.GATEWAY_FREEZE, FaultKind.GATEWAY_PLANNED_STOP):
+        return draw.choice(targets.gateways)
+    engine_kinds = (
+        FaultKind.ENGINE_CRASH,
+        FaultKind.ENGINE_LINK_CUT,
+        FaultKind.RUNNER_DRAIN,
+        FaultKind.MACHINE_LEAVES,
+    )
+    if kind in engine_kinds:
+        return draw.choice(targets.runners)
+    if kind == FaultKind.ONE_WAY_LOSS:
+        return draw.choice(targets.replicas + targets.gateways)
+    return draw.choice(targets.replicas)
+
+
+def read_plan(path: Path) -> Result[FaultPlan, Fault]:
+    """Read a plan from a JSON file."""
+    try:
+        return Ok(FaultPlan.model_validate_json(path.read_text()))
+    except OSError as error:
+        return Error(Fault(FaultCode.INVALID, "faults.read", f"{path}: {error.strerror}"))
+    except ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        return Error(Fault(FaultCode.INVALID, "faults.read", f"{path}: {place}: {first['msg']}"))
+
+
+def write_plan(path: Path, plan: FaultPlan) -> None:
+    """Write a plan as JSON that ``read_plan`` takes."""
+    path.write_text(plan.model_dump_json(indent=2) + "\n")
--- a/src/rainsail/simulation/network.py
+++ b/src/rainsail/simulation/network.py
@@ -146,6 +146,10 @@
         """Set how messages fare from one process to another."""
         self._link_conditions[(source, target)] = conditions
 
+    def clear_link_conditions(self, source: ProcessName, target: ProcessName) -> None:
+        """Let the zones' conditions hold again from one process to another."""
+        self._link_conditions.pop((source, target), None)
+
     def cut(self, source: ProcessName, target: ProcessName) -> None:
         """Lose everything from one process to another in silence, this way only."""
         self._cuts[(source, target)] = None
