Lend quota shares by demand, keep ownership incremental, honour the machine list

Cause: control lends by demand on top of a minimum share; at 12,000 runners every runner event re-sorted and re-hashed all; a runner whose machine leaves is marked by a condition. Change: minimum plus lent share per tenant with an early report when a tenant runs short; owner and service index per runner; the Draining condition counts as leaving; a pause of the gateway's own process is not taken for silence of its runners; the keeper orders roles and leaves what the placement writes alone; slots granted but not yet sent are counted.

--- a/src/rainsail/gateway/admission.py
+++ b/src/rainsail/gateway/admission.py
@@ -6,18 +6,20 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import StrEnum
-from typing import Any, Protocol
+from typing import Protocol
 
 from rainsail.errors import Fault, FaultCode
-from rainsail.gateway.fair_queue import FairQueue
+from rainsail.gateway.admission_queues import (
+    ServiceQueues,
+    Slots,
+    Ticket,
+    TicketStatus,
+    estimated_wait_s,
+)
 from rainsail.gateway.settings import AdmissionSettings
 from rainsail.runtime.clock import Clock
 
 STEP = "gateway.admission"
-HOLD_TIME_SMOOTHING = 0.1
-"""Weight of the newest request in the running mean of the time a slot is held."""
 SHORTEST_REFILL_S = 0.001
 """Least delay of the timer that waits for a bucket to fill."""
 TENANT_ACTIVE_S = 10.0
@@ -43,56 +45,13 @@
         """Return unused tokens."""
         ...
 
-    def refused(self, tenant: str, tokens: float) -> None:
-        """Count refused demand."""
+    def expected_wait_s(self, tenant: str, tokens: float) -> float:
+        """Return the wait to expect, counting a share that is about to be lent."""
         ...
 
-
-@dataclass(frozen=True, slots=True)
-class Slots:
-    """A service's online slots: how many there are, and how many are free for this gateway."""
-
-    total: float
-    free: float
-
-
-class TicketStatus(StrEnum):
-    """Where a request stands in admission."""
-
-    WAITING = "waiting"
-    GRANTED = "granted"
-    OVER = "over"
-
-
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """One request in admission. Exactly one of the two callbacks is called, at most once.
-
-    ``cost_tokens`` is the prompt plus the most that may be generated; ``latest_start_s`` the
-    clock time after which starting is of no use.
-    """
-
-    service: str
-    tenant: str
-    batch: bool
-    cost_tokens: float
-    latest_start_s: float
-    on_granted: Callable[[], None]
-    on_refused: Callable[[Fault], None]
-    status: TicketStatus = TicketStatus.WAITING
-    granted_s: float = 0.0
-    timer: Any = None
-
-
-@dataclass(slots=True)
-class _ServiceQueues:
-    online: FairQueue[Ticket] = field(default_factory=FairQueue)
-    batch: FairQueue[Ticket] = field(default_factory=FairQueue)
-    running: dict[str, int] = field(default_factory=dict)
-    last_active_s: dict[str, float] = field(default_factory=dict)
-    mean_hold_s: float = 0.0
-    refill_timer: Any = None
-    pumping: bool = False
+    def ran_short(self, tenant: str, tokens: float) -> None:
+        """Count demand that could not be granted at once."""
+        ...
 
 
 class Admission:
@@ -109,20 +68,19 @@
         self._slots = slots
         self._clock = clock
         self._settings = settings
-        self._services: dict[str, _ServiceQueues] = {}
+        self._services: dict[str, ServiceQueues] = {}
 
     def offer(self, ticket: Ticket) -> None:
         """Grant, queue or refuse a request; callbacks may come before this returns."""
-        queues = self._services.setdefault(ticket.service, _ServiceQueues())
+        queues = self._services.setdefault(ticket.service, ServiceQueues())
         now_s = self._clock.seconds()
-        queues.last_active_s[ticket.tenant] = now_s
+        queues.activity.seen(ticket.tenant, now_s)
         fault = self._refusal(ticket, queues, now_s)
         if fault is not None:
             self._refuse(ticket, fault)
             return
-        queue = queues.batch if ticket.batch else queues.online
         weight = self._quotas.weight(ticket.tenant)
-        queue.push(ticket.tenant, weight, ticket.cost_tokens, ticket)
+        queues.queue_of(ticket).push(ticket.tenant, weight, ticket.cost_tokens, ticket)
         self.pump(ticket.service)
         if ticket.status == TicketStatus.WAITING:
             limit_s = min(self._settings.max_queue_s, ticket.latest_start_s - now_s)
@@ -134,11 +92,9 @@
             return
         ticket.status = TicketStatus.OVER
         queues = self._services[ticket.service]
-        queues.running[ticket.tenant] -= 1
-        if not queues.running[ticket.tenant]:
-            del queues.running[ticket.tenant]
+        queues.count(ticket, -1)
         hold_s = self._clock.seconds() - ticket.granted_s
-        queues.mean_hold_s += (hold_s - queues.mean_hold_s) * HOLD_TIME_SMOOTHING
+        queues.held_for(hold_s)
         self._quotas.give_back(ticket.tenant, ticket.cost_tokens - used_tokens)
         self.pump(ticket.service)
 
@@ -148,9 +104,14 @@
         if queues is None or ticket.status != TicketStatus.WAITING:
             return
         ticket.status = TicketStatus.OVER
-        (queues.batch if ticket.batch else queues.online).remove(ticket.tenant, ticket)
+        queues.queue_of(ticket).remove(ticket.tenant, ticket)
         self._stop_timer(ticket)
 
+    def pump_all(self) -> None:
+        """Start what can start in every service (the tenants' shares have changed)."""
+        for service in list(self._services):
+            self.pump(service)
+
     def waiting(self, service: str) -> int:
         """Return how many requests of a service wait."""
         queues = self._services.get(service)
@@ -158,17 +119,19 @@
 
     # --- decisions ----------------------------------------------------------------------------
 
-    def _refusal(self, ticket: Ticket, queues: _ServiceQueues, now_s: float) -> Fault | None:
+    def _refusal(self, ticket: Ticket, queues: ServiceQueues, now_s: float) -> Fault | None:
         slots = self._slots(ticket.service)
         if slots.total <= 0:
             detail = f"no runner of {ticket.service} takes work now"
             return self._fault(FaultCode.UNAVAILABLE, detail, self._settings.max_queue_s)
-        queue = queues.batch if ticket.batch else queues.online
+        queue = queues.queue_of(ticket)
         limit_s = min(self._settings.max_queue_s, ticket.latest_start_s - now_s)
-        quota_wait_s = self._quotas.wait_s(ticket.tenant, ticket.cost_tokens)
+        quota_wait_s = self._quotas.expected_wait_s(ticket.tenant, ticket.cost_tokens)
+        if quota_wait_s > 0.0:
+            self._quotas.ran_short(ticket.tenant, ticket.cost_tokens)
         if quota_wait_s > limit_s:
             return self._fault(FaultCode.OVER_LIMIT, "the tenant's tokens are used", quota_wait_s)
-        queue_wait_s = self._estimated_wait_s(ticket, queue, queues, slots)
+        queue_wait_s = estimated_wait_s(ticket, queues, slots)
         if queue_wait_s > limit_s:
             return self._fault(FaultCode.OVERLOADED, "the queue is too long", queue_wait_s)
         if queue.queued(ticket.tenant) >= self._settings.max_queued_per_tenant:
@@ -177,23 +140,9 @@
             return self._fault(FaultCode.OVERLOADED, "the queue is full", queue_wait_s)
         return None
 
-    def _estimated_wait_s(
-        self, ticket: Ticket, queue: FairQueue[Ticket], queues: _ServiceQueues, slots: Slots
-    ) -> float:
-        """Estimate the wait: what goes before, at the rate at which slots come free."""
-        ahead = queue.queued(ticket.tenant) * max(1, len(queue.tenants()))
-        ahead = min(ahead, len(queue))
-        if ticket.batch:
-            ahead = len(queue) + len(queues.online)
-        needed = ahead + 1 - max(0.0, slots.free)
-        return max(0.0, needed) * queues.mean_hold_s / slots.total
-
-    def _tenant_limit(self, tenant: str, queues: _ServiceQueues, slots: Slots) -> float:
-        oldest_s = self._clock.seconds() - TENANT_ACTIVE_S
-        others = any(
-            other != tenant and seen_s >= oldest_s for other, seen_s in queues.last_active_s.items()
-        )
-        if not others:
+    def _tenant_limit(self, tenant: str, queues: ServiceQueues, slots: Slots) -> float:
+        now_s = self._clock.seconds()
+        if not queues.activity.others_than(tenant, now_s - TENANT_ACTIVE_S):
             return slots.total
         return max(1.0, slots.total * self._settings.tenant_slot_fraction)
 
@@ -210,10 +159,8 @@
             queues.pumping = False
         self._wait_for_refill(service, queues)
 
-    def _start_next(self, service: str, queues: _ServiceQueues) -> bool:
+    def _start_next(self, service: str, queues: ServiceQueues) -> bool:
         slots = self._slots(service)
-        if slots.free < 1.0:
-            return False
 
         def eligible(ticket: Ticket) -> bool:
             running = queues.running.get(ticket.tenant, 0)
@@ -221,23 +168,25 @@
                 return False
             return self._quotas.wait_s(ticket.tenant, ticket.cost_tokens) <= 0.0
 
-        ticket = queues.online.pop(eligible)
-        if ticket is None and not queues.online:
+        ticket = None
+        if queues.free(slots) >= 1.0:
+            ticket = queues.online.pop(eligible)
+        if ticket is None and not queues.online and queues.batch_running < slots.total:
             ticket = queues.batch.pop(eligible)
         if ticket is None:
             return False
         self._grant(ticket, queues)
         return True
 
-    def _grant(self, ticket: Ticket, queues: _ServiceQueues) -> None:
+    def _grant(self, ticket: Ticket, queues: ServiceQueues) -> None:
         self._stop_timer(ticket)
         self._quotas.take(ticket.tenant, ticket.cost_tokens)
-        queues.running[ticket.tenant] = queues.running.get(ticket.tenant, 0) + 1
+        queues.count(ticket, 1)
         ticket.status = TicketStatus.GRANTED
         ticket.granted_s = self._clock.seconds()
         ticket.on_granted()
 
-    def _wait_for_refill(self, service: str, queues: _ServiceQueues) -> None:
+    def _wait_for_refill(self, service: str, queues: ServiceQueues) -> None:
         if queues.refill_timer is not None:
             queues.refill_timer.cancel()
             queues.refill_timer = None
@@ -266,7 +215,6 @@
 
     def _refuse(self, ticket: Ticket, fault: Fault) -> None:
         ticket.status = TicketStatus.OVER
-        self._quotas.refused(ticket.tenant, ticket.cost_tokens)
         ticket.on_refused(fault)
 
     def _fault(self, code: FaultCode, detail: str, retry_after_s: float) -> Fault:
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -9,7 +9,8 @@
 from rainsail.engine.interface import EngineClient
 from rainsail.errors import Fault, FaultCode
 from rainsail.gateway import drain
-from rainsail.gateway.admission import Admission, Slots
+from rainsail.gateway.admission import Admission
+from rainsail.gateway.admission_queues import Slots
 from rainsail.gateway.cancellation import Canceller
 from rainsail.gateway.claims import ClaimKeeper
 from rainsail.gateway.decision_ring import DecisionRing
@@ -97,7 +98,7 @@
 
     def start(self) -> None:
         """Start reporting demand and looking for stalled streams."""
-        self._quotas.start()
+        self._quotas.start(self._context.admission.pump_all)
         self._clock.callLater(SWEEP_PERIOD_S, self._sweep)
 
     def stop(self) -> None:
@@ -151,8 +152,7 @@
     def _slots(self, service: str) -> Slots:
         now_s = self._clock.seconds()
         states = eligible_runners(self._fleet.runners_of(service), now_s, batch=False)
-        total, free = online_slots(states, now_s, self._settings.admission.slots_per_runner)
-        return Slots(total, free)
+        return online_slots(states, now_s, self._settings.admission.slots_per_runner)
 
     def _ended(self, run: RequestRun) -> None:
         self._runs.pop(run, None)
--- a/src/rainsail/gateway/eligibility.py
+++ b/src/rainsail/gateway/eligibility.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from rainsail.gateway import runner_state
+from rainsail.gateway.admission_queues import Slots
 from rainsail.gateway.runner_state import RunnerState
 from rainsail.resources.specs import RunnerRole
 
@@ -33,14 +34,12 @@
     return fresh or list(states)
 
 
-def online_slots(
-    states: Sequence[RunnerState], now_s: float, slots_per_runner: float
-) -> tuple[float, float]:
-    """Return (total, free) online slots of these runners, counting the work of others."""
+def online_slots(states: Sequence[RunnerState], now_s: float, slots_per_runner: float) -> Slots:
+    """Return the online slots of these runners, and how many others seem to hold."""
     total = 0.0
-    free = 0.0
+    others = 0.0
     for state in states:
         slots = max(1.0, state.spec.batch_slots * slots_per_runner)
         total += slots
-        free += max(0.0, slots - state.online_running - state.foreign_online(now_s))
-    return total, free
+        others += min(slots, state.foreign_online(now_s))
+    return Slots(total, others)
--- a/src/rainsail/gateway/fleet.py
+++ b/src/rainsail/gateway/fleet.py
@@ -1,20 +1,17 @@
 """A gateway's view of every runner: load, cache, own work, draining, ejection, ownership."""
 
+from bisect import insort
 from collections.abc import Callable
 from random import Random
 
 from rainsail.batch.interface import RunnerView
 from rainsail.control.interface import ConfigReader
 from rainsail.engine.interface import CacheEvent, EndReason, EngineClient, LoadReport
+from rainsail.gateway import runner_state
 from rainsail.gateway.ejection import may_put_out
 from rainsail.gateway.engine_feed import EngineFeed
 from rainsail.gateway.ownership import live_gateways, rendezvous_owner
-from rainsail.gateway.runner_state import (
-    LeavingReason,
-    RunnerState,
-    is_leaving,
-    takes_new_work,
-)
+from rainsail.gateway.runner_state import RunnerState
 from rainsail.gateway.settings import GatewaySettings
 from rainsail.resources.specs import EventType, Kind, Resource, RunnerSpec, WatchEvent
 from rainsail.runtime.clock import Clock
@@ -45,6 +42,8 @@
         self._runners: dict[str, RunnerState] = {}
         self._feeds: dict[str, EngineFeed] = {}
         self._by_service: dict[str, list[RunnerState]] = {}
+        self._live_gateways: dict[str, list[str]] = {}
+        self._watched_s = 0.0
         self._listeners: list[ChangeListener] = []
         self._restart_listeners: list[ChangeListener] = []
         self._stopped = False
@@ -54,7 +53,7 @@
         self._config.on_event(self._on_event)
         for resource in self._config.list_resources(Kind.RUNNER):
             self._put(resource)
-        self._assign_owners()
+        self._watched_s = self._clock.seconds()
         self._clock.callLater(self._settings.watch_period_s, self._watch)
 
     def stop(self) -> None:
@@ -85,12 +84,12 @@
     def usable(self, runner: str) -> bool:
         """Tell whether new work may be sent to a runner now."""
         state = self._runners.get(runner)
-        return state is not None and takes_new_work(state, self._clock.seconds())
+        return state is not None and runner_state.takes_new_work(state, self._clock.seconds())
 
     def leaving(self, runner: str) -> bool:
         """Tell whether a runner is draining, gone or silent."""
         state = self._runners.get(runner)
-        return state is None or is_leaving(state, self._clock.seconds())
+        return state is None or runner_state.is_leaving(state, self._clock.seconds())
 
     def online_arrival_rate(self, runner: str) -> float:
         """Return the estimated online requests per second sent to a runner from here."""
@@ -171,14 +170,6 @@
         if may_put_out(len(peers), out, self._settings.max_ejected_fraction):
             state.ejection.put_out(now_s, self._random, self._settings)
 
-    def mark_leaving(self, runner: str) -> None:
-        """Note that the machine list says that a runner's machine is leaving."""
-        state = self._runners.get(runner)
-        if state is None or state.leaving is not None:
-            return
-        state.leaving = LeavingReason.MACHINE_LIST
-        self._changed(runner)
-
     # --- following ----------------------------------------------------------------------------
 
     def _on_event(self, event: WatchEvent) -> None:
@@ -188,9 +179,10 @@
                 self._delete(event.resource.key.name)
             else:
                 self._put(event.resource)
-            self._assign_owners()
         elif kind == Kind.GATEWAY:
-            self._assign_owners()
+            self._live_gateways.clear()
+            for state in self.runners():
+                self._assign_owner(state)
 
     def _put(self, resource: Resource) -> None:
         if self._stopped or not isinstance(resource.spec, RunnerSpec):
@@ -200,26 +192,33 @@
         if state is None:
             state = RunnerState(resource, self._clock.seconds(), self._settings)
             self._runners[name] = state
+            self._index(state)
         else:
-            state.update_resource(resource)
+            self._update(state, resource)
         feed = self._feeds.get(name)
         if feed is None or feed.address != resource.spec.address:
             self._open_feed(state)
-        self._index()
+        self._assign_owner(state)
         self._changed(name)
 
+    def _update(self, state: RunnerState, resource: Resource) -> None:
+        service = state.spec.service
+        state.update_resource(resource)
+        if state.spec.service != service:
+            self._by_service[service].remove(state)
+            self._index(state)
+
     def _delete(self, name: str) -> None:
-        self._runners.pop(name, None)
+        state = self._runners.pop(name, None)
+        if state is not None:
+            self._by_service[state.spec.service].remove(state)
         feed = self._feeds.pop(name, None)
         if feed is not None:
             feed.stop()
-        self._index()
         self._changed(name)
 
-    def _index(self) -> None:
-        self._by_service = {}
-        for state in self.runners():
-            self._by_service.setdefault(state.spec.service, []).append(state)
+    def _index(self, state: RunnerState) -> None:
+        insort(self._by_service.setdefault(state.spec.service, []), state, key=_name)
 
     def _open_feed(self, state: RunnerState) -> None:
         old = self._feeds.pop(state.name, None)
@@ -250,23 +249,27 @@
     def _take_cache_event(self, state: RunnerState, event: CacheEvent) -> None:
         state.cache.apply(event)
 
-    def _assign_owners(self) -> None:
-        gateways = self._config.list_resources(Kind.GATEWAY)
-        live_by_zone: dict[str, list[str]] = {}
-        for state in self.runners():
-            zone = state.spec.zone
-            if zone not in live_by_zone:
-                live_by_zone[zone] = live_gateways(gateways, zone)
-            owned = rendezvous_owner(state.name, live_by_zone[zone]) == self.gateway
-            if owned != state.owned:
-                state.owned = owned
-                self._changed(state.name)
+    def _assign_owner(self, state: RunnerState) -> None:
+        zone = state.spec.zone
+        live = self._live_gateways.get(zone)
+        if live is None:
+            live = live_gateways(self._config.list_resources(Kind.GATEWAY), zone)
+            self._live_gateways[zone] = live
+        owned = rendezvous_owner(state.name, live) == self.gateway
+        if owned != state.owned:
+            state.owned = owned
+            self._changed(state.name)
 
     def _watch(self) -> None:
+        """Look for runners that fell silent; what this process slept through is excused."""
         if self._stopped:
             return
         now_s = self._clock.seconds()
+        pause_s = now_s - self._watched_s - 2.0 * self._settings.watch_period_s
+        self._watched_s = now_s
         for state in self.runners():
+            if pause_s > 0.0:
+                state.excuse_silence(pause_s, now_s)
             silent = state.is_silent(now_s)
             if silent != state.silent:
                 state.silent = silent
@@ -276,3 +279,7 @@
     def _changed(self, runner: str) -> None:
         for listener in list(self._listeners):
             listener(runner)
+
+
+def _name(state: RunnerState) -> str:
+    return state.name
--- a/src/rainsail/gateway/quota.py
+++ b/src/rainsail/gateway/quota.py
@@ -1,26 +1,41 @@
-"""The gateway's lent shares of the tenants' quotas, and the demand it reports for them."""
+"""The gateway's shares of the tenants' quotas, and the demand it reports for them."""
 
+from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 from expression import Result
 from twisted.internet.defer import Deferred
 
 from rainsail.control.interface import ConfigReader, ControlClient
-from rainsail.control.messages import QuotaReport, QuotaShare, QuotaShares, TenantDemand
+from rainsail.control.messages import QuotaReport, QuotaShares, TenantDemand
+from rainsail.control.quota import minimum_share
 from rainsail.errors import Fault
-from rainsail.gateway.ownership import live_gateways
 from rainsail.gateway.settings import AdmissionSettings
 from rainsail.gateway.token_bucket import TokenBucket
 from rainsail.resources.specs import Kind, ResourceKey, TenantSpec
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import ROOT_GROUP
 
+LEAST_WEIGHT = 1e-6
+"""A tenant's weight in the fair queues is never below this."""
+
+
+@dataclass(frozen=True, slots=True)
+class LentShare:
+    """Tokens per second and burst lent until ``valid_until_s`` (gateway clock)."""
+
+    rate: float
+    burst: float
+    valid_until_s: float
+
 
 class TenantQuotas:
-    """One token bucket per tenant, filled by the share that control lends this gateway.
+    """One token bucket per tenant.
 
-    Without a valid share the gateway uses ``fallback_share_fraction`` of an equal part of the
-    quota: the sum over all gateways stays below the quota also when control is away.
+    A gateway may always use its minimum share of each quota, and besides what control lends it
+    by demand. While control is away, lent shares run out and the minimum share is what is left;
+    minimum and lent shares of all gateways together never pass the quota.
     """
 
     def __init__(
@@ -39,32 +54,48 @@
         self._random = random
         self._settings = settings
         self._buckets: dict[str, TokenBucket] = {}
-        self._shares: dict[str, QuotaShare] = {}
-        self._valid_until_s = 0.0
+        self._lent: dict[str, LentShare] = {}
         self._used: dict[str, float] = {}
-        self._refused: dict[str, float] = {}
+        self._short: dict[str, float] = {}
         self._last_report_s = clock.seconds()
+        self._answered_s = clock.seconds()
+        self._timer: Any = None
         self._stopped = False
+        self._on_shares: Any = None
 
-    def start(self) -> None:
-        """Begin to report demand."""
-        self._schedule()
+    def start(self, on_shares: Any) -> None:
+        """Begin to report demand; ``on_shares`` is called when shares were lent."""
+        self._on_shares = on_shares
+        self._schedule(self._settings.quota_report_period_s)
 
     def stop(self) -> None:
         """Report no more."""
         self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     # --- the buckets --------------------------------------------------------------------------
 
     def weight(self, tenant: str) -> float:
         """Return a tenant's weight in the fair queues."""
         spec = self._spec(tenant)
-        return max(spec.weight, 1e-6) if spec else 1.0
+        return max(spec.weight, LEAST_WEIGHT) if spec else 1.0
 
     def wait_s(self, tenant: str, tokens: float) -> float:
-        """Return the seconds until a tenant's bucket covers ``tokens``."""
+        """Return the seconds until a tenant's bucket covers ``tokens`` at its present share."""
         return self._bucket(tenant).wait_s(tokens, self._clock.seconds())
 
+    def expected_wait_s(self, tenant: str, tokens: float) -> float:
+        """Return the wait to expect: a tenant without a lent share gets one with its demand."""
+        wait_s = self.wait_s(tenant, tokens)
+        now_s = self._clock.seconds()
+        if wait_s <= 0.0 or self._lent_share(tenant, now_s) is not None:
+            return wait_s
+        if now_s - self._answered_s > 2.0 * self._settings.quota_report_period_s:
+            return wait_s
+        return min(wait_s, 2.0 * self._settings.urgent_report_s)
+
     def take(self, tenant: str, tokens: float) -> None:
         """Charge a tenant."""
         self._bucket(tenant).take(tokens, self._clock.seconds())
@@ -75,11 +106,13 @@
         if tokens <= 0.0:
             return
         self._bucket(tenant).give_back(tokens)
-        self._used[tenant] = self._used.get(tenant, 0.0) - tokens
+        self._used[tenant] = max(0.0, self._used.get(tenant, 0.0) - tokens)
 
-    def refused(self, tenant: str, tokens: float) -> None:
-        """Count tokens of a refused request as demand."""
-        self._refused[tenant] = self._refused.get(tenant, 0.0) + tokens
+    def ran_short(self, tenant: str, tokens: float) -> None:
+        """Count tokens that could not be granted at once as demand, and report soon."""
+        self._short[tenant] = self._short.get(tenant, 0.0) + tokens
+        due_s = self._last_report_s + self._settings.urgent_report_s
+        self._schedule(max(0.0, due_s - self._clock.seconds()))
 
     def _spec(self, tenant: str) -> TenantSpec | None:
         resource = self._config.get(ResourceKey(Kind.TENANT, tenant))
@@ -101,46 +134,60 @@
         spec = self._spec(tenant)
         if spec is None:
             return 0.0, 0.0
-        share = self._shares.get(tenant)
-        if share is not None and now_s < self._valid_until_s:
-            return share.tokens_per_second, share.burst_tokens
-        fraction = self.fallback_fraction()
-        return spec.tokens_per_second * fraction, spec.burst_tokens * fraction
-
-    def fallback_fraction(self) -> float:
-        """Return the part of a quota that is used without a valid share."""
-        gateways = live_gateways(self._config.list_resources(Kind.GATEWAY), zone="")
-        return self._settings.fallback_share_fraction / max(1, len(gateways))
+        gateways = len(self._config.list_resources(Kind.GATEWAY))
+        fraction = self._settings.quota_reserve_fraction
+        rate = minimum_share(spec.tokens_per_second, gateways, fraction)
+        burst = minimum_share(spec.burst_tokens, gateways, fraction)
+        lent = self._lent_share(tenant, now_s)
+        if lent is not None:
+            return rate + lent.rate, burst + lent.burst
+        return rate, burst
+
+    def _lent_share(self, tenant: str, now_s: float) -> LentShare | None:
+        lent = self._lent.get(tenant)
+        return lent if lent is not None and now_s < lent.valid_until_s else None
 
     # --- reports to control -------------------------------------------------------------------
 
-    def _schedule(self) -> None:
-        if self._stopped:
+    def _schedule(self, delay_s: float) -> None:
+        """Report after ``delay_s``, or earlier when that is due anyway."""
+        if self._stopped or self._on_shares is None:
             return
-        delay_s = self._settings.quota_report_period_s * (0.9 + 0.2 * self._random.random())
-        self._clock.callLater(delay_s, self._report)
+        due_s = self._clock.seconds() + delay_s
+        if self._timer is not None:
+            if self._timer.getTime() <= due_s:
+                return
+            self._timer.cancel()
+        self._timer = self._clock.callLater(delay_s, self._report)
 
     def _report(self) -> None:
-        if self._stopped:
-            return
+        self._timer = None
         sent_s = self._clock.seconds()
         period_s = sent_s - self._last_report_s
         self._last_report_s = sent_s
         used, self._used = self._used, {}
-        refused, self._refused = self._refused, {}
+        short, self._short = self._short, {}
         demands = tuple(
-            TenantDemand(tenant, used.get(tenant, 0.0), refused.get(tenant, 0.0))
-            for tenant in sorted({**used, **refused})
+            TenantDemand(tenant, used.get(tenant, 0.0), short.get(tenant, 0.0))
+            for tenant in sorted({**used, **short})
         )
+        jitter = 0.9 + 0.2 * self._random.random()
+        self._schedule(self._settings.quota_report_period_s * jitter)
         report = QuotaReport(ROOT_GROUP, self._gateway, period_s, demands)
         done: Deferred[Result[object, Fault]] = self._control.call(
             report, self._settings.quota_report_period_s
         )
         done.addCallback(self._take_shares, sent_s)
-        done.addBoth(lambda _: self._schedule())
 
     def _take_shares(self, reply: Result[object, Fault], sent_s: float) -> None:
+        """Keep the shares lent; a reply that lends nothing leaves what is held to run out."""
         if reply.is_error() or not isinstance(reply.ok, QuotaShares):
             return
-        self._shares = {share.tenant: share for share in reply.ok.shares}
-        self._valid_until_s = sent_s + reply.ok.valid_s
+        self._answered_s = self._clock.seconds()
+        until_s = sent_s + reply.ok.valid_s
+        for share in reply.ok.shares:
+            self._lent[share.tenant] = LentShare(
+                share.tokens_per_second, share.burst_tokens, until_s
+            )
+        if reply.ok.shares and self._on_shares is not None:
+            self._on_shares()
--- a/src/rainsail/gateway/request_run.py
+++ b/src/rainsail/gateway/request_run.py
@@ -9,7 +9,7 @@
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.gateway import request as request_machine
 from rainsail.gateway import retry
-from rainsail.gateway.admission import Ticket
+from rainsail.gateway.admission_queues import Ticket
 from rainsail.gateway.attempts import Attempt, AttemptResult
 from rainsail.gateway.eligibility import eligible_runners, without
 from rainsail.gateway.interface import Answer, CallerRequest, ResponseSink
--- a/src/rainsail/gateway/router.py
+++ b/src/rainsail/gateway/router.py
@@ -55,7 +55,9 @@
         load += memory_penalty(
             report.kv_tokens_used, report.kv_tokens_total, settings.memory_pressure
         )
+    over = max(0.0, load - state.spec.batch_slots * settings.slots_per_runner)
     score = load * settings.load_cost_tokens - matched * worth
+    score += over * settings.full_runner_cost_tokens
     if state.spec.zone != zone:
         score += settings.other_zone_cost_tokens
     return CandidateScore(
--- a/src/rainsail/gateway/runner_keeper.py
+++ b/src/rainsail/gateway/runner_keeper.py
@@ -7,7 +7,7 @@
 
 from rainsail.control.interface import ConfigReader, ControlClient
 from rainsail.engine.interface import EngineClient, EngineOrder, OrderKind, OrderReply
-from rainsail.errors import Fault
+from rainsail.errors import Fault, FaultCode
 from rainsail.gateway.fleet import RunnerFleet
 from rainsail.gateway.runner_state import RunnerState
 from rainsail.gateway.settings import GatewaySettings
@@ -16,11 +16,14 @@
     Kind,
     ModelVersionSpec,
     ResourceKey,
+    RunnerRole,
     RunnerStatus,
 )
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import CommandOutcome, PutStatus
 
+FOREVER_S = float("inf")
+
 
 def wanted_orders(
     status: RunnerStatus,
@@ -50,27 +53,28 @@
 
 
 def observed_status(state: RunnerState, silent: bool) -> RunnerStatus:
-    """Return the status that an owner reports for a runner, from the engine's own report."""
+    """Return the status that an owner reports for a runner, from the engine's own report.
+
+    What is wanted (``loading_version``, ``adapters``, ``fence``) is the placement's and stays.
+    """
     report = state.report
     if silent:
         return replace(state.status, ready=False, reachable=False)
     if report is None:
         return state.status
-    loading = state.status.loading_version
-    if loading and report.loaded_version == loading:
-        loading = ""
-    return replace(
-        state.status,
-        loaded_version=report.loaded_version,
-        loading_version=loading,
-        ready=bool(report.loaded_version) and not report.draining,
-        reachable=True,
-    )
+    ready = bool(report.loaded_version) and state.leaving is None
+    return replace(state.status, loaded_version=report.loaded_version, ready=ready, reachable=True)
+
+
+def wanted_role(state: RunnerState) -> EngineOrder:
+    """Return the order that sets the role which the spec asks for."""
+    return EngineOrder(state.status.fence, OrderKind.SET_ROLE, state.spec.role.value)
 
 
 @dataclass(slots=True)
 class _SentOrder:
     order: EngineOrder
+    incarnation: str
     sent_s: float
 
 
@@ -96,7 +100,7 @@
         self._clock = clock
         self._random = random
         self._settings = settings.keeper
-        self._sent: dict[tuple[str, OrderKind, str], _SentOrder] = {}
+        self._sent: dict[tuple[str, str], _SentOrder] = {}
         self._writing: dict[str, int] = {}
         self._stopped = False
         fleet.on_change(self._look_soon)
@@ -143,16 +147,37 @@
             self._weight_bytes(state.status),
         )
         for order in orders:
-            key = (state.name, order.kind, order.target)
-            sent = self._sent.get(key)
-            recent = sent is not None and now_s - sent.sent_s < self._settings.order_resend_s
-            if sent is not None and recent and sent.order.fence == order.fence:
-                continue
-            self._sent[key] = _SentOrder(order, now_s)
-            self._engine.order(state.spec.address, order).addCallback(self._ordered)
-
-    def _ordered(self, reply: Result[OrderReply, Fault]) -> None:
-        """Leave the effect to the next load report; a refused fence means a newer owner."""
+            self._send_once(state, order, report.incarnation, now_s, self._settings.order_resend_s)
+        self._send_role(state, report.incarnation, now_s)
+
+    def _send_role(self, state: RunnerState, incarnation: str, now_s: float) -> None:
+        """Order the role again only to a restarted engine: load reports do not name it."""
+        key = (state.name, OrderKind.SET_ROLE.value)
+        if state.spec.role == RunnerRole.MIXED and key not in self._sent:
+            return
+        self._send_once(state, wanted_role(state), incarnation, now_s, FOREVER_S)
+
+    def _send_once(
+        self, state: RunnerState, order: EngineOrder, incarnation: str, now_s: float, for_s: float
+    ) -> None:
+        key = (state.name, order.kind.value)
+        if order.kind in (OrderKind.LOAD_ADAPTER, OrderKind.UNLOAD_ADAPTER):
+            key = (state.name, f"{order.kind}/{order.target}")
+        sent = self._sent.get(key)
+        if (
+            sent is not None
+            and (sent.order, sent.incarnation) == (order, incarnation)
+            and now_s - sent.sent_s < for_s
+        ):
+            return
+        self._sent[key] = _SentOrder(order, incarnation, now_s)
+        done = self._engine.order(state.spec.address, order)
+        done.addCallback(self._ordered, key)
+
+    def _ordered(self, reply: Result[OrderReply, Fault], key: tuple[str, str]) -> None:
+        """Leave the effect to the next load report; an order that was lost is sent again."""
+        if reply.is_error() and reply.error.code != FaultCode.FENCED:
+            self._sent.pop(key, None)
 
     def _weight_bytes(self, status: RunnerStatus) -> dict[str, int]:
         sizes = {}
--- a/src/rainsail/gateway/runner_state.py
+++ b/src/rainsail/gateway/runner_state.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from math import exp
 
+from rainsail.control.controllers.conditions import DRAINING
 from rainsail.engine.interface import LoadReport
 from rainsail.gateway.cache_view import CacheView
 from rainsail.gateway.ejection import EjectionState
@@ -33,6 +34,11 @@
     started_s: float
 
 
+def is_listed_as_leaving(resource: Resource) -> bool:
+    """Tell whether control marked the runner as draining (its machine is leaving)."""
+    return any(each.type == DRAINING and each.value for each in resource.conditions)
+
+
 class RunnerState:
     """One runner as this gateway sees it; ``RunnerFleet`` alone changes it."""
 
@@ -71,9 +77,12 @@
         self.generation = resource.generation
         if isinstance(resource.status, RunnerStatus):
             self.status = resource.status
+        listed = is_listed_as_leaving(resource)
         if resource.spec.drain:
             self.leaving = self.leaving or LeavingReason.RESOURCE
-        elif spec_changed:
+        elif listed:
+            self.leaving = self.leaving or LeavingReason.MACHINE_LIST
+        elif spec_changed or self.leaving == LeavingReason.MACHINE_LIST:
             self.leaving = None
 
     # --- what the engine tells -------------------------------------------------------------
@@ -151,6 +160,10 @@
 
     # --- whether it takes new work -----------------------------------------------------------
 
+    def excuse_silence(self, pause_s: float, now_s: float) -> None:
+        """Do not count a pause of this process as the runner's silence."""
+        self.report_received_s = min(now_s, self.report_received_s + pause_s)
+
     def is_silent(self, now_s: float) -> bool:
         """Tell whether load reports have failed to come for too long."""
         return now_s - self.report_received_s > self._settings.report_timeout_s
--- a/src/rainsail/gateway/settings.py
+++ b/src/rainsail/gateway/settings.py
@@ -9,7 +9,7 @@
     model_config = ConfigDict(frozen=True)
 
     report_timeout_s: float = Field(
-        default=2.0,
+        default=1.8,
         gt=0,
         description="Seconds without a load report after which a runner gets no new work.",
     )
@@ -68,6 +68,16 @@
         gt=0,
         description="Prompt tokens to prefill that weigh as much as one running request.",
     )
+    full_runner_cost_tokens: float = Field(
+        default=2000.0,
+        ge=0,
+        description="Prompt tokens that each request beyond a runner's online slots weighs.",
+    )
+    slots_per_runner: float = Field(
+        default=2.0,
+        gt=0,
+        description="A runner is full at this multiple of its batch slots (as in admission).",
+    )
     other_zone_cost_tokens: float = Field(
         default=800.0,
         ge=0,
@@ -99,7 +109,7 @@
         default=4096, gt=0, description="Requests that may be waiting per service."
     )
     slots_per_runner: float = Field(
-        default=1.0,
+        default=2.0,
         gt=0,
         description="Online requests sent to a runner at once, as a multiple of its batch slots.",
     )
@@ -112,11 +122,16 @@
     quota_report_period_s: float = Field(
         default=1.0, gt=0, description="Seconds between reports of demand to control."
     )
-    fallback_share_fraction: float = Field(
-        default=0.5,
-        ge=0,
-        le=1.0,
-        description="Without a valid lent share: part of quota / live gateways that is used.",
+    urgent_report_s: float = Field(
+        default=0.1,
+        gt=0,
+        description="Least seconds between two reports of demand when a tenant runs short.",
+    )
+    quota_reserve_fraction: float = Field(
+        default=0.2,
+        gt=0,
+        lt=1,
+        description="Part of each quota kept for minimum shares; the same value as control's.",
     )
     min_retry_after_s: float = Field(
         default=0.1, gt=0, description="Shortest time that a refused caller is told to wait."
