Keep quota sums under lost replies, give back orphaned items, check specs

Cause: a smaller quota share replaced a larger one in the leader's book at once, though its reply may be lost and the gateway go on with the larger one; items whose lease answer was lost stayed leased while their holder renewed; specs were checked by type only. Change: a larger grant stays on the book until it has run out; items left out of renewals for a full lease are given back; specs and names are checked for bounds, with the key in the error.

--- /dev/null
+++ b/features/control/leases.feature
@@ -0,0 +1,45 @@
+Feature: Batch leases and quota shares that the leader keeps in its memory
+
+  Background:
+    Given a control fleet of 3 replicas with gateways g1
+    And a sealed job of 6 items in the control fleet
+
+  Scenario: A holder that stops renewing loses its items, one that renews keeps them
+    When holders h1 and h2 lease 3 items each from the control fleet
+    And only h1 renews its item leases for 15 seconds
+    Then the control fleet has revoked the items of h2 but not those of h1
+    And holder h2 is told by the control fleet to stop all its items
+
+  Scenario: A new leader gives every holder a full period
+    When holders h1 and h2 lease 3 items each from the control fleet
+    And the control fleet runs 8 seconds
+    And the control fleet elects r2
+    And the control fleet runs 9 seconds
+    Then the control fleet has revoked no items
+    When the control fleet runs 2 seconds
+    Then the control fleet has revoked the items of h1 and h2
+
+  Scenario: A renewal tells a holder to stop the items of a cancelled job
+    When holders h1 and h2 lease 3 items each from the control fleet
+    And the control fleet's job is cancelled
+    Then holder h1 is told by the control fleet to stop all its items
+
+  Scenario: Items whose lease answer was lost are given back though their holder renews
+    When holders h1 and h2 lease 3 items each from the control fleet
+    And h1 renews for 15 seconds but knows nothing of its items
+    Then the control fleet has given back the items of h1
+
+  Scenario: A quota's lent and minimum shares never sum to more than the rate
+    Then over many control reports, lost replies and leader changes no share passes the rate
+
+  Scenario: The check of quota sums notices a new leader that lends at once
+    Given the control fleet has the quota defect "lend-at-once"
+    Then the check of control quota sums fails
+
+  Scenario: Shares follow demand
+    When gateway a reports 300 tokens a second to the control fleet and gateway b 100
+    Then the control fleet lends a about 3 times what it lends b, and together the lendable rate
+
+  Scenario: A new leader lends nothing until earlier shares have run out
+    When the control fleet elects r2
+    Then the control fleet lends nothing for a whole share period, and then lends
--- a/features/support/control.py
+++ b/features/support/control.py
@@ -7,10 +7,14 @@
 
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.web.server import Site
 
 from rainsail.control.config_view import ConfigView
 from rainsail.control.leader_client import LeaderClient
 from rainsail.control.messages import GroupHealth, GroupStatusReply
+from rainsail.control.operator_api import OperatorApi
+from rainsail.control.operator_auth import Caller
 from rainsail.control.service import ControlService
 from rainsail.control.settings import ControlSettings
 from rainsail.control.watcher import WatchHub
@@ -328,7 +332,7 @@
         """Read one line."""
         self.lines.append(json.loads(line))
 
-    def end(self) -> None:
+    def end(self, cut: bool) -> None:
         """The watch ended."""
         self.ended = True
 
@@ -340,3 +344,77 @@
         """Return the last revision read of a change or a bookmark."""
         read = [line["revision"] for line in self.lines if "error" not in line]
         return read[-1] if read else self._revision
+
+
+class HttpConnection:
+    """One HTTP connection to a replica's operator API, in memory."""
+
+    def __init__(self, fleet: ControlFleet, replica: str, token: str) -> None:
+        group = fleet.groups[replica]
+        self._fleet = fleet
+        self._token = token
+        self.api = OperatorApi(
+            group,
+            group.state,
+            fleet.client(f"api-{replica}"),
+            fleet.clock,
+            fleet.settings,
+            authenticate={"key": Caller("", True), "north-key": Caller("north", False)}.get,
+            metrics=lambda: b"rainsail_up 1\n",
+            random=random.Random(replica),
+            wall_clock=fleet.clock.seconds,
+        )
+        site = Site(self.api.app.resource(), timeout=None)
+        self.transport = StringTransportWithDisconnection()
+        self.channel = site.buildProtocol(None)
+        self.transport.protocol = self.channel
+        self.channel.makeConnection(self.transport)
+
+    def send(self, method: str, path: str, body=None) -> None:
+        """Send a request."""
+        data = (
+            b"" if body is None else body if isinstance(body, bytes) else json.dumps(body).encode()
+        )
+        self.transport.clear()
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: replica",
+            f"Authorization: Bearer {self._token}",
+            f"Content-Length: {len(data)}",
+        ]
+        self.channel.dataReceived("\r\n".join([*lines, "", ""]).encode() + data)
+
+    def request(self, method: str, path: str, body=None):
+        """Send a request; return status and body once it is answered whole."""
+        self.send(method, path, body)
+        self._fleet.wait_until(self._answered)
+        head, _, rest = self.transport.value().partition(b"\r\n\r\n")
+        text = b"".join(_chunks(rest)) if b"chunked" in head.lower() else rest
+        return int(head.split()[1]), text
+
+    def _answered(self) -> bool:
+        head, separator, rest = self.transport.value().partition(b"\r\n\r\n")
+        if b"chunked" in head.lower():
+            return rest.endswith(b"0\r\n\r\n")
+        length = [
+            int(line.split(b":")[1])
+            for line in head.split(b"\r\n")
+            if line.lower().startswith(b"content-length")
+        ]
+        return bool(separator) and bool(length) and len(rest) >= length[0]
+
+    def watch_lines(self) -> list[dict]:
+        """Return the lines that a watch has sent so far."""
+        rest = self.transport.value().partition(b"\r\n\r\n")[2]
+        return [json.loads(line) for line in b"".join(_chunks(rest)).splitlines()]
+
+
+def _chunks(data: bytes):
+    """Yield the chunks of a chunked body as far as they are there."""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        length = int(size, 16)
+        if length == 0:
+            return
+        yield data[:length]
+        data = data[length + 2 :]
--- a/src/rainsail/control/group_control.py
+++ b/src/rainsail/control/group_control.py
@@ -8,7 +8,7 @@
 from rainsail.control.faults import not_leader
 from rainsail.control.in_force import InForceLoop
 from rainsail.control.item_lease_loop import ItemLeaseLoop
-from rainsail.control.item_leases import ItemLeaseTable
+from rainsail.control.item_leases import ItemLeaseTable, OrphanedItems
 from rainsail.control.long_poll import LongPolls
 from rainsail.control.messages import (
     ConfigPoll,
@@ -20,10 +20,10 @@
 )
 from rainsail.control.quota import QuotaLender, QuotaTerms
 from rainsail.control.settings import ControlSettings
-from rainsail.control.stale_items import items_to_stop
 from rainsail.errors import Fault
 from rainsail.resources.specs import Kind, ResourceKey, TenantSpec
 from rainsail.runtime.clock import Clock
+from rainsail.state.commands import Command, LeaseItems, ReturnedItem, ReturnItems
 from rainsail.state.interface import ReplicatedReader
 
 
@@ -40,6 +40,7 @@
         margin = settings.clock_rate_margin
         self._config_leases = ConfigLeaseTable(LeaseTerms(settings.config_lease_s, margin))
         self._item_leases = ItemLeaseTable(LeaseTerms(settings.item_lease_s, margin))
+        self._orphans = OrphanedItems(LeaseTerms(settings.item_lease_s, margin))
         self._quota = QuotaLender(
             QuotaTerms(settings.quota_share_s, margin, settings.quota_reserve_fraction)
         )
@@ -96,9 +97,23 @@
         """Renew a holder's batch leases; tell it what to stop and what waits."""
         if not self.serving():
             return not_leader("control.renew_item_leases", self.group)
-        lease_s = self._item_leases.renew(request.holder, self._clock.seconds())
-        stop = items_to_stop(self.state, request.holder, request.running)
-        return RenewItemLeasesReply(stop, lease_s, self._backlog())
+        now_s = self._clock.seconds()
+        lease_s = self._item_leases.renew(request.holder, now_s)
+        self._give_back_orphans(request, now_s)
+        stop = [ref for ref in request.running if not self.state.holds(request.holder, ref)]
+        return RenewItemLeasesReply(tuple(stop), lease_s, self._backlog())
+
+    def note_proposal(self, command: Command) -> None:
+        """Count a lease command as a renewal: its holder is alive."""
+        if isinstance(command, LeaseItems):
+            self._item_leases.renew(command.holder, self._clock.seconds())
+
+    def _give_back_orphans(self, request: RenewItemLeases, now_s: float) -> None:
+        leased = self.state.held_by(request.holder)
+        orphans = self._orphans.renewed(request.holder, leased, request.running, now_s)
+        if orphans:
+            returned = tuple(ReturnedItem(ref, "") for ref in orphans)
+            self.group.propose(ReturnItems(request.holder, returned))
 
     def quota_report(self, report: QuotaReport) -> Fault | QuotaShares:
         """Lend the reporting gateway its shares of the tenants' rates."""
@@ -125,6 +140,7 @@
             self._config_leases.begin(now_s)
             self._quota.begin(now_s)
             self._in_force.begin()
+            self._orphans.begin()
             self._item_loop.begin()
             return
         self._in_force.end()
--- a/src/rainsail/control/quota.py
+++ b/src/rainsail/control/quota.py
@@ -18,6 +18,9 @@
 GATEWAY_COUNT_SLACK = 2
 """Minimum shares stay within the reserve while gateways' counts differ by up to this factor."""
 
+SMALLEST_RATE = 1e-9
+"""Tokens a second below which a rate counts as none."""
+
 
 @dataclass(frozen=True, slots=True)
 class QuotaTerms:
@@ -33,14 +36,39 @@
         return self.share_s * (1.0 + self.clock_rate_margin)
 
 
-@dataclass(slots=True)
-class LentShare:
-    """What one gateway holds of one tenant's rate, and its demand in tokens a second."""
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A rate lent in tokens a second, and when it has surely run out (leader's clock)."""
 
     tokens_per_second: float
     expires_s: float
+
+
+@dataclass(slots=True)
+class GatewayShare:
+    """What one gateway may hold of one tenant's rate, and its demand in tokens a second.
+
+    A reply may be lost, so a smaller grant does not replace a larger one before that runs out.
+    """
+
+    grants: list[Grant]
     demand: float
 
+    def outstanding(self) -> float:
+        """Return the highest rate that the gateway may be using."""
+        return max((grant.tokens_per_second for grant in self.grants), default=0.0)
+
+    def drop_expired(self, now_s: float) -> None:
+        """Forget the grants that have run out."""
+        self.grants = [grant for grant in self.grants if grant.expires_s > now_s]
+
+    def add(self, grant: Grant) -> None:
+        """Note a grant; it covers earlier ones that are no larger."""
+        self.grants = [
+            each for each in self.grants if each.tokens_per_second > grant.tokens_per_second
+        ]
+        self.grants.append(grant)
+
 
 def minimum_share(rate: float, gateways: int, reserve_fraction: float) -> float:
     """Return the rate that each of ``gateways`` may use without a lent share."""
@@ -52,7 +80,7 @@
 
     def __init__(self, terms: QuotaTerms) -> None:
         self._terms = terms
-        self._lent: dict[str, dict[str, LentShare]] = {}
+        self._lent: dict[str, dict[str, GatewayShare]] = {}
         self._lends_from_s = 0.0
 
     def begin(self, now_s: float) -> None:
@@ -81,19 +109,24 @@
         book = self._lent.setdefault(demand.tenant, {})
         self._drop_expired(book, now_s)
         wanted = _rate(demand, report.period_s)
-        before = book.pop(report.gateway, None)
-        smoothed = wanted if before is None else _smooth(before.demand, wanted)
+        share = book.get(report.gateway)
+        if share is None:
+            share = book[report.gateway] = GatewayShare([], wanted)
+        else:
+            share.demand = _smooth(share.demand, wanted)
         lendable = limit.tokens_per_second * (1.0 - self._terms.reserve_fraction)
-        others_lent = sum(share.tokens_per_second for share in book.values())
-        others_demand = sum(share.demand for share in book.values())
-        fair = _fair_part(lendable, smoothed, others_demand)
-        granted = max(0.0, min(fair, lendable - others_lent))
-        book[report.gateway] = LentShare(granted, now_s + self._terms.trusted_after_s, smoothed)
-        burst = limit.burst_tokens * granted / limit.tokens_per_second
+        others = [other for name, other in book.items() if name != report.gateway]
+        others_hold = sum(other.outstanding() for other in others)
+        fair = _fair_part(lendable, share.demand, sum(other.demand for other in others))
+        granted = max(0.0, min(fair, lendable - others_hold))
+        share.add(Grant(granted, now_s + self._terms.trusted_after_s))
+        burst = limit.burst_tokens * granted / max(limit.tokens_per_second, SMALLEST_RATE)
         return QuotaShare(demand.tenant, granted, burst)
 
-    def _drop_expired(self, book: dict[str, LentShare], now_s: float) -> None:
-        for gateway in [each for each, share in book.items() if share.expires_s <= now_s]:
+    def _drop_expired(self, book: dict[str, GatewayShare], now_s: float) -> None:
+        for share in book.values():
+            share.drop_expired(now_s)
+        for gateway in [each for each, share in book.items() if not share.grants]:
             del book[gateway]
 
 
--- a/src/rainsail/control/resource_endpoints.py
+++ b/src/rainsail/control/resource_endpoints.py
@@ -7,6 +7,7 @@
 from rainsail.control.interface import ControlClient
 from rainsail.control.messages import ListReply, ListRequest
 from rainsail.control.resource_json import JsonObject, merged_spec_json, spec_from_json
+from rainsail.control.spec_rules import name_problem
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.resources.specs import Kind, Resource, ResourceKey
 from rainsail.state.commands import (
@@ -50,6 +51,9 @@
         change = _read_change(body)
         if change.is_error():
             return Error(change.error)
+        problem = name_problem(key)
+        if problem:
+            return Error(Fault(FaultCode.INVALID, STEP, problem))
         spec = spec_from_json(key.kind, body.get("spec"))
         if spec.is_error():
             return Error(spec.error)
--- a/src/rainsail/control/resource_json.py
+++ b/src/rainsail/control/resource_json.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 import json
-from dataclasses import dataclass
 from functools import cache
 from typing import Any
 
 from expression import Error, Ok, Result
 from pydantic import TypeAdapter, ValidationError
 
+from rainsail.control.spec_rules import spec_problem
 from rainsail.errors import Fault, FaultCode
 from rainsail.resources.specs import (
     SPEC_TYPES,
@@ -94,9 +94,11 @@
         known = ", ".join(field.name for field in dataclasses.fields(cls))
         return Error(_invalid(f"{path}.{unknown[0]}: unknown key, expected one of {known}"))
     try:
-        return Ok(_adapter(cls).validate_json(json.dumps(body), strict=True))
+        spec: Spec = _adapter(cls).validate_json(json.dumps(body), strict=True)
     except ValidationError as error:
         return Error(_invalid(_explain(path, error)))
+    problem = spec_problem(spec)
+    return Error(_invalid(f"{path}.{problem}")) if problem else Ok(spec)
 
 
 def merged_spec_json(spec: Spec, patch: JsonObject) -> JsonObject:
@@ -110,14 +112,6 @@
     return merged
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeBody:
-    """What a PUT, PATCH or DELETE asks for besides the spec."""
-
-    expected_revision: int | None
-    change_id: str
-
-
 @cache
 def _adapter(cls: Any) -> TypeAdapter[Any]:
     return TypeAdapter(cls)
--- a/src/rainsail/control/service.py
+++ b/src/rainsail/control/service.py
@@ -93,6 +93,7 @@
     ) -> Result[ProposeReply, Fault]:
         if not control.serving():
             return Error(not_leader("control.propose", control.group))
+        control.note_proposal(request.command)
         committed = await control.group.propose(request.command)
         if committed.is_error():
             return Error(committed.error)
--- a/src/rainsail/control/watch_routes.py
+++ b/src/rainsail/control/watch_routes.py
@@ -42,13 +42,14 @@
         if not self._gone:
             self._request.write(line)
 
-    def end(self) -> None:
-        """Finish the answer; a client that doesn't read its rest is cut after a while."""
+    def end(self, cut: bool) -> None:
+        """Finish the answer; a client that is cut loses its connection after a while."""
         if self._gone:
             return
         channel = self._request.channel
         self._request.unregisterProducer()
-        self._clock.callLater(self._drain_s, self._cut, channel)
+        if cut:
+            self._clock.callLater(self._drain_s, _abort, channel)
         self.finished.callback(b"")
 
     def pauseProducing(self) -> None:
@@ -71,9 +72,11 @@
         if self._watcher is not None:
             self._watcher.stop()
 
-    def _cut(self, channel: Any) -> None:
-        if not self._gone and channel is not None:
-            channel.abortConnection()
+
+def _abort(channel: Any) -> None:
+    """Drop the connection unless it has gone by itself."""
+    if channel.transport is not None:
+        channel.transport.abortConnection()
 
 
 class WatchRoutes:
--- a/src/rainsail/control/watcher.py
+++ b/src/rainsail/control/watcher.py
@@ -27,8 +27,8 @@
         """Take one line with its newline."""
         ...
 
-    def end(self) -> None:
-        """The watch is over; everything written is still to be delivered."""
+    def end(self, cut: bool) -> None:
+        """The watch is over; with ``cut`` the client gets little time to read the rest."""
         ...
 
 
@@ -161,7 +161,7 @@
         waiting = self._state.revision - self._revision
         if waiting > self._settings.watch_buffer_events:
             detail = f"{waiting} events wait for this watcher; go on from the last revision read"
-            self._end_with("too_slow", Fault(FaultCode.OVERLOADED, STEP, detail))
+            self._end_with("too_slow", Fault(FaultCode.OVERLOADED, STEP, detail), cut=True)
 
     def _compacted(self) -> Fault:
         detail = f"events after revision {self._revision} are gone: list again"
@@ -169,11 +169,11 @@
             FaultCode.REVISION_COMPACTED, STEP, detail, current_revision=self._state.revision
         )
 
-    def _end_with(self, line_type: str, fault: Fault) -> None:
+    def _end_with(self, line_type: str, fault: Fault, cut: bool = False) -> None:
         line = {"type": line_type, "revision": self._revision, **fault_to_json(fault)}
         self._sink.write_line(json_line(line))
         self.stop()
-        self._sink.end()
+        self._sink.end(cut)
 
 
 class WatchHub:
