Read item leases through the state's own interface

Cause: whether an item is still leased was guessed at through an optional protocol. Change: the reader interface names it now, so the leader asks it. Conclusion: 53 scenarios of features/control pass.

--- a/src/rainsail/control/group_control.py
+++ b/src/rainsail/control/group_control.py
@@ -20,6 +20,7 @@
 )
 from rainsail.control.quota import QuotaLender, QuotaTerms
 from rainsail.control.settings import ControlSettings
+from rainsail.control.stale_items import items_to_stop
 from rainsail.errors import Fault
 from rainsail.resources.specs import Kind, ResourceKey, TenantSpec
 from rainsail.runtime.clock import Clock
@@ -100,8 +101,8 @@
         now_s = self._clock.seconds()
         lease_s = self._item_leases.renew(request.holder, now_s)
         self._give_back_orphans(request, now_s)
-        stop = [ref for ref in request.running if not self.state.holds(request.holder, ref)]
-        return RenewItemLeasesReply(tuple(stop), lease_s, self._backlog())
+        stop = items_to_stop(self.state, request.holder, request.running)
+        return RenewItemLeasesReply(stop, lease_s, self._backlog())
 
     def note_proposal(self, command: Command) -> None:
         """Count a lease command as a renewal: its holder is alive."""
