--- a/features/steps/controllers_departures_steps.py
+++ b/features/steps/controllers_departures_steps.py
@@ -1,12 +1,12 @@
 """Steps on drained runners, finished jobs and departed gateways."""
 
 from behave import given, then, when
+from features.support.controllers import Fleet
+from features.support.state import bodies, job_spec
 
 from rainsail.control.controllers.machines import MachineState
 from rainsail.resources.specs import GatewaySpec, Kind
 from rainsail.state.commands import AddItems, CancelJob, OpenJob, SealJob
-from support.controllers import Fleet
-from support.state import bodies, job_spec
 
 FIRST = "reports-0"
 
--- a/features/steps/controllers_placement_steps.py
+++ b/features/steps/controllers_placement_steps.py
@@ -1,11 +1,11 @@
 """Steps on placement and roll-out."""
 
 from behave import given, then, when
+from features.support.controllers import Engine, Fleet
 
 from rainsail.errors import Fault
 from rainsail.resources.specs import Kind, ServiceSpec
 from rainsail.state.commands import PutStatus
-from support.controllers import Engine, Fleet
 
 SERVICE = "reports"
 
--- a/features/steps/state_resources_steps.py
+++ b/features/steps/state_resources_steps.py
@@ -1,6 +1,7 @@
 """Steps on replicated resources: races, re-sent changes, windows and revisions."""
 
 from behave import given, then, when
+from features.support.state import Driver, put_tenant
 
 from rainsail.errors import Fault, FaultCode
 from rainsail.resources.specs import Kind, ResourceKey, RunnerSpec, RunnerStatus
@@ -13,7 +14,6 @@
 )
 from rainsail.state.machine import ReplicatedState
 from rainsail.state.settings import StateSettings
-from support.state import Driver, put_tenant
 
 RUNNER = ResourceKey(Kind.RUNNER, "engine-1")
 
--- a/features/support/state.py
+++ b/features/support/state.py
@@ -70,14 +70,14 @@
         return str(outcome.verdicts[0])
 
 
-def job_spec(job_key: str, items: int, **fields: object) -> JobSpec:
-    """Return a job's spec; its content digest follows from key and count."""
+def job_spec(name: str, items: int, **fields: object) -> JobSpec:
+    """Return a job's spec; its key and content digest follow from name and count."""
     values: dict[str, object] = {
-        "job_key": job_key,
+        "job_key": name,
         "tenant": "north",
         "service": SERVICE,
         "item_count": items,
-        "content_digest": f"digest-{job_key}-{items}",
+        "content_digest": f"digest-{name}-{items}",
         "deadline_unix_s": DEADLINE_UNIX_S,
     }
     values.update(fields)
