--- /dev/null
+++ b/features/support/control_group.py
@@ -0,0 +1,105 @@
+"""Real replicas on simulated disks and network, with gateways' views and an operator's client."""
+
+import random
+from collections.abc import Callable
+
+from rainsail.assembly.replica import ReplicaConfig
+from rainsail.consensus.settings import ConsensusSettings
+from rainsail.control.config_view import ConfigView
+from rainsail.control.leader_client import LeaderClient
+from rainsail.control.settings import ControlSettings
+from rainsail.resources.specs import GatewaySpec
+from rainsail.simulation.clock import SkewedClock, VirtualClock
+from rainsail.simulation.engine_link import EngineNetwork
+from rainsail.simulation.network import LinkConditions, SimulatedNetwork
+from rainsail.simulation.processes import ReplicaProcess, World
+from rainsail.wire.messenger import Messenger
+
+
+class RealGroupFleet:
+    """Replicas r1 to rN as assembled in daemons, on the virtual clock."""
+
+    def __init__(
+        self, replicas: int, seed: int = 0, loss: float = 0.0, snapshot_entries: int = 0
+    ) -> None:
+        self.clock = VirtualClock()
+        conditions = LinkConditions(delay_s=0.0005, jitter_s=0.0002, loss=loss)
+        self.network = SimulatedNetwork(self.clock, random.Random(seed), conditions)
+        self.world = World(seed, self.clock, self.network, EngineNetwork(self.clock))
+        self.settings = ControlSettings()
+        self.names = tuple(f"r{number + 1}" for number in range(replicas))
+        self.views: dict[str, ConfigView] = {}
+        self.clocks: dict[str, SkewedClock] = {}
+        self.seen: dict[str, list[int]] = {}
+        self.replicas = {
+            name: ReplicaProcess(
+                self.world, name, f"z{number % 3}", self._config(name, snapshot_entries), None
+            )
+            for number, name in enumerate(self.names)
+        }
+        for replica in self.replicas.values():
+            replica.start()
+        self.wait_until(lambda: bool(self.leader()))
+
+    def _config(self, name: str, snapshot_entries: int) -> ReplicaConfig:
+        if not snapshot_entries:
+            return ReplicaConfig(name, "fleet", self.names)
+        consensus = ConsensusSettings(snapshot_log_entries=snapshot_entries)
+        return ReplicaConfig(name, "fleet", self.names, consensus)
+
+    def leader(self) -> str:
+        """Return the name of the replica that leads under a lease now; empty when none does."""
+        for name, replica in self.replicas.items():
+            group = replica.node.group if replica.running and replica.node else None
+            if group is not None and group.is_leader():
+                return name
+        return ""
+
+    def state(self, name: str):
+        """Return a replica's replicated state."""
+        return self.replicas[name].node.state
+
+    def client(self, name: str, clock=None) -> LeaderClient:
+        """Return a client of a new process."""
+        clock = clock or self.clock
+        return self._client(name, Messenger(self.network.transport(name, "z0"), clock), clock)
+
+    def _client(self, name: str, messenger: Messenger, clock) -> LeaderClient:
+        return LeaderClient(messenger, self.names, clock, random.Random(name), self.settings)
+
+    def start_view(self, name: str, incarnation: str) -> ConfigView:
+        """Start a gateway's view; one of the same name before it is ended."""
+        if name in self.clocks:
+            self.clocks[name].stop()
+        clock = self.clocks[name] = SkewedClock(self.clock)
+        messenger = Messenger(self.network.transport(name, "z1"), clock)
+        view = ConfigView(
+            name,
+            incarnation,
+            GatewaySpec("south", "z1", incarnation),
+            messenger,
+            self._client(name, messenger, clock),
+            clock,
+            random.Random(f"{name}/{incarnation}"),
+            self.settings,
+        )
+        self.views[name] = view
+        revisions = self.seen.setdefault(f"{name}/{incarnation}", [])
+        view.on_event(lambda event: revisions.append(event.revision))
+        view.start()
+        return view
+
+    def finish(self, deferred, limit_s: float = 40.0):
+        """Run virtual time until a Deferred has fired; return its result."""
+        fired: list = []
+        deferred.addCallback(fired.append)
+        self.wait_until(lambda: bool(fired), limit_s)
+        return fired[0]
+
+    def wait_until(self, condition: Callable[[], bool], limit_s: float = 30.0) -> float:
+        """Run virtual time until a condition holds; return the seconds that took."""
+        start_s = self.clock.seconds()
+        while not condition() and self.clock.run_next(start_s + limit_s):
+            pass
+        assert condition(), f"not reached within {limit_s} virtual seconds"
+        return self.clock.seconds() - start_s
