Prove streams and outcomes of the gateway under lost links, engines and answers

Cause: the attempt machine was written without the failures that it is meant for; two lost chunks in one stream used up its resumes and the request was run a second time. Change: resumes count only without progress; sessions and requests split into smaller modules; features for doubled, late and lost chunks, broken and silent links, a dead engine, a slow reader, a lost cancel, lost answers, re-sent ids at a second gateway, deadlines and the retry budget.

--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -165,6 +165,7 @@
         self.engines: dict[str, EmulatedEngine] = {}
         self.gateways: list[GatewayProcess] = []
         self.callers: list[Caller] = []
+        self.calls: dict[str, int] = {}
         self._changes = 0
         self.put(Kind.SERVICE, SERVICE, ServiceSpec("v1", runners))
         self.put(Kind.MODEL_VERSION, "v1", ModelVersionSpec(SERVICE, "weights", 10**9))
@@ -256,6 +257,21 @@
         caller.handle = self.gateways[gateway].core.submit(request, caller)
         return caller
 
+    def count_calls(self, method: str) -> None:
+        """Count the calls of an engine client's method, at every gateway, from now on."""
+        self.calls[method] = 0
+        for gateway in self.gateways:
+            self._count_calls(gateway.engine, method)
+
+    def _count_calls(self, engine: SimulatedEngineClient, method: str) -> None:
+        called = getattr(engine, method)
+
+        def count(*arguments: Any) -> Any:
+            self.calls[method] += 1
+            return called(*arguments)
+
+        setattr(engine, method, count)
+
     def open_session(self, name: str, tenant: str = "hotel") -> None:
         """Create a session resource."""
         self.put(Kind.SESSION, name, SessionSpec(tenant, SERVICE))
--- /dev/null
+++ b/src/rainsail/gateway/attempt_sender.py
@@ -0,0 +1,112 @@
+"""Chooses runners for one request's attempts and sends them."""
+
+from collections.abc import Sequence
+
+from rainsail.engine.interface import GenerateRequest, Priority
+from rainsail.engine.prefix import block_hashes
+from rainsail.gateway.attempts import Attempt, AttemptOwner
+from rainsail.gateway.eligibility import eligible_runners, without
+from rainsail.gateway.interface import CallerRequest
+from rainsail.gateway.router import RouteDecision, choose_runner
+from rainsail.gateway.run_context import RunContext
+from rainsail.resources.specs import RequestClass
+
+NEVER_S = float("inf")
+ENGINE_DEADLINE_MARGIN_S = 0.02
+"""An engine is given this much less than the caller, so that its own word that it did not run
+the request comes before the caller's deadline."""
+LEAST_DEADLINE_S = 0.001
+
+
+class AttemptSender:
+    """Sends the attempts of one request, each under its own attempt id."""
+
+    def __init__(
+        self,
+        context: RunContext,
+        caller: CallerRequest,
+        class_: RequestClass,
+        deadline_s: float,
+        run_id: str,
+    ) -> None:
+        self.sent = 0
+        self._context = context
+        self._caller = caller
+        self._class = class_
+        self._deadline_s = deadline_s
+        self._run_id = run_id
+
+    @property
+    def _batch(self) -> bool:
+        return self._class == RequestClass.BATCH
+
+    def route(self, failed: Sequence[str]) -> RouteDecision:
+        """Choose a runner, rather not one of ``failed``, and keep the decision."""
+        context = self._context
+        caller = self._caller
+        now_s = context.clock.seconds()
+        states = eligible_runners(
+            context.fleet.runners_of(caller.model), now_s, self._batch, caller.adapter
+        )
+        decision = choose_runner(
+            caller.request_id,
+            self.sent,
+            without(states, failed),
+            block_hashes(caller.prompt),
+            context.zone,
+            now_s,
+            context.random,
+            context.settings.routing,
+        )
+        context.decisions.add(decision)
+        return decision
+
+    def prepare(
+        self, owner: AttemptOwner, runner: str, prompt: str, fence: int, forced_prefix: str
+    ) -> Attempt | None:
+        """Make the next attempt and count it; None when the runner is gone."""
+        context = self._context
+        state = context.fleet.runner(runner)
+        if state is None:
+            return None
+        attempt = Attempt(
+            runner,
+            state.spec.address,
+            self._request(prompt, fence, forced_prefix),
+            owner,
+            context.engine,
+            context.clock,
+            context.random,
+            context.settings.retry,
+            patient=self._class == RequestClass.NON_REPEATABLE,
+        )
+        self.sent += 1
+        context.fleet.attempt_started(
+            runner, attempt.attempt_id, self._batch, self._caller.max_tokens
+        )
+        return attempt
+
+    def _request(self, prompt: str, fence: int, forced_prefix: str) -> GenerateRequest:
+        caller = self._caller
+        return GenerateRequest(
+            attempt_id=f"{self._run_id}.{self.sent}",
+            request_id=caller.request_id,
+            model=caller.model,
+            version="",
+            prompt=prompt,
+            max_tokens=caller.max_tokens,
+            priority=Priority.LOW if self._batch else Priority.HIGH,
+            adapter=caller.adapter,
+            session=caller.session,
+            fence=fence,
+            forced_prefix=forced_prefix,
+            deadline_s=self._time_left_s(),
+            seed=caller.seed,
+        )
+
+    def _time_left_s(self) -> float:
+        """Return what an engine is told as the time left (0: no deadline)."""
+        if self._deadline_s == NEVER_S:
+            return 0.0
+        left_s = self._deadline_s - self._context.clock.seconds() - ENGINE_DEADLINE_MARGIN_S
+        return max(LEAST_DEADLINE_S, left_s)
--- a/src/rainsail/gateway/attempts.py
+++ b/src/rainsail/gateway/attempts.py
@@ -113,6 +113,7 @@
         self._patient = patient
         self._held_end: AttemptEnd | None = None
         self._resumes = 0
+        self._resumed_at = 0
         self._timer: Any = None
         self._paused = False
         self._checked_sequence = 0
@@ -230,6 +231,9 @@
     def _resume_or_break(self, end: AttemptEnd) -> None:
         self._stop_timer()
         self._held_end = None
+        if self.next_sequence > self._resumed_at:
+            self._resumes = 0
+        self._resumed_at = self.next_sequence
         if self._resumes >= self._settings.max_resumes:
             self._finish(AttemptResult.BROKEN, end)
             return
--- a/src/rainsail/gateway/claims.py
+++ b/src/rainsail/gateway/claims.py
@@ -6,9 +6,10 @@
 """
 
 import hashlib
+from typing import Any
 
 from expression import Error, Ok, Result
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from rainsail.control.interface import ControlClient
 from rainsail.errors import Fault, FaultCode, Outcome
@@ -73,3 +74,28 @@
         """Record how a claimed request ended; NOT_RUN releases the claim."""
         command = FinishRequest(request.tenant, request.request_id, claimant, outcome, response)
         return self._control.propose(command, self._settings.claim_timeout_s)
+
+
+class RequestClaim:
+    """The claim of one request: taken at most once, ended at most once."""
+
+    def __init__(self, keeper: ClaimKeeper, request: CallerRequest, claimant: str) -> None:
+        self._keeper = keeper
+        self._request = request
+        self._claimant = claimant
+        self._held = False
+
+    def take(self) -> "Deferred[Result[ClaimResult, Fault]]":
+        """Ask for the claim."""
+        return self._keeper.claim(self._request, self._claimant).addCallback(self._taken)
+
+    def _taken(self, reply: Result[ClaimResult, Fault]) -> Result[ClaimResult, Fault]:
+        self._held = reply.is_ok() and reply.ok.granted
+        return reply
+
+    def end(self, outcome: Outcome, response: str = "") -> "Deferred[Any]":
+        """Record the end of a claim that is held; fires when that is done or given up."""
+        if not self._held:
+            return succeed(None)
+        self._held = False
+        return self._keeper.finish(self._request, self._claimant, outcome, response)
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -99,6 +99,7 @@
     def start(self) -> None:
         """Start reporting demand and looking for stalled streams."""
         self._quotas.start(self._context.admission.pump_all)
+        self._context.sessions.start()
         self._clock.callLater(SWEEP_PERIOD_S, self._sweep)
 
     def stop(self) -> None:
--- a/src/rainsail/gateway/retry.py
+++ b/src/rainsail/gateway/retry.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from enum import StrEnum
 from random import Random
 
 from rainsail.gateway.settings import RetrySettings
@@ -45,7 +46,16 @@
     attempts: int
     now_s: float
     deadline_s: float
-    retry_after_s: float
+
+
+class RetryReason(StrEnum):
+    """Why another attempt follows or not."""
+
+    AGAIN = "another attempt follows"
+    NOT_REPEATABLE = "the request may not be repeated"
+    ATTEMPTS = "as many attempts failed as are allowed"
+    DEADLINE = "the deadline leaves no time for another attempt"
+    BUDGET = "the retry budget is used up"
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +64,7 @@
 
     again: bool
     delay_s: float
-    reason: str
+    reason: RetryReason
 
 
 def may_send_again(repeatable: bool, sent: bool) -> bool:
@@ -73,12 +83,12 @@
 ) -> RetryDecision:
     """Decide whether another attempt follows a failed one."""
     if not may_send_again(failed.repeatable, failed.sent):
-        return RetryDecision(False, 0.0, "the request may not be repeated")
+        return RetryDecision(False, 0.0, RetryReason.NOT_REPEATABLE)
     if failed.attempts >= settings.max_attempts:
-        return RetryDecision(False, 0.0, f"{failed.attempts} attempts failed")
+        return RetryDecision(False, 0.0, RetryReason.ATTEMPTS)
     delay_s = backoff_s(failed.attempts, random, settings)
     if failed.now_s + delay_s >= failed.deadline_s:
-        return RetryDecision(False, 0.0, "the deadline leaves no time for another attempt")
+        return RetryDecision(False, 0.0, RetryReason.DEADLINE)
     if not budget.take(failed.now_s):
-        return RetryDecision(False, 0.0, "the retry budget is used up")
-    return RetryDecision(True, delay_s, "retry")
+        return RetryDecision(False, 0.0, RetryReason.BUDGET)
+    return RetryDecision(True, delay_s, RetryReason.AGAIN)
--- a/src/rainsail/gateway/settings.py
+++ b/src/rainsail/gateway/settings.py
@@ -148,7 +148,9 @@
 
     max_attempts: int = Field(default=3, gt=0, description="Attempts of one request, first too.")
     max_resumes: int = Field(
-        default=2, ge=0, description="Times one attempt's lost stream is taken up at its engine."
+        default=2,
+        ge=0,
+        description="Tries to take up a lost stream at its engine without a chunk of progress.",
     )
     budget_ratio: float = Field(
         default=0.1, ge=0, description="Retries per request that a service may cost on average."
