--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -187,7 +187,7 @@
         self.put(
             Kind.RUNNER, name, RunnerSpec(address, "r", f"z{zone}", SERVICE, batch_slots=slots)
         )
-        settings = settings or EngineSettings.language_model(max_running=slots)
+        settings = settings or EngineSettings.language_model(max_running=2 * slots)
         engine = EmulatedEngine(name, self.clock, Random(index), settings, self.weight_store)
         if preload:
             engine.preload(preload)
