Add the OpenAI-compatible caller API

Cause: callers should reach the gateway with the client libraries they have. Change: models, completions and chat completions (whole and streamed), files and batches on klein; API keys per tenant, documented headers, faults in OpenAI's shape with their outcome, bodies bounded before they are read, disconnects that abandon, slow readers that pause. Conclusion: uploaded files live in one gateway's memory until a batch is made of them; the ledger keeps neither a batch's endpoint nor its time of creation.

--- /dev/null
+++ b/src/rainsail/gateway/http_api.py
@@ -0,0 +1,74 @@
+"""The caller API: OpenAI-compatible HTTP above the gateway's core and the job intake."""
+
+from collections.abc import Callable
+from typing import Any
+
+from klein import Klein
+from twisted.python.failure import Failure
+from twisted.web.server import Site
+from werkzeug.exceptions import HTTPException
+
+from rainsail.control.interface import ConfigReader
+from rainsail.errors import Fault, FaultCode, Outcome, RainsailError
+from rainsail.gateway.interface import Gateway
+from rainsail.gateway.openai.authentication import Authenticator
+from rainsail.gateway.openai.batch_routes import BatchRoutes
+from rainsail.gateway.openai.job_intake import Intake
+from rainsail.gateway.openai.online_routes import OnlineRoutes
+from rainsail.gateway.openai.settings import CallerApiSettings
+from rainsail.gateway.openai.sinks import write_fault
+from rainsail.gateway.openai.site import make_site
+
+_STEP = "caller_api.route"
+_FORM_ENVELOPE_BYTES = 64 * 1024
+"""Room for the boundaries and headers of a form around an uploaded file."""
+
+_STATUS_CODES = {
+    404: FaultCode.NOT_FOUND,
+    405: FaultCode.INVALID,
+}
+
+
+class CallerApi:
+    """Serves callers; ``site()`` is what a port listens with, as it bounds the bodies."""
+
+    def __init__(
+        self,
+        core: Gateway,
+        config: ConfigReader,
+        intake: Intake,
+        settings: CallerApiSettings,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self.app = Klein()
+        self._settings = settings
+        authenticator = Authenticator(config)
+        OnlineRoutes(core, config, authenticator, settings, wall_clock).add_to(self.app)
+        BatchRoutes(intake, authenticator, settings, wall_clock).add_to(self.app)
+        self.app.handle_errors(HTTPException)(_no_route)
+        self.app.handle_errors(Exception)(_failed)
+
+    def site(self) -> Site:
+        """Return the web site of the API."""
+        max_body_bytes = self._settings.max_file_bytes + _FORM_ENVELOPE_BYTES
+        return make_site(self.app.resource(), max_body_bytes)
+
+    def listen(self, reactor: Any, host: str, port: int) -> Any:
+        """Listen on an address; return Twisted's port."""
+        return reactor.listenTCP(port, self.site(), interface=host)
+
+
+def _no_route(request: Any, failure: Failure) -> None:
+    """Answer a path or method that is not served."""
+    error: Any = failure.value
+    code = _STATUS_CODES.get(error.code, FaultCode.INVALID)
+    write_fault(request, Fault(code, _STEP, f"{error.code} {error.name}"))
+
+
+def _failed(request: Any, failure: Failure) -> None:
+    """Answer an error that nobody expected; whether something ran is not known."""
+    if isinstance(failure.value, RainsailError):
+        write_fault(request, failure.value.fault)
+        return
+    detail = f"{failure.type.__name__ if failure.type else 'error'}: {failure.value}"
+    write_fault(request, Fault(FaultCode.INTERNAL, _STEP, detail, "", Outcome.UNKNOWN))
--- /dev/null
+++ b/src/rainsail/gateway/openai/__init__.py
@@ -0,0 +1,1 @@
+"""OpenAI-compatible request and response shapes, server-sent events, files and batches."""
--- /dev/null
+++ b/src/rainsail/gateway/openai/authentication.py
@@ -0,0 +1,52 @@
+"""Bearer API keys of callers, checked against the tenants' key hashes."""
+
+import hashlib
+
+from expression import Error, Ok, Result
+
+from rainsail.control.interface import ConfigReader
+from rainsail.errors import Fault, FaultCode
+from rainsail.resources.specs import Kind, TenantSpec, WatchEvent
+
+_STEP = "caller_api.authentication"
+_SCHEME = "bearer "
+
+
+def hash_key(key: str) -> str:
+    """Return the hex SHA-256 of an API key, as tenants store it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Authenticator:
+    """Finds the tenant of an API key; follows the configuration."""
+
+    def __init__(self, config: ConfigReader) -> None:
+        self._config = config
+        self._tenants: dict[str, str] | None = None
+        config.on_event(self._changed)
+
+    def _changed(self, event: WatchEvent) -> None:
+        if event.resource.key.kind is Kind.TENANT:
+            self._tenants = None
+
+    def tenant(self, authorization: str | None) -> Result[str, Fault]:
+        """Return the name of the tenant whose key the Authorization header carries."""
+        if not self._config.ready():
+            detail = "no configuration has been read yet"
+            return Error(Fault(FaultCode.UNAVAILABLE, _STEP, detail, retry_after_s=1.0))
+        if authorization is None or not authorization.lower().startswith(_SCHEME):
+            return Error(Fault(FaultCode.UNAUTHENTICATED, _STEP, "no bearer API key"))
+        name = self._index().get(hash_key(authorization[len(_SCHEME) :].strip()))
+        if name is None:
+            return Error(Fault(FaultCode.UNAUTHENTICATED, _STEP, "unknown API key"))
+        return Ok(name)
+
+    def _index(self) -> dict[str, str]:
+        if self._tenants is None:
+            self._tenants = {
+                key_hash: resource.key.name
+                for resource in self._config.list_resources(Kind.TENANT)
+                if isinstance(resource.spec, TenantSpec)
+                for key_hash in resource.spec.key_hashes
+            }
+        return self._tenants
--- /dev/null
+++ b/src/rainsail/gateway/openai/responses.py
@@ -0,0 +1,105 @@
+"""The response bodies of completions and chat completions, whole and streamed."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from rainsail.gateway.interface import Answer
+
+DONE_FRAME = b"data: [DONE]\n\n"
+
+_encode_string = json.encoder.encode_basestring_ascii
+_TEXT_MARK = "\x00"
+
+
+def encode_json(value: Any) -> bytes:
+    """Return compact JSON."""
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def usage(answer: Answer) -> dict[str, int]:
+    """Return OpenAI's usage object."""
+    return {
+        "prompt_tokens": answer.prompt_tokens,
+        "completion_tokens": answer.generated_tokens,
+        "total_tokens": answer.prompt_tokens + answer.generated_tokens,
+    }
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerShape:
+    """How answers of one endpoint look."""
+
+    id_prefix: str
+    whole_object: str
+    part_object: str
+    chat: bool
+
+    def choice(self, text: str, finish_reason: str) -> dict[str, Any]:
+        """Return the choice of a whole answer."""
+        choice: dict[str, Any] = {"index": 0, "logprobs": None, "finish_reason": finish_reason}
+        if self.chat:
+            choice["message"] = {"role": "assistant", "content": text, "refusal": None}
+        else:
+            choice["text"] = text
+        return choice
+
+    def part_choice(self, text: str, finish_reason: str | None) -> dict[str, Any]:
+        """Return the choice of a streamed part."""
+        choice: dict[str, Any] = {"index": 0, "logprobs": None, "finish_reason": finish_reason}
+        if not self.chat:
+            choice["text"] = text
+        else:
+            choice["delta"] = {"content": text} if finish_reason is None else {}
+        return choice
+
+
+COMPLETION_SHAPE = AnswerShape("cmpl-", "text_completion", "text_completion", False)
+CHAT_SHAPE = AnswerShape("chatcmpl-", "chat.completion", "chat.completion.chunk", True)
+
+
+class AnswerWriter:
+    """Writes one request's answer; what does not change is encoded once."""
+
+    def __init__(self, shape: AnswerShape, request_id: str, model: str, created: int) -> None:
+        self._shape = shape
+        self._head = {"id": f"{shape.id_prefix}{request_id}", "created": created, "model": model}
+        template = self._part_json([shape.part_choice(_TEXT_MARK, None)])
+        before, after = template.split(_encode_string(_TEXT_MARK).encode())
+        self._before = b"data: " + before
+        self._after = after + b"\n\n"
+
+    def _part_json(self, choices: list[dict[str, Any]], **more: Any) -> bytes:
+        body = {**self._head, "object": self._shape.part_object, "choices": choices, **more}
+        return encode_json(body)
+
+    def first_frame(self) -> bytes:
+        """Return what a stream begins with: for a chat, whose turn it is."""
+        if not self._shape.chat:
+            return b""
+        choice = self._shape.part_choice("", None)
+        choice["delta"] = {"role": "assistant", "content": ""}
+        return b"data: " + self._part_json([choice]) + b"\n\n"
+
+    def part_frame(self, text: str) -> bytes:
+        """Return the frame of a part."""
+        return self._before + _encode_string(text).encode() + self._after
+
+    def last_frames(self, answer: Answer, include_usage: bool) -> bytes:
+        """Return the frames that end a stream."""
+        outcome = {"outcome": answer.outcome, "runner": answer.runner}
+        choices = [self._shape.part_choice("", answer.finish_reason)]
+        frames = b"data: " + self._part_json(choices, rainsail=outcome) + b"\n\n"
+        if include_usage:
+            frames += b"data: " + self._part_json([], usage=usage(answer)) + b"\n\n"
+        return frames + DONE_FRAME
+
+    def whole(self, answer: Answer) -> bytes:
+        """Return a whole answer."""
+        body = {
+            **self._head,
+            "object": self._shape.whole_object,
+            "choices": [self._shape.choice(answer.text, answer.finish_reason)],
+            "usage": usage(answer),
+        }
+        return encode_json(body)
