--- a/features/steps/wire_transport_steps.py
+++ b/features/steps/wire_transport_steps.py
@@ -3,27 +3,14 @@
 import itertools
 
 from behave import given, then, when
+from features.support.wire import Node, Probe, add_node, nodes_of, wait_until
 from twisted.internet.defer import Deferred
 
 from rainsail.wire.address import PeerAddress
-from support.wire import Node, Probe, wait_until
 
 CALL_TIMEOUT_S = 15.0
 
 
-def _nodes(context):
-    if not hasattr(context, "wire_nodes"):
-        context.wire_nodes = {}
-        context.add_cleanup(lambda: [node.stop() for node in context.wire_nodes.values()])
-    return context.wire_nodes
-
-
-def add_node(context, node):
-    """Keep a node and stop it when the scenario ends."""
-    _nodes(context)[node.name] = node
-    return node
-
-
 @given('a wire node "{name}" that listens')
 def step_listening(context, name):
     add_node(context, Node(name)).listen()
@@ -43,7 +30,7 @@
 
 @given('a wire node "{name}" that knows "{peer}"')
 def step_knows(context, name, peer):
-    port = _nodes(context)[peer].port
+    port = nodes_of(context)[peer].port
     add_node(context, Node(name, {peer: PeerAddress("127.0.0.1", port)}))
 
 
@@ -58,41 +45,41 @@
 @when('"{source}" calls "{destination}" over the wire with "{text}"')
 def step_call(context, source, destination, text):
     context.wire_results = []
-    call = _nodes(context)[source].messenger.call(destination, Probe(text), CALL_TIMEOUT_S)
+    call = nodes_of(context)[source].messenger.call(destination, Probe(text), CALL_TIMEOUT_S)
     call.addCallback(context.wire_results.append)
 
 
 @when('"{source}" sends "{text}" one way over the wire to "{destination}"')
 def step_send(context, source, text, destination):
-    context.wire_fault = _nodes(context)[source].messenger.send(destination, Probe(text))
+    context.wire_fault = nodes_of(context)[source].messenger.send(destination, Probe(text))
 
 
 @when('"{name}" has got the wire probe and is stopped')
 def step_got_and_stopped(context, name):
-    node = _nodes(context)[name]
+    node = nodes_of(context)[name]
     wait_until(lambda: node.received, "a probe")
     node.stop()
 
 
 @when('"{source}" sends {count:d} numbered probes over the wire to "{destination}" in one turn')
 def step_numbered(context, source, count, destination):
-    messenger = _nodes(context)[source].messenger
+    messenger = nodes_of(context)[source].messenger
     faults = [messenger.send(destination, Probe(str(number))) for number in range(count)]
     assert faults == [None] * count, faults
 
 
 @when('the wire node "{name}" is stopped and started on the same port')
 def step_restart(context, name):
-    port = _nodes(context)[name].port
-    _nodes(context)[name].stop()
+    port = nodes_of(context)[name].port
+    nodes_of(context)[name].stop()
     node = add_node(context, Node(name))
     wait_until(lambda: node.listen_again(port), "the port")
 
 
 @then('"{source}" reaches "{destination}" over the wire again')
 def step_reaches(context, source, destination):
-    messenger = _nodes(context)[source].messenger
-    node = _nodes(context)[destination]
+    messenger = nodes_of(context)[source].messenger
+    node = nodes_of(context)[destination]
     numbers = itertools.count()
 
     def delivered():
@@ -121,13 +108,13 @@
 
 @then('"{name}" got the wire probe "{text}" from "{source}"')
 def step_got(context, name, text, source):
-    node = _nodes(context)[name]
+    node = nodes_of(context)[name]
     wait_until(lambda: (source, Probe(text)) in node.received, f"probe {text!r}")
 
 
 @then('"{name}" got the {count:d} numbered wire probes in order')
 def step_in_order(context, name, count):
-    node = _nodes(context)[name]
+    node = nodes_of(context)[name]
     wait_until(lambda: len(node.received) >= count, "all probes")
     assert [probe.text for _, probe in node.received] == [str(n) for n in range(count)]
 
--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -8,7 +8,10 @@
 from typing import Any
 
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+from twisted.protocols.basic import Int32StringReceiver
 
 from rainsail.wire.address import PeerAddress
 from rainsail.wire.codec import wire_record
@@ -102,3 +105,68 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     return Path(folder.name)
+
+
+class RawPeer(Protocol):
+    """A connection that speaks no protocol: writes what a step gives it, keeps what comes."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.received = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        """Keep what arrives."""
+        self.received += data
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Note that the other side has closed."""
+        self.closed = True
+
+
+def connect_raw(address: PeerAddress) -> RawPeer:
+    """Connect without saying anything."""
+    peer = RawPeer()
+    endpoint = TCP4ClientEndpoint(reactor, address.host, address.port)
+    return wait_for(endpoint.connect(Factory.forProtocol(lambda: peer)))
+
+
+def listen_raw(context: Any, on_frame: Callable[[Int32StringReceiver, bytes], None]) -> PeerAddress:
+    """Listen on a free port; ``on_frame`` gets each arriving frame and its connection."""
+
+    class FrameReader(Int32StringReceiver):
+        MAX_LENGTH = 2**24
+
+        def stringReceived(self, string: bytes) -> None:
+            on_frame(self, string)
+
+    port = reactor.listenTCP(0, Factory.forProtocol(FrameReader), interface="127.0.0.1")
+    context.add_cleanup(lambda: wait_for(maybeDeferred(port.stopListening)))
+    return PeerAddress("127.0.0.1", port.getHost().port)
+
+
+def framed(data: bytes) -> bytes:
+    """Return a frame as it stands on the wire."""
+    return len(data).to_bytes(4, "big") + data
+
+
+def tls_settings(folder: Path, name: str) -> TlsSettings:
+    """Return the settings of files that ``create_certificates`` made in ``folder``."""
+    return TlsSettings(
+        authority_file=folder / "authority.pem",
+        certificate_file=folder / f"{name}.pem",
+        private_key_file=folder / f"{name}.key",
+    )
+
+
+def nodes_of(context):
+    """Return the nodes of the scenario by name; they are stopped when it ends."""
+    if not hasattr(context, "wire_nodes"):
+        context.wire_nodes = {}
+        context.add_cleanup(lambda: [node.stop() for node in context.wire_nodes.values()])
+    return context.wire_nodes
+
+
+def add_node(context, node):
+    """Keep a node and stop it when the scenario ends."""
+    nodes_of(context)[node.name] = node
+    return node
--- a/src/rainsail/settings/model.py
+++ b/src/rainsail/settings/model.py
@@ -18,6 +18,7 @@
 from rainsail.settings.process import (
     AddressSection,
     EngineEntry,
+    EnginePreset,
     GatewayEntry,
     LogSection,
     Name,
@@ -123,6 +124,19 @@
         found.pop(self.process.name, None)
         return {name: parse_address(text) for name, text in found.items()}
 
+    def internal_address(self) -> PeerAddress:
+        """Return where the internal protocol listens: the replica's own entry, else `addresses`."""
+        for entry in self.replicas:
+            if entry.name == self.process.name:
+                return parse_address(entry.address)
+        return parse_address(self.addresses.internal)
+
+    def engine_settings(self, entry: EngineEntry) -> EngineSettings:
+        """Return the rates of one emulated engine."""
+        if entry.preset == EnginePreset.POSITION:
+            return EngineSettings.position()
+        return self.engine
+
     def _listening(self) -> list[str]:
         found = [entry.address for entry in self.replicas]
         found += [entry.operator_api for entry in self.replicas if entry.operator_api]
--- a/src/rainsail/settings/process.py
+++ b/src/rainsail/settings/process.py
@@ -6,7 +6,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
-from rainsail.wire.address import PeerAddress, parse_address
+from rainsail.wire.address import parse_address
 
 FROZEN = ConfigDict(frozen=True, extra="forbid")
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$"
@@ -107,6 +107,13 @@
     )
 
 
+class EnginePreset(StrEnum):
+    """The rates that an emulated engine runs at."""
+
+    LANGUAGE_MODEL = "language_model"
+    POSITION = "position"
+
+
 class EngineEntry(BaseModel):
     """An emulated engine that the emulator role starts."""
 
@@ -117,6 +124,10 @@
     zone: Name = Field(description="Zone of the runner")
     service: Name = Field(description="Service that the runner belongs to")
     address: Address = Field(description="IP:PORT of the engine's HTTP API")
+    preset: EnginePreset = Field(
+        default=EnginePreset.LANGUAGE_MODEL,
+        description="Rates: language_model (section `engine`) or position (very short answers)",
+    )
 
 
 class LogSection(BaseModel):
@@ -130,8 +141,3 @@
         pattern="^(DEBUG|INFO|WARNING|ERROR|CRITICAL)$",
         description="Records from this level up are printed to stderr as well",
     )
-
-
-def peer_address(text: str) -> PeerAddress:
-    """Return a checked address of the settings as a value."""
-    return parse_address(text)
--- a/src/rainsail/wire/codec.py
+++ b/src/rainsail/wire/codec.py
@@ -52,7 +52,7 @@
     return None
 
 
-def _avro_type(hint: Any, defined: set[str]) -> Any:
+def _avro_type(hint: Any, defined: dict[str, Any]) -> Any:
     if hint in _PRIMITIVES:
         return _PRIMITIVES[hint]
     if hint is type(None):
@@ -73,11 +73,13 @@
     raise TypeError(f"no Avro type for {hint!r}")
 
 
-def _record_schema(cls: Any, defined: set[str]) -> Any:
+def _record_schema(cls: Any, defined: dict[str, Any]) -> Any:
     name = f"rainsail.{cls.__name__}"
     if name in defined:
+        if defined[name] is not cls:
+            raise TypeError(f"two records of one schema are named {cls.__name__}")
         return name
-    defined.add(name)
+    defined[name] = cls
     hints = typing.get_type_hints(cls)
     fields = [
         {"name": field.name, "type": _avro_type(hints[field.name], defined)}
@@ -89,7 +91,7 @@
 @cache
 def parsed_schema(cls: Any) -> Any:
     """Return the parsed Avro schema of a dataclass."""
-    return fastavro.parse_schema(_record_schema(cls, set()))
+    return fastavro.parse_schema(_record_schema(cls, {}))
 
 
 @cache
@@ -211,9 +213,10 @@
     return buffer.getvalue()
 
 
-def decode_body(cls: Any, data: bytes) -> Any:
-    """Decode the bytes of one known dataclass; raises ``CodecError``."""
+def decode_body(cls: Any, data: bytes, offset: int = 0) -> Any:
+    """Decode one known dataclass from ``offset`` to the end; raises ``CodecError``."""
     buffer = io.BytesIO(data)
+    buffer.seek(offset)
     try:
         plain = fastavro.schemaless_reader(
             buffer,
@@ -244,37 +247,51 @@
 _TYPE_IDS: dict[Any, bytes] = {}
 
 
+def _place(cls: Any) -> str:
+    return f"{cls.__module__}.{cls.__qualname__}"
+
+
 def wire_record(cls: type[T]) -> type[T]:
     """Class decorator: register a frozen dataclass as a top-level record of the protocol."""
     number = crc32c.crc32c(cls.__name__.encode())
     known = _REGISTRY.get(number)
-    if known is not None and known.__qualname__ != cls.__qualname__:
-        raise TypeError(f"{cls.__name__} and {known.__name__} share a type id")
+    if known is not None and _place(known) != _place(cls):
+        raise TypeError(f"{_place(cls)} and {_place(known)} share a type id")
     _REGISTRY[number] = cls
     _TYPE_IDS[cls] = _TYPE_ID.pack(number)
     return cls
 
 
-def encode(message: Any) -> bytes:
-    """Encode a registered record with its type id."""
-    return _TYPE_IDS[type(message)] + encode_body(message)
+def encode(message: Any, prefix: bytes = b"") -> bytes:
+    """Encode a registered record with its type id; ``prefix`` goes before it."""
+    return b"".join((prefix, _TYPE_IDS[type(message)], encode_body(message)))
 
 
-def decode(data: bytes) -> Any:
-    """Decode a registered record; raises ``CodecError``."""
-    if len(data) < _TYPE_ID.size:
+def decode(data: bytes, offset: int = 0) -> Any:
+    """Decode a registered record from ``offset`` to the end; raises ``CodecError``."""
+    if len(data) < offset + _TYPE_ID.size:
         raise CodecError("too short for a type id")
-    (number,) = _TYPE_ID.unpack_from(data)
+    (number,) = _TYPE_ID.unpack_from(data, offset)
     cls = _REGISTRY.get(number)
     if cls is None:
         raise CodecError(f"unknown type id {number:#010x}")
-    return decode_body(cls, data[_TYPE_ID.size :])
+    return decode_body(cls, data, offset + _TYPE_ID.size)
+
+
+def registered_records() -> tuple[Any, ...]:
+    """Return every registered record, in name order."""
+    return tuple(sorted(_REGISTRY.values(), key=lambda each: each.__name__))
+
 
+def protocol_fingerprint(modules: tuple[str, ...] | None = None) -> int:
+    """Return the CRC-32C over the schemas of the registered records, in name order.
 
-def protocol_fingerprint() -> int:
-    """Return the CRC-32C over the schemas of all registered records, in name order."""
+    With ``modules`` only records that these modules define count.
+    """
     total = 0
-    for cls in sorted(_REGISTRY.values(), key=lambda each: each.__name__):
+    for cls in registered_records():
+        if modules is not None and cls.__module__ not in modules:
+            continue
         canonical = fastavro.schema.to_parsing_canonical_form(parsed_schema(cls))
         total = crc32c.crc32c(canonical.encode(), total)
     return total
--- a/src/rainsail/wire/connection.py
+++ b/src/rainsail/wire/connection.py
@@ -8,7 +8,7 @@
 from rainsail.wire.codec import CodecError, decode, encode
 from rainsail.wire.envelope import decode_envelope
 from rainsail.wire.framing import FramedConnection
-from rainsail.wire.hello import Hello, HelloRefused, check_hello
+from rainsail.wire.hello import LinkHello, LinkRefused, check_hello
 from rainsail.wire.messenger import Envelope, ProcessName
 from rainsail.wire.settings import WireSettings
 from rainsail.wire.tls import certified_name
@@ -46,7 +46,7 @@
         self,
         owner: ConnectionOwner,
         clock: Any,
-        hello: Hello,
+        hello: LinkHello,
         settings: WireSettings,
         expected: ProcessName | None,
         tls: bool,
@@ -139,15 +139,15 @@
         except CodecError as error:
             self.close(self._invalid(FaultCode.INVALID, f"no hello: {error}"))
             return
-        if isinstance(message, HelloRefused):
+        if isinstance(message, LinkRefused):
             self.close(self._invalid(FaultCode.FORBIDDEN, f"refused by the peer: {message.reason}"))
-        elif isinstance(message, Hello):
+        elif isinstance(message, LinkHello):
             self._judge_hello(message)
         else:
             name = type(message).__name__
             self.close(self._invalid(FaultCode.FORBIDDEN, f"{name} arrived before the hello"))
 
-    def _judge_hello(self, other: Hello) -> None:
+    def _judge_hello(self, other: LinkHello) -> None:
         certified = certified_name(self.transport) if self._tls else None
         fault = check_hello(self._hello, other, self._expected, certified)
         if fault is not None:
@@ -167,7 +167,7 @@
         self._fault = fault
         self._ended = True
         self._cancel_timer()
-        self.send_frame(encode(HelloRefused(fault.detail)))
+        self.send_frame(encode(LinkRefused(fault.detail)))
         self.transport.unregisterProducer()
         self.transport.loseConnection()
         self._timer = self._clock.callLater(REFUSAL_FLUSH_S, self.transport.abortConnection)
--- a/src/rainsail/wire/envelope.py
+++ b/src/rainsail/wire/envelope.py
@@ -10,7 +10,7 @@
 
 def encode_envelope(envelope: Envelope) -> bytes:
     """Encode an envelope; its message must be a registered record."""
-    return _HEADER.pack(envelope.kind, envelope.call_id) + encode(envelope.message)
+    return encode(envelope.message, _HEADER.pack(envelope.kind, envelope.call_id))
 
 
 def decode_envelope(data: bytes) -> Envelope:
@@ -22,4 +22,4 @@
         kind = EnvelopeKind(kind_number)
     except ValueError:
         raise CodecError(f"unknown envelope kind {kind_number}") from None
-    return Envelope(kind, call_id, decode(data[_HEADER.size :]))
+    return Envelope(kind, call_id, decode(data, _HEADER.size))
--- a/src/rainsail/wire/framing.py
+++ b/src/rainsail/wire/framing.py
@@ -32,11 +32,34 @@
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
         self._may_write = True
+        self._gathered: list[bytes] = []
+        self._gathered_bytes = 0
+        self._missing_bytes = 0
 
     def connectionMade(self) -> None:
         """Ask the transport to say when it holds too much."""
         self.transport.registerProducer(self, True)
 
+    def dataReceived(self, data: bytes) -> None:
+        """Gather the parts of a large frame, so that each byte is copied once."""
+        self._gathered.append(data)
+        self._gathered_bytes += len(data)
+        if self._gathered_bytes < self._missing_bytes:
+            return
+        joined = b"".join(self._gathered)
+        self._gathered.clear()
+        self._gathered_bytes = 0
+        super().dataReceived(joined)
+        self._missing_bytes = self._missing()
+
+    def _missing(self) -> int:
+        """Return how many bytes the frame begun still lacks (0 when its length isn't there)."""
+        begun = self._unprocessed
+        if len(begun) < LENGTH_PREFIX_BYTES:
+            return 0
+        length = int.from_bytes(begun[:LENGTH_PREFIX_BYTES], "big")
+        return LENGTH_PREFIX_BYTES + length - len(begun)
+
     def accept_large_frames(self) -> None:
         """Raise the bound on arriving frames from that of a hello to the full one."""
         self.MAX_LENGTH = self._max_frame_bytes
--- a/src/rainsail/wire/hello.py
+++ b/src/rainsail/wire/hello.py
@@ -11,7 +11,7 @@
 
 @wire_record
 @dataclass(frozen=True, slots=True)
-class Hello:
+class LinkHello:
     """The first frame of each side."""
 
     process: ProcessName
@@ -21,14 +21,14 @@
 
 @wire_record
 @dataclass(frozen=True, slots=True)
-class HelloRefused:
+class LinkRefused:
     """Tells the other side why its hello was refused, before the connection is closed."""
 
     reason: str
 
 
 def check_hello(
-    own: Hello, other: Hello, expected: ProcessName | None, certified: ProcessName | None
+    own: LinkHello, other: LinkHello, expected: ProcessName | None, certified: ProcessName | None
 ) -> Fault | None:
     """Return why ``other`` is refused, or None when it is welcome.
 
@@ -52,5 +52,5 @@
     return None
 
 
-def _refuse(other: Hello, detail: str) -> Fault:
+def _refuse(other: LinkHello, detail: str) -> Fault:
     return Fault(FaultCode.FORBIDDEN, STEP, detail, other.process)
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import Any, Protocol, TypeVar
 
@@ -126,7 +126,10 @@
     def _reply(self, destination: ProcessName, call_id: int, reply: Any) -> None:
         if isinstance(reply, Result):
             reply = reply.ok if reply.is_ok() else reply.error
-        self._transport.send(destination, Envelope(EnvelopeKind.REPLY, call_id, reply))
+        fault = self._transport.send(destination, Envelope(EnvelopeKind.REPLY, call_id, reply))
+        if fault is not None and fault.code == FaultCode.TOO_LARGE:
+            unknown = replace(fault, outcome=Outcome.UNKNOWN, peer=self.name)
+            self._transport.send(destination, Envelope(EnvelopeKind.REPLY, call_id, unknown))
 
     def _finish_call(self, source: ProcessName, envelope: Envelope) -> None:
         waiting = self._waiting.pop(envelope.call_id, None)
--- /dev/null
+++ b/src/rainsail/wire/protocol.py
@@ -0,0 +1,27 @@
+"""Which modules define the messages between processes, and the fingerprint of their schemas.
+
+Processes of different roles import different parts of the program, so the fingerprint covers
+exactly the modules of this table, in every process.
+"""
+
+import importlib
+from functools import cache
+
+from rainsail.wire.codec import protocol_fingerprint
+
+PROTOCOL_MODULES = (
+    "rainsail.consensus.membership",
+    "rainsail.consensus.messages",
+    "rainsail.control.messages",
+    "rainsail.resources.specs",
+    "rainsail.state.commands",
+    "rainsail.wire.hello",
+)
+
+
+@cache
+def transport_fingerprint() -> int:
+    """Import the protocol's modules and return the CRC-32C over their schemas."""
+    for name in PROTOCOL_MODULES:
+        importlib.import_module(name)
+    return protocol_fingerprint(PROTOCOL_MODULES)
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -26,12 +26,12 @@
 from rainsail.logs import logger
 from rainsail.wire.address import PeerAddress
 from rainsail.wire.calls import UnansweredCalls
-from rainsail.wire.codec import protocol_fingerprint
 from rainsail.wire.connection import PeerConnection
 from rainsail.wire.dialler import DialState, QueuedEnvelope
 from rainsail.wire.envelope import encode_envelope
-from rainsail.wire.hello import Hello
+from rainsail.wire.hello import LinkHello
 from rainsail.wire.messenger import Envelope, EnvelopeKind, ProcessName
+from rainsail.wire.protocol import transport_fingerprint
 from rainsail.wire.settings import TlsSettings, WireSettings
 from rainsail.wire.tls import certificate_options, own_certified_name
 
@@ -58,7 +58,7 @@
         self._settings = settings
         self._random = random or Random(SystemRandom().getrandbits(64))
         self._tls_options = _tls_options(name, tls)
-        self._hello = Hello(name, fleet, protocol_fingerprint())
+        self._hello = LinkHello(name, fleet, transport_fingerprint())
         self._deliver: Callable[[ProcessName, Envelope], None] | None = None
         self._dialled: dict[ProcessName, PeerConnection] = {}
         self._accepted: dict[ProcessName, PeerConnection] = {}
