Read first lists in pages, share encoded poll replies, give leases back on a planned stop

Cause: a gateway's first list grew with the fleet in one message; each gateway's reply to a change was encoded by itself; a stopped gateway held InForce back for a whole lease. Change: lists come in pages of bounded size, and a view is ready once it followed what changed between them; a reply for several gateways is encoded once; a stopping gateway releases its lease. One resource is read by name instead of listing its kind.

--- a/features/control/configuration.feature
+++ b/features/control/configuration.feature
@@ -65,6 +65,26 @@
     And gateway g1 of the control fleet is restarted
     Then gateway g1 of the control fleet is registered under its new incarnation, still drained
 
+  Scenario: A list read in pages misses nothing that changes between them
+    Given a control fleet of 3 replicas with gateways g1, whose lists have 3 resources a page
+    When 20 services are put in the control fleet
+    And gateway g2 of the control fleet starts while services change, come and go
+    Then gateway g2 of the control fleet has every lasting service once it may serve
+    And the views of the control fleet become equal to the leader's state
+    And no gateway of the control fleet ever saw a revision fall
+
+  Scenario: A gateway that stops as planned is not waited for
+    Given a control fleet of 3 replicas with gateways g1, g2
+    When gateway g2 of the control fleet stops as planned
+    And an operator of the control fleet puts a service
+    Then gateway g2 of the control fleet refuses new work
+    And the control fleet marks that change as in force within 1 seconds
+
+  Scenario: A gateway whose resource was deleted registers again
+    Given a control fleet of 3 replicas with gateways g1
+    When the resource of gateway g1 is deleted in the control fleet
+    Then gateway g1 is registered again in the control fleet within 2 seconds
+
   Scenario: The checks notice a view that takes lower revisions
     Given a control fleet of 3 replicas with gateways g1
     And the control fleet has the defect "revision-may-fall"
--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -4,7 +4,9 @@
 from features.support.control import READ_LEASE_S, ControlFleet
 
 from rainsail.control import config_view
-from rainsail.control.messages import ConfigPollReply, ListReply
+from rainsail.control.messages import ConfigPollReply
+from rainsail.control.paged_list import PagedList
+from rainsail.control.settings import ControlSettings
 from rainsail.resources.specs import (
     EventType,
     GatewaySpec,
@@ -14,7 +16,7 @@
     ServiceSpec,
     WatchEvent,
 )
-from rainsail.state.commands import ANY_REVISION, PutResource
+from rainsail.state.commands import ANY_REVISION, DeleteResource, PutResource
 
 CHECK_STEP_S = 0.05
 DEFECTS = {
@@ -43,6 +45,15 @@
     start_fleet(context, names, replicas=count, event_window=events)
 
 
+@given(
+    "a control fleet of {count:d} replicas with gateways {names}, "
+    "whose lists have {page:d} resources a page"
+)
+def step_paged_fleet(context, count, names, page):
+    settings = ControlSettings(list_page_resources=page)
+    start_fleet(context, names, replicas=count, settings=settings)
+
+
 @given("a control fleet gateway {name} whose clock runs at {rate:g} of the leader's")
 def step_skewed_gateway(context, name, rate):
     gateway = context.fleet.start_gateway(name, rate=rate)
@@ -101,6 +112,63 @@
     fleet.elect(name)
 
 
+@when("gateway {name} of the control fleet starts while services change, come and go")
+def step_start_amid_changes(context, name):
+    fleet = context.fleet
+    client = fleet.client("busy")
+    gateway = fleet.start_gateway(name)
+    number = 0
+    while not gateway.view.lease_valid():
+        number += 1
+        assert number < 1000, "the gateway never became ready"
+        client.propose(fleet.change(f"s{number % 20}", number), 10.0)
+        client.propose(fleet.change(f"passing-{number}"), 10.0)
+        key = ResourceKey(Kind.SERVICE, f"passing-{number - 2}")
+        client.propose(DeleteResource(f"delete-{number}", key), 10.0)
+        fleet.clock.advance(0.002)
+    context.at_start = gateway.view.list_resources(Kind.SERVICE)
+    assert number > 5, "nothing changed while the pages were read"
+
+
+@then("gateway {name} of the control fleet has every lasting service once it may serve")
+def step_lasting(context, name):
+    names = {resource.key.name for resource in context.at_start}
+    assert names >= {f"s{number}" for number in range(20)}, names
+
+
+@then("the views of the control fleet become equal to the leader's state")
+def step_equal(context):
+    state = context.fleet.leader.state
+    views = [gateway.view for gateway in context.fleet.gateways.values()]
+
+    def equal():
+        return all(
+            view.list_resources(kind) == state.list_resources(kind)
+            for view in views
+            for kind in Kind
+        )
+
+    context.fleet.wait_until(equal, 5.0)
+
+
+@when("gateway {name} of the control fleet stops as planned")
+def step_planned_stop(context, name):
+    context.fleet.gateways[name].view.stop()
+
+
+@when("the resource of gateway {name} is deleted in the control fleet")
+def step_delete_gateway(context, name):
+    command = DeleteResource("delete-gateway", ResourceKey(Kind.GATEWAY, name))
+    assert context.fleet.finish(context.fleet.client("operator").propose(command, 9.0)).is_ok()
+    assert context.fleet.leader.state.get(command.key) is None
+
+
+@then("gateway {name} is registered again in the control fleet within {seconds:g} seconds")
+def step_registered_again(context, name, seconds):
+    key = ResourceKey(Kind.GATEWAY, name)
+    context.fleet.wait_until(lambda: context.fleet.leader.state.get(key) is not None, seconds)
+
+
 @when("an operator of the control fleet drains gateway {name}")
 def step_drain(context, name):
     client = context.fleet.client("operator")
@@ -125,7 +193,7 @@
     lower = view.revision - 1
     stale = Resource(ResourceKey(Kind.SERVICE, "stale"), ServiceSpec(), lower, lower)
     event = WatchEvent(EventType.PUT, lower, stale)
-    view.apply_list(ListReply(lower, 0, (stale,)))
+    view.apply_list(PagedList(lower, lower, 0, (stale,)))
     view.apply_reply(ConfigPollReply((event,), lower, 0, False, 8.0), 0.0)
 
 
--- a/src/rainsail/control/config_view.py
+++ b/src/rainsail/control/config_view.py
@@ -7,8 +7,10 @@
 from expression import Result
 from twisted.internet.defer import Deferred
 
+from rainsail.control.gateway_registration import GatewayRegistration
 from rainsail.control.interface import ControlClient
-from rainsail.control.messages import ConfigPoll, ConfigPollReply, ListReply, ListRequest
+from rainsail.control.messages import ConfigPoll, ConfigPollReply, ConfigRelease
+from rainsail.control.paged_list import PagedList, read_all_pages
 from rainsail.control.resource_table import ResourceTable
 from rainsail.control.settings import ControlSettings
 from rainsail.errors import Fault
@@ -21,7 +23,7 @@
     WatchEvent,
 )
 from rainsail.runtime.clock import Clock, sleep
-from rainsail.state.commands import MUST_NOT_EXIST, ROOT_GROUP, PutResource, ResourceChanged
+from rainsail.state.commands import ROOT_GROUP
 from rainsail.wire.messenger import Messenger
 
 
@@ -51,8 +53,10 @@
     ) -> None:
         self._gateway = gateway
         self._incarnation = incarnation
-        self._spec = replace(spec, incarnation=incarnation)
         self._client = client
+        self._registration = GatewayRegistration(
+            client, gateway, replace(spec, incarnation=incarnation), settings.request_timeout_s
+        )
         self._clock = clock
         self._random = random
         self._settings = settings
@@ -60,9 +64,8 @@
         self._listeners: list[Callable[[WatchEvent], None]] = []
         self._lease_sent_s = 0.0
         self._lease_s = 0.0
-        self._registrations = 0
-        self._registered_revision = 0
         self._list_due = True
+        self._complete_revision = 0
         self._running = False
         self.revision = 0
         self.in_force_revision = 0
@@ -75,16 +78,21 @@
             Deferred.fromCoroutine(self._follow())
 
     def stop(self) -> None:
-        """Stop polling; the lease runs out by itself."""
+        """Stop serving and polling, and give the lease back so that nobody waits for it."""
+        if not self._running:
+            return
         self._running = False
+        self._lease_s = 0.0
+        release = ConfigRelease(ROOT_GROUP, self._gateway, self._incarnation)
+        self._client.call(release, self._settings.attempt_timeout_s)
 
     def ready(self) -> bool:
-        """Tell whether a first full list has been read."""
-        return self._listed
+        """Tell whether a first full list has been read, and what changed while it was read."""
+        return self._listed and self.revision >= self._complete_revision
 
     def lease_valid(self) -> bool:
         """Tell whether the configuration lease holds now."""
-        return self._listed and lease_holds(
+        return self.ready() and lease_holds(
             self._clock.seconds(), self._lease_sent_s, self._lease_s
         )
 
@@ -113,53 +121,22 @@
         """Do the next thing that is due; return whether it succeeded."""
         if self._list_due:
             return await self._list()
-        if not self._registered():
+        if not self._registration.holds(self._table.get(self._registration.key), self.revision):
             return await self._register()
         return await self._poll()
 
     async def _list(self) -> bool:
-        answer: Result[ListReply, Fault] = await self._client.call(
-            ListRequest(ROOT_GROUP, ()), self._settings.request_timeout_s
+        answer = await read_all_pages(
+            self._client, self._settings.list_page_resources, self._settings.request_timeout_s
         )
         if answer.is_error() or not self._running:
             return False
         return self.apply_list(answer.ok)
 
-    def _registered(self) -> bool:
-        """Tell whether the Gateway resource names this incarnation (or is on its way here)."""
-        if self.revision < self._registered_revision:
-            return True
-        mine = self._table.get(ResourceKey(Kind.GATEWAY, self._gateway))
-        return (
-            mine is not None
-            and isinstance(mine.spec, GatewaySpec)
-            and mine.spec.incarnation == self._incarnation
-        )
-
     async def _register(self) -> bool:
-        key = ResourceKey(Kind.GATEWAY, self._gateway)
-        current = self._table.get(key)
-        self._registrations += 1
-        change_id = f"{self._gateway}/{self._incarnation}/{self._registrations}"
-        command = PutResource(
-            change_id,
-            key,
-            self._spec_to_register(current),
-            MUST_NOT_EXIST if current is None else current.revision,
-        )
-        answer = await self._client.propose(command, self._settings.request_timeout_s)
-        if answer.is_error():
-            self._list_due = True
-            return False
-        if isinstance(answer.ok, ResourceChanged):
-            self._registered_revision = answer.ok.revision
-        return True
-
-    def _spec_to_register(self, current: Resource | None) -> GatewaySpec:
-        """Return this process's spec; an operator's drain outlasts a restart."""
-        if current is not None and isinstance(current.spec, GatewaySpec):
-            return replace(self._spec, drain=self._spec.drain or current.spec.drain)
-        return self._spec
+        done = await self._registration.register(self._table.get(self._registration.key))
+        self._list_due = not done
+        return done
 
     async def _poll(self) -> bool:
         sent_s = self._clock.seconds()
@@ -203,30 +180,37 @@
         for listener in self._listeners:
             listener(event)
 
-    def apply_list(self, reply: ListReply) -> bool:
+    def apply_list(self, full: PagedList) -> bool:
         """Take a full list; one at a lower revision is refused."""
-        if not revision_admitted(self.revision, reply.revision):
+        if not revision_admitted(self.revision, full.revision):
             return False
-        listed = {resource.key: resource for resource in reply.resources}
-        changes = [
-            WatchEvent(EventType.DELETED, reply.revision, old)
+        if not self._listed:
+            self._complete_revision = full.complete_revision
+        for change in self._changes_to(full):
+            self._apply_event(change)
+        self.revision = full.revision
+        self.in_force_revision = max(self.in_force_revision, full.in_force_revision)
+        self._listed = True
+        self._list_due = False
+        return True
+
+    def _changes_to(self, full: PagedList) -> list[WatchEvent]:
+        """Return what the list changes, in revision order.
+
+        Resources ahead of the list's revision are left to the events that follow it.
+        """
+        listed = {resource.key: resource for resource in full.resources}
+        deleted = [
+            WatchEvent(EventType.DELETED, full.revision, old)
             for old in self._table.all_resources()
             if old.key not in listed
         ]
-        changes += [
+        put = [
             WatchEvent(EventType.PUT, new.revision, new)
-            for new in sorted(reply.resources, key=lambda each: each.revision)
-            if self._table.get(new.key) != new
+            for new in full.resources
+            if new.revision <= full.revision and self._table.get(new.key) != new
         ]
-        self._listed = True
-        self._list_due = False
-        for change in sorted(changes, key=lambda each: each.revision):
-            self._table.apply(change)
-            for listener in self._listeners:
-                listener(change)
-        self.revision = reply.revision
-        self.in_force_revision = max(self.in_force_revision, reply.in_force_revision)
-        return True
+        return sorted(put, key=lambda event: event.revision) + deleted
 
     def _retry_wait_s(self, failures: int) -> float:
         longest_s = min(
--- a/src/rainsail/control/group_control.py
+++ b/src/rainsail/control/group_control.py
@@ -9,10 +9,11 @@
 from rainsail.control.in_force import InForceLoop
 from rainsail.control.item_lease_loop import ItemLeaseLoop
 from rainsail.control.item_leases import ItemLeaseTable, OrphanedItems
-from rainsail.control.long_poll import LongPolls
+from rainsail.control.long_poll import LongPolls, PollAnswer
 from rainsail.control.messages import (
     ConfigPoll,
-    ConfigPollReply,
+    ConfigRelease,
+    ConfigReleased,
     QuotaReport,
     QuotaShares,
     RenewItemLeases,
@@ -83,7 +84,7 @@
             return Error(not_leader(step, self.group))
         return Ok(None)
 
-    def config_poll(self, poll: ConfigPoll) -> "Fault | Deferred[ConfigPollReply | Fault]":
+    def config_poll(self, poll: ConfigPoll) -> "Fault | Deferred[PollAnswer]":
         """Grant or renew a configuration lease and answer with news, now or later."""
         if not self.serving():
             return not_leader("control.config_poll", self.group)
@@ -94,6 +95,13 @@
         wait_s = min(poll.wait_s, self._settings.poll_wait_s)
         return self._polls.answer(poll.applied_revision, lease_s, wait_s)
 
+    def config_release(self, request: ConfigRelease) -> Fault | ConfigReleased:
+        """Forget the lease of a gateway that has stopped serving."""
+        if not self.serving():
+            return not_leader("control.config_release", self.group)
+        self._config_leases.release(LeaseHolder(request.gateway, request.incarnation))
+        return ConfigReleased()
+
     def renew_item_leases(self, request: RenewItemLeases) -> Fault | RenewItemLeasesReply:
         """Renew a holder's batch leases; tell it what to stop and what waits."""
         if not self.serving():
--- a/src/rainsail/control/leader_client.py
+++ b/src/rainsail/control/leader_client.py
@@ -7,12 +7,13 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
 
-from rainsail.control.messages import ConfigPoll, ProposeReply, ProposeRequest
+from rainsail.control.messages import ConfigPoll, EncodedReply, ProposeReply, ProposeRequest
 from rainsail.control.repeat_safety import repeat_safety
 from rainsail.control.settings import ControlSettings
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.runtime.clock import Clock, sleep
 from rainsail.state.commands import ROOT_GROUP, Command, CommandOutcome, GroupId
+from rainsail.wire.codec import CodecError, decode
 from rainsail.wire.messenger import Messenger
 
 FINAL_CODES = frozenset(
@@ -88,7 +89,7 @@
             )
             if answer.is_ok():
                 self._leaders[request.group] = target
-                return Ok(answer.ok)
+                return _opened(answer.ok)
             fault: Fault = answer.error
             redirected = self._learn(request.group, target, fault)
             may_have_run = may_have_run or fault.outcome != Outcome.NOT_RUN
@@ -135,6 +136,16 @@
         return self._settings.attempt_timeout_s
 
 
+def _opened(reply: Any) -> Result[Any, Fault]:
+    """Return the reply, decoded when it came as one encoded for many receivers."""
+    if not isinstance(reply, EncodedReply):
+        return Ok(reply)
+    try:
+        return Ok(decode(reply.body))
+    except CodecError as error:
+        return Error(Fault(FaultCode.INTERNAL, "leader_client.decode", str(error)))
+
+
 def _with_truth(fault: Fault, may_have_run: bool) -> Fault:
     """Return the fault, saying UNKNOWN when an earlier attempt may have taken effect."""
     if may_have_run and fault.outcome == Outcome.NOT_RUN:
--- a/src/rainsail/control/long_poll.py
+++ b/src/rainsail/control/long_poll.py
@@ -1,7 +1,7 @@
 """Parks the gateways' configuration polls until there are events or their wait is over.
 
-Replies are shared: gateways that are at the same revision get the same reply object, so reading
-the events and building the reply costs once per change, not once per gateway.
+Replies are shared: gateways that are at the same revision get the same encoded reply, so reading
+the events and encoding them costs once per change, not once per gateway.
 """
 
 from collections.abc import Callable
@@ -10,10 +10,16 @@
 
 from twisted.internet.defer import Deferred
 
-from rainsail.control.messages import ConfigPollReply
+from rainsail.control.messages import ConfigPollReply, EncodedReply
 from rainsail.errors import Fault
 from rainsail.runtime.clock import Clock
 from rainsail.state.interface import ReplicatedReader
+from rainsail.wire.codec import encode
+
+LEAST_SHARERS = 2
+"""From how many receivers on a reply is encoded once for all."""
+
+PollAnswer = ConfigPollReply | EncodedReply | Fault
 
 
 @dataclass(eq=False, slots=True)
@@ -22,7 +28,7 @@
 
     applied_revision: int
     lease_s: float
-    done: "Deferred[ConfigPollReply | Fault]"
+    done: "Deferred[PollAnswer]"
     timer: Any
 
 
@@ -47,9 +53,9 @@
 
     def answer(
         self, applied_revision: int, lease_s: float, wait_s: float
-    ) -> "Deferred[ConfigPollReply | Fault]":
+    ) -> "Deferred[PollAnswer]":
         """Answer at once when there are events (or no lease was granted), else park."""
-        done: Deferred[ConfigPollReply | Fault] = Deferred()
+        done: Deferred[PollAnswer] = Deferred()
         if self._state.revision > applied_revision or lease_s == 0.0 or wait_s <= 0:
             done.callback(self._reply(applied_revision, lease_s))
             return done
@@ -78,21 +84,24 @@
     def _flush(self) -> None:
         self._flush_timer = None
         revision = self._state.revision
-        shared: dict[tuple[int, float], ConfigPollReply | Fault] = {}
+        shared: dict[tuple[int, float], list[ParkedPoll]] = {}
         behind = [n for n, poll in self._parked.items() if poll.applied_revision < revision]
         for number in behind:
             poll = self._parked.pop(number)
             poll.timer.cancel()
-            key = (poll.applied_revision, poll.lease_s)
-            if key not in shared:
-                shared[key] = self._reply(*key)
-            poll.done.callback(shared[key])
+            shared.setdefault((poll.applied_revision, poll.lease_s), []).append(poll)
+        for key, polls in shared.items():
+            reply = self._reply(*key)
+            if len(polls) >= LEAST_SHARERS and isinstance(reply, ConfigPollReply):
+                reply = EncodedReply(encode(reply))
+            for poll in polls:
+                poll.done.callback(reply)
 
     def _release(self, number: int) -> None:
         poll = self._parked.pop(number)
         poll.done.callback(self._reply(poll.applied_revision, poll.lease_s))
 
-    def _reply(self, applied_revision: int, lease_s: float) -> ConfigPollReply | Fault:
+    def _reply(self, applied_revision: int, lease_s: float) -> PollAnswer:
         fault = self._check()
         if fault is not None:
             return fault
--- a/src/rainsail/control/messages.py
+++ b/src/rainsail/control/messages.py
@@ -37,20 +37,33 @@
 @wire_record
 @dataclass(frozen=True, slots=True)
 class ListRequest:
-    """Read resources at the leader, under its read lease. Empty kinds: all kinds."""
+    """Read resources at the leader, under its read lease. Empty kinds: all kinds.
+
+    With ``name`` only resources of that name. With ``limit`` above 0 at most so many, in order
+    of kind and name, after the key (``after_kind``, ``after_name``) when that is set.
+    """
 
     group: GroupId
     kinds: tuple[Kind, ...]
+    name: str = ""
+    limit: int = 0
+    after_kind: str = ""
+    after_name: str = ""
 
 
 @wire_record
 @dataclass(frozen=True, slots=True)
 class ListReply:
-    """All resources asked for, and the revision they were read at."""
+    """The resources asked for, and the revision they were read at.
+
+    ``more`` says that a limit cut the list: the next page starts after the last resource and is
+    read at its own revision.
+    """
 
     revision: int
     in_force_revision: int
     resources: tuple[Resource, ...]
+    more: bool = False
 
 
 @wire_record
@@ -85,6 +98,30 @@
     lease_s: float
 
 
+@wire_record
+@dataclass(frozen=True, slots=True)
+class EncodedReply:
+    """A reply encoded once for many receivers; ``LeaderClient`` hands out what is inside."""
+
+    body: bytes
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ConfigRelease:
+    """A gateway that has stopped serving gives its configuration lease back."""
+
+    group: GroupId
+    gateway: str
+    incarnation: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ConfigReleased:
+    """The lease is no longer waited for."""
+
+
 @wire_record
 @dataclass(frozen=True, slots=True)
 class RenewItemLeases:
--- /dev/null
+++ b/src/rainsail/control/paged_list.py
@@ -0,0 +1,56 @@
+"""Reads all resources through the leader in pages, so that no message grows with the fleet.
+
+Each page is read at its own revision. The list as a whole stands at the revision of the first
+page; what changed between the pages is followed from there by events.
+"""
+
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from rainsail.control.interface import ControlClient
+from rainsail.control.listing import next_page
+from rainsail.control.messages import ListReply, ListRequest
+from rainsail.errors import Fault, FaultCode
+from rainsail.resources.specs import Resource
+from rainsail.state.commands import ROOT_GROUP
+
+
+@dataclass(frozen=True, slots=True)
+class PagedList:
+    """All resources; those above ``revision`` are ahead of the list and come again as events.
+
+    From ``complete_revision`` on, a reader that follows the events misses nothing.
+    """
+
+    revision: int
+    complete_revision: int
+    in_force_revision: int
+    resources: tuple[Resource, ...]
+
+
+async def read_all_pages(
+    client: ControlClient, page_resources: int, timeout_s: float
+) -> Result[PagedList, Fault]:
+    """Read every page; ``timeout_s`` bounds each of them."""
+    request = ListRequest(ROOT_GROUP, (), limit=page_resources)
+    pages: list[ListReply] = []
+    while True:
+        answer: Result[ListReply, Fault] = await client.call(request, timeout_s)
+        if answer.is_error():
+            return Error(answer.error)
+        page = answer.ok
+        if pages and page.revision < pages[-1].revision:
+            detail = f"a page at revision {page.revision} after one at {pages[-1].revision}"
+            return Error(Fault(FaultCode.CONFLICT, "paged_list.read", detail))
+        pages.append(page)
+        if not page.more:
+            return Ok(_joined(pages))
+        request = next_page(request, page)
+
+
+def _joined(pages: list[ListReply]) -> PagedList:
+    resources = [resource for page in pages for resource in page.resources]
+    return PagedList(
+        pages[0].revision, pages[-1].revision, pages[-1].in_force_revision, tuple(resources)
+    )
--- a/src/rainsail/control/resource_endpoints.py
+++ b/src/rainsail/control/resource_endpoints.py
@@ -38,12 +38,12 @@
 
     async def read_one(self, key: ResourceKey) -> Result[tuple[Resource, int], Fault]:
         """Read one resource through the leader, with the revision in force."""
-        listed = await self.read_all((key.kind,))
+        request = ListRequest(ROOT_GROUP, (key.kind,), key.name)
+        listed = await self._client.call(request, self._timeout_s)
         if listed.is_error():
             return Error(listed.error)
         for resource in listed.ok.resources:
-            if resource.key == key:
-                return Ok((resource, listed.ok.in_force_revision))
+            return Ok((resource, listed.ok.in_force_revision))
         return Error(Fault(FaultCode.NOT_FOUND, STEP, f"no {key.kind} {key.name!r}"))
 
     async def put(self, key: ResourceKey, body: JsonObject) -> Result[ResourceChanged, Fault]:
--- a/src/rainsail/control/service.py
+++ b/src/rainsail/control/service.py
@@ -9,8 +9,10 @@
 from rainsail.consensus.interface import Group
 from rainsail.control.faults import not_leader, unknown_group
 from rainsail.control.group_control import GroupControl
+from rainsail.control.listing import read_list
 from rainsail.control.messages import (
     ConfigPoll,
+    ConfigRelease,
     GroupStatusReply,
     GroupStatusRequest,
     JobsReply,
@@ -27,7 +29,6 @@
 )
 from rainsail.control.settings import ControlSettings
 from rainsail.errors import Fault, FaultCode
-from rainsail.resources.specs import Resource
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import GroupId, SessionView
 from rainsail.state.interface import ReplicatedReader
@@ -61,6 +62,7 @@
             (ProposeRequest, self._propose),
             (ListRequest, self._list),
             (ConfigPoll, GroupControl.config_poll),
+            (ConfigRelease, GroupControl.config_release),
             (RenewItemLeases, GroupControl.renew_item_leases),
             (QuotaReport, GroupControl.quota_report),
             (JobsRequest, self._jobs),
@@ -104,9 +106,7 @@
         readable = await control.linearizable_read("control.list")
         if readable.is_error():
             return Error(readable.error)
-        state = control.state
-        found = _resources(state, request)
-        return Ok(ListReply(state.revision, state.in_force_revision, tuple(found)))
+        return Ok(read_list(control.state, request))
 
     async def _jobs(self, control: GroupControl, request: JobsRequest) -> Result[JobsReply, Fault]:
         readable = await control.linearizable_read("control.jobs")
@@ -146,9 +146,3 @@
 
     async def _status(self, control: GroupControl, request: GroupStatusRequest) -> GroupStatusReply:
         return control.group.status()
-
-
-def _resources(state: ReplicatedReader, request: ListRequest) -> list[Resource]:
-    if not request.kinds:
-        return state.list_resources()
-    return [each for kind in request.kinds for each in state.list_resources(kind)]
--- a/src/rainsail/control/settings.py
+++ b/src/rainsail/control/settings.py
@@ -24,6 +24,9 @@
         0.02, ge=0, description="How long changes gather before parked polls are answered."
     )
     max_events_per_poll: int = Field(256, gt=0, description="Most events in one poll's reply.")
+    list_page_resources: int = Field(
+        500, gt=0, description="Most resources in one page of a gateway's first list."
+    )
     in_force_period_s: float = Field(
         0.1, gt=0, description="Least time between two MarkInForce commands of a leader."
     )
