--- a/src/rainsail/emulator/engine.py
+++ b/src/rainsail/emulator/engine.py
@@ -7,7 +7,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -15,6 +14,8 @@
 
 from rainsail.emulator.answers import expected_answer
 from rainsail.emulator.attempt import Attempt
+from rainsail.emulator.executions import ExecutionLog, ExecutionRecord
+from rainsail.emulator.load_meter import LoadMeter
 from rainsail.emulator.model_state import ModelState
 from rainsail.emulator.prefix_cache import PrefixCache
 from rainsail.emulator.publisher import EventPublisher
@@ -41,22 +42,6 @@
 """Tokens per chunk of an answer that is not streamed."""
 
 
-@dataclass(slots=True, eq=False)
-class ExecutionRecord:
-    """One attempt that the engine began to run; what a checker counts.
-
-    Times are in seconds of the engine's clock; ``ended_s`` and ``reason`` are None while it runs.
-    """
-
-    request_id: str
-    attempt_id: str
-    started_s: float
-    session: str = ""
-    fence: int = 0
-    ended_s: float | None = None
-    reason: EndReason | None = None
-
-
 class EmulatedEngine:
     """Runs generate attempts in one continuous batch and takes fenced orders."""
 
@@ -69,7 +54,7 @@
         weight_store: WeightStore,
     ) -> None:
         self.runner = runner
-        self.executions: list[ExecutionRecord] = []
+        self._execution_log = ExecutionLog()
         self.draining = False
         self.alive = False
         self._clock = clock
@@ -94,13 +79,20 @@
         self.draining = False
         self._attempts: dict[str, Attempt] = {}
         self._by_sequence: dict[Sequence, Attempt] = {}
-        self._records: dict[str, ExecutionRecord] = {}
         self._retained: deque[tuple[float, str]] = deque()
         self._cache = PrefixCache(self._settings.cache_blocks)
         self._scheduler = BatchScheduler(self._settings, self._cache)
         self._sessions = SessionStore()
         self._model = ModelState(self._weight_store, self._is_idle, self._on_swap)
         self._model.fence = self._order_fence
+        self._load_meter = LoadMeter(
+            self.runner,
+            self.incarnation,
+            self._clock,
+            self._settings,
+            lambda: self._scheduler,
+            self._model,
+        )
         self._publisher = EventPublisher(
             self.runner,
             self.incarnation,
@@ -112,9 +104,6 @@
         )
         self._step_timer: Any = None
         self._stepping = False
-        self._report_sequence = 0
-        self._measured_at_s = self._clock.seconds()
-        self._measured_tokens = 0
         self.alive = True
 
     def on_crash(self, listener: Callable[[], None]) -> None:
@@ -135,11 +124,7 @@
             attempt.readers = []
             _cancel(attempt.timer)
             _cancel(attempt.deadline_timer)
-        now = self._clock.seconds()
-        for record in self._records.values():
-            record.ended_s = now
-            record.reason = EndReason.LOST
-        self._records = {}
+        self._execution_log.lose_all(self._clock.seconds())
         for listener in self._crash_listeners:
             listener()
 
@@ -232,6 +217,24 @@
         """Follow load reports and cache events; the returned function ends it."""
         return self._publisher.subscribe(on_load, on_cache)
 
+    def load(self) -> LoadReport:
+        """Return the load of this moment, as a checker sees it; published reports lag."""
+        return self._load_meter.current(self.draining)
+
+    def cached_blocks(self) -> tuple[int, ...]:
+        """Return the blocks of the prefix cache, least recently used first."""
+        return self._cache.blocks()
+
+    @property
+    def executions(self) -> list[ExecutionRecord]:
+        """Every execution since the engine was made, in order of start."""
+        return self._execution_log.records
+
+    @property
+    def preemptions(self) -> int:
+        """How often a low sequence had to make room since the last start."""
+        return self._scheduler.preemptions
+
     # --- inner work -----------------------------------------------------------------------
 
     def _plan(self, request: GenerateRequest) -> tuple[Sequence, str]:
@@ -313,15 +316,7 @@
     def _record_starts(self) -> None:
         for sequence in self._scheduler.take_started():
             request = self._by_sequence[sequence].request
-            record = ExecutionRecord(
-                request.request_id,
-                request.attempt_id,
-                self._clock.seconds(),
-                request.session,
-                request.fence,
-            )
-            self.executions.append(record)
-            self._records[request.attempt_id] = record
+            self._execution_log.start(request, self._clock.seconds())
 
     def _complete(self, attempt: Attempt) -> None:
         request = attempt.request
@@ -352,10 +347,7 @@
         del self._by_sequence[attempt.sequence]
         _cancel(attempt.timer)
         _cancel(attempt.deadline_timer)
-        record = self._records.pop(attempt.request.attempt_id, None)
-        if record is not None:
-            record.ended_s = self._clock.seconds()
-            record.reason = reason
+        self._execution_log.end(attempt.request.attempt_id, reason, self._clock.seconds())
         self._retain(attempt)
         attempt.finish(reason, detail)
 
@@ -391,29 +383,7 @@
         self._wake()
 
     def _measure(self) -> LoadReport:
-        now = self._clock.seconds()
-        elapsed = now - self._measured_at_s
-        generated = self._scheduler.tokens_generated - self._measured_tokens
-        self._measured_at_s = now
-        self._measured_tokens = self._scheduler.tokens_generated
-        self._report_sequence += 1
-        return LoadReport(
-            self.runner,
-            self.incarnation,
-            self._report_sequence,
-            self._settings.load_report_lag_s,
-            self._scheduler.running,
-            self._scheduler.running_low,
-            self._scheduler.waiting,
-            self._scheduler.kv_tokens_used,
-            self._settings.kv_tokens_total,
-            generated / elapsed if elapsed > 0 else 0.0,
-            self._model.loaded_version,
-            self._model.loading_version,
-            self._model.adapters,
-            self._model.fence,
-            self.draining,
-        )
+        return self._load_meter.next_report(self.draining)
 
 
 def _cancel(timer: Any) -> None:
--- a/src/rainsail/emulator/publisher.py
+++ b/src/rainsail/emulator/publisher.py
@@ -1,5 +1,6 @@
 """Publishes an engine's load reports with a lag, and its cache events late and with gaps."""
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -17,6 +18,13 @@
     on_cache: Callable[[CacheEvent], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingEvent:
+    due_s: float
+    kind: CacheEventKind
+    blocks: tuple[int, ...]
+
+
 class EventPublisher:
     """Takes reports and cache changes at once and hands them out later.
 
@@ -44,7 +52,7 @@
         self._list_blocks = list_blocks
         self._subscribers: list[_Subscriber] = []
         self._next_event = 0
-        self._pending: list[tuple[CacheEventKind, tuple[int, ...]]] = []
+        self._pending: deque[_PendingEvent] = deque()
         self._timers: dict[str, Any] = {}
         self._closed = False
 
@@ -92,7 +100,8 @@
     def _queue(self, kind: CacheEventKind, blocks: tuple[int, ...]) -> None:
         if self._closed or not self._subscribers:
             return
-        self._pending.append((kind, blocks))
+        due_s = self._clock.seconds() + self._settings.cache_event_delay_s
+        self._pending.append(_PendingEvent(due_s, kind, blocks))
         self._start("events", self._settings.cache_event_delay_s, self._flush)
 
     def _start(self, name: str, delay_s: float, call: Callable[[], None]) -> None:
@@ -118,20 +127,25 @@
 
     def _flush(self) -> None:
         del self._timers["events"]
-        pending, self._pending = self._pending, []
-        for kind, blocks in pending:
-            event = self._event(kind, blocks)
-            if self._random.random() < self._settings.cache_event_loss:
-                continue
-            for subscriber in list(self._subscribers):
-                subscriber.on_cache(event)
+        while self._pending and self._pending[0].due_s <= self._clock.seconds():
+            self._deliver(self._pending.popleft())
+        if self._pending:
+            wait_s = self._pending[0].due_s - self._clock.seconds()
+            self._start("events", wait_s, self._flush)
+
+    def _deliver(self, pending: _PendingEvent) -> None:
+        event = self._event(pending.kind, pending.blocks)
+        if self._random.random() < self._settings.cache_event_loss:
+            return
+        for subscriber in list(self._subscribers):
+            subscriber.on_cache(event)
 
     def _list_all(self) -> None:
         del self._timers["listing"]
         if not self._subscribers:
             return
         self._start("listing", self._settings.cache_listing_period_s, self._list_all)
-        self._pending = []
+        self._pending.clear()
         for event in self._listing():
             for subscriber in list(self._subscribers):
                 subscriber.on_cache(event)
