--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -37,6 +37,8 @@
 from rainsail.state.machine import ReplicatedState
 
 SERVICE = "assistant"
+COARSE_TOKENS_PER_CHUNK = 8
+"""Tokens per chunk where only times count: fewer events, the same times."""
 WIDE_TOKENS_PER_S = 1e9
 
 
@@ -45,7 +47,7 @@
 
     def __init__(self, clock: VirtualClock) -> None:
         super().__init__({0: ReplicatedState()}, clock)
-        self.lent_fraction = 1.0
+        self.lent_fraction = 0.8
         self.away = False
         self._handlers[SessionRequest] = self._read_session
         self._handlers[QuotaReport] = self._lend
--- a/src/rainsail/gateway/admission.py
+++ b/src/rainsail/gateway/admission.py
@@ -45,8 +45,8 @@
         """Return unused tokens."""
         ...
 
-    def expected_wait_s(self, tenant: str, tokens: float) -> float:
-        """Return the wait to expect, counting a share that is about to be lent."""
+    def expected_wait_s(self, tenant: str, tokens: float, ahead: float) -> float:
+        """Return the wait to expect after ``ahead`` tokens, counting a share about to be lent."""
         ...
 
     def ran_short(self, tenant: str, tokens: float) -> None:
@@ -126,12 +126,16 @@
             return self._fault(FaultCode.UNAVAILABLE, detail, self._settings.max_queue_s)
         queue = queues.queue_of(ticket)
         limit_s = min(self._settings.max_queue_s, ticket.latest_start_s - now_s)
-        quota_wait_s = self._quotas.expected_wait_s(ticket.tenant, ticket.cost_tokens)
+        quota_wait_s = self._quotas.expected_wait_s(
+            ticket.tenant, ticket.cost_tokens, queue.queued_cost(ticket.tenant)
+        )
         if quota_wait_s > 0.0:
             self._quotas.ran_short(ticket.tenant, ticket.cost_tokens)
         if quota_wait_s > limit_s:
             return self._fault(FaultCode.OVER_LIMIT, "the tenant's tokens are used", quota_wait_s)
-        queue_wait_s = estimated_wait_s(ticket, queues, slots)
+        queue_wait_s = estimated_wait_s(
+            ticket, queues, slots, self._tenant_limit(ticket.tenant, queues, slots)
+        )
         if queue_wait_s > limit_s:
             return self._fault(FaultCode.OVERLOADED, "the queue is too long", queue_wait_s)
         if queue.queued(ticket.tenant) >= self._settings.max_queued_per_tenant:
@@ -163,7 +167,7 @@
         slots = self._slots(service)
 
         def eligible(ticket: Ticket) -> bool:
-            running = queues.running.get(ticket.tenant, 0)
+            running = queues.running_of(ticket)
             if running >= self._tenant_limit(ticket.tenant, queues, slots):
                 return False
             return self._quotas.wait_s(ticket.tenant, ticket.cost_tokens) <= 0.0
--- a/src/rainsail/gateway/admission_queues.py
+++ b/src/rainsail/gateway/admission_queues.py
@@ -55,11 +55,12 @@
 
     online: FairQueue[Ticket] = field(default_factory=FairQueue)
     batch: FairQueue[Ticket] = field(default_factory=FairQueue)
-    running: dict[str, int] = field(default_factory=dict)
+    running: dict[tuple[str, bool], int] = field(default_factory=dict)
     online_running: int = 0
     batch_running: int = 0
     activity: TenantActivity = field(default_factory=TenantActivity)
     mean_hold_s: float = 0.0
+    holds_seen: int = 0
     refill_timer: Any = None
     pumping: bool = False
 
@@ -73,7 +74,13 @@
 
     def held_for(self, hold_s: float) -> None:
         """Take the time that a request held its slot into the running mean."""
-        self.mean_hold_s += (hold_s - self.mean_hold_s) * HOLD_TIME_SMOOTHING
+        self.holds_seen += 1
+        weight = max(HOLD_TIME_SMOOTHING, 1.0 / self.holds_seen)
+        self.mean_hold_s += (hold_s - self.mean_hold_s) * weight
+
+    def running_of(self, ticket: Ticket) -> int:
+        """Return how many requests of the ticket's tenant and class run."""
+        return self.running.get((ticket.tenant, ticket.batch), 0)
 
     def count(self, ticket: Ticket, change: int) -> None:
         """Count a started or ended request."""
@@ -81,22 +88,28 @@
             self.batch_running += change
         else:
             self.online_running += change
-        running = self.running.get(ticket.tenant, 0) + change
+        running = self.running_of(ticket) + change
         if running:
-            self.running[ticket.tenant] = running
+            self.running[ticket.tenant, ticket.batch] = running
         else:
-            del self.running[ticket.tenant]
+            del self.running[ticket.tenant, ticket.batch]
 
 
-def estimated_wait_s(ticket: Ticket, queues: ServiceQueues, slots: Slots) -> float:
+def estimated_wait_s(
+    ticket: Ticket, queues: ServiceQueues, slots: Slots, tenant_limit: float
+) -> float:
     """Estimate a request's wait: what goes before it, at the rate at which slots come free.
 
     With fair queues about as many requests of each other waiting tenant go before it as of its
-    own; batch requests wait for all online ones. Pure.
+    own; its own have no more than ``tenant_limit`` slots to pass through; batch requests wait
+    for all online ones. Pure.
     """
     queue = queues.queue_of(ticket)
-    ahead = min(queue.queued(ticket.tenant) * max(1, len(queue.tenants())), len(queue))
+    own = queue.queued(ticket.tenant)
+    ahead = min(own * max(1, len(queue.tenants())), len(queue))
     if ticket.batch:
         ahead = len(queue) + len(queues.online)
     needed = ahead + 1 - max(0.0, queues.free(slots))
-    return max(0.0, needed) * queues.mean_hold_s / slots.total
+    own_needed = own + 1 - max(0.0, tenant_limit - queues.running_of(ticket))
+    rounds = max(0.0, needed / slots.total, own_needed / tenant_limit)
+    return rounds * queues.mean_hold_s
--- a/src/rainsail/gateway/attempt_sender.py
+++ b/src/rainsail/gateway/attempt_sender.py
@@ -5,7 +5,7 @@
 from rainsail.engine.interface import GenerateRequest, Priority
 from rainsail.engine.prefix import block_hashes
 from rainsail.gateway.attempts import Attempt, AttemptOwner
-from rainsail.gateway.eligibility import eligible_runners, without
+from rainsail.gateway.eligibility import without
 from rainsail.gateway.interface import CallerRequest
 from rainsail.gateway.router import RouteDecision, choose_runner
 from rainsail.gateway.run_context import RunContext
@@ -45,9 +45,7 @@
         context = self._context
         caller = self._caller
         now_s = context.clock.seconds()
-        states = eligible_runners(
-            context.fleet.runners_of(caller.model), now_s, self._batch, caller.adapter
-        )
+        states = context.fleet.eligible(caller.model, self._batch, caller.adapter)
         decision = choose_runner(
             caller.request_id,
             self.sent,
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -15,7 +15,7 @@
 from rainsail.gateway.claims import ClaimKeeper
 from rainsail.gateway.decision_ring import DecisionRing
 from rainsail.gateway.drain import DrainReport
-from rainsail.gateway.eligibility import eligible_runners, online_slots
+from rainsail.gateway.eligibility import SlotCounts
 from rainsail.gateway.fleet import RunnerFleet
 from rainsail.gateway.interface import CallerRequest, RequestHandle, ResponseSink
 from rainsail.gateway.quota import TenantQuotas
@@ -24,7 +24,7 @@
 from rainsail.gateway.run_context import RunContext
 from rainsail.gateway.sessions import SessionKeeper
 from rainsail.gateway.settings import GatewaySettings
-from rainsail.resources.specs import Kind, RequestClass, ResourceKey, ServiceSpec
+from rainsail.resources.specs import GatewaySpec, Kind, RequestClass, ResourceKey, ServiceSpec
 from rainsail.runtime.clock import Clock
 
 STEP = "gateway.core"
@@ -87,6 +87,7 @@
             random=random,
             settings=settings,
         )
+        self._slot_counts = SlotCounts(settings.admission.slots_per_runner)
         self._runs: dict[RequestRun, None] = {}
         self._drain_started_s: float | None = None
         self._drained: Deferred[DrainReport] | None = None
@@ -130,7 +131,7 @@
         return len(self._runs)
 
     def _refusal(self, request: CallerRequest) -> Fault | None:
-        if self._drain_started_s is not None:
+        if self._drain_started_s is not None or self._drained_by_resource():
             return drain.stopping_fault(self._settings.drain.retry_after_s)
         if not self._config.ready() or not self._config.lease_valid():
             return no_lease()
@@ -142,6 +143,10 @@
             return Fault(FaultCode.INVALID, STEP, "max_tokens must be above 0")
         return None
 
+    def _drained_by_resource(self) -> bool:
+        own = self._config.get(ResourceKey(Kind.GATEWAY, self._context.gateway))
+        return own is not None and isinstance(own.spec, GatewaySpec) and own.spec.drain
+
     def _class_of(self, request: CallerRequest) -> RequestClass:
         if request.class_ is not None:
             return request.class_
@@ -152,8 +157,8 @@
 
     def _slots(self, service: str) -> Slots:
         now_s = self._clock.seconds()
-        states = eligible_runners(self._fleet.runners_of(service), now_s, batch=False)
-        return online_slots(states, now_s, self._settings.admission.slots_per_runner)
+        states = self._fleet.eligible(service, batch=False)
+        return self._slot_counts.get(service, states, now_s)
 
     def _ended(self, run: RequestRun) -> None:
         self._runs.pop(run, None)
--- a/src/rainsail/gateway/eligibility.py
+++ b/src/rainsail/gateway/eligibility.py
@@ -1,12 +1,24 @@
 """Which runners may get a request: usable, of the right role, with the adapter loaded. Pure."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from rainsail.gateway import runner_state
 from rainsail.gateway.admission_queues import Slots
 from rainsail.gateway.runner_state import RunnerState
 from rainsail.resources.specs import RunnerRole
 
+CACHE_PERIOD_S = 0.05
+SLOTS_PERIOD_S = 0.01
+"""Seconds that a count of slots is used; only the guess of others' load moves in that time."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    version: int
+    computed_s: float
+    runners: list[RunnerState]
+
 
 def eligible_runners(
     states: Sequence[RunnerState], now_s: float, batch: bool, adapter: str = ""
@@ -22,6 +34,37 @@
     ]
 
 
+class EligibleCache:
+    """Keeps lists of eligible runners until something changed or a short time has passed.
+
+    ``CACHE_PERIOD_S`` bounds how late the end of an ejection or a beginning silence is seen.
+    """
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._entries: dict[tuple[str, bool, str], _Entry] = {}
+
+    def changed(self) -> None:
+        """Note that some runner may have become usable or unusable."""
+        self._version += 1
+
+    def get(
+        self, states: Sequence[RunnerState], service: str, now_s: float, batch: bool, adapter: str
+    ) -> list[RunnerState]:
+        """Return ``eligible_runners`` of a service, from the cache when that is fresh."""
+        key = (service, batch, adapter)
+        entry = self._entries.get(key)
+        if (
+            entry is not None
+            and entry.version == self._version
+            and now_s - entry.computed_s < CACHE_PERIOD_S
+        ):
+            return entry.runners
+        runners = eligible_runners(states, now_s, batch, adapter)
+        self._entries[key] = _Entry(self._version, now_s, runners)
+        return runners
+
+
 def has_adapter(state: RunnerState, adapter: str) -> bool:
     """Tell whether a runner has an adapter loaded, by its last report or else its status."""
     adapters = state.report.adapters if state.report else state.status.adapters
@@ -43,3 +86,20 @@
         total += slots
         others += min(slots, state.foreign_online(now_s))
     return Slots(total, others)
+
+
+class SlotCounts:
+    """Online slots per service, counted anew when the runners changed or time has passed."""
+
+    def __init__(self, slots_per_runner: float) -> None:
+        self._slots_per_runner = slots_per_runner
+        self._counts: dict[str, tuple[list[RunnerState], float, Slots]] = {}
+
+    def get(self, service: str, states: list[RunnerState], now_s: float) -> Slots:
+        """Return the slots of these runners; ``states`` is a list that nobody changes."""
+        counted = self._counts.get(service)
+        if counted is not None and counted[0] is states and now_s - counted[1] < SLOTS_PERIOD_S:
+            return counted[2]
+        slots = online_slots(states, now_s, self._slots_per_runner)
+        self._counts[service] = (states, now_s, slots)
+        return slots
--- a/src/rainsail/gateway/fair_queue.py
+++ b/src/rainsail/gateway/fair_queue.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._queues: dict[str, deque[_Entry[Item]]] = {}
+        self._costs: dict[str, float] = {}
         self._finish: dict[str, float] = {}
         self._virtual = 0.0
         self._size = 0
@@ -35,6 +36,10 @@
         """Return how many items of a tenant wait."""
         return len(self._queues.get(tenant, ()))
 
+    def queued_cost(self, tenant: str) -> float:
+        """Return the cost of all items of a tenant that wait."""
+        return self._costs.get(tenant, 0.0)
+
     def tenants(self) -> list[str]:
         """Return the tenants that have items waiting."""
         return list(self._queues)
@@ -42,6 +47,7 @@
     def push(self, tenant: str, weight: float, cost: float, item: Item) -> None:
         """Add an item at the end of its tenant's queue."""
         self._queues.setdefault(tenant, deque()).append(_Entry(item, cost, weight))
+        self._costs[tenant] = self._costs.get(tenant, 0.0) + cost
         self._size += 1
 
     def pop(self, eligible: Callable[[Item], bool]) -> Item | None:
@@ -54,7 +60,7 @@
             entry = queue.popleft()
             self._virtual = max(self._virtual, finish - entry.cost / entry.weight)
             self._finish[tenant] = finish
-            self._removed(tenant)
+            self._removed(tenant, entry.cost)
             return entry.item
         return None
 
@@ -63,10 +69,12 @@
         start = max(self._virtual, self._finish.get(tenant, 0.0))
         return start + head.cost / head.weight
 
-    def _removed(self, tenant: str) -> None:
+    def _removed(self, tenant: str, cost: float) -> None:
         self._size -= 1
+        self._costs[tenant] -= cost
         if not self._queues[tenant]:
             del self._queues[tenant]
+            del self._costs[tenant]
         if not self._queues:
             self._finish.clear()
             self._virtual = 0.0
@@ -84,6 +92,6 @@
         for entry in queue:
             if entry.item is item:
                 queue.remove(entry)
-                self._removed(tenant)
+                self._removed(tenant, entry.cost)
                 return True
         return False
--- a/src/rainsail/gateway/fleet.py
+++ b/src/rainsail/gateway/fleet.py
@@ -9,6 +9,7 @@
 from rainsail.engine.interface import CacheEvent, EndReason, EngineClient, LoadReport
 from rainsail.gateway import runner_state
 from rainsail.gateway.ejection import may_put_out
+from rainsail.gateway.eligibility import EligibleCache
 from rainsail.gateway.engine_feed import EngineFeed
 from rainsail.gateway.ownership import live_gateways, rendezvous_owner
 from rainsail.gateway.runner_state import RunnerState
@@ -42,6 +43,7 @@
         self._runners: dict[str, RunnerState] = {}
         self._feeds: dict[str, EngineFeed] = {}
         self._by_service: dict[str, list[RunnerState]] = {}
+        self._eligible = EligibleCache()
         self._live_gateways: dict[str, list[str]] = {}
         self._watched_s = 0.0
         self._listeners: list[ChangeListener] = []
@@ -77,6 +79,11 @@
         """Return the runners of a service in name order, usable or not."""
         return self._by_service.get(service, [])
 
+    def eligible(self, service: str, batch: bool, adapter: str = "") -> list[RunnerState]:
+        """Return the runners of a service that may get new work now; not to be changed."""
+        now_s = self._clock.seconds()
+        return self._eligible.get(self.runners_of(service), service, now_s, batch, adapter)
+
     def owned_runners(self) -> list[RunnerState]:
         """Return the runners that this gateway owns, in name order."""
         return [state for state in self.runners() if state.owned]
@@ -169,12 +176,14 @@
         out = sum(1 for each in peers if each is not state and each.ejection.is_out(now_s))
         if may_put_out(len(peers), out, self._settings.max_ejected_fraction):
             state.ejection.put_out(now_s, self._random, self._settings)
+            self._eligible.changed()
 
     # --- following ----------------------------------------------------------------------------
 
     def _on_event(self, event: WatchEvent) -> None:
         kind = event.resource.key.kind
         if kind == Kind.RUNNER:
+            self._eligible.changed()
             if event.type == EventType.DELETED:
                 self._delete(event.resource.key.name)
             else:
@@ -241,6 +250,8 @@
         last = state.report
         if not state.take_report(report, self._clock.seconds()):
             return
+        if last is None or usability(last) != usability(report):
+            self._eligible.changed()
         self._changed(state.name)
         if last is not None and last.incarnation != report.incarnation:
             for listener in list(self._restart_listeners):
@@ -273,6 +284,7 @@
             silent = state.is_silent(now_s)
             if silent != state.silent:
                 state.silent = silent
+                self._eligible.changed()
                 self._changed(state.name)
         self._clock.callLater(self._settings.watch_period_s, self._watch)
 
@@ -281,5 +293,10 @@
             listener(runner)
 
 
+def usability(report: LoadReport) -> tuple[str, bool, str, tuple[str, ...]]:
+    """Return the part of a report that decides whether a runner may get work."""
+    return report.incarnation, report.draining, report.loaded_version, report.adapters
+
+
 def _name(state: RunnerState) -> str:
     return state.name
--- a/src/rainsail/gateway/quota.py
+++ b/src/rainsail/gateway/quota.py
@@ -13,7 +13,7 @@
 from rainsail.errors import Fault
 from rainsail.gateway.settings import AdmissionSettings
 from rainsail.gateway.token_bucket import TokenBucket
-from rainsail.resources.specs import Kind, ResourceKey, TenantSpec
+from rainsail.resources.specs import Kind, ResourceKey, TenantSpec, WatchEvent
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import ROOT_GROUP
 
@@ -59,6 +59,7 @@
         self._short: dict[str, float] = {}
         self._last_report_s = clock.seconds()
         self._answered_s = clock.seconds()
+        self._gateways = 1
         self._timer: Any = None
         self._stopped = False
         self._on_shares: Any = None
@@ -66,8 +67,17 @@
     def start(self, on_shares: Any) -> None:
         """Begin to report demand; ``on_shares`` is called when shares were lent."""
         self._on_shares = on_shares
+        self._config.on_event(self._on_event)
+        self._count_gateways()
         self._schedule(self._settings.quota_report_period_s)
 
+    def _on_event(self, event: WatchEvent) -> None:
+        if event.resource.key.kind == Kind.GATEWAY:
+            self._count_gateways()
+
+    def _count_gateways(self) -> None:
+        self._gateways = len(self._config.list_resources(Kind.GATEWAY))
+
     def stop(self) -> None:
         """Report no more."""
         self._stopped = True
@@ -82,13 +92,13 @@
         spec = self._spec(tenant)
         return max(spec.weight, LEAST_WEIGHT) if spec else 1.0
 
-    def wait_s(self, tenant: str, tokens: float) -> float:
-        """Return the seconds until a tenant's bucket covers ``tokens`` at its present share."""
-        return self._bucket(tenant).wait_s(tokens, self._clock.seconds())
+    def wait_s(self, tenant: str, tokens: float, ahead: float = 0.0) -> float:
+        """Return the seconds until a tenant's bucket covers ``tokens`` after ``ahead`` others."""
+        return self._bucket(tenant).wait_s(tokens, self._clock.seconds(), ahead)
 
-    def expected_wait_s(self, tenant: str, tokens: float) -> float:
+    def expected_wait_s(self, tenant: str, tokens: float, ahead: float) -> float:
         """Return the wait to expect: a tenant without a lent share gets one with its demand."""
-        wait_s = self.wait_s(tenant, tokens)
+        wait_s = self.wait_s(tenant, tokens, ahead)
         now_s = self._clock.seconds()
         if wait_s <= 0.0 or self._lent_share(tenant, now_s) is not None:
             return wait_s
@@ -134,7 +144,7 @@
         spec = self._spec(tenant)
         if spec is None:
             return 0.0, 0.0
-        gateways = len(self._config.list_resources(Kind.GATEWAY))
+        gateways = self._gateways
         fraction = self._settings.quota_reserve_fraction
         rate = minimum_share(spec.tokens_per_second, gateways, fraction)
         burst = minimum_share(spec.burst_tokens, gateways, fraction)
--- a/src/rainsail/gateway/token_bucket.py
+++ b/src/rainsail/gateway/token_bucket.py
@@ -24,13 +24,13 @@
         self.burst = burst
         self._level = min(self._level, burst)
 
-    def wait_s(self, tokens: float, now_s: float) -> float:
-        """Return the seconds until ``tokens`` can be taken (0: now).
+    def wait_s(self, tokens: float, now_s: float, ahead: float = 0.0) -> float:
+        """Return the seconds until ``tokens`` can be taken after ``ahead`` others (0: now).
 
         More than ``burst`` can be taken from a full bucket; the debt delays what comes after.
         """
         self._advance(now_s)
-        missing = min(tokens, self.burst) - self._level
+        missing = ahead + min(tokens, self.burst) - self._level
         if missing <= 0.0:
             return 0.0
         return missing / self.rate if self.rate > 0.0 else float("inf")
