Run daemons and a whole embedded fleet over loopback sockets

Cause: the path from caller to engine and from operator to gateway has to run for real, with a log that syncs and TCP between the roles. The simulated fleet gets a power-loss fault, chunks that come late, doubled or out of order, and seventeen known-bad variants.

--- /dev/null
+++ b/src/rainsail/assembly/listening.py
@@ -0,0 +1,27 @@
+"""Putting HTTP applications on loopback or machine addresses."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+from twisted.internet.error import CannotListenError
+from twisted.web.server import Site
+
+from rainsail.errors import Fault, FaultCode
+from rainsail.wire.address import PeerAddress
+
+HTTP_IDLE_TIMEOUT_S = 120
+
+
+def listen_http(reactor: Any, resource: Any, address: PeerAddress) -> Result[Any, Fault]:
+    """Serve a web resource; a fault names the address that can't be had."""
+    return listen_site(reactor, Site(resource, timeout=HTTP_IDLE_TIMEOUT_S), address)
+
+
+def listen_site(reactor: Any, site: Site, address: PeerAddress) -> Result[Any, Fault]:
+    """Serve a web site; a fault names the address that can't be had."""
+    site.displayTracebacks = False
+    try:
+        return Ok(reactor.listenTCP(address.port, site, interface=address.host))
+    except CannotListenError as error:
+        detail = f"{address}: {error.socketError}"
+        return Error(Fault(FaultCode.UNAVAILABLE, "listen.http", detail))
--- /dev/null
+++ b/src/rainsail/assembly/process.py
@@ -0,0 +1,115 @@
+"""A process: its roles, its status port, its log ring, its end."""
+
+import signal
+from collections.abc import Generator
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
+
+from rainsail.assembly.listening import listen_http
+from rainsail.assembly.roles import Role
+from rainsail.errors import Fault
+from rainsail.logs import configure_logs, dump_on_signal, logger
+from rainsail.metrics import CONTENT_TYPE, Metrics
+from rainsail.settings.model import ProcessSettings
+from rainsail.wire.address import parse_address
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+
+
+class Process:
+    """Runs roles under one reactor until SIGTERM or a fatal fault."""
+
+    def __init__(self, settings: ProcessSettings, reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self.roles: list[Role] = []
+        self.exit_code = EXIT_DONE
+        self._ready = False
+        self._stopping = False
+        self._metrics = Metrics()
+        self._ready_gauge = self._metrics.gauge("ready", "1 when every role has started")
+        ring_settings = settings.logs
+        self._ring = configure_logs(
+            settings.process.data_folder, ring_settings.ring_records, ring_settings.print_level
+        )
+
+    def run(self) -> int:
+        """Start every role, run the reactor, return the exit code."""
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=False)
+        return self.exit_code
+
+    def _start(self) -> None:
+        dump_on_signal(self._ring, self._reactor)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._reactor.callFromThread(self.stop))
+        self._start_roles().addErrback(self._crashed)
+
+    @inlineCallbacks
+    def _start_roles(self) -> Generator[Deferred[Any], Any, None]:
+        self._listen_for_status()
+        for role in self.roles:
+            started = yield role.start()
+            if started.is_error():
+                self.fail(started.error)
+                return
+        self._ready = True
+        self._ready_gauge.set(1)
+        logger.bind(process=self._settings.process.name).info("started")
+
+    def _listen_for_status(self) -> None:
+        if self._settings.addresses.status is None:
+            return
+        app = Klein()
+        app.route("/healthz")(lambda request: b"ok\n")
+        app.route("/readyz")(self._readyz)
+        app.route("/metrics")(self._metrics_text)
+        address = parse_address(self._settings.addresses.status)
+        port = listen_http(self._reactor, app.resource(), address)
+        if port.is_error():
+            self.fail(port.error)
+
+    def _readyz(self, request: Any) -> bytes:
+        ready = self._ready and not self._stopping
+        request.setResponseCode(200 if ready else 503)
+        return b"ready\n" if ready else b"not ready\n"
+
+    def _metrics_text(self, request: Any) -> bytes:
+        request.setHeader(b"content-type", CONTENT_TYPE.encode())
+        return self._metrics.exposition()
+
+    def fail(self, fault: Fault) -> None:
+        """End the process because of a fault."""
+        logger.error(str(fault))
+        self.exit_code = EXIT_FAILED
+        self.stop()
+
+    def _crashed(self, failure: Any) -> None:
+        logger.error(failure.getTraceback())
+        self.exit_code = EXIT_FAILED
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop as planned: gateways finish first, replicas last; then end the reactor."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self._stop_roles().addBoth(lambda _: self._stop_reactor())
+
+    @inlineCallbacks
+    def _stop_roles(self) -> Generator[Deferred[Any], Any, None]:
+        by_order = sorted(self.roles, key=lambda role: _STOP_ORDER.get(type(role).__name__, 0))
+        for order in sorted({_STOP_ORDER.get(type(role).__name__, 0) for role in by_order}):
+            group = [role for role in by_order if _STOP_ORDER.get(type(role).__name__, 0) == order]
+            yield gatherResults([role.planned_stop() for role in group])
+
+    def _stop_reactor(self) -> None:
+        if self._reactor.running:
+            self._reactor.stop()
+
+
+_STOP_ORDER = {"GatewayRole": 0, "EmulatorRole": 1, "ReplicaRole": 2}
+"""Gateways need engines and replicas to finish, so they stop first."""
--- a/src/rainsail/assembly/replica.py
+++ b/src/rainsail/assembly/replica.py
@@ -9,6 +9,7 @@
 
 from rainsail.assembly.machine_watch import MachineWatch
 from rainsail.assembly.seams import ReplicaSeams
+from rainsail.batch.settings import BatchSettings
 from rainsail.consensus.driver import GroupDriver
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.settings import ConsensusSettings
@@ -40,6 +41,7 @@
     controllers: ControllerSettings = field(default_factory=ControllerSettings)
     state: StateSettings = field(default_factory=StateSettings)
     storage: StorageSettings = field(default_factory=StorageSettings)
+    batch: BatchSettings = field(default_factory=BatchSettings)
 
 
 class ReplicaNode:
@@ -123,7 +125,16 @@
             self._machines,
         )
         self.controllers.start()
-        self.operator_api = OperatorApi(group, self.state, self.client, node.clock, config.control)
+        self.operator_api = OperatorApi(
+            group,
+            self.state,
+            self.client,
+            node.clock,
+            config.control,
+            random=node.random,
+            wall_clock=node.wall_clock,
+            batch=config.batch,
+        )
 
     def _fatal(self, fault: Fault) -> None:
         self.stop()
--- a/src/rainsail/cli/simulate.py
+++ b/src/rainsail/cli/simulate.py
@@ -90,4 +90,4 @@
 def defects() -> None:
     """List the known-bad variants, the checker that catches each, and how."""
     for defect in DEFECTS.values():
-        print(f"{defect.name:24} {defect.checker:18} {defect.description}")
+        print(f"{defect.name:22} {'/'.join(defect.checkers):34} {defect.description}")
--- a/src/rainsail/experiment/checkers/exactly_once.py
+++ b/src/rainsail/experiment/checkers/exactly_once.py
@@ -6,6 +6,7 @@
     History,
     JobAccepted,
     JobCancelAccepted,
+    JobRead,
     ResultRead,
     RunEnded,
 )
@@ -22,6 +23,7 @@
         """Find lost items, changed results, wrong results and keys accepted as two jobs."""
         found = self._split_keys(history)
         found += self._changed_results(history)
+        found += self._miscounted_jobs(history)
         found += self._lost_items(history)
         return found
 
@@ -50,6 +52,16 @@
                 found.append(Violation(self.name, f"result of {place} is not the right answer"))
         return found
 
+    def _miscounted_jobs(self, history: History) -> list[Violation]:
+        counts = {event.job_id: event.item_count for event in history.of_type(JobAccepted)}
+        found = []
+        for event in history.of_type(JobRead):
+            finished = event.completed + event.set_aside
+            if finished > counts.get(event.job_id, finished):
+                detail = f"{event.job_id} counts {finished} of {counts[event.job_id]} items done"
+                found.append(Violation(self.name, detail))
+        return found
+
     def _lost_items(self, history: History) -> list[Violation]:
         if not any(event.complete for event in history.of_type(RunEnded)):
             return []
--- a/src/rainsail/settings/model.py
+++ b/src/rainsail/settings/model.py
@@ -14,6 +14,7 @@
 from rainsail.control.controllers.settings import ControllerSettings
 from rainsail.control.settings import ControlSettings
 from rainsail.emulator.settings import EngineSettings, MachineListSettings, WeightStoreSettings
+from rainsail.gateway.openai.settings import CallerApiSettings
 from rainsail.gateway.settings import GatewaySettings
 from rainsail.settings.process import (
     AddressSection,
@@ -84,6 +85,9 @@
     gateway: GatewaySettings = Field(
         default=GatewaySettings.model_validate({}), description="Online serving"
     )
+    caller_api: CallerApiSettings = Field(
+        default=CallerApiSettings.model_validate({}), description="The callers' HTTP API"
+    )
     batch: BatchSettings = Field(default=BatchSettings.model_validate({}), description="Batch work")
     engine: EngineSettings = Field(
         default=EngineSettings.model_validate({}), description="Emulated engines"
--- a/src/rainsail/simulation/defects.py
+++ b/src/rainsail/simulation/defects.py
@@ -1,14 +1,43 @@
 """Known-bad variants: each breaks one mechanism, and a checker has to notice.
 
-A variant replaces one function of the product for the length of a run; nothing in the product
+A variant replaces functions of the product for the length of a run; nothing in the product
 knows of it. ``rainsail defects`` lists them, ``rainsail simulate --defect NAME`` runs with one.
 """
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
+from expression import Ok
+from twisted.internet.defer import succeed
+
+from rainsail.assembly.gateway import GatewayNode
+from rainsail.batch import preemption
+from rainsail.batch.interface import BatchAllowance
+from rainsail.batch.item_runner import ItemRun
+from rainsail.batch.policies.preemptive import PreemptivePolicy
+from rainsail.control import config_view
+from rainsail.control.config_leases import ConfigLeaseTable
+from rainsail.control.config_view import ConfigView
+from rainsail.control.group_control import GroupControl
+from rainsail.control.item_leases import ItemLeaseTable
+from rainsail.engine.interface import Priority
+from rainsail.errors import Outcome
+from rainsail.gateway import attempts, request_run, retry, runner_state
+from rainsail.gateway import request as request_machine
+from rainsail.simulation.disk import SimulatedDisk
+from rainsail.state.change_window import ChangeWindow
+from rainsail.state.claims import ClaimStore
+from rainsail.state.commands import ClaimResult, CommitVerdict, JobPhase
+from rainsail.state.item_leases import ItemLeases
+from rainsail.state.job_items import COMPLETED
+from rainsail.state.ledger import Ledger
+from rainsail.state.result_log import FinishedItem
+
+Replacement = Callable[[Any], Any]
+"""Takes the original and returns what stands in for it."""
+
 
 @dataclass(frozen=True, slots=True)
 class Patch:
@@ -16,26 +45,268 @@
 
     owner: Any
     attribute: str
-    make: Callable[[Any], Any]
+    make: Replacement
 
 
 @dataclass(frozen=True, slots=True)
 class Defect:
-    """A known-bad variant and the checker that is meant to notice it."""
+    """A known-bad variant and the checkers of which one has to notice it."""
 
     name: str
-    checker: str
+    checkers: tuple[str, ...]
     description: str
-    patches: Callable[[], tuple[Patch, ...]]
+    patches: tuple[Patch, ...]
+
+
+def _always(value: Any) -> Replacement:
+    return lambda original: lambda *arguments, **keywords: value
+
+
+# --- durability ----------------------------------------------------------------------------
+
+
+def _sync_without_disk(original: Any) -> Any:
+    """Report a sync as done although nothing reached the disk."""
+
+    def start_sync(self: Any, step: str, path: str, settle: Any, file: Any = None) -> Any:
+        return original(self, step, path, lambda: None, file)
+
+    return start_sync
+
+
+# --- batch ledger --------------------------------------------------------------------------
+
+
+def _commit_without_fence(original: Any) -> Any:
+    """Count every result that comes in, whoever sends it and how often."""
+
+    def commit_one(self: Any, holder: str, result: Any) -> CommitVerdict:
+        ref = result.ref
+        job = self._jobs.get(ref.job_id)
+        if job is None or job.items.phases[ref.index] != COMPLETED:
+            return original(self, holder, result)
+        custom_id = job.items.body(ref.index).custom_id
+        job.finish(ref.index, COMPLETED, FinishedItem(custom_id, result.text, 0, ""))
+        job.completed += 1
+        self.complete_if_done(job)
+        return CommitVerdict.COMMITTED
+
+    return commit_one
+
+
+def _open_without_key(original: Any) -> Any:
+    """Make a new job of every submission."""
+
+    def open_job(self: Any, command: Any) -> Any:
+        known = self._jobs.get(command.job_id)
+        if known is None:
+            return original(self, command)
+        number = sum(1 for job_id in self._jobs if job_id.startswith(command.job_id))
+        spec = replace(command.spec, job_key=f"{command.spec.job_key}+{number}")
+        return original(self, replace(command, job_id=f"{command.job_id}+{number}", spec=spec))
+
+    return open_job
+
+
+def _cancel_in_name_only(original: Any) -> Any:
+    """Answer a cancel as done and leave the job running."""
+
+    def cancel(self: Any, command: Any) -> Any:
+        job = self._jobs.get(command.job_id)
+        if job is None or job.phase is not JobPhase.SEALED:
+            return original(self, command)
+        return replace(job.view(), phase=JobPhase.CANCELLED)
+
+    return cancel
+
+
+# --- online --------------------------------------------------------------------------------
+
+
+def _take_every_chunk(original: Any) -> Any:
+    """Pass every chunk on, whichever attempt or place it belongs to."""
+
+    def on_chunk(self: Any, chunk: Any) -> None:
+        self.attempt.next_sequence = max(self.attempt.next_sequence, chunk.sequence + 1)
+        self.attempt.deliver(chunk.text, chunk.tokens)
+
+    return on_chunk
+
+
+def _start_as_online(original: Any) -> Any:
+    def start(self: Any, priority: Priority) -> None:
+        original(self, Priority.HIGH)
+
+    return start
+
+
+def _replay_without_prefix(original: Any) -> Any:
+    def generate_request(self: Any, prompt: str, fence: int) -> Any:
+        return replace(original(self, prompt, fence), forced_prefix="")
+
+    return generate_request
+
+
+def _ignore_drain(original: Any) -> Any:
+    def takes_new_work(state: Any, now_s: float) -> bool:
+        return bool(state.loaded_version())
+
+    return takes_new_work
+
+
+def _stop_at_once(original: Any) -> Any:
+    def planned_stop(self: Any) -> Any:
+        self.stop()
+        return succeed(None)
+
+    return planned_stop
+
+
+# --- configuration -------------------------------------------------------------------------
+
+
+async def _read_anywhere(self: Any, step: str) -> Any:
+    return Ok(None)
+
+
+def _forget_answers(original: Any) -> Any:
+    return lambda self, command: None
+
+
+def _grant_every_claim(original: Any) -> Any:
+    def claim(self: Any, command: Any) -> Any:
+        original(self, command)
+        return ClaimResult(True, command.gateway, Outcome.UNKNOWN)
+
+    return claim
+
 
+_DEFECTS = (
+    Defect(
+        "ack-before-sync",
+        ("exactly_once", "linearizable_read", "changes"),
+        "replicas acknowledge writes that never reach the disk",
+        (Patch(SimulatedDisk, "start_sync", _sync_without_disk),),
+    ),
+    Defect(
+        "no-result-fence",
+        ("exactly_once",),
+        "a result that comes again is counted again",
+        (Patch(ItemLeases, "_commit_one", _commit_without_fence),),
+    ),
+    Defect(
+        "no-job-key",
+        ("exactly_once",),
+        "a re-sent job becomes another job",
+        (Patch(Ledger, "open", _open_without_key),),
+    ),
+    Defect(
+        "cancel-not-revoking",
+        ("cancellation",),
+        "a cancel is answered but the job's items run on",
+        (Patch(Ledger, "cancel", _cancel_in_name_only),),
+    ),
+    Defect(
+        "lease-never-lapses",
+        ("exactly_once",),
+        "items of a dead dispatcher are never handed out again",
+        (Patch(ItemLeaseTable, "lapsed", _always([])),),
+    ),
+    Defect(
+        "no-preemption",
+        ("online_first",),
+        "batch fills the engines like online work and never steps aside",
+        (
+            Patch(preemption, "choose_victims", _always([])),
+            Patch(ItemRun, "start", _start_as_online),
+            Patch(PreemptivePolicy, "allowance", _always(BatchAllowance(64, "defect"))),
+        ),
+    ),
+    Defect(
+        "no-attempt-check",
+        ("whole_answer",),
+        "late, doubled and misplaced chunks are passed on to callers",
+        (Patch(attempts.AttemptLink, "on_chunk", _take_every_chunk),),
+    ),
+    Defect(
+        "replay-without-prefix",
+        ("whole_answer",),
+        "a replayed stream begins at its beginning again",
+        (Patch(request_run.RequestRun, "_generate_request", _replay_without_prefix),),
+    ),
+    Defect(
+        "refuse-after-send",
+        ("refusal_truth",),
+        "every failure is answered as not run",
+        (Patch(request_machine, "failure_outcome", _always(Outcome.NOT_RUN)),),
+    ),
+    Defect(
+        "retry-any",
+        ("at_most_once",),
+        "non-repeatable requests are sent again after a failure",
+        (Patch(retry, "may_send_again", _always(True)),),
+    ),
+    Defect(
+        "no-claim",
+        ("at_most_once",),
+        "a non-repeatable request that is re-sent to another gateway runs again",
+        (Patch(ClaimStore, "claim", _grant_every_claim),),
+    ),
+    Defect(
+        "ignore-drain",
+        ("drain",),
+        "gateways go on sending to runners that leave",
+        (Patch(runner_state, "takes_new_work", _ignore_drain),),
+    ),
+    Defect(
+        "stop-at-once",
+        ("planned_stop",),
+        "a gateway asked to stop drops what is in progress",
+        (Patch(GatewayNode, "planned_stop", _stop_at_once),),
+    ),
+    Defect(
+        "no-config-lease",
+        ("in_force",),
+        "a gateway that is cut off goes on admitting work",
+        (Patch(ConfigView, "lease_valid", lambda original: lambda self: self._listed),),
+    ),
+    Defect(
+        "in-force-too-early",
+        ("in_force",),
+        "a revision is called in force before every gateway has it",
+        (
+            Patch(
+                ConfigLeaseTable,
+                "in_force_revision",
+                lambda original: lambda self, revision, now_s: revision,
+            ),
+        ),
+    ),
+    Defect(
+        "revision-may-fall",
+        ("no_revert", "linearizable_read"),
+        "any replica answers reads from what it has, and gateways take lower revisions",
+        (
+            Patch(config_view, "revision_admitted", _always(True)),
+            Patch(GroupControl, "serving", _always(True)),
+            Patch(GroupControl, "linearizable_read", lambda original: _read_anywhere),
+        ),
+    ),
+    Defect(
+        "no-change-window",
+        ("changes",),
+        "a change re-sent after a lost answer is judged anew",
+        (Patch(ChangeWindow, "first_answer", _forget_answers),),
+    ),
+)
 
-DEFECTS: dict[str, Defect] = {}
+DEFECTS: dict[str, Defect] = {defect.name: defect for defect in _DEFECTS}
 
 
 @contextmanager
 def applied_defect(name: str) -> Iterator[None]:
     """Run the block with a known-bad variant in place (none for an empty name)."""
-    patches = DEFECTS[name].patches() if name else ()
+    patches = DEFECTS[name].patches if name else ()
     originals = [getattr(patch.owner, patch.attribute) for patch in patches]
     for patch, original in zip(patches, originals, strict=True):
         setattr(patch.owner, patch.attribute, patch.make(original))
--- a/src/rainsail/simulation/fault_plan.py
+++ b/src/rainsail/simulation/fault_plan.py
@@ -18,6 +18,7 @@
     """The failures that a run can bring about."""
 
     ENGINE_CRASH = "engine_crash"
+    POWER_LOSS = "power_loss"
     ENGINE_LINK_CUT = "engine_link_cut"
     REPLICA_CRASH = "replica_crash"
     REPLICA_DISK_LOSS = "replica_disk_loss"
@@ -110,7 +111,7 @@
 def _draw_target(draw: random.Random, kind: FaultKind, targets: FaultTargets) -> str:
     if kind in (FaultKind.LEADER_SILENT_CUT, FaultKind.DEGRADED_NETWORK, FaultKind.LOST_ANSWERS):
         return ""
-    if kind == FaultKind.WEIGHT_STORE_STARVED:
+    if kind in (FaultKind.WEIGHT_STORE_STARVED, FaultKind.POWER_LOSS):
         return ""
     if kind == FaultKind.ZONE_CUT:
         return draw.choice(targets.zones)
--- a/src/rainsail/simulation/injector.py
+++ b/src/rainsail/simulation/injector.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 
+from rainsail.engine.interface import Chunk
 from rainsail.experiment.history import DrainDeclared, FaultInjected, PlannedStop
 from rainsail.platform.machine_list import MachineState
 from rainsail.resources.specs import Kind, Resource, ResourceKey, RunnerSpec
+from rainsail.simulation.engine_network import deliver_once
 from rainsail.simulation.fault_plan import FaultAction, FaultKind, FaultPlan
 from rainsail.simulation.fleet import OPERATOR_NAMES, SimulatedFleet, engine_address
 from rainsail.simulation.network import LinkConditions
@@ -12,6 +14,11 @@
 Undo = Callable[[], None]
 
 DEGRADED = LinkConditions(delay_s=0.02, jitter_s=0.05, loss=0.05, duplication=0.05, ordered=False)
+CHUNK_DROPPED = 0.02
+CHUNK_DOUBLED = 0.07
+CHUNK_DELAYED = 0.12
+"""Thresholds of one draw: the shares are the differences between neighbours."""
+CHUNK_DELAY_S = 0.2
 SECOND_LOSS_DELAY_S = 4.0
 STARVED_DIVISOR = 20.0
 DRAIN_RETRY_S = 0.5
@@ -30,6 +37,7 @@
         self._starters: dict[FaultKind, Callable[[FaultAction], Undo]] = {
             FaultKind.ENGINE_CRASH: self._engine_crash,
             FaultKind.ENGINE_LINK_CUT: self._engine_link_cut,
+            FaultKind.POWER_LOSS: self._power_loss,
             FaultKind.REPLICA_CRASH: self._replica_crash,
             FaultKind.REPLICA_DISK_LOSS: self._replica_disk_loss,
             FaultKind.SECOND_LOSS_AFTER_REPAIR: self._second_loss,
@@ -93,6 +101,17 @@
         replica.kill()
         return replica.start
 
+    def _power_loss(self, action: FaultAction) -> Undo:
+        """Crash every replica at once; what was synced must be enough."""
+        for replica in self._fleet.replicas.values():
+            replica.kill()
+
+        def mend() -> None:
+            for replica in self._fleet.replicas.values():
+                replica.start()
+
+        return mend
+
     def _replica_disk_loss(self, action: FaultAction) -> Undo:
         replica = self._fleet.replicas[action.target]
         replica.lose_disk()
@@ -190,13 +209,27 @@
         links = [(a, b) for a in processes for b in processes if a != b]
         for source, target in links:
             network.set_link_conditions(source, target, DEGRADED)
+        engine_faults = self._fleet.world.engines.faults
+        engine_faults.chunk = self._degraded_chunk
 
         def mend() -> None:
             for source, target in links:
                 network.clear_link_conditions(source, target)
+            engine_faults.chunk = deliver_once
 
         return mend
 
+    def _degraded_chunk(self, gateway: str, runner: str, chunk: Chunk) -> tuple[float, ...]:
+        """Drop, double or delay some chunks, so that they come late and out of order."""
+        drawn = self._draw.random()
+        if drawn < CHUNK_DROPPED:
+            return ()
+        if drawn < CHUNK_DOUBLED:
+            return (0.0, self._draw.uniform(0.0, CHUNK_DELAY_S))
+        if drawn < CHUNK_DELAYED:
+            return (self._draw.uniform(0.0, CHUNK_DELAY_S),)
+        return (0.0,)
+
     def _lost_answers(self, action: FaultAction) -> Undo:
         self._fleet.lost_answers.active = True
 
--- a/src/rainsail/simulation/site_plan.py
+++ b/src/rainsail/simulation/site_plan.py
@@ -15,6 +15,10 @@
 WEIGHT_BYTES = 2_000_000_000
 
 
+SMALL_ENGINE = EngineSettings.language_model(tokens_per_chunk=4, max_running=6)
+"""Few places in the batch, so that a heap of jobs fills every engine."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunnerPlan:
     """A group of like runners of one service."""
@@ -55,7 +59,7 @@
         zone_one_way_s=0.001,
         replica_zones=(0, 0, 1, 1, 2),
         runners=(
-            RunnerPlan("reports", 6, EngineSettings.language_model(tokens_per_chunk=4), 16),
+            RunnerPlan("reports", 6, SMALL_ENGINE, SMALL_ENGINE.max_running),
             RunnerPlan("positions", 3, EngineSettings.position(), 0),
         ),
         callers=(
@@ -78,7 +82,7 @@
         zone_one_way_s=0.0005,
         replica_zones=(0, 0, 1, 1, 2),
         runners=(
-            RunnerPlan("assistant", 9, EngineSettings.language_model(tokens_per_chunk=4), 16),
+            RunnerPlan("assistant", 9, SMALL_ENGINE, SMALL_ENGINE.max_running),
             RunnerPlan("dock", 3, EngineSettings.position(), 0),
         ),
         callers=(
