--- /dev/null
+++ b/features/gateway/drain.feature
@@ -0,0 +1,60 @@
+Feature: A planned stop of a gateway cuts nothing and refuses new work at once
+
+  Scenario: Requests in progress finish, new ones are refused as not run
+    Given a gateway fleet of 3 runners and 2 gateways
+    When 20 gateway callers ask at once
+    And 0.3 seconds of gateway time pass
+    And gateway 0 of the fleet begins a planned stop
+    And 1 gateway caller asks at once
+    Then gateway caller 20 was told "not_run" at once with a time to come back
+    When 5 seconds of gateway time pass
+    Then the first 20 gateway callers have their whole answers
+    And the planned stop is over and cut nothing
+
+  Scenario: Requests that wait in the queue are finished too
+    Given a gateway fleet of 1 runner and 1 gateway
+    When 40 gateway callers ask at once
+    And gateway 0 of the fleet begins a planned stop
+    And 10 seconds of gateway time pass
+    Then the first 40 gateway callers have their whole answers
+    And the planned stop is over and cut nothing
+
+  Scenario: A request that outlasts the grace time is reported and told the truth
+    Given a gateway fleet of 1 runner and 1 gateway with a grace time of 2 seconds
+    When a gateway caller asks for 2000 tokens
+    And 0.5 seconds of gateway time pass
+    And gateway 0 of the fleet begins a planned stop
+    And 3 seconds of gateway time pass
+    Then gateway caller 0 was told "unknown"
+    And the planned stop is over and cut the request of gateway caller 0
+
+  Scenario: A session goes on at another gateway after the planned stop
+    Given a gateway fleet of 3 runners and 2 gateways
+    And a gateway session "container-7"
+    When 1 turn of "container-7" is taken through gateway 0
+    And gateway 0 of the fleet begins a planned stop
+    And 1 seconds of gateway time pass
+    And 1 turn of "container-7" is taken through gateway 1
+    Then every turn of "container-7" has the answer that its transcript gives
+    And the planned stop is over and cut nothing
+
+  Scenario: A gateway that its resource drains refuses new work until it is wanted again
+    Given a gateway fleet of 3 runners and 2 gateways
+    When gateway 0 of the gateway fleet is drained by its resource
+    And 1 gateway caller asks at once
+    Then gateway caller 0 was told "not_run" at once with a time to come back
+
+  Scenario Outline: The stop of a gateway under load cuts nothing whatever its moment
+    Given a gateway fleet of 3 runners and 1 gateway
+    When 60 gateway callers ask, 20 ms apart
+    And <moment> seconds of gateway time pass
+    And gateway 0 of the fleet begins a planned stop
+    And 10 seconds of gateway time pass
+    Then the first 60 gateway callers have their whole answers
+    And the planned stop is over and cut nothing
+
+    Examples:
+      | moment |
+      | 0.001  |
+      | 0.05   |
+      | 0.4    |
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -51,7 +51,9 @@
 @when('"{runner}" of the gateway fleet leaves by silence')
 def leave_by_silence(context, runner):
     context.left_s = context.fleet.clock.seconds()
-    context.fleet.engines[runner]._publisher.close()
+    engine = context.fleet.engines[runner]
+    engine._publisher.close()
+    engine.subscribe = lambda on_load, on_cache: lambda: None
 
 
 @when('"{runner}" of the gateway fleet is wanted again')
--- a/src/rainsail/gateway/engine_feed.py
+++ b/src/rainsail/gateway/engine_feed.py
@@ -34,6 +34,7 @@
         self._on_lost = on_lost
         self._failures = 0
         self._subscription = 0
+        self._opened_s = 0.0
         self._cancel: Callable[[], None] | None = None
         self._timer: Any = None
 
@@ -41,6 +42,7 @@
         """Open the subscription."""
         self._timer = None
         self._subscription += 1
+        self._opened_s = self._clock.seconds()
         number = self._subscription
 
         def take_load(report: LoadReport) -> None:
@@ -68,6 +70,16 @@
         delay_s *= 0.5 + self._random.random()
         self._timer = self._clock.callLater(delay_s, self.start)
 
+    def renew_when_older(self, age_s: float) -> None:
+        """Open a new subscription in place of one that has been open for ``age_s`` in silence."""
+        if self._cancel is None or self._clock.seconds() - self._opened_s < age_s:
+            return
+        self._subscription += 1
+        self._cancel()
+        self._cancel = None
+        self._on_lost()
+        self.start()
+
     def stop(self) -> None:
         """Close the subscription for good."""
         self._subscription += 1
--- a/src/rainsail/gateway/fleet.py
+++ b/src/rainsail/gateway/fleet.py
@@ -286,6 +286,8 @@
                 state.silent = silent
                 self._eligible.changed()
                 self._changed(state.name)
+            if silent:
+                self._feeds[state.name].renew_when_older(self._settings.report_timeout_s)
         self._clock.callLater(self._settings.watch_period_s, self._watch)
 
     def _changed(self, runner: str) -> None:
