--- a/src/rainsail/storage/entry_reader.py
+++ b/src/rainsail/storage/entry_reader.py
@@ -1,60 +1,39 @@
-"""Reads entries back from the segments, in chunks."""
+"""Reads entries back from the segments."""
 
-from rainsail.errors import RainsailError
-from rainsail.storage.faults import storage_fault
-from rainsail.storage.interface import LogEntry
-from rainsail.storage.records import Damage, Record, RecordKind, read_record
-from rainsail.storage.segment_log import SegmentLog
+from rainsail.storage.interface import FileSystem, LogEntry
+from rainsail.storage.record_file import RecordFileReader
+from rainsail.storage.records import RecordKind
+from rainsail.storage.segment_scan import segment_path
 from rainsail.wire.codec import CodecError, decode_body
 
-_READ_AHEAD_BYTES = 64 * 1024
-
 
 class EntryReader:
-    """Reads entries in rising order; each read from disk takes at least 64 KiB."""
+    """Reads entries in rising order; raises ``RainsailError`` at damage."""
 
-    def __init__(self, log: SegmentLog, group: int) -> None:
-        self._log = log
+    def __init__(self, files: FileSystem, folder: str, group: int) -> None:
+        self._files = files
+        self._folder = folder
         self._group = group
         self._sequence = 0
-        self._start = 0
-        self._data = b""
+        self._reader: RecordFileReader | None = None
 
     def read(self, index: int, sequence: int, offset: int) -> LogEntry:
-        """Return the entry written at a place; raises ``RainsailError`` when it is damaged."""
-        found = self._read_record(sequence, offset)
-        if isinstance(found, Damage):
-            raise self._error(sequence, offset, found.reason)
-        if found.kind != RecordKind.ENTRY:
-            raise self._error(sequence, offset, f"entry {index} expected, found {found.kind.name}")
+        """Return the entry that was written at a place."""
+        reader = self._reader_of(sequence)
+        record = reader.read_at(offset)
+        if record.kind != RecordKind.ENTRY:
+            raise reader.error(f"entry {index} expected, found {record.kind.name}", offset)
         try:
-            entry: LogEntry = decode_body(LogEntry, found.body)
+            entry: LogEntry = decode_body(LogEntry, record.body)
         except CodecError as error:
-            raise self._error(sequence, offset, str(error)) from error
+            raise reader.error(str(error), offset) from error
         if entry.index != index:
-            raise self._error(sequence, offset, f"entry {index} expected, found {entry.index}")
+            raise reader.error(f"entry {index} expected, found {entry.index}", offset)
         return entry
 
-    def _read_record(self, sequence: int, offset: int) -> Record | Damage:
-        if sequence == self._sequence and offset >= self._start:
-            found = read_record(self._data, offset - self._start, self._group)
-            if isinstance(found, Record):
-                return found
-        size = _READ_AHEAD_BYTES
-        while True:
-            self._load(sequence, offset, size)
-            found = read_record(self._data, 0, self._group)
-            if isinstance(found, Record) or len(self._data) < size:
-                return found
-            size *= 2
-
-    def _load(self, sequence: int, offset: int, size: int) -> None:
-        try:
-            self._data = self._log.read_range(sequence, offset, size)
-        except OSError as error:
-            raise self._error(sequence, offset, str(error)) from error
-        self._sequence = sequence
-        self._start = offset
-
-    def _error(self, sequence: int, offset: int, reason: str) -> RainsailError:
-        return RainsailError(storage_fault("read", self._log.path_of(sequence), reason, offset))
+    def _reader_of(self, sequence: int) -> RecordFileReader:
+        if self._reader is None or sequence != self._sequence:
+            path = segment_path(self._folder, sequence)
+            self._reader = RecordFileReader(self._files, path, self._group, "read")
+            self._sequence = sequence
+        return self._reader
--- a/src/rainsail/storage/group_storage.py
+++ b/src/rainsail/storage/group_storage.py
@@ -1,59 +1,51 @@
-"""The durable state of one group: log, hard state and snapshots.
-
-Writes gather in memory. ``sync`` writes everything gathered as one batch and syncs once; while a
-sync is under way, new writes gather for the next batch. A failed write or sync is final: every
-later call answers with the same fault, because what the disk holds is no longer known.
-"""
+"""The durable state of one group: log, hard state and snapshot."""
 
 from collections.abc import Iterable, Iterator
 
 from expression import Error, Ok, Result
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, DeferredLock, succeed
 
 from rainsail.errors import Fault
 from rainsail.storage.entry_reader import EntryReader
-from rainsail.storage.interface import (
-    FileSystem,
-    HardState,
-    LogEntry,
-    SnapshotMeta,
-)
-from rainsail.storage.log_index import LogIndex
-from rainsail.storage.log_records import Truncation
-from rainsail.storage.log_replay import ReplayedLog, replay_segments
+from rainsail.storage.faults import storage_fault
+from rainsail.storage.interface import FileSystem, HardState, LogEntry, SnapshotMeta
+from rainsail.storage.log_records import LogPosition, Reset, Truncation
 from rainsail.storage.records import RecordKind
-from rainsail.storage.segment_log import LogPosition, PendingRecord, SegmentLog, scan_segments
+from rainsail.storage.recovery import RecoveredGroup, group_folder, recover_group
+from rainsail.storage.segment_log import PendingRecord, SegmentLog
 from rainsail.storage.settings import StorageSettings
+from rainsail.storage.snapshot_store import SnapshotStore, TemporarySnapshot
+from rainsail.storage.write_queue import SyncResult, WriteQueue
 from rainsail.wire.codec import encode_body
 
-SyncResult = Result[None, Fault]
-
-
-def group_folder(group: int) -> str:
-    """Return the folder of a group inside the data folder."""
-    return f"group-{group}"
-
 
 class DurableGroupStorage:
-    """Implements ``GroupStorage`` over a ``FileSystem``; made by ``open_group_storage``."""
+    """Implements ``GroupStorage`` over a ``FileSystem``; made by ``open_group_storage``.
+
+    A failed write or sync of the log is final: every later ``sync`` answers with the same fault.
+    """
 
     def __init__(
-        self, group: int, settings: StorageSettings, log: SegmentLog, replayed: ReplayedLog
+        self,
+        files: FileSystem,
+        group: int,
+        settings: StorageSettings,
+        log: SegmentLog,
+        recovered: RecoveredGroup,
     ) -> None:
+        self._files = files
         self._group = group
+        self._folder = group_folder(group)
         self._settings = settings
         self._log = log
-        self._index: LogIndex = replayed.index
-        self.hard_state = replayed.hard_state
-        self.snapshot_meta: SnapshotMeta | None = None
-        self._pending: list[PendingRecord] = []
-        self._waiters: list[Deferred[SyncResult]] = []
-        self._under_way: list[Deferred[SyncResult]] | None = None
-        self._is_writing = False
-        self._fault: Fault | None = None
-        self._written = self._position()
+        self._snapshots = SnapshotStore(files, self._folder, group)
+        self._snapshot_lock = DeferredLock()
+        self._index = recovered.log.index
         self._durable_index = self._index.last_index
         self._batch_index = self._index.last_index
+        self.hard_state = recovered.log.hard_state
+        self.snapshot_meta = recovered.snapshot_meta
+        self._queue = WriteQueue(log, self, recovered.written)
 
     @property
     def first_index(self) -> int:
@@ -65,19 +57,13 @@
         """The index of the last entry appended, durable or not."""
         return self._index.last_index
 
-    def _position(self) -> LogPosition:
-        last = self._index.last_index
-        state = self.hard_state
-        return LogPosition(last, self._index.term_at(last) or 0, state.term, state.voted_for)
-
     # --- writing -------------------------------------------------------------------------
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
         """Queue entries that follow ``last_index``; raises ``ValueError`` for others."""
         for entry in entries:
             self._index.append(entry)
-            body = encode_body(entry)
-            self._pending.append(PendingRecord(RecordKind.ENTRY, body, entry.index))
+            self._queue.add(PendingRecord(RecordKind.ENTRY, encode_body(entry), entry.index))
 
     def truncate_from(self, index: int) -> None:
         """Queue the removal of the entries from ``index`` on.
@@ -91,63 +77,44 @@
         self._index.truncate_from(index)
         self._durable_index = min(self._durable_index, index - 1)
         self._batch_index = min(self._batch_index, index - 1)
-        body = encode_body(Truncation(index))
-        self._pending.append(PendingRecord(RecordKind.TRUNCATION, body, index))
+        truncation = Truncation(index, self._index.term_at(index - 1) or 0)
+        self._queue.add(PendingRecord(RecordKind.TRUNCATION, encode_body(truncation), index))
 
     def save_hard_state(self, state: HardState) -> None:
         """Queue a hard state."""
         if state == self.hard_state:
             return
         self.hard_state = state
-        self._pending.append(PendingRecord(RecordKind.HARD_STATE, encode_body(state)))
+        self._queue.add(PendingRecord(RecordKind.HARD_STATE, encode_body(state)))
 
     def sync(self) -> "Deferred[SyncResult]":
         """Make everything queued durable; fires after the sync that covers it."""
-        if self._fault is not None:
-            return succeed(Error(self._fault))
-        waiter: Deferred[SyncResult] = Deferred()
-        if self._pending:
-            self._waiters.append(waiter)
-        elif self._under_way is not None:
-            self._under_way.append(waiter)
-        else:
-            return succeed(Ok(None))
-        if not self._is_writing:
-            Deferred.fromCoroutine(self._write_batches())
-        return waiter
-
-    async def _write_batches(self) -> None:
-        self._is_writing = True
-        while self._waiters:
-            waiters, self._waiters = self._waiters, []
-            self._under_way = waiters
-            result = await self._write_batch()
-            self._under_way = None
-            if result.is_error():
-                self._fault = result.error
-                waiters += self._waiters
-                self._waiters = []
-            for waiter in waiters:
-                waiter.callback(result)
-        self._is_writing = False
-
-    async def _write_batch(self) -> SyncResult:
-        batch, self._pending = self._pending, []
-        before = self._written
-        self._written = self._position()
+        return self._queue.sync()
+
+    # --- what the write queue asks and tells ---------------------------------------------
+
+    def position(self) -> LogPosition:
+        """Return where the log stands with everything queued so far."""
+        last = self._index.last_index
+        state = self.hard_state
+        return LogPosition(last, self._index.term_at(last) or 0, state.term, state.voted_for)
+
+    def batch_begins(self) -> None:
+        """Note what the batch being written covers."""
         self._batch_index = self._index.last_index
-        result = await self._log.write(batch, before, self._placed)
-        if result.is_ok():
-            self._durable_index = self._batch_index
-            self._index.shrink(self._durable_index)
-        return result
 
-    def _placed(self, record: PendingRecord, sequence: int, offset: int) -> None:
+    def record_placed(self, record: PendingRecord, sequence: int, offset: int) -> None:
+        """Note where an entry lies on the disk."""
         if record.kind == RecordKind.ENTRY:
             self._index.place(sequence, offset)
         elif record.kind == RecordKind.TRUNCATION:
             self._index.forget_places(record.index)
 
+    def batch_durable(self) -> None:
+        """Let the cache go of entries that can be read back."""
+        self._durable_index = self._batch_index
+        self._index.shrink(self._durable_index)
+
     # --- reading -------------------------------------------------------------------------
 
     def term_at(self, index: int) -> int | None:
@@ -159,23 +126,113 @@
     def entries(self, first: int, last: int, max_bytes: int) -> tuple[LogEntry, ...]:
         """Return entries ``first..last``, at least one, up to ``max_bytes`` of payload.
 
-        Raises ``ValueError`` for entries that aren't held and ``OSError`` or ``RainsailError``
-        when the disk doesn't give one back.
+        Raises ``ValueError`` for entries that aren't held and ``RainsailError`` when the disk
+        doesn't give one back.
         """
         if not self.first_index <= first <= last <= self.last_index:
             held = f"{self.first_index}..{self.last_index}"
             raise ValueError(f"entries {first}..{last} asked for, {held} held")
-        if first >= self._index.cache_first:
-            return _bounded(self._index.cached(first, last), max_bytes)
         return _bounded(self._read_entries(first, last), max_bytes)
 
     def _read_entries(self, first: int, last: int) -> Iterator[LogEntry]:
         cache_first = self._index.cache_first
-        reader = EntryReader(self._log, self._group)
-        for index in range(first, min(last, cache_first - 1) + 1):
-            yield reader.read(index, *self._index.place_of(index))
-        if last >= cache_first:
-            yield from self._index.cached(cache_first, last)
+        if first < cache_first:
+            reader = EntryReader(self._files, self._folder, self._group)
+            for index in range(first, min(last, cache_first - 1) + 1):
+                yield reader.read(index, *self._index.place_of(index))
+        yield from self._index.cached(max(first, cache_first), last)
+
+    # --- snapshots -----------------------------------------------------------------------
+
+    def save_snapshot(
+        self, meta: SnapshotMeta, chunks: Iterator[bytes]
+    ) -> "Deferred[Result[None, Fault]]":
+        """Write a snapshot durably, then drop the log up to ``meta.last_index``.
+
+        ``chunks`` is taken whole before this returns. A log that lacks the snapshot's last entry
+        (a snapshot received from the leader) is replaced by the snapshot. A snapshot that isn't
+        newer than the current one is ignored. A disk too full for the snapshot is a fault that
+        leaves the log usable; a failed sync is final.
+        """
+        if self._queue.fault is not None:
+            return succeed(Error(self._queue.fault))
+        written = self._snapshots.write_temporary(meta, chunks)
+        if written.is_error():
+            return succeed(Error(written.error))
+        return self._snapshot_lock.run(self._finish_snapshot, written.ok)
+
+    def _finish_snapshot(self, written: TemporarySnapshot) -> "Deferred[SyncResult]":
+        return Deferred.fromCoroutine(self._publish(written)).addCallback(self._note_failure)
+
+    def _note_failure(self, result: SyncResult) -> SyncResult:
+        if result.is_error():
+            self._queue.fail(result.error)
+        return result
+
+    async def _publish(self, written: TemporarySnapshot) -> SyncResult:
+        current = self.snapshot_meta
+        if current is not None and current.last_index >= written.meta.last_index:
+            self._snapshots.drop(written)
+            return Ok(None)
+        published = await self._snapshots.publish(written)
+        if published.is_error():
+            return published
+        flushed = await self._queue.sync()
+        if flushed.is_error():
+            return flushed
+        self._adopt_snapshot(written.meta)
+        reset = await self._queue.sync()
+        if reset.is_error():
+            return reset
+        return await self._remove_old_files()
+
+    def _adopt_snapshot(self, meta: SnapshotMeta) -> None:
+        self.snapshot_meta = meta
+        if self._index.term_at(meta.last_index) == meta.last_term:
+            self._index.retain_after(meta.last_index, self._settings.retained_entries)
+            return
+        self._queue.drop_entries()
+        self._index.reset(meta.last_index, meta.last_term)
+        self._durable_index = self._batch_index = meta.last_index
+        self._queue_reset(meta)
+
+    def _queue_reset(self, meta: SnapshotMeta) -> None:
+        reset = Reset(meta.last_index, meta.last_term)
+        self._queue.add(PendingRecord(RecordKind.RESET, encode_body(reset)))
+
+    async def _remove_old_files(self) -> SyncResult:
+        assert self.snapshot_meta is not None
+        try:
+            self._snapshots.remove_older(self.snapshot_meta.last_index)
+            self._log.remove_until(self._index.base_index)
+        except OSError as error:
+            return Error(storage_fault("compact", self._folder, str(error)))
+        return await self._files.sync_folder(self._folder)
+
+    async def tidy(self, needs_reset: bool) -> SyncResult:
+        """Finish or remove what a crash left half done; called once, while opening."""
+        if needs_reset and self.snapshot_meta is not None:
+            self._queue_reset(self.snapshot_meta)
+            reset = await self._queue.sync()
+            if reset.is_error():
+                return reset
+        try:
+            self._snapshots.remove_temporary()
+            self._log.remove_strays()
+        except OSError as error:
+            return Error(storage_fault("open", self._folder, str(error)))
+        if self.snapshot_meta is None:
+            return Ok(None)
+        return await self._remove_old_files()
+
+    def read_snapshot(self) -> Iterator[bytes]:
+        """Yield the chunks of the current snapshot, none when there is no snapshot.
+
+        Raises ``RainsailError`` when the file is damaged or was replaced by a newer snapshot.
+        """
+        if self.snapshot_meta is None:
+            return iter(())
+        return self._snapshots.read(self.snapshot_meta)
 
     def close(self) -> None:
         """Close the files without syncing."""
@@ -198,7 +255,8 @@
 ) -> "Deferred[Result[DurableGroupStorage, Fault]]":
     """Open a group's durable state, creating it when there is none.
 
-    A torn tail is cut off; any other damage is a STORAGE fault with the file and the offset.
+    A torn tail is cut off and what an interrupted snapshot left is removed. Any other damage is a
+    STORAGE fault with the file and the offset.
     """
     return Deferred.fromCoroutine(_open(files, group, settings))
 
@@ -206,15 +264,16 @@
 async def _open(
     files: FileSystem, group: int, settings: StorageSettings
 ) -> Result[DurableGroupStorage, Fault]:
-    folder = group_folder(group)
-    scanned = scan_segments(files, folder, group)
-    if scanned.is_error():
-        return Error(scanned.error)
-    replayed = replay_segments(scanned.ok, settings.cache_bytes)
-    if replayed.is_error():
-        return Error(replayed.error)
-    log = SegmentLog(files, folder, group, settings.segment_bytes)
-    adopted = await log.adopt(scanned.ok)
+    recovered = recover_group(files, group, settings)
+    if recovered.is_error():
+        return Error(recovered.error)
+    found = recovered.ok
+    log = SegmentLog(files, group_folder(group), group, settings.segment_bytes)
+    adopted = await log.adopt(found.segments, found.log.highest_indexes)
     if adopted.is_error():
         return Error(adopted.error)
-    return Ok(DurableGroupStorage(group, settings, log, replayed.ok))
+    storage = DurableGroupStorage(files, group, settings, log, found)
+    cleaned = await storage.tidy(found.log.needs_reset)
+    if cleaned.is_error():
+        return Error(cleaned.error)
+    return Ok(storage)
--- a/src/rainsail/storage/identity.py
+++ b/src/rainsail/storage/identity.py
@@ -11,6 +11,7 @@
 from rainsail.storage.interface import FileSystem
 from rainsail.storage.log_records import FORMAT_VERSION
 from rainsail.storage.records import RecordKind, encode_record, scan
+from rainsail.storage.recovery import GROUP_PREFIX
 from rainsail.wire.codec import CodecError, decode_body, encode_body
 
 IDENTITY_PATH = "identity"
@@ -65,8 +66,8 @@
 ) -> Result[ReplicaIdentity, Fault]:
     try:
         if files.exists(IDENTITY_PATH):
-            return _check(read_identity(files), fleet, replica)
-        if any(name.startswith("group-") for name in files.list("")):
+            return await _load(files, fleet, replica)
+        if any(name.startswith(GROUP_PREFIX) for name in files.list("")):
             return Error(_fault("the folder holds groups but no identity"))
         return await _create(files, fleet, replica, random)
     except OSError as error:
@@ -94,9 +95,8 @@
     return Ok(found)
 
 
-def _check(
-    read: Result[DataFolderRecord, Fault], fleet: str, replica: str
-) -> Result[ReplicaIdentity, Fault]:
+async def _load(files: FileSystem, fleet: str, replica: str) -> Result[ReplicaIdentity, Fault]:
+    read = read_identity(files)
     if read.is_error():
         return Error(read.error)
     found = read.ok
@@ -104,6 +104,9 @@
         return Error(_fault(f"data folder belongs to fleet {found.fleet!r}, not {fleet!r}"))
     if found.replica != replica:
         return Error(_fault(f"data folder belongs to replica {found.replica!r}, not {replica!r}"))
+    synced = await files.sync_folder("")
+    if synced.is_error():
+        return Error(synced.error)
     return Ok(ReplicaIdentity(fleet, replica, found.identity, is_new=False))
 
 
--- a/src/rainsail/storage/local_files.py
+++ b/src/rainsail/storage/local_files.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from expression import Error, Ok, Result
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.threads import deferToThreadPool
 
 from rainsail.errors import Fault
@@ -139,12 +139,11 @@
     def sync_folder(self, folder: str) -> "Deferred[Result[None, Fault]]":
         """Run ``fsync`` on the folder in a worker thread."""
         try:
-            descriptor = os.open(self._resolve(folder), os.O_RDONLY | os.O_CLOEXEC)
+            target = self._resolve(folder)
+            self._make_folder(target)
+            descriptor = os.open(target, os.O_RDONLY | os.O_CLOEXEC)
         except OSError as error:
-            fault: Result[None, Fault] = Error(storage_fault("sync_folder", folder, str(error)))
-            done: Deferred[Result[None, Fault]] = Deferred()
-            done.callback(fault)
-            return done
+            return succeed(Error(storage_fault("sync_folder", folder, str(error))))
         deferred = _sync_in_thread(self._reactor, descriptor, "sync_folder", folder)
         return deferred.addBoth(_close_after, descriptor)
 
--- a/src/rainsail/storage/log_index.py
+++ b/src/rainsail/storage/log_index.py
@@ -71,6 +71,10 @@
         """Drop the places from ``index`` on, when the truncation is written."""
         del self._places[max(0, index - self._places_start) :]
 
+    def retain_after(self, snapshot_index: int, retained_entries: int) -> None:
+        """Drop the entries up to a snapshot's last one, except for the newest of them."""
+        self.drop_until(max(self.base_index, snapshot_index - retained_entries))
+
     def drop_until(self, index: int) -> None:
         """Drop the entries up to ``index``, which must be held."""
         self.base_term = self.term_at(index) or 0
--- a/src/rainsail/storage/log_records.py
+++ b/src/rainsail/storage/log_records.py
@@ -20,9 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Truncation:
-    """Every entry from ``first_removed`` on is removed."""
+    """Every entry from ``first_removed`` on is removed; the one before it has ``last_term``."""
 
     first_removed: int
+    last_term: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,3 +32,31 @@
 
     last_index: int
     last_term: int
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotHeader:
+    """First record of a snapshot file."""
+
+    format_version: int
+    last_index: int
+    last_term: int
+    membership: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotEnd:
+    """Last record of a snapshot file: what came before it."""
+
+    chunks: int
+    size_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class LogPosition:
+    """Where a log stands: what a new segment's header says."""
+
+    last_index: int
+    last_term: int
+    hard_term: int
+    voted_for: str
--- a/src/rainsail/storage/log_replay.py
+++ b/src/rainsail/storage/log_replay.py
@@ -6,18 +6,30 @@
 from rainsail.storage.faults import storage_fault
 from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
 from rainsail.storage.log_index import LogIndex
-from rainsail.storage.log_records import Reset, Truncation
+from rainsail.storage.log_records import LogPosition, Reset, Truncation
 from rainsail.storage.records import Record, RecordKind
-from rainsail.storage.segment_log import ScannedSegment
+from rainsail.storage.segment_scan import ScannedSegment
 from rainsail.wire.codec import CodecError, decode_body
 
 
 class ReplayedLog:
-    """The log and the hard state after the segments replayed so far."""
+    """The log and the hard state after the segments replayed so far.
+
+    ``highest_indexes`` holds, per segment, the highest entry index ever written to it.
+    ``needs_reset`` says that the segments still hold a log which a snapshot has replaced.
+    """
 
     def __init__(self, cache_bytes: int) -> None:
         self.index = LogIndex(cache_bytes)
         self.hard_state = HardState(0, "")
+        self.highest_indexes: list[int] = []
+        self.needs_reset = False
+
+    def position(self) -> LogPosition:
+        """Return where the log stands after the segments."""
+        last = self.index.last_index
+        state = self.hard_state
+        return LogPosition(last, self.index.term_at(last) or 0, state.term, state.voted_for)
 
     def replay(self, segment: ScannedSegment, is_first: bool) -> Result[None, Fault]:
         """Apply one segment; a record that doesn't fit the ones before it is a fault."""
@@ -34,6 +46,7 @@
     def _begin(self, segment: ScannedSegment, is_first: bool) -> None:
         header = segment.header
         hard_state = HardState(header.hard_term, header.voted_for)
+        self.highest_indexes.append(header.last_index)
         if is_first:
             self.index.reset(header.last_index, header.last_term)
             self.hard_state = hard_state
@@ -46,25 +59,29 @@
         if record.kind == RecordKind.ENTRY:
             entry: LogEntry = decode_body(LogEntry, record.body)
             self.index.append(entry)
+            self.highest_indexes[-1] = max(self.highest_indexes[-1], entry.index)
             self.index.place(sequence, record.offset)
             self.index.shrink(entry.index)
         elif record.kind == RecordKind.HARD_STATE:
             self.hard_state = decode_body(HardState, record.body)
         elif record.kind == RecordKind.TRUNCATION:
-            self._truncate(decode_body(Truncation, record.body).first_removed)
+            self._truncate(decode_body(Truncation, record.body))
         elif record.kind == RecordKind.RESET:
             reset: Reset = decode_body(Reset, record.body)
             self.index.reset(reset.last_index, reset.last_term)
         elif record.kind != RecordKind.DURABLE_MARK:
             raise ValueError(f"unexpected record kind {record.kind.name}")
 
-    def _truncate(self, first_removed: int) -> None:
+    def _truncate(self, truncation: Truncation) -> None:
+        first_removed = truncation.first_removed
         if first_removed <= self.index.base_index:
-            raise ValueError(f"truncation from {first_removed} reaches below the log")
+            # The segments that held the entries before it were removed behind a snapshot.
+            self.index.reset(first_removed - 1, truncation.last_term)
+            return
         self.index.truncate_from(first_removed)
         self.index.forget_places(first_removed)
 
-    def fit_snapshot(self, meta: SnapshotMeta | None) -> bool:
+    def fit_snapshot(self, meta: SnapshotMeta | None, retained_entries: int) -> bool:
         """Fit the log to the newest snapshot; False when entries between them are missing.
 
         A log that does not hold the snapshot's last entry with the same term is replaced by the
@@ -76,6 +93,8 @@
             return False
         if self.index.term_at(meta.last_index) != meta.last_term:
             self.index.reset(meta.last_index, meta.last_term)
+            self.needs_reset = True
+        self.index.retain_after(meta.last_index, retained_entries)
         return True
 
 
--- /dev/null
+++ b/src/rainsail/storage/write_queue.py
@@ -0,0 +1,112 @@
+"""Gathers records and writes them in batches, one sync each.
+
+While a sync is under way, new records gather for the next batch. A failed write or sync is final:
+every later call answers with the same fault, because what the disk holds is no longer known.
+"""
+
+from typing import Protocol
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred, succeed
+
+from rainsail.errors import Fault
+from rainsail.storage.log_records import LogPosition
+from rainsail.storage.records import RecordKind
+from rainsail.storage.segment_log import PendingRecord, SegmentLog
+
+SyncResult = Result[None, Fault]
+
+
+class BatchObserver(Protocol):
+    """What the queue asks and tells the owner of the log."""
+
+    def position(self) -> LogPosition:
+        """Return where the log stands with everything queued so far."""
+        ...
+
+    def batch_begins(self) -> None:
+        """Everything queued so far is being written."""
+        ...
+
+    def record_placed(self, record: PendingRecord, sequence: int, offset: int) -> None:
+        """A record was put at an offset of a segment."""
+        ...
+
+    def batch_durable(self) -> None:
+        """The batch is on the disk."""
+        ...
+
+
+class WriteQueue:
+    """The records that wait for the disk and the callers that wait for them.
+
+    ``written`` is where the log on the disk stands.
+    """
+
+    def __init__(self, log: SegmentLog, observer: BatchObserver, written: LogPosition) -> None:
+        self._log = log
+        self._observer = observer
+        self._written = written
+        self._pending: list[PendingRecord] = []
+        self._waiters: list[Deferred[SyncResult]] = []
+        self._under_way: list[Deferred[SyncResult]] | None = None
+        self._is_writing = False
+        self.fault: Fault | None = None
+
+    def add(self, record: PendingRecord) -> None:
+        """Queue a record."""
+        self._pending.append(record)
+
+    def drop_entries(self) -> None:
+        """Take back queued entries and truncations; queued hard states stay."""
+        self._pending = [each for each in self._pending if each.kind == RecordKind.HARD_STATE]
+
+    def fail(self, fault: Fault) -> None:
+        """Refuse everything from now on (the disk failed elsewhere)."""
+        if self.fault is None:
+            self.fault = fault
+
+    def sync(self) -> "Deferred[SyncResult]":
+        """Fire when everything queued so far is durable."""
+        if self.fault is not None:
+            return succeed(Error(self.fault))
+        waiter: Deferred[SyncResult] = Deferred()
+        if self._pending:
+            self._waiters.append(waiter)
+        elif self._under_way is not None:
+            self._under_way.append(waiter)
+        else:
+            return succeed(Ok(None))
+        if not self._is_writing:
+            Deferred.fromCoroutine(self._write_batches())
+        return waiter
+
+    async def _write_batches(self) -> None:
+        self._is_writing = True
+        while self._waiters:
+            waiters, self._waiters = self._waiters, []
+            self._under_way = waiters
+            result = await self._write_batch()
+            self._under_way = None
+            if result.is_error():
+                self.fail(result.error)
+                waiters += self._waiters
+                self._waiters = []
+            for waiter in waiters:
+                waiter.callback(result)
+        self._is_writing = False
+
+    async def _write_batch(self) -> SyncResult:
+        if self.fault is not None:
+            return Error(self.fault)
+        batch, self._pending = self._pending, []
+        before = self._written
+        self._written = self._observer.position()
+        self._observer.batch_begins()
+        result = await self._log.write(batch, before, self._observer.record_placed)
+        if result.is_error():
+            return result
+        self._observer.batch_durable()
+        if self._pending:
+            return result
+        return self._log.mark_durable()
