Choose the least loaded runner when both drawn are full; make routing cheap per runner

Cause: near saturation two random choices took full runners while a third had a free slot: one request of 80 waited 0.33 s. Each request weighed every runner of the service. Change: the least loaded runner joins the candidates when both drawn are full; eligible runners are kept split by zone, only runners that have the prompt's first block get an extra weight, and the request's machine looks its common transitions up first.

--- a/src/rainsail/gateway/attempt_sender.py
+++ b/src/rainsail/gateway/attempt_sender.py
@@ -5,7 +5,6 @@
 from rainsail.engine.interface import GenerateRequest, Priority
 from rainsail.engine.prefix import block_hashes
 from rainsail.gateway.attempts import Attempt, AttemptOwner
-from rainsail.gateway.eligibility import without
 from rainsail.gateway.interface import CallerRequest
 from rainsail.gateway.router import RouteDecision, choose_runner
 from rainsail.gateway.run_context import RunContext
@@ -45,11 +44,11 @@
         context = self._context
         caller = self._caller
         now_s = context.clock.seconds()
-        states = context.fleet.eligible(caller.model, self._batch, caller.adapter)
+        runners = context.fleet.eligible(caller.model, self._batch, caller.adapter)
         decision = choose_runner(
             caller.request_id,
             self.sent,
-            without(states, failed),
+            runners.without(failed),
             block_hashes(caller.prompt),
             context.zone,
             now_s,
--- a/src/rainsail/gateway/cache_view.py
+++ b/src/rainsail/gateway/cache_view.py
@@ -7,20 +7,21 @@
     """Known prefix blocks of one runner.
 
     A hole in the event sequence makes the view stale: it stays a hint, worth less, until the
-    engine clears its cache (a full listing begins with CLEARED) or restarts.
+    engine clears its cache (a full listing begins with CLEARED) or restarts. ``blocks`` are in
+    the order of their last storing.
     """
 
-    __slots__ = ("_blocks", "_incarnation", "_limit", "_next_sequence", "stale")
+    __slots__ = ("_incarnation", "_limit", "_next_sequence", "blocks", "stale")
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._blocks: dict[int, None] = {}
+        self.blocks: dict[int, None] = {}
         self._incarnation = ""
         self._next_sequence: int | None = None
         self.stale = True
 
     def __len__(self) -> int:
-        return len(self._blocks)
+        return len(self.blocks)
 
     def lost(self) -> None:
         """Note that events may have been missed (the subscription broke)."""
@@ -32,7 +33,7 @@
         if incarnation == self._incarnation:
             return
         self._incarnation = incarnation
-        self._blocks.clear()
+        self.blocks.clear()
         self._next_sequence = None
         self.stale = True
 
@@ -46,24 +47,24 @@
             self.stale = True
         self._next_sequence = event.sequence + 1
         if event.kind == CacheEventKind.CLEARED:
-            self._blocks.clear()
+            self.blocks.clear()
             self.stale = False
         elif event.kind == CacheEventKind.STORED:
             self._store(event.blocks)
         else:
             for block in event.blocks:
-                self._blocks.pop(block, None)
+                self.blocks.pop(block, None)
 
     def _store(self, blocks: tuple[int, ...]) -> None:
         for block in blocks:
-            self._blocks.pop(block, None)
-            self._blocks[block] = None
-        while len(self._blocks) > self._limit:
-            self._blocks.pop(next(iter(self._blocks)))
+            self.blocks.pop(block, None)
+            self.blocks[block] = None
+        while len(self.blocks) > self._limit:
+            self.blocks.pop(next(iter(self.blocks)))
 
     def matched_blocks(self, blocks: tuple[int, ...]) -> int:
         """Return how many leading blocks of a prompt are cached."""
-        known = self._blocks
+        known = self.blocks
         for count, block in enumerate(blocks):
             if block not in known:
                 return count
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -157,8 +157,8 @@
 
     def _slots(self, service: str) -> Slots:
         now_s = self._clock.seconds()
-        states = self._fleet.eligible(service, batch=False)
-        return self._slot_counts.get(service, states, now_s)
+        runners = self._fleet.eligible(service, batch=False)
+        return self._slot_counts.get(service, runners, now_s)
 
     def _ended(self, run: RequestRun) -> None:
         self._runs.pop(run, None)
--- a/src/rainsail/gateway/eligibility.py
+++ b/src/rainsail/gateway/eligibility.py
@@ -1,4 +1,4 @@
-"""Which runners may get a request: usable, of the right role, with the adapter loaded. Pure."""
+"""Which runners may get a request: usable, of the right role, with the adapter loaded."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -9,21 +9,36 @@
 from rainsail.resources.specs import RunnerRole
 
 CACHE_PERIOD_S = 0.05
+"""Seconds that a list of eligible runners is used when nothing is known to have changed."""
 SLOTS_PERIOD_S = 0.01
 """Seconds that a count of slots is used; only the guess of others' load moves in that time."""
 
 
 @dataclass(frozen=True, slots=True)
-class _Entry:
-    version: int
-    computed_s: float
-    runners: list[RunnerState]
+class EligibleRunners:
+    """Runners that may get a request: those of the own zone, and those of all others."""
+
+    local: tuple[RunnerState, ...]
+    remote: tuple[RunnerState, ...]
+
+    def __len__(self) -> int:
+        return len(self.local) + len(self.remote)
+
+    def without(self, excluded: Sequence[str]) -> "EligibleRunners":
+        """Return the runners that have not failed yet; all of them when none is left."""
+        if not excluded:
+            return self
+        fresh = EligibleRunners(
+            tuple(state for state in self.local if state.name not in excluded),
+            tuple(state for state in self.remote if state.name not in excluded),
+        )
+        return fresh if len(fresh) else self
 
 
 def eligible_runners(
     states: Sequence[RunnerState], now_s: float, batch: bool, adapter: str = ""
 ) -> list[RunnerState]:
-    """Return the runners that may get new work of this class and adapter."""
+    """Return the runners that may get new work of this class and adapter. Pure."""
     shunned = RunnerRole.ONLINE_ONLY if batch else RunnerRole.BATCH_ONLY
     return [
         state
@@ -34,13 +49,35 @@
     ]
 
 
+def has_adapter(state: RunnerState, adapter: str) -> bool:
+    """Tell whether a runner has an adapter loaded, by its last report or else its status."""
+    adapters = state.report.adapters if state.report else state.status.adapters
+    return adapter in adapters
+
+
+def by_zone(states: Sequence[RunnerState], zone: str) -> EligibleRunners:
+    """Split runners by whether they are in ``zone``."""
+    return EligibleRunners(
+        tuple(state for state in states if state.spec.zone == zone),
+        tuple(state for state in states if state.spec.zone != zone),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    version: int
+    computed_s: float
+    runners: EligibleRunners
+
+
 class EligibleCache:
     """Keeps lists of eligible runners until something changed or a short time has passed.
 
     ``CACHE_PERIOD_S`` bounds how late the end of an ejection or a beginning silence is seen.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
         self._version = 0
         self._entries: dict[tuple[str, bool, str], _Entry] = {}
 
@@ -50,7 +87,7 @@
 
     def get(
         self, states: Sequence[RunnerState], service: str, now_s: float, batch: bool, adapter: str
-    ) -> list[RunnerState]:
+    ) -> EligibleRunners:
         """Return ``eligible_runners`` of a service, from the cache when that is fresh."""
         key = (service, batch, adapter)
         entry = self._entries.get(key)
@@ -60,28 +97,16 @@
             and now_s - entry.computed_s < CACHE_PERIOD_S
         ):
             return entry.runners
-        runners = eligible_runners(states, now_s, batch, adapter)
+        runners = by_zone(eligible_runners(states, now_s, batch, adapter), self._zone)
         self._entries[key] = _Entry(self._version, now_s, runners)
         return runners
 
 
-def has_adapter(state: RunnerState, adapter: str) -> bool:
-    """Tell whether a runner has an adapter loaded, by its last report or else its status."""
-    adapters = state.report.adapters if state.report else state.status.adapters
-    return adapter in adapters
-
-
-def without(states: Sequence[RunnerState], excluded: Sequence[str]) -> list[RunnerState]:
-    """Return the runners that have not failed this request yet; all when none is left."""
-    fresh = [state for state in states if state.name not in excluded]
-    return fresh or list(states)
-
-
-def online_slots(states: Sequence[RunnerState], now_s: float, slots_per_runner: float) -> Slots:
-    """Return the online slots of these runners, and how many others seem to hold."""
+def online_slots(runners: EligibleRunners, now_s: float, slots_per_runner: float) -> Slots:
+    """Return the online slots of these runners, and how many others seem to hold. Pure."""
     total = 0.0
     others = 0.0
-    for state in states:
+    for state in (*runners.local, *runners.remote):
         slots = max(1.0, state.spec.batch_slots * slots_per_runner)
         total += slots
         others += min(slots, state.foreign_online(now_s))
@@ -93,13 +118,13 @@
 
     def __init__(self, slots_per_runner: float) -> None:
         self._slots_per_runner = slots_per_runner
-        self._counts: dict[str, tuple[list[RunnerState], float, Slots]] = {}
+        self._counts: dict[str, tuple[EligibleRunners, float, Slots]] = {}
 
-    def get(self, service: str, states: list[RunnerState], now_s: float) -> Slots:
-        """Return the slots of these runners; ``states`` is a list that nobody changes."""
+    def get(self, service: str, runners: EligibleRunners, now_s: float) -> Slots:
+        """Return the slots of these runners, counted anew when they are others than before."""
         counted = self._counts.get(service)
-        if counted is not None and counted[0] is states and now_s - counted[1] < SLOTS_PERIOD_S:
+        if counted is not None and counted[0] is runners and now_s - counted[1] < SLOTS_PERIOD_S:
             return counted[2]
-        slots = online_slots(states, now_s, self._slots_per_runner)
-        self._counts[service] = (states, now_s, slots)
+        slots = online_slots(runners, now_s, self._slots_per_runner)
+        self._counts[service] = (runners, now_s, slots)
         return slots
--- a/src/rainsail/gateway/fleet.py
+++ b/src/rainsail/gateway/fleet.py
@@ -9,7 +9,7 @@
 from rainsail.engine.interface import CacheEvent, EndReason, EngineClient, LoadReport
 from rainsail.gateway import runner_state
 from rainsail.gateway.ejection import may_put_out
-from rainsail.gateway.eligibility import EligibleCache
+from rainsail.gateway.eligibility import EligibleCache, EligibleRunners
 from rainsail.gateway.engine_feed import EngineFeed
 from rainsail.gateway.ownership import live_gateways, rendezvous_owner
 from rainsail.gateway.runner_state import RunnerState
@@ -43,7 +43,7 @@
         self._runners: dict[str, RunnerState] = {}
         self._feeds: dict[str, EngineFeed] = {}
         self._by_service: dict[str, list[RunnerState]] = {}
-        self._eligible = EligibleCache()
+        self._eligible = EligibleCache(zone)
         self._live_gateways: dict[str, list[str]] = {}
         self._watched_s = 0.0
         self._listeners: list[ChangeListener] = []
@@ -79,8 +79,8 @@
         """Return the runners of a service in name order, usable or not."""
         return self._by_service.get(service, [])
 
-    def eligible(self, service: str, batch: bool, adapter: str = "") -> list[RunnerState]:
-        """Return the runners of a service that may get new work now; not to be changed."""
+    def eligible(self, service: str, batch: bool, adapter: str = "") -> EligibleRunners:
+        """Return the runners of a service that may get new work now."""
         now_s = self._clock.seconds()
         return self._eligible.get(self.runners_of(service), service, now_s, batch, adapter)
 
--- a/src/rainsail/gateway/request.py
+++ b/src/rainsail/gateway/request.py
@@ -28,6 +28,11 @@
         self.status = RequestStatus.QUEUED
         self.history = [RequestStatus.QUEUED]
 
+    @property
+    def ended(self) -> bool:
+        """Whether the request has ended."""
+        return self.status is RequestStatus.ENDED
+
     def enter(self, status: RequestStatus) -> None:
         """Note the new status."""
         self.status = status
@@ -52,9 +57,6 @@
     def end(self) -> None:
         """The caller got its one final answer, or has left."""
 
-    def ended(self) -> bool:
-        """Tell whether the request has ended."""
-
 
 _builder = TypeMachineBuilder(RequestLifecycle, RequestRecord)
 _queued = _builder.state("queued")
@@ -65,9 +67,7 @@
 _ended = _builder.state("ended")
 
 
-@_queued.upon(RequestLifecycle.claim).to(_claiming)
-def _claim(machine: RequestLifecycle, record: RequestRecord) -> None:
-    record.enter(RequestStatus.CLAIMING)
+# Automat looks transitions up in the order of their declaration: the common path comes first.
 
 
 @_queued.upon(RequestLifecycle.place).to(_placing)
@@ -82,24 +82,25 @@
     record.enter(RequestStatus.RUNNING)
 
 
-@_claiming.upon(RequestLifecycle.record).to(_recording)
 @_running.upon(RequestLifecycle.record).to(_recording)
+@_claiming.upon(RequestLifecycle.record).to(_recording)
 def _record(machine: RequestLifecycle, record: RequestRecord) -> None:
     record.enter(RequestStatus.RECORDING)
 
 
+@_recording.upon(RequestLifecycle.end).to(_ended)
 @_queued.upon(RequestLifecycle.end).to(_ended)
 @_claiming.upon(RequestLifecycle.end).to(_ended)
 @_placing.upon(RequestLifecycle.end).to(_ended)
 @_running.upon(RequestLifecycle.end).to(_ended)
-@_recording.upon(RequestLifecycle.end).to(_ended)
 def _end(machine: RequestLifecycle, record: RequestRecord) -> None:
     record.enter(RequestStatus.ENDED)
 
 
-for _state in (_queued, _claiming, _placing, _running, _recording):
-    _state.upon(RequestLifecycle.ended).loop().returns(False)
-_ended.upon(RequestLifecycle.ended).loop().returns(True)
+@_queued.upon(RequestLifecycle.claim).to(_claiming)
+def _claim(machine: RequestLifecycle, record: RequestRecord) -> None:
+    record.enter(RequestStatus.CLAIMING)
+
 
 new_lifecycle = _builder.build()
 """Makes a request's machine over a ``RequestRecord``."""
--- a/src/rainsail/gateway/request_run.py
+++ b/src/rainsail/gateway/request_run.py
@@ -66,7 +66,7 @@
     @property
     def ended(self) -> bool:
         """Whether the caller has its final answer, or has left."""
-        return self._lifecycle.ended()
+        return self.record.ended
 
     def _make_ticket(self) -> Ticket:
         return Ticket(
--- a/src/rainsail/gateway/router.py
+++ b/src/rainsail/gateway/router.py
@@ -10,10 +10,14 @@
 from random import Random
 
 from rainsail.engine.prefix import BLOCK_TOKENS
+from rainsail.gateway.eligibility import EligibleRunners
 from rainsail.gateway.load_score import memory_penalty, online_load
 from rainsail.gateway.runner_state import RunnerState
 from rainsail.gateway.settings import RoutingSettings
 
+DRAWS_FOR_SECOND = 8
+"""Draws for a second, different candidate before any other is taken."""
+
 
 @dataclass(frozen=True, slots=True)
 class CandidateScore:
@@ -72,49 +76,104 @@
     )
 
 
+def estimated_load(state: RunnerState, now_s: float) -> float:
+    """Return the online requests on a runner: own ones and the guess of others'."""
+    return online_load(state.online_running, state.foreign_online(now_s))
+
+
+def is_full(state: RunnerState, now_s: float, settings: RoutingSettings) -> bool:
+    """Tell whether one more request would wait at this runner."""
+    slots = state.spec.batch_slots * settings.slots_per_runner
+    return estimated_load(state, now_s) + 1.0 > slots
+
+
+def draw_candidates(
+    states: Sequence[RunnerState],
+    blocks: tuple[int, ...],
+    now_s: float,
+    random: Random,
+    settings: RoutingSettings,
+) -> Sequence[RunnerState]:
+    """Draw two runners; when both are full, the least loaded of all joins them."""
+    drawn = draw_two(states, blocks, random, settings)
+    if len(drawn) == len(states) or not all(is_full(each, now_s, settings) for each in drawn):
+        return drawn
+    least = min(states, key=lambda each: (estimated_load(each, now_s), each.name))
+    return (*drawn, least) if least not in drawn else drawn
+
+
 def draw_two(
     states: Sequence[RunnerState],
     blocks: tuple[int, ...],
     random: Random,
     settings: RoutingSettings,
-) -> list[RunnerState]:
+) -> Sequence[RunnerState]:
     """Draw up to two different runners, those with cached prefix blocks more often."""
     if len(states) <= 2:
-        return list(states)
-    weights = [_draw_weight(state, blocks, settings) for state in states]
-    first = random.choices(range(len(states)), weights)[0]
-    weights[first] = 0.0
-    second = random.choices(range(len(states)), weights)[0]
-    return [states[first], states[second]]
+        return states
+    extras = _extra_weights(states, blocks, settings)
+    first = _draw(states, extras, random)
+    for _ in range(DRAWS_FOR_SECOND):
+        second = _draw(states, extras, random)
+        if second is not first:
+            return (first, second)
+    others = [state for state in states if state is not first]
+    return (first, random.choice(others))
+
+
+def _extra_weights(
+    states: Sequence[RunnerState], blocks: tuple[int, ...], settings: RoutingSettings
+) -> list[tuple[RunnerState, float]]:
+    """Return the runners that have some of the blocks, with their weight beyond 1."""
+    if not blocks:
+        return []
+    first = blocks[0]
+    matched = [state for state in states if first in state.cache.blocks]
+    return [(state, _extra_weight(state, blocks, settings)) for state in matched]
 
 
-def _draw_weight(state: RunnerState, blocks: tuple[int, ...], settings: RoutingSettings) -> float:
-    if not blocks:
-        return 1.0
+def _extra_weight(state: RunnerState, blocks: tuple[int, ...], settings: RoutingSettings) -> float:
     share = state.cache.matched_blocks(blocks) / len(blocks)
     worth = settings.stale_cache_weight if state.cache.stale else 1.0
-    return 1.0 + settings.affinity_weight * share * worth
+    return settings.affinity_weight * share * worth
+
+
+def _draw(
+    states: Sequence[RunnerState], extras: Sequence[tuple[RunnerState, float]], random: Random
+) -> RunnerState:
+    """Draw one runner: each has weight 1, those in ``extras`` as much more."""
+    total = len(states) + sum(weight for _, weight in extras)
+    drawn = random.random() * total
+    if drawn < len(states):
+        return states[int(drawn)]
+    drawn -= len(states)
+    for state, weight in extras:
+        drawn -= weight
+        if drawn < 0.0:
+            return state
+    return extras[-1][0]
 
 
 def choose_runner(
     request_id: str,
     attempt: int,
-    states: Sequence[RunnerState],
+    runners: EligibleRunners,
     blocks: tuple[int, ...],
     zone: str,
     now_s: float,
     random: Random,
     settings: RoutingSettings,
 ) -> RouteDecision:
-    """Choose among usable ``states`` and return the decision with its candidates."""
-    local = [state for state in states if state.spec.zone == zone]
-    remote = [state for state in states if state.spec.zone != zone]
-    drawn = draw_two(local, blocks, random, settings) + draw_two(remote, blocks, random, settings)
+    """Choose among eligible runners and return the decision with its candidates."""
+    drawn = [
+        *draw_candidates(runners.local, blocks, now_s, random, settings),
+        *draw_candidates(runners.remote, blocks, now_s, random, settings),
+    ]
     scores = [score_runner(state, blocks, zone, now_s, settings) for state in drawn]
     if not scores:
         return RouteDecision(request_id, attempt, now_s, "", 0, "no usable runner", ())
     best = min(scores, key=lambda each: (each.score, each.runner))
     reason = "own zone" if best.zone == zone else "other zone"
     return RouteDecision(
-        request_id, attempt, now_s, best.runner, len(states), reason, tuple(scores)
+        request_id, attempt, now_s, best.runner, len(runners), reason, tuple(scores)
     )
--- a/src/rainsail/gateway/session_placement.py
+++ b/src/rainsail/gateway/session_placement.py
@@ -11,7 +11,6 @@
 from rainsail.engine.interface import EngineClient, KvState
 from rainsail.engine.prefix import block_hashes
 from rainsail.errors import Fault, FaultCode
-from rainsail.gateway.eligibility import without
 from rainsail.gateway.fleet import RunnerFleet
 from rainsail.gateway.router import choose_runner
 from rainsail.gateway.session_order import LiveSession
@@ -128,11 +127,11 @@
     def choose(self, session: LiveSession, view: SessionView, failed: tuple[str, ...]) -> str:
         """Return the best runner for a session (empty: none), rather not one of ``failed``."""
         now_s = self._clock.seconds()
-        states = self._fleet.eligible(session.spec.service, False, session.spec.adapter)
+        runners = self._fleet.eligible(session.spec.service, False, session.spec.adapter)
         decision = choose_runner(
             f"session/{session.name}",
             view.fence,
-            without(states, failed),
+            runners.without(failed),
             block_hashes(transcript_text(view.turns)),
             self._zone,
             now_s,
