Compare batch policies on one trace with rainsail experiment

Cause: nothing measured what batch work brings and what it does to the online tail.

Change: two site presets at the users' sizes, a seeded load with bursts, sessions and heaps, and a run of the real gateways and dispatchers before emulated engines on the virtual clock, every policy on the same trace. An OnlinePrefillMeter between gateway and engines lets the policy see long prompts that wait for prefill; batch steps aside while they do. Report as JSON, plots and a page.

--- a/src/rainsail/batch/dispatcher.py
+++ b/src/rainsail/batch/dispatcher.py
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from twisted.internet.defer import Deferred, DeferredList
@@ -15,16 +15,17 @@
 from rainsail.batch import preemption
 from rainsail.batch.fleet_view import BatchFleet
 from rainsail.batch.held_item import HeldItem
-from rainsail.batch.interface import DispatchPolicy
+from rainsail.batch.interface import DispatchPolicy, RunnerView
 from rainsail.batch.item_returns import ItemReturns
 from rainsail.batch.item_runner import ItemRun, RunEnd
 from rainsail.batch.lease_keeper import LeaseKeeper
 from rainsail.batch.lease_pool import LeasePool
+from rainsail.batch.prefill_meter import OnlinePrefillMeter
 from rainsail.batch.result_committer import ResultCommitter
 from rainsail.batch.settings import BatchSettings
 from rainsail.control.interface import ConfigReader, ControlClient
 from rainsail.engine.interface import EngineClient, Priority
-from rainsail.resources.specs import Kind, ResourceKey, RunnerSpec
+from rainsail.resources.specs import RunnerSpec
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import GroupId, ItemRef, ItemResult
 
@@ -43,7 +44,11 @@
 
 
 class Dispatcher:
-    """The batch side of one gateway. ``holder`` is the gateway's incarnation."""
+    """The batch side of one gateway. ``holder`` is the gateway's incarnation.
+
+    ``prefill`` is the meter through which the gateway's core sends its online attempts; without
+    one the policy does not see how much prefill they wait for.
+    """
 
     def __init__(
         self,
@@ -56,6 +61,7 @@
         random: random.Random,
         settings: BatchSettings,
         policy: DispatchPolicy,
+        prefill: OnlinePrefillMeter | None = None,
     ) -> None:
         self._holder = holder
         self._fleet = fleet
@@ -66,6 +72,7 @@
         self._random = random
         self._settings = settings
         self._policy = policy
+        self._prefill = prefill
         self.counts = DispatchCounts()
         self.committer = ResultCommitter(holder, control, clock, random, settings)
         self.returns = ItemReturns(holder, control, clock, random, settings)
@@ -94,6 +101,8 @@
         """Begin to lease and run items."""
         self._running = True
         self._fleet.on_change(self._runner_changed)
+        if self._prefill is not None:
+            self._prefill.on_change(self._engine_changed)
         self._tick()
         self._renew()
 
@@ -112,6 +121,11 @@
         drained = DeferredList([self.committer.drain(), self.returns.drain()])
         return drained.addCallback(lambda _: None)
 
+    @property
+    def running_items(self) -> int:
+        """How many items run on engines now."""
+        return sum(len(runs) for runs in self._runs.values())
+
     def _tick(self) -> None:
         self._keeper.check()
         runners = self._runners()
@@ -148,6 +162,12 @@
             self._keeper.check()
             self._evaluate(runner)
 
+    def _engine_changed(self, address: str) -> None:
+        for runner in self._allowances:
+            spec = self._spec(runner)
+            if spec is not None and spec.address == address:
+                self._runner_changed(runner)
+
     def _evaluate(self, runner: str) -> None:
         """Bring a runner to its allowance: preempt what is above, fill what is below."""
         previous = self._evaluating
@@ -164,22 +184,34 @@
             self._evaluating = previous
 
     def _allowance(self, runner: str) -> int:
-        if self._spec(runner) is None or not self._fleet.usable(runner):
-            return 0
-        if runner not in (owned.name for owned in self._fleet.owned_runners()):
+        state = self._fleet.runner(runner)
+        if state is None or not state.owned or not self._fleet.usable(runner):
             return 0
-        allowance = self._policy.allowance(self._fleet.view(runner)).items
-        if self._clock.seconds() < self._not_before_s.get(runner, 0.0):
-            return min(allowance, len(self._runs.get(runner, ())))
-        return allowance
+        allowance = self._policy.allowance(self._view(runner, state.spec)).items
+        if self._takes_new_items(runner):
+            return allowance
+        return min(allowance, len(self._runs.get(runner, ())))
+
+    def _view(self, runner: str, spec: RunnerSpec) -> RunnerView:
+        view = self._fleet.view(runner)
+        if self._prefill is None:
+            return view
+        tokens = self._prefill.prefill_tokens(spec.address)
+        return replace(view, online_prefill_tokens=tokens) if tokens else view
+
+    def _takes_new_items(self, runner: str) -> bool:
+        """Tell whether new items may start: the configuration is in force, no refusal is fresh."""
+        if not self._config.lease_valid():
+            return False
+        return self._clock.seconds() >= self._not_before_s.get(runner, 0.0)
 
     def _spec(self, runner: str) -> RunnerSpec | None:
-        resource = self._config.get(ResourceKey(Kind.RUNNER, runner))
-        if resource is None or not isinstance(resource.spec, RunnerSpec):
-            return None
-        return resource.spec
+        state = self._fleet.runner(runner)
+        return None if state is None else state.spec
 
     def _preempt(self, runner: str, count: int) -> None:
+        resume_s = self._clock.seconds() + self._settings.refill_delay_s
+        self._not_before_s[runner] = max(resume_s, self._not_before_s.get(runner, 0.0))
         runs = list(self._runs[runner].values())
         for run in preemption.choose_victims(runs, count):
             self.counts.preempted += 1
--- a/src/rainsail/batch/fleet_view.py
+++ b/src/rainsail/batch/fleet_view.py
@@ -4,16 +4,27 @@
 from typing import Protocol
 
 from rainsail.batch.interface import RunnerView
+from rainsail.resources.specs import RunnerSpec
 
 
 class OwnedRunner(Protocol):
-    """A runner that this gateway owns."""
+    """What is known of one runner (``gateway.runner_state.RunnerState``)."""
 
     @property
     def name(self) -> str:
         """The runner's resource name."""
         ...
 
+    @property
+    def owned(self) -> bool:
+        """Whether this gateway owns it now."""
+        ...
+
+    @property
+    def spec(self) -> RunnerSpec:
+        """What the operator declared."""
+        ...
+
 
 class BatchFleet(Protocol):
     """The part of the fleet view that batch work reads and tells."""
@@ -22,6 +33,10 @@
         """Return the runners that this gateway owns now, in name order."""
         ...
 
+    def runner(self, name: str) -> OwnedRunner | None:
+        """Return one runner, owned or not."""
+        ...
+
     def view(self, runner: str) -> RunnerView:
         """Return what is known of a runner now."""
         ...
--- a/src/rainsail/batch/interface.py
+++ b/src/rainsail/batch/interface.py
@@ -15,7 +15,9 @@
 
     ``online_running`` counts this gateway's own online requests on it at this moment,
     ``reported_running`` and ``reported_waiting`` the last load report, ``report_age_s`` old.
-    ``online_arrivals_per_s`` is the estimated rate of online requests to this runner.
+    ``online_arrivals_per_s`` is the estimated rate of online requests to this runner;
+    ``online_prefill_tokens`` the prompt tokens of this gateway's online requests on it that have
+    no first token yet.
     """
 
     runner: str
@@ -31,6 +33,7 @@
     kv_tokens_total: int
     report_age_s: float
     online_arrivals_per_s: float
+    online_prefill_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rainsail/batch/policies/preemptive.py
+++ b/src/rainsail/batch/policies/preemptive.py
@@ -21,6 +21,8 @@
 
     batch_weight: float = 0.5
     horizon_s: float = 0.5
+    yield_prefill_tokens: int = 512
+    yield_keep: float = 0.0
     name: str = "preemptive"
     low_priority: bool = True
 
@@ -30,6 +32,8 @@
         online = max(view.online_running, reported_online)
         reserve = self.reserve(view.online_arrivals_per_s)
         free = view.slots - online - reserve
+        if view.online_prefill_tokens > self.yield_prefill_tokens:
+            free = min(free, int(view.slots * self.yield_keep))
         return BatchAllowance(max(0, free), f"{online} online, {reserve} reserved")
 
     def reserve(self, arrivals_per_s: float) -> int:
--- /dev/null
+++ b/src/rainsail/batch/prefill_meter.py
@@ -0,0 +1,144 @@
+"""Knows how many prompt tokens of online work wait for prefill at each engine.
+
+Wraps the gateway's ``EngineClient``: an online attempt counts from when it is sent until its
+first token comes back. That is the moment at which batch work hurts the online tail most: every
+iteration that a long prompt needs is longer by each batch sequence in it.
+"""
+
+from collections.abc import Callable
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from rainsail.engine.interface import (
+    AttemptEnd,
+    AttemptListener,
+    CacheEvent,
+    Chunk,
+    EngineClient,
+    EngineOrder,
+    GenerateRequest,
+    KvState,
+    LoadReport,
+    OrderReply,
+    Priority,
+)
+from rainsail.engine.prefix import count_tokens
+from rainsail.errors import Fault
+
+CachedTokens = Callable[[str, str], int]
+"""Takes an engine's address and a prompt; returns how many leading tokens are likely cached."""
+
+
+def nothing_cached(address: str, prompt: str) -> int:
+    """Take every prompt as new."""
+    return 0
+
+
+class OnlinePrefillMeter:
+    """An ``EngineClient`` that counts online prompt tokens without a first token, by address."""
+
+    def __init__(self, engine: EngineClient, cached_tokens: CachedTokens = nothing_cached) -> None:
+        self._engine = engine
+        self._cached_tokens = cached_tokens
+        self._tokens: dict[str, int] = {}
+        self._listeners: list[Callable[[str], None]] = []
+
+    def prefill_tokens(self, address: str) -> int:
+        """Return the online prompt tokens that wait for prefill at an engine."""
+        return self._tokens.get(address, 0)
+
+    def on_change(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with an engine's address whenever its count has changed."""
+        self._listeners.append(listener)
+
+    def add(self, address: str, tokens: int) -> None:
+        """Change an engine's count."""
+        self._tokens[address] = self._tokens.get(address, 0) + tokens
+        for listener in self._listeners:
+            listener(address)
+
+    # --- EngineClient -----------------------------------------------------------------------
+
+    def generate(self, address: str, request: GenerateRequest, listener: AttemptListener) -> None:
+        """Start an attempt; one of high priority is counted."""
+        if request.priority is not Priority.HIGH:
+            self._engine.generate(address, request, listener)
+            return
+        cached = self._cached_tokens(address, request.prompt)
+        tokens = max(0, count_tokens(request.prompt) - cached)
+        metered = _MeteredListener(self, address, tokens, listener)
+        self.add(address, tokens)
+        self._engine.generate(address, request, metered)
+
+    def resume(
+        self, address: str, attempt_id: str, from_sequence: int, listener: AttemptListener
+    ) -> None:
+        """Take up a stream: its prefill is over."""
+        self._engine.resume(address, attempt_id, from_sequence, listener)
+
+    def pause(self, attempt_id: str) -> None:
+        """Pass on."""
+        self._engine.pause(attempt_id)
+
+    def unpause(self, attempt_id: str) -> None:
+        """Pass on."""
+        self._engine.unpause(attempt_id)
+
+    def cancel(self, address: str, attempt_id: str) -> "Deferred[Result[bool, Fault]]":
+        """Pass on."""
+        return self._engine.cancel(address, attempt_id)
+
+    def order(self, address: str, order: EngineOrder) -> "Deferred[Result[OrderReply, Fault]]":
+        """Pass on."""
+        return self._engine.order(address, order)
+
+    def export_kv(
+        self, address: str, session: str, fence: int
+    ) -> "Deferred[Result[KvState, Fault]]":
+        """Pass on."""
+        return self._engine.export_kv(address, session, fence)
+
+    def import_kv(self, address: str, state: KvState) -> "Deferred[Result[None, Fault]]":
+        """Pass on."""
+        return self._engine.import_kv(address, state)
+
+    def subscribe(
+        self,
+        address: str,
+        on_load: Callable[[LoadReport], None],
+        on_cache: Callable[[CacheEvent], None],
+        on_lost: Callable[[Fault], None],
+    ) -> Callable[[], None]:
+        """Pass on."""
+        return self._engine.subscribe(address, on_load, on_cache, on_lost)
+
+
+class _MeteredListener:
+    """Takes the attempt off the count at its first chunk or its end."""
+
+    __slots__ = ("_address", "_listener", "_meter", "_tokens")
+
+    def __init__(
+        self, meter: OnlinePrefillMeter, address: str, tokens: int, listener: AttemptListener
+    ) -> None:
+        self._meter = meter
+        self._address = address
+        self._tokens = tokens
+        self._listener = listener
+
+    def on_chunk(self, chunk: Chunk) -> None:
+        """Take a chunk."""
+        if self._tokens:
+            self._prefilled()
+        self._listener.on_chunk(chunk)
+
+    def on_end(self, end: AttemptEnd) -> None:
+        """Take the end."""
+        if self._tokens:
+            self._prefilled()
+        self._listener.on_end(end)
+
+    def _prefilled(self) -> None:
+        tokens, self._tokens = self._tokens, 0
+        self._meter.add(self._address, -tokens)
--- a/src/rainsail/batch/settings.py
+++ b/src/rainsail/batch/settings.py
@@ -61,6 +61,9 @@
     commit_max_items: int = Field(
         default=128, gt=0, description="Most results or returned items in one ledger command."
     )
+    refill_delay_s: float = Field(
+        default=0.1, ge=0, description="Seconds without new items on a runner after a preemption."
+    )
     tick_s: float = Field(
         default=0.05, gt=0, description="Seconds between looks at runners on which nothing changed."
     )
--- /dev/null
+++ b/src/rainsail/cli/experiment.py
@@ -0,0 +1,32 @@
+"""``rainsail experiment``: batch policies on one trace of a site, on the virtual clock."""
+
+import sys
+from pathlib import Path
+
+from rainsail.experiment.policy_experiment import policy_names, run_experiment
+from rainsail.experiment.report import summary_line, write_report
+
+SECONDS_PER_MINUTE = 60.0
+
+
+def experiment(
+    site: str = "guayaquil",
+    seed: int = 1,
+    minutes: float = 5.0,
+    policy: str = "all",
+    report: str = "reports",
+) -> None:
+    """Run dispatch policies on the same trace and write a report.
+
+    ``site`` is guayaquil or taoyuan, ``policy`` all or names with commas (``none`` always runs,
+    as the baseline), ``report`` the folder of report.json, the plots and index.html. The last
+    line of standard output is JSON.
+    """
+    choice = ",".join(policy) if isinstance(policy, tuple | list) else policy
+    try:
+        outcome = run_experiment(site, seed, minutes * SECONDS_PER_MINUTE, policy_names(choice))
+    except ValueError as error:
+        sys.exit(f"experiment: {error}")
+    page = write_report(outcome, Path(report))
+    print(f"report: {page}")
+    print(summary_line(outcome))
--- a/src/rainsail/experiment/local_control.py
+++ b/src/rainsail/experiment/local_control.py
@@ -23,12 +23,13 @@
     RenewItemLeasesReply,
     ResultsReply,
     ResultsRequest,
+    SessionRequest,
 )
 from rainsail.control.stale_items import items_to_stop
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.resources.specs import Kind
 from rainsail.runtime.clock import Clock
-from rainsail.state.commands import Command, CommandOutcome, GroupId, RevokeLeases
+from rainsail.state.commands import Command, CommandOutcome, GroupId, RevokeLeases, SessionView
 from rainsail.state.machine import ReplicatedState
 
 
@@ -79,6 +80,7 @@
             JobsRequest: self._read_jobs,
             ResultsRequest: self._read_results,
             QuotaReport: self._lend_nothing,
+            SessionRequest: self._read_session,
         }
 
     def start(self) -> None:
@@ -131,7 +133,8 @@
         request: Any,
         done: "Deferred[Any]",
     ) -> None:
-        done.callback(Ok(handler(request, self.states[request.group])))
+        answer = handler(request, self.states[request.group])
+        done.callback(Error(answer) if isinstance(answer, Fault) else Ok(answer))
 
     def _renew(self, request: RenewItemLeases, state: ReplicatedState) -> RenewItemLeasesReply:
         now_s = self._clock.seconds()
@@ -152,6 +155,12 @@
         more = len(rows) == request.limit
         return ResultsReply(rows, rows[-1].index + 1 if more else -1)
 
+    def _read_session(self, request: SessionRequest, state: ReplicatedState) -> SessionView | Fault:
+        view = state.session(request.session)
+        if view is None:
+            return Fault(FaultCode.NOT_FOUND, "control.call", f"no session {request.session}")
+        return view
+
     def _lend_nothing(self, request: QuotaReport, state: ReplicatedState) -> QuotaShares:
         return QuotaShares((), request.period_s)
 
