Make the storage's crash check reach the batch under way

Cause: every schedule used the same disk seed, and few schedules crashed while a batch was being synced, so torn bytes of the log were hardly ever read back. The schedule now draws the disk's seed, a rule cuts the power in the middle of a sync, and what a crash keeps may have a hole of zeros anywhere, not only a garbled end.

--- a/features/support/storage.py
+++ b/features/support/storage.py
@@ -7,7 +7,7 @@
 
 from expression import Ok, Result
 from hypothesis import strategies
-from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 from twisted.internet.defer import Deferred, succeed
 
 from rainsail.simulation.clock import VirtualClock
@@ -21,6 +21,7 @@
 FOLDER = "group-3"
 FIRST_SEGMENT = f"{FOLDER}/0000000001.log"
 PATIENCE_S = 10.0
+SYNC_LATENCY_S = 0.002
 KEEP_NOTHING = SimulatedDiskSettings(partial_write_share=0.0)
 
 
@@ -113,18 +114,24 @@
     ``states[durable]`` is the newest state that a sync has vouched for.
     """
 
-    DISK_SETTINGS = SimulatedDiskSettings(partial_write_share=0.8, garbled_tail_share=0.5)
+    DISK_SETTINGS = SimulatedDiskSettings(
+        sync_latency_s=SYNC_LATENCY_S, partial_write_share=0.8, hole_share=0.5
+    )
     SETTINGS = StorageSettings(segment_bytes=300, cache_bytes=100, retained_entries=2)
 
     def __init__(self) -> None:
         super().__init__()
-        self.rig = StorageRig(self.DISK_SETTINGS, self.SETTINGS, seed=7)
-        self.prepare()
         self.states = [LogState(HardState(0, ""), 0, ())]
         self.durable = 0
         self.snapshot: SnapshotMeta | None = None
         self.offered: SnapshotMeta | None = None
         self.term = 1
+
+    @initialize(seed=strategies.integers(0, 10**6))
+    def start(self, seed: int) -> None:
+        """Open an empty storage on a disk with its own random decisions."""
+        self.rig = StorageRig(self.DISK_SETTINGS, self.SETTINGS, seed)
+        self.prepare()
         self.rig.open()
 
     def prepare(self) -> None:
@@ -227,6 +234,14 @@
         self.rig.disk.crash()
         self._check()
 
+    @rule(count=strategies.integers(1, 4), size=strategies.integers(20, 60))
+    def crash_under_way(self, count: int, size: int) -> None:
+        """Cut the power while a batch is being synced."""
+        self.append(count, size)
+        self.sync()
+        self.rig.clock.advance(SYNC_LATENCY_S / 2)
+        self.crash()
+
     @rule()
     def kill(self) -> None:
         """End the process only, start again and check."""
--- a/src/rainsail/simulation/disk_content.py
+++ b/src/rainsail/simulation/disk_content.py
@@ -5,8 +5,6 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-_GARBLED_BYTES = 16
-
 
 class SimulatedDiskSettings(BaseModel):
     """How a simulated disk behaves when nothing is injected."""
@@ -23,11 +21,11 @@
         le=1,
         description="Probability that a crash keeps a random part of what was not synced.",
     )
-    garbled_tail_share: float = Field(
+    hole_share: float = Field(
         default=0.2,
         ge=0,
         le=1,
-        description="Probability that the end of such a kept part is garbled.",
+        description="Probability that such a part has a hole of zeros where nothing was written.",
     )
 
 
@@ -67,10 +65,7 @@
         kept = self.data[: self.durable_size]
         fresh = self.data[self.durable_size : self.lost_from]
         if fresh and random.random() < settings.partial_write_share:
-            part = fresh[: random.randint(0, len(fresh))]
-            if random.random() < settings.garbled_tail_share:
-                part[-_GARBLED_BYTES:] = bytes(len(part[-_GARBLED_BYTES:]))
-            kept += part
+            kept += _part_kept(fresh, random, settings)
         elif self.cut:
             kept += self.cut
         self.data = kept
@@ -83,3 +78,15 @@
         if self.lost_from is not None:
             start = self.lost_from
             self.data[start:] = bytes(len(self.data) - start)
+
+
+def _part_kept(
+    fresh: bytearray, random: random_module.Random, settings: SimulatedDiskSettings
+) -> bytearray:
+    """Return what a crash keeps of unsynced bytes: a prefix, perhaps with a hole in it."""
+    if random.random() >= settings.hole_share:
+        return fresh[: random.randint(0, len(fresh))]
+    start = random.randint(0, len(fresh))
+    end = random.randint(start, len(fresh))
+    fresh[start:end] = bytes(end - start)
+    return fresh
