Prove the engine client and the virtual links, and connect to IP numbers directly

Cause: a refused connection was reported only after 0.3 s, the delay between attempts of Twisted's "happy eyeballs", and an address that is no URL raised instead of ending the attempt. Change: an endpoint factory that connects to IP numbers without a resolver; every failure before the first byte ends as REFUSED, every later one as LOST; features for the SSE parser (fuzzed), the HTTP client against sound and scripted engines, and the virtual links.

--- /dev/null
+++ b/features/engine/sse.feature
@@ -0,0 +1,30 @@
+Feature: Server-sent events are parsed whatever the reads and whatever the bytes
+  Engines are other people's programs: nothing that they send may crash a gateway.
+
+  Scenario Outline: Every form of the specification is understood
+    When the SSE parser is fed <bytes>
+    Then the SSE parser yields <events>
+
+    Examples:
+      | bytes                                  | events                        |
+      | data: a\n\n                            | message=a                     |
+      | data:a\n\ndata: b\n\n                  | message=a message=b           |
+      | event: load\ndata: a\n\n               | load=a                        |
+      | data: a\ndata: b\n\n                   | message=a/b                   |
+      | : comment\n\n                          | nothing                       |
+      | : comment\ndata: a\n\n                 | message=a                     |
+      | data: a\r\n\r\ndata: b\r\rdata: c\n\n  | message=a message=b message=c |
+      | id: 7\nretry: 5\n\n                    | nothing                       |
+      | data: unfinished\n                     | nothing                       |
+      | event: load\n\n                        | nothing                       |
+
+  Scenario: The boundaries of the reads make no difference
+    Then any events cut into any pieces come out of the SSE parser unchanged
+
+  Scenario: No bytes crash the parser or the decoding of a chunk
+    Then any bytes fed to the SSE parser give events or a typed error
+    And any JSON decoded as a chunk gives a record or a value error
+
+  Scenario: A frame without an end is refused, not stored without bound
+    When the SSE parser with a bound of 1000 bytes is fed 2000 bytes without an end
+    Then the SSE parser has refused the frame
--- a/features/steps/caller_api_batch_steps.py
+++ b/features/steps/caller_api_batch_steps.py
@@ -2,9 +2,8 @@
 
 import json
 
-import openai
 from behave import given, then, when
-from features.support.caller_api import OTHER_KEY, make_client, raw_post, serve
+from features.support.caller_api import OTHER_KEY, make_client, openai, raw_post, serve
 
 
 def line(index):
--- a/features/steps/caller_api_online_steps.py
+++ b/features/steps/caller_api_online_steps.py
@@ -4,16 +4,15 @@
 import json
 import socket
 
-import openai
 from behave import given, then, when
 from features.support.caller_api import (
     API_KEY,
-    in_reactor,
     make_client,
+    openai,
     raw_post,
     serve,
-    wait_until,
 )
+from features.support.reactor_thread import in_reactor, wait_until
 from hypothesis import given as any_of
 from hypothesis import settings, strategies
 
--- a/features/support/caller_api.py
+++ b/features/support/caller_api.py
@@ -1,22 +1,19 @@
-"""A caller API on a loopback port with doubles below it, and the reactor's own thread.
+"""A caller API on a loopback port with doubles below it.
 
-The reactor runs in one daemon thread for the whole process; the OpenAI client runs in the steps'
-thread, as a caller's process would.
+The reactor runs in a thread of its own; the OpenAI client runs in the steps' thread, as a
+caller's process would.
 """
 
 import http.client
+import importlib
 import itertools
 import json
-import threading
-import time
 from collections.abc import Callable
 from typing import Any
 
-import openai
 from expression import Error, Ok
-from twisted.internet import reactor
+from features.support.reactor_thread import in_reactor, reactor
 from twisted.internet.defer import succeed
-from twisted.internet.threads import blockingCallFromThread
 
 from rainsail.control.messages import ResultsReply
 from rainsail.errors import Fault, FaultCode, Outcome
@@ -28,30 +25,22 @@
 from rainsail.state.commands import ItemBody, ItemPhase, JobPhase, JobSpec, JobView
 from rainsail.state.interface import ResultRow
 
-WAIT_LIMIT_S = 20.0
 API_KEY = "key-of-the-exporter"
 OTHER_KEY = "key-of-the-broker"
 NOW_UNIX_S = 1_800_000_000.0
 
-_reactor: Any = reactor
-_started = threading.Event()
 
+class _LazyLibrary:
+    """Imports a library when it is first used: step files must load fast."""
 
-def in_reactor(call: Callable[..., Any], *arguments: Any) -> Any:
-    """Run a call in the reactor's thread and return its result; starts the reactor."""
-    if not _started.is_set():
-        _started.set()
-        run = threading.Thread(target=_reactor.run, args=(False,), daemon=True)
-        run.start()
-    return blockingCallFromThread(_reactor, call, *arguments)
+    def __init__(self, name: str) -> None:
+        self._name = name
 
+    def __getattr__(self, attribute: str) -> Any:
+        return getattr(importlib.import_module(self._name), attribute)
 
-def wait_until(condition: Callable[[], bool], what: str) -> None:
-    """Wait until a condition holds; an assertion fails when it never does."""
-    limit_s = time.monotonic() + WAIT_LIMIT_S
-    while not condition():
-        assert time.monotonic() < limit_s, f"never came true: {what}"
-        time.sleep(0.002)
+
+openai: Any = _LazyLibrary("openai")
 
 
 class FixedConfig:
@@ -219,7 +208,7 @@
             CallerApiSettings.model_validate(settings),
             lambda: NOW_UNIX_S,
         )
-        self._port = in_reactor(api.listen, _reactor, "127.0.0.1", 0)
+        self._port = in_reactor(api.listen, reactor, "127.0.0.1", 0)
         self.port = self._port.getHost().port
         self.url = f"http://127.0.0.1:{self.port}"
 
@@ -235,7 +224,7 @@
     context.client = make_client(context, API_KEY)
 
 
-def make_client(context: Any, key: str) -> openai.OpenAI:
+def make_client(context: Any, key: str) -> Any:
     """Return an OpenAI client that does not retry."""
     client = openai.OpenAI(api_key=key, base_url=f"{context.api.url}/v1", max_retries=0)
     context.add_cleanup(client.close)
--- a/src/rainsail/emulator/engine_server.py
+++ b/src/rainsail/emulator/engine_server.py
@@ -34,6 +34,7 @@
 
     def __init__(self, engine: EmulatedEngine, clock: Clock) -> None:
         self.app = Klein()
+        self.keep_alive_period_s = KEEP_ALIVE_PERIOD_S
         self._engine = engine
         self._clock = clock
         self._open: dict[Any, None] = {}
@@ -131,7 +132,9 @@
 
     def _start_keep_alive(self) -> None:
         if self._keep_alive_timer is None:
-            self._keep_alive_timer = self._clock.callLater(KEEP_ALIVE_PERIOD_S, self._keep_alive)
+            self._keep_alive_timer = self._clock.callLater(
+                self.keep_alive_period_s, self._keep_alive
+            )
 
     def _keep_alive(self) -> None:
         self._keep_alive_timer = None
--- a/src/rainsail/engine/http_client.py
+++ b/src/rainsail/engine/http_client.py
@@ -13,7 +13,7 @@
 from expression import Error, Ok, Result
 from pydantic import ValidationError
 from treq.client import HTTPClient
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
 from twisted.internet.error import ConnectError, DNSLookupError, UnsupportedAddressFamily
 from twisted.python.failure import Failure
 from twisted.web.client import (
@@ -23,9 +23,11 @@
     RequestNotSent,
     readBody,
 )
+from twisted.web.error import SchemeNotSupported
 from twisted.web.http_headers import Headers
 
 from rainsail.engine import protocol
+from rainsail.engine.endpoints import EngineEndpointFactory
 from rainsail.engine.http_events import EventStream
 from rainsail.engine.http_stream import AttemptStream, StreamWatch, describe_failure
 from rainsail.engine.interface import (
@@ -46,8 +48,15 @@
     {b"content-type": [b"application/json"], b"accept": [b"text/event-stream"]}
 )
 _CALL_HEADERS = Headers({b"content-type": [b"application/json"]})
-_NEVER_SENT = (ConnectError, DNSLookupError, RequestNotSent, UnsupportedAddressFamily)
-"""Failures that come before the first byte of a request."""
+_NEVER_SENT = (
+    ConnectError,
+    DNSLookupError,
+    RequestNotSent,
+    SchemeNotSupported,
+    UnsupportedAddressFamily,
+    ValueError,
+)
+"""Failures that come before the first byte of a request; ``ValueError``: not a URL."""
 
 
 class HttpEngineClient:
@@ -58,8 +67,8 @@
     ) -> None:
         self._settings = settings or EngineClientSettings.model_validate({})
         self._pool = _connection_pool(reactor, self._settings)
-        connect_timeout_s: Any = self._settings.connect_timeout_s
-        agent: Any = Agent(reactor, connectTimeout=connect_timeout_s, pool=self._pool)
+        endpoints = EngineEndpointFactory(reactor, self._settings.connect_timeout_s)
+        agent: Any = Agent.usingEndpointFactory(reactor, endpoints, self._pool)
         self._agent = agent
         self._http = HTTPClient(agent)
         self._watch = StreamWatch(clock, self._settings.read_timeout_s)
@@ -117,7 +126,7 @@
     def _request(
         self, method: bytes, url: str, body: FileBodyProducer | None, stream: AttemptStream
     ) -> None:
-        responding = self._agent.request(method, url.encode(), _STREAM_HEADERS, body)
+        responding = maybeDeferred(self._agent.request, method, url.encode(), _STREAM_HEADERS, body)
         stream.set_abort(responding.cancel)
         responding.addCallback(self._responded, stream)
         responding.addErrback(_request_failed, stream)
@@ -179,7 +188,7 @@
         reply = await response.content()
         if response.code != _OK:
             return Error(_read_fault(reply, response.code, step).at(url))
-        return Ok(read(reply))
+        return _read_reply(reply, read, step).map_error(lambda fault: fault.at(url))
 
     # --- events ---------------------------------------------------------------------------
 
@@ -194,7 +203,7 @@
         limit = self._settings.max_frame_bytes
         stream = EventStream(address, self._watch, limit, on_load, on_cache, on_lost)
         url = f"{address}{protocol.EVENTS_PATH}".encode()
-        responding = self._agent.request(b"GET", url, _STREAM_HEADERS)
+        responding = maybeDeferred(self._agent.request, b"GET", url, _STREAM_HEADERS)
         stream.set_abort(responding.cancel)
 
         def responded(response: Any) -> None:
@@ -247,6 +256,14 @@
         return Fault(FaultCode.INTERNAL, step, detail, "", Outcome.UNKNOWN)
 
 
+def _read_reply(body: bytes, read: Callable[[bytes], Any], step: str) -> Result[Any, Fault]:
+    try:
+        return Ok(read(body))
+    except ValueError as error:
+        detail = f"malformed reply: {error}"
+        return Error(Fault(FaultCode.INTERNAL, step, detail, "", Outcome.UNKNOWN))
+
+
 def _call_failed(failure: Failure, step: str, url: str) -> Result[Any, Fault]:
     detail = describe_failure(failure)
     if failure.check(*_NEVER_SENT):
--- a/src/rainsail/engine/http_events.py
+++ b/src/rainsail/engine/http_events.py
@@ -79,8 +79,8 @@
 
     def time_out(self) -> None:
         """Nothing was read within the timeout."""
-        self._give_up()
         self.lose("nothing was read within the timeout")
+        self._give_up()
 
     def drop(self) -> None:
         """End the subscription."""
--- a/src/rainsail/engine/http_stream.py
+++ b/src/rainsail/engine/http_stream.py
@@ -157,8 +157,8 @@
 
     def time_out(self) -> None:
         """Nothing was read within the timeout."""
-        self._give_up()
         self.lose("nothing was read within the timeout")
+        self._give_up()
 
     def drop(self) -> None:
         """Close the link; the listener hears nothing more."""
