--- a/src/rainsail/simulation/disk.py
+++ b/src/rainsail/simulation/disk.py
@@ -177,8 +177,11 @@
         """Return the bytes that still fit; None without a bound."""
         if self.capacity_bytes is None:
             return None
-        used = sum(len(content.data) for content in self._names.values())
-        return max(0, self.capacity_bytes - used)
+        return max(0, self.capacity_bytes - self.used_bytes())
+
+    def used_bytes(self) -> int:
+        """Return the bytes of all files."""
+        return sum(len(content.data) for content in self._names.values())
 
     def start_sync(
         self, step: str, path: str, settle: Callable[[], None], file: SimulatedFile | None = None
--- a/src/rainsail/storage/group_storage.py
+++ b/src/rainsail/storage/group_storage.py
@@ -57,6 +57,11 @@
         """The index of the last entry appended, durable or not."""
         return self._index.last_index
 
+    @property
+    def cached_entries(self) -> int:
+        """How many entries are held in memory."""
+        return self._index.cached_entries
+
     # --- writing -------------------------------------------------------------------------
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
--- a/src/rainsail/storage/records.py
+++ b/src/rainsail/storage/records.py
@@ -57,10 +57,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Damage:
-    """Where a scan had to stop and why."""
+    """Where a scan had to stop and why.
+
+    ``can_be_torn`` is False when the record is sound but doesn't belong there.
+    """
 
     offset: int
     reason: str
+    can_be_torn: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,9 +103,10 @@
     if crc32c.crc32c(body, crc32c.crc32c(data[offset + _CHECKED_START : start])) != crc:
         return Damage(offset, "CRC-32C does not match")
     if found_group != group:
-        return Damage(offset, f"record of group {found_group} in the files of group {group}")
+        reason = f"record of group {found_group} in the files of group {group}"
+        return Damage(offset, reason, can_be_torn=False)
     if kind not in RecordKind._value2member_map_:
-        return Damage(offset, f"unknown record kind {kind}")
+        return Damage(offset, f"unknown record kind {kind}", can_be_torn=False)
     return Record(offset, RecordKind(kind), durable, body)
 
 
@@ -132,6 +137,7 @@
 
     It can't when a sound record further on says that the bytes at the damage were durable.
     """
-    return all(
-        record.durable <= damage.offset for record in _records_after(data, damage.offset, group)
-    )
+    if not damage.can_be_torn:
+        return False
+    later = _records_after(data, damage.offset, group)
+    return all(record.durable <= damage.offset for record in later)
--- a/src/rainsail/storage/segment_log.py
+++ b/src/rainsail/storage/segment_log.py
@@ -88,35 +88,46 @@
     ) -> Result[None, Fault]:
         """Write a batch and sync it; ``position`` is where the log stood before the batch.
 
-        ``placed(record, sequence, offset)`` is called for each record before the sync.
+        ``placed(record, sequence, offset)`` is called for each record before the batch's sync.
         """
-        begin_segment = self._file is None or self._written_bytes >= self._segment_bytes
+        if self._file is None or self._written_bytes >= self._segment_bytes:
+            begun = await self._begin_segment(position)
+            if begun.is_error():
+                return begun
         try:
-            if begin_segment:
-                self._begin_segment(position)
             self._append_batch(batch, placed)
         except OSError as error:
             return Error(self._write_fault(error))
-        return await self._make_durable(begin_segment)
+        return await self._make_durable()
 
     def _write_fault(self, error: OSError) -> Fault:
         path = segment_path(self._folder, self.newest_sequence)
         return storage_fault("append", path, str(error), self._written_bytes)
 
-    def _begin_segment(self, position: LogPosition) -> None:
-        sequence = self.newest_sequence + 1
-        path = segment_path(self._folder, sequence)
+    async def _begin_segment(self, position: LogPosition) -> Result[None, Fault]:
+        """Create the next segment and make its header durable before anything follows it."""
+        try:
+            self._create_segment(position)
+        except OSError as error:
+            return Error(self._write_fault(error))
+        result = await self._make_durable()
+        if result.is_error():
+            return result
+        return await self._files.sync_folder(self._folder)
+
+    def _create_segment(self, position: LogPosition) -> None:
         if self._file is not None:
             self._file.close()
-        base = position.last_index
-        self._segments.append(Segment(sequence, path, base))
+        sequence = self.newest_sequence + 1
+        path = segment_path(self._folder, sequence)
+        self._segments.append(Segment(sequence, path, position.last_index))
+        self._durable_bytes = self._written_bytes = 0
         self._file = self._files.open(path)
         self._file.truncate(0)
-        self._durable_bytes = self._written_bytes = 0
         header = SegmentHeader(
             FORMAT_VERSION,
             sequence,
-            base,
+            position.last_index,
             position.last_term,
             position.hard_term,
             position.voted_for,
@@ -141,12 +152,10 @@
         self._file.append(b"".join(frames))
         self._written_bytes = offset
 
-    async def _make_durable(self, new_segment: bool) -> Result[None, Fault]:
+    async def _make_durable(self) -> Result[None, Fault]:
         assert self._file is not None
         size = self._written_bytes
         result = await self._file.sync()
-        if result.is_ok() and new_segment:
-            result = await self._files.sync_folder(self._folder)
         if result.is_ok():
             self._durable_bytes = size
         return result
--- a/src/rainsail/storage/segment_scan.py
+++ b/src/rainsail/storage/segment_scan.py
@@ -13,6 +13,8 @@
 
 SEGMENT_SUFFIX = ".log"
 _SEQUENCE_DIGITS = 10
+TORN_HEADER_BYTES = 256
+"""A header is synced before anything follows it: a longer file with a bad header is damaged."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,9 +94,11 @@
 def _real_damage(data: bytes, scanned: Scan, group: int, is_last: bool) -> Damage | None:
     if scanned.damage is None:
         return None
-    if is_last and is_torn_tail(data, scanned.damage, group):
-        return None
-    return scanned.damage
+    if not is_last or not is_torn_tail(data, scanned.damage, group):
+        return scanned.damage
+    if not scanned.records and len(data) > TORN_HEADER_BYTES:
+        return scanned.damage
+    return None
 
 
 def _checked_segment(
