Repair a lost replica by itself and check the core against random schedules

Cause: a replica whose disk is lost came back as a new identity but nothing promoted it and nothing took the old identity out; the core's safety was proved by single scenarios only. Change: a pure planner (repair) proposes one membership change at a time: learner first, promoted when synced, the old identity out last. 'rainsail check consensus' runs random schedules (crashes, lost disks, cuts, transfers, membership changes) against election safety, log matching, leader completeness and lease reads.

--- a/src/rainsail/consensus/core.py
+++ b/src/rainsail/consensus/core.py
@@ -42,6 +42,11 @@
 from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
 
 
+def is_addressed(state: CoreState, message: GroupMessage) -> bool:
+    """Tell whether a message is for this identity, not for one that had this name before."""
+    return message.target in ("", state.identity)
+
+
 class ConsensusCore:
     """Election, replication, membership, leases and reads of one member, as pure decisions."""
 
@@ -105,7 +110,7 @@
     def receive(self, source: str, message: GroupMessage, now: float) -> Effects:
         """Take a message from a replica; one for another identity is only answered with Hello."""
         state = self.state
-        if message.target and message.target != state.identity:
+        if not is_addressed(state, message):
             if not isinstance(message, Hello):
                 hello = Hello(state.group, 0, state.identity, message.sender, state.replica)
                 state.send(source, hello)
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, succeed
 
+from rainsail.consensus import repair
 from rainsail.consensus.applier import Applier, Proposal, ProposalResult
 from rainsail.consensus.core import ConsensusCore
 from rainsail.consensus.core_state import Role
@@ -270,8 +271,13 @@
 
     def _wake(self) -> None:
         self._timer = None
-        if not self._stopped:
-            self._take(self.core.tick(self._clock.seconds()))
+        if self._stopped:
+            return
+        now = self._clock.seconds()
+        self._take(self.core.tick(now))
+        membership = repair.next_membership(self.core.state, now)
+        if membership is not None and not self._stopped:
+            self.change_membership(membership)
 
     # --- effects -------------------------------------------------------------------------
 
--- /dev/null
+++ b/src/rainsail/consensus/model_check.py
@@ -0,0 +1,65 @@
+"""The randomised model check of the consensus core against its safety properties.
+
+Schedule ``i`` of seed ``s`` is the same as schedule 0 of seed ``s + i``, so that one violation can
+be run again alone.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from rainsail.consensus.model_properties import PropertyViolation
+from rainsail.consensus.model_schedule import STEPS_PER_SCHEDULE, Schedule
+from rainsail.consensus.model_world import Coverage
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A property that did not hold; run ``--schedules 1 --seed SEED`` to see it again."""
+
+    seed: int
+    step: int
+    property: str
+    detail: str
+
+
+@dataclass(slots=True)
+class ModelCheckResult:
+    """What a model check has run and found."""
+
+    schedules: int = 0
+    coverage: Coverage = field(default_factory=Coverage)
+    violations: list[Violation] = field(default_factory=list)
+
+
+def run_schedule(seed: int, result: ModelCheckResult, steps: int = STEPS_PER_SCHEDULE) -> None:
+    """Run one schedule and add what it found."""
+    schedule = Schedule(seed)
+    world = schedule.world
+    try:
+        schedule.run(steps)
+    except PropertyViolation as found:
+        violation = Violation(seed, world.coverage.steps, found.name, found.detail)
+        result.violations.append(violation)
+    except (AssertionError, ValueError, KeyError, IndexError) as error:
+        violation = Violation(
+            seed, world.coverage.steps, "internal-assertion", f"{type(error).__name__}: {error}"
+        )
+        result.violations.append(violation)
+    result.schedules += 1
+    result.coverage.add(world.coverage)
+
+
+def run_model_check(
+    schedules: int,
+    seed: int,
+    on_schedule: Callable[[], object] = lambda: None,
+    stop_at_first: bool = False,
+) -> ModelCheckResult:
+    """Run schedules ``seed .. seed + schedules - 1``, calling ``on_schedule`` after each."""
+    result = ModelCheckResult()
+    for offset in range(schedules):
+        run_schedule(seed + offset, result)
+        on_schedule()
+        if result.violations and stop_at_first:
+            break
+    return result
--- /dev/null
+++ b/src/rainsail/consensus/model_schedule.py
@@ -0,0 +1,315 @@
+"""Random schedules: which step comes next, and how rough the weather is."""
+
+import random as random_module
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rainsail.consensus.membership import Membership
+from rainsail.consensus.model_member import ModelMember
+from rainsail.consensus.model_world import InFlight, new_world
+
+MAX_IN_FLIGHT = 60
+STEPS_PER_SCHEDULE = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Weather:
+    """Weights of the kinds of step in one schedule."""
+
+    deliver: float
+    sync: float
+    pass_time: float
+    client: float
+    crash: float
+    lose_disk: float
+    cut: float
+    manage: float
+    loss: float = 0.03
+    duplication: float = 0.03
+    restart: float = 2.0
+    crash_after_election: float = 0.0
+    crash_after_commit: float = 0.0
+    cut_after_election: float = 0.0
+    sizes: tuple[int, ...] = (3, 3, 4, 5, 5)
+
+
+CALM = Weather(70, 20, 0.8, 8, 0.1, 0.1, 0.2, 0.6)
+ROUGH = Weather(70, 18, 0.8, 6, 0.6, 0.1, 0.8, 0.5, loss=0.06)
+CHURN = Weather(70, 18, 0.8, 6, 0.3, 0.4, 0.3, 2.0)
+DISK_LOSS = Weather(70, 12, 0.8, 6, 0.7, 0.7, 0.3, 0.3, crash_after_commit=0.05)
+POWER_CUTS = Weather(70, 6, 0.8, 6, 0.5, 0.0, 0.3, 0.3, crash_after_commit=0.2)
+ELECTIONS = Weather(
+    70,
+    20,
+    0.8,
+    2,
+    0.1,
+    0.0,
+    0.1,
+    0.0,
+    loss=0.02,
+    restart=6.0,
+    crash_after_election=0.2,
+    crash_after_commit=0.05,
+    cut_after_election=0.8,
+    sizes=(3, 3, 5),
+)
+PARTITIONS = Weather(70, 20, 0.8, 8, 0.1, 0.0, 2.5, 0.2, loss=0.02)
+WEATHERS = (CALM, ROUGH, CHURN, DISK_LOSS, POWER_CUTS, ELECTIONS, PARTITIONS)
+CRASH_DELAY_STEPS = 25
+SYNC_WHEN_IDLE = 0.8
+SECOND_CRASH = 0.3
+
+
+class Schedule:
+    """One random run of a world."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random_module.Random(f"schedule {seed}")
+        weather = self._random.choice(WEATHERS)
+        self._weather = weather
+        self.world = new_world(self._random, self._random.choice(weather.sizes))
+        self._world = self.world
+        self._steps: list[tuple[float, Callable[[], object]]] = []
+        total = 0.0
+        for weight, step in (
+            (weather.deliver, self._deliver),
+            (weather.sync, self._sync),
+            (weather.pass_time, self._pass_time),
+            (weather.client, self._client),
+            (weather.crash, self._crash_any),
+            (weather.restart, self._start_any),
+            (weather.lose_disk, self._lose_disk),
+            (weather.cut, self._cut_or_mend),
+            (weather.manage, self._manage),
+        ):
+            total += weight
+            self._steps.append((total, step))
+        self._total = total
+        self._crash_in: int | None = None
+        self._cut_in: int | None = None
+
+    def run(self, steps: int = STEPS_PER_SCHEDULE) -> None:
+        """Take steps; raises ``PropertyViolation`` when a property does not hold."""
+        for _ in range(steps):
+            self._world.coverage.steps += 1
+            drawn = self._random.random() * self._total
+            elections = self._world.coverage.elections
+            commits = self._world.coverage.commits
+            for limit, step in self._steps:
+                if drawn < limit:
+                    step()
+                    break
+            if self._world.coverage.elections > elections:
+                self._plan_crash(self._weather.crash_after_election)
+                self._plan_cut(self._weather.cut_after_election)
+            if self._world.coverage.commits > commits:
+                self._plan_crash(self._weather.crash_after_commit)
+            self._crash_when_planned()
+            self._cut_when_planned()
+
+    def _plan_crash(self, chance: float) -> None:
+        if self._crash_in is None and self._random.random() < chance:
+            self._crash_in = self._delay()
+
+    def _plan_cut(self, chance: float) -> None:
+        if self._random.random() < chance:
+            self._cut_in = self._delay()
+
+    def _delay(self) -> int:
+        soon = self._random.random() < 0.5
+        return self._random.randint(1, 4 if soon else CRASH_DELAY_STEPS)
+
+    def _cut_when_planned(self) -> None:
+        """Cut off the leader of the latest term, and end the cuts before."""
+        if self._cut_in is None:
+            return
+        self._cut_in -= 1
+        if self._cut_in > 0:
+            return
+        self._cut_in = None
+        self._world.cuts.clear()
+        leader = self._latest_leader()
+        if leader is not None:
+            self._world.isolate(leader.name)
+            self._world.lose_sent_by(leader.name)
+
+    def _latest_leader(self) -> ModelMember | None:
+        leaders = self._leaders()
+        return max(leaders, key=lambda member: member.term()) if leaders else None
+
+    def _crash_when_planned(self) -> None:
+        """Cut the power of the leader, now and then with another machine's."""
+        if self._crash_in is None:
+            return
+        self._crash_in -= 1
+        if self._crash_in > 0:
+            return
+        self._crash_in = None
+        leader = self._any_leader()
+        if leader is not None:
+            self._crash(leader)
+        other = self._any_running()
+        if other is not None and self._random.random() < SECOND_CRASH:
+            self._crash(other)
+
+    def _any_running(self) -> ModelMember | None:
+        running = self._world.running()
+        return self._random.choice(running) if running else None
+
+    def _leaders(self) -> list[ModelMember]:
+        return [member for member in self._world.running() if member.leads()]
+
+    def _any_leader(self) -> ModelMember | None:
+        leaders = self._leaders()
+        return self._random.choice(leaders) if leaders else None
+
+    # --- steps ---------------------------------------------------------------------------
+
+    def _deliver(self) -> None:
+        in_flight = self._world.in_flight
+        if not in_flight:
+            if self._random.random() < SYNC_WHEN_IDLE and self._sync():
+                return
+            self._pass_time()
+            return
+        while len(in_flight) > MAX_IN_FLIGHT:
+            self._take(self._random.randrange(len(in_flight)))
+        in_order = self._random.random() < 0.75
+        position = 0 if in_order else self._random.randrange(len(in_flight))
+        message = self._take(position)
+        drawn = self._random.random()
+        if drawn < self._weather.loss:
+            return
+        if drawn > 1 - self._weather.duplication:
+            in_flight.append(message)
+        self._world.deliver(message)
+
+    def _take(self, position: int) -> InFlight:
+        return self._world.in_flight.pop(position)
+
+    def _sync(self) -> bool:
+        waiting = [m for m in self._world.running() if m.writes or m.install is not None]
+        if not waiting:
+            return False
+        member = self._random.choice(waiting)
+        if member.install is not None and not member.writes:
+            self._world.finish_install(member)
+        else:
+            self._world.sync(member)
+        return True
+
+    def _pass_time(self) -> None:
+        world = self._world
+        running = world.running()
+        if not running:
+            world.time_s += 0.1
+            return
+        due = []
+        for member in running:
+            assert member.core is not None
+            due.append((member.real_time(member.core.next_wakeup_s()), member.name))
+        due_s, name = min(due)
+        if self._random.random() < 0.2:
+            world.time_s += self._random.random() * 0.3
+            return
+        world.time_s = max(world.time_s, due_s) + 1e-6
+        world.tick(world.members[name])
+
+    def _client(self) -> None:
+        leader = self._any_leader()
+        if leader is None:
+            return
+        if self._random.random() < 0.7:
+            self._world.propose(leader)
+        else:
+            self._world.read(leader)
+
+    def _start_any(self) -> None:
+        down = [member for member in self._world.members.values() if member.core is None]
+        if down:
+            self._random.choice(down).start(self._world.time_s)
+
+    def _crash_any(self) -> None:
+        member = self._any_running()
+        if member is not None:
+            self._crash(member)
+
+    def _crash(self, member: ModelMember) -> None:
+        """Crash a member; what it had sent is lost with its connections, or arrives late."""
+        member.crash()
+        if self._random.random() < 0.5:
+            self._world.lose_sent_by(member.name)
+        self._world.coverage.crashes += 1
+
+    def _lose_disk(self) -> None:
+        """Lose a disk, but never so many that no copy of the group's state is left."""
+        members = list(self._world.members.values())
+        whole = [member for member in members if not member.disk.is_blank()]
+        member = self._random.choice(members)
+        others = [other for other in whole if other is not member]
+        if len(others) <= len(members) // 2:
+            return
+        member.lose_disk()
+        self._world.coverage.disk_losses += 1
+        if self._random.random() < 0.7:
+            member.start(self._world.time_s)
+
+    def _cut_or_mend(self) -> None:
+        world = self._world
+        names = list(world.members)
+        if world.cuts and self._random.random() < 0.6:
+            world.cuts.clear()
+            return
+        leader = self._any_leader()
+        alone = leader.name if leader is not None else self._random.choice(names)
+        others = [name for name in names if name != alone]
+        drawn = self._random.random()
+        if drawn < 0.3:
+            source, target = self._random.sample(names, 2)
+            world.cuts[(source, target)] = None
+            return
+        if drawn < 0.7:
+            others = [self._random.choice(others)]
+        for name in others:
+            world.cuts[(alone, name)] = None
+            world.cuts[(name, alone)] = None
+
+    def _manage(self) -> None:
+        leader = self._any_leader()
+        if leader is None:
+            return
+        drawn = self._random.random()
+        if drawn < 0.35:
+            self._world.take_snapshot(leader)
+        elif drawn < 0.5:
+            member = self._any_running()
+            if member is not None:
+                self._world.take_snapshot(member)
+        elif drawn < 0.7:
+            self._world.transfer(leader)
+        else:
+            self._change_membership(leader)
+
+    def _change_membership(self, leader: ModelMember) -> None:
+        assert leader.core is not None
+        membership = leader.core.state.membership
+        change = self._any_change(membership)
+        if change is not None:
+            self._world.change_membership(leader, change)
+
+    def _any_change(self, membership: Membership) -> Membership | None:
+        learners = [member for member in membership.members if not member.voter]
+        if learners:
+            return membership.promoted(self._random.choice(learners).identity)
+        missing = [
+            member
+            for member in self._world.members.values()
+            if membership.find(member.disk.identity) is None
+        ]
+        if missing and self._random.random() < 0.6:
+            member = self._random.choice(missing)
+            return membership.with_learner(member.name, member.disk.identity)
+        if len(membership.voters()) > 2:
+            return membership.without(self._random.choice(membership.voters()).identity)
+        return None
--- a/src/rainsail/consensus/replication.py
+++ b/src/rainsail/consensus/replication.py
@@ -165,15 +165,14 @@
 def reply_append(
     state: CoreState, source: str, message: AppendRequest, accepted: bool, match_index: int
 ) -> None:
-    """Answer an append: at once when nothing waits for a sync, else after it.
+    """Answer an append: a heartbeat at once, with what is synced, entries after their sync.
 
-    An empty append is answered at once even while entries are being synced, with what is
-    synced already: a slow disk must not look like a lost follower.
+    A heartbeat doesn't wait for a sync under way: a slow disk must not look like a lost
+    follower.
     """
-    now_synced = state.writes.all_synced() and not state.effects.has_writes()
-    heartbeat = not message.entries and state.effects.hard_state is None
-    if accepted and heartbeat and not now_synced:
-        match_index = min(match_index, state.writes.synced_index)
+    at_once = answers_at_once(state, message)
+    if accepted and at_once:
+        match_index = acknowledged_index(state, match_index)
     reply = AppendReply(
         state.group,
         state.term,
@@ -184,12 +183,22 @@
         match_index,
         message.round,
     )
-    if now_synced or heartbeat:
+    if at_once:
         state.send(source, reply)
     else:
         state.send_after_sync(source, reply)
 
 
+def answers_at_once(state: CoreState, message: AppendRequest) -> bool:
+    """Tell whether the answer need not wait for the sync of what this append has brought."""
+    return not message.entries and state.effects.hard_state is None
+
+
+def acknowledged_index(state: CoreState, match_index: int) -> int:
+    """Return how much of a verified log may be acknowledged without waiting for a sync."""
+    return min(match_index, state.writes.synced_index)
+
+
 # --- leader ------------------------------------------------------------------------------
 
 
--- a/src/rainsail/consensus/settings.py
+++ b/src/rainsail/consensus/settings.py
@@ -65,6 +65,9 @@
     caught_up_entries: int = Field(
         1_000, ge=0, description="Entries a voter may be behind the commit and count as sound."
     )
+    promotion_lag_entries: int = Field(
+        100, ge=0, description="Entries a learner may be behind the commit when it is promoted."
+    )
     repair_after_s: float = Field(
         30.0,
         gt=0,
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -11,10 +11,14 @@
 from rainsail.consensus.messages import SnapshotChunk
 from rainsail.consensus.snapshot_source import SnapshotSource
 from rainsail.errors import Fault
+from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.state.interface import StateMachine
 from rainsail.storage.interface import GroupStorage, SnapshotMeta
 
+RETRY_ENTRIES = 1_000
+"""Entries after a snapshot that could not be written until it is tried again."""
+
 
 class SnapshotWorker:
     """One snapshot at a time is written, either this member's own or a received one."""
@@ -43,6 +47,7 @@
         self._waiting_install: SnapshotInstall | None = None
         self._stopped = False
         self._last_index = self._core.state.log.base_index
+        self._retry_index = 0
 
     @property
     def installing(self) -> bool:
@@ -59,7 +64,7 @@
         """Write a snapshot when the log since the last one has grown past the settings."""
         settings = self._core.state.settings
         applied = self._applier.applied_index
-        due = (
+        due = applied >= self._retry_index and (
             applied - self._last_index >= settings.snapshot_log_entries
             or self._applier.bytes_since_snapshot >= settings.snapshot_log_bytes
         )
@@ -83,7 +88,9 @@
         if self._stopped:
             return
         if result.is_error():
-            self._on_fault(result.error)
+            # The log is whole without it; a disk that can't be synced fails the next sync too.
+            logger.warning("snapshot at {} not written: {}", meta.last_index, result.error)
+            self._retry_index = self._applier.applied_index + RETRY_ENTRIES
             return
         self._last_index = meta.last_index
         self._take(self._core.snapshot_taken(meta.last_index))
@@ -119,11 +126,17 @@
     # --- snapshots from the leader -------------------------------------------------------
 
     def install(self, install: SnapshotInstall) -> None:
-        """Store a received snapshot, then restore the state from it."""
+        """Store a received snapshot, behind the writes before it, then restore from it."""
         if self._writing:
             self._waiting_install = install
             return
         self._writing = True
+        self._storage.sync().addCallback(self._store, install)
+
+    def _store(self, result: Result[None, Fault], install: SnapshotInstall) -> None:
+        if result.is_error():
+            self._installed(result, install)
+            return
         done = self._storage.save_snapshot(install.meta, iter(install.chunks))
         done.addCallback(self._installed, install)
 
--- a/src/rainsail/consensus/snapshots.py
+++ b/src/rainsail/consensus/snapshots.py
@@ -55,7 +55,12 @@
 
 
 def install(state: CoreState, message: SnapshotChunk, incoming: IncomingSnapshot) -> None:
-    """Hand over the whole snapshot; appends wait until it is stored."""
+    """Hand over the whole snapshot; appends wait until it is stored.
+
+    Nothing of the log goes before the snapshot is durable: what this member has acknowledged
+    may have been counted for a commit. The storage drops a log that lacks the snapshot's last
+    entry together with taking the snapshot up.
+    """
     state.installing = True
     meta = SnapshotMeta(message.last_index, message.last_term, message.membership)
     state.effects.install = SnapshotInstall(meta, tuple(incoming.chunks))
@@ -88,9 +93,13 @@
 def installed(state: CoreState, meta: SnapshotMeta, now: float) -> None:
     """Take up the log behind a snapshot that the driver has stored and restored."""
     state.installing = False
-    membership = membership_of_payload(meta.membership)
-    state.log.reset(meta.last_index, meta.last_term, membership or EMPTY_MEMBERSHIP)
-    state.writes.restart_at(meta.last_index)
+    if state.log.term_at(meta.last_index) == meta.last_term:
+        state.log.compact(meta.last_index)
+        state.writes.synced_index = max(state.writes.synced_index, meta.last_index)
+    else:
+        membership = membership_of_payload(meta.membership)
+        state.log.reset(meta.last_index, meta.last_term, membership or EMPTY_MEMBERSHIP)
+        state.writes.restart_at(meta.last_index)
     state.snapshot_index = meta.last_index
     state.commit_index = meta.last_index
     if state.role == Role.EMPTY and state.membership.members:
