Give a preempted item back to the runner that has read its prompt

Cause: a preempted item was resumed on whichever runner asked next, which had to read the whole prompt again. Conclusion: kept, because re-reading costs prefill that online work waits behind.

--- a/src/rainsail/batch/dispatcher.py
+++ b/src/rainsail/batch/dispatcher.py
@@ -224,7 +224,7 @@
             return
         pool = self._pool(spec.service)
         for _ in range(count):
-            held = pool.take()
+            held = pool.take(runner)
             if held is None:
                 break
             if self._keeper.valid(held.group):
@@ -257,7 +257,7 @@
 
     def _run_ended(self, run: ItemRun, end: RunEnd, detail: str, retry_after_s: float) -> None:
         self._forget_run(run)
-        held = run.held.waiting(run.text, self._clock.seconds())
+        held = run.held.waiting(run.text, self._clock.seconds(), run.runner)
         if end is RunEnd.FINISHED:
             self.counts.finished += 1
             result = ItemResult(held.ref, run.text, run.tokens)
@@ -286,7 +286,7 @@
         """Cancel a run at its engine; returns the item with the text generated so far."""
         run.stop()
         self._forget_run(run)
-        return run.held.waiting(run.text, self._clock.seconds())
+        return run.held.waiting(run.text, self._clock.seconds(), run.runner)
 
     def _forget_run(self, run: ItemRun) -> None:
         self._runs[run.runner].pop(run.attempt_id, None)
--- a/src/rainsail/batch/held_item.py
+++ b/src/rainsail/batch/held_item.py
@@ -8,13 +8,18 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldItem:
-    """A leased item with its group and service, the text so far, and since when it waits."""
+    """A leased item with its group and service.
+
+    ``generated_prefix`` is the text so far, ``held_since_s`` when it began to wait and
+    ``last_runner`` the runner that has read its prompt (empty: none).
+    """
 
     group: GroupId
     service: str
     leased: LeasedItem
     generated_prefix: str
     held_since_s: float
+    last_runner: str = ""
 
     @property
     def ref(self) -> ItemRef:
@@ -26,9 +31,14 @@
         """Tokens that an engine must read before it can go on with the item."""
         return count_tokens(self.leased.body.prompt) + count_tokens(self.generated_prefix)
 
-    def waiting(self, generated_prefix: str, now_s: float) -> "HeldItem":
-        """Return the item as it waits again, with what was generated."""
-        return replace(self, generated_prefix=generated_prefix, held_since_s=now_s)
+    def waiting(self, generated_prefix: str, now_s: float, last_runner: str) -> "HeldItem":
+        """Return the item as it waits again, with what was generated and where."""
+        return replace(
+            self,
+            generated_prefix=generated_prefix,
+            held_since_s=now_s,
+            last_runner=last_runner,
+        )
 
     def returned(self, failure: str = "") -> ReturnedItem:
         """Return the record that gives the item back to the queue."""
--- a/src/rainsail/batch/lease_pool.py
+++ b/src/rainsail/batch/lease_pool.py
@@ -64,10 +64,18 @@
     def __len__(self) -> int:
         return len(self._items)
 
-    def take(self) -> HeldItem | None:
-        """Take the next item; preempted ones come before fresh ones."""
+    def take(self, runner: str) -> HeldItem | None:
+        """Take the next item for a runner.
+
+        Preempted ones come before fresh ones, and those whose prompt another runner has read
+        come last: here it would have to be read again.
+        """
         if not self._items:
             return None
+        for held in self._items:
+            if held.last_runner in (runner, ""):
+                self._items.remove(held)
+                return held
         return self._items.popleft()
 
     def put_back(self, held: HeldItem) -> None:
--- a/src/rainsail/batch/policies/preemptive.py
+++ b/src/rainsail/batch/policies/preemptive.py
@@ -23,15 +23,21 @@
     horizon_s: float = 0.5
     yield_prefill_tokens: int = 512
     yield_keep: float = 0.0
+    overcommit: int = 0
+    trust_reports: int = 1
     name: str = "preemptive"
     low_priority: bool = True
 
     def allowance(self, view: RunnerView) -> BatchAllowance:
         """Return the slots left by online work and the reserve."""
         reported_online = max(0, view.reported_running - view.reported_running_low)
-        online = max(view.online_running, reported_online)
+        online = view.online_running
+        if self.trust_reports:
+            online = max(online, reported_online)
         reserve = self.reserve(view.online_arrivals_per_s)
         free = view.slots - online - reserve
+        if view.batch_running > free:
+            free = min(view.batch_running, view.slots - online + self.overcommit)
         if view.online_prefill_tokens > self.yield_prefill_tokens:
             free = min(free, int(view.slots * self.yield_keep))
         return BatchAllowance(max(0, free), f"{online} online, {reserve} reserved")
--- a/src/rainsail/state/job_items.py
+++ b/src/rainsail/state/job_items.py
@@ -35,11 +35,11 @@
 @wire_record
 @dataclass(frozen=True, slots=True)
 class StoredRange:
-    """One range of a job's items, for a snapshot; ``sizes`` holds 32-bit little-endian sizes."""
+    """One range of a job's items, for a snapshot; ``offsets`` holds 32-bit numbers."""
 
     job_id: str
     first_index: int
-    sizes: bytes
+    offsets: bytes
     bodies: bytes
 
 
@@ -172,16 +172,11 @@
         """Yield the ranges that still have bodies, for a snapshot."""
         for each in self._ranges:
             if each.unfinished:
-                sizes = array("I", map(int.__sub__, each.offsets[1:], each.offsets[:-1]))
-                yield StoredRange(job_id, each.first_index, sizes.tobytes(), each.bodies)
+                yield StoredRange(job_id, each.first_index, each.offsets.tobytes(), each.bodies)
 
     def restore(self, record: StoredRange) -> None:
         """Take one range of a snapshot; the phases were set before."""
-        sizes = array("I", record.sizes)
-        offsets = array("I", [0])
-        for size in sizes:
-            offsets.append(offsets[-1] + size)
-        restored = ItemRange(record.first_index, offsets, record.bodies)
+        restored = ItemRange(record.first_index, array("I", record.offsets), record.bodies)
         end = record.first_index + restored.count()
         phases = self.phases[record.first_index : end]
         restored.unfinished -= phases.count(COMPLETED) + phases.count(SET_ASIDE)
--- a/src/rainsail/state/machine.py
+++ b/src/rainsail/state/machine.py
@@ -138,8 +138,12 @@
         return self._appliers[type(command)](command)
 
     def snapshot(self) -> Iterator[bytes]:
-        """Yield the whole state as chunks; the state must not change while iterating."""
-        return encode_parts(self._records(), self._settings.snapshot_chunk_bytes)
+        """Return the whole state as chunks.
+
+        The state is captured by the call, as immutable records that share what can be shared;
+        each chunk is encoded when it is asked for, and the state may change in between.
+        """
+        return encode_parts(list(self._records()), self._settings.snapshot_chunk_bytes)
 
     def _records(self) -> Iterator[SnapshotRecord]:
         yield SnapshotStart(SNAPSHOT_FORMAT, self._applied_index)
--- a/src/rainsail/state/snapshot.py
+++ b/src/rainsail/state/snapshot.py
@@ -64,7 +64,7 @@
 
 def _approximate_bytes(record: SnapshotRecord) -> int:
     if isinstance(record, StoredRange):
-        return _SMALL_RECORD_BYTES + len(record.bodies) + len(record.sizes)
+        return _SMALL_RECORD_BYTES + len(record.bodies) + len(record.offsets)
     if isinstance(record, StoredResults):
         return _SMALL_RECORD_BYTES + len(record.segment)
     if isinstance(record, StoredJob):
