--- a/src/rainsail/cli/simulate.py
+++ b/src/rainsail/cli/simulate.py
@@ -29,7 +29,8 @@
         site: guayaquil or taoyuan.
         seed: every random choice of the run depends on it alone.
         minutes: virtual minutes of traffic.
-        faults: "all" draws failures of every kind, "none" draws none, else a plan's file.
+        faults: "all" draws failures of every kind, "none" draws none, "demonstration" takes
+            those that the known-bad variant is made to show under, else a plan's file.
         defect: name of a known-bad variant to run with (see ``rainsail defects``).
         history: file to write the recorded history to (Avro).
         shrink: file to write the shortest failing fault plan to, when the run fails.
@@ -43,7 +44,7 @@
         raise bad_input(f"--defect: no known-bad variant {defect!r}; see rainsail defects")
     with applied_defect(defect):
         run = SimulationRun(SITES[site](), seed, minutes)
-        plan = _plan_of(faults, run)
+        plan = _plan_of(faults, run, defect)
         with progress_bar("virtual seconds", minutes * 60) as bar:
             done_s = 0.0
 
@@ -62,7 +63,9 @@
         raise CommandEnd(ExitCode.VIOLATION)
 
 
-def _plan_of(faults: str, run: SimulationRun) -> FaultPlan:
+def _plan_of(faults: str, run: SimulationRun, defect: str) -> FaultPlan:
+    if faults == "demonstration" and defect:
+        return FaultPlan(actions=DEFECTS[defect].demonstration)
     if faults == "all":
         return run.drawn_plan()
     if faults == "none":
--- a/src/rainsail/experiment/history.py
+++ b/src/rainsail/experiment/history.py
@@ -220,6 +220,15 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class FaultEnded:
+    """A failure that the run brought about is over."""
+
+    time_s: float
+    kind: str
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class FaultsEnded:
     """From here on no failure is under way; everything accepted must complete."""
@@ -254,6 +263,7 @@
     | DrainDeclared
     | PlannedStop
     | FaultInjected
+    | FaultEnded
     | FaultsEnded
     | RunEnded
 )
--- a/src/rainsail/simulation/injector.py
+++ b/src/rainsail/simulation/injector.py
@@ -3,17 +3,18 @@
 from collections.abc import Callable
 
 from rainsail.engine.interface import Chunk
-from rainsail.experiment.history import DrainDeclared, FaultInjected, PlannedStop
+from rainsail.experiment.history import DrainDeclared, FaultEnded, FaultInjected, PlannedStop
 from rainsail.platform.machine_list import MachineState
 from rainsail.resources.specs import Kind, Resource, ResourceKey, RunnerSpec
-from rainsail.simulation.engine_network import deliver_once
 from rainsail.simulation.fault_plan import FaultAction, FaultKind, FaultPlan
 from rainsail.simulation.fleet import OPERATOR_NAMES, SimulatedFleet, engine_address
 from rainsail.simulation.network import LinkConditions
 
-Undo = Callable[[], None]
+Undo = Callable[[], object]
 
 DEGRADED = LinkConditions(delay_s=0.02, jitter_s=0.05, loss=0.05, duplication=0.05, ordered=False)
+LOST_REPLY_SHARE = 0.2
+LOST_REQUEST_SHARE = 0.05
 CHUNK_DROPPED = 0.02
 CHUNK_DOUBLED = 0.07
 CHUNK_DELAYED = 0.12
@@ -37,6 +38,7 @@
         self._starters: dict[FaultKind, Callable[[FaultAction], Undo]] = {
             FaultKind.ENGINE_CRASH: self._engine_crash,
             FaultKind.ENGINE_LINK_CUT: self._engine_link_cut,
+            FaultKind.ENGINE_REPLIES_LOST: self._engine_replies_lost,
             FaultKind.POWER_LOSS: self._power_loss,
             FaultKind.REPLICA_CRASH: self._replica_crash,
             FaultKind.REPLICA_DISK_LOSS: self._replica_disk_loss,
@@ -57,7 +59,12 @@
             FaultKind.REPLICA_PLANNED_STOP: self._replica_planned_stop,
         }
         self.counts: dict[str, int] = {}
-        self.active = 0
+        self._muted_runners: dict[str, None] = {}
+        self._degraded = False
+        faults = fleet.world.engines.faults
+        faults.chunk = self._chunk_copies
+        faults.lose_reply = self._loses_reply
+        faults.lose_request = self._loses_request
 
     def schedule(self, plan: FaultPlan) -> None:
         """Schedule every action of a plan."""
@@ -68,13 +75,13 @@
         now_s = self._fleet.clock.seconds()
         self._fleet.history.record(FaultInjected(now_s, action.kind, action.target))
         self.counts[action.kind] = self.counts.get(action.kind, 0) + 1
-        self.active += 1
         undo = self._starters[action.kind](action)
-        self._fleet.clock.callLater(action.duration_s, self._end, undo)
+        self._fleet.clock.callLater(action.duration_s, self._end, action, undo)
 
-    def _end(self, undo: Undo) -> None:
+    def _end(self, action: FaultAction, undo: Undo) -> None:
         undo()
-        self.active -= 1
+        now_s = self._fleet.clock.seconds()
+        self._fleet.history.record(FaultEnded(now_s, action.kind, action.target))
 
     # --- engines -------------------------------------------------------------------------
 
@@ -94,6 +101,19 @@
         store.slow_down(STARVED_DIVISOR)
         return lambda: store.slow_down(1.0)
 
+    def _engine_replies_lost(self, action: FaultAction) -> Undo:
+        """Lose whatever an engine sends, while requests still reach it."""
+        self._muted_runners[action.target] = None
+        return lambda: self._muted_runners.pop(action.target, None)
+
+    def _loses_reply(self, gateway: str, runner: str, what: str) -> bool:
+        if runner in self._muted_runners:
+            return True
+        return self._fleet.lost_answers.active and self._draw.random() < LOST_REPLY_SHARE
+
+    def _loses_request(self, gateway: str, runner: str, what: str) -> bool:
+        return self._fleet.lost_answers.active and self._draw.random() < LOST_REQUEST_SHARE
+
     # --- replicas ------------------------------------------------------------------------
 
     def _replica_crash(self, action: FaultAction) -> Undo:
@@ -209,18 +229,21 @@
         links = [(a, b) for a in processes for b in processes if a != b]
         for source, target in links:
             network.set_link_conditions(source, target, DEGRADED)
-        engine_faults = self._fleet.world.engines.faults
-        engine_faults.chunk = self._degraded_chunk
+        self._degraded = True
 
         def mend() -> None:
             for source, target in links:
                 network.clear_link_conditions(source, target)
-            engine_faults.chunk = deliver_once
+            self._degraded = False
 
         return mend
 
-    def _degraded_chunk(self, gateway: str, runner: str, chunk: Chunk) -> tuple[float, ...]:
+    def _chunk_copies(self, gateway: str, runner: str, chunk: Chunk) -> tuple[float, ...]:
         """Drop, double or delay some chunks, so that they come late and out of order."""
+        if runner in self._muted_runners:
+            return ()
+        if not self._degraded:
+            return (0.0,)
         drawn = self._draw.random()
         if drawn < CHUNK_DROPPED:
             return ()
