Split the replicated commands by concern behind one facade

Cause: state/commands.py held 407 lines of four concerns. The module of SessionView joins the fingerprint's table.

--- /dev/null
+++ b/src/rainsail/state/session_commands.py
@@ -0,0 +1,87 @@
+"""Commands for request claims and sessions, and what applying them returns."""
+
+from dataclasses import dataclass
+
+from rainsail.errors import Outcome
+from rainsail.wire.codec import wire_record
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRequest:
+    """Claim a non-repeatable request before it is sent to an engine."""
+
+    tenant: str
+    request_id: str
+    content_digest: str
+    gateway: str
+
+
+@dataclass(frozen=True, slots=True)
+class FinishRequest:
+    """Record how a claimed request ended. NOT_RUN releases the claim."""
+
+    tenant: str
+    request_id: str
+    gateway: str
+    outcome: Outcome
+    response: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimResult:
+    """``granted`` to the asking gateway, or what is known of the first claim.
+
+    When not granted, ``outcome`` is COMPLETED with the recorded response, or UNKNOWN while the
+    first claim is unfinished. Another content digest is a CONFLICT fault.
+    """
+
+    granted: bool
+    gateway: str
+    outcome: Outcome
+    response: str = ""
+
+
+# --- sessions ----------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class AttachSession:
+    """Pin a session to a runner under a new fence; the expected fence makes races lose."""
+
+    session: str
+    gateway: str
+    runner: str
+    expected_fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """One exchange of a session."""
+
+    prompt: str
+    answer: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendTurn:
+    """Append a finished exchange; refused as FENCED when the session has moved.
+
+    ``turn_index`` is the number of turns before this one; a re-sent turn is ignored.
+    """
+
+    session: str
+    fence: int
+    turn_index: int
+    turn: Turn
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class SessionView:
+    """A session's place and transcript."""
+
+    session: str
+    gateway: str
+    runner: str
+    fence: int
+    turns: tuple[Turn, ...]
--- a/src/rainsail/wire/protocol.py
+++ b/src/rainsail/wire/protocol.py
@@ -15,6 +15,7 @@
     "rainsail.control.messages",
     "rainsail.resources.specs",
     "rainsail.state.commands",
+    "rainsail.state.session_commands",
     "rainsail.wire.hello",
 )
 
