--- a/src/rainsail/emulator/engine.py
+++ b/src/rainsail/emulator/engine.py
@@ -52,8 +52,11 @@
         random: Random,
         settings: EngineSettings,
         weight_store: WeightStore,
+        process: str = "",
     ) -> None:
+        """Make a started engine; ``process`` tells incarnations of one process from another's."""
         self.runner = runner
+        self._process = process
         self._execution_log = ExecutionLog()
         self.draining = False
         self.alive = False
@@ -75,7 +78,7 @@
         """
         self.crash()
         self._incarnations += 1
-        self.incarnation = f"{self.runner}/{self._incarnations}"
+        self.incarnation = f"{self.runner}/{self._process}{self._incarnations}"
         self.draining = False
         self._attempts: dict[str, Attempt] = {}
         self._by_sequence: dict[Sequence, Attempt] = {}
@@ -230,6 +233,10 @@
         """Every execution since the engine was made, in order of start."""
         return self._execution_log.records
 
+    def on_execution(self, listener: Callable[[ExecutionRecord], None]) -> None:
+        """Call ``listener`` when an attempt begins to run and again when it has ended."""
+        self._execution_log.listeners.append(listener)
+
     @property
     def preemptions(self) -> int:
         """How often a low sequence had to make room since the last start."""
--- a/src/rainsail/emulator/executions.py
+++ b/src/rainsail/emulator/executions.py
@@ -1,5 +1,6 @@
 """What an emulated engine began to run, for checkers: at most once, refused as not run."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from rainsail.engine.interface import EndReason, GenerateRequest
@@ -26,6 +27,7 @@
 
     def __init__(self) -> None:
         self.records: list[ExecutionRecord] = []
+        self.listeners: list[Callable[[ExecutionRecord], None]] = []
         self._running: dict[str, ExecutionRecord] = {}
 
     def start(self, request: GenerateRequest, now_s: float) -> None:
@@ -35,6 +37,7 @@
         )
         self.records.append(record)
         self._running[request.attempt_id] = record
+        self._tell(record)
 
     def end(self, attempt_id: str, reason: EndReason, now_s: float) -> None:
         """Note how an attempt ended, if it ever ran."""
@@ -42,8 +45,13 @@
         if record is not None:
             record.ended_s = now_s
             record.reason = reason
+            self._tell(record)
 
     def lose_all(self, now_s: float) -> None:
         """Note that the engine died under what ran."""
         for attempt_id in list(self._running):
             self.end(attempt_id, EndReason.LOST, now_s)
+
+    def _tell(self, record: ExecutionRecord) -> None:
+        for listener in self.listeners:
+            listener(record)
--- a/src/rainsail/emulator/machine_list.py
+++ b/src/rainsail/emulator/machine_list.py
@@ -1,4 +1,7 @@
-"""The emulated list of machines, behind the truth by a setting; and its HTTP form."""
+"""The emulated list of machines, behind the truth by a setting; and its HTTP form.
+
+``PUT /machines/NAME/STATE`` stands for what happens on the platform (``live``, ``leaving``).
+"""
 
 from typing import Any
 
@@ -50,7 +53,16 @@
         self.app = Klein()
         self._machines = machines
         self.app.route("/machines", methods=["GET"])(self._list)
+        self.app.route("/machines/<name>/<state>", methods=["PUT"])(self._put)
 
     def _list(self, request: Any) -> bytes:
         request.setHeader(b"content-type", b"application/json")
         return MACHINES.dump_json(self._machines.machines())
+
+    def _put(self, request: Any, name: str, state: str) -> bytes:
+        known = next((each for each in self._machines.machines() if each.name == name), None)
+        if known is None or state not in list(MachineState):
+            request.setResponseCode(404)
+            return b""
+        self._machines.put(name, known.address, MachineState(state))
+        return b""
