Check the role in certificates; lock data folders; follow the machine list in daemons

Cause: a certificate of the fleet's authority named a process but not what it may be; a refused handshake was told as a lost connection without a peer; two processes could open one data folder; no daemon followed the platform's machine list. A replica holds a lock on its data folder. New settings: platform.machine_list, addresses.machine_list, engines.process, section emulator. Conclusion: expired, wrong-authority and wrong-role certificates are refused on both sides.

--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -16,6 +16,7 @@
 
 from rainsail.wire.address import PeerAddress
 from rainsail.wire.codec import wire_record
+from rainsail.wire.hello import ProcessRole, RoleOf
 from rainsail.wire.messenger import Messenger
 from rainsail.wire.settings import TlsSettings, WireSettings
 from rainsail.wire.tcp import TcpTransport
@@ -72,9 +73,12 @@
         tls: TlsSettings | None = None,
         settings: WireSettings = WireSettings(),
         fleet: str = "harbour",
+        role_of: RoleOf | None = None,
     ) -> None:
         self.name = name
-        self.transport = TcpTransport(name, peers or {}, reactor, tls, settings, fleet)
+        self.transport = TcpTransport(
+            name, peers or {}, reactor, tls, settings, fleet, None, role_of
+        )
         self.messenger = Messenger(self.transport, reactor)
         self.received: list[tuple[str, Probe]] = []
         self.messenger.serve(Probe, self._take)
@@ -159,6 +163,11 @@
     )
 
 
+def role_by_name(name: str) -> ProcessRole:
+    """Return the role of a process of the wire features: replicas are called so."""
+    return ProcessRole.REPLICA if name.startswith("replica-") else ProcessRole.GATEWAY
+
+
 def nodes_of(context):
     """Return the nodes of the scenario by name; they are stopped when it ends."""
     if not hasattr(context, "wire_nodes"):
--- a/features/wire/admission.feature
+++ b/features/wire/admission.feature
@@ -84,6 +84,49 @@
     Then the wire call ends with a fault "unavailable" whose outcome is "not_run"
     And "replica-1" got no wire probe
 
+  Scenario Outline: A certificate that is <wrong> is refused with the step and the peer
+    Given a wire authority with certificates by role for "replica-1" and "gateway-1"
+    And a listening wire node "replica-1" that checks roles
+    And a wire node "<name>" with a certificate that is <wrong> and its peer "replica-1"
+    When "<name>" calls "replica-1" over the wire with "ping"
+    Then the wire call ends with a fault "unavailable" whose outcome is "not_run"
+    And the wire fault arose in "<step>" at "replica-1"
+    And the wire fault says "<reason>"
+    And "replica-1" got no wire probe
+    And the log of "replica-1" has a refusal in "<listener_step>" at "<listener_peer>"
+
+    Examples:
+      | wrong                | name      | step               | reason                      | listener_step      | listener_peer |
+      | of the wrong role    | gateway-2 | wire.connection    | gateway-2' is a gateway     | wire.hello         | gateway-2     |
+      | without a role       | gateway-2 | wire.connection    | gateway-2' is a gateway     | wire.hello         | gateway-2     |
+      | past its last day    | gateway-2 | wire.tls.handshake | expired                     | wire.tls.handshake | 127.0.0.1     |
+      | of another authority | gateway-2 | wire.tls.handshake | alert decrypt error         | wire.tls.handshake | 127.0.0.1     |
+
+  Scenario: A replica takes no gateway for a replica
+    Given a wire authority with certificates by role for "replica-1" and "gateway-1"
+    And a listening wire node "replica-1" that checks roles
+    And a wire node "replica-2" with a certificate that is of the wrong role and its peer "replica-1"
+    When "replica-2" calls "replica-1" over the wire with "ping"
+    Then the wire call ends with a fault "unavailable" whose outcome is "not_run"
+    And the wire fault says "certificate is of role 'gateway', 'replica-2' is a replica"
+    And "replica-1" got no wire probe
+
+  Scenario: Certificates of the right roles carry calls
+    Given a wire authority with certificates by role for "replica-1" and "gateway-1"
+    And a listening wire node "replica-1" that checks roles
+    And a wire node "gateway-1" with a certificate that is right and its peer "replica-1"
+    When "gateway-1" calls "replica-1" over the wire with "ping"
+    Then the wire call ends with the reply "echo ping"
+
+  Scenario: A process does not start with a certificate of another role
+    Given a wire authority with certificates by role for "replica-1" and "gateway-1"
+    When a wire node "replica-2" that checks roles is made with a certificate of the wrong role
+    Then making the wire node fails naming "is of role 'gateway', 'replica-2' is a replica"
+
+  Scenario: Running without TLS is said in the log
+    When the log is read while a plain wire node "replica-1" is made
+    Then the log has the line "TLS is off: only loopback addresses are used" of "replica-1"
+
   Scenario: A process does not start with a certificate of another name
     Given a wire authority with certificates for "replica-1" and "gateway-1"
     When a wire node "gateway-2" is made with the certificate of "gateway-1"
--- a/src/rainsail/assembly/daemon.py
+++ b/src/rainsail/assembly/daemon.py
@@ -2,10 +2,11 @@
 
 import sys
 
+from rainsail.assembly.emulator import EmulatorRole
 from rainsail.assembly.process import Process
-from rainsail.assembly.roles import EmulatorRole, GatewayRole, ReplicaRole
+from rainsail.assembly.roles import GatewayRole, ReplicaRole
 from rainsail.settings.model import ProcessSettings
-from rainsail.settings.process import GatewayEntry, Role
+from rainsail.settings.process import EngineEntry, GatewayEntry, Role
 from rainsail.wire.address import parse_address
 
 
@@ -22,7 +23,7 @@
     """Add the roles that the settings name to a process."""
     roles = settings.process.roles
     if Role.EMULATOR in roles and settings.engines:
-        process.roles.append(EmulatorRole(settings, settings.engines, reactor))
+        process.roles.append(EmulatorRole(settings, _own_engines(settings), reactor))
     if Role.REPLICA in roles:
         process.roles.append(_replica_role(settings, process, reactor))
     if Role.GATEWAY in roles:
@@ -38,6 +39,11 @@
     return role
 
 
+def _own_engines(settings: ProcessSettings) -> tuple[EngineEntry, ...]:
+    names = (None, settings.process.name)
+    return tuple(entry for entry in settings.engines if entry.process in names)
+
+
 def _gateway_entry(settings: ProcessSettings) -> GatewayEntry:
     own = settings.process
     return GatewayEntry(
--- a/src/rainsail/assembly/embedded.py
+++ b/src/rainsail/assembly/embedded.py
@@ -3,8 +3,9 @@
 import sys
 from typing import Any
 
+from rainsail.assembly.emulator import EmulatorRole
 from rainsail.assembly.process import Process
-from rainsail.assembly.roles import EmulatorRole, GatewayRole, ReplicaRole
+from rainsail.assembly.roles import GatewayRole, ReplicaRole
 from rainsail.settings.model import ProcessSettings
 from rainsail.settings.process import ReplicaEntry
 from rainsail.wire.address import PeerAddress, parse_address
--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -7,25 +7,28 @@
 from typing import Any, Protocol
 
 from expression import Error, Ok, Result
-from twisted.internet.defer import Deferred, inlineCallbacks, succeed
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.web.client import Agent
 
+from rainsail.assembly.folder_lock import FolderLock
 from rainsail.assembly.gateway import GatewayConfig, GatewayNode
 from rainsail.assembly.listening import listen_http, listen_site
 from rainsail.assembly.replica import ReplicaConfig, ReplicaNode
 from rainsail.assembly.seams import GatewaySeams, NodeSeams, ReplicaSeams
-from rainsail.emulator.engine import EmulatedEngine
-from rainsail.emulator.engine_server import EngineServer
-from rainsail.emulator.weight_store import WeightStore
 from rainsail.engine.http_client import HttpEngineClient
 from rainsail.errors import Fault
 from rainsail.gateway.http_api import CallerApi
-from rainsail.runtime.clock import Clock, MonotonicClock
+from rainsail.platform.machine_list import HttpMachineListClient, MachineListClient
+from rainsail.runtime.clock import MonotonicClock
 from rainsail.settings.model import ProcessSettings
-from rainsail.settings.process import EngineEntry, GatewayEntry, ReplicaEntry
+from rainsail.settings.process import GatewayEntry, ReplicaEntry
 from rainsail.storage.local_files import LocalFileSystem
 from rainsail.wire.address import PeerAddress, parse_address
+from rainsail.wire.hello import ProcessRole, RoleOf
 from rainsail.wire.tcp import TcpTransport
 
+MACHINE_LIST_CONNECT_TIMEOUT_S = 2.0
+
 
 class Role(Protocol):
     """One role of a process."""
@@ -60,10 +63,25 @@
         settings.wire,
         settings.process.fleet,
         draw,
+        role_in_fleet(settings),
     )
     return NodeSeams(MonotonicClock(reactor), transport, draw, time.time)
 
 
+def role_in_fleet(settings: ProcessSettings) -> RoleOf:
+    """Return what tells a peer's role by its name: the replicas of the settings, else gateways."""
+    replicas = frozenset(entry.name for entry in settings.replicas)
+    return lambda name: ProcessRole.REPLICA if name in replicas else ProcessRole.GATEWAY
+
+
+def machine_list_client(settings: ProcessSettings, reactor: Any) -> MachineListClient | None:
+    """Return the client of the platform's machine list; None when no list is named."""
+    if settings.platform.machine_list is None:
+        return None
+    agent = Agent(reactor, connectTimeout=MACHINE_LIST_CONNECT_TIMEOUT_S)
+    return HttpMachineListClient(agent, f"http://{settings.platform.machine_list}")
+
+
 class ReplicaRole:
     """A replica with its data folder, its internal port and its operator API."""
 
@@ -92,12 +110,17 @@
             settings.storage,
             settings.batch,
         )
+        self._lock = FolderLock(data_folder)
         files = LocalFileSystem(data_folder, reactor)
-        self.node = ReplicaNode(config, ReplicaSeams(self._seams, files))
+        machine_list = machine_list_client(settings, reactor)
+        self.node = ReplicaNode(config, ReplicaSeams(self._seams, files, machine_list))
 
     @inlineCallbacks
     def start(self) -> Generator[Deferred[Any], Any, Result[None, Fault]]:
         """Open the data folder, join the group, listen."""
+        locked = self._lock.take()
+        if locked.is_error():
+            return Error(locked.error)
         started = yield self.node.start()
         if started.is_error():
             return Error(started.error)
@@ -121,6 +144,7 @@
         yield self.node.planned_stop()
         transport: Any = self._seams.transport
         yield Deferred.fromCoroutine(transport.stop())
+        self._lock.release()
 
     @inlineCallbacks
     def abrupt_stop(self) -> Generator[Deferred[Any], Any, None]:
@@ -130,6 +154,7 @@
             yield port.stopListening()
         transport: Any = self._seams.transport
         yield Deferred.fromCoroutine(transport.stop())
+        self._lock.release()
 
 
 class GatewayRole:
@@ -182,43 +207,3 @@
         yield self._engine.close()
         transport: Any = self._seams.transport
         yield Deferred.fromCoroutine(transport.stop())
-
-
-class EmulatorRole:
-    """The emulated engines of one process, which share one weight store."""
-
-    def __init__(
-        self, settings: ProcessSettings, entries: tuple[EngineEntry, ...], reactor: Any
-    ) -> None:
-        self.name = f"emulator-{settings.process.name}"
-        self._reactor = reactor
-        self._entries = entries
-        self._clock: Clock = MonotonicClock(reactor)
-        store = WeightStore(self._clock, settings.weight_store)
-        self.engines: dict[str, EmulatedEngine] = {}
-        for entry in entries:
-            rates = settings.engine_settings(entry)
-            draw = fresh_random()
-            self.engines[entry.runner] = EmulatedEngine(
-                entry.runner, self._clock, draw, rates, store
-            )
-        self._ports: list[Any] = []
-
-    @inlineCallbacks
-    def start(self) -> Generator[Deferred[Any], Any, Result[None, Fault]]:
-        """Put every engine on its port."""
-        yield succeed(None)
-        for entry in self._entries:
-            server = EngineServer(self.engines[entry.runner], self._clock)
-            address = parse_address(entry.address)
-            port = listen_http(self._reactor, server.app.resource(), address)
-            if port.is_error():
-                return Error(port.error)
-            self._ports.append(port.ok)
-        return Ok(None)
-
-    @inlineCallbacks
-    def planned_stop(self) -> Generator[Deferred[Any], Any, None]:
-        """Close the ports."""
-        for port in self._ports:
-            yield port.stopListening()
--- a/src/rainsail/cli/keys.py
+++ b/src/rainsail/cli/keys.py
@@ -4,24 +4,28 @@
 
 from rainsail.cli.exit_codes import bad_input
 from rainsail.cli.output import check_format, print_record
+from rainsail.wire.hello import ProcessRole
 from rainsail.wire.keys import create_certificates, new_api_key
 
 
 class KeyCommands:
     """Makes keys and certificates; nothing is ever overwritten."""
 
-    def create(self, folder: str, names: str) -> None:
+    def create(self, folder: str, names: str, role: str = "gateway") -> None:
         """Make a certificate per process, and a development authority when there is none.
 
         Args:
             folder: Where authority.pem, authority.key and NAME.pem, NAME.key are written.
             names: Process names, separated by commas.
+            role: What the processes may be: replica or gateway.
         """
+        if role not in list(ProcessRole):
+            raise bad_input(f"--role: expected replica or gateway, got {role!r}")
         wanted = [name.strip() for name in names.split(",") if name.strip()]
         if not wanted:
             raise bad_input("--names: expected process names separated by commas")
         try:
-            written = create_certificates(Path(folder), wanted)
+            written = create_certificates(Path(folder), wanted, ProcessRole(role))
         except (OSError, ValueError) as error:
             raise bad_input(f"{folder}: {error}") from None
         for path in written:
--- a/src/rainsail/settings/model.py
+++ b/src/rainsail/settings/model.py
@@ -18,12 +18,14 @@
 from rainsail.gateway.settings import GatewaySettings
 from rainsail.settings.process import (
     AddressSection,
+    EmulatorSection,
     EngineEntry,
     EnginePreset,
     GatewayEntry,
     LogSection,
     Name,
     PeerEntry,
+    PlatformSection,
     ProcessSection,
     ReplicaEntry,
     Role,
@@ -64,6 +66,9 @@
     tls: TlsSettings | None = Field(
         default=None, description="Files for mutual TLS; without them only loopback is allowed"
     )
+    platform: PlatformSection = Field(
+        default=PlatformSection(), description="What the platform offers beside the engines"
+    )
     logs: LogSection = Field(default=LogSection(), description="The ring of log records")
     wire: WireSettings = Field(default=WireSettings(), description="Links between processes")
     consensus: ConsensusSettings = Field(
@@ -92,6 +97,7 @@
     engine: EngineSettings = Field(
         default=EngineSettings.model_validate({}), description="Emulated engines"
     )
+    emulator: EmulatorSection = Field(default=EmulatorSection(), description="The emulator role")
     weight_store: WeightStoreSettings = Field(
         default=WeightStoreSettings.model_validate({}), description="The emulated weight store"
     )
--- a/src/rainsail/settings/process.py
+++ b/src/rainsail/settings/process.py
@@ -68,6 +68,20 @@
     status: Address | None = Field(
         default=None, description="IP:PORT of /healthz, /readyz and /metrics; none when left out"
     )
+    machine_list: Address | None = Field(
+        default=None, description="IP:PORT of the emulated machine list (emulator role)"
+    )
+
+
+class PlatformSection(BaseModel):
+    """What the platform offers beside the engines."""
+
+    model_config = FROZEN
+
+    machine_list: Address | None = Field(
+        default=None,
+        description="IP:PORT of the list of live and leaving machines, which replicas follow",
+    )
 
 
 class PeerEntry(BaseModel):
@@ -124,12 +138,30 @@
     zone: Name = Field(description="Zone of the runner")
     service: Name = Field(description="Service that the runner belongs to")
     address: Address = Field(description="IP:PORT of the engine's HTTP API")
+    process: Name | None = Field(
+        default=None,
+        description="Process that starts it under `rainsail run`; any with the role when left out",
+    )
     preset: EnginePreset = Field(
         default=EnginePreset.LANGUAGE_MODEL,
         description="Rates: language_model (section `engine`) or position (very short answers)",
     )
 
 
+class EmulatorSection(BaseModel):
+    """What the emulator role keeps for checkers."""
+
+    model_config = FROZEN
+
+    record_executions: bool = Field(
+        default=False,
+        description="Write each attempt that an engine runs to executions.jsonl of the data folder",
+    )
+    record_limit_bytes: int = Field(
+        default=64 * 1024 * 1024, gt=0, description="Bound of executions.jsonl"
+    )
+
+
 class LogSection(BaseModel):
     """The ring of log records in memory."""
 
--- a/src/rainsail/wire/connection.py
+++ b/src/rainsail/wire/connection.py
@@ -8,10 +8,10 @@
 from rainsail.wire.codec import CodecError, decode, encode
 from rainsail.wire.envelope import decode_envelope
 from rainsail.wire.framing import FramedConnection
-from rainsail.wire.hello import LinkHello, LinkRefused, check_hello
+from rainsail.wire.hello import LinkHello, LinkRefused, RoleOf, check_hello
 from rainsail.wire.messenger import Envelope, ProcessName
 from rainsail.wire.settings import WireSettings
-from rainsail.wire.tls import certified_name
+from rainsail.wire.tls import certified, handshake_fault
 
 STEP = "wire.connection"
 KEEPALIVE_FRAME = b""
@@ -50,6 +50,7 @@
         settings: WireSettings,
         expected: ProcessName | None,
         tls: bool,
+        role_of: RoleOf | None = None,
     ) -> None:
         super().__init__(settings.max_frame_bytes, settings.outgoing_buffer_bytes)
         self.peer: ProcessName = expected or ""
@@ -60,8 +61,10 @@
         self._settings = settings
         self._expected = expected
         self._tls = tls
+        self._role_of = role_of
         self._fault: Fault | None = None
         self._ended = False
+        self._remote = ""
         self._timer: Any = None
         self._sent_s = 0.0
         self._received_s = 0.0
@@ -76,6 +79,7 @@
     def connectionMade(self) -> None:
         """Start the exchange of hellos."""
         super().connectionMade()
+        self._remote = str(getattr(self.transport.getPeer(), "host", ""))
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
         self._sent_s = self._received_s = self._clock.seconds()
@@ -109,9 +113,15 @@
         self.is_open = False
         self._cancel_timer()
         self.stopProducing()
-        detail = reason.getErrorMessage() if reason is not None else "closed"
-        fault = self._fault or Fault(FaultCode.UNAVAILABLE, STEP, detail, self.peer)
-        self._owner.connection_closed(self, fault)
+        self._owner.connection_closed(self, self._fault or self._loss(reason))
+
+    def _loss(self, reason: Failure | None) -> Fault:
+        """Return why the connection was lost; an unnamed peer goes by its address."""
+        peer = self.peer or self._remote
+        if reason is None:
+            return Fault(FaultCode.UNAVAILABLE, STEP, "closed", peer)
+        refused = handshake_fault(reason, peer)
+        return refused or Fault(FaultCode.UNAVAILABLE, STEP, reason.getErrorMessage(), peer)
 
     # --- the transport's calls ---------------------------------------------------------------
 
@@ -148,8 +158,8 @@
             self.close(self._invalid(FaultCode.FORBIDDEN, f"{name} arrived before the hello"))
 
     def _judge_hello(self, other: LinkHello) -> None:
-        certified = certified_name(self.transport) if self._tls else None
-        fault = check_hello(self._hello, other, self._expected, certified)
+        proof = certified(self.transport) if self._tls else None
+        fault = check_hello(self._hello, other, self._expected, proof, self._role_of)
         if fault is not None:
             self._refuse(fault)
             return
--- a/src/rainsail/wire/hello.py
+++ b/src/rainsail/wire/hello.py
@@ -1,6 +1,8 @@
 """The hello: who speaks on a connection, checked before any other message is taken."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from rainsail.errors import Fault, FaultCode
 from rainsail.wire.codec import wire_record
@@ -9,6 +11,25 @@
 STEP = "wire.hello"
 
 
+class ProcessRole(StrEnum):
+    """What a certificate says that its process may be."""
+
+    REPLICA = "replica"
+    GATEWAY = "gateway"
+
+
+@dataclass(frozen=True, slots=True)
+class Certified:
+    """What a peer's verified certificate says; ``role`` is empty when it names none."""
+
+    name: ProcessName
+    role: str
+
+
+RoleOf = Callable[[ProcessName], ProcessRole]
+"""Tells which role a process of that name has in this fleet."""
+
+
 @wire_record
 @dataclass(frozen=True, slots=True)
 class LinkHello:
@@ -28,12 +49,17 @@
 
 
 def check_hello(
-    own: LinkHello, other: LinkHello, expected: ProcessName | None, certified: ProcessName | None
+    own: LinkHello,
+    other: LinkHello,
+    expected: ProcessName | None,
+    certified: Certified | None,
+    role_of: RoleOf | None = None,
 ) -> Fault | None:
     """Return why ``other`` is refused, or None when it is welcome.
 
     ``expected`` is the process that was dialled (None on accepted connections), ``certified``
-    the common name of the peer's certificate (None without TLS).
+    what the peer's certificate says (None without TLS). With ``role_of`` the certificate must
+    also name the role that the process has.
     """
     if other.fleet != own.fleet:
         return _refuse(other, f"fleet is {other.fleet!r}, expected {own.fleet!r}")
@@ -47,8 +73,19 @@
         return _refuse(other, f"process name {other.process!r} cannot be a peer's")
     if expected is not None and other.process != expected:
         return _refuse(other, f"process name is {other.process!r}, dialled {expected!r}")
-    if certified is not None and other.process != certified:
-        return _refuse(other, f"process name is {other.process!r}, certificate is {certified!r}'s")
+    return _certificate_fault(other, certified, role_of) if certified is not None else None
+
+
+def _certificate_fault(
+    other: LinkHello, certified: Certified, role_of: RoleOf | None
+) -> Fault | None:
+    if other.process != certified.name:
+        detail = f"process name is {other.process!r}, certificate is {certified.name!r}'s"
+        return _refuse(other, detail)
+    if role_of is not None and certified.role != role_of(other.process):
+        wanted = role_of(other.process).value
+        detail = f"certificate is of role {certified.role!r}, {other.process!r} is a {wanted}"
+        return _refuse(other, detail)
     return None
 
 
--- a/src/rainsail/wire/keys.py
+++ b/src/rainsail/wire/keys.py
@@ -17,6 +17,8 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
 
+from rainsail.wire.hello import ProcessRole
+
 AUTHORITY_NAME = "rainsail development authority"
 AUTHORITY_FILE = "authority.pem"
 AUTHORITY_KEY_FILE = "authority.key"
@@ -55,9 +57,17 @@
     return hashlib.sha256(secret.encode()).hexdigest()
 
 
-def create_certificates(folder: Path, names: list[str]) -> list[Path]:
+def create_certificates(
+    folder: Path,
+    names: list[str],
+    role: ProcessRole = ProcessRole.GATEWAY,
+    validity: timedelta = VALIDITY,
+) -> list[Path]:
     """Write a key and certificate per name; return the new files.
 
+    Each certificate says what its process may be: a replica's is refused from a gateway and a
+    gateway's from a replica.
+
     The authority is made when the folder has none. Raises ``FileExistsError`` rather than
     overwrite, ``ValueError`` for a bad process name; in both cases nothing is written.
     """
@@ -71,7 +81,7 @@
     written: list[Path] = []
     authority = _load_or_create_authority(folder, written)
     for name in names:
-        _write_process_certificate(folder, name, authority, written)
+        _write_process_certificate(folder, name, role, validity, authority, written)
     return written
 
 
@@ -95,11 +105,17 @@
 
 
 def _write_process_certificate(
-    folder: Path, name: str, authority: Authority, written: list[Path]
+    folder: Path,
+    name: str,
+    role: ProcessRole,
+    validity: timedelta,
+    authority: Authority,
+    written: list[Path],
 ) -> None:
     key = ec.generate_private_key(ec.SECP256R1())
     purposes = [ExtendedKeyUsageOID.SERVER_AUTH, ExtendedKeyUsageOID.CLIENT_AUTH]
-    builder = _builder(_subject(name), authority.certificate.subject, key.public_key())
+    subject = _subject(name, role)
+    builder = _builder(subject, authority.certificate.subject, key.public_key(), validity)
     builder = builder.add_extension(x509.BasicConstraints(ca=False, path_length=None), True)
     builder = builder.add_extension(_key_usage(signs_certificates=False), True)
     builder = builder.add_extension(x509.ExtendedKeyUsage(purposes), False)
@@ -108,17 +124,23 @@
 
 
 def _builder(
-    subject: x509.Name, issuer: x509.Name, public_key: ec.EllipticCurvePublicKey
+    subject: x509.Name,
+    issuer: x509.Name,
+    public_key: ec.EllipticCurvePublicKey,
+    validity: timedelta = VALIDITY,
 ) -> x509.CertificateBuilder:
     now = datetime.now(UTC)
     builder = x509.CertificateBuilder(issuer, subject, public_key)
     builder = builder.serial_number(x509.random_serial_number())
     builder = builder.not_valid_before(now - CLOCK_TOLERANCE)
-    return builder.not_valid_after(now + VALIDITY)
+    return builder.not_valid_after(now + validity)
 
 
-def _subject(common_name: str) -> x509.Name:
-    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, common_name)])
+def _subject(common_name: str, role: ProcessRole | None = None) -> x509.Name:
+    attributes = [x509.NameAttribute(NameOID.COMMON_NAME, common_name)]
+    if role is not None:
+        attributes.append(x509.NameAttribute(NameOID.ORGANIZATIONAL_UNIT_NAME, role))
+    return x509.Name(attributes)
 
 
 def _key_usage(signs_certificates: bool) -> x509.KeyUsage:
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -29,11 +29,11 @@
 from rainsail.wire.connection import PeerConnection
 from rainsail.wire.dialler import DialState, QueuedEnvelope
 from rainsail.wire.envelope import encode_envelope
-from rainsail.wire.hello import LinkHello
+from rainsail.wire.hello import LinkHello, RoleOf
 from rainsail.wire.messenger import Envelope, EnvelopeKind, ProcessName
 from rainsail.wire.protocol import transport_fingerprint
 from rainsail.wire.settings import TlsSettings, WireSettings
-from rainsail.wire.tls import certificate_options, own_certified_name
+from rainsail.wire.tls import certificate_options, own_certified
 
 STEP = "wire.tcp"
 
@@ -50,14 +50,18 @@
         settings: WireSettings = WireSettings(),
         fleet: str = "",
         random: Random | None = None,
+        role_of: RoleOf | None = None,
     ) -> None:
-        """Raise ``RainsailError`` for unusable TLS files, or without TLS off loopback."""
+        """``role_of`` has every peer's certificate name its role.
+
+        Raise ``RainsailError`` for unusable TLS files, or without TLS off loopback."""
         self.name = name
         self._peers = dict(peers)
         self._reactor = reactor
         self._settings = settings
         self._random = random or Random(SystemRandom().getrandbits(64))
-        self._tls_options = _tls_options(name, tls)
+        self._role_of = role_of
+        self._tls_options = _tls_options(name, tls, role_of)
         self._hello = LinkHello(name, fleet, transport_fingerprint())
         self._deliver: Callable[[ProcessName, Envelope], None] | None = None
         self._dialled: dict[ProcessName, PeerConnection] = {}
@@ -155,7 +159,9 @@
             self._dial_failed(peer, fault)
         for call_id in self._calls.take_lost(peer, connection):
             self._end_call(peer, call_id, fault, Outcome.UNKNOWN)
-        logger.bind(process=self.name, peer=peer).debug("connection closed: {}", fault)
+        log = logger.bind(process=self.name, peer=peer)
+        refused = fault.code == FaultCode.FORBIDDEN
+        log.log("WARNING" if refused else "DEBUG", "connection closed: {}", fault)
 
     # --- sending --------------------------------------------------------------------------------
 
@@ -226,7 +232,9 @@
 
     def _new_connection(self, expected: ProcessName | None) -> PeerConnection:
         tls = self._tls_options is not None
-        connection = PeerConnection(self, self._reactor, self._hello, self._settings, expected, tls)
+        connection = PeerConnection(
+            self, self._reactor, self._hello, self._settings, expected, tls, self._role_of
+        )
         self._connections[connection] = None
         return connection
 
@@ -269,12 +277,15 @@
         return self._transport.accept_connection()
 
 
-def _tls_options(name: ProcessName, tls: TlsSettings | None) -> Any:
+def _tls_options(name: ProcessName, tls: TlsSettings | None, role_of: RoleOf | None) -> Any:
     if tls is None:
         return None
-    certified = own_certified_name(tls)
-    if certified != name:
-        detail = f"{tls.certificate_file} certifies {certified!r}, this process is {name!r}"
+    own = own_certified(tls)
+    if own.name != name:
+        detail = f"{tls.certificate_file} certifies {own.name!r}, this process is {name!r}"
+        raise RainsailError(Fault(FaultCode.INVALID, STEP, detail))
+    if role_of is not None and own.role != role_of(name):
+        detail = f"{tls.certificate_file} is of role {own.role!r}, {name!r} is a {role_of(name)}"
         raise RainsailError(Fault(FaultCode.INVALID, STEP, detail))
     return certificate_options(tls)
 
--- a/src/rainsail/wire/tls.py
+++ b/src/rainsail/wire/tls.py
@@ -4,9 +4,12 @@
 
 from cryptography.x509 import Certificate as X509Certificate
 from cryptography.x509.oid import NameOID
+from OpenSSL import SSL
 from twisted.internet import ssl
+from twisted.python.failure import Failure
 
 from rainsail.errors import Fault, FaultCode, RainsailError
+from rainsail.wire.hello import Certified
 from rainsail.wire.settings import TlsSettings
 
 STEP = "wire.tls"
@@ -33,15 +36,35 @@
     return str(names[0].value) if len(names) == 1 else ""
 
 
-def certified_name(transport: Any) -> str:
-    """Return the common name of the peer's verified certificate; empty when there is none."""
+def role_name(certificate: X509Certificate) -> str:
+    """Return the subject's organizational unit, or an empty string when there is not one."""
+    names = certificate.subject.get_attributes_for_oid(NameOID.ORGANIZATIONAL_UNIT_NAME)
+    return str(names[0].value) if len(names) == 1 else ""
+
+
+def certified(transport: Any) -> Certified:
+    """Return what the peer's verified certificate says; empty names when there is none."""
     certificate = transport.getPeerCertificate()
-    return common_name(certificate.to_cryptography()) if certificate is not None else ""
+    return Certified("", "") if certificate is None else _certified(certificate)
+
+
+def own_certified(settings: TlsSettings) -> Certified:
+    """Return what this process's own certificate file says."""
+    return _certified(_load_own(settings).original)
+
+
+def handshake_fault(reason: Failure, peer: str) -> Fault | None:
+    """Return why a TLS handshake failed; None when the connection ended for another reason."""
+    if not isinstance(reason.value, SSL.Error):
+        return None
+    causes = reason.value.args[0] if reason.value.args else ()
+    words = "; ".join(str(cause[-1]) for cause in causes) or "the connection broke off"
+    return Fault(FaultCode.FORBIDDEN, f"{STEP}.handshake", words, peer)
 
 
-def own_certified_name(settings: TlsSettings) -> str:
-    """Return the common name in this process's own certificate file."""
-    return common_name(_load_own(settings).original.to_cryptography())
+def _certified(certificate: Any) -> Certified:
+    read = certificate.to_cryptography()
+    return Certified(common_name(read), role_name(read))
 
 
 def _load_own(settings: TlsSettings) -> ssl.PrivateCertificate:
