Keep the vote back also in a term learned in passing; notice acknowledged entries that are gone

Cause: reading the core against its safety arguments. (1) A voter that follows a leader refuses its vote to later terms for an election timeout, but a late reply (a refused pre-vote) could move it to the candidate's own term first, where the refusal was not asked any more: a second leader could then be elected inside the first one's read lease. (2) A follower whose disk had lied about a sync came back with a shorter log; the leader took its refusals for late ones and never fed it again. (4) A new leader's status counted every member as reachable for two seconds, also the dead leader before it. Change: the refusal holds in every term; the leader takes the match back when a refusal of a later round shows that acknowledged entries are gone, sends them again and logs which disk to replace; the model check holds this as a property of its own; (3) and (4) as they should be.

--- /dev/null
+++ b/features/consensus/leadership.feature
@@ -0,0 +1,92 @@
+Feature: Leaders, their leases, and how leadership changes hands
+
+  Scenario: A leader cut off in silence for minutes stops answering within its lease
+    Given a consensus group of 5 replicas
+    And 5 numbers are committed in the consensus group
+    When the leader of the consensus group is cut off in silence
+    Then the cut-off leader of the consensus group leads under its lease for at most 0.9 seconds
+    And the other replicas of the consensus group elect a leader before its old one could be stale
+    When the consensus group runs 180 seconds
+    Then proposals and reads at the cut-off replica of the consensus group end with typed faults
+    When the cut-off replica of the consensus group is connected again
+    Then the consensus group's leader and term are as before the connection
+    And every replica of the consensus group applies all of them
+
+  Scenario: What a cut-off leader still takes in is unknown to its proposer and is overruled
+    Given a consensus group of 5 replicas
+    When the leader of the consensus group is cut off in silence
+    And a number is proposed at the cut-off leader of the consensus group
+    And 5 numbers are committed in the consensus group
+    And the cut-off replica of the consensus group is connected again
+    Then the proposal at the cut-off leader of the consensus group ended as unknown
+    And every replica of the consensus group applies all of them
+
+  Scenario: A follower cut off for minutes unseats nobody when it returns
+    Given a consensus group of 5 replicas
+    When a follower of the consensus group is cut off in silence
+    And the consensus group runs 180 seconds
+    And 5 numbers are committed in the consensus group
+    And the cut-off replica of the consensus group is connected again
+    Then the consensus group's leader and term are as before the cut
+    And every replica of the consensus group applies all of them
+
+  Scenario: A follower that can speak but not hear unseats nobody
+    Given a consensus group of 5 replicas
+    When a follower of the consensus group can speak but not hear
+    And the consensus group runs 60 seconds
+    Then the consensus group's leader and term are as before the cut
+
+  Scenario: A leader that reaches no quorum steps down by itself
+    Given a consensus group of 5 replicas
+    When the leader of the consensus group can reach only one other replica
+    Then that leader of the consensus group steps down within 2 seconds
+    And the other replicas of the consensus group elect one leader
+
+  Scenario Outline: Leases hold while clocks run at unequal rates
+    Then with the consensus group's leader's clock at <leader> and the others' at <others> no two leases overlap in 20 fail-overs
+
+    Examples:
+      | leader | others |
+      | 0.95   | 1.05   |
+      | 1.05   | 0.95   |
+      | 1.0    | 1.0    |
+
+  Scenario: The check of leases notices clocks that differ by more than the margin
+    Then with the consensus group's leader's clock at 0.5 and the others' at 1.5 two leases overlap
+
+  Scenario: A leader that stops as planned hands over without a gap
+    Given a consensus group of 5 replicas
+    And 5 numbers are committed in the consensus group
+    When the consensus group's leader hands leadership over while numbers are committed
+    Then the consensus group had a new leader within 0.2 seconds
+    And every replica of the consensus group applies all of them
+
+  Scenario: Leadership goes to a replica that holds the whole log
+    Given a consensus group of 5 replicas
+    When a follower of the consensus group is cut off in silence
+    And 50 numbers are committed in the consensus group
+    And the cut-off replica of the consensus group is connected again
+    And the consensus group's leader hands leadership over while numbers are committed
+    Then the consensus group had a new leader within 0.2 seconds
+    And every replica of the consensus group applies all of them
+
+  Scenario: A hand-over to a replica that dies ends, and the group goes on
+    Given a consensus group of 3 replicas
+    When the consensus group's leader hands over to a replica that loses power at that moment
+    Then the consensus group's hand-over has ended and the group commits again
+
+  Scenario: A voter that learns of a later term keeps its vote back for the leader it follows
+    Given a consensus member that follows a leader of term 5
+    When a late reply moves the consensus member to term 6
+    And a candidate asks the consensus member for its vote in term 6 after 0.1 seconds
+    Then the consensus member refuses its vote
+    When a candidate asks the consensus member for its vote in term 6 after 0.9 seconds
+    Then the consensus member grants its vote once that is synced
+
+  Scenario: A vote is answered only when it is on the disk, and is the same after a restart
+    Given a consensus member that follows a leader of term 5
+    When a candidate asks the consensus member for its vote in term 6 after 2.0 seconds
+    Then the consensus member grants its vote once that is synced
+    When the consensus member restarts with what it has stored
+    And another candidate asks the consensus member for its vote in term 6 after 2.0 seconds
+    Then the consensus member refuses its vote
--- /dev/null
+++ b/features/steps/consensus_leadership_steps.py
@@ -0,0 +1,279 @@
+"""Steps on elections, leases and hand-overs of a simulated consensus group."""
+
+from behave import given, step, then, when
+from features.support.consensus import SimulatedGroup
+from features.support.consensus_member import FedMember
+
+from rainsail.errors import FaultCode, Outcome
+
+NAMES = [f"replica-{number}" for number in range(1, 6)]
+
+
+def _remember(context):
+    group = context.consensus
+    context.consensus_leader = group.leader()
+    context.consensus_term = group.driver(context.consensus_leader).term()
+    context.consensus_cut_s = group.clock.seconds()
+
+
+@when("the leader of the consensus group is cut off in silence")
+def cut_leader(context):
+    """Isolate the leader both ways."""
+    _remember(context)
+    context.consensus_cut = context.consensus_leader
+    context.consensus.network.isolate(context.consensus_cut)
+
+
+@when("a follower of the consensus group is cut off in silence")
+def cut_follower(context):
+    """Isolate a follower both ways."""
+    _remember(context)
+    context.consensus_cut = context.consensus.followers()[0]
+    context.consensus.network.isolate(context.consensus_cut)
+
+
+@when("a follower of the consensus group can speak but not hear")
+def deafen(context):
+    """Lose everything to a follower."""
+    _remember(context)
+    deaf = context.consensus.followers()[0]
+    for name in context.consensus.names:
+        if name != deaf:
+            context.consensus.network.cut(name, deaf)
+
+
+@when("the leader of the consensus group can reach only one other replica")
+def cut_majority(context):
+    """Cut the leader off from three of four."""
+    _remember(context)
+    group = context.consensus
+    context.consensus_cut = context.consensus_leader
+    for name in group.followers()[1:]:
+        group.network.cut(context.consensus_cut, name)
+        group.network.cut(name, context.consensus_cut)
+
+
+@then("that leader of the consensus group steps down within {seconds:g} seconds")
+def steps_down(context, seconds):
+    """Check-quorum ends its leadership."""
+    group = context.consensus
+    name = context.consensus_cut
+    group.run_until(lambda: not group.believes_to_lead(name), "step down", seconds)
+
+
+@then("the other replicas of the consensus group elect one leader")
+def elect_one(context):
+    """Never two under a lease at one moment."""
+    group = context.consensus
+    group.commit(1)
+    assert group.most_leaders == 1, group.most_leaders
+
+
+@then(
+    "the cut-off leader of the consensus group leads under its lease for at most {limit:g} seconds"
+)
+def lease_ends(context, limit):
+    """The lease runs out by itself."""
+    group = context.consensus
+    name = context.consensus_cut
+    group.run_until(lambda: not group.driver(name).is_leader(), "the lease's end")
+    took_s = group.clock.seconds() - context.consensus_cut_s
+    assert took_s <= limit, f"{took_s:.3f} s"
+
+
+@then("the other replicas of the consensus group elect a leader before its old one could be stale")
+def no_overlap(context):
+    """A new leader commits; no two held a lease at one moment."""
+    group = context.consensus
+    group.commit(3)
+    assert group.leader() != context.consensus_cut
+    assert group.most_leaders == 1, group.most_leaders
+
+
+@when("the consensus group runs {seconds:g} seconds")
+def run_group(context, seconds):
+    """Let virtual time pass."""
+    context.consensus.run_for(seconds)
+
+
+@then("proposals and reads at the cut-off replica of the consensus group end with typed faults")
+def typed_faults(context):
+    """Each is answered NOT_LEADER, as not run."""
+    group = context.consensus
+    name = context.consensus_cut
+    answers = [group.propose(name, 7_777), group.read(name)]
+    group.run_for(2.0)
+    for (answer,) in answers:
+        fault = answer.error
+        assert (fault.code, fault.outcome) == (FaultCode.NOT_LEADER, Outcome.NOT_RUN), fault
+    leader = group.leader()
+    context.consensus_leader, context.consensus_term = leader, group.driver(leader).term()
+
+
+@when("the cut-off replica of the consensus group is connected again")
+def reconnect(context):
+    """End the cut."""
+    context.consensus.network.rejoin(context.consensus_cut)
+
+
+@then("the consensus group's leader and term are as before the {event}")
+def same_leader(context, event):
+    """Nobody was unseated."""
+    group = context.consensus
+    group.run_for(10.0)
+    leader = group.leader()
+    assert leader == context.consensus_leader
+    assert group.driver(leader).term() == context.consensus_term
+
+
+@when("a number is proposed at the cut-off leader of the consensus group")
+def propose_at_cut(context):
+    """The leader doesn't know yet that it is cut off."""
+    context.consensus_proposal = context.consensus.propose(context.consensus_cut, 7_777)
+
+
+@then("the proposal at the cut-off leader of the consensus group ended as unknown")
+def ended_unknown(context):
+    """It may or may not have been committed, as far as that leader knew."""
+    (answer,) = context.consensus_proposal
+    assert answer.error.outcome == Outcome.UNKNOWN, answer
+
+
+def _most_leaders(leader_rate, other_rate, fail_overs):
+    group = SimulatedGroup(NAMES, seed=11)
+    leader = group.leader()
+    for name in NAMES:
+        if name != leader:
+            group.crash(name)
+    group.crash(leader)
+    for name in NAMES:
+        group.start(name, leader_rate if name == leader else other_rate)
+    for _ in range(fail_overs):
+        group.run_until(lambda: group.leaders() == [leader] or _nudge(group, leader), "leader")
+        group.run_for(0.5)
+        group.network.isolate(leader)
+        group.commit(1)
+        group.run_for(0.2)
+        group.network.rejoin(leader)
+    return group.most_leaders
+
+
+def _nudge(group, wanted):
+    """Hand leadership on until the wanted replica has it."""
+    for name in group.leaders():
+        if name != wanted and not group.driver(name).core.state.transfer_target:
+            group.driver(name).transfer_leadership()
+    return False
+
+
+@then(
+    "with the consensus group's leader's clock at {leader:g} and the others' at {others:g} "
+    "no two leases overlap in {count:d} fail-overs"
+)
+def leases_hold(context, leader, others, count):
+    """Cut the leader off again and again."""
+    most = _most_leaders(leader, others, count)
+    assert most == 1, f"{most} leaders under a lease at one moment"
+
+
+@then(
+    "with the consensus group's leader's clock at {leader:g} and the others' at {others:g} "
+    "two leases overlap"
+)
+def leases_overlap(context, leader, others):
+    """Rates beyond the margin are noticed by the check above."""
+    assert _most_leaders(leader, others, 20) == 2
+
+
+@step("the consensus group's leader hands leadership over while numbers are committed")
+def hand_over(context):
+    """Ask for the transfer and note when another replica leads."""
+    group = context.consensus
+    _remember(context)
+    old = context.consensus_leader
+    group.run_until(lambda: group.status().health == "Healthy", "a sound group")
+    begun_s = group.clock.seconds()
+    answers = []
+    group.driver(old).transfer_leadership().addCallback(answers.append)
+    group.run_until(lambda: bool(group.leaders()) and group.leaders() != [old], "a new leader")
+    context.consensus_gap_s = group.clock.seconds() - begun_s
+    group.commit(3)
+    assert answers and answers[0].is_ok(), answers
+
+
+@then("the consensus group had a new leader within {seconds:g} seconds")
+def short_gap(context, seconds):
+    """No election timeout had to pass."""
+    assert context.consensus_gap_s <= seconds, f"{context.consensus_gap_s:.3f} s"
+    assert context.consensus.most_leaders == 1
+
+
+@when("the consensus group's leader hands over to a replica that loses power at that moment")
+def hand_over_to_dying(context):
+    """The target never campaigns."""
+    group = context.consensus
+    _remember(context)
+    context.consensus_answers = []
+    driver = group.driver(context.consensus_leader)
+    driver.transfer_leadership().addCallback(context.consensus_answers.append)
+    target = driver.core.state.transfer_target
+    group.crash(next(name for name in group.names if group.identity(name) == target))
+
+
+@then("the consensus group's hand-over has ended and the group commits again")
+def hand_over_ended(context):
+    """The old leader has stepped down, or been replaced."""
+    group = context.consensus
+    group.run_until(lambda: bool(context.consensus_answers), "the end of the hand-over", 3.0)
+    group.commit(3)
+
+
+@given("a consensus member that follows a leader of term {term:d}")
+def following_member(context, term):
+    """The member has just answered the leader's heartbeat."""
+    context.consensus_member = FedMember(term)
+    context.consensus_member.hear_leader(term)
+
+
+@when("a late reply moves the consensus member to term {term:d}")
+def late_reply(context, term):
+    """A refused pre-vote brings the later term."""
+    context.consensus_member.hear_late_refusal(term)
+    assert context.consensus_member.core.state.term == term
+
+
+@when(
+    "a candidate asks the consensus member for its vote in term {term:d} after {seconds:g} seconds"
+)
+def candidate_asks(context, term, seconds):
+    """Candidate d asks."""
+    context.consensus_member.now_s += seconds
+    context.consensus_vote = context.consensus_member.asked_for_vote("d", term)
+
+
+@when(
+    "another candidate asks the consensus member for its vote in term {term:d} "
+    "after {seconds:g} seconds"
+)
+def other_candidate_asks(context, term, seconds):
+    """Candidate e asks."""
+    context.consensus_member.now_s += seconds
+    context.consensus_vote = context.consensus_member.asked_for_vote("e", term)
+
+
+@then("the consensus member refuses its vote")
+def refuses(context):
+    """Nothing granted."""
+    assert not context.consensus_vote[0]
+
+
+@then("the consensus member grants its vote once that is synced")
+def grants(context):
+    """Granted, behind the sync."""
+    assert context.consensus_vote == (True, True), context.consensus_vote
+
+
+@when("the consensus member restarts with what it has stored")
+def restart_member(context):
+    """A new process on the same disk."""
+    context.consensus_member.start()
--- a/features/support/consensus.py
+++ b/features/support/consensus.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from rainsail.consensus.core_state import Role
 from rainsail.consensus.driver import GroupDriver
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.control.messages import GroupStatusReply
 from rainsail.errors import Fault
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.disk import SimulatedDisk
@@ -21,6 +23,9 @@
 GROUP = 0
 FLEET = "test"
 RUN_LIMIT_S = 60.0
+ANSWER_LIMIT_S = 5.0
+"""After this long a client asks again: a paused process answers nothing."""
+ANSWER_POLL_S = 0.01
 
 
 class RecordingState:
@@ -54,6 +59,7 @@
     state: RecordingState
     driver: GroupDriver | None = None
     faults: list[Fault] = field(default_factory=list)
+    """Why the member could not start, or had to stop."""
     leadership: list[bool] = field(default_factory=list)
 
 
@@ -68,6 +74,8 @@
         self.network = SimulatedNetwork(self.clock, random.Random(self.random.random()))
         self.settings = settings if settings is not None else ConsensusSettings()
         self.names = names
+        self.fleet = FLEET
+        self.most_leaders = 0
         self.disks: dict[str, SimulatedDisk] = {}
         self.running: dict[str, RunningMember] = {}
         self.acknowledged: list[int] = []
@@ -86,12 +94,23 @@
         member = RunningMember(clock, transport, RecordingState())
         self.running[name] = member
         generator = random.Random(self.random.random())
-        identity = load_or_create_identity(self.disks[name], FLEET, name, generator)
-        identity.addCallback(lambda found: self._open(name, member, found.ok, generator))
+        identity = load_or_create_identity(self.disks[name], self.fleet, name, generator)
+        identity.addCallback(self._open, name, member, generator)
 
-    def _open(self, name: str, member: RunningMember, identity: Any, generator: Any) -> None:
+    def _open(self, identity: Any, name: str, member: RunningMember, generator: Any) -> None:
+        if identity.is_error():
+            member.faults.append(identity.error)
+            return
         opened = open_group_storage(self.disks[name], GROUP, StorageSettings())
-        opened.addCallback(lambda storage: self._run(name, member, identity, storage.ok, generator))
+        opened.addCallback(self._opened, name, member, identity.ok, generator)
+
+    def _opened(
+        self, storage: Any, name: str, member: RunningMember, identity: Any, generator: Any
+    ) -> None:
+        if storage.is_error():
+            member.faults.append(storage.error)
+            return
+        self._run(name, member, identity, storage.ok, generator)
 
     def _run(
         self, name: str, member: RunningMember, identity: Any, storage: Any, generator: Any
@@ -162,9 +181,35 @@
         """Run the virtual world until something holds."""
         deadline_s = self.clock.seconds() + limit_s
         while not condition():
-            if not self.clock.run_next(deadline_s):
+            moved = self.clock.run_next(deadline_s)
+            self.most_leaders = max(self.most_leaders, len(self.leaders()))
+            if not moved:
                 raise AssertionError(f"not reached within {limit_s:g} virtual seconds: {what}")
 
+    def run_for(self, seconds: float) -> None:
+        """Run the virtual world for a while."""
+        until_s = self.clock.seconds() + seconds
+        while self.clock.run_next(until_s):
+            self.most_leaders = max(self.most_leaders, len(self.leaders()))
+        self.clock.run_until(until_s)
+
+    def followers(self) -> list[str]:
+        """Return the running replicas that don't lead, in name order."""
+        leader = self.leader()
+        return [name for name in self.names if name in self.running and name != leader]
+
+    def status(self) -> GroupStatusReply:
+        """Return the leader's view of the group."""
+        return self.driver(self.leader()).status()
+
+    def identity(self, name: str) -> str:
+        """Return the identity under which a replica runs."""
+        return self.driver(name).core.state.identity
+
+    def believes_to_lead(self, name: str) -> bool:
+        """Tell whether a replica's core is in the leader's role, with or without a lease."""
+        return self.driver(name).core.state.role == Role.LEADER
+
     # --- commands ------------------------------------------------------------------------
 
     def commit(self, count: int = 1) -> None:
@@ -180,10 +225,13 @@
             return False
         results: list[Any] = []
         self.driver(leaders[0]).propose(MarkInForce(number)).addCallback(results.append)
-        self.run_until(lambda: bool(results), "an answer to a proposal")
-        if results[0].is_ok():
+        give_up_s = self.clock.seconds() + ANSWER_LIMIT_S
+        while not results and self.clock.seconds() < give_up_s:
+            self.run_for(ANSWER_POLL_S)
+        acknowledged = bool(results) and results[0].is_ok()
+        if acknowledged:
             self.acknowledged.append(number)
-        return results[0].is_ok()
+        return acknowledged
 
     def propose(self, name: str, number: int) -> list[Any]:
         """Propose at one replica; the list gets the result when it is there."""
--- a/src/rainsail/consensus/core_state.py
+++ b/src/rainsail/consensus/core_state.py
@@ -53,6 +53,8 @@
 
     next_index: int
     match_index: int = 0
+    match_round: int = 0
+    """The leader's round when ``match_index`` was noted."""
     mode: ProgressMode = ProgressMode.PROBE
     probe_sent: bool = False
     in_flight: deque[tuple[int, int]] = field(default_factory=deque)
@@ -163,6 +165,8 @@
         self.election_deadline_s = now
         self.votes: dict[str, bool] = {}
         self.founding_votes: dict[str, str] = {}
+        self.founding_refused = False
+        self.group_exists = False
         self.campaign_is_transfer = False
         self.progress: dict[str, Progress] = {}
         self.round = 0
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -23,6 +23,7 @@
 from rainsail.consensus.sync_queue import SyncQueue
 from rainsail.control.messages import GroupStatusReply
 from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import Command, CommandRecord, GroupId
 from rainsail.state.interface import StateMachine
@@ -309,6 +310,14 @@
             self._applier.commit_index = max(self._applier.commit_index, effects.commit_index)
             self._plan_apply()
         self._answer_reads(effects)
+        for lost in effects.acknowledged_lost:
+            logger.error(
+                "{} lost entries that it had acknowledged as synced: it holds {} of {}; "
+                "replace its disk",
+                lost.replica,
+                lost.holds_index,
+                lost.acknowledged_index,
+            )
 
     def _send(self, messages: list[Outgoing]) -> None:
         for outgoing in messages:
--- a/src/rainsail/consensus/effects.py
+++ b/src/rainsail/consensus/effects.py
@@ -40,6 +40,15 @@
     index: int
 
 
+@dataclass(frozen=True, slots=True)
+class AcknowledgedLost:
+    """A follower no longer holds entries that it had acknowledged as synced."""
+
+    replica: str
+    holds_index: int
+    acknowledged_index: int
+
+
 @dataclass(slots=True)
 class Effects:
     """The outcome of one input, in the order in which the driver must take it.
@@ -62,6 +71,7 @@
     reads_failed: list[int] = field(default_factory=list)
     leadership_lost: bool = False
     leadership_won: bool = False
+    acknowledged_lost: list[AcknowledgedLost] = field(default_factory=list)
 
     def has_writes(self) -> bool:
         """Tell whether there is anything to store."""
--- a/src/rainsail/consensus/election.py
+++ b/src/rainsail/consensus/election.py
@@ -84,6 +84,17 @@
     return now - state.heard_leader_at_s < state.settings.election_timeout_s
 
 
+def may_still_vote(state: CoreState, message: VoteRequest, now: float) -> bool:
+    """Tell whether the vote of this term is free and no live leader's lease stands against it.
+
+    A reply to an old question may have moved this member to the candidate's term while it still
+    follows the leader of the term before, whose lease counts on this member's vote.
+    """
+    if state.voted_for == message.sender:
+        return True
+    return not state.voted_for and (message.transfer or not keeps_vote_back(state, now))
+
+
 def is_up_to_date(state: CoreState, last_index: int, last_term: int) -> bool:
     """Tell whether a candidate's log holds at least what this member's log holds."""
     return (last_term, last_index) >= (state.log.last_term, state.log.last_index)
@@ -125,7 +136,7 @@
     granted = (
         message.term == state.term
         and state.role in (Role.FOLLOWER, Role.EMPTY)
-        and state.voted_for in ("", message.sender)
+        and may_still_vote(state, message, now)
         and is_up_to_date(state, message.last_index, message.last_term)
     )
     if granted:
@@ -153,4 +164,6 @@
         return
     if state.role != Role.FOLLOWER or not state.membership.is_voter(state.identity):
         return
+    if state.installing:
+        return
     start_vote(state, now, transfer=True)
--- a/src/rainsail/consensus/model_properties.py
+++ b/src/rainsail/consensus/model_properties.py
@@ -24,6 +24,7 @@
     - log matching: an index and a term name one entry, with one predecessor
     - state-machine safety: no two members commit different entries at one index
     - leader completeness: a new leader holds everything committed before
+    - durable acknowledgement: a member never lacks what it acknowledged as synced
     - no stale lease read: a member that would answer a read now knows every commit
     """
 
@@ -84,6 +85,12 @@
                 f"{state.commit_index} while {len(self.committed)} entries are committed",
             )
 
+    def acknowledged_lost(self, replica: str, holds: int, acknowledged: int) -> None:
+        """A leader has noticed that a member lacks what it acknowledged."""
+        raise PropertyViolation(
+            "durable-acknowledgement", f"{replica} holds {holds} of {acknowledged} entries"
+        )
+
     def read_answered(self, identity: str, index: int, needed: int) -> None:
         """Check a read barrier against what was committed when it was asked for."""
         if index < needed:
--- a/src/rainsail/consensus/model_world.py
+++ b/src/rainsail/consensus/model_world.py
@@ -115,6 +115,13 @@
             for other in self.running():
                 self._check_lease(other)
         self._check_lease(member)
+        self._check_acknowledged(effects)
+
+    def _check_acknowledged(self, effects: Effects) -> None:
+        for lost in effects.acknowledged_lost:
+            self.properties.acknowledged_lost(
+                lost.replica, lost.holds_index, lost.acknowledged_index
+            )
 
     def _check_lease(self, member: ModelMember) -> None:
         assert member.core is not None
--- a/src/rainsail/consensus/replication.py
+++ b/src/rainsail/consensus/replication.py
@@ -2,6 +2,7 @@
 
 from rainsail.consensus import lease, reads, roles, snapshots
 from rainsail.consensus.core_state import CoreState, Progress, ProgressMode, Role
+from rainsail.consensus.effects import AcknowledgedLost
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.messages import AppendReply, AppendRequest
 from rainsail.storage.interface import LogEntry
@@ -215,17 +216,21 @@
     progress = progress_of(state, member.identity)
     lease.note_acknowledged(state, progress, message.round, now)
     if message.accepted:
-        note_match(progress, message.match_index)
+        note_match(state, progress, message.match_index)
         advance_commit(state)
+    elif has_lost_acknowledged(progress, message):
+        take_match_back(state, member, progress, message)
     else:
         note_refusal(progress, message)
     reads.finish_confirmed(state)
     send_append(state, member, heartbeat=False)
 
 
-def note_match(progress: Progress, match_index: int) -> None:
+def note_match(state: CoreState, progress: Progress, match_index: int) -> None:
     """The follower holds, synced, everything up to an index."""
-    progress.match_index = max(progress.match_index, match_index)
+    if match_index > progress.match_index:
+        progress.match_index = match_index
+        progress.match_round = state.round
     progress.acknowledge(progress.match_index)
     progress.next_index = max(progress.next_index, progress.match_index + 1)
     if progress.mode == ProgressMode.PROBE:
@@ -233,6 +238,28 @@
         progress.probe_sent = False
 
 
+def has_lost_acknowledged(progress: Progress, message: AppendReply) -> bool:
+    """Tell whether a follower lacks what it had acknowledged as synced: its disk has lied.
+
+    A refusal of a round before the acknowledgement was noted may just have come late.
+    """
+    return message.previous_index <= progress.match_index and message.round > progress.match_round
+
+
+def take_match_back(
+    state: CoreState, member: MemberSpec, progress: Progress, message: AppendReply
+) -> None:
+    """Count for no commit what the follower has lost, send it again, and have it reported."""
+    lost = AcknowledgedLost(member.replica, message.match_index, progress.match_index)
+    state.effects.acknowledged_lost.append(lost)
+    progress.match_index = min(message.match_index, message.previous_index - 1)
+    progress.match_round = state.round
+    progress.next_index = progress.match_index + 1
+    progress.mode = ProgressMode.PROBE
+    progress.probe_sent = False
+    progress.reset_in_flight()
+
+
 def note_refusal(progress: Progress, message: AppendReply) -> None:
     """The follower lacks what the append builds on: go back, but never behind its match."""
     if message.previous_index <= progress.match_index:
--- a/src/rainsail/consensus/roles.py
+++ b/src/rainsail/consensus/roles.py
@@ -50,7 +50,7 @@
     state.transfer_target = ""
     state.reads.clear()
     state.progress = {
-        member.identity: Progress(next_index=state.log.last_index + 1, heard_at_s=now)
+        member.identity: Progress(next_index=state.log.last_index + 1)
         for member in state.membership.members
         if member.identity != state.identity
     }
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -6,6 +6,7 @@
 
 from rainsail.consensus.applier import Applier
 from rainsail.consensus.core import ConsensusCore
+from rainsail.consensus.core_state import Role
 from rainsail.consensus.effects import Effects, Outgoing, SnapshotInstall, SnapshotOrder
 from rainsail.consensus.membership import encode_membership
 from rainsail.consensus.messages import SnapshotChunk
@@ -102,7 +103,9 @@
     # --- snapshots to others -------------------------------------------------------------
 
     def send_chunk(self, order: SnapshotOrder) -> None:
-        """Send one chunk of the stored snapshot."""
+        """Send one chunk of the stored snapshot, unless leadership has ended meanwhile."""
+        if self._core.state.role != Role.LEADER:
+            return
         chunk = self._source.chunk(order.identity, order.offset)
         meta = self._storage.snapshot_meta
         if chunk is None or meta is None:
--- a/src/rainsail/consensus/snapshots.py
+++ b/src/rainsail/consensus/snapshots.py
@@ -101,7 +101,7 @@
         state.log.reset(meta.last_index, meta.last_term, membership or EMPTY_MEMBERSHIP)
         state.writes.restart_at(meta.last_index)
     state.snapshot_index = meta.last_index
-    state.commit_index = meta.last_index
+    state.commit_index = max(state.commit_index, meta.last_index)
     if state.role == Role.EMPTY and state.membership.members:
         state.change_role(Role.FOLLOWER)
     state.reset_election_deadline(now)
