Let other users than the site's own mixes act in a simulated fleet

Cause: a replay puts callers, jobs and operators of a trace in the place of the drawn ones, and needs the fleet's way to its gateways and the operator that watches. Change: SimulatedFleet.user_link and OperatorTraffic.watcher are public; nothing else changes.

--- a/src/rainsail/simulation/actors/operators.py
+++ b/src/rainsail/simulation/actors/operators.py
@@ -118,7 +118,7 @@
     ) -> None:
         self.first = first
         self._second = second
-        self._watcher = watcher
+        self.watcher = watcher
         self._clock = clock
         self._draw = draw
         self._mean_gap_s = mean_gap_s
@@ -136,7 +136,7 @@
 
     @inlineCallbacks
     def _watch(self) -> Generator[Deferred[Any], Any, None]:
-        yield self._watcher.list_resources((Kind.TENANT,))
+        yield self.watcher.list_resources((Kind.TENANT,))
         self._clock.callLater(POLL_PERIOD_S, self._watch)
 
     @inlineCallbacks
--- a/src/rainsail/simulation/fleet.py
+++ b/src/rainsail/simulation/fleet.py
@@ -118,14 +118,14 @@
             site.callers,
             site.tenants,
             gateways,
-            self._user_link("callers"),
+            self.user_link("callers"),
             self.history,
             self.world.random_for("callers"),
         )
         jobs = JobTraffic(
             site.jobs,
             gateways,
-            self._user_link("jobs"),
+            self.user_link("jobs"),
             self.history,
             self.world.random_for("jobs"),
         )
@@ -134,7 +134,8 @@
         operators = OperatorTraffic(first, second, watcher, self.clock, draw, site.operator_gap_s)
         return callers, jobs, operators
 
-    def _user_link(self, purpose: str) -> UserLink:
+    def user_link(self, purpose: str) -> UserLink:
+        """Return a way of users to the gateways; ``purpose`` names its random draws."""
         return UserLink(
             self.clock,
             self.world.random_for(f"link/{purpose}"),
