Record, generate and replay traces against stated outcomes; check recorded histories

Cause: there was no way to hold a recorded load against what its users expect, and no command to judge a recorded history. Traces are Avro container files of requests, jobs and operators' changes; outcomes are a validated TOML file (outcome, wholeness, latency at a percentile, order, at most once, deadline), judged with the offending ids. What cannot be seen from outside is called not observed and fails the replay unless that is allowed. A gateway records what callers ask of it when `recording` is switched on: bounded, without prompts by default, never in a request's way. `rainsail check history FILE` runs every checker over a history file. Container files are now uncompressed, read whole up to 256 MiB, and refused when their schema is not ours: a small compressed or foreign file could otherwise ask for any amount of memory. An answer without its question in a history is refused instead of ending the checkers in a KeyError; fastavro's reader takes a wrong magic number, so it is checked here. Tried: a trace made from a recorded history; a history holds neither prompts nor bounds, so the gateway records instead.

--- /dev/null
+++ b/src/rainsail/assembly/recording.py
@@ -0,0 +1,44 @@
+"""Opening a gateway's recording when its settings ask for one."""
+
+from pathlib import Path
+
+from rainsail.assembly.seams import NodeSeams
+from rainsail.control.interface import ConfigReader
+from rainsail.experiment.trace.recorder import TraceRecorder
+from rainsail.experiment.trace.settings import RecordingSettings
+from rainsail.resources.specs import Kind, RequestClass, ResourceKey, ServiceSpec, WatchEvent
+from rainsail.settings.process import GatewayEntry
+
+RECORDINGS_FOLDER = "recordings"
+
+
+def open_recorder(
+    data_folder: Path,
+    entry: GatewayEntry,
+    config: ConfigReader,
+    seams: NodeSeams,
+    settings: RecordingSettings,
+) -> TraceRecorder:
+    """Open ``recordings/GATEWAY-SECONDS.avro`` and follow the configuration's changes."""
+
+    def default_class(service: str) -> RequestClass:
+        found = config.get(ResourceKey(Kind.SERVICE, service))
+        spec = found.spec if found is not None else None
+        return spec.default_class if isinstance(spec, ServiceSpec) else RequestClass.ONLINE
+
+    def changed(event: WatchEvent) -> None:
+        if config.ready():
+            recorder.configuration(event)
+
+    name = f"{entry.name}-{int(seams.wall_clock())}.avro"
+    recorder = TraceRecorder(
+        data_folder / RECORDINGS_FOLDER / name,
+        entry.zone,
+        default_class,
+        seams.clock,
+        seams.random,
+        seams.wall_clock,
+        settings,
+    )
+    config.on_event(changed)
+    return recorder
--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -13,11 +13,16 @@
 from rainsail.assembly.folder_lock import FolderLock
 from rainsail.assembly.gateway import GatewayConfig, GatewayNode
 from rainsail.assembly.listening import listen_http, listen_site
+from rainsail.assembly.recording import open_recorder
 from rainsail.assembly.replica import ReplicaConfig, ReplicaNode
 from rainsail.assembly.seams import GatewaySeams, NodeSeams, ReplicaSeams
 from rainsail.engine.http_client import HttpEngineClient
 from rainsail.errors import Fault
+from rainsail.experiment.trace.recorder import TraceRecorder
+from rainsail.experiment.trace.recording import RecordingGateway, RecordingIntake
 from rainsail.gateway.http_api import CallerApi
+from rainsail.gateway.interface import Gateway
+from rainsail.gateway.openai.job_intake import Intake
 from rainsail.platform.machine_list import HttpMachineListClient, MachineListClient
 from rainsail.runtime.clock import MonotonicClock
 from rainsail.settings.model import ProcessSettings
@@ -176,11 +181,29 @@
             settings.batch,
         )
         self.node = GatewayNode(config, GatewaySeams(self._seams, self._engine))
-        self.caller_api = CallerApi(
-            self.node.core, self.node.view, self.node.intake, settings.caller_api, time.time
-        )
+        self._recorder = self._make_recorder(settings)
+        self.caller_api = self._make_caller_api(settings)
         self._port: Any = None
 
+    def _make_recorder(self, settings: ProcessSettings) -> TraceRecorder | None:
+        if not settings.recording.enabled:
+            return None
+        return open_recorder(
+            settings.process.data_folder,
+            self._entry,
+            self.node.view,
+            self._seams,
+            settings.recording,
+        )
+
+    def _make_caller_api(self, settings: ProcessSettings) -> CallerApi:
+        core: Gateway = self.node.core
+        intake: Intake = self.node.intake
+        if self._recorder is not None:
+            core = RecordingGateway(core, self._recorder)
+            intake = RecordingIntake(intake, self._recorder)
+        return CallerApi(core, self.node.view, intake, settings.caller_api, time.time)
+
     @inlineCallbacks
     def start(self) -> Generator[Deferred[Any], Any, Result[None, Fault]]:
         """Listen for callers, follow the configuration."""
@@ -202,6 +225,8 @@
     def planned_stop(self) -> Generator[Deferred[Any], Any, None]:
         """Finish every request in progress, then stop."""
         yield self.node.planned_stop()
+        if self._recorder is not None:
+            self._recorder.close()
         if self._port is not None:
             yield self._port.stopListening()
         yield self._engine.close()
--- a/src/rainsail/cli/check.py
+++ b/src/rainsail/cli/check.py
@@ -2,12 +2,19 @@
 
 import dataclasses
 import json
+from collections import Counter
+from pathlib import Path
 from typing import Any
 
 from rainsail.cli.exit_codes import CommandEnd, ExitCode, bad_input
 from rainsail.cli.output import progress_bar
 from rainsail.consensus.model_check import ModelCheckResult, run_model_check
+from rainsail.experiment.checkers.interface import Violation
+from rainsail.experiment.checkers.suite import all_checkers
+from rainsail.experiment.history import History, read_history
+from rainsail.experiment.history_rules import history_problem
 from rainsail.simulation.consensus_defects import CONSENSUS_DEFECTS, consensus_defect
+from rainsail.wire.codec import CodecError
 
 DEFAULT_SCHEDULES = 1_000
 MAX_REPORTED_VIOLATIONS = 20
@@ -35,6 +42,57 @@
         if result.violations:
             raise CommandEnd(ExitCode.VIOLATION)
 
+    def history(self, file: str) -> None:
+        """Run every checker over a recorded history (written by ``simulate --history`` or a rig).
+
+        The last line on stdout is one JSON object. Exit code 0 when no checker found a violation,
+        2 when FILE is no history, 3 with a violation.
+        """
+        history = _read_history(Path(str(file)))
+        found = _check_history(history)
+        print(json.dumps(_history_report(str(file), history, found)), flush=True)
+        if found:
+            raise CommandEnd(ExitCode.VIOLATION)
+
+
+def _read_history(path: Path) -> History:
+    if not path.is_file():
+        raise bad_input(f"{path}: no such file")
+    with progress_bar("bytes read", path.stat().st_size) as bar:
+        try:
+            history = read_history(path, bar.advance)
+        except CodecError as error:
+            raise bad_input(str(error)) from None
+    problem = history_problem(history)
+    if problem:
+        raise bad_input(f"{path}: {problem}")
+    return history
+
+
+def _check_history(history: History) -> list[Violation]:
+    checkers = all_checkers()
+    found: list[Violation] = []
+    with progress_bar("checkers", len(checkers)) as bar:
+        for checker in checkers:
+            violations = checker.check(history)
+            found += violations
+            bar.advance()
+            print(f"{checker.name:20} {len(violations)} violations")
+    return found
+
+
+def _history_report(file: str, history: History, found: list[Violation]) -> dict[str, Any]:
+    names = (type(event).__name__ for event in history.events)
+    return {
+        "file": file,
+        "history_sha256": history.sha256(),
+        "events": len(history.events),
+        "events_by_type": dict(sorted(Counter(names).items())),
+        "checkers": [checker.name for checker in all_checkers()],
+        "violations": [dataclasses.asdict(each) for each in found[:MAX_REPORTED_VIOLATIONS]],
+        "violation_count": len(found),
+    }
+
 
 def _check_whole(value: Any, flag: str, least: int) -> None:
     if not isinstance(value, int) or isinstance(value, bool) or value < least:
--- a/src/rainsail/experiment/history.py
+++ b/src/rainsail/experiment/history.py
@@ -11,18 +11,16 @@
 from pathlib import Path
 from typing import Any
 
-import fastavro
-
 from rainsail.errors import Outcome
+from rainsail.experiment.container import Progress, read_container, write_container
 from rainsail.resources.specs import RequestClass
-from rainsail.wire.codec import (
-    CodecError,
-    encode_body,
-    parsed_schema,
-    read_plain,
-    wire_record,
-    write_plain,
-)
+from rainsail.wire.codec import CodecError, encode_body, wire_record
+
+STEP = "history.read"
+CONNECTION_LOST = "connection lost"
+"""Fault of an answer whose connection ended at the process that served it."""
+ANSWER_LOST = "answer lost"
+"""Fault of an answer that was sent whole and lost on its way."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -307,19 +305,18 @@
 
 def write_history(path: Path, history: History) -> None:
     """Write a history as an Avro container file."""
-    schema = parsed_schema(HistoryRecord)
-    with path.open("wb") as file:
-        plain = (write_plain(HistoryRecord(event)) for event in history.events)
-        fastavro.writer(file, schema, plain, codec="deflate")
+    write_container(path, HistoryRecord, (HistoryRecord(event) for event in history.events))
 
 
-def read_history(path: Path) -> History:
-    """Read a history file; raises ``CodecError`` when it is not one."""
+def read_history(path: Path, progress: Progress = lambda count: None) -> History:
+    """Read a history file; raises ``CodecError``, naming file and offset, when it is not one.
+
+    ``progress`` hears how many bytes more have been read.
+    """
+    records = read_container(path, HistoryRecord, STEP, progress=progress)
+    if records.is_error():
+        raise CodecError(f"not a history: {records.error.detail}")
     history = History()
-    try:
-        with path.open("rb") as file:
-            for plain in fastavro.reader(file, return_record_name=True):
-                history.record(read_plain(HistoryRecord, plain).event)
-    except (ValueError, EOFError, KeyError, IndexError, TypeError, StopIteration) as error:
-        raise CodecError(f"{path} is not a history: {error!r}") from error
+    for record in records.ok:
+        history.record(record.event)
     return history
--- a/src/rainsail/settings/model.py
+++ b/src/rainsail/settings/model.py
@@ -14,6 +14,7 @@
 from rainsail.control.controllers.settings import ControllerSettings
 from rainsail.control.settings import ControlSettings
 from rainsail.emulator.settings import EngineSettings, MachineListSettings, WeightStoreSettings
+from rainsail.experiment.trace.settings import RecordingSettings
 from rainsail.gateway.openai.settings import CallerApiSettings
 from rainsail.gateway.settings import GatewaySettings
 from rainsail.settings.process import (
@@ -93,6 +94,9 @@
     caller_api: CallerApiSettings = Field(
         default=CallerApiSettings.model_validate({}), description="The callers' HTTP API"
     )
+    recording: RecordingSettings = Field(
+        default=RecordingSettings.model_validate({}), description="Recording of callers' traffic"
+    )
     batch: BatchSettings = Field(default=BatchSettings.model_validate({}), description="Batch work")
     engine: EngineSettings = Field(
         default=EngineSettings.model_validate({}), description="Emulated engines"
