Let a founder ask again in its term, and judge cuts by planned stops alone

The first replica of the bootstrap list had lost its disk and tried to found the group again twice a second, each time in a higher term; when it was added as a learner its answers carried a term of 400 and more and deposed the leader, again and again. Ruled out: lost entries (all three remaining replicas held the same log) and the repair's order. Change: a founder asks again in the same term until it is refused and stops once a replica says that the group exists. A member of whose name a new identity calls is replaced after 5 s instead of 30 s, since every change of leader begins the wait anew. In the simulation an orderly end closes connections behind what was sent. The variant no-result-fence counts a repeated result without finishing the item twice.

--- a/src/rainsail/consensus/founding.py
+++ b/src/rainsail/consensus/founding.py
@@ -3,6 +3,10 @@
 The founding is an election in which every bootstrap replica must grant, and only a replica with
 an empty log does. Once one replica holds the founding entry no second founding can succeed, so a
 replica that comes back with an empty disk can't start the group anew.
+
+A founder asks again in the same term until a vote is refused, and stops for good once a replica
+says that the group exists: a term that grew meanwhile would depose the group's leader as soon as
+the returned replica is a learner.
 """
 
 from rainsail.consensus import roles
@@ -23,8 +27,8 @@
 def tick_empty(state: CoreState, now: float) -> None:
     """Try to found the group, and make this replica's identity known."""
     state.election_deadline_s = now + state.settings.hello_period_s
-    if is_founder(state):
-        start_founding(state, now)
+    if is_founder(state) and not state.group_exists:
+        ask_for_founding(state)
     say_hello(state)
 
 
@@ -35,11 +39,15 @@
             state.send(name, Hello(state.group, state.term, state.identity, "", state.replica))
 
 
-def start_founding(state: CoreState, now: float) -> None:
-    """Ask every bootstrap replica for its vote in a new term."""
+def ask_for_founding(state: CoreState) -> None:
+    """Ask every bootstrap replica for its vote, in a new term when a vote was refused."""
+    asks_again = state.role == Role.FOUNDER and not state.founding_refused
     state.change_role(Role.FOUNDER)
-    state.save_hard_state(state.term + 1, state.identity)
-    state.founding_votes = {}
+    if not asks_again:
+        # Also after a restart: this replica may have led the term already and lost its entries.
+        state.founding_refused = False
+        state.founding_votes = {}
+        state.save_hard_state(state.term + 1, state.identity)
     for name in state.bootstrap:
         if name == state.replica:
             continue
@@ -57,7 +65,13 @@
             granted = True
             state.save_hard_state(state.term, message.sender)
     reply = FoundingVoteReply(
-        state.group, state.term, state.identity, message.sender, state.replica, granted
+        state.group,
+        state.term,
+        state.identity,
+        message.sender,
+        state.replica,
+        granted,
+        not is_empty(state),
     )
     state.send_after_sync(source, reply)
 
@@ -66,10 +80,16 @@
     """Count a founding vote; found the group when every name has granted."""
     if state.role != Role.FOUNDER:
         return
+    if message.group_exists:
+        state.group_exists = True
+        roles.become_follower(state, state.term, now)
+        return
     if message.term > state.term:
         roles.become_follower(state, message.term, now)
         return
-    if message.term == state.term and message.granted and message.replica in state.bootstrap:
+    if message.term == state.term and not message.granted:
+        state.founding_refused = True
+    elif message.term == state.term and message.replica in state.bootstrap:
         state.founding_votes[message.replica] = message.sender
         found_when_unanimous(state, now)
 
--- a/src/rainsail/consensus/messages.py
+++ b/src/rainsail/consensus/messages.py
@@ -38,7 +38,10 @@
 @wire_record
 @dataclass(frozen=True, slots=True)
 class FoundingVoteReply:
-    """The vote, and the identity to be bound to the replica's name."""
+    """The vote, and the identity to be bound to the replica's name.
+
+    ``group_exists`` says that the sender holds something of the group: it was founded before.
+    """
 
     group: GroupId
     term: int
@@ -46,6 +49,7 @@
     target: str
     replica: str
     granted: bool
+    group_exists: bool
 
 
 @wire_record
--- a/src/rainsail/consensus/settings.py
+++ b/src/rainsail/consensus/settings.py
@@ -69,7 +69,7 @@
         100, ge=0, description="Entries a learner may be behind the commit when it is promoted."
     )
     repair_after_s: float = Field(
-        30.0,
+        5.0,
         gt=0,
         description="A member not reachable for this long is replaced when a replica of its name "
         "returns with an empty disk.",
--- a/src/rainsail/control/leader_client.py
+++ b/src/rainsail/control/leader_client.py
@@ -84,9 +84,8 @@
         while True:
             target = self._target(request.group)
             left_s = deadline_s - self._clock.seconds()
-            answer = await self._messenger.call(
-                target, request, min(left_s, self._attempt_timeout_s(request))
-            )
+            attempt_s = max(0.0, min(left_s, self._attempt_timeout_s(request)))
+            answer = await self._messenger.call(target, request, attempt_s)
             if answer.is_ok():
                 self._leaders[request.group] = target
                 return _opened(answer.ok)
--- a/src/rainsail/experiment/checkers/drain.py
+++ b/src/rainsail/experiment/checkers/drain.py
@@ -2,6 +2,7 @@
 
 from rainsail.experiment.checkers.interface import Violation
 from rainsail.experiment.history import (
+    ANSWER_LOST,
     DrainDeclared,
     EngineStarted,
     History,
@@ -56,7 +57,8 @@
             elif isinstance(event, RequestAnswered):
                 sent = sends.pop(event.send_id)
                 in_progress = stopping.get(sent.gateway, set())
-                if event.send_id in in_progress and event.lost:
+                cut = event.lost and event.fault != ANSWER_LOST
+                if event.send_id in in_progress and cut:
                     detail = f"{event.request_id} was cut by the planned stop of {sent.gateway}"
                     found.append(Violation(self.name, detail))
         return found
--- a/src/rainsail/simulation/actors/callers.py
+++ b/src/rainsail/simulation/actors/callers.py
@@ -6,7 +6,13 @@
 
 from rainsail.emulator.answers import expected_answer
 from rainsail.errors import Fault, Outcome
-from rainsail.experiment.history import History, RequestAnswered, RequestSent
+from rainsail.experiment.history import (
+    ANSWER_LOST,
+    CONNECTION_LOST,
+    History,
+    RequestAnswered,
+    RequestSent,
+)
 from rainsail.gateway.interface import Answer, CallerRequest, RequestHandle
 from rainsail.resources.specs import RequestClass
 from rainsail.simulation.actors.links import UserLink
@@ -51,7 +57,7 @@
     def connection_lost(self, gateway: str) -> None:
         """The gateway has died: an open send to it is lost."""
         if self.send is not None and self.send.gateway == gateway:
-            self.send.lose("connection lost")
+            self.send.lose(CONNECTION_LOST)
 
     def _send_to(self, gateway: str) -> None:
         self._sends += 1
@@ -96,6 +102,7 @@
         self._parts: list[str] = []
         self._first_part_s = -1.0
         self._done = False
+        self._answer_lost = False
         self._handle: RequestHandle | None = None
         self._timer: VirtualTimer | None = None
 
@@ -154,7 +161,8 @@
             return
         if self._handle is not None and self._caller.link.gateway(self.gateway) is not None:
             self._caller.link.deliver(self._handle.abandon)
-        self._finish(Outcome.UNKNOWN, why, True, RESEND_DELAY_S)
+        loss = ANSWER_LOST if self._answer_lost else why
+        self._finish(Outcome.UNKNOWN, loss, True, RESEND_DELAY_S)
 
     def deliver(self, call: Callable[[], None]) -> None:
         """Carry something from the gateway's side to the caller's."""
@@ -166,7 +174,8 @@
 
     def lose_later(self) -> None:
         """The final answer got lost: the caller notices that the connection is gone."""
-        self._caller.link.clock.callLater(RESEND_DELAY_S, self.lose, "answer lost")
+        self._answer_lost = True
+        self._caller.link.clock.callLater(RESEND_DELAY_S, self.lose, ANSWER_LOST)
 
     def _finish(self, outcome: Outcome, fault: str, lost: bool, repeat_s: float | None) -> None:
         if self._done:
--- a/src/rainsail/simulation/defects.py
+++ b/src/rainsail/simulation/defects.py
@@ -34,7 +34,6 @@
 from rainsail.state.item_leases import ItemLeases
 from rainsail.state.job_items import COMPLETED
 from rainsail.state.ledger import Ledger
-from rainsail.state.result_log import FinishedItem
 
 Replacement = Callable[[Any], Any]
 """Takes the original and returns what stands in for it."""
@@ -82,7 +81,11 @@
 _GATEWAY_STOPS = tuple(
     _fault(FaultKind.GATEWAY_PLANNED_STOP, f"gateway-gye-{zone}", 20.0, 10.0) for zone in "ab"
 )
-_STALE_REPLICAS = (_fault(FaultKind.LEADER_SILENT_CUT, "", 12.0, 25.0), *_ZONE_CUT)
+_STALE_REPLICAS = (
+    *_DEGRADED_NETWORK,
+    _fault(FaultKind.ONE_WAY_LOSS, "replica-3", 12.0, 15.0),
+    _fault(FaultKind.ZONE_CUT, "gye-c", 22.0, 16.0),
+)
 
 
 def _always(value: Any) -> Replacement:
@@ -114,7 +117,6 @@
             return original(self, holder, result)
         if job.phase is not JobPhase.SEALED:
             return CommitVerdict.COMMITTED
-        job.finish(ref.index, COMPLETED, FinishedItem("", result.text, 0, ""))
         job.completed += 1
         self.complete_if_done(job)
         return CommitVerdict.COMMITTED
@@ -328,7 +330,7 @@
     ),
     Defect(
         "revision-may-fall",
-        ("no_revert", "linearizable_read"),
+        ("no_revert", "linearizable_read", "in_force"),
         "any replica answers reads from what it has, and gateways take lower revisions",
         (
             Patch(config_view, "revision_admitted", _always(True)),
--- a/src/rainsail/simulation/fleet.py
+++ b/src/rainsail/simulation/fleet.py
@@ -101,6 +101,7 @@
             process = GatewayProcess(self.world, name, zone, config)
             process.on_started = self._record_gateway
             process.on_died = self._gateway_died
+            process.on_stopped = self._gateway_stopped
             process.on_generate = self._record_generate
             gateways[name] = process
             self._set_engine_delays(name, zone)
@@ -195,6 +196,10 @@
     def _gateway_died(self, name: str) -> None:
         self.callers.connection_lost(name)
 
+    def _gateway_stopped(self, name: str) -> None:
+        """An orderly end closes connections behind what was sent on them."""
+        self.clock.callLater(USER_ONE_WAY_S, self.callers.connection_lost, name)
+
     def record_waits(self, period_s: float, limit_s: float) -> None:
         """Look every ``period_s`` for online work that an engine keeps waiting behind batch."""
         waits: dict[str, float] = {}
--- a/src/rainsail/simulation/processes.py
+++ b/src/rainsail/simulation/processes.py
@@ -164,6 +164,7 @@
         self.node: GatewayNode | None = None
         self.on_started: Callable[[GatewayNode], None] = lambda node: None
         self.on_died: Callable[[str], None] = lambda name: None
+        self.on_stopped: Callable[[str], None] = lambda name: None
         self.on_generate: Callable[[GatewayNode], None] = lambda node: None
         self._config = config
         self._engine: ObservedEngineClient | None = None
@@ -185,12 +186,14 @@
 
     def kill(self) -> None:
         """End the process at once; callers' connections are reset."""
-        if not self.running:
-            return
+        if self.running:
+            self._end()
+            self.on_died(self.name)
+
+    def _end(self) -> None:
         assert self._engine is not None
         self._engine.close()
         self._stop_running()
-        self.on_died(self.name)
 
     def planned_stop(self, stopped: Callable[[], None]) -> None:
         """Drain, then end the process; calls ``stopped`` when it has ended."""
@@ -198,8 +201,9 @@
         assert node is not None
 
         def end(_: object) -> None:
-            if self.node is node:
-                self.kill()
+            if self.running and self.node is node:
+                self._end()
+                self.on_stopped(self.name)
             stopped()
 
         node.planned_stop().addCallback(end)
