--- /dev/null
+++ b/src/rainsail/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the product's own parts, run by ``rainsail bench``."""
