Gather the benches behind rainsail bench, with stated targets beside the figures

Cause: four scripts stood apart, each with its own way to run and report, and nothing measured fail-over, restart, sustained commits of five replicas or the intake of a very large job.

--- /dev/null
+++ b/src/rainsail/benchmarks/report.py
@@ -0,0 +1,55 @@
+"""What every bench returns: figures, targets met or missed, and a plot."""
+
+import json
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+from rainsail.benchmarks.plots import Plot, write_plot
+
+Progress = Callable[[str], None]
+"""Hears what a bench does next, in a few words."""
+
+
+def no_progress(_: str) -> None:
+    """Ignore the progress."""
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A stated limit and what this run measured; ``at_least`` tells which side is good."""
+
+    name: str
+    limit: float
+    measured: float
+    at_least: bool = False
+
+    @property
+    def met(self) -> bool:
+        """Tell whether the measured figure keeps the limit."""
+        return self.measured >= self.limit if self.at_least else self.measured <= self.limit
+
+
+@dataclass(frozen=True, slots=True)
+class BenchReport:
+    """One run of one bench; ``figures`` holds JSON values whose names carry their units."""
+
+    bench: str
+    figures: dict[str, Any]
+    targets: tuple[Target, ...] = ()
+    plots: tuple[Plot, ...] = field(default=())
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the report as one JSON object, without its plots."""
+        targets = [{**asdict(target), "met": target.met} for target in self.targets]
+        return {"bench": self.bench, **self.figures, "targets": targets}
+
+
+def write_report(report: BenchReport, folder: Path) -> None:
+    """Write ``BENCH.json`` and one PNG per plot into a folder, which is made when missing."""
+    folder.mkdir(parents=True, exist_ok=True)
+    text = json.dumps(report.to_json(), indent=1)
+    (folder / f"{report.bench}.json").write_text(text + "\n")
+    for plot in report.plots:
+        write_plot(plot, folder / f"{report.bench}_{plot.name}.png")
--- /dev/null
+++ b/src/rainsail/cli/bench.py
@@ -0,0 +1,116 @@
+"""``rainsail bench``: measures the system's own parts on this machine."""
+
+import importlib
+import json
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console
+
+from rainsail.benchmarks.catalogue import BENCHES, BenchSession, run_session
+from rainsail.benchmarks.report import Progress, no_progress, write_report
+from rainsail.cli.exit_codes import bad_input, failed
+
+GATEWAY_BENCH = "rainsail.benchmarks.gateway"
+
+
+class BenchCommands:
+    """Run a bench; the last line on standard output is one JSON object.
+
+    ``--output`` names a folder for the JSON and plots. ``--folder`` lies on the disk to be
+    measured (the system's temporary folder when left out).
+    """
+
+    def storage(self, output: str = "", folder: str = "", seconds: float = 3.0) -> None:
+        """Measure the durable log: syncs, entries a second, memory, opening again."""
+        _run("storage", output, folder, seconds=float(seconds))
+
+    def ledger(self, output: str = "", folder: str = "", sizes: Any = ()) -> None:
+        """Measure the batch ledger alone: bytes per item, commands a second, snapshots."""
+        _run("ledger", output, folder, **_whole_numbers("sizes", sizes))
+
+    def intake(self, output: str = "", folder: str = "", items: int = 530_000) -> None:
+        """Submit one large job and watch the leader's heartbeats (real clock)."""
+        _run("intake", output, folder, items=_whole("items", items))
+
+    def failover(self, output: str = "", folder: str = "", seeds: int = 200) -> None:
+        """Lose the leader in each way; seconds until a new change commits (virtual clock)."""
+        _run("failover", output, folder, seeds=_whole("seeds", seeds))
+
+    def restart(self, output: str = "", folder: str = "", changes: int = 50_000) -> None:
+        """Restart a replica that is many changes behind (real clock)."""
+        _run("restart", output, folder, changes=_whole("changes", changes))
+
+    def config(
+        self, output: str = "", folder: str = "", gateways: Any = (), repeats: int = 3
+    ) -> None:
+        """Measure changes until in force on many gateways (virtual clock) and their cost."""
+        counts = _whole_numbers("gateways", gateways)
+        _run("config", output, folder, repeats=_whole("repeats", repeats), **counts)
+
+    def consensus(self, output: str = "", folder: str = "", seconds: float = 5.0) -> None:
+        """Commit on five replicas in this process; bench/replicas.py takes five processes."""
+        _run("consensus", output, folder, seconds=float(seconds))
+
+    def wire(self, output: str = "", folder: str = "", seconds: float = 1.0) -> None:
+        """Measure the transport over loopback, with and without TLS, and the codec."""
+        _run("wire", output, folder, seconds=float(seconds))
+
+    def gateway(self, **parameters: Any) -> None:
+        """Measure one gateway; the parameters are those of ``run_gateway_bench``."""
+        importlib.import_module(GATEWAY_BENCH).run_gateway_bench(**parameters)
+
+    def all(self, output: str = "", folder: str = "") -> None:
+        """Run every bench but the gateway's with bounded sizes, in under three minutes."""
+        session = _session(tuple(BENCHES), output, folder, brief=True)
+        reports = {report.bench: report.to_json() for report in session.reports}
+        print(json.dumps({"bench": "all", "benches": reports}), flush=True)
+
+
+def _run(name: str, output: str, folder: str, **parameters: Any) -> None:
+    session = _session((name,), output, folder, **parameters)
+    print(json.dumps(session.reports[0].to_json()), flush=True)
+
+
+def _session(
+    names: tuple[str, ...], output: str, folder: str, brief: bool = False, **parameters: Any
+) -> BenchSession:
+    if folder and not Path(folder).is_dir():
+        raise bad_input(f"--folder: no folder {folder!r}")
+    with _shown_progress() as progress:
+        session = BenchSession(names, progress, folder, parameters, brief)
+        try:
+            run_session(session)
+        except TimeoutError as error:
+            raise failed(str(error)) from error
+    for report in session.reports:
+        if output:
+            write_report(report, Path(output))
+    return session
+
+
+@contextmanager
+def _shown_progress() -> Iterator[Progress]:
+    """Show the step under way on a terminal; show nothing elsewhere."""
+    if not sys.stdout.isatty():
+        yield no_progress
+        return
+    with Console().status("starting") as status:
+        yield lambda step: status.update(step)
+
+
+def _whole(flag: str, value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise bad_input(f"--{flag}: expected a whole number of at least 1, got {value!r}")
+    return value
+
+
+def _whole_numbers(flag: str, value: Any) -> dict[str, tuple[int, ...]]:
+    """Return the flag's parameter when it was given: one number or several with commas."""
+    if value == ():
+        return {}
+    values = value if isinstance(value, tuple | list) else (value,)
+    return {flag: tuple(_whole(flag, each) for each in values)}
