Let a drained runner take work again after its drain is taken back

Cause: a gateway that knew a runner as drained by its resource kept that reason when the spec's drain was taken back while control's Draining mark still stood, and the later removal of the mark did not clear it. The runner then got no work until the gateway restarted.

Change: what spec and mark say is taken afresh from each version of the resource; only the engine's own word outlives it, until the spec changes or the engine restarts.

--- a/features/gateway/fleet.feature
+++ b/features/gateway/fleet.feature
@@ -26,6 +26,18 @@
     Then gateway caller 0 was told "not_run" at once with a time to come back
     And gateway caller 1 has its own whole answer
 
+  Scenario: A drained runner that control had marked takes work again once the mark is gone
+    Given a gateway fleet of 1 runner and 1 gateway
+    When "runner-0" of the gateway fleet leaves by its resource
+    And "runner-0" of the gateway fleet leaves by the machine list
+    And "runner-0" of the gateway fleet is wanted again
+    And 1 gateway caller asks at once
+    And the draining mark of "runner-0" of the gateway fleet is taken back
+    And 1 gateway caller asks at once
+    And 5 seconds of gateway time pass
+    Then gateway caller 0 was told "not_run" at once with a time to come back
+    And gateway caller 1 has its own whole answer
+
   Scenario: An engine that reports no load gets no more than its share
     Given a gateway fleet of 3 runners and 1 gateway
     And "runner-0" of the gateway fleet reports no load
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -61,6 +61,15 @@
     _change_spec(context.fleet, runner, drain=False)
 
 
+@when('the draining mark of "{runner}" of the gateway fleet is taken back')
+def take_mark_back(context, runner):
+    fleet = context.fleet
+    resource = fleet.state.get(ResourceKey(Kind.RUNNER, runner))
+    mark = Condition(DRAINING, False, "takes work again", resource.generation)
+    fleet.control.apply(PutStatus(resource.key, resource.status, (mark,)))
+    fleet.publish()
+
+
 @then('"{runner}" of the gateway fleet began nothing after it had left for {seconds:g} seconds')
 def began_nothing(context, runner, seconds):
     limit_s = context.left_s + seconds
--- a/src/rainsail/gateway/runner_state.py
+++ b/src/rainsail/gateway/runner_state.py
@@ -77,13 +77,12 @@
         self.generation = resource.generation
         if isinstance(resource.status, RunnerStatus):
             self.status = resource.status
-        listed = is_listed_as_leaving(resource)
+        if spec_changed or self.leaving is not LeavingReason.ENGINE:
+            self.leaving = None
         if resource.spec.drain:
             self.leaving = self.leaving or LeavingReason.RESOURCE
-        elif listed:
+        elif is_listed_as_leaving(resource):
             self.leaving = self.leaving or LeavingReason.MACHINE_LIST
-        elif spec_changed or self.leaving == LeavingReason.MACHINE_LIST:
-            self.leaving = None
 
     # --- what the engine tells -------------------------------------------------------------
 
