Widen the consensus model check: rivals, slow links, hand-overs, repairs, disks lost in pairs

Cause: 2,500 schedules never met the vote in a term learned in passing, as candidates hardly ever met and messages were hardly ever late. Change: three more kinds of schedule (rivals, hand-overs, repairs), links that hold messages back, close election timeouts in 3 of 10 worlds, crashes aimed at membership changes, two disks lost one after the other; a property for the promise that a lease counts on; eight more counters of what was reached. The parts are split into modules of one job.

--- a/src/rainsail/consensus/model_check.py
+++ b/src/rainsail/consensus/model_check.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from rainsail.consensus.model_coverage import Coverage
 from rainsail.consensus.model_properties import PropertyViolation
 from rainsail.consensus.model_schedule import STEPS_PER_SCHEDULE, Schedule
-from rainsail.consensus.model_world import Coverage
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rainsail/consensus/model_member.py
+++ b/src/rainsail/consensus/model_member.py
@@ -94,6 +94,8 @@
         self.writes: deque[Write] = deque()
         self.install: SnapshotInstall | None = None
         self.reads: dict[int, int] = {}
+        self.followed_at_s = float("-inf")
+        """When it last answered a leader, on its own clock: for the check of its promise."""
         self._names = names
         self._settings = settings
         self._random = random
@@ -145,6 +147,7 @@
         self.crash()
         self.generation += 1
         self.disk = ModelDisk(f"{self.name}.{self.generation}")
+        self.followed_at_s = float("-inf")
 
     def keep(self, effects: Effects) -> list[Outgoing]:
         """Queue the writes of an input; returns the messages that may leave now."""
--- a/src/rainsail/consensus/model_properties.py
+++ b/src/rainsail/consensus/model_properties.py
@@ -24,6 +24,7 @@
     - log matching: an index and a term name one entry, with one predecessor
     - state-machine safety: no two members commit different entries at one index
     - leader completeness: a new leader holds everything committed before
+    - lease promise: a member that has answered a leader keeps its vote back for a timeout
     - durable acknowledgement: a member never lacks what it acknowledged as synced
     - no stale lease read: a member that would answer a read now knows every commit
     """
@@ -85,6 +86,15 @@
                 f"{state.commit_index} while {len(self.committed)} entries are committed",
             )
 
+    def voted(self, state: CoreState, since_followed_s: float) -> None:
+        """Check a vote against the promise that a leader's lease counts on."""
+        if since_followed_s < state.settings.election_timeout_s:
+            raise PropertyViolation(
+                "lease-promise",
+                f"{state.identity} votes for {state.voted_for} in term {state.term} "
+                f"{since_followed_s:.3f} s after answering a leader",
+            )
+
     def acknowledged_lost(self, replica: str, holds: int, acknowledged: int) -> None:
         """A leader has noticed that a member lacks what it acknowledged."""
         raise PropertyViolation(
--- a/src/rainsail/consensus/model_schedule.py
+++ b/src/rainsail/consensus/model_schedule.py
@@ -2,63 +2,22 @@
 
 import random as random_module
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from rainsail.consensus.membership import Membership
+from rainsail.consensus.model_links import SlowLinks
 from rainsail.consensus.model_member import ModelMember
-from rainsail.consensus.model_world import InFlight, new_world
+from rainsail.consensus.model_start import new_world
+from rainsail.consensus.model_weather import WEATHERS
+from rainsail.consensus.model_world import InFlight
 
 MAX_IN_FLIGHT = 60
 STEPS_PER_SCHEDULE = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class Weather:
-    """Weights of the kinds of step in one schedule."""
-
-    deliver: float
-    sync: float
-    pass_time: float
-    client: float
-    crash: float
-    lose_disk: float
-    cut: float
-    manage: float
-    loss: float = 0.03
-    duplication: float = 0.03
-    restart: float = 2.0
-    crash_after_election: float = 0.0
-    crash_after_commit: float = 0.0
-    cut_after_election: float = 0.0
-    sizes: tuple[int, ...] = (3, 3, 4, 5, 5)
-
-
-CALM = Weather(70, 20, 0.8, 8, 0.1, 0.1, 0.2, 0.6)
-ROUGH = Weather(70, 18, 0.8, 6, 0.6, 0.1, 0.8, 0.5, loss=0.06)
-CHURN = Weather(70, 18, 0.8, 6, 0.3, 0.4, 0.3, 2.0)
-DISK_LOSS = Weather(70, 12, 0.8, 6, 0.7, 0.7, 0.3, 0.3, crash_after_commit=0.05)
-POWER_CUTS = Weather(70, 6, 0.8, 6, 0.5, 0.0, 0.3, 0.3, crash_after_commit=0.2)
-ELECTIONS = Weather(
-    70,
-    20,
-    0.8,
-    2,
-    0.1,
-    0.0,
-    0.1,
-    0.0,
-    loss=0.02,
-    restart=6.0,
-    crash_after_election=0.2,
-    crash_after_commit=0.05,
-    cut_after_election=0.8,
-    sizes=(3, 3, 5),
-)
-PARTITIONS = Weather(70, 20, 0.8, 8, 0.1, 0.0, 2.5, 0.2, loss=0.02)
-WEATHERS = (CALM, ROUGH, CHURN, DISK_LOSS, POWER_CUTS, ELECTIONS, PARTITIONS)
 CRASH_DELAY_STEPS = 25
 SYNC_WHEN_IDLE = 0.8
 SECOND_CRASH = 0.3
+SLOW_LINK_STEPS = 150
 
 
 class Schedule:
@@ -82,12 +41,15 @@
             (weather.lose_disk, self._lose_disk),
             (weather.cut, self._cut_or_mend),
             (weather.manage, self._manage),
+            (weather.slow_link, self._slow_link),
+            (weather.lose_two_disks, self._lose_two_disks),
         ):
             total += weight
             self._steps.append((total, step))
         self._total = total
         self._crash_in: int | None = None
         self._cut_in: int | None = None
+        self._slow_links = SlowLinks()
 
     def run(self, steps: int = STEPS_PER_SCHEDULE) -> None:
         """Take steps; raises ``PropertyViolation`` when a property does not hold."""
@@ -96,6 +58,7 @@
             drawn = self._random.random() * self._total
             elections = self._world.coverage.elections
             commits = self._world.coverage.commits
+            changes = self._world.coverage.membership_changes
             for limit, step in self._steps:
                 if drawn < limit:
                     step()
@@ -105,6 +68,8 @@
                 self._plan_cut(self._weather.cut_after_election)
             if self._world.coverage.commits > commits:
                 self._plan_crash(self._weather.crash_after_commit)
+            if self._world.coverage.membership_changes > changes:
+                self._plan_crash(self._weather.crash_in_change)
             self._crash_when_planned()
             self._cut_when_planned()
 
@@ -176,7 +141,9 @@
         while len(in_flight) > MAX_IN_FLIGHT:
             self._take(self._random.randrange(len(in_flight)))
         in_order = self._random.random() < 0.75
-        position = 0 if in_order else self._random.randrange(len(in_flight))
+        position = self._random.randrange(len(in_flight))
+        if in_order:
+            position = self._slow_links.first_ready(in_flight, self._world.coverage.steps)
         message = self._take(position)
         drawn = self._random.random()
         if drawn < self._weather.loss:
@@ -185,6 +152,12 @@
             in_flight.append(message)
         self._world.deliver(message)
 
+    def _slow_link(self) -> None:
+        """Hold back what one member sends to another, for some steps."""
+        source, target = self._random.sample(list(self._world.members), 2)
+        until = self._world.coverage.steps + self._random.randint(10, SLOW_LINK_STEPS)
+        self._slow_links.hold(source, target, until)
+
     def _take(self, position: int) -> InFlight:
         return self._world.in_flight.pop(position)
 
@@ -237,6 +210,7 @@
 
     def _crash(self, member: ModelMember) -> None:
         """Crash a member; what it had sent is lost with its connections, or arrives late."""
+        self._world.coverage.crashes_in_change += self._world.in_change()
         member.crash()
         if self._random.random() < 0.5:
             self._world.lose_sent_by(member.name)
@@ -252,9 +226,18 @@
             return
         member.lose_disk()
         self._world.coverage.disk_losses += 1
+        blank = [other for other in members if other.disk.is_blank()]
+        self._world.coverage.two_disks_away += len(blank) > 1
         if self._random.random() < 0.7:
             member.start(self._world.time_s)
 
+    def _lose_two_disks(self) -> None:
+        """Lose two disks shortly one after the other."""
+        self._lose_disk()
+        for _ in range(self._random.randint(0, CRASH_DELAY_STEPS)):
+            self._deliver()
+        self._lose_disk()
+
     def _cut_or_mend(self) -> None:
         world = self._world
         names = list(world.members)
--- a/src/rainsail/consensus/model_world.py
+++ b/src/rainsail/consensus/model_world.py
@@ -6,30 +6,19 @@
 from rainsail.consensus import repair
 from rainsail.consensus.core_state import Role
 from rainsail.consensus.effects import Effects, Outgoing
-from rainsail.consensus.membership import Membership, MemberSpec, encode_membership
-from rainsail.consensus.messages import SnapshotChunk
+from rainsail.consensus.membership import Membership
+from rainsail.consensus.messages import (
+    AppendRequest,
+    GroupMessage,
+    SnapshotChunk,
+    VoteRequest,
+)
+from rainsail.consensus.model_coverage import Coverage
 from rainsail.consensus.model_member import GROUP, ModelMember
 from rainsail.consensus.model_properties import SafetyProperties
-from rainsail.consensus.settings import ConsensusSettings
-from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
+from rainsail.storage.interface import SnapshotMeta
 
-CLOCK_RATE_SPREAD = 0.05
-"""Clocks run up to this share fast or slow: together just inside the default margin."""
 SNAPSHOT_CHUNKS = 2
-MEMBER_NAMES = "abcde"
-MODEL_SETTINGS = ConsensusSettings(
-    heartbeat_period_s=0.3,
-    election_timeout_s=1.0,
-    election_timeout_spread=0.8,
-    max_batch_bytes=1,
-    max_in_flight_bytes=40,
-    retained_entries=2,
-    caught_up_entries=3,
-    promotion_lag_entries=1,
-    unreachable_after_s=1.0,
-    repair_after_s=1.5,
-    hello_period_s=0.5,
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,29 +29,6 @@
     outgoing: Outgoing
 
 
-@dataclass(slots=True)
-class Coverage:
-    """How often what the schedules are about has happened: a check of nothing proves nothing."""
-
-    steps: int = 0
-    deliveries: int = 0
-    elections: int = 0
-    commits: int = 0
-    crashes: int = 0
-    disk_losses: int = 0
-    membership_changes: int = 0
-    reads_answered: int = 0
-    lease_checks: int = 0
-    snapshots_installed: int = 0
-    transfers: int = 0
-    foundings: int = 0
-
-    def add(self, other: "Coverage") -> None:
-        """Add another schedule's counts."""
-        for name in self.__slots__:
-            setattr(self, name, getattr(self, name) + getattr(other, name))
-
-
 @dataclass(slots=True)
 class ModelWorld:
     """The members, the messages between them, and the time."""
@@ -108,6 +74,7 @@
                 self.properties.appended(entry, previous)
         if effects.leadership_won:
             self.coverage.elections += 1
+            self.coverage.transfers_won += state.campaign_is_transfer
             self.coverage.foundings += any(entry.index == 1 for entry in effects.append)
             self.properties.became_leader(state)
         if effects.commit_index and self.properties.committed_to(state, commit_before):
@@ -177,12 +144,27 @@
         if (message.source, member.name) in self.cuts:
             return
         self.coverage.deliveries += 1
-        before = member.core.state.commit_index
-        effects = member.core.receive(
-            message.source, message.outgoing.message, member.now(self.time_s)
-        )
+        state = member.core.state
+        before = state.commit_index
+        vote_before = (state.term, state.voted_for)
+        now = member.now(self.time_s)
+        effects = member.core.receive(message.source, message.outgoing.message, now)
+        self._check_promise(member, message.outgoing.message, vote_before, now)
         self.take(member, effects, before)
 
+    def _check_promise(
+        self, member: ModelMember, message: GroupMessage, vote_before: tuple[int, str], now: float
+    ) -> None:
+        """A vote must not break the lease of a leader that the member has answered lately."""
+        assert member.core is not None
+        state = member.core.state
+        if isinstance(message, AppendRequest | SnapshotChunk) and message.term == state.term:
+            member.followed_at_s = now
+        if not isinstance(message, VoteRequest) or message.transfer:
+            return
+        if state.voted_for == message.sender and vote_before != (state.term, state.voted_for):
+            self.properties.voted(state, now - member.followed_at_s)
+
     def tick(self, member: ModelMember) -> None:
         """Let a member do what is due; a leader also takes the next step of a repair."""
         assert member.core is not None
@@ -223,11 +205,25 @@
     def change_membership(self, member: ModelMember, membership: Membership) -> None:
         """Propose a membership at a member."""
         assert member.core is not None
+        old = member.core.state.membership
         before = member.core.state.commit_index
         fault, effects = member.core.change_membership(membership, member.now(self.time_s))
-        self.coverage.membership_changes += fault is None
+        if fault is None:
+            self._note_change(old, membership)
         self.take(member, effects, before)
 
+    def _note_change(self, old: Membership, new: Membership) -> None:
+        coverage = self.coverage
+        coverage.membership_changes += 1
+        coverage.promotions += len(new.voters()) > len(old.voters())
+        gone = [member for member in old.voters() if new.find(member.identity) is None]
+        coverage.repairs_finished += any(new.named(member.replica) for member in gone)
+
+    def in_change(self) -> bool:
+        """Tell whether some running member holds a membership that it has not committed."""
+        cores = [member.core for member in self.running() if member.core is not None]
+        return any(core.state.commit_index < core.state.log.membership_index for core in cores)
+
     def transfer(self, member: ModelMember) -> None:
         """Let a member hand leadership over."""
         assert member.core is not None
@@ -255,33 +251,6 @@
         member.disk.save_snapshot(meta)
         member.forget_writes_to(meta.last_index)
         self.coverage.snapshots_installed += 1
+        self.coverage.installs_in_change += self.in_change()
         before = meta.last_index
         self.take(member, member.core.snapshot_installed(meta, member.now(self.time_s)), before)
-
-
-def founded_disk(member: ModelMember, membership: Membership, founder: str) -> None:
-    """Give a member the disk of a group that was founded in term 1."""
-    member.disk.hard_state = HardState(1, founder)
-    member.disk.entries = [LogEntry(1, 1, encode_membership(membership))]
-
-
-def new_world(random: random_module.Random, size: int) -> ModelWorld:
-    """Build a group, mostly founded already."""
-    names = tuple(MEMBER_NAMES[:size])
-    members = {}
-    for name in names:
-        rate = 1 + random.uniform(-CLOCK_RATE_SPREAD, CLOCK_RATE_SPREAD)
-        members[name] = ModelMember(name, names, MODEL_SETTINGS, random, rate)
-    world = ModelWorld(members, random)
-    if random.random() < 0.85:
-        membership = Membership(
-            tuple(MemberSpec(name, members[name].disk.identity) for name in names)
-        )
-        founding = encode_membership(membership)
-        world.properties.entries[(1, 1)] = (founding, 0)
-        world.properties.leaders[1] = members[names[0]].disk.identity
-        for member in members.values():
-            founded_disk(member, membership, members[names[0]].disk.identity)
-    for member in members.values():
-        member.start(0.0)
-    return world
