Run real daemons of a whole site under load and failures and judge what users saw

Cause: the fleet had run as one process or under the simulator only; nothing killed a real process. Change: rig/ starts every process of a site (five replicas, a gateway per zone, engines, machine list) with mutual TLS, loads it over the HTTP APIs, kills, pauses, stops and wipes by the ids that it started, and gives the history, with the engines' own records, to the same checkers. make rig runs both sites; features/rig holds a short run and single processes. A process whose status port is taken now starts no role (it opened its data folder before it ended). With the folder lock taken out the first process scenario is red. Tried and dropped: free ports by binding port 0 (a restarted daemon can lose its port to an outgoing connection); every process has a loopback number of its own instead.

--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,11 @@
 bench: setup
 	$(BIN)/rainsail bench all
 
+# Real daemons of both sites on loopback under load and failures; RIG_SECONDS of failures each.
+RIG_SEED ?= 1
+RIG_SECONDS ?= 180
+rig: setup
+	$(BIN)/python -m rig all --seed $(RIG_SEED) --seconds $(RIG_SECONDS)
+
 clean:
 	rm -rf $(VENV) build data
--- /dev/null
+++ b/features/rig/short_run.feature
@@ -0,0 +1,11 @@
+Feature: Real daemons under load and failures, judged from what their users saw
+
+  Scenario: A site bears killed, paused, wiped and stopped processes
+    When the fleet rig runs site "guayaquil" briefly with seed 1
+    Then the rig run ends clean
+    And the rig brought about every kind of its short list of failures
+    And every accepted item of the rig run completed or was cancelled
+    And the rig run completed requests of every class and turns of sessions
+    And no process of the rig run is left
+    When one result is taken out of the history of the rig run
+    Then the checkers find that the history of the rig run lost an item
--- /dev/null
+++ b/rig/fleet.py
@@ -0,0 +1,174 @@
+"""All daemons of a site: made, started in any order, awaited, ended."""
+
+import os
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from rainsail.emulator.execution_file import RecordedExecution, read_execution_file
+from rainsail.runtime.clock import Clock, sleep
+from rig.daemon import PROGRAM, Daemon
+from rig.http import AnswerLost, HttpUser
+from rig.layout import OPERATOR_PORT, STATUS_PORT, ProcessKind, SiteLayout
+
+LOOK_PERIOD_S = 0.1
+LOOK_TIMEOUT_S = 5.0
+KEYS_LIMIT_S = 60.0
+STOP_LIMIT_S = 150.0
+"""A gateway's grace time for requests in progress (120 s) and a margin."""
+EXECUTION_FILE = "executions.jsonl"
+
+
+class NotReached(Exception):
+    """A condition that has to come true did not, within its generous limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class GroupState:
+    """What the leader says of the replicated group."""
+
+    leader: str
+    health: str
+    losses_borne: int
+    identities: tuple[str, ...]
+
+
+class RigFleet:
+    """The processes of one rig. Only processes that it started are ever signalled."""
+
+    def __init__(self, layout: SiteLayout, clock: Clock, http: HttpUser, limit_s: float) -> None:
+        self.layout = layout
+        self.clock = clock
+        self._http = http
+        self._limit_s = limit_s
+        logs = layout.folder / "logs"
+        self.daemons = {plan.name: Daemon(plan, clock, logs) for plan in layout.processes}
+
+    # --- groups of processes --------------------------------------------------------------
+
+    def replicas(self) -> list[Daemon]:
+        """Return the replicas."""
+        return self._of_kind(ProcessKind.REPLICA)
+
+    def gateways(self) -> list[Daemon]:
+        """Return the gateways."""
+        return self._of_kind(ProcessKind.GATEWAY)
+
+    def engines(self) -> list[Daemon]:
+        """Return the processes that run engines."""
+        return self._of_kind(ProcessKind.PLATFORM)[:-1]
+
+    def _of_kind(self, kind: ProcessKind) -> list[Daemon]:
+        return [daemon for daemon in self.daemons.values() if daemon.plan.kind == kind]
+
+    # --- life -----------------------------------------------------------------------------
+
+    def prepare(self) -> None:
+        """Write settings files and make certificates with ``rainsail keys create``."""
+        self.layout.write_settings()
+        for kind in (ProcessKind.REPLICA, ProcessKind.GATEWAY):
+            names = ",".join(daemon.name for daemon in self._of_kind(kind))
+            command = ["keys", "create", str(self.layout.keys_folder), names, "--role", kind.value]
+            run_rainsail(command)
+
+    def end(self) -> None:
+        """End every process at once, paused ones too."""
+        for daemon in self.daemons.values():
+            daemon.kill()
+
+    # --- conditions -----------------------------------------------------------------------
+
+    async def until(self, what: str, condition: Callable[[], Awaitable[Any]]) -> Any:
+        """Wait for a condition; return what it returned, or raise ``NotReached``."""
+        until_s = self.clock.seconds() + self._limit_s
+        while True:
+            found = await condition()
+            if found:
+                return found
+            if self.clock.seconds() > until_s:
+                raise NotReached(f"{what}: not within {self._limit_s:g} s")
+            await sleep(self.clock, LOOK_PERIOD_S)
+
+    async def until_ready(self, daemons: list[Daemon]) -> None:
+        """Wait until each process says that it is ready."""
+        for daemon in daemons:
+            await self.until(f"{daemon.name} is ready", partial(self.is_ready, daemon))
+
+    async def is_ready(self, daemon: Daemon) -> bool:
+        """Ask a process whether it is ready; a process that ended by itself never will be."""
+        if not daemon.running:
+            raise NotReached(f"{daemon.name} ended with code {daemon.exit_code}")
+        reply = await self._get(f"{daemon.plan.url(STATUS_PORT)}/readyz", "")
+        return reply is not None
+
+    async def group_state(self) -> GroupState | None:
+        """Return the leader's view of the group; None when no running replica says it leads."""
+        for daemon in self.replicas():
+            if not daemon.running or daemon.paused:
+                continue
+            url = f"{daemon.plan.url(OPERATOR_PORT)}/v1/status"
+            body = await self._get(url, self.layout.operator_key)
+            if body and body["leader"] == daemon.name:
+                return _group_state(body)
+        return None
+
+    async def until_group(self, health: str, losses_borne: int) -> GroupState:
+        """Wait until the leader says exactly this of the group."""
+
+        async def says_so() -> GroupState | None:
+            state = await self.group_state()
+            if state is None or (state.health, state.losses_borne) != (health, losses_borne):
+                return None
+            return state
+
+        found: GroupState = await self.until(f"status {health}, bears {losses_borne}", says_so)
+        return found
+
+    async def _get(self, url: str, key: str) -> Any:
+        try:
+            reply = await self._http.exchange("GET", url, key, LOOK_TIMEOUT_S)
+        except AnswerLost:
+            return None
+        if reply.status != 200:
+            return None
+        return reply.json() or True
+
+    async def put_machine(self, runner: str, state: str) -> None:
+        """Let the platform say that a machine is live or leaving."""
+        url = f"{self.layout.machine_list_url}/machines/{runner}/{state}"
+        await self._http.exchange("PUT", url, "", LOOK_TIMEOUT_S)
+
+    # --- evidence -------------------------------------------------------------------------
+
+    def executions(self) -> list[RecordedExecution]:
+        """Return what all engines ran, from the files that outlive their processes."""
+        found: list[RecordedExecution] = []
+        for daemon in self.engines():
+            path = daemon.plan.data_folder / EXECUTION_FILE
+            if path.exists():
+                found += read_execution_file(path)
+        return found
+
+
+def _group_state(body: Any) -> GroupState:
+    identities = tuple(member["identity"] for member in body["members"])
+    return GroupState(body["leader"], body["health"], body["losses_borne"], identities)
+
+
+def run_rainsail(arguments: list[str], folder: Path | None = None) -> str:
+    """Run a command to its end and return what it printed; raises when it fails."""
+    kept = {key: value for key, value in os.environ.items() if not key.startswith("RAINSAIL_")}
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM, *arguments],
+        env=kept,
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        timeout=KEYS_LIMIT_S,
+        check=True,
+    )
+    return done.stdout
--- /dev/null
+++ b/rig/injector.py
@@ -0,0 +1,228 @@
+"""Brings failures about, one function each: it begins, holds, ends, and its end is awaited."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from rainsail.experiment.checkers.interface import Violation
+from rainsail.experiment.history import (
+    DrainDeclared,
+    FaultEnded,
+    FaultInjected,
+    History,
+    PlannedStop,
+)
+from rainsail.resources.specs import Kind
+from rainsail.runtime.clock import sleep
+from rainsail.state.commands import ANY_REVISION
+from rig.daemon import Daemon
+from rig.fleet import STOP_LIMIT_S, GroupState, RigFleet
+from rig.operators import Operator
+
+HEALTHY = "Healthy"
+DEGRADED = "Degraded"
+CONDITION_DRAINING = "Draining"
+
+
+@dataclass(frozen=True, slots=True)
+class HoldTimes:
+    """How long failures last, in seconds."""
+
+    down_s: float
+    paused_s: float
+    drained_s: float
+
+
+class Injector:
+    """Knows the processes and records each failure's begin and end."""
+
+    def __init__(
+        self,
+        fleet: RigFleet,
+        operator: Operator,
+        history: History,
+        draw: random.Random,
+        hold: HoldTimes,
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.violations: list[Violation] = []
+        self._fleet = fleet
+        self._operator = operator
+        self._history = history
+        self._draw = draw
+        self._hold = hold
+        self._voters = len(fleet.replicas())
+
+    def _begin(self, kind: str, target: str) -> None:
+        self.counts[kind] += 1
+        self._history.record(FaultInjected(self._fleet.clock.seconds(), kind, target))
+
+    def _end(self, kind: str, target: str) -> None:
+        self._history.record(FaultEnded(self._fleet.clock.seconds(), kind, target))
+
+    async def _wait(self, seconds: float) -> None:
+        await sleep(self._fleet.clock, seconds)
+
+    async def _start(self, daemons: list[Daemon]) -> None:
+        for daemon in daemons:
+            daemon.start()
+        await self._fleet.until_ready(daemons)
+
+    async def until_whole(self) -> GroupState:
+        """Wait until the group bears every loss that it is meant for."""
+        return await self._fleet.until_group(HEALTHY, (self._voters - 1) // 2)
+
+    # --- replicas -------------------------------------------------------------------------
+
+    async def kill_replicas(self, count: int = 1) -> None:
+        """Kill replicas, the leader among them; what is left must say what it still bears."""
+        state = await self.until_whole()
+        others = [each for each in self._fleet.replicas() if each.name != state.leader]
+        targets = [self._fleet.daemons[state.leader], *self._draw.sample(others, count - 1)]
+        await self._kill_and_restart(f"kill_{count}_replicas", targets)
+
+    async def kill_all_replicas(self) -> None:
+        """Let the power fail under every replica at once."""
+        await self.until_whole()
+        await self._kill_and_restart("kill_all_replicas", self._fleet.replicas())
+
+    async def _kill_and_restart(self, kind: str, targets: list[Daemon]) -> None:
+        names = ",".join(target.name for target in targets)
+        self._begin(kind, names)
+        for target in targets:
+            target.kill()
+        borne = (self._voters - 1) // 2 - len(targets)
+        if borne >= 0:
+            await self._fleet.until_group(DEGRADED, borne)
+        await self._wait(self._hold.down_s)
+        await self._start(self._draw.sample(targets, len(targets)))
+        await self.until_whole()
+        self._end(kind, names)
+
+    async def lose_disk(self) -> None:
+        """Kill a replica and lose its disk; it must come back as a new identity by itself."""
+        before = await self.until_whole()
+        target = self._draw.choice(self._fleet.replicas())
+        self._begin("lose_disk", target.name)
+        target.kill()
+        target.wipe()
+        await self._start([target])
+        await self._fleet.until(f"{target.name} is repaired", lambda: self._has_newcomer(before))
+        self._end("lose_disk", target.name)
+
+    async def _has_newcomer(self, before: GroupState) -> bool:
+        """Tell whether the group is whole again, with one identity in the place of another."""
+        now = await self._fleet.group_state()
+        if now is None or (now.health, now.losses_borne) != (HEALTHY, (self._voters - 1) // 2):
+            return False
+        kept = set(now.identities) & set(before.identities)
+        return len(now.identities) == self._voters and len(kept) == self._voters - 1
+
+    async def lose_disk_then_two(self) -> None:
+        """Lose a disk, and two further machines as soon as the repair is said to be done."""
+        await self.lose_disk()
+        await self.kill_replicas(2)
+
+    async def pause_leader(self) -> None:
+        """Let the leader stand still, its connections open, then go on."""
+        state = await self.until_whole()
+        target = self._fleet.daemons[state.leader]
+        self._begin("pause_leader", target.name)
+        target.pause()
+        await self._fleet.until_group(DEGRADED, (self._voters - 1) // 2 - 1)
+        await self._wait(self._hold.paused_s)
+        target.resume()
+        await self.until_whole()
+        self._end("pause_leader", target.name)
+
+    async def stop_replica(self) -> None:
+        """Stop a replica as planned and start it again."""
+        await self.until_whole()
+        await self._stop_and_start("stop_replica", self._draw.choice(self._fleet.replicas()))
+        await self.until_whole()
+
+    # --- gateways -------------------------------------------------------------------------
+
+    async def kill_gateway(self) -> None:
+        """Kill a gateway under its streams and its batch items."""
+        target = self._draw.choice(self._fleet.gateways())
+        await self._kill_process("kill_gateway", target)
+
+    async def pause_gateway(self) -> None:
+        """Let a gateway stand still past its leases, then go on."""
+        target = self._draw.choice(self._fleet.gateways())
+        self._begin("pause_gateway", target.name)
+        target.pause()
+        await self._wait(self._hold.paused_s)
+        target.resume()
+        await self._fleet.until_ready([target])
+        self._end("pause_gateway", target.name)
+
+    async def stop_gateway(self) -> None:
+        """Stop a gateway as planned: it finishes its streams; then start it again."""
+        await self._stop_and_start("stop_gateway", self._draw.choice(self._fleet.gateways()))
+
+    async def _stop_and_start(self, kind: str, target: Daemon) -> None:
+        clock = self._fleet.clock
+        self._begin(kind, target.name)
+        self._history.record(PlannedStop(clock.seconds(), target.name, False))
+        target.terminate()
+        ended: Any = await target.ended(STOP_LIMIT_S)
+        self._history.record(PlannedStop(clock.seconds(), target.name, True))
+        if not ended or target.exit_code != 0:
+            detail = f"{target.name}: planned stop ended with {target.exit_code}"
+            self.violations.append(Violation("rig.planned_stop", detail))
+            target.kill()
+        await self._start([target])
+        self._end(kind, target.name)
+
+    # --- platform -------------------------------------------------------------------------
+
+    async def kill_engines(self) -> None:
+        """Kill a process of engines with requests and batch items in flight."""
+        await self._kill_process("kill_engines", self._draw.choice(self._fleet.engines()))
+
+    async def _kill_process(self, kind: str, target: Daemon) -> None:
+        self._begin(kind, target.name)
+        target.kill()
+        await self._wait(self._hold.down_s)
+        await self._start([target])
+        self._end(kind, target.name)
+
+    async def drain_runner(self) -> None:
+        """Declare a runner's drain, and take it back later."""
+        runner = self._draw.choice(self._fleet.layout.runners())
+        self.counts["drain_runner"] += 1
+        await self._set_drain(runner, True)
+        await self._wait(self._hold.drained_s)
+        await self._set_drain(runner, False)
+
+    async def _set_drain(self, runner: str, drain: bool) -> None:
+        resource = await self._operator.read(f"/v1/resources/Runner/{runner}")
+        spec = {**resource["spec"], "drain": drain}
+        clock = self._fleet.clock
+        if not drain:
+            self._history.record(DrainDeclared(clock.seconds(), runner, False))
+        await self._operator.put(Kind.RUNNER, runner, spec, ANY_REVISION)
+        if drain:
+            self._history.record(DrainDeclared(clock.seconds(), runner, True))
+
+    async def machine_leaves(self) -> None:
+        """Let the platform list a runner's machine as leaving, and later as live again."""
+        runner = self._draw.choice(self._fleet.layout.runners())
+        self.counts["machine_leaves"] += 1
+        await self._fleet.put_machine(runner, "leaving")
+        await self._fleet.until(f"{runner} is draining", lambda: self._is_draining(runner, True))
+        self._history.record(DrainDeclared(self._fleet.clock.seconds(), runner, True))
+        await self._wait(self._hold.drained_s)
+        self._history.record(DrainDeclared(self._fleet.clock.seconds(), runner, False))
+        await self._fleet.put_machine(runner, "live")
+        await self._fleet.until(f"{runner} is back", lambda: self._is_draining(runner, False))
+
+    async def _is_draining(self, runner: str, wanted: bool) -> bool:
+        resource = await self._operator.read(f"/v1/resources/Runner/{runner}")
+        draining = any(
+            each["type"] == CONDITION_DRAINING and each["value"] for each in resource["conditions"]
+        )
+        return draining == wanted
--- /dev/null
+++ b/rig/jobs.py
@@ -0,0 +1,212 @@
+"""Clients of batch jobs over the caller API: heaps of jobs, re-sent, cancelled, read back."""
+
+import hashlib
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from rainsail.emulator.answers import expected_answer
+from rainsail.experiment.history import (
+    JobAccepted,
+    JobCancelAccepted,
+    JobRead,
+    ResultRead,
+)
+from rainsail.runtime.clock import sleep
+from rainsail.simulation.actors.job_clients import JobMix
+from rig.callers import KEY_HEADER, Users
+from rig.http import AnswerLost, Reply
+from rig.layout import CALLER_PORT
+
+CALL_TIMEOUT_S = 20.0
+RESEND_DELAY_S = 0.5
+READ_PERIOD_S = 1.0
+READS_AFTER_CANCEL = 3
+LATEST_CANCEL_S = 2.0
+RESUBMIT_PROBABILITY = 0.25
+"""Share of jobs that a client sends again although they were accepted."""
+ENDPOINT = "/v1/completions"
+PHASES = {"completed": "completed", "cancelled": "cancelled"}
+DEADLINE_HEADER = "X-Rainsail-Deadline"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedItem:
+    """One line of a job's input."""
+
+    prompt: str
+    max_tokens: int
+
+
+class JobClient:
+    """One job: submitted until accepted, perhaps cancelled, read until finished."""
+
+    def __init__(
+        self, users: Users, mix: JobMix, job_key: str, items: tuple[PlannedItem, ...], cancels: bool
+    ) -> None:
+        self._users = users
+        self._mix = mix
+        self._job_key = job_key
+        self._items = items
+        self._cancels = cancels
+        self._tenant = users.draw.choice(users.layout.tenants)
+        self._turn = users.draw.randrange(len(users.layout.gateways))
+        self.job_id = ""
+        self.settled = False
+
+    async def run(self) -> None:
+        """Take the job from its submission to the reading of its results."""
+        while not self.job_id:
+            await self._submit()
+        if self._users.draw.random() < RESUBMIT_PROBABILITY:
+            await self._submit()
+        if self._cancels:
+            await sleep(self._users.clock, self._users.draw.uniform(0.1, LATEST_CANCEL_S))
+            await self._cancel()
+        while not await self._read_phase():
+            await sleep(self._users.clock, READ_PERIOD_S)
+        for _ in range(READS_AFTER_CANCEL if self._cancels else 0):
+            await sleep(self._users.clock, READ_PERIOD_S)
+            await self._read_phase()
+        await self.read_results()
+
+    async def read_results(self) -> None:
+        """Read every finished item and record it."""
+        self.settled = False
+        for kind in ("output", "errors"):
+            path = f"/v1/files/file-{kind}-{self.job_id}/content"
+            reply = await self._insist("GET", path)
+            for line in reply.body.splitlines():
+                self._record_result(json.loads(line))
+        self.settled = True
+
+    # --- calls ----------------------------------------------------------------------------
+
+    async def _try(self, method: str, path: str, **more: Any) -> Reply | None:
+        """Make one call to the next gateway in turn; None when there is no good answer."""
+        gateway = self._users.gateway(self._turn)
+        url = f"{gateway.url(CALLER_PORT)}{path}"
+        key = self._users.layout.tenant_key(self._tenant)
+        try:
+            reply = await self._users.http.exchange(method, url, key, CALL_TIMEOUT_S, **more)
+        except AnswerLost:
+            reply = None
+        if reply is not None and reply.status == 200:
+            return reply
+        self._turn += 1
+        await sleep(self._users.clock, RESEND_DELAY_S)
+        return None
+
+    async def _insist(self, method: str, path: str) -> Reply:
+        reply = None
+        while reply is None:
+            reply = await self._try(method, path)
+        return reply
+
+    async def _submit(self) -> None:
+        """Upload the input and make the batch, at one gateway: files are kept where they came."""
+        upload = await self._try("POST", "/v1/files", file=self._input())
+        if upload is None:
+            return
+        batch = {"input_file_id": upload.json()["id"], "endpoint": ENDPOINT}
+        headers = {KEY_HEADER: self._job_key, DEADLINE_HEADER: str(self._mix.deadline_s)}
+        reply = await self._try("POST", "/v1/batches", body=batch, headers=headers)
+        if reply is None:
+            return
+        self.job_id = reply.json()["id"]
+        digest = hashlib.sha256(self._input()).hexdigest()
+        now_s = self._users.clock.seconds()
+        accepted = JobAccepted(now_s, self._job_key, self.job_id, digest, len(self._items))
+        self._users.history.record(accepted)
+
+    def _input(self) -> bytes:
+        lines = [self._line(index, item) for index, item in enumerate(self._items)]
+        return b"\n".join(lines) + b"\n"
+
+    def _line(self, index: int, item: PlannedItem) -> bytes:
+        body = {"model": self._mix.service, "prompt": item.prompt, "max_tokens": item.max_tokens}
+        line = {"custom_id": str(index), "method": "POST", "url": ENDPOINT, "body": body}
+        return json.dumps(line).encode()
+
+    async def _cancel(self) -> None:
+        reply = await self._insist("POST", f"/v1/batches/{self.job_id}/cancel")
+        if reply.json()["status"] == "cancelled":
+            now_s = self._users.clock.seconds()
+            self._users.history.record(JobCancelAccepted(now_s, self.job_id))
+
+    async def _read_phase(self) -> bool:
+        """Read the job's state; return whether it is finished."""
+        reply = await self._insist("GET", f"/v1/batches/{self.job_id}")
+        batch = reply.json()
+        counts = batch["request_counts"]
+        phase = PHASES.get(batch["status"], "sealed")
+        now_s = self._users.clock.seconds()
+        read = JobRead(now_s, self.job_id, phase, counts["completed"], counts["failed"])
+        self._users.history.record(read)
+        return batch["status"] in PHASES
+
+    def _record_result(self, line: Any) -> None:
+        index = int(line["custom_id"])
+        item = self._items[index]
+        completed = line["error"] is None
+        text = line["response"]["body"]["choices"][0]["text"] if completed else ""
+        phase = "completed" if completed else line["error"]["code"]
+        expected = expected_answer(self._mix.service, item.prompt, item.max_tokens, 0)
+        now_s = self._users.clock.seconds()
+        self._users.history.record(ResultRead(now_s, self.job_id, index, phase, text, expected))
+
+
+class JobTraffic:
+    """Submits heaps of jobs until it is stopped."""
+
+    def __init__(self, users: Users, mix: JobMix, failed: Callable[[Any], None]) -> None:
+        self._users = users
+        self._mix = mix
+        self._failed = failed
+        self._stopped = False
+        self.clients: list[JobClient] = []
+
+    def start(self) -> None:
+        """Submit a heap now and one every period."""
+        self._run(self._follow())
+
+    def stop(self) -> None:
+        """Submit no further jobs."""
+        self._stopped = True
+
+    def settled(self) -> bool:
+        """Tell whether every job is finished and its results are read."""
+        return all(client.settled for client in self.clients)
+
+    def read_again(self) -> None:
+        """Let every client whose job is finished read its results once more."""
+        for client in self.clients:
+            if client.settled:
+                self._run(client.read_results())
+
+    def _run(self, work: Any) -> None:
+        Deferred.fromCoroutine(work).addErrback(self._failed)
+
+    async def _follow(self) -> None:
+        while not self._stopped:
+            for _ in range(self._mix.jobs_per_heap):
+                self._submit()
+            await sleep(self._users.clock, self._mix.heap_period_s)
+
+    def _submit(self) -> None:
+        number = len(self.clients)
+        draw = self._users.draw
+        items = tuple(self._item(number, index) for index in range(self._mix.items_per_job))
+        cancels = draw.random() < self._mix.cancel_probability
+        client = JobClient(self._users, self._mix, f"job-{number}", items, cancels)
+        self.clients.append(client)
+        self._run(client.run())
+
+    def _item(self, job: int, index: int) -> PlannedItem:
+        draw = self._users.draw
+        text = f"Summarise record {index} of list {job}, reference {draw.randrange(10**6)}. "
+        tokens = max(1, int(self._mix.max_tokens * draw.uniform(0.5, 1.5)))
+        return PlannedItem((text * 20)[: self._mix.prompt_characters], tokens)
--- /dev/null
+++ b/rig/plan.py
@@ -0,0 +1,68 @@
+"""Which failures a run brings about, and in which order; two lanes run beside each other."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from rig.injector import HoldTimes, Injector
+
+Failure = Callable[[Injector], Awaitable[None]]
+Lane = tuple[Failure, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RunPlan:
+    """How long a run is, how its failures are held, and how its load is thinned."""
+
+    hold: HoldTimes
+    repair_after_s: float
+    mean_gap_factor: float
+    heap_period_s: float
+    sessions: int
+    failures_s: float
+    """Failures are drawn for this long; 0 for the fixed lists of the short run."""
+
+
+SHORT = RunPlan(HoldTimes(0.5, 2.0, 2.0), 2.0, 0.4, 4.0, 3, 0.0)
+SHORT_REPLICAS: Lane = (Injector.lose_disk_then_two, Injector.pause_leader)
+SHORT_OTHERS: Lane = (
+    Injector.kill_gateway,
+    Injector.stop_gateway,
+    Injector.kill_engines,
+    Injector.drain_runner,
+)
+LONG_HOLD = HoldTimes(4.0, 20.0, 14.0)
+LONG_REPAIR_AFTER_S = 5.0
+REPLICA_FAILURES: Lane = (
+    Injector.kill_replicas,
+    lambda injector: injector.kill_replicas(2),
+    Injector.kill_all_replicas,
+    Injector.lose_disk,
+    Injector.lose_disk_then_two,
+    Injector.pause_leader,
+    Injector.stop_replica,
+)
+OTHER_FAILURES: Lane = (
+    Injector.kill_gateway,
+    Injector.pause_gateway,
+    Injector.stop_gateway,
+    Injector.kill_engines,
+    Injector.drain_runner,
+    Injector.machine_leaves,
+)
+
+
+def long_plan(failures_s: float) -> RunPlan:
+    """Return the plan of a run that draws failures for ``failures_s``."""
+    return RunPlan(LONG_HOLD, LONG_REPAIR_AFTER_S, 1.0, 10.0, 4, failures_s)
+
+
+def lanes(plan: RunPlan, draw: random.Random) -> tuple[Lane, Lane]:
+    """Return what each lane goes through; a drawn lane holds each kind once per shuffled round."""
+    if plan.failures_s == 0:
+        return SHORT_REPLICAS, SHORT_OTHERS
+    return _shuffled(REPLICA_FAILURES, draw), _shuffled(OTHER_FAILURES, draw)
+
+
+def _shuffled(failures: Lane, draw: random.Random) -> Lane:
+    return tuple(draw.sample(failures, len(failures)))
--- /dev/null
+++ b/rig/run.py
@@ -0,0 +1,274 @@
+"""One run of the rig: a site, a seed and a plan in; a history and its judgement out."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, replace
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred, FirstError, gatherResults
+
+from rainsail.errors import Outcome
+from rainsail.experiment.checkers.interface import Violation
+from rainsail.experiment.checkers.suite import check_history
+from rainsail.experiment.history import (
+    EngineFinished,
+    EngineStarted,
+    Event,
+    FaultEnded,
+    FaultInjected,
+    FaultsEnded,
+    History,
+    JobAccepted,
+    JobCancelAccepted,
+    JobRead,
+    RequestAnswered,
+    RequestSent,
+    RunEnded,
+    write_history,
+)
+from rainsail.resources.specs import RequestClass
+from rainsail.runtime.clock import MonotonicClock, sleep
+from rainsail.simulation.site_plan import SITES
+from rig.callers import CallerTraffic, Users
+from rig.fleet import NotReached, RigFleet
+from rig.http import HttpUser
+from rig.injector import Injector
+from rig.jobs import JobTraffic
+from rig.layout import SiteLayout
+from rig.operators import OperatorTraffic
+from rig.plan import Lane, RunPlan, lanes
+from rig.sessions import SessionTraffic
+
+COLD_START = "cold_start"
+"""The start of every process counts as a failure: a new leader waits out earlier leases."""
+
+
+@dataclass(frozen=True, slots=True)
+class RigResult:
+    """What a run came to; the last line of the command."""
+
+    site: str
+    seed: int
+    processes: int
+    violations: tuple[Violation, ...]
+    faults: dict[str, int]
+    starts: int
+    accepted_items: int
+    completed_items: int
+    cancelled_items: int
+    online_requests: int
+    non_repeatable_requests: int
+    session_turns: int
+    completed_requests: int
+    not_run: int
+    unknown: int
+    changes: int
+    took_s: float
+
+
+class RigRun:
+    """Starts a site's daemons, loads them, brings failures about, judges what was seen."""
+
+    def __init__(self, layout: SiteLayout, seed: int, plan: RunPlan, limit_s: float) -> None:
+        from twisted.internet import reactor
+
+        self.history = History()
+        self._seed = seed
+        self._plan = plan
+        self._clock = MonotonicClock(reactor)
+        http = HttpUser(reactor)
+        self.fleet = RigFleet(layout, self._clock, http, limit_s)
+        self._users = Users(layout, http, self._clock, self.history, self._draw("users"))
+        self._failures: list[str] = []
+        self._make_traffic(layout)
+        hold = plan.hold
+        draw = self._draw("faults")
+        self._injector = Injector(self.fleet, self._operators.first, self.history, draw, hold)
+
+    def _draw(self, purpose: str) -> random.Random:
+        return random.Random(f"{self._seed}/{purpose}")
+
+    def _make_traffic(self, layout: SiteLayout) -> None:
+        site = SITES[layout.site]()
+        mixes = tuple(
+            replace(mix, mean_gap_s=mix.mean_gap_s * self._plan.mean_gap_factor)
+            for mix in site.callers
+        )
+        jobs = replace(site.jobs, heap_period_s=self._plan.heap_period_s)
+        self._mixes = mixes
+        self._callers = CallerTraffic(self._users, mixes, self._failed)
+        self._jobs = JobTraffic(self._users, jobs, self._failed)
+        self._operators = OperatorTraffic(self._users, self._failed)
+        self._sessions = SessionTraffic(
+            self._users, self._operators.first, jobs.service, self._plan.sessions, self._failed
+        )
+
+    def _failed(self, failure: Any) -> None:
+        """A user's own code failed: the run can't be trusted."""
+        self._failures.append(failure.getTraceback())
+
+    # --- the course of a run --------------------------------------------------------------
+
+    async def run(self, say: Callable[[str], None]) -> RigResult:
+        """Run to the end; the processes are ended whatever happens."""
+        begun_s = self._clock.seconds()
+        complete = False
+        try:
+            await self._set_up(say)
+            await self._load_and_fail(say)
+            await self._settle(say)
+            complete = True
+        except NotReached as error:
+            self._injector.violations.append(Violation("rig.progress", str(error)))
+        finally:
+            self.fleet.end()
+        self.history.record(RunEnded(self._clock.seconds(), complete))
+        return self._result(self._clock.seconds() - begun_s)
+
+    async def _set_up(self, say: Callable[[str], None]) -> None:
+        """Start every process in an order drawn by the seed, then declare the site."""
+        self.fleet.prepare()
+        daemons = list(self.fleet.daemons.values())
+        order = self._draw("order").sample(daemons, len(daemons))
+        say("starting " + ", ".join(daemon.name for daemon in order))
+        self.history.record(FaultInjected(self._clock.seconds(), COLD_START, "fleet"))
+        for daemon in order:
+            daemon.start()
+        await self.fleet.until_ready(order)
+        await self._injector.until_whole()
+        self.history.record(FaultEnded(self._clock.seconds(), COLD_START, "fleet"))
+        say("declaring")
+        self._operators.watch()
+        for each in self.fleet.layout.resources():
+            await self._operators.first.declare(each.kind, each.name, each.spec)
+        say("waiting for answers")
+        await self._answer_everywhere()
+
+    async def _answer_everywhere(self) -> None:
+        """Have every gateway complete a request of every kind: the fleet serves."""
+        waits = [
+            self.fleet.until(
+                f"gateway {number} completes a {mix.name}", partial(self._completes, number, mix)
+            )
+            for number in range(len(self.fleet.gateways()))
+            for mix in self._mixes
+        ]
+        await _all_of(waits)
+
+    async def _completes(self, gateway: int, mix: Any) -> bool:
+        planned = self._callers.plan(mix)
+        return await self._callers.call(planned, gateway) == Outcome.COMPLETED
+
+    async def _load_and_fail(self, say: Callable[[str], None]) -> None:
+        traffic = (self._callers, self._jobs, self._operators, self._sessions)
+        for each in traffic:
+            each.start()
+        begun_s = self._clock.seconds()
+        await _all_of([self._go_through(number, begun_s, say) for number in range(2)])
+        for each in traffic:
+            each.stop()
+
+    async def _go_through(self, lane: int, begun_s: float, say: Callable[[str], None]) -> None:
+        """Bring about one lane's failures, round after round until the time is over."""
+        draw = self._draw(f"lane/{lane}")
+        until_s = begun_s + self._plan.failures_s
+        again = True
+        while again:
+            await self._one_round(lanes(self._plan, draw)[lane], until_s, say)
+            again = self._clock.seconds() < until_s
+
+    async def _one_round(self, lane: Lane, until_s: float, say: Callable[[str], None]) -> None:
+        for failure in lane:
+            if self._plan.failures_s and self._clock.seconds() >= until_s:
+                return
+            say(getattr(failure, "__name__", "failure"))
+            await failure(self._injector)
+
+    async def _settle(self, say: Callable[[str], None]) -> None:
+        """Wait until all that was accepted is finished, and read it once more."""
+        say("settling")
+        await self.fleet.until_ready(list(self.fleet.daemons.values()))
+        await self._injector.until_whole()
+        self.history.record(FaultsEnded(self._clock.seconds()))
+        self._jobs.read_again()
+        await self.fleet.until("everything accepted is finished", self._settled)
+        await self._answer_everywhere()
+        self._operators.end()
+        await sleep(self._clock, 1.0)
+
+    async def _settled(self) -> bool:
+        if self._failures:
+            raise RuntimeError(self._failures[0])
+        parts = (self._callers, self._jobs, self._operators, self._sessions)
+        return all(part.settled() for part in parts)
+
+    # --- the judgement --------------------------------------------------------------------
+
+    def _merge(self) -> History:
+        """Return the history with the engines' own records put in at their times."""
+        events: list[Event] = list(self.history.events)
+        for each in self.fleet.executions():
+            place = (each.runner, each.request_id, each.attempt_id)
+            if each.ended_s is None:
+                batch = "/" in each.request_id
+                events.append(EngineStarted(each.started_s, *place, batch))
+            else:
+                events.append(EngineFinished(each.ended_s, *place))
+        merged = History()
+        for event in sorted(events, key=lambda each: each.time_s):
+            merged.record(event)
+        return merged
+
+    def _result(self, took_s: float) -> RigResult:
+        if self._failures:
+            raise RuntimeError(self._failures[0])
+        self.history = history = self._merge()
+        accepted = {event.job_id: event.item_count for event in history.of_type(JobAccepted)}
+        completed = {event.job_id: event.completed for event in history.of_type(JobRead)}
+        cancelled = {event.job_id for event in history.of_type(JobCancelAccepted)}
+        answers = history.of_type(RequestAnswered)
+        outcomes = Counter(event.outcome for event in answers)
+        classes = Counter(event.class_ for event in history.of_type(RequestSent))
+        daemons = self.fleet.daemons.values()
+        return RigResult(
+            site=self.fleet.layout.site,
+            seed=self._seed,
+            processes=len(daemons),
+            violations=(*self._injector.violations, *check_history(history)),
+            faults=dict(sorted(self._injector.counts.items())),
+            starts=sum(daemon.starts for daemon in daemons),
+            accepted_items=sum(accepted.values()),
+            completed_items=sum(completed.values()),
+            cancelled_items=sum(
+                count - completed.get(job, 0) for job, count in accepted.items() if job in cancelled
+            ),
+            online_requests=classes[RequestClass.ONLINE],
+            non_repeatable_requests=classes[RequestClass.NON_REPEATABLE],
+            session_turns=self._sessions.turns_completed,
+            completed_requests=outcomes[Outcome.COMPLETED],
+            not_run=outcomes[Outcome.NOT_RUN],
+            unknown=outcomes[Outcome.UNKNOWN],
+            changes=self._operators.first.changes,
+            took_s=round(took_s, 1),
+        )
+
+    def write(self, path: Path) -> None:
+        """Write the merged history."""
+        write_history(path, self.history)
+
+
+async def _all_of(work: list[Any]) -> None:
+    """Do work side by side; raises what the first failing part raised."""
+    begun = [Deferred.fromCoroutine(each) for each in work]
+    try:
+        await gatherResults(begun, consumeErrors=True)
+    except FirstError as error:
+        error.subFailure.raiseException()
+
+
+def result_tree(result: RigResult) -> dict[str, Any]:
+    """Return a result as the JSON object of the command's last line."""
+    return asdict(result)
--- /dev/null
+++ b/rig/sessions.py
@@ -0,0 +1,92 @@
+"""Long-lived sessions: turn after turn, each answer following from the whole transcript."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from rainsail.emulator.answers import expected_answer
+from rainsail.errors import Outcome
+from rainsail.resources.specs import Kind, RequestClass
+from rainsail.runtime.clock import sleep
+from rig.callers import Caller, PlannedRequest, Users
+from rig.operators import Operator
+
+TURN_PERIOD_S = 1.5
+TURN_TOKENS = 24
+TURNS_PER_SESSION = 8
+DECLARED_PAUSE_S = 0.5
+
+
+class SessionTraffic:
+    """Keeps a few sessions talking; one whose turn has no known end is left for a new one."""
+
+    def __init__(
+        self,
+        users: Users,
+        operator: Operator,
+        model: str,
+        count: int,
+        failed: Callable[[Any], None],
+    ) -> None:
+        self._users = users
+        self._operator = operator
+        self._model = model
+        self._count = count
+        self._failed = failed
+        self._stopped = False
+        self._sessions = 0
+        self._open = 0
+        self.turns_completed = 0
+
+    def start(self) -> None:
+        """Start every session."""
+        for _ in range(self._count):
+            self._open += 1
+            Deferred.fromCoroutine(self._follow()).addErrback(self._failed)
+
+    def stop(self) -> None:
+        """Take no further turns."""
+        self._stopped = True
+
+    def settled(self) -> bool:
+        """Tell whether every turn has its answer."""
+        return self._open == 0
+
+    async def _follow(self) -> None:
+        while not self._stopped:
+            self._sessions += 1
+            await self._run_session(f"talk-{self._sessions}")
+        self._open -= 1
+
+    async def _run_session(self, session: str) -> None:
+        tenant = self._users.draw.choice(self._users.layout.tenants)
+        spec = {"tenant": tenant, "service": self._model, "adapter": ""}
+        await self._operator.declare(Kind.SESSION, session, spec)
+        await sleep(self._users.clock, DECLARED_PAUSE_S)
+        transcript = ""
+        for turn in range(TURNS_PER_SESSION):
+            if self._stopped:
+                return
+            planned = self._turn(session, tenant, turn, transcript)
+            caller = Caller(self._users, planned, self._users.draw.randrange(100))
+            if await caller.run() != Outcome.COMPLETED:
+                return
+            self.turns_completed += 1
+            transcript += planned.prompt + planned.expected_text
+            await sleep(self._users.clock, self._users.draw.uniform(0.1, TURN_PERIOD_S))
+
+    def _turn(self, session: str, tenant: str, turn: int, transcript: str) -> PlannedRequest:
+        prompt = f"Turn {turn} of {session}: where is the next one now? "
+        return PlannedRequest(
+            request_id=f"{session}-turn-{turn}",
+            tenant=tenant,
+            model=self._model,
+            class_=RequestClass.ONLINE,
+            prompt=prompt,
+            max_tokens=TURN_TOKENS,
+            seed=turn,
+            stream=True,
+            expected_text=expected_answer(self._model, transcript + prompt, TURN_TOKENS, turn),
+            session=session,
+        )
--- a/src/rainsail/assembly/process.py
+++ b/src/rainsail/assembly/process.py
@@ -4,6 +4,7 @@
 from collections.abc import Generator
 from typing import Any
 
+from expression import Ok, Result
 from klein import Klein
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 
@@ -50,7 +51,10 @@
 
     @inlineCallbacks
     def _start_roles(self) -> Generator[Deferred[Any], Any, None]:
-        self._listen_for_status()
+        listening = self._listen_for_status()
+        if listening.is_error():
+            self.fail(listening.error)
+            return
         for role in self.roles:
             started = yield role.start()
             if started.is_error():
@@ -60,17 +64,15 @@
         self._ready_gauge.set(1)
         logger.bind(process=self._settings.process.name).info("started")
 
-    def _listen_for_status(self) -> None:
+    def _listen_for_status(self) -> Result[Any, Fault]:
         if self._settings.addresses.status is None:
-            return
+            return Ok(None)
         app = Klein()
         app.route("/healthz")(lambda request: b"ok\n")
         app.route("/readyz")(self._readyz)
         app.route("/metrics")(self._metrics_text)
         address = parse_address(self._settings.addresses.status)
-        port = listen_http(self._reactor, app.resource(), address)
-        if port.is_error():
-            self.fail(port.error)
+        return listen_http(self._reactor, app.resource(), address)
 
     def _readyz(self, request: Any) -> bytes:
         ready = self._ready and not self._stopping
