Ask past a lost leader whom followers still name, and try again at least every 0.4 s

Cause: after its leader was lost a client asked a follower, which still named the lost leader, so it went back there again and again: a whole attempt's time each at a leader cut off in silence, and growing waits up to 1 s at a killed one.

Change: LeaderDirectory keeps who leads each group. A replica that has just given no answer is not asked on others' word for one attempt's time, and the others are asked in turn. backoff_limit_s goes from 1.0 to 0.4 s. bench/against.py hands further arguments to the bench.

--- a/bench/against.py
+++ b/bench/against.py
@@ -4,9 +4,10 @@
 are taken from the working tree, so that both sides run the same measurement. Prints one line per
 run and ends in one JSON object: for each figure the medians of both sides and their ratio.
 
-    python bench/against.py COMMIT BENCH [--rounds N] [-- --seconds=3 ...]
+    python bench/against.py COMMIT BENCH [--rounds N] [--seconds=3 ...]
 
-BENCH is a name of ``rainsail bench``, or ``replicas`` (five processes).
+BENCH is a name of ``rainsail bench``, or ``replicas`` (five processes); further arguments are
+given to the bench.
 """
 
 import argparse
@@ -95,7 +96,7 @@
     return {name: statistics.median(values) for name, values in gathered.items()}
 
 
-def main(arguments: argparse.Namespace) -> None:
+def main(arguments: argparse.Namespace, parameters: list[str]) -> None:
     """Run both sides alternately and print the comparison."""
     runs: dict[str, list[dict[str, Any]]] = {"earlier": [], "now": []}
     with tempfile.TemporaryDirectory(prefix="against-") as folder:
@@ -106,7 +107,7 @@
             for number in range(arguments.rounds):
                 sides = [("earlier", tree), ("now", ROOT)]
                 for side, path in sides if number % 2 == 0 else reversed(sides):
-                    figures = run_bench(path, arguments.bench, arguments.parameters)
+                    figures = run_bench(path, arguments.bench, parameters)
                     runs[side].append(figures)
                     print(f"{side} {json.dumps(figures)}", flush=True)
         finally:
@@ -121,5 +122,5 @@
     parser.add_argument("commit")
     parser.add_argument("bench")
     parser.add_argument("--rounds", type=int, default=3)
-    parser.add_argument("parameters", nargs="*", help="given to the bench, after --")
-    main(parser.parse_args())
+    known, others = parser.parse_known_args()
+    main(known, others)
--- a/src/rainsail/benchmarks/virtual_replicas.py
+++ b/src/rainsail/benchmarks/virtual_replicas.py
@@ -25,6 +25,7 @@
     """Replicas r1 to rN over three zones, a millisecond apart one way."""
 
     def __init__(self, count: int, seed: int, consensus: ConsensusSettings | None = None) -> None:
+        self._seed = seed
         self.clock = VirtualClock()
         conditions = LinkConditions(delay_s=ONE_WAY_S, jitter_s=JITTER_S)
         self.network = SimulatedNetwork(self.clock, random.Random(seed), conditions)
@@ -59,7 +60,9 @@
         """Return a client of a process of its own name."""
         messenger = Messenger(self.network.transport(name, "z0"), self.clock)
         settings = ControlSettings.model_validate({})
-        return LeaderClient(messenger, self.names, self.clock, random.Random(name), settings)
+        return LeaderClient(
+            messenger, self.names, self.clock, random.Random(f"{self._seed}/{name}"), settings
+        )
 
     def run_until(
         self, condition: Callable[[], bool], what: str, limit_s: float = RUN_LIMIT_S
--- a/src/rainsail/cli/bench.py
+++ b/src/rainsail/cli/bench.py
@@ -3,7 +3,7 @@
 import importlib
 import json
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -11,7 +11,7 @@
 from rich.console import Console
 
 from rainsail.benchmarks.catalogue import BENCHES, BenchSession, run_session
-from rainsail.benchmarks.report import Progress, no_progress, write_report
+from rainsail.benchmarks.report import BenchReport, Progress, no_progress, write_report
 from rainsail.cli.exit_codes import bad_input, failed
 
 GATEWAY_BENCH = "rainsail.benchmarks.gateway"
@@ -62,8 +62,7 @@
     def gateway(self, output: str = "", **parameters: Any) -> None:
         """Measure one gateway; the parameters are those of ``run_gateway_bench``."""
         report = importlib.import_module(GATEWAY_BENCH).run_gateway_bench(**parameters)
-        if output:
-            write_report(report, Path(output))
+        _write((report,), output)
         print(json.dumps(report.to_json()), flush=True)
 
     def all(self, output: str = "", folder: str = "") -> None:
@@ -89,10 +88,14 @@
             run_session(session)
         except TimeoutError as error:
             raise failed(str(error)) from error
-    for report in session.reports:
+    _write(session.reports, output)
+    return session
+
+
+def _write(reports: Sequence[BenchReport], output: str) -> None:
+    for report in reports:
         if output:
             write_report(report, Path(output))
-    return session
 
 
 @contextmanager
--- a/src/rainsail/control/leader_client.py
+++ b/src/rainsail/control/leader_client.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
 
+from rainsail.control.leader_directory import LeaderDirectory
 from rainsail.control.messages import ConfigPoll, EncodedReply, ProposeReply, ProposeRequest
 from rainsail.control.repeat_safety import repeat_safety
 from rainsail.control.settings import ControlSettings
@@ -49,8 +50,7 @@
         self._clock = clock
         self._random = random
         self._settings = settings
-        self._leaders: dict[GroupId, str] = {}
-        self._turns: dict[GroupId, int] = {}
+        self._leaders = LeaderDirectory(replicas, random, settings.attempt_timeout_s)
 
     def propose(
         self, command: Command, timeout_s: float, group: GroupId = ROOT_GROUP
@@ -82,18 +82,19 @@
         may_have_run = False
         failures = 0
         while True:
-            target = self._target(request.group)
+            target = self._leaders.target(request.group, self._clock.seconds())
             left_s = deadline_s - self._clock.seconds()
             attempt_s = max(0.0, min(left_s, self._attempt_timeout_s(request)))
             answer = await self._messenger.call(target, request, attempt_s)
             if answer.is_ok():
-                self._leaders[request.group] = target
+                self._leaders.answered(request.group, target)
                 return _opened(answer.ok)
             fault: Fault = answer.error
-            redirected = self._learn(request.group, target, fault)
             may_have_run = may_have_run or fault.outcome != Outcome.NOT_RUN
             if fault.code in FINAL_CODES or (may_have_run and not repeatable):
                 return Error(_with_truth(fault, may_have_run))
+            now_s = self._clock.seconds()
+            redirected = self._leaders.failed(request.group, target, fault, now_s)
             wait_s = (
                 0.0 if redirected and failures < len(self._replicas) else self._wait_s(failures)
             )
@@ -103,26 +104,6 @@
             if wait_s > 0:
                 await sleep(self._clock, wait_s)
 
-    def _target(self, group: GroupId) -> str:
-        known = self._leaders.get(group)
-        if known is not None:
-            return known
-        turn = self._turns.get(group)
-        if turn is None:
-            turn = self._random.randrange(len(self._replicas))
-        self._turns[group] = turn + 1
-        return self._replicas[turn % len(self._replicas)]
-
-    def _learn(self, group: GroupId, target: str, fault: Fault) -> bool:
-        """Note what a fault says of the leader; return True when it names another replica."""
-        named = fault.code == FaultCode.NOT_LEADER and fault.peer not in ("", target)
-        if named and fault.peer in self._replicas:
-            self._leaders[group] = fault.peer
-            return True
-        if fault.code not in FINAL_CODES:
-            self._leaders.pop(group, None)
-        return False
-
     def _wait_s(self, failures: int) -> float:
         longest_s = min(
             self._settings.backoff_limit_s, self._settings.backoff_first_s * 2 ** min(failures, 16)
--- a/src/rainsail/control/settings.py
+++ b/src/rainsail/control/settings.py
@@ -49,7 +49,7 @@
         1.0, gt=0, description="How long one attempt of a request to a replica may take."
     )
     backoff_first_s: float = Field(0.05, gt=0, description="First wait before a retry.")
-    backoff_limit_s: float = Field(1.0, gt=0, description="Longest wait before a retry.")
+    backoff_limit_s: float = Field(0.4, gt=0, description="Longest wait before a retry.")
     request_timeout_s: float = Field(
         10.0, gt=0, description="How long the operator API tries one request at the leader."
     )
