Drop a learner that is long gone, so that other repairs go on; prove repairs and their status

Cause: a repaired replica whose machine went away for good while it was a learner stayed in the membership, and as repairs go one at a time no other lost disk was ever repaired. A newcomer was also remembered for ever, whoever had spoken for it. Change: a learner not heard of for the repair time leaves; a replica that doesn't vote and hears no leader calls again; only a newcomer that has called lately, under its own name, is taken in.

--- a/features/support/consensus.py
+++ b/features/support/consensus.py
@@ -217,9 +217,10 @@
         for _ in range(count):
             number = self.next_number
             self.next_number += 1
-            self.run_until(lambda number=number: self._try_commit(number), f"commit of {number}")
+            self.run_until(lambda number=number: self.try_commit(number), f"commit of {number}")
 
-    def _try_commit(self, number: int) -> bool:
+    def try_commit(self, number: int) -> bool:
+        """Propose a number once, where there is a leader; True when it is acknowledged."""
         leaders = self.leaders()
         if not leaders:
             return False
--- a/src/rainsail/consensus/core.py
+++ b/src/rainsail/consensus/core.py
@@ -92,7 +92,7 @@
         if state.installing:
             state.reset_election_deadline(now)
             return
-        if state.membership.find(state.identity) is None:
+        if not state.membership.is_voter(state.identity):
             founding.say_hello(state)
         if state.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             roles.become_follower(state, state.term, now)
@@ -146,7 +146,7 @@
             case FoundingVoteReply():
                 founding.handle_reply(state, message, now)
             case Hello():
-                founding.handle_hello(state, source, message)
+                founding.handle_hello(state, source, message, now)
 
     def _after_leader_input(self, now: float) -> None:
         state = self.state
@@ -170,7 +170,7 @@
 
     def change_membership(self, membership: Membership, now: float) -> tuple[Fault | None, Effects]:
         """Append a single-step membership change, or say why not now."""
-        fault = membership_change.propose(self.state, membership)
+        fault = membership_change.propose(self.state, membership, now)
         return fault, self.state.take_effects()
 
     def read(self, request: int, now: float) -> Effects:
--- a/src/rainsail/consensus/core_state.py
+++ b/src/rainsail/consensus/core_state.py
@@ -63,6 +63,7 @@
     acked_round: int = 0
     acked_sent_at_s: float = float("-inf")
     heard_at_s: float = float("-inf")
+    added_at_s: float = float("-inf")
 
     def reset_in_flight(self) -> None:
         """Forget what was sent and not acknowledged."""
@@ -118,6 +119,14 @@
     round: int
 
 
+@dataclass(frozen=True, slots=True)
+class Newcomer:
+    """An identity outside the group that called lately, under the name of a replica."""
+
+    identity: str
+    heard_at_s: float
+
+
 @dataclass(slots=True)
 class IncomingSnapshot:
     """The chunks received so far of one leader's snapshot."""
@@ -181,7 +190,7 @@
         self.installing = False
         self.incoming: IncomingSnapshot | None = None
         self.snapshot_index = log.base_index
-        self.newcomers: dict[str, str] = {}
+        self.newcomers: dict[str, Newcomer] = {}
         self.reset_election_deadline(now)
 
     @property
--- a/src/rainsail/consensus/founding.py
+++ b/src/rainsail/consensus/founding.py
@@ -10,7 +10,7 @@
 """
 
 from rainsail.consensus import roles
-from rainsail.consensus.core_state import CoreState, Role
+from rainsail.consensus.core_state import CoreState, Newcomer, Role
 from rainsail.consensus.messages import FoundingVoteReply, FoundingVoteRequest, Hello
 
 
@@ -107,7 +107,7 @@
         roles.found_group(state, now)
 
 
-def handle_hello(state: CoreState, source: str, message: Hello) -> None:
+def handle_hello(state: CoreState, source: str, message: Hello, now: float) -> None:
     """Remember which identity a replica of ours runs under now, for a repair."""
-    if state.membership.find(message.sender) is None:
-        state.newcomers[message.replica] = message.sender
+    if message.replica == source and state.membership.find(message.sender) is None:
+        state.newcomers[source] = Newcomer(message.sender, now)
--- a/src/rainsail/consensus/membership_change.py
+++ b/src/rainsail/consensus/membership_change.py
@@ -9,7 +9,7 @@
 STEP = "consensus.change_membership"
 
 
-def propose(state: CoreState, membership: Membership) -> Fault | None:
+def propose(state: CoreState, membership: Membership, now: float) -> Fault | None:
     """Append a new membership, or say why it may not be appended now."""
     fault = refusal(state, membership)
     if fault is not None:
@@ -19,6 +19,9 @@
     for identity in list(state.progress):
         if membership.find(identity) is None:
             del state.progress[identity]
+    for member in membership.members:
+        if member.identity != state.identity and member.identity not in state.progress:
+            replication.progress_of(state, member.identity).added_at_s = now
     replication.replicate(state)
     return None
 
--- a/src/rainsail/consensus/repair.py
+++ b/src/rainsail/consensus/repair.py
@@ -28,11 +28,15 @@
 
 
 def after_learner(state: CoreState, learner: MemberSpec, now: float) -> Membership | None:
-    """Promote a caught-up learner, or drop one that has itself been replaced."""
-    newest = state.newcomers.get(learner.replica, learner.identity)
-    if newest != learner.identity and not heard_lately(state, learner.identity, now):
-        return state.membership.without(learner.identity)
-    if is_caught_up(state, learner.identity) and heard_lately(state, learner.identity, now):
+    """Promote a caught-up learner, or drop one that has itself been replaced or is long gone.
+
+    A learner that went away for good must not stand in the way of other repairs.
+    """
+    if not heard_lately(state, learner.identity, now):
+        if calls_lately(state, learner.replica, now) or is_long_gone(state, learner.identity, now):
+            return state.membership.without(learner.identity)
+        return None
+    if is_caught_up(state, learner.identity):
         return state.membership.promoted(learner.identity)
     return None
 
@@ -48,20 +52,28 @@
 def with_newcomer(state: CoreState, now: float) -> Membership | None:
     """Add the new identity of a member that has been away for long."""
     for member in state.membership.voters():
-        newest = state.newcomers.get(member.replica)
-        if newest is None or state.membership.find(newest) is not None:
+        if not calls_lately(state, member.replica, now):
             continue
         if is_long_gone(state, member.identity, now):
+            newest = state.newcomers[member.replica].identity
             return state.membership.with_learner(member.replica, newest)
     return None
 
 
+def calls_lately(state: CoreState, replica: str, now: float) -> bool:
+    """Tell whether a replica has called lately under an identity outside the group."""
+    newcomer = state.newcomers.get(replica)
+    if newcomer is None or state.membership.find(newcomer.identity) is not None:
+        return False
+    return now - newcomer.heard_at_s < state.settings.unreachable_after_s
+
+
 def is_long_gone(state: CoreState, identity: str, now: float) -> bool:
     """Tell whether a member was not heard of for the repair time, as far as this leader knows."""
     progress = state.progress.get(identity)
     if identity == state.identity or progress is None:
         return False
-    heard_at_s = max(progress.heard_at_s, state.leader_since_s)
+    heard_at_s = max(progress.heard_at_s, progress.added_at_s, state.leader_since_s)
     return now - heard_at_s >= state.settings.repair_after_s
 
 
