Let a leader whose disk finishes no sync hand leadership over

Cause: a sync that neither ends nor fails left a leader in office: heartbeats don't wait for the disk, and the next batch of proposals waits for the sync, so that nothing committed for as long as the disk hung.

Change: SyncWatch notes how long the sync under way has run.

A follower with a stalled disk is no matter of this: it acknowledges nothing and the others go on.

--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -21,6 +21,7 @@
 from rainsail.consensus.snapshot_worker import SnapshotWorker
 from rainsail.consensus.status import status_reply
 from rainsail.consensus.sync_queue import SyncQueue
+from rainsail.consensus.sync_watch import SyncWatch
 from rainsail.control.messages import GroupStatusReply
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.logs import logger
@@ -71,6 +72,7 @@
         )
         self._applier = Applier(log, state_machine, log.base_index)
         self._sync_queue = SyncQueue(storage, self._send, self._synced, self._fatal)
+        self._sync_watch = SyncWatch(settings.sync_stall_s)
         self._snapshots = SnapshotWorker(
             storage,
             state_machine,
@@ -276,10 +278,18 @@
             return
         now = self._clock.seconds()
         self._take(self.core.tick(now))
+        self._leave_stalled_disk(now)
         membership = repair.next_membership(self.core.state, now)
         if membership is not None and not self._stopped:
             self.change_membership(membership)
 
+    def _leave_stalled_disk(self, now: float) -> None:
+        """Hand leadership over when the own disk finishes no sync: nothing new is appended."""
+        stalled = self._sync_watch.is_stalled(self._sync_queue.running_sequence, now)
+        if stalled and self.core.state.role == Role.LEADER:
+            _, effects = self.core.transfer_leadership(now)
+            self._take(effects)
+
     # --- effects -------------------------------------------------------------------------
 
     def _take(self, effects: Effects) -> None:
--- a/src/rainsail/consensus/settings.py
+++ b/src/rainsail/consensus/settings.py
@@ -27,6 +27,11 @@
         description="Share by which two replicas' monotonic clocks may differ in rate; the "
         "leader's read lease is shorter than the election timeout by it.",
     )
+    sync_stall_s: float = Field(
+        1.0,
+        gt=0,
+        description="A leader whose disk has been at one sync for this long hands leadership over.",
+    )
     max_batch_bytes: int = Field(
         256 * 1024, gt=0, description="Payload bytes in one append message at most."
     )
--- a/src/rainsail/consensus/sync_queue.py
+++ b/src/rainsail/consensus/sync_queue.py
@@ -36,6 +36,11 @@
         """Whether a sync is under way."""
         return self._running
 
+    @property
+    def running_sequence(self) -> int:
+        """The number of the writes that the sync under way covers; 0 without one."""
+        return self._running_sequence if self._running else 0
+
     def stop(self) -> None:
         """Send and report nothing any more."""
         self._stopped = True
