Follow only the own zone's runners and a sample of the others

Cause: every gateway subscribed to every runner's load reports and looked through all of them on each request. 380 nodes before 12,000 runners would have been 4.6 million subscriptions, and one node spent a third of a core and 7 MB a second on reports alone.

Change: a gateway follows the runners of its zone, those that it owns because their zone has no gateway, about 64 others (other_zone_runners) drawn by a hash that differs between gateways, and up to 64 more (asked_runners) that a session is pinned to. Fleets of today's sizes are followed whole. Live gateways are indexed by zone once per change of a Gateway, and only runners whose zone's list changed get their owner looked up again.

--- /dev/null
+++ b/features/steps/scale_followed_steps.py
@@ -0,0 +1,130 @@
+"""Steps on which runners a gateway of a large fleet follows."""
+
+from behave import given, then, when
+from features.support.scale import LargeFleetGateway
+
+from rainsail.gateway.followed_runners import FollowedRunners
+from rainsail.gateway.settings import FleetSettings
+from rainsail.scale.workload import node_name, runner_name
+
+REPORTS_S = 5.0
+
+
+@given("a lone gateway of a fleet of {zones:d} zones, {nodes:d} nodes and {runners:d} runners")
+def make_lone_gateway(context, zones, nodes, runners):
+    context.lone = LargeFleetGateway(zones, nodes, runners)
+
+
+@given(
+    "another lone gateway of a fleet of {zones:d} zones, {nodes:d} nodes and {runners:d} runners"
+)
+def make_other_gateway(context, zones, nodes, runners):
+    context.other_lone = LargeFleetGateway(zones, nodes, runners)
+
+
+@then("the lone gateway follows {count:d} runners")
+def follows_count(context, count):
+    assert len(context.lone.followed()) == count
+    assert context.lone.engine.subscriptions == count
+
+
+@then("the lone gateway follows every runner of its zone")
+def follows_zone(context):
+    lone = context.lone
+    own = [runner_name(n) for n in range(0, lone.size.runners, lone.size.zones)]
+    assert [name for name in own if name not in lone.followed()] == []
+
+
+@then("the lone gateway follows between {least:d} and {most:d} runners of other zones")
+def follows_some(context, least, most):
+    assert least <= len(context.lone.sample()) <= most, len(context.lone.sample())
+
+
+@then("the other lone gateway gets at most {percent:d} percent more load reports")
+def few_more_reports(context, percent):
+    counts = []
+    for gateway in (context.lone, context.other_lone):
+        before = gateway.reports()
+        gateway.virtual.advance(REPORTS_S)
+        counts.append(gateway.reports() - before)
+    assert 0 < counts[1] <= (1 + percent / 100) * counts[0], counts
+
+
+@then("its sample is the same after a restart and another one for node {number:d}")
+def sample_differs(context, number):
+    lone = context.lone
+    size = lone.size
+    assert LargeFleetGateway(size.zones, size.nodes, size.runners).sample() == lone.sample()
+    settings = FleetSettings()
+    other = FollowedRunners(
+        node_name(number), size.zone(0), settings.other_zone_runners, settings.asked_runners
+    )
+    for runner in range(size.runners):
+        other.note(runner_name(runner), size.zone(runner))
+    chosen = [
+        runner_name(n) for n in range(size.runners) if other.follows(runner_name(n), "-", False)
+    ]
+    assert set(chosen) != set(lone.sample())
+
+
+@when("the other nodes of the lone gateway's fleet are deleted")
+def delete_nodes(context):
+    context.lone.delete_other_nodes()
+
+
+@when("{seconds:g} second of the lone gateway's time passes")
+def time_passes(context, seconds):
+    context.lone.virtual.advance(seconds)
+
+
+@then("the lone gateway follows {count:d} runners and owns all of them")
+def owns_all(context, count):
+    follows_count(context, count)
+    assert len(context.lone.fleet.owned_runners()) == count
+
+
+@when("the lone gateway is asked to follow {count:d} more runners of other zones")
+def ask_to_follow(context, count):
+    lone = context.lone
+    followed = lone.followed()
+    names = [runner_name(number) for number in range(lone.size.runners)]
+    context.asked = [name for name in names if name not in followed][:count]
+    for name in context.asked:
+        lone.fleet.follow(name)
+
+
+@then("{count:d} of the {asked:d} runners asked for are followed, the last among them")
+def asked_followed(context, count, asked):
+    followed = [name for name in context.asked if name in context.lone.followed()]
+    assert len(context.asked) == asked
+    assert followed == context.asked[-count:], followed
+
+
+@then("the lone gateway knows the load of each")
+def load_known(context):
+    states = context.lone.fleet.runners()
+    assert [state.name for state in states if state.report is None or state.silent] == []
+
+
+@when("a runner that the lone gateway does not follow moves to its zone")
+def move_runner(context):
+    lone = context.lone
+    followed = lone.followed()
+    names = [runner_name(number) for number in range(lone.size.runners)]
+    context.moved = next(name for name in names if name not in followed)
+    lone.put_runner(context.moved, lone.size.zone(0))
+
+
+@when("the runner of the lone gateway's fleet moves back")
+def move_back(context):
+    context.lone.put_runner(context.moved, context.lone.size.zone(1))
+
+
+@then("the lone gateway follows that runner")
+def follows_moved(context):
+    assert context.moved in context.lone.followed()
+
+
+@then("the lone gateway does not follow that runner")
+def follows_moved_not(context):
+    assert context.moved not in context.lone.followed()
--- a/src/rainsail/gateway/fleet.py
+++ b/src/rainsail/gateway/fleet.py
@@ -1,6 +1,5 @@
 """A gateway's view of every runner: load, cache, own work, draining, ejection, ownership."""
 
-from bisect import insort
 from collections.abc import Callable
 from random import Random
 
@@ -8,13 +7,23 @@
 from rainsail.control.interface import ConfigReader
 from rainsail.engine.interface import CacheEvent, EndReason, EngineClient, LoadReport
 from rainsail.gateway import runner_state
+from rainsail.gateway.batch_view import batch_view
 from rainsail.gateway.ejection import may_put_out
 from rainsail.gateway.eligibility import EligibleCache, EligibleRunners
 from rainsail.gateway.engine_feed import EngineFeed
-from rainsail.gateway.ownership import live_gateways, rendezvous_owner
+from rainsail.gateway.followed_runners import FollowedRunners
+from rainsail.gateway.ownership import Ownership
+from rainsail.gateway.runner_index import RunnerIndex
 from rainsail.gateway.runner_state import RunnerState
 from rainsail.gateway.settings import GatewaySettings
-from rainsail.resources.specs import EventType, Kind, Resource, RunnerSpec, WatchEvent
+from rainsail.resources.specs import (
+    EventType,
+    Kind,
+    Resource,
+    ResourceKey,
+    RunnerSpec,
+    WatchEvent,
+)
 from rainsail.runtime.clock import Clock
 
 ChangeListener = Callable[[str], None]
@@ -40,11 +49,14 @@
         self._clock = clock
         self._random = random
         self._settings = settings.fleet
-        self._runners: dict[str, RunnerState] = {}
+        self._runners = RunnerIndex()
         self._feeds: dict[str, EngineFeed] = {}
-        self._by_service: dict[str, list[RunnerState]] = {}
         self._eligible = EligibleCache(zone)
-        self._live_gateways: dict[str, list[str]] = {}
+        self._ownership = Ownership(gateway)
+        self._followed = FollowedRunners(
+            gateway, zone, settings.fleet.other_zone_runners, settings.fleet.asked_runners
+        )
+        self._choice_due = False
         self._watched_s = 0.0
         self._listeners: list[ChangeListener] = []
         self._restart_listeners: list[ChangeListener] = []
@@ -53,8 +65,10 @@
     def start(self) -> None:
         """Read the resources, then follow them."""
         self._config.on_event(self._on_event)
+        self._ownership.take(self._config.list_resources(Kind.GATEWAY))
         for resource in self._config.list_resources(Kind.RUNNER):
-            self._put(resource)
+            self._note(resource)
+        self._choose_followed()
         self._watched_s = self._clock.seconds()
         self._clock.callLater(self._settings.watch_period_s, self._watch)
 
@@ -73,11 +87,11 @@
 
     def runners(self) -> list[RunnerState]:
         """Return every runner in name order."""
-        return [self._runners[name] for name in sorted(self._runners)]
+        return self._runners.all()
 
     def runners_of(self, service: str) -> list[RunnerState]:
         """Return the runners of a service in name order, usable or not."""
-        return self._by_service.get(service, [])
+        return self._runners.of_service(service)
 
     def eligible(self, service: str, batch: bool, adapter: str = "") -> EligibleRunners:
         """Return the runners of a service that may get new work now."""
@@ -93,6 +107,15 @@
         state = self._runners.get(runner)
         return state is not None and runner_state.takes_new_work(state, self._clock.seconds())
 
+    def follow(self, runner: str) -> None:
+        """Follow a runner also when it is not of the zone or the sample: a session is there."""
+        resource = self._config.get(ResourceKey(Kind.RUNNER, runner))
+        if self._runners.get(runner) is not None or resource is None:
+            return
+        if self._followed.ask(runner):
+            self._choice_due = True
+        self._put(resource)
+
     def leaving(self, runner: str) -> bool:
         """Tell whether a runner is draining, gone or silent."""
         state = self._runners.get(runner)
@@ -110,24 +133,10 @@
 
     def view(self, runner: str) -> RunnerView:
         """Return what the batch policies see of a runner; KeyError when it does not exist."""
-        state = self._runners[runner]
-        now_s = self._clock.seconds()
-        report = state.report
-        return RunnerView(
-            runner=runner,
-            now_s=now_s,
-            slots=state.spec.batch_slots,
-            online_running=state.online_running,
-            online_waiting=report.waiting if report else 0,
-            batch_running=state.batch_running,
-            reported_running=report.running if report else 0,
-            reported_running_low=report.running_low if report else 0,
-            reported_waiting=report.waiting if report else 0,
-            kv_tokens_used=report.kv_tokens_used if report else 0,
-            kv_tokens_total=report.kv_tokens_total if report else 0,
-            report_age_s=state.report_age_s(now_s),
-            online_arrivals_per_s=state.arrivals_per_s(now_s),
-        )
+        state = self._runners.get(runner)
+        if state is None:
+            raise KeyError(runner)
+        return batch_view(state, self._clock.seconds())
 
     def on_change(self, listener: ChangeListener) -> None:
         """Call ``listener`` with a runner's name at each change of its view."""
@@ -185,50 +194,59 @@
         if kind == Kind.RUNNER:
             self._eligible.changed()
             if event.type == EventType.DELETED:
+                self._choice_due |= self._followed.forget(event.resource.key.name)
                 self._delete(event.resource.key.name)
             else:
+                self._note(event.resource)
                 self._put(event.resource)
         elif kind == Kind.GATEWAY:
-            self._live_gateways.clear()
-            for state in self.runners():
+            self._gateways_changed()
+
+    def _note(self, resource: Resource) -> None:
+        if isinstance(resource.spec, RunnerSpec):
+            self._choice_due |= self._followed.note(resource.key.name, resource.spec.zone)
+
+    def _gateways_changed(self) -> None:
+        before = self._ownership.live
+        after = self._ownership.take(self._config.list_resources(Kind.GATEWAY))
+        self._choice_due |= before.zones() != after.zones()
+        for state in self.runners():
+            if before.of_zone(state.spec.zone) != after.of_zone(state.spec.zone):
                 self._assign_owner(state)
 
+    def _choose_followed(self) -> None:
+        """Look at every runner again: the sample or the zones without gateways have changed."""
+        self._choice_due = False
+        for resource in self._config.list_resources(Kind.RUNNER):
+            self._put(resource)
+
     def _put(self, resource: Resource) -> None:
         if self._stopped or not isinstance(resource.spec, RunnerSpec):
             return
-        name = resource.key.name
+        name, zone = resource.key.name, resource.spec.zone
         state = self._runners.get(name)
+        if not self._followed.follows(name, zone, self._ownership.owns_elsewhere(name, zone)):
+            if state is not None:
+                self._delete(name)
+            return
         if state is None:
             state = RunnerState(resource, self._clock.seconds(), self._settings)
-            self._runners[name] = state
-            self._index(state)
+            self._runners.add(state)
         else:
-            self._update(state, resource)
+            self._runners.update(state, resource)
         feed = self._feeds.get(name)
         if feed is None or feed.address != resource.spec.address:
             self._open_feed(state)
         self._assign_owner(state)
         self._changed(name)
 
-    def _update(self, state: RunnerState, resource: Resource) -> None:
-        service = state.spec.service
-        state.update_resource(resource)
-        if state.spec.service != service:
-            self._by_service[service].remove(state)
-            self._index(state)
-
     def _delete(self, name: str) -> None:
-        state = self._runners.pop(name, None)
-        if state is not None:
-            self._by_service[state.spec.service].remove(state)
+        self._runners.remove(name)
         feed = self._feeds.pop(name, None)
         if feed is not None:
             feed.stop()
         self._changed(name)
 
-    def _index(self, state: RunnerState) -> None:
-        insort(self._by_service.setdefault(state.spec.service, []), state, key=_name)
-
     def _open_feed(self, state: RunnerState) -> None:
         old = self._feeds.pop(state.name, None)
         if old is not None:
@@ -261,12 +279,7 @@
         state.cache.apply(event)
 
     def _assign_owner(self, state: RunnerState) -> None:
-        zone = state.spec.zone
-        live = self._live_gateways.get(zone)
-        if live is None:
-            live = live_gateways(self._config.list_resources(Kind.GATEWAY), zone)
-            self._live_gateways[zone] = live
-        owned = rendezvous_owner(state.name, live) == self.gateway
+        owned = self._ownership.owns(state.name, state.spec.zone)
         if owned != state.owned:
             state.owned = owned
             self._changed(state.name)
@@ -278,6 +291,8 @@
         now_s = self._clock.seconds()
         pause_s = now_s - self._watched_s - 2.0 * self._settings.watch_period_s
         self._watched_s = now_s
+        if self._choice_due:
+            self._choose_followed()
         for state in self.runners():
             if pause_s > 0.0:
                 state.excuse_silence(pause_s, now_s)
@@ -298,7 +313,3 @@
 def usability(report: LoadReport) -> tuple[str, bool, str, tuple[str, ...]]:
     """Return the part of a report that decides whether a runner may get work."""
     return report.incarnation, report.draining, report.loaded_version, report.adapters
-
-
-def _name(state: RunnerState) -> str:
-    return state.name
--- /dev/null
+++ b/src/rainsail/gateway/followed_runners.py
@@ -0,0 +1,69 @@
+"""Which runners a gateway follows: those of its zone, those it owns, a sample of the others.
+
+Following every runner of a large fleet from every gateway would cost runners times gateways
+subscriptions. A sample of other zones' runners is enough to move work there when it pays: two
+random choices of a sample do as well as of the whole. The sample is drawn by hash, so it differs
+between gateways, survives restarts and changes little as runners come and go.
+"""
+
+import xxhash
+
+
+def sample_mask(runners: int, limit: int) -> int:
+    """Return the mask that lets at most about ``limit`` of ``runners`` through. Pure."""
+    bits = 0
+    while runners >> bits > limit:
+        bits += 1
+    return (1 << bits) - 1
+
+
+class FollowedRunners:
+    """Decides for one gateway; knows only the names of other zones' runners."""
+
+    def __init__(self, gateway: str, zone: str, sample_limit: int, asked_limit: int) -> None:
+        self._gateway = gateway
+        self._zone = zone
+        self._sample_limit = sample_limit
+        self._asked_limit = asked_limit
+        self._others: dict[str, None] = {}
+        self._asked: dict[str, None] = {}
+        self._mask = 0
+
+    def note(self, runner: str, zone: str) -> bool:
+        """Note that a runner exists; return whether the sample has to be drawn anew."""
+        if zone == self._zone:
+            self._others.pop(runner, None)
+        else:
+            self._others[runner] = None
+        return self._count_again()
+
+    def forget(self, runner: str) -> bool:
+        """Note that a runner is gone; return whether the sample has to be drawn anew."""
+        self._others.pop(runner, None)
+        self._asked.pop(runner, None)
+        return self._count_again()
+
+    def ask(self, runner: str) -> str:
+        """Follow a runner on demand; return the one given up for it, or an empty string."""
+        self._asked.pop(runner, None)
+        self._asked[runner] = None
+        if len(self._asked) <= self._asked_limit:
+            return ""
+        oldest = next(iter(self._asked))
+        del self._asked[oldest]
+        return oldest
+
+    def follows(self, runner: str, zone: str, owned: bool) -> bool:
+        """Tell whether a runner is to be followed."""
+        if owned or zone == self._zone or runner in self._asked:
+            return True
+        return self._hash(runner) & self._mask == 0
+
+    def _hash(self, runner: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"sample/{self._gateway}/{runner}".encode())
+
+    def _count_again(self) -> bool:
+        mask = sample_mask(len(self._others), self._sample_limit)
+        changed = mask != self._mask
+        self._mask = mask
+        return changed
--- a/src/rainsail/gateway/ownership.py
+++ b/src/rainsail/gateway/ownership.py
@@ -11,16 +11,32 @@
 from rainsail.resources.specs import GatewaySpec, Resource
 
 
-def live_gateways(resources: Iterable[Resource], zone: str) -> list[str]:
-    """Return the names of the gateways that may own runners of ``zone``.
+class LiveGateways:
+    """The gateways that may own runners, by zone."""
 
-    Gateways of the zone that are not draining; when there are none, those of all zones.
-    """
-    specs = [(each.key.name, each.spec) for each in resources]
-    live = [(name, spec) for name, spec in specs if isinstance(spec, GatewaySpec)]
-    live = [(name, spec) for name, spec in live if not spec.drain]
-    local = [name for name, spec in live if spec.zone == zone]
-    return local or [name for name, _ in live]
+    def __init__(self, resources: Iterable[Resource] = ()) -> None:
+        self._by_zone: dict[str, list[str]] = {}
+        self._all: list[str] = []
+        for resource in resources:
+            spec = resource.spec
+            if isinstance(spec, GatewaySpec) and not spec.drain:
+                self._by_zone.setdefault(spec.zone, []).append(resource.key.name)
+                self._all.append(resource.key.name)
+
+    def of_zone(self, zone: str) -> list[str]:
+        """Return the gateways that may own runners of ``zone``.
+
+        Gateways of the zone that are not draining; when there are none, those of all zones.
+        """
+        return self._by_zone.get(zone) or self._all
+
+    def serves(self, zone: str) -> bool:
+        """Tell whether a zone has gateways of its own."""
+        return zone in self._by_zone
+
+    def zones(self) -> list[str]:
+        """Return the zones that have gateways, sorted."""
+        return sorted(self._by_zone)
 
 
 def rendezvous_owner(item: str, candidates: Iterable[str]) -> str:
@@ -32,3 +48,24 @@
         if (weight, candidate) > (best_weight, best):
             best, best_weight = candidate, weight
     return best
+
+
+class Ownership:
+    """Which runners one gateway owns."""
+
+    def __init__(self, gateway: str) -> None:
+        self._gateway = gateway
+        self.live = LiveGateways()
+
+    def take(self, resources: Iterable[Resource]) -> LiveGateways:
+        """Take the Gateway resources as they are now; return the live ones."""
+        self.live = LiveGateways(resources)
+        return self.live
+
+    def owns(self, runner: str, zone: str) -> bool:
+        """Tell whether the gateway owns a runner."""
+        return rendezvous_owner(runner, self.live.of_zone(zone)) == self._gateway
+
+    def owns_elsewhere(self, runner: str, zone: str) -> bool:
+        """Tell whether it owns a runner because the runner's zone has no gateway."""
+        return not self.live.serves(zone) and self.owns(runner, zone)
--- /dev/null
+++ b/src/rainsail/gateway/runner_index.py
@@ -0,0 +1,49 @@
+"""The runners that a gateway follows, by name and by service."""
+
+from bisect import insort
+
+from rainsail.gateway.runner_state import RunnerState
+from rainsail.resources.specs import Resource
+
+
+class RunnerIndex:
+    """Keeps states in name order per service."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, RunnerState] = {}
+        self._by_service: dict[str, list[RunnerState]] = {}
+
+    def get(self, name: str) -> RunnerState | None:
+        """Return a runner's state."""
+        return self._by_name.get(name)
+
+    def all(self) -> list[RunnerState]:
+        """Return every state in name order."""
+        return [self._by_name[name] for name in sorted(self._by_name)]
+
+    def of_service(self, service: str) -> list[RunnerState]:
+        """Return the states of a service in name order."""
+        return self._by_service.get(service, [])
+
+    def add(self, state: RunnerState) -> None:
+        """Add a state."""
+        self._by_name[state.name] = state
+        insort(self._by_service.setdefault(state.spec.service, []), state, key=_name)
+
+    def update(self, state: RunnerState, resource: Resource) -> None:
+        """Give a state its resource's new version, also one that names another service."""
+        service = state.spec.service
+        state.update_resource(resource)
+        if state.spec.service != service:
+            self._by_service[service].remove(state)
+            insort(self._by_service.setdefault(state.spec.service, []), state, key=_name)
+
+    def remove(self, name: str) -> None:
+        """Forget a state, if there is one."""
+        state = self._by_name.pop(name, None)
+        if state is not None:
+            self._by_service[state.spec.service].remove(state)
+
+
+def _name(state: RunnerState) -> str:
+    return state.name
--- a/src/rainsail/gateway/session_placement.py
+++ b/src/rainsail/gateway/session_placement.py
@@ -119,6 +119,7 @@
 
     def must_leave(self, runner: str) -> bool:
         """Tell whether sessions may not stay on a runner: it leaves, or its role has changed."""
+        self._fleet.follow(runner)
         state = self._fleet.runner(runner)
         if state is None or state.spec.role == RunnerRole.BATCH_ONLY:
             return True
--- a/src/rainsail/gateway/settings.py
+++ b/src/rainsail/gateway/settings.py
@@ -33,6 +33,16 @@
     cache_blocks_per_runner: int = Field(
         default=65_536, gt=0, description="Most prefix blocks remembered per runner."
     )
+    other_zone_runners: int = Field(
+        default=64,
+        gt=0,
+        description="Runners of other zones that are followed: about so many, drawn by hash.",
+    )
+    asked_runners: int = Field(
+        default=64,
+        gt=0,
+        description="Most runners beyond those that are followed because a session is there.",
+    )
     eject_after_failures: int = Field(
         default=3, gt=0, description="Consecutive failures that put a runner out."
     )
--- a/src/rainsail/scale/control_fleet.py
+++ b/src/rainsail/scale/control_fleet.py
@@ -205,6 +205,11 @@
         """Tell whether every running hollow node has applied a revision."""
         return all(each.node.view.revision >= revision for each in self.nodes.values())
 
+    def behind(self) -> int:
+        """Count the running hollow nodes that have not applied the last revision."""
+        last = self.revision
+        return sum(1 for each in self.nodes.values() if each.node.view.revision < last)
+
     def serving_nodes(self) -> int:
         """Count the hollow nodes whose configuration lease holds."""
         return sum(1 for each in self.nodes.values() if each.node.view.lease_valid())
--- a/src/rainsail/scale/control_run.py
+++ b/src/rainsail/scale/control_run.py
@@ -13,7 +13,7 @@
 
 from rainsail.scale.control_fleet import ControlFleet
 from rainsail.scale.design_size import DESIGN_SIZE
-from rainsail.scale.meter import Totals
+from rainsail.scale.meter import Totals, Traffic
 from rainsail.scale.workload import FleetSize, operator_change
 
 SETTLE_S = 12.0
@@ -104,16 +104,14 @@
     def run(self) -> ControlRunResult:
         """Run every phase and return the measurements."""
         started_s = time.monotonic()
-        memory, list_processor_s, list_bytes = self._start()
+        memory, list_processor_s, list_bytes = self.start()
         idle = self._phase(lambda: self.fleet.clock.advance(self._settings.idle_s))
         applied_s: list[float] = []
         in_force_s: list[float] = []
-        changing = self._phase(lambda: self._make_changes(applied_s, in_force_s))
-        churn = self._phase(self._churn)
+        changing = self._phase(lambda: self.make_changes(applied_s, in_force_s))
+        churn = self._phase(self.churn)
         self.fleet.clock.advance(SETTLE_S)
-        last = self.fleet.revision
-        nodes = [each.node for each in self.fleet.nodes.values()]
-        missed = sum(1 for node in nodes if node.view.revision < last)
+        missed = self.fleet.behind()
         gateways = self.fleet.gateways
         subscriptions = max((len(each.fleet.runners()) for each in gateways), default=0)
         return ControlRunResult(
@@ -138,7 +136,8 @@
 
     # --- start ------------------------------------------------------------------------------
 
-    def _start(self) -> tuple[MemoryUse, float, float]:
+    def start(self) -> tuple[MemoryUse, float, float]:
+        """Declare the fleet, start every node; return memory and the cost of one first list."""
         fleet = self.fleet
         empty = resident_bytes()
         fleet.declare()
@@ -154,7 +153,7 @@
             fleet.start_gateway(index)
         fleet.clock.advance(SETTLE_S)
         with_gateways = resident_bytes()
-        list_processor_s, list_bytes = self._list_once()
+        list_processor_s, list_bytes = self.list_once()
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
         memory = MemoryUse(
             declared - empty,
@@ -165,7 +164,7 @@
         )
         return memory, list_processor_s, list_bytes
 
-    def _list_once(self) -> tuple[float, float]:
+    def list_once(self) -> tuple[float, float]:
         """Restart one node; return what its first list cost it in processor time and bytes."""
         before = self.fleet.node_meter.totals()
         self.fleet.kill_node(0)
@@ -200,13 +199,15 @@
             mean_totals(spent),
         )
 
-    def _make_changes(self, applied_s: list[float], in_force_s: list[float]) -> None:
+    def make_changes(self, applied_s: list[float], in_force_s: list[float]) -> None:
+        """Make the changes one after another; note their delays."""
         for _ in range(self._settings.changes):
-            applied, in_force = self._change()
+            applied, in_force = self.change()
             applied_s.append(applied)
             in_force_s.append(in_force)
 
-    def _change(self) -> tuple[float, float]:
+    def change(self) -> tuple[float, float]:
+        """Make one change; return seconds until applied everywhere and until in force."""
         fleet = self.fleet
         start_s = fleet.clock.seconds()
         leader = fleet.leader
@@ -229,7 +230,7 @@
         meter = self.fleet.replica_meters[leader.config.name]
         meter.run(leader.group.propose, operator_change(self._size, self._changes))
 
-    def _churn(self) -> None:
+    def churn(self) -> None:
         """Restart nodes one after another, ``churn_factor`` times as often as in life."""
         clock = self.fleet.clock
         hollow = self._size.nodes - self._settings.gateways
@@ -265,8 +266,6 @@
 
 def mean_totals(totals: list[Totals]) -> Totals:
     """Return the mean of several roles' totals (counts rounded to whole numbers)."""
-    from rainsail.scale.meter import Traffic
-
     if not totals:
         return Totals(0.0, {})
     count = len(totals)
--- a/src/rainsail/scale/gateway_run.py
+++ b/src/rainsail/scale/gateway_run.py
@@ -4,8 +4,6 @@
 control and hollow engines. HTTP is not in these figures; it is measured over sockets.
 """
 
-import gc
-import tracemalloc
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -22,8 +20,7 @@
 from rainsail.gateway.interface import Answer, CallerRequest
 from rainsail.gateway.runner_keeper import RunnerKeeper
 from rainsail.gateway.settings import GatewaySettings
-from rainsail.resources.specs import Kind
-from rainsail.scale.hollow_engines import REPORT_PERIOD_S, HollowEngineClient
+from rainsail.scale.hollow_engines import HollowEngineClient
 from rainsail.scale.meter import Meter, MeteredClock
 from rainsail.scale.workload import (
     FleetSize,
@@ -45,8 +42,6 @@
 MANY_CHUNKS = 21
 ITEMS = 4000
 RANGE_ITEMS = 500
-OPEN_STREAMS = 1000
-SESSIONS = 1000
 CHANGES = 200
 CHANGE_PERIOD_S = 0.05
 DEADLINE_UNIX_S = 1e9
@@ -72,17 +67,6 @@
     faults: int
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayMemory:
-    """Traced bytes of Python objects per thing that a gateway keeps."""
-
-    bytes_per_runner: float
-    bytes_per_tenant: float
-    bytes_per_node: float
-    bytes_per_open_stream: float
-    bytes_per_idle_session: float
-
-
 class CountingSink:
     """Counts how requests ended."""
 
@@ -146,7 +130,7 @@
         work()
         return self.meter.processor_s - before
 
-    def submit(self, session: str = "") -> None:
+    def submit(self) -> None:
         """Submit one online request."""
         self._requests += 1
         number = self._requests
@@ -156,7 +140,6 @@
             f"model-{number % self.size.models}",
             f"{number} {PROMPT}",
             max_tokens=64,
-            session=session,
         )
         self.meter.run(self.core.submit, request, self.sink)
 
@@ -217,11 +200,6 @@
     )
 
 
-def reports_per_s(followed: int) -> float:
-    """Return the load reports a second of a number of followed runners."""
-    return followed / REPORT_PERIOD_S
-
-
 def _make_changes(gateway: LoneGateway) -> None:
     for number in range(CHANGES):
         gateway.change(number)
@@ -235,74 +213,3 @@
         if not gateway.virtual.run_next(end_s):
             raise RuntimeError(f"{gateway.dispatcher.counts} after 300 virtual seconds")
     gateway.virtual.advance(1.0)
-
-
-def measure_memory(seed: int) -> GatewayMemory:
-    """Measure bytes per runner, tenant, node, open stream and idle session."""
-    tracemalloc.start()
-    try:
-        small = FleetSize(10, 100, 1, 1, 100, 1)
-        base = _traced_gateway(small, seed)
-        runners = _traced_gateway(FleetSize(10, 400, 1, 1, 100, 1), seed)
-        tenants = _traced_gateway(FleetSize(10, 100, 1, 1, 1100, 1), seed)
-        nodes = _traced_gateway(FleetSize(110, 100, 1, 1, 100, 1), seed)
-        streams, sessions = _traced_requests(seed)
-    finally:
-        tracemalloc.stop()
-    return GatewayMemory(
-        (runners - base) / 300.0,
-        (tenants - base) / 1000.0,
-        (nodes - base) / 100.0,
-        streams,
-        sessions,
-    )
-
-
-def _traced_gateway(size: FleetSize, seed: int) -> float:
-    """Return the bytes of a gateway's own resources table, fleet view and buckets."""
-    from rainsail.control.resource_table import ResourceTable
-    from rainsail.resources.specs import EventType, Resource, WatchEvent
-    from rainsail.wire.codec import decode, encode
-
-    gateway = LoneGateway(size, seed)
-    gc.collect()
-    before = tracemalloc.get_traced_memory()[0]
-    table = ResourceTable()
-    for resource in gateway.state.list_resources():
-        copy: Resource = decode(encode(resource))
-        table.apply(WatchEvent(EventType.PUT, copy.revision, copy))
-    gateway.start()
-    gc.collect()
-    used = tracemalloc.get_traced_memory()[0] - before
-    assert table.list_resources(Kind.SERVICE)
-    return float(used)
-
-
-def _traced_requests(seed: int) -> tuple[float, float]:
-    size = FleetSize(10, 333, 1, 1, 100, 1)
-    gateway = LoneGateway(size, seed, chunks=0)
-    gateway.start()
-
-    def open_streams() -> None:
-        for _ in range(OPEN_STREAMS):
-            gateway.submit()
-
-    streams = _traced(open_streams) / OPEN_STREAMS
-    other = LoneGateway(size, seed)
-    other.start()
-
-    def open_sessions() -> None:
-        for number in range(SESSIONS):
-            other.submit(f"session-{number}")
-        other.virtual.advance(10.0)
-
-    return streams, _traced(open_sessions) / SESSIONS
-
-
-def _traced(work: Callable[[], object]) -> float:
-    gc.collect()
-    before = tracemalloc.get_traced_memory()[0]
-    work()
-    gc.collect()
-    used = tracemalloc.get_traced_memory()[0] - before
-    return float(used)
--- a/src/rainsail/scale/quantities.py
+++ b/src/rainsail/scale/quantities.py
@@ -8,9 +8,11 @@
 from rainsail.scale.fits import Line, fit_line
 from rainsail.scale.gateway_run import GatewayCosts
 from rainsail.scale.hollow_engines import LOAD_MESSAGE
-from rainsail.scale.meter import Totals
+from rainsail.scale.meter import Totals, Traffic
 
 NODE_COUNT = "nodes"
+CONFIGURATION = "Config"
+"""Prefix of the messages that carry configuration to nodes."""
 RUNNER_COUNT = "followed runners"
 
 
@@ -57,7 +59,8 @@
         return Quantity(name, unit, False, NODE_COUNT, nodes, value)
 
     restarts = max(1, run.restarts)
-    added = {role: added_by(idle, changing, role) for role in ("node", "leader", "followers")}
+    added = {role: added_by(idle, changing, role) for role in ("leader", "followers")}
+    added["node"] = added_by(idle, changing, "node", CONFIGURATION)
     churned = {role: added_by(idle, churn, role) for role in ("node", "leader", "followers")}
     return [
         exact("node_bytes_per_s", "B/s", idle.node.bytes / idle.seconds / hollow),
@@ -145,16 +148,17 @@
     ]
 
 
-def added_by(idle: PhaseCost, busy: PhaseCost, role: str) -> Totals:
-    """Return what a phase cost a role beyond the idle rate (bytes and messages in one entry)."""
-    from rainsail.scale.meter import Traffic
+def added_by(idle: PhaseCost, busy: PhaseCost, role: str, prefix: str = "") -> Totals:
+    """Return what a phase cost a role beyond the idle rate.
 
+    Messages and bytes are in one entry, of the message types whose name starts with ``prefix``.
+    """
     before: Totals = getattr(idle, role)
     during: Totals = getattr(busy, role)
     share = busy.seconds / idle.seconds
-    traffic = Traffic(
-        round(during.messages - before.messages * share), round(during.bytes - before.bytes * share)
-    )
+    messages = named_messages(during, prefix) - named_messages(before, prefix) * share
+    size = named_bytes(during, prefix) - named_bytes(before, prefix) * share
+    traffic = Traffic(round(messages), round(size))
     return Totals(during.processor_s - before.processor_s * share, {"added": traffic})
 
 
@@ -163,6 +167,11 @@
     return sum(each.bytes for name, each in totals.traffic.items() if name.startswith(prefix))
 
 
+def named_messages(totals: Totals, prefix: str) -> int:
+    """Return the messages of the message types whose name starts so."""
+    return sum(each.messages for name, each in totals.traffic.items() if name.startswith(prefix))
+
+
 def slopes(quantities: Sequence[Quantity]) -> list[Slope]:
     """Fit a line through each quantity's sizes; those with one size are left out."""
     named: dict[str, list[Quantity]] = {}
--- a/src/rainsail/scale/report.py
+++ b/src/rainsail/scale/report.py
@@ -15,7 +15,8 @@
 import matplotlib.pyplot as plt
 
 from rainsail.scale.control_run import ControlRunResult
-from rainsail.scale.gateway_run import GatewayCosts, GatewayMemory
+from rainsail.scale.gateway_memory import GatewayMemory
+from rainsail.scale.gateway_run import GatewayCosts
 from rainsail.scale.quantities import Slope, control_quantities, gateway_quantities, slopes
 from rainsail.scale.workload import FleetSize
 
@@ -33,6 +34,7 @@
     control_runs: tuple[ControlRunResult, ...]
     gateway_costs: tuple[GatewayCosts, ...]
     gateway_memory: GatewayMemory
+    bare_process_bytes: int
 
     def slopes(self) -> list[Slope]:
         """Return every quantity's line."""
@@ -60,6 +62,7 @@
         "target": asdict(report.target),
         "exact": {each.name: _slope_json(each) for each in fitted if each.exact},
         "measured": {each.name: _slope_json(each) for each in fitted if not each.exact},
+        "bare_process_bytes": report.bare_process_bytes,
         "gateway_memory": asdict(report.gateway_memory),
         "gateway_costs": [asdict(each) for each in report.gateway_costs],
         "runs": [asdict(each) for each in report.control_runs],
--- a/src/rainsail/scale/scale_run.py
+++ b/src/rainsail/scale/scale_run.py
@@ -3,8 +3,9 @@
 import sys
 from collections.abc import Callable
 
-from rainsail.scale.control_run import ControlRun, RunSettings
-from rainsail.scale.gateway_run import measure_costs, measure_memory
+from rainsail.scale.control_run import ControlRun, RunSettings, resident_bytes
+from rainsail.scale.gateway_memory import measure_memory
+from rainsail.scale.gateway_run import measure_costs
 from rainsail.scale.report import ScaleReport
 from rainsail.scale.workload import FleetSize
 
@@ -48,6 +49,7 @@
     progress: Callable[[str], None],
 ) -> ScaleReport:
     """Run every part; ``progress`` hears what has begun."""
+    bare_process_bytes = resident_bytes()
     control_runs = []
     for share in steps:
         size = part_of(target, share)
@@ -60,7 +62,9 @@
         costs.append(measure_costs(size, seed))
     progress("memory of one gateway")
     memory = measure_memory(seed)
-    return ScaleReport(command, target, tuple(control_runs), tuple(costs), memory)
+    return ScaleReport(
+        command, target, tuple(control_runs), tuple(costs), memory, bare_process_bytes
+    )
 
 
 def print_progress(text: str) -> None:
