Let the last answers leave before a stopped process ends

Change: the connections of the caller and operator APIs are followed; a planned stop waits until each has carried its answer to the end, for 10 s at most, then cuts and says how many. Conclusion: an answer of 8 MB to a reader that is slow to read arrives whole through a stop.

--- /dev/null
+++ b/features/rig/last_answers.feature
@@ -0,0 +1,32 @@
+Feature: The last answers of a web site leave before its process ends
+
+  Scenario: An answer that is written but has not left is let out
+    Given a followed web site that answers with 8000000 bytes
+    When a slow reader asks the followed web site and reads nothing yet
+    And the followed web site is finished with a limit of 10 s
+    Then the followed web site is not finished yet
+    When the slow reader reads to the end
+    Then the slow reader has 8000000 bytes
+    And the followed web site is finished
+
+  Scenario: A request under way is let end
+    Given a followed web site that answers when it is told to
+    When a slow reader asks the followed web site and reads nothing yet
+    And the followed web site is finished with a limit of 10 s
+    Then the followed web site is not finished yet
+    When the followed web site is told to answer
+    And the slow reader reads to the end
+    Then the slow reader has 5 bytes
+    And the followed web site is finished
+
+  Scenario: A reader that never reads is cut at the limit
+    Given a followed web site that answers with 8000000 bytes
+    When a slow reader asks the followed web site and reads nothing yet
+    And the followed web site is finished with a limit of 10 s
+    And 11 s pass for the followed web site
+    Then the followed web site is finished
+
+  Scenario: Without connections nothing is waited for
+    Given a followed web site that answers with 10 bytes
+    When the followed web site is finished with a limit of 10 s
+    Then the followed web site is finished
--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -9,13 +9,15 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.web.client import Agent
+from twisted.web.server import Site
 
 from rainsail.assembly.folder_lock import FolderLock
 from rainsail.assembly.gateway import GatewayConfig, GatewayNode
-from rainsail.assembly.listening import listen_http, listen_site
+from rainsail.assembly.listening import HTTP_IDLE_TIMEOUT_S, listen_site
 from rainsail.assembly.recording import open_recorder
 from rainsail.assembly.replica import ReplicaConfig, ReplicaNode
 from rainsail.assembly.seams import GatewaySeams, NodeSeams, ReplicaSeams
+from rainsail.assembly.served_connections import ServedConnections
 from rainsail.engine.http_client import HttpEngineClient
 from rainsail.errors import Fault
 from rainsail.experiment.trace.recorder import TraceRecorder
@@ -33,6 +35,8 @@
 from rainsail.wire.tcp import TcpTransport
 
 MACHINE_LIST_CONNECT_TIMEOUT_S = 2.0
+LAST_ANSWERS_LIMIT_S = 10.0
+"""Time that answers get to leave at a planned stop, after the gateway's own grace time."""
 
 
 class Role(Protocol):
@@ -104,6 +108,7 @@
         self._operator_address = operator_address
         self._seams = real_seams(settings, reactor, entry.name)
         self._ports: list[Any] = []
+        self._served: ServedConnections | None = None
         config = ReplicaConfig(
             entry.name,
             settings.process.fleet,
@@ -134,8 +139,9 @@
         if listening.is_error():
             return Error(listening.error)
         assert self.node.operator_api is not None
-        resource = self.node.operator_api.app.resource()
-        port = listen_http(self._reactor, resource, self._operator_address)
+        site = Site(self.node.operator_api.app.resource(), timeout=HTTP_IDLE_TIMEOUT_S)
+        self._served = ServedConnections(site, self._seams.clock)
+        port = listen_site(self._reactor, site, self._operator_address)
         if port.is_error():
             return Error(port.error)
         self._ports.append(port.ok)
@@ -146,6 +152,8 @@
         """Hand leadership over, close the ports, stop."""
         for port in self._ports:
             yield port.stopListening()
+        if self._served is not None:
+            yield self._served.finish(LAST_ANSWERS_LIMIT_S)
         yield self.node.planned_stop()
         transport: Any = self._seams.transport
         yield Deferred.fromCoroutine(transport.stop())
@@ -184,6 +192,7 @@
         self._recorder = self._make_recorder(settings)
         self.caller_api = self._make_caller_api(settings)
         self._port: Any = None
+        self._served: ServedConnections | None = None
 
     def _make_recorder(self, settings: ProcessSettings) -> TraceRecorder | None:
         if not settings.recording.enabled:
@@ -208,7 +217,9 @@
     def start(self) -> Generator[Deferred[Any], Any, Result[None, Fault]]:
         """Listen for callers, follow the configuration."""
         address = parse_address(self._entry.caller_api)
-        port = listen_site(self._reactor, self.caller_api.site(), address)
+        site = self.caller_api.site()
+        self._served = ServedConnections(site, self._seams.clock)
+        port = listen_site(self._reactor, site, address)
         if port.is_error():
             return Error(port.error)
         self._port = port.ok
@@ -229,6 +240,8 @@
             self._recorder.close()
         if self._port is not None:
             yield self._port.stopListening()
+        if self._served is not None:
+            yield self._served.finish(LAST_ANSWERS_LIMIT_S)
         yield self._engine.close()
         transport: Any = self._seams.transport
         yield Deferred.fromCoroutine(transport.stop())
