Call no outcome held that nothing bears out; keep tenants' ids apart in a merged trace

Cause: a replay against a URL where nothing answered called wholeness and order held, after five minutes of asking; two tenants that chose one request id lost one of them in a merge; prompts kept by a recording were bounded in number, not in size. Change: wholeness needs a completed answer and order two of them; the replay first asks whether anything answers (exit 1); a merge tells ids of different tenants apart; at most 16 Mi characters of kept prompts wait to be written. The stream reader has a module of its own.

--- a/features/replay/outcomes.feature
+++ b/features/replay/outcomes.feature
@@ -51,9 +51,17 @@
       | of = {class = "online"}; require = "latency"; measure = "first_part"; percentile = 99; within_s=3 | q2 slow                 |
       | of = {class = "batch"}; require = "deadline"; least_share = 0.0                                   | j late                  |
 
-  Scenario: An outcome of nothing proves nothing
-    When the outcome "of = {service = 'positions'}; require = 'whole'" is judged over a replay with "nothing" wrong
-    Then the judgement is broken because "nothing in the trace is selected"
+  Scenario Outline: An outcome that nothing bears out did not hold
+    When the outcome "<stated>" is judged over a replay with "<flaw>" wrong
+    Then the judgement is broken because "<detail>"
+
+    Examples:
+      | stated                                                    | flaw             | detail                                |
+      | of = {service = 'positions'}; require = 'whole'           | nothing          | nothing in the trace is selected      |
+      | of = {requests = ['q2']}; require = 'whole'               | q2 lost          | nothing completed                     |
+      | of = {class = 'batch'}; require = 'whole'                 | j never accepted | nothing completed                     |
+      | of = {requests = ['q1', 'q2']}; require = 'order'         | q2 lost          | no two completed requests share a key |
+      | of = {class = 'non_repeatable'}; require = 'order'        | nothing          | no two completed requests share a key |
 
   Scenario: What cannot be seen from outside is not called held
     When the outcome "of = {class = 'non_repeatable'}; require = 'at_most_once'" is judged without sight of the engines
--- a/features/replay/recording.feature
+++ b/features/replay/recording.feature
@@ -17,6 +17,12 @@
     And the recordings are merged into a trace
     Then the first two have one template and the third another
 
+  Scenario: Tenants choose their ids apart from one another
+    Given two gateways that record their callers
+    When tenants exporter and broker both send a request "1/a" to the first
+    And the recordings are merged into a trace
+    Then the trace holds the requests "exporter:1:a" and "broker:1:a"
+
   Scenario: Prompts are kept when the settings say so
     Given two gateways that record their callers and keep prompts
     When a caller sends "q1" to the first and, after its answer was lost, again to the second
@@ -29,6 +35,11 @@
     Then the recording's file is at most 40000 bytes and the other arrivals are counted as dropped
     And all 5000 requests went on to the core
 
+  Scenario: Kept prompts that wait are bounded
+    Given two gateways that record their callers and keep prompts
+    When 60 prompts of 400000 characters arrive at once
+    Then at most 17000000 characters of them wait and the other arrivals are counted as dropped
+
   Scenario: A recording that is damaged is refused
     Given two gateways that record their callers
     When a caller sends "q1" to the first and, after its answer was lost, again to the second
--- a/features/steps/replay_recording_steps.py
+++ b/features/steps/replay_recording_steps.py
@@ -86,9 +86,9 @@
         """Take the answer."""
 
 
-def send(gateway, request_id, prompt=PROMPT):
+def send(gateway, request_id, prompt=PROMPT, tenant="exporter"):
     """Send a request through a gateway's recorder."""
-    request = CallerRequest(request_id, "exporter", "reports", prompt, 16, None)
+    request = CallerRequest(request_id, tenant, "reports", prompt, 16, None)
     gateway.gateway.submit(request, NoSink())
 
 
@@ -130,6 +130,17 @@
         send(context.gateways[0], f"q{number}", prompt)
 
 
+@when('tenants exporter and broker both send a request "{name}" to the first')
+def step_same_id(context, name):
+    for tenant in ("exporter", "broker"):
+        send(context.gateways[0], name, tenant=tenant)
+
+
+@then('the trace holds the requests "{first}" and "{second}"')
+def step_two_ids(context, first, second):
+    assert [each.request_id for each in context.merged.requests] == [first, second]
+
+
 @when("the recordings are merged into a trace")
 def step_merge(context):
     context.clock.advance(1.5)
@@ -222,3 +233,18 @@
     path = str(context.gateways[0].path)
     assert merged.is_error() and path in merged.error.detail, merged
     assert "offset" in merged.error.detail, merged.error
+
+
+@when("{count:d} prompts of {size:d} characters arrive at once")
+def step_large_prompts(context, count, size):
+    for number in range(count):
+        send(context.gateways[0], f"q{number}", "x" * size)
+
+
+@then("at most {size:d} characters of them wait and the other arrivals are counted as dropped")
+def step_waiting_bounded(context, size):
+    gateway = context.gateways[0]
+    gateway.recorder.close()
+    assert 0 < gateway.path.stat().st_size <= size
+    kept = len(merge_recordings([gateway.path], "guayaquil").ok.requests)
+    assert kept + gateway.recorder.dropped == len(gateway.core.runs) > kept > 10
--- a/features/steps/replay_run_steps.py
+++ b/features/steps/replay_run_steps.py
@@ -182,7 +182,7 @@
     stated = outcomes_from(OUTCOMES)
     context.done = in_reactor(
         lambda: Deferred.fromCoroutine(replay_live(reactor, context.trace, stated, target))
-    )
+    ).ok
 
 
 @then("every request reached the caller API once, with its class, tenant and own id")
--- a/src/rainsail/cli/trace.py
+++ b/src/rainsail/cli/trace.py
@@ -122,8 +122,8 @@
         history: file to write the recorded history to.
         allow_not_observed: an outcome that cannot be seen against a URL doesn't fail the replay.
 
-    Exit code 0 when every outcome held, 2 for bad input, 3 when an outcome or an invariant did
-    not hold. The last line on stdout is one JSON object.
+    Exit code 0 when every outcome held, 1 when nothing answers, 2 for bad input, 3 when an
+    outcome or an invariant did not hold. The last line on stdout is one JSON object.
     """
     read = _checked(read_trace(Path(str(trace))))
     stated = _checked(read_outcomes(Path(str(outcomes))))
@@ -176,7 +176,9 @@
         done = run_live(trace, outcomes, target, bar.advance)
     if done is None:
         raise failed("interrupted")
-    return done
+    if done.is_error():
+        raise failed(done.error.detail)
+    return done.ok
 
 
 def _print(done: Replayed) -> None:
--- /dev/null
+++ b/src/rainsail/experiment/replay/answer_stream.py
@@ -0,0 +1,73 @@
+"""A streamed answer of the caller API, put together from its events."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rainsail.engine.sse import SseParser
+from rainsail.errors import Fault, FaultCode, Outcome
+
+STEP = "replay.http"
+MAX_ANSWER_CHARACTERS = 16 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class StreamEnd:
+    """How one send of a request ended; ``fault`` is None for a whole answer."""
+
+    text: str = ""
+    first_part_s: float = -1.0
+    fault: Fault | None = None
+    lost: bool = False
+
+
+class AnswerStream:
+    """Puts a stream's parts together and notes its end."""
+
+    def __init__(self, end: StreamEnd, seconds: Callable[[], float]) -> None:
+        self.texts: list[str] = []
+        self.done = False
+        self._end = end
+        self._seconds = seconds
+        self._parser = SseParser()
+        self._characters = 0
+
+    def feed(self, data: bytes) -> None:
+        """Take the next bytes; raises ``ValueError`` for what is no stream of an answer."""
+        for event in self._parser.feed_data(data):
+            if event == b"[DONE]":
+                self.done = True
+                continue
+            frame = json.loads(event)
+            if "error" in frame:
+                self._end.fault = fault_of(500, event)
+                continue
+            for choice in frame["choices"]:
+                self._take(choice["text"])
+
+    def _take(self, text: str) -> None:
+        if not text:
+            return
+        if self._end.first_part_s < 0:
+            self._end.first_part_s = self._seconds()
+        self._characters += len(text)
+        if self._characters > MAX_ANSWER_CHARACTERS:
+            raise ValueError(f"an answer is longer than {MAX_ANSWER_CHARACTERS} characters")
+        self.texts.append(text)
+
+
+def fault_of(status: int, content: bytes) -> Fault:
+    """Return the typed fault of an error answer; one without is of unknown outcome."""
+    try:
+        typed = json.loads(content)["error"]["rainsail"]
+        return Fault(
+            FaultCode(typed["code"]),
+            str(typed["step"]),
+            str(typed["detail"]),
+            str(typed["peer"]),
+            Outcome(typed["outcome"]),
+            typed["retry_after_s"],
+        )
+    except (ValueError, KeyError, TypeError, RecursionError):
+        detail = f"HTTP status {status}: {content[:200]!r}"
+        return Fault(FaultCode.INTERNAL, STEP, detail, outcome=Outcome.UNKNOWN)
--- a/src/rainsail/experiment/replay/caller_client.py
+++ b/src/rainsail/experiment/replay/caller_client.py
@@ -13,8 +13,9 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed, ResponseNeverReceived
 from twisted.web.http_headers import Headers
 
-from rainsail.engine.sse import SseError, SseParser
+from rainsail.engine.sse import SseError
 from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.experiment.replay.answer_stream import STEP, AnswerStream, StreamEnd, fault_of
 from rainsail.gateway.interface import CallerRequest
 from rainsail.gateway.openai.headers import (
     ADAPTER_HEADER,
@@ -25,12 +26,10 @@
 )
 from rainsail.state.commands import ItemBody
 
-STEP = "replay.http"
 CONNECT_TIMEOUT_S = 3.0
 ANSWER_TIMEOUT_S = 45.0
 CALL_TIMEOUT_S = 30.0
 CONNECTIONS_PER_HOST = 64
-MAX_ANSWER_CHARACTERS = 16 * 1024 * 1024
 COMPLETIONS = "/v1/completions"
 
 LOST = (
@@ -42,16 +41,6 @@
 )
 
 
-@dataclass(slots=True)
-class StreamEnd:
-    """How one send of a request ended; ``fault`` is None for a whole answer."""
-
-    text: str = ""
-    first_part_s: float = -1.0
-    fault: Fault | None = None
-    lost: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class BatchView:
     """A batch as the API shows it."""
@@ -90,6 +79,11 @@
         """Close the kept connections."""
         return self._pool.closeCachedConnections()
 
+    async def reachable(self) -> bool:
+        """Tell whether anything answers at the URL."""
+        answer = await self._call("GET", "/v1/models", next(iter(self._keys), ""), {})
+        return answer.is_ok() or answer.error.code != FaultCode.UNAVAILABLE
+
     # --- online ---------------------------------------------------------------------------
 
     async def complete(self, request: CallerRequest) -> StreamEnd:
@@ -132,7 +126,7 @@
         )
 
     async def _read_stream(self, response: Any, end: StreamEnd) -> None:
-        reader = _StreamReader(end, self._seconds)
+        reader = AnswerStream(end, self._seconds)
         ended: Deferred[Any] = treq.collect(response, reader.feed)
         await ended.addTimeout(ANSWER_TIMEOUT_S, self._reactor)
         end.text = "".join(reader.texts)
@@ -223,58 +217,6 @@
         return headers
 
 
-class _StreamReader:
-    """Puts a stream's parts together and notes its end."""
-
-    def __init__(self, end: StreamEnd, seconds: Callable[[], float]) -> None:
-        self.texts: list[str] = []
-        self.done = False
-        self._end = end
-        self._seconds = seconds
-        self._parser = SseParser()
-        self._characters = 0
-
-    def feed(self, data: bytes) -> None:
-        """Take the next bytes; raises ``ValueError`` for what is no stream of an answer."""
-        for event in self._parser.feed_data(data):
-            if event == b"[DONE]":
-                self.done = True
-                continue
-            frame = json.loads(event)
-            if "error" in frame:
-                self._end.fault = fault_of(500, event)
-                continue
-            for choice in frame["choices"]:
-                self._take(choice["text"])
-
-    def _take(self, text: str) -> None:
-        if not text:
-            return
-        if self._end.first_part_s < 0:
-            self._end.first_part_s = self._seconds()
-        self._characters += len(text)
-        if self._characters > MAX_ANSWER_CHARACTERS:
-            raise ValueError(f"an answer is longer than {MAX_ANSWER_CHARACTERS} characters")
-        self.texts.append(text)
-
-
-def fault_of(status: int, content: bytes) -> Fault:
-    """Return the typed fault of an error answer; one without is of unknown outcome."""
-    try:
-        typed = json.loads(content)["error"]["rainsail"]
-        return Fault(
-            FaultCode(typed["code"]),
-            str(typed["step"]),
-            str(typed["detail"]),
-            str(typed["peer"]),
-            Outcome(typed["outcome"]),
-            typed["retry_after_s"],
-        )
-    except (ValueError, KeyError, TypeError, RecursionError):
-        detail = f"HTTP status {status}: {content[:200]!r}"
-        return Fault(FaultCode.INTERNAL, STEP, detail, outcome=Outcome.UNKNOWN)
-
-
 def _lost(error: Exception, outcome: Outcome) -> Fault:
     detail = f"{type(error).__name__}: {error}"
     return Fault(FaultCode.UNAVAILABLE, STEP, detail, outcome=outcome)
--- a/src/rainsail/experiment/replay/judge.py
+++ b/src/rainsail/experiment/replay/judge.py
@@ -58,8 +58,7 @@
     if selected.missing:
         return _judgement(outcome, selected, selected.missing, None, "not in the trace")
     if not selected.requests and not selected.jobs:
-        detail = "nothing in the trace is selected"
-        return Judgement(outcome.name, outcome.require, Verdict.BROKEN, 0, (), None, detail)
+        return _unproved(outcome, selected, "nothing in the trace is selected")
     if isinstance(outcome, EndsWith):
         return _judge_ends(outcome, selected)
     if isinstance(outcome, Whole):
@@ -87,6 +86,13 @@
     )
 
 
+def _unproved(outcome: StatedOutcome, selected: Selected, detail: str) -> Judgement:
+    """Judge an outcome that nothing seen bears out: it did not hold."""
+    count = len(selected.requests) + len(selected.jobs)
+    name, require = outcome.name, outcome.require
+    return Judgement(name, require, Verdict.BROKEN, count, (), None, detail)
+
+
 def _all(selected: Selected) -> list[tuple[str, Observed]]:
     found: list[tuple[str, Observed]] = [(o.request.request_id, o) for o in selected.requests]
     return found + [(each.job.job_key, each) for each in selected.jobs]
@@ -109,6 +115,8 @@
 
 def _judge_whole(outcome: Whole, selected: Selected) -> Judgement:
     broken = [name for name, each in _all(selected) if _pieces(each)]
+    if not broken and not any(each.completed for _, each in _all(selected)):
+        return _unproved(outcome, selected, "nothing completed")
     return _judgement(outcome, selected, broken)
 
 
@@ -139,15 +147,19 @@
 
 def _judge_order(outcome: InOrder, selected: Selected) -> Judgement:
     last_end_s: dict[str, float] = {}
+    compared = 0
     overtaking = []
     for each in selected.requests:
         if not each.completed:
             continue
         key = _order_key(outcome, each)
         end_s = each.sent_s + each.ended_s
+        compared += key in last_end_s
         if end_s < last_end_s.get(key, 0.0):
             overtaking.append(each.request.request_id)
         last_end_s[key] = max(end_s, last_end_s.get(key, 0.0))
+    if not compared:
+        return _unproved(outcome, selected, "no two completed requests share a key")
     return _judgement(outcome, selected, overtaking)
 
 
--- a/src/rainsail/experiment/replay/live.py
+++ b/src/rainsail/experiment/replay/live.py
@@ -10,11 +10,12 @@
 from enum import StrEnum
 from typing import Any
 
+from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.task import deferLater
 
 from rainsail.emulator.answers import expected_answer
-from rainsail.errors import Outcome
+from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.experiment.history import (
     History,
     JobAccepted,
@@ -25,7 +26,8 @@
     ResultRead,
     RunEnded,
 )
-from rainsail.experiment.replay.caller_client import BatchView, CallerClient, StreamEnd
+from rainsail.experiment.replay.answer_stream import StreamEnd
+from rainsail.experiment.replay.caller_client import BatchView, CallerClient
 from rainsail.experiment.replay.judge import judge_all
 from rainsail.experiment.replay.observations import observe
 from rainsail.experiment.replay.outcomes import OutcomesFile
@@ -34,6 +36,7 @@
 from rainsail.experiment.trace.records import Trace, TracedJob, TracedRequest
 from rainsail.state.commands import ItemBody, ItemPhase
 
+STEP = "replay.live"
 MOST_SENDS = 4
 RESEND_DELAY_S = 1.0
 POLL_PERIOD_S = 1.0
@@ -81,15 +84,19 @@
         self._started_s = reactor.seconds()
         self._client = CallerClient(reactor, target.url, target.tenant_keys, self._now_s)
 
-    async def run(self) -> History:
+    async def run(self) -> Result[History, Fault]:
         """Send everything at its time; return the history once all is answered or given up."""
+        if not await self._client.reachable():
+            detail = f"nothing answers at {self._target.url}"
+            return Error(Fault(FaultCode.UNAVAILABLE, STEP, detail, self._target.url))
+        self._started_s = self._reactor.seconds()
         work = [self._at(each.at_s, self._request, each) for each in self._trace.requests]
         work += [self._at(each.at_s, self._job, each) for each in self._trace.jobs]
         done: Deferred[Any] = DeferredList(work, fireOnOneErrback=True, consumeErrors=True)
         await done
         await self._client.close()
         self.history.record(RunEnded(self._now_s(), True))
-        return self.history
+        return Ok(self.history)
 
     def _now_s(self) -> float:
         return self._reactor.seconds() - self._started_s
@@ -225,16 +232,20 @@
     outcomes: OutcomesFile,
     target: LiveTarget,
     arrived: Callable[[], None] = lambda: None,
-) -> Replayed:
+) -> Result[Replayed, Fault]:
     """Replay over HTTP and judge; ``arrived`` is called at each arrival."""
-    history = await LiveReplay(reactor, trace, target, arrived).run()
+    ran = await LiveReplay(reactor, trace, target, arrived).run()
+    return ran.map(lambda history: _judged(trace, outcomes, target, history))
+
+
+def _judged(trace: Trace, outcomes: OutcomesFile, target: LiveTarget, history: History) -> Replayed:
     observed = observe(trace, history, 0.0, target.speed, False)
     return Replayed(trace, target.url, history, tuple(judge_all(outcomes, observed)), (), 0)
 
 
 def run_live(
     trace: Trace, outcomes: OutcomesFile, target: LiveTarget, arrived: Callable[[], None]
-) -> Replayed | None:
+) -> Result[Replayed, Fault] | None:
     """Run the reactor for one replay; None when it was interrupted."""
     reactor: Any = importlib.import_module("twisted.internet.reactor")
     ended: list[Any] = []
--- a/src/rainsail/experiment/trace/merge.py
+++ b/src/rainsail/experiment/trace/merge.py
@@ -11,12 +11,14 @@
 from rainsail.experiment.trace.records import (
     Trace,
     TracedCancel,
+    TracedJob,
+    TracedRequest,
     TraceEntry,
     TraceOrigin,
     TraceSource,
     make_trace,
 )
-from rainsail.experiment.trace.rules import entry_id, trace_problem
+from rainsail.experiment.trace.rules import trace_problem
 
 STEP = "trace.record"
 
@@ -44,16 +46,39 @@
 
 
 def _first_of_each(entries: list[Recorded]) -> list[Recorded]:
-    kept: dict[str, Recorded] = {}
+    kept: dict[tuple[str, str, str], Recorded] = {}
     for entry in sorted(entries, key=lambda each: each.at_s):
-        kept.setdefault(_name_of(entry), entry)
-    return list(kept.values())
+        kept.setdefault(_identity(entry), entry)
+    return _distinct_ids(kept)
 
 
-def _name_of(entry: Recorded) -> str:
+def _identity(entry: Recorded) -> tuple[str, str, str]:
+    """Return kind, tenant and id: tenants choose their ids apart from one another."""
+    if isinstance(entry, TracedRequest):
+        return "request", entry.tenant, entry.request_id
+    if isinstance(entry, TracedJob):
+        return "job", entry.tenant, entry.job_key
     if isinstance(entry, TracedCancel):
-        return f"cancel {entry.tenant!r} {entry.job_key!r}"
-    return entry_id(entry)
+        return "cancel", entry.tenant, entry.job_key
+    return "change", "", entry.change_id
+
+
+def _distinct_ids(kept: dict[tuple[str, str, str], Recorded]) -> list[Recorded]:
+    """Put the tenant before an id that several tenants chose; a slash would look like an item."""
+    tenants: dict[tuple[str, str], set[str]] = {}
+    for kind, tenant, name in kept:
+        tenants.setdefault((kind.replace("cancel", "job"), name), set()).add(tenant)
+    found: list[Recorded] = []
+    for (kind, tenant, name), entry in kept.items():
+        shared = len(tenants[(kind.replace("cancel", "job"), name)]) > 1
+        new_name = (f"{tenant}:{name}" if shared else name).replace("/", ":")
+        if isinstance(entry, TracedRequest):
+            found.append(replace(entry, request_id=new_name))
+        elif isinstance(entry, TracedJob | TracedCancel):
+            found.append(replace(entry, job_key=new_name))
+        else:
+            found.append(entry)
+    return found
 
 
 def _rebased(entries: list[Recorded], site: str) -> Trace:
--- a/src/rainsail/experiment/trace/recorder.py
+++ b/src/rainsail/experiment/trace/recorder.py
@@ -38,6 +38,8 @@
 RECORDED_KINDS = (Kind.TENANT, Kind.SERVICE, Kind.MODEL_VERSION, Kind.ADAPTER)
 """Kinds that shape the traffic; runners and processes belong to the fleet that is replayed on."""
 SALT_BYTES = 16
+MAX_WAITING_CHARACTERS = 16 * 1024 * 1024
+"""Most characters of kept prompts that wait to be written."""
 
 DefaultClass = Callable[[str], RequestClass]
 
@@ -64,6 +66,7 @@
         self._wall_clock = wall_clock
         self._started_s = clock.seconds()
         self._waiting: list[Any] = []
+        self._waiting_characters = 0
         self._timer: Any = None
         self._open = True
         path.parent.mkdir(parents=True, exist_ok=True)
@@ -149,16 +152,21 @@
         return self._clock.seconds() - self._started_s
 
     def _record(self, entry: Any) -> None:
-        if not self._open or len(self._waiting) >= self._settings.max_waiting:
+        characters = _kept_characters(entry)
+        full = len(self._waiting) >= self._settings.max_waiting
+        full = full or self._waiting_characters + characters > MAX_WAITING_CHARACTERS
+        if not self._open or full:
             self.dropped += 1
             return
         self._waiting.append(entry)
+        self._waiting_characters += characters
         if self._timer is None:
             self._timer = self._clock.callLater(self._settings.write_period_s, self._write)
 
     def _write(self) -> None:
         self._timer = None
         waiting, self._waiting = self._waiting, []
+        self._waiting_characters = 0
         try:
             for entry in waiting:
                 self._writer.write(write_plain(TraceRecord(entry)))
@@ -183,3 +191,11 @@
         if self._open:
             self._open = False
             self._file.close()
+
+
+def _kept_characters(entry: Any) -> int:
+    if isinstance(entry, TracedRequest):
+        return len(entry.prompt.text)
+    if isinstance(entry, TracedJob):
+        return sum(len(item.prompt.text) for item in entry.items)
+    return 0
--- a/src/rainsail/experiment/trace/rules.py
+++ b/src/rainsail/experiment/trace/rules.py
@@ -57,6 +57,8 @@
         return
     yield from _number_problems(place, "deadline_s", entry.deadline_s)
     if isinstance(entry, TracedRequest):
+        if "/" in entry.request_id:
+            yield f"{place}: request_id: a slash is for items of jobs"
         yield from _work_problems(place, entry.prompt, entry.max_tokens)
         return
     yield from _number_problems(place, "cancel_after_s", entry.cancel_after_s)
