Take consensus messages from the group's replicas only

Cause: any process with a certificate of the fleet could send a replica an append or the order to campaign; a certified gateway could depose the leader. Change: a group's member drops consensus messages whose sender is not one of the group's replicas and logs a forbidden fault of consensus.receive that names the sender. Figures: features/consensus/strangers.feature green; red with the check taken out.

--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -53,12 +53,12 @@
     ) -> None:
         self.group = group
         self.settings = settings
-        self._messenger = messenger
         self._clock = clock
         self._state_machine = state_machine
-        self._router = router if router is not None else GroupRouter(messenger)
+        self._router = router if router is not None else GroupRouter(messenger, clock)
         log = recover_log(storage, state_machine)
         names = tuple(member.replica for member in bootstrap)
+        self._replicas = frozenset(names)
         self.core = ConsensusCore(
             group,
             replica,
@@ -219,8 +219,13 @@
     # --- inputs --------------------------------------------------------------------------
 
     def _receive(self, source: str, message: GroupMessage) -> None:
-        if not self._stopped:
-            self._take(self.core.receive(source, message, self._clock.seconds()))
+        if self._stopped:
+            return
+        if source not in self._replicas:
+            detail = f"{type(message).__name__} from a process that is no replica of the group"
+            logger.warning(str(Fault(FaultCode.FORBIDDEN, "consensus.receive", detail, source)))
+            return
+        self._take(self.core.receive(source, message, self._clock.seconds()))
 
     def _synced(self, sequence: int) -> None:
         self._take(self.core.synced(sequence, self._clock.seconds()))
@@ -331,7 +336,7 @@
 
     def _send(self, messages: list[Outgoing]) -> None:
         for outgoing in messages:
-            self._messenger.send(outgoing.replica, outgoing.message)
+            self._router.send(outgoing.replica, outgoing.message)
 
     def _answer_reads(self, effects: Effects) -> None:
         for ready in effects.reads_ready:
