--- a/features/steps/simulation_run_steps.py
+++ b/features/steps/simulation_run_steps.py
@@ -180,23 +180,28 @@
 # --- the clock of a process ----------------------------------------------------------------
 
 
-@given("a paused process with a timer due in {seconds:g} second")
-def paused_process(context, seconds):
+@given("a paused process with timers due in {first:g} and {second:g} seconds")
+def paused_process(context, first, second):
     context.world_clock = VirtualClock()
     context.process_clock = SkewedClock(context.world_clock)
     context.timer_calls = []
-    context.timer = context.process_clock.callLater(seconds, context.timer_calls.append, "made")
+    context.process_clock.callLater(first, lambda: context.second_timer.cancel())
+    context.second_timer = context.process_clock.callLater(
+        second, context.timer_calls.append, "made"
+    )
     context.process_clock.freeze()
 
 
-@when("the process goes on after {seconds:g} seconds and takes the timer back at once")
+@when(
+    "the process goes on after {seconds:g} seconds and the first call takes the second timer back"
+)
 def process_goes_on(context, seconds):
     context.world_clock.advance(seconds)
     context.process_clock.thaw()
-    context.timer.cancel()
 
 
-@then("the timer's call is never made")
+@then("the second timer's call is never made")
 def call_never_made(context):
     context.world_clock.advance(10.0)
     assert context.timer_calls == []
+    assert not context.second_timer.active()
