Add the demonstration: a site's fleet with its users, judged by what they saw

Turning an engine's executions into events moves to experiment.engine_events, which the simulator uses as well.

--- /dev/null
+++ b/src/rainsail/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a site's fleet in one process, its users, and what they saw judged."""
--- a/src/rainsail/simulation/run.py
+++ b/src/rainsail/simulation/run.py
@@ -4,13 +4,11 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
-from rainsail.emulator.engine import EmulatedEngine
 from rainsail.errors import Outcome
 from rainsail.experiment.checkers.interface import Violation
 from rainsail.experiment.checkers.suite import check_history
+from rainsail.experiment.engine_events import engine_events
 from rainsail.experiment.history import (
-    EngineFinished,
-    EngineStarted,
     Event,
     FaultsEnded,
     History,
@@ -174,7 +172,7 @@
         """Return the history with the engines' executions put in at their times."""
         events: list[Event] = list(self.history.events)
         for engine in self.fleet.engines.values():
-            events += _executions(engine)
+            events += engine_events(engine)
         merged = History()
         for event in sorted(events, key=lambda each: each.time_s):
             merged.record(event)
@@ -204,19 +202,3 @@
             not_run=sum(1 for event in answers if event.outcome == Outcome.NOT_RUN),
             unknown=sum(1 for event in answers if event.outcome == Outcome.UNKNOWN),
         )
-
-
-def _executions(engine: EmulatedEngine) -> list[Event]:
-    events: list[Event] = []
-    for record in engine.executions:
-        batch = "/" in record.request_id
-        started = EngineStarted(
-            record.started_s, engine.runner, record.request_id, record.attempt_id, batch
-        )
-        events.append(started)
-        if record.ended_s is not None:
-            finished = EngineFinished(
-                record.ended_s, engine.runner, record.request_id, record.attempt_id
-            )
-            events.append(finished)
-    return events
