--- a/rig/injector.py
+++ b/rig/injector.py
@@ -23,6 +23,7 @@
 HEALTHY = "Healthy"
 DEGRADED = "Degraded"
 CONDITION_DRAINING = "Draining"
+LONG_PAUSE_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +83,10 @@
         targets = [self._fleet.daemons[state.leader], *self._draw.sample(others, count - 1)]
         await self._kill_and_restart(f"kill_{count}_replicas", targets)
 
+    async def kill_two_replicas(self) -> None:
+        """Kill as many replicas as the group bears."""
+        await self.kill_replicas(2)
+
     async def kill_all_replicas(self) -> None:
         """Let the power fail under every replica at once."""
         await self.until_whole()
@@ -126,15 +131,22 @@
 
     async def pause_leader(self) -> None:
         """Let the leader stand still, its connections open, then go on."""
+        await self._pause_leader("pause_leader", self._hold.paused_s)
+
+    async def pause_leader_for_a_minute(self) -> None:
+        """Let the leader stand still far beyond every lease."""
+        await self._pause_leader("pause_leader_for_a_minute", LONG_PAUSE_S)
+
+    async def _pause_leader(self, kind: str, paused_s: float) -> None:
         state = await self.until_whole()
         target = self._fleet.daemons[state.leader]
-        self._begin("pause_leader", target.name)
+        self._begin(kind, target.name)
         target.pause()
         await self._fleet.until_group(DEGRADED, (self._voters - 1) // 2 - 1)
-        await self._wait(self._hold.paused_s)
+        await self._wait(paused_s)
         target.resume()
         await self.until_whole()
-        self._end("pause_leader", target.name)
+        self._end(kind, target.name)
 
     async def stop_replica(self) -> None:
         """Stop a replica as planned and start it again."""
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -35,11 +35,12 @@
 LONG_REPAIR_AFTER_S = 5.0
 REPLICA_FAILURES: Lane = (
     Injector.kill_replicas,
-    lambda injector: injector.kill_replicas(2),
+    Injector.kill_two_replicas,
     Injector.kill_all_replicas,
     Injector.lose_disk,
     Injector.lose_disk_then_two,
     Injector.pause_leader,
+    Injector.pause_leader_for_a_minute,
     Injector.stop_replica,
 )
 OTHER_FAILURES: Lane = (
