--- a/src/rainsail/consensus/messages.py
+++ b/src/rainsail/consensus/messages.py
@@ -187,6 +187,15 @@
     target: str
 
 
+@wire_record
+@dataclass(frozen=True, slots=True)
+class MergedHeartbeats:
+    """The heartbeats, and the answers to some, of all groups that two processes share."""
+
+    requests: tuple[AppendRequest, ...]
+    replies: tuple[AppendReply, ...]
+
+
 GroupMessage = (
     Hello
     | FoundingVoteRequest
