--- a/features/support/consensus.py
+++ b/features/support/consensus.py
@@ -43,9 +43,11 @@
         return Done()
 
     def snapshot(self) -> Iterator[bytes]:
-        """Yield some numbers a chunk."""
-        for first in range(0, len(self.numbers), self._per_chunk):
-            yield ",".join(map(str, self.numbers[first : first + self._per_chunk])).encode()
+        """Return some numbers a chunk, as they are at the call."""
+        numbers = list(self.numbers)
+        firsts = range(0, len(numbers), self._per_chunk)
+        parts = (numbers[first : first + self._per_chunk] for first in firsts)
+        return (",".join(map(str, part)).encode() for part in parts)
 
     def restore(self, chunks: Iterable[bytes]) -> None:
         """Take the numbers of a snapshot."""
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -1,6 +1,6 @@
 """Takes, sends and installs snapshots for one member."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from expression import Result
 
@@ -73,8 +73,17 @@
             return
         self._writing = True
         self._applier.bytes_since_snapshot = 0
-        meta = self._meta_at(applied)
-        chunks = list(self._state_machine.snapshot())
+        self._gather(self._meta_at(applied), self._state_machine.snapshot(), [])
+
+    def _gather(self, meta: SnapshotMeta, rest: Iterator[bytes], chunks: list[bytes]) -> None:
+        """Encode one chunk a reactor turn, so that heartbeats go out in between."""
+        if self._stopped:
+            return
+        chunk = next(rest, None)
+        if chunk is not None:
+            chunks.append(chunk)
+            self._clock.callLater(0, self._gather, meta, rest, chunks)
+            return
         done = self._storage.save_snapshot(meta, iter(chunks))
         done.addCallback(self._taken, meta)
 
--- a/src/rainsail/state/interface.py
+++ b/src/rainsail/state/interface.py
@@ -23,7 +23,11 @@
         ...
 
     def snapshot(self) -> Iterator[bytes]:
-        """Yield the whole state as chunks; the state must not change while iterating."""
+        """Return the whole state as it is at the call, as chunks.
+
+        Chunks are asked for later, one by one, while further commands are applied; those must
+        not show in them.
+        """
         ...
 
     def restore(self, chunks: Iterable[bytes]) -> None:
