Lend quota shares at the same cost among any number of gateways

Cause: each lend went through all gateways that hold a share of the tenant's rate. A tenant with traffic at all 380 nodes cost the leader 380 times 380 looks a second; 20 such tenants would have taken 1.9 cores of the one leader.

Change: a book per tenant keeps running sums of what is lent and wanted, and the grants in the order in which they run out (all hold equally long).

With the demand of gateways that hold nothing left in the sum, the first and third scenario of features/scale/quota_book.feature fail.

--- /dev/null
+++ b/features/steps/scale_quota_steps.py
@@ -0,0 +1,117 @@
+"""Steps on the book of lent shares of one tenant's rate."""
+
+import random
+from unittest import mock
+
+from behave import given, then, when
+
+from rainsail.control.messages import QuotaReport, TenantDemand
+from rainsail.control.quota import QuotaLender, QuotaTerms
+from rainsail.control.quota_book import GatewayShare, Grant, TenantBook
+from rainsail.resources.specs import TenantSpec
+
+SHARE_S = 4.0
+LENDABLE = 800.0
+TENANT = "north"
+CLOSE = 1e-6
+
+
+class CheckedBook:
+    """A book beside plain shares that are added up anew at every step."""
+
+    def __init__(self) -> None:
+        self.book = TenantBook()
+        self.shares: dict[str, GatewayShare] = {}
+        self.now_s = 0.0
+        self.errors: list[float] = []
+        self.most_lent = 0.0
+
+    def report(self, gateway: str, demand: float) -> None:
+        """Let a gateway report and get its fair part of what is free."""
+        self.book.drop_expired(self.now_s)
+        for name in list(self.shares):
+            self.shares[name].drop_expired(self.now_s)
+            if not self.shares[name].grants:
+                del self.shares[name]
+        self.book.note_demand(gateway, demand)
+        share = self.shares.setdefault(gateway, GatewayShare([], 0.0))
+        share.demand = demand
+        others = [each for name, each in self.shares.items() if name != gateway]
+        hold = sum(each.outstanding() for each in others)
+        wanted = sum(each.demand for each in others)
+        self.errors.append(abs(self.book.others_hold(gateway) - hold))
+        self.errors.append(abs(self.book.others_demand(gateway) - wanted))
+        fair = LENDABLE * demand / (demand + wanted) if demand + wanted else 0.0
+        free = LENDABLE - self.book.others_hold(gateway)
+        grant = Grant(max(0.0, min(fair, free)), self.now_s + SHARE_S)
+        self.book.add(gateway, grant)
+        share.add(grant)
+        lent = sum(each.outstanding() for each in self.shares.values())
+        self.most_lent = max(self.most_lent, lent)
+
+
+@given("a quota book of {gateways:d} gateways under {reports:d} random reports with lost answers")
+def make_book(context, gateways, reports):
+    draw = random.Random(7)
+    context.checked = CheckedBook()
+    for _ in range(reports):
+        context.checked.now_s += draw.expovariate(20.0)
+        demand = draw.choice((0.0, 1.0, 10.0, 1000.0)) * draw.random()
+        context.checked.report(f"gateway-{draw.randrange(gateways)}", demand)
+
+
+@then("at every step the quota book's sums were those of adding up anew")
+def sums_agree(context):
+    assert len(context.checked.errors) == 6000
+    assert max(context.checked.errors) < CLOSE, max(context.checked.errors)
+
+
+@then("the quota book never lent beyond what may be lent")
+def never_beyond(context):
+    assert 0.9 * LENDABLE < context.checked.most_lent <= LENDABLE + CLOSE
+
+
+@when("all grants of the quota book have run out")
+def run_out(context):
+    context.checked.book.drop_expired(context.checked.now_s + SHARE_S)
+
+
+@then("the quota book is empty and its sums are 0")
+def book_empty(context):
+    book = context.checked.book
+    assert book.demand_of("gateway-1") is None
+    book.note_demand("gateway-1", 0.0)
+    assert book.others_hold("gateway-1") < CLOSE
+    assert book.others_demand("gateway-1") < CLOSE
+
+
+def _looks_per_lend(gateways: int) -> float:
+    lender = QuotaLender(QuotaTerms(SHARE_S, 0.01, 0.2))
+    lender.begin(-100.0)
+    limits = {TENANT: TenantSpec(1000.0, 1000.0)}
+    demands = (TenantDemand(TENANT, 5.0, 0.0),)
+    looks = 0
+    plain = GatewayShare.outstanding
+
+    def counted(share):
+        nonlocal looks
+        looks += 1
+        return plain(share)
+
+    with mock.patch.object(GatewayShare, "outstanding", counted):
+        for second in range(8):
+            for number in range(gateways):
+                report = QuotaReport(0, f"gateway-{number}", 1.0, demands)
+                lender.lend(report, limits, second + number / gateways)
+    return looks / (8 * gateways)
+
+
+@when("20 and 400 gateways report demand of one tenant to the quota lender for 8 seconds")
+def report_demand(context):
+    context.looks = (_looks_per_lend(20), _looks_per_lend(400))
+
+
+@then("a lend looks at no more shares among 400 gateways than among 20")
+def looks_alike(context):
+    few, many = context.looks
+    assert 0 < many <= few + 1.0, context.looks
--- a/src/rainsail/control/quota.py
+++ b/src/rainsail/control/quota.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from rainsail.control.messages import QuotaReport, QuotaShare, QuotaShares, TenantDemand
+from rainsail.control.quota_book import Grant, TenantBook
 from rainsail.resources.specs import TenantSpec
 
 DEMAND_SMOOTHING = 0.5
@@ -36,40 +37,6 @@
         return self.share_s * (1.0 + self.clock_rate_margin)
 
 
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """A rate lent in tokens a second, and when it has surely run out (leader's clock)."""
-
-    tokens_per_second: float
-    expires_s: float
-
-
-@dataclass(slots=True)
-class GatewayShare:
-    """What one gateway may hold of one tenant's rate, and its demand in tokens a second.
-
-    A reply may be lost, so a smaller grant does not replace a larger one before that runs out.
-    """
-
-    grants: list[Grant]
-    demand: float
-
-    def outstanding(self) -> float:
-        """Return the highest rate that the gateway may be using."""
-        return max((grant.tokens_per_second for grant in self.grants), default=0.0)
-
-    def drop_expired(self, now_s: float) -> None:
-        """Forget the grants that have run out."""
-        self.grants = [grant for grant in self.grants if grant.expires_s > now_s]
-
-    def add(self, grant: Grant) -> None:
-        """Note a grant; it covers earlier ones that are no larger."""
-        self.grants = [
-            each for each in self.grants if each.tokens_per_second > grant.tokens_per_second
-        ]
-        self.grants.append(grant)
-
-
 def minimum_share(rate: float, gateways: int, reserve_fraction: float) -> float:
     """Return the rate that each of ``gateways`` may use without a lent share."""
     return rate * reserve_fraction / (GATEWAY_COUNT_SLACK * max(1, gateways))
@@ -80,7 +47,7 @@
 
     def __init__(self, terms: QuotaTerms) -> None:
         self._terms = terms
-        self._lent: dict[str, dict[str, GatewayShare]] = {}
+        self._lent: dict[str, TenantBook] = {}
         self._lends_from_s = 0.0
 
     def begin(self, now_s: float) -> None:
@@ -106,29 +73,20 @@
     def _lend_one(
         self, report: QuotaReport, demand: TenantDemand, limit: TenantSpec, now_s: float
     ) -> QuotaShare:
-        book = self._lent.setdefault(demand.tenant, {})
-        self._drop_expired(book, now_s)
+        book = self._lent.setdefault(demand.tenant, TenantBook())
+        book.drop_expired(now_s)
+        gateway = report.gateway
         wanted = _rate(demand, report.period_s)
-        share = book.get(report.gateway)
-        if share is None:
-            share = book[report.gateway] = GatewayShare([], wanted)
-        else:
-            share.demand = _smooth(share.demand, wanted)
+        before = book.demand_of(gateway)
+        own_demand = wanted if before is None else _smooth(before, wanted)
+        book.note_demand(gateway, own_demand)
         lendable = limit.tokens_per_second * (1.0 - self._terms.reserve_fraction)
-        others = [other for name, other in book.items() if name != report.gateway]
-        others_hold = sum(other.outstanding() for other in others)
-        fair = _fair_part(lendable, share.demand, sum(other.demand for other in others))
-        granted = max(0.0, min(fair, lendable - others_hold))
-        share.add(Grant(granted, now_s + self._terms.trusted_after_s))
+        fair = _fair_part(lendable, own_demand, book.others_demand(gateway))
+        granted = max(0.0, min(fair, lendable - book.others_hold(gateway)))
+        book.add(gateway, Grant(granted, now_s + self._terms.trusted_after_s))
         burst = limit.burst_tokens * granted / max(limit.tokens_per_second, SMALLEST_RATE)
         return QuotaShare(demand.tenant, granted, burst)
 
-    def _drop_expired(self, book: dict[str, GatewayShare], now_s: float) -> None:
-        for share in book.values():
-            share.drop_expired(now_s)
-        for gateway in [each for each, share in book.items() if not share.grants]:
-            del book[gateway]
-
 
 def _rate(demand: TenantDemand, period_s: float) -> float:
     return (demand.used_tokens + demand.refused_tokens) / max(period_s, 1e-3)
