Show a lost disk in the status as soon as its replica has called

Cause: a replica that lost its disk and was back at once still counted as sound for two seconds, the time after which silence shows; the status said Healthy and the fleet rig took the repair as done. Change: a member whose replica has called under a new identity since the member last answered is not sound. Conclusion: the two seconds remain for a replica that is gone and does not come back.

--- a/src/rainsail/consensus/status.py
+++ b/src/rainsail/consensus/status.py
@@ -26,11 +26,22 @@
 
 
 def is_sound(state: CoreState, member: MemberSpec, now: float) -> bool:
-    """Tell whether a member is reachable and has nearly everything synced."""
+    """Tell whether a member is reachable, has its disk and has nearly everything synced."""
+    if has_lost_disk(state, member):
+        return False
     lag = state.commit_index - match_index_of(state, member.identity)
     return is_reachable(state, member, now) and lag <= state.settings.caught_up_entries
 
 
+def has_lost_disk(state: CoreState, member: MemberSpec) -> bool:
+    """Tell whether a member's replica has called under a new identity since it last answered."""
+    newcomer = state.newcomers.get(member.replica)
+    progress = state.progress.get(member.identity)
+    if newcomer is None or progress is None or newcomer.identity == member.identity:
+        return False
+    return newcomer.heard_at_s > progress.heard_at_s
+
+
 def health(state: CoreState, now: float) -> GroupHealth:
     """Return whether the group bears the losses it is meant for."""
     if state.role != Role.LEADER:
