Digest a job's items in slices and keep start-up objects out of garbage collections

Change: the intake checks and digests 1,000 items at a time; a daemon freezes what exists once its roles have started. Faults and digests are the same as before.

--- a/src/rainsail/assembly/process.py
+++ b/src/rainsail/assembly/process.py
@@ -13,6 +13,7 @@
 from rainsail.errors import Fault
 from rainsail.logs import configure_logs, dump_on_signal, logger
 from rainsail.metrics import CONTENT_TYPE, Metrics
+from rainsail.runtime.collector import exempt_startup_objects
 from rainsail.settings.model import ProcessSettings
 from rainsail.wire.address import parse_address
 
@@ -60,6 +61,7 @@
             if started.is_error():
                 self.fail(started.error)
                 return
+        exempt_startup_objects()
         self._ready = True
         self._ready_gauge.set(1)
         logger.bind(process=self._settings.process.name).info("started")
--- a/src/rainsail/batch/content.py
+++ b/src/rainsail/batch/content.py
@@ -9,15 +9,30 @@
 """Bytes that an item adds to a command besides its texts."""
 
 
+class ContentDigest:
+    """The SHA-256 of what a job runs, built up from its items in order."""
+
+    def __init__(self, service: str, adapter: str) -> None:
+        self._digest = hashlib.sha256()
+        for text in (service, adapter):
+            _add_text(self._digest, text)
+
+    def add(self, items: tuple[ItemBody, ...]) -> None:
+        """Add the next items."""
+        for item in items:
+            _add_text(self._digest, item.custom_id)
+            _add_text(self._digest, item.prompt)
+            self._digest.update(item.max_tokens.to_bytes(8, "big"))
+
+    def hexdigest(self) -> str:
+        """Return the digest of everything added (hex)."""
+        return self._digest.hexdigest()
+
+
 def content_digest(service: str, adapter: str, items: tuple[ItemBody, ...]) -> str:
     """Return the SHA-256 (hex) of what the job runs; the deadline is no part of it."""
-    digest = hashlib.sha256()
-    for text in (service, adapter):
-        _add_text(digest, text)
-    for item in items:
-        _add_text(digest, item.custom_id)
-        _add_text(digest, item.prompt)
-        digest.update(item.max_tokens.to_bytes(8, "big"))
+    digest = ContentDigest(service, adapter)
+    digest.add(items)
     return digest.hexdigest()
 
 
--- a/src/rainsail/batch/intake.py
+++ b/src/rainsail/batch/intake.py
@@ -6,12 +6,13 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, DeferredSemaphore
 
-from rainsail.batch.content import content_digest, item_ranges
+from rainsail.batch.content import ContentDigest, item_ranges
 from rainsail.batch.groups import group_of_job, job_id_of
 from rainsail.batch.settings import BatchSettings
 from rainsail.control.interface import ControlClient
@@ -39,6 +40,10 @@
 )
 """Faults after which a ledger command of the intake is sent again; each is idempotent."""
 
+SLICE_ITEMS = 1000
+"""Items checked before other work of the process gets its turn."""
+SLICE_PAUSE_S = 0.001
+
 
 class JobIntake:
     """Files and batches of callers to ledger commands."""
@@ -80,7 +85,7 @@
             tenant=tenant,
             service=service,
             item_count=len(items),
-            content_digest=content_digest(service, adapter, items),
+            content_digest="",
             deadline_unix_s=deadline_unix_s,
             adapter=adapter,
         )
@@ -98,16 +103,38 @@
             return Fault(FaultCode.TOO_LARGE, "batch.intake", f"more than {limit} items")
         if deadline_unix_s <= self._wall_clock():
             return _invalid("the deadline has passed")
-        if any(item.max_tokens <= 0 for item in items):
-            return _invalid("an item's max_tokens is not positive")
-        if len({item.custom_id for item in items}) < len(items):
-            return _invalid("two items have the same custom id")
         return None
 
     def _start_store(
         self, spec: JobSpec, items: tuple[ItemBody, ...]
     ) -> "Deferred[Result[JobView, Fault]]":
-        return Deferred.fromCoroutine(self._store(spec, items))
+        return Deferred.fromCoroutine(self._check_and_store(spec, items))
+
+    async def _check_and_store(
+        self, spec: JobSpec, items: tuple[ItemBody, ...]
+    ) -> "Result[JobView, Fault]":
+        digest = await self._checked_digest(spec, items)
+        if digest.is_error():
+            return Error(digest.error)
+        return await self._store(replace(spec, content_digest=digest.ok), items)
+
+    async def _checked_digest(
+        self, spec: JobSpec, items: tuple[ItemBody, ...]
+    ) -> "Result[str, Fault]":
+        """Check every item and return the content's digest, a slice of items at a time."""
+        digest = ContentDigest(spec.service, spec.adapter)
+        custom_ids: set[str] = set()
+        for start in range(0, len(items), SLICE_ITEMS):
+            if start:
+                await sleep(self._clock, SLICE_PAUSE_S)
+            part = items[start : start + SLICE_ITEMS]
+            if any(item.max_tokens <= 0 for item in part):
+                return Error(_invalid("an item's max_tokens is not positive"))
+            custom_ids.update(item.custom_id for item in part)
+            digest.add(part)
+        if len(custom_ids) < len(items):
+            return Error(_invalid("two items have the same custom id"))
+        return Ok(digest.hexdigest())
 
     async def _store(self, spec: JobSpec, items: tuple[ItemBody, ...]) -> "Result[JobView, Fault]":
         job_id = job_id_of(spec.tenant, spec.job_key)
