--- a/features/steps/rig_run_steps.py
+++ b/features/steps/rig_run_steps.py
@@ -11,7 +11,7 @@
 
 SHORT_LIST = {
     "drain_runner",
-    "kill_2_replicas",
+    "kill_two_replicas",
     "kill_engines",
     "kill_gateway",
     "lose_disk",
--- a/rig/injector.py
+++ b/rig/injector.py
@@ -76,16 +76,19 @@
 
     # --- replicas -------------------------------------------------------------------------
 
-    async def kill_replicas(self, count: int = 1) -> None:
-        """Kill replicas, the leader among them; what is left must say what it still bears."""
+    async def kill_leader(self) -> None:
+        """Kill the leader; what is left must say what it still bears."""
+        await self._kill_replicas("kill_leader", 1)
+
+    async def kill_two_replicas(self) -> None:
+        """Kill as many replicas as the group bears, the leader among them."""
+        await self._kill_replicas("kill_two_replicas", 2)
+
+    async def _kill_replicas(self, kind: str, count: int) -> None:
         state = await self.until_whole()
         others = [each for each in self._fleet.replicas() if each.name != state.leader]
         targets = [self._fleet.daemons[state.leader], *self._draw.sample(others, count - 1)]
-        await self._kill_and_restart(f"kill_{count}_replicas", targets)
-
-    async def kill_two_replicas(self) -> None:
-        """Kill as many replicas as the group bears."""
-        await self.kill_replicas(2)
+        await self._kill_and_restart(kind, targets)
 
     async def kill_all_replicas(self) -> None:
         """Let the power fail under every replica at once."""
@@ -127,7 +130,7 @@
     async def lose_disk_then_two(self) -> None:
         """Lose a disk, and two further machines as soon as the repair is said to be done."""
         await self.lose_disk()
-        await self.kill_replicas(2)
+        await self.kill_two_replicas()
 
     async def pause_leader(self) -> None:
         """Let the leader stand still, its connections open, then go on."""
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -33,8 +33,9 @@
 )
 LONG_HOLD = HoldTimes(4.0, 20.0, 14.0)
 LONG_REPAIR_AFTER_S = 5.0
+LONG_GAP_FACTOR = 0.5
 REPLICA_FAILURES: Lane = (
-    Injector.kill_replicas,
+    Injector.kill_leader,
     Injector.kill_two_replicas,
     Injector.kill_all_replicas,
     Injector.lose_disk,
@@ -55,7 +56,7 @@
 
 def long_plan(failures_s: float) -> RunPlan:
     """Return the plan of a run that draws failures for ``failures_s``."""
-    return RunPlan(LONG_HOLD, LONG_REPAIR_AFTER_S, 1.0, 10.0, 4, failures_s)
+    return RunPlan(LONG_HOLD, LONG_REPAIR_AFTER_S, LONG_GAP_FACTOR, 10.0, 6, failures_s)
 
 
 def lanes(plan: RunPlan, draw: random.Random) -> tuple[Lane, Lane]:
