--- a/src/rainsail/wire/settings.py
+++ b/src/rainsail/wire/settings.py
@@ -15,7 +15,7 @@
 
     authority_file: Path = Field(description="PEM certificate of the authority that all trust")
     certificate_file: Path = Field(
-        description="PEM certificate of this process: common name its name, organizational unit its role"
+        description="PEM certificate: common name the process, organizational unit its role"
     )
     private_key_file: Path = Field(description="PEM private key that belongs to the certificate")
 
