Explain routing decisions end to end, and check a command's words before it starts

Tables cut long names, so that a job's id could not be copied, and showed specs as one JSON text.

Change: gateways serve /v1/explain/REQUEST_ID from their ring, to operators' keys and to the tenant whose request it was (the ring keeps the tenant). cli.arguments checks flags, numbers and surplus words against the command's signature before the call; exit code 2, nothing started. Table cells are folded, one key a line, conditions in words; 160 columns when not on a terminal. An unknown key says which variable to set. A turn of a session that is placed already has no decision to explain.

--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -211,7 +211,9 @@
         if self._recorder is not None:
             core = RecordingGateway(core, self._recorder)
             intake = RecordingIntake(intake, self._recorder)
-        return CallerApi(core, self.node.view, intake, settings.caller_api, time.time)
+        api = CallerApi(core, self.node.view, intake, settings.caller_api, time.time)
+        api.explain_with(self.name, self.node.core, settings.control.operator_key_hashes)
+        return api
 
     @inlineCallbacks
     def start(self) -> Generator[Deferred[Any], Any, Result[None, Fault]]:
--- a/src/rainsail/cli/drain.py
+++ b/src/rainsail/cli/drain.py
@@ -27,7 +27,7 @@
     check_format(output)
     wanted = kind_of(kind)
     if wanted not in DRAINABLE:
-        raise bad_input(f"expected {', '.join(DRAINABLE)}, got {wanted}")
+        raise bad_input(f"kind: expected one of {', '.join(DRAINABLE)}, got {wanted}")
     body = {
         "spec": {"drain": not undo},
         "change_id": uuid.uuid4().hex,
--- a/src/rainsail/cli/main.py
+++ b/src/rainsail/cli/main.py
@@ -10,6 +10,7 @@
 
 import fire
 
+from rainsail.cli.arguments import check_arguments
 from rainsail.cli.command_table import COMMAND_GROUPS
 from rainsail.cli.exit_codes import CommandEnd, ExitCode, bad_input
 from rainsail.cli.flags import join_repeated, keep_text
@@ -51,6 +52,7 @@
         return
     group = load_group(name)
     command = join_repeated(rest)
+    check_arguments(group, command)
     if COMMAND_GROUPS[name].text_arguments:
         command = [keep_text(word) for word in command]
     fire.Fire({name: group}, command=[name, *command], name="rainsail")
--- a/src/rainsail/cli/operator_client.py
+++ b/src/rainsail/cli/operator_client.py
@@ -26,6 +26,7 @@
 ATTEMPT_TIMEOUT_S = 10.0
 CONNECT_TIMEOUT_S = 3.0
 RETRIED_STATUSES = (502, 503, 504)
+UNAUTHENTICATED_STATUS = 401
 
 Value = TypeVar("Value")
 LOST_ANSWER = (
@@ -205,8 +206,7 @@
 def _fault_text(answer: Answer) -> str:
     fault = answer.body if isinstance(answer.body, dict) else {}
     fault = fault.get("error", fault)
-    if not isinstance(fault, dict):
-        fault = {"detail": str(fault)}
+    fault = fault.get("rainsail", fault) if isinstance(fault, dict) else {"detail": str(fault)}
     words = [fault.get("code") or f"HTTP status {answer.status}"]
     if fault.get("step"):
         words.append(f"in {fault['step']}")
@@ -215,4 +215,6 @@
     detail = fault.get("detail") or fault.get("message") or ""
     if fault.get("current_revision") is not None:
         detail += f" (current revision {fault['current_revision']})"
+    if answer.status == UNAUTHENTICATED_STATUS:
+        detail += f" (set {API_KEY_VARIABLE} to a key that this address knows)"
     return f"{' '.join(words)}: {detail}"
--- a/src/rainsail/cli/output.py
+++ b/src/rainsail/cli/output.py
@@ -13,6 +13,8 @@
 from rainsail.cli.exit_codes import bad_input
 
 FORMATS = ("table", "json")
+FILE_WIDTH_COLUMNS = 160
+"""Width of a table that goes to a file or a pipe."""
 
 
 def check_format(output: str) -> str:
@@ -33,14 +35,17 @@
 
 
 def print_rows(rows: Sequence[dict[str, Any]], columns: Sequence[str], output: str) -> None:
-    """Print rows as a JSON list or as a table of ``columns``."""
+    """Print rows as a JSON list or as a table of ``columns``; cells are folded, never cut."""
     if output == "json":
         print_json(list(rows))
         return
-    table = Table(*columns)
+    table = Table()
+    for column in columns:
+        table.add_column(column, overflow="fold")
     for row in rows:
         table.add_row(*[_cell(row.get(column)) for column in columns])
-    Console(soft_wrap=not sys.stdout.isatty()).print(table)
+    width = None if sys.stdout.isatty() else FILE_WIDTH_COLUMNS
+    Console(width=width, highlight=False, markup=False).print(table)
 
 
 def print_record(record: dict[str, Any], output: str) -> None:
@@ -53,11 +58,29 @@
 
 
 def _cell(value: Any) -> str:
+    """Return a value for people: one ``key: value`` a line, conditions by their type."""
     if value is None:
         return ""
+    if isinstance(value, str):
+        return value
+    if isinstance(value, dict):
+        return "\n".join(f"{key}: {_inline(each)}" for key, each in value.items())
+    if isinstance(value, list):
+        return "\n".join(_condition(each) or _inline(each) for each in value)
+    return json.dumps(value)
+
+
+def _inline(value: Any) -> str:
     return value if isinstance(value, str) else json.dumps(value, ensure_ascii=False)
 
 
+def _condition(value: Any) -> str:
+    """Return a resource's condition in words; empty for anything else."""
+    if not isinstance(value, dict) or not {"type", "value", "reason"} <= value.keys():
+        return ""
+    return f"{'' if value['value'] else 'not '}{value['type']}: {value['reason']}"
+
+
 class ProgressBar:
     """A progress bar, or nothing when stdout is no terminal."""
 
--- a/src/rainsail/cli/resource.py
+++ b/src/rainsail/cli/resource.py
@@ -4,13 +4,14 @@
 from pathlib import Path
 from typing import Any
 
+from rainsail.cli.exit_codes import bad_input
 from rainsail.cli.operator_client import OperatorClient, run_client
 from rainsail.cli.output import check_format, print_record, print_rows
 from rainsail.cli.resource_files import kind_of, read_resources
 from rainsail.cli.watch import WatchFollower
 from rainsail.state.commands import ANY_REVISION
 
-COLUMNS = ("kind", "name", "revision", "generation", "spec", "status", "conditions")
+COLUMNS = ("kind", "name", "revision", "spec", "status", "conditions")
 
 Rows = list[dict[str, Any]]
 
@@ -105,5 +106,11 @@
 
 
 def _change(body: dict[str, Any], expected_revision: str | None) -> dict[str, Any]:
-    revision = ANY_REVISION if expected_revision is None else int(expected_revision)
+    revision = ANY_REVISION if expected_revision is None else _revision(expected_revision)
     return {**body, "change_id": uuid.uuid4().hex, "expected_revision": revision}
+
+
+def _revision(text: str) -> int:
+    if not text.isdecimal():
+        raise bad_input(f"--expected_revision: expected a whole number, got {text!r}")
+    return int(text)
--- a/src/rainsail/cli/simulate.py
+++ b/src/rainsail/cli/simulate.py
@@ -40,6 +40,8 @@
     """
     if site not in SITES:
         raise bad_input(f"--site: expected one of {', '.join(SITES)}, got {site!r}")
+    if minutes <= 0:
+        raise bad_input(f"--minutes: expected a number above 0, got {minutes!r}")
     if defect and defect not in DEFECTS:
         raise bad_input(f"--defect: no known-bad variant {defect!r}; see rainsail defects")
     with applied_defect(defect):
--- a/src/rainsail/gateway/attempt_sender.py
+++ b/src/rainsail/gateway/attempt_sender.py
@@ -55,7 +55,7 @@
             context.random,
             context.settings.routing,
         )
-        context.decisions.add(decision)
+        context.decisions.add(caller.tenant, decision)
         return decision
 
     def prepare(
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -121,9 +121,9 @@
         run.start()
         return run
 
-    def explain(self, request_id: str) -> tuple[RouteDecision, ...]:
-        """Return the routing decisions kept for a request, with candidates and scores."""
-        return self._context.decisions.explain(request_id)
+    def explain(self, request_id: str, tenant: str = "") -> tuple[RouteDecision, ...]:
+        """Return the routing decisions kept for a request (of ``tenant``, when given)."""
+        return self._context.decisions.explain(request_id, tenant)
 
     @property
     def in_progress(self) -> int:
--- a/src/rainsail/gateway/http_api.py
+++ b/src/rainsail/gateway/http_api.py
@@ -13,6 +13,7 @@
 from rainsail.gateway.interface import Gateway
 from rainsail.gateway.openai.authentication import Authenticator
 from rainsail.gateway.openai.batch_routes import BatchRoutes
+from rainsail.gateway.openai.explain_routes import DecisionReader, ExplainRoutes
 from rainsail.gateway.openai.job_intake import Intake
 from rainsail.gateway.openai.online_routes import OnlineRoutes
 from rainsail.gateway.openai.settings import CallerApiSettings
@@ -42,12 +43,19 @@
     ) -> None:
         self.app = Klein()
         self._settings = settings
-        authenticator = Authenticator(config)
-        OnlineRoutes(core, config, authenticator, settings, wall_clock).add_to(self.app)
-        BatchRoutes(intake, authenticator, settings, wall_clock).add_to(self.app)
+        self.authenticator = Authenticator(config)
+        OnlineRoutes(core, config, self.authenticator, settings, wall_clock).add_to(self.app)
+        BatchRoutes(intake, self.authenticator, settings, wall_clock).add_to(self.app)
         self.app.handle_errors(HTTPException)(_no_route)
         self.app.handle_errors(Exception)(_failed)
 
+    def explain_with(
+        self, gateway: str, decisions: DecisionReader, operator_key_hashes: tuple[str, ...]
+    ) -> None:
+        """Serve explanations of routing decisions as well."""
+        routes = ExplainRoutes(gateway, decisions, self.authenticator, operator_key_hashes)
+        routes.add_to(self.app)
+
     def site(self) -> Site:
         """Return the web site of the API."""
         max_body_bytes = self._settings.max_file_bytes + _FORM_ENVELOPE_BYTES
--- a/src/rainsail/gateway/openai/authentication.py
+++ b/src/rainsail/gateway/openai/authentication.py
@@ -6,7 +6,7 @@
 
 from rainsail.control.interface import ConfigReader
 from rainsail.errors import Fault, FaultCode
-from rainsail.resources.specs import Kind, TenantSpec, WatchEvent
+from rainsail.resources.specs import Kind, ResourceKey, TenantSpec, WatchEvent
 
 _STEP = "caller_api.authentication"
 _SCHEME = "bearer "
@@ -17,6 +17,13 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def bearer_key(authorization: str | None) -> str | None:
+    """Return the key in an Authorization header; None when it holds none."""
+    if authorization is None or not authorization.lower().startswith(_SCHEME):
+        return None
+    return authorization[len(_SCHEME) :].strip()
+
+
 class Authenticator:
     """Finds the tenant of an API key; follows the configuration."""
 
@@ -34,13 +41,20 @@
         if not self._config.ready():
             detail = "no configuration has been read yet"
             return Error(Fault(FaultCode.UNAVAILABLE, _STEP, detail, retry_after_s=1.0))
-        if authorization is None or not authorization.lower().startswith(_SCHEME):
+        key = bearer_key(authorization)
+        if key is None:
             return Error(Fault(FaultCode.UNAUTHENTICATED, _STEP, "no bearer API key"))
-        name = self._index().get(hash_key(authorization[len(_SCHEME) :].strip()))
+        name = self._index().get(hash_key(key))
         if name is None:
             return Error(Fault(FaultCode.UNAUTHENTICATED, _STEP, "unknown API key"))
         return Ok(name)
 
+    def is_operator(self, tenant: str) -> bool:
+        """Tell whether a tenant's keys are operators' keys as well."""
+        resource = self._config.get(ResourceKey(Kind.TENANT, tenant))
+        spec = None if resource is None else resource.spec
+        return isinstance(spec, TenantSpec) and spec.operator
+
     def _index(self) -> dict[str, str]:
         if self._tenants is None:
             self._tenants = {
