--- /dev/null
+++ b/features/steps/consensus_log_steps.py
@@ -0,0 +1,57 @@
+"""Steps that hold the consensus log, its write tracker and its memberships against models."""
+
+from itertools import combinations
+
+from behave import then
+from features.support.consensus_log_model import LogWindowModel, WriteTrackerModel
+from hypothesis import given as over
+from hypothesis import settings, strategies
+from hypothesis.stateful import run_state_machine_as_test
+
+from rainsail.consensus.membership import Membership, MemberSpec
+
+EXAMPLES = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+NAMES = "abcdef"
+
+
+@then("under any operations the consensus log agrees with a list of entries and memberships")
+def log_agrees(context):
+    """Run random operations on both."""
+    run_state_machine_as_test(LogWindowModel, settings=EXAMPLES)
+
+
+@then(
+    "under any order of writes, truncations and syncs no consensus write counts as synced too early"
+)
+def tracker_agrees(context):
+    """Run random operations on the tracker and on a disk that takes writes in order."""
+    run_state_machine_as_test(WriteTrackerModel, settings=EXAMPLES)
+
+
+@then(
+    "every consensus membership change of one step has overlapping quorums, larger ones are refused"
+)
+def quorums_overlap(context):
+    """Try every quorum of both memberships."""
+    votes = strategies.dictionaries(strategies.sampled_from(NAMES), strategies.booleans())
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @over(votes, votes)
+    def check(before, after):
+        old, new = _membership(before), _membership(after)
+        changed = {m.identity for m in old.voters()} ^ {m.identity for m in new.voters()}
+        allowed = old.is_single_step_to(new)
+        assert allowed == (len(changed) <= 1 and bool(new.voters()))
+        if allowed and old.voters():
+            assert all(a & b for a in _quorums(old) for b in _quorums(new))
+
+    check()
+
+
+def _membership(votes):
+    return Membership(tuple(MemberSpec(name, name, voter) for name, voter in votes.items()))
+
+
+def _quorums(membership):
+    names = [member.identity for member in membership.voters()]
+    return [set(chosen) for chosen in combinations(names, membership.quorum())]
