--- /dev/null
+++ b/features/steps/fuzz_files_steps.py
@@ -0,0 +1,249 @@
+"""Steps that put arbitrary bytes in the place of files that operators name."""
+
+import io
+import json
+import tempfile
+import tomllib
+from pathlib import Path
+
+import fastavro
+from behave import then, when
+from features.support import checkers as histories
+from features.support.command_line import ROOT
+from features.support.fuzz import altered, changed_tree, fuzz, peak_bytes
+from features.support.replay import trace
+from hypothesis import strategies
+
+from rainsail.cli.exit_codes import CommandEnd, ExitCode
+from rainsail.cli.job_files import read_job
+from rainsail.cli.resource_files import read_resources
+from rainsail.experiment.checkers.suite import check_history
+from rainsail.experiment.history import read_history, write_history
+from rainsail.experiment.history_rules import history_problem
+from rainsail.experiment.replay.outcomes import read_outcomes
+from rainsail.experiment.replay.tenant_keys import read_tenant_keys
+from rainsail.experiment.trace.files import read_trace, write_trace
+from rainsail.experiment.trace.summary import summarise
+from rainsail.settings.load import load_settings
+from rainsail.simulation.fault_plan import FaultAction, FaultKind, FaultPlan, read_plan
+from rainsail.wire.codec import CodecError
+
+EXAMPLES = ROOT / "examples" / "guayaquil"
+PLAN = FaultPlan(
+    actions=(FaultAction(kind=FaultKind.ZONE_CUT, target="a", start_s=1, duration_s=2),)
+)
+
+
+def sound_bytes(kind):
+    """Return a sound file of a kind."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "sound"
+        if kind == "trace":
+            write_trace(path, trace())
+        elif kind == "history":
+            write_history(path, histories.build("a result that changed"))
+        else:
+            path.write_bytes(sound_text(kind))
+        return path.read_bytes()
+
+
+def sound_text(kind):
+    """Return a sound text file of a kind."""
+    names = {
+        "outcomes": "outcomes.toml",
+        "settings": "fleet.toml",
+        "tenant keys": "tenant-keys.toml",
+        "job": "seal-reports-job.toml",
+        "resources": "resources.toml",
+    }
+    if kind == "fault plan":
+        return PLAN.model_dump_json().encode()
+    return (EXAMPLES / names[kind]).read_bytes()
+
+
+def toml_of(value, top=True):
+    """Return a value as TOML as far as TOML has it, inline below the top."""
+    if isinstance(value, dict) and top:
+        return "\n".join(
+            f"{json.dumps(key)} = {toml_of(each, False)}" for key, each in value.items()
+        )
+    if isinstance(value, dict):
+        inner = ", ".join(
+            f"{json.dumps(key)} = {toml_of(each, False)}" for key, each in value.items()
+        )
+        return f"{{{inner}}}"
+    if isinstance(value, list):
+        return f"[{', '.join(toml_of(each, False) for each in value)}]"
+    if isinstance(value, float):
+        return str(value)
+    return '""' if value is None else json.dumps(value)
+
+
+def contents(kind):
+    """Return the strategy of a file's bytes."""
+    sound = sound_bytes(kind)
+    options = [altered(sound), strategies.binary(max_size=300)]
+    if kind == "fault plan":
+        options += [changed_tree(json.loads(sound)).map(lambda tree: json.dumps(tree).encode())]
+        options += [strategies.sampled_from([b"[" * 100_000, b'{"actions":' * 50_000])]
+    elif kind not in ("trace", "history"):
+        tree = tomllib.loads(sound.decode())
+        changed = changed_tree(tree).map(lambda each: as_bytes(toml_of(each)))
+        deep = strategies.sampled_from([b"a = " + b"[" * 20_000, b"a." * 2_000 + b"b = 1"])
+        options += [changed, changed, deep]
+    return strategies.one_of(options)
+
+
+def as_bytes(text):
+    """Encode text, lone surrogates too."""
+    return text.encode("utf-8", "surrogatepass")
+
+
+def read(kind, path):
+    """Read a file as the commands do; return "read", or what its refusal says."""
+    result = readers()[kind](path)
+    if result is None or isinstance(result, str):
+        return result or "read"
+    if result.is_ok():
+        return "read"
+    error = result.error
+    return "; ".join(str(each) for each in error) if isinstance(error, tuple) else error.detail
+
+
+def readers():
+    """Return how files are read, by kind."""
+    return {
+        "trace": lambda path: read_trace(path).map(summarise),
+        "history": judged_history,
+        "outcomes": read_outcomes,
+        "settings": load_settings,
+        "fault plan": read_plan,
+        "tenant keys": read_tenant_keys,
+        "job": lambda path: ended(lambda: read_job(path)),
+        "resources": lambda path: ended(lambda: read_resources(path)),
+    }
+
+
+def judged_history(path):
+    """Read a history and run the checkers over it; return what is wrong with the file."""
+    try:
+        history = read_history(path)
+    except CodecError as error:
+        return str(error)
+    problem = history_problem(history)
+    if problem:
+        return f"{path}: {problem}"
+    check_history(history)
+    return None
+
+
+def ended(call):
+    """Run a reader that ends the command for bad input; return what it says."""
+    try:
+        call()
+    except CommandEnd as end:
+        assert end.code == ExitCode.BAD_INPUT and end.message
+        return end.message
+    return None
+
+
+@when("{count:d} fuzzed contents stand in for a {kind} file")
+def step_fuzz_files(context, count, kind):
+    context.fuzz_results = []
+    context.fuzz_peak = 0
+    holder = tempfile.TemporaryDirectory()
+    context.add_cleanup(holder.cleanup)
+    context.fuzz_path = Path(holder.name) / "file"
+
+    def check(data):
+        context.fuzz_path.write_bytes(data)
+        context.fuzz_results.append(read(kind, context.fuzz_path))
+        if len(context.fuzz_results) % 10 == 0:
+            peak = peak_bytes(lambda: read(kind, context.fuzz_path))
+            context.fuzz_peak = max(context.fuzz_peak, peak)
+
+    fuzz(count, check, contents(kind))
+
+
+@then("each fuzzed file was read or refused by name")
+def step_read_or_refused(context):
+    refused = [said for said in context.fuzz_results if said != "read"]
+    assert len(refused) >= 30, len(refused)
+    for said in refused:
+        assert str(context.fuzz_path) in said, said
+
+
+@then("reading a fuzzed file took at most {count:d} bytes at once")
+def step_file_peak(context, count):
+    assert 0 < context.fuzz_peak <= count, context.fuzz_peak
+
+
+@when("a {kind} file is made of {bomb}")
+def step_bomb(context, kind, bomb):
+    holder = tempfile.TemporaryDirectory()
+    context.add_cleanup(holder.cleanup)
+    context.fuzz_path = Path(holder.name) / "file"
+    context.fuzz_path.write_bytes(bombs(kind)[bomb]())
+    said = []
+    context.fuzz_peak = peak_bytes(lambda: said.append(read(kind, context.fuzz_path)))
+    context.made_file_says = said[0]
+
+
+def bombs(kind):
+    """Return the makers of files that would take memory."""
+    sound = sound_bytes(kind)
+    empty = {"type": "record", "name": "Empty", "fields": []}
+    schema = dict(fastavro.reader(io.BytesIO(sound)).metadata)["avro.schema"]
+    return {
+        "a million empty records of another schema": lambda: container(
+            empty, "null", [{}] * 1_000_000
+        ),
+        "a compressed block of 100 million zeros": lambda: compressed(schema),
+        "a block that announces 2 to the power 60": lambda: header_of(sound) + b"\x02" + LARGE,
+        "a schema nested 100000 deep": lambda: nested_schema(sound, schema),
+    }
+
+
+LARGE = b"\x80\x80\x80\x80\x80\x80\x80\x80\x20"
+"""2 to the power 60 as Avro writes a long."""
+
+
+def container(schema, codec, records):
+    """Return a container file."""
+    file = io.BytesIO()
+    fastavro.writer(file, schema, records, codec=codec)
+    return file.getvalue()
+
+
+def compressed(schema):
+    """Return a compressed file with the right schema in its header and zeros in its block."""
+    zeros = container({"type": "bytes"}, "deflate", [bytes(100_000_000)])
+    return zeros.replace(b'"bytes"', schema.encode(), 1) if b'"bytes"' in zeros else zeros
+
+
+def header_of(sound):
+    """Return a file's bytes up to its first block."""
+    marker = bytes(range(16))
+    return sound[: sound.index(marker) + len(marker)]
+
+
+def nested_schema(sound, schema):
+    """Return a header whose schema is nested without end."""
+    deep = b'{"type":"array","items":' * 100_000
+    length = len(schema.encode())
+    return sound[:4] + b"\x02\x16avro.schema" + zigzag(len(deep)) + deep + sound[length:]
+
+
+def zigzag(number):
+    """Return a non-negative long as Avro writes it."""
+    number *= 2
+    parts = []
+    while number > 0x7F:
+        parts.append(number & 0x7F | 0x80)
+        number >>= 7
+    return bytes([*parts, number])
+
+
+@then("reading the made file is refused by name")
+def step_made_refused(context):
+    assert str(context.fuzz_path) in context.made_file_says, context.made_file_says
--- a/src/rainsail/cli/resource_files.py
+++ b/src/rainsail/cli/resource_files.py
@@ -9,6 +9,9 @@
 from rainsail.cli.exit_codes import bad_input
 from rainsail.control.resource_json import kind_from_text, spec_from_json
 from rainsail.resources.specs import Kind
+from rainsail.runtime.files import read_bounded
+
+MAX_FILE_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,15 +40,16 @@
 
 def read_tree(path: Path) -> Any:
     """Return the content of a TOML or JSON file, or end the command saying what is wrong."""
+    content = read_bounded(path, MAX_FILE_BYTES)
+    if content.is_error():
+        raise bad_input(f"{path}: {content.error}")
     try:
-        text = path.read_text(encoding="utf-8")
-    except OSError as error:
-        raise bad_input(f"{path}: {error.strerror}") from None
+        text = content.ok.decode()
     except UnicodeDecodeError as error:
         raise bad_input(f"{path}: expected UTF-8 text: {error}") from None
     try:
         return json.loads(text) if path.suffix == ".json" else tomllib.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise bad_input(f"{path}: {error}") from None
 
 
--- a/src/rainsail/experiment/container.py
+++ b/src/rainsail/experiment/container.py
@@ -16,6 +16,7 @@
 from fastavro.schema import SchemaParseException, UnknownType, to_parsing_canonical_form
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.files import read_bounded
 from rainsail.wire.codec import parsed_schema, read_plain, write_plain
 
 MAX_FILE_BYTES = 256 * 1024 * 1024
@@ -63,15 +64,10 @@
     progress: Progress = lambda count: None,
 ) -> Result[list[Any], Fault]:
     """Read every record; the fault names the file and the offset at which it is damaged."""
-    try:
-        with path.open("rb") as file:
-            content = file.read(max_bytes + 1)
-    except OSError as error:
-        return Error(Fault(FaultCode.INVALID, step, f"{path}: {error.strerror}"))
-    if len(content) > max_bytes:
-        detail = f"{path}: longer than {max_bytes} bytes"
-        return Error(Fault(FaultCode.TOO_LARGE, step, detail))
-    reader = _ContainerReader(content, record_type, progress)
+    content = read_bounded(path, max_bytes)
+    if content.is_error():
+        return Error(Fault(FaultCode.INVALID, step, f"{path}: {content.error}"))
+    reader = _ContainerReader(content.ok, record_type, progress)
     problem = reader.read()
     if problem:
         return Error(Fault(FaultCode.INVALID, step, f"{path}: {problem}"))
--- a/src/rainsail/experiment/replay/outcomes.py
+++ b/src/rainsail/experiment/replay/outcomes.py
@@ -12,6 +12,7 @@
 
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.resources.specs import RequestClass
+from rainsail.runtime.files import read_bounded
 
 STEP = "outcomes.read"
 MAX_FILE_BYTES = 4 * 1024 * 1024
@@ -131,15 +132,11 @@
 
 def read_outcomes(path: Path) -> Result[OutcomesFile, Fault]:
     """Read an outcomes file; the fault names the file and the key path."""
+    content = read_bounded(path, MAX_FILE_BYTES)
+    if content.is_error():
+        return _invalid(path, content.error)
     try:
-        with path.open("rb") as file:
-            content = file.read(MAX_FILE_BYTES + 1)
-    except OSError as error:
-        return _invalid(path, error.strerror or repr(error))
-    if len(content) > MAX_FILE_BYTES:
-        return _invalid(path, f"longer than {MAX_FILE_BYTES} bytes")
-    try:
-        tree = tomllib.loads(content.decode())
+        tree = tomllib.loads(content.ok.decode())
     except (ValueError, RecursionError) as error:
         return _invalid(path, f"expected TOML: {error}")
     try:
--- a/src/rainsail/experiment/replay/tenant_keys.py
+++ b/src/rainsail/experiment/replay/tenant_keys.py
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.files import read_bounded
 
 STEP = "tenant_keys.read"
 MAX_FILE_BYTES = 1024 * 1024
@@ -20,12 +21,11 @@
 
 def read_tenant_keys(path: Path) -> Result[dict[str, str], Fault]:
     """Read the keys; the fault names the file and the key path, never a key."""
+    content = read_bounded(path, MAX_FILE_BYTES)
+    if content.is_error():
+        return _invalid(path, content.error)
     try:
-        with path.open("rb") as file:
-            content = file.read(MAX_FILE_BYTES)
-        return Ok(_KeysFile.model_validate(tomllib.loads(content.decode())).keys)
-    except OSError as error:
-        return _invalid(path, error.strerror or repr(error))
+        return Ok(_KeysFile.model_validate(tomllib.loads(content.ok.decode())).keys)
     except ValidationError as error:
         first = error.errors(include_url=False, include_input=False)[0]
         return _invalid(path, f"{'.'.join(str(part) for part in first['loc'])}: {first['msg']}")
--- a/src/rainsail/settings/load.py
+++ b/src/rainsail/settings/load.py
@@ -12,8 +12,11 @@
 from pydantic import BaseModel, ValidationError
 from pydantic_settings import EnvSettingsSource, SettingsError
 
+from rainsail.runtime.files import read_bounded
 from rainsail.settings.model import ProcessSettings
 
+MAX_FILE_BYTES = 16 * 1024 * 1024
+
 Tree = dict[str, Any]
 
 
@@ -73,13 +76,14 @@
 
 
 def _read_toml(path: Path) -> Result[Tree, Problems]:
+    content = read_bounded(path, MAX_FILE_BYTES)
+    if content.is_error():
+        return Error((SettingsProblem(str(path), "", content.error),))
     try:
-        return Ok(tomllib.loads(path.read_bytes().decode()))
-    except OSError as error:
-        return Error((SettingsProblem(str(path), "", error.strerror or repr(error)),))
+        return Ok(tomllib.loads(content.ok.decode()))
     except UnicodeDecodeError as error:
         return Error((SettingsProblem(str(path), "", f"expected UTF-8 text: {error}"),))
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
         return Error((SettingsProblem(str(path), "", f"expected TOML: {error}"),))
 
 
--- a/src/rainsail/simulation/fault_plan.py
+++ b/src/rainsail/simulation/fault_plan.py
@@ -12,6 +12,9 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.files import read_bounded
+
+MAX_FILE_BYTES = 16 * 1024 * 1024
 
 
 class FaultKind(StrEnum):
@@ -142,10 +145,11 @@
 
 def read_plan(path: Path) -> Result[FaultPlan, Fault]:
     """Read a plan from a JSON file."""
+    content = read_bounded(path, MAX_FILE_BYTES)
+    if content.is_error():
+        return Error(Fault(FaultCode.INVALID, "faults.read", f"{path}: {content.error}"))
     try:
-        return Ok(FaultPlan.model_validate_json(path.read_text()))
-    except OSError as error:
-        return Error(Fault(FaultCode.INVALID, "faults.read", f"{path}: {error.strerror}"))
+        return Ok(FaultPlan.model_validate_json(content.ok))
     except ValidationError as error:
         first = error.errors()[0]
         place = ".".join(str(part) for part in first["loc"])
