--- a/src/rainsail/consensus/settings.py
+++ b/src/rainsail/consensus/settings.py
@@ -46,7 +46,7 @@
         description="A snapshot is taken when the log since the last one holds this many bytes.",
     )
     snapshot_log_entries: int = Field(
-        100_000,
+        20_000,
         gt=0,
         description="A snapshot is taken when the log since the last one holds this many entries.",
     )
