Split a gateway's request run by job: delivery, recording, the current attempt

Change: what the caller has been given (answer_delivery), what is recorded before it hears the end (answer_recorder) and the attempt under way (current_attempt) have modules of their own; the retry decision sits with the sender that knows the attempts; the refusal without a lease is shared. No behaviour changes, but that the core's refusal without a lease names the core as its step.

--- a/src/rainsail/gateway/attempt_sender.py
+++ b/src/rainsail/gateway/attempt_sender.py
@@ -6,6 +6,7 @@
 from rainsail.engine.prefix import block_hashes
 from rainsail.gateway.attempts import Attempt, AttemptOwner
 from rainsail.gateway.interface import CallerRequest
+from rainsail.gateway.retry import FailedAttempt, RetryDecision, decide_retry
 from rainsail.gateway.router import RouteDecision, choose_runner
 from rainsail.gateway.run_context import RunContext
 from rainsail.resources.specs import RequestClass
@@ -83,6 +84,19 @@
         )
         return attempt
 
+    def decide_retry(self, repeatable: bool) -> RetryDecision:
+        """Decide whether another attempt follows the last one, which failed."""
+        context = self._context
+        failed = FailedAttempt(
+            repeatable=repeatable,
+            sent=True,
+            attempts=self.sent,
+            now_s=context.clock.seconds(),
+            deadline_s=self._deadline_s,
+        )
+        budget = context.budget(self._caller.model)
+        return decide_retry(failed, budget, context.random, context.settings.retry)
+
     def _request(self, prompt: str, fence: int, forced_prefix: str) -> GenerateRequest:
         caller = self._caller
         return GenerateRequest(
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -19,7 +19,8 @@
 from rainsail.gateway.fleet import RunnerFleet
 from rainsail.gateway.interface import CallerRequest, RequestHandle, ResponseSink
 from rainsail.gateway.quota import TenantQuotas
-from rainsail.gateway.request_run import RequestRun, no_lease
+from rainsail.gateway.refusals import no_lease
+from rainsail.gateway.request_run import RequestRun
 from rainsail.gateway.router import RouteDecision
 from rainsail.gateway.run_context import RunContext
 from rainsail.gateway.sessions import SessionKeeper
@@ -134,7 +135,7 @@
         if self._drain_started_s is not None or self._drained_by_resource():
             return drain.stopping_fault(self._settings.drain.retry_after_s)
         if not self._config.ready() or not self._config.lease_valid():
-            return no_lease()
+            return no_lease(STEP)
         if self._config.get(ResourceKey(Kind.SERVICE, request.model)) is None:
             return Fault(FaultCode.NOT_FOUND, STEP, f"no service {request.model}")
         if self._config.get(ResourceKey(Kind.TENANT, request.tenant)) is None:
--- /dev/null
+++ b/src/rainsail/gateway/current_attempt.py
@@ -0,0 +1,75 @@
+"""The attempt of a request that is under way, and what became of those before it."""
+
+from rainsail.engine.interface import AttemptEnd
+from rainsail.gateway.attempts import Attempt, AttemptResult
+from rainsail.gateway.run_context import RunContext
+
+
+class CurrentAttempt:
+    """Starts, pauses and gives up attempts, one at a time.
+
+    ``may_have_run`` counts the attempts that were sent and not refused as not run.
+    """
+
+    def __init__(self, context: RunContext) -> None:
+        self.may_have_run = 0
+        self.failed_runners: list[str] = []
+        self._context = context
+        self._attempt: Attempt | None = None
+        self._paused = False
+
+    def is_current(self, attempt: Attempt) -> bool:
+        """Tell whether this is the attempt under way."""
+        return attempt is self._attempt
+
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt; from now on it may have run."""
+        self._attempt = attempt
+        self.may_have_run += 1
+        if self._paused:
+            attempt.pause()
+        attempt.start()
+
+    def end(self, attempt: Attempt, result: AttemptResult, end: AttemptEnd, session: bool) -> None:
+        """Note the end; what broke off is cancelled at its engine."""
+        self._attempt = None
+        context = self._context
+        context.fleet.attempt_ended(attempt.runner, attempt.attempt_id, end.reason, session)
+        if result == AttemptResult.WHOLE:
+            return
+        if result == AttemptResult.REFUSED:
+            self.may_have_run -= 1
+        else:
+            context.canceller.cancel(attempt.address, attempt.attempt_id)
+        self.failed_runners.append(attempt.runner)
+
+    def give_up(self) -> None:
+        """Cancel the attempt under way at its engine and take nothing more from it."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.supersede()
+        self._context.canceller.cancel(attempt.address, attempt.attempt_id)
+        self._context.fleet.attempt_ended(attempt.runner, attempt.attempt_id)
+
+    def pause(self) -> None:
+        """Stop reading from the engine, also from a later one."""
+        self._paused = True
+        if self._attempt is not None:
+            self._attempt.pause()
+
+    def unpause(self) -> None:
+        """Read from the engine again."""
+        self._paused = False
+        if self._attempt is not None:
+            self._attempt.unpause()
+
+    def check_stalled(self, now_s: float) -> None:
+        """Look whether the stream has stalled."""
+        if self._attempt is not None:
+            self._attempt.check_stalled(now_s)
+
+    def engine_restarted(self, runner: str) -> None:
+        """Take the attempt as broken when it ran on this runner."""
+        if self._attempt is not None and self._attempt.runner == runner:
+            self._attempt.engine_restarted()
--- a/src/rainsail/gateway/request_run.py
+++ b/src/rainsail/gateway/request_run.py
@@ -11,10 +11,14 @@
 from rainsail.gateway import request as request_machine
 from rainsail.gateway import retry
 from rainsail.gateway.admission_queues import Ticket
+from rainsail.gateway.answer_delivery import AnswerDelivery
+from rainsail.gateway.answer_recorder import AnswerRecorder
 from rainsail.gateway.attempt_sender import NEVER_S, AttemptSender
 from rainsail.gateway.attempts import Attempt, AttemptResult
 from rainsail.gateway.claims import RequestClaim
-from rainsail.gateway.interface import Answer, CallerRequest, ResponseSink
+from rainsail.gateway.current_attempt import CurrentAttempt
+from rainsail.gateway.interface import CallerRequest, ResponseSink
+from rainsail.gateway.refusals import no_lease
 from rainsail.gateway.run_context import RunContext
 from rainsail.gateway.session_order import SessionTurn
 from rainsail.gateway.sessions import SessionPlace
@@ -40,21 +44,16 @@
         self._lifecycle = request_machine.new_lifecycle(self.record)
         self._context = context
         self._class = class_
-        self._sink: ResponseSink | None = sink
+        self._delivery = AnswerDelivery(caller, sink)
         self._on_ended = on_ended
         now_s = context.clock.seconds()
         self._deadline_s = now_s + caller.deadline_s if caller.deadline_s > 0 else NEVER_S
         run_id = context.next_id()
         self._sender = AttemptSender(context, caller, class_, self._deadline_s, run_id)
         self._claim = RequestClaim(context.claims, caller, run_id)
+        self._recorder = AnswerRecorder(context.sessions, self._claim, caller.prompt)
         self._turn: SessionTurn | None = None
-        self._attempt: Attempt | None = None
-        self._may_have_run = 0
-        self._failed_runners: list[str] = []
-        self._parts: list[str] = []
-        self._tokens = 0
-        self._prompt_tokens = count_tokens(caller.prompt)
-        self._paused = False
+        self._attempt = CurrentAttempt(context)
         self._timers: list[Any] = []
         self._ticket = self._make_ticket()
 
@@ -73,7 +72,7 @@
             service=self.caller.model,
             tenant=self.caller.tenant,
             batch=self._class == RequestClass.BATCH,
-            cost_tokens=self._prompt_tokens + self.caller.max_tokens,
+            cost_tokens=self._delivery.prompt_tokens + self.caller.max_tokens,
             latest_start_s=self._deadline_s,
             on_granted=self._granted,
             on_refused=self._fail,
@@ -135,14 +134,14 @@
         if self.ended:
             return
         if not self._context.config.lease_valid():
-            refusal = no_lease()
+            refusal = no_lease(STEP)
             self._give_up(refusal.code, refusal.detail, "", refusal.retry_after_s)
             return
         if self._turn is not None:
-            done = self._context.sessions.place(self._turn, self._failed_runners)
+            done = self._context.sessions.place(self._turn, self._attempt.failed_runners)
             done.addCallback(self._session_placed)
             return
-        decision = self._sender.route(self._failed_runners)
+        decision = self._sender.route(self._attempt.failed_runners)
         if not decision.runner:
             self._give_up(FaultCode.UNAVAILABLE, "no runner takes this request now", "")
             return
@@ -159,55 +158,30 @@
         self._send(place.runner, place.transcript + self.caller.prompt, place.fence)
 
     def _send(self, runner: str, prompt: str, fence: int) -> None:
-        attempt = self._sender.prepare(self, runner, prompt, fence, "".join(self._parts))
+        attempt = self._sender.prepare(self, runner, prompt, fence, self._delivery.text)
         if attempt is None:
             self._give_up(FaultCode.UNAVAILABLE, "the runner is gone", runner)
             return
-        self._attempt = attempt
-        self._may_have_run += 1
         self._lifecycle.run()
-        if self._paused:
-            attempt.pause()
-        attempt.start()
+        self._attempt.start(attempt)
 
     def on_part(self, text: str, tokens: int) -> None:
         """Pass the next part on to the caller (called for every chunk)."""
-        self._parts.append(text)
-        self._tokens += tokens
-        if self._sink is not None:
-            self._sink.on_part(text, tokens)
+        self._delivery.add(text, tokens)
 
     def on_attempt_ended(self, attempt: Attempt, result: AttemptResult, end: AttemptEnd) -> None:
         """Answer, or decide whether another attempt follows."""
-        if attempt is not self._attempt:
+        if not self._attempt.is_current(attempt):
             return
-        self._attempt = None
-        self._context.fleet.attempt_ended(
-            attempt.runner, attempt.attempt_id, end.reason, bool(self.caller.session)
-        )
+        self._attempt.end(attempt, result, end, bool(self.caller.session))
         if result == AttemptResult.WHOLE:
-            self._prompt_tokens = end.prompt_tokens or self._prompt_tokens
+            self._delivery.prompt_tokens = end.prompt_tokens or self._delivery.prompt_tokens
             self._record_answer(end.reason.value, attempt.runner)
             return
-        if result == AttemptResult.REFUSED:
-            self._may_have_run -= 1
-        else:
-            self._context.canceller.cancel(attempt.address, attempt.attempt_id)
-        self._failed_runners.append(attempt.runner)
         self._retry_or_fail(attempt.runner, end)
 
     def _retry_or_fail(self, runner: str, end: AttemptEnd) -> None:
-        context = self._context
-        failed = retry.FailedAttempt(
-            repeatable=self.repeatable,
-            sent=True,
-            attempts=self._sender.sent,
-            now_s=context.clock.seconds(),
-            deadline_s=self._deadline_s,
-        )
-        decision = retry.decide_retry(
-            failed, context.budget(self.caller.model), context.random, context.settings.retry
-        )
+        decision = self._sender.decide_retry(self.repeatable)
         if decision.again:
             self._lifecycle.place()
             self._later(decision.delay_s, self._place)
@@ -221,49 +195,27 @@
 
     def _record_answer(self, finish_reason: str, runner: str) -> None:
         self._lifecycle.record()
-        if self._turn is None:
-            self._record_claim(finish_reason, runner)
-            return
-        text = "".join(self._parts)
-        done = self._context.sessions.finish(self._turn, self.caller.prompt, text)
-        done.addCallback(self._turn_recorded, finish_reason, runner)
+        done = self._recorder.record(self._turn, self._delivery.text)
+        done.addCallback(self._recorded, finish_reason, runner)
 
-    def _turn_recorded(self, reply: Result[None, Fault], finish_reason: str, runner: str) -> None:
+    def _recorded(self, reply: Result[None, Fault], finish_reason: str, runner: str) -> None:
         if reply.is_ok():
-            self._record_claim(finish_reason, runner)
+            self._answer(finish_reason, runner)
             return
         fault = reply.error
         self._fail(Fault(fault.code, STEP, fault.detail, fault.peer, Outcome.UNKNOWN))
 
-    def _record_claim(self, finish_reason: str, runner: str) -> None:
-        if self.repeatable:
-            self._answer(finish_reason, runner)
-            return
-        done = self._claim.end(Outcome.COMPLETED, "".join(self._parts))
-        done.addCallback(lambda _: self._answer(finish_reason, runner))
-
     def _answer(self, finish_reason: str, runner: str) -> None:
         if self.ended:
             return
-        answer = Answer(
-            self.caller.request_id,
-            Outcome.COMPLETED,
-            "".join(self._parts),
-            finish_reason,
-            self._prompt_tokens,
-            self._tokens,
-            runner,
-        )
-        sink = self._sink
         self._close()
-        if sink is not None:
-            sink.on_answer(answer)
+        self._delivery.answer(finish_reason, runner)
 
     def _give_up(
         self, code: FaultCode, detail: str, peer: str, retry_after_s: float | None = None
     ) -> None:
         """End at once with the truth; the caller is told when to come back."""
-        outcome = request_machine.failure_outcome(self._may_have_run)
+        outcome = request_machine.failure_outcome(self._attempt.may_have_run)
         retry_s = retry_after_s or self._context.settings.retry.max_delay_s
         self._fail(Fault(code, STEP, detail, peer, outcome, retry_s))
 
@@ -271,29 +223,18 @@
         if self.ended:
             return
         self._claim.end(fault.outcome)
-        sink = self._sink
-        self._cancel_attempt()
+        self._attempt.give_up()
         self._close()
-        if sink is not None:
-            sink.on_fault(fault)
-
-    def _cancel_attempt(self) -> None:
-        attempt = self._attempt
-        if attempt is None:
-            return
-        self._attempt = None
-        attempt.supersede()
-        self._context.canceller.cancel(attempt.address, attempt.attempt_id)
-        self._context.fleet.attempt_ended(attempt.runner, attempt.attempt_id)
+        self._delivery.fail(fault)
 
     def _close(self) -> None:
         self._lifecycle.end()
-        self._sink = None
         for timer in self._timers:
             if timer.active():
                 timer.cancel()
         self._timers.clear()
-        used = self._prompt_tokens + self._tokens if self._sender.sent else 0
+        delivery = self._delivery
+        used = delivery.prompt_tokens + delivery.tokens if self._sender.sent else 0
         self._context.admission.withdraw(self._ticket)
         self._context.admission.release(self._ticket, used)
         if self._turn is not None:
@@ -306,9 +247,7 @@
         if not self._is_recording():
             self._give_up(FaultCode.TIMEOUT, detail, "")
             return
-        sink, self._sink = self._sink, None
-        if sink is not None:
-            sink.on_fault(Fault(FaultCode.TIMEOUT, STEP, detail, outcome=Outcome.UNKNOWN))
+        self._delivery.fail(Fault(FaultCode.TIMEOUT, STEP, detail, outcome=Outcome.UNKNOWN))
 
     def _is_recording(self) -> bool:
         return self.record.status == request_machine.RequestStatus.RECORDING
@@ -330,40 +269,28 @@
         """
         if self.ended:
             return
-        self._sink = None
+        self._delivery.drop_caller()
         if self._is_recording():
             return
-        if not self.repeatable and self._may_have_run:
+        if not self.repeatable and self._attempt.may_have_run:
             self.unpause()
             return
         self._fail(Fault(FaultCode.CANCELLED, STEP, "the caller has left"))
 
     def pause(self) -> None:
         """Stop reading from the engine."""
-        self._paused = True
-        if self._attempt is not None:
-            self._attempt.pause()
+        self._attempt.pause()
 
     def unpause(self) -> None:
         """Read from the engine again."""
-        self._paused = False
-        if self._attempt is not None:
-            self._attempt.unpause()
+        self._attempt.unpause()
 
     # --- what the gateway tells -------------------------------------------------------------------
 
     def check_stalled(self, now_s: float) -> None:
         """Look whether the stream has stalled."""
-        if self._attempt is not None:
-            self._attempt.check_stalled(now_s)
+        self._attempt.check_stalled(now_s)
 
     def engine_restarted(self, runner: str) -> None:
         """Take the attempt as broken when it ran on this runner."""
-        if self._attempt is not None and self._attempt.runner == runner:
-            self._attempt.engine_restarted()
-
-
-def no_lease() -> Fault:
-    """Return the refusal of a gateway whose configuration lease has run out."""
-    detail = "this gateway is cut off from control; its configuration may be old"
-    return Fault(FaultCode.UNAVAILABLE, STEP, detail, retry_after_s=1.0)
+        self._attempt.engine_restarted(runner)
