Tell of replicas, gateways and engines in each process's metrics

Cause: /metrics told of nothing but readiness.

Change: a gateway's requests are counted by class, outcome and fault, and timed to the first part and to the end (gateway.metering, a Gateway in front of the core); requests in progress, batch items running, revision and lease of the configuration; a replica's term, indexes, revision, losses borne and leadership; executions of emulated engines; the process's own processor time, memory and files. Gauges are read when they are asked for.

What the meter costs a request was not measured.

--- a/features/cli/fleet.feature
+++ b/features/cli/fleet.feature
@@ -14,6 +14,9 @@
     Then the fleet answers /healthz with status 200 and "ok"
     And the fleet answers /readyz with status 200 and "ready"
     And the fleet answers /metrics with status 200 and "rainsail_ready 1.0"
+    And the fleet answers /metrics with status 200 and "process_cpu_seconds_total"
+    And the fleet answers /metrics with status 200 and "rainsail_group_leader{replica="replica-1"} 1.0"
+    And the fleet answers /metrics with status 200 and "rainsail_config_lease_valid{gateway="gateway-1"} 1.0"
 
   Scenario Outline: What goes wrong is told with the right exit code
     When rainsail <command> is run against the fleet
@@ -42,7 +45,9 @@
 
   Scenario: A routing decision is explained to operators and to its own tenant
     When exporter completes a request with the idempotency key "ask-1" at the fleet
-    And rainsail explain ask-1 is run against the fleet's gateway
+    Then the fleet answers /metrics with status 200 and "rainsail_requests_total{class="default",fault="none",gateway="gateway-1",outcome="completed"} 1.0"
+    And the fleet answers /metrics with status 200 and "rainsail_answer_seconds_count{class="default",gateway="gateway-1"} 1.0"
+    When rainsail explain ask-1 is run against the fleet's gateway
     Then the fleet command exits with 0 and prints "attempt 0 at gateway-1: reports-"
     And the fleet command's table has a row of each candidate, one of them chosen
     When rainsail explain cmpl-ask-1 --output json is run against the fleet's gateway
--- a/src/rainsail/assembly/process.py
+++ b/src/rainsail/assembly/process.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 
 from rainsail.assembly.listening import listen_http
+from rainsail.assembly.role_metrics import register_role
 from rainsail.assembly.roles import Role
 from rainsail.errors import Fault
 from rainsail.logs import configure_logs, dump_on_signal, logger
@@ -57,6 +58,7 @@
             self.fail(listening.error)
             return
         for role in self.roles:
+            register_role(self._metrics, role)
             started = yield role.start()
             if started.is_error():
                 self.fail(started.error)
--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -24,6 +24,7 @@
 from rainsail.experiment.trace.recording import RecordingGateway, RecordingIntake
 from rainsail.gateway.http_api import CallerApi
 from rainsail.gateway.interface import Gateway
+from rainsail.gateway.metering import MeteredGateway
 from rainsail.gateway.openai.job_intake import Intake
 from rainsail.platform.machine_list import HttpMachineListClient, MachineListClient
 from rainsail.runtime.clock import MonotonicClock
@@ -208,6 +209,8 @@
     def _make_caller_api(self, settings: ProcessSettings) -> CallerApi:
         core: Gateway = self.node.core
         intake: Intake = self.node.intake
+        self.metered = MeteredGateway(core, self._seams.clock)
+        core = self.metered
         if self._recorder is not None:
             core = RecordingGateway(core, self._recorder)
             intake = RecordingIntake(intake, self._recorder)
--- /dev/null
+++ b/src/rainsail/gateway/metering.py
@@ -0,0 +1,96 @@
+"""Counts and times the requests of a gateway for its metrics, without changing them."""
+
+from prometheus_client import Counter, Histogram
+
+from rainsail.errors import Fault, Outcome
+from rainsail.gateway.interface import (
+    Answer,
+    CallerRequest,
+    Gateway,
+    RequestHandle,
+    ResponseSink,
+)
+from rainsail.metrics import Metrics
+from rainsail.runtime.clock import Clock
+
+NO_FAULT = "none"
+_LABELS = ("gateway", "class")
+
+
+class RequestMeter:
+    """The metrics of one gateway's requests."""
+
+    def __init__(self, gateway: str, metrics: Metrics) -> None:
+        self._gateway = gateway
+        self._ends: Counter = metrics.counter(
+            "requests", "Requests by their end", ("gateway", "class", "outcome", "fault")
+        )
+        self._first_part: Histogram = metrics.histogram(
+            "first_part_seconds", "Seconds to the first part of an answer", _LABELS
+        )
+        self._answer: Histogram = metrics.histogram(
+            "answer_seconds", "Seconds to the end of a whole answer", _LABELS
+        )
+
+    def ended(self, class_: str, outcome: Outcome, fault: str) -> None:
+        """Count the end of a request."""
+        self._ends.labels(self._gateway, class_, outcome.value, fault).inc()
+
+    def began(self, class_: str, seconds: float) -> None:
+        """Note how long the first part took."""
+        self._first_part.labels(self._gateway, class_).observe(seconds)
+
+    def completed(self, class_: str, seconds: float) -> None:
+        """Note how long a whole answer took."""
+        self._answer.labels(self._gateway, class_).observe(seconds)
+
+
+class MeteredGateway:
+    """Hands requests on and meters their answers once a meter is set; a ``Gateway``."""
+
+    def __init__(self, core: Gateway, clock: Clock) -> None:
+        self._core = core
+        self._clock = clock
+        self.meter: RequestMeter | None = None
+
+    def submit(self, request: CallerRequest, sink: ResponseSink) -> RequestHandle:
+        """Start a request."""
+        if self.meter is None:
+            return self._core.submit(request, sink)
+        class_ = "default" if request.class_ is None else request.class_.value
+        return self._core.submit(request, _MeteredSink(sink, class_, self.meter, self._clock))
+
+
+class _MeteredSink:
+    """A ``ResponseSink`` that notes times on the way."""
+
+    def __init__(self, sink: ResponseSink, class_: str, meter: RequestMeter, clock: Clock) -> None:
+        self._sink = sink
+        self._class = class_
+        self._meter = meter
+        self._clock = clock
+        self._begun_s = clock.seconds()
+        self._waiting = True
+
+    def on_part(self, text: str, tokens: int) -> None:
+        """Pass a part on."""
+        if self._waiting:
+            self._note_first_part()
+        self._sink.on_part(text, tokens)
+
+    def _note_first_part(self) -> None:
+        self._waiting = False
+        self._meter.began(self._class, self._clock.seconds() - self._begun_s)
+
+    def on_answer(self, answer: Answer) -> None:
+        """Pass the answer on."""
+        if self._waiting:
+            self._note_first_part()
+        self._meter.completed(self._class, self._clock.seconds() - self._begun_s)
+        self._meter.ended(self._class, answer.outcome, NO_FAULT)
+        self._sink.on_answer(answer)
+
+    def on_fault(self, fault: Fault) -> None:
+        """Pass the fault on."""
+        self._meter.ended(self._class, fault.outcome, fault.code.value)
+        self._sink.on_fault(fault)
--- a/src/rainsail/metrics.py
+++ b/src/rainsail/metrics.py
@@ -1,6 +1,6 @@
-"""Metrics in the Prometheus text format: one registry per process."""
+"""Metrics in the Prometheus text format: one registry per process, with its own processor time."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, ProcessCollector
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
         self._made: dict[str, Counter | Gauge | Histogram] = {}
 
     def counter(self, name: str, help_text: str, labels: tuple[str, ...] = ()) -> Counter:
