--- a/features/support/control_group.py
+++ b/features/support/control_group.py
@@ -13,6 +13,7 @@
 from rainsail.simulation.engine_link import EngineNetwork
 from rainsail.simulation.network import LinkConditions, SimulatedNetwork
 from rainsail.simulation.processes import ReplicaProcess, World
+from rainsail.state.settings import StateSettings
 from rainsail.wire.messenger import Messenger
 
 
@@ -20,7 +21,12 @@
     """Replicas r1 to rN as assembled in daemons, on the virtual clock."""
 
     def __init__(
-        self, replicas: int, seed: int = 0, loss: float = 0.0, snapshot_entries: int = 0
+        self,
+        replicas: int,
+        seed: int = 0,
+        loss: float = 0.0,
+        snapshot_entries: int = 0,
+        remembered_changes: int = 0,
     ) -> None:
         self.clock = VirtualClock()
         conditions = LinkConditions(delay_s=0.0005, jitter_s=0.0002, loss=loss)
@@ -33,7 +39,11 @@
         self.seen: dict[str, list[int]] = {}
         self.replicas = {
             name: ReplicaProcess(
-                self.world, name, f"z{number % 3}", self._config(name, snapshot_entries), None
+                self.world,
+                name,
+                f"z{number % 3}",
+                self._config(name, snapshot_entries, remembered_changes),
+                None,
             )
             for number, name in enumerate(self.names)
         }
@@ -41,11 +51,13 @@
             replica.start()
         self.wait_until(lambda: bool(self.leader()))
 
-    def _config(self, name: str, snapshot_entries: int) -> ReplicaConfig:
-        if not snapshot_entries:
-            return ReplicaConfig(name, "fleet", self.names)
-        consensus = ConsensusSettings(snapshot_log_entries=snapshot_entries)
-        return ReplicaConfig(name, "fleet", self.names, consensus)
+    def _config(self, name: str, snapshot_entries: int, remembered_changes: int) -> ReplicaConfig:
+        consensus, state = ConsensusSettings(), StateSettings()
+        if snapshot_entries:
+            consensus = ConsensusSettings(snapshot_log_entries=snapshot_entries)
+        if remembered_changes:
+            state = StateSettings(change_window_count=remembered_changes)
+        return ReplicaConfig(name, "fleet", self.names, consensus, state=state)
 
     def leader(self) -> str:
         """Return the name of the replica that leads under a lease now; empty when none does."""
