Run several replicated groups on a replica, each on its own replicas

In a trial with ledgers in other groups nothing was leased: a group's leader told waiting items only for services whose resource it held, and those are in the root group. Change: a replica opens every group that is placed on it; the placement is worked out alike by every process from the list of replicas (neighbours go together; control.replicas_per_group, 5). Clients ask only the members of a group. All groups share one router, which merges their heartbeats. A leader tells the waiting items of every service that has some. A planned stop hands the leadership of every group over. /v1/status lists the ledger groups beside the root. Tenant weights are known in the root group only: in other groups tenants share leases evenly, which is to be mended before ledgers leave the root group at a site with weights.

--- a/features/simulation/runs.feature
+++ b/features/simulation/runs.feature
@@ -10,9 +10,10 @@
     And the simulated run carried at least 150 online requests and 100 items
 
     Examples:
-      | site      | seed |
-      | guayaquil | 2    |
-      | taoyuan   | 3    |
+      | site        | seed |
+      | guayaquil   | 2    |
+      | taoyuan     | 3    |
+      | many_groups | 1    |
 
   Scenario: The founding replica loses its disk next to another one
     The new identity of the founder raised its term without end and deposed every leader.
--- /dev/null
+++ b/features/steps/assembly_groups_steps.py
@@ -0,0 +1,70 @@
+"""Steps over the placement of replicated groups on replicas."""
+
+from collections import Counter
+
+from behave import given, then
+from hypothesis import given as any_of
+from hypothesis import settings, strategies
+
+from rainsail.consensus.group_placement import members_of_group
+from rainsail.state.commands import ROOT_GROUP
+
+REPLICAS = strategies.integers(min_value=1, max_value=30).map(
+    lambda count: tuple(f"replica-{number}" for number in range(count))
+)
+PER_GROUP = strategies.sampled_from((1, 3, 5, 7))
+
+
+@then("for any list of replicas each group has its full number of distinct members")
+def full_membership(context):
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @any_of(REPLICAS, PER_GROUP, strategies.integers(min_value=0, max_value=200))
+    def check(replicas, per_group, group):
+        members = members_of_group(group, replicas, per_group)
+        assert len(set(members)) == len(members) == min(per_group, len(replicas))
+
+    check()
+
+
+@then("the numbers of groups on two replicas differ by at most one round")
+def spread_evenly(context):
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @any_of(REPLICAS, PER_GROUP, strategies.integers(min_value=1, max_value=60))
+    def check(replicas, per_group, groups):
+        counts = Counter({name: 0 for name in replicas})
+        for group in range(groups):
+            counts.update(members_of_group(group, replicas, per_group))
+        assert max(counts.values()) - min(counts.values()) <= 1, counts
+
+    check()
+
+
+@given("{count:d} replicas listed in turn from zones a, b and c")
+def listed_replicas(context, count):
+    context.zones = {f"replica-{number}": "abc"[number % 3] for number in range(count)}
+
+
+@then("each of {groups:d} groups of {per_group:d} keeps a quorum without any one zone")
+def zone_quorum(context, groups, per_group):
+    for group in range(groups):
+        members = members_of_group(group, tuple(context.zones), per_group)
+        lost = Counter(context.zones[name] for name in members).most_common(1)[0][1]
+        assert len(members) - lost > len(members) // 2, (group, members)
+
+
+@then("groups 0 to {last:d} of {per_group:d} have {count:d} different founders")
+def founders(context, last, per_group, count):
+    replicas = tuple(context.zones)
+    found = {members_of_group(group, replicas, per_group)[0] for group in range(last + 1)}
+    assert len(found) == count, found
+
+
+@then("no job is kept by the root group, and more than one group keeps jobs")
+def jobs_by_group(context):
+    keeping = Counter()
+    for process in context.simulated_fleet.replicas.values():
+        for group, hosted in process.node.hosted.items():
+            if hosted.driver.is_leader():
+                keeping[group] += len(hosted.state.jobs())
+    assert keeping[ROOT_GROUP] == 0, keeping
+    assert sum(1 for count in keeping.values() if count) > 1, keeping
--- a/features/steps/simulation_run_steps.py
+++ b/features/steps/simulation_run_steps.py
@@ -9,12 +9,14 @@
 from pathlib import Path
 
 from behave import given, then, when
-from features.support.simulation import plan_from_table, run_simulation
+from features.support.simulation import plan_from_table, run_fleet, run_simulation
 
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.defects import DEFECTS, applied_defect
 from rainsail.simulation.fault_plan import FaultPlan, read_plan, write_plan
+from rainsail.simulation.run import SimulationRun
 from rainsail.simulation.shrink import shrink_plan
+from rainsail.simulation.site_plan import SITES
 
 MOST_SHRINK_RUNS = 12
 
@@ -31,7 +33,10 @@
 
 @when("the simulated run ends with these failures")
 def run_with_table(context):
-    context.run_result = run_simulation(*context.simulated, plan_from_table(context.table))
+    site, seed, minutes = context.simulated
+    run = SimulationRun(SITES[site](), seed, minutes)
+    context.run_result = run_fleet(run, plan_from_table(context.table))
+    context.simulated_fleet = run.fleet
 
 
 @then("the simulated run has no violation")
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -11,7 +11,11 @@
     site: str, seed: int, minutes: float, plan: FaultPlan | None = None
 ) -> RunResult:
     """Run a site under a plan, or under the failures drawn from its seed."""
-    run = SimulationRun(SITES[site](), seed, minutes)
+    return run_fleet(SimulationRun(SITES[site](), seed, minutes), plan)
+
+
+def run_fleet(run: SimulationRun, plan: FaultPlan | None) -> RunResult:
+    """Run a made run, whose fleet can be looked at afterwards."""
     return run.run(run.drawn_plan() if plan is None else plan)
 
 
--- /dev/null
+++ b/src/rainsail/assembly/hosted_group.py
@@ -0,0 +1,77 @@
+"""One replicated group on a replica: its durable log, its state and its driver."""
+
+from collections.abc import Generator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from rainsail.assembly.seams import ReplicaSeams
+from rainsail.consensus.driver import GroupDriver
+from rainsail.consensus.group_placement import members_of_group
+from rainsail.consensus.membership import MemberSpec
+from rainsail.consensus.router import GroupRouter
+from rainsail.errors import Fault
+from rainsail.state.commands import ROOT_GROUP, GroupId
+from rainsail.state.machine import ReplicatedState
+from rainsail.storage.group_storage import open_group_storage
+from rainsail.storage.identity import ReplicaIdentity
+from rainsail.wire.messenger import Messenger
+
+if TYPE_CHECKING:
+    from rainsail.assembly.replica import ReplicaConfig
+
+
+@dataclass(frozen=True, slots=True)
+class HostedGroup:
+    """A group that this replica keeps a member of."""
+
+    driver: GroupDriver
+    state: ReplicatedState
+
+
+def group_ids(config: "ReplicaConfig") -> tuple[GroupId, ...]:
+    """Return every group of the fleet in order: the root group and those of the batch ledger."""
+    return tuple(sorted({ROOT_GROUP, *config.batch.groups}))
+
+
+def hosted_ids(config: "ReplicaConfig") -> tuple[GroupId, ...]:
+    """Return the groups that this replica keeps a member of."""
+    count = config.control.replicas_per_group
+    return tuple(
+        group
+        for group in group_ids(config)
+        if config.name in members_of_group(group, config.replicas, count)
+    )
+
+
+@inlineCallbacks
+def open_group(
+    group: GroupId,
+    config: "ReplicaConfig",
+    seams: ReplicaSeams,
+    identity: ReplicaIdentity,
+    state: ReplicatedState,
+    messenger: Messenger,
+    router: GroupRouter,
+) -> Generator[Deferred[Any], Any, Result[HostedGroup, Fault]]:
+    """Open a group's log and make its driver; the driver is not started yet."""
+    storage = yield open_group_storage(seams.files, group, config.storage)
+    if storage.is_error():
+        return Error(storage.error)
+    names = members_of_group(group, config.replicas, config.control.replicas_per_group)
+    driver = GroupDriver(
+        group,
+        config.name,
+        identity,
+        storage.ok,
+        state,
+        messenger,
+        seams.node.clock,
+        seams.node.random,
+        config.consensus,
+        tuple(MemberSpec(name, "", True) for name in names),
+        router,
+    )
+    return Ok(HostedGroup(driver, state))
--- a/src/rainsail/assembly/replica.py
+++ b/src/rainsail/assembly/replica.py
@@ -1,17 +1,18 @@
-"""A replica: one member of the root group with its control service and controllers."""
+"""A replica: a member of the groups placed on it, with its control service and controllers."""
 
 from collections.abc import Callable, Generator
 from dataclasses import dataclass, field
 from typing import Any
 
 from expression import Error, Ok, Result
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 
+from rainsail.assembly.hosted_group import HostedGroup, hosted_ids, open_group
 from rainsail.assembly.machine_watch import MachineWatch
 from rainsail.assembly.seams import ReplicaSeams
 from rainsail.batch.settings import BatchSettings
 from rainsail.consensus.driver import GroupDriver
-from rainsail.consensus.membership import MemberSpec
+from rainsail.consensus.router import GroupRouter
 from rainsail.consensus.settings import ConsensusSettings
 from rainsail.control.controllers.manager import ControllerManager
 from rainsail.control.controllers.settings import ControllerSettings
@@ -20,10 +21,9 @@
 from rainsail.control.service import ControlService
 from rainsail.control.settings import ControlSettings
 from rainsail.errors import Fault
-from rainsail.state.commands import ROOT_GROUP
+from rainsail.state.commands import ROOT_GROUP, GroupId
 from rainsail.state.machine import ReplicatedState
 from rainsail.state.settings import StateSettings
-from rainsail.storage.group_storage import open_group_storage
 from rainsail.storage.identity import load_or_create_identity
 from rainsail.storage.settings import StorageSettings
 from rainsail.wire.messenger import Messenger
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaConfig:
-    """What a replica is told: its name, its fleet and the replicas of the root group."""
+    """What a replica is told: its name, its fleet and the list of all replicas."""
 
     name: str
     fleet: str
@@ -45,17 +45,21 @@
 
 
 class ReplicaNode:
-    """Opens the data folder, joins the group and serves control messages."""
+    """Opens the data folder, joins its groups and serves control messages.
+
+    ``group`` and ``state`` are those of the root group when this replica keeps it, which the
+    operator API is served from.
+    """
 
     def __init__(self, config: ReplicaConfig, seams: ReplicaSeams) -> None:
         self.config = config
         self._seams = seams
         self._on_fatal: Callable[[Fault], None] = lambda fault: None
         self.state = ReplicatedState(config.state)
+        self.hosted: dict[GroupId, HostedGroup] = {}
         self.messenger = Messenger(seams.node.transport, seams.node.clock)
-        self.group: GroupDriver | None = None
         self.service: ControlService | None = None
-        self.controllers: ControllerManager | None = None
+        self.controllers: list[ControllerManager] = []
         self.operator_api: OperatorApi | None = None
         self._machines: MachineWatch | None = None
         self.client = LeaderClient(
@@ -66,6 +70,12 @@
             config.control,
         )
 
+    @property
+    def group(self) -> GroupDriver | None:
+        """The root group, when this replica keeps a member of it and has opened it."""
+        root = self.hosted.get(ROOT_GROUP)
+        return None if root is None else root.driver
+
     def on_fatal(self, listener: Callable[[Fault], None]) -> None:
         """Call ``listener`` when the replica can't go on (a failed sync, a damaged log)."""
         self._on_fatal = listener
@@ -80,60 +90,67 @@
         )
         if identity.is_error():
             return Error(identity.error)
-        storage = yield open_group_storage(self._seams.files, ROOT_GROUP, config.storage)
-        if storage.is_error():
-            return Error(storage.error)
-        members = tuple(MemberSpec(name, "", True) for name in config.replicas)
-        self.group = GroupDriver(
-            ROOT_GROUP,
-            config.name,
-            identity.ok,
-            storage.ok,
-            self.state,
-            self.messenger,
-            node.clock,
-            node.random,
-            config.consensus,
-            members,
-        )
-        self.group.on_fatal(self._fatal)
-        self._start_control(self.group)
-        self.group.start()
+        router = GroupRouter(self.messenger, node.clock)
+        for group in hosted_ids(config):
+            state = self.state if group == ROOT_GROUP else ReplicatedState(config.state)
+            opened = yield open_group(
+                group, config, self._seams, identity.ok, state, self.messenger, router
+            )
+            if opened.is_error():
+                return Error(opened.error)
+            self.hosted[group] = opened.ok
+        self._start_control()
+        for hosted in self.hosted.values():
+            hosted.driver.on_fatal(self._fatal)
+            hosted.driver.start()
         return Ok(None)
 
-    def _start_control(self, group: GroupDriver) -> None:
+    def _start_control(self) -> None:
         node = self._seams.node
-        config = self.config
         if self._seams.machine_list is not None:
             self._machines = MachineWatch(self._seams.machine_list, node.clock)
             self._machines.start()
         self.service = ControlService(
-            {ROOT_GROUP: group},
-            {ROOT_GROUP: self.state},
+            {number: hosted.driver for number, hosted in self.hosted.items()},
+            {number: hosted.state for number, hosted in self.hosted.items()},
             self.messenger,
             node.clock,
-            config.control,
+            self.config.control,
         )
         self.service.start()
-        self.controllers = ControllerManager(
-            group,
-            self.state,
+        for hosted in self.hosted.values():
+            self._start_controllers(hosted)
+        root = self.hosted.get(ROOT_GROUP)
+        if root is not None:
+            self._make_operator_api(root)
+
+    def _start_controllers(self, hosted: HostedGroup) -> None:
+        node = self._seams.node
+        manager = ControllerManager(
+            hosted.driver,
+            hosted.state,
             node.clock,
             node.random,
-            config.controllers,
+            self.config.controllers,
             node.wall_clock,
             self._machines,
         )
-        self.controllers.start()
+        manager.start()
+        self.controllers.append(manager)
+
+    def _make_operator_api(self, root: HostedGroup) -> None:
+        node = self._seams.node
+        others = [hosted.driver for hosted in self.hosted.values() if hosted is not root]
         self.operator_api = OperatorApi(
-            group,
-            self.state,
+            root.driver,
+            root.state,
             self.client,
             node.clock,
-            config.control,
+            self.config.control,
             random=node.random,
             wall_clock=node.wall_clock,
-            batch=config.batch,
+            batch=self.config.batch,
+            ledger_groups=tuple(others),
         )
 
     def _fatal(self, fault: Fault) -> None:
@@ -144,16 +161,16 @@
         """Stop at once; durable state stays as synced."""
         if self._machines is not None:
             self._machines.stop()
-        if self.controllers is not None:
-            self.controllers.stop()
+        for manager in self.controllers:
+            manager.stop()
         if self.service is not None:
             self.service.stop()
-        if self.group is not None:
-            self.group.stop()
+        for hosted in self.hosted.values():
+            hosted.driver.stop()
 
     @inlineCallbacks
     def planned_stop(self) -> Generator[Deferred[Any], Any, None]:
-        """Hand leadership over, then stop."""
-        if self.group is not None and self.group.is_leader():
-            yield self.group.transfer_leadership()
+        """Hand the leadership of every group over, then stop."""
+        led = [hosted.driver for hosted in self.hosted.values() if hosted.driver.is_leader()]
+        yield gatherResults([driver.transfer_leadership() for driver in led])
         self.stop()
--- a/src/rainsail/cli/simulate.py
+++ b/src/rainsail/cli/simulate.py
@@ -26,7 +26,7 @@
     """Run a site on the virtual clock under failures and check its history.
 
     Args:
-        site: guayaquil or taoyuan.
+        site: guayaquil, taoyuan or many_groups (taoyuan with its ledgers in groups of their own).
         seed: every random choice of the run depends on it alone.
         minutes: virtual minutes of traffic.
         faults: "all" draws failures of every kind, "none" draws none, "demonstration" takes
--- a/src/rainsail/control/group_control.py
+++ b/src/rainsail/control/group_control.py
@@ -110,7 +110,7 @@
         lease_s = self._item_leases.renew(request.holder, now_s)
         self._give_back_orphans(request, now_s)
         stop = items_to_stop(self.state, request.holder, request.running)
-        return RenewItemLeasesReply(stop, lease_s, self._backlog())
+        return RenewItemLeasesReply(stop, lease_s, self.state.backlogs())
 
     def note_proposal(self, command: Command) -> None:
         """Count a lease command as a renewal: its holder is alive."""
@@ -135,10 +135,6 @@
                 limits[demand.tenant] = resource.spec
         return self._quota.lend(report, limits, self._clock.seconds())
 
-    def _backlog(self) -> dict[str, int]:
-        services = [each.key.name for each in self.state.list_resources(Kind.SERVICE)]
-        return {name: self.state.backlog(name) for name in services}
-
     def _poll_fault(self) -> Fault | None:
         return None if self.serving() else not_leader("control.config_poll", self.group)
 
--- a/src/rainsail/control/leader_client.py
+++ b/src/rainsail/control/leader_client.py
@@ -46,11 +46,12 @@
         settings: ControlSettings,
     ) -> None:
         self._messenger = messenger
-        self._replicas = replicas
         self._clock = clock
         self._random = random
         self._settings = settings
-        self._leaders = LeaderDirectory(replicas, random, settings.attempt_timeout_s)
+        self._leaders = LeaderDirectory(
+            replicas, random, settings.attempt_timeout_s, settings.replicas_per_group
+        )
 
     def propose(
         self, command: Command, timeout_s: float, group: GroupId = ROOT_GROUP
@@ -96,7 +97,9 @@
             now_s = self._clock.seconds()
             redirected = self._leaders.failed(request.group, target, fault, now_s)
             wait_s = (
-                0.0 if redirected and failures < len(self._replicas) else self._wait_s(failures)
+                0.0
+                if redirected and failures < len(self._leaders.members(request.group))
+                else self._wait_s(failures)
             )
             failures += 1
             if self._clock.seconds() + wait_s >= deadline_s:
--- a/src/rainsail/control/leader_directory.py
+++ b/src/rainsail/control/leader_directory.py
@@ -3,6 +3,7 @@
 import random as random_module
 from dataclasses import dataclass
 
+from rainsail.consensus.group_placement import members_of_group
 from rainsail.errors import Fault, FaultCode
 from rainsail.state.commands import GroupId
 
@@ -27,9 +28,14 @@
     """
 
     def __init__(
-        self, replicas: tuple[str, ...], random: random_module.Random, distrust_s: float
+        self,
+        replicas: tuple[str, ...],
+        random: random_module.Random,
+        distrust_s: float,
+        replicas_per_group: int,
     ) -> None:
         self._replicas = replicas
+        self._replicas_per_group = replicas_per_group
         self._random = random
         self._distrust_s = distrust_s
         self._leaders: dict[GroupId, str] = {}
@@ -42,16 +48,21 @@
         if known is not None:
             return known
         found = self._next(group)
-        if len(self._replicas) > 1 and self._is_silent(group, found, now_s):
+        if self._replicas_per_group > 1 and self._is_silent(group, found, now_s):
             return self._next(group)
         return found
 
+    def members(self, group: GroupId) -> tuple[str, ...]:
+        """Return the replicas that keep a group."""
+        return members_of_group(group, self._replicas, self._replicas_per_group)
+
     def _next(self, group: GroupId) -> str:
+        members = self.members(group)
         turn = self._turns.get(group)
         if turn is None:
-            turn = self._random.randrange(len(self._replicas))
+            turn = self._random.randrange(len(members))
         self._turns[group] = turn + 1
-        return self._replicas[turn % len(self._replicas)]
+        return members[turn % len(members)]
 
     def answered(self, group: GroupId, target: str) -> None:
         """Note that a replica answered as the leader."""
--- a/src/rainsail/control/operator_api.py
+++ b/src/rainsail/control/operator_api.py
@@ -48,11 +48,13 @@
         random: random_module.Random | None = None,
         wall_clock: Callable[[], float] = time.time,
         batch: BatchSettings | None = None,
+        ledger_groups: tuple[Group, ...] = (),
     ) -> None:
         self.app = Klein()
         self.watches = WatchHub(state, clock, settings)
         self.resources = ResourceEndpoints(client, settings.request_timeout_s)
         self._group = group
+        self._ledger_groups = ledger_groups
         self._metrics = metrics
         batch = batch or BatchSettings()
         intake = JobIntake(client, clock, random or random_module.Random(), batch, wall_clock)
@@ -72,7 +74,9 @@
         caller = self._gate.operator(request)
         if caller.is_error():
             return answer_fault(request, caller.error)
-        return answer_json(request, plain(self._group.status()))
+        status = plain(self._group.status())
+        status["ledger_groups"] = [plain(group.status()) for group in self._ledger_groups]
+        return answer_json(request, status)
 
     def _healthz(self, request: Any) -> bytes:
         return answer_json(request, {"status": "ok"})
--- a/src/rainsail/control/settings.py
+++ b/src/rainsail/control/settings.py
@@ -8,6 +8,9 @@
 
     model_config = ConfigDict(frozen=True, extra="forbid")
 
+    replicas_per_group: int = Field(
+        5, ge=1, description="Replicas that keep each replicated group; all when there are fewer."
+    )
     config_lease_s: float = Field(
         8.0, gt=0, description="How long a gateway may serve after it sent its last answered poll."
     )
--- a/src/rainsail/simulation/fleet.py
+++ b/src/rainsail/simulation/fleet.py
@@ -65,11 +65,14 @@
         names = tuple(f"replica-{number + 1}" for number in range(len(self.site.replica_zones)))
         replicas = {}
         for name, zone_number in zip(names, self.site.replica_zones, strict=True):
-            config = ReplicaConfig(name, FLEET_NAME, names)
+            config = ReplicaConfig(name, FLEET_NAME, names, batch=self._batch_settings())
             zone = self.site.zones[zone_number]
             replicas[name] = ReplicaProcess(self.world, name, zone, config, self.machines)
         return replicas
 
+    def _batch_settings(self) -> BatchSettings:
+        return BatchSettings(groups=self.site.ledger_groups, batch_weight=self.site.batch_weight)
+
     def _make_engines(self) -> dict[str, EmulatedEngine]:
         engines = {}
         for plan in self.site.runners:
@@ -96,7 +99,7 @@
                 self.site.region,
                 zone,
                 tuple(self.replicas),
-                batch=BatchSettings(batch_weight=self.site.batch_weight),
+                batch=self._batch_settings(),
             )
             process = GatewayProcess(self.world, name, zone, config)
             process.on_started = self._record_gateway
--- a/src/rainsail/simulation/site_plan.py
+++ b/src/rainsail/simulation/site_plan.py
@@ -1,15 +1,16 @@
-"""The two sites at their sizes of today, as plans of a simulated fleet with its traffic.
+"""The sites at their sizes of today, and one with many groups, as plans of a simulated fleet.
 
 The sizes and distances are those that the operators gave; the rates of traffic are chosen so
 that two minutes hold hundreds of online requests and hundreds of batch items.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from rainsail.emulator.settings import EngineSettings
 from rainsail.resources.specs import RequestClass
 from rainsail.simulation.actors.callers import CallerMix
 from rainsail.simulation.actors.job_clients import JobMix
+from rainsail.state.commands import ROOT_GROUP, GroupId
 
 USER_ONE_WAY_S = 0.004
 WEIGHT_BYTES = 2_000_000_000
@@ -44,6 +45,7 @@
     tenants: tuple[str, ...]
     batch_weight: float
     operator_gap_s: float = 3.0
+    ledger_groups: tuple[GroupId, ...] = (ROOT_GROUP,)
 
 
 def _zones(region: str) -> tuple[str, ...]:
@@ -96,4 +98,14 @@
     )
 
 
-SITES = {"guayaquil": guayaquil, "taoyuan": taoyuan}
+def many_groups() -> SitePlan:
+    """Taoyuan with nine replicas and its ledgers in three groups of five, apart from the root."""
+    return replace(
+        taoyuan(),
+        name="many_groups",
+        replica_zones=(0, 1, 2) * 3,
+        ledger_groups=(1, 2, 3),
+    )
+
+
+SITES = {"guayaquil": guayaquil, "taoyuan": taoyuan, "many_groups": many_groups}
--- a/src/rainsail/state/interface.py
+++ b/src/rainsail/state/interface.py
@@ -99,6 +99,10 @@
         """Return the number of pending items of a service's sealed jobs."""
         ...
 
+    def backlogs(self) -> dict[str, int]:
+        """Return the number of pending items of each service that has some, in name order."""
+        ...
+
     def session(self, name: str) -> SessionView | None:
         """Return a session's place and transcript."""
         ...
--- a/src/rainsail/state/item_leases.py
+++ b/src/rainsail/state/item_leases.py
@@ -89,6 +89,12 @@
         queue = self._queues.get(service)
         return 0 if queue is None else queue.pending
 
+    def backlogs(self) -> dict[str, int]:
+        """Return the number of pending items of each service that has some, in name order."""
+        return {
+            name: queue.pending for name, queue in sorted(self._queues.items()) if queue.pending
+        }
+
     def _ref(self, job_id: str, index: int) -> ItemRef:
         return ItemRef(job_id, index, self._jobs[job_id].leases[index].fence)
 
--- a/src/rainsail/state/machine.py
+++ b/src/rainsail/state/machine.py
@@ -231,6 +231,10 @@
         """Return the number of pending items of a service's sealed jobs."""
         return self._ledger.leases.backlog(service)
 
+    def backlogs(self) -> dict[str, int]:
+        """Return the number of pending items of each service that has some, in name order."""
+        return self._ledger.leases.backlogs()
+
     def session(self, name: str) -> SessionView | None:
         """Return a session's place and transcript."""
         return self._sessions.get(name)
