Drop the reserve and the lagged reports from the preemptive policy

Cause: idle places. A report is up to a second old, so places stayed empty after online work had gone; the reserve kept more empty. Neither guards the online tail, because the engine puts high priority first by itself at its next iteration.

Change: free places are the slots less the gateway's own online requests. Up to 8 running items may wait in the engine's own queue instead of being cancelled (and read again) when online work takes their places; with no place left all are taken back. Batch yields from 1000 waiting online prompt tokens instead of 512, so only for long prompts. trust_reports, overcommit, horizon_s, yield_keep and yield_prefill_tokens are gone.

--- a/src/rainsail/batch/policies/preemptive.py
+++ b/src/rainsail/batch/policies/preemptive.py
@@ -1,50 +1,35 @@
-"""Low priority, immediate preemption and a reserve for the online work that is expected.
+"""Low priority, immediate preemption, and yielding to long online prompts.
 
-The reserve is what online requests may arrive while a preemption is under way: the mean over a
-short horizon plus a number of standard deviations of a Poisson process. ``batch_weight`` sets
-that number: a site that weighs harm first keeps more room.
+An engine puts high-priority work before low by itself, so a place taken by batch delays no
+online request by more than the iteration under way. What batch work does cost online callers
+is longer iterations: each sequence lengthens every iteration that a long prompt needs before
+its first token. While such prompts wait, the policy keeps none.
+
+docs/design/batch.md gives the ways that were weighed and their figures.
 """
 
-import math
 from dataclasses import dataclass
 
 from rainsail.batch.interface import BatchAllowance, RunnerView
 
+LONG_PROMPT_TOKENS = 1000
+"""Online prompt tokens waiting at a runner from which batch work steps aside."""
+HELD_BACK_ITEMS = 8
+"""Most running items that an engine may hold back in its own queue while online work runs."""
+
 
 @dataclass(slots=True)
 class PreemptivePolicy:
-    """Fills the slots that online work leaves, less a predicted reserve.
-
-    ``batch_weight`` is 0 (least harm) to 1 (most throughput); ``horizon_s`` the seconds of
-    online arrivals that the reserve covers.
-    """
+    """Fills the slots that online work leaves and steps aside for long online prompts."""
 
     batch_weight: float = 0.5
-    horizon_s: float = 0.5
-    yield_prefill_tokens: int = 512
-    yield_keep: float = 0.0
-    overcommit: int = 0
-    trust_reports: int = 1
     name: str = "preemptive"
     low_priority: bool = True
 
     def allowance(self, view: RunnerView) -> BatchAllowance:
-        """Return the slots left by online work and the reserve."""
-        reported_online = max(0, view.reported_running - view.reported_running_low)
-        online = view.online_running
-        if self.trust_reports:
-            online = max(online, reported_online)
-        reserve = self.reserve(view.online_arrivals_per_s)
-        free = view.slots - online - reserve
-        if view.batch_running > free:
-            free = min(view.batch_running, view.slots - online + self.overcommit)
-        if view.online_prefill_tokens > self.yield_prefill_tokens:
-            free = min(free, int(view.slots * self.yield_keep))
-        return BatchAllowance(max(0, free), f"{online} online, {reserve} reserved")
-
-    def reserve(self, arrivals_per_s: float) -> int:
-        """Return the slots kept free for online requests that are yet to come."""
-        expected = arrivals_per_s * self.horizon_s
-        deviations = 2.0 * (1.0 - self.batch_weight)
-        weighed = (1.0 - self.batch_weight) * expected + deviations * math.sqrt(expected)
-        return math.ceil(weighed - 1e-9)
+        """Return the slots left by online work, fewer while long online prompts wait."""
+        free = max(0, view.slots - view.online_running)
+        if view.online_prefill_tokens > LONG_PROMPT_TOKENS:
+            return BatchAllowance(0, "long online prompts wait")
+        held_back = min(free, HELD_BACK_ITEMS, max(0, view.batch_running - free))
+        return BatchAllowance(free + held_back, f"{view.online_running} online")
