--- a/src/rainsail/engine/protocol.py
+++ b/src/rainsail/engine/protocol.py
@@ -216,7 +216,7 @@
         offset = frame["offset"]
         tokens = frame["tokens"]
         text = frame["choices"][0]["text"]
-    except (KeyError, IndexError, TypeError, AttributeError, RecursionError) as error:
+    except (LookupError, TypeError, AttributeError, RecursionError, OverflowError) as error:
         raise ValueError(f"malformed frame: {error!r}") from error
     counted = type(sequence) is int and type(offset) is int and type(tokens) is int
     if not counted or type(text) is not str:
--- a/src/rainsail/experiment/replay/answer_stream.py
+++ b/src/rainsail/experiment/replay/answer_stream.py
@@ -38,14 +38,23 @@
             if event == b"[DONE]":
                 self.done = True
                 continue
+            self._take_frame(event)
+
+    def _take_frame(self, event: bytes) -> None:
+        try:
             frame = json.loads(event)
             if "error" in frame:
                 self._end.fault = fault_of(500, event)
-                continue
-            for choice in frame["choices"]:
-                self._take(choice["text"])
+                return
+            texts = [choice["text"] for choice in frame["choices"]]
+        except (KeyError, TypeError, RecursionError) as error:
+            raise ValueError(f"no frame of an answer: {error!r}") from error
+        for text in texts:
+            self._take(text)
 
     def _take(self, text: str) -> None:
+        if not isinstance(text, str):
+            raise ValueError("no frame of an answer: its text is none")
         if not text:
             return
         if self._end.first_part_s < 0:
--- a/src/rainsail/experiment/replay/caller_client.py
+++ b/src/rainsail/experiment/replay/caller_client.py
@@ -97,7 +97,7 @@
             await self._read_stream(response, end)
         except ConnectError as error:
             end.fault = _lost(error, Outcome.NOT_RUN)
-        except (*LOST, SseError, ValueError, KeyError, TypeError, IndexError) as error:
+        except (*LOST, SseError, ValueError) as error:
             end.fault = _lost(error, Outcome.UNKNOWN)
             end.lost = True
         return end
--- a/src/rainsail/gateway/http_api.py
+++ b/src/rainsail/gateway/http_api.py
@@ -13,9 +13,11 @@
 from rainsail.gateway.interface import Gateway
 from rainsail.gateway.openai.authentication import Authenticator
 from rainsail.gateway.openai.batch_routes import BatchRoutes
+from rainsail.gateway.openai.errors import error_body, error_headers
 from rainsail.gateway.openai.explain_routes import DecisionReader, ExplainRoutes
 from rainsail.gateway.openai.job_intake import Intake
 from rainsail.gateway.openai.online_routes import OnlineRoutes
+from rainsail.gateway.openai.responses import encode_json
 from rainsail.gateway.openai.settings import CallerApiSettings
 from rainsail.gateway.openai.sinks import write_fault
 from rainsail.gateway.openai.site import make_site
@@ -66,11 +68,16 @@
         return reactor.listenTCP(port, self.site(), interface=host)
 
 
-def _no_route(request: Any, failure: Failure) -> None:
-    """Answer a path or method that is not served."""
+def _no_route(request: Any, failure: Failure) -> bytes:
+    """Answer a path or method that is not served; klein finishes such a request itself."""
     error: Any = failure.value
     code = _STATUS_CODES.get(error.code, FaultCode.INVALID)
-    write_fault(request, Fault(code, _STEP, f"{error.code} {error.name}"))
+    fault = Fault(code, _STEP, f"{error.code} {error.name}")
+    request.setResponseCode(fault.http_status)
+    request.setHeader(b"content-type", b"application/json")
+    for name, value in error_headers(fault).items():
+        request.setHeader(name.encode(), value.encode())
+    return encode_json(error_body(fault))
 
 
 def _failed(request: Any, failure: Failure) -> None:
--- a/src/rainsail/gateway/openai/responses.py
+++ b/src/rainsail/gateway/openai/responses.py
@@ -10,6 +10,7 @@
 
 _encode_string = json.encoder.encode_basestring_ascii
 _TEXT_MARK = "\x00"
+"""Stands for the text of a part; its last place counts, as a model's name may hold it too."""
 
 
 def encode_json(value: Any) -> bytes:
@@ -65,7 +66,7 @@
         self._shape = shape
         self._head = {"id": f"{shape.id_prefix}{request_id}", "created": created, "model": model}
         template = self._part_json([shape.part_choice(_TEXT_MARK, None)])
-        before, after = template.split(_encode_string(_TEXT_MARK).encode())
+        before, _, after = template.rpartition(_encode_string(_TEXT_MARK).encode())
         self._before = b"data: " + before
         self._after = after + b"\n\n"
 
