--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/python tools/generate_settings_page.py --check
 
 bench: setup
 	$(BIN)/rainsail bench all
