--- a/features/consensus/snapshots.feature
+++ b/features/consensus/snapshots.feature
@@ -51,6 +51,11 @@
     Then that follower of the consensus group has lost nothing and stored no snapshot
     And every replica of the consensus group applies all of them
 
+  Scenario: A follower whose own snapshot can't be written still stores the one that waits
+    Given a consensus group of 3 replicas that snapshots every 50 entries
+    When a follower of the consensus group fails to write its own snapshot while it gets one
+    Then every replica of the consensus group applies all of them
+
   Scenario: All replicas restart behind their snapshots
     Given a consensus group of 5 replicas that snapshots every 50 entries
     And 230 numbers are committed in the consensus group
--- a/features/steps/consensus_snapshot_steps.py
+++ b/features/steps/consensus_snapshot_steps.py
@@ -8,6 +8,7 @@
 
 CRASH_MOMENTS = 40
 MOMENT_S = 0.0005
+SLOW_SYNC_S = 20.0
 
 
 def _group(replicas, entries, seed=9):
@@ -194,3 +195,28 @@
     numbers = group.running[name].state
     group.run_until(lambda: last in numbers.numbers[-1:], "the tail", seconds)
     assert group.holds_acknowledged(name)
+
+
+@when("a follower of the consensus group fails to write its own snapshot while it gets one")
+def own_snapshot_fails(context):
+    """Its own snapshot's sync takes long and fails; meanwhile it falls far behind."""
+    group = context.consensus
+    name = group.followers()[0]
+    driver, disk = group.driver(name), group.disks[name]
+    snapshots = driver._snapshots
+
+    def writing():
+        group.commit(1)
+        return snapshots._writing
+
+    group.run_until(writing, "a snapshot of its own")
+    disk.sync_latency_s = SLOW_SYNC_S
+    group.network.isolate(name)
+    group.run_until(lambda: not driver._sync_queue.busy, "the log's last sync")
+    group.commit(300)
+    group.network.rejoin(name)
+    group.run_until(lambda: driver.core.state.installing, "the other snapshot", SLOW_SYNC_S)
+    disk.sync_fails = True
+    group.run_until(lambda: snapshots._waiting_install is None, "the failure", 2 * SLOW_SYNC_S)
+    disk.sync_fails = False
+    disk.sync_latency_s = 0.002
--- a/features/steps/state_determinism_steps.py
+++ b/features/steps/state_determinism_steps.py
@@ -48,6 +48,37 @@
     check_restores()
 
 
+@settings(derandomize=True, max_examples=20, deadline=None)
+@with_examples(st.integers(0, 2**32), st.integers(20, RANDOM_COMMANDS))
+def check_moment(seed, commands_before):
+    """Encode one snapshot at once and one chunk by chunk, with commands between the chunks."""
+    source = CommandSource(seed)
+    state = ReplicatedState(SMALL_WINDOWS)
+
+    def apply(index):
+        command = source.draw()
+        source.observe(command, state.apply(index, command))
+
+    for index in range(1, commands_before + 1):
+        apply(index)
+    expected = list(state.snapshot())
+    late = state.snapshot()
+    found = []
+    index = commands_before
+    for _ in range(len(expected)):
+        for _ in range(20):
+            index += 1
+            apply(index)
+        found.append(next(late))
+    assert found == expected
+    assert next(late, None) is None
+
+
+@then("random commands between the chunks of a replicated state's snapshot don't show in it")
+def step_moment(context):
+    check_moment()
+
+
 @then("processes with other hash seeds take the same snapshot of the replicated state")
 def step_hash_seeds(context):
     expected = snapshot_digest(11, RANDOM_COMMANDS)
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -101,9 +101,12 @@
             # The log is whole without it; a disk that can't be synced fails the next sync too.
             logger.warning("snapshot at {} not written: {}", meta.last_index, result.error)
             self._retry_index = self._applier.applied_index + RETRY_ENTRIES
-            return
-        self._last_index = meta.last_index
-        self._take(self._core.snapshot_taken(meta.last_index))
+        else:
+            self._last_index = meta.last_index
+            self._take(self._core.snapshot_taken(meta.last_index))
+        self._install_waiting()
+
+    def _install_waiting(self) -> None:
         waiting = self._waiting_install
         if waiting is not None:
             self._waiting_install = None
