Carry a tenant's weight with its jobs into groups that don't keep tenants

Cause: tenants are resources of the root group; a ledger group of its own knew no weights, so that tenants shared its leases evenly. Change: a job carries its tenant's weight as it was at submission; a group that keeps the tenant goes by the weight declared now. Conclusion: a changed weight reaches the jobs of such groups with the next submission only.

--- a/features/assembly/groups.feature
+++ b/features/assembly/groups.feature
@@ -12,6 +12,11 @@
     Given 5 replicas listed in turn from zones a, b and c
     Then groups 0 to 4 of 5 have 5 different founders
 
+  Scenario: A group that doesn't keep the tenants leases by the weights given at submission
+    Given a group without resources that keeps jobs of tenant a with weight 1 and b with weight 3
+    When 40 items of that group are leased
+    Then 10 of these leases are of a and 30 of b
+
   Scenario: Jobs are kept by groups of their own
     Given a simulated many_groups with seed 4 for 0.5 minutes
     When the simulated run ends with these failures
--- a/features/steps/assembly_groups_steps.py
+++ b/features/steps/assembly_groups_steps.py
@@ -2,12 +2,22 @@
 
 from collections import Counter
 
-from behave import given, then
+from behave import given, then, when
+from features.support.state import PLENTY_OF_TOKENS, SERVICE, job_spec
 from hypothesis import given as any_of
 from hypothesis import settings, strategies
 
 from rainsail.consensus.group_placement import members_of_group
-from rainsail.state.commands import ROOT_GROUP
+from rainsail.errors import Fault
+from rainsail.state.commands import (
+    ROOT_GROUP,
+    AddItems,
+    ItemBody,
+    LeaseItems,
+    OpenJob,
+    SealJob,
+)
+from rainsail.state.machine import ReplicatedState
 
 REPLICAS = strategies.integers(min_value=1, max_value=30).map(
     lambda count: tuple(f"replica-{number}" for number in range(count))
@@ -59,6 +69,35 @@
     assert len(found) == count, found
 
 
+@given(
+    "a group without resources that keeps jobs of tenant {first} with weight {first_weight:g} "
+    "and {second} with weight {second_weight:g}"
+)
+def group_without_resources(context, first, first_weight, second, second_weight):
+    context.ledger_state = ReplicatedState()
+    commands = []
+    for tenant, weight in ((first, first_weight), (second, second_weight)):
+        items = tuple(ItemBody(f"{tenant}-{number}", "one two", 8) for number in range(60))
+        spec = job_spec(tenant, 60, tenant=tenant, tenant_weight=weight)
+        commands += [OpenJob(tenant, spec), AddItems(tenant, 0, items), SealJob(tenant)]
+    for index, command in enumerate(commands, start=1):
+        outcome = context.ledger_state.apply(index, command)
+        assert not isinstance(outcome, Fault), outcome
+
+
+@when("{count:d} items of that group are leased")
+def lease_items(context, count):
+    command = LeaseItems("gateway/1", "lease-1", SERVICE, count, PLENTY_OF_TOKENS)
+    context.leased_items = context.ledger_state.apply(100, command).items
+    assert len(context.leased_items) == count
+
+
+@then("{first_count:d} of these leases are of {first} and {second_count:d} of {second}")
+def leases_by_tenant(context, first_count, first, second_count, second):
+    found = Counter(leased.ref.job_id for leased in context.leased_items)
+    assert found == {first: first_count, second: second_count}, found
+
+
 @then("no job is kept by the root group, and more than one group keeps jobs")
 def jobs_by_group(context):
     keeping = Counter()
--- a/src/rainsail/assembly/gateway.py
+++ b/src/rainsail/assembly/gateway.py
@@ -87,7 +87,9 @@
             node.random,
             config.gateway,
         )
-        self.intake = JobIntake(self.client, node.clock, node.random, config.batch, node.wall_clock)
+        self.intake = JobIntake(
+            self.client, node.clock, node.random, config.batch, node.wall_clock, self.view.get
+        )
         self.dispatcher = Dispatcher(
             f"{config.name}/{self.incarnation}",
             self.fleet,
--- a/src/rainsail/batch/intake.py
+++ b/src/rainsail/batch/intake.py
@@ -18,6 +18,7 @@
 from rainsail.control.interface import ControlClient
 from rainsail.control.messages import JobsReply, JobsRequest, ResultsReply, ResultsRequest
 from rainsail.errors import Fault, FaultCode
+from rainsail.resources.specs import Kind, Resource, ResourceKey, TenantSpec
 from rainsail.runtime.clock import Clock, sleep
 from rainsail.state.commands import (
     AddItems,
@@ -31,6 +32,7 @@
     OpenJob,
     SealJob,
 )
+from rainsail.state.ledger_commands import DEFAULT_TENANT_WEIGHT
 
 RETRIED_CODES = (
     FaultCode.TIMEOUT,
@@ -55,12 +57,14 @@
         random: random.Random,
         settings: BatchSettings,
         wall_clock: Callable[[], float],
+        resource_of: Callable[[ResourceKey], Resource | None] = lambda key: None,
     ) -> None:
         self._control = control
         self._clock = clock
         self._random = random
         self._settings = settings
         self._wall_clock = wall_clock
+        self._resource_of = resource_of
         self._submissions = DeferredSemaphore(settings.concurrent_submissions)
 
     def submit(
@@ -88,9 +92,15 @@
             content_digest="",
             deadline_unix_s=deadline_unix_s,
             adapter=adapter,
+            tenant_weight=self._tenant_weight(tenant),
         )
         return self._submissions.run(self._start_store, spec, items)
 
+    def _tenant_weight(self, tenant: str) -> float:
+        resource = self._resource_of(ResourceKey(Kind.TENANT, tenant))
+        spec = None if resource is None else resource.spec
+        return spec.weight if isinstance(spec, TenantSpec) else DEFAULT_TENANT_WEIGHT
+
     def _refusal(
         self, job_key: str, items: tuple[ItemBody, ...], deadline_unix_s: float
     ) -> Fault | None:
--- a/src/rainsail/control/operator_api.py
+++ b/src/rainsail/control/operator_api.py
@@ -6,11 +6,17 @@
 from typing import Any
 
 from klein import Klein
+from werkzeug.exceptions import HTTPException
 
 from rainsail.batch.intake import JobIntake
 from rainsail.batch.settings import BatchSettings
 from rainsail.consensus.interface import Group
-from rainsail.control.http_bodies import answer_fault, answer_json
+from rainsail.control.http_bodies import (
+    answer_failed,
+    answer_fault,
+    answer_json,
+    answer_no_route,
+)
 from rainsail.control.interface import ControlClient
 from rainsail.control.job_endpoints import JobEndpoints
 from rainsail.control.job_routes import JobRoutes
@@ -57,7 +63,8 @@
         self._ledger_groups = ledger_groups
         self._metrics = metrics
         batch = batch or BatchSettings()
-        intake = JobIntake(client, clock, random or random_module.Random(), batch, wall_clock)
+        draw = random or random_module.Random()
+        intake = JobIntake(client, clock, draw, batch, wall_clock, state.get)
         self.jobs = JobEndpoints(client, intake, batch, wall_clock, settings.request_timeout_s)
         known_keys = KeyAuthenticator(state, settings.operator_key_hashes)
         self._gate = OperatorGate(authenticate or known_keys)
@@ -68,6 +75,8 @@
         self.app.route("/healthz", methods=["GET"])(self._healthz)
         self.app.route("/readyz", methods=["GET"])(self._readyz)
         self.app.route("/metrics", methods=["GET"])(self._metrics_text)
+        self.app.handle_errors(HTTPException)(answer_no_route)
+        self.app.handle_errors(Exception)(answer_failed)
         group.on_applied(lambda index: self.watches.state_applied())
 
     def _status(self, request: Any) -> bytes:
--- a/src/rainsail/state/item_leases.py
+++ b/src/rainsail/state/item_leases.py
@@ -59,7 +59,7 @@
         self,
         settings: StateSettings,
         jobs: MutableMapping[str, Job],
-        tenant_weight: Callable[[str], float],
+        tenant_weight: Callable[[str], float | None],
     ) -> None:
         self._jobs = jobs
         self._tenant_weight = tenant_weight
@@ -95,6 +95,11 @@
             name: queue.pending for name, queue in sorted(self._queues.items()) if queue.pending
         }
 
+    def _weight(self, job: Job) -> float:
+        """Return the tenant's weight as declared now, else as it was at the job's submission."""
+        declared = self._tenant_weight(job.spec.tenant)
+        return job.spec.tenant_weight if declared is None else declared
+
     def _ref(self, job_id: str, index: int) -> ItemRef:
         return ItemRef(job_id, index, self._jobs[job_id].leases[index].fence)
 
@@ -181,7 +186,7 @@
         job.items.set_phase(index, LEASED)
         job.pending -= 1
         queue.pending -= 1
-        queue.charge(job.spec.tenant, tokens, self._tenant_weight(job.spec.tenant))
+        queue.charge(job.spec.tenant, tokens, self._weight(job))
         if not job.pending:
             queue.remove(job.spec.tenant, job.queued())
         self._held.setdefault(holder, {})[job.job_id, index] = None
@@ -261,8 +266,7 @@
         job.items.set_phase(lease.index, PENDING)
         queue = self._queue(job.spec.service)
         if refund:
-            weight = self._tenant_weight(job.spec.tenant)
-            queue.refund(job.spec.tenant, lease.tokens, weight)
+            queue.refund(job.spec.tenant, lease.tokens, self._weight(job))
         if not job.pending:
             queue.add(job.spec.tenant, job.queued())
         job.pending += 1
--- a/src/rainsail/state/ledger.py
+++ b/src/rainsail/state/ledger.py
@@ -42,7 +42,9 @@
 class Ledger:
     """All jobs by id and by the callers' keys."""
 
-    def __init__(self, settings: StateSettings, tenant_weight: Callable[[str], float]) -> None:
+    def __init__(
+        self, settings: StateSettings, tenant_weight: Callable[[str], float | None]
+    ) -> None:
         self._settings = settings
         self._jobs: SortedDict = SortedDict()
         self._job_ids: dict[JobKey, str] = {}
--- a/src/rainsail/state/ledger_commands.py
+++ b/src/rainsail/state/ledger_commands.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+DEFAULT_TENANT_WEIGHT = 1.0
+"""Weight of a tenant that is not declared."""
+
 
 class JobPhase(StrEnum):
     """Where a job stands. Only SEALED and later count as accepted."""
@@ -29,6 +32,8 @@
 
     ``job_key`` is chosen by the caller: the same key of one tenant with the same content digest
     is the same job, with other content a conflict. ``deadline_unix_s`` is wall-clock time.
+    ``tenant_weight`` is the tenant's weight at submission; it stands in where the job's group
+    doesn't keep the tenant's resource.
     """
 
     job_key: str
@@ -39,6 +44,7 @@
     deadline_unix_s: float
     adapter: str = ""
     max_attempts: int = 5
+    tenant_weight: float = DEFAULT_TENANT_WEIGHT
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rainsail/state/machine.py
+++ b/src/rainsail/state/machine.py
@@ -50,8 +50,6 @@
     encode_parts,
 )
 
-DEFAULT_TENANT_WEIGHT = 1.0
-
 Apply = Callable[[Any], CommandOutcome]
 
 
@@ -124,10 +122,10 @@
             self._sessions.remove(command.key.name)
         return outcome
 
-    def _tenant_weight(self, tenant: str) -> float:
+    def _tenant_weight(self, tenant: str) -> float | None:
         resource = self._resources.get(ResourceKey(Kind.TENANT, tenant))
         if resource is None or not isinstance(resource.spec, TenantSpec):
-            return DEFAULT_TENANT_WEIGHT
+            return None
         return resource.spec.weight
 
     # --- StateMachine ---
