--- a/features/consensus/snapshots.feature
+++ b/features/consensus/snapshots.feature
@@ -51,9 +51,11 @@
     Then that follower of the consensus group has lost nothing and stored no snapshot
     And every replica of the consensus group applies all of them
 
-  Scenario: A follower whose own snapshot can't be written still stores the one that waits
+  Scenario: A follower that can't sync its own snapshot while another waits ends, and does not hang
     Given a consensus group of 3 replicas that snapshots every 50 entries
     When a follower of the consensus group fails to write its own snapshot while it gets one
+    Then that follower of the consensus group has stopped with a storage fault
+    When the crashed replica of the consensus group starts again
     Then every replica of the consensus group applies all of them
 
   Scenario: All replicas restart behind their snapshots
--- a/features/steps/consensus_snapshot_steps.py
+++ b/features/steps/consensus_snapshot_steps.py
@@ -5,6 +5,7 @@
 
 from rainsail.consensus.messages import SnapshotChunk
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.errors import FaultCode
 
 CRASH_MOMENTS = 40
 MOMENT_S = 0.0005
@@ -218,5 +219,16 @@
     group.run_until(lambda: driver.core.state.installing, "the other snapshot", SLOW_SYNC_S)
     disk.sync_fails = True
     group.run_until(lambda: snapshots._waiting_install is None, "the failure", 2 * SLOW_SYNC_S)
-    disk.sync_fails = False
-    disk.sync_latency_s = 0.002
+    context.consensus_down = name
+
+
+@then("that follower of the consensus group has stopped with a storage fault")
+def stopped_follower(context):
+    """A failed sync is final; the process's supervisor starts it anew, here on a sound disk."""
+    group = context.consensus
+    name = context.consensus_down
+    group.run_until(lambda: bool(group.running[name].faults), "the end", 2 * SLOW_SYNC_S)
+    assert group.running[name].faults[0].code == FaultCode.STORAGE
+    group.disks[name].sync_fails = False
+    group.disks[name].sync_latency_s = 0.002
+    group.crash(name)
