Report each request that a planned stop cuts, and bring about the gateway's remaining failures

Cause: a planned stop's report was kept by request id alone, so that two tenants' requests of one id were one, and nobody but the caller of drain() ever saw it. Several failures of the gateway had no scenario: lost last chunks before the end, answers of an engine that was given up on, many slow readers, jitter and the deadline carried along, the same request at two gateways at once, a killed claimant, a source that dies during a session's move, a lost export, gateway and runner both gone, runners that drain with streams open.

Change: the report names tenant and id of each request cut, and a warning is logged for each. The step on the report's content compares tenant and id where it compared the id. 14 scenarios added.

Each of these, broken once on a copy, turned its scenario red: back-off without jitter, whole deadline on each attempt, end taken with chunks missing, pause passed over, cut not logged, cut named without tenant, lost export taken for an answer, a claim taken as granted. The first wording of the jitter step stayed green (links jitter too) and now asks for a spread of 10 ms.

--- a/bench/gateway_fleet_bench.py
+++ b/bench/gateway_fleet_bench.py
@@ -21,13 +21,22 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from urllib.parse import urlsplit
 
 from twisted.internet import reactor as any_reactor
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.threads import deferToThread
-
-from rainsail.benchmarks.gateway_bed import FAST_ENGINE, SLOW_ENGINE, EngineBed, GatewayBed
+from twisted.protocols.portforward import ProxyFactory
+
+from rainsail.benchmarks.gateway_bed import (
+    FAST_ENGINE,
+    LOOPBACK,
+    SLOW_ENGINE,
+    EngineBed,
+    GatewayBed,
+)
 from rainsail.benchmarks.gateway_load import Callers, fresh_question
+from rainsail.runtime.collector import exempt_startup_objects
 
 SHORT_TOKENS = 4
 STREAM_TOKENS = 200
@@ -90,6 +99,7 @@
             beds.append(GatewayBed(reactor, command["engines"]))
             while not beds[0].is_ready():
                 await sleep(READY_CHECK_S)
+            exempt_startup_objects()
         names = beds[0].open_sessions(command.get("sessions", 0))
         return {
             "address": beds[0].address,
@@ -106,6 +116,21 @@
     profiler.dump_stats(profile)
 
 
+def run_relay() -> None:
+    """Be a bare TCP relay: what any process between caller and engine adds on this machine."""
+    ports: list[Any] = []
+
+    async def handle(command: dict[str, Any]) -> dict[str, Any]:
+        if "engine" in command:
+            url = urlsplit(command["engine"])
+            factory = ProxyFactory(url.hostname, url.port)
+            ports.append(reactor.listenTCP(0, factory, interface=LOOPBACK))
+        return {"address": f"http://{LOOPBACK}:{ports[0].getHost().port}"}
+
+    answer_commands(handle)
+    reactor.run()
+
+
 def run_caller() -> None:
     """Be a process of callers."""
     callers = Callers(reactor)
@@ -152,18 +177,15 @@
     return {"whole": whole, "other": len(replies) - whole, "wall_s": wall_s}
 
 
-async def latency(callers: Callers, direct: str, through: str, samples: int) -> dict[str, Any]:
-    """Ask the engine and the gateway by turns, one question at a time."""
-    took: dict[str, list[float]] = {direct: [], through: []}
+async def latency(callers: Callers, addresses: dict[str, str], samples: int) -> dict[str, float]:
+    """Ask at each address by turns, one question at a time; return the medians."""
+    took: dict[str, list[float]] = {name: [] for name in addresses}
     for _ in range(samples):
-        for address in (direct, through):
+        for name, address in addresses.items():
             reply = await callers.ask(address, fresh_question(SHORT_TOKENS, False))
             assert reply.is_whole(), reply
-            took[address].append(reply.took_s)
-    return {
-        "direct_ms": MILLISECONDS * statistics.median(took[direct]),
-        "through_ms": MILLISECONDS * statistics.median(took[through]),
-    }
+            took[name].append(reply.took_s)
+    return {f"{name}_ms": MILLISECONDS * statistics.median(took[name]) for name in took}
 
 
 def sleep(seconds: float) -> "Deferred[None]":
@@ -218,8 +240,10 @@
     def __init__(self, engines: int, callers: int, slow: bool, profile: str = "") -> None:
         self.engines = [Child("engine", *(["--slow"] if slow else [])) for _ in range(engines)]
         self.gateway = Child("gateway", "--profile", profile)
+        self.relay = Child("relay")
         self.callers = [Child("caller") for _ in range(callers)]
         self.engine_addresses = [each.call()["address"] for each in self.engines]
+        self.relay_address = self.relay.call(engine=self.engine_addresses[0])["address"]
         self.address = self.gateway.call(engines=self.engine_addresses)["address"]
 
     def load(
@@ -244,7 +268,7 @@
 
     def close(self) -> None:
         """End every process."""
-        for child in (*self.callers, self.gateway, *self.engines):
+        for child in (*self.callers, self.gateway, self.relay, *self.engines):
             child.close()
 
 
@@ -257,8 +281,11 @@
             latencies.append(
                 fleet.callers[0].call(
                     do="latency",
-                    direct=fleet.engine_addresses[0],
-                    through=fleet.address,
+                    addresses={
+                        "direct": fleet.engine_addresses[0],
+                        "relay": fleet.relay_address,
+                        "through": fleet.address,
+                    },
                     samples=LATENCY_SAMPLES,
                 )
             )
@@ -279,9 +306,11 @@
     finally:
         fleet.close()
     added = [each["through_ms"] - each["direct_ms"] for each in latencies]
+    relay_added = [each["relay_ms"] - each["direct_ms"] for each in latencies]
     return {
         "latency_ms": latencies,
         "added_median_ms": added,
+        "relay_added_median_ms": relay_added,
         "short_requests": shorts,
         "direct_short_requests": direct,
         "chunks": streams,
@@ -361,6 +390,8 @@
         run_engine(options.slow)
     elif options.role == "gateway":
         run_gateway(options.profile)
+    elif options.role == "relay":
+        run_relay()
     elif options.role == "caller":
         run_caller()
     else:
--- a/features/gateway/drain.feature
+++ b/features/gateway/drain.feature
@@ -58,3 +58,29 @@
       | 0.001  |
       | 0.05   |
       | 0.4    |
+
+  Scenario: Each request that outlasts the grace time is reported, also with an id of another tenant
+    Given a gateway fleet of 2 runners and 1 gateway with a grace time of 2 seconds
+    And the log of the gateway is kept
+    When gateway tenants "hotel" and "shipper" both ask for 2000 tokens as "night-report"
+    And 5 gateway callers ask at once
+    And 0.5 seconds of gateway time pass
+    And gateway 0 of the fleet begins a planned stop
+    And 3 seconds of gateway time pass
+    Then the planned stop is over and cut "night-report" of "hotel" and of "shipper" alone
+    And the log of the gateway has a warning for each request that was cut
+
+  Scenario Outline: A draining runner finishes what it has, whoever says that it leaves
+    Given a gateway fleet of 3 runners and 1 gateway
+    When 24 gateway callers ask at once
+    And 0.3 seconds of gateway time pass
+    And "runner-0" of the gateway fleet leaves by <account>
+    And 10 seconds of gateway time pass
+    Then every gateway caller has its own whole answer
+    And each request of the gateway fleet was run 1 time
+
+    Examples:
+      | account          |
+      | its resource     |
+      | its engine       |
+      | the machine list |
--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -94,3 +94,29 @@
     And 5 seconds of gateway time pass
     Then every gateway caller was told "not_run"
     And the gateway sent at most 260 attempts
+
+  Scenario: Retries of requests that failed together are spread in time
+    Given a gateway fleet of 2 runners and 1 gateway
+    And every engine of the gateway fleet refuses without saying so in its reports
+    And the attempts of the gateway are noted
+    When 16 gateway callers ask at once
+    And 2 seconds of gateway time pass
+    Then the second attempts of the gateway came 10 to 35 ms after the first, spread over 10 ms or more
+
+  Scenario: Each attempt carries what is left of the caller's deadline
+    Given a gateway fleet of 2 runners and 1 gateway
+    And every engine of the gateway fleet refuses without saying so in its reports
+    And the attempts of the gateway are noted
+    When a gateway caller asks with a deadline of 5 seconds
+    And 2 seconds of gateway time pass
+    Then each attempt of the gateway carried less than the 5 seconds and less than the one before
+
+  Scenario: A request held by a gateway that fell silent is unknown at another and not run again
+    Given a gateway fleet of 3 runners and 2 gateways
+    When a non-repeatable request "ping" is sent to gateway 0
+    And 0.4 seconds of gateway time pass
+    And gateway 0 of the gateway fleet is killed
+    And a non-repeatable request "ping" is sent to gateway 1
+    And 5 seconds of gateway time pass
+    Then gateway caller 1 was told "unknown"
+    And request "ping" was run 1 time by the gateway fleet
--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -31,3 +31,11 @@
     And gateway 0 has lost its configuration lease
     When 1 gateway caller asks at once
     Then gateway caller 0 was told "not_run" at once with a time to come back
+
+  Scenario: Two gateways that get the same request at the same moment run it once
+    Given a gateway fleet of 3 runners and 2 gateways
+    When a non-repeatable request "ping" is sent to gateway 0
+    And a non-repeatable request "ping" is sent to gateway 1
+    And 5 seconds of gateway time pass
+    Then one gateway caller has its own whole answer and the other was told "unknown"
+    And request "ping" was run 1 time by the gateway fleet
--- a/features/gateway/sessions.feature
+++ b/features/gateway/sessions.feature
@@ -93,3 +93,39 @@
     And a gateway session "container-7" of another tenant
     When 1 turns of "container-7" are sent to gateway 0 at once
     Then gateway caller 0 was told "not_run"
+
+  Scenario: The runner that a session moves from dies during the move
+    Given a gateway fleet of 3 runners and 1 gateway
+    And a gateway session "container-7"
+    And exports of the gateway fleet take 0.5 seconds
+    When 1 turn of "container-7" is taken through gateway 0
+    And the runner of session "container-7" is drained by its resource
+    And 0.2 seconds of gateway time pass
+    And the runner that "container-7" is being moved from crashes
+    And 3 seconds of gateway time pass
+    And 1 turn of "container-7" is taken through gateway 0
+    Then every turn of "container-7" has the answer that its transcript gives
+    And session "container-7" is on another runner under fence 2
+    And no two runs of "container-7" overlapped
+
+  Scenario: A session whose export is lost moves all the same, from its transcript
+    Given a gateway fleet of 3 runners and 1 gateway
+    And a gateway session "container-7"
+    And every "export_kv" on the gateway's links is lost
+    When 1 turn of "container-7" is taken through gateway 0
+    And the runner of session "container-7" is drained by its resource
+    And 4 seconds of gateway time pass
+    And 1 turn of "container-7" is taken through gateway 0
+    Then every turn of "container-7" has the answer that its transcript gives
+    And session "container-7" is on another runner under fence 2
+    And no cache of a session was imported
+
+  Scenario: A session whose gateway and runner are both gone goes on at another gateway
+    Given a gateway fleet of 3 runners and 2 gateways
+    And a gateway session "container-7"
+    When 1 turn of "container-7" is taken through gateway 0
+    And gateway 0 of the gateway fleet is killed
+    And the runner of session "container-7" of the gateway fleet crashes
+    And 1 turn of "container-7" is taken through gateway 1
+    Then every turn of "container-7" has the answer that its transcript gives
+    And session "container-7" is on another runner under fence 3
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -70,3 +70,31 @@
     Then gateway caller 0 heard no end
     And every run of the gateway fleet has ended
     And no runner of the gateway has work in flight
+
+  Scenario: An end whose last chunks were lost is no end until they are fetched
+    Given a gateway fleet of 2 runners and 1 gateway
+    And the last chunks of each stream on the gateway's links are lost once
+    When 8 gateway callers ask at once
+    And 5 seconds of gateway time pass
+    Then every gateway caller has its own whole answer
+    And each request of the gateway fleet was run 1 time
+
+  Scenario: Answers of an engine that was given up on come late and are dropped
+    Given a gateway fleet of 3 runners and 1 gateway
+    And every chunk from "runner-0" to the gateway comes 13 seconds late
+    When 6 gateway callers ask at once
+    And 60 seconds of gateway time pass
+    Then every gateway caller has its own whole answer
+    And some request of the gateway fleet was run 2 times
+
+  Scenario: Many readers that stop reading make the gateway hold nothing for them
+    Given a gateway fleet of 2 runners and 1 gateway
+    When 12 gateway callers ask for 2000 tokens each
+    And 0.6 seconds of gateway time pass
+    And every gateway caller stops reading
+    And 15 seconds of gateway time pass
+    Then gateway 0 holds no part of an answer that its caller has not been given
+    And every gateway caller has been given less than 200 tokens
+    When every gateway caller reads again
+    And 60 seconds of gateway time pass
+    Then every gateway caller has its own whole answer
--- a/features/steps/gateway_drain_steps.py
+++ b/features/steps/gateway_drain_steps.py
@@ -1,9 +1,12 @@
 """Steps on planned stops of gateways."""
 
 from behave import given, then, when
-from features.support.gateway import GatewayFleet
+from features.support.gateway import WIDE_TOKENS_PER_S, GatewayFleet
 
+from rainsail.gateway.drain import RequestName
 from rainsail.gateway.settings import DrainSettings, GatewaySettings
+from rainsail.logs import logger
+from rainsail.resources.specs import Kind, TenantSpec
 
 
 @given(
@@ -34,5 +37,49 @@
 
 @then("the planned stop is over and cut the request of gateway caller {index:d}")
 def cut_one(context, index):
-    request_id = context.fleet.callers[index].request.request_id
-    assert [report.cut for report in context.reports] == [(request_id,)], context.reports
+    request = context.fleet.callers[index].request
+    names = (RequestName(request.tenant, request.request_id),)
+    assert [report.cut for report in context.reports] == [names], context.reports
+
+
+@given(
+    "a gateway fleet of {runners:d} runners and {gateways:d} gateway "
+    "with a grace time of {seconds:g} seconds"
+)
+def larger_fleet_with_grace(context, runners, gateways, seconds):
+    fleet_with_grace(context, runners, gateways, seconds)
+
+
+@given("the log of the gateway is kept")
+def keep_log(context):
+    context.log_records = []
+    sink = logger.add(lambda message: context.log_records.append(message.record))
+    context.add_cleanup(logger.remove, sink)
+
+
+@when('gateway tenants "{one}" and "{other}" both ask for {tokens:d} tokens as "{request_id}"')
+def ask_with_one_id(context, one, other, tokens, request_id):
+    wide = TenantSpec(WIDE_TOKENS_PER_S, WIDE_TOKENS_PER_S)
+    for tenant in (one, other):
+        context.fleet.put(Kind.TENANT, tenant, wide)
+        context.fleet.ask(request_id, tokens=tokens, tenant=tenant)
+
+
+@then('the planned stop is over and cut "{request_id}" of "{one}" and of "{other}" alone')
+def cut_both(context, request_id, one, other):
+    names = (RequestName(one, request_id), RequestName(other, request_id))
+    assert [report.cut for report in context.reports] == [names], context.reports
+    for caller in context.fleet.callers:
+        was_cut = caller.request.request_id == request_id
+        assert bool(caller.faults) == was_cut, (caller.request, caller.faults)
+
+
+@then("the log of the gateway has a warning for each request that was cut")
+def cut_logged(context):
+    warned = [
+        (record["extra"]["tenant"], record["extra"]["request_id"])
+        for record in context.log_records
+        if record["level"].name == "WARNING" and "grace time" in record["message"]
+    ]
+    cut = [(name.tenant, name.request_id) for name in context.reports[0].cut]
+    assert warned == cut, warned
--- a/features/steps/gateway_request_steps.py
+++ b/features/steps/gateway_request_steps.py
@@ -74,3 +74,10 @@
     was_told(context, index, outcome)
     assert caller.took_s == 0.0, f"told after {caller.took_s} s"
     assert caller.faults[0].retry_after_s, caller.faults
+
+
+@then('one gateway caller has its own whole answer and the other was told "{outcome}"')
+def one_of_two(context, outcome):
+    whole = [caller for caller in context.fleet.callers if caller.is_whole()]
+    told = [fault.outcome.value for caller in context.fleet.callers for fault in caller.faults]
+    assert len(whole) == 1 and told == [outcome], (len(whole), told)
--- a/features/steps/gateway_session_steps.py
+++ b/features/steps/gateway_session_steps.py
@@ -209,3 +209,20 @@
         else:
             told = caller.faults[0].outcome
             assert told == Outcome.UNKNOWN or not recorded, (told, recorded)
+
+
+@given('every "{what}" on the gateway\'s links is lost')
+def lose_every(context, what):
+    context.fleet.network.faults.lose_request = lambda gateway, runner, called: called == what
+
+
+@when('the runner that "{name}" is being moved from crashes')
+def crash_source(context, name):
+    assert _view(context, name).runner == context.runner_before, "the move is already over"
+    assert context.chosen, "no move has begun"
+    context.fleet.engines[context.runner_before].crash()
+
+
+@then("no cache of a session was imported")
+def none_imported(context):
+    assert not context.imports, context.imports
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -6,6 +6,9 @@
 from rainsail.resources.specs import RequestClass
 from rainsail.state.commands import ClaimRequest
 
+LAST_CHUNKS_FROM_TOKEN = 35
+"""Callers ask for 40 tokens unless the step says otherwise."""
+
 
 @given("every chunk on the gateway's links arrives twice")
 def double_chunks(context):
@@ -23,16 +26,20 @@
 
 @given("every tenth chunk on the gateway's links is lost once")
 def lose_chunks(context):
+    _lose_once(context.fleet, lambda chunk: chunk.sequence % 10 == 9)
+
+
+def _lose_once(fleet, chosen):
     lost = {}
 
     def lose(gateway, runner, chunk):
         key = (chunk.attempt_id, chunk.sequence)
-        if chunk.sequence % 10 == 9 and key not in lost:
+        if chosen(chunk) and key not in lost:
             lost[key] = True
             return ()
         return (0.0,)
 
-    context.fleet.network.faults.chunk = lose
+    fleet.network.faults.chunk = lose
 
 
 @given("the first cancel on the gateway's links is lost")
@@ -224,3 +231,92 @@
 def all_told(context, outcome):
     for caller in context.fleet.callers:
         assert [fault.outcome.value for fault in caller.faults] == [outcome], caller.faults
+
+
+@given("the last chunks of each stream on the gateway's links are lost once")
+def lose_last_chunks(context):
+    _lose_once(context.fleet, lambda chunk: chunk.offset >= LAST_CHUNKS_FROM_TOKEN)
+
+
+@given('every chunk from "{late_runner}" to the gateway comes {seconds:g} seconds late')
+def delay_runner(context, late_runner, seconds):
+    def late(gateway, runner, chunk):
+        return (seconds,) if runner == late_runner else (0.0,)
+
+    context.fleet.network.faults.chunk = late
+
+
+@given("the attempts of the gateway are noted")
+def note_attempts(context):
+    context.attempts = {}
+    fleet = context.fleet
+    engine = fleet.gateways[0].engine
+    generate = engine.generate
+
+    def noted(address, request, listener):
+        sent = context.attempts.setdefault(request.request_id, [])
+        sent.append((fleet.clock.seconds(), request.deadline_s))
+        generate(address, request, listener)
+
+    engine.generate = noted
+
+
+@when("{count:d} gateway callers ask for {tokens:d} tokens each")
+def ask_long(context, count, tokens):
+    for index in range(count):
+        context.fleet.ask(f"long-{index}", tokens=tokens)
+
+
+@when("every gateway caller stops reading")
+def all_stop_reading(context):
+    for caller in context.fleet.callers:
+        caller.handle.pause()
+
+
+@when("every gateway caller reads again")
+def all_read_again(context):
+    for caller in context.fleet.callers:
+        caller.handle.unpause()
+
+
+@when("gateway {index:d} of the gateway fleet is killed")
+def kill_gateway(context, index):
+    context.fleet.gateways[index].clock.stop()
+
+
+@then("gateway {index:d} holds no part of an answer that its caller has not been given")
+def holds_nothing(context, index):
+    runs = list(context.fleet.gateways[index].core._runs)
+    assert len(runs) == len(context.fleet.callers)
+    given_to = {caller.request.request_id: caller.text for caller in context.fleet.callers}
+    for run in runs:
+        assert run._delivery.text == given_to[run.caller.request_id]
+        assert not run._attempt._attempt._held
+
+
+@then("every gateway caller has been given less than {tokens:d} tokens")
+def given_less(context, tokens):
+    for caller in context.fleet.callers:
+        assert 0 < len(caller.parts) < tokens, len(caller.parts)
+
+
+@then(
+    "the second attempts of the gateway came {low_ms:d} to {high_ms:d} ms after the first, "
+    "spread over {spread_ms:d} ms or more"
+)
+def spread_attempts(context, low_ms, high_ms, spread_ms):
+    assert len(context.attempts) == len(context.fleet.callers)
+    waited_ms = [(second[0] - first[0]) * 1000.0 for first, second, *_ in context.attempts.values()]
+    assert low_ms <= min(waited_ms) and max(waited_ms) <= high_ms, waited_ms
+    assert max(waited_ms) - min(waited_ms) >= spread_ms, waited_ms
+
+
+@then(
+    "each attempt of the gateway carried less than the {seconds:g} seconds "
+    "and less than the one before"
+)
+def deadline_carried(context, seconds):
+    (sent,) = context.attempts.values()
+    carried = [deadline_s for _, deadline_s in sent]
+    assert len(carried) >= 2 and carried[0] < seconds, carried
+    assert carried == sorted(carried, reverse=True) and len(set(carried)) == len(carried), carried
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -14,7 +14,7 @@
 from rainsail.gateway.cancellation import Canceller
 from rainsail.gateway.claims import ClaimKeeper
 from rainsail.gateway.decision_ring import DecisionRing
-from rainsail.gateway.drain import DrainReport
+from rainsail.gateway.drain import DrainReport, RequestName
 from rainsail.gateway.eligibility import SlotCounts
 from rainsail.gateway.fleet import RunnerFleet
 from rainsail.gateway.interface import CallerRequest, RequestHandle, ResponseSink
@@ -208,14 +208,18 @@
     def _check_drained(self) -> None:
         assert self._drain_started_s is not None and self._drained is not None
         waited_s = self._clock.seconds() - self._drain_started_s
-        running = {run.caller.request_id: run for run in self._runs}
+        running = sorted(
+            RequestName(run.caller.tenant, run.caller.request_id) for run in self._runs
+        )
         grace_s = self._settings.drain.grace_s
-        cut = drain.requests_to_cut(sorted(running), waited_s, grace_s)
+        cut = drain.requests_to_cut(running, waited_s, grace_s)
         if running and not cut:
             self._clock.callLater(DRAIN_CHECK_S, self._check_drained)
             return
         finished = self._finished_in_drain
         for run in list(self._runs):
             run.cut(f"the gateway's grace time of {grace_s:g} s has passed")
+        for name in cut:
+            drain.report_cut(name, grace_s)
         self._drain_result = DrainReport(finished, cut, waited_s)
         self._drained.callback(self._drain_result)
