Fuzz the operator API; refuse heads that are no text and name the step of every refusal

Cause: an Authorization header that is not UTF-8 ended in an HTML page of status 500, unknown paths and methods in HTML without a step, and klein wrote a traceback to the log for each path or Host that is not UTF-8. Change: the operator API's site checks the head as the caller API's does (one function, shared); unknown paths, methods and unexpected errors are typed faults in JSON.

--- /dev/null
+++ b/features/fuzz/operator_api.feature
@@ -0,0 +1,34 @@
+Feature: Whatever bytes an operator sends
+  The operator API answers with a result or with a typed error that names its step, and the
+  replicated state stays readable.
+
+  Background:
+    Given an operator API that is fuzzed, over a control fleet
+
+  Scenario Outline: Bodies of resources
+    When <count> fuzzed bodies of a <kind> come with <method>
+    Then each fuzzed operator call was answered, or refused with a step
+    And the fuzzed state can be listed, and went to every replica alike
+
+    Examples:
+      | method | kind    | count |
+      | PUT    | Service | 150   |
+      | PUT    | Tenant  | 150   |
+      | PUT    | Runner  | 150   |
+      | PATCH  | Tenant  | 150   |
+      | DELETE | Tenant  | 100   |
+
+  Scenario: Submitted jobs
+    When 250 fuzzed jobs are submitted to the operator API
+    Then each fuzzed operator call was answered, or refused with a step
+    And the fuzzed state can be listed, and went to every replica alike
+
+  Scenario: Paths, arguments and methods
+    When 400 fuzzed paths and arguments are called on the operator API
+    Then each fuzzed operator call was answered, or refused with a step
+    And the fuzzed state can be listed, and went to every replica alike
+
+  Scenario: Headers
+    When 200 fuzzed headers come with a list of the operator API
+    Then each fuzzed operator call was answered, or refused with a step
+    And the fuzzed state can be listed, and went to every replica alike
--- a/features/support/control.py
+++ b/features/support/control.py
@@ -8,13 +8,13 @@
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.testing import StringTransportWithDisconnection
-from twisted.web.server import Site
 
 from rainsail.control.config_view import ConfigView
 from rainsail.control.leader_client import LeaderClient
 from rainsail.control.messages import GroupHealth, GroupStatusReply
 from rainsail.control.operator_api import OperatorApi
 from rainsail.control.operator_auth import Caller
+from rainsail.control.operator_site import make_operator_site
 from rainsail.control.service import ControlService
 from rainsail.control.settings import ControlSettings
 from rainsail.control.watcher import WatchHub
@@ -364,7 +364,7 @@
             random=random.Random(replica),
             wall_clock=fleet.clock.seconds,
         )
-        site = Site(self.api.app.resource(), timeout=None)
+        site = make_operator_site(self.api.app.resource())
         self.transport = StringTransportWithDisconnection()
         self.channel = site.buildProtocol(None)
         self.transport.protocol = self.channel
@@ -389,7 +389,7 @@
         self.send(method, path, body)
         self._fleet.wait_until(self._answered)
         head, _, rest = self.transport.value().partition(b"\r\n\r\n")
-        text = b"".join(_chunks(rest)) if b"chunked" in head.lower() else rest
+        text = b"".join(chunks(rest)) if b"chunked" in head.lower() else rest
         return int(head.split()[1]), text
 
     def _answered(self) -> bool:
@@ -406,10 +406,10 @@
     def watch_lines(self) -> list[dict]:
         """Return the lines that a watch has sent so far."""
         rest = self.transport.value().partition(b"\r\n\r\n")[2]
-        return [json.loads(line) for line in b"".join(_chunks(rest)).splitlines()]
+        return [json.loads(line) for line in b"".join(chunks(rest)).splitlines()]
 
 
-def _chunks(data: bytes):
+def chunks(data: bytes):
     """Yield the chunks of a chunked body as far as they are there."""
     while data:
         size, _, data = data.partition(b"\r\n")
--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -9,7 +9,6 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.web.client import Agent
-from twisted.web.server import Site
 
 from rainsail.assembly.folder_lock import FolderLock
 from rainsail.assembly.gateway import GatewayConfig, GatewayNode
@@ -18,6 +17,7 @@
 from rainsail.assembly.replica import ReplicaConfig, ReplicaNode
 from rainsail.assembly.seams import GatewaySeams, NodeSeams, ReplicaSeams
 from rainsail.assembly.served_connections import ServedConnections
+from rainsail.control.operator_site import make_operator_site
 from rainsail.engine.http_client import HttpEngineClient
 from rainsail.errors import Fault
 from rainsail.experiment.trace.recorder import TraceRecorder
@@ -140,7 +140,7 @@
         if listening.is_error():
             return Error(listening.error)
         assert self.node.operator_api is not None
-        site = Site(self.node.operator_api.app.resource(), timeout=HTTP_IDLE_TIMEOUT_S)
+        site = make_operator_site(self.node.operator_api.app.resource(), HTTP_IDLE_TIMEOUT_S)
         self._served = ServedConnections(site, self._seams.clock)
         port = listen_site(self._reactor, site, self._operator_address)
         if port.is_error():
--- a/src/rainsail/control/http_bodies.py
+++ b/src/rainsail/control/http_bodies.py
@@ -4,11 +4,15 @@
 from typing import Any
 
 from expression import Error, Ok, Result
+from twisted.python.failure import Failure
 
 from rainsail.control.resource_json import JsonObject, fault_to_json
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault, FaultCode, Outcome, RainsailError
+from rainsail.logs import logger
 
 STEP = "operator_api.request"
+ROUTE_STEP = "operator_api.route"
+NOT_FOUND_STATUS = 404
 
 
 def answer_json(request: Any, body: Any, status: int = 200) -> bytes:
@@ -25,6 +29,23 @@
     return answer_json(request, fault_to_json(fault), fault.http_status)
 
 
+def answer_no_route(request: Any, failure: Failure) -> bytes:
+    """Answer a path or method that is not served."""
+    error: Any = failure.value
+    code = FaultCode.NOT_FOUND if error.code == NOT_FOUND_STATUS else FaultCode.INVALID
+    return answer_fault(request, Fault(code, ROUTE_STEP, f"{error.code} {error.name}"))
+
+
+def answer_failed(request: Any, failure: Failure) -> bytes:
+    """Answer an error that nobody expected; what came of the call is not known."""
+    if isinstance(failure.value, RainsailError):
+        return answer_fault(request, failure.value.fault)
+    detail = f"{failure.type.__name__ if failure.type else 'error'}: {failure.value}"
+    logger.error(failure.getTraceback())
+    fault = Fault(FaultCode.INTERNAL, ROUTE_STEP, detail, outcome=Outcome.UNKNOWN)
+    return answer_fault(request, fault)
+
+
 def read_json_object(request: Any, max_bytes: int) -> Result[JsonObject, Fault]:
     """Read a JSON object of at most ``max_bytes``; an empty body is an empty object."""
     raw = request.content.read(max_bytes + 1)
@@ -64,6 +85,7 @@
 
 def bearer_token(request: Any) -> str:
     """Return the token of an ``Authorization: Bearer`` header; empty when there is none."""
-    header = request.getHeader("authorization") or ""
+    raw = request.requestHeaders.getRawHeaders(b"authorization") or [b""]
+    header = raw[-1].decode("utf-8", "replace")
     scheme, _, token = header.partition(" ")
     return token.strip() if scheme.lower() == "bearer" else ""
--- a/src/rainsail/gateway/openai/site.py
+++ b/src/rainsail/gateway/openai/site.py
@@ -1,7 +1,6 @@
 """The web site of the caller API: bodies are bounded, texts are UTF-8, before a handler runs."""
 
 from typing import Any
-from urllib.parse import unquote_to_bytes
 
 from twisted.web.server import Request, Site
 
@@ -9,6 +8,7 @@
 from rainsail.gateway.openai.errors import error_body, error_headers
 from rainsail.gateway.openai.responses import encode_json
 from rainsail.gateway.openai.sinks import write_fault
+from rainsail.runtime.http_head import not_utf8
 
 _STEP = "caller_api.body"
 _HEAD_STEP = "caller_api.head"
@@ -53,19 +53,12 @@
         self.method, self.uri = command, path
         self.clientproto = version
         self.path = self.uri.split(b"?", 1)[0]
-        place = self._not_utf8()
+        place = not_utf8(self)
         if place:
             write_fault(self, Fault(FaultCode.INVALID, _HEAD_STEP, f"{place}: expected UTF-8"))
             return
         self.process()
 
-    def _not_utf8(self) -> str:
-        """Return the first part of the head that is no text; empty when all are."""
-        parts = [("method", self.method), ("path", unquote_to_bytes(self.path))]
-        for name, values in self.requestHeaders.getAllRawHeaders():
-            parts += [(name.decode("latin-1"), value) for value in values]
-        return next((name for name, value in parts if not _is_utf8(value)), "")
-
     def _refuse(self) -> None:
         self._refused = True
         detail = f"the body is longer than {self.max_body_bytes} bytes"
@@ -83,14 +76,6 @@
         transport.loseConnection()
 
 
-def _is_utf8(value: bytes) -> bool:
-    try:
-        value.decode()
-    except UnicodeDecodeError:
-        return False
-    return True
-
-
 def make_site(resource: Any, max_body_bytes: int) -> Site:
     """Return a site that serves ``resource`` and bounds bodies."""
 
