--- a/src/rainsail/benchmarks/loopback_replicas.py
+++ b/src/rainsail/benchmarks/loopback_replicas.py
@@ -16,6 +16,7 @@
 from rainsail.control.settings import ControlSettings
 from rainsail.errors import RainsailError
 from rainsail.runtime.clock import MonotonicClock
+from rainsail.storage.interface import FileSystem
 from rainsail.storage.local_files import LocalFileSystem
 from rainsail.wire.address import PeerAddress
 from rainsail.wire.messenger import Messenger, Transport
@@ -28,6 +29,8 @@
 
 Wrap = Callable[[Transport], Transport]
 """Puts a meter between a replica and its transport."""
+OpenFolder = Callable[[Path, Any], FileSystem]
+"""Opens a data folder under a reactor."""
 
 
 def ok(result: Result[Any, Any]) -> Any:
@@ -40,9 +43,17 @@
 class LoopbackReplica:
     """One replica: its folder outlives its starts."""
 
-    def __init__(self, config: ReplicaConfig, folder: Path, reactor: Any, wrap: Wrap) -> None:
+    def __init__(
+        self,
+        config: ReplicaConfig,
+        folder: Path,
+        reactor: Any,
+        wrap: Wrap,
+        open_folder: OpenFolder,
+    ) -> None:
         self.name = config.name
         self._wrap = wrap
+        self._open_folder = open_folder
         self.port = 0
         self.node: ReplicaNode | None = None
         self._config = config
@@ -67,7 +78,7 @@
         clock = MonotonicClock(self._reactor)
         draw = Random(f"{self.name}/{self._starts}")
         seams = NodeSeams(clock, self._wrap(self._transport), draw, lambda: 0.0)
-        files = LocalFileSystem(self._folder, self._reactor)
+        files = self._open_folder(self._folder, self._reactor)
         self.node = ReplicaNode(self._config, ReplicaSeams(seams, files))
         started = yield self.node.start()
         ok(started)
@@ -99,13 +110,18 @@
         reactor: Any,
         consensus: ConsensusSettings | None = None,
         wrap: Wrap = lambda transport: transport,
+        open_folder: OpenFolder = LocalFileSystem,
     ) -> None:
         self.names = tuple(f"r{number + 1}" for number in range(count))
         self._reactor = reactor
         settings = consensus or ConsensusSettings.model_validate({})
         self.replicas = {
             name: LoopbackReplica(
-                ReplicaConfig(name, FLEET, self.names, settings), folder / name, reactor, wrap
+                ReplicaConfig(name, FLEET, self.names, settings),
+                folder / name,
+                reactor,
+                wrap,
+                open_folder,
             )
             for name in self.names
         }
