--- a/src/rainsail/simulation/fault_plan.py
+++ b/src/rainsail/simulation/fault_plan.py
@@ -117,7 +117,9 @@
 
 
 def _duration_range_s(kind: FaultKind) -> tuple[float, float]:
-    return (12.0, 30.0) if kind in _LONG_KINDS else (1.0, 12.0)
+    if kind in _LONG_KINDS:
+        return (12.0, 30.0)
+    return (1.0, 30.0) if kind == FaultKind.REPLICA_CRASH else (1.0, 12.0)
 
 
 def _draw_target(draw: random.Random, kind: FaultKind, targets: FaultTargets) -> str:
--- a/src/rainsail/simulation/fleet.py
+++ b/src/rainsail/simulation/fleet.py
@@ -5,6 +5,7 @@
 from rainsail.assembly.gateway import GatewayConfig, GatewayNode
 from rainsail.assembly.replica import ReplicaConfig
 from rainsail.batch.settings import BatchSettings
+from rainsail.consensus.settings import ConsensusSettings
 from rainsail.control.leader_client import LeaderClient
 from rainsail.control.settings import ControlSettings
 from rainsail.emulator.engine import EmulatedEngine
@@ -25,6 +26,7 @@
 from rainsail.simulation.network import LinkConditions, SimulatedNetwork
 from rainsail.simulation.processes import GatewayProcess, ReplicaProcess, World
 from rainsail.simulation.site_plan import USER_ONE_WAY_S, SitePlan
+from rainsail.state.settings import StateSettings
 from rainsail.wire.messenger import Messenger
 
 SAME_ZONE_ONE_WAY_S = 0.0002
@@ -32,6 +34,18 @@
 OPERATOR_NAMES = ("operator-1", "operator-2", "operator-watch")
 
 
+SHORT_LOGS = ConsensusSettings(
+    snapshot_log_entries=150,
+    retained_entries=40,
+    snapshot_chunk_bytes=4096,
+    caught_up_entries=50,
+    promotion_lag_entries=20,
+)
+"""A minute of traffic is several snapshots long, so that whoever was away needs one."""
+SHORT_WINDOWS = StateSettings(event_window_count=40, snapshot_chunk_bytes=2048)
+"""Watches that were away for half a minute find their revision compacted."""
+
+
 class SimulatedFleet:
     """Builds a site's processes and users; the injector and the run act on it."""
 
@@ -65,7 +79,14 @@
         names = tuple(f"replica-{number + 1}" for number in range(len(self.site.replica_zones)))
         replicas = {}
         for name, zone_number in zip(names, self.site.replica_zones, strict=True):
-            config = ReplicaConfig(name, FLEET_NAME, names, batch=self._batch_settings())
+            config = ReplicaConfig(
+                name,
+                FLEET_NAME,
+                names,
+                consensus=SHORT_LOGS,
+                state=SHORT_WINDOWS,
+                batch=self._batch_settings(),
+            )
             zone = self.site.zones[zone_number]
             replicas[name] = ReplicaProcess(self.world, name, zone, config, self.machines)
         return replicas
