Split the member's driver by job; answer reads that wait at a member that stops

Change: proposals, read barriers, the announcing of leadership, the timer and the log lines have modules of their own; stopping ends every open barrier with a typed fault. The new scenario fails with the ending of barriers taken out.

--- a/features/consensus/leadership.feature
+++ b/features/consensus/leadership.feature
@@ -90,3 +90,10 @@
     When the consensus member restarts with what it has stored
     And another candidate asks the consensus member for its vote in term 6 after 2.0 seconds
     Then the consensus member refuses its vote
+
+  Scenario: What waits at a member that stops is answered at once
+    Given a consensus group of 3 replicas
+    When the leader of the consensus group is cut off in silence
+    And the cut-off leader's lease is over and a read and a number wait at it in the consensus group
+    And that member of the consensus group is stopped
+    Then the read and the number at the stopped member of the consensus group have ended with faults
--- a/features/steps/consensus_leadership_steps.py
+++ b/features/steps/consensus_leadership_steps.py
@@ -278,3 +278,31 @@
 def restart_member(context):
     """A new process on the same disk."""
     context.consensus_member.start()
+
+
+@when(
+    "the cut-off leader's lease is over and a read and a number wait at it in the consensus group"
+)
+def wait_at_cut_off(context):
+    """Between the lease's end and the moment at which the leader steps down."""
+    group = context.consensus
+    name = context.consensus_cut
+    while group.driver(name).is_leader():
+        group.run_for(0.01)
+    assert group.believes_to_lead(name), "it stepped down before its lease was over"
+    context.consensus_waiting = [group.read(name), group.propose(name, 7_777)]
+    assert not any(context.consensus_waiting)
+
+
+@when("that member of the consensus group is stopped")
+def stop_member(context):
+    """As after a fatal fault."""
+    context.consensus.driver(context.consensus_cut).stop()
+
+
+@then("the read and the number at the stopped member of the consensus group have ended with faults")
+def waiting_ended(context):
+    """Nobody waits for a member that is gone."""
+    for answers in context.consensus_waiting:
+        (answer,) = answers
+        assert answer.error.code == FaultCode.NOT_LEADER, answer
--- a/src/rainsail/consensus/applier.py
+++ b/src/rainsail/consensus/applier.py
@@ -124,6 +124,12 @@
             read.done.callback(Ok(self.applied_index))
 
 
+def leadership_lost(leader: str) -> Fault:
+    """Return the fault of what was appended and not applied when leadership ended."""
+    detail = "leadership was lost while the entry was under way"
+    return Fault(FaultCode.NOT_LEADER, "consensus.propose", detail, leader, Outcome.UNKNOWN)
+
+
 def overruled() -> Fault:
     """Return the fault of a proposal whose entry another leader replaced."""
     return Fault(
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -3,18 +3,21 @@
 import random as random_module
 from collections import deque
 from collections.abc import Callable
-from typing import Any
 
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, succeed
 
 from rainsail.consensus import repair
-from rainsail.consensus.applier import Applier, Proposal, ProposalResult
+from rainsail.consensus.applier import Applier, ProposalResult, leadership_lost
 from rainsail.consensus.core import ConsensusCore
 from rainsail.consensus.core_state import Role
 from rainsail.consensus.effects import Effects, Outgoing
+from rainsail.consensus.leadership import Leadership
+from rainsail.consensus.member_log import log_acknowledged_lost, log_stranger
 from rainsail.consensus.membership import Membership, MemberSpec
 from rainsail.consensus.messages import GroupMessage
+from rainsail.consensus.proposal_queue import ProposalQueue
+from rainsail.consensus.read_barriers import ReadBarriers
 from rainsail.consensus.recovery import recover_log
 from rainsail.consensus.router import GroupRouter
 from rainsail.consensus.settings import ConsensusSettings
@@ -22,15 +25,14 @@
 from rainsail.consensus.status import status_reply
 from rainsail.consensus.sync_queue import SyncQueue
 from rainsail.consensus.sync_watch import SyncWatch
+from rainsail.consensus.wake_timer import WakeTimer
 from rainsail.control.messages import GroupStatusReply
-from rainsail.errors import Fault, FaultCode, Outcome
-from rainsail.logs import logger
+from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.clock import Clock
-from rainsail.state.commands import Command, CommandRecord, GroupId
+from rainsail.state.commands import Command, GroupId
 from rainsail.state.interface import StateMachine
 from rainsail.storage.identity import ReplicaIdentity
 from rainsail.storage.interface import GroupStorage
-from rainsail.wire.codec import encode
 from rainsail.wire.messenger import Messenger
 
 
@@ -85,17 +87,15 @@
         )
         self._effects: deque[Effects] = deque()
         self._taking = False
-        self._proposals: list[Proposal] = []
-        self._flush_planned = False
         self._apply_planned = False
-        self._timer: Any = None
-        self._timer_due_s = float("inf")
+        self._timer = WakeTimer(clock, self._wake)
         self._stopped = False
-        self._announced = False
-        self._leadership_listeners: list[Callable[[bool], None]] = []
+        self._leadership = Leadership()
         self._fatal_listeners: list[Callable[[Fault], None]] = []
-        self._next_read = 0
-        self._reads: dict[int, Deferred[Result[int, Fault]]] = {}
+        self._reads = ReadBarriers(self._applier)
+        self._proposals = ProposalQueue(
+            self.core, self._applier, self._sync_queue, clock, self._take, self._not_leader
+        )
 
     # --- life cycle ----------------------------------------------------------------------
 
@@ -112,10 +112,10 @@
         self._router.remove(self.group)
         self._sync_queue.stop()
         self._snapshots.stop()
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        self._timer.cancel()
         self._end_leadership()
-        self._fail_queued()
+        self._proposals.stop()
+        self._reads.fail_all(self._not_leader("consensus.read_barrier"))
 
     def on_fatal(self, listener: Callable[[Fault], None]) -> None:
         """Call ``listener`` when this member had to stop: its storage can't be trusted."""
@@ -132,7 +132,7 @@
 
     def is_leader(self) -> bool:
         """Tell whether this replica leads, has applied its first entry and holds the lease."""
-        if self._stopped or not self._announced:
+        if self._stopped or not self._leadership.announced:
             return False
         return self.core.holds_lease(self._clock.seconds())
 
@@ -150,25 +150,11 @@
 
     def on_leadership(self, listener: Callable[[bool], None]) -> None:
         """Call ``listener(True)`` when leadership begins, ``listener(False)`` when it ends."""
-        self._leadership_listeners.append(listener)
+        self._leadership.listen(listener)
 
     def propose(self, command: Command) -> "Deferred[ProposalResult]":
         """Commit and apply a command; fires with (index, outcome) or a fault."""
-        fault = self._proposal_refusal()
-        if fault is not None:
-            return succeed(Error(fault))
-        payload = encode(CommandRecord(command))
-        done: Deferred[ProposalResult] = Deferred()
-        self._proposals.append(Proposal(command, payload, done))
-        self._plan_flush()
-        return done
-
-    def _proposal_refusal(self) -> Fault | None:
-        if self._stopped or self.core.state.role != Role.LEADER:
-            return self._not_leader("consensus.propose")
-        if self._applier.waiting + len(self._proposals) >= self.settings.max_waiting_proposals:
-            return Fault(FaultCode.OVERLOADED, "consensus.propose", "too many proposals under way")
-        return None
+        return self._proposals.propose(command)
 
     def _not_leader(self, step: str) -> Fault:
         detail = "stopped" if self._stopped else "not the leader"
@@ -178,10 +164,8 @@
         """Fire with an applied index that covers everything committed when it was called."""
         if self._stopped:
             return succeed(Error(self._not_leader("consensus.read_barrier")))
-        done: Deferred[Result[int, Fault]] = Deferred()
-        self._next_read += 1
-        self._reads[self._next_read] = done
-        self._take(self.core.read(self._next_read, self._clock.seconds()))
+        request, done = self._reads.open()
+        self._take(self.core.read(request, self._clock.seconds()))
         return done
 
     def status(self) -> GroupStatusReply:
@@ -199,14 +183,7 @@
         if not begun:
             return succeed(Error(Fault(FaultCode.UNAVAILABLE, step, "no other voter is there")))
         done: Deferred[Result[None, Fault]] = Deferred()
-
-        def ended(leads: bool) -> None:
-            if not leads:
-                self._leadership_listeners.remove(ended)
-                done.callback(Ok(None))
-
-        self._announced = True
-        self._leadership_listeners.append(ended)
+        self._leadership.when_over(lambda: done.callback(Ok(None)))
         self._take(effects)
         return done
 
@@ -222,63 +199,21 @@
         if self._stopped:
             return
         if source not in self._replicas:
-            detail = f"{type(message).__name__} from a process that is no replica of the group"
-            logger.warning(str(Fault(FaultCode.FORBIDDEN, "consensus.receive", detail, source)))
+            log_stranger(source, message)
             return
         self._take(self.core.receive(source, message, self._clock.seconds()))
 
     def _synced(self, sequence: int) -> None:
         self._take(self.core.synced(sequence, self._clock.seconds()))
-        if self._proposals:
-            self._plan_flush()
-
-    def _plan_flush(self) -> None:
-        if not self._flush_planned:
-            self._flush_planned = True
-            self._clock.callLater(0, self._flush)
-
-    def _flush(self) -> None:
-        """Append what was proposed; while a sync runs the next batch gathers behind it."""
-        self._flush_planned = False
-        if self._stopped or not self._proposals or self._sync_queue.busy:
-            return
-        proposals = self._proposals
-        self._proposals = []
-        payloads = [proposal.payload for proposal in proposals]
-        first, effects = self.core.propose(payloads, self._clock.seconds())
-        if first == 0:
-            self._refuse(proposals)
-            return
-        for offset, proposal in enumerate(proposals):
-            self._applier.expect(first + offset, self.core.state.term, proposal)
-        self._take(effects)
-
-    def _refuse(self, proposals: list[Proposal]) -> None:
-        fault = self._not_leader("consensus.propose")
-        for proposal in proposals:
-            proposal.done.callback(Error(fault))
-
-    def _fail_queued(self) -> None:
-        proposals = self._proposals
-        self._proposals = []
-        self._refuse(proposals)
+        self._proposals.synced()
 
     # --- timers --------------------------------------------------------------------------
 
     def _arm(self) -> None:
-        if self._stopped:
-            return
-        due_s = self.core.next_wakeup_s()
-        if self._timer is not None and self._timer.active():
-            if self._timer_due_s <= due_s:
-                return
-            self._timer.cancel()
-        self._timer_due_s = due_s
-        delay_s = max(0.0, due_s - self._clock.seconds())
-        self._timer = self._clock.callLater(delay_s, self._wake)
+        if not self._stopped:
+            self._timer.arm(self.core.next_wakeup_s())
 
     def _wake(self) -> None:
-        self._timer = None
         if self._stopped:
             return
         now = self._clock.seconds()
@@ -324,27 +259,14 @@
         if effects.commit_index:
             self._applier.commit_index = max(self._applier.commit_index, effects.commit_index)
             self._plan_apply()
-        self._answer_reads(effects)
+        self._reads.answer(effects, self._not_leader)
         for lost in effects.acknowledged_lost:
-            logger.error(
-                "{} lost entries that it had acknowledged as synced: it holds {} of {}; "
-                "replace its disk",
-                lost.replica,
-                lost.holds_index,
-                lost.acknowledged_index,
-            )
+            log_acknowledged_lost(lost)
 
     def _send(self, messages: list[Outgoing]) -> None:
         for outgoing in messages:
             self._router.send(outgoing.replica, outgoing.message)
 
-    def _answer_reads(self, effects: Effects) -> None:
-        for ready in effects.reads_ready:
-            self._applier.wait_applied(ready.index, self._reads.pop(ready.request))
-        for request in effects.reads_failed:
-            fault = self._not_leader("consensus.read_barrier")
-            self._reads.pop(request).callback(Error(fault))
-
     def _plan_apply(self) -> None:
         if not self._apply_planned:
             self._apply_planned = True
@@ -366,24 +288,13 @@
 
     def _announce_leadership(self) -> None:
         state = self.core.state
-        if self._announced or state.role != Role.LEADER:
+        if self._leadership.announced or state.role != Role.LEADER:
             return
         if self._applier.applied_index >= state.term_start_index:
-            self._announced = True
-            for listener in list(self._leadership_listeners):
-                listener(True)
+            self._leadership.begin()
 
     def _end_leadership(self) -> None:
-        fault = Fault(
-            FaultCode.NOT_LEADER,
-            "consensus.propose",
-            "leadership was lost while the entry was under way",
-            self.core.state.leader_replica,
-            Outcome.UNKNOWN,
-        )
+        fault = leadership_lost(self.core.state.leader_replica)
         self._applier.fail_waiting(fault)
-        self._fail_queued()
-        if self._announced:
-            self._announced = False
-            for listener in list(self._leadership_listeners):
-                listener(False)
+        self._proposals.refuse_all()
+        self._leadership.end()
--- /dev/null
+++ b/src/rainsail/consensus/leadership.py
@@ -0,0 +1,42 @@
+"""Tells listeners when a member's leadership begins and ends."""
+
+from collections.abc import Callable
+
+Listener = Callable[[bool], None]
+
+
+class Leadership:
+    """Whether the member's leadership has been announced, and to whom."""
+
+    def __init__(self) -> None:
+        self.announced = False
+        self._listeners: list[Listener] = []
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener(True)`` when leadership begins, ``listener(False)`` when it ends."""
+        self._listeners.append(listener)
+
+    def when_over(self, call: Callable[[], None]) -> None:
+        """Call once when leadership ends, also when it was never announced."""
+
+        def ended(leads: bool) -> None:
+            if not leads:
+                self._listeners.remove(ended)
+                call()
+
+        self.announced = True
+        self._listeners.append(ended)
+
+    def begin(self) -> None:
+        """Announce that leadership has begun."""
+        self.announced = True
+        for listener in list(self._listeners):
+            listener(True)
+
+    def end(self) -> None:
+        """Announce that leadership has ended, if it was announced."""
+        if not self.announced:
+            return
+        self.announced = False
+        for listener in list(self._listeners):
+            listener(False)
--- /dev/null
+++ b/src/rainsail/consensus/member_log.py
@@ -0,0 +1,22 @@
+"""What a member tells the operator in its log."""
+
+from rainsail.consensus.effects import AcknowledgedLost
+from rainsail.consensus.messages import GroupMessage
+from rainsail.errors import Fault, FaultCode
+from rainsail.logs import logger
+
+
+def log_acknowledged_lost(lost: AcknowledgedLost) -> None:
+    """Say which disk has to be replaced."""
+    logger.error(
+        "{} lost entries that it had acknowledged as synced: it holds {} of {}; replace its disk",
+        lost.replica,
+        lost.holds_index,
+        lost.acknowledged_index,
+    )
+
+
+def log_stranger(source: str, message: GroupMessage) -> None:
+    """Say who speaks consensus without being one of the group's replicas."""
+    detail = f"{type(message).__name__} from a process that is no replica of the group"
+    logger.warning(str(Fault(FaultCode.FORBIDDEN, "consensus.receive", detail, source)))
--- /dev/null
+++ b/src/rainsail/consensus/proposal_queue.py
@@ -0,0 +1,102 @@
+"""Proposals of one member: gathered while a sync runs, appended as one batch behind it."""
+
+from collections.abc import Callable
+
+from expression import Error
+from twisted.internet.defer import Deferred, succeed
+
+from rainsail.consensus.applier import Applier, Proposal, ProposalResult
+from rainsail.consensus.core import ConsensusCore
+from rainsail.consensus.core_state import Role
+from rainsail.consensus.effects import Effects
+from rainsail.consensus.sync_queue import SyncQueue
+from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.clock import Clock
+from rainsail.state.commands import Command, CommandRecord
+from rainsail.wire.codec import encode
+
+STEP = "consensus.propose"
+
+
+class ProposalQueue:
+    """What was proposed and is not appended yet."""
+
+    def __init__(
+        self,
+        core: ConsensusCore,
+        applier: Applier,
+        sync_queue: SyncQueue,
+        clock: Clock,
+        take: Callable[[Effects], None],
+        not_leader: Callable[[str], Fault],
+    ) -> None:
+        self._core = core
+        self._applier = applier
+        self._sync_queue = sync_queue
+        self._clock = clock
+        self._take = take
+        self._not_leader = not_leader
+        self._waiting: list[Proposal] = []
+        self._flush_planned = False
+        self._stopped = False
+
+    def propose(self, command: Command) -> "Deferred[ProposalResult]":
+        """Commit and apply a command; fires with (index, outcome) or a fault."""
+        fault = self._refusal()
+        if fault is not None:
+            return succeed(Error(fault))
+        payload = encode(CommandRecord(command))
+        done: Deferred[ProposalResult] = Deferred()
+        self._waiting.append(Proposal(command, payload, done))
+        self._plan_flush()
+        return done
+
+    def synced(self) -> None:
+        """Go on after a sync: what has gathered behind it may be appended."""
+        if self._waiting:
+            self._plan_flush()
+
+    def refuse_all(self) -> None:
+        """Answer what is not appended yet as not run."""
+        waiting = self._waiting
+        self._waiting = []
+        self._refuse(waiting)
+
+    def stop(self) -> None:
+        """Take nothing any more; what waits is answered as not run."""
+        self._stopped = True
+        self.refuse_all()
+
+    def _refusal(self) -> Fault | None:
+        if self._stopped or self._core.state.role != Role.LEADER:
+            return self._not_leader(STEP)
+        limit = self._core.state.settings.max_waiting_proposals
+        if self._applier.waiting + len(self._waiting) >= limit:
+            return Fault(FaultCode.OVERLOADED, STEP, "too many proposals under way")
+        return None
+
+    def _plan_flush(self) -> None:
+        if not self._flush_planned:
+            self._flush_planned = True
+            self._clock.callLater(0, self._flush)
+
+    def _flush(self) -> None:
+        """Append what was proposed; while a sync runs the next batch gathers behind it."""
+        self._flush_planned = False
+        if self._stopped or not self._waiting or self._sync_queue.busy:
+            return
+        proposals = self._waiting
+        self._waiting = []
+        payloads = [proposal.payload for proposal in proposals]
+        first, effects = self._core.propose(payloads, self._clock.seconds())
+        if first == 0:
+            self._refuse(proposals)
+            return
+        for offset, proposal in enumerate(proposals):
+            self._applier.expect(first + offset, self._core.state.term, proposal)
+        self._take(effects)
+
+    def _refuse(self, proposals: list[Proposal]) -> None:
+        fault = self._not_leader(STEP)
+        for proposal in proposals:
+            proposal.done.callback(Error(fault))
