Let the daemons' dispatchers see the prompts that wait for prefill

Cause: only the experiment sent its online attempts through the prefill meter. A real gateway's policy never saw a waiting prompt and so never stepped aside for one.

Change: the gateway's assembly puts the meter before its engine client. The fleet view answers how much of a prompt an engine likely has cached, by address; the experiment's own look-up, which took the runner's name for the address, is gone.

Conclusion: the experiment and the daemons now run the same code.

--- a/src/rainsail/assembly/gateway.py
+++ b/src/rainsail/assembly/gateway.py
@@ -10,6 +10,7 @@
 from rainsail.batch.dispatcher import Dispatcher
 from rainsail.batch.intake import JobIntake
 from rainsail.batch.policies import make_policy
+from rainsail.batch.prefill_meter import OnlinePrefillMeter
 from rainsail.batch.settings import BatchSettings
 from rainsail.control.config_view import ConfigView
 from rainsail.control.leader_client import LeaderClient
@@ -65,13 +66,14 @@
             node.random,
             config.gateway,
         )
+        prefill = OnlinePrefillMeter(seams.engine, self.fleet.cached_tokens)
         self.core = GatewayCore(
             config.name,
             self.incarnation,
             config.zone,
             self.view,
             self.client,
-            seams.engine,
+            prefill,
             self.fleet,
             node.clock,
             node.random,
@@ -100,6 +102,7 @@
             node.random,
             config.batch,
             make_policy(config.batch),
+            prefill,
         )
 
     def start(self) -> None:
--- a/src/rainsail/experiment/site_fleet.py
+++ b/src/rainsail/experiment/site_fleet.py
@@ -6,11 +6,10 @@
 from rainsail.batch.dispatcher import Dispatcher
 from rainsail.batch.intake import JobIntake
 from rainsail.batch.policies import make_policy
-from rainsail.batch.prefill_meter import CachedTokens, OnlinePrefillMeter
+from rainsail.batch.prefill_meter import OnlinePrefillMeter
 from rainsail.batch.settings import BatchSettings
 from rainsail.emulator.settings import EngineSettings
 from rainsail.emulator.weight_store import WeightStore
-from rainsail.engine.prefix import BLOCK_TOKENS, block_hashes
 from rainsail.experiment.local_config import LocalConfig
 from rainsail.experiment.local_control import LocalControl
 from rainsail.experiment.metered_engine import MeteredEngine
@@ -139,7 +138,7 @@
             self._random(f"{name}/fleet"),
             settings,
         )
-        prefill = OnlinePrefillMeter(engine, _cached_tokens(fleet))
+        prefill = OnlinePrefillMeter(engine, fleet.cached_tokens)
         core = GatewayCore(
             name,
             "1",
@@ -172,17 +171,5 @@
         return SiteGateway(name, zone, core, intake, dispatcher)
 
 
-def _cached_tokens(fleet: RunnerFleet) -> CachedTokens:
-    """Look prompts up in the fleet's lagged view of the engines' prefix caches."""
-
-    def cached_tokens(address: str, prompt: str) -> int:
-        state = fleet.runner(address)
-        if state is None:
-            return 0
-        return state.cache.matched_blocks(block_hashes(prompt)) * BLOCK_TOKENS
-
-    return cached_tokens
-
-
 def _zone_name(zone: int) -> str:
     return f"zone-{zone}"
--- a/src/rainsail/gateway/fleet.py
+++ b/src/rainsail/gateway/fleet.py
@@ -6,6 +6,7 @@
 from rainsail.batch.interface import RunnerView
 from rainsail.control.interface import ConfigReader
 from rainsail.engine.interface import CacheEvent, EndReason, EngineClient, LoadReport
+from rainsail.engine.prefix import BLOCK_TOKENS, block_hashes
 from rainsail.gateway import runner_state
 from rainsail.gateway.batch_view import batch_view
 from rainsail.gateway.ejection import may_put_out
@@ -51,6 +52,7 @@
         self._settings = settings.fleet
         self._runners = RunnerIndex()
         self._feeds: dict[str, EngineFeed] = {}
+        self._at_address: dict[str, RunnerState] = {}
         self._eligible = EligibleCache(zone)
         self._ownership = Ownership(gateway)
         self._followed = FollowedRunners(
@@ -98,6 +100,13 @@
         now_s = self._clock.seconds()
         return self._eligible.get(self.runners_of(service), service, now_s, batch, adapter)
 
+    def cached_tokens(self, address: str, prompt: str) -> int:
+        """Return how many leading tokens of a prompt the engine at an address likely has cached."""
+        state = self._at_address.get(address)
+        if state is None:
+            return 0
+        return state.cache.matched_blocks(block_hashes(prompt)) * BLOCK_TOKENS
+
     def owned_runners(self) -> list[RunnerState]:
         """Return the runners that this gateway owns, in name order."""
         return [state for state in self.runners() if state.owned]
@@ -245,12 +254,14 @@
         feed = self._feeds.pop(name, None)
         if feed is not None:
             feed.stop()
+            self._at_address.pop(feed.address, None)
         self._changed(name)
 
     def _open_feed(self, state: RunnerState) -> None:
         old = self._feeds.pop(state.name, None)
         if old is not None:
             old.stop()
+            self._at_address.pop(old.address, None)
         feed = EngineFeed(
             state.spec.address,
             self._engine,
@@ -262,6 +273,7 @@
             on_lost=state.cache.lost,
         )
         self._feeds[state.name] = feed
+        self._at_address[state.spec.address] = state
         feed.start()
 
     def _take_report(self, state: RunnerState, report: LoadReport) -> None:
