Keep the decision that places a session, to be explained

Cause: turns of a session go to the runner that holds it without a decision of their own, so rainsail explain could not tell why one ran where it did. Change: the choice of a session's runner goes into the gateway's ring as session/NAME.

--- a/features/gateway/sessions.feature
+++ b/features/gateway/sessions.feature
@@ -6,6 +6,7 @@
     When 3 turns of "container-7" are taken through gateway 0
     Then every turn of "container-7" has the answer that its transcript gives
     And the record of "container-7" holds 3 turns under fence 1
+    And the place of "container-7" is explained to its tenant by 1 decision with 2 candidates
 
   Scenario: Turns sent at once are run one after the other
     Given a gateway fleet of 3 runners and 1 gateway
--- a/features/steps/gateway_session_steps.py
+++ b/features/steps/gateway_session_steps.py
@@ -226,3 +226,17 @@
 @then("no cache of a session was imported")
 def none_imported(context):
     assert not context.imports, context.imports
+
+
+@then(
+    'the place of "{name}" is explained to its tenant by {count:d} decision '
+    "with {candidates:d} candidates"
+)
+def place_explained(context, name, count, candidates):
+    core = context.fleet.gateways[0].core
+    spec = context.fleet.state.get(ResourceKey(Kind.SESSION, name)).spec
+    decisions = core.explain(f"session/{name}", spec.tenant)
+    assert len(decisions) == count, decisions
+    assert len(decisions[0].candidates) == candidates, decisions
+    assert decisions[0].runner == _view(context, name).runner, decisions
+    assert core.explain(f"session/{name}", "another-tenant") == ()
--- a/src/rainsail/cli/explain.py
+++ b/src/rainsail/cli/explain.py
@@ -27,7 +27,8 @@
     An operator's key sees every request, a tenant's key that tenant's.
 
     Args:
-        request_id: The request's Idempotency-Key, or the id of its answer.
+        request_id: The request's Idempotency-Key or the id of its answer; session/NAME tells why
+            a session is where it is, as its turns go there without a decision of their own.
         address: IP:PORT of the gateway's caller API (else RAINSAIL_ADDRESS).
         output: table or json.
     """
--- a/src/rainsail/gateway/core.py
+++ b/src/rainsail/gateway/core.py
@@ -70,6 +70,7 @@
         self._settings = settings
         self._quotas = TenantQuotas(gateway, config, control, clock, random, settings.admission)
         holder = f"{gateway}/{incarnation}"
+        decisions = DecisionRing(settings.routing.explained_decisions)
         self._context = RunContext(
             gateway=gateway,
             incarnation=incarnation,
@@ -80,10 +81,10 @@
             admission=Admission(self._quotas, self._slots, clock, settings.admission),
             claims=ClaimKeeper(control, settings.retry),
             sessions=SessionKeeper(
-                holder, zone, config, control, engine, fleet, clock, random, settings
+                holder, zone, config, control, engine, fleet, clock, random, settings, decisions
             ),
             canceller=Canceller(engine, clock),
-            decisions=DecisionRing(settings.routing.explained_decisions),
+            decisions=decisions,
             clock=clock,
             random=random,
             settings=settings,
@@ -131,6 +132,22 @@
         """How many requests have not had their final answer."""
         return len(self._runs)
 
+    @property
+    def requests_waiting(self) -> int:
+        """How many requests wait for a slot or for their tenant's tokens."""
+        return self._context.admission.waiting_everywhere()
+
+    @property
+    def sessions_held(self) -> int:
+        """How many sessions this gateway holds by their highest fence."""
+        return len(self._context.sessions.held())
+
+    @property
+    def retries_left(self) -> float:
+        """How many retries the service with the smallest budget may still send."""
+        budgets = [budget.saved for budget in self._context.budgets.values()]
+        return min(budgets, default=self._settings.retry.budget_burst)
+
     def _refusal(self, request: CallerRequest) -> Fault | None:
         if self._drain_started_s is not None or self._drained_by_resource():
             return drain.stopping_fault(self._settings.drain.retry_after_s)
--- a/src/rainsail/gateway/session_placement.py
+++ b/src/rainsail/gateway/session_placement.py
@@ -11,6 +11,7 @@
 from rainsail.engine.interface import EngineClient, KvState
 from rainsail.engine.prefix import block_hashes
 from rainsail.errors import Fault, FaultCode
+from rainsail.gateway.decision_ring import DecisionRing
 from rainsail.gateway.fleet import RunnerFleet
 from rainsail.gateway.router import choose_runner
 from rainsail.gateway.session_order import LiveSession
@@ -55,8 +56,10 @@
         clock: Clock,
         random: Random,
         settings: GatewaySettings,
+        decisions: DecisionRing,
     ) -> None:
         self.holder = holder
+        self._decisions = decisions
         self._zone = zone
         self._control = control
         self._engine = engine
@@ -126,7 +129,10 @@
         return self._fleet.leaving(runner)
 
     def choose(self, session: LiveSession, view: SessionView, failed: tuple[str, ...]) -> str:
-        """Return the best runner for a session (empty: none), rather not one of ``failed``."""
+        """Return the best runner for a session (empty: none), rather not one of ``failed``.
+
+        The decision is kept under ``session/NAME``, to be explained.
+        """
         now_s = self._clock.seconds()
         runners = self._fleet.eligible(session.spec.service, False, session.spec.adapter)
         decision = choose_runner(
@@ -139,6 +145,7 @@
             self._random,
             self._settings.routing,
         )
+        self._decisions.add(session.spec.tenant, decision)
         return decision.runner
 
     async def _attach(
--- a/src/rainsail/gateway/sessions.py
+++ b/src/rainsail/gateway/sessions.py
@@ -15,6 +15,7 @@
 from rainsail.control.interface import ConfigReader, ControlClient
 from rainsail.engine.interface import EngineClient
 from rainsail.errors import Fault, FaultCode
+from rainsail.gateway.decision_ring import DecisionRing
 from rainsail.gateway.fleet import RunnerFleet
 from rainsail.gateway.interface import CallerRequest
 from rainsail.gateway.session_order import LiveSession, SessionTurn
@@ -44,12 +45,13 @@
         clock: Clock,
         random: Random,
         settings: GatewaySettings,
+        decisions: DecisionRing,
     ) -> None:
         self._config = config
         self._control = control
         self._settings = settings.session
         self._placement = SessionPlacement(
-            holder, zone, control, engine, fleet, clock, random, settings
+            holder, zone, control, engine, fleet, clock, random, settings, decisions
         )
         self._live: dict[str, LiveSession] = {}
         fleet.on_change(self._runner_changed)
