Tell from outside under which revision gateways serve, in the rig

Cause: the checkers of configuration in force and of falling revisions had nothing to read in a run of real daemons. Change: a tenant's key is exchanged every 3 s and gateways are asked for work under the newest and older keys; what they take is recorded as the revision that it proves.

--- a/rig/operators.py
+++ b/rig/operators.py
@@ -26,6 +26,8 @@
 MOST_OPEN_READS = 24
 """Reads that may hang at paused replicas at a time."""
 RESEND_PROBABILITY = 0.2
+REFUSED = 0
+"""In the place of the revision of a change that another one came before."""
 
 
 class Operator:
@@ -61,10 +63,10 @@
 
     async def declare(self, kind: Kind, name: str, spec: dict[str, Any]) -> bool:
         """Declare a resource that does not exist yet; return whether it was accepted."""
-        return await self.put(kind, name, spec, MUST_NOT_EXIST)
+        return await self.put(kind, name, spec, MUST_NOT_EXIST) != REFUSED
 
-    async def put(self, kind: Kind, name: str, spec: dict[str, Any], expected: int) -> bool:
-        """Replace a spec; return whether the change was accepted."""
+    async def put(self, kind: Kind, name: str, spec: dict[str, Any], expected: int) -> int:
+        """Replace a spec; return the revision at which it was accepted, or ``REFUSED``."""
         self.changes += 1
         change_id = f"{self._name}-{self.changes}"
         body: dict[str, Any] = {"change_id": change_id, "spec": spec}
@@ -80,7 +82,7 @@
             await self._answered(change_id, resource, f"/v1/resources/{resource}", body)
         return accepted
 
-    async def _answered(self, change_id: str, resource: str, path: str, body: Any) -> bool:
+    async def _answered(self, change_id: str, resource: str, path: str, body: Any) -> int:
         """Send until there is a final answer, and record it."""
         while True:
             reply = await self.call("PUT", path, body)
@@ -98,7 +100,7 @@
                 now_s, self._name, change_id, resource, accepted, revision, fault.get("code", "")
             )
         )
-        return accepted
+        return revision if accepted else REFUSED
 
 
 class OperatorTraffic:
--- a/rig/run.py
+++ b/rig/run.py
@@ -6,7 +6,7 @@
 from dataclasses import asdict, dataclass, replace
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred, FirstError, gatherResults
 
@@ -40,12 +40,29 @@
 from rig.layout import SiteLayout
 from rig.operators import OperatorTraffic
 from rig.plan import Lane, RunPlan, lanes
+from rig.rotation import KeyRotation
 from rig.sessions import SessionTraffic
 
 COLD_START = "cold_start"
 """The start of every process counts as a failure: a new leader waits out earlier leases."""
 
 
+class Traffic(Protocol):
+    """One kind of the site's users."""
+
+    def start(self) -> None:
+        """Begin."""
+        ...
+
+    def stop(self) -> None:
+        """Begin nothing further."""
+        ...
+
+    def settled(self) -> bool:
+        """Tell whether everything begun has its end."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class RigResult:
     """What a run came to; the last line of the command."""
@@ -66,6 +83,8 @@
     not_run: int
     unknown: int
     changes: int
+    configuration_probes: int
+    configuration_probes_taken: int
     took_s: float
 
 
@@ -102,10 +121,14 @@
         self._callers = CallerTraffic(self._users, mixes, self._failed)
         self._jobs = JobTraffic(self._users, jobs, self._failed)
         self._operators = OperatorTraffic(self._users, self._failed)
+        self._rotation = KeyRotation(self._users, self._operators.first, jobs.service, self._failed)
         self._sessions = SessionTraffic(
             self._users, self._operators.first, jobs.service, self._plan.sessions, self._failed
         )
 
+    def _traffic(self) -> tuple[Traffic, ...]:
+        return (self._callers, self._jobs, self._operators, self._sessions, self._rotation)
+
     def _failed(self, failure: Any) -> None:
         """A user's own code failed: the run can't be trusted."""
         self._failures.append(failure.getTraceback())
@@ -163,7 +186,7 @@
         return await self._callers.call(planned, gateway) == Outcome.COMPLETED
 
     async def _load_and_fail(self, say: Callable[[str], None]) -> None:
-        traffic = (self._callers, self._jobs, self._operators, self._sessions)
+        traffic = self._traffic()
         for each in traffic:
             each.start()
         begun_s = self._clock.seconds()
@@ -202,8 +225,7 @@
     async def _settled(self) -> bool:
         if self._failures:
             raise RuntimeError(self._failures[0])
-        parts = (self._callers, self._jobs, self._operators, self._sessions)
-        return all(part.settled() for part in parts)
+        return all(part.settled() for part in self._traffic())
 
     # --- the judgement --------------------------------------------------------------------
 
@@ -252,6 +274,8 @@
             not_run=outcomes[Outcome.NOT_RUN],
             unknown=outcomes[Outcome.UNKNOWN],
             changes=self._operators.first.changes,
+            configuration_probes=self._rotation.probes,
+            configuration_probes_taken=self._rotation.taken,
             took_s=round(took_s, 1),
         )
 
