--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -94,6 +94,7 @@
     And 5 seconds of gateway time pass
     Then every gateway caller was told "not_run"
     And the gateway sent at most 260 attempts
+    And gateway 0 may send no further retry now
 
   Scenario: Retries of requests that failed together are spread in time
     Given a gateway fleet of 2 runners and 1 gateway
--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -39,3 +39,12 @@
     And 5 seconds of gateway time pass
     Then one gateway caller has its own whole answer and the other was told "unknown"
     And request "ping" was run 1 time by the gateway fleet
+
+  Scenario: A gateway counts what waits, what it holds and what it may still retry
+    Given a gateway fleet of 3 runners and 1 gateway
+    And a gateway session "container-7"
+    When 1 turn of "container-7" is taken through gateway 0
+    And 150 gateway callers ask at once
+    And 0.1 seconds of gateway time pass
+    Then gateway 0 counts as waiting the requests that are not at a runner, and 1 session held
+    And gateway 0 may still send 20 retries
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -123,6 +123,7 @@
     states = context.fleet.gateways[0].fleet.runners_of(SERVICE)
     out = [state.name for state in states if state.ejection.is_out(now_s)]
     assert low <= len(out) <= high, out
+    assert context.fleet.gateways[0].fleet.runners_out() == len(out)
 
 
 @when("{count:d} gateway callers with {kinds:d} long common beginnings ask, {gap_ms:d} ms apart")
--- a/features/steps/gateway_request_steps.py
+++ b/features/steps/gateway_request_steps.py
@@ -81,3 +81,25 @@
     whole = [caller for caller in context.fleet.callers if caller.is_whole()]
     told = [fault.outcome.value for caller in context.fleet.callers for fault in caller.faults]
     assert len(whole) == 1 and told == [outcome], (len(whole), told)
+
+
+@then(
+    "gateway {index:d} counts as waiting the requests that are not at a runner, "
+    "and {sessions:d} session held"
+)
+def counts_waiting(context, index, sessions):
+    gateway = context.fleet.gateways[index]
+    running = sum(state.online_running for state in gateway.fleet.runners())
+    waiting = gateway.core.in_progress - running
+    assert waiting > 0 and gateway.core.requests_waiting == waiting, (waiting, running)
+    assert gateway.core.sessions_held == sessions
+
+
+@then("gateway {index:d} may still send {count:d} retries")
+def retries_left(context, index, count):
+    assert context.fleet.gateways[index].core.retries_left == count
+
+
+@then("gateway {index:d} may send no further retry now")
+def no_retry_left(context, index):
+    assert context.fleet.gateways[index].core.retries_left < 1.0
--- a/src/rainsail/assembly/role_metrics.py
+++ b/src/rainsail/assembly/role_metrics.py
@@ -60,6 +60,10 @@
     role.metered.meter = RequestMeter(role.name, metrics)
     gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
         ("requests_in_progress", "Requests without their end", lambda: node.core.in_progress),
+        ("requests_waiting", "Requests in admission's queues", lambda: node.core.requests_waiting),
+        ("sessions_held", "Sessions that the gateway holds", lambda: node.core.sessions_held),
+        ("retries_left", "Least retry budget of a service", lambda: node.core.retries_left),
+        ("runners_out", "Runners put out for failures", node.fleet.runners_out),
         ("batch_items_running", "Batch items on runners", lambda: node.dispatcher.running_items),
         ("config_revision", "Revision of the configuration", lambda: node.view.revision),
         (
--- a/src/rainsail/gateway/admission.py
+++ b/src/rainsail/gateway/admission.py
@@ -117,6 +117,10 @@
         queues = self._services.get(service)
         return len(queues.online) + len(queues.batch) if queues else 0
 
+    def waiting_everywhere(self) -> int:
+        """Return how many requests of all services wait."""
+        return sum(self.waiting(service) for service in self._services)
+
     # --- decisions ----------------------------------------------------------------------------
 
     def _refusal(self, ticket: Ticket, queues: ServiceQueues, now_s: float) -> Fault | None:
--- a/src/rainsail/gateway/fleet.py
+++ b/src/rainsail/gateway/fleet.py
@@ -125,6 +125,11 @@
             self._choice_due = True
         self._put(resource)
 
+    def runners_out(self) -> int:
+        """Return how many runners are out for failures."""
+        now_s = self._clock.seconds()
+        return sum(state.ejection.is_out(now_s) for state in self.runners())
+
     def leaving(self, runner: str) -> bool:
         """Tell whether a runner is draining, gone or silent."""
         state = self._runners.get(runner)
--- a/src/rainsail/gateway/retry.py
+++ b/src/rainsail/gateway/retry.py
@@ -20,6 +20,11 @@
         self._saved = settings.budget_burst
         self._updated_s = now_s
 
+    @property
+    def saved(self) -> float:
+        """Retries saved up when the budget was last used."""
+        return self._saved
+
     def request_started(self) -> None:
         """Pay in for one request."""
         self._add(self._settings.budget_ratio)
