Refuse a Host that is no host name before it is routed

Change: the check of a request's head refuses it with 400 and the API's step; the found hosts are run first in every run of both features.

--- a/features/steps/fuzz_caller_steps.py
+++ b/features/steps/fuzz_caller_steps.py
@@ -57,6 +57,7 @@
 FOUND_FRAMES = tuple(
     dumped({**END, "end": {**END["end"], "chunk_count": count}}) for count in (float("inf"), "x")
 )
+FOUND_HOSTS = ("a..b", ".", "x" * 64)
 BODY_BOUND_BYTES = 20_000
 PARSER_BOUND_BYTES = 2_000
 TIMEOUT_S = 20
@@ -157,6 +158,7 @@
     "Idempotency-Key",
     "Authorization",
     "Content-Type",
+    "Host",
 )
 
 
@@ -164,6 +166,8 @@
 def step_headers(context, count):
     sets = strategies.dictionaries(strategies.sampled_from(HEADER_NAMES), HEADER_VALUES, max_size=3)
     body = dumped(COMPLETION)
+    for host in FOUND_HOSTS:
+        call(context, "POST", "/v1/completions", body, {"Host": host})
     fuzz(count, lambda headers: call(context, "POST", "/v1/completions", body, headers), sets)
 
 
--- a/features/steps/fuzz_operator_steps.py
+++ b/features/steps/fuzz_operator_steps.py
@@ -36,6 +36,8 @@
     "adapter": "",
     "items": [{"custom_id": f"i{n}", "prompt": "p", "max_tokens": 5} for n in range(2)],
 }
+FOUND_HOSTS = (b"a..b", b".", b"x" * 64)
+"""What longer runs have found; every run begins with them."""
 MAX_BODY_BYTES = 20_000
 
 
@@ -59,8 +61,8 @@
     connection = HttpConnection(context.fleet, "r1", "key")
     lines = [
         f"{method} {path} HTTP/1.1".encode("utf-8", "surrogateescape"),
-        b"Host: replica",
-        header or b"Authorization: Bearer key",
+        *([header] if header.startswith(b"Host") else [b"Host: replica"]),
+        b"Authorization: Bearer key" if header.startswith(b"Host") or not header else header,
         b"Content-Length: %d" % len(body),
     ]
     connection.channel.dataReceived(b"\r\n".join([*lines, b"", b""]) + body)
@@ -206,4 +208,6 @@
     def check(header):
         call_operator(context, "GET", f"/v1/resources/{Kind.TENANT.value}", b"", header)
 
+    for host in FOUND_HOSTS:
+        check(b"Host: " + host)
     fuzz(count, check, headers)
--- a/src/rainsail/control/operator_site.py
+++ b/src/rainsail/control/operator_site.py
@@ -6,21 +6,21 @@
 
 from rainsail.control.http_bodies import answer_fault
 from rainsail.errors import Fault, FaultCode
-from rainsail.runtime.http_head import not_utf8
+from rainsail.runtime.http_head import head_problem
 
 STEP = "operator_api.head"
 
 
 class OperatorRequest(Request):
-    """A request whose method, path and headers are UTF-8."""
+    """A request whose method, path and headers are text."""
 
     def process(self) -> None:
         """Hand the request on, or answer what is wrong with its head."""
-        place = not_utf8(self)
-        if not place:
+        problem = head_problem(self)
+        if not problem:
             super().process()
             return
-        fault = Fault(FaultCode.INVALID, STEP, f"{place}: expected UTF-8")
+        fault = Fault(FaultCode.INVALID, STEP, problem)
         self.write(answer_fault(self, fault))
         self.finish()
 
--- a/src/rainsail/gateway/openai/site.py
+++ b/src/rainsail/gateway/openai/site.py
@@ -8,7 +8,7 @@
 from rainsail.gateway.openai.errors import error_body, error_headers
 from rainsail.gateway.openai.responses import encode_json
 from rainsail.gateway.openai.sinks import write_fault
-from rainsail.runtime.http_head import not_utf8
+from rainsail.runtime.http_head import head_problem
 
 _STEP = "caller_api.body"
 _HEAD_STEP = "caller_api.head"
@@ -53,9 +53,9 @@
         self.method, self.uri = command, path
         self.clientproto = version
         self.path = self.uri.split(b"?", 1)[0]
-        place = not_utf8(self)
-        if place:
-            write_fault(self, Fault(FaultCode.INVALID, _HEAD_STEP, f"{place}: expected UTF-8"))
+        problem = head_problem(self)
+        if problem:
+            write_fault(self, Fault(FaultCode.INVALID, _HEAD_STEP, problem))
             return
         self.process()
 
--- a/src/rainsail/runtime/http_head.py
+++ b/src/rainsail/runtime/http_head.py
@@ -1,11 +1,20 @@
-"""Checks the head of an HTTP request: what becomes text must be UTF-8."""
+"""Checks the head of an HTTP request: what becomes text must be UTF-8, the host a name."""
 
 from typing import Any
 from urllib.parse import unquote_to_bytes
 
 
-def not_utf8(request: Any) -> str:
-    """Return the first part of a Twisted request's head that is no text; empty when all are."""
+def head_problem(request: Any) -> str:
+    """Return what is wrong with the head of a Twisted request; empty when nothing is."""
+    place = _not_utf8(request)
+    if place:
+        return f"{place}: expected UTF-8"
+    if not _is_host(request.getRequestHostname().decode()):
+        return "host: expected a host name or an address"
+    return ""
+
+
+def _not_utf8(request: Any) -> str:
     parts = [("method", request.method), ("path", unquote_to_bytes(request.path))]
     for name, values in request.requestHeaders.getAllRawHeaders():
         parts += [(name.decode("latin-1"), value) for value in values]
@@ -18,3 +27,12 @@
     except UnicodeDecodeError:
         return False
     return True
+
+
+def _is_host(text: str) -> bool:
+    """Tell whether a host can be written in ASCII, as routing needs it."""
+    try:
+        text.lower().encode("idna")
+    except UnicodeError:
+        return False
+    return True
