Open each long rig run with a gateway paused through a drain

Change: before the lanes of failures, one gateway stands still while a runner's drain comes into force.

--- a/rig/injector.py
+++ b/rig/injector.py
@@ -174,6 +174,20 @@
         await self._fleet.until_ready([target])
         self._end("pause_gateway", target.name)
 
+    async def pause_gateway_through_drain(self) -> None:
+        """Let a gateway stand still while a runner's drain is declared and comes into force."""
+        runner = self._draw.choice(self._fleet.layout.runners())
+        target = self._draw.choice(self._fleet.gateways())
+        self._begin("pause_gateway_through_drain", target.name)
+        target.pause()
+        await self._set_drain(runner, True)
+        await self._wait(self._hold.paused_s)
+        target.resume()
+        await self._fleet.until_ready([target])
+        await self._wait(self._hold.drained_s)
+        await self._set_drain(runner, False)
+        self._end("pause_gateway_through_drain", target.name)
+
     async def stop_gateway(self) -> None:
         """Stop a gateway as planned: it finishes its streams; then start it again."""
         await self._stop_and_start("stop_gateway", self._draw.choice(self._fleet.gateways()))
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -21,6 +21,8 @@
     sessions: int
     failures_s: float
     """Failures are drawn for this long; 0 for the fixed lists of the short run."""
+    opening: Lane = ()
+    """Failures that come first, one after the other, while nothing else fails."""
 
 
 SHORT = RunPlan(HoldTimes(0.5, 2.0, 2.0), 2.0, 0.4, 4.0, 3, 0.0)
@@ -34,6 +36,7 @@
 LONG_HOLD = HoldTimes(4.0, 20.0, 14.0)
 LONG_REPAIR_AFTER_S = 5.0
 LONG_GAP_FACTOR = 0.5
+OPENING: Lane = (Injector.pause_gateway_through_drain,)
 REPLICA_FAILURES: Lane = (
     Injector.kill_leader,
     Injector.kill_two_replicas,
@@ -56,7 +59,7 @@
 
 def long_plan(failures_s: float) -> RunPlan:
     """Return the plan of a run that draws failures for ``failures_s``."""
-    return RunPlan(LONG_HOLD, LONG_REPAIR_AFTER_S, LONG_GAP_FACTOR, 10.0, 6, failures_s)
+    return RunPlan(LONG_HOLD, LONG_REPAIR_AFTER_S, LONG_GAP_FACTOR, 10.0, 6, failures_s, OPENING)
 
 
 def lanes(plan: RunPlan, draw: random.Random) -> tuple[Lane, Lane]:
--- a/rig/run.py
+++ b/rig/run.py
@@ -189,6 +189,7 @@
         traffic = self._traffic()
         for each in traffic:
             each.start()
+        await self._one_round(self._plan.opening, float("inf"), say)
         begun_s = self._clock.seconds()
         await _all_of([self._go_through(number, begun_s, say) for number in range(2)])
         for each in traffic:
