--- a/src/rainsail/cli/bench.py
+++ b/src/rainsail/cli/bench.py
@@ -59,9 +59,27 @@
         """Measure the transport over loopback, with and without TLS, and the codec."""
         _run("wire", output, folder, seconds=float(seconds))
 
-    def gateway(self, output: str = "", **parameters: Any) -> None:
-        """Measure one gateway; the parameters are those of ``run_gateway_bench``."""
-        report = importlib.import_module(GATEWAY_BENCH).run_gateway_bench(**parameters)
+    def gateway(
+        self,
+        output: str = "",
+        runs: int = 3,
+        seconds: float = 2.0,
+        heap_items: int = 20_000,
+        memory: bool = True,
+        fairness: bool = True,
+    ) -> None:
+        """Measure one gateway: added latency, rates per core, memory, heaps and floods.
+
+        bench/gateway_fleet_bench.py takes a process for each part.
+        """
+        bench = importlib.import_module(GATEWAY_BENCH)
+        report = bench.run_gateway_bench(
+            runs=_whole("runs", runs),
+            seconds=float(seconds),
+            heap_items=_whole("heap_items", heap_items),
+            memory=bool(memory),
+            fairness=bool(fairness),
+        )
         _write((report,), output)
         print(json.dumps(report.to_json()), flush=True)
 
