--- a/rig/layout.py
+++ b/rig/layout.py
@@ -16,6 +16,7 @@
 from rainsail.resources.specs import Kind
 from rig.toml import Tree, write_toml
 
+SITE_NAMES = ("guayaquil", "taoyuan")
 EXAMPLES = Path(__file__).parent.parent / "examples"
 INTERNAL_PORT = 7300
 OPERATOR_PORT = 7301
