Count online waits that outlast the run in the experiment's percentiles

Cause: a request without a first token at the end of the run was left out, which flattered the policies with long queues.

Conclusion: the same trace, window and rule for all policies.

--- a/src/rainsail/experiment/policy_experiment.py
+++ b/src/rainsail/experiment/policy_experiment.py
@@ -5,7 +5,7 @@
 from rainsail.batch.policies import POLICIES
 from rainsail.batch.settings import BatchSettings
 from rainsail.experiment.capacity_bound import BatchShape, OnlineUse, batch_token_bound
-from rainsail.experiment.measures import RunRecord, percentile
+from rainsail.experiment.measures import OnlineRecord, RunRecord, percentile
 from rainsail.experiment.site_run import SiteRun
 from rainsail.experiment.sites import SITES, SitePreset
 from rainsail.experiment.workload import Workload, make_workload
@@ -90,20 +90,26 @@
     return batch_token_bound(site.model_engine, site.model_runners, window_s, use, shape)
 
 
-def _first_token_s(record: RunRecord) -> list[float]:
+def _online(record: RunRecord) -> list[OnlineRecord]:
+    """Return the language model's requests of the window that were not refused."""
     return [
-        each.first_token_s - each.sent_s
+        each
         for each in record.online
-        if each.kind != PING and each.first_token_s is not None and record.in_window(each.sent_s)
+        if each.kind != PING and not each.refused and record.in_window(each.sent_s)
     ]
 
 
+def _first_token_s(record: RunRecord) -> list[float]:
+    return [_wait_s(each.sent_s, each.first_token_s, record) for each in _online(record)]
+
+
 def _answer_s(record: RunRecord) -> list[float]:
-    return [
-        each.ended_s - each.sent_s
-        for each in record.online
-        if each.kind != PING and each.ended_s is not None and record.in_window(each.sent_s)
-    ]
+    return [_wait_s(each.sent_s, each.ended_s, record) for each in _online(record)]
+
+
+def _wait_s(sent_s: float, seen_s: float | None, record: RunRecord) -> float:
+    """Return a wait; one that still lasts at the end of the run counts with its length so far."""
+    return (record.window_end_s if seen_s is None else seen_s) - sent_s
 
 
 def _outcome(record: RunRecord, baseline: RunRecord, bound: float) -> PolicyOutcome:
