Add the capacity page, made from committed measurements

Cause: nobody could say which role fits the size of the next two years, by how much, and what would make the rest fit.

The scale run has ten tenants busy at every node, measures the machine list and traces memory.

--- a/src/rainsail/scale/capacity.py
+++ b/src/rainsail/scale/capacity.py
@@ -28,6 +28,10 @@
         """Return a quantity's value at the largest size that was run."""
         return float(self._entry(name)["values"][-1])
 
+    def dearest(self, name: str) -> float:
+        """Return a noisy quantity's highest value over all sizes, never below 0."""
+        return max(0.0, *self._entry(name)["values"])
+
     def slope(self, name: str) -> float:
         """Return a quantity's slope."""
         return float(self._entry(name)["slope"])
@@ -39,7 +43,7 @@
 
     def memory(self, name: str) -> float:
         """Return bytes per thing kept by a gateway."""
-        return float(self.scale["gateway_memory"][name])
+        return float(self.scale["kept_memory"][name])
 
     def largest_ledger(self, section: str) -> Json:
         """Return a section of the ledger bench at its largest size."""
--- a/src/rainsail/scale/capacity_control.py
+++ b/src/rainsail/scale/capacity_control.py
@@ -16,8 +16,8 @@
     changes = resource_changes_per_s(size)
     leader = (
         data.at_target("leader_processor_share")
-        + changes * data.at_target("leader_processor_s_per_change")
-        + size.restarts_per_s * max(0.0, data.at_target("leader_processor_s_per_restart"))
+        + changes * data.dearest("leader_processor_s_per_change")
+        + size.restarts_per_s * data.dearest("leader_processor_s_per_restart")
     )
     traffic = data.at_target("leader_bytes_per_s")
     traffic += changes * data.at_target("leader_bytes_per_change")
@@ -25,10 +25,13 @@
     messages = data.at_target("leader_messages_per_s")
     messages += changes * data.at_target("leader_messages_per_change")
     follower = data.at_target("follower_processor_share")
-    follower += changes * data.at_target("follower_processor_s_per_change")
+    follower += changes * data.dearest("follower_processor_s_per_change")
     follower_bytes = data.at_target("follower_bytes_per_s")
     follower_bytes += changes * data.at_target("follower_bytes_per_change")
-    lists = size.nodes * data.at_target("leader_processor_s_per_restart")
+    machines = data.scale["machine_list"]
+    list_share = machines["processor_s_per_fetch"] / machines["period_s"]
+    list_bytes = machines["list_bytes"] / machines["period_s"]
+    lists = size.nodes * data.dearest("leader_processor_s_per_restart")
     return [
         Row("leader: messages", f"{messages:,.0f} /s", "", "", "`leader_messages_per_s`"),
         Row("leader: bytes", f"{traffic / 1024:,.0f} KiB/s", "", "", "`leader_bytes_per_s`, ..."),
@@ -55,12 +58,19 @@
             "`follower_processor_share`, `follower_processor_s_per_change`",
         ),
         Row("follower: bytes", f"{follower_bytes:,.0f} B/s", "", "", "`follower_bytes_per_s`, ..."),
+        Row(
+            "each: the machine list",
+            f"{list_share:.1%} of a core, {list_bytes / 1024:,.0f} KiB/s",
+            "",
+            "",
+            "`machine_list`: the whole list every 2 s",
+        ),
         Row(
             "each: memory of the resources",
-            f"{data.at_target('replica_state_bytes') / MIB:.0f} MiB",
+            f"{data.memory('replica_state_bytes') / MIB:.0f} MiB",
             "",
             "",
-            "`replica_state_bytes`, with the window of events and the log's cache",
+            "`replica_state_bytes`, with the windows of events and changes",
         ),
     ]
 
--- a/src/rainsail/scale/capacity_node.py
+++ b/src/rainsail/scale/capacity_node.py
@@ -3,6 +3,7 @@
 from rainsail.scale.capacity import Measurements, Row, resource_changes_per_s, verdict
 from rainsail.scale.design_size import DESIGN_SIZE, MIB, DesignSize
 
+EVENTS_PER_SESSION = 3
 TOKENS_PER_CHUNK = 1.0
 """Engines may send a chunk per token: the dearest case."""
 
@@ -20,8 +21,8 @@
     messages += changes * data.at_target("node_messages_per_change")
     processor = (
         data.at_target("node_processor_share")
-        + changes * data.at_target("node_processor_s_per_change")
-        + restarts * data.at_target("node_processor_s_per_list")
+        + changes * data.dearest("node_processor_s_per_change")
+        + restarts * data.dearest("node_processor_s_per_list")
     )
     table = (
         size.runners * data.memory("bytes_per_runner")
@@ -30,9 +31,12 @@
     )
     followed = data.at_target("gateway_followed_runners")
     view = followed * data.memory("bytes_per_followed_runner")
-    own = data.at_target("node_own_bytes")
+    own = float(data.scale["resident_memory"]["node_bytes"])
     total = table + view + own
     limit_bytes = float(size.control_memory_bytes)
+    sessions = (limit_bytes - total) / data.memory("bytes_per_session")
+    session_rate = (size.control_bytes_per_s - traffic) / data.at_target("node_bytes_per_change")
+    session_rate /= EVENTS_PER_SESSION
     return [
         Row(
             "messages",
@@ -76,14 +80,22 @@
             f"{total / MIB:.1f} MiB",
             f"{limit_bytes / MIB:.0f} MiB",
             verdict(total, limit_bytes),
-            "the two above + `node_own_bytes`",
+            "the two above + `node_bytes`",
+        ),
+        Row(
+            "sessions that still fit",
+            f"{sessions:,.0f} at a time, {session_rate:.1f} new /s",
+            "",
+            "",
+            "what is left of memory by `bytes_per_session`, of bytes by three events a session"
+            " (declared, placed, deleted), each to every node",
         ),
         Row(
             "memory of the process before any of it",
-            f"{data.scale['bare_process_bytes'] / MIB:.0f} MiB",
+            f"{data.feed['bare_gateway_resident_bytes'] / MIB:.0f} MiB",
             "not control",
             "",
-            "`bare_process_bytes`: the interpreter and libraries",
+            "`bare_gateway_resident_bytes`: the interpreter and libraries",
         ),
     ]
 
@@ -137,9 +149,9 @@
     items = size.items_per_s / size.nodes
     length_s = size.tokens_per_s / size.requests_per_s * size.between_tokens_s
     streams = requests * length_s
-    request = requests * data.at_target("gateway_processor_s_per_request")
-    chunk = tokens / TOKENS_PER_CHUNK * data.at_target("gateway_processor_s_per_chunk")
-    item = items * data.at_target("gateway_processor_s_per_item")
+    request = requests * data.dearest("gateway_processor_s_per_request")
+    chunk = tokens / TOKENS_PER_CHUNK * data.dearest("gateway_processor_s_per_chunk")
+    item = items * data.dearest("gateway_processor_s_per_item")
     memory = streams * data.memory("bytes_per_open_stream")
     total = request + chunk + item
     return [
--- a/src/rainsail/scale/control_fleet.py
+++ b/src/rainsail/scale/control_fleet.py
@@ -34,6 +34,8 @@
 DECLARATIONS_AT_ONCE = 2000
 ACTIVE_TENANTS_PER_NODE = 20
 """Tenants with traffic at a node within one report of demand (about 22 requests a second)."""
+BUSY_TENANTS = 10
+"""Tenants with traffic at every node; the other active ones differ from node to node."""
 TENANT_TOKENS = 300.0
 DEMAND_PERIOD_S = 0.5
 
@@ -169,10 +171,13 @@
 
     def _use_tenants(self, running: RunningNode, number: int, round_: int) -> None:
         """Let some tenants use tokens, so that the reports of demand have something to say."""
+        quotas = running.node.quotas
         first = (number * 31 + round_ * 7) % self.size.tenants
-        for step in range(ACTIVE_TENANTS_PER_NODE // 2):
+        for step in range((ACTIVE_TENANTS_PER_NODE - BUSY_TENANTS) // 2):
             tenant = tenant_name((first + step * 17) % self.size.tenants)
-            running.node.quotas.take(tenant, TENANT_TOKENS)
+            quotas.take(tenant, TENANT_TOKENS)
+        for busy in range(min(BUSY_TENANTS, self.size.tenants)):
+            quotas.take(tenant_name(busy), TENANT_TOKENS)
         running.clock.callLater(DEMAND_PERIOD_S, self._use_tenants, running, number, round_ + 1)
 
     # --- real gateways ----------------------------------------------------------------------
--- a/src/rainsail/scale/control_run.py
+++ b/src/rainsail/scale/control_run.py
@@ -50,12 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MemoryUse:
-    """Resident bytes added by each part; nodes share the resources that they start with."""
+    """Resident bytes added by each part, true for the first run of a process only.
 
-    declared_state_bytes: int
-    shared_list_bytes: int
-    nodes_bytes: int
-    gateways_bytes: int
+    Later runs take over what earlier ones gave back. Nodes share the resources that they start
+    with, so ``node_bytes`` is what a node keeps beside its copy of the configuration.
+    """
+
+    node_bytes: float
+    gateway_bytes: float
     peak_bytes: int
 
 
@@ -139,9 +141,7 @@
     def start(self) -> tuple[MemoryUse, float, float]:
         """Declare the fleet, start every node; return memory and the cost of one first list."""
         fleet = self.fleet
-        empty = resident_bytes()
         fleet.declare()
-        declared = resident_bytes()
         known = fleet.known_list()
         shared = resident_bytes()
         hollow = self._size.nodes - self._settings.gateways
@@ -154,13 +154,10 @@
         fleet.clock.advance(SETTLE_S)
         with_gateways = resident_bytes()
         list_processor_s, list_bytes = self.list_once()
-        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
         memory = MemoryUse(
-            declared - empty,
-            shared - declared,
-            with_nodes - shared,
-            with_gateways - with_nodes,
-            peak,
+            (with_nodes - shared) / hollow,
+            (with_gateways - with_nodes) / max(1, self._settings.gateways),
+            resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
         )
         return memory, list_processor_s, list_bytes
 
--- a/src/rainsail/scale/gateway_memory.py
+++ b/src/rainsail/scale/gateway_memory.py
@@ -16,9 +16,9 @@
 )
 from rainsail.scale.gateway_run import LoneGateway
 from rainsail.scale.workload import FleetSize, declarations, tenant_name
-from rainsail.state.commands import PutResource
+from rainsail.state.commands import CommandRecord, PutResource
 from rainsail.state.machine import ReplicatedState
-from rainsail.wire.codec import decode, encode
+from rainsail.wire.codec import decode, decode_body, encode, encode_body
 
 OPEN_STREAMS = 1000
 SESSIONS = 1000
@@ -27,12 +27,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GatewayMemory:
-    """Traced bytes of Python objects per thing that a gateway keeps.
+class KeptMemory:
+    """Traced bytes of Python objects per thing kept.
 
     ``bytes_per_runner``, ``_tenant``, ``_node`` and ``_session`` are of the resource in the
     configuration view; a followed runner costs ``bytes_per_followed_runner`` more, without the
-    socket of its feed.
+    socket of its feed. ``replica_state_bytes`` is the replicated state of the whole target with
+    its windows of events and changes.
     """
 
     bytes_per_runner: float
@@ -41,10 +42,11 @@
     bytes_per_session: float
     bytes_per_followed_runner: float
     bytes_per_open_stream: float
+    replica_state_bytes: float
 
 
-def measure_memory(seed: int) -> GatewayMemory:
-    """Measure bytes per resource of each kind, followed runner and open stream."""
+def measure_memory(seed: int, target: FleetSize) -> KeptMemory:
+    """Measure bytes per resource of each kind, followed runner, open stream; a replica's state."""
     tracemalloc.start()
     try:
         base = _traced_table(SMALL)
@@ -55,15 +57,17 @@
         followed = _traced_gateway(replace(SMALL, runners=SMALL.runners + 300), seed)
         followed -= _traced_gateway(SMALL, seed)
         streams = _traced_streams(seed)
+        replica = _traced_state(target)
     finally:
         tracemalloc.stop()
-    return GatewayMemory(
+    return KeptMemory(
         runners / 300.0,
         tenants / 1000.0,
         nodes / 100.0,
         sessions / SESSIONS,
         followed / 300.0,
         streams / OPEN_STREAMS,
+        replica,
     )
 
 
@@ -87,6 +91,18 @@
     return _traced(fill)
 
 
+def _traced_state(size: FleetSize) -> float:
+    """Return the bytes of a replica's state of a whole fleet, as decoded from the log."""
+    commands = [encode_body(CommandRecord(command)) for command in declarations(size)]
+    state = ReplicatedState()
+
+    def fill() -> None:
+        for index, data in enumerate(commands):
+            state.apply(index + 1, decode_body(CommandRecord, data).command)
+
+    return _traced(fill)
+
+
 def _traced_gateway(size: FleetSize, seed: int) -> float:
     """Return the bytes that a gateway beside its copy of the resources takes."""
     gateway = LoneGateway(size, seed)
--- a/src/rainsail/scale/quantities.py
+++ b/src/rainsail/scale/quantities.py
@@ -103,9 +103,6 @@
             churned["leader"].processor_s / restarts - added["leader"].processor_s / changes,
         ),
         measured("node_processor_s_per_list", "s", run.list_processor_s),
-        measured("replica_state_bytes", "B", run.memory.declared_state_bytes / 5.0),
-        measured("node_own_bytes", "B", run.memory.nodes_bytes / hollow),
-        measured("peak_resident_bytes", "B", float(run.memory.peak_bytes)),
         measured("wall_s", "s", run.wall_s),
         *_gateway_quantities(run),
     ]
@@ -119,7 +116,6 @@
     feed = named_bytes(idle.gateway, LOAD_MESSAGE)
     control = idle.gateway.bytes - feed
     share = idle.gateway.processor_s / idle.seconds
-    memory = run.memory.gateways_bytes / run.settings.gateways
     return [
         Quantity(
             "gateway_followed_runners", "", True, NODE_COUNT, nodes, run.gateway_subscriptions
@@ -129,7 +125,6 @@
             "gateway_control_bytes_per_s", "B/s", True, NODE_COUNT, nodes, control / idle.seconds
         ),
         Quantity("gateway_processor_share", "core", False, NODE_COUNT, nodes, share),
-        Quantity("gateway_resident_bytes", "B", False, NODE_COUNT, nodes, memory),
     ]
 
 
@@ -178,7 +173,8 @@
     for quantity in quantities:
         named.setdefault(quantity.name, []).append(quantity)
     fitted = []
-    for name, points in named.items():
+    for name, found in named.items():
+        points = sorted(found, key=lambda point: point.x)
         xs = tuple(point.x for point in points)
         if len(set(xs)) < 2:
             continue
--- a/src/rainsail/scale/report.py
+++ b/src/rainsail/scale/report.py
@@ -15,8 +15,9 @@
 import matplotlib.pyplot as plt
 
 from rainsail.scale.control_run import ControlRunResult
-from rainsail.scale.gateway_memory import GatewayMemory
+from rainsail.scale.gateway_memory import KeptMemory
 from rainsail.scale.gateway_run import GatewayCosts
+from rainsail.scale.machine_list_cost import MachineListCost
 from rainsail.scale.quantities import Slope, control_quantities, gateway_quantities, slopes
 from rainsail.scale.workload import FleetSize
 
@@ -33,8 +34,12 @@
     target: FleetSize
     control_runs: tuple[ControlRunResult, ...]
     gateway_costs: tuple[GatewayCosts, ...]
-    gateway_memory: GatewayMemory
-    bare_process_bytes: int
+    kept_memory: KeptMemory
+    machine_list: MachineListCost
+
+    def largest(self) -> ControlRunResult:
+        """Return the control run of the most nodes."""
+        return max(self.control_runs, key=lambda run: run.size.nodes)
 
     def slopes(self) -> list[Slope]:
         """Return every quantity's line."""
@@ -62,8 +67,9 @@
         "target": asdict(report.target),
         "exact": {each.name: _slope_json(each) for each in fitted if each.exact},
         "measured": {each.name: _slope_json(each) for each in fitted if not each.exact},
-        "bare_process_bytes": report.bare_process_bytes,
-        "gateway_memory": asdict(report.gateway_memory),
+        "machine_list": asdict(report.machine_list),
+        "kept_memory": asdict(report.kept_memory),
+        "resident_memory": asdict(report.largest().memory),
         "gateway_costs": [asdict(each) for each in report.gateway_costs],
         "runs": [asdict(each) for each in report.control_runs],
     }
@@ -116,9 +122,9 @@
 
 def summary_line(report: ScaleReport) -> dict[str, Any]:
     """Return the one JSON object that a run ends with."""
-    largest = max(report.control_runs, key=lambda run: run.size.nodes)
+    largest = report.largest()
     return {
-        "sizes": [run.size.nodes for run in report.control_runs],
+        "sizes": sorted(run.size.nodes for run in report.control_runs),
         "runners": largest.size.runners,
         "in_force_max_s": round(max(largest.in_force_s), 3),
         "missed_changes": sum(run.missed_changes for run in report.control_runs),
--- a/src/rainsail/scale/scale_run.py
+++ b/src/rainsail/scale/scale_run.py
@@ -3,14 +3,15 @@
 import sys
 from collections.abc import Callable
 
-from rainsail.scale.control_run import ControlRun, RunSettings, resident_bytes
+from rainsail.scale.control_run import ControlRun, RunSettings
 from rainsail.scale.gateway_memory import measure_memory
 from rainsail.scale.gateway_run import measure_costs
+from rainsail.scale.machine_list_cost import measure_machine_list
 from rainsail.scale.report import ScaleReport
 from rainsail.scale.workload import FleetSize
 
-STEPS = (0.25, 0.5, 1.0)
-"""Sizes of the control runs, as parts of the target."""
+STEPS = (1.0, 0.5, 0.25)
+"""Sizes of the control runs, as parts of the target; memory is true for the first."""
 GATEWAY_STEPS = (0.25, 0.5, 1.0)
 """Runners of a zone in the runs of one gateway, as parts of the target's."""
 GATEWAY_TENANTS = 1000
@@ -49,7 +50,6 @@
     progress: Callable[[str], None],
 ) -> ScaleReport:
     """Run every part; ``progress`` hears what has begun."""
-    bare_process_bytes = resident_bytes()
     control_runs = []
     for share in steps:
         size = part_of(target, share)
@@ -60,11 +60,10 @@
         size = zone_of(target, share)
         progress(f"one gateway before {size.runners} runners")
         costs.append(measure_costs(size, seed))
-    progress("memory of one gateway")
-    memory = measure_memory(seed)
-    return ScaleReport(
-        command, target, tuple(control_runs), tuple(costs), memory, bare_process_bytes
-    )
+    progress("the machine list, and memory")
+    machines = measure_machine_list(target)
+    memory = measure_memory(seed, target)
+    return ScaleReport(command, target, tuple(control_runs), tuple(costs), memory, machines)
 
 
 def print_progress(text: str) -> None:
