Begin a simulated replay when the fleet is ready; judge a server's faults and pauses with care

Change: the trace's time begins when every gateway sees every runner ready. A server's fault is validated whole; a pause that makes no sense is none. The scenario waits for as long as a poll may be held (poll_wait_s and its grace) instead of 2 s: it still fails for an answer that never comes.

--- a/features/steps/fuzz_caller_steps.py
+++ b/features/steps/fuzz_caller_steps.py
@@ -408,6 +408,7 @@
     def check(data):
         fault = fault_of(500, data)
         assert fault.step and fault.outcome in list(Outcome), fault
+        assert fault.retry_after_s is None or 0 <= fault.retry_after_s <= 3600, fault
         stream = AnswerStream(StreamEnd(), lambda: 1.0)
         try:
             stream.feed(b"data: " + data + b"\n\n")
@@ -415,6 +416,9 @@
         except ValueError:
             context.answers.append("refused")
 
+    for found in ({"step": ""}, {"retry_after_s": -1}, {"retry_after_s": "x"}, {"outcome": 3}):
+        typed = {**error["error"]["rainsail"], **found}
+        check(dumped({"error": {"rainsail": typed}}))
     fuzz(count, check, events)
 
 
--- a/features/steps/fuzz_protocol_steps.py
+++ b/features/steps/fuzz_protocol_steps.py
@@ -224,8 +224,10 @@
     kinds = [cls for cls in protocol_records() if cls.__module__ == messages.__name__]
     requests = strategies.one_of([records_of(cls) for cls in kinds])
 
+    longest_s = context.fleet.settings.poll_wait_s + context.fleet.settings.poll_grace_s
+
     def check(message):
-        answer = context.fleet.finish(messenger.call("r1", message, 2.0))
+        answer = context.fleet.finish(messenger.call("r1", message, longest_s))
         context.fuzz_answers.append(answer)
 
     fuzz(count, check, requests)
--- a/src/rainsail/experiment/replay/answer_stream.py
+++ b/src/rainsail/experiment/replay/answer_stream.py
@@ -2,13 +2,18 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from pydantic import TypeAdapter
 
 from rainsail.engine.sse import SseParser
 from rainsail.errors import Fault, FaultCode, Outcome
 
 STEP = "replay.http"
 MAX_ANSWER_CHARACTERS = 16 * 1024 * 1024
+LONGEST_PAUSE_S = 3600.0
+
+_FAULT = TypeAdapter(Fault)
 
 
 @dataclass(slots=True)
@@ -68,15 +73,15 @@
 def fault_of(status: int, content: bytes) -> Fault:
     """Return the typed fault of an error answer; one without is of unknown outcome."""
     try:
-        typed = json.loads(content)["error"]["rainsail"]
-        return Fault(
-            FaultCode(typed["code"]),
-            str(typed["step"]),
-            str(typed["detail"]),
-            str(typed["peer"]),
-            Outcome(typed["outcome"]),
-            typed["retry_after_s"],
-        )
+        fault = _FAULT.validate_python(json.loads(content)["error"]["rainsail"], strict=False)
     except (ValueError, KeyError, TypeError, RecursionError):
         detail = f"HTTP status {status}: {content[:200]!r}"
         return Fault(FaultCode.INTERNAL, STEP, detail, outcome=Outcome.UNKNOWN)
+    return replace(fault, step=fault.step or STEP, retry_after_s=_pause_s(fault.retry_after_s))
+
+
+def _pause_s(stated_s: float | None) -> float | None:
+    """Return a pause that makes sense; None when the server stated none, or nonsense."""
+    if stated_s is None or not 0.0 <= stated_s <= LONGEST_PAUSE_S:
+        return None
+    return stated_s
--- a/src/rainsail/experiment/replay/simulated.py
+++ b/src/rainsail/experiment/replay/simulated.py
@@ -11,6 +11,7 @@
 from rainsail.experiment.replay.observations import observe
 from rainsail.experiment.replay.outcomes import OutcomesFile
 from rainsail.experiment.replay.report import Replayed
+from rainsail.experiment.replay.start_gate import StartGate
 from rainsail.experiment.replay.traced_users import TracedCallers, TracedJobs, TracedOperators
 from rainsail.experiment.trace.records import Trace, TracedJob, TracedRequest
 from rainsail.simulation.fault_plan import FaultPlan
@@ -40,9 +41,10 @@
     if site.is_error():
         return Error(site.error)
     run = SimulationRun(site.ok, seed, duration_s(trace) / 60.0)
-    operators = _install_users(run, trace)
+    gate = StartGate(run.fleet)
+    operators = _install_users(run, trace, gate)
     result = run.run(plan or FaultPlan(), progress)
-    observed = observe(trace, run.history, TRAFFIC_AT_S, 1.0, True)
+    observed = observe(trace, run.history, gate.opened_s, 1.0, True)
     return Ok(
         Replayed(
             trace,
@@ -77,12 +79,12 @@
     return Ok(dataclasses.replace(site, tenants=tenants))
 
 
-def _install_users(run: SimulationRun, trace: Trace) -> TracedOperators:
+def _install_users(run: SimulationRun, trace: Trace, gate: StartGate) -> TracedOperators:
     fleet = run.fleet
     gateways = tuple(fleet.gateways)
-    fleet.callers = TracedCallers(trace, gateways, fleet.user_link("callers"), fleet.history)
-    fleet.jobs = TracedJobs(trace, gateways, fleet.user_link("jobs"), fleet.history)
+    fleet.callers = TracedCallers(trace, gateways, fleet.user_link("callers"), fleet.history, gate)
+    fleet.jobs = TracedJobs(trace, gateways, fleet.user_link("jobs"), fleet.history, gate)
     first, watcher = fleet.operators.first, fleet.operators.watcher
-    operators = TracedOperators(trace, first, watcher, fleet.clock, Random(0))
+    operators = TracedOperators(trace, first, watcher, fleet.clock, Random(0), gate)
     fleet.operators = operators
     return operators
--- a/src/rainsail/experiment/replay/traced_users.py
+++ b/src/rainsail/experiment/replay/traced_users.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from rainsail.experiment.history import History
+from rainsail.experiment.replay.start_gate import StartGate
 from rainsail.experiment.trace.prompts import prompt_of
 from rainsail.experiment.trace.records import Trace, TracedChange, TracedJob, TracedRequest
 from rainsail.gateway.interface import CallerRequest
@@ -65,14 +66,23 @@
     """Starts a caller at each traced request's time."""
 
     def __init__(
-        self, trace: Trace, gateways: tuple[str, ...], link: UserLink, history: History
+        self,
+        trace: Trace,
+        gateways: tuple[str, ...],
+        link: UserLink,
+        history: History,
+        gate: StartGate,
     ) -> None:
         super().__init__((), (), gateways, link, history, link.draw)
         self._trace = trace
+        self._gate = gate
         self._to_start = len(trace.requests)
 
     def start(self) -> None:
-        """Schedule every request."""
+        """Schedule every request from the moment on at which the fleet is ready."""
+        self._gate.when_ready(self._schedule_all)
+
+    def _schedule_all(self) -> None:
         for request in self._trace.requests:
             self._link.clock.callLater(request.at_s, self._start_traced, request)
 
@@ -125,13 +135,22 @@
     """Submits each traced job at its time."""
 
     def __init__(
-        self, trace: Trace, gateways: tuple[str, ...], link: UserLink, history: History
+        self,
+        trace: Trace,
+        gateways: tuple[str, ...],
+        link: UserLink,
+        history: History,
+        gate: StartGate,
     ) -> None:
         super().__init__(JobMix("", 0.0, 0, 0, 0, 0, 0.0, 0.0), gateways, link, history, link.draw)
         self._trace = trace
+        self._gate = gate
 
     def start(self) -> None:
-        """Schedule every job."""
+        """Schedule every job from the moment on at which the fleet is ready."""
+        self._gate.when_ready(self._schedule_all)
+
+    def _schedule_all(self) -> None:
         for job in self._trace.jobs:
             self._link.clock.callLater(job.at_s, self._submit_traced, job)
 
@@ -162,20 +181,26 @@
         watcher: Operator,
         clock: VirtualClock,
         draw: Random,
+        gate: StartGate,
     ) -> None:
         super().__init__(first, first, watcher, clock, draw, 1.0)
         self._trace = trace
+        self._gate = gate
         self.changes_sent = 0
 
     def start(self) -> None:
-        """Declare the traced sessions, schedule the changes, watch what comes into force."""
+        """Watch what comes into force; act once the fleet is ready."""
+        self._clock.callLater(POLL_PERIOD_S, self._watch)
+        self._gate.when_ready(self._schedule_all)
+
+    def _schedule_all(self) -> None:
+        """Declare the traced sessions and schedule the changes."""
         sessions = {each.session: each for each in self._trace.requests if each.session}
         for name, request in sessions.items():
             spec = SessionSpec(request.tenant, request.service, request.adapter)
             self.first.put(ResourceKey(Kind.SESSION, name), spec, MUST_NOT_EXIST, name)
         for change in self._trace.changes:
             self._clock.callLater(change.at_s, self._declare_traced, change)
-        self._clock.callLater(POLL_PERIOD_S, self._watch)
 
     @inlineCallbacks
     def _declare_traced(self, change: TracedChange) -> Generator[Deferred[Any], Any, None]:
