Name the broken answers of a demonstration and what their callers were told

Cause: a run that ended with one broken answer did not say which, nor what its caller was told. Change: `broken` in the last line names up to 20 of them.

--- a/src/rainsail/demo/outcome.py
+++ b/src/rainsail/demo/outcome.py
@@ -27,10 +27,19 @@
 
 LATE_SEND_AFTER_S = 2.0
 """A drained engine may get work for this long after its drain was answered as accepted."""
+MOST_BROKEN_NAMED = 20
 _P99 = 0.99
 _DECIMALS = 4
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenAnswer:
+    """A request that was neither answered whole nor refused, and what its caller was told."""
+
+    request_id: str
+    told: str
+
+
 @dataclass(frozen=True, slots=True)
 class DemoOutcome:
     """The counts of a run; ``to_json`` is the command's last line.
@@ -55,6 +64,7 @@
     drained_engine_late_sends: int
     replica_stopped: str
     violations: tuple[Violation, ...]
+    broken: tuple[BrokenAnswer, ...]
 
     @property
     def clean(self) -> bool:
@@ -91,6 +101,9 @@
         drained_engine_late_sends=late_sends(history),
         replica_stopped=replica_stopped,
         violations=tuple(check_history(history)),
+        broken=tuple(BrokenAnswer(each.request_id, each.told) for each in requests if each.broken)[
+            :MOST_BROKEN_NAMED
+        ],
     )
 
 
@@ -142,6 +155,8 @@
 class RequestEnd:
     """How one request ended over all its sends; times run from its first send."""
 
+    request_id: str
+    told: str
     whole: bool
     refused: bool
     first_part_s: float
@@ -167,11 +182,13 @@
 
 def _end(sent: RequestSent, answer: RequestAnswered | None) -> RequestEnd:
     if answer is None:
-        return RequestEnd(False, False, math.nan, math.nan)
+        return RequestEnd(sent.request_id, "nothing", False, False, math.nan, math.nan)
     whole = answer.outcome == Outcome.COMPLETED and answer.text == sent.expected_text
     refused = answer.outcome == Outcome.NOT_RUN and not answer.lost and not answer.text
     first_part_s = answer.first_part_s - sent.time_s
-    return RequestEnd(whole, refused, first_part_s, answer.time_s - sent.time_s)
+    told = answer.fault or f"another text of {len(answer.text)} characters"
+    answer_s = answer.time_s - sent.time_s
+    return RequestEnd(sent.request_id, told, whole, refused, first_part_s, answer_s)
 
 
 def _p99(values_s: list[float]) -> float | None:
