--- a/src/rainsail/simulation/fault_plan.py
+++ b/src/rainsail/simulation/fault_plan.py
@@ -94,10 +94,10 @@
     start_s = FIRST_FAULT_S + draw.expovariate(1 / MEAN_GAP_S)
     while start_s < end_s - 2.0:
         kind = draw.choice(list(FaultKind))
-        duration_s = min(draw.uniform(*_duration_range_s(kind)), end_s - start_s)
+        duration_s = min(draw_duration_s(draw, kind), end_s - start_s)
         near_disk_loss = start_s - last_disk_loss_s < _DISK_LOSS_SPACING_S
         if kind not in _DISK_KINDS or not near_disk_loss:
-            target = _draw_target(draw, kind, targets)
+            target = draw_target(draw, kind, targets)
             actions.append(
                 FaultAction(kind=kind, target=target, start_s=start_s, duration_s=duration_s)
             )
@@ -116,13 +116,15 @@
 """Kinds that have to outlast the leases to show anything."""
 
 
-def _duration_range_s(kind: FaultKind) -> tuple[float, float]:
+def draw_duration_s(draw: random.Random, kind: FaultKind) -> float:
+    """Draw how long a failure lasts, in virtual seconds."""
     if kind in _LONG_KINDS:
-        return (12.0, 30.0)
-    return (1.0, 30.0) if kind == FaultKind.REPLICA_CRASH else (1.0, 12.0)
+        return draw.uniform(12.0, 30.0)
+    return draw.uniform(1.0, 30.0 if kind == FaultKind.REPLICA_CRASH else 12.0)
 
 
-def _draw_target(draw: random.Random, kind: FaultKind, targets: FaultTargets) -> str:
+def draw_target(draw: random.Random, kind: FaultKind, targets: FaultTargets) -> str:
+    """Draw what a failure hits; empty when the run picks it or it hits everything."""
     if kind in (FaultKind.LEADER_SILENT_CUT, FaultKind.DEGRADED_NETWORK, FaultKind.LOST_ANSWERS):
         return ""
     if kind in (FaultKind.WEIGHT_STORE_STARVED, FaultKind.POWER_LOSS):
