--- a/src/rainsail/wire/settings.py
+++ b/src/rainsail/wire/settings.py
@@ -48,7 +48,7 @@
         default=0.05, gt=0, description="Longest wait before the second attempt to connect"
     )
     backoff_max_s: float = Field(
-        default=2.0, gt=0, description="Longest wait between two attempts to connect"
+        default=0.5, gt=0, description="Longest wait between two attempts to connect"
     )
     keepalive_period_s: float = Field(
         default=5.0, gt=0, description="A link that sent nothing for this long sends an empty frame"
