Refuse a demonstration's data folder of another version

Cause: replicas can't read a log whose records had other fields. A folder written before JobSpec got the tenant's weight made every replica stop applying at its first old entry (CodecError in a timer), and the demonstration ended after 40 s with "the fleet is not ready". The replicas' own data folder says nothing of the schemas, so the same holds for daemons; that is not mended here.

--- a/features/demo/demo.feature
+++ b/features/demo/demo.feature
@@ -51,6 +51,13 @@
     And rainsail's stderr names the demonstration journal and "line 2"
     And nothing but the demonstration journal and its lock is in the folder
 
+  Scenario: A data folder of another version is refused before anything starts
+    Given a demonstration journal with 2 noted jobs
+    When rainsail demo is run on the demonstration journal's folder
+    Then rainsail exits with 2
+    And rainsail's stderr names the demonstration journal and "another version of rainsail"
+    And nothing but the demonstration journal and its lock is in the folder
+
   Scenario: Two demonstrations do not share a data folder
     Given a demonstration journal with 1 noted job
     When the demonstration journal is held open
--- a/src/rainsail/demo/command.py
+++ b/src/rainsail/demo/command.py
@@ -17,6 +17,7 @@
 from rainsail.demo.site import NoFreePorts, make_site
 from rainsail.errors import Fault, FaultCode
 from rainsail.experiment.history import write_history
+from rainsail.wire.protocol import transport_fingerprint
 
 STEP = "demo.run"
 FLEET_FOLDER = "fleet"
@@ -29,7 +30,7 @@
 
     With ``history_file`` the recorded history is written there as well.
     """
-    journal = AcceptedJournal(folder)
+    journal = AcceptedJournal(folder, transport_fingerprint())
     opened = journal.open()
     if opened.is_error():
         return Error(opened.error)
--- a/src/rainsail/demo/journal.py
+++ b/src/rainsail/demo/journal.py
@@ -46,9 +46,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotedStart:
-    """The beginning of a start of the demonstration; numbers rise by one."""
+    """The beginning of a start of the demonstration; numbers rise by one.
+
+    ``schemas`` is the fingerprint of the program's records: a fleet's log can be read only by a
+    program with the same ones.
+    """
 
     run: int
+    schemas: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +68,8 @@
 class AcceptedJournal:
     """The journal of one data folder, held by one process at a time."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, schemas: int = 0) -> None:
+        self._schemas = schemas
         self.path = folder / JOURNAL_NAME
         self.run = 1
         self.earlier_jobs: tuple[NotedJob, ...] = ()
@@ -104,10 +110,13 @@
         return Ok(lines)
 
     def _begin(self, lines: list[_Line]) -> Result[None, Fault]:
-        starts = [line.start.run for line in lines if line.start is not None]
-        self.run = max(starts, default=0) + 1
+        starts = [line.start for line in lines if line.start is not None]
+        if any(start.schemas != self._schemas for start in starts):
+            detail = f"{self.path}: written by another version of rainsail; use another folder"
+            return Error(Fault(FaultCode.INVALID, STEP, detail))
+        self.run = max((start.run for start in starts), default=0) + 1
         self.earlier_jobs = tuple(line.job for line in lines if line.job is not None)
-        self._append(_Line(start=NotedStart(self.run)))
+        self._append(_Line(start=NotedStart(self.run, self._schemas)))
         self._sync_folder()
         return Ok(None)
 
