Keep who holds which item in a module of its own

Change: HeldItems keeps items by holder; the ledger's counters stand beside the lease requests, and a job builds the item that it hands out. No record changes.

--- a/src/rainsail/state/item_leases.py
+++ b/src/rainsail/state/item_leases.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterator, MutableMapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from rainsail.engine.prefix import count_tokens
 from rainsail.state.commands import (
@@ -24,28 +24,16 @@
     ReturnItems,
     RevokeLeases,
 )
+from rainsail.state.held_items import HeldItems
 from rainsail.state.job import Job, Lease
 from rainsail.state.job_items import CANCELLED, COMPLETED, LEASED, PENDING, SET_ASIDE
 from rainsail.state.lease_queue import LeaseQueue, StoredTenantShare, StoredVirtualTime
-from rainsail.state.lease_requests import AnsweredLease, LeaseRequests
+from rainsail.state.lease_requests import AnsweredLease, LeaseRequests, LedgerCounters
 from rainsail.state.result_log import FinishedItem
 from rainsail.state.settings import StateSettings
-from rainsail.wire.codec import wire_record
-
-
-@wire_record
-@dataclass(frozen=True, slots=True)
-class LedgerCounters:
-    """The ledger's counters, for a snapshot."""
-
-    last_fence: int
-    next_sequence: int
-
 
 LeaseRecord = LedgerCounters | AnsweredLease | StoredVirtualTime | StoredTenantShare
 
-HeldItem = tuple[str, int]
-
 
 def item_tokens(body: ItemBody) -> int:
     """Return the tokens that an item may cost: its prompt and the bound on its answer."""
@@ -64,7 +52,7 @@
         self._jobs = jobs
         self._tenant_weight = tenant_weight
         self._queues: dict[str, LeaseQueue] = {}
-        self._held: dict[str, dict[HeldItem, None]] = {}
+        self._held = HeldItems()
         self._requests = LeaseRequests(settings)
         self._last_fence = 0
         self._stored_shares: list[StoredVirtualTime | StoredTenantShare] = []
@@ -73,11 +61,11 @@
 
     def holders(self) -> list[str]:
         """Return every holder with a live lease, sorted."""
-        return sorted(self._held)
+        return self._held.holders()
 
     def held_by(self, holder: str) -> list[ItemRef]:
         """Return the items leased to a holder, by job and index."""
-        return [self._ref(*held) for held in sorted(self._held.get(holder, ()))]
+        return [self._ref(*held) for held in self._held.items_of(holder)]
 
     def holds(self, holder: str, ref: ItemRef) -> bool:
         """Tell whether an item is still leased to the holder under this fence."""
@@ -119,7 +107,7 @@
     def withdraw(self, job: Job) -> None:
         """End every lease of a job and offer none of its items any more."""
         for lease in job.leases.values():
-            self._release(job, lease)
+            self._held.remove(lease.holder, job.job_id, lease.index)
         job.leases.clear()
         if job.phase is JobPhase.SEALED:
             queue = self._queue(job.spec.service)
@@ -176,7 +164,7 @@
                 break
             tokens_left -= tokens
             lease = self._grant(queue, job, index, command.holder, tokens)
-            items.append(_leased_item(job, lease, body))
+            items.append(job.leased_item(lease, body))
         return items
 
     def _grant(self, queue: LeaseQueue, job: Job, index: int, holder: str, tokens: int) -> Lease:
@@ -189,22 +177,16 @@
         queue.charge(job.spec.tenant, tokens, self._weight(job))
         if not job.pending:
             queue.remove(job.spec.tenant, job.queued())
-        self._held.setdefault(holder, {})[job.job_id, index] = None
+        self._held.add(holder, job.job_id, index)
         return lease
 
     def _leased_item(self, ref: ItemRef) -> LeasedItem:
         job = self._jobs[ref.job_id]
-        return _leased_item(job, job.leases[ref.index], job.items.body(ref.index))
-
-    def _release(self, job: Job, lease: Lease) -> None:
-        held = self._held[lease.holder]
-        del held[job.job_id, lease.index]
-        if not held:
-            del self._held[lease.holder]
+        return job.leased_item(job.leases[ref.index], job.items.body(ref.index))
 
     def _end_lease(self, job: Job, lease: Lease) -> None:
         del job.leases[lease.index]
-        self._release(job, lease)
+        self._held.remove(lease.holder, job.job_id, lease.index)
 
     # --- results ---
 
@@ -274,7 +256,7 @@
 
     def revoke(self, command: RevokeLeases) -> Done:
         """Give back every item of a holder; like a preemption this costs no attempt."""
-        for job_id, index in sorted(self._held.get(command.holder, ())):
+        for job_id, index in self._held.items_of(command.holder):
             job = self._jobs[job_id]
             self._requeue(job, job.leases[index], refund=True)
         return Done()
@@ -312,17 +294,6 @@
     def _rebuild_from_jobs(self) -> None:
         for job in self._jobs.values():
             for lease in job.leases.values():
-                self._held.setdefault(lease.holder, {})[job.job_id, lease.index] = None
+                self._held.add(lease.holder, job.job_id, lease.index)
             if job.phase is JobPhase.SEALED:
                 self.enqueue(job)
-
-
-def _leased_item(job: Job, lease: Lease, body: ItemBody) -> LeasedItem:
-    return LeasedItem(
-        ItemRef(job.job_id, lease.index, lease.fence),
-        job.spec.tenant,
-        job.spec.adapter,
-        job.spec.deadline_unix_s,
-        body,
-        job.note(lease.index).generated_prefix,
-    )
--- a/src/rainsail/state/job.py
+++ b/src/rainsail/state/job.py
@@ -3,7 +3,15 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from rainsail.state.commands import ItemPhase, JobPhase, JobSpec, JobView
+from rainsail.state.commands import (
+    ItemBody,
+    ItemPhase,
+    ItemRef,
+    JobPhase,
+    JobSpec,
+    JobView,
+    LeasedItem,
+)
 from rainsail.state.interface import ResultRow
 from rainsail.state.job_items import CANCELLED, ITEM_PHASES, PENDING, JobItems
 from rainsail.state.lease_queue import QueuedJob
@@ -97,6 +105,17 @@
         """Return what is kept of an item; most items have nothing."""
         return self.notes.get(index) or ItemNote(index, 0, "")
 
+    def leased_item(self, lease: Lease, body: ItemBody) -> LeasedItem:
+        """Return an item as it is handed to the holder of its lease."""
+        return LeasedItem(
+            ItemRef(self.job_id, lease.index, lease.fence),
+            self.spec.tenant,
+            self.spec.adapter,
+            self.spec.deadline_unix_s,
+            body,
+            self.note(lease.index).generated_prefix,
+        )
+
     def keep_note(self, note: ItemNote) -> None:
         """Keep a note of an item, or nothing when it says nothing."""
         if note.attempts or note.generated_prefix:
--- a/src/rainsail/state/lease_requests.py
+++ b/src/rainsail/state/lease_requests.py
@@ -9,6 +9,15 @@
 from rainsail.wire.codec import wire_record
 
 
+@wire_record
+@dataclass(frozen=True, slots=True)
+class LedgerCounters:
+    """The ledger's counters, for a snapshot."""
+
+    last_fence: int
+    next_sequence: int
+
+
 @wire_record
 @dataclass(frozen=True, slots=True)
 class AnsweredLease:
--- a/src/rainsail/state/snapshot.py
+++ b/src/rainsail/state/snapshot.py
@@ -11,11 +11,10 @@
 from rainsail.resources.specs import Resource
 from rainsail.state.change_window import AnsweredChange
 from rainsail.state.claims import Claim
-from rainsail.state.item_leases import LedgerCounters
 from rainsail.state.job import StoredJob
 from rainsail.state.job_items import StoredRange
 from rainsail.state.lease_queue import StoredTenantShare, StoredVirtualTime
-from rainsail.state.lease_requests import AnsweredLease
+from rainsail.state.lease_requests import AnsweredLease, LedgerCounters
 from rainsail.state.resource_store import StoredEvent, StoreRevisions
 from rainsail.state.result_log import StoredResults
 from rainsail.state.sessions import SessionFenceFloor, StoredSession
