Plan placement again only when something that it plans for has changed

Cause: after every change of any resource the leader looked through all runners twice, for placement and for drains. At 12,000 runners that takes a good part of a core per change and second: 15 changes of tenants or sessions a second were more than one core can do, and stood in the way of everything else that the leader serves.

Change: the prompt loops wake for changes of services, model versions, adapters and runners. Other kinds are left to their period of 1 s. What the window of events no longer tells counts as a change.

A change of a runner still costs a look through all of them.

--- /dev/null
+++ b/features/steps/scale_planning_steps.py
@@ -0,0 +1,81 @@
+"""Steps on how often the placement looks through the runners."""
+
+from unittest import mock
+
+from behave import then, when
+
+from rainsail.control.controllers.placement import PlacementPlanner
+from rainsail.resources.specs import (
+    GatewaySpec,
+    Kind,
+    ResourceKey,
+    RunnerStatus,
+    SessionSpec,
+)
+from rainsail.scale.workload import runner_name, tenant_name, tenant_spec
+from rainsail.state.commands import ANY_REVISION, PutResource, PutStatus
+
+
+def _propose(fleet, command) -> None:
+    leader = fleet.leader
+    leader.group.propose(command)
+
+
+def _change(number: int) -> PutResource:
+    specs = (
+        (Kind.TENANT, tenant_name(number % 20), tenant_spec(1e6 + number)),
+        (Kind.SESSION, f"session-{number}", SessionSpec(tenant_name(0), "model-0")),
+        (Kind.GATEWAY, f"gateway-{number}", GatewaySpec("region-0", "zone-0", f"{number}")),
+    )
+    kind, name, spec = specs[number % len(specs)]
+    return PutResource(f"planning-{number}", ResourceKey(kind, name), spec)
+
+
+@when(
+    "the scale run's group takes {count:d} changes of tenants, sessions and gateways"
+    " in {seconds:g} virtual seconds"
+)
+def take_changes(context, count, seconds):
+    run = context.scale_run
+    run.start()
+    looks = []
+    plain = PlacementPlanner.plan
+
+    def counted(planner, state, now_s):
+        looks.append(now_s)
+        return plain(planner, state, now_s)
+
+    before = run.fleet.revision
+    with mock.patch.object(PlacementPlanner, "plan", counted):
+        for number in range(count):
+            _propose(run.fleet, _change(number))
+            run.fleet.clock.advance(seconds / count)
+    assert run.fleet.revision >= before + count
+    context.planning_looks = looks
+
+
+@then("the placement looked at the runners at most {count:d} times")
+def looked_seldom(context, count):
+    assert 4 <= len(context.planning_looks) <= count, len(context.planning_looks)
+
+
+def _ready(fleet) -> int:
+    return fleet.leader.state.get(ResourceKey(Kind.SERVICE, "model-0")).status.ready_runners
+
+
+@when("a runner of the scale run stops serving its version")
+def stop_serving(context):
+    run = context.scale_run
+    run.start()
+    fleet = run.fleet
+    context.planning_ready = _ready(fleet)
+    key = ResourceKey(Kind.RUNNER, runner_name(0))
+    status = RunnerStatus(loaded_version="model-0-v1", fence=1, ready=False, reachable=False)
+    _propose(fleet, PutStatus(key, status, (), ANY_REVISION))
+
+
+@then("the service of the scale run counts one runner less within {seconds:g} virtual seconds")
+def counts_less(context, seconds):
+    fleet = context.scale_run.fleet
+    wanted = context.planning_ready - 1
+    assert fleet.wait_until(lambda: _ready(fleet) == wanted, seconds), _ready(fleet)
--- a/src/rainsail/control/controllers/manager.py
+++ b/src/rainsail/control/controllers/manager.py
@@ -15,9 +15,15 @@
     JobRetentionPlanner,
 )
 from rainsail.control.controllers.settings import ControllerSettings
+from rainsail.resources.specs import Kind
 from rainsail.runtime.clock import Clock
 from rainsail.state.interface import ReplicatedReader
 
+PLANNED_KINDS = (Kind.SERVICE, Kind.MODEL_VERSION, Kind.ADAPTER, Kind.RUNNER)
+"""Kinds that placement and drain look at."""
+MOST_EVENTS = 100
+"""Events looked through after a batch of entries; more count as a change."""
+
 
 class ControllerManager:
     """Starts every loop when this replica begins to lead and stops them when that ends."""
@@ -75,8 +81,20 @@
                 loop.stop()
 
     def _applied(self, index: int) -> None:
-        if self._state.revision == self._revision:
-            return
+        before = self._revision
         self._revision = self._state.revision
+        if self._revision == before or not self._planned_for(before):
+            return
         for loop in self._prompt_loops:
             loop.wake()
+
+    def _planned_for(self, revision: int) -> bool:
+        """Tell whether something that the prompt loops plan for has changed after ``revision``.
+
+        They look through every runner, which must not happen at each change of a tenant, session
+        or gateway. What can't be told counts as a change.
+        """
+        events = self._state.events_since(revision, MOST_EVENTS)
+        if events is None or len(events) == MOST_EVENTS:
+            return True
+        return any(event.resource.key.kind in PLANNED_KINDS for event in events)
--- a/src/rainsail/scale/control_run.py
+++ b/src/rainsail/scale/control_run.py
@@ -13,6 +13,7 @@
 
 from rainsail.scale.control_fleet import ControlFleet
 from rainsail.scale.design_size import DESIGN_SIZE
+from rainsail.scale.list_cost import ListCost, measure_list
 from rainsail.scale.meter import Totals, Traffic
 from rainsail.scale.workload import FleetSize, operator_change
 
@@ -77,6 +78,7 @@
     ready_after_s: tuple[float, ...]
     list_processor_s: float
     list_bytes: float
+    leader_list: ListCost
     missed_changes: int
     serving_at_end: int
     gateway_subscriptions: int
@@ -129,6 +131,7 @@
             tuple(self._ready_after_s),
             list_processor_s,
             list_bytes,
+            measure_list(self.fleet.leader.state),
             missed,
             self.fleet.serving_nodes(),
             subscriptions,
--- a/src/rainsail/scale/quantities.py
+++ b/src/rainsail/scale/quantities.py
@@ -50,7 +50,7 @@
     nodes = float(run.size.nodes)
     hollow = run.size.nodes - run.settings.gateways
     changes = run.settings.changes
-    idle, changing, churn = run.idle, run.changing, run.churn
+    idle, changing = run.idle, run.changing
 
     def exact(name: str, unit: str, value: float) -> Quantity:
         return Quantity(name, unit, True, NODE_COUNT, nodes, value)
@@ -58,10 +58,8 @@
     def measured(name: str, unit: str, value: float) -> Quantity:
         return Quantity(name, unit, False, NODE_COUNT, nodes, value)
 
-    restarts = max(1, run.restarts)
     added = {role: added_by(idle, changing, role) for role in ("leader", "followers")}
     added["node"] = added_by(idle, changing, "node", CONFIGURATION)
-    churned = {role: added_by(idle, churn, role) for role in ("node", "leader", "followers")}
     return [
         exact("node_bytes_per_s", "B/s", idle.node.bytes / idle.seconds / hollow),
         exact("node_messages_per_s", "1/s", idle.node.messages / idle.seconds / hollow),
@@ -97,11 +95,8 @@
         measured("leader_processor_s_per_change", "s", added["leader"].processor_s / changes),
         measured("follower_processor_share", "core", idle.followers.processor_s / idle.seconds),
         measured("follower_processor_s_per_change", "s", added["followers"].processor_s / changes),
-        measured(
-            "leader_processor_s_per_restart",
-            "s",
-            churned["leader"].processor_s / restarts - added["leader"].processor_s / changes,
-        ),
+        measured("leader_processor_s_first_list", "s", run.leader_list.first_processor_s),
+        measured("leader_processor_s_shared_list", "s", run.leader_list.shared_processor_s),
         measured("node_processor_s_per_list", "s", run.list_processor_s),
         measured("wall_s", "s", run.wall_s),
         *_gateway_quantities(run),
--- a/src/rainsail/scale/report.py
+++ b/src/rainsail/scale/report.py
@@ -19,6 +19,7 @@
 from rainsail.scale.gateway_run import GatewayCosts
 from rainsail.scale.machine_list_cost import MachineListCost
 from rainsail.scale.quantities import Slope, control_quantities, gateway_quantities, slopes
+from rainsail.scale.replica_cost import ReplicaCost
 from rainsail.scale.workload import FleetSize
 
 DOTS_PER_INCH = 110
@@ -36,6 +37,7 @@
     gateway_costs: tuple[GatewayCosts, ...]
     kept_memory: KeptMemory
     machine_list: MachineListCost
+    replica: ReplicaCost
 
     def largest(self) -> ControlRunResult:
         """Return the control run of the most nodes."""
@@ -68,6 +70,7 @@
         "exact": {each.name: _slope_json(each) for each in fitted if each.exact},
         "measured": {each.name: _slope_json(each) for each in fitted if not each.exact},
         "machine_list": asdict(report.machine_list),
+        "replica": asdict(report.replica),
         "kept_memory": asdict(report.kept_memory),
         "resident_memory": asdict(report.largest().memory),
         "gateway_costs": [asdict(each) for each in report.gateway_costs],
--- a/src/rainsail/scale/scale_run.py
+++ b/src/rainsail/scale/scale_run.py
@@ -7,6 +7,7 @@
 from rainsail.scale.gateway_memory import measure_memory
 from rainsail.scale.gateway_run import measure_costs
 from rainsail.scale.machine_list_cost import measure_machine_list
+from rainsail.scale.replica_cost import measure_replica
 from rainsail.scale.report import ScaleReport
 from rainsail.scale.workload import FleetSize
 
@@ -62,8 +63,11 @@
         costs.append(measure_costs(size, seed))
     progress("the machine list, and memory")
     machines = measure_machine_list(target)
+    replica = measure_replica(target)
     memory = measure_memory(seed, target)
-    return ScaleReport(command, target, tuple(control_runs), tuple(costs), memory, machines)
+    return ScaleReport(
+        command, target, tuple(control_runs), tuple(costs), memory, machines, replica
+    )
 
 
 def print_progress(text: str) -> None:
