Ask an engine again for lost chunks; prove the remaining failures of dispatch

Cause: a finished answer that lacked a chunk cost its item an attempt, and after five such losses a sound item was set aside. Nothing brought about a dead dispatcher, lost cancels, late results or disordered chunks.

Change: an item's run resumes the stream at the first chunk missing, up to three times, before it counts as failed. Scenarios for each of those failures and for stepping aside from a long prompt.

Red when broken: no resume, chunks joined without order, one cancel only, no stepping aside for prompts, new items beside a prompt.

Conclusion: attempts are spent on poison only.

--- a/features/batch/dispatch.feature
+++ b/features/batch/dispatch.feature
@@ -112,3 +112,58 @@
     When tenant broker has a batch job of 1500 items
     And tenant exporter sends batch jobs of 20 items one after the other for 100 s
     Then tenant exporter has had 45 % to 55 % of the batch items
+
+  Scenario: a dispatcher that dies with items in flight loses none
+    Given a batch fleet of 2 runners and 2 gateways
+    When a batch job of 40 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And the process of gateway-0 dies with batch items in flight
+    And the runners of gateway-0 pass to gateway-1
+    Then the batch job completes within 400 s
+    And every batch result is the whole answer of its item
+    And the ledger took one result per batch item
+
+  Scenario: a cancelled job stops at the engines although cancels are lost
+    Given a batch fleet of 2 runners and 1 gateway
+    And the network loses the first 2 cancels of every batch item
+    When a batch job of 40 items with answers of 2000 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And the batch job is cancelled
+    Then no engine runs batch items after 2.5 s
+    And the batch job stays cancelled and takes no more results
+
+  Scenario: a result that comes after its lease went to another is dropped
+    Given a batch fleet of 2 runners and 2 gateways
+    When a batch job of 40 items is submitted
+    And the batch fleet runs until gateway-0 has batch results to commit
+    And gateway-0 is paused for 20 s
+    Then the batch job completes within 60 s
+    And gateway-0 has had late batch results dropped
+    And every batch result is the whole answer of its item
+    And the ledger took one result per batch item
+
+  Scenario: chunks that are lost or come out of order or twice make whole results
+    Given a batch fleet of 2 runners and 1 gateway
+    And the network loses, repeats and disorders chunks of batch items
+    When a batch job of 40 items is submitted
+    Then the batch job completes within 60 s
+    And no attempt of a batch item counts as failed
+    And every batch result is the whole answer of its item
+    And the ledger took one result per batch item
+
+  Scenario: batch steps aside within 50 ms of a long online prompt and starts nothing beside it
+    Given a batch fleet of 1 runners and 1 gateway
+    When a batch job of 200 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And an online prompt of 4000 tokens arrives at runner-0
+    Then runner-0 runs no batch items 50 ms later
+    And no batch item starts on runner-0 before the first token of that prompt
+    And the batch job completes within 400 s
+    And every batch result is the whole answer of its item
+
+  Scenario: a long online prompt at another runner leaves batch alone
+    Given a batch fleet of 2 runners and 1 gateway
+    When a batch job of 200 items with answers of 400 tokens is submitted
+    And the batch fleet runs for 1.3 s
+    And an online prompt of 4000 tokens arrives at runner-0
+    Then runner-1 still runs 8 batch items 50 ms later
--- a/features/support/batch.py
+++ b/features/support/batch.py
@@ -9,6 +9,7 @@
 from rainsail.batch.dispatcher import Dispatcher
 from rainsail.batch.intake import JobIntake
 from rainsail.batch.policies import make_policy
+from rainsail.batch.prefill_meter import OnlinePrefillMeter
 from rainsail.batch.settings import BatchSettings
 from rainsail.emulator.answers import expected_answer
 from rainsail.emulator.engine import EmulatedEngine
@@ -21,6 +22,7 @@
     GenerateRequest,
     Priority,
 )
+from rainsail.engine.prefix import CHARACTERS_PER_TOKEN
 from rainsail.experiment.local_config import LocalConfig
 from rainsail.experiment.local_control import LocalControl
 from rainsail.gateway.fleet import RunnerFleet
@@ -63,7 +65,9 @@
 
     name: str
     clock: SkewedClock
+    config: LocalConfig
     engine: PoisonableEngineClient
+    prefill: OnlinePrefillMeter
     fleet: RunnerFleet
     dispatcher: Dispatcher
 
@@ -128,6 +132,7 @@
         zone = f"z{name.rsplit('-', 1)[1]}"
         fleet = RunnerFleet(name, zone, config, engine, clock, Random(4), GatewaySettings())
         fleet.start()
+        prefill = OnlinePrefillMeter(engine, fleet.cached_tokens)
         dispatcher = Dispatcher(
             f"{name}/1",
             fleet,
@@ -138,9 +143,10 @@
             Random(5),
             self.settings,
             make_policy(self.settings),
+            prefill,
         )
         dispatcher.start()
-        return GatewayProcess(name, clock, engine, fleet, dispatcher)
+        return GatewayProcess(name, clock, config, engine, prefill, fleet, dispatcher)
 
     # --- driving --------------------------------------------------------------------------
 
@@ -204,16 +210,19 @@
             1 for engine in self.engines for record in engine.executions if record.ended_s is None
         )
 
-    def start_online(self, gateway: GatewayProcess, runner: str, count: int) -> None:
+    def start_online(
+        self, gateway: GatewayProcess, runner: str, count: int, prompt_tokens: int = 0
+    ) -> None:
         """Send online requests to a runner as the gateway's core would."""
         for index in range(count):
             attempt_id = f"online-{self.clock.seconds():.3f}-{index}"
             gateway.fleet.attempt_started(runner, attempt_id, False, 400)
+            prompt = f"alarm {index}".ljust(prompt_tokens * CHARACTERS_PER_TOKEN, "?")
             request = GenerateRequest(
-                attempt_id, attempt_id, SERVICE, "", f"alarm {index}", 200, Priority.HIGH
+                attempt_id, attempt_id, SERVICE, "", prompt, 200, Priority.HIGH
             )
             address = f"engine-{runner.rsplit('-', 1)[1]}"
-            gateway.engine.generate(address, request, _OnlineListener(gateway, runner))
+            gateway.prefill.generate(address, request, _OnlineListener(gateway, runner))
 
 
 class _OnlineListener:
--- a/src/rainsail/batch/item_runner.py
+++ b/src/rainsail/batch/item_runner.py
@@ -23,6 +23,9 @@
 CANCEL_ATTEMPTS = 5
 """Times that a cancel is sent; the engine's stream dies with its reader after that."""
 
+RESUME_ATTEMPTS = 3
+"""Times that an engine is asked again for the chunks missing of a finished answer."""
+
 
 class RunEnd(StrEnum):
     """How a run ended, as far as the item is concerned."""
@@ -58,6 +61,7 @@
         self._texts: list[str] = []
         self._ahead: dict[int, Chunk] = {}
         self._next_sequence = 0
+        self._resumes = 0
         self._cancels = 0
         self._cancel_sent_at_s = 0.0
         self.stopped = False
@@ -122,12 +126,24 @@
         """Take the attempt's end."""
         if end.attempt_id != self.attempt_id or self.ended:
             return
+        if self._asks_again(end):
+            return
         self.ended = True
         if self.stopped:
             return
         run_end, detail = self._judge(end)
         self._on_end(self, run_end, detail, end.retry_after_s)
 
+    def _asks_again(self, end: AttemptEnd) -> bool:
+        """Resume the stream of a finished answer that lacks chunks; tell whether that was done."""
+        finished = end.reason in (EndReason.STOP, EndReason.LENGTH)
+        whole = self._next_sequence >= end.chunk_count
+        if self.stopped or not finished or whole or self._resumes >= RESUME_ATTEMPTS:
+            return False
+        self._resumes += 1
+        self._engine.resume(self._address, self.attempt_id, self._next_sequence, self)
+        return True
+
     def _judge(self, end: AttemptEnd) -> tuple[RunEnd, str]:
         if end.reason in (EndReason.STOP, EndReason.LENGTH):
             if self._next_sequence < end.chunk_count:
