Demand a storage fault of members with failed syncs and full disks also in the pairs

Change: the faults "sync fails" and "disk full" assert, when they end, that the member had stopped with exactly one storage fault and had not gone on.

--- a/features/support/consensus_faults.py
+++ b/features/support/consensus_faults.py
@@ -6,6 +6,7 @@
 from features.support.consensus import SimulatedGroup
 
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.errors import FaultCode
 from rainsail.simulation.network import LinkConditions
 
 REPAIR_AFTER_S = 3.0
@@ -44,6 +45,8 @@
 
 
 def _replace_after_failed_sync(group: SimulatedGroup, name: str) -> None:
+    faults = group.running[name].faults
+    assert [fault.code for fault in faults] == [FaultCode.STORAGE], f"{name} went on: {faults}"
     group.disks[name].sync_fails = False
     _restart(group, name)
 
@@ -54,6 +57,8 @@
 
 
 def _empty_full_disk(group: SimulatedGroup, name: str) -> None:
+    faults = group.running[name].faults
+    assert [fault.code for fault in faults] == [FaultCode.STORAGE], f"{name} went on: {faults}"
     group.disks[name].capacity_bytes = None
     _restart(group, name)
 
