--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/python tools/generate_settings_page.py --check
+	$(BIN)/python tools/generate_capacity_page.py --check
 
 bench: setup
 	$(BIN)/rainsail bench all
@@ -35,5 +36,9 @@
 rig: setup
 	$(BIN)/python -m rig all --seed $(RIG_SEED) --seconds $(RIG_SECONDS)
 
+# Control at the design size on one machine, some six minutes; see docs/CAPACITY.md.
+scale: setup
+	$(BIN)/rainsail scale --nodes 380 --runners 12000 --regions 11 --zones 36
+
 clean:
 	rm -rf $(VENV) build data
