--- a/features/steps/fuzz_protocol_steps.py
+++ b/features/steps/fuzz_protocol_steps.py
@@ -15,6 +15,7 @@
 from rainsail.wire.codec import CodecError, decode, encode, registered_records
 from rainsail.wire.connection import PeerConnection
 from rainsail.wire.envelope import decode_envelope, encode_envelope
+from rainsail.wire.framing import HELLO_FRAME_BYTES
 from rainsail.wire.hello import LinkHello
 from rainsail.wire.messenger import Envelope, EnvelopeKind, Messenger
 from rainsail.wire.protocol import PROTOCOL_MODULES
@@ -175,6 +176,7 @@
 def step_streams(context, count):
     context.owners = []
     context.most_held = 0
+    context.most_held_before = 0
 
     def check(data, pieces):
         owner, clock = Owner(), VirtualClock()
@@ -189,6 +191,8 @@
             start = max(start, end)
             held = connection._gathered_bytes + len(connection._unprocessed)
             context.most_held = max(context.most_held, held)
+            if not owner.opened:
+                context.most_held_before = max(context.most_held_before, held)
         clock.advance(120.0)
         connection.connectionLost(None)
         context.owners.append(owner)
@@ -209,6 +213,8 @@
 def step_held(context):
     most = MAX_FRAME_BYTES + 4 + PIECE_BYTES
     assert PIECE_BYTES < context.most_held <= most, context.most_held
+    before = HELLO_FRAME_BYTES + 4 + PIECE_BYTES
+    assert context.most_held_before <= before, context.most_held_before
 
 
 # --- requests ---------------------------------------------------------------------------------
