--- a/src/rainsail/experiment/policy_experiment.py
+++ b/src/rainsail/experiment/policy_experiment.py
@@ -99,7 +99,8 @@
     ]
 
 
-def _first_token_s(record: RunRecord) -> list[float]:
+def first_token_waits_s(record: RunRecord) -> list[float]:
+    """Return the seconds from sending to the first token, of every request that counts."""
     return [_wait_s(each.sent_s, each.first_token_s, record) for each in _online(record)]
 
 
@@ -116,7 +117,7 @@
     window_s = record.window_end_s - record.window_start_s
     commits = [each for each in record.commits if record.in_window(each.at_s)]
     tokens = sum(each.tokens for each in commits)
-    first, answer = _first_token_s(record), _answer_s(record)
+    first, answer = first_token_waits_s(record), _answer_s(record)
     p99 = percentile(first, 0.99)
     answer_p99 = percentile(answer, 0.99)
     online = [each for each in record.online if each.kind != PING]
@@ -129,7 +130,7 @@
         online_p99_s=p99,
         answer_p50_s=percentile(answer, 0.5),
         answer_p99_s=answer_p99,
-        harm=p99 / percentile(_first_token_s(baseline), 0.99),
+        harm=p99 / percentile(first_token_waits_s(baseline), 0.99),
         answer_harm=answer_p99 / percentile(_answer_s(baseline), 0.99),
         step_aside_p99_s=percentile(record.step_aside_s, 0.99),
         online_requests=len(online),
