Prove that a killed rig leaves no process; vary the rig's draws by site

Cause: nothing tested the rig's own sudden end; both sites drew the same failures for one seed. Change: a scenario kills the rig while its processes start; the site joins the seed; two process scenarios became one of the same steps, to spare starts.

--- a/features/rig/processes.feature
+++ b/features/rig/processes.feature
@@ -20,14 +20,10 @@
       | operator_api |
       | internal     |
 
-  Scenario: A killed process leaves its data folder to the next
+  Scenario: A killed process leaves its data folder to the next, which writes its log ring on request
     Given a rig folder with the settings of a replica "solo"
     When the daemon of the rig folder is started and ready
     And the daemon of the rig folder is killed and started again
     Then the daemon of the rig folder is ready
-
-  Scenario: A request for the log ring is answered with a file
-    Given a rig folder with the settings of a replica "solo"
-    When the daemon of the rig folder is started and ready
-    And the daemon of the rig folder gets SIGUSR1
+    When the daemon of the rig folder gets SIGUSR1
     Then the data folder holds a dump of the log ring for "SIGUSR1"
--- a/features/rig/short_run.feature
+++ b/features/rig/short_run.feature
@@ -9,3 +9,11 @@
     And no process of the rig run is left
     When one result is taken out of the history of the rig run
     Then the checkers find that the history of the rig run lost an item
+
+  Scenario: A rig that is killed leaves no process behind
+    When the fleet rig of site "guayaquil" is killed while its processes start
+    Then no process of the rig run is left
+
+  Scenario: A site that there is not is bad input
+    When the fleet rig runs site "atlantis" briefly with seed 1
+    Then the rig run ended with code 2 naming "expected all, guayaquil or taoyuan"
--- a/features/steps/rig_run_steps.py
+++ b/features/steps/rig_run_steps.py
@@ -1,9 +1,7 @@
 """Steps of features/rig/short_run.feature."""
 
-import os
-
 from behave import then, when
-from features.support.rig import run_rig, scratch_folder
+from features.support.rig import begin_rig, processes_naming, run_rig, scratch_folder, wait_until
 
 from rainsail.experiment.checkers.exactly_once import reads_after_faults
 from rainsail.experiment.checkers.suite import check_history
@@ -55,22 +53,28 @@
     assert all(result[kind] > 0 for kind in kinds), result
 
 
+@when('the fleet rig of site "{site}" is killed while its processes start')
+def step_kill(context, site):
+    context.rig_kept = scratch_folder(context) / "kept"
+    rig = begin_rig(site, "--short", "--keep", str(context.rig_kept))
+    context.add_cleanup(rig.kill)
+    settings = str(context.rig_kept / site / "settings")
+    wait_until(lambda: processes_naming(settings), "a process of the rig")
+    rig.kill()
+    rig.wait()
+
+
 @then("no process of the rig run is left")
 def step_none_left(context):
     """Look for processes whose command names this run's own folder."""
-    mark = str(context.rig_kept).encode()
-    left = []
-    for entry in os.scandir("/proc"):
-        if not entry.name.isdigit():
-            continue
-        try:
-            with open(f"/proc/{entry.name}/cmdline", "rb") as file:
-                command = file.read()
-        except OSError:
-            continue
-        if mark in command:
-            left.append(entry.name)
-    assert left == [], left
+    kept = str(context.rig_kept)
+    wait_until(lambda: not processes_naming(kept), f"no process of {kept}")
+
+
+@then('the rig run ended with code {code:d} naming "{text}"')
+def step_ended(context, code, text):
+    run = context.rig_run
+    assert run.code == code and text in run.stderr, run
 
 
 @when("one result is taken out of the history of the rig run")
--- a/features/support/rig.py
+++ b/features/support/rig.py
@@ -1,5 +1,6 @@
 """Helpers of the rig features: single daemons of a folder, and a whole run as a command."""
 
+import contextlib
 import json
 import os
 import signal
@@ -58,6 +59,27 @@
     return RigRun(done.returncode, json.loads(lines[-1]) if lines else {}, done.stderr)
 
 
+def begin_rig(*arguments: str) -> subprocess.Popen:
+    """Start the rig as a command and don't wait for it."""
+    command = [sys.executable, "-m", "rig", *arguments]
+    quiet = subprocess.DEVNULL
+    return subprocess.Popen(
+        command, cwd=ROOT, stdout=quiet, stderr=quiet, preexec_fn=die_with_parent
+    )
+
+
+def processes_naming(text: str) -> list[int]:
+    """Return the ids of the processes whose command holds a text."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if not entry.name.isdigit():
+            continue
+        with contextlib.suppress(OSError):
+            if text.encode() in (entry / "cmdline").read_bytes():
+                found.append(int(entry.name))
+    return found
+
+
 def own_host(number: int) -> str:
     """Return an IP number under 127.0.0.0/8 that only this process uses."""
     process = os.getpid() & 0xFFFF
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -62,8 +62,8 @@
         _end(f"keep: {folder} exists already", ExitCode.BAD_INPUT)
     plan = SHORT if short else long_plan(seconds)
     wait_limit_s = SHORT_WAIT_LIMIT_S if short else LONG_WAIT_LIMIT_S
-    names = SITE_NAMES if site == ALL_SITES else (site,)
-    layouts = [SiteLayout(_options(name, folder / name, short, plan)) for name in names]
+    sites = SITE_NAMES if site == ALL_SITES else (site,)
+    layouts = [SiteLayout(_options(each, folder / each, short, plan)) for each in sites]
     runs = [RigRun(layout, seed, plan, wait_limit_s) for layout in layouts]
     try:
         results = _run_reactor(runs, time_limit_s)
--- a/rig/run.py
+++ b/rig/run.py
@@ -108,7 +108,7 @@
         self._injector = Injector(self.fleet, self._operators.first, self.history, draw, hold)
 
     def _draw(self, purpose: str) -> random.Random:
-        return random.Random(f"{self._seed}/{purpose}")
+        return random.Random(f"{self.fleet.layout.site}/{self._seed}/{purpose}")
 
     def _make_traffic(self, layout: SiteLayout) -> None:
         site = SITES[layout.site]()
