Let a gateway leave a session alone that another gateway has taken from it

Cause: a gateway that had held a session kept its last view of it. When the runner of that view drained, it began to move the session; refused for its old fence it read the session anew and took it over from the gateway that held it, whose turn in progress then ended as unknown.

Change: a move off a draining runner attaches once, on the view that is held; refused, the view is given up and the session forgotten. Only a turn takes a session over.

--- a/features/gateway/sessions.feature
+++ b/features/gateway/sessions.feature
@@ -74,6 +74,18 @@
     And all runs of "container-7" were on one runner
     And the record of "container-7" holds 3 turns under fence 3
 
+  Scenario: A gateway that held a session before leaves it alone when its runner drains
+    Given a gateway fleet of 3 runners and 2 gateways
+    And a gateway session "container-7"
+    When 1 turn of "container-7" is taken through gateway 0
+    And 1 turn of "container-7" is taken through gateway 1
+    And 1 turns of "container-7" are sent to gateway 1 at once
+    And 0.5 seconds of gateway time pass
+    And the runner of session "container-7" is drained by its resource
+    And 8 seconds of gateway time pass
+    Then every turn of "container-7" has the answer that its transcript gives
+    And the record of "container-7" holds 3 turns under fence 3
+
   Scenario: Two gateways race for a session and no turn is lost or doubled in its record
     Given a gateway fleet of 3 runners and 2 gateways
     And a gateway session "container-7"
--- a/src/rainsail/gateway/session_placement.py
+++ b/src/rainsail/gateway/session_placement.py
@@ -93,6 +93,19 @@
                 return Error(fault)
         return Error(fault)
 
+    async def move_away(self, session: LiveSession) -> None:
+        """Attach a session that this gateway holds to another runner, taking its cache along.
+
+        When another gateway has taken the session meanwhile, it is that one's to move: the view
+        of it is given up.
+        """
+        view = session.view
+        if view is None or view.gateway != self.holder:
+            return
+        target = self._target(session, view, ())
+        if target and target != view.runner:
+            await self._attach(session, view, target, export=True)
+
     def _target(self, session: LiveSession, view: SessionView, failed: tuple[str, ...]) -> str:
         stays = bool(view.runner) and view.runner not in failed
         if stays and not self.must_leave(view.runner):
--- a/src/rainsail/gateway/sessions.py
+++ b/src/rainsail/gateway/sessions.py
@@ -113,6 +113,9 @@
         if session.leave(turn):
             self._move_if_due(session)
         session.advance()
+        self._forget_when_done(session)
+
+    def _forget_when_done(self, session: LiveSession) -> None:
         if session.idle and not self._holds(session):
             self._live.pop(session.name, None)
 
@@ -149,7 +152,8 @@
 
     async def _move(self, session: LiveSession) -> None:
         """Move; what fails here is done by the next turn."""
-        await self._placement.place(session, ())
+        await self._placement.move_away(session)
         session.moving = False
         self._move_if_due(session)
         session.advance()
+        self._forget_when_done(session)
