Lose disks too while random operators work

Change: a replica's disk may be lost and replaced in the random runs, two machines in trouble at most at a time; at the end the group must say Healthy.

--- a/features/control/random_operators.feature
+++ b/features/control/random_operators.feature
@@ -1,6 +1,6 @@
 Feature: What operators are answered is one history, whatever happens meanwhile
 
-  Scenario: Random changes, reads, crashes, cuts, losses, and gateways that come and go
+  Scenario: Random changes, reads, crashes, cuts, lost disks, and gateways that come and go
     When 4 random operators work on real control replicas for 20 seconds, under 3 seeds
     Then each acknowledged change of the random operators took effect once, each refused one never
     And every expected revision of the random operators was the one replaced
--- a/features/steps/control_random_steps.py
+++ b/features/steps/control_random_steps.py
@@ -70,6 +70,7 @@
 def in_force_true(context):
     """Checked at every event of the runs."""
     assert not context.random_failures, context.random_failures[0]
+    assert sum(operators.disks_lost for operators, _ in context.random_runs) > 0
     assert all(operators.marks_checked > MIN_CHECKS for operators, _ in context.random_runs)
 
 
--- a/features/support/control_history.py
+++ b/features/support/control_history.py
@@ -65,6 +65,8 @@
         self.random = random.Random(f"operators {self.seed}")
         self.down: list[str] = []
         self.cut: list[str] = []
+        self.lost: list[str] = []
+        self.disks_lost = 0
         self.gateways = 0
         self.stopping = False
         self.known_revisions: dict[str, int] = {}
@@ -86,7 +88,7 @@
         self.stopping = True
         self._heal()
         fleet.clock.advance(CHANGE_LIMIT_S + 15.0)
-        fleet.wait_until(lambda: bool(fleet.leader()))
+        fleet.wait_until(self._is_healthy)
 
     # --- operators -----------------------------------------------------------------------
 
@@ -138,6 +140,7 @@
                 self._cut_any,
                 self._mend_any,
                 self._lossy,
+                self._lose_disk,
                 self._trouble_gateway,
                 self._join_gateway,
                 self._restart_gateway,
@@ -152,17 +155,35 @@
         self._kill(self.random.choice(self.fleet.names))
 
     def _kill(self, name: str) -> None:
-        if name not in self.down and len({*self.down, *self.cut, name}) <= 2:
+        if name not in self.down and self._may_strike(name):
             self.down.append(name)
             self.fleet.replicas[name].kill()
 
+    def _may_strike(self, name: str) -> bool:
+        """At most two machines are in trouble; one with a lost disk is until it is replaced."""
+        if self.lost and self._is_healthy():
+            self.lost.clear()
+        return len({*self.down, *self.cut, *self.lost, name}) <= 2
+
+    def _is_healthy(self) -> bool:
+        name = self.fleet.leader()
+        return bool(name) and self.fleet.replicas[name].node.group.status().health == "Healthy"
+
+    def _lose_disk(self) -> None:
+        name = self.random.choice(self.fleet.names)
+        if name not in self.down and self._may_strike(name):
+            self.lost.append(name)
+            self.disks_lost += 1
+            self.fleet.replicas[name].lose_disk()
+            self.fleet.replicas[name].start()
+
     def _start_any(self) -> None:
         if self.down:
             self.fleet.replicas[self.down.pop(0)].start()
 
     def _cut_any(self) -> None:
         name = self.fleet.leader() or self.random.choice(self.fleet.names)
-        if name not in self.down and len({*self.down, *self.cut, name}) <= 2:
+        if name not in self.down and self._may_strike(name):
             self.cut.append(name)
             self.fleet.network.isolate(name)
 
