--- a/src/rainsail/scale/control_fleet.py
+++ b/src/rainsail/scale/control_fleet.py
@@ -1,7 +1,7 @@
 """A fleet's control on the virtual clock: real replicas, hollow nodes, a few real gateways."""
 
 import random as random_module
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 
@@ -99,10 +99,10 @@
         """Tell whether a replica leads."""
         return any(each.group and each.group.is_leader() for each in self.replicas.values())
 
-    def wait_until(self, condition: "object", limit_s: float) -> bool:
+    def wait_until(self, condition: Callable[[], bool], limit_s: float) -> bool:
         """Run virtual time until a condition holds; False when it did not within the limit."""
         end_s = self.clock.seconds() + limit_s
-        while not condition():  # type: ignore[operator]
+        while not condition():
             if not self.clock.run_next(end_s):
                 return False
         return True
--- a/src/rainsail/scale/control_run.py
+++ b/src/rainsail/scale/control_run.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from rainsail.control.config_view import ConfigView
 from rainsail.scale.control_fleet import ControlFleet
 from rainsail.scale.design_size import DESIGN_SIZE
 from rainsail.scale.list_cost import ListCost, measure_list
@@ -256,9 +257,9 @@
         running = self.fleet.start_node(number)
         self._wait_ready(running.node.view, self.fleet.clock.seconds())
 
-    def _wait_ready(self, view: "object", since_s: float) -> None:
+    def _wait_ready(self, view: ConfigView, since_s: float) -> None:
         clock = self.fleet.clock
-        if view.lease_valid():  # type: ignore[attr-defined]
+        if view.lease_valid():
             self._ready_after_s.append(clock.seconds() - since_s)
             return
         clock.callLater(PROGRESS_POLL_S, self._wait_ready, view, since_s)
--- a/src/rainsail/scale/workload.py
+++ b/src/rainsail/scale/workload.py
@@ -11,6 +11,7 @@
     RunnerSpec,
     RunnerStatus,
     ServiceSpec,
+    Spec,
     TenantSpec,
 )
 from rainsail.state.commands import ANY_REVISION, Command, PutResource, PutStatus
@@ -128,5 +129,5 @@
     return PutResource(change_id, key, tenant_spec(1e6 + number))
 
 
-def _put(kind: Kind, name: str, spec: object) -> PutResource:
-    return PutResource(f"declare/{kind}/{name}", ResourceKey(kind, name), spec)  # type: ignore[arg-type]
+def _put(kind: Kind, name: str, spec: Spec) -> PutResource:
+    return PutResource(f"declare/{kind}/{name}", ResourceKey(kind, name), spec)
