Let a command take any number of files; prove trace record on the command line

Change: a command that takes any number of words gets them; a scenario merges two recordings with it and gives it a file that is none.

--- a/features/replay/recording.feature
+++ b/features/replay/recording.feature
@@ -11,6 +11,13 @@
     And no prompt's text and no key's hash stands in the recordings
     And the merged trace can be replayed
 
+  Scenario: The command merges recordings and refuses one that is none
+    Given two gateways that record their callers
+    When a caller sends "q1" to the first and, after its answer was lost, again to the second
+    And "trace record" merges the recordings on the command line
+    Then it prints 1 online request of "guayaquil" and its file can be shown
+    And with a file that is no recording it ends with code 2 naming the file
+
   Scenario: Requests that share their beginning share a template
     Given two gateways that record their callers
     When a caller sends two prompts that begin alike and one that doesn't to the first
--- a/features/steps/replay_recording_steps.py
+++ b/features/steps/replay_recording_steps.py
@@ -1,5 +1,6 @@
 """Steps in which gateways record their callers and recordings are merged."""
 
+import json
 import tempfile
 from dataclasses import replace
 from pathlib import Path
@@ -7,6 +8,7 @@
 
 from behave import given, then, when
 from features.support.caller_api import GatewayDouble, IntakeDouble
+from features.support.command_line import rainsail_here
 
 from rainsail.experiment.replay.outcomes import OutcomesFile
 from rainsail.experiment.replay.simulated import replay_simulated
@@ -248,3 +250,30 @@
     assert 0 < gateway.path.stat().st_size <= size
     kept = len(merge_recordings([gateway.path], "guayaquil").ok.requests)
     assert kept + gateway.recorder.dropped == len(gateway.core.runs) > kept > 10
+
+
+@when('"trace record" merges the recordings on the command line')
+def step_record_command(context):
+    for gateway in context.gateways:
+        gateway.recorder.close()
+    context.recordings = [str(gateway.path) for gateway in context.gateways]
+    context.out = context.gateways[0].path.with_name("merged.avro")
+    words = ["trace", "record", *context.recordings, "--out", str(context.out)]
+    context.finished = rainsail_here([*words, "--site", "guayaquil"])
+
+
+@then('it prints {count:d} online request of "{site}" and its file can be shown')
+def step_printed(context, count, site):
+    assert context.finished.code == 0, context.finished
+    printed = json.loads(context.finished.stdout.splitlines()[-1])
+    assert (printed["site"], printed["classes"]["online"]["arrivals"]) == (site, count), printed
+    shown = rainsail_here(["trace", "show", str(context.out)])
+    assert shown.code == 0 and '"recorded"' in shown.stdout, shown
+
+
+@then("with a file that is no recording it ends with code 2 naming the file")
+def step_record_refused(context):
+    odd = context.out.with_name("odd.avro")
+    odd.write_bytes(b"no recording")
+    finished = rainsail_here(["trace", "record", *context.recordings, str(odd), "--out", "x"])
+    assert finished.code == 2 and str(odd) in finished.stderr, finished
--- a/src/rainsail/cli/arguments.py
+++ b/src/rainsail/cli/arguments.py
@@ -112,7 +112,8 @@
 def _check_positional(given: GivenArguments, parameters: Any) -> None:
     named = [flag.name for flag in given.flags]
     free = [name for name in parameters if name not in named]
-    if len(given.positional) > len(free):
+    takes_any = any(each.kind is each.VAR_POSITIONAL for each in parameters.values())
+    if len(given.positional) > len(free) and not takes_any:
         raise bad_input(f"unexpected argument {given.positional[len(free)]!r}")
     for name, word in zip(free, given.positional, strict=False):
         _check_number(name, word, parameters[name].annotation)
