--- a/src/rainsail/demo/operator.py
+++ b/src/rainsail/demo/operator.py
@@ -9,9 +9,11 @@
 
 from rainsail.demo.callers import CallerSeams
 from rainsail.demo.http_calls import Call, Reply
-from rainsail.demo.site import DeclaredResource, DemoSite
+from rainsail.demo.site import POSITIONS, REPORTS, DeclaredResource, DemoSite
+from rainsail.demo.traffic_plan import COMPLETION_PATH
 from rainsail.errors import Fault
-from rainsail.resources.specs import Kind
+from rainsail.gateway.openai.headers import CLASS_HEADER
+from rainsail.resources.specs import Kind, RequestClass
 from rainsail.runtime.clock import sleep
 
 RETRY_DELAY_S = 0.2
@@ -43,7 +45,7 @@
 
     @inlineCallbacks
     def wait_until_ready(self) -> Generator[Deferred[Any], Any, None]:
-        """Wait until every runner is ready and every gateway knows this start's keys."""
+        """Wait until every runner is ready and every gateway answers under this start's keys."""
         while True:
             listed = yield self._until_answered("GET", f"/v1/resources/{Kind.RUNNER}", None)
             self.waiting_for = _not_ready(listed)
@@ -51,16 +53,20 @@
                 break
             yield sleep(self._seams.clock, READY_POLL_S)
         for gateway, base in self._site.caller_apis.items():
-            self.waiting_for = gateway
-            yield self._wait_for_gateway(base)
+            for service in (REPORTS, POSITIONS):
+                self.waiting_for = f"an answer of {service} at {gateway}"
+                yield self._wait_for_answer(base, service)
 
     @inlineCallbacks
-    def _wait_for_gateway(self, base: str) -> Generator[Deferred[Any], Any, None]:
+    def _wait_for_answer(self, base: str, service: str) -> Generator[Deferred[Any], Any, None]:
+        """Ask for one token until it comes: a status of an earlier start may still say ready."""
         key = list(self._site.tenant_keys.values())[-1]
+        body = json.dumps({"model": service, "prompt": "ready?", "max_tokens": 1}).encode()
+        headers = ((CLASS_HEADER, RequestClass.ONLINE.value),)
+        call = Call("POST", f"{base}{COMPLETION_PATH}", key, body, headers=headers)
         while True:
-            call = Call("GET", f"{base}/v1/models", key)
-            models = yield Deferred.fromCoroutine(self._seams.http.call(call))
-            if models.is_ok():
+            answer = yield Deferred.fromCoroutine(self._seams.http.call(call))
+            if answer.is_ok():
                 return
             yield sleep(self._seams.clock, READY_POLL_S)
 
