Run the features of an area in one process

Cause: the features took 8 min 6 s of processor time (2 min 35 s by the clock on a busy machine of 12 cores), of which some 2.2 s a file went into loading all steps, for 86 files. Change: the files of an area share a process; the long areas keep one process a file and begin first; as many processes as cores. The five slowest are printed.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,6 +1,9 @@
 """Run every behave feature in parallel worker processes and add up behave's own results.
 
-Prints each failing worker's output whole and ends with one line,
+The features of an area share one process, since loading all steps takes longer than most features;
+those that take long run by themselves, and first.
+
+Prints each failing worker's output whole, the slowest workers, and ends with one line,
 ``scenarios: N passed, N failed``. Exits 1 when a scenario failed, when a worker
 ended without a result, or when no scenario ran at all.
 """
@@ -10,31 +13,58 @@
 import subprocess
 import sys
 import tempfile
+import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
 WORKER_TIMEOUT_S = 900
 KNOWN_RED_FILE = Path("KNOWN-RED.txt")
+LONG_AREAS = ("rig", "demo", "simulation", "experiment", "scale", "benchmarks", "cli")
+"""Areas whose features run in a process each."""
+SHOWN_SLOWEST = 5
 
 
 @dataclass(frozen=True)
-class FeatureResult:
-    """What behave reported for one feature file."""
+class WorkerResult:
+    """What behave reported for the feature files of one process."""
 
-    feature: Path
+    features: tuple[Path, ...]
     passed: int
     failed_names: tuple[str, ...]
     exit_code: int
     output: str
-
-
-def run_feature(feature: Path) -> FeatureResult:
-    """Run one feature file in its own process and read behave's JSON report."""
+    took_s: float
+
+    @property
+    def name(self) -> str:
+        """The file, or the area when there are several."""
+        first = self.features[0]
+        return str(first if len(self.features) == 1 else first.parent)
+
+
+def grouped(features: list[Path]) -> list[tuple[Path, ...]]:
+    """Return the files of each process, those that take long first."""
+    areas: dict[str, list[Path]] = {}
+    alone: list[tuple[Path, ...]] = []
+    for feature in features:
+        area = feature.parent.name
+        if area in LONG_AREAS:
+            alone.append((feature,))
+        else:
+            areas.setdefault(area, []).append(feature)
+    alone.sort(key=lambda files: LONG_AREAS.index(files[0].parent.name))
+    return alone + [tuple(files) for files in areas.values()]
+
+
+def run_features(features: tuple[Path, ...]) -> WorkerResult:
+    """Run feature files in one process and read behave's JSON report."""
+    begun_s = time.monotonic()
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-color", "--no-capture"]
-        command += ["-f", "json", "-o", str(report), "-f", "plain", str(feature)]
+        command += ["-f", "json", "-o", str(report), "-f", "plain"]
+        command += [str(feature) for feature in features]
         environment = {**os.environ, "PYTHONHASHSEED": os.environ.get("PYTHONHASHSEED", "0")}
         finished = subprocess.run(
             command,
@@ -47,7 +77,8 @@
         scenarios = read_scenarios(report)
     passed = sum(1 for _, status in scenarios if status == "passed")
     failed = tuple(name for name, status in scenarios if status != "passed")
-    return FeatureResult(feature, passed, failed, finished.returncode, finished.stdout)
+    took_s = time.monotonic() - begun_s
+    return WorkerResult(features, passed, failed, finished.returncode, finished.stdout, took_s)
 
 
 def read_scenarios(report: Path) -> list[tuple[str, str]]:
@@ -77,9 +108,8 @@
 def main() -> int:
     """Run all features (or those named on the command line); return the exit code."""
     features = [Path(name) for name in sys.argv[1:]] or sorted(Path("features").rglob("*.feature"))
-    workers = max(1, (os.cpu_count() or 2) // 2)
-    with ThreadPoolExecutor(workers) as pool:
-        results = list(pool.map(run_feature, features))
+    with ThreadPoolExecutor(os.cpu_count() or 2) as pool:
+        results = list(pool.map(run_features, grouped(features)))
     listed = known_red()
     failed = []
     broken = []
@@ -89,7 +119,7 @@
         if bad or (result.exit_code != 0 and not result.failed_names):
             print(result.output)
         if result.exit_code != 0 and not result.failed_names:
-            broken.append(str(result.feature))
+            broken.append(result.name)
         for name in result.failed_names:
             if name in listed:
                 print(f"known red: {listed[name]}")
@@ -98,6 +128,8 @@
         print(f"no result from {name}")
     for name in failed:
         print(f"failed: {name}")
+    slowest = sorted(results, key=lambda result: -result.took_s)[:SHOWN_SLOWEST]
+    print("slowest: " + ", ".join(f"{each.name} {each.took_s:.0f} s" for each in slowest))
     print(f"scenarios: {passed} passed, {len(failed) + len(broken)} failed")
     return 0 if passed and not failed and not broken else 1
 
