Make the dispatcher's decisions independent of the number of runners

Cause: each look at a runner with a free place, and each item taken, counted over all owned runners how many items to lease: a tick cost the square of the runners.

--- a/src/rainsail/batch/dispatcher.py
+++ b/src/rainsail/batch/dispatcher.py
@@ -223,13 +223,13 @@
         if spec is None:
             return
         pool = self._pool(spec.service)
-        for _ in range(count):
-            held = pool.take(runner)
-            if held is None:
-                break
+        taken = 0
+        while taken < count and (held := pool.take(runner)) is not None:
+            taken += 1
             if self._keeper.valid(held.group):
                 self._start_run(runner, spec, held)
-        pool.want(self._wanted(spec.service))
+        if taken and pool.low():
+            pool.want(self._wanted(spec.service))
 
     def _wanted(self, service: str) -> int:
         """Return how many items to keep ready: the free places and a few per runner."""
--- a/src/rainsail/batch/lease_pool.py
+++ b/src/rainsail/batch/lease_pool.py
@@ -92,6 +92,10 @@
         if group is not None:
             self._request(group, missing)
 
+    def low(self) -> bool:
+        """Tell whether at most half of what was wanted last is here or on its way."""
+        return 2 * (len(self._items) + self._requested()) <= self._wanted
+
     def note_backlog(self, group: GroupId, backlog: int) -> None:
         """Take a group's word on how many items of the service wait there."""
         self._groups[group].backlog = backlog
