Show what a dispatcher counts in the gateway's metrics

Cause: preemptions, failed attempts, revoked items, late results and lapsed leases were counted and shown nowhere.

--- a/src/rainsail/assembly/role_metrics.py
+++ b/src/rainsail/assembly/role_metrics.py
@@ -6,6 +6,7 @@
 
 from rainsail.assembly.emulator import EmulatorRole
 from rainsail.assembly.roles import GatewayRole, ReplicaRole
+from rainsail.batch.dispatcher import Dispatcher
 from rainsail.control.messages import GroupStatusReply
 from rainsail.emulator.engine import EmulatedEngine
 from rainsail.gateway.metering import RequestMeter
@@ -55,6 +56,24 @@
     return value
 
 
+BATCH_COUNTS: tuple[tuple[str, str, Callable[[Dispatcher], float]], ...] = (
+    ("batch_items_started", "Attempts of batch items", lambda each: each.counts.started),
+    (
+        "batch_items_finished",
+        "Attempts that gave a whole answer",
+        lambda each: each.counts.finished,
+    ),
+    ("batch_items_preempted", "Attempts that stepped aside", lambda each: each.counts.preempted),
+    ("batch_items_failed", "Attempts that cost an item one", lambda each: each.counts.failed),
+    ("batch_items_not_run", "Attempts refused by engines", lambda each: each.counts.not_run),
+    ("batch_items_revoked", "Attempts stopped by the ledger", lambda each: each.counts.revoked),
+    ("batch_lease_lapses", "Times that all leases ran out", lambda each: each.counts.lapses),
+    ("batch_results_committed", "Results taken", lambda each: each.committer.counts.committed),
+    ("batch_results_dropped", "Results too late", lambda each: each.committer.counts.dropped),
+)
+"""What a gateway's dispatcher has counted since its start."""
+
+
 def _register_gateway(metrics: Metrics, role: GatewayRole) -> None:
     node = role.node
     role.metered.meter = RequestMeter(role.name, metrics)
@@ -74,6 +93,9 @@
     )
     for name, help_text, read in gauges:
         metrics.gauge(name, help_text, ("gateway",)).labels(role.name).set_function(read)
+    for name, help_text, count in BATCH_COUNTS:
+        gauge = metrics.gauge(name, help_text, ("gateway",)).labels(role.name)
+        gauge.set_function(partial(count, node.dispatcher))
 
 
 def _register_emulator(metrics: Metrics, role: EmulatorRole) -> None:
