--- a/features/steps/fuzz_files_steps.py
+++ b/features/steps/fuzz_files_steps.py
@@ -12,7 +12,7 @@
 from behave import then, when
 from features.support import checkers as histories
 from features.support.command_line import ROOT
-from features.support.fuzz import altered, changed_tree, fuzz, peak_bytes
+from features.support.fuzz import altered, changed_tree, fuzz, peak_bytes, zigzag
 from features.support.replay import request, trace
 from hypothesis import strategies
 
@@ -243,16 +243,6 @@
     return b"Obj\x01\x02\x16avro.schema" + zigzag(len(schema)) + schema + b"\x00" + MARKER
 
 
-def zigzag(number):
-    """Return a non-negative long as Avro writes it."""
-    number *= 2
-    parts = []
-    while number > 0x7F:
-        parts.append(number & 0x7F | 0x80)
-        number >>= 7
-    return bytes([*parts, number])
-
-
 @then("reading the made file is refused by name")
 def step_made_refused(context):
     assert str(context.fuzz_path) in context.made_file_says, context.made_file_says
--- a/features/steps/fuzz_protocol_steps.py
+++ b/features/steps/fuzz_protocol_steps.py
@@ -5,7 +5,7 @@
 import crc32c
 from behave import then, when
 from features.support.control import ControlFleet, MemoryTransport
-from features.support.fuzz import altered, fuzz, peak_bytes, records_of
+from features.support.fuzz import altered, fuzz, peak_bytes, records_of, zigzag
 from hypothesis import strategies
 from twisted.internet.testing import StringTransport
 
@@ -106,16 +106,6 @@
                 context.fuzz_peak = max(context.fuzz_peak, peak)
 
 
-def zigzag(number):
-    """Return a non-negative long as Avro writes it."""
-    number *= 2
-    parts = []
-    while number > 0x7F:
-        parts.append(number & 0x7F | 0x80)
-        number >>= 7
-    return bytes([*parts, number])
-
-
 @then("decoding took at most {count:d} bytes at once")
 def step_peak(context, count):
     assert context.fuzz_peak <= count, context.fuzz_peak
--- a/features/support/fuzz.py
+++ b/features/support/fuzz.py
@@ -206,3 +206,13 @@
     hints = typing.get_type_hints(cls)
     fields = [field.name for field in dataclasses.fields(cls)]
     return strategies.builds(cls, *[values_of(hints[name]) for name in fields])
+
+
+def zigzag(number: int) -> bytes:
+    """Return a non-negative long as Avro writes it."""
+    number *= 2
+    parts = []
+    while number > 0x7F:
+        parts.append(number & 0x7F | 0x80)
+        number >>= 7
+    return bytes([*parts, number])
