Measure a change made as the leader is cut off in silence

The scale run now cuts the leader off, makes a change through a node and waits until it is in force.

--- a/features/scale/control_plane.feature
+++ b/features/scale/control_plane.feature
@@ -11,6 +11,11 @@
     When a node of the scale run is lost in silence and a change is made
     Then the change of the scale run is in force between 4 and 12 virtual seconds later
 
+  Scenario: A change made as the leader is cut off in silence gets in force in time
+    Given a scale run of 6 nodes, 24 runners and 20 tenants
+    When the scale run's leader is cut off in silence and a change is made
+    Then the change of the scale run is in force between 8 and 12 virtual seconds later
+
   Scenario: Restarts faster than life lose nothing
     Given a scale run of 8 nodes, 64 runners and 40 tenants
     When nodes of the scale run restart 800 times as often as in life while changes are made
--- a/features/steps/scale_control_steps.py
+++ b/features/steps/scale_control_steps.py
@@ -6,6 +6,7 @@
 from features.support.scale import control_run, exact_figures
 
 from rainsail.scale.fits import fit_line
+from rainsail.scale.lost_leader import lose_leader
 from rainsail.scale.quantities import CONFIGURATION, added_by
 
 SETTLE_S = 12.0
@@ -66,6 +67,13 @@
     _, context.scale_in_force_s = run.change()
 
 
+@when("the scale run's leader is cut off in silence and a change is made")
+def cut_off_leader(context):
+    run = context.scale_run
+    run.start()
+    context.scale_in_force_s = lose_leader(run.fleet)
+
+
 @then(
     "the change of the scale run is in force between {least:g} and {most:g} virtual seconds later"
 )
--- a/src/rainsail/scale/control_fleet.py
+++ b/src/rainsail/scale/control_fleet.py
@@ -131,6 +131,15 @@
         if not self.wait_until(lambda: len(answers) == count, 60.0):
             raise RuntimeError("declarations did not commit within 60 virtual seconds")
 
+    def cut_off_leader(self) -> None:
+        """Cut the leader off from everybody, in silence."""
+        lost = self.leader_name
+        names = [*self.replica_names, *(each.node.name for each in self.nodes.values())]
+        for name in names:
+            if name != lost:
+                self.network.cut(lost, name)
+                self.network.cut(name, lost)
+
     # --- nodes ----------------------------------------------------------------------------
 
     def known_list(self) -> PagedList:
--- a/src/rainsail/scale/control_run.py
+++ b/src/rainsail/scale/control_run.py
@@ -15,6 +15,7 @@
 from rainsail.scale.control_fleet import ControlFleet
 from rainsail.scale.design_size import DESIGN_SIZE
 from rainsail.scale.list_cost import ListCost, measure_list
+from rainsail.scale.lost_leader import lose_leader
 from rainsail.scale.meter import Totals, Traffic
 from rainsail.scale.workload import FleetSize, operator_change
 
@@ -80,6 +81,7 @@
     list_processor_s: float
     list_bytes: float
     leader_list: ListCost
+    lost_leader_in_force_s: float
     missed_changes: int
     serving_at_end: int
     gateway_subscriptions: int
@@ -132,6 +134,9 @@
         self.fleet.clock.advance(SETTLE_S)
         missed = self.fleet.behind()
         gateways = self.fleet.gateways
+        serving = self.fleet.serving_nodes()
+        leader_list = measure_list(self.fleet.leader.state)
+        lost_leader_in_force_s = lose_leader(self.fleet)
         subscriptions = max((len(each.fleet.runners()) for each in gateways), default=0)
         return ControlRunResult(
             self._size,
@@ -146,9 +151,10 @@
             tuple(self._ready_after_s),
             list_processor_s,
             list_bytes,
-            measure_list(self.fleet.leader.state),
+            leader_list,
+            lost_leader_in_force_s,
             missed,
-            self.fleet.serving_nodes(),
+            serving,
             subscriptions,
             memory,
             time.monotonic() - started_s,
--- a/src/rainsail/scale/quantities.py
+++ b/src/rainsail/scale/quantities.py
@@ -86,6 +86,7 @@
         exact("applied_everywhere_max_s", "s", max(run.applied_s)),
         exact("in_force_p50_s", "s", median(run.in_force_s)),
         exact("in_force_max_s", "s", max(run.in_force_s)),
+        exact("lost_leader_in_force_s", "s", run.lost_leader_in_force_s),
         exact("restart_list_bytes", "B", run.list_bytes),
         exact("restart_ready_max_s", "s", max(run.ready_after_s, default=0.0)),
         exact("missed_changes", "", float(run.missed_changes)),
