Answer proposals without a coroutine; count fresh answers instead of sorting them for the lease

Cause: each proposal asks whether the leader holds its lease, which built and sorted a list of send times, and ran as a coroutine with one more Result than needed.

ControlService._propose is a callback on the group's answer.

--- a/src/rainsail/consensus/lease.py
+++ b/src/rainsail/consensus/lease.py
@@ -57,26 +57,21 @@
     return sorted(rounds)[len(rounds) - state.membership.quorum()]
 
 
-def lease_end_s(state: CoreState, now: float) -> float:
-    """Return when the lease runs out, on the leader's own clock."""
+def holds_lease(state: CoreState, now: float) -> bool:
+    """Tell whether no other leader can exist now."""
     if state.role != Role.LEADER or state.transfer_target:
-        return float("-inf")
-    sent = []
-    for member in state.membership.voters():
-        if member.identity == state.identity:
-            sent.append(now)
-            continue
-        progress = state.progress.get(member.identity)
-        sent.append(progress.acked_sent_at_s if progress is not None else float("-inf"))
-    if not sent:
-        return float("-inf")
-    quorum_sent = sorted(sent)[len(sent) - state.membership.quorum()]
-    return quorum_sent + state.settings.lease_s
+        return False
+    horizon = now - state.settings.lease_s
+    fresh = [m for m in state.membership.voters() if answered_since(state, m.identity, horizon)]
+    return len(fresh) >= state.membership.quorum()
 
 
-def holds_lease(state: CoreState, now: float) -> bool:
-    """Tell whether no other leader can exist now."""
-    return lease_end_s(state, now) > now
+def answered_since(state: CoreState, identity: str, horizon: float) -> bool:
+    """Tell whether a member has answered a round sent after a time; the leader itself always."""
+    if identity == state.identity:
+        return True
+    progress = state.progress.get(identity)
+    return progress is not None and progress.acked_sent_at_s > horizon
 
 
 def has_lost_quorum(state: CoreState, now: float) -> bool:
--- a/src/rainsail/control/service.py
+++ b/src/rainsail/control/service.py
@@ -31,7 +31,7 @@
 from rainsail.control.settings import ControlSettings
 from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.clock import Clock
-from rainsail.state.commands import GroupId, SessionView
+from rainsail.state.commands import CommandOutcome, GroupId, SessionView
 from rainsail.state.interface import ReplicatedReader
 from rainsail.wire.messenger import Messenger
 
@@ -91,17 +91,12 @@
 
         return handle
 
-    async def _propose(
-        self, control: GroupControl, request: ProposeRequest
-    ) -> Result[ProposeReply, Fault]:
+    def _propose(self, control: GroupControl, request: ProposeRequest) -> Any:
+        """Commit a command; with callbacks, as this is what replicas do most."""
         if not control.serving():
-            return Error(not_leader("control.propose", control.group))
+            return not_leader("control.propose", control.group)
         control.note_proposal(request.command)
-        committed = await control.group.propose(request.command)
-        if committed.is_error():
-            return Error(committed.error)
-        index, outcome = committed.ok
-        return Ok(ProposeReply(outcome, index))
+        return control.group.propose(request.command).addCallback(_propose_reply)
 
     async def _list(
         self, control: GroupControl, request: ListRequest
@@ -151,3 +146,10 @@
 
     async def _status(self, control: GroupControl, request: GroupStatusRequest) -> GroupStatusReply:
         return control.group.status()
+
+
+def _propose_reply(committed: Result[tuple[int, CommandOutcome], Fault]) -> ProposeReply | Fault:
+    if committed.is_error():
+        return committed.error
+    index, outcome = committed.ok
+    return ProposeReply(outcome, index)
