Lose disks at any time, up to what a group bears until it is repaired

The plan kept losses 30 s apart, which neither keeps that from happening nor lets losses come close together. Ruled out: the repair (in those 30 s the replicas that were left could not reach each other). Change: disks may be lost at any time of a plan; the injector asks how many voters of a group have lost theirs and makes a third loss a crash.

--- a/src/rainsail/simulation/fault_plan.py
+++ b/src/rainsail/simulation/fault_plan.py
@@ -79,30 +79,21 @@
 FIRST_FAULT_S = 10.0
 """The fleet has this long to start before the first failure."""
 
-_DISK_KINDS = (FaultKind.REPLICA_DISK_LOSS, FaultKind.SECOND_LOSS_AFTER_REPAIR)
-_DISK_LOSS_SPACING_S = 30.0
-
 
 def draw_plan(draw: random.Random, targets: FaultTargets, end_s: float) -> FaultPlan:
     """Draw failures of all kinds, alone and overlapping, that end by ``end_s``.
 
-    Losses of disks keep ``_DISK_LOSS_SPACING_S`` apart (the pair that one
-    SECOND_LOSS_AFTER_REPAIR makes aside), since a group of five bears two at once.
+    Disks may be lost at any time; the injector leaves out what no group could bear.
     """
     actions = []
-    last_disk_loss_s = -_DISK_LOSS_SPACING_S
     start_s = FIRST_FAULT_S + draw.expovariate(1 / MEAN_GAP_S)
     while start_s < end_s - 2.0:
         kind = draw.choice(list(FaultKind))
         duration_s = min(draw_duration_s(draw, kind), end_s - start_s)
-        near_disk_loss = start_s - last_disk_loss_s < _DISK_LOSS_SPACING_S
-        if kind not in _DISK_KINDS or not near_disk_loss:
-            target = draw_target(draw, kind, targets)
-            actions.append(
-                FaultAction(kind=kind, target=target, start_s=start_s, duration_s=duration_s)
-            )
-            if kind in _DISK_KINDS:
-                last_disk_loss_s = start_s
+        target = draw_target(draw, kind, targets)
+        actions.append(
+            FaultAction(kind=kind, target=target, start_s=start_s, duration_s=duration_s)
+        )
         start_s += draw.expovariate(1 / MEAN_GAP_S)
     return FaultPlan(actions=tuple(actions))
 
--- a/src/rainsail/simulation/injector.py
+++ b/src/rainsail/simulation/injector.py
@@ -7,9 +7,11 @@
 from rainsail.experiment.history import DrainDeclared, FaultEnded, FaultInjected, PlannedStop
 from rainsail.platform.machine_list import MachineState
 from rainsail.resources.specs import Kind, Resource, ResourceKey, RunnerSpec
+from rainsail.simulation.disk_losses import DISKS_BORNE, unrepaired_losses
 from rainsail.simulation.fault_plan import FaultAction, FaultKind, FaultPlan
 from rainsail.simulation.fleet import OPERATOR_NAMES, SimulatedFleet, engine_address
 from rainsail.simulation.network import LinkConditions
+from rainsail.simulation.processes import ReplicaProcess
 
 Undo = Callable[[], object]
 
@@ -142,20 +144,27 @@
 
     def _replica_disk_loss(self, action: FaultAction) -> Undo:
         replica = self._fleet.replicas[action.target]
-        replica.lose_disk()
+        self._lose_disk(replica)
         return replica.start
 
+    def _lose_disk(self, replica: ReplicaProcess) -> None:
+        """Lose a disk; a third loss before the repair of the first two is left out."""
+        if unrepaired_losses(self._fleet.replicas) < DISKS_BORNE:
+            replica.lose_disk()
+        else:
+            replica.kill()
+
     def _second_loss(self, action: FaultAction) -> Undo:
         """Lose a disk, start again, and soon after the repair lose another replica's disk."""
         names = list(self._fleet.replicas)
         second = names[(names.index(action.target) + 1) % len(names)]
         first_replica = self._fleet.replicas[action.target]
         second_replica = self._fleet.replicas[second]
-        first_replica.lose_disk()
+        self._lose_disk(first_replica)
         first_replica.start()
 
         def lose_second() -> None:
-            second_replica.lose_disk()
+            self._lose_disk(second_replica)
             second_replica.start()
 
         self._fleet.clock.callLater(SECOND_LOSS_DELAY_S, lose_second)
--- a/src/rainsail/simulation/processes.py
+++ b/src/rainsail/simulation/processes.py
@@ -95,6 +95,7 @@
         self.disk = SimulatedDisk(world.clock, world.random_for(f"disk/{name}"))
         self.node: ReplicaNode | None = None
         self.last_fault: Fault | None = None
+        self.disk_lost = False
         self._config = config
         self._machine_list = machine_list
 
@@ -103,6 +104,7 @@
         if self.running:
             return
         self.running = True
+        self.disk_lost = False
         self.last_fault = None
         seams = ReplicaSeams(self._new_seams(), self.disk, self._machine_list)
         self.node = ReplicaNode(self._config, seams)
@@ -131,6 +133,7 @@
         """Power off and lose the disk."""
         self.kill()
         self.disk.wipe()
+        self.disk_lost = True
 
     def planned_stop(self, stopped: Callable[[], None]) -> None:
         """Stop as planned; calls ``stopped`` when the process has ended."""
