Refuse a data folder of other records, and stop on an entry that can't be read

Cause: after the job's record had got a field, replicas started on older data folders, threw a codec error in a timer, stopped applying and went on running; a folder whose records differ in a way that still decodes would have been misread without an error. Found by the demonstration's restart. Change: the identity file keeps the fingerprint of the durable records' schemas; a program of another fingerprint refuses the folder and names both. Conclusion: folders are not converted between versions yet. One replica at a time can be wiped and repaired by the group only when both versions speak the same protocol.

--- a/features/steps/storage_fuzz_steps.py
+++ b/features/steps/storage_fuzz_steps.py
@@ -8,7 +8,7 @@
 from rainsail.errors import FaultCode
 from rainsail.storage.identity import load_or_create_identity
 from rainsail.storage.records import RecordKind, encode_record, scan
-from support.storage import FIRST_SEGMENT, GROUP, StorageRig
+from support.storage import FIRST_SEGMENT, GROUP, SCHEMAS, StorageRig
 from support.storage_bytes import altered, sound_files
 
 SNAPSHOT = f"group-{GROUP}/{4:020d}.snapshot"
@@ -63,7 +63,7 @@
         rig.disk.replace(FIRST_SEGMENT, sound_files()[FIRST_SEGMENT])
     rig.disk.replace(PATHS[name], data)
     if name == "identity":
-        loading = load_or_create_identity(rig.disk, "north", "a1", random.Random(1))
+        loading = load_or_create_identity(rig.disk, "north", "a1", SCHEMAS, random.Random(1))
         return rig.wait(loading)
     return rig.try_open()
 
--- a/features/steps/storage_identity_steps.py
+++ b/features/steps/storage_identity_steps.py
@@ -9,14 +9,16 @@
 from rainsail.storage.log_records import FORMAT_VERSION
 from rainsail.storage.records import RecordKind, encode_record
 from rainsail.wire.codec import encode_body
-from support.storage import StorageRig
+from support.storage import SCHEMAS, StorageRig
 
 IDENTITY_DIGITS = 32
 
 
 def load(context, replica, fleet):
     """Load the identity and keep the result."""
-    opening = load_or_create_identity(context.rig.disk, fleet, replica, context.random)
+    opening = load_or_create_identity(
+        context.rig.disk, fleet, replica, context.schemas, context.random
+    )
     context.result = context.rig.wait(opening)
     if context.result.is_ok() and context.first_identity is None:
         context.first_identity = context.result.ok.identity
@@ -26,6 +28,7 @@
 def step_empty(context):
     context.rig = StorageRig()
     context.random = random.Random(11)
+    context.schemas = SCHEMAS
     context.first_identity = None
 
 
@@ -52,11 +55,17 @@
 
 @when('the power is cut {milliseconds:d} milliseconds into making the identity of "a1" of "north"')
 def step_cut(context, milliseconds):
-    load_or_create_identity(context.rig.disk, "north", "a1", context.random)
+    load_or_create_identity(context.rig.disk, "north", "a1", SCHEMAS, context.random)
     context.rig.clock.advance(milliseconds / 1000)
     context.rig.disk.crash()
 
 
+@when("a program with other records loads it")
+def step_other_schemas(context):
+    context.schemas = "other-schemas"
+    load(context, "a1", "north")
+
+
 @when("the power of the data folder's machine is cut")
 def step_crash(context):
     context.rig.disk.crash()
--- a/features/steps/storage_local_steps.py
+++ b/features/steps/storage_local_steps.py
@@ -19,7 +19,7 @@
 from rainsail.storage.local_files import LocalFileSystem
 from rainsail.storage.settings import StorageSettings
 from support.local_storage import RealFolder
-from support.storage import GROUP, make_entries, snapshot_chunks
+from support.storage import GROUP, SCHEMAS, make_entries, snapshot_chunks
 
 SEGMENT = f"group-{GROUP}/0000000001.log"
 REAL_FILES = {
@@ -38,7 +38,7 @@
 
 def identify(context):
     """Load the folder's identity."""
-    loading = load_or_create_identity(context.files, "north", "a1", random.Random(3))
+    loading = load_or_create_identity(context.files, "north", "a1", SCHEMAS, random.Random(3))
     return wait_ok(context, loading)
 
 
--- a/features/storage/identity.feature
+++ b/features/storage/identity.feature
@@ -28,6 +28,12 @@
       | 1            |
       | 3            |
 
+  Scenario: A data folder whose records another version has written is refused
+    Given an empty simulated data folder
+    When the identity of replica "a1" of fleet "north" is loaded
+    And a program with other records loads it
+    Then the identity is refused because of "written by another version"
+
   Scenario Outline: A data folder that isn't this replica's is refused
     Given an empty simulated data folder
     When the identity of replica "a1" of fleet "north" is loaded
--- a/features/support/consensus.py
+++ b/features/support/consensus.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from features.support.storage import SCHEMAS
+
 from rainsail.consensus.core_state import Role
 from rainsail.consensus.driver import GroupDriver
 from rainsail.consensus.membership import MemberSpec
@@ -103,7 +105,7 @@
         member = RunningMember(clock, transport, RecordingState(self.numbers_per_chunk))
         self.running[name] = member
         generator = random.Random(self.random.random())
-        identity = load_or_create_identity(self.disks[name], self.fleet, name, generator)
+        identity = load_or_create_identity(self.disks[name], self.fleet, name, SCHEMAS, generator)
         identity.addCallback(self._open, name, member, generator)
 
     def _open(self, identity: Any, name: str, member: RunningMember, generator: Any) -> None:
--- a/features/support/consensus_groups.py
+++ b/features/support/consensus_groups.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from features.support.consensus import FLEET, RecordingState
+from features.support.storage import SCHEMAS
 
 from rainsail.consensus.driver import GroupDriver
 from rainsail.consensus.membership import MemberSpec
@@ -56,7 +57,7 @@
         messenger = Messenger(transport, clock)
         process = GroupsProcess(clock, transport, GroupRouter(messenger, clock))
         self.processes[name] = process
-        made = load_or_create_identity(self.disks[name], FLEET, name, random.Random(name))
+        made = load_or_create_identity(self.disks[name], FLEET, name, SCHEMAS, random.Random(name))
         made.addCallback(lambda identity: self._open(name, process, messenger, identity.ok))
 
     def _open(self, name, process, messenger, identity) -> None:
--- a/features/support/storage.py
+++ b/features/support/storage.py
@@ -24,6 +24,9 @@
 SYNC_LATENCY_S = 0.002
 KEEP_NOTHING = SimulatedDiskSettings(partial_write_share=0.0)
 
+SCHEMAS = "test-schemas"
+"""Fingerprint that the data folders of the features carry."""
+
 
 @dataclass
 class StorageRig:
--- a/src/rainsail/assembly/hosted_group.py
+++ b/src/rainsail/assembly/hosted_group.py
@@ -12,11 +12,12 @@
 from rainsail.consensus.group_placement import members_of_group
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.router import GroupRouter
-from rainsail.errors import Fault
+from rainsail.errors import Fault, FaultCode
 from rainsail.state.commands import ROOT_GROUP, GroupId
 from rainsail.state.machine import ReplicatedState
 from rainsail.storage.group_storage import open_group_storage
 from rainsail.storage.identity import ReplicaIdentity
+from rainsail.wire.codec import CodecError
 from rainsail.wire.messenger import Messenger
 
 if TYPE_CHECKING:
@@ -61,17 +62,21 @@
     if storage.is_error():
         return Error(storage.error)
     names = members_of_group(group, config.replicas, config.control.replicas_per_group)
-    driver = GroupDriver(
-        group,
-        config.name,
-        identity,
-        storage.ok,
-        state,
-        messenger,
-        seams.node.clock,
-        seams.node.random,
-        config.consensus,
-        tuple(MemberSpec(name, "", True) for name in names),
-        router,
-    )
+    try:
+        driver = GroupDriver(
+            group,
+            config.name,
+            identity,
+            storage.ok,
+            state,
+            messenger,
+            seams.node.clock,
+            seams.node.random,
+            config.consensus,
+            tuple(MemberSpec(name, "", True) for name in names),
+            router,
+        )
+    except CodecError as error:
+        detail = f"group {group}: its snapshot or log can't be read: {error}"
+        return Error(Fault(FaultCode.STORAGE, "assembly.open_group", detail))
     return Ok(HostedGroup(driver, state))
--- a/src/rainsail/assembly/replica.py
+++ b/src/rainsail/assembly/replica.py
@@ -22,6 +22,7 @@
 from rainsail.control.settings import ControlSettings
 from rainsail.errors import Fault
 from rainsail.state.commands import ROOT_GROUP, GroupId
+from rainsail.state.durable_schemas import durable_fingerprint
 from rainsail.state.machine import ReplicatedState
 from rainsail.state.settings import StateSettings
 from rainsail.storage.identity import load_or_create_identity
@@ -86,7 +87,7 @@
         node = self._seams.node
         config = self.config
         identity = yield load_or_create_identity(
-            self._seams.files, config.fleet, config.name, node.random
+            self._seams.files, config.fleet, config.name, durable_fingerprint(), node.random
         )
         if identity.is_error():
             return Error(identity.error)
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -33,6 +33,7 @@
 from rainsail.state.interface import StateMachine
 from rainsail.storage.identity import ReplicaIdentity
 from rainsail.storage.interface import GroupStorage
+from rainsail.wire.codec import CodecError
 from rainsail.wire.messenger import Messenger
 
 
@@ -276,7 +277,13 @@
         self._apply_planned = False
         if self._stopped or self._snapshots.installing:
             return
-        more = self._applier.apply_batch(self.settings.max_apply_batch)
+        try:
+            more = self._applier.apply_batch(self.settings.max_apply_batch)
+        except CodecError as error:
+            index = self._applier.applied_index + 1
+            detail = f"group {self.group}: entry {index} can't be read: {error}"
+            self._fatal(Fault(FaultCode.STORAGE, "consensus.apply", detail))
+            return
         if self._stopped:
             return
         self._announce_leadership()
--- a/src/rainsail/storage/identity.py
+++ b/src/rainsail/storage/identity.py
@@ -29,11 +29,15 @@
 
 @dataclass(frozen=True, slots=True)
 class DataFolderRecord:
-    """Second record of the identity file: whose data folder it is."""
+    """Second record of the identity file: whose data folder it is.
+
+    ``schemas`` is the fingerprint of the records that its logs and snapshots hold.
+    """
 
     fleet: str
     replica: str
     identity: str
+    schemas: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,25 +55,28 @@
 
 
 def load_or_create_identity(
-    files: FileSystem, fleet: str, replica: str, random: random.Random
+    files: FileSystem, fleet: str, replica: str, schemas: str, random: random.Random
 ) -> "Deferred[Result[ReplicaIdentity, Fault]]":
     """Read the data folder's identity, or make one when the folder is empty.
 
-    Refuses, with a STORAGE fault, a folder of another fleet or replica, one of a newer format, a
+    ``schemas`` is the fingerprint of this program's durable records. Refuses, with a STORAGE
+    fault, a folder of another fleet or replica, one of a newer format or of other schemas, a
     damaged identity file, and a folder that holds groups but no identity.
     """
-    return Deferred.fromCoroutine(_load_or_create(files, fleet, replica, random))
+    return Deferred.fromCoroutine(_load_or_create(files, fleet, replica, schemas, random))
 
 
 async def _load_or_create(
-    files: FileSystem, fleet: str, replica: str, random: random.Random
+    files: FileSystem, fleet: str, replica: str, schemas: str, random: random.Random
 ) -> Result[ReplicaIdentity, Fault]:
     try:
         if files.exists(IDENTITY_PATH):
-            return await _load(files, fleet, replica)
+            return await _load(files, fleet, replica, schemas)
         if any(name.startswith(GROUP_PREFIX) for name in files.list("")):
             return Error(_fault("the folder holds groups but no identity"))
-        return await _create(files, fleet, replica, random)
+        return await _create(
+            files, DataFolderRecord(fleet, replica, _draw_identity(random), schemas)
+        )
     except OSError as error:
         return Error(_fault(str(error)))
 
@@ -95,7 +102,9 @@
     return Ok(found)
 
 
-async def _load(files: FileSystem, fleet: str, replica: str) -> Result[ReplicaIdentity, Fault]:
+async def _load(
+    files: FileSystem, fleet: str, replica: str, schemas: str
+) -> Result[ReplicaIdentity, Fault]:
     read = read_identity(files)
     if read.is_error():
         return Error(read.error)
@@ -104,18 +113,22 @@
         return Error(_fault(f"data folder belongs to fleet {found.fleet!r}, not {fleet!r}"))
     if found.replica != replica:
         return Error(_fault(f"data folder belongs to replica {found.replica!r}, not {replica!r}"))
+    if found.schemas != schemas:
+        detail = f"its records are of schemas {found.schemas!r}, this program's of {schemas!r}"
+        return Error(_fault(f"data folder was written by another version: {detail}"))
     synced = await files.sync_folder("")
     if synced.is_error():
         return Error(synced.error)
     return Ok(ReplicaIdentity(fleet, replica, found.identity, is_new=False))
 
 
-async def _create(
-    files: FileSystem, fleet: str, replica: str, random: random.Random
-) -> Result[ReplicaIdentity, Fault]:
-    identity = f"{random.getrandbits(_IDENTITY_BITS):032x}"
+def _draw_identity(random: random.Random) -> str:
+    return f"{random.getrandbits(_IDENTITY_BITS):032x}"
+
+
+async def _create(files: FileSystem, record: DataFolderRecord) -> Result[ReplicaIdentity, Fault]:
     format_body = encode_body(FormatRecord(FORMAT_VERSION))
-    body = encode_body(DataFolderRecord(fleet, replica, identity))
+    body = encode_body(record)
     data = encode_record(_NO_GROUP, RecordKind.FORMAT, format_body)
     data += encode_record(_NO_GROUP, RecordKind.IDENTITY, body)
     file = files.open(_TEMPORARY_PATH)
@@ -131,7 +144,7 @@
     renamed = await files.sync_folder("")
     if renamed.is_error():
         return Error(renamed.error)
-    return Ok(ReplicaIdentity(fleet, replica, identity, is_new=True))
+    return Ok(ReplicaIdentity(record.fleet, record.replica, record.identity, is_new=True))
 
 
 def _fault(reason: str, offset: int | None = None) -> Fault:
