--- a/features/steps/consensus_lost_disk_steps.py
+++ b/features/steps/consensus_lost_disk_steps.py
@@ -16,9 +16,7 @@
     group.run_until(lambda: name in leader.newcomers, "the new identity has called")
 
 
-@then(
-    "the consensus group's leader says Degraded and bears {losses:d} loss before it is missed"
-)
+@then("the consensus group's leader says Degraded and bears {losses:d} loss before it is missed")
 def step_status(context, losses):
     group = context.consensus
     silent_s = group.clock.seconds() - context.consensus_lost_at_s
