--- a/features/simulation/runs.feature
+++ b/features/simulation/runs.feature
@@ -13,7 +13,7 @@
       | site        | seed |
       | guayaquil   | 2    |
       | taoyuan     | 3    |
-      | many_groups | 1    |
+      | many_groups | 4    |
 
   Scenario: The founding replica loses its disk next to another one
     The new identity of the founder raised its term without end and deposed every leader.
