Say at once that two ways of driving the reactor don't share a process

Cause: behave over features/wire and an area whose reactor runs in a thread of its own hung until it was ended (seen twice, once for 16 minutes): the second one waited for a reactor that nobody ran. Change: either side asserts that the other has not begun, and names tools/run_features.py, which runs each area in its own process.

--- a/features/support/reactor_thread.py
+++ b/features/support/reactor_thread.py
@@ -14,9 +14,14 @@
 _started = threading.Event()
 
 
+APART = "these features drive the reactor each in their own way: use tools/run_features.py"
+"""Why features/wire can't share a process with those whose reactor runs in a thread."""
+
+
 def in_reactor(call: Callable[..., Any], *arguments: Any) -> Any:
     """Run a call in the reactor's thread and return its result; starts the reactor."""
     if not _started.is_set():
+        assert not reactor.running, APART
         _started.set()
         threading.Thread(target=reactor.run, args=(False,), daemon=True).start()
     return blockingCallFromThread(reactor, call, *arguments)
--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from features.support.reactor_thread import APART
 from hypothesis import HealthCheck, Phase, settings
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, maybeDeferred
@@ -21,6 +22,7 @@
 from rainsail.wire.settings import TlsSettings, WireSettings
 from rainsail.wire.tcp import TcpTransport
 
+_iterated = False
 LIMIT_S = 20.0
 """A wait that takes this long has failed; nothing is asserted about shorter times."""
 
@@ -36,7 +38,10 @@
 
 def start_reactor() -> None:
     """Make the reactor ready for ``turn``; does nothing when it is."""
-    if not reactor.running:
+    global _iterated
+    if not _iterated:
+        assert not reactor.running, APART
+        _iterated = True
         reactor.startRunning(installSignalHandlers=False)
 
 
