Answer a session's turn that is sent again from its record

The course that fits (its history was not kept): the turn was recorded, the answer to the record was lost as all replicas were killed, the caller was told unknown and sent it again under the same id; it ran on a transcript that held it already, and was recorded twice. Change: a recorded turn keeps its request id; a turn whose id is that of the newest recorded one is answered from the record, and is a conflict when its prompt is another.

Only the newest turn is looked at, as turns of a session run one after the other.

--- a/features/gateway/sessions.feature
+++ b/features/gateway/sessions.feature
@@ -101,6 +101,18 @@
     And 10 seconds of gateway time pass
     Then gateway caller 0 was told "unknown"
 
+  Scenario: A turn sent again after its record's answer was lost is answered from the record
+    It was run again on a transcript that held it already, so its answer was another one.
+    Given a gateway fleet of 3 runners and 2 gateways
+    And a gateway session "container-7"
+    And the answers to recorded turns are lost
+    When 1 turns of "container-7" are sent to gateway 0 at once
+    And 10 seconds of gateway time pass
+    And answers to recorded turns arrive again
+    And turn 0 of "container-7" is sent again to gateway 1
+    And 3 seconds of gateway time pass
+    Then the turn sent again has the answer that the record of "container-7" holds once
+
   Scenario: Another tenant's session is refused as not run
     Given a gateway fleet of 3 runners and 1 gateway
     And a gateway session "container-7" of another tenant
--- a/features/steps/gateway_session_steps.py
+++ b/features/steps/gateway_session_steps.py
@@ -73,8 +73,26 @@
     context.fleet.control.lose_answer = lambda command: isinstance(command, AppendTurn)
 
 
-def _send_turn(context, name, gateway):
-    number = len(context.fleet.callers)
+@when("answers to recorded turns arrive again")
+def keep_records(context):
+    context.fleet.control.lose_answer = lambda command: False
+
+
+@when('turn {number:d} of "{name}" is sent again to gateway {gateway:d}')
+def send_again(context, number, name, gateway):
+    _send_turn(context, name, gateway, number)
+
+
+@then('the turn sent again has the answer that the record of "{name}" holds once')
+def answered_from_record(context, name):
+    first, again = context.fleet.callers
+    turns = _view(context, name).turns
+    assert [turn.prompt for turn in turns] == [first.request.prompt], turns
+    assert [answer.text for answer in again.answers] == [turns[0].answer], again.faults
+
+
+def _send_turn(context, name, gateway, number=None):
+    number = len(context.fleet.callers) if number is None else number
     context.fleet.ask(f"turn-{number}", gateway, prompt=f"And now, {number}? ", session=name)
 
 
--- a/src/rainsail/gateway/answer_recorder.py
+++ b/src/rainsail/gateway/answer_recorder.py
@@ -5,23 +5,26 @@
 
 from rainsail.errors import Fault, Outcome
 from rainsail.gateway.claims import RequestClaim
+from rainsail.gateway.interface import CallerRequest
 from rainsail.gateway.session_order import SessionTurn
 from rainsail.gateway.sessions import SessionKeeper
+from rainsail.state.commands import Turn
 
 
 class AnswerRecorder:
     """Records one request's answer; most requests have nothing to record."""
 
-    def __init__(self, sessions: SessionKeeper, claim: RequestClaim, prompt: str) -> None:
+    def __init__(self, sessions: SessionKeeper, claim: RequestClaim, caller: CallerRequest) -> None:
         self._sessions = sessions
         self._claim = claim
-        self._prompt = prompt
+        self._caller = caller
 
     def record(self, turn: SessionTurn | None, text: str) -> "Deferred[Result[None, Fault]]":
         """Record; a fault says that the session's turn could not be (whatever the claim)."""
         if turn is None:
             return self._record_claim(Ok(None), text)
-        done = self._sessions.finish(turn, self._prompt, text)
+        exchange = Turn(self._caller.prompt, text, self._caller.request_id)
+        done = self._sessions.finish(turn, exchange)
         return done.addCallback(self._record_claim, text)
 
     def _record_claim(
--- a/src/rainsail/gateway/request.py
+++ b/src/rainsail/gateway/request.py
@@ -84,6 +84,7 @@
 
 @_running.upon(RequestLifecycle.record).to(_recording)
 @_claiming.upon(RequestLifecycle.record).to(_recording)
+@_placing.upon(RequestLifecycle.record).to(_recording)
 def _record(machine: RequestLifecycle, record: RequestRecord) -> None:
     record.enter(RequestStatus.RECORDING)
 
--- a/src/rainsail/gateway/request_run.py
+++ b/src/rainsail/gateway/request_run.py
@@ -23,7 +23,7 @@
 from rainsail.gateway.session_order import SessionTurn
 from rainsail.gateway.sessions import SessionPlace
 from rainsail.resources.specs import RequestClass
-from rainsail.state.commands import ClaimResult
+from rainsail.state.commands import ClaimResult, Turn
 
 STEP = "gateway.request"
 
@@ -51,7 +51,7 @@
         run_id = context.next_id()
         self._sender = AttemptSender(context, caller, class_, self._deadline_s, run_id)
         self._claim = RequestClaim(context.claims, caller, run_id)
-        self._recorder = AnswerRecorder(context.sessions, self._claim, caller.prompt)
+        self._recorder = AnswerRecorder(context.sessions, self._claim, caller)
         self._turn: SessionTurn | None = None
         self._attempt = CurrentAttempt(context)
         self._timers: list[Any] = []
@@ -123,8 +123,12 @@
             detail = f"an earlier request with this id went through {first.gateway}"
             self._fail(Fault(FaultCode.CONFLICT, STEP, detail, outcome=Outcome.UNKNOWN))
             return
-        if first.response:
-            self.on_part(first.response, count_tokens(first.response))
+        self._answer_recorded(first.response)
+
+    def _answer_recorded(self, text: str) -> None:
+        """Answer with what an earlier send of this request has recorded."""
+        if text:
+            self.on_part(text, count_tokens(text))
         self._lifecycle.record()
         self._answer("stop", "")
 
@@ -155,8 +159,21 @@
             self._give_up(fault.code, fault.detail, fault.peer, fault.retry_after_s)
             return
         place = reply.ok
+        if not self._sender.sent and self._is_recorded(place.last_turn):
+            return
         self._send(place.runner, place.transcript + self.caller.prompt, place.fence)
 
+    def _is_recorded(self, last_turn: Turn | None) -> bool:
+        """Answer a turn that was recorded and is sent again; other content is a conflict."""
+        if last_turn is None or last_turn.request_id != self.caller.request_id:
+            return False
+        if last_turn.prompt == self.caller.prompt:
+            self._answer_recorded(last_turn.answer)
+        else:
+            detail = "the session has another turn under this request id"
+            self._fail(Fault(FaultCode.CONFLICT, STEP, detail))
+        return True
+
     def _send(self, runner: str, prompt: str, fence: int) -> None:
         attempt = self._sender.prepare(self, runner, prompt, fence, self._delivery.text)
         if attempt is None:
--- a/src/rainsail/gateway/session_placement.py
+++ b/src/rainsail/gateway/session_placement.py
@@ -26,11 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionPlace:
-    """Where a turn runs: ``transcript`` is the text of all turns before it."""
+    """Where a turn runs: ``transcript`` is the text of all turns before it.
+
+    ``last_turn`` is the newest of them: a turn that was recorded and is sent again.
+    """
 
     runner: str
     fence: int
     transcript: str
+    last_turn: Turn | None = None
 
 
 def transcript_text(turns: Sequence[Turn]) -> str:
@@ -40,7 +44,8 @@
 
 def place_of(view: SessionView) -> SessionPlace:
     """Return where the next turn of a session runs."""
-    return SessionPlace(view.runner, view.fence, transcript_text(view.turns))
+    last = view.turns[-1] if view.turns else None
+    return SessionPlace(view.runner, view.fence, transcript_text(view.turns), last)
 
 
 class SessionPlacement:
--- a/src/rainsail/gateway/sessions.py
+++ b/src/rainsail/gateway/sessions.py
@@ -89,11 +89,9 @@
         """Pin the session to a runner that can take the turn, moving it when it must."""
         return Deferred.fromCoroutine(self._placement.place(turn.session, tuple(failed)))
 
-    def finish(
-        self, turn: SessionTurn, prompt: str, answer: str
-    ) -> "Deferred[Result[None, Fault]]":
+    def finish(self, turn: SessionTurn, exchange: Turn) -> "Deferred[Result[None, Fault]]":
         """Append the finished exchange to the transcript; FENCED when the session has moved."""
-        return Deferred.fromCoroutine(self._finish(turn.session, Turn(prompt, answer)))
+        return Deferred.fromCoroutine(self._finish(turn.session, exchange))
 
     async def _finish(self, session: LiveSession, turn: Turn) -> Result[None, Fault]:
         view = session.view
--- a/src/rainsail/state/session_commands.py
+++ b/src/rainsail/state/session_commands.py
@@ -56,10 +56,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Turn:
-    """One exchange of a session."""
+    """One exchange of a session; ``request_id`` is the caller's, to know a re-sent turn by."""
 
     prompt: str
     answer: str
+    request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
