--- a/features/simulation/runs.feature
+++ b/features/simulation/runs.feature
@@ -43,6 +43,15 @@
       | gateway_freeze | gateway-gye-c | 19.9    | 14.0       |
     Then the simulated run has no violation
 
+  Scenario: A gateway whose lease has run out sends no further attempt of what it had admitted
+    It went on under a configuration that was no longer in force.
+    Given a simulated guayaquil with seed 3 for 0.7 minutes
+    When the simulated run ends with these failures
+      | kind           | target        | start_s | duration_s |
+      | gateway_freeze | gateway-gye-c | 10.5    | 8.4        |
+      | zone_cut       | gye-c         | 12.5    | 20.0       |
+    Then the simulated run has no violation
+
   Scenario: A planned stop delivers what was sent before the process ends
     Given a simulated guayaquil with seed 38 for 0.6 minutes
     When the simulated run ends with these failures
