Let an open group take in replicas that it was not founded with; speak HTTP/1.1 on bare connections

Cause: the users' platform replaces machines at other addresses and adds spare ones, while a group's members were fixed by the list it was founded with. Relayed requests need to know whether a request left, whether an answer ended as whole, and whose surplus bytes are, which the agent of twisted.web does not tell. Change: driver.open_to and let_go; repair.with_stranger and surplus_voter; rainsail.http over h11; TCP_USER_TIMEOUT and plaintext on trusted networks as settings of the wire.

--- a/src/rainsail/consensus/core_state.py
+++ b/src/rainsail/consensus/core_state.py
@@ -200,6 +200,12 @@
         self.incoming: IncomingSnapshot | None = None
         self.snapshot_index = log.base_index
         self.newcomers: dict[str, Newcomer] = {}
+        self.contacts = tuple(name for name in bootstrap if name != replica)
+        """Replicas that are told this member's identity while it is outside the group."""
+        self.target_voters = 0
+        """Voters that an open group keeps; 0 for a group that only its own replicas may join."""
+        self.leaving: frozenset[str] = frozenset()
+        """Replicas that an open group is to do without, as soon as others hold its entries."""
         self.reset_election_deadline(now)
 
     @property
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -194,12 +194,43 @@
         self._take(effects)
         return fault
 
+    # --- open groups ---------------------------------------------------------------------
+
+    def open_to(self, contacts: tuple[str, ...], target_voters: int) -> None:
+        """Let replicas that were not founders join; ``contacts`` are those known by now."""
+        state = self.core.state
+        state.target_voters = target_voters
+        state.contacts = tuple(name for name in contacts if name != state.replica)
+
+    def let_go(self, replicas: frozenset[str]) -> None:
+        """Move the group off these replicas; a leader among them hands its leadership over."""
+        self.core.state.leaving = replicas
+
+    def members(self) -> Membership:
+        """Return the latest membership in this member's log."""
+        return self.core.state.membership
+
+    def _is_contact(self, source: str) -> bool:
+        state = self.core.state
+        if not state.target_voters:
+            return False
+        return source in state.contacts or bool(state.membership.named(source))
+
+    def _leave_when_asked(self, now: float) -> None:
+        """Hand leadership over when this replica is to leave and others can do without it."""
+        state = self.core.state
+        if state.replica not in state.leaving or state.role != Role.LEADER:
+            return
+        if len(state.membership.voters()) > state.target_voters:
+            _, effects = self.core.transfer_leadership(now)
+            self._take(effects)
+
     # --- inputs --------------------------------------------------------------------------
 
     def _receive(self, source: str, message: GroupMessage) -> None:
         if self._stopped:
             return
-        if source not in self._replicas:
+        if source not in self._replicas and not self._is_contact(source):
             log_stranger(source, message)
             return
         self._take(self.core.receive(source, message, self._clock.seconds()))
@@ -220,6 +251,7 @@
         now = self._clock.seconds()
         self._take(self.core.tick(now))
         self._leave_stalled_disk(now)
+        self._leave_when_asked(now)
         membership = repair.next_membership(self.core.state, now)
         if membership is not None and not self._stopped:
             self.change_membership(membership)
--- a/src/rainsail/consensus/founding.py
+++ b/src/rainsail/consensus/founding.py
@@ -33,10 +33,9 @@
 
 
 def say_hello(state: CoreState) -> None:
-    """Tell the replicas of the bootstrap list under which identity this one runs."""
-    for name in state.bootstrap:
-        if name != state.replica:
-            state.send(name, Hello(state.group, state.term, state.identity, "", state.replica))
+    """Tell the replicas that may know the group under which identity this one runs."""
+    for name in state.contacts:
+        state.send(name, Hello(state.group, state.term, state.identity, "", state.replica))
 
 
 def ask_for_founding(state: CoreState) -> None:
--- a/src/rainsail/consensus/repair.py
+++ b/src/rainsail/consensus/repair.py
@@ -4,6 +4,10 @@
 of its name has been unreachable for the stated time, the new identity is added as a learner, made
 a voter once it has caught up (what it acknowledges is synced), and only then the old identity
 leaves. Nothing else is repaired meanwhile.
+
+An open group (``target_voters`` is set) also takes in replicas that it was not founded with: while
+it has too few voters, in the place of a voter that is long gone, and in the place of one that is
+to leave. A voter is dropped only while more than the target stay.
 """
 
 from rainsail.consensus import membership_change
@@ -24,7 +28,10 @@
     replaced = replaced_member(state)
     if replaced is not None:
         return state.membership.without(replaced.identity)
-    return with_newcomer(state, now)
+    surplus = surplus_voter(state, now)
+    if surplus is not None:
+        return state.membership.without(surplus.identity)
+    return with_newcomer(state, now) or with_stranger(state, now)
 
 
 def after_learner(state: CoreState, learner: MemberSpec, now: float) -> Membership | None:
@@ -60,6 +67,43 @@
     return None
 
 
+def surplus_voter(state: CoreState, now: float) -> MemberSpec | None:
+    """Return a voter that an open group does without: one that leaves or is long gone.
+
+    The leader itself leaves by handing its leadership over first.
+    """
+    voters = state.membership.voters()
+    if not state.target_voters or len(voters) <= state.target_voters:
+        return None
+    others = [member for member in voters if member.identity != state.identity]
+    for member in others:
+        if member.replica in state.leaving:
+            return member
+    return next((member for member in others if is_long_gone(state, member.identity, now)), None)
+
+
+def with_stranger(state: CoreState, now: float) -> Membership | None:
+    """Add a replica of another name to an open group that needs one more voter."""
+    if not state.target_voters or not needs_voter(state, now):
+        return None
+    for replica in sorted(state.newcomers):
+        known = state.membership.named(replica)
+        if known or replica in state.leaving or not calls_lately(state, replica, now):
+            continue
+        return state.membership.with_learner(replica, state.newcomers[replica].identity)
+    return None
+
+
+def needs_voter(state: CoreState, now: float) -> bool:
+    """Tell whether fewer voters than intended are here to stay."""
+    staying = [
+        member
+        for member in state.membership.voters()
+        if member.replica not in state.leaving and not is_long_gone(state, member.identity, now)
+    ]
+    return len(staying) < state.target_voters
+
+
 def calls_lately(state: CoreState, replica: str, now: float) -> bool:
     """Tell whether a replica has called lately under an identity outside the group."""
     newcomer = state.newcomers.get(replica)
--- /dev/null
+++ b/src/rainsail/http/client.py
@@ -0,0 +1,195 @@
+"""The calling side of HTTP/1.1 connections, one request at a time on each.
+
+What is told to the caller keeps apart what can be known: whether the request can have left at
+all, and whether an answer ended as whole.
+"""
+
+from dataclasses import dataclass
+from typing import Any, Protocol as TypingProtocol
+
+import h11
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from rainsail.http.headers import HeaderFields, header_number, header_text
+from rainsail.runtime.sockets import set_user_timeout
+
+MAX_HEAD_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """A whole request as it goes to a server."""
+
+    method: bytes
+    target: bytes
+    headers: HeaderFields
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of an answer."""
+
+    status: int
+    headers: HeaderFields
+
+
+class AnswerListener(TypingProtocol):
+    """Takes one answer; after ``answer_ended`` or ``answer_failed`` nothing more comes."""
+
+    def answer_begun(self, head: AnswerHead) -> None:
+        """The head has arrived."""
+        ...
+
+    def answer_data(self, data: bytes) -> None:
+        """A piece of the body has arrived."""
+        ...
+
+    def answer_ended(self) -> None:
+        """The answer is whole."""
+        ...
+
+    def answer_failed(self, reason: str) -> None:
+        """The connection broke, or the bytes were no answer; the request may have run."""
+        ...
+
+
+class ConnectionKeeper(TypingProtocol):
+    """What a connection tells its pool."""
+
+    def connection_idle(self, connection: "ClientConnection", idle_s: float | None) -> None:
+        """The connection may take another request, for ``idle_s`` as the server says."""
+        ...
+
+    def connection_closed(self, connection: "ClientConnection") -> None:
+        """The connection is gone."""
+        ...
+
+
+class ClientConnection(Protocol):
+    """One connection to a server."""
+
+    transport: Any
+
+    def __init__(self, keeper: ConnectionKeeper, user_timeout_s: float) -> None:
+        self._keeper = keeper
+        self._user_timeout_s = user_timeout_s
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._listener: AnswerListener | None = None
+        self._idle_s: float | None = None
+        self.closed = False
+
+    def connectionMade(self) -> None:
+        """Set the socket's options."""
+        self.transport.setTcpNoDelay(True)
+        set_user_timeout(self.transport, self._user_timeout_s)
+
+    def send(self, request: OutgoingRequest, listener: AnswerListener) -> None:
+        """Send a whole request; its answer goes to ``listener``."""
+        self._listener = listener
+        self._idle_s = None
+        head = h11.Request(
+            method=request.method, target=request.target, headers=list(request.headers)
+        )
+        parts = [self._http.send(head)]
+        if request.body:
+            parts.append(self._http.send(h11.Data(data=request.body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self.transport.write(b"".join(part for part in parts if part))
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes of an answer; bytes that nobody waits for end the connection."""
+        if self.closed:
+            return
+        if self._listener is None:
+            self.abort()
+            return
+        try:
+            self._http.receive_data(data)
+            self._take_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(f"no answer in the protocol: {error}")
+
+    def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
+        """End the answer: whole only if it had no length and the server closed in order."""
+        already = self.closed
+        self.closed = True
+        if self._listener is not None and not already:
+            self._take_close(reason)
+        self._keeper.connection_closed(self)
+
+    def _take_close(self, reason: Failure | None) -> None:
+        in_order = reason is not None and reason.check(ConnectionDone) is not None
+        try:
+            if in_order:
+                self._http.receive_data(b"")
+                self._take_events()
+        except h11.RemoteProtocolError:
+            pass
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.answer_failed("connection closed" if in_order else "connection reset")
+
+    def _take_events(self) -> None:
+        while self._listener is not None:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                self._listener.answer_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._take_end()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _take_head(self, event: h11.Response) -> None:
+        assert self._listener is not None
+        fields = tuple(event.headers.raw_items())
+        keep_alive = header_text(fields, b"keep-alive")
+        self._idle_s = _keep_alive_s(keep_alive)
+        self._listener.answer_begun(AnswerHead(event.status_code, fields))
+
+    def _take_end(self) -> None:
+        listener, self._listener = self._listener, None
+        assert listener is not None
+        reusable = self._is_reusable()
+        if reusable:
+            self._http.start_next_cycle()
+        listener.answer_ended()
+        if self.closed:
+            return
+        if reusable:
+            self._keeper.connection_idle(self, self._idle_s)
+        else:
+            self.abort()
+
+    def _is_reusable(self) -> bool:
+        states = (self._http.our_state, self._http.their_state)
+        surplus, _ = self._http.trailing_data
+        return states == (h11.DONE, h11.DONE) and not surplus and not self.closed
+
+    def _fail(self, reason: str) -> None:
+        listener, self._listener = self._listener, None
+        self.abort()
+        if listener is not None:
+            listener.answer_failed(reason)
+
+    def abort(self) -> None:
+        """Cut the connection; the listener hears nothing more."""
+        self._listener = None
+        if not self.closed:
+            self.closed = True
+            if self.transport is not None:
+                self.transport.abortConnection()
+
+
+def _keep_alive_s(value: str) -> float | None:
+    for part in value.split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout":
+            return header_number(((b"t", number.encode()),), b"t")
+    return None
--- /dev/null
+++ b/src/rainsail/http/headers.py
@@ -0,0 +1,66 @@
+"""Header fields as they travel: pairs of bytes, in order, names in the sender's case."""
+
+from collections.abc import Iterable
+
+HeaderFields = tuple[tuple[bytes, bytes], ...]
+"""Name and value of each field, in the order of the message."""
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+"""Fields that concern one connection only and never travel further."""
+
+
+def header_value(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the value of the first field with a (lower-case) name."""
+    for each, value in fields:
+        if each.lower() == name:
+            return value
+    return None
+
+
+def header_text(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> str:
+    """Return a field's value as text, empty when it is absent."""
+    value = header_value(fields, name)
+    return "" if value is None else value.decode("latin-1").strip()
+
+
+def header_number(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> float | None:
+    """Return a field's value as a number, None when it is absent or no number."""
+    text = header_text(fields, name)
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def end_to_end(fields: Iterable[tuple[bytes, bytes]], without: frozenset[bytes]) -> HeaderFields:
+    """Return the fields that travel on: no hop-by-hop ones, none that ``Connection`` lists."""
+    listed = listed_in_connection(fields)
+    return tuple(
+        (name, value)
+        for name, value in fields
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in listed
+        and name.lower() not in without
+    )
+
+
+def listed_in_connection(fields: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    """Return the lower-case names that ``Connection`` fields list."""
+    names: set[bytes] = set()
+    for name, value in fields:
+        if name.lower() == b"connection":
+            names.update(token.strip().lower() for token in value.split(b","))
+    return frozenset(names)
--- /dev/null
+++ b/src/rainsail/http/pool.py
@@ -0,0 +1,190 @@
+"""Warm connections to servers, each used by one request at a time."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
+from rainsail.runtime.clock import Clock
+from rainsail.wire.address import parse_address
+
+KEEP_ALIVE_SHARE = 0.7
+"""Share of the server's idle time after which a connection is not used any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """How connections to servers are opened and kept."""
+
+    connect_timeout_s: float = 1.0
+    user_timeout_s: float = 3.0
+    idle_s: float = 6.0
+    """Time that a connection rests before it is closed, where the server says nothing."""
+
+
+@dataclass(slots=True)
+class _Idle:
+    connection: ClientConnection
+    until_s: float
+
+
+class Call:
+    """One request on its way: being connected, or sent."""
+
+    def __init__(self, listener: AnswerListener) -> None:
+        self.listener = listener
+        self.sent = False
+        self._connection: ClientConnection | None = None
+        self._cancelled = False
+
+    def cancel(self) -> None:
+        """Close the connection under the request; nothing more is heard of it."""
+        self._cancelled = True
+        if self._connection is not None:
+            self._connection.abort()
+
+    @property
+    def cancelled(self) -> bool:
+        """Tell whether nobody waits any more."""
+        return self._cancelled
+
+    def run_on(self, connection: ClientConnection, request: OutgoingRequest) -> None:
+        """Send on an open connection."""
+        self._connection = connection
+        self.sent = True
+        connection.send(request, self.listener)
+
+
+class UnsentListener(AnswerListener):
+    """An answer listener that also hears that the request never left."""
+
+    def request_unsent(self, reason: str) -> None:
+        """No connection could be opened; the request certainly has not run."""
+        ...
+
+
+@dataclass(slots=True)
+class _Server:
+    idle: list[_Idle] = field(default_factory=list)
+    open_count: int = 0
+
+
+class ConnectionPool:
+    """Opens, reuses and closes connections by address."""
+
+    def __init__(self, reactor: Any, clock: Clock, settings: PoolSettings) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._settings = settings
+        self._servers: dict[str, _Server] = {}
+        self._address_of: dict[ClientConnection, str] = {}
+        self.opened = 0
+
+    def send(
+        self, address: str, request: OutgoingRequest, listener: UnsentListener, fresh: bool = False
+    ) -> Call:
+        """Send a request to ``IP:PORT``; ``fresh`` asks for a connection of its own."""
+        call = Call(listener)
+        connection = None if fresh else self._take_idle(address)
+        if connection is not None:
+            call.run_on(connection, request)
+            return call
+        self._connect(address, request, call)
+        return call
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a server that is gone."""
+        server = self._servers.get(address)
+        if server is None:
+            return
+        idle, server.idle = server.idle, []
+        for each in idle:
+            each.connection.abort()
+
+    def connections_to(self, address: str) -> int:
+        """Return how many connections to a server are open or being opened."""
+        server = self._servers.get(address)
+        return 0 if server is None else server.open_count
+
+    def close_stale(self) -> None:
+        """Close the connections that have rested for too long; called now and then."""
+        now = self._clock.seconds()
+        for server in self._servers.values():
+            stale = [each for each in server.idle if each.until_s <= now]
+            server.idle = [each for each in server.idle if each.until_s > now]
+            for each in stale:
+                each.connection.abort()
+
+    def stop(self) -> None:
+        """Close every idle connection."""
+        for address in list(self._servers):
+            self.forget(address)
+
+    # --- opening -------------------------------------------------------------------------
+
+    def _take_idle(self, address: str) -> ClientConnection | None:
+        server = self._servers.get(address)
+        now = self._clock.seconds()
+        while server is not None and server.idle:
+            each = server.idle.pop()
+            if each.until_s > now and not each.connection.closed:
+                return each.connection
+            each.connection.abort()
+        return None
+
+    def _connect(self, address: str, request: OutgoingRequest, call: Call) -> None:
+        place = parse_address(address)
+        server = self._servers.setdefault(address, _Server())
+        server.open_count += 1
+        self.opened += 1
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, place.host, place.port, self._settings.connect_timeout_s
+        )
+        factory = Factory.forProtocol(lambda: self._new_connection(address))
+        factory.noisy = False
+        attempt = endpoint.connect(factory)
+        attempt.addCallbacks(
+            self._connected, self._not_connected, (request, call), None, (address, call)
+        )
+
+    def _new_connection(self, address: str) -> ClientConnection:
+        connection = ClientConnection(self, self._settings.user_timeout_s)
+        self._address_of[connection] = address
+        return connection
+
+    def _connected(self, connection: Any, request: OutgoingRequest, call: Call) -> None:
+        if call.cancelled:
+            self.connection_idle(connection, None)
+            return
+        call.run_on(connection, request)
+
+    def _not_connected(self, failure: Failure, address: str, call: Call) -> None:
+        self._servers[address].open_count -= 1
+        if not call.cancelled:
+            listener: Any = call.listener
+            listener.request_unsent(failure.getErrorMessage())
+
+    # --- ConnectionKeeper ----------------------------------------------------------------
+
+    def connection_idle(self, connection: ClientConnection, idle_s: float | None) -> None:
+        """Keep a connection for the next request."""
+        address = self._address_of.get(connection)
+        if address is None:
+            return
+        rest_s = self._settings.idle_s
+        if idle_s is not None:
+            rest_s = min(rest_s, idle_s * KEEP_ALIVE_SHARE)
+        until_s = self._clock.seconds() + rest_s
+        self._servers[address].idle.append(_Idle(connection, until_s))
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Forget a connection."""
+        address = self._address_of.pop(connection, None)
+        if address is None:
+            return
+        server = self._servers[address]
+        server.open_count -= 1
+        server.idle = [each for each in server.idle if each.connection is not connection]
--- /dev/null
+++ b/src/rainsail/http/server.py
@@ -0,0 +1,356 @@
+"""The serving side of HTTP/1.1 connections.
+
+Each connection takes one request at a time, whole, and hands it to the handler; a pipelined one
+waits until the answer has ended. The connection keeps reading meanwhile, so that a client that
+closes is noticed at once.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from rainsail.http.exchange import Handler, HttpRequest
+from rainsail.http.headers import HeaderFields
+from rainsail.runtime.clock import Clock, Timer
+from rainsail.runtime.sockets import set_user_timeout
+
+STATUS_TIMEOUT = 408
+STATUS_TOO_LARGE = 413
+REASONS = {
+    200: b"OK",
+    202: b"Accepted",
+    307: b"Temporary Redirect",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+MAX_PIPELINED_BYTES = 256 * 1024
+"""Bytes that a client may send ahead of its answer; a connection with more is cut."""
+
+
+@dataclass(slots=True)
+class HttpLimits:
+    """What a client may send and how long it may take; changed while the server runs."""
+
+    max_header_bytes: int = 64 * 1024
+    max_body_bytes: int = 16 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+    user_timeout_s: float = 5.0
+
+
+class HttpServer(Factory):
+    """Accepts connections and counts what is under way."""
+
+    noisy = False
+
+    def __init__(self, handler: Handler, clock: Clock, limits: HttpLimits) -> None:
+        self.handler = handler
+        self.clock = clock
+        self.limits = limits
+        self.draining = False
+        self.connections: set[ServerConnection] = set()
+        self.requests_under_way = 0
+        self._on_quiet: Callable[[], None] | None = None
+
+    def buildProtocol(self, addr: Any) -> "ServerConnection":
+        """Return the protocol of an accepted connection."""
+        return ServerConnection(self)
+
+    def drain(self) -> None:
+        """Have every answer from now on end its connection."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def when_quiet(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` once when no request is under way (at once when none is)."""
+        self._on_quiet = listener
+        self.check_quiet()
+
+    def check_quiet(self) -> None:
+        """Tell the listener when nothing is under way."""
+        if self.requests_under_way == 0 and self._on_quiet is not None:
+            listener, self._on_quiet = self._on_quiet, None
+            listener()
+
+
+class ServerConnection(Protocol):
+    """One client's connection."""
+
+    transport: Any
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._limits = server.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.max_header_bytes
+        )
+        self._head: h11.Request | None = None
+        self._received_s = 0.0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._exchange: ServerExchange | None = None
+        self._early: deque[bytes] = deque()
+        self._early_bytes = 0
+        self._timer: Timer | None = None
+        self._lost = False
+
+    # --- Twisted's callbacks -------------------------------------------------------------
+
+    def connectionMade(self) -> None:
+        """Begin to wait for a request."""
+        self._server.connections.add(self)
+        self.transport.setTcpNoDelay(True)
+        set_user_timeout(self.transport, self._limits.user_timeout_s)
+        self._arm(self._limits.idle_timeout_s, self.close_if_idle)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes of a request, or keep them while an answer is under way."""
+        if self._lost:
+            return
+        if self._exchange is not None:
+            self._keep_early(data)
+            return
+        self._feed(data)
+
+    def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
+        """Tell whoever answers that the client has left."""
+        self._lost = True
+        self._disarm()
+        self._server.connections.discard(self)
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.connection_lost()
+            self._request_done()
+
+    # --- reading -------------------------------------------------------------------------
+
+    def _keep_early(self, data: bytes) -> None:
+        self._early.append(data)
+        self._early_bytes += len(data)
+        if self._early_bytes > MAX_PIPELINED_BYTES:
+            self.abort()
+
+    def _feed(self, data: bytes) -> None:
+        begins = self._head is None and self._http.their_state is h11.IDLE
+        try:
+            self._http.receive_data(data)
+            if begins:
+                self._arm(self._limits.header_timeout_s, self._too_slow)
+            self._take_events()
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint)
+
+    def _take_events(self) -> None:
+        while self._exchange is None and not self._lost:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                self._take_body(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._dispatch()
+            elif isinstance(event, h11.ConnectionClosed):
+                self.transport.loseConnection()
+                return
+
+    def _take_head(self, head: h11.Request) -> None:
+        self._head = head
+        self._received_s = self._server.clock.seconds()
+        self._body = []
+        self._body_bytes = 0
+        self._arm(self._limits.idle_timeout_s, self._too_slow)
+        if self._http.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            self.transport.write(self._http.send(informational))
+
+    def _take_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.max_body_bytes:
+            self._refuse(STATUS_TOO_LARGE)
+            return
+        self._body.append(bytes(data))
+
+    def _too_slow(self) -> None:
+        self._refuse(STATUS_TIMEOUT)
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that could not be read, and close."""
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            head = h11.Response(
+                status_code=status,
+                reason=REASONS.get(status, b""),
+                headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
+            )
+            self.transport.write(self._http.send(head))
+        self._lost = True
+        self.transport.loseConnection()
+
+    # --- answering -----------------------------------------------------------------------
+
+    def _dispatch(self) -> None:
+        head = self._head
+        assert head is not None
+        self._disarm()
+        request = HttpRequest(
+            bytes(head.method),
+            bytes(head.target),
+            tuple(head.headers.raw_items()),
+            b"".join(self._body),
+            self._received_s,
+        )
+        self._head = None
+        self._body = []
+        exchange = ServerExchange(self, request)
+        self._exchange = exchange
+        self._server.requests_under_way += 1
+        self._server.handler(exchange)
+
+    def send_head(self, status: int, headers: HeaderFields, has_length: bool) -> None:
+        """Send an answer's head."""
+        fields = list(headers)
+        if self._server.draining:
+            fields.append((b"Connection", b"close"))
+        reason = REASONS.get(status, b"")
+        head = h11.Response(status_code=status, reason=reason, headers=fields)
+        self.transport.write(self._http.send(head))
+
+    def send_data(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        sent = self._http.send(h11.Data(data=data))
+        if sent:
+            self.transport.write(sent)
+
+    def send_end(self) -> None:
+        """End the answer, and take up the next request or close."""
+        sent = self._http.send(h11.EndOfMessage())
+        if sent:
+            self.transport.write(sent)
+        self._exchange = None
+        self._request_done()
+        if self._http.our_state is h11.MUST_CLOSE or self._server.draining:
+            self._lost = True
+            self.transport.loseConnection()
+            return
+        self._http.start_next_cycle()
+        self._arm(self._limits.idle_timeout_s, self.close_if_idle)
+        self._server.clock.callLater(0, self._take_early)
+
+    def _request_done(self) -> None:
+        self._server.requests_under_way -= 1
+        self._server.check_quiet()
+
+    def _take_early(self) -> None:
+        if self._lost or self._exchange is not None:
+            return
+        early, self._early = b"".join(self._early), deque()
+        self._early_bytes = 0
+        if early:
+            self._feed(early)
+        elif self._http.trailing_data[0]:
+            self._take_events()
+
+    def abort(self) -> None:
+        """Cut the connection at once."""
+        self._lost = True
+        self.transport.abortConnection()
+
+    def close_if_idle(self) -> None:
+        """Close when no request has begun."""
+        if self._exchange is None and self._head is None and not self._lost:
+            self._lost = True
+            self.transport.loseConnection()
+
+    # --- timers --------------------------------------------------------------------------
+
+    def _arm(self, delay_s: float, call: Callable[[], None]) -> None:
+        self._disarm()
+        self._timer = self._server.clock.callLater(delay_s, call)
+
+    def _disarm(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+
+class ServerExchange:
+    """Implements ``rainsail.http.exchange.Exchange`` on a connection."""
+
+    def __init__(self, connection: ServerConnection, request: HttpRequest) -> None:
+        self.request = request
+        self._connection = connection
+        self._begun = False
+        self._over = False
+        self._listener: Callable[[], None] | None = None
+
+    def answer(self, status: int, headers: HeaderFields, body: bytes) -> None:
+        """Send a whole answer."""
+        if self._over or self._begun:
+            return
+        fields = tuple(each for each in headers if each[0].lower() != b"content-length")
+        length = (b"Content-Length", str(len(body)).encode())
+        self.begin(status, (*fields, length))
+        if body and self.request.method != b"HEAD":
+            self._connection.send_data(body)
+        self.end()
+
+    def begin(self, status: int, headers: HeaderFields) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        if self._over or self._begun:
+            return
+        self._begun = True
+        self._connection.send_head(status, headers, True)
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body at once."""
+        if self._begun and not self._over and data:
+            self._connection.send_data(data)
+
+    def end(self) -> None:
+        """End the answer as complete; an answer shorter than announced is cut instead."""
+        if self._over or not self._begun:
+            return
+        self._over = True
+        try:
+            self._connection.send_end()
+        except h11.LocalProtocolError:
+            self._connection.abort()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        if not self._over:
+            self._over = True
+            self._connection.abort()
+
+    def on_left(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when the client closes before the answer has ended."""
+        self._listener = listener
+
+    def connection_lost(self) -> None:
+        """The client has closed."""
+        if self._over:
+            return
+        self._over = True
+        if self._listener is not None:
+            self._listener()
--- a/src/rainsail/wire/connection.py
+++ b/src/rainsail/wire/connection.py
@@ -5,6 +5,7 @@
 from twisted.python.failure import Failure
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.sockets import set_user_timeout
 from rainsail.wire.codec import CodecError, decode, encode
 from rainsail.wire.envelope import decode_envelope
 from rainsail.wire.framing import FramedConnection
@@ -82,6 +83,7 @@
         self._remote = str(getattr(self.transport.getPeer(), "host", ""))
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
+        set_user_timeout(self.transport, self._settings.user_timeout_s)
         self._sent_s = self._received_s = self._clock.seconds()
         self._timer = self._clock.callLater(self._settings.hello_timeout_s, self._hello_late)
         if self._expected is not None:
--- a/src/rainsail/wire/settings.py
+++ b/src/rainsail/wire/settings.py
@@ -56,6 +56,20 @@
     dead_peer_timeout_s: float = Field(
         default=15.0, gt=0, description="A link that received nothing for this long is closed"
     )
+    user_timeout_s: float = Field(
+        default=0.0,
+        ge=0,
+        description="Time that sent bytes may stay unacknowledged before the kernel ends the "
+        "connection; 0 leaves it to the kernel",
+    )
+    plaintext_off_loopback: bool = Field(
+        default=False,
+        description="Speak without TLS to other machines, on a network that is trusted as a whole",
+    )
+    names_are_addresses: bool = Field(
+        default=False,
+        description="A process is named by the IP:PORT it listens on, so no address list is needed",
+    )
     max_accepted_connections: int = Field(
         default=4096, gt=0, description="Connections accepted at one time; more are closed at once"
     )
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -24,7 +24,7 @@
 
 from rainsail.errors import Fault, FaultCode, Outcome, RainsailError
 from rainsail.logs import logger
-from rainsail.wire.address import PeerAddress
+from rainsail.wire.address import PeerAddress, parse_address
 from rainsail.wire.calls import UnansweredCalls
 from rainsail.wire.connection import PeerConnection
 from rainsail.wire.dialler import DialState, QueuedEnvelope
@@ -177,7 +177,7 @@
             self._end_call(connection.peer, queued.call_id, fault, Outcome.NOT_RUN)
 
     def _queue_for(self, destination: ProcessName, queued: QueuedEnvelope) -> Fault | None:
-        address = self._peers.get(destination)
+        address = self._address_of(destination)
         if address is None:
             return self._fault(FaultCode.UNAVAILABLE, "not connected", destination)
         if len(queued.data) > self._settings.max_frame_bytes:
@@ -191,6 +191,15 @@
             self._dial(destination, address, state)
         return None
 
+    def _address_of(self, destination: ProcessName) -> PeerAddress | None:
+        address = self._peers.get(destination)
+        if address is not None or not self._settings.names_are_addresses:
+            return address
+        try:
+            return parse_address(destination)
+        except ValueError:
+            return None
+
     def _dial_state(self, peer: ProcessName) -> DialState:
         state = self._dials.get(peer)
         if state is None:
@@ -256,7 +265,8 @@
         return kind(self._reactor, address.port, interface=address.host)
 
     def _check_exposure(self, address: PeerAddress) -> None:
-        if self._tls_options is None and not address.is_loopback():
+        trusted = self._settings.plaintext_off_loopback or address.is_loopback()
+        if self._tls_options is None and not trusted:
             detail = f"{address} is not a loopback address, so TLS must be on"
             raise RainsailError(self._fault(FaultCode.INVALID, detail, ""))
 
