--- /dev/null
+++ b/src/rainsail/cluster/directory.py
@@ -0,0 +1,70 @@
+"""Which nodes there are, as a controller hears it from their beats."""
+
+from dataclasses import dataclass
+
+from rainsail.cluster.messages import LedgerStatus, NodeRecord, NodeRole
+
+NODE_SILENT_AFTER_S = 3.0
+"""A node that sent no beat for this long is taken as away."""
+
+
+@dataclass(slots=True)
+class _Heard:
+    node: NodeRecord
+    at_s: float
+    ledger: LedgerStatus | None
+
+
+class NodeDirectory:
+    """The nodes that have sent beats, by address."""
+
+    def __init__(self) -> None:
+        self._nodes: dict[str, _Heard] = {}
+
+    def heard(self, node: NodeRecord, ledger: LedgerStatus | None, now: float) -> bool:
+        """Note a beat; True when the node is new or has come back."""
+        known = self._nodes.get(node.address)
+        is_new = known is None or now - known.at_s >= NODE_SILENT_AFTER_S
+        self._nodes[node.address] = _Heard(node, now, ledger)
+        return is_new
+
+    def live(self, role: NodeRole, now: float) -> list[NodeRecord]:
+        """Return the nodes of a role that were heard of lately, by address."""
+        found = [
+            heard.node
+            for heard in self._nodes.values()
+            if heard.node.role == role and now - heard.at_s < NODE_SILENT_AFTER_S
+        ]
+        return sorted(found, key=lambda node: node.address)
+
+    def addresses(self, role: NodeRole, now: float) -> tuple[str, ...]:
+        """Return the addresses of the live nodes of a role."""
+        return tuple(node.address for node in self.live(role, now))
+
+    def named(self, name: str, role: NodeRole) -> NodeRecord | None:
+        """Return the node of a name that was heard of last."""
+        found = [
+            heard
+            for heard in self._nodes.values()
+            if heard.node.name == name and heard.node.role == role
+        ]
+        return max(found, key=lambda heard: heard.at_s).node if found else None
+
+    def followers(self, now: float) -> list[str]:
+        """Return the addresses of all live nodes, to push changes to."""
+        return [
+            address
+            for address, heard in self._nodes.items()
+            if now - heard.at_s < NODE_SILENT_AFTER_S
+        ]
+
+    def ledger_status(self, now: float) -> tuple[str, LedgerStatus] | None:
+        """Return the address and the word of the ledger's leader of the highest term."""
+        best: tuple[str, LedgerStatus] | None = None
+        for address, heard in self._nodes.items():
+            status = heard.ledger
+            if status is None or not status.leads or now - heard.at_s >= NODE_SILENT_AFTER_S:
+                continue
+            if best is None or status.term > best[1].term:
+                best = (address, status)
+        return best
--- /dev/null
+++ b/src/rainsail/cluster/follower.py
@@ -0,0 +1,204 @@
+"""A node's side of the fleet: it beats to every controller and takes what they say.
+
+Nothing here is durable. What controllers push is taken at once; each beat makes good whatever a
+lost push left out. A node keeps its last view while no controller answers.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred
+
+from rainsail.cluster.messages import (
+    FetchTable,
+    FleetView,
+    LedgerStatus,
+    NodeBeat,
+    NodeBeatReply,
+    NodeRecord,
+    RunnerRecord,
+    RunnerUpdate,
+    TableDocument,
+    TableNotice,
+)
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.logs import logger
+from rainsail.runtime.clock import Clock
+from rainsail.wire.messenger import Messenger
+
+BEAT_PERIOD_S = 1.0
+FIRST_BEATS_PERIOD_S = 0.2
+"""Time between two beats while no controller has answered yet."""
+CALL_TIMEOUT_S = 1.0
+CONTROLLER_FORGOTTEN_AFTER_S = 30.0
+EMPTY_VIEW = FleetView((), (), (), (), "")
+
+
+@dataclass(slots=True)
+class _Controller:
+    epoch: int = 0
+    revision: int = 0
+    heard_s: float = float("-inf")
+    asked_s: float = float("-inf")
+    waiting: bool = False
+    fetching: bool = False
+    view: FleetView = EMPTY_VIEW
+
+
+class FleetFollower:
+    """Keeps a node's view of the fleet fresh."""
+
+    def __init__(
+        self,
+        node: NodeRecord,
+        seeds: tuple[str, ...],
+        messenger: Messenger,
+        clock: Clock,
+        registry: RunnerRegistry,
+    ) -> None:
+        self._node = node
+        self._seeds = seeds
+        self._messenger = messenger
+        self._clock = clock
+        self.registry = registry
+        self._controllers: dict[str, _Controller] = {}
+        self._stopped = False
+        self.table_version = 0
+        self.ledger_status: Callable[[], LedgerStatus | None] = lambda: None
+        self.on_runners: Callable[[list[RunnerRecord]], None] = lambda changed: None
+        self.on_table: Callable[[TableDocument], None] = lambda document: None
+        self.on_view: Callable[[FleetView], None] = lambda view: None
+        messenger.serve(RunnerUpdate, self._take_update)
+        messenger.serve(TableNotice, self._take_notice)
+
+    def start(self) -> None:
+        """Begin to beat."""
+        for seed in self._seeds:
+            self._know(seed)
+        self._tick()
+
+    def stop(self) -> None:
+        """Beat no more."""
+        self._stopped = True
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds, when the settings name others."""
+        self._seeds = seeds
+        for seed in seeds:
+            self._know(seed)
+
+    @property
+    def heard_any(self) -> bool:
+        """Tell whether some controller has ever answered."""
+        return any(each.heard_s > float("-inf") for each in self._controllers.values())
+
+    def view(self) -> FleetView:
+        """Return what the controllers heard of lately say together."""
+        fresh = [each.view for each in self._fresh()]
+        leaders = [view.ledger_leader for view in fresh if view.ledger_leader]
+        founders = [view.founders for view in fresh if view.founders]
+        return FleetView(
+            tuple(sorted(self._controllers)),
+            tuple(sorted({name for view in fresh for name in view.storage})),
+            founders[0] if founders else (),
+            tuple(sorted({name for view in fresh for name in view.leaving})),
+            leaders[-1] if leaders else "",
+        )
+
+    def _fresh(self) -> list[_Controller]:
+        heard = [each for each in self._controllers.values() if each.heard_s > float("-inf")]
+        return sorted(heard, key=lambda each: each.heard_s)
+
+    # --- beats ---------------------------------------------------------------------------
+
+    def _know(self, address: str) -> _Controller:
+        known = self._controllers.get(address)
+        if known is None:
+            known = self._controllers[address] = _Controller(asked_s=self._clock.seconds())
+        return known
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        for address in sorted(self._controllers):
+            if address != self._node.address:
+                self.beat(address)
+        self._forget_lost()
+        period_s = BEAT_PERIOD_S if self.heard_any else FIRST_BEATS_PERIOD_S
+        self._clock.callLater(period_s, self._tick)
+
+    def beat(self, address: str) -> None:
+        """Send one beat, unless the last one still waits for its answer."""
+        controller = self._know(address)
+        if controller.waiting:
+            return
+        controller.waiting = True
+        beat = NodeBeat(self._node, controller.epoch, controller.revision, self.ledger_status())
+        reply: Deferred = self._messenger.call(address, beat, CALL_TIMEOUT_S)
+        reply.addCallback(self._take_reply, address)
+
+    def _take_reply(self, result: object, address: str) -> None:
+        controller = self._know(address)
+        controller.waiting = False
+        if self._stopped or result.is_error():  # type: ignore[attr-defined]
+            return
+        reply: NodeBeatReply = result.ok  # type: ignore[attr-defined]
+        if controller.heard_s == float("-inf"):
+            logger.bind(controller=address, runners=len(reply.runners)).info("controller_found")
+        controller.heard_s = self._clock.seconds()
+        controller.epoch = reply.epoch
+        controller.revision = reply.revision
+        controller.view = reply.view
+        for name in reply.view.controllers:
+            self._know(name)
+        self._merge(reply.runners)
+        self.on_view(self.view())
+        self._want_table(address, reply.table_version)
+
+    def _forget_lost(self) -> None:
+        now = self._clock.seconds()
+        named = {name for each in self._fresh()[-1:] for name in each.view.controllers}
+        for address, controller in list(self._controllers.items()):
+            if address in self._seeds or address in named:
+                continue
+            if now - max(controller.heard_s, controller.asked_s) > CONTROLLER_FORGOTTEN_AFTER_S:
+                del self._controllers[address]
+
+    # --- what controllers say ------------------------------------------------------------
+
+    def _take_update(self, source: str, update: RunnerUpdate) -> None:
+        controller = self._controllers.get(source)
+        follows = (
+            controller is not None
+            and controller.epoch == update.epoch
+            and controller.revision == update.previous_revision
+        )
+        if controller is not None and follows:
+            controller.revision = update.revision
+        self._merge(update.runners)
+
+    def _merge(self, records: tuple[RunnerRecord, ...]) -> None:
+        changed = self.registry.take(records)
+        if changed:
+            self.on_runners(changed)
+
+    def _take_notice(self, source: str, notice: TableNotice) -> None:
+        self._want_table(source, notice.version)
+
+    def _want_table(self, address: str, version: int) -> None:
+        controller = self._know(address)
+        if version <= self.table_version or controller.fetching:
+            return
+        controller.fetching = True
+        reply = self._messenger.call(address, FetchTable(), CALL_TIMEOUT_S)
+        reply.addCallback(self._take_table, address)
+
+    def _take_table(self, result: object, address: str) -> None:
+        self._know(address).fetching = False
+        if self._stopped or result.is_error():  # type: ignore[attr-defined]
+            return
+        document: TableDocument = result.ok  # type: ignore[attr-defined]
+        if document.version > self.table_version:
+            self.table_version = document.version
+            logger.bind(version=document.version, controller=address).info("table_taken")
+            self.on_table(document)
--- /dev/null
+++ b/src/rainsail/cluster/founders.py
@@ -0,0 +1,26 @@
+"""Which storage nodes found the ledger group."""
+
+from rainsail.cluster.messages import NodeRecord
+
+VOTERS_BESIDE_EACH_LOSS = 2
+
+
+def voters_for(losses: int) -> int:
+    """Return how many voters bear the loss of ``losses`` of them."""
+    return VOTERS_BESIDE_EACH_LOSS * losses + 1
+
+
+def choose_founders(nodes: list[NodeRecord], wanted: int) -> tuple[str, ...]:
+    """Return an odd number of nodes' addresses, spread over the zones in turn."""
+    count = min(wanted, len(nodes))
+    if count and count % 2 == 0:
+        count -= 1
+    by_zone: dict[str, list[NodeRecord]] = {}
+    for node in sorted(nodes, key=lambda node: node.address):
+        by_zone.setdefault(node.zone, []).append(node)
+    chosen: list[str] = []
+    while len(chosen) < count:
+        for zone in sorted(by_zone):
+            if by_zone[zone] and len(chosen) < count:
+                chosen.append(by_zone[zone].pop(0).address)
+    return tuple(sorted(chosen))
--- /dev/null
+++ b/src/rainsail/cluster/messages.py
@@ -0,0 +1,199 @@
+"""Messages between nodes: beats with what has changed since the last, pushes, forwarded calls."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from rainsail.wire.codec import wire_record
+
+
+class NodeRole(StrEnum):
+    """What a node does."""
+
+    GATEWAY = "gateway"
+    CONTROLLER = "controller"
+    STORAGE = "storage"
+
+
+class RunnerState(StrEnum):
+    """A runner's word about itself; later members are final over earlier ones."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """One node. ``address`` is the IP:PORT of its transport, which is also its process name."""
+
+    address: str
+    name: str
+    role: NodeRole
+    zone: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerRecord:
+    """One incarnation of a runner, as it last described itself.
+
+    ``sequence`` rises with each word, so that a late one is known; ``cold_left_s`` is how much
+    longer it is slow from its start.
+    """
+
+    runner: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: RunnerState
+    cold_left_s: float
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerStatus:
+    """What a storage node says of the ledger group: whether it leads, and the voters."""
+
+    leads: bool
+    term: int
+    voters: tuple[str, ...]
+    settled: bool
+    """No learner and no replacement is under way."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What a controller knows of the fleet and tells every node.
+
+    ``storage`` are the storage nodes heard of lately, ``founders`` those that found the ledger
+    group (empty until that is decided), ``leaving`` the storage nodes that are to be emptied.
+    """
+
+    controllers: tuple[str, ...]
+    storage: tuple[str, ...]
+    founders: tuple[str, ...]
+    leaving: tuple[str, ...]
+    ledger_leader: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class NodeBeat:
+    """Says that a node is there, and up to where it knows this controller's registry.
+
+    ``epoch`` and ``revision`` are those of the last reply or update from this controller.
+    """
+
+    node: NodeRecord
+    epoch: int
+    revision: int
+    ledger: LedgerStatus | None
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class NodeBeatReply:
+    """The fleet, and the runners that have changed since the revision that the node knows."""
+
+    view: FleetView
+    table_version: int
+    epoch: int
+    revision: int
+    runners: tuple[RunnerRecord, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RunnerUpdate:
+    """Pushed to nodes as soon as runners change; a gap is made good by the next beat."""
+
+    epoch: int
+    previous_revision: int
+    revision: int
+    runners: tuple[RunnerRecord, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class TableNotice:
+    """Pushed to nodes when a routing table of a higher version is committed."""
+
+    version: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class FetchTable:
+    """Asks a controller for the routing table that it has applied."""
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class TableDocument:
+    """A routing table as the operator sent it; version 0 stands for none."""
+
+    version: int
+    content: bytes
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ShareRunner:
+    """Tells another controller a runner's word; the answer says that it is known there."""
+
+    record: RunnerRecord
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RunnerShared:
+    """The word is known and on its way to the nodes that follow this controller."""
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class SubmitTable:
+    """Asks the leader to replace the routing table."""
+
+    version: int
+    content: bytes
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class TableAccepted:
+    """The table in force has this version or a higher one."""
+
+    version: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ReadTable:
+    """Asks the leader for the newest table, confirmed by a quorum."""
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class EmptyNode:
+    """Asks the leader to move the ledger off a storage node."""
+
+    name: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ReadEmptying:
+    """Asks the leader how far a node's emptying is."""
+
+    name: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class EmptyingStatus:
+    """``done`` once the ledger bears its losses without the node."""
+
+    name: str
+    done: bool
--- /dev/null
+++ b/src/rainsail/fleet/base.py
@@ -0,0 +1,86 @@
+"""What every node has: a clock, a transport, a registry and a follower of the controllers."""
+
+import random as random_module
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from rainsail.cluster.follower import FleetFollower
+from rainsail.cluster.messages import NodeRecord, NodeRole
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.consensus.settings import ConsensusSettings
+from rainsail.errors import Fault
+from rainsail.runtime.clock import Clock, MonotonicClock
+from rainsail.settings.node import NodeSettings
+from rainsail.wire.messenger import Messenger
+from rainsail.wire.settings import WireSettings
+from rainsail.wire.tcp import TcpTransport
+
+FLEET = "fleet"
+INCARNATION_BITS = 48
+MEBIBYTE = 1024 * 1024
+REPAIR_AFTER_S = 1.5
+SNAPSHOT_DISK_SHARE = 0.125
+LEAST_SNAPSHOT_LOG_BYTES = 4 * MEBIBYTE
+
+PEER_WIRE = WireSettings(
+    connect_timeout_s=1.0,
+    hello_timeout_s=1.0,
+    backoff_max_s=0.3,
+    keepalive_period_s=0.8,
+    dead_peer_timeout_s=2.5,
+    user_timeout_s=2.5,
+    plaintext_off_loopback=True,
+    names_are_addresses=True,
+)
+"""Links between nodes: a peer behind a cut must be given up within a few seconds."""
+
+
+@dataclass(slots=True)
+class NodeBase:
+    """The parts that all roles share."""
+
+    settings: NodeSettings
+    node: NodeRecord
+    clock: Clock
+    random: random_module.Random
+    transport: TcpTransport
+    messenger: Messenger
+    registry: RunnerRegistry
+    follower: FleetFollower
+
+    def listen(self) -> "Deferred[Result[int, Fault]]":
+        """Accept other nodes."""
+        return self.transport.listen_on(self.settings.node.ip, self.settings.transport_port())
+
+
+def make_base(settings: NodeSettings, reactor: Any) -> NodeBase:
+    """Make the shared parts of a node; nothing is started."""
+    random = random_module.Random(random_module.SystemRandom().getrandbits(64))
+    clock = MonotonicClock(reactor)
+    name = settings.process_name()
+    transport = TcpTransport(name, {}, reactor, None, PEER_WIRE, FLEET, random)
+    messenger = Messenger(transport, clock)
+    node = NodeRecord(
+        name,
+        settings.node.name,
+        NodeRole(settings.node.role.value),
+        settings.node.zone,
+        random.getrandbits(INCARNATION_BITS),
+    )
+    registry = RunnerRegistry()
+    follower = FleetFollower(node, settings.seed_controllers(), messenger, clock, registry)
+    return NodeBase(settings, node, clock, random, transport, messenger, registry, follower)
+
+
+def group_settings(settings: NodeSettings) -> ConsensusSettings:
+    """Return the settings of a node's replicated group, sized by its disk."""
+    log_bytes = int(settings.limits.disk_mb * MEBIBYTE * SNAPSHOT_DISK_SHARE)
+    return ConsensusSettings(
+        repair_after_s=REPAIR_AFTER_S,
+        unreachable_after_s=1.2,
+        snapshot_log_bytes=max(LEAST_SNAPSHOT_LOG_BYTES, log_bytes),
+        hello_period_s=0.3,
+    )
--- /dev/null
+++ b/src/rainsail/fleet/gateway_node.py
@@ -0,0 +1,105 @@
+"""The gateway role: clients on one address, readiness checks on another."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from rainsail.cluster.leader_calls import LeaderCaller
+from rainsail.errors import Fault
+from rainsail.fleet.base import NodeBase
+from rainsail.fleet.listening import listen
+from rainsail.fleet.port import PlatformPort
+from rainsail.http.pool import ConnectionPool, PoolSettings
+from rainsail.http.server import HttpLimits, HttpServer
+from rainsail.jobs.client import JobClient
+from rainsail.logs import logger
+from rainsail.relay.context import make_context
+from rainsail.relay.gateway import RelayGateway
+from rainsail.relay.settings import RelaySettings
+
+LEDGER_CALL_TIMEOUT_S = 1.6
+CLIENTS_LEAVE_AFTER_S = 2.3
+"""After SIGTERM new clients still come until two readiness checks have been missed."""
+END_BEFORE_GRACE_S = 0.4
+
+
+class GatewayNode:
+    """Starts and ends a relaying gateway."""
+
+    def __init__(self, base: NodeBase, port: PlatformPort, reactor: Any) -> None:
+        self._base = base
+        self._reactor = reactor
+        self._limits = HttpLimits()
+        pool = ConnectionPool(reactor, base.clock, PoolSettings(connect_timeout_s=0.3))
+        context = make_context(
+            base.settings.node.zone,
+            base.clock,
+            base.registry,
+            pool,
+            port.protocol,
+            base.random,
+            RelaySettings(),
+        )
+        self.gateway = RelayGateway(
+            context, base.follower, base.messenger, port.read_table, self._limits
+        )
+        calls = LeaderCaller(
+            base.messenger,
+            base.clock,
+            None,
+            lambda: base.follower.view().storage,
+            LEDGER_CALL_TIMEOUT_S,
+        )
+        jobs = JobClient(calls)
+        self.gateway.on_ledger_leader = jobs.set_leader
+        self._clients = HttpServer(
+            port.client_handler(self.gateway, jobs), base.clock, self._limits
+        )
+        self._readiness = HttpServer(
+            port.readiness_handler(self.gateway), base.clock, HttpLimits()
+        )
+        self._client_port: Any = None
+
+    async def start(self) -> Result[None, Fault]:
+        """Listen everywhere and begin to follow the fleet."""
+        base = self._base
+        opened = await base.listen()
+        if opened.is_error():
+            return Error(opened.error)
+        clients = listen(self._reactor, self._clients, base.settings.listen.clients)
+        if clients.is_error():
+            return Error(clients.error)
+        self._client_port = clients.ok
+        if base.settings.listen.readiness:
+            ready = listen(self._reactor, self._readiness, base.settings.listen.readiness)
+            if ready.is_error():
+                return Error(ready.error)
+        self.gateway.start()
+        base.follower.start()
+        return Ok(None)
+
+    async def planned_stop(self) -> None:
+        """Say that no client should come, finish what is under way, then return."""
+        from twisted.internet.defer import Deferred
+
+        logger.bind(under_way=self._clients.requests_under_way).info("drain_begun")
+        self.gateway.draining = True
+        self._clients.drain()
+        done: Deferred[None] = Deferred()
+        clock = self._base.clock
+        clock.callLater(CLIENTS_LEAVE_AFTER_S, self._leave, done)
+        last_s = self._base.settings.bounds.grace_s - END_BEFORE_GRACE_S
+        clock.callLater(last_s, _fire_once, done)
+        await done
+        logger.bind(under_way=self._clients.requests_under_way).info("drain_ended")
+        self.gateway.stop()
+
+    def _leave(self, done: Any) -> None:
+        self._client_port.stopListening()
+        self._clients.close_idle()
+        self._clients.when_quiet(lambda: _fire_once(done))
+
+
+def _fire_once(done: Any) -> None:
+    if not done.called:
+        done.callback(None)
--- /dev/null
+++ b/src/rainsail/fleet/group_folder.py
@@ -0,0 +1,85 @@
+"""Opening one replicated group in a node's data folder."""
+
+from pathlib import Path
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from rainsail.consensus.driver import GroupDriver
+from rainsail.consensus.membership import MemberSpec
+from rainsail.consensus.router import GroupRouter
+from rainsail.errors import Fault, FaultCode
+from rainsail.fleet.base import FLEET, NodeBase, group_settings
+from rainsail.state.commands import GroupId
+from rainsail.state.durable_schemas import durable_fingerprint
+from rainsail.state.interface import StateMachine
+from rainsail.storage.group_storage import open_group_storage
+from rainsail.storage.identity import load_or_create_identity
+from rainsail.storage.interface import GroupStorage
+from rainsail.storage.local_files import LocalFileSystem
+from rainsail.storage.identity import ReplicaIdentity
+from rainsail.storage.settings import StorageSettings
+from rainsail.wire.codec import CodecError
+
+SEGMENT_BYTES = 4 * 1024 * 1024
+CACHE_BYTES = 1024 * 1024
+
+
+class GroupFolder:
+    """A group's durable state on this node, and the driver made over it."""
+
+    def __init__(self, base: NodeBase, group: GroupId, reactor: Any) -> None:
+        self._base = base
+        self._group = group
+        self._reactor = reactor
+        self._identity: ReplicaIdentity | None = None
+        self._storage: GroupStorage | None = None
+
+    async def open(self) -> Result[None, Fault]:
+        """Open the folder, making it when it is empty."""
+        base = self._base
+        folder = Path(base.settings.node.data_folder)
+        files = LocalFileSystem(folder, self._reactor)
+        identity = await load_or_create_identity(
+            files, FLEET, base.node.address, durable_fingerprint(), base.random
+        )
+        if identity.is_error():
+            return Error(identity.error)
+        settings = StorageSettings(segment_bytes=SEGMENT_BYTES, cache_bytes=CACHE_BYTES)
+        storage = await open_group_storage(files, self._group, settings)
+        if storage.is_error():
+            return Error(storage.error)
+        self._identity = identity.ok
+        self._storage = storage.ok
+        return Ok(None)
+
+    def is_empty(self) -> bool:
+        """Tell whether nothing of the group was ever stored here."""
+        assert self._storage is not None
+        return self._storage.last_index == 0 and self._storage.snapshot_meta is None
+
+    def make_driver(
+        self, state: StateMachine, founders: tuple[str, ...]
+    ) -> Result[GroupDriver, Fault]:
+        """Make the group's driver; ``founders`` found it when all of them are empty."""
+        assert self._identity is not None and self._storage is not None
+        base = self._base
+        router = GroupRouter(base.messenger, base.clock)
+        try:
+            driver = GroupDriver(
+                self._group,
+                base.node.address,
+                self._identity,
+                self._storage,
+                state,
+                base.messenger,
+                base.clock,
+                base.random,
+                group_settings(base.settings),
+                tuple(MemberSpec(name, "", True) for name in founders),
+                router,
+            )
+        except CodecError as error:
+            detail = f"group {self._group}: its snapshot or log can't be read: {error}"
+            return Error(Fault(FaultCode.STORAGE, "fleet.open_group", detail))
+        return Ok(driver)
--- /dev/null
+++ b/src/rainsail/fleet/process.py
@@ -0,0 +1,140 @@
+"""One process of the fleet: reads its settings, runs its role, ends on SIGTERM or a fatal fault."""
+
+import signal
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from rainsail.errors import Fault
+from rainsail.event_log import configure_event_log
+from rainsail.fleet.base import NodeBase, make_base
+from rainsail.fleet.port import PlatformPort
+from rainsail.logs import logger
+from rainsail.runtime.collector import exempt_startup_objects
+from rainsail.settings.node import NodeKind, NodeSettings, load_node_settings
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+SETTINGS_CHECK_PERIOD_S = 1.0
+
+
+class FleetProcess:
+    """Runs one role under one reactor."""
+
+    def __init__(
+        self, path: Path, settings: NodeSettings, port: PlatformPort, reactor: Any
+    ) -> None:
+        self._path = path
+        self._text = _content(path)
+        self._reactor = reactor
+        self._base = make_base(settings, reactor)
+        self._role = make_role(self._base, port, reactor, self.fail)
+        self._stopping = False
+        self.exit_code = EXIT_DONE
+
+    def run(self) -> int:
+        """Run until the end; return the exit code."""
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=False)
+        return self.exit_code
+
+    def _start(self) -> None:
+        stop = lambda *_: self._reactor.callFromThread(self.stop)  # noqa: E731
+        signal.signal(signal.SIGTERM, stop)
+        signal.signal(signal.SIGINT, stop)
+        signal.signal(signal.SIGHUP, lambda *_: self._reactor.callFromThread(self._reload))
+        Deferred.fromCoroutine(self._start_role()).addErrback(self._crashed)
+        self._watch_settings()
+
+    async def _start_role(self) -> None:
+        started = await self._role.start()
+        if started.is_error():
+            self.fail(started.error)
+            return
+        exempt_startup_objects()
+        logger.bind(address=self._base.node.address).info("started")
+
+    def fail(self, fault: Fault) -> None:
+        """End the process because of a fault."""
+        logger.bind(fault=str(fault)).error("fatal")
+        self.exit_code = EXIT_FAILED
+        self._stop_reactor()
+
+    def _crashed(self, failure: Any) -> None:
+        logger.bind(traceback=failure.getTraceback()).error("crashed")
+        self.exit_code = EXIT_FAILED
+        self._stop_reactor()
+
+    def stop(self) -> None:
+        """Stop as planned."""
+        if self._stopping:
+            return
+        self._stopping = True
+        logger.info("stopping")
+        done = Deferred.fromCoroutine(self._role.planned_stop())
+        done.addErrback(self._crashed)
+        done.addCallback(lambda _: self._stop_reactor())
+
+    def _stop_reactor(self) -> None:
+        if self._reactor.running:
+            self._reactor.stop()
+
+    # --- settings that change ------------------------------------------------------------
+
+    def _watch_settings(self) -> None:
+        if self._stopping:
+            return
+        if _content(self._path) != self._text:
+            self._reload()
+        self._reactor.callLater(SETTINGS_CHECK_PERIOD_S, self._watch_settings)
+
+    def _reload(self) -> None:
+        """Take what may change while running: the seeds. A bad file changes nothing."""
+        self._text = _content(self._path)
+        loaded = load_node_settings(self._path)
+        if loaded.is_error():
+            logger.bind(fault=str(loaded.error)).error("settings_refused")
+            return
+        seeds = loaded.ok.seed_controllers()
+        self._base.follower.set_seeds(seeds)
+        logger.bind(seeds=",".join(seeds)).info("settings_reloaded")
+
+
+def _content(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
+
+
+def make_role(base: NodeBase, port: PlatformPort, reactor: Any, fatal: Any) -> Any:
+    """Make the role that the settings name; only its own modules are loaded."""
+    match base.settings.node.role:
+        case NodeKind.GATEWAY:
+            from rainsail.fleet.gateway_node import GatewayNode
+
+            return GatewayNode(base, port, reactor)
+        case NodeKind.CONTROLLER:
+            from rainsail.fleet.controller_node import ControllerNode
+
+            return ControllerNode(base, port, reactor, fatal)
+        case NodeKind.STORAGE:
+            from rainsail.fleet.storage_node import StorageNode
+
+            return StorageNode(base, port, reactor, fatal)
+
+
+def run_node(path: Path, port: PlatformPort) -> int:
+    """Run the process of a settings file; return its exit code."""
+    loaded = load_node_settings(path)
+    if loaded.is_error():
+        configure_event_log("", "")
+        logger.bind(fault=str(loaded.error)).error("settings_refused")
+        return EXIT_SETTINGS
+    settings = loaded.ok
+    configure_event_log(settings.node.name, settings.node.role.value)
+    from twisted.internet import reactor
+
+    return FleetProcess(path, settings, port, reactor).run()
--- /dev/null
+++ b/src/rainsail/jobs/client.py
@@ -0,0 +1,46 @@
+"""A gateway's calls to the ledger, wherever its leader is."""
+
+from typing import Any
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from rainsail.cluster.leader_calls import LeaderCaller
+from rainsail.errors import Fault
+from rainsail.jobs.messages import EndJobCall, ReadItemBody, ReadResults, SubmitRelayedJob
+from rainsail.state.job_commands import RelayedItem
+
+SUBMIT_WITHIN_S = 3.4
+READ_WITHIN_S = 2.0
+
+
+class JobClient:
+    """Every call may go out again: a job is known by its id, an end is an end."""
+
+    def __init__(self, calls: LeaderCaller) -> None:
+        self._calls = calls
+
+    def set_leader(self, leader: str) -> None:
+        """Note who is said to lead the ledger."""
+        self._calls.set_hint(leader)
+
+    def submit(
+        self, job: str, host: str, path: str, items: tuple[RelayedItem, ...]
+    ) -> "Deferred[Result[Any, Fault]]":
+        """Hand a whole job in; Ok once a quorum has synced all of it."""
+        message = SubmitRelayedJob(job, host, path, items)
+        return self._calls.call(message, None, SUBMIT_WITHIN_S, repeatable=True)
+
+    def read(self, job: str, after: int, wait_s: float) -> "Deferred[Result[Any, Fault]]":
+        """Return a ``ResultPage``."""
+        message = ReadResults(job, after, wait_s)
+        return self._calls.call(message, None, READ_WITHIN_S + wait_s, repeatable=True)
+
+    def read_body(self, job: str, item: str) -> "Deferred[Result[Any, Fault]]":
+        """Return an ``ItemBodyFound``."""
+        message = ReadItemBody(job, item)
+        return self._calls.call(message, None, READ_WITHIN_S, repeatable=True)
+
+    def end(self, job: str) -> "Deferred[Result[Any, Fault]]":
+        """End a job."""
+        return self._calls.call(EndJobCall(job), None, SUBMIT_WITHIN_S, repeatable=True)
--- /dev/null
+++ b/src/rainsail/jobs/dispatcher.py
@@ -0,0 +1,305 @@
+"""Runs the items of open jobs while this node leads the ledger.
+
+Soft state: what runs where, and how far each answer has come. A new leader runs unlisted items
+anew; a listed item is never run again. Results are listed by commands of the ledger group, in
+batches, and count once these are committed.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from rainsail.cluster.messages import RunnerRecord
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.http.pool import Call, ConnectionPool
+from rainsail.jobs.item_run import ItemProgress, ItemRun, RunEnd
+from rainsail.jobs.job_state import JobState, RelayedJob
+from rainsail.jobs.online_use import OnlineUseBook
+from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
+from rainsail.logs import logger
+from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
+from rainsail.relay.split import SplitPicker
+from rainsail.relay.table import Route, RoutingTable
+from rainsail.runtime.clock import Clock
+from rainsail.state.job_commands import ItemOutcome
+
+PLAN_PERIOD_S = 0.05
+RETRY_PAUSE_S = 0.25
+FAILED_RUNNER_PAUSE_S = 1.5
+"""A runner that broke a run off takes no items for this long."""
+SILENT_RUN_S = 4.0
+"""A run from which nothing comes for this long goes on elsewhere."""
+
+
+@dataclass(slots=True)
+class _Work:
+    """An item that is not listed yet."""
+
+    job: str
+    index: int
+    progress: ItemProgress = field(default_factory=ItemProgress)
+    ready_at_s: float = 0.0
+    runner: str = ""
+    run: ItemRun | None = None
+    call: Call | None = None
+    started_s: float = 0.0
+    events_seen: int = 0
+    seen_at_s: float = 0.0
+
+
+ListOutcome = Callable[[str, ItemOutcome], None]
+"""Commits an item's end; called once an item."""
+
+
+class Dispatcher:
+    """Chooses and runs items; ``start`` and ``stop`` follow the leadership."""
+
+    def __init__(
+        self,
+        state: JobState,
+        registry: RunnerRegistry,
+        pool: ConnectionPool,
+        protocol: RelayProtocol,
+        clock: Clock,
+        random: Random,
+        zone: str,
+        list_outcome: ListOutcome,
+        settings: PlanSettings,
+    ) -> None:
+        self._state = state
+        self._registry = registry
+        self._pool = pool
+        self._protocol = protocol
+        self._clock = clock
+        self._random = random
+        self._zone = zone
+        self._list_outcome = list_outcome
+        self._settings = settings
+        self._table: RoutingTable | None = None
+        self._waiting: deque[_Work] = deque()
+        self._running: dict[str, list[_Work]] = {}
+        self._known_jobs: set[str] = set()
+        self._paused_until_s: dict[str, float] = {}
+        self._split = SplitPicker(random)
+        self.online = OnlineUseBook()
+        self._active = False
+
+    # --- life cycle ----------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Take up every open job."""
+        self._active = True
+        self._waiting.clear()
+        self._known_jobs.clear()
+        self._tick()
+
+    def stop(self) -> None:
+        """Close every run: another leader runs what is not listed."""
+        self._active = False
+        for works in self._running.values():
+            for work in works:
+                self._cut(work)
+        self._running.clear()
+        self._waiting.clear()
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Send by this routing table from now on."""
+        self._table = table
+
+    def runners_changed(self, changed: list[RunnerRecord]) -> None:
+        """Close idle connections to runners that take nothing more."""
+        for record in changed:
+            if not self._registry.is_ready(record.runner) and record.address:
+                self._pool.forget(record.address)
+
+    def _tick(self) -> None:
+        if not self._active:
+            return
+        self._take_up_jobs()
+        self._drop_ended()
+        self._give_way()
+        self._leave_silent()
+        self._start_items()
+        self._clock.callLater(PLAN_PERIOD_S, self._tick)
+
+    # --- jobs ----------------------------------------------------------------------------
+
+    def _take_up_jobs(self) -> None:
+        for job in self._state.jobs.values():
+            if job.job in self._known_jobs:
+                continue
+            self._known_jobs.add(job.job)
+            if job.ended:
+                continue
+            for index in sorted(job.unlisted):
+                self._waiting.append(_Work(job.job, index))
+
+    def _drop_ended(self) -> None:
+        self._waiting = deque(work for work in self._waiting if self._is_open(work))
+        for works in self._running.values():
+            for work in [each for each in works if not self._is_open(each)]:
+                self._cut(work)
+                works.remove(work)
+
+    def _is_open(self, work: _Work) -> bool:
+        job = self._state.jobs.get(work.job)
+        return job is not None and not job.ended and work.index in job.unlisted
+
+    # --- room ----------------------------------------------------------------------------
+
+    def _room(self, record: RunnerRecord) -> RunnerRoom:
+        items = len(self._running.get(record.runner, ()))
+        return RunnerRoom(record.runner, record.slots, self.online.running(record.runner), items)
+
+    def _give_way(self) -> None:
+        """Close the newest runs where online work needs their slots."""
+        now = self._clock.seconds()
+        for runner, works in self._running.items():
+            record = self._registry.get(runner)
+            if record is None:
+                continue
+            for work in works[len(works) - items_to_yield(self._room(record), self._settings) :]:
+                self._cut(work)
+                works.remove(work)
+                work.ready_at_s = now
+                self._waiting.appendleft(work)
+                log = logger.bind(job=work.job, index=work.index, runner=runner)
+                log.bind(last_event=work.progress.last_event).info("item_gave_way")
+
+    def _leave_silent(self) -> None:
+        now = self._clock.seconds()
+        for works in self._running.values():
+            for work in list(works):
+                seen = len(work.progress.texts)
+                if seen != work.events_seen:
+                    work.events_seen, work.seen_at_s = seen, now
+                elif now - work.seen_at_s > SILENT_RUN_S and work.run is not None:
+                    self._run_ended(work, RunEnd.BROKEN, "silent")
+
+    # --- starting ------------------------------------------------------------------------
+
+    def _start_items(self) -> None:
+        now = self._clock.seconds()
+        held: list[_Work] = []
+        while self._waiting:
+            work = self._waiting.popleft()
+            if work.ready_at_s > now or not self._start(work, now):
+                held.append(work)
+                if work.ready_at_s <= now:
+                    break
+        self._waiting.extendleft(reversed(held))
+
+    def _start(self, work: _Work, now: float) -> bool:
+        """Start a run if some runner has room; True when the item needs no run now."""
+        job = self._state.jobs[work.job]
+        route = self._route(job, job.items[work.index].path)
+        if route is None:
+            return self._without_route(work)
+        service = self._split.service(route)
+        record = self._choose(service, now)
+        if record is None:
+            return False
+        self._run_at(work, job, record, now)
+        return True
+
+    def _route(self, job: RelayedJob, path: str) -> Route | None:
+        if self._table is None:
+            return None
+        return self._table.match(job.host, path) or self._table.match(job.host, job.path)
+
+    def _without_route(self, work: _Work) -> bool:
+        if self._table is None:
+            return False
+        self._finish(work, False, "no route")
+        return True
+
+    def _choose(self, service: str, now: float) -> RunnerRecord | None:
+        records = {
+            record.runner: record
+            for record in self._registry.ready(service)
+            if self._paused_until_s.get(record.runner, 0.0) <= now
+        }
+        local = [self._room(each) for each in records.values() if each.zone == self._zone]
+        room = roomiest(local, self._settings)
+        best = roomiest([self._room(each) for each in records.values()], self._settings)
+        chosen = best if room is None else room
+        return None if chosen is None else records[chosen.runner]
+
+    def _run_at(self, work: _Work, job: RelayedJob, record: RunnerRecord, now: float) -> None:
+        item = job.items[work.index]
+        request = self._protocol.item_request(
+            ItemRequest(job.host, item, work.progress.last_event),
+            RunnerTarget(record.runner, record.address),
+        )
+        work.runner = record.runner
+        work.started_s = work.seen_at_s = now
+        work.events_seen = len(work.progress.texts)
+        self._running.setdefault(record.runner, []).append(work)
+        work.run = ItemRun(
+            item.item,
+            work.progress,
+            self._protocol,
+            lambda run, end, reason: self._run_ended(work, end, reason),
+        )
+        log = logger.bind(job=work.job, item=item.item, runner=record.runner)
+        log.bind(after_event=work.progress.last_event).info("item_sent")
+        work.call = self._pool.send(record.address, request, work.run)
+
+    # --- ending --------------------------------------------------------------------------
+
+    def _cut(self, work: _Work) -> None:
+        if work.run is not None:
+            work.run.stop()
+        if work.call is not None:
+            work.call.cancel()
+        work.run = None
+        work.call = None
+
+    def _run_ended(self, work: _Work, end: RunEnd, reason: str) -> None:
+        run, call = work.run, work.call
+        works = self._running.get(work.runner, [])
+        if work in works:
+            works.remove(work)
+        if end == RunEnd.BROKEN and run is not None:
+            self._cut(work)
+        work.run = None
+        if call is not None and end == RunEnd.BROKEN:
+            call.cancel()
+        work.call = None
+        if end != RunEnd.WHOLE:
+            log = logger.bind(job=work.job, index=work.index, runner=work.runner, reason=reason)
+            log.bind(end=end.value, last_event=work.progress.last_event).info("item_run_ended")
+        self._judge(work, end)
+
+    def _judge(self, work: _Work, end: RunEnd) -> None:
+        now = self._clock.seconds()
+        if end == RunEnd.WHOLE:
+            self._finish(work, True, "whole")
+            return
+        if end == RunEnd.IMPOSSIBLE:
+            self._finish(work, False, "the runner says that it can never be done")
+            return
+        if end == RunEnd.FAILED:
+            work.progress.failures += 1
+            if work.progress.failures >= self._most_attempts(work):
+                self._finish(work, False, "failed at every attempt")
+                return
+        if end in (RunEnd.BROKEN, RunEnd.NOT_RUN):
+            pause_s = FAILED_RUNNER_PAUSE_S if end == RunEnd.BROKEN else RETRY_PAUSE_S
+            self._paused_until_s[work.runner] = now + pause_s
+        work.ready_at_s = now
+        self._waiting.appendleft(work)
+
+    def _most_attempts(self, work: _Work) -> int:
+        job = self._state.jobs.get(work.job)
+        route = None if job is None else self._route(job, job.items[work.index].path)
+        return 1 if route is None else max(1, route.max_attempts)
+
+    def _finish(self, work: _Work, done: bool, reason: str) -> None:
+        job = self._state.jobs.get(work.job)
+        item = "" if job is None else job.items[work.index].item
+        text = work.progress.text if done else ""
+        log = logger.bind(job=work.job, item=item, runner=work.runner, done=done, reason=reason)
+        log.bind(events=len(work.progress.texts)).info("item_ended")
+        self._list_outcome(work.job, ItemOutcome(work.index, done, text))
--- /dev/null
+++ b/src/rainsail/jobs/item_run.py
@@ -0,0 +1,114 @@
+"""One item's run at a runner: events are gathered until the answer is whole."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from rainsail.http.client import AnswerHead
+from rainsail.relay.events import Event, EventSplitter
+from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
+
+STATUS_OK = 200
+STATUS_NEVER = 422
+STATUS_FAILED = 500
+
+
+class RunEnd(StrEnum):
+    """How a run of an item ended."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    """The answer broke off; another run goes on behind the last whole event."""
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+
+
+@dataclass(slots=True)
+class ItemProgress:
+    """What has been received of an item's answer, kept from run to run by the leader."""
+
+    last_event: int | None = None
+    texts: list[str] = field(default_factory=list)
+    failures: int = 0
+    impossible: int = 0
+
+    def take(self, event: Event) -> None:
+        """Add an event that is behind those already there."""
+        if event.number is None:
+            return
+        if self.last_event is not None and event.number <= self.last_event:
+            return
+        self.last_event = event.number
+        self.texts.append(event.data)
+
+    @property
+    def text(self) -> str:
+        """The data of all events, parted by line feeds."""
+        return "\n".join(self.texts)
+
+
+class ItemRun:
+    """Implements ``rainsail.http.pool.UnsentListener`` for one run."""
+
+    def __init__(
+        self,
+        item: str,
+        progress: ItemProgress,
+        protocol: RelayProtocol,
+        ended: Callable[["ItemRun", RunEnd, str], None],
+    ) -> None:
+        self.item = item
+        self.progress = progress
+        self.verdict: AnswerVerdict | None = None
+        self._protocol = protocol
+        self._ended = ended
+        self._splitter = EventSplitter()
+        self._status = 0
+        self._over = False
+
+    def answer_begun(self, head: AnswerHead) -> None:
+        """Judge the head."""
+        self.verdict = self._protocol.judge(head, self.item)
+        self._status = head.status
+        if not self.verdict.belongs:
+            self._end(RunEnd.BROKEN, "answer of another request")
+        elif self.verdict.not_run:
+            self._end(RunEnd.NOT_RUN, f"status {head.status}")
+
+    def answer_data(self, data: bytes) -> None:
+        """Take whole events."""
+        if self._over or self._status != STATUS_OK:
+            return
+        for event in self._splitter.feed(data):
+            self.progress.take(event)
+
+    def answer_ended(self) -> None:
+        """Judge the whole answer."""
+        if self._status == STATUS_OK:
+            whole = not self._splitter.rest
+            self._end(RunEnd.WHOLE if whole else RunEnd.BROKEN, "ended")
+        elif self._status == STATUS_NEVER:
+            self._end(RunEnd.IMPOSSIBLE, f"status {self._status}")
+        elif self._status == STATUS_FAILED:
+            self._end(RunEnd.FAILED, f"status {self._status}")
+        else:
+            self._end(RunEnd.BROKEN, f"status {self._status}")
+
+    def answer_failed(self, reason: str) -> None:
+        """The answer broke off."""
+        self._end(RunEnd.BROKEN, reason)
+
+    def request_unsent(self, reason: str) -> None:
+        """Nothing was sent."""
+        self._end(RunEnd.NOT_RUN, reason)
+
+    def stop(self) -> None:
+        """Hear no more of this run."""
+        self._over = True
+
+    def _end(self, end: RunEnd, reason: str) -> None:
+        if self._over:
+            return
+        self._over = True
+        self._ended(self, end, reason)
--- /dev/null
+++ b/src/rainsail/jobs/job_state.py
@@ -0,0 +1,127 @@
+"""The replicated state of the ledger group: jobs, their items and what is listed of them."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
+
+from rainsail.errors import Fault, FaultCode
+from rainsail.state.commands import Command, CommandOutcome, Done, NoOperation
+from rainsail.state.job_commands import (
+    AcceptJob,
+    DropRelayedJob,
+    EndRelayedJob,
+    ItemOutcome,
+    ListedOutcome,
+    ListOutcomes,
+    RelayedItem,
+    RelayedJobSnapshot,
+)
+from rainsail.wire.codec import decode, encode
+
+
+@dataclass(slots=True)
+class RelayedJob:
+    """One job. ``listed`` holds the results by position; ``unlisted`` the items still open."""
+
+    job: str
+    host: str
+    path: str
+    items: list[RelayedItem]
+    listed: list[ListedOutcome] = field(default_factory=list)
+    unlisted: set[int] = field(default_factory=set)
+    ended: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether items are still to be run."""
+        return bool(self.unlisted) and not self.ended
+
+    def body(self, item: str) -> bytes | None:
+        """Return the body of an item that is not listed yet."""
+        for index, each in enumerate(self.items):
+            if each.item == item:
+                return each.body if index in self.unlisted else None
+        return None
+
+
+class JobState:
+    """Implements ``rainsail.state.interface.StateMachine``."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, RelayedJob] = {}
+
+    def apply(self, index: int, command: Command) -> CommandOutcome:
+        """Apply the committed command at log ``index``."""
+        match command:
+            case AcceptJob():
+                self._accept(command)
+            case ListOutcomes():
+                self._list(command)
+            case EndRelayedJob():
+                return self._end(command)
+            case DropRelayedJob():
+                self.jobs.pop(command.job, None)
+            case NoOperation():
+                pass
+            case _:
+                detail = f"{type(command).__name__} is no command of the ledger"
+                return Fault(FaultCode.INVALID, "jobs.apply", detail)
+        return Done()
+
+    def _accept(self, command: AcceptJob) -> None:
+        if command.job in self.jobs:
+            return
+        items = list(command.items)
+        job = RelayedJob(command.job, command.host, command.path, items)
+        job.unlisted = set(range(len(items)))
+        self.jobs[command.job] = job
+
+    def _list(self, command: ListOutcomes) -> None:
+        job = self.jobs.get(command.job)
+        if job is None or job.ended:
+            return
+        for outcome in command.outcomes:
+            self._list_one(job, outcome)
+
+    def _list_one(self, job: RelayedJob, outcome: ItemOutcome) -> None:
+        if outcome.index not in job.unlisted:
+            return
+        job.unlisted.discard(outcome.index)
+        job.listed.append(ListedOutcome(outcome.index, outcome.done, outcome.text))
+        job.items[outcome.index] = replace(job.items[outcome.index], body=b"")
+
+    def _end(self, command: EndRelayedJob) -> CommandOutcome:
+        job = self.jobs.get(command.job)
+        if job is None:
+            return Fault(FaultCode.NOT_FOUND, "jobs.end", f"no job {command.job}")
+        job.ended = True
+        return Done()
+
+    def snapshot(self) -> Iterator[bytes]:
+        """Return one chunk for each job, as they are at the call."""
+        chunks = [encode(_snapshot_of(job)) for job in self.jobs.values()]
+        return iter(chunks)
+
+    def restore(self, chunks: Iterable[bytes]) -> None:
+        """Replace the whole state by a snapshot."""
+        jobs = [_job_of(decode(chunk)) for chunk in chunks if chunk]
+        self.jobs = {job.job: job for job in jobs}
+
+
+def _snapshot_of(job: RelayedJob) -> RelayedJobSnapshot:
+    return RelayedJobSnapshot(
+        job.job, job.host, job.path, tuple(job.items), tuple(job.listed), job.ended
+    )
+
+
+def _job_of(snapshot: RelayedJobSnapshot) -> RelayedJob:
+    job = RelayedJob(
+        snapshot.job,
+        snapshot.host,
+        snapshot.path,
+        list(snapshot.items),
+        list(snapshot.listed),
+        ended=snapshot.ended,
+    )
+    listed = {each.index for each in job.listed}
+    job.unlisted = {index for index in range(len(job.items)) if index not in listed}
+    return job
--- /dev/null
+++ b/src/rainsail/jobs/messages.py
@@ -0,0 +1,104 @@
+"""Calls of gateways to the ledger's leader."""
+
+from dataclasses import dataclass
+
+from rainsail.state.job_commands import RelayedItem
+from rainsail.wire.codec import wire_record
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class SubmitRelayedJob:
+    """Asks the leader to keep a whole job; the same id again is accepted again."""
+
+    job: str
+    host: str
+    path: str
+    items: tuple[RelayedItem, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RelayedJobAccepted:
+    """A quorum has synced the whole job."""
+
+    job: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ReadResults:
+    """Asks for the results from a position on, held up to ``wait_s`` until there is one."""
+
+    job: str
+    after: int
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResultEntry:
+    """One result: the item's id, whether it is done, and its text."""
+
+    item: str
+    done: bool
+    text: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ResultPage:
+    """Results at positions ``after`` and on, of ``total`` items."""
+
+    job: str
+    total: int
+    after: int
+    results: tuple[ResultEntry, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ReadItemBody:
+    """Asks for the body of an item that is not listed yet."""
+
+    job: str
+    item: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ItemBodyFound:
+    """The body, byte by byte as it was handed in."""
+
+    body: bytes
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class EndJobCall:
+    """Asks the leader to run nothing more of a job."""
+
+    job: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class JobEnded:
+    """The end is committed."""
+
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerUse:
+    """How many requests a gateway has under way at one runner."""
+
+    runner: str
+    running: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class OnlineUse:
+    """A gateway's requests under way by runner, sent one way whenever they have changed."""
+
+    uses: tuple[RunnerUse, ...]
--- /dev/null
+++ b/src/rainsail/jobs/outcome_batcher.py
@@ -0,0 +1,57 @@
+"""Gathers ended items and commits them as few commands of the ledger group."""
+
+from collections.abc import Callable
+from typing import Any
+
+from rainsail.logs import logger
+from rainsail.runtime.clock import Clock
+from rainsail.state.job_commands import ItemOutcome, ListOutcomes
+
+GATHER_S = 0.02
+RETRY_S = 0.2
+
+
+class OutcomeBatcher:
+    """Commits outcomes job by job; a refused commit is tried again while this node leads."""
+
+    def __init__(self, propose: Callable[[ListOutcomes], Any], clock: Clock) -> None:
+        self._propose = propose
+        self._clock = clock
+        self._gathered: dict[str, list[ItemOutcome]] = {}
+        self._planned = False
+        self._active = False
+
+    def start(self) -> None:
+        """Begin to commit."""
+        self._active = True
+
+    def stop(self) -> None:
+        """Drop what is not committed: another leader runs those items again."""
+        self._active = False
+        self._gathered = {}
+
+    def add(self, job: str, outcome: ItemOutcome) -> None:
+        """Commit an outcome soon."""
+        self._gathered.setdefault(job, []).append(outcome)
+        self._plan(GATHER_S)
+
+    def _plan(self, delay_s: float) -> None:
+        if not self._planned:
+            self._planned = True
+            self._clock.callLater(delay_s, self._flush)
+
+    def _flush(self) -> None:
+        self._planned = False
+        gathered, self._gathered = self._gathered, {}
+        if not self._active:
+            return
+        for job, outcomes in gathered.items():
+            command = ListOutcomes(job, tuple(outcomes))
+            self._propose(command).addCallback(self._committed, job, outcomes)
+
+    def _committed(self, result: Any, job: str, outcomes: list[ItemOutcome]) -> None:
+        if result.is_ok() or not self._active:
+            return
+        logger.bind(job=job, fault=str(result.error)).warning("outcomes_not_committed")
+        self._gathered.setdefault(job, []).extend(outcomes)
+        self._plan(RETRY_S)
--- /dev/null
+++ b/src/rainsail/jobs/plan.py
@@ -0,0 +1,53 @@
+"""Where items run: on slots that online work leaves free, given back when it comes.
+
+Pure decisions over what is known of each runner's slots. Online work is what gateways say that
+they have under way; items are the dispatcher's own.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PlanSettings:
+    """How much of a runner items may take.
+
+    ``reserve_share`` of a runner's slots stays free for online work that is about to come; items
+    give way once less than ``yield_share`` of the slots is free.
+    """
+
+    reserve_share: float = 0.2
+    yield_share: float = 0.06
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerRoom:
+    """One runner's slots, and who holds them."""
+
+    runner: str
+    slots: int
+    online: int
+    items: int
+
+
+def free_for_items(room: RunnerRoom, settings: PlanSettings) -> int:
+    """Return how many more items a runner may take now."""
+    reserve = max(1, round(room.slots * settings.reserve_share))
+    return room.slots - reserve - room.online - room.items
+
+
+def items_to_yield(room: RunnerRoom, settings: PlanSettings) -> int:
+    """Return how many items a runner must give back for online work."""
+    kept_free = max(1, round(room.slots * settings.yield_share))
+    over = room.online + room.items + kept_free - room.slots
+    return max(0, min(room.items, over))
+
+
+def roomiest(rooms: list[RunnerRoom], settings: PlanSettings) -> RunnerRoom | None:
+    """Return the runner with most room for an item, None when none has any."""
+    best: RunnerRoom | None = None
+    best_free = 0
+    for room in rooms:
+        free = free_for_items(room, settings)
+        if free > best_free:
+            best, best_free = room, free
+    return best
--- /dev/null
+++ b/src/rainsail/jobs/retention.py
@@ -0,0 +1,26 @@
+"""Which jobs may be forgotten, as the leader's own clock tells.
+
+A new leader counts from when it first saw a job, so a job is kept longer rather than shorter.
+"""
+
+from rainsail.jobs.job_state import JobState
+from rainsail.state.job_commands import DropRelayedJob
+
+
+class Retention:
+    """Names jobs that are over and whose results have been kept for long enough."""
+
+    def __init__(self, state: JobState, kept_s: float) -> None:
+        self._state = state
+        self._kept_s = kept_s
+        self._over_since_s: dict[str, float] = {}
+
+    def due(self, now: float) -> list[DropRelayedJob]:
+        """Return the commands that forget what is due."""
+        over = [job.job for job in self._state.jobs.values() if not job.is_open]
+        self._over_since_s = {job: self._over_since_s.get(job, now) for job in over}
+        return [
+            DropRelayedJob(job)
+            for job, since_s in self._over_since_s.items()
+            if now - since_s >= self._kept_s
+        ]
--- /dev/null
+++ b/src/rainsail/relay/attempt.py
@@ -0,0 +1,143 @@
+"""One sending of a relayed request to one runner."""
+
+from typing import Protocol
+
+from rainsail.cluster.messages import RunnerRecord
+from rainsail.http.client import AnswerHead
+from rainsail.http.pool import Call
+from rainsail.relay.context import RelayContext
+from rainsail.relay.events import Event, EventSplitter
+from rainsail.relay.protocol import AnswerVerdict
+
+STATUS_OK = 200
+EVENT_STREAM = b"text/event-stream"
+
+
+class AttemptOwner(Protocol):
+    """What an attempt tells the request that it belongs to; one of the last five ends it."""
+
+    def events_came(self, attempt: "Attempt", events: list[Event]) -> None:
+        """Whole events of a stream."""
+        ...
+
+    def body_grew(self, attempt: "Attempt") -> None:
+        """More of an answer that is no stream has been gathered."""
+        ...
+
+    def stream_ended(self, attempt: "Attempt") -> None:
+        """The stream is whole."""
+        ...
+
+    def answer_came(self, attempt: "Attempt") -> None:
+        """A whole answer that is no stream has been gathered."""
+        ...
+
+    def runner_refused(self, attempt: "Attempt") -> None:
+        """The runner has not run the request and never will."""
+        ...
+
+    def runner_unreached(self, attempt: "Attempt", reason: str) -> None:
+        """The request has not left."""
+        ...
+
+    def answer_broke(self, attempt: "Attempt", reason: str) -> None:
+        """The answer broke off or was none; the request may have run."""
+        ...
+
+
+class Attempt:
+    """Implements ``rainsail.http.pool.UnsentListener``."""
+
+    def __init__(
+        self, owner: AttemptOwner, context: RelayContext, record: RunnerRecord, request: str
+    ) -> None:
+        self.record = record
+        self.head: AnswerHead | None = None
+        self.verdict: AnswerVerdict | None = None
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.is_stream = False
+        self.splitter = EventSplitter()
+        self.call: Call | None = None
+        self._owner = owner
+        self._context = context
+        self._request = request
+        self._over = False
+        context.loads.sent(record.runner)
+
+    # --- UnsentListener ------------------------------------------------------------------
+
+    def answer_begun(self, head: AnswerHead) -> None:
+        """Judge the head."""
+        context = self._context
+        self.head = head
+        self.verdict = verdict = context.protocol.judge(head, self._request)
+        if verdict.load is not None and verdict.belongs:
+            context.loads.reported(self.record.runner, verdict.load, context.clock.seconds())
+        if not verdict.belongs:
+            self._fail("the answer belongs to another request")
+        elif verdict.not_run:
+            if self._end():
+                self._owner.runner_refused(self)
+        else:
+            self.is_stream = head.status == STATUS_OK and _is_event_stream(head)
+
+    def answer_data(self, data: bytes) -> None:
+        """Gather the body, or hand whole events on."""
+        if self._over:
+            return
+        if self.is_stream:
+            events = self.splitter.feed(data)
+            if events:
+                self._owner.events_came(self, events)
+            return
+        self.body.append(data)
+        self.body_bytes += len(data)
+        self._owner.body_grew(self)
+
+    def answer_ended(self) -> None:
+        """The answer is whole."""
+        if not self._end():
+            return
+        if self.is_stream:
+            self._owner.stream_ended(self)
+        else:
+            self._owner.answer_came(self)
+
+    def answer_failed(self, reason: str) -> None:
+        """The answer broke off."""
+        self._fail(reason)
+
+    def request_unsent(self, reason: str) -> None:
+        """Nothing was sent."""
+        if self._end():
+            self._owner.runner_unreached(self, reason)
+
+    # --- the owner's calls ---------------------------------------------------------------
+
+    def cancel(self) -> None:
+        """Close the connection under it; the owner hears nothing more."""
+        if self._end() and self.call is not None:
+            self.call.cancel()
+
+    def _fail(self, reason: str) -> None:
+        if not self._end():
+            return
+        if self.call is not None:
+            self.call.cancel()
+        self._owner.answer_broke(self, reason)
+
+    def _end(self) -> bool:
+        """Note the end once; False when it had ended already."""
+        if self._over:
+            return False
+        self._over = True
+        self._context.loads.ended(self.record.runner)
+        return True
+
+
+def _is_event_stream(head: AnswerHead) -> bool:
+    return any(
+        name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
+        for name, value in head.headers
+    )
--- /dev/null
+++ b/src/rainsail/relay/choice.py
@@ -0,0 +1,102 @@
+"""Choosing the runner of one request: a price in milliseconds for each, the cheapest wins.
+
+The price adds up what a runner probably still has to read of the prompt, how crowded it is, how
+much of a wait its queue means, and a little for another zone. Chance parts equals, so that the
+gateways of a fleet don't all run to the same runner.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from rainsail.cluster.messages import RunnerRecord
+from rainsail.relay.load import LoadBook
+from rainsail.relay.prefix_memory import PrefixMemory, home_of, shared_part
+from rainsail.relay.protocol import PromptPart
+
+MILLISECONDS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceSettings:
+    """The prices, in milliseconds unless said otherwise."""
+
+    read_tokens_per_ms: float = 85.0
+    crowded_ms: float = 40.0
+    """Price of a runner with all slots taken; it grows with the square of the share taken."""
+    wait_ms: float = 60.0
+    """Price of each request that would be in front in the queue."""
+    other_zone_ms: float = 6.0
+    cold_ms: float = 60.0
+    noise_ms: float = 4.0
+    home_discount: float = 0.5
+    """Share of the reading that is priced at a part's home, where it may lie already."""
+    least_shared_tokens: int = 1500
+    """Parts smaller than this have no home: reading them anew costs less than crowding."""
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request asks of a choice: its prompt, and the zone that it came to."""
+
+    prompt: tuple[PromptPart, ...]
+    zone: str
+
+
+class RunnerChooser:
+    """Chooses among runners by load, prompt and zone."""
+
+    def __init__(
+        self, loads: LoadBook, prefixes: PrefixMemory, random: Random, settings: ChoiceSettings
+    ) -> None:
+        self._loads = loads
+        self._prefixes = prefixes
+        self._random = random
+        self._settings = settings
+
+    def choose(
+        self,
+        records: Sequence[RunnerRecord],
+        tried: frozenset[str],
+        wish: Wish,
+        now: float,
+    ) -> RunnerRecord | None:
+        """Return the cheapest runner that was not tried, None when there is none.
+
+        Runners that failed or are full lately are passed over while others are left.
+        """
+        untried = [record for record in records if record.runner not in tried]
+        if not untried:
+            return None
+        sound = [each for each in untried if self._loads.of(each.runner).out_until_s <= now]
+        least = max(1, len(untried) // 2)
+        if len(sound) < least:
+            sound = sorted(untried, key=lambda each: self._loads.of(each.runner).out_until_s)
+            sound = sound[:least]
+        open_ones = [each for each in sound if self._loads.of(each.runner).full_until_s <= now]
+        home = self._home(wish, [each.runner for each in records])
+        candidates = open_ones or sound
+        return min(candidates, key=lambda record: self._price_ms(record, wish, home, now))
+
+    def _home(self, wish: Wish, runners: list[str]) -> str:
+        part = shared_part(wish.prompt)
+        if part is None or part.tokens < self._settings.least_shared_tokens:
+            return ""
+        return home_of(part.part, runners)
+
+    def _price_ms(self, record: RunnerRecord, wish: Wish, home: str, now: float) -> float:
+        settings = self._settings
+        slots = max(1, record.slots)
+        has = self._loads.of(record.runner).estimate(now)
+        price = settings.crowded_ms * (has / slots) ** 2
+        price += settings.wait_ms * max(0.0, has + 1 - slots)
+        price += settings.noise_ms * self._random.random()
+        if record.zone != wish.zone:
+            price += settings.other_zone_ms
+        if record.cold_left_s > 0:
+            price += settings.cold_ms
+        if wish.prompt:
+            missing = self._prefixes.missing_tokens(wish.prompt, record.runner)
+            discount = settings.home_discount if record.runner == home else 1.0
+            price += discount * missing / settings.read_tokens_per_ms
+        return price
--- /dev/null
+++ b/src/rainsail/relay/context.py
@@ -0,0 +1,51 @@
+"""What all relayed requests of a gateway share."""
+
+from dataclasses import dataclass
+from random import Random
+
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.http.pool import ConnectionPool
+from rainsail.relay.choice import RunnerChooser
+from rainsail.relay.load import LoadBook
+from rainsail.relay.prefix_memory import PrefixMemory
+from rainsail.relay.protocol import RelayProtocol
+from rainsail.relay.settings import RelaySettings
+from rainsail.relay.split import SplitPicker
+from rainsail.relay.table import RoutingTable
+from rainsail.runtime.clock import Clock
+
+
+@dataclass(slots=True)
+class RelayContext:
+    """The gateway's knowledge and its ways out; ``table`` is None until one is known."""
+
+    zone: str
+    clock: Clock
+    registry: RunnerRegistry
+    pool: ConnectionPool
+    protocol: RelayProtocol
+    loads: LoadBook
+    prefixes: PrefixMemory
+    chooser: RunnerChooser
+    split: SplitPicker
+    settings: RelaySettings
+    table: RoutingTable | None = None
+
+
+def make_context(
+    zone: str,
+    clock: Clock,
+    registry: RunnerRegistry,
+    pool: ConnectionPool,
+    protocol: RelayProtocol,
+    random: Random,
+    settings: RelaySettings,
+) -> RelayContext:
+    """Put a gateway's context together."""
+    loads = LoadBook()
+    prefixes = PrefixMemory()
+    chooser = RunnerChooser(loads, prefixes, random, settings.choice)
+    split = SplitPicker(random)
+    return RelayContext(
+        zone, clock, registry, pool, protocol, loads, prefixes, chooser, split, settings
+    )
--- /dev/null
+++ b/src/rainsail/relay/gateway.py
@@ -0,0 +1,166 @@
+"""The relaying gateway: takes requests, follows the fleet, says when it is ready.
+
+Nothing here is durable. The routing table never goes back within one life of the process.
+"""
+
+from collections.abc import Callable
+
+from rainsail.cluster.follower import FleetFollower
+from rainsail.cluster.messages import FleetView, RunnerRecord, RunnerState, TableDocument
+from rainsail.errors import Fault
+from rainsail.http.exchange import Exchange
+from rainsail.http.server import HttpLimits
+from rainsail.jobs.messages import OnlineUse, RunnerUse
+from rainsail.logs import logger
+from rainsail.relay.context import RelayContext
+from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.run import STATUS_NOT_FOUND, STATUS_UNAVAILABLE, RelayRun
+from rainsail.relay.table import Route, RouteKind, RoutingTable
+from rainsail.relay.table_reader import TableReader
+from rainsail.wire.messenger import Messenger
+
+HOUSEKEEPING_PERIOD_S = 1.0
+RUNNERS_EXPECTED_AFTER_S = 1.5
+"""After its start a gateway waits this long for runners' words before it calls itself ready."""
+
+BatchFront = Callable[[Exchange, Route, RequestFacts], None]
+"""Takes a request on a batch route: a whole job."""
+
+
+class RelayGateway:
+    """Relays requests over what the follower knows."""
+
+    def __init__(
+        self,
+        context: RelayContext,
+        follower: FleetFollower,
+        messenger: Messenger,
+        read_table: TableReader,
+        limits: HttpLimits,
+    ) -> None:
+        self._context = context
+        self._follower = follower
+        self._messenger = messenger
+        self._read_table = read_table
+        self._limits = limits
+        self._ledger_leader = ""
+        self._use_reported_to = ""
+        self._started_s = context.clock.seconds()
+        self._stopped = False
+        self.under_way = 0
+        self.draining = False
+        self.on_batch: BatchFront | None = None
+        self.on_ledger_leader: Callable[[str], None] = lambda leader: None
+        follower.on_table = self._take_table
+        follower.on_runners = self._runners_changed
+        follower.on_view = self._view_changed
+
+    def start(self) -> None:
+        """Begin to report what is under way and to tidy up."""
+        self._report_use()
+        self._keep_house()
+
+    def stop(self) -> None:
+        """Report no more."""
+        self._stopped = True
+
+    def is_ready(self) -> bool:
+        """Tell whether new clients may come."""
+        if self.draining or self._context.table is None:
+            return False
+        age_s = self._context.clock.seconds() - self._started_s
+        return bool(self._follower.registry.records()) or age_s >= RUNNERS_EXPECTED_AFTER_S
+
+    # --- requests ------------------------------------------------------------------------
+
+    def handle(self, exchange: Exchange) -> None:
+        """Relay one request."""
+        table = self._context.table
+        if table is None:
+            retry_after_s = self._context.settings.not_ready_retry_after_s
+            self.answer_empty(exchange, STATUS_UNAVAILABLE, retry_after_s)
+            return
+        facts = self._context.protocol.describe(exchange.request)
+        route = table.match(facts.host, facts.path)
+        if route is None:
+            logger.bind(request=facts.request, table=table.version).info("request_without_route")
+            self.answer_empty(exchange, STATUS_NOT_FOUND)
+            return
+        if route.kind == RouteKind.BATCH:
+            self._take_batch(exchange, route, facts)
+            return
+        self.under_way += 1
+        RelayRun(self._context, exchange, facts, route, self._run_ended).start()
+
+    def _take_batch(self, exchange: Exchange, route: Route, facts: RequestFacts) -> None:
+        if self.on_batch is None:
+            self.answer_empty(exchange, STATUS_UNAVAILABLE)
+            return
+        self.on_batch(exchange, route, facts)
+
+    def answer_empty(
+        self, exchange: Exchange, status: int, retry_after_s: float | None = None
+    ) -> None:
+        """Answer without a body."""
+        exchange.answer(status, self._context.protocol.refusal_headers(retry_after_s), b"")
+
+    def _run_ended(self, run: RelayRun) -> None:
+        self.under_way -= 1
+
+    # --- the fleet -----------------------------------------------------------------------
+
+    def _take_table(self, document: TableDocument) -> None:
+        read = self._read_table(document.content)
+        if read.is_error():
+            fault: Fault = read.error
+            logger.bind(version=document.version, fault=str(fault)).error("table_unreadable")
+            return
+        table: RoutingTable = read.ok
+        known = self._context.table
+        if known is not None and table.version <= known.version:
+            return
+        self._context.table = table
+        self._limits.max_header_bytes = table.limits.max_header_bytes
+        self._limits.max_body_bytes = table.limits.max_body_bytes
+        self._limits.header_timeout_s = table.limits.header_timeout_s
+        self._limits.idle_timeout_s = table.limits.idle_timeout_s
+        logger.bind(version=table.version, routes=len(table.routes)).info("table_in_force")
+
+    def _runners_changed(self, changed: list[RunnerRecord]) -> None:
+        for record in changed:
+            if record.state == RunnerState.READY:
+                continue
+            if record.address:
+                self._context.pool.forget(record.address)
+            self._context.prefixes.forget(record.runner)
+            if record.state == RunnerState.GONE:
+                self._context.loads.forget(record.runner)
+
+    def _view_changed(self, view: FleetView) -> None:
+        if view.ledger_leader and view.ledger_leader != self._ledger_leader:
+            self._ledger_leader = view.ledger_leader
+            self.on_ledger_leader(view.ledger_leader)
+
+    # --- housekeeping --------------------------------------------------------------------
+
+    def _report_use(self) -> None:
+        """Tell the ledger's leader what is under way, whenever that has changed."""
+        if self._stopped:
+            return
+        loads = self._context.loads
+        leader = self._ledger_leader
+        if leader and (loads.changed or leader != self._use_reported_to):
+            loads.changed = False
+            self._use_reported_to = leader
+            in_flight = loads.in_flight()
+            uses = tuple(RunnerUse(runner, count) for runner, count in in_flight.items())
+            self._messenger.send(leader, OnlineUse(uses))
+        self._context.clock.callLater(
+            self._context.settings.use_report_period_s, self._report_use
+        )
+
+    def _keep_house(self) -> None:
+        if self._stopped:
+            return
+        self._context.pool.close_stale()
+        self._context.clock.callLater(HOUSEKEEPING_PERIOD_S, self._keep_house)
--- /dev/null
+++ b/src/rainsail/relay/load.py
@@ -0,0 +1,106 @@
+"""What a gateway knows of each runner's load and soundness.
+
+A runner's own word comes late and with each answer only; in between it is carried on by what this
+gateway itself has sent and seen end since. Failures in a row take a runner out for a while.
+"""
+
+from dataclasses import dataclass
+
+from rainsail.relay.protocol import ServerLoad
+
+REPORT_TRUSTED_S = 0.6
+"""A report keeps its full weight for this long."""
+REPORT_FORGOTTEN_S = 3.0
+EJECT_AFTER_FAILURES = 2
+EJECT_FIRST_S = 1.0
+EJECT_LONGEST_S = 8.0
+FULL_PAUSE_S = 0.15
+"""A runner that refused for being full gets nothing for this long, if others may."""
+
+
+@dataclass(slots=True)
+class RunnerLoad:
+    """One runner as this gateway sees it; times are seconds of the process's clock."""
+
+    in_flight: int = 0
+    reported: int = 0
+    reported_at_s: float = float("-inf")
+    in_flight_at_report: int = 0
+    failures: int = 0
+    out_until_s: float = float("-inf")
+    full_until_s: float = float("-inf")
+
+    def estimate(self, now: float) -> float:
+        """Return the requests that the runner probably has, waiting ones with them."""
+        age_s = now - self.reported_at_s
+        if age_s >= REPORT_FORGOTTEN_S:
+            return float(self.in_flight)
+        carried = max(0, self.reported + self.in_flight - self.in_flight_at_report)
+        if age_s <= REPORT_TRUSTED_S:
+            return float(max(carried, self.in_flight))
+        fading = (REPORT_FORGOTTEN_S - age_s) / (REPORT_FORGOTTEN_S - REPORT_TRUSTED_S)
+        return max(float(self.in_flight), carried * fading)
+
+
+class LoadBook:
+    """Loads by runner id."""
+
+    def __init__(self) -> None:
+        self._loads: dict[str, RunnerLoad] = {}
+        self.changed = False
+        """Set whenever what is under way has changed; whoever reports it clears it."""
+
+    def of(self, runner: str) -> RunnerLoad:
+        """Return a runner's load, made when it is first asked for."""
+        load = self._loads.get(runner)
+        if load is None:
+            load = self._loads[runner] = RunnerLoad()
+        return load
+
+    def forget(self, runner: str) -> None:
+        """Drop a runner that is gone and has nothing under way."""
+        load = self._loads.get(runner)
+        if load is not None and load.in_flight == 0:
+            del self._loads[runner]
+
+    def in_flight(self) -> dict[str, int]:
+        """Return what is under way by runner, zeros left out."""
+        return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
+
+    def sent(self, runner: str) -> None:
+        """A request has gone out."""
+        self.of(runner).in_flight += 1
+        self.changed = True
+
+    def ended(self, runner: str) -> None:
+        """A request has ended, in whatever way."""
+        load = self.of(runner)
+        load.in_flight = max(0, load.in_flight - 1)
+        self.changed = True
+
+    def reported(self, runner: str, report: ServerLoad, now: float) -> None:
+        """Take a runner's own word."""
+        load = self.of(runner)
+        load.reported = report.running + report.waiting
+        load.reported_at_s = now
+        load.in_flight_at_report = load.in_flight
+
+    def answered(self, runner: str) -> None:
+        """A runner has answered soundly."""
+        load = self.of(runner)
+        load.failures = 0
+        load.out_until_s = float("-inf")
+
+    def failed(self, runner: str, now: float, at_once: bool = False) -> None:
+        """A runner broke an answer off or could not be reached."""
+        load = self.of(runner)
+        load.failures += 1
+        over = load.failures - EJECT_AFTER_FAILURES
+        if at_once:
+            over = max(over, 0)
+        if over >= 0:
+            load.out_until_s = now + min(EJECT_LONGEST_S, EJECT_FIRST_S * 2**over)
+
+    def full(self, runner: str, now: float) -> None:
+        """A runner refused a request for being full."""
+        self.of(runner).full_until_s = now + FULL_PAUSE_S
--- /dev/null
+++ b/src/rainsail/relay/prefix_memory.py
@@ -0,0 +1,55 @@
+"""Which runners have lately read which parts of prompts, as far as this gateway's requests tell.
+
+A hint only: runners drop what is unused longest, and other gateways' requests are not seen. For
+parts that nobody here has sent yet, all gateways agree on a home by rendezvous hashing.
+"""
+
+from collections import OrderedDict
+
+import xxhash
+
+from rainsail.relay.protocol import PromptPart
+
+MAX_PARTS = 4096
+
+
+class PrefixMemory:
+    """Runners by the part that they hold."""
+
+    def __init__(self, max_parts: int = MAX_PARTS) -> None:
+        self._max_parts = max_parts
+        self._holders: OrderedDict[str, dict[str, None]] = OrderedDict()
+
+    def sent(self, prompt: tuple[PromptPart, ...], runner: str) -> None:
+        """Note that a runner reads a prompt."""
+        for part in prompt:
+            holders = self._holders.setdefault(part.part, {})
+            holders[runner] = None
+            self._holders.move_to_end(part.part)
+        while len(self._holders) > self._max_parts:
+            self._holders.popitem(last=False)
+
+    def forget(self, runner: str) -> None:
+        """Drop a runner that is gone."""
+        for holders in self._holders.values():
+            holders.pop(runner, None)
+
+    def missing_tokens(self, prompt: tuple[PromptPart, ...], runner: str) -> int:
+        """Return how many tokens a runner probably has to read; parts count up to a first gap."""
+        missing = 0
+        unbroken = True
+        for part in prompt:
+            unbroken = unbroken and runner in self._holders.get(part.part, ())
+            if not unbroken:
+                missing += part.tokens
+        return missing
+
+
+def home_of(part: str, runners: list[str]) -> str:
+    """Return the runner that all gateways take for a part's home."""
+    return max(runners, key=lambda runner: xxhash.xxh64_intdigest(f"{part} {runner}"))
+
+
+def shared_part(prompt: tuple[PromptPart, ...]) -> PromptPart | None:
+    """Return the largest part that other requests may share: any but the last."""
+    return max(prompt[:-1], key=lambda part: part.tokens, default=None)
--- /dev/null
+++ b/src/rainsail/relay/run.py
@@ -0,0 +1,382 @@
+"""One client's request on its way: sent, sent again where that is allowed, answered once.
+
+What may be repeated: a ``safe`` request and a resumable stream after any failure, everything else
+only after a runner said that it has not run it. A client hears 503 only while nothing may have
+run; afterwards it is 502 or 504. What has been given up is answered at once.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from rainsail.cluster.messages import RunnerRecord
+from rainsail.http.exchange import Exchange
+from rainsail.logs import logger
+from rainsail.relay.attempt import Attempt
+from rainsail.relay.choice import Wish
+from rainsail.relay.context import RelayContext
+from rainsail.relay.events import Event
+from rainsail.relay.protocol import RequestFacts, RunnerTarget
+from rainsail.relay.table import Route, RouteKind
+from rainsail.runtime.clock import Timer
+
+STATUS_NOT_FOUND = 404
+STATUS_SERVER_ERROR = 500
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+
+
+class Phase(StrEnum):
+    """How far a request is."""
+
+    TRYING = "trying"
+    """Nothing of an answer has gone to the client."""
+    ANSWERING = "answering"
+    OVER = "over"
+
+
+class RelayRun:
+    """Implements ``rainsail.relay.attempt.AttemptOwner``."""
+
+    def __init__(
+        self,
+        context: RelayContext,
+        exchange: Exchange,
+        facts: RequestFacts,
+        route: Route,
+        ended: Callable[["RelayRun"], None],
+    ) -> None:
+        self._context = context
+        self._exchange = exchange
+        self._facts = facts
+        self._route = route
+        self._on_ended = ended
+        self._phase = Phase.TRYING
+        self._attempt: Attempt | None = None
+        self._service = ""
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._may_have_run = False
+        self._last_event = facts.after_event
+        self._received_s = exchange.request.received_s
+        self._expiry_s = self._received_s + _time_allowed(route, facts)
+        self._expiry: Timer | None = None
+        self._watch: Timer | None = None
+        self._last_reason = "no runner is known"
+        self.outcome = ""
+        self.first_s: float | None = None
+        exchange.on_left(self._client_left)
+
+    # --- life cycle ----------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Send to a first runner."""
+        clock = self._context.clock
+        left_s = max(0.0, self._expiry_s - clock.seconds())
+        self._expiry = clock.callLater(left_s, self._expired)
+        self._try_next()
+
+    def _finish(self, outcome: str) -> None:
+        if self._phase == Phase.OVER:
+            return
+        self._phase = Phase.OVER
+        self.outcome = outcome
+        self._disarm()
+        if self._expiry is not None and self._expiry.active():
+            self._expiry.cancel()
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.cancel()
+        self._log(outcome)
+        self._on_ended(self)
+
+    def _log(self, outcome: str) -> None:
+        took_s = self._context.clock.seconds() - self._received_s
+        table = self._context.table
+        logger.bind(
+            request=self._facts.request,
+            route=self._route.name,
+            table=0 if table is None else table.version,
+            runners=",".join(sorted(self._tried)),
+            sends=self._sends,
+            reason=self._last_reason if outcome != "completed" else "",
+            first_ms=None if self.first_s is None else round(self.first_s * 1000),
+            took_ms=round(took_s * 1000),
+        ).info(f"request_{outcome}")
+
+    def _client_left(self) -> None:
+        self._finish("left")
+
+    def _expired(self) -> None:
+        if self._phase == Phase.ANSWERING:
+            self._exchange.abort()
+            self._finish("expired")
+        elif self._phase == Phase.TRYING:
+            unclear = self._may_have_run or self._attempt is not None
+            status = STATUS_GATEWAY_TIMEOUT if unclear else STATUS_UNAVAILABLE
+            self._refuse(status, "the time allowed is over")
+
+    # --- sending -------------------------------------------------------------------------
+
+    def _try_next(self) -> None:
+        if self._phase == Phase.OVER:
+            return
+        now = self._context.clock.seconds()
+        route = self._current_route()
+        if route is None:
+            self._lose_route()
+            return
+        self._route = route
+        if self._sends >= route.max_attempts:
+            self._give_up()
+            return
+        if self._expiry_s - now < self._context.settings.least_time_left_s:
+            self._give_up()
+            return
+        record = self._choose(route, now)
+        if record is None:
+            self._give_up()
+            return
+        self._send(record, now)
+
+    def _current_route(self) -> Route | None:
+        """Look the route up anew: the table may have changed since the request came."""
+        table = self._context.table
+        return None if table is None else table.match(self._facts.host, self._facts.path)
+
+    def _lose_route(self) -> None:
+        if self._phase == Phase.TRYING and not self._may_have_run:
+            self._refuse(STATUS_NOT_FOUND, "the route is gone")
+        else:
+            self._give_up()
+
+    def _choose(self, route: Route, now: float) -> RunnerRecord | None:
+        if not route.allows(self._service):
+            self._service = self._context.split.service(route)
+        records = self._context.registry.ready(self._service)
+        wish = Wish(self._facts.prompt, self._context.zone)
+        return self._context.chooser.choose(records, frozenset(self._tried), wish, now)
+
+    def _send(self, record: RunnerRecord, now: float) -> None:
+        context = self._context
+        self._tried.add(record.runner)
+        self._sends += 1
+        left_s = None if self._facts.deadline_s is None else self._deadline_left_s(now)
+        target = RunnerTarget(record.runner, record.address)
+        request = context.protocol.relayed(
+            self._exchange.request, target, left_s, self._last_event
+        )
+        if self._facts.prompt:
+            context.prefixes.sent(self._facts.prompt, record.runner)
+        attempt = Attempt(self, context, record, self._facts.request)
+        self._attempt = attempt
+        self._arm_watch(self._first_wait_s())
+        attempt.call = context.pool.send(record.address, request, attempt)
+
+    def _deadline_left_s(self, now: float) -> float:
+        assert self._facts.deadline_s is not None
+        return max(0.001, self._received_s + self._facts.deadline_s - now)
+
+    # --- silence -------------------------------------------------------------------------
+
+    def _first_wait_s(self) -> float:
+        settings = self._context.settings
+        return max(settings.least_silence_s, settings.silence_targets * self._route.target_s)
+
+    def _gap_wait_s(self) -> float:
+        return max(self._context.settings.least_gap_s, 2 * self._route.gap_target_s)
+
+    def _arm_watch(self, wait_s: float) -> None:
+        self._disarm()
+        if self._route.repeatable and self._sends < self._route.max_attempts:
+            self._watch = self._context.clock.callLater(wait_s, self._silent)
+
+    def _disarm(self) -> None:
+        if self._watch is not None and self._watch.active():
+            self._watch.cancel()
+        self._watch = None
+
+    def _silent(self) -> None:
+        """Leave a runner that says nothing, if another one is there."""
+        self._watch = None
+        attempt = self._attempt
+        if attempt is None or not self._others_left():
+            return
+        attempt.cancel()
+        self.answer_broke(attempt, "silent")
+
+    def _others_left(self) -> bool:
+        ready = self._context.registry.ready(self._service)
+        return any(record.runner not in self._tried for record in ready)
+
+    # --- AttemptOwner: what came ---------------------------------------------------------
+
+    def events_came(self, attempt: Attempt, events: list[Event]) -> None:
+        """Hand whole events on, at once."""
+        if self._phase == Phase.OVER:
+            return
+        raw = self._new_events(events)
+        if raw:
+            self._begin(attempt)
+            self._exchange.write(raw)
+        self._arm_watch(self._gap_wait_s())
+
+    def _new_events(self, events: list[Event]) -> bytes:
+        taken: list[bytes] = []
+        for event in events:
+            number = event.number
+            if number is not None:
+                if self._last_event is not None and number <= self._last_event:
+                    continue
+                self._last_event = number
+            taken.append(event.raw)
+        return b"".join(taken)
+
+    def _begin(self, attempt: Attempt) -> None:
+        if self._phase != Phase.TRYING:
+            return
+        assert attempt.head is not None
+        self._phase = Phase.ANSWERING
+        self.first_s = self._context.clock.seconds() - self._received_s
+        headers = self._context.protocol.answer_headers(attempt.head)
+        if attempt.is_stream:
+            headers = tuple(each for each in headers if each[0].lower() != b"content-length")
+        self._exchange.begin(attempt.head.status, headers)
+
+    def body_grew(self, attempt: Attempt) -> None:
+        """Pass a large answer on before it has ended; small ones are gathered first."""
+        if attempt.body_bytes < self._context.settings.buffered_bytes:
+            return
+        self._begin(attempt)
+        self._write_body(attempt)
+
+    def _write_body(self, attempt: Attempt) -> None:
+        body, attempt.body = attempt.body, []
+        self._exchange.write(b"".join(body))
+
+    def stream_ended(self, attempt: Attempt) -> None:
+        """End the answer as complete."""
+        self._context.loads.answered(attempt.record.runner)
+        self._attempt = None
+        self._begin(attempt)
+        self._exchange.write(attempt.splitter.rest)
+        self._exchange.end()
+        self._finish("completed")
+
+    def answer_came(self, attempt: Attempt) -> None:
+        """Pass a whole answer on, or try again where its status asks for that."""
+        assert attempt.head is not None and attempt.verdict is not None
+        self._attempt = None
+        status = attempt.head.status
+        if self._phase == Phase.ANSWERING:
+            self._write_body(attempt)
+            self._exchange.end()
+            self._finish("completed")
+            return
+        if status >= STATUS_SERVER_ERROR or attempt.verdict.promises_not_run:
+            self._take_failure(attempt)
+            return
+        self._context.loads.answered(attempt.record.runner)
+        self._pass_on(attempt)
+
+    def _pass_on(self, attempt: Attempt) -> None:
+        assert attempt.head is not None
+        self.first_s = self._context.clock.seconds() - self._received_s
+        headers = self._context.protocol.answer_headers(attempt.head)
+        self._exchange.answer(attempt.head.status, headers, b"".join(attempt.body))
+        failed = attempt.head.status >= STATUS_SERVER_ERROR
+        self._finish("failed" if failed else "completed")
+
+    def _take_failure(self, attempt: Attempt) -> None:
+        """A runner answered with a failure of its own: the request has run, or may have."""
+        assert attempt.head is not None and attempt.verdict is not None
+        now = self._context.clock.seconds()
+        self._context.loads.failed(attempt.record.runner, now)
+        self._may_have_run = True
+        self._last_reason = f"the runner answered {attempt.head.status}"
+        if self._may_repeat():
+            self._try_next()
+        elif attempt.verdict.promises_not_run:
+            self._give_up()
+        else:
+            self._pass_on(attempt)
+
+    # --- AttemptOwner: what did not come -------------------------------------------------
+
+    def runner_refused(self, attempt: Attempt) -> None:
+        """Try another runner: this one has not run it."""
+        assert attempt.verdict is not None and attempt.head is not None
+        self._attempt = None
+        now = self._context.clock.seconds()
+        self._last_reason = f"the runner refused with {attempt.head.status}"
+        if attempt.verdict.other_runner:
+            self._context.loads.failed(attempt.record.runner, now, at_once=True)
+        else:
+            self._context.loads.full(attempt.record.runner, now)
+        self._try_next()
+
+    def runner_unreached(self, attempt: Attempt, reason: str) -> None:
+        """Try another runner: the request never left for this one."""
+        self._attempt = None
+        self._sends -= 1
+        self._last_reason = reason
+        now = self._context.clock.seconds()
+        self._context.loads.failed(attempt.record.runner, now, at_once=True)
+        self._context.pool.forget(attempt.record.address)
+        self._try_next()
+
+    def answer_broke(self, attempt: Attempt, reason: str) -> None:
+        """Go on at another runner where that is allowed; otherwise the client hears of it."""
+        self._attempt = None
+        self._last_reason = reason
+        self._may_have_run = True
+        now = self._context.clock.seconds()
+        self._context.loads.failed(attempt.record.runner, now)
+        self._context.pool.forget(attempt.record.address)
+        logger.bind(
+            request=self._facts.request,
+            runner=attempt.record.runner,
+            reason=reason,
+            last_event=self._last_event,
+        ).info("attempt_broke")
+        if self._may_repeat():
+            self._try_next()
+        else:
+            self._give_up()
+
+    def _may_repeat(self) -> bool:
+        if not self._route.repeatable:
+            return False
+        if self._phase == Phase.ANSWERING:
+            return self._route.kind == RouteKind.STREAM and self._last_event is not None
+        return True
+
+    # --- giving up -----------------------------------------------------------------------
+
+    def _give_up(self) -> None:
+        if self._phase == Phase.ANSWERING:
+            self._exchange.abort()
+            self._finish("broken")
+            return
+        status = STATUS_BAD_GATEWAY if self._may_have_run else STATUS_UNAVAILABLE
+        self._refuse(status, self._last_reason)
+
+    def _refuse(self, status: int, reason: str) -> None:
+        self._last_reason = reason
+        retry_after_s = None
+        if status == STATUS_UNAVAILABLE:
+            retry_after_s = self._context.settings.retry_after_s
+        headers = self._context.protocol.refusal_headers(retry_after_s)
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.cancel()
+        self._exchange.answer(status, headers, b"")
+        self._finish("refused" if status == STATUS_UNAVAILABLE else "failed")
+
+
+def _time_allowed(route: Route, facts: RequestFacts) -> float:
+    if facts.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, facts.deadline_s)
+
+
--- /dev/null
+++ b/src/rainsail/relay/settings.py
@@ -0,0 +1,24 @@
+"""Settings of the relay."""
+
+from dataclasses import dataclass, field
+
+from rainsail.relay.choice import ChoiceSettings
+
+
+@dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """Times are seconds.
+
+    ``silence_targets`` is how many of a route's targets a repeatable request may stay without an
+    answer before it goes to another runner; the least of these waits is ``least_silence_s``.
+    """
+
+    retry_after_s: float = 0.25
+    not_ready_retry_after_s: float = 0.5
+    silence_targets: float = 2.5
+    least_silence_s: float = 0.6
+    least_gap_s: float = 1.0
+    least_time_left_s: float = 0.03
+    buffered_bytes: int = 256 * 1024
+    use_report_period_s: float = 0.05
+    choice: ChoiceSettings = field(default_factory=ChoiceSettings)
--- /dev/null
+++ b/src/rainsail/relay/table.py
@@ -0,0 +1,102 @@
+"""The routing table: which service a request goes to, and within what bounds."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """What may be repeated of a route's requests."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """One part of a split and its weight."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route. Times are seconds; ``shares`` holds one entry unless the route is split.
+
+    ``target_s`` is the time within which an answer is worth most, ``gap_target_s`` the longest
+    pause of a stream that still is in time.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    target_s: float
+    max_attempts: int = 1
+    priority: int = 0
+    resumable: bool = False
+    gap_target_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may go to a second runner after it may have run at one."""
+        return self.kind == RouteKind.SAFE or (self.kind == RouteKind.STREAM and self.resumable)
+
+    def allows(self, service: str) -> bool:
+        """Tell whether a service may get this route's requests."""
+        return any(share.service == service and share.weight > 0 for share in self.shares)
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """What is known of a service beside its runners."""
+
+    name: str
+    max_connections: int
+    generates: bool
+    """Its runners work on prompts, so that shared prompt parts are worth something."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What a client may send, and how long it may take or rest."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class RoutingTable:
+    """One whole version; finds the route with the longest prefix of a host."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[Service, ...],
+        limits: ClientLimits,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = {service.name: service for service in services}
+        self.limits = limits
+        by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            by_host.setdefault(route.host.lower(), []).append(route)
+        self._by_host = by_host
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, None when there is none."""
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def knows_host(self, host: str) -> bool:
+        """Tell whether some route has this host."""
+        return host.lower() in self._by_host
--- /dev/null
+++ b/src/rainsail/settings/node.py
@@ -0,0 +1,139 @@
+"""The settings file of a node of a fleet that relays: one TOML file for each process."""
+
+import tomllib
+from enum import StrEnum
+from pathlib import Path
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from rainsail.errors import Fault, FaultCode
+from rainsail.wire.address import parse_address
+
+STEP = "settings.node"
+
+
+class NodeKind(StrEnum):
+    """Which role a process has."""
+
+    GATEWAY = "gateway"
+    CONTROLLER = "controller"
+    STORAGE = "storage"
+
+
+PORT_OFFSETS = {NodeKind.CONTROLLER: 0, NodeKind.STORAGE: 1, NodeKind.GATEWAY: 2}
+"""Which of the peers' ports a role listens on: the same on every machine."""
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+
+class NodeSection(_Section):
+    """Who the node is."""
+
+    name: str = Field(min_length=1, description="Name of the machine, as operators call it")
+    role: NodeKind = Field(description="gateway, controller or storage")
+    zone: str = Field(default="", description="Zone of the machine")
+    ip: str = Field(description="IP number that the other nodes reach it by")
+    data_folder: str = Field(default="", description="Folder of its durable state")
+    founding: bool = Field(
+        default=False, description="The whole fleet starts for the first time, on empty disks"
+    )
+    losses: int = Field(
+        default=1, ge=0, description="Machines with a disk that may be lost at one time"
+    )
+
+
+class PeersSection(_Section):
+    """How the node finds the others."""
+
+    first_port: int = Field(gt=0, lt=65536, description="First of the ports between nodes")
+    last_port: int = Field(gt=0, lt=65536, description="Last of the ports between nodes")
+    seeds: tuple[str, ...] = Field(description="IP:PORT of machines with a controller")
+
+
+class ListenSection(_Section):
+    """Where the node serves others than nodes."""
+
+    clients: str = Field(default="", description="IP:PORT for clients (gateway)")
+    readiness: str = Field(default="", description="IP:PORT for readiness checks (gateway)")
+    control: str = Field(default="", description="IP:PORT for runners and operators (controller)")
+    metrics: str = Field(default="", description="IP:PORT of the metrics page, empty for none")
+
+
+class LimitsSection(_Section):
+    """What the machine has."""
+
+    memory_mb: int = Field(default=300, ge=0, description="Memory of the process in MB")
+    disk_mb: int = Field(default=0, ge=0, description="Disk of the machine in MB")
+
+
+class BoundsSection(_Section):
+    """Times that the operator promises to others, in seconds."""
+
+    grace_s: float = Field(default=8.0, gt=0, description="From SIGTERM until SIGKILL")
+    drain_s: float = Field(
+        default=2.0, gt=0, description="After it a runner that leaves gets nothing more"
+    )
+    results_kept_s: float = Field(
+        default=600.0, gt=0, description="Results of a job that is over stay for this long"
+    )
+
+
+class NodeSettings(_Section):
+    """The whole file."""
+
+    node: NodeSection
+    peers: PeersSection
+    listen: ListenSection = ListenSection()
+    limits: LimitsSection = LimitsSection()
+    bounds: BoundsSection = BoundsSection()
+
+    @model_validator(mode="after")
+    def _check(self) -> "NodeSettings":
+        if self.node.role != NodeKind.GATEWAY and not self.node.data_folder:
+            raise ValueError("node.data_folder: a controller or storage node needs one")
+        if self.node.role == NodeKind.GATEWAY and not self.listen.clients:
+            raise ValueError("listen.clients: a gateway needs it")
+        if self.node.role == NodeKind.CONTROLLER and not self.listen.control:
+            raise ValueError("listen.control: a controller needs it")
+        if self.peers.last_port - self.peers.first_port < max(PORT_OFFSETS.values()):
+            raise ValueError("peers: too few ports")
+        for seed in self.peers.seeds:
+            parse_address(seed)
+        return self
+
+    def transport_port(self) -> int:
+        """Return the port on which this node listens for other nodes."""
+        return self.peers.first_port + PORT_OFFSETS[self.node.role]
+
+    def process_name(self) -> str:
+        """Return the name of the process: where its transport listens."""
+        return f"{self.node.ip}:{self.transport_port()}"
+
+    def seed_controllers(self) -> tuple[str, ...]:
+        """Return the process names of the controllers on the seeds' machines, sorted."""
+        port = self.peers.first_port + PORT_OFFSETS[NodeKind.CONTROLLER]
+        return tuple(sorted({f"{parse_address(seed).host}:{port}" for seed in self.peers.seeds}))
+
+
+def load_node_settings(path: Path) -> Result[NodeSettings, Fault]:
+    """Read and check a settings file; an INVALID fault names the place and what is wrong."""
+    try:
+        values = tomllib.loads(path.read_text(encoding="utf-8"))
+        return Ok(NodeSettings.model_validate(values))
+    except ValidationError as error:
+        return Error(_fault(path, _first_problem(error)))
+    except (OSError, ValueError) as error:
+        return Error(_fault(path, str(error)))
+
+
+def _first_problem(error: ValidationError) -> str:
+    problem = error.errors()[0]
+    place = ".".join(str(part) for part in problem["loc"])
+    return f"{place}: {problem['msg']}" if place else str(problem["msg"])
+
+
+def _fault(path: Path, detail: str) -> Fault:
+    return Fault(FaultCode.INVALID, STEP, f"{path}: {detail}")
--- a/src/rainsail/state/commands.py
+++ b/src/rainsail/state/commands.py
@@ -7,6 +7,13 @@
 from dataclasses import dataclass
 
 from rainsail.errors import Fault
+from rainsail.state.cluster_commands import FoundLedger, ReleaseNode, ReplaceTable
+from rainsail.state.job_commands import (
+    AcceptJob,
+    DropRelayedJob,
+    EndRelayedJob,
+    ListOutcomes,
+)
 from rainsail.state.ledger_commands import (
     AddItems,
     CancelJob,
@@ -129,6 +136,13 @@
     | FinishRequest
     | AttachSession
     | AppendTurn
+    | ReplaceTable
+    | FoundLedger
+    | ReleaseNode
+    | AcceptJob
+    | ListOutcomes
+    | EndRelayedJob
+    | DropRelayedJob
 )
 
 CommandOutcome = (
--- /dev/null
+++ b/src/rainsail/state/job_commands.py
@@ -0,0 +1,87 @@
+"""Commands of the ledger of relayed jobs: jobs whose items are opaque requests."""
+
+from dataclasses import dataclass
+
+from rainsail.wire.codec import wire_record
+
+
+@dataclass(frozen=True, slots=True)
+class ItemHeader:
+    """One header field of an item's request."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedItem:
+    """One item: the request that runs it. ``tokens`` bounds prompt and answer together."""
+
+    item: str
+    path: str
+    headers: tuple[ItemHeader, ...]
+    body: bytes
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptJob:
+    """Keep a whole job; the same id again changes nothing."""
+
+    job: str
+    host: str
+    path: str
+    items: tuple[RelayedItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ItemOutcome:
+    """How an item ended: its whole text, or not ``done`` when it was given up."""
+
+    index: int
+    done: bool
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListOutcomes:
+    """Give ended items their positions in the job's results, in this order."""
+
+    job: str
+    outcomes: tuple[ItemOutcome, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EndRelayedJob:
+    """Run nothing more of a job; what is listed stays."""
+
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class DropRelayedJob:
+    """Forget a job whose results need not be kept any longer."""
+
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListedOutcome:
+    """One position of a job's results."""
+
+    index: int
+    done: bool
+    text: str
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RelayedJobSnapshot:
+    """One job as a part of a snapshot; bodies of listed items are empty."""
+
+    job: str
+    host: str
+    path: str
+    items: tuple[RelayedItem, ...]
+    listed: tuple[ListedOutcome, ...]
+    ended: bool
