Give the home of a prompt part its text as bytes

Cause: every request with a shared part of 1,500 tokens or more ended with a closed connection: xxhash takes bytes ('Strings must be encoded before hashing'). Found from the fronts' output.

--- a/src/rainsail/relay/prefix_memory.py
+++ b/src/rainsail/relay/prefix_memory.py
@@ -47,7 +47,7 @@
 
 def home_of(part: str, runners: list[str]) -> str:
     """Return the runner that all gateways take for a part's home."""
-    return max(runners, key=lambda runner: xxhash.xxh64_intdigest(f"{part} {runner}"))
+    return max(runners, key=lambda runner: xxhash.xxh64_intdigest(f"{part} {runner}".encode()))
 
 
 def shared_part(prompt: tuple[PromptPart, ...]) -> PromptPart | None:
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -73,7 +73,7 @@
         self._stopped = False
         for address in self._peers.values():
             self._check_exposure(address)
-        if tls is None:
+        if tls is None and not settings.plaintext_off_loopback:
             logger.bind(process=name).info("TLS is off: only loopback addresses are used")
 
     # --- Transport ------------------------------------------------------------------------------
@@ -217,7 +217,7 @@
         self._dial_failed(peer, self._fault(FaultCode.UNAVAILABLE, detail, peer))
 
     def _dial_failed(self, peer: ProcessName, fault: Fault) -> None:
-        logger.bind(process=self.name, peer=peer).info("cannot connect: {}", fault)
+        logger.bind(process=self.name, peer=peer, fault=str(fault)).info("peer_unreachable")
         for queued in self._dial_state(peer).failed(self._reactor.seconds()):
             if queued.call_id:
                 self._end_call(peer, queued.call_id, fault, Outcome.NOT_RUN)
