--- /dev/null
+++ b/features/http/connections.feature
@@ -0,0 +1,94 @@
+Feature: Connections tell what became of a request and of its answer
+
+  Scenario: A request with a length and one in chunks arrive whole
+    Given an HTTP server that answers with the body it got
+    When a client sends "POST /x HTTP/1.1|Host: a|Content-Length: 3||abc"
+    Then the server's bytes end with "abc"
+    When a client sends "POST /x HTTP/1.1|Host: a|Transfer-Encoding: chunked||2|de|1|f|0||"
+    Then the server's bytes end with "def"
+
+  Scenario: A pipelined request is answered after the one before it
+    Given an HTTP server that answers later
+    When a client sends "GET /1 HTTP/1.1|Host: a||GET /2 HTTP/1.1|Host: a||"
+    Then the server has seen the paths "/1"
+    When the server answers
+    Then the server has seen the paths "/1 /2"
+
+  Scenario: A client that closes is noticed while its request is under way
+    Given an HTTP server that answers later
+    When a client sends "GET /1 HTTP/1.1|Host: a||"
+    And the client closes its connection
+    Then the server's handler was told that the client left
+
+  Scenario Outline: Bad or too large requests are refused and the connection closed
+    Given an HTTP server that takes bodies of 10 bytes and heads of 200
+    When a client sends "<bytes>"
+    Then the server's bytes begin with "HTTP/1.1 <status>"
+    And the server has closed the connection
+
+    Examples:
+      | bytes                                                  | status |
+      | POST /x HTTP/1.1\|Host: a\|Content-Length: 11\|\|abcdefghijk | 413    |
+      | nonsense\|\|                                           | 400    |
+
+  Scenario: A head that does not end in time is answered with 408
+    Given an HTTP server that answers later
+    When a client sends "GET /1 HTTP/1.1|Host"
+    And 11 seconds pass at the HTTP server
+    Then the server's bytes begin with "HTTP/1.1 408"
+
+  Scenario: A draining server ends each connection with its answer
+    Given an HTTP server that answers later
+    When a client sends "GET /1 HTTP/1.1|Host: a||"
+    And the server drains
+    And the server answers
+    Then the server's bytes say "Connection: close"
+    And the server has closed the connection
+
+  Scenario: An answer that is cut never looks complete
+    Given an HTTP server that answers later
+    When a client sends "GET /1 HTTP/1.1|Host: a||"
+    And the server begins an answer, sends "part" and aborts
+    Then the server's bytes don't hold the end of a chunked body
+    And the server has closed the connection
+
+  Scenario: A whole answer leaves its connection for the next request
+    Given an HTTP client connection with a request under way
+    When the other side sends "HTTP/1.1 200 OK|Content-Length: 2||hi"
+    Then the answer is whole with "hi"
+    And the connection may be used again
+
+  Scenario Outline: What is no whole answer is told as broken
+    Given an HTTP client connection with a request under way
+    When the other side sends "<bytes>"
+    And the other side closes <how>
+    Then the answer <end>
+    And the connection is not used again
+
+    Examples:
+      | bytes                                        | how      | end                  |
+      | HTTP/1.1 200 OK\|Content-Length: 9\|\|hi     | in order | broke                |
+      | HTTP/1.1 200 OK\|\|hi                        | in order | is whole with "hi"   |
+      | HTTP/1.1 200 OK\|\|hi                        | by reset | broke                |
+      | gibberish\|\|                                | in order | broke                |
+      |                                              | in order | broke                |
+
+  Scenario: Bytes behind a whole answer reach nobody
+    Given an HTTP client connection with a request under way
+    When the other side sends "HTTP/1.1 200 OK|Content-Length: 2||hiHTTP/1.1 200 OK|Content-Length: 2||no"
+    Then the answer is whole with "hi"
+    And the connection is not used again
+
+  Scenario: Bytes on a resting connection end it
+    Given an HTTP client connection with a request under way
+    When the other side sends "HTTP/1.1 200 OK|Content-Length: 2||hi"
+    And the other side sends "HTTP/1.1 200 OK|Content-Length: 2||no"
+    Then the answer is whole with "hi"
+    And the connection was closed by us
+
+  Scenario: Fields of one connection don't travel on
+    Then these fields travel on
+      | fields                                          | left       |
+      | Connection: close, x-hop; X-Hop: 1; Kept: 2     | Kept       |
+      | Transfer-Encoding: chunked; Te: trailers; A: 1  | A          |
+      | Keep-Alive: timeout=3; Upgrade: h2; Host: b     | Host       |
--- /dev/null
+++ b/features/steps/http_connection_steps.py
@@ -0,0 +1,245 @@
+"""Steps on HTTP connections over Twisted's in-memory transports."""
+
+from behave import given, step, then
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.python.failure import Failure
+
+from rainsail.http.client import ClientConnection, OutgoingRequest
+from rainsail.http.headers import end_to_end
+from rainsail.http.server import HttpLimits, HttpServer
+from rainsail.simulation.clock import VirtualClock
+
+
+class _Transport(StringTransportWithDisconnection):
+    """Takes the socket options that the product sets."""
+
+    def setTcpNoDelay(self, enabled):
+        """Accept the option."""
+
+    def abortConnection(self):
+        """Close at once."""
+        self.loseConnection()
+
+    def loseConnection(self):
+        """Close once; closing again does nothing."""
+        if self.connected:
+            super().loseConnection()
+
+
+def _bytes(text):
+    return text.replace("|", "\r\n").encode()
+
+
+def _serve(context, handler, limits=None):
+    context.http_clock = VirtualClock()
+    context.http_exchanges = []
+    context.http_left = []
+
+    def noted(exchange):
+        context.http_exchanges.append(exchange)
+        exchange.on_left(lambda: context.http_left.append(exchange))
+        handler(exchange)
+
+    context.http_server = HttpServer(noted, context.http_clock, limits or HttpLimits())
+    context.http_transport = _Transport()
+    context.http_connection = context.http_server.buildProtocol(None)
+    context.http_transport.protocol = context.http_connection
+    context.http_connection.makeConnection(context.http_transport)
+
+
+@given("an HTTP server that answers with the body it got")
+def serve_echo(context):
+    _serve(context, lambda exchange: exchange.answer(200, (), exchange.request.body))
+
+
+@given("an HTTP server that answers later")
+def serve_later(context):
+    _serve(context, lambda exchange: None)
+
+
+@given("an HTTP server that takes bodies of {body:d} bytes and heads of {head:d}")
+def serve_bounded(context, body, head):
+    limits = HttpLimits(max_header_bytes=head, max_body_bytes=body)
+    _serve(context, lambda exchange: None, limits)
+
+
+@step('a client sends "{text}"')
+def client_sends(context, text):
+    context.http_connection.dataReceived(_bytes(text))
+    context.http_clock.advance(0)
+
+
+@step("the server answers")
+def server_answers(context):
+    context.http_exchanges[-1].answer(200, (), b"later")
+    context.http_clock.advance(0)
+
+
+@step("the server drains")
+def server_drains(context):
+    context.http_server.drain()
+
+
+@step('the server begins an answer, sends "{text}" and aborts')
+def server_aborts(context, text):
+    exchange = context.http_exchanges[-1]
+    exchange.begin(200, ())
+    exchange.write(text.encode())
+    exchange.abort()
+
+
+@step("the client closes its connection")
+def client_closes(context):
+    context.http_connection.connectionLost(Failure(ConnectionDone()))
+
+
+@step("{seconds:g} seconds pass at the HTTP server")
+def time_passes(context, seconds):
+    context.http_clock.advance(seconds)
+
+
+@then('the server\'s bytes end with "{text}"')
+def ends_with(context, text):
+    assert context.http_transport.value().endswith(text.encode()), context.http_transport.value()
+
+
+@then('the server\'s bytes begin with "{text}"')
+def begins_with(context, text):
+    assert context.http_transport.value().startswith(text.encode()), context.http_transport.value()
+
+
+@then('the server\'s bytes say "{text}"')
+def says(context, text):
+    assert text.encode() in context.http_transport.value(), context.http_transport.value()
+
+
+@then("the server's bytes don't hold the end of a chunked body")
+def no_end(context):
+    assert b"0\r\n\r\n" not in context.http_transport.value()
+
+
+@then("the server has closed the connection")
+def server_closed(context):
+    assert not context.http_transport.connected
+
+
+@then('the server has seen the paths "{paths}"')
+def has_seen(context, paths):
+    seen = [exchange.request.target.decode() for exchange in context.http_exchanges]
+    assert seen == paths.split(), seen
+
+
+@then("the server's handler was told that the client left")
+def was_told(context):
+    assert context.http_left == context.http_exchanges
+
+
+# --- the calling side ----------------------------------------------------------------------
+
+
+class _Listener:
+    """Keeps what an answer was."""
+
+    def __init__(self):
+        self.head = None
+        self.body = b""
+        self.end = ""
+
+    def answer_begun(self, head):
+        """Keep the head."""
+        self.head = head
+
+    def answer_data(self, data):
+        """Keep the body."""
+        self.body += data
+
+    def answer_ended(self):
+        """Whole."""
+        assert not self.end
+        self.end = "whole"
+
+    def answer_failed(self, reason):
+        """Broken."""
+        assert not self.end
+        self.end = "broke"
+
+
+class _Keeper:
+    """Keeps what a connection tells its pool."""
+
+    def __init__(self):
+        self.idle = []
+        self.closed = []
+
+    def connection_idle(self, connection, idle_s):
+        """Resting."""
+        self.idle.append(connection)
+
+    def connection_closed(self, connection):
+        """Gone."""
+        self.closed.append(connection)
+
+
+@given("an HTTP client connection with a request under way")
+def call(context):
+    context.http_keeper = _Keeper()
+    context.http_listener = _Listener()
+    context.http_caller = ClientConnection(context.http_keeper, 0)
+    context.http_transport = _Transport()
+    context.http_transport.protocol = context.http_caller
+    context.http_caller.makeConnection(context.http_transport)
+    request = OutgoingRequest(b"GET", b"/x", ((b"Host", b"a"),), b"")
+    context.http_caller.send(request, context.http_listener)
+
+
+@step('the other side sends "{text}"')
+def other_sends(context, text):
+    context.http_caller.dataReceived(_bytes(text))
+
+
+@step('the other side sends ""')
+def other_sends_nothing(context):
+    pass
+
+
+@step("the other side closes {how}")
+def other_closes(context, how):
+    if context.http_transport.connected:
+        reason = ConnectionDone() if how == "in order" else ConnectionLost()
+        context.http_caller.connectionLost(Failure(reason))
+
+
+@then('the answer is whole with "{text}"')
+def is_whole(context, text):
+    listener = context.http_listener
+    assert (listener.end, listener.body) == ("whole", text.encode()), vars(listener)
+
+
+@then("the answer broke")
+def has_broken(context):
+    assert context.http_listener.end == "broke", vars(context.http_listener)
+
+
+@then("the connection may be used again")
+def may_be_used(context):
+    assert context.http_keeper.idle == [context.http_caller]
+
+
+@then("the connection is not used again")
+def not_used(context):
+    assert context.http_keeper.idle == []
+
+
+@then("the connection was closed by us")
+def closed_by_us(context):
+    assert not context.http_transport.connected
+
+
+@then("these fields travel on")
+def travel(context):
+    for row in context.table:
+        pairs = [text.strip().partition(": ") for text in row["fields"].split(";")]
+        fields = [(name.encode(), value.encode()) for name, _, value in pairs]
+        left = [name.decode() for name, _ in end_to_end(fields, frozenset())]
+        assert left == row["left"].split(), left
--- /dev/null
+++ b/features/steps/relay_choice_steps.py
@@ -0,0 +1,107 @@
+"""Steps on the choice of a runner and of a route."""
+
+import random
+from collections import Counter
+
+from behave import given, then, when
+from features.support.relaying import RelayWorld
+
+from rainsail.relay.protocol import PromptPart
+from rainsail.relay.split import SplitPicker
+from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, ServiceShare
+
+
+def _by_runner(calls):
+    return Counter(call.field(b"runner") for call in calls)
+
+
+@when("{count:d} clients send requests to the relay")
+def send_many(context, count):
+    for number in range(count):
+        context.relay.request(request=f"request-{number}")
+
+
+@when("{count:d} clients send requests to the relay with a shared part of {tokens:d} tokens")
+def send_shared(context, count, tokens):
+    for number in range(count):
+        prompt = (PromptPart("shared", tokens), PromptPart(f"own-{number}", 100))
+        context.relay.request(prompt=prompt, request=f"request-{number}")
+
+
+@then("every runner has {count:d} of them")
+def spread(context, count):
+    counts = _by_runner(context.relay.pool.calls)
+    assert set(counts.values()) == {count}, counts
+
+
+@then("all of them went to one runner")
+def together(context):
+    assert len(_by_runner(context.relay.pool.calls)) == 1
+
+
+@then("no runner has more than {count:d} of them")
+def no_more_than(context, count):
+    counts = _by_runner(context.relay.pool.calls)
+    assert max(counts.values()) <= count, counts
+
+
+@when("every request to runner {number:d} breaks, {count:d} times")
+def break_often(context, number, count):
+    for turn in range(count):
+        context.relay.request(request=f"request-{turn}")
+        call = context.relay.last_call
+        if call.field(b"runner") == f"runner-{number}":
+            call.listener.answer_failed("connection reset")
+        else:
+            call.answer(200, b"fine")
+
+
+def _asked_of(context, number, count):
+    before = len(context.relay.pool.calls)
+    for turn in range(count):
+        context.relay.request(request=f"later-{turn}")
+    return _by_runner(context.relay.pool.calls[before:])[f"runner-{number}"]
+
+
+@then("runner {number:d} gets none of the next {count:d} requests")
+def gets_none(context, number, count):
+    assert _asked_of(context, number, count) == 0
+
+
+@then("runner {number:d} gets some of the next {count:d} requests")
+def gets_some(context, number, count):
+    assert _asked_of(context, number, count) > 0
+
+
+def _route(prefix, shares=(ServiceShare("one", 1.0),)):
+    return Route(prefix, "a.example", prefix, RouteKind.SAFE, shares, 1.0, 0.1)
+
+
+@given("a relay whose route is split 90 to 10 over two services")
+def make_split(context):
+    shares = (ServiceShare("one", 90.0), ServiceShare("two", 10.0))
+    context.split_route = _route("/", shares)
+
+
+@when("{count:d} requests are sent by the split")
+def pick(context, count):
+    picker = SplitPicker(random.Random(3))
+    context.picked = Counter(picker.service(context.split_route) for _ in range(count))
+
+
+@then("{count:d} of them went to the first service, give or take {slack:d}")
+def picked(context, count, slack):
+    assert abs(context.picked["one"] - count) <= slack, context.picked
+
+
+@given('routes "{first}", "{second}" and "{third}" of a host')
+def make_routes(context, first, second, third):
+    routes = tuple(_route(prefix) for prefix in (first, second, third))
+    context.routes = RoutingTable(1, routes, (), ClientLimits())
+
+
+@then("the paths match routes")
+def match(context):
+    for row in context.table:
+        route = context.routes.match("A.example", row["path"])
+        assert route is not None and route.prefix == row["route"], row
--- /dev/null
+++ b/features/steps/relay_request_steps.py
@@ -0,0 +1,194 @@
+"""Steps on relayed requests, in virtual time."""
+
+from behave import given, step, then, when
+from features.support.relaying import RelayWorld, event, runner_record
+
+TOLERANCE_S = 0.001
+
+
+@given('a relay with {runners:d} runners and a "{kind}" route')
+@given('a relay with {runners:d} runners and an "{kind}" route')
+def make_relay(context, runners, kind):
+    context.relay = RelayWorld(runners)
+    context.relay.put_route(kind)
+
+
+@given('a relay with {runners:d} runners and a "{kind}" route of {attempts:d} attempt')
+@given('a relay with {runners:d} runners and an "{kind}" route of {attempts:d} attempt')
+def make_relay_of_attempts(context, runners, kind, attempts):
+    context.relay = RelayWorld(runners)
+    context.relay.put_route(kind, attempts)
+
+
+@given('a relay with {runners:d} runners and a resumable "{kind}" route')
+def make_resumable(context, runners, kind):
+    context.relay = RelayWorld(runners)
+    context.relay.put_route(kind, resumable=True)
+
+
+@when("a client sends a request to the relay")
+def send(context):
+    context.exchange = context.relay.request()
+
+
+@step('the runner answers {status:d} with "{body}"')
+def answer(context, status, body):
+    context.relay.last_call.answer(status, body.encode())
+
+
+@step("the runner answers 503 without a word of it")
+def answer_503(context):
+    context.relay.last_call.answer(503)
+
+
+@step("the runner refuses it as not run")
+def refuse(context):
+    context.relay.last_call.answer(503, b"", (b"not-run", b"1"))
+
+
+@step("the runner answers for another request")
+def answer_foreign(context):
+    context.relay.last_call.answer(200, b"x", (b"of", b"request-2"))
+
+
+@step("the runner's connection breaks")
+def break_connection(context):
+    context.relay.last_call.listener.answer_failed("connection reset")
+
+
+@step("the runner can't be reached")
+def unreached(context):
+    context.relay.last_call.listener.request_unsent("connection refused")
+
+
+@step("{seconds:g} seconds pass")
+def pass_time(context, seconds):
+    context.relay.clock.advance(seconds)
+
+
+@step("the client leaves")
+def leave(context):
+    context.exchange.left()
+
+
+@step("the route is dropped")
+def drop_route(context):
+    context.relay.drop_routes()
+
+
+@step("the other runner says that it is draining")
+def other_drains(context):
+    used = context.relay.last_call.field(b"runner")
+    other = 1 if used == "runner-2" else 2
+    context.relay.registry.take((runner_record(other, "draining", 2),))
+
+
+# --- streams -------------------------------------------------------------------------------
+
+
+@step("the runner sends the head of a stream")
+def send_head(context):
+    context.relay.last_call.begin_stream()
+
+
+@step("the runner sends events {first:d} to {last:d}")
+def send_events(context, first, last):
+    call = context.relay.last_call
+    if not getattr(call, "begun", False):
+        call.begun = True
+        call.begin_stream()
+    for number in range(first, last + 1):
+        call.listener.answer_data(event(number))
+
+
+@step("the runner sends half of event {number:d}")
+def send_half(context, number):
+    data = event(number)
+    context.relay.last_call.listener.answer_data(data[: len(data) // 2])
+
+
+@step("the runner ends its stream")
+def end_stream(context):
+    context.relay.last_call.listener.answer_ended()
+
+
+def _events(first, last):
+    return b"".join(event(number) for number in range(first, last + 1))
+
+
+@then("the client has events {first:d} to {last:d} so far")
+def has_events(context, first, last):
+    assert context.exchange.body == _events(first, last), context.exchange.body
+    assert not context.exchange.ended
+
+
+@then("the client's connection was cut after events {first:d} to {last:d}")
+def was_cut(context, first, last):
+    assert context.exchange.aborted and not context.exchange.ended
+    assert context.exchange.body == _events(first, last)
+
+
+@then("the client has the whole stream of events {first:d} to {last:d}")
+def whole_stream(context, first, last):
+    assert context.exchange.ended
+    assert context.exchange.body == _events(first, last), context.exchange.body
+
+
+@then("the last sending asks to go on behind event {number:d}")
+def goes_on(context, number):
+    assert len(context.relay.pool.calls) == 2
+    assert context.relay.last_call.field(b"after-event") == str(number)
+
+
+# --- what the client has -------------------------------------------------------------------
+
+
+@then('the client has the whole answer {status:d} "{body}"')
+def has_answer(context, status, body):
+    exchange = context.exchange
+    assert (exchange.status, exchange.body, exchange.ended) == (status, body.encode(), True)
+
+
+@then("the client has the status {status:d}")
+def has_status(context, status):
+    assert context.exchange.status == status, context.exchange.status
+    assert context.exchange.ended
+
+
+@then("the client is refused with 503 and a time to come back, at once")
+def is_refused(context):
+    assert context.exchange.status == 503
+    assert b"retry-after" in dict(context.exchange.headers)
+    assert context.exchange.answered_at_s == context.exchange.request.received_s
+
+
+@then("{count:d} sending was made")
+def sendings(context, count):
+    assert len(context.relay.pool.calls) == count, len(context.relay.pool.calls)
+
+
+@then("{count:d} sendings were made, each to another runner")
+def sendings_apart(context, count):
+    runners = [call.field(b"runner") for call in context.relay.pool.calls]
+    assert len(runners) == count == len(set(runners)), runners
+
+
+@then("the last sending says that {seconds:g} seconds are left")
+def deadline_left(context, seconds):
+    left_s = float(context.relay.last_call.field(b"deadline-left"))
+    assert abs(left_s - seconds) < TOLERANCE_S, left_s
+
+
+@then("the runner's connection was closed")
+def connection_closed(context):
+    assert context.relay.last_call.cancelled
+
+
+@then("the first sending's connection was closed")
+def first_closed(context):
+    assert context.relay.pool.calls[0].cancelled
+
+
+@then("no more is under way at any runner")
+def nothing_under_way(context):
+    assert context.relay.context.loads.in_flight() == {}
--- a/src/rainsail/fleet/controller_node.py
+++ b/src/rainsail/fleet/controller_node.py
@@ -59,9 +59,7 @@
         listening = await base.listen()
         if listening.is_error():
             return Error(listening.error)
-        server = HttpServer(
-            self._port.control_handler(self._controller), base.clock, HttpLimits()
-        )
+        server = HttpServer(self._port.control_handler(self._controller), base.clock, HttpLimits())
         control = listen(self._reactor, server, base.settings.listen.control)
         if control.is_error():
             return Error(control.error)
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -55,9 +55,7 @@
         self._clients = HttpServer(
             port.client_handler(self.gateway, jobs), base.clock, self._limits
         )
-        self._readiness = HttpServer(
-            port.readiness_handler(self.gateway), base.clock, HttpLimits()
-        )
+        self._readiness = HttpServer(port.readiness_handler(self.gateway), base.clock, HttpLimits())
         self._client_port: Any = None
 
     async def start(self) -> Result[None, Fault]:
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -13,11 +13,9 @@
 from rainsail.state.commands import GroupId
 from rainsail.state.durable_schemas import durable_fingerprint
 from rainsail.state.interface import StateMachine
-from rainsail.storage.group_storage import open_group_storage
-from rainsail.storage.identity import load_or_create_identity
-from rainsail.storage.interface import GroupStorage
+from rainsail.storage.group_storage import DurableGroupStorage, open_group_storage
+from rainsail.storage.identity import ReplicaIdentity, load_or_create_identity
 from rainsail.storage.local_files import LocalFileSystem
-from rainsail.storage.identity import ReplicaIdentity
 from rainsail.storage.settings import StorageSettings
 from rainsail.wire.codec import CodecError
 
@@ -33,7 +31,7 @@
         self._group = group
         self._reactor = reactor
         self._identity: ReplicaIdentity | None = None
-        self._storage: GroupStorage | None = None
+        self._storage: DurableGroupStorage | None = None
 
     async def open(self) -> Result[None, Fault]:
         """Open the folder, making it when it is empty."""
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -110,10 +110,9 @@
     # --- the fleet -----------------------------------------------------------------------
 
     def _view_changed(self, view: FleetView) -> None:
-        if self._driver is None:
-            if view.founders:
-                own = self._base.node.address in view.founders
-                self._start_group(view.founders if own else ())
+        if self._driver is None and view.founders:
+            own = self._base.node.address in view.founders
+            self._start_group(view.founders if own else ())
         if self._driver is not None:
             contacts = tuple(sorted({*view.storage, *view.founders}))
             self._driver.open_to(contacts, voters_for(self._base.settings.node.losses))
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -5,7 +5,8 @@
 """
 
 from dataclasses import dataclass
-from typing import Any, Protocol as TypingProtocol
+from typing import Any
+from typing import Protocol as TypingProtocol
 
 import h11
 from twisted.internet.error import ConnectionDone
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -1,7 +1,7 @@
 """Warm connections to servers, each used by one request at a time."""
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
@@ -31,10 +31,18 @@
     until_s: float
 
 
+class UnsentListener(AnswerListener, Protocol):
+    """An answer listener that also hears that the request never left."""
+
+    def request_unsent(self, reason: str) -> None:
+        """No connection could be opened; the request certainly has not run."""
+        ...
+
+
 class Call:
     """One request on its way: being connected, or sent."""
 
-    def __init__(self, listener: AnswerListener) -> None:
+    def __init__(self, listener: UnsentListener) -> None:
         self.listener = listener
         self.sent = False
         self._connection: ClientConnection | None = None
@@ -58,14 +66,6 @@
         connection.send(request, self.listener)
 
 
-class UnsentListener(AnswerListener):
-    """An answer listener that also hears that the request never left."""
-
-    def request_unsent(self, reason: str) -> None:
-        """No connection could be opened; the request certainly has not run."""
-        ...
-
-
 @dataclass(slots=True)
 class _Server:
     idle: list[_Idle] = field(default_factory=list)
@@ -143,11 +143,12 @@
         endpoint = TCP4ClientEndpoint(
             self._reactor, place.host, place.port, self._settings.connect_timeout_s
         )
-        factory = Factory.forProtocol(lambda: self._new_connection(address))
+        factory: Any = Factory.forProtocol(lambda: self._new_connection(address))
         factory.noisy = False
         attempt = endpoint.connect(factory)
         attempt.addCallbacks(
-            self._connected, self._not_connected, (request, call), None, (address, call)
+            lambda connection: self._connected(connection, request, call),
+            lambda failure: self._not_connected(failure, address, call),
         )
 
     def _new_connection(self, address: str) -> ClientConnection:
@@ -164,8 +165,7 @@
     def _not_connected(self, failure: Failure, address: str, call: Call) -> None:
         self._servers[address].open_count -= 1
         if not call.cancelled:
-            listener: Any = call.listener
-            listener.request_unsent(failure.getErrorMessage())
+            call.listener.request_unsent(failure.getErrorMessage())
 
     # --- ConnectionKeeper ----------------------------------------------------------------
 
--- a/src/rainsail/jobs/ledger_service.py
+++ b/src/rainsail/jobs/ledger_service.py
@@ -170,5 +170,3 @@
     if isinstance(outcome, Fault):
         return outcome
     return answer
-
-
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -155,9 +155,7 @@
             in_flight = loads.in_flight()
             uses = tuple(RunnerUse(runner, count) for runner, count in in_flight.items())
             self._messenger.send(leader, OnlineUse(uses))
-        self._context.clock.callLater(
-            self._context.settings.use_report_period_s, self._report_use
-        )
+        self._context.clock.callLater(self._context.settings.use_report_period_s, self._report_use)
 
     def _keep_house(self) -> None:
         if self._stopped:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -163,9 +163,7 @@
         self._sends += 1
         left_s = None if self._facts.deadline_s is None else self._deadline_left_s(now)
         target = RunnerTarget(record.runner, record.address)
-        request = context.protocol.relayed(
-            self._exchange.request, target, left_s, self._last_event
-        )
+        request = context.protocol.relayed(self._exchange.request, target, left_s, self._last_event)
         if self._facts.prompt:
             context.prefixes.sent(self._facts.prompt, record.runner)
         attempt = Attempt(self, context, record, self._facts.request)
@@ -378,5 +376,3 @@
     if facts.deadline_s is None:
         return route.timeout_s
     return min(route.timeout_s, facts.deadline_s)
-
-
--- a/src/rainsail/storage/interface.py
+++ b/src/rainsail/storage/interface.py
@@ -109,10 +109,18 @@
     """
 
     hard_state: HardState
-    first_index: int
-    last_index: int
     snapshot_meta: SnapshotMeta | None
 
+    @property
+    def first_index(self) -> int:
+        """The index of the first entry that is kept."""
+        ...
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry, queued ones too."""
+        ...
+
     def append(self, entries: tuple[LogEntry, ...]) -> None:
         """Queue entries that follow ``last_index``."""
         ...
