Wait for the last answer's bytes before a drained gateway ends

Ruled out: graceS (8 s) had not run out; the runner had ended its answer. Change: quiet means that no connection is left; resting connections are closed as they come to rest. Controller and storage roles now run over seams that a simulation can give. Test: features/http 'A drained server is quiet only when its last answer has left', red before.

--- a/features/http/connections.feature
+++ b/features/http/connections.feature
@@ -92,3 +92,12 @@
       | Connection: close, x-hop; X-Hop: 1; Kept: 2     | Kept       |
       | Transfer-Encoding: chunked; Te: trailers; A: 1  | A          |
       | Keep-Alive: timeout=3; Upgrade: h2; Host: b     | Host       |
+
+  Scenario: A drained server is quiet only when its last answer has left
+    Given an HTTP server that answers later, over a connection that flushes slowly
+    When a client sends "GET /1 HTTP/1.1|Host: a||"
+    And the server drains and waits until it is quiet
+    And the server answers
+    Then the server is not quiet yet
+    When the connection has flushed
+    Then the server is quiet
--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -243,3 +243,47 @@
         fields = [(name.encode(), value.encode()) for name, _, value in pairs]
         left = [name.decode() for name, _ in end_to_end(fields, frozenset())]
         assert left == row["left"].split(), left
+
+
+class _SlowTransport(_Transport):
+    """Closes only when told that everything has been flushed."""
+
+    def loseConnection(self):
+        """Wait for the flush."""
+
+    def flush(self):
+        """Close now."""
+        super().loseConnection()
+
+
+@given("an HTTP server that answers later, over a connection that flushes slowly")
+def serve_slowly(context):
+    _serve(context, lambda exchange: None)
+    context.http_connection.connectionLost(Failure(ConnectionDone()))
+    context.http_transport = _SlowTransport()
+    context.http_connection = context.http_server.buildProtocol(None)
+    context.http_transport.protocol = context.http_connection
+    context.http_connection.makeConnection(context.http_transport)
+
+
+@step("the server drains and waits until it is quiet")
+def wait_quiet(context):
+    context.http_quiet = []
+    context.http_server.drain()
+    context.http_server.close_idle()
+    context.http_server.when_quiet(lambda: context.http_quiet.append(True))
+
+
+@then("the server is not quiet yet")
+def not_quiet(context):
+    assert context.http_quiet == []
+
+
+@step("the connection has flushed")
+def flushed(context):
+    context.http_transport.flush()
+
+
+@then("the server is quiet")
+def is_quiet(context):
+    assert context.http_quiet == [True]
--- a/features/steps/relay_choice_steps.py
+++ b/features/steps/relay_choice_steps.py
@@ -4,7 +4,6 @@
 from collections import Counter
 
 from behave import given, then, when
-from features.support.relaying import RelayWorld
 
 from rainsail.relay.protocol import PromptPart
 from rainsail.relay.split import SplitPicker
--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -14,7 +14,7 @@
 from rainsail.errors import Fault
 from rainsail.runtime.clock import Clock, MonotonicClock
 from rainsail.settings.node import NodeSettings
-from rainsail.wire.messenger import Messenger
+from rainsail.wire.messenger import Messenger, Transport
 from rainsail.wire.settings import WireSettings
 from rainsail.wire.tcp import TcpTransport
 
@@ -46,25 +46,32 @@
     node: NodeRecord
     clock: Clock
     random: random_module.Random
-    transport: TcpTransport
+    transport: Transport
     messenger: Messenger
     registry: RunnerRegistry
     follower: FleetFollower
 
     def listen(self) -> "Deferred[Result[int, Fault]]":
-        """Accept other nodes."""
+        """Accept other nodes on the transport of a daemon."""
+        assert isinstance(self.transport, TcpTransport)
         return self.transport.listen_on(self.settings.node.ip, self.settings.transport_port())
 
 
 def make_base(settings: NodeSettings, reactor: Any) -> NodeBase:
-    """Make the shared parts of a node; nothing is started."""
+    """Make the shared parts of a daemon; nothing is started."""
     random = random_module.Random(random_module.SystemRandom().getrandbits(64))
-    clock = MonotonicClock(reactor)
     name = settings.process_name()
     transport = TcpTransport(name, {}, reactor, None, PEER_WIRE, FLEET, random)
+    return assemble_base(settings, MonotonicClock(reactor), random, transport)
+
+
+def assemble_base(
+    settings: NodeSettings, clock: Clock, random: random_module.Random, transport: Transport
+) -> NodeBase:
+    """Put the shared parts together over given seams."""
     messenger = Messenger(transport, clock)
     node = NodeRecord(
-        name,
+        settings.process_name(),
         settings.node.name,
         NodeRole(settings.node.role.value),
         settings.node.zone,
--- /dev/null
+++ b/src/rainsail/fleet/controller_role.py
@@ -0,0 +1,77 @@
+"""A controller without its HTTP address: the root group, its state and what nodes are told."""
+
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from rainsail.cluster.controller import ControllerSettings, FleetController
+from rainsail.cluster.fleet_state import FleetState
+from rainsail.cluster.founders import voters_for
+from rainsail.consensus.driver import GroupDriver
+from rainsail.errors import Fault
+from rainsail.fleet.base import NodeBase
+from rainsail.fleet.group_folder import GroupFolder
+from rainsail.fleet.leaving import hand_over
+from rainsail.state.commands import ROOT_GROUP
+from rainsail.storage.interface import FileSystem
+
+
+class ControllerRole:
+    """Opens the root group and serves nodes; runs over real and simulated seams alike."""
+
+    def __init__(self, base: NodeBase, files: FileSystem, fatal: Callable[[Fault], None]) -> None:
+        self._base = base
+        self._fatal = fatal
+        self._folder = GroupFolder(base, ROOT_GROUP, files)
+        self.state = FleetState()
+        self.driver: GroupDriver | None = None
+        self.controller: FleetController | None = None
+
+    async def start(self) -> Result[None, Fault]:
+        """Open the root group and begin to follow the other controllers."""
+        base = self._base
+        opened = await self._folder.open()
+        if opened.is_error():
+            return Error(opened.error)
+        made = self._folder.make_driver(self.state, self._founders())
+        if made.is_error():
+            return Error(made.error)
+        self.driver = driver = made.ok
+        driver.on_fatal(self._fatal)
+        losses = base.settings.node.losses
+        driver.open_to(base.settings.seed_controllers(), voters_for(losses))
+        self.controller = FleetController(
+            base.node,
+            driver,
+            self.state,
+            base.follower,
+            base.messenger,
+            base.clock,
+            ControllerSettings(losses=losses),
+        )
+        driver.start()
+        self.controller.start()
+        base.follower.start()
+        return Ok(None)
+
+    def _founders(self) -> tuple[str, ...]:
+        """Return the founders of the root group: the seeds of the fleet's first start."""
+        settings = self._base.settings
+        seeds = settings.seed_controllers()
+        if not settings.node.founding or self._base.node.address not in seeds:
+            return ()
+        return seeds
+
+    async def planned_stop(self) -> None:
+        """Hand leadership over, then stop."""
+        if self.driver is not None:
+            await hand_over(self.driver, self._base.clock)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        if self.driver is not None:
+            self.driver.stop()
+        if self.controller is not None:
+            self.controller.stop()
+        self._base.follower.stop()
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -21,6 +21,7 @@
 CLIENTS_LEAVE_AFTER_S = 2.3
 """After SIGTERM new clients still come until two readiness checks have been missed."""
 END_BEFORE_GRACE_S = 0.4
+RESTING_LOOK_PERIOD_S = 0.1
 
 
 class GatewayNode:
@@ -61,9 +62,6 @@
     async def start(self) -> Result[None, Fault]:
         """Listen everywhere and begin to follow the fleet."""
         base = self._base
-        opened = await base.listen()
-        if opened.is_error():
-            return Error(opened.error)
         clients = listen(self._reactor, self._clients, base.settings.listen.clients)
         if clients.is_error():
             return Error(clients.error)
@@ -94,9 +92,15 @@
 
     def _leave(self, done: Any) -> None:
         self._client_port.stopListening()
-        self._clients.close_idle()
+        self._close_resting()
         self._clients.when_quiet(lambda: _fire_once(done))
 
+    def _close_resting(self) -> None:
+        """Close connections as they come to rest; those that come in meanwhile too."""
+        self._clients.close_idle()
+        if self._clients.connections:
+            self._base.clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
+
 
 def _fire_once(done: Any) -> None:
     if not done.called:
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -1,8 +1,5 @@
 """Opening one replicated group in a node's data folder."""
 
-from pathlib import Path
-from typing import Any
-
 from expression import Error, Ok, Result
 
 from rainsail.consensus.driver import GroupDriver
@@ -15,7 +12,7 @@
 from rainsail.state.interface import StateMachine
 from rainsail.storage.group_storage import DurableGroupStorage, open_group_storage
 from rainsail.storage.identity import ReplicaIdentity, load_or_create_identity
-from rainsail.storage.local_files import LocalFileSystem
+from rainsail.storage.interface import FileSystem
 from rainsail.storage.settings import StorageSettings
 from rainsail.wire.codec import CodecError
 
@@ -26,25 +23,23 @@
 class GroupFolder:
     """A group's durable state on this node, and the driver made over it."""
 
-    def __init__(self, base: NodeBase, group: GroupId, reactor: Any) -> None:
+    def __init__(self, base: NodeBase, group: GroupId, files: FileSystem) -> None:
         self._base = base
         self._group = group
-        self._reactor = reactor
+        self._files = files
         self._identity: ReplicaIdentity | None = None
         self._storage: DurableGroupStorage | None = None
 
     async def open(self) -> Result[None, Fault]:
         """Open the folder, making it when it is empty."""
         base = self._base
-        folder = Path(base.settings.node.data_folder)
-        files = LocalFileSystem(folder, self._reactor)
         identity = await load_or_create_identity(
-            files, FLEET, base.node.address, durable_fingerprint(), base.random
+            self._files, FLEET, base.node.address, durable_fingerprint(), base.random
         )
         if identity.is_error():
             return Error(identity.error)
         settings = StorageSettings(segment_bytes=SEGMENT_BYTES, cache_bytes=CACHE_BYTES)
-        storage = await open_group_storage(files, self._group, settings)
+        storage = await open_group_storage(self._files, self._group, settings)
         if storage.is_error():
             return Error(storage.error)
         self._identity = identity.ok
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -49,6 +49,10 @@
         self._watch_settings()
 
     async def _start_role(self) -> None:
+        listening = await self._base.listen()
+        if listening.is_error():
+            self.fail(listening.error)
+            return
         started = await self._role.start()
         if started.is_error():
             self.fail(started.error)
@@ -119,11 +123,20 @@
         case NodeKind.CONTROLLER:
             from rainsail.fleet.controller_node import ControllerNode
 
-            return ControllerNode(base, port, reactor, fatal)
+            return ControllerNode(base, port, reactor, _files(base, reactor), fatal)
         case NodeKind.STORAGE:
             from rainsail.fleet.storage_node import StorageNode
+            from rainsail.http.pool import ConnectionPool, PoolSettings
+
+            pool = ConnectionPool(reactor, base.clock, PoolSettings(connect_timeout_s=0.5))
+            files = _files(base, reactor)
+            return StorageNode(base, port.protocol, port.read_table, pool, files, fatal)
+
+
+def _files(base: NodeBase, reactor: Any) -> Any:
+    from rainsail.storage.local_files import LocalFileSystem
 
-            return StorageNode(base, port, reactor, fatal)
+    return LocalFileSystem(Path(base.settings.node.data_folder), reactor)
 
 
 def run_node(path: Path, port: PlatformPort) -> int:
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -12,8 +12,7 @@
 from rainsail.fleet.base import NodeBase
 from rainsail.fleet.group_folder import GroupFolder
 from rainsail.fleet.leaving import hand_over
-from rainsail.fleet.port import PlatformPort
-from rainsail.http.pool import ConnectionPool, PoolSettings
+from rainsail.http.pool import ConnectionPool
 from rainsail.jobs.dispatcher import Dispatcher
 from rainsail.jobs.job_state import JobState
 from rainsail.jobs.ledger_service import LedgerService
@@ -22,8 +21,10 @@
 from rainsail.jobs.plan import PlanSettings
 from rainsail.jobs.retention import Retention
 from rainsail.logs import logger
+from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.table_reader import TableReader
 from rainsail.state.commands import GroupId
+from rainsail.storage.interface import FileSystem
 
 LEDGER_GROUP: GroupId = 1
 HOUSEKEEPING_PERIOD_S = 1.0
@@ -33,29 +34,35 @@
     """Starts and ends a member of the ledger group."""
 
     def __init__(
-        self, base: NodeBase, port: PlatformPort, reactor: Any, fatal: Callable[[Fault], None]
+        self,
+        base: NodeBase,
+        protocol: RelayProtocol,
+        read_table: TableReader,
+        pool: ConnectionPool,
+        files: FileSystem,
+        fatal: Callable[[Fault], None],
     ) -> None:
         self._base = base
         self._fatal = fatal
-        self._read_table: TableReader = port.read_table
-        self._folder = GroupFolder(base, LEDGER_GROUP, reactor)
-        self._state = JobState()
-        self._service = LedgerService(base.messenger, base.clock, self._state)
-        self._driver: GroupDriver | None = None
-        self._pool = ConnectionPool(reactor, base.clock, PoolSettings(connect_timeout_s=0.5))
+        self._read_table = read_table
+        self._folder = GroupFolder(base, LEDGER_GROUP, files)
+        self.state = JobState()
+        self._service = LedgerService(base.messenger, base.clock, self.state)
+        self.driver: GroupDriver | None = None
+        self._pool = pool
         self._outcomes = OutcomeBatcher(self._propose, base.clock)
-        self._dispatcher = Dispatcher(
-            self._state,
+        self.dispatcher = Dispatcher(
+            self.state,
             base.registry,
             self._pool,
-            port.protocol,
+            protocol,
             base.clock,
             base.random,
             base.settings.node.zone,
             self._outcomes.add,
             PlanSettings(),
         )
-        self._retention = Retention(self._state, base.settings.bounds.results_kept_s)
+        self._retention = Retention(self.state, base.settings.bounds.results_kept_s)
         self._stopped = False
 
     async def start(self) -> Result[None, Fault]:
@@ -64,14 +71,11 @@
         opened = await self._folder.open()
         if opened.is_error():
             return Error(opened.error)
-        listening = await base.listen()
-        if listening.is_error():
-            return Error(listening.error)
-        base.messenger.serve(OnlineUse, self._dispatcher.online.take)
+        base.messenger.serve(OnlineUse, self.dispatcher.online.take)
         base.follower.ledger_status = self._status
         base.follower.on_view = self._view_changed
         base.follower.on_table = self._take_table
-        base.follower.on_runners = self._dispatcher.runners_changed
+        base.follower.on_runners = self.dispatcher.runners_changed
         if not self._folder.is_empty():
             self._start_group(())
         base.follower.start()
@@ -79,11 +83,11 @@
         return Ok(None)
 
     def _start_group(self, founders: tuple[str, ...]) -> None:
-        made = self._folder.make_driver(self._state, founders)
+        made = self._folder.make_driver(self.state, founders)
         if made.is_error():
             self._fatal(made.error)
             return
-        self._driver = driver = made.ok
+        self.driver = driver = made.ok
         driver.on_fatal(self._fatal)
         driver.on_leadership(self._leadership_changed)
         driver.open_to(founders, voters_for(self._base.settings.node.losses))
@@ -92,16 +96,16 @@
         driver.start()
 
     def _propose(self, command: Any) -> Any:
-        assert self._driver is not None
-        return self._driver.propose(command)
+        assert self.driver is not None
+        return self.driver.propose(command)
 
     def _leadership_changed(self, leads: bool) -> None:
         logger.bind(leads=leads).info("ledger_leadership")
         if leads:
             self._outcomes.start()
-            self._dispatcher.start()
+            self.dispatcher.start()
         else:
-            self._dispatcher.stop()
+            self.dispatcher.stop()
             self._outcomes.stop()
         for address in self._base.follower.view().controllers:
             if address != self._base.node.address:
@@ -110,16 +114,16 @@
     # --- the fleet -----------------------------------------------------------------------
 
     def _view_changed(self, view: FleetView) -> None:
-        if self._driver is None and view.founders:
+        if self.driver is None and view.founders:
             own = self._base.node.address in view.founders
             self._start_group(view.founders if own else ())
-        if self._driver is not None:
+        if self.driver is not None:
             contacts = tuple(sorted({*view.storage, *view.founders}))
-            self._driver.open_to(contacts, voters_for(self._base.settings.node.losses))
-            self._driver.let_go(frozenset(view.leaving))
+            self.driver.open_to(contacts, voters_for(self._base.settings.node.losses))
+            self.driver.let_go(frozenset(view.leaving))
 
     def _status(self) -> LedgerStatus | None:
-        driver = self._driver
+        driver = self.driver
         if driver is None:
             return None
         members = driver.members()
@@ -132,21 +136,29 @@
         if read.is_error():
             logger.bind(version=document.version, fault=str(read.error)).error("table_unreadable")
             return
-        self._dispatcher.set_table(read.ok)
+        self.dispatcher.set_table(read.ok)
 
     def _keep_house(self) -> None:
         if self._stopped:
             return
         self._pool.close_stale()
-        if self._driver is not None and self._driver.is_leader():
+        if self.driver is not None and self.driver.is_leader():
             for command in self._retention.due(self._base.clock.seconds()):
-                self._driver.propose(command)
+                self.driver.propose(command)
         self._base.clock.callLater(HOUSEKEEPING_PERIOD_S, self._keep_house)
 
     async def planned_stop(self) -> None:
         """Hand leadership over, then stop."""
         self._stopped = True
-        if self._driver is not None:
-            await hand_over(self._driver, self._base.clock)
-            self._dispatcher.stop()
-            self._driver.stop()
+        if self.driver is not None:
+            await hand_over(self.driver, self._base.clock)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._stopped = True
+        self.dispatcher.stop()
+        self._outcomes.stop()
+        if self.driver is not None:
+            self.driver.stop()
+        self._base.follower.stop()
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -82,13 +82,13 @@
             connection.close_if_idle()
 
     def when_quiet(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` once when no request is under way (at once when none is)."""
+        """Call ``listener`` once when no connection is left: every answer has been flushed."""
         self._on_quiet = listener
         self.check_quiet()
 
     def check_quiet(self) -> None:
-        """Tell the listener when nothing is under way."""
-        if self.requests_under_way == 0 and self._on_quiet is not None:
+        """Tell the listener when the last connection has closed."""
+        if not self.connections and self._on_quiet is not None:
             listener, self._on_quiet = self._on_quiet, None
             listener()
 
@@ -140,7 +140,8 @@
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.connection_lost()
-            self._request_done()
+            self._server.requests_under_way -= 1
+        self._server.check_quiet()
 
     # --- reading -------------------------------------------------------------------------
 
@@ -248,7 +249,7 @@
         if sent:
             self.transport.write(sent)
         self._exchange = None
-        self._request_done()
+        self._server.requests_under_way -= 1
         if self._http.our_state is h11.MUST_CLOSE or self._server.draining:
             self._lost = True
             self.transport.loseConnection()
@@ -257,10 +258,6 @@
         self._arm(self._limits.idle_timeout_s, self.close_if_idle)
         self._server.clock.callLater(0, self._take_early)
 
-    def _request_done(self) -> None:
-        self._server.requests_under_way -= 1
-        self._server.check_quiet()
-
     def _take_early(self) -> None:
         if self._lost or self._exchange is not None:
             return
