--- /dev/null
+++ b/features/jobs/ledger.feature
@@ -0,0 +1,84 @@
+Feature: A job is kept from its acceptance on, and each item is listed once
+
+  Scenario: A job's items run and are listed in the order of their ends
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 3 items
+    Then the job is accepted
+    And 3 items run
+    When the items' runs end whole, the last first
+    Then the job's results are items 2, 1 and 0, each done
+    And no item ran twice
+
+  Scenario: A job handed in again is the same job
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 3 items
+    And the other gateway hands in the same job
+    Then the job is accepted
+    And 3 items run
+    And no item ran twice
+
+  Scenario Outline: An accepted job outlives <loss>
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 2 items
+    Then the job is accepted
+    When <loss>
+    Then the job can still be read
+    And the body of an open item can be read
+
+    Examples:
+      | loss                                                       |
+      | all storage nodes lose power and start again               |
+      | the ledger's leader loses its disk and starts again        |
+      | the ledger's leader loses its disk and the others power    |
+
+  Scenario: A listed result keeps its place through a loss of the leader
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 3 items
+    And one item's run ends whole and is listed
+    And the ledger's leader loses its disk for good
+    And the other items' runs at the new leader end whole
+    Then the listed result has kept its place, and 3 results are there
+
+  Scenario: A run that breaks off goes on behind its last whole event
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 1 item
+    And the item's run sends 2 events and breaks
+    Then the item is sent again behind event 2
+    When the item's run sends event 3 and ends
+    Then the item's text has 3 events
+
+  Scenario: Items give way to online work and come back
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 5 items
+    Then 5 items run
+    When a gateway reports 7 online requests at the runner
+    Then no item runs
+    When a gateway reports 0 online requests at the runner
+    Then 5 items run
+
+  Scenario Outline: An item that can't be done is given up after <attempts> answers of <status>
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 1 item
+    And every run of the item is answered <status>
+    Then the item is listed as given up after <attempts> runs
+
+    Examples:
+      | status | attempts |
+      | 500    | 2        |
+      | 422    | 1        |
+
+  Scenario: Nothing of an ended job runs
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 3 items
+    And a gateway ends the job
+    Then no item runs
+    And ending the job again is answered the same
+    And nothing is sent any more
+
+  Scenario: A leader that is cut off answers nothing it can't be sure of
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 3 items
+    And the ledger's leader is cut off from the other storage nodes
+    And 3 seconds of the fleet pass
+    Then the cut-off leader refuses to read the job
+    And the job can still be read
--- /dev/null
+++ b/features/steps/relayed_fleet_steps.py
@@ -0,0 +1,340 @@
+"""Steps on a relayed fleet in virtual time: controllers and emptying."""
+
+from behave import given, step, then, when
+from features.support.relayed_fleet import RelayedFleet
+from features.support.relaying import runner_record
+
+from rainsail.errors import FaultCode
+
+SEED = 17
+
+
+@given("a relayed fleet")
+def make_fleet(context):
+    _make(context, 3)
+
+
+@given("a relayed fleet of {storage:d} storage nodes")
+def make_fleet_of(context, storage):
+    _make(context, storage)
+
+
+def _make(context, storage):
+    context.fleet = fleet = RelayedFleet(SEED, storage=storage)
+    fleet.leader("controller")
+    fleet.leader("storage")
+    fleet.run_for(1.5)
+
+
+@then("the controllers have one leader")
+def one_leader(context):
+    assert len(context.fleet.leading("controller")) == 1
+
+
+@then("the ledger has one leader and {count:d} voters")
+def ledger_voters(context, count):
+    leader = context.fleet.leader("storage")
+    voters = context.fleet.nodes[leader].role.driver.members().voters()
+    assert len(voters) == count, voters
+
+
+@then("every gateway knows {controllers:d} controllers and {storage:d} storage nodes")
+def gateways_know(context, controllers, storage):
+    for name in context.fleet.names("gateway"):
+        view = context.fleet.nodes[name].base.follower.view()
+        assert (len(view.controllers), len(view.storage)) == (controllers, storage), view
+
+
+# --- tables --------------------------------------------------------------------------------
+
+
+def _send_table(context, version, name):
+    return context.fleet.controller(name).replace_table(version, str(version).encode())
+
+
+@step("an operator sends table {version:d} to controller {number:d}")
+@step("an operator sent table {version:d} to controller {number:d}")
+def send_table(context, version, number):
+    done = _send_table(context, version, f"controller-{number}")
+    context.order = context.fleet.result_of(done, "an answer to the order")
+
+
+@when(
+    "operators send table {first:d} to controller {one:d} and table {second:d} "
+    "to controller {two:d} at once"
+)
+def race(context, first, one, second, two):
+    orders = [_send_table(context, first, f"controller-{one}")]
+    orders.append(_send_table(context, second, f"controller-{two}"))
+    for done in orders:
+        result = context.fleet.result_of(done, "an answer to the order")
+        assert result.is_ok(), result
+
+
+@then("the operator's order is taken")
+def order_taken(context):
+    assert context.order.is_ok(), context.order
+
+
+@then("every gateway has table {version:d} within {seconds:d} second")
+def gateways_have(context, version, seconds):
+    followers = [context.fleet.nodes[n].base.follower for n in context.fleet.names("gateway")]
+    context.fleet.run_until(
+        lambda: all(follower.table_version == version for follower in followers),
+        f"table {version} everywhere",
+        seconds,
+    )
+
+
+def _read(context, name):
+    return context.fleet.result_of(context.fleet.controller(name).read_table(), "a read")
+
+
+def _read_gives(context, name, version):
+    results = []
+
+    def gives():
+        if context.fleet.controller(name) is None:
+            context.fleet.run_for(0.05)
+            return False
+        done = context.fleet.controller(name).read_table()
+        results.append(context.fleet.result_of(done, "a read"))
+        return results[-1].is_ok()
+
+    context.fleet.run_until(gives, "a read that is answered")
+    assert results[-1].ok.version == version, results[-1]
+
+
+@then("a read at controller {number:d} gives table {version:d}")
+def read_gives(context, number, version):
+    _read_gives(context, f"controller-{number}", version)
+
+
+@when("the leading controller is cut off from all others")
+def cut_leader(context):
+    context.cut = context.fleet.leader("controller")
+    context.fleet.isolate(context.cut)
+    context.fleet.run_for(1.5)
+
+
+@then("an order of table {version:d} at it is not taken")
+def order_not_taken(context, version):
+    done = _send_table(context, version, context.cut)
+    assert context.fleet.result_of(done, "an answer").is_error()
+
+
+@then("a read at it is refused")
+def read_refused(context):
+    assert _read(context, context.cut).is_error()
+
+
+@then("a runner that drains there gets no acknowledgement")
+def drain_unacknowledged(context):
+    done = context.fleet.controller(context.cut).runner_word(runner_record(5, "draining", 2))
+    assert context.fleet.result_of(done, "an answer").is_error()
+
+
+@when("the other controllers take table {version:d}")
+def others_take(context, version):
+    other = next(n for n in context.fleet.names("controller") if n != context.cut)
+    results = []
+
+    def taken():
+        done = _send_table(context, version, other)
+        results.append(context.fleet.result_of(done, "an answer"))
+        return results[-1].is_ok()
+
+    context.fleet.run_until(taken, "an order that is taken")
+
+
+@when("the cut-off controller is back")
+def cut_off_back(context):
+    context.fleet.rejoin(context.cut)
+
+
+@then("a read at it gives table {version:d}")
+def read_at_it(context, version):
+    _read_gives(context, context.cut, version)
+
+
+# --- runners -------------------------------------------------------------------------------
+
+
+@step("runner {number:d} said at controller {at:d} that it is {state}")
+@step("runner {number:d} says at controller {at:d} that it is {state}")
+def runner_says(context, number, at, state):
+    sequence = 1 if state == "ready" else 2
+    controller = context.fleet.controller(f"controller-{at}")
+    done = controller.runner_word(runner_record(number, state, sequence))
+    context.word = context.fleet.result_of(done, "an answer to the runner")
+    if state == "ready":
+        context.fleet.run_for(1.5)
+
+
+@then("the runner's word is acknowledged")
+def word_acknowledged(context):
+    assert context.word.is_ok(), context.word
+
+
+def _registries(context):
+    return [context.fleet.nodes[n].base.registry for n in context.fleet.names("gateway")]
+
+
+@then("no gateway takes runner {number:d} as ready within {seconds:g} seconds")
+def not_ready(context, number, seconds):
+    runner = f"runner-{number}"
+    context.fleet.run_until(
+        lambda: not any(registry.is_ready(runner) for registry in _registries(context)),
+        "the word at every gateway",
+        seconds,
+    )
+
+
+@when("every gateway is cut off from controller {number:d}")
+def cut_gateways(context, number):
+    controller = context.fleet.address(f"controller-{number}")
+    for name in context.fleet.names("gateway"):
+        gateway = context.fleet.address(name)
+        context.fleet.network.cut(controller, gateway)
+        context.fleet.network.cut(gateway, controller)
+
+
+# --- losses --------------------------------------------------------------------------------
+
+
+def _restart(context, names):
+    for name in names:
+        context.fleet.start(name)
+
+
+@when("all controllers lose power")
+def all_lose_power(context):
+    for name in context.fleet.names("controller"):
+        context.fleet.crash(name)
+
+
+@when("all controllers lose power and start again")
+def all_restart(context):
+    names = context.fleet.names("controller")
+    all_lose_power(context)
+    _restart(context, names)
+
+
+@when("the leading controller loses its disk and starts again")
+def leader_wiped(context):
+    name = context.fleet.leader("controller")
+    context.fleet.lose_disk(name)
+    _restart(context, [name])
+
+
+@when("the leading controller loses its disk and the others power")
+def leader_wiped_others_off(context):
+    leader = context.fleet.leader("controller")
+    names = context.fleet.names("controller")
+    context.fleet.lose_disk(leader)
+    for name in names:
+        if name != leader:
+            context.fleet.crash(name)
+    _restart(context, names)
+
+
+@when("controller {number:d} is gone for good")
+def controller_gone(context, number):
+    context.fleet.crash(f"controller-{number}")
+
+
+@when("controller {number:d} starts with an empty disk")
+def controller_starts(context, number):
+    context.fleet.start(f"controller-{number}")
+
+
+@when("controller {number:d} loses its disk and starts again")
+def controller_wiped(context, number):
+    context.fleet.lose_disk(f"controller-{number}")
+    context.fleet.start(f"controller-{number}")
+
+
+@then("the root group has {count:d} voters and controller {number:d} is one of them")
+def root_voters(context, count, number):
+    wanted = context.fleet.address(f"controller-{number}")
+
+    def reached():
+        leaders = context.fleet.leading("controller")
+        if len(leaders) != 1:
+            return False
+        members = context.fleet.nodes[leaders[0]].role.driver.members()
+        voters = [member.replica for member in members.voters()]
+        return len(members.members) == count and wanted in voters
+
+    context.fleet.run_until(reached, "the other voter")
+
+
+@step("{seconds:g} seconds of the fleet pass")
+def fleet_time(context, seconds):
+    context.fleet.run_for(seconds)
+
+
+@then("every gateway has table {version:d} and takes runner {number:d} as ready")
+def gateways_keep(context, version, number):
+    for name in context.fleet.names("gateway"):
+        base = context.fleet.nodes[name].base
+        assert base.follower.table_version == version
+        assert base.registry.is_ready(f"runner-{number}")
+
+
+# --- emptying ------------------------------------------------------------------------------
+
+
+def _empty(context, node):
+    controller = context.fleet.controller(context.fleet.names("controller")[0])
+    context.emptied = node
+    context.emptying = context.fleet.result_of(controller.empty_node(node), "an answer")
+
+
+@when("an operator asks to empty a voting storage node")
+def empty_voter(context):
+    leader = context.fleet.leader("storage")
+    voters = context.fleet.nodes[leader].role.driver.members().voters()
+    addresses = {context.fleet.address(name): name for name in context.fleet.names("storage")}
+    _empty(context, addresses[voters[0].replica])
+
+
+@when('an operator asks to empty the node "{name}"')
+def empty_named(context, name):
+    _empty(context, name)
+
+
+@then("the emptying is taken")
+def emptying_taken(context):
+    assert context.emptying.is_ok(), context.emptying
+
+
+@then("the emptying is refused as a conflict")
+def emptying_conflict(context):
+    assert context.emptying.error.code == FaultCode.CONFLICT, context.emptying
+
+
+@then("the emptying is refused as not found")
+def emptying_unknown(context):
+    assert context.emptying.error.code == FaultCode.NOT_FOUND, context.emptying
+
+
+@then("the emptying is done within {seconds:d} seconds")
+def emptying_done(context, seconds):
+    controller = context.fleet.controller(context.fleet.names("controller")[0])
+
+    def done():
+        result = context.fleet.result_of(controller.emptying(context.emptied), "a status")
+        return result.is_ok() and result.ok.done
+
+    context.fleet.run_until(done, "the emptying", seconds)
+
+
+@when("the emptied node is gone for good")
+def emptied_gone(context):
+    context.fleet.lose_disk(context.emptied)
+
+
+@when("another storage node loses its disk for good at that moment")
+def another_gone(context):
+    context.fleet.lose_disk(context.fleet.names("storage")[0])
