Call the seeds' controllers from the start; check the adapter's translation and settings

Cause: a controller that starts with an empty disk set its group's contacts to those it had heard beats from, which at first is nobody, so it said hello to no one and refused its peers' messages as strangers' for up to a second. Seen in the log of the features on lost disks. Change: contacts and call targets also hold those that the follower knows, the seeds from the start. Test: 'A controller with an empty disk calls those that its seeds name from the start', red before. Also 35 scenarios on the adapter's translation; one of them found that a bad seed's fault named no place, mended.

--- a/features/cluster/controllers.feature
+++ b/features/cluster/controllers.feature
@@ -76,3 +76,9 @@
     When all controllers lose power
     And 10 seconds of the fleet pass
     Then every gateway has table 7 and takes runner 1 as ready
+
+  Scenario: A controller with an empty disk calls those that its seeds name from the start
+    Given a relayed fleet
+    When controller 2 loses its disk and starts again
+    And 0.4 seconds of the fleet pass
+    Then controller 2 knows the controllers 1 and 3 as contacts of its group
--- /dev/null
+++ b/features/platform/translation.feature
@@ -0,0 +1,103 @@
+Feature: The adapter translates, and refuses what it can't read whole
+
+  Scenario: A whole configuration becomes a routing table
+    Given the platform's example configuration
+    Then the table has version 7, 2 routes and 2 services
+    And route 1 is a resumable stream of 2 attempts, 5 seconds and a target of 0.5 seconds
+    And route 2 is split 90 to 10 and is not repeatable
+    And the limits are 16384 and 4194304 bytes, 3 and 15 seconds
+
+  Scenario Outline: An invalid configuration is refused whole
+    Given the platform's example configuration
+    When the configuration comes <spoiled>
+    Then it is refused and the fault names "<word>"
+
+    Examples:
+      | spoiled                         | word            |
+      | cut short                       | JSONDecodeError |
+      | naming an unknown service       | unknown service |
+      | putting two routes in one place | shares host     |
+      | without any weight              | weights         |
+      | with a time-out of 0            | timeoutMs       |
+      | without its routes              | routes          |
+      | no table but a list             | TypeError       |
+
+  Scenario: What a client's request says is read
+    Given a client's request with the platform's headers
+    Then its facts are id "9c41", host "h.example", path "/x/y", 8 seconds and 3 prompt parts
+
+  Scenario: What goes to a runner names the runner and the time left
+    Given a client's request with the platform's headers
+    When the request is translated for runner "i-1" with 2.5 seconds left behind event 4
+    Then the runner gets these fields
+      | field           | value     |
+      | Host            | h.example |
+      | Request-Id      | 9c41      |
+      | Deadline-Ms     | 2500      |
+      | Expect-Instance | i-1       |
+      | Last-Event-Id   | 4         |
+      | Content-Length  | 4         |
+      | X-Own           | kept      |
+    And no field "Connection" and no field "Keep-Alive"
+
+  Scenario Outline: A runner's head is judged
+    Given an answer <status> with the fields "<fields>"
+    Then it is <verdict> for request "9c41"
+
+    Examples:
+      | status | fields                       | verdict                |
+      | 200    | Request-Id: 9c41             | an answer              |
+      | 200    | Request-Id: other            | an answer to another   |
+      | 200    |                              | an answer to another   |
+      | 503    | Not-Run: 1                   | not run                |
+      | 421    | Instance-Id: i-2             | not run                |
+      | 400    |                              | not run                |
+      | 400    | Request-Id: 9c41             | an answer              |
+      | 503    | Request-Id: 9c41             | an unkept promise      |
+
+  Scenario Outline: A heartbeat that can't be read gets 400 and changes nothing
+    When a controller gets the heartbeat '<body>'
+    Then the call is answered 400
+    And the controller was told nothing
+
+    Examples:
+      | body                                                                     |
+      | {"service":"s","address":"10.0.0.1:1","state":"ready"}                   |
+      | {"service":7,"address":"10.0.0.1:1","state":"ready","sequence":1}        |
+      | {"service":"s"                                                           |
+      | []                                                                       |
+
+  Scenario Outline: A job that can't be read gets 400 and is not handed in
+    When a gateway gets the job '<body>'
+    Then the call is answered 400
+    And no job was handed in
+
+    Examples:
+      | body                                              |
+      | {"items":[]}                                      |
+      | {"items":[{"id":"a","path":"/p","body":"*"}]}     |
+      | {"items":[{"id":1,"path":"/p","body":""}]}        |
+      | {"things":[]}                                     |
+      | {"items":                                         |
+
+  Scenario Outline: How a job's call ended is said truly
+    When a gateway gets a job, and the ledger's answer is <answer>
+    Then the call is answered <status>
+
+    Examples:
+      | answer      | status |
+      | accepted    | 202    |
+      | not run     | 503    |
+      | unclear     | 504    |
+
+  Scenario Outline: A settings file that can't be used is refused with the place
+    Given a node's settings where <place> is <value>
+    Then they are refused and the fault names "<place>"
+
+    Examples:
+      | place            | value     |
+      | node.role        | "king"    |
+      | node.name        | ""        |
+      | peers.first_port | 0         |
+      | peers.seeds      | ["x"]     |
+      | node.losses      | -1        |
--- a/features/steps/relayed_fleet_steps.py
+++ b/features/steps/relayed_fleet_steps.py
@@ -338,3 +338,12 @@
 @when("another storage node loses its disk for good at that moment")
 def another_gone(context):
     context.fleet.lose_disk(context.fleet.names("storage")[0])
+
+
+@then(
+    "controller {number:d} knows the controllers {first:d} and {second:d} as contacts of its group"
+)
+def knows_contacts(context, number, first, second):
+    state = context.fleet.nodes[f"controller-{number}"].role.driver.core.state
+    wanted = {context.fleet.address(f"controller-{each}") for each in (first, second)}
+    assert wanted <= set(state.contacts), state.contacts
--- /dev/null
+++ b/features/support/platform_adapter_path.py
@@ -0,0 +1,9 @@
+"""Makes the adapter's package importable for the tests: it stands outside ``src``."""
+
+import sys
+from pathlib import Path
+
+ADAPTER = str(Path(__file__).resolve().parents[2] / "platform")
+
+if ADAPTER not in sys.path:
+    sys.path.append(ADAPTER)
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -190,7 +190,8 @@
 
     def _other_controllers(self) -> list[str]:
         now = self._clock.seconds()
-        return [name for name in self._view(now).controllers if name != self._node.address]
+        known = {*self._view(now).controllers, *self._follower.view().controllers}
+        return sorted(name for name in known if name != self._node.address)
 
     # --- the routing table ---------------------------------------------------------------
 
@@ -293,7 +294,9 @@
         if self._stopped:
             return
         now = self._clock.seconds()
-        controllers = self._view(now).controllers
+        # Before the first beats arrive a controller knows the others from its seeds alone.
+        known = {*self._view(now).controllers, *self._follower.view().controllers}
+        controllers = tuple(sorted(known))
         self._group.open_to(controllers, voters_for(self._settings.losses))
         if self._group.is_leader():
             if self._leads_since_s is None:
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -101,7 +101,7 @@
         if self.peers.last_port - self.peers.first_port < max(PORT_OFFSETS.values()):
             raise ValueError("peers: too few ports")
         for seed in self.peers.seeds:
-            parse_address(seed)
+            _check_seed(seed)
         return self
 
     def transport_port(self) -> int:
@@ -118,6 +118,13 @@
         return tuple(sorted({f"{parse_address(seed).host}:{port}" for seed in self.peers.seeds}))
 
 
+def _check_seed(seed: str) -> None:
+    try:
+        parse_address(seed)
+    except ValueError as error:
+        raise ValueError(f"peers.seeds: {error}") from None
+
+
 def load_node_settings(path: Path) -> Result[NodeSettings, Fault]:
     """Read and check a settings file; an INVALID fault names the place and what is wrong."""
     try:
