--- a/features/relay/requests.feature
+++ b/features/relay/requests.feature
@@ -99,3 +99,8 @@
     And the runner's connection breaks
     Then the client has the status 502
     And 1 sending was made
+
+  Scenario: While no runner is known, a client is told to come back when one may be
+    Given a relay with 0 runners and an "unsafe" route
+    When a client sends a request to the relay
+    Then the client is refused with 503 and told to come back after 0.8 seconds
--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -192,3 +192,9 @@
 @then("no more is under way at any runner")
 def nothing_under_way(context):
     assert context.relay.context.loads.in_flight() == {}
+
+
+@then("the client is refused with 503 and told to come back after {seconds:g} seconds")
+def told_when(context, seconds):
+    assert context.exchange.status == 503
+    assert float(dict(context.exchange.headers)[b"retry-after"]) == seconds
--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -10,20 +10,16 @@
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.messages import NodeRecord, NodeRole
 from rainsail.cluster.registry import RunnerRegistry
-from rainsail.consensus.settings import ConsensusSettings
 from rainsail.errors import Fault
 from rainsail.runtime.clock import Clock, MonotonicClock
 from rainsail.settings.node import NodeSettings
 from rainsail.wire.messenger import Messenger, Transport
+from rainsail.wire.protocol import FLEET_PROTOCOL_MODULES
 from rainsail.wire.settings import WireSettings
 from rainsail.wire.tcp import TcpTransport
 
 FLEET = "fleet"
 INCARNATION_BITS = 48
-MEBIBYTE = 1024 * 1024
-REPAIR_AFTER_S = 1.5
-SNAPSHOT_DISK_SHARE = 0.125
-LEAST_SNAPSHOT_LOG_BYTES = 4 * MEBIBYTE
 
 PEER_WIRE = WireSettings(
     connect_timeout_s=1.0,
@@ -61,7 +57,16 @@
     """Make the shared parts of a daemon; nothing is started."""
     random = random_module.Random(random_module.SystemRandom().getrandbits(64))
     name = settings.process_name()
-    transport = TcpTransport(name, {}, reactor, None, PEER_WIRE, FLEET, random)
+    transport = TcpTransport(
+        name,
+        {},
+        reactor,
+        None,
+        PEER_WIRE,
+        FLEET,
+        random,
+        protocol_modules=FLEET_PROTOCOL_MODULES,
+    )
     return assemble_base(settings, MonotonicClock(reactor), random, transport)
 
 
@@ -80,14 +85,3 @@
     registry = RunnerRegistry()
     follower = FleetFollower(node, settings.seed_controllers(), messenger, clock, registry)
     return NodeBase(settings, node, clock, random, transport, messenger, registry, follower)
-
-
-def group_settings(settings: NodeSettings) -> ConsensusSettings:
-    """Return the settings of a node's replicated group, sized by its disk."""
-    log_bytes = int(settings.limits.disk_mb * MEBIBYTE * SNAPSHOT_DISK_SHARE)
-    return ConsensusSettings(
-        repair_after_s=REPAIR_AFTER_S,
-        unreachable_after_s=1.2,
-        snapshot_log_bytes=max(LEAST_SNAPSHOT_LOG_BYTES, log_bytes),
-        hello_period_s=0.3,
-    )
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -5,8 +5,10 @@
 from rainsail.consensus.driver import GroupDriver
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.router import GroupRouter
+from rainsail.consensus.settings import ConsensusSettings
 from rainsail.errors import Fault, FaultCode
-from rainsail.fleet.base import FLEET, NodeBase, group_settings
+from rainsail.fleet.base import FLEET, NodeBase
+from rainsail.settings.node import NodeSettings
 from rainsail.state.commands import GroupId
 from rainsail.state.durable_schemas import durable_fingerprint
 from rainsail.state.interface import StateMachine
@@ -16,8 +18,15 @@
 from rainsail.storage.settings import StorageSettings
 from rainsail.wire.codec import CodecError
 
-SEGMENT_BYTES = 4 * 1024 * 1024
-CACHE_BYTES = 1024 * 1024
+MEBIBYTE = 1024 * 1024
+SEGMENT_BYTES = 4 * MEBIBYTE
+CACHE_BYTES = MEBIBYTE
+HEARTBEAT_PERIOD_S = 0.1
+ELECTION_TIMEOUT_S = 0.5
+"""Nodes are a few milliseconds apart, and what is refused while no node leads is lost for good."""
+REPAIR_AFTER_S = 1.5
+SNAPSHOT_DISK_SHARE = 0.125
+LEAST_SNAPSHOT_LOG_BYTES = 4 * MEBIBYTE
 
 
 class GroupFolder:
@@ -76,3 +85,16 @@
             detail = f"group {self._group}: its snapshot or log can't be read: {error}"
             return Error(Fault(FaultCode.STORAGE, "fleet.open_group", detail))
         return Ok(driver)
+
+
+def group_settings(settings: NodeSettings) -> ConsensusSettings:
+    """Return the settings of a node's replicated group, sized by its disk."""
+    log_bytes = int(settings.limits.disk_mb * MEBIBYTE * SNAPSHOT_DISK_SHARE)
+    return ConsensusSettings(
+        heartbeat_period_s=HEARTBEAT_PERIOD_S,
+        election_timeout_s=ELECTION_TIMEOUT_S,
+        repair_after_s=REPAIR_AFTER_S,
+        unreachable_after_s=1.2,
+        snapshot_log_bytes=max(LEAST_SNAPSHOT_LOG_BYTES, log_bytes),
+        hello_period_s=0.3,
+    )
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -4,6 +4,7 @@
 all, and whether an answer ended as whole.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from typing import Protocol as TypingProtocol
@@ -81,11 +82,14 @@
         self._listener: AnswerListener | None = None
         self._idle_s: float | None = None
         self.closed = False
+        self.when_made: Callable[[], None] = lambda: None
 
     def connectionMade(self) -> None:
-        """Set the socket's options."""
+        """Set the socket's options and say that the connection is up."""
         self.transport.setTcpNoDelay(True)
         set_user_timeout(self.transport, self._user_timeout_s)
+        when_made, self.when_made = self.when_made, lambda: None
+        when_made()
 
     def send(self, request: OutgoingRequest, listener: AnswerListener) -> None:
         """Send a whole request; its answer goes to ``listener``."""
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory
+from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
 from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
@@ -140,29 +139,24 @@
         server = self._servers.setdefault(address, _Server())
         server.open_count += 1
         self.opened += 1
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, place.host, place.port, self._settings.connect_timeout_s
-        )
-        factory: Any = Factory.forProtocol(lambda: self._new_connection(address))
-        factory.noisy = False
-        attempt = endpoint.connect(factory)
-        attempt.addCallbacks(
-            lambda connection: self._connected(connection, request, call),
-            lambda failure: self._not_connected(failure, address, call),
-        )
-
-    def _new_connection(self, address: str) -> ClientConnection:
+        factory = _OneConnection(self, address, request, call)
+        self._reactor.connectTCP(place.host, place.port, factory, self._settings.connect_timeout_s)
+
+    def new_connection(self, address: str) -> ClientConnection:
+        """Return the protocol of a connection that has come up."""
         connection = ClientConnection(self, self._settings.user_timeout_s)
         self._address_of[connection] = address
         return connection
 
-    def _connected(self, connection: Any, request: OutgoingRequest, call: Call) -> None:
+    def connected(self, connection: ClientConnection, request: OutgoingRequest, call: Call) -> None:
+        """Send on a connection that has come up, unless nobody waits any more."""
         if call.cancelled:
             self.connection_idle(connection, None)
             return
         call.run_on(connection, request)
 
-    def _not_connected(self, failure: Failure, address: str, call: Call) -> None:
+    def not_connected(self, failure: Failure, address: str, call: Call) -> None:
+        """Say that the request has not left."""
         self._servers[address].open_count -= 1
         if not call.cancelled:
             call.listener.request_unsent(failure.getErrorMessage())
@@ -188,3 +182,27 @@
         server = self._servers[address]
         server.open_count -= 1
         server.idle = [each for each in server.idle if each.connection is not connection]
+
+
+class _OneConnection(ClientFactory):
+    """Opens one connection for one request."""
+
+    noisy = False
+
+    def __init__(
+        self, pool: ConnectionPool, address: str, request: OutgoingRequest, call: Call
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._request = request
+        self._call = call
+
+    def buildProtocol(self, addr: Any) -> ClientConnection:
+        """Return the connection; the request goes out once it is wired up."""
+        connection = self._pool.new_connection(self._address)
+        connection.when_made = lambda: self._pool.connected(connection, self._request, self._call)
+        return connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """No connection."""
+        self._pool.not_connected(reason, self._address, self._call)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -359,11 +359,15 @@
         status = STATUS_BAD_GATEWAY if self._may_have_run else STATUS_UNAVAILABLE
         self._refuse(status, self._last_reason)
 
+    def _retry_after_s(self) -> float:
+        settings = self._context.settings
+        return settings.retry_after_s if self._tried else settings.no_runner_retry_after_s
+
     def _refuse(self, status: int, reason: str) -> None:
         self._last_reason = reason
         retry_after_s = None
         if status == STATUS_UNAVAILABLE:
-            retry_after_s = self._context.settings.retry_after_s
+            retry_after_s = self._retry_after_s()
         headers = self._context.protocol.refusal_headers(retry_after_s)
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
--- a/src/rainsail/relay/settings.py
+++ b/src/rainsail/relay/settings.py
@@ -9,12 +9,16 @@
 class RelaySettings:
     """Times are seconds.
 
+    The ``retry_after`` times say when a refused client should come back: after a runner was full,
+    after a start of this gateway, and while no runner of the service is known. Clients come back
+    once or so, so that the time has to cover what they wait for.
     ``silence_targets`` is how many of a route's targets a repeatable request may stay without an
     answer before it goes to another runner; the least of these waits is ``least_silence_s``.
     """
 
     retry_after_s: float = 0.25
-    not_ready_retry_after_s: float = 0.5
+    not_ready_retry_after_s: float = 1.2
+    no_runner_retry_after_s: float = 0.8
     silence_targets: float = 2.5
     least_silence_s: float = 0.6
     least_gap_s: float = 1.0
--- a/src/rainsail/wire/connection.py
+++ b/src/rainsail/wire/connection.py
@@ -9,10 +9,9 @@
 from rainsail.wire.codec import CodecError, decode, encode
 from rainsail.wire.envelope import decode_envelope
 from rainsail.wire.framing import FramedConnection
-from rainsail.wire.hello import LinkHello, LinkRefused, RoleOf, check_hello
+from rainsail.wire.hello import Certified, LinkHello, LinkRefused, RoleOf, check_hello
 from rainsail.wire.messenger import Envelope, ProcessName
 from rainsail.wire.settings import WireSettings
-from rainsail.wire.tls import certified, handshake_fault
 
 STEP = "wire.connection"
 KEEPALIVE_FRAME = b""
@@ -122,7 +121,7 @@
         peer = self.peer or self._remote
         if reason is None:
             return Fault(FaultCode.UNAVAILABLE, STEP, "closed", peer)
-        refused = handshake_fault(reason, peer)
+        refused = _handshake_fault(reason, peer) if self._tls else None
         return refused or Fault(FaultCode.UNAVAILABLE, STEP, reason.getErrorMessage(), peer)
 
     # --- the transport's calls ---------------------------------------------------------------
@@ -160,7 +159,7 @@
             self.close(self._invalid(FaultCode.FORBIDDEN, f"{name} arrived before the hello"))
 
     def _judge_hello(self, other: LinkHello) -> None:
-        proof = certified(self.transport) if self._tls else None
+        proof = _certified(self.transport) if self._tls else None
         fault = check_hello(self._hello, other, self._expected, proof, self._role_of)
         if fault is not None:
             self._refuse(fault)
@@ -219,3 +218,16 @@
 
     def _invalid(self, code: FaultCode, detail: str) -> Fault:
         return Fault(code, STEP, detail, self.peer)
+
+
+def _handshake_fault(reason: Failure, peer: str) -> Fault | None:
+    """Load TLS only where it is used: a node without it starts faster and smaller."""
+    from rainsail.wire.tls import handshake_fault
+
+    return handshake_fault(reason, peer)
+
+
+def _certified(transport: Any) -> Certified:
+    from rainsail.wire.tls import certified
+
+    return certified(transport)
--- a/src/rainsail/wire/protocol.py
+++ b/src/rainsail/wire/protocol.py
@@ -19,10 +19,18 @@
     "rainsail.wire.hello",
 )
 
+FLEET_PROTOCOL_MODULES = (
+    "rainsail.cluster.messages",
+    "rainsail.jobs.messages",
+    "rainsail.state.job_commands",
+    "rainsail.wire.hello",
+)
+"""What every node of a relaying fleet speaks; members of a group check their records apart."""
+
 
 @cache
-def transport_fingerprint() -> int:
+def transport_fingerprint(modules: tuple[str, ...] = PROTOCOL_MODULES) -> int:
     """Import the protocol's modules and return the CRC-32C over their schemas."""
-    for name in PROTOCOL_MODULES:
+    for name in modules:
         importlib.import_module(name)
-    return protocol_fingerprint(PROTOCOL_MODULES)
+    return protocol_fingerprint(modules)
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -31,9 +31,8 @@
 from rainsail.wire.envelope import encode_envelope
 from rainsail.wire.hello import LinkHello, RoleOf
 from rainsail.wire.messenger import Envelope, EnvelopeKind, ProcessName
-from rainsail.wire.protocol import transport_fingerprint
+from rainsail.wire.protocol import PROTOCOL_MODULES, transport_fingerprint
 from rainsail.wire.settings import TlsSettings, WireSettings
-from rainsail.wire.tls import certificate_options, own_certified
 
 STEP = "wire.tcp"
 
@@ -51,8 +50,10 @@
         fleet: str = "",
         random: Random | None = None,
         role_of: RoleOf | None = None,
+        protocol_modules: tuple[str, ...] = PROTOCOL_MODULES,
     ) -> None:
-        """``role_of`` has every peer's certificate name its role.
+        """``role_of`` has every peer's certificate name its role; peers must run the same schemas
+        of ``protocol_modules``.
 
         Raise ``RainsailError`` for unusable TLS files, or without TLS off loopback."""
         self.name = name
@@ -62,7 +63,7 @@
         self._random = random or Random(SystemRandom().getrandbits(64))
         self._role_of = role_of
         self._tls_options = _tls_options(name, tls, role_of)
-        self._hello = LinkHello(name, fleet, transport_fingerprint())
+        self._hello = LinkHello(name, fleet, transport_fingerprint(protocol_modules))
         self._deliver: Callable[[ProcessName, Envelope], None] | None = None
         self._dialled: dict[ProcessName, PeerConnection] = {}
         self._accepted: dict[ProcessName, PeerConnection] = {}
@@ -290,6 +291,9 @@
 def _tls_options(name: ProcessName, tls: TlsSettings | None, role_of: RoleOf | None) -> Any:
     if tls is None:
         return None
+    # Loaded only where it is used: a node without TLS starts faster and smaller.
+    from rainsail.wire.tls import certificate_options, own_certified
+
     own = own_certified(tls)
     if own.name != name:
         detail = f"{tls.certificate_file} certifies {own.name!r}, this process is {name!r}"
