--- a/features/relay/choice.feature
+++ b/features/relay/choice.feature
@@ -35,3 +35,31 @@
       | /a/x   | /a/    |
       | /a/b/x | /a/b/  |
       | /a     | /      |
+
+  Scenario: A short request avoids a runner that reads a long prompt
+    Given a relay with 2 runners and a "stream" route
+    When a client sends a request to the relay with an own part of 60000 tokens
+    And 6 clients send requests to the relay with a shared part of 200 tokens
+    Then none of the last 6 went where the first went
+    When 2 seconds pass
+    And 4 clients send requests to the relay with a shared part of 200 tokens
+    Then some of the last 4 went where the first went
+
+  Scenario: Another gateway's word of a long prompt counts like an own one
+    Given a relay with 2 runners and a "stream" route
+    When another gateway says that runner 1 reads for 0.9 seconds
+    And 4 clients send requests to the relay with a shared part of 200 tokens
+    Then all of them went to runner 2
+
+  Scenario: A long prompt is told to the other gateways, a short one is not
+    Given a relay with 2 runners and a "stream" route
+    When 3 clients send requests to the relay with a shared part of 200 tokens
+    Then nothing was told to the other gateways
+    When a client sends a request to the relay with an own part of 20000 tokens
+    Then one long prompt was told to the other gateways
+
+  Scenario: A runner that owes an answer and says nothing is left out
+    Given a relay with 2 runners and a "stream" route
+    When 4 clients send requests to the relay with a shared part of 200 tokens
+    And runner 2 sends an event on all its streams every 0.1 seconds, for 0.6 seconds
+    Then runner 1 is silent and runner 2 is not
--- a/features/steps/relay_choice_steps.py
+++ b/features/steps/relay_choice_steps.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from behave import given, then, when
+from features.support.relaying import event
 
 from rainsail.relay.protocol import PromptPart
 from rainsail.relay.split import SplitPicker
@@ -104,3 +105,67 @@
     for row in context.table:
         route = context.routes.match("A.example", row["path"])
         assert route is not None and route.prefix == row["route"], row
+
+
+@when("a client sends a request to the relay with an own part of {tokens:d} tokens")
+def send_long(context, tokens):
+    context.told = getattr(context, "told", [])
+    prompt = (PromptPart("common", 100), PromptPart(f"long-{tokens}", tokens))
+    context.relay.context.tell_reading = lambda *told: context.told.append(told)
+    context.relay.request(prompt=prompt, request=f"long-{tokens}")
+    context.long_runner = context.relay.last_call.field(b"runner")
+
+
+@then("none of the last {count:d} went where the first went")
+def none_there(context, count):
+    runners = [call.field(b"runner") for call in context.relay.pool.calls[-count:]]
+    assert context.long_runner not in runners, runners
+
+
+@then("some of the last {count:d} went where the first went")
+def some_there(context, count):
+    runners = [call.field(b"runner") for call in context.relay.pool.calls[-count:]]
+    assert context.long_runner in runners, runners
+
+
+@when("another gateway says that runner {number:d} reads for {seconds:g} seconds")
+def told_reading(context, number, seconds):
+    loads = context.relay.context.loads
+    loads.reads(f"runner-{number}", seconds, context.relay.clock.seconds())
+
+
+@then("all of them went to runner {number:d}")
+def all_went(context, number):
+    assert set(_by_runner(context.relay.pool.calls)) == {f"runner-{number}"}
+
+
+@then("nothing was told to the other gateways")
+def nothing_told(context):
+    context.told = getattr(context, "told", [])
+    assert context.told == []
+
+
+@then("one long prompt was told to the other gateways")
+def one_told(context):
+    assert len(context.told) == 1 and context.told[0][1] > 0.2, context.told
+
+
+@when(
+    "runner {number:d} sends an event on all its streams every {step:g} seconds, "
+    "for {seconds:g} seconds"
+)
+def keep_sending(context, number, step, seconds):
+    calls = [c for c in context.relay.pool.calls if c.field(b"runner") == f"runner-{number}"]
+    assert calls and len(calls) < len(context.relay.pool.calls)
+    for call in calls:
+        call.begin_stream()
+    for turn in range(1, round(seconds / step) + 1):
+        context.relay.clock.advance(step)
+        for call in calls:
+            call.listener.answer_data(event(turn))
+
+
+@then("runner {silent:d} is silent and runner {speaking:d} is not")
+def is_silent(context, silent, speaking):
+    found = context.relay.context.loads.silent(context.relay.clock.seconds())
+    assert found == [f"runner-{silent}"], found
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -21,12 +21,14 @@
     EmptyNode,
     FetchTable,
     FleetView,
+    LedgerLeader,
     NodeBeat,
     NodeBeatReply,
     NodeRecord,
     NodeRole,
     ReadEmptying,
     ReadTable,
+    RunnerReads,
     RunnerRecord,
     RunnerShared,
     RunnerState,
@@ -89,6 +91,7 @@
         self._epoch = node.incarnation
         self._pushed_revision = 0
         self._noticed_version = 0
+        self._ledger_term = 0
         self._leads_since_s: float | None = None
         self._founding = False
         self._stopped = False
@@ -96,6 +99,7 @@
         group.on_applied(self._applied)
         serve = messenger.serve
         serve(NodeBeat, self._take_beat)
+        serve(RunnerReads, self._hand_on_reading)
         serve(FetchTable, lambda source, message: self._document())
         serve(ShareRunner, self._take_shared)
         serve(SubmitTable, lambda source, message: self._submit_as_leader(message))
@@ -158,6 +162,13 @@
         for address in self._directory.followers(self._clock.seconds()):
             self._messenger.send(address, update)
 
+    def _hand_on_reading(self, source: str, message: RunnerReads) -> None:
+        """Tell every other gateway that a runner is busy reading."""
+        now = self._clock.seconds()
+        for address in self._directory.addresses(NodeRole.GATEWAY, now):
+            if address != source:
+                self._messenger.send(address, message)
+
     # --- nodes ---------------------------------------------------------------------------
 
     def _take_beat(self, source: str, beat: NodeBeat) -> NodeBeatReply:
@@ -166,6 +177,7 @@
             node = beat.node
             log = logger.bind(node=node.name, address=node.address, role=node.role.value)
             log.info("node_heard")
+        self._notice_ledger_leader(beat, now)
         known = beat.revision if beat.epoch == self._epoch else 0
         return NodeBeatReply(
             self._view(now),
@@ -175,6 +187,15 @@
             self._registry.changed_since(known),
         )
 
+    def _notice_ledger_leader(self, beat: NodeBeat, now: float) -> None:
+        """Push the ledger's new leader at once: gateways report to it what they have running."""
+        status = beat.ledger
+        if status is None or not status.leads or status.term <= self._ledger_term:
+            return
+        self._ledger_term = status.term
+        for address in self._directory.followers(now):
+            self._messenger.send(address, LedgerLeader(beat.node.address, status.term))
+
     def _view(self, now: float) -> FleetView:
         members = {member.replica for member in self._group.members().members}
         controllers = {self._node.address, *members}
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -5,17 +5,19 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from twisted.internet.defer import Deferred
 
 from rainsail.cluster.messages import (
     FetchTable,
     FleetView,
+    LedgerLeader,
     LedgerStatus,
     NodeBeat,
     NodeBeatReply,
     NodeRecord,
+    RunnerReads,
     RunnerRecord,
     RunnerUpdate,
     TableDocument,
@@ -69,7 +71,10 @@
         self.on_table: Callable[[TableDocument], None] = lambda document: None
         self.on_view: Callable[[FleetView], None] = lambda view: None
         messenger.serve(RunnerUpdate, self._take_update)
+        self.on_ledger_leader: Callable[[str], None] = lambda address: None
+        self.on_reading: Callable[[RunnerReads], None] = lambda message: None
         messenger.serve(TableNotice, self._take_notice)
+        messenger.serve(LedgerLeader, self._take_ledger_leader)
 
     def start(self) -> None:
         """Begin to beat."""
@@ -185,6 +190,20 @@
     def _take_notice(self, source: str, notice: TableNotice) -> None:
         self._want_table(source, notice.version)
 
+    def _take_ledger_leader(self, source: str, message: LedgerLeader) -> None:
+        for controller in self._controllers.values():
+            controller.view = replace(controller.view, ledger_leader=message.address)
+        self.on_ledger_leader(message.address)
+
+    def tell_reading(self, runner: str, reading_s: float) -> None:
+        """Have a controller tell the other gateways that a runner reads a long prompt."""
+        fresh = [name for name, each in self._controllers.items() if self._is_fresh(each)]
+        if fresh:
+            self._messenger.send(fresh[0], RunnerReads(runner, reading_s))
+
+    def _is_fresh(self, controller: _Controller) -> bool:
+        return self._clock.seconds() - controller.heard_s < 2 * BEAT_PERIOD_S
+
     def _want_table(self, address: str, version: int) -> None:
         controller = self._know(address)
         if version <= self.table_version or controller.fetching:
--- a/src/rainsail/cluster/messages.py
+++ b/src/rainsail/cluster/messages.py
@@ -197,3 +197,21 @@
 
     name: str
     done: bool
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RunnerReads:
+    """A gateway's word that a runner reads a long prompt; a controller hands it to the others."""
+
+    runner: str
+    reading_s: float
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class LedgerLeader:
+    """Pushed to nodes when another storage node leads the ledger."""
+
+    address: str
+    term: int
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -49,7 +49,12 @@
     """Implements ``rainsail.http.pool.UnsentListener``."""
 
     def __init__(
-        self, owner: AttemptOwner, context: RelayContext, record: RunnerRecord, request: str
+        self,
+        owner: AttemptOwner,
+        context: RelayContext,
+        record: RunnerRecord,
+        request: str,
+        speaks_within_s: float,
     ) -> None:
         self.record = record
         self.head: AnswerHead | None = None
@@ -63,7 +68,7 @@
         self._context = context
         self._request = request
         self._over = False
-        context.loads.sent(record.runner)
+        context.loads.sent(record.runner, context.clock.seconds(), speaks_within_s)
 
     # --- UnsentListener ------------------------------------------------------------------
 
@@ -71,6 +76,7 @@
         """Judge the head."""
         context = self._context
         self.head = head
+        context.loads.heard(self.record.runner, context.clock.seconds())
         self.verdict = verdict = context.protocol.judge(head, self._request)
         if verdict.load is not None and verdict.belongs:
             context.loads.reported(self.record.runner, verdict.load, context.clock.seconds())
@@ -86,6 +92,7 @@
         """Gather the body, or hand whole events on."""
         if self._over:
             return
+        self._context.loads.heard(self.record.runner, self._context.clock.seconds())
         if self.is_stream:
             events = self.splitter.feed(data)
             if events:
@@ -132,7 +139,7 @@
         if self._over:
             return False
         self._over = True
-        self._context.loads.ended(self.record.runner)
+        self._context.loads.ended(self.record.runner, self._context.clock.seconds())
         return True
 
 
--- a/src/rainsail/relay/choice.py
+++ b/src/rainsail/relay/choice.py
@@ -1,8 +1,8 @@
 """Choosing the runner of one request: a price in milliseconds for each, the cheapest wins.
 
 The price adds up what a runner probably still has to read of the prompt, how crowded it is, how
-much of a wait its queue means, and a little for another zone. Chance parts equals, so that the
-gateways of a fleet don't all run to the same runner.
+much of a wait its queue and the prompts it is reading mean, and a little for another zone. Chance
+parts equals, so that the gateways of a fleet don't all run to the same runner.
 """
 
 from collections.abc import Sequence
@@ -22,6 +22,8 @@
     """The prices, in milliseconds unless said otherwise."""
 
     read_tokens_per_ms: float = 85.0
+    attention_pairs_per_ms: float = 3.6e6
+    """Reading a token costs the more, the more tokens stand before it."""
     crowded_ms: float = 40.0
     """Price of a runner with all slots taken; it grows with the square of the share taken."""
     wait_ms: float = 60.0
@@ -29,6 +31,8 @@
     other_zone_ms: float = 6.0
     cold_ms: float = 60.0
     noise_ms: float = 4.0
+    read_again: float = 1.25
+    """What reading counts beside waiting: it also takes memory, and from others."""
     home_discount: float = 0.5
     """Share of the reading that is priced at a part's home, where it may lie already."""
     least_shared_tokens: int = 1500
@@ -78,6 +82,12 @@
         candidates = open_ones or sound
         return min(candidates, key=lambda record: self._price_ms(record, wish, home, now))
 
+    def reading_ms(self, prompt: tuple[PromptPart, ...], runner: str) -> float:
+        """Return how long a runner probably reads at a prompt."""
+        missing = self._prefixes.missing_tokens(prompt, runner)
+        whole = sum(part.tokens for part in prompt)
+        return reading_time_ms(missing, whole, self._settings)
+
     def _home(self, wish: Wish, runners: list[str]) -> str:
         part = shared_part(wish.prompt)
         if part is None or part.tokens < self._settings.least_shared_tokens:
@@ -96,7 +106,15 @@
         if record.cold_left_s > 0:
             price += settings.cold_ms
         if wish.prompt:
-            missing = self._prefixes.missing_tokens(wish.prompt, record.runner)
             discount = settings.home_discount if record.runner == home else 1.0
-            price += discount * missing / settings.read_tokens_per_ms
+            reading_ms = self.reading_ms(wish.prompt, record.runner)
+            price += settings.read_again * discount * reading_ms
+            reads_until_s = self._loads.of(record.runner).reads_until_s
+            price += max(0.0, reads_until_s - now) * MILLISECONDS_PER_S
         return price
+
+
+def reading_time_ms(missing: int, whole: int, settings: ChoiceSettings) -> float:
+    """Return how long a runner reads ``missing`` tokens at the end of a prompt of ``whole``."""
+    pairs = missing * (whole - missing / 2)
+    return missing / settings.read_tokens_per_ms + pairs / settings.attention_pairs_per_ms
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -1,5 +1,6 @@
 """What all relayed requests of a gateway share."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -30,6 +31,8 @@
     split: SplitPicker
     settings: RelaySettings
     table: RoutingTable | None = None
+    tell_reading: Callable[[str, float], None] = lambda runner, reading_s: None
+    """Tells the other gateways that a runner reads a long prompt, for that many seconds."""
 
 
 def make_context(
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 
 from rainsail.cluster.follower import FleetFollower
-from rainsail.cluster.messages import FleetView, RunnerRecord, RunnerState, TableDocument
+from rainsail.cluster.messages import (
+    FleetView,
+    RunnerReads,
+    RunnerRecord,
+    RunnerState,
+    TableDocument,
+)
 from rainsail.errors import Fault
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits
@@ -54,11 +60,15 @@
         follower.on_table = self._take_table
         follower.on_runners = self._runners_changed
         follower.on_view = self._view_changed
+        follower.on_ledger_leader = self._take_ledger_leader
+        context.tell_reading = follower.tell_reading
+        messenger.serve(RunnerReads, self._take_reading)
 
     def start(self) -> None:
         """Begin to report what is under way and to tidy up."""
         self._report_use()
         self._keep_house()
+        self._leave_silent()
 
     def stop(self) -> None:
         """Report no more."""
@@ -137,9 +147,18 @@
                 self._context.loads.forget(record.runner)
 
     def _view_changed(self, view: FleetView) -> None:
-        if view.ledger_leader and view.ledger_leader != self._ledger_leader:
-            self._ledger_leader = view.ledger_leader
-            self.on_ledger_leader(view.ledger_leader)
+        if view.ledger_leader:
+            self._take_ledger_leader(view.ledger_leader)
+
+    def _take_ledger_leader(self, address: str) -> None:
+        if address != self._ledger_leader:
+            self._ledger_leader = address
+            self.on_ledger_leader(address)
+
+    def _take_reading(self, source: str, message: RunnerReads) -> None:
+        """Another gateway has sent a long prompt to a runner."""
+        now = self._context.clock.seconds()
+        self._context.loads.reads(message.runner, message.reading_s, now)
 
     # --- housekeeping --------------------------------------------------------------------
 
@@ -157,6 +176,22 @@
             self._messenger.send(leader, OnlineUse(uses))
         self._context.clock.callLater(self._context.settings.use_report_period_s, self._report_use)
 
+    def _leave_silent(self) -> None:
+        """Leave runners out that owe answers and say nothing; the next try opens a connection."""
+        if self._stopped:
+            return
+        context = self._context
+        now = context.clock.seconds()
+        for runner in context.loads.silent(now):
+            if context.loads.of(runner).out_until_s > now:
+                continue
+            context.loads.leave_out(runner, now, context.settings.silent_out_s)
+            record = self._follower.registry.get(runner)
+            if record is not None and record.address:
+                context.pool.forget(record.address)
+            logger.bind(runner=runner).info("runner_silent")
+        context.clock.callLater(context.settings.silence_look_period_s, self._leave_silent)
+
     def _keep_house(self) -> None:
         if self._stopped:
             return
--- a/src/rainsail/relay/load.py
+++ b/src/rainsail/relay/load.py
@@ -1,7 +1,9 @@
 """What a gateway knows of each runner's load and soundness.
 
 A runner's own word comes late and with each answer only; in between it is carried on by what this
-gateway itself has sent and seen end since. Failures in a row take a runner out for a while.
+gateway itself has sent and seen end since. Failures in a row take a runner out for a while, and so
+does silence while it owes an answer. Long prompts that a runner still has to read hold up all that
+is sent to it after them; gateways tell each other of those.
 """
 
 from dataclasses import dataclass
@@ -29,6 +31,12 @@
     failures: int = 0
     out_until_s: float = float("-inf")
     full_until_s: float = float("-inf")
+    reads_until_s: float = float("-inf")
+    """When the runner will probably have read the prompts that it was sent."""
+    owes_since_s: float | None = None
+    """Since when it has said nothing, though it owes answers; None while it owes none."""
+    owes_within_s: float = 0.0
+    """How long it may say nothing."""
 
     def estimate(self, now: float) -> float:
         """Return the requests that the runner probably has, waiting ones with them."""
@@ -67,17 +75,49 @@
         """Return what is under way by runner, zeros left out."""
         return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
 
-    def sent(self, runner: str) -> None:
-        """A request has gone out."""
-        self.of(runner).in_flight += 1
+    def sent(self, runner: str, now: float, speaks_within_s: float) -> None:
+        """A request has gone out to a runner that should say something within a time."""
+        load = self.of(runner)
+        load.in_flight += 1
+        load.owes_within_s = max(load.owes_within_s, speaks_within_s)
+        if load.owes_since_s is None:
+            load.owes_since_s = now
         self.changed = True
 
-    def ended(self, runner: str) -> None:
+    def ended(self, runner: str, now: float) -> None:
         """A request has ended, in whatever way."""
         load = self.of(runner)
         load.in_flight = max(0, load.in_flight - 1)
+        if load.in_flight == 0:
+            load.owes_since_s = None
+            load.owes_within_s = 0.0
         self.changed = True
 
+    def heard(self, runner: str, now: float) -> None:
+        """A runner has sent something."""
+        load = self.of(runner)
+        if load.owes_since_s is not None:
+            load.owes_since_s = now
+
+    def silent(self, now: float) -> list[str]:
+        """Return the runners that owe answers and have said nothing for too long."""
+        return [
+            name
+            for name, load in self._loads.items()
+            if load.owes_since_s is not None
+            and now - max(load.owes_since_s, load.reads_until_s) > load.owes_within_s
+        ]
+
+    def leave_out(self, runner: str, now: float, for_s: float) -> None:
+        """Take a runner out for a time."""
+        load = self.of(runner)
+        load.out_until_s = max(load.out_until_s, now + for_s)
+
+    def reads(self, runner: str, for_s: float, now: float) -> None:
+        """A runner has a prompt more to read, which takes it a time."""
+        load = self.of(runner)
+        load.reads_until_s = max(load.reads_until_s, now) + for_s
+
     def reported(self, runner: str, report: ServerLoad, now: float) -> None:
         """Take a runner's own word."""
         load = self.of(runner)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -12,7 +12,7 @@
 from rainsail.http.exchange import Exchange
 from rainsail.logs import logger
 from rainsail.relay.attempt import Attempt
-from rainsail.relay.choice import Wish
+from rainsail.relay.choice import MILLISECONDS_PER_S, Wish
 from rainsail.relay.context import RelayContext
 from rainsail.relay.events import Event
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
@@ -165,12 +165,27 @@
         target = RunnerTarget(record.runner, record.address)
         request = context.protocol.relayed(self._exchange.request, target, left_s, self._last_event)
         if self._facts.prompt:
-            context.prefixes.sent(self._facts.prompt, record.runner)
-        attempt = Attempt(self, context, record, self._facts.request)
+            self._note_reading(record, now)
+        attempt = Attempt(self, context, record, self._facts.request, self._speaks_within_s())
         self._attempt = attempt
         self._arm_watch(self._first_wait_s())
         attempt.call = context.pool.send(record.address, request, attempt)
 
+    def _note_reading(self, record: RunnerRecord, now: float) -> None:
+        """Count in what the runner has to read, and tell the others of a long prompt."""
+        context = self._context
+        reading_ms = context.chooser.reading_ms(self._facts.prompt, record.runner)
+        context.prefixes.sent(self._facts.prompt, record.runner)
+        context.loads.reads(record.runner, reading_ms / MILLISECONDS_PER_S, now)
+        if reading_ms >= context.settings.told_reading_ms:
+            context.tell_reading(record.runner, reading_ms / MILLISECONDS_PER_S)
+
+    def _speaks_within_s(self) -> float:
+        settings = self._context.settings
+        if self._route.kind == RouteKind.STREAM:
+            return settings.stream_speaks_within_s
+        return settings.answer_speaks_within_s
+
     def _deadline_left_s(self, now: float) -> float:
         assert self._facts.deadline_s is not None
         return max(0.001, self._received_s + self._facts.deadline_s - now)
--- a/src/rainsail/relay/settings.py
+++ b/src/rainsail/relay/settings.py
@@ -14,6 +14,9 @@
     once or so, so that the time has to cover what they wait for.
     ``silence_targets`` is how many of a route's targets a repeatable request may stay without an
     answer before it goes to another runner; the least of these waits is ``least_silence_s``.
+    ``stream_speaks_within_s`` and ``answer_speaks_within_s`` are how long a runner that owes an
+    answer may say nothing before it is left out for ``silent_out_s``; a prompt that takes a runner
+    longer than ``told_reading_ms`` to read is told to the other gateways.
     """
 
     retry_after_s: float = 0.25
@@ -25,4 +28,9 @@
     least_time_left_s: float = 0.03
     buffered_bytes: int = 256 * 1024
     use_report_period_s: float = 0.05
+    silence_look_period_s: float = 0.1
+    stream_speaks_within_s: float = 0.35
+    answer_speaks_within_s: float = 1.0
+    silent_out_s: float = 1.0
+    told_reading_ms: float = 40.0
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
