--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -82,3 +82,17 @@
     And 3 seconds of the fleet pass
     Then the cut-off leader refuses to read the job
     And the job can still be read
+
+  Scenario: A new leader starts nothing before it has heard of the online work
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 5 items
+    Then 5 items run
+    When the ledger's leader loses its disk for good
+    And a gateway reports 7 online requests at the runner to the next leader
+    And 2 seconds of the fleet pass
+    Then no item was started by the new leader
+
+  Scenario: Items start one after the other at a runner
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 5 items and 0.15 seconds pass
+    Then no more than 2 items have been sent
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -36,7 +36,7 @@
     context.job_size = count
     done = context.fleet.submit("gateway-1", JOB, count)
     context.submitted = context.fleet.result_of(done, "an answer to the job")
-    context.fleet.run_for(0.2)
+    context.fleet.run_for(2.0)
 
 
 @step("the other gateway hands in the same job")
@@ -287,3 +287,27 @@
     messenger = context.fleet.nodes["gateway-1"].base.messenger
     call = messenger.call(context.fleet.address(context.cut), ReadResults(JOB, 0, 0.0), 1.0)
     assert context.fleet.result_of(call, "an answer").is_error()
+
+
+@when("a gateway reports {count:d} online requests at the runner to the next leader")
+def report_to_next(context, count):
+    context.sent_before = len(context.fleet.calls())
+    report_use(context, count)
+
+
+@then("no item was started by the new leader")
+def none_started(context):
+    assert len(context.fleet.calls()) == context.sent_before
+
+
+@when("a gateway hands in a job of {count:d} items and {seconds:g} seconds pass")
+def hand_in_and_wait(context, count, seconds):
+    context.job_size = count
+    done = context.fleet.submit("gateway-1", JOB, count)
+    context.submitted = context.fleet.result_of(done, "an answer to the job")
+    context.fleet.run_for(seconds)
+
+
+@then("no more than {count:d} items have been sent")
+def sent_at_most(context, count):
+    assert 1 <= len(context.fleet.calls()) <= count, len(context.fleet.calls())
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -84,6 +84,8 @@
         self._split = SplitPicker(random)
         self.online = OnlineUseBook()
         self._active = False
+        self._blind_until_s = 0.0
+        self._started_at_s: dict[str, float] = {}
 
     # --- life cycle ----------------------------------------------------------------------
 
@@ -92,6 +94,8 @@
         self._active = True
         self._waiting.clear()
         self._known_jobs.clear()
+        self.online.clear()
+        self._blind_until_s = self._clock.seconds() + self._settings.blind_s
         self._tick()
 
     def stop(self) -> None:
@@ -181,6 +185,8 @@
 
     def _start_items(self) -> None:
         now = self._clock.seconds()
+        if not self.online.heard_any and now < self._blind_until_s:
+            return
         held: list[_Work] = []
         while self._waiting:
             work = self._waiting.popleft()
@@ -218,7 +224,7 @@
         records = {
             record.runner: record
             for record in self._registry.ready(service)
-            if self._paused_until_s.get(record.runner, 0.0) <= now
+            if self._may_start_at(record.runner, now)
         }
         local = [self._room(each) for each in records.values() if each.zone == self._zone]
         room = roomiest(local, self._settings)
@@ -226,12 +232,20 @@
         chosen = best if room is None else room
         return None if chosen is None else records[chosen.runner]
 
+    def _may_start_at(self, runner: str, now: float) -> bool:
+        """Tell whether a runner may get an item now: it is sound, and has read the last one."""
+        if self._paused_until_s.get(runner, 0.0) > now:
+            return False
+        since_s = now - self._started_at_s.get(runner, float("-inf"))
+        return since_s >= self._settings.start_gap_s
+
     def _run_at(self, work: _Work, job: RelayedJob, record: RunnerRecord, now: float) -> None:
         item = job.items[work.index]
         request = self._protocol.item_request(
             ItemRequest(job.host, item, work.progress.last_event),
             RunnerTarget(record.runner, record.address),
         )
+        self._started_at_s[record.runner] = now
         work.runner = record.runner
         work.started_s = work.seen_at_s = now
         work.events_seen = len(work.progress.texts)
--- a/src/rainsail/jobs/online_use.py
+++ b/src/rainsail/jobs/online_use.py
@@ -19,6 +19,16 @@
         for runner, count in uses.items():
             self._totals[runner] = self._totals.get(runner, 0) + count
 
+    @property
+    def heard_any(self) -> bool:
+        """Tell whether some gateway has said what it has under way."""
+        return bool(self._by_gateway)
+
+    def clear(self) -> None:
+        """Forget everything: what was heard before this node led is old."""
+        self._by_gateway.clear()
+        self._totals.clear()
+
     def forget(self, gateway: str) -> None:
         """Drop a gateway that is gone."""
         self.take(gateway, OnlineUse(()))
--- a/src/rainsail/jobs/plan.py
+++ b/src/rainsail/jobs/plan.py
@@ -17,6 +17,10 @@
 
     reserve_share: float = 0.2
     yield_share: float = 0.06
+    start_gap_s: float = 0.1
+    """Time between two starts at one runner: each begins with reading a prompt."""
+    blind_s: float = 1.5
+    """A new leader waits this long at most for the gateways' words before it starts items."""
 
 
 @dataclass(frozen=True, slots=True)
