Keep how far items have come, so that another ledger leader goes on there

Ruled out: giving way, which resumes at the last event already. Change: the leader commits twice a second what has come of each running item (NoteProgress), only where it goes on at the last note; an ended job drops its bodies and notes. Tests: two scenarios, written with the change.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -96,3 +96,21 @@
     Given a relayed fleet with a table and a runner of 8 slots
     When a gateway hands in a job of 5 items and 0.15 seconds pass
     Then no more than 2 items have been sent
+
+  Scenario: A new leader goes on where the last note of a run ended
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 1 item
+    And the item's run sends 3 events and goes on
+    And 1 second of the fleet passes
+    And the ledger's leader loses its disk for good
+    Then the item is sent again behind event 3
+    When the item's run sends event 4 and ends
+    Then the item's text has 4 events
+
+  Scenario: A node that comes back with an empty disk knows the notes too
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 1 item
+    And the item's run sends 3 events and goes on
+    And 1 second of the fleet passes
+    And all storage nodes lose power and start again
+    Then the item is sent again behind event 3
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -135,6 +135,7 @@
 def all_restart(context):
     names = context.fleet.names("storage")
     for name in names:
+        context.fleet.pools[name].calls.clear()
         context.fleet.crash(name)
     for name in names:
         context.fleet.start(name)
@@ -311,3 +312,16 @@
 @then("no more than {count:d} items have been sent")
 def sent_at_most(context, count):
     assert 1 <= len(context.fleet.calls()) <= count, len(context.fleet.calls())
+
+
+@when("the item's run sends {count:d} events and goes on")
+def run_goes_on(context, count):
+    (call,) = _open_calls(context)
+    call.begin_stream()
+    for number in range(1, count + 1):
+        call.listener.answer_data(event(number))
+
+
+@when("1 second of the fleet passes")
+def one_second(context):
+    context.fleet.run_for(1.0)
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -60,6 +60,7 @@
             base.random,
             base.settings.node.zone,
             self._outcomes.add,
+            self._propose,
             PlanSettings(),
         )
         self._retention = Retention(self.state, base.settings.bounds.results_kept_s)
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -14,7 +14,7 @@
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import Call, ConnectionPool
 from rainsail.jobs.item_run import ItemProgress, ItemRun, RunEnd
-from rainsail.jobs.job_state import JobState, RelayedJob
+from rainsail.jobs.job_state import NO_EVENT, JobState, RelayedJob
 from rainsail.jobs.online_use import OnlineUseBook
 from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
 from rainsail.logs import logger
@@ -22,7 +22,7 @@
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import Route, RoutingTable
 from rainsail.runtime.clock import Clock
-from rainsail.state.job_commands import ItemOutcome
+from rainsail.state.job_commands import ItemNote, ItemOutcome, NoteProgress
 
 PLAN_PERIOD_S = 0.05
 RETRY_PAUSE_S = 0.25
@@ -46,11 +46,16 @@
     started_s: float = 0.0
     events_seen: int = 0
     seen_at_s: float = 0.0
+    noted: int = 0
+    """How many events the replicated state knows of."""
 
 
 ListOutcome = Callable[[str, ItemOutcome], None]
 """Commits an item's end; called once an item."""
 
+KeepNotes = Callable[[NoteProgress], None]
+"""Commits how far items have come; what is lost of it is only run again."""
+
 
 class Dispatcher:
     """Chooses and runs items; ``start`` and ``stop`` follow the leadership."""
@@ -65,6 +70,7 @@
         random: Random,
         zone: str,
         list_outcome: ListOutcome,
+        keep_notes: KeepNotes,
         settings: PlanSettings,
     ) -> None:
         self._state = state
@@ -75,6 +81,7 @@
         self._random = random
         self._zone = zone
         self._list_outcome = list_outcome
+        self._keep_notes = keep_notes
         self._settings = settings
         self._table: RoutingTable | None = None
         self._waiting: deque[_Work] = deque()
@@ -97,6 +104,7 @@
         self.online.clear()
         self._blind_until_s = self._clock.seconds() + self._settings.blind_s
         self._tick()
+        self._note_progress()
 
     def stop(self) -> None:
         """Close every run: another leader runs what is not listed."""
@@ -137,7 +145,7 @@
             if job.ended:
                 continue
             for index in sorted(job.unlisted):
-                self._waiting.append(_Work(job.job, index))
+                self._waiting.append(_taken_up(job, index))
 
     def _drop_ended(self) -> None:
         self._waiting = deque(work for work in self._waiting if self._is_open(work))
@@ -181,6 +189,20 @@
                 elif now - work.seen_at_s > SILENT_RUN_S and work.run is not None:
                     self._run_ended(work, RunEnd.BROKEN, "silent")
 
+    # --- notes ---------------------------------------------------------------------------
+
+    def _note_progress(self) -> None:
+        """Have the ledger keep what has come of each running item since the last time."""
+        if not self._active:
+            return
+        notes: list[ItemNote] = []
+        for works in self._running.values():
+            for work in works:
+                notes += _note_of(work)
+        if notes:
+            self._keep_notes(NoteProgress(tuple(notes)))
+        self._clock.callLater(self._settings.note_period_s, self._note_progress)
+
     # --- starting ------------------------------------------------------------------------
 
     def _start_items(self) -> None:
@@ -317,3 +339,25 @@
         log = logger.bind(job=work.job, item=item, runner=work.runner, done=done, reason=reason)
         log.bind(events=len(work.progress.texts)).info("item_ended")
         self._list_outcome(work.job, ItemOutcome(work.index, done, text))
+
+
+def _taken_up(job: RelayedJob, index: int) -> _Work:
+    """Return an item's work, going on where the last note of it ended."""
+    work = _Work(job.job, index)
+    note = job.notes.get(index)
+    if note is not None:
+        work.progress.last_event = note.last_event
+        work.progress.texts = list(note.texts)
+        work.progress.numbers = [note.last_event] * len(note.texts)
+        work.noted = len(note.texts)
+    return work
+
+
+def _note_of(work: _Work) -> list[ItemNote]:
+    progress = work.progress
+    texts = tuple(progress.texts[work.noted :])
+    if not texts or progress.last_event is None:
+        return []
+    after = progress.numbers[work.noted - 1] if work.noted else NO_EVENT
+    work.noted = len(progress.texts)
+    return [ItemNote(work.job, work.index, after, progress.last_event, texts)]
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -30,6 +30,8 @@
 
     last_event: int | None = None
     texts: list[str] = field(default_factory=list)
+    numbers: list[int] = field(default_factory=list)
+    """The id of the event of each text."""
     failures: int = 0
     impossible: int = 0
 
@@ -41,6 +43,7 @@
             return
         self.last_event = event.number
         self.texts.append(event.data)
+        self.numbers.append(event.number)
 
     @property
     def text(self) -> str:
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -9,14 +9,19 @@
     AcceptJob,
     DropRelayedJob,
     EndRelayedJob,
+    ItemNote,
     ItemOutcome,
     ListedOutcome,
     ListOutcomes,
+    NoteProgress,
     RelayedItem,
     RelayedJobSnapshot,
 )
 from rainsail.wire.codec import decode, encode
 
+NO_EVENT = -1
+"""Stands for the last event of an item of which none has come."""
+
 
 @dataclass(slots=True)
 class RelayedJob:
@@ -29,6 +34,8 @@
     listed: list[ListedOutcome] = field(default_factory=list)
     unlisted: set[int] = field(default_factory=set)
     ended: bool = False
+    notes: dict[int, ItemNote] = field(default_factory=dict)
+    """How far the runs of unlisted items have come, from their first event on."""
 
     @property
     def is_open(self) -> bool:
@@ -39,7 +46,7 @@
         """Return the body of an item that is not listed yet."""
         for index, each in enumerate(self.items):
             if each.item == item:
-                return each.body if index in self.unlisted else None
+                return each.body if index in self.unlisted and not self.ended else None
         return None
 
 
@@ -56,6 +63,9 @@
                 self._accept(command)
             case ListOutcomes():
                 self._list(command)
+            case NoteProgress():
+                for note in command.notes:
+                    self._note(note)
             case EndRelayedJob():
                 return self._end(command)
             case DropRelayedJob():
@@ -86,14 +96,28 @@
         if outcome.index not in job.unlisted:
             return
         job.unlisted.discard(outcome.index)
+        job.notes.pop(outcome.index, None)
         job.listed.append(ListedOutcome(outcome.index, outcome.done, outcome.text))
         job.items[outcome.index] = replace(job.items[outcome.index], body=b"")
 
+    def _note(self, note: ItemNote) -> None:
+        """Add a note that goes on where the last one of its item ended; drop any other."""
+        job = self.jobs.get(note.job)
+        if job is None or job.ended or note.index not in job.unlisted:
+            return
+        known = job.notes.get(note.index)
+        if note.after_event != (NO_EVENT if known is None else known.last_event):
+            return
+        texts = note.texts if known is None else known.texts + note.texts
+        job.notes[note.index] = replace(note, after_event=NO_EVENT, texts=texts)
+
     def _end(self, command: EndRelayedJob) -> CommandOutcome:
         job = self.jobs.get(command.job)
         if job is None:
             return Fault(FaultCode.NOT_FOUND, "jobs.end", f"no job {command.job}")
         job.ended = True
+        job.notes.clear()
+        job.items = [replace(item, body=b"") for item in job.items]
         return Done()
 
     def snapshot(self) -> Iterator[bytes]:
@@ -109,7 +133,13 @@
 
 def _snapshot_of(job: RelayedJob) -> RelayedJobSnapshot:
     return RelayedJobSnapshot(
-        job.job, job.host, job.path, tuple(job.items), tuple(job.listed), job.ended
+        job.job,
+        job.host,
+        job.path,
+        tuple(job.items),
+        tuple(job.listed),
+        job.ended,
+        tuple(job.notes.values()),
     )
 
 
@@ -121,6 +151,7 @@
         list(snapshot.items),
         list(snapshot.listed),
         ended=snapshot.ended,
+        notes={note.index: note for note in snapshot.notes},
     )
     listed = {each.index for each in job.listed}
     job.unlisted = {index for index in range(len(job.items)) if index not in listed}
--- a/src/rainsail/jobs/plan.py
+++ b/src/rainsail/jobs/plan.py
@@ -19,6 +19,8 @@
     yield_share: float = 0.06
     start_gap_s: float = 0.1
     """Time between two starts at one runner: each begins with reading a prompt."""
+    note_period_s: float = 0.5
+    """Time between two notes of how far items have come; a new leader runs at most this again."""
     blind_s: float = 1.5
     """A new leader waits this long at most for the gateways' words before it starts items."""
 
--- a/src/rainsail/state/commands.py
+++ b/src/rainsail/state/commands.py
@@ -13,6 +13,7 @@
     DropRelayedJob,
     EndRelayedJob,
     ListOutcomes,
+    NoteProgress,
 )
 from rainsail.state.ledger_commands import (
     AddItems,
@@ -141,6 +142,7 @@
     | ReleaseNode
     | AcceptJob
     | ListOutcomes
+    | NoteProgress
     | EndRelayedJob
     | DropRelayedJob
 )
--- a/src/rainsail/state/job_commands.py
+++ b/src/rainsail/state/job_commands.py
@@ -51,6 +51,28 @@
     outcomes: tuple[ItemOutcome, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ItemNote:
+    """How far an item's run has come since the last note of it.
+
+    ``after_event`` is the last event of that note (-1: there was none); ``texts`` are the data of
+    the events behind it, up to ``last_event``.
+    """
+
+    job: str
+    index: int
+    after_event: int
+    last_event: int
+    texts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NoteProgress:
+    """Keep how far items have come, so that another leader goes on there."""
+
+    notes: tuple[ItemNote, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class EndRelayedJob:
     """Run nothing more of a job; what is listed stays."""
@@ -85,3 +107,4 @@
     items: tuple[RelayedItem, ...]
     listed: tuple[ListedOutcome, ...]
     ended: bool
+    notes: tuple[ItemNote, ...]
