Run the adapter's processes on loopback against a stand-in of the platform; tell stories from logs

'rainsail story ID LOG...' tells what happened to an id; 'rainsail settings check' knows a node's file.

--- /dev/null
+++ b/features/platform/whole_path.feature
@@ -0,0 +1,29 @@
+Feature: The adapter's processes serve the whole path on loopback
+
+  Scenario: From an empty disk to served requests, a stream and a job, through losses
+    Given the platform's stand-in with 3 controllers, 3 storage nodes, 2 gateways and 2 runners
+    Then an invalid configuration is refused with 400, and a read is unavailable before the first
+    When the operator's configuration is taken
+    Then both gateways are ready
+    And a safe request is answered with the runner's bytes and its signature
+    And an unknown path is answered 404
+    And a stream of 5 events arrives whole
+    And a stream that breaks off after 2 events arrives whole from the other runner
+    And what a runner refuses is served by the other one
+    And the configuration reads back as it was sent
+    When a job of 3 items is handed in at one gateway
+    Then the job's 3 results are read at the other one
+    And the job handed in again is accepted again and nothing runs anew
+    When every controller and every storage node is killed and starts again
+    Then requests are served meanwhile
+    And the configuration reads back as it was sent
+    And the job's 3 results read the same
+    When a runner drains
+    Then its word is acknowledged and it gets nothing more
+    When a gateway gets SIGTERM with a slow stream under way
+    Then the stream arrives whole and the gateway ends by itself with code 0
+    And the story of the broken stream can be told from the logs
+
+  Scenario: A settings file that can't be read ends the process with code 2
+    When the adapter's program is started on a settings file cut short
+    Then it ends with code 2 and one JSON line naming the step "settings.node"
--- a/features/steps/emulator_platform_steps.py
+++ b/features/steps/emulator_platform_steps.py
@@ -11,7 +11,7 @@
 from rainsail.emulator.weight_store import WeightStore
 from rainsail.engine.interface import CacheEventKind, EngineOrder, LoadReport, OrderKind
 from rainsail.engine.prefix import block_hashes
-from rainsail.platform.machine_list import MachineState
+from rainsail.machines.machine_list import MachineState
 from rainsail.simulation.clock import VirtualClock
 
 
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -9,12 +9,12 @@
 from expression import Error, Ok
 from features.support import platform_adapter_path  # noqa: F401
 from features.support.relaying import StandInExchange
+from twisted.internet.defer import succeed
+
 from platform_adapter.control import control_handler
 from platform_adapter.headers import PlatformHeaders
 from platform_adapter.jobs import client_handler
 from platform_adapter.routing import read_table
-from twisted.internet.defer import succeed
-
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.http.client import AnswerHead
 from rainsail.http.exchange import HttpRequest
--- /dev/null
+++ b/features/support/platform_stand_in.py
@@ -0,0 +1,379 @@
+"""A stand-in of the users' platform on loopback: nodes as processes, runners, clients, an operator.
+
+Written from the platform's pages. Runners answer on connections of the test's own reactor; nodes
+are real processes of the adapter, found and ended by their process ids alone.
+"""
+
+import base64
+import contextlib
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from features.support.command_line import ROOT
+from features.support.reactor_thread import in_reactor, reactor
+from rig.daemon import die_with_parent
+
+from rainsail.http.exchange import Exchange
+from rainsail.http.headers import header_text
+from rainsail.http.server import HttpLimits, HttpServer
+from rainsail.runtime.clock import MonotonicClock
+
+LIMIT_S = 40.0
+LOOK_PERIOD_S = 0.05
+FIRST_PORT = 17600
+CONTROL_PORT = 17650
+CLIENT_PORT = 17660
+READY_PORT = 17670
+RUNNER_PORT = 17700
+HOST = "a.example"
+EVENTS = 5
+SETTINGS = """
+[node]
+name = "{name}"
+role = "{role}"
+zone = "{zone}"
+ip = "{ip}"
+data_folder = "{folder}"
+founding = {founding}
+losses = 1
+
+[peers]
+first_port = {first_port}
+last_port = {last_port}
+seeds = [{seeds}]
+
+[listen]
+clients = "{ip}:{client_port}"
+readiness = "{ip}:{ready_port}"
+control = "{ip}:{control_port}"
+
+[limits]
+memory_mb = 300
+disk_mb = 64
+
+[bounds]
+grace_s = 8
+drain_s = 2.0
+"""
+
+
+@dataclass
+class NodeProcess:
+    """One node: its settings file and its process."""
+
+    name: str
+    role: str
+    ip: str
+    path: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process is there."""
+        return self.process is not None and self.process.poll() is None
+
+
+@dataclass
+class StandInRunner:
+    """A runner: what it has run, and how it misbehaves for the next requests."""
+
+    runner: str
+    service: str
+    address: str
+    zone: str
+    ran: list[str] = field(default_factory=list)
+    resumed_after: list[str] = field(default_factory=list)
+    refuse: int = 0
+    break_after: int | None = None
+    """Break the next stream off after so many events."""
+    event_pause_s: float = 0.0
+    together: list["StandInRunner"] = field(default_factory=list)
+    """All runners: only the first of them breaks its stream off."""
+    sequence: int = 0
+    server: Any = None
+    port: Any = None
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer as the platform's runners do."""
+        fields = exchange.request.headers
+        request = header_text(fields, b"request-id")
+        if header_text(fields, b"expect-instance") != self.runner:
+            exchange.answer(421, ((b"Instance-Id", self.runner.encode()),), b"")
+            return
+        if self.refuse > 0:
+            self.refuse -= 1
+            exchange.answer(503, ((b"Not-Run", b"1"), (b"Request-Id", request.encode())), b"")
+            return
+        self.ran.append(request)
+        answer = [(b"Request-Id", request.encode()), (b"Response-Stamp", b"stamp-1")]
+        if b"/stream/" in exchange.request.target or b"/jobs/" in exchange.request.target:
+            self._stream(exchange, answer)
+        else:
+            exchange.answer(200, tuple(answer), b"echo " + exchange.request.body)
+
+    def _stream(self, exchange: Exchange, answer: list[tuple[bytes, bytes]]) -> None:
+        after = header_text(exchange.request.headers, b"last-event-id")
+        if after:
+            self.resumed_after.append(after)
+        answer.append((b"Content-Type", b"text/event-stream"))
+        exchange.begin(200, tuple(answer))
+        self._send_event(exchange, int(after or 0) + 1)
+
+    def _send_event(self, exchange: Exchange, number: int) -> None:
+        if self.break_after is not None and number > self.break_after:
+            for each in self.together:
+                each.break_after = None
+            exchange.write(b"id: 99\nda")
+            exchange.abort()
+            return
+        if number > EVENTS:
+            exchange.end()
+            return
+        exchange.write(f"id: {number}\ndata: text {number}\n\n".encode())
+        reactor.callLater(self.event_pause_s, self._send_event, exchange, number + 1)
+
+
+class StandInPlatform:
+    """Starts nodes, and plays runners, clients and the operator."""
+
+    def __init__(self, controllers: int = 3, storage: int = 3, gateways: int = 2) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.octet = 10 + os.getpid() % 200
+        self.nodes: dict[str, NodeProcess] = {}
+        self.runners: list[StandInRunner] = []
+        self.version = 0
+        counts = {"controller": controllers, "storage": storage, "gateway": gateways}
+        self.seeds = [self._ip("controller", number) for number in range(1, controllers + 1)]
+        for role, count in counts.items():
+            for number in range(1, count + 1):
+                self.start(f"{role}-{number}", founding=True)
+
+    def _ip(self, role: str, number: int) -> str:
+        third = {"controller": 1, "storage": 2, "gateway": 3, "runner": 4}[role]
+        return f"127.{self.octet}.{third}.{number}"
+
+    # --- nodes ---------------------------------------------------------------------------
+
+    def start(self, name: str, founding: bool = False) -> None:
+        """Start a node's process with settings of this moment."""
+        role, _, number = name.partition("-")
+        ip = self._ip(role, int(number))
+        folder = Path(self._folder.name) / name
+        folder.mkdir(exist_ok=True)
+        path = Path(self._folder.name) / f"{name}.toml"
+        seeds = ", ".join(f'"{seed}:{CONTROL_PORT}"' for seed in self.seeds)
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                role=role,
+                zone=f"zone-{int(number) % 3}",
+                ip=ip,
+                folder=folder,
+                founding=str(founding).lower(),
+                first_port=FIRST_PORT,
+                last_port=FIRST_PORT + 9,
+                seeds=seeds,
+                client_port=CLIENT_PORT,
+                ready_port=READY_PORT,
+                control_port=CONTROL_PORT,
+            )
+        )
+        node = NodeProcess(name, role, ip, path)
+        node.process = self.spawn(path, Path(self._folder.name) / f"{name}.log")
+        self.nodes[name] = node
+
+    @staticmethod
+    def spawn(path: Path, log: Path) -> subprocess.Popen[bytes]:
+        """Start the adapter's program on a settings file."""
+        with log.open("ab") as output:
+            return subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "serve.py")],
+                env={**os.environ, "RAINSAIL_BOOT": str(path)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                preexec_fn=die_with_parent,
+            )
+
+    def kill(self, name: str) -> None:
+        """Kill a node's process."""
+        process = self.nodes[name].process
+        assert process is not None
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str) -> None:
+        """Ask a node's process to end."""
+        process = self.nodes[name].process
+        assert process is not None
+        process.send_signal(signal.SIGTERM)
+
+    def log_lines(self, name: str) -> list[dict[str, Any]]:
+        """Return the JSON lines that a node has written."""
+        text = (Path(self._folder.name) / f"{name}.log").read_text()
+        lines = [line for line in text.splitlines() if line.startswith("{")]
+        return [json.loads(line) for line in lines]
+
+    def log_path(self, name: str) -> Path:
+        """Return the file of a node's output."""
+        return Path(self._folder.name) / f"{name}.log"
+
+    def close(self) -> None:
+        """End everything that was started."""
+        for node in self.nodes.values():
+            if node.running:
+                assert node.process is not None
+                node.process.kill()
+                node.process.wait()
+        for runner in self.runners:
+            in_reactor(runner.port.stopListening)
+        self._folder.cleanup()
+
+    # --- the operator --------------------------------------------------------------------
+
+    def call(
+        self, ip: str, port: int, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Make one call on a new connection; status 0 stands for no answer."""
+        connection = http.client.HTTPConnection(ip, port, timeout=10)
+        try:
+            named = {name.replace("_", "-"): value for name, value in headers.items()}
+            connection.request(method, path, body or None, named)
+            response = connection.getresponse()
+            return response.status, response.read(), dict(response.getheaders())
+        except (OSError, http.client.HTTPException):
+            return 0, b"", {}
+        finally:
+            connection.close()
+
+    def control(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+        """Call controllers one after the other until one answers below 500."""
+        content = b"" if body is None else json.dumps(body).encode()
+        status, answer = 0, b""
+        for name in [n for n in self.nodes if n.startswith("controller")]:
+            status, answer, _ = self.call(self.nodes[name].ip, CONTROL_PORT, method, path, content)
+            if 0 < status < 500:
+                break
+        return status, answer
+
+    def configuration(self, version: int) -> dict[str, Any]:
+        """Return a configuration of three routes on one service."""
+        kinds = {"safe": "safe", "stream": "streaming", "jobs": "batch"}
+        routes = [
+            {
+                "name": name,
+                "host": HOST,
+                "pathPrefix": f"/{name}/",
+                "kind": kind,
+                "timeoutMs": 8000,
+                "targetLatencyMs": 500,
+                "priority": 0,
+                "service": "model",
+                "maxAttempts": 2,
+                "resumable": name == "stream",
+                "gapTargetMs": 500,
+            }
+            for name, kind in kinds.items()
+        ]
+        services = [{"name": "model", "healthPath": "/healthz", "maxConnections": 50}]
+        return {"version": version, "routes": routes, "services": services, "limits": {}}
+
+    def configure(self) -> None:
+        """Send the next configuration until it is acknowledged."""
+        self.version += 1
+        body = self.configuration(self.version)
+        path = "/api/Config.Replace"
+        wait_until(lambda: self.control("POST", path, body)[0] == 200, "the configuration")
+
+    # --- runners -------------------------------------------------------------------------
+
+    def add_runner(self) -> StandInRunner:
+        """Start a runner and have it beat."""
+        number = len(self.runners) + 1
+        ip = self._ip("runner", number)
+        address = f"{ip}:{RUNNER_PORT}"
+        runner = StandInRunner(f"i-{number}", "model", address, f"zone-{number % 3}")
+        runner.server = HttpServer(runner.handle, MonotonicClock(reactor), HttpLimits())
+        runner.port = in_reactor(reactor.listenTCP, RUNNER_PORT, runner.server, 50, ip)
+        self.runners.append(runner)
+        runner.together = self.runners
+        self.beat(runner)
+        return runner
+
+    def beat(self, runner: StandInRunner, state: str = "ready") -> int:
+        """Send one heartbeat; returns the status."""
+        runner.sequence += 1
+        body = {
+            "service": runner.service,
+            "address": runner.address,
+            "zone": runner.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldLeftMs": 0,
+            "sequence": runner.sequence,
+        }
+        status, _ = self.control("POST", f"/api/Instances.Heartbeat/{runner.runner}", body)
+        return status
+
+    # --- clients -------------------------------------------------------------------------
+
+    def client(
+        self, gateway: str, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Make a client's call at a gateway."""
+        named = {"Host": HOST, "Deadline_Ms": "6000", **headers}
+        return self.call(self.nodes[gateway].ip, CLIENT_PORT, method, path, body, **named)
+
+    def is_ready(self, gateway: str) -> bool:
+        """Ask a gateway as the ingress does."""
+        status, _, _ = self.call(self.nodes[gateway].ip, READY_PORT, "GET", "/api/readyz")
+        return status == 200
+
+    def submit(self, gateway: str, job: str, count: int) -> int:
+        """Hand a job in; returns the status."""
+        items = [
+            {
+                "id": f"{job}-{number}",
+                "path": f"/jobs/{job}/{number}",
+                "headers": {"Model": "m"},
+                "body": base64.b64encode(b"item body").decode(),
+                "tokens": 10,
+            }
+            for number in range(count)
+        ]
+        body = json.dumps({"items": items}).encode()
+        status, _, _ = self.client(gateway, "POST", f"/jobs/{job}", body, Request_Id=job)
+        return status
+
+    def results(self, gateway: str, job: str, after: int = 0) -> dict[str, Any] | None:
+        """Read a job's results; None while that is not answered."""
+        status, body, _ = self.client(gateway, "GET", f"/api/lots/{job}?after={after}")
+        return json.loads(body) if status == 200 else None
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait until a condition holds."""
+    until_s = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < until_s, f"never came true: {what}"
+        time.sleep(LOOK_PERIOD_S)
+
+
+@contextlib.contextmanager
+def platform(**counts: int) -> Any:
+    """Run a platform and end it."""
+    running = StandInPlatform(**counts)
+    try:
+        yield running
+    finally:
+        running.close()
--- a/src/rainsail/assembly/emulator.py
+++ b/src/rainsail/assembly/emulator.py
@@ -14,7 +14,7 @@
 from rainsail.emulator.machine_list import EmulatedMachineList, MachineListServer
 from rainsail.emulator.weight_store import WeightStore
 from rainsail.errors import Fault, FaultCode
-from rainsail.platform.machine_list import Machine
+from rainsail.machines.machine_list import Machine
 from rainsail.runtime.clock import Clock, MonotonicClock
 from rainsail.settings.model import ProcessSettings
 from rainsail.settings.process import EngineEntry
--- a/src/rainsail/assembly/machine_watch.py
+++ b/src/rainsail/assembly/machine_watch.py
@@ -6,8 +6,8 @@
 
 from rainsail.control.controllers.machines import MachineState
 from rainsail.errors import Fault
-from rainsail.platform import machine_list
-from rainsail.platform.machine_list import Machine, MachineListClient
+from rainsail.machines import machine_list
+from rainsail.machines.machine_list import Machine, MachineListClient
 from rainsail.runtime.clock import Clock
 
 FETCH_PERIOD_S = 2.0
--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -26,7 +26,7 @@
 from rainsail.gateway.interface import Gateway
 from rainsail.gateway.metering import MeteredGateway
 from rainsail.gateway.openai.job_intake import Intake
-from rainsail.platform.machine_list import HttpMachineListClient, MachineListClient
+from rainsail.machines.machine_list import HttpMachineListClient, MachineListClient
 from rainsail.runtime.clock import MonotonicClock
 from rainsail.settings.model import ProcessSettings
 from rainsail.settings.process import GatewayEntry, ReplicaEntry
--- a/src/rainsail/assembly/seams.py
+++ b/src/rainsail/assembly/seams.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from rainsail.engine.interface import EngineClient
-from rainsail.platform.machine_list import MachineListClient
+from rainsail.machines.machine_list import MachineListClient
 from rainsail.runtime.clock import Clock
 from rainsail.storage.interface import FileSystem
 from rainsail.wire.messenger import Transport
--- a/src/rainsail/cli/command_table.py
+++ b/src/rainsail/cli/command_table.py
@@ -49,6 +49,11 @@
     "explain": CommandGroup(
         "rainsail.cli.explain:explain", "show why a request was routed so", text_arguments=True
     ),
+    "story": CommandGroup(
+        "rainsail.cli.story:story",
+        "tell what happened to a request or job, from nodes' logs",
+        text_arguments=True,
+    ),
     "storage": CommandGroup("rainsail.cli.storage:StorageCommands", "read a data folder offline"),
     "check": CommandGroup("rainsail.cli.check:CheckCommands", "run checkers over histories"),
     "simulate": CommandGroup("rainsail.cli.simulate:simulate", "run a simulated fleet with faults"),
--- a/src/rainsail/cli/settings.py
+++ b/src/rainsail/cli/settings.py
@@ -1,5 +1,6 @@
 """``rainsail settings``: check settings files without starting anything."""
 
+import tomllib
 from pathlib import Path
 
 from rainsail.cli.exit_codes import bad_input
@@ -7,6 +8,7 @@
 from rainsail.cli.output import check_format, print_json, print_record
 from rainsail.settings.load import load_settings
 from rainsail.settings.model import ProcessSettings
+from rainsail.settings.node import load_node_settings
 
 
 class SettingsCommands:
@@ -19,10 +21,22 @@
             file: The TOML settings file.
             set: Override key.path=value; may be given several times.
         """
+        if is_node_file(Path(file)):
+            self._check_node(file, set)
+            return
         settings = checked_settings(file, set)
         roles = ", ".join(settings.process.roles)
         print(f"{file}: process {settings.process.name} of {settings.process.fleet}: {roles}")
 
+    def _check_node(self, file: str, set: str) -> None:
+        if set:
+            raise bad_input("--set: a node's settings are taken from its file alone")
+        loaded = load_node_settings(Path(file))
+        if loaded.is_error():
+            raise bad_input(str(loaded.error))
+        node = loaded.ok.node
+        print(f"{file}: node {node.name}: {node.role}")
+
     def show(self, file: str, set: str = "", output: str = "table") -> None:
         """Print the settings in force: file, environment, flags and defaults together.
 
@@ -39,6 +53,14 @@
         print_record(_flat("", plain), output)
 
 
+def is_node_file(path: Path) -> bool:
+    """Tell whether a file holds the settings of a node of a relaying fleet."""
+    try:
+        return "node" in tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError):
+        return False
+
+
 def checked_settings(path: str, overrides: str = "") -> ProcessSettings:
     """Return valid settings, or end the command naming every problem."""
     loaded = load_settings(Path(path), repeated(overrides))
--- a/src/rainsail/emulator/machine_list.py
+++ b/src/rainsail/emulator/machine_list.py
@@ -11,7 +11,7 @@
 
 from rainsail.emulator.settings import MachineListSettings
 from rainsail.errors import Fault
-from rainsail.platform.machine_list import MACHINES, Machine, MachineState
+from rainsail.machines.machine_list import MACHINES, Machine, MachineState
 from rainsail.runtime.clock import Clock
 
 
--- a/src/rainsail/scale/machine_list_cost.py
+++ b/src/rainsail/scale/machine_list_cost.py
@@ -8,7 +8,7 @@
 
 from rainsail.assembly.machine_watch import FETCH_PERIOD_S, MachineWatch
 from rainsail.errors import Fault
-from rainsail.platform.machine_list import MACHINES, Machine
+from rainsail.machines.machine_list import MACHINES, Machine
 from rainsail.scale.workload import FleetSize, node_name, runner_name, runner_spec
 from rainsail.simulation.clock import VirtualClock
 
--- a/src/rainsail/simulation/fleet.py
+++ b/src/rainsail/simulation/fleet.py
@@ -14,7 +14,7 @@
 from rainsail.emulator.weight_store import WeightStore
 from rainsail.engine.interface import GenerateRequest
 from rainsail.experiment.history import GatewayAdmitted, GatewayApplied, History, OnlineQueued
-from rainsail.platform.machine_list import Machine
+from rainsail.machines.machine_list import Machine
 from rainsail.resources.specs import WatchEvent
 from rainsail.simulation.actors.callers import CallerTraffic
 from rainsail.simulation.actors.job_clients import JobTraffic
--- a/src/rainsail/simulation/injector.py
+++ b/src/rainsail/simulation/injector.py
@@ -5,7 +5,7 @@
 
 from rainsail.engine.interface import Chunk
 from rainsail.experiment.history import DrainDeclared, FaultEnded, FaultInjected, PlannedStop
-from rainsail.platform.machine_list import MachineState
+from rainsail.machines.machine_list import MachineState
 from rainsail.resources.specs import Kind, Resource, ResourceKey, RunnerSpec
 from rainsail.simulation.disk_losses import DISKS_BORNE, unrepaired_losses
 from rainsail.simulation.fault_plan import FaultAction, FaultKind, FaultPlan
--- a/src/rainsail/simulation/processes.py
+++ b/src/rainsail/simulation/processes.py
@@ -9,7 +9,7 @@
 from rainsail.assembly.seams import GatewaySeams, NodeSeams, ReplicaSeams
 from rainsail.engine.interface import AttemptListener, GenerateRequest
 from rainsail.errors import Fault
-from rainsail.platform.machine_list import MachineListClient
+from rainsail.machines.machine_list import MachineListClient
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.disk import SimulatedDisk
 from rainsail.simulation.engine_link import EngineNetwork, SimulatedEngineClient
