--- a/features/fuzz/files.feature
+++ b/features/fuzz/files.feature
@@ -32,3 +32,8 @@
       | history | a block that announces 2 to the power 60   |
       | trace   | a schema nested 100000 deep                |
       | history | a schema nested 100000 deep                |
+
+  Scenario: A key of thousands of parts is refused before it takes memory
+    When a job file is made of a dotted key of 2000 parts
+    Then reading the made file is refused by name
+    And reading a fuzzed file took at most 2000000 bytes at once
--- a/features/steps/fuzz_files_steps.py
+++ b/features/steps/fuzz_files_steps.py
@@ -200,6 +200,7 @@
         "a foreign schema with eight million nulls": lambda: nulls(record),
         "a compressed text of 50 million characters": lambda: compressed(record),
         "a block that announces 2 to the power 60": lambda: header_of(sound) + b"\x02" + LARGE,
+        "a dotted key of 2000 parts": lambda: b"a." * 2_000 + b"b = 1",
         "a schema nested 100000 deep": lambda: header(b'{"type":"array","items":' * 100_000),
     }
 
--- a/src/rainsail/cli/resource_files.py
+++ b/src/rainsail/cli/resource_files.py
@@ -1,7 +1,6 @@
 """Reading files of resources to apply: TOML (``[[resources]]``) or a JSON list."""
 
 import json
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -10,6 +9,7 @@
 from rainsail.control.resource_json import kind_from_text, spec_from_json
 from rainsail.resources.specs import Kind
 from rainsail.runtime.files import read_bounded
+from rainsail.runtime.toml import parse_toml
 
 MAX_FILE_BYTES = 64 * 1024 * 1024
 
@@ -48,7 +48,7 @@
     except UnicodeDecodeError as error:
         raise bad_input(f"{path}: expected UTF-8 text: {error}") from None
     try:
-        return json.loads(text) if path.suffix == ".json" else tomllib.loads(text)
+        return json.loads(text) if path.suffix == ".json" else parse_toml(text)
     except (ValueError, RecursionError) as error:
         raise bad_input(f"{path}: {error}") from None
 
--- a/src/rainsail/cli/settings.py
+++ b/src/rainsail/cli/settings.py
@@ -1,11 +1,11 @@
 """``rainsail settings``: check settings files without starting anything."""
 
-import tomllib
 from pathlib import Path
 
 from rainsail.cli.exit_codes import bad_input
 from rainsail.cli.flags import repeated
 from rainsail.cli.output import check_format, print_json, print_record
+from rainsail.runtime.toml import parse_toml
 from rainsail.settings.load import load_settings
 from rainsail.settings.model import ProcessSettings
 from rainsail.settings.node import load_node_settings
@@ -56,7 +56,7 @@
 def is_node_file(path: Path) -> bool:
     """Tell whether a file holds the settings of a node of a relaying fleet."""
     try:
-        return "node" in tomllib.loads(path.read_text(encoding="utf-8"))
+        return "node" in parse_toml(path.read_text(encoding="utf-8"))
     except (OSError, ValueError):
         return False
 
--- a/src/rainsail/experiment/replay/outcomes.py
+++ b/src/rainsail/experiment/replay/outcomes.py
@@ -3,7 +3,6 @@
 Each ``[[outcomes]]`` entry names what it is about (``of``) and one requirement (``require``).
 """
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any, Literal, Self
 
@@ -13,6 +12,7 @@
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.resources.specs import RequestClass
 from rainsail.runtime.files import read_bounded
+from rainsail.runtime.toml import parse_toml
 
 STEP = "outcomes.read"
 MAX_FILE_BYTES = 4 * 1024 * 1024
@@ -136,7 +136,7 @@
     if content.is_error():
         return _invalid(path, content.error)
     try:
-        tree = tomllib.loads(content.ok.decode())
+        tree = parse_toml(content.ok.decode())
     except (ValueError, RecursionError) as error:
         return _invalid(path, f"expected TOML: {error}")
     try:
--- a/src/rainsail/experiment/replay/tenant_keys.py
+++ b/src/rainsail/experiment/replay/tenant_keys.py
@@ -1,6 +1,5 @@
 """The file of the tenants' API keys for a replay over HTTP: ``[keys]``, tenant = "key"."""
 
-import tomllib
 from pathlib import Path
 
 from expression import Error, Ok, Result
@@ -8,6 +7,7 @@
 
 from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.files import read_bounded
+from rainsail.runtime.toml import parse_toml
 
 STEP = "tenant_keys.read"
 MAX_FILE_BYTES = 1024 * 1024
@@ -25,7 +25,7 @@
     if content.is_error():
         return _invalid(path, content.error)
     try:
-        return Ok(_KeysFile.model_validate(tomllib.loads(content.ok.decode())).keys)
+        return Ok(_KeysFile.model_validate(parse_toml(content.ok.decode())).keys)
     except ValidationError as error:
         first = error.errors(include_url=False, include_input=False)[0]
         return _invalid(path, f"{'.'.join(str(part) for part in first['loc'])}: {first['msg']}")
--- a/src/rainsail/settings/load.py
+++ b/src/rainsail/settings/load.py
@@ -1,7 +1,6 @@
 """Loading settings: one TOML file, then the environment, then ``--set`` flags."""
 
 import difflib
-import tomllib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +12,7 @@
 from pydantic_settings import EnvSettingsSource, SettingsError
 
 from rainsail.runtime.files import read_bounded
+from rainsail.runtime.toml import parse_toml
 from rainsail.settings.model import ProcessSettings
 
 MAX_FILE_BYTES = 16 * 1024 * 1024
@@ -80,7 +80,7 @@
     if content.is_error():
         return Error((SettingsProblem(str(path), "", content.error),))
     try:
-        return Ok(tomllib.loads(content.ok.decode()))
+        return Ok(parse_toml(content.ok.decode()))
     except UnicodeDecodeError as error:
         return Error((SettingsProblem(str(path), "", f"expected UTF-8 text: {error}"),))
     except (ValueError, RecursionError) as error:
@@ -108,8 +108,8 @@
 def _flag_value(text: str) -> Any:
     """Read a TOML value; anything else is a string."""
     try:
-        return tomllib.loads(f"value = {text}")["value"]
-    except tomllib.TOMLDecodeError:
+        return parse_toml(f"value = {text}")["value"]
+    except ValueError:
         return text
 
 
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -1,6 +1,5 @@
 """The settings file of a node of a fleet that relays: one TOML file for each process."""
 
-import tomllib
 from enum import StrEnum
 from pathlib import Path
 
@@ -8,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.toml import parse_toml
 from rainsail.wire.address import parse_address
 
 STEP = "settings.node"
@@ -128,7 +128,7 @@
 def load_node_settings(path: Path) -> Result[NodeSettings, Fault]:
     """Read and check a settings file; an INVALID fault names the place and what is wrong."""
     try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
+        values = parse_toml(path.read_text(encoding="utf-8"))
         return Ok(NodeSettings.model_validate(values))
     except ValidationError as error:
         return Error(_fault(path, _first_problem(error)))
