--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -18,6 +18,7 @@
     Then requests are served meanwhile
     And the configuration reads back as it was sent
     And the job's 3 results read the same
+    And the nodes' metrics count what was served, listed and led
     When a runner drains
     Then its word is acknowledged and it gets nothing more
     When a gateway gets SIGTERM with a slow stream under way
--- a/features/steps/platform_whole_path_steps.py
+++ b/features/steps/platform_whole_path_steps.py
@@ -144,6 +144,19 @@
     assert _results(context) == context.results
 
 
+@then("the nodes' metrics count what was served, listed and led")
+def metrics_count(context):
+    platform = context.platform
+    assert platform.metric("gateway-1", "requests_total", kind="safe", outcome="completed") >= 5
+    assert platform.metric("gateway-1", "request_first_seconds_count", kind="stream") >= 2
+    assert platform.metric("gateway-1", "table_version") == platform.version
+    for role, voters in (("controller", 3), ("storage", 3)):
+        names = [name for name in platform.nodes if name.startswith(role)]
+        leads = [platform.metric(name, "group_leads") for name in names]
+        assert sum(leads) == 1, leads
+        assert {platform.metric(name, "group_voters") for name in names} == {voters}
+
+
 # --- losses --------------------------------------------------------------------------------
 
 
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -35,6 +35,7 @@
 CLIENT_PORT = 17660
 READY_PORT = 17670
 RUNNER_PORT = 17700
+METRICS_PORT = 17680
 HOST = "a.example"
 EVENTS = 5
 SETTINGS = """
@@ -56,6 +57,7 @@
 clients = "{ip}:{client_port}"
 readiness = "{ip}:{ready_port}"
 control = "{ip}:{control_port}"
+metrics = "{ip}:{metrics_port}"
 
 [limits]
 memory_mb = 300
@@ -186,6 +188,7 @@
                 client_port=CLIENT_PORT,
                 ready_port=READY_PORT,
                 control_port=CONTROL_PORT,
+                metrics_port=METRICS_PORT,
             )
         )
         node = NodeProcess(name, role, ip, path)
@@ -334,6 +337,15 @@
         named = {"Host": HOST, "Deadline_Ms": "6000", **headers}
         return self.call(self.nodes[gateway].ip, CLIENT_PORT, method, path, body, **named)
 
+    def metric(self, node: str, name: str, **labels: str) -> float:
+        """Return a figure of a node's metrics page, 0 when it is not there."""
+        _, body, _ = self.call(self.nodes[node].ip, METRICS_PORT, "GET", "/metrics")
+        wanted = "".join(f'{key}="{value}"' for key, value in labels.items())
+        for line in body.decode().splitlines():
+            if line.startswith(f"rainsail_{name}") and wanted in line.replace(",", ""):
+                return float(line.rpartition(" ")[2])
+        return 0.0
+
     def is_ready(self, gateway: str) -> bool:
         """Ask a gateway as the ingress does."""
         status, _, _ = self.call(self.nodes[gateway].ip, READY_PORT, "GET", "/api/readyz")
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -97,6 +97,10 @@
         """Tell whether some controller has ever answered."""
         return any(each.heard_s > float("-inf") for each in self._controllers.values())
 
+    def heard_lately(self) -> int:
+        """Return how many controllers have answered within the last two beats."""
+        return sum(1 for each in self._controllers.values() if self._is_fresh(each))
+
     def view(self) -> FleetView:
         """Return what the controllers heard of lately say together."""
         fresh = [each.view for each in self._fresh()]
--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -1,7 +1,7 @@
 """What every node has: a clock, a transport, a registry and a follower of the controllers."""
 
 import random as random_module
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from expression import Result
@@ -11,6 +11,7 @@
 from rainsail.cluster.messages import NodeRecord, NodeRole
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.errors import Fault
+from rainsail.node_metrics import NodeMetrics
 from rainsail.runtime.clock import Clock, MonotonicClock
 from rainsail.settings.node import NodeSettings
 from rainsail.wire.messenger import Messenger, Transport
@@ -46,6 +47,7 @@
     messenger: Messenger
     registry: RunnerRegistry
     follower: FleetFollower
+    metrics: NodeMetrics = field(default_factory=NodeMetrics)
 
     def listen(self) -> "Deferred[Result[int, Fault]]":
         """Accept other nodes on the transport of a daemon."""
@@ -84,4 +86,9 @@
     )
     registry = RunnerRegistry()
     follower = FleetFollower(node, settings.seed_controllers(), messenger, clock, registry)
-    return NodeBase(settings, node, clock, random, transport, messenger, registry, follower)
+    base = NodeBase(settings, node, clock, random, transport, messenger, registry, follower)
+    base.metrics.gauge("table_version", lambda: float(follower.table_version))
+    base.metrics.gauge("runners_known", lambda: float(len(registry.records())))
+    base.metrics.gauge("registry_revision", lambda: float(registry.revision))
+    base.metrics.gauge("controllers_heard", lambda: float(follower.heard_lately()))
+    return base
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -42,7 +42,7 @@
             RelaySettings(),
         )
         self.gateway = RelayGateway(
-            context, base.follower, base.messenger, port.read_table, self._limits
+            context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
         )
         calls = LeaderCaller(
             base.messenger,
@@ -58,6 +58,7 @@
         )
         self._readiness = HttpServer(port.readiness_handler(self.gateway), base.clock, HttpLimits())
         self._client_port: Any = None
+        base.metrics.gauge("runner_connections_opened", lambda: float(pool.opened))
 
     async def start(self) -> Result[None, Fault]:
         """Listen everywhere and begin to follow the fleet."""
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -84,8 +84,18 @@
         except CodecError as error:
             detail = f"group {self._group}: its snapshot or log can't be read: {error}"
             return Error(Fault(FaultCode.STORAGE, "fleet.open_group", detail))
+        self._add_metrics(driver)
         return Ok(driver)
 
+    def _add_metrics(self, driver: GroupDriver) -> None:
+        gauge = self._base.metrics.gauge
+        state = driver.core.state
+        gauge("group_leads", lambda: float(driver.is_leader()))
+        gauge("group_term", lambda: float(driver.term()))
+        gauge("group_commit_index", lambda: float(state.commit_index))
+        gauge("group_voters", lambda: float(len(driver.members().voters())))
+        gauge("group_unsynced_writes", lambda: float(not state.writes.all_synced()))
+
 
 def group_settings(settings: NodeSettings) -> ConsensusSettings:
     """Return the settings of a node's replicated group, sized by its disk."""
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -9,7 +9,10 @@
 from rainsail.errors import Fault
 from rainsail.event_log import configure_event_log
 from rainsail.fleet.base import NodeBase, make_base
+from rainsail.fleet.listening import listen
 from rainsail.fleet.port import PlatformPort
+from rainsail.http.exchange import Exchange
+from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.logs import logger
 from rainsail.runtime.collector import exempt_startup_objects
 from rainsail.settings.node import NodeKind, NodeSettings, load_node_settings
@@ -18,6 +21,7 @@
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 SETTINGS_CHECK_PERIOD_S = 1.0
+METRICS_TYPE = (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
 
 
 class FleetProcess:
@@ -53,6 +57,11 @@
         if listening.is_error():
             self.fail(listening.error)
             return
+        if self._base.settings.listen.metrics:
+            metrics = listen(self._reactor, self._metrics_server(), self._metrics_address())
+            if metrics.is_error():
+                self.fail(metrics.error)
+                return
         started = await self._role.start()
         if started.is_error():
             self.fail(started.error)
@@ -60,6 +69,15 @@
         exempt_startup_objects()
         logger.bind(address=self._base.node.address).info("started")
 
+    def _metrics_address(self) -> str:
+        return self._base.settings.listen.metrics
+
+    def _metrics_server(self) -> HttpServer:
+        def handle(exchange: Exchange) -> None:
+            exchange.answer(200, (METRICS_TYPE,), self._base.metrics.exposition())
+
+        return HttpServer(handle, self._base.clock, HttpLimits())
+
     def fail(self, fault: Fault) -> None:
         """End the process because of a fault."""
         logger.bind(fault=str(fault)).error("fatal")
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -62,7 +62,9 @@
             self._outcomes.add,
             self._propose,
             PlanSettings(),
+            base.metrics,
         )
+        base.metrics.gauge("jobs_kept", lambda: float(len(self.state.jobs)))
         self._retention = Retention(self.state, base.settings.bounds.results_kept_s)
         self._stopped = False
 
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -18,6 +18,7 @@
 from rainsail.jobs.online_use import OnlineUseBook
 from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
 from rainsail.logs import logger
+from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import Route, RoutingTable
@@ -72,6 +73,7 @@
         list_outcome: ListOutcome,
         keep_notes: KeepNotes,
         settings: PlanSettings,
+        metrics: NodeMetrics,
     ) -> None:
         self._state = state
         self._registry = registry
@@ -91,6 +93,9 @@
         self._split = SplitPicker(random)
         self.online = OnlineUseBook()
         self._active = False
+        self._metrics = metrics
+        metrics.gauge("items_waiting", lambda: float(len(self._waiting)))
+        metrics.gauge("items_running", lambda: float(sum(map(len, self._running.values()))))
         self._blind_until_s = 0.0
         self._started_at_s: dict[str, float] = {}
 
@@ -178,6 +183,7 @@
                 self._waiting.appendleft(work)
                 log = logger.bind(job=work.job, index=work.index, runner=runner)
                 log.bind(last_event=work.progress.last_event).info("item_gave_way")
+                self._metrics.count("items_gave_way")
 
     def _leave_silent(self) -> None:
         now = self._clock.seconds()
@@ -280,6 +286,7 @@
         )
         log = logger.bind(job=work.job, item=item.item, runner=record.runner)
         log.bind(after_event=work.progress.last_event).info("item_sent")
+        self._metrics.count("item_runs")
         work.call = self._pool.send(record.address, request, work.run)
 
     # --- ending --------------------------------------------------------------------------
@@ -338,6 +345,7 @@
         text = work.progress.text if done else ""
         log = logger.bind(job=work.job, item=item, runner=work.runner, done=done, reason=reason)
         log.bind(events=len(work.progress.texts)).info("item_ended")
+        self._metrics.count("items_ended", state="done" if done else "given_up")
         self._list_outcome(work.job, ItemOutcome(work.index, done, text))
 
 
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -18,6 +18,7 @@
 from rainsail.http.server import HttpLimits
 from rainsail.jobs.messages import OnlineUse, RunnerUse
 from rainsail.logs import logger
+from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.context import RelayContext
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.run import STATUS_NOT_FOUND, STATUS_UNAVAILABLE, RelayRun
@@ -43,7 +44,10 @@
         messenger: Messenger,
         read_table: TableReader,
         limits: HttpLimits,
+        metrics: NodeMetrics,
     ) -> None:
+        self._metrics = metrics
+        metrics.gauge("requests_under_way", lambda: float(self.under_way))
         self._context = context
         self._follower = follower
         self._messenger = messenger
@@ -116,6 +120,11 @@
 
     def _run_ended(self, run: RelayRun) -> None:
         self.under_way -= 1
+        metrics = self._metrics
+        metrics.count("requests", kind=run.kind.value, outcome=run.outcome)
+        metrics.count("request_sends", run.sends, kind=run.kind.value)
+        if run.first_s is not None:
+            metrics.observe("request_first_seconds", run.first_s, kind=run.kind.value)
 
     # --- the fleet -----------------------------------------------------------------------
 
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -62,7 +62,7 @@
         self._expiry_s = self._received_s + _time_allowed(route, facts)
         self._expiry: Timer | None = None
         self._watch: Timer | None = None
-        self._last_reason = "no runner is known"
+        self._last_reason = ""
         self.outcome = ""
         self.first_s: float | None = None
         exchange.on_left(self._client_left)
@@ -90,6 +90,16 @@
         self._log(outcome)
         self._on_ended(self)
 
+    @property
+    def kind(self) -> RouteKind:
+        """What may be repeated of the request."""
+        return self._route.kind
+
+    @property
+    def sends(self) -> int:
+        """How many runners it was sent to."""
+        return self._sends
+
     def _log(self, outcome: str) -> None:
         took_s = self._context.clock.seconds() - self._received_s
         table = self._context.table
@@ -105,10 +115,12 @@
         ).info(f"request_{outcome}")
 
     def _client_left(self) -> None:
+        self._last_reason = "the client left"
         self._finish("left")
 
     def _expired(self) -> None:
         if self._phase == Phase.ANSWERING:
+            self._last_reason = "the time allowed is over"
             self._exchange.abort()
             self._finish("expired")
         elif self._phase == Phase.TRYING:
@@ -135,6 +147,7 @@
             return
         record = self._choose(route, now)
         if record is None:
+            self._last_reason = self._last_reason or f"no runner of {self._service} is known"
             self._give_up()
             return
         self._send(record, now)
