--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -54,7 +54,9 @@
         self._read_table = read_table
         self._limits = limits
         self._ledger_leader = ""
-        self._use_reported_to = ""
+        self._use_planned = False
+        self._look_planned = False
+        context.loads.on_change = self._use_changed
         self._started_s = context.clock.seconds()
         self._stopped = False
         self.under_way = 0
@@ -69,10 +71,8 @@
         messenger.serve(RunnerReads, self._take_reading)
 
     def start(self) -> None:
-        """Begin to report what is under way and to tidy up."""
-        self._report_use()
+        """Begin to tidy up."""
         self._keep_house()
-        self._leave_silent()
 
     def stop(self) -> None:
         """Report no more."""
@@ -162,6 +162,7 @@
     def _take_ledger_leader(self, address: str) -> None:
         if address != self._ledger_leader:
             self._ledger_leader = address
+            self._plan_report()
             self.on_ledger_leader(address)
 
     def _take_reading(self, source: str, message: RunnerReads) -> None:
@@ -171,22 +172,32 @@
 
     # --- housekeeping --------------------------------------------------------------------
 
+    def _use_changed(self) -> None:
+        """Plan what follows from a change of what is under way; an idle gateway sleeps."""
+        self._plan_report()
+        if not self._look_planned and not self._stopped:
+            self._look_planned = True
+            period_s = self._context.settings.silence_look_period_s
+            self._context.clock.callLater(period_s, self._leave_silent)
+
+    def _plan_report(self) -> None:
+        if not self._use_planned and not self._stopped:
+            self._use_planned = True
+            period_s = self._context.settings.use_report_period_s
+            self._context.clock.callLater(period_s, self._report_use)
+
     def _report_use(self) -> None:
-        """Tell the ledger's leader what is under way, whenever that has changed."""
-        if self._stopped:
+        """Tell the ledger's leader what is under way."""
+        self._use_planned = False
+        if self._stopped or not self._ledger_leader:
             return
-        loads = self._context.loads
-        leader = self._ledger_leader
-        if leader and (loads.changed or leader != self._use_reported_to):
-            loads.changed = False
-            self._use_reported_to = leader
-            in_flight = loads.in_flight()
-            uses = tuple(RunnerUse(runner, count) for runner, count in in_flight.items())
-            self._messenger.send(leader, OnlineUse(uses))
-        self._context.clock.callLater(self._context.settings.use_report_period_s, self._report_use)
+        in_flight = self._context.loads.in_flight()
+        uses = tuple(RunnerUse(runner, count) for runner, count in in_flight.items())
+        self._messenger.send(self._ledger_leader, OnlineUse(uses))
 
     def _leave_silent(self) -> None:
         """Leave runners out that owe answers and say nothing; the next try opens a connection."""
+        self._look_planned = False
         if self._stopped:
             return
         context = self._context
@@ -199,7 +210,9 @@
             if record is not None and record.address:
                 context.pool.forget(record.address)
             logger.bind(runner=runner).info("runner_silent")
-        context.clock.callLater(context.settings.silence_look_period_s, self._leave_silent)
+        if context.loads.owed:
+            self._look_planned = True
+            context.clock.callLater(context.settings.silence_look_period_s, self._leave_silent)
 
     def _keep_house(self) -> None:
         if self._stopped:
--- a/src/rainsail/relay/load.py
+++ b/src/rainsail/relay/load.py
@@ -6,6 +6,7 @@
 is sent to it after them; gateways tell each other of those.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from rainsail.relay.protocol import ServerLoad
@@ -55,8 +56,8 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, RunnerLoad] = {}
-        self.changed = False
-        """Set whenever what is under way has changed; whoever reports it clears it."""
+        self.on_change: Callable[[], None] = lambda: None
+        """Called whenever what is under way has changed."""
 
     def of(self, runner: str) -> RunnerLoad:
         """Return a runner's load, made when it is first asked for."""
@@ -82,7 +83,7 @@
         load.owes_within_s = max(load.owes_within_s, speaks_within_s)
         if load.owes_since_s is None:
             load.owes_since_s = now
-        self.changed = True
+        self.on_change()
 
     def ended(self, runner: str, now: float) -> None:
         """A request has ended, in whatever way."""
@@ -91,7 +92,7 @@
         if load.in_flight == 0:
             load.owes_since_s = None
             load.owes_within_s = 0.0
-        self.changed = True
+        self.on_change()
 
     def heard(self, runner: str, now: float) -> None:
         """A runner has sent something."""
@@ -99,6 +100,11 @@
         if load.owes_since_s is not None:
             load.owes_since_s = now
 
+    @property
+    def owed(self) -> bool:
+        """Tell whether some runner owes an answer."""
+        return any(load.owes_since_s is not None for load in self._loads.values())
+
     def silent(self, now: float) -> list[str]:
         """Return the runners that owe answers and have said nothing for too long."""
         return [
