--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -60,12 +60,10 @@
 metrics = "{ip}:{metrics_port}"
 
 [limits]
-memory_mb = 300
 disk_mb = 64
 
 [bounds]
 grace_s = 8
-drain_s = 2.0
 """
 
 
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -66,7 +66,7 @@
         follower.on_table = self._take_table
         follower.on_runners = self._runners_changed
         follower.on_view = self._view_changed
-        follower.on_ledger_leader = self._take_ledger_leader
+        follower.on_ledger_leader = self._ledger_leader_noticed
         context.tell_reading = follower.tell_reading
         messenger.serve(RunnerReads, self._take_reading)
 
@@ -159,6 +159,11 @@
         if view.ledger_leader:
             self._take_ledger_leader(view.ledger_leader)
 
+    def _ledger_leader_noticed(self, address: str) -> None:
+        """A new term of the ledger begins, maybe led as before: its leader knows of no use yet."""
+        self._take_ledger_leader(address)
+        self._plan_report()
+
     def _take_ledger_leader(self, address: str) -> None:
         if address != self._ledger_leader:
             self._ledger_leader = address
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -65,7 +65,6 @@
 class LimitsSection(_Section):
     """What the machine has."""
 
-    memory_mb: int = Field(default=300, ge=0, description="Memory of the process in MB")
     disk_mb: int = Field(default=0, ge=0, description="Disk of the machine in MB")
 
 
@@ -73,9 +72,6 @@
     """Times that the operator promises to others, in seconds."""
 
     grace_s: float = Field(default=8.0, gt=0, description="From SIGTERM until SIGKILL")
-    drain_s: float = Field(
-        default=2.0, gt=0, description="After it a runner that leaves gets nothing more"
-    )
     results_kept_s: float = Field(
         default=600.0, gt=0, description="Results of a job that is over stay for this long"
     )
