--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -18,6 +18,7 @@
 from rainsail.http.server import HttpLimits
 from rainsail.jobs.messages import OnlineUse, RunnerUse
 from rainsail.logs import logger
+from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.context import RelayContext
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.run import STATUS_NOT_FOUND, STATUS_UNAVAILABLE, RelayRun
@@ -43,14 +44,19 @@
         messenger: Messenger,
         read_table: TableReader,
         limits: HttpLimits,
+        metrics: NodeMetrics,
     ) -> None:
+        self._metrics = metrics
+        metrics.gauge("requests_under_way", lambda: float(self.under_way))
         self._context = context
         self._follower = follower
         self._messenger = messenger
         self._read_table = read_table
         self._limits = limits
         self._ledger_leader = ""
-        self._use_reported_to = ""
+        self._use_planned = False
+        self._look_planned = False
+        context.loads.on_change = self._use_changed
         self._started_s = context.clock.seconds()
         self._stopped = False
         self.under_way = 0
@@ -60,15 +66,13 @@
         follower.on_table = self._take_table
         follower.on_runners = self._runners_changed
         follower.on_view = self._view_changed
-        follower.on_ledger_leader = self._take_ledger_leader
+        follower.on_ledger_leader = self._ledger_leader_noticed
         context.tell_reading = follower.tell_reading
         messenger.serve(RunnerReads, self._take_reading)
 
     def start(self) -> None:
-        """Begin to report what is under way and to tidy up."""
-        self._report_use()
+        """Begin to tidy up."""
         self._keep_house()
-        self._leave_silent()
 
     def stop(self) -> None:
         """Report no more."""
@@ -116,6 +120,11 @@
 
     def _run_ended(self, run: RelayRun) -> None:
         self.under_way -= 1
+        metrics = self._metrics
+        metrics.count("requests", kind=run.kind.value, outcome=run.outcome)
+        metrics.count("request_sends", run.sends, kind=run.kind.value)
+        if run.first_s is not None:
+            metrics.observe("request_first_seconds", run.first_s, kind=run.kind.value)
 
     # --- the fleet -----------------------------------------------------------------------
 
@@ -150,9 +159,15 @@
         if view.ledger_leader:
             self._take_ledger_leader(view.ledger_leader)
 
+    def _ledger_leader_noticed(self, address: str) -> None:
+        """A new term of the ledger begins, maybe led as before: its leader knows of no use yet."""
+        self._take_ledger_leader(address)
+        self._plan_report()
+
     def _take_ledger_leader(self, address: str) -> None:
         if address != self._ledger_leader:
             self._ledger_leader = address
+            self._plan_report()
             self.on_ledger_leader(address)
 
     def _take_reading(self, source: str, message: RunnerReads) -> None:
@@ -162,22 +177,32 @@
 
     # --- housekeeping --------------------------------------------------------------------
 
+    def _use_changed(self) -> None:
+        """Plan what follows from a change of what is under way; an idle gateway sleeps."""
+        self._plan_report()
+        if not self._look_planned and not self._stopped:
+            self._look_planned = True
+            period_s = self._context.settings.silence_look_period_s
+            self._context.clock.callLater(period_s, self._leave_silent)
+
+    def _plan_report(self) -> None:
+        if not self._use_planned and not self._stopped:
+            self._use_planned = True
+            period_s = self._context.settings.use_report_period_s
+            self._context.clock.callLater(period_s, self._report_use)
+
     def _report_use(self) -> None:
-        """Tell the ledger's leader what is under way, whenever that has changed."""
-        if self._stopped:
+        """Tell the ledger's leader what is under way."""
+        self._use_planned = False
+        if self._stopped or not self._ledger_leader:
             return
-        loads = self._context.loads
-        leader = self._ledger_leader
-        if leader and (loads.changed or leader != self._use_reported_to):
-            loads.changed = False
-            self._use_reported_to = leader
-            in_flight = loads.in_flight()
-            uses = tuple(RunnerUse(runner, count) for runner, count in in_flight.items())
-            self._messenger.send(leader, OnlineUse(uses))
-        self._context.clock.callLater(self._context.settings.use_report_period_s, self._report_use)
+        in_flight = self._context.loads.in_flight()
+        uses = tuple(RunnerUse(runner, count) for runner, count in in_flight.items())
+        self._messenger.send(self._ledger_leader, OnlineUse(uses))
 
     def _leave_silent(self) -> None:
         """Leave runners out that owe answers and say nothing; the next try opens a connection."""
+        self._look_planned = False
         if self._stopped:
             return
         context = self._context
@@ -190,7 +215,9 @@
             if record is not None and record.address:
                 context.pool.forget(record.address)
             logger.bind(runner=runner).info("runner_silent")
-        context.clock.callLater(context.settings.silence_look_period_s, self._leave_silent)
+        if context.loads.owed:
+            self._look_planned = True
+            context.clock.callLater(context.settings.silence_look_period_s, self._leave_silent)
 
     def _keep_house(self) -> None:
         if self._stopped:
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -1,6 +1,5 @@
 """The settings file of a node of a fleet that relays: one TOML file for each process."""
 
-import tomllib
 from enum import StrEnum
 from pathlib import Path
 
@@ -8,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.toml import parse_toml
 from rainsail.wire.address import parse_address
 
 STEP = "settings.node"
@@ -65,7 +65,6 @@
 class LimitsSection(_Section):
     """What the machine has."""
 
-    memory_mb: int = Field(default=300, ge=0, description="Memory of the process in MB")
     disk_mb: int = Field(default=0, ge=0, description="Disk of the machine in MB")
 
 
@@ -73,9 +72,6 @@
     """Times that the operator promises to others, in seconds."""
 
     grace_s: float = Field(default=8.0, gt=0, description="From SIGTERM until SIGKILL")
-    drain_s: float = Field(
-        default=2.0, gt=0, description="After it a runner that leaves gets nothing more"
-    )
     results_kept_s: float = Field(
         default=600.0, gt=0, description="Results of a job that is over stay for this long"
     )
@@ -128,7 +124,7 @@
 def load_node_settings(path: Path) -> Result[NodeSettings, Fault]:
     """Read and check a settings file; an INVALID fault names the place and what is wrong."""
     try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
+        values = parse_toml(path.read_text(encoding="utf-8"))
         return Ok(NodeSettings.model_validate(values))
     except ValidationError as error:
         return Error(_fault(path, _first_problem(error)))
