Log a refusal while no routing table is known, and items by their ids

Cause: the story of a request refused by a starting gateway, and of an item given up after failed runs, could not be told from the logs (no line, and an index in place of the id). Test: the whole path's features, with a client that comes early.

--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -3,6 +3,7 @@
   Scenario: From an empty disk to served requests, a stream and a job, through losses
     Given the platform's stand-in with 3 controllers, 3 storage nodes, 2 gateways and 2 runners
     Then an invalid configuration is refused with 400, and a read is unavailable before the first
+    And a client that comes too early is refused with a time to come back, and the log says why
     When the operator's configuration is taken
     Then both gateways are ready
     And a safe request is answered with the runner's bytes and its signature
--- a/features/steps/platform_whole_path_steps.py
+++ b/features/steps/platform_whole_path_steps.py
@@ -33,6 +33,15 @@
     assert context.platform.control("GET", "/api/Config.Read")[0] == 503
 
 
+@then("a client that comes too early is refused with a time to come back, and the log says why")
+def refused_early(context):
+    status, _, headers = _served(context, "/safe/1", "early-1")
+    assert status == 503 and float(headers["Retry-After"]) > 0, (status, headers)
+    lines = context.platform.log_lines("gateway-1")
+    (line,) = [each for each in lines if each.get("request") == "early-1"]
+    assert line["event"] == "request_refused" and "table" in line["reason"], line
+
+
 @when("the operator's configuration is taken")
 def configure(context):
     context.platform.configure()
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -181,7 +181,7 @@
                 works.remove(work)
                 work.ready_at_s = now
                 self._waiting.appendleft(work)
-                log = logger.bind(job=work.job, index=work.index, runner=runner)
+                log = logger.bind(job=work.job, item=self._item_id(work), runner=runner)
                 log.bind(last_event=work.progress.last_event).info("item_gave_way")
                 self._metrics.count("items_gave_way")
 
@@ -311,7 +311,8 @@
             call.cancel()
         work.call = None
         if end != RunEnd.WHOLE:
-            log = logger.bind(job=work.job, index=work.index, runner=work.runner, reason=reason)
+            item = self._item_id(work)
+            log = logger.bind(job=work.job, item=item, runner=work.runner, reason=reason)
             log.bind(end=end.value, last_event=work.progress.last_event).info("item_run_ended")
         self._judge(work, end)
 
@@ -339,9 +340,12 @@
         route = None if job is None else self._route(job, job.items[work.index].path)
         return 1 if route is None else max(1, route.max_attempts)
 
-    def _finish(self, work: _Work, done: bool, reason: str) -> None:
+    def _item_id(self, work: _Work) -> str:
         job = self._state.jobs.get(work.job)
-        item = "" if job is None else job.items[work.index].item
+        return "" if job is None else job.items[work.index].item
+
+    def _finish(self, work: _Work, done: bool, reason: str) -> None:
+        item = self._item_id(work)
         text = work.progress.text if done else ""
         log = logger.bind(job=work.job, item=item, runner=work.runner, done=done, reason=reason)
         log.bind(events=len(work.progress.texts)).info("item_ended")
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -90,11 +90,10 @@
     def handle(self, exchange: Exchange) -> None:
         """Relay one request."""
         table = self._context.table
+        facts = self._context.protocol.describe(exchange.request)
         if table is None:
-            retry_after_s = self._context.settings.not_ready_retry_after_s
-            self.answer_empty(exchange, STATUS_UNAVAILABLE, retry_after_s)
+            self._refuse_unready(exchange, facts)
             return
-        facts = self._context.protocol.describe(exchange.request)
         route = table.match(facts.host, facts.path)
         if route is None:
             logger.bind(request=facts.request, table=table.version).info("request_without_route")
@@ -106,6 +105,13 @@
         self.under_way += 1
         RelayRun(self._context, exchange, facts, route, self._run_ended).start()
 
+    def _refuse_unready(self, exchange: Exchange, facts: RequestFacts) -> None:
+        retry_after_s = self._context.settings.not_ready_retry_after_s
+        log = logger.bind(request=facts.request, retry_after_s=retry_after_s)
+        log.bind(reason="no routing table is known yet").info("request_refused")
+        self._metrics.count("requests", kind="unknown", outcome="refused")
+        self.answer_empty(exchange, STATUS_UNAVAILABLE, retry_after_s)
+
     def _take_batch(self, exchange: Exchange, route: Route, facts: RequestFacts) -> None:
         if self.on_batch is None:
             self.answer_empty(exchange, STATUS_UNAVAILABLE)
