--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -80,11 +80,15 @@
 class NodeSettings(_Section):
     """The whole file."""
 
-    node: NodeSection
-    peers: PeersSection
-    listen: ListenSection = ListenSection()
-    limits: LimitsSection = LimitsSection()
-    bounds: BoundsSection = BoundsSection()
+    node: NodeSection = Field(description="Who the node is")
+    peers: PeersSection = Field(description="How the node finds the others")
+    listen: ListenSection = Field(
+        default=ListenSection(), description="Where the node serves others than nodes"
+    )
+    limits: LimitsSection = Field(default=LimitsSection(), description="What the machine has")
+    bounds: BoundsSection = Field(
+        default=BoundsSection(), description="Times that the operator promises to others"
+    )
 
     @model_validator(mode="after")
     def _check(self) -> "NodeSettings":
--- a/tools/generate_settings_page.py
+++ b/tools/generate_settings_page.py
@@ -14,6 +14,7 @@
 from pydantic_core import PydanticUndefined
 
 from rainsail.settings.model import ENVIRONMENT_PREFIX, NESTED_DELIMITER, ProcessSettings
+from rainsail.settings.node import NodeSettings
 
 PAGE = Path(__file__).parent.parent / "docs" / "SETTINGS.md"
 HEAD = f"""# Settings
@@ -34,6 +35,13 @@
 Names end in their unit: `_s` seconds, `_bytes` bytes.
 """
 
+NODE_HEAD = """# Settings of a node of a relaying fleet
+
+A gateway, controller or storage node of a fleet that relays reads one TOML file of its own; the
+environment and flags don't change it. The file is read again on SIGHUP and when it changes; only
+`peers.seeds` may change while the node runs. `rainsail settings check FILE` checks it too.
+"""
+
 
 def main() -> int:
     """Write or check the page; return the exit code."""
@@ -52,6 +60,9 @@
     parts = [HEAD]
     for name, field in ProcessSettings.model_fields.items():
         parts += section(name, field)
+    parts.append(NODE_HEAD)
+    for name, field in NodeSettings.model_fields.items():
+        parts += section(name, field)
     return "\n".join(parts)
 
 
