The product's own interface to a relaying fleet; nodes of several files in one process; names of headers

Cause: the roles could be reached through the adapter alone, and the adapter held logic that is the product's (reading headers, items and faults).

--- a/src/rainsail/cli/command_table.py
+++ b/src/rainsail/cli/command_table.py
@@ -25,6 +25,9 @@
     "up": CommandGroup(
         "rainsail.cli.run:up", "run a whole fleet in one process", text_arguments=True
     ),
+    "node": CommandGroup(
+        "rainsail.cli.node:node", "run nodes of a fleet that relays", text_arguments=True
+    ),
     "demo": CommandGroup("rainsail.cli.demo:demo", "run the demonstration and check its outcome"),
     "settings": CommandGroup(
         "rainsail.cli.settings:SettingsCommands", "check settings files", text_arguments=True
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -21,8 +21,8 @@
 MEBIBYTE = 1024 * 1024
 SEGMENT_BYTES = 4 * MEBIBYTE
 CACHE_BYTES = MEBIBYTE
-HEARTBEAT_PERIOD_S = 0.1
-ELECTION_TIMEOUT_S = 0.5
+HEARTBEAT_PERIOD_S = 0.08
+ELECTION_TIMEOUT_S = 0.35
 """Nodes are a few milliseconds apart, and what is refused while no node leads is lost for good."""
 REPAIR_AFTER_S = 1.5
 SNAPSHOT_DISK_SHARE = 0.125
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -1,6 +1,7 @@
 """One process of the fleet: reads its settings, runs its role, ends on SIGTERM or a fatal fault."""
 
 import signal
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -25,30 +26,27 @@
 
 
 class FleetProcess:
-    """Runs one role under one reactor."""
+    """Runs one role on a reactor that others may share; tells ``ended`` when it is over."""
 
     def __init__(
-        self, path: Path, settings: NodeSettings, port: PlatformPort, reactor: Any
+        self,
+        path: Path,
+        settings: NodeSettings,
+        port: PlatformPort,
+        reactor: Any,
+        ended: Callable[["FleetProcess"], None],
     ) -> None:
         self._path = path
         self._text = _content(path)
         self._reactor = reactor
+        self._ended = ended
         self._base = make_base(settings, reactor)
         self._role = make_role(self._base, port, reactor, self.fail)
         self._stopping = False
         self.exit_code = EXIT_DONE
 
-    def run(self) -> int:
-        """Run until the end; return the exit code."""
-        self._reactor.callWhenRunning(self._start)
-        self._reactor.run(installSignalHandlers=False)
-        return self.exit_code
-
-    def _start(self) -> None:
-        stop = lambda *_: self._reactor.callFromThread(self.stop)  # noqa: E731
-        signal.signal(signal.SIGTERM, stop)
-        signal.signal(signal.SIGINT, stop)
-        signal.signal(signal.SIGHUP, lambda *_: self._reactor.callFromThread(self._reload))
+    def start(self) -> None:
+        """Start the role; called once the reactor runs."""
         Deferred.fromCoroutine(self._start_role()).addErrback(self._crashed)
         self._watch_settings()
 
@@ -82,12 +80,12 @@
         """End the process because of a fault."""
         logger.bind(fault=str(fault)).error("fatal")
         self.exit_code = EXIT_FAILED
-        self._stop_reactor()
+        self._ended(self)
 
     def _crashed(self, failure: Any) -> None:
         logger.bind(traceback=failure.getTraceback()).error("crashed")
         self.exit_code = EXIT_FAILED
-        self._stop_reactor()
+        self._ended(self)
 
     def stop(self) -> None:
         """Stop as planned."""
@@ -97,11 +95,7 @@
         logger.info("stopping")
         done = Deferred.fromCoroutine(self._role.planned_stop())
         done.addErrback(self._crashed)
-        done.addCallback(lambda _: self._stop_reactor())
-
-    def _stop_reactor(self) -> None:
-        if self._reactor.running:
-            self._reactor.stop()
+        done.addCallback(lambda _: self._ended(self))
 
     # --- settings that change ------------------------------------------------------------
 
@@ -109,10 +103,10 @@
         if self._stopping:
             return
         if _content(self._path) != self._text:
-            self._reload()
+            self.reload()
         self._reactor.callLater(SETTINGS_CHECK_PERIOD_S, self._watch_settings)
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
         """Take what may change while running: the seeds. A bad file changes nothing."""
         self._text = _content(self._path)
         loaded = load_node_settings(self._path)
@@ -157,15 +151,64 @@
     return LocalFileSystem(Path(base.settings.node.data_folder), reactor)
 
 
+class NodeRunner:
+    """Runs nodes in one process, until all of them have ended or one has failed."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self.nodes: list[FleetProcess] = []
+        self.exit_code = EXIT_DONE
+
+    def run(self) -> int:
+        """Run the reactor; return the exit code."""
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=False)
+        return self.exit_code
+
+    def _start(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._reactor.callFromThread(self._stop))
+        signal.signal(signal.SIGHUP, lambda *_: self._reactor.callFromThread(self._reload))
+        for node in list(self.nodes):
+            node.start()
+
+    def _stop(self) -> None:
+        for node in list(self.nodes):
+            node.stop()
+
+    def _reload(self) -> None:
+        for node in self.nodes:
+            node.reload()
+
+    def ended(self, node: FleetProcess) -> None:
+        """Note the end of a node; a failure ends the process at once."""
+        if node in self.nodes:
+            self.nodes.remove(node)
+        self.exit_code = self.exit_code or node.exit_code
+        if (not self.nodes or self.exit_code != EXIT_DONE) and self._reactor.running:
+            self._reactor.stop()
+
+
 def run_node(path: Path, port: PlatformPort) -> int:
     """Run the process of a settings file; return its exit code."""
-    loaded = load_node_settings(path)
-    if loaded.is_error():
+    return run_nodes([path], port)
+
+
+def run_nodes(paths: list[Path], port: PlatformPort) -> int:
+    """Run the nodes of several settings files in this process; return the exit code."""
+    loaded = [(path, load_node_settings(path)) for path in paths]
+    faults = [result.error for _, result in loaded if result.is_error()]
+    if faults:
         configure_event_log("", "")
-        logger.bind(fault=str(loaded.error)).error("settings_refused")
+        for fault in faults:
+            logger.bind(fault=str(fault)).error("settings_refused")
         return EXIT_SETTINGS
-    settings = loaded.ok
-    configure_event_log(settings.node.name, settings.node.role.value)
+    first = loaded[0][1].ok.node
+    name = first.name if len(loaded) == 1 else "several"
+    configure_event_log(name, first.role.value if len(loaded) == 1 else "several")
     from twisted.internet import reactor
 
-    return FleetProcess(path, settings, port, reactor).run()
+    runner = NodeRunner(reactor)
+    for path, result in loaded:
+        runner.nodes.append(FleetProcess(path, result.ok, port, reactor, runner.ended))
+    return runner.run()
--- /dev/null
+++ b/src/rainsail/fleet_api/control.py
@@ -0,0 +1,122 @@
+"""Runners' and operators' calls to a controller, in the product's own names."""
+
+import json
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from rainsail.cluster.controller import FleetController
+from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.errors import Fault, FaultCode
+from rainsail.fleet_api.replies import (
+    EMPTY,
+    STATUS_NOT_FOUND,
+    STATUS_UNAVAILABLE,
+    reply,
+    reply_fault,
+    reply_when_done,
+)
+from rainsail.fleet_api.tables import read_table
+from rainsail.http.exchange import Exchange, Handler
+
+TABLE = "/v1/routing-table"
+RUNNERS = "/v1/runners/"
+STORAGE = "/v1/storage-nodes/"
+EMPTYING = "/emptying"
+
+
+class RunnerBody(BaseModel):
+    """A runner's word about itself."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    service: str = Field(min_length=1)
+    address: str = Field(min_length=1)
+    zone: str = ""
+    slots: int = Field(default=1, ge=1)
+    state: RunnerState = RunnerState.READY
+    cold_left_s: float = Field(default=0.0, ge=0)
+    sequence: int = Field(ge=0)
+
+
+def control_handler(controller: FleetController) -> Handler:
+    """Return the handler of a controller's address."""
+    return ControlApi(controller).handle
+
+
+class ControlApi:
+    """Each call is one of the controller's; an unclear end is 503, since all may be repeated."""
+
+    def __init__(self, controller: FleetController) -> None:
+        self._controller = controller
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        method = exchange.request.method.decode("latin-1")
+        path = exchange.request.target.decode("latin-1").partition("?")[0]
+        name = path.rpartition("/")[2]
+        if path.startswith(RUNNERS) and name and method == "PUT":
+            self._take_word(exchange, name)
+        elif path.startswith(RUNNERS) and name and method == "DELETE":
+            self._answer(exchange, self._controller.runner_gone(name))
+        elif path == TABLE and method == "PUT":
+            self._replace_table(exchange)
+        elif path == TABLE and method == "GET":
+            self._read_table(exchange)
+        elif path.startswith(STORAGE) and path.endswith(EMPTYING):
+            self._emptying(exchange, method, path[len(STORAGE) : -len(EMPTYING)])
+        else:
+            reply(exchange, STATUS_NOT_FOUND)
+
+    def _answer(self, exchange: Exchange, done: object) -> None:
+        reply_when_done(
+            exchange,
+            done,  # type: ignore[arg-type]
+            lambda _: EMPTY,
+            unclear_status=STATUS_UNAVAILABLE,
+        )
+
+    def _take_word(self, exchange: Exchange, runner: str) -> None:
+        try:
+            body = RunnerBody.model_validate(json.loads(exchange.request.body))
+        except (ValidationError, ValueError) as error:
+            reply_fault(exchange, Fault(FaultCode.INVALID, "fleet_api.runner", str(error)))
+            return
+        record = RunnerRecord(
+            runner,
+            body.service,
+            body.address,
+            body.zone,
+            body.slots,
+            body.state,
+            body.cold_left_s,
+            body.sequence,
+        )
+        self._answer(exchange, self._controller.runner_word(record))
+
+    def _replace_table(self, exchange: Exchange) -> None:
+        content = exchange.request.body
+        table = read_table(content)
+        if table.is_error():
+            reply_fault(exchange, table.error)
+            return
+        self._answer(exchange, self._controller.replace_table(table.ok.version, content))
+
+    def _read_table(self, exchange: Exchange) -> None:
+        done = self._controller.read_table()
+
+        def answer(result) -> None:  # type: ignore[no-untyped-def]
+            if result.is_error():
+                reply(exchange, STATUS_UNAVAILABLE)
+            elif result.ok.version == 0:
+                reply(exchange, STATUS_NOT_FOUND)
+            else:
+                reply(exchange, 200, result.ok.content)
+
+        done.addCallback(answer)
+
+    def _emptying(self, exchange: Exchange, method: str, name: str) -> None:
+        if method == "PUT":
+            self._answer(exchange, self._controller.empty_node(name))
+            return
+        done = self._controller.emptying(name)
+        reply_when_done(exchange, done, lambda status: {"done": status.done})
--- /dev/null
+++ b/src/rainsail/fleet_api/replies.py
@@ -0,0 +1,70 @@
+"""Answers of our own over HTTP, and how faults become statuses."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.http.exchange import Exchange
+
+JSON_TYPE = (b"Content-Type", b"application/json")
+EMPTY: dict[str, Any] = {}
+STATUS_OK = 200
+STATUS_INVALID = 400
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+STATUS_UNCLEAR = 504
+RETRY_AFTER_S = 0.5
+_STATUSES = {
+    FaultCode.INVALID: STATUS_INVALID,
+    FaultCode.NOT_FOUND: STATUS_NOT_FOUND,
+    FaultCode.CONFLICT: STATUS_CONFLICT,
+}
+
+
+def reply(
+    exchange: Exchange, status: int, body: bytes = b"", retry_after_s: float | None = None
+) -> None:
+    """Answer with a body of JSON, or none."""
+    fields = [JSON_TYPE] if body else []
+    if retry_after_s is not None:
+        fields.append((b"Retry-After", f"{retry_after_s:g}".encode()))
+    exchange.answer(status, tuple(fields), body)
+
+
+def reply_json(exchange: Exchange, status: int, body: Any) -> None:
+    """Answer with a value as JSON."""
+    reply(exchange, status, json.dumps(body, separators=(",", ":")).encode())
+
+
+def reply_fault(exchange: Exchange, fault: Fault, unclear_status: int = STATUS_UNCLEAR) -> None:
+    """Answer a fault; 503 with the time to come back only where nothing was done."""
+    status = _STATUSES.get(fault.code)
+    if status is not None:
+        reply_json(exchange, status, {"error": fault.detail})
+    elif fault.outcome == Outcome.NOT_RUN:
+        reply(exchange, STATUS_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
+    else:
+        reply(exchange, unclear_status)
+
+
+def reply_when_done(
+    exchange: Exchange,
+    done: "Deferred[Result[Any, Fault]]",
+    body: Callable[[Any], Any],
+    status: int = STATUS_OK,
+    unclear_status: int = STATUS_UNCLEAR,
+) -> None:
+    """Answer with ``body`` of the result, or with its fault."""
+
+    def answer(result: Result[Any, Fault]) -> None:
+        if result.is_ok():
+            reply_json(exchange, status, body(result.ok))
+        else:
+            reply_fault(exchange, result.error, unclear_status)
+
+    done.addCallback(answer)
--- /dev/null
+++ b/src/rainsail/fleet_api/tables.py
@@ -0,0 +1,116 @@
+"""The routing table as an operator writes it: JSON, checked whole."""
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from rainsail.errors import Fault, FaultCode
+from rainsail.relay.table import (
+    ClientLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    ServiceShare,
+)
+
+STEP = "fleet_api.tables"
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+
+class RouteBody(_Part):
+    """One route; ``services`` maps each service to its weight."""
+
+    name: str = Field(min_length=1)
+    host: str = Field(min_length=1)
+    prefix: str = Field(pattern=r"^/(.*/)?$")
+    kind: RouteKind
+    services: dict[str, float]
+    timeout_s: float = Field(gt=0)
+    target_s: float = Field(gt=0)
+    max_attempts: int = Field(default=1, ge=1)
+    priority: int = 0
+    resumable: bool = False
+    gap_target_s: float = Field(default=0.0, ge=0)
+
+    @model_validator(mode="after")
+    def _check(self) -> "RouteBody":
+        weights = self.services.values()
+        if any(weight < 0 for weight in weights) or sum(weights) <= 0:
+            raise ValueError("the weights must be 0 or more and not all 0")
+        return self
+
+
+class ServiceBody(_Part):
+    """One service."""
+
+    name: str = Field(min_length=1)
+    max_connections: int = Field(default=0, ge=0)
+    generates: bool = False
+
+
+class LimitsBody(_Part):
+    """What a client may send."""
+
+    max_header_bytes: int = Field(default=16 * 1024, gt=0)
+    max_body_bytes: int = Field(default=4 * 1024 * 1024, gt=0)
+    header_timeout_s: float = Field(default=3.0, gt=0)
+    idle_timeout_s: float = Field(default=15.0, gt=0)
+
+
+class TableBody(_Part):
+    """A whole table."""
+
+    version: int = Field(gt=0)
+    routes: tuple[RouteBody, ...]
+    services: tuple[ServiceBody, ...]
+    limits: LimitsBody = LimitsBody()
+
+    @model_validator(mode="after")
+    def _check(self) -> "TableBody":
+        known = {service.name for service in self.services}
+        places = [(route.host.lower(), route.prefix) for route in self.routes]
+        if len(set(places)) < len(places):
+            raise ValueError("two routes share host and prefix")
+        unknown = {name for route in self.routes for name in route.services} - known
+        if unknown:
+            raise ValueError(f"unknown services: {', '.join(sorted(unknown))}")
+        return self
+
+
+def read_table(content: bytes) -> Result[RoutingTable, Fault]:
+    """Read a table; an INVALID fault names the first place that is wrong."""
+    try:
+        body = TableBody.model_validate_json(content)
+    except ValidationError as error:
+        problem = error.errors()[0]
+        place = ".".join(str(part) for part in problem["loc"])
+        return Error(Fault(FaultCode.INVALID, STEP, f"{place}: {problem['msg']}"))
+    routes = tuple(_route(route) for route in body.routes)
+    services = tuple(Service(s.name, s.max_connections, s.generates) for s in body.services)
+    limits = ClientLimits(
+        body.limits.max_header_bytes,
+        body.limits.max_body_bytes,
+        body.limits.header_timeout_s,
+        body.limits.idle_timeout_s,
+    )
+    return Ok(RoutingTable(body.version, routes, services, limits))
+
+
+def _route(body: RouteBody) -> Route:
+    shares = tuple(ServiceShare(name, weight) for name, weight in body.services.items())
+    return Route(
+        body.name,
+        body.host,
+        body.prefix,
+        body.kind,
+        shares,
+        body.timeout_s,
+        body.target_s,
+        body.max_attempts,
+        body.priority,
+        body.resumable,
+        body.gap_target_s,
+    )
--- /dev/null
+++ b/src/rainsail/relay/header_protocol.py
@@ -0,0 +1,172 @@
+"""Relaying by headers: one class for every platform that says the same under other names."""
+
+import math
+from dataclasses import dataclass
+
+from rainsail.http.client import AnswerHead, OutgoingRequest
+from rainsail.http.exchange import HttpRequest
+from rainsail.http.headers import (
+    HeaderFields,
+    end_to_end,
+    header_number,
+    header_text,
+    header_value,
+)
+from rainsail.relay.protocol import (
+    AnswerVerdict,
+    ItemRequest,
+    PromptPart,
+    RequestFacts,
+    RunnerTarget,
+    ServerLoad,
+)
+
+HOST = b"Host"
+CONTENT_LENGTH = b"Content-Length"
+RETRY_AFTER = b"Retry-After"
+STATUS_BAD_REQUEST = 400
+STATUS_OTHER_RUNNER = 421
+STATUS_LEAST_FAILURE = 400
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses by which a client takes it that its request was not run."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """What the headers are called.
+
+    ``deadline`` holds how long the client waits, in units of ``deadline_unit_s``; ``runner`` names
+    the runner that a request is meant for; ``load`` holds running, waiting and slots, by commas.
+    """
+
+    request: bytes = b"Rainsail-Request"
+    deadline: bytes = b"Rainsail-Deadline-S"
+    deadline_unit_s: float = 1.0
+    runner: bytes = b"Rainsail-Runner"
+    last_event: bytes = b"Last-Event-ID"
+    prompt: bytes = b"Rainsail-Prompt"
+    usage: bytes = b"Rainsail-Tokens"
+    load: bytes = b"Rainsail-Load"
+    not_run: bytes = b"Rainsail-Not-Run"
+
+
+class HeaderProtocol:
+    """Implements ``rainsail.relay.protocol.RelayProtocol`` for one set of names."""
+
+    def __init__(self, names: HeaderNames) -> None:
+        self._names = names
+        replaced = (names.deadline, names.runner, names.last_event, CONTENT_LENGTH)
+        self._replaced = frozenset(name.lower() for name in replaced)
+        self._kept_back = frozenset(name.lower() for name in (names.load, names.not_run))
+
+    def describe(self, request: HttpRequest) -> RequestFacts:
+        """Read what a client's request says of itself."""
+        names, fields = self._names, request.headers
+        deadline = header_number(fields, names.deadline.lower())
+        prompt_tokens, answer_tokens = _usage(header_text(fields, names.usage.lower()))
+        after = header_text(fields, names.last_event.lower())
+        return RequestFacts(
+            header_text(fields, names.request.lower()),
+            header_text(fields, HOST.lower()).partition(":")[0],
+            request.target.decode("latin-1").partition("?")[0],
+            None if deadline is None else deadline * names.deadline_unit_s,
+            _prompt(header_text(fields, names.prompt.lower())),
+            prompt_tokens,
+            answer_tokens,
+            int(after) if _is_number(after) else None,
+        )
+
+    def relayed(
+        self,
+        request: HttpRequest,
+        target: RunnerTarget,
+        deadline_left_s: float | None,
+        after_event: int | None,
+    ) -> OutgoingRequest:
+        """Return the request as it goes to a runner."""
+        fields = list(end_to_end(request.headers, self._replaced))
+        if deadline_left_s is not None:
+            fields.append((self._names.deadline, self._deadline(deadline_left_s)))
+        fields += self._sent_fields(target, after_event, request.body)
+        return OutgoingRequest(request.method, request.target, tuple(fields), request.body)
+
+    def _deadline(self, left_s: float) -> bytes:
+        """Return the time left; whole units where these are short."""
+        left = left_s / self._names.deadline_unit_s
+        if self._names.deadline_unit_s < 1:
+            return str(max(1, math.floor(left))).encode()
+        return f"{left:.3f}".encode()
+
+    def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
+        """Return an item's request as it goes to a runner."""
+        fields = [(HOST, item.host.encode()), (self._names.request, item.item.item.encode())]
+        for header in item.item.headers:
+            fields.append((header.name.encode("latin-1"), header.value.encode("latin-1")))
+        fields += self._sent_fields(target, item.after_event, item.item.body)
+        path = item.item.path.encode("latin-1")
+        return OutgoingRequest(b"POST", path, tuple(fields), item.item.body)
+
+    def _sent_fields(
+        self, target: RunnerTarget, after_event: int | None, body: bytes
+    ) -> list[tuple[bytes, bytes]]:
+        fields = [(self._names.runner, target.runner.encode())]
+        if after_event is not None:
+            fields.append((self._names.last_event, str(after_event).encode()))
+        fields.append((CONTENT_LENGTH, str(len(body)).encode()))
+        return fields
+
+    def judge(self, head: AnswerHead, request: str) -> AnswerVerdict:
+        """Judge the head of a runner's answer to a request."""
+        answered = header_text(head.headers, self._names.request.lower())
+        says_not_run = header_value(head.headers, self._names.not_run.lower()) is not None
+        other_runner = head.status == STATUS_OTHER_RUNNER
+        unread = head.status == STATUS_BAD_REQUEST and not answered
+        unnamed_failure = not answered and head.status >= STATUS_LEAST_FAILURE
+        return AnswerVerdict(
+            belongs=answered == request or unnamed_failure,
+            not_run=says_not_run or other_runner or unread,
+            promises_not_run=head.status in PROMISES_NOT_RUN,
+            other_runner=other_runner,
+            closing=b"close" in (header_value(head.headers, b"connection") or b"").lower(),
+            load=_load(header_text(head.headers, self._names.load.lower())),
+        )
+
+    def answer_headers(self, head: AnswerHead) -> HeaderFields:
+        """Return the fields of a runner's answer that travel on to the client."""
+        return end_to_end(head.headers, self._kept_back)
+
+    def refusal_headers(self, retry_after_s: float | None) -> HeaderFields:
+        """Return the fields of an answer of our own."""
+        if retry_after_s is None:
+            return ()
+        return ((RETRY_AFTER, f"{retry_after_s:g}".encode()),)
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
+def _prompt(value: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for text in value.split(","):
+        part, _, tokens = text.strip().partition(":")
+        if part and _is_number(tokens):
+            parts.append(PromptPart(part, int(tokens)))
+    return tuple(parts)
+
+
+def _numbers(value: str, count: int) -> list[int] | None:
+    numbers = [text.strip() for text in value.split(",")]
+    if len(numbers) != count or not all(map(_is_number, numbers)):
+        return None
+    return [int(number) for number in numbers]
+
+
+def _usage(value: str) -> tuple[int, int]:
+    numbers = _numbers(value, 2)
+    return (0, 0) if numbers is None else (numbers[0], numbers[1])
+
+
+def _load(value: str) -> ServerLoad | None:
+    numbers = _numbers(value, 3)
+    return None if numbers is None else ServerLoad(numbers[0], numbers[1], numbers[2])
