Prove the product's own interface to a relaying fleet on the example's nodes

Seven nodes of examples/relaying in one process: table, runner's word, request, job, metrics, refusal, end; and what 'rainsail settings check' says of a node's file.

--- /dev/null
+++ b/features/fleet/own_interface.feature
@@ -0,0 +1,25 @@
+Feature: A relaying fleet is run and reached by the product's own interface
+
+  Scenario: The example's nodes in one process serve requests and jobs, and end on SIGTERM
+    Given the nodes of examples/relaying run in one process
+    When the example's routing table is put at a controller
+    Then a table without services is refused with 400 and the fault names the place
+    And the routing table reads back byte by byte
+    When a runner of the product's own interface says that it is ready
+    Then a request is relayed to it and its answer comes back
+    And a job of 2 items is accepted, and its results can be read
+    And the metrics page of a gateway counts the request
+    When the runner says that it is gone
+    Then a request is refused with 503 and a time to come back
+    And the process ends on SIGTERM with code 0
+
+  Scenario Outline: What is wrong with a node's file is said before anything starts
+    When "rainsail settings check" reads the gateway's example with <change>
+    Then it ends with code <code> and says "<words>"
+
+    Examples:
+      | change           | code | words                       |
+      | no change        | 0    | node gateway-1: gateway     |
+      | no client port   | 2    | listen.clients              |
+      | an unknown role  | 2    | node.role                   |
+      | a broken line    | 2    | node.toml                   |
--- /dev/null
+++ b/features/support/own_fleet.py
@@ -0,0 +1,70 @@
+"""A fleet that speaks the product's own interface: every node in one process, on loopback."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from features.support.command_line import ROOT
+from features.support.platform_stand_in import StandInPlatform, wait_until
+from rig.daemon import die_with_parent
+
+EXAMPLES = ROOT / "examples" / "relaying"
+PROGRAM = "from rainsail.cli.main import main; main()"
+
+
+class OwnFleet:
+    """Runs ``rainsail node`` on the example's files with addresses of this process's own."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.octet = 10 + os.getpid() % 200
+        files = [self._own_copy(path) for path in sorted(EXAMPLES.glob("*.toml"))]
+        log = Path(self._folder.name) / "log"
+        with log.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-c", PROGRAM, "node", *files],
+                cwd=self._folder.name,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                preexec_fn=die_with_parent,
+            )
+        self.log = log
+
+    def _own_copy(self, path: Path) -> str:
+        copy = Path(self._folder.name) / path.name
+        copy.write_text(path.read_text().replace("127.30.", f"127.{self.octet}."))
+        return str(copy)
+
+    def address(self, third: int, last: int) -> str:
+        """Return an address of the example, as it is in this run."""
+        return f"127.{self.octet}.{third}.{last}"
+
+    def call(
+        self, ip: str, port: int, method: str, path: str, body: Any = None, **headers: str
+    ) -> tuple[int, bytes]:
+        """Make one call; status 0 stands for no answer."""
+        content = body if isinstance(body, bytes) else b""
+        if body is not None and not isinstance(body, bytes):
+            content = json.dumps(body).encode()
+        call = StandInPlatform.call
+        status, answer, _ = call(self, ip, port, method, path, content, **headers)  # type: ignore[arg-type]
+        return status, answer
+
+    def stop(self) -> int:
+        """Ask the process to end and return its exit code."""
+        self.process.terminate()
+        return self.process.wait(timeout=30)
+
+    def close(self) -> None:
+        """End the process if it still runs."""
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self._folder.cleanup()
+
+
+__all__ = ["OwnFleet", "wait_until"]
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -20,7 +20,17 @@
 
 WORKER_TIMEOUT_S = 900
 KNOWN_RED_FILE = Path("KNOWN-RED.txt")
-LONG_AREAS = ("rig", "platform", "demo", "simulation", "experiment", "scale", "benchmarks", "cli")
+LONG_AREAS = (
+    "rig",
+    "platform",
+    "fleet",
+    "demo",
+    "simulation",
+    "experiment",
+    "scale",
+    "benchmarks",
+    "cli",
+)
 """Areas whose features run in a process each."""
 SHOWN_SLOWEST = 5
 
