Start no items after a freeze or out of touch with the controllers

Change: items start only under the leader's lease and while losses + 1 controllers have answered within 1.6 s, which meets every quorum that acknowledged a runner's word.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -114,3 +114,20 @@
     And 1 second of the fleet passes
     And all storage nodes lose power and start again
     Then the item is sent again behind event 3
+
+  Scenario: A leader that was frozen starts nothing of a job that ended meanwhile
+    Given a relayed fleet with a table and a runner of 8 slots
+    And the runner takes no items for now
+    When a gateway hands in a job of 3 items
+    And the ledger's leader freezes, and a gateway ends the job at the next one
+    And the runner takes items again while the frozen leader wakes
+    Then the woken leader has sent nothing
+
+  Scenario: A leader that hears of no controllers starts no items, and goes on when it does
+    Given a relayed fleet with a table and a runner of 8 slots
+    When the ledger's leader is cut off from all controllers
+    And 2 seconds of the fleet pass
+    And a gateway hands in a job of 3 items
+    Then no item runs
+    When the ledger's leader reaches the controllers again
+    Then 3 items run
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -325,3 +325,56 @@
 @when("1 second of the fleet passes")
 def one_second(context):
     context.fleet.run_for(1.0)
+
+
+@given("the runner takes no items for now")
+def runner_busy(context):
+    report_use(context, 8)
+    context.fleet.run_for(0.1)
+
+
+@when("the ledger's leader freezes, and a gateway ends the job at the next one")
+def freeze_leader(context):
+    context.frozen = context.fleet.leader("storage")
+    context.sent_before = len(context.fleet.pools[context.frozen].calls)
+    context.fleet.freeze(context.frozen)
+    context.fleet.run_until(
+        lambda: any(name != context.frozen for name in context.fleet.leading("storage")),
+        "another leader",
+    )
+    ended = context.fleet.result_of(context.fleet.nodes["gateway-1"].role.end(JOB), "an end")
+    assert ended.is_ok(), ended
+    context.fleet.run_for(4.0)
+
+
+@when("the runner takes items again while the frozen leader wakes")
+def wake_leader(context):
+    node = context.fleet.nodes[context.frozen]
+    node.role.dispatcher.online.clear()
+    # Timers that were due while the process stood still may run in any order: this one first.
+    node.role.dispatcher._tick()
+    context.fleet.thaw(context.frozen)
+    context.fleet.run_for(3.0)
+
+
+@then("the woken leader has sent nothing")
+def woken_sent_nothing(context):
+    assert len(context.fleet.pools[context.frozen].calls) == context.sent_before
+
+
+def _each_controller(context, change):
+    leader = context.fleet.address(context.fleet.leader("storage"))
+    for name in context.fleet.names("controller"):
+        controller = context.fleet.address(name)
+        change(leader, controller)
+        change(controller, leader)
+
+
+@when("the ledger's leader is cut off from all controllers")
+def cut_from_controllers(context):
+    _each_controller(context, context.fleet.network.cut)
+
+
+@when("the ledger's leader reaches the controllers again")
+def reach_controllers(context):
+    _each_controller(context, context.fleet.network.mend)
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -148,6 +148,16 @@
         """Return the process name of a node."""
         return self.nodes[name].base.node.address
 
+    def freeze(self, name: str) -> None:
+        """Pause a node's process."""
+        self.nodes[name].clock.freeze()
+        self.network.freeze(self.address(name))
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on: what its timers owe comes first, then what has arrived."""
+        self.nodes[name].clock.thaw()
+        self.network.thaw(self.address(name))
+
     def isolate(self, name: str) -> None:
         """Cut a node off from all others, in silence."""
         self.network.isolate(self.address(name))
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -101,6 +101,15 @@
         """Return how many controllers have answered within the last two beats."""
         return sum(1 for each in self._controllers.values() if self._is_fresh(each))
 
+    def hears(self, count: int, within_s: float) -> bool:
+        """Tell whether so many controllers have answered within a time.
+
+        What a quorum of controllers knows, one of ``losses + 1`` voters knows.
+        """
+        now = self._clock.seconds()
+        heard = [each for each in self._controllers.values() if now - each.heard_s <= within_s]
+        return len(heard) >= count
+
     def view(self) -> FleetView:
         """Return what the controllers heard of lately say together."""
         fresh = [each.view for each in self._fresh()]
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -28,6 +28,8 @@
 
 LEDGER_GROUP: GroupId = 1
 HOUSEKEEPING_PERIOD_S = 1.0
+CONTROLLERS_HEARD_WITHIN_S = 1.6
+"""A beat and its answer; what a runner or an operator says must count within two seconds."""
 
 
 class StorageNode:
@@ -61,6 +63,7 @@
             base.settings.node.zone,
             self._outcomes.add,
             self._propose,
+            self._may_start_items,
             PlanSettings(),
             base.metrics,
         )
@@ -98,6 +101,12 @@
         logger.bind(founders=",".join(founders)).info("ledger_opened")
         driver.start()
 
+    def _may_start_items(self) -> bool:
+        """Tell whether items may go out: under the leader's lease, and hearing of controllers."""
+        needed = self._base.settings.node.losses + 1
+        leads = self.driver is not None and self.driver.is_leader()
+        return leads and self._base.follower.hears(needed, CONTROLLERS_HEARD_WITHIN_S)
+
     def _propose(self, command: Any) -> Any:
         assert self.driver is not None
         return self.driver.propose(command)
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -54,6 +54,12 @@
 ListOutcome = Callable[[str, ItemOutcome], None]
 """Commits an item's end; called once an item."""
 
+MayStart = Callable[[], bool]
+"""Tells whether this node still leads, and hears of runners that leave and tables that change.
+
+A node that was frozen or is cut off must not act on what it knew before.
+"""
+
 KeepNotes = Callable[[NoteProgress], None]
 """Commits how far items have come; what is lost of it is only run again."""
 
@@ -72,6 +78,7 @@
         zone: str,
         list_outcome: ListOutcome,
         keep_notes: KeepNotes,
+        may_start: MayStart,
         settings: PlanSettings,
         metrics: NodeMetrics,
     ) -> None:
@@ -84,6 +91,7 @@
         self._zone = zone
         self._list_outcome = list_outcome
         self._keep_notes = keep_notes
+        self._may_start = may_start
         self._settings = settings
         self._table: RoutingTable | None = None
         self._waiting: deque[_Work] = deque()
@@ -213,7 +221,7 @@
 
     def _start_items(self) -> None:
         now = self._clock.seconds()
-        if not self.online.heard_any and now < self._blind_until_s:
+        if not self._may_start() or (not self.online.heard_any and now < self._blind_until_s):
             return
         held: list[_Work] = []
         while self._waiting:
