--- a/features/steps/wire_admission_steps.py
+++ b/features/steps/wire_admission_steps.py
@@ -60,7 +60,7 @@
 @given('a wire node of another protocol version named "{name}" and its peer "{peer}"')
 def step_other_version(context, name, peer):
     known = tcp.transport_fingerprint
-    tcp.transport_fingerprint = lambda: known() ^ 1
+    tcp.transport_fingerprint = lambda modules: known(modules) ^ 1
     try:
         add_node(context, Node(name, {peer: _address(context, peer)}))
     finally:
