--- /dev/null
+++ b/features/support/relayed_soak.py
@@ -0,0 +1,388 @@
+"""A relayed fleet under seeded random faults in virtual time, judged by what its users saw.
+
+Faults stay within what the fleet is meant to bear: one machine with a disk lost at a time, with
+time to catch up after each, and losses of power of a whole group that keep all disks.
+"""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from features.support.relayed_fleet import RelayedFleet
+from features.support.relaying import SERVICE, event
+
+from rainsail.cluster.messages import RunnerRecord, RunnerState
+
+EVENTS = 8
+STEP_S = 0.1
+CATCH_UP_S = 5.0
+DRAIN_S = 2.0
+CANCEL_S = 3.0
+QUIET_S = 40.0
+BREAK_CHANCE = 0.01
+REPEAT_CHANCE = 0.5
+RESEND_CHANCE = 0.3
+WHOLE_TEXT = "\n".join(f"text {number}" for number in range(1, EVENTS + 1))
+
+
+@dataclass
+class SoakJob:
+    """One job as its client knows it."""
+
+    job: str
+    count: int
+    accepted_s: float | None = None
+    ended_s: float | None = None
+    end_asked: bool = False
+    pages: list[Any] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Sending:
+    """An item on its way to a runner."""
+
+    at_s: float
+    job: str
+    runner: str
+
+
+class RelayedSoak:
+    """Runs the users and the faults; ``violations`` says what went wrong."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        self.random = random.Random(seed)
+        self.fleet = RelayedFleet(seed)
+        self.fleet.leader("controller")
+        self.fleet.leader("storage")
+        self.until_s = self.fleet.clock.seconds() + seconds
+        self.acknowledged_version = 0
+        self.version = 0
+        self.jobs: dict[str, SoakJob] = {}
+        self.runners: dict[str, RunnerRecord] = {}
+        self.drained_s: dict[str, float] = {}
+        self.sendings: list[Sending] = []
+        self.gateway_versions: dict[str, int] = {}
+        self.violations: list[str] = []
+        self.faults: list[str] = []
+        self._down: list[tuple[float, str, str]] = []
+        self._calm_at_s = self.now + 2.0
+        self._next_runner = 0
+        self._armed: tuple[str, str] | None = None
+
+    @property
+    def now(self) -> float:
+        """Virtual time."""
+        return self.fleet.clock.seconds()
+
+    def run(self) -> None:
+        """Run the whole soak, then heal everything and judge."""
+        for _ in range(3):
+            self._add_runner()
+        while self.now < self.until_s:
+            self._step(faults=True)
+        self._heal()
+        end_s = self.now + QUIET_S
+        while self.now < end_s and not self._is_settled():
+            self._step(faults=False)
+        self._judge()
+
+    def _step(self, faults: bool) -> None:
+        self.fleet.run_for(STEP_S)
+        self._play_runners()
+        self._watch_gateways()
+        self._beat_runners()
+        if faults:
+            self._play_operator()
+            self._play_clients()
+            self._play_faults()
+        self._read_jobs()
+
+    # --- runners -------------------------------------------------------------------------
+
+    def _add_runner(self) -> None:
+        self._next_runner += 1
+        number = self._next_runner
+        record = RunnerRecord(
+            f"r-{number}",
+            SERVICE,
+            f"10.9.0.{number}:80",
+            "zone-1",
+            8,
+            RunnerState.READY,
+            0.0,
+            0,
+        )
+        self.runners[record.runner] = record
+
+    def _controller(self) -> Any:
+        names = [
+            name
+            for name in self.fleet.names("controller")
+            if self.fleet.nodes[name].role.controller is not None
+        ]
+        return self.fleet.controller(self.random.choice(names)) if names else None
+
+    def _beat_runners(self) -> None:
+        for name, record in list(self.runners.items()):
+            if self.random.random() < STEP_S:
+                self._say(name, record.state)
+
+    def _say(self, name: str, state: RunnerState) -> None:
+        controller = self._controller()
+        if controller is None:
+            return
+        known = self.runners[name]
+        record = RunnerRecord(
+            name,
+            known.service,
+            known.address,
+            known.zone,
+            known.slots,
+            state,
+            0.0,
+            known.sequence + 1,
+        )
+        self.runners[name] = record
+        controller.runner_word(record).addCallback(self._word_taken, name, state)
+
+    def _word_taken(self, result: Any, name: str, state: RunnerState) -> None:
+        if result.is_ok() and state == RunnerState.DRAINING:
+            self.drained_s.setdefault(name, self.now)
+
+    def _play_runners(self) -> None:
+        for pool in self.fleet.pools.values():
+            for call in pool.calls:
+                if not hasattr(call, "next_event"):
+                    runner = call.field(b"runner")
+                    job = call.request.target.decode().split("/")[2]
+                    self.sendings.append(Sending(self.now, job, runner))
+                    call.next_event = self._first_event(call)
+                    call.begin_stream()
+                self._play_call(call)
+
+    def _first_event(self, call: Any) -> int:
+        """Go on behind the last event; some runners send that one again."""
+        after = int(call.field(b"after-event") or 0)
+        return max(1, after if self.random.random() < REPEAT_CHANCE else after + 1)
+
+    def _play_call(self, call: Any) -> None:
+        if call.cancelled or getattr(call, "over", False):
+            return
+        if self.random.random() < BREAK_CHANCE:
+            call.over = True
+            call.listener.answer_failed("connection reset")
+        elif call.next_event > EVENTS:
+            call.over = True
+            call.listener.answer_ended()
+        else:
+            call.listener.answer_data(event(call.next_event))
+            call.next_event += 1
+
+    # --- the operator and the clients ----------------------------------------------------
+
+    def _play_operator(self) -> None:
+        if self.random.random() < STEP_S / 1.5:
+            self._send_table()
+        if self.random.random() < STEP_S / 2:
+            self._read_table()
+        if self.random.random() < STEP_S / 8 and len(self.runners) < 9:
+            name = self.random.choice([n for n in self.runners if n not in self.drained_s] or [""])
+            if name:
+                self._add_runner()
+                self._say(name, RunnerState.DRAINING)
+
+    def _send_table(self) -> None:
+        controller = self._controller()
+        if controller is None:
+            return
+        version = self.version
+        if not version or self.random.random() > RESEND_CHANCE:
+            self.version += self.random.randint(1, 3)
+            version = self.version
+        elif self.random.random() < 0.5:
+            version = max(1, version - 1)
+        done = controller.replace_table(version, str(version).encode())
+        done.addCallback(self._table_taken, version)
+
+    def _table_taken(self, result: Any, version: int) -> None:
+        if result.is_ok():
+            self.acknowledged_version = max(self.acknowledged_version, version)
+            self._strike_if_armed("controller")
+
+    def _read_table(self) -> None:
+        controller = self._controller()
+        if controller is not None:
+            controller.read_table().addCallback(self._table_read, self.acknowledged_version)
+
+    def _table_read(self, result: Any, acknowledged: int) -> None:
+        if result.is_ok() and result.ok.version < acknowledged:
+            version = result.ok.version
+            self.violations.append(f"a read gave table {version} after {acknowledged} was taken")
+
+    def _play_clients(self) -> None:
+        if self.random.random() < STEP_S / 2:
+            job = SoakJob(f"job-{len(self.jobs) + 1}", self.random.randint(1, 4))
+            self.jobs[job.job] = job
+            self._submit(job)
+        for job in self.jobs.values():
+            if job.accepted_s is None and self.random.random() < STEP_S:
+                self._submit(job)
+            elif job.accepted_s is not None and self.random.random() < STEP_S / 60:
+                self._end(job)
+
+    def _gateway(self) -> Any:
+        return self.fleet.nodes[self.random.choice(self.fleet.names("gateway"))].role
+
+    def _submit(self, job: SoakJob) -> None:
+        gateway = self.random.choice(self.fleet.names("gateway"))
+        done = self.fleet.submit(gateway, job.job, job.count)
+        done.addCallback(self._submitted, job)
+
+    def _submitted(self, result: Any, job: SoakJob) -> None:
+        if result.is_ok() and job.accepted_s is None:
+            job.accepted_s = self.now
+            self._strike_if_armed("storage")
+
+    def _end(self, job: SoakJob) -> None:
+        job.end_asked = True
+        self._gateway().end(job.job).addCallback(self._job_ended, job)
+
+    def _job_ended(self, result: Any, job: SoakJob) -> None:
+        if result.is_ok() and job.ended_s is None:
+            job.ended_s = self.now
+
+    def _read_jobs(self) -> None:
+        for job in self.jobs.values():
+            if job.accepted_s is not None and self.random.random() < STEP_S / 2:
+                self._gateway().read(job.job, 0, 0.0).addCallback(self._page_read, job)
+
+    def _page_read(self, result: Any, job: SoakJob) -> None:
+        if result.is_error():
+            if result.error.code.value == "not_found":
+                self.violations.append(f"{job.job} was accepted and is not found")
+            return
+        known = list(job.pages[-1]) if job.pages else []
+        results = list(result.ok.results)
+        shorter = min(len(known), len(results))
+        if known[:shorter] != results[:shorter]:
+            self.violations.append(f"{job.job}: a position changed")
+        if len({entry.item for entry in results}) < len(results):
+            self.violations.append(f"{job.job}: an item stands twice")
+        for entry in results:
+            if entry.done and entry.text != WHOLE_TEXT:
+                self.violations.append(f"{job.job}: a text is not whole: {entry.text!r}")
+        if len(results) >= len(known):
+            job.pages.append(results)
+
+    def _watch_gateways(self) -> None:
+        for name in self.fleet.names("gateway"):
+            version = self.fleet.nodes[name].base.follower.table_version
+            if version < self.gateway_versions.get(name, 0):
+                self.violations.append(f"{name} went back to table {version}")
+            self.gateway_versions[name] = version
+
+    # --- faults --------------------------------------------------------------------------
+
+    def _play_faults(self) -> None:
+        for due_s, name, kind in list(self._down):
+            if self.now >= due_s:
+                self._down.remove((due_s, name, kind))
+                self._bring_back(name, kind)
+        if self._down or self.now < self._calm_at_s:
+            return
+        self._calm_at_s = self.now + CATCH_UP_S + self.random.uniform(0, 2)
+        kind = self.random.choice(["crash", "wipe", "freeze", "isolate", "group", "group_wipe"])
+        group = self.random.choice(["controller", "storage"])
+        if self.random.random() < 0.4:
+            self._armed = (group, kind)
+            return
+        self._strike(group, kind)
+
+    def _strike_if_armed(self, group: str) -> None:
+        """Strike the moment that a client has its acknowledgement."""
+        armed = self._armed
+        if armed is None or armed[0] != group or self._down or self.now >= self.until_s:
+            return
+        self._armed = None
+        self._calm_at_s = self.now + CATCH_UP_S + self.random.uniform(0, 2)
+        self.fleet.clock.callLater(0, self._strike, *armed)
+
+    def _strike(self, group: str, kind: str) -> None:
+        names = self.fleet.names(group)
+        name = self._victim(group, names)
+        for_s = self.random.uniform(0.3, 4.0)
+        self.faults.append(f"{self.now:.1f} {kind} {name} {for_s:.1f}")
+        if kind in ("group", "group_wipe"):
+            for each in names:
+                self._take_down(each, "wipe" if kind == "group_wipe" and each == name else "crash")
+                self._down.append((self.now + for_s, each, "crash"))
+            return
+        self._take_down(name, kind)
+        self._down.append((self.now + for_s, name, kind))
+
+    def _victim(self, group: str, names: list[str]) -> str:
+        leading = self.fleet.leading(group)
+        if leading and self.random.random() < 0.6:
+            return leading[0]
+        return self.random.choice(names)
+
+    def _take_down(self, name: str, kind: str) -> None:
+        match kind:
+            case "crash":
+                self.fleet.crash(name)
+            case "wipe":
+                self.fleet.lose_disk(name)
+            case "freeze":
+                self.fleet.freeze(name)
+            case "isolate":
+                self.fleet.isolate(name)
+        if kind in ("crash", "wipe") and name in self.fleet.pools:
+            self.fleet.pools[name].calls.clear()
+
+    def _bring_back(self, name: str, kind: str) -> None:
+        match kind:
+            case "crash" | "wipe":
+                self.fleet.start(name)
+            case "freeze":
+                self.fleet.thaw(name)
+            case "isolate":
+                self.fleet.rejoin(name)
+
+    def _heal(self) -> None:
+        for _, name, kind in self._down:
+            self._bring_back(name, kind)
+        self._down = []
+
+    # --- judging -------------------------------------------------------------------------
+
+    def _is_settled(self) -> bool:
+        gateways = self.gateway_versions.values()
+        if any(version < self.acknowledged_version for version in gateways):
+            return False
+        owed = [j for j in self.jobs.values() if j.accepted_s is not None and not j.end_asked]
+        return all(job.pages and len(job.pages[-1]) == job.count for job in owed)
+
+    def _judge(self) -> None:
+        for name, version in self.gateway_versions.items():
+            if version < self.acknowledged_version:
+                wanted = self.acknowledged_version
+                self.violations.append(f"{name} has table {version}, {wanted} was acknowledged")
+        for job in self.jobs.values():
+            if job.accepted_s is None or job.end_asked:
+                continue
+            if not job.pages or len(job.pages[-1]) < job.count:
+                self.violations.append(f"{job.job} was accepted and is not finished")
+        self._judge_sendings()
+
+    def _judge_sendings(self) -> None:
+        for sending in self.sendings:
+            drained_s = self.drained_s.get(sending.runner)
+            if drained_s is not None and sending.at_s > drained_s + DRAIN_S + STEP_S:
+                late_s = sending.at_s - drained_s
+                self.violations.append(f"{sending.runner} got an item {late_s:.1f} s after leaving")
+            job = self.jobs.get(sending.job)
+            if job is None or job.ended_s is None:
+                continue
+            if sending.at_s > job.ended_s + CANCEL_S + STEP_S:
+                late_s = sending.at_s - job.ended_s
+                self.violations.append(f"an item of {job.job} ran {late_s:.1f} s after its end")
