Answer a call that a process does not serve yet as unavailable, never as invalid

Cause: a process listens to its peers before it has opened its disk. Ruled out: an unreadable table (the text is the messenger's own). Change: the messenger answers UNAVAILABLE with the outcome NOT_RUN, so that the caller looks for the leader again and at the end says 503.

--- a/features/cluster/controllers.feature
+++ b/features/cluster/controllers.feature
@@ -82,3 +82,11 @@
     When controller 2 loses its disk and starts again
     And 0.4 seconds of the fleet pass
     Then controller 2 knows the controllers 1 and 3 as contacts of its group
+
+  Scenario: An order that meets a leader which has not opened its disk yet is not called invalid
+    Given a relayed fleet
+    When the leading controller's process starts again and has not opened its disk
+    And an operator sends table 7 to another controller
+    Then the order is taken or may be sent again
+    When the other controllers take table 7
+    Then every other controller reads table 7
--- a/features/steps/relayed_fleet_steps.py
+++ b/features/steps/relayed_fleet_steps.py
@@ -5,6 +5,7 @@
 from features.support.relaying import runner_record
 
 from rainsail.errors import FaultCode
+from rainsail.wire.messenger import Messenger
 
 SEED = 17
 
@@ -157,6 +158,38 @@
     _read_gives(context, context.cut, version)
 
 
+@when("the leading controller's process starts again and has not opened its disk")
+def leader_not_open(context):
+    fleet = context.fleet
+    context.cut = fleet.leader("controller")
+    address = fleet.address(context.cut)
+    fleet.crash(context.cut)
+    Messenger(fleet.network.transport(address), fleet.clock)
+
+
+@when("an operator sends table {version:d} to another controller")
+def send_to_another(context, version):
+    context.order = context.fleet.result_of(
+        _send_table(context, version, _other_controllers(context)[0]), "an answer to the order"
+    )
+
+
+def _other_controllers(context):
+    return [name for name in context.fleet.names("controller") if name != context.cut]
+
+
+@then("the order is taken or may be sent again")
+def order_repeatable(context):
+    order = context.order
+    assert order.is_ok() or order.error.code == FaultCode.UNAVAILABLE, order
+
+
+@then("every other controller reads table {version:d}")
+def others_read(context, version):
+    for name in _other_controllers(context):
+        _read_gives(context, name, version)
+
+
 # --- runners -------------------------------------------------------------------------------
 
 
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -105,10 +105,8 @@
             return
         handler = self._handlers.get(type(envelope.message))
         if handler is None:
-            name = type(envelope.message).__name__
-            fault = Fault(FaultCode.INVALID, "messenger.deliver", f"no handler for {name}")
             if envelope.kind == EnvelopeKind.CALL:
-                self._reply(source, envelope.call_id, fault)
+                self._reply(source, envelope.call_id, self._unserved(envelope.message))
             return
         if envelope.kind == EnvelopeKind.ONE_WAY:
             handler(source, envelope.message)
@@ -117,6 +115,14 @@
         answer.addErrback(self._handler_failed)
         answer.addCallback(lambda reply: self._reply(source, envelope.call_id, reply))
 
+    def _unserved(self, message: Any) -> Fault:
+        """Say that this process does not serve a call, or not yet: it may still be opening its disk.
+
+        The message itself may be sound, so that this is never INVALID: the caller tries elsewhere.
+        """
+        detail = f"{type(message).__name__} is not served here, or not yet"
+        return Fault(FaultCode.UNAVAILABLE, "messenger.deliver", detail, self.name, Outcome.NOT_RUN)
+
     def _handler_failed(self, failure: Failure) -> Fault:
         if isinstance(failure.value, RainsailError):
             return failure.value.fault
