Run items by urgency: due first, those that can't be in time any more last

Ruled out: a resting ledger (stable leader, items ending all the time), forgotten runners, leaking slots. Change: jobs have a due time (routes' completion time); items that can still be in time go first, by due time, and what gives way to online work is the least urgent. Waiting items stand in one queue a job, so that a plan no longer walks over every waiting item twenty times a second.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -131,3 +131,11 @@
     Then no item runs
     When the ledger's leader reaches the controllers again
     Then 3 items run
+
+  Scenario: A job that can't be in time any more doesn't hold up one that can
+    Given a relayed fleet with a table and a runner of 8 slots
+    And the runner takes no items for now
+    When a gateway hands in a job of 3 items
+    And 6 seconds later a gateway hands in a second job of 2 items
+    And the runner has room for 2 items
+    Then the 2 items of the second job run, and none of the first
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -10,6 +10,8 @@
 
 SEED = 23
 JOB = "job-1"
+SECOND_JOB = "job-2"
+RUNNER_SLOTS = 8
 
 
 @given("a relayed fleet with a table and a runner of {slots:d} slots")
@@ -378,3 +380,26 @@
 @when("the ledger's leader reaches the controllers again")
 def reach_controllers(context):
     _each_controller(context, context.fleet.network.mend)
+
+
+# --- urgency -------------------------------------------------------------------------------
+
+
+@when("{seconds:d} seconds later a gateway hands in a second job of {count:d} items")
+def second_job(context, seconds, count):
+    context.fleet.run_for(seconds)
+    done = context.fleet.submit("gateway-1", SECOND_JOB, count)
+    assert context.fleet.result_of(done, "an answer to the second job").is_ok()
+
+
+@when("the runner has room for {count:d} items")
+def runner_has_room(context, count):
+    reserved = 2
+    report_use(context, RUNNER_SLOTS - reserved - count)
+    context.fleet.run_for(1.0)
+
+
+@then("the {count:d} items of the second job run, and none of the first")
+def second_runs(context, count):
+    running = [call.job for call in _open_calls(context)]
+    assert running == [SECOND_JOB] * count, running
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -25,6 +25,8 @@
 SEED_PORT = 8000
 LIMIT_S = 30.0
 JOB_PATH = "/jobs/1"
+COMPLETION_S = 5.0
+"""Time within which the tests' jobs are due."""
 
 
 def table_of(content: bytes) -> Any:
@@ -39,6 +41,7 @@
             30.0,
             1.0,
             max_attempts=2,
+            completion_s=COMPLETION_S,
         ),
     )
     services = (Service("model", 10, True),)
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -57,7 +57,7 @@
 
     def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
         """Send an item with the event to go on behind."""
-        fields = [(b"runner", target.runner.encode())]
+        fields = [(b"runner", target.runner.encode()), (b"item", item.item.item.encode())]
         if item.after_event is not None:
             fields.append((b"after-event", str(item.after_event).encode()))
         return OutgoingRequest(b"POST", item.item.path.encode(), tuple(fields), item.item.body)
@@ -96,6 +96,11 @@
         """Return a field of the request as text."""
         return dict(self.request.headers).get(name, b"").decode()
 
+    @property
+    def job(self) -> str:
+        """The job of an item's request: what stands before the item's number."""
+        return self.field(b"item").rpartition("-")[0]
+
     def answer(self, status: int, body: bytes = b"", *fields: tuple[bytes, bytes]) -> None:
         """Answer whole."""
         self.listener.answer_begun(AnswerHead(status, fields))
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -67,6 +67,7 @@
             PlanSettings(),
             base.metrics,
         )
+        self.state.on_accepted = self.dispatcher.job_seen
         base.metrics.gauge("jobs_kept", lambda: float(len(self.state.jobs)))
         self._retention = Retention(self.state, base.settings.bounds.results_kept_s)
         self._stopped = False
@@ -154,6 +155,7 @@
         if self._stopped:
             return
         self._pool.close_stale()
+        self.dispatcher.forget_jobs()
         if self.driver is not None and self.driver.is_leader():
             for command in self._retention.due(self._base.clock.seconds()):
                 self.driver.propose(command)
--- a/src/rainsail/fleet_api/tables.py
+++ b/src/rainsail/fleet_api/tables.py
@@ -34,6 +34,7 @@
     priority: int = 0
     resumable: bool = False
     gap_target_s: float = Field(default=0.0, ge=0)
+    completion_s: float = Field(default=0.0, ge=0)
 
     @model_validator(mode="after")
     def _check(self) -> "RouteBody":
@@ -113,4 +114,5 @@
         body.priority,
         body.resumable,
         body.gap_target_s,
+        body.completion_s,
     )
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -5,18 +5,19 @@
 batches, and count once these are committed.
 """
 
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from random import Random
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
-from rainsail.http.pool import Call, ConnectionPool
-from rainsail.jobs.item_run import ItemProgress, ItemRun, RunEnd
-from rainsail.jobs.job_state import NO_EVENT, JobState, RelayedJob
+from rainsail.http.pool import ConnectionPool
+from rainsail.jobs.item_run import ItemRun, RunEnd
+from rainsail.jobs.job_state import JobState, RelayedJob
 from rainsail.jobs.online_use import OnlineUseBook
 from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
+from rainsail.jobs.urgency import DueTimes, RunPace, Urgency, urgency
+from rainsail.jobs.waiting import WaitingItems
+from rainsail.jobs.work import Work, note_of, taken_up
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
@@ -33,24 +34,6 @@
 """A run from which nothing comes for this long goes on elsewhere."""
 
 
-@dataclass(slots=True)
-class _Work:
-    """An item that is not listed yet."""
-
-    job: str
-    index: int
-    progress: ItemProgress = field(default_factory=ItemProgress)
-    ready_at_s: float = 0.0
-    runner: str = ""
-    run: ItemRun | None = None
-    call: Call | None = None
-    started_s: float = 0.0
-    events_seen: int = 0
-    seen_at_s: float = 0.0
-    noted: int = 0
-    """How many events the replicated state knows of."""
-
-
 ListOutcome = Callable[[str, ItemOutcome], None]
 """Commits an item's end; called once an item."""
 
@@ -94,8 +77,10 @@
         self._may_start = may_start
         self._settings = settings
         self._table: RoutingTable | None = None
-        self._waiting: deque[_Work] = deque()
-        self._running: dict[str, list[_Work]] = {}
+        self._waiting = WaitingItems()
+        self._pace = RunPace()
+        self._due = DueTimes()
+        self._running: dict[str, list[Work]] = {}
         self._known_jobs: set[str] = set()
         self._paused_until_s: dict[str, float] = {}
         self._split = SplitPicker(random)
@@ -122,15 +107,30 @@
     def stop(self) -> None:
         """Close every run: another leader runs what is not listed."""
         self._active = False
+        now = self._clock.seconds()
         for works in self._running.values():
             for work in works:
-                self._cut(work)
+                work.cut(now)
         self._running.clear()
         self._waiting.clear()
 
     def set_table(self, table: RoutingTable) -> None:
         """Send by this routing table from now on."""
         self._table = table
+        for job in self._state.jobs.values():
+            self._set_due(job)
+
+    def job_seen(self, job: str) -> None:
+        """Note a job whose acceptance this replica has applied, leader or not."""
+        self._due.seen(job, self._clock.seconds())
+
+    def _set_due(self, job: RelayedJob) -> None:
+        route = None if self._table is None else self._table.match(job.host, job.path)
+        self._due.set_within(job.job, 0.0 if route is None else route.completion_s)
+
+    def _urgency(self, work: Work) -> Urgency:
+        now = self._clock.seconds()
+        return urgency(work, self._due.due_s(work.job), self._pace, now)
 
     def runners_changed(self, changed: list[RunnerRecord]) -> None:
         """Close idle connections to runners that take nothing more."""
@@ -157,19 +157,30 @@
             self._known_jobs.add(job.job)
             if job.ended:
                 continue
-            for index in sorted(job.unlisted):
-                self._waiting.append(_taken_up(job, index))
+            self._due.seen(job.job, self._clock.seconds())
+            self._set_due(job)
+            self._waiting.add_job(job.job, [taken_up(job, index) for index in sorted(job.unlisted)])
 
     def _drop_ended(self) -> None:
-        self._waiting = deque(work for work in self._waiting if self._is_open(work))
+        self._waiting.drop(self._is_job_open)
+        now = self._clock.seconds()
         for works in self._running.values():
             for work in [each for each in works if not self._is_open(each)]:
-                self._cut(work)
+                work.cut(now)
                 works.remove(work)
 
-    def _is_open(self, work: _Work) -> bool:
-        job = self._state.jobs.get(work.job)
-        return job is not None and not job.ended and work.index in job.unlisted
+    def _is_open(self, work: Work) -> bool:
+        """Tell whether an item is still to be run: an earlier leader's word may yet list it."""
+        return self._is_job_open(work.job) and work.index in self._state.jobs[work.job].unlisted
+
+    def _is_job_open(self, name: str) -> bool:
+        job = self._state.jobs.get(name)
+        return job is not None and not job.ended
+
+    def forget_jobs(self) -> None:
+        """Forget what is known of jobs that are not kept any more; called now and then."""
+        self._known_jobs.intersection_update(self._state.jobs)
+        self._due.keep_only(self._state.jobs)
 
     # --- room ----------------------------------------------------------------------------
 
@@ -178,17 +189,18 @@
         return RunnerRoom(record.runner, record.slots, self.online.running(record.runner), items)
 
     def _give_way(self) -> None:
-        """Close the newest runs where online work needs their slots."""
+        """Close the least urgent runs where online work needs their slots."""
         now = self._clock.seconds()
         for runner, works in self._running.items():
             record = self._registry.get(runner)
-            if record is None:
+            count = 0 if record is None else items_to_yield(self._room(record), self._settings)
+            if not count:
                 continue
-            for work in works[len(works) - items_to_yield(self._room(record), self._settings) :]:
-                self._cut(work)
+            for work in sorted(works, key=self._urgency)[-count:]:
+                work.cut(now)
                 works.remove(work)
                 work.ready_at_s = now
-                self._waiting.appendleft(work)
+                self._waiting.put_back(work)
                 log = logger.bind(job=work.job, item=self._item_id(work), runner=runner)
                 log.bind(last_event=work.progress.last_event).info("item_gave_way")
                 self._metrics.count("items_gave_way")
@@ -212,7 +224,7 @@
         notes: list[ItemNote] = []
         for works in self._running.values():
             for work in works:
-                notes += _note_of(work)
+                notes += note_of(work)
         if notes:
             self._keep_notes(NoteProgress(tuple(notes)))
         self._clock.callLater(self._settings.note_period_s, self._note_progress)
@@ -223,16 +235,14 @@
         now = self._clock.seconds()
         if not self._may_start() or (not self.online.heard_any and now < self._blind_until_s):
             return
-        held: list[_Work] = []
-        while self._waiting:
-            work = self._waiting.popleft()
-            if work.ready_at_s > now or not self._start(work, now):
-                held.append(work)
-                if work.ready_at_s <= now:
-                    break
-        self._waiting.extendleft(reversed(held))
-
-    def _start(self, work: _Work, now: float) -> bool:
+        for work in self._waiting.by_urgency(self._urgency):
+            if work.ready_at_s > now:
+                continue
+            if self._is_open(work) and not self._start(work, now):
+                return
+            self._waiting.take(work)
+
+    def _start(self, work: Work, now: float) -> bool:
         """Start a run if some runner has room; True when the item needs no run now."""
         job = self._state.jobs[work.job]
         route = self._route(job, job.items[work.index].path)
@@ -250,7 +260,7 @@
             return None
         return self._table.match(job.host, path) or self._table.match(job.host, job.path)
 
-    def _without_route(self, work: _Work) -> bool:
+    def _without_route(self, work: Work) -> bool:
         if self._table is None:
             return False
         self._finish(work, False, "no route")
@@ -275,7 +285,7 @@
         since_s = now - self._started_at_s.get(runner, float("-inf"))
         return since_s >= self._settings.start_gap_s
 
-    def _run_at(self, work: _Work, job: RelayedJob, record: RunnerRecord, now: float) -> None:
+    def _run_at(self, work: Work, job: RelayedJob, record: RunnerRecord, now: float) -> None:
         item = job.items[work.index]
         request = self._protocol.item_request(
             ItemRequest(job.host, item, work.progress.last_event),
@@ -299,24 +309,15 @@
 
     # --- ending --------------------------------------------------------------------------
 
-    def _cut(self, work: _Work) -> None:
-        if work.run is not None:
-            work.run.stop()
-        if work.call is not None:
-            work.call.cancel()
-        work.run = None
-        work.call = None
-
-    def _run_ended(self, work: _Work, end: RunEnd, reason: str) -> None:
-        run, call = work.run, work.call
+    def _run_ended(self, work: Work, end: RunEnd, reason: str) -> None:
+        now = self._clock.seconds()
         works = self._running.get(work.runner, [])
         if work in works:
             works.remove(work)
-        if end == RunEnd.BROKEN and run is not None:
-            self._cut(work)
+        if end == RunEnd.BROKEN:
+            work.cut(now)
+        work.ran_s = work.running_s(now)
         work.run = None
-        if call is not None and end == RunEnd.BROKEN:
-            call.cancel()
         work.call = None
         if end != RunEnd.WHOLE:
             item = self._item_id(work)
@@ -324,9 +325,10 @@
             log.bind(end=end.value, last_event=work.progress.last_event).info("item_run_ended")
         self._judge(work, end)
 
-    def _judge(self, work: _Work, end: RunEnd) -> None:
+    def _judge(self, work: Work, end: RunEnd) -> None:
         now = self._clock.seconds()
         if end == RunEnd.WHOLE:
+            self._pace.finished(work.ran_s)
             self._finish(work, True, "whole")
             return
         if end == RunEnd.IMPOSSIBLE:
@@ -341,43 +343,21 @@
             pause_s = FAILED_RUNNER_PAUSE_S if end == RunEnd.BROKEN else RETRY_PAUSE_S
             self._paused_until_s[work.runner] = now + pause_s
         work.ready_at_s = now
-        self._waiting.appendleft(work)
+        self._waiting.put_back(work)
 
-    def _most_attempts(self, work: _Work) -> int:
+    def _most_attempts(self, work: Work) -> int:
         job = self._state.jobs.get(work.job)
         route = None if job is None else self._route(job, job.items[work.index].path)
         return 1 if route is None else max(1, route.max_attempts)
 
-    def _item_id(self, work: _Work) -> str:
+    def _item_id(self, work: Work) -> str:
         job = self._state.jobs.get(work.job)
         return "" if job is None else job.items[work.index].item
 
-    def _finish(self, work: _Work, done: bool, reason: str) -> None:
+    def _finish(self, work: Work, done: bool, reason: str) -> None:
         item = self._item_id(work)
         text = work.progress.text if done else ""
         log = logger.bind(job=work.job, item=item, runner=work.runner, done=done, reason=reason)
         log.bind(events=len(work.progress.texts)).info("item_ended")
         self._metrics.count("items_ended", state="done" if done else "given_up")
         self._list_outcome(work.job, ItemOutcome(work.index, done, text))
-
-
-def _taken_up(job: RelayedJob, index: int) -> _Work:
-    """Return an item's work, going on where the last note of it ended."""
-    work = _Work(job.job, index)
-    note = job.notes.get(index)
-    if note is not None:
-        work.progress.last_event = note.last_event
-        work.progress.texts = list(note.texts)
-        work.progress.numbers = [note.last_event] * len(note.texts)
-        work.noted = len(note.texts)
-    return work
-
-
-def _note_of(work: _Work) -> list[ItemNote]:
-    progress = work.progress
-    texts = tuple(progress.texts[work.noted :])
-    if not texts or progress.last_event is None:
-        return []
-    after = progress.numbers[work.noted - 1] if work.noted else NO_EVENT
-    work.noted = len(progress.texts)
-    return [ItemNote(work.job, work.index, after, progress.last_event, texts)]
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -1,6 +1,6 @@
 """The replicated state of the ledger group: jobs, their items and what is listed of them."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 
 from rainsail.errors import Fault, FaultCode
@@ -55,6 +55,8 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, RelayedJob] = {}
+        self.on_accepted: Callable[[str], None] = lambda job: None
+        """Hears of each job as its acceptance is applied; not part of the state."""
 
     def apply(self, index: int, command: Command) -> CommandOutcome:
         """Apply the committed command at log ``index``."""
@@ -84,6 +86,7 @@
         job = RelayedJob(command.job, command.host, command.path, items)
         job.unlisted = set(range(len(items)))
         self.jobs[command.job] = job
+        self.on_accepted(command.job)
 
     def _list(self, command: ListOutcomes) -> None:
         job = self.jobs.get(command.job)
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -26,7 +26,8 @@
     """One route. Times are seconds; ``shares`` holds one entry unless the route is split.
 
     ``target_s`` is the time within which an answer is worth most, ``gap_target_s`` the longest
-    pause of a stream that still is in time.
+    pause of a stream that still is in time, ``completion_s`` the time within which all results of
+    a job are due, counted from its acceptance (0: no time is set).
     """
 
     name: str
@@ -40,6 +41,7 @@
     priority: int = 0
     resumable: bool = False
     gap_target_s: float = 0.0
+    completion_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -116,9 +116,10 @@
         answer.addCallback(lambda reply: self._reply(source, envelope.call_id, reply))
 
     def _unserved(self, message: Any) -> Fault:
-        """Say that this process does not serve a call, or not yet: it may still be opening its disk.
+        """Say that this process does not serve a call, or not yet.
 
-        The message itself may be sound, so that this is never INVALID: the caller tries elsewhere.
+        It may still be opening its disk, and the message may be sound: this is never INVALID, so
+        that the caller tries elsewhere.
         """
         detail = f"{type(message).__name__} is not served here, or not yet"
         return Fault(FaultCode.UNAVAILABLE, "messenger.deliver", detail, self.name, Outcome.NOT_RUN)
