Load only a role's own records and sockets; consensus imports nothing of control

Import times show twisted.internet.endpoints (69 of 620 ms) in the transport, and the other control plane's records (control.messages, resources.specs, state.*_commands and the CRC over all their schemas, some 90 ms) in roles that keep none of them. Change: sockets are dialled and listened on at the reactor (wire.sockets); status messages stand in consensus.group_status; state.command_basics and state.fleet_commands hold what a fleet's groups need; the driver is handed how commands are encoded, and a folder's fingerprint covers the records that its groups keep. A new leader's empty entry is a record of its own, which groups of every kind read. Ruled out: leaving pydantic out (settings, 100 ms) against the house's choice of libraries.

--- a/features/steps/consensus_lost_disk_steps.py
+++ b/features/steps/consensus_lost_disk_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from rainsail.control.messages import GroupHealth
+from rainsail.consensus.group_status import GroupHealth
 
 
 @when("a follower of the consensus group loses its disk and is back before it is missed")
--- a/features/support/consensus.py
+++ b/features/support/consensus.py
@@ -9,15 +9,15 @@
 
 from rainsail.consensus.core_state import Role
 from rainsail.consensus.driver import GroupDriver
+from rainsail.consensus.group_status import GroupStatusReply
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.messages import SnapshotChunk
 from rainsail.consensus.settings import ConsensusSettings
-from rainsail.control.messages import GroupStatusReply
 from rainsail.errors import Fault
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.disk import SimulatedDisk
 from rainsail.simulation.network import SimulatedNetwork, SimulatedTransport
-from rainsail.state.commands import Command, CommandOutcome, Done, MarkInForce
+from rainsail.state.commands import Command, CommandOutcome, Done, MarkInForce, encode_command
 from rainsail.storage.group_storage import open_group_storage
 from rainsail.storage.identity import load_or_create_identity
 from rainsail.storage.settings import StorageSettings
@@ -139,6 +139,7 @@
             generator,
             self.settings,
             tuple(MemberSpec(each, "") for each in self.names),
+            encode_command,
         )
         member.driver.on_fatal(member.faults.append)
         member.driver.on_leadership(member.leadership.append)
--- a/features/support/consensus_groups.py
+++ b/features/support/consensus_groups.py
@@ -14,7 +14,7 @@
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.disk import SimulatedDisk
 from rainsail.simulation.network import SimulatedNetwork, SimulatedTransport
-from rainsail.state.commands import MarkInForce
+from rainsail.state.commands import MarkInForce, encode_command
 from rainsail.storage.group_storage import open_group_storage
 from rainsail.storage.identity import load_or_create_identity
 from rainsail.storage.settings import StorageSettings
@@ -78,6 +78,7 @@
             random.Random(f"{name}/{group}"),
             ConsensusSettings(),
             tuple(MemberSpec(each, "") for each in self.names),
+            encode_command,
             process.router,
         )
         driver.start()
--- a/features/support/control.py
+++ b/features/support/control.py
@@ -9,9 +9,9 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.testing import StringTransportWithDisconnection
 
+from rainsail.consensus.group_status import GroupHealth, GroupStatusReply
 from rainsail.control.config_view import ConfigView
 from rainsail.control.leader_client import LeaderClient
-from rainsail.control.messages import GroupHealth, GroupStatusReply
 from rainsail.control.operator_api import OperatorApi
 from rainsail.control.operator_auth import Caller
 from rainsail.control.operator_site import make_operator_site
--- a/src/rainsail/assembly/hosted_group.py
+++ b/src/rainsail/assembly/hosted_group.py
@@ -13,7 +13,7 @@
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.router import GroupRouter
 from rainsail.errors import Fault, FaultCode
-from rainsail.state.commands import ROOT_GROUP, GroupId
+from rainsail.state.commands import ROOT_GROUP, GroupId, encode_command
 from rainsail.state.machine import ReplicatedState
 from rainsail.storage.group_storage import open_group_storage
 from rainsail.storage.identity import ReplicaIdentity
@@ -74,6 +74,7 @@
             seams.node.random,
             config.consensus,
             tuple(MemberSpec(name, "", True) for name in names),
+            encode_command,
             router,
         )
     except CodecError as error:
--- a/src/rainsail/assembly/role_metrics.py
+++ b/src/rainsail/assembly/role_metrics.py
@@ -7,7 +7,7 @@
 from rainsail.assembly.emulator import EmulatorRole
 from rainsail.assembly.roles import GatewayRole, ReplicaRole
 from rainsail.batch.dispatcher import Dispatcher
-from rainsail.control.messages import GroupStatusReply
+from rainsail.consensus.group_status import GroupStatusReply
 from rainsail.emulator.engine import EmulatedEngine
 from rainsail.gateway.metering import RequestMeter
 from rainsail.metrics import Metrics
--- a/src/rainsail/benchmarks/metered_control.py
+++ b/src/rainsail/benchmarks/metered_control.py
@@ -7,7 +7,7 @@
 from expression import Ok
 from twisted.internet.defer import Deferred, succeed
 
-from rainsail.control.messages import GroupStatusReply
+from rainsail.consensus.group_status import GroupStatusReply
 from rainsail.simulation.clock import VirtualClock
 from rainsail.simulation.network import SimulatedNetwork
 from rainsail.state.commands import ROOT_GROUP, Command
--- a/src/rainsail/cluster/fleet_state.py
+++ b/src/rainsail/cluster/fleet_state.py
@@ -9,7 +9,8 @@
     ReleaseNode,
     ReplaceTable,
 )
-from rainsail.state.commands import Command, CommandOutcome, Done, NoOperation
+from rainsail.state.command_basics import Done, NoOperation
+from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
 from rainsail.wire.codec import decode, encode
 
 
@@ -22,7 +23,7 @@
         self.founders: tuple[str, ...] = ()
         self.released: tuple[str, ...] = ()
 
-    def apply(self, index: int, command: Command) -> CommandOutcome:
+    def apply(self, index: int, command: FleetCommand) -> FleetCommandOutcome:
         """Apply the committed command at log ``index``."""
         match command:
             case ReplaceTable():
--- a/src/rainsail/consensus/applier.py
+++ b/src/rainsail/consensus/applier.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
@@ -9,19 +10,18 @@
 from rainsail.consensus.log_window import LogWindow
 from rainsail.consensus.membership import membership_of_payload
 from rainsail.errors import Fault, FaultCode, Outcome
-from rainsail.state.commands import Command, CommandOutcome
-from rainsail.state.interface import StateMachine
+from rainsail.state.command_basics import command_of
+from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import LogEntry
-from rainsail.wire.codec import decode
 
-ProposalResult = Result[tuple[int, CommandOutcome], Fault]
+ProposalResult = Result[tuple[int, Any], Fault]
 
 
 @dataclass(frozen=True, slots=True)
 class Proposal:
     """A command on its way, with the Deferred of its proposer."""
 
-    command: Command
+    command: Any
     payload: bytes
     done: "Deferred[ProposalResult]"
 
@@ -110,7 +110,7 @@
             outcome = self._state_machine.apply(entry.index, waiting.proposal.command)
             return waiting.proposal, Ok((entry.index, outcome))
         if membership_of_payload(entry.payload) is None:
-            self._state_machine.apply(entry.index, decode(entry.payload).command)
+            self._state_machine.apply(entry.index, command_of(entry.payload))
         if waiting is None:
             return None
         return waiting.proposal, Error(overruled())
--- a/src/rainsail/consensus/core.py
+++ b/src/rainsail/consensus/core.py
@@ -38,7 +38,7 @@
 )
 from rainsail.consensus.settings import ConsensusSettings
 from rainsail.errors import Fault
-from rainsail.state.commands import GroupId
+from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
 
 
--- a/src/rainsail/consensus/core_state.py
+++ b/src/rainsail/consensus/core_state.py
@@ -10,7 +10,7 @@
 from rainsail.consensus.membership import Membership
 from rainsail.consensus.messages import GroupMessage
 from rainsail.consensus.settings import ConsensusSettings
-from rainsail.state.commands import GroupId
+from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import HardState, LogEntry
 
 
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -3,6 +3,7 @@
 import random as random_module
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, succeed
@@ -12,6 +13,7 @@
 from rainsail.consensus.core import ConsensusCore
 from rainsail.consensus.core_state import Role
 from rainsail.consensus.effects import Effects, Outgoing
+from rainsail.consensus.group_status import GroupStatusReply
 from rainsail.consensus.leadership import Leadership
 from rainsail.consensus.member_log import log_acknowledged_lost, log_stranger
 from rainsail.consensus.membership import Membership, MemberSpec
@@ -26,11 +28,10 @@
 from rainsail.consensus.sync_queue import SyncQueue
 from rainsail.consensus.sync_watch import SyncWatch
 from rainsail.consensus.wake_timer import WakeTimer
-from rainsail.control.messages import GroupStatusReply
 from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.clock import Clock
-from rainsail.state.commands import Command, GroupId
-from rainsail.state.interface import StateMachine
+from rainsail.state.command_basics import GroupId
+from rainsail.state.state_machine import StateMachine
 from rainsail.storage.identity import ReplicaIdentity
 from rainsail.storage.interface import GroupStorage
 from rainsail.wire.codec import CodecError
@@ -52,10 +53,14 @@
         random: random_module.Random,
         settings: ConsensusSettings,
         bootstrap: tuple[MemberSpec, ...],
+        encode_command: Callable[[Any], bytes],
         router: GroupRouter | None = None,
         started_s: float | None = None,
     ) -> None:
-        """``started_s`` is when the process began, by ``clock``; None stands for now."""
+        """``encode_command`` makes the payload of a log entry of one of this group's commands.
+
+        ``started_s`` is when the process began, by ``clock``; None stands for now.
+        """
         self.group = group
         self.settings = settings
         self._clock = clock
@@ -98,7 +103,13 @@
         self._fatal_listeners: list[Callable[[Fault], None]] = []
         self._reads = ReadBarriers(self._applier)
         self._proposals = ProposalQueue(
-            self.core, self._applier, self._sync_queue, clock, self._take, self._not_leader
+            self.core,
+            self._applier,
+            self._sync_queue,
+            clock,
+            self._take,
+            self._not_leader,
+            encode_command,
         )
 
     # --- life cycle ----------------------------------------------------------------------
@@ -156,7 +167,7 @@
         """Call ``listener(True)`` when leadership begins, ``listener(False)`` when it ends."""
         self._leadership.listen(listener)
 
-    def propose(self, command: Command) -> "Deferred[ProposalResult]":
+    def propose(self, command: Any) -> "Deferred[ProposalResult]":
         """Commit and apply a command; fires with (index, outcome) or a fault."""
         return self._proposals.propose(command)
 
--- a/src/rainsail/consensus/group_placement.py
+++ b/src/rainsail/consensus/group_placement.py
@@ -1,6 +1,6 @@
 """Which replicas keep which group, worked out alike by every process from the list of replicas."""
 
-from rainsail.state.commands import GroupId
+from rainsail.state.command_basics import GroupId
 
 
 def members_of_group(
--- a/src/rainsail/consensus/interface.py
+++ b/src/rainsail/consensus/interface.py
@@ -5,14 +5,14 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from expression import Result
 from twisted.internet.defer import Deferred
 
-from rainsail.control.messages import GroupStatusReply
+from rainsail.consensus.group_status import GroupStatusReply
 from rainsail.errors import Fault
-from rainsail.state.commands import Command, CommandOutcome, GroupId
+from rainsail.state.command_basics import GroupId
 
 
 class Group(Protocol):
@@ -32,7 +32,7 @@
         """Return the current term."""
         ...
 
-    def propose(self, command: Command) -> "Deferred[Result[tuple[int, CommandOutcome], Fault]]":
+    def propose(self, command: Any) -> "Deferred[Result[tuple[int, Any], Fault]]":
         """Commit and apply; fires with (index, outcome). Fault NOT_LEADER: not appended.
 
         Fault with outcome UNKNOWN: leadership was lost while the entry was under way.
--- a/src/rainsail/consensus/messages.py
+++ b/src/rainsail/consensus/messages.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from rainsail.state.commands import GroupId
+from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import LogEntry
 from rainsail.wire.codec import wire_record
 
--- a/src/rainsail/consensus/proposal_queue.py
+++ b/src/rainsail/consensus/proposal_queue.py
@@ -1,6 +1,7 @@
 """Proposals of one member: gathered while a sync runs, appended as one batch behind it."""
 
 from collections.abc import Callable
+from typing import Any
 
 from expression import Error
 from twisted.internet.defer import Deferred, succeed
@@ -12,8 +13,6 @@
 from rainsail.consensus.sync_queue import SyncQueue
 from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.clock import Clock
-from rainsail.state.commands import Command, CommandRecord
-from rainsail.wire.codec import encode
 
 STEP = "consensus.propose"
 
@@ -29,6 +28,7 @@
         clock: Clock,
         take: Callable[[Effects], None],
         not_leader: Callable[[str], Fault],
+        encode_command: Callable[[Any], bytes],
     ) -> None:
         self._core = core
         self._applier = applier
@@ -36,16 +36,17 @@
         self._clock = clock
         self._take = take
         self._not_leader = not_leader
+        self._encode_command = encode_command
         self._waiting: list[Proposal] = []
         self._flush_planned = False
         self._stopped = False
 
-    def propose(self, command: Command) -> "Deferred[ProposalResult]":
+    def propose(self, command: Any) -> "Deferred[ProposalResult]":
         """Commit and apply a command; fires with (index, outcome) or a fault."""
         fault = self._refusal()
         if fault is not None:
             return succeed(Error(fault))
-        payload = encode(CommandRecord(command))
+        payload = self._encode_command(command)
         done: Deferred[ProposalResult] = Deferred()
         self._waiting.append(Proposal(command, payload, done))
         self._plan_flush()
--- a/src/rainsail/consensus/recovery.py
+++ b/src/rainsail/consensus/recovery.py
@@ -2,7 +2,7 @@
 
 from rainsail.consensus.log_window import LogWindow
 from rainsail.consensus.membership import EMPTY_MEMBERSHIP, membership_of_payload
-from rainsail.state.interface import StateMachine
+from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import GroupStorage
 
 READ_BYTES = 4 * 1024 * 1024
--- a/src/rainsail/consensus/roles.py
+++ b/src/rainsail/consensus/roles.py
@@ -3,11 +3,11 @@
 from rainsail.consensus import replication
 from rainsail.consensus.core_state import CoreState, Progress, Role
 from rainsail.consensus.membership import Membership, MemberSpec, encode_membership
-from rainsail.state.commands import CommandRecord, NoOperation
+from rainsail.state.command_basics import NoOperation
 from rainsail.storage.interface import LogEntry
 from rainsail.wire.codec import encode
 
-NO_OPERATION_PAYLOAD = encode(CommandRecord(NoOperation()))
+NO_OPERATION_PAYLOAD = encode(NoOperation())
 
 
 def become_follower(state: CoreState, term: int, now: float) -> None:
--- a/src/rainsail/consensus/router.py
+++ b/src/rainsail/consensus/router.py
@@ -14,7 +14,7 @@
     MergedHeartbeats,
 )
 from rainsail.runtime.clock import Clock
-from rainsail.state.commands import GroupId
+from rainsail.state.command_basics import GroupId
 from rainsail.wire.messenger import Messenger
 
 GroupHandler = Callable[[str, GroupMessage], None]
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -14,7 +14,7 @@
 from rainsail.errors import Fault
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
-from rainsail.state.interface import StateMachine
+from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import GroupStorage, SnapshotMeta
 
 FEEDING_S = 1.0
--- a/src/rainsail/control/messages.py
+++ b/src/rainsail/control/messages.py
@@ -5,16 +5,12 @@
 """
 
 from dataclasses import dataclass
-from enum import StrEnum
 
-from rainsail.errors import Fault
 from rainsail.resources.specs import Kind, Resource, WatchEvent
 from rainsail.state.commands import Command, CommandOutcome, GroupId, ItemRef, JobView
 from rainsail.state.interface import ResultRow
 from rainsail.wire.codec import wire_record
 
-wire_record(Fault)
-
 
 @wire_record
 @dataclass(frozen=True, slots=True)
@@ -246,46 +242,3 @@
 
     shares: tuple[QuotaShare, ...]
     valid_s: float
-
-
-class GroupHealth(StrEnum):
-    """Whether a group tolerates the losses that it is meant for."""
-
-    HEALTHY = "Healthy"
-    DEGRADED = "Degraded"
-    REPAIRING = "Repairing"
-
-
-@dataclass(frozen=True, slots=True)
-class MemberStatus:
-    """One member of a group as the leader sees it."""
-
-    replica: str
-    identity: str
-    voter: bool
-    reachable: bool
-    match_index: int
-
-
-@wire_record
-@dataclass(frozen=True, slots=True)
-class GroupStatusRequest:
-    """Ask a replica for its view of a group; every replica answers, leader or not."""
-
-    group: GroupId
-
-
-@wire_record
-@dataclass(frozen=True, slots=True)
-class GroupStatusReply:
-    """The group's state; ``losses_borne`` is how many further losses keep a quorum."""
-
-    replica: str
-    leader: str
-    term: int
-    commit_index: int
-    applied_index: int
-    revision: int
-    health: GroupHealth
-    losses_borne: int
-    members: tuple[MemberStatus, ...]
--- a/src/rainsail/control/service.py
+++ b/src/rainsail/control/service.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
 
+from rainsail.consensus.group_status import GroupStatusReply, GroupStatusRequest
 from rainsail.consensus.interface import Group
 from rainsail.control.faults import not_leader, unknown_group
 from rainsail.control.group_control import GroupControl
@@ -13,8 +14,6 @@
 from rainsail.control.messages import (
     ConfigPoll,
     ConfigRelease,
-    GroupStatusReply,
-    GroupStatusRequest,
     JobsReply,
     JobsRequest,
     ListReply,
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -12,7 +12,7 @@
 from rainsail.fleet.base import NodeBase
 from rainsail.fleet.group_folder import GroupFolder
 from rainsail.fleet.leaving import hand_over
-from rainsail.state.commands import ROOT_GROUP
+from rainsail.state.command_basics import ROOT_GROUP
 from rainsail.storage.interface import FileSystem
 
 
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -9,9 +9,10 @@
 from rainsail.errors import Fault, FaultCode
 from rainsail.fleet.base import FLEET, NodeBase
 from rainsail.settings.node import NodeSettings
-from rainsail.state.commands import GroupId
+from rainsail.state.command_basics import GroupId
 from rainsail.state.durable_schemas import durable_fingerprint
-from rainsail.state.interface import StateMachine
+from rainsail.state.fleet_commands import FLEET_DURABLE_MODULES, encode_fleet_command
+from rainsail.state.state_machine import StateMachine
 from rainsail.storage.group_storage import DurableGroupStorage, open_group_storage
 from rainsail.storage.identity import ReplicaIdentity, load_or_create_identity
 from rainsail.storage.interface import FileSystem
@@ -43,7 +44,11 @@
         """Open the folder, making it when it is empty."""
         base = self._base
         identity = await load_or_create_identity(
-            self._files, FLEET, base.node.address, durable_fingerprint(), base.random
+            self._files,
+            FLEET,
+            base.node.address,
+            durable_fingerprint(FLEET_DURABLE_MODULES),
+            base.random,
         )
         if identity.is_error():
             return Error(identity.error)
@@ -79,6 +84,7 @@
                 base.random,
                 group_settings(base.settings),
                 tuple(MemberSpec(name, "", True) for name in founders),
+                encode_fleet_command,
                 router,
                 base.started_s,
             )
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -23,7 +23,7 @@
 from rainsail.logs import logger
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.table_reader import TableReader
-from rainsail.state.commands import GroupId
+from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import FileSystem
 
 LEDGER_GROUP: GroupId = 1
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field, replace
 
 from rainsail.errors import Fault, FaultCode
-from rainsail.state.commands import Command, CommandOutcome, Done, NoOperation
+from rainsail.state.command_basics import Done, NoOperation
+from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
 from rainsail.state.job_commands import (
     AcceptJob,
     DropRelayedJob,
@@ -58,7 +59,7 @@
         self.on_accepted: Callable[[str], None] = lambda job: None
         """Hears of each job as its acceptance is applied; not part of the state."""
 
-    def apply(self, index: int, command: Command) -> CommandOutcome:
+    def apply(self, index: int, command: FleetCommand) -> FleetCommandOutcome:
         """Apply the committed command at log ``index``."""
         match command:
             case AcceptJob():
@@ -114,7 +115,7 @@
         texts = note.texts if known is None else known.texts + note.texts
         job.notes[note.index] = replace(note, after_event=NO_EVENT, texts=texts)
 
-    def _end(self, command: EndRelayedJob) -> CommandOutcome:
+    def _end(self, command: EndRelayedJob) -> FleetCommandOutcome:
         job = self.jobs.get(command.job)
         if job is None:
             return Fault(FaultCode.NOT_FOUND, "jobs.end", f"no job {command.job}")
--- a/src/rainsail/state/commands.py
+++ b/src/rainsail/state/commands.py
@@ -7,14 +7,7 @@
 from dataclasses import dataclass
 
 from rainsail.errors import Fault
-from rainsail.state.cluster_commands import FoundLedger, ReleaseNode, ReplaceTable
-from rainsail.state.job_commands import (
-    AcceptJob,
-    DropRelayedJob,
-    EndRelayedJob,
-    ListOutcomes,
-    NoteProgress,
-)
+from rainsail.state.command_basics import ROOT_GROUP, Done, GroupId, NoOperation
 from rainsail.state.ledger_commands import (
     AddItems,
     CancelJob,
@@ -56,7 +49,7 @@
     SessionView,
     Turn,
 )
-from rainsail.wire.codec import wire_record
+from rainsail.wire.codec import encode, wire_record
 
 __all__ = [
     "ANY_REVISION",
@@ -101,23 +94,9 @@
     "SealJob",
     "SessionView",
     "Turn",
+    "encode_command",
 ]
 
-GroupId = int
-ROOT_GROUP: GroupId = 0
-
-
-@wire_record
-@dataclass(frozen=True, slots=True)
-class NoOperation:
-    """Appended by a new leader to commit entries of earlier terms."""
-
-
-@dataclass(frozen=True, slots=True)
-class Done:
-    """The command took effect (or had taken effect before) and has nothing to report."""
-
-
 Command = (
     NoOperation
     | PutResource
@@ -137,14 +116,6 @@
     | FinishRequest
     | AttachSession
     | AppendTurn
-    | ReplaceTable
-    | FoundLedger
-    | ReleaseNode
-    | AcceptJob
-    | ListOutcomes
-    | NoteProgress
-    | EndRelayedJob
-    | DropRelayedJob
 )
 
 CommandOutcome = (
@@ -165,3 +136,8 @@
     """A command as a log entry's payload."""
 
     command: Command
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the payload of a log entry."""
+    return encode(CommandRecord(command))
--- /dev/null
+++ b/src/rainsail/state/fleet_commands.py
@@ -0,0 +1,54 @@
+"""The commands of a relaying fleet's groups, apart from those of the other control plane.
+
+A node loads and checks only the records that its own groups keep.
+"""
+
+from dataclasses import dataclass
+
+from rainsail.errors import Fault
+from rainsail.state.cluster_commands import FoundLedger, ReleaseNode, ReplaceTable
+from rainsail.state.command_basics import Done, NoOperation
+from rainsail.state.job_commands import (
+    AcceptJob,
+    DropRelayedJob,
+    EndRelayedJob,
+    ListOutcomes,
+    NoteProgress,
+)
+from rainsail.wire.codec import encode, wire_record
+
+FleetCommand = (
+    NoOperation
+    | ReplaceTable
+    | FoundLedger
+    | ReleaseNode
+    | AcceptJob
+    | ListOutcomes
+    | NoteProgress
+    | EndRelayedJob
+    | DropRelayedJob
+)
+
+FleetCommandOutcome = Done | Fault
+
+FLEET_DURABLE_MODULES = (
+    "rainsail.consensus.membership",
+    "rainsail.state.cluster_commands",
+    "rainsail.state.command_basics",
+    "rainsail.state.fleet_commands",
+    "rainsail.state.job_commands",
+)
+"""The modules whose records stand in the logs and snapshots of a fleet's groups."""
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class FleetCommandRecord:
+    """A command as a log entry's payload."""
+
+    command: FleetCommand
+
+
+def encode_fleet_command(command: FleetCommand) -> bytes:
+    """Return the payload of a log entry."""
+    return encode(FleetCommandRecord(command))
--- a/src/rainsail/state/interface.py
+++ b/src/rainsail/state/interface.py
@@ -1,13 +1,10 @@
 """What the consensus driver and the control service see of the state machine."""
 
-from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
 from rainsail.resources.specs import Kind, Resource, ResourceKey, WatchEvent
 from rainsail.state.commands import (
-    Command,
-    CommandOutcome,
     ItemPhase,
     ItemRef,
     JobView,
@@ -15,26 +12,6 @@
 )
 
 
-class StateMachine(Protocol):
-    """Deterministic state: the same commands in the same order give the same state."""
-
-    def apply(self, index: int, command: Command) -> CommandOutcome:
-        """Apply the committed command at log ``index``; a ``Fault`` outcome changed nothing."""
-        ...
-
-    def snapshot(self) -> Iterator[bytes]:
-        """Return the whole state as it is at the call, as chunks.
-
-        Chunks are asked for later, one by one, while further commands are applied; those must
-        not show in them.
-        """
-        ...
-
-    def restore(self, chunks: Iterable[bytes]) -> None:
-        """Replace the whole state by a snapshot's chunks."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class ResultRow:
     """One finished item: its result text, or why it was set aside or cancelled."""
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -19,6 +19,7 @@
 
 from rainsail.errors import Fault, FaultCode, Outcome, RainsailError
 from rainsail.runtime.clock import Clock
+from rainsail.wire.codec import wire_record
 
 ProcessName = str
 """The unique name of a process, for instance ``replica-2`` or ``gateway-a1``."""
@@ -59,6 +60,9 @@
         ...
 
 
+wire_record(Fault)
+
+
 class Messenger:
     """Sends, calls and serves typed messages over one transport."""
 
--- a/src/rainsail/wire/protocol.py
+++ b/src/rainsail/wire/protocol.py
@@ -10,10 +10,12 @@
 from rainsail.wire.codec import protocol_fingerprint
 
 PROTOCOL_MODULES = (
+    "rainsail.consensus.group_status",
     "rainsail.consensus.membership",
     "rainsail.consensus.messages",
     "rainsail.control.messages",
     "rainsail.resources.specs",
+    "rainsail.state.command_basics",
     "rainsail.state.commands",
     "rainsail.state.session_commands",
     "rainsail.wire.hello",
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -11,14 +11,6 @@
 
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import (
-    SSL4ClientEndpoint,
-    SSL4ServerEndpoint,
-    TCP4ClientEndpoint,
-    TCP4ServerEndpoint,
-    TCP6ClientEndpoint,
-    TCP6ServerEndpoint,
-)
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
@@ -33,6 +25,7 @@
 from rainsail.wire.messenger import Envelope, EnvelopeKind, ProcessName
 from rainsail.wire.protocol import PROTOCOL_MODULES, transport_fingerprint
 from rainsail.wire.settings import TlsSettings, WireSettings
+from rainsail.wire.sockets import Dial, dial, listen
 
 STEP = "wire.tcp"
 
@@ -106,7 +99,7 @@
     async def _listen_on(self, address: PeerAddress) -> Result[int, Fault]:
         try:
             self._check_exposure(address)
-            port = await self._server_endpoint(address).listen(_AcceptingFactory(self))
+            port = listen(self._reactor, address, _AcceptingFactory(self), self._tls_options)
         except RainsailError as error:
             return Error(error.fault)
         except Exception as error:
@@ -209,9 +202,11 @@
 
     def _dial(self, peer: ProcessName, address: PeerAddress, state: DialState) -> None:
         state.dialling = True
-        factory = Factory.forProtocol(lambda: self._new_connection(peer))
-        attempt = self._client_endpoint(address).connect(factory)
-        attempt.addErrback(self._connect_failed, peer)
+        attempt = Dial(
+            lambda: self._new_connection(peer),
+            lambda failure: self._connect_failed(failure, peer),
+        )
+        dial(self._reactor, address, attempt, self._settings.connect_timeout_s, self._tls_options)
 
     def _connect_failed(self, failure: Failure, peer: ProcessName) -> None:
         detail = failure.getErrorMessage()
@@ -248,23 +243,6 @@
         self._connections[connection] = None
         return connection
 
-    def _client_endpoint(self, address: PeerAddress) -> Any:
-        timeout_s = self._settings.connect_timeout_s
-        if self._tls_options is not None:
-            return SSL4ClientEndpoint(
-                self._reactor, address.host, address.port, self._tls_options, timeout_s
-            )
-        kind = TCP6ClientEndpoint if ":" in address.host else TCP4ClientEndpoint
-        return kind(self._reactor, address.host, address.port, timeout_s)
-
-    def _server_endpoint(self, address: PeerAddress) -> Any:
-        if self._tls_options is not None:
-            return SSL4ServerEndpoint(
-                self._reactor, address.port, self._tls_options, interface=address.host
-            )
-        kind = TCP6ServerEndpoint if ":" in address.host else TCP4ServerEndpoint
-        return kind(self._reactor, address.port, interface=address.host)
-
     def _check_exposure(self, address: PeerAddress) -> None:
         trusted = self._settings.plaintext_off_loopback or address.is_loopback()
         if self._tls_options is None and not trusted:
