Keep a ring beside the lines of a relaying node's log; log errors that nobody handled

Change: Twisted's unhandled failures become one line 'unhandled_error' with error and traceback; a ring of 512 records, those over the budget too, is dumped into the data folder at errors and on SIGUSR1.

--- a/src/rainsail/event_log.py
+++ b/src/rainsail/event_log.py
@@ -1,26 +1,43 @@
 """Structured logs on standard output: one JSON object a line, bounded, never blocking.
 
 Each event name has a budget of lines a second; what goes over it is counted, and the count is
-printed with the next line of that name. A reader that stalls costs lines, not requests.
+printed with the next line of that name. A reader that stalls costs lines, not requests. A ring in
+memory keeps the last records, those that were left out with them; it is written into the data
+folder when the process ends by a fault of its own, or on SIGUSR1.
 """
 
 import json
 import os
 import sys
+from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from loguru import logger
 
+from rainsail.logs import LogRing
+
 DEFAULT_LINES_PER_S = 50
+RING_RECORDS = 512
 _STDOUT = 1
 
 
 class EventLog:
-    """A loguru sink that writes to standard output."""
+    """A loguru sink that writes JSON lines."""
 
-    def __init__(self, node: str, role: str, lines_per_s: int = DEFAULT_LINES_PER_S) -> None:
+    def __init__(
+        self,
+        node: str,
+        role: str,
+        lines_per_s: int = DEFAULT_LINES_PER_S,
+        put: Callable[[bytes], object] | None = None,
+        ring: LogRing | None = None,
+    ) -> None:
+        """``put`` writes one line and raises ``OSError`` when it can't; None: standard output."""
         self._common = {"node": node, "role": role}
         self._lines_per_s = lines_per_s
+        self._put = _write_to_stdout if put is None else put
+        self._ring = ring
         self._second = 0
         self._counts: dict[str, int] = {}
         self._left_out: dict[str, int] = {}
@@ -30,22 +47,31 @@
         """Take one loguru message."""
         record = message.record
         event = record["message"]
+        line = self._line(record)
+        if self._ring is not None:
+            self._ring.add(json.dumps(line, ensure_ascii=False))
         if not self._may_write(event, int(record["elapsed"].total_seconds())):
             return
+        left_out = self._left_out.pop(event, 0)
+        if left_out:
+            line["left_out"] = left_out
+        try:
+            self._put((json.dumps(line, ensure_ascii=False) + "\n").encode())
+        except OSError:
+            self.lines_lost += 1
+
+    def _line(self, record: Any) -> dict[str, Any]:
         line: dict[str, Any] = {
             "at": record["time"].strftime("%H:%M:%S.%f")[:-3],
             "level": record["level"].name,
-            "event": event,
+            "event": record["message"],
             **self._common,
         }
         for key, value in record["extra"].items():
             line[key] = value if isinstance(value, int | float | str | None) else str(value)
-        left_out = self._left_out.pop(event, 0)
-        if left_out:
-            line["left_out"] = left_out
         if record["exception"] is not None:
             line["exception"] = repr(record["exception"].value)
-        self._put(json.dumps(line, ensure_ascii=False) + "\n")
+        return line
 
     def _may_write(self, event: str, second: int) -> bool:
         if second != self._second:
@@ -58,20 +84,49 @@
             return False
         return True
 
-    def _put(self, text: str) -> None:
-        try:
-            os.write(_STDOUT, text.encode())
-        except OSError:
-            self.lines_lost += 1
+
+def _write_to_stdout(line: bytes) -> None:
+    os.write(_STDOUT, line)
 
 
-def configure_event_log(node: str, role: str) -> EventLog:
-    """Send every record from INFO up to standard output, as JSON lines."""
-    log = EventLog(node, role)
+def configure_event_log(node: str, role: str, folder: Path | None = None) -> LogRing:
+    """Send every record from INFO up to standard output, and keep the last ones in a ring.
+
+    The ring is dumped into ``folder`` at each record of level ERROR or worse. What Twisted reports
+    as handled by nobody becomes a record too.
+    """
+    ring = LogRing(folder, RING_RECORDS)
+    log = EventLog(node, role, ring=ring)
     logger.remove()
     logger.add(log.write, level="INFO", format="{message}", backtrace=False, diagnose=False)
+    logger.add(_dump_on_error(ring), level="ERROR", format="{message}", diagnose=False)
     try:
         os.set_blocking(sys.stdout.fileno(), False)
     except (OSError, ValueError):
         log.lines_lost = 0
-    return log
+    _take_unhandled_errors()
+    return ring
+
+
+def _dump_on_error(ring: LogRing) -> Callable[[Any], None]:
+    def dump(message: Any) -> None:
+        ring.dump(f"error: {message.record['message']}")
+
+    return dump
+
+
+def _take_unhandled_errors() -> None:
+    """Log what a timer raised, or a Deferred failed with, while nobody was there to handle it."""
+    from twisted.logger import globalLogBeginner
+
+    observer: Any = _log_failure
+    globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
+
+
+def _log_failure(event: Any) -> None:
+    failure = event.get("log_failure")
+    if failure is None:
+        return
+    error = f"{failure.type.__name__}: {failure.getErrorMessage()}"
+    log = logger.bind(error=error, traceback=failure.getTraceback(detail="brief"))
+    log.error("unhandled_error")
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -14,7 +14,7 @@
 from rainsail.fleet.port import PlatformPort
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits, HttpServer
-from rainsail.logs import logger
+from rainsail.logs import dump_on_signal, logger
 from rainsail.runtime.collector import exempt_startup_objects
 from rainsail.settings.node import NodeKind, NodeSettings, load_node_settings
 
@@ -210,9 +210,11 @@
         return EXIT_SETTINGS
     first = loaded[0][1].ok.node
     name = first.name if len(loaded) == 1 else "several"
-    configure_event_log(name, first.role.value if len(loaded) == 1 else "several")
+    role = first.role.value if len(loaded) == 1 else "several"
+    ring = configure_event_log(name, role, Path(first.data_folder) if first.data_folder else None)
     from twisted.internet import reactor
 
+    dump_on_signal(ring, reactor)
     runner = NodeRunner(reactor)
     for path, result in loaded:
         node = FleetProcess(path, result.ok, port, reactor, runner.ended, started_s)
--- a/src/rainsail/logs.py
+++ b/src/rainsail/logs.py
@@ -29,7 +29,11 @@
 
     def write(self, message: Any) -> None:
         """Take one loguru message (a sink)."""
-        self._lines.append(_json_line(message.record))
+        self.add(_json_line(message.record))
+
+    def add(self, line: str) -> None:
+        """Take one record as its JSON line."""
+        self._lines.append(line)
 
     def lines(self) -> list[str]:
         """Return the records held, oldest first."""
