Soak the adapter's real processes under random faults; metric of the losses that a group bears

Change: tools/process_soak.py (make soak) draws faults from a seed: kills of one, of all controllers, of everything, pauses, planned stops, lost disks, runners that leave, refuse and break off. Clients, an operator and job readers work meanwhile; the checks read the history alone: at most once, refusals that are true, whole streams, signatures, configurations that don't go back, jobs and results that stay. A machine with a disk is struck only when both groups bear a loss again, which nodes now say (group_losses_borne).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint bench rig scale clean
+.PHONY: setup demo test lint bench rig soak scale clean
 
 setup: $(STAMP)
 
@@ -36,6 +36,12 @@
 rig: setup
 	$(BIN)/python -m rig all --seed $(RIG_SEED) --seconds $(RIG_SECONDS)
 
+# The adapter's processes on loopback under random faults, some two minutes a seed.
+SOAK_SEEDS ?= 1,2,3
+SOAK_FAULTS ?= 20
+soak: setup
+	$(BIN)/python tools/process_soak.py --seeds $(SOAK_SEEDS) --faults $(SOAK_FAULTS)
+
 # Control at the design size on one machine, some six minutes; see docs/CAPACITY.md.
 scale: setup
 	$(BIN)/rainsail scale --nodes 380 --runners 12000 --regions 11 --zones 36
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -99,6 +100,7 @@
     event_pause_s: float = 0.0
     together: list["StandInRunner"] = field(default_factory=list)
     """All runners: only the first of them breaks its stream off."""
+    leaving: bool = False
     sequence: int = 0
     server: Any = None
     port: Any = None
@@ -218,6 +220,18 @@
         assert process is not None
         process.send_signal(signal.SIGTERM)
 
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a node's process."""
+        process = self.nodes[name].process
+        assert process is not None
+        process.send_signal(number)
+
+    def wipe(self, name: str) -> None:
+        """Empty the data folder of a node whose process is gone."""
+        folder = Path(self._folder.name) / name
+        shutil.rmtree(folder)
+        folder.mkdir()
+
     def log_lines(self, name: str) -> list[dict[str, Any]]:
         """Return the JSON lines that a node has written."""
         text = (Path(self._folder.name) / f"{name}.log").read_text()
@@ -267,8 +281,8 @@
         return status, answer
 
     def configuration(self, version: int) -> dict[str, Any]:
-        """Return a configuration of three routes on one service."""
-        kinds = {"safe": "safe", "stream": "streaming", "jobs": "batch"}
+        """Return a configuration of four routes on one service."""
+        kinds = {"safe": "safe", "once": "unsafe", "stream": "streaming", "jobs": "batch"}
         routes = [
             {
                 "name": name,
--- /dev/null
+++ b/features/support/process_soak.py
@@ -0,0 +1,279 @@
+"""Random faults against the adapter's real processes on loopback, under work of clients.
+
+Faults are drawn from a seed and strike one after the other; at most one machine with a disk is away
+or catching up at a time, but for the kills of all controllers or of everything, which leave disks
+as they are. The verdict is that of ``soak_history``: it holds whatever the timing.
+"""
+
+import json
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from features.support.platform_stand_in import (
+    CLIENT_PORT,
+    CONTROL_PORT,
+    HOST,
+    StandInPlatform,
+    wait_until,
+)
+from features.support.soak_history import Answer, History, Page, Read, unfinished, violations
+
+CLIENTS = 3
+RUNNERS = 4
+JOB_ITEMS = 4
+JOB_SHARE = 0.08
+BEAT_PERIOD_S = 0.4
+ORDER_PERIOD_S = 0.7
+CLIENT_PAUSE_S = 0.01
+AWAY_S = (0.2, 1.5)
+FROZEN_S = (0.3, 3.0)
+
+
+@dataclass(frozen=True)
+class SoakResult:
+    """How a soak ended: the faults in their order, and what was found."""
+
+    faults: tuple[str, ...]
+    violations: tuple[str, ...]
+    answers: int
+    served: int
+    versions: int
+    jobs: int
+
+
+class ProcessSoak:
+    """One soak over one platform."""
+
+    def __init__(self, platform: StandInPlatform, seed: int) -> None:
+        self._platform = platform
+        self._random = random.Random(seed)
+        self._history = History()
+        self._lock = threading.Lock()
+        self._over = threading.Event()
+        self._faults: list[str] = []
+        self._client_seeds = [self._random.random() for _ in range(CLIENTS)]
+        self._strikes: tuple[Callable[[], str], ...] = (
+            self._kill_one,
+            self._kill_one,
+            self._freeze_one,
+            self._freeze_one,
+            self._stop_one,
+            self._wipe_one,
+            self._kill_controllers,
+            self._kill_all,
+            self._runner_leaves,
+            self._runners_misbehave,
+        )
+
+    def run(self, faults: int) -> SoakResult:
+        """Strike so many times, mend everything, and judge."""
+        platform = self._platform
+        for _ in range(RUNNERS):
+            platform.add_runner()
+        platform.configure()
+        wait_until(self._all_ready, "every gateway ready")
+        workers = [threading.Thread(target=self._client, args=(s,)) for s in self._client_seeds]
+        workers += [threading.Thread(target=loop) for loop in (self._beat, self._operate)]
+        for worker in workers:
+            worker.start()
+        try:
+            for _ in range(faults):
+                self._faults.append(self._random.choice(self._strikes)())
+            self._settle()
+        finally:
+            self._over.set()
+            for worker in workers:
+                worker.join()
+        self._read_to_the_end()
+        return self._result()
+
+    def _result(self) -> SoakResult:
+        history = self._history
+        history.runs = [request for runner in self._platform.runners for request in runner.ran]
+        found = [*violations(history)]
+        found += [f"unfinished job: {job}" for job in unfinished(history)]
+        served = sum(answer.status == 200 for answer in history.answers)
+        return SoakResult(
+            tuple(self._faults),
+            tuple(found),
+            len(history.answers),
+            served,
+            len(history.acknowledged),
+            len(history.accepted),
+        )
+
+    # --- faults --------------------------------------------------------------------------
+
+    def _names(self, role: str = "") -> list[str]:
+        return sorted(name for name in self._platform.nodes if name.startswith(role))
+
+    def _between(self, bounds: tuple[float, float]) -> float:
+        return self._random.uniform(*bounds)
+
+    def _away(self, names: list[str], wiped: bool = False) -> None:
+        for name in names:
+            self._platform.kill(name)
+        time.sleep(self._between(AWAY_S))
+        for name in names:
+            if wiped:
+                self._platform.wipe(name)
+            self._platform.start(name)
+
+    def _kill_one(self) -> str:
+        name = self._random.choice(self._names())
+        self._settle()
+        self._away([name])
+        return f"kill {name}"
+
+    def _freeze_one(self) -> str:
+        name = self._random.choice(self._names())
+        self._settle()
+        self._platform.signal(name, signal.SIGSTOP)
+        time.sleep(self._between(FROZEN_S))
+        self._platform.signal(name, signal.SIGCONT)
+        return f"freeze {name}"
+
+    def _stop_one(self) -> str:
+        name = self._random.choice(self._names())
+        self._settle()
+        self._platform.terminate(name)
+        wait_until(lambda: not self._platform.nodes[name].running, f"{name} has ended")
+        self._platform.start(name)
+        return f"stop {name}"
+
+    def _wipe_one(self) -> str:
+        name = self._random.choice([*self._names("controller"), *self._names("storage")])
+        self._settle()
+        self._away([name], wiped=True)
+        return f"wipe {name}"
+
+    def _kill_controllers(self) -> str:
+        self._away(self._names("controller"))
+        return "kill all controllers"
+
+    def _kill_all(self) -> str:
+        self._away(self._names())
+        return "kill all"
+
+    def _runner_leaves(self) -> str:
+        staying = [each for each in self._platform.runners if not each.leaving]
+        runner = self._random.choice(staying)
+        runner.leaving = True
+        self._platform.beat(runner, "draining")
+        self._platform.add_runner()
+        return f"{runner.runner} leaves"
+
+    def _runners_misbehave(self) -> str:
+        refuse, break_after = self._random.randrange(4), self._random.choice((None, 0, 2))
+        for runner in self._platform.runners:
+            runner.refuse = refuse
+            runner.break_after = break_after
+        return f"runners refuse {refuse} and break off after {break_after}"
+
+    def _settle(self) -> None:
+        """Wait until everything is back and both groups bear a loss again."""
+        wait_until(
+            lambda: all(map(self._borne, ("controller", "storage"))), "groups that bear a loss"
+        )
+        wait_until(self._all_ready, "every gateway ready")
+
+    def _borne(self, role: str) -> bool:
+        return any(self._platform.metric(n, "group_losses_borne") >= 1 for n in self._names(role))
+
+    def _all_ready(self) -> bool:
+        return all(map(self._platform.is_ready, self._names("gateway")))
+
+    # --- work ----------------------------------------------------------------------------
+
+    def _client(self, seed: float) -> None:
+        draw = random.Random(seed)
+        number = 0
+        while not self._over.wait(CLIENT_PAUSE_S):
+            number += 1
+            name = f"{int(seed * 1e9)}-{number}"
+            gateway = draw.choice(self._names("gateway"))
+            if draw.random() < JOB_SHARE:
+                self._hand_in(gateway, f"job-{name}")
+            else:
+                self._request(gateway, f"r-{name}", draw.choice(("safe", "once", "stream")))
+            self._read_some_job(gateway, draw)
+
+    def _request(self, gateway: str, request: str, kind: str) -> None:
+        sent = request.encode()
+        status, body, fields = self._platform.client(
+            gateway, "POST", f"/{kind}/{request}", sent, Request_Id=request
+        )
+        answer = Answer(request, kind, status, sent, body, "Response-Stamp" in fields)
+        with self._lock:
+            self._history.answers.append(answer)
+
+    def _hand_in(self, gateway: str, job: str) -> None:
+        while not self._over.is_set():
+            if self._platform.submit(gateway, job, JOB_ITEMS) == 202:
+                with self._lock:
+                    self._history.accepted[job] = JOB_ITEMS
+                return
+            time.sleep(CLIENT_PAUSE_S)
+
+    def _read_some_job(self, gateway: str, draw: random.Random) -> None:
+        with self._lock:
+            jobs = list(self._history.accepted)
+        if jobs:
+            self._read_job(gateway, draw.choice(jobs))
+
+    def _read_job(self, gateway: str, job: str) -> None:
+        ip = self._platform.nodes[gateway].ip
+        status, body, _ = self._platform.call(
+            ip, CLIENT_PORT, "GET", f"/api/lots/{job}?after=0", Host=HOST
+        )
+        page = Page(job, status)
+        if status == 200:
+            read = json.loads(body)
+            results = tuple((each["id"], each["state"], each["text"]) for each in read["results"])
+            page = Page(job, status, read["total"], results)
+        with self._lock:
+            self._history.pages.append(page)
+
+    def _beat(self) -> None:
+        while not self._over.wait(BEAT_PERIOD_S):
+            for runner in list(self._platform.runners):
+                self._platform.beat(runner, "draining" if runner.leaving else "ready")
+
+    def _operate(self) -> None:
+        """Send configurations, each until it is acknowledged, and read at any controller."""
+        version = self._platform.version
+        draw = random.Random(self._client_seeds[0])
+        while not self._over.wait(ORDER_PERIOD_S):
+            version += draw.randrange(1, 4)
+            body = self._platform.configuration(version)
+            if self._platform.control("POST", "/api/Config.Replace", body)[0] == 200:
+                self._history.acknowledged.append((time.monotonic(), version))
+            self._read_configuration(draw.choice(self._names("controller")))
+
+    def _read_configuration(self, controller: str) -> None:
+        begun_s = time.monotonic()
+        ip = self._platform.nodes[controller].ip
+        status, body, _ = self._platform.call(ip, CONTROL_PORT, "GET", "/api/Config.Read")
+        if status == 200:
+            self._history.reads.append(Read(begun_s, json.loads(body)["version"]))
+
+    def _read_to_the_end(self) -> None:
+        """Read what was kept once all is calm: the configuration, and every job to its end."""
+        reads = len(self._history.reads)
+
+        def read() -> bool:
+            self._read_configuration(self._names("controller")[0])
+            return len(self._history.reads) > reads
+
+        wait_until(read, "a read of the configuration")
+
+        def finished() -> bool:
+            for job in unfinished(self._history):
+                self._read_job(self._names("gateway")[0], job)
+            return not unfinished(self._history)
+
+        wait_until(finished, "every job done")
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -6,6 +6,7 @@
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.router import GroupRouter
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.consensus.status import losses_borne
 from rainsail.errors import Fault, FaultCode
 from rainsail.fleet.base import FLEET, NodeBase
 from rainsail.settings.node import NodeSettings
@@ -101,6 +102,8 @@
         gauge("group_term", lambda: float(driver.term()))
         gauge("group_commit_index", lambda: float(state.commit_index))
         gauge("group_voters", lambda: float(len(driver.members().voters())))
+        clock = self._base.clock
+        gauge("group_losses_borne", lambda: float(losses_borne(state, clock.seconds())))
         gauge("group_unsynced_writes", lambda: float(not state.writes.all_synced()))
 
 
