Give the client's answer a module of its own; relay.run keeps the decisions

Change: relay.client_answer writes one answer (events once each, bodies, ends, refusals, breaks) and knows how far it is; RelayRun decides. No behaviour changes.

--- /dev/null
+++ b/src/rainsail/relay/client_answer.py
@@ -0,0 +1,113 @@
+"""The answer that a client gets, whichever runners it is put together from."""
+
+from enum import StrEnum
+
+from rainsail.http.exchange import Exchange
+from rainsail.relay.attempt import Attempt
+from rainsail.relay.events import Event
+from rainsail.relay.protocol import RelayProtocol
+from rainsail.runtime.clock import Clock
+
+CONTENT_LENGTH = b"content-length"
+
+
+class AnswerState(StrEnum):
+    """How far an answer is."""
+
+    NOTHING_SENT = "nothing_sent"
+    BEGUN = "begun"
+    OVER = "over"
+
+
+class ClientAnswer:
+    """Writes one answer; the head is that of the runner that began it.
+
+    ``first_s`` is when its first byte left, in seconds since the request came; ``last_event`` the
+    number of the last event that the client has, from an earlier answer at first.
+    """
+
+    def __init__(
+        self, exchange: Exchange, protocol: RelayProtocol, clock: Clock, last_event: int | None
+    ) -> None:
+        self._exchange = exchange
+        self._protocol = protocol
+        self._clock = clock
+        self.state = AnswerState.NOTHING_SENT
+        self.first_s: float | None = None
+        self.last_event = last_event
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether some of the answer has left, and not yet all."""
+        return self.state == AnswerState.BEGUN
+
+    def write_events(self, attempt: Attempt, events: list[Event]) -> None:
+        """Write the events that the client doesn't have yet, at once."""
+        raw = self._new_events(events)
+        if raw:
+            self._begin(attempt)
+            self._exchange.write(raw)
+
+    def _new_events(self, events: list[Event]) -> bytes:
+        taken: list[bytes] = []
+        for event in events:
+            number = event.number
+            if number is not None:
+                if self.last_event is not None and number <= self.last_event:
+                    continue
+                self.last_event = number
+            taken.append(event.raw)
+        return b"".join(taken)
+
+    def write_body(self, attempt: Attempt) -> None:
+        """Write what has been gathered of a body."""
+        self._begin(attempt)
+        body, attempt.body = attempt.body, []
+        self._exchange.write(b"".join(body))
+
+    def end_stream(self, attempt: Attempt) -> None:
+        """End a stream as complete."""
+        self._begin(attempt)
+        self._exchange.write(attempt.splitter.rest)
+        self.end()
+
+    def end(self) -> None:
+        """End an answer as complete."""
+        self.state = AnswerState.OVER
+        self._exchange.end()
+
+    def pass_on(self, attempt: Attempt) -> None:
+        """Answer with a whole answer of a runner, of which nothing was written yet."""
+        assert attempt.head is not None
+        self._note_first()
+        self.state = AnswerState.OVER
+        headers = self._protocol.answer_headers(attempt.head)
+        self._exchange.answer(attempt.head.status, headers, b"".join(attempt.body))
+
+    def refuse(self, status: int, retry_after_s: float | None) -> None:
+        """Answer without a body, in our own name."""
+        self.state = AnswerState.OVER
+        self._exchange.answer(status, self._protocol.refusal_headers(retry_after_s), b"")
+
+    def abort(self) -> None:
+        """Break the answer off, so that it doesn't look complete."""
+        self.state = AnswerState.OVER
+        self._exchange.abort()
+
+    def close(self) -> None:
+        """Write no more: the client has left."""
+        self.state = AnswerState.OVER
+
+    def _begin(self, attempt: Attempt) -> None:
+        if self.state != AnswerState.NOTHING_SENT:
+            return
+        assert attempt.head is not None
+        self.state = AnswerState.BEGUN
+        self._note_first()
+        headers = self._protocol.answer_headers(attempt.head)
+        if attempt.is_stream:
+            headers = tuple(each for each in headers if each[0].lower() != CONTENT_LENGTH)
+        self._exchange.begin(attempt.head.status, headers)
+
+    def _note_first(self) -> None:
+        self.first_s = self._clock.seconds() - self._exchange.request.received_s
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -6,13 +6,13 @@
 """
 
 from collections.abc import Callable
-from enum import StrEnum
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.exchange import Exchange
 from rainsail.logs import logger
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.choice import MILLISECONDS_PER_S, Wish
+from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.context import RelayContext
 from rainsail.relay.events import Event
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
@@ -26,15 +26,6 @@
 STATUS_GATEWAY_TIMEOUT = 504
 
 
-class Phase(StrEnum):
-    """How far a request is."""
-
-    TRYING = "trying"
-    """Nothing of an answer has gone to the client."""
-    ANSWERING = "answering"
-    OVER = "over"
-
-
 class RelayRun:
     """Implements ``rainsail.relay.attempt.AttemptOwner``."""
 
@@ -51,20 +42,19 @@
         self._facts = facts
         self._route = route
         self._on_ended = ended
-        self._phase = Phase.TRYING
+        self._answer = ClientAnswer(exchange, context.protocol, context.clock, facts.after_event)
+        self._ended = False
         self._attempt: Attempt | None = None
         self._service = ""
         self._tried: set[str] = set()
         self._sends = 0
         self._may_have_run = False
-        self._last_event = facts.after_event
         self._received_s = exchange.request.received_s
         self._expiry_s = self._received_s + _time_allowed(route, facts)
         self._expiry: Timer | None = None
         self._watch: Timer | None = None
         self._last_reason = ""
         self.outcome = ""
-        self.first_s: float | None = None
         exchange.on_left(self._client_left)
 
     # --- life cycle ----------------------------------------------------------------------
@@ -77,9 +67,9 @@
         self._try_next()
 
     def _finish(self, outcome: str) -> None:
-        if self._phase == Phase.OVER:
+        if self._ended:
             return
-        self._phase = Phase.OVER
+        self._ended = True
         self.outcome = outcome
         self._disarm()
         if self._expiry is not None and self._expiry.active():
@@ -100,6 +90,11 @@
         """How many runners it was sent to."""
         return self._sends
 
+    @property
+    def first_s(self) -> float | None:
+        """When the first byte of the answer left, in seconds since the request came."""
+        return self._answer.first_s
+
     def _log(self, outcome: str) -> None:
         took_s = self._context.clock.seconds() - self._received_s
         table = self._context.table
@@ -116,14 +111,15 @@
 
     def _client_left(self) -> None:
         self._last_reason = "the client left"
+        self._answer.close()
         self._finish("left")
 
     def _expired(self) -> None:
-        if self._phase == Phase.ANSWERING:
+        if self._answer.begun:
             self._last_reason = "the time allowed is over"
-            self._exchange.abort()
+            self._answer.abort()
             self._finish("expired")
-        elif self._phase == Phase.TRYING:
+        elif not self._ended:
             unclear = self._may_have_run or self._attempt is not None
             status = STATUS_GATEWAY_TIMEOUT if unclear else STATUS_UNAVAILABLE
             self._refuse(status, "the time allowed is over")
@@ -131,7 +127,7 @@
     # --- sending -------------------------------------------------------------------------
 
     def _try_next(self) -> None:
-        if self._phase == Phase.OVER:
+        if self._ended:
             return
         now = self._context.clock.seconds()
         route = self._current_route()
@@ -158,7 +154,7 @@
         return None if table is None else table.match(self._facts.host, self._facts.path)
 
     def _lose_route(self) -> None:
-        if self._phase == Phase.TRYING and not self._may_have_run:
+        if not self._answer.begun and not self._may_have_run:
             self._refuse(STATUS_NOT_FOUND, "the route is gone")
         else:
             self._give_up()
@@ -176,7 +172,9 @@
         self._sends += 1
         left_s = None if self._facts.deadline_s is None else self._deadline_left_s(now)
         target = RunnerTarget(record.runner, record.address)
-        request = context.protocol.relayed(self._exchange.request, target, left_s, self._last_event)
+        request = context.protocol.relayed(
+            self._exchange.request, target, left_s, self._answer.last_event
+        )
         if self._facts.prompt:
             self._note_reading(record, now)
         attempt = Attempt(self, context, record, self._facts.request, self._speaks_within_s())
@@ -239,54 +237,22 @@
 
     def events_came(self, attempt: Attempt, events: list[Event]) -> None:
         """Hand whole events on, at once."""
-        if self._phase == Phase.OVER:
+        if self._ended:
             return
-        raw = self._new_events(events)
-        if raw:
-            self._begin(attempt)
-            self._exchange.write(raw)
+        self._answer.write_events(attempt, events)
         self._arm_watch(self._gap_wait_s())
 
-    def _new_events(self, events: list[Event]) -> bytes:
-        taken: list[bytes] = []
-        for event in events:
-            number = event.number
-            if number is not None:
-                if self._last_event is not None and number <= self._last_event:
-                    continue
-                self._last_event = number
-            taken.append(event.raw)
-        return b"".join(taken)
-
-    def _begin(self, attempt: Attempt) -> None:
-        if self._phase != Phase.TRYING:
-            return
-        assert attempt.head is not None
-        self._phase = Phase.ANSWERING
-        self.first_s = self._context.clock.seconds() - self._received_s
-        headers = self._context.protocol.answer_headers(attempt.head)
-        if attempt.is_stream:
-            headers = tuple(each for each in headers if each[0].lower() != b"content-length")
-        self._exchange.begin(attempt.head.status, headers)
-
     def body_grew(self, attempt: Attempt) -> None:
         """Pass a large answer on before it has ended; small ones are gathered first."""
         if attempt.body_bytes < self._context.settings.buffered_bytes:
             return
-        self._begin(attempt)
-        self._write_body(attempt)
-
-    def _write_body(self, attempt: Attempt) -> None:
-        body, attempt.body = attempt.body, []
-        self._exchange.write(b"".join(body))
+        self._answer.write_body(attempt)
 
     def stream_ended(self, attempt: Attempt) -> None:
         """End the answer as complete."""
         self._context.loads.answered(attempt.record.runner)
         self._attempt = None
-        self._begin(attempt)
-        self._exchange.write(attempt.splitter.rest)
-        self._exchange.end()
+        self._answer.end_stream(attempt)
         self._finish("completed")
 
     def answer_came(self, attempt: Attempt) -> None:
@@ -294,9 +260,9 @@
         assert attempt.head is not None and attempt.verdict is not None
         self._attempt = None
         status = attempt.head.status
-        if self._phase == Phase.ANSWERING:
-            self._write_body(attempt)
-            self._exchange.end()
+        if self._answer.begun:
+            self._answer.write_body(attempt)
+            self._answer.end()
             self._finish("completed")
             return
         if status >= STATUS_SERVER_ERROR or attempt.verdict.promises_not_run:
@@ -307,9 +273,7 @@
 
     def _pass_on(self, attempt: Attempt) -> None:
         assert attempt.head is not None
-        self.first_s = self._context.clock.seconds() - self._received_s
-        headers = self._context.protocol.answer_headers(attempt.head)
-        self._exchange.answer(attempt.head.status, headers, b"".join(attempt.body))
+        self._answer.pass_on(attempt)
         failed = attempt.head.status >= STATUS_SERVER_ERROR
         self._finish("failed" if failed else "completed")
 
@@ -363,7 +327,7 @@
             request=self._facts.request,
             runner=attempt.record.runner,
             reason=reason,
-            last_event=self._last_event,
+            last_event=self._answer.last_event,
         ).info("attempt_broke")
         if self._may_repeat():
             self._try_next()
@@ -373,15 +337,15 @@
     def _may_repeat(self) -> bool:
         if not self._route.repeatable:
             return False
-        if self._phase == Phase.ANSWERING:
-            return self._route.kind == RouteKind.STREAM and self._last_event is not None
+        if self._answer.begun:
+            return self._route.kind == RouteKind.STREAM and self._answer.last_event is not None
         return True
 
     # --- giving up -----------------------------------------------------------------------
 
     def _give_up(self) -> None:
-        if self._phase == Phase.ANSWERING:
-            self._exchange.abort()
+        if self._answer.begun:
+            self._answer.abort()
             self._finish("broken")
             return
         status = STATUS_BAD_GATEWAY if self._may_have_run else STATUS_UNAVAILABLE
@@ -396,11 +360,10 @@
         retry_after_s = None
         if status == STATUS_UNAVAILABLE:
             retry_after_s = self._retry_after_s()
-        headers = self._context.protocol.refusal_headers(retry_after_s)
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel()
-        self._exchange.answer(status, headers, b"")
+        self._answer.refuse(status, retry_after_s)
         self._finish("refused" if status == STATUS_UNAVAILABLE else "failed")
 
 
