Count in what runners say they run beside our own work; hold an item back while the last one waits there

The lost leader's connections end only when the runners notice, so that 47 items ran on; the new leader knew of none of them, took those slots as free and started some ten items a quarter of a second. Ruled out: crowding by its own items (18 to 50 under way, as many as before). Change: what a runner says of its load with an answer's head, less the gateways' and our own requests there, is held against it and fades within 4 s; and no item starts at a runner while the last one there has no answer yet, since it may be queued. Tests: features/jobs 'A new leader counts in what goes on at a runner from before it led' (7 items at once before) and 'An item that waits at a runner holds back the next one there', both red before.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -104,6 +104,29 @@
     And 2 seconds of the fleet pass
     Then no item was started by the new leader
 
+  Scenario: A new leader counts in what goes on at a runner from before it led
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 9 items
+    Then 7 items run
+    When the runner answers nothing for now
+    And the ledger's leader loses its disk for good
+    And a gateway reports 0 online requests at the runner to the next leader
+    And 2 seconds of the fleet pass
+    Then the new leader has started 1 items
+    When the runner answers the item and says that it runs 8 requests
+    And 0.5 seconds of the fleet pass
+    Then the new leader has started 1 items
+    When 1.5 seconds of the fleet pass
+    Then the new leader has started 2 items
+
+  Scenario: An item that waits at a runner holds back the next one there
+    Given a relayed fleet with a table and a runner of 8 slots that answers nothing yet
+    When a gateway hands in a job of 5 items
+    Then 1 items run
+    When the runner answers the item and says that it runs 1 requests
+    And 0.5 seconds of the fleet pass
+    Then 2 items run
+
   Scenario: Items start one after the other at a runner
     Given a relayed fleet with a table and a runner of 8 slots
     When a gateway hands in a job of 5 items and 0.15 seconds pass
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -403,3 +403,35 @@
 def second_runs(context, count):
     running = [call.job for call in _open_calls(context)]
     assert running == [SECOND_JOB] * count, running
+
+
+# --- what runners say ----------------------------------------------------------------------
+
+
+@given("a relayed fleet with a table and a runner of {slots:d} slots that answers nothing yet")
+def make_silent_fleet(context, slots):
+    make_fleet(context, slots)
+    answer_nothing(context)
+
+
+@when("the runner answers nothing for now")
+def answer_nothing(context):
+    for pool in context.fleet.pools.values():
+        pool.clock = None
+
+
+@when("the runner answers the item and says that it runs {count:d} requests")
+def runner_says(context, count):
+    call = _open_calls(context)[-1]
+    call.begin_stream(f"{count},0,{RUNNER_SLOTS}")
+    call.listener.answer_data(event(1))
+
+
+@then("the new leader has started {count:d} items")
+def started(context, count):
+    assert len(_open_calls(context)) == count, len(_open_calls(context))
+
+
+@then("the new leader has started more than {count:d} items")
+def started_more(context, count):
+    assert len(_open_calls(context)) > count, len(_open_calls(context))
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -130,7 +130,7 @@
         disk = self.disks[name]
         if kind == "controller":
             return ControllerRole(base, disk, node.faults.append)
-        pool = self.pools[name] = StandInPool()
+        pool = self.pools[name] = StandInPool(base.clock)
         protocol = PlainProtocol()
         return StorageNode(base, protocol, table_of, pool, disk, node.faults.append)  # type: ignore[arg-type]
 
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -15,6 +15,7 @@
     PromptPart,
     RequestFacts,
     RunnerTarget,
+    ServerLoad,
 )
 from rainsail.relay.run import RelayRun
 from rainsail.relay.settings import RelaySettings
@@ -25,6 +26,7 @@
 HOST = "a.example"
 PATH = "/a/1"
 NOT_RUN_FIELD = b"not-run"
+HEAD_AFTER_S = 0.02
 EVENT_STREAM_FIELDS = ((b"content-type", b"text/event-stream"),)
 
 
@@ -68,7 +70,9 @@
         belongs = fields.get(b"of", request.encode()) == request.encode()
         not_run = NOT_RUN_FIELD in fields
         promises = head.status in (429, 503)
-        return AnswerVerdict(belongs, not_run, promises, head.status == 421, False, None)
+        numbers = [int(text) for text in fields.get(b"load", b"").split(b",") if text]
+        load = ServerLoad(*numbers) if numbers else None
+        return AnswerVerdict(belongs, not_run, promises, head.status == 421, False, load)
 
     def answer_headers(self, head: AnswerHead) -> Any:
         """Pass everything on."""
@@ -87,6 +91,7 @@
     request: OutgoingRequest
     listener: Any
     cancelled: bool = False
+    over: bool = False
 
     def cancel(self) -> None:
         """Note that the connection was closed under the request."""
@@ -108,17 +113,20 @@
             self.listener.answer_data(body)
         self.listener.answer_ended()
 
-    def begin_stream(self) -> None:
-        """Send the head of a stream."""
-        self.listener.answer_begun(AnswerHead(200, EVENT_STREAM_FIELDS))
+    def begin_stream(self, load: str = "") -> None:
+        """Send the head of a stream, with what the runner says of its load, if anything."""
+        fields = (*EVENT_STREAM_FIELDS, (b"load", load.encode()))
+        self.listener.answer_begun(AnswerHead(200, fields))
 
 
 class StandInPool:
     """Connections that go nowhere: tests answer in the runners' place."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Any = None) -> None:
+        """With a ``clock`` each request is begun to be answered a little later."""
         self.calls: list[StandInCall] = []
         self.forgotten: list[str] = []
+        self.clock = clock
 
     def send(
         self, address: str, request: OutgoingRequest, listener: Any, fresh: bool = False
@@ -126,8 +134,15 @@
         """Note a sending."""
         call = StandInCall(address, request, listener)
         self.calls.append(call)
+        if self.clock is not None:
+            self.clock.callLater(HEAD_AFTER_S, self._begin, call)
         return call
 
+    @staticmethod
+    def _begin(call: StandInCall) -> None:
+        if not call.cancelled and not call.over:
+            call.begin_stream()
+
     def forget(self, address: str) -> None:
         """Note that idle connections were closed."""
         self.forgotten.append(address)
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -11,6 +11,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
+from rainsail.jobs.foreign_load import ForeignLoadBook
 from rainsail.jobs.item_run import ItemRun, RunEnd
 from rainsail.jobs.job_state import JobState, RelayedJob
 from rainsail.jobs.online_use import OnlineUseBook
@@ -20,7 +21,7 @@
 from rainsail.jobs.work import Work, note_of, taken_up
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
-from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
+from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget, ServerLoad
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import Route, RoutingTable
 from rainsail.runtime.clock import Clock
@@ -85,6 +86,7 @@
         self._paused_until_s: dict[str, float] = {}
         self._split = SplitPicker(random)
         self.online = OnlineUseBook()
+        self._foreign = ForeignLoadBook()
         self._active = False
         self._metrics = metrics
         metrics.gauge("items_waiting", lambda: float(len(self._waiting)))
@@ -100,6 +102,7 @@
         self._waiting.clear()
         self._known_jobs.clear()
         self.online.clear()
+        self._foreign.clear()
         self._blind_until_s = self._clock.seconds() + self._settings.blind_s
         self._tick()
         self._note_progress()
@@ -185,8 +188,14 @@
     # --- room ----------------------------------------------------------------------------
 
     def _room(self, record: RunnerRecord) -> RunnerRoom:
-        items = len(self._running.get(record.runner, ()))
-        return RunnerRoom(record.runner, record.slots, self.online.running(record.runner), items)
+        runner = record.runner
+        items = len(self._running.get(runner, ()))
+        foreign = self._foreign.at(runner, self._clock.seconds())
+        return RunnerRoom(runner, record.slots, self.online.running(runner), items, foreign)
+
+    def _load_heard(self, runner: str, load: ServerLoad) -> None:
+        known = len(self._running.get(runner, ())) + self.online.running(runner)
+        self._foreign.reported(runner, load, known, self._clock.seconds())
 
     def _give_way(self) -> None:
         """Close the least urgent runs where online work needs their slots."""
@@ -279,9 +288,14 @@
         return None if chosen is None else records[chosen.runner]
 
     def _may_start_at(self, runner: str, now: float) -> bool:
-        """Tell whether a runner may get an item now: it is sound, and has read the last one."""
+        """Tell whether a runner may get an item now: it is sound, and has begun the last one.
+
+        An item that waits at a runner says that it is full, whatever is known of it here.
+        """
         if self._paused_until_s.get(runner, 0.0) > now:
             return False
+        if any(work.run and not work.run.begun for work in self._running.get(runner, ())):
+            return False
         since_s = now - self._started_at_s.get(runner, float("-inf"))
         return since_s >= self._settings.start_gap_s
 
@@ -301,6 +315,7 @@
             work.progress,
             self._protocol,
             lambda run, end, reason: self._run_ended(work, end, reason),
+            lambda load: self._load_heard(record.runner, load),
         )
         log = logger.bind(job=work.job, item=item.item, runner=record.runner)
         log.bind(after_event=work.progress.last_event).info("item_sent")
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -6,7 +6,7 @@
 
 from rainsail.http.client import AnswerHead
 from rainsail.relay.events import Event, EventSplitter
-from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
+from rainsail.relay.protocol import AnswerVerdict, RelayProtocol, ServerLoad
 
 STATUS_OK = 200
 STATUS_NEVER = 422
@@ -60,12 +60,15 @@
         progress: ItemProgress,
         protocol: RelayProtocol,
         ended: Callable[["ItemRun", RunEnd, str], None],
+        load_heard: Callable[[ServerLoad], None] = lambda load: None,
     ) -> None:
+        """``load_heard`` gets what the runner says of its load with the answer's head."""
         self.item = item
         self.progress = progress
         self.verdict: AnswerVerdict | None = None
         self._protocol = protocol
         self._ended = ended
+        self._load_heard = load_heard
         self._splitter = EventSplitter()
         self._status = 0
         self._over = False
@@ -78,6 +81,13 @@
             self._end(RunEnd.BROKEN, "answer of another request")
         elif self.verdict.not_run:
             self._end(RunEnd.NOT_RUN, f"status {head.status}")
+        elif self.verdict.load is not None:
+            self._load_heard(self.verdict.load)
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether the runner has begun to answer: until then the item may wait there."""
+        return self.verdict is not None
 
     def answer_data(self, data: bytes) -> None:
         """Take whole events."""
--- a/src/rainsail/jobs/plan.py
+++ b/src/rainsail/jobs/plan.py
@@ -35,18 +35,25 @@
     slots: int
     online: int
     items: int
+    foreign: int = 0
+    """Requests that run there and are neither gateways' nor this leader's."""
+
+    @property
+    def free(self) -> int:
+        """Slots that nobody holds; less than 0 when requests wait."""
+        return self.slots - self.online - self.items - self.foreign
 
 
 def free_for_items(room: RunnerRoom, settings: PlanSettings) -> int:
     """Return how many more items a runner may take now."""
     reserve = max(1, round(room.slots * settings.reserve_share))
-    return room.slots - reserve - room.online - room.items
+    return room.free - reserve
 
 
 def items_to_yield(room: RunnerRoom, settings: PlanSettings) -> int:
     """Return how many items a runner must give back for online work."""
     kept_free = round(room.slots * settings.yield_share)
-    over = room.online + room.items + kept_free - room.slots
+    over = kept_free - room.free
     return max(0, min(room.items, over))
 
 
