Let the home of a shared part draw that part's reading alone, not the request's own

Ruled out: the word of long prompts coming late (it takes 3 ms). Change: only the reading of the shared part is discounted, and only while this gateway has not sent it there. Test: features/relay 'The home of a shared part draws that part's reading alone', red before.

--- a/features/relay/choice.feature
+++ b/features/relay/choice.feature
@@ -10,6 +10,12 @@
     When 3 clients send requests to the relay with a shared part of 13000 tokens
     Then all of them went to one runner
 
+  Scenario: The home of a shared part draws that part's reading alone
+    Given a relay with 3 runners and a "stream" route
+    When the home of a part of 2000 tokens is full with streams
+    And a client sends a request with that part and 60000 tokens of its own
+    Then it went elsewhere
+
   Scenario: A crowded runner loses even what it has read
     Given a relay with 3 runners and a "stream" route
     When 9 clients send requests to the relay with a shared part of 13000 tokens
--- a/features/steps/relay_choice_steps.py
+++ b/features/steps/relay_choice_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from features.support.relaying import event
 
+from rainsail.relay.prefix_memory import home_of
 from rainsail.relay.protocol import PromptPart
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, ServiceShare
@@ -169,3 +170,28 @@
 def is_silent(context, silent, speaking):
     found = context.relay.context.loads.silent(context.relay.clock.seconds())
     assert found == [f"runner-{silent}"], found
+
+
+HOMED = "homed"
+
+
+@when("the home of a part of {tokens:d} tokens is full with streams")
+def fill_home(context, tokens):
+    relay = context.relay
+    records = relay.registry.ready("model")
+    context.home = home_of(HOMED, [record.runner for record in records])
+    context.homed = PromptPart(HOMED, tokens)
+    slots = next(record.slots for record in records if record.runner == context.home)
+    for _ in range(slots):
+        relay.context.loads.sent(context.home, relay.clock.seconds(), 1.0)
+
+
+@when("a client sends a request with that part and {tokens:d} tokens of its own")
+def send_homed(context, tokens):
+    prompt = (context.homed, PromptPart("own", tokens))
+    context.relay.request(prompt=prompt, request="homed")
+
+
+@then("it went elsewhere")
+def went_elsewhere(context):
+    assert context.relay.last_call.field(b"runner") != context.home
--- a/src/rainsail/relay/choice.py
+++ b/src/rainsail/relay/choice.py
@@ -34,7 +34,7 @@
     read_again: float = 1.25
     """What reading counts beside waiting: it also takes memory, and from others."""
     home_discount: float = 0.5
-    """Share of the reading that is priced at a part's home, where it may lie already."""
+    """Share of a shared part's reading that is priced at its home, where it may lie already."""
     least_shared_tokens: int = 1500
     """Parts smaller than this have no home: reading them anew costs less than crowding."""
 
@@ -94,6 +94,18 @@
             return ""
         return home_of(part.part, runners)
 
+    def _at_home_ms(self, prompt: tuple[PromptPart, ...], home: str) -> float:
+        """Return what is taken off the reading at the home of a prompt's shared part.
+
+        The part may lie there, though this gateway has not sent it; what is the request's own
+        certainly does not.
+        """
+        part = shared_part(prompt)
+        if part is None or self._prefixes.holds(part.part, home):
+            return 0.0
+        reading_ms = reading_time_ms(part.tokens, part.tokens, self._settings)
+        return (1.0 - self._settings.home_discount) * reading_ms
+
     def _price_ms(self, record: RunnerRecord, wish: Wish, home: str, now: float) -> float:
         settings = self._settings
         slots = max(1, record.slots)
@@ -106,9 +118,10 @@
         if record.cold_left_s > 0:
             price += settings.cold_ms
         if wish.prompt:
-            discount = settings.home_discount if record.runner == home else 1.0
             reading_ms = self.reading_ms(wish.prompt, record.runner)
-            price += settings.read_again * discount * reading_ms
+            if record.runner == home:
+                reading_ms -= self._at_home_ms(wish.prompt, home)
+            price += settings.read_again * reading_ms
             reads_until_s = self._loads.of(record.runner).reads_until_s
             price += max(0.0, reads_until_s - now) * MILLISECONDS_PER_S
         return price
--- a/src/rainsail/relay/prefix_memory.py
+++ b/src/rainsail/relay/prefix_memory.py
@@ -34,12 +34,16 @@
         for holders in self._holders.values():
             holders.pop(runner, None)
 
+    def holds(self, part: str, runner: str) -> bool:
+        """Tell whether a runner has lately read a part, as far as this gateway knows."""
+        return runner in self._holders.get(part, ())
+
     def missing_tokens(self, prompt: tuple[PromptPart, ...], runner: str) -> int:
         """Return how many tokens a runner probably has to read; parts count up to a first gap."""
         missing = 0
         unbroken = True
         for part in prompt:
-            unbroken = unbroken and runner in self._holders.get(part.part, ())
+            unbroken = unbroken and self.holds(part.part, runner)
             if not unbroken:
                 missing += part.tokens
         return missing
