--- a/features/steps/consensus_log_steps.py
+++ b/features/steps/consensus_log_steps.py
@@ -2,13 +2,16 @@
 
 from itertools import combinations
 
-from behave import then
+from behave import given, then, when
 from features.support.consensus_log_model import LogWindowModel, WriteTrackerModel
 from hypothesis import given as over
 from hypothesis import settings, strategies
 from hypothesis.stateful import run_state_machine_as_test
 
+from rainsail.consensus.log_window import LogWindow
 from rainsail.consensus.membership import Membership, MemberSpec
+from rainsail.consensus.roles import NO_OPERATION_PAYLOAD
+from rainsail.storage.interface import LogEntry
 
 EXAMPLES = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
 NAMES = "abcdef"
@@ -55,3 +58,24 @@
 def _quorums(membership):
     names = [member.identity for member in membership.voters()]
     return [set(chosen) for chosen in combinations(names, membership.quorum())]
+
+
+@given("a consensus log of {count:d} entries of {size:d} bytes each")
+def log_of_entries(context, count, size):
+    """Payloads that are no memberships."""
+    context.consensus_log = LogWindow()
+    for index in range(1, count + 1):
+        context.consensus_log.append(LogEntry(index, 1, NO_OPERATION_PAYLOAD.ljust(size, b"-")))
+
+
+@when("a snapshot at entry {index:d} keeps {entries:d} entries and {size:d} bytes at most")
+def compact_behind(context, index, entries, size):
+    """As after a snapshot of a member's own."""
+    log = context.consensus_log
+    log.compact(log.retained_from(index, entries, size))
+
+
+@then("the consensus log begins with entry {index:d}")
+def log_begins(context, index):
+    """The base is the entry before the first."""
+    assert context.consensus_log.base_index == index - 1, context.consensus_log.base_index
--- a/src/rainsail/consensus/log_window.py
+++ b/src/rainsail/consensus/log_window.py
@@ -85,6 +85,21 @@
             end += 1
         return tuple(self._entries[position:end])
 
+    def retained_from(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Return where to compact to when a snapshot holds everything up to ``index``.
+
+        Some of the newest entries behind the snapshot stay, within both bounds, for followers that
+        are a little behind.
+        """
+        keep_after = index
+        kept_bytes = 0
+        while keep_after > self.base_index and index - keep_after < max_entries:
+            kept_bytes += len(self.entry(keep_after).payload)
+            if kept_bytes > max_bytes:
+                break
+            keep_after -= 1
+        return keep_after
+
     def compact(self, index: int) -> None:
         """Move the base up to ``index``; the entries up to it are dropped."""
         if index <= self.base_index:
--- a/src/rainsail/consensus/settings.py
+++ b/src/rainsail/consensus/settings.py
@@ -58,6 +58,12 @@
         ge=0,
         description="Entries kept in memory behind a snapshot, for followers a little behind.",
     )
+    retained_bytes: int = Field(
+        16 * 1024 * 1024,
+        ge=0,
+        description="Payload bytes kept in memory behind a snapshot at most; with fewer entries "
+        "than that a follower that is behind gets the snapshot.",
+    )
     max_waiting_proposals: int = Field(
         20_000, gt=0, description="Proposals under way before new ones are refused as overloaded."
     )
--- a/src/rainsail/consensus/snapshots.py
+++ b/src/rainsail/consensus/snapshots.py
@@ -112,7 +112,9 @@
 def taken(state: CoreState, index: int) -> None:
     """Compact the log behind a snapshot of this member's own, but for some recent entries."""
     state.snapshot_index = index
-    state.log.compact(max(state.log.base_index, index - state.settings.retained_entries))
+    settings = state.settings
+    log = state.log
+    log.compact(log.retained_from(index, settings.retained_entries, settings.retained_bytes))
 
 
 def handle_reply(state: CoreState, message: SnapshotReply, now: float) -> None:
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -28,7 +28,10 @@
 """Nodes are a few milliseconds apart, and what is refused while no node leads is lost for good."""
 REPAIR_AFTER_S = 1.5
 SNAPSHOT_DISK_SHARE = 0.125
+SNAPSHOT_MEMORY_SHARE = 0.06
+"""The log behind the last snapshot is held in memory too."""
 LEAST_SNAPSHOT_LOG_BYTES = 4 * MEBIBYTE
+RETAINED_BYTES = MEBIBYTE
 
 
 class GroupFolder:
@@ -109,12 +112,16 @@
 
 def group_settings(settings: NodeSettings) -> ConsensusSettings:
     """Return the settings of a node's replicated group, sized by its disk."""
-    log_bytes = int(settings.limits.disk_mb * MEBIBYTE * SNAPSHOT_DISK_SHARE)
+    limits = settings.limits
+    log_bytes = int(limits.disk_mb * MEBIBYTE * SNAPSHOT_DISK_SHARE)
+    if limits.memory_mb:
+        log_bytes = min(log_bytes, int(limits.memory_mb * MEBIBYTE * SNAPSHOT_MEMORY_SHARE))
     return ConsensusSettings(
         heartbeat_period_s=HEARTBEAT_PERIOD_S,
         election_timeout_s=ELECTION_TIMEOUT_S,
         repair_after_s=REPAIR_AFTER_S,
         unreachable_after_s=1.2,
         snapshot_log_bytes=max(LEAST_SNAPSHOT_LOG_BYTES, log_bytes),
+        retained_bytes=RETAINED_BYTES,
         hello_period_s=0.3,
     )
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -66,6 +66,9 @@
     """What the machine has."""
 
     disk_mb: int = Field(default=0, ge=0, description="Disk of the machine in MB")
+    memory_mb: int = Field(
+        default=0, ge=0, description="Memory that the process may use in MB; 0: no limit is known"
+    )
 
 
 class BoundsSection(_Section):
