--- a/features/http/connections.feature
+++ b/features/http/connections.feature
@@ -101,3 +101,21 @@
     Then the server is not quiet yet
     When the connection has flushed
     Then the server is quiet
+
+  Scenario: Servers that forget resting connections early get requests on fresh ones for a while
+    Given a pool with connections to servers a, b and c that have rested 1 second
+    When a request to server a is reset at once on its connection
+    Then a request to server c goes out on a new connection
+    And 25 seconds later connections that have rested 1 second are used again
+
+  Scenario: A request that is reset after a while, or on a fresh connection, says nothing of rests
+    Given a pool with connections to servers a, b and c that have rested 1 second
+    When a request to server a is reset after 0.4 seconds on its connection
+    And a request to server b is reset after 0.4 seconds on its connection
+    Then a request to server c goes out on the connection that rested
+
+  Scenario: A request that its own side gives up says nothing of rests
+    Given a pool with connections to servers a, b and c that have rested 1 second
+    When a request to server a is given up at once
+    And a request to server b is given up at once
+    Then a request to server c goes out on the connection that rested
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -82,6 +82,9 @@
         self._listener: AnswerListener | None = None
         self._idle_s: float | None = None
         self.closed = False
+        self.lost_unanswered = False
+        """The other side ended it while a request was there that it had not begun to answer."""
+        self._unanswered = False
         self.when_made: Callable[[], None] = lambda: None
 
     def connectionMade(self) -> None:
@@ -95,6 +98,7 @@
         """Send a whole request; its answer goes to ``listener``."""
         self._listener = listener
         self._idle_s = None
+        self._unanswered = True
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
@@ -108,6 +112,7 @@
         """Take bytes of an answer; bytes that nobody waits for end the connection."""
         if self.closed:
             return
+        self._unanswered = False
         if self._listener is None:
             self.abort()
             return
@@ -121,6 +126,7 @@
         """End the answer: whole only if it had no length and the server closed in order."""
         already = self.closed
         self.closed = True
+        self.lost_unanswered = self._unanswered and not already
         if self._listener is not None and not already:
             self._take_close(reason)
         self._keeper.connection_closed(self)
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -7,6 +7,7 @@
 from twisted.python.failure import Failure
 
 from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
+from rainsail.http.rest_limit import RestLimit
 from rainsail.runtime.clock import Clock
 from rainsail.wire.address import parse_address
 
@@ -27,9 +28,18 @@
 @dataclass(slots=True)
 class _Idle:
     connection: ClientConnection
+    since_s: float
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Reuse:
+    """When a connection took its last request, and how long it had rested before."""
+
+    at_s: float
+    rested_s: float
+
+
 class UnsentListener(AnswerListener, Protocol):
     """An answer listener that also hears that the request never left."""
 
@@ -80,6 +90,8 @@
         self._settings = settings
         self._servers: dict[str, _Server] = {}
         self._address_of: dict[ClientConnection, str] = {}
+        self._reuses: dict[ClientConnection, _Reuse] = {}
+        self._rest_limit = RestLimit()
         self.opened = 0
 
     def send(
@@ -129,7 +141,10 @@
         now = self._clock.seconds()
         while server is not None and server.idle:
             each = server.idle.pop()
-            if each.until_s > now and not each.connection.closed:
+            rested_s = now - each.since_s
+            usable = each.until_s > now and self._rest_limit.allows(rested_s, now)
+            if usable and not each.connection.closed:
+                self._reuses[each.connection] = _Reuse(now, rested_s)
                 return each.connection
             each.connection.abort()
         return None
@@ -171,14 +186,18 @@
         rest_s = self._settings.idle_s
         if idle_s is not None:
             rest_s = min(rest_s, idle_s * KEEP_ALIVE_SHARE)
-        until_s = self._clock.seconds() + rest_s
-        self._servers[address].idle.append(_Idle(connection, until_s))
+        now = self._clock.seconds()
+        self._servers[address].idle.append(_Idle(connection, now, now + rest_s))
 
     def connection_closed(self, connection: ClientConnection) -> None:
         """Forget a connection."""
         address = self._address_of.pop(connection, None)
+        reuse = self._reuses.pop(connection, None)
         if address is None:
             return
+        if reuse is not None and connection.lost_unanswered:
+            now = self._clock.seconds()
+            self._rest_limit.reset(reuse.rested_s, now - reuse.at_s, now)
         server = self._servers[address]
         server.open_count -= 1
         server.idle = [each for each in server.idle if each.connection is not connection]
