Let items take every free slot; leave slots that become free to online work where an item just gave way

Change: no reserve; for 0.4 s after an item gave way at a runner no other is started there.

The features' counts follow the new rule (8 items on a runner of 8 slots, not 7); a scenario checks the pause.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -58,16 +58,27 @@
     When a gateway reports 0 online requests at the runner
     Then 5 items run
 
-  Scenario: Items leave one slot in ten free, and keep what they have until a runner is over full
+  Scenario: Items take every free slot, and keep what they have until a runner is over full
     Given a relayed fleet with a table and a runner of 8 slots
     When a gateway hands in a job of 9 items
-    Then 7 items run
+    Then 8 items run
     When a gateway reports 1 online requests at the runner
     And 1 second of the fleet passes
     Then 7 items run
     When a gateway reports 2 online requests at the runner
     Then 6 items run
 
+  Scenario: Where an item has just given way no other is started for a while
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a gateway hands in a job of 9 items
+    Then 8 items run
+    When a gateway reports 1 online requests at the runner
+    Then 7 items run
+    When a gateway reports 0 online requests at the runner and 0.3 seconds pass
+    Then no other item has been started
+    When 1 second of the fleet passes
+    Then 8 items run
+
   Scenario Outline: An item that can't be done is given up after <attempts> answers of <status>
     Given a relayed fleet with a table and a runner of 8 slots
     When a gateway hands in a job of 1 item
@@ -100,23 +111,23 @@
     When a gateway hands in a job of 5 items
     Then 5 items run
     When the ledger's leader loses its disk for good
-    And a gateway reports 7 online requests at the runner to the next leader
+    And a gateway reports 8 online requests at the runner to the next leader
     And 2 seconds of the fleet pass
     Then no item was started by the new leader
 
   Scenario: A new leader counts in what goes on at a runner from before it led
     Given a relayed fleet with a table and a runner of 8 slots
     When a gateway hands in a job of 9 items
-    Then 7 items run
+    Then 8 items run
     When the runner answers nothing for now
     And the ledger's leader loses its disk for good
     And a gateway reports 0 online requests at the runner to the next leader
     And 2 seconds of the fleet pass
     Then the new leader has started 1 items
     When the runner answers the item and says that it runs 8 requests
-    And 0.5 seconds of the fleet pass
+    And 0.2 seconds of the fleet pass
     Then the new leader has started 1 items
-    When 1.5 seconds of the fleet pass
+    When 1.8 seconds of the fleet pass
     Then the new leader has started 2 items
 
   Scenario: An item that waits at a runner holds back the next one there
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -394,8 +394,7 @@
 
 @when("the runner has room for {count:d} items")
 def runner_has_room(context, count):
-    reserved = 1
-    report_use(context, RUNNER_SLOTS - reserved - count)
+    report_use(context, RUNNER_SLOTS - count)
     context.fleet.run_for(1.0)
 
 
@@ -435,3 +434,15 @@
 @then("the new leader has started more than {count:d} items")
 def started_more(context, count):
     assert len(_open_calls(context)) > count, len(_open_calls(context))
+
+
+@when("a gateway reports {count:d} online requests at the runner and {seconds:g} seconds pass")
+def report_use_and_wait(context, count, seconds):
+    context.runs_before = len(context.fleet.calls())
+    report_use(context, count)
+    context.fleet.run_for(seconds)
+
+
+@then("no other item has been started")
+def none_started(context):
+    assert len(context.fleet.calls()) == context.runs_before
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -18,13 +18,7 @@
 from rainsail.jobs.job_state import JobState, RelayedJob, StateObserver
 from rainsail.jobs.ledger_time import LedgerTime
 from rainsail.jobs.online_use import OnlineUseBook
-from rainsail.jobs.plan import (
-    PlanSettings,
-    RunnerRoom,
-    free_for_items,
-    items_to_yield,
-    roomiest,
-)
+from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
 from rainsail.jobs.urgency import FreshItems, ItemOrder
 from rainsail.jobs.waiting import WaitingItems
 from rainsail.jobs.work import Work, note_of, taken_up
@@ -108,6 +102,7 @@
         metrics.gauge("items_running", lambda: float(sum(map(len, self._running.values()))))
         self._blind_until_s = 0.0
         self._started_at_s: dict[str, float] = {}
+        self._crowded_until_s: dict[str, float] = {}
 
     # --- life cycle ----------------------------------------------------------------------
 
@@ -229,7 +224,7 @@
 
     def _slots_for_items(self, record: RunnerRecord) -> int:
         room = self._room(record)
-        return max(0, room.items + free_for_items(room, self._settings))
+        return max(0, room.items + room.free)
 
     def _by_service(self, items: Iterable[Each]) -> dict[str, list[Each]]:
         """Sort items by the service that runs most of their job; those of no route are left out."""
@@ -259,12 +254,13 @@
         now = self._clock.seconds()
         for runner, works in self._running.items():
             record = self._registry.get(runner)
-            count = 0 if record is None else items_to_yield(self._room(record), self._settings)
+            count = 0 if record is None else items_to_yield(self._room(record))
             if not count:
                 continue
             for work in sorted(works, key=self._order.urgency)[-count:]:
                 work.cut(now)
                 works.remove(work)
+                self._crowded_until_s[runner] = now + self._settings.crowded_s
                 work.ready_at_s = now
                 self._waiting.put_back(work)
                 log = logger.bind(job=work.job, item=self._item_id(work), runner=runner)
@@ -286,7 +282,7 @@
     def _note_progress(self) -> None:
         """Have the ledger keep what has come of each running item since the last time.
 
-        While items only wait, the time alone is kept, so that the next leader knows how old they are.
+        While items only wait, the time alone is kept: the next leader has to know their age.
         """
         if not self._active:
             return
@@ -343,17 +339,21 @@
             if self._may_start_at(record.runner, now)
         }
         local = [self._room(each) for each in records.values() if each.zone == self._zone]
-        room = roomiest(local, self._settings)
-        best = roomiest([self._room(each) for each in records.values()], self._settings)
+        room = roomiest(local)
+        best = roomiest([self._room(each) for each in records.values()])
         chosen = best if room is None else room
         return None if chosen is None else records[chosen.runner]
 
     def _may_start_at(self, runner: str, now: float) -> bool:
-        """Tell whether a runner may get an item now: it is sound, and has begun the last one.
+        """Tell whether a runner may get an item now.
 
-        An item that waits at a runner says that it is full, whatever is known of it here.
+        It is sound, no item has just given way there, and it has begun the last one: an item that
+        waits at a runner says that it is full, whatever is known of it here.
         """
-        if self._paused_until_s.get(runner, 0.0) > now:
+        no_item_before_s = max(
+            self._paused_until_s.get(runner, 0.0), self._crowded_until_s.get(runner, 0.0)
+        )
+        if no_item_before_s > now:
             return False
         if any(work.run and not work.run.begun for work in self._running.get(runner, ())):
             return False
--- a/src/rainsail/jobs/plan.py
+++ b/src/rainsail/jobs/plan.py
@@ -11,14 +11,14 @@
 class PlanSettings:
     """How much of a runner items may take.
 
-    ``reserve_share`` of a runner's slots (one at least) stays free for online work that is about
-    to come; items give way once less than ``yield_share`` of the slots is free. That share is 0: a
-    request that finds a runner full waits for as long as an item takes to give way, which is well
-    within the targets, and each slot more that is kept free costs batch work a tenth of its room.
+    Items take every slot that online work leaves: a request that finds a runner full waits for as
+    long as an item takes to give way, which is well within the targets, while each slot that is
+    kept free costs batch work a tenth of its room. Where an item has just given way online work is
+    rising, so the slots that become free there are left to it for ``crowded_s``; items that are
+    started there are cut again at once, and each start reads a prompt.
     """
 
-    reserve_share: float = 0.1
-    yield_share: float = 0.0
+    crowded_s: float = 0.4
     start_gap_s: float = 0.1
     """Time between two starts at one runner: each begins with reading a prompt."""
     note_period_s: float = 0.5
@@ -44,25 +44,16 @@
         return self.slots - self.online - self.items - self.foreign
 
 
-def free_for_items(room: RunnerRoom, settings: PlanSettings) -> int:
-    """Return how many more items a runner may take now."""
-    reserve = max(1, round(room.slots * settings.reserve_share))
-    return room.free - reserve
-
-
-def items_to_yield(room: RunnerRoom, settings: PlanSettings) -> int:
+def items_to_yield(room: RunnerRoom) -> int:
     """Return how many items a runner must give back for online work."""
-    kept_free = round(room.slots * settings.yield_share)
-    over = kept_free - room.free
-    return max(0, min(room.items, over))
+    return max(0, min(room.items, -room.free))
 
 
-def roomiest(rooms: list[RunnerRoom], settings: PlanSettings) -> RunnerRoom | None:
+def roomiest(rooms: list[RunnerRoom]) -> RunnerRoom | None:
     """Return the runner with most room for an item, None when none has any."""
     best: RunnerRoom | None = None
     best_free = 0
     for room in rooms:
-        free = free_for_items(room, settings)
-        if free > best_free:
-            best, best_free = room, free
+        if room.free > best_free:
+            best, best_free = room, room.free
     return best
