--- a/features/jobs/urgency.feature
+++ b/features/jobs/urgency.feature
@@ -1,4 +1,4 @@
-Feature: Items go by urgency: those that can be in time before those that can't, then by due time
+Feature: Items go by due time while all fit, otherwise the fewest are given up
 
   Background:
     Given jobs that are due 20 s after their acceptance
@@ -60,3 +60,17 @@
     When job "a" with 12 items is accepted at second 0
     And job "b" with 2 items is accepted at second 4
     Then at second 4 the items go in the order "a0 a1 a2 a3 a4 a5 a6 a7 a8 a9 a10 a11 b0 b1"
+
+  Scenario: While everything fits, what is due first goes first, though another needs less
+    Given items get 6 slots on average
+    When job "a" with 2 items is accepted at second 0
+    And job "b" with 1 item is accepted at second 1
+    And item "b0" has run for 3 s and was put back
+    Then at second 4 the items go in the order "a0 a1 b0"
+
+  Scenario: Under more work than fits, what needs least goes first of what can be in time
+    Given items get 1 slot on average
+    When job "a" with 5 items is accepted at second 0
+    And job "b" with 1 item is accepted at second 1
+    And item "b0" has run for 3 s and was put back
+    Then at second 4 the items go in the order "b0 a0 a1 a2 a3 a4"
--- a/src/rainsail/jobs/urgency.py
+++ b/src/rainsail/jobs/urgency.py
@@ -1,9 +1,9 @@
 """Which item goes first.
 
-Items that can be in time together go before those that can't. Among the first, what needs least
-goes first: under more work than fits, items that are nearly done are not left behind for others
-that are due a little earlier. What can't be in time is still run, oldest first, once there is room.
-All times are the ledger's.
+While everything fits, what is due first goes first. Once it doesn't, the items that can be in time
+together go before the others, and among these what needs least goes first: items that are nearly
+done are not left behind for some that are due a little earlier. What can't be in time is still run,
+oldest first, once there is room. All times are the ledger's.
 """
 
 from collections.abc import Iterable
@@ -16,7 +16,10 @@
 from rainsail.jobs.work import Work
 
 Urgency = tuple[bool, float, float, bool]
-"""Sorts items, most urgent first: given up, time left to run (0 for those), due time, not begun."""
+"""Sorts items, most urgent first: given up, time left to run, due time, not begun.
+
+The time left is 0 while everything fits, and of items that are given up.
+"""
 
 TAKEN_UP_SHARE = 1.2
 """Items are taken up for this share of the slots they got lately.
@@ -43,6 +46,7 @@
         self._meters: dict[str, SlotMeter] = {}
         self._fresh_kept: dict[str, int] = {}
         self._given_up: set[tuple[str, int]] = set()
+        self._overloaded = False
 
     def room_seen(self, service: str, slots: float, now: float) -> None:
         """Note how many slots of a service items have or could have."""
@@ -52,6 +56,7 @@
         """Forget the last decision; one ``plan`` for each service follows."""
         self._fresh_kept.clear()
         self._given_up.clear()
+        self._overloaded = False
 
     def plan(
         self, service: str, fresh: Iterable[FreshItems], begun: Iterable[Work], now: float
@@ -61,7 +66,9 @@
         demands = [self._demand(key, work.job, work.events) for key, work in works.items()]
         demands += [self._demand(each.job, each.job, 0, each.count) for each in fresh]
         timed = [demand for demand in demands if demand.due_s != float("inf")]
-        for key, kept in fitting(timed, self._slots(service), now).items():
+        fit = fitting(timed, self._slots(service), now)
+        self._overloaded |= any(fit[demand.key] < demand.count for demand in timed)
+        for key, kept in fit.items():
             work = works.get(key)
             if work is None:
                 self._fresh_kept[key] = kept
@@ -90,5 +97,6 @@
         return self._place(job, 0, given_up)
 
     def _place(self, job: str, events: int, given_up: bool) -> Urgency:
-        left_s = 0.0 if given_up else self.lengths.left_s(events)
+        by_length = self._overloaded and not given_up
+        left_s = self.lengths.left_s(events) if by_length else 0.0
         return (given_up, left_s, self.due.due_s(job), not events)
