--- a/src/rainsail/cli/command_table.py
+++ b/src/rainsail/cli/command_table.py
@@ -57,6 +57,11 @@
         "tell what happened to a request or job, from nodes' logs",
         text_arguments=True,
     ),
+    "account": CommandGroup(
+        "rainsail.cli.account:account",
+        "tell where items and requests lost their time, from nodes' logs",
+        text_arguments=True,
+    ),
     "storage": CommandGroup("rainsail.cli.storage:StorageCommands", "read a data folder offline"),
     "check": CommandGroup("rainsail.cli.check:CheckCommands", "run checkers over histories"),
     "simulate": CommandGroup("rainsail.cli.simulate:simulate", "run a simulated fleet with faults"),
