Keep the tokens that wait on a batch route under its limit: 429 for what does not fit

Ruled out: a count at the gateways, each of which sees its own jobs only.

Change: the ledger's leader counts the tokens of unlisted items of the route's open jobs and of jobs being committed, and refuses a job that doesn't fit with OVER_LIMIT, which gateways answer as 429 with the time to come back. The gateway names the limit with the job, so that a leader without a table refuses nothing wrongly. A refusal after an unclear try is answered as unclear: the earlier try may still be taken. Cost at the design size: one number a job, one sum over open jobs a submission.

--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -85,10 +85,11 @@
     Then the call is answered <status>
 
     Examples:
-      | answer      | status |
-      | accepted    | 202    |
-      | not run     | 503    |
-      | unclear     | 504    |
+      | answer         | status |
+      | accepted       | 202    |
+      | not run        | 503    |
+      | unclear        | 504    |
+      | over the limit | 429    |
 
   Scenario Outline: A settings file that can't be used is refused with the place
     Given a node's settings where <place> is <value>
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -18,7 +18,7 @@
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.http.client import AnswerHead
 from rainsail.http.exchange import HttpRequest
-from rainsail.jobs.messages import RelayedJobAccepted
+from rainsail.jobs.messages import QueueLimit, RelayedJobAccepted
 from rainsail.relay.protocol import RunnerTarget
 from rainsail.relay.table import Route, RouteKind, ServiceShare
 from rainsail.settings.node import load_node_settings
@@ -244,9 +244,10 @@
         self.answer = answer
         self.handed_in = []
 
-    def submit(self, job, host, path, items):
+    def submit(self, job, host, path, items, limit):
         """Note a job."""
         self.handed_in.append((job, items))
+        self.limit = limit
         return succeed(self.answer)
 
 
@@ -283,7 +284,10 @@
     context.jobs = _StandInJobs(answer)
     client_handler(gateway, context.jobs)
     context.exchange = _exchange(b"/jobs/1", body)
-    route = Route("r", "h.example", "/jobs/", RouteKind.BATCH, (ServiceShare("s", 1.0),), 30.0, 1.0)
+    shares = (ServiceShare("s", 1.0),)
+    route = Route(
+        "r", "h.example", "/jobs/", RouteKind.BATCH, shares, 30.0, 1.0, max_queued_tokens=500
+    )
     facts = PlatformHeaders().describe(context.exchange.request)
     gateway.on_batch(context.exchange, route, facts)
 
@@ -301,7 +305,8 @@
 @when("a gateway gets a job, and the ledger's answer is {answer}")
 def ledger_answers(context, answer):
     outcome = Outcome.UNKNOWN if answer == "unclear" else Outcome.NOT_RUN
-    fault = Fault(FaultCode.UNAVAILABLE, "test", "no leader", outcome=outcome)
+    code = FaultCode.OVER_LIMIT if answer == "over the limit" else FaultCode.UNAVAILABLE
+    fault = Fault(code, "test", "the leader's words", outcome=outcome)
     result = Ok(RelayedJobAccepted("9c41")) if answer == "accepted" else Error(fault)
     body = (
         b'{"items":[{"id":"a","path":"/jobs/a","headers":{"Model":"m"},"body":"aGk=","tokens":3}]}'
@@ -309,6 +314,7 @@
     _hand_in(context, body, result)
     (_, items) = context.jobs.handed_in[0]
     assert items[0].body == b"hi" and items[0].headers[0].value == "m"
+    assert context.jobs.limit == QueueLimit("/jobs/", 500), context.jobs.limit
 
 
 # --- settings ------------------------------------------------------------------------------
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -14,6 +14,7 @@
 from rainsail.fleet.controller_role import ControllerRole
 from rainsail.fleet.storage_node import StorageNode
 from rainsail.jobs.client import JobClient
+from rainsail.jobs.messages import QueueLimit
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
 from rainsail.settings.node import NodeSettings
 from rainsail.simulation.clock import SkewedClock, VirtualClock
@@ -24,6 +25,7 @@
 FIRST_PORT = 7000
 SEED_PORT = 8000
 LIMIT_S = 30.0
+JOB_PREFIX = "/jobs/"
 JOB_PATH = "/jobs/1"
 COMPLETION_S = 5.0
 """Time within which the tests' jobs are due."""
@@ -35,7 +37,7 @@
         Route(
             "jobs",
             HOST,
-            "/jobs/",
+            JOB_PREFIX,
             RouteKind.BATCH,
             (ServiceShare("model", 1.0),),
             30.0,
@@ -65,6 +67,7 @@
         self, seed: int, controllers: int = 3, storage: int = 3, gateways: int = 2
     ) -> None:
         self.clock = VirtualClock()
+        self.max_queued_tokens = 0
         self.random = random.Random(seed)
         self.network = SimulatedNetwork(self.clock, random.Random(self.random.random()))
         self.disks: dict[str, SimulatedDisk] = {}
@@ -213,7 +216,8 @@
             RelayedItem(f"{job}-{number}", f"{JOB_PATH}/{number}", (), b"body", 10)
             for number in range(count)
         )
-        return self.nodes[gateway].role.submit(job, HOST, JOB_PATH, items)
+        limit = QueueLimit(JOB_PREFIX, self.max_queued_tokens)
+        return self.nodes[gateway].role.submit(job, HOST, JOB_PATH, items, limit)
 
     def calls(self) -> list[Any]:
         """Return every item's sending, of all storage nodes."""
--- a/src/rainsail/cluster/leader_calls.py
+++ b/src/rainsail/cluster/leader_calls.py
@@ -1,6 +1,7 @@
 """Calls that only a group's leader can answer, made from any node."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any, Protocol
 
 from expression import Error, Ok, Result
@@ -86,7 +87,7 @@
                 return result
             last = result.error
             if last.code not in _TRANSIENT:
-                return result
+                return Error(replace(last, outcome=Outcome.UNKNOWN)) if unclear else result
             if last.outcome != Outcome.NOT_RUN:
                 unclear = True
                 if not repeatable:
--- a/src/rainsail/fleet_api/jobs.py
+++ b/src/rainsail/fleet_api/jobs.py
@@ -10,7 +10,7 @@
 from rainsail.fleet_api.replies import EMPTY, reply_fault, reply_when_done
 from rainsail.http.exchange import Exchange, Handler
 from rainsail.jobs.client import JobClient
-from rainsail.jobs.messages import ResultPage
+from rainsail.jobs.messages import QueueLimit, ResultPage
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.table import Route
@@ -43,7 +43,8 @@
         if items.is_error():
             reply_fault(exchange, items.error)
             return
-        done = self._jobs.submit(facts.request, facts.host, facts.path, items.ok)
+        limit = QueueLimit(route.prefix, route.max_queued_tokens)
+        done = self._jobs.submit(facts.request, facts.host, facts.path, items.ok, limit)
         reply_when_done(exchange, done, lambda _: EMPTY, STATUS_ACCEPTED)
 
     def handle(self, exchange: Exchange) -> bool:
--- a/src/rainsail/fleet_api/replies.py
+++ b/src/rainsail/fleet_api/replies.py
@@ -16,6 +16,7 @@
 STATUS_INVALID = 400
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
+STATUS_OVER_LIMIT = 429
 STATUS_UNAVAILABLE = 503
 STATUS_UNCLEAR = 504
 RETRY_AFTER_S = 0.5
@@ -42,12 +43,14 @@
 
 
 def reply_fault(exchange: Exchange, fault: Fault, unclear_status: int = STATUS_UNCLEAR) -> None:
-    """Answer a fault; 503 with the time to come back only where nothing was done."""
+    """Answer a fault; 429 and 503, with the time to come back, only where nothing was done."""
     status = _STATUSES.get(fault.code)
     if status is not None:
         reply_json(exchange, status, {"error": fault.detail})
     elif fault.outcome == Outcome.NOT_RUN:
-        reply(exchange, STATUS_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
+        over = fault.code == FaultCode.OVER_LIMIT
+        refused = STATUS_OVER_LIMIT if over else STATUS_UNAVAILABLE
+        reply(exchange, refused, retry_after_s=RETRY_AFTER_S)
     else:
         reply(exchange, unclear_status)
 
--- a/src/rainsail/fleet_api/tables.py
+++ b/src/rainsail/fleet_api/tables.py
@@ -35,6 +35,7 @@
     resumable: bool = False
     gap_target_s: float = Field(default=0.0, ge=0)
     completion_s: float = Field(default=0.0, ge=0)
+    max_queued_tokens: int = Field(default=0, ge=0)
 
     @model_validator(mode="after")
     def _check(self) -> "RouteBody":
@@ -115,4 +116,5 @@
         body.resumable,
         body.gap_target_s,
         body.completion_s,
+        body.max_queued_tokens,
     )
--- a/src/rainsail/jobs/client.py
+++ b/src/rainsail/jobs/client.py
@@ -7,7 +7,13 @@
 
 from rainsail.cluster.leader_calls import LeaderCaller
 from rainsail.errors import Fault
-from rainsail.jobs.messages import EndJobCall, ReadItemBody, ReadResults, SubmitRelayedJob
+from rainsail.jobs.messages import (
+    EndJobCall,
+    QueueLimit,
+    ReadItemBody,
+    ReadResults,
+    SubmitRelayedJob,
+)
 from rainsail.state.job_commands import RelayedItem
 
 SUBMIT_WITHIN_S = 3.4
@@ -25,10 +31,18 @@
         self._calls.set_hint(leader)
 
     def submit(
-        self, job: str, host: str, path: str, items: tuple[RelayedItem, ...]
+        self,
+        job: str,
+        host: str,
+        path: str,
+        items: tuple[RelayedItem, ...],
+        limit: QueueLimit,
     ) -> "Deferred[Result[Any, Fault]]":
-        """Hand a whole job in; Ok once a quorum has synced all of it."""
-        message = SubmitRelayedJob(job, host, path, items)
+        """Hand a whole job in; Ok once a quorum has synced all of it.
+
+        The fault is OVER_LIMIT when the job does not fit the route's limit and was not taken.
+        """
+        message = SubmitRelayedJob(job, host, path, items, limit)
         return self._calls.call(message, None, SUBMIT_WITHIN_S, repeatable=True)
 
     def read(self, job: str, after: int, wait_s: float) -> "Deferred[Result[Any, Fault]]":
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -39,6 +39,8 @@
     ended: bool = False
     accepted_s: float = 0.0
     """The ledger's time of the acceptance."""
+    open_tokens: int = 0
+    """The tokens of all unlisted items, 0 once the job has ended."""
     notes: dict[int, ItemNote] = field(default_factory=dict)
     """How far the runs of unlisted items have come, from their first event on."""
 
@@ -105,6 +107,7 @@
         job = RelayedJob(command.job, command.host, command.path, items)
         job.unlisted = set(range(len(items)))
         job.accepted_s = command.at_s
+        job.open_tokens = sum(item.tokens for item in items)
         self.jobs[command.job] = job
         self.observer.accepted(job)
 
@@ -119,6 +122,7 @@
         if outcome.index not in job.unlisted:
             return
         job.unlisted.discard(outcome.index)
+        job.open_tokens -= job.items[outcome.index].tokens
         job.notes.pop(outcome.index, None)
         job.listed.append(ListedOutcome(outcome.index, outcome.done, outcome.text))
         job.items[outcome.index] = replace(job.items[outcome.index], body=b"")
@@ -141,10 +145,19 @@
         if job is None:
             return Fault(FaultCode.NOT_FOUND, "jobs.end", f"no job {command.job}")
         job.ended = True
+        job.open_tokens = 0
         job.notes.clear()
         job.items = [replace(item, body=b"") for item in job.items]
         return Done()
 
+    def waiting_tokens(self, host: str, prefix: str) -> int:
+        """Return the tokens that wait on a route: those of the unlisted items of its jobs."""
+        return sum(
+            job.open_tokens
+            for job in self.jobs.values()
+            if job.open_tokens and job.host == host and job.path.startswith(prefix)
+        )
+
     def snapshot(self) -> Iterator[bytes]:
         """Return one chunk for each job, as they are at the call."""
         chunks = [encode(_snapshot_of(job)) for job in self.jobs.values()]
@@ -184,4 +197,6 @@
     )
     listed = {each.index for each in job.listed}
     job.unlisted = {index for index in range(len(job.items)) if index not in listed}
+    if not job.ended:
+        job.open_tokens = sum(job.items[index].tokens for index in job.unlisted)
     return job
--- a/src/rainsail/jobs/ledger_service.py
+++ b/src/rainsail/jobs/ledger_service.py
@@ -41,6 +41,8 @@
         self._state = state
         self._group: GroupDriver | None = None
         self._held: dict[str, list[_HeldRead]] = {}
+        self._proposed: dict[str, SubmitRelayedJob] = {}
+        """Jobs whose acceptance is under way."""
         messenger.serve(SubmitRelayedJob, self._submit)
         messenger.serve(ReadResults, self._read)
         messenger.serve(ReadItemBody, self._read_body)
@@ -66,12 +68,43 @@
         assert self._group is not None
         if message.job in self._state.jobs:
             return succeed(RelayedJobAccepted(message.job))
+        over = self._over_limit(message)
+        if over is not None:
+            return succeed(over)
         at_s = self._ledger_time.at(self._clock.seconds())
         command = AcceptJob(message.job, message.host, message.path, message.items, at_s)
         logger.bind(job=message.job, items=len(message.items), gateway=source).info("job_proposed")
+        self._proposed[message.job] = message
         proposed = self._group.propose(command)
+        proposed.addBoth(self._proposal_over, message.job)
         return proposed.addCallback(_reply, RelayedJobAccepted(message.job))
 
+    def _proposal_over(self, result: Any, job: str) -> Any:
+        self._proposed.pop(job, None)
+        return result
+
+    def _over_limit(self, message: SubmitRelayedJob) -> Fault | None:
+        """Return the fault of a job that does not fit its route's limit.
+
+        Jobs that are being committed count as if they were accepted. The refusal is a promise:
+        the log of a leader that answers holds no other proposal of this job, since all that came
+        before its term is applied.
+        """
+        limit = message.limit
+        if not limit.tokens or message.job in self._proposed:
+            return None
+        proposed = sum(
+            _tokens(each)
+            for each in self._proposed.values()
+            if each.host == message.host and each.path.startswith(limit.prefix)
+        )
+        waiting = self._state.waiting_tokens(message.host, limit.prefix) + proposed
+        if waiting + _tokens(message) <= limit.tokens:
+            return None
+        detail = f"{waiting} tokens wait, {_tokens(message)} more don't fit {limit.tokens}"
+        logger.bind(job=message.job, waiting=waiting, limit=limit.tokens).info("job_over_limit")
+        return Fault(FaultCode.OVER_LIMIT, "jobs.submit", detail)
+
     def _end(self, source: str, message: EndJobCall) -> "Deferred[Any]":
         refusal = self._refusal("jobs.end")
         if refusal is not None:
@@ -163,6 +196,10 @@
     return ResultPage(job.job, len(job.items), after, tuple(entries))
 
 
+def _tokens(message: SubmitRelayedJob) -> int:
+    return sum(item.tokens for item in message.items)
+
+
 def _as_deferred(answer: Any) -> "Deferred[Any]":
     return answer if isinstance(answer, Deferred) else succeed(answer)
 
--- a/src/rainsail/jobs/messages.py
+++ b/src/rainsail/jobs/messages.py
@@ -6,15 +6,29 @@
 from rainsail.wire.codec import wire_record
 
 
+@dataclass(frozen=True, slots=True)
+class QueueLimit:
+    """How many tokens may wait on a route, over all its jobs; 0 stands for any number."""
+
+    prefix: str
+    """The route's prefix: a job of the same host whose path begins so is of the same route."""
+    tokens: int
+
+
 @wire_record
 @dataclass(frozen=True, slots=True)
 class SubmitRelayedJob:
-    """Asks the leader to keep a whole job; the same id again is accepted again."""
+    """Asks the leader to keep a whole job; the same id again is accepted again.
+
+    The gateway names the limit of the route by which it took the job, since a leader may have been
+    started only now and know no table yet.
+    """
 
     job: str
     host: str
     path: str
     items: tuple[RelayedItem, ...]
+    limit: QueueLimit
 
 
 @wire_record
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -27,7 +27,8 @@
 
     ``target_s`` is the time within which an answer is worth most, ``gap_target_s`` the longest
     pause of a stream that still is in time, ``completion_s`` the time within which all results of
-    a job are due, counted from its acceptance (0: no time is set).
+    a job are due, counted from its acceptance (0: no time is set), ``max_queued_tokens`` how many
+    tokens of its jobs may wait at once (0: any number).
     """
 
     name: str
@@ -42,6 +43,7 @@
     resumable: bool = False
     gap_target_s: float = 0.0
     completion_s: float = 0.0
+    max_queued_tokens: int = 0
 
     @property
     def repeatable(self) -> bool:
