--- a/src/rainsail/jobs/run_lengths.py
+++ b/src/rainsail/jobs/run_lengths.py
@@ -8,6 +8,7 @@
 from bisect import bisect_right, insort
 from collections import deque
 from collections.abc import Iterable
+from itertools import accumulate
 from statistics import median
 
 from rainsail.state.job_commands import ItemNote
@@ -27,6 +28,8 @@
     def __init__(self) -> None:
         self._by_age: deque[int] = deque()
         self._sorted: list[int] = []
+        self._sums_from: list[int] = [0]
+        """The sum of the sorted lengths from each place on: many items ask for what is left."""
         self._paces: deque[float] = deque(maxlen=KEPT_PACES)
         self._event_s = 0.0
         self._noted_s: dict[tuple[str, int], float] = {}
@@ -38,6 +41,8 @@
         if len(self._by_age) > KEPT_LENGTHS:
             oldest = self._by_age.popleft()
             del self._sorted[bisect_right(self._sorted, oldest) - 1]
+        from_the_end = list(accumulate(reversed(self._sorted), initial=0))
+        self._sums_from = from_the_end[::-1]
 
     def progressed(self, ledger_s: float, notes: Iterable[ItemNote]) -> None:
         """Take one round of notes; an item that is in two rounds running ran in between."""
@@ -59,8 +64,9 @@
     def _left_events(self, events: int) -> float:
         if not self._sorted:
             return 0.0
-        least = LEAST_LEFT_SHARE * sum(self._sorted) / len(self._sorted)
-        longer = self._sorted[bisect_right(self._sorted, events) :]
-        if not longer:
+        count = len(self._sorted)
+        least = LEAST_LEFT_SHARE * self._sums_from[0] / count
+        place = bisect_right(self._sorted, events)
+        if place == count:
             return least
-        return max(least, sum(longer) / len(longer) - events)
+        return max(least, self._sums_from[place] / (count - place) - events)
