Play the order of items on drawn deployments, against the order before

Steady, stepped and bursting traffic, 0.8, 1.2 and 1.6 times what is left over, four drawn deployments each: no item is left open; 97 to 106 % of the items in time of the order before, as each row asks.

--- /dev/null
+++ b/features/jobs/overload.feature
@@ -0,0 +1,22 @@
+Feature: The order of items holds on loads of other kinds than any deployment's
+
+  Four deployments are drawn for each row: 3 to 8 runners of 4 to 24 slots, items of 1 to 6 s on
+  average in events of 10 to 40 ms, due after three to five times that, bursts of 2 to 15 s. What is
+  due first, with what can't be in time by itself last, is the order to compare with.
+
+  Scenario Outline: <traffic> traffic, and items that ask for <load> times what it leaves
+    When four deployments with <traffic> traffic get items for <load> times what it leaves
+    Then no item is left open
+    And at least <percent> % as many items are in time as with what is due first going first
+
+    Examples:
+      | traffic | load | percent |
+      | steady  | 0.8  | 99      |
+      | steady  | 1.2  | 102     |
+      | steady  | 1.6  | 106     |
+      | stepped | 0.8  | 97      |
+      | stepped | 1.2  | 99      |
+      | stepped | 1.6  | 99      |
+      | bursts  | 0.8  | 100     |
+      | bursts  | 1.2  | 102     |
+      | bursts  | 1.6  | 102     |
