--- a/features/steps/scale_control_steps.py
+++ b/features/steps/scale_control_steps.py
@@ -3,12 +3,11 @@
 from dataclasses import replace
 
 from behave import given, then, when
+from features.support.hollow.fits import fit_line
+from features.support.hollow.lost_leader import lose_leader
+from features.support.hollow.quantities import CONFIGURATION, added_by
 from features.support.scale import control_run, exact_figures
 
-from rainsail.scale.fits import fit_line
-from rainsail.scale.lost_leader import lose_leader
-from rainsail.scale.quantities import CONFIGURATION, added_by
-
 SETTLE_S = 12.0
 
 
--- a/features/steps/scale_followed_steps.py
+++ b/features/steps/scale_followed_steps.py
@@ -1,11 +1,11 @@
 """Steps on which runners a gateway of a large fleet follows."""
 
 from behave import given, then, when
+from features.support.hollow.workload import node_name, runner_name
 from features.support.scale import LargeFleetGateway
 
 from rainsail.gateway.followed_runners import FollowedRunners
 from rainsail.gateway.settings import FleetSettings
-from rainsail.scale.workload import node_name, runner_name
 
 REPORTS_S = 5.0
 
--- a/features/steps/scale_planning_steps.py
+++ b/features/steps/scale_planning_steps.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from behave import then, when
+from features.support.hollow.workload import runner_name, tenant_name, tenant_spec
 
 from rainsail.control.controllers.placement import PlacementPlanner
 from rainsail.resources.specs import (
@@ -12,7 +13,6 @@
     RunnerStatus,
     SessionSpec,
 )
-from rainsail.scale.workload import runner_name, tenant_name, tenant_spec
 from rainsail.state.commands import ANY_REVISION, PutResource, PutStatus
 
 
--- a/features/steps/scale_shared_pages_steps.py
+++ b/features/steps/scale_shared_pages_steps.py
@@ -3,12 +3,12 @@
 from unittest import mock
 
 from behave import given, then, when
+from features.support.hollow.workload import FleetSize, declarations, runner_name, tenant_spec
 
 from rainsail.control import list_pages
 from rainsail.control.listing import next_page
 from rainsail.control.messages import ListRequest
 from rainsail.resources.specs import Kind, ResourceKey
-from rainsail.scale.workload import FleetSize, declarations, runner_name, tenant_spec
 from rainsail.state.commands import ROOT_GROUP, DeleteResource, PutResource
 from rainsail.state.machine import ReplicatedState
 from rainsail.wire.codec import decode
--- a/src/rainsail/scale/control_fleet.py
+++ b/features/support/hollow/control_fleet.py
@@ -5,16 +5,10 @@
 from dataclasses import dataclass
 from functools import partial
 
-from rainsail.assembly.gateway import GatewayConfig, GatewayNode
-from rainsail.assembly.replica import ReplicaConfig, ReplicaNode
-from rainsail.assembly.seams import GatewaySeams, NodeSeams, ReplicaSeams
-from rainsail.consensus.settings import ConsensusSettings
-from rainsail.control.paged_list import PagedList
-from rainsail.control.settings import ControlSettings
-from rainsail.scale.hollow_engines import HollowEngineClient
-from rainsail.scale.hollow_node import HollowNode
-from rainsail.scale.meter import Meter, MeteredClock, MeteredTransport
-from rainsail.scale.workload import (
+from features.support.hollow.hollow_engines import HollowEngineClient
+from features.support.hollow.hollow_node import HollowNode
+from features.support.hollow.meter import Meter, MeteredClock, MeteredTransport
+from features.support.hollow.workload import (
     FleetSize,
     declarations,
     gateway_spec,
@@ -22,6 +16,13 @@
     tenant_name,
     version_at,
 )
+
+from rainsail.assembly.gateway import GatewayConfig, GatewayNode
+from rainsail.assembly.replica import ReplicaConfig, ReplicaNode
+from rainsail.assembly.seams import GatewaySeams, NodeSeams, ReplicaSeams
+from rainsail.consensus.settings import ConsensusSettings
+from rainsail.control.paged_list import PagedList
+from rainsail.control.settings import ControlSettings
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.disk import SimulatedDisk
 from rainsail.simulation.network import LinkConditions, SimulatedNetwork, SimulatedTransport
--- a/src/rainsail/scale/control_run.py
+++ b/features/support/hollow/control_run.py
@@ -4,20 +4,15 @@
 memory are this machine's.
 """
 
-import gc
-import resource
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
+
+from features.support.hollow.control_fleet import ControlFleet
+from features.support.hollow.lost_leader import lose_leader
+from features.support.hollow.meter import Totals, Traffic
+from features.support.hollow.workload import FleetSize, operator_change
 
 from rainsail.control.config_view import ConfigView
-from rainsail.scale.control_fleet import ControlFleet
-from rainsail.scale.design_size import DESIGN_SIZE
-from rainsail.scale.list_cost import ListCost, measure_list
-from rainsail.scale.lost_leader import lose_leader
-from rainsail.scale.meter import Totals, Traffic
-from rainsail.scale.workload import FleetSize, operator_change
 
 SETTLE_S = 12.0
 """Longer than a configuration lease, a quota share and a new leader's wait for both."""
@@ -26,6 +21,8 @@
 CHANGE_PERIOD_S = 1.037
 """No multiple of any period of control, so that changes meet every phase of them."""
 IN_FORCE_LIMIT_S = 60.0
+RESTARTS_PER_NODE_S = 3_100.0 / 86_400.0 / 380
+"""Restarts of one node a second: 3,100 a day over 380 nodes."""
 PROGRESS_POLL_S = 0.01
 
 
@@ -51,19 +48,6 @@
     gateway: Totals
 
 
-@dataclass(frozen=True, slots=True)
-class MemoryUse:
-    """Resident bytes added by each part, true for the first run of a process only.
-
-    Later runs take over what earlier ones gave back. Nodes share the resources that they start
-    with, so ``node_bytes`` is what a node keeps beside its copy of the configuration.
-    """
-
-    node_bytes: float
-    gateway_bytes: float
-    peak_bytes: int
-
-
 @dataclass(frozen=True, slots=True)
 class ControlRunResult:
     """One size's measurements."""
@@ -78,22 +62,11 @@
     in_force_s: tuple[float, ...]
     restarts: int
     ready_after_s: tuple[float, ...]
-    list_processor_s: float
     list_bytes: float
-    leader_list: ListCost
     lost_leader_in_force_s: float
     missed_changes: int
     serving_at_end: int
     gateway_subscriptions: int
-    memory: MemoryUse
-    wall_s: float
-
-
-def resident_bytes() -> int:
-    """Return this process's resident memory now."""
-    gc.collect()
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * resource.getpagesize()
 
 
 class ControlRun:
@@ -110,22 +83,7 @@
 
     def run(self) -> ControlRunResult:
         """Run every phase and return the measurements."""
-        started_s = time.monotonic()
-        memory, list_processor_s, list_bytes = self.start()
-        gc.freeze()
-        try:
-            return self._measure(started_s, memory, list_processor_s, list_bytes)
-        finally:
-            gc.unfreeze()
-
-    def _measure(
-        self, started_s: float, memory: MemoryUse, list_processor_s: float, list_bytes: float
-    ) -> ControlRunResult:
-        """Run the phases; what the processes keep is out of the garbage collector's sight.
-
-        In one process it would go through all of them again and again on the account of whoever
-        runs just then; a daemon has its own objects only.
-        """
+        list_bytes = self.start()
         idle = self._phase(lambda: self.fleet.clock.advance(self._settings.idle_s))
         applied_s: list[float] = []
         in_force_s: list[float] = []
@@ -135,7 +93,6 @@
         missed = self.fleet.behind()
         gateways = self.fleet.gateways
         serving = self.fleet.serving_nodes()
-        leader_list = measure_list(self.fleet.leader.state)
         lost_leader_in_force_s = lose_leader(self.fleet)
         subscriptions = max((len(each.fleet.runners()) for each in gateways), default=0)
         return ControlRunResult(
@@ -149,52 +106,37 @@
             tuple(in_force_s),
             self._restarts,
             tuple(self._ready_after_s),
-            list_processor_s,
             list_bytes,
-            leader_list,
             lost_leader_in_force_s,
             missed,
             serving,
             subscriptions,
-            memory,
-            time.monotonic() - started_s,
         )
 
     # --- start ------------------------------------------------------------------------------
 
-    def start(self) -> tuple[MemoryUse, float, float]:
-        """Declare the fleet, start every node; return memory and the cost of one first list."""
+    def start(self) -> float:
+        """Declare the fleet, start every node; return the bytes of one first list."""
         fleet = self.fleet
         fleet.declare()
         known = fleet.known_list()
-        shared = resident_bytes()
-        hollow = self._size.nodes - self._settings.gateways
-        for number in range(hollow):
+        for number in range(self._size.nodes - self._settings.gateways):
             fleet.start_node(number, known)
         fleet.clock.advance(SETTLE_S)
-        with_nodes = resident_bytes()
         for index in range(self._settings.gateways):
             fleet.start_gateway(index)
         fleet.clock.advance(SETTLE_S)
-        with_gateways = resident_bytes()
-        list_processor_s, list_bytes = self.list_once()
-        memory = MemoryUse(
-            (with_nodes - shared) / hollow,
-            (with_gateways - with_nodes) / max(1, self._settings.gateways),
-            resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
-        )
-        return memory, list_processor_s, list_bytes
+        return self.list_once()
 
-    def list_once(self) -> tuple[float, float]:
-        """Restart one node; return what its first list cost it in processor time and bytes."""
+    def list_once(self) -> float:
+        """Restart one node; return the bytes of its first list."""
         before = self.fleet.node_meter.totals()
         self.fleet.kill_node(0)
         running = self.fleet.start_node(0)
         if not self.fleet.wait_until(running.node.view.ready, IN_FORCE_LIMIT_S):
             raise RuntimeError("a node's first list did not end")
         spent = self.fleet.node_meter.totals().since(before)
-        replies = spent.traffic["SharedListReply"]
-        return spent.processor_s, float(replies.bytes)
+        return float(spent.traffic["SharedListReply"].bytes)
 
     # --- phases -----------------------------------------------------------------------------
 
@@ -255,7 +197,7 @@
         """Restart nodes one after another, ``churn_factor`` times as often as in life."""
         clock = self.fleet.clock
         hollow = self._size.nodes - self._settings.gateways
-        restarts_per_s = DESIGN_SIZE.restarts_per_s * self._size.nodes / DESIGN_SIZE.nodes
+        restarts_per_s = RESTARTS_PER_NODE_S * self._size.nodes
         period_s = 1.0 / (restarts_per_s * self._settings.churn_factor)
         end_s = clock.seconds() + self._settings.churn_s
         number = 1
--- a/src/rainsail/scale/hollow_engines.py
+++ b/features/support/hollow/hollow_engines.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from expression import Error, Ok, Result
+from features.support.hollow.meter import Meter
 from twisted.internet.defer import Deferred, succeed
 
 from rainsail.engine.interface import (
@@ -28,7 +29,6 @@
 from rainsail.engine.sse import SseParser
 from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.clock import Clock
-from rainsail.scale.meter import Meter
 
 REPORT_PERIOD_S = 0.5
 SLICES = 10
--- a/src/rainsail/scale/lost_leader.py
+++ b/features/support/hollow/lost_leader.py
@@ -1,7 +1,8 @@
 """How long a change takes that is made just as the leader is cut off in silence."""
 
-from rainsail.scale.control_fleet import ControlFleet
-from rainsail.scale.workload import operator_change
+from features.support.hollow.control_fleet import ControlFleet
+from features.support.hollow.workload import operator_change
+
 from rainsail.state.commands import ResourceChanged
 
 CHANGE_NUMBER = 1_000_000
--- a/features/support/scale.py
+++ b/features/support/scale.py
@@ -1,9 +1,10 @@
 """Helpers of the scale features: small runs, and gateways of large fleets."""
 
+from features.support.hollow.control_run import ControlRun, RunSettings
+from features.support.hollow.gateway_run import LoneGateway
+from features.support.hollow.workload import FleetSize, node_name, runner_spec
+
 from rainsail.resources.specs import Kind, ResourceKey
-from rainsail.scale.control_run import ControlRun, RunSettings
-from rainsail.scale.gateway_run import LoneGateway
-from rainsail.scale.workload import FleetSize, node_name, runner_spec
 from rainsail.state.commands import ANY_REVISION, DeleteResource, PutResource
 
 SEED = 11
--- a/src/rainsail/cli/command_table.py
+++ b/src/rainsail/cli/command_table.py
@@ -71,6 +71,5 @@
     "experiment": CommandGroup(
         "rainsail.cli.experiment:experiment", "compare batch policies on one trace"
     ),
-    "scale": CommandGroup("rainsail.cli.scale:scale", "measure slopes towards the design size"),
     "bench": CommandGroup("rainsail.cli.bench:BenchCommands", "run the benches"),
 }
