--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -39,7 +39,7 @@
             pool,
             port.protocol,
             base.random,
-            RelaySettings(),
+            RelaySettings(mechanisms=base.settings.mechanisms),
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -8,7 +8,7 @@
 from rainsail.cluster.founders import voters_for
 from rainsail.cluster.messages import FleetView, LedgerStatus, TableDocument
 from rainsail.consensus.driver import GroupDriver
-from rainsail.errors import Fault
+from rainsail.errors import Fault, FaultCode
 from rainsail.fleet.base import NodeBase
 from rainsail.fleet.group_folder import GroupFolder
 from rainsail.fleet.leaving import hand_over
@@ -17,7 +17,7 @@
 from rainsail.jobs.job_state import JobState
 from rainsail.jobs.ledger_service import LedgerService
 from rainsail.jobs.ledger_time import LedgerTime
-from rainsail.jobs.messages import OnlineUse
+from rainsail.jobs.messages import OnlineUse, ReadOccupancy, ServiceOccupancy
 from rainsail.jobs.outcome_batcher import OutcomeBatcher
 from rainsail.jobs.plan import PlanSettings
 from rainsail.jobs.retention import Retention
@@ -67,7 +67,7 @@
             self._outcomes.add,
             self._propose,
             self._may_start_items,
-            PlanSettings(),
+            PlanSettings(mechanisms=base.settings.mechanisms),
             base.metrics,
         )
         self.state.observer = self.dispatcher
@@ -82,6 +82,7 @@
         if opened.is_error():
             return Error(opened.error)
         base.messenger.serve(OnlineUse, self.dispatcher.online.take)
+        base.messenger.serve(ReadOccupancy, self._read_occupancy)
         base.follower.ledger_status = self._status
         base.follower.on_view = self._view_changed
         base.follower.on_table = self._take_table
@@ -111,6 +112,11 @@
         leads = self.driver is not None and self.driver.is_leader()
         return leads and self._base.follower.hears(needed, CONTROLLERS_HEARD_WITHIN_S)
 
+    def _read_occupancy(self, source: str, message: ReadOccupancy) -> ServiceOccupancy | Fault:
+        if self.driver is None or not self.driver.is_leader():
+            return Fault(FaultCode.NOT_LEADER, "jobs.occupancy", "another node leads")
+        return self.dispatcher.occupancy(message.service, source)
+
     def _propose(self, command: Any) -> Any:
         assert self.driver is not None
         return self.driver.propose(command)
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -17,6 +17,8 @@
 from rainsail.jobs.item_run import ItemRun, RunEnd
 from rainsail.jobs.job_state import JobState, RelayedJob, StateObserver
 from rainsail.jobs.ledger_time import LedgerTime
+from rainsail.jobs.messages import ServiceOccupancy
+from rainsail.jobs.occupancy import occupancy_of
 from rainsail.jobs.online_use import OnlineUseBook
 from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
 from rainsail.jobs.reserve import Reserve
@@ -89,7 +91,7 @@
         self._ledger_time = ledger_time
         self._table: RoutingTable | None = None
         self._waiting = WaitingItems()
-        self._order = ItemOrder()
+        self._order = ItemOrder(settings.mechanisms)
         self._reserve = Reserve()
         self._planned_s = float("-inf")
         self._running: dict[str, list[Work]] = {}
@@ -229,6 +231,8 @@
 
     def _plan_reserve(self, service: str, records: list[RunnerRecord], now: float) -> None:
         """Decide how many slots stay free for online work that may come back."""
+        if not self._settings.mechanisms.batch_reserve:
+            return
         online = sum(self.online.running(record.runner) for record in records)
         self._reserve.online_seen(service, online, now)
         slots = sum(record.slots for record in records)
@@ -261,9 +265,16 @@
     def _room(self, record: RunnerRecord) -> RunnerRoom:
         runner = record.runner
         items = len(self._running.get(runner, ()))
-        foreign = self._foreign.at(runner, self._clock.seconds())
+        foreign = 0
+        if self._settings.mechanisms.foreign_load:
+            foreign = self._foreign.at(runner, self._clock.seconds())
         return RunnerRoom(runner, record.slots, self.online.running(runner), items, foreign)
 
+    def occupancy(self, service: str, gateway: str) -> ServiceOccupancy:
+        """Return how occupied the runners of a service are, for a gateway that asks."""
+        items = {runner: len(works) for runner, works in self._running.items()}
+        return occupancy_of(self._registry.ready(service), items, self.online, gateway)
+
     def _load_heard(self, runner: str, load: ServerLoad) -> None:
         known = len(self._running.get(runner, ())) + self.online.running(runner)
         self._foreign.reported(runner, load, known, self._clock.seconds())
@@ -279,7 +290,8 @@
             for work in sorted(works, key=self._order.urgency)[-count:]:
                 work.cut(now)
                 works.remove(work)
-                self._crowded_until_s[runner] = now + self._settings.crowded_s
+                if self._settings.mechanisms.yield_pause:
+                    self._crowded_until_s[runner] = now + self._settings.crowded_s
                 work.ready_at_s = now
                 self._waiting.put_back(work)
                 log = logger.bind(job=work.job, item=self._item_id(work), runner=runner)
@@ -306,8 +318,8 @@
         if not self._active:
             return
         notes: list[ItemNote] = []
-        for works in self._running.values():
-            for work in works:
+        if self._settings.mechanisms.progress_notes:
+            for work in chain.from_iterable(self._running.values()):
                 notes += note_of(work)
         if notes or len(self._waiting):
             at_s = self._ledger_time.at(self._clock.seconds())
--- a/src/rainsail/jobs/messages.py
+++ b/src/rainsail/jobs/messages.py
@@ -116,3 +116,31 @@
     """A gateway's requests under way by runner, sent one way whenever they have changed."""
 
     uses: tuple[RunnerUse, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ReadOccupancy:
+    """A gateway asks the leader what the runners of a service have to do."""
+
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerOccupancy:
+    """Requests and items that one runner has, as far as the leader knows."""
+
+    runner: str
+    running: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ServiceOccupancy:
+    """The runners of a service that have least to do, least first.
+
+    ``own`` is what the leader counts of the asking gateway among it: its word may be under way.
+    """
+
+    runners: tuple[RunnerOccupancy, ...]
+    own: tuple[RunnerUse, ...]
--- a/src/rainsail/jobs/online_use.py
+++ b/src/rainsail/jobs/online_use.py
@@ -19,6 +19,10 @@
         for runner, count in uses.items():
             self._totals[runner] = self._totals.get(runner, 0) + count
 
+    def of_gateway(self, gateway: str) -> dict[str, int]:
+        """Return what a gateway has under way by runner, as it last said."""
+        return self._by_gateway.get(gateway, {})
+
     @property
     def heard_any(self) -> bool:
         """Tell whether some gateway has said what it has under way."""
--- a/src/rainsail/jobs/plan.py
+++ b/src/rainsail/jobs/plan.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from rainsail.mechanisms import ALL_ON, Mechanisms
+
 
 @dataclass(frozen=True, slots=True)
 class PlanSettings:
@@ -25,6 +27,7 @@
     """Time between two notes of how far items have come; a new leader runs at most this again."""
     blind_s: float = 1.5
     """A new leader waits this long at most for the gateways' words before it starts items."""
+    mechanisms: Mechanisms = ALL_ON
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rainsail/jobs/urgency.py
+++ b/src/rainsail/jobs/urgency.py
@@ -15,6 +15,7 @@
 from rainsail.jobs.run_lengths import RunLengths
 from rainsail.jobs.slot_meter import SlotMeter
 from rainsail.jobs.work import Work
+from rainsail.mechanisms import ALL_ON, Mechanisms
 
 Urgency = tuple[bool, float, float, bool]
 """Sorts items, most urgent first: given up, time left to run, due time, not begun.
@@ -41,7 +42,8 @@
 class ItemOrder:
     """Decides now and then which items fit, and orders all items by that."""
 
-    def __init__(self) -> None:
+    def __init__(self, mechanisms: Mechanisms = ALL_ON) -> None:
+        self._gives_up = mechanisms.overload_order
         self.due = DueTimes()
         self.lengths = RunLengths()
         self._meters: dict[str, SlotMeter] = {}
@@ -69,7 +71,8 @@
         demands = [self._demand(key, work.job, work.events) for key, work in works.items()]
         demands += [self._demand(each.job, each.job, 0, each.count) for each in fresh]
         timed = [demand for demand in demands if demand.due_s != float("inf")]
-        fit = fitting(timed, TAKEN_UP_SHARE * self._average_slots(service), now)
+        slots = TAKEN_UP_SHARE * self._average_slots(service)
+        fit = fitting(timed, slots if self._gives_up else float("inf"), now)
         all_fit = all(fit[demand.key] == demand.count for demand in timed)
         self._overloaded |= not all_fit
         if all_fit and self.lengths.known:
--- a/src/rainsail/relay/choice.py
+++ b/src/rainsail/relay/choice.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from rainsail.cluster.messages import RunnerRecord
+from rainsail.mechanisms import ALL_ON, Mechanisms
 from rainsail.relay.load import LoadBook
 from rainsail.relay.prefix_memory import PrefixMemory, home_of, shared_part
 from rainsail.relay.protocol import PromptPart
@@ -51,8 +52,14 @@
     """Chooses among runners by load, prompt and zone."""
 
     def __init__(
-        self, loads: LoadBook, prefixes: PrefixMemory, random: Random, settings: ChoiceSettings
+        self,
+        loads: LoadBook,
+        prefixes: PrefixMemory,
+        random: Random,
+        settings: ChoiceSettings,
+        mechanisms: Mechanisms = ALL_ON,
     ) -> None:
+        self._has_homes = mechanisms.prompt_homes
         self._loads = loads
         self._prefixes = prefixes
         self._random = random
@@ -90,7 +97,9 @@
 
     def _home(self, wish: Wish, runners: list[str]) -> str:
         part = shared_part(wish.prompt)
-        if part is None or part.tokens < self._settings.least_shared_tokens:
+        if not self._has_homes or part is None:
+            return ""
+        if part.tokens < self._settings.least_shared_tokens:
             return ""
         return home_of(part.part, runners)
 
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -31,6 +31,8 @@
     split: SplitPicker
     settings: RelaySettings
     table: RoutingTable | None = None
+    refresh_loads: Callable[[str, Callable[[], None]], None] = lambda service, done: done()
+    """Brings what is known of a service's runners up to date, then calls back."""
     tell_reading: Callable[[str, float], None] = lambda runner, reading_s: None
     """Tells the other gateways that a runner reads a long prompt, for that many seconds."""
 
@@ -45,9 +47,9 @@
     settings: RelaySettings,
 ) -> RelayContext:
     """Put a gateway's context together."""
-    loads = LoadBook()
-    prefixes = PrefixMemory()
-    chooser = RunnerChooser(loads, prefixes, random, settings.choice)
+    loads = LoadBook(settings.mechanisms)
+    prefixes = PrefixMemory(settings.mechanisms)
+    chooser = RunnerChooser(loads, prefixes, random, settings.choice, settings.mechanisms)
     split = SplitPicker(random)
     return RelayContext(
         zone, clock, registry, pool, protocol, loads, prefixes, chooser, split, settings
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -20,6 +20,7 @@
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.context import RelayContext
+from rainsail.relay.occupancy import OccupancyReader
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.run import STATUS_NOT_FOUND, STATUS_UNAVAILABLE, RelayRun
 from rainsail.relay.table import Route, RouteKind, RoutingTable
@@ -68,6 +69,9 @@
         follower.on_view = self._view_changed
         follower.on_ledger_leader = self._ledger_leader_noticed
         context.tell_reading = follower.tell_reading
+        self._occupancy = OccupancyReader(messenger, context.clock, context.loads, metrics)
+        if context.settings.mechanisms.shared_occupancy:
+            context.refresh_loads = self._occupancy.refresh
         messenger.serve(RunnerReads, self._take_reading)
 
     def start(self) -> None:
@@ -173,6 +177,7 @@
     def _take_ledger_leader(self, address: str) -> None:
         if address != self._ledger_leader:
             self._ledger_leader = address
+            self._occupancy.set_leader(address)
             self._plan_report()
             self.on_ledger_leader(address)
 
--- a/src/rainsail/relay/load.py
+++ b/src/rainsail/relay/load.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from rainsail.mechanisms import ALL_ON, Mechanisms
 from rainsail.relay.protocol import ServerLoad
 
 REPORT_TRUSTED_S = 0.6
@@ -54,7 +55,8 @@
 class LoadBook:
     """Loads by runner id."""
 
-    def __init__(self) -> None:
+    def __init__(self, mechanisms: Mechanisms = ALL_ON) -> None:
+        self._mechanisms = mechanisms
         self._loads: dict[str, RunnerLoad] = {}
         self.on_change: Callable[[], None] = lambda: None
         """Called whenever what is under way has changed."""
@@ -107,6 +109,8 @@
 
     def silent(self, now: float) -> list[str]:
         """Return the runners that owe answers and have said nothing for too long."""
+        if not self._mechanisms.silence:
+            return []
         return [
             name
             for name, load in self._loads.items()
@@ -121,6 +125,8 @@
 
     def reads(self, runner: str, for_s: float, now: float) -> None:
         """A runner has a prompt more to read, which takes it a time."""
+        if not self._mechanisms.reading_clock:
+            return
         load = self.of(runner)
         load.reads_until_s = max(load.reads_until_s, now) + for_s
 
@@ -131,6 +137,13 @@
         load.reported_at_s = now
         load.in_flight_at_report = load.in_flight
 
+    def told(self, runner: str, running: int, own_counted: int, now: float) -> None:
+        """Take the leader's word of what a runner has; ``own_counted`` of it is this gateway's."""
+        load = self.of(runner)
+        load.reported = running
+        load.reported_at_s = now
+        load.in_flight_at_report = own_counted
+
     def answered(self, runner: str) -> None:
         """A runner has answered soundly."""
         load = self.of(runner)
@@ -139,6 +152,8 @@
 
     def failed(self, runner: str, now: float, at_once: bool = False) -> None:
         """A runner broke an answer off or could not be reached."""
+        if not self._mechanisms.ejection:
+            return
         load = self.of(runner)
         load.failures += 1
         over = load.failures - EJECT_AFTER_FAILURES
--- a/src/rainsail/relay/prefix_memory.py
+++ b/src/rainsail/relay/prefix_memory.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from rainsail.mechanisms import ALL_ON, Mechanisms
 from rainsail.relay.protocol import PromptPart
 
 MAX_PARTS = 4096
@@ -16,12 +17,15 @@
 class PrefixMemory:
     """Runners by the part that they hold."""
 
-    def __init__(self, max_parts: int = MAX_PARTS) -> None:
+    def __init__(self, mechanisms: Mechanisms = ALL_ON, max_parts: int = MAX_PARTS) -> None:
+        self._remembers = mechanisms.prefix_memory
         self._max_parts = max_parts
         self._holders: OrderedDict[str, dict[str, None]] = OrderedDict()
 
     def sent(self, prompt: tuple[PromptPart, ...], runner: str) -> None:
         """Note that a runner reads a prompt."""
+        if not self._remembers:
+            return
         for part in prompt:
             holders = self._holders.setdefault(part.part, {})
             holders[runner] = None
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -127,6 +127,17 @@
     # --- sending -------------------------------------------------------------------------
 
     def _try_next(self) -> None:
+        """Choose a runner and send to it, once the loads of its service are up to date."""
+        if self._ended:
+            return
+        route = self._current_route()
+        if route is None:
+            self._lose_route()
+            return
+        self._pick_service(route)
+        self._context.refresh_loads(self._service, self._send_next)
+
+    def _send_next(self) -> None:
         if self._ended:
             return
         now = self._context.clock.seconds()
@@ -159,9 +170,12 @@
         else:
             self._give_up()
 
-    def _choose(self, route: Route, now: float) -> RunnerRecord | None:
+    def _pick_service(self, route: Route) -> None:
         if not route.allows(self._service):
             self._service = self._context.split.service(route)
+
+    def _choose(self, route: Route, now: float) -> RunnerRecord | None:
+        self._pick_service(route)
         records = self._context.registry.ready(self._service)
         wish = Wish(self._facts.prompt, self._context.zone)
         return self._context.chooser.choose(records, frozenset(self._tried), wish, now)
@@ -212,6 +226,8 @@
 
     def _arm_watch(self, wait_s: float) -> None:
         self._disarm()
+        if not self._context.settings.mechanisms.silence:
+            return
         if self._route.repeatable and self._sends < self._route.max_attempts:
             self._watch = self._context.clock.callLater(wait_s, self._silent)
 
--- a/src/rainsail/relay/settings.py
+++ b/src/rainsail/relay/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from rainsail.mechanisms import ALL_ON, Mechanisms
 from rainsail.relay.choice import ChoiceSettings
 
 
@@ -34,3 +35,4 @@
     silent_out_s: float = 1.0
     told_reading_ms: float = 40.0
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
+    mechanisms: Mechanisms = ALL_ON
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.mechanisms import ALL_ON, Mechanisms
 from rainsail.runtime.toml import parse_toml
 from rainsail.wire.address import parse_address
 
@@ -93,6 +94,10 @@
         default=BoundsSection(), description="Times that the operator promises to others"
     )
 
+    mechanisms: Mechanisms = Field(
+        default=ALL_ON, description="Policies that can be turned off to measure them"
+    )
+
     @model_validator(mode="after")
     def _check(self) -> "NodeSettings":
         if self.node.role != NodeKind.GATEWAY and not self.node.data_folder:
