--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -22,6 +22,22 @@
       | without its routes              | routes          |
       | no table but a list             | TypeError       |
 
+  Scenario Outline: Of a large configuration the route that is wrong is named
+    Given the platform's example configuration with 2000 more routes
+    When route 1500 of it comes <spoiled>
+    Then it is refused and the fault names "route 1500 (<name>)"
+
+    Examples:
+      | spoiled              | name      |
+      | without its host     | more-1498 |
+      | with a time-out of 0 | more-1498 |
+      | as a bare text       | None      |
+
+  Scenario: A route of a large configuration is found, and no other takes its place
+    Given the platform's example configuration with 2000 more routes
+    Then each of its routes is found by its own host and path
+    And a path that none of them has is of no route
+
   Scenario: What a client's request says is read
     Given a client's request with the platform's headers
     Then its facts are id "9c41", host "h.example", path "/x/y", 8 seconds and 3 prompt parts
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -152,6 +152,43 @@
     assert word in read.error.detail, read.error
 
 
+@given("the platform's example configuration with {count:d} more routes")
+def large_example(context, count):
+    example(context)
+    first = context.document["routes"][0]
+    for number in range(1, count + 1):
+        more = {"name": f"more-{number}", "host": f"h{number % 40}.example"}
+        context.document["routes"].append({**first, **more, "pathPrefix": f"/more/{number}/"})
+    context.content = json.dumps(context.document).encode()
+
+
+@when("route {number:d} of it comes {spoiled}")
+def spoil_route(context, number, spoiled):
+    routes = context.document["routes"]
+    match spoiled:
+        case "without its host":
+            del routes[number - 1]["host"]
+        case "with a time-out of 0":
+            routes[number - 1]["timeoutMs"] = 0
+        case "as a bare text":
+            routes[number - 1] = "more"
+        case _:
+            raise AssertionError(spoiled)
+    context.content = json.dumps(context.document).encode()
+
+
+@then("each of its routes is found by its own host and path")
+def each_found(context):
+    table = _table(context)
+    for route in table.routes:
+        assert table.match(route.host, f"{route.prefix}x") is route, route
+
+
+@then("a path that none of them has is of no route")
+def none_found(context):
+    assert _table(context).match("h1.example", "/more/2000000/x") is None
+
+
 # --- headers -------------------------------------------------------------------------------
 
 
