--- a/src/rainsail/relay/choice.py
+++ b/src/rainsail/relay/choice.py
@@ -29,7 +29,11 @@
     """Price of a runner with all slots taken; it grows with the square of the share taken."""
     wait_ms: float = 60.0
     """Price of each request that would be in front in the queue."""
-    other_zone_ms: float = 6.0
+    other_zone_ms: float = 20.0
+    """Price of another zone: bytes between zones cost, and so do connections to many runners.
+
+    A runner with seven slots of ten taken in this zone is dearer than an empty one in another.
+    """
     cold_ms: float = 60.0
     noise_ms: float = 4.0
     read_again: float = 1.25
