--- a/features/relay/choice.feature
+++ b/features/relay/choice.feature
@@ -73,7 +73,7 @@
   Scenario: A request stays in its zone while slots are free there, and leaves it when they are taken
     Given a relay with 3 runners and a "safe" route
     And runners 2 and 3 stand in another zone
-    When 2 clients send requests to the relay
+    When 3 clients send requests to the relay
     Then runner 1 has all of them
-    When 4 clients send requests to the relay
+    When 3 clients send requests to the relay
     Then runners 2 and 3 have some of them and runner 1 at most 4
