Exchange all seeds at 190 gateways in virtual time; a node with unknown seeds goes on asking

In a fleet of 3 controllers and 190 gateways the controllers are exchanged one by one for others at other addresses: the table and the runners stay known everywhere, the new three are the voters, a gateway that knows only the new seeds finds the fleet, and nobody counts on a former seed in the end.

--- a/features/steps/relayed_fleet_steps.py
+++ b/features/steps/relayed_fleet_steps.py
@@ -1,13 +1,14 @@
 """Steps on a relayed fleet in virtual time: controllers and emptying."""
 
 from behave import given, step, then, when
-from features.support.relayed_fleet import RelayedFleet
+from features.support.relayed_fleet import SEED_PORT, RelayedFleet
 from features.support.relaying import runner_record
 
 from rainsail.errors import FaultCode
 from rainsail.wire.messenger import Messenger
 
 SEED = 17
+FORGOTTEN_WITHIN_S = 60.0
 
 
 @given("a relayed fleet")
@@ -20,8 +21,13 @@
     _make(context, storage)
 
 
-def _make(context, storage):
-    context.fleet = fleet = RelayedFleet(SEED, storage=storage)
+@given("a relayed fleet of {gateways:d} gateways")
+def make_fleet_with(context, gateways):
+    _make(context, 3, gateways)
+
+
+def _make(context, storage, gateways=2):
+    context.fleet = fleet = RelayedFleet(SEED, storage=storage, gateways=gateways)
     fleet.leader("controller")
     fleet.leader("storage")
     fleet.run_for(1.5)
@@ -315,6 +321,91 @@
         assert base.registry.is_ready(f"runner-{number}")
 
 
+# --- seeds ----------------------------------------------------------------------------------
+
+EXCHANGE_PAUSE_S = 4.0
+"""Time between two exchanges: the group takes a new member in before it loses the next."""
+
+
+def _tell_seeds(context):
+    """Have every running node take the seeds of its settings file, which has changed."""
+    for node in context.fleet.nodes.values():
+        settings = node.base.settings
+        peers = settings.peers.model_copy(
+            update={"seeds": tuple(f"{ip}:{SEED_PORT}" for ip in context.fleet.seeds)}
+        )
+        changed = settings.model_copy(update={"peers": peers})
+        node.base.follower.set_seeds(changed.seed_controllers())
+
+
+@when("the seeds are exchanged one after the other for controllers 4, 5 and 6")
+def exchange_seeds(context):
+    fleet = context.fleet
+    context.former = [fleet.address(f"controller-{number}") for number in (1, 2, 3)]
+    for former, new in ((1, 4), (2, 5), (3, 6)):
+        fleet.seeds = [f"10.0.1.{new}" if ip == f"10.0.1.{former}" else ip for ip in fleet.seeds]
+        fleet.crash(f"controller-{former}")
+        fleet.start(f"controller-{new}")
+        _tell_seeds(context)
+        fleet.run_for(EXCHANGE_PAUSE_S)
+
+
+@then("the root group has 3 voters and controllers 4, 5 and 6 are these")
+def new_voters(context):
+    fleet = context.fleet
+    wanted = {fleet.address(f"controller-{number}") for number in (4, 5, 6)}
+
+    def settled():
+        leading = fleet.leading("controller")
+        if len(leading) != 1:
+            return False
+        voters = fleet.nodes[leading[0]].role.driver.members().voters()
+        return {voter.replica for voter in voters} == wanted
+
+    fleet.run_until(settled, "the new controllers as voters")
+
+
+@then("no gateway still counts on a former seed")
+def no_former_seed(context):
+    fleet = context.fleet
+
+    def remembered():
+        views = [fleet.nodes[name].base.follower.view() for name in fleet.names("gateway")]
+        return any(set(context.former) & set(view.controllers) for view in views)
+
+    until_s = fleet.clock.seconds() + FORGOTTEN_WITHIN_S
+    while remembered():
+        assert fleet.clock.seconds() < until_s, "a gateway still knows a former seed"
+        fleet.run_for(1.0)
+
+
+@when("a gateway starts that knows only the new seeds")
+def gateway_starts(context):
+    name = f"gateway-{len(context.fleet.names('gateway')) + 1}"
+    context.fleet.start(name)
+    context.fleet.run_for(2.0)
+
+
+@when("a gateway starts that knows only seeds that nobody has")
+def stray_gateway_starts(context):
+    fleet = context.fleet
+    seeds, fleet.seeds = fleet.seeds, ["10.0.9.1", "10.0.9.2"]
+    fleet.start("gateway-9")
+    fleet.seeds = seeds
+
+
+@then("that gateway has no table and still asks its seeds")
+def stray_goes_on(context):
+    follower = context.fleet.nodes["gateway-9"].base.follower
+    assert follower.table_version == 0 and not follower.heard_any
+    assert len(follower.view().controllers) == 2
+
+
+@when("its settings name the fleet's seeds")
+def stray_told(context):
+    _tell_seeds(context)
+
+
 # --- emptying ------------------------------------------------------------------------------
 
 
