Give a request without attempts left its answer at once, without asking the leader again

What is allowed is looked at before the question, and once more after it. The scenario was red before (asked three times, no answer yet).

--- a/features/relay/occupancy.feature
+++ b/features/relay/occupancy.feature
@@ -43,6 +43,14 @@
     And 0.1 seconds pass at the asking relay
     Then nothing was sent to a runner
 
+  Scenario: A request without attempts left is given up at once, the leader is not asked again
+    Given a relay with 2 runners and a "safe" route that asks the leader
+    When the leader says that runner 1 has 0 and runner 2 has 0
+    And a client asks the relay
+    And 0.01 seconds pass at the asking relay
+    And the runners that the request goes to break off, twice
+    Then the client has its answer at once, and the leader was asked twice
+
   Scenario: A runner that is drained while the leader is asked gets nothing
     Given a relay with 2 runners and a "safe" route that asks the leader
     When the leader says nothing
--- a/features/steps/occupancy_steps.py
+++ b/features/steps/occupancy_steps.py
@@ -236,3 +236,17 @@
 def names_some(context, count, free):
     running = [each.running for each in context.answer.runners]
     assert running == [0] * free + [4] * (count - free), running
+
+
+@when("the runners that the request goes to break off, twice")
+def break_off_twice(context):
+    world = context.world
+    world.last_call.listener.answer_failed("connection closed")
+    world.clock.advance(0.05)
+    world.last_call.listener.answer_failed("connection closed")
+
+
+@then("the client has its answer at once, and the leader was asked twice")
+def answered_at_once(context):
+    assert context.leader.asked == 2, context.leader.asked
+    assert context.exchanges[0].status == 502, context.exchanges[0]
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -127,31 +127,19 @@
     # --- sending -------------------------------------------------------------------------
 
     def _try_next(self) -> None:
-        """Choose a runner and send to it, once the loads of its service are up to date."""
-        if self._ended:
-            return
-        route = self._current_route()
-        if route is None:
-            self._lose_route()
-            return
-        self._pick_service(route)
-        self._context.refresh_loads(self._service, self._send_next)
+        """Send to a runner once the loads of its service are up to date, or give up at once."""
+        route = self._allowed_route()
+        if route is not None:
+            self._pick_service(route)
+            self._context.refresh_loads(self._service, self._send_next)
 
     def _send_next(self) -> None:
-        if self._ended:
-            return
-        now = self._context.clock.seconds()
-        route = self._current_route()
+        """Send to the cheapest runner; what was allowed may have changed since the loads came."""
+        route = self._allowed_route()
         if route is None:
-            self._lose_route()
             return
         self._route = route
-        if self._sends >= route.max_attempts:
-            self._give_up()
-            return
-        if self._expiry_s - now < self._context.settings.least_time_left_s:
-            self._give_up()
-            return
+        now = self._context.clock.seconds()
         record = self._choose(route, now)
         if record is None:
             self._last_reason = self._last_reason or f"no runner of {self._service} is known"
@@ -159,6 +147,20 @@
             return
         self._send(record, now)
 
+    def _allowed_route(self) -> Route | None:
+        """Return the route by which one more sending is allowed; otherwise end the request."""
+        if self._ended:
+            return None
+        route = self._current_route()
+        if route is None:
+            self._lose_route()
+            return None
+        left_s = self._expiry_s - self._context.clock.seconds()
+        if self._sends < route.max_attempts and left_s >= self._context.settings.least_time_left_s:
+            return route
+        self._give_up()
+        return None
+
     def _current_route(self) -> Route | None:
         """Look the route up anew: the table may have changed since the request came."""
         table = self._context.table
