--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/python tools/generate_settings_page.py --check
+	$(BIN)/python tools/capacity_page.py --check
 
 bench: setup
 	$(BIN)/rainsail bench all
