--- a/features/steps/occupancy_steps.py
+++ b/features/steps/occupancy_steps.py
@@ -1,13 +1,13 @@
 """Steps on what gateways are told of runners' occupancy, in virtual time."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from behave import given, step, then, when
-from expression import Ok
+from expression import Error, Ok
 from features.support.relaying import SERVICE, RelayWorld, runner_record
 from twisted.internet.defer import Deferred
 
-from rainsail.errors import FaultCode
+from rainsail.errors import Fault, FaultCode
 from rainsail.jobs.messages import (
     OnlineUse,
     ReadOccupancy,
@@ -19,51 +19,30 @@
 from rainsail.jobs.online_use import OnlineUseBook
 from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.occupancy import OccupancyReader
-from rainsail.wire.messenger import Messenger
+from rainsail.simulation.clock import VirtualClock
 
 LEADER = "leader"
 
 
 @dataclass
 class StandInLeader:
-    """Answers at once, or never."""
+    """In place of a messenger: the leader's answer comes at once, or not in time."""
 
-    clock: object
+    clock: VirtualClock
     answer: ServiceOccupancy | None = None
     asked: int = 0
-    transport: object = field(default_factory=lambda: _NoTransport())
 
-    def messenger(self):
-        """Return a messenger whose calls reach this leader."""
-        messenger = Messenger(self.transport, self.clock)
-        plain_call = messenger.call
-
-        def call(destination, message, timeout_s) -> Deferred:
-            assert destination == LEADER and isinstance(message, ReadOccupancy), message
-            self.asked += 1
-            answered = plain_call(destination, message, timeout_s)
-            if self.answer is not None:
-                self.clock.callLater(0.0, self._answer, messenger, answered)
-            return answered
-
-        messenger.call = call
-        return messenger
-
-    def _answer(self, messenger, answered):
-        ((call_id, (_, timer, _)),) = messenger._waiting.items()
-        timer.cancel()
-        del messenger._waiting[call_id]
-        answered.callback(Ok(self.answer))
-
-
-class _NoTransport:
-    name = "gateway"
-
-    def listen(self, deliver):
-        """Nothing ever arrives."""
-
-    def send(self, destination, envelope):
-        """Take everything."""
+    def call(self, destination, message, timeout_s):
+        """Take a question; return what fires with the answer, or with a fault after the time."""
+        assert destination == LEADER and isinstance(message, ReadOccupancy), message
+        self.asked += 1
+        answered = Deferred()
+        if self.answer is not None:
+            self.clock.callLater(0.0, answered.callback, Ok(self.answer))
+        else:
+            fault = Fault(FaultCode.TIMEOUT, "call.ReadOccupancy", "no reply", LEADER)
+            self.clock.callLater(timeout_s, answered.callback, Error(fault))
+        return answered
 
 
 @given('a relay with {count:d} runners and a "{kind}" route that asks the leader')
@@ -71,8 +50,8 @@
     context.world = world = RelayWorld(runners=count)
     world.put_route(kind)
     context.leader = StandInLeader(world.clock)
-    messenger, loads = context.leader.messenger(), world.context.loads
-    reader = OccupancyReader(messenger, world.clock, loads, NodeMetrics())
+    loads = world.context.loads
+    reader = OccupancyReader(context.leader, world.clock, loads, NodeMetrics())
     reader.set_leader(LEADER)
     context.reader = reader
     world.context.refresh_loads = reader.refresh
