--- a/features/steps/platform_whole_path_steps.py
+++ b/features/steps/platform_whole_path_steps.py
@@ -35,6 +35,7 @@
 
 @then("a client that comes too early is refused with a time to come back, and the log says why")
 def refused_early(context):
+    wait_until(lambda: context.platform.listens("gateway-1"), "gateway-1 listening")
     status, _, headers = _served(context, "/safe/1", "early-1")
     assert status == 503 and float(headers["Retry-After"]) > 0, (status, headers)
     lines = context.platform.log_lines("gateway-1")
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -363,6 +363,11 @@
         status, _, _ = self.call(self.nodes[gateway].ip, READY_PORT, "GET", "/api/readyz")
         return status == 200
 
+    def listens(self, gateway: str) -> bool:
+        """Tell whether a gateway's process has come up: it opens its clients' port before this."""
+        status, _, _ = self.call(self.nodes[gateway].ip, READY_PORT, "GET", "/api/readyz")
+        return status != 0
+
     def submit(self, gateway: str, job: str, count: int) -> int:
         """Hand a job in; returns the status."""
         items = [
