--- a/features/steps/control_leases_steps.py
+++ b/features/steps/control_leases_steps.py
@@ -5,7 +5,6 @@
 from behave import given, then, when
 
 from rainsail.control.messages import QuotaReport, RenewItemLeases, TenantDemand
-from rainsail.control.quota import QuotaLender, QuotaTerms, minimum_share
 from rainsail.resources.specs import Kind, ResourceKey, TenantSpec
 from rainsail.state.commands import (
     ANY_REVISION,
@@ -19,6 +18,7 @@
     PutResource,
     SealJob,
 )
+from rainsail.tenancy.lender import QuotaLender, QuotaTerms, minimum_share
 
 RATE = 1000.0
 RENEWAL_PERIOD_S = 2.5
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -23,6 +23,7 @@
 from rainsail.relay.table import Route, RouteKind, ServiceShare
 from rainsail.settings.node import load_node_settings
 from rainsail.simulation.clock import VirtualClock
+from rainsail.tenancy.tenants import NOBODY
 
 EXAMPLE = {
     "version": 7,
@@ -214,7 +215,7 @@
 )
 def translate(context, runner, seconds, event):
     target = RunnerTarget(runner, "10.0.0.1:80")
-    context.outgoing = PlatformHeaders().relayed(context.request, target, seconds, event)
+    context.outgoing = PlatformHeaders().relayed(context.request, target, seconds, event, NOBODY)
 
 
 @then("the runner gets these fields")
@@ -281,7 +282,7 @@
         self.answer = answer
         self.handed_in = []
 
-    def submit(self, job, host, path, items, limit):
+    def submit(self, tenant, job, host, path, items, limit):
         """Note a job."""
         self.handed_in.append((job, items))
         self.limit = limit
@@ -326,7 +327,7 @@
         "r", "h.example", "/jobs/", RouteKind.BATCH, shares, 30.0, 1.0, max_queued_tokens=500
     )
     facts = PlatformHeaders().describe(context.exchange.request)
-    gateway.on_batch(context.exchange, route, facts)
+    gateway.on_batch(context.exchange, route, facts, NOBODY)
 
 
 @when("a gateway gets the job '{body}'")
--- a/features/steps/queue_limit_steps.py
+++ b/features/steps/queue_limit_steps.py
@@ -76,7 +76,7 @@
 
 @when('a gateway ends job "{job}"')
 def end_job(context, job):
-    done = context.fleet.nodes["gateway-1"].role.end(job)
+    done = context.fleet.nodes["gateway-1"].role.end("", job)
     assert context.fleet.result_of(done, "an answer to the end").is_ok()
 
 
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -100,7 +100,7 @@
     pages = []
 
     def read():
-        done = context.fleet.nodes["gateway-2"].role.read(JOB, after, 0.0)
+        done = context.fleet.nodes["gateway-2"].role.read("", JOB, after, 0.0)
         pages.append(context.fleet.result_of(done, "a page"))
         return pages[-1].is_ok()
 
@@ -125,7 +125,7 @@
 
 @then("the body of an open item can be read")
 def body_read(context):
-    done = context.fleet.nodes["gateway-1"].role.read_body(JOB, f"{JOB}-0")
+    done = context.fleet.nodes["gateway-1"].role.read_body("", JOB, f"{JOB}-0")
     result = context.fleet.result_of(done, "a body")
     assert result.is_ok() and result.ok.body == b"body", result
 
@@ -257,14 +257,14 @@
 
 @when("a gateway ends the job")
 def end_job(context):
-    done = context.fleet.nodes["gateway-1"].role.end(JOB)
+    done = context.fleet.nodes["gateway-1"].role.end("", JOB)
     context.ended = context.fleet.result_of(done, "an answer to the end")
     assert context.ended.is_ok(), context.ended
 
 
 @then("ending the job again is answered the same")
 def end_again(context):
-    done = context.fleet.nodes["gateway-2"].role.end(JOB)
+    done = context.fleet.nodes["gateway-2"].role.end("", JOB)
     assert context.fleet.result_of(done, "an answer") == context.ended
 
 
@@ -344,7 +344,7 @@
         lambda: any(name != context.frozen for name in context.fleet.leading("storage")),
         "another leader",
     )
-    ended = context.fleet.result_of(context.fleet.nodes["gateway-1"].role.end(JOB), "an end")
+    ended = context.fleet.result_of(context.fleet.nodes["gateway-1"].role.end("", JOB), "an end")
     assert ended.is_ok(), ended
     context.fleet.run_for(4.0)
 
--- a/features/steps/scale_quota_steps.py
+++ b/features/steps/scale_quota_steps.py
@@ -6,9 +6,9 @@
 from behave import given, then, when
 
 from rainsail.control.messages import QuotaReport, TenantDemand
-from rainsail.control.quota import QuotaLender, QuotaTerms
-from rainsail.control.quota_book import GatewayShare, Grant, TenantBook
 from rainsail.resources.specs import TenantSpec
+from rainsail.tenancy.lender import QuotaLender, QuotaTerms
+from rainsail.tenancy.lent_shares import GatewayShare, Grant, TenantBook
 
 SHARE_S = 4.0
 LENDABLE = 800.0
--- /dev/null
+++ b/features/support/quota_world.py
@@ -0,0 +1,163 @@
+"""Hollow gateways that admit requests of one limited tenant, in virtual time, over two keepers."""
+
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from rainsail.node_metrics import NodeMetrics
+from rainsail.simulation.clock import SkewedClock, VirtualClock
+from rainsail.simulation.network import LinkConditions, SimulatedNetwork
+from rainsail.tenancy.keeper import QuotaKeeper
+from rainsail.tenancy.quota_client import QuotaClient
+from rainsail.tenancy.quota_service import QuotaService
+from rainsail.tenancy.quota_terms import QuotaTerms
+from rainsail.tenancy.tenants import Identity, RateLimit
+from rainsail.tenancy.token_bucket import TokenBucket
+from rainsail.wire.messenger import Messenger
+
+TENANT = "tenant-1"
+KEEPERS = ("keeper-1", "keeper-2")
+GATEWAY_LINK = LinkConditions(delay_s=0.0009, jitter_s=0.0003)
+
+
+@dataclass
+class Admissions:
+    """What was asked, and when it was admitted or refused."""
+
+    asked: int = 0
+    refused: int = 0
+    refused_within: int = 0
+    """Refused, though one bucket over all gateways would have admitted it."""
+    admitted_s: list[float] = None  # type: ignore[assignment]
+
+    def __post_init__(self) -> None:
+        self.admitted_s = []
+
+
+class HollowGateway:
+    """A gateway's process, of which only the quota client is there."""
+
+    def __init__(self, world: "QuotaWorld", name: str) -> None:
+        self.name = name
+        self.clock = SkewedClock(world.clock)
+        self.transport = world.network.transport(name)
+        messenger = Messenger(self.transport, self.clock)
+        self.client = QuotaClient(messenger, self.clock, world.terms, NodeMetrics())
+        self.client.table_version = world.version
+
+    def stop(self) -> None:
+        """End the process."""
+        self.clock.stop()
+        self.transport.close()
+
+
+class QuotaWorld:
+    """Gateways, two keepers of which one leads, and a count of what was admitted."""
+
+    def __init__(self, seed: int, gateways: int, limit: RateLimit) -> None:
+        self.random = random.Random(seed)
+        self.clock = VirtualClock()
+        self.network = SimulatedNetwork(
+            self.clock, random.Random(seed + 1), GATEWAY_LINK, count_bytes=True
+        )
+        self.terms = QuotaTerms()
+        self.version = 1
+        self.limit = limit
+        self.limits: list[tuple[float, RateLimit]] = [(0.0, limit)]
+        self.admissions = Admissions()
+        self.leading = ""
+        self.led_since_s = 0.0
+        self.services: dict[str, QuotaService] = {}
+        for name in KEEPERS:
+            self._start_keeper(name)
+        self.gateways = [HollowGateway(self, f"gateway-{i}") for i in range(1, gateways + 1)]
+        self._ideal = TokenBucket(limit.rate_per_s, limit.burst, 0.0)
+
+    def _start_keeper(self, name: str) -> None:
+        messenger = Messenger(self.network.transport(name), self.clock)
+        keeper = QuotaKeeper(self.terms)
+        leads = lambda: self.leading == name  # noqa: E731
+        self.services[name] = QuotaService(messenger, self.clock, keeper, leads)
+
+    # --- what happens --------------------------------------------------------------------
+
+    def lead(self, name: str, told_after_s: float = 0.0) -> None:
+        """Have a keeper lead, or none with an empty name; gateways hear of it a little later."""
+        self.leading = name
+        if name:
+            self.led_since_s = self.clock.seconds()
+            self.services[name].leadership_changed(True)
+            self.clock.callLater(told_after_s, self._tell, name)
+
+    def _tell(self, name: str) -> None:
+        for gateway in self.gateways:
+            gateway.client.set_keeper(name)
+
+    def restart(self, number: int) -> None:
+        """Have a gateway's process end and another begin; it knows the keeper at once."""
+        self.gateways[number].stop()
+        name = self.gateways[number].name
+        self.gateways[number] = HollowGateway(self, name)
+        self.gateways[number].client.set_keeper(self.leading)
+
+    def set_limit(self, limit: RateLimit) -> None:
+        """Put another limit in force at all gateways."""
+        self.version += 1
+        self.limit = limit
+        self.limits.append((self.clock.seconds(), limit))
+        self._ideal.set_share(limit.rate_per_s, limit.burst, self.clock.seconds())
+        for gateway in self.gateways:
+            gateway.client.table_version = self.version
+
+    # --- requests ------------------------------------------------------------------------
+
+    def request(self, gateway: HollowGateway) -> None:
+        """Have a client ask; count what comes of it."""
+        now = self.clock.seconds()
+        within = self._ideal.wait_s(1.0, now) <= 0
+        if within:
+            self._ideal.take(1.0, now)
+        self.admissions.asked += 1
+        identity = Identity(TENANT, True, self.limit)
+        gateway.client.admit(identity, lambda wait_s: self._decided(wait_s, within))
+
+    def _decided(self, wait_s: float, within: bool) -> None:
+        if wait_s <= 0:
+            self.admissions.admitted_s.append(self.clock.seconds())
+            return
+        self.admissions.refused += 1
+        self.admissions.refused_within += within
+
+    def press(
+        self, per_s: float, for_s: float, gateways: list[HollowGateway] | None = None
+    ) -> None:
+        """Have requests come at random at a rate, at random ones of some gateways."""
+        now = self.clock.seconds()
+        at_s = now + self.random.expovariate(per_s)
+        while at_s < now + for_s:
+            self.clock.callLater(at_s - now, self._ask_one, gateways)
+            at_s += self.random.expovariate(per_s)
+
+    def _ask_one(self, gateways: list[HollowGateway] | None) -> None:
+        self.request(self.random.choice(gateways or self.gateways))
+
+    # --- judging -------------------------------------------------------------------------
+
+    def most_over(self, limit: RateLimit, since_s: float = 0.0) -> float:
+        """Return by how much the fullest window passes what the terms allow; below 0: not."""
+        allowed = limit.rate_per_s * self.terms.window_s + limit.burst
+        allowed = allowed * (1 + self.terms.overshoot) + self.terms.slack
+        window: deque[float] = deque()
+        most = 0
+        for at_s in self.admissions.admitted_s:
+            if at_s < since_s:
+                continue
+            window.append(at_s)
+            while window[0] < at_s - self.terms.window_s:
+                window.popleft()
+            most = max(most, len(window))
+        return most - allowed
+
+    def messages_sent(self) -> int:
+        """Return how many messages all gateways have sent."""
+        return sum(gateway.transport.traffic.messages_sent for gateway in self.gateways)
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -210,14 +210,14 @@
         """Return a controller's service."""
         return self.nodes[name].role.controller
 
-    def submit(self, gateway: str, job: str, count: int) -> Any:
+    def submit(self, gateway: str, job: str, count: int, tenant: str = "") -> Any:
         """Have a gateway hand a job in; returns its Deferred."""
         items = tuple(
             RelayedItem(f"{job}-{number}", f"{JOB_PATH}/{number}", (), b"body", 10)
             for number in range(count)
         )
         limit = QueueLimit(JOB_PREFIX, self.max_queued_tokens)
-        return self.nodes[gateway].role.submit(job, HOST, JOB_PATH, items, limit)
+        return self.nodes[gateway].role.submit(tenant, job, HOST, JOB_PATH, items, limit)
 
     def calls(self) -> list[Any]:
         """Return every item's sending, of all storage nodes."""
--- a/features/support/relayed_soak.py
+++ b/features/support/relayed_soak.py
@@ -247,7 +247,7 @@
 
     def _end(self, job: SoakJob) -> None:
         job.end_asked = True
-        self._gateway().end(job.job).addCallback(self._job_ended, job)
+        self._gateway().end("", job.job).addCallback(self._job_ended, job)
 
     def _job_ended(self, result: Any, job: SoakJob) -> None:
         if result.is_ok() and job.ended_s is None:
@@ -256,7 +256,7 @@
     def _read_jobs(self) -> None:
         for job in self.jobs.values():
             if job.accepted_s is not None and self.random.random() < STEP_S / 2:
-                self._gateway().read(job.job, 0, 0.0).addCallback(self._page_read, job)
+                self._gateway().read("", job.job, 0, 0.0).addCallback(self._page_read, job)
 
     def _page_read(self, result: Any, job: SoakJob) -> None:
         if result.is_error():
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -21,6 +21,7 @@
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
 from rainsail.simulation.clock import VirtualClock
+from rainsail.tenancy.tenants import NOBODY, Identity
 
 SERVICE = "model"
 HOST = "a.example"
@@ -48,6 +49,7 @@
         target: RunnerTarget,
         deadline_left_s: float | None,
         after_event: int | None,
+        identity: Identity = NOBODY,
     ) -> OutgoingRequest:
         """Send the deadline left and the event to go on behind."""
         fields = [(b"runner", target.runner.encode())]
@@ -62,6 +64,8 @@
         fields = [(b"runner", target.runner.encode()), (b"item", item.item.item.encode())]
         if item.after_event is not None:
             fields.append((b"after-event", str(item.after_event).encode()))
+        if item.tenant:
+            fields.append((b"tenant", item.tenant.encode()))
         return OutgoingRequest(b"POST", item.item.path.encode(), tuple(fields), item.item.body)
 
     def judge(self, head: AnswerHead, request: str) -> AnswerVerdict:
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -110,6 +110,13 @@
         heard = [each for each in self._controllers.values() if now - each.heard_s <= within_s]
         return len(heard) >= count
 
+    def silent_s(self, count: int) -> float:
+        """Return how long ago so many controllers had last answered."""
+        heard = sorted((each.heard_s for each in self._controllers.values()), reverse=True)
+        if len(heard) < count:
+            return float("inf")
+        return self._clock.seconds() - heard[count - 1]
+
     def view(self) -> FleetView:
         """Return what the controllers heard of lately say together."""
         fresh = [each.view for each in self._fresh()]
--- a/src/rainsail/control/group_control.py
+++ b/src/rainsail/control/group_control.py
@@ -20,7 +20,6 @@
     RenewItemLeases,
     RenewItemLeasesReply,
 )
-from rainsail.control.quota import QuotaLender, QuotaTerms
 from rainsail.control.settings import ControlSettings
 from rainsail.control.stale_items import items_to_stop
 from rainsail.errors import Fault
@@ -28,6 +27,7 @@
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import Command, LeaseItems, ReturnedItem, ReturnItems
 from rainsail.state.interface import ReplicatedReader
+from rainsail.tenancy.lender import QuotaLender, QuotaTerms
 
 
 class GroupControl:
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -22,6 +22,7 @@
 """After SIGTERM new clients still come until two readiness checks have been missed."""
 END_BEFORE_GRACE_S = 0.4
 RESTING_LOOK_PERIOD_S = 0.1
+MILLISECONDS_PER_S = 1000.0
 
 
 class GatewayNode:
@@ -39,7 +40,7 @@
             pool,
             port.protocol,
             base.random,
-            RelaySettings(mechanisms=base.settings.mechanisms),
+            _relay_settings(base),
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
@@ -103,6 +104,17 @@
             self._base.clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
 
 
+def _relay_settings(base: NodeBase) -> RelaySettings:
+    settings = base.settings
+    trusted_ms = settings.bounds.keys_trusted_ms
+    return RelaySettings(
+        mechanisms=settings.mechanisms,
+        quota=settings.quota.terms(),
+        keys_trusted_s=None if trusted_ms is None else trusted_ms / MILLISECONDS_PER_S,
+        trusted_controllers=settings.node.losses + 1,
+    )
+
+
 def _fire_once(done: Any) -> None:
     if not done.called:
         done.callback(None)
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -26,6 +26,8 @@
 from rainsail.relay.table_reader import TableReader
 from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import FileSystem
+from rainsail.tenancy.keeper import QuotaKeeper
+from rainsail.tenancy.quota_service import QuotaService
 
 LEDGER_GROUP: GroupId = 1
 HOUSEKEEPING_PERIOD_S = 1.0
@@ -71,6 +73,8 @@
             base.metrics,
         )
         self.state.observer = self.dispatcher
+        keeper = QuotaKeeper(base.settings.quota.terms())
+        self._quotas = QuotaService(base.messenger, base.clock, keeper, self._leads)
         base.metrics.gauge("jobs_kept", lambda: float(len(self.state.jobs)))
         self._retention = Retention(self.state, base.settings.bounds.results_kept_s)
         self._stopped = False
@@ -109,11 +113,13 @@
     def _may_start_items(self) -> bool:
         """Tell whether items may go out: under the leader's lease, and hearing of controllers."""
         needed = self._base.settings.node.losses + 1
-        leads = self.driver is not None and self.driver.is_leader()
-        return leads and self._base.follower.hears(needed, CONTROLLERS_HEARD_WITHIN_S)
+        return self._leads() and self._base.follower.hears(needed, CONTROLLERS_HEARD_WITHIN_S)
+
+    def _leads(self) -> bool:
+        return self.driver is not None and self.driver.is_leader()
 
     def _read_occupancy(self, source: str, message: ReadOccupancy) -> ServiceOccupancy | Fault:
-        if self.driver is None or not self.driver.is_leader():
+        if not self._leads():
             return Fault(FaultCode.NOT_LEADER, "jobs.occupancy", "another node leads")
         return self.dispatcher.occupancy(message.service, source)
 
@@ -123,6 +129,7 @@
 
     def _leadership_changed(self, leads: bool) -> None:
         logger.bind(leads=leads).info("ledger_leadership")
+        self._quotas.leadership_changed(leads)
         if leads:
             self._outcomes.start()
             self.dispatcher.start()
--- a/src/rainsail/fleet_api/jobs.py
+++ b/src/rainsail/fleet_api/jobs.py
@@ -14,6 +14,7 @@
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.table import Route
+from rainsail.tenancy.tenants import Identity
 
 JOBS = "/v1/relayed-jobs/"
 STATUS_ACCEPTED = 202
@@ -21,7 +22,7 @@
 
 def client_handler(gateway: RelayGateway, jobs: JobClient) -> Handler:
     """Return the handler of a gateway's address for clients."""
-    calls = JobApi(jobs)
+    calls = JobApi(gateway, jobs)
     gateway.on_batch = calls.submit
 
     def handle(exchange: Exchange) -> None:
@@ -34,17 +35,22 @@
 class JobApi:
     """Each call is one of the ledger's, wherever its leader is."""
 
-    def __init__(self, jobs: JobClient) -> None:
+    def __init__(self, gateway: RelayGateway, jobs: JobClient) -> None:
+        self._gateway = gateway
         self._jobs = jobs
 
-    def submit(self, exchange: Exchange, route: Route, facts: RequestFacts) -> None:
+    def submit(
+        self, exchange: Exchange, route: Route, facts: RequestFacts, identity: Identity
+    ) -> None:
         """Hand a job in; 202 once a quorum has synced all of it."""
         items = read_items(exchange.request.body)
         if items.is_error():
             reply_fault(exchange, items.error)
             return
         limit = QueueLimit(route.prefix, route.max_queued_tokens)
-        done = self._jobs.submit(facts.request, facts.host, facts.path, items.ok, limit)
+        done = self._jobs.submit(
+            identity.tenant, facts.request, facts.host, facts.path, items.ok, limit
+        )
         reply_when_done(exchange, done, lambda _: EMPTY, STATUS_ACCEPTED)
 
     def handle(self, exchange: Exchange) -> bool:
@@ -53,23 +59,26 @@
         if not path.startswith(JOBS):
             return False
         job, _, rest = path[len(JOBS) :].partition("/")
-        job = unquote(job)
+        identity = self._gateway.identify_job_call(exchange)
+        if identity is None:
+            return True
+        tenant, job = identity.tenant, unquote(job)
         if exchange.request.method == b"DELETE" and not rest:
-            reply_when_done(exchange, self._jobs.end(job), lambda _: EMPTY)
+            reply_when_done(exchange, self._jobs.end(tenant, job), lambda _: EMPTY)
         elif exchange.request.method == b"GET" and rest == "results":
-            self._read(exchange, job, parse_qs(query))
+            self._read(exchange, tenant, job, parse_qs(query))
         elif exchange.request.method == b"GET" and rest.startswith("bodies/"):
-            self._read_body(exchange, job, unquote(rest.removeprefix("bodies/")))
+            self._read_body(exchange, tenant, job, unquote(rest.removeprefix("bodies/")))
         else:
             return False
         return True
 
-    def _read(self, exchange: Exchange, job: str, query: dict[str, list[str]]) -> None:
+    def _read(self, exchange: Exchange, tenant: str, job: str, query: dict[str, list[str]]) -> None:
         after = whole_number(query.get("after", ["0"])[0])
         wait_s = float(whole_number(query.get("wait_s", ["0"])[0]))
-        reply_when_done(exchange, self._jobs.read(job, after, wait_s), page_body)
+        reply_when_done(exchange, self._jobs.read(tenant, job, after, wait_s), page_body)
 
-    def _read_body(self, exchange: Exchange, job: str, item: str) -> None:
+    def _read_body(self, exchange: Exchange, tenant: str, job: str, item: str) -> None:
         def answer(result: Any) -> None:
             if result.is_error():
                 reply_fault(exchange, result.error)
@@ -77,7 +86,7 @@
                 kind = (b"Content-Type", b"application/octet-stream")
                 exchange.answer(200, (kind,), result.ok.body)
 
-        self._jobs.read_body(job, item).addCallback(answer)
+        self._jobs.read_body(tenant, job, item).addCallback(answer)
 
 
 def page_body(page: ResultPage) -> dict[str, Any]:
--- a/src/rainsail/fleet_api/tables.py
+++ b/src/rainsail/fleet_api/tables.py
@@ -12,6 +12,7 @@
     Service,
     ServiceShare,
 )
+from rainsail.tenancy.tenants import RateLimit, TenantDirectory, TenantError, make_tenant
 
 STEP = "fleet_api.tables"
 
@@ -36,6 +37,7 @@
     gap_target_s: float = Field(default=0.0, ge=0)
     completion_s: float = Field(default=0.0, ge=0)
     max_queued_tokens: int = Field(default=0, ge=0)
+    public: bool = False
 
     @model_validator(mode="after")
     def _check(self) -> "RouteBody":
@@ -53,6 +55,16 @@
     generates: bool = False
 
 
+class TenantBody(_Part):
+    """One tenant and its keys; a rate of 0 stands for no limit."""
+
+    name: str
+    keys: tuple[str, ...] = Field(default=(), repr=False)
+    rate_per_s: float = Field(default=0.0, ge=0)
+    burst: float = Field(default=0.0, ge=0)
+    priority: int | None = Field(default=None, ge=0)
+
+
 class LimitsBody(_Part):
     """What a client may send."""
 
@@ -69,6 +81,7 @@
     routes: tuple[RouteBody, ...]
     services: tuple[ServiceBody, ...]
     limits: LimitsBody = LimitsBody()
+    tenants: tuple[TenantBody, ...] | None = None
 
     @model_validator(mode="after")
     def _check(self) -> "TableBody":
@@ -90,6 +103,10 @@
         problem = error.errors()[0]
         place = ".".join(str(part) for part in problem["loc"])
         return Error(Fault(FaultCode.INVALID, STEP, f"{place}: {problem['msg']}"))
+    try:
+        tenants = _tenants(body.tenants)
+    except TenantError as error:
+        return Error(Fault(FaultCode.INVALID, STEP, f"tenants: {error}"))
     routes = tuple(_route(route) for route in body.routes)
     services = tuple(Service(s.name, s.max_connections, s.generates) for s in body.services)
     limits = ClientLimits(
@@ -98,7 +115,16 @@
         body.limits.header_timeout_s,
         body.limits.idle_timeout_s,
     )
-    return Ok(RoutingTable(body.version, routes, services, limits))
+    return Ok(RoutingTable(body.version, routes, services, limits, tenants))
+
+
+def _tenants(bodies: tuple[TenantBody, ...] | None) -> TenantDirectory | None:
+    if bodies is None:
+        return None
+    return TenantDirectory(
+        make_tenant(body.name, body.keys, RateLimit(body.rate_per_s, body.burst), body.priority)
+        for body in bodies
+    )
 
 
 def _route(body: RouteBody) -> Route:
@@ -117,4 +143,5 @@
         body.gap_target_s,
         body.completion_s,
         body.max_queued_tokens,
+        body.public,
     )
--- a/src/rainsail/gateway/admission_queues.py
+++ b/src/rainsail/gateway/admission_queues.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from rainsail.errors import Fault
-from rainsail.gateway.fair_queue import FairQueue
-from rainsail.gateway.tenant_activity import TenantActivity
+from rainsail.tenancy.fair_queue import FairQueue
+from rainsail.tenancy.tenant_activity import TenantActivity
 
 HOLD_TIME_SMOOTHING = 0.1
 """Weight of the newest request in the running mean of the time a slot is held."""
--- a/src/rainsail/gateway/quota.py
+++ b/src/rainsail/gateway/quota.py
@@ -9,13 +9,13 @@
 
 from rainsail.control.interface import ConfigReader, ControlClient
 from rainsail.control.messages import QuotaReport, QuotaShares, TenantDemand
-from rainsail.control.quota import minimum_share
 from rainsail.errors import Fault
 from rainsail.gateway.settings import AdmissionSettings
-from rainsail.gateway.token_bucket import TokenBucket
 from rainsail.resources.specs import Kind, ResourceKey, TenantSpec, WatchEvent
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import ROOT_GROUP
+from rainsail.tenancy.lender import minimum_share
+from rainsail.tenancy.token_bucket import TokenBucket
 
 LEAST_WEIGHT = 1e-6
 """A tenant's weight in the fair queues is never below this."""
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -26,6 +26,7 @@
     202: b"Accepted",
     307: b"Temporary Redirect",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
--- a/src/rainsail/jobs/client.py
+++ b/src/rainsail/jobs/client.py
@@ -16,12 +16,18 @@
 )
 from rainsail.state.job_commands import RelayedItem
 
+TENANT_SEPARATOR = "\t"
+"""Stands between tenant and id: no tenant's name has a tab."""
 SUBMIT_WITHIN_S = 3.4
 READ_WITHIN_S = 2.0
 
 
 class JobClient:
-    """Every call may go out again: a job is known by its id, an end is an end."""
+    """Every call may go out again: a job is known by its id, an end is an end.
+
+    A job belongs to the tenant that handed it in (empty: to nobody). Its id holds within the
+    tenant, so that calls of others find nothing.
+    """
 
     def __init__(self, calls: LeaderCaller) -> None:
         self._calls = calls
@@ -32,6 +38,7 @@
 
     def submit(
         self,
+        tenant: str,
         job: str,
         host: str,
         path: str,
@@ -42,19 +49,27 @@
 
         The fault is OVER_LIMIT when the job does not fit the route's limit and was not taken.
         """
-        message = SubmitRelayedJob(job, host, path, items, limit)
+        message = SubmitRelayedJob(scoped_id(tenant, job), tenant, host, path, items, limit)
         return self._calls.call(message, None, SUBMIT_WITHIN_S, repeatable=True)
 
-    def read(self, job: str, after: int, wait_s: float) -> "Deferred[Result[Any, Fault]]":
+    def read(
+        self, tenant: str, job: str, after: int, wait_s: float
+    ) -> "Deferred[Result[Any, Fault]]":
         """Return a ``ResultPage``."""
-        message = ReadResults(job, after, wait_s)
+        message = ReadResults(scoped_id(tenant, job), after, wait_s)
         return self._calls.call(message, None, READ_WITHIN_S + wait_s, repeatable=True)
 
-    def read_body(self, job: str, item: str) -> "Deferred[Result[Any, Fault]]":
+    def read_body(self, tenant: str, job: str, item: str) -> "Deferred[Result[Any, Fault]]":
         """Return an ``ItemBodyFound``."""
-        message = ReadItemBody(job, item)
+        message = ReadItemBody(scoped_id(tenant, job), item)
         return self._calls.call(message, None, READ_WITHIN_S, repeatable=True)
 
-    def end(self, job: str) -> "Deferred[Result[Any, Fault]]":
+    def end(self, tenant: str, job: str) -> "Deferred[Result[Any, Fault]]":
         """End a job."""
-        return self._calls.call(EndJobCall(job), None, SUBMIT_WITHIN_S, repeatable=True)
+        message = EndJobCall(scoped_id(tenant, job))
+        return self._calls.call(message, None, SUBMIT_WITHIN_S, repeatable=True)
+
+
+def scoped_id(tenant: str, job: str) -> str:
+    """Return the id of a tenant's job within the whole ledger."""
+    return f"{tenant}{TENANT_SEPARATOR}{job}" if tenant else job
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -396,7 +396,7 @@
     def _run_at(self, work: Work, job: RelayedJob, record: RunnerRecord, now: float) -> None:
         item = job.items[work.index]
         request = self._protocol.item_request(
-            ItemRequest(job.host, item, work.progress.last_event),
+            ItemRequest(job.host, item, work.progress.last_event, job.tenant),
             RunnerTarget(record.runner, record.address),
         )
         self._started_at_s[record.runner] = now
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -31,6 +31,8 @@
     """One job. ``listed`` holds the results by position; ``unlisted`` the items still open."""
 
     job: str
+    tenant: str
+    """The name of the tenant that handed it in, empty for none."""
     host: str
     path: str
     items: list[RelayedItem]
@@ -104,7 +106,7 @@
         if command.job in self.jobs:
             return
         items = list(command.items)
-        job = RelayedJob(command.job, command.host, command.path, items)
+        job = RelayedJob(command.job, command.tenant, command.host, command.path, items)
         job.unlisted = set(range(len(items)))
         job.accepted_s = command.at_s
         job.open_tokens = sum(item.tokens for item in items)
@@ -150,12 +152,14 @@
         job.items = [replace(item, body=b"") for item in job.items]
         return Done()
 
-    def waiting_tokens(self, host: str, prefix: str) -> int:
-        """Return the tokens that wait on a route: those of the unlisted items of its jobs."""
+    def waiting_tokens(self, tenant: str, host: str, prefix: str) -> int:
+        """Return a tenant's tokens that wait on a route: those of its jobs' unlisted items."""
         return sum(
             job.open_tokens
             for job in self.jobs.values()
-            if job.open_tokens and job.host == host and job.path.startswith(prefix)
+            if job.open_tokens
+            and (job.tenant, job.host) == (tenant, host)
+            and job.path.startswith(prefix)
         )
 
     def snapshot(self) -> Iterator[bytes]:
@@ -174,6 +178,7 @@
 def _snapshot_of(job: RelayedJob) -> RelayedJobSnapshot:
     return RelayedJobSnapshot(
         job.job,
+        job.tenant,
         job.host,
         job.path,
         tuple(job.items),
@@ -187,6 +192,7 @@
 def _job_of(snapshot: RelayedJobSnapshot) -> RelayedJob:
     job = RelayedJob(
         snapshot.job,
+        snapshot.tenant,
         snapshot.host,
         snapshot.path,
         list(snapshot.items),
--- a/src/rainsail/jobs/ledger_service.py
+++ b/src/rainsail/jobs/ledger_service.py
@@ -72,7 +72,9 @@
         if over is not None:
             return succeed(over)
         at_s = self._ledger_time.at(self._clock.seconds())
-        command = AcceptJob(message.job, message.host, message.path, message.items, at_s)
+        command = AcceptJob(
+            message.job, message.tenant, message.host, message.path, message.items, at_s
+        )
         logger.bind(job=message.job, items=len(message.items), gateway=source).info("job_proposed")
         self._proposed[message.job] = message
         proposed = self._group.propose(command)
@@ -84,7 +86,7 @@
         return result
 
     def _over_limit(self, message: SubmitRelayedJob) -> Fault | None:
-        """Return the fault of a job that does not fit its route's limit.
+        """Return the fault of a job that does not fit its tenant's limit on the route.
 
         Jobs that are being committed count as if they were accepted. The refusal is a promise:
         the log of a leader that answers holds no other proposal of this job, since all that came
@@ -96,9 +98,10 @@
         proposed = sum(
             _tokens(each)
             for each in self._proposed.values()
-            if each.host == message.host and each.path.startswith(limit.prefix)
+            if (each.tenant, each.host) == (message.tenant, message.host)
+            and each.path.startswith(limit.prefix)
         )
-        waiting = self._state.waiting_tokens(message.host, limit.prefix) + proposed
+        waiting = proposed + self._state.waiting_tokens(message.tenant, message.host, limit.prefix)
         if waiting + _tokens(message) <= limit.tokens:
             return None
         detail = f"{waiting} tokens wait, {_tokens(message)} more don't fit {limit.tokens}"
--- a/src/rainsail/jobs/messages.py
+++ b/src/rainsail/jobs/messages.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueLimit:
-    """How many tokens may wait on a route, over all its jobs; 0 stands for any number."""
+    """How many tokens of a tenant may wait on a route; 0 stands for any number."""
 
     prefix: str
     """The route's prefix: a job of the same host whose path begins so is of the same route."""
@@ -25,6 +25,7 @@
     """
 
     job: str
+    tenant: str
     host: str
     path: str
     items: tuple[RelayedItem, ...]
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -14,6 +14,7 @@
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import RoutingTable
 from rainsail.runtime.clock import Clock
+from rainsail.tenancy.tenants import Identity
 
 
 @dataclass(slots=True)
@@ -33,6 +34,10 @@
     table: RoutingTable | None = None
     refresh_loads: Callable[[str, Callable[[], None]], None] = lambda service, done: done()
     """Brings what is known of a service's runners up to date, then calls back."""
+    admit: Callable[[Identity, Callable[[float], None]], None] = lambda identity, done: done(0.0)
+    """Decides whether a tenant's quota allows a request: calls back with 0, or with the wait."""
+    give_back: Callable[[Identity], None] = lambda identity: None
+    """Takes back an admission of a request that has not run and never will."""
     tell_reading: Callable[[str, float], None] = lambda runner, reading_s: None
     """Tells the other gateways that a runner reads a long prompt, for that many seconds."""
 
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from typing import TypeGuard
 
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.messages import (
@@ -25,13 +26,16 @@
 from rainsail.relay.run import STATUS_NOT_FOUND, STATUS_UNAVAILABLE, RelayRun
 from rainsail.relay.table import Route, RouteKind, RoutingTable
 from rainsail.relay.table_reader import TableReader
+from rainsail.tenancy.quota_client import QuotaClient
+from rainsail.tenancy.tenants import Identity
 from rainsail.wire.messenger import Messenger
 
+STATUS_UNAUTHORIZED = 401
 HOUSEKEEPING_PERIOD_S = 1.0
 RUNNERS_EXPECTED_AFTER_S = 1.5
 """After its start a gateway waits this long for runners' words before it calls itself ready."""
 
-BatchFront = Callable[[Exchange, Route, RequestFacts], None]
+BatchFront = Callable[[Exchange, Route, RequestFacts, Identity], None]
 """Takes a request on a batch route: a whole job."""
 
 
@@ -73,6 +77,9 @@
         if context.settings.mechanisms.shared_occupancy:
             context.refresh_loads = self._occupancy.refresh
         messenger.serve(RunnerReads, self._take_reading)
+        self._quotas = QuotaClient(messenger, context.clock, context.settings.quota, metrics)
+        context.admit = self._quotas.admit
+        context.give_back = self._quotas.give_back
 
     def start(self) -> None:
         """Begin to tidy up."""
@@ -103,24 +110,71 @@
             logger.bind(request=facts.request, table=table.version).info("request_without_route")
             self.answer_empty(exchange, STATUS_NOT_FOUND)
             return
-        if route.kind == RouteKind.BATCH:
-            self._take_batch(exchange, route, facts)
+        identity = table.identify(route, facts.key)
+        if not self._is_allowed(identity):
+            self._refuse_key(exchange, facts, identity)
+        elif route.kind == RouteKind.BATCH:
+            self._take_batch(exchange, route, facts, identity)
+        else:
+            self.under_way += 1
+            RelayRun(self._context, exchange, facts, route, self._run_ended, identity).start()
+
+    def identify_job_call(self, exchange: Exchange) -> Identity | None:
+        """Return on whose behalf a call about a job comes; answers it when that is nobody's."""
+        table = self._context.table
+        facts = self._context.protocol.describe(exchange.request)
+        if table is None:
+            self._refuse_unready(exchange, facts)
+            return None
+        identity = table.identify_job_call(facts.host, facts.key)
+        if not self._is_allowed(identity):
+            self._refuse_key(exchange, facts, identity)
+            return None
+        return identity
+
+    def _is_allowed(self, identity: Identity | None) -> TypeGuard[Identity]:
+        """Tell whether a request may go on: its key is known, and still trusted."""
+        if identity is None:
+            return False
+        return not identity.tenant or not self._context.settings.keys_expired(
+            self._out_of_touch_s()
+        )
+
+    def _out_of_touch_s(self) -> float:
+        """Return for how long too few controllers have answered to know of the newest table."""
+        return self._follower.silent_s(self._context.settings.trusted_controllers)
+
+    def _refuse_key(
+        self, exchange: Exchange, facts: RequestFacts, identity: Identity | None
+    ) -> None:
+        """Refuse a request whose key is nobody's, or can't be relied on any more."""
+        if identity is not None:
+            self._refuse_unready(exchange, facts, "keys are too old while controllers are away")
             return
-        self.under_way += 1
-        RelayRun(self._context, exchange, facts, route, self._run_ended).start()
+        reason = "no key" if facts.key is None else "unknown key"
+        logger.bind(request=facts.request, reason=reason).info("request_unauthorized")
+        self._metrics.count("requests_unauthorized", reason=reason)
+        self.answer_empty(exchange, STATUS_UNAUTHORIZED)
 
-    def _refuse_unready(self, exchange: Exchange, facts: RequestFacts) -> None:
+    def _refuse_unready(
+        self,
+        exchange: Exchange,
+        facts: RequestFacts,
+        reason: str = "no routing table is known yet",
+    ) -> None:
         retry_after_s = self._context.settings.not_ready_retry_after_s
         log = logger.bind(request=facts.request, retry_after_s=retry_after_s)
-        log.bind(reason="no routing table is known yet").info("request_refused")
+        log.bind(reason=reason).info("request_refused")
         self._metrics.count("requests", kind="unknown", outcome="refused")
         self.answer_empty(exchange, STATUS_UNAVAILABLE, retry_after_s)
 
-    def _take_batch(self, exchange: Exchange, route: Route, facts: RequestFacts) -> None:
+    def _take_batch(
+        self, exchange: Exchange, route: Route, facts: RequestFacts, identity: Identity
+    ) -> None:
         if self.on_batch is None:
             self.answer_empty(exchange, STATUS_UNAVAILABLE)
             return
-        self.on_batch(exchange, route, facts)
+        self.on_batch(exchange, route, facts, identity)
 
     def answer_empty(
         self, exchange: Exchange, status: int, retry_after_s: float | None = None
@@ -149,6 +203,7 @@
         if known is not None and table.version <= known.version:
             return
         self._context.table = table
+        self._quotas.table_version = table.version
         self._limits.max_header_bytes = table.limits.max_header_bytes
         self._limits.max_body_bytes = table.limits.max_body_bytes
         self._limits.header_timeout_s = table.limits.header_timeout_s
@@ -178,6 +233,7 @@
         if address != self._ledger_leader:
             self._ledger_leader = address
             self._occupancy.set_leader(address)
+            self._quotas.set_keeper(address)
             self._plan_report()
             self.on_ledger_leader(address)
 
--- a/src/rainsail/relay/header_protocol.py
+++ b/src/rainsail/relay/header_protocol.py
@@ -20,8 +20,10 @@
     RunnerTarget,
     ServerLoad,
 )
+from rainsail.tenancy.tenants import Identity, KeyDigest, digest_of
 
 HOST = b"Host"
+AUTHORIZATION = b"Authorization"
 CONTENT_LENGTH = b"Content-Length"
 RETRY_AFTER = b"Retry-After"
 STATUS_BAD_REQUEST = 400
@@ -35,8 +37,9 @@
 class HeaderNames:
     """What the headers are called.
 
-    ``deadline`` holds how long the client waits, in units of ``deadline_unit_s``; ``runner`` names
-    the runner that a request is meant for; ``load`` holds running, waiting and slots, by commas.
+    ``key_scheme`` stands before an API key in ``Authorization``; ``deadline`` holds how long the
+    client waits, in units of ``deadline_unit_s``; ``runner`` names the runner that a request is
+    meant for; ``load`` holds running, waiting and slots, by commas.
     """
 
     request: bytes = b"Rainsail-Request"
@@ -48,6 +51,8 @@
     usage: bytes = b"Rainsail-Tokens"
     load: bytes = b"Rainsail-Load"
     not_run: bytes = b"Rainsail-Not-Run"
+    tenant: bytes = b"Rainsail-Tenant"
+    key_scheme: bytes = b"Bearer"
 
 
 class HeaderProtocol:
@@ -55,8 +60,11 @@
 
     def __init__(self, names: HeaderNames) -> None:
         self._names = names
-        replaced = (names.deadline, names.runner, names.last_event, CONTENT_LENGTH)
+        replaced = (names.deadline, names.runner, names.last_event, names.tenant, CONTENT_LENGTH)
         self._replaced = frozenset(name.lower() for name in replaced)
+        self._replaced_with_key = self._replaced | {AUTHORIZATION.lower()}
+        own = (HOST, names.request)
+        self._kept_from_items = self._replaced_with_key | {name.lower() for name in own}
         self._kept_back = frozenset(name.lower() for name in (names.load, names.not_run))
 
     def describe(self, request: HttpRequest) -> RequestFacts:
@@ -74,20 +82,35 @@
             prompt_tokens,
             answer_tokens,
             int(after) if _is_number(after) else None,
+            self._key(fields),
         )
 
+    def _key(self, fields: HeaderFields) -> KeyDigest | None:
+        """Return the digest of the one key that a request states."""
+        name = AUTHORIZATION.lower()
+        values = [value for each, value in fields if each.lower() == name]
+        if len(values) != 1:
+            return None
+        scheme, _, key = values[0].strip().partition(b" ")
+        key = key.strip()
+        if scheme.lower() != self._names.key_scheme.lower() or not key:
+            return None
+        return digest_of(key)
+
     def relayed(
         self,
         request: HttpRequest,
         target: RunnerTarget,
         deadline_left_s: float | None,
         after_event: int | None,
+        identity: Identity,
     ) -> OutgoingRequest:
-        """Return the request as it goes to a runner."""
-        fields = list(end_to_end(request.headers, self._replaced))
+        """Return the request as it goes to a runner: with its tenant, without its key."""
+        replaced = self._replaced_with_key if identity.keyed else self._replaced
+        fields = list(end_to_end(request.headers, replaced))
         if deadline_left_s is not None:
             fields.append((self._names.deadline, self._deadline(deadline_left_s)))
-        fields += self._sent_fields(target, after_event, request.body)
+        fields += self._sent_fields(target, after_event, identity.tenant, request.body)
         return OutgoingRequest(request.method, request.target, tuple(fields), request.body)
 
     def _deadline(self, left_s: float) -> bytes:
@@ -100,16 +123,21 @@
     def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
         """Return an item's request as it goes to a runner."""
         fields = [(HOST, item.host.encode()), (self._names.request, item.item.item.encode())]
-        for header in item.item.headers:
-            fields.append((header.name.encode("latin-1"), header.value.encode("latin-1")))
-        fields += self._sent_fields(target, item.after_event, item.item.body)
+        stated = [
+            (header.name.encode("latin-1"), header.value.encode("latin-1"))
+            for header in item.item.headers
+        ]
+        fields += end_to_end(stated, self._kept_from_items)
+        fields += self._sent_fields(target, item.after_event, item.tenant, item.item.body)
         path = item.item.path.encode("latin-1")
         return OutgoingRequest(b"POST", path, tuple(fields), item.item.body)
 
     def _sent_fields(
-        self, target: RunnerTarget, after_event: int | None, body: bytes
+        self, target: RunnerTarget, after_event: int | None, tenant: str, body: bytes
     ) -> list[tuple[bytes, bytes]]:
         fields = [(self._names.runner, target.runner.encode())]
+        if tenant:
+            fields.append((self._names.tenant, tenant.encode("latin-1")))
         if after_event is not None:
             fields.append((self._names.last_event, str(after_event).encode()))
         fields.append((CONTENT_LENGTH, str(len(body)).encode()))
--- a/src/rainsail/relay/protocol.py
+++ b/src/rainsail/relay/protocol.py
@@ -10,6 +10,7 @@
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.headers import HeaderFields
 from rainsail.state.job_commands import RelayedItem
+from rainsail.tenancy.tenants import Identity, KeyDigest
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,8 @@
     prompt_tokens: int
     answer_tokens: int
     after_event: int | None
+    key: KeyDigest | None = None
+    """The digest of the API key; None when there is none, several, or one in another form."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +82,7 @@
     host: str
     item: RelayedItem
     after_event: int | None
+    tenant: str = ""
 
 
 class RelayProtocol(Protocol):
@@ -94,8 +98,9 @@
         target: RunnerTarget,
         deadline_left_s: float | None,
         after_event: int | None,
+        identity: Identity,
     ) -> OutgoingRequest:
-        """Return the request as it goes to a runner."""
+        """Return the request as it goes to a runner: with its tenant, without its key."""
         ...
 
     def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -18,8 +18,10 @@
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
 from rainsail.relay.table import Route, RouteKind
 from rainsail.runtime.clock import Timer
+from rainsail.tenancy.tenants import NOBODY, Identity
 
 STATUS_NOT_FOUND = 404
+STATUS_OVER_QUOTA = 429
 STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -36,7 +38,10 @@
         facts: RequestFacts,
         route: Route,
         ended: Callable[["RelayRun"], None],
+        identity: Identity = NOBODY,
     ) -> None:
+        self._identity = identity
+        self._admitted = False
         self._context = context
         self._exchange = exchange
         self._facts = facts
@@ -60,11 +65,25 @@
     # --- life cycle ----------------------------------------------------------------------
 
     def start(self) -> None:
-        """Send to a first runner."""
+        """Send to a first runner, once the tenant's quota allows it."""
         clock = self._context.clock
         left_s = max(0.0, self._expiry_s - clock.seconds())
         self._expiry = clock.callLater(left_s, self._expired)
-        self._try_next()
+        self._context.admit(self._identity, self._quota_decided)
+
+    def _quota_decided(self, wait_s: float) -> None:
+        """Go on, or have the client come back when the quota allows it."""
+        if self._ended:
+            if wait_s <= 0:
+                self._context.give_back(self._identity)
+            return
+        if wait_s <= 0:
+            self._admitted = True
+            self._try_next()
+            return
+        self._last_reason = f"tenant {self._identity.tenant} is over its quota"
+        self._answer.refuse(STATUS_OVER_QUOTA, wait_s)
+        self._finish("over_quota")
 
     def _finish(self, outcome: str) -> None:
         if self._ended:
@@ -77,9 +96,16 @@
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel()
+        self._give_back_unrun(outcome)
         self._log(outcome)
         self._on_ended(self)
 
+    def _give_back_unrun(self, outcome: str) -> None:
+        """What has certainly not run does not count against the tenant's quota."""
+        never_sent = not self._sends and not self._may_have_run
+        if self._admitted and (outcome == "refused" or never_sent):
+            self._context.give_back(self._identity)
+
     @property
     def kind(self) -> RouteKind:
         """What may be repeated of the request."""
@@ -101,6 +127,7 @@
         logger.bind(
             request=self._facts.request,
             route=self._route.name,
+            tenant=self._identity.tenant,
             table=0 if table is None else table.version,
             runners=",".join(sorted(self._tried)),
             sends=self._sends,
@@ -189,7 +216,7 @@
         left_s = None if self._facts.deadline_s is None else self._deadline_left_s(now)
         target = RunnerTarget(record.runner, record.address)
         request = context.protocol.relayed(
-            self._exchange.request, target, left_s, self._answer.last_event
+            self._exchange.request, target, left_s, self._answer.last_event, self._identity
         )
         if self._facts.prompt:
             self._note_reading(record, now)
--- a/src/rainsail/relay/settings.py
+++ b/src/rainsail/relay/settings.py
@@ -4,6 +4,7 @@
 
 from rainsail.mechanisms import DEFAULTS, Mechanisms
 from rainsail.relay.choice import ChoiceSettings
+from rainsail.tenancy.quota_terms import QuotaTerms
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +19,8 @@
     ``stream_speaks_within_s`` and ``answer_speaks_within_s`` are how long a runner that owes an
     answer may say nothing before it is left out for ``silent_out_s``; a prompt that takes a runner
     longer than ``told_reading_ms`` to read is told to the other gateways.
+    ``keys_trusted_s`` is how long keys are still taken while fewer than ``trusted_controllers``
+    answer: one of so many knows every table that was acknowledged. None: for any time.
     """
 
     retry_after_s: float = 0.25
@@ -34,5 +37,12 @@
     answer_speaks_within_s: float = 1.0
     silent_out_s: float = 1.0
     told_reading_ms: float = 40.0
+    keys_trusted_s: float | None = None
+    trusted_controllers: int = 1
+    quota: QuotaTerms = field(default_factory=QuotaTerms)
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
     mechanisms: Mechanisms = DEFAULTS
+
+    def keys_expired(self, out_of_touch_s: float) -> bool:
+        """Tell whether keys can't be relied on after so long without controllers."""
+        return self.keys_trusted_s is not None and out_of_touch_s > self.keys_trusted_s
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from rainsail.tenancy.tenants import NOBODY, PUBLIC, Identity, KeyDigest, TenantDirectory
+
 
 class RouteKind(StrEnum):
     """What may be repeated of a route's requests."""
@@ -28,7 +30,7 @@
     ``target_s`` is the time within which an answer is worth most, ``gap_target_s`` the longest
     pause of a stream that still is in time, ``completion_s`` the time within which all results of
     a job are due, counted from its acceptance (0: no time is set), ``max_queued_tokens`` how many
-    tokens of its jobs may wait at once (0: any number).
+    tokens of a tenant's jobs may wait at once (0: any number). A ``public`` route wants no key.
     """
 
     name: str
@@ -44,6 +46,7 @@
     gap_target_s: float = 0.0
     completion_s: float = 0.0
     max_queued_tokens: int = 0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -84,7 +87,10 @@
         routes: tuple[Route, ...],
         services: tuple[Service, ...],
         limits: ClientLimits,
+        tenants: TenantDirectory | None = None,
     ) -> None:
+        """``tenants`` is None where requests need no key."""
+        self.tenants = tenants
         self.version = version
         self.routes = routes
         self.services = {service.name: service for service in services}
@@ -101,6 +107,27 @@
                 return route
         return None
 
+    def identify(self, route: Route, key: KeyDigest | None) -> Identity | None:
+        """Return on whose behalf a request on a route comes; None when its key is nobody's."""
+        if self.tenants is None:
+            return NOBODY
+        return PUBLIC if route.public else self.tenants.identify(key)
+
+    def identify_job_call(self, host: str, key: KeyDigest | None) -> Identity | None:
+        """Return on whose behalf a call about a job comes.
+
+        Without a key it can only be about a job of a public route.
+        """
+        if self.tenants is None:
+            return NOBODY
+        if key is not None or not self._has_public_batch(host):
+            return self.tenants.identify(key)
+        return PUBLIC
+
+    def _has_public_batch(self, host: str) -> bool:
+        routes = self._by_host.get(host.lower(), ())
+        return any(route.public and route.kind == RouteKind.BATCH for route in routes)
+
     def batch_services(self) -> set[str]:
         """Return the services that run items."""
         batch = [route for route in self.routes if route.kind == RouteKind.BATCH]
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -9,6 +9,7 @@
 from rainsail.errors import Fault, FaultCode
 from rainsail.mechanisms import DEFAULTS, Mechanisms
 from rainsail.runtime.toml import parse_toml
+from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.wire.address import parse_address
 
 STEP = "settings.node"
@@ -76,11 +77,34 @@
     """Times that the operator promises to others, in seconds."""
 
     grace_s: float = Field(default=8.0, gt=0, description="From SIGTERM until SIGKILL")
+    keys_trusted_ms: float | None = Field(
+        default=None,
+        gt=0,
+        description="How long keys are taken while too few controllers answer (none: always)",
+    )
     results_kept_s: float = Field(
         default=600.0, gt=0, description="Results of a job that is over stay for this long"
     )
 
 
+class QuotaSection(_Section):
+    """How closely tenants' rates are kept over all gateways together."""
+
+    window_s: float = Field(
+        default=5.0, gt=0, description="Length of the windows in which admitted requests count"
+    )
+    overshoot: float = Field(
+        default=0.1, ge=0, description="Share by which a window may pass rate x window + burst"
+    )
+    slack: float = Field(
+        default=20.0, ge=0, description="Requests by which a window may pass it besides"
+    )
+
+    def terms(self) -> QuotaTerms:
+        """Return what the quotas' decisions need."""
+        return QuotaTerms(self.window_s, self.overshoot, self.slack)
+
+
 class NodeSettings(_Section):
     """The whole file."""
 
@@ -93,7 +117,9 @@
     bounds: BoundsSection = Field(
         default=BoundsSection(), description="Times that the operator promises to others"
     )
-
+    quota: QuotaSection = Field(
+        default=QuotaSection(), description="How closely tenants' rates are kept"
+    )
     mechanisms: Mechanisms = Field(
         default=DEFAULTS, description="Policies that can be turned off to measure them"
     )
--- a/src/rainsail/state/job_commands.py
+++ b/src/rainsail/state/job_commands.py
@@ -29,6 +29,7 @@
     """Keep a whole job, accepted at a time of the ledger; the same id again changes nothing."""
 
     job: str
+    tenant: str
     host: str
     path: str
     items: tuple[RelayedItem, ...]
@@ -104,6 +105,7 @@
     """One job as a part of a snapshot; bodies of listed items are empty."""
 
     job: str
+    tenant: str
     host: str
     path: str
     items: tuple[RelayedItem, ...]
--- a/src/rainsail/control/quota.py
+++ b/src/rainsail/tenancy/lender.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 
 from rainsail.control.messages import QuotaReport, QuotaShare, QuotaShares, TenantDemand
-from rainsail.control.quota_book import Grant, TenantBook
 from rainsail.resources.specs import TenantSpec
+from rainsail.tenancy.lent_shares import Grant, TenantBook
 
 DEMAND_SMOOTHING = 0.5
 """Weight of the newest report in a gateway's smoothed demand (1.0: only the newest)."""
--- /dev/null
+++ b/src/rainsail/tenancy/quota_client.py
@@ -0,0 +1,169 @@
+"""A gateway's side of the quotas: it asks the keeper for each request of a limited tenant.
+
+Requests that come while a question is under way go out together with the next one. While no keeper
+answers, the gateway decides by its own share, and tells the keeper afterwards what it admitted.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from expression import Result
+
+from rainsail.errors import Fault
+from rainsail.node_metrics import NodeMetrics
+from rainsail.runtime.clock import Clock
+from rainsail.tenancy.local_share import LocalShares
+from rainsail.tenancy.messages import QuotaAsk, QuotaGrant, QuotaGrants, QuotaNeed
+from rainsail.tenancy.quota_terms import QuotaTerms
+from rainsail.tenancy.tenants import Identity, RateLimit
+from rainsail.wire.messenger import Messenger
+
+ANSWER_WITHIN_S = 0.12
+"""Longer than a busy keeper takes, and short beside any target for a first byte."""
+ASK_AGAIN_AFTER_S = 0.2
+"""Pause after an answer that did not come; meanwhile the gateway decides by itself."""
+LONGEST_RETRY_AFTER_S = 1.0
+LONGEST_CLOSED_S = 0.05
+"""A tenant over its quota is refused for this long at most without asking again."""
+
+Decided = Callable[[float], None]
+"""Called with 0 when a request is admitted, otherwise with the seconds until it may come back."""
+
+
+@dataclass(slots=True)
+class _Waiting:
+    limit: RateLimit
+    decisions: deque[Decided] = field(default_factory=deque)
+
+
+class QuotaClient:
+    """Decides on requests; every decision is made once, at the latest when an answer is late."""
+
+    def __init__(
+        self, messenger: Messenger, clock: Clock, terms: QuotaTerms, metrics: NodeMetrics
+    ) -> None:
+        self._messenger = messenger
+        self._clock = clock
+        self._metrics = metrics
+        self._local = LocalShares(terms)
+        self._keeper = ""
+        self._ask_after_s = float("-inf")
+        self._asking = False
+        self._planned = False
+        self._waiting: dict[str, _Waiting] = {}
+        self._spent: dict[str, int] = {}
+        self._limits: dict[str, RateLimit] = {}
+        self._closed_until_s: dict[str, float] = {}
+        self.table_version = 0
+
+    def set_keeper(self, address: str) -> None:
+        """Ask this node from now on; empty when none is known."""
+        self._keeper = address
+        self._ask_after_s = float("-inf")
+
+    def admit(self, identity: Identity, decided: Decided) -> None:
+        """Decide on a request, now or as soon as the keeper has answered."""
+        if not identity.limit.limits:
+            decided(0.0)
+            return
+        tenant, now = identity.tenant, self._clock.seconds()
+        closed_s = self._closed_until_s.get(tenant, 0.0) - now
+        if closed_s > 0:
+            self._decide(decided, tenant, closed_s, "closed")
+            return
+        if not self._keeper or now < self._ask_after_s:
+            self._decide_alone(tenant, identity.limit, decided)
+            return
+        waiting = self._waiting.setdefault(tenant, _Waiting(identity.limit))
+        waiting.limit = identity.limit
+        waiting.decisions.append(decided)
+        self._plan_ask()
+
+    def _decide(self, decided: Decided, tenant: str, wait_s: float, source: str) -> None:
+        outcome = "admitted" if wait_s <= 0 else "refused"
+        self._metrics.count("quota_decisions", outcome=outcome, by=source)
+        decided(min(wait_s, LONGEST_RETRY_AFTER_S))
+
+    def give_back(self, identity: Identity) -> None:
+        """A request that was admitted has not run and never will: it doesn't count."""
+        if identity.limit.limits:
+            self._spend(identity.tenant, identity.limit, -1)
+
+    def _spend(self, tenant: str, limit: RateLimit, amount: int) -> None:
+        """Note what the keeper is to hear with the next question."""
+        self._spent[tenant] = self._spent.get(tenant, 0) + amount
+        self._limits[tenant] = limit
+
+    def _decide_alone(self, tenant: str, limit: RateLimit, decided: Decided) -> None:
+        wait_s = self._local.admit(tenant, limit, self._clock.seconds())
+        if wait_s <= 0:
+            self._spend(tenant, limit, 1)
+        self._decide(decided, tenant, wait_s, "gateway")
+
+    # --- asking --------------------------------------------------------------------------
+
+    def _plan_ask(self) -> None:
+        if not self._planned and not self._asking:
+            self._planned = True
+            self._clock.callLater(0.0, self._ask)
+
+    def _ask(self) -> None:
+        self._planned = False
+        if self._asking or not self._waiting:
+            return
+        asked, self._waiting = self._waiting, {}
+        spent, self._spent = self._spent, {}
+        needs = [
+            self._need(tenant, waiting.limit, len(waiting.decisions), spent.pop(tenant, 0))
+            for tenant, waiting in asked.items()
+        ]
+        needs += [self._need(tenant, self._limits[tenant], 0, spent[tenant]) for tenant in spent]
+        self._asking = True
+        ask = QuotaAsk(self.table_version, tuple(needs))
+        reply = self._messenger.call(self._keeper, ask, ANSWER_WITHIN_S)
+        reply.addCallback(self._take_reply, asked, ask)
+
+    @staticmethod
+    def _need(tenant: str, limit: RateLimit, wanted: int, spent: int) -> QuotaNeed:
+        return QuotaNeed(tenant, limit.rate_per_s, limit.burst, wanted, spent)
+
+    def _take_reply(
+        self, result: Result[QuotaGrants, Fault], asked: dict[str, _Waiting], ask: QuotaAsk
+    ) -> None:
+        self._asking = False
+        if result.is_error():
+            self._no_answer(asked, ask)
+        else:
+            for grant in result.ok.grants:
+                self._take_grant(grant, asked.get(grant.tenant))
+        if self._waiting:
+            self._plan_ask()
+
+    def _take_grant(self, grant: QuotaGrant, waiting: _Waiting | None) -> None:
+        self._local.told(grant.tenant, grant.share)
+        if waiting is None:
+            return
+        granted = grant.granted
+        if granted < len(waiting.decisions):
+            closed_s = min(LONGEST_CLOSED_S, grant.retry_after_s)
+            self._closed_until_s[grant.tenant] = self._clock.seconds() + closed_s
+        for place, decided in enumerate(waiting.decisions):
+            wait_s = 0.0
+            if place >= granted:
+                wait_s = grant.retry_after_s + (place - granted) / waiting.limit.rate_per_s
+            self._decide(decided, grant.tenant, wait_s, "keeper")
+
+    def _no_answer(self, asked: dict[str, _Waiting], ask: QuotaAsk) -> None:
+        """Decide by the own share what the keeper did not, and what has come since."""
+        self._metrics.count("quota_asks_unanswered")
+        self._ask_after_s = self._clock.seconds() + ASK_AGAIN_AFTER_S
+        for need in ask.needs:
+            if need.spent:
+                limit = RateLimit(need.rate_per_s, need.burst)
+                self._spend(need.tenant, limit, need.spent)
+        later, self._waiting = self._waiting, {}
+        for group in (asked, later):
+            for tenant, waiting in group.items():
+                for decided in waiting.decisions:
+                    self._decide_alone(tenant, waiting.limit, decided)
--- a/src/rainsail/gateway/token_bucket.py
+++ b/src/rainsail/tenancy/token_bucket.py
@@ -24,6 +24,11 @@
         self.burst = burst
         self._level = min(self._level, burst)
 
+    def level(self, now_s: float) -> float:
+        """Return the tokens that are there, less than 0 in debt."""
+        self._advance(now_s)
+        return self._level
+
     def wait_s(self, tokens: float, now_s: float, ahead: float = 0.0) -> float:
         """Return the seconds until ``tokens`` can be taken after ``ahead`` others (0: now).
 
--- a/src/rainsail/wire/protocol.py
+++ b/src/rainsail/wire/protocol.py
@@ -25,6 +25,7 @@
     "rainsail.cluster.messages",
     "rainsail.jobs.messages",
     "rainsail.state.job_commands",
+    "rainsail.tenancy.messages",
     "rainsail.wire.hello",
 )
 """What every node of a relaying fleet speaks; members of a group check their records apart."""
