Let a large fleet start: nodes follow the voters, pushes go out in batches, pages once encoded

A controller outside the root group could not tell its voters of a runner that leaves at all: it knew none, so its quorum was never reached. Ruled out: the table's size (72 tenants, 40 routes), redials (they follow from the rest). Change: above 7 controllers a node beats to the root group's voters, and to two others in turn while most of these are silent; views only when changed; runners' pages and pushes encoded once; pushes rest 1.5 ms for each follower; a table is fetched from one controller at a time; words at a controller that nodes do not follow go to the voters; empty replicas greet members alone; at most 64 gateways hear of a prompt that is read; the ledger's leader of the highest term counts.

--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -64,8 +64,14 @@
     """Nodes by name; a machine's disk outlives its process."""
 
     def __init__(
-        self, seed: int, controllers: int = 3, storage: int = 3, gateways: int = 2
+        self,
+        seed: int,
+        controllers: int = 3,
+        storage: int = 3,
+        gateways: int = 2,
+        seeds: int | None = None,
     ) -> None:
+        """Start all nodes; the first ``seeds`` controllers (all, when None) found the group."""
         self.clock = VirtualClock()
         self.max_queued_tokens = 0
         self.random = random.Random(seed)
@@ -74,7 +80,7 @@
         self.nodes: dict[str, SimulatedNode] = {}
         self.ips: dict[str, str] = {}
         self.pools: dict[str, StandInPool] = {}
-        self.seeds = [f"10.0.1.{number}" for number in range(1, controllers + 1)]
+        self.seeds = [f"10.0.1.{number}" for number in range(1, (seeds or controllers) + 1)]
         for number in range(1, controllers + 1):
             self.start(f"controller-{number}", founding=True)
         for number in range(1, storage + 1):
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -5,6 +5,7 @@
 own words within one beat.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,7 +14,8 @@
 
 from rainsail.cluster.directory import NodeDirectory
 from rainsail.cluster.fleet_state import FleetState
-from rainsail.cluster.follower import FleetFollower
+from rainsail.cluster.followed import MOST_FOLLOWED_WHOLE, in_turn
+from rainsail.cluster.follower import EMPTY_VIEW, FleetFollower
 from rainsail.cluster.founders import choose_founders, voters_for
 from rainsail.cluster.leader_calls import LeaderCaller
 from rainsail.cluster.messages import (
@@ -28,6 +30,7 @@
     NodeRole,
     ReadEmptying,
     ReadTable,
+    RunnerPage,
     RunnerReads,
     RunnerRecord,
     RunnerShared,
@@ -39,15 +42,24 @@
     TableDocument,
     TableNotice,
 )
+from rainsail.cluster.push_queue import PushQueue
 from rainsail.cluster.quorum_wait import QuorumWait
+from rainsail.cluster.registry import matters
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.state.cluster_commands import FoundLedger, ReleaseNode, ReplaceTable
+from rainsail.wire.codec import encode
 from rainsail.wire.messenger import Messenger
 
 PLAN_PERIOD_S = 0.25
+VIEW_KEPT_S = 0.05
+"""A view is made anew after this time: hundreds of nodes ask for it each second."""
+GATEWAYS_ROUNDED_TO = 32
+MOST_TOLD_OF_READING = 64
+"""So many gateways are told of a prompt that a runner reads: in a larger fleet each of them sends
+that runner so little that the word is worth less than it costs."""
 FOUND_WITH_FEWER_AFTER_S = 6.0
 """A leader waits this long for enough storage nodes before it founds the ledger with fewer."""
 
@@ -65,6 +77,30 @@
     share_within_s: float = 0.8
 
 
+class _NumberedView:
+    """The latest view, made anew now and then, and a number that rises when it has changed."""
+
+    def __init__(self) -> None:
+        self.view = EMPTY_VIEW
+        self.number = 0
+        self._made_s = float("-inf")
+
+    def current(self, make: Callable[[float], FleetView], now: float) -> FleetView:
+        """Return the view of now, or of a moment ago."""
+        if now - self._made_s >= VIEW_KEPT_S:
+            self._made_s = now
+            view = make(now)
+            if view != self.view or not self.number:
+                self.view = view
+                self.number += 1
+        return self.view
+
+
+def _rounded_up(count: int) -> int:
+    """Return a count rounded up, so that it seldom changes."""
+    return -(-count // GATEWAYS_ROUNDED_TO) * GATEWAYS_ROUNDED_TO
+
+
 class FleetController:
     """Serves nodes over the messenger, and runners and operators through its methods."""
 
@@ -90,6 +126,12 @@
         self._calls = LeaderCaller(messenger, clock, group, self._other_controllers)
         self._epoch = node.incarnation
         self._pushed_revision = 0
+        self._pushes = PushQueue(clock, self._count_followers, self._push_batch)
+        self._views = _NumberedView()
+        self._pages: dict[int, bytes] = {}
+        self._pages_revision = 0
+        self._unshared: set[str] = set()
+        self._readings = 0
         self._noticed_version = 0
         self._ledger_term = 0
         self._leads_since_s: float | None = None
@@ -118,12 +160,17 @@
     # --- runners -------------------------------------------------------------------------
 
     def runner_word(self, record: RunnerRecord) -> "Deferred[Result[None, Fault]]":
-        """Take a runner's word; one that leaves is known to a quorum when this fires."""
+        """Take a runner's word; one that leaves is known to a quorum when this fires.
+
+        Nodes follow the voters, so what another controller hears first is known to a quorum too.
+        """
         known = self._registry.get(record.runner)
         self._take_word(record)
         now_known = self._registry.get(record.runner)
-        if now_known is None or now_known.state == RunnerState.READY:
+        if now_known is None:
             return succeed(Ok(None))
+        if now_known.state == RunnerState.READY:
+            return self._share_ready(now_known, known)
         if known is not None and known.state == now_known.state and known.state != record.state:
             return succeed(Ok(None))
         return self._share(now_known)
@@ -140,34 +187,68 @@
                 log = logger.bind(runner=each.runner, service=each.service, state=each.state.value)
                 log.bind(address=each.address, sequence=each.sequence).info("runner_changed")
 
+    def _share_ready(
+        self, record: RunnerRecord, known: RunnerRecord | None
+    ) -> "Deferred[Result[None, Fault]]":
+        changed = known is None or matters(known, record)
+        if self._is_followed() or not (changed or record.runner in self._unshared):
+            return succeed(Ok(None))
+        self._unshared.add(record.runner)
+        return self._share(record).addCallback(self._ready_shared, record.runner)
+
+    def _ready_shared(self, result: Result[None, Fault], runner: str) -> Result[None, Fault]:
+        if result.is_ok():
+            self._unshared.discard(runner)
+        return result
+
+    def _voters(self) -> tuple[str, ...]:
+        """Return the root group's voters; a controller outside the group knows them by hearsay."""
+        own = tuple(member.replica for member in self._group.members().voters())
+        return own or self._follower.voters()
+
+    def _is_followed(self) -> bool:
+        """Tell whether nodes follow this controller, so that its pushes reach them."""
+        known = {*self._views.view.controllers, *self._follower.view().controllers}
+        return self._node.address in self._voters() or len(known) <= MOST_FOLLOWED_WHOLE
+
     def _share(self, record: RunnerRecord) -> "Deferred[Result[None, Fault]]":
         """Tell the other controllers, and wait until a quorum of them knows."""
-        members = self._group.members()
-        voters = [member.replica for member in members.voters()]
+        voters = self._voters()
         others = [name for name in voters if name != self._node.address]
-        needed = members.quorum() - (1 if self._node.address in voters else 0)
+        quorum = len(voters) // 2 + 1
+        needed = quorum - (1 if self._node.address in voters else 0)
         wait = QuorumWait(needed, len(others), "cluster.share_runner")
         for name in others:
-            call = self._messenger.call(name, ShareRunner(record), self._settings.share_within_s)
+            call = self._messenger.call(name, ShareRunner((record,)), self._settings.share_within_s)
             call.addCallback(wait.take)
         return wait.done
 
     def _take_shared(self, source: str, message: ShareRunner) -> RunnerShared:
-        self._take_word(message.record)
+        for record in message.records:
+            self._take_word(record)
         return RunnerShared()
 
     def _push_runners(self, changed: list[RunnerRecord]) -> None:
+        self._pushes.add(changed)
+
+    def _count_followers(self) -> int:
+        return len(self._directory.followers(self._clock.seconds()))
+
+    def _push_batch(self, changed: tuple[RunnerRecord, ...]) -> None:
         previous, self._pushed_revision = self._pushed_revision, self._registry.revision
-        update = RunnerUpdate(self._epoch, previous, self._registry.revision, tuple(changed))
-        for address in self._directory.followers(self._clock.seconds()):
-            self._messenger.send(address, update)
+        update = RunnerUpdate(self._epoch, previous, self._registry.revision, changed)
+        self._messenger.send_all(self._directory.followers(self._clock.seconds()), update)
 
     def _hand_on_reading(self, source: str, message: RunnerReads) -> None:
         """Tell every other gateway that a runner is busy reading."""
         now = self._clock.seconds()
-        for address in self._directory.addresses(NodeRole.GATEWAY, now):
-            if address != source:
-                self._messenger.send(address, message)
+        gateways = [
+            address
+            for address in self._directory.addresses(NodeRole.GATEWAY, now)
+            if address != source
+        ]
+        self._readings += 1
+        self._messenger.send_all(in_turn(gateways, self._readings, MOST_TOLD_OF_READING), message)
 
     # --- nodes ---------------------------------------------------------------------------
 
@@ -178,23 +259,39 @@
             log = logger.bind(node=node.name, address=node.address, role=node.role.value)
             log.info("node_heard")
         self._notice_ledger_leader(beat, now)
-        known = beat.revision if beat.epoch == self._epoch else 0
+        same_epoch = beat.epoch == self._epoch
+        view = self._views.current(self._view, now)
+        knows_view = same_epoch and beat.view == self._views.number
         return NodeBeatReply(
-            self._view(now),
+            None if knows_view else view,
+            self._views.number,
             self._state.version,
             self._epoch,
             self._registry.revision,
-            self._registry.changed_since(known),
+            self._page_since(beat.revision if same_epoch else 0),
         )
 
+    def _page_since(self, revision: int) -> bytes:
+        """Return the encoded runners that changed after a revision, encoded once for all nodes."""
+        if revision == self._registry.revision:
+            return b""
+        if self._pages_revision != self._registry.revision:
+            self._pages_revision = self._registry.revision
+            self._pages.clear()
+        page = self._pages.get(revision)
+        if page is None:
+            changed = self._registry.changed_since(revision)
+            page = self._pages[revision] = encode(RunnerPage(changed)) if changed else b""
+        return page
+
     def _notice_ledger_leader(self, beat: NodeBeat, now: float) -> None:
         """Push the ledger's new leader at once: gateways report to it what they have running."""
         status = beat.ledger
         if status is None or not status.leads or status.term <= self._ledger_term:
             return
         self._ledger_term = status.term
-        for address in self._directory.followers(now):
-            self._messenger.send(address, LedgerLeader(beat.node.address, status.term))
+        followers = self._directory.followers(now)
+        self._messenger.send_all(followers, LedgerLeader(beat.node.address, status.term))
 
     def _view(self, now: float) -> FleetView:
         members = {member.replica for member in self._group.members().members}
@@ -207,12 +304,17 @@
             self._state.founders,
             self._state.released,
             "" if leading is None else leading[0],
+            tuple(member.replica for member in self._group.members().voters()),
+            () if leading is None else leading[1].voters,
+            0 if leading is None else leading[1].term,
+            _rounded_up(len(self._directory.live(NodeRole.GATEWAY, now))),
         )
 
     def _other_controllers(self) -> list[str]:
         now = self._clock.seconds()
         known = {*self._view(now).controllers, *self._follower.view().controllers}
-        return sorted(name for name in known if name != self._node.address)
+        named = self._voters() or known
+        return sorted(name for name in named if name != self._node.address)
 
     # --- the routing table ---------------------------------------------------------------
 
@@ -257,8 +359,8 @@
         self._noticed_version = self._state.version
         self._follower.table_version = self._state.version
         logger.bind(version=self._state.version, index=index).info("table_applied")
-        for address in self._directory.followers(self._clock.seconds()):
-            self._messenger.send(address, TableNotice(self._state.version))
+        followers = self._directory.followers(self._clock.seconds())
+        self._messenger.send_all(followers, TableNotice(self._state.version))
 
     # --- emptying a storage node ---------------------------------------------------------
 
@@ -316,9 +418,9 @@
             return
         now = self._clock.seconds()
         # Before the first beats arrive a controller knows the others from its seeds alone.
-        known = {*self._view(now).controllers, *self._follower.view().controllers}
-        controllers = tuple(sorted(known))
-        self._group.open_to(controllers, voters_for(self._settings.losses))
+        view = self._views.current(self._view, now)
+        known = {*view.controllers, *self._follower.view().controllers}
+        self._group.open_to(self._contacts(known), voters_for(self._settings.losses))
         if self._group.is_leader():
             if self._leads_since_s is None:
                 self._leads_since_s = now
@@ -327,6 +429,14 @@
             self._leads_since_s = None
         self._clock.callLater(PLAN_PERIOD_S, self._plan)
 
+    def _contacts(self, known: set[str]) -> tuple[str, ...]:
+        """Return the controllers that may join, or whom this one asks to let it join."""
+        members = {member.replica for member in self._group.members().members}
+        asked = members or set(self._follower.view().voters)
+        if self._node.address in members or len(known) <= MOST_FOLLOWED_WHOLE or not asked:
+            return tuple(sorted(known))
+        return tuple(sorted(asked))
+
     def _found_ledger(self, now: float) -> None:
         if self._state.founders or self._founding or self._leads_since_s is None:
             return
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -1,14 +1,15 @@
-"""A node's side of the fleet: it beats to every controller and takes what they say.
+"""A node's side of the fleet: it beats to the controllers that it follows and takes their word.
 
 Nothing here is durable. What controllers push is taken at once; each beat makes good whatever a
 lost push left out. A node keeps its last view while no controller answers.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
+from rainsail.cluster.followed import followed_controllers
 from rainsail.cluster.messages import (
     FetchTable,
     FleetView,
@@ -17,6 +18,7 @@
     NodeBeat,
     NodeBeatReply,
     NodeRecord,
+    RunnerPage,
     RunnerReads,
     RunnerRecord,
     RunnerUpdate,
@@ -26,6 +28,7 @@
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
+from rainsail.wire.codec import decode
 from rainsail.wire.messenger import Messenger
 
 BEAT_PERIOD_S = 1.0
@@ -40,6 +43,7 @@
 class _Controller:
     epoch: int = 0
     revision: int = 0
+    view_number: int = 0
     heard_s: float = float("-inf")
     asked_s: float = float("-inf")
     waiting: bool = False
@@ -65,6 +69,9 @@
         self.registry = registry
         self._controllers: dict[str, _Controller] = {}
         self._stopped = False
+        self._rounds = 0
+        self._fetching_version = 0
+        self._pushed_leader = (0, "")
         self.table_version = 0
         self.ledger_status: Callable[[], LedgerStatus | None] = lambda: None
         self.on_runners: Callable[[list[RunnerRecord]], None] = lambda changed: None
@@ -102,32 +109,45 @@
         return sum(1 for each in self._controllers.values() if self._is_fresh(each))
 
     def hears(self, count: int, within_s: float) -> bool:
-        """Tell whether so many controllers have answered within a time.
+        """Tell whether so many voters have answered within a time.
 
-        What a quorum of controllers knows, one of ``losses + 1`` voters knows.
+        What a quorum of voters knows, one of ``losses + 1`` voters knows.
         """
-        now = self._clock.seconds()
-        heard = [each for each in self._controllers.values() if now - each.heard_s <= within_s]
-        return len(heard) >= count
+        return self.silent_s(count) <= within_s
 
     def silent_s(self, count: int) -> float:
-        """Return how long ago so many controllers had last answered."""
-        heard = sorted((each.heard_s for each in self._controllers.values()), reverse=True)
+        """Return how long ago so many voters had last answered."""
+        voters = self.voters() or self._controllers
+        found = [each for name, each in self._controllers.items() if name in voters]
+        heard = sorted((each.heard_s for each in found), reverse=True)
         if len(heard) < count:
             return float("inf")
         return self._clock.seconds() - heard[count - 1]
 
+    def voters(self) -> tuple[str, ...]:
+        """Return the voters of the root group as the controller heard of last names them."""
+        return self._newest_view().voters
+
+    def _newest_view(self) -> FleetView:
+        fresh = self._fresh()
+        return fresh[-1].view if fresh else EMPTY_VIEW
+
     def view(self) -> FleetView:
         """Return what the controllers heard of lately say together."""
         fresh = [each.view for each in self._fresh()]
-        leaders = [view.ledger_leader for view in fresh if view.ledger_leader]
+        leaders = [(view.ledger_term, view.ledger_leader) for view in fresh if view.ledger_leader]
+        ledger_term, ledger_leader = max([self._pushed_leader, *leaders], key=_term_of)
         founders = [view.founders for view in fresh if view.founders]
         return FleetView(
             tuple(sorted(self._controllers)),
             tuple(sorted({name for view in fresh for name in view.storage})),
             founders[0] if founders else (),
             tuple(sorted({name for view in fresh for name in view.leaving})),
-            leaders[-1] if leaders else "",
+            ledger_leader,
+            self._newest_view().voters,
+            self._newest_view().ledger_voters,
+            ledger_term,
+            self._newest_view().gateways,
         )
 
     def _fresh(self) -> list[_Controller]:
@@ -145,20 +165,36 @@
     def _tick(self) -> None:
         if self._stopped:
             return
-        for address in sorted(self._controllers):
-            if address != self._node.address:
-                self.beat(address)
+        self._rounds += 1
+        for address in self.followed():
+            self.beat(address)
         self._forget_lost()
         period_s = BEAT_PERIOD_S if self.heard_any else FIRST_BEATS_PERIOD_S
         self._clock.callLater(period_s, self._tick)
 
+    def followed(self) -> list[str]:
+        """Return the controllers that this node beats to now."""
+        heard_s = {
+            name: each.heard_s
+            for name, each in self._controllers.items()
+            if name != self._node.address
+        }
+        now = self._clock.seconds()
+        return followed_controllers(heard_s, self.voters(), self._seeds, self._rounds, now)
+
     def beat(self, address: str) -> None:
         """Send one beat, unless the last one still waits for its answer."""
         controller = self._know(address)
         if controller.waiting:
             return
         controller.waiting = True
-        beat = NodeBeat(self._node, controller.epoch, controller.revision, self.ledger_status())
+        beat = NodeBeat(
+            self._node,
+            controller.epoch,
+            controller.revision,
+            controller.view_number,
+            self.ledger_status(),
+        )
         reply: Deferred = self._messenger.call(address, beat, CALL_TIMEOUT_S)
         reply.addCallback(self._take_reply, address)
 
@@ -169,14 +205,18 @@
             return
         reply: NodeBeatReply = result.ok  # type: ignore[attr-defined]
         if controller.heard_s == float("-inf"):
-            logger.bind(controller=address, runners=len(reply.runners)).info("controller_found")
+            logger.bind(controller=address, revision=reply.revision).info("controller_found")
         controller.heard_s = self._clock.seconds()
         controller.epoch = reply.epoch
         controller.revision = reply.revision
-        controller.view = reply.view
-        for name in reply.view.controllers:
-            self._know(name)
-        self._merge(reply.runners)
+        controller.view_number = reply.view_number
+        if reply.view is not None:
+            controller.view = reply.view
+            for name in reply.view.controllers:
+                self._know(name)
+        if reply.runners:
+            page: RunnerPage = decode(reply.runners)
+            self._merge(page.runners)
         self.on_view(self.view())
         self._want_table(address, reply.table_version)
 
@@ -211,8 +251,9 @@
         self._want_table(source, notice.version)
 
     def _take_ledger_leader(self, source: str, message: LedgerLeader) -> None:
-        for controller in self._controllers.values():
-            controller.view = replace(controller.view, ledger_leader=message.address)
+        self._pushed_leader = max(
+            self._pushed_leader, (message.term, message.address), key=_term_of
+        )
         self.on_ledger_leader(message.address)
 
     def tell_reading(self, runner: str, reading_s: float) -> None:
@@ -226,14 +267,16 @@
 
     def _want_table(self, address: str, version: int) -> None:
         controller = self._know(address)
-        if version <= self.table_version or controller.fetching:
+        if version <= max(self.table_version, self._fetching_version) or controller.fetching:
             return
         controller.fetching = True
+        self._fetching_version = version
         reply = self._messenger.call(address, FetchTable(), CALL_TIMEOUT_S)
         reply.addCallback(self._take_table, address)
 
     def _take_table(self, result: object, address: str) -> None:
         self._know(address).fetching = False
+        self._fetching_version = 0
         if self._stopped or result.is_error():  # type: ignore[attr-defined]
             return
         document: TableDocument = result.ok  # type: ignore[attr-defined]
@@ -241,3 +284,7 @@
             self.table_version = document.version
             logger.bind(version=document.version, controller=address).info("table_taken")
             self.on_table(document)
+
+
+def _term_of(leader: tuple[int, str]) -> int:
+    return leader[0]
--- a/src/rainsail/cluster/messages.py
+++ b/src/rainsail/cluster/messages.py
@@ -68,6 +68,9 @@
 
     ``storage`` are the storage nodes heard of lately, ``founders`` those that found the ledger
     group (empty until that is decided), ``leaving`` the storage nodes that are to be emptied.
+    ``voters`` and ``ledger_voters`` are the members of the root group and of the ledger that
+    decide, ``ledger_term`` is the term of the ledger's leader; ``gateways`` is about how many there
+    are, rounded up so that it seldom changes.
     """
 
     controllers: tuple[str, ...]
@@ -75,6 +78,10 @@
     founders: tuple[str, ...]
     leaving: tuple[str, ...]
     ledger_leader: str
+    voters: tuple[str, ...] = ()
+    ledger_voters: tuple[str, ...] = ()
+    ledger_term: int = 0
+    gateways: int = 0
 
 
 @wire_record
@@ -82,24 +89,39 @@
 class NodeBeat:
     """Says that a node is there, and up to where it knows this controller's registry.
 
-    ``epoch`` and ``revision`` are those of the last reply or update from this controller.
+    ``epoch`` and ``revision`` are those of the last reply or update from this controller, ``view``
+    the number of the last view that came from it in that epoch.
     """
 
     node: NodeRecord
     epoch: int
     revision: int
+    view: int
     ledger: LedgerStatus | None
 
 
 @wire_record
 @dataclass(frozen=True, slots=True)
 class NodeBeatReply:
-    """The fleet, and the runners that have changed since the revision that the node knows."""
+    """The fleet, and the runners that have changed since the revision that the node knows.
 
-    view: FleetView
+    ``view`` is None when the node knows the newest one, of number ``view_number``. ``runners`` is
+    an encoded ``RunnerPage`` (empty: none has changed), since many nodes get the same.
+    """
+
+    view: FleetView | None
+    view_number: int
     table_version: int
     epoch: int
     revision: int
+    runners: bytes
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class RunnerPage:
+    """Runners that have changed, oldest change first."""
+
     runners: tuple[RunnerRecord, ...]
 
 
@@ -140,9 +162,9 @@
 @wire_record
 @dataclass(frozen=True, slots=True)
 class ShareRunner:
-    """Tells another controller a runner's word; the answer says that it is known there."""
+    """Tells another controller runners' words; the answer says that they are known there."""
 
-    record: RunnerRecord
+    records: tuple[RunnerRecord, ...]
 
 
 @wire_record
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 
 from rainsail.cluster.leader_calls import LeaderCaller
+from rainsail.cluster.messages import FleetView
 from rainsail.errors import Fault
 from rainsail.fleet.base import NodeBase
 from rainsail.fleet.listening import listen
@@ -49,7 +50,7 @@
             base.messenger,
             base.clock,
             None,
-            lambda: base.follower.view().storage,
+            lambda: _ledger_nodes(base.follower.view()),
             LEDGER_CALL_TIMEOUT_S,
         )
         jobs = JobClient(calls)
@@ -104,6 +105,11 @@
             self._base.clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
 
 
+def _ledger_nodes(view: FleetView) -> tuple[str, ...]:
+    """Return the storage nodes that may lead the ledger."""
+    return view.ledger_voters or view.storage
+
+
 def _relay_settings(base: NodeBase) -> RelaySettings:
     settings = base.settings
     trusted_ms = settings.bounds.keys_trusted_ms
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -147,10 +147,18 @@
             own = self._base.node.address in view.founders
             self._start_group(view.founders if own else ())
         if self.driver is not None:
-            contacts = tuple(sorted({*view.storage, *view.founders}))
-            self.driver.open_to(contacts, voters_for(self._base.settings.node.losses))
+            self.driver.open_to(self._contacts(view), voters_for(self._base.settings.node.losses))
             self.driver.let_go(frozenset(view.leaving))
 
+    def _contacts(self, view: FleetView) -> tuple[str, ...]:
+        """Return the storage nodes that may join, or whom this one asks to let it join."""
+        assert self.driver is not None
+        members = {member.replica for member in self.driver.members().members}
+        asked = {*members, *view.ledger_voters}
+        if self._base.node.address in members or not asked:
+            return tuple(sorted({*view.storage, *view.founders}))
+        return tuple(sorted({*asked, *view.founders}))
+
     def _status(self) -> LedgerStatus | None:
         driver = self.driver
         if driver is None:
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -8,7 +8,7 @@
 that the peer itself said so.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import Any, Protocol, TypeVar
@@ -75,6 +75,12 @@
         self._next_call_id = 1
         transport.listen(self._deliver)
 
+    def send_all(self, destinations: Iterable[ProcessName], message: Any) -> None:
+        """Send one message to many; a transport encodes it once. Faults are passed over."""
+        envelope = Envelope(EnvelopeKind.ONE_WAY, 0, message)
+        for destination in destinations:
+            self._transport.send(destination, envelope)
+
     def serve(self, message_type: type, handler: Handler) -> None:
         """Handle each arriving message of ``message_type``; one handler per type."""
         self._handlers[message_type] = handler
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -65,6 +65,8 @@
         self._calls = UnansweredCalls()
         self._ports: list[Any] = []
         self._stopped = False
+        self._last_envelope: Envelope | None = None
+        self._last_data = b""
         for address in self._peers.values():
             self._check_exposure(address)
         if tls is None and not settings.plaintext_off_loopback:
@@ -83,13 +85,20 @@
         if destination == self.name:
             self._reactor.callLater(0, self._hand_up, destination, envelope)
             return None
-        data = encode_envelope(envelope)
+        data = self._encoded(envelope)
         connection = self._dialled.get(destination) or self._accepted.get(destination)
         call_id = envelope.call_id if envelope.kind == EnvelopeKind.CALL else 0
         if connection is not None:
             return self._send_on(connection, QueuedEnvelope(data, call_id))
         return self._queue_for(destination, QueuedEnvelope(data, call_id))
 
+    def _encoded(self, envelope: Envelope) -> bytes:
+        """Encode an envelope, or take the bytes of the last one if it goes to many."""
+        if envelope is not self._last_envelope:
+            self._last_envelope = envelope
+            self._last_data = encode_envelope(envelope)
+        return self._last_data
+
     # --- lifecycle -------------------------------------------------------------------------------
 
     def listen_on(self, host: str, port: int) -> "Deferred[Result[int, Fault]]":
