Have the ledger's leader place requests while a service is busy, and refuse at once what would wait

Change: while a service is busy (60 % of its slots, told with the answers to reports) a gateway asks the leader where a request goes; the leader counts it from that moment, takes a free slot, one that an item holds (which gives way at once), or where fewest wait, and refuses when the wait would be over a quarter of the target. The client hears when to come back: after as long as overloads have lasted, spread; one that came back is never refused. Outcomes of all gateways together leave a failing runner out, longer each time. Asked too often, or gone, the leader is done without. Where a prompt's home matters the gateway chooses as before. The occupancy reads that were off are gone. Reports go out each 20 ms of a change.

--- a/features/ablation/ablation.feature
+++ b/features/ablation/ablation.feature
@@ -2,7 +2,7 @@
 
   Scenario: Every policy is on unless a settings file says otherwise
     Given a node's settings file without switches
-    Then every policy but "shared_occupancy" is on
+    Then every policy is on
 
   Scenario Outline: A policy is turned off, or on, by its switch
     Given a node's settings file that turns the switch of "<policy>" over
@@ -10,7 +10,8 @@
 
     Examples:
       | policy           |
-      | shared_occupancy |
+      | placement        |
+      | admission        |
       | prompt_homes     |
       | prefix_memory    |
       | reading_clock    |
--- /dev/null
+++ b/features/relay/overload.feature
@@ -0,0 +1,36 @@
+Feature: A request that would wait too long for a slot is refused at once, to come back in time
+
+  Background:
+    Given a service of 100 slots whose answers take 0.8 seconds, with a target of 0.3 seconds
+
+  Scenario: Nothing is refused while a slot is free, nor without the leader's word
+    When the leader says that 99 requests are under way
+    Then the next request is taken
+    When 1 second passes without the leader's word, after it said 300
+    Then the next request is taken
+
+  Scenario: A request that may still be in time is taken, one that would wait too long is not
+    When the leader says that 105 requests are under way
+    Then the next request is taken
+    When the leader says that 130 requests are under way
+    Then the next request is refused, to come back between 0.25 and 1.7 seconds later
+
+  Scenario: What this gateway has sent since the leader counted is counted in
+    When the leader says that 100 requests are under way, 2 of them from here
+    Then the next request is refused once 40 are under way from here
+
+  Scenario: Nobody is refused twice
+    When the leader says that 130 requests are under way
+    Then a request with 3.5 of its 5.1 seconds left is taken
+
+  Scenario: Clients come back after the overload, as long as the last ones were
+    When overloads of 1.2 seconds have been seen
+    And the leader says that 130 requests are under way
+    Then clients that are refused come back spread over 1.2 to 1.7 seconds later
+
+  Scenario: The relay refuses before anything is sent, and tells when to come back
+    Given a relay with 3 runners and a "safe" route
+    When the leader tells the relay of 40 requests on 12 slots of 0.8 seconds
+    And a client sends a request to the relay
+    Then the client is refused with 503 and a time to come back, at once
+    And 0 sendings were made
--- a/features/steps/ablation_steps.py
+++ b/features/steps/ablation_steps.py
@@ -57,10 +57,10 @@
     _load(context, TOOL.switched_over(NODE, policy))
 
 
-@then('every policy but "{policy}" is on')
-def all_but_one_on(context, policy):
+@then("every policy is on")
+def all_on(context):
     switches = context.loaded.ok.mechanisms.model_dump()
-    assert [name for name, on in switches.items() if not on] == [policy], switches
+    assert all(switches.values()), switches
 
 
 @then('only "{policy}" is the other way than by default')
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -8,6 +8,7 @@
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.client import AnswerHead, OutgoingRequest
 from rainsail.http.exchange import HttpRequest
+from rainsail.mechanisms import Mechanisms
 from rainsail.relay.context import make_context
 from rainsail.relay.protocol import (
     AnswerVerdict,
@@ -220,7 +221,7 @@
             self.pool,  # type: ignore[arg-type]
             PlainProtocol(),
             random.Random(1),
-            RelaySettings(),
+            RelaySettings(mechanisms=Mechanisms(admission=True)),
         )
         for number in range(1, self.runners + 1):
             self.registry.take((runner_record(number),))
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -8,7 +8,7 @@
 from rainsail.cluster.founders import voters_for
 from rainsail.cluster.messages import FleetView, LedgerStatus, TableDocument
 from rainsail.consensus.driver import GroupDriver
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault
 from rainsail.fleet.base import NodeBase
 from rainsail.fleet.group_folder import GroupFolder
 from rainsail.fleet.leaving import hand_over
@@ -17,8 +17,8 @@
 from rainsail.jobs.job_state import JobState
 from rainsail.jobs.ledger_service import LedgerService
 from rainsail.jobs.ledger_time import LedgerTime
-from rainsail.jobs.messages import OnlineUse, ReadOccupancy, ServiceOccupancy
 from rainsail.jobs.outcome_batcher import OutcomeBatcher
+from rainsail.jobs.placement_service import PlacementService
 from rainsail.jobs.plan import PlanSettings
 from rainsail.jobs.retention import Retention
 from rainsail.logs import logger
@@ -85,8 +85,17 @@
         opened = await self._folder.open()
         if opened.is_error():
             return Error(opened.error)
-        base.messenger.serve(OnlineUse, self.dispatcher.online.take)
-        base.messenger.serve(ReadOccupancy, self._read_occupancy)
+        self._placements = PlacementService(
+            base.messenger,
+            base.clock,
+            base.registry,
+            self.dispatcher.online,
+            self.dispatcher.items_at,
+            self._leads,
+            self.dispatcher.make_room,
+            base.random,
+            base.metrics,
+        )
         base.follower.ledger_status = self._status
         base.follower.on_view = self._view_changed
         base.follower.on_table = self._take_table
@@ -118,11 +127,6 @@
     def _leads(self) -> bool:
         return self.driver is not None and self.driver.is_leader()
 
-    def _read_occupancy(self, source: str, message: ReadOccupancy) -> ServiceOccupancy | Fault:
-        if not self._leads():
-            return Fault(FaultCode.NOT_LEADER, "jobs.occupancy", "another node leads")
-        return self.dispatcher.occupancy(message.service, source)
-
     def _propose(self, command: Any) -> Any:
         assert self.driver is not None
         return self.driver.propose(command)
@@ -130,6 +134,7 @@
     def _leadership_changed(self, leads: bool) -> None:
         logger.bind(leads=leads).info("ledger_leadership")
         self._quotas.leadership_changed(leads)
+        self._placements.leadership_changed(leads)
         if leads:
             self._outcomes.start()
             self.dispatcher.start()
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -17,8 +17,6 @@
 from rainsail.jobs.item_run import ItemRun, RunEnd
 from rainsail.jobs.job_state import JobState, RelayedJob, StateObserver
 from rainsail.jobs.ledger_time import LedgerTime
-from rainsail.jobs.messages import ServiceOccupancy
-from rainsail.jobs.occupancy import occupancy_of
 from rainsail.jobs.online_use import OnlineUseBook
 from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
 from rainsail.jobs.reserve import Reserve
@@ -270,10 +268,9 @@
             foreign = self._foreign.at(runner, self._clock.seconds())
         return RunnerRoom(runner, record.slots, self.online.running(runner), items, foreign)
 
-    def occupancy(self, service: str, gateway: str) -> ServiceOccupancy:
-        """Return how occupied the runners of a service are, for a gateway that asks."""
-        items = {runner: len(works) for runner, works in self._running.items()}
-        return occupancy_of(self._registry.ready(service), items, self.online, gateway)
+    def items_at(self, runner: str) -> int:
+        """Return how many items run at a runner."""
+        return len(self._running.get(runner, ()))
 
     def _load_heard(self, runner: str, load: ServerLoad) -> None:
         known = len(self._running.get(runner, ())) + self.online.running(runner)
@@ -281,22 +278,30 @@
 
     def _give_way(self) -> None:
         """Close the least urgent runs where online work needs their slots."""
+        for runner in self._running:
+            self.make_room(runner)
+
+    def make_room(self, runner: str) -> None:
+        """Close a runner's least urgent runs as far as online work needs their slots."""
+        record = self._registry.get(runner)
+        works = self._running.get(runner)
+        if record is None or not works:
+            return
+        count = items_to_yield(self._room(record))
+        for work in sorted(works, key=self._order.urgency)[len(works) - count :]:
+            self._give_way_one(work, works, runner)
+
+    def _give_way_one(self, work: Work, works: list[Work], runner: str) -> None:
         now = self._clock.seconds()
-        for runner, works in self._running.items():
-            record = self._registry.get(runner)
-            count = 0 if record is None else items_to_yield(self._room(record))
-            if not count:
-                continue
-            for work in sorted(works, key=self._order.urgency)[-count:]:
-                work.cut(now)
-                works.remove(work)
-                if self._settings.mechanisms.yield_pause:
-                    self._crowded_until_s[runner] = now + self._settings.crowded_s
-                work.ready_at_s = now
-                self._waiting.put_back(work)
-                log = logger.bind(job=work.job, item=self._item_id(work), runner=runner)
-                log.bind(last_event=work.progress.last_event).info("item_gave_way")
-                self._metrics.count("items_gave_way")
+        work.cut(now)
+        works.remove(work)
+        if self._settings.mechanisms.yield_pause:
+            self._crowded_until_s[runner] = now + self._settings.crowded_s
+        work.ready_at_s = now
+        self._waiting.put_back(work)
+        log = logger.bind(job=work.job, item=self._item_id(work), runner=runner)
+        log.bind(last_event=work.progress.last_event).info("item_gave_way")
+        self._metrics.count("items_gave_way")
 
     def _leave_silent(self) -> None:
         now = self._clock.seconds()
--- a/src/rainsail/jobs/online_use.py
+++ b/src/rainsail/jobs/online_use.py
@@ -1,7 +1,24 @@
-"""What gateways have under way at each runner, as they last said it."""
+"""What gateways have under way at each runner: as they last said it, and as they were just told.
+
+A placement counts from the moment it is made until its gateway's next report that knows of it, so
+that requests which come together are not all sent to the same runner.
+"""
+
+from collections import deque
+from dataclasses import dataclass
 
 from rainsail.jobs.messages import OnlineUse
 
+PLACEMENT_KEPT_S = 0.5
+"""A placement that no report has confirmed by then was not used, or its answer was lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Placed:
+    number: int
+    runner: str
+    at_s: float
+
 
 class OnlineUseBook:
     """The sum over gateways; each message of a gateway replaces its last."""
@@ -9,19 +26,41 @@
     def __init__(self) -> None:
         self._by_gateway: dict[str, dict[str, int]] = {}
         self._totals: dict[str, int] = {}
+        self._placed: dict[str, deque[_Placed]] = {}
+        self._last_number = 0
 
     def take(self, gateway: str, message: OnlineUse) -> None:
-        """Replace what a gateway has under way."""
+        """Replace what a gateway has under way, and the placements that it knew of."""
         for runner, count in self._by_gateway.get(gateway, {}).items():
-            self._totals[runner] = self._totals.get(runner, 0) - count
+            self._add(runner, -count)
         uses = {use.runner: use.running for use in message.uses}
         self._by_gateway[gateway] = uses
         for runner, count in uses.items():
-            self._totals[runner] = self._totals.get(runner, 0) + count
+            self._add(runner, count)
+        placed = self._placed.get(gateway)
+        while placed and placed[0].number <= message.seen:
+            self._add(placed.popleft().runner, -1)
 
-    def of_gateway(self, gateway: str) -> dict[str, int]:
-        """Return what a gateway has under way by runner, as it last said."""
-        return self._by_gateway.get(gateway, {})
+    def place(self, gateway: str, runner: str, now: float) -> int:
+        """Count a request that a gateway is told to send to a runner; returns its number."""
+        self._last_number += 1
+        placed = _Placed(self._last_number, runner, now)
+        self._placed.setdefault(gateway, deque()).append(placed)
+        self._add(runner, 1)
+        return placed.number
+
+    def expire(self, now: float) -> None:
+        """Forget placements that no report has confirmed in time."""
+        for placed in self._placed.values():
+            while placed and now - placed[0].at_s > PLACEMENT_KEPT_S:
+                self._add(placed.popleft().runner, -1)
+
+    def _add(self, runner: str, count: int) -> None:
+        self._totals[runner] = self._totals.get(runner, 0) + count
+
+    def gateways(self) -> tuple[str, ...]:
+        """Return the gateways that have reported."""
+        return tuple(self._by_gateway)
 
     @property
     def heard_any(self) -> bool:
@@ -32,11 +71,16 @@
         """Forget everything: what was heard before this node led is old."""
         self._by_gateway.clear()
         self._totals.clear()
+        self._placed.clear()
 
     def forget(self, gateway: str) -> None:
         """Drop a gateway that is gone."""
-        self.take(gateway, OnlineUse(()))
+        self.take(gateway, OnlineUse((), self._last_number))
 
     def running(self, runner: str) -> int:
         """Return the requests under way at a runner."""
         return max(0, self._totals.get(runner, 0))
+
+    def of_gateway(self, gateway: str) -> dict[str, int]:
+        """Return what a gateway has under way by runner, as it last said."""
+        return self._by_gateway.get(gateway, {})
--- a/src/rainsail/mechanisms.py
+++ b/src/rainsail/mechanisms.py
@@ -12,9 +12,13 @@
 
     model_config = ConfigDict(frozen=True, extra="forbid")
 
-    shared_occupancy: bool = Field(
-        default=False,
-        description="Gateways ask the ledger's leader where slots are free (small fleets only)",
+    placement: bool = Field(
+        default=True,
+        description="While a service is busy the ledger's leader says where requests go",
+    )
+    admission: bool = Field(
+        default=True,
+        description="Requests that would wait too long are refused at once, to come back",
     )
     prompt_homes: bool = Field(
         default=True, description="Long shared parts of prompts have a runner that all agree on"
--- a/src/rainsail/relay/choice.py
+++ b/src/rainsail/relay/choice.py
@@ -89,6 +89,11 @@
         candidates = open_ones or sound
         return min(candidates, key=lambda record: self._price_ms(record, wish, home, now))
 
+    def has_home(self, prompt: tuple[PromptPart, ...]) -> bool:
+        """Tell whether it matters where a prompt goes, since much of it may lie at a runner."""
+        part = shared_part(prompt)
+        return part is not None and part.tokens >= self._settings.least_shared_tokens
+
     def reading_ms(self, prompt: tuple[PromptPart, ...], runner: str) -> float:
         """Return how long a runner probably reads at a prompt."""
         missing = self._prefixes.missing_tokens(prompt, runner)
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -6,8 +6,11 @@
 
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
+from rainsail.jobs.messages import PlaceRequest
 from rainsail.relay.choice import RunnerChooser
 from rainsail.relay.load import LoadBook
+from rainsail.relay.overload import OverloadGuard
+from rainsail.relay.placement import Placed
 from rainsail.relay.prefix_memory import PrefixMemory
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.settings import RelaySettings
@@ -31,9 +34,10 @@
     chooser: RunnerChooser
     split: SplitPicker
     settings: RelaySettings
+    overload: OverloadGuard
     table: RoutingTable | None = None
-    refresh_loads: Callable[[str, Callable[[], None]], None] = lambda service, done: done()
-    """Brings what is known of a service's runners up to date, then calls back."""
+    place: Callable[[PlaceRequest, Placed], None] = lambda ask, placed: placed(None)
+    """Asks where a request should go; calls back with None when the gateway has to choose."""
     admit: Callable[[Identity, Callable[[float], None]], None] = lambda identity, done: done(0.0)
     """Decides whether a tenant's quota allows a request: calls back with 0, or with the wait."""
     give_back: Callable[[Identity], None] = lambda identity: None
@@ -57,5 +61,15 @@
     chooser = RunnerChooser(loads, prefixes, random, settings.choice, settings.mechanisms)
     split = SplitPicker(random)
     return RelayContext(
-        zone, clock, registry, pool, protocol, loads, prefixes, chooser, split, settings
+        zone,
+        clock,
+        registry,
+        pool,
+        protocol,
+        loads,
+        prefixes,
+        chooser,
+        split,
+        settings,
+        OverloadGuard(random, settings.overload),
     )
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -17,11 +17,11 @@
 from rainsail.errors import Fault
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits
-from rainsail.jobs.messages import OnlineUse, RunnerUse
+from rainsail.jobs.messages import OnlineUse, RunnerOutcome, RunnerUnsound, RunnerUse, ServiceLoad
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.context import RelayContext
-from rainsail.relay.occupancy import OccupancyReader
+from rainsail.relay.placement import PlacementClient
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.run import STATUS_NOT_FOUND, STATUS_UNAVAILABLE, RelayRun
 from rainsail.relay.table import Route, RouteKind, RoutingTable
@@ -60,6 +60,7 @@
         self._limits = limits
         self._ledger_leader = ""
         self._use_planned = False
+        self._use_period_s = context.settings.use_report_period_s
         self._look_planned = False
         context.loads.on_change = self._use_changed
         self._started_s = context.clock.seconds()
@@ -73,10 +74,13 @@
         follower.on_view = self._view_changed
         follower.on_ledger_leader = self._ledger_leader_noticed
         context.tell_reading = follower.tell_reading
-        self._occupancy = OccupancyReader(messenger, context.clock, context.loads, metrics)
-        if context.settings.mechanisms.shared_occupancy:
-            context.refresh_loads = self._occupancy.refresh
+        self._placements = PlacementClient(messenger, context.clock, metrics)
+        self._placements.on_placed = self._plan_report
+        if context.settings.mechanisms.placement:
+            context.place = self._placements.place
         messenger.serve(RunnerReads, self._take_reading)
+        messenger.serve(ServiceLoad, self._take_load)
+        messenger.serve(RunnerUnsound, self._take_unsound)
         self._quotas = QuotaClient(messenger, context.clock, context.settings.quota, metrics)
         context.admit = self._quotas.admit
         context.give_back = self._quotas.give_back
@@ -221,6 +225,7 @@
                 self._context.loads.forget(record.runner)
 
     def _view_changed(self, view: FleetView) -> None:
+        self._use_period_s = self._context.settings.use_report_period_s_at(view.gateways)
         if view.ledger_leader:
             self._take_ledger_leader(view.ledger_leader)
 
@@ -232,7 +237,7 @@
     def _take_ledger_leader(self, address: str) -> None:
         if address != self._ledger_leader:
             self._ledger_leader = address
-            self._occupancy.set_leader(address)
+            self._placements.set_leader(address)
             self._quotas.set_keeper(address)
             self._plan_report()
             self.on_ledger_leader(address)
@@ -242,6 +247,22 @@
         now = self._context.clock.seconds()
         self._context.loads.reads(message.runner, message.reading_s, now)
 
+    def _take_load(self, source: str, message: ServiceLoad) -> None:
+        """The ledger's leader tells what all gateways have under way at a busy service."""
+        if source != self._ledger_leader:
+            return
+        now = self._context.clock.seconds()
+        context = self._context
+        context.overload.told(message.service, message.online, message.slots, message.own, now)
+        self._placements.told(message.service, message.places)
+
+    def _take_unsound(self, source: str, message: RunnerUnsound) -> None:
+        """All gateways together have seen a runner fail too often."""
+        if source == self._ledger_leader and self._context.settings.mechanisms.ejection:
+            now = self._context.clock.seconds()
+            self._context.loads.leave_out(message.runner, now, message.out_s)
+            logger.bind(runner=message.runner, out_s=message.out_s).info("runner_left_out")
+
     # --- housekeeping --------------------------------------------------------------------
 
     def _use_changed(self) -> None:
@@ -255,17 +276,21 @@
     def _plan_report(self) -> None:
         if not self._use_planned and not self._stopped:
             self._use_planned = True
-            period_s = self._context.settings.use_report_period_s
-            self._context.clock.callLater(period_s, self._report_use)
+            self._context.clock.callLater(self._use_period_s, self._report_use)
 
     def _report_use(self) -> None:
         """Tell the ledger's leader what is under way."""
         self._use_planned = False
         if self._stopped or not self._ledger_leader:
             return
-        in_flight = self._context.loads.in_flight()
-        uses = tuple(RunnerUse(runner, count) for runner, count in in_flight.items())
-        self._messenger.send(self._ledger_leader, OnlineUse(uses))
+        loads = self._context.loads
+        uses = tuple(RunnerUse(runner, count) for runner, count in loads.in_flight().items())
+        outcomes = tuple(
+            RunnerOutcome(runner, answered, failed)
+            for runner, (answered, failed) in loads.take_outcomes().items()
+        )
+        report = OnlineUse(uses, self._placements.seen, outcomes)
+        self._messenger.send(self._ledger_leader, report)
 
     def _leave_silent(self) -> None:
         """Leave runners out that owe answers and say nothing; the next try opens a connection."""
--- a/src/rainsail/relay/load.py
+++ b/src/rainsail/relay/load.py
@@ -58,6 +58,7 @@
     def __init__(self, mechanisms: Mechanisms = DEFAULTS) -> None:
         self._mechanisms = mechanisms
         self._loads: dict[str, RunnerLoad] = {}
+        self._outcomes: dict[str, tuple[int, int]] = {}
         self.on_change: Callable[[], None] = lambda: None
         """Called whenever what is under way has changed."""
 
@@ -102,6 +103,14 @@
         if load.owes_since_s is not None:
             load.owes_since_s = now
 
+    def unfit(self, now: float) -> list[str]:
+        """Return the runners that should get nothing now: left out, full, or reading."""
+        return [
+            name
+            for name, load in self._loads.items()
+            if max(load.out_until_s, load.full_until_s, load.reads_until_s) > now
+        ]
+
     @property
     def owed(self) -> bool:
         """Tell whether some runner owes an answer."""
@@ -137,21 +146,28 @@
         load.reported_at_s = now
         load.in_flight_at_report = load.in_flight
 
-    def told(self, runner: str, running: int, own_counted: int, now: float) -> None:
-        """Take the leader's word of what a runner has; ``own_counted`` of it is this gateway's."""
-        load = self.of(runner)
-        load.reported = running
-        load.reported_at_s = now
-        load.in_flight_at_report = own_counted
+    def take_outcomes(self) -> dict[str, tuple[int, int]]:
+        """Return how many answers were sound and how many failed, by runner, since the last call.
+
+        Runners of which nothing came are left out.
+        """
+        outcomes, self._outcomes = self._outcomes, {}
+        return outcomes
+
+    def _count_outcome(self, runner: str, answered: int, failed: int) -> None:
+        before = self._outcomes.get(runner, (0, 0))
+        self._outcomes[runner] = (before[0] + answered, before[1] + failed)
 
     def answered(self, runner: str) -> None:
         """A runner has answered soundly."""
+        self._count_outcome(runner, 1, 0)
         load = self.of(runner)
         load.failures = 0
         load.out_until_s = float("-inf")
 
     def failed(self, runner: str, now: float, at_once: bool = False) -> None:
         """A runner broke an answer off or could not be reached."""
+        self._count_outcome(runner, 0, 1)
         if not self._mechanisms.ejection:
             return
         load = self.of(runner)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -9,6 +9,7 @@
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.exchange import Exchange
+from rainsail.jobs.messages import Placement, PlaceRequest
 from rainsail.logs import logger
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.choice import MILLISECONDS_PER_S, Wish
@@ -42,6 +43,7 @@
     ) -> None:
         self._identity = identity
         self._admitted = False
+        self._comes_back = context.overload.comes_back(route.name, facts.deadline_s)
         self._context = context
         self._exchange = exchange
         self._facts = facts
@@ -65,7 +67,7 @@
     # --- life cycle ----------------------------------------------------------------------
 
     def start(self) -> None:
-        """Send to a first runner, once the tenant's quota allows it."""
+        """Send to a first runner, once the service has room and the tenant's quota allows it."""
         clock = self._context.clock
         left_s = max(0.0, self._expiry_s - clock.seconds())
         self._expiry = clock.callLater(left_s, self._expired)
@@ -158,16 +160,63 @@
         route = self._allowed_route()
         if route is not None:
             self._pick_service(route)
-            self._context.refresh_loads(self._service, self._send_next)
+            self._ask_place()
 
-    def _send_next(self) -> None:
-        """Send to the cheapest runner; what was allowed may have changed since the loads came."""
+    def _ask_place(self) -> None:
+        """Have the leader say where to go, unless where the prompt lies matters more."""
+        context = self._context
+        if context.chooser.has_home(self._facts.prompt):
+            self._send_next(None)
+            return
+        now = context.clock.seconds()
+        avoid = tuple({*self._tried, *context.loads.unfit(now)})
+        most_waiting = -1.0
+        if self._may_be_refused():
+            target_s = self._route.target_s
+            most_waiting = context.overload.most_waiting(self._service, target_s)
+        context.place(
+            PlaceRequest(self._service, context.zone, avoid, most_waiting), self._send_next
+        )
+
+    def _may_be_refused(self) -> bool:
+        """Tell whether the request may be refused for too long a wait: once, before any run."""
+        if not self._context.settings.mechanisms.admission or self._tried:
+            return False
+        return not self._comes_back and self._facts.after_event is None
+
+    def _overload_retry_after_s(self, placement: Placement | None) -> float | None:
+        """Return when the client should come back if the request would wait too long now."""
+        if not self._may_be_refused():
+            return None
+        context = self._context
+        now = context.clock.seconds()
+        left_s = self._expiry_s - now
+        if placement is not None:
+            if not placement.refused:
+                return None
+            return context.overload.refused(self._service, left_s, now)
+        ready = context.registry.ready(self._service)
+        own = sum(context.loads.of(record.runner).in_flight for record in ready)
+        target_s = self._route.target_s
+        return context.overload.retry_after_s(self._service, own, target_s, left_s, now)
+
+    def _refuse_overloaded(self, retry_after_s: float) -> None:
+        self._last_reason = f"{self._service} has no slot within the target"
+        self._answer.refuse(STATUS_UNAVAILABLE, retry_after_s)
+        self._finish("refused")
+
+    def _send_next(self, placement: Placement | None) -> None:
+        """Send to a runner; what was allowed may have changed since the leader was asked."""
         route = self._allowed_route()
         if route is None:
             return
         self._route = route
         now = self._context.clock.seconds()
-        record = self._choose(route, now)
+        retry_after_s = self._overload_retry_after_s(placement)
+        if retry_after_s is not None:
+            self._refuse_overloaded(retry_after_s)
+            return
+        record = self._placed_record(placement) or self._choose(route, now)
         if record is None:
             self._last_reason = self._last_reason or f"no runner of {self._service} is known"
             self._give_up()
@@ -203,6 +252,14 @@
         if not route.allows(self._service):
             self._service = self._context.split.service(route)
 
+    def _placed_record(self, placement: Placement | None) -> RunnerRecord | None:
+        """Return the runner that the leader named, if it still takes work."""
+        if placement is None or placement.runner in self._tried:
+            return None
+        registry = self._context.registry
+        ready = registry.is_ready(placement.runner)
+        return registry.get(placement.runner) if ready else None
+
     def _choose(self, route: Route, now: float) -> RunnerRecord | None:
         self._pick_service(route)
         records = self._context.registry.ready(self._service)
@@ -296,10 +353,17 @@
     def stream_ended(self, attempt: Attempt) -> None:
         """End the answer as complete."""
         self._context.loads.answered(attempt.record.runner)
+        self._note_slot_time()
         self._attempt = None
         self._answer.end_stream(attempt)
         self._finish("completed")
 
+    def _note_slot_time(self) -> None:
+        """Learn how long a stream holds a slot: from its first byte on."""
+        if self.first_s is not None:
+            took_s = self._context.clock.seconds() - self._received_s
+            self._context.overload.answered(self._service, took_s - self.first_s)
+
     def answer_came(self, attempt: Attempt) -> None:
         """Pass a whole answer on, or try again where its status asks for that."""
         assert attempt.head is not None and attempt.verdict is not None
--- a/src/rainsail/relay/settings.py
+++ b/src/rainsail/relay/settings.py
@@ -4,6 +4,7 @@
 
 from rainsail.mechanisms import DEFAULTS, Mechanisms
 from rainsail.relay.choice import ChoiceSettings
+from rainsail.relay.overload import OverloadSettings
 from rainsail.tenancy.quota_terms import QuotaTerms
 
 
@@ -31,7 +32,9 @@
     least_gap_s: float = 1.0
     least_time_left_s: float = 0.03
     buffered_bytes: int = 256 * 1024
-    use_report_period_s: float = 0.05
+    use_report_period_s: float = 0.02
+    use_reports_per_s: float = 2500.0
+    """The ledger's leader gets at most so many words on what is under way, of all gateways."""
     silence_look_period_s: float = 0.1
     stream_speaks_within_s: float = 0.35
     answer_speaks_within_s: float = 1.0
@@ -40,9 +43,14 @@
     keys_trusted_s: float | None = None
     trusted_controllers: int = 1
     quota: QuotaTerms = field(default_factory=QuotaTerms)
+    overload: OverloadSettings = field(default_factory=OverloadSettings)
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
     mechanisms: Mechanisms = DEFAULTS
 
+    def use_report_period_s_at(self, gateways: int) -> float:
+        """Return the time between two words of one gateway among so many."""
+        return max(self.use_report_period_s, gateways / self.use_reports_per_s)
+
     def keys_expired(self, out_of_touch_s: float) -> bool:
         """Tell whether keys can't be relied on after so long without controllers."""
         return self.keys_trusted_s is not None and out_of_touch_s > self.keys_trusted_s
