Let gateways without a keeper go on by equal parts; real processes speak with keys

Cause: found by the whole path over real processes once its clients had keys: before the ledger has a leader a gateway that was never told its share admitted one request of a tenant, and refused the next with 429, far below a limit of 2,000 a second. Change: a gateway that was never told its share takes an equal part, of 32 gateways at least. The stand-in's configuration has a tenant, its clients a key and a false tenant's name, its runners look for both; the soak counts it as a violation.

--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -8,6 +8,7 @@
     Then both gateways are ready
     And a safe request is answered with the runner's bytes and its signature
     And an unknown path is answered 404
+    And a request with an unknown key is answered 401 and runs nowhere
     And a stream of 5 events arrives whole
     And a stream that breaks off after 2 events arrives whole from the other runner
     And what a runner refuses is served by the other one
@@ -15,6 +16,7 @@
     When a job of 3 items is handed in at one gateway
     Then the job's 3 results are read at the other one
     And the job handed in again is accepted again and nothing runs anew
+    And no runner saw a key, and each request and item came in its tenant's name
     When every controller and every storage node is killed and starts again
     Then requests are served meanwhile
     And the configuration reads back as it was sent
--- a/features/steps/platform_whole_path_steps.py
+++ b/features/steps/platform_whole_path_steps.py
@@ -266,3 +266,22 @@
 def ended(context, code, step):
     assert context.exit_code == code, context.exit_code
     assert len(context.lines) == 1 and step in context.lines[0]["fault"], context.lines
+
+
+@then("a request with an unknown key is answered 401 and runs nowhere")
+def unknown_key(context):
+    platform = context.platform
+    before = sum(len(runner.ran) for runner in platform.runners)
+    for path in ("/safe/x", "/stream/x"):
+        key = {"Authorization": "Token nobody", "Request_Id": "unknown-key"}
+        status, body, _ = platform.client("gateway-2", "POST", path, b"x", **key)
+        assert (status, body) == (401, b""), (status, body)
+    status, _, _ = platform.client("gateway-1", "GET", "/api/lots/x", Authorization="Token nobody")
+    assert status == 401, status
+    assert sum(len(runner.ran) for runner in platform.runners) == before
+
+
+@then("no runner saw a key, and each request and item came in its tenant's name")
+def named(context):
+    assert any(runner.ran for runner in context.platform.runners)
+    assert [runner.misnamed for runner in context.platform.runners] == [[], []]
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -26,6 +26,12 @@
     context.world.clock.advance(for_s + 1)
 
 
+@when("clients ask {per_s:g} times a second for {for_s:g} seconds before any keeper is known")
+def press_alone(context, per_s, for_s):
+    context.world = QuotaWorld(2, len(context.world.gateways), context.world.limit)
+    press(context, per_s, for_s)
+
+
 @when("clients ask {low:g} and {high:g} times a second by turns for {for_s:g} seconds")
 def swing(context, low, high, for_s):
     world = context.world
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -66,6 +66,8 @@
 [bounds]
 grace_s = 8
 """
+TENANT = "shop"
+KEY = "stand-in-key-7f3a"
 
 
 @dataclass
@@ -93,6 +95,8 @@
     address: str
     zone: str
     ran: list[str] = field(default_factory=list)
+    misnamed: list[str] = field(default_factory=list)
+    """Requests that came with a key, or not in the name of their tenant."""
     resumed_after: list[str] = field(default_factory=list)
     refuse: int = 0
     break_after: int | None = None
@@ -117,6 +121,8 @@
             exchange.answer(503, ((b"Not-Run", b"1"), (b"Request-Id", request.encode())), b"")
             return
         self.ran.append(request)
+        if header_text(fields, b"authorization") or header_text(fields, b"tenant") != TENANT:
+            self.misnamed.append(request)
         answer = [(b"Request-Id", request.encode()), (b"Response-Stamp", b"stamp-1")]
         if b"/stream/" in exchange.request.target or b"/jobs/" in exchange.request.target:
             self._stream(exchange, answer)
@@ -300,7 +306,14 @@
             for name, kind in kinds.items()
         ]
         services = [{"name": "model", "healthPath": "/healthz", "maxConnections": 50}]
-        return {"version": version, "routes": routes, "services": services, "limits": {}}
+        tenants = [{"name": TENANT, "apiKeys": [KEY], "ratePerS": 2000, "burst": 2000}]
+        return {
+            "version": version,
+            "routes": routes,
+            "services": services,
+            "limits": {},
+            "tenants": tenants,
+        }
 
     def configure(self) -> None:
         """Send the next configuration until it is acknowledged."""
@@ -346,7 +359,13 @@
         self, gateway: str, method: str, path: str, body: bytes = b"", **headers: str
     ) -> tuple[int, bytes, dict[str, str]]:
         """Make a client's call at a gateway."""
-        named = {"Host": HOST, "Deadline_Ms": "6000", **headers}
+        named = {
+            "Host": HOST,
+            "Deadline_Ms": "6000",
+            "Authorization": f"Token {KEY}",
+            "Tenant": "somebody-else",
+            **headers,
+        }
         return self.call(self.nodes[gateway].ip, CLIENT_PORT, method, path, body, **named)
 
     def metric(self, node: str, name: str, **labels: str) -> float:
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -95,6 +95,11 @@
         history = self._history
         history.runs = [request for runner in self._platform.runners for request in runner.ran]
         found = [*violations(history)]
+        found += [
+            f"{request} ran at {runner.runner} with a key or without its tenant"
+            for runner in self._platform.runners
+            for request in runner.misnamed
+        ]
         found += [f"unfinished job: {job}" for job in unfinished(history)]
         served = sum(answer.status == 200 for answer in history.answers)
         return SoakResult(
--- a/features/tenancy/quota.feature
+++ b/features/tenancy/quota.feature
@@ -29,6 +29,11 @@
     Then no window is over what the terms allow
     And of what the limit allows at most 1 in 10 was refused
 
+  Scenario: Gateways that have just started and know no keeper serve a large tenant by equal parts
+    Given 49 gateways and a limit of 2000 a second and a burst of 2000
+    When clients ask 200 times a second for 3 seconds before any keeper is known
+    Then nothing that the limit allows was refused
+
   Scenario: Clients that press while keepers change are held to the limit
     Given 49 gateways and a limit of 100 a second and a burst of 100
     When clients ask 600 times a second for 20 seconds, and the keeper changes after 8 and 14 seconds
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -226,6 +226,7 @@
 
     def _view_changed(self, view: FleetView) -> None:
         self._use_period_s = self._context.settings.use_report_period_s_at(view.gateways)
+        self._quotas.set_gateways(view.gateways)
         if view.ledger_leader:
             self._take_ledger_leader(view.ledger_leader)
 
--- a/src/rainsail/tenancy/local_share.py
+++ b/src/rainsail/tenancy/local_share.py
@@ -1,8 +1,8 @@
 """What a gateway admits while no quota keeper answers. Pure: time is handed in.
 
 The gateway goes on with the share of each tenant's requests that it had lately, as the keeper told
-it. The shares of all gateways add up to one, so together they stay within the quota; one request
-more is allowed to each, so that a share is never too small for any. Buckets stay from one absence
+it, or with an equal part while it was never told. The shares of all gateways add up to one, so
+together they stay within the quota; one request more is allowed to each, so that a share is never too small for any. Buckets stay from one absence
 of the keeper to the next: what one gave is not there again at once.
 """
 
@@ -11,6 +11,8 @@
 from rainsail.tenancy.token_bucket import TokenBucket
 
 LEAST_BURST = 1.0
+LEAST_GATEWAYS = 32
+"""An equal part is never larger than that of so many gateways: a view may be of the past."""
 
 
 class LocalShares:
@@ -20,6 +22,7 @@
         self._terms = terms
         self._shares: dict[str, float] = {}
         self._buckets: dict[str, TokenBucket] = {}
+        self.gateways = LEAST_GATEWAYS
 
     def told(self, tenant: str, share: float) -> None:
         """Take the keeper's word of this gateway's share."""
@@ -34,7 +37,7 @@
         return wait_s
 
     def _bucket(self, tenant: str, limit: RateLimit, now: float) -> TokenBucket:
-        share = self._shares.get(tenant, 0.0)
+        share = self._shares.get(tenant, 1.0 / max(LEAST_GATEWAYS, self.gateways))
         rate = share * limit.rate_per_s
         burst = share * self._terms.unaccounted(limit) + LEAST_BURST
         bucket = self._buckets.get(tenant)
--- a/src/rainsail/tenancy/quota_client.py
+++ b/src/rainsail/tenancy/quota_client.py
@@ -62,6 +62,10 @@
         self._keeper = address
         self._ask_after_s = float("-inf")
 
+    def set_gateways(self, count: int) -> None:
+        """Note how many gateways there are."""
+        self._local.gateways = count
+
     def admit(self, identity: Identity, decided: Decided) -> None:
         """Decide on a request, now or as soon as the keeper has answered."""
         if not identity.limit.limits:
