--- a/src/rainsail/tenancy/local_share.py
+++ b/src/rainsail/tenancy/local_share.py
@@ -2,8 +2,9 @@
 
 The gateway goes on with the share of each tenant's requests that it had lately, as the keeper told
 it, or with an equal part while it was never told. The shares of all gateways add up to one, so
-together they stay within the quota; one request more is allowed to each, so that a share is never too small for any. Buckets stay from one absence
-of the keeper to the next: what one gave is not there again at once.
+together they stay within the quota; one request more is allowed to each, so that a share is never
+too small for any. Buckets stay from one absence of the keeper to the next: what one gave is not
+there again at once.
 """
 
 from rainsail.tenancy.quota_terms import QuotaTerms
