Refuse what would wait before any answer was seen, too

Cause: a gateway that has just started knows no length of an answer and refused nothing: after a loss of all power everybody comes back at once and all are late. Change: half a second is taken for the first answers; the gateway learns from then on. Test: features/relay/overload, a fresh gateway; red before.

--- a/features/relay/overload.feature
+++ b/features/relay/overload.feature
@@ -15,6 +15,13 @@
     When the leader says that 130 requests are under way
     Then the next request is refused, to come back between 0.25 and 1.7 seconds later
 
+  Scenario: A gateway that has just started refuses too, though it has seen no answer yet
+    Given a service of 100 slots of which no answer was seen, with a target of 0.3 seconds
+    When the leader says that 105 requests are under way
+    Then the next request is taken
+    When the leader says that 150 requests are under way
+    Then the next request is refused, to come back between 0.25 and 1.7 seconds later
+
   Scenario: What this gateway has sent since the leader counted is counted in
     When the leader says that 100 requests are under way, 2 of them from here
     Then the next request is refused once 40 are under way from here
--- a/features/steps/overload_guard_steps.py
+++ b/features/steps/overload_guard_steps.py
@@ -24,6 +24,13 @@
     context.now_s = 0.0
 
 
+@given(
+    "a service of {slots:d} slots of which no answer was seen, with a target of {target:g} seconds"
+)
+def make_fresh_guard(context, slots, target):
+    make_guard(context, slots, 0.0, target)
+
+
 def _told(context, online, own=0):
     context.guard.told(SERVICE, online, context.slots, own, context.now_s)
 
--- a/src/rainsail/relay/overload.py
+++ b/src/rainsail/relay/overload.py
@@ -30,6 +30,8 @@
     """``wait_share`` is how much of its target a request may wait; times are seconds."""
 
     wait_share: float = 0.25
+    first_slot_time_s: float = 0.5
+    """How long an answer is taken to hold a slot before one was seen."""
     first_episode_s: float = 1.0
     """How long an overload is taken to last before one was seen."""
     least_retry_after_s: float = 0.25
@@ -86,7 +88,7 @@
         if now - known.told_s > LOAD_TRUSTED_S or not known.slots:
             return 0.0
         waiting = known.online - known.own + own + 1 - known.slots
-        return max(0.0, waiting * known.slot_time_s / known.slots)
+        return max(0.0, waiting * self._slot_time_s(known) / known.slots)
 
     def retry_after_s(
         self, service: str, own: int, target_s: float, left_s: float, now: float
@@ -100,12 +102,11 @@
         return self.refused(service, left_s, now)
 
     def most_waiting(self, service: str, target_s: float) -> float:
-        """Return how many may wait for each slot so that one more is still in time.
+        """Return how many may wait for each slot so that one more is still in time."""
+        return self._settings.wait_share * target_s / self._slot_time_s(self._of(service))
 
-        Below 0 while it is not known how long an answer takes of a slot.
-        """
-        slot_time_s = self._of(service).slot_time_s
-        return self._settings.wait_share * target_s / slot_time_s if slot_time_s else -1.0
+    def _slot_time_s(self, known: _Service) -> float:
+        return known.slot_time_s or self._settings.first_slot_time_s
 
     def refused(self, service: str, left_s: float, now: float) -> float:
         """Note that the leader found no place in time; return when the client should come back."""
