Refuse by a gateway's own guess only what would wait the whole target; one class finds the runner

A large fleet's leader that is asked too often leaves gateways to themselves. Change: alone, only what would wait a whole target is refused.

--- a/features/relay/overload.feature
+++ b/features/relay/overload.feature
@@ -10,21 +10,24 @@
     Then the next request is taken
 
   Scenario: A request that may still be in time is taken, one that would wait too long is not
-    When the leader says that 105 requests are under way
-    Then the next request is taken
     When the leader says that 130 requests are under way
+    Then the next request is taken
+    When the leader says that 140 requests are under way
     Then the next request is refused, to come back between 0.25 and 1.7 seconds later
 
   Scenario: A gateway that has just started refuses too, though it has seen no answer yet
     Given a service of 100 slots of which no answer was seen, with a target of 0.3 seconds
-    When the leader says that 105 requests are under way
+    When the leader says that 130 requests are under way
     Then the next request is taken
-    When the leader says that 150 requests are under way
+    When the leader says that 170 requests are under way
     Then the next request is refused, to come back between 0.25 and 1.7 seconds later
 
   Scenario: What this gateway has sent since the leader counted is counted in
     When the leader says that 100 requests are under way, 2 of them from here
-    Then the next request is refused once 40 are under way from here
+    Then the next request is refused once 50 are under way from here
+
+  Scenario: A request that the leader is asked to place may wait for a quarter of its target
+    Then the leader is asked for a place where at most 0.094 wait for each slot
 
   Scenario: Nobody is refused twice
     When the leader says that 130 requests are under way
@@ -32,7 +35,7 @@
 
   Scenario: Clients come back after the overload, as long as the last ones were
     When overloads of 1.2 seconds have been seen
-    And the leader says that 130 requests are under way
+    And the leader says that 140 requests are under way
     Then clients that are refused come back spread over 1.2 to 1.7 seconds later
 
   Scenario: The relay refuses before anything is sent, and tells when to come back
--- a/features/steps/overload_guard_steps.py
+++ b/features/steps/overload_guard_steps.py
@@ -72,6 +72,12 @@
     assert _retry_after_s(context, own) is not None
 
 
+@then("the leader is asked for a place where at most {share:g} wait for each slot")
+def asked_share(context, share):
+    asked = context.guard.most_waiting(SERVICE, context.target_s)
+    assert abs(asked - share) < 0.001, asked
+
+
 @then("a request with {left:g} of its {usual:g} seconds left is taken")
 def comes_back(context, left, usual):
     assert not context.guard.comes_back(ROUTE, usual)
@@ -84,7 +90,7 @@
     for _ in range(3):
         until_s = context.now_s + seconds
         while context.now_s < until_s:
-            _told(context, 130)
+            _told(context, 140)
             assert _retry_after_s(context) is not None
             context.now_s += 0.05
         context.now_s += 2.0
--- a/src/rainsail/relay/overload.py
+++ b/src/rainsail/relay/overload.py
@@ -30,6 +30,8 @@
     """``wait_share`` is how much of its target a request may wait; times are seconds."""
 
     wait_share: float = 0.25
+    alone_wait_share: float = 1.0
+    """The same for a request that no leader places: what the gateway knows of the wait is vague."""
     first_slot_time_s: float = 0.5
     """How long an answer is taken to hold a slot before one was seen."""
     first_episode_s: float = 1.0
@@ -93,10 +95,13 @@
     def retry_after_s(
         self, service: str, own: int, target_s: float, left_s: float, now: float
     ) -> float | None:
-        """Return None for a request that may be in time, else when its client should come back."""
+        """Decide on a request that no leader places.
+
+        Return None for one that may be in time, else when its client should come back.
+        """
         known = self._of(service)
         wait_s = self.wait_s(service, own, now)
-        if wait_s <= self._settings.wait_share * target_s:
+        if wait_s <= self._settings.alone_wait_share * target_s:
             self._note_episode(known, now)
             return None
         return self.refused(service, left_s, now)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -9,14 +9,14 @@
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.exchange import Exchange
-from rainsail.jobs.messages import Placement, PlaceRequest
+from rainsail.jobs.messages import Placement
 from rainsail.logs import logger
 from rainsail.relay.attempt import Attempt
-from rainsail.relay.choice import MILLISECONDS_PER_S, Wish
 from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.context import RelayContext
 from rainsail.relay.events import Event
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
+from rainsail.relay.runner_finder import RunnerFinder
 from rainsail.relay.table import Route, RouteKind
 from rainsail.runtime.clock import Timer
 from rainsail.tenancy.tenants import NOBODY, Identity
@@ -43,7 +43,6 @@
     ) -> None:
         self._identity = identity
         self._admitted = False
-        self._comes_back = context.overload.comes_back(route.name, facts.deadline_s)
         self._context = context
         self._exchange = exchange
         self._facts = facts
@@ -52,8 +51,7 @@
         self._answer = ClientAnswer(exchange, context.protocol, context.clock, facts.after_event)
         self._ended = False
         self._attempt: Attempt | None = None
-        self._service = ""
-        self._tried: set[str] = set()
+        self._finder = RunnerFinder(context, facts, route)
         self._sends = 0
         self._may_have_run = False
         self._received_s = exchange.request.received_s
@@ -131,7 +129,7 @@
             route=self._route.name,
             tenant=self._identity.tenant,
             table=0 if table is None else table.version,
-            runners=",".join(sorted(self._tried)),
+            runners=",".join(sorted(self._finder.tried)),
             sends=self._sends,
             reason=self._last_reason if outcome != "completed" else "",
             first_ms=None if self.first_s is None else round(self.first_s * 1000),
@@ -159,49 +157,10 @@
         """Send to a runner once the loads of its service are up to date, or give up at once."""
         route = self._allowed_route()
         if route is not None:
-            self._pick_service(route)
-            self._ask_place()
-
-    def _ask_place(self) -> None:
-        """Have the leader say where to go, unless where the prompt lies matters more."""
-        context = self._context
-        if context.chooser.has_home(self._facts.prompt):
-            self._send_next(None)
-            return
-        now = context.clock.seconds()
-        avoid = tuple({*self._tried, *context.loads.unfit(now)})
-        most_waiting = -1.0
-        if self._may_be_refused():
-            target_s = self._route.target_s
-            most_waiting = context.overload.most_waiting(self._service, target_s)
-        context.place(
-            PlaceRequest(self._service, context.zone, avoid, most_waiting), self._send_next
-        )
-
-    def _may_be_refused(self) -> bool:
-        """Tell whether the request may be refused for too long a wait: once, before any run."""
-        if not self._context.settings.mechanisms.admission or self._tried:
-            return False
-        return not self._comes_back and self._facts.after_event is None
-
-    def _overload_retry_after_s(self, placement: Placement | None) -> float | None:
-        """Return when the client should come back if the request would wait too long now."""
-        if not self._may_be_refused():
-            return None
-        context = self._context
-        now = context.clock.seconds()
-        left_s = self._expiry_s - now
-        if placement is not None:
-            if not placement.refused:
-                return None
-            return context.overload.refused(self._service, left_s, now)
-        ready = context.registry.ready(self._service)
-        own = sum(context.loads.of(record.runner).in_flight for record in ready)
-        target_s = self._route.target_s
-        return context.overload.retry_after_s(self._service, own, target_s, left_s, now)
+            self._finder.ask(route, self._send_next)
 
     def _refuse_overloaded(self, retry_after_s: float) -> None:
-        self._last_reason = f"{self._service} has no slot within the target"
+        self._last_reason = f"{self._finder.service} has no slot within the target"
         self._answer.refuse(STATUS_UNAVAILABLE, retry_after_s)
         self._finish("refused")
 
@@ -212,16 +171,14 @@
             return
         self._route = route
         now = self._context.clock.seconds()
-        retry_after_s = self._overload_retry_after_s(placement)
-        if retry_after_s is not None:
-            self._refuse_overloaded(retry_after_s)
-            return
-        record = self._placed_record(placement) or self._choose(route, now)
-        if record is None:
-            self._last_reason = self._last_reason or f"no runner of {self._service} is known"
+        found = self._finder.find(route, placement, self._expiry_s - now)
+        if found.retry_after_s is not None:
+            self._refuse_overloaded(found.retry_after_s)
+        elif found.record is None:
+            self._last_reason = self._last_reason or f"no runner of {self._finder.service} is known"
             self._give_up()
-            return
-        self._send(record, now)
+        else:
+            self._send(found.record, now)
 
     def _allowed_route(self) -> Route | None:
         """Return the route by which one more sending is allowed; otherwise end the request."""
@@ -248,49 +205,20 @@
         else:
             self._give_up()
 
-    def _pick_service(self, route: Route) -> None:
-        if not route.allows(self._service):
-            self._service = self._context.split.service(route)
-
-    def _placed_record(self, placement: Placement | None) -> RunnerRecord | None:
-        """Return the runner that the leader named, if it still takes work."""
-        if placement is None or placement.runner in self._tried:
-            return None
-        registry = self._context.registry
-        ready = registry.is_ready(placement.runner)
-        return registry.get(placement.runner) if ready else None
-
-    def _choose(self, route: Route, now: float) -> RunnerRecord | None:
-        self._pick_service(route)
-        records = self._context.registry.ready(self._service)
-        wish = Wish(self._facts.prompt, self._context.zone)
-        return self._context.chooser.choose(records, frozenset(self._tried), wish, now)
-
     def _send(self, record: RunnerRecord, now: float) -> None:
         context = self._context
-        self._tried.add(record.runner)
         self._sends += 1
         left_s = None if self._facts.deadline_s is None else self._deadline_left_s(now)
         target = RunnerTarget(record.runner, record.address)
         request = context.protocol.relayed(
             self._exchange.request, target, left_s, self._answer.last_event, self._identity
         )
-        if self._facts.prompt:
-            self._note_reading(record, now)
+        self._finder.note_sent(record)
         attempt = Attempt(self, context, record, self._facts.request, self._speaks_within_s())
         self._attempt = attempt
         self._arm_watch(self._first_wait_s())
         attempt.call = context.pool.send(record.address, request, attempt)
 
-    def _note_reading(self, record: RunnerRecord, now: float) -> None:
-        """Count in what the runner has to read, and tell the others of a long prompt."""
-        context = self._context
-        reading_ms = context.chooser.reading_ms(self._facts.prompt, record.runner)
-        context.prefixes.sent(self._facts.prompt, record.runner)
-        context.loads.reads(record.runner, reading_ms / MILLISECONDS_PER_S, now)
-        if reading_ms >= context.settings.told_reading_ms:
-            context.tell_reading(record.runner, reading_ms / MILLISECONDS_PER_S)
-
     def _speaks_within_s(self) -> float:
         settings = self._context.settings
         if self._route.kind == RouteKind.STREAM:
@@ -326,15 +254,11 @@
         """Leave a runner that says nothing, if another one is there."""
         self._watch = None
         attempt = self._attempt
-        if attempt is None or not self._others_left():
+        if attempt is None or not self._finder.others_left():
             return
         attempt.cancel()
         self.answer_broke(attempt, "silent")
 
-    def _others_left(self) -> bool:
-        ready = self._context.registry.ready(self._service)
-        return any(record.runner not in self._tried for record in ready)
-
     # --- AttemptOwner: what came ---------------------------------------------------------
 
     def events_came(self, attempt: Attempt, events: list[Event]) -> None:
@@ -362,7 +286,7 @@
         """Learn how long a stream holds a slot: from its first byte on."""
         if self.first_s is not None:
             took_s = self._context.clock.seconds() - self._received_s
-            self._context.overload.answered(self._service, took_s - self.first_s)
+            self._context.overload.answered(self._finder.service, took_s - self.first_s)
 
     def answer_came(self, attempt: Attempt) -> None:
         """Pass a whole answer on, or try again where its status asks for that."""
@@ -462,7 +386,7 @@
 
     def _retry_after_s(self) -> float:
         settings = self._context.settings
-        return settings.retry_after_s if self._tried else settings.no_runner_retry_after_s
+        return settings.retry_after_s if self._finder.tried else settings.no_runner_retry_after_s
 
     def _refuse(self, status: int, reason: str) -> None:
         self._last_reason = reason
--- /dev/null
+++ b/src/rainsail/relay/runner_finder.py
@@ -0,0 +1,116 @@
+"""Finds the runner of one request's next sending, or says that it had better come back later."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rainsail.cluster.messages import RunnerRecord
+from rainsail.jobs.messages import Placement, PlaceRequest
+from rainsail.relay.choice import MILLISECONDS_PER_S, Wish
+from rainsail.relay.context import RelayContext
+from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.table import Route
+
+ANY_WAIT = -1.0
+"""Tells the leader to place a request however long it waits."""
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """A runner; or when the client should come back; or neither, when no runner is left."""
+
+    record: RunnerRecord | None = None
+    retry_after_s: float | None = None
+
+
+class RunnerFinder:
+    """Where one request may go; ``tried`` are the runners that it was sent to."""
+
+    def __init__(self, context: RelayContext, facts: RequestFacts, route: Route) -> None:
+        self.service = ""
+        self.tried: set[str] = set()
+        self._context = context
+        self._facts = facts
+        self._comes_back = context.overload.comes_back(route.name, facts.deadline_s)
+
+    def ask(self, route: Route, answered: Callable[[Placement | None], None]) -> None:
+        """Have the ledger's leader place the request, unless where its prompt lies matters more.
+
+        ``answered`` gets None when this gateway has to choose by itself.
+        """
+        self._pick_service(route)
+        context = self._context
+        if context.chooser.has_home(self._facts.prompt):
+            answered(None)
+            return
+        now = context.clock.seconds()
+        avoid = tuple({*self.tried, *context.loads.unfit(now)})
+        most_waiting = ANY_WAIT
+        if self._may_be_refused():
+            most_waiting = context.overload.most_waiting(self.service, route.target_s)
+        ask = PlaceRequest(self.service, context.zone, avoid, most_waiting)
+        context.place(ask, answered)
+
+    def find(self, route: Route, placement: Placement | None, left_s: float) -> Found:
+        """Decide, ``left_s`` before the request's time is over."""
+        self._pick_service(route)
+        retry_after_s = self._retry_after_s(route, placement, left_s)
+        if retry_after_s is not None:
+            return Found(retry_after_s=retry_after_s)
+        return Found(self._placed_record(placement) or self._choose())
+
+    def others_left(self) -> bool:
+        """Tell whether some runner was not tried."""
+        ready = self._context.registry.ready(self.service)
+        return any(record.runner not in self.tried for record in ready)
+
+    def note_sent(self, record: RunnerRecord) -> None:
+        """Count in what a runner has to read, and tell the others of a long prompt."""
+        self.tried.add(record.runner)
+        if not self._facts.prompt:
+            return
+        context = self._context
+        reading_ms = context.chooser.reading_ms(self._facts.prompt, record.runner)
+        reading_s = reading_ms / MILLISECONDS_PER_S
+        context.prefixes.sent(self._facts.prompt, record.runner)
+        context.loads.reads(record.runner, reading_s, context.clock.seconds())
+        if reading_ms >= context.settings.told_reading_ms:
+            context.tell_reading(record.runner, reading_s)
+
+    def _pick_service(self, route: Route) -> None:
+        if not route.allows(self.service):
+            self.service = self._context.split.service(route)
+
+    def _may_be_refused(self) -> bool:
+        """Tell whether the request may be refused for too long a wait: once, before any run."""
+        if not self._context.settings.mechanisms.admission or self.tried:
+            return False
+        return not self._comes_back and self._facts.after_event is None
+
+    def _retry_after_s(
+        self, route: Route, placement: Placement | None, left_s: float
+    ) -> float | None:
+        if not self._may_be_refused():
+            return None
+        context = self._context
+        now = context.clock.seconds()
+        if placement is not None:
+            refused = placement.refused
+            return context.overload.refused(self.service, left_s, now) if refused else None
+        ready = context.registry.ready(self.service)
+        own = sum(context.loads.of(record.runner).in_flight for record in ready)
+        return context.overload.retry_after_s(self.service, own, route.target_s, left_s, now)
+
+    def _placed_record(self, placement: Placement | None) -> RunnerRecord | None:
+        """Return the runner that the leader named, if it still takes work."""
+        if placement is None or placement.runner in self.tried:
+            return None
+        registry = self._context.registry
+        ready = registry.is_ready(placement.runner)
+        return registry.get(placement.runner) if ready else None
+
+    def _choose(self) -> RunnerRecord | None:
+        context = self._context
+        records = context.registry.ready(self.service)
+        wish = Wish(self._facts.prompt, context.zone)
+        now = context.clock.seconds()
+        return context.chooser.choose(records, frozenset(self.tried), wish, now)
