Take a stream with a missing event as broken: no hole goes to a client or into a result

Neither the relay nor the dispatcher noticed an event that is missing: bytes that spoil an event's first line make it one without a number, which an item's text left out and a client got as it was, and the next went on. Ruled out: bytes of another answer (ids are compared), a run joined without Last-Event-Id. Change: event numbers rise by one (a run asked to go on behind n begins at n + 1); a later one, or data without a number among numbered events, ends the run as broken. It goes on elsewhere where that is allowed, otherwise the client's connection is cut. Tests red before: two of relay/streams, one of jobs/ledger.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -196,3 +196,9 @@
     And 2 seconds later a gateway hands in a second job of 3 items
     And the runner has room for 3 items
     Then the 3 items of the second job run, and none of the first
+
+  Scenario: A run in which an event is missing goes on behind the last whole one
+    Given a relayed fleet with a table and a runner of 8 slots
+    And a job of 1 item is accepted
+    When the item's run sends events 1 and 3, of which 2 is missing
+    Then the item runs again behind event 1 and its text has each event once
--- a/features/relay/streams.feature
+++ b/features/relay/streams.feature
@@ -51,3 +51,26 @@
     And the runner's connection breaks
     And the runner refuses it as not run
     Then the client has the status 502
+
+  Scenario Outline: A stream in which an event is missing is taken up behind the last whole one
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And the runner sends <spoilt>
+    Then the client has events 1 to 3 so far
+    And the last sending asks to go on behind event 3
+    When the runner sends events 4 to 6
+    And the runner ends its stream
+    Then the client has the whole stream of events 1 to 6
+
+    Examples:
+      | spoilt                              |
+      | event 5 without event 4 before it   |
+      | event 4 behind bytes of nothing     |
+
+  Scenario: A stream that may not be resumed and misses an event is cut, never told as whole
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And the runner sends event 5 without event 4 before it
+    Then the client's connection was cut after events 1 to 3
--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -107,6 +107,16 @@
     context.relay.last_call.listener.answer_data(data[: len(data) // 2])
 
 
+@step("the runner sends event {number:d} without event {missing:d} before it")
+def send_with_hole(context, number, missing):
+    context.relay.last_call.listener.answer_data(event(number))
+
+
+@step("the runner sends event {number:d} behind bytes of nothing")
+def send_spoilt(context, number):
+    context.relay.last_call.listener.answer_data(b"\xff\x00spoilt" + event(number))
+
+
 @step("the runner ends its stream")
 def end_stream(context):
     context.relay.last_call.listener.answer_ended()
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -26,6 +26,7 @@
     context.job_size = 0
 
 
+@step("a job of {count:d} item is accepted")
 @step("a job of {count:d} items is accepted")
 def accept(context, count):
     hand_in(context, count)
@@ -446,3 +447,27 @@
 @then("no other item has been started")
 def none_started(context):
     assert len(context.fleet.calls()) == context.runs_before
+
+
+@when("the item's run sends events {first:d} and {next_one:d}, of which {missing:d} is missing")
+def send_hole(context, first, next_one, missing):
+    context.fleet.run_until(lambda: _open_calls(context), "a run", 5)
+    (call,) = _open_calls(context)
+    call.begin_stream()
+    call.listener.answer_data(event(first) + event(next_one))
+    call.over = True
+    context.fleet.run_for(2.0)
+
+
+@then("the item runs again behind event {last:d} and its text has each event once")
+def runs_again(context, last):
+    (call,) = _open_calls(context)
+    assert call.field(b"after-event") == str(last), call.request.headers
+    call.begin_stream()
+    for number in (last + 1, last + 2):
+        call.listener.answer_data(event(number))
+    call.over = True
+    call.listener.answer_ended()
+    context.fleet.run_for(0.5)
+    (result,) = _page(context).results
+    assert result.text == "text 1\ntext 2\ntext 3", result
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -5,17 +5,17 @@
 own words within one beat.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, succeed
 
+from rainsail.cluster.beat_answers import NumberedView, RunnerPages
 from rainsail.cluster.directory import NodeDirectory
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.followed import MOST_FOLLOWED_WHOLE, in_turn
-from rainsail.cluster.follower import EMPTY_VIEW, FleetFollower
+from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.founders import choose_founders, voters_for
 from rainsail.cluster.leader_calls import LeaderCaller
 from rainsail.cluster.messages import (
@@ -30,7 +30,6 @@
     NodeRole,
     ReadEmptying,
     ReadTable,
-    RunnerPage,
     RunnerReads,
     RunnerRecord,
     RunnerShared,
@@ -50,12 +49,9 @@
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.state.cluster_commands import FoundLedger, ReleaseNode, ReplaceTable
-from rainsail.wire.codec import encode
 from rainsail.wire.messenger import Messenger
 
 PLAN_PERIOD_S = 0.25
-VIEW_KEPT_S = 0.05
-"""A view is made anew after this time: hundreds of nodes ask for it each second."""
 GATEWAYS_ROUNDED_TO = 32
 MOST_TOLD_OF_READING = 64
 """So many gateways are told of a prompt that a runner reads: in a larger fleet each of them sends
@@ -77,25 +73,6 @@
     share_within_s: float = 0.8
 
 
-class _NumberedView:
-    """The latest view, made anew now and then, and a number that rises when it has changed."""
-
-    def __init__(self) -> None:
-        self.view = EMPTY_VIEW
-        self.number = 0
-        self._made_s = float("-inf")
-
-    def current(self, make: Callable[[float], FleetView], now: float) -> FleetView:
-        """Return the view of now, or of a moment ago."""
-        if now - self._made_s >= VIEW_KEPT_S:
-            self._made_s = now
-            view = make(now)
-            if view != self.view or not self.number:
-                self.view = view
-                self.number += 1
-        return self.view
-
-
 def _rounded_up(count: int) -> int:
     """Return a count rounded up, so that it seldom changes."""
     return -(-count // GATEWAYS_ROUNDED_TO) * GATEWAYS_ROUNDED_TO
@@ -127,9 +104,8 @@
         self._epoch = node.incarnation
         self._pushed_revision = 0
         self._pushes = PushQueue(clock, self._count_followers, self._push_batch)
-        self._views = _NumberedView()
-        self._pages: dict[int, bytes] = {}
-        self._pages_revision = 0
+        self._views = NumberedView(self._view)
+        self._pages = RunnerPages(follower.registry)
         self._unshared: set[str] = set()
         self._readings = 0
         self._noticed_version = 0
@@ -260,7 +236,7 @@
             log.info("node_heard")
         self._notice_ledger_leader(beat, now)
         same_epoch = beat.epoch == self._epoch
-        view = self._views.current(self._view, now)
+        view = self._views.current(now)
         knows_view = same_epoch and beat.view == self._views.number
         return NodeBeatReply(
             None if knows_view else view,
@@ -268,22 +244,9 @@
             self._state.version,
             self._epoch,
             self._registry.revision,
-            self._page_since(beat.revision if same_epoch else 0),
+            self._pages.since(beat.revision if same_epoch else 0),
         )
 
-    def _page_since(self, revision: int) -> bytes:
-        """Return the encoded runners that changed after a revision, encoded once for all nodes."""
-        if revision == self._registry.revision:
-            return b""
-        if self._pages_revision != self._registry.revision:
-            self._pages_revision = self._registry.revision
-            self._pages.clear()
-        page = self._pages.get(revision)
-        if page is None:
-            changed = self._registry.changed_since(revision)
-            page = self._pages[revision] = encode(RunnerPage(changed)) if changed else b""
-        return page
-
     def _notice_ledger_leader(self, beat: NodeBeat, now: float) -> None:
         """Push the ledger's new leader at once: gateways report to it what they have running."""
         status = beat.ledger
@@ -418,7 +381,7 @@
             return
         now = self._clock.seconds()
         # Before the first beats arrive a controller knows the others from its seeds alone.
-        view = self._views.current(self._view, now)
+        view = self._views.current(now)
         known = {*view.controllers, *self._follower.view().controllers}
         self._group.open_to(self._contacts(known), voters_for(self._settings.losses))
         if self._group.is_leader():
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -6,7 +6,7 @@
 
 from rainsail.http.client import AnswerHead
 from rainsail.jobs.job_state import EVENT_SEPARATOR
-from rainsail.relay.events import Event, EventSplitter
+from rainsail.relay.events import Event, EventSplitter, leaves_hole
 from rainsail.relay.protocol import AnswerVerdict, RelayProtocol, ServerLoad
 
 STATUS_OK = 200
@@ -95,6 +95,9 @@
         if self._over or self._status != STATUS_OK:
             return
         for event in self._splitter.feed(data):
+            if leaves_hole(event, self.progress.last_event):
+                self._end(RunEnd.BROKEN, "an event is missing")
+                return
             self.progress.take(event)
 
     def answer_ended(self) -> None:
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -4,7 +4,7 @@
 
 from rainsail.http.exchange import Exchange
 from rainsail.relay.attempt import Attempt
-from rainsail.relay.events import Event
+from rainsail.relay.events import Event, leaves_hole
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.runtime.clock import Clock
 
@@ -41,23 +41,29 @@
         """Tell whether some of the answer has left, and not yet all."""
         return self.state == AnswerState.BEGUN
 
-    def write_events(self, attempt: Attempt, events: list[Event]) -> None:
-        """Write the events that the client doesn't have yet, at once."""
-        raw = self._new_events(events)
-        if raw:
-            self._begin(attempt)
-            self._exchange.write(raw)
+    def write_events(self, attempt: Attempt, events: list[Event]) -> bool:
+        """Write the events that the client doesn't have yet, at once.
 
-    def _new_events(self, events: list[Event]) -> bytes:
+        False when one is missing before the next: that one and those behind it are not written.
+        """
         taken: list[bytes] = []
+        whole = self._take_new(events, taken)
+        if taken:
+            self._begin(attempt)
+            self._exchange.write(b"".join(taken))
+        return whole
+
+    def _take_new(self, events: list[Event], taken: list[bytes]) -> bool:
         for event in events:
+            if leaves_hole(event, self.last_event):
+                return False
             number = event.number
             if number is not None:
                 if self.last_event is not None and number <= self.last_event:
                     continue
                 self.last_event = number
             taken.append(event.raw)
-        return b"".join(taken)
+        return True
 
     def write_body(self, attempt: Attempt) -> None:
         """Write what has been gathered of a body."""
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -15,6 +15,19 @@
     data: str
 
 
+def leaves_hole(event: Event, last_event: int | None) -> bool:
+    """Tell whether an event can't come next after the last one: something between is lost.
+
+    Numbers rise by one: a run that goes on behind event n begins at n + 1. Data without a number
+    among numbered events is what is left of an event that was spoilt on its way.
+    """
+    if last_event is None:
+        return False
+    if event.number is None:
+        return bool(event.data)
+    return event.number > last_event + 1
+
+
 class EventSplitter:
     """Gathers bytes and gives back whole events; ``rest`` is what has not ended yet."""
 
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -265,8 +265,12 @@
         """Hand whole events on, at once."""
         if self._ended:
             return
-        self._answer.write_events(attempt, events)
-        self._arm_watch(self._gap_wait_s())
+        whole = self._answer.write_events(attempt, events)
+        if whole:
+            self._arm_watch(self._gap_wait_s())
+        else:
+            attempt.cancel()
+            self.answer_broke(attempt, "an event is missing")
 
     def body_grew(self, attempt: Attempt) -> None:
         """Pass a large answer on before it has ended; small ones are gathered first."""
