Call a job in the logs what its client calls it; the soak reads with its key

Seen on the way: the ledger's lines named jobs by their scoped ids (tenant, tab, id), which story and account do not find by the client's id. Change: reads go as every client's call; jobs' ids in a module of their own, logs use the client's id and name the tenant.

--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -14,9 +14,7 @@
 from dataclasses import dataclass
 
 from features.support.platform_stand_in import (
-    CLIENT_PORT,
     CONTROL_PORT,
-    HOST,
     StandInPlatform,
     wait_until,
 )
@@ -231,10 +229,7 @@
             self._read_job(gateway, draw.choice(jobs))
 
     def _read_job(self, gateway: str, job: str) -> None:
-        ip = self._platform.nodes[gateway].ip
-        status, body, _ = self._platform.call(
-            ip, CLIENT_PORT, "GET", f"/api/lots/{job}?after=0", Host=HOST
-        )
+        status, body, _ = self._platform.client(gateway, "GET", f"/api/lots/{job}?after=0")
         page = Page(job, status)
         if status == 200:
             read = json.loads(body)
--- a/src/rainsail/jobs/client.py
+++ b/src/rainsail/jobs/client.py
@@ -7,6 +7,7 @@
 
 from rainsail.cluster.leader_calls import LeaderCaller
 from rainsail.errors import Fault
+from rainsail.jobs.job_ids import scoped_id
 from rainsail.jobs.messages import (
     EndJobCall,
     QueueLimit,
@@ -16,8 +17,6 @@
 )
 from rainsail.state.job_commands import RelayedItem
 
-TENANT_SEPARATOR = "\t"
-"""Stands between tenant and id: no tenant's name has a tab."""
 SUBMIT_WITHIN_S = 3.4
 READ_WITHIN_S = 2.0
 
@@ -68,8 +67,3 @@
         """End a job."""
         message = EndJobCall(scoped_id(tenant, job))
         return self._calls.call(message, None, SUBMIT_WITHIN_S, repeatable=True)
-
-
-def scoped_id(tenant: str, job: str) -> str:
-    """Return the id of a tenant's job within the whole ledger."""
-    return f"{tenant}{TENANT_SEPARATOR}{job}" if tenant else job
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -299,7 +299,7 @@
             self._crowded_until_s[runner] = now + self._settings.crowded_s
         work.ready_at_s = now
         self._waiting.put_back(work)
-        log = logger.bind(job=work.job, item=self._item_id(work), runner=runner)
+        log = logger.bind(job=self._job_id(work), item=self._item_id(work), runner=runner)
         log.bind(last_event=work.progress.last_event).info("item_gave_way")
         self._metrics.count("items_gave_way")
 
@@ -416,7 +416,7 @@
             lambda run, end, reason: self._run_ended(work, end, reason),
             lambda load: self._load_heard(record.runner, load),
         )
-        log = logger.bind(job=work.job, item=item.item, runner=record.runner)
+        log = logger.bind(job=self._job_id(work), item=item.item, runner=record.runner)
         log.bind(after_event=work.progress.last_event).info("item_sent")
         self._metrics.count("item_runs")
         work.call = self._pool.send(record.address, request, work.run)
@@ -435,7 +435,7 @@
         work.call = None
         if end != RunEnd.WHOLE:
             item = self._item_id(work)
-            log = logger.bind(job=work.job, item=item, runner=work.runner, reason=reason)
+            log = logger.bind(job=self._job_id(work), item=item, runner=work.runner, reason=reason)
             log.bind(end=end.value, last_event=work.progress.last_event).info("item_run_ended")
         self._judge(work, end)
 
@@ -463,6 +463,10 @@
         route = None if job is None else self._route(job, job.items[work.index].path)
         return 1 if route is None else max(1, route.max_attempts)
 
+    def _job_id(self, work: Work) -> str:
+        job = self._state.jobs.get(work.job)
+        return work.job if job is None else job.client_id
+
     def _item_id(self, work: Work) -> str:
         job = self._state.jobs.get(work.job)
         return "" if job is None else job.items[work.index].item
@@ -474,7 +478,9 @@
     def _finish(self, work: Work, done: bool, reason: str) -> None:
         item = self._item_id(work)
         text = work.progress.text if done else ""
-        log = logger.bind(job=work.job, item=item, runner=work.runner, done=done, reason=reason)
+        log = logger.bind(
+            job=self._job_id(work), item=item, runner=work.runner, done=done, reason=reason
+        )
         log = log.bind(tokens=self._tokens_of(work), ran_s=round(work.ran_s, 3))
         log.bind(events=len(work.progress.texts)).info("item_ended")
         self._metrics.count("items_ended", state="done" if done else "given_up")
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.jobs.job_ids import client_id
 from rainsail.state.command_basics import Done, NoOperation
 from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
 from rainsail.state.job_commands import (
@@ -46,6 +47,11 @@
     notes: dict[int, ItemNote] = field(default_factory=dict)
     """How far the runs of unlisted items have come, from their first event on."""
 
+    @property
+    def client_id(self) -> str:
+        """What the job's client calls it."""
+        return client_id(self.tenant, self.job)
+
     @property
     def is_open(self) -> bool:
         """Tell whether items are still to be run."""
--- a/src/rainsail/jobs/ledger_service.py
+++ b/src/rainsail/jobs/ledger_service.py
@@ -7,6 +7,7 @@
 
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault, FaultCode
+from rainsail.jobs.job_ids import client_id
 from rainsail.jobs.job_state import JobState, RelayedJob
 from rainsail.jobs.ledger_time import LedgerTime
 from rainsail.jobs.messages import (
@@ -75,7 +76,9 @@
         command = AcceptJob(
             message.job, message.tenant, message.host, message.path, message.items, at_s
         )
-        logger.bind(job=message.job, items=len(message.items), gateway=source).info("job_proposed")
+        job = client_id(message.tenant, message.job)
+        log = logger.bind(job=job, tenant=message.tenant, items=len(message.items))
+        log.bind(gateway=source).info("job_proposed")
         self._proposed[message.job] = message
         proposed = self._group.propose(command)
         proposed.addBoth(self._proposal_over, message.job)
@@ -105,7 +108,9 @@
         if waiting + _tokens(message) <= limit.tokens:
             return None
         detail = f"{waiting} tokens wait, {_tokens(message)} more don't fit {limit.tokens}"
-        logger.bind(job=message.job, waiting=waiting, limit=limit.tokens).info("job_over_limit")
+        job = client_id(message.tenant, message.job)
+        log = logger.bind(job=job, tenant=message.tenant, waiting=waiting, limit=limit.tokens)
+        log.info("job_over_limit")
         return Fault(FaultCode.OVER_LIMIT, "jobs.submit", detail)
 
     def _end(self, source: str, message: EndJobCall) -> "Deferred[Any]":
@@ -113,7 +118,9 @@
         if refusal is not None:
             return succeed(refusal)
         assert self._group is not None
-        logger.bind(job=message.job, gateway=source).info("job_end_proposed")
+        job = self._state.jobs.get(message.job)
+        name = message.job if job is None else job.client_id
+        logger.bind(job=name, gateway=source).info("job_end_proposed")
         proposed = self._group.propose(EndRelayedJob(message.job))
         return proposed.addCallback(_reply, JobEnded(message.job))
 
