--- a/features/relay/placement.feature
+++ b/features/relay/placement.feature
@@ -87,6 +87,13 @@
     And 0.6 seconds pass at the leader
     Then the leader counts 3 requests
 
+  Scenario: What a gateway had under way that is gone for good counts no more after a while
+    Given a leader of 1 runners with 8 slots each
+    When that gateway reports 3 under way, knowing of no placement
+    Then the leader counts 3 requests
+    When 16 seconds pass at the leader
+    Then the leader counts 0 requests
+
   Scenario: A runner that fails at several gateways is left out by all, and one failure is enough when it is back
     Given a leader of 6 runners with 4 slots each
     When 2 gateways report a failure each at runner 1
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -329,6 +329,12 @@
     reports_some(context, running, len(context.placed))
 
 
+@when("that gateway reports {running:d} under way, knowing of no placement")
+def reports_alone(context, running):
+    uses = (RunnerUse("runner-1", running),)
+    context.online.take("gateway-1", OnlineUse(uses), context.now_s)
+
+
 @then("the leader counts {count:d} requests")
 def counts(context, count):
     context.online.expire(context.now_s)
--- a/src/rainsail/jobs/online_use.py
+++ b/src/rainsail/jobs/online_use.py
@@ -9,6 +9,8 @@
 
 from rainsail.jobs.messages import OnlineUse
 
+GATEWAY_FORGOTTEN_AFTER_S = 15.0
+"""A gateway reports whenever something ends; one that is silent for longer is most likely gone."""
 PLACEMENT_KEPT_S = 0.5
 """A placement that no report has confirmed by then was not used, or its answer was lost."""
 
@@ -27,10 +29,12 @@
         self._by_gateway: dict[str, dict[str, int]] = {}
         self._totals: dict[str, int] = {}
         self._placed: dict[str, deque[_Placed]] = {}
+        self._heard_s: dict[str, float] = {}
         self._last_number = 0
 
-    def take(self, gateway: str, message: OnlineUse) -> None:
+    def take(self, gateway: str, message: OnlineUse, now: float = 0.0) -> None:
         """Replace what a gateway has under way, and the placements that it knew of."""
+        self._heard_s[gateway] = now
         for runner, count in self._by_gateway.get(gateway, {}).items():
             self._add(runner, -count)
         uses = {use.runner: use.running for use in message.uses}
@@ -50,7 +54,10 @@
         return placed.number
 
     def expire(self, now: float) -> None:
-        """Forget placements that no report has confirmed in time."""
+        """Forget placements that no report has confirmed in time, and gateways that are gone."""
+        for gateway, heard_s in list(self._heard_s.items()):
+            if now - heard_s > GATEWAY_FORGOTTEN_AFTER_S:
+                self.forget(gateway)
         for placed in self._placed.values():
             while placed and now - placed[0].at_s > PLACEMENT_KEPT_S:
                 self._add(placed.popleft().runner, -1)
@@ -70,12 +77,14 @@
     def clear(self) -> None:
         """Forget everything: what was heard before this node led is old."""
         self._by_gateway.clear()
+        self._heard_s.clear()
         self._totals.clear()
         self._placed.clear()
 
     def forget(self, gateway: str) -> None:
         """Drop a gateway that is gone."""
         self.take(gateway, OnlineUse((), self._last_number))
+        del self._by_gateway[gateway], self._heard_s[gateway]
 
     def running(self, runner: str) -> int:
         """Return the requests under way at a runner."""
--- a/src/rainsail/jobs/placement_service.py
+++ b/src/rainsail/jobs/placement_service.py
@@ -70,7 +70,7 @@
     # --- reports -------------------------------------------------------------------------
 
     def _take_use(self, gateway: str, message: OnlineUse) -> None:
-        self._online.take(gateway, message)
+        self._online.take(gateway, message, self._clock.seconds())
         if not self._leads():
             return
         self._take_outcomes(message)
