--- /dev/null
+++ b/features/cluster/zone_drains.feature
@@ -0,0 +1,110 @@
+Feature: An operator drains zones; the order outlives every loss and is never taken back by a late word
+
+  Scenario: An order is acknowledged once a quorum has it, and every node obeys it
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-1 at controller 2
+    Then the order is acknowledged
+    And no node sends to zone-1 within 0.2 seconds
+    When an operator ends the drain of zone-1 at controller 3
+    Then the order is acknowledged
+    And every node sends to zone-1 within 0.2 seconds
+
+  Scenario: An order on a zone that the fleet does not have is refused
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-9 at controller 1
+    Then the order is refused as not found
+
+  Scenario: The same order again is acknowledged again, at any controller
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-1 at controller 1
+    And an operator drains zone-1 at controller 2
+    Then the order is acknowledged
+    And zone-1 had 1 order
+
+  Scenario Outline: An acknowledged order outlives <loss>
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-1 at controller 2
+    Then the order is acknowledged
+    When <loss>
+    Then every controller has zone-1 draining within 5 seconds
+    And no node sends to zone-1 within 5 seconds
+
+    Examples:
+      | loss                                                       |
+      | all controllers lose power and start again                 |
+      | the leading controller loses its disk and starts again     |
+      | the leading controller loses its disk and the others power |
+      | every node loses power and starts again                    |
+
+  Scenario: An order held up between controllers does not take a newer one back
+    Given a relayed fleet of 2 zones with runners
+    When an order to drain zone-1 is held up on its way to the leader
+    And an operator drains zone-1 at the leader
+    And an operator ends the drain of zone-1 at the leader
+    And the order that was held up arrives
+    Then the leader answers that it was not taken
+    And every node sends to zone-1 within 1 seconds
+
+  Scenario: A gateway that was cut off obeys as soon as it is back
+    Given a relayed fleet of 2 zones with runners
+    When gateway 1 is cut off from all controllers
+    And an operator drains zone-1 at controller 2
+    Then the order is acknowledged
+    And gateway 1 still sends to zone-1
+    When gateway 1 is back
+    Then no node sends to zone-1 within 2.5 seconds
+
+  Scenario: A gateway that is cut off goes on obeying
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-1 at controller 2
+    And no node sends to zone-1 within 1 seconds
+    And gateway 1 is cut off from all controllers
+    And 10 seconds of the fleet pass
+    Then gateway 1 sends nothing to zone-1
+
+  Scenario: A leader that dies between commit and answer leaves an order that can be sent again
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-1 at another controller and the leader dies before it answers
+    And the operator sends the order again until it is acknowledged
+    Then no node sends to zone-1 within 5 seconds
+    And zone-1 had 1 order
+
+  Scenario: All zones are drained at once, and requests are refused at once
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-0 at controller 1
+    And an operator drains zone-1 at controller 2
+    Then no node sends to zone-0 within 1 seconds
+    And no node sends to zone-1 within 1 seconds
+
+  Scenario: Two orders on one zone at once leave every node at the same one
+    Given a relayed fleet of 2 zones with runners
+    When operators begin and end the drain of zone-1 at once, 20 times
+    Then every node agrees with the leader on zone-1 within 2 seconds
+
+  Scenario: A table and an order that race are both in force
+    Given a relayed fleet of 2 zones with runners
+    When an operator sends table 7 to controller 1 while another drains zone-1 at controller 2
+    Then every gateway has table 7 within 1 second
+    And no node sends to zone-1 within 1 seconds
+
+  Scenario: Items go to no runner of a drained zone
+    Given a relayed fleet of 2 zones with runners
+    And an operator sent table 7 to controller 1
+    When an operator drains zone-1 at controller 2
+    And no node sends to zone-1 within 1 seconds
+    And a gateway hands in a job of 6 items
+    Then 6 items run, none of them in zone-1
+
+  Scenario Outline: A late first word of a crashed incarnation costs the living one a moment, seed <seed>
+    Given a relayed fleet of 2 zones with runners
+    When words of two incarnations at one address arrive in random order at random controllers, seed <seed>
+    Then every node sends to the living one alone within 2.5 seconds of its beats
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
--- a/features/steps/ablation_steps.py
+++ b/features/steps/ablation_steps.py
@@ -10,8 +10,8 @@
 
 from rainsail.mechanisms import DEFAULTS, Mechanisms
 from rainsail.relay.context import make_context
-from rainsail.relay.protocol import PromptPart
 from rainsail.relay.settings import RelaySettings
+from rainsail.routing.facts import PromptPart
 from rainsail.settings.node import load_node_settings
 
 NODE = """
--- a/features/steps/cluster_registry_steps.py
+++ b/features/steps/cluster_registry_steps.py
@@ -4,9 +4,12 @@
 from dataclasses import replace
 
 from behave import given, step, then
-from features.support.relaying import runner_record
+from features.support.relaying import SERVICE, runner_record
 
 from rainsail.cluster.registry import RunnerRegistry
+from rainsail.cluster.warm_up import WarmUpTerms
+from rainsail.simulation.clock import VirtualClock
+from rainsail.state.cluster_commands import ZoneDrain
 
 ORDERS_SEED = 11
 
@@ -27,6 +30,79 @@
     context.registry.take((record,))
 
 
+@step("it hears again of runner {number:d} at the address of runner {other:d} in word {sequence:d}")
+def hear_again_at(context, number, other, sequence):
+    address = runner_record(other).address
+    record = replace(runner_record(number), address=address, sequence=sequence)
+    context.registry.take((record,))
+
+
+@then("runner {number:d} takes work")
+def takes_work(context, number):
+    assert context.registry.is_ready(f"runner-{number}")
+
+
+@then("runner {number:d} takes no work")
+def takes_no_work(context, number):
+    assert not context.registry.is_ready(f"runner-{number}")
+
+
+@given("a registry of runners whose service warms up for {seconds:g} seconds")
+def make_warming_registry(context, seconds):
+    context.clock = VirtualClock()
+    context.registry = RunnerRegistry(context.clock.seconds)
+    context.registry.warm_ups.set_terms({SERVICE: WarmUpTerms(7.0, seconds)})
+
+
+@step("it hears of runner {number:d} in word {sequence:d} that it warms up for {seconds:g} seconds")
+def hear_warming(context, number, sequence, seconds):
+    record = replace(runner_record(number), sequence=sequence, warm_up_left_s=seconds)
+    context.news = context.registry.take((record,))
+
+
+@then("that is news")
+def is_news(context):
+    assert context.news
+
+
+@then("that is no news")
+def is_no_news(context):
+    assert not context.news
+
+
+@step("{seconds:g} seconds of the registry pass")
+def registry_time(context, seconds):
+    context.clock.advance(seconds)
+
+
+@step("the drain of zone {number:d} begins and ends")
+def drain_and_end(context, number):
+    zone = f"zone-{number}"
+    for revision, draining in ((1, True), (2, False)):
+        context.registry.take_zone_drains((ZoneDrain(zone, revision, draining),))
+
+
+@step("it hears of order {revision:d} that {verb} the drain of zone {number:d}")
+def hear_order(context, revision, verb, number):
+    drain = ZoneDrain(f"zone-{number}", revision, verb == "begins")
+    context.registry.take_zone_drains((drain,))
+
+
+def _is_limited(context, number):
+    record = context.registry.get(f"runner-{number}")
+    return context.registry.warm_ups.is_limited(record)
+
+
+@then("runner {number:d} may only get what is granted")
+def is_limited(context, number):
+    assert _is_limited(context, number)
+
+
+@then("runner {number:d} needs no grant")
+def is_not_limited(context, number):
+    assert not _is_limited(context, number)
+
+
 @step("runner {number:d} says that it is gone")
 def says_gone(context, number):
     context.registry.take((context.registry.end(f"runner-{number}"),))
--- a/features/steps/overload_guard_steps.py
+++ b/features/steps/overload_guard_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, step, then, when
 
-from rainsail.relay.overload import OverloadGuard, OverloadSettings
+from rainsail.routing.overload import OverloadGuard, OverloadSettings
 
 SERVICE = "model"
 ROUTE = "route"
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -10,18 +10,13 @@
 
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.errors import Fault, FaultCode
-from rainsail.jobs.messages import (
-    OnlineUse,
-    Placement,
-    PlaceRequest,
-    RunnerUse,
-    ServiceLoad,
-)
-from rainsail.jobs.online_use import OnlineUseBook
-from rainsail.jobs.placement import Placer
-from rainsail.jobs.soundness import SoundnessBook
 from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.placement import PlacementClient
+from rainsail.routing.messages import OnlineUse, Placement, PlaceRequest, RunnerUse, ServiceLoad
+from rainsail.routing.online_use import OnlineUseBook
+from rainsail.routing.placer import Placer
+from rainsail.routing.soundness import SoundnessBook
+from rainsail.routing.warm_up_limiter import WarmUpBound, WarmUpLimiter
 from rainsail.simulation.clock import VirtualClock
 
 LEADER = "leader"
@@ -241,6 +236,7 @@
         context.online,
         items_at,
         context.soundness,
+        WarmUpLimiter(WarmUpBound(), registry.warm_ups),
         random.Random(5),
         context.made_room.append,
     )
--- a/features/steps/relay_choice_steps.py
+++ b/features/steps/relay_choice_steps.py
@@ -6,10 +6,10 @@
 from behave import given, then, when
 from features.support.relaying import event
 
-from rainsail.relay.prefix_memory import home_of
-from rainsail.relay.protocol import PromptPart
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, ServiceShare
+from rainsail.routing.facts import PromptPart
+from rainsail.routing.prefix_memory import home_of
 
 
 def _by_runner(calls):
--- a/features/steps/relayed_fleet_steps.py
+++ b/features/steps/relayed_fleet_steps.py
@@ -412,7 +412,7 @@
 def _empty(context, node):
     controller = context.fleet.controller(context.fleet.names("controller")[0])
     context.emptied = node
-    context.emptying = context.fleet.result_of(controller.empty_node(node), "an answer")
+    context.emptying = context.fleet.result_of(controller.emptying.empty(node), "an answer")
 
 
 @when("an operator asks to empty a voting storage node")
@@ -448,7 +448,7 @@
     controller = context.fleet.controller(context.fleet.names("controller")[0])
 
     def done():
-        result = context.fleet.result_of(controller.emptying(context.emptied), "a status")
+        result = context.fleet.result_of(controller.emptying.status(context.emptied), "a status")
         return result.is_ok() and result.ok.done
 
     context.fleet.run_until(done, "the emptying", seconds)
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -6,7 +6,8 @@
 from features.support.relayed_fleet import RelayedFleet
 from features.support.relaying import event, runner_record
 
-from rainsail.jobs.messages import OnlineUse, ReadResults, RunnerUse
+from rainsail.jobs.messages import ReadResults
+from rainsail.routing.messages import OnlineUse, RunnerUse
 
 SEED = 23
 JOB = "job-1"
--- a/features/support/quota_world.py
+++ b/features/support/quota_world.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from rainsail.node_metrics import NodeMetrics
+from rainsail.routing.token_bucket import TokenBucket
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.network import LinkConditions, SimulatedNetwork
 from rainsail.tenancy.keeper import QuotaKeeper
@@ -12,7 +13,6 @@
 from rainsail.tenancy.quota_service import QuotaService
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.tenancy.tenants import Identity, RateLimit
-from rainsail.tenancy.token_bucket import TokenBucket
 from rainsail.wire.messenger import Messenger
 
 TENANT = "tenant-1"
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -10,17 +10,11 @@
 from rainsail.http.exchange import HttpRequest
 from rainsail.mechanisms import Mechanisms
 from rainsail.relay.context import make_context
-from rainsail.relay.protocol import (
-    AnswerVerdict,
-    ItemRequest,
-    PromptPart,
-    RequestFacts,
-    RunnerTarget,
-    ServerLoad,
-)
+from rainsail.relay.protocol import AnswerVerdict, ItemRequest, RequestFacts, RunnerTarget
 from rainsail.relay.run import RelayRun
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
+from rainsail.routing.facts import PromptPart, ServerLoad
 from rainsail.simulation.clock import VirtualClock
 from rainsail.tenancy.tenants import NOBODY, Identity
 
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -1,26 +1,26 @@
 """A controller: what runners, operators and nodes are told, over the root group.
 
-Durable: the routing table, the ledger's founders and the nodes to be emptied (``FleetState``, in
-the root group's log). Soft: the registry of runners and the directory of nodes, rebuilt from their
-own words within one beat.
+Durable: the routing table, the ledger's founders, the nodes to be emptied and the zone drains
+(``FleetState``, in the root group's log). Soft: the registry of runners and the directory of nodes,
+rebuilt from their own words within one beat.
 """
 
 from dataclasses import dataclass
 from typing import Any
 
-from expression import Error, Ok, Result
+from expression import Ok, Result
 from twisted.internet.defer import Deferred, succeed
 
 from rainsail.cluster.beat_answers import NumberedView, RunnerPages
 from rainsail.cluster.directory import NodeDirectory
+from rainsail.cluster.emptying import EmptyingOrders
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.followed import MOST_FOLLOWED_WHOLE, in_turn
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.founders import choose_founders, voters_for
+from rainsail.cluster.leader_answers import confirmed, not_leading, reply_to_proposal
 from rainsail.cluster.leader_calls import LeaderCaller
 from rainsail.cluster.messages import (
-    EmptyingStatus,
-    EmptyNode,
     FetchTable,
     FleetView,
     LedgerLeader,
@@ -28,7 +28,6 @@
     NodeBeatReply,
     NodeRecord,
     NodeRole,
-    ReadEmptying,
     ReadTable,
     RunnerReads,
     RunnerRecord,
@@ -40,15 +39,17 @@
     TableAccepted,
     TableDocument,
     TableNotice,
+    ZoneDrainNotice,
 )
 from rainsail.cluster.push_queue import PushQueue
 from rainsail.cluster.quorum_wait import QuorumWait
 from rainsail.cluster.registry import matters
+from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
 from rainsail.consensus.driver import GroupDriver
-from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.errors import Fault
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
-from rainsail.state.cluster_commands import FoundLedger, ReleaseNode, ReplaceTable
+from rainsail.state.cluster_commands import FoundLedger, ReplaceTable, ZoneDrain
 from rainsail.wire.messenger import Messenger
 
 PLAN_PERIOD_S = 0.25
@@ -64,15 +65,26 @@
 class ControllerSettings:
     """What a controller is told.
 
-    ``losses`` is how many machines with a disk may be lost at one time; the others are seconds
-    that a call may take before its caller hears that it is unclear.
+    ``losses`` is how many machines with a disk may be lost at one time, ``zones`` the zones of the
+    fleet (empty: not told); the others are seconds that a call may take before its caller hears
+    that it is unclear.
     """
 
     losses: int = 1
+    zones: frozenset[str] = frozenset()
     order_within_s: float = 0.9
     share_within_s: float = 0.8
 
 
+@dataclass(frozen=True, slots=True)
+class ControllerStatus:
+    """What one controller knows of the fleet, for its operator."""
+
+    table_version: int
+    runners_ready: int
+    runners_warming: int
+
+
 def _rounded_up(count: int) -> int:
     """Return a count rounded up, so that it seldom changes."""
     return -(-count // GATEWAYS_ROUNDED_TO) * GATEWAYS_ROUNDED_TO
@@ -101,6 +113,10 @@
         self._settings = settings
         self._directory = NodeDirectory()
         self._calls = LeaderCaller(messenger, clock, group, self._other_controllers)
+        self.emptying = EmptyingOrders(
+            group, state, self._directory, self._calls, clock, settings.losses
+        )
+        self.zone_drains = ZoneDrainOrders(group, state, self._calls, clock, self._zones)
         self._epoch = node.incarnation
         self._pushed_revision = 0
         self._pushes = PushQueue(clock, self._count_followers, self._push_batch)
@@ -109,6 +125,7 @@
         self._unshared: set[str] = set()
         self._readings = 0
         self._noticed_version = 0
+        self._noticed_drains: tuple[ZoneDrain, ...] = ()
         self._ledger_term = 0
         self._leads_since_s: float | None = None
         self._founding = False
@@ -122,8 +139,8 @@
         serve(ShareRunner, self._take_shared)
         serve(SubmitTable, lambda source, message: self._submit_as_leader(message))
         serve(ReadTable, lambda source, message: self._read_as_leader(message))
-        serve(EmptyNode, lambda source, message: self._empty_as_leader(message))
-        serve(ReadEmptying, lambda source, message: self._emptying_as_leader(message))
+        self.emptying.serve(messenger)
+        self.zone_drains.serve(messenger)
 
     def start(self) -> None:
         """Begin to plan and to follow the other controllers."""
@@ -133,6 +150,13 @@
         """Plan no more."""
         self._stopped = True
 
+    def status(self) -> ControllerStatus:
+        """Return what this controller knows now; runners that warm up are among the ready ones."""
+        runners = [each.runner for each in self._registry.records()]
+        ready = [runner for runner in runners if self._registry.is_ready(runner)]
+        warming = sum(map(self._registry.is_warming, ready))
+        return ControllerStatus(self._state.version, len(ready), warming)
+
     # --- runners -------------------------------------------------------------------------
 
     def runner_word(self, record: RunnerRecord) -> "Deferred[Result[None, Fault]]":
@@ -271,8 +295,15 @@
             () if leading is None else leading[1].voters,
             0 if leading is None else leading[1].term,
             _rounded_up(len(self._directory.live(NodeRole.GATEWAY, now))),
+            self._state.zone_drains(),
         )
 
+    def _zones(self) -> frozenset[str]:
+        """Return the fleet's zones: as the settings name them, else as nodes and runners do."""
+        if self._settings.zones:
+            return self._settings.zones
+        return self._directory.zones() | self._registry.zones()
+
     def _other_controllers(self) -> list[str]:
         now = self._clock.seconds()
         known = {*self._view(now).controllers, *self._follower.view().controllers}
@@ -292,31 +323,22 @@
 
     def _submit_as_leader(self, message: SubmitTable) -> "Deferred[Any]":
         if not self._group.is_leader():
-            return succeed(self._not_leader("cluster.replace_table"))
+            return succeed(not_leading(self._group, "cluster.replace_table"))
         if message.version <= self._state.version:
-            return self._confirmed(lambda: TableAccepted(self._state.version))
+            return confirmed(self._group, lambda: TableAccepted(self._state.version))
         proposed = self._group.propose(ReplaceTable(message.version, message.content))
-        return proposed.addCallback(_reply, TableAccepted(message.version))
+        return proposed.addCallback(reply_to_proposal, TableAccepted(message.version))
 
     def _read_as_leader(self, message: ReadTable) -> "Deferred[Any]":
         if not self._group.is_leader():
-            return succeed(self._not_leader("cluster.read_table"))
-        return self._confirmed(self._document)
-
-    def _confirmed(self, answer: Any) -> "Deferred[Any]":
-        barrier = self._group.read_barrier()
-        return barrier.addCallback(
-            lambda result: Error(result.error) if result.is_error() else answer()
-        )
+            return succeed(not_leading(self._group, "cluster.read_table"))
+        return confirmed(self._group, self._document)
 
     def _document(self) -> TableDocument:
         return TableDocument(self._state.version, self._state.content)
 
-    def _not_leader(self, step: str) -> Fault:
-        detail = "another controller leads"
-        return Fault(FaultCode.NOT_LEADER, step, detail, self._group.leader(), Outcome.NOT_RUN)
-
     def _applied(self, index: int) -> None:
+        self._notice_zone_drains()
         if self._state.version <= self._noticed_version:
             return
         self._noticed_version = self._state.version
@@ -325,54 +347,15 @@
         followers = self._directory.followers(self._clock.seconds())
         self._messenger.send_all(followers, TableNotice(self._state.version))
 
-    # --- emptying a storage node ---------------------------------------------------------
-
-    def empty_node(self, name: str) -> "Deferred[Result[Any, Fault]]":
-        """Have a storage node emptied; NOT_FOUND when unknown, CONFLICT if too few would stay."""
-        message = EmptyNode(name)
-        return self._calls.call(message, self._empty_as_leader, self._settings.order_within_s)
-
-    def emptying(self, name: str) -> "Deferred[Result[Any, Fault]]":
-        """Return how far a node's emptying is; NOT_FOUND when none was asked for."""
-        message = ReadEmptying(name)
-        return self._calls.call(message, self._emptying_as_leader, self._settings.order_within_s)
-
-    def _empty_as_leader(self, message: EmptyNode) -> Any:
-        step = "cluster.empty_node"
-        if not self._group.is_leader():
-            return self._not_leader(step)
-        node = self._directory.named(message.name, NodeRole.STORAGE)
-        if node is None:
-            return Fault(FaultCode.NOT_FOUND, step, f"no storage node {message.name}")
-        if node.address in self._state.released:
-            return EmptyingStatus(message.name, False)
-        now = self._clock.seconds()
-        staying = [
-            each
-            for each in self._directory.live(NodeRole.STORAGE, now)
-            if each.address != node.address and each.address not in self._state.released
-        ]
-        if len(staying) < voters_for(self._settings.losses):
-            return Fault(FaultCode.CONFLICT, step, f"only {len(staying)} storage nodes would stay")
-        proposed = self._group.propose(ReleaseNode(node.address))
-        return proposed.addCallback(_reply, EmptyingStatus(message.name, False))
-
-    def _emptying_as_leader(self, message: ReadEmptying) -> Any:
-        step = "cluster.emptying"
-        if not self._group.is_leader():
-            return self._not_leader(step)
-        node = self._directory.named(message.name, NodeRole.STORAGE)
-        if node is None or node.address not in self._state.released:
-            return Fault(FaultCode.NOT_FOUND, step, f"{message.name} is not being emptied")
-        return EmptyingStatus(message.name, self._is_emptied(node.address))
-
-    def _is_emptied(self, address: str) -> bool:
-        leading = self._directory.ledger_status(self._clock.seconds())
-        if leading is None:
-            return False
-        status = leading[1]
-        enough = len(status.voters) >= voters_for(self._settings.losses)
-        return status.settled and enough and address not in status.voters
+    def _notice_zone_drains(self) -> None:
+        """Obey orders on zones that were committed, and tell the nodes of them."""
+        drains = self._state.zone_drains()
+        if drains == self._noticed_drains:
+            return
+        self._noticed_drains = drains
+        self._follower.take_zone_drains(drains)
+        followers = self._directory.followers(self._clock.seconds())
+        self._messenger.send_all(followers, ZoneDrainNotice(drains))
 
     # --- what the leader plans -----------------------------------------------------------
 
@@ -415,11 +398,3 @@
 
     def _founded(self, result: object) -> None:
         self._founding = False
-
-
-def _reply(result: Any, answer: Any) -> Any:
-    """Return ``answer`` for a command that took effect, the fault otherwise."""
-    if result.is_error():
-        return result.error
-    outcome = result.ok[1]
-    return outcome if isinstance(outcome, Fault) else answer
--- a/src/rainsail/cluster/directory.py
+++ b/src/rainsail/cluster/directory.py
@@ -41,6 +41,10 @@
         """Return the addresses of the live nodes of a role."""
         return tuple(node.address for node in self.live(role, now))
 
+    def zones(self) -> frozenset[str]:
+        """Return the zones of all nodes heard of."""
+        return frozenset(heard.node.zone for heard in self._nodes.values())
+
     def named(self, name: str, role: NodeRole) -> NodeRecord | None:
         """Return the node of a name that was heard of last."""
         found = [
--- a/src/rainsail/cluster/fleet_state.py
+++ b/src/rainsail/cluster/fleet_state.py
@@ -1,13 +1,18 @@
-"""The replicated state of the root group: the routing table, the ledger's founders, the leavers."""
+"""The replicated state of the root group.
+
+It holds the routing table, the ledger's founders, the storage nodes that leave and the zone drains.
+"""
 
 from collections.abc import Iterable, Iterator
 
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.state.cluster_commands import (
     FleetSnapshot,
     FoundLedger,
     ReleaseNode,
     ReplaceTable,
+    SetZoneDrain,
+    ZoneDrain,
 )
 from rainsail.state.command_basics import Done, NoOperation
 from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
@@ -22,6 +27,7 @@
         self.content = b""
         self.founders: tuple[str, ...] = ()
         self.released: tuple[str, ...] = ()
+        self._zone_drains: dict[str, ZoneDrain] = {}
 
     def apply(self, index: int, command: FleetCommand) -> FleetCommandOutcome:
         """Apply the committed command at log ``index``."""
@@ -35,6 +41,8 @@
             case ReleaseNode():
                 if command.address not in self.released:
                     self.released = (*self.released, command.address)
+            case SetZoneDrain():
+                return self._set_zone_drain(command)
             case NoOperation():
                 pass
             case _:
@@ -42,9 +50,28 @@
                 return Fault(FaultCode.INVALID, "cluster.apply", detail)
         return Done()
 
+    def _set_zone_drain(self, command: SetZoneDrain) -> FleetCommandOutcome:
+        held = self.zone_drain(command.zone)
+        if command.expected_revision != held.revision:
+            detail = f"zone {command.zone} is at order {held.revision}"
+            return Fault(FaultCode.CONFLICT, "cluster.apply", detail, outcome=Outcome.NOT_RUN)
+        drain = ZoneDrain(command.zone, held.revision + 1, command.draining)
+        self._zone_drains[command.zone] = drain
+        return Done()
+
+    def zone_drain(self, zone: str) -> ZoneDrain:
+        """Return the newest order on a zone; revision 0 stands for none."""
+        return self._zone_drains.get(zone, ZoneDrain(zone, 0, draining=False))
+
+    def zone_drains(self) -> tuple[ZoneDrain, ...]:
+        """Return the newest order on each zone that ever had one, by zone."""
+        return tuple(self._zone_drains[zone] for zone in sorted(self._zone_drains))
+
     def snapshot(self) -> Iterator[bytes]:
         """Return the whole state as one chunk."""
-        snapshot = FleetSnapshot(self.version, self.content, self.founders, self.released)
+        snapshot = FleetSnapshot(
+            self.version, self.content, self.founders, self.released, self.zone_drains()
+        )
         return iter((encode(snapshot),))
 
     def restore(self, chunks: Iterable[bytes]) -> None:
@@ -54,3 +81,4 @@
         self.content = snapshot.content
         self.founders = tuple(snapshot.founders)
         self.released = tuple(snapshot.released)
+        self._zone_drains = {drain.zone: drain for drain in snapshot.zone_drains}
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -24,10 +24,12 @@
     RunnerUpdate,
     TableDocument,
     TableNotice,
+    ZoneDrainNotice,
 )
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
+from rainsail.state.cluster_commands import ZoneDrain
 from rainsail.wire.codec import decode
 from rainsail.wire.messenger import Messenger
 
@@ -81,6 +83,7 @@
         self.on_ledger_leader: Callable[[str], None] = lambda address: None
         self.on_reading: Callable[[RunnerReads], None] = lambda message: None
         messenger.serve(TableNotice, self._take_notice)
+        messenger.serve(ZoneDrainNotice, self._take_drain_notice)
         messenger.serve(LedgerLeader, self._take_ledger_leader)
 
     def start(self) -> None:
@@ -212,6 +215,7 @@
         controller.view_number = reply.view_number
         if reply.view is not None:
             controller.view = reply.view
+            self.take_zone_drains(reply.view.zone_drains)
             for name in reply.view.controllers:
                 self._know(name)
         if reply.runners:
@@ -250,6 +254,15 @@
     def _take_notice(self, source: str, notice: TableNotice) -> None:
         self._want_table(source, notice.version)
 
+    def _take_drain_notice(self, source: str, notice: ZoneDrainNotice) -> None:
+        self.take_zone_drains(notice.zone_drains)
+
+    def take_zone_drains(self, drains: tuple[ZoneDrain, ...]) -> None:
+        """Obey the operator's orders on zones, as far as they are newer than those known."""
+        for drain in self.registry.take_zone_drains(drains):
+            log = logger.bind(zone=drain.zone, draining=drain.draining, order=drain.revision)
+            log.info("zone_drain_obeyed")
+
     def _take_ledger_leader(self, source: str, message: LedgerLeader) -> None:
         self._pushed_leader = max(
             self._pushed_leader, (message.term, message.address), key=_term_of
--- a/src/rainsail/cluster/messages.py
+++ b/src/rainsail/cluster/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from rainsail.state.cluster_commands import ZoneDrain
 from rainsail.wire.codec import wire_record
 
 
@@ -33,12 +34,16 @@
     incarnation: int
 
 
+NOT_SUPERSEDED = -1
+
+
 @dataclass(frozen=True, slots=True)
 class RunnerRecord:
     """One incarnation of a runner, as it last described itself.
 
-    ``sequence`` rises with each word, so that a late one is known; ``cold_left_s`` is how much
-    longer it is slow from its start.
+    ``sequence`` rises with each word, so that a late one is known. ``warm_up_left_s`` is how much
+    longer it warms up, in seconds from when it said so. ``superseded_at`` is the sequence up to
+    which another incarnation is known to hold its address (``NOT_SUPERSEDED``: none does).
     """
 
     runner: str
@@ -47,8 +52,19 @@
     zone: str
     slots: int
     state: RunnerState
-    cold_left_s: float
+    warm_up_left_s: float
     sequence: int
+    superseded_at: int = NOT_SUPERSEDED
+
+    @property
+    def is_superseded(self) -> bool:
+        """Tell whether another incarnation took its address after its last word."""
+        return self.superseded_at >= self.sequence
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether it may get new work, as far as it says itself."""
+        return self.state == RunnerState.READY and not self.is_superseded
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +86,7 @@
     group (empty until that is decided), ``leaving`` the storage nodes that are to be emptied.
     ``voters`` and ``ledger_voters`` are the members of the root group and of the ledger that
     decide, ``ledger_term`` is the term of the ledger's leader; ``gateways`` is about how many there
-    are, rounded up so that it seldom changes.
+    are, rounded up so that it seldom changes. ``zone_drains`` has the newest order on each zone.
     """
 
     controllers: tuple[str, ...]
@@ -82,6 +98,7 @@
     ledger_voters: tuple[str, ...] = ()
     ledger_term: int = 0
     gateways: int = 0
+    zone_drains: tuple[ZoneDrain, ...] = ()
 
 
 @wire_record
@@ -144,6 +161,39 @@
     version: int
 
 
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ZoneDrainNotice:
+    """Pushed to nodes when an order on a zone is committed: the newest order on each zone."""
+
+    zone_drains: tuple[ZoneDrain, ...]
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class OrderZoneDrain:
+    """Asks the leader to begin or end a zone's drain, on top of the order that the caller knows."""
+
+    zone: str
+    draining: bool
+    expected_revision: int
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ZoneDrainAnswer:
+    """The newest order on a zone, as a quorum confirms it; ``taken`` when it is what was asked."""
+
+    drain: ZoneDrain
+    taken: bool
+
+
+@wire_record
+@dataclass(frozen=True, slots=True)
+class ReadZoneDrains:
+    """Asks the leader for the newest order on each zone, confirmed by a quorum."""
+
+
 @wire_record
 @dataclass(frozen=True, slots=True)
 class FetchTable:
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -1,8 +1,18 @@
-"""The registry of runners: soft state that merges words from anywhere, in any order."""
+"""The registry of runners: soft state that merges words from anywhere, in any order.
 
-from collections.abc import Iterable
+Two incarnations may be heard of at one address, and a word of the crashed one may come last: a cut
+can hold it back. Ids have no order, so the incarnation that spoke last is taken to hold the
+address. The other is superseded up to the sequence of its last word, and back with its next: the
+one that is alive goes on speaking.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.cluster.warm_up import WarmUpClock
+from rainsail.cluster.zone_drains import ZoneDrainBook
+from rainsail.state.cluster_commands import ZoneDrain
 
 _STATE_RANK = {RunnerState.READY: 0, RunnerState.DRAINING: 1, RunnerState.GONE: 2}
 GONE_KEPT = 2_000
@@ -13,6 +23,14 @@
     """Return what is known after a word; a runner that leaves never comes back as it was."""
     if known is None:
         return word
+    newer = _newer(known, word)
+    superseded_at = max(known.superseded_at, word.superseded_at)
+    if newer.superseded_at == superseded_at:
+        return newer
+    return replace(newer, superseded_at=superseded_at)
+
+
+def _newer(known: RunnerRecord, word: RunnerRecord) -> RunnerRecord:
     if _STATE_RANK[word.state] != _STATE_RANK[known.state]:
         return max(word, known, key=lambda record: _STATE_RANK[record.state])
     return word if word.sequence > known.sequence else known
@@ -21,53 +39,85 @@
 class RunnerRegistry:
     """Every runner heard of, by id, and a revision that rises with each change."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, seconds: Callable[[], float] = lambda: 0.0, settles_addresses: bool = True
+    ) -> None:
+        """``seconds`` reads the steady clock.
+
+        ``settles_addresses``: this registry decides which incarnation holds an address. Controllers
+        do, and tell the other nodes, so that these don't decide by the order of what they hear.
+        """
         self.revision = 0
+        self.zone_drains = ZoneDrainBook()
+        self.warm_ups = WarmUpClock(seconds)
+        self._settles_addresses = settles_addresses
         self._records: dict[str, RunnerRecord] = {}
         self._by_address: dict[str, str] = {}
         self._changed_at: dict[str, int] = {}
 
     def take(self, words: Iterable[RunnerRecord]) -> list[RunnerRecord]:
         """Merge words; return the records that others must hear of."""
-        changed: list[RunnerRecord] = []
+        changed: dict[str, RunnerRecord] = {}
         for word in words:
-            known = self._records.get(word.runner)
-            record = merged_record(known, word)
-            if record is known:
-                continue
-            self._records[word.runner] = record
-            if known is None or matters(known, record):
-                changed += self._note(record)
+            for record in self._merge(word):
+                changed[record.runner] = record
         self._forget_oldest_gone()
-        return changed
-
-    def _note(self, record: RunnerRecord) -> list[RunnerRecord]:
-        changed = [record]
-        former = self._by_address.get(record.address)
-        if former not in (None, record.runner) and record.state != RunnerState.GONE:
-            changed += self._end_former(str(former))
-        if record.state != RunnerState.GONE:
-            self._by_address[record.address] = record.runner
+        return list(changed.values())
+
+    def _merge(self, word: RunnerRecord) -> list[RunnerRecord]:
+        """Merge one word; return the records that others must hear of."""
+        known = self._records.get(word.runner)
+        record = merged_record(known, word)
+        # Whoever takes a runner as superseded that has spoken since has to hear of it.
+        refutes = word.is_superseded and not record.is_superseded
+        if record is known and not refutes:
+            return []
+        self._records[word.runner] = record
+        changed: list[RunnerRecord] = []
+        if known is None or refutes or matters(known, record):
+            changed.append(record)
+        if known is None or record.sequence > known.sequence:
+            self.warm_ups.heard(record)
+            changed += self._give_address(record)
         for each in changed:
-            self.revision += 1
-            self._changed_at.pop(each.runner, None)
-            self._changed_at[each.runner] = self.revision
+            self._note_change(each.runner)
         return changed
 
-    def _end_former(self, runner: str) -> list[RunnerRecord]:
-        """A new incarnation has the address: the one before it is gone."""
-        known = self._records.get(runner)
-        if known is None or known.state == RunnerState.GONE:
+    def _give_address(self, speaker: RunnerRecord) -> list[RunnerRecord]:
+        """Take the address from the incarnation before; return what changed by that."""
+        if speaker.state == RunnerState.GONE or speaker.is_superseded:
             return []
-        self._records[runner] = ended(known)
-        return [self._records[runner]]
+        former = self._records.get(self._by_address.get(speaker.address, ""))
+        self._by_address[speaker.address] = speaker.runner
+        if former is None or former.runner == speaker.runner or not self._settles_addresses:
+            return []
+        if former.state == RunnerState.GONE or former.is_superseded:
+            return []
+        superseded = replace(former, superseded_at=former.sequence)
+        self._records[former.runner] = superseded
+        return [superseded]
+
+    def _note_change(self, runner: str) -> None:
+        self.revision += 1
+        self._changed_at.pop(runner, None)
+        self._changed_at[runner] = self.revision
+
+    def take_zone_drains(self, drains: Iterable[ZoneDrain]) -> list[ZoneDrain]:
+        """Merge the operator's orders on zones; return those that were not known."""
+        newer = self.zone_drains.take(drains)
+        for drain in newer:
+            if not drain.draining:
+                self.warm_ups.presume(
+                    record for record in self._records.values() if record.zone == drain.zone
+                )
+        return newer
 
     def end(self, runner: str) -> RunnerRecord:
         """Return the record of a runner that says it is gone, also one never heard of."""
         known = self._records.get(runner)
         if known is None:
             return RunnerRecord(runner, "", "", "", 0, RunnerState.GONE, 0.0, 0)
-        return ended(known)
+        return replace(known, state=RunnerState.GONE, warm_up_left_s=0.0)
 
     def changed_since(self, revision: int) -> tuple[RunnerRecord, ...]:
         """Return the records that changed after a revision, oldest change first."""
@@ -83,52 +133,58 @@
         return self._records.get(runner)
 
     def ready(self, service: str) -> list[RunnerRecord]:
-        """Return the runners of a service that take new work, in order of arrival."""
+        """Return the runners of a service that may get new work, in order of arrival."""
         return [
             record
             for record in self._records.values()
-            if record.service == service and record.state == RunnerState.READY
+            if record.service == service and self._may_get_work(record)
         ]
 
     def is_ready(self, runner: str) -> bool:
-        """Tell whether a runner takes new work."""
+        """Tell whether a runner may get new work."""
         record = self._records.get(runner)
-        return record is not None and record.state == RunnerState.READY
+        return record is not None and self._may_get_work(record)
+
+    def _may_get_work(self, record: RunnerRecord) -> bool:
+        return record.takes_work and not self.zone_drains.is_draining(record.zone)
+
+    def is_warming(self, runner: str) -> bool:
+        """Tell whether a runner still warms up."""
+        return self.warm_ups.left_s(runner) > 0
 
     def records(self) -> tuple[RunnerRecord, ...]:
         """Return every record that is kept."""
         return tuple(self._records.values())
 
+    def zones(self) -> frozenset[str]:
+        """Return the zones of all runners heard of."""
+        return frozenset(record.zone for record in self._records.values())
+
     def _forget_oldest_gone(self) -> None:
         if len(self._records) <= GONE_KEPT:
             return
-        gone = [r.runner for r in self._records.values() if r.state == RunnerState.GONE]
+        gone = [
+            record.runner
+            for record in self._records.values()
+            if record.state == RunnerState.GONE or record.is_superseded
+        ]
         for runner in gone[: max(0, len(gone) - GONE_KEPT)]:
             record = self._records.pop(runner)
             self._changed_at.pop(runner, None)
+            self.warm_ups.forget(runner)
             if self._by_address.get(record.address) == runner:
                 del self._by_address[record.address]
 
 
-def ended(record: RunnerRecord) -> RunnerRecord:
-    """Return a record as that of a runner that is gone."""
-    return RunnerRecord(
-        record.runner,
-        record.service,
-        record.address,
-        record.zone,
-        record.slots,
-        RunnerState.GONE,
-        0.0,
-        record.sequence,
-    )
+def matters(before: RunnerRecord, after: RunnerRecord) -> bool:
+    """Tell whether a newer word says more than that the runner is still there.
 
+    A runner's warm-up runs down by itself at every node; one that begins anew is news.
+    """
+    if after.warm_up_left_s > before.warm_up_left_s:
+        return True
+    return _public(before) != _public(after)
 
-def matters(before: RunnerRecord, after: RunnerRecord) -> bool:
-    """Tell whether a newer word says more than that the runner is still there."""
-    return (before.state, before.service, before.address, before.slots) != (
-        after.state,
-        after.service,
-        after.address,
-        after.slots,
-    )
+
+def _public(record: RunnerRecord) -> tuple[RunnerState, str, str, int, bool]:
+    return record.state, record.service, record.address, record.slots, record.is_superseded
--- /dev/null
+++ b/src/rainsail/cluster/zone_drains.py
@@ -0,0 +1,35 @@
+"""Which zones are being drained, as one node has heard of it. Pure.
+
+What is heard may come from several controllers, late and in any order. The order of the highest
+revision on each zone counts, so a late message never takes a newer order back.
+"""
+
+from collections.abc import Iterable
+
+from rainsail.state.cluster_commands import ZoneDrain
+
+
+class ZoneDrainBook:
+    """The newest order on each zone."""
+
+    def __init__(self) -> None:
+        self._drains: dict[str, ZoneDrain] = {}
+
+    def take(self, drains: Iterable[ZoneDrain]) -> list[ZoneDrain]:
+        """Merge orders; return those that were not known."""
+        newer: list[ZoneDrain] = []
+        for drain in drains:
+            known = self._drains.get(drain.zone)
+            if known is None or drain.revision > known.revision:
+                self._drains[drain.zone] = drain
+                newer.append(drain)
+        return newer
+
+    def is_draining(self, zone: str) -> bool:
+        """Tell whether the runners of a zone are to get nothing new."""
+        known = self._drains.get(zone)
+        return known is not None and known.draining
+
+    def draining(self) -> tuple[str, ...]:
+        """Return the zones that are being drained, sorted."""
+        return tuple(sorted(zone for zone, drain in self._drains.items() if drain.draining))
--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -35,6 +35,15 @@
 """Links between nodes: a peer behind a cut must be given up within a few seconds."""
 
 
+def count_warming(registry: RunnerRegistry) -> int:
+    """Return how many runners that may get work still warm up."""
+    return sum(
+        1
+        for record in registry.records()
+        if record.takes_work and registry.is_warming(record.runner)
+    )
+
+
 @dataclass(slots=True)
 class NodeBase:
     """The parts that all roles share."""
@@ -90,7 +99,8 @@
         settings.node.zone,
         random.getrandbits(INCARNATION_BITS),
     )
-    registry = RunnerRegistry()
+    is_controller = node.role == NodeRole.CONTROLLER
+    registry = RunnerRegistry(clock.seconds, settles_addresses=is_controller)
     follower = FleetFollower(node, settings.seed_controllers(), messenger, clock, registry)
     began_s = clock.seconds() if started_s is None else started_s
     base = NodeBase(
@@ -99,5 +109,7 @@
     base.metrics.gauge("table_version", lambda: float(follower.table_version))
     base.metrics.gauge("runners_known", lambda: float(len(registry.records())))
     base.metrics.gauge("registry_revision", lambda: float(registry.revision))
+    base.metrics.gauge("runners_warming", lambda: float(count_warming(registry)))
+    base.metrics.gauge("zones_draining", lambda: float(len(registry.zone_drains.draining())))
     base.metrics.gauge("controllers_heard", lambda: float(follower.heard_lately()))
     return base
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -47,7 +47,7 @@
             base.follower,
             base.messenger,
             base.clock,
-            ControllerSettings(losses=losses),
+            ControllerSettings(losses=losses, zones=frozenset(base.settings.node.zones)),
         )
         driver.start()
         self.controller.start()
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -24,6 +24,7 @@
 from rainsail.logs import logger
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.table_reader import TableReader
+from rainsail.routing.warm_up_limiter import WarmUpLimiter
 from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import FileSystem
 from rainsail.tenancy.keeper import QuotaKeeper
@@ -57,6 +58,7 @@
         self.driver: GroupDriver | None = None
         self._pool = pool
         self._outcomes = OutcomeBatcher(self._propose, base.clock)
+        self._warm_ups = WarmUpLimiter(base.settings.warm_up.bound(), base.registry.warm_ups)
         self.dispatcher = Dispatcher(
             self.state,
             base.registry,
@@ -66,6 +68,7 @@
             ledger_time,
             base.random,
             base.settings.node.zone,
+            self._warm_ups,
             self._outcomes.add,
             self._propose,
             self._may_start_items,
@@ -93,6 +96,7 @@
             self.dispatcher.items_at,
             self._leads,
             self.dispatcher.make_room,
+            self._warm_ups,
             base.random,
             base.metrics,
         )
--- a/src/rainsail/fleet_api/control.py
+++ b/src/rainsail/fleet_api/control.py
@@ -1,11 +1,13 @@
 """Runners' and operators' calls to a controller, in the product's own names."""
 
 import json
+from typing import Any
+from urllib.parse import unquote
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from rainsail.cluster.controller import FleetController
-from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.cluster.messages import RunnerRecord, RunnerState, ZoneDrainNotice
 from rainsail.errors import Fault, FaultCode
 from rainsail.fleet_api.replies import (
     EMPTY,
@@ -21,7 +23,11 @@
 TABLE = "/v1/routing-table"
 RUNNERS = "/v1/runners/"
 STORAGE = "/v1/storage-nodes/"
+ZONES = "/v1/zones"
+DRAIN = "/drain"
+STATUS = "/v1/status"
 EMPTYING = "/emptying"
+DRAIN_METHODS = ("PUT", "DELETE")
 
 
 class RunnerBody(BaseModel):
@@ -34,7 +40,7 @@
     zone: str = ""
     slots: int = Field(default=1, ge=1)
     state: RunnerState = RunnerState.READY
-    cold_left_s: float = Field(default=0.0, ge=0)
+    warm_up_left_s: float = Field(default=0.0, ge=0)
     sequence: int = Field(ge=0)
 
 
@@ -64,6 +70,12 @@
             self._read_table(exchange)
         elif path.startswith(STORAGE) and path.endswith(EMPTYING):
             self._emptying(exchange, method, path[len(STORAGE) : -len(EMPTYING)])
+        elif path.startswith(f"{ZONES}/") and path.endswith(DRAIN) and method in DRAIN_METHODS:
+            zone = unquote(path[len(ZONES) + 1 : -len(DRAIN)])
+            draining = method == "PUT"
+            self._answer(exchange, self._controller.zone_drains.order(zone, draining))
+        elif path == STATUS and method == "GET":
+            self._read_status(exchange)
         else:
             reply(exchange, STATUS_NOT_FOUND)
 
@@ -88,7 +100,7 @@
             body.zone,
             body.slots,
             body.state,
-            body.cold_left_s,
+            body.warm_up_left_s,
             body.sequence,
         )
         self._answer(exchange, self._controller.runner_word(record))
@@ -114,9 +126,25 @@
 
         done.addCallback(answer)
 
+    def _read_status(self, exchange: Exchange) -> None:
+        """Answer what an operator wants to know of the fleet, as a quorum confirms it."""
+
+        def body(notice: ZoneDrainNotice) -> dict[str, Any]:
+            status = self._controller.status()
+            draining = [drain.zone for drain in notice.zone_drains if drain.draining]
+            return {
+                "table_version": status.table_version,
+                "runners_ready": status.runners_ready,
+                "runners_warming": status.runners_warming,
+                "draining_zones": ",".join(draining),
+            }
+
+        done = self._controller.zone_drains.read()
+        reply_when_done(exchange, done, body, unclear_status=STATUS_UNAVAILABLE)
+
     def _emptying(self, exchange: Exchange, method: str, name: str) -> None:
         if method == "PUT":
-            self._answer(exchange, self._controller.empty_node(name))
+            self._answer(exchange, self._controller.emptying.empty(name))
             return
-        done = self._controller.emptying(name)
+        done = self._controller.emptying.status(name)
         reply_when_done(exchange, done, lambda status: {"done": status.done})
--- a/src/rainsail/fleet_api/tables.py
+++ b/src/rainsail/fleet_api/tables.py
@@ -3,6 +3,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from rainsail.cluster.warm_up import WarmUpTerms
 from rainsail.errors import Fault, FaultCode
 from rainsail.relay.table import (
     ClientLimits,
@@ -53,6 +54,8 @@
     name: str = Field(min_length=1)
     max_connections: int = Field(default=0, ge=0)
     generates: bool = False
+    warm_up_per_s: float = Field(default=0.0, ge=0)
+    warm_up_s: float = Field(default=0.0, ge=0)
 
 
 class TenantBody(_Part):
@@ -108,7 +111,7 @@
     except TenantError as error:
         return Error(Fault(FaultCode.INVALID, STEP, f"tenants: {error}"))
     routes = tuple(_route(route) for route in body.routes)
-    services = tuple(Service(s.name, s.max_connections, s.generates) for s in body.services)
+    services = tuple(map(_service, body.services))
     limits = ClientLimits(
         body.limits.max_header_bytes,
         body.limits.max_body_bytes,
@@ -118,6 +121,11 @@
     return Ok(RoutingTable(body.version, routes, services, limits, tenants))
 
 
+def _service(body: ServiceBody) -> Service:
+    warm_up = WarmUpTerms(body.warm_up_per_s, body.warm_up_s)
+    return Service(body.name, body.max_connections, body.generates, warm_up)
+
+
 def _tenants(bodies: tuple[TenantBody, ...] | None) -> TenantDirectory | None:
     if bodies is None:
         return None
--- a/src/rainsail/gateway/quota.py
+++ b/src/rainsail/gateway/quota.py
@@ -12,10 +12,10 @@
 from rainsail.errors import Fault
 from rainsail.gateway.settings import AdmissionSettings
 from rainsail.resources.specs import Kind, ResourceKey, TenantSpec, WatchEvent
+from rainsail.routing.token_bucket import TokenBucket
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import ROOT_GROUP
 from rainsail.tenancy.lender import minimum_share
-from rainsail.tenancy.token_bucket import TokenBucket
 
 LEAST_WEIGHT = 1e-6
 """A tenant's weight in the fair queues is never below this."""
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -17,7 +17,6 @@
 from rainsail.jobs.item_run import ItemRun, RunEnd
 from rainsail.jobs.job_state import JobState, RelayedJob, StateObserver
 from rainsail.jobs.ledger_time import LedgerTime
-from rainsail.jobs.online_use import OnlineUseBook
 from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
 from rainsail.jobs.reserve import Reserve
 from rainsail.jobs.urgency import FreshItems, ItemOrder
@@ -25,9 +24,12 @@
 from rainsail.jobs.work import Work, note_of, taken_up
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
-from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget, ServerLoad
+from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import Route, RoutingTable
+from rainsail.routing.facts import ServerLoad
+from rainsail.routing.online_use import OnlineUseBook
+from rainsail.routing.warm_up_limiter import WarmUpLimiter
 from rainsail.runtime.clock import Clock
 from rainsail.state.job_commands import ItemNote, ItemOutcome, NoteProgress
 
@@ -69,6 +71,7 @@
         ledger_time: LedgerTime,
         random: Random,
         zone: str,
+        warm_ups: WarmUpLimiter,
         list_outcome: ListOutcome,
         keep_notes: KeepNotes,
         may_start: MayStart,
@@ -82,6 +85,7 @@
         self._clock = clock
         self._random = random
         self._zone = zone
+        self._warm_ups = warm_ups
         self._list_outcome = list_outcome
         self._keep_notes = keep_notes
         self._may_start = may_start
@@ -133,6 +137,7 @@
     def set_table(self, table: RoutingTable) -> None:
         """Send by this routing table from now on."""
         self._table = table
+        self._registry.warm_ups.set_terms(table.warm_up_terms())
         for job in self._state.jobs.values():
             self._set_due(job)
 
@@ -207,6 +212,7 @@
         """Forget what is known of jobs that are not kept any more; called now and then."""
         self._known_jobs.intersection_update(self._state.jobs)
         self._order.due.keep_only(self._state.jobs)
+        self._warm_ups.keep_only({record.runner for record in self._registry.records()})
 
     # --- order ---------------------------------------------------------------------------
 
@@ -374,7 +380,7 @@
         records = {
             record.runner: record
             for record in self._registry.ready(service)
-            if self._may_start_at(record.runner, now)
+            if self._may_start_at(record.runner, now) and self._warm_ups.may_send(record, now)
         }
         local = [self._room(each) for each in records.values() if each.zone == self._zone]
         room = roomiest(local)
@@ -405,6 +411,7 @@
             RunnerTarget(record.runner, record.address),
         )
         self._started_at_s[record.runner] = now
+        self._warm_ups.sent(record, now)
         work.runner = record.runner
         work.started_s = work.seen_at_s = now
         work.events_seen = len(work.progress.texts)
--- a/src/rainsail/jobs/foreign_load.py
+++ b/src/rainsail/jobs/foreign_load.py
@@ -5,7 +5,7 @@
 has probably ended.
 """
 
-from rainsail.relay.protocol import ServerLoad
+from rainsail.routing.facts import ServerLoad
 
 FADES_WITHIN_S = 4.0
 """An item runs for about this long."""
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -7,7 +7,8 @@
 from rainsail.http.client import AnswerHead
 from rainsail.jobs.job_state import EVENT_SEPARATOR
 from rainsail.relay.events import Event, EventSplitter, leaves_hole
-from rainsail.relay.protocol import AnswerVerdict, RelayProtocol, ServerLoad
+from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
+from rainsail.routing.facts import ServerLoad
 
 STATUS_OK = 200
 STATUS_NEVER = 422
--- a/src/rainsail/jobs/placement_service.py
+++ b/src/rainsail/jobs/placement_service.py
@@ -12,12 +12,13 @@
 
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.errors import Fault, FaultCode
-from rainsail.jobs.messages import OnlineUse, Placement, PlaceRequest, RunnerUnsound, ServiceLoad
-from rainsail.jobs.online_use import OnlineUseBook
-from rainsail.jobs.placement import Placer
-from rainsail.jobs.soundness import SoundnessBook
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
+from rainsail.routing.messages import OnlineUse, Placement, PlaceRequest, RunnerUnsound, ServiceLoad
+from rainsail.routing.online_use import OnlineUseBook
+from rainsail.routing.placer import Placer
+from rainsail.routing.soundness import SoundnessBook
+from rainsail.routing.warm_up_limiter import WarmUpLimiter
 from rainsail.runtime.clock import Clock
 from rainsail.wire.messenger import Messenger
 
@@ -42,6 +43,7 @@
         items: Callable[[str], int],
         leads: Callable[[], bool],
         make_room: Callable[[str], None],
+        warm_ups: WarmUpLimiter,
         random: Random,
         metrics: NodeMetrics,
     ) -> None:
@@ -53,7 +55,8 @@
         self._leads = leads
         self._metrics = metrics
         self._soundness = SoundnessBook()
-        self._placer = Placer(registry, online, items, self._soundness, random, make_room)
+        self._placer = Placer(registry, online, items, self._soundness, warm_ups, random, make_room)
+        self._warm_ups = warm_ups
         self._counted: dict[str, tuple[float, int, int]] = {}
         self._told_busy: dict[str, set[str]] = {}
         self._asked_s: deque[float] = deque()
@@ -66,6 +69,7 @@
         self._soundness.clear()
         self._told_busy.clear()
         self._counted.clear()
+        self._warm_ups.begin(self._clock.seconds())
 
     # --- reports -------------------------------------------------------------------------
 
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -6,16 +6,16 @@
 
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
-from rainsail.jobs.messages import PlaceRequest
-from rainsail.relay.choice import RunnerChooser
-from rainsail.relay.load import LoadBook
-from rainsail.relay.overload import OverloadGuard
 from rainsail.relay.placement import Placed
-from rainsail.relay.prefix_memory import PrefixMemory
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import RoutingTable
+from rainsail.routing.choice import RunnerChooser
+from rainsail.routing.load import LoadBook
+from rainsail.routing.messages import PlaceRequest
+from rainsail.routing.overload import OverloadGuard
+from rainsail.routing.prefix_memory import PrefixMemory
 from rainsail.runtime.clock import Clock
 from rainsail.tenancy.tenants import Identity
 
@@ -36,7 +36,7 @@
     settings: RelaySettings
     overload: OverloadGuard
     table: RoutingTable | None = None
-    place: Callable[[PlaceRequest, Placed], None] = lambda ask, placed: placed(None)
+    place: Callable[[PlaceRequest, Placed, bool], None] = lambda ask, placed, must: placed(None)
     """Asks where a request should go; calls back with None when the gateway has to choose."""
     admit: Callable[[Identity, Callable[[float], None]], None] = lambda identity, done: done(0.0)
     """Decides whether a tenant's quota allows a request: calls back with 0, or with the wait."""
@@ -58,7 +58,9 @@
     """Put a gateway's context together."""
     loads = LoadBook(settings.mechanisms)
     prefixes = PrefixMemory(settings.mechanisms)
-    chooser = RunnerChooser(loads, prefixes, random, settings.choice, settings.mechanisms)
+    chooser = RunnerChooser(
+        loads, prefixes, random, settings.choice, settings.mechanisms, registry.is_warming
+    )
     split = SplitPicker(random)
     return RelayContext(
         zone,
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -17,7 +17,6 @@
 from rainsail.errors import Fault
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits
-from rainsail.jobs.messages import OnlineUse, RunnerOutcome, RunnerUnsound, RunnerUse, ServiceLoad
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
 from rainsail.relay.context import RelayContext
@@ -26,6 +25,13 @@
 from rainsail.relay.run import STATUS_NOT_FOUND, STATUS_UNAVAILABLE, RelayRun
 from rainsail.relay.table import Route, RouteKind, RoutingTable
 from rainsail.relay.table_reader import TableReader
+from rainsail.routing.messages import (
+    OnlineUse,
+    RunnerOutcome,
+    RunnerUnsound,
+    RunnerUse,
+    ServiceLoad,
+)
 from rainsail.tenancy.quota_client import QuotaClient
 from rainsail.tenancy.tenants import Identity
 from rainsail.wire.messenger import Messenger
@@ -207,6 +213,7 @@
         if known is not None and table.version <= known.version:
             return
         self._context.table = table
+        self._follower.registry.warm_ups.set_terms(table.warm_up_terms())
         self._quotas.table_version = table.version
         self._limits.max_header_bytes = table.limits.max_header_bytes
         self._limits.max_body_bytes = table.limits.max_body_bytes
@@ -216,7 +223,7 @@
 
     def _runners_changed(self, changed: list[RunnerRecord]) -> None:
         for record in changed:
-            if record.state == RunnerState.READY:
+            if record.takes_work:
                 continue
             if record.address:
                 self._context.pool.forget(record.address)
--- a/src/rainsail/relay/header_protocol.py
+++ b/src/rainsail/relay/header_protocol.py
@@ -12,14 +12,8 @@
     header_text,
     header_value,
 )
-from rainsail.relay.protocol import (
-    AnswerVerdict,
-    ItemRequest,
-    PromptPart,
-    RequestFacts,
-    RunnerTarget,
-    ServerLoad,
-)
+from rainsail.relay.protocol import AnswerVerdict, ItemRequest, RequestFacts, RunnerTarget
+from rainsail.routing.facts import PromptPart, ServerLoad
 from rainsail.tenancy.tenants import Identity, KeyDigest, digest_of
 
 HOST = b"Host"
--- a/src/rainsail/relay/placement.py
+++ b/src/rainsail/relay/placement.py
@@ -9,8 +9,8 @@
 from expression import Result
 
 from rainsail.errors import Fault
-from rainsail.jobs.messages import Placement, PlaceRequest
 from rainsail.node_metrics import NodeMetrics
+from rainsail.routing.messages import Placement, PlaceRequest
 from rainsail.runtime.clock import Clock
 from rainsail.wire.messenger import Messenger
 
@@ -54,11 +54,14 @@
         else:
             self._busy_until_s.pop(service, None)
 
-    def place(self, ask: PlaceRequest, placed: Placed) -> None:
-        """Ask for a place if the leader gives them, then call ``placed``, in any case."""
+    def place(self, ask: PlaceRequest, placed: Placed, must_ask: bool = False) -> None:
+        """Ask for a place if the leader gives them, then call ``placed``, in any case.
+
+        With ``must_ask`` the leader is asked though it has not said that it gives places.
+        """
         now = self._clock.seconds()
         busy = self._busy_until_s.get(ask.service, float("-inf")) >= now
-        if not self._leader or not busy or now < self._ask_after_s:
+        if not self._leader or not (must_ask or busy) or now < self._ask_after_s:
             placed(None)
             return
         leader = self._leader
--- a/src/rainsail/relay/protocol.py
+++ b/src/rainsail/relay/protocol.py
@@ -9,18 +9,11 @@
 from rainsail.http.client import AnswerHead, OutgoingRequest
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.headers import HeaderFields
+from rainsail.routing.facts import PromptPart, ServerLoad
 from rainsail.state.job_commands import RelayedItem
 from rainsail.tenancy.tenants import Identity, KeyDigest
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """A part of a prompt: its id and how many tokens it has."""
-
-    part: str
-    tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class RequestFacts:
     """What a request says of itself.
@@ -49,15 +42,6 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLoad:
-    """What a runner says of its load with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerVerdict:
     """What an answer's head says.
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -9,7 +9,6 @@
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.exchange import Exchange
-from rainsail.jobs.messages import Placement
 from rainsail.logs import logger
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.client_answer import ClientAnswer
@@ -18,6 +17,7 @@
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
 from rainsail.relay.runner_finder import RunnerFinder
 from rainsail.relay.table import Route, RouteKind
+from rainsail.routing.messages import Placement
 from rainsail.runtime.clock import Timer
 from rainsail.tenancy.tenants import NOBODY, Identity
 
@@ -337,6 +337,8 @@
         now = self._context.clock.seconds()
         self._last_reason = f"the runner refused with {attempt.head.status}"
         if attempt.verdict.other_runner:
+            # No runner has seen the request: it must not cost one of the attempts.
+            self._sends -= 1
             self._context.loads.failed(attempt.record.runner, now, at_once=True)
         else:
             self._context.loads.full(attempt.record.runner, now)
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 
 from rainsail.cluster.messages import RunnerRecord
-from rainsail.jobs.messages import Placement, PlaceRequest
-from rainsail.relay.choice import MILLISECONDS_PER_S, Wish
 from rainsail.relay.context import RelayContext
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.table import Route
+from rainsail.routing.choice import MILLISECONDS_PER_S, Wish
+from rainsail.routing.messages import Placement, PlaceRequest
 
 ANY_WAIT = -1.0
 """Tells the leader to place a request however long it waits."""
@@ -39,7 +39,8 @@
         """
         self._pick_service(route)
         context = self._context
-        if context.chooser.has_home(self._facts.prompt):
+        must_ask = self._only_granted_left()
+        if context.chooser.has_home(self._facts.prompt) and not must_ask:
             answered(None)
             return
         now = context.clock.seconds()
@@ -48,7 +49,7 @@
         if self._may_be_refused():
             most_waiting = context.overload.most_waiting(self.service, route.target_s)
         ask = PlaceRequest(self.service, context.zone, avoid, most_waiting)
-        context.place(ask, answered)
+        context.place(ask, answered, must_ask)
 
     def find(self, route: Route, placement: Placement | None, left_s: float) -> Found:
         """Decide, ``left_s`` before the request's time is over."""
@@ -58,6 +59,12 @@
             return Found(retry_after_s=retry_after_s)
         return Found(self._placed_record(placement) or self._choose())
 
+    def _only_granted_left(self) -> bool:
+        """Tell whether every runner that is left warms up, and gets only what is granted."""
+        registry = self._context.registry
+        left = [each for each in registry.ready(self.service) if each.runner not in self.tried]
+        return bool(left) and all(map(registry.warm_ups.is_limited, left))
+
     def others_left(self) -> bool:
         """Tell whether some runner was not tried."""
         ready = self._context.registry.ready(self.service)
@@ -109,8 +116,13 @@
         return registry.get(placement.runner) if ready else None
 
     def _choose(self) -> RunnerRecord | None:
+        """Choose by what this gateway knows, among the runners that need no grant."""
         context = self._context
-        records = context.registry.ready(self.service)
+        records = [
+            record
+            for record in context.registry.ready(self.service)
+            if not context.registry.warm_ups.is_limited(record)
+        ]
         wish = Wish(self._facts.prompt, context.zone)
         now = context.clock.seconds()
         return context.chooser.choose(records, frozenset(self.tried), wish, now)
--- a/src/rainsail/relay/settings.py
+++ b/src/rainsail/relay/settings.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from rainsail.mechanisms import DEFAULTS, Mechanisms
-from rainsail.relay.choice import ChoiceSettings
-from rainsail.relay.overload import OverloadSettings
+from rainsail.routing.choice import ChoiceSettings
+from rainsail.routing.overload import OverloadSettings
 from rainsail.tenancy.quota_terms import QuotaTerms
 
 
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from rainsail.cluster.warm_up import NO_TERMS, WarmUpTerms
 from rainsail.tenancy.tenants import NOBODY, PUBLIC, Identity, KeyDigest, TenantDirectory
 
 
@@ -66,6 +67,8 @@
     max_connections: int
     generates: bool
     """Its runners work on prompts, so that shared prompt parts are worth something."""
+    warm_up: WarmUpTerms = NO_TERMS
+    """What its runners bear while they warm up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +131,10 @@
         routes = self._by_host.get(host.lower(), ())
         return any(route.public and route.kind == RouteKind.BATCH for route in routes)
 
+    def warm_up_terms(self) -> dict[str, WarmUpTerms]:
+        """Return what the runners of each service bear while they warm up."""
+        return {name: service.warm_up for name, service in self.services.items()}
+
     def batch_services(self) -> set[str]:
         """Return the services that run items."""
         batch = [route for route in self.routes if route.kind == RouteKind.BATCH]
--- a/src/rainsail/relay/choice.py
+++ b/src/rainsail/routing/choice.py
@@ -5,15 +5,15 @@
 parts equals, so that the gateways of a fleet don't all run to the same runner.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.mechanisms import DEFAULTS, Mechanisms
-from rainsail.relay.load import LoadBook
-from rainsail.relay.prefix_memory import PrefixMemory, home_of, shared_part
-from rainsail.relay.protocol import PromptPart
+from rainsail.routing.facts import PromptPart
+from rainsail.routing.load import LoadBook
+from rainsail.routing.prefix_memory import PrefixMemory, home_of, shared_part
 
 MILLISECONDS_PER_S = 1000.0
 
@@ -30,7 +30,8 @@
     wait_ms: float = 60.0
     """Price of each request that would be in front in the queue."""
     other_zone_ms: float = 6.0
-    cold_ms: float = 60.0
+    warming_ms: float = 60.0
+    """Price of a runner that warms up and whose service has no rate for that."""
     noise_ms: float = 4.0
     read_again: float = 1.25
     """What reading counts beside waiting: it also takes memory, and from others."""
@@ -58,7 +59,10 @@
         random: Random,
         settings: ChoiceSettings,
         mechanisms: Mechanisms = DEFAULTS,
+        is_warming: Callable[[str], bool] = lambda runner: False,
     ) -> None:
+        """``is_warming`` tells whether a runner still warms up."""
+        self._is_warming = is_warming
         self._has_homes = mechanisms.prompt_homes
         self._loads = loads
         self._prefixes = prefixes
@@ -129,8 +133,8 @@
         price += settings.noise_ms * self._random.random()
         if record.zone != wish.zone:
             price += settings.other_zone_ms
-        if record.cold_left_s > 0:
-            price += settings.cold_ms
+        if self._is_warming(record.runner):
+            price += settings.warming_ms
         if wish.prompt:
             reading_ms = self.reading_ms(wish.prompt, record.runner)
             if record.runner == home:
--- a/src/rainsail/relay/load.py
+++ b/src/rainsail/routing/load.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from rainsail.mechanisms import DEFAULTS, Mechanisms
-from rainsail.relay.protocol import ServerLoad
+from rainsail.routing.facts import ServerLoad
 
 REPORT_TRUSTED_S = 0.6
 """A report keeps its full weight for this long."""
--- a/src/rainsail/jobs/online_use.py
+++ b/src/rainsail/routing/online_use.py
@@ -7,7 +7,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from rainsail.jobs.messages import OnlineUse
+from rainsail.routing.messages import OnlineUse
 
 GATEWAY_FORGOTTEN_AFTER_S = 15.0
 """A gateway reports whenever something ends; one that is silent for longer is most likely gone."""
--- a/src/rainsail/relay/prefix_memory.py
+++ b/src/rainsail/routing/prefix_memory.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from rainsail.mechanisms import DEFAULTS, Mechanisms
-from rainsail.relay.protocol import PromptPart
+from rainsail.routing.facts import PromptPart
 
 MAX_PARTS = 4096
 
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -8,6 +8,7 @@
 
 from rainsail.errors import Fault, FaultCode
 from rainsail.mechanisms import DEFAULTS, Mechanisms
+from rainsail.routing.warm_up_limiter import WarmUpBound
 from rainsail.runtime.toml import parse_toml
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.wire.address import parse_address
@@ -37,6 +38,7 @@
     name: str = Field(min_length=1, description="Name of the machine, as operators call it")
     role: NodeKind = Field(description="gateway, controller or storage")
     zone: str = Field(default="", description="Zone of the machine")
+    region: str = Field(default="", description="Region of the machine's zone")
     ip: str = Field(description="IP number that the other nodes reach it by")
     data_folder: str = Field(default="", description="Folder of its durable state")
     founding: bool = Field(
@@ -45,6 +47,9 @@
     losses: int = Field(
         default=1, ge=0, description="Machines with a disk that may be lost at one time"
     )
+    zones: dict[str, str] = Field(
+        default={}, description="The region of each zone of the fleet, by the zone's name"
+    )
 
 
 class PeersSection(_Section):
@@ -105,6 +110,24 @@
         return QuotaTerms(self.window_s, self.overshoot, self.slack)
 
 
+class WarmUpSection(_Section):
+    """How closely the rate of runners that warm up is kept over the fleet.
+
+    In any second such a runner gets at most rate x overshoot + slack requests.
+    """
+
+    overshoot: float = Field(
+        default=1.0, ge=1, description="Multiple of its rate that a runner may get in a second"
+    )
+    slack: float = Field(
+        default=0.0, ge=0, description="Requests that it may get in a second besides"
+    )
+
+    def bound(self) -> WarmUpBound:
+        """Return what the decisions on warm-ups need."""
+        return WarmUpBound(self.overshoot, self.slack)
+
+
 class NodeSettings(_Section):
     """The whole file."""
 
@@ -120,6 +143,9 @@
     quota: QuotaSection = Field(
         default=QuotaSection(), description="How closely tenants' rates are kept"
     )
+    warm_up: WarmUpSection = Field(
+        default=WarmUpSection(), description="How closely the rate of warming runners is kept"
+    )
     mechanisms: Mechanisms = Field(
         default=DEFAULTS, description="Policies that can be turned off to measure them"
     )
--- a/src/rainsail/state/fleet_commands.py
+++ b/src/rainsail/state/fleet_commands.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 
 from rainsail.errors import Fault
-from rainsail.state.cluster_commands import FoundLedger, ReleaseNode, ReplaceTable
+from rainsail.state.cluster_commands import (
+    FoundLedger,
+    ReleaseNode,
+    ReplaceTable,
+    SetZoneDrain,
+)
 from rainsail.state.command_basics import Done, NoOperation
 from rainsail.state.job_commands import (
     AcceptJob,
@@ -22,6 +27,7 @@
     | ReplaceTable
     | FoundLedger
     | ReleaseNode
+    | SetZoneDrain
     | AcceptJob
     | ListOutcomes
     | NoteProgress
--- a/src/rainsail/tenancy/keeper.py
+++ b/src/rainsail/tenancy/keeper.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field
 from math import exp, floor
 
+from rainsail.routing.token_bucket import TokenBucket
 from rainsail.tenancy.messages import QuotaAsk, QuotaGrant, QuotaGrants, QuotaNeed
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.tenancy.tenants import RateLimit
-from rainsail.tenancy.token_bucket import TokenBucket
 
 SHARE_MEMORY_S = 10.0
 """How far back requests count in a gateway's share of a tenant's requests."""
--- a/src/rainsail/tenancy/local_share.py
+++ b/src/rainsail/tenancy/local_share.py
@@ -7,9 +7,9 @@
 there again at once.
 """
 
+from rainsail.routing.token_bucket import TokenBucket
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.tenancy.tenants import RateLimit
-from rainsail.tenancy.token_bucket import TokenBucket
 
 LEAST_BURST = 1.0
 LEAST_GATEWAYS = 32
--- a/src/rainsail/wire/protocol.py
+++ b/src/rainsail/wire/protocol.py
@@ -24,6 +24,7 @@
 FLEET_PROTOCOL_MODULES = (
     "rainsail.cluster.messages",
     "rainsail.jobs.messages",
+    "rainsail.routing.messages",
     "rainsail.state.job_commands",
     "rainsail.tenancy.messages",
     "rainsail.wire.hello",
--- a/tools/quota_ways.py
+++ b/tools/quota_ways.py
@@ -19,9 +19,9 @@
 
 from features.support.quota_world import KEEPERS, QuotaWorld
 
+from rainsail.routing.token_bucket import TokenBucket
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.tenancy.tenants import RateLimit
-from rainsail.tenancy.token_bucket import TokenBucket
 
 GATEWAYS = (49, 190, 380)
 COURSE_S = 30.0
