--- /dev/null
+++ b/features/support/warm_up_world.py
@@ -0,0 +1,339 @@
+"""Relaying gateways before runners that warm up, in virtual time, with two keepers of placements.
+
+The gateways, the placement service and the limiter are the product's; runners answer after a while
+and count what they get.
+"""
+
+import random
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from features.support.relaying import (
+    HOST,
+    PATH,
+    SERVICE,
+    PlainProtocol,
+    StandInCall,
+    StandInExchange,
+    event,
+)
+
+from rainsail.cluster.follower import FleetFollower
+from rainsail.cluster.messages import NodeRecord, NodeRole, RunnerRecord, RunnerState
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.cluster.warm_up import WarmUpTerms
+from rainsail.http.exchange import HttpRequest
+from rainsail.http.server import HttpLimits
+from rainsail.jobs.placement_service import PlacementService
+from rainsail.node_metrics import NodeMetrics
+from rainsail.relay.context import make_context
+from rainsail.relay.gateway import RelayGateway
+from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.run import RelayRun
+from rainsail.relay.settings import RelaySettings
+from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
+from rainsail.routing.online_use import OnlineUseBook
+from rainsail.routing.warm_up_limiter import WarmUpBound, WarmUpLimiter
+from rainsail.simulation.clock import SkewedClock, VirtualClock
+from rainsail.simulation.network import LinkConditions, SimulatedNetwork
+from rainsail.state.cluster_commands import ZoneDrain
+from rainsail.wire.messenger import Messenger
+
+KEEPERS = ("keeper-1", "keeper-2")
+LINK = LinkConditions(delay_s=0.0009, jitter_s=0.0003)
+SLOTS = 8
+SLOT_TIME_S = 0.7
+RATE_PER_S = 7.0
+LASTS_S = 3.0
+BOUND = WarmUpBound(1.5, 5.0)
+WORD_AFTER_S = 0.15
+"""A runner's word reaches a node within this time."""
+CONNECTED_WITHIN_S = 0.3
+
+
+class TimedPool:
+    """Connections of a gateway: a new one takes a moment, and an answer a slot's time."""
+
+    def __init__(self, world: "WarmUpWorld", clock: Any) -> None:
+        self._world = world
+        self._clock = clock
+
+    def send(self, address: str, request: Any, listener: Any, fresh: bool = False) -> StandInCall:
+        """Send once connected."""
+        call = StandInCall(address, request, listener)
+        connects_s = CONNECTED_WITHIN_S * self._world.random.random() ** 8
+        self._clock.callLater(connects_s, self._arrive, call)
+        return call
+
+    def _arrive(self, call: StandInCall) -> None:
+        if call.cancelled:
+            return
+        self._world.note_sent(call.address)
+        self._clock.callLater(0.01, self._step, call, call.begin_stream)
+        self._clock.callLater(SLOT_TIME_S, self._step, call, lambda: self._end(call))
+
+    def _step(self, call: StandInCall, step: Any) -> None:
+        if not call.cancelled:
+            step()
+
+    @staticmethod
+    def _end(call: StandInCall) -> None:
+        call.listener.answer_data(event(1))
+        call.listener.answer_ended()
+
+    def forget(self, address: str) -> None:
+        """No connection rests here."""
+
+    def close_stale(self) -> None:
+        """No connection rests here."""
+
+
+def make_table() -> RoutingTable:
+    """Return a table of one stream route to a service whose runners warm up."""
+    shares = (ServiceShare(SERVICE, 1.0),)
+    route = Route("r", HOST, "/a/", RouteKind.STREAM, shares, 4.0, 0.3, 2, gap_target_s=1.0)
+    service = Service(SERVICE, 100, True, WarmUpTerms(RATE_PER_S, LASTS_S))
+    return RoutingTable(1, (route,), (service,), ClientLimits())
+
+
+class WarmUpGateway:
+    """One gateway's process."""
+
+    def __init__(self, world: "WarmUpWorld", name: str) -> None:
+        self.name = name
+        self.clock = SkewedClock(world.clock)
+        self.registry = RunnerRegistry(self.clock.seconds, settles_addresses=False)
+        self.transport = world.network.transport(name)
+        messenger = Messenger(self.transport, self.clock)
+        node = NodeRecord(name, name, NodeRole.GATEWAY, "zone-0", 1)
+        self.follower = FleetFollower(node, (), messenger, self.clock, self.registry)
+        self.context = make_context(
+            "zone-0",
+            self.clock,
+            self.registry,
+            TimedPool(world, self.clock),  # type: ignore[arg-type]
+            PlainProtocol(),
+            world.random,
+            RelaySettings(),
+        )
+        self.context.table = make_table()
+        self.registry.warm_ups.set_terms(self.context.table.warm_up_terms())
+        self.gateway = RelayGateway(
+            self.context,
+            self.follower,
+            messenger,
+            lambda content: None,  # type: ignore[arg-type,return-value]
+            HttpLimits(),
+            NodeMetrics(),
+        )
+
+    def request(self, request: str) -> StandInExchange:
+        """Have a client send a request."""
+        now = self.clock.seconds()
+        exchange = StandInExchange(
+            HttpRequest(b"POST", PATH.encode(), (), b"body", now),
+            self.clock,  # type: ignore[arg-type]
+        )
+        facts = RequestFacts(request, HOST, PATH, 5.0, (), 0, 0, None)
+        assert self.context.table is not None
+        route = self.context.table.routes[0]
+        RelayRun(self.context, exchange, facts, route, lambda run: None).start()
+        return exchange
+
+    def stop(self) -> None:
+        """End the process."""
+        self.gateway.stop()
+        self.clock.stop()
+        self.transport.close()
+
+
+class Keeper:
+    """A storage node, of which only the placements are there; it also starts items."""
+
+    def __init__(self, world: "WarmUpWorld", name: str) -> None:
+        self.name = name
+        self._world = world
+        self.registry = RunnerRegistry(world.clock.seconds, settles_addresses=False)
+        self.registry.warm_ups.set_terms(make_table().warm_up_terms())
+        self.limiter = WarmUpLimiter(BOUND, self.registry.warm_ups)
+        self.service = PlacementService(
+            Messenger(world.network.transport(name), world.clock),
+            world.clock,
+            self.registry,
+            OnlineUseBook(),
+            lambda runner: 0,
+            lambda: world.leading == name,
+            lambda runner: None,
+            self.limiter,
+            random.Random(world.random.random()),
+            NodeMetrics(),
+        )
+
+    def start_item(self, record: RunnerRecord) -> None:
+        """Send an item if the runner may get it."""
+        now = self._world.clock.seconds()
+        if self.registry.is_ready(record.runner) and self.limiter.may_send(record, now):
+            self.limiter.sent(record, now)
+            self._world.note_sent(record.address)
+
+
+@dataclass
+class Runner:
+    """What a runner is, when it is cold, and when requests came."""
+
+    record: RunnerRecord
+    cold: list[tuple[float, float]] = field(default_factory=list)
+    sent_s: list[float] = field(default_factory=list)
+
+    def most_while_cold(self) -> int:
+        """Return the most requests of any second in which it was cold throughout."""
+        most = 0
+        for began_s, ended_s in self.cold:
+            times = [at_s for at_s in self.sent_s if began_s <= at_s <= ended_s]
+            first = 0
+            for place, at_s in enumerate(times):
+                while times[first] < at_s - 1.0:
+                    first += 1
+                most = max(most, place - first + 1)
+        return most
+
+
+class WarmUpWorld:
+    """Gateways, two keepers of which one leads, runners of two zones."""
+
+    def __init__(self, seed: int, gateways: int, runners: int) -> None:
+        self.random = random.Random(seed)
+        self.clock = VirtualClock()
+        self.network = SimulatedNetwork(self.clock, random.Random(seed + 1), LINK, count_bytes=True)
+        self.leading = ""
+        self.answered: list[StandInExchange] = []
+        self.keepers = [Keeper(self, name) for name in KEEPERS]
+        self.gateways = [WarmUpGateway(self, f"gateway-{n}") for n in range(gateways)]
+        self.runners = [self._runner(number) for number in range(runners)]
+        self._by_address = {each.record.address: each for each in self.runners}
+        for runner in self.runners:
+            for registry in self.registries():
+                registry.take((runner.record,))
+
+    @staticmethod
+    def _runner(number: int) -> Runner:
+        record = RunnerRecord(
+            f"runner-{number}",
+            SERVICE,
+            f"10.0.0.{number}:80",
+            f"zone-{number % 2}",
+            SLOTS,
+            RunnerState.READY,
+            0.0,
+            0,
+        )
+        return Runner(record)
+
+    def registries(self) -> list[RunnerRegistry]:
+        """Return what each node knows of the runners."""
+        return [each.registry for each in (*self.keepers, *self.gateways)]
+
+    def note_sent(self, address: str) -> None:
+        """A request has reached a runner."""
+        self._by_address[address].sent_s.append(self.clock.seconds())
+
+    # --- what happens --------------------------------------------------------------------
+
+    def lead(self, name: str, told_after_s: float = 0.0) -> None:
+        """Have a keeper lead, or none with an empty name."""
+        self.leading = name
+        if name:
+            self.keepers[KEEPERS.index(name)].service.leadership_changed(True)
+            self.clock.callLater(told_after_s, self._tell_leader, name)
+
+    def _tell_leader(self, name: str) -> None:
+        for gateway in self.gateways:
+            gateway.follower.on_ledger_leader(name)
+
+    def press(self, per_s: float, for_s: float) -> None:
+        """Have requests come at random, at random gateways."""
+        at_s = self.random.expovariate(per_s)
+        number = 0
+        while at_s < for_s:
+            number += 1
+            self.clock.callLater(at_s, self._ask, f"request-{number}")
+            at_s += self.random.expovariate(per_s)
+
+    def _ask(self, request: str) -> None:
+        self.answered.append(self.random.choice(self.gateways).request(request))
+
+    def press_items(self, per_s: float, for_s: float) -> None:
+        """Have the leading keeper start items wherever the limiter lets it."""
+        at_s = self.random.expovariate(per_s)
+        while at_s < for_s:
+            self.clock.callLater(at_s, self._start_item)
+            at_s += self.random.expovariate(per_s)
+
+    def _start_item(self) -> None:
+        if self.leading:
+            keeper = self.keepers[KEEPERS.index(self.leading)]
+            keeper.start_item(self.random.choice(self.runners).record)
+
+    def go_cold(self, runner: Runner, silent_s: float) -> None:
+        """A runner is cold from now on, and says so a while later."""
+        now = self.clock.seconds()
+        runner.cold.append((now, now + LASTS_S))
+        self.clock.callLater(silent_s, self.say, runner)
+
+    def say(self, runner: Runner) -> None:
+        """A runner's word reaches each node after a while of its own."""
+        warm_at_s = max((ended_s for _, ended_s in runner.cold), default=0.0)
+        left_s = max(0.0, warm_at_s - self.clock.seconds())
+        record = replace(runner.record, sequence=runner.record.sequence + 1, warm_up_left_s=left_s)
+        runner.record = record
+        for registry in self.registries():
+            after_s = WORD_AFTER_S * self.random.random()
+            self.clock.callLater(after_s, registry.take, (record,))
+
+    def drain(self, zone: str, for_s: float) -> None:
+        """A zone is drained for a while; its runners are cold at the end."""
+        self._tell_drain(ZoneDrain(zone, 1, True))
+        self.clock.callLater(for_s, self._end_drain, zone)
+
+    def _end_drain(self, zone: str) -> None:
+        self._tell_drain(ZoneDrain(zone, 2, False))
+        for runner in self.runners:
+            if runner.record.zone == zone:
+                self.go_cold(runner, 1.2 * self.random.random())
+
+    def _tell_drain(self, drain: ZoneDrain) -> None:
+        for registry in self.registries():
+            after_s = WORD_AFTER_S * self.random.random()
+            self.clock.callLater(after_s, registry.take_zone_drains, (drain,))
+
+    def restart(self, number: int) -> None:
+        """End a gateway's process and begin another, which knows what the others know."""
+        known = self.gateways[number].registry
+        self.gateways[number].stop()
+        fresh = WarmUpGateway(self, self.gateways[number].name)
+        self.gateways[number] = fresh
+        for record in known.records():
+            left_s = known.warm_ups.left_s(record.runner)
+            fresh.registry.take((replace(record, warm_up_left_s=left_s),))
+        if self.leading:
+            fresh.follower.on_ledger_leader(self.leading)
+
+    def cut_off(self, number: int) -> None:
+        """Cut a gateway off from the keepers, not from the runners."""
+        self.network.isolate(self.gateways[number].name)
+
+    # --- judging -------------------------------------------------------------------------
+
+    def most_over(self) -> float:
+        """Return by how much the fullest second of a cold runner passes the bound."""
+        most = max(runner.most_while_cold() for runner in self.runners)
+        return most - BOUND.in_window(RATE_PER_S)
+
+    def served(self) -> float:
+        """Return the share of requests that were answered well."""
+        good = sum(1 for exchange in self.answered if exchange.status == 200)
+        return good / max(1, len(self.answered))
+
+    def messages_sent(self) -> int:
+        """Return how many messages all gateways have sent."""
+        return sum(gateway.transport.traffic.messages_sent for gateway in self.gateways)
