Serve requests and items only in the regions that their route and tenant allow

Regions were known to no node. The settings name each zone's region; routes and tenants name theirs, both bind; choice, placement, retries, resumption and items keep to them. A job whose bodies the ledger would keep in a region that is not allowed is refused at once with the time to come back: partial, the ledger still is one group over all regions.

--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -15,6 +15,7 @@
 from rainsail.routing.messages import OnlineUse, Placement, PlaceRequest, RunnerUse, ServiceLoad
 from rainsail.routing.online_use import OnlineUseBook
 from rainsail.routing.placer import Placer
+from rainsail.routing.residency import RegionMap
 from rainsail.routing.soundness import SoundnessBook
 from rainsail.routing.warm_up_limiter import WarmUpBound, WarmUpLimiter
 from rainsail.simulation.clock import VirtualClock
@@ -237,6 +238,7 @@
         items_at,
         context.soundness,
         WarmUpLimiter(WarmUpBound(), registry.warm_ups),
+        RegionMap({"zone-1": "east", "zone-2": "west"}),
         random.Random(5),
         context.made_room.append,
     )
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -27,12 +27,17 @@
 LIMIT_S = 30.0
 JOB_PREFIX = "/jobs/"
 JOB_PATH = "/jobs/1"
+ZONES = {"zone-0": "east", "zone-1": "west", "zone-2": "west"}
 COMPLETION_S = 5.0
 """Time within which the tests' jobs are due."""
 
 
 def table_of(content: bytes) -> Any:
-    """Read the tests' tables: a version, and for all jobs one service."""
+    """Read the tests' tables: a version, for all jobs one service, and the jobs' regions if any.
+
+    ``7`` is version 7; ``8 east west`` is version 8, and its jobs may run in these regions.
+    """
+    version, *regions = content.decode().split()
     routes = (
         Route(
             "jobs",
@@ -44,10 +49,11 @@
             1.0,
             max_attempts=2,
             completion_s=COMPLETION_S,
+            allowed_regions=frozenset(regions),
         ),
     )
     services = (Service("model", 10, True),)
-    return Ok(RoutingTable(int(content), routes, services, ClientLimits()))
+    return Ok(RoutingTable(int(version), routes, services, ClientLimits()))
 
 
 class SimulatedNode:
@@ -105,6 +111,7 @@
                     "data_folder": "data",
                     "founding": founding,
                     "losses": 1,
+                    "zones": ZONES,
                 },
                 "peers": {
                     "first_port": FIRST_PORT,
--- a/features/support/warm_up_world.py
+++ b/features/support/warm_up_world.py
@@ -33,6 +33,7 @@
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
 from rainsail.routing.online_use import OnlineUseBook
+from rainsail.routing.residency import RegionMap
 from rainsail.routing.warm_up_limiter import WarmUpBound, WarmUpLimiter
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.network import LinkConditions, SimulatedNetwork
@@ -165,6 +166,7 @@
             lambda: world.leading == name,
             lambda runner: None,
             self.limiter,
+            RegionMap({}),
             random.Random(world.random.random()),
             NodeMetrics(),
         )
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -17,6 +17,7 @@
 from rainsail.relay.context import make_context
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.settings import RelaySettings
+from rainsail.routing.residency import RegionMap
 
 LEDGER_CALL_TIMEOUT_S = 1.6
 CLIENTS_LEAVE_AFTER_S = 2.3
@@ -42,6 +43,7 @@
             port.protocol,
             base.random,
             _relay_settings(base),
+            RegionMap(base.settings.node.zones),
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -24,6 +24,7 @@
 from rainsail.logs import logger
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.table_reader import TableReader
+from rainsail.routing.residency import RegionMap
 from rainsail.routing.warm_up_limiter import WarmUpLimiter
 from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import FileSystem
@@ -69,6 +70,7 @@
             base.random,
             base.settings.node.zone,
             self._warm_ups,
+            RegionMap(base.settings.node.zones),
             self._outcomes.add,
             self._propose,
             self._may_start_items,
@@ -97,6 +99,7 @@
             self._leads,
             self.dispatcher.make_room,
             self._warm_ups,
+            RegionMap(base.settings.node.zones),
             base.random,
             base.metrics,
         )
--- a/src/rainsail/fleet_api/tables.py
+++ b/src/rainsail/fleet_api/tables.py
@@ -39,6 +39,7 @@
     completion_s: float = Field(default=0.0, ge=0)
     max_queued_tokens: int = Field(default=0, ge=0)
     public: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     @model_validator(mode="after")
     def _check(self) -> "RouteBody":
@@ -66,6 +67,7 @@
     rate_per_s: float = Field(default=0.0, ge=0)
     burst: float = Field(default=0.0, ge=0)
     priority: int | None = Field(default=None, ge=0)
+    allowed_regions: tuple[str, ...] = ()
 
 
 class LimitsBody(_Part):
@@ -130,7 +132,13 @@
     if bodies is None:
         return None
     return TenantDirectory(
-        make_tenant(body.name, body.keys, RateLimit(body.rate_per_s, body.burst), body.priority)
+        make_tenant(
+            body.name,
+            body.keys,
+            RateLimit(body.rate_per_s, body.burst),
+            body.priority,
+            body.allowed_regions,
+        )
         for body in bodies
     )
 
@@ -152,4 +160,5 @@
         body.completion_s,
         body.max_queued_tokens,
         body.public,
+        frozenset(body.allowed_regions),
     )
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -29,6 +29,7 @@
 from rainsail.relay.table import Route, RoutingTable
 from rainsail.routing.facts import ServerLoad
 from rainsail.routing.online_use import OnlineUseBook
+from rainsail.routing.residency import AllowedRegions, RegionMap
 from rainsail.routing.warm_up_limiter import WarmUpLimiter
 from rainsail.runtime.clock import Clock
 from rainsail.state.job_commands import ItemNote, ItemOutcome, NoteProgress
@@ -72,6 +73,7 @@
         random: Random,
         zone: str,
         warm_ups: WarmUpLimiter,
+        regions: RegionMap,
         list_outcome: ListOutcome,
         keep_notes: KeepNotes,
         may_start: MayStart,
@@ -86,6 +88,7 @@
         self._random = random
         self._zone = zone
         self._warm_ups = warm_ups
+        self._regions = regions
         self._list_outcome = list_outcome
         self._keep_notes = keep_notes
         self._may_start = may_start
@@ -357,7 +360,9 @@
         if route is None:
             return self._without_route(work)
         service = self._split.service(route)
-        record = self._choose(service, now)
+        assert self._table is not None
+        allowed = self._table.allowed_regions(route, job.tenant)
+        record = self._choose(service, allowed, now)
         if record is None:
             return False
         self._run_at(work, job, record, now)
@@ -374,13 +379,13 @@
         self._finish(work, False, "no route")
         return True
 
-    def _choose(self, service: str, now: float) -> RunnerRecord | None:
+    def _choose(self, service: str, allowed: AllowedRegions, now: float) -> RunnerRecord | None:
         if not self._may_run_more(service):
             return None
         records = {
             record.runner: record
             for record in self._registry.ready(service)
-            if self._may_start_at(record.runner, now) and self._warm_ups.may_send(record, now)
+            if self._regions.allows(allowed, record.zone) and self._may_start_at(record, now)
         }
         local = [self._room(each) for each in records.values() if each.zone == self._zone]
         room = roomiest(local)
@@ -388,12 +393,16 @@
         chosen = best if room is None else room
         return None if chosen is None else records[chosen.runner]
 
-    def _may_start_at(self, runner: str, now: float) -> bool:
+    def _may_start_at(self, record: RunnerRecord, now: float) -> bool:
         """Tell whether a runner may get an item now.
 
-        It is sound, no item has just given way there, and it has begun the last one: an item that
-        waits at a runner says that it is full, whatever is known of it here.
+        It is sound, bears one more while it warms up, no item has just given way there, and it has
+        begun the last one: an item that waits at a runner says that it is full, whatever is known
+        of it here.
         """
+        if not self._warm_ups.may_send(record, now):
+            return False
+        runner = record.runner
         no_item_before_s = max(
             self._paused_until_s.get(runner, 0.0), self._crowded_until_s.get(runner, 0.0)
         )
--- a/src/rainsail/jobs/placement_service.py
+++ b/src/rainsail/jobs/placement_service.py
@@ -17,6 +17,7 @@
 from rainsail.routing.messages import OnlineUse, Placement, PlaceRequest, RunnerUnsound, ServiceLoad
 from rainsail.routing.online_use import OnlineUseBook
 from rainsail.routing.placer import Placer
+from rainsail.routing.residency import RegionMap
 from rainsail.routing.soundness import SoundnessBook
 from rainsail.routing.warm_up_limiter import WarmUpLimiter
 from rainsail.runtime.clock import Clock
@@ -44,6 +45,7 @@
         leads: Callable[[], bool],
         make_room: Callable[[str], None],
         warm_ups: WarmUpLimiter,
+        regions: RegionMap,
         random: Random,
         metrics: NodeMetrics,
     ) -> None:
@@ -55,7 +57,9 @@
         self._leads = leads
         self._metrics = metrics
         self._soundness = SoundnessBook()
-        self._placer = Placer(registry, online, items, self._soundness, warm_ups, random, make_room)
+        self._placer = Placer(
+            registry, online, items, self._soundness, warm_ups, regions, random, make_room
+        )
         self._warm_ups = warm_ups
         self._counted: dict[str, tuple[float, int, int]] = {}
         self._told_busy: dict[str, set[str]] = {}
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -184,6 +184,12 @@
         if self.on_batch is None:
             self.answer_empty(exchange, STATUS_UNAVAILABLE)
             return
+        context = self._context
+        allowed = context.allowed_regions(route, identity)
+        if not context.regions.may_be_kept(allowed, context.zone):
+            # The ledger keeps copies in all regions: better not taken than kept where it must not.
+            self._refuse_unready(exchange, facts, "the ledger lies in regions that are not allowed")
+            return
         self.on_batch(exchange, route, facts, identity)
 
     def answer_empty(
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -51,7 +51,7 @@
         self._answer = ClientAnswer(exchange, context.protocol, context.clock, facts.after_event)
         self._ended = False
         self._attempt: Attempt | None = None
-        self._finder = RunnerFinder(context, facts, route)
+        self._finder = RunnerFinder(context, facts, route, identity)
         self._sends = 0
         self._may_have_run = False
         self._received_s = exchange.request.received_s
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -9,6 +9,8 @@
 from rainsail.relay.table import Route
 from rainsail.routing.choice import MILLISECONDS_PER_S, Wish
 from rainsail.routing.messages import Placement, PlaceRequest
+from rainsail.routing.residency import AllowedRegions
+from rainsail.tenancy.tenants import Identity
 
 ANY_WAIT = -1.0
 """Tells the leader to place a request however long it waits."""
@@ -25,11 +27,15 @@
 class RunnerFinder:
     """Where one request may go; ``tried`` are the runners that it was sent to."""
 
-    def __init__(self, context: RelayContext, facts: RequestFacts, route: Route) -> None:
+    def __init__(
+        self, context: RelayContext, facts: RequestFacts, route: Route, identity: Identity
+    ) -> None:
         self.service = ""
         self.tried: set[str] = set()
         self._context = context
         self._facts = facts
+        self._identity = identity
+        self._allowed: AllowedRegions = None
         self._comes_back = context.overload.comes_back(route.name, facts.deadline_s)
 
     def ask(self, route: Route, answered: Callable[[Placement | None], None]) -> None:
@@ -37,7 +43,7 @@
 
         ``answered`` gets None when this gateway has to choose by itself.
         """
-        self._pick_service(route)
+        self._follow(route)
         context = self._context
         must_ask = self._only_granted_left()
         if context.chooser.has_home(self._facts.prompt) and not must_ask:
@@ -48,12 +54,20 @@
         most_waiting = ANY_WAIT
         if self._may_be_refused():
             most_waiting = context.overload.most_waiting(self.service, route.target_s)
-        ask = PlaceRequest(self.service, context.zone, avoid, most_waiting)
+        allowed = self._allowed
+        ask = PlaceRequest(
+            self.service,
+            context.zone,
+            avoid,
+            most_waiting,
+            allowed is not None,
+            tuple(sorted(allowed or ())),
+        )
         context.place(ask, answered, must_ask)
 
     def find(self, route: Route, placement: Placement | None, left_s: float) -> Found:
         """Decide, ``left_s`` before the request's time is over."""
-        self._pick_service(route)
+        self._follow(route)
         retry_after_s = self._retry_after_s(route, placement, left_s)
         if retry_after_s is not None:
             return Found(retry_after_s=retry_after_s)
@@ -61,14 +75,16 @@
 
     def _only_granted_left(self) -> bool:
         """Tell whether every runner that is left warms up, and gets only what is granted."""
-        registry = self._context.registry
-        left = [each for each in registry.ready(self.service) if each.runner not in self.tried]
-        return bool(left) and all(map(registry.warm_ups.is_limited, left))
+        left = [each for each in self._ready() if each.runner not in self.tried]
+        return bool(left) and all(map(self._context.registry.warm_ups.is_limited, left))
+
+    def _ready(self) -> list[RunnerRecord]:
+        """Return the runners that may get the request, tried ones too."""
+        return self._context.ready(self.service, self._allowed)
 
     def others_left(self) -> bool:
         """Tell whether some runner was not tried."""
-        ready = self._context.registry.ready(self.service)
-        return any(record.runner not in self.tried for record in ready)
+        return any(record.runner not in self.tried for record in self._ready())
 
     def note_sent(self, record: RunnerRecord) -> None:
         """Count in what a runner has to read, and tell the others of a long prompt."""
@@ -83,7 +99,9 @@
         if reading_ms >= context.settings.told_reading_ms:
             context.tell_reading(record.runner, reading_s)
 
-    def _pick_service(self, route: Route) -> None:
+    def _follow(self, route: Route) -> None:
+        """Go by a route as it is now: its services, and the regions that it allows."""
+        self._allowed = self._context.allowed_regions(route, self._identity)
         if not route.allows(self.service):
             self.service = self._context.split.service(route)
 
@@ -103,7 +121,7 @@
         if placement is not None:
             refused = placement.refused
             return context.overload.refused(self.service, left_s, now) if refused else None
-        ready = context.registry.ready(self.service)
+        ready = self._ready()
         own = sum(context.loads.of(record.runner).in_flight for record in ready)
         return context.overload.retry_after_s(self.service, own, route.target_s, left_s, now)
 
@@ -111,17 +129,17 @@
         """Return the runner that the leader named, if it still takes work."""
         if placement is None or placement.runner in self.tried:
             return None
-        registry = self._context.registry
-        ready = registry.is_ready(placement.runner)
-        return registry.get(placement.runner) if ready else None
+        context = self._context
+        record = context.registry.get(placement.runner)
+        if record is None or not context.registry.is_ready(record.runner):
+            return None
+        return record if context.regions.allows(self._allowed, record.zone) else None
 
     def _choose(self) -> RunnerRecord | None:
         """Choose by what this gateway knows, among the runners that need no grant."""
         context = self._context
         records = [
-            record
-            for record in context.registry.ready(self.service)
-            if not context.registry.warm_ups.is_limited(record)
+            record for record in self._ready() if not context.registry.warm_ups.is_limited(record)
         ]
         wish = Wish(self._facts.prompt, context.zone)
         now = context.clock.seconds()
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from rainsail.cluster.warm_up import NO_TERMS, WarmUpTerms
+from rainsail.routing.residency import AllowedRegions, allowed_regions
 from rainsail.tenancy.tenants import NOBODY, PUBLIC, Identity, KeyDigest, TenantDirectory
 
 
@@ -31,7 +32,8 @@
     ``target_s`` is the time within which an answer is worth most, ``gap_target_s`` the longest
     pause of a stream that still is in time, ``completion_s`` the time within which all results of
     a job are due, counted from its acceptance (0: no time is set), ``max_queued_tokens`` how many
-    tokens of a tenant's jobs may wait at once (0: any number). A ``public`` route wants no key.
+    tokens of a tenant's jobs may wait at once (0: any number). A ``public`` route wants no key. Its
+    requests may be served in the regions ``allowed_regions`` alone (empty: in all).
     """
 
     name: str
@@ -48,6 +50,7 @@
     completion_s: float = 0.0
     max_queued_tokens: int = 0
     public: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -110,6 +113,11 @@
                 return route
         return None
 
+    def allowed_regions(self, route: Route, tenant: str) -> AllowedRegions:
+        """Return where a tenant's requests on a route may be served; None stands for everywhere."""
+        of_tenant = frozenset() if self.tenants is None else self.tenants.allowed_regions(tenant)
+        return allowed_regions(route.allowed_regions, of_tenant)
+
     def identify(self, route: Route, key: KeyDigest | None) -> Identity | None:
         """Return on whose behalf a request on a route comes; None when its key is nobody's."""
         if self.tenants is None:
--- a/src/rainsail/routing/messages.py
+++ b/src/rainsail/routing/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from rainsail.routing.residency import AllowedRegions
 from rainsail.wire.codec import wire_record
 
 
@@ -66,13 +67,21 @@
     """A gateway asks where a request should go.
 
     ``avoid`` are runners that it must not or should not go to; ``most_waiting`` is how many may
-    wait for each slot before the request is better refused (below 0: any number).
+    wait for each slot before the request is better refused (below 0: any number). With ``limited``
+    it may be served in the regions ``regions`` alone.
     """
 
     service: str
     zone: str
     avoid: tuple[str, ...]
     most_waiting: float
+    limited: bool = False
+    regions: tuple[str, ...] = ()
+
+    @property
+    def allowed_regions(self) -> AllowedRegions:
+        """Where the request may be served; None stands for everywhere."""
+        return frozenset(self.regions) if self.limited else None
 
 
 @wire_record
--- a/src/rainsail/routing/placer.py
+++ b/src/rainsail/routing/placer.py
@@ -14,6 +14,7 @@
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.routing.messages import Placement, PlaceRequest
 from rainsail.routing.online_use import OnlineUseBook
+from rainsail.routing.residency import RegionMap
 from rainsail.routing.soundness import SoundnessBook
 from rainsail.routing.warm_up_limiter import WarmUpLimiter
 
@@ -32,6 +33,7 @@
         items: Callable[[str], int],
         soundness: SoundnessBook,
         warm_ups: WarmUpLimiter,
+        regions: RegionMap,
         random: Random,
         make_room: Callable[[str], None] = lambda runner: None,
     ) -> None:
@@ -42,11 +44,14 @@
         self._items = items
         self._soundness = soundness
         self._warm_ups = warm_ups
+        self._regions = regions
         self._random = random
 
     def place(self, gateway: str, ask: PlaceRequest, now: float) -> Placement:
         """Place a request, or refuse it when more wait than the gateway accepts."""
-        records = self._registry.ready(ask.service)
+        allowed = ask.allowed_regions
+        ready = self._registry.ready(ask.service)
+        records = [each for each in ready if self._regions.allows(allowed, each.zone)]
         online, slots = self.load(records)
         too_many = 0 <= ask.most_waiting * slots < online + 1 - slots
         if too_many:
--- a/src/rainsail/tenancy/tenants.py
+++ b/src/rainsail/tenancy/tenants.py
@@ -38,12 +38,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """One tenant. ``priority`` goes before that of a route, 0 is most urgent (None: not set)."""
+    """One tenant.
+
+    ``priority`` goes before that of a route, 0 is most urgent (None: not set). Its requests may be
+    served in the regions ``allowed_regions`` alone (empty: in all).
+    """
 
     name: str
     keys: frozenset[KeyDigest] = field(repr=False)
     limit: RateLimit = NO_LIMIT
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +62,7 @@
     tenant: str = ""
     keyed: bool = False
     limit: RateLimit = NO_LIMIT
+    allowed_regions: frozenset[str] = frozenset()
 
 
 NOBODY = Identity()
@@ -85,16 +91,25 @@
                 if other is not tenant:
                     raise TenantError(f"tenants {other.name} and {tenant.name} share a key")
 
+    def allowed_regions(self, tenant: str) -> frozenset[str]:
+        """Return the regions of a tenant by its name; empty stands for all."""
+        known = self.tenants.get(tenant)
+        return frozenset() if known is None else known.allowed_regions
+
     def identify(self, key: KeyDigest | None) -> Identity | None:
         """Return on whose behalf the bearer of a key asks, None when nobody has the key."""
         tenant = None if key is None else self._by_key.get(key)
         if tenant is None:
             return None
-        return Identity(tenant.name, True, tenant.limit)
+        return Identity(tenant.name, True, tenant.limit, tenant.allowed_regions)
 
 
 def make_tenant(
-    name: str, keys: Iterable[str], limit: RateLimit = NO_LIMIT, priority: int | None = None
+    name: str,
+    keys: Iterable[str],
+    limit: RateLimit = NO_LIMIT,
+    priority: int | None = None,
+    allowed_regions: Iterable[str] = (),
 ) -> Tenant:
     """Return a checked tenant; ``TenantError`` says what is wrong with it."""
     if not name or not all(" " <= each <= LAST_VISIBLE for each in name) or name != name.strip():
@@ -106,4 +121,4 @@
         if not key or not all(FIRST_VISIBLE <= each <= LAST_VISIBLE for each in key):
             raise TenantError(f"tenant {name}: a key can't stand in a header")
         digests.add(digest_of(key.encode()))
-    return Tenant(name, frozenset(digests), limit, priority)
+    return Tenant(name, frozenset(digests), limit, priority, frozenset(allowed_regions))
