--- /dev/null
+++ b/features/relay/early_requests.feature
@@ -0,0 +1,34 @@
+Feature: What comes to a gateway before its first table waits a moment for it
+
+  Scenario: Requests are served as soon as the table is there
+    Given a gateway that knows no table yet
+    When 3 clients send requests before the table is there
+    And 0.4 seconds pass at the gateway without a table
+    Then no early client has an answer yet
+    When the table is there
+    Then 3 requests have gone to runners
+
+  Scenario: A client that leaves meanwhile has nothing sent
+    Given a gateway that knows no table yet
+    When 2 clients send requests before the table is there
+    And the first of them leaves
+    And the table is there
+    Then 1 requests have gone to runners
+
+  Scenario: No table comes
+    Given a gateway that knows no table yet
+    When 2 clients send requests before the table is there
+    And 0.8 seconds pass at the gateway without a table
+    Then each early client has 503 with a time to come back
+
+  Scenario: A gateway that has run for a while without a table refuses at once
+    Given a gateway that knows no table yet
+    When 2.1 seconds pass at the gateway without a table
+    And 2 clients send requests before the table is there
+    Then each early client has 503 with a time to come back
+
+  Scenario: Many more than fit are refused at once, and the others wait
+    Given a gateway that knows no table yet
+    When 510 clients send requests before the table is there
+    And the table is there
+    Then 500 requests have gone to runners
--- a/features/steps/tenant_key_steps.py
+++ b/features/steps/tenant_key_steps.py
@@ -183,3 +183,52 @@
     fields = {name.lower(): value for name, value in exchange.headers}
     assert 0 < float(fields[b"retry-after"]) <= 1.0, fields
     assert len(context.keyed.calls) == 1, context.keyed.calls
+
+
+# --- before the first table ------------------------------------------------------------------
+
+
+@when("{seconds:g} seconds pass at the gateway without a table")
+def early_time(context, seconds):
+    context.keyed.clock.advance(seconds)
+
+
+@when("{count:d} clients send requests before the table is there")
+def send_early(context, count):
+    context.early = [
+        context.keyed.request(bearer(KEY), request=f"r-{number}".encode())
+        for number in range(count)
+    ]
+
+
+@when("the first of them leaves")
+def first_leaves(context):
+    context.early.pop(0).left()
+
+
+@when("the table is there")
+def table_comes(context):
+    context.keyed.put_table(1, TENANTS)
+
+
+@then("no early client has an answer yet")
+def none_answered(context):
+    assert not any(exchange.status for exchange in context.early)
+
+
+@then("{count:d} requests have gone to runners")
+def gone_to_runners(context, count):
+    context.keyed.clock.advance(0.01)
+    assert len(context.keyed.calls) == count, len(context.keyed.calls)
+
+
+@then("each early client has 503 with a time to come back")
+def early_refused(context):
+    for exchange in context.early:
+        assert exchange.status == 503 and dict(exchange.headers).get(b"Retry-After"), exchange
+
+
+@then("the client has 503 and never 401, and no runner got anything")
+def refused_later(context):
+    assert context.exchange.status == 503, context.exchange
+    assert not context.keyed.calls
--- a/features/tenancy/keys.feature
+++ b/features/tenancy/keys.feature
@@ -36,7 +36,8 @@
   Scenario: Nobody is refused for a key before a table is known
     Given a gateway that knows no table yet
     When a client sends a request with the fields "Authorization: Bearer nobody"
-    Then the client gets 503 at once, and no runner got anything
+    And 0.8 seconds pass at the gateway without a table
+    Then the client has 503 and never 401, and no runner got anything
 
   Scenario: A public route wants no key, and passes none on
     Given a gateway whose table has tenants
