--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -66,7 +66,9 @@
             self.fail(started.error)
             return
         exempt_startup_objects()
-        logger.bind(address=self._base.node.address).info("started")
+        took_s = self._base.clock.seconds() - self._base.started_s
+        log = logger.bind(address=self._base.node.address, took_ms=round(took_s * 1000))
+        log.info("started")
 
     def _metrics_address(self) -> str:
         return self._base.settings.listen.metrics
--- a/src/rainsail/runtime/sockets.py
+++ b/src/rainsail/runtime/sockets.py
@@ -6,11 +6,16 @@
 MILLISECONDS_PER_S = 1000
 
 
+PROBED_AFTER_S = 2
+PROBE_PERIOD_S = 1
+
+
 def set_user_timeout(transport: Any, timeout_s: float) -> None:
-    """End the connection when sent bytes stay unacknowledged for ``timeout_s``; 0 changes nothing.
+    """End the connection when the other side has acknowledged nothing for ``timeout_s``.
 
-    Behind a cut nothing answers, so without it a connection hangs for many minutes. A transport
-    without a socket (in tests) is left alone.
+    Behind a cut nothing answers, and a connection may go silent for good without a reset; without
+    this it hangs for many minutes. One on which nothing is sent is probed, so that it is found too.
+    0 changes nothing. A transport without a socket (in tests) is left alone.
     """
     handle = getattr(transport, "getHandle", None)
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
@@ -18,6 +23,10 @@
         return
     milliseconds = int(timeout_s * MILLISECONDS_PER_S)
     try:
-        handle().setsockopt(socket.IPPROTO_TCP, option, milliseconds)
+        connection = handle()
+        connection.setsockopt(socket.IPPROTO_TCP, option, milliseconds)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBED_AFTER_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_S)
     except (AttributeError, OSError):
         return
