--- a/features/jobs/soak.feature
+++ b/features/jobs/soak.feature
@@ -21,3 +21,6 @@
       | any table replaces the one held               |
       | an event that comes twice is taken twice      |
       | a leader answers reads without its lease      |
+      | nodes send to drained zones                   |
+      | an order on a zone is acknowledged and not kept |
+      | the last word at an address ends the runner before it |
--- a/features/steps/relayed_soak_steps.py
+++ b/features/steps/relayed_soak_steps.py
@@ -1,5 +1,6 @@
 """Steps on a relayed fleet under random faults."""
 
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
@@ -7,8 +8,11 @@
 
 from rainsail.cluster.controller import FleetController
 from rainsail.cluster.fleet_state import FleetState
+from rainsail.cluster.messages import RunnerState, ZoneDrainAnswer
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
 from rainsail.jobs.item_run import ItemProgress
-from rainsail.state.cluster_commands import ReplaceTable
+from rainsail.state.cluster_commands import ReplaceTable, ZoneDrain
 from rainsail.state.commands import Done
 
 
@@ -52,6 +56,23 @@
     return proposed.addCallback(lambda result: result.error if result.is_error() else Done())
 
 
+def _send_to_drained_zones(self, record):
+    return record.takes_work
+
+
+def _keep_no_order(self, command):
+    return Done()
+
+
+def _end_former(self, speaker):
+    former = self._records.get(self._by_address.get(speaker.address, ""))
+    self._by_address[speaker.address] = speaker.runner
+    if former is None or former.runner == speaker.runner:
+        return []
+    self._records[former.runner] = replace(former, state=RunnerState.GONE)
+    return [self._records[former.runner]]
+
+
 def _read_at_once(self, message):
     return self._document()
 
@@ -62,6 +83,20 @@
         (FleetController, "_submit_as_leader", _submit_always),
     ),
     "an event that comes twice is taken twice": ((ItemProgress, "take", _take_every_event),),
+    "nodes send to drained zones": ((RunnerRegistry, "_may_get_work", _send_to_drained_zones),),
+    "an order on a zone is acknowledged and not kept": (
+        (FleetState, "_set_zone_drain", _keep_no_order),
+        (
+            ZoneDrainOrders,
+            "_answer",
+            lambda self, message: ZoneDrainAnswer(
+                ZoneDrain(message.zone, 1, message.draining), True
+            ),
+        ),
+    ),
+    "the last word at an address ends the runner before it": (
+        (RunnerRegistry, "_give_address", _end_former),
+    ),
     "a leader answers reads without its lease": (
         (FleetController, "_read_as_leader", _read_at_once),
     ),
--- a/features/support/relayed_soak.py
+++ b/features/support/relayed_soak.py
@@ -5,10 +5,10 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
-from features.support.relayed_fleet import RelayedFleet
+from features.support.relayed_fleet import ZONES, RelayedFleet
 from features.support.relaying import SERVICE, event
 
 from rainsail.cluster.messages import RunnerRecord, RunnerState
@@ -17,6 +17,10 @@
 STEP_S = 0.1
 CATCH_UP_S = 5.0
 DRAIN_S = 2.0
+ZONE_DRAIN_S = 5.0
+"""From the acknowledgement of a zone's drain its runners get nothing after this time."""
+ZONE_DRAINED_FOR_S = (4.0, 9.0)
+LATE_WORD_S = (0.2, 3.0)
 CANCEL_S = 3.0
 QUIET_S = 40.0
 BREAK_CHANCE = 0.01
@@ -37,6 +41,17 @@
     pages: list[Any] = field(default_factory=list)
 
 
+@dataclass
+class ZoneOrder:
+    """A zone's drain as the operator knows it: when it was acknowledged, and its end first sent."""
+
+    zone: str
+    ends_at_s: float
+    acknowledged_s: float | None = None
+    end_sent_s: float | None = None
+    ended: bool = False
+
+
 @dataclass(frozen=True)
 class Sending:
     """An item on its way to a runner."""
@@ -59,8 +74,11 @@
         self.version = 0
         self.jobs: dict[str, SoakJob] = {}
         self.runners: dict[str, RunnerRecord] = {}
+        self.zones: dict[str, str] = {}
+        """The zone of each runner there ever was."""
         self.drained_s: dict[str, float] = {}
         self.sendings: list[Sending] = []
+        self.zone_orders: list[ZoneOrder] = []
         self.gateway_versions: dict[str, int] = {}
         self.violations: list[str] = []
         self.faults: list[str] = []
@@ -90,6 +108,8 @@
 
     def _step(self, faults: bool) -> None:
         self.fleet.run_for(STEP_S)
+        if not faults:
+            self._press_zone_orders()
         self._play_runners()
         self._watch_gateways()
         self._beat_runners()
@@ -108,13 +128,14 @@
             f"r-{number}",
             SERVICE,
             f"10.9.0.{number}:80",
-            "zone-1",
+            f"zone-{number % len(ZONES)}",
             8,
             RunnerState.READY,
             0.0,
             0,
         )
         self.runners[record.runner] = record
+        self.zones[record.runner] = record.zone
 
     def _controller(self) -> Any:
         names = [
@@ -134,16 +155,7 @@
         if controller is None:
             return
         known = self.runners[name]
-        record = RunnerRecord(
-            name,
-            known.service,
-            known.address,
-            known.zone,
-            known.slots,
-            state,
-            0.0,
-            known.sequence + 1,
-        )
+        record = replace(known, state=state, sequence=known.sequence + 1)
         self.runners[name] = record
         controller.runner_word(record).addCallback(self._word_taken, name, state)
 
@@ -193,6 +205,61 @@
                 self._add_runner()
                 self._say(name, RunnerState.DRAINING)
 
+        if self.random.random() < STEP_S / 6:
+            self._begin_zone_drain()
+        if self.random.random() < STEP_S / 6:
+            self._replace_runner()
+        self._press_zone_orders()
+
+    def _begin_zone_drain(self) -> None:
+        """Drain a zone, unless one is drained already."""
+        if all(order.ended for order in self.zone_orders):
+            ends_at_s = self.now + self.random.uniform(*ZONE_DRAINED_FOR_S)
+            self.zone_orders.append(ZoneOrder(self.random.choice(sorted(ZONES)), ends_at_s))
+
+    def _press_zone_orders(self) -> None:
+        """Send the order that is due until it is acknowledged, to any controller."""
+        controller = self._controller()
+        if not self.zone_orders or controller is None or self.random.random() > 2 * STEP_S:
+            return
+        order = self.zone_orders[-1]
+        if order.acknowledged_s is None:
+            done = controller.zone_drains.order(order.zone, True)
+            done.addCallback(self._zone_order_taken, order, True)
+        elif not order.ended and self.now >= order.ends_at_s:
+            order.end_sent_s = order.end_sent_s or self.now
+            done = controller.zone_drains.order(order.zone, False)
+            done.addCallback(self._zone_order_taken, order, False)
+
+    def _zone_order_taken(self, result: Any, order: ZoneOrder, draining: bool) -> None:
+        if result.is_error():
+            return
+        if draining:
+            order.acknowledged_s = order.acknowledged_s or self.now
+            self._strike_if_armed("controller")
+        else:
+            order.ended = True
+
+    def _replace_runner(self) -> None:
+        """A runner crashes twice; a word of the incarnation between comes after the newest's."""
+        names = [name for name in self.runners if name not in self.drained_s]
+        if not names:
+            return
+        crashed = self.runners.pop(self.random.choice(names))
+        self._next_runner += 1
+        between = replace(crashed, runner=f"{crashed.runner}-between", sequence=1)
+        newest = replace(crashed, runner=f"r-{self._next_runner}", sequence=0)
+        self.runners[newest.runner] = newest
+        self.zones[newest.runner] = newest.zone
+        self._say(newest.runner, RunnerState.READY)
+        late_s = self.random.uniform(*LATE_WORD_S)
+        self.fleet.clock.callLater(late_s, self._say_late, between)
+
+    def _say_late(self, record: RunnerRecord) -> None:
+        controller = self._controller()
+        if controller is not None:
+            controller.runner_word(record)
+
     def _send_table(self) -> None:
         controller = self._controller()
         if controller is None:
@@ -364,6 +431,8 @@
         gateways = self.gateway_versions.values()
         if any(version < self.acknowledged_version for version in gateways):
             return False
+        if not all(order.ended for order in self.zone_orders):
+            return False
         owed = [j for j in self.jobs.values() if j.accepted_s is not None and not j.end_asked]
         return all(job.pages and len(job.pages[-1]) == job.count for job in owed)
 
@@ -378,9 +447,32 @@
             if not job.pages or len(job.pages[-1]) < job.count:
                 self.violations.append(f"{job.job} was accepted and is not finished")
         self._judge_sendings()
+        self._judge_runners()
+
+    def _judge_runners(self) -> None:
+        """Once all is calm a runner that lives and goes on speaking gets work everywhere."""
+        drained = {order.zone for order in self.zone_orders if not order.ended}
+        for name in self.fleet.names("gateway"):
+            registry = self.fleet.nodes[name].base.registry
+            for record in self.runners.values():
+                living = record.runner not in self.drained_s and record.zone not in drained
+                if living and not registry.is_ready(record.runner):
+                    self.violations.append(f"{name} sends nothing to {record.runner}, which lives")
+
+    def _judge_zone_drains(self, sending: Sending) -> None:
+        zone = self.zones.get(sending.runner)
+        for order in self.zone_orders:
+            if order.zone != zone or order.acknowledged_s is None:
+                continue
+            since_s = order.acknowledged_s + ZONE_DRAIN_S + STEP_S
+            until_s = order.end_sent_s or float("inf")
+            if since_s < sending.at_s < until_s:
+                late_s = sending.at_s - order.acknowledged_s
+                self.violations.append(f"{sending.runner} got an item {late_s:.1f} s into a drain")
 
     def _judge_sendings(self) -> None:
         for sending in self.sendings:
+            self._judge_zone_drains(sending)
             drained_s = self.drained_s.get(sending.runner)
             if drained_s is not None and sending.at_s > drained_s + DRAIN_S + STEP_S:
                 late_s = sending.at_s - drained_s
