Give a storage node the table that it hears of while it opens its disk; controllers outside the group tell of the newest table

Cause: a storage node set what to do with a table only once its disk was open. A notice that came before was fetched and lost, and not fetched again: that node ran no items until the next table. Red before: the scenario of a notice before the disk is open. The soak of real processes drains zones through kills; the whole path shows a drain by metrics and logs.

--- a/features/cluster/controllers.feature
+++ b/features/cluster/controllers.feature
@@ -90,3 +90,9 @@
     Then the order is taken or may be sent again
     When the other controllers take table 7
     Then every other controller reads table 7
+
+  Scenario: A storage node that hears of a table while it opens its disk runs items by it
+    Given a relayed fleet
+    And an operator sent table 7 to controller 1
+    When storage node 2 loses power, starts again and hears of table 7 before its disk is open
+    Then storage node 2 runs items by table 7 within 3 seconds
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -22,6 +22,11 @@
     And the configuration reads back as it was sent
     And the job's 3 results read the same
     And the nodes' metrics count what was served, listed and led
+    When the operator drains the zone of the runner that requests go to
+    Then all requests go to the other runner, and the nodes' metrics and logs say why
+    When the operator ends the drain
+    Then that runner gets requests again
+    And an order on a zone that nobody has is answered 404
     When a runner drains
     Then its word is acknowledged and it gets nothing more
     When a gateway gets SIGTERM with a slow stream under way
--- a/features/steps/platform_whole_path_steps.py
+++ b/features/steps/platform_whole_path_steps.py
@@ -285,3 +285,60 @@
 def named(context):
     assert any(runner.ran for runner in context.platform.runners)
     assert [runner.misnamed for runner in context.platform.runners] == [[], []]
+
+
+# --- draining a zone ---------------------------------------------------------------------------
+
+
+def _ran_counts(context, count, prefix):
+    """Send safe requests one after the other; return how many each runner has run."""
+    platform = context.platform
+    before = [len(runner.ran) for runner in platform.runners]
+    for number in range(count):
+        status, _, _ = _served(context, f"/safe/{number}", f"{prefix}-{number}")
+        assert status == 200, status
+    return [len(r.ran) - b for r, b in zip(platform.runners, before, strict=True)]
+
+
+@when("the operator drains the zone of the runner that requests go to")
+def drain_zone(context):
+    platform = context.platform
+    counts = _ran_counts(context, 8, "before")
+    context.drained = platform.runners[counts.index(max(counts))]
+    assert platform.runners[0].zone != platform.runners[1].zone
+    assert platform.drain_zone(context.drained.zone) == 200
+    wait_until(
+        lambda: all(platform.metric(n, "zones_draining") == 1 for n in platform.nodes),
+        "every node obeys",
+    )
+
+
+@then("all requests go to the other runner, and the nodes' metrics and logs say why")
+def go_to_other(context):
+    platform = context.platform
+    counts = _ran_counts(context, 8, "drained")
+    assert counts[platform.runners.index(context.drained)] == 0, counts
+    for name in platform.nodes:
+        events = [line.get("event") for line in platform.log_lines(name)]
+        assert "zone_drain_obeyed" in events, name
+
+
+@when("the operator ends the drain")
+def end_drain(context):
+    platform = context.platform
+    assert platform.end_drain(context.drained.zone) == 200
+    wait_until(
+        lambda: all(platform.metric(n, "zones_draining") == 0 for n in platform.nodes),
+        "every node obeys",
+    )
+
+
+@then("that runner gets requests again")
+def gets_again(context):
+    counts = _ran_counts(context, 8, "after")
+    assert counts[context.platform.runners.index(context.drained)] > 0, counts
+
+
+@then("an order on a zone that nobody has is answered 404")
+def unknown_zone(context):
+    assert context.platform.control("POST", "/api/Evacuate.Start/nowhere")[0] == 404
--- a/features/steps/relayed_fleet_steps.py
+++ b/features/steps/relayed_fleet_steps.py
@@ -4,6 +4,7 @@
 from features.support.relayed_fleet import SEED_PORT, RelayedFleet
 from features.support.relaying import runner_record
 
+from rainsail.cluster.messages import TableNotice
 from rainsail.errors import FaultCode
 from rainsail.wire.messenger import Messenger
 
@@ -471,3 +472,27 @@
     state = context.fleet.nodes[f"controller-{number}"].role.driver.core.state
     wanted = {context.fleet.address(f"controller-{each}") for each in (first, second)}
     assert wanted <= set(state.contacts), state.contacts
+
+
+# --- starting ---------------------------------------------------------------------------------
+
+
+@when(
+    "storage node {number:d} loses power, starts again and hears of table {version:d} "
+    "before its disk is open"
+)
+def hears_early(context, number, version):
+    fleet = context.fleet
+    name = f"storage-{number}"
+    fleet.crash(name)
+    fleet.start(name)
+    controller = fleet.nodes["controller-1"].base.messenger
+    controller.send(fleet.address(name), TableNotice(version))
+
+
+@then("storage node {number:d} runs items by table {version:d} within {seconds:g} seconds")
+def runs_by(context, number, version, seconds):
+    dispatcher = context.fleet.nodes[f"storage-{number}"].role.dispatcher
+    context.fleet.run_until(
+        lambda: dispatcher.table_version == version, f"table {version} at its dispatcher", seconds
+    )
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -39,6 +39,8 @@
 METRICS_PORT = 17680
 HOST = "a.example"
 EVENTS = 5
+ZONE_DRAIN_S = 5.0
+"""From the acknowledgement of a zone's drain its runners get nothing after this time."""
 SETTINGS = """
 [node]
 name = "{name}"
@@ -95,6 +97,10 @@
     address: str
     zone: str
     ran: list[str] = field(default_factory=list)
+    drained_since_s: float | None = None
+    """Since when its zone is drained, by the acknowledgement; None while it is not."""
+    ran_in_drain: list[str] = field(default_factory=list)
+    """Requests that came to it although its zone was drained for a while."""
     misnamed: list[str] = field(default_factory=list)
     """Requests that came with a key, or not in the name of their tenant."""
     resumed_after: list[str] = field(default_factory=list)
@@ -121,6 +127,9 @@
             exchange.answer(503, ((b"Not-Run", b"1"), (b"Request-Id", request.encode())), b"")
             return
         self.ran.append(request)
+        since_s = self.drained_since_s
+        if since_s is not None and time.monotonic() - since_s > ZONE_DRAIN_S:
+            self.ran_in_drain.append(request)
         if header_text(fields, b"authorization") or header_text(fields, b"tenant") != TENANT:
             self.misnamed.append(request)
         answer = [(b"Request-Id", request.encode()), (b"Response-Stamp", b"stamp-1")]
@@ -286,6 +295,23 @@
                 break
         return status, answer
 
+    def drain_zone(self, zone: str) -> int:
+        """Have a zone drained; returns the status."""
+        status, _ = self.control("POST", f"/api/Evacuate.Start/{zone}")
+        if status == 200:
+            self._note_drain(zone, time.monotonic())
+        return status
+
+    def end_drain(self, zone: str) -> int:
+        """Have a zone's drain ended; returns the status."""
+        self._note_drain(zone, None)
+        return self.control("POST", f"/api/Evacuate.Finish/{zone}")[0]
+
+    def _note_drain(self, zone: str, since_s: float | None) -> None:
+        for runner in self.runners:
+            if runner.zone == zone:
+                runner.drained_since_s = since_s
+
     def configuration(self, version: int) -> dict[str, Any]:
         """Return a configuration of four routes on one service."""
         kinds = {"safe": "safe", "once": "unsafe", "stream": "streaming", "jobs": "batch"}
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -15,6 +15,7 @@
 
 from features.support.platform_stand_in import (
     CONTROL_PORT,
+    ZONE_DRAIN_S,
     StandInPlatform,
     wait_until,
 )
@@ -65,6 +66,8 @@
             self._kill_all,
             self._runner_leaves,
             self._runners_misbehave,
+            self._drain_a_zone,
+            self._drain_a_zone,
         )
 
     def run(self, faults: int) -> SoakResult:
@@ -98,6 +101,11 @@
             for runner in self._platform.runners
             for request in runner.misnamed
         ]
+        found += [
+            f"{request} ran at {runner.runner} while its zone was drained"
+            for runner in self._platform.runners
+            for request in runner.ran_in_drain
+        ]
         found += [f"unfinished job: {job}" for job in unfinished(history)]
         served = sum(answer.status == 200 for answer in history.answers)
         return SoakResult(
@@ -177,6 +185,15 @@
             runner.break_after = break_after
         return f"runners refuse {refuse} and break off after {break_after}"
 
+    def _drain_a_zone(self) -> str:
+        """Drain a zone through another fault, for longer than nodes may take to obey."""
+        zone = self._random.choice(sorted({runner.zone for runner in self._platform.runners}))
+        wait_until(lambda: self._platform.drain_zone(zone) == 200, f"{zone} drained")
+        fault = self._random.choice((self._kill_one, self._kill_controllers, self._kill_all))()
+        time.sleep(ZONE_DRAIN_S + self._between(AWAY_S))
+        wait_until(lambda: self._platform.end_drain(zone) == 200, f"the end of the drain of {zone}")
+        return f"drain {zone} ({fault})"
+
     def _settle(self) -> None:
         """Wait until everything is back and both groups bear a loss again."""
         wait_until(
--- a/features/support/relayed_soak.py
+++ b/features/support/relayed_soak.py
@@ -431,7 +431,7 @@
         gateways = self.gateway_versions.values()
         if any(version < self.acknowledged_version for version in gateways):
             return False
-        if not all(order.ended for order in self.zone_orders):
+        if not all(order.ended for order in self.zone_orders) or self._shunned():
             return False
         owed = [j for j in self.jobs.values() if j.accepted_s is not None and not j.end_asked]
         return all(job.pages and len(job.pages[-1]) == job.count for job in owed)
@@ -451,13 +451,26 @@
 
     def _judge_runners(self) -> None:
         """Once all is calm a runner that lives and goes on speaking gets work everywhere."""
+        for name, runner in self._shunned():
+            self.violations.append(f"{name} sends nothing to {runner}, which lives")
+
+    def _shunned(self) -> list[tuple[str, str]]:
+        """Return gateways with the living runners that they send nothing to."""
         drained = {order.zone for order in self.zone_orders if not order.ended}
-        for name in self.fleet.names("gateway"):
-            registry = self.fleet.nodes[name].base.registry
-            for record in self.runners.values():
-                living = record.runner not in self.drained_s and record.zone not in drained
-                if living and not registry.is_ready(record.runner):
-                    self.violations.append(f"{name} sends nothing to {record.runner}, which lives")
+        living = [
+            record.runner
+            for record in self.runners.values()
+            if record.state == RunnerState.READY and record.zone not in drained
+        ]
+        registries = {
+            name: self.fleet.nodes[name].base.registry for name in self.fleet.names("gateway")
+        }
+        return [
+            (name, runner)
+            for name, registry in registries.items()
+            for runner in living
+            if not registry.is_ready(runner)
+        ]
 
     def _judge_zone_drains(self, sending: Sending) -> None:
         zone = self.zones.get(sending.runner)
--- a/src/rainsail/cluster/committed_copy.py
+++ b/src/rainsail/cluster/committed_copy.py
@@ -2,8 +2,8 @@
 
 After a loss of all power a controller knows its log, but what of it is committed only once the
 group has a leader again. What it had applied before was committed, so it may tell nodes of that at
-once: a node that starts knows nothing newer. The copy is written after it counts, so it may lag; it
-never runs ahead.
+once: a node that starts knows nothing newer. A controller outside the group has it from those
+inside. The copy is written after it counts, so it may lag; it never runs ahead.
 """
 
 from dataclasses import dataclass
@@ -12,6 +12,8 @@
 from twisted.internet.defer import Deferred
 
 from rainsail.cluster.fleet_state import FleetState
+from rainsail.cluster.messages import TableDocument
+from rainsail.cluster.zone_drains import ZoneDrainBook
 from rainsail.errors import Fault, FaultCode
 from rainsail.logs import logger
 from rainsail.state.cluster_commands import ZoneDrain
@@ -39,48 +41,54 @@
 
 
 class CommittedCopies:
-    """Keeps the copy on disk, and answers from it until the state itself has come as far."""
+    """Keeps the newest of what was read, applied here or told by other controllers."""
 
-    def __init__(self, files: FileSystem, state: FleetState) -> None:
+    def __init__(self, files: FileSystem, state: FleetState, drains: ZoneDrainBook) -> None:
+        """``drains`` has every order on a zone that this controller has heard of."""
         self._files = files
         self._state = state
-        self._loaded = NOTHING
+        self._drains = drains
+        self._told = TableDocument(0, b"")
         self._written = NOTHING
         self._writing = False
 
-    def load(self) -> None:
-        """Read the copy; without one that can be read nothing is told before the group leads."""
+    def load(self) -> tuple[ZoneDrain, ...]:
+        """Read the copy; return its orders on zones.
+
+        Without a copy that can be read nothing is told before the group leads.
+        """
         try:
             if not self._files.exists(PATH):
-                return
+                return ()
             records = scan(self._files.read(PATH), NO_GROUP).records
             if records:
-                self._loaded = self._written = decode_body(CommittedCopy, records[0].body)
+                self._written = decode_body(CommittedCopy, records[0].body)
         except (OSError, CodecError) as error:
             logger.bind(reason=str(error)).warning("committed_copy_unreadable")
+        self._told = TableDocument(self._written.version, self._written.content)
+        return self._written.zone_drains
+
+    def told(self, document: TableDocument) -> None:
+        """Take a table that another controller told of."""
+        if document.version > self._told.version:
+            self._told = document
+            self.changed()
 
     @property
     def version(self) -> int:
         """The version of the newest table that is surely committed, 0 for none."""
-        return max(self._state.version, self._loaded.version)
+        return max(self._state.version, self._told.version)
 
     @property
     def content(self) -> bytes:
         """The content of that table."""
-        ahead = self._loaded.version > self._state.version
-        return self._loaded.content if ahead else self._state.content
+        ahead = self._told.version > self._state.version
+        return self._told.content if ahead else self._state.content
 
-    @property
-    def zone_drains(self) -> tuple[ZoneDrain, ...]:
-        """Orders that are surely committed; nodes take the newest on each zone."""
-        return (*self._loaded.zone_drains, *self._state.zone_drains())
-
-    def applied(self) -> None:
-        """Write what is applied now, unless that has been done; one writing at a time."""
-        state = self._state
-        copy = CommittedCopy(state.version, state.content, state.zone_drains())
-        behind = state.version < self._written.version
-        if self._writing or behind or copy == self._written:
+    def changed(self) -> None:
+        """Write what is known now, unless that has been done; one writing at a time."""
+        copy = CommittedCopy(self.version, self.content, self._drains.orders())
+        if self._writing or copy == self._written:
             return
         self._writing = True
         Deferred.fromCoroutine(self._write(copy)).addCallback(self._end, copy)
@@ -108,4 +116,4 @@
             logger.bind(fault=str(result.error)).warning("committed_copy_not_written")
             return
         self._written = copy
-        self.applied()
+        self.changed()
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -137,6 +137,7 @@
         self._founding = False
         self._stopped = False
         follower.on_runners = self._push_runners
+        follower.on_table = committed.told
         group.on_applied(self._applied)
         serve = messenger.serve
         serve(NodeBeat, self._take_beat)
@@ -150,7 +151,6 @@
 
     def start(self) -> None:
         """Begin to plan and to follow the other controllers."""
-        self._follower.take_zone_drains(self._committed.zone_drains)
         self._plan()
 
     def stop(self) -> None:
@@ -311,7 +311,7 @@
             () if leading is None else leading[1].voters,
             0 if leading is None else leading[1].term,
             _rounded_up(len(self._directory.live(NodeRole.GATEWAY, now))),
-            self._committed.zone_drains,
+            self._registry.zone_drains.orders(),
         )
 
     def _zones(self) -> frozenset[str]:
@@ -357,8 +357,8 @@
         return TableDocument(self._state.version, self._state.content)
 
     def _applied(self, index: int) -> None:
-        self._committed.applied()
         self._notice_zone_drains()
+        self._committed.changed()
         if self._state.version <= self._noticed_version:
             return
         self._noticed_version = self._state.version
--- a/src/rainsail/cluster/zone_drains.py
+++ b/src/rainsail/cluster/zone_drains.py
@@ -30,6 +30,10 @@
         known = self._drains.get(zone)
         return known is not None and known.draining
 
+    def orders(self) -> tuple[ZoneDrain, ...]:
+        """Return the newest order on each zone, by zone."""
+        return tuple(self._drains[zone] for zone in sorted(self._drains))
+
     def draining(self) -> tuple[str, ...]:
         """Return the zones that are being drained, sorted."""
         return tuple(sorted(zone for zone, drain in self._drains.items() if drain.draining))
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -78,6 +78,9 @@
             base.metrics,
         )
         self.state.observer = self.dispatcher
+        # Controllers may tell of a table while this node still opens its disk; it is told once.
+        base.follower.on_table = self._take_table
+        base.follower.on_runners = self.dispatcher.runners_changed
         keeper = QuotaKeeper(base.settings.quota.terms())
         self._quotas = QuotaService(base.messenger, base.clock, keeper, self._leads)
         base.metrics.gauge("jobs_kept", lambda: float(len(self.state.jobs)))
@@ -105,8 +108,6 @@
         )
         base.follower.ledger_status = self._status
         base.follower.on_view = self._view_changed
-        base.follower.on_table = self._take_table
-        base.follower.on_runners = self.dispatcher.runners_changed
         if not self._folder.is_empty():
             self._start_group(())
         base.follower.start()
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -137,6 +137,11 @@
         self._running.clear()
         self._waiting.clear()
 
+    @property
+    def table_version(self) -> int:
+        """The version of the routing table by which items run, 0 while none is known."""
+        return 0 if self._table is None else self._table.version
+
     def set_table(self, table: RoutingTable) -> None:
         """Send by this routing table from now on."""
         self._table = table
