--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -175,7 +175,7 @@
         if found.retry_after_s is not None:
             self._refuse_overloaded(found.retry_after_s)
         elif found.record is None:
-            self._last_reason = self._last_reason or f"no runner of {self._finder.service} is known"
+            self._last_reason = self._last_reason or self._finder.why_none()
             self._give_up()
         else:
             self._send(found.record, now)
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -86,6 +86,28 @@
         """Tell whether some runner was not tried."""
         return any(record.runner not in self.tried for record in self._ready())
 
+    def why_none(self) -> str:
+        """Say, for the log, why no runner may get the request now."""
+        registry = self._context.registry
+        drained = outside = warming = 0
+        for record in registry.records():
+            if record.service != self.service or not record.takes_work:
+                continue
+            if record.runner in self.tried:
+                continue
+            if registry.zone_drains.is_draining(record.zone):
+                drained += 1
+            elif not self._context.regions.allows(self._allowed, record.zone):
+                outside += 1
+            elif registry.warm_ups.is_limited(record):
+                warming += 1
+        if not drained + outside + warming:
+            return f"no runner of {self.service} is known"
+        return (
+            f"no runner of {self.service} may get it: {drained} in draining zones, "
+            f"{outside} outside the allowed regions, {warming} warming up"
+        )
+
     def note_sent(self, record: RunnerRecord) -> None:
         """Count in what a runner has to read, and tell the others of a long prompt."""
         self.tried.add(record.runner)
