Place only with a table known; bound held bodies; split rooms of runners and the ledger's founding off

A leader that knows no table does not know what runners that warm up bear, and would have placed without a bound.

--- a/features/relay/early_requests.feature
+++ b/features/relay/early_requests.feature
@@ -32,3 +32,9 @@
     When 510 clients send requests before the table is there
     And the table is there
     Then 500 requests have gone to runners
+
+  Scenario: Bodies are held up to a bound
+    Given a gateway that knows no table yet
+    When 9 clients send requests of 1 MiB before the table is there
+    And the table is there
+    Then 8 requests have gone to runners
--- a/features/steps/tenant_key_steps.py
+++ b/features/steps/tenant_key_steps.py
@@ -201,6 +201,16 @@
     ]
 
 
+@when("{count:d} clients send requests of {size:d} MiB before the table is there")
+def send_large_early(context, count, size):
+    context.early = [
+        context.keyed.request(
+            bearer(KEY), request=f"r-{number}".encode(), body=b"x" * size * 1024 * 1024
+        )
+        for number in range(count)
+    ]
+
+
 @when("the first of them leaves")
 def first_leaves(context):
     context.early.pop(0).left()
--- a/features/support/keyed_gateway.py
+++ b/features/support/keyed_gateway.py
@@ -93,11 +93,15 @@
         self.follower.on_table(TableDocument(version, content))
 
     def request(
-        self, *fields: tuple[bytes, bytes], path: bytes = b"/a/1", request: bytes = b"r-1"
+        self,
+        *fields: tuple[bytes, bytes],
+        path: bytes = b"/a/1",
+        request: bytes = b"r-1",
+        body: bytes = b"body",
     ) -> StandInExchange:
         """Have a client send a request with some fields."""
         own = ((b"Host", HOST.encode()), (b"Rainsail-Request", request))
-        head = HttpRequest(b"POST", path, (*own, *fields), b"body", self.clock.seconds())
+        head = HttpRequest(b"POST", path, (*own, *fields), body, self.clock.seconds())
         exchange = StandInExchange(head, self.clock)
         self.gateway.handle(exchange)
         self.clock.advance(0.001)
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -18,9 +18,10 @@
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.followed import MOST_FOLLOWED_WHOLE, in_turn
 from rainsail.cluster.follower import FleetFollower
-from rainsail.cluster.founders import choose_founders, voters_for
+from rainsail.cluster.founders import voters_for
 from rainsail.cluster.leader_answers import confirmed, not_leading, reply_to_proposal
 from rainsail.cluster.leader_calls import LeaderCaller
+from rainsail.cluster.ledger_founding import LedgerFounding
 from rainsail.cluster.messages import (
     FetchTable,
     FleetView,
@@ -51,7 +52,7 @@
 from rainsail.errors import Fault
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
-from rainsail.state.cluster_commands import FoundLedger, ReplaceTable, ZoneDrain
+from rainsail.state.cluster_commands import ReplaceTable, ZoneDrain
 from rainsail.wire.messenger import Messenger
 
 PLAN_PERIOD_S = 0.25
@@ -59,8 +60,6 @@
 MOST_TOLD_OF_READING = 64
 """So many gateways are told of a prompt that a runner reads: in a larger fleet each of them sends
 that runner so little that the word is worth less than it costs."""
-FOUND_WITH_FEWER_AFTER_S = 6.0
-"""A leader waits this long for enough storage nodes before it founds the ledger with fewer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +121,7 @@
         self.emptying = EmptyingOrders(
             group, state, self._directory, self._calls, clock, settings.losses
         )
+        self._founding = LedgerFounding(group, state, self._directory, settings.losses)
         self.zone_drains = ZoneDrainOrders(group, state, self._calls, clock, self._zones)
         self._epoch = node.incarnation
         self._pushed_revision = 0
@@ -133,8 +133,6 @@
         self._noticed_version = 0
         self._noticed_drains: tuple[ZoneDrain, ...] = ()
         self._ledger_term = 0
-        self._leads_since_s: float | None = None
-        self._founding = False
         self._stopped = False
         follower.on_runners = self._push_runners
         follower.on_table = committed.told
@@ -387,12 +385,7 @@
         view = self._views.current(now)
         known = {*view.controllers, *self._follower.view().controllers}
         self._group.open_to(self._contacts(known), voters_for(self._settings.losses))
-        if self._group.is_leader():
-            if self._leads_since_s is None:
-                self._leads_since_s = now
-            self._found_ledger(now)
-        else:
-            self._leads_since_s = None
+        self._founding.look(now)
         self._clock.callLater(PLAN_PERIOD_S, self._plan)
 
     def _contacts(self, known: set[str]) -> tuple[str, ...]:
@@ -402,19 +395,3 @@
         if self._node.address in members or len(known) <= MOST_FOLLOWED_WHOLE or not asked:
             return tuple(sorted(known))
         return tuple(sorted(asked))
-
-    def _found_ledger(self, now: float) -> None:
-        if self._state.founders or self._founding or self._leads_since_s is None:
-            return
-        nodes = self._directory.live(NodeRole.STORAGE, now)
-        wanted = voters_for(self._settings.losses)
-        waited_s = now - self._leads_since_s
-        if not nodes or (len(nodes) < wanted and waited_s < FOUND_WITH_FEWER_AFTER_S):
-            return
-        founders = choose_founders(nodes, wanted)
-        self._founding = True
-        logger.bind(founders=",".join(founders)).info("ledger_founders_chosen")
-        self._group.propose(FoundLedger(founders)).addCallback(self._founded)
-
-    def _founded(self, result: object) -> None:
-        self._founding = False
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -98,8 +98,8 @@
             base.clock,
             base.registry,
             self.dispatcher.online,
-            self.dispatcher.items_at,
-            self._leads,
+            self.dispatcher.rooms.items_at,
+            self._places,
             self.dispatcher.make_room,
             self._warm_ups,
             RegionMap(base.settings.node.zones),
@@ -132,6 +132,10 @@
         needed = self._base.settings.node.losses + 1
         return self._leads() and self._base.follower.hears(needed, CONTROLLERS_HEARD_WITHIN_S)
 
+    def _places(self) -> bool:
+        """Tell whether this node may place requests: it leads, and knows a table."""
+        return self._leads() and self.dispatcher.table_version > 0
+
     def _leads(self) -> bool:
         return self.driver is not None and self.driver.is_leader()
 
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -13,11 +13,11 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
-from rainsail.jobs.foreign_load import ForeignLoadBook
+from rainsail.jobs.item_rooms import ItemRooms
 from rainsail.jobs.item_run import ItemRun, RunEnd
 from rainsail.jobs.job_state import JobState, RelayedJob, StateObserver
 from rainsail.jobs.ledger_time import LedgerTime
-from rainsail.jobs.plan import PlanSettings, RunnerRoom, items_to_yield, roomiest
+from rainsail.jobs.plan import PlanSettings, items_to_yield, roomiest
 from rainsail.jobs.reserve import Reserve
 from rainsail.jobs.urgency import FreshItems, ItemOrder
 from rainsail.jobs.waiting import WaitingItems
@@ -27,8 +27,6 @@
 from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import Route, RoutingTable
-from rainsail.routing.facts import ServerLoad
-from rainsail.routing.online_use import OnlineUseBook
 from rainsail.routing.residency import AllowedRegions, RegionMap
 from rainsail.routing.warm_up_limiter import WarmUpLimiter
 from rainsail.runtime.clock import Clock
@@ -87,7 +85,6 @@
         self._clock = clock
         self._random = random
         self._zone = zone
-        self._warm_ups = warm_ups
         self._regions = regions
         self._list_outcome = list_outcome
         self._keep_notes = keep_notes
@@ -99,19 +96,16 @@
         self._order = ItemOrder(settings.mechanisms)
         self._reserve = Reserve()
         self._planned_s = float("-inf")
-        self._running: dict[str, list[Work]] = {}
+        self.rooms = ItemRooms(warm_ups, settings)
+        self.online = self.rooms.online
+        self._running = self.rooms.running
         self._known_jobs: set[str] = set()
-        self._paused_until_s: dict[str, float] = {}
         self._split = SplitPicker(random)
-        self.online = OnlineUseBook()
-        self._foreign = ForeignLoadBook()
         self._active = False
         self._metrics = metrics
         metrics.gauge("items_waiting", lambda: float(len(self._waiting)))
         metrics.gauge("items_running", lambda: float(sum(map(len, self._running.values()))))
         self._blind_until_s = 0.0
-        self._started_at_s: dict[str, float] = {}
-        self._crowded_until_s: dict[str, float] = {}
 
     # --- life cycle ----------------------------------------------------------------------
 
@@ -120,8 +114,7 @@
         self._active = True
         self._waiting.clear()
         self._known_jobs.clear()
-        self.online.clear()
-        self._foreign.clear()
+        self.rooms.clear()
         self._reserve.clear()
         self._blind_until_s = self._clock.seconds() + self._settings.blind_s
         self._tick()
@@ -220,7 +213,7 @@
         """Forget what is known of jobs that are not kept any more; called now and then."""
         self._known_jobs.intersection_update(self._state.jobs)
         self._order.due.keep_only(self._state.jobs)
-        self._warm_ups.keep_only({record.runner for record in self._registry.records()})
+        self.rooms.keep_only({record.runner for record in self._registry.records()})
 
     # --- order ---------------------------------------------------------------------------
 
@@ -235,7 +228,7 @@
         begun = self._by_service(chain(self._waiting.put_back_items, *self._running.values()))
         for service in sorted({*self._table.batch_services(), *fresh, *begun}):
             records = self._registry.ready(service)
-            slots = sum(map(self._slots_for_items, records))
+            slots = sum(self.rooms.slots_for_items(record, now) for record in records)
             ledger_s = self._ledger_time.at(now)
             self._order.room_seen(service, slots, ledger_s)
             self._order.plan(service, fresh.get(service, []), begun.get(service, []), ledger_s)
@@ -255,11 +248,7 @@
         if limit is None:
             return True
         ready = self._registry.ready(service)
-        return sum(len(self._running.get(each.runner, ())) for each in ready) < limit
-
-    def _slots_for_items(self, record: RunnerRecord) -> int:
-        room = self._room(record)
-        return max(0, room.items + room.free)
+        return sum(self.rooms.items_at(each.runner) for each in ready) < limit
 
     def _by_service(self, items: Iterable[Each]) -> dict[str, list[Each]]:
         """Sort items by the service that runs most of their job; those of no route are left out."""
@@ -274,22 +263,6 @@
 
     # --- room ----------------------------------------------------------------------------
 
-    def _room(self, record: RunnerRecord) -> RunnerRoom:
-        runner = record.runner
-        items = len(self._running.get(runner, ()))
-        foreign = 0
-        if self._settings.mechanisms.foreign_load:
-            foreign = self._foreign.at(runner, self._clock.seconds())
-        return RunnerRoom(runner, record.slots, self.online.running(runner), items, foreign)
-
-    def items_at(self, runner: str) -> int:
-        """Return how many items run at a runner."""
-        return len(self._running.get(runner, ()))
-
-    def _load_heard(self, runner: str, load: ServerLoad) -> None:
-        known = len(self._running.get(runner, ())) + self.online.running(runner)
-        self._foreign.reported(runner, load, known, self._clock.seconds())
-
     def _give_way(self) -> None:
         """Close the least urgent runs where online work needs their slots."""
         for runner in self._running:
@@ -301,7 +274,7 @@
         works = self._running.get(runner)
         if record is None or not works:
             return
-        count = items_to_yield(self._room(record))
+        count = items_to_yield(self.rooms.room(record, self._clock.seconds()))
         for work in sorted(works, key=self._order.urgency)[len(works) - count :]:
             self._give_way_one(work, works, runner)
 
@@ -310,7 +283,7 @@
         work.cut(now)
         works.remove(work)
         if self._settings.mechanisms.yield_pause:
-            self._crowded_until_s[runner] = now + self._settings.crowded_s
+            self.rooms.rests(runner, now + self._settings.crowded_s)
         work.ready_at_s = now
         self._waiting.put_back(work)
         log = logger.bind(job=self._job_id(work), item=self._item_id(work), runner=runner)
@@ -390,52 +363,31 @@
         records = {
             record.runner: record
             for record in self._registry.ready(service)
-            if self._regions.allows(allowed, record.zone) and self._may_start_at(record, now)
+            if self._regions.allows(allowed, record.zone) and self.rooms.may_start_at(record, now)
         }
-        local = [self._room(each) for each in records.values() if each.zone == self._zone]
+        rooms = {name: self.rooms.room(record, now) for name, record in records.items()}
+        local = [rooms[name] for name, record in records.items() if record.zone == self._zone]
         room = roomiest(local)
-        best = roomiest([self._room(each) for each in records.values()])
+        best = roomiest(list(rooms.values()))
         chosen = best if room is None else room
         return None if chosen is None else records[chosen.runner]
 
-    def _may_start_at(self, record: RunnerRecord, now: float) -> bool:
-        """Tell whether a runner may get an item now.
-
-        It is sound, bears one more while it warms up, no item has just given way there, and it has
-        begun the last one: an item that waits at a runner says that it is full, whatever is known
-        of it here.
-        """
-        if not self._warm_ups.may_send(record, now):
-            return False
-        runner = record.runner
-        no_item_before_s = max(
-            self._paused_until_s.get(runner, 0.0), self._crowded_until_s.get(runner, 0.0)
-        )
-        if no_item_before_s > now:
-            return False
-        if any(work.run and not work.run.begun for work in self._running.get(runner, ())):
-            return False
-        since_s = now - self._started_at_s.get(runner, float("-inf"))
-        return since_s >= self._settings.start_gap_s
-
     def _run_at(self, work: Work, job: RelayedJob, record: RunnerRecord, now: float) -> None:
         item = job.items[work.index]
         request = self._protocol.item_request(
             ItemRequest(job.host, item, work.progress.last_event, job.tenant),
             RunnerTarget(record.runner, record.address),
         )
-        self._started_at_s[record.runner] = now
-        self._warm_ups.sent(record, now)
         work.runner = record.runner
         work.started_s = work.seen_at_s = now
         work.events_seen = len(work.progress.texts)
-        self._running.setdefault(record.runner, []).append(work)
+        self.rooms.started(record, work, now)
         work.run = ItemRun(
             item.item,
             work.progress,
             self._protocol,
             lambda run, end, reason: self._run_ended(work, end, reason),
-            lambda load: self._load_heard(record.runner, load),
+            lambda load: self.rooms.load_heard(record.runner, load, self._clock.seconds()),
         )
         log = logger.bind(job=self._job_id(work), item=item.item, runner=record.runner)
         log.bind(after_event=work.progress.last_event).info("item_sent")
@@ -475,7 +427,7 @@
                 return
         if end in (RunEnd.BROKEN, RunEnd.NOT_RUN):
             pause_s = FAILED_RUNNER_PAUSE_S if end == RunEnd.BROKEN else RETRY_PAUSE_S
-            self._paused_until_s[work.runner] = now + pause_s
+            self.rooms.rests(work.runner, now + pause_s)
         work.ready_at_s = now
         self._waiting.put_back(work)
 
--- a/src/rainsail/jobs/placement_service.py
+++ b/src/rainsail/jobs/placement_service.py
@@ -49,7 +49,11 @@
         random: Random,
         metrics: NodeMetrics,
     ) -> None:
-        """``items`` counts the items that run at a runner; ``make_room`` ends what gives way."""
+        """``items`` counts the items that run at a runner; ``make_room`` ends what gives way.
+
+        ``leads`` tells whether this node leads and knows a routing table, and with it what runners
+        that warm up bear.
+        """
         self._messenger = messenger
         self._clock = clock
         self._registry = registry
--- a/src/rainsail/relay/early_requests.py
+++ b/src/rainsail/relay/early_requests.py
@@ -14,6 +14,8 @@
 HELD_FOR_S = 0.8
 """A request waits this long at most: tables took 0.5 to 0.9 s after a loss of all power."""
 MOST_HELD = 500
+MOST_HELD_BYTES = 8 * 1024 * 1024
+"""Bodies of whole jobs may have a megabyte each; a gateway has some 200 MB in all."""
 
 
 class EarlyRequests:
@@ -24,30 +26,41 @@
         self._refuse = refuse
         self._started_s = clock.seconds()
         self._held: dict[int, Exchange] = {}
+        self._held_bytes = 0
         self._last_number = 0
 
     def hold(self, exchange: Exchange) -> None:
         """Take a request that can't be served yet."""
         starting = self._clock.seconds() - self._started_s < STARTING_FOR_S
-        if not starting or len(self._held) >= MOST_HELD:
+        size = len(exchange.request.body)
+        full = len(self._held) >= MOST_HELD or self._held_bytes + size > MOST_HELD_BYTES
+        if not starting or full:
             self._refuse(exchange)
             return
+        self._held_bytes += size
         self._last_number += 1
         number = self._last_number
         self._held[number] = exchange
-        exchange.on_left(lambda: self._drop(number))
+        exchange.on_left(lambda: self._left(number))
         self._clock.callLater(HELD_FOR_S, self._expire, number)
 
-    def _drop(self, number: int) -> None:
-        self._held.pop(number, None)
+    def _left(self, number: int) -> None:
+        self._drop(number)
 
-    def _expire(self, number: int) -> None:
+    def _drop(self, number: int) -> Exchange | None:
         exchange = self._held.pop(number, None)
+        if exchange is not None:
+            self._held_bytes -= len(exchange.request.body)
+        return exchange
+
+    def _expire(self, number: int) -> None:
+        exchange = self._drop(number)
         if exchange is not None:
             self._refuse(exchange)
 
     def release(self, handle: Callable[[Exchange], None]) -> None:
         """Have all that wait served, in the order in which they came."""
         held, self._held = self._held, {}
+        self._held_bytes = 0
         for exchange in held.values():
             handle(exchange)
