--- a/src/rainsail/routing/warm_up_limiter.py
+++ b/src/rainsail/routing/warm_up_limiter.py
@@ -2,9 +2,9 @@
 
 The ledger's leader grants, so one process at a time does. In any second a runner that warms up must
 get at most ``rate x overshoot + slack`` requests. Each has a token bucket which keeps to that
-although a grant is used a little later than it is made, and once in a while much later, by a process
-that was frozen in between. A runner also gets no more than the bound while it is warm: it may have
-gone cold before anybody hears of it.
+although a grant is used a little later than it is made, and once in a while much later, by a
+process that was frozen in between. A runner also gets no more than the bound while it is warm: it
+may have gone cold before anybody hears of it.
 """
 
 from collections import deque
