--- a/src/rainsail/relay/early_requests.py
+++ b/src/rainsail/relay/early_requests.py
@@ -12,7 +12,7 @@
 STARTING_FOR_S = 2.0
 """A gateway without a table that has run for longer has no controller that answers."""
 HELD_FOR_S = 0.8
-"""A request waits this long at most: tables took 0.5 to 0.9 s after a loss of all power."""
+"""A request waits this long at most: two gateways had one 0.5 to 0.6 s after their start."""
 MOST_HELD = 500
 MOST_HELD_BYTES = 8 * 1024 * 1024
 """Bodies of whole jobs may have a megabyte each; a gateway has some 200 MB in all."""
