Watch every number that users of a relayed fleet see: positions, texts by run, versions at every node

Before: all runs of an item spoke the same words in the soak, so that a text joined from two runs that don't fit looked whole; results were read from position 0 at gateways alone, without a wait; of a configuration only the version was compared, and only with what was acknowledged; gateways never failed. Change: every run has words of its own, and a text may go on with another run only behind the event that this run was asked to go on after. Results are read from any position, with and without a wait, through gateways and at storage nodes that may not lead: total, the position asked for, content, one item at one place, and at least what any read before had shown. A configuration read is never older than one that was acknowledged or read before the read was sent, and a version has one content at all nodes though operators send two under it. Every node's table and orders on zones never go back within one life. Gateways crash, freeze and are cut off too. Four new defects are caught: a note taken wherever it begins, an item that begins anew behind its old text, results in the order of items, a ledger's leader that answers without its lease.

--- a/features/steps/relayed_soak_steps.py
+++ b/features/steps/relayed_soak_steps.py
@@ -1,25 +1,85 @@
 """Steps on a relayed fleet under random faults."""
 
+import random
 from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
-from features.support.relayed_soak import RelayedSoak
+from expression import Error
+from features.support.relayed_soak import KEPT_DISK_KINDS, RelayedSoak, SoakPlan
+from twisted.internet.defer import succeed
 
 from rainsail.cluster.controller import FleetController
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.messages import RunnerState, ZoneDrainAnswer
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
+from rainsail.consensus.core_state import Role
+from rainsail.consensus.driver import GroupDriver
+from rainsail.errors import Fault, FaultCode
+from rainsail.fleet import group_folder
+from rainsail.jobs import dispatcher, ledger_service
 from rainsail.jobs.item_run import ItemProgress
+from rainsail.jobs.job_state import NO_EVENT, JobState
+from rainsail.jobs.ledger_service import LedgerService, page_of
+from rainsail.jobs.work import taken_up
 from rainsail.state.cluster_commands import ReplaceTable, ZoneDrain
 from rainsail.state.commands import Done
+from rainsail.state.job_commands import NoteProgress
+
+CHANGES_OF_LEADERS = SoakPlan(events=40, calm_s=0.5, kinds=KEPT_DISK_KINDS)
+"""Items run longer than most leaders lead, so that notes are lost, late and taken up."""
+LOST_NOTES = 0.2
+SHORT_LOGS = {
+    "LEAST_SNAPSHOT_LOG_BYTES": 4_000,
+    "SNAPSHOT_DISK_SHARE": 0.0,
+    "RETAINED_BYTES": 1_000,
+}
+
+
+def _soak(seed, plan=None):
+    soak = RelayedSoak(seed, plan or SoakPlan())
+    soak.run()
+    return soak
+
+
+def _soak_of_long_items(seed):
+    """Run a soak whose groups refuse some notes of progress and go on."""
+    propose = GroupDriver.propose
+    chances = random.Random(seed)
+
+    def propose_most(self, command):
+        if isinstance(command, NoteProgress) and chances.random() < LOST_NOTES:
+            return succeed(Error(Fault(FaultCode.OVERLOADED, "a test", "a note is refused")))
+        return propose(self, command)
+
+    with mock.patch.object(GroupDriver, "propose", propose_most):
+        return _soak(seed, CHANGES_OF_LEADERS)
 
 
 @when("a relayed fleet runs {seconds:d} seconds under random faults with seed {seed:d}")
 def run_soak(context, seconds, seed):
-    context.soak = RelayedSoak(seed, seconds)
-    context.soak.run()
+    context.soak = _soak(seed, SoakPlan(seconds))
+
+
+@given("groups whose logs are cut short after a few entries")
+def cut_logs_short(context):
+    for name, value in SHORT_LOGS.items():
+        patched = mock.patch.object(group_folder, name, value)
+        patched.start()
+        context.add_cleanup(patched.stop)
+
+
+@when("a relayed fleet with long items changes its leaders for 60 seconds with seed {seed:d}")
+def run_long_items(context, seed):
+    context.soak = _soak_of_long_items(seed)
+
+
+@then("some texts are put together from several runs")
+def texts_joined(context):
+    soak = context.soak
+    entries = [entry for job in soak.jobs.values() for entry in job.results.known.values()]
+    assert sum(soak.runs.joined(entry.text) for entry in entries) >= 5, len(entries)
 
 
 @then("its users have seen no promise broken, and it has done some work")
@@ -27,9 +87,9 @@
     soak = context.soak
     assert not soak.violations, "\n".join([*soak.violations[:8], *soak.faults])
     accepted = [job for job in soak.jobs.values() if job.accepted_s is not None]
-    assert len(soak.faults) >= 4 and soak.acknowledged_version > 0, soak.faults
+    assert len(soak.faults) >= 4 and soak.tables.newest > 0, soak.faults
     assert len(accepted) >= 5, len(accepted)
-    assert any(job.pages and job.pages[-1] for job in accepted)
+    assert any(job.results.known for job in accepted)
 
 
 # --- known-bad variants ----------------------------------------------------------------------
@@ -77,7 +137,42 @@
     return self._document()
 
 
+def _take_any_note(self, note):
+    job = self.jobs.get(note.job)
+    if job is None or job.ended or note.index not in job.unlisted:
+        return
+    known = job.notes.get(note.index)
+    texts = note.texts if known is None else known.texts + note.texts
+    job.notes[note.index] = replace(note, after_event=NO_EVENT, texts=texts)
+
+
+def _taken_up_from_the_start(job, index):
+    work = taken_up(job, index)
+    work.progress.last_event = None
+    return work
+
+
+def _page_by_item(job, after):
+    page = page_of(job, 0)
+    entries = sorted(page.results, key=lambda entry: entry.item)
+    return replace(page, after=after, results=tuple(entries[after:]))
+
+
+def _answer_as_leader_of_old(self, step):
+    if self._group is not None and self._group.core.state.role == Role.LEADER:
+        return None
+    return Fault(FaultCode.NOT_LEADER, step, "another node leads")
+
+
 DEFECTS = {
+    "a note is taken wherever it begins": ((JobState, "_note", _take_any_note),),
+    "an item that is taken up begins anew behind its old text": (
+        (dispatcher, "taken_up", _taken_up_from_the_start),
+    ),
+    "results stand in the order of the items": ((ledger_service, "page_of", _page_by_item),),
+    "a ledger's leader answers without its lease": (
+        (LedgerService, "_refusal", _answer_as_leader_of_old),
+    ),
     "any table replaces the one held": (
         (FleetState, "apply", _take_any_table(FleetState.apply)),
         (FleetController, "_submit_as_leader", _submit_always),
@@ -113,15 +208,22 @@
 
 @when("relayed fleets run under random faults with seeds {first:d} to {last:d}")
 def run_several(context, first, last):
+    _run_until_broken(context, first, last, _soak)
+
+
+def _run_until_broken(context, first, last, run):
     context.violations = []
     for seed in range(first, last + 1):
-        soak = RelayedSoak(seed, 60)
-        soak.run()
-        context.violations += soak.violations
+        context.violations += run(seed).violations
         if context.violations:
             return
 
 
+@when("relayed fleets with long items change their leaders with seeds {first:d} to {last:d}")
+def run_several_long(context, first, last):
+    _run_until_broken(context, first, last, _soak_of_long_items)
+
+
 @then("some promise was seen broken")
 def some_broken(context):
     assert context.violations
--- a/features/support/relayed_soak.py
+++ b/features/support/relayed_soak.py
@@ -5,13 +5,15 @@
 """
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import Any
 
+from features.support.number_watch import ResultsWatch, RunBook, TableWatch
 from features.support.relayed_fleet import ZONES, RelayedFleet
-from features.support.relaying import SERVICE, event
+from features.support.relaying import SERVICE
 
-from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.cluster.messages import RunnerRecord, RunnerState, TableDocument
+from rainsail.jobs.messages import ReadResults
 
 EVENTS = 8
 STEP_S = 0.1
@@ -26,7 +28,25 @@
 BREAK_CHANCE = 0.01
 REPEAT_CHANCE = 0.5
 RESEND_CHANCE = 0.3
-WHOLE_TEXT = "\n".join(f"text {number}" for number in range(1, EVENTS + 1))
+OTHER_CONTENT_CHANCE = 0.3
+BORNE_KINDS = ("crash", "wipe", "freeze", "isolate", "group", "group_wipe")
+"""What may happen to machines with a disk."""
+KEPT_DISK_KINDS = ("crash", "freeze", "isolate", "group", "hand_over")
+"""What may happen to them at any pace: every disk stays."""
+GATEWAY_KINDS = ("crash", "freeze", "isolate")
+
+
+@dataclass(frozen=True)
+class SoakPlan:
+    """What a soak is made of.
+
+    ``calm_s`` is how long nothing happens after a fault: time to catch up where disks are lost.
+    """
+
+    seconds: float = 60
+    events: int = EVENTS
+    calm_s: float = CATCH_UP_S
+    kinds: tuple[str, ...] = BORNE_KINDS
 
 
 @dataclass
@@ -35,10 +55,10 @@
 
     job: str
     count: int
+    results: ResultsWatch
     accepted_s: float | None = None
     ended_s: float | None = None
     end_asked: bool = False
-    pages: list[Any] = field(default_factory=list)
 
 
 @dataclass
@@ -64,13 +84,15 @@
 class RelayedSoak:
     """Runs the users and the faults; ``violations`` says what went wrong."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, plan: SoakPlan) -> None:
+        self.plan = plan
+        self.runs = RunBook(plan.events)
+        self.tables = TableWatch()
         self.random = random.Random(seed)
         self.fleet = RelayedFleet(seed)
         self.fleet.leader("controller")
         self.fleet.leader("storage")
-        self.until_s = self.fleet.clock.seconds() + seconds
-        self.acknowledged_version = 0
+        self.until_s = self.fleet.clock.seconds() + plan.seconds
         self.version = 0
         self.jobs: dict[str, SoakJob] = {}
         self.runners: dict[str, RunnerRecord] = {}
@@ -79,7 +101,6 @@
         self.drained_s: dict[str, float] = {}
         self.sendings: list[Sending] = []
         self.zone_orders: list[ZoneOrder] = []
-        self.gateway_versions: dict[str, int] = {}
         self.violations: list[str] = []
         self.faults: list[str] = []
         self._down: list[tuple[float, str, str]] = []
@@ -88,6 +109,8 @@
         self._caught_up_at_s = 0.0
         """Until then the machine that was lost last counts as lost."""
         self._armed: tuple[str, str] | None = None
+        for name in self.fleet.names("gateway"):
+            self._listen_at_gateway(name)
 
     @property
     def now(self) -> float:
@@ -111,7 +134,7 @@
         if not faults:
             self._press_zone_orders()
         self._play_runners()
-        self._watch_gateways()
+        self._watch_nodes()
         self._beat_runners()
         if faults:
             self._play_operator()
@@ -170,13 +193,14 @@
                     runner = call.field(b"runner")
                     job = call.request.target.decode().split("/")[2]
                     self.sendings.append(Sending(self.now, job, runner))
-                    call.next_event = self._first_event(call)
+                    after = int(call.field(b"after-event") or 0)
+                    call.run_number = self.runs.begin(call.field(b"item"), after)
+                    call.next_event = self._first_event(after)
                     call.begin_stream()
                 self._play_call(call)
 
-    def _first_event(self, call: Any) -> int:
+    def _first_event(self, after: int) -> int:
         """Go on behind the last event; some runners send that one again."""
-        after = int(call.field(b"after-event") or 0)
         return max(1, after if self.random.random() < REPEAT_CHANCE else after + 1)
 
     def _play_call(self, call: Any) -> None:
@@ -185,11 +209,11 @@
         if self.random.random() < BREAK_CHANCE:
             call.over = True
             call.listener.answer_failed("connection reset")
-        elif call.next_event > EVENTS:
+        elif call.next_event > self.plan.events:
             call.over = True
             call.listener.answer_ended()
         else:
-            call.listener.answer_data(event(call.next_event))
+            call.listener.answer_data(self.runs.event(call.run_number, call.next_event))
             call.next_event += 1
 
     # --- the operator and the clients ----------------------------------------------------
@@ -270,28 +294,34 @@
             version = self.version
         elif self.random.random() < 0.5:
             version = max(1, version - 1)
-        done = controller.replace_table(version, str(version).encode())
+        done = controller.replace_table(version, self._content(version))
         done.addCallback(self._table_taken, version)
 
+    def _content(self, version: int) -> bytes:
+        """Return a table's content; now and then another one is sent under the same version."""
+        other = self.random.random() < OTHER_CONTENT_CHANCE
+        return f"{version} {'east west' if other else 'west east'}".encode()
+
     def _table_taken(self, result: Any, version: int) -> None:
         if result.is_ok():
-            self.acknowledged_version = max(self.acknowledged_version, version)
+            self.tables.acknowledged(version)
             self._strike_if_armed("controller")
 
     def _read_table(self) -> None:
         controller = self._controller()
         if controller is not None:
-            controller.read_table().addCallback(self._table_read, self.acknowledged_version)
+            controller.read_table().addCallback(self._table_read, self.tables.newest)
 
-    def _table_read(self, result: Any, acknowledged: int) -> None:
-        if result.is_ok() and result.ok.version < acknowledged:
-            version = result.ok.version
-            self.violations.append(f"a read gave table {version} after {acknowledged} was taken")
+    def _table_read(self, result: Any, least: int) -> None:
+        if result.is_ok():
+            document: TableDocument = result.ok
+            self.violations += self.tables.read(document.version, document.content, least)
 
     def _play_clients(self) -> None:
         if self.random.random() < STEP_S / 2:
-            job = SoakJob(f"job-{len(self.jobs) + 1}", self.random.randint(1, 4))
-            self.jobs[job.job] = job
+            name, count = f"job-{len(self.jobs) + 1}", self.random.randint(1, 4)
+            job = SoakJob(name, count, ResultsWatch(name, count, self.runs))
+            self.jobs[name] = job
             self._submit(job)
         for job in self.jobs.values():
             if job.accepted_s is None and self.random.random() < STEP_S:
@@ -323,32 +353,47 @@
     def _read_jobs(self) -> None:
         for job in self.jobs.values():
             if job.accepted_s is not None and self.random.random() < STEP_S / 2:
-                self._gateway().read("", job.job, 0, 0.0).addCallback(self._page_read, job)
+                self._read_job(job)
+
+    def _read_job(self, job: SoakJob) -> None:
+        """Read from some position, now and then with a wait, or at a node that may not lead."""
+        after = self.random.choice([0, 0, self.random.randint(0, job.count + 1)])
+        wait_s = self.random.choice([0.0, 0.0, 1.0])
+        least = job.results.least(after)
+        names = self.fleet.names("storage")
+        if names and self.random.random() < 0.3:
+            gateway = self.fleet.nodes[self.random.choice(self.fleet.names("gateway"))]
+            storage = self.fleet.address(self.random.choice(names))
+            message = ReadResults(job.job, after, wait_s)
+            done = gateway.base.messenger.call(storage, message, 2.0 + wait_s)
+        else:
+            done = self._gateway().read("", job.job, after, wait_s)
+        done.addCallback(self._page_read, job, after, least)
 
-    def _page_read(self, result: Any, job: SoakJob) -> None:
-        if result.is_error():
-            if result.error.code.value == "not_found":
-                self.violations.append(f"{job.job} was accepted and is not found")
-            return
-        known = list(job.pages[-1]) if job.pages else []
-        results = list(result.ok.results)
-        shorter = min(len(known), len(results))
-        if known[:shorter] != results[:shorter]:
-            self.violations.append(f"{job.job}: a position changed")
-        if len({entry.item for entry in results}) < len(results):
-            self.violations.append(f"{job.job}: an item stands twice")
-        for entry in results:
-            if entry.done and entry.text != WHOLE_TEXT:
-                self.violations.append(f"{job.job}: a text is not whole: {entry.text!r}")
-        if len(results) >= len(known):
-            job.pages.append(results)
-
-    def _watch_gateways(self) -> None:
-        for name in self.fleet.names("gateway"):
-            version = self.fleet.nodes[name].base.follower.table_version
-            if version < self.gateway_versions.get(name, 0):
-                self.violations.append(f"{name} went back to table {version}")
-            self.gateway_versions[name] = version
+    def _page_read(self, result: Any, job: SoakJob, after: int, least: int) -> None:
+        if result.is_ok():
+            self.violations += job.results.take(result.ok, after, least)
+        elif result.error.code.value == "not_found":
+            self.violations.append(f"{job.job} was accepted and is not found")
+
+    def _listen_at_gateway(self, name: str) -> None:
+        """Watch what a gateway's process is told of tables, from its start on."""
+        node = self.fleet.nodes[name]
+
+        def told(document: TableDocument) -> None:
+            self.violations += self.tables.told(node, document.version, document.content)
+
+        node.base.follower.on_table = told
+
+    def _watch_nodes(self) -> None:
+        """Watch the versions and the orders on zones that every node has."""
+        for name, node in self.fleet.nodes.items():
+            version = node.base.follower.table_version
+            if name.startswith("storage"):
+                version = node.role.dispatcher.table_version
+            self.violations += self.tables.at_node(node, version)
+            for order in node.base.registry.zone_drains.orders():
+                self.violations += self.tables.zone_order_at_node(node, order.zone, order.revision)
 
     # --- faults --------------------------------------------------------------------------
 
@@ -359,9 +404,9 @@
                 self._bring_back(name, kind)
         if self._down or self.now < max(self._calm_at_s, self._caught_up_at_s):
             return
-        self._calm_at_s = self.now + CATCH_UP_S + self.random.uniform(0, 2)
-        kind = self.random.choice(["crash", "wipe", "freeze", "isolate", "group", "group_wipe"])
-        group = self.random.choice(["controller", "storage"])
+        self._calm_at_s = self.now + self.plan.calm_s + self.random.uniform(0, 2)
+        group = self.random.choice(["controller", "storage", "storage", "controller", "gateway"])
+        kind = self.random.choice(GATEWAY_KINDS if group == "gateway" else self.plan.kinds)
         if self.random.random() < 0.4:
             self._armed = (group, kind)
             return
@@ -375,7 +420,7 @@
         if self.now < self._caught_up_at_s:
             return
         self._armed = None
-        self._calm_at_s = self.now + CATCH_UP_S + self.random.uniform(0, 2)
+        self._calm_at_s = self.now + self.plan.calm_s + self.random.uniform(0, 2)
         self.fleet.clock.callLater(0, self._strike, *armed)
 
     def _strike(self, group: str, kind: str) -> None:
@@ -388,11 +433,15 @@
                 self._take_down(each, "wipe" if kind == "group_wipe" and each == name else "crash")
                 self._down.append((self.now + for_s, each, "crash"))
             return
+        if kind == "hand_over":
+            if name in self.fleet.leading(group):
+                self.fleet.nodes[name].role.driver.transfer_leadership()
+            return
         self._take_down(name, kind)
         self._down.append((self.now + for_s, name, kind))
 
     def _victim(self, group: str, names: list[str]) -> str:
-        leading = self.fleet.leading(group)
+        leading = [] if group == "gateway" else self.fleet.leading(group)
         if leading and self.random.random() < 0.6:
             return leading[0]
         return self.random.choice(names)
@@ -411,10 +460,12 @@
             self.fleet.pools[name].calls.clear()
 
     def _bring_back(self, name: str, kind: str) -> None:
-        self._caught_up_at_s = self.now + CATCH_UP_S
+        self._caught_up_at_s = self.now + self.plan.calm_s
         match kind:
             case "crash" | "wipe":
                 self.fleet.start(name)
+                if name.startswith("gateway"):
+                    self._listen_at_gateway(name)
             case "freeze":
                 self.fleet.thaw(name)
             case "isolate":
@@ -428,23 +479,30 @@
     # --- judging -------------------------------------------------------------------------
 
     def _is_settled(self) -> bool:
-        gateways = self.gateway_versions.values()
-        if any(version < self.acknowledged_version for version in gateways):
+        if self._behind():
             return False
         if not all(order.ended for order in self.zone_orders) or self._shunned():
             return False
         owed = [j for j in self.jobs.values() if j.accepted_s is not None and not j.end_asked]
-        return all(job.pages and len(job.pages[-1]) == job.count for job in owed)
+        return all(job.results.is_whole() for job in owed)
+
+    def _behind(self) -> dict[str, int]:
+        """Return the gateways whose table is older than the newest one, with its version."""
+        versions = {
+            name: self.fleet.nodes[name].base.follower.table_version
+            for name in self.fleet.names("gateway")
+        }
+        newest = self.tables.newest
+        return {name: version for name, version in versions.items() if version < newest}
 
     def _judge(self) -> None:
-        for name, version in self.gateway_versions.items():
-            if version < self.acknowledged_version:
-                wanted = self.acknowledged_version
-                self.violations.append(f"{name} has table {version}, {wanted} was acknowledged")
+        for name, version in self._behind().items():
+            wanted = self.tables.newest
+            self.violations.append(f"{name} has table {version}, {wanted} was acknowledged")
         for job in self.jobs.values():
             if job.accepted_s is None or job.end_asked:
                 continue
-            if not job.pages or len(job.pages[-1]) < job.count:
+            if not job.results.is_whole():
                 self.violations.append(f"{job.job} was accepted and is not finished")
         self._judge_sendings()
         self._judge_runners()
