Tell on the next word of every runner that a controller recalls from its disk

Whether a word is news was judged by what the controller knows, so the word that would have corrected the nodes was kept back for good. Ruled out too: having nodes judge by themselves which incarnation holds an address; they would decide by the order of what they hear. Change: the registry knows which runners it has from the disk alone, and the next newer word of each is told on as if it were news. A controller outside the group judges by the same answer whether it shares a word. Cost: after a start each controller tells its followers once more of each runner that speaks, in the batches of the push queue. Left as it was: the crashed incarnation, which only the nodes know after such a loss, stays in their registries, as any runner that crashes without a successor does. And if the first word after the start was held up on its way and is older than the one the nodes know, the runner waits for a change again.

--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -45,7 +45,6 @@
 )
 from rainsail.cluster.push_queue import PushQueue
 from rainsail.cluster.quorum_wait import QuorumWait
-from rainsail.cluster.registry import matters
 from rainsail.cluster.runner_journal import RunnerJournal
 from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
 from rainsail.consensus.driver import GroupDriver
@@ -170,12 +169,12 @@
         Nodes follow the voters, so what another controller hears first is known to a quorum too.
         """
         known = self._registry.get(record.runner)
-        self._take_word(record)
+        changed = self._take_word(record)
         now_known = self._registry.get(record.runner)
         if now_known is None:
             return succeed(Ok(None))
         if now_known.state == RunnerState.READY:
-            return self._share_ready(now_known, known)
+            return self._share_ready(now_known, now_known in changed)
         if known is not None and known.state == now_known.state and known.state != record.state:
             return succeed(Ok(None))
         return self._share(now_known)
@@ -184,18 +183,17 @@
         """Take a runner's word that it is gone."""
         return self.runner_word(self._registry.end(runner))
 
-    def _take_word(self, record: RunnerRecord) -> None:
+    def _take_word(self, record: RunnerRecord) -> list[RunnerRecord]:
+        """Take a word from anywhere; return the records that others must hear of."""
         changed = self._registry.take((record,))
         if changed:
             self._push_runners(changed)
             for each in changed:
                 log = logger.bind(runner=each.runner, service=each.service, state=each.state.value)
                 log.bind(address=each.address, sequence=each.sequence).info("runner_changed")
+        return changed
 
-    def _share_ready(
-        self, record: RunnerRecord, known: RunnerRecord | None
-    ) -> "Deferred[Result[None, Fault]]":
-        changed = known is None or matters(known, record)
+    def _share_ready(self, record: RunnerRecord, changed: bool) -> "Deferred[Result[None, Fault]]":
         if self._is_followed() or not (changed or record.runner in self._unshared):
             return succeed(Ok(None))
         self._unshared.add(record.runner)
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -4,6 +4,9 @@
 can hold it back. Ids have no order, so the incarnation that spoke last is taken to hold the
 address. The other is superseded up to the sequence of its last word, and back with its next: the
 one that is alive goes on speaking.
+
+What a controller recalls from its disk after a start may be older than what it had told nodes. So
+the next word of each runner that it recalls is told on, even if it says nothing new to this one.
 """
 
 from collections.abc import Callable, Iterable
@@ -54,6 +57,14 @@
         self._records: dict[str, RunnerRecord] = {}
         self._by_address: dict[str, str] = {}
         self._changed_at: dict[str, int] = {}
+        self._recalled: set[str] = set()
+        """Runners known from the disk alone: nothing was heard of them since the start."""
+
+    def recall(self, records: Iterable[RunnerRecord]) -> None:
+        """Take what this process knew before its start, and has perhaps told more of since."""
+        recalled = list(records)
+        self.take(recalled)
+        self._recalled.update(record.runner for record in recalled)
 
     def take(self, words: Iterable[RunnerRecord]) -> list[RunnerRecord]:
         """Merge words; return the records that others must hear of."""
@@ -74,8 +85,9 @@
             return []
         self._records[word.runner] = record
         changed: list[RunnerRecord] = []
-        if known is None or refutes or matters(known, record):
+        if known is None or refutes or word.runner in self._recalled or matters(known, record):
             changed.append(record)
+        self._recalled.discard(word.runner)
         if known is None or record.sequence > known.sequence:
             self.warm_ups.heard(record)
             changed += self._give_address(record)
@@ -177,6 +189,7 @@
         for runner in gone[: max(0, len(gone) - GONE_KEPT)]:
             record = self._records.pop(runner)
             self._changed_at.pop(runner, None)
+            self._recalled.discard(runner)
             self.warm_ups.forget(runner)
             if self._by_address.get(record.address) == runner:
                 del self._by_address[record.address]
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -50,7 +50,7 @@
             return Error(made.error)
         self.driver = driver = made.ok
         driver.on_fatal(self._fatal)
-        base.registry.take(self._journal.load())
+        base.registry.recall(self._journal.load())
         base.follower.take_zone_drains(self._committed.load())
         losses = base.settings.node.losses
         driver.open_to(base.settings.seed_controllers(), voters_for(losses))
