A test that fails: a late word of who led the ledger before takes the newer leader back

Cause: a node keeps the pushed leader of the highest term, but tells its gateway of whatever came last. A controller that was cut off may push a leader of an earlier term late.

--- a/features/cluster/controllers.feature
+++ b/features/cluster/controllers.feature
@@ -96,3 +96,9 @@
     And an operator sent table 7 to controller 1
     When storage node 2 loses power, starts again and hears of table 7 before its disk is open
     Then storage node 2 runs items by table 7 within 3 seconds
+
+  Scenario: A late word of who led the ledger before does not take the newer leader back
+    Given a relayed fleet
+    When a gateway hears that storage node 2 leads the ledger in term 99
+    And it hears late that storage node 1 led it in term 98
+    Then the gateway goes on with storage node 2 as the ledger's leader
--- a/features/steps/relayed_fleet_steps.py
+++ b/features/steps/relayed_fleet_steps.py
@@ -4,7 +4,7 @@
 from features.support.relayed_fleet import SEED_PORT, RelayedFleet
 from features.support.relaying import runner_record
 
-from rainsail.cluster.messages import TableNotice
+from rainsail.cluster.messages import LedgerLeader, TableNotice
 from rainsail.errors import FaultCode
 from rainsail.wire.messenger import Messenger
 
@@ -496,3 +496,33 @@
     context.fleet.run_until(
         lambda: dispatcher.table_version == version, f"table {version} at its dispatcher", seconds
     )
+
+
+# --- the ledger's leader -------------------------------------------------------------------
+
+
+@when("a gateway hears that storage node {number:d} leads the ledger in term {term:d}")
+def hears_of_leader(context, number, term):
+    context.leaders_heard = []
+    follower = context.fleet.nodes["gateway-1"].base.follower
+    follower.on_ledger_leader = context.leaders_heard.append
+    _tell_leader(context, number, term)
+
+
+@when("it hears late that storage node {number:d} led it in term {term:d}")
+def hears_late(context, number, term):
+    _tell_leader(context, number, term)
+
+
+def _tell_leader(context, number, term):
+    fleet = context.fleet
+    messenger = fleet.nodes["controller-1"].base.messenger
+    message = LedgerLeader(fleet.address(f"storage-{number}"), term)
+    messenger.send(fleet.address("gateway-1"), message)
+    fleet.run_for(0.1)
+
+
+@then("the gateway goes on with storage node {number:d} as the ledger's leader")
+def goes_on_with(context, number):
+    assert context.leaders_heard, "no leader was heard of"
+    assert context.leaders_heard[-1] == context.fleet.address(f"storage-{number}")
