Have a node's gateway hear of the ledger's newest leader, not of the word that came last

Cause: the pushed leader of the highest term was kept, but what came last was handed on. Change: a node hands on whom its view names: the leader of the highest term that was pushed or that a controller's view has.

--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -267,7 +267,7 @@
         self._pushed_leader = max(
             self._pushed_leader, (message.term, message.address), key=_term_of
         )
-        self.on_ledger_leader(message.address)
+        self.on_ledger_leader(self.view().ledger_leader)
 
     def tell_reading(self, runner: str, reading_s: float) -> None:
         """Have a controller tell the other gateways that a runner reads a long prompt."""
