Read streams with clients that come back behind their last event, at runners that fail at random

No test sent a request that named an event. Ruled out by these: the first runner isn't asked to go on behind the client's event; events the client has come again; a run that begins too far on is passed on; a break before the first event loses the place. Change: a feature for that, with 300 random clients whose runners break off (also inside an event), leave an event out, send the last one again, fall silent or refuse, while the clients leave and come back. Every run has words of its own; two defects are caught. Not played: a missing first or last event, failures answered to a run that takes a stream up, closes in order inside an event.

--- /dev/null
+++ b/features/steps/relay_resumption_steps.py
@@ -0,0 +1,78 @@
+"""Steps on clients that take their streams up again, in virtual time."""
+
+from unittest import mock
+
+from behave import given, then, when
+from features.support.relaying import PlainProtocol
+from features.support.resuming_client import ResumingClient
+
+from rainsail.relay.client_answer import ClientAnswer
+
+
+@when("a client takes its stream up again behind event {number:d}")
+def take_up(context, number):
+    context.exchange = context.relay.request(after_event=number)
+
+
+@then("the first runner is asked to go on behind event {number:d}")
+def asked_behind(context, number):
+    (call,) = context.relay.pool.calls
+    assert call.field(b"after-event") == str(number), call.request.headers
+
+
+@when(
+    "{count:d} clients read streams of {events:d} events that break at random, "
+    "and take them up again"
+)
+def read_streams(context, count, events):
+    context.clients = [ResumingClient(seed, events) for seed in range(count)]
+    for client in context.clients:
+        client.run()
+
+
+@then("every stream was whole, and many were put together from several runs")
+def all_whole(context):
+    clients = context.clients
+    faults = [(seed, client.faults[:2]) for seed, client in enumerate(clients) if client.faults]
+    assert not faults, faults[:5]
+    joined = [client for client in clients if client.runs.joined(client.text)]
+    asked_again = [client for client in clients if client.requests > 1]
+    assert min(len(joined), len(asked_again)) > len(clients) // 3, (len(joined), len(asked_again))
+
+
+@then("some stream was not whole")
+def some_not_whole(context):
+    assert any(client.faults for client in context.clients)
+
+
+# --- known-bad variants ----------------------------------------------------------------------
+
+
+def _take_all(self, events, taken):
+    taken += [event.raw for event in events]
+    self.last_event = events[-1].number
+    return True
+
+
+def _relayed_from_the_start(relayed):
+    def asking(self, request, target, deadline_left_s, after_event, *identity):
+        return relayed(self, request, target, deadline_left_s, None, *identity)
+
+    return asking
+
+
+DEFECTS = {
+    "an event is passed on whatever came before": (ClientAnswer, "_take_new", _take_all),
+    "runs are asked for from the start of the stream": (
+        PlainProtocol,
+        "relayed",
+        _relayed_from_the_start(PlainProtocol.relayed),
+    ),
+}
+
+
+@given("a relay in which {defect}")
+def with_defect(context, defect):
+    patched = mock.patch.object(*DEFECTS[defect])
+    patched.start()
+    context.add_cleanup(patched.stop)
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -249,12 +249,13 @@
         deadline_s: float | None = 5.0,
         prompt: tuple[PromptPart, ...] = (),
         request: str = "request-1",
+        after_event: int | None = None,
     ) -> StandInExchange:
-        """Have a client send a request."""
+        """Have a client send a request, or take a stream up again behind an event."""
         assert self.context.table is not None
         head = HttpRequest(b"POST", PATH.encode(), (), b"body", self.clock.seconds())
         exchange = StandInExchange(head, self.clock)
-        facts = RequestFacts(request, HOST, PATH, deadline_s, prompt, 0, 0, None)
+        facts = RequestFacts(request, HOST, PATH, deadline_s, prompt, 0, 0, after_event)
         route = self.context.table.match(HOST, PATH)
         assert route is not None
         RelayRun(self.context, exchange, facts, route, self.ended.append).start()
