A test that fails: after a refused note of progress no later note of that run is kept

Cause: a run's next note begins where the one before ended, whether or not that one was committed. The replicated state takes a note only if it goes on where its own last one ended, so after one refused note it drops all later ones of the run. Notes are refused within a leader's term while it hands leadership over in vain, and when too many proposals are under way. Ruled out: a hole or a joined run in a text.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -202,3 +202,16 @@
     And a job of 1 item is accepted
     When the item's run sends events 1 and 3, of which 2 is missing
     Then the item runs again behind event 1 and its text has each event once
+
+  Scenario: What a refused note held is kept with the next one
+    Given a relayed fleet with a table and a runner of 8 slots
+    And a job of 1 item is accepted
+    When the ledger's group refuses the next note of progress
+    And the item's run sends 3 events and goes on
+    And 1 second of the fleet passes
+    And the item's run goes on with events 4 to 5
+    And 1 second of the fleet passes
+    And the ledger's leader loses its disk for good
+    Then the item is sent again behind event 5
+    When the item's run sends event 6 and ends
+    Then the item's text has 6 events
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -3,11 +3,15 @@
 from dataclasses import replace
 
 from behave import given, step, then, when
+from expression import Error
 from features.support.relayed_fleet import RelayedFleet
 from features.support.relaying import event, runner_record
+from twisted.internet.defer import succeed
 
+from rainsail.errors import Fault, FaultCode
 from rainsail.jobs.messages import ReadResults
 from rainsail.routing.messages import OnlineUse, RunnerUse
+from rainsail.state.job_commands import NoteProgress
 
 SEED = 23
 JOB = "job-1"
@@ -472,3 +476,27 @@
     context.fleet.run_for(0.5)
     (result,) = _page(context).results
     assert result.text == "text 1\ntext 2\ntext 3", result
+
+
+# --- refused notes -------------------------------------------------------------------------
+
+
+@when("the ledger's group refuses the next note of progress")
+def refuse_next_note(context):
+    driver = context.fleet.nodes[context.fleet.leader("storage")].role.driver
+    propose = driver.propose
+
+    def propose_others(command):
+        if not (isinstance(command, NoteProgress) and command.notes):
+            return propose(command)
+        driver.propose = propose
+        return succeed(Error(Fault(FaultCode.OVERLOADED, "a test", "a note is refused")))
+
+    driver.propose = propose_others
+
+
+@when("the item's run goes on with events {first:d} to {last:d}")
+def run_goes_on_with(context, first, last):
+    (call,) = _open_calls(context)
+    for number in range(first, last + 1):
+        call.listener.answer_data(event(number))
