Refuse the soak's notes late, cut leaders off from their group alone, and replace a row of defects

Change: a refused note is heard of 0.7 s later, when the next one has gone out already: that one begins behind a hole, which the replicated state has to see. Controllers and storage nodes are also cut off from their own group while all others still reach them. The lease stays with the scenario of a leader that is cut off in ledger.feature and with the consensus. In its place: every storage node answers reads from what it has, followers that lag and nodes that were just started too, which is the harm that the check is there for.

--- a/features/jobs/soak.feature
+++ b/features/jobs/soak.feature
@@ -42,7 +42,7 @@
       | a note is taken wherever it begins                       |
       | an item that is taken up begins anew behind its old text |
       | results stand in the order of the items                  |
-      | a ledger's leader answers without its lease              |
+      | every storage node answers reads from what it has        |
 
   Scenario Outline: The soak catches a fleet in which <defect>
     Given a relayed fleet in which <defect>
--- a/features/steps/relayed_soak_steps.py
+++ b/features/steps/relayed_soak_steps.py
@@ -7,14 +7,13 @@
 from behave import given, then, when
 from expression import Error
 from features.support.relayed_soak import KEPT_DISK_KINDS, RelayedSoak, SoakPlan
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred
 
 from rainsail.cluster.controller import FleetController
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.messages import RunnerState, ZoneDrainAnswer
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
-from rainsail.consensus.core_state import Role
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault, FaultCode
 from rainsail.fleet import group_folder
@@ -30,6 +29,8 @@
 CHANGES_OF_LEADERS = SoakPlan(events=40, calm_s=0.5, kinds=KEPT_DISK_KINDS)
 """Items run longer than most leaders lead, so that notes are lost, late and taken up."""
 LOST_NOTES = 0.2
+REFUSED_AFTER_S = 0.7
+"""A refusal is heard of when the next note has gone out: that one begins behind a hole."""
 SHORT_LOGS = {
     "LEAST_SNAPSHOT_LOG_BYTES": 4_000,
     "SNAPSHOT_DISK_SHARE": 0.0,
@@ -50,7 +51,10 @@
 
     def propose_most(self, command):
         if isinstance(command, NoteProgress) and chances.random() < LOST_NOTES:
-            return succeed(Error(Fault(FaultCode.OVERLOADED, "a test", "a note is refused")))
+            refused = Deferred()
+            fault = Fault(FaultCode.OVERLOADED, "a test", "a note is refused")
+            self._clock.callLater(REFUSED_AFTER_S, refused.callback, Error(fault))
+            return refused
         return propose(self, command)
 
     with mock.patch.object(GroupDriver, "propose", propose_most):
@@ -158,10 +162,11 @@
     return replace(page, after=after, results=tuple(entries[after:]))
 
 
-def _answer_as_leader_of_old(self, step):
-    if self._group is not None and self._group.core.state.role == Role.LEADER:
-        return None
-    return Fault(FaultCode.NOT_LEADER, step, "another node leads")
+def _answer_anywhere(refusal):
+    def answering(self, step):
+        return None if step == "jobs.read" and self._group is not None else refusal(self, step)
+
+    return answering
 
 
 DEFECTS = {
@@ -170,8 +175,8 @@
         (dispatcher, "taken_up", _taken_up_from_the_start),
     ),
     "results stand in the order of the items": ((ledger_service, "page_of", _page_by_item),),
-    "a ledger's leader answers without its lease": (
-        (LedgerService, "_refusal", _answer_as_leader_of_old),
+    "every storage node answers reads from what it has": (
+        (LedgerService, "_refusal", _answer_anywhere(LedgerService._refusal)),
     ),
     "any table replaces the one held": (
         (FleetState, "apply", _take_any_table(FleetState.apply)),
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -181,6 +181,14 @@
         """Cut a node off from all others, in silence."""
         self.network.isolate(self.address(name))
 
+    def cut_from_group(self, name: str) -> None:
+        """Cut a node off from the others of its kind, in silence; all else still reaches it."""
+        own = self.address(name)
+        for other in self.names(name.partition("-")[0]):
+            if other != name:
+                self.network.cut(own, self.address(other))
+                self.network.cut(self.address(other), own)
+
     def rejoin(self, name: str) -> None:
         """End a node's cut."""
         self.network.rejoin(self.address(name))
--- a/features/support/relayed_soak.py
+++ b/features/support/relayed_soak.py
@@ -31,7 +31,7 @@
 OTHER_CONTENT_CHANCE = 0.3
 BORNE_KINDS = ("crash", "wipe", "freeze", "isolate", "group", "group_wipe")
 """What may happen to machines with a disk."""
-KEPT_DISK_KINDS = ("crash", "freeze", "isolate", "group", "hand_over")
+KEPT_DISK_KINDS = ("crash", "freeze", "isolate", "cut_from_group", "group", "hand_over")
 """What may happen to them at any pace: every disk stays."""
 GATEWAY_KINDS = ("crash", "freeze", "isolate")
 
@@ -456,6 +456,8 @@
                 self.fleet.freeze(name)
             case "isolate":
                 self.fleet.isolate(name)
+            case "cut_from_group":
+                self.fleet.cut_from_group(name)
         if kind in ("crash", "wipe") and name in self.fleet.pools:
             self.fleet.pools[name].calls.clear()
 
@@ -468,7 +470,7 @@
                     self._listen_at_gateway(name)
             case "freeze":
                 self.fleet.thaw(name)
-            case "isolate":
+            case "isolate" | "cut_from_group":
                 self.fleet.rejoin(name)
 
     def _heal(self) -> None:
