Have the next note of a run hold what a refused one held

Ruled out: reading from the replicated state where the next note has to begin. It needs no count, but while commits are slow each note would hold all texts since the last commit again. Change: the dispatcher hears of each note's commit; a refused one puts the count back, so that the next note begins there. Unclear outcomes come only with the end of the leadership, when these runs are over too. Conclusion: no hole, no piece twice and no joined run in a text before or after; less work is done again.

--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable, Iterable
 from itertools import chain
 from random import Random
-from typing import TypeVar
+from typing import Any, TypeVar
+
+from twisted.internet.defer import Deferred
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
@@ -53,8 +55,8 @@
 A node that was frozen or is cut off must not act on what it knew before.
 """
 
-KeepNotes = Callable[[NoteProgress], None]
-"""Commits how far items have come; what is lost of it is only run again."""
+KeepNotes = Callable[[NoteProgress], "Deferred[Any]"]
+"""Commits how far items have come; fires with a fault when that is refused or unclear."""
 
 
 class Dispatcher(StateObserver):
@@ -310,14 +312,26 @@
         if not self._active:
             return
         notes: list[ItemNote] = []
+        noted_before: list[tuple[Work, int]] = []
         if self._settings.mechanisms.progress_notes:
             for work in chain.from_iterable(self._running.values()):
+                noted_before.append((work, work.noted))
                 notes += note_of(work)
         if notes or len(self._waiting):
             at_s = self._ledger_time.at(self._clock.seconds())
-            self._keep_notes(NoteProgress(tuple(notes), at_s))
+            kept = self._keep_notes(NoteProgress(tuple(notes), at_s))
+            kept.addCallback(self._notes_kept, noted_before)
         self._clock.callLater(self._settings.note_period_s, self._note_progress)
 
+    def _notes_kept(self, result: Any, noted_before: list[tuple[Work, int]]) -> None:
+        """Have the next notes begin where refused ones did: the ledger takes no others.
+
+        An outcome is unclear only when this node leads no more, and then these runs are over.
+        """
+        if result.is_error():
+            for work, noted in noted_before:
+                work.noted = min(work.noted, noted)
+
     # --- starting ------------------------------------------------------------------------
 
     def _start_items(self) -> None:
--- a/src/rainsail/jobs/work.py
+++ b/src/rainsail/jobs/work.py
@@ -12,8 +12,8 @@
 class Work:
     """One item's progress and its run, if it has one now.
 
-    ``ran_s`` sums up the runs that have ended; ``noted`` is how many events the replicated state
-    knows of.
+    ``ran_s`` sums up the runs that have ended; ``noted`` is how many events stand in notes that
+    were not refused.
     """
 
     job: str
