Tell in a request's line what each runner answered and what marked the end

Cause: a request that was sent twice and completed had the same line whether the second runner went on or failed, so that the logs couldn't tell the hypotheses of the incident apart. Change: 'answers' (status and framing of each answer) and 'last_event' in the lines of requests; framing is a property of an answer's head. No change of a decision. Cost: some 40 bytes a line. Conclusion: 'answers=200 chunked,500 length' beside request_completed is the first hypothesis, '200 close' the second.

--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -1,7 +1,12 @@
 """Steps on relayed requests, in virtual time."""
 
 from behave import given, step, then, when
-from features.support.relaying import RelayWorld, event, runner_record
+from features.support.relaying import EVENT_STREAM_FIELDS, RelayWorld, event, runner_record
+
+from rainsail.http.client import AnswerHead
+from rainsail.logs import logger
+
+CHUNKED_FIELDS = ((b"transfer-encoding", b"chunked"),)
 
 TOLERANCE_S = 0.001
 
@@ -26,8 +31,17 @@
     context.relay.put_route(kind, resumable=True)
 
 
+@given('a relay with {runners:d} runners and a resumable "{kind}" route of {attempts:d} attempts')
+def make_resumable_of_attempts(context, runners, kind, attempts):
+    context.relay = RelayWorld(runners)
+    context.relay.put_route(kind, attempts, resumable=True)
+
+
 @when("a client sends a request to the relay")
 def send(context):
+    context.log_records = []
+    sink = logger.add(lambda message: context.log_records.append(message.record))
+    context.add_cleanup(logger.remove, sink)
     context.exchange = context.relay.request()
 
 
@@ -36,6 +50,19 @@
     context.relay.last_call.answer(status, body.encode())
 
 
+@step("the runner answers {status:d} with {size:d} bytes")
+def answer_large(context, status, size):
+    context.relay.last_call.answer(status, b"x" * size)
+
+
+@step("the runner sends {size:d} bytes of an answer and breaks")
+def break_large(context, size):
+    listener = context.relay.last_call.listener
+    listener.answer_begun(AnswerHead(200, ()))
+    listener.answer_data(b"x" * size)
+    listener.answer_failed("connection reset")
+
+
 @step("the runner answers 503 without a word of it")
 def answer_503(context):
     context.relay.last_call.answer(503)
@@ -101,6 +128,23 @@
         call.listener.answer_data(event(number))
 
 
+@step("the runner sends events {first:d} to {last:d} in chunks")
+def send_events_in_chunks(context, first, last):
+    listener = context.relay.last_call.listener
+    listener.answer_begun(AnswerHead(200, (*EVENT_STREAM_FIELDS, *CHUNKED_FIELDS)))
+    for number in range(first, last + 1):
+        listener.answer_data(event(number))
+
+
+@step("the runner sends events 1 to {last:d} with lines that end in CR LF")
+def send_events_with_cr(context, last):
+    context.relay.last_call.begin_stream()
+    data = _events_with_cr(last)
+    middle = data.index(b"\r\n\r\n") + 3
+    context.relay.last_call.listener.answer_data(data[:middle])
+    context.relay.last_call.listener.answer_data(data[middle:])
+
+
 @step("the runner sends half of event {number:d}")
 def send_half(context, number):
     data = event(number)
@@ -126,6 +170,27 @@
     return b"".join(event(number) for number in range(first, last + 1))
 
 
+def _events_with_cr(last):
+    return _events(1, last).replace(b"\n", b"\r\n")
+
+
+@then("the client has {count:d} events with lines that end in CR LF so far")
+def has_events_with_cr(context, count):
+    assert context.exchange.body == _events_with_cr(count), context.exchange.body
+    assert not context.exchange.ended
+
+
+@then("the client has {count:d} events with lines that end in CR LF, and the end")
+def has_all_events_with_cr(context, count):
+    assert context.exchange.body == _events_with_cr(count), context.exchange.body
+    assert context.exchange.ended
+
+
+@then("the client's connection was cut")
+def was_cut_anywhere(context):
+    assert context.exchange.aborted and not context.exchange.ended
+
+
 @then("the client has events {first:d} to {last:d} so far")
 def has_events(context, first, last):
     assert context.exchange.body == _events(first, last), context.exchange.body
@@ -150,6 +215,18 @@
     assert context.relay.last_call.field(b"after-event") == str(number)
 
 
+@then("the third sending asks to go on behind event {number:d}")
+def third_goes_on(context, number):
+    assert len(context.relay.pool.calls) == 3
+    assert context.relay.last_call.field(b"after-event") == str(number)
+
+
+@then('the line "{event_name}" of the request has "{field}" = "{value}"')
+def line_has(context, event_name, field, value):
+    lines = [each for each in context.log_records if each["message"] == event_name]
+    assert [str(line["extra"][field]) for line in lines] == [value], lines
+
+
 # --- what the client has -------------------------------------------------------------------
 
 
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 from typing import Protocol as TypingProtocol
 
@@ -14,7 +15,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from rainsail.http.headers import HeaderFields, header_number, header_text
+from rainsail.http.headers import HeaderFields, header_number, header_text, header_value
 from rainsail.runtime.sockets import set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -30,6 +31,15 @@
     body: bytes
 
 
+class Framing(StrEnum):
+    """What marks the end of an answer."""
+
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    CLOSE = "close"
+    """Nothing but the end of the connection: a server that dies looks like one that is done."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """The head of an answer."""
@@ -37,6 +47,15 @@
     status: int
     headers: HeaderFields
 
+    @property
+    def framing(self) -> Framing:
+        """Tell what marks the end of the answer."""
+        if header_value(self.headers, b"transfer-encoding") is not None:
+            return Framing.CHUNKED
+        if header_value(self.headers, b"content-length") is not None:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
 
 class AnswerListener(TypingProtocol):
     """Takes one answer; after ``answer_ended`` or ``answer_failed`` nothing more comes."""
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -70,6 +70,11 @@
         self._over = False
         context.loads.sent(record.runner, context.clock.seconds(), speaks_within_s)
 
+    @property
+    def told(self) -> str:
+        """Return, for the log, the answer's status and what marks its end; ``none`` before it."""
+        return "none" if self.head is None else f"{self.head.status} {self.head.framing}"
+
     # --- UnsentListener ------------------------------------------------------------------
 
     def answer_begun(self, head: AnswerHead) -> None:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -51,6 +51,7 @@
         self._answer = ClientAnswer(exchange, context.protocol, context.clock, facts.after_event)
         self._ended = False
         self._attempt: Attempt | None = None
+        self._attempts: list[Attempt] = []
         self._finder = RunnerFinder(context, facts, route, identity)
         self._sends = 0
         self._may_have_run = False
@@ -131,6 +132,8 @@
             table=0 if table is None else table.version,
             runners=",".join(sorted(self._finder.tried)),
             sends=self._sends,
+            answers=",".join(attempt.told for attempt in self._attempts),
+            last_event=self._answer.last_event,
             reason=self._last_reason if outcome != "completed" else "",
             first_ms=None if self.first_s is None else round(self.first_s * 1000),
             took_ms=round(took_s * 1000),
@@ -216,6 +219,7 @@
         self._finder.note_sent(record)
         attempt = Attempt(self, context, record, self._facts.request, self._speaks_within_s())
         self._attempt = attempt
+        self._attempts.append(attempt)
         self._arm_watch(self._first_wait_s())
         attempt.call = context.pool.send(record.address, request, attempt)
 
