End a client's answer only by the end of an answer that is part of it

Cause: a client's answer was ended as complete whenever the runner's answer of the moment had ended, whatever that answer was. A run that takes a stream up and is answered 500 is whole by itself; its body went behind the events and its end was told as the stream's. In the same way a close in order inside an event ended a stream without a length, and a large failure was passed on before anybody asked whether it may be. Ruled out: framing (chunks and lengths are read right), the numbers of events (no hole was there). Change: the client's answer says which answers are part of it (the one that began it; streams that go on with a stream) and whether another runner can go on with what has left. Anything else is a failure of that runner: the stream goes on elsewhere or is cut. A stream that ends inside an event has broken. A failure that is not the client's answer is dropped early, a 503 of a runner that ran the request is never passed on because it is large. A large answer under way is not given up for silence, since nobody can go on with it. Numbered events behind data without a number are no stream. Lines may end in CR LF.

--- a/features/relay/whole_answers.feature
+++ b/features/relay/whole_answers.feature
@@ -34,6 +34,27 @@
     Then the client's connection was cut after events 1 to 2
     And 2 sendings were made, each to another runner
 
+  Scenario Outline: A stream goes on at a third runner when the second answers with something else
+    Given a relay with 3 runners and a resumable "stream" route of 3 attempts
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the runner's connection breaks
+    And <other answer>
+    Then the client has events 1 to 2 so far
+    And the third sending asks to go on behind event 2
+    When the runner sends events 3 to 4
+    And the runner ends its stream
+    Then the client has the whole stream of events 1 to 4
+
+    Examples:
+      | other answer                                  |
+      | the runner answers 500 with "sorry"           |
+      | the runner answers 504 with "late"              |
+      | the runner answers 503 without a word of it   |
+      | the runner answers 404 with "gone"            |
+      | the runner answers 200 with "no stream"       |
+      | the runner answers 500 with 300000 bytes      |
+
   Scenario: Half an event is not the end of a stream
     Given a relay with 3 runners and a "stream" route
     When a client sends a request to the relay
@@ -41,3 +62,67 @@
     And the runner sends half of event 3
     And the runner ends its stream
     Then the client's connection was cut after events 1 to 2
+
+  Scenario: A resumable stream that ends within an event goes on at another runner
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the runner sends half of event 3
+    And the runner ends its stream
+    Then the last sending asks to go on behind event 2
+    When the runner sends events 3 to 4
+    And the runner ends its stream
+    Then the client has the whole stream of events 1 to 4
+
+  Scenario: A stream that ends within its first event has not begun
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends the head of a stream
+    And the runner sends half of event 1
+    And the runner ends its stream
+    Then the client has the status 502
+
+  Scenario: Lines that end in CR LF end events as well
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3 with lines that end in CR LF
+    Then the client has 3 events with lines that end in CR LF so far
+    When the runner ends its stream
+    Then the client has 3 events with lines that end in CR LF, and the end
+
+  Scenario: A large 503 of a runner that has run the request does not promise that it has not
+    Given a relay with 3 runners and an "unsafe" route
+    When a client sends a request to the relay
+    And the runner answers 503 with 300000 bytes
+    Then the client has the status 502
+
+  Scenario: A large failure of a runner costs a safe request nothing
+    Given a relay with 3 runners and a "safe" route
+    When a client sends a request to the relay
+    And the runner answers 500 with 300000 bytes
+    And the runner answers 200 with "hello"
+    Then the client has the whole answer 200 "hello"
+
+  Scenario: A large answer that breaks off is cut, never put together with another one
+    Given a relay with 3 runners and a "safe" route
+    When a client sends a request to the relay
+    And the runner sends 300000 bytes of an answer and breaks
+    Then the client's connection was cut
+    And 1 sending was made
+
+  Scenario: A large answer that takes its time is not cut, since no other runner can go on with it
+    Given a relay with 3 runners and a "safe" route
+    When a client sends a request to the relay
+    And the runner sends 300000 bytes of an answer
+    And 2 seconds pass
+    And the runner ends its answer
+    Then the client has 300000 bytes and the end
+    And 1 sending was made
+
+  Scenario: A numbered event behind data without a number is not the next one
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends the head of a stream
+    And the runner sends data without a number
+    And the runner sends event 2 without event 1 before it
+    Then the client's connection was cut
--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -57,10 +57,30 @@
 
 @step("the runner sends {size:d} bytes of an answer and breaks")
 def break_large(context, size):
+    send_large(context, size)
+    context.relay.last_call.listener.answer_failed("connection reset")
+
+
+@step("the runner sends {size:d} bytes of an answer")
+def send_large(context, size):
     listener = context.relay.last_call.listener
     listener.answer_begun(AnswerHead(200, ()))
     listener.answer_data(b"x" * size)
-    listener.answer_failed("connection reset")
+
+
+@step("the runner ends its answer")
+def end_answer(context):
+    context.relay.last_call.listener.answer_ended()
+
+
+@step("the runner sends data without a number")
+def send_unnumbered(context):
+    context.relay.last_call.listener.answer_data(b"data: text\n\n")
+
+
+@then("the client has {size:d} bytes and the end")
+def has_bytes(context, size):
+    assert len(context.exchange.body) == size and context.exchange.ended
 
 
 @step("the runner answers 503 without a word of it")
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -6,11 +6,11 @@
 from rainsail.http.client import AnswerHead
 from rainsail.http.pool import Call
 from rainsail.relay.context import RelayContext
-from rainsail.relay.events import Event, EventSplitter
+from rainsail.relay.events import Event, EventSplitter, is_event_stream
 from rainsail.relay.protocol import AnswerVerdict
 
-STATUS_OK = 200
-EVENT_STREAM = b"text/event-stream"
+STATUS_SERVER_ERROR = 500
+ENDED_INSIDE_EVENT = "the stream ended within an event"
 
 
 class AttemptOwner(Protocol):
@@ -70,6 +70,13 @@
         self._over = False
         context.loads.sent(record.runner, context.clock.seconds(), speaks_within_s)
 
+    @property
+    def failed(self) -> bool:
+        """Tell whether the runner answered with a failure of its own."""
+        if self.head is None or self.verdict is None:
+            return False
+        return self.head.status >= STATUS_SERVER_ERROR or self.verdict.promises_not_run
+
     @property
     def told(self) -> str:
         """Return, for the log, the answer's status and what marks its end; ``none`` before it."""
@@ -91,7 +98,7 @@
             if self._end():
                 self._owner.runner_refused(self)
         else:
-            self.is_stream = head.status == STATUS_OK and _is_event_stream(head)
+            self.is_stream = is_event_stream(head)
 
     def answer_data(self, data: bytes) -> None:
         """Gather the body, or hand whole events on."""
@@ -108,13 +115,15 @@
         self._owner.body_grew(self)
 
     def answer_ended(self) -> None:
-        """The answer is whole."""
+        """The answer has ended in order; a stream that did so within an event is not whole."""
         if not self._end():
             return
-        if self.is_stream:
-            self._owner.stream_ended(self)
-        else:
+        if not self.is_stream:
             self._owner.answer_came(self)
+        elif self.splitter.is_inside_event:
+            self._owner.answer_broke(self, ENDED_INSIDE_EVENT)
+        else:
+            self._owner.stream_ended(self)
 
     def answer_failed(self, reason: str) -> None:
         """The answer broke off."""
@@ -146,10 +155,3 @@
         self._over = True
         self._context.loads.ended(self.record.runner, self._context.clock.seconds())
         return True
-
-
-def _is_event_stream(head: AnswerHead) -> bool:
-    return any(
-        name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
-        for name, value in head.headers
-    )
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -35,12 +35,32 @@
         self.state = AnswerState.NOTHING_SENT
         self.first_s: float | None = None
         self.last_event = last_event
+        self._begun_by: Attempt | None = None
+        self._has_unnumbered = False
+        """Some data without a number has left."""
 
     @property
     def begun(self) -> bool:
         """Tell whether some of the answer has left, and not yet all."""
         return self.state == AnswerState.BEGUN
 
+    @property
+    def may_go_on(self) -> bool:
+        """Tell whether another runner can go on with what has left: with numbered events alone."""
+        if self._begun_by is None:
+            return True
+        return self._begun_by.is_stream and self.last_event is not None
+
+    def may_take(self, attempt: Attempt) -> bool:
+        """Tell whether a runner's answer is this one, or a part of it.
+
+        The end of an answer that isn't says nothing of this one, nor do its bytes belong here.
+        """
+        begun_by = self._begun_by
+        if begun_by is None or begun_by is attempt:
+            return True
+        return begun_by.is_stream and attempt.is_stream
+
     def write_events(self, attempt: Attempt, events: list[Event]) -> bool:
         """Write the events that the client doesn't have yet, at once.
 
@@ -55,10 +75,13 @@
 
     def _take_new(self, events: list[Event], taken: list[bytes]) -> bool:
         for event in events:
-            if leaves_hole(event, self.last_event):
-                return False
             number = event.number
-            if number is not None:
+            spoilt_before = self._has_unnumbered and number is not None
+            if spoilt_before or leaves_hole(event, self.last_event):
+                return False
+            if number is None:
+                self._has_unnumbered = self._has_unnumbered or bool(event.data)
+            else:
                 if self.last_event is not None and number <= self.last_event:
                     continue
                 self.last_event = number
@@ -91,7 +114,10 @@
         self._exchange.answer(attempt.head.status, headers, b"".join(attempt.body))
 
     def refuse(self, status: int, retry_after_s: float | None) -> None:
-        """Answer without a body, in our own name."""
+        """Answer without a body, in our own name; an answer that has begun can only be cut."""
+        if self.begun:
+            self.abort()
+            return
         self.state = AnswerState.OVER
         self._exchange.answer(status, self._protocol.refusal_headers(retry_after_s), b"")
 
@@ -109,6 +135,7 @@
             return
         assert attempt.head is not None
         self.state = AnswerState.BEGUN
+        self._begun_by = attempt
         self._note_first()
         headers = self._protocol.answer_headers(attempt.head)
         if attempt.is_stream:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -23,7 +23,6 @@
 
 STATUS_NOT_FOUND = 404
 STATUS_OVER_QUOTA = 429
-STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -255,10 +254,10 @@
         self._watch = None
 
     def _silent(self) -> None:
-        """Leave a runner that says nothing, if another one is there."""
+        """Leave a runner that says nothing, if another one is there and can go on."""
         self._watch = None
         attempt = self._attempt
-        if attempt is None or not self._finder.others_left():
+        if attempt is None or not self._may_repeat() or not self._finder.others_left():
             return
         attempt.cancel()
         self.answer_broke(attempt, "silent")
@@ -280,7 +279,11 @@
         """Pass a large answer on before it has ended; small ones are gathered first."""
         if attempt.body_bytes < self._context.settings.buffered_bytes:
             return
-        self._answer.write_body(attempt)
+        if self._is_replaced(attempt):
+            attempt.cancel()
+            self._take_failure(attempt)
+        else:
+            self._answer.write_body(attempt)
 
     def stream_ended(self, attempt: Attempt) -> None:
         """End the answer as complete."""
@@ -298,39 +301,46 @@
 
     def answer_came(self, attempt: Attempt) -> None:
         """Pass a whole answer on, or try again where its status asks for that."""
-        assert attempt.head is not None and attempt.verdict is not None
+        if self._is_replaced(attempt):
+            self._take_failure(attempt)
+            return
         self._attempt = None
-        status = attempt.head.status
+        self._note_answer(attempt)
         if self._answer.begun:
             self._answer.write_body(attempt)
             self._answer.end()
-            self._finish("completed")
-            return
-        if status >= STATUS_SERVER_ERROR or attempt.verdict.promises_not_run:
-            self._take_failure(attempt)
-            return
-        self._context.loads.answered(attempt.record.runner)
-        self._pass_on(attempt)
-
-    def _pass_on(self, attempt: Attempt) -> None:
-        assert attempt.head is not None
-        self._answer.pass_on(attempt)
-        failed = attempt.head.status >= STATUS_SERVER_ERROR
-        self._finish("failed" if failed else "completed")
+        else:
+            self._answer.pass_on(attempt)
+        self._finish("failed" if attempt.failed else "completed")
+
+    def _is_replaced(self, attempt: Attempt) -> bool:
+        """Tell whether the client gets something else in the place of a runner's answer.
+
+        A failure is whole by itself, but no part of a stream that another runner has begun.
+        """
+        if not self._answer.may_take(attempt):
+            return True
+        assert attempt.verdict is not None
+        return attempt.failed and (self._may_repeat() or attempt.verdict.promises_not_run)
+
+    def _note_answer(self, attempt: Attempt) -> None:
+        loads, runner = self._context.loads, attempt.record.runner
+        if attempt.failed:
+            loads.failed(runner, self._context.clock.seconds())
+        else:
+            loads.answered(runner)
 
     def _take_failure(self, attempt: Attempt) -> None:
-        """A runner answered with a failure of its own: the request has run, or may have."""
-        assert attempt.head is not None and attempt.verdict is not None
-        now = self._context.clock.seconds()
-        self._context.loads.failed(attempt.record.runner, now)
+        """A runner answered with what no client gets: the request has run, or may have."""
+        assert attempt.head is not None
+        self._attempt = None
         self._may_have_run = True
         self._last_reason = f"the runner answered {attempt.head.status}"
+        self._context.loads.failed(attempt.record.runner, self._context.clock.seconds())
         if self._may_repeat():
             self._try_next()
-        elif attempt.verdict.promises_not_run:
-            self._give_up()
         else:
-            self._pass_on(attempt)
+            self._give_up()
 
     # --- AttemptOwner: what did not come -------------------------------------------------
 
@@ -378,11 +388,7 @@
             self._give_up()
 
     def _may_repeat(self) -> bool:
-        if not self._route.repeatable:
-            return False
-        if self._answer.begun:
-            return self._route.kind == RouteKind.STREAM and self._answer.last_event is not None
-        return True
+        return self._route.repeatable and self._answer.may_go_on
 
     # --- giving up -----------------------------------------------------------------------
 
