Take only streams of events into an item's text

A 200 without a stream and without a body ended an item as whole with the text so far; data without a number was left out of a text without a word. Ruled out: failures (their status was looked at), half events (were looked at already). Change: both end the run as broken; it goes on behind the last whole event.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -202,3 +202,27 @@
     And a job of 1 item is accepted
     When the item's run sends events 1 and 3, of which 2 is missing
     Then the item runs again behind event 1 and its text has each event once
+
+  Scenario Outline: What is no stream of events adds nothing to an item's text and doesn't end it
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a job of 1 item is accepted
+    And the item's run sends 2 events and breaks
+    Then the item is sent again behind event 2
+    When the item's run is answered <status> with "<body>", which is no stream
+    Then the item is sent again behind event 2
+    When the item's run sends event 3 and ends
+    Then the item's text has 3 events
+
+    Examples:
+      | status | body  |
+      | 200    | hello |
+      | 200    |       |
+      | 500    | sorry |
+      | 503    | full  |
+      | 404    |       |
+
+  Scenario: Data without a number can't be put into an item's text, so that its run is broken
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a job of 1 item is accepted
+    And the item's run sends data without a number and event 2, and ends
+    Then the item is sent again from its start
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -223,6 +223,29 @@
     call.listener.answer_ended()
 
 
+@when('the item\'s run is answered {status:d} with "{body}", which is no stream')
+@when('the item\'s run is answered {status:d} with "", which is no stream')
+def run_answered(context, status, body=""):
+    (call,) = _open_calls(context)
+    call.over = True
+    call.answer(status, body.encode())
+
+
+@when("the item's run sends data without a number and event {number:d}, and ends")
+def run_sends_unnumbered(context, number):
+    (call,) = _open_calls(context)
+    call.begin_stream()
+    call.over = True
+    call.listener.answer_data(b"data: text 1\n\n" + event(number))
+    call.listener.answer_ended()
+
+
+@then("the item is sent again from its start")
+def sent_anew(context):
+    context.fleet.run_until(lambda: len(_open_calls(context)) == 1, "another run", 5)
+    assert _open_calls(context)[0].field(b"after-event") == ""
+
+
 @then("the item's text has {count:d} events")
 def text_has(context, count):
     context.fleet.run_for(0.5)
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -6,7 +6,7 @@
 
 from rainsail.http.client import AnswerHead
 from rainsail.jobs.job_state import EVENT_SEPARATOR
-from rainsail.relay.events import Event, EventSplitter, leaves_hole
+from rainsail.relay.events import Event, EventSplitter, is_event_stream, leaves_hole
 from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
 from rainsail.routing.facts import ServerLoad
 
@@ -83,6 +83,9 @@
             self._end(RunEnd.BROKEN, "answer of another request")
         elif self.verdict.not_run:
             self._end(RunEnd.NOT_RUN, f"status {head.status}")
+        elif head.status == STATUS_OK and not is_event_stream(head):
+            # Its end would be taken for the end of the item's text.
+            self._end(RunEnd.BROKEN, "no stream of events")
         elif self.verdict.load is not None:
             self._load_heard(self.verdict.load)
 
@@ -96,7 +99,8 @@
         if self._over or self._status != STATUS_OK:
             return
         for event in self._splitter.feed(data):
-            if leaves_hole(event, self.progress.last_event):
+            unnumbered = event.number is None and bool(event.data)
+            if unnumbered or leaves_hole(event, self.progress.last_event):
                 self._end(RunEnd.BROKEN, "an event is missing")
                 return
             self.progress.take(event)
@@ -104,8 +108,8 @@
     def answer_ended(self) -> None:
         """Judge the whole answer."""
         if self._status == STATUS_OK:
-            whole = not self._splitter.rest
-            self._end(RunEnd.WHOLE if whole else RunEnd.BROKEN, "ended")
+            broken = self._splitter.is_inside_event
+            self._end(RunEnd.BROKEN if broken else RunEnd.WHOLE, "ended")
         elif self._status == STATUS_NEVER:
             self._end(RunEnd.IMPOSSIBLE, f"status {self._status}")
         elif self._status == STATUS_FAILED:
