Rig: read a job's results anew when its read spans the end of the failures

Cause: a client of the rig reads a finished job's output and then its errors. A run's failures could end between the two: the client wasn't settled yet, so it wasn't told to read again, and then settled. Its results were read before the end, the checkers count only those read after it, and so 12 of 12 "have no result". Ruled out by reading: leases of a killed, paused or stopped gateway, a watch not followed, a lost owner, too short a calm time. exactly_once judges lost items only of a complete run, and a run is complete only once every client has seen its job finished and read both files; a job that never ends is rig.progress after 90 s, not this. An empty output of a finished job: rows come from the same phases as the counts, after a read barrier; a row without its result raises. Change: a client is told to read again wherever it is, and reads once more if it was reading. The check stays.

--- a/rig/jobs.py
+++ b/rig/jobs.py
@@ -56,6 +56,7 @@
         self._turn = users.draw.randrange(len(users.layout.gateways))
         self.job_id = ""
         self.settled = False
+        self._reads_asked = 0
 
     async def run(self) -> None:
         """Take the job from its submission to the reading of its results."""
@@ -71,17 +72,30 @@
         for _ in range(READS_AFTER_CANCEL if self._cancels else 0):
             await sleep(self._users.clock, READ_PERIOD_S)
             await self._read_phase()
-        await self.read_results()
+        await self._read_results()
 
-    async def read_results(self) -> None:
-        """Read every finished item and record it."""
+    async def read_again(self) -> None:
+        """Read every finished item anew; a read under way is made once more from its begin."""
+        self._reads_asked += 1
+        if self.settled:
+            await self._read_results()
+
+    async def _read_results(self) -> None:
+        """Read every finished item, until no read was asked for meanwhile."""
         self.settled = False
+        answered = -1
+        while answered != self._reads_asked:
+            answered = self._reads_asked
+            await self._read_files()
+        self.settled = True
+
+    async def _read_files(self) -> None:
+        """Read both files of results and record what they hold."""
         for kind in ("output", "errors"):
             path = f"/v1/files/file-{kind}-{self.job_id}/content"
             reply = await self._insist("GET", path)
             for line in reply.body.splitlines():
                 self._record_result(json.loads(line))
-        self.settled = True
 
     # --- calls ----------------------------------------------------------------------------
 
@@ -182,10 +196,9 @@
         return all(client.settled for client in self.clients)
 
     def read_again(self) -> None:
-        """Let every client whose job is finished read its results once more."""
+        """Let every client read its results from now on, also one that is reading them."""
         for client in self.clients:
-            if client.settled:
-                self._run(client.read_results())
+            self._run(client.read_again())
 
     def _run(self, work: Any) -> None:
         Deferred.fromCoroutine(work).addErrback(self._failed)
