Ask in one place whether a stream may end here, and know by its head what is no part of an answer

Ruled out: one more run behind the last event to tell whether a stream without a length is whole: what a runner answers there stands nowhere, and non-resumable streams would gain nothing. Conclusion: a close in order between two events of an unframed stream can't be told from its end; it counts.

--- a/features/jobs/ledger.feature
+++ b/features/jobs/ledger.feature
@@ -226,3 +226,15 @@
     When a job of 1 item is accepted
     And the item's run sends data without a number and event 2, and ends
     Then the item is sent again from its start
+
+  Scenario: A stream without any event doesn't make an item done
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a job of 1 item is accepted
+    And the item's run sends the head of a stream and ends
+    Then the item is sent again from its start
+
+  Scenario: An item whose answer can't be read is tried less and less often
+    Given a relayed fleet with a table and a runner of 8 slots
+    When a job of 1 item is accepted
+    And every run of the item sends data without a number for 60 seconds
+    Then the item ran between 4 and 14 times
--- a/features/relay/whole_answers.feature
+++ b/features/relay/whole_answers.feature
@@ -126,3 +126,93 @@
     And the runner sends data without a number
     And the runner sends event 2 without event 1 before it
     Then the client's connection was cut
+
+  Scenario: A stream of a route that may be repeated but not resumed is not put together from two runs
+    Given a relay with 3 runners and a "safe" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the runner's connection breaks
+    Then the client's connection was cut after events 1 to 2
+    And 1 sending was made
+
+  Scenario: What can't be a part of the stream is known by its head, so that nobody waits for its body
+    Given a relay with 3 runners and a resumable "stream" route of 3 attempts
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the runner's connection breaks
+    And the runner begins to answer 500
+    Then the third sending asks to go on behind event 2
+
+  Scenario: A client whose stream nobody can go on with isn't kept waiting for the body of a failure
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the runner's connection breaks
+    And the runner begins to answer 500
+    Then the client's connection was cut after events 1 to 2
+
+  Scenario: The line of a failed request says why
+    Given a relay with 3 runners and an "unsafe" route
+    When a client sends a request to the relay
+    And the runner answers 500 with "sorry"
+    Then the line "request_failed" of the request has "reason" = "the runner answered 500"
+
+  Scenario: A stream goes on only where the table in force allows it
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the route is resumable no more
+    And the runner's connection breaks
+    Then the client's connection was cut after events 1 to 2
+    And 1 sending was made
+
+  Scenario: A mark of the byte order before the first event is no part of its id
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2 behind a mark of the byte order
+    And the runner ends its stream
+    Then the client has 2 events and the end
+
+  Scenario: A stream without a single event that only its connection's end has ended is not told as whole
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends the head of a stream
+    And the runner ends its stream
+    Then the client has the status 502
+
+  Scenario Outline: An end that the runner declares ends the last event too: <last>
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2 in chunks
+    And the runner sends the line "<last>"
+    And the runner ends its stream
+    Then the client has events 1 to 2, the line "<last>", and the end
+
+    Examples:
+      | last         |
+      | data: [DONE] |
+      | : goodbye    |
+
+  Scenario: A run that takes a stream up and brings nothing before its connection ends is no end
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the runner's connection breaks
+    And the runner sends the head of a stream
+    And the runner ends its stream
+    Then the client's connection was cut after events 1 to 2
+
+  Scenario: An event without an end is not gathered for ever
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And the runner sends 5000000 bytes of one event
+    Then the client's connection was cut after events 1 to 2
+
+  Scenario: What may have run is not sent again by a route that doesn't allow it any more
+    Given a relay with 3 runners and a "safe" route
+    When a client sends a request to the relay
+    And the route becomes "unsafe"
+    And the runner's connection breaks
+    Then the client has the status 502
+    And 1 sending was made
--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -181,6 +181,21 @@
     context.relay.last_call.listener.answer_data(b"\xff\x00spoilt" + event(number))
 
 
+@step('the runner sends the line "{line}"')
+def send_line(context, line):
+    context.relay.last_call.listener.answer_data(f"{line}\n".encode())
+
+
+@step("the runner sends {size:d} bytes of one event")
+def send_endless(context, size):
+    context.relay.last_call.listener.answer_data(b"data: " + b"x" * size)
+
+
+@step('the route becomes "{kind}"')
+def change_kind(context, kind):
+    context.relay.put_route(kind, version=2)
+
+
 @step("the runner ends its stream")
 def end_stream(context):
     context.relay.last_call.listener.answer_ended()
@@ -206,6 +221,13 @@
     assert context.exchange.ended
 
 
+@then('the client has events {first:d} to {last:d}, the line "{line}", and the end')
+def has_line(context, first, last, line):
+    expected = _events(first, last) + f"{line}\n".encode()
+    assert context.exchange.body == expected, context.exchange.body
+    assert context.exchange.ended
+
+
 @then("the client's connection was cut")
 def was_cut_anywhere(context):
     assert context.exchange.aborted and not context.exchange.ended
@@ -305,3 +327,26 @@
 def told_when(context, seconds):
     assert context.exchange.status == 503
     assert float(dict(context.exchange.headers)[b"retry-after"]) == seconds
+
+
+@step("the runner begins to answer {status:d}")
+def begin_answer(context, status):
+    context.relay.last_call.listener.answer_begun(AnswerHead(status, ()))
+
+
+@step("the route is resumable no more")
+def not_resumable(context):
+    context.relay.put_route("stream", 2, resumable=False, version=2)
+
+
+@step("the runner sends events 1 to {last:d} behind a mark of the byte order")
+def send_behind_mark(context, last):
+    context.relay.last_call.begin_stream()
+    context.relay.last_call.listener.answer_data(b"\xef\xbb\xbf" + event(1))
+    for number in range(2, last + 1):
+        context.relay.last_call.listener.answer_data(event(number))
+
+
+@then("the client has {count:d} events and the end")
+def has_events_and_end(context, count):
+    assert context.exchange.ended and context.exchange.body.count(b"data:") == count
--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -240,6 +240,24 @@
     call.listener.answer_ended()
 
 
+@when("every run of the item sends data without a number for {seconds:d} seconds")
+def runs_send_unnumbered(context, seconds):
+    context.item_runs = 0
+    until_s = context.fleet.clock.seconds() + seconds
+    while context.fleet.clock.seconds() < until_s:
+        for call in _open_calls(context):
+            context.item_runs += 1
+            call.begin_stream()
+            call.over = True
+            call.listener.answer_data(b"data: text 1\n\n")
+        context.fleet.run_for(0.1)
+
+
+@then("the item ran between {least:d} and {most:d} times")
+def ran_times(context, least, most):
+    assert least <= context.item_runs <= most, context.item_runs
+
+
 @then("the item is sent again from its start")
 def sent_anew(context):
     context.fleet.run_until(lambda: len(_open_calls(context)) == 1, "another run", 5)
@@ -495,3 +513,11 @@
     context.fleet.run_for(0.5)
     (result,) = _page(context).results
     assert result.text == "text 1\ntext 2\ntext 3", result
+
+
+@when("the item's run sends the head of a stream and ends")
+def run_ends_empty(context):
+    (call,) = _open_calls(context)
+    call.begin_stream()
+    call.over = True
+    call.listener.answer_ended()
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -378,9 +378,7 @@
             ItemRequest(job.host, item, work.progress.last_event, job.tenant),
             RunnerTarget(record.runner, record.address),
         )
-        work.runner = record.runner
-        work.started_s = work.seen_at_s = now
-        work.events_seen = len(work.progress.texts)
+        work.begin_run(record.runner, now)
         self.rooms.started(record, work, now)
         work.run = ItemRun(
             item.item,
@@ -428,7 +426,7 @@
         if end in (RunEnd.BROKEN, RunEnd.NOT_RUN):
             pause_s = FAILED_RUNNER_PAUSE_S if end == RunEnd.BROKEN else RETRY_PAUSE_S
             self.rooms.rests(work.runner, now + pause_s)
-        work.ready_at_s = now
+        work.ready_at_s = now + (work.pause_after_break_s() if end == RunEnd.BROKEN else 0.0)
         self._waiting.put_back(work)
 
     def _most_attempts(self, work: Work) -> int:
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -6,7 +6,7 @@
 
 from rainsail.http.client import AnswerHead
 from rainsail.jobs.job_state import EVENT_SEPARATOR
-from rainsail.relay.events import Event, EventSplitter, is_event_stream, leaves_hole
+from rainsail.relay.events import Event, EventStream, is_event_stream, leaves_hole
 from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
 from rainsail.routing.facts import ServerLoad
 
@@ -71,7 +71,7 @@
         self._protocol = protocol
         self._ended = ended
         self._load_heard = load_heard
-        self._splitter = EventSplitter()
+        self._stream: EventStream | None = None
         self._status = 0
         self._over = False
 
@@ -86,8 +86,13 @@
         elif head.status == STATUS_OK and not is_event_stream(head):
             # Its end would be taken for the end of the item's text.
             self._end(RunEnd.BROKEN, "no stream of events")
-        elif self.verdict.load is not None:
-            self._load_heard(self.verdict.load)
+        else:
+            self._take_head(head, self.verdict)
+
+    def _take_head(self, head: AnswerHead, verdict: AnswerVerdict) -> None:
+        self._stream = EventStream(head.framing) if head.status == STATUS_OK else None
+        if verdict.load is not None:
+            self._load_heard(verdict.load)
 
     @property
     def begun(self) -> bool:
@@ -96,9 +101,14 @@
 
     def answer_data(self, data: bytes) -> None:
         """Take whole events."""
-        if self._over or self._status != STATUS_OK:
+        if self._over or self._stream is None:
             return
-        for event in self._splitter.feed(data):
+        self._take_events(self._stream.feed(data))
+        if self._stream.is_overlong:
+            self._end(RunEnd.BROKEN, "an event has no end")
+
+    def _take_events(self, events: list[Event]) -> None:
+        for event in events:
             unnumbered = event.number is None and bool(event.data)
             if unnumbered or leaves_hole(event, self.progress.last_event):
                 self._end(RunEnd.BROKEN, "an event is missing")
@@ -107,9 +117,8 @@
 
     def answer_ended(self) -> None:
         """Judge the whole answer."""
-        if self._status == STATUS_OK:
-            broken = self._splitter.is_inside_event
-            self._end(RunEnd.BROKEN if broken else RunEnd.WHOLE, "ended")
+        if self._stream is not None:
+            self._end_stream(self._stream)
         elif self._status == STATUS_NEVER:
             self._end(RunEnd.IMPOSSIBLE, f"status {self._status}")
         elif self._status == STATUS_FAILED:
@@ -117,6 +126,13 @@
         else:
             self._end(RunEnd.BROKEN, f"status {self._status}")
 
+    def _end_stream(self, stream: EventStream) -> None:
+        if not stream.may_end_here:
+            self._end(RunEnd.BROKEN, "the connection ended before the stream")
+            return
+        self._take_events(stream.last_events())
+        self._end(RunEnd.WHOLE, "ended")
+
     def answer_failed(self, reason: str) -> None:
         """The answer broke off."""
         self._end(RunEnd.BROKEN, reason)
--- a/src/rainsail/jobs/work.py
+++ b/src/rainsail/jobs/work.py
@@ -7,13 +7,19 @@
 from rainsail.jobs.job_state import NO_EVENT, RelayedJob
 from rainsail.state.job_commands import ItemNote
 
+FRUITLESS_RUNS_AT_ONCE = 3
+"""An item rests before its next run once this many in a row have brought nothing."""
+FRUITLESS_PAUSE_S = 0.5
+"""The first rest; it doubles with each further run that brings nothing."""
+LONGEST_PAUSE_S = 8.0
+
 
 @dataclass(slots=True)
 class Work:
     """One item's progress and its run, if it has one now.
 
     ``ran_s`` sums up the runs that have ended; ``noted`` is how many events the replicated state
-    knows of.
+    knows of; ``fruitless_runs`` how many in a row have broken without a new event.
     """
 
     job: str
@@ -28,6 +34,8 @@
     events_seen: int = 0
     seen_at_s: float = 0.0
     noted: int = 0
+    events_at_start: int = 0
+    fruitless_runs: int = 0
 
     @property
     def events(self) -> int:
@@ -43,6 +51,25 @@
         """Return how long the item has run in all, its present run with it."""
         return self.ran_s + (now - self.started_s if self.run is not None else 0.0)
 
+    def begin_run(self, runner: str, now: float) -> None:
+        """Note that a run begins at a runner."""
+        self.runner = runner
+        self.started_s = self.seen_at_s = now
+        self.events_seen = self.events_at_start = self.events
+
+    def pause_after_break_s(self) -> float:
+        """Return how long an item rests after a run that broke.
+
+        An item whose answer no run can read would otherwise take slots without end, and rest each
+        runner in turn for all other items.
+        """
+        if self.events > self.events_at_start:
+            self.fruitless_runs = 0
+            return 0.0
+        self.fruitless_runs += 1
+        doublings = self.fruitless_runs - FRUITLESS_RUNS_AT_ONCE
+        return 0.0 if doublings < 0 else min(FRUITLESS_PAUSE_S * 2**doublings, LONGEST_PAUSE_S)
+
     def cut(self, now: float) -> None:
         """Close the connection under the run; nothing more is heard of it."""
         self.ran_s = self.running_s(now)
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -6,15 +6,23 @@
 from rainsail.http.client import AnswerHead
 from rainsail.http.pool import Call
 from rainsail.relay.context import RelayContext
-from rainsail.relay.events import Event, EventSplitter, is_event_stream
+from rainsail.relay.events import Event, EventStream, is_event_stream
 from rainsail.relay.protocol import AnswerVerdict
 
 STATUS_SERVER_ERROR = 500
-ENDED_INSIDE_EVENT = "the stream ended within an event"
+CLOSED_EARLY = "the connection ended before the stream"
+OVERLONG_EVENT = "an event has no end"
 
 
 class AttemptOwner(Protocol):
-    """What an attempt tells the request that it belongs to; one of the last five ends it."""
+    """What an attempt tells the request that it belongs to; one of the last five ends it.
+
+    The owner may cancel it at any of them.
+    """
+
+    def head_came(self, attempt: "Attempt") -> None:
+        """The runner has begun to answer: a stream, or something else."""
+        ...
 
     def events_came(self, attempt: "Attempt", events: list[Event]) -> None:
         """Whole events of a stream."""
@@ -61,8 +69,7 @@
         self.verdict: AnswerVerdict | None = None
         self.body: list[bytes] = []
         self.body_bytes = 0
-        self.is_stream = False
-        self.splitter = EventSplitter()
+        self.stream: EventStream | None = None
         self.call: Call | None = None
         self._owner = owner
         self._context = context
@@ -78,7 +85,12 @@
         return self.head.status >= STATUS_SERVER_ERROR or self.verdict.promises_not_run
 
     @property
-    def told(self) -> str:
+    def is_stream(self) -> bool:
+        """Tell whether the runner answers with a stream of events."""
+        return self.stream is not None
+
+    @property
+    def summary(self) -> str:
         """Return, for the log, the answer's status and what marks its end; ``none`` before it."""
         return "none" if self.head is None else f"{self.head.status} {self.head.framing}"
 
@@ -98,32 +110,39 @@
             if self._end():
                 self._owner.runner_refused(self)
         else:
-            self.is_stream = is_event_stream(head)
+            if is_event_stream(head):
+                self.stream = EventStream(head.framing)
+            self._owner.head_came(self)
 
     def answer_data(self, data: bytes) -> None:
         """Gather the body, or hand whole events on."""
         if self._over:
             return
         self._context.loads.heard(self.record.runner, self._context.clock.seconds())
-        if self.is_stream:
-            events = self.splitter.feed(data)
-            if events:
-                self._owner.events_came(self, events)
+        if self.stream is not None:
+            self._take_events(self.stream, data)
             return
         self.body.append(data)
         self.body_bytes += len(data)
         self._owner.body_grew(self)
 
+    def _take_events(self, stream: EventStream, data: bytes) -> None:
+        events = stream.feed(data)
+        if events:
+            self._owner.events_came(self, events)
+        if stream.is_overlong:
+            self._fail(OVERLONG_EVENT)
+
     def answer_ended(self) -> None:
-        """The answer has ended in order; a stream that did so within an event is not whole."""
+        """The answer has ended in order, which a stream may do too early."""
         if not self._end():
             return
-        if not self.is_stream:
+        if self.stream is None:
             self._owner.answer_came(self)
-        elif self.splitter.is_inside_event:
-            self._owner.answer_broke(self, ENDED_INSIDE_EVENT)
-        else:
+        elif self.stream.may_end_here:
             self._owner.stream_ended(self)
+        else:
+            self._owner.answer_broke(self, CLOSED_EARLY)
 
     def answer_failed(self, reason: str) -> None:
         """The answer broke off."""
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from rainsail.http.client import Framing
 from rainsail.http.exchange import Exchange
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.events import Event, leaves_hole
@@ -45,14 +46,14 @@
         return self.state == AnswerState.BEGUN
 
     @property
-    def may_go_on(self) -> bool:
+    def can_be_continued(self) -> bool:
         """Tell whether another runner can go on with what has left: with numbered events alone."""
         if self._begun_by is None:
             return True
         return self._begun_by.is_stream and self.last_event is not None
 
-    def may_take(self, attempt: Attempt) -> bool:
-        """Tell whether a runner's answer is this one, or a part of it.
+    def may_include(self, attempt: Attempt) -> bool:
+        """Tell whether a runner's answer can be this one, or a part of it.
 
         The end of an answer that isn't says nothing of this one, nor do its bytes belong here.
         """
@@ -96,8 +97,9 @@
 
     def end_stream(self, attempt: Attempt) -> None:
         """End a stream as complete."""
+        assert attempt.stream is not None
         self._begin(attempt)
-        self._exchange.write(attempt.splitter.rest)
+        self._exchange.write(attempt.stream.rest)
         self.end()
 
     def end(self) -> None:
@@ -138,7 +140,7 @@
         self._begun_by = attempt
         self._note_first()
         headers = self._protocol.answer_headers(attempt.head)
-        if attempt.is_stream:
+        if attempt.head.framing != Framing.LENGTH or attempt.is_stream:
             headers = tuple(each for each in headers if each[0].lower() != CONTENT_LENGTH)
         self._exchange.begin(attempt.head.status, headers)
 
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -3,13 +3,16 @@
 import re
 from dataclasses import dataclass
 
-from rainsail.http.client import AnswerHead
+from rainsail.http.client import AnswerHead, Framing
 
 STATUS_OK = 200
 EVENT_STREAM = b"text/event-stream"
 LINE_ENDS = b"\r\n"
 BLANK_LINE = b"\n\n"
-ANY_BLANK_LINE = re.compile(rb"\r?\n\r?\n")
+ANY_BLANK_LINE = re.compile(rb"\n\r?\n|\r\r")
+BLANK_LINE_MOST_BYTES = 3
+BYTE_ORDER_MARK = "\ufeff"
+MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,34 +45,59 @@
     )
 
 
-class EventSplitter:
-    """Gathers bytes and gives back whole events; ``rest`` is what has not ended yet."""
+class EventStream:
+    """The events of one run's answer; ``rest`` is what has come of the next one."""
 
-    def __init__(self) -> None:
+    def __init__(self, framing: Framing) -> None:
         self.rest = b""
+        self._framing = framing
+        self._has_events = False
 
     @property
-    def is_inside_event(self) -> bool:
-        """Tell whether an event has begun and not ended: a stream that ends here is not whole."""
+    def is_overlong(self) -> bool:
+        """Tell whether an event has no end in sight."""
+        return len(self.rest) > MAX_EVENT_BYTES
+
+    @property
+    def may_end_here(self) -> bool:
+        """Tell whether an end in order, at this point, ends the stream as a whole.
+
+        Where only the connection's end marks it, a runner that dies looks like one that is done:
+        before the first event, or inside of one, it is not the end.
+        """
+        if self._framing != Framing.CLOSE:
+            return True
+        return self._has_events and not self._is_inside_event
+
+    @property
+    def _is_inside_event(self) -> bool:
         return bool(self.rest.strip(LINE_ENDS))
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes."""
-        gathered = self.rest + data
-        raw_events = _split_any(gathered) if b"\r" in gathered else _split_plain(gathered)
+        raw_events = _split(self.rest, data)
         self.rest = raw_events.pop()
+        self._has_events = self._has_events or bool(raw_events)
         return [parse_event(raw) for raw in raw_events]
 
+    def last_events(self) -> list[Event]:
+        """Return the event, if any, that the stream's end ends in the place of a blank line."""
+        return [parse_event(self.rest)] if self._is_inside_event else []
+
 
-def _split_plain(gathered: bytes) -> list[bytes]:
-    """Split where lines end in LF alone: much faster, and nearly all streams are so."""
+def _split(rest: bytes, data: bytes) -> list[bytes]:
+    """Return the raw events in ``rest`` and ``data``, and what is left behind them."""
+    gathered = rest + data
+    if b"\r" in gathered:
+        return _split_any(gathered, max(0, len(rest) - BLANK_LINE_MOST_BYTES))
+    # Nearly all streams end lines in LF alone, and this is much faster.
     pieces = gathered.split(BLANK_LINE)
-    rest = pieces.pop()
-    return [*(piece + BLANK_LINE for piece in pieces), rest]
+    left = pieces.pop()
+    return [*(piece + BLANK_LINE for piece in pieces), left]
 
 
-def _split_any(gathered: bytes) -> list[bytes]:
-    ends = [match.end() for match in ANY_BLANK_LINE.finditer(gathered)]
+def _split_any(gathered: bytes, search_from: int) -> list[bytes]:
+    ends = [match.end() for match in ANY_BLANK_LINE.finditer(gathered, search_from)]
     starts = [0, *ends]
     return [gathered[start:end] for start, end in zip(starts, [*ends, None], strict=True)]
 
@@ -78,8 +106,9 @@
     """Parse the fields of one event; fields that are not known are passed over."""
     number: int | None = None
     data: list[str] = []
-    for line in raw.decode("utf-8", "replace").split("\n"):
-        name, _, value = line.rstrip("\r").partition(":")
+    text = raw.decode("utf-8", "replace").removeprefix(BYTE_ORDER_MARK)
+    for line in text.replace("\r\n", "\n").replace("\r", "\n").split("\n"):
+        name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id" and value.isascii() and value.isdigit():
             number = int(value)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -16,6 +16,7 @@
 from rainsail.relay.events import Event
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
 from rainsail.relay.runner_finder import RunnerFinder
+from rainsail.relay.silence import SilenceWatch
 from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.messages import Placement
 from rainsail.runtime.clock import Timer
@@ -57,7 +58,7 @@
         self._received_s = exchange.request.received_s
         self._expiry_s = self._received_s + _time_allowed(route, facts)
         self._expiry: Timer | None = None
-        self._watch: Timer | None = None
+        self._silence = SilenceWatch(context, self._leave_silent)
         self._last_reason = ""
         self.outcome = ""
         exchange.on_left(self._client_left)
@@ -90,7 +91,7 @@
             return
         self._ended = True
         self.outcome = outcome
-        self._disarm()
+        self._silence.stop()
         if self._expiry is not None and self._expiry.active():
             self._expiry.cancel()
         attempt, self._attempt = self._attempt, None
@@ -131,7 +132,7 @@
             table=0 if table is None else table.version,
             runners=",".join(sorted(self._finder.tried)),
             sends=self._sends,
-            answers=",".join(attempt.told for attempt in self._attempts),
+            answers=",".join(attempt.summary for attempt in self._attempts),
             last_event=self._answer.last_event,
             reason=self._last_reason if outcome != "completed" else "",
             first_ms=None if self.first_s is None else round(self.first_s * 1000),
@@ -191,7 +192,9 @@
             self._lose_route()
             return None
         left_s = self._expiry_s - self._context.clock.seconds()
-        if self._sends < route.max_attempts and left_s >= self._context.settings.least_time_left_s:
+        time_left = left_s >= self._context.settings.least_time_left_s
+        repeatable = not self._may_have_run or self._may_repeat(route)
+        if self._sends < route.max_attempts and time_left and repeatable:
             return route
         self._give_up()
         return None
@@ -219,7 +222,7 @@
         attempt = Attempt(self, context, record, self._facts.request, self._speaks_within_s())
         self._attempt = attempt
         self._attempts.append(attempt)
-        self._arm_watch(self._first_wait_s())
+        self._silence.request_sent(self._route, self._sends)
         attempt.call = context.pool.send(record.address, request, attempt)
 
     def _speaks_within_s(self) -> float:
@@ -234,49 +237,38 @@
 
     # --- silence -------------------------------------------------------------------------
 
-    def _first_wait_s(self) -> float:
-        settings = self._context.settings
-        return max(settings.least_silence_s, settings.silence_targets * self._route.target_s)
-
-    def _gap_wait_s(self) -> float:
-        return max(self._context.settings.least_gap_s, 2 * self._route.gap_target_s)
-
-    def _arm_watch(self, wait_s: float) -> None:
-        self._disarm()
-        if not self._context.settings.mechanisms.silence:
-            return
-        if self._route.repeatable and self._sends < self._route.max_attempts:
-            self._watch = self._context.clock.callLater(wait_s, self._silent)
-
-    def _disarm(self) -> None:
-        if self._watch is not None and self._watch.active():
-            self._watch.cancel()
-        self._watch = None
-
-    def _silent(self) -> None:
+    def _leave_silent(self) -> None:
         """Leave a runner that says nothing, if another one is there and can go on."""
-        self._watch = None
         attempt = self._attempt
-        if attempt is None or not self._may_repeat() or not self._finder.others_left():
+        if attempt is None or not self._may_repeat(self._route) or not self._finder.others_left():
             return
         attempt.cancel()
         self.answer_broke(attempt, "silent")
 
     # --- AttemptOwner: what came ---------------------------------------------------------
 
+    def head_came(self, attempt: Attempt) -> None:
+        """Leave a runner whose answer, whatever else comes of it, can be no part of the client's.
+
+        A failure is whole by itself: its end would be taken for the end of the stream.
+        """
+        if not self._answer.may_include(attempt):
+            attempt.cancel()
+            self._take_failure(attempt)
+
     def events_came(self, attempt: Attempt, events: list[Event]) -> None:
         """Hand whole events on, at once."""
         if self._ended:
             return
         whole = self._answer.write_events(attempt, events)
         if whole:
-            self._arm_watch(self._gap_wait_s())
+            self._silence.events_came(self._route, self._sends)
         else:
             attempt.cancel()
             self.answer_broke(attempt, "an event is missing")
 
     def body_grew(self, attempt: Attempt) -> None:
-        """Pass a large answer on before it has ended; small ones are gathered first."""
+        """Pass a large answer on before it has ended, unless it's a failure that no client gets."""
         if attempt.body_bytes < self._context.settings.buffered_bytes:
             return
         if self._is_replaced(attempt):
@@ -314,18 +306,15 @@
         self._finish("failed" if attempt.failed else "completed")
 
     def _is_replaced(self, attempt: Attempt) -> bool:
-        """Tell whether the client gets something else in the place of a runner's answer.
-
-        A failure is whole by itself, but no part of a stream that another runner has begun.
-        """
-        if not self._answer.may_take(attempt):
-            return True
+        """Tell whether the client gets something else in the place of a runner's failure."""
         assert attempt.verdict is not None
-        return attempt.failed and (self._may_repeat() or attempt.verdict.promises_not_run)
+        repeated = self._may_repeat(self._route)
+        return attempt.failed and (repeated or attempt.verdict.promises_not_run)
 
     def _note_answer(self, attempt: Attempt) -> None:
         loads, runner = self._context.loads, attempt.record.runner
-        if attempt.failed:
+        if attempt.failed and attempt.head is not None:
+            self._last_reason = f"the runner answered {attempt.head.status}"
             loads.failed(runner, self._context.clock.seconds())
         else:
             loads.answered(runner)
@@ -334,10 +323,11 @@
         """A runner answered with what no client gets: the request has run, or may have."""
         assert attempt.head is not None
         self._attempt = None
+        attempt.body.clear()
         self._may_have_run = True
         self._last_reason = f"the runner answered {attempt.head.status}"
         self._context.loads.failed(attempt.record.runner, self._context.clock.seconds())
-        if self._may_repeat():
+        if self._may_repeat(self._route):
             self._try_next()
         else:
             self._give_up()
@@ -382,13 +372,18 @@
             reason=reason,
             last_event=self._answer.last_event,
         ).info("attempt_broke")
-        if self._may_repeat():
+        if self._may_repeat(self._route):
             self._try_next()
         else:
             self._give_up()
 
-    def _may_repeat(self) -> bool:
-        return self._route.repeatable and self._answer.may_go_on
+    def _may_repeat(self, route: Route) -> bool:
+        """Tell whether a request that may have run may be sent again by a route."""
+        if not route.repeatable:
+            return False
+        if not self._answer.begun:
+            return True
+        return route.kind == RouteKind.STREAM and self._answer.can_be_continued
 
     # --- giving up -----------------------------------------------------------------------
 
