--- a/features/support/own_fleet.py
+++ b/features/support/own_fleet.py
@@ -17,9 +17,13 @@
 
 
 class OwnFleet:
-    """Runs ``rainsail node`` on the example's files with addresses of this process's own."""
+    """Runs ``rainsail node`` on the example's files with addresses of this process's own.
 
-    def __init__(self) -> None:
+    ``added`` is settings text that ends each file.
+    """
+
+    def __init__(self, added: str = "") -> None:
+        self._added = added
         self._folder = tempfile.TemporaryDirectory()
         self.octet = 10 + os.getpid() % 200
         files = [self._own_copy(path) for path in sorted(EXAMPLES.glob("*.toml"))]
@@ -36,7 +40,8 @@
 
     def _own_copy(self, path: Path) -> str:
         copy = Path(self._folder.name) / path.name
-        copy.write_text(path.read_text().replace("127.30.", f"127.{self.octet}."))
+        text = path.read_text().replace("127.30.", f"127.{self.octet}.")
+        copy.write_text(text + self._added)
         return str(copy)
 
     def address(self, third: int, last: int) -> str:
