Reset the connection of an answer without a framing until it has left whole

A client of HTTP/1.0 takes the close of the connection for the end of an answer without a length. At the death of a process the kernel closes in order; at the end of the reactor and when a client ends its sending side Twisted does. Change: while such an answer is under way its socket has SO_LINGER (1, 0), so that also the kernel's close is a reset. Only once all of it has gone to the kernel and was ended by a shutdown of the sending side is the option undone (loseWriteConnection, writeConnectionLost). SO_LINGER alone doesn't do at the end of the reactor, where Twisted calls shutdown first: these answers are aborted before it (a trigger that listen sets). A client's end of its sending side is heard in readConnectionLost: with an answer under way the connection is aborted and the client counts as gone, as before; otherwise what was written leaves first. Cost: nothing for answers with a length or in chunks; three system calls more for others. No message, timer or loop. Not mendable here: a runner's answer without a length that is closed in order; nothing on the connection tells its end from a break.

--- a/src/rainsail/fleet/listening.py
+++ b/src/rainsail/fleet/listening.py
@@ -13,9 +13,14 @@
 
 
 def listen(reactor: Any, server: HttpServer, address: str) -> Result[Any, Fault]:
-    """Accept connections on ``IP:PORT``; a fault says why that can't be done."""
+    """Accept connections on ``IP:PORT``; a fault says why that can't be done.
+
+    When the reactor ends, it closes all connections in order; what must not end so is cut before.
+    """
     place = parse_address(address)
     try:
-        return Ok(reactor.listenTCP(place.port, server, BACKLOG, place.host))
+        port = reactor.listenTCP(place.port, server, BACKLOG, place.host)
     except CannotListenError as error:
         return Error(Fault(FaultCode.UNAVAILABLE, "fleet.listen", str(error), address))
+    reactor.addSystemEventTrigger("before", "shutdown", server.break_off)
+    return Ok(port)
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -3,6 +3,10 @@
 Each connection takes one request at a time, whole, and hands it to the handler; a pipelined one
 waits until the answer has ended. The connection keeps reading meanwhile, so that a client that
 closes is noticed at once.
+
+An answer without a length to a client of HTTP/1.0 ends when its connection is closed in order.
+While such an answer is under way, every other close of its connection is a reset, whoever closes
+it.
 """
 
 from collections import deque
@@ -11,13 +15,15 @@
 from typing import Any
 
 import h11
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from rainsail.http.exchange import Handler, HttpRequest
-from rainsail.http.headers import HeaderFields
+from rainsail.http.headers import HeaderFields, header_value
 from rainsail.runtime.clock import Clock, Timer
-from rainsail.runtime.sockets import set_user_timeout
+from rainsail.runtime.sockets import close_in_order, reset_at_close, set_user_timeout
 
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
@@ -82,6 +88,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def break_off(self) -> None:
+        """Cut the answers that would look complete if their connections were closed in order."""
+        for connection in list(self.connections):
+            connection.break_off()
+
     def when_quiet(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` once when no connection is left: every answer has been flushed."""
         self._on_quiet = listener
@@ -94,6 +105,7 @@
             listener()
 
 
+@implementer(IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """One client's connection."""
 
@@ -114,6 +126,8 @@
         self._early_bytes = 0
         self._timer: Timer | None = None
         self._lost = False
+        self._ends_by_close = False
+        """An answer that only the close of the connection ends has not left whole yet."""
 
     # --- Twisted's callbacks -------------------------------------------------------------
 
@@ -133,6 +147,21 @@
             return
         self._feed(data)
 
+    def readConnectionLost(self) -> None:
+        """The client sends no more: it counts as gone, since a close looks the same."""
+        if self._exchange is not None:
+            self.abort()
+        elif not self._ends_by_close:
+            self._lost = True
+            self._disarm()
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        """An answer that ends by the close has left whole."""
+        self._ends_by_close = False
+        close_in_order(self.transport)
+        self.transport.loseConnection()
+
     def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
         """Tell whoever answers that the client has left."""
         self._lost = True
@@ -236,8 +265,16 @@
             fields.append((b"Connection", b"close"))
         reason = REASONS.get(status, b"")
         head = h11.Response(status_code=status, reason=reason, headers=fields)
+        if self._has_no_framing(fields):
+            self._ends_by_close = True
+            reset_at_close(self.transport)
         self.transport.write(self._http.send(head))
 
+    def _has_no_framing(self, fields: list[tuple[bytes, bytes]]) -> bool:
+        """Tell whether an answer has neither a length nor chunks, which HTTP/1.0 doesn't know."""
+        version = self._http.their_http_version or b"1.0"
+        return version < b"1.1" and header_value(fields, b"content-length") is None
+
     def send_data(self, data: bytes) -> None:
         """Send a piece of the body."""
         sent = self._http.send(h11.Data(data=data))
@@ -251,6 +288,10 @@
             self.transport.write(sent)
         self._exchange = None
         self._server.requests_under_way -= 1
+        if self._ends_by_close:
+            self._lost = True
+            self.transport.loseWriteConnection()
+            return
         if self._http.our_state is h11.MUST_CLOSE or self._server.draining:
             self._lost = True
             self.transport.loseConnection()
@@ -274,6 +315,11 @@
         self._lost = True
         self.transport.abortConnection()
 
+    def break_off(self) -> None:
+        """Cut an answer that a close in order would make look complete."""
+        if self._ends_by_close:
+            self.abort()
+
     def close_if_idle(self) -> None:
         """Close when no request has begun."""
         if self._exchange is None and self._head is None and not self._lost:
