Show that an answer cut at a planned stop's limit looks complete when the process ends at once

Cause looked for: the same question at the web sites of our own control plane and caller API. A site's connections are aborted at the limit and the stop goes on at once; Twisted resets an aborted connection only in the reactor's next turn, which doesn't come when the reactor ends in this one.

--- a/features/rig/last_answers.feature
+++ b/features/rig/last_answers.feature
@@ -30,3 +30,15 @@
     Given a followed web site that answers with 10 bytes
     When the followed web site is finished with a limit of 10 s
     Then the followed web site is finished
+
+  Scenario Outline: An answer that is cut at the limit doesn't look complete when the process ends
+    Given a process with a followed web site that never ends its answers
+    When a client of HTTP <version> asks for "/"
+    And the first bytes of the answer have come
+    And the process finishes its followed web site and ends
+    Then the client finds the answer broken
+
+    Examples:
+      | version |
+      | 1.0     |
+      | 1.1     |
--- a/features/steps/http_broken_off_steps.py
+++ b/features/steps/http_broken_off_steps.py
@@ -17,8 +17,17 @@
 
 @given("a process that serves HTTP on loopback")
 def serve(context):
+    _start(context, "features.support.answering_program")
+
+
+@given("a process with a followed web site that never ends its answers")
+def serve_site(context):
+    _start(context, "features.support.site_program")
+
+
+def _start(context, program):
     process = subprocess.Popen(
-        [sys.executable, "-m", "features.support.answering_program"],
+        [sys.executable, "-m", program],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         preexec_fn=die_with_parent,
@@ -57,6 +66,7 @@
 
 
 @when("the process that serves HTTP ends its reactor")
+@when("the process finishes its followed web site and ends")
 def stop(context):
     context.serving_process.send_signal(signal.SIGTERM)
     assert context.serving_process.wait(LIMIT_S) == 0
