Let a planned stop wait until the connections that it cuts are reset

Change: at its limit ServedConnections aborts what is left and finishes when the last connection has been closed, which each abort brings about in the reactor's next turn; before, it finished at once.

--- a/src/rainsail/assembly/served_connections.py
+++ b/src/rainsail/assembly/served_connections.py
@@ -80,9 +80,12 @@
             finished.callback(None)
 
     def _cut(self) -> None:
+        """Reset every connection; ``finish`` fires when the last one is closed.
+
+        Were it to fire at once, the process could end before the resets: its connections would then
+        close in order, which ends an answer without a length as complete.
+        """
         requests = sum(self._under_way.values())
         logger.warning("{} requests have outlasted the planned stop and are cut", requests)
         for channel in list(self._under_way):
             channel.transport.abortConnection()
-        self._under_way.clear()
-        self._fire()
