--- a/features/steps/relayed_job_steps.py
+++ b/features/steps/relayed_job_steps.py
@@ -227,6 +227,47 @@
     call.listener.answer_ended()
 
 
+@when('the item\'s run is answered {status:d} with "{body}", which is no stream')
+@when('the item\'s run is answered {status:d} with "", which is no stream')
+def run_answered(context, status, body=""):
+    (call,) = _open_calls(context)
+    call.over = True
+    call.answer(status, body.encode())
+
+
+@when("the item's run sends data without a number and event {number:d}, and ends")
+def run_sends_unnumbered(context, number):
+    (call,) = _open_calls(context)
+    call.begin_stream()
+    call.over = True
+    call.listener.answer_data(b"data: text 1\n\n" + event(number))
+    call.listener.answer_ended()
+
+
+@when("every run of the item sends data without a number for {seconds:d} seconds")
+def runs_send_unnumbered(context, seconds):
+    context.item_runs = 0
+    until_s = context.fleet.clock.seconds() + seconds
+    while context.fleet.clock.seconds() < until_s:
+        for call in _open_calls(context):
+            context.item_runs += 1
+            call.begin_stream()
+            call.over = True
+            call.listener.answer_data(b"data: text 1\n\n")
+        context.fleet.run_for(0.1)
+
+
+@then("the item ran between {least:d} and {most:d} times")
+def ran_times(context, least, most):
+    assert least <= context.item_runs <= most, context.item_runs
+
+
+@then("the item is sent again from its start")
+def sent_anew(context):
+    context.fleet.run_until(lambda: len(_open_calls(context)) == 1, "another run", 5)
+    assert _open_calls(context)[0].field(b"after-event") == ""
+
+
 @then("the item's text has {count:d} events")
 def text_has(context, count):
     context.fleet.run_for(0.5)
@@ -500,3 +541,11 @@
     (call,) = _open_calls(context)
     for number in range(first, last + 1):
         call.listener.answer_data(event(number))
+
+
+@when("the item's run sends the head of a stream and ends")
+def run_ends_empty(context):
+    (call,) = _open_calls(context)
+    call.begin_stream()
+    call.over = True
+    call.listener.answer_ended()
--- a/features/support/resuming_client.py
+++ b/features/support/resuming_client.py
@@ -5,7 +5,7 @@
 from features.support.number_watch import PIECE, RunBook
 from features.support.relaying import NOT_RUN_FIELD, RelayWorld, StandInCall, StandInExchange
 
-from rainsail.relay.events import EventSplitter
+from rainsail.relay.events import BLANK_LINE, parse_event
 
 STREAM = "stream"
 STEP_S = 0.05
@@ -51,7 +51,8 @@
         self.faults += self.runs.faults_of(STREAM, self.text)
 
     def _take(self, exchange: StandInExchange) -> None:
-        for event in EventSplitter().feed(exchange.body):
+        *whole, _ = exchange.body.split(BLANK_LINE)
+        for event in map(parse_event, whole):
             spoken = PIECE.fullmatch(event.data)
             wanted = len(self._pieces) + 1
             if spoken is None or (event.number, int(spoken[1])) != (wanted, wanted):
