Judge what a declared end leaves open as an event

Change: it is the last event, and is judged like each before it. Conclusion: streams and items ask the same now.

--- a/features/relay/whole_answers.feature
+++ b/features/relay/whole_answers.feature
@@ -180,18 +180,34 @@
     And the runner ends its stream
     Then the client has the status 502
 
-  Scenario Outline: An end that the runner declares ends the last event too: <last>
+  Scenario: An end that the runner declares ends a comment too
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2 in chunks
+    And the runner sends the line ": goodbye"
+    And the runner ends its stream
+    Then the client has events 1 to 2, the line ": goodbye", and the end
+
+  Scenario: An end that the runner declares ends the last event too
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2 in chunks
+    And the runner sends the line "id: 3"
+    And the runner ends its stream
+    Then the client has events 1 to 2, the line "id: 3", and the end
+
+  Scenario Outline: What a declared end leaves open is judged as an event: <last>
     Given a relay with 3 runners and a "stream" route
     When a client sends a request to the relay
     And the runner sends events 1 to 2 in chunks
     And the runner sends the line "<last>"
     And the runner ends its stream
-    Then the client has events 1 to 2, the line "<last>", and the end
+    Then the client's connection was cut after events 1 to 2
 
     Examples:
-      | last         |
-      | data: [DONE] |
-      | : goodbye    |
+      | last           |
+      | id: 4          |
+      | data: leftover |
 
   Scenario: A run that takes a stream up and brings nothing before its connection ends is no end
     Given a relay with 3 runners and a resumable "stream" route
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -97,9 +97,7 @@
 
     def end_stream(self, attempt: Attempt) -> None:
         """End a stream as complete."""
-        assert attempt.stream is not None
         self._begin(attempt)
-        self._exchange.write(attempt.stream.rest)
         self.end()
 
     def end(self) -> None:
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -81,8 +81,8 @@
         return [parse_event(raw) for raw in raw_events]
 
     def last_events(self) -> list[Event]:
-        """Return the event, if any, that the stream's end ends in the place of a blank line."""
-        return [parse_event(self.rest)] if self._is_inside_event else []
+        """Return what a declared end ends in the place of a blank line, an event or nothing."""
+        return [parse_event(self.rest)] if self.rest else []
 
 
 def _split(rest: bytes, data: bytes) -> list[bytes]:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -27,6 +27,7 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
+MISSING_EVENT = "an event is missing"
 
 
 class RelayRun:
@@ -265,7 +266,7 @@
             self._silence.events_came(self._route, self._sends)
         else:
             attempt.cancel()
-            self.answer_broke(attempt, "an event is missing")
+            self.answer_broke(attempt, MISSING_EVENT)
 
     def body_grew(self, attempt: Attempt) -> None:
         """Pass a large answer on before it has ended, unless it's a failure that no client gets."""
@@ -278,7 +279,11 @@
             self._answer.write_body(attempt)
 
     def stream_ended(self, attempt: Attempt) -> None:
-        """End the answer as complete."""
+        """End the answer as complete, if what the end left open is the next event."""
+        assert attempt.stream is not None
+        if not self._answer.write_events(attempt, attempt.stream.last_events()):
+            self.answer_broke(attempt, MISSING_EVENT)
+            return
         self._context.loads.answered(attempt.record.runner)
         self._note_slot_time()
         self._attempt = None
