--- a/features/consensus/snapshots.feature
+++ b/features/consensus/snapshots.feature
@@ -71,3 +71,81 @@
     And 20000 numbers are committed in the consensus group, 500 at a time
     And the cut-off replica of the consensus group is connected again
     Then that follower of the consensus group applies all of them within 2 seconds
+
+  Scenario: A leader that can't read on in its snapshot doesn't tell what it has read as the whole
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group can't read chunk 5 of its snapshot, once
+    And the cut-off replica of the consensus group is connected again for 20 seconds
+    Then the cut-off replica of the consensus group holds every acknowledged command, none twice
+
+  Scenario Outline: A reading of the snapshot that fails <times> times at chunk <number> is begun anew
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group can't read chunk <number> of its snapshot, <times> times
+    And the cut-off replica of the consensus group is connected again for 20 seconds
+    Then the cut-off replica of the consensus group holds every acknowledged command, none twice
+    And the reading of the consensus group's snapshot has failed <times> times
+    And no error left the members of the consensus group
+
+    Examples:
+      | number | times |
+      | 0      | 1     |
+      | 5      | 1     |
+      | 29     | 1     |
+      | 0      | 2     |
+      | 5      | 2     |
+      | 29     | 2     |
+      | 5      | 5     |
+
+  Scenario: A follower that is cut off in the middle of a failing transfer goes on with it
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group can't read chunk 12 of its snapshot, once
+    And the cut-off replica of the consensus group is connected again until it has chunk 9
+    And the follower of the consensus group is cut off anew for 5 seconds
+    And the cut-off replica of the consensus group is connected again for 20 seconds
+    Then the cut-off replica of the consensus group holds every acknowledged command, none twice
+    And the reading of the consensus group's snapshot has failed 1 times
+    And the cut-off replica of the consensus group took every chunk once, chunk 9 at most twice
+    And no error left the members of the consensus group
+
+  Scenario: A damaged snapshot is never told as whole, and a new one takes its place
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 305 commands are committed by the consensus group
+    When the snapshot of the consensus group's leader is damaged in its middle
+    And the cut-off replica of the consensus group is connected again for 20 seconds
+    Then the cut-off replica of the consensus group holds every acknowledged command, none twice
+    And no error left the members of the consensus group
+    And the leader of the consensus group starts again on the disk that was damaged
+
+  Scenario: A leader that can't read its snapshot goes on leading and answers reads
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group can't read chunk 0 of its snapshot, 1000 times
+    And the cut-off replica of the consensus group takes the place of the other follower
+    Then the leader of the consensus group answers a read within 2 seconds
+    And the leader of the consensus group is still the same after 20 seconds
+    And no error left the members of the consensus group
+
+  Scenario: What a member has to do beside sending a chunk is done though the chunk can't be read
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group can't read chunk 0 of its snapshot, 1000 times
+    And that leader has a chunk to send, a read to answer and a commit index to take up at once
+    Then that leader has answered the read, taken up the commit index and planned its next heartbeat
+
+  Scenario: A learner in a lost replica's place isn't made a voter by half a snapshot
+    Given a consensus group of 3 replicas that snapshots every 100 entries and repairs after 2 seconds
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group can't read chunk 5 of its snapshot, once
+    And a follower of the consensus group comes back with an empty disk for 20 seconds
+    Then the cut-off replica of the consensus group holds every acknowledged command, none twice
+    And the reading of the consensus group's snapshot has failed 1 times
+    And the cut-off replica of the consensus group is a voter
--- /dev/null
+++ b/features/steps/consensus_snapshot_reading_steps.py
@@ -0,0 +1,245 @@
+"""Steps on snapshots of a simulated consensus group that can't be read to their end."""
+
+from contextlib import suppress
+
+from behave import given, then, when
+from features.support.consensus import SimulatedGroup, watch_chunks
+
+from rainsail.consensus.effects import Effects, ReadReady, SnapshotOrder
+from rainsail.consensus.settings import ConsensusSettings
+from rainsail.errors import Fault, FaultCode, RainsailError
+
+ONCE = 1
+
+
+@given(
+    "a consensus group of {count:d} replicas that snapshots every {entries:d} entries "
+    "and repairs after {seconds:g} seconds"
+)
+def repairing_group(context, count, entries, seconds):
+    """A lost replica's new disk is taken in as a learner first."""
+    settings = ConsensusSettings(
+        snapshot_log_entries=entries, retained_entries=entries // 5, repair_after_s=seconds
+    )
+    names = [f"replica-{number}" for number in range(1, count + 1)]
+    context.consensus = SimulatedGroup(names, 9, settings, numbers_per_chunk=10)
+    context.consensus.leader()
+
+
+@given("a follower of the consensus group is cut off")
+def cut_follower(context):
+    context.consensus_cut = context.consensus.followers()[0]
+    context.consensus.network.isolate(context.consensus_cut)
+
+
+@given("{count:d} commands are committed by the consensus group")
+def commit_some(context, count):
+    context.consensus.commit(count)
+
+
+def _spoil_reading(context, number, times):
+    """The disk answers as many readings with an error, once they have come so far."""
+    group = context.consensus
+    context.consensus_leader = group.leader()
+    storage = group.driver(context.consensus_leader)._snapshots._storage
+    whole = storage.read_snapshot
+    failed = []
+
+    def reading():
+        for place, chunk in enumerate(whole()):
+            if place == number and len(failed) < times:
+                failed.append(place)
+                raise RainsailError(Fault(FaultCode.STORAGE, "snapshot", "input/output error"))
+            yield chunk
+
+    storage.read_snapshot = reading
+    context.consensus_failed = failed
+    _begin_readings_anew(context)
+
+
+def _begin_readings_anew(context):
+    """A reading that the cut-off follower has begun already is left out of the test."""
+    group = context.consensus
+    snapshots = group.driver(context.consensus_leader)._snapshots
+    for name in group.names:
+        snapshots._source.forget(group.identity(name))
+
+
+@when("the leader of the consensus group can't read chunk {number:d} of its snapshot, once")
+def spoil_once(context, number):
+    _spoil_reading(context, number, ONCE)
+
+
+@when(
+    "the leader of the consensus group can't read chunk {number:d} of its snapshot, {times:d} times"
+)
+def spoil_often(context, number, times):
+    _spoil_reading(context, number, times)
+
+
+@when("the snapshot of the consensus group's leader is damaged in its middle")
+def damage_snapshot(context):
+    """One bit of the file is turned over."""
+    group = context.consensus
+    context.consensus_leader = group.leader()
+    disk = group.disks[context.consensus_leader]
+    files = [name for name in disk.list("group-0") if name.endswith(".snapshot")]
+    assert len(files) == 1, files
+    path = f"group-0/{files[0]}"
+    disk.flip_bit(path, len(disk.read(path)) // 2)
+    _begin_readings_anew(context)
+
+
+def _run(context, seconds, until=lambda: False):
+    """Run the group; the reactor logs what a handler raises and goes on, and so does this."""
+    group = context.consensus
+    errors = context.consensus_errors = getattr(context, "consensus_errors", [])
+    until_s = group.clock.seconds() + seconds
+    moved = True
+    while moved and not until():
+        try:
+            moved = group.clock.run_next(until_s)
+        except RainsailError as error:
+            errors.append(error.fault)
+
+
+def _rejoin(context):
+    group = context.consensus
+    if not hasattr(context, "consensus_taken"):
+        context.consensus_taken = watch_chunks(group, context.consensus_cut)
+    group.network.rejoin(context.consensus_cut)
+
+
+@when("the cut-off replica of the consensus group is connected again for {seconds:d} seconds")
+def reconnect_for(context, seconds):
+    _rejoin(context)
+    _run(context, seconds)
+
+
+@when("the cut-off replica of the consensus group is connected again until it has chunk {number:d}")
+def reconnect_until(context, number):
+    """Of the snapshot that is sent to it."""
+    _rejoin(context)
+    taken = context.consensus_taken
+    _run(context, 10, lambda: any(chunk.offset == number for chunk in taken))
+    assert taken and taken[-1].offset == number, taken
+
+
+@when("the follower of the consensus group is cut off anew for {seconds:d} seconds")
+def cut_anew(context, seconds):
+    context.consensus.network.isolate(context.consensus_cut)
+    _run(context, seconds)
+
+
+@when("the cut-off replica of the consensus group takes the place of the other follower")
+def change_places(context):
+    """From now on the leader's only quorum is the replica that lacks the snapshot."""
+    group = context.consensus
+    (other,) = (name for name in group.followers() if name != context.consensus_cut)
+    _rejoin(context)
+    _run(context, 1, lambda: len(context.consensus_taken) > 0)
+    group.network.isolate(other)
+    _run(context, 1)
+
+
+@when("a follower of the consensus group comes back with an empty disk for {seconds:d} seconds")
+def lose_disk(context, seconds):
+    group = context.consensus
+    context.consensus_cut = group.followers()[0]
+    group.lose_disk(context.consensus_cut)
+    group.start(context.consensus_cut)
+    _run(context, seconds)
+
+
+@when("that leader has a chunk to send, a read to answer and a commit index to take up at once")
+def much_at_once(context):
+    """One input's effects, while no timer runs."""
+    group = context.consensus
+    driver = group.driver(context.consensus_leader)
+    request, done = driver._reads.open()
+    context.consensus_answers = []
+    done.addCallback(context.consensus_answers.append)
+    cut = context.consensus_cut
+    effects = Effects(
+        snapshot_orders=[SnapshotOrder(cut, group.identity(cut), 0, 1)],
+        commit_index=driver.core.state.commit_index,
+        reads_ready=[ReadReady(request, 1)],
+    )
+    driver._applier.commit_index = 1
+    driver._timer.cancel()
+    with suppress(RainsailError):
+        driver._take(effects)
+
+
+@then("that leader has answered the read, taken up the commit index and planned its next heartbeat")
+def all_done(context):
+    driver = context.consensus.driver(context.consensus_leader)
+    assert [answer.is_ok() for answer in context.consensus_answers] == [True], "the read"
+    assert driver._applier.commit_index == driver.core.state.commit_index
+    assert driver._timer._timer is not None, "the next heartbeat"
+
+
+@then("the cut-off replica of the consensus group holds every acknowledged command, none twice")
+def holds_each_once(context):
+    group = context.consensus
+    numbers = group.running[context.consensus_cut].state.numbers
+    assert group.holds_acknowledged(context.consensus_cut), f"{len(numbers)} numbers"
+    assert len(set(numbers)) == len(numbers)
+
+
+@then("the reading of the consensus group's snapshot has failed {times:d} times")
+def has_failed(context, times):
+    """So that the scenario shows what it is about."""
+    assert len(context.consensus_failed) == times, context.consensus_failed
+
+
+@then("no error left the members of the consensus group")
+def no_error(context):
+    """What leaves a handler skips whatever the handler had still to do."""
+    assert context.consensus_errors == [], context.consensus_errors[:3]
+
+
+@then(
+    "the cut-off replica of the consensus group took every chunk once, "
+    "chunk {number:d} at most twice"
+)
+def took_once(context, number):
+    """The answer to the last chunk before the cut was lost; nothing else is sent again."""
+    offsets = [chunk.offset for chunk in context.consensus_taken if chunk.data]
+    assert offsets.count(number) <= 2, offsets
+    distinct = list(dict.fromkeys(offsets))
+    assert len(offsets) - len(distinct) == offsets.count(number) - 1, offsets
+    assert distinct == list(range(30)), offsets
+
+
+@then("the leader of the consensus group answers a read within {seconds:d} seconds")
+def answers_read(context, seconds):
+    answers = context.consensus.read(context.consensus_leader)
+    _run(context, seconds, lambda: len(answers) > 0)
+    assert answers and answers[0].is_ok(), answers
+
+
+@then("the leader of the consensus group is still the same after {seconds:d} seconds")
+def same_leader(context, seconds):
+    _run(context, seconds)
+    leaders = context.consensus.leaders()
+    assert leaders == [context.consensus_leader], leaders
+
+
+@then("the leader of the consensus group starts again on the disk that was damaged")
+def starts_again(context):
+    """A damaged snapshot refuses to open."""
+    group = context.consensus
+    name = context.consensus_leader
+    group.crash(name)
+    group.start(name)
+    group.run_until(lambda: group.running[name].driver is not None, "the replica's start")
+    group.run_until(lambda: group.holds_acknowledged(name), "the replica's state")
+
+
+@then("the cut-off replica of the consensus group is a voter")
+def is_voter(context):
+    group = context.consensus
+    members = group.driver(group.leader()).members()
+    identity = group.identity(context.consensus_cut)
+    assert identity in [member.identity for member in members.voters()], members
