--- a/features/consensus/snapshots.feature
+++ b/features/consensus/snapshots.feature
@@ -99,6 +99,8 @@
       | 5      | 2     |
       | 29     | 2     |
       | 5      | 5     |
+      | 30     | 1     |
+      | 30     | 2     |
 
   Scenario: A follower that is cut off in the middle of a failing transfer goes on with it
     Given a consensus group of 3 replicas that snapshots every 100 entries
@@ -141,6 +143,42 @@
     And that leader has a chunk to send, a read to answer and a commit index to take up at once
     Then that leader has answered the read, taken up the commit index and planned its next heartbeat
 
+  Scenario: The operator is told of a snapshot that can't be read, but not at every heartbeat
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group can't read chunk 5 of its snapshot, 1000 times
+    And the cut-off replica of the consensus group is connected again for 25 seconds
+    Then the consensus group's log has told 3 times that a snapshot "can't be read"
+    And the consensus group's leader has written 1 snapshot in place of the unreadable one
+    And no error left the members of the consensus group
+
+  Scenario Outline: A follower installs nothing but the snapshot that it was told of
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the leader of the consensus group <mistake>, once
+    And the cut-off replica of the consensus group is connected again for 20 seconds
+    Then the cut-off replica of the consensus group holds every acknowledged command, none twice
+    And the consensus group's log has told 1 times that a snapshot is "refused"
+    And no error left the members of the consensus group
+
+    Examples:
+      | mistake                              |
+      | tells the end in place of chunk 5    |
+      | tells the end in place of chunk 0    |
+      | sends chunk 5 in place of chunk 6    |
+      | sends a flipped bit in chunk 7       |
+      | sends a chunk behind the last one    |
+
+  Scenario: The snapshot of a state that holds nothing arrives as that
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands without a number are committed by the consensus group
+    When the cut-off replica of the consensus group is connected again for 20 seconds
+    Then the cut-off replica of the consensus group holds no number and has applied all
+    And the cut-off replica of the consensus group has got a snapshot
+
   Scenario: A learner in a lost replica's place isn't made a voter by half a snapshot
     Given a consensus group of 3 replicas that snapshots every 100 entries and repairs after 2 seconds
     And 300 commands are committed by the consensus group
--- a/features/steps/consensus_snapshot_reading_steps.py
+++ b/features/steps/consensus_snapshot_reading_steps.py
@@ -2,12 +2,17 @@
 
 from contextlib import suppress
 
-from behave import given, then, when
+from behave import given, step, then, when
+from expression import Ok
 from features.support.consensus import SimulatedGroup, watch_chunks
 
 from rainsail.consensus.effects import Effects, ReadReady, SnapshotOrder
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.consensus.snapshot_source import PieceRead
 from rainsail.errors import Fault, FaultCode, RainsailError
+from rainsail.logs import logger
+from rainsail.state.commands import NoOperation
+from rainsail.storage.snapshot_sum import SnapshotSum
 
 ONCE = 1
 
@@ -26,13 +31,21 @@
     context.consensus.leader()
 
 
+def _gather_log(context):
+    """Keep what the members tell the operator."""
+    context.consensus_log = []
+    sink = logger.add(lambda line: context.consensus_log.append(str(line)), level="WARNING")
+    context.add_cleanup(logger.remove, sink)
+
+
 @given("a follower of the consensus group is cut off")
 def cut_follower(context):
+    _gather_log(context)
     context.consensus_cut = context.consensus.followers()[0]
     context.consensus.network.isolate(context.consensus_cut)
 
 
-@given("{count:d} commands are committed by the consensus group")
+@step("{count:d} commands are committed by the consensus group")
 def commit_some(context, count):
     context.consensus.commit(count)
 
@@ -108,6 +121,7 @@
     if not hasattr(context, "consensus_taken"):
         context.consensus_taken = watch_chunks(group, context.consensus_cut)
     group.network.rejoin(context.consensus_cut)
+    context.consensus_rejoined = True
 
 
 @when("the cut-off replica of the consensus group is connected again for {seconds:d} seconds")
@@ -243,3 +257,99 @@
     members = group.driver(group.leader()).members()
     identity = group.identity(context.consensus_cut)
     assert identity in [member.identity for member in members.voters()], members
+
+
+def _spoil_pieces(context, number, spoil):
+    """Let ``spoil`` change what the leader's source gives at one offset, once."""
+    group = context.consensus
+    context.consensus_leader = group.leader()
+    source = group.driver(context.consensus_leader)._snapshots._source
+    honest = source.piece
+    spoilt = []
+    context.consensus_rejoined = False
+
+    def piece(index, identity, offset):
+        found = honest(index, identity, offset)
+        if offset != number or spoilt or not context.consensus_rejoined:
+            return found
+        spoilt.append(offset)
+        return Ok(spoil(found.ok))
+
+    source.piece = piece
+    _begin_readings_anew(context)
+
+
+def _pieces(context):
+    """Read the leader's snapshot apart from the follower's own reading."""
+    group = context.consensus
+    storage = group.driver(group.leader())._snapshots._storage
+    return list(storage.read_snapshot())
+
+
+def _piece_at(context, offset):
+    return _pieces(context)[offset]
+
+
+@when("the leader of the consensus group tells the end in place of chunk {number:d}, once")
+def end_early(context, number):
+    _spoil_pieces(context, number, lambda read: PieceRead(number, _piece_at(context, -1)))
+
+
+@when("the leader of the consensus group sends chunk {other:d} in place of chunk {number:d}, once")
+def wrong_chunk(context, other, number):
+    _spoil_pieces(context, number, lambda read: PieceRead(number, _piece_at(context, other)))
+
+
+@when("the leader of the consensus group sends a flipped bit in chunk {number:d}, once")
+def flipped_bit(context, number):
+    """The bytes stay numbers, so that only the sum can tell."""
+
+    def spoil(read):
+        return PieceRead(number, read.piece[:-1] + bytes([read.piece[-1] ^ 1]))
+
+    _spoil_pieces(context, number, spoil)
+
+
+@when("the leader of the consensus group sends a chunk behind the last one, once")
+def one_more(context):
+    count = len(_pieces(context)) - 1
+    _spoil_pieces(context, count, lambda read: PieceRead(count, b"1,2,3"))
+
+
+@given("{count:d} commands without a number are committed by the consensus group")
+def commit_empty(context, count):
+    group = context.consensus
+    leader = group.leader()
+    answers = []
+    for _ in range(count):
+        group.driver(leader).propose(NoOperation()).addCallback(answers.append)
+    group.run_until(lambda: len(answers) == count, "the commands")
+    assert all(answer.is_ok() for answer in answers)
+
+
+@then("the cut-off replica of the consensus group holds no number and has applied all")
+def holds_nothing(context):
+    group = context.consensus
+    names = (group.leader(), context.consensus_cut)
+    ahead, behind = (group.driver(name)._applier.applied_index for name in names)
+    assert ahead == behind > 300, (ahead, behind)
+    assert group.running[context.consensus_cut].state.numbers == []
+
+
+@then("the cut-off replica of the consensus group has got a snapshot")
+def got_snapshot(context):
+    assert any(chunk.whole == SnapshotSum() for chunk in context.consensus_taken)
+
+
+@then('the consensus group\'s log has told {times:d} times that a snapshot "{what}"')
+@then('the consensus group\'s log has told {times:d} times that a snapshot is "{what}"')
+def told(context, times, what):
+    lines = [line for line in context.consensus_log if what in line]
+    assert len(lines) == times, context.consensus_log
+
+
+@then("the consensus group's leader has written {count:d} snapshot in place of the unreadable one")
+def renewed(context, count):
+    """The newest of the usual ones is that of entry 300."""
+    storage = context.consensus.driver(context.consensus_leader)._snapshots._storage
+    assert storage.snapshot_meta.last_index == 300 + 2 * count, storage.snapshot_meta
--- a/src/rainsail/consensus/core_state.py
+++ b/src/rainsail/consensus/core_state.py
@@ -12,6 +12,7 @@
 from rainsail.consensus.settings import ConsensusSettings
 from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import HardState, LogEntry
+from rainsail.storage.snapshot_sum import SnapshotSum
 
 
 class Role(StrEnum):
@@ -143,6 +144,12 @@
     last_index: int
     last_term: int
     chunks: list[bytes] = field(default_factory=list)
+    received: SnapshotSum = field(default_factory=SnapshotSum)
+
+    def take(self, chunk: bytes) -> None:
+        """Add the next chunk."""
+        self.chunks.append(chunk)
+        self.received = self.received.with_chunk(chunk)
 
 
 class CoreState:
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -15,7 +15,11 @@
 from rainsail.consensus.effects import Effects, Outgoing
 from rainsail.consensus.group_status import GroupStatusReply
 from rainsail.consensus.leadership import Leadership
-from rainsail.consensus.member_log import log_acknowledged_lost, log_stranger
+from rainsail.consensus.member_log import (
+    log_acknowledged_lost,
+    log_snapshot_refused,
+    log_stranger,
+)
 from rainsail.consensus.membership import Membership, MemberSpec
 from rainsail.consensus.messages import GroupMessage
 from rainsail.consensus.proposal_queue import ProposalQueue
@@ -309,6 +313,8 @@
         self._reads.answer(effects, self._not_leader)
         for lost in effects.acknowledged_lost:
             log_acknowledged_lost(lost)
+        if effects.snapshot_refused is not None:
+            log_snapshot_refused(effects.snapshot_refused)
 
     def _send(self, messages: list[Outgoing]) -> None:
         for outgoing in messages:
--- a/src/rainsail/consensus/effects.py
+++ b/src/rainsail/consensus/effects.py
@@ -4,6 +4,7 @@
 
 from rainsail.consensus.messages import GroupMessage
 from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
+from rainsail.storage.snapshot_sum import SnapshotSum
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,16 @@
     acknowledged_index: int
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotRefused:
+    """The chunks gathered from a leader are not the snapshot that it told of."""
+
+    replica: str
+    last_index: int
+    received: SnapshotSum
+    told: SnapshotSum
+
+
 @dataclass(slots=True)
 class Effects:
     """The outcome of one input, in the order in which the driver must take it.
@@ -72,6 +83,7 @@
     leadership_lost: bool = False
     leadership_won: bool = False
     acknowledged_lost: list[AcknowledgedLost] = field(default_factory=list)
+    snapshot_refused: SnapshotRefused | None = None
 
     def has_writes(self) -> bool:
         """Tell whether there is anything to store."""
--- a/src/rainsail/consensus/member_log.py
+++ b/src/rainsail/consensus/member_log.py
@@ -1,6 +1,6 @@
 """What a member tells the operator in its log."""
 
-from rainsail.consensus.effects import AcknowledgedLost
+from rainsail.consensus.effects import AcknowledgedLost, SnapshotRefused
 from rainsail.consensus.messages import GroupMessage
 from rainsail.errors import Fault, FaultCode
 from rainsail.logs import logger
@@ -16,6 +16,22 @@
     )
 
 
+def log_snapshot_refused(refused: SnapshotRefused) -> None:
+    """Say which leader has sent something else than the snapshot it told of."""
+    logger.error(
+        "snapshot at {} from {} refused: {} received, {} told; it is asked for anew",
+        refused.last_index,
+        refused.replica,
+        refused.received,
+        refused.told,
+    )
+
+
+def log_snapshot_unread(index: int, replica: str, fault: Fault) -> None:
+    """Say which snapshot can't be read."""
+    logger.error("snapshot at {} can't be read for {}: {}", index, replica, fault)
+
+
 def log_stranger(source: str, message: GroupMessage) -> None:
     """Say who speaks consensus without being one of the group's replicas."""
     detail = f"{type(message).__name__} from a process that is no replica of the group"
--- a/src/rainsail/consensus/messages.py
+++ b/src/rainsail/consensus/messages.py
@@ -8,6 +8,7 @@
 
 from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import LogEntry
+from rainsail.storage.snapshot_sum import SnapshotSum
 from rainsail.wire.codec import wire_record
 
 
@@ -147,7 +148,12 @@
 @wire_record
 @dataclass(frozen=True, slots=True)
 class SnapshotChunk:
-    """A piece of the leader's snapshot; ``offset`` counts chunks."""
+    """A piece of the leader's snapshot; ``offset`` counts chunks.
+
+    ``data`` is a chunk. ``whole`` is the sum of all chunks, told behind the last one by a leader
+    that has read its snapshot to the end. With neither the leader has nothing to send now, and
+    only shows that it is there.
+    """
 
     group: GroupId
     term: int
@@ -157,8 +163,8 @@
     last_term: int
     membership: bytes
     offset: int
-    data: bytes
-    last: bool
+    data: bytes | None
+    whole: SnapshotSum | None
     round: int
 
 
--- a/src/rainsail/consensus/model_coverage.py
+++ b/src/rainsail/consensus/model_coverage.py
@@ -17,6 +17,8 @@
     reads_answered: int = 0
     lease_checks: int = 0
     snapshots_installed: int = 0
+    readings_failed: int = 0
+    early_ends: int = 0
     transfers: int = 0
     transfers_won: int = 0
     foundings: int = 0
--- a/src/rainsail/consensus/model_properties.py
+++ b/src/rainsail/consensus/model_properties.py
@@ -26,6 +26,7 @@
     - leader completeness: a new leader holds everything committed before
     - lease promise: a member that has answered a leader keeps its vote back for a timeout
     - durable acknowledgement: a member never lacks what it acknowledged as synced
+    - whole snapshots: a member installs every chunk of a snapshot, in order
     - no stale lease read: a member that would answer a read now knows every commit
     """
 
@@ -101,6 +102,15 @@
             "durable-acknowledgement", f"{replica} holds {holds} of {acknowledged} entries"
         )
 
+    def installs(
+        self, replica: str, chunks: tuple[bytes, ...], expected: tuple[bytes, ...]
+    ) -> None:
+        """Check what a member is about to install."""
+        if chunks != expected:
+            raise PropertyViolation(
+                "whole-snapshot", f"{replica} installs {chunks} in place of {expected}"
+            )
+
     def read_answered(self, identity: str, index: int, needed: int) -> None:
         """Check a read barrier against what was committed when it was asked for."""
         if index < needed:
--- a/src/rainsail/consensus/recovery.py
+++ b/src/rainsail/consensus/recovery.py
@@ -4,16 +4,20 @@
 from rainsail.consensus.membership import EMPTY_MEMBERSHIP, membership_of_payload
 from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import GroupStorage
+from rainsail.storage.snapshot_sum import whole_chunks
 
 READ_BYTES = 4 * 1024 * 1024
 
 
 def recover_log(storage: GroupStorage, state_machine: StateMachine) -> LogWindow:
-    """Restore the state machine from the snapshot, and read the log behind it."""
+    """Restore the state machine from the snapshot, and read the log behind it.
+
+    Raises ``RainsailError`` or ``CodecError`` when either can't be read to its end.
+    """
     log = LogWindow()
     meta = storage.snapshot_meta
     if meta is not None:
-        state_machine.restore(storage.read_snapshot())
+        state_machine.restore(whole_chunks(storage.read_snapshot()))
         membership = membership_of_payload(meta.membership)
         log = LogWindow(meta.last_index, meta.last_term, membership or EMPTY_MEMBERSHIP)
     index = log.last_index + 1
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -8,14 +8,16 @@
 from rainsail.consensus.core import ConsensusCore
 from rainsail.consensus.core_state import Role
 from rainsail.consensus.effects import Effects, Outgoing, SnapshotInstall, SnapshotOrder
+from rainsail.consensus.member_log import log_snapshot_unread
 from rainsail.consensus.membership import encode_membership
 from rainsail.consensus.messages import SnapshotChunk
-from rainsail.consensus.snapshot_source import ChunkRead, SnapshotSource
+from rainsail.consensus.snapshot_source import SnapshotSource
 from rainsail.errors import Fault
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import GroupStorage, SnapshotMeta
+from rainsail.storage.snapshot_sum import SnapshotPiece, SnapshotSum
 
 FEEDING_S = 1.0
 """A follower counts as being fed for this long after it asked for a further chunk: a newer
@@ -25,6 +27,13 @@
 usual size; then bounding the log goes first."""
 RETRY_ENTRIES = 1_000
 """Entries after a snapshot that could not be written until it is tried again."""
+READINGS_BEFORE_RENEWAL = 2
+"""A snapshot that can't be read for one follower so many times running counts as damaged: a new
+one, of the state in memory, takes its place. A single error of the disk costs another reading."""
+RENEWAL_ENTRIES = 1_000
+"""Entries between two such snapshots at least: on a bad disk the next may be damaged too."""
+TELL_AGAIN_S = 10.0
+"""The operator is told of readings that fail this often at most."""
 
 
 class SnapshotWorker:
@@ -57,6 +66,10 @@
         self._retry_index = 0
         self._fed_at_s = float("-inf")
         self._fed_offsets: dict[str, int] = {}
+        self._failed_readings: dict[str, int] = {}
+        self._renewal_due = False
+        self._next_renewal_index = 0
+        self._told_at_s = float("-inf")
 
     @property
     def installing(self) -> bool:
@@ -72,10 +85,13 @@
     def take_when_due(self) -> None:
         """Write a snapshot when the log since the last one has grown past the settings."""
         applied = self._applier.applied_index
-        if applied < self._retry_index or self._writing or self.installing:
+        if self._stopped or applied < self._retry_index or self._writing or self.installing:
             return
         feeding = self._clock.seconds() - self._fed_at_s < FEEDING_S
-        if not self._is_due(MOST_POSTPONED if feeding else 1):
+        if self._may_renew():
+            self._renewal_due = False
+            self._next_renewal_index = applied + RENEWAL_ENTRIES
+        elif not self._is_due(MOST_POSTPONED if feeding else 1):
             return
         self._writing = True
         self._applier.bytes_since_snapshot = 0
@@ -91,6 +107,12 @@
             or size >= times * settings.snapshot_log_bytes
         )
 
+    def _may_renew(self) -> bool:
+        """Tell whether a damaged snapshot is to be replaced, and there is a newer state for it."""
+        applied = self._applier.applied_index
+        is_newer = applied > self._last_index
+        return self._renewal_due and is_newer and applied >= self._next_renewal_index
+
     def _gather(self, meta: SnapshotMeta, rest: Iterator[bytes], chunks: list[bytes]) -> None:
         """Encode one chunk a reactor turn, so that heartbeats go out in between."""
         if self._stopped:
@@ -119,6 +141,7 @@
             self._retry_index = self._applier.applied_index + RETRY_ENTRIES
         else:
             self._last_index = meta.last_index
+            self._forget_failures()
             self._take(self._core.snapshot_taken(meta.last_index))
         self._install_waiting()
 
@@ -131,17 +154,28 @@
     # --- snapshots to others -------------------------------------------------------------
 
     def send_chunk(self, order: SnapshotOrder) -> None:
-        """Send one chunk of the stored snapshot, unless leadership has ended meanwhile."""
-        if self._core.state.role != Role.LEADER:
-            return
-        chunk = self._source.chunk(order.identity, order.offset)
+        """Send one chunk of the stored snapshot, unless leadership has ended meanwhile.
+
+        A chunk that can't be read doesn't end this member: what it has acknowledged is in its
+        memory, and may be whole nowhere else while a follower is behind. The follower hears of
+        its leader all the same, and the next heartbeat asks for the chunk again.
+        """
         meta = self._storage.snapshot_meta
-        if chunk is None or meta is None:
+        if self._core.state.role != Role.LEADER or meta is None:
             return
-        if chunk.offset < order.offset:
-            # The follower has every chunk; this only asks whether it still has.
-            chunk = ChunkRead(order.offset, b"", last=False)
         self._note_progress(order)
+        read = self._source.piece(meta.last_index, order.identity, order.offset)
+        if read.is_error():
+            self._reading_failed(order, meta, read.error)
+            self._send_piece(order, meta, order.offset, None)
+            return
+        if self._failed_readings.pop(order.identity, 0):
+            self._renewal_due = False
+        self._send_piece(order, meta, read.ok.offset, read.ok.piece)
+
+    def _send_piece(
+        self, order: SnapshotOrder, meta: SnapshotMeta, offset: int, piece: SnapshotPiece | None
+    ) -> None:
         state = self._core.state
         message = SnapshotChunk(
             state.group,
@@ -151,13 +185,30 @@
             meta.last_index,
             meta.last_term,
             meta.membership,
-            chunk.offset,
-            chunk.data,
-            chunk.last,
+            offset,
+            piece if isinstance(piece, bytes) else None,
+            piece if isinstance(piece, SnapshotSum) else None,
             order.round,
         )
         self._send([Outgoing(order.replica, message)])
 
+    def _reading_failed(self, order: SnapshotOrder, meta: SnapshotMeta, fault: Fault) -> None:
+        """Tell the operator; have a snapshot replaced that fails again."""
+        now = self._clock.seconds()
+        if now - self._told_at_s >= TELL_AGAIN_S:
+            self._told_at_s = now
+            log_snapshot_unread(meta.last_index, order.replica, fault)
+        failures = self._failed_readings.get(order.identity, 0) + 1
+        self._failed_readings[order.identity] = failures
+        if failures >= READINGS_BEFORE_RENEWAL:
+            self._renewal_due = True
+            self._clock.callLater(0, self.take_when_due)
+
+    def _forget_failures(self) -> None:
+        """Another snapshot is in place, of which no reading has failed yet."""
+        self._failed_readings.clear()
+        self._renewal_due = False
+
     def _note_progress(self, order: SnapshotOrder) -> None:
         """Note that a follower has asked for more; one that doesn't answer is not being fed."""
         if order.offset > self._fed_offsets.get(order.identity, 0):
@@ -190,6 +241,7 @@
             return
         self._state_machine.restore(install.chunks)
         self._last_index = install.meta.last_index
+        self._forget_failures()
         self._applier.restored(install.meta.last_index)
         now = self._clock.seconds()
         self._take(self._core.snapshot_installed(install.meta, now))
--- a/src/rainsail/consensus/snapshots.py
+++ b/src/rainsail/consensus/snapshots.py
@@ -2,7 +2,7 @@
 
 from rainsail.consensus import lease, replication, roles
 from rainsail.consensus.core_state import CoreState, IncomingSnapshot, Progress, ProgressMode, Role
-from rainsail.consensus.effects import SnapshotInstall, SnapshotOrder
+from rainsail.consensus.effects import SnapshotInstall, SnapshotOrder, SnapshotRefused
 from rainsail.consensus.membership import (
     EMPTY_MEMBERSHIP,
     MemberSpec,
@@ -10,6 +10,7 @@
 )
 from rainsail.consensus.messages import AppendReply, SnapshotChunk, SnapshotReply
 from rainsail.storage.interface import SnapshotMeta
+from rainsail.storage.snapshot_sum import SnapshotSum
 
 
 def order_chunk(state: CoreState, member: MemberSpec, progress: Progress, heartbeat: bool) -> None:
@@ -25,7 +26,7 @@
 
 
 def handle_chunk(state: CoreState, source: str, message: SnapshotChunk, now: float) -> None:
-    """Take the next chunk; the whole snapshot is handed to the driver to be stored."""
+    """Take the next chunk; a snapshot that is whole is handed to the driver to be stored."""
     if message.term < state.term:
         reply(state, source, message, 0)
         return
@@ -37,10 +38,11 @@
         report_position(state, source, message.sender, message.round)
         return
     incoming = incoming_for(state, message)
-    if message.offset == len(incoming.chunks):
-        incoming.chunks.append(message.data)
-        if message.last:
-            install(state, message, incoming)
+    if message.whole is not None and message.offset <= len(incoming.chunks):
+        finish(state, source, message, message.whole)
+        return
+    if message.data is not None and message.offset == len(incoming.chunks):
+        incoming.take(message.data)
     reply(state, source, message, len(incoming.chunks))
 
 
@@ -54,6 +56,27 @@
     return known
 
 
+def finish(state: CoreState, source: str, message: SnapshotChunk, told: SnapshotSum) -> None:
+    """Install what was gathered when it is the whole snapshot; otherwise begin anew.
+
+    What is refused is not answered, so that the leader tries again with its next heartbeat.
+    """
+    incoming = incoming_for(state, message)
+    state.incoming = None
+    if is_whole(incoming, told):
+        install(state, message, incoming)
+        reply(state, source, message, len(incoming.chunks))
+        return
+    state.effects.snapshot_refused = SnapshotRefused(
+        source, message.last_index, incoming.received, told
+    )
+
+
+def is_whole(incoming: IncomingSnapshot, told: SnapshotSum) -> bool:
+    """Tell whether what was gathered is what the leader's snapshot holds on its disk."""
+    return incoming.received == told
+
+
 def install(state: CoreState, message: SnapshotChunk, incoming: IncomingSnapshot) -> None:
     """Hand over the whole snapshot; appends wait until it is stored.
 
@@ -64,7 +87,6 @@
     state.installing = True
     meta = SnapshotMeta(message.last_index, message.last_term, message.membership)
     state.effects.install = SnapshotInstall(meta, tuple(incoming.chunks))
-    state.incoming = None
 
 
 def reply(state: CoreState, source: str, message: SnapshotChunk, next_offset: int) -> None:
--- a/src/rainsail/simulation/consensus_defects.py
+++ b/src/rainsail/simulation/consensus_defects.py
@@ -7,9 +7,10 @@
 from contextlib import contextmanager
 from typing import Any
 
-from rainsail.consensus import core, election, replication
-from rainsail.consensus.core_state import CoreState
+from rainsail.consensus import core, election, replication, snapshots
+from rainsail.consensus.core_state import CoreState, IncomingSnapshot
 from rainsail.consensus.messages import AppendRequest, GroupMessage
+from rainsail.storage.snapshot_sum import SnapshotSum
 
 
 def _acknowledge_at_once(state: CoreState, message: AppendRequest) -> bool:
@@ -42,6 +43,10 @@
     return True
 
 
+def _take_any_snapshot(incoming: IncomingSnapshot, told: SnapshotSum) -> bool:
+    return True
+
+
 Patch = tuple[Any, str, Callable[..., Any]]
 
 CONSENSUS_DEFECTS: dict[str, tuple[Patch, ...]] = {
@@ -54,6 +59,7 @@
         (election, "keeps_vote_back", _vote_beside_a_live_leader),
         (election, "campaign", _campaign_without_pre_vote),
     ),
+    "half-snapshot": ((snapshots, "is_whole", _take_any_snapshot),),
     "commit-older-term": ((replication, "counts_for_commit", _count_any_term),),
 }
 """The name of each variant, with what it replaces."""
--- a/src/rainsail/storage/group_storage.py
+++ b/src/rainsail/storage/group_storage.py
@@ -15,6 +15,7 @@
 from rainsail.storage.segment_log import PendingRecord, SegmentLog
 from rainsail.storage.settings import StorageSettings
 from rainsail.storage.snapshot_store import SnapshotStore, TemporarySnapshot
+from rainsail.storage.snapshot_sum import SnapshotPiece
 from rainsail.storage.write_queue import SyncResult, WriteQueue
 from rainsail.wire.codec import encode_body
 
@@ -230,8 +231,8 @@
             return Ok(None)
         return await self._remove_old_files()
 
-    def read_snapshot(self) -> Iterator[bytes]:
-        """Yield the chunks of the current snapshot, none when there is no snapshot.
+    def read_snapshot(self) -> Iterator[SnapshotPiece]:
+        """Yield the chunks of the current snapshot and their sum, nothing when there is none.
 
         Raises ``RainsailError`` when the file is damaged or was replaced by a newer snapshot.
         """
--- a/src/rainsail/storage/interface.py
+++ b/src/rainsail/storage/interface.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred
 
 from rainsail.errors import Fault
+from rainsail.storage.snapshot_sum import SnapshotPiece
 
 
 class File(Protocol):
@@ -151,6 +152,10 @@
         """Write a snapshot durably, then drop the log up to ``meta.last_index``."""
         ...
 
-    def read_snapshot(self) -> Iterator[bytes]:
-        """Yield the chunks of the current snapshot."""
+    def read_snapshot(self) -> Iterator[SnapshotPiece]:
+        """Yield the chunks of the current snapshot, and behind them their sum.
+
+        Raises ``RainsailError`` when they can't be read. A reading without the sum at its end is
+        not whole.
+        """
         ...
--- a/src/rainsail/storage/snapshot_store.py
+++ b/src/rainsail/storage/snapshot_store.py
@@ -16,6 +16,7 @@
 from rainsail.storage.log_records import FORMAT_VERSION, SnapshotEnd, SnapshotHeader
 from rainsail.storage.record_file import RecordFileReader
 from rainsail.storage.records import Record, RecordKind, encode_record
+from rainsail.storage.snapshot_sum import SnapshotPiece, SnapshotSum
 from rainsail.wire.codec import CodecError, decode_body, encode_body
 
 SNAPSHOT_SUFFIX = ".snapshot"
@@ -59,22 +60,25 @@
             raise self._records.error(reason, record.offset)
         return SnapshotMeta(header.last_index, header.last_term, header.membership)
 
-    def chunks(self) -> Iterator[bytes]:
-        """Yield the chunks, then check the counts; call ``header`` first."""
-        count = 0
-        size = 0
+    def pieces(self) -> Iterator[SnapshotPiece]:
+        """Yield the chunks, check them against the end record, then yield their sum.
+
+        Call ``header`` first.
+        """
+        read = SnapshotSum()
         record = self._records.read()
         while record.kind == RecordKind.SNAPSHOT_CHUNK:
-            count += 1
-            size += len(record.body)
+            read = read.with_chunk(record.body)
             yield record.body
             record = self._records.read()
         end: SnapshotEnd = self._decode(record, RecordKind.SNAPSHOT_END, SnapshotEnd)
-        if (end.chunks, end.size_bytes) != (count, size):
-            reason = f"{end.chunks} chunks of {end.size_bytes} bytes expected, {count} of {size}"
-            raise self._records.error(f"{reason} found", record.offset)
+        if (end.chunks, end.size_bytes) != (read.chunks, read.size_bytes):
+            expected = f"{end.chunks} chunks of {end.size_bytes} bytes expected"
+            reason = f"{expected}, {read.chunks} of {read.size_bytes} found"
+            raise self._records.error(reason, record.offset)
         if not self._records.at_end():
             raise self._records.error("bytes follow the end of the snapshot", record.offset)
+        yield read
 
     def _decode(self, record: Record, kind: RecordKind, body_type: type) -> Any:
         if record.kind != kind:
@@ -113,11 +117,11 @@
             return Error(storage_fault("snapshot", self.path(found[-1]), reason, 0))
         return Ok(meta)
 
-    def read(self, meta: SnapshotMeta) -> Iterator[bytes]:
-        """Yield a snapshot's chunks; raises ``RainsailError`` when it is gone or damaged."""
+    def read(self, meta: SnapshotMeta) -> Iterator[SnapshotPiece]:
+        """Yield a snapshot's pieces; raises ``RainsailError`` when it is gone or damaged."""
         reader = SnapshotReader(self._files, self.path(meta.last_index), self._group)
         reader.header()
-        yield from reader.chunks()
+        yield from reader.pieces()
 
     def write_temporary(
         self, meta: SnapshotMeta, chunks: Iterable[bytes]
@@ -194,6 +198,6 @@
     """Read a snapshot through and return its header; raises ``RainsailError`` at damage."""
     reader = SnapshotReader(files, path, group)
     meta = reader.header()
-    for _ in reader.chunks():
+    for _ in reader.pieces():
         pass
     return meta
