--- a/features/consensus/snapshots.feature
+++ b/features/consensus/snapshots.feature
@@ -179,6 +179,26 @@
     Then the cut-off replica of the consensus group holds no number and has applied all
     And the cut-off replica of the consensus group has got a snapshot
 
+  Scenario: A received snapshot that the state can't be restored from ends its replica
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    And a follower of the consensus group is cut off
+    And 300 commands are committed by the consensus group
+    When the state of the cut-off replica of the consensus group can't be restored
+    And the cut-off replica of the consensus group is connected again for 20 seconds
+    Then the cut-off replica of the consensus group has stopped at "consensus.install"
+    And no error left the members of the consensus group
+
+  Scenario: A state that can't be encoded once doesn't keep its replica from later snapshots
+    Given a consensus group of 3 replicas that snapshots every 100 entries
+    When the leader of the consensus group can't encode the next snapshot of its state
+    And 1300 commands are committed by the consensus group
+    Then the consensus group's log has told 1 times that a snapshot is "not written"
+    And the snapshot of the consensus group's leader is newer than entry 1000
+
+  Scenario: A replica doesn't start on a reading of its snapshot that ends too early
+    Then a replica's log isn't recovered from a snapshot whose reading ends without its sum
+    And a replica's log isn't recovered from a snapshot whose sum is another's
+
   Scenario: A learner in a lost replica's place isn't made a voter by half a snapshot
     Given a consensus group of 3 replicas that snapshots every 100 entries and repairs after 2 seconds
     And 300 commands are committed by the consensus group
--- a/features/state/determinism.feature
+++ b/features/state/determinism.feature
@@ -25,3 +25,4 @@
       | missing its first chunk  |
       | of a later format        |
       | replaced by other bytes  |
+      | without any chunk        |
--- a/features/steps/consensus_snapshot_reading_steps.py
+++ b/features/steps/consensus_snapshot_reading_steps.py
@@ -4,15 +4,18 @@
 
 from behave import given, step, then, when
 from expression import Ok
-from features.support.consensus import SimulatedGroup, watch_chunks
+from features.support.consensus import RecordingState, SimulatedGroup, watch_chunks
 
 from rainsail.consensus.effects import Effects, ReadReady, SnapshotOrder
+from rainsail.consensus.recovery import recover_log
 from rainsail.consensus.settings import ConsensusSettings
 from rainsail.consensus.snapshot_source import PieceRead
 from rainsail.errors import Fault, FaultCode, RainsailError
 from rainsail.logs import logger
 from rainsail.state.commands import NoOperation
+from rainsail.storage.interface import SnapshotMeta
 from rainsail.storage.snapshot_sum import SnapshotSum
+from rainsail.wire.codec import CodecError
 
 ONCE = 1
 
@@ -341,6 +344,47 @@
     assert any(chunk.whole == SnapshotSum() for chunk in context.consensus_taken)
 
 
+@when("the state of the cut-off replica of the consensus group can't be restored")
+def cannot_restore(context):
+    def restore(chunks):
+        raise CodecError("no such record")
+
+    context.consensus.running[context.consensus_cut].state.restore = restore
+
+
+@then('the cut-off replica of the consensus group has stopped at "{where}"')
+def stopped_at(context, where):
+    faults = context.consensus.running[context.consensus_cut].faults
+    assert [(fault.code, fault.step) for fault in faults] == [(FaultCode.STORAGE, where)], faults
+
+
+@when("the leader of the consensus group can't encode the next snapshot of its state")
+def cannot_encode(context):
+    group = context.consensus
+    _gather_log(context)
+    context.consensus_leader = group.leader()
+    state = group.running[context.consensus_leader].state
+    whole = state.snapshot
+    failed = []
+
+    def snapshot():
+        chunks = whole()
+        yield next(chunks)
+        if not failed:
+            failed.append(True)
+            raise CodecError("no such record")
+        yield from chunks
+
+    state.snapshot = snapshot
+
+
+@then("the snapshot of the consensus group's leader is newer than entry {index:d}")
+def newer_than(context, index):
+    assert context.consensus.leader() == context.consensus_leader
+    meta = context.consensus.driver(context.consensus_leader)._snapshots._storage.snapshot_meta
+    assert meta is not None and meta.last_index > index, meta
+
+
 @then('the consensus group\'s log has told {times:d} times that a snapshot "{what}"')
 @then('the consensus group\'s log has told {times:d} times that a snapshot is "{what}"')
 def told(context, times, what):
@@ -353,3 +397,41 @@
     """The newest of the usual ones is that of entry 300."""
     storage = context.consensus.driver(context.consensus_leader)._snapshots._storage
     assert storage.snapshot_meta.last_index == 300 + 2 * count, storage.snapshot_meta
+
+
+class _SnapshotAlone:
+    """A storage of nothing but a snapshot, which gives these pieces."""
+
+    last_index = 3
+    snapshot_meta = SnapshotMeta(3, 1, b"")
+
+    def __init__(self, pieces):
+        self.read_snapshot = lambda: iter(pieces)
+
+
+def _refuses(pieces):
+    try:
+        recover_log(_SnapshotAlone(pieces), RecordingState())
+    except RainsailError as error:
+        assert error.fault.code == FaultCode.STORAGE, error.fault
+        return True
+    return False
+
+
+@then("a replica's log isn't recovered from a snapshot whose reading ends without its sum")
+def not_without_sum(context):
+    chunks = [b"1,2", b"3"]
+    whole = SnapshotSum().with_chunk(chunks[0]).with_chunk(chunks[1])
+    assert not _refuses([*chunks, whole]), "a whole one"
+    assert _refuses(chunks)
+    assert _refuses([])
+
+
+@then("a replica's log isn't recovered from a snapshot whose sum is another's")
+def not_with_other_sum(context):
+    chunks = [b"1,2", b"3"]
+    for other in ([b"1,2"], [b"1,2", b"4"], [b"3", b"1,2"], [b"1,23"]):
+        total = SnapshotSum()
+        for chunk in other:
+            total = total.with_chunk(chunk)
+        assert _refuses([*chunks, total]), other
--- a/features/steps/state_determinism_steps.py
+++ b/features/steps/state_determinism_steps.py
@@ -129,6 +129,7 @@
         "missing its first chunk": context.chunks[1:],
         "of a later format": [encode(SnapshotPart((later,))), *context.chunks[1:]],
         "replaced by other bytes": [b"\x00" * 64],
+        "without any chunk": [],
     }
     context.damaged = damaged[damage]
 
--- a/src/rainsail/assembly/hosted_group.py
+++ b/src/rainsail/assembly/hosted_group.py
@@ -12,7 +12,7 @@
 from rainsail.consensus.group_placement import members_of_group
 from rainsail.consensus.membership import MemberSpec
 from rainsail.consensus.router import GroupRouter
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault, FaultCode, RainsailError
 from rainsail.state.commands import ROOT_GROUP, GroupId, encode_command
 from rainsail.state.machine import ReplicatedState
 from rainsail.storage.group_storage import open_group_storage
@@ -77,7 +77,7 @@
             encode_command,
             router,
         )
-    except CodecError as error:
+    except (CodecError, RainsailError) as error:
         detail = f"group {group}: its snapshot or log can't be read: {error}"
         return Error(Fault(FaultCode.STORAGE, "assembly.open_group", detail))
     return Ok(HostedGroup(driver, state))
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
-from expression import Result
+from expression import Error, Result
 
 from rainsail.consensus.applier import Applier
 from rainsail.consensus.core import ConsensusCore
@@ -12,12 +12,13 @@
 from rainsail.consensus.membership import encode_membership
 from rainsail.consensus.messages import SnapshotChunk
 from rainsail.consensus.snapshot_source import SnapshotSource
-from rainsail.errors import Fault
+from rainsail.errors import Fault, FaultCode, RainsailError
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import GroupStorage, SnapshotMeta
 from rainsail.storage.snapshot_sum import SnapshotPiece, SnapshotSum
+from rainsail.wire.codec import CodecError
 
 FEEDING_S = 1.0
 """A follower counts as being fed for this long after it asked for a further chunk: a newer
@@ -117,7 +118,12 @@
         """Encode one chunk a reactor turn, so that heartbeats go out in between."""
         if self._stopped:
             return
-        chunk = next(rest, None)
+        try:
+            chunk = next(rest, None)
+        except (CodecError, RainsailError) as error:
+            detail = f"the state can't be encoded: {error}"
+            self._taken(Error(Fault(FaultCode.STORAGE, "consensus.snapshot", detail)), meta)
+            return
         if chunk is not None:
             chunks.append(chunk)
             self._clock.callLater(0, self._gather, meta, rest, chunks)
@@ -239,7 +245,12 @@
         if result.is_error():
             self._on_fault(result.error)
             return
-        self._state_machine.restore(install.chunks)
+        try:
+            self._state_machine.restore(install.chunks)
+        except (CodecError, RainsailError) as error:
+            detail = f"the snapshot at {install.meta.last_index} can't be restored: {error}"
+            self._on_fault(Fault(FaultCode.STORAGE, "consensus.install", detail))
+            return
         self._last_index = install.meta.last_index
         self._forget_failures()
         self._applier.restored(install.meta.last_index)
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -7,7 +7,7 @@
 from rainsail.consensus.router import GroupRouter
 from rainsail.consensus.settings import ConsensusSettings
 from rainsail.consensus.status import losses_borne
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault, FaultCode, RainsailError
 from rainsail.fleet.base import FLEET, NodeBase
 from rainsail.settings.node import NodeSettings
 from rainsail.state.command_basics import GroupId
@@ -92,7 +92,7 @@
                 router,
                 base.started_s,
             )
-        except CodecError as error:
+        except (CodecError, RainsailError) as error:
             detail = f"group {self._group}: its snapshot or log can't be read: {error}"
             return Error(Fault(FaultCode.STORAGE, "fleet.open_group", detail))
         self._add_metrics(driver)
--- a/src/rainsail/state/machine.py
+++ b/src/rainsail/state/machine.py
@@ -152,7 +152,11 @@
         yield from self._sessions.records()
 
     def restore(self, chunks: Iterable[bytes]) -> None:
-        """Replace the whole state by a snapshot's; raises ``RainsailError`` on a damaged one."""
+        """Replace the whole state by a snapshot's; raises ``RainsailError`` on a damaged one.
+
+        After an error the state is of no use. That no chunk lacks at the end is checked where the
+        chunks come from: by the file's end record and by the sum that goes with a transfer.
+        """
         self._reset()
         for record in decode_parts(chunks):
             self._restore_record(record)
--- a/src/rainsail/state/snapshot.py
+++ b/src/rainsail/state/snapshot.py
@@ -98,6 +98,8 @@
                 _check_start(record)
                 started = True
             yield record
+    if not started:
+        raise _unreadable("the snapshot holds no record")
 
 
 def _decode_part(chunk: bytes) -> SnapshotPart:
--- a/src/rainsail/state/state_machine.py
+++ b/src/rainsail/state/state_machine.py
@@ -20,5 +20,9 @@
         ...
 
     def restore(self, chunks: Iterable[bytes]) -> None:
-        """Replace the whole state by a snapshot's chunks."""
+        """Replace the whole state by a snapshot's chunks.
+
+        The caller sees to it that no chunk lacks. Raises ``CodecError`` or ``RainsailError`` for
+        chunks that aren't a snapshot of this state, and lets errors of ``chunks`` through.
+        """
         ...
