--- /dev/null
+++ b/features/steps/relay_soak_steps.py
@@ -0,0 +1,44 @@
+"""Steps on the soak of relaying."""
+
+from behave import given, then, when
+from features.support.relay_soak.defects import DEFECTS
+from features.support.relay_soak.soak import RelaySoak
+
+LEAST_STREAMS = 50
+LEAST_TAKEN_UP = 20
+LEAST_FAILED = 3
+
+
+@given("a relay that {defect}")
+def with_relay_defect(context, defect):
+    context.relay_defect = DEFECTS[defect]
+    patch = context.relay_defect.patch()
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when("clients of a relay meet such runners, drawn from seed {seed:d}")
+def run_relay_soak(context, seed):
+    context.relay_soak = RelaySoak(seed)
+    context.relay_soak.run()
+
+
+@then("no promise of the relay was broken")
+def no_promise_broken(context):
+    violations = context.relay_soak.violations
+    assert not violations, "\n".join(violations)
+
+
+@then("streams were served, taken up at other runners, and met failures there")
+def work_was_done(context):
+    counts = context.relay_soak.counts
+    assert counts["served_stream"] >= LEAST_STREAMS, counts
+    assert counts["taken_up"] >= LEAST_TAKEN_UP, counts
+    assert counts["taken_up_and_failed"] >= LEAST_FAILED, counts
+
+
+@then("the check on this defect has found it broken")
+def defect_found(context):
+    words = context.relay_defect.words
+    found = context.relay_soak.violations
+    assert any(words in each for each in found), found
--- /dev/null
+++ b/features/support/relay_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded soak of relaying in virtual time, over real HTTP bytes on both sides of a gateway."""
--- /dev/null
+++ b/features/support/relay_soak/answers.py
@@ -0,0 +1,246 @@
+"""Draws what a runner does with a request: answer well, refuse, fail, or break in some way.
+
+Left out is what nobody behind a runner can notice, since no gateway can be blamed for it: the loss
+of a stream's last event before an end in order; bytes changed within an event's text or within a
+body; and a body that is no stream, closed in order before its end though neither a length nor
+chunks would tell where that is.
+"""
+
+import random
+from dataclasses import dataclass
+
+from features.support.relay_soak.content import (
+    event,
+    failure_body,
+    last_event,
+    whole_body,
+)
+from features.support.relay_soak.history import Ending, Framing, Kind
+
+REFUSAL_SHARE = 0.08
+FAILURE_SHARE = 0.12
+OTHER_TYPE_SHARE = 0.08
+"""Of the runs that take a stream up, those answered 200 with something that is no stream."""
+FAULT_SHARE = 0.45
+LOST_EVENT_SHARE = 0.08
+SPOILT_EVENT_SHARE = 0.08
+REPEAT_SHARE = 0.2
+SURPLUS_SHARE = 0.04
+REFUSAL_STATUSES = (421, 429, 503, 404, 500, 504)
+FAILURE_STATUSES = (500, 500, 503, 429, 404, 504)
+FAILURE_BYTES = (0, 40, 40, 3000, 20000)
+PIECE_SPLIT_SHARE = 0.3
+BODY_PIECES = 4
+JUNK = b"\xff\x00junk"
+PAUSES_S = (0.0, 0.005, 0.03, 0.1)
+EVENT_STREAM = b"text/event-stream"
+PLAIN = b"text/plain"
+
+
+@dataclass(frozen=True)
+class Asked:
+    """What a runner is asked for."""
+
+    request: str
+    kind: Kind
+    after_event: int | None
+
+
+@dataclass(frozen=True)
+class RunnerAnswer:
+    """Bytes in pieces, sent ``pause_s`` after each other, and what happens behind them.
+
+    ``status`` is 0 when not even a head is sent; ``whole`` says that the framing has come to its
+    end, whatever happens to the connection then.
+    """
+
+    ran: bool
+    status: int
+    framing: Framing
+    body: bytes
+    whole: bool
+    pieces: tuple[bytes, ...]
+    pause_s: float
+    ending: Ending
+
+
+@dataclass(frozen=True)
+class Message:
+    """An answer before it is framed: its head's facts, and its body in pieces."""
+
+    asked: Asked
+    status: int
+    content_type: bytes
+    pieces: list[bytes]
+    ran: bool = True
+    spoilt: int | None = None
+    """The piece that has bytes of nothing before it."""
+    lacks_event: bool = False
+
+    @property
+    def is_sound(self) -> bool:
+        """Tell whether the body is as it should be."""
+        return self.spoilt is None and not self.lacks_event
+
+    def body(self, count: int) -> bytes:
+        """Return what is sent of the body with so many pieces."""
+        return b"".join(
+            JUNK + piece if number == self.spoilt else piece
+            for number, piece in enumerate(self.pieces[:count])
+        )
+
+
+class Break:
+    """Where an answer breaks off: behind so many pieces of the body and a part of the next one."""
+
+    def __init__(self, draw: random.Random, pieces: list[bytes], may_close: bool) -> None:
+        endings = [Ending.RESET, Ending.SILENT, *([Ending.CLOSE] * 3 if may_close else [])]
+        self.ending = draw.choice(endings)
+        self.count = draw.randint(0, len(pieces))
+        self.part = b""
+        if self.count < len(pieces) and draw.random() < 0.6:
+            piece = pieces[self.count]
+            self.part = piece[: draw.randint(0, max(0, len(piece) - 1))]
+        self.cut_chunk = draw.random() < 0.5
+        """In chunks: whether the part's own chunk is cut, too."""
+        nothing = not self.count and not self.part
+        self.before_head = nothing and draw.random() < 0.5
+
+
+class AnswerDrawer:
+    """Draws one answer after the other from one source of chance."""
+
+    def __init__(self, draw: random.Random) -> None:
+        self._draw = draw
+
+    def answer(self, asked: Asked) -> RunnerAnswer:
+        """Draw what a runner does with a request."""
+        message = self._message(asked)
+        framing = self._draw.choice(tuple(Framing))
+        if self._draw.random() < FAULT_SHARE:
+            return self._broken(message, framing)
+        return self._ended(message, framing)
+
+    # --- what is said --------------------------------------------------------------------
+
+    def _message(self, asked: Asked) -> Message:
+        chance = self._draw.random()
+        if chance < REFUSAL_SHARE:
+            return self._failure(asked, REFUSAL_STATUSES, ran=False)
+        if chance < REFUSAL_SHARE + FAILURE_SHARE:
+            return self._failure(asked, FAILURE_STATUSES, ran=True)
+        if not asked.kind.is_stream:
+            return self._plain(asked, whole_body(asked.request))
+        if asked.after_event is not None and self._draw.random() < OTHER_TYPE_SHARE:
+            return self._plain(asked, b"this is no stream")
+        return self._stream(asked)
+
+    def _failure(self, asked: Asked, statuses: tuple[int, ...], ran: bool) -> Message:
+        status = self._draw.choice(statuses)
+        body = failure_body(asked.request, status, self._draw.choice(FAILURE_BYTES))
+        return Message(asked, status, PLAIN, self._in_pieces(body), ran)
+
+    def _plain(self, asked: Asked, body: bytes) -> Message:
+        return Message(asked, 200, PLAIN, self._in_pieces(body))
+
+    def _stream(self, asked: Asked) -> Message:
+        first = (asked.after_event or 0) + 1
+        if asked.after_event and self._draw.random() < REPEAT_SHARE:
+            first -= 1
+        numbers = list(range(first, last_event(asked.request) + 1))
+        lacks_event = len(numbers) > 1 and self._draw.random() < LOST_EVENT_SHARE
+        if lacks_event:
+            del numbers[self._draw.randrange(len(numbers) - 1)]
+        spoilt = None
+        if numbers and self._draw.random() < SPOILT_EVENT_SHARE:
+            spoilt = self._draw.randrange(len(numbers))
+        pieces = [event(asked.request, number) for number in numbers]
+        return Message(asked, 200, EVENT_STREAM, pieces, True, spoilt, lacks_event)
+
+    def _in_pieces(self, body: bytes) -> list[bytes]:
+        size = max(1, len(body) // self._draw.randint(1, BODY_PIECES))
+        return [body[begin : begin + size] for begin in range(0, len(body), size)]
+
+    # --- how it travels ------------------------------------------------------------------
+
+    def _ended(self, message: Message, framing: Framing) -> RunnerAnswer:
+        """Send all of it, at times twice: the second answer is one that nobody asked for."""
+        count = len(message.pieces)
+        wire = [_head(message, framing), *self._framed(message, framing, count)]
+        if framing == Framing.CHUNKS:
+            wire.append(b"0\r\n\r\n")
+        if framing != Framing.CLOSE and self._draw.random() < SURPLUS_SHARE:
+            wire += wire
+        ending = Ending.CLOSE if framing == Framing.CLOSE else Ending.KEEP
+        return RunnerAnswer(
+            message.ran,
+            message.status,
+            framing,
+            message.body(count),
+            message.is_sound,
+            tuple(wire),
+            self._draw.choice(PAUSES_S),
+            ending,
+        )
+
+    def _broken(self, message: Message, framing: Framing) -> RunnerAnswer:
+        """Send a part of it."""
+        may_close = framing != Framing.CLOSE or message.content_type == EVENT_STREAM
+        broken = Break(self._draw, message.pieces, may_close)
+        wire = [] if broken.before_head else self._part_of_wire(message, framing, broken)
+        reaches_length = framing == Framing.LENGTH and broken.count == len(message.pieces)
+        return RunnerAnswer(
+            message.ran,
+            message.status if wire else 0,
+            framing,
+            message.body(broken.count) + broken.part,
+            bool(wire) and reaches_length and message.is_sound,
+            tuple(wire),
+            self._draw.choice(PAUSES_S),
+            broken.ending,
+        )
+
+    def _part_of_wire(self, message: Message, framing: Framing, broken: Break) -> list[bytes]:
+        wire = [_head(message, framing), *self._framed(message, framing, broken.count)]
+        if broken.part and framing == Framing.CHUNKS:
+            chunk = _chunk(broken.part)
+            wire.append(chunk[:-3] if broken.cut_chunk else chunk)
+        elif broken.part:
+            wire.append(broken.part)
+        return wire
+
+    def _framed(self, message: Message, framing: Framing, count: int) -> list[bytes]:
+        """Return pieces as they travel; some in two parts, one behind bytes of nothing."""
+        wire = []
+        for number, piece in enumerate(message.pieces[:count]):
+            if number == message.spoilt:
+                wire.append(JUNK)
+            for part in self._parts(piece):
+                wire.append(_chunk(part) if framing == Framing.CHUNKS else part)
+        return wire
+
+    def _parts(self, piece: bytes) -> list[bytes]:
+        if len(piece) < 2 or self._draw.random() >= PIECE_SPLIT_SHARE:
+            return [piece] if piece else []
+        middle = self._draw.randint(1, len(piece) - 1)
+        return [piece[:middle], piece[middle:]]
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _head(message: Message, framing: Framing) -> bytes:
+    frames = {
+        Framing.CHUNKS: b"Transfer-Encoding: chunked",
+        Framing.LENGTH: b"Content-Length: %d" % sum(map(len, message.pieces)),
+        Framing.CLOSE: b"Connection: close",
+    }
+    lines = [
+        b"HTTP/1.1 %d Said" % message.status,
+        b"Rainsail-Request: " + message.asked.request.encode(),
+        b"Content-Type: " + message.content_type,
+        frames[framing],
+        *([] if message.ran else [b"Rainsail-Not-Run: 1"]),
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- /dev/null
+++ b/features/support/relay_soak/checks.py
@@ -0,0 +1,145 @@
+"""Which promises a history of relaying breaks; it goes by what clients and runners saw alone."""
+
+from collections import defaultdict
+
+from features.support.relay_soak.content import events, last_event, whole_body, whole_stream
+from features.support.relay_soak.history import (
+    ClientRequest,
+    Ending,
+    Framing,
+    History,
+    Outcome,
+    RunnerRun,
+)
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+OWN_STATUSES = (502, 503, 504)
+"""What a gateway answers by itself, without a body."""
+SLACK_S = 0.05
+"""Beside the time that a route allows: what the bytes are on their way."""
+
+
+class Judge:
+    """Judges a history; ``unclear`` counts the streams whose end nobody could know."""
+
+    def __init__(self, history: History) -> None:
+        self._history = history
+        self._runs: dict[str, list[RunnerRun]] = defaultdict(list)
+        for run in history.runs:
+            self._runs[run.request].append(run)
+        self.unclear = 0
+
+    def violations(self) -> list[str]:
+        """Return every broken promise in words."""
+        found = []
+        for asked in self._history.requests:
+            words = [*self._end(asked), *self._runs_of(asked), *self._answer(asked)]
+            found += [f"{asked.kind} request {asked.request}: {each}" for each in words]
+        return found
+
+    def _end(self, asked: ClientRequest) -> list[str]:
+        if asked.ended_s is None:
+            return ["it never ended"]
+        late_s = asked.ended_s - asked.sent_s - asked.timeout_s
+        return [f"it ended {late_s:.2f} s too late"] if late_s > SLACK_S else []
+
+    def _runs_of(self, asked: ClientRequest) -> list[str]:
+        ran = sum(run.ran for run in self._runs[asked.request])
+        words = []
+        if asked.kind.runs_once and ran > 1:
+            words.append(f"it ran {ran} times")
+        if asked.status in PROMISES_NOT_RUN and ran:
+            words.append(f"it was told {asked.status} after a run")
+        return words
+
+    def _answer(self, asked: ClientRequest) -> list[str]:
+        words = ["bytes behind its end"] if asked.surplus else []
+        if not asked.status or asked.outcome == Outcome.LEFT:
+            return words
+        if not 200 <= asked.status < 300:
+            return words + self._failure(asked)
+        if asked.outcome != Outcome.COMPLETE:
+            return words + self._cut(asked)
+        if asked.kind.is_stream:
+            return words + self._stream(asked)
+        return words if asked.body == whole_body(asked.request) else [*words, "not its answer"]
+
+    def _cut(self, asked: ClientRequest) -> list[str]:
+        """A success is not cut before its time when the one runner that was asked did well."""
+        runs = self._runs[asked.request]
+        assert asked.ended_s is not None
+        in_time = asked.ended_s - asked.sent_s < asked.timeout_s - SLACK_S
+        did_well = len(runs) == 1 and runs[0].whole
+        return ["it was cut though its runner's answer was whole"] if in_time and did_well else []
+
+    # --- failures ------------------------------------------------------------------------
+
+    def _failure(self, asked: ClientRequest) -> list[str]:
+        """A failure is a runner's, whole, or the gateway's own and empty."""
+        if asked.outcome == Outcome.COMPLETE and not asked.body and asked.status in OWN_STATUSES:
+            return []
+        same = [run for run in self._runs[asked.request] if run.status == asked.status]
+        if asked.outcome == Outcome.COMPLETE:
+            whole = any(run.whole and run.body == asked.body for run in same)
+            return [] if whole else [f"an answer {asked.status} is not whole"]
+        broke = any(not run.whole for run in same)
+        return [] if broke else [f"an answer {asked.status} was cut though its runner's was whole"]
+
+    # --- streams -------------------------------------------------------------------------
+
+    def _stream(self, asked: ClientRequest) -> list[str]:
+        if asked.body == whole_stream(asked.request, asked.after_event):
+            return []
+        if self._could_be_whole(asked):
+            self.unclear += 1
+            return []
+        return [f"ended as complete with {_what_is_wrong(asked)}"]
+
+    def _could_be_whole(self, asked: ClientRequest) -> bool:
+        """Tell whether the stream ends where a runner closed in order between two events.
+
+        Where neither a length nor chunks tell the end, such a close is all that there is to go by.
+        """
+        return any(
+            self._ends_between(run, asked)
+            for run in self._runs[asked.request]
+            if run.framing == Framing.CLOSE and run.ending == Ending.CLOSE and run.status == 200
+        )
+
+    def _ends_between(self, run: RunnerRun, asked: ClientRequest) -> bool:
+        begun_behind = run.after_event or 0
+        first = (asked.after_event or 0) + 1
+        for last in range(max(begun_behind, 1), last_event(asked.request)):
+            behind = events(asked.request, begun_behind + 1, last)
+            repeated = events(asked.request, max(begun_behind, 1), last)
+            if run.body in (behind, repeated):
+                return asked.body == events(asked.request, first, last)
+        return False
+
+
+def _what_is_wrong(asked: ClientRequest) -> str:
+    whole = whole_stream(asked.request, asked.after_event)
+    if whole.startswith(asked.body):
+        return "no event" if not asked.body else _missing_end(asked.body)
+    numbers, known = _id_lines(asked.body), _id_lines(whole)
+    if numbers != known[: len(numbers)] and set(numbers) <= set(known):
+        return f"a hole: {b' '.join(numbers)!r}"
+    return f"foreign bytes: {_first_difference(asked.body, whole)!r}"
+
+
+def _id_lines(stream: bytes) -> list[bytes]:
+    """Return the whole lines that number events, in order."""
+    return [line for line in stream.split(b"\n")[:-1] if line.startswith(b"id: ")]
+
+
+def _missing_end(body: bytes) -> str:
+    if body.endswith(b"\n\n"):
+        return "its last events missing"
+    return f"half an event: {body[-30:]!r}"
+
+
+def _first_difference(body: bytes, whole: bytes) -> bytes:
+    same = 0
+    while same < min(len(body), len(whole)) and body[same] == whole[same]:
+        same += 1
+    return body[same : same + 60]
--- /dev/null
+++ b/features/support/relay_soak/history.py
@@ -0,0 +1,95 @@
+"""What clients and runners saw: all that the checks may go by."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Kind(StrEnum):
+    """The kinds of routes."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether answers are streams of events."""
+        return self in (Kind.STREAM, Kind.RESUMABLE)
+
+    @property
+    def runs_once(self) -> bool:
+        """Tell whether a request may run at one runner only."""
+        return self in (Kind.UNSAFE, Kind.STREAM)
+
+
+class Framing(StrEnum):
+    """What tells the end of an answer's body."""
+
+    CHUNKS = "chunks"
+    LENGTH = "length"
+    CLOSE = "close"
+    """Nothing but the close of the connection."""
+
+
+class Ending(StrEnum):
+    """What a runner does with the connection behind the last byte that it sends."""
+
+    KEEP = "keep"
+    CLOSE = "close"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+class Outcome(StrEnum):
+    """How an answer ended in the client's eyes."""
+
+    WAITING = "waiting"
+    COMPLETE = "complete"
+    """Its length or its last chunk says so."""
+    CUT = "cut"
+    LEFT = "left"
+    """The client itself has closed the connection."""
+
+
+@dataclass(frozen=True)
+class RunnerRun:
+    """One request at a runner, and what the runner sent for it."""
+
+    request: str
+    runner: str
+    after_event: int | None
+    ran: bool
+    """False: it was turned away as not run."""
+    status: int
+    """0 when not even a head was sent."""
+    framing: Framing
+    body: bytes
+    """The body as far as it was meant to be sent."""
+    whole: bool
+    ending: Ending
+
+
+@dataclass
+class ClientRequest:
+    """One request of a client, and what the client has got for it."""
+
+    request: str
+    kind: Kind
+    after_event: int | None
+    timeout_s: float
+    sent_s: float
+    status: int = 0
+    body: bytes = b""
+    outcome: Outcome = Outcome.WAITING
+    ended_s: float | None = None
+    surplus: bytes = b""
+    """Bytes that came behind the end of the answer."""
+
+
+@dataclass
+class History:
+    """Everything that was seen, in the order in which it began."""
+
+    requests: list[ClientRequest] = field(default_factory=list)
+    runs: list[RunnerRun] = field(default_factory=list)
--- /dev/null
+++ b/features/support/relay_soak/runner.py
@@ -0,0 +1,124 @@
+"""Runners on connections in memory: each request is answered as the drawer says, byte for byte."""
+
+import random
+from collections import deque
+
+import h11
+from features.support.relay_soak.answers import AnswerDrawer, Asked, RunnerAnswer
+from features.support.relay_soak.history import Ending, History, Kind, RunnerRun
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from rainsail.http.headers import header_text
+from rainsail.simulation.clock import VirtualClock
+
+REFUSED_CONNECTIONS_SHARE = 0.03
+THINKS_S = (0.0, 0.01, 0.05, 0.3)
+
+
+class SoakRunner:
+    """One runner: takes connections, and notes what it was asked and what it sent."""
+
+    def __init__(
+        self, name: str, clock: VirtualClock, history: History, draw: random.Random
+    ) -> None:
+        self.name = name
+        self.clock = clock
+        self._history = history
+        self._draw = draw
+        self._drawer = AnswerDrawer(draw)
+
+    def accept(self) -> Protocol | None:
+        """Take a connection, or refuse it at times."""
+        if self._draw.random() < REFUSED_CONNECTIONS_SHARE:
+            return None
+        return RunnerConnection(self)
+
+    def thinks_s(self) -> float:
+        """Draw how long it is until the first byte of an answer."""
+        return self._draw.choice(THINKS_S)
+
+    def answer(self, head: h11.Request) -> RunnerAnswer:
+        """Draw the answer to a request, and note it."""
+        fields = tuple(head.headers.raw_items())
+        after = header_text(fields, b"last-event-id")
+        kind = Kind(head.target.decode().split("/")[1])
+        request = header_text(fields, b"rainsail-request")
+        asked = Asked(request, kind, int(after) if after else None)
+        answer = self._drawer.answer(asked)
+        self._history.runs.append(
+            RunnerRun(
+                request,
+                self.name,
+                asked.after_event,
+                answer.ran,
+                answer.status,
+                answer.framing,
+                answer.body,
+                answer.whole,
+                answer.ending,
+            )
+        )
+        return answer
+
+
+class RunnerConnection(Protocol):
+    """A connection to a runner: one request after the other, answers as raw bytes, in order."""
+
+    def __init__(self, runner: SoakRunner) -> None:
+        self._runner = runner
+        self._gone = False
+        self._playing = False
+        self._due: deque[RunnerAnswer] = deque()
+        self._await_request()
+
+    def _await_request(self) -> None:
+        self._http = h11.Connection(h11.SERVER)
+        self._head: h11.Request | None = None
+
+    def dataReceived(self, data: bytes) -> None:
+        """Gather a request; answer it once it is whole."""
+        self._http.receive_data(data)
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                self._head = event
+            elif isinstance(event, h11.EndOfMessage):
+                assert self._head is not None
+                self._due.append(self._runner.answer(self._head))
+                self._await_request()
+                self._play_next()
+                return
+            elif not isinstance(event, h11.Data):
+                return
+
+    def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
+        """Stop sending."""
+        self._gone = True
+
+    def _play_next(self) -> None:
+        """Begin the next answer once the one before it, with all behind it, has been sent."""
+        if self._due and not self._playing:
+            self._playing = True
+            self._runner.clock.callLater(
+                self._runner.thinks_s(), self._play, self._due.popleft(), 0
+            )
+
+    def _play(self, answer: RunnerAnswer, number: int) -> None:
+        """Send one piece and plan the next one; end as the answer says."""
+        if self._gone:
+            return
+        if number < len(answer.pieces):
+            self.transport.write(answer.pieces[number])
+            self._runner.clock.callLater(answer.pause_s, self._play, answer, number + 1)
+        else:
+            self._end(answer.ending)
+
+    def _end(self, ending: Ending) -> None:
+        if ending == Ending.CLOSE:
+            self.transport.loseConnection()
+        elif ending == Ending.RESET:
+            self.transport.abortConnection()
+        elif ending == Ending.KEEP:
+            self._playing = False
+            self._play_next()
--- /dev/null
+++ b/features/support/relay_soak/soak.py
@@ -0,0 +1,161 @@
+"""Many clients' requests on routes of every kind through a gateway's relay, judged at the end.
+
+The HTTP of both sides is real bytes: the product's server for clients, its pool and client
+connections for runners. Only the sockets and the clock are stand-ins.
+"""
+
+import random
+from collections import Counter
+
+from features.support.relay_soak.checks import Judge
+from features.support.relay_soak.client import HOST, SoakClient
+from features.support.relay_soak.content import last_event
+from features.support.relay_soak.history import ClientRequest, History, Kind, Outcome
+from features.support.relay_soak.runner import SoakRunner
+from features.support.relay_soak.wire import MemoryReactor, connect
+
+from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.http.exchange import Exchange
+from rainsail.http.pool import ConnectionPool, PoolSettings
+from rainsail.http.server import HttpLimits, HttpServer
+from rainsail.relay.context import make_context
+from rainsail.relay.header_protocol import HeaderNames, HeaderProtocol
+from rainsail.relay.run import RelayRun
+from rainsail.relay.settings import RelaySettings
+from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
+from rainsail.simulation.clock import VirtualClock
+
+SERVICE = "model"
+RUNNERS = 6
+CONNECTIONS = 150
+MOST_REQUESTS = 3
+"""Of one connection, one after the other."""
+SECONDS = 20.0
+TIMEOUT_S = 4.0
+LEAVE_SHARE = 0.1
+LEAVES_AFTER_S = (0.005, 0.5)
+TAKES_UP_SHARE = 0.15
+"""Of the requests on the resumable route, those of clients that have some events already."""
+BUFFERED_BYTES = 4096
+ROUTE_KINDS = {
+    Kind.SAFE: RouteKind.SAFE,
+    Kind.UNSAFE: RouteKind.UNSAFE,
+    Kind.STREAM: RouteKind.STREAM,
+    Kind.RESUMABLE: RouteKind.STREAM,
+}
+
+
+class RelaySoak:
+    """One soak; ``violations`` says what went wrong, ``counts`` what there was to judge."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._draw = random.Random(seed)
+        self._clock = VirtualClock()
+        self._reactor = MemoryReactor(self._clock)
+        self._registry = RunnerRegistry()
+        self.history = History()
+        self.violations: list[str] = []
+        self.counts: Counter[str] = Counter()
+        self._asked = 0
+        self._start_gateway()
+        for number in range(1, RUNNERS + 1):
+            self._start_runner(number)
+
+    def run(self) -> None:
+        """Send everything, wait until every request has had its time, and judge."""
+        for _ in range(CONNECTIONS):
+            self._clock.callLater(self._draw.uniform(0, SECONDS), self._open_client)
+        self._clock.run_until(SECONDS + (MOST_REQUESTS + 1) * TIMEOUT_S)
+        judge = Judge(self.history)
+        self.violations = judge.violations()
+        self._count(judge)
+
+    def _start_gateway(self) -> None:
+        clock, reactor = self._clock, self._reactor
+        self._context = make_context(
+            "zone-1",
+            clock,
+            self._registry,
+            ConnectionPool(reactor, clock, PoolSettings()),
+            HeaderProtocol(HeaderNames()),
+            random.Random(self._seed),
+            RelaySettings(buffered_bytes=BUFFERED_BYTES),
+        )
+        routes = tuple(map(_route, Kind))
+        self._context.table = RoutingTable(
+            1, routes, (Service(SERVICE, 100, True),), ClientLimits()
+        )
+        self._server = HttpServer(self._relay, clock, HttpLimits())
+
+    def _relay(self, exchange: Exchange) -> None:
+        facts = self._context.protocol.describe(exchange.request)
+        assert self._context.table is not None
+        route = self._context.table.match(facts.host, facts.path)
+        assert route is not None
+        RelayRun(self._context, exchange, facts, route, lambda run: None).start()
+
+    def _start_runner(self, number: int) -> None:
+        name, host = f"runner-{number}", f"10.0.0.{number}"
+        runner = SoakRunner(name, self._clock, self.history, self._draw)
+        self._reactor.listen(host, runner.accept)
+        self._registry.take(
+            (RunnerRecord(name, SERVICE, f"{host}:80", "zone-1", 8, RunnerState.READY, 0.0, 1),)
+        )
+
+    # --- clients -------------------------------------------------------------------------
+
+    def _open_client(self) -> None:
+        requests = [self._new_request() for _ in range(self._draw.randint(1, MOST_REQUESTS))]
+        leaves = self._draw.random() < LEAVE_SHARE
+
+        def begun(request: ClientRequest) -> None:
+            self.history.requests.append(request)
+            if leaves:
+                after_s = self._draw.uniform(*LEAVES_AFTER_S)
+                self._clock.callLater(after_s, client.leave, request)
+
+        client = SoakClient(self._clock, requests, begun)
+        connect(self._clock, client, self._server.buildProtocol(None))
+
+    def _new_request(self) -> ClientRequest:
+        self._asked += 1
+        name = f"{self._seed}-{self._asked}"
+        kind = self._draw.choice((*Kind, Kind.RESUMABLE))
+        after = None
+        if kind == Kind.RESUMABLE and self._draw.random() < TAKES_UP_SHARE:
+            after = self._draw.randint(1, last_event(name))
+        return ClientRequest(name, kind, after, TIMEOUT_S, 0.0)
+
+    # --- what there was to judge ---------------------------------------------------------
+
+    def _count(self, judge: Judge) -> None:
+        counts = self.counts
+        counts["unclear"] = judge.unclear
+        counts["requests"] = len(self.history.requests)
+        for request in self.history.requests:
+            counts[request.outcome.value] += 1
+            if request.outcome == Outcome.COMPLETE and request.status == 200:
+                counts["served"] += 1
+                counts["served_stream"] += request.kind.is_stream
+        begun_behind = {request.request: request.after_event for request in self.history.requests}
+        for run in self.history.runs:
+            taken_up = run.after_event != begun_behind[run.request]
+            counts["taken_up"] += taken_up
+            counts["taken_up_and_failed"] += taken_up and run.ran and run.status != 200
+
+
+def _route(kind: Kind) -> Route:
+    return Route(
+        name=kind.value,
+        host=HOST.decode(),
+        prefix=f"/{kind}/",
+        kind=ROUTE_KINDS[kind],
+        shares=(ServiceShare(SERVICE, 1.0),),
+        timeout_s=TIMEOUT_S,
+        target_s=0.3,
+        max_attempts=4,
+        resumable=kind == Kind.RESUMABLE,
+        gap_target_s=0.3,
+    )
