--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -16,6 +16,18 @@
       | 7    |
       | 8    |
 
+  Scenario Outline: Runners that also lose or spoil the first event, or send none, seed <seed>
+    When clients of a relay meet runners that also spoil beginnings, drawn from seed <seed>
+    Then no promise of the relay was broken
+    And streams were served, taken up at other runners, and met failures there
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
   Scenario Outline: The soak catches a relay that <defect>
     Given a relay that <defect>
     When clients of a relay meet such runners, drawn from seed 1
@@ -27,3 +39,32 @@
       | ends half an event as complete             |
       | lets a hole through                        |
       | tells 503 after a run                      |
+
+  Scenario Outline: A history in which <what> is seen as broken
+    Given a history of relaying in which <what>
+    Then the judge of relaying finds "<words>"
+
+    Examples:
+      | what                                                        | words                   |
+      | a request was never answered                                | never ended             |
+      | a request was cut behind its time                           | too late                |
+      | an unsafe request ran at two runners                        | ran 2 times             |
+      | a request that had run was told 503                         | told 503 after a run    |
+      | bytes came behind an answer                                 | bytes behind its end    |
+      | a body lacks its end                                        | not its answer          |
+      | a whole answer was cut                                      | cut though its runner's |
+      | a failure lacks its end                                     | 500 is not whole        |
+      | an event came twice                                         | a hole                  |
+      | a stream in chunks ends between two events                  | its last events missing |
+      | a stream that nothing frames ends before its runner's close | its last events missing |
+      | a stream that nothing frames ends without any event         | no event                |
+
+  Scenario Outline: A history in which <what> is taken as kept
+    Given a history of relaying in which <what>
+    Then the judge of relaying finds nothing, and <unclear> streams whose end is unclear
+
+    Examples:
+      | what                                                 | unclear |
+      | all went well                                        | 0       |
+      | a failure was passed on whole                        | 0       |
+      | a stream that nothing frames ends between two events | 1       |
--- /dev/null
+++ b/features/steps/relay_soak_check_steps.py
@@ -0,0 +1,110 @@
+"""Steps on the checks of the soak of relaying: histories made by hand."""
+
+from dataclasses import replace
+
+from behave import given, then
+from features.support.relay_soak.checks import Judge
+from features.support.relay_soak.content import (
+    event,
+    events,
+    failure_body,
+    last_event,
+    whole_body,
+    whole_stream,
+)
+from features.support.relay_soak.history import (
+    ClientRequest,
+    Ending,
+    Framing,
+    History,
+    Kind,
+    Outcome,
+    RunnerRun,
+)
+
+PLAIN, STREAM = "plain-1", "stream-3"
+RUNNER = "runner-1"
+
+
+def _request(request, kind, body):
+    return ClientRequest(request, kind, None, 4.0, 1.0, 200, body, Outcome.COMPLETE, 2.0)
+
+
+def _run(request, body):
+    return RunnerRun(request, RUNNER, None, True, 200, Framing.CHUNKS, body, True, Ending.KEEP)
+
+
+def _clean():
+    stream, body = whole_stream(STREAM, None), whole_body(PLAIN)
+    requests = [_request(PLAIN, Kind.UNSAFE, body), _request(STREAM, Kind.RESUMABLE, stream)]
+    return History(requests, [_run(PLAIN, body), _run(STREAM, stream)])
+
+
+def _end_between_events(history, framing):
+    """End the client's stream in front of the last event, as its runner did."""
+    short = events(STREAM, 1, last_event(STREAM) - 1)
+    history.requests[1].body = short
+    history.runs[1] = replace(
+        history.runs[1], body=short, framing=framing, whole=False, ending=Ending.CLOSE
+    )
+
+
+def _fail(history, body):
+    history.requests[0].status = 500
+    history.requests[0].body = body
+    history.runs[0] = replace(history.runs[0], status=500, body=failure_body(PLAIN, 500, 9))
+
+
+@given("a history of relaying in which {what}")
+def make_relay_history(context, what):
+    context.relay_history = history = _clean()
+    plain, stream = history.requests
+    match what:
+        case "all went well":
+            pass
+        case "a request was never answered":
+            plain.outcome, plain.ended_s, plain.status = Outcome.WAITING, None, 0
+        case "a request was cut behind its time":
+            plain.outcome, plain.ended_s = Outcome.CUT, 5.2
+        case "an unsafe request ran at two runners":
+            history.runs.append(history.runs[0])
+        case "a request that had run was told 503":
+            plain.status, plain.body = 503, b""
+        case "bytes came behind an answer":
+            plain.surplus = b"x"
+        case "a body lacks its end":
+            plain.body = plain.body[:-1]
+        case "a whole answer was cut":
+            plain.outcome = Outcome.CUT
+        case "a failure lacks its end":
+            _fail(history, b"half")
+        case "a failure was passed on whole":
+            _fail(history, failure_body(PLAIN, 500, 9))
+        case "an event came twice":
+            stream.body = event(STREAM, 1) + stream.body
+        case "a stream in chunks ends between two events":
+            _end_between_events(history, Framing.CHUNKS)
+        case "a stream that nothing frames ends between two events":
+            _end_between_events(history, Framing.CLOSE)
+        case "a stream that nothing frames ends before its runner's close":
+            _end_between_events(history, Framing.CLOSE)
+            stream.body = events(STREAM, 1, last_event(STREAM) - 2)
+        case "a stream that nothing frames ends without any event":
+            _end_between_events(history, Framing.CLOSE)
+            stream.body = b""
+            history.runs[1] = replace(history.runs[1], body=b"")
+        case _:
+            raise AssertionError(f"no such history: {what}")
+
+
+@then('the judge of relaying finds "{words}"')
+def judge_finds(context, words):
+    found = Judge(context.relay_history).violations()
+    assert len(found) == 1 and words in found[0], found
+
+
+@then("the judge of relaying finds nothing, and {count:d} streams whose end is unclear")
+def judge_finds_nothing(context, count):
+    judge = Judge(context.relay_history)
+    assert judge.violations() == []
+    assert judge.unclear == count, judge.unclear
--- a/features/steps/relay_soak_steps.py
+++ b/features/steps/relay_soak_steps.py
@@ -19,6 +19,12 @@
 
 @when("clients of a relay meet such runners, drawn from seed {seed:d}")
 def run_relay_soak(context, seed):
+    context.relay_soak = RelaySoak(seed, spoils_beginnings=False)
+    context.relay_soak.run()
+
+
+@when("clients of a relay meet runners that also spoil beginnings, drawn from seed {seed:d}")
+def run_relay_soak_of_beginnings(context, seed):
     context.relay_soak = RelaySoak(seed)
     context.relay_soak.run()
 
--- a/features/support/relay_soak/answers.py
+++ b/features/support/relay_soak/answers.py
@@ -44,6 +44,8 @@
     request: str
     kind: Kind
     after_event: int | None
+    taken_up: bool
+    """Another runner has begun the client's answer."""
 
 
 @dataclass(frozen=True)
@@ -103,15 +105,20 @@
             self.part = piece[: draw.randint(0, max(0, len(piece) - 1))]
         self.cut_chunk = draw.random() < 0.5
         """In chunks: whether the part's own chunk is cut, too."""
-        nothing = not self.count and not self.part
-        self.before_head = nothing and draw.random() < 0.5
+        self.has_body = bool(self.count or self.part)
+        self.before_head = not self.has_body and draw.random() < 0.5
 
 
 class AnswerDrawer:
-    """Draws one answer after the other from one source of chance."""
+    """Draws one answer after the other from one source of chance.
 
-    def __init__(self, draw: random.Random) -> None:
+    With ``spoils_beginnings`` streams may also lack their first event, have it spoilt, or come
+    without any.
+    """
+
+    def __init__(self, draw: random.Random, spoils_beginnings: bool) -> None:
         self._draw = draw
+        self._spoils_beginnings = spoils_beginnings
 
     def answer(self, asked: Asked) -> RunnerAnswer:
         """Draw what a runner does with a request."""
@@ -131,7 +138,7 @@
             return self._failure(asked, FAILURE_STATUSES, ran=True)
         if not asked.kind.is_stream:
             return self._plain(asked, whole_body(asked.request))
-        if asked.after_event is not None and self._draw.random() < OTHER_TYPE_SHARE:
+        if asked.taken_up and self._draw.random() < OTHER_TYPE_SHARE:
             return self._plain(asked, b"this is no stream")
         return self._stream(asked)
 
@@ -148,12 +155,13 @@
         if asked.after_event and self._draw.random() < REPEAT_SHARE:
             first -= 1
         numbers = list(range(first, last_event(asked.request) + 1))
-        lacks_event = len(numbers) > 1 and self._draw.random() < LOST_EVENT_SHARE
+        kept = 0 if self._spoils_beginnings or asked.after_event else 1
+        lacks_event = len(numbers) > kept + 1 and self._draw.random() < LOST_EVENT_SHARE
         if lacks_event:
-            del numbers[self._draw.randrange(len(numbers) - 1)]
+            del numbers[self._draw.randrange(kept, len(numbers) - 1)]
         spoilt = None
-        if numbers and self._draw.random() < SPOILT_EVENT_SHARE:
-            spoilt = self._draw.randrange(len(numbers))
+        if len(numbers) > kept and self._draw.random() < SPOILT_EVENT_SHARE:
+            spoilt = self._draw.randrange(kept, len(numbers))
         pieces = [event(asked.request, number) for number in numbers]
         return Message(asked, 200, EVENT_STREAM, pieces, True, spoilt, lacks_event)
 
@@ -187,6 +195,8 @@
         """Send a part of it."""
         may_close = framing != Framing.CLOSE or message.content_type == EVENT_STREAM
         broken = Break(self._draw, message.pieces, may_close)
+        if not (broken.has_body or self._spoils_beginnings or message.asked.after_event):
+            broken.before_head = broken.before_head or framing == Framing.CLOSE
         wire = [] if broken.before_head else self._part_of_wire(message, framing, broken)
         reaches_length = framing == Framing.LENGTH and broken.count == len(message.pieces)
         return RunnerAnswer(
--- a/features/support/relay_soak/client.py
+++ b/features/support/relay_soak/client.py
@@ -4,6 +4,7 @@
 
 import h11
 from features.support.relay_soak.history import ClientRequest, Outcome
+from features.support.relay_soak.runner import CLIENT_HAS
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
@@ -47,7 +48,8 @@
             (b"Content-Length", str(len(body)).encode()),
         ]
         if current.after_event is not None:
-            fields.append((b"Last-Event-ID", str(current.after_event).encode()))
+            after = str(current.after_event).encode()
+            fields += [(b"Last-Event-ID", after), (CLIENT_HAS, after)]
         target = f"/{current.kind}/{current.request}".encode()
         head = h11.Request(method=b"POST", target=target, headers=fields)
         parts = [head, h11.Data(data=body), h11.EndOfMessage()]
--- a/features/support/relay_soak/runner.py
+++ b/features/support/relay_soak/runner.py
@@ -13,6 +13,8 @@
 from rainsail.simulation.clock import VirtualClock
 
 REFUSED_CONNECTIONS_SHARE = 0.03
+CLIENT_HAS = b"client-has"
+"""Names the event behind which the client itself asks to go on."""
 THINKS_S = (0.0, 0.01, 0.05, 0.3)
 
 
@@ -20,13 +22,18 @@
     """One runner: takes connections, and notes what it was asked and what it sent."""
 
     def __init__(
-        self, name: str, clock: VirtualClock, history: History, draw: random.Random
+        self,
+        name: str,
+        clock: VirtualClock,
+        history: History,
+        draw: random.Random,
+        drawer: AnswerDrawer,
     ) -> None:
         self.name = name
         self.clock = clock
         self._history = history
         self._draw = draw
-        self._drawer = AnswerDrawer(draw)
+        self._drawer = drawer
 
     def accept(self) -> Protocol | None:
         """Take a connection, or refuse it at times."""
@@ -44,7 +51,8 @@
         after = header_text(fields, b"last-event-id")
         kind = Kind(head.target.decode().split("/")[1])
         request = header_text(fields, b"rainsail-request")
-        asked = Asked(request, kind, int(after) if after else None)
+        taken_up = after != header_text(fields, CLIENT_HAS)
+        asked = Asked(request, kind, int(after) if after else None, taken_up)
         answer = self._drawer.answer(asked)
         self._history.runs.append(
             RunnerRun(
--- a/features/support/relay_soak/soak.py
+++ b/features/support/relay_soak/soak.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 
+from features.support.relay_soak.answers import AnswerDrawer
 from features.support.relay_soak.checks import Judge
 from features.support.relay_soak.client import HOST, SoakClient
 from features.support.relay_soak.content import last_event
@@ -49,7 +50,7 @@
 class RelaySoak:
     """One soak; ``violations`` says what went wrong, ``counts`` what there was to judge."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, spoils_beginnings: bool = True) -> None:
         self._seed = seed
         self._draw = random.Random(seed)
         self._clock = VirtualClock()
@@ -59,6 +60,7 @@
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
         self._asked = 0
+        self._drawer = AnswerDrawer(self._draw, spoils_beginnings)
         self._start_gateway()
         for number in range(1, RUNNERS + 1):
             self._start_runner(number)
@@ -67,11 +69,20 @@
         """Send everything, wait until every request has had its time, and judge."""
         for _ in range(CONNECTIONS):
             self._clock.callLater(self._draw.uniform(0, SECONDS), self._open_client)
-        self._clock.run_until(SECONDS + (MOST_REQUESTS + 1) * TIMEOUT_S)
+        self._run_until(SECONDS + (MOST_REQUESTS + 1) * TIMEOUT_S)
         judge = Judge(self.history)
-        self.violations = judge.violations()
+        self.violations += judge.violations()
         self._count(judge)
 
+    def _run_until(self, until_s: float) -> None:
+        """Let time pass; whatever the gateway raises on the way breaks a promise, too."""
+        going_on = True
+        while going_on:
+            try:
+                going_on = self._clock.run_next(until_s)
+            except Exception as error:
+                self.violations.append(f"at {self._clock.seconds():.3f} s was raised: {error!r}")
+
     def _start_gateway(self) -> None:
         clock, reactor = self._clock, self._reactor
         self._context = make_context(
@@ -98,7 +109,7 @@
 
     def _start_runner(self, number: int) -> None:
         name, host = f"runner-{number}", f"10.0.0.{number}"
-        runner = SoakRunner(name, self._clock, self.history, self._draw)
+        runner = SoakRunner(name, self._clock, self.history, self._draw, self._drawer)
         self._reactor.listen(host, runner.accept)
         self._registry.take(
             (RunnerRecord(name, SERVICE, f"{host}:80", "zone-1", 8, RunnerState.READY, 0.0, 1),)
--- a/tools/relay_soak.py
+++ b/tools/relay_soak.py
@@ -26,11 +26,16 @@
     """Run the seeds that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-20", help="one seed, or the first and the last one")
+    parser.add_argument(
+        "--whole-beginnings",
+        action="store_true",
+        help="have no stream lack its first event, or have it spoilt, or end without any",
+    )
     arguments = parser.parse_args()
     counts: Counter[str] = Counter()
     broken = []
     for seed in _seeds(arguments.seeds):
-        soak = RelaySoak(seed)
+        soak = RelaySoak(seed, not arguments.whole_beginnings)
         soak.run()
         counts += soak.counts
         if soak.violations:
