Process soak: runners die in order amid streams, fail resumed runs and frame no length

Runners close in order amid a stream, answer 500 to a share of requests, of runs that take a stream up and of items, and send a share of streams with neither a length nor chunks. The checks take every answer of 408, 421, 429 and 503 as a promise, for all kinds of requests (before: 429 and 503 of unsafe ones), and a failure's body has to be whole. A job that doesn't end is a finding of the verdict, with its last page, where the soak before ended without one.

--- a/features/platform/soak.feature
+++ b/features/platform/soak.feature
@@ -9,6 +9,10 @@
       | an unsafe request ran at two runners        | ran twice            |
       | a refused request ran                       | refused and run      |
       | a stream ended as complete without its end  | not whole            |
+      | a stream goes on with a failure             | not whole            |
+      | a failure has half its body                 | not whole            |
+      | a refused stream ran                        | refused and run      |
+      | an item's text lacks its end                | not whole            |
       | an answer has no runner's signature         | unsigned             |
       | an acknowledged configuration is read older | old configuration    |
       | a result changed between two reads          | changed result       |
--- a/features/steps/process_soak_steps.py
+++ b/features/steps/process_soak_steps.py
@@ -9,6 +9,7 @@
     History,
     Page,
     Read,
+    failure_body,
     violations,
 )
 
@@ -41,6 +42,15 @@
             history.runs.append("r-3")
         case "a stream ended as complete without its end":
             history.answers.append(Answer("r-4", "stream", 200, b"", WHOLE_STREAM[:30], True))
+        case "a stream goes on with a failure":
+            body = WHOLE_STREAM[:30] + failure_body("r-4")
+            history.answers.append(Answer("r-4", "stream", 200, b"", body, True))
+        case "a failure has half its body":
+            history.answers.append(Answer("r-4", "safe", 500, b"a", failure_body("r-4")[:5], True))
+        case "a refused stream ran":
+            history.answers.append(Answer("r-2", "stream", 503, b"", b"", False))
+        case "an item's text lacks its end":
+            history.pages.append(Page(JOB, 200, 2, (("item-1", "done", WHOLE_TEXT[:9]),)))
         case "an answer has no runner's signature":
             history.answers.append(Answer("r-4", "safe", 200, b"a", b"echo a", False))
         case "an acknowledged configuration is read older":
@@ -81,3 +91,5 @@
     soak = context.soak
     assert soak.violations == (), soak
     assert soak.served and soak.jobs and soak.versions, soak
+    for fault in ("crashes", "failures of resumed runs", "unframed streams"):
+        assert soak.runner_faults[fault], soak
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -22,6 +22,14 @@
 
 from features.support.command_line import ROOT
 from features.support.reactor_thread import in_reactor, reactor
+from features.support.soak_history import failure_body
+from features.support.stand_in_faults import (
+    ChunkedStream,
+    Crash,
+    RunnerFaults,
+    StandInStream,
+    UnframedStream,
+)
 from rig.daemon import die_with_parent
 
 from rainsail.http.exchange import Exchange
@@ -110,6 +118,8 @@
     event_pause_s: float = 0.0
     together: list["StandInRunner"] = field(default_factory=list)
     """All runners: only the first of them breaks its stream off."""
+    faults: RunnerFaults | None = None
+    """Draws the faults of a soak."""
     leaving: bool = False
     sequence: int = 0
     server: Any = None
@@ -133,31 +143,45 @@
         if header_text(fields, b"authorization") or header_text(fields, b"tenant") != TENANT:
             self.misnamed.append(request)
         answer = [(b"Request-Id", request.encode()), (b"Response-Stamp", b"stamp-1")]
-        if b"/stream/" in exchange.request.target or b"/jobs/" in exchange.request.target:
-            self._stream(exchange, answer)
+        target = exchange.request.target
+        after = header_text(fields, b"last-event-id")
+        if self.faults and self.faults.fails(request, b"/jobs/" in target, bool(after)):
+            exchange.answer(500, tuple(answer), failure_body(request))
+        elif b"/stream/" in target or b"/jobs/" in target:
+            self._stream(exchange, answer, after)
         else:
             exchange.answer(200, tuple(answer), b"echo " + exchange.request.body)
 
-    def _stream(self, exchange: Exchange, answer: list[tuple[bytes, bytes]]) -> None:
-        after = header_text(exchange.request.headers, b"last-event-id")
+    def _stream(self, exchange: Exchange, answer: list[tuple[bytes, bytes]], after: str) -> None:
         if after:
             self.resumed_after.append(after)
         answer.append((b"Content-Type", b"text/event-stream"))
-        exchange.begin(200, tuple(answer))
-        self._send_event(exchange, int(after or 0) + 1)
-
-    def _send_event(self, exchange: Exchange, number: int) -> None:
+        first = int(after or 0) + 1
+        is_item = b"/jobs/" in exchange.request.target
+        unframed = self.faults is not None and self.faults.is_unframed()
+        crash = self.faults and self.faults.crash(first, EVENTS, unframed, is_item)
+        kind = UnframedStream if unframed else ChunkedStream
+        self._send_event(exchange, kind(exchange, tuple(answer)), first, crash)
+
+    def _send_event(
+        self, exchange: Exchange, stream: StandInStream, number: int, crash: Crash | None
+    ) -> None:
         if self.break_after is not None and number > self.break_after:
             for each in self.together:
                 each.break_after = None
-            exchange.write(b"id: 99\nda")
+            stream.write(b"id: 99\nda")
             exchange.abort()
             return
         if number > EVENTS:
-            exchange.end()
+            stream.end()
+            return
+        event = f"id: {number}\ndata: text {number}\n\n".encode()
+        if crash is not None and number == crash.event:
+            stream.write(event[: int(len(event) * crash.part)])
+            stream.close()
             return
-        exchange.write(f"id: {number}\ndata: text {number}\n\n".encode())
-        reactor.callLater(self.event_pause_s, self._send_event, exchange, number + 1)
+        stream.write(event)
+        reactor.callLater(self.event_pause_s, self._send_event, exchange, stream, number + 1, crash)
 
 
 class StandInPlatform:
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -15,11 +15,14 @@
 
 from features.support.platform_stand_in import (
     CONTROL_PORT,
+    LIMIT_S,
+    LOOK_PERIOD_S,
     ZONE_DRAIN_S,
     StandInPlatform,
     wait_until,
 )
 from features.support.soak_history import Answer, History, Page, Read, unfinished, violations
+from features.support.stand_in_faults import RunnerFaults
 
 CLIENTS = 3
 RUNNERS = 4
@@ -42,6 +45,7 @@
     served: int
     versions: int
     jobs: int
+    runner_faults: dict[str, int]
 
 
 class ProcessSoak:
@@ -54,6 +58,7 @@
         self._lock = threading.Lock()
         self._over = threading.Event()
         self._faults: list[str] = []
+        self._runner_faults = RunnerFaults(seed)
         self._client_seeds = [self._random.random() for _ in range(CLIENTS)]
         self._strikes: tuple[Callable[[], str], ...] = (
             self._kill_one,
@@ -74,7 +79,7 @@
         """Strike so many times, mend everything, and judge."""
         platform = self._platform
         for _ in range(RUNNERS):
-            platform.add_runner()
+            self._add_runner()
         platform.configure()
         wait_until(self._all_ready, "every gateway ready")
         workers = [threading.Thread(target=self._client, args=(s,)) for s in self._client_seeds]
@@ -106,7 +111,10 @@
             for runner in self._platform.runners
             for request in runner.ran_in_drain
         ]
-        found += [f"unfinished job: {job}" for job in unfinished(history)]
+        newest = {page.job: page for page in history.pages}
+        found += [
+            f"unfinished job: {job}, last read as {newest.get(job)}" for job in unfinished(history)
+        ]
         served = sum(answer.status == 200 for answer in history.answers)
         return SoakResult(
             tuple(self._faults),
@@ -115,6 +123,7 @@
             served,
             len(history.acknowledged),
             len(history.accepted),
+            dict(self._runner_faults.struck),
         )
 
     # --- faults --------------------------------------------------------------------------
@@ -175,9 +184,12 @@
         runner = self._random.choice(staying)
         runner.leaving = True
         self._platform.beat(runner, "draining")
-        self._platform.add_runner()
+        self._add_runner()
         return f"{runner.runner} leaves"
 
+    def _add_runner(self) -> None:
+        self._platform.add_runner().faults = self._runner_faults
+
     def _runners_misbehave(self) -> str:
         refuse, break_after = self._random.randrange(4), self._random.choice((None, 0, 2))
         for runner in self._platform.runners:
@@ -279,7 +291,10 @@
             self._history.reads.append(Read(begun_s, json.loads(body)["version"]))
 
     def _read_to_the_end(self) -> None:
-        """Read what was kept once all is calm: the configuration, and every job to its end."""
+        """Read what was kept once all is calm: the configuration, and every job to its end.
+
+        A job that doesn't come to its end is left to the verdict.
+        """
         reads = len(self._history.reads)
 
         def read() -> bool:
@@ -288,9 +303,8 @@
 
         wait_until(read, "a read of the configuration")
 
-        def finished() -> bool:
+        until_s = time.monotonic() + LIMIT_S
+        while unfinished(self._history) and time.monotonic() < until_s:
             for job in unfinished(self._history):
                 self._read_job(self._names("gateway")[0], job)
-            return not unfinished(self._history)
-
-        wait_until(finished, "every job done")
+            time.sleep(LOOK_PERIOD_S)
--- a/features/support/soak_history.py
+++ b/features/support/soak_history.py
@@ -9,7 +9,12 @@
 EVENTS = 5
 WHOLE_STREAM = "".join(f"id: {n}\ndata: text {n}\n\n" for n in range(1, EVENTS + 1)).encode()
 WHOLE_TEXT = "\n".join(f"text {n}" for n in range(1, EVENTS + 1))
-NOT_RUN_STATUSES = (429, 503)
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+def failure_body(request: str) -> bytes:
+    """Return the body of a runner's own failure."""
+    return f"{request} failed at its runner".encode()
 
 
 @dataclass(frozen=True)
@@ -71,6 +76,8 @@
 def _answer_violations(history: History) -> list[str]:
     found = []
     for answer in history.answers:
+        if answer.status >= 400 and answer.body not in (b"", failure_body(answer.request)):
+            found.append(f"not whole: {answer.request} failed with {answer.body!r}")
         if answer.status != 200:
             continue
         if not answer.signed:
@@ -85,9 +92,7 @@
     found = []
     runs = Counter(history.runs)
     for answer in history.answers:
-        if answer.kind != "once":
-            continue
-        if runs[answer.request] > 1:
+        if answer.kind == "once" and runs[answer.request] > 1:
             found.append(f"ran twice: {answer.request}")
         if answer.status in NOT_RUN_STATUSES and runs[answer.request]:
             found.append(f"refused and run: {answer.request} was answered {answer.status}")
