--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -30,8 +30,8 @@
 
   Scenario Outline: The soak catches a relay that <defect>
     Given a relay that <defect>
-    When clients of a relay meet such runners, drawn from seed 1
-    Then the check on this defect has found it broken
+    When its clients meet such runners, drawn from seed 1, with the defect and without it
+    Then the check on this defect finds it, and finds nothing without it
 
     Examples:
       | defect                                     |
--- a/features/steps/relay_soak_steps.py
+++ b/features/steps/relay_soak_steps.py
@@ -12,9 +12,15 @@
 @given("a relay that {defect}")
 def with_relay_defect(context, defect):
     context.relay_defect = DEFECTS[defect]
-    patch = context.relay_defect.patch()
-    patch.start()
-    context.add_cleanup(patch.stop)
+
+
+@when("its clients meet such runners, drawn from seed {seed:d}, with the defect and without it")
+def run_relay_soaks(context, seed):
+    context.defective = RelaySoak(seed, spoils_beginnings=False)
+    with context.relay_defect.in_place():
+        context.defective.run()
+    context.sound = RelaySoak(seed, spoils_beginnings=False)
+    context.sound.run()
 
 
 @when("clients of a relay meet such runners, drawn from seed {seed:d}")
@@ -43,8 +49,10 @@
     assert counts["taken_up_and_failed"] >= LEAST_FAILED, counts
 
 
-@then("the check on this defect has found it broken")
+@then("the check on this defect finds it, and finds nothing without it")
 def defect_found(context):
     words = context.relay_defect.words
-    found = context.relay_soak.violations
+    found = context.defective.violations
     assert any(words in each for each in found), found
+    found = context.sound.violations
+    assert not any(words in each for each in found), found
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -2,7 +2,13 @@
 
 from collections import defaultdict
 
-from features.support.relay_soak.content import events, last_event, whole_body, whole_stream
+from features.support.relay_soak.content import (
+    events,
+    failure_body,
+    last_event,
+    whole_body,
+    whole_stream,
+)
 from features.support.relay_soak.history import (
     ClientRequest,
     Ending,
@@ -93,6 +99,9 @@
         if self._could_be_whole(asked):
             self.unclear += 1
             return []
+        statuses = {run.status for run in self._runs[asked.request]}
+        if any(failure_body(asked.request, each, 0) in asked.body for each in statuses):
+            return ["ended as complete with a runner's failure in it"]
         return [f"ended as complete with {_what_is_wrong(asked)}"]
 
     def _could_be_whole(self, asked: ClientRequest) -> bool:
--- a/features/support/relay_soak/defects.py
+++ b/features/support/relay_soak/defects.py
@@ -1,30 +1,50 @@
 """Known-bad variants of the relay: each breaks one promise that the soak's checks have to see."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from typing import Any
 from unittest import mock
 
 from rainsail.relay import client_answer
 from rainsail.relay.attempt import Attempt
+from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.run import STATUS_UNAVAILABLE, RelayRun
 
 
 @dataclass(frozen=True)
-class Defect:
-    """Replaces ``owner.attribute``; ``words`` are those of the check that has to see it."""
+class Patch:
+    """Replaces ``owner.attribute`` by what ``make`` returns for the original."""
 
     owner: Any
     attribute: str
     make: Callable[[Any], Any]
-    """Takes the original and returns what stands in for it."""
-    words: str
 
-    def patch(self) -> Any:
+    def prepared(self) -> Any:
         """Return the patch, to be started."""
-        return mock.patch.object(
-            self.owner, self.attribute, self.make(getattr(self.owner, self.attribute))
-        )
+        original = getattr(self.owner, self.attribute)
+        return mock.patch.object(self.owner, self.attribute, self.make(original))
+
+
+@dataclass(frozen=True)
+class Defect:
+    """A variant; ``words`` are those of the check that has to see it."""
+
+    words: str
+    patches: tuple[Patch, ...]
+
+    @contextmanager
+    def in_place(self) -> Iterator[None]:
+        """Have the relay this defect for a while."""
+        with ExitStack() as stack:
+            for patch in self.patches:
+                stack.enter_context(patch.prepared())
+            yield
+
+
+def _take_any_answer(original: Any) -> Any:
+    """Take whatever a runner answers for a part of the client's answer."""
+    return lambda self, attempt: True
 
 
 def _append_failures(original: Any) -> Any:
@@ -46,13 +66,13 @@
     """End a stream as complete with whatever came last."""
 
     def answer_ended(self: Attempt) -> None:
-        if not self.is_stream:
+        if self.stream is None:
             original(self)
         elif self._end():
             run: Any = self._owner
             run._attempt = None
             run._answer._begin(self)
-            run._exchange.write(self.splitter.rest)
+            run._exchange.write(self.stream.rest)
             run._answer.end()
             run._finish("completed")
 
@@ -71,11 +91,19 @@
 
 DEFECTS = {
     "appends a failure to a stream that goes on": Defect(
-        RelayRun, "answer_came", _append_failures, "foreign bytes"
+        "a runner's failure in it",
+        (
+            Patch(ClientAnswer, "may_include", _take_any_answer),
+            Patch(RelayRun, "answer_came", _append_failures),
+        ),
     ),
     "ends half an event as complete": Defect(
-        Attempt, "answer_ended", _end_half_events, "half an event"
+        "half an event", (Patch(Attempt, "answer_ended", _end_half_events),)
+    ),
+    "lets a hole through": Defect(
+        "a hole", (Patch(client_answer, "leaves_hole", _let_holes_through),)
+    ),
+    "tells 503 after a run": Defect(
+        "told 503 after a run", (Patch(RelayRun, "_refuse", _always_promise),)
     ),
-    "lets a hole through": Defect(client_answer, "leaves_hole", _let_holes_through, "a hole"),
-    "tells 503 after a run": Defect(RelayRun, "_refuse", _always_promise, "told 503 after a run"),
 }
