--- a/src/rainsail/jobs/work.py
+++ b/src/rainsail/jobs/work.py
@@ -18,8 +18,8 @@
 class Work:
     """One item's progress and its run, if it has one now.
 
-    ``ran_s`` sums up the runs that have ended; ``noted`` is how many events the replicated state
-    knows of; ``fruitless_runs`` how many in a row have broken without a new event.
+    ``ran_s`` sums up the runs that have ended; ``noted`` is how many events stand in notes that
+    were not refused; ``fruitless_runs`` how many in a row have broken without a new event.
     """
 
     job: str
