--- /dev/null
+++ b/features/support/relay_soak/defects.py
@@ -0,0 +1,109 @@
+"""Known-bad variants of the relay: each breaks one promise that the soak's checks have to see."""
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from rainsail.relay import client_answer
+from rainsail.relay.attempt import Attempt
+from rainsail.relay.client_answer import ClientAnswer
+from rainsail.relay.run import STATUS_UNAVAILABLE, RelayRun
+
+
+@dataclass(frozen=True)
+class Patch:
+    """Replaces ``owner.attribute`` by what ``make`` returns for the original."""
+
+    owner: Any
+    attribute: str
+    make: Callable[[Any], Any]
+
+    def prepared(self) -> Any:
+        """Return the patch, to be started."""
+        original = getattr(self.owner, self.attribute)
+        return mock.patch.object(self.owner, self.attribute, self.make(original))
+
+
+@dataclass(frozen=True)
+class Defect:
+    """A variant; ``words`` are those of the check that has to see it."""
+
+    words: str
+    patches: tuple[Patch, ...]
+
+    @contextmanager
+    def in_place(self) -> Iterator[None]:
+        """Have the relay this defect for a while."""
+        with ExitStack() as stack:
+            for patch in self.patches:
+                stack.enter_context(patch.prepared())
+            yield
+
+
+def _take_any_answer(original: Any) -> Any:
+    """Take whatever a runner answers for a part of the client's answer."""
+    return lambda self, attempt: True
+
+
+def _append_failures(original: Any) -> Any:
+    """Take the end of any answer for the end of the client's answer."""
+
+    def answer_came(self: RelayRun, attempt: Attempt) -> None:
+        if not self._answer.begun:
+            original(self, attempt)
+            return
+        self._attempt = None
+        self._answer.write_body(attempt)
+        self._answer.end()
+        self._finish("completed")
+
+    return answer_came
+
+
+def _end_half_events(original: Any) -> Any:
+    """End a stream as complete with whatever came last."""
+
+    def answer_ended(self: Attempt) -> None:
+        if self.stream is None:
+            original(self)
+        elif self._end():
+            run: Any = self._owner
+            run._attempt = None
+            run._answer._begin(self)
+            run._exchange.write(self.stream.rest)
+            run._answer.end()
+            run._finish("completed")
+
+    return answer_ended
+
+
+def _let_holes_through(original: Any) -> Any:
+    """Take any event for the next one."""
+    return lambda event, last_event: False
+
+
+def _always_promise(original: Any) -> Any:
+    """Refuse with 503 whether or not a runner may have run the request."""
+    return lambda self, status, reason: original(self, STATUS_UNAVAILABLE, reason)
+
+
+DEFECTS = {
+    "appends a failure to a stream that goes on": Defect(
+        "a runner's failure in it",
+        (
+            Patch(ClientAnswer, "may_include", _take_any_answer),
+            Patch(RelayRun, "answer_came", _append_failures),
+        ),
+    ),
+    "ends half an event as complete": Defect(
+        "half an event", (Patch(Attempt, "answer_ended", _end_half_events),)
+    ),
+    "lets a hole through": Defect(
+        "a hole", (Patch(client_answer, "leaves_hole", _let_holes_through),)
+    ),
+    "tells 503 after a run": Defect(
+        "told 503 after a run", (Patch(RelayRun, "_refuse", _always_promise),)
+    ),
+}
