Sight of requests that end runners: the lines of broken sendings name the request's fingerprint

Change: attempt_broke and item_run_ended carry a digest of tenant, host, method, path and body, so that repetitions under other ids can be told.

--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -26,6 +26,7 @@
 from rainsail.jobs.work import Work, note_of, taken_up
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
+from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_of, name_of
 from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import Route, RoutingTable
@@ -40,6 +41,7 @@
 RETRY_PAUSE_S = 0.25
 FAILED_RUNNER_PAUSE_S = 1.5
 """A runner that broke a run off takes no items for this long."""
+ITEM_METHOD = b"POST"
 SILENT_RUN_S = 4.0
 """A run from which nothing comes for this long goes on elsewhere."""
 
@@ -421,6 +423,7 @@
         if end != RunEnd.WHOLE:
             item = self._item_id(work)
             log = logger.bind(job=self._job_id(work), item=item, runner=work.runner, reason=reason)
+            log = log.bind(fingerprint=name_of(self._fingerprint(work)))
             log.bind(end=end.value, last_event=work.progress.last_event).info("item_run_ended")
         self._judge(work, end)
 
@@ -456,6 +459,16 @@
         job = self._state.jobs.get(work.job)
         return "" if job is None else job.items[work.index].item
 
+    def _fingerprint(self, work: Work) -> Fingerprint:
+        """Return what an item has in common with its repetitions."""
+        job = self._state.jobs.get(work.job)
+        if not work.fingerprint and job is not None:
+            item = job.items[work.index]
+            work.fingerprint = fingerprint_of(
+                job.tenant, job.host, ITEM_METHOD, item.path.encode(), item.body
+            )
+        return work.fingerprint
+
     def _tokens_of(self, work: Work) -> int:
         job = self._state.jobs.get(work.job)
         return 0 if job is None else job.items[work.index].tokens
--- a/src/rainsail/jobs/work.py
+++ b/src/rainsail/jobs/work.py
@@ -5,6 +5,7 @@
 from rainsail.http.pool import Call
 from rainsail.jobs.item_run import ItemProgress, ItemRun
 from rainsail.jobs.job_state import NO_EVENT, RelayedJob
+from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.job_commands import ItemNote
 
 FRUITLESS_RUNS_AT_ONCE = 3
@@ -36,6 +37,8 @@
     noted: int = 0
     events_at_start: int = 0
     fruitless_runs: int = 0
+    fingerprint: Fingerprint = b""
+    """Empty until it is first needed."""
 
     @property
     def events(self) -> int:
--- /dev/null
+++ b/src/rainsail/quarantine/fingerprint.py
@@ -0,0 +1,31 @@
+"""What tells that two requests are the same one, whoever takes them and under whatever id.
+
+The digest stands for the caller's tenant, the host, the method, the path and the body. Headers that
+change from try to try (ids, deadlines, positions) are left out. It is cryptographic, so that nobody
+can make a request that is taken for another caller's.
+"""
+
+from hashlib import blake2b
+
+Fingerprint = bytes
+"""``DIGEST_BYTES`` bytes."""
+
+DIGEST_BYTES = 16
+_LENGTH_BYTES = 8
+_PURPOSE = b"rainsail.request"
+
+
+def fingerprint_of(
+    tenant: str, host: str, method: bytes, target: bytes, body: bytes
+) -> Fingerprint:
+    """Return the digest of a request; ``target`` is its path with the query."""
+    digest = blake2b(digest_size=DIGEST_BYTES, person=_PURPOSE)
+    for part in (tenant.encode(), host.encode(), method, target, body):
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def name_of(fingerprint: Fingerprint) -> str:
+    """Return a fingerprint as logs and operators write it: in hexadecimal digits."""
+    return fingerprint.hex()
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -10,6 +10,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.exchange import Exchange
 from rainsail.logs import logger
+from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_of, name_of
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.context import RelayContext
@@ -61,6 +62,7 @@
         self._expiry: Timer | None = None
         self._silence = SilenceWatch(context, self._leave_silent)
         self._last_reason = ""
+        self._fingerprint: Fingerprint = b""
         self.outcome = ""
         exchange.on_left(self._client_left)
 
@@ -113,6 +115,20 @@
         """What may be repeated of the request."""
         return self._route.kind
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """What this request has in common with its repetitions; made when it is first asked for."""
+        if not self._fingerprint:
+            request = self._exchange.request
+            self._fingerprint = fingerprint_of(
+                self._identity.tenant,
+                self._facts.host,
+                request.method,
+                request.target,
+                request.body,
+            )
+        return self._fingerprint
+
     @property
     def sends(self) -> int:
         """How many runners it was sent to."""
@@ -374,6 +390,7 @@
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
+            fingerprint=name_of(self.fingerprint),
             reason=reason,
             last_event=self._answer.last_event,
         ).info("attempt_broke")
