--- /dev/null
+++ b/features/quarantine/fatal_requests.feature
@@ -0,0 +1,26 @@
+Feature: A body that ends the runners that run it stops reaching runners, at every gateway
+
+  Runners of one service ended one after the other, each about 0.1 s after a request had been sent to
+  it. Thirteen had ended when it was noticed. The requests had ids of their own, came to five gateways,
+  and each was sent once, as its route allows:
+
+      attempt_broke  request de1693db550011a0  runner i-60063aacf6  connection closed  last_event None
+      request_failed sends 1  answers "200 chunked"  runners i-60063aacf6  took_ms 84
+
+  All carried one body. A gateway judged each request alone, its end was told to nobody, and the next
+  request with the same body began anew at zero. So a body is known by a digest now, and what ended a
+  runner is counted over the whole fleet.
+
+  Scenario: A stream that comes again and again, at one gateway after the other
+    Given a fleet of 3 gateways whose runners end when they run the fatal body
+    And others send 20 requests a second for 30 s
+    When the fatal body comes each 0.7 s for 25 s, at one gateway after the other
+    Then at most 3 of its runs began later than 3 s after it had ended a third runner
+    And the others were served but for streams that a runner's end broke
+
+  Scenario: An item of a job
+    Given a fleet of 3 gateways whose runners end when they run the fatal body
+    When a job with the fatal body among its 6 items is handed in
+    And 60 s go by
+    Then at most 3 of its runs began later than 3 s after it had ended a third runner
+    And the other 5 items are done
--- /dev/null
+++ b/features/support/dying_runners.py
@@ -0,0 +1,164 @@
+"""Runners in virtual time: they answer with streams, one body ends the runner that begins to run
+it, and a runner that has ended is back a while later."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from features.support.relaying import SERVICE, StandInCall, event
+
+from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.http.client import OutgoingRequest
+from rainsail.simulation.clock import VirtualClock
+
+FATAL_BODY = b"fatal"
+NETWORK_S = 0.001
+BEGINS_AFTER_S = 0.02
+DIES_AFTER_S = 0.1
+EVENT_PERIOD_S = 0.1
+EVENTS = 5
+BACK_AFTER_S = 1.5
+HEARTBEAT_PERIOD_S = 1.0
+SLOTS = 8
+
+
+@dataclass
+class DyingRunner:
+    """One address and the incarnation there; ``ends`` are the moments at which one ended."""
+
+    number: int
+    lives: int = 1
+    is_up: bool = True
+    sequence: int = 0
+    calls: list[StandInCall] = field(default_factory=list)
+    ends: list[float] = field(default_factory=list)
+
+    @property
+    def address(self) -> str:
+        """Its address, whatever incarnation is there."""
+        return f"10.9.0.{self.number}:80"
+
+    @property
+    def runner(self) -> str:
+        """The id: every second runner comes back under the one that it had."""
+        return f"runner-{self.number}" + (f"-{self.lives}" if self.number % 2 else "")
+
+
+class DyingRunners:
+    """All runners of a fleet; each pool that this makes is one node's connections to them."""
+
+    def __init__(
+        self, clock: VirtualClock, count: int, tell: Callable[[RunnerRecord], None]
+    ) -> None:
+        """``tell`` gets each heartbeat."""
+        self.clock = clock
+        self._tell = tell
+        self.runners = [DyingRunner(number) for number in range(1, count + 1)]
+        self.fatal_runs: list[float] = []
+        """When the fatal body began to run."""
+        self.answers_events: Callable[[bytes], bool] = lambda body: True
+        for runner in self.runners:
+            self._beat(runner, runner.lives)
+
+    @property
+    def ends(self) -> list[float]:
+        """The moments at which a runner ended, in order."""
+        return sorted(moment for runner in self.runners for moment in runner.ends)
+
+    def at(self, address: str) -> DyingRunner:
+        """Return the runner of an address."""
+        return next(runner for runner in self.runners if runner.address == address)
+
+    def _beat(self, runner: DyingRunner, life: int) -> None:
+        if not runner.is_up or runner.lives != life:
+            return
+        runner.sequence += 1
+        self._tell(
+            RunnerRecord(
+                runner.runner,
+                SERVICE,
+                runner.address,
+                f"zone-{runner.number % 3}",
+                SLOTS,
+                RunnerState.READY,
+                0.0,
+                runner.sequence,
+            )
+        )
+        self.clock.callLater(HEARTBEAT_PERIOD_S, self._beat, runner, life)
+
+    # --- requests ------------------------------------------------------------------------
+
+    def take(self, call: StandInCall) -> None:
+        """A request arrives."""
+        runner = self.at(call.address)
+        if call.cancelled:
+            return
+        if not runner.is_up:
+            call.listener.request_unsent("refused")
+            return
+        runner.calls.append(call)
+        self.clock.callLater(BEGINS_AFTER_S, self._begin, runner, call)
+
+    def _begin(self, runner: DyingRunner, call: StandInCall) -> None:
+        if call.cancelled or call not in runner.calls:
+            return
+        call.begin_stream()
+        if call.request.body == FATAL_BODY:
+            self.fatal_runs.append(self.clock.seconds())
+            self.clock.callLater(DIES_AFTER_S, self.end, runner, runner.lives)
+            return
+        first = int(call.field(b"after-event") or 0) + 1
+        self.clock.callLater(EVENT_PERIOD_S, self._send_event, runner, call, first)
+
+    def _send_event(self, runner: DyingRunner, call: StandInCall, number: int) -> None:
+        if call.cancelled or call not in runner.calls:
+            return
+        call.listener.answer_data(event(number))
+        if number < EVENTS:
+            self.clock.callLater(EVENT_PERIOD_S, self._send_event, runner, call, number + 1)
+            return
+        runner.calls.remove(call)
+        call.listener.answer_ended()
+
+    # --- ends ----------------------------------------------------------------------------
+
+    def end(self, runner: DyingRunner, life: int, back_after_s: float = BACK_AFTER_S) -> None:
+        """End a runner: each connection to it closes in order."""
+        if not runner.is_up or runner.lives != life:
+            return
+        runner.is_up = False
+        runner.ends.append(self.clock.seconds())
+        calls, runner.calls = runner.calls, []
+        for call in calls:
+            if not call.cancelled:
+                call.listener.answer_failed("connection closed")
+        self.clock.callLater(back_after_s, self._come_back, runner)
+
+    def _come_back(self, runner: DyingRunner) -> None:
+        runner.is_up = True
+        runner.lives += 1
+        runner.sequence = 0
+        self._beat(runner, runner.lives)
+
+
+class RunnerPool:
+    """One node's connections to the runners."""
+
+    def __init__(self, runners: DyingRunners) -> None:
+        self._runners = runners
+        self.opened = 0
+
+    def send(
+        self, address: str, request: OutgoingRequest, listener: Any, fresh: bool = False
+    ) -> StandInCall:
+        """Hand a request over."""
+        call = StandInCall(address, request, listener)
+        self._runners.clock.callLater(NETWORK_S, self._runners.take, call)
+        return call
+
+    def forget(self, address: str) -> None:
+        """No connection rests here."""
+
+    def close_stale(self) -> None:
+        """No connection rests here."""
--- /dev/null
+++ b/features/support/fatal_request_fleet.py
@@ -0,0 +1,171 @@
+"""A relaying fleet in virtual time whose runners end when they begin to run one body."""
+
+import random
+from dataclasses import replace
+from typing import Any
+
+from expression import Ok
+from features.support.dying_runners import FATAL_BODY, DyingRunners, RunnerPool
+from features.support.relayed_fleet import COMPLETION_S, JOB_PREFIX, RelayedFleet
+from features.support.relaying import HOST, SERVICE, PlainProtocol, StandInExchange
+
+from rainsail.fleet.base import NodeBase
+from rainsail.http.exchange import HttpRequest
+from rainsail.http.server import HttpLimits
+from rainsail.jobs.client import JobClient
+from rainsail.relay.context import make_context
+from rainsail.relay.gateway import RelayGateway
+from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.settings import RelaySettings
+from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
+
+PREFIX = "/a/"
+PATH = "/a/1"
+RUNNERS = 8
+GATEWAYS = 3
+DEADLINE_S = 5.0
+
+
+class RequestProtocol(PlainProtocol):
+    """Reads the id of a request from a header."""
+
+    def describe(self, request: HttpRequest) -> RequestFacts:
+        """Return the facts of a request without a prompt."""
+        name = dict(request.headers)[b"request"].decode()
+        path = request.target.decode()
+        return RequestFacts(name, HOST, path, DEADLINE_S, (), 0, 0, None)
+
+
+def read_table(content: bytes) -> Any:
+    """Read a version: resumable streams, and jobs, of one service."""
+    shares = (ServiceShare(SERVICE, 1.0),)
+    stream = Route(
+        "streams", HOST, PREFIX, RouteKind.STREAM, shares, 4.0, 0.3, max_attempts=2, resumable=True
+    )
+    jobs = replace(
+        stream,
+        name="jobs",
+        prefix=JOB_PREFIX,
+        kind=RouteKind.BATCH,
+        timeout_s=30.0,
+        completion_s=COMPLETION_S,
+    )
+    services = (Service(SERVICE, 100, True),)
+    return Ok(RoutingTable(int(content), (stream, jobs), services, ClientLimits()))
+
+
+class FatalRequestFleet(RelayedFleet):
+    """Controllers, storage nodes and relaying gateways before runners that die."""
+
+    def __init__(self, seed: int, gateways: int = GATEWAYS) -> None:
+        self.relays: dict[str, RelayGateway] = {}
+        self.jobs: dict[str, JobClient] = {}
+        self.runners: DyingRunners | None = None
+        self.exchanges: list[StandInExchange] = []
+        self._draw = random.Random(seed)
+        self._sent = 0
+        super().__init__(seed, gateways=gateways)
+        self.leader("controller")
+        self.leader("storage")
+        self.runners = DyingRunners(self.clock, RUNNERS, self._heartbeat)
+        self.put_table(1)
+        self.run_for(2.0)
+
+    def put_table(self, version: int) -> None:
+        """Put a table in force."""
+        controller = self.controller(self.names("controller")[0])
+        done = controller.replace_table(version, str(version).encode())
+        assert self.result_of(done, "a table").is_ok()
+
+    def table_of(self, content: bytes) -> Any:
+        """Read a table of streams and jobs."""
+        return read_table(content)
+
+    def make_pool(self, clock: Any) -> Any:
+        """Return connections to the runners, which are there a moment later."""
+        return _LatePool(self)
+
+    def make_gateway(self, base: NodeBase) -> Any:
+        """Return a relaying gateway."""
+        context = make_context(
+            base.settings.node.zone,
+            base.clock,
+            base.registry,
+            self.make_pool(base.clock),
+            RequestProtocol(),
+            base.random,
+            RelaySettings(),
+        )
+        gateway = RelayGateway(
+            context, base.follower, base.messenger, read_table, HttpLimits(), base.metrics
+        )
+        gateway.start()
+        name = base.settings.node.name
+        self.relays[name] = gateway
+        self.jobs[name] = super().make_gateway(base)
+        return gateway
+
+    def _heartbeat(self, record: Any) -> None:
+        """Hand a runner's word to a controller that is there."""
+        names = [name for name in self.names("controller") if self.controller(name) is not None]
+        if names:
+            self.controller(self._draw.choice(names)).runner_word(record)
+
+    # --- clients -------------------------------------------------------------------------
+
+    def request(self, gateway: str, body: bytes, path: str = PATH) -> StandInExchange:
+        """Have a client send a request with an id of its own."""
+        self._sent += 1
+        fields = ((b"request", f"request-{self._sent}".encode()),)
+        seconds = self.nodes[gateway].clock.seconds()
+        head = HttpRequest(b"POST", path.encode(), fields, body, seconds)
+        exchange = StandInExchange(head, self.clock)
+        self.exchanges.append(exchange)
+        self.relays[gateway].handle(exchange)
+        return exchange
+
+    def any_gateway(self) -> str:
+        """Return a gateway drawn at random."""
+        return self._draw.choice(self.names("gateway"))
+
+    def send_others(self, period_s: float, until_s: float) -> None:
+        """Send requests with a body of their own each, at gateways drawn at random."""
+        if self.clock.seconds() >= until_s:
+            return
+        self.request(self.any_gateway(), f"body {self._sent}".encode())
+        self.clock.callLater(period_s, self.send_others, period_s, until_s)
+
+    def send_same(self, body: bytes, period_s: float, until_s: float) -> None:
+        """Send one body again and again, at gateways drawn at random."""
+        if self.clock.seconds() >= until_s:
+            return
+        self.request(self.any_gateway(), body)
+        self.clock.callLater(period_s, self.send_same, body, period_s, until_s)
+
+    def answered(self, body: bytes | None = None) -> list[StandInExchange]:
+        """Return the exchanges of a body, or of all bodies but the fatal one."""
+        return [
+            each
+            for each in self.exchanges
+            if (each.request.body == body if body is not None else each.request.body != FATAL_BODY)
+        ]
+
+
+class _LatePool:
+    """A node's connections, made when the runners are."""
+
+    def __init__(self, fleet: FatalRequestFleet) -> None:
+        self._fleet = fleet
+        self._pool: RunnerPool | None = None
+
+    def __getattr__(self, name: str) -> Any:
+        assert self._fleet.runners is not None
+        if self._pool is None:
+            self._pool = RunnerPool(self._fleet.runners)
+        return getattr(self._pool, name)
+
+    def close_stale(self) -> None:
+        """No connection rests here."""
+
+    def forget(self, address: str) -> None:
+        """No connection rests here."""
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -137,18 +137,28 @@
     def _role(self, name: str, kind: str, node: SimulatedNode) -> Any:
         base = node.base
         if kind == "gateway":
-            calls = LeaderCaller(
-                base.messenger, base.clock, None, lambda: base.follower.view().storage
-            )
-            return JobClient(calls)
+            return self.make_gateway(base)
         if name not in self.disks:
             self.disks[name] = SimulatedDisk(self.clock, random.Random(self.random.random()))
         disk = self.disks[name]
         if kind == "controller":
             return ControllerRole(base, disk, node.faults.append, self.clock.seconds)
-        pool = self.pools[name] = StandInPool(base.clock)
+        pool = self.pools[name] = self.make_pool(base.clock)
         protocol = PlainProtocol()
-        return StorageNode(base, protocol, table_of, pool, disk, node.faults.append)  # type: ignore[arg-type]
+        return StorageNode(base, protocol, self.table_of, pool, disk, node.faults.append)  # type: ignore[arg-type]
+
+    def table_of(self, content: bytes) -> Any:
+        """Read a table."""
+        return table_of(content)
+
+    def make_gateway(self, base: NodeBase) -> Any:
+        """Return what a gateway does: here it only hands jobs in."""
+        calls = LeaderCaller(base.messenger, base.clock, None, lambda: base.follower.view().storage)
+        return JobClient(calls)
+
+    def make_pool(self, clock: Any) -> Any:
+        """Return a storage node's connections to runners."""
+        return StandInPool(clock)
 
     def crash(self, name: str) -> None:
         """Cut the power of a machine."""
