Count what ends runners over the whole fleet, and hold the request that does

Cause: each request was judged alone. Class: one input ends many, because what each end tells is kept where it was seen. Change: package quarantine. Sending nodes (gateways, the ledger's leader) find out whether a runner ended when a connection to it does (its address refuses; a reset, a cut or a dark machine is none), and tell every controller they follow which requests ran there. Controllers count ends by request; an answer anywhere clears a request, a held request explains an end for all others. The root group decides and keeps the list; nodes obey it before each sending, have it with each view of the fleet, and controllers' committed copies have it after a loss of all power.

--- a/features/support/dying_runners.py
+++ b/features/support/dying_runners.py
@@ -9,6 +9,7 @@
 
 from rainsail.cluster.messages import RunnerRecord, RunnerState
 from rainsail.http.client import OutgoingRequest
+from rainsail.http.reach import Reach
 from rainsail.simulation.clock import VirtualClock
 
 FATAL_BODY = b"fatal"
@@ -147,7 +148,7 @@
 
     def __init__(self, runners: DyingRunners) -> None:
         self._runners = runners
-        self.opened = 0
+        self.probes = 0
 
     def send(
         self, address: str, request: OutgoingRequest, listener: Any, fresh: bool = False
@@ -157,6 +158,12 @@
         self._runners.clock.callLater(NETWORK_S, self._runners.take, call)
         return call
 
+    def probe(self, address: str, told: Callable[[Reach], None]) -> None:
+        """Tell whether a runner takes connections."""
+        self.probes += 1
+        reach = Reach.OPEN if self._runners.at(address).is_up else Reach.REFUSED
+        self._runners.clock.callLater(NETWORK_S, told, reach)
+
     def forget(self, address: str) -> None:
         """No connection rests here."""
 
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -13,6 +13,7 @@
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.server import HttpLimits
 from rainsail.jobs.client import JobClient
+from rainsail.quarantine.agent import QuarantineAgent
 from rainsail.relay.context import make_context
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.protocol import RequestFacts
@@ -87,14 +88,17 @@
 
     def make_gateway(self, base: NodeBase) -> Any:
         """Return a relaying gateway."""
+        pool = self.make_pool(base.clock)
+        guard = QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics)
         context = make_context(
             base.settings.node.zone,
             base.clock,
             base.registry,
-            self.make_pool(base.clock),
+            pool,
             RequestProtocol(),
             base.random,
             RelaySettings(),
+            guard=guard,
         )
         gateway = RelayGateway(
             context, base.follower, base.messenger, read_table, HttpLimits(), base.metrics
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -1,6 +1,7 @@
 """A gateway's relay over stand-ins: clients' exchanges, and connections that tests answer on."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -8,6 +9,7 @@
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.client import AnswerHead, OutgoingRequest
 from rainsail.http.exchange import HttpRequest
+from rainsail.http.reach import Reach
 from rainsail.mechanisms import Mechanisms
 from rainsail.relay.context import make_context
 from rainsail.relay.protocol import AnswerVerdict, ItemRequest, RequestFacts, RunnerTarget
@@ -146,6 +148,10 @@
         """Note that idle connections were closed."""
         self.forgotten.append(address)
 
+    def probe(self, address: str, told: Callable[[Reach], None]) -> None:
+        """Every runner takes connections."""
+        told(Reach.OPEN)
+
     def close_stale(self) -> None:
         """Nothing rests here."""
 
--- a/src/rainsail/cluster/committed_copy.py
+++ b/src/rainsail/cluster/committed_copy.py
@@ -16,7 +16,8 @@
 from rainsail.cluster.zone_drains import ZoneDrainBook
 from rainsail.errors import Fault, FaultCode
 from rainsail.logs import logger
-from rainsail.state.cluster_commands import ZoneDrain
+from rainsail.quarantine.book import QuarantineBook
+from rainsail.state.cluster_commands import NO_QUARANTINE, Quarantine, ZoneDrain
 from rainsail.storage.interface import FileSystem
 from rainsail.storage.records import RecordKind, encode_record, scan
 from rainsail.wire.codec import CodecError, decode_body, encode_body, wire_record
@@ -30,11 +31,12 @@
 @wire_record
 @dataclass(frozen=True, slots=True)
 class CommittedCopy:
-    """The routing table (version 0: none) and the newest order on each zone."""
+    """The routing table (version 0: none), the orders on zones, and the requests that are held."""
 
     version: int
     content: bytes
     zone_drains: tuple[ZoneDrain, ...]
+    quarantine: Quarantine = NO_QUARANTINE
 
 
 NOTHING = CommittedCopy(0, b"", ())
@@ -43,30 +45,37 @@
 class CommittedCopies:
     """Keeps the newest of what was read, applied here or told by other controllers."""
 
-    def __init__(self, files: FileSystem, state: FleetState, drains: ZoneDrainBook) -> None:
-        """``drains`` has every order on a zone that this controller has heard of."""
+    def __init__(
+        self,
+        files: FileSystem,
+        state: FleetState,
+        drains: ZoneDrainBook,
+        quarantine: QuarantineBook,
+    ) -> None:
+        """``drains`` and ``quarantine`` have what this controller has heard of."""
         self._files = files
         self._state = state
         self._drains = drains
+        self._quarantine = quarantine
         self._told = TableDocument(0, b"")
         self._written = NOTHING
         self._writing = False
 
-    def load(self) -> tuple[ZoneDrain, ...]:
-        """Read the copy; return its orders on zones.
+    def load(self) -> CommittedCopy:
+        """Read the copy and return it.
 
         Without a copy that can be read nothing is told before the group leads.
         """
         try:
             if not self._files.exists(PATH):
-                return ()
+                return NOTHING
             records = scan(self._files.read(PATH), NO_GROUP).records
             if records:
                 self._written = decode_body(CommittedCopy, records[0].body)
         except (OSError, CodecError) as error:
             logger.bind(reason=str(error)).warning("committed_copy_unreadable")
         self._told = TableDocument(self._written.version, self._written.content)
-        return self._written.zone_drains
+        return self._written
 
     def told(self, document: TableDocument) -> None:
         """Take a table that another controller told of."""
@@ -87,7 +96,9 @@
 
     def changed(self) -> None:
         """Write what is known now, unless that has been done; one writing at a time."""
-        copy = CommittedCopy(self.version, self.content, self._drains.orders())
+        copy = CommittedCopy(
+            self.version, self.content, self._drains.orders(), self._quarantine.current
+        )
         if self._writing or copy == self._written:
             return
         self._writing = True
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -1,8 +1,8 @@
 """A controller: what runners, operators and nodes are told, over the root group.
 
-Durable: the routing table, the ledger's founders, the nodes to be emptied and the zone drains
-(``FleetState``, in the root group's log). Soft: the registry of runners and the directory of nodes,
-rebuilt from their own words within one beat.
+Durable: the routing table, the ledger's founders, the nodes to be emptied, the zone drains and the
+requests that are held (``FleetState``, in the root group's log). Soft: the registry of runners and
+the directory of nodes, rebuilt from their own words within one beat.
 """
 
 from dataclasses import dataclass
@@ -50,6 +50,7 @@
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault
 from rainsail.logs import logger
+from rainsail.quarantine.control import QuarantineControl
 from rainsail.runtime.clock import Clock
 from rainsail.state.cluster_commands import ReplaceTable, ZoneDrain
 from rainsail.wire.messenger import Messenger
@@ -122,6 +123,9 @@
         )
         self._founding = LedgerFounding(group, state, self._directory, settings.losses)
         self.zone_drains = ZoneDrainOrders(group, state, self._calls, clock, self._zones)
+        self.quarantine = QuarantineControl(
+            messenger, clock, group, state, follower, self._calls, self._followers
+        )
         self._epoch = node.incarnation
         self._pushed_revision = 0
         self._pushes = PushQueue(clock, self._count_followers, self._push_batch)
@@ -243,13 +247,16 @@
         self._journal.note(changed)
         self._pushes.add(changed)
 
+    def _followers(self) -> tuple[str, ...]:
+        return tuple(self._directory.followers(self._clock.seconds()))
+
     def _count_followers(self) -> int:
-        return len(self._directory.followers(self._clock.seconds()))
+        return len(self._followers())
 
     def _push_batch(self, changed: tuple[RunnerRecord, ...]) -> None:
         previous, self._pushed_revision = self._pushed_revision, self._registry.revision
         update = RunnerUpdate(self._epoch, previous, self._registry.revision, changed)
-        self._messenger.send_all(self._directory.followers(self._clock.seconds()), update)
+        self._messenger.send_all(self._followers(), update)
 
     def _hand_on_reading(self, source: str, message: RunnerReads) -> None:
         """Tell every other gateway that a runner is busy reading."""
@@ -308,6 +315,7 @@
             0 if leading is None else leading[1].term,
             _rounded_up(len(self._directory.live(NodeRole.GATEWAY, now))),
             self._registry.zone_drains.orders(),
+            self._follower.quarantine.current,
         )
 
     def _zones(self) -> frozenset[str]:
@@ -354,14 +362,14 @@
 
     def _applied(self, index: int) -> None:
         self._notice_zone_drains()
+        self.quarantine.applied()
         self._committed.changed()
         if self._state.version <= self._noticed_version:
             return
         self._noticed_version = self._state.version
         self._follower.table_version = self._state.version
         logger.bind(version=self._state.version, index=index).info("table_applied")
-        followers = self._directory.followers(self._clock.seconds())
-        self._messenger.send_all(followers, TableNotice(self._state.version))
+        self._messenger.send_all(self._followers(), TableNotice(self._state.version))
 
     def _notice_zone_drains(self) -> None:
         """Obey orders on zones that were committed, and tell the nodes of them."""
@@ -370,8 +378,7 @@
             return
         self._noticed_drains = drains
         self._follower.take_zone_drains(drains)
-        followers = self._directory.followers(self._clock.seconds())
-        self._messenger.send_all(followers, ZoneDrainNotice(drains))
+        self._messenger.send_all(self._followers(), ZoneDrainNotice(drains))
 
     # --- what the leader plans -----------------------------------------------------------
 
@@ -384,6 +391,7 @@
         known = {*view.controllers, *self._follower.view().controllers}
         self._group.open_to(self._contacts(known), voters_for(self._settings.losses))
         self._founding.look(now)
+        self.quarantine.look()
         self._clock.callLater(PLAN_PERIOD_S, self._plan)
 
     def _contacts(self, known: set[str]) -> tuple[str, ...]:
--- a/src/rainsail/cluster/fleet_state.py
+++ b/src/rainsail/cluster/fleet_state.py
@@ -1,6 +1,7 @@
 """The replicated state of the root group.
 
-It holds the routing table, the ledger's founders, the storage nodes that leave and the zone drains.
+It holds the routing table, the ledger's founders, the storage nodes that leave, the zone drains and
+the requests that are kept away from runners.
 """
 
 from collections.abc import Iterable, Iterator
@@ -9,13 +10,16 @@
 from rainsail.state.cluster_commands import (
     FleetSnapshot,
     FoundLedger,
+    HoldRequest,
     ReleaseNode,
+    ReleaseRequest,
     ReplaceTable,
     SetZoneDrain,
     ZoneDrain,
 )
 from rainsail.state.command_basics import Done, NoOperation
 from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
+from rainsail.state.quarantine import QuarantineState
 from rainsail.wire.codec import decode, encode
 
 
@@ -27,6 +31,7 @@
         self.content = b""
         self.founders: tuple[str, ...] = ()
         self.released: tuple[str, ...] = ()
+        self.quarantine = QuarantineState()
         self._zone_drains: dict[str, ZoneDrain] = {}
 
     def apply(self, index: int, command: FleetCommand) -> FleetCommandOutcome:
@@ -43,6 +48,10 @@
                     self.released = (*self.released, command.address)
             case SetZoneDrain():
                 return self._set_zone_drain(command)
+            case HoldRequest():
+                self.quarantine.hold(command.fingerprint)
+            case ReleaseRequest():
+                self.quarantine.release(command.fingerprint, command.times, command.forget)
             case NoOperation():
                 pass
             case _:
@@ -70,7 +79,12 @@
     def snapshot(self) -> Iterator[bytes]:
         """Return the whole state as one chunk."""
         snapshot = FleetSnapshot(
-            self.version, self.content, self.founders, self.released, self.zone_drains()
+            self.version,
+            self.content,
+            self.founders,
+            self.released,
+            self.zone_drains(),
+            self.quarantine.snapshot(),
         )
         return iter((encode(snapshot),))
 
@@ -82,3 +96,4 @@
         self.founders = tuple(snapshot.founders)
         self.released = tuple(snapshot.released)
         self._zone_drains = {drain.zone: drain for drain in snapshot.zone_drains}
+        self.quarantine.restore(snapshot.quarantine)
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -28,8 +28,10 @@
 )
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.logs import logger
+from rainsail.quarantine.book import QuarantineBook
+from rainsail.quarantine.messages import QuarantineNotice
 from rainsail.runtime.clock import Clock
-from rainsail.state.cluster_commands import ZoneDrain
+from rainsail.state.cluster_commands import Quarantine, ZoneDrain
 from rainsail.wire.codec import decode
 from rainsail.wire.messenger import Messenger
 
@@ -69,6 +71,7 @@
         self._messenger = messenger
         self._clock = clock
         self.registry = registry
+        self.quarantine = QuarantineBook()
         self._controllers: dict[str, _Controller] = {}
         self._stopped = False
         self._rounds = 0
@@ -84,6 +87,7 @@
         self.on_reading: Callable[[RunnerReads], None] = lambda message: None
         messenger.serve(TableNotice, self._take_notice)
         messenger.serve(ZoneDrainNotice, self._take_drain_notice)
+        messenger.serve(QuarantineNotice, self._take_quarantine_notice)
         messenger.serve(LedgerLeader, self._take_ledger_leader)
 
     def start(self) -> None:
@@ -216,6 +220,7 @@
         if reply.view is not None:
             controller.view = reply.view
             self.take_zone_drains(reply.view.zone_drains)
+            self.take_quarantine(reply.view.quarantine)
             for name in reply.view.controllers:
                 self._know(name)
         if reply.runners:
@@ -263,6 +268,15 @@
             log = logger.bind(zone=drain.zone, draining=drain.draining, order=drain.revision)
             log.info("zone_drain_obeyed")
 
+    def _take_quarantine_notice(self, source: str, notice: QuarantineNotice) -> None:
+        self.take_quarantine(notice.quarantine)
+
+    def take_quarantine(self, quarantine: Quarantine) -> None:
+        """Keep the held requests from runners, if the list is newer than the one known."""
+        if self.quarantine.take(quarantine):
+            log = logger.bind(revision=quarantine.revision, held=len(self.quarantine.held))
+            log.info("quarantine_obeyed")
+
     def _take_ledger_leader(self, source: str, message: LedgerLeader) -> None:
         self._pushed_leader = max(
             self._pushed_leader, (message.term, message.address), key=_term_of
--- a/src/rainsail/cluster/messages.py
+++ b/src/rainsail/cluster/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from rainsail.state.cluster_commands import ZoneDrain
+from rainsail.state.cluster_commands import NO_QUARANTINE, Quarantine, ZoneDrain
 from rainsail.wire.codec import wire_record
 
 
@@ -86,7 +86,8 @@
     group (empty until that is decided), ``leaving`` the storage nodes that are to be emptied.
     ``voters`` and ``ledger_voters`` are the members of the root group and of the ledger that
     decide, ``ledger_term`` is the term of the ledger's leader; ``gateways`` is about how many there
-    are, rounded up so that it seldom changes. ``zone_drains`` has the newest order on each zone.
+    are, rounded up so that it seldom changes. ``zone_drains`` has the newest order on each zone,
+    ``quarantine`` the requests that no runner may get.
     """
 
     controllers: tuple[str, ...]
@@ -99,6 +100,7 @@
     ledger_term: int = 0
     gateways: int = 0
     zone_drains: tuple[ZoneDrain, ...] = ()
+    quarantine: Quarantine = NO_QUARANTINE
 
 
 @wire_record
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -35,7 +35,9 @@
         self._folder = GroupFolder(base, ROOT_GROUP, files)
         self.state = FleetState()
         self._journal = RunnerJournal(files, base.clock, unix_seconds, base.registry.records)
-        self._committed = CommittedCopies(files, self.state, base.registry.zone_drains)
+        self._committed = CommittedCopies(
+            files, self.state, base.registry.zone_drains, base.follower.quarantine
+        )
         self.driver: GroupDriver | None = None
         self.controller: FleetController | None = None
 
@@ -51,7 +53,9 @@
         self.driver = driver = made.ok
         driver.on_fatal(self._fatal)
         base.registry.recall(self._journal.load())
-        base.follower.take_zone_drains(self._committed.load())
+        committed = self._committed.load()
+        base.follower.take_zone_drains(committed.zone_drains)
+        base.follower.take_quarantine(committed.quarantine)
         losses = base.settings.node.losses
         driver.open_to(base.settings.seed_controllers(), voters_for(losses))
         self.controller = FleetController(
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -14,6 +14,7 @@
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.jobs.client import JobClient
 from rainsail.logs import logger
+from rainsail.quarantine.agent import QuarantineAgent
 from rainsail.relay.context import make_context
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.settings import RelaySettings
@@ -44,6 +45,7 @@
             base.random,
             _relay_settings(base),
             RegionMap(base.settings.node.zones),
+            QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics),
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -22,6 +22,7 @@
 from rainsail.jobs.plan import PlanSettings
 from rainsail.jobs.retention import Retention
 from rainsail.logs import logger
+from rainsail.quarantine.agent import QuarantineAgent
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.table_reader import TableReader
 from rainsail.routing.residency import RegionMap
@@ -71,6 +72,7 @@
             base.settings.node.zone,
             self._warm_ups,
             RegionMap(base.settings.node.zones),
+            QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics),
             self._outcomes.add,
             self._propose,
             self._may_start_items,
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -19,6 +19,10 @@
 from rainsail.runtime.sockets import set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
+CONNECTION_CLOSED = "connection closed"
+CONNECTION_RESET = "connection reset"
+CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
+"""The reasons of failed answers that say that the connection ended, and nothing of its bytes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +164,7 @@
             pass
         listener, self._listener = self._listener, None
         if listener is not None:
-            listener.answer_failed("connection closed" if in_order else "connection reset")
+            listener.answer_failed(CONNECTION_CLOSED if in_order else CONNECTION_RESET)
 
     def _take_events(self) -> None:
         while self._listener is not None:
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -1,5 +1,6 @@
 """Warm connections to servers, each used by one request at a time."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -7,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
+from rainsail.http.reach import Reach, probe_address
 from rainsail.http.rest_limit import RestLimit
 from rainsail.runtime.clock import Clock
 from rainsail.wire.address import parse_address
@@ -106,6 +108,11 @@
         self._connect(address, request, call)
         return call
 
+    def probe(self, address: str, told: Callable[[Reach], None]) -> None:
+        """Tell whether an address takes connections; the one that comes up is closed."""
+        self.opened += 1
+        probe_address(self._reactor, address, self._settings.connect_timeout_s, told)
+
     def forget(self, address: str) -> None:
         """Close the idle connections to a server that is gone."""
         server = self._servers.get(address)
--- /dev/null
+++ b/src/rainsail/http/reach.py
@@ -0,0 +1,54 @@
+"""Whether an address takes connections."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
+
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.python.failure import Failure
+
+from rainsail.wire.address import parse_address
+
+
+class Reach(StrEnum):
+    """What came of trying to open a connection."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    """The machine is there, and no process listens at the port."""
+    SILENT = "silent"
+    """Nothing was heard, or the network says that there is no way."""
+
+
+class _ClosesAtOnce(Protocol):
+    transport: Any
+
+    def connectionMade(self) -> None:
+        self.transport.loseConnection()
+
+
+class _Probe(ClientFactory):
+    protocol = _ClosesAtOnce
+    noisy = False
+
+    def __init__(self, told: Callable[[Reach], None]) -> None:
+        self._told = told
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Note that the connection has come up."""
+        self._told(Reach.OPEN)
+        return super().buildProtocol(addr)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """Tell a refusal from silence."""
+        refused = reason.check(ConnectionRefusedError) is not None
+        self._told(Reach.REFUSED if refused else Reach.SILENT)
+
+
+def probe_address(
+    reactor: Any, address: str, timeout_s: float, told: Callable[[Reach], None]
+) -> None:
+    """Open a connection to ``IP:PORT``, close it, and tell what came of it, once."""
+    place = parse_address(address)
+    reactor.connectTCP(place.host, place.port, _Probe(told), timeout_s)
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -27,6 +27,7 @@
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
 from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_of, name_of
+from rainsail.quarantine.guard import RequestGuard
 from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
 from rainsail.relay.split import SplitPicker
 from rainsail.relay.table import Route, RoutingTable
@@ -76,6 +77,7 @@
         zone: str,
         warm_ups: WarmUpLimiter,
         regions: RegionMap,
+        guard: RequestGuard,
         list_outcome: ListOutcome,
         keep_notes: KeepNotes,
         may_start: MayStart,
@@ -90,6 +92,7 @@
         self._random = random
         self._zone = zone
         self._regions = regions
+        self._guard = guard
         self._list_outcome = list_outcome
         self._keep_notes = keep_notes
         self._may_start = may_start
@@ -341,12 +344,16 @@
         if not self._may_start() or (not self.online.heard_any and now < self._blind_until_s):
             return
         for work in self._waiting.by_urgency(self._order):
-            if work.ready_at_s > now:
+            if work.ready_at_s > now or self._is_held(work):
                 continue
             if self._is_open(work) and not self._start(work, now):
                 return
             self._waiting.take(work)
 
+    def _is_held(self, work: Work) -> bool:
+        """Tell whether an item must reach no runner: it waits until it is let go or given up."""
+        return self._guard.holds_any and self._guard.holds(self._fingerprint(work))
+
     def _start(self, work: Work, now: float) -> bool:
         """Start a run if some runner has room; True when the item needs no run now."""
         job = self._state.jobs[work.job]
@@ -415,6 +422,7 @@
         works = self._running.get(work.runner, [])
         if work in works:
             works.remove(work)
+        self._tell_guard(work)
         if end == RunEnd.BROKEN:
             work.cut(now)
         work.ran_s = work.running_s(now)
@@ -427,6 +435,16 @@
             log.bind(end=end.value, last_event=work.progress.last_event).info("item_run_ended")
         self._judge(work, end)
 
+    def _tell_guard(self, work: Work) -> None:
+        """Say what a run's end tells of its runner."""
+        run, record = work.run, self._registry.get(work.runner)
+        if run is None or record is None:
+            return
+        if run.connection_ended:
+            self._guard.connection_ended(record, self._fingerprint(work))
+        elif run.proves_survival and self._guard.wants_answers:
+            self._guard.answered(self._fingerprint(work))
+
     def _judge(self, work: Work, end: RunEnd) -> None:
         now = self._clock.seconds()
         if end == RunEnd.WHOLE:
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from rainsail.http.client import AnswerHead
+from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
 from rainsail.jobs.job_state import EVENT_SEPARATOR
 from rainsail.relay.events import Event, EventStream, is_event_stream, leaves_hole
 from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
@@ -68,11 +68,16 @@
         self.item = item
         self.progress = progress
         self.verdict: AnswerVerdict | None = None
+        self.connection_ended = False
+        """The run broke off because the connection ended, as when a runner ends."""
+        self.proves_survival = False
+        """The whole answer shows that the runner outlived the item."""
         self._protocol = protocol
         self._ended = ended
         self._load_heard = load_heard
         self._stream: EventStream | None = None
         self._status = 0
+        self._framing = Framing.CLOSE
         self._over = False
 
     def answer_begun(self, head: AnswerHead) -> None:
@@ -90,6 +95,7 @@
             self._take_head(head, self.verdict)
 
     def _take_head(self, head: AnswerHead, verdict: AnswerVerdict) -> None:
+        self._framing = head.framing
         self._stream = EventStream(head.framing) if head.status == STATUS_OK else None
         if verdict.load is not None:
             self._load_heard(verdict.load)
@@ -128,13 +134,16 @@
 
     def _end_stream(self, stream: EventStream) -> None:
         if not stream.may_end_here:
+            self.connection_ended = True
             self._end(RunEnd.BROKEN, "the connection ended before the stream")
             return
         self._take_events(stream.last_events())
+        self.proves_survival = not self._over and self._framing != Framing.CLOSE
         self._end(RunEnd.WHOLE, "ended")
 
     def answer_failed(self, reason: str) -> None:
         """The answer broke off."""
+        self.connection_ended = reason in CONNECTION_ENDS
         self._end(RunEnd.BROKEN, reason)
 
     def request_unsent(self, reason: str) -> None:
--- /dev/null
+++ b/src/rainsail/quarantine/book.py
@@ -0,0 +1,52 @@
+"""Which requests are held, as one node has heard of it, and which are one step from it. Pure."""
+
+from collections.abc import Iterable
+
+from rainsail.quarantine.fingerprint import Fingerprint
+from rainsail.state.cluster_commands import NO_QUARANTINE, Quarantine
+
+MOST_WATCHED = 256
+"""So many suspects are remembered; the newest word on each counts."""
+
+
+class QuarantineBook:
+    """The newest word of the controllers, in whatever order it comes."""
+
+    def __init__(self) -> None:
+        self.current = NO_QUARANTINE
+        self._held: frozenset[Fingerprint] = frozenset()
+        self._watched: dict[Fingerprint, None] = {}
+
+    def take(self, quarantine: Quarantine) -> bool:
+        """Take a list of held requests; False when it is no newer than the one known."""
+        if quarantine.revision <= self.current.revision:
+            return False
+        self.current = quarantine
+        self._held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
+        return True
+
+    def watch(self, fingerprints: Iterable[Fingerprint]) -> None:
+        """Note requests of which an answer, should one come, is news."""
+        for fingerprint in fingerprints:
+            self._watched.pop(fingerprint, None)
+            self._watched[fingerprint] = None
+        for oldest in list(self._watched)[: max(0, len(self._watched) - MOST_WATCHED)]:
+            del self._watched[oldest]
+
+    def unwatch(self, fingerprint: Fingerprint) -> None:
+        """Note that a request was answered."""
+        self._watched.pop(fingerprint, None)
+
+    @property
+    def held(self) -> frozenset[Fingerprint]:
+        """The requests that no runner may get."""
+        return self._held
+
+    @property
+    def wants_answers(self) -> bool:
+        """Tell whether an answer to some request would be news."""
+        return bool(self._held or self._watched)
+
+    def wants_answer(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether an answer to a request would be news."""
+        return fingerprint in self._held or fingerprint in self._watched
--- /dev/null
+++ b/src/rainsail/quarantine/control.py
@@ -0,0 +1,183 @@
+"""A controller's part: it counts what ended runners, and its group decides what is held.
+
+Every controller that nodes follow hears of every end, so a new leader need not learn anything. What
+is held is a decision of the root group: it outlives controllers, gateways and a loss of all power.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from expression import Result
+from twisted.internet.defer import Deferred, succeed
+
+from rainsail.cluster.fleet_state import FleetState
+from rainsail.cluster.follower import FleetFollower
+from rainsail.cluster.leader_answers import confirmed, not_leading
+from rainsail.cluster.leader_calls import LeaderCaller
+from rainsail.consensus.driver import GroupDriver
+from rainsail.errors import Fault, FaultCode
+from rainsail.logs import logger
+from rainsail.quarantine.fingerprint import Fingerprint, name_of
+from rainsail.quarantine.messages import (
+    OrderRelease,
+    QuarantineNotice,
+    ReadQuarantine,
+    RequestAnswered,
+    RequestsWatched,
+    RunnerEnded,
+)
+from rainsail.quarantine.suspects import SuspectBook
+from rainsail.runtime.clock import Clock
+from rainsail.state.cluster_commands import (
+    NO_QUARANTINE,
+    HoldRequest,
+    Quarantine,
+    ReleaseRequest,
+)
+from rainsail.state.quarantine import by_fingerprint
+from rainsail.wire.messenger import Messenger
+
+HELD_FOR_S = 600.0
+"""How long a request is held for the first time; each further time is twice as long. A harmless
+request that was held by bad luck comes back by itself; a harmful one then costs one runner more."""
+MOST_DOUBLINGS = 8
+ORDER_WITHIN_S = 0.9
+STEP = "quarantine.release"
+
+
+class QuarantineControl:
+    """Serves nodes over the messenger, and operators through its methods."""
+
+    def __init__(
+        self,
+        messenger: Messenger,
+        clock: Clock,
+        group: GroupDriver,
+        state: FleetState,
+        follower: FleetFollower,
+        calls: LeaderCaller,
+        followers: Callable[[], tuple[str, ...]],
+    ) -> None:
+        """``followers`` returns the nodes that follow this controller."""
+        self._messenger = messenger
+        self._clock = clock
+        self._group = group
+        self._state = state
+        self._follower = follower
+        self._calls = calls
+        self._followers = followers
+        self._suspects = SuspectBook()
+        self._applied = NO_QUARANTINE
+        self._held_since_s: dict[Fingerprint, float] = {}
+        self._proposed: set[Fingerprint] = set()
+        self.applied()
+        messenger.serve(RunnerEnded, self._take_end)
+        messenger.serve(RequestAnswered, self._take_answer)
+        messenger.serve(ReadQuarantine, lambda source, message: self._read_as_leader(message))
+        messenger.serve(OrderRelease, lambda source, message: self._release_as_leader(message))
+
+    @property
+    def suspects(self) -> int:
+        """How many requests ran at a runner that ended, and may have ended it."""
+        return self._suspects.count
+
+    # --- what nodes report ---------------------------------------------------------------
+
+    def _take_end(self, source: str, message: RunnerEnded) -> None:
+        now = self._clock.seconds()
+        at_s = now - max(0.0, message.age_s)
+        watched = self._suspects.ended(message.runner, message.fingerprints, at_s, now)
+        if watched:
+            self._messenger.send_all(self._followers(), RequestsWatched(watched))
+        self.look()
+
+    def _take_answer(self, source: str, message: RequestAnswered) -> None:
+        self._suspects.answered(message.fingerprint)
+        held = self._held_times(message.fingerprint)
+        if held and self._group.is_leader():
+            self._propose(ReleaseRequest(message.fingerprint, held, forget=True))
+
+    def _held_times(self, fingerprint: Fingerprint) -> int:
+        """Return how often a request that is held now was held, 0 when it is not."""
+        known = by_fingerprint(self._state.quarantine.snapshot().requests).get(fingerprint)
+        return known.times if known is not None and known.held else 0
+
+    # --- deciding ------------------------------------------------------------------------
+
+    def look(self) -> None:
+        """Hold what is due and let go what was held for long enough; called now and then."""
+        if not self._group.is_leader():
+            return
+        now = self._clock.seconds()
+        for fingerprint in self._suspects.due(now):
+            self._propose(HoldRequest(fingerprint))
+        for each in self._applied.requests:
+            since_s = self._held_since_s.get(each.fingerprint, now)
+            if each.held and now - since_s >= _held_for_s(each.times):
+                self._propose(ReleaseRequest(each.fingerprint, each.times, forget=False))
+
+    def _propose(self, command: HoldRequest | ReleaseRequest) -> None:
+        """Have the group decide, one decision at a time on each request."""
+        fingerprint = command.fingerprint
+        if fingerprint in self._proposed:
+            return
+        self._proposed.add(fingerprint)
+        done = self._group.propose(command)
+        done.addCallback(lambda _: self._proposed.discard(fingerprint))
+
+    def applied(self) -> None:
+        """Act on what the group has decided, and tell the nodes of it."""
+        quarantine = self._state.quarantine.snapshot()
+        if quarantine.revision == self._applied.revision:
+            return
+        self._note_changes(quarantine)
+        self._applied = quarantine
+        self._suspects.decided(quarantine)
+        self._follower.take_quarantine(quarantine)
+        self._messenger.send_all(self._followers(), QuarantineNotice(quarantine))
+
+    def _note_changes(self, quarantine: Quarantine) -> None:
+        now = self._clock.seconds()
+        held = {each.fingerprint: each for each in quarantine.requests if each.held}
+        for fingerprint in sorted(held.keys() - self._held_since_s.keys()):
+            log = logger.bind(fingerprint=name_of(fingerprint), times=held[fingerprint].times)
+            log.warning("request_held")
+        for fingerprint in sorted(self._held_since_s.keys() - held.keys()):
+            logger.bind(fingerprint=name_of(fingerprint)).info("request_released")
+        self._held_since_s = {name: self._held_since_s.get(name, now) for name in held}
+
+    # --- operators -----------------------------------------------------------------------
+
+    def read(self) -> "Deferred[Result[QuarantineNotice, Fault]]":
+        """Return the list of held requests, as a quorum confirms it."""
+        return self._calls.call(ReadQuarantine(), self._read_as_leader, ORDER_WITHIN_S, True)
+
+    def release(self, fingerprint: Fingerprint) -> "Deferred[Result[QuarantineNotice, Fault]]":
+        """Let a request go; NOT_FOUND when it is not held."""
+        message = OrderRelease(fingerprint)
+        return self._calls.call(message, self._release_as_leader, ORDER_WITHIN_S)
+
+    def _read_as_leader(self, message: ReadQuarantine) -> "Deferred[Any]":
+        if not self._group.is_leader():
+            return succeed(not_leading(self._group, "quarantine.read"))
+        return confirmed(self._group, self._notice)
+
+    def _release_as_leader(self, message: OrderRelease) -> "Deferred[Any]":
+        if not self._group.is_leader():
+            return succeed(not_leading(self._group, STEP))
+        times = self._held_times(message.fingerprint)
+        if not times:
+            detail = f"request {name_of(message.fingerprint)} is not held"
+            return succeed(Fault(FaultCode.NOT_FOUND, STEP, detail))
+        self._suspects.answered(message.fingerprint)
+        proposed = self._group.propose(ReleaseRequest(message.fingerprint, times, forget=True))
+        return proposed.addCallback(
+            lambda result: result.error if result.is_error() else self._notice()
+        )
+
+    def _notice(self) -> QuarantineNotice:
+        return QuarantineNotice(self._state.quarantine.snapshot())
+
+
+def _held_for_s(times: int) -> float:
+    return HELD_FOR_S * 2 ** min(times - 1, MOST_DOUBLINGS)
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from rainsail.cluster.messages import RunnerRecord
-from rainsail.http.client import AnswerHead
+from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
 from rainsail.http.pool import Call
 from rainsail.relay.context import RelayContext
 from rainsail.relay.events import Event, EventStream, is_event_stream
@@ -71,6 +71,8 @@
         self.body_bytes = 0
         self.stream: EventStream | None = None
         self.call: Call | None = None
+        self.connection_ended = False
+        """The answer broke off because the connection ended, as when a runner ends."""
         self._owner = owner
         self._context = context
         self._request = request
@@ -89,6 +91,15 @@
         """Tell whether the runner answers with a stream of events."""
         return self.stream is not None
 
+    @property
+    def proves_survival(self) -> bool:
+        """Tell whether the whole answer shows that the runner outlived the request.
+
+        Without a length or chunks nothing but the end of the connection marks the end of the
+        answer, and a runner that ends closes its connections too.
+        """
+        return self.head is not None and not self.failed and self.head.framing != Framing.CLOSE
+
     @property
     def summary(self) -> str:
         """Return, for the log, the answer's status and what marks its end; ``none`` before it."""
@@ -142,10 +153,12 @@
         elif self.stream.may_end_here:
             self._owner.stream_ended(self)
         else:
+            self.connection_ended = True
             self._owner.answer_broke(self, CLOSED_EARLY)
 
     def answer_failed(self, reason: str) -> None:
         """The answer broke off."""
+        self.connection_ended = reason in CONNECTION_ENDS
         self._fail(reason)
 
     def request_unsent(self, reason: str) -> None:
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -7,6 +7,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
+from rainsail.quarantine.guard import NoGuard, RequestGuard
 from rainsail.relay.placement import Placed
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.settings import RelaySettings
@@ -40,6 +41,7 @@
     settings: RelaySettings
     overload: OverloadGuard
     regions: RegionMap
+    guard: RequestGuard
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda ask, placed, must: placed(None)
     """Asks where a request should go; calls back with None when the gateway has to choose."""
@@ -70,6 +72,7 @@
     random: Random,
     settings: RelaySettings,
     regions: RegionMap = NO_REGIONS,
+    guard: RequestGuard | None = None,
 ) -> RelayContext:
     """Put a gateway's context together."""
     loads = LoadBook(settings.mechanisms)
@@ -91,4 +94,5 @@
         settings,
         OverloadGuard(random, settings.overload),
         regions,
+        guard or NoGuard(),
     )
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -2,7 +2,8 @@
 
 What may be repeated: a ``safe`` request and a resumable stream after any failure, everything else
 only after a runner said that it has not run it. A client hears 503 only while nothing may have
-run; afterwards it is 502 or 504. What has been given up is answered at once.
+run; afterwards it is 502 or 504. What has been given up is answered at once. A request that is held
+for ending runners is sent to none, and answered as one under which a runner ended.
 """
 
 from collections.abc import Callable
@@ -29,6 +30,7 @@
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
 MISSING_EVENT = "an event is missing"
+HELD = "runners ended under this request, so that it is held"
 
 
 class RelayRun:
@@ -152,6 +154,7 @@
             answers=",".join(attempt.summary for attempt in self._attempts),
             last_event=self._answer.last_event,
             reason=self._last_reason if outcome != "completed" else "",
+            fingerprint=name_of(self._fingerprint),
             first_ms=None if self.first_s is None else round(self.first_s * 1000),
             took_ms=round(took_s * 1000),
         ).info(f"request_{outcome}")
@@ -204,6 +207,10 @@
         """Return the route by which one more sending is allowed; otherwise end the request."""
         if self._ended:
             return None
+        if self._context.guard.holds_any and self._context.guard.holds(self.fingerprint):
+            # Looked up before each sending: it may have been held while this request waited.
+            self._give_up_held()
+            return None
         route = self._current_route()
         if route is None:
             self._lose_route()
@@ -301,11 +308,17 @@
             self.answer_broke(attempt, MISSING_EVENT)
             return
         self._context.loads.answered(attempt.record.runner)
+        self._note_survival(attempt)
         self._note_slot_time()
         self._attempt = None
         self._answer.end_stream(attempt)
         self._finish("completed")
 
+    def _note_survival(self, attempt: Attempt) -> None:
+        """Have a request that was answered whole be no suspect any more."""
+        if self._context.guard.wants_answers and attempt.proves_survival:
+            self._context.guard.answered(self.fingerprint)
+
     def _note_slot_time(self) -> None:
         """Learn how long a stream holds a slot: from its first byte on."""
         if self.first_s is not None:
@@ -339,6 +352,7 @@
             loads.failed(runner, self._context.clock.seconds())
         else:
             loads.answered(runner)
+            self._note_survival(attempt)
 
     def _take_failure(self, attempt: Attempt) -> None:
         """A runner answered with what no client gets: the request has run, or may have."""
@@ -387,6 +401,8 @@
         now = self._context.clock.seconds()
         self._context.loads.failed(attempt.record.runner, now)
         self._context.pool.forget(attempt.record.address)
+        if attempt.connection_ended:
+            self._context.guard.connection_ended(attempt.record, self.fingerprint)
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
@@ -417,6 +433,15 @@
         status = STATUS_BAD_GATEWAY if self._may_have_run else STATUS_UNAVAILABLE
         self._refuse(status, self._last_reason)
 
+    def _give_up_held(self) -> None:
+        """Answer 502: the client must not come back, and another of its tries may have run."""
+        self._last_reason = HELD
+        if self._answer.begun:
+            self._answer.abort()
+        else:
+            self._answer.refuse(STATUS_BAD_GATEWAY, None)
+        self._finish("held")
+
     def _retry_after_s(self) -> float:
         settings = self._context.settings
         return settings.retry_after_s if self._finder.tried else settings.no_runner_retry_after_s
--- a/src/rainsail/state/cluster_commands.py
+++ b/src/rainsail/state/cluster_commands.py
@@ -1,6 +1,7 @@
 """Commands of the root group of a fleet that relays.
 
-They replace the routing table, found the ledger, release storage nodes and drain zones.
+They replace the routing table, found the ledger, release storage nodes, drain zones and keep
+requests that end runners away from them.
 """
 
 from dataclasses import dataclass
@@ -59,6 +60,52 @@
     expected_revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantinedRequest:
+    """A request that ended runners, by its fingerprint.
+
+    ``times`` is how often it was held, ``held`` whether it is now; one that is not held any more
+    is held again at its next offence.
+    """
+
+    fingerprint: bytes
+    times: int
+    held: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantine:
+    """All requests that are or were held; ``revision`` counts the changes, and the highest counts.
+
+    What is heard of it can thus be merged in any order.
+    """
+
+    revision: int
+    requests: tuple[QuarantinedRequest, ...]
+
+
+NO_QUARANTINE = Quarantine(0, ())
+
+
+@dataclass(frozen=True, slots=True)
+class HoldRequest:
+    """Keep a request away from runners."""
+
+    fingerprint: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseRequest:
+    """Let a request go, if it is held for the time that the proposer knew (``times``).
+
+    ``forget``: nothing is held against it any more.
+    """
+
+    fingerprint: bytes
+    times: int
+    forget: bool
+
+
 @wire_record
 @dataclass(frozen=True, slots=True)
 class FleetSnapshot:
@@ -69,3 +116,4 @@
     founders: tuple[str, ...]
     released: tuple[str, ...]
     zone_drains: tuple[ZoneDrain, ...]
+    quarantine: Quarantine
--- a/src/rainsail/state/fleet_commands.py
+++ b/src/rainsail/state/fleet_commands.py
@@ -8,7 +8,9 @@
 from rainsail.errors import Fault
 from rainsail.state.cluster_commands import (
     FoundLedger,
+    HoldRequest,
     ReleaseNode,
+    ReleaseRequest,
     ReplaceTable,
     SetZoneDrain,
 )
@@ -28,6 +30,8 @@
     | FoundLedger
     | ReleaseNode
     | SetZoneDrain
+    | HoldRequest
+    | ReleaseRequest
     | AcceptJob
     | ListOutcomes
     | NoteProgress
