Quarantine: harmless requests stay out of it, and what is held survives controllers, gateways and power

Change: reports on one end settle for 0.2 s before a sole suspect is held, several suspects wait 1 s for answers; a request that was held before is not sent on after its connection ended; an answer forgets offenders too.

--- a/features/quarantine/fatal_requests.feature
+++ b/features/quarantine/fatal_requests.feature
@@ -24,3 +24,20 @@
     And 60 s go by
     Then at most 3 of its runs began later than 3 s after it had ended a third runner
     And the other 5 items are done
+
+  Scenario: Several copies at one moment
+    Given a fleet of 3 gateways whose runners end when they run the fatal body
+    When 3 copies of the fatal body come each 0.7 s for 10 s, one at each gateway
+    Then at most 3 of its runs began later than 3 s after it had ended a third runner
+
+  Scenario: A client of a held request is answered at once, and is not told to come back
+    Given the fatal body is held
+    When a client sends the fatal body
+    Then it is answered 502 within 50 ms, without a time to come back
+    And no runner has run it
+
+  Scenario: A request that waits for its next sending is not sent once it is held
+    Given the fatal body is held, but one gateway has not heard of it
+    When a client sends the fatal body there, and the gateway hears of it before the runner is found
+    Then it is answered 502 within 50 ms, without a time to come back
+    And no runner has run it
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -2,16 +2,35 @@
 
 from behave import given, step, then, when
 from features.support.dying_runners import FATAL_BODY
-from features.support.fatal_request_fleet import FatalRequestFleet
+from features.support.fatal_request_fleet import PATH, FatalRequestFleet
 from features.support.relayed_fleet import JOB_PATH
 from features.support.relaying import HOST
 
+from rainsail.cluster.messages import RunnerState
 from rainsail.jobs.messages import QueueLimit
+from rainsail.quarantine.fingerprint import fingerprint_of
+from rainsail.quarantine.suspects import SuspectBook
 from rainsail.state.job_commands import RelayedItem
+from rainsail.state.quarantine import QuarantineState
 
 SEED = 7
 ENDS_ALLOWED = 3
 FATAL_ITEM = 2
+SETTLES_S = 3.0
+COMMON_BODY = b"the same question"
+SELDOM_BODY = b"seldom"
+LEAVES_BEFORE_S = 0.5
+
+
+def fingerprint(body):
+    """Return the fingerprint of a request that the tests' clients send."""
+    return fingerprint_of("", HOST, b"POST", PATH.encode(), body)
+
+
+FATAL = fingerprint(FATAL_BODY)
+
+
+# --- givens ----------------------------------------------------------------------------------
 
 
 @given("a fleet of {gateways:d} gateways whose runners end when they run the fatal body")
@@ -19,48 +38,153 @@
     context.fleet = FatalRequestFleet(SEED, gateways)
 
 
+@given("a fleet with one runner, which ends when it runs the fatal body")
+def make_small_fleet(context):
+    context.fleet = FatalRequestFleet(SEED, runners=1)
+
+
+@given("the fatal body is held")
+def make_held(context):
+    make_fleet(context, 3)
+    hold(context.fleet, context.fleet.names("gateway"))
+    note_runs(context)
+
+
+@given("the fatal body is held, but one gateway has not heard of it")
+def held_but_for_one(context):
+    make_fleet(context, 3)
+    cut_off(context, 3)
+    hold(context.fleet, ["gateway-1", "gateway-2"])
+    context.fleet.rejoin("gateway-3")
+    note_runs(context)
+
+
+@given("the fatal body has been held meanwhile")
+def held_meanwhile(context):
+    hold(context.fleet, ["gateway-1", "gateway-2"])
+    note_runs(context)
+
+
+def hold(fleet, names):
+    """Have the fatal body end runners until some nodes hold it."""
+    for turn in range(12):
+        fleet.request(names[turn % len(names)], FATAL_BODY)
+        fleet.run_for(0.7)
+    fleet.run_until_held(FATAL, names)
+    fleet.run_for(SETTLES_S)
+
+
+def note_runs(context):
+    """Note how often the fatal body has run, and ended runners, so far."""
+    runners = context.fleet.runners
+    context.runs_before = len(runners.fatal_runs)
+    context.ends_before = len(runners.ends)
+
+
+@given("the fatal body has ended {count:d} runners")
+def ended_some(context, count):
+    fleet = context.fleet
+    while len(fleet.runners.ends) < count:
+        fleet.request("gateway-1", FATAL_BODY)
+        fleet.run_for(1.0)
+    assert len(fleet.runners.ends) == count, fleet.runners.ends
+    fleet.run_for(SETTLES_S)
+
+
+@given("gateway {number:d} is cut off from all others")
+def cut_off(context, number):
+    context.fleet.isolate(f"gateway-{number}")
+
+
+@given("runners break {count:d} of 100 events off")
+def break_off(context, count):
+    context.fleet.runners.broken_share = count / 100
+
+
+# --- requests --------------------------------------------------------------------------------
+
+
 @step("others send {count:d} requests a second for {seconds:g} s")
 def others_send(context, count, seconds):
     fleet = context.fleet
     fleet.send_others(1 / count, fleet.clock.seconds() + seconds)
 
 
+@step("one body comes each {period_s:g} s for {seconds:g} s, at any gateway")
+def same_sent(context, period_s, seconds):
+    fleet = context.fleet
+    fleet.send_same(COMMON_BODY, period_s, fleet.clock.seconds() + seconds)
+
+
 @step("the fatal body comes each {period_s:g} s for {seconds:g} s, at one gateway after the other")
 def fatal_comes(context, period_s, seconds):
     fleet = context.fleet
     until_s = fleet.clock.seconds() + seconds
     turn = 0
     while fleet.clock.seconds() < until_s:
-        names = fleet.names("gateway")
+        names = sorted(fleet.names("gateway"))
         fleet.request(names[turn % len(names)], FATAL_BODY)
         turn += 1
         fleet.run_for(period_s)
 
 
-@step("{seconds:g} s go by")
-def go_by(context, seconds):
-    context.fleet.run_for(seconds)
+@when(
+    "{count:d} copies of the fatal body come each {period_s:g} s for {seconds:g} s, "
+    "one at each gateway"
+)
+def copies_come(context, count, period_s, seconds):
+    fleet = context.fleet
+    until_s = fleet.clock.seconds() + seconds
+    while fleet.clock.seconds() < until_s:
+        for name in sorted(fleet.names("gateway"))[:count]:
+            fleet.request(name, FATAL_BODY)
+        fleet.run_for(period_s)
 
 
-@then(
-    "at most {most:d} of its runs began later than {seconds:g} s after it had ended a third runner"
-)
-def few_late_runs(context, most, seconds):
-    runners = context.fleet.runners
-    assert len(runners.ends) >= ENDS_ALLOWED, runners.ends
-    allowed_until_s = runners.ends[ENDS_ALLOWED - 1] + seconds
-    late = [moment for moment in runners.fatal_runs if moment > allowed_until_s]
-    assert len(late) <= most, (len(runners.ends), len(late), runners.ends[:6], late[:6])
+@when("a client sends the fatal body")
+def client_sends(context):
+    client_sends_at(context, 1)
 
 
-@then("the others were served but for streams that a runner's end broke")
-def others_served(context):
+@when("a client sends the fatal body at gateway {number:d}")
+def client_sends_at(context, number):
+    send_and_wait(context, f"gateway-{number}", FATAL_BODY)
+
+
+@when("a client sends the seldom body")
+def client_sends_seldom(context):
+    send_and_wait(context, "gateway-1", SELDOM_BODY)
+
+
+def send_and_wait(context, gateway, body):
     fleet = context.fleet
-    fleet.run_for(5.0)
-    exchanges = fleet.answered()
-    served = [each for each in exchanges if each.status == 200 and each.ended]
-    assert len(exchanges) > 100, len(exchanges)
-    assert len(served) >= 0.98 * len(exchanges), (len(served), len(exchanges))
+    context.sent_s = fleet.clock.seconds()
+    context.exchange = fleet.request(gateway, body)
+    fleet.run_for(2.0)
+
+
+@when("a client sends the fatal body there, and the gateway hears of it before the runner is found")
+def heard_while_waiting(context):
+    fleet = context.fleet
+    waiting = []
+    relay = fleet.relays["gateway-3"]
+    relay._context.place = lambda ask, placed, must: waiting.append(placed)
+    context.sent_s = fleet.clock.seconds()
+    context.exchange = fleet.request("gateway-3", FATAL_BODY)
+    assert len(waiting) == 1 and not context.exchange.status
+    follower = fleet.nodes["gateway-3"].base.follower
+    follower.take_quarantine(fleet.decided())
+    waiting[0](None)
+
+
+@when("the seldom body is there at each of the first {count:d} ends")
+def seldom_beside(context, count):
+    fleet = context.fleet
+    for _ in range(count):
+        fleet.request("gateway-2", SELDOM_BODY)
+        fleet.request("gateway-1", FATAL_BODY)
+        fleet.run_for(SETTLES_S)
+    assert len(fleet.runners.ends) == count, fleet.runners.ends
 
 
 @when("a job with the fatal body among its {count:d} items is handed in")
@@ -82,6 +206,149 @@
     assert result.is_ok(), result
 
 
+# --- runners ---------------------------------------------------------------------------------
+
+
+@when("the fatal body is harmless now, and is answered at another gateway")
+def harmless(context):
+    context.fleet.runners.fatal_bodies.clear()
+    send_and_wait(context, "gateway-2", FATAL_BODY)
+    served(context)
+
+
+@when("it ends runners again, {count:d} of them")
+def ends_again(context, count):
+    fleet = context.fleet
+    fleet.runners.fatal_bodies.add(FATAL_BODY)
+    before = len(fleet.runners.ends)
+    while len(fleet.runners.ends) < before + count:
+        fleet.request("gateway-3", FATAL_BODY)
+        fleet.run_for(1.0)
+    fleet.run_for(SETTLES_S)
+
+
+@when("it is harmless now, and a gateway that has not heard of it gets an answer")
+def answered_unheard(context):
+    fleet = context.fleet
+    fleet.runners.fatal_bodies.clear()
+    cut_off(context, 3)
+    fleet.run_for(0.1)
+    follower = fleet.nodes["gateway-3"].base.follower
+    decided = fleet.decided()
+    follower.quarantine.__init__()
+    fleet.request("gateway-3", FATAL_BODY)
+    fleet.rejoin("gateway-3")
+    fleet.run_for(0.1)
+    follower.take_quarantine(decided)
+    fleet.run_for(SETTLES_S)
+
+
+@when("some runner ends each {period_s:g} s for {seconds:g} s")
+def runners_end(context, period_s, seconds):
+    fleet = context.fleet
+    for turn in range(round(seconds / period_s)):
+        runner = fleet.runners.runners[turn % len(fleet.runners.runners)]
+        fleet.runners.end(runner, runner.lives)
+        fleet.run_for(period_s)
+
+
+@when("the runners of a zone lose power each {period_s:g} s for {seconds:g} s")
+def zone_dark(context, period_s, seconds):
+    fleet = context.fleet
+    for turn in range(round(seconds / period_s)):
+        for runner in fleet.runners.runners:
+            if runner.number % 3 == turn % 3:
+                fleet.runners.go_dark(runner, 2.0)
+        fleet.run_for(period_s)
+
+
+@when("some runner says that it leaves and ends 0.5 s later, each {period_s:g} s for {seconds:g} s")
+def planned_ends(context, period_s, seconds):
+    fleet = context.fleet
+    for turn in range(round(seconds / period_s)):
+        runner = fleet.runners.runners[turn % len(fleet.runners.runners)]
+        fleet.runners.say(runner, RunnerState.DRAINING)
+        fleet.run_for(LEAVES_BEFORE_S)
+        fleet.runners.end(runner, runner.lives)
+        fleet.run_for(period_s - LEAVES_BEFORE_S)
+
+
+# --- nodes -----------------------------------------------------------------------------------
+
+
+@step("{seconds:g} s go by")
+def go_by(context, seconds):
+    context.fleet.run_for(seconds)
+
+
+@when("the leading controller loses power")
+def leader_dies(context):
+    fleet = context.fleet
+    fleet.crash(fleet.leader("controller"))
+    fleet.leader("controller")
+
+
+@when("all gateways lose power and start again")
+def gateways_restart(context):
+    restart(context.fleet, context.fleet.names("gateway"))
+
+
+@when("all machines lose power and start again")
+def all_restart(context):
+    restart(context.fleet, list(context.fleet.nodes))
+
+
+def restart(fleet, names):
+    for name in names:
+        fleet.crash(name)
+    for name in names:
+        fleet.start(name)
+    fleet.leader("controller")
+    fleet.run_for(SETTLES_S)
+
+
+@when("gateway {number:d} is joined again, and {seconds:g} s go by")
+def join_again(context, number, seconds):
+    fleet = context.fleet
+    fleet.rejoin(f"gateway-{number}")
+    fleet.run_for(seconds)
+
+
+@when("an operator lets it go, and it is harmless now")
+def operator_releases(context):
+    fleet = context.fleet
+    fleet.runners.fatal_bodies.clear()
+    controller = fleet.controller(sorted(fleet.names("controller"))[0])
+    assert fleet.result_of(controller.quarantine.release(FATAL), "the request is let go").is_ok()
+    again = fleet.result_of(controller.quarantine.release(FATAL), "a second order")
+    assert again.is_error() and again.error.code.value == "not_found", again
+    fleet.run_for(0.5)
+
+
+# --- outcomes --------------------------------------------------------------------------------
+
+
+@then(
+    "at most {most:d} of its runs began later than {seconds:g} s after it had ended a third runner"
+)
+def few_late_runs(context, most, seconds):
+    runners = context.fleet.runners
+    assert len(runners.ends) >= ENDS_ALLOWED, runners.ends
+    allowed_until_s = runners.ends[ENDS_ALLOWED - 1] + seconds
+    late = [run for run in runners.fatal_runs if run.at_s > allowed_until_s]
+    assert len(late) <= most, (len(runners.ends), len(late), runners.ends[:6], late[:6])
+
+
+@then("the others were served but for streams that a runner's end broke")
+def others_served(context):
+    fleet = context.fleet
+    fleet.run_for(5.0)
+    exchanges = fleet.answered()
+    served = [each for each in exchanges if each.status == 200 and each.ended]
+    assert len(exchanges) > 100, len(exchanges)
+    assert len(served) >= 0.98 * len(exchanges), (len(served), len(exchanges))
+
+
 @then("the other {count:d} items are done")
 def other_items_done(context, count):
     fleet = context.fleet
@@ -89,3 +356,103 @@
     (job,) = leader.state.jobs.values()
     assert job.unlisted == {FATAL_ITEM}, job.unlisted
     assert len(job.items) == count + 1
+
+
+@then("it is answered 502 within 50 ms, without a time to come back")
+def answered_at_once(context):
+    exchange = context.exchange
+    assert exchange.status == 502 and exchange.ended, exchange
+    assert exchange.answered_at_s - context.sent_s <= 0.05, exchange
+    assert b"retry-after" not in dict(exchange.headers), exchange.headers
+
+
+@then("no runner has run it")
+def not_run(context):
+    assert len(context.fleet.runners.fatal_runs) == context.runs_before
+
+
+@then("the client is served")
+def served(context):
+    assert context.exchange.status == 200 and context.exchange.ended, context.exchange
+
+
+@then("the fatal body is held")
+def is_held(context):
+    held = [each.fingerprint for each in context.fleet.decided().requests if each.held]
+    assert held == [FATAL], held
+
+
+@then("the fatal body alone was ever held")
+def alone_held(context):
+    known = [each.fingerprint for each in context.fleet.decided().requests]
+    assert known == [FATAL], known
+    assert context.fleet.decided().revision == 1
+
+
+@then("both bodies are held, since nothing tells them apart")
+def both_held(context):
+    held = {each.fingerprint for each in context.fleet.decided().requests if each.held}
+    assert held == {FATAL, fingerprint(SELDOM_BODY)}, held
+
+
+@then("nothing was ever held")
+def nothing_held(context):
+    fleet = context.fleet
+    fleet.run_for(SETTLES_S)
+    assert fleet.decided().revision == 0, fleet.decided()
+
+
+@then("the body that came often was served but where a runner ended under it")
+def common_served(context):
+    fleet = context.fleet
+    fleet.run_for(5.0)
+    exchanges = fleet.answered(COMMON_BODY)
+    served = [each for each in exchanges if each.status == 200 and each.ended]
+    assert len(served) >= 0.9 * len(exchanges), (len(served), len(exchanges))
+
+
+@then("at most {count:d} runners have ended")
+def at_most_ended(context, count):
+    assert len(context.fleet.runners.ends) <= count, context.fleet.runners.ends
+
+
+@then("one more runner has ended")
+def one_more(context):
+    assert len(context.fleet.runners.ends) == context.ends_before + 1, context.fleet.runners.ends
+    context.ends_before += 1
+
+
+@then("no more runner has ended")
+def no_more(context):
+    assert len(context.fleet.runners.ends) == context.ends_before, context.fleet.runners.ends
+
+
+# --- bounds ----------------------------------------------------------------------------------
+
+
+@when("{count:d} bodies are held one after the other")
+def hold_many(context, count):
+    context.state = QuarantineState()
+    for number in range(count):
+        context.state.hold(fingerprint(b"%d" % number))
+
+
+@then("{count:d} are remembered, the newest ones")
+def newest_remembered(context, count):
+    requests = context.state.snapshot().requests
+    assert len(requests) == count
+    assert requests[-1].fingerprint == fingerprint(b"199")
+
+
+@when("words on {ends:d} ends of runners with {count:d} requests each come to a controller")
+def many_ends(context, ends, count):
+    context.book = SuspectBook()
+    for end in range(ends):
+        bodies = [fingerprint(b"%d %d" % (end, number)) for number in range(count)]
+        context.book.ended(f"runner-{end}", bodies, float(end), float(end))
+    context.per_end = count
+
+
+@then("it remembers at most {ends:d} ends")
+def ends_remembered(context, ends):
+    assert context.book.count <= ends * context.per_end, context.book.count
--- a/features/support/dying_runners.py
+++ b/features/support/dying_runners.py
@@ -1,19 +1,22 @@
 """Runners in virtual time: they answer with streams, one body ends the runner that begins to run
 it, and a runner that has ended is back a while later."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-from features.support.relaying import SERVICE, StandInCall, event
+from features.support.relaying import EVENT_STREAM_FIELDS, SERVICE, StandInCall, event
 
 from rainsail.cluster.messages import RunnerRecord, RunnerState
-from rainsail.http.client import OutgoingRequest
+from rainsail.http.client import AnswerHead, OutgoingRequest
 from rainsail.http.reach import Reach
 from rainsail.simulation.clock import VirtualClock
 
 FATAL_BODY = b"fatal"
+STREAM_FIELDS = (*EVENT_STREAM_FIELDS, (b"transfer-encoding", b"chunked"))
 NETWORK_S = 0.001
+CONNECT_TIMEOUT_S = 0.3
 BEGINS_AFTER_S = 0.02
 DIES_AFTER_S = 0.1
 EVENT_PERIOD_S = 0.1
@@ -23,6 +26,15 @@
 SLOTS = 8
 
 
+@dataclass(frozen=True)
+class FatalRun:
+    """When a fatal body began to run, and the node that had sent it."""
+
+    at_s: float
+    sender: str
+    body: bytes
+
+
 @dataclass
 class DyingRunner:
     """One address and the incarnation there; ``ends`` are the moments at which one ended."""
@@ -30,8 +42,11 @@
     number: int
     lives: int = 1
     is_up: bool = True
+    is_dark: bool = False
+    has_left: bool = False
     sequence: int = 0
     calls: list[StandInCall] = field(default_factory=list)
+    ran_fatal: bytes = b""
     ends: list[float] = field(default_factory=list)
 
     @property
@@ -55,9 +70,13 @@
         self.clock = clock
         self._tell = tell
         self.runners = [DyingRunner(number) for number in range(1, count + 1)]
-        self.fatal_runs: list[float] = []
-        """When the fatal body began to run."""
-        self.answers_events: Callable[[bytes], bool] = lambda body: True
+        self.fatal_runs: list[FatalRun] = []
+        self.fatal_bodies = {FATAL_BODY}
+        self.broken_share = 0.0
+        """Of other requests so many are broken off by a runner that lives on."""
+        self._draw = random.Random(count)
+        self.fatal_ends: dict[bytes, list[float]] = {}
+        """When a runner ended under each fatal body."""
         for runner in self.runners:
             self._beat(runner, runner.lives)
 
@@ -71,8 +90,14 @@
         return next(runner for runner in self.runners if runner.address == address)
 
     def _beat(self, runner: DyingRunner, life: int) -> None:
-        if not runner.is_up or runner.lives != life:
+        if not runner.is_up or runner.lives != life or runner.has_left:
             return
+        self.say(runner, RunnerState.READY)
+        self.clock.callLater(HEARTBEAT_PERIOD_S, self._beat, runner, life)
+
+    def say(self, runner: DyingRunner, state: RunnerState) -> None:
+        """Have a runner say what it is about to do."""
+        runner.has_left = state != RunnerState.READY
         runner.sequence += 1
         self._tell(
             RunnerRecord(
@@ -81,12 +106,11 @@
                 runner.address,
                 f"zone-{runner.number % 3}",
                 SLOTS,
-                RunnerState.READY,
+                state,
                 0.0,
                 runner.sequence,
             )
         )
-        self.clock.callLater(HEARTBEAT_PERIOD_S, self._beat, runner, life)
 
     # --- requests ------------------------------------------------------------------------
 
@@ -95,18 +119,28 @@
         runner = self.at(call.address)
         if call.cancelled:
             return
+        if runner.is_dark:
+            self.clock.callLater(CONNECT_TIMEOUT_S, self._not_connected, call, "timed out")
+            return
         if not runner.is_up:
-            call.listener.request_unsent("refused")
+            self._not_connected(call, "refused")
             return
         runner.calls.append(call)
         self.clock.callLater(BEGINS_AFTER_S, self._begin, runner, call)
 
+    @staticmethod
+    def _not_connected(call: StandInCall, reason: str) -> None:
+        if not call.cancelled:
+            call.listener.request_unsent(reason)
+
     def _begin(self, runner: DyingRunner, call: StandInCall) -> None:
         if call.cancelled or call not in runner.calls:
             return
-        call.begin_stream()
-        if call.request.body == FATAL_BODY:
-            self.fatal_runs.append(self.clock.seconds())
+        call.listener.answer_begun(AnswerHead(200, STREAM_FIELDS))
+        if call.request.body in self.fatal_bodies:
+            run = FatalRun(self.clock.seconds(), call.sender, call.request.body)
+            self.fatal_runs.append(run)
+            runner.ran_fatal = call.request.body
             self.clock.callLater(DIES_AFTER_S, self.end, runner, runner.lives)
             return
         first = int(call.field(b"after-event") or 0) + 1
@@ -116,6 +150,12 @@
         if call.cancelled or call not in runner.calls:
             return
         call.listener.answer_data(event(number))
+        if call not in runner.calls:
+            return
+        if self._draw.random() < self.broken_share:
+            runner.calls.remove(call)
+            call.listener.answer_failed("connection reset")
+            return
         if number < EVENTS:
             self.clock.callLater(EVENT_PERIOD_S, self._send_event, runner, call, number + 1)
             return
@@ -130,13 +170,24 @@
             return
         runner.is_up = False
         runner.ends.append(self.clock.seconds())
+        if runner.ran_fatal:
+            self.fatal_ends.setdefault(runner.ran_fatal, []).append(self.clock.seconds())
+            runner.ran_fatal = b""
         calls, runner.calls = runner.calls, []
         for call in calls:
             if not call.cancelled:
                 call.listener.answer_failed("connection closed")
         self.clock.callLater(back_after_s, self._come_back, runner)
 
+    def go_dark(self, runner: DyingRunner, for_s: float) -> None:
+        """Cut a runner's power: nothing is heard of it, connections neither close nor open."""
+        runner.is_up = False
+        runner.is_dark = True
+        runner.calls.clear()
+        self.clock.callLater(for_s, self._come_back, runner)
+
     def _come_back(self, runner: DyingRunner) -> None:
+        runner.is_dark = runner.has_left = False
         runner.is_up = True
         runner.lives += 1
         runner.sequence = 0
@@ -146,22 +197,38 @@
 class RunnerPool:
     """One node's connections to the runners."""
 
-    def __init__(self, runners: DyingRunners) -> None:
+    def __init__(self, runners: DyingRunners, sender: str) -> None:
         self._runners = runners
+        self._sender = sender
+        self._calls: list[StandInCall] = []
+        self._closed = False
         self.probes = 0
 
+    def close(self) -> None:
+        """End the node's process: nothing of it is heard any more."""
+        self._closed = True
+        for call in self._calls:
+            call.cancelled = True
+
     def send(
         self, address: str, request: OutgoingRequest, listener: Any, fresh: bool = False
     ) -> StandInCall:
         """Hand a request over."""
-        call = StandInCall(address, request, listener)
+        call = StandInCall(address, request, listener, self._sender)
+        if self._closed:
+            return call
+        self._calls.append(call)
         self._runners.clock.callLater(NETWORK_S, self._runners.take, call)
         return call
 
     def probe(self, address: str, told: Callable[[Reach], None]) -> None:
         """Tell whether a runner takes connections."""
         self.probes += 1
-        reach = Reach.OPEN if self._runners.at(address).is_up else Reach.REFUSED
+        runner = self._runners.at(address)
+        if runner.is_dark:
+            self._runners.clock.callLater(CONNECT_TIMEOUT_S, told, Reach.SILENT)
+            return
+        reach = Reach.OPEN if runner.is_up else Reach.REFUSED
         self._runners.clock.callLater(NETWORK_S, told, reach)
 
     def forget(self, address: str) -> None:
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -58,9 +58,10 @@
 class FatalRequestFleet(RelayedFleet):
     """Controllers, storage nodes and relaying gateways before runners that die."""
 
-    def __init__(self, seed: int, gateways: int = GATEWAYS) -> None:
+    def __init__(self, seed: int, gateways: int = GATEWAYS, runners: int = RUNNERS) -> None:
         self.relays: dict[str, RelayGateway] = {}
         self.jobs: dict[str, JobClient] = {}
+        self.runner_pools: dict[str, _LatePool] = {}
         self.runners: DyingRunners | None = None
         self.exchanges: list[StandInExchange] = []
         self._draw = random.Random(seed)
@@ -68,7 +69,7 @@
         super().__init__(seed, gateways=gateways)
         self.leader("controller")
         self.leader("storage")
-        self.runners = DyingRunners(self.clock, RUNNERS, self._heartbeat)
+        self.runners = DyingRunners(self.clock, runners, self._heartbeat)
         self.put_table(1)
         self.run_for(2.0)
 
@@ -82,13 +83,22 @@
         """Read a table of streams and jobs."""
         return read_table(content)
 
-    def make_pool(self, clock: Any) -> Any:
+    def make_pool(self, base: NodeBase) -> Any:
         """Return connections to the runners, which are there a moment later."""
-        return _LatePool(self)
+        name = base.settings.node.name
+        pool = self.runner_pools[name] = _LatePool(self, name)
+        return pool
+
+    def crash(self, name: str) -> None:
+        """Cut the power of a machine, and with it its connections to runners."""
+        super().crash(name)
+        if name in self.runner_pools:
+            self.runner_pools.pop(name).close()
+        self.relays.pop(name, None)
 
     def make_gateway(self, base: NodeBase) -> Any:
         """Return a relaying gateway."""
-        pool = self.make_pool(base.clock)
+        pool = self.make_pool(base)
         guard = QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics)
         context = make_context(
             base.settings.node.zone,
@@ -113,7 +123,7 @@
         """Hand a runner's word to a controller that is there."""
         names = [name for name in self.names("controller") if self.controller(name) is not None]
         if names:
-            self.controller(self._draw.choice(names)).runner_word(record)
+            self.controller(self._draw.choice(sorted(names))).runner_word(record)
 
     # --- clients -------------------------------------------------------------------------
 
@@ -130,7 +140,7 @@
 
     def any_gateway(self) -> str:
         """Return a gateway drawn at random."""
-        return self._draw.choice(self.names("gateway"))
+        return self._draw.choice(sorted(self.names("gateway")))
 
     def send_others(self, period_s: float, until_s: float) -> None:
         """Send requests with a body of their own each, at gateways drawn at random."""
@@ -146,6 +156,22 @@
         self.request(self.any_gateway(), body)
         self.clock.callLater(period_s, self.send_same, body, period_s, until_s)
 
+    # --- the list of held requests -------------------------------------------------------
+
+    def held_at(self, name: str) -> frozenset[bytes]:
+        """Return the fingerprints that a node keeps from runners."""
+        return self.nodes[name].base.follower.quarantine.held
+
+    def decided(self) -> Any:
+        """Return what the root group has decided, as its leader has applied it."""
+        return self.nodes[self.leader("controller")].role.state.quarantine.snapshot()
+
+    def run_until_held(self, fingerprint: bytes, names: list[str]) -> None:
+        """Run until some nodes keep a request from runners."""
+        self.run_until(
+            lambda: all(fingerprint in self.held_at(name) for name in names), "the request is held"
+        )
+
     def answered(self, body: bytes | None = None) -> list[StandInExchange]:
         """Return the exchanges of a body, or of all bodies but the fatal one."""
         return [
@@ -158,14 +184,15 @@
 class _LatePool:
     """A node's connections, made when the runners are."""
 
-    def __init__(self, fleet: FatalRequestFleet) -> None:
+    def __init__(self, fleet: FatalRequestFleet, sender: str) -> None:
         self._fleet = fleet
+        self._sender = sender
         self._pool: RunnerPool | None = None
 
     def __getattr__(self, name: str) -> Any:
         assert self._fleet.runners is not None
         if self._pool is None:
-            self._pool = RunnerPool(self._fleet.runners)
+            self._pool = RunnerPool(self._fleet.runners, self._sender)
         return getattr(self._pool, name)
 
     def close_stale(self) -> None:
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -143,7 +143,7 @@
         disk = self.disks[name]
         if kind == "controller":
             return ControllerRole(base, disk, node.faults.append, self.clock.seconds)
-        pool = self.pools[name] = self.make_pool(base.clock)
+        pool = self.pools[name] = self.make_pool(base)
         protocol = PlainProtocol()
         return StorageNode(base, protocol, self.table_of, pool, disk, node.faults.append)  # type: ignore[arg-type]
 
@@ -156,9 +156,9 @@
         calls = LeaderCaller(base.messenger, base.clock, None, lambda: base.follower.view().storage)
         return JobClient(calls)
 
-    def make_pool(self, clock: Any) -> Any:
+    def make_pool(self, base: NodeBase) -> Any:
         """Return a storage node's connections to runners."""
-        return StandInPool(clock)
+        return StandInPool(base.clock)
 
     def crash(self, name: str) -> None:
         """Cut the power of a machine."""
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -91,6 +91,7 @@
     address: str
     request: OutgoingRequest
     listener: Any
+    sender: str = ""
     cancelled: bool = False
     over: bool = False
 
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -88,11 +88,17 @@
             self._book.unwatch(fingerprint)
             self._tell(RequestAnswered(fingerprint))
 
-    def connection_ended(self, record: RunnerRecord, fingerprint: Fingerprint) -> None:
-        """Find out whether the runner has ended, unless it had taken its leave."""
+    def connection_ended(self, record: RunnerRecord, fingerprint: Fingerprint) -> bool:
+        """Find out whether the runner has ended; False for a request that was held before.
+
+        A runner that had taken its leave ends without a cause.
+        """
         known = self._follower.registry.get(record.runner)
-        if known is not None and known.state != RunnerState.READY:
-            return
+        if known is None or known.state == RunnerState.READY:
+            self._inquire(record, fingerprint)
+        return fingerprint not in self._book.offenders
+
+    def _inquire(self, record: RunnerRecord, fingerprint: Fingerprint) -> None:
         inquiry = self._inquiries.get(record.runner)
         if inquiry is None:
             inquiry = _Inquiry(record, self._clock.seconds())
--- a/src/rainsail/quarantine/book.py
+++ b/src/rainsail/quarantine/book.py
@@ -15,6 +15,7 @@
     def __init__(self) -> None:
         self.current = NO_QUARANTINE
         self._held: frozenset[Fingerprint] = frozenset()
+        self._known: frozenset[Fingerprint] = frozenset()
         self._watched: dict[Fingerprint, None] = {}
 
     def take(self, quarantine: Quarantine) -> bool:
@@ -23,6 +24,7 @@
             return False
         self.current = quarantine
         self._held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
+        self._known = frozenset(each.fingerprint for each in quarantine.requests)
         return True
 
     def watch(self, fingerprints: Iterable[Fingerprint]) -> None:
@@ -42,11 +44,16 @@
         """The requests that no runner may get."""
         return self._held
 
+    @property
+    def offenders(self) -> frozenset[Fingerprint]:
+        """The requests that are held, or were."""
+        return self._known
+
     @property
     def wants_answers(self) -> bool:
         """Tell whether an answer to some request would be news."""
-        return bool(self._held or self._watched)
+        return bool(self._known or self._watched)
 
     def wants_answer(self, fingerprint: Fingerprint) -> bool:
         """Tell whether an answer to a request would be news."""
-        return fingerprint in self._held or fingerprint in self._watched
+        return fingerprint in self._known or fingerprint in self._watched
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -26,7 +26,7 @@
     RequestsWatched,
     RunnerEnded,
 )
-from rainsail.quarantine.suspects import SuspectBook
+from rainsail.quarantine.suspects import REPORTS_SETTLE_S, SuspectBook
 from rainsail.runtime.clock import Clock
 from rainsail.state.cluster_commands import (
     NO_QUARANTINE,
@@ -38,9 +38,11 @@
 from rainsail.wire.messenger import Messenger
 
 HELD_FOR_S = 600.0
-"""How long a request is held for the first time; each further time is twice as long. A harmless
-request that was held by bad luck comes back by itself; a harmful one then costs one runner more."""
-MOST_DOUBLINGS = 8
+"""How long a request is held for the first time. A harmless request that was held by bad luck comes
+back by itself; a harmful one then costs one runner more."""
+HELD_LONGER_FACTOR = 6
+"""Each further time is so much longer."""
+LONGEST_HELD_S = 7 * 24 * 3600.0
 ORDER_WITHIN_S = 0.9
 STEP = "quarantine.release"
 
@@ -89,18 +91,18 @@
         watched = self._suspects.ended(message.runner, message.fingerprints, at_s, now)
         if watched:
             self._messenger.send_all(self._followers(), RequestsWatched(watched))
-        self.look()
+        self._clock.callLater(REPORTS_SETTLE_S, self.look)
 
     def _take_answer(self, source: str, message: RequestAnswered) -> None:
         self._suspects.answered(message.fingerprint)
-        held = self._held_times(message.fingerprint)
-        if held and self._group.is_leader():
-            self._propose(ReleaseRequest(message.fingerprint, held, forget=True))
+        times = self._times_held(message.fingerprint)
+        if times and self._group.is_leader():
+            self._propose(ReleaseRequest(message.fingerprint, times, forget=True))
 
-    def _held_times(self, fingerprint: Fingerprint) -> int:
-        """Return how often a request that is held now was held, 0 when it is not."""
+    def _times_held(self, fingerprint: Fingerprint) -> int:
+        """Return how often a request was held, 0 when nothing is known against it."""
         known = by_fingerprint(self._state.quarantine.snapshot().requests).get(fingerprint)
-        return known.times if known is not None and known.held else 0
+        return 0 if known is None else known.times
 
     # --- deciding ------------------------------------------------------------------------
 
@@ -165,7 +167,7 @@
     def _release_as_leader(self, message: OrderRelease) -> "Deferred[Any]":
         if not self._group.is_leader():
             return succeed(not_leading(self._group, STEP))
-        times = self._held_times(message.fingerprint)
+        times = self._times_held(message.fingerprint)
         if not times:
             detail = f"request {name_of(message.fingerprint)} is not held"
             return succeed(Fault(FaultCode.NOT_FOUND, STEP, detail))
@@ -180,4 +182,4 @@
 
 
 def _held_for_s(times: int) -> float:
-    return HELD_FOR_S * 2 ** min(times - 1, MOST_DOUBLINGS)
+    return min(LONGEST_HELD_S, HELD_FOR_S * HELD_LONGER_FACTOR ** (times - 1))
--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -21,8 +21,11 @@
         """Tell whether a request must not reach a runner."""
         ...
 
-    def connection_ended(self, record: RunnerRecord, fingerprint: Fingerprint) -> None:
-        """A runner's connection ended under a request that may have been running."""
+    def connection_ended(self, record: RunnerRecord, fingerprint: Fingerprint) -> bool:
+        """A runner's connection ended under a request that may have been running.
+
+        Returns whether the request may go to another runner before it is known what that means.
+        """
         ...
 
     @property
@@ -45,8 +48,9 @@
         """Hold nothing."""
         return False
 
-    def connection_ended(self, record: RunnerRecord, fingerprint: Fingerprint) -> None:
+    def connection_ended(self, record: RunnerRecord, fingerprint: Fingerprint) -> bool:
         """Learn nothing."""
+        return True
 
     def answered(self, fingerprint: Fingerprint) -> None:
         """Learn nothing."""
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -25,9 +25,14 @@
 FORGOTTEN_AFTER_S = 3600.0
 MOST_ENDS = 1000
 """So many ends are remembered: some 5 MB with 50 requests at each."""
+REPORTS_SETTLE_S = 0.2
+"""All nodes' words on one end are there after this time. Whoever is named first is not taken for
+the only suspect before."""
 AMBIGUITY_WAIT_S = 1.0
 """While several requests could be the one, answers to the harmless ones are waited for."""
 
+ROUNDING_S = 1e-6
+
 
 @dataclass(slots=True, eq=False)
 class _RunnerEnd:
@@ -83,12 +88,11 @@
 
     def due(self, now: float) -> tuple[Fingerprint, ...]:
         """Return the requests that are to be held now."""
-        if len(self._due_since_s) == 1:
-            return tuple(self._due_since_s)
+        wait_s = AMBIGUITY_WAIT_S if len(self._due_since_s) > 1 else REPORTS_SETTLE_S
         return tuple(
             fingerprint
             for fingerprint, since_s in self._due_since_s.items()
-            if now - since_s >= AMBIGUITY_WAIT_S
+            if now - since_s >= wait_s - ROUNDING_S
         )
 
     def decided(self, quarantine: Quarantine) -> None:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -401,8 +401,9 @@
         now = self._context.clock.seconds()
         self._context.loads.failed(attempt.record.runner, now)
         self._context.pool.forget(attempt.record.address)
+        may_go_on = True
         if attempt.connection_ended:
-            self._context.guard.connection_ended(attempt.record, self.fingerprint)
+            may_go_on = self._context.guard.connection_ended(attempt.record, self.fingerprint)
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
@@ -410,7 +411,7 @@
             reason=reason,
             last_event=self._answer.last_event,
         ).info("attempt_broke")
-        if self._may_repeat(self._route):
+        if may_go_on and self._may_repeat(self._route):
             self._try_next()
         else:
             self._give_up()
--- a/src/rainsail/state/quarantine.py
+++ b/src/rainsail/state/quarantine.py
@@ -34,12 +34,12 @@
         ``forget``: it was shown to be harmless, or an operator says so.
         """
         known = self._requests.get(fingerprint)
-        if known is None or not known.held or known.times != times:
+        if known is None or known.times != times:
             return
         if forget:
             self._revision += 1
             del self._requests[fingerprint]
-        else:
+        elif known.held:
             self._put(replace(known, held=False))
 
     def _put(self, request: QuarantinedRequest) -> None:
