Runners that start again, words of other writers, and suspended machines

Runners again under their id: words were ordered by their count alone, so that one which had left was not heard until its new count passed the old. A service that no table names takes neither an address nor an id. Suspended machines: CLOCK_BOOTTIME for the processes' clock and the reactor's timers.

--- /dev/null
+++ b/features/cluster/runners_again.feature
@@ -0,0 +1,81 @@
+Feature: A runner that starts again under its id is taken for the new one that it is
+
+  A runner may come back under the id that it had. It knows nothing of before, and its counts start
+  anew. When it started, in milliseconds since 1970, is in all that it says (`born`). Words were ordered
+  by their count alone, so that a runner which had left and came back was not heard until its new count
+  had passed the old one.
+
+  Scenario: A runner that had left takes work again from its first word on
+    Given a controller that heard runner "r" born at 1000 say "ready" with count 7
+    And it heard runner "r" born at 1000 say "gone" with count 8
+    When it hears runner "r" born at 2000 say "ready" with count 1
+    Then runner "r" takes work, and all nodes are told
+
+  Scenario: A late word of the life before changes nothing
+    Given a controller that heard runner "r" born at 2000 say "ready" with count 1
+    When it hears runner "r" born at 1000 say "draining" with count 9
+    And it hears runner "r" born at 1000 say "gone" with count 9
+    Then runner "r" takes work, and nobody is told
+
+  Scenario: A late word without a birth changes nothing
+    Given a controller that heard runner "r" born at 2000 say "ready" with count 1
+    When it hears runner "r" born at 0 say "draining" with count 9
+    Then runner "r" takes work, and nobody is told
+
+  Scenario: Within one life a runner that leaves never comes back
+    Given a controller that heard runner "r" born at 2000 say "draining" with count 3
+    When it hears runner "r" born at 2000 say "ready" with count 4
+    Then runner "r" takes no work
+
+  Scenario: A life that was superseded at its address says nothing of the next one
+    Given a controller that heard runner "r" born at 1000 say "ready" with count 7
+    And it heard runner "s" born at 1500 say "ready" with count 9 at the same address
+    When it hears runner "r" born at 2000 say "ready" with count 1
+    Then runner "r" takes work, and all nodes are told
+    And runner "s" takes no work
+
+  Scenario: The older of two runners at one address doesn't take it back with a late word
+    Given a controller that heard runner "s" born at 2000 say "ready" with count 1
+    When it hears runner "r" born at 1000 say "ready" with count 40 at the same address
+    Then runner "s" takes work
+    And runner "r" takes no work
+
+  Scenario: The older of two runners has the address again once the younger is silent
+    Given a controller that heard runner "s" born at 2000 say "ready" with count 1
+    When 5 s pass, and it hears runner "r" born at 1000 say "ready" with count 40 there
+    Then runner "r" takes work, and all nodes are told
+    And runner "s" takes no work
+
+  Scenario: A word for a service that no table names takes no address
+    Given a controller that heard runner "r" born at 1000 say "ready" with count 7
+    And the table names the service of runner "r" alone
+    When it hears runner "s" born at 2000 say "ready" with count 1 for another service there
+    And it hears runner "r" born at 3000 say "ready" with count 1 for another service there
+    Then runner "r" takes work
+    When it hears runner "r" born at 1000 say "draining" with count 8
+    Then runner "r" takes no work
+
+  Scenario: A runner that starts again warms up anew
+    Given a controller that heard runner "r" born at 1000 say "ready" with count 7
+    When it hears runner "r" born at 2000 say "ready" with count 1, with 3 s of warm-up left
+    Then runner "r" has 3 s of warm-up left, and all nodes are told
+
+  Scenario: Words in any order, by way of any node, end in the same
+    When the words of 3 lives of 2 runners at one address reach 200 registries in random orders
+    Then each registry ends with the last life of each
+
+  Scenario: Controllers that lose power remember the life that they knew
+    Given controllers that heard runner "r" born at 1000 with count 7, and born at 2000 with count 1
+    When the controllers lose power and come back
+    And runner "r" born at 1000 says "draining" with count 9
+    Then runner "r" still takes work at every controller
+
+  Scenario: A gateway knows nothing of the life before
+    Given a gateway that has left runner "r" out for failures, and knows what it had read
+    When the gateway hears that runner "r" has started again
+    Then the gateway knows nothing against it, and nothing of what it has read
+
+  Scenario: The leader that places requests knows nothing of the life before
+    Given a leader that has left runner "r" out for failures
+    When the leader hears that runner "r" has started again
+    Then the leader places requests there
--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -83,6 +83,79 @@
       | {"service":"s"                                                           |
       | []                                                                       |
 
+  Scenario Outline: A heartbeat of another writer gets 400 and changes nothing: <field> is <value>
+    When a controller gets a runner's heartbeat in which <field> is <value>
+    Then the call is answered 400
+    And the controller was told nothing
+
+    Examples:
+      | field      | value              |
+      | service    | missing            |
+      | service    | ""                 |
+      | service    | ["s"]              |
+      | service    | "\ud800"           |
+      | address    | missing            |
+      | address    | "10.0.0.1"         |
+      | address    | "10.0.0.1:0"       |
+      | address    | "10.0.0.1:65536"   |
+      | address    | "10.0.0.1:http"    |
+      | address    | "a.example:80"     |
+      | address    | 7                  |
+      | zone       | missing            |
+      | zone       | 3                  |
+      | slots      | missing            |
+      | slots      | -4                 |
+      | slots      | 0                  |
+      | slots      | "8"                |
+      | slots      | 2.5                |
+      | slots      | true               |
+      | state      | missing            |
+      | state      | "idle"             |
+      | state      | null               |
+      | coldLeftMs | missing            |
+      | coldLeftMs | -5                 |
+      | coldLeftMs | NaN                |
+      | coldLeftMs | Infinity           |
+      | coldLeftMs | "0"                |
+      | coldLeftMs | true               |
+      | sequence   | missing            |
+      | sequence   | true               |
+      | sequence   | "7"                |
+      | sequence   | 1.9                |
+      | sequence   | -1                 |
+      | sequence   | 1e999              |
+      | sequence   | 99999999999999999999 |
+      | born       | "1796254995480"    |
+      | born       | 1.5                |
+      | born       | true               |
+      | born       | null               |
+      | born       | -1                 |
+
+  Scenario Outline: A heartbeat of <kind> gets 400 and changes nothing
+    When a controller gets a heartbeat of <kind>
+    Then the call is answered 400
+    And the controller was told nothing
+
+    Examples:
+      | kind                        |
+      | nothing                     |
+      | bytes that are no text      |
+      | 100000 opening brackets     |
+      | a number of 5000 digits     |
+      | a text                      |
+
+  Scenario: A runner's word says when it was born, also the last one
+    When a controller gets a runner's heartbeat in which born is 1796254995480
+    Then the call is answered 200
+    And the controller was told of a runner born at 1796254995480
+    When that runner takes its leave with its birth in the body
+    Then the call is answered 200
+    And the controller was told that the life born at 1796254995480 is gone
+    When that runner takes its leave with an empty body
+    Then the controller was told that the life that it knows is gone
+    When that runner takes its leave with its birth written "1796254995480"
+    Then the call is answered 400
+
   Scenario Outline: A job that can't be read gets 400 and is not handed in
     When a gateway gets the job '<body>'
     Then the call is answered 400
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -268,6 +268,12 @@
 
     def __init__(self):
         self.told = []
+        self.gone = []
+
+    def runner_gone(self, runner, born=None):
+        """Note a leave."""
+        self.gone.append((runner, born))
+        return succeed(Ok(None))
 
     def runner_word(self, record):
         """Note a word."""
@@ -307,6 +313,80 @@
     control_handler(context.told)(context.exchange)
 
 
+SOUND_WORD = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "stage": "both",
+    "sequence": 4,
+}
+
+
+@when("a controller gets a runner's heartbeat in which {field} is {value}")
+def heartbeat_with(context, field, value):
+    fields = {name: json.dumps(each) for name, each in SOUND_WORD.items()}
+    if value == "missing":
+        del fields[field]
+    else:
+        fields[field] = value
+    body = ",".join(f'"{name}":{text}' for name, text in fields.items())
+    heartbeat(context, f"{{{body}}}")
+
+
+@when("a controller gets a heartbeat of {kind}")
+def heartbeat_of(context, kind):
+    bodies = {
+        "nothing": b"",
+        "bytes that are no text": b"\xff\xfe\x00",
+        "100000 opening brackets": b"[" * 100_000,
+        "a number of 5000 digits": b"9" * 5000,
+        "a text": b'"ready"',
+    }
+    context.told = _ToldController()
+    context.exchange = _exchange(b"/api/Instances.Heartbeat/i-1", bodies[kind])
+    control_handler(context.told)(context.exchange)
+
+
+@then("the controller was told of a runner born at {born:d}")
+def told_born(context, born):
+    (record,) = context.told.told
+    assert record.born == born, record
+
+
+@when("that runner takes its leave with its birth in the body")
+def leaves(context):
+    _leave(context, b'{"born":1796254995480}')
+
+
+@when("that runner takes its leave with an empty body")
+def leaves_silently(context):
+    _leave(context, b"")
+
+
+@when('that runner takes its leave with its birth written "1796254995480"')
+def leaves_badly(context):
+    _leave(context, b'{"born":"1796254995480"}')
+
+
+def _leave(context, body):
+    context.exchange = _exchange(b"/api/Instances.Deregister/i-1", body)
+    control_handler(context.told)(context.exchange)
+
+
+@then("the controller was told that the life born at {born:d} is gone")
+def told_gone(context, born):
+    assert context.told.gone[-1] == ("i-1", born), context.told.gone
+
+
+@then("the controller was told that the life that it knows is gone")
+def told_known_gone(context):
+    assert context.told.gone[-1] == ("i-1", None), context.told.gone
+
+
 @then("the call is answered {status:d}")
 def answered(context, status):
     assert context.exchange.status == status, context.exchange
--- /dev/null
+++ b/features/steps/runners_again_steps.py
@@ -0,0 +1,272 @@
+"""Steps on runners that start again under the id that they had."""
+
+import random
+from dataclasses import replace
+
+from behave import given, step, then, when
+from features.support.relayed_fleet import RelayedFleet
+from features.support.relaying import RelayWorld, runner_record
+
+from rainsail.cluster.messages import RunnerState
+from rainsail.cluster.registry import RunnerRegistry
+from rainsail.node_metrics import NodeMetrics
+from rainsail.relay.gateway import RelayGateway
+from rainsail.routing.facts import PromptPart
+from rainsail.routing.soundness import SoundnessBook
+
+SEED = 5
+ADDRESS = "10.0.0.1:80"
+PROMPT = (PromptPart("part", 900), PromptPart("own", 10))
+
+
+def word(runner, born, state, count, warm_up_left_s=0.0):
+    """Return what a runner says."""
+    record = replace(
+        runner_record(1), runner=runner, sequence=count, warm_up_left_s=warm_up_left_s, born=born
+    )
+    return replace(record, state=RunnerState(state))
+
+
+@given('a controller that heard runner "{runner}" born at {born:d} say "{state}" with count {n:d}')
+def heard_first(context, runner, born, state, n):
+    context.now_s = 0.0
+    context.registry = RunnerRegistry(lambda: context.now_s)
+    context.changed = []
+    hears(context, runner, born, state, n)
+
+
+@step('it heard runner "{runner}" born at {born:d} say "{state}" with count {n:d}')
+@step('it hears runner "{runner}" born at {born:d} say "{state}" with count {n:d}')
+def hears(context, runner, born, state, n):
+    context.changed = context.registry.take((word(runner, born, state, n),))
+
+
+@step(
+    'it heard runner "{runner}" born at {born:d} say "{state}" with count {n:d} at the same address'
+)
+@step(
+    'it hears runner "{runner}" born at {born:d} say "{state}" with count {n:d} at the same address'
+)
+def hears_there(context, runner, born, state, n):
+    hears(context, runner, born, state, n)
+
+
+@when(
+    '{seconds:d} s pass, and it hears runner "{runner}" born at {born:d} say "{state}" '
+    "with count {n:d} there"
+)
+def hears_later(context, seconds, runner, born, state, n):
+    context.now_s += seconds
+    hears(context, runner, born, state, n)
+
+
+@given('the table names the service of runner "{runner}" alone')
+def table_names(context, runner):
+    context.registry.named_services = frozenset((context.registry.get(runner).service,))
+
+
+@step(
+    'it hears runner "{runner}" born at {born:d} say "{state}" with count {n:d} '
+    "for another service there"
+)
+def hears_unnamed(context, runner, born, state, n):
+    record = replace(word(runner, born, state, n), service="nobody's")
+    context.changed = context.registry.take((record,))
+
+
+@when(
+    'it hears runner "{runner}" born at {born:d} say "{state}" with count {n:d}, '
+    "with {left_s:d} s of warm-up left"
+)
+def hears_warming(context, runner, born, state, n, left_s):
+    context.changed = context.registry.take((word(runner, born, state, n, float(left_s)),))
+
+
+@then('runner "{runner}" takes work, and all nodes are told')
+def takes_and_told(context, runner):
+    assert context.registry.is_ready(runner)
+    assert runner in [record.runner for record in context.changed], context.changed
+
+
+@then('runner "{runner}" takes work, and nobody is told')
+def takes_untold(context, runner):
+    assert context.registry.is_ready(runner)
+    assert not context.changed, context.changed
+
+
+@then('runner "{runner}" takes work')
+def takes(context, runner):
+    assert context.registry.is_ready(runner)
+
+
+@then('runner "{runner}" takes no work')
+def takes_none(context, runner):
+    assert not context.registry.is_ready(runner)
+
+
+@then('runner "{runner}" has {left_s:d} s of warm-up left, and all nodes are told')
+def warms_up(context, runner, left_s):
+    assert context.registry.warm_ups.left_s(runner) == left_s
+    assert context.changed
+
+
+# --- orders ----------------------------------------------------------------------------------
+
+
+@when(
+    "the words of {lives:d} lives of {runners:d} runners at one address reach "
+    "{count:d} registries in random orders"
+)
+def random_orders(context, lives, runners, count):
+    """The lives of the runners take turns at the address; the last one of the last runner lives."""
+    names = [f"runner-{number}" for number in range(runners)]
+    words = []
+    born = 0
+    for _ in range(lives):
+        for name in names:
+            born += 1000
+            words += [word(name, born, "ready", n) for n in range(1, 4)]
+            if (born, name) != (lives * runners * 1000, names[-1]):
+                words.append(word(name, born, "draining", 4))
+    context.last = {name: max(each.born for each in words if each.runner == name) for name in names}
+    context.alive = names[-1]
+    context.registries = []
+    draw = random.Random(SEED)
+    for _ in range(count):
+        registry = RunnerRegistry(lambda: 0.0)
+        order = [*words, *words]
+        draw.shuffle(order)
+        for each in order:
+            registry.take((each,))
+        context.registries.append(registry)
+
+
+@then("each registry ends with the last life of each")
+def last_lives(context):
+    for registry in context.registries:
+        born = {record.runner: record.born for record in registry.records()}
+        assert born == context.last, born
+        ready = [name for name in context.last if registry.is_ready(name)]
+        assert ready == [context.alive], (ready, registry.records())
+
+
+# --- controllers -----------------------------------------------------------------------------
+
+
+@given(
+    'controllers that heard runner "{runner}" born at {first:d} with count {n:d}, '
+    "and born at {second:d} with count {m:d}"
+)
+def controllers_heard(context, runner, first, n, second, m):
+    context.fleet = fleet = RelayedFleet(SEED)
+    fleet.leader("controller")
+    fleet.run_for(2.0)
+    for born, count in ((first, n), (second, m)):
+        done = fleet.controller("controller-1").runner_word(word(runner, born, "ready", count))
+        assert fleet.result_of(done, "the word is taken").is_ok()
+    fleet.run_for(2.0)
+
+
+@when("the controllers lose power and come back")
+def controllers_restart(context):
+    fleet = context.fleet
+    names = sorted(fleet.names("controller"))
+    for name in names:
+        fleet.crash(name)
+    for name in names:
+        fleet.start(name)
+    fleet.leader("controller")
+    fleet.run_for(2.0)
+
+
+@when('runner "{runner}" born at {born:d} says "{state}" with count {n:d}')
+def says(context, runner, born, state, n):
+    done = context.fleet.controller("controller-2").runner_word(word(runner, born, state, n))
+    context.fleet.result_of(done, "the word is answered")
+    context.fleet.run_for(2.0)
+
+
+@then('runner "{runner}" still takes work at every controller')
+def still_takes(context, runner):
+    fleet = context.fleet
+    for name in fleet.names("controller"):
+        assert fleet.nodes[name].base.registry.is_ready(runner), name
+
+
+# --- what others remember --------------------------------------------------------------------
+
+
+class _Messenger:
+    """Serves nothing."""
+
+    def serve(self, message_type, handler):
+        """Take no calls."""
+
+    def send(self, destination, message):
+        """Send nothing."""
+
+
+class _Follower:
+    """Tells a gateway of runners."""
+
+    def __init__(self, registry):
+        self.registry = registry
+
+    def tell_reading(self, runner, reading_s):
+        """Tell nobody."""
+
+
+@given('a gateway that has left runner "{runner}" out for failures, and knows what it had read')
+def gateway_left_out(context, runner):
+    context.relay = relay = RelayWorld(runners=0)
+    follower = _Follower(relay.registry)
+    context.gateway = RelayGateway(
+        relay.context, follower, _Messenger(), lambda content: None, None, NodeMetrics()
+    )
+    context.follower = follower
+    context.runner = runner
+    tell_gateway(context, word(runner, 1000, "ready", 7))
+    loads = relay.context.loads
+    for _ in range(5):
+        loads.failed(runner, 0.0)
+    loads.reads(runner, 9.0, 0.0)
+    relay.context.prefixes.sent(PROMPT, runner)
+    assert loads.of(runner).out_until_s > 0
+
+
+def tell_gateway(context, record):
+    """Have the gateway hear a word."""
+    changed = context.relay.registry.take((record,))
+    context.follower.on_runners(changed)
+
+
+@when('the gateway hears that runner "{runner}" has started again')
+def gateway_hears(context, runner):
+    tell_gateway(context, word(runner, 2000, "ready", 1))
+
+
+@then("the gateway knows nothing against it, and nothing of what it has read")
+def gateway_knows_nothing(context):
+    relay = context.relay.context
+    assert context.runner not in relay.loads.unfit(0.0)
+    assert not relay.prefixes.holds("part", context.runner)
+
+
+@given('a leader that has left runner "{runner}" out for failures')
+def leader_left_out(context, runner):
+    context.soundness = SoundnessBook()
+    context.runner = runner
+    for _ in range(3):
+        context.soundness.saw(runner, 0, 2, 0.0)
+    assert context.soundness.is_out(runner, 0.1)
+
+
+@when('the leader hears that runner "{runner}" has started again')
+def leader_hears(context, runner):
+    context.soundness.forget(runner)
+
+
+@then("the leader places requests there")
+def leader_places(context):
+    assert not context.soundness.is_out(context.runner, 0.1)
+    assert context.soundness.saw(context.runner, 0, 1, 0.2) is None
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -122,6 +122,7 @@
     """Draws the faults of a soak."""
     leaving: bool = False
     sequence: int = 0
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     server: Any = None
     port: Any = None
 
@@ -399,6 +400,7 @@
             "state": state,
             "coldLeftMs": 0,
             "sequence": runner.sequence,
+            "born": runner.born_ms,
         }
         status, _ = self.control("POST", f"/api/Instances.Heartbeat/{runner.runner}", body)
         return status
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -5,6 +5,7 @@
 the directory of nodes, rebuilt from their own words within one beat.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -105,7 +106,9 @@
         settings: ControllerSettings,
         journal: RunnerJournal,
         committed: CommittedCopies,
+        services_of: Callable[[bytes], frozenset[str] | None] = lambda content: None,
     ) -> None:
+        """``services_of`` names the services of a routing table, None when it can't be read."""
         self._node = node
         self._group = group
         self._state = state
@@ -116,6 +119,8 @@
         self._settings = settings
         self._journal = journal
         self._committed = committed
+        self._services_of = services_of
+        self._named_version = 0
         self._directory = NodeDirectory()
         self._calls = LeaderCaller(messenger, clock, group, self._other_controllers)
         self.emptying = EmptyingOrders(
@@ -138,7 +143,8 @@
         self._ledger_term = 0
         self._stopped = False
         follower.on_runners = self._push_runners
-        follower.on_table = committed.told
+        follower.on_table = self._table_told
+        self._name_services()
         group.on_applied(self._applied)
         serve = messenger.serve
         serve(NodeBeat, self._take_beat)
@@ -183,9 +189,9 @@
             return succeed(Ok(None))
         return self._share(now_known)
 
-    def runner_gone(self, runner: str) -> "Deferred[Result[None, Fault]]":
-        """Take a runner's word that it is gone."""
-        return self.runner_word(self._registry.end(runner))
+    def runner_gone(self, runner: str, born: int | None = None) -> "Deferred[Result[None, Fault]]":
+        """Take the word of a runner's life (None: the one that is known) that it is gone."""
+        return self.runner_word(self._registry.end(runner, born))
 
     def _take_word(self, record: RunnerRecord) -> list[RunnerRecord]:
         """Take a word from anywhere; return the records that others must hear of."""
@@ -363,6 +369,7 @@
     def _applied(self, index: int) -> None:
         self._notice_zone_drains()
         self.quarantine.applied()
+        self._name_services()
         self._committed.changed()
         if self._state.version <= self._noticed_version:
             return
@@ -371,6 +378,12 @@
         logger.bind(version=self._state.version, index=index).info("table_applied")
         self._messenger.send_all(self._followers(), TableNotice(self._state.version))
 
+    def _name_services(self) -> None:
+        """Have the registry know the services of the newest table: others hold no address."""
+        if self._committed.version > self._named_version:
+            self._named_version = self._committed.version
+            self._registry.named_services = self._services_of(self._committed.content)
+
     def _notice_zone_drains(self) -> None:
         """Obey orders on zones that were committed, and tell the nodes of them."""
         drains = self._state.zone_drains()
@@ -380,6 +393,10 @@
         self._follower.take_zone_drains(drains)
         self._messenger.send_all(self._followers(), ZoneDrainNotice(drains))
 
+    def _table_told(self, document: TableDocument) -> None:
+        self._committed.told(document)
+        self._name_services()
+
     # --- what the leader plans -----------------------------------------------------------
 
     def _plan(self) -> None:
--- a/src/rainsail/cluster/messages.py
+++ b/src/rainsail/cluster/messages.py
@@ -41,9 +41,11 @@
 class RunnerRecord:
     """One incarnation of a runner, as it last described itself.
 
-    ``sequence`` rises with each word, so that a late one is known. ``warm_up_left_s`` is how much
-    longer it warms up, in seconds from when it said so. ``superseded_at`` is the sequence up to
-    which another incarnation is known to hold its address (``NOT_SUPERSEDED``: none does).
+    ``born`` is when it started, in milliseconds since 1970 (0: it doesn't say): a runner that
+    starts again may keep its id, and is another one. ``sequence`` rises with each word of one life,
+    so that a late one is known. ``warm_up_left_s`` is how much longer it warms up, in seconds from
+    when it said so. ``superseded_at`` is the sequence up to which another incarnation is known to
+    hold its address (``NOT_SUPERSEDED``: none does).
     """
 
     runner: str
@@ -55,6 +57,12 @@
     warm_up_left_s: float
     sequence: int
     superseded_at: int = NOT_SUPERSEDED
+    born: int = 0
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """What orders its words: first the life that says it, then the count within that life."""
+        return self.born, self.sequence
 
     @property
     def is_superseded(self) -> bool:
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -1,9 +1,17 @@
 """The registry of runners: soft state that merges words from anywhere, in any order.
 
+A runner that starts again under its id is another one: words are ordered by when their speaker was
+born, then by their sequence, and a late word of the life before changes nothing.
+
 Two incarnations may be heard of at one address, and a word of the crashed one may come last: a cut
-can hold it back. Ids have no order, so the incarnation that spoke last is taken to hold the
-address. The other is superseded up to the sequence of its last word, and back with its next: the
-one that is alive goes on speaking.
+can hold it back. The one that was born later holds the address. Where births are not told, ids have
+no order, so the incarnation that spoke last is taken to hold it. The other is superseded up to the
+sequence of its last word, and back with its next: the one that is alive goes on speaking. An older
+one has the address again once the younger is silent, since births are told by clocks that may be
+off.
+
+A word for a service that no routing table names may be another writer's: it takes neither an
+address nor the id of a runner.
 
 What a controller recalls from its disk after a start may be older than what it had told nodes. So
 the next word of each runner that it recalls is told on, even if it says nothing new to this one.
@@ -18,14 +26,19 @@
 from rainsail.state.cluster_commands import ZoneDrain
 
 _STATE_RANK = {RunnerState.READY: 0, RunnerState.DRAINING: 1, RunnerState.GONE: 2}
+YOUNGER_TRUSTED_S = 4.0
+"""An older runner takes an address back once the younger has said nothing for this long: the time
+of three heartbeats."""
 GONE_KEPT = 2_000
 """Runners that are gone and still remembered, so that a late word doesn't bring them back."""
 
 
 def merged_record(known: RunnerRecord | None, word: RunnerRecord) -> RunnerRecord:
     """Return what is known after a word; a runner that leaves never comes back as it was."""
-    if known is None:
+    if known is None or word.born > known.born:
         return word
+    if word.born < known.born:
+        return known
     newer = _newer(known, word)
     superseded_at = max(known.superseded_at, word.superseded_at)
     if newer.superseded_at == superseded_at:
@@ -54,6 +67,10 @@
         self.zone_drains = ZoneDrainBook()
         self.warm_ups = WarmUpClock(seconds)
         self._settles_addresses = settles_addresses
+        self.named_services: frozenset[str] | None = None
+        """The services of the routing table; None while none is known."""
+        self._seconds = seconds
+        self._heard_s: dict[str, float] = {}
         self._records: dict[str, RunnerRecord] = {}
         self._by_address: dict[str, str] = {}
         self._changed_at: dict[str, int] = {}
@@ -78,9 +95,11 @@
     def _merge(self, word: RunnerRecord) -> list[RunnerRecord]:
         """Merge one word; return the records that others must hear of."""
         known = self._records.get(word.runner)
+        if known is not None and self._takes_id(known, word):
+            return []
         record = merged_record(known, word)
         # Whoever takes a runner as superseded that has spoken since has to hear of it.
-        refutes = word.is_superseded and not record.is_superseded
+        refutes = word.is_superseded and not record.is_superseded and word.born == record.born
         if record is known and not refutes:
             return []
         self._records[word.runner] = record
@@ -88,8 +107,11 @@
         if known is None or refutes or word.runner in self._recalled or matters(known, record):
             changed.append(record)
         self._recalled.discard(word.runner)
-        if known is None or record.sequence > known.sequence:
+        if known is not None and record.born > known.born:
+            self.warm_ups.forget(record.runner)
+        if known is None or record.age > known.age:
             self.warm_ups.heard(record)
+            self._heard_s[record.runner] = self._seconds()
             changed += self._give_address(record)
         for each in changed:
             self._note_change(each.runner)
@@ -99,15 +121,38 @@
         """Take the address from the incarnation before; return what changed by that."""
         if speaker.state == RunnerState.GONE or speaker.is_superseded:
             return []
+        if not self._is_named(speaker.service):
+            return []
         former = self._records.get(self._by_address.get(speaker.address, ""))
+        if former is not None and self._settles_addresses and self._holds_against(former, speaker):
+            return [self._supersede(speaker)]
         self._by_address[speaker.address] = speaker.runner
         if former is None or former.runner == speaker.runner or not self._settles_addresses:
             return []
         if former.state == RunnerState.GONE or former.is_superseded:
             return []
-        superseded = replace(former, superseded_at=former.sequence)
-        self._records[former.runner] = superseded
-        return [superseded]
+        return [self._supersede(former)]
+
+    def _takes_id(self, known: RunnerRecord, word: RunnerRecord) -> bool:
+        """Tell whether a word would make a runner in use one that nothing can be sent to."""
+        if word.state == RunnerState.GONE or self._is_named(word.service):
+            return False
+        return self._is_named(known.service)
+
+    def _holds_against(self, younger: RunnerRecord, speaker: RunnerRecord) -> bool:
+        """Tell whether a runner was born after the speaker, and has spoken lately."""
+        if speaker.born >= younger.born or speaker.runner == younger.runner:
+            return False
+        silent_s = self._seconds() - self._heard_s.get(younger.runner, float("-inf"))
+        return silent_s <= YOUNGER_TRUSTED_S
+
+    def _supersede(self, record: RunnerRecord) -> RunnerRecord:
+        superseded = replace(record, superseded_at=record.sequence)
+        self._records[record.runner] = superseded
+        return superseded
+
+    def _is_named(self, service: str) -> bool:
+        return self.named_services is None or service in self.named_services
 
     def _note_change(self, runner: str) -> None:
         self.revision += 1
@@ -124,11 +169,14 @@
                 )
         return newer
 
-    def end(self, runner: str) -> RunnerRecord:
-        """Return the record of a runner that says it is gone, also one never heard of."""
+    def end(self, runner: str, born: int | None = None) -> RunnerRecord:
+        """Return the record of a runner that says it is gone, also one never heard of.
+
+        ``born`` is the life that says so; None stands for the one that is known.
+        """
         known = self._records.get(runner)
-        if known is None:
-            return RunnerRecord(runner, "", "", "", 0, RunnerState.GONE, 0.0, 0)
+        if known is None or (born is not None and born != known.born):
+            return RunnerRecord(runner, "", "", "", 0, RunnerState.GONE, 0.0, 0, born=born or 0)
         return replace(known, state=RunnerState.GONE, warm_up_left_s=0.0)
 
     def changed_since(self, revision: int) -> tuple[RunnerRecord, ...]:
@@ -184,12 +232,15 @@
         gone = [
             record.runner
             for record in self._records.values()
-            if record.state == RunnerState.GONE or record.is_superseded
+            if record.state == RunnerState.GONE
+            or record.is_superseded
+            or not self._is_named(record.service)
         ]
         for runner in gone[: max(0, len(gone) - GONE_KEPT)]:
             record = self._records.pop(runner)
             self._changed_at.pop(runner, None)
             self._recalled.discard(runner)
+            self._heard_s.pop(runner, None)
             self.warm_ups.forget(runner)
             if self._by_address.get(record.address) == runner:
                 del self._by_address[record.address]
@@ -205,5 +256,6 @@
     return _public(before) != _public(after)
 
 
-def _public(record: RunnerRecord) -> tuple[RunnerState, str, str, int, bool]:
-    return record.state, record.service, record.address, record.slots, record.is_superseded
+def _public(record: RunnerRecord) -> tuple[RunnerState, str, str, int, bool, int]:
+    superseded = record.is_superseded
+    return record.state, record.service, record.address, record.slots, superseded, record.born
--- /dev/null
+++ b/src/rainsail/cluster/runner_lives.py
@@ -0,0 +1,22 @@
+"""Notes which life of each runner a node has heard of last. Pure."""
+
+from rainsail.cluster.messages import RunnerRecord, RunnerState
+
+MOST_KEPT = 20_000
+"""So many runners are remembered, those heard of last. One that crashes for good never says so."""
+
+
+class RunnerLives:
+    """When each runner that is not gone was born."""
+
+    def __init__(self) -> None:
+        self._born: dict[str, int] = {}
+
+    def began(self, record: RunnerRecord) -> bool:
+        """Note a word; tell whether its runner has started again since the word before."""
+        known = self._born.pop(record.runner, record.born)
+        if record.state != RunnerState.GONE:
+            self._born[record.runner] = max(known, record.born)
+        if len(self._born) > MOST_KEPT:
+            del self._born[next(iter(self._born))]
+        return record.born > known
--- a/src/rainsail/fleet/controller_node.py
+++ b/src/rainsail/fleet/controller_node.py
@@ -28,7 +28,7 @@
         self._base = base
         self._port = port
         self._reactor = reactor
-        self._role = ControllerRole(base, files, fatal)
+        self._role = ControllerRole(base, files, fatal, read_table=port.read_table)
 
     async def start(self) -> Result[None, Fault]:
         """Start the role, then take calls."""
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -15,6 +15,7 @@
 from rainsail.fleet.base import NodeBase
 from rainsail.fleet.group_folder import GroupFolder
 from rainsail.fleet.leaving import hand_over
+from rainsail.relay.table_reader import TableReader
 from rainsail.state.command_basics import ROOT_GROUP
 from rainsail.storage.interface import FileSystem
 
@@ -28,8 +29,10 @@
         files: FileSystem,
         fatal: Callable[[Fault], None],
         unix_seconds: Callable[[], float] = time.time,
+        read_table: TableReader | None = None,
     ) -> None:
         """``unix_seconds`` reads the time of day."""
+        self._read_table = read_table
         self._base = base
         self._fatal = fatal
         self._folder = GroupFolder(base, ROOT_GROUP, files)
@@ -68,12 +71,20 @@
             ControllerSettings(losses=losses, zones=frozenset(base.settings.node.zones)),
             self._journal,
             self._committed,
+            self._services_of,
         )
         driver.start()
         self.controller.start()
         base.follower.start()
         return Ok(None)
 
+    def _services_of(self, content: bytes) -> frozenset[str] | None:
+        """Return the services of a routing table, None when there is none or it can't be read."""
+        if self._read_table is None or not content:
+            return None
+        read = self._read_table(content)
+        return None if read.is_error() else frozenset(read.ok.services)
+
     def _founders(self) -> tuple[str, ...]:
         """Return the founders of the root group: the seeds of the fleet's first start."""
         settings = self._base.settings
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -15,6 +15,7 @@
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.logs import dump_on_signal, logger
+from rainsail.runtime.clock import count_suspended_time
 from rainsail.runtime.collector import exempt_startup_objects
 from rainsail.settings.node import NodeKind, NodeSettings, load_node_settings
 
@@ -195,7 +196,7 @@
 def run_node(path: Path, port: PlatformPort, started_s: float | None = None) -> int:
     """Run the process of a settings file; return its exit code.
 
-    ``started_s`` is when the process began, by ``time.monotonic``: a program whose imports take
+    ``started_s`` is when the process began, by ``steady_seconds``: a program whose imports take
     long notes it before them, and its groups elect their leaders sooner by as much.
     """
     return run_nodes([path], port, started_s)
@@ -216,6 +217,7 @@
     ring = configure_event_log(name, role, Path(first.data_folder) if first.data_folder else None)
     from twisted.internet import reactor
 
+    count_suspended_time(reactor)
     dump_on_signal(ring, reactor)
     runner = NodeRunner(reactor)
     for path, result in loaded:
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -6,7 +6,8 @@
 from expression import Error, Ok, Result
 
 from rainsail.cluster.founders import voters_for
-from rainsail.cluster.messages import FleetView, LedgerStatus, TableDocument
+from rainsail.cluster.messages import FleetView, LedgerStatus, RunnerRecord, TableDocument
+from rainsail.cluster.runner_lives import RunnerLives
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault
 from rainsail.fleet.base import NodeBase
@@ -82,7 +83,9 @@
         self.state.observer = self.dispatcher
         # Controllers may tell of a table while this node still opens its disk; it is told once.
         base.follower.on_table = self._take_table
-        base.follower.on_runners = self.dispatcher.runners_changed
+        base.follower.on_runners = self._runners_changed
+        self._lives = RunnerLives()
+        self._placements: PlacementService | None = None
         keeper = QuotaKeeper(base.settings.quota.terms())
         self._quotas = QuotaService(base.messenger, base.clock, keeper, self._leads)
         base.metrics.gauge("jobs_kept", lambda: float(len(self.state.jobs)))
@@ -148,6 +151,7 @@
     def _leadership_changed(self, leads: bool) -> None:
         logger.bind(leads=leads).info("ledger_leadership")
         self._quotas.leadership_changed(leads)
+        assert self._placements is not None
         self._placements.leadership_changed(leads)
         if leads:
             self._outcomes.start()
@@ -159,6 +163,14 @@
             if address != self._base.node.address:
                 self._base.follower.beat(address)
 
+    def _runners_changed(self, changed: list[RunnerRecord]) -> None:
+        for record in changed:
+            if self._lives.began(record):
+                if self._placements is not None:
+                    self._placements.runner_started_again(record.runner)
+                self.dispatcher.runner_started_again(record)
+        self.dispatcher.runners_changed(changed)
+
     # --- the fleet -----------------------------------------------------------------------
 
     def _view_changed(self, view: FleetView) -> None:
--- a/src/rainsail/fleet_api/control.py
+++ b/src/rainsail/fleet_api/control.py
@@ -4,10 +4,8 @@
 from typing import Any
 from urllib.parse import unquote
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-
 from rainsail.cluster.controller import FleetController
-from rainsail.cluster.messages import RunnerRecord, RunnerState, ZoneDrainNotice
+from rainsail.cluster.messages import ZoneDrainNotice
 from rainsail.errors import Fault, FaultCode
 from rainsail.fleet_api.replies import (
     EMPTY,
@@ -17,6 +15,7 @@
     reply_fault,
     reply_when_done,
 )
+from rainsail.fleet_api.runner_words import UNREADABLE, read_leave, read_word
 from rainsail.fleet_api.tables import read_table
 from rainsail.http.exchange import Exchange, Handler
 
@@ -30,20 +29,6 @@
 DRAIN_METHODS = ("PUT", "DELETE")
 
 
-class RunnerBody(BaseModel):
-    """A runner's word about itself."""
-
-    model_config = ConfigDict(frozen=True, extra="ignore")
-
-    service: str = Field(min_length=1)
-    address: str = Field(min_length=1)
-    zone: str = ""
-    slots: int = Field(default=1, ge=1)
-    state: RunnerState = RunnerState.READY
-    warm_up_left_s: float = Field(default=0.0, ge=0)
-    sequence: int = Field(ge=0)
-
-
 def control_handler(controller: FleetController) -> Handler:
     """Return the handler of a controller's address."""
     return ControlApi(controller).handle
@@ -63,7 +48,7 @@
         if path.startswith(RUNNERS) and name and method == "PUT":
             self._take_word(exchange, name)
         elif path.startswith(RUNNERS) and name and method == "DELETE":
-            self._answer(exchange, self._controller.runner_gone(name))
+            self._take_leave(exchange, name)
         elif path == TABLE and method == "PUT":
             self._replace_table(exchange)
         elif path == TABLE and method == "GET":
@@ -89,22 +74,20 @@
 
     def _take_word(self, exchange: Exchange, runner: str) -> None:
         try:
-            body = RunnerBody.model_validate(json.loads(exchange.request.body))
-        except (ValidationError, ValueError) as error:
+            record = read_word(runner, json.loads(exchange.request.body))
+        except UNREADABLE as error:
             reply_fault(exchange, Fault(FaultCode.INVALID, "fleet_api.runner", str(error)))
             return
-        record = RunnerRecord(
-            runner,
-            body.service,
-            body.address,
-            body.zone,
-            body.slots,
-            body.state,
-            body.warm_up_left_s,
-            body.sequence,
-        )
         self._answer(exchange, self._controller.runner_word(record))
 
+    def _take_leave(self, exchange: Exchange, runner: str) -> None:
+        try:
+            born = read_leave(exchange.request.body)
+        except UNREADABLE as error:
+            reply_fault(exchange, Fault(FaultCode.INVALID, "fleet_api.runner", str(error)))
+            return
+        self._answer(exchange, self._controller.runner_gone(runner, born))
+
     def _replace_table(self, exchange: Exchange) -> None:
         content = exchange.request.body
         table = read_table(content)
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -171,6 +171,11 @@
         within_s = 0.0 if route is None else route.completion_s
         self._order.due.set_due(job.job, job.accepted_s, within_s)
 
+    def runner_started_again(self, record: RunnerRecord) -> None:
+        """Forget what was known of a runner's life before."""
+        self.rooms.forget(record.runner)
+        self._pool.forget(record.address)
+
     def runners_changed(self, changed: list[RunnerRecord]) -> None:
         """Close idle connections to runners that take nothing more."""
         for record in changed:
--- a/src/rainsail/jobs/foreign_load.py
+++ b/src/rainsail/jobs/foreign_load.py
@@ -21,6 +21,10 @@
         """Take a runner's word, of which ``known`` requests are accounted for."""
         self._seen[runner] = (max(0, load.running + load.waiting - known), now)
 
+    def forget(self, runner: str) -> None:
+        """Forget what a runner said."""
+        self._seen.pop(runner, None)
+
     def clear(self) -> None:
         """Forget everything."""
         self._seen.clear()
--- a/src/rainsail/jobs/item_rooms.py
+++ b/src/rainsail/jobs/item_rooms.py
@@ -37,6 +37,12 @@
             for runner in times.keys() - runners:
                 del times[runner]
 
+    def forget(self, runner: str) -> None:
+        """Forget a runner that has started again, but for the runs that have yet to end."""
+        self._foreign.forget(runner)
+        for times in (self._no_item_before_s, self._started_at_s):
+            times.pop(runner, None)
+
     def items_at(self, runner: str) -> int:
         """Return how many items run at a runner."""
         return len(self.running.get(runner, ()))
--- a/src/rainsail/jobs/placement_service.py
+++ b/src/rainsail/jobs/placement_service.py
@@ -79,6 +79,10 @@
         self._counted.clear()
         self._warm_ups.begin(self._clock.seconds())
 
+    def runner_started_again(self, runner: str) -> None:
+        """Hold nothing against a runner for what it did in the life before."""
+        self._soundness.forget(runner)
+
     # --- reports -------------------------------------------------------------------------
 
     def _take_use(self, gateway: str, message: OnlineUse) -> None:
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -14,6 +14,7 @@
     RunnerState,
     TableDocument,
 )
+from rainsail.cluster.runner_lives import RunnerLives
 from rainsail.errors import Fault
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits
@@ -72,6 +73,7 @@
         context.loads.on_change = self._use_changed
         self._started_s = context.clock.seconds()
         self._stopped = False
+        self._lives = RunnerLives()
         self._early = EarlyRequests(context.clock, self._refuse_early)
         self.under_way = 0
         self.draining = False
@@ -235,6 +237,8 @@
 
     def _runners_changed(self, changed: list[RunnerRecord]) -> None:
         for record in changed:
+            if self._lives.began(record):
+                self._forget_life(record)
             if record.takes_work:
                 continue
             if record.address:
@@ -243,6 +247,12 @@
             if record.state == RunnerState.GONE:
                 self._context.loads.forget(record.runner)
 
+    def _forget_life(self, record: RunnerRecord) -> None:
+        """A runner that starts again holds and knows nothing of before."""
+        self._context.loads.begin_life(record.runner)
+        self._context.prefixes.forget(record.runner)
+        self._context.pool.forget(record.address)
+
     def _view_changed(self, view: FleetView) -> None:
         self._use_period_s = self._context.settings.use_report_period_s_at(view.gateways)
         self._quotas.set_gateways(view.gateways)
--- a/src/rainsail/routing/load.py
+++ b/src/rainsail/routing/load.py
@@ -75,6 +75,20 @@
         if load is not None and load.in_flight == 0:
             del self._loads[runner]
 
+    def begin_life(self, runner: str) -> None:
+        """Forget what was known of a runner that has started again, but for what is under way.
+
+        Requests of the life before have yet to end here; their ends are counted.
+        """
+        former = self._loads.get(runner)
+        if former is not None:
+            self._loads[runner] = RunnerLoad(
+                in_flight=former.in_flight,
+                owes_since_s=former.owes_since_s,
+                owes_within_s=former.owes_within_s,
+            )
+        self._outcomes.pop(runner, None)
+
     def in_flight(self) -> dict[str, int]:
         """Return what is under way by runner, zeros left out."""
         return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
--- a/src/rainsail/routing/soundness.py
+++ b/src/rainsail/routing/soundness.py
@@ -48,6 +48,10 @@
         """Forget everything."""
         self._records.clear()
 
+    def forget(self, runner: str) -> None:
+        """Forget a runner that has started again."""
+        self._records.pop(runner, None)
+
     def saw(self, runner: str, answered: int, failed: int, now: float) -> float | None:
         """Count outcomes; return for how long the runner is to be left out from now on."""
         record = self._records.setdefault(runner, _Record())
--- a/src/rainsail/runtime/clock.py
+++ b/src/rainsail/runtime/clock.py
@@ -1,4 +1,4 @@
-"""The clock seam: monotonic time and timers.
+"""The clock seam: steady time and timers.
 
 A component takes a ``Clock`` and never reads the time elsewhere. ``MonotonicClock`` drives
 daemons; ``rainsail.simulation.clock.VirtualClock`` drives simulated runs. The method names are
@@ -23,7 +23,7 @@
 
 
 class Clock(Protocol):
-    """Monotonic time in seconds and timers."""
+    """Steady time in seconds and timers."""
 
     def seconds(self) -> float:
         """Return seconds since an arbitrary fixed point; never goes back."""
@@ -36,15 +36,35 @@
         ...
 
 
+def steady_seconds() -> float:
+    """Return seconds that never go back and count the time of a machine's suspension.
+
+    ``time.monotonic`` stands still meanwhile on Linux, so that a leader that wakes would take its
+    lease for valid though others have long elected another. Where the system has no such clock,
+    its monotonic one has to do.
+    """
+    boot_time = getattr(time, "CLOCK_BOOTTIME", None)
+    return time.monotonic() if boot_time is None else time.clock_gettime(boot_time)
+
+
+def count_suspended_time(reactor: Any) -> None:
+    """Have a reactor's timers go by ``steady_seconds``; called before the first one is set.
+
+    After a suspension overdue timers then run at once. By the reactor's own clock each would be as
+    late as the suspension was long: time-outs of requests, beats, elections.
+    """
+    reactor.seconds = steady_seconds
+
+
 class MonotonicClock:
-    """The process clock: ``time.monotonic`` and the running reactor's timers."""
+    """The process clock: ``steady_seconds`` and the running reactor's timers."""
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
 
     def seconds(self) -> float:
-        """Return ``time.monotonic()``."""
-        return time.monotonic()
+        """Return ``steady_seconds()``."""
+        return steady_seconds()
 
     def callLater(
         self, delay: float, callable: Callable[..., Any], *args: object, **kw: object
--- a/src/rainsail/simulation/clock.py
+++ b/src/rainsail/simulation/clock.py
@@ -96,18 +96,27 @@
     """A process's view of the virtual clock: its own rate and a freeze switch.
 
     ``rate`` 1.001 runs 0.1 % fast. While frozen, due timers wait until the thaw and can still be
-    cancelled, as in a process that is paused and goes on.
+    cancelled, as in a process that is paused, or whose machine is suspended, and goes on.
     """
 
+    counts_frozen_time = True
+    """Off, the clock stands still while frozen, as ``CLOCK_MONOTONIC`` does during a suspension: a
+    defect that checks have to notice."""
+
     def __init__(self, clock: VirtualClock, rate: float = 1.0) -> None:
         self._clock = clock
         self._rate = rate
         self._held: list[VirtualTimer] | None = None
         self._stopped = False
+        self._frozen_since_s = 0.0
+        self._uncounted_s = 0.0
 
     def seconds(self) -> float:
         """Return the process's own monotonic time."""
-        return self._clock.seconds() * self._rate
+        now_s = self._clock.seconds()
+        if self._held is not None and not self.counts_frozen_time:
+            now_s = self._frozen_since_s
+        return (now_s - self._uncounted_s) * self._rate
 
     def callLater(
         self, delay: float, callable: Callable[..., Any], *args: object, **kw: object
@@ -130,10 +139,13 @@
         """Hold every timer back (a paused process)."""
         if self._held is None:
             self._held = []
+            self._frozen_since_s = self._clock.seconds()
 
     def thaw(self) -> None:
         """Run what was held back, in order, and go on; each may still cancel those after it."""
         held = self._held or []
+        if self._held is not None and not self.counts_frozen_time:
+            self._uncounted_s += self._clock.seconds() - self._frozen_since_s
         self._held = None
         for timer in held:
             if timer.active():
