--- a/features/fleet/own_interface.feature
+++ b/features/fleet/own_interface.feature
@@ -9,6 +9,7 @@
     Then a request is relayed to it and its answer comes back
     And a job of 2 items is accepted, and its results can be read
     And the metrics page of a gateway counts the request
+    And no request is held, and what is no fingerprint or is not held can't be let go
     When the runner says that it is gone
     Then a request is refused with 503 and a time to come back
     And the process ends on SIGTERM with code 0
--- a/features/steps/fleet_own_steps.py
+++ b/features/steps/fleet_own_steps.py
@@ -133,6 +133,14 @@
     assert line in body.decode(), body.decode()
 
 
+@then("no request is held, and what is no fingerprint or is not held can't be let go")
+def nothing_held(context):
+    status, body = _control(context, "GET", "/v1/held-requests")
+    assert (status, json.loads(body)) == (200, {"requests": []}), (status, body)
+    assert _control(context, "DELETE", "/v1/held-requests/abc")[0] == 400
+    assert _control(context, "DELETE", f"/v1/held-requests/{'0' * 32}")[0] == 404
+
+
 @when("the runner says that it is gone")
 def runner_gone(context):
     wait_until(lambda: _control(context, "DELETE", "/v1/runners/r-1")[0] == 200, "the word")
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -48,6 +48,9 @@
 HOST = "a.example"
 EVENTS = 5
 ZONE_DRAIN_S = 5.0
+FATAL_BODY = b"fatal"
+"""A runner ends when it begins to run this."""
+BACK_AFTER_S = 1.5
 """From the acknowledgement of a zone's drain its runners get nothing after this time."""
 SETTINGS = """
 [node]
@@ -125,6 +128,9 @@
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     server: Any = None
     port: Any = None
+    fatal_runs: list[float] = field(default_factory=list)
+    """When the fatal body began to run here."""
+    come_back: Callable[[], None] = lambda: None
 
     def handle(self, exchange: Exchange) -> None:
         """Answer as the platform's runners do."""
@@ -143,6 +149,10 @@
             self.ran_in_drain.append(request)
         if header_text(fields, b"authorization") or header_text(fields, b"tenant") != TENANT:
             self.misnamed.append(request)
+        if exchange.request.body == FATAL_BODY:
+            self.fatal_runs.append(time.monotonic())
+            self.die()
+            return
         answer = [(b"Request-Id", request.encode()), (b"Response-Stamp", b"stamp-1")]
         target = exchange.request.target
         after = header_text(fields, b"last-event-id")
@@ -153,6 +163,13 @@
         else:
             exchange.answer(200, tuple(answer), b"echo " + exchange.request.body)
 
+    def die(self) -> None:
+        """End as a process does: nobody listens, and each connection closes in order."""
+        self.port.stopListening()
+        for connection in list(self.server.connections):
+            connection.transport.loseConnection()
+        reactor.callLater(BACK_AFTER_S, self.come_back)
+
     def _stream(self, exchange: Exchange, answer: list[tuple[bytes, bytes]], after: str) -> None:
         if after:
             self.resumed_after.append(after)
@@ -385,9 +402,17 @@
         runner.port = in_reactor(reactor.listenTCP, RUNNER_PORT, runner.server, 50, ip)
         self.runners.append(runner)
         runner.together = self.runners
+        runner.come_back = lambda: self._come_back(runner, ip)
         self.beat(runner)
         return runner
 
+    def _come_back(self, runner: StandInRunner, ip: str) -> None:
+        """Start a runner again under its id, in the reactor's thread; the platform tells of it."""
+        runner.port = reactor.listenTCP(RUNNER_PORT, runner.server, 50, ip)
+        runner.sequence = 0
+        runner.born_ms = int(time.time() * 1000)
+        reactor.callInThread(self.beat, runner)
+
     def beat(self, runner: StandInRunner, state: str = "ready") -> int:
         """Send one heartbeat; returns the status."""
         runner.sequence += 1
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -73,6 +73,8 @@
             self._committed,
             self._services_of,
         )
+        quarantine = self.controller.quarantine
+        base.metrics.gauge("requests_suspected", lambda: float(quarantine.suspects))
         driver.start()
         self.controller.start()
         base.follower.start()
--- a/src/rainsail/fleet_api/control.py
+++ b/src/rainsail/fleet_api/control.py
@@ -7,6 +7,7 @@
 from rainsail.cluster.controller import FleetController
 from rainsail.cluster.messages import ZoneDrainNotice
 from rainsail.errors import Fault, FaultCode
+from rainsail.fleet_api.quarantine import take_quarantine_call
 from rainsail.fleet_api.replies import (
     EMPTY,
     STATUS_NOT_FOUND,
@@ -42,6 +43,8 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
+        if take_quarantine_call(exchange, self._controller.quarantine):
+            return
         method = exchange.request.method.decode("latin-1")
         path = exchange.request.target.decode("latin-1").partition("?")[0]
         name = path.rpartition("/")[2]
--- /dev/null
+++ b/src/rainsail/fleet_api/quarantine.py
@@ -0,0 +1,55 @@
+"""An operator's calls about held requests: what is held, and letting one go."""
+
+from typing import Any
+
+from rainsail.errors import Fault, FaultCode
+from rainsail.fleet_api.replies import STATUS_UNAVAILABLE, reply_fault, reply_when_done
+from rainsail.http.exchange import Exchange
+from rainsail.quarantine.control import QuarantineControl
+from rainsail.quarantine.fingerprint import DIGEST_BYTES, Fingerprint, name_of
+from rainsail.quarantine.messages import QuarantineNotice
+
+HELD_REQUESTS = "/v1/held-requests"
+
+
+def take_quarantine_call(exchange: Exchange, quarantine: QuarantineControl) -> bool:
+    """Answer ``GET /v1/held-requests`` and ``DELETE /v1/held-requests/FINGERPRINT``.
+
+    False for any other call, which is left as it is.
+    """
+    method = exchange.request.method
+    path = exchange.request.target.decode("latin-1").partition("?")[0]
+    if path == HELD_REQUESTS and method == b"GET":
+        reply_when_done(exchange, quarantine.read(), _list, unclear_status=STATUS_UNAVAILABLE)
+        return True
+    if path.startswith(f"{HELD_REQUESTS}/") and method == b"DELETE":
+        _release(exchange, quarantine, path.rpartition("/")[2])
+        return True
+    return False
+
+
+def _list(notice: QuarantineNotice) -> dict[str, Any]:
+    """Return each request's fingerprint, whether it is held now, and how often it was."""
+    requests = [
+        {"fingerprint": name_of(each.fingerprint), "held": each.held, "times": each.times}
+        for each in notice.quarantine.requests
+    ]
+    return {"requests": requests}
+
+
+def _release(exchange: Exchange, quarantine: QuarantineControl, name: str) -> None:
+    fingerprint = _fingerprint(name)
+    if fingerprint is None:
+        detail = f"expected {2 * DIGEST_BYTES} hexadecimal digits, got {name[:80]!r}"
+        reply_fault(exchange, Fault(FaultCode.INVALID, "fleet_api.quarantine", detail))
+        return
+    done = quarantine.release(fingerprint)
+    reply_when_done(exchange, done, _list, unclear_status=STATUS_UNAVAILABLE)
+
+
+def _fingerprint(name: str) -> Fingerprint | None:
+    try:
+        fingerprint = bytes.fromhex(name)
+    except ValueError:
+        return None
+    return fingerprint if len(fingerprint) == DIGEST_BYTES else None
