Held items: others of their job go on, and they are given up once the route allows that

Cause: a fresh item that is passed over stops the others of its job (by_urgency leaves them out), so that a held body at a job's head would have stopped it under a new leader. Change: a held fresh item is set aside; routes carry kept_s, after which a held item is listed as given up. Scenarios: a job that begins with a held item under a new leader; an item given up after its time.

--- a/features/quarantine/fatal_requests.feature
+++ b/features/quarantine/fatal_requests.feature
@@ -25,6 +25,21 @@
     Then at most 3 of its runs began later than 3 s after it had ended a third runner
     And the other 5 items are done
 
+  Scenario: A job that begins with a held item, under a new leader of the ledger
+    Given the fatal body is held as an item too
+    When a job of 6 items that begins with the fatal body is handed in
+    And the ledger's leader loses power
+    And 8 s go by
+    Then the other 5 items are done
+    And no runner has run it
+
+  Scenario: A held item is given up once its route allows that
+    Given the fatal body is held as an item too
+    When a job of 6 items that begins with the fatal body is handed in
+    And 120 s go by
+    Then all 6 items are listed, and the fatal one alone as given up
+    And no runner has run it
+
   Scenario: Several copies at one moment
     Given a fleet of 3 gateways whose runners end when they run the fatal body
     When 3 copies of the fatal body come each 0.7 s for 10 s, one at each gateway
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -187,21 +187,52 @@
     assert len(fleet.runners.ends) == count, fleet.runners.ends
 
 
+@given("the fatal body is held as an item too")
+def held_item(context):
+    """Items have paths of their own, and so a fingerprint of their own."""
+    make_fleet(context, 3)
+    hand_in(context, "earlier", 2, fatal=1)
+    held = lambda: bool(context.fleet.decided().requests)  # noqa: E731
+    context.fleet.run_until(held, "the item is held")
+    context.fleet.run_for(SETTLES_S)
+    note_runs(context)
+
+
+@when("a job of {count:d} items that begins with the fatal body is handed in")
+def job_beginning_fatal(context, count):
+    """The item's path is that of the one that is held."""
+    hand_in(context, "job", count, fatal=0, number_of_fatal=1)
+
+
+@when("the ledger's leader loses power")
+def ledger_leader_dies(context):
+    fleet = context.fleet
+    fleet.crash(fleet.leader("storage"))
+    fleet.leader("storage")
+
+
 @when("a job with the fatal body among its {count:d} items is handed in")
 def job_with_fatal_item(context, count):
     context.fleet.run_for(1.0)
+    hand_in(context, "job", count, fatal=FATAL_ITEM)
+
+
+def hand_in(context, job, count, fatal, number_of_fatal=None):
+    """Hand a job in; its path numbers items as they come, but for the fatal one if told."""
+    paths = {fatal: number_of_fatal} if number_of_fatal is not None else {}
     items = tuple(
         RelayedItem(
-            f"job-{number}",
-            f"{JOB_PATH}/{number}",
+            f"{job}-{number}",
+            f"{JOB_PATH}/{paths.get(number, number)}",
             (),
-            FATAL_BODY if number == FATAL_ITEM else f"item {number}".encode(),
+            FATAL_BODY if number == fatal else f"item {number}".encode(),
             10,
         )
         for number in range(count)
     )
+    context.job, context.fatal_item = job, fatal
     fleet = context.fleet
-    submitted = fleet.jobs["gateway-1"].submit("", "job", HOST, JOB_PATH, items, QueueLimit("", 0))
+    submitted = fleet.jobs["gateway-1"].submit("", job, HOST, JOB_PATH, items, QueueLimit("", 0))
     result = fleet.result_of(submitted, "the job is accepted")
     assert result.is_ok(), result
 
@@ -351,13 +382,26 @@
 
 @then("the other {count:d} items are done")
 def other_items_done(context, count):
-    fleet = context.fleet
-    leader = fleet.nodes[fleet.leader("storage")].role
-    (job,) = leader.state.jobs.values()
-    assert job.unlisted == {FATAL_ITEM}, job.unlisted
+    job = handed_in(context)
+    assert set(job.unlisted) == {context.fatal_item}, job.unlisted
     assert len(job.items) == count + 1
 
 
+def handed_in(context):
+    """Return the last job as the ledger's leader keeps it."""
+    fleet = context.fleet
+    jobs = fleet.nodes[fleet.leader("storage")].role.state.jobs.values()
+    return next(job for job in jobs if job.client_id == context.job)
+
+
+@then("all {count:d} items are listed, and the fatal one alone as given up")
+def fatal_given_up(context, count):
+    job = handed_in(context)
+    assert not job.unlisted, job.unlisted
+    given_up = [each.index for each in job.listed if not each.done]
+    assert (len(job.listed), given_up) == (count, [context.fatal_item]), job.listed
+
+
 @then("it is answered 502 within 50 ms, without a time to come back")
 def answered_at_once(context):
     exchange = context.exchange
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -25,6 +25,8 @@
 RUNNERS = 8
 GATEWAYS = 3
 DEADLINE_S = 5.0
+KEPT_S = 100.0
+"""After this time an item may be given up."""
 
 
 class RequestProtocol(PlainProtocol):
@@ -50,6 +52,7 @@
         kind=RouteKind.BATCH,
         timeout_s=30.0,
         completion_s=COMPLETION_S,
+        kept_s=KEPT_S,
     )
     services = (Service(SERVICE, 100, True),)
     return Ok(RoutingTable(int(content), (stream, jobs), services, ClientLimits()))
--- a/src/rainsail/fleet_api/tables.py
+++ b/src/rainsail/fleet_api/tables.py
@@ -37,6 +37,7 @@
     resumable: bool = False
     gap_target_s: float = Field(default=0.0, ge=0)
     completion_s: float = Field(default=0.0, ge=0)
+    kept_s: float = Field(default=0.0, ge=0)
     max_queued_tokens: int = Field(default=0, ge=0)
     public: bool = False
     allowed_regions: tuple[str, ...] = ()
@@ -161,4 +162,5 @@
         body.max_queued_tokens,
         body.public,
         frozenset(body.allowed_regions),
+        body.kept_s,
     )
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -349,7 +349,10 @@
         if not self._may_start() or (not self.online.heard_any and now < self._blind_until_s):
             return
         for work in self._waiting.by_urgency(self._order):
-            if work.ready_at_s > now or self._is_held(work):
+            if self._is_held(work):
+                self._keep_waiting(work, now)
+                continue
+            if work.ready_at_s > now:
                 continue
             if self._is_open(work) and not self._start(work, now):
                 return
@@ -359,6 +362,17 @@
         """Tell whether an item must reach no runner: it waits until it is let go or given up."""
         return self._guard.holds_any and self._guard.holds(self._fingerprint(work))
 
+    def _keep_waiting(self, work: Work, now: float) -> None:
+        """Let a held item wait, and give it up once its route allows that."""
+        self._waiting.set_aside(work)
+        job = self._state.jobs.get(work.job)
+        route = None if job is None else self._route(job, job.path)
+        if job is None or route is None or not route.kept_s:
+            return
+        if self._ledger_time.at(now) - job.accepted_s >= route.kept_s:
+            self._waiting.take(work)
+            self._finish(work, False, "runners ended under it")
+
     def _start(self, work: Work, now: float) -> bool:
         """Start a run if some runner has room; True when the item needs no run now."""
         job = self._state.jobs[work.job]
--- a/src/rainsail/jobs/waiting.py
+++ b/src/rainsail/jobs/waiting.py
@@ -77,6 +77,13 @@
         heads.sort(key=lambda head: head[:2])
         return chain.from_iterable(works for _, _, works in heads)
 
+    def set_aside(self, work: Work) -> None:
+        """Let the fresh items behind one go on, which itself goes on waiting."""
+        queue = self._fresh.get(work.job)
+        if queue and queue[0] is work:
+            self.take(work)
+            self.put_back(work)
+
     def take(self, work: Work) -> None:
         """Take an item out."""
         queue = self._fresh.get(work.job)
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -31,7 +31,8 @@
 
     ``target_s`` is the time within which an answer is worth most, ``gap_target_s`` the longest
     pause of a stream that still is in time, ``completion_s`` the time within which all results of
-    a job are due, counted from its acceptance (0: no time is set), ``max_queued_tokens`` how many
+    a job are due, counted from its acceptance (0: no time is set), ``kept_s`` how long after that
+    an item is tried before it may be given up (0: without end), ``max_queued_tokens`` how many
     tokens of a tenant's jobs may wait at once (0: any number). A ``public`` route wants no key. Its
     requests may be served in the regions ``allowed_regions`` alone (empty: in all).
     """
@@ -51,6 +52,7 @@
     max_queued_tokens: int = 0
     public: bool = False
     allowed_regions: frozenset[str] = frozenset()
+    kept_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
