--- a/features/quarantine/innocent_requests.feature
+++ b/features/quarantine/innocent_requests.feature
@@ -39,6 +39,19 @@
     And 31 s go by
     Then nothing was ever held
 
+  Scenario Outline: A body whose answers each runner breaks off, and lives on<noticed>
+    Given a fleet of 3 gateways whose runners end when they run the fatal body
+    And <probes>
+    And runners break 100 of 100 events off
+    When one body comes each 0.2 s for 10 s, at any gateway
+    And 11 s go by
+    Then <outcome> was ever held
+
+    Examples:
+      | noticed                              | probes                                | outcome   |
+      |                                      | probes tell what is there             | nothing   |
+      | , if each lost connection were an end | each probe says that nothing is there | something |
+
   Scenario: Runners that are stopped as planned
     Given a fleet of 3 gateways whose runners end when they run the fatal body
     And one body comes each 0.2 s for 40 s, at any gateway
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,12 +1,15 @@
 """Steps on requests that end the runners that run them, in virtual time."""
 
+from unittest import mock
+
 from behave import given, step, then, when
-from features.support.dying_runners import FATAL_BODY
+from features.support.dying_runners import FATAL_BODY, RunnerPool
 from features.support.fatal_request_fleet import PATH, FatalRequestFleet
 from features.support.relayed_fleet import JOB_PATH
 from features.support.relaying import HOST
 
 from rainsail.cluster.messages import RunnerState
+from rainsail.http.reach import Reach
 from rainsail.jobs.messages import QueueLimit
 from rainsail.quarantine.fingerprint import fingerprint_of
 from rainsail.quarantine.suspects import SuspectBook
@@ -439,6 +442,24 @@
     assert held == {FATAL, fingerprint(SELDOM_BODY)}, held
 
 
+@given("probes tell what is there")
+def sound_probes(context):
+    pass
+
+
+@given("each probe says that nothing is there")
+def refusing_probes(context):
+    refused = lambda pool, address, told: told(Reach.REFUSED)  # noqa: E731
+    patch = mock.patch.object(RunnerPool, "probe", refused)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("something was ever held")
+def something_held(context):
+    assert context.fleet.decided().revision > 0
+
+
 @then("nothing was ever held")
 def nothing_held(context):
     fleet = context.fleet
--- a/src/rainsail/quarantine/book.py
+++ b/src/rainsail/quarantine/book.py
@@ -1,12 +1,12 @@
-"""Which requests are held, as one node has heard of it, and which are one step from it. Pure."""
+"""Which requests are held, as one node has heard of it, and which are suspects. Pure."""
 
 from collections.abc import Iterable
 
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.cluster_commands import NO_QUARANTINE, Quarantine
 
-MOST_WATCHED = 256
-"""So many suspects are remembered; the newest word on each counts."""
+MOST_WATCHED = 4096
+"""So many suspects are remembered, the newest ones: some 0.5 MB."""
 
 
 class QuarantineBook:
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -44,6 +44,8 @@
 """Each further time is so much longer."""
 LONGEST_HELD_S = 7 * 24 * 3600.0
 ORDER_WITHIN_S = 0.9
+WATCH_GATHERED_S = 0.02
+"""Nodes' words on one end come within a few milliseconds; their suspects go out together."""
 STEP = "quarantine.release"
 
 
@@ -72,6 +74,7 @@
         self._applied = NO_QUARANTINE
         self._held_since_s: dict[Fingerprint, float] = {}
         self._proposed: set[Fingerprint] = set()
+        self._watched: dict[Fingerprint, None] = {}
         self.applied()
         messenger.serve(RunnerEnded, self._take_end)
         messenger.serve(RequestAnswered, self._take_answer)
@@ -89,12 +92,18 @@
         now = self._clock.seconds()
         at_s = now - max(0.0, message.age_s)
         watched = self._suspects.ended(message.runner, message.fingerprints, at_s, now)
-        if watched:
-            self._messenger.send_all(self._followers(), RequestsWatched(watched))
+        if watched and not self._watched:
+            self._clock.callLater(WATCH_GATHERED_S, self._tell_watched)
+        self._watched.update(dict.fromkeys(watched))
         self._clock.callLater(REPORTS_SETTLE_S, self.look)
 
+    def _tell_watched(self) -> None:
+        """Have the nodes report answers to new suspects; one message for one end's many words."""
+        watched, self._watched = tuple(self._watched), {}
+        self._messenger.send_all(self._followers(), RequestsWatched(watched))
+
     def _take_answer(self, source: str, message: RequestAnswered) -> None:
-        self._suspects.answered(message.fingerprint)
+        self._suspects.answered(message.fingerprint, self._clock.seconds())
         times = self._times_held(message.fingerprint)
         if times and self._group.is_leader():
             self._propose(ReleaseRequest(message.fingerprint, times, forget=True))
@@ -171,7 +180,7 @@
         if not times:
             detail = f"request {name_of(message.fingerprint)} is not held"
             return succeed(Fault(FaultCode.NOT_FOUND, STEP, detail))
-        self._suspects.answered(message.fingerprint)
+        self._suspects.answered(message.fingerprint, self._clock.seconds())
         proposed = self._group.propose(ReleaseRequest(message.fingerprint, times, forget=True))
         return proposed.addCallback(
             lambda result: result.error if result.is_error() else self._notice()
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -4,11 +4,13 @@
 from the others:
 
 - The same request was there at several ends. Others are there once, seldom twice.
-- A request that was answered whole anywhere has not ended its runner: nothing is held against it.
-- An end at which a held request was running is explained, and counts against no other.
+- A request that was answered whole anywhere, later, has not ended its runner: nothing is held
+  against it. So nodes are told of every suspect, and report the answers to it.
+- An end at which a held request was running is explained, and counts against no other. So the
+  request with the most ends is held first.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -28,6 +30,8 @@
 REPORTS_SETTLE_S = 0.2
 """All nodes' words on one end are there after this time. Whoever is named first is not taken for
 the only suspect before."""
+MOST_ANSWERED = 1024
+"""Of so many requests it is remembered when they were answered: a word on an end may come later."""
 AMBIGUITY_WAIT_S = 1.0
 """While several requests could be the one, answers to the harmless ones are waited for."""
 
@@ -49,6 +53,7 @@
         self._ends: deque[_RunnerEnd] = deque()
         self._by_suspect: dict[Fingerprint, list[_RunnerEnd]] = {}
         self._due_since_s: dict[Fingerprint, float] = {}
+        self._answered_s: OrderedDict[Fingerprint, float] = OrderedDict()
         self._held: frozenset[Fingerprint] = frozenset()
         self._offenders: frozenset[Fingerprint] = frozenset()
 
@@ -60,13 +65,14 @@
     def ended(
         self, runner: str, fingerprints: Iterable[Fingerprint], at_s: float, now: float
     ) -> tuple[Fingerprint, ...]:
-        """Take a node's word on an end; return the suspects that are now one end from being held.
-
-        An answer to one of these is worth knowing at once.
-        """
+        """Take a node's word on an end; return its new suspects: an answer to one is news."""
         self._forget_old(now)
         end = self._end_of(runner, at_s)
-        new = [each for each in fingerprints if each not in end.suspects]
+        new = [
+            each
+            for each in fingerprints
+            if each not in end.suspects and self._answered_s.get(each, end.at_s) <= end.at_s
+        ]
         if end.explained or not self._held.isdisjoint(new):
             self._explain(end)
             return ()
@@ -76,12 +82,14 @@
             ends.append(end)
             if len(ends) >= self._ends_to_hold(fingerprint):
                 self._due_since_s.setdefault(fingerprint, now)
-        return tuple(
-            each for each in new if len(self._by_suspect[each]) == self._ends_to_hold(each) - 1
-        )
-
-    def answered(self, fingerprint: Fingerprint) -> None:
-        """A runner has answered a request whole: it ended none of the runners."""
+        return tuple(new)
+
+    def answered(self, fingerprint: Fingerprint, now: float) -> None:
+        """A runner has answered a request whole: it ended none of the runners until now."""
+        self._answered_s[fingerprint] = now
+        self._answered_s.move_to_end(fingerprint)
+        if len(self._answered_s) > MOST_ANSWERED:
+            self._answered_s.popitem(last=False)
         for end in self._by_suspect.pop(fingerprint, ()):
             end.suspects.discard(fingerprint)
         self._due_since_s.pop(fingerprint, None)
@@ -89,11 +97,11 @@
     def due(self, now: float) -> tuple[Fingerprint, ...]:
         """Return the requests that are to be held now."""
         wait_s = AMBIGUITY_WAIT_S if len(self._due_since_s) > 1 else REPORTS_SETTLE_S
-        return tuple(
-            fingerprint
-            for fingerprint, since_s in self._due_since_s.items()
-            if now - since_s >= wait_s - ROUNDING_S
-        )
+        if not any(now - since_s >= wait_s - ROUNDING_S for since_s in self._due_since_s.values()):
+            return ()
+        ends = {each: len(self._by_suspect[each]) for each in self._due_since_s}
+        most = max(ends.values())
+        return tuple(each for each, count in ends.items() if count == most)
 
     def decided(self, quarantine: Quarantine) -> None:
         """Take what the root group has decided: what the held requests explain counts no more."""
