--- a/features/steps/platform_fatal_request_steps.py
+++ b/features/steps/platform_fatal_request_steps.py
@@ -79,7 +79,7 @@
         assert context.platform.metric(name, "requests_held") == 1.0, name
     (held,) = _held(context)
     lines = [line for name in CONTROLLERS for line in context.platform.log_lines(name)]
-    told = [line for line in lines if line.get("event") == "request_held"]
+    told = [line for line in lines if line.get("event") == "quarantine_held"]
     assert {line["fingerprint"] for line in told} == {held["fingerprint"]}, told
 
 
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -152,9 +152,9 @@
         held = {each.fingerprint: each for each in quarantine.requests if each.held}
         for fingerprint in sorted(held.keys() - self._held_since_s.keys()):
             log = logger.bind(fingerprint=name_of(fingerprint), times=held[fingerprint].times)
-            log.warning("request_held")
+            log.warning("quarantine_held")
         for fingerprint in sorted(self._held_since_s.keys() - held.keys()):
-            logger.bind(fingerprint=name_of(fingerprint)).info("request_released")
+            logger.bind(fingerprint=name_of(fingerprint)).info("quarantine_released")
         self._held_since_s = {name: self._held_since_s.get(name, now) for name in held}
 
     # --- operators -----------------------------------------------------------------------
