--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -15,6 +15,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
+from rainsail.jobs.item_guard import ItemGuard
 from rainsail.jobs.item_rooms import ItemRooms
 from rainsail.jobs.item_run import ItemRun, RunEnd
 from rainsail.jobs.job_state import JobState, RelayedJob, StateObserver
@@ -26,7 +27,6 @@
 from rainsail.jobs.work import Work, note_of, taken_up
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
-from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_of, name_of
 from rainsail.quarantine.guard import RequestGuard
 from rainsail.relay.protocol import ItemRequest, RelayProtocol, RunnerTarget
 from rainsail.relay.split import SplitPicker
@@ -42,7 +42,6 @@
 RETRY_PAUSE_S = 0.25
 FAILED_RUNNER_PAUSE_S = 1.5
 """A runner that broke a run off takes no items for this long."""
-ITEM_METHOD = b"POST"
 SILENT_RUN_S = 4.0
 """A run from which nothing comes for this long goes on elsewhere."""
 
@@ -92,7 +91,7 @@
         self._random = random
         self._zone = zone
         self._regions = regions
-        self._guard = guard
+        self._guard = ItemGuard(state, guard)
         self._list_outcome = list_outcome
         self._keep_notes = keep_notes
         self._may_start = may_start
@@ -349,7 +348,7 @@
         if not self._may_start() or (not self.online.heard_any and now < self._blind_until_s):
             return
         for work in self._waiting.by_urgency(self._order):
-            if self._is_held(work):
+            if self._guard.is_held(work):
                 self._keep_waiting(work, now)
                 continue
             if work.ready_at_s > now:
@@ -358,10 +357,6 @@
                 return
             self._waiting.take(work)
 
-    def _is_held(self, work: Work) -> bool:
-        """Tell whether an item must reach no runner: it waits until it is let go or given up."""
-        return self._guard.holds_any and self._guard.holds(self._fingerprint(work))
-
     def _keep_waiting(self, work: Work, now: float) -> None:
         """Let a held item wait, and give it up once its route allows that."""
         self._waiting.set_aside(work)
@@ -441,7 +436,7 @@
         works = self._running.get(work.runner, [])
         if work in works:
             works.remove(work)
-        self._tell_guard(work)
+        self._guard.run_ended(work, self._registry.get(work.runner))
         if end == RunEnd.BROKEN:
             work.cut(now)
         work.ran_s = work.running_s(now)
@@ -450,20 +445,10 @@
         if end != RunEnd.WHOLE:
             item = self._item_id(work)
             log = logger.bind(job=self._job_id(work), item=item, runner=work.runner, reason=reason)
-            log = log.bind(fingerprint=name_of(self._fingerprint(work)))
+            log = log.bind(fingerprint=self._guard.name(work))
             log.bind(end=end.value, last_event=work.progress.last_event).info("item_run_ended")
         self._judge(work, end)
 
-    def _tell_guard(self, work: Work) -> None:
-        """Say what a run's end tells of its runner."""
-        run, record = work.run, self._registry.get(work.runner)
-        if run is None or record is None:
-            return
-        if run.connection_ended:
-            self._guard.connection_ended(record, self._fingerprint(work))
-        elif run.proves_survival and self._guard.wants_answers:
-            self._guard.answered(self._fingerprint(work))
-
     def _judge(self, work: Work, end: RunEnd) -> None:
         now = self._clock.seconds()
         if end == RunEnd.WHOLE:
@@ -496,16 +481,6 @@
         job = self._state.jobs.get(work.job)
         return "" if job is None else job.items[work.index].item
 
-    def _fingerprint(self, work: Work) -> Fingerprint:
-        """Return what an item has in common with its repetitions."""
-        job = self._state.jobs.get(work.job)
-        if not work.fingerprint and job is not None:
-            item = job.items[work.index]
-            work.fingerprint = fingerprint_of(
-                job.tenant, job.host, ITEM_METHOD, item.path.encode(), item.body
-            )
-        return work.fingerprint
-
     def _tokens_of(self, work: Work) -> int:
         job = self._state.jobs.get(work.job)
         return 0 if job is None else job.items[work.index].tokens
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -18,6 +18,7 @@
 from rainsail.relay.events import Event
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
 from rainsail.relay.runner_finder import RunnerFinder
+from rainsail.relay.runner_notes import RunnerNotes
 from rainsail.relay.silence import SilenceWatch
 from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.messages import Placement
@@ -65,6 +66,7 @@
         self._silence = SilenceWatch(context, self._leave_silent)
         self._last_reason = ""
         self._fingerprint: Fingerprint = b""
+        self._notes = RunnerNotes(context, lambda: self.fingerprint)
         self.outcome = ""
         exchange.on_left(self._client_left)
 
@@ -207,7 +209,7 @@
         """Return the route by which one more sending is allowed; otherwise end the request."""
         if self._ended:
             return None
-        if self._context.guard.holds_any and self._context.guard.holds(self.fingerprint):
+        if self._notes.request_is_held():
             # Looked up before each sending: it may have been held while this request waited.
             self._give_up_held()
             return None
@@ -307,18 +309,12 @@
         if not self._answer.write_events(attempt, attempt.stream.last_events()):
             self.answer_broke(attempt, MISSING_EVENT)
             return
-        self._context.loads.answered(attempt.record.runner)
-        self._note_survival(attempt)
+        self._notes.answered(attempt)
         self._note_slot_time()
         self._attempt = None
         self._answer.end_stream(attempt)
         self._finish("completed")
 
-    def _note_survival(self, attempt: Attempt) -> None:
-        """Have a request that was answered whole be no suspect any more."""
-        if self._context.guard.wants_answers and attempt.proves_survival:
-            self._context.guard.answered(self.fingerprint)
-
     def _note_slot_time(self) -> None:
         """Learn how long a stream holds a slot: from its first byte on."""
         if self.first_s is not None:
@@ -346,13 +342,11 @@
         return attempt.failed and (repeated or attempt.verdict.promises_not_run)
 
     def _note_answer(self, attempt: Attempt) -> None:
-        loads, runner = self._context.loads, attempt.record.runner
         if attempt.failed and attempt.head is not None:
             self._last_reason = f"the runner answered {attempt.head.status}"
-            loads.failed(runner, self._context.clock.seconds())
+            self._notes.failed(attempt)
         else:
-            loads.answered(runner)
-            self._note_survival(attempt)
+            self._notes.answered(attempt)
 
     def _take_failure(self, attempt: Attempt) -> None:
         """A runner answered with what no client gets: the request has run, or may have."""
@@ -361,7 +355,7 @@
         attempt.body.clear()
         self._may_have_run = True
         self._last_reason = f"the runner answered {attempt.head.status}"
-        self._context.loads.failed(attempt.record.runner, self._context.clock.seconds())
+        self._notes.failed(attempt)
         if self._may_repeat(self._route):
             self._try_next()
         else:
@@ -373,14 +367,11 @@
         """Try another runner: this one has not run it."""
         assert attempt.verdict is not None and attempt.head is not None
         self._attempt = None
-        now = self._context.clock.seconds()
         self._last_reason = f"the runner refused with {attempt.head.status}"
         if attempt.verdict.other_runner:
             # No runner has seen the request: it must not cost one of the attempts.
             self._sends -= 1
-            self._context.loads.failed(attempt.record.runner, now, at_once=True)
-        else:
-            self._context.loads.full(attempt.record.runner, now)
+        self._notes.refused(attempt)
         self._try_next()
 
     def runner_unreached(self, attempt: Attempt, reason: str) -> None:
@@ -388,9 +379,7 @@
         self._attempt = None
         self._sends -= 1
         self._last_reason = reason
-        now = self._context.clock.seconds()
-        self._context.loads.failed(attempt.record.runner, now, at_once=True)
-        self._context.pool.forget(attempt.record.address)
+        self._notes.unreached(attempt)
         self._try_next()
 
     def answer_broke(self, attempt: Attempt, reason: str) -> None:
@@ -398,12 +387,7 @@
         self._attempt = None
         self._last_reason = reason
         self._may_have_run = True
-        now = self._context.clock.seconds()
-        self._context.loads.failed(attempt.record.runner, now)
-        self._context.pool.forget(attempt.record.address)
-        may_go_on = True
-        if attempt.connection_ended:
-            may_go_on = self._context.guard.connection_ended(attempt.record, self.fingerprint)
+        may_go_on = self._notes.broke(attempt)
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
