--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -22,6 +22,7 @@
 KNOWN_RED_FILE = Path("KNOWN-RED.txt")
 LONG_AREAS = (
     "rig",
+    "quarantine",
     "platform",
     "fleet",
     "demo",
