--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -164,7 +164,7 @@
         return self._calls.call(ReadQuarantine(), self._read_as_leader, ORDER_WITHIN_S, True)
 
     def release(self, fingerprint: Fingerprint) -> "Deferred[Result[QuarantineNotice, Fault]]":
-        """Let a request go; NOT_FOUND when it is not held."""
+        """Let a request go and forget it; NOT_FOUND when nothing is known against it."""
         message = OrderRelease(fingerprint)
         return self._calls.call(message, self._release_as_leader, ORDER_WITHIN_S)
 
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -26,7 +26,7 @@
 within milliseconds, and a runner takes longer to start again."""
 FORGOTTEN_AFTER_S = 3600.0
 MOST_ENDS = 300
-"""So many ends are remembered: 4.4 MB with 50 requests at each, by ``tracemalloc``."""
+"""So many ends are remembered: 4.1 MB with 50 requests at each, by ``tracemalloc``."""
 REPORTS_SETTLE_S = 0.2
 """All nodes' words on one end are there after this time. Whoever is named first is not taken for
 the only suspect before."""
--- a/src/rainsail/relay/runner_notes.py
+++ b/src/rainsail/relay/runner_notes.py
@@ -21,7 +21,7 @@
         return guard.holds_any and guard.holds(self._fingerprint())
 
     def answered(self, attempt: Attempt) -> None:
-        """The runner has answered soundly, and is no suspect's victim."""
+        """The runner has answered soundly: the request has not ended it."""
         self._context.loads.answered(attempt.record.runner)
         if self._context.guard.wants_answers and attempt.proves_survival:
             self._context.guard.answered(self._fingerprint())
