Hold a stream's first event to what other streams of its service begin with

Symptom: clients got streams without their first event, or with the bytes of a spoilt one, told as complete; an item's text without its beginning, or an empty one, was listed as done for good.

Cause: the next event is told from the number of the last one, and before the first there is none: nothing was seen before it, therefore nothing was before it. Nothing on the wire says with which number a stream begins.

It is judged before anything leaves and once more at its end. It holds since a loss can only raise the first number or take it away; a service that numbers from 0, or otherwise, or not at all is held to its own way or to none.

--- /dev/null
+++ b/features/relay/beginnings.feature
@@ -0,0 +1,161 @@
+Feature: A stream that lacks its beginning is not told as complete
+
+  Clients got streams that began with event 2 and were told as complete: the runner's first event was
+  lost or spoilt on its way, or none came at all. With the last event known, a gap is seen in front of
+  the next one; before the first event there was nothing to compare with, and "nothing was seen before
+  it" was taken for "nothing was before it". The gateway's line of such a request said that all was well:
+
+    request_completed sends=1 answers=200 chunked last_event=7 reason=
+
+  Nothing on the wire says with which number a stream begins, and services number as they like. So a
+  stream is held to what the other streams of its service began with, and to nothing where they differ.
+  In 40 seeds of the soak 94 streams were told as complete without their beginning, and none since.
+
+  Scenario: A resumable request begins anew at another runner when its first event is lost
+    Given a relay with 3 runners and a resumable "stream" route
+    And 2 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    Then nothing has left for the client
+    And the last sending asks for the stream from its start
+    When the runner sends events 1 to 4
+    And the runner ends its stream
+    Then the client has the whole stream of events 1 to 4
+    And 2 sendings were made, each to another runner
+
+  Scenario: A request that may run once only is not sent again
+    Given a relay with 3 runners and a "stream" route
+    And 2 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    Then the client has the status 502
+    And 1 sending was made
+
+  Scenario Outline: A first event that <what> is noticed too
+    Given a relay with 3 runners and a resumable "stream" route
+    And 2 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And the runner sends the head of a stream
+    And <sent>
+    Then nothing has left for the client
+    And the last sending asks for the stream from its start
+
+    Examples:
+      | what          | sent                                              |
+      | is spoilt     | the runner sends event 1 behind bytes of nothing  |
+      | has no number | the runner sends data without a number            |
+
+  Scenario Outline: A stream that ends without any event is not told as whole where streams have events: <sent>
+    Given a relay with 3 runners and a "stream" route
+    And 2 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And <sent>
+    And the runner ends its stream
+    Then the client has no complete answer
+
+    Examples:
+      | sent                                       |
+      | the runner sends a stream of no events     |
+      | the runner sends a stream of one comment   |
+
+  Scenario: Runners that all spoil the first event are asked as often as the route allows, and no more
+    Given a relay with 6 runners and a resumable "stream" route of 3 attempts
+    And 20 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And the runner sends events 2 to 4
+    And the runner sends events 2 to 4
+    Then the client has the status 502
+    And 3 sendings were made, each to another runner
+
+  Scenario: A stream whose end comes when others have told with what streams begin
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And 2 other streams of the service begin with event 1 meanwhile
+    And the runner ends its stream
+    Then the client's connection was cut after events 2 to 4
+
+  Scenario: The line of the attempt says what was wrong
+    Given a relay with 3 runners and a resumable "stream" route
+    And 2 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    Then the line "attempt_broke" of the request has "reason" = "the stream lacks its beginning"
+
+  Scenario Outline: A service whose streams begin with <number> is served
+    Given a relay with 3 runners and a "stream" route
+    And <earlier> earlier streams of the service began with event <number>
+    When a client sends a request to the relay
+    And the runner sends events <number> to <last>
+    And the runner ends its stream
+    Then the client has the whole stream of events <number> to <last>
+
+    Examples:
+      | number | last | earlier |
+      | 0      | 4    | 0       |
+      | 0      | 4    | 20      |
+      | 1      | 4    | 0       |
+      | 2      | 4    | 0       |
+      | 7      | 9    | 0       |
+      | 7      | 9    | 1       |
+      | 7      | 9    | 20      |
+
+  Scenario: A service just added is not held to what another one begins with
+    Given a relay with 3 runners and a "stream" route
+    And 20 earlier streams of the service began with event 1
+    When the service is added anew and its runners begin with event 2
+    And a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And the runner ends its stream
+    Then the client has the whole stream of events 2 to 4
+
+  Scenario: A service whose streams begin with many numbers is held to none
+    Given a relay with 3 runners and a "stream" route
+    And earlier streams of the service began with events 1, 6, 9, 13, 1, 7, 12 and 20
+    When a client sends a request to the relay
+    And the runner sends events 3 to 4
+    And the runner ends its stream
+    Then the client has the whole stream of events 3 to 4
+
+  Scenario: Numbers that run on from one answer of a session to the next are no loss
+    Given a relay with 3 runners and a "stream" route
+    And 20 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And the runner sends events 15 to 18
+    And the runner ends its stream
+    Then the client has the whole stream of events 15 to 18
+
+  Scenario: A service that changes its numbers is served by them after four streams
+    Given a relay with 3 runners and a "stream" route
+    And 20 earlier streams of the service began with event 0
+    And 4 later ones began with event 1
+    When a client sends a request to the relay
+    And the runner sends events 1 to 4
+    And the runner ends its stream
+    Then the client has the whole stream of events 1 to 4
+
+  Scenario: A client that takes its stream up again is not told that its beginning is missing
+    Given a relay with 3 runners and a resumable "stream" route
+    And 2 earlier streams of the service began with event 1
+    When a client takes its stream up again behind event 3
+    And the runner sends events 4 to 6
+    And the runner ends its stream
+    Then the client has the whole stream of events 4 to 6
+
+  Scenario: A client that has the whole stream already gets its end
+    Given a relay with 3 runners and a resumable "stream" route
+    And 2 earlier streams of the service began with event 1
+    When a client takes its stream up again behind event 3
+    And the runner sends a stream of no events
+    And the runner ends its stream
+    Then the client has an empty stream, and the end
+
+  Scenario: A service whose streams have no numbers is served as it is
+    Given a relay with 3 runners and a "stream" route
+    And 20 earlier streams of the service had no numbers
+    When a client sends a request to the relay
+    And the runner sends the head of a stream
+    And the runner sends data without a number
+    And the runner ends its stream
+    Then the client has a stream without numbers, and the end
--- a/src/rainsail/jobs/dispatch_state.py
+++ b/src/rainsail/jobs/dispatch_state.py
@@ -7,20 +7,23 @@
 from rainsail.jobs.runner_slots import RunnerSlots
 from rainsail.jobs.running_items import RunningItems
 from rainsail.jobs.waiting_items import WaitingItems
+from rainsail.relay.stream_beginnings import StreamBeginnings
 
 
 @dataclass(frozen=True, slots=True)
 class DispatchState:
-    """Which items wait, which run where, who holds the runners' slots, and the table in force."""
+    """Which items wait or run where, who holds slots, the table in force, how streams begin."""
 
     waiting: WaitingItems
     running: RunningItems
     slots: RunnerSlots
     routes: ItemRoutes
+    beginnings: StreamBeginnings
 
 
 def make_dispatch_state(node: DispatchNode, ledger: Ledger) -> DispatchState:
     """Return a state in which nothing waits or runs and no table is known."""
     running = RunningItems()
     slots = RunnerSlots(node.warm_ups, node.settings, running)
-    return DispatchState(WaitingItems(), running, slots, ItemRoutes(ledger.state))
+    routes = ItemRoutes(ledger.state)
+    return DispatchState(WaitingItems(), running, slots, routes, StreamBeginnings())
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -1,5 +1,6 @@
 """One item's run at a runner: events are gathered until the answer is whole."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -9,6 +10,7 @@
 from rainsail.relay.continuation import (
     CLOSED_EARLY,
     FOREIGN_ANSWER,
+    LOST_BEGINNING,
     MISSING_EVENT,
     OVERLONG_EVENT,
     AttemptEnd,
@@ -16,11 +18,18 @@
     judge_head,
     judge_item_body,
 )
-from rainsail.relay.events import STATUS_OK, Event, EventStream, leaves_hole
+from rainsail.relay.events import STATUS_OK, Event, EventStream, is_part_of_stream, leaves_hole
 from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
+from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings
 from rainsail.routing.facts import ServerLoad
 
 NO_EVENTS = "no stream of events"
+LIKE_RUNS_BELIEVED = 3
+"""So many runs of one item that begin alike show that it does begin so, whatever others begin with.
+
+Not measured; chosen so that an item whose answer has no event ends after few runs, while three
+runs that lack their beginning in the same way hardly ever come together.
+"""
 
 
 class RunEnd(StrEnum):
@@ -52,6 +61,8 @@
     """The id of the event of each text."""
     failures: int = 0
     impossible: int = 0
+    doubted: Counter[int | None] = field(default_factory=Counter)
+    """How many runs were given up for their beginning, by the number of their first event."""
 
     def take(self, event: Event) -> None:
         """Add an event that is behind those already there."""
@@ -63,6 +74,17 @@
         self.texts.append(event.data)
         self.numbers.append(event.number)
 
+    @property
+    def first_event(self) -> int | None:
+        """The number of the first event: none is missing between it and the last one."""
+        return None if self.last_event is None else self.last_event - len(self.texts) + 1
+
+    def start_anew(self) -> None:
+        """Drop what has come, for a run that begins at the beginning."""
+        self.last_event = None
+        self.texts.clear()
+        self.numbers.clear()
+
     @property
     def text(self) -> str:
         """The data of all events, parted by line feeds."""
@@ -77,6 +99,8 @@
         item: str,
         progress: ItemProgress,
         protocol: RelayProtocol,
+        service: str,
+        beginnings: StreamBeginnings,
         ended: Callable[["ItemRun", RunEnd, str], None],
         load_heard: Callable[[ServerLoad], None] = lambda load: None,
     ) -> None:
@@ -89,6 +113,8 @@
         self.proves_survival = False
         """The whole answer shows that the runner outlived the item."""
         self._protocol = protocol
+        self._service = service
+        self._beginnings = beginnings
         self._ended = ended
         self._load_heard = load_heard
         self._stream: EventStream | None = None
@@ -132,12 +158,29 @@
 
     def _take_events(self, events: list[Event]) -> None:
         for event in events:
+            begins = self.progress.last_event is None and is_part_of_stream(event)
+            if begins and not self._may_begin_with(event.number):
+                self._end(RunEnd.BROKEN, LOST_BEGINNING)
+                return
             unnumbered = event.number is None and bool(event.data)
             if unnumbered or leaves_hole(event, self.progress.last_event):
                 self._end(RunEnd.BROKEN, MISSING_EVENT)
                 return
             self.progress.take(event)
 
+    def _may_begin_with(self, number: int | None) -> bool:
+        """Judge the first event of a run that begins at the beginning; None: it has no number."""
+        is_believed = self._is_believed(number)
+        self._beginnings.observe(StreamBeginning(self._service, number))
+        return is_believed
+
+    def _is_believed(self, number: int | None) -> bool:
+        """Tell whether the item's text may begin with an event; count the run if it may not."""
+        if not self._beginnings.is_lost(StreamBeginning(self._service, number)):
+            return True
+        self.progress.doubted[number] += 1
+        return self.progress.doubted[number] >= LIKE_RUNS_BELIEVED
+
     def answer_ended(self) -> None:
         """Judge the whole answer."""
         if self._stream is not None:
@@ -151,9 +194,23 @@
             self._end(RunEnd.BROKEN, CLOSED_EARLY)
             return
         self._take_events(stream.last_events())
+        if not self._over and not self._has_beginning():
+            self.progress.start_anew()
+            self._end(RunEnd.BROKEN, LOST_BEGINNING)
+            return
         self.proves_survival = not self._over and self._framing != Framing.CLOSE
         self._end(RunEnd.WHOLE, "ended")
 
+    def _has_beginning(self) -> bool:
+        """Tell whether a whole answer has its beginning, by what is known at its end.
+
+        Runs of other items, or those of an earlier leader, may have told only meanwhile.
+        """
+        first_event = self.progress.first_event
+        if first_event is None:
+            return self._may_begin_with(None)
+        return self._is_believed(first_event)
+
     def answer_failed(self, reason: str) -> None:
         """The answer broke off."""
         self.connection_ended = reason in CONNECTION_ENDS
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -35,6 +35,7 @@
         self._guard = ItemGuard(ledger.state, node.guard)
         self._node = node
         self._routes = state.routes
+        self._beginnings = state.beginnings
         self._slots = state.slots
         self._running = state.running
         self._waiting = state.waiting
@@ -50,11 +51,11 @@
         item.begin_run(record.runner, now)
         self._slots.on_item_started(record, now)
         self._running.add(item)
-        item.run = self._new_run(item, content.item)
+        item.run = self._new_run(item, content.item, record.service)
         self._recorder.item_sent(item)
         item.call = self._node.pool.send(record.address, request, item.run)
 
-    def _new_run(self, item: OpenItem, item_name: str) -> ItemRun:
+    def _new_run(self, item: OpenItem, item_name: str, service: str) -> ItemRun:
         runner = item.runner
 
         def on_ended(run: ItemRun, end: RunEnd, reason: str) -> None:
@@ -63,7 +64,15 @@
         def on_load_report(load: ServerLoad) -> None:
             self._slots.on_load_report(runner, load, self._node.clock.seconds())
 
-        return ItemRun(item_name, item.progress, self._node.protocol, on_ended, on_load_report)
+        return ItemRun(
+            item_name,
+            item.progress,
+            self._node.protocol,
+            service,
+            self._beginnings,
+            on_ended,
+            on_load_report,
+        )
 
     def end_idle_runs(self) -> None:
         """End the runs that have brought no event for ``IDLE_TIMEOUT_S``."""
@@ -78,6 +87,7 @@
         self._guard.on_run_ended(item, self._node.registry.get(item.runner))
         if end == RunEnd.BROKEN:
             item.close_run(now)
+            item.forget_dropped_events()
         item.ran_s = item.running_s(now)
         item.run = None
         item.call = None
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -73,6 +73,14 @@
         self.fruitless_runs = 0 if brought_events else self.fruitless_runs + 1
         return self.fruitless_runs
 
+    def forget_dropped_events(self) -> None:
+        """Count only events that are still there: a run may have been dropped from its start.
+
+        The ledger may keep a note of the dropped events. It takes no other note of the item then,
+        and a new leader that goes on from there judges the beginning again at the end.
+        """
+        self.events_kept = min(self.events_kept, self.events)
+
     def close_run(self, now: float) -> None:
         """Close the run's connection; nothing of this run is taken any more."""
         self.ran_s = self.running_s(now)
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -9,8 +9,9 @@
 from rainsail.http.exchange import Exchange
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.continuation import ClientHas
-from rainsail.relay.events import Event, leaves_hole
+from rainsail.relay.events import Event, is_part_of_stream, leaves_hole
 from rainsail.relay.protocol import RelayProtocol
+from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings
 from rainsail.runtime.clock import Clock
 
 CONTENT_LENGTH = b"content-length"
@@ -32,17 +33,27 @@
     """
 
     def __init__(
-        self, exchange: Exchange, protocol: RelayProtocol, clock: Clock, last_event: int | None
+        self,
+        exchange: Exchange,
+        protocol: RelayProtocol,
+        clock: Clock,
+        beginnings: StreamBeginnings,
+        last_event: int | None,
     ) -> None:
         self._exchange = exchange
         self._protocol = protocol
         self._clock = clock
+        self._beginnings = beginnings
         self.state = AnswerState.NOTHING_SENT
         self.first_s: float | None = None
         self.last_event = last_event
         self._begun_by: Attempt | None = None
         self._has_unnumbered = False
         """Some data without a number has left."""
+        self._continues_earlier = last_event is not None
+        """The client has the beginning of the stream from an earlier answer."""
+        self._beginning: StreamBeginning | None = None
+        """How the events that have left begin; None before the first."""
 
     @property
     def begun(self) -> bool:
@@ -72,9 +83,10 @@
         """Write the events that the client doesn't have yet, at once.
 
         False when one is missing before the next: that one and those behind it are not written.
+        ``has_beginning`` then tells whether it is the first one that is missing.
         """
         taken: list[bytes] = []
-        whole = self._take_new(events, taken)
+        whole = self._begins_well(attempt, events) and self._take_new(events, taken)
         if taken:
             self._begin(attempt)
             self._exchange.write(b"".join(taken))
@@ -95,6 +107,40 @@
             taken.append(event.raw)
         return True
 
+    @property
+    def has_beginning(self) -> bool:
+        """Tell whether the client has the first event, as far as is known."""
+        return self._continues_earlier or self._beginning is not None
+
+    def _begins_well(self, attempt: Attempt, events: list[Event]) -> bool:
+        """Judge the first event of the whole stream by what other streams began with."""
+        if self.has_beginning:
+            return True
+        first = next(filter(is_part_of_stream, events), None)
+        if first is None:
+            return True
+        beginning = StreamBeginning(attempt.record.service, first.number)
+        is_lost = self._beginnings.is_lost(beginning)
+        self._beginnings.observe(beginning)
+        if not is_lost:
+            self._beginning = beginning
+        return not is_lost
+
+    def lacks_beginning(self, attempt: Attempt) -> bool:
+        """Tell, at the end of a stream, whether its first events never came.
+
+        Streams that were seen since its first event may have told so only now. One that ends
+        without any event is judged here.
+        """
+        if self._continues_earlier:
+            return False
+        if self._beginning is not None:
+            return self._beginnings.is_lost(self._beginning)
+        empty = StreamBeginning(attempt.record.service, None)
+        is_lost = self._beginnings.is_lost(empty)
+        self._beginnings.observe(empty)
+        return is_lost
+
     def write_body(self, attempt: Attempt) -> None:
         """Write what has been gathered of a body."""
         self._begin(attempt)
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -12,6 +12,7 @@
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.split import SplitPicker
+from rainsail.relay.stream_beginnings import StreamBeginnings
 from rainsail.relay.table import Route, RoutingTable
 from rainsail.routing.choice import RunnerChooser
 from rainsail.routing.load import RunnerLoads
@@ -45,6 +46,7 @@
     overload: OverloadGuard
     regions: RegionMap
     guard: RequestGuard
+    beginnings: StreamBeginnings
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks where a request should go; calls back with None when the gateway has to choose."""
@@ -98,4 +100,5 @@
         OverloadGuard(random, settings.overload),
         regions,
         guard or NoGuard(),
+        StreamBeginnings(),
     )
--- a/src/rainsail/relay/continuation.py
+++ b/src/rainsail/relay/continuation.py
@@ -38,6 +38,7 @@
 
 FOREIGN_ANSWER = "the answer belongs to another request"
 MISSING_EVENT = "an event is missing"
+LOST_BEGINNING = "the stream lacks its beginning"
 OVERLONG_EVENT = "an event has no end"
 CLOSED_EARLY = "the connection ended before the stream"
 SILENT = "silent"
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -41,6 +41,11 @@
     return event.number > last_event + 1
 
 
+def is_part_of_stream(event: Event) -> bool:
+    """Tell whether an event is one of those that are numbered: a comment or a blank is not."""
+    return event.number is not None or bool(event.data)
+
+
 def is_event_stream(head: AnswerHead) -> bool:
     """Tell whether an answer is a series of events, and a success."""
     return head.status == STATUS_OK and any(
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -13,10 +13,12 @@
 from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.context import RelayContext
 from rainsail.relay.continuation import (
+    LOST_BEGINNING,
     MISSING_EVENT,
     SILENT,
     Abort,
     AttemptEnd,
+    ClientHas,
     Ending,
     Refuse,
     RequestOutcome,
@@ -25,6 +27,7 @@
     SendTerms,
     decide_send,
     end_after_attempt,
+    give_up,
     give_up_without_runner,
     may_leave_silent_runner,
     passes_on,
@@ -66,7 +69,9 @@
         self._facts = facts
         self._identity = identity
         self._on_ended = ended
-        self._answer = ClientAnswer(exchange, context.protocol, context.clock, facts.after_event)
+        self._answer = ClientAnswer(
+            exchange, context.protocol, context.clock, context.beginnings, facts.after_event
+        )
         self._recorder = RequestRecorder(context, request, facts, identity)
         self._sender = RequestSender(
             context, request, facts, route, identity, self, self._response_timed_out
@@ -237,7 +242,7 @@
             self._sender.events_came()
         else:
             attempt.cancel()
-            self.answer_broke(attempt, MISSING_EVENT)
+            self.answer_broke(attempt, self._what_is_missing())
 
     def body_grew(self, attempt: Attempt) -> None:
         """Pass a large answer on before it has ended, unless it's a failure that no client gets."""
@@ -253,7 +258,10 @@
         """End the answer as complete, if what the end left open is the next event."""
         assert attempt.stream is not None
         if not self._answer.write_events(attempt, attempt.stream.last_events()):
-            self.answer_broke(attempt, MISSING_EVENT)
+            self.answer_broke(attempt, self._what_is_missing())
+            return
+        if self._answer.lacks_beginning(attempt):
+            self._end_without_beginning(attempt)
             return
         self._recorder.answered(attempt)
         self._recorder.streamed(self._sender.service, self.first_s)
@@ -261,6 +269,18 @@
         self._answer.end_stream(attempt)
         self._finish(RequestOutcome.COMPLETED)
 
+    def _what_is_missing(self) -> str:
+        return MISSING_EVENT if self._answer.has_beginning else LOST_BEGINNING
+
+    def _end_without_beginning(self, attempt: Attempt) -> None:
+        """Begin anew at another runner, or cut off what has left: nobody can add its beginning."""
+        if self._answer.client_has == ClientHas.NOTHING:
+            self.answer_broke(attempt, LOST_BEGINNING)
+            return
+        self._recorder.broke(attempt, LOST_BEGINNING, self._answer.last_event)
+        self._sender.attempt = None
+        self._end(give_up(self._progress(), self._context.settings))
+
     def answer_came(self, attempt: Attempt) -> None:
         """Pass a whole answer on, or try again where its status asks for that."""
         if not self._passes_on(attempt):
