Give a command that fails an error as its outcome, so that its group goes on

Symptom (by reading, then in virtual time): a command at which the state machine raises stopped its group at every replica; the leader went on leading, and neither its proposer nor anything behind it was answered any more.

Cause: the loop that applies knew the error of an unreadable entry alone. Any other exception left the entry uncounted and the loop without a next turn, and so did a listener that raised.

Mend: the entry counts as applied, its proposer gets an internal fault with an unknown outcome, the log names entry, command and exception. It holds since state and command alone go into applying, so that each replica fails alike; what may fail at one replica alone (memory, disk, an unreadable entry) ends that replica. Listeners are told one by one.

--- a/src/rainsail/consensus/applier.py
+++ b/src/rainsail/consensus/applier.py
@@ -7,12 +7,21 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred
 
+from rainsail.consensus.listeners import tell_each
 from rainsail.consensus.log_window import LogWindow
 from rainsail.consensus.membership import membership_of_payload
 from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.logs import logger
 from rainsail.state.command_basics import command_of
 from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import LogEntry
+from rainsail.wire.codec import CodecError
+
+LOCAL_FAILURES = (MemoryError, OSError, RecursionError, CodecError)
+"""What may fail at one replica alone, for want of memory, disk or a readable log.
+
+That replica stops before the entry: were it to go on, its state would differ from the others'.
+"""
 
 ProposalResult = Result[tuple[int, Any], Fault]
 
@@ -96,8 +105,7 @@
             if answer is not None:
                 answers.append(answer)
             self.applied_index = index
-        for listener in self.on_applied:
-            listener(self.applied_index)
+        tell_each(self.on_applied, self.applied_index)
         for proposal, result in answers:
             proposal.done.callback(result)
         self._release_reads()
@@ -107,14 +115,31 @@
         self.bytes_since_snapshot += len(entry.payload)
         waiting = self._waiting.pop(entry.index, None)
         if waiting is not None and waiting.term == entry.term:
-            outcome = self._state_machine.apply(entry.index, waiting.proposal.command)
-            return waiting.proposal, Ok((entry.index, outcome))
+            return waiting.proposal, self._apply_command(entry.index, waiting.proposal.command)
         if membership_of_payload(entry.payload) is None:
-            self._state_machine.apply(entry.index, command_of(entry.payload))
+            self._apply_command(entry.index, command_of(entry.payload))
         if waiting is None:
             return None
         return waiting.proposal, Error(overruled())
 
+    def _apply_command(self, index: int, command: Any) -> ProposalResult:
+        """Apply a command; one that the state machine fails at has an error as its outcome.
+
+        The same command fails in the same way at each replica, since nothing but the state and the
+        command go into it. Were it not counted as applied, all replicas would stop at it, and with
+        them everything behind it, until somebody changes the program. What is due to this process
+        alone says nothing of the other replicas: ``LOCAL_FAILURES`` are raised.
+        """
+        try:
+            return Ok((index, self._state_machine.apply(index, command)))
+        except LOCAL_FAILURES:
+            raise
+        except Exception as error:
+            name = type(command).__name__
+            failed = logger.bind(index=index, command=name)
+            failed.opt(exception=error).error("command_failed")
+            return Error(_command_failed(index, name, error))
+
     def _release_reads(self) -> None:
         ready = [read for read in self._reads if read.index <= self.applied_index]
         if not ready:
@@ -130,6 +155,12 @@
     return Fault(FaultCode.NOT_LEADER, "consensus.propose", detail, leader, Outcome.UNKNOWN)
 
 
+def _command_failed(index: int, command: str, error: Exception) -> Fault:
+    """Return the fault of a command that may be applied in part."""
+    detail = f"{command} at entry {index} failed: {error!r}"
+    return Fault(FaultCode.INTERNAL, "consensus.apply", detail, outcome=Outcome.UNKNOWN)
+
+
 def overruled() -> Fault:
     """Return the fault of a proposal whose entry another leader replaced."""
     return Fault(
--- a/src/rainsail/consensus/apply_loop.py
+++ b/src/rainsail/consensus/apply_loop.py
@@ -7,13 +7,12 @@
 
 from collections.abc import Callable
 
-from rainsail.consensus.applier import Applier
+from rainsail.consensus.applier import LOCAL_FAILURES, Applier
 from rainsail.consensus.core_state import CoreState, Role
 from rainsail.consensus.leadership import Leadership
 from rainsail.consensus.snapshot_worker import SnapshotWorker
 from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.clock import Clock
-from rainsail.wire.codec import CodecError
 
 
 class ApplyLoop:
@@ -57,9 +56,9 @@
             return
         try:
             more = self._applier.apply_batch(self._state.settings.max_apply_batch)
-        except CodecError as error:
+        except LOCAL_FAILURES as error:
             index = self._applier.applied_index + 1
-            detail = f"group {self._state.group}: entry {index} can't be read: {error}"
+            detail = f"group {self._state.group}: entry {index} can't be applied here: {error!r}"
             self._on_fatal(Fault(FaultCode.STORAGE, "consensus.apply", detail))
             return
         if self._stopped:
--- a/src/rainsail/consensus/leadership.py
+++ b/src/rainsail/consensus/leadership.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from rainsail.consensus.listeners import tell_each
+
 Listener = Callable[[bool], None]
 
 
@@ -30,13 +32,11 @@
     def begin(self) -> None:
         """Announce that leadership has begun."""
         self.announced = True
-        for listener in list(self._listeners):
-            listener(True)
+        tell_each(self._listeners, True)
 
     def end(self) -> None:
         """Announce that leadership has ended, if it was announced."""
         if not self.announced:
             return
         self.announced = False
-        for listener in list(self._listeners):
-            listener(False)
+        tell_each(self._listeners, False)
