Drop an order on a zone whose operator has left while its controller stood still

Symptom: once in a soak of jobs a zone was drained for good after the end of its drain had been acknowledged.

Cause: an order names the revision that its controller read. One that waits at a controller which stands still is read when that wakes, reads the revision of the newer order, and follows it: the time of reading was taken for that of sending.

Mend: behind the read the controller asks whether the operator still waits. It holds since operators send a newer order only after an answer or after they have given up on the call, and the close of their connection comes with the order.

Measured: the new scenario fails without the check and passes with it.

--- a/features/cluster/zone_drains.feature
+++ b/features/cluster/zone_drains.feature
@@ -114,3 +114,35 @@
     When a late word of a crashed incarnation takes a living runner's address at every node
     And all controllers lose power before they keep that, and start again
     Then every node sends to the living one within 2.5 seconds of its beats
+
+  Scenario: An order that waited at a controller which stood still doesn't undo a newer one
+    # Seen once in a soak: an order was sent to a controller that was frozen, then to another one,
+    # which acknowledged it, and so was its end. When the first controller woke, it read the newest
+    # revision, that of the end, and had the old order follow it: the zone was drained for good. The
+    # revision tells what was decided before the read, not before the operator sent; that he has
+    # left since then does tell.
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-0 at controller 2, which stands still, and leaves after 1 second
+    And an operator drains zone-0 at controller 1
+    And an operator ends the drain of zone-0 at controller 1
+    And controller 2 wakes
+    Then every node sends to zone-0 within 3 seconds
+    And zone-0 had 2 order
+
+  Scenario: An order that a frozen controller gets just before it wakes is taken
+    Given a relayed fleet of 2 zones with runners
+    When an operator drains zone-0 at controller 2, which stands still for half a second
+    Then the order is acknowledged
+    And zone-0 had 1 order
+
+  Scenario Outline: A controller knows that an operator has left: <interface>
+    Given a controller's <interface> interface whose orders on zones are watched
+    When an operator sends an order on a zone there
+    Then the order is awaited
+    When the operator closes the connection
+    Then the order is not awaited any more
+
+    Examples:
+      | interface |
+      | own       |
+      | platform  |
--- a/features/steps/relayed_soak_steps.py
+++ b/features/steps/relayed_soak_steps.py
@@ -1,21 +1,17 @@
 """Steps on a relayed fleet under random faults."""
 
-import random
 from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
-from expression import Error
-from features.support.relayed_soak import KEPT_DISK_KINDS, RelayedSoak, SoakPlan
-from twisted.internet.defer import Deferred
+from features.support.relayed_soak import SoakPlan
+from features.support.relayed_soak_plans import play, play_long_items
 
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.messages import RunnerState, ZoneDrainAnswer
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.cluster.table_service import TableService
 from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
-from rainsail.consensus.driver import GroupDriver
-from rainsail.errors import Fault, FaultCode
 from rainsail.fleet import group_folder
 from rainsail.jobs import ledger_service, open_jobs
 from rainsail.jobs.item_run import ItemProgress
@@ -24,13 +20,7 @@
 from rainsail.jobs.open_item import resume_item
 from rainsail.state.cluster_commands import ReplaceTable, ZoneDrain
 from rainsail.state.commands import Done
-from rainsail.state.job_commands import NoteProgress
 
-CHANGES_OF_LEADERS = SoakPlan(events=40, calm_s=0.5, kinds=KEPT_DISK_KINDS)
-"""Items run longer than most leaders lead, so that notes are lost, late and taken up."""
-LOST_NOTES = 0.2
-REFUSED_AFTER_S = 0.7
-"""A refusal is heard of when the next note has gone out: that one begins behind a hole."""
 SHORT_LOGS = {
     "LEAST_SNAPSHOT_LOG_BYTES": 4_000,
     "SNAPSHOT_DISK_SHARE": 0.0,
@@ -38,32 +28,9 @@
 }
 
 
-def _soak(seed, plan=None):
-    soak = RelayedSoak(seed, plan or SoakPlan())
-    soak.run()
-    return soak
-
-
-def _soak_of_long_items(seed):
-    """Run a soak whose groups refuse some notes of progress and go on."""
-    propose = GroupDriver.propose
-    chances = random.Random(seed)
-
-    def propose_most(self, command):
-        if isinstance(command, NoteProgress) and chances.random() < LOST_NOTES:
-            refused = Deferred()
-            fault = Fault(FaultCode.OVERLOADED, "a test", "a note is refused")
-            self._clock.callLater(REFUSED_AFTER_S, refused.callback, Error(fault))
-            return refused
-        return propose(self, command)
-
-    with mock.patch.object(GroupDriver, "propose", propose_most):
-        return _soak(seed, CHANGES_OF_LEADERS)
-
-
 @when("a relayed fleet runs {seconds:d} seconds under random faults with seed {seed:d}")
 def run_soak(context, seconds, seed):
-    context.soak = _soak(seed, SoakPlan(seconds))
+    context.soak = play(seed, SoakPlan(seconds))
 
 
 @given("groups whose logs are cut short after a few entries")
@@ -76,7 +43,7 @@
 
 @when("a relayed fleet with long items changes its leaders for 60 seconds with seed {seed:d}")
 def run_long_items(context, seed):
-    context.soak = _soak_of_long_items(seed)
+    context.soak = play_long_items(seed)
 
 
 @then("some texts are put together from several runs")
@@ -212,7 +179,7 @@
 
 @when("relayed fleets run under random faults with seeds {first:d} to {last:d}")
 def run_several(context, first, last):
-    _run_until_broken(context, first, last, _soak)
+    _run_until_broken(context, first, last, play)
 
 
 def _run_until_broken(context, first, last, run):
@@ -225,7 +192,7 @@
 
 @when("relayed fleets with long items change their leaders with seeds {first:d} to {last:d}")
 def run_several_long(context, first, last):
-    _run_until_broken(context, first, last, _soak_of_long_items)
+    _run_until_broken(context, first, last, play_long_items)
 
 
 @then("some promise was seen broken")
--- a/features/support/relayed_soak.py
+++ b/features/support/relayed_soak.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -22,6 +23,8 @@
 ZONE_DRAIN_S = 5.0
 """From the acknowledgement of a zone's drain its runners get nothing after this time."""
 ZONE_DRAINED_FOR_S = (4.0, 9.0)
+ORDER_WAIT_S = 1.0
+"""An operator without an answer closes its connection and goes elsewhere after this time."""
 LATE_WORD_S = (0.2, 3.0)
 CANCEL_S = 3.0
 QUIET_S = 40.0
@@ -108,6 +111,8 @@
         self._next_runner = 0
         self._caught_up_at_s = 0.0
         """Until then the machine that was lost last counts as lost."""
+        self._unread: list[tuple[str, Callable[[], None]]] = []
+        """Orders on zones that wait at frozen controllers."""
         self._armed: tuple[str, str] | None = None
         for name in self.fleet.names("gateway"):
             self._listen_at_gateway(name)
@@ -161,12 +166,17 @@
         self.zones[record.runner] = record.zone
 
     def _controller(self) -> Any:
+        name = self._controller_name()
+        return self.fleet.controller(name) if name else None
+
+    def _controller_name(self) -> str:
+        """Return the name of a controller that is open, empty when none is."""
         names = [
             name
             for name in self.fleet.names("controller")
             if self.fleet.nodes[name].role.controller is not None
         ]
-        return self.fleet.controller(self.random.choice(names)) if names else None
+        return self.random.choice(names) if names else ""
 
     def _beat_runners(self) -> None:
         for name, record in list(self.runners.items()):
@@ -243,17 +253,32 @@
 
     def _press_zone_orders(self) -> None:
         """Send the order that is due until it is acknowledged, to any controller."""
-        controller = self._controller()
-        if not self.zone_orders or controller is None or self.random.random() > 2 * STEP_S:
+        controller = self._controller_name()
+        if not self.zone_orders or not controller or self.random.random() > 2 * STEP_S:
             return
         order = self.zone_orders[-1]
         if order.acknowledged_s is None:
-            done = controller.zone_drains.order(order.zone, True)
-            done.addCallback(self._zone_order_taken, order, True)
+            self._send_zone_order(controller, order, True)
         elif not order.ended and self.now >= order.ends_at_s:
             order.end_sent_s = order.end_sent_s or self.now
-            done = controller.zone_drains.order(order.zone, False)
-            done.addCallback(self._zone_order_taken, order, False)
+            self._send_zone_order(controller, order, False)
+
+    def _send_zone_order(self, name: str, order: ZoneOrder, draining: bool) -> None:
+        """Send an order; a controller that stands still reads it when it wakes.
+
+        The operator has left by then, if that takes longer than ``ORDER_WAIT_S``.
+        """
+        until_s = self.now + ORDER_WAIT_S
+
+        def read() -> None:
+            controller = self.fleet.nodes[name].role.controller
+            done = controller.zone_drains.order(order.zone, draining, lambda: self.now < until_s)
+            done.addCallback(self._zone_order_taken, order, draining)
+
+        if any(down[1:] == (name, "freeze") for down in self._down):
+            self._unread.append((name, read))
+        else:
+            read()
 
     def _zone_order_taken(self, result: Any, order: ZoneOrder, draining: bool) -> None:
         if result.is_error():
@@ -470,9 +495,17 @@
                     self._listen_at_gateway(name)
             case "freeze":
                 self.fleet.thaw(name)
+                self._read_orders_at(name)
             case "isolate" | "cut_from_group":
                 self.fleet.rejoin(name)
 
+    def _read_orders_at(self, name: str) -> None:
+        """Have a controller that wakes read the orders that have come meanwhile."""
+        waiting = [read for at, read in self._unread if at == name]
+        self._unread = [each for each in self._unread if each[0] != name]
+        for read in waiting:
+            read()
+
     def _heal(self) -> None:
         for _, name, kind in self._down:
             self._bring_back(name, kind)
--- a/src/rainsail/cluster/zone_drain_orders.py
+++ b/src/rainsail/cluster/zone_drain_orders.py
@@ -2,7 +2,9 @@
 
 An order counts once a quorum has synced it. Orders on one zone take effect one after the other;
 each names the order that its proposer knew, so that one which was held up between controllers
-while a newer one was acknowledged changes nothing. That makes it safe to send an order again.
+while a newer one was acknowledged changes nothing. One that waited at a controller which stood
+still is known by its operator, who has left meanwhile: operators send an order elsewhere, or a
+newer one, only after they have given up on the call. That makes it safe to send an order again.
 """
 
 from collections.abc import Callable
@@ -55,18 +57,25 @@
         messenger.serve(OrderZoneDrain, lambda source, message: self._order_as_leader(message))
         messenger.serve(ReadZoneDrains, lambda source, message: self._read_as_leader(message))
 
-    def order(self, zone: str, draining: bool) -> "Deferred[Result[ZoneDrain, Fault]]":
-        """Begin or end the drain of a zone; NOT_FOUND when the fleet has no such zone."""
+    def order(
+        self, zone: str, draining: bool, is_awaited: Callable[[], bool] = lambda: True
+    ) -> "Deferred[Result[ZoneDrain, Fault]]":
+        """Begin or end the drain of a zone; NOT_FOUND when the fleet has no such zone.
+
+        ``is_awaited`` tells whether the operator still waits for the answer.
+        """
         if zone not in self._zones():
             return succeed(Error(Fault(FaultCode.NOT_FOUND, STEP, f"no zone {zone}")))
         logger.bind(zone=zone, draining=draining).info("zone_drain_ordered")
-        return Deferred.fromCoroutine(self._order(zone, draining))
+        return Deferred.fromCoroutine(self._order(zone, draining, is_awaited))
 
     def read(self) -> "Deferred[Result[ZoneDrainNotice, Fault]]":
         """Return the newest order on each zone, as a quorum confirms it."""
         return self._calls.call(ReadZoneDrains(), self._read_as_leader, ORDER_WITHIN_S, True)
 
-    async def _order(self, zone: str, draining: bool) -> Result[ZoneDrain, Fault]:
+    async def _order(
+        self, zone: str, draining: bool, is_awaited: Callable[[], bool]
+    ) -> Result[ZoneDrain, Fault]:
         """Read the zone's newest order from the leader, then have the next one take its place.
 
         An order that comes in between may be newer than this one, so nothing is tried again then.
@@ -78,6 +87,11 @@
         left_s = deadline_s - self._clock.seconds()
         if known.is_error() or left_s <= 0:
             return Error(_unclear("the newest order was not read in time"))
+        if not is_awaited():
+            # It may have waited here while a newer order was taken: what was read just now can't
+            # tell, since it holds the newer one already.
+            logger.bind(zone=zone, draining=draining).warning("zone_drain_order_dropped")
+            return Error(Fault(FaultCode.UNAVAILABLE, STEP, "the operator has left"))
         expected = _revision_of(zone, known.ok)
         message = OrderZoneDrain(zone, draining, expected)
         result = await self._calls.call(message, self._order_as_leader, left_s, repeatable=True)
--- a/src/rainsail/fleet_api/control.py
+++ b/src/rainsail/fleet_api/control.py
@@ -19,7 +19,7 @@
     reply_when_done,
 )
 from rainsail.fleet_api.tables import read_table
-from rainsail.http.exchange import Exchange, Handler
+from rainsail.http.exchange import Exchange, Handler, watch_client
 
 TABLE = "/v1/routing-table"
 RUNNERS = "/v1/runners/"
@@ -62,7 +62,8 @@
         elif path.startswith(f"{ZONES}/") and path.endswith(DRAIN) and method in DRAIN_METHODS:
             zone = unquote(path[len(ZONES) + 1 : -len(DRAIN)])
             draining = method == "PUT"
-            self._answer(exchange, self._controller.zone_drains.order(zone, draining))
+            drains, is_awaited = self._controller.zone_drains, watch_client(exchange)
+            self._answer(exchange, drains.order(zone, draining, is_awaited))
         elif path == STATUS and method == "GET":
             self._read_status(exchange)
         else:
--- a/src/rainsail/http/exchange.py
+++ b/src/rainsail/http/exchange.py
@@ -51,5 +51,21 @@
         ...
 
 
+def watch_client(exchange: Exchange) -> Callable[[], bool]:
+    """Return what tells whether the client still waits for its answer.
+
+    To be asked only after something else was awaited: a close that came with the request is read
+    after it.
+    """
+    has_left = False
+
+    def left() -> None:
+        nonlocal has_left
+        has_left = True
+
+    exchange.on_left(left)
+    return lambda: not has_left
+
+
 Handler = Callable[[Exchange], None]
 """Takes each request; answers now or later."""
--- /dev/null
+++ b/tools/jobs_soak.py
@@ -0,0 +1,57 @@
+"""Soak jobs, tables and zone drains in virtual time under faults of controllers and storage nodes.
+
+    python tools/jobs_soak.py --seeds 1-25
+    python tools/jobs_soak.py --seeds 1028 --long-items 100
+
+Prints a line for each seed: how many faults struck, what was accepted and finished, and every
+broken promise. Ends with code 1 when some promise was broken. The short run of CI is
+``features/jobs/soak.feature``.
+"""
+
+import argparse
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from features.support.relayed_soak import RelayedSoak, SoakPlan  # noqa: E402
+from features.support.relayed_soak_plans import long_items, play, play_long_items  # noqa: E402
+
+
+def _seeds(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def _told(soak: RelayedSoak) -> str:
+    accepted = [job for job in soak.jobs.values() if job.accepted_s is not None]
+    finished = sum(job.results.is_whole() for job in accepted)
+    return (
+        f"{len(soak.faults)} faults, {len(accepted)} jobs accepted, {finished} finished, "
+        f"{len(soak.zone_orders)} zone drains"
+    )
+
+
+def main() -> int:
+    """Run the seeds that the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-10", help="one seed, or the first and the last one")
+    parser.add_argument("--seconds", type=float, default=60, help="virtual seconds under faults")
+    parser.add_argument("--long-items", type=int, default=0, help="events of each item, if long")
+    arguments = parser.parse_args()
+    broken = []
+    for seed in _seeds(arguments.seeds):
+        if arguments.long_items:
+            soak = play_long_items(seed, long_items(arguments.seconds, arguments.long_items))
+        else:
+            soak = play(seed, SoakPlan(arguments.seconds))
+        if soak.violations:
+            broken.append(seed)
+        print(f"seed {seed}: {_told(soak)}", *soak.violations, sep="\n  ", flush=True)
+    print(f"seeds with broken promises: {broken or 'none'}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
