--- a/features/cluster/committed_copy.feature
+++ b/features/cluster/committed_copy.feature
@@ -28,3 +28,8 @@
     Then every gateway has table 8 within 1 second
     When every node loses power, and controller 1 and the gateways start again
     Then every gateway has table 8 within 1 second
+
+  Scenario: A damaged copy is left out, and the log says so
+    Given a controller's committed copy whose bytes are damaged
+    When the committed copy is read
+    Then it holds nothing, and the log has "committed_copy_unreadable"
--- a/features/cluster/runner_journal.feature
+++ b/features/cluster/runner_journal.feature
@@ -39,3 +39,17 @@
     Given a journal of 10 runners
     When each of them says 2000 times more how it is
     Then the journal holds less than 600 KiB and 10 runners are read back with their last word
+
+  Scenario: A damaged record costs that one and is told; a leaving behind it is remembered
+    # The journal was read up to the damage and the rest forgotten without a line, the acknowledged
+    # words of runners that leave among it: such a runner was ready again after a loss of all power.
+    Given a journal of 20 runners, the last of which leaves
+    When a byte in the middle of the journal's record 5 is damaged
+    Then runner 19 is read back as draining
+    And 19 runners are read back, all but runner 5
+    And the log of "runner_journal_damaged" says that 5 records lay before and 15 behind
+
+  Scenario: A torn end is told as what it is
+    Given a journal of 20 runners whose last record is torn
+    When it is read with its log kept
+    Then the log has "runner_journal_torn" and no "runner_journal_damaged"
--- a/features/steps/committed_copy_steps.py
+++ b/features/steps/committed_copy_steps.py
@@ -1,6 +1,25 @@
 """Steps on what controllers tell before their group has a leader."""
 
-from behave import then, when
+import random
+
+from behave import given, then, when
+
+from rainsail.cluster.committed_copy import (
+    NO_GROUP,
+    NOTHING,
+    PATH,
+    CommittedCopies,
+    CommittedCopy,
+)
+from rainsail.cluster.fleet_state import FleetState
+from rainsail.cluster.zone_drains import ZoneDrainBook
+from rainsail.logs import logger
+from rainsail.quarantine.book import QuarantineBook
+from rainsail.simulation.clock import VirtualClock
+from rainsail.simulation.disk import SimulatedDisk
+from rainsail.state.cluster_commands import NO_QUARANTINE
+from rainsail.storage.records import RecordKind, encode_record
+from rainsail.wire.codec import encode_body
 
 TRIES_S = 10.0
 
@@ -54,3 +73,30 @@
             break
         assert fleet.clock.seconds() < until_s
     fleet.run_for(1.0)
+
+
+# --- a damaged copy ----------------------------------------------------------------------------
+
+
+@given("a controller's committed copy whose bytes are damaged")
+def make_damaged_copy(context):
+    context.disk = SimulatedDisk(VirtualClock(), random.Random(1))
+    body = encode_body(CommittedCopy(7, b"7", (), NO_QUARANTINE))
+    record = bytearray(encode_record(NO_GROUP, RecordKind.COMMITTED_COPY, body))
+    record[-1] ^= 0xFF
+    context.disk.open(PATH).append(bytes(record))
+
+
+@when("the committed copy is read")
+def read_copy(context):
+    context.log_records = []
+    sink = logger.add(lambda message: context.log_records.append(message.record), level=0)
+    keeper = CommittedCopies(context.disk, FleetState(), ZoneDrainBook(), QuarantineBook())
+    context.read_copy = keeper.load()
+    logger.remove(sink)
+
+
+@then('it holds nothing, and the log has "{event}"')
+def holds_nothing(context, event):
+    assert context.read_copy == NOTHING, context.read_copy
+    assert event in [each["message"] for each in context.log_records], context.log_records
--- a/features/steps/runner_journal_steps.py
+++ b/features/steps/runner_journal_steps.py
@@ -6,10 +6,13 @@
 from behave import given, then, when
 from features.support.relaying import runner_record
 
+from rainsail.cluster.messages import RunnerState
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.cluster.runner_journal import PATH, RunnerJournal
+from rainsail.logs import logger
 from rainsail.simulation.clock import VirtualClock
 from rainsail.simulation.disk import SimulatedDisk
+from rainsail.storage.records import HEADER_BYTES, scan
 
 SEED = 5
 ZONE_RUNNERS = {"zone-0": 4, "zone-1": 5}
@@ -125,3 +128,60 @@
     last = {record.runner: record for record in _open_journal(context).load()}
     assert len(last) == count
     assert {record.sequence for record in last.values()} == {2001}
+
+
+# --- damage ------------------------------------------------------------------------------------
+
+
+@given("a journal of {count:d} runners, the last of which leaves")
+def make_leaving(context, count):
+    make_journal(context, count)
+    _note(context, [runner_record(count - 1, "draining", 2)])
+    _sync(context)
+
+
+@when("a byte in the middle of the journal's record {number:d} is damaged")
+def damage(context, number):
+    data = context.disk.read(PATH)
+    record = scan(data, 0).records[number]
+    place = record.offset + len(record.body) // 2 + HEADER_BYTES
+    damaged = data[:place] + bytes([data[place] ^ 0xFF]) + data[place + 1 :]
+    file = context.disk.open(PATH)
+    file.truncate(0)
+    file.append(damaged)
+    read_with_log(context)
+
+
+@when("it is read with its log kept")
+def read_with_log(context):
+    context.log_records = []
+    sink = logger.add(lambda message: context.log_records.append(message.record), level=0)
+    context.read = _open_journal(context).load()
+    logger.remove(sink)
+
+
+def _told(context, event):
+    return [each["extra"] for each in context.log_records if each["message"] == event]
+
+
+@then("runner {number:d} is read back as draining")
+def read_draining(context, number):
+    last = {record.runner: record for record in context.read}
+    assert last[f"runner-{number}"].state == RunnerState.DRAINING, last
+
+
+@then("{count:d} runners are read back, all but runner {number:d}")
+def read_all_but(context, count, number):
+    runners = {record.runner for record in context.read}
+    assert len(runners) == count and f"runner-{number}" not in runners, runners
+
+
+@then('the log of "{event}" says that {before:d} records lay before and {behind:d} behind')
+def log_says(context, event, before, behind):
+    (told,) = _told(context, event)
+    assert (told["read_before"], told["read_behind"]) == (before, behind), told
+
+
+@then('the log has "{event}" and no "{other}"')
+def log_has(context, event, other):
+    assert _told(context, event) and not _told(context, other), context.log_records
--- a/src/rainsail/cluster/committed_copy.py
+++ b/src/rainsail/cluster/committed_copy.py
@@ -69,9 +69,11 @@
         try:
             if not self._files.exists(PATH):
                 return NOTHING
-            records = scan(self._files.read(PATH), NO_GROUP).records
-            if records:
-                self._written = decode_body(CommittedCopy, records[0].body)
+            scanned = scan(self._files.read(PATH), NO_GROUP)
+            if scanned.records:
+                self._written = decode_body(CommittedCopy, scanned.records[0].body)
+            if scanned.damage is not None:
+                logger.bind(reason=scanned.damage.reason).warning("committed_copy_unreadable")
         except (OSError, CodecError) as error:
             logger.bind(reason=str(error)).warning("committed_copy_unreadable")
         self._told = TableDocument(self._written.version, self._written.content)
--- a/src/rainsail/cluster/runner_journal.py
+++ b/src/rainsail/cluster/runner_journal.py
@@ -9,7 +9,7 @@
 A file that has grown, or could not be written, is written anew from the registry.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 
 from expression import Error, Result
@@ -20,7 +20,14 @@
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.storage.interface import File, FileSystem
-from rainsail.storage.records import RecordKind, encode_record, scan
+from rainsail.storage.records import (
+    Record,
+    RecordKind,
+    encode_record,
+    is_torn_tail,
+    records_after,
+    scan,
+)
 from rainsail.wire.codec import CodecError, decode_body, encode_body, wire_record
 
 FOLDER = "runners"
@@ -73,9 +80,7 @@
         self._stale = True
         try:
             data = self._files.read(PATH) if self._files.exists(PATH) else b""
-            entries = [
-                decode_body(JournaledRunner, each.body) for each in scan(data, NO_GROUP).records
-            ]
+            entries = [decode_body(JournaledRunner, each.body) for each in _readable_records(data)]
         except (OSError, CodecError) as error:
             logger.bind(reason=str(error)).warning("runner_journal_unreadable")
             return []
@@ -175,5 +180,26 @@
         )
 
 
+def _readable_records(data: bytes) -> Iterator[Record]:
+    """Yield what can be read; a damaged record costs that one, not those behind it.
+
+    One of those may be the word of a runner that leaves, which was acknowledged. A torn end is what
+    a loss of power leaves of words that nobody had waited for.
+    """
+    scanned = scan(data, NO_GROUP)
+    yield from scanned.records
+    damage = scanned.damage
+    if damage is None:
+        return
+    behind = list(records_after(data, damage.offset, NO_GROUP))
+    log = logger.bind(offset=damage.offset, reason=damage.reason, bytes=len(data))
+    log = log.bind(read_before=len(scanned.records), read_behind=len(behind))
+    if behind or not is_torn_tail(data, damage, NO_GROUP):
+        log.warning("runner_journal_damaged")
+    else:
+        log.info("runner_journal_torn")
+    yield from behind
+
+
 def _fault(detail: str) -> Fault:
     return Fault(FaultCode.STORAGE, "cluster.runner_journal", detail, outcome=Outcome.UNKNOWN)
--- a/src/rainsail/storage/records.py
+++ b/src/rainsail/storage/records.py
@@ -125,7 +125,8 @@
     return Scan(tuple(records), offset, None)
 
 
-def _records_after(data: bytes, offset: int, group: int) -> Iterator[Record]:
+def records_after(data: bytes, offset: int, group: int) -> Iterator[Record]:
+    """Yield the whole records that begin behind an offset, whatever lies between them."""
     position = data.find(MAGIC, offset + 1)
     while position >= 0:
         found = read_record(data, position, group)
@@ -141,5 +142,5 @@
     """
     if not damage.can_be_torn:
         return False
-    later = _records_after(data, damage.offset, group)
+    later = records_after(data, damage.offset, group)
     return all(record.durable <= damage.offset for record in later)
