One base for streams of engines, one for leader's loops; pools are made by a factory

EngineEventStream and AttemptStream repeated their abort, time-out and close; InForceLoop and ItemLeaseLoop their timer; LeasePools kept six arguments of LeasePool. No behaviour changes: the pinned histories of features/compatibility stay as they are.

--- a/src/rainsail/batch/dispatcher.py
+++ b/src/rainsail/batch/dispatcher.py
@@ -21,6 +21,7 @@
 from rainsail.batch.item_runner import LeasedItemRun, LeasedRunEnd
 from rainsail.batch.item_runs import LeasedItemRuns
 from rainsail.batch.lease_keeper import LeaseKeeper
+from rainsail.batch.lease_pool import LeasePool
 from rainsail.batch.lease_pools import LeasePools
 from rainsail.batch.prefill_meter import OnlinePrefillMeter
 from rainsail.batch.result_committer import ResultCommitter
@@ -84,7 +85,12 @@
             self._lease_lapsed,
             self._note_backlog,
         )
-        self._pools = LeasePools(holder, control, clock, random, settings, self._keeper.note_leased)
+        note_leased = self._keeper.note_leased
+        self._pools = LeasePools(
+            lambda service: LeasePool(
+                service, holder, control, clock, random, settings, note_leased
+            )
+        )
         self._runs = LeasedItemRuns(holder, fleet, engine, clock, self._run_ended)
         self._allowances: dict[str, int] = {}
         self._not_before_s: dict[str, float] = {}
--- a/src/rainsail/batch/lease_pools.py
+++ b/src/rainsail/batch/lease_pools.py
@@ -1,53 +1,24 @@
 """The pools of leased items that run on no engine, one for each service."""
 
-import random
 from collections.abc import Callable
 
 from rainsail.batch.held_item import HeldItem
 from rainsail.batch.lease_pool import LeasePool
-from rainsail.batch.settings import BatchSettings
-from rainsail.control.interface import ControlClient
-from rainsail.runtime.clock import Clock
 from rainsail.state.commands import GroupId, ItemRef
 
 
 class LeasePools:
-    """Makes a service's pool when it is first asked for.
+    """Makes a service's pool with ``make_pool`` when it is first asked for."""
 
-    ``on_leased(group, sent_at_s)`` is called after items have come in.
-    """
-
-    def __init__(
-        self,
-        holder: str,
-        control: ControlClient,
-        clock: Clock,
-        random: random.Random,
-        settings: BatchSettings,
-        on_leased: Callable[[GroupId, float], None],
-    ) -> None:
-        self._holder = holder
-        self._control = control
-        self._clock = clock
-        self._random = random
-        self._settings = settings
-        self._on_leased = on_leased
+    def __init__(self, make_pool: Callable[[str], LeasePool]) -> None:
+        self._make_pool = make_pool
         self._pools: dict[str, LeasePool] = {}
 
     def of_service(self, service: str) -> LeasePool:
         """Return a service's pool."""
         pool = self._pools.get(service)
         if pool is None:
-            pool = LeasePool(
-                service,
-                self._holder,
-                self._control,
-                self._clock,
-                self._random,
-                self._settings,
-                self._on_leased,
-            )
-            self._pools[service] = pool
+            pool = self._pools[service] = self._make_pool(service)
         return pool
 
     def by_service(self) -> list[tuple[str, LeasePool]]:
--- a/src/rainsail/control/in_force.py
+++ b/src/rainsail/control/in_force.py
@@ -9,12 +9,13 @@
 
 from rainsail.consensus.interface import Group
 from rainsail.control.config_leases import ConfigLeaseTable
+from rainsail.control.leader_loop import LeaderLoop
 from rainsail.runtime.clock import Clock
 from rainsail.state.commands import MarkInForce
 from rainsail.state.interface import ReplicatedReader
 
 
-class InForceLoop:
+class InForceLoop(LeaderLoop):
     """Proposes MarkInForce while this replica leads."""
 
     def __init__(
@@ -26,15 +27,13 @@
         period_s: float,
         serving: Callable[[], bool],
     ) -> None:
+        super().__init__(clock, period_s)
         self._group = group
         self._state = state
         self._leases = leases
-        self._clock = clock
-        self._period_s = period_s
         self._serving = serving
         self._proposed_revision = 0
         self._under_way = False
-        self._timer: Any = None
 
     def floor_revision(self) -> int:
         """Return the revision below which no gateway may get a lease.
@@ -45,18 +44,11 @@
 
     def begin(self) -> None:
         """Start with a leadership."""
-        self.end()
         self._proposed_revision = 0
-        self._timer = self._clock.callLater(self._period_s, self._tick)
+        self.start(self._period_s)
 
-    def end(self) -> None:
-        """Stop with the leadership."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        self._timer = None
-
-    def _tick(self) -> None:
-        self._timer = self._clock.callLater(self._period_s, self._tick)
+    def run_once(self) -> None:
+        """Mark what was acknowledged, if no mark is under way."""
         if self._under_way or not self._serving():
             return
         if self._state.in_force_revision >= self._state.revision:
--- a/src/rainsail/engine/http_client.py
+++ b/src/rainsail/engine/http_client.py
@@ -29,7 +29,7 @@
 from rainsail.engine import protocol
 from rainsail.engine.endpoints import EngineEndpointFactory
 from rainsail.engine.http_events import EngineEventStream
-from rainsail.engine.http_stream import AttemptStream, StreamWatch, describe_failure
+from rainsail.engine.http_stream import AttemptStream
 from rainsail.engine.interface import (
     AttemptListener,
     CacheEvent,
@@ -40,6 +40,7 @@
     OrderReply,
 )
 from rainsail.engine.settings import EngineClientSettings
+from rainsail.engine.watched_stream import StreamWatch, describe_failure
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.runtime.clock import Clock
 
