Hold a body by service where its route is split

Symptom: a body that ends the runners of one service of a split and is answered by the other was cleared with each answer and went on ending runners.

Cause: ends and answers went by a digest without the service: an acquittal counted for more than what it was about.

Mend: where a route is split, the service that a request goes to is part of its digest; elsewhere the digest stays, and so do wire and stored data. It holds since reports, decisions and look-ups all go by the digest. An item that is held at one service of its split holds up nobody and is tried at the next.

--- a/features/quarantine/fatal_requests.feature
+++ b/features/quarantine/fatal_requests.feature
@@ -56,3 +56,27 @@
     When a client sends the fatal body there, and the gateway hears of it before the runner is found
     Then it is answered 502 within 50 ms, without a time to come back
     And no runner has run it
+
+  Scenario Outline: A body that ends the runners of one service of a split, and is answered by the other, seed <seed>
+    # An answer says of which body it is. It did not say of which service, so that the runners of the
+    # other one cleared the body with each answer, and it went on: 13 of its runs ended a runner in 10 s
+    # (seed 4), each answered by the other service in between. The digest holds the service now.
+    Given a fleet of 3 gateways before a split of two services, of which one bears the fatal body, seed <seed>
+    And others send 20 requests a second for 30 s
+    When the fatal body comes each 0.7 s for 25 s, at one gateway after the other
+    Then at most 3 of its runs began later than 3 s after it had ended a third runner
+    And the other service has answered it after that
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 4    |
+      | 5    |
+
+  Scenario: An item of a job on a split
+    Given a fleet of 3 gateways before a split of two services, of which one bears the fatal body, seed 4
+    When a job with the fatal body among its 6 items is handed in
+    And 60 s go by
+    Then at most 3 runners have ended
+    And all 6 items are done
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -42,6 +42,20 @@
     context.fleet = FatalRequestFleet(SEED, gateways)
 
 
+@given(
+    "a fleet of {gateways:d} gateways before a split of two services, "
+    "of which one bears the fatal body, seed {seed:d}"
+)
+def make_split_fleet(context, gateways, seed):
+    context.fleet = FatalRequestFleet(seed, gateways, immune_service="other")
+
+
+@then("the other service has answered it after that")
+def other_has_answered(context):
+    answers = [each.status for each in context.fleet.answered(FATAL_BODY)]
+    assert 200 in answers[-10:], answers
+
+
 @given("a fleet with one runner, which ends when it runs the fatal body")
 def make_small_fleet(context):
     context.fleet = FatalRequestFleet(SEED, runners=1)
@@ -391,6 +405,17 @@
     assert len(job.items) == count + 1
 
 
+@then("at most {most:d} runners have ended")
+def ended_at_most(context, most):
+    assert 1 <= len(context.fleet.runners.ends) <= most, context.fleet.runners.ends
+
+
+@then("all {count:d} items are done")
+def all_items_done(context, count):
+    job = handed_in(context)
+    assert [outcome.done for outcome in job.listed] == [True] * count, job.listed
+
+
 def handed_in(context):
     """Return the last job as the ledger's leader keeps it."""
     fleet = context.fleet
--- a/features/support/dying_runners.py
+++ b/features/support/dying_runners.py
@@ -64,9 +64,18 @@
     """All runners of a fleet; each pool that this makes is one node's connections to them."""
 
     def __init__(
-        self, clock: VirtualClock, count: int, tell: Callable[[RunnerRecord], None]
+        self,
+        clock: VirtualClock,
+        count: int,
+        tell: Callable[[RunnerRecord], None],
+        immune_service: str = "",
     ) -> None:
-        """``tell`` gets each heartbeat."""
+        """``tell`` gets each heartbeat.
+
+        With an ``immune_service`` the runners with even numbers are of that one, and answer a fatal
+        body as any other.
+        """
+        self._immune_service = immune_service
         self.clock = clock
         self._tell = tell
         self.runners = [DyingRunner(number) for number in range(1, count + 1)]
@@ -102,7 +111,7 @@
         self._tell(
             RunnerRecord(
                 runner.runner,
-                SERVICE,
+                self._immune_service if self._is_immune(runner) else SERVICE,
                 runner.address,
                 f"zone-{runner.number % 3}",
                 SLOTS,
@@ -112,6 +121,9 @@
             )
         )
 
+    def _is_immune(self, runner: DyingRunner) -> bool:
+        return bool(self._immune_service) and runner.number % 2 == 0
+
     # --- requests ------------------------------------------------------------------------
 
     def take(self, call: StandInCall) -> None:
@@ -137,7 +149,7 @@
         if call.cancelled or call not in runner.calls:
             return
         call.listener.answer_begun(AnswerHead(200, STREAM_FIELDS))
-        if call.request.body in self.fatal_bodies:
+        if call.request.body in self.fatal_bodies and not self._is_immune(runner):
             run = FatalRun(self.clock.seconds(), call.sender, call.request.body)
             self.fatal_runs.append(run)
             runner.ran_fatal = call.request.body
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -40,10 +40,24 @@
 
 
 def read_table(content: bytes) -> Any:
-    """Read a version: resumable streams, and jobs, of one service."""
-    shares = (ServiceShare(SERVICE, 1.0),)
+    """Read a version: resumable streams, and jobs, of one service.
+
+    ``7/other`` is version 7, in which half of the work goes to a service ``other``, and streams may
+    run once only.
+    """
+    version, _, other = content.decode().partition("/")
+    names = [SERVICE, other] if other else [SERVICE]
+    shares = tuple(ServiceShare(name, 1.0 / len(names)) for name in names)
     stream = Route(
-        "streams", HOST, PREFIX, RouteKind.STREAM, shares, 4.0, 0.3, max_attempts=2, resumable=True
+        "streams",
+        HOST,
+        PREFIX,
+        RouteKind.STREAM,
+        shares,
+        4.0,
+        0.3,
+        max_attempts=2,
+        resumable=not other,
     )
     jobs = replace(
         stream,
@@ -54,14 +68,22 @@
         completion_s=COMPLETION_S,
         kept_s=KEPT_S,
     )
-    services = (Service(SERVICE, 100, True),)
-    return Ok(RoutingTable(int(content), (stream, jobs), services, ClientLimits()))
+    services = tuple(Service(name, 100, True) for name in names)
+    return Ok(RoutingTable(int(version), (stream, jobs), services, ClientLimits()))
 
 
 class FatalRequestFleet(RelayedFleet):
     """Controllers, storage nodes and relaying gateways before runners that die."""
 
-    def __init__(self, seed: int, gateways: int = GATEWAYS, runners: int = RUNNERS) -> None:
+    def __init__(
+        self,
+        seed: int,
+        gateways: int = GATEWAYS,
+        runners: int = RUNNERS,
+        immune_service: str = "",
+    ) -> None:
+        """``immune_service`` gets half of the work; its runners bear every body."""
+        self._immune_service = immune_service
         self.relays: dict[str, RelayGateway] = {}
         self.jobs: dict[str, JobClient] = {}
         self.runner_pools: dict[str, _LatePool] = {}
@@ -72,14 +94,15 @@
         super().__init__(seed, gateways=gateways)
         self.leader("controller")
         self.leader("storage")
-        self.runners = DyingRunners(self.clock, runners, self._heartbeat)
+        self.runners = DyingRunners(self.clock, runners, self._heartbeat, immune_service)
         self.put_table(1)
         self.run_for(2.0)
 
     def put_table(self, version: int) -> None:
         """Put a table in force."""
         controller = self.controller(self.names("controller")[0])
-        done = controller.tables.replace(version, str(version).encode())
+        content = f"{version}/{self._immune_service}" if self._immune_service else str(version)
+        done = controller.tables.replace(version, content.encode())
         assert self.result_of(done, "a table").is_ok()
 
     def table_of(self, content: bytes) -> Any:
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -38,7 +38,7 @@
         state: DispatchState,
         recorder: ItemRecorder,
     ) -> None:
-        self._guard = ItemGuard(ledger.state, node.guard)
+        self._guard = ItemGuard(ledger.state, node.guard, state.routes)
         self._node = node
         self._routes = state.routes
         self._beginnings = state.beginnings
@@ -92,7 +92,8 @@
     def _on_run_ended(self, item: OpenItem, end: RunEnd, reason: str) -> None:
         now = self._node.clock.seconds()
         self._running.remove(item)
-        self._guard.on_run_ended(item, self._node.registry.get(item.runner))
+        record = self._node.registry.get(item.runner)
+        self._guard.on_run_ended(item, record)
         if end == RunEnd.BROKEN:
             item.close_run(now)
             item.forget_dropped_events()
@@ -100,7 +101,8 @@
         item.run = None
         item.call = None
         if end != RunEnd.WHOLE:
-            fingerprint_name = self._guard.fingerprint_name(item)
+            service = "" if record is None else record.service
+            fingerprint_name = self._guard.fingerprint_name(item, service)
             self._recorder.run_ended_early(item, end, reason, fingerprint_name)
         failed_runs = self._slots.count_run_end(item.runner, end)
         self._slots.pause(item.runner, now + runner_pause_s(end, failed_runs))
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -1,5 +1,7 @@
 """Starts waiting items, most urgent first, wherever a runner has a free slot for them."""
 
+from enum import StrEnum
+
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.jobs.after_run import ItemOver
 from rainsail.jobs.context import DispatchNode, Ledger
@@ -14,6 +16,17 @@
 from rainsail.routing.residency import AllowedRegions
 
 
+class StartResult(StrEnum):
+    """What became of an item that was to start."""
+
+    WAITS_NO_LONGER = "waits_no_longer"
+    """It has started, or is over."""
+    NO_SLOT = "no_slot"
+    """No runner has a free slot, and so none for the items behind it."""
+    PASSED_OVER = "passed_over"
+    """It waits for a reason of its own; those behind it may start."""
+
+
 class ItemStarter:
     """Gives items to runners; the choice of the runner is ``slot_use.choose_runner``."""
 
@@ -26,7 +39,7 @@
         runs: ItemRuns,
         recorder: ItemRecorder,
     ) -> None:
-        self._guard = ItemGuard(ledger.state, node.guard)
+        self._guard = ItemGuard(ledger.state, node.guard, state.routes)
         self._node = node
         self._ledger = ledger
         self._routes = state.routes
@@ -44,22 +57,19 @@
         self._wait_for_reports_until_s = now + self._node.settings.report_wait_s
 
     def start_items(self) -> None:
-        """Start items until the most urgent one that may start finds no free slot.
-
-        One that avoids a runner holds up nobody: that runner's slots may be free for others.
-        """
+        """Start items until the most urgent one that may start finds no free slot."""
         now = self._node.clock.seconds()
         if not self._may_start(now):
             return
         for item in self._waiting.by_urgency(self._planner.order):
             if self._guard.is_held(item):
                 self._keep_waiting(item, now)
-            elif item.ready_at_s > now:
-                continue
-            elif self._start_or_give_up(item, now):
-                self._waiting.take(item)
-            elif not item.failed_at_s:
-                return
+            elif item.ready_at_s <= now:
+                result = self._start_or_give_up(item, now)
+                if result == StartResult.WAITS_NO_LONGER:
+                    self._waiting.take(item)
+                elif result == StartResult.NO_SLOT:
+                    return
 
     def _may_start(self, now: float) -> bool:
         if not self._ledger.may_start():
@@ -77,27 +87,32 @@
             self._waiting.take(item)
             self._recorder.item_over(item, ItemOver(False, "runners ended under it"))
 
-    def _start_or_give_up(self, item: OpenItem, now: float) -> bool:
-        """Start an item if a runner has a free slot; False when it has to go on waiting.
+    def _start_or_give_up(self, item: OpenItem, now: float) -> StartResult:
+        """Start an item if a runner has a free slot.
 
         An item that is not open any more, or for which there is no route, waits no longer either.
         """
         if not self._ledger.is_open(item):
-            return True
+            return StartResult.WAITS_NO_LONGER
         if self._routes.table is None:
-            return False
+            return StartResult.NO_SLOT
         job = self._ledger.state.jobs[item.job]
         route = self._routes.of_item(job, item.index)
         if route is None:
             self._recorder.item_over(item, ItemOver(False, "no route"))
-            return True
+            return StartResult.WAITS_NO_LONGER
         service = self._split.service(route)
+        if self._guard.is_held(item, service):
+            # Its turn may be another service's the next time.
+            self._keep_waiting(item, now)
+            return StartResult.PASSED_OVER
         allowed = self._routes.allowed_regions(route, job.tenant)
         record = self._choose_runner(item, service, allowed, now)
-        if record is None:
-            return False
-        self._runs.start(item, job, record, now)
-        return True
+        if record is not None:
+            self._runs.start(item, job, record, now)
+            return StartResult.WAITS_NO_LONGER
+        # An item that avoids a runner holds up nobody: its slots may be free for others.
+        return StartResult.PASSED_OVER if item.failed_at_s else StartResult.NO_SLOT
 
     def _choose_runner(
         self, item: OpenItem, service: str, allowed: AllowedRegions, now: float
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -40,8 +40,8 @@
     """How many runs in a row broke without a new event."""
     failed_at_s: dict[str, float] = field(default_factory=dict)
     """When each runner last answered the item with a failure."""
-    fingerprint: Fingerprint = b""
-    """Empty until it is first needed."""
+    fingerprints: dict[str, Fingerprint] = field(default_factory=dict)
+    """What the item has in common with its repetitions, by service where its route is split."""
 
     @property
     def events(self) -> int:
--- a/src/rainsail/quarantine/fingerprint.py
+++ b/src/rainsail/quarantine/fingerprint.py
@@ -1,6 +1,9 @@
 """What tells that two requests are the same one, whoever takes them and under whatever id.
 
-The digest stands for the caller's tenant, the host, the method, the path and the body. Headers that
+The digest stands for the caller's tenant, the host, the method, the path and the body, and for the
+service where a route is split among several: a body that ends the runners of one may be answered by
+those of another, which says nothing of the first. Where a route has one service it is left out, so
+that nodes of earlier versions mean the same request by the same digest. Headers that
 change from try to try (ids, deadlines, positions) are left out. It is cryptographic, so that nobody
 can make a request that is taken for another caller's.
 """
@@ -16,11 +19,17 @@
 
 
 def fingerprint_of(
-    tenant: str, host: str, method: bytes, target: bytes, body: bytes
+    tenant: str, host: str, method: bytes, target: bytes, body: bytes, split_service: str = ""
 ) -> Fingerprint:
-    """Return the digest of a request; ``target`` is its path with the query."""
+    """Return the digest of a request; ``target`` is its path with the query.
+
+    ``split_service`` is empty where the route has one service.
+    """
     digest = blake2b(digest_size=DIGEST_BYTES, person=_PURPOSE)
-    for part in (tenant.encode(), host.encode(), method, target, body):
+    parts = [tenant.encode(), host.encode(), method, target, body]
+    if split_service:
+        parts.append(split_service.encode())
+    for part in parts:
         digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
         digest.update(part)
     return digest.digest()
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -36,24 +36,30 @@
         self._request = request
         self._facts = facts
         self._identity = identity
-        self._fingerprint: Fingerprint = b""
+        self.split_service = ""
+        """The service that the request goes to, where its route is split among several."""
+        self._fingerprints: dict[str, Fingerprint] = {}
+        """By ``split_service``."""
 
     @property
     def fingerprint(self) -> Fingerprint:
-        """What this request has in common with its repetitions.
+        """What this request has in common with its repetitions at the same service.
 
         It costs a digest of the body, so that it is made when it is first asked for.
         """
-        if not self._fingerprint:
-            request = self._request
-            self._fingerprint = fingerprint_of(
-                self._identity.tenant,
-                self._facts.host,
-                request.method,
-                request.target,
-                request.body,
-            )
-        return self._fingerprint
+        known = self._fingerprints.get(self.split_service)
+        if known is not None:
+            return known
+        request = self._request
+        made = self._fingerprints[self.split_service] = fingerprint_of(
+            self._identity.tenant,
+            self._facts.host,
+            request.method,
+            request.target,
+            request.body,
+            self.split_service,
+        )
+        return made
 
     def is_quarantined(self) -> bool:
         """Tell whether no runner may get the request now."""
@@ -138,7 +144,7 @@
             answers=_summaries(sender.attempts),
             last_event=answer.last_event,
             reason="" if outcome == RequestOutcome.COMPLETED else self.reason,
-            fingerprint=name_of(self._fingerprint),
+            fingerprint=name_of(self._fingerprints.get(self.split_service, b"")),
             first_ms=None if first_s is None else round(first_s * MILLISECONDS_PER_S),
             took_ms=round(self._elapsed_s() * MILLISECONDS_PER_S),
         ).info(f"request_{outcome.value}")
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -176,6 +176,7 @@
         if self.outcome is not None:
             return
         settings = self._context.settings
+        self._note_service()
         decision = decide_send(self._progress(), self._terms(), settings)
         if not isinstance(decision, SendAgain):
             self._end(decision)
@@ -187,8 +188,13 @@
             why_none = self._sender.why_none()
             self._end(give_up_without_runner(self._progress(), why_none, settings))
         else:
+            self._note_service()
             self._sender.send(found.record, decision)
 
+    def _note_service(self) -> None:
+        """Have the recorder mean the request at the service that was chosen for it."""
+        self._recorder.split_service = self._sender.route.split_service(self._sender.service)
+
     def _progress(self) -> RequestProgress:
         return RequestProgress(
             self._sender.attempts_counted,
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -26,7 +26,10 @@
 
 
 class RequestSender:
-    """The attempts of one request; ``attempt`` is the one under way, ``route`` that of the last."""
+    """The attempts of one request; ``attempt`` is the one under way, ``route`` that of the last.
+
+    While the next one is being placed, ``route`` is already that of the next.
+    """
 
     def __init__(
         self,
@@ -64,6 +67,7 @@
 
     def ask_placement(self, route: Route, placed: Callable[[Placement | None], None]) -> None:
         """Ask where the request should go; ``placed`` gets None if this gateway has to choose."""
+        self.route = route
         self._finder.ask(route, placed)
 
     def find(self, route: Route, placement: Placement | None, left_s: float) -> Found:
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -59,6 +59,10 @@
         """Tell whether a request may go to a second runner after it may have run at one."""
         return self.kind == RouteKind.SAFE or (self.kind == RouteKind.STREAM and self.resumable)
 
+    def split_service(self, service: str) -> str:
+        """Return a service of this route if it is split among several, else an empty name."""
+        return service if len(self.shares) > 1 else ""
+
     def allows(self, service: str) -> bool:
         """Tell whether a service may get this route's requests."""
         return any(share.service == service and share.weight > 0 for share in self.shares)
