Reset an unframed answer of the web sites when its process is killed

Symptom: a client of HTTP/1.0 took the part of an answer that it had for the whole one when the process of the native front or of an operator's address was killed.

Cause: the close of the connection ends an answer without a length, and the kernel closes the connections of a killed process in order.

Mend: while such an answer is written its connection is reset by any close; from its end on the close is in order. It holds since the kernel obeys SO_LINGER for a dead process too. Left: the bytes of a finished answer that a slow reader has not let out yet; listed as open.

--- a/features/rig/last_answers.feature
+++ b/features/rig/last_answers.feature
@@ -42,3 +42,27 @@
       | version |
       | 1.0     |
       | 1.1     |
+
+  Scenario Outline: An answer that is under way when its process is killed doesn't look complete
+    # A client of HTTP/1.0 knows no chunks: the close of the connection ends the answer, and the kernel
+    # closes the connections of a killed process in order.
+    Given a process with a followed web site that never ends its answers
+    When a client of HTTP <version> asks for "/"
+    And the first bytes of the answer have come
+    And the process that serves HTTP is killed
+    Then the client finds the answer broken
+
+    Examples:
+      | version |
+      | 1.0     |
+      | 1.1     |
+
+  Scenario Outline: An answer without a length that ends leaves whole
+    Given a process with a followed web site that ends its answers after <count> bytes
+    When a client of HTTP 1.0 asks for "/"
+    Then the client finds the answer whole with <count> bytes
+
+    Examples:
+      | count    |
+      | 11       |
+      | 8000000  |
--- a/features/steps/http_broken_off_steps.py
+++ b/features/steps/http_broken_off_steps.py
@@ -25,9 +25,14 @@
     _start(context, "features.support.site_program")
 
 
-def _start(context, program):
+@given("a process with a followed web site that ends its answers after {count:d} bytes")
+def serve_ending_site(context, count):
+    _start(context, "features.support.site_program", str(count))
+
+
+def _start(context, program, *arguments):
     process = subprocess.Popen(
-        [sys.executable, "-m", program],
+        [sys.executable, "-m", program, *arguments],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         preexec_fn=die_with_parent,
--- a/features/support/site_program.py
+++ b/features/support/site_program.py
@@ -1,10 +1,11 @@
-"""A process with a web site that begins answers and never ends them.
+"""A process with a web site that begins answers and never ends them, or ends them after some bytes.
 
-``python -m features.support.site_program`` prints the port. SIGTERM finishes the site as a planned
-stop does, with a short limit, and then ends the reactor.
+``python -m features.support.site_program [BYTES]`` prints the port. SIGTERM finishes the site
+as a planned stop does, with a short limit, and then ends the reactor.
 """
 
 import signal
+import sys
 
 from twisted.internet import reactor
 from twisted.web.resource import Resource
@@ -21,19 +22,27 @@
 
 
 class BegunAnswers(Resource):
-    """Begins an answer to each request."""
+    """Begins an answer to each request, and ends it if it has a size."""
 
     isLeaf = True
 
+    def __init__(self, ends_after_bytes):
+        super().__init__()
+        self._ends_after_bytes = ends_after_bytes
+
     def render_GET(self, request):
-        """Write a first piece."""
+        """Write a first piece, or all pieces."""
         request.write(b"first piece")
+        if self._ends_after_bytes:
+            request.write(b"x" * (self._ends_after_bytes - len(b"first piece")))
+            request.finish()
         return NOT_DONE_YET
 
 
 def main():
     """Serve until SIGTERM."""
-    site = make_site(BegunAnswers(), MAX_BODY_BYTES)
+    ends_after_bytes = int(sys.argv[1]) if len(sys.argv) > 1 else 0
+    site = make_site(BegunAnswers(ends_after_bytes), MAX_BODY_BYTES)
     served = ServedConnections(site, MonotonicClock(reactor))
     listening = listen_site(reactor, site, PeerAddress("127.0.0.1", 0))
 
--- a/src/rainsail/control/operator_site.py
+++ b/src/rainsail/control/operator_site.py
@@ -2,16 +2,17 @@
 
 from typing import Any
 
-from twisted.web.server import Request, Site
+from twisted.web.server import Site
 
 from rainsail.control.http_bodies import answer_fault
 from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.http_head import head_problem
+from rainsail.runtime.unframed_answers import UnframedAnswerRequest
 
 STEP = "operator_api.head"
 
 
-class OperatorRequest(Request):
+class OperatorRequest(UnframedAnswerRequest):
     """A request whose method, path and headers are text."""
 
     def process(self) -> None:
--- a/src/rainsail/gateway/openai/site.py
+++ b/src/rainsail/gateway/openai/site.py
@@ -2,19 +2,20 @@
 
 from typing import Any
 
-from twisted.web.server import Request, Site
+from twisted.web.server import Site
 
 from rainsail.errors import Fault, FaultCode
 from rainsail.gateway.openai.errors import error_body, error_headers
 from rainsail.gateway.openai.responses import encode_json
 from rainsail.gateway.openai.sinks import write_fault
 from rainsail.runtime.http_head import head_problem
+from rainsail.runtime.unframed_answers import UnframedAnswerRequest
 
 _STEP = "caller_api.body"
 _HEAD_STEP = "caller_api.head"
 
 
-class BoundedRequest(Request):
+class BoundedRequest(UnframedAnswerRequest):
     """A request whose body may not grow past ``max_body_bytes``.
 
     A longer one is answered with 413 as soon as its length is known, and its connection is closed.
--- /dev/null
+++ b/src/rainsail/runtime/unframed_answers.py
@@ -0,0 +1,44 @@
+"""Requests of a Twisted web site whose answers don't look complete when the process dies.
+
+A client of HTTP/1.0 knows no chunks, so that the end of the connection ends an answer without a
+length. The kernel closes the connections of a process that is killed in order, as if all had been
+said. While such an answer is being written its connection is set to be reset by any close.
+"""
+
+from typing import Any
+
+from twisted.web.server import Request
+
+from rainsail.runtime.sockets import close_in_order, reset_at_close
+
+CONTENT_LENGTH = b"content-length"
+CHUNKS_SINCE = b"HTTP/1.1"
+
+
+class UnframedAnswerRequest(Request):
+    """Resets the connection if the process ends before ``finish`` of an answer without a length.
+
+    From ``finish`` on a close is in order again: it is how the answer ends. What the process has
+    not handed to the kernel by then, of a client that reads slowly, is not covered.
+    """
+
+    def write(self, data: Any) -> None:
+        """Write a piece of the answer; its head goes out with the first one."""
+        if not self.startedWriting and self._ends_by_close():
+            reset_at_close(self._connection())
+        super().write(data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        connection = self._connection()
+        is_unframed = self._ends_by_close()
+        super().finish()
+        if is_unframed:
+            close_in_order(connection)
+
+    def _ends_by_close(self) -> bool:
+        has_length = self.responseHeaders.hasHeader(CONTENT_LENGTH)
+        return self.clientproto < CHUNKS_SINCE and not has_length
+
+    def _connection(self) -> Any:
+        return getattr(self.channel, "transport", None)
