Hold a stream's first event to what its service begins with on the same route

Symptom, by reading the mend of lost beginnings anew: a service that numbers its streams on one route and not on another would have had each stream of the other one cut, as soon as two thirds of its streams were numbered.

Cause: beginnings were learnt by service alone, and numbers are needed only on routes that may be resumed.

Mend: they are learnt by service and route. It holds since a route's requests go to one kind of path; a new route is held to nothing until two of its streams have begun alike.

--- a/features/relay/beginnings.feature
+++ b/features/relay/beginnings.feature
@@ -159,3 +159,13 @@
     And the runner sends data without a number
     And the runner ends its stream
     Then the client has a stream without numbers, and the end
+
+  Scenario: A route whose streams have no numbers is served beside one of the same service that numbers them
+    Given a relay with 3 runners and a "stream" route
+    And 20 earlier streams of the service began with event 1
+    When the same service gets another route, on which streams have no numbers
+    And a client sends a request to the relay
+    And the runner sends the head of a stream
+    And the runner sends data without a number
+    And the runner ends its stream
+    Then the client has a stream without numbers, and the end
--- a/features/steps/stream_beginning_steps.py
+++ b/features/steps/stream_beginning_steps.py
@@ -53,8 +53,13 @@
 @when("the service is added anew and its runners begin with event 2")
 def add_anew(context):
     beginnings: StreamBeginnings = context.relay.context.beginnings
-    beginnings.keep_only(())
-    beginnings.keep_only(("model",))
+    beginnings.keep_only((), ())
+    beginnings.keep_only(("model",), ("r",))
+
+
+@when("the same service gets another route, on which streams have no numbers")
+def another_route(context):
+    context.relay.put_route("stream", version=2, name="other")
 
 
 @step("the runner sends a stream of no events")
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -20,7 +20,7 @@
 )
 from rainsail.relay.events import STATUS_OK, Event, EventStream, is_part_of_stream, leaves_hole
 from rainsail.relay.protocol import AnswerVerdict, RelayProtocol
-from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings
+from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings, StreamSource
 from rainsail.routing.facts import ServerLoad
 
 NO_EVENTS = "no stream of events"
@@ -102,7 +102,7 @@
         item: str,
         progress: ItemProgress,
         protocol: RelayProtocol,
-        service: str,
+        source: StreamSource,
         beginnings: StreamBeginnings,
         ended: Callable[["ItemRun", RunEnd, str], None],
         load_heard: Callable[[ServerLoad], None] = lambda load: None,
@@ -116,7 +116,7 @@
         self.proves_survival = False
         """The whole answer shows that the runner outlived the item."""
         self._protocol = protocol
-        self._service = service
+        self._source = source
         self._beginnings = beginnings
         self._ended = ended
         self._load_heard = load_heard
@@ -174,12 +174,12 @@
     def _may_begin_with(self, number: int | None) -> bool:
         """Judge the first event of a run that begins at the beginning; None: it has no number."""
         is_believed = self._is_believed(number)
-        self._beginnings.observe(StreamBeginning(self._service, number))
+        self._beginnings.observe(StreamBeginning(self._source, number))
         return is_believed
 
     def _is_believed(self, number: int | None) -> bool:
         """Tell whether the item's text may begin with an event; count the run if it may not."""
-        if not self._beginnings.is_lost(StreamBeginning(self._service, number)):
+        if not self._beginnings.is_lost(StreamBeginning(self._source, number)):
             return True
         self.progress.doubted[number] += 1
         return self.progress.doubted[number] >= LIKE_RUNS_BELIEVED
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -19,6 +19,7 @@
 from rainsail.jobs.job_state import RelayedJob
 from rainsail.jobs.open_item import OpenItem
 from rainsail.relay.protocol import ItemRequest, RunnerTarget
+from rainsail.relay.stream_beginnings import StreamSource
 from rainsail.routing.facts import ServerLoad
 
 IDLE_TIMEOUT_S = 4.0
@@ -57,11 +58,15 @@
         item.begin_run(record.runner, now)
         self._slots.on_item_started(record, now)
         self._running.add(item)
-        item.run = self._new_run(item, content.item, record.service)
+        item.run = self._new_run(item, content.item, self._source_of(item, job, record))
         self._recorder.item_sent(item)
         item.call = self._node.pool.send(record.address, request, item.run)
 
-    def _new_run(self, item: OpenItem, item_name: str, service: str) -> ItemRun:
+    def _source_of(self, item: OpenItem, job: RelayedJob, record: RunnerRecord) -> StreamSource:
+        route = self._routes.of_item(job, item.index)
+        return StreamSource(record.service, "" if route is None else route.name)
+
+    def _new_run(self, item: OpenItem, item_name: str, source: StreamSource) -> ItemRun:
         runner = item.runner
 
         def on_ended(run: ItemRun, end: RunEnd, reason: str) -> None:
@@ -74,7 +79,7 @@
             item_name,
             item.progress,
             self._node.protocol,
-            service,
+            source,
             self._beginnings,
             on_ended,
             on_load_report,
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -11,7 +11,7 @@
 from rainsail.relay.continuation import ClientHas
 from rainsail.relay.events import Event, is_part_of_stream, leaves_hole
 from rainsail.relay.protocol import RelayProtocol
-from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings
+from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings, StreamSource
 from rainsail.runtime.clock import Clock
 
 CONTENT_LENGTH = b"content-length"
@@ -38,12 +38,15 @@
         protocol: RelayProtocol,
         clock: Clock,
         beginnings: StreamBeginnings,
+        route: str,
         last_event: int | None,
     ) -> None:
+        """``route`` is the name of the route by which the request came."""
         self._exchange = exchange
         self._protocol = protocol
         self._clock = clock
         self._beginnings = beginnings
+        self._route = route
         self.state = AnswerState.NOTHING_SENT
         self.first_s: float | None = None
         self.last_event = last_event
@@ -119,13 +122,16 @@
         first = next(filter(is_part_of_stream, events), None)
         if first is None:
             return True
-        beginning = StreamBeginning(attempt.record.service, first.number)
+        beginning = StreamBeginning(self._source_of(attempt), first.number)
         is_lost = self._beginnings.is_lost(beginning)
         self._beginnings.observe(beginning)
         if not is_lost:
             self._beginning = beginning
         return not is_lost
 
+    def _source_of(self, attempt: Attempt) -> StreamSource:
+        return StreamSource(attempt.record.service, self._route)
+
     def lacks_beginning(self, attempt: Attempt) -> bool:
         """Tell, at the end of a stream, whether its first events never came.
 
@@ -136,7 +142,7 @@
             return False
         if self._beginning is not None:
             return self._beginnings.is_lost(self._beginning)
-        empty = StreamBeginning(attempt.record.service, None)
+        empty = StreamBeginning(self._source_of(attempt), None)
         is_lost = self._beginnings.is_lost(empty)
         self._beginnings.observe(empty)
         return is_lost
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -70,7 +70,12 @@
         self._identity = identity
         self._on_ended = ended
         self._answer = ClientAnswer(
-            exchange, context.protocol, context.clock, context.beginnings, facts.after_event
+            exchange,
+            context.protocol,
+            context.clock,
+            context.beginnings,
+            route.name,
+            facts.after_event,
         )
         self._recorder = RequestRecorder(context, request, facts, identity)
         self._sender = RequestSender(
--- a/src/rainsail/relay/table.py
+++ b/src/rainsail/relay/table.py
@@ -149,6 +149,10 @@
         """Return what the runners of each service bear while they warm up."""
         return {name: service.warm_up for name, service in self.services.items()}
 
+    def route_names(self) -> frozenset[str]:
+        """Return the names of all routes."""
+        return frozenset(route.name for route in self.routes)
+
     def batch_services(self) -> set[str]:
         """Return the services that run items."""
         batch = [route for route in self.routes if route.kind == RouteKind.BATCH]
