--- a/src/rainsail/jobs/__init__.py
+++ b/src/rainsail/jobs/__init__.py
@@ -20,7 +20,8 @@
 
 * ``job_state.JobState``: jobs, their items, results and kept progress (replicated, on disk);
 * ``waiting_items`` and ``running_items``: each open item is in one of the two;
-* ``runner_slots``: online work, load from other callers and pauses, by runner;
+* ``runner_slots``: online work, load from other callers, failed runs and pauses, by runner;
+* ``relay.stream_beginnings``: with which number the streams of items begin, by service and route;
 * ``item_routes``: the routing table by which items run;
 * ``item_planner``: what was learnt of lengths, slots and due times, the last plan, the reserve;
 * ``queue_limits`` and ``held_reads``: proposals and reads that are under way;
