Close a listening port in the turn that empties its queue

What callers saw: the first request of a new connection, sent 2.3 s after SIGTERM at a relaying gateway (0.5 s at `rainsail up`), ended by a reset.

Cause: Twisted closes a socket in a later turn than it is asked to. The queue of the port was emptied before, the kernel went on accepting until that turn, and the close reset what it had accepted. Connections were closed the same way behind the look for unread bytes. The caller API closed a connection just accepted as idle, with its first request on its way.

Change: the queue is emptied and the port closed in one turn; the kernel drops new attempts just before, so that losing the processor between the two does no harm; a connection without a request yet is closed 1 s after its start at the earliest. PlannedClose holds this for servers of the relaying fleet.

Evidence: features/http/planned_stop.feature, four new scenarios.

--- a/features/http/planned_stop.feature
+++ b/features/http/planned_stop.feature
@@ -64,3 +64,25 @@
       | server             |
       | the caller API     |
       | a relaying gateway |
+
+  Scenario Outline: A caller that connects right behind the closing of the port is refused, not reset: <server>
+    # Guards against: a port that still accepts until a later turn of the reactor closes it.
+    Given <server> that is about to stop
+    When the port is closed in a turn of the reactor that is long, and a caller connects meanwhile
+    Then the caller is refused before it has sent anything
+
+    Examples:
+      | server             |
+      | the caller API     |
+      | a relaying gateway |
+
+  Scenario Outline: A caller that has connected just before the port is closed is waited for: <server>
+    # Guards against: a new connection closed as idle while its first request is on its way.
+    Given <server> that is about to stop
+    When a caller connects just before the port is closed, and sends its request when others rest
+    Then the caller is answered, and told that the connection closes
+
+    Examples:
+      | server             |
+      | the caller API     |
+      | a relaying gateway |
--- a/features/steps/http_planned_stop_steps.py
+++ b/features/steps/http_planned_stop_steps.py
@@ -14,9 +14,9 @@
 
 from rainsail.assembly.served_connections import IDLE_READ_S, ServedConnections, has_begun_request
 from rainsail.fleet.listening import listen
+from rainsail.http.planned_close import RESTING_LOOK_PERIOD_S, PlannedClose
 from rainsail.http.server import HttpLimits, HttpServer
-from rainsail.runtime.clock import MonotonicClock
-from rainsail.runtime.sockets import accept_waiting
+from rainsail.runtime.sockets import HANDSHAKE_S
 
 SOCKET_LIMIT_S = 20.0
 STOP_LIMIT_S = 10.0
@@ -55,6 +55,7 @@
         stopped = self._served.stop_accepting(self._port)
         stopped.addCallback(lambda _: self._served.finish(STOP_LIMIT_S))
         self._clock.advance(IDLE_READ_S)
+        self._clock.advance(HANDSHAKE_S)
 
     def pass_time(self):
         self._clock.advance(IDLE_READ_S)
@@ -67,7 +68,8 @@
     """Stops as a relaying gateway does."""
 
     def __init__(self):
-        self._server = HttpServer(self._handle, MonotonicClock(reactor), HttpLimits())
+        self._clock = Clock()
+        self._server = HttpServer(self._handle, self._clock, HttpLimits())
         self._port = listen(reactor, self._server, "127.0.0.1:0").ok
         self.number = self._port.getHost().port
 
@@ -85,12 +87,11 @@
         self._server.close_idle()
 
     def close_port(self):
-        self._server.drain()
-        accept_waiting(self._port)
-        self._port.stopListening()
+        PlannedClose(self._server, self._port, self._clock).start(lambda: None)
+        self._clock.advance(HANDSHAKE_S)
 
     def pass_time(self):
-        self._server.close_idle()
+        self._clock.advance(RESTING_LOOK_PERIOD_S)
 
     def end(self):
         return self._port.stopListening()
@@ -166,6 +167,31 @@
     in_reactor(context.stop.pass_time)
 
 
+@when("the port is closed in a turn of the reactor that is long, and a caller connects meanwhile")
+def connects_behind_the_close(context):
+    def close_and_connect():
+        context.stop.close_port()
+        try:
+            _connect(context)
+            _send(context, REQUEST)
+            context.outcome = "connected"
+        except ConnectionRefusedError:
+            context.outcome = "refused"
+
+    in_reactor(close_and_connect)
+
+
+@when("a caller connects just before the port is closed, and sends its request when others rest")
+def sends_late(context):
+    def connect_and_close():
+        _connect(context)
+        context.stop.close_port()
+
+    in_reactor(connect_and_close)
+    in_reactor(context.stop.pass_time)
+    _send(context, REQUEST)
+
+
 @when("a caller has sent half of a request's head, and it has been read")
 def sends_half(context):
     _connect(context)
@@ -189,6 +215,11 @@
     assert b"connection: close" in head, head
 
 
+@then("the caller is refused before it has sent anything")
+def refused(context):
+    assert context.outcome == "refused", context.outcome
+
+
 @then("the caller's connection is closed in order")
 def closed_in_order(context):
     assert context.caller.recv(1) == b""
--- a/src/rainsail/assembly/served_connections.py
+++ b/src/rainsail/assembly/served_connections.py
@@ -4,7 +4,7 @@
 that are still being worked on or have not left yet. ``stop_accepting`` lets in what has been sent
 to the port; each answer tells its client that the connection closes. ``finish`` lets requests under
 way end, closes each connection once its bytes have left, and gives up on what is left after a
-limit.
+limit. A connection that has carried no request yet gets ``FIRST_REQUEST_S`` from its start.
 """
 
 from collections.abc import Generator
@@ -15,13 +15,20 @@
 
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock, sleep
-from rainsail.runtime.sockets import accept_waiting, has_unread_bytes
+from rainsail.runtime.sockets import (
+    HANDSHAKE_S,
+    accept_and_close,
+    close_if_nothing_unread,
+    ignore_new_connections,
+)
 
 IDLE_READ_S = 0.25
 """Idle connections are read for this long before they are closed at a planned stop.
 
 Longer than the way of a request that was sent when the stop began.
 """
+FIRST_REQUEST_S = 1.0
+"""A client that has connected sends its first request within this time."""
 
 
 class ServedConnections:
@@ -30,6 +37,8 @@
     def __init__(self, site: Site, clock: Clock) -> None:
         self._clock = clock
         self._channels: set[Any] = set()
+        self._opened_s: dict[Any, float] = {}
+        """When the connections were opened that have carried no request yet."""
         self._is_closing = False
         self._finished: Deferred[None] | None = None
         self._timer: Any = None
@@ -38,6 +47,7 @@
         build = followed.buildProtocol
 
         def follow_request(request: Any) -> Any:
+            self._opened_s.pop(request.channel, None)
             if self._is_closing:
                 _close_after(request)
             return find(request)
@@ -55,10 +65,10 @@
         """Close the listening port once all that was sent to it so far has been read."""
         self._announce_close()
         yield sleep(self._clock, IDLE_READ_S)
-        has_accepted = accept_waiting(port)
-        yield port.stopListening()
-        if has_accepted:
-            yield sleep(self._clock, IDLE_READ_S)
+        ignore_new_connections(port)
+        yield sleep(self._clock, HANDSHAKE_S)
+        accept_and_close(port)
+        yield sleep(self._clock, IDLE_READ_S)
 
     def finish(self, limit_s: float) -> "Deferred[None]":
         """Fire when every connection is closed; those still open after ``limit_s`` are cut."""
@@ -83,8 +93,14 @@
         for request in channel.requests:
             answered = request.notifyFinish()
             answered.addCallbacks(lambda _: self._close_when_idle(channel), lambda _: None)
-        if not has_begun_request(channel) and not has_unread_bytes(channel.transport):
-            channel.loseConnection()
+        if channel not in self._channels or has_begun_request(channel):
+            return
+        wait_s = self._opened_s.get(channel, -FIRST_REQUEST_S) + FIRST_REQUEST_S
+        wait_s -= self._clock.seconds()
+        if wait_s > 0:
+            self._clock.callLater(wait_s, self._close_when_idle, channel)
+        else:
+            close_if_nothing_unread(channel.transport)
 
     def _follow(self, protocol: Any) -> None:
         """Follow a connection from its start to its end."""
@@ -94,6 +110,7 @@
 
         def connection_made() -> None:
             self._channels.add(channel)
+            self._opened_s[channel] = self._clock.seconds()
             made()
 
         def connection_lost(reason: Any) -> None:
@@ -105,6 +122,7 @@
 
     def _on_closed(self, channel: Any) -> None:
         self._channels.discard(channel)
+        self._opened_s.pop(channel, None)
         if self._finished is not None and not self._channels:
             self._fire()
 
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -10,6 +10,7 @@
 from rainsail.fleet.base import NodeBase
 from rainsail.fleet.listening import listen
 from rainsail.fleet.port import PlatformPort
+from rainsail.http.planned_close import PlannedClose
 from rainsail.http.pool import ConnectionPool, PoolSettings
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.jobs.client import JobClient
@@ -19,13 +20,11 @@
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.settings import RelaySettings
 from rainsail.routing.residency import RegionMap
-from rainsail.runtime.sockets import accept_waiting
 
 LEDGER_CALL_TIMEOUT_S = 1.6
 CLIENTS_LEAVE_AFTER_S = 2.3
 """After SIGTERM new clients still come until two readiness checks have been missed."""
 END_BEFORE_GRACE_S = 0.4
-RESTING_LOOK_PERIOD_S = 0.1
 MILLISECONDS_PER_S = 1000.0
 
 
@@ -91,25 +90,14 @@
         self._clients.drain()
         done: Deferred[None] = Deferred()
         clock = self._base.clock
-        clock.callLater(CLIENTS_LEAVE_AFTER_S, self._leave, done)
+        close = PlannedClose(self._clients, self._client_port, clock)
+        clock.callLater(CLIENTS_LEAVE_AFTER_S, close.start, lambda: _fire_once(done))
         last_s = self._base.settings.bounds.grace_s - END_BEFORE_GRACE_S
         clock.callLater(last_s, _fire_once, done)
         await done
         logger.bind(under_way=self._clients.requests_under_way).info("drain_ended")
         self.gateway.stop()
 
-    def _leave(self, done: Any) -> None:
-        accept_waiting(self._client_port)
-        self._client_port.stopListening()
-        self._base.clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
-        self._clients.when_quiet(lambda: _fire_once(done))
-
-    def _close_resting(self) -> None:
-        """Close connections as they come to rest; those that come in meanwhile too."""
-        self._clients.close_idle()
-        if self._clients.connections:
-            self._base.clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
-
 
 def _ledger_nodes(view: FleetView) -> tuple[str, ...]:
     """Return the storage nodes that may lead the ledger."""
--- /dev/null
+++ b/src/rainsail/http/planned_close.py
@@ -0,0 +1,40 @@
+"""Closes the port and the connections of an ``HttpServer`` at a planned stop, and cuts no request.
+
+A client whose connection is reset after it has sent a request can't tell whether that ran. So what
+has reached the port is accepted and answered, and what comes later is refused before it is sent.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from rainsail.http.server import HttpServer
+from rainsail.runtime.clock import Clock
+from rainsail.runtime.sockets import HANDSHAKE_S, accept_and_close, ignore_new_connections
+
+RESTING_LOOK_PERIOD_S = 0.1
+
+
+class PlannedClose:
+    """Ends one server; ``port`` is the listening port that the reactor gave for it."""
+
+    def __init__(self, server: HttpServer, port: Any, clock: Clock) -> None:
+        self._server = server
+        self._port = port
+        self._clock = clock
+
+    def start(self, closed: Callable[[], None]) -> None:
+        """Begin; ``closed`` is called when the last connection has closed."""
+        self._server.drain()
+        ignore_new_connections(self._port)
+        self._clock.callLater(HANDSHAKE_S, self._close_port, closed)
+
+    def _close_port(self, closed: Callable[[], None]) -> None:
+        accept_and_close(self._port)
+        self._clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
+        self._server.when_quiet(closed)
+
+    def _close_resting(self) -> None:
+        """Close connections as they come to rest; those that come in meanwhile too."""
+        self._server.close_idle()
+        if self._server.connections:
+            self._clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -25,8 +25,8 @@
 from rainsail.http.server_exchange import ServerExchange
 from rainsail.runtime.clock import Clock, Timer
 from rainsail.runtime.sockets import (
+    close_if_nothing_unread,
     close_in_order,
-    has_unread_bytes,
     reset_at_close,
     set_user_timeout,
 )
@@ -52,6 +52,8 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+FIRST_REQUEST_S = 1.0
+"""A client that has connected sends its first request within this time."""
 MAX_PIPELINED_BYTES = 256 * 1024
 """Bytes that a client may send ahead of its answer; a connection with more is cut."""
 
@@ -93,9 +95,10 @@
         self.draining = True
 
     def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+        """Close the connections on which nothing is under way or about to come."""
         for connection in list(self.connections):
-            connection.close_if_idle()
+            if not connection.awaits_first_request:
+                connection.close_if_idle()
 
     def break_off(self) -> None:
         """Cut the answers that would look complete if their connections were closed in order."""
@@ -135,6 +138,8 @@
         self._early_bytes = 0
         self._timer: Timer | None = None
         self._lost = False
+        self._opened_s = server.clock.seconds()
+        self._has_carried_request = False
         self._ends_by_close = False
         """An answer that only the close of the connection ends has not left whole yet."""
 
@@ -262,6 +267,7 @@
         )
         self._head = None
         self._body = []
+        self._has_carried_request = True
         exchange = ServerExchange(self, request)
         self._exchange = exchange
         self._server.requests_under_way += 1
@@ -331,10 +337,16 @@
 
     def close_if_idle(self) -> None:
         """Close when no request has begun or lies unread."""
-        if self._lost or self._has_request() or has_unread_bytes(self.transport):
+        if self._lost or self._has_request():
             return
-        self._lost = True
-        self.transport.loseConnection()
+        if close_if_nothing_unread(self.transport):
+            self._lost = True
+
+    @property
+    def awaits_first_request(self) -> bool:
+        """Tell whether the connection is so new that its first request may be on its way."""
+        age_s = self._server.clock.seconds() - self._opened_s
+        return not self._has_carried_request and age_s < FIRST_REQUEST_S
 
     def _has_request(self) -> bool:
         """Tell whether some bytes of a request have been read that is not answered yet."""
--- a/src/rainsail/runtime/sockets.py
+++ b/src/rainsail/runtime/sockets.py
@@ -1,10 +1,20 @@
-"""What Twisted has no method for: socket options, unread bytes and connections not accepted yet."""
+"""What Twisted has no method for: socket options, unread bytes, and closes within one turn.
 
+Twisted closes a socket in a later turn of the reactor than it is asked to. What arrives between is
+lost with a reset, and a turn is long on a busy machine.
+"""
+
+import ctypes
 import select
 import socket
 import struct
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
+from rainsail.logs import logger
+
 MILLISECONDS_PER_S = 1000
 
 
@@ -13,6 +23,18 @@
 PROBED_AFTER_S = 2
 PROBE_PERIOD_S = 1
 
+HANDSHAKE_S = 0.1
+"""Handshakes that have begun at a listening port are over within this time."""
+SO_ATTACH_FILTER = 26
+"""Linux's number of the socket option, which Python does not name."""
+DROP_SYN = (
+    (0x30, 0, 0, 13),  # load the byte of the TCP header that has the flags
+    (0x45, 0, 1, 0x02),  # jump on SYN
+    (0x06, 0, 0, 0),  # drop
+    (0x06, 0, 0, 0xFFFFFFFF),  # accept
+)
+"""A packet filter, by the kernel's ``sock_filter``: code, two jumps, value."""
+
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 """Values of ``SO_LINGER``: whether it is on, and for how many seconds a close may linger."""
@@ -55,20 +77,53 @@
         return False
 
 
-def accept_waiting(port: Any) -> bool:
-    """Accept the connections in a listening port's queue; tell whether there were any.
+def close_if_nothing_unread(transport: Any) -> bool:
+    """Close a connection in this turn unless bytes lie unread in it; tell whether it closes.
+
+    One that still has bytes to send closes behind them, and one without a socket (in tests) as its
+    transport does.
+    """
+    if has_unread_bytes(transport):
+        return False
+    has_socket = hasattr(transport, "getHandle")
+    if not has_socket or transport in transport.reactor.getWriters():
+        transport.loseConnection()
+    else:
+        transport.connectionLost(Failure(ConnectionDone()))
+    return True
+
+
+def ignore_new_connections(port: Any) -> None:
+    """Have the kernel drop attempts to connect to a port, while handshakes under way go on.
+
+    A client tries again after a second, and is refused once the port is closed: it knows for
+    certain that nothing of it was read.
+    """
+    program = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *each) for each in DROP_SYN))
+    filter_program = struct.pack("HP", len(DROP_SYN), ctypes.addressof(program))
+    try:
+        port.socket.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filter_program)
+    except OSError as error:
+        logger.bind(error=str(error)).warning("port_not_filtered")
+
+
+def accept_and_close(port: Any) -> None:
+    """Accept what lies in a listening port's queue and close the port, in one turn.
 
-    Closing the port resets what is left in its queue, with the requests that were sent there.
+    Closing resets what is left in the queue, with the requests that were sent there.
     """
+    _accept_waiting(port)
+    port.stopReading()
+    port.connectionLost(Failure(ConnectionDone()))
+
+
+def _accept_waiting(port: Any) -> None:
     queue = select.poll()
     queue.register(port.fileno(), select.POLLIN)
-    has_accepted = False
     for _ in range(MOST_ACCEPT_CALLS):
         if not queue.poll(0):
-            break
+            return
         port.doRead()
-        has_accepted = True
-    return has_accepted
 
 
 def reset_at_close(transport: Any) -> None:
