Hold the end of a stream until other streams tell whether it is whole

Beside it two damaged streams confirmed each other, four streams counted as "numbered differently", and one earlier beginning for nothing.

Change: events leave at once, the end waits for other streams, until 0.25 s before a client gives a silent stream up or the deadline; then the balance of what was seen decides. An unusual number is believed after three streams, a source has no common number after six. An item whose three runs are alike is done by these runs themselves (features/jobs/beginnings.feature, unchanged).

Why it works: a loss can only raise the first number, so that other streams show it; what lacked was time.

New scenarios in beginnings.feature failed before (14 with the steps that wait). Scenarios of services that number from 2 or 7 got a step: their end comes after the wait while too little is known.

--- a/features/relay/beginnings.feature
+++ b/features/relay/beginnings.feature
@@ -10,7 +10,8 @@
   Nothing on the wire says with which number a stream begins, and services number as they like. So a
   stream is held to what the other streams of its service began with, and to nothing where they differ.
   While too few were seen, a stream that may be resumed and begins with neither 0 nor 1 is run again
-  elsewhere, and what two runs agree on is believed.
+  elsewhere, and what two runs agree on is believed. Where that is not possible, or was not enough,
+  the events leave and the end waits until other streams have told, as long as a client bears.
   In 40 seeds of the soak 94 streams were told as complete without their beginning, and none since.
 
   Scenario: A resumable request begins anew at another runner when its first event is lost
@@ -114,6 +115,8 @@
     And the runner sends events 7 to 9
     And the runner sends events 7 to 9
     And the runner ends its stream
+    Then the client has events 7 to 9 so far
+    When 3.8 seconds pass
     Then the client has the whole stream of events 7 to 9
     And 2 sendings were made, each to another runner
 
@@ -123,6 +126,8 @@
     When a client sends a request to the relay
     And the runner sends events 7 to 9
     And the runner ends its stream
+    Then the client has events 7 to 9 so far
+    When 3.8 seconds pass
     Then the client has the whole stream of events 7 to 9
     And 1 sending was made
 
@@ -133,6 +138,8 @@
     And the runner sends events 7 to 9
     And the runner sends events 12 to 14
     And the runner ends its stream
+    Then the client has events 12 to 14 so far
+    When 3.8 seconds pass
     Then the client has the whole stream of events 12 to 14
     And 2 sendings were made, each to another runner
 
@@ -176,10 +183,114 @@
       | 0      | 4    | 0       |
       | 0      | 4    | 20      |
       | 1      | 4    | 0       |
+      | 7      | 9    | 20      |
+
+  # Guards against: a service that numbers in an unusual way losing its first streams, run once or not.
+  Scenario Outline: A service whose streams begin with <number> is served while <earlier> of them are known, and its end waits
+    Given a relay with 3 runners and a "stream" route
+    And <earlier> earlier streams of the service began with event <number>
+    When a client sends a request to the relay
+    And the runner sends events <number> to <last>
+    And the runner ends its stream
+    Then the client has events <number> to <last> so far
+    When 3.8 seconds pass
+    Then the client has the whole stream of events <number> to <last>
+
+    Examples:
+      | number | last | earlier |
       | 2      | 4    | 0       |
       | 7      | 9    | 0       |
       | 7      | 9    | 1       |
-      | 7      | 9    | 20      |
+
+  # Guards against: a stream that may run once only told as whole without its beginning, as the first of its gateway.
+  Scenario: The end of a stream that begins late waits until other streams tell that it lacks its beginning
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And the runner ends its stream
+    Then the client has events 2 to 4 so far
+    When 2 other streams of the service begin with event 1 meanwhile
+    Then the client's connection was cut after events 2 to 4
+    And 1 sending was made
+
+  # Guards against: two streams that lost the same event believed because they agree.
+  Scenario: Two streams that both begin late don't confirm each other
+    Given a relay with 3 runners and a "stream" route
+    And 1 earlier streams of the service began with event 2
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And the runner ends its stream
+    And 4 other streams of the service begin with event 1 meanwhile
+    Then the client's connection was cut after events 2 to 4
+
+  # Guards against: the end of a whole stream kept back longer than needed.
+  Scenario: The end of a stream that begins late leaves as soon as other streams have begun alike
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 7 to 9
+    And the runner ends its stream
+    And 2 other streams of the service begin with event 7 meanwhile
+    Then the client has the whole stream of events 7 to 9
+
+  # Guards against: a stream told as whole although the only other one began earlier.
+  Scenario: When the wait is over, one other stream that began earlier decides
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And the runner ends its stream
+    And 1 other streams of the service begin with event 1 meanwhile
+    Then the client has events 2 to 4 so far
+    When 3.8 seconds pass
+    Then the client's connection was cut after events 2 to 4
+
+  # Guards against: an end that comes when its client has given the silent stream up.
+  Scenario: An end waits no longer than a client waits for the next part of a stream
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 7 to 9
+    And 2 seconds pass
+    And the runner ends its stream
+    Then the client has events 7 to 9 so far
+    When 1.8 seconds pass
+    Then the client has the whole stream of events 7 to 9
+
+  # Guards against: an answer cut at its deadline although all of it was there.
+  Scenario: An end waits no longer than the request has time
+    Given a relay with 3 runners and a "stream" route of 1 attempt
+    When a client sends a request to the relay with 1 seconds to answer
+    And the runner sends events 7 to 9
+    And the runner ends its stream
+    And 1 seconds pass
+    Then the client has the whole stream of events 7 to 9
+
+  # Guards against: a stream without numbers kept waiting, though no loss would show in it.
+  Scenario: The end of a stream without numbers does not wait
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends the head of a stream
+    And the runner sends data without a number
+    And the runner ends its stream
+    Then the client has a stream without numbers, and the end
+
+  # Guards against: an end that is written to a client which has left meanwhile.
+  Scenario: A client that leaves while the end of its stream waits is not answered any more
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 7 to 9
+    And the runner ends its stream
+    And the client leaves
+    And 4 seconds pass
+    Then the client has events 7 to 9 so far
+    And no more is under way at any runner
+
+  Scenario: A service that numbers from 0 and whose very first stream lacks event 0 is not told as whole
+    # Red: 1 is how nearly all streams begin, so that their ends do not wait for others.
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 4
+    And the runner ends its stream
+    And 2 other streams of the service begin with event 0 meanwhile
+    Then the client's connection was cut after events 1 to 4
 
   Scenario: A service just added is not held to what another one begins with
     Given a relay with 3 runners and a "stream" route
@@ -188,6 +299,8 @@
     And a client sends a request to the relay
     And the runner sends events 2 to 4
     And the runner ends its stream
+    Then the client has events 2 to 4 so far
+    When 3.8 seconds pass
     Then the client has the whole stream of events 2 to 4
 
   Scenario: A service whose streams begin with many numbers is held to none
--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -26,10 +26,15 @@
     Then no promise of any of these relays was broken
 
   Scenario: A gateway whose very first streams may run once only and lack their beginning, seed 1073
-    # Red: such a stream can't be compared with a second run, and its gateway has seen no other.
+    # Guards against: such a stream told as whole before other streams could tell what it lacks.
     When clients of a relay meet runners that also spoil beginnings, drawn from each of the seeds 1073 to 1073
     Then no promise of any of these relays was broken
 
+  Scenario: A stream that lacks its beginning and is the only one while its client waits, seed 1406
+    # Red: its end waits 2.1 s, as long as a client bears, and no other stream comes meanwhile.
+    When clients of a relay meet runners that also spoil beginnings, drawn from each of the seeds 1406 to 1406
+    Then no promise of any of these relays was broken
+
   Scenario Outline: The soak catches a relay that <defect>
     Given a relay that <defect>
     When its clients meet such runners, drawn from seed 1, with the defect and without it
--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -37,6 +37,11 @@
     context.relay.put_route(kind, attempts, resumable=True)
 
 
+@when("a client sends a request to the relay with {seconds:g} seconds to answer")
+def send_with_deadline(context, seconds):
+    context.exchange = context.relay.request(deadline_s=seconds)
+
+
 @when("a client sends a request to the relay")
 def send(context):
     context.log_records = []
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -277,12 +277,19 @@
         if has_events and not self._is_believed(beginning):
             self.progress.start_anew()
             self._end(RunEnd.BROKEN, LOST_BEGINNING)
-        elif self._beginnings.judge(beginning) == BeginningVerdict.UNKNOWN:
+        elif self._is_unconfirmed(beginning):
             self.progress.set_unconfirmed(beginning)
             self._end(RunEnd.UNCONFIRMED, UNCONFIRMED_BEGINNING)
         else:
             self._end(RunEnd.WHOLE, "ended")
 
+    def _is_unconfirmed(self, beginning: StreamBeginning) -> bool:
+        """Tell whether neither other streams nor runs of this item tell that the text is whole."""
+        like_runs = self.progress.doubted[beginning.first] + 1
+        if like_runs >= LIKE_RUNS_BELIEVED:
+            return False
+        return self._beginnings.judge(beginning) == BeginningVerdict.UNKNOWN
+
     def answer_failed(self, reason: str) -> None:
         """The answer broke off."""
         self.connection_ended = reason in CONNECTION_ENDS
--- a/src/rainsail/relay/__init__.py
+++ b/src/rainsail/relay/__init__.py
@@ -10,7 +10,8 @@
 * ``sender`` and ``attempt``: one attempt after the other; ``response_timeout`` and
   ``idle_runners``: runners that send nothing;
 * ``events`` and ``client_answer``: whole events of a stream, and what the client has of its answer;
-  ``stream_beginnings``: whether what has come begins at the beginning;
+  ``stream_beginnings``: whether what has come begins at the beginning; ``held_end``: the end of a
+  stream that waits until that is known;
 * ``recorder`` and ``load_reports``: log lines, metrics, and what is under way;
 * ``protocol`` and ``header_protocol``: what a platform's adapter translates.
 
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -17,7 +17,12 @@
 )
 from rainsail.relay.events import Event, first_event, is_part_of_stream, leaves_hole
 from rainsail.relay.protocol import RelayProtocol
-from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings, StreamSource
+from rainsail.relay.stream_beginnings import (
+    FirstEvent,
+    StreamBeginning,
+    StreamBeginnings,
+    StreamSource,
+)
 from rainsail.runtime.clock import Clock
 
 CONTENT_LENGTH = b"content-length"
@@ -35,7 +40,8 @@
     """Writes one answer; the head is that of the runner that began it.
 
     ``first_s`` is when its first byte left, in seconds since the request came; ``last_event`` the
-    number of the last event that the client has, from an earlier answer at first.
+    number of the last event that the client has, from an earlier answer at first; ``last_sent_s``
+    when its last events left by the clock, or when the request came.
     """
 
     def __init__(
@@ -61,6 +67,7 @@
         self.state = AnswerState.NOTHING_SENT
         self.first_s: float | None = None
         self.last_event = last_event
+        self.last_sent_s = exchange.request.received_s
         self._begun_by: Attempt | None = None
         self._has_unnumbered = False
         """Some data without a number has left."""
@@ -68,6 +75,8 @@
         """The client has the beginning of the stream from an earlier answer."""
         self._beginning: StreamBeginning | None = None
         """How the events that have left begin; None before the first."""
+        self._compared: set[FirstEvent] = set()
+        """What the runs began with that were given up to be compared with another one."""
 
     @property
     def begun(self) -> bool:
@@ -107,6 +116,7 @@
         if taken:
             self._begin(attempt)
             self._exchange.write(b"".join(taken))
+            self.last_sent_s = self._clock.seconds()
         return None if is_whole else MISSING_EVENT
 
     def _take_new(self, events: list[Event], taken: list[bytes]) -> bool:
@@ -144,10 +154,17 @@
         self._beginnings.observe(beginning)
         if is_lost:
             return LOST_BEGINNING
-        if is_unusual and self._beginnings.is_unusual(beginning) and self._may_compare_runs():
-            return UNCONFIRMED_BEGINNING
+        if is_unusual and self._beginnings.is_unusual(beginning):
+            return self._compare_runs(beginning.first)
         return None
 
+    def _compare_runs(self, first: FirstEvent) -> str | None:
+        """Believe what another run of the request began with, else give this one up if possible."""
+        if first in self._compared or not self._may_compare_runs():
+            return None
+        self._compared.add(first)
+        return UNCONFIRMED_BEGINNING
+
     def _source_of(self, attempt: Attempt) -> StreamSource:
         return StreamSource(attempt.record.service, self._route)
 
@@ -161,7 +178,29 @@
             return None
         if self._beginning is not None:
             return LOST_BEGINNING if self._beginnings.is_lost(self._beginning) else None
-        return self._judge_beginning(StreamBeginning(self._source_of(attempt), None))
+        beginning = StreamBeginning(self._source_of(attempt), None)
+        flaw = self._judge_beginning(beginning)
+        if flaw is None:
+            self._beginning = beginning
+        return flaw
+
+    def judge_held_end(self, attempt: Attempt) -> str | None:
+        """Judge, by all that is known now, a stream whose end was held back."""
+        flaw = self.judge_end(attempt)
+        if flaw is not None or self._beginning is None:
+            return flaw
+        is_outnumbered = self._beginnings.is_outnumbered(self._beginning, self._compared)
+        return LOST_BEGINNING if is_outnumbered else None
+
+    @property
+    def unconfirmed(self) -> StreamBeginning | None:
+        """How the stream begins, while only other streams can tell whether that is its beginning.
+
+        Streams of which no event has a number are not doubted: a loss would not show in them.
+        """
+        if self._beginning is None or self._has_unnumbered:
+            return None
+        return self._beginning if self._beginnings.is_unusual(self._beginning) else None
 
     def write_body(self, attempt: Attempt) -> None:
         """Write what has been gathered of a body."""
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -123,6 +123,11 @@
         log = logger.bind(request=self._facts.request, runner=attempt.record.runner)
         log.bind(reason=UNCONFIRMED_BEGINNING).info("attempt_unconfirmed")
 
+    def end_held(self, attempt: Attempt, most_s: float) -> None:
+        """The stream is over, and its end is held back for ``most_s`` at most."""
+        log = logger.bind(request=self._facts.request, runner=attempt.record.runner)
+        log.bind(most_ms=round(most_s * MILLISECONDS_PER_S)).info("stream_end_held")
+
     def _count_failure(self, attempt: Attempt) -> None:
         self._context.loads.failed(attempt.record.runner, self._context.clock.seconds())
 
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -37,9 +37,11 @@
     time_out,
 )
 from rainsail.relay.events import Event
+from rainsail.relay.held_end import HeldEnd, most_end_wait_s
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.recorder import RequestRecorder
 from rainsail.relay.sender import RequestSender
+from rainsail.relay.stream_beginnings import StreamBeginning
 from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.messages import Placement
 from rainsail.runtime.clock import Timer
@@ -87,6 +89,7 @@
         self._may_have_run = False
         self._deadline_s = request.received_s + _time_allowed_s(route, facts)
         self._deadline_timer: Timer | None = None
+        self._held_end: HeldEnd | None = None
         exchange.on_left(self._client_left)
 
     @property
@@ -153,6 +156,8 @@
             return
         self.outcome = outcome
         self._sender.stop_timeout()
+        if self._held_end is not None:
+            self._held_end.cancel()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
         self._sender.cancel()
@@ -276,8 +281,41 @@
         if flaw is not None:
             self._leave_flawed(attempt, flaw)
             return
-        self._recorder.answered(attempt)
         self._recorder.streamed(self._sender.service, self.first_s)
+        unconfirmed = self._answer.unconfirmed
+        most_s = self._most_end_wait_s()
+        if unconfirmed is None or most_s <= 0:
+            self._complete_stream(attempt)
+        else:
+            self._hold_end(attempt, unconfirmed, most_s)
+
+    def _most_end_wait_s(self) -> float:
+        quiet_s = self._context.clock.seconds() - self._answer.last_sent_s
+        left_s = self._time_left_s() - self._context.settings.least_time_left_s
+        return min(left_s, most_end_wait_s(self._sender.route, quiet_s))
+
+    def _hold_end(self, attempt: Attempt, unconfirmed: StreamBeginning, most_s: float) -> None:
+        """Keep the end of a stream back until other streams tell whether it has its beginning."""
+        self._sender.stop_timeout()
+        self._sender.attempt = None
+        self._recorder.end_held(attempt, most_s)
+        self._held_end = HeldEnd(
+            self._context.clock,
+            self._context.beginnings,
+            unconfirmed,
+            most_s,
+            lambda: self._end_held_stream(attempt),
+        )
+
+    def _end_held_stream(self, attempt: Attempt) -> None:
+        flaw = self._answer.judge_held_end(attempt)
+        if flaw is None:
+            self._complete_stream(attempt)
+        else:
+            self._leave_flawed(attempt, flaw)
+
+    def _complete_stream(self, attempt: Attempt) -> None:
+        self._recorder.answered(attempt)
         self._sender.attempt = None
         self._answer.end_stream(attempt)
         self._finish(RequestOutcome.COMPLETED)
--- a/src/rainsail/relay/stream_beginnings.py
+++ b/src/rainsail/relay/stream_beginnings.py
@@ -13,7 +13,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -27,6 +27,11 @@
 
 Not measured; one alone may itself lack its beginning, or be of a source without a common number.
 """
+LEAST_ALIKE_UNUSUAL = 3
+"""The same for a number that is none of ``USUAL_FIRST_NUMBERS``.
+
+Streams that lost their first event agree on such a number as well as whole ones do.
+"""
 SHARE_ALIKE = 2 / 3
 """The share of the remembered streams that must have begun alike.
 
@@ -43,10 +48,10 @@
 
 Not measured; numbers that run on from answer to answer of a session are not to be held for losses.
 """
-LEAST_DIFFERENT = 4
+LEAST_DIFFERENT = 6
 """So many streams without a common number say that their source has none.
 
-More than ``LEAST_ALIKE``: one damaged stream beside a whole one says nothing yet.
+Two damaged streams among fewer would leave the whole ones below ``SHARE_ALIKE``.
 """
 USUAL_FIRST_NUMBERS = (0, 1)
 """The numbers with which streams begin nearly everywhere."""
@@ -94,6 +99,7 @@
 
     def __init__(self) -> None:
         self._recent: dict[StreamSource, deque[FirstEvent]] = {}
+        self._listeners: list[Callable[[], None]] = []
 
     def keep_only(self, services: Collection[str], routes: Collection[str]) -> None:
         """Forget sources that are gone: one that comes back later may number otherwise."""
@@ -105,6 +111,13 @@
         """Remember how a stream began, whether it was taken for damaged or not."""
         recent = self._recent.setdefault(beginning.source, deque(maxlen=STREAMS_REMEMBERED))
         recent.append(beginning.first)
+        for listener in tuple(self._listeners):
+            listener()
+
+    def listen(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Call ``listener`` after each beginning observed, until the call that is returned."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
 
     def judge(self, beginning: StreamBeginning) -> BeginningVerdict:
         """Tell whether events are missing at the beginning of a stream, as far as is known now."""
@@ -124,6 +137,24 @@
         """Tell whether events are certainly missing at the beginning of a stream."""
         return self.judge(beginning) == BeginningVerdict.LOST
 
+    def is_outnumbered(
+        self, beginning: StreamBeginning, own_runs: Collection[FirstEvent] = ()
+    ) -> bool:
+        """Tell whether more streams began with one number a few events earlier than like this one.
+
+        Evidence for a last judgement, weaker than that of ``is_lost``: a loss can only raise the
+        first number or take it away. The stream itself, which was observed, is not counted, nor is
+        what earlier runs of its request, ``own_runs``, began with.
+        """
+        recent = self._recent.get(beginning.source, ())
+        others = [first for first in recent if first not in own_runs]
+        earlier = Counter(first for first in others if _lacks_events(beginning.first, first))
+        most_alike = max(earlier.values(), default=0)
+        is_unknown = self.judge(beginning) == BeginningVerdict.UNKNOWN
+        least = 1 if is_unknown else LEAST_ALIKE
+        others_like_this = max(0, sum(first == beginning.first for first in recent) - 1)
+        return most_alike >= least and most_alike > others_like_this
+
     def is_unusual(self, beginning: StreamBeginning) -> bool:
         """Tell whether a stream is worth a second run: nothing is known, and few begin like it."""
         if beginning.first in USUAL_FIRST_NUMBERS:
@@ -155,7 +186,9 @@
     if len(latest) == CHANGED_AFTER and len(set(latest)) == 1:
         return [latest[0]]
     first, alike = Counter(recent).most_common(1)[0]
-    is_enough = alike >= LEAST_ALIKE and alike >= SHARE_ALIKE * len(recent)
+    is_unusual = isinstance(first, int) and first not in USUAL_FIRST_NUMBERS
+    least = LEAST_ALIKE_UNUSUAL if is_unusual else LEAST_ALIKE
+    is_enough = alike >= least and alike >= SHARE_ALIKE * len(recent)
     return [first] if is_enough else []
 
 
