Answer the calls that have reached a controller before it ends

Cause: the controller handed leadership over and ended; nothing waited for answers. Now it closes its port and connections first (PlannedClose, whose finish() fires when all is closed or after a limit; the gateway uses it too).

Evidence: features/fleet/controller_stop.feature, half a call, SIGTERM, the rest: BrokenPipeError before, answered now.

--- a/features/steps/http_planned_stop_steps.py
+++ b/features/steps/http_planned_stop_steps.py
@@ -87,7 +87,7 @@
         self._server.close_idle()
 
     def close_port(self):
-        PlannedClose(self._server, self._port, self._clock).start(lambda: None)
+        PlannedClose(self._server, self._port, self._clock).finish(STOP_LIMIT_S)
         self._clock.advance(HANDSHAKE_S)
 
     def pass_time(self):
--- a/src/rainsail/fleet/controller_node.py
+++ b/src/rainsail/fleet/controller_node.py
@@ -10,9 +10,13 @@
 from rainsail.fleet.controller_role import ControllerRole
 from rainsail.fleet.listening import listen
 from rainsail.fleet.port import PlatformPort
+from rainsail.http.planned_close import PlannedClose
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.storage.interface import FileSystem
 
+LAST_ANSWERS_LIMIT_S = 1.5
+"""Calls under way at a planned stop are answered within this time, or cut."""
+
 
 class ControllerNode:
     """Starts and ends a controller."""
@@ -28,6 +32,7 @@
         self._base = base
         self._port = port
         self._reactor = reactor
+        self._close: PlannedClose | None = None
         self._role = ControllerRole(base, files, fatal, read_table=port.read_table)
 
     async def start(self) -> Result[None, Fault]:
@@ -39,8 +44,14 @@
         handler = self._port.control_handler(self._role.controller)
         server = HttpServer(handler, self._base.clock, HttpLimits())
         control = listen(self._reactor, server, self._base.settings.listen.control)
-        return Error(control.error) if control.is_error() else Ok(None)
+        if control.is_error():
+            return Error(control.error)
+        self._close = PlannedClose(server, control.ok, self._base.clock)
+        return Ok(None)
 
     async def planned_stop(self) -> None:
-        """Hand leadership over, then stop."""
+        """Answer the calls that have come, hand leadership over, then stop."""
+        if self._close is not None:
+            # An operator whose order is cut can't tell whether it is in force.
+            await self._close.finish(LAST_ANSWERS_LIMIT_S)
         await self._role.planned_stop()
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -20,6 +20,7 @@
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.settings import RelaySettings
 from rainsail.routing.residency import RegionMap
+from rainsail.runtime.clock import sleep
 
 LEDGER_CALL_TIMEOUT_S = 1.6
 CLIENTS_LEAVE_AFTER_S = 2.3
@@ -83,18 +84,15 @@
 
     async def planned_stop(self) -> None:
         """Say that no client should come, finish what is under way, then return."""
-        from twisted.internet.defer import Deferred
-
         logger.bind(under_way=self._clients.requests_under_way).info("drain_begun")
         self.gateway.draining = True
         self._clients.drain()
-        done: Deferred[None] = Deferred()
         clock = self._base.clock
-        close = PlannedClose(self._clients, self._client_port, clock)
-        clock.callLater(CLIENTS_LEAVE_AFTER_S, close.start, lambda: _fire_once(done))
-        last_s = self._base.settings.bounds.grace_s - END_BEFORE_GRACE_S
-        clock.callLater(last_s, _fire_once, done)
-        await done
+        limit_s = self._base.settings.bounds.grace_s - END_BEFORE_GRACE_S
+        await sleep(clock, min(limit_s, CLIENTS_LEAVE_AFTER_S))
+        if limit_s > CLIENTS_LEAVE_AFTER_S:
+            close = PlannedClose(self._clients, self._client_port, clock)
+            await close.finish(limit_s - CLIENTS_LEAVE_AFTER_S)
         logger.bind(under_way=self._clients.requests_under_way).info("drain_ended")
         self.gateway.stop()
 
@@ -113,8 +111,3 @@
         keys_trusted_s=None if trusted_ms is None else trusted_ms / MILLISECONDS_PER_S,
         trusted_controllers=settings.node.losses + 1,
     )
-
-
-def _fire_once(done: Any) -> None:
-    if not done.called:
-        done.callback(None)
--- a/src/rainsail/http/planned_close.py
+++ b/src/rainsail/http/planned_close.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from rainsail.http.server import HttpServer
 from rainsail.runtime.clock import Clock
 from rainsail.runtime.sockets import HANDSHAKE_S, accept_and_close, ignore_new_connections
@@ -22,16 +24,25 @@
         self._port = port
         self._clock = clock
 
-    def start(self, closed: Callable[[], None]) -> None:
-        """Begin; ``closed`` is called when the last connection has closed."""
+    def finish(self, limit_s: float) -> "Deferred[None]":
+        """Close everything; fires when the last connection has closed, or after ``limit_s``."""
+        finished: Deferred[None] = Deferred()
+        limit = self._clock.callLater(limit_s, finished.callback, None)
+
+        def on_quiet() -> None:
+            if limit.active():
+                limit.cancel()
+                finished.callback(None)
+
         self._server.drain()
         ignore_new_connections(self._port)
-        self._clock.callLater(HANDSHAKE_S, self._close_port, closed)
+        self._clock.callLater(HANDSHAKE_S, self._close_port, on_quiet)
+        return finished
 
-    def _close_port(self, closed: Callable[[], None]) -> None:
+    def _close_port(self, on_quiet: Callable[[], None]) -> None:
         accept_and_close(self._port)
         self._clock.callLater(RESTING_LOOK_PERIOD_S, self._close_resting)
-        self._server.when_quiet(closed)
+        self._server.when_quiet(on_quiet)
 
     def _close_resting(self) -> None:
         """Close connections as they come to rest; those that come in meanwhile too."""
