Process soak: kept connections, faults that overlap, planned stops judged

The soak's clients opened a connection a call, its faults came one after the other, and a request cut by a planned stop broke no promise, so that a port which resets new clients was in none of its histories.

The check finds its defect: nodes whose port closes a turn later than its queue is emptied (features/platform/soak.feature).

--- a/features/platform/soak.feature
+++ b/features/platform/soak.feature
@@ -18,6 +18,18 @@
       | a result changed between two reads          | changed result       |
       | an item is listed at two positions          | listed twice         |
       | an accepted job is answered 404             | lost job             |
+      | a planned stop cuts a request that was sent | cut by a planned     |
+      | a planned stop ends with a failure          | failed stop          |
+
+  Scenario Outline: A history in which <what> is clean
+    Given a history of a soak in which <what>
+    Then the checks find nothing
+
+    Examples:
+      | what                                                          |
+      | a killed process cuts a request that was sent                 |
+      | a runner breaks off a stream during a planned stop            |
+      | another gateway's planned stop goes on while a request is cut |
 
   Scenario: A history in which everything was kept is clean
     Given a history of a soak in which nothing went wrong
@@ -27,3 +39,14 @@
     Given the platform's stand-in with 3 controllers, 3 storage nodes, 2 gateways and 0 runners
     When 6 faults drawn from seed 1 strike while clients, runners and an operator work
     Then no promise was broken, and requests, jobs and configurations were served
+
+  # Guards against: planned stops that cut requests while other roles restart and the configuration changes.
+  Scenario: Faults of all roles that overlap, and planned stops, break no promise
+    When 1 faults a role overlap by seed 10 while clients keep their connections
+    Then no promise was broken, and requests, jobs and configurations were served
+
+  # Guards against: a soak that does not see a port which accepts connections and then resets them.
+  Scenario: The soak catches gateways whose ports close in a later turn than their queues are emptied
+    Given gateways whose ports close in a later turn than their queues are emptied
+    When each gateway is restarted 1 time while clients keep their connections
+    Then the soak finds requests that were cut by a planned stop
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -16,7 +16,9 @@
 import tempfile
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -114,6 +116,8 @@
     """Requests that came to it although its zone was drained for a while."""
     misnamed: list[str] = field(default_factory=list)
     """Requests that came with a key, or not in the name of their tenant."""
+    broken_off: list[str] = field(default_factory=list)
+    """Requests whose streams it has broken off."""
     resumed_after: list[str] = field(default_factory=list)
     refuse: int = 0
     break_after: int | None = None
@@ -185,6 +189,7 @@
         self, exchange: Exchange, stream: StandInStream, number: int, crash: Crash | None
     ) -> None:
         if self.break_after is not None and number > self.break_after:
+            self._note_broken(exchange)
             for each in self.together:
                 each.break_after = None
             stream.write(b"id: 99\nda")
@@ -195,17 +200,31 @@
             return
         event = f"id: {number}\ndata: text {number}\n\n".encode()
         if crash is not None and number == crash.event:
+            self._note_broken(exchange)
             stream.write(event[: int(len(event) * crash.part)])
             stream.close()
             return
         stream.write(event)
         reactor.callLater(self.event_pause_s, self._send_event, exchange, stream, number + 1, crash)
 
+    def _note_broken(self, exchange: Exchange) -> None:
+        self.broken_off.append(header_text(exchange.request.headers, b"request-id"))
+
 
 class StandInPlatform:
     """Starts nodes, and plays runners, clients and the operator."""
 
-    def __init__(self, controllers: int = 3, storage: int = 3, gateways: int = 2) -> None:
+    def __init__(
+        self,
+        controllers: int = 3,
+        storage: int = 3,
+        gateways: int = 2,
+        program: Path = ROOT / "platform" / "serve.py",
+    ) -> None:
+        """``program`` is what each node's process runs."""
+        self._program = program
+        self._spawner = ThreadPoolExecutor(1)
+        """Starts all nodes: the kernel ends them with the thread that started them."""
         self._folder = tempfile.TemporaryDirectory()
         self.octet = 10 + os.getpid() % 200
         self.nodes: dict[str, NodeProcess] = {}
@@ -249,15 +268,18 @@
             )
         )
         node = NodeProcess(name, role, ip, path)
-        node.process = self.spawn(path, Path(self._folder.name) / f"{name}.log")
+        log = Path(self._folder.name) / f"{name}.log"
+        node.process = self._spawner.submit(self.spawn, path, log, self._program).result()
         self.nodes[name] = node
 
     @staticmethod
-    def spawn(path: Path, log: Path) -> subprocess.Popen[bytes]:
+    def spawn(
+        path: Path, log: Path, program: Path = ROOT / "platform" / "serve.py"
+    ) -> subprocess.Popen[bytes]:
         """Start the adapter's program on a settings file."""
         with log.open("ab") as output:
             return subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "serve.py")],
+                [sys.executable, str(program)],
                 env={**os.environ, "RAINSAIL_BOOT": str(path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -299,6 +321,12 @@
         """Return the file of a node's output."""
         return Path(self._folder.name) / f"{name}.log"
 
+    def keep_logs(self, folder: Path) -> None:
+        """Copy the nodes' output to a folder that stays."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for name in self.nodes:
+            shutil.copy(self.log_path(name), folder)
+
     def close(self) -> None:
         """End everything that was started."""
         for node in self.nodes.values():
@@ -306,6 +334,7 @@
                 assert node.process is not None
                 node.process.kill()
                 node.process.wait()
+        self._spawner.shutdown()
         for runner in self.runners:
             in_reactor(runner.port.stopListening)
         self._folder.cleanup()
@@ -435,15 +464,9 @@
     def client(
         self, gateway: str, method: str, path: str, body: bytes = b"", **headers: str
     ) -> tuple[int, bytes, dict[str, str]]:
-        """Make a client's call at a gateway."""
-        named = {
-            "Host": HOST,
-            "Deadline_Ms": "6000",
-            "Authorization": f"Token {KEY}",
-            "Tenant": "somebody-else",
-            **headers,
-        }
-        return self.call(self.nodes[gateway].ip, CLIENT_PORT, method, path, body, **named)
+        """Make a client's call at a gateway, on a new connection."""
+        ip = self.nodes[gateway].ip
+        return self.call(ip, CLIENT_PORT, method, path, body, **client_fields(**headers))
 
     def metric(self, node: str, name: str, **labels: str) -> float:
         """Return a figure of a node's metrics page, 0 when it is not there."""
@@ -454,6 +477,11 @@
                 return float(line.rpartition(" ")[2])
         return 0.0
 
+    def is_up(self, node: str) -> bool:
+        """Tell whether a node's process has started, which it has once its metrics can be read."""
+        ip = self.nodes[node].ip
+        return self.call(ip, METRICS_PORT, "GET", "/metrics")[0] == HTTPStatus.OK
+
     def is_ready(self, gateway: str) -> bool:
         """Ask a gateway as the ingress does."""
         status, _, _ = self.call(self.nodes[gateway].ip, READY_PORT, "GET", "/api/readyz")
@@ -486,6 +514,17 @@
         return json.loads(body) if status == 200 else None
 
 
+def client_fields(**more: str) -> dict[str, str]:
+    """Return the header fields of a client's call."""
+    return {
+        "Host": HOST,
+        "Deadline-Ms": "6000",
+        "Authorization": f"Token {KEY}",
+        "Tenant": "somebody-else",
+        **{name.replace("_", "-"): value for name, value in more.items()},
+    }
+
+
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     """Wait until a condition holds."""
     until_s = time.monotonic() + LIMIT_S
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -8,20 +8,34 @@
 import json
 import random
 import signal
+import subprocess
 import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from features.support.kept_connections import KeptConnections
 from features.support.platform_stand_in import (
+    CLIENT_PORT,
     CONTROL_PORT,
     LIMIT_S,
     LOOK_PERIOD_S,
     ZONE_DRAIN_S,
     StandInPlatform,
+    client_fields,
     wait_until,
 )
-from features.support.soak_history import Answer, History, Page, Read, unfinished, violations
+from features.support.soak_history import (
+    Answer,
+    Call,
+    History,
+    Kill,
+    Page,
+    PlannedStop,
+    Read,
+    unfinished,
+    violations,
+)
 from features.support.stand_in_faults import RunnerFaults
 
 CLIENTS = 3
@@ -31,6 +45,8 @@
 BEAT_PERIOD_S = 0.4
 ORDER_PERIOD_S = 0.7
 CLIENT_PAUSE_S = 0.01
+LEAVE_SHARE = 1 / 7
+"""Of the answers after which a client closes its connection; it keeps it after the others."""
 AWAY_S = (0.2, 1.5)
 FROZEN_S = (0.3, 3.0)
 
@@ -46,13 +62,22 @@
     versions: int
     jobs: int
     runner_faults: dict[str, int]
+    stops: int
 
 
 class ProcessSoak:
     """One soak over one platform."""
 
-    def __init__(self, platform: StandInPlatform, seed: int) -> None:
+    def __init__(
+        self,
+        platform: StandInPlatform,
+        seed: int,
+        clients: int = CLIENTS,
+        runners: int = RUNNERS,
+    ) -> None:
         self._platform = platform
+        self._runners = runners
+        self._order_period_s = ORDER_PERIOD_S
         self._random = random.Random(seed)
         self._history = History()
         self._lock = threading.Lock()
@@ -60,7 +85,7 @@
         self._faults: list[str] = []
         self._stopped_by = ""
         self._runner_faults = RunnerFaults(seed)
-        self._client_seeds = [self._random.random() for _ in range(CLIENTS)]
+        self._client_seeds = [self._random.random() for _ in range(clients)]
         self._strikes: tuple[Callable[[], str], ...] = (
             self._kill_one,
             self._kill_one,
@@ -79,7 +104,7 @@
     def run(self, faults: int) -> SoakResult:
         """Strike so many times, mend everything, and judge."""
         platform = self._platform
-        for _ in range(RUNNERS):
+        for _ in range(self._runners):
             self._add_runner()
         platform.configure()
         wait_until(self._all_ready, "every gateway ready")
@@ -88,8 +113,7 @@
         for worker in workers:
             worker.start()
         try:
-            for _ in range(faults):
-                self._faults.append(self._random.choice(self._strikes)())
+            self._strike(faults)
             self._settle()
         except AssertionError as error:
             # What was found until then is told all the same.
@@ -101,9 +125,16 @@
         self._read_to_the_end()
         return self._result()
 
+    def _strike(self, faults: int) -> None:
+        """Strike so many times, once after the other."""
+        for _ in range(faults):
+            self._faults.append(self._random.choice(self._strikes)())
+
     def _result(self) -> SoakResult:
         history = self._history
-        history.runs = [request for runner in self._platform.runners for request in runner.ran]
+        runners = self._platform.runners
+        history.runs = [request for runner in runners for request in runner.ran]
+        history.broken_off = {request for runner in runners for request in runner.broken_off}
         found = [*violations(history)]
         if self._stopped_by:
             found.append(f"the soak stopped: {self._stopped_by}")
@@ -130,6 +161,7 @@
             len(history.acknowledged),
             len(history.accepted),
             dict(self._runner_faults.struck),
+            len(history.stops),
         )
 
     # --- faults --------------------------------------------------------------------------
@@ -140,10 +172,15 @@
     def _between(self, bounds: tuple[float, float]) -> float:
         return self._random.uniform(*bounds)
 
-    def _away(self, names: list[str], wiped: bool = False) -> None:
+    def _away(
+        self, names: list[str], wiped: bool = False, draw: random.Random | None = None
+    ) -> None:
+        """Kill nodes, and start them again a drawn time later."""
+        away_s = (draw or self._random).uniform(*AWAY_S)
         for name in names:
+            self._history.kills.append(Kill(name, time.monotonic()))
             self._platform.kill(name)
-        time.sleep(self._between(AWAY_S))
+        time.sleep(away_s)
         for name in names:
             if wiped:
                 self._platform.wipe(name)
@@ -158,18 +195,37 @@
     def _freeze_one(self) -> str:
         name = self._random.choice(self._names())
         self._settle()
+        self._freeze_for(name, self._between(FROZEN_S))
+        return f"freeze {name}"
+
+    def _freeze_for(self, name: str, seconds: float) -> None:
         self._platform.signal(name, signal.SIGSTOP)
-        time.sleep(self._between(FROZEN_S))
+        time.sleep(seconds)
         self._platform.signal(name, signal.SIGCONT)
-        return f"freeze {name}"
 
     def _stop_one(self) -> str:
         name = self._random.choice(self._names())
         self._settle()
+        self._stop(name)
+        return f"stop {name}"
+
+    def _stop(self, name: str) -> None:
+        """Have a node end as planned and start it again.
+
+        A process that is asked before it has started ends by the signal, as nothing is open yet.
+        """
+        wait_until(lambda: self._platform.is_up(name), f"{name} is up")
+        begun_s = time.monotonic()
+        process = self._platform.nodes[name].process
+        assert process is not None
         self._platform.terminate(name)
-        wait_until(lambda: not self._platform.nodes[name].running, f"{name} has ended")
+        try:
+            process.wait(LIMIT_S)
+        except subprocess.TimeoutExpired as error:
+            raise AssertionError(f"{name} does not end") from error
+        stop = PlannedStop(name, begun_s, time.monotonic(), process.returncode)
+        self._history.stops.append(stop)
         self._platform.start(name)
-        return f"stop {name}"
 
     def _wipe_one(self) -> str:
         name = self._random.choice([*self._names("controller"), *self._names("storage")])
@@ -229,6 +285,7 @@
 
     def _client(self, seed: float) -> None:
         draw = random.Random(seed)
+        connections = KeptConnections(random.Random(seed), LEAVE_SHARE)
         number = 0
         while not self._over.wait(CLIENT_PAUSE_S):
             number += 1
@@ -237,17 +294,24 @@
             if draw.random() < JOB_SHARE:
                 self._hand_in(gateway, f"job-{name}")
             else:
-                self._request(gateway, f"r-{name}", draw.choice(("safe", "once", "stream")))
+                kind = draw.choice(("safe", "once", "stream"))
+                self._request(connections, gateway, f"r-{name}", kind)
             self._read_some_job(gateway, draw)
+        connections.close()
 
-    def _request(self, gateway: str, request: str, kind: str) -> None:
+    def _request(self, connections: KeptConnections, gateway: str, request: str, kind: str) -> None:
         sent = request.encode()
-        status, body, fields = self._platform.client(
-            gateway, "POST", f"/{kind}/{request}", sent, Request_Id=request
+        ip, fields = self._platform.nodes[gateway].ip, client_fields(Request_Id=request)
+        result = connections.call(ip, CLIENT_PORT, "POST", f"/{kind}/{request}", sent, fields)
+        signed = "Response-Stamp" in result.fields
+        answer = Answer(request, kind, result.status, sent, result.body, signed)
+        call = Call(
+            request, gateway, result.is_answered, result.is_first, result.sent_s, result.ended_s
         )
-        answer = Answer(request, kind, status, sent, body, "Response-Stamp" in fields)
         with self._lock:
             self._history.answers.append(answer)
+            if result.is_sent:
+                self._history.calls.append(call)
 
     def _hand_in(self, gateway: str, job: str) -> None:
         while not self._over.is_set():
@@ -282,7 +346,7 @@
         """Send configurations, each until it is acknowledged, and read at any controller."""
         version = self._platform.version
         draw = random.Random(self._client_seeds[0])
-        while not self._over.wait(ORDER_PERIOD_S):
+        while not self._over.wait(self._order_period_s):
             version += draw.randrange(1, 4)
             body = self._platform.configuration(version)
             if self._platform.control("POST", "/api/Config.Replace", body)[0] == 200:
--- a/features/support/soak_history.py
+++ b/features/support/soak_history.py
@@ -29,6 +29,37 @@
     signed: bool
 
 
+@dataclass(frozen=True)
+class Call:
+    """A call that was sent to a node, and whether the head of an answer came."""
+
+    request: str
+    node: str
+    is_answered: bool
+    is_first: bool
+    """It was the first one on its connection."""
+    sent_s: float
+    ended_s: float
+
+
+@dataclass(frozen=True)
+class PlannedStop:
+    """A node that was asked to end, and when its process was gone."""
+
+    node: str
+    begun_s: float
+    ended_s: float
+    exit_code: int
+
+
+@dataclass(frozen=True)
+class Kill:
+    """A node whose process was killed."""
+
+    node: str
+    at_s: float
+
+
 @dataclass(frozen=True)
 class Read:
     """A read of the configuration: when it was begun, and the version it gave."""
@@ -61,6 +92,11 @@
     pages: list[Page] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     """The request of each run at a runner."""
+    broken_off: set[str] = field(default_factory=set)
+    """The requests whose streams some runner broke off."""
+    calls: list[Call] = field(default_factory=list)
+    stops: list[PlannedStop] = field(default_factory=list)
+    kills: list[Kill] = field(default_factory=list)
 
 
 def violations(history: History) -> list[str]:
@@ -70,6 +106,7 @@
         *_run_violations(history),
         *_configuration_violations(history),
         *_page_violations(history),
+        *_stop_violations(history),
     ]
 
 
@@ -129,6 +166,41 @@
     return found
 
 
+def _stop_violations(history: History) -> list[str]:
+    """A planned stop leaves no sent request without an answer, and ends with code 0.
+
+    A stream that its runner broke off may be reset before its head has left the gateway.
+    """
+    found = [
+        f"failed stop: {stop.node} ended with {stop.exit_code}"
+        for stop in history.stops
+        if stop.exit_code
+    ]
+    for call in history.calls:
+        if call.request in history.broken_off:
+            continue
+        stop = None if call.is_answered else _stop_meanwhile(history, call)
+        if stop is not None:
+            after_s, took_s = call.sent_s - stop.begun_s, call.ended_s - call.sent_s
+            which = "the first" if call.is_first else "a later one"
+            found.append(
+                f"cut by a planned stop: {call.request}, {which} of its connection, was sent to "
+                f"{call.node} {after_s:.3f} s after SIGTERM and cut {took_s:.3f} s later"
+            )
+    return found
+
+
+def _stop_meanwhile(history: History, call: Call) -> PlannedStop | None:
+    """Return the planned stop during which a call was under way; none if its node was killed."""
+    if any(k.node == call.node and call.sent_s <= k.at_s <= call.ended_s for k in history.kills):
+        return None
+    for stop in history.stops:
+        overlaps = stop.begun_s <= call.ended_s and call.sent_s <= stop.ended_s
+        if stop.node == call.node and overlaps:
+            return stop
+    return None
+
+
 def unfinished(history: History) -> list[str]:
     """Return the jobs whose newest page lacks some item as done."""
     newest = {page.job: page for page in history.pages if page.status == 200}
