Close a channel that still sends by its own method at a planned stop

The transport was asked to close while the channel's producer was registered, and a transport with a producer never closes by itself, so that a slow reader of the caller API waited for the end. The channel's method unregisters it first.

--- a/src/rainsail/assembly/served_connections.py
+++ b/src/rainsail/assembly/served_connections.py
@@ -100,7 +100,7 @@
         if wait_s > 0:
             self._clock.callLater(wait_s, self._close_when_idle, channel)
         else:
-            close_if_nothing_unread(channel.transport)
+            close_if_nothing_unread(channel.transport, channel.loseConnection)
 
     def _follow(self, protocol: Any) -> None:
         """Follow a connection from its start to its end."""
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -339,7 +339,7 @@
         """Close when no request has begun or lies unread."""
         if self._lost or self._has_request():
             return
-        if close_if_nothing_unread(self.transport):
+        if close_if_nothing_unread(self.transport, self.transport.loseConnection):
             self._lost = True
 
     @property
--- a/src/rainsail/runtime/sockets.py
+++ b/src/rainsail/runtime/sockets.py
@@ -8,6 +8,7 @@
 import select
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
@@ -77,17 +78,17 @@
         return False
 
 
-def close_if_nothing_unread(transport: Any) -> bool:
+def close_if_nothing_unread(transport: Any, close_behind_writes: Callable[[], None]) -> bool:
     """Close a connection in this turn unless bytes lie unread in it; tell whether it closes.
 
-    One that still has bytes to send closes behind them, and one without a socket (in tests) as its
-    transport does.
+    One that still has bytes to send, or has no socket (in tests), closes by
+    ``close_behind_writes``.
     """
     if has_unread_bytes(transport):
         return False
     has_socket = hasattr(transport, "getHandle")
     if not has_socket or transport in transport.reactor.getWriters():
-        transport.loseConnection()
+        close_behind_writes()
     else:
         transport.connectionLost(Failure(ConnectionDone()))
     return True
