Tell what a process did that was not up in time

Two listed scenarios failed once since a process was not up within 60 and 90 s. Their messages now have the process's state, what it waits in, major faults, processor time, the machine's load and memory, and the end of its log: what tells want of processor time from want of memory.

--- a/features/steps/rig_process_steps.py
+++ b/features/steps/rig_process_steps.py
@@ -18,7 +18,7 @@
 @when("the daemon of the rig folder is started and ready")
 def step_start(context):
     context.rig_daemon.start()
-    wait_until(context.rig_daemon.ready, "a ready daemon")
+    wait_until(context.rig_daemon.ready, "a ready daemon", context.rig_daemon.account)
 
 
 @when("a second daemon with the same settings and other ports is started")
@@ -59,7 +59,7 @@
 
 @then("the daemon of the rig folder is ready")
 def step_ready(context):
-    wait_until(context.rig_daemon.ready, "a ready daemon")
+    wait_until(context.rig_daemon.ready, "a ready daemon", context.rig_daemon.account)
 
 
 @when("the daemon of the rig folder gets SIGUSR1")
--- a/features/support/demo.py
+++ b/features/support/demo.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from features.support.command_line import PROGRAM, ROOT
+from features.support.process_account import process_account
 
 from rainsail.demo.journal import JOURNAL_NAME, AcceptedJournal, NotedItem, NotedJob
 from rainsail.errors import Outcome
@@ -52,7 +53,7 @@
         limit_s = time.monotonic() + LIMIT_S
         while not self.noted_items():
             assert self._process.poll() is None, self._process.communicate()
-            assert time.monotonic() < limit_s, "no accepted job was noted"
+            assert time.monotonic() < limit_s, f"no accepted job was noted: {self._account()}"
             time.sleep(POLL_S)
 
     def noted_items(self) -> int:
@@ -70,9 +71,19 @@
 
     def finish(self) -> tuple[int, str, str]:
         """Wait for the end; return exit code, stdout and stderr."""
-        stdout, stderr = self._process.communicate(timeout=LIMIT_S)
+        try:
+            stdout, stderr = self._process.communicate(timeout=LIMIT_S)
+        except subprocess.TimeoutExpired as error:
+            account = self._account()
+            self._process.kill()
+            raise AssertionError(f"it has not ended: {account}") from error
         return self._process.returncode, stdout, stderr
 
+    def _account(self) -> str:
+        """Tell what the process has done so far, by its journal and the system."""
+        journal = self.journal.read_text() if self.journal.exists() else ""
+        return process_account(self._process.pid, journal)
+
 
 @dataclass
 class DemoHistory:
--- a/features/support/rig.py
+++ b/features/support/rig.py
@@ -10,11 +10,13 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from features.support.command_line import PROGRAM, ROOT
+from features.support.process_account import process_account
 from rig.daemon import die_with_parent
 
 LIMIT_S = 60.0
@@ -133,20 +135,28 @@
             self.process.kill()
             self.process.wait(LIMIT_S)
 
+    def account(self) -> str:
+        """Tell what the process has done so far."""
+        assert self.process is not None
+        return process_account(self.process.pid, self.errors())
+
     def errors(self) -> str:
         """Return what the process printed."""
         return self._errors.read_text()
 
 
-def wait_until(condition: Any, what: str) -> Any:
-    """Wait for a condition, with a generous limit; nothing is asserted about shorter times."""
+def wait_until(condition: Any, what: str, account: Callable[[], str] = str) -> Any:
+    """Wait for a condition, with a generous limit; nothing is asserted about shorter times.
+
+    ``account`` tells what was done meanwhile, for a wait in vain.
+    """
     until_s = time.monotonic() + LIMIT_S
     while time.monotonic() < until_s:
         found = condition()
         if found:
             return found
         time.sleep(LOOK_PERIOD_S)
-    raise AssertionError(f"not reached: {what}")
+    raise AssertionError(f"not reached: {what} {account()}")
 
 
 def scratch_folder(context: Any) -> Path:
