Name the time of a first request once; keep the bound of a held end in one place

Read as a newcomer: FIRST_REQUEST_S stood twice, the wait of a new connection was worked out in the middle of its close, and RelayRun knew of the deadline what most_end_wait_s knows of the rest. No decision changes: beginnings, features/http, last_answers and broken_off pass (131 scenarios).

--- a/src/rainsail/assembly/served_connections.py
+++ b/src/rainsail/assembly/served_connections.py
@@ -16,6 +16,7 @@
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock, sleep
 from rainsail.runtime.sockets import (
+    FIRST_REQUEST_S,
     HANDSHAKE_S,
     accept_and_close,
     close_if_nothing_unread,
@@ -27,8 +28,6 @@
 
 Longer than the way of a request that was sent when the stop began.
 """
-FIRST_REQUEST_S = 1.0
-"""A client that has connected sends its first request within this time."""
 
 
 class ServedConnections:
@@ -95,13 +94,17 @@
             answered.addCallbacks(lambda _: self._close_when_idle(channel), lambda _: None)
         if channel not in self._channels or has_begun_request(channel):
             return
-        wait_s = self._opened_s.get(channel, -FIRST_REQUEST_S) + FIRST_REQUEST_S
-        wait_s -= self._clock.seconds()
+        wait_s = self._first_request_wait_s(channel)
         if wait_s > 0:
             self._clock.callLater(wait_s, self._close_when_idle, channel)
         else:
             close_if_nothing_unread(channel.transport, channel.loseConnection)
 
+    def _first_request_wait_s(self, channel: Any) -> float:
+        """Return how much longer the first request of a connection is to be expected."""
+        opened_s = self._opened_s.get(channel)
+        return 0.0 if opened_s is None else opened_s + FIRST_REQUEST_S - self._clock.seconds()
+
     def _follow(self, protocol: Any) -> None:
         """Follow a connection from its start to its end."""
         # Twisted wraps the channel that reads the requests.
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -25,6 +25,7 @@
 from rainsail.http.server_exchange import ServerExchange
 from rainsail.runtime.clock import Clock, Timer
 from rainsail.runtime.sockets import (
+    FIRST_REQUEST_S,
     close_if_nothing_unread,
     close_in_order,
     reset_at_close,
@@ -52,8 +53,6 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
-FIRST_REQUEST_S = 1.0
-"""A client that has connected sends its first request within this time."""
 MAX_PIPELINED_BYTES = 256 * 1024
 """Bytes that a client may send ahead of its answer; a connection with more is cut."""
 
--- a/src/rainsail/relay/held_end.py
+++ b/src/rainsail/relay/held_end.py
@@ -23,14 +23,17 @@
 """An end leaves this long before its client would give up, for its way to the client."""
 
 
-def most_end_wait_s(route: Route, quiet_s: float) -> float:
-    """Return how long an end may be held when nothing has left for ``quiet_s``; 0 or less: not."""
+def most_end_wait_s(route: Route, quiet_s: float, time_left_s: float) -> float:
+    """Return how long an end may be held; 0 or less: not at all.
+
+    ``quiet_s`` is how long ago the last event left, ``time_left_s`` what the request has left.
+    """
     client_timeout_s = max(
         LEAST_CLIENT_TIMEOUT_S,
         CLIENT_TIMEOUT_TARGETS * route.target_s,
         CLIENT_TIMEOUT_GAP_TARGETS * route.gap_target_s,
     )
-    return client_timeout_s - TRANSIT_S - quiet_s
+    return min(client_timeout_s - TRANSIT_S - quiet_s, time_left_s)
 
 
 class HeldEnd:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -283,31 +283,26 @@
             return
         self._recorder.streamed(self._sender.service, self.first_s)
         unconfirmed = self._answer.unconfirmed
-        most_s = self._most_end_wait_s()
+        quiet_s = self._context.clock.seconds() - self._answer.last_sent_s
+        left_s = self._time_left_s() - self._context.settings.least_time_left_s
+        most_s = most_end_wait_s(self._sender.route, quiet_s, left_s)
         if unconfirmed is None or most_s <= 0:
             self._complete_stream(attempt)
         else:
             self._hold_end(attempt, unconfirmed, most_s)
 
-    def _most_end_wait_s(self) -> float:
-        quiet_s = self._context.clock.seconds() - self._answer.last_sent_s
-        left_s = self._time_left_s() - self._context.settings.least_time_left_s
-        return min(left_s, most_end_wait_s(self._sender.route, quiet_s))
-
     def _hold_end(self, attempt: Attempt, unconfirmed: StreamBeginning, most_s: float) -> None:
         """Keep the end of a stream back until other streams tell whether it has its beginning."""
         self._sender.stop_timeout()
         self._sender.attempt = None
         self._recorder.end_held(attempt, most_s)
+        context = self._context
         self._held_end = HeldEnd(
-            self._context.clock,
-            self._context.beginnings,
-            unconfirmed,
-            most_s,
-            lambda: self._end_held_stream(attempt),
+            context.clock, context.beginnings, unconfirmed, most_s, lambda: self._release(attempt)
         )
 
-    def _end_held_stream(self, attempt: Attempt) -> None:
+    def _release(self, attempt: Attempt) -> None:
+        """End a stream whose end was held, by what is known now."""
         flaw = self._answer.judge_held_end(attempt)
         if flaw is None:
             self._complete_stream(attempt)
--- a/src/rainsail/runtime/sockets.py
+++ b/src/rainsail/runtime/sockets.py
@@ -26,6 +26,8 @@
 
 HANDSHAKE_S = 0.1
 """Handshakes that have begun at a listening port are over within this time."""
+FIRST_REQUEST_S = 1.0
+"""A client that has connected sends its first request within this time."""
 SO_ATTACH_FILTER = 26
 """Linux's number of the socket option, which Python does not name."""
 DROP_SYN = (
