Reserve a test platform's network, so that no two runs share one

What was seen: the process soak ended with "Address already in use" at one of its runners, beside a run of the suite. Platforms took 127.(10 + pid % 200): two processes alike modulo 200 had the same addresses for all nodes, and a node that restarts could find another run's node in its place.

--- a/features/support/own_fleet.py
+++ b/features/support/own_fleet.py
@@ -1,13 +1,13 @@
 """A fleet that speaks the product's own interface: every node in one process, on loopback."""
 
 import json
-import os
 import subprocess
 import tempfile
 from pathlib import Path
 from typing import Any
 
 from features.support.command_line import PROGRAM, ROOT
+from features.support.loopback import LoopbackNetwork
 from features.support.platform_stand_in import StandInPlatform, wait_until
 from rig.daemon import die_with_parent
 
@@ -23,7 +23,8 @@
     def __init__(self, added: str = "") -> None:
         self._added = added
         self._folder = tempfile.TemporaryDirectory()
-        self.octet = 10 + os.getpid() % 200
+        self._network = LoopbackNetwork()
+        self.octet = self._network.octet
         files = [self._own_copy(path) for path in sorted(EXAMPLES.glob("*.toml"))]
         log = Path(self._folder.name) / "log"
         with log.open("wb") as output:
@@ -67,6 +68,7 @@
         if self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        self._network.close()
         self._folder.cleanup()
 
 
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -23,6 +23,7 @@
 from typing import Any
 
 from features.support.command_line import ROOT
+from features.support.loopback import LoopbackNetwork
 from features.support.reactor_thread import in_reactor, reactor
 from features.support.soak_history import failure_body
 from features.support.stand_in_faults import (
@@ -226,7 +227,8 @@
         self._spawner = ThreadPoolExecutor(1)
         """Starts all nodes: the kernel ends them with the thread that started them."""
         self._folder = tempfile.TemporaryDirectory()
-        self.octet = 10 + os.getpid() % 200
+        self._network = LoopbackNetwork()
+        self.octet = self._network.octet
         self.nodes: dict[str, NodeProcess] = {}
         self.runners: list[StandInRunner] = []
         self.version = 0
@@ -337,6 +339,7 @@
         self._spawner.shutdown()
         for runner in self.runners:
             in_reactor(runner.port.stopListening)
+        self._network.close()
         self._folder.cleanup()
 
     # --- the operator --------------------------------------------------------------------
