Decide on a beginning at once where the end of its stream can't be held

What callers saw: a stream that lacked its first event was told as complete, although another stream of its route, or other routes of its service, had shown the loss: its end came 3.75 s or more after its last event, or at its deadline, so that no time was left to hold it.

Cause: RelayRun.stream_ended completed such a stream without the decision that ends a hold (check_held_end).

Evidence and result: two scenarios of beginnings.feature, "An end that can't be held is decided at once ...", fail on and pass now; a third one holds that such a stream is served where nothing is known.

Why it works: the same function decides with the same evidence, only without a wait.

--- a/features/relay/beginnings.feature
+++ b/features/relay/beginnings.feature
@@ -333,6 +333,34 @@
     When 1.8 seconds pass
     Then the client has the whole stream of events 7 to 9
 
+  # Guards against: a damaged stream completed because no time is left to hold its end.
+  Scenario: An end that can't be held is decided at once, by the own route
+    Given a relay with 3 runners and a "stream" route
+    And 1 earlier streams of the service began with event 1
+    When a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And 3.8 seconds pass
+    And the runner ends its stream
+    Then the client's connection was cut after events 2 to 4
+
+  Scenario: An end that can't be held is decided at once, by other routes of the service
+    Given a relay with 3 runners and a "stream" route
+    And 2 earlier streams of the service began with event 1
+    When the same service gets another route
+    And a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And 3.8 seconds pass
+    And the runner ends its stream
+    Then the client's connection was cut after events 2 to 4
+
+  Scenario: An end that can't be held is sent at once where nothing is known
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 7 to 9
+    And 3.8 seconds pass
+    And the runner ends its stream
+    Then the client has the whole stream of events 7 to 9
+
   # Guards against: an answer aborted at its deadline although all of it was there.
   Scenario: An end is held no longer than the request's deadline
     Given a relay with 3 runners and a "stream" route of 1 attempt
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -188,7 +188,7 @@
         return flaw
 
     def check_held_end(self, attempt: Attempt) -> str | None:
-        """Check a stream whose end was held, when its wait is over; as ``check_end``.
+        """Check a stream whose end can't be held, or no longer; as ``check_end``.
 
         Also applies the weaker evidence of ``StreamBeginnings.is_probably_lost``.
         """
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -287,10 +287,12 @@
         since_last_event_s = self._context.clock.seconds() - self._answer.last_sent_s
         left_s = self._time_left_s() - self._context.settings.min_time_left_s
         max_hold_s = max_end_hold_s(self._sender.route, since_last_event_s, left_s)
-        if unconfirmed is None or max_hold_s <= 0:
+        if unconfirmed is None:
             self._complete_stream(attempt)
-        else:
+        elif max_hold_s > 0:
             self._hold_end(attempt, unconfirmed, max_hold_s)
+        else:
+            self._end_unconfirmed(attempt)
 
     def _hold_end(self, attempt: Attempt, unconfirmed: StreamBeginning, max_hold_s: float) -> None:
         """Delay the end of a stream until other streams show whether its beginning is missing."""
@@ -303,11 +305,11 @@
             context.beginnings,
             unconfirmed,
             max_hold_s,
-            lambda: self._release(attempt),
+            lambda: self._end_unconfirmed(attempt),
         )
 
-    def _release(self, attempt: Attempt) -> None:
-        """End a stream whose end was held, as complete or as flawed."""
+    def _end_unconfirmed(self, attempt: Attempt) -> None:
+        """End a stream whose end can't be held, or no longer, as complete or as flawed."""
         flaw = self._answer.check_held_end(attempt)
         if flaw is None:
             self._complete_stream(attempt)
