--- a/features/relay/beginnings.feature
+++ b/features/relay/beginnings.feature
@@ -333,6 +333,18 @@
     When 1.8 seconds pass
     Then the client has the whole stream of events 7 to 9
 
+  Scenario: A service that has changed its first number on one route is served on another one
+    Given a relay with 3 runners and a "stream" route
+    And 20 earlier streams of the service began with event 1
+    And 4 later ones began with event 2
+    When the same service gets another route
+    And a client sends a request to the relay
+    And the runner sends events 2 to 4
+    And the runner ends its stream
+    Then the client has events 2 to 4 so far
+    When 3.8 seconds pass
+    Then the client has the whole stream of events 2 to 4
+
   # Guards against: a damaged stream completed because no time is left to hold its end.
   Scenario: An end that can't be held is decided at once, by the own route
     Given a relay with 3 runners and a "stream" route
