Failing test: streams continue at another software version than began them

Seen by callers: a stream whose runner broke off was continued by a runner of another software version. The scenarios run the adapter's processes with runners of two versions, whose streams break off, and clients that resume them at any gateway.

--- /dev/null
+++ b/features/steps/platform_software_version_steps.py
@@ -0,0 +1,114 @@
+"""Steps on streams of runners of several software versions, with the adapter's real processes."""
+
+from behave import given, then, when
+from features.support.platform_stand_in import wait_until
+from features.support.stand_in_faults import BreakingStreams
+from features.support.versioned_streams import StreamReaders
+
+SEED = 63
+BREAKING_SHARE = 0.5
+EVENT_PAUSE_S = 0.02
+MIN_COURSE_STREAMS = 40
+"""Streams that are read between two steps of a course."""
+MIN_SHARE_OF_RESUMED = 0.5
+"""Resumed streams continue at least this share as often as new ones begin."""
+
+
+@given("{first:d} runners of software version v1 and {second:d} of v1.2 whose streams break off")
+def add_runners(context, first, second):
+    context.breaks = BreakingStreams(SEED, BREAKING_SHARE)
+    for version in ["v1"] * first + ["v1.2"] * second:
+        _add_runner(context, version)
+
+
+def _add_runner(context, version):
+    runner = context.platform.add_runner(version)
+    runner.faults = context.breaks
+    runner.names_version = True
+    runner.event_pause_s = EVENT_PAUSE_S
+
+
+@when("{count:d} clients read streams and resume them at any gateway while {course}")
+def read_streams(context, count, course):
+    platform = context.platform
+    for name in _gateways(platform):
+        wait_until(lambda name=name: platform.is_ready(name), f"{name} ready")
+    for runner in platform.runners:
+        wait_until(lambda runner=runner: platform.beat(runner) == 200, "a heartbeat")
+    readers = context.readers = StreamReaders(platform, SEED, count)
+    readers.run_while(lambda: COURSES[course](context))
+
+
+def _gateways(platform):
+    return sorted(name for name in platform.nodes if name.startswith("gateway"))
+
+
+def _wait_for_streams(context, count=MIN_COURSE_STREAMS):
+    streams = context.readers.streams
+    wanted = len(streams) + count
+    wait_until(lambda: len(streams) >= wanted, f"{wanted} streams read")
+
+
+def _nothing(context):
+    _wait_for_streams(context, 4 * MIN_COURSE_STREAMS)
+
+
+def _kill_gateways(context):
+    platform = context.platform
+    for name in _gateways(platform):
+        _wait_for_streams(context)
+        platform.kill(name)
+        _wait_for_streams(context)
+        platform.start(name)
+        wait_until(lambda name=name: platform.is_ready(name), f"{name} ready")
+
+
+def _replace_runners(context):
+    platform = context.platform
+    for runner in [each for each in platform.runners if each.version == "v1"]:
+        _wait_for_streams(context)
+        _add_runner(context, "v1.2")
+        wait_until(lambda runner=runner: platform.beat(runner, "draining") == 200, "a drain")
+    _wait_for_streams(context)
+
+
+def _restart_controllers(context):
+    platform = context.platform
+    controllers = sorted(name for name in platform.nodes if name.startswith("controller"))
+    _wait_for_streams(context)
+    for name in controllers:
+        platform.kill(name)
+    _wait_for_streams(context)
+    for name in controllers:
+        platform.start(name)
+    for runner in platform.runners:
+        wait_until(lambda runner=runner: platform.beat(runner) == 200, "a heartbeat")
+    _wait_for_streams(context, 2 * MIN_COURSE_STREAMS)
+
+
+COURSES = {
+    "nothing else happens": _nothing,
+    "gateways are killed in turn": _kill_gateways,
+    "runners of v1 are replaced one by one": _replace_runners,
+    "all controllers are killed and restarted": _restart_controllers,
+}
+
+
+@then("at least {least:d} streams were resumed, and no stream has events of two versions")
+def one_version_each(context, least):
+    streams = context.readers.streams
+    assert sum(each.resumed > 0 for each in streams) >= least, len(streams)
+    mixed = [each for each in streams if len(each.versions) > 1]
+    in_one_answer = sum(each.mixes_in_one_answer for each in mixed)
+    assert not mixed, f"{len(mixed)} of {len(streams)} streams, {in_one_answer} in one answer"
+
+
+@then("resumed streams continue at least half as often as new ones begin")
+def resumed_continue(context):
+    streams = context.readers.streams
+    resumed = sum(each.resumed for each in streams)
+    continued = sum(each.continued for each in streams)
+    new = sum(len(each.attempts) - each.resumed for each in streams)
+    begun = sum(bool(each.numbers) for each in streams)
+    counts = f"{continued} of {resumed} resumed, {begun} of {new} new"
+    assert continued / resumed >= MIN_SHARE_OF_RESUMED * begun / new, counts
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -29,8 +29,8 @@
 from features.support.stand_in_faults import (
     ChunkedStream,
     Crash,
-    RunnerFaults,
     StandInStream,
+    StreamFaults,
     UnframedStream,
 )
 from rig.daemon import die_with_parent
@@ -111,6 +111,10 @@
     service: str
     address: str
     zone: str
+    version: str = "v1"
+    """The version of its software."""
+    names_version: bool = False
+    """Whether the data of its events ends with its version."""
     ran: list[str] = field(default_factory=list)
     drained_since_s: float | None = None
     """When the drain of its zone was acknowledged; None while the zone is not drained."""
@@ -127,7 +131,7 @@
     event_pause_s: float = 0.0
     together: list["StandInRunner"] = field(default_factory=list)
     """All runners: only the first one that streams aborts its stream."""
-    faults: RunnerFaults | None = None
+    faults: StreamFaults | None = None
     """Random generator for the faults of a soak."""
     leaving: bool = False
     sequence: int = 0
@@ -200,7 +204,8 @@
         if number > EVENTS:
             stream.end()
             return
-        event = f"id: {number}\ndata: text {number}\n\n".encode()
+        version = f" of {self.version}" if self.names_version else ""
+        event = f"id: {number}\ndata: text {number}{version}\n\n".encode()
         if crash is not None and number == crash.event:
             self._note_broken(exchange)
             stream.write(event[: int(len(event) * crash.part)])
@@ -425,12 +430,12 @@
 
     # --- runners -------------------------------------------------------------------------
 
-    def add_runner(self) -> StandInRunner:
-        """Start a runner and its heartbeats."""
+    def add_runner(self, version: str = "v1") -> StandInRunner:
+        """Start a runner of a software version, and send its first heartbeat."""
         number = len(self.runners) + 1
         ip = self._ip("runner", number)
         address = f"{ip}:{RUNNER_PORT}"
-        runner = StandInRunner(f"i-{number}", "model", address, f"zone-{number % 3}")
+        runner = StandInRunner(f"i-{number}", "model", address, f"zone-{number % 3}", version)
         runner.server = HttpServer(runner.handle, MonotonicClock(reactor), HttpLimits())
         runner.port = in_reactor(reactor.listenTCP, RUNNER_PORT, runner.server, 50, ip)
         self.runners.append(runner)
@@ -453,7 +458,7 @@
             "service": runner.service,
             "address": runner.address,
             "zone": runner.zone,
-            "version": "v1",
+            "version": runner.version,
             "slots": 8,
             "state": state,
             "coldLeftMs": 0,
--- a/features/support/stand_in_faults.py
+++ b/features/support/stand_in_faults.py
@@ -28,6 +28,45 @@
     part: float
 
 
+class StreamFaults(Protocol):
+    """Draws the faults of runners' answers."""
+
+    def fails(self, request: str, is_item: bool, resumed: bool) -> bool:
+        """Draw whether a runner answers a request with a failure of its own."""
+        ...
+
+    def is_unframed(self) -> bool:
+        """Draw whether a stream has neither a length nor chunks."""
+        ...
+
+    def crash(self, first: int, last: int, unframed: bool, is_item: bool) -> Crash | None:
+        """Draw whether, and where, a runner dies while it sends some events."""
+        ...
+
+
+class BreakingStreams:
+    """Draws only streams that break off behind their first event; nothing else fails."""
+
+    def __init__(self, seed: float, share: float) -> None:
+        """``share`` of the runs break off."""
+        self._draw = random.Random(seed)
+        self._share = share
+
+    def fails(self, request: str, is_item: bool, resumed: bool) -> bool:
+        """No runner answers with a failure."""
+        return False
+
+    def is_unframed(self) -> bool:
+        """Every stream comes in chunks."""
+        return False
+
+    def crash(self, first: int, last: int, unframed: bool, is_item: bool) -> Crash | None:
+        """Draw whether a run breaks off, and within which event behind its first one."""
+        if first >= last or self._draw.random() >= self._share:
+            return None
+        return Crash(self._draw.randint(first + 1, last), self._draw.uniform(0.1, 0.9))
+
+
 class RunnerFaults:
     """Draws faults for all runners of a platform; ``struck`` counts them.
 
