--- /dev/null
+++ b/features/cluster/stream_origins.feature
@@ -0,0 +1,51 @@
+Feature: Any gateway finds where a stream began
+
+  Scenario: A stream is found at another gateway after its first one has failed
+    Given a relaying fleet of 3 controllers and 3 gateways
+    When gateway-1 records that stream "s-1" began at version v1
+    And gateway-1 of the fleet loses power
+    Then gateway-2 finds v1 for "s-1"
+    And gateway-3 finds v1 for "s-1"
+
+  Scenario: A stream is found while any one controller is down
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When gateway-1 records that 20 streams began at version v1
+    And controller-1 of the fleet loses power
+    Then gateway-2 finds v1 for each of them
+
+  Scenario: A stream that no controller knows is certainly unknown
+    Given a relaying fleet of 3 controllers and 2 gateways
+    Then gateway-2 finds nothing for "s-9", for certain
+
+  Scenario: While controllers don't answer, a stream is not certainly unknown
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When gateway-1 records that stream "s-1" began at version v1
+    And gateway-2 of the fleet is partitioned
+    Then gateway-2 finds nothing for "s-1", not for certain
+
+  Scenario: A record expires unless it is renewed
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When gateway-1 records that stream "s-1" began at version v1
+    And 45 seconds pass in the fleet
+    And gateway-1 records that stream "s-1" began at version v1
+    And 45 seconds pass in the fleet
+    Then gateway-2 finds v1 for "s-1"
+    When 30 seconds pass in the fleet
+    Then gateway-2 finds nothing for "s-1", for certain
+
+  Scenario: All nodes learn the versions of runners, also after restarts
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When a runner of version v1 reports to controller-1
+    Then every node knows the runner's version v1
+    When gateway-1 of the fleet loses power and starts again
+    Then every node knows the runner's version v1
+    When the runner starts again under its id with version v2
+    Then every node knows the runner's version v2
+
+  Scenario: Nodes of an earlier version get no messages that they don't know
+    Given a relaying fleet of 3 controllers and 2 gateways
+    And all its nodes but controller-1 announce no extensions
+    When a runner of version v1 reports to controller-1
+    And gateway-1 records that stream "s-1" began at version v1
+    Then no node but controller-1 has received a message of the extension
+    And every node knows the runner
--- a/features/compatibility/http.feature
+++ b/features/compatibility/http.feature
@@ -64,6 +64,7 @@
       Rainsail-Not-Run
       Rainsail-Prompt
       Rainsail-Request
+      Rainsail-Resumes
       Rainsail-Runner
       Rainsail-Tenant
       Rainsail-Tokens
@@ -76,6 +77,7 @@
       Not-Run
       Prompt-Prefix
       Request-Id
+      Resumes
       Server-Load
       Tenant
       Token
--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -6,7 +6,7 @@
     When the operator's configuration is taken
     And 6 clients read streams and resume them at any gateway while <course>
     Then at least <least> streams were resumed, and no stream has events of two versions
-    And resumed streams continue at least half as often as new ones begin
+    And resumed streams continue at least half as often as new ones begin, at gateways in touch
 
     Examples:
       | first | second | least | course                                   |
--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -123,6 +123,9 @@
       | address    | 7                  |
       | zone       | missing            |
       | zone       | 3                  |
+      | version    | missing            |
+      | version    | 3                  |
+      | version    | null               |
       | slots      | missing            |
       | slots      | -4                 |
       | slots      | 0                  |
@@ -168,6 +171,7 @@
     When a controller gets a runner's heartbeat in which born is 1796254995480
     Then the call is answered 200
     And the controller got a report of a runner born at 1796254995480
+    And the report came with the runner's software version
     When that runner deregisters with its start time in the body
     Then the call is answered 200
     And the controller got a deregistration of the incarnation born at 1796254995480
--- /dev/null
+++ b/features/relay/software_versions.feature
@@ -0,0 +1,85 @@
+Feature: A stream continues only at the service and software version that sent its first event
+
+  Scenario: A broken stream continues at a runner of its version
+    Given a relay with 6 runners and a resumable "stream" route
+    And runners of versions v1, v2, v1, v2, v2, v2
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And the runner's connection breaks
+    Then 2 attempts were made, both at one version
+    And the last attempt asks to resume after event 3
+
+  Scenario: Without a runner of its version left, a broken stream is cut off at once
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions v1, v2, v3
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And the runner's connection breaks
+    Then 1 attempt was made
+    And the client's connection was cut after events 1 to 3
+    And the request's line says that no other runner of its software version may continue it
+
+  Scenario: A run without an event binds nothing
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions v1, v2, v3
+    When a client sends a request to the relay
+    And the runner sends the head of a stream
+    And the runner's connection breaks
+    Then 2 attempts were made, each to another runner
+
+  Scenario: A silent runner is not left for one of another version
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions v1, v2, v3
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And 3.5 seconds pass
+    Then 1 attempt was made
+
+  Scenario: The leader's placement at another version is not used
+    Given a relay with 6 runners and a resumable "stream" route
+    And runners of versions v1, v2, v1, v2, v2, v2
+    And a leader that places each request at a runner of another version than the first one
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And the runner's connection breaks
+    Then 2 attempts were made, both at one version
+    And the leader was asked to avoid the runners of the other version
+
+  Scenario: A table that moves the route to another service ends a stream that breaks
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And the route moves to another service with a runner
+    And the runner's connection breaks
+    Then 1 attempt was made
+    And the client's connection was cut after events 1 to 3
+
+  Scenario Outline: A client resumes a stream that <began>, beside versions <versions>
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions <versions>
+    And of the stream <known>
+    When a client resumes that stream after event 5
+    Then <result>
+
+    Examples:
+      | began                 | versions   | known                  | result                                           |
+      | began at v1           | v2, v1, v2 | v1 is known            | the request was sent to a runner of v1           |
+      | began at a version    | v2, v3, v2 | v1 is known            | it is refused with 503 and no time to retry      |
+      | is known to no node   | v1, v1, v2 | nothing is known       | it is refused with 503 and no time to retry      |
+      | is known to no node   | v1, v1, v1 | nothing is known       | the request was sent to a runner of v1           |
+      | may be known to nodes | v1, v1, v1 | it is not sure yet     | it is refused with 503 and a time to retry       |
+
+  Scenario: A runner of an earlier version that is gone makes the version of an unknown stream ambiguous
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions v1, v2, v2
+    And runner 1 is gone
+    And of the stream nothing is known
+    When a client resumes that stream after event 5
+    Then it is refused with 503 and no time to retry
+
+  Scenario: The record of a stream is renewed while the stream runs
+    Given a relay with 3 runners and a resumable "stream" route of 60 seconds
+    And runners of versions v1, v1, v1
+    When a client sends a request to the relay with 60 seconds to answer
+    And the runner sends an event each half second for 45 seconds
+    Then its origin was recorded 3 times as v1
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -279,6 +279,7 @@
     def __init__(self):
         self.reported = []
         self.gone = []
+        self.versions = []
         self.reports = self
 
     def take_deregistration(self, runner, born=None):
@@ -286,9 +287,10 @@
         self.gone.append((runner, born))
         return succeed(Ok(None))
 
-    def take(self, record):
-        """Record a report."""
+    def take(self, record, version):
+        """Record a report and the version of the runner's software."""
         self.reported.append(record)
+        self.versions.append(version)
         return succeed(Ok(None))
 
 
@@ -362,6 +364,12 @@
     control_handler(context.controller_calls)(context.exchange)
 
 
+@then("the report came with the runner's software version")
+def report_with_version(context):
+    (version,) = context.controller_calls.versions
+    assert version == "v1", version
+
+
 @then("the controller got a report of a runner born at {born:d}")
 def got_born(context, born):
     (record,) = context.controller_calls.reported
--- /dev/null
+++ b/features/steps/stream_origin_steps.py
@@ -0,0 +1,158 @@
+"""Steps on the origins of streams and the versions of runners, on a fleet in virtual time."""
+
+from dataclasses import replace
+
+from behave import given, step, then, when
+from features.support.relayed_fleet import RelayedFleet
+from features.support.relaying import SERVICE, runner_record
+
+from rainsail.cluster.runner_versions import RunnerVersions
+from rainsail.cluster.stream_origins import (
+    FindStreamOrigin,
+    StreamBegun,
+    StreamOrigin,
+    StreamOriginReply,
+)
+from rainsail.relay.origin_client import FoundOrigin, StreamOriginClient
+from rainsail.wire.extensions import EXTENSION_LEVEL, NO_EXTENSIONS
+
+SETTLE_S = 3.0
+EXTENSION_MESSAGES = (RunnerVersions, StreamBegun, FindStreamOrigin, StreamOriginReply)
+
+
+class OriginFleet(RelayedFleet):
+    """A fleet whose gateways only record and find the origins of streams."""
+
+    def make_gateway(self, base):
+        """Return a gateway's access to origins."""
+        return StreamOriginClient(base.messenger, base.clock, base.follower, base.metrics)
+
+
+@given("a relaying fleet of {controllers:d} controllers and {gateways:d} gateways")
+def start_fleet(context, controllers, gateways):
+    context.fleet = OriginFleet(63, controllers=controllers, storage=1, gateways=gateways)
+    context.fleet.leader("controller")
+    context.fleet.run_for(SETTLE_S)
+
+
+@step('{gateway} records that stream "{stream}" began at version {version}')
+def record(context, gateway, stream, version):
+    context.fleet.nodes[gateway].role.began(stream, StreamOrigin(SERVICE, version))
+    context.fleet.run_for(0.1)
+
+
+@when("{gateway} records that {count:d} streams began at version {version}")
+def record_many(context, gateway, count, version):
+    context.streams = [f"s-{number}" for number in range(count)]
+    for stream in context.streams:
+        record(context, gateway, stream, version)
+
+
+@step("{name} of the fleet loses power")
+def lose_power(context, name):
+    context.fleet.crash(name)
+
+
+@when("{name} of the fleet loses power and starts again")
+def restart(context, name):
+    context.fleet.crash(name)
+    context.fleet.start(name)
+    context.fleet.run_for(SETTLE_S)
+
+
+@when("{name} of the fleet is partitioned")
+def partition(context, name):
+    context.fleet.isolate(name)
+
+
+@step("{seconds:d} seconds pass in the fleet")
+def pass_time(context, seconds):
+    context.fleet.run_for(float(seconds))
+
+
+def _found(context, gateway, stream):
+    results = []
+    context.fleet.nodes[gateway].role.find(stream, results.append)
+    context.fleet.run_until(lambda: bool(results), "the search has ended")
+    return results[0]
+
+
+@then('{gateway} finds {version} for "{stream}"')
+def finds(context, gateway, version, stream):
+    found = _found(context, gateway, stream)
+    assert found == FoundOrigin(StreamOrigin(SERVICE, version), True), found
+
+
+@then("{gateway} finds {version} for each of them")
+def finds_each(context, gateway, version):
+    for stream in context.streams:
+        finds(context, gateway, version, stream)
+
+
+@then('{gateway} finds nothing for "{stream}", for certain')
+def finds_nothing(context, gateway, stream):
+    assert _found(context, gateway, stream) == FoundOrigin(None, True)
+
+
+@then('{gateway} finds nothing for "{stream}", not for certain')
+def is_unsure(context, gateway, stream):
+    assert _found(context, gateway, stream) == FoundOrigin(None, False)
+
+
+# --- versions of runners -------------------------------------------------------------------
+
+
+def _report(context, version, born):
+    fleet, report = context.fleet, replace(runner_record(1), born=born)
+    done = fleet.controller("controller-1").reports.take(report, version)
+    fleet.result_of(done, "the report is acknowledged")
+    fleet.run_for(SETTLE_S)
+
+
+@when("a runner of version {version} reports to controller-1")
+def report_version(context, version):
+    _report(context, version, born=1_000)
+
+
+@when("the runner starts again under its id with version {version}")
+def start_again(context, version):
+    _report(context, version, born=2_000)
+
+
+@then("every node knows the runner's version {version}")
+def all_know(context, version):
+    for name, node in context.fleet.nodes.items():
+        record = node.base.registry.get(runner_record(1).runner)
+        assert node.base.registry.versions.of(record) == version, (name, record)
+
+
+@given("all its nodes but controller-1 announce no extensions")
+def no_extensions(context):
+    context.received = []
+    own = context.fleet.address("controller-1")
+    for node in context.fleet.nodes.values():
+        transport = node.base.transport
+        transport.extension_level = lambda peer: EXTENSION_LEVEL if peer == own else NO_EXTENSIONS
+        _watch(context, transport)
+
+
+def _watch(context, transport):
+    arrive = transport.arrive
+
+    def watched(source, envelope):
+        if isinstance(envelope.message, EXTENSION_MESSAGES):
+            context.received.append(transport.name)
+        arrive(source, envelope)
+
+    transport.arrive = watched
+
+
+@then("no node but controller-1 has received a message of the extension")
+def none_received(context):
+    assert set(context.received) == {context.fleet.address("controller-1")}, context.received
+
+
+@then("every node knows the runner")
+def all_know_runner(context):
+    for name, node in context.fleet.nodes.items():
+        assert node.base.registry.get(runner_record(1).runner) is not None, name
--- a/features/support/control.py
+++ b/features/support/control.py
@@ -26,6 +26,7 @@
 from rainsail.state.machine import ReplicatedState
 from rainsail.state.settings import StateSettings
 from rainsail.wire.envelope import decode_envelope, encode_envelope
+from rainsail.wire.extensions import EXTENSION_LEVEL
 from rainsail.wire.messenger import Messenger
 
 READ_LEASE_S = 1.0
@@ -82,6 +83,10 @@
         """Register the receiver of this process's envelopes."""
         self._network.attach(self.name, deliver)
 
+    def extension_level(self, peer):
+        """Return the own level: all processes run the same version."""
+        return EXTENSION_LEVEL
+
 
 class MemoryGroup:
     """One replica's member of a group whose committed log is shared in memory."""
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -257,12 +257,13 @@
         prompt: tuple[PromptPart, ...] = (),
         request: str = "request-1",
         after_event: int | None = None,
+        resumes: str = "",
     ) -> StandInExchange:
         """Have a client send a request, or resume a stream after an event."""
         assert self.context.table is not None
         head = HttpRequest(b"POST", PATH.encode(), (), b"body", self.clock.seconds())
         exchange = StandInExchange(head, self.clock)
-        facts = RequestFacts(request, HOST, PATH, deadline_s, prompt, 0, 0, after_event)
+        facts = RequestFacts(request, HOST, PATH, deadline_s, prompt, 0, 0, after_event, resumes)
         route = self.context.table.match(HOST, PATH)
         assert route is not None
         RelayRun(self.context, exchange, facts, route, self.ended.append).start()
--- a/features/support/versioned_streams.py
+++ b/features/support/versioned_streams.py
@@ -10,6 +10,7 @@
 import random
 import re
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -25,26 +26,37 @@
 _EVENT = re.compile(rb"id: (\d+)\ndata: text \d+ of (\S+)\n\n")
 
 
+@dataclass(frozen=True)
+class ReadAttempt:
+    """One answer to a client: the versions that wrote its events."""
+
+    sent_s: float
+    """When the request was sent, by the monotonic clock."""
+    resumes: bool
+    versions: tuple[str, ...]
+
+
 @dataclass
 class ReadStream:
-    """One stream as its client has it: the versions of its events, attempt by attempt."""
+    """One stream as its client has it."""
 
-    attempts: list[list[str]] = field(default_factory=list)
-    resumed: int = 0
-    """Attempts that resumed the stream."""
-    continued: int = 0
-    """Those of them that brought an event."""
+    attempts: list[ReadAttempt] = field(default_factory=list)
     numbers: list[int] = field(default_factory=list)
 
     @property
     def versions(self) -> set[str]:
         """The versions that wrote the stream's events."""
-        return {version for attempt in self.attempts for version in attempt}
+        return {version for attempt in self.attempts for version in attempt.versions}
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the client has resumed the stream."""
+        return any(attempt.resumes for attempt in self.attempts)
 
     @property
     def mixes_in_one_answer(self) -> bool:
         """Whether one answer has events of two versions."""
-        return any(len(set(attempt)) > 1 for attempt in self.attempts)
+        return any(len(set(attempt.versions)) > 1 for attempt in self.attempts)
 
     @property
     def is_whole(self) -> bool:
@@ -88,14 +100,13 @@
             if stream.numbers:
                 fields.update({"Last-Event-Id": str(stream.numbers[-1]), "Resumes": first_id})
             gateway = draw.choice([name for name in self._platform.nodes if "gateway" in name])
+            sent_s, resumes = time.monotonic(), bool(stream.numbers)
             events = self._read_answer(gateway, fields)
-            if stream.numbers:
-                stream.resumed += 1
-                stream.continued += bool(events)
-            elif events:
+            if events and not resumes:
                 first_id = request
             stream.numbers += [number for number, _ in events]
-            stream.attempts.append([version for _, version in events])
+            versions = tuple(version for _, version in events)
+            stream.attempts.append(ReadAttempt(sent_s, resumes, versions))
             if stream.is_whole:
                 break
         return stream
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -22,6 +22,7 @@
 from rainsail.cluster.node_heartbeats import NodeHeartbeats
 from rainsail.cluster.runner_journal import RunnerJournal
 from rainsail.cluster.runner_reports import RunnerReports
+from rainsail.cluster.stream_origins import StreamOriginService
 from rainsail.cluster.table_service import ServicesOf, TableService
 from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
 from rainsail.quarantine.control import QuarantineControl
@@ -65,6 +66,7 @@
             context.messenger, clock, group, state, context.follower, calls, context.live_nodes
         )
         self.tables = TableService(context, calls, committed, services_of)
+        self.origins = StreamOriginService(context.messenger, clock)
         self._founding = LedgerFounding(group, state, context.directory, losses)
         self._heartbeats = NodeHeartbeats(context, views, committed)
         self._noticed_drains: tuple[ZoneDrain, ...] = ()
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -28,6 +28,7 @@
     ZoneDrainNotice,
 )
 from rainsail.cluster.registry import RunnerRegistry
+from rainsail.cluster.runner_versions import RunnerVersionPage, RunnerVersions
 from rainsail.logs import logger
 from rainsail.quarantine.messages import QuarantineNotice
 from rainsail.quarantine.view import QuarantineView
@@ -73,6 +74,7 @@
         self.on_view: Callable[[FleetView], None] = lambda view: None
         self.on_ledger_leader: Callable[[str], None] = lambda address: None
         messenger.serve(RunnerUpdate, self._take_update)
+        messenger.serve(RunnerVersions, self._take_versions)
         messenger.serve(TableNotice, self._take_notice)
         messenger.serve(ZoneDrainNotice, self._take_drain_notice)
         messenger.serve(QuarantineNotice, self._take_quarantine_notice)
@@ -174,6 +176,11 @@
             controller.revision = update.revision
         self._merge(update.runners)
 
+    def _take_versions(self, source: str, message: RunnerVersions) -> None:
+        page: RunnerVersionPage = decode(message.page)
+        for version in page.versions:
+            self.registry.versions.take(version)
+
     def _merge(self, records: tuple[RunnerRecord, ...]) -> None:
         changed = self.registry.take(records)
         if changed:
--- a/src/rainsail/cluster/heartbeat_replies.py
+++ b/src/rainsail/cluster/heartbeat_replies.py
@@ -1,10 +1,12 @@
 """Contents of heartbeat replies, built once and shared by all nodes that need the same."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from rainsail.cluster.known_controllers import EMPTY_VIEW
-from rainsail.cluster.messages import FleetView, RunnerPage
+from rainsail.cluster.messages import FleetView, RunnerPage, RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
+from rainsail.cluster.runner_versions import encode_versions
 from rainsail.wire.codec import encode
 
 VIEW_REFRESH_PERIOD_S = 0.05
@@ -31,24 +33,38 @@
         return self.view
 
 
+@dataclass(frozen=True, slots=True)
+class EncodedRunners:
+    """An encoded ``RunnerPage`` and the encoded ``RunnerVersionPage`` of its runners."""
+
+    runners: bytes = b""
+    versions: bytes = b""
+
+
 class RunnerPages:
     """Cache of encoded pages: the runners that changed after a given registry revision."""
 
     def __init__(self, registry: RunnerRegistry) -> None:
         self._registry = registry
-        self._pages: dict[int, bytes] = {}
+        self._pages: dict[int, EncodedRunners] = {}
         self._made_at_revision = 0
 
-    def since(self, revision: int) -> bytes:
+    def since(self, revision: int) -> EncodedRunners:
         """Return the encoded runners that changed after a revision; empty if none did."""
         newest = self._registry.revision
         if revision == newest:
-            return b""
+            return EncodedRunners()
         if self._made_at_revision != newest:
             self._made_at_revision = newest
             self._pages.clear()
         page = self._pages.get(revision)
         if page is None:
             changed = self._registry.changed_since(revision)
-            page = self._pages[revision] = encode(RunnerPage(changed)) if changed else b""
+            page = self._pages[revision] = self._encode(changed)
         return page
+
+    def _encode(self, changed: tuple[RunnerRecord, ...]) -> EncodedRunners:
+        if not changed:
+            return EncodedRunners()
+        versions = self._registry.versions.of_all(changed)
+        return EncodedRunners(encode(RunnerPage(changed)), encode_versions(versions))
--- a/src/rainsail/cluster/node_heartbeats.py
+++ b/src/rainsail/cluster/node_heartbeats.py
@@ -17,7 +17,9 @@
     NodeRole,
     RunnerPrefill,
 )
+from rainsail.cluster.runner_versions import RunnerVersions
 from rainsail.logs import logger
+from rainsail.wire.extensions import STREAM_ORIGINS
 
 MAX_PREFILL_NOTICES = 64
 """Most gateways that are notified of one long prefill.
@@ -48,15 +50,23 @@
         same_epoch = heartbeat.epoch == context.epoch
         view = self._views.current()
         knows_view = same_epoch and heartbeat.view == self._views.number
+        page = self._pages.since(heartbeat.revision if same_epoch else 0)
+        self._send_versions(source, page.versions)
         return NodeHeartbeatReply(
             None if knows_view else view,
             self._views.number,
             self._committed.version,
             context.epoch,
             context.registry.revision,
-            self._pages.since(heartbeat.revision if same_epoch else 0),
+            page.runners,
         )
 
+    def _send_versions(self, node: str, page: bytes) -> None:
+        """Send the versions of the runners in a reply, ahead of it, to a node that knows them."""
+        messenger = self._context.messenger
+        if page and messenger.extension_level(node) >= STREAM_ORIGINS:
+            messenger.send(node, RunnerVersions(page))
+
     def _note(self, heartbeat: NodeHeartbeat) -> None:
         now = self._context.clock.seconds()
         if self._context.directory.note_heartbeat(heartbeat.node, heartbeat.ledger, now):
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -25,6 +25,7 @@
 
 from rainsail.cluster.incarnation_order import REPLACEABLE_AFTER_S, IncarnationOrder
 from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.cluster.runner_versions import NO_VERSION, RunnerVersion, RunnerVersionTable
 from rainsail.cluster.warm_up import WarmUpClock
 from rainsail.cluster.zone_drains import KnownZoneDrains
 from rainsail.state.cluster_commands import ZoneDrain
@@ -68,6 +69,7 @@
         self.revision = 0
         self.zone_drains = KnownZoneDrains()
         self.warm_ups = WarmUpClock(seconds)
+        self.versions = RunnerVersionTable()
         self._resolves_address_conflicts = resolves_address_conflicts
         self.named_services: frozenset[str] | None = None
         """The services of the routing table; None until a table is known."""
@@ -188,6 +190,22 @@
                 )
         return newer
 
+    def note_version(self, report: RunnerRecord, version: str) -> list[RunnerRecord]:
+        """Record the software version that came with a report, after ``take`` has merged it.
+
+        Returns the records that must be pushed to others because of it. Applied only if the report
+        is the newest one of the runner: then the record has the order of its incarnation.
+        """
+        record = self._records.get(report.runner)
+        if record is None or version == NO_VERSION:
+            return []
+        if (record.sequence, record.address) != (report.sequence, report.address):
+            return []
+        if not self.versions.take(RunnerVersion(record.runner, record.born, version)):
+            return []
+        self._note_change(record.runner)
+        return [record]
+
     def gone_record(self, runner: str, born: int | None = None) -> RunnerRecord:
         """Return the record for the deregistration of a runner, which may be unknown.
 
@@ -235,6 +253,18 @@
     def _may_get_work(self, record: RunnerRecord) -> bool:
         return record.takes_work and not self.zone_drains.is_draining(record.zone)
 
+    def sole_version(self, service: str) -> str | None:
+        """Return the software version of all runners of a service that this node remembers.
+
+        That includes those that are gone. None if there are several, or none at all.
+        """
+        versions = {
+            self.versions.of(record)
+            for record in self._records.values()
+            if record.service == service
+        }
+        return versions.pop() if len(versions) == 1 else None
+
     def is_warming(self, runner: str) -> bool:
         """Tell whether a runner is still warming up."""
         return self.warm_ups.left_s(runner) > 0
@@ -264,6 +294,7 @@
             self._heard_s.pop(runner, None)
             self._incarnations.forget(runner)
             self.warm_ups.forget(runner)
+            self.versions.forget(runner)
             if self._by_address.get(record.address) == runner:
                 del self._by_address[record.address]
 
--- a/src/rainsail/cluster/runner_reports.py
+++ b/src/rainsail/cluster/runner_reports.py
@@ -5,6 +5,7 @@
 quorum of the voters too. Relies on the registry for which of two reports is newer.
 """
 
+from collections.abc import Iterable
 from typing import Any
 
 from expression import Ok, Result
@@ -22,8 +23,10 @@
 from rainsail.cluster.push_queue import PushQueue
 from rainsail.cluster.quorum_wait import QuorumWait
 from rainsail.cluster.runner_journal import RunnerJournal
+from rainsail.cluster.runner_versions import NO_VERSION, RunnerVersions, encode_versions
 from rainsail.errors import Fault
 from rainsail.logs import logger
+from rainsail.wire.extensions import STREAM_ORIGINS
 
 
 class RunnerReports:
@@ -42,10 +45,15 @@
         context.follower.on_runners = self._push
         context.messenger.serve(ShareRunner, self._take_shared)
 
-    def take(self, record: RunnerRecord) -> "Deferred[Result[None, Fault]]":
-        """Handle a runner's report; if it drains or is gone, a quorum knows it when this fires."""
+    def take(
+        self, record: RunnerRecord, version: str = NO_VERSION
+    ) -> "Deferred[Result[None, Fault]]":
+        """Handle a runner's report with the version of its software.
+
+        If it drains or is gone, a quorum knows it when this fires.
+        """
         known = self._registry.get(record.runner)
-        changed = self._register(record)
+        changed = self._register(record, version)
         now_known = self._registry.get(record.runner)
         if now_known is None:
             return succeed(Ok(None))
@@ -61,13 +69,15 @@
         """Handle a deregistration; ``born`` is the incarnation's start, None the known one."""
         return self.take(self._registry.gone_record(runner, born))
 
-    def _register(self, record: RunnerRecord) -> list[RunnerRecord]:
+    def _register(self, record: RunnerRecord, version: str = NO_VERSION) -> list[RunnerRecord]:
         """Merge a report from any source; return the records that must be pushed to others."""
-        changed = self._registry.take((record,))
+        merged = self._registry.take((record,))
+        changed = _without_repetitions([*merged, *self._registry.note_version(record, version)])
         if changed:
             self._push(changed)
             for each in changed:
                 log = logger.bind(runner=each.runner, service=each.service, state=each.state.value)
+                log = log.bind(version=self._registry.versions.of(each))
                 log.bind(address=each.address, sequence=each.sequence).info("runner_changed")
         return changed
 
@@ -93,6 +103,7 @@
         wait = QuorumWait(quorum, len(voters), "cluster.share_runner")
         if own_address in voters:
             self._keep((record,)).addCallback(wait.take)
+        self._send_versions([name for name in voters if name != own_address], (record,))
         message = ShareRunner((record,))
         for name in voters:
             if name != own_address:
@@ -127,4 +138,18 @@
     def _push_batch(self, changed: tuple[RunnerRecord, ...]) -> None:
         previous, self._pushed_revision = self._pushed_revision, self._registry.revision
         update = RunnerUpdate(self._context.epoch, previous, self._registry.revision, changed)
-        self._context.messenger.send_all(self._context.live_nodes(), update)
+        nodes = self._context.live_nodes()
+        self._send_versions(nodes, changed)
+        self._context.messenger.send_all(nodes, update)
+
+    def _send_versions(self, nodes: Iterable[str], records: Iterable[RunnerRecord]) -> None:
+        """Send the versions of runners, ahead of their records, to the nodes that know them."""
+        messenger = self._context.messenger
+        page = encode_versions(self._registry.versions.of_all(records))
+        if page:
+            able = [each for each in nodes if messenger.extension_level(each) >= STREAM_ORIGINS]
+            messenger.send_all(able, RunnerVersions(page))
+
+
+def _without_repetitions(records: list[RunnerRecord]) -> list[RunnerRecord]:
+    return list({record.runner: record for record in records}.values())
--- /dev/null
+++ b/src/rainsail/cluster/stream_origins.py
@@ -0,0 +1,117 @@
+"""Where streams began: kept by controllers, so that any gateway can continue a stream correctly.
+
+What two software versions write does not fit together, so a stream continues only at the version
+that began it. A client may resume at any gateway, often because the first one has failed. So each
+gateway tells some controllers, chosen by the stream's name, which service and version sent the
+first event. The entries are soft state with a lifetime that the gateway renews while the stream
+runs. What no controller knows must not continue while several versions may have begun it.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+from rainsail.runtime.clock import Clock
+from rainsail.wire.codec import wire_record
+from rainsail.wire.messenger import Messenger
+from rainsail.wire.names import wire_type
+
+ORIGIN_TTL_S = 60.0
+"""Lifetime of an entry after its last renewal; clients resume within their deadline of seconds."""
+MAX_ORIGINS = 100_000
+"""Limit on the entries of one node, above the streams of the design's peak within the lifetime."""
+COPIES = 2
+"""Controllers that are told of a stream, so that one of them may fail."""
+ASKED = 4
+"""Controllers that are asked for a stream; more, since gateways may know different ones."""
+
+
+@wire_type("StreamOrigin")
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The service whose runner sent a stream's first event, and that runner's software version."""
+
+    service: str
+    version: str
+
+
+@wire_record("StreamBegun")
+@dataclass(frozen=True, slots=True)
+class StreamBegun:
+    """One-way, from a gateway: a client has the first event of a stream, or still reads it."""
+
+    stream: str
+    origin: StreamOrigin
+
+
+@wire_record("FindStreamOrigin")
+@dataclass(frozen=True, slots=True)
+class FindStreamOrigin:
+    """Asks a controller where a stream began."""
+
+    stream: str
+
+
+@wire_record("StreamOriginReply")
+@dataclass(frozen=True, slots=True)
+class StreamOriginReply:
+    """The origin, None if this controller does not know the stream."""
+
+    origin: StreamOrigin | None
+
+
+class StreamOriginTable:
+    """The origins of streams by name, the one renewed the longest time ago first."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._entries: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._entries)
+
+    def put(self, stream: str, origin: StreamOrigin) -> None:
+        """Add or renew an entry."""
+        now = self._clock.seconds()
+        self._entries[stream] = origin, now
+        self._entries.move_to_end(stream)
+        self._drop_expired(now)
+
+    def get(self, stream: str) -> StreamOrigin | None:
+        """Return a stream's origin, None if it is not known."""
+        entry = self._entries.get(stream)
+        if entry is None or self._clock.seconds() - entry[1] > ORIGIN_TTL_S:
+            return None
+        return entry[0]
+
+    def _drop_expired(self, now: float) -> None:
+        while self._entries:
+            _, renewed_s = next(iter(self._entries.values()))
+            if len(self._entries) <= MAX_ORIGINS and now - renewed_s <= ORIGIN_TTL_S:
+                return
+            self._entries.popitem(last=False)
+
+
+class StreamOriginService:
+    """A controller's part: takes what gateways tell, and answers them."""
+
+    def __init__(self, messenger: Messenger, clock: Clock) -> None:
+        self._table = StreamOriginTable(clock)
+        messenger.serve(StreamBegun, self._take)
+        messenger.serve(FindStreamOrigin, self._find)
+
+    def _take(self, source: str, message: StreamBegun) -> None:
+        self._table.put(message.stream, message.origin)
+
+    def _find(self, source: str, message: FindStreamOrigin) -> StreamOriginReply:
+        return StreamOriginReply(self._table.get(message.stream))
+
+
+def rendezvous_order(stream: str, controllers: Iterable[str]) -> list[str]:
+    """Return controllers in the order in which all gateways choose them for a stream."""
+    return sorted(
+        controllers, key=lambda each: (xxhash.xxh3_64_intdigest(f"{each}/{stream}".encode()), each)
+    )
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -18,6 +18,7 @@
 from rainsail.quarantine.agent import QuarantineAgent
 from rainsail.relay.context import make_context
 from rainsail.relay.gateway import RelayGateway
+from rainsail.relay.origin_client import StreamOriginClient
 from rainsail.relay.settings import RelaySettings
 from rainsail.routing.residency import RegionMap
 from rainsail.runtime.clock import sleep
@@ -47,6 +48,7 @@
             _relay_settings(base),
             RegionMap(base.settings.node.zones),
             QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics),
+            StreamOriginClient(base.messenger, base.clock, base.follower, base.metrics),
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
--- a/src/rainsail/fleet_api/control.py
+++ b/src/rainsail/fleet_api/control.py
@@ -79,11 +79,11 @@
 
     def _take_heartbeat(self, exchange: Exchange, runner: str) -> None:
         try:
-            record = read_heartbeat(runner, json.loads(exchange.request.body))
+            heartbeat = read_heartbeat(runner, json.loads(exchange.request.body))
         except UNREADABLE as error:
             reply_fault(exchange, Fault(FaultCode.INVALID, "fleet_api.runner", explain(error)))
             return
-        self._answer(exchange, self._controller.reports.take(record))
+        self._answer(exchange, self._controller.reports.take(heartbeat.record, heartbeat.version))
 
     def _take_deregistration(self, exchange: Exchange, runner: str) -> None:
         try:
--- a/src/rainsail/fleet_api/heartbeats.py
+++ b/src/rainsail/fleet_api/heartbeats.py
@@ -6,11 +6,13 @@
 """
 
 import json
+from dataclasses import dataclass
 from typing import Annotated, Any
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.cluster.runner_versions import NO_VERSION
 from rainsail.fleet_api.json_fields import A_WHOLE_NUMBER, FieldError
 from rainsail.wire.address import parse_address
 
@@ -47,6 +49,8 @@
     warm_up_left_s: float = Field(default=0.0, ge=0, le=MAX_WARM_UP_S, allow_inf_nan=False)
     sequence: Whole
     born: Whole = 0
+    version: str = Field(default=NO_VERSION, max_length=MAX_TEXT_LENGTH)
+    """The version of the runner's software, not of the weights that it serves."""
 
 
 class DeregistrationBody(BaseModel):
@@ -57,12 +61,20 @@
     born: Whole | None = None
 
 
-def read_heartbeat(runner: str, fields: Any) -> RunnerRecord:
-    """Return the record for a runner's heartbeat; raises one of ``json_fields.UNREADABLE``."""
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A runner's report, and the version of its software."""
+
+    record: RunnerRecord
+    version: str
+
+
+def read_heartbeat(runner: str, fields: Any) -> Heartbeat:
+    """Return the contents of a runner's heartbeat; raises one of ``json_fields.UNREADABLE``."""
     if not runner or len(runner) > MAX_TEXT_LENGTH:
         raise ValueError(f"the runner's id: expected 1 to {MAX_TEXT_LENGTH} characters")
     body = HeartbeatBody.model_validate(fields)
-    return RunnerRecord(
+    record = RunnerRecord(
         runner,
         body.service,
         body.address,
@@ -73,6 +85,7 @@
         body.sequence,
         born=body.born,
     )
+    return Heartbeat(record, body.version)
 
 
 def read_deregistration(content: bytes) -> int | None:
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -8,6 +8,7 @@
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
 from rainsail.quarantine.guard import NoGuard, RequestGuard
+from rainsail.relay.origin_client import StreamOrigins, UnknownOrigins
 from rainsail.relay.placement import Placed
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.settings import RelaySettings
@@ -47,6 +48,7 @@
     regions: RegionMap
     guard: RequestGuard
     beginnings: StreamBeginnings
+    origins: StreamOrigins
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks the leader to place a request; calls back with None if the gateway has to choose."""
@@ -81,6 +83,7 @@
     settings: RelaySettings,
     regions: RegionMap = NO_REGIONS,
     guard: RequestGuard | None = None,
+    origins: StreamOrigins | None = None,
 ) -> RelayContext:
     """Build a gateway's context."""
     loads = RunnerLoads(settings.mechanisms)
@@ -104,4 +107,5 @@
         regions,
         guard or NoGuard(),
         StreamBeginnings(),
+        origins or UnknownOrigins(),
     )
--- a/src/rainsail/relay/continuation.py
+++ b/src/rainsail/relay/continuation.py
@@ -299,6 +299,19 @@
     return give_up(replace(progress, reason=reason), settings)
 
 
+def give_up_lost_stream(
+    progress: RequestProgress, reason: str, retry_after_s: float | None, settings: RelaySettings
+) -> Ending:
+    """Return how a request ends whose stream can't continue at the version that began it.
+
+    Without ``retry_after_s`` the client is not asked to resume again: the stream is lost. No
+    runner has run the request if the client has nothing of this answer and none may have run it.
+    """
+    if progress.client_has != ClientHas.NOTHING or progress.may_have_run:
+        return give_up(replace(progress, reason=reason), settings)
+    return Refuse(STATUS_UNAVAILABLE, retry_after_s, RequestOutcome.REFUSED, reason)
+
+
 def time_out(progress: RequestProgress, is_sent: bool, settings: RelaySettings) -> Ending:
     """Return how a request ends at its deadline; ``is_sent``: an attempt is under way."""
     if progress.client_has != ClientHas.NOTHING:
--- a/src/rainsail/relay/header_protocol.py
+++ b/src/rainsail/relay/header_protocol.py
@@ -35,7 +35,8 @@
     """The names of the headers.
 
     ``key_scheme`` precedes an API key in ``Authorization``. ``deadline`` holds how long the client
-    waits, in units of ``deadline_unit_s``. ``runner`` names the runner that a request is meant for.
+    waits, in units of ``deadline_unit_s``. ``resumes`` names the attempt that began a resumed
+    stream. ``runner`` names the runner that a request is meant for.
     ``load`` holds running requests, waiting requests and slots, separated by commas.
     """
 
@@ -44,6 +45,7 @@
     deadline_unit_s: float = 1.0
     runner: bytes = b"Rainsail-Runner"
     last_event: bytes = b"Last-Event-ID"
+    resumes: bytes = b"Rainsail-Resumes"
     prompt: bytes = b"Rainsail-Prompt"
     usage: bytes = b"Rainsail-Tokens"
     load: bytes = b"Rainsail-Load"
@@ -79,6 +81,7 @@
             prompt_tokens,
             answer_tokens,
             int(after) if _is_number(after) else None,
+            header_text(fields, names.resumes.lower()),
             self._key(fields),
         )
 
--- /dev/null
+++ b/src/rainsail/relay/origin_client.py
@@ -0,0 +1,147 @@
+"""A gateway's access to the origins of streams, its own and those that other gateways began.
+
+Relies on ``cluster.stream_origins`` for what controllers keep.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from expression import Result
+
+from rainsail.cluster.follower import FleetFollower
+from rainsail.cluster.stream_origins import (
+    ASKED,
+    COPIES,
+    ORIGIN_TTL_S,
+    FindStreamOrigin,
+    StreamBegun,
+    StreamOrigin,
+    StreamOriginReply,
+    StreamOriginTable,
+    rendezvous_order,
+)
+from rainsail.errors import Fault
+from rainsail.node_metrics import NodeMetrics
+from rainsail.runtime.clock import Clock
+from rainsail.wire.extensions import STREAM_ORIGINS
+from rainsail.wire.messenger import Messenger
+
+REPLY_TIMEOUT_S = 0.3
+"""How long a resuming client waits for controllers that do not answer.
+
+A few round trips between regions, and short compared with the pause that a client tolerates.
+"""
+RENEWAL_PERIOD_S = ORIGIN_TTL_S / 3
+"""A stream that still runs renews its entry this often."""
+
+
+@dataclass(frozen=True, slots=True)
+class FoundOrigin:
+    """The result of a search; ``is_certain``: another search would find no more."""
+
+    origin: StreamOrigin | None
+    is_certain: bool
+
+
+Found = Callable[[FoundOrigin], None]
+
+
+class StreamOrigins(Protocol):
+    """Records and finds the origins of streams, by the names of the streams."""
+
+    def began(self, stream: str, origin: StreamOrigin) -> None:
+        """Record that a client has a stream's first event, or renew the record."""
+        ...
+
+    def find(self, stream: str, found: Found) -> None:
+        """Search for a stream's origin; always calls ``found``, at once or later."""
+        ...
+
+
+class UnknownOrigins:
+    """``StreamOrigins`` of a gateway without controllers: nothing is known."""
+
+    def began(self, stream: str, origin: StreamOrigin) -> None:
+        """Do nothing."""
+
+    def find(self, stream: str, found: Found) -> None:
+        """Report that nothing is known, and never will be."""
+        found(FoundOrigin(None, is_certain=True))
+
+
+@dataclass(slots=True)
+class _Search:
+    """Unanswered calls of one search."""
+
+    found: Found
+    waiting: int
+    failed: int = 0
+    over: bool = field(default=False)
+
+    def take(self, result: Result[StreamOriginReply, Fault]) -> None:
+        """Handle one reply; the first origin ends the search, else the last reply does."""
+        self.waiting -= 1
+        if self.over:
+            return
+        origin = None
+        if result.is_error():
+            self.failed += 1
+        else:
+            origin = result.ok.origin
+        if origin is not None or not self.waiting:
+            self.over = True
+            is_certain = origin is not None or not self.failed
+            self.found(FoundOrigin(origin, is_certain))
+
+
+class StreamOriginClient:
+    """Implements ``StreamOrigins`` with the controllers that this gateway follows."""
+
+    def __init__(
+        self,
+        messenger: Messenger,
+        clock: Clock,
+        follower: FleetFollower,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._messenger = messenger
+        self._follower = follower
+        self._metrics = metrics
+        self._own = StreamOriginTable(clock)
+
+    def began(self, stream: str, origin: StreamOrigin) -> None:
+        """Record that a client has a stream's first event, or renew the record."""
+        self._own.put(stream, origin)
+        able = self._able(self._follower.controllers.in_touch())
+        keepers = rendezvous_order(stream, able)[:COPIES]
+        self._messenger.send_all(keepers, StreamBegun(stream, origin))
+
+    def find(self, stream: str, found: Found) -> None:
+        """Search for a stream's origin here and at controllers."""
+        own = self._own.get(stream)
+        if own is not None:
+            self._report(FoundOrigin(own, is_certain=True), found)
+            return
+        known = self._follower.controllers.addresses()
+        asked = rendezvous_order(stream, known)[:ASKED]
+        able = self._able(asked)
+        if not able:
+            self._report(FoundOrigin(None, is_certain=False), found)
+            return
+        search = _Search(
+            lambda result: self._report(result, found), len(able), failed=len(asked) - len(able)
+        )
+        for controller in able:
+            reply = self._messenger.call(controller, FindStreamOrigin(stream), REPLY_TIMEOUT_S)
+            reply.addCallback(search.take)
+
+    def _able(self, controllers: Sequence[str]) -> list[str]:
+        """Return the controllers that keep origins; those of earlier versions do not."""
+        level = self._messenger.extension_level
+        return [each for each in controllers if level(each) >= STREAM_ORIGINS]
+
+    def _report(self, result: FoundOrigin, found: Found) -> None:
+        outcome = "found" if result.origin else ("unknown" if result.is_certain else "unsure")
+        self._metrics.count("stream_origins_searched", outcome=outcome)
+        found(result)
--- a/src/rainsail/relay/protocol.py
+++ b/src/rainsail/relay/protocol.py
@@ -30,6 +30,8 @@
     prompt_tokens: int
     answer_tokens: int
     after_event: int | None
+    resumes: str = ""
+    """The id of the attempt that brought the first event of a resumed stream, if it is stated."""
     key: KeyDigest | None = None
     """The digest of the API key; None if there is none, more than one, or a malformed one."""
 
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -111,6 +111,7 @@
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
+            version=self._context.registry.versions.of(attempt.record),
             fingerprint=fingerprint_hex(self.fingerprint),
             reason=reason,
             last_event=last_event,
--- /dev/null
+++ b/src/rainsail/relay/request_origin.py
@@ -0,0 +1,59 @@
+"""The origin of one request's stream: found when a client resumes, recorded as events are sent."""
+
+from collections.abc import Callable
+
+from rainsail.cluster.stream_origins import StreamOrigin
+from rainsail.relay.attempt import Attempt
+from rainsail.relay.context import RelayContext
+from rainsail.relay.origin_client import RENEWAL_PERIOD_S, FoundOrigin
+from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.resumption import LostStream, decide_origin, stream_name
+from rainsail.relay.table import Route
+from rainsail.tenancy.tenants import Identity
+
+
+class RequestOrigin:
+    """Which service and software version a stream has to continue at; ``origin`` None: any."""
+
+    def __init__(self, context: RelayContext, facts: RequestFacts, identity: Identity) -> None:
+        self.origin: StreamOrigin | None = None
+        self._context = context
+        self._facts = facts
+        self._identity = identity
+        self._renewed_s = float("-inf")
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the client has the beginning of the stream from an earlier answer."""
+        return self._facts.after_event is not None
+
+    def find(self, route: Route, decided: Callable[[LostStream | None], None]) -> None:
+        """Find where a resumed stream began; ``decided`` gets the reason if it can't continue."""
+
+        def found(result: FoundOrigin) -> None:
+            decision = decide_origin(result, route, self._context.registry.sole_version)
+            if isinstance(decision, LostStream):
+                decided(decision)
+            else:
+                self.origin = decision
+                decided(None)
+
+        if self._facts.resumes:
+            self._context.origins.find(self._name, found)
+        else:
+            found(FoundOrigin(None, is_certain=True))
+
+    @property
+    def _name(self) -> str:
+        return stream_name(self._facts, self._identity, self._facts.resumes or self._facts.request)
+
+    def events_sent(self, attempt: Attempt) -> None:
+        """Record who began the stream whose events the client has; renew the record at times."""
+        if self.origin is None:
+            record = attempt.record
+            version = self._context.registry.versions.of(record)
+            self.origin = StreamOrigin(record.service, version)
+        now = self._context.clock.seconds()
+        if now - self._renewed_s >= RENEWAL_PERIOD_S:
+            self._renewed_s = now
+            self._context.origins.began(self._name, self.origin)
--- /dev/null
+++ b/src/rainsail/relay/resumption.py
@@ -0,0 +1,57 @@
+"""Decides at which software version a client's stream continues. Pure.
+
+A client names the attempt that brought the first event of its stream. The stream continues only at
+the service and version that sent that event. If that is not known, it continues only where all
+runners that the gateway remembers have the same version.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from rainsail.cluster.stream_origins import StreamOrigin
+from rainsail.relay.origin_client import FoundOrigin
+from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.table import Route
+from rainsail.tenancy.tenants import Identity
+
+UNKNOWN_ORIGIN = "the software version that began the stream is not known"
+NAME_BYTES = 16
+_LENGTH_BYTES = 8
+_PURPOSE = b"rainsail.stream"
+NO_OTHER_RUNNER = "no other runner of the software version that began the stream may get it"
+
+
+@dataclass(frozen=True, slots=True)
+class LostStream:
+    """The stream can't continue; ``is_certain``: nor at another gateway or a little later."""
+
+    reason: str
+    is_certain: bool
+
+
+def stream_name(facts: RequestFacts, identity: Identity, request: str) -> str:
+    """Return the name under which nodes know a stream that the attempt ``request`` began.
+
+    A digest, since clients choose the ids of attempts: other tenants and hosts may use the same
+    ones, and long ones would take the nodes' memory.
+    """
+    digest = blake2b(digest_size=NAME_BYTES, person=_PURPOSE)
+    for part in (identity.tenant, facts.host.lower(), request):
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(part.encode())
+    return digest.hexdigest()
+
+
+def decide_origin(
+    found: FoundOrigin, route: Route, sole_version: Callable[[str], str | None]
+) -> StreamOrigin | LostStream:
+    """Return where a stream continues; ``sole_version`` returns that of a service, if any."""
+    if found.origin is not None:
+        return found.origin
+    services = [share.service for share in route.shares if share.weight > 0]
+    if found.is_certain and len(services) == 1:
+        version = sole_version(services[0])
+        if version is not None:
+            return StreamOrigin(services[0], version)
+    return LostStream(UNKNOWN_ORIGIN, found.is_certain)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -29,6 +29,7 @@
     end_after_attempt,
     forwards_answer,
     give_up,
+    give_up_lost_stream,
     give_up_without_runner,
     may_compare_runs,
     may_leave_silent_runner,
@@ -40,6 +41,8 @@
 from rainsail.relay.held_end import HeldEnd, max_end_hold_s
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.recorder import RequestRecorder
+from rainsail.relay.request_origin import RequestOrigin
+from rainsail.relay.resumption import NO_OTHER_RUNNER, LostStream
 from rainsail.relay.sender import RequestSender
 from rainsail.relay.stream_beginnings import StreamBeginning
 from rainsail.relay.table import Route, RouteKind
@@ -85,6 +88,7 @@
         self._sender = RequestSender(
             context, request, facts, route, identity, self, self._response_timed_out
         )
+        self._origin = RequestOrigin(context, facts, identity)
         self._is_admitted = False
         self._may_have_run = False
         self._deadline_s = request.received_s + _time_allowed_s(route, facts)
@@ -124,7 +128,7 @@
             return
         if is_allowed:
             self._is_admitted = True
-            self._try_next()
+            self._find_origin()
         else:
             self._end(refuse_over_quota(self._identity.tenant, wait_s))
 
@@ -173,6 +177,27 @@
 
     # --- deciding and sending ------------------------------------------------------------
 
+    def _find_origin(self) -> None:
+        """Find where a resumed stream began, then send the request."""
+        if self._origin.is_resumed:
+            self._origin.find(self._sender.route, self._origin_decided)
+        else:
+            self._try_next()
+
+    def _origin_decided(self, lost: LostStream | None) -> None:
+        if self.outcome is not None:
+            return
+        if lost is None:
+            self._sender.continue_at(self._origin.origin)
+            self._try_next()
+            return
+        retry_after_s = None if lost.is_certain else self._context.settings.retry_after_s
+        self._end_lost_stream(lost.reason, retry_after_s)
+
+    def _end_lost_stream(self, reason: str, retry_after_s: float | None) -> None:
+        settings = self._context.settings
+        self._end(give_up_lost_stream(self._progress(), reason, retry_after_s, settings))
+
     def _try_next(self) -> None:
         """Ask for the next attempt's placement if it is allowed, else end the request."""
         if self.outcome is not None:
@@ -196,6 +221,9 @@
         found = self._sender.find(decision.route, placement, self._time_left_s())
         if found.retry_after_s is not None:
             self._end(refuse_overloaded(self._sender.service, found.retry_after_s))
+        elif found.record is None and self._origin.origin is not None:
+            retry_after_s = None if self._sender.is_origin_gone() else settings.retry_after_s
+            self._end_lost_stream(NO_OTHER_RUNNER, retry_after_s)
         elif found.record is None:
             no_runner_reason = self._sender.no_runner_reason()
             self._end(give_up_without_runner(self._progress(), no_runner_reason, settings))
@@ -258,12 +286,19 @@
         if self.outcome is not None:
             return
         flaw = self._answer.write_events(attempt, events)
+        self._note_origin(attempt)
         if flaw is None:
             self._sender.events_received()
         else:
             attempt.cancel()
             self._drop_flawed(attempt, flaw)
 
+    def _note_origin(self, attempt: Attempt) -> None:
+        """Bind a stream that can be resumed to the software that sent its first event."""
+        if self._answer.client_has == ClientHas.NUMBERED_EVENTS and self._sender.route.resumable:
+            self._origin.events_sent(attempt)
+            self._sender.continue_at(self._origin.origin)
+
     def body_received(self, attempt: Attempt) -> None:
         """Forward a large answer before its end, unless it is a failure that is not forwarded."""
         if attempt.body_bytes < self._context.settings.buffered_bytes:
@@ -278,6 +313,7 @@
         """Write the last event, then complete the answer, hold its end, or drop a flawed stream."""
         assert attempt.stream is not None
         flaw = self._answer.write_events(attempt, attempt.stream.last_events())
+        self._note_origin(attempt)
         flaw = flaw or self._answer.check_end(attempt)
         if flaw is not None:
             self._drop_flawed(attempt, flaw)
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from rainsail.cluster.messages import RunnerRecord
+from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.relay.context import RelayContext
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.table import Route
@@ -16,6 +17,8 @@
 from rainsail.routing.residency import AllowedRegions
 from rainsail.tenancy.tenants import Identity
 
+NO_SERVICE = ""
+"""The service of a stream whose route no longer allows the one that began it."""
 ANY_WAIT = -1.0
 """Value of ``most_waiting`` that lets the leader place a request whatever its wait."""
 
@@ -35,6 +38,8 @@
         self, context: RelayContext, facts: RequestFacts, route: Route, identity: Identity
     ) -> None:
         self.service = ""
+        self.origin: StreamOrigin | None = None
+        """The service and software version that the stream has to continue at, if any."""
         self.tried: set[str] = set()
         self._context = context
         self._facts = facts
@@ -60,7 +65,7 @@
         request = PlaceRequest(
             service=self.service,
             zone=context.zone,
-            avoid=tuple({*self.tried, *context.loads.unavailable(now)}),
+            avoid=tuple({*self.tried, *context.loads.unavailable(now), *self._other_versions()}),
             most_waiting=most_waiting,
             limited=self._allowed is not None,
             regions=tuple(sorted(self._allowed or ())),
@@ -82,7 +87,29 @@
 
     def _ready(self) -> list[RunnerRecord]:
         """Return the runners that may get the request, including those tried already."""
-        return self._context.ready(self.service, self._allowed)
+        ready = self._context.ready(self.service, self._allowed)
+        return ready if self.origin is None else list(filter(self._may_continue, ready))
+
+    def _may_continue(self, record: RunnerRecord) -> bool:
+        """Tell whether a runner may continue the stream: its software has begun it, if any has."""
+        if self.origin is None:
+            return True
+        version = self._context.registry.versions.of(record)
+        return StreamOrigin(record.service, version) == self.origin
+
+    def _other_versions(self) -> list[str]:
+        """Return the runners of the service that may not continue the stream."""
+        if self.origin is None:
+            return []
+        ready = self._context.ready(self.service, self._allowed)
+        return [record.runner for record in ready if not self._may_continue(record)]
+
+    def is_origin_gone(self) -> bool:
+        """Tell whether no runner that takes work is of the version that began the stream."""
+        if self.origin is None:
+            return False
+        records = self._context.registry.records()
+        return not any(record.takes_work and self._may_continue(record) for record in records)
 
     def has_untried_runner(self) -> bool:
         """Tell whether a ready runner was not tried yet."""
@@ -91,23 +118,26 @@
     def no_runner_reason(self) -> str:
         """Return, for the log, why no runner may get the request now."""
         registry = self._context.registry
-        drained = outside = warming = 0
+        drained = outside = warming = other_version = 0
         for record in registry.records():
             if record.service != self.service or not record.takes_work:
                 continue
             if record.runner in self.tried:
                 continue
-            if registry.zone_drains.is_draining(record.zone):
+            if not self._may_continue(record):
+                other_version += 1
+            elif registry.zone_drains.is_draining(record.zone):
                 drained += 1
             elif not self._context.regions.allows(self._allowed, record.zone):
                 outside += 1
             elif registry.warm_ups.is_limited(record):
                 warming += 1
-        if not drained + outside + warming:
+        if not drained + outside + warming + other_version:
             return f"no runner of {self.service} is known"
         return (
             f"no runner of {self.service} may get it: {drained} in draining zones, "
-            f"{outside} outside the allowed regions, {warming} warming up"
+            f"{outside} outside the allowed regions, {warming} warming up, "
+            f"{other_version} of another software version"
         )
 
     def record_sent(self, record: RunnerRecord) -> None:
@@ -129,7 +159,9 @@
     def _use_route(self, route: Route) -> None:
         """Apply a route's current services and allowed regions."""
         self._allowed = self._context.allowed_regions(route, self._identity)
-        if not route.allows(self.service):
+        if self.origin is not None:
+            self.service = self.origin.service if route.allows(self.origin.service) else NO_SERVICE
+        elif not route.allows(self.service):
             self.service = self._context.split.service(route)
 
     def _may_be_refused(self) -> bool:
@@ -163,6 +195,8 @@
         record = context.registry.get(placement.runner)
         if record is None or not context.registry.is_ready(record.runner):
             return None
+        if not self._may_continue(record):
+            return None
         return record if context.regions.allows(self._allowed, record.zone) else None
 
     def _choose(self) -> RunnerRecord | None:
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from rainsail.cluster.messages import RunnerRecord
+from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.exchange import HttpRequest
 from rainsail.relay.attempt import Attempt, AttemptOwner
 from rainsail.relay.context import RelayContext
@@ -65,6 +66,14 @@
         """The runners that the request was sent to."""
         return self._finder.tried
 
+    def continue_at(self, origin: StreamOrigin | None) -> None:
+        """Send only to runners of the service and software version that began the stream."""
+        self._finder.origin = origin
+
+    def is_origin_gone(self) -> bool:
+        """Tell whether no runner of the version that began the stream takes work."""
+        return self._finder.is_origin_gone()
+
     def ask_placement(self, route: Route, placed: Callable[[Placement | None], None]) -> None:
         """Ask for a placement; ``placed`` gets None if this gateway has to choose."""
         self.route = route
--- a/src/rainsail/simulation/network.py
+++ b/src/rainsail/simulation/network.py
@@ -13,6 +13,7 @@
 from rainsail.errors import Fault, FaultCode
 from rainsail.simulation.clock import VirtualClock
 from rainsail.wire.codec import encode
+from rainsail.wire.extensions import EXTENSION_LEVEL
 from rainsail.wire.messenger import Envelope, ProcessName
 
 Deliver = Callable[[ProcessName, Envelope], None]
@@ -62,6 +63,10 @@
         """Set the function that gets every arriving envelope with the name of its sender."""
         self._deliver = deliver
 
+    def extension_level(self, peer: ProcessName) -> int:
+        """Return the own level: all simulated processes run the same version."""
+        return EXTENSION_LEVEL
+
     def arrive(self, source: ProcessName, envelope: Envelope) -> None:
         """Hand an envelope to the process, or hold it while the process is frozen."""
         if self._held is not None:
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -60,6 +60,10 @@
         """Set the function that gets every arriving envelope with the name of its sender."""
         ...
 
+    def extension_level(self, peer: ProcessName) -> int:
+        """Return the highest protocol extension that a peer has announced (``extensions``)."""
+        ...
+
 
 wire_record("Fault")(Fault)
 
@@ -82,6 +86,10 @@
         for destination in destinations:
             self._transport.send(destination, envelope)
 
+    def extension_level(self, peer: ProcessName) -> int:
+        """Return the highest protocol extension that a peer has announced (``extensions``)."""
+        return self._transport.extension_level(peer)
+
     def serve(self, message_type: type, handler: Handler) -> None:
         """Handle each arriving message of ``message_type``; one handler per type."""
         self._handlers[message_type] = handler
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -21,6 +21,12 @@
 from rainsail.wire.connection import PeerConnection
 from rainsail.wire.dialler import DialState, QueuedEnvelope
 from rainsail.wire.envelope import encode_envelope
+from rainsail.wire.extensions import (
+    EXTENSION_LEVEL,
+    NO_EXTENSIONS,
+    announced_level,
+    announcement,
+)
 from rainsail.wire.hello import LinkHello, RoleOf
 from rainsail.wire.messenger import Envelope, EnvelopeKind, ProcessName
 from rainsail.wire.protocol import PROTOCOL_MODULES, transport_fingerprint
@@ -57,6 +63,8 @@
         self._role_of = role_of
         self._tls_options = _tls_options(name, tls, role_of)
         self._hello = LinkHello(name, fleet, transport_fingerprint(protocol_modules))
+        self._announcement = encode_envelope(announcement(name, fleet))
+        self._extension_levels: dict[ProcessName, int] = {}
         self._deliver: Callable[[ProcessName, Envelope], None] | None = None
         self._dialled: dict[ProcessName, PeerConnection] = {}
         self._accepted: dict[ProcessName, PeerConnection] = {}
@@ -92,6 +100,12 @@
             return self._send_on(connection, QueuedEnvelope(data, call_id))
         return self._queue_for(destination, QueuedEnvelope(data, call_id))
 
+    def extension_level(self, peer: ProcessName) -> int:
+        """Return the highest protocol extension that a peer has announced."""
+        if peer == self.name:
+            return EXTENSION_LEVEL
+        return self._extension_levels.get(peer, NO_EXTENSIONS)
+
     def _encoded(self, envelope: Envelope) -> bytes:
         """Encode an envelope; one that is sent to many peers in a row is encoded only once."""
         if envelope is not self._last_envelope:
@@ -135,6 +149,7 @@
     def connection_opened(self, connection: PeerConnection) -> None:
         """Use an open connection for its peer."""
         peer = connection.peer
+        connection.send_envelope(self._announcement)
         if connection.was_dialled:
             self._dialled[peer] = connection
             for queued in self._dial_state(peer).opened():
@@ -146,7 +161,11 @@
             former.close(self._fault(FaultCode.UNAVAILABLE, "the peer connected anew", peer))
 
     def envelope_received(self, peer: ProcessName, envelope: Envelope) -> None:
-        """Pass an envelope to the messenger."""
+        """Pass an envelope to the messenger, unless it announces extensions."""
+        level = announced_level(envelope)
+        if level is not None:
+            self._extension_levels[peer] = level
+            return
         if envelope.kind == EnvelopeKind.REPLY:
             self._calls.answered(peer, envelope.call_id)
         self._pass_to_messenger(peer, envelope)
@@ -158,6 +177,8 @@
         for links in (self._dialled, self._accepted):
             if links.get(peer) is connection:
                 del links[peer]
+        if peer not in self._dialled and peer not in self._accepted:
+            self._extension_levels.pop(peer, None)
         if connection.was_dialled and self._dial_state(peer).dialling:
             self._dial_failed(peer, fault)
         for call_id in self._calls.pop_lost(peer, connection):
