Continue an item's text only at the software version that wrote it

Change: the text so far has an origin, service and version. The item prefers a free slot at a runner of that origin, waits up to 1 s for one, and begins anew elsewhere. Committed progress has no version, and a field would keep earlier versions from reading it: a new leader continues it only where the route has one service and all runners that it remembers have one version.

--- /dev/null
+++ b/features/steps/job_software_version_steps.py
@@ -0,0 +1,170 @@
+"""Steps on items at runners of several software versions, in virtual time."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from features.support.relayed_fleet import RelayedFleet
+from features.support.relaying import runner_record
+
+from rainsail.routing.messages import OnlineUse, RunnerUse
+
+SEED = 63
+JOB = "job-1"
+SLOTS = 4
+PROGRESS_S = 1.2
+"""Longer than two periods in which progress is committed."""
+
+
+@given("a relayed fleet with a table and runners of versions {versions}")
+def make_fleet(context, versions):
+    context.fleet = fleet = RelayedFleet(SEED)
+    fleet.leader("controller")
+    fleet.leader("storage")
+    controller = fleet.controller("controller-1")
+    assert fleet.result_of(controller.tables.replace(1, b"1"), "a table").is_ok()
+    context.versions = dict(enumerate(versions.split(", "), 1))
+    for number, version in context.versions.items():
+        controller.reports.take(_report(number), version)
+    fleet.run_for(1.5)
+
+
+def _report(number, state="ready", sequence=1):
+    return replace(runner_record(number, state, sequence), slots=SLOTS)
+
+
+def _calls(context):
+    return context.fleet.calls()
+
+
+def _wait_for_call(context, count):
+    context.fleet.run_until(lambda: len(_calls(context)) >= count, f"run {count} of the item", 20)
+    return _calls(context)[count - 1]
+
+
+def _number_of(call):
+    return int(call.field(b"runner").rpartition("-")[2])
+
+
+def _send(context, call, events):
+    context.fleet.run_for(0.1)
+    for number in range(1, events + 1):
+        data = f"id: {number}\ndata: {number} of {_number_of(call)}\n\n"
+        call.listener.answer_data(data.encode())
+
+
+@when("the item's run sends {count:d} events and its runner stops taking work")
+def send_and_stop(context, count):
+    call = context.first = _wait_for_call(context, 1)
+    _send(context, call, count)
+    drained = _report(_number_of(call), "draining", 2)
+    done = context.fleet.controller("controller-1").reports.take(drained)
+    assert context.fleet.result_of(done, "the drain").is_ok()
+    context.fleet.run_for(0.1)
+    call.over = True
+    call.listener.answer_failed("connection reset")
+
+
+@when("the item's run sends {count:d} events, which are committed")
+def send_and_commit(context, count):
+    call = context.first = _wait_for_call(context, 1)
+    _send(context, call, count)
+    context.fleet.run_for(PROGRESS_S)
+
+
+@when("the leader that ran the item loses power")
+def leader_fails(context):
+    leader = context.fleet.leader("storage")
+    context.earlier = context.fleet.pools[leader].calls
+    context.fleet.crash(leader)
+    del context.fleet.pools[leader]
+    context.first_after_failure = True
+
+
+def _next_call(context):
+    """Return the run that follows the first one, at the same leader or at the next."""
+    count = 1 if getattr(context, "first_after_failure", False) else 2
+    context.second = _wait_for_call(context, count)
+    return context.second
+
+
+def _versions_of_both(context):
+    return tuple(context.versions[_number_of(call)] for call in (context.first, context.second))
+
+
+@then("the item runs next at the same version, after event {number:d}")
+def same_version(context, number):
+    call = _next_call(context)
+    first, second = _versions_of_both(context)
+    assert first == second and call.field(b"after-event") == str(number), (first, second, call)
+
+
+@then("the item runs next at another version, from its beginning")
+def other_version(context):
+    from_the_beginning(context)
+    first, second = _versions_of_both(context)
+    assert first != second, (first, second)
+
+
+@then("the item runs next at any version, from its beginning")
+def from_the_beginning(context):
+    call = _next_call(context)
+    assert call.field(b"after-event") == "", call.request.headers
+
+
+@when("online requests take all slots of the other runner of its version")
+def fill_other(context):
+    call = _wait_for_call(context, 1)
+    own = _number_of(call)
+    (other,) = [
+        number
+        for number, version in context.versions.items()
+        if version == context.versions[own] and number != own
+    ]
+    context.use = OnlineUse((RunnerUse(runner_record(other).runner, SLOTS),))
+    _report_use(context)
+
+
+def _report_use(context):
+    gateway = context.fleet.nodes["gateway-1"].base.messenger
+    gateway.send(context.fleet.address(context.fleet.leader("storage")), context.use)
+    context.fleet.run_for(0.05)
+
+
+@then("the item does not run again within {seconds:g} seconds")
+def not_again(context, seconds):
+    before = len(_calls(context))
+    context.fleet.run_for(seconds)
+    assert len(_calls(context)) == before, _calls(context)
+
+
+@when("that run sends {count:d} events and ends whole")
+def end_whole(context, count):
+    call = context.second
+    _send(context, call, count)
+    call.over = True
+    call.listener.answer_ended()
+    _confirm_beginning(context, call)
+
+
+def _confirm_beginning(context, call):
+    """Let further runs of the item begin alike, which confirms an unconfirmed text."""
+    context.fleet.run_for(1.0)
+    for later in _calls(context)[_calls(context).index(call) + 1 :]:
+        if not later.cancelled and not later.over:
+            _send(context, later, 1)
+
+
+@then("the item's result is the text of that run only")
+def result_of_one_run(context):
+    results = []
+
+    def listed():
+        gateway = context.fleet.nodes["gateway-2"].role
+        read = context.fleet.result_of(gateway.read("", JOB, 0, 0.0), "a page")
+        results[:] = read.ok.results if read.is_ok() else []
+        return bool(results)
+
+    context.fleet.run_until(listed, "the item's result", 20)
+    runner = _number_of(context.second)
+    expected = "\n".join(f"{number} of {runner}" for number in range(1, 5))
+    assert results[0].text == expected, results
--- a/src/rainsail/jobs/item_recorder.py
+++ b/src/rainsail/jobs/item_recorder.py
@@ -28,6 +28,11 @@
         self._log_of(item).bind(last_event=item.progress.last_event).info("item_gave_way")
         self._metrics.count("items_gave_way")
 
+    def text_dropped(self, item: OpenItem, version: str) -> None:
+        """Record that an item begins anew, since another software version wrote its text so far."""
+        log = self._log_of(item).bind(last_event=item.progress.last_event, version=version)
+        log.info("item_text_dropped")
+
     def run_ended_early(
         self, item: OpenItem, end: RunEnd, reason: str, fingerprint_name: str
     ) -> None:
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
 from rainsail.jobs.job_state import EVENT_SEPARATOR
 from rainsail.relay.continuation import (
@@ -80,6 +81,7 @@
     last_event: int | None
     texts: tuple[str, ...]
     numbers: tuple[int, ...]
+    origin: StreamOrigin | None
 
 
 @dataclass(slots=True)
@@ -90,6 +92,9 @@
     texts: list[str] = field(default_factory=list)
     numbers: list[int] = field(default_factory=list)
     """The event id of each text."""
+    origin: StreamOrigin | None = None
+    """Who writes the text; None before the first run, or if the ledger's text has no known origin.
+    """
     failures: int = 0
     impossible: int = 0
     rejected_beginnings: Counter[FirstEvent] = field(default_factory=Counter)
@@ -123,7 +128,7 @@
     def set_unconfirmed(self, beginning: StreamBeginning) -> None:
         """Store the text as unconfirmed until its beginning is confirmed, and start anew."""
         texts, numbers = tuple(self.texts), tuple(self.numbers)
-        self.unconfirmed = UnconfirmedText(beginning, self.last_event, texts, numbers)
+        self.unconfirmed = UnconfirmedText(beginning, self.last_event, texts, numbers, self.origin)
         self.start_anew()
 
     def take_confirmed(self) -> None:
@@ -133,6 +138,7 @@
         self.last_event = confirmed.last_event
         self.texts = list(confirmed.texts)
         self.numbers = list(confirmed.numbers)
+        self.origin = confirmed.origin
 
     @property
     def text(self) -> str:
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -4,6 +4,7 @@
 """
 
 from rainsail.cluster.messages import RunnerRecord
+from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.jobs.after_run import (
     CONFIRMATION_PAUSE_S,
     RUNNER_BACKOFF_MAX_S,
@@ -50,8 +51,12 @@
         self._recorder = recorder
 
     def start(self, item: OpenItem, job: RelayedJob, record: RunnerRecord, now: float) -> None:
-        """Send an item to a runner, which resumes after the last event received."""
+        """Send an item to a runner, which resumes after the last event received.
+
+        An item whose text another service or software version has written begins anew.
+        """
         content = job.items[item.index]
+        self._bind_to(item, StreamOrigin(record.service, self._node.registry.versions.of(record)))
         request = self._node.protocol.item_request(
             ItemRequest(job.host, content, item.progress.last_event, job.tenant),
             RunnerTarget(record.runner, record.address),
@@ -65,6 +70,15 @@
         self._recorder.item_sent(item)
         item.call = self._node.pool.send(record.address, request, item.run)
 
+    def _bind_to(self, item: OpenItem, origin: StreamOrigin) -> None:
+        """Make a runner's service and version the origin of the item's text."""
+        if item.begun and item.progress.origin != origin:
+            self._recorder.text_dropped(item, origin.version)
+            item.progress.start_anew()
+            item.progress.from_previous_leader = False
+            item.forget_dropped_events()
+        item.progress.origin = origin
+
     def _source_of(self, item: OpenItem, job: RelayedJob, record: RunnerRecord) -> StreamSource:
         route = self._routes.of_item(job, item.index)
         return StreamSource(record.service, "" if route is None else route.name)
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -3,16 +3,19 @@
 from enum import StrEnum
 
 from rainsail.cluster.messages import RunnerRecord
+from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.jobs.after_run import ItemOver
 from rainsail.jobs.context import DispatchNode, Ledger
 from rainsail.jobs.dispatch_state import DispatchState
 from rainsail.jobs.item_guard import ItemGuard
+from rainsail.jobs.item_origin import origin_of_committed_text, preferred_records
 from rainsail.jobs.item_planner import ItemPlanner
 from rainsail.jobs.item_recorder import ItemRecorder
 from rainsail.jobs.item_runs import ItemRuns
 from rainsail.jobs.open_item import OpenItem
 from rainsail.jobs.slot_use import choose_runner
 from rainsail.relay.split import WeightedServicePicker
+from rainsail.relay.table import Route
 from rainsail.routing.residency import AllowedRegions
 
 
@@ -101,21 +104,44 @@
         if route is None:
             self._recorder.item_over(item, ItemOver(False, "no route"))
             return StartResult.WAITS_NO_LONGER
-        service = self._split.service(route)
+        origin = self._origin_of_text(item, route)
+        service = self._service_for(origin, route)
         if self._guard.is_held(item, service):
             # The next split decision may select another service.
             self._keep_waiting(item, now)
             return StartResult.PASSED_OVER
         allowed = self._routes.allowed_regions(route, job.tenant)
-        record = self._choose_runner(item, service, allowed, now)
+        record = self._choose_runner(item, origin, service, allowed, now)
         if record is not None:
             self._runs.start(item, job, record, now)
             return StartResult.WAITS_NO_LONGER
         # The runners that this item avoids may have free slots for other items.
-        return StartResult.PASSED_OVER if item.failed_at_s else StartResult.NO_SLOT
+        is_choosy = bool(item.failed_at_s) or origin is not None
+        return StartResult.PASSED_OVER if is_choosy else StartResult.NO_SLOT
+
+    def _service_for(self, origin: StreamOrigin | None, route: Route) -> str:
+        """Return the service that wrote the item's text so far, else the next one of the split."""
+        if origin is not None and route.allows(origin.service):
+            return origin.service
+        return self._split.service(route)
+
+    def _origin_of_text(self, item: OpenItem, route: Route) -> StreamOrigin | None:
+        """Return who wrote an item's text so far; None if there is none, or nobody can tell."""
+        if not item.begun:
+            return None
+        if item.progress.from_previous_leader:
+            services = [share.service for share in route.shares if share.weight > 0]
+            sole_version = self._node.registry.sole_version
+            item.progress.origin = origin_of_committed_text(services, sole_version)
+        return item.progress.origin
 
     def _choose_runner(
-        self, item: OpenItem, service: str, allowed: AllowedRegions, now: float
+        self,
+        item: OpenItem,
+        origin: StreamOrigin | None,
+        service: str,
+        allowed: AllowedRegions,
+        now: float,
     ) -> RunnerRecord | None:
         if not self._planner.may_run_more(service):
             return None
@@ -126,11 +152,18 @@
         ]
         # A runner that fails every item must not use up the item's attempts.
         preferred = [each for each in allowed_records if not item.avoids(each.runner, now)]
-        records = {
-            record.runner: record
-            for record in preferred or allowed_records
+        ready = preferred or allowed_records
+        uses = {
+            record.runner: self._slots.use_of(record, now)
+            for record in ready
             if self._slots.may_start_at(record, now)
         }
-        uses = [self._slots.use_of(record, now) for record in records.values()]
-        chosen = choose_runner(uses, self._node.zone)
+        free = [each for each in ready if each.runner in uses and uses[each.runner].free > 0]
+        waited_s = now - item.ready_at_s
+        usable = preferred_records(ready, free, origin, waited_s, self._origin_of)
+        records = {record.runner: record for record in usable}
+        chosen = choose_runner([uses[runner] for runner in records], self._node.zone)
         return None if chosen is None else records[chosen.runner]
+
+    def _origin_of(self, record: RunnerRecord) -> StreamOrigin:
+        return StreamOrigin(record.service, self._node.registry.versions.of(record))
