--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -35,6 +35,8 @@
     at_s: float
     sender: str
     body: bytes
+    part: str = ""
+    """The prompt part that crashes the runner, if it is not the body."""
 
 
 @dataclass
@@ -83,6 +85,8 @@
         self.runners = [CrashingRunner(number) for number in range(1, count + 1)]
         self.fatal_runs: list[FatalRun] = []
         self.fatal_bodies = {FATAL_BODY}
+        self.fatal_parts: set[str] = set()
+        """Prompt parts that crash the runner, unless they are a prompt's last part."""
         self.abort_share = 0.0
         """Probability that a runner aborts a response at an event and keeps running."""
         self._draw = random.Random(count)
@@ -151,15 +155,21 @@
         if call.cancelled or call not in runner.calls:
             return
         call.listener.answer_begun(AnswerHead(200, STREAM_FIELDS))
-        if call.request.body in self.fatal_bodies and not self._is_immune(runner):
-            run = FatalRun(self.clock.seconds(), call.sender, call.request.body)
+        part = self._fatal_part(call)
+        is_fatal = part or call.request.body in self.fatal_bodies
+        if is_fatal and not self._is_immune(runner):
+            run = FatalRun(self.clock.seconds(), call.sender, call.request.body, part)
             self.fatal_runs.append(run)
-            runner.ran_fatal = call.request.body
+            runner.ran_fatal = part.encode() or call.request.body
             self.clock.callLater(CRASH_AFTER_S, self.crash, runner, runner.incarnation)
             return
         first = int(call.field(b"after-event") or 0) + 1
         self.clock.callLater(EVENT_PERIOD_S, self._send_event, runner, call, first)
 
+    def _fatal_part(self, call: StandInCall) -> str:
+        parts = [text.partition(":")[0] for text in call.field(b"prompt").split(",")[:-1]]
+        return next((part for part in parts if part in self.fatal_parts), "")
+
     def _send_event(self, runner: CrashingRunner, call: StandInCall, number: int) -> None:
         if call.cancelled or call not in runner.calls:
             return
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -10,6 +10,7 @@
 from features.support.relaying import HOST, SERVICE, PlainProtocol, StandInExchange
 
 from rainsail.fleet.base import NodeBase
+from rainsail.http.client import OutgoingRequest
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.server import HttpLimits
 from rainsail.jobs.client import JobClient
@@ -19,6 +20,7 @@
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
+from rainsail.routing.facts import PromptPart
 
 PREFIX = "/a/"
 PATH = "/a/1"
@@ -36,7 +38,19 @@
         """Return the facts of a request without a prompt."""
         name = dict(request.headers)[b"request"].decode()
         path = request.target.decode()
-        return RequestFacts(name, HOST, path, DEADLINE_S, (), 0, 0, None)
+        prompt = _prompt(dict(request.headers).get(b"prompt", b"").decode())
+        return RequestFacts(name, HOST, path, DEADLINE_S, prompt, 0, 0, None)
+
+    def relayed(self, request: HttpRequest, *more: Any) -> OutgoingRequest:
+        """Pass the prompt on to the runner."""
+        sent = super().relayed(request, *more)
+        prompt = [each for each in request.headers if each[0] == b"prompt"]
+        return replace(sent, headers=(*sent.headers, *prompt))
+
+
+def _prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = [part.partition(":") for part in text.split(",") if part]
+    return tuple(PromptPart(part, int(tokens)) for part, _, tokens in parts)
 
 
 def read_table(content: bytes) -> Any:
@@ -153,10 +167,12 @@
 
     # --- clients -------------------------------------------------------------------------
 
-    def request(self, gateway: str, body: bytes, path: str = PATH) -> StandInExchange:
+    def request(
+        self, gateway: str, body: bytes, path: str = PATH, prompt: str = ""
+    ) -> StandInExchange:
         """Send a client's request with a unique id."""
         self._sent += 1
-        fields = ((b"request", f"request-{self._sent}".encode()),)
+        fields = ((b"request", f"request-{self._sent}".encode()), (b"prompt", prompt.encode()))
         seconds = self.nodes[gateway].clock.seconds()
         head = HttpRequest(b"POST", path.encode(), fields, body, seconds)
         exchange = StandInExchange(head, self.clock)
--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -54,6 +54,8 @@
 """This long after the acknowledgement of a zone's drain its runners get no more requests."""
 FATAL_BODY = b"fatal"
 """A runner process ends when it starts to run this body."""
+FATAL_PART_AFTER_S = 0.05
+"""A runner process ends this long after it has started to run a fatal prompt part."""
 BACK_AFTER_S = 1.5
 """A runner process that has ended restarts after this time."""
 SETTINGS = """
@@ -134,12 +136,19 @@
     faults: StreamFaults | None = None
     """Random generator for the faults of a soak."""
     leaving: bool = False
+    is_down: bool = False
     sequence: int = 0
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     server: Any = None
     port: Any = None
     fatal_runs: list[float] = field(default_factory=list)
     """When the fatal body started to run here."""
+    fatal_parts: frozenset[str] = frozenset()
+    """Prompt parts that end the process, unless they are a prompt's last part."""
+    part_runs: list[tuple[str, float]] = field(default_factory=list)
+    """Which fatal part started to run here, and when."""
+    ends: list[tuple[str, float]] = field(default_factory=list)
+    """Which fatal part ended the process, and when."""
     come_back: Callable[[], None] = lambda: None
 
     def handle(self, exchange: Exchange) -> None:
@@ -163,6 +172,11 @@
             self.fatal_runs.append(time.monotonic())
             self.die()
             return
+        part = self._fatal_part(header_text(fields, b"prompt-prefix"))
+        if part:
+            self.part_runs.append((part, time.monotonic()))
+            reactor.callLater(FATAL_PART_AFTER_S, self._die_of, part, self.born_ms)
+            return
         answer = [(b"Request-Id", request.encode()), (b"Response-Stamp", b"stamp-1")]
         target = exchange.request.target
         after = header_text(fields, b"last-event-id")
@@ -173,8 +187,18 @@
         else:
             exchange.answer(200, tuple(answer), b"echo " + exchange.request.body)
 
+    def _fatal_part(self, prompt: str) -> str:
+        parts = [text.strip().partition(":")[0] for text in prompt.split(",")[:-1]]
+        return next((part for part in parts if part in self.fatal_parts), "")
+
+    def _die_of(self, part: str, born_ms: int) -> None:
+        if born_ms == self.born_ms and not self.is_down:
+            self.ends.append((part, time.monotonic()))
+            self.die()
+
     def die(self) -> None:
         """End like a process: stop listening and close each connection gracefully."""
+        self.is_down = True
         self.port.stopListening()
         for connection in list(self.server.connections):
             connection.transport.loseConnection()
@@ -238,6 +262,7 @@
         self.nodes: dict[str, NodeProcess] = {}
         self.runners: list[StandInRunner] = []
         self.version = 0
+        self._is_closed = False
         counts = {"controller": controllers, "storage": storage, "gateway": gateways}
         self.seeds = [self._ip("controller", number) for number in range(1, controllers + 1)]
         for role, count in counts.items():
@@ -337,6 +362,7 @@
 
     def close(self) -> None:
         """Stop everything that was started."""
+        self._is_closed = True
         for node in self.nodes.values():
             if node.running:
                 assert node.process is not None
@@ -446,8 +472,11 @@
 
     def _come_back(self, runner: StandInRunner, ip: str) -> None:
         """Restart a runner under its id, in the reactor's thread, and report it to the platform."""
+        if self._is_closed:
+            return
         runner.port = reactor.listenTCP(RUNNER_PORT, runner.server, 50, ip)
         runner.sequence = 0
+        runner.is_down = False
         runner.born_ms = int(time.time() * 1000)
         reactor.callInThread(self.beat, runner)
 
