Hold a prompt part that crashes each runner that begins to answer it

Cause: the quarantine knew a request only by the digest of all of it, so no two of these were the same and no count got above one. The class: a cause is counted only under the identity of the whole input that carried it. The same holds for items, whose requests carry prompts too.

Change: each part of a prompt but the last one has a fingerprint, of its tenant, service and model. It is a suspect beside the request itself, goes through the same reports, counts, decisions and lists, and is looked up before each sending, of items too. A part that many requests hold must not be held by chance: it needs three crashes at which another suspect was cleared by an answer, or five. Where answers end only with their connection, the runner's address is tried before they clear a part.

--- a/features/compatibility/http.feature
+++ b/features/compatibility/http.feature
@@ -61,6 +61,7 @@
       Last-Event-ID
       Rainsail-Deadline-S
       Rainsail-Load
+      Rainsail-Model
       Rainsail-Not-Run
       Rainsail-Prompt
       Rainsail-Request
@@ -74,6 +75,7 @@
       Deadline-Ms
       Expect-Instance
       Last-Event-Id
+      Model
       Not-Run
       Prompt-Prefix
       Request-Id
--- a/features/steps/fatal_part_steps.py
+++ b/features/steps/fatal_part_steps.py
@@ -1,7 +1,18 @@
 """Steps for prompt parts that crash the runners that begin to answer them, in virtual time."""
 
+import itertools
+
 from behave import given, step, then, when
+from features.support.crashing_runners import RESTART_AFTER_S
 from features.support.fatal_request_fleet import FatalRequestFleet
+from features.support.relayed_fleet import JOB_PATH
+from features.support.relaying import EVENT_STREAM_FIELDS, HOST
+
+from rainsail.http.client import AnswerHead
+from rainsail.jobs.messages import QueueLimit
+from rainsail.quarantine.fingerprint import is_of_part, part_fingerprints
+from rainsail.routing.facts import PromptPart
+from rainsail.state.job_commands import ItemHeader, RelayedItem
 
 SEED = 63
 CONTACT_S = 3.0
@@ -115,7 +126,7 @@
 def _held_parts(context):
     """Return how many parts of prompts are or were held."""
     decided = context.fleet.decided().requests
-    return [each for each in decided if len(each.fingerprint) > 16]
+    return [each for each in decided if is_of_part(each.fingerprint)]
 
 
 @then("no part was ever held")
@@ -131,3 +142,141 @@
 @then("no runner of that fleet has crashed")
 def no_crash(context):
     assert not context.fleet.runners.crashes, context.fleet.runners.crashes
+
+
+# --- runners that end by themselves ----------------------------------------------------------
+
+
+@given("its runners mark the end of an answer only by the end of the connection")
+def unmarked_ends(context):
+    context.fleet.runners.head = AnswerHead(200, EVENT_STREAM_FIELDS)
+
+
+@when("some of its runners ends every {period_s:g} s for {seconds:g} s")
+def some_end(context, period_s, seconds):
+    fleet = context.fleet
+    runners = itertools.cycle(fleet.runners.runners)
+    for _ in range(round(seconds / period_s)):
+        runner = next(runners)
+        fleet.runners.crash(runner, runner.incarnation)
+        fleet.run_for(period_s)
+
+
+@when("{count:d} of its runners end at once and all others lose power, for {seconds:g} s")
+def all_down(context, count, seconds):
+    fleet = context.fleet
+    fleet.run_for(RESTART_AFTER_S)
+    for number, runner in enumerate(fleet.runners.runners):
+        if number < count:
+            fleet.runners.crash(runner, runner.incarnation, seconds)
+        else:
+            fleet.runners.lose_power(runner, seconds)
+    fleet.run_for(seconds)
+
+
+@then("sound requests are answered again")
+def answered_again(context):
+    fleet = context.fleet
+    now_s = fleet.clock.seconds()
+    fleet.run_for(5.0)
+    assert _share(context, now_s, now_s + 3.0) >= 0.9
+
+
+# --- decisions and operators -----------------------------------------------------------------
+
+
+@when("all controllers of that fleet lose power and start again")
+def restart_controllers(context):
+    fleet = context.fleet
+    names = fleet.names("controller")
+    for name in names:
+        fleet.crash(name)
+    for name in names:
+        fleet.start(name)
+    fleet.leader("controller")
+    fleet.run_for(CONTACT_S)
+    context.runs_before = len(fleet.runners.fatal_runs)
+
+
+@when('requests with prompts "{prompt}" come every {period_s:g} s for {seconds:g} s, once more')
+def come_again(context, prompt, period_s, seconds):
+    come_meanwhile(context, prompt, period_s, seconds)
+    context.fleet.run_for(seconds)
+
+
+@then("no run of the part began since the restart")
+def no_run_since(context):
+    assert len(context.fleet.runners.fatal_runs) == context.runs_before
+
+
+@when("the part is harmless")
+def harmless(context):
+    context.fleet.runners.fatal_parts.clear()
+
+
+@when("the part is harmless and an operator releases it")
+def release(context):
+    harmless(context)
+    (held,) = _held_parts(context)
+    controller = context.fleet.controller("controller-1")
+    done = controller.quarantine.release(held.fingerprint)
+    assert context.fleet.result_of(done, "the release").is_ok()
+    context.fleet.run_for(1.0)
+
+
+def _answer_to(context, prompt):
+    exchange = context.fleet.request("gateway-1", b"a question", prompt=prompt)
+    context.fleet.run_for(5.0)
+    return exchange
+
+
+@then('a request with prompt "{prompt}" is served')
+def is_served(context, prompt):
+    exchange = _answer_to(context, prompt)
+    assert exchange.status == SERVED and exchange.ended, exchange
+
+
+@then('a request with prompt "{prompt}" is refused as held')
+def is_held(context, prompt):
+    exchange = _answer_to(context, prompt)
+    assert (exchange.status, exchange.headers) == (502, ()), exchange
+
+
+@then("the fingerprints of one part differ by tenant, service and model, and by no other part")
+def fingerprints_differ(context):
+    prompt = (PromptPart("dead01", 40), PromptPart("own", 90))
+    owners = itertools.product(("", "shop"), ("model", "other"), ("", "m"))
+    found = {part_fingerprints(*owner, prompt) for owner in owners}
+    assert len(found) == 8 and all(len(each) == 1 for each in found), found
+    longer = part_fingerprints("", "model", "", (PromptPart("first", 1), *prompt))
+    assert longer[1:] == part_fingerprints("", "model", "", prompt), longer
+
+
+# --- items -----------------------------------------------------------------------------------
+
+
+@when('a job of {count:d} items is handed in, two of which hold the part "{part}"')
+def hand_in(context, count, part):
+    fleet = context.fleet
+    items = tuple(
+        RelayedItem(
+            f"job-1-{number}",
+            f"{JOB_PATH}/{number}",
+            (ItemHeader("prompt", f"aa01:172,{part if number < 2 else 'bb'}:40,own{number}:9"),),
+            f"item {number}".encode(),
+            10,
+        )
+        for number in range(count)
+    )
+    limit = QueueLimit("/jobs/", 0)
+    done = fleet.jobs["gateway-1"].submit("", "job-1", HOST, JOB_PATH, items, limit)
+    assert fleet.result_of(done, "an answer to the job").is_ok()
+
+
+@then("the {count:d} other items of the job are done")
+def others_done(context, count):
+    fleet = context.fleet
+    state = fleet.nodes[fleet.leader("storage")].role.state
+    (job,) = state.jobs.values()
+    assert sorted(job.unlisted) == [0, 1], job.unlisted
+    assert sum(each.done for each in job.listed) == count, job.listed
--- a/features/steps/quarantine_soak_steps.py
+++ b/features/steps/quarantine_soak_steps.py
@@ -21,8 +21,8 @@
     ),
     "held requests are sent nevertheless": (
         QuarantineAgent,
-        "holds",
-        lambda agent, fingerprint: False,
+        "held_among",
+        lambda agent, fingerprints: None,
     ),
 }
 
--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -87,6 +87,8 @@
         self.fatal_bodies = {FATAL_BODY}
         self.fatal_parts: set[str] = set()
         """Prompt parts that crash the runner, unless they are a prompt's last part."""
+        self.head = AnswerHead(200, STREAM_FIELDS)
+        """The head of each answer."""
         self.abort_share = 0.0
         """Probability that a runner aborts a response at an event and keeps running."""
         self._draw = random.Random(count)
@@ -154,7 +156,7 @@
     def _begin(self, runner: CrashingRunner, call: StandInCall) -> None:
         if call.cancelled or call not in runner.calls:
             return
-        call.listener.answer_begun(AnswerHead(200, STREAM_FIELDS))
+        call.listener.answer_begun(self.head)
         part = self._fatal_part(call)
         is_fatal = part or call.request.body in self.fatal_bodies
         if is_fatal and not self._is_immune(runner):
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -17,10 +17,11 @@
 from rainsail.quarantine.agent import QuarantineAgent
 from rainsail.relay.context import make_context
 from rainsail.relay.gateway import RelayGateway
-from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.protocol import ItemFacts, ItemRequest, RequestFacts, RunnerTarget
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
 from rainsail.routing.facts import PromptPart
+from rainsail.state.job_commands import RelayedItem
 
 PREFIX = "/a/"
 PATH = "/a/1"
@@ -41,6 +42,17 @@
         prompt = _prompt(dict(request.headers).get(b"prompt", b"").decode())
         return RequestFacts(name, HOST, path, DEADLINE_S, prompt, 0, 0, None)
 
+    def describe_item(self, item: RelayedItem) -> ItemFacts:
+        """Return the prompt of an item."""
+        return ItemFacts(_prompt(_stated_prompt(item)))
+
+    def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
+        """Pass the prompt on to the runner."""
+        sent = super().item_request(item, target)
+        return replace(
+            sent, headers=(*sent.headers, (b"prompt", _stated_prompt(item.item).encode()))
+        )
+
     def relayed(self, request: HttpRequest, *more: Any) -> OutgoingRequest:
         """Pass the prompt on to the runner."""
         sent = super().relayed(request, *more)
@@ -48,6 +60,10 @@
         return replace(sent, headers=(*sent.headers, *prompt))
 
 
+def _stated_prompt(item: RelayedItem) -> str:
+    return next((header.value for header in item.headers if header.name == "prompt"), "")
+
+
 def _prompt(text: str) -> tuple[PromptPart, ...]:
     parts = [part.partition(":") for part in text.split(",") if part]
     return tuple(PromptPart(part, int(tokens)) for part, _, tokens in parts)
@@ -123,6 +139,10 @@
         """Read a table of streams and jobs."""
         return read_table(content)
 
+    def make_protocol(self) -> RequestProtocol:
+        """Return the protocol of a storage node's requests to runners."""
+        return RequestProtocol()
+
     def make_pool(self, base: NodeBase) -> Any:
         """Return connections to the runners, which are created later."""
         name = base.settings.node.name
--- a/features/support/quarantine_soak.py
+++ b/features/support/quarantine_soak.py
@@ -64,11 +64,7 @@
         fleet = self.fleet
         begun_s = fleet.clock.seconds()
         ends_s = begun_s + FAULTS_FOR_S + RECOVERY_S
-        fleet.send_others(1 / OTHERS_PER_S, ends_s)
-        for body in self._common:
-            fleet.send_same(body, self._draw.uniform(0.1, 0.6), ends_s)
-        for body in self._fatal:
-            fleet.send_same(body, self._draw.uniform(0.3, 2.0), ends_s)
+        self._send_traffic(ends_s)
         while fleet.clock.seconds() < begun_s + FAULTS_FOR_S:
             fleet.run_for(self._draw.uniform(0.5, 3.0))
             self._draw.choice(self._faults)()
@@ -76,6 +72,15 @@
         fleet.run_for(RECOVERY_S)
         self._judge()
 
+    def _send_traffic(self, until_s: float) -> None:
+        """Send fatal, frequent and other bodies."""
+        fleet = self.fleet
+        fleet.send_others(1 / OTHERS_PER_S, until_s)
+        for body in self._common:
+            fleet.send_same(body, self._draw.uniform(0.1, 0.6), until_s)
+        for body in self._fatal:
+            fleet.send_same(body, self._draw.uniform(0.3, 2.0), until_s)
+
     # --- faults --------------------------------------------------------------------------
 
     def _disturb(self, node: str, for_s: float) -> None:
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -145,7 +145,7 @@
         if kind == "controller":
             return ControllerRole(base, disk, node.faults.append, self.clock.seconds)
         pool = self.pools[name] = self.make_pool(base)
-        protocol = PlainProtocol()
+        protocol = self.make_protocol()
         return StorageNode(base, protocol, self.table_of, pool, disk, node.faults.append)  # type: ignore[arg-type]
 
     def table_of(self, content: bytes) -> Any:
@@ -157,6 +157,10 @@
         calls = LeaderCaller(base.messenger, base.clock, None, lambda: base.follower.view().storage)
         return JobClient(calls)
 
+    def make_protocol(self) -> PlainProtocol:
+        """Return the protocol of a storage node's requests to runners."""
+        return PlainProtocol()
+
     def make_pool(self, base: NodeBase) -> Any:
         """Return a storage node's connections to runners."""
         return StandInPool(base.clock)
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -12,12 +12,19 @@
 from rainsail.http.reachability import Reachability
 from rainsail.mechanisms import Mechanisms
 from rainsail.relay.context import make_context
-from rainsail.relay.protocol import AnswerVerdict, ItemRequest, RequestFacts, RunnerTarget
+from rainsail.relay.protocol import (
+    AnswerVerdict,
+    ItemFacts,
+    ItemRequest,
+    RequestFacts,
+    RunnerTarget,
+)
 from rainsail.relay.run import RelayRun
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
 from rainsail.routing.facts import PromptPart, ServerLoad
 from rainsail.simulation.clock import VirtualClock
+from rainsail.state.job_commands import RelayedItem
 from rainsail.tenancy.tenants import ANONYMOUS, Identity
 
 SERVICE = "model"
@@ -56,6 +63,10 @@
             fields.append((b"after-event", str(after_event).encode()))
         return OutgoingRequest(request.method, request.target, tuple(fields), request.body)
 
+    def describe_item(self, item: RelayedItem) -> ItemFacts:
+        """Return the facts of an item without a prompt."""
+        return ItemFacts()
+
     def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
         """Send an item with the event to resume after."""
         fields = [(b"runner", target.runner.encode()), (b"item", item.item.item.encode())]
--- a/src/rainsail/fleet_api/quarantine.py
+++ b/src/rainsail/fleet_api/quarantine.py
@@ -6,7 +6,12 @@
 from rainsail.fleet_api.replies import STATUS_UNAVAILABLE, reply_fault, reply_when_done
 from rainsail.http.exchange import Exchange, watch_client
 from rainsail.quarantine.control import QuarantineControl
-from rainsail.quarantine.fingerprint import DIGEST_BYTES, Fingerprint, fingerprint_hex
+from rainsail.quarantine.fingerprint import (
+    DIGEST_BYTES,
+    PART_FINGERPRINT_BYTES,
+    Fingerprint,
+    fingerprint_hex,
+)
 from rainsail.quarantine.messages import QuarantineNotice
 
 HELD_REQUESTS = "/v1/held-requests"
@@ -54,4 +59,4 @@
         fingerprint = bytes.fromhex(name)
     except ValueError:
         return None
-    return fingerprint if len(fingerprint) == DIGEST_BYTES else None
+    return fingerprint if len(fingerprint) in (DIGEST_BYTES, PART_FINGERPRINT_BYTES) else None
--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -4,8 +4,14 @@
 from rainsail.jobs.item_routes import ItemRoutes
 from rainsail.jobs.job_state import JobState
 from rainsail.jobs.open_item import OpenItem
-from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_hex, fingerprint_of
-from rainsail.quarantine.guard import RequestGuard
+from rainsail.quarantine.fingerprint import (
+    Fingerprint,
+    fingerprint_hex,
+    fingerprint_of,
+    part_fingerprints,
+)
+from rainsail.quarantine.guard import Fingerprints, RequestGuard
+from rainsail.relay.protocol import RelayProtocol
 
 ITEM_METHOD = b"POST"
 
@@ -13,10 +19,13 @@
 class ItemGuard:
     """Applies the request guard to open items; fingerprints are computed on first use."""
 
-    def __init__(self, state: JobState, guard: RequestGuard, routes: ItemRoutes) -> None:
+    def __init__(
+        self, state: JobState, guard: RequestGuard, routes: ItemRoutes, protocol: RelayProtocol
+    ) -> None:
         self._state = state
         self._guard = guard
         self._routes = routes
+        self._protocol = protocol
 
     def fingerprint_name(self, item: OpenItem, service: str) -> str:
         """Return an item's fingerprint at a service in the form used in logs."""
@@ -38,9 +47,27 @@
         )
         return made
 
+    def _all_fingerprints(self, item: OpenItem, service: str) -> Fingerprints:
+        """Return an item's fingerprint at a service and those of its prompt's parts."""
+        return (self._fingerprint(item, service), *self._part_fingerprints(item, service))
+
+    def _part_fingerprints(self, item: OpenItem, service: str) -> tuple[Fingerprint, ...]:
+        job = self._state.jobs.get(item.job)
+        if job is None or not service:
+            return ()
+        known = item.part_fingerprints.get(service)
+        if known is not None:
+            return known
+        facts = self._protocol.describe_item(job.items[item.index])
+        made = part_fingerprints(job.tenant, service, facts.model, facts.prompt)
+        item.part_fingerprints[service] = made
+        return made
+
     def is_held(self, item: OpenItem, service: str = "") -> bool:
         """Tell whether an item must not be sent to runners of a service (empty: of any) now."""
-        return self._guard.holds_any and self._guard.holds(self._fingerprint(item, service))
+        if not self._guard.holds_any:
+            return False
+        return self._guard.held_among(self._all_fingerprints(item, service)) is not None
 
     def on_run_ended(self, item: OpenItem, record: RunnerRecord | None) -> None:
         """Report a connection that ended during a run, or a run that its runner survived."""
@@ -48,6 +75,7 @@
         if run is None or record is None:
             return
         if run.connection_ended:
-            self._guard.connection_ended(record, self._fingerprint(item, record.service))
-        elif run.proves_survival and self._guard.wants_answers:
-            self._guard.answered(self._fingerprint(item, record.service))
+            self._guard.connection_ended(record, self._all_fingerprints(item, record.service))
+        elif run.is_whole and self._guard.wants_answers:
+            fingerprints = self._all_fingerprints(item, record.service)
+            self._guard.answered(record, fingerprints, run.proves_survival)
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -165,6 +165,8 @@
         self.verdict: AnswerVerdict | None = None
         self.connection_ended = False
         """The run broke off because the connection ended, as it does when a runner crashes."""
+        self.is_whole = False
+        """The answer has come to its end."""
         self.proves_survival = False
         """The complete answer proves that the runner survived the item."""
         self._protocol = protocol
@@ -271,6 +273,7 @@
         if not self._over and self.progress.first_event is None:
             self._begin_text(None)
         if not self._over:
+            self.is_whole = True
             self.proves_survival = self._framing != Framing.CLOSE
             self._end_whole_answer(StreamBeginning(self._source, self.progress.first_event))
 
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -41,7 +41,7 @@
         state: DispatchState,
         recorder: ItemRecorder,
     ) -> None:
-        self._guard = ItemGuard(ledger.state, node.guard, state.routes)
+        self._guard = ItemGuard(ledger.state, node.guard, state.routes, node.protocol)
         self._node = node
         self._routes = state.routes
         self._beginnings = state.beginnings
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -42,7 +42,7 @@
         runs: ItemRuns,
         recorder: ItemRecorder,
     ) -> None:
-        self._guard = ItemGuard(ledger.state, node.guard, state.routes)
+        self._guard = ItemGuard(ledger.state, node.guard, state.routes, node.protocol)
         self._node = node
         self._ledger = ledger
         self._routes = state.routes
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -42,6 +42,8 @@
     """Time of the last failure that each runner answered for this item."""
     fingerprints: dict[str, Fingerprint] = field(default_factory=dict)
     """The item's fingerprints, by service if its route is split."""
+    part_fingerprints: dict[str, tuple[Fingerprint, ...]] = field(default_factory=dict)
+    """The fingerprints of its prompt's parts, by service."""
 
     @property
     def events(self) -> int:
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -15,7 +15,8 @@
 from rainsail.http.reachability import Reachability
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
-from rainsail.quarantine.fingerprint import Fingerprint
+from rainsail.quarantine.fingerprint import Fingerprint, is_of_part
+from rainsail.quarantine.guard import Fingerprints
 from rainsail.quarantine.messages import RequestAnswered, RequestsWatched, RunnerEnded
 from rainsail.runtime.clock import Clock
 from rainsail.wire.messenger import Messenger
@@ -23,8 +24,8 @@
 PROBE_DELAYS_S = (0.05, 0.5)
 """Delays of the probes of a runner's address after a connection to it has ended. A process that
 shuts down in order may accept connections for a short time after it has closed others."""
-MAX_REPORTED = 256
-"""Maximum number of requests that are reported for one crash."""
+MAX_REPORTED = 1024
+"""About the maximum number of requests and prompt parts that are reported for one crash."""
 
 
 class AddressProbe(Protocol):
@@ -63,6 +64,8 @@
         self._metrics = metrics
         self._view = follower.quarantine
         self._crash_checks: dict[str, _CrashCheck] = {}
+        self._survival_checks: set[str] = set()
+        """Runners of which a check is pending whether they survived an unmarked end."""
         messenger.serve(RequestsWatched, self._watch)
 
     # --- enforcement ---------------------------------------------------------------------
@@ -72,9 +75,9 @@
         """Whether any request is held."""
         return bool(self._view.held)
 
-    def holds(self, fingerprint: Fingerprint) -> bool:
-        """Return whether a request must not reach a runner."""
-        return fingerprint in self._view.held
+    def held_among(self, fingerprints: Fingerprints) -> Fingerprint | None:
+        """Return the fingerprint for which a request must not reach a runner, if there is one."""
+        return next((each for each in fingerprints if each in self._view.held), None)
 
     # --- reporting -----------------------------------------------------------------------
 
@@ -86,30 +89,58 @@
     def _watch(self, source: str, message: RequestsWatched) -> None:
         self._view.watch(message.fingerprints, self._clock.seconds())
 
-    def answered(self, fingerprint: Fingerprint) -> None:
-        """Report a complete response to the controllers, if they watch the request."""
-        if self._view.wants_answer(fingerprint):
+    def answered(
+        self, record: RunnerRecord, fingerprints: Fingerprints, proves_survival: bool
+    ) -> None:
+        """Report a complete response to the controllers, if they watch the request or its parts.
+
+        Without proof of the runner's survival its address is tried first, for the parts only: a
+        part that many requests hold would otherwise never be cleared where runners mark no ends.
+        """
+        wanted = [each for each in fingerprints if self._view.wants_answer(each)]
+        if proves_survival:
+            self._report_answered(wanted)
+            return
+        parts = [each for each in wanted if is_of_part(each)]
+        if parts and record.runner not in self._survival_checks:
+            self._survival_checks.add(record.runner)
+            self._clock.callLater(PROBE_DELAYS_S[-1], self._check_survival, record, parts)
+
+    def _report_answered(self, fingerprints: Fingerprints) -> None:
+        for fingerprint in fingerprints:
             self._view.unwatch(fingerprint)
             self._send_to_controllers(RequestAnswered(fingerprint))
 
-    def connection_ended(self, record: RunnerRecord, fingerprint: Fingerprint) -> bool:
-        """Start a check whether the runner has crashed; False for a request that was held before.
+    def _check_survival(self, record: RunnerRecord, parts: Fingerprints) -> None:
+        def probed(reach: Reachability) -> None:
+            self._survival_checks.discard(record.runner)
+            known = self._follower.registry.get(record.runner)
+            if reach == Reachability.OPEN and known is not None and known.born == record.born:
+                self._report_answered(parts)
+
+        self._metrics.count("runner_probes")
+        self._connections.probe(record.address, probed)
+
+    def connection_ended(self, record: RunnerRecord, fingerprints: Fingerprints) -> bool:
+        """Start a check whether the runner has crashed.
+
+        Returns False for a request that was held before, or that holds such a part.
 
         A runner that has announced its shutdown is not checked.
         """
         known = self._follower.registry.get(record.runner)
         if known is None or known.state == RunnerState.READY:
-            self._check_runner(record, fingerprint)
-        return fingerprint not in self._view.ever_held
+            self._check_runner(record, fingerprints)
+        return self._view.ever_held.isdisjoint(fingerprints)
 
-    def _check_runner(self, record: RunnerRecord, fingerprint: Fingerprint) -> None:
+    def _check_runner(self, record: RunnerRecord, fingerprints: Fingerprints) -> None:
         check = self._crash_checks.get(record.runner)
         if check is None:
             check = _CrashCheck(record, self._clock.seconds())
             self._crash_checks[record.runner] = check
             self._probe_later(check)
         if len(check.broken) < MAX_REPORTED:
-            check.broken[fingerprint] = None
+            check.broken.update(dict.fromkeys(fingerprints))
 
     def _probe_later(self, check: _CrashCheck) -> None:
         due_s = check.began_s + PROBE_DELAYS_S[check.probes]
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -1,13 +1,19 @@
-"""Finds the request that causes crashes, from the requests that were running at each crash.
+"""Finds the request or prompt part that causes crashes, from what was running at each crash.
 
-All requests that were running at a runner when it crashed are suspects. Three rules single out the
-cause:
+All requests that were running at a runner when it crashed are suspects, and so are the parts of
+their prompts. Three rules single out the cause:
 
 - The cause is running at several crashes; other requests at one, rarely at two.
 - A request that is completed later at any runner did not cause the crash and is cleared. So nodes
   get a list of all suspects, and report responses to them.
 - A crash at which a held request was running is explained, and counts against no other request. So
-  the request with the most crashes is held first.
+  the request with the most crashes is held first. A part explains more than a request that holds
+  it, so of both with as many crashes only the part is held.
+
+Many requests may hold one part, and to hold it would shut out all of them. So a part needs more
+than crashes: while its service answers, it is beside three crashes and in no answer. That the
+service answers shows as another suspect of the same crash that an answer has cleared. Without such
+an answer it takes five crashes.
 
 Does no I/O; the caller passes the time.
 """
@@ -16,13 +22,15 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from rainsail.quarantine.fingerprint import Fingerprint
+from rainsail.quarantine.fingerprint import Fingerprint, is_of_part
 from rainsail.state.cluster_commands import Quarantine
 
 CRASHES_TO_HOLD = 3
 """A request is held once this many runners have crashed while running it."""
 CRASHES_TO_HOLD_AGAIN = 1
 """The same, for a request that was held before."""
+CRASHES_TO_HOLD_PART_UNANSWERED = 5
+"""The same for a prompt part, while no other suspect of its crashes was cleared by an answer."""
 CRASH_MERGE_WINDOW_S = 1.0
 """Reports on one runner that are at most this far apart are about the same crash: nodes notice it
 within milliseconds, and a runner takes longer to restart."""
@@ -46,6 +54,8 @@
     at_s: float
     suspects: set[Fingerprint] = field(default_factory=set)
     explained: bool = False
+    is_answered_beside: bool = False
+    """An answer has cleared one of the suspects: the service is answering requests."""
 
 
 class SuspectTracker:
@@ -80,10 +90,8 @@
             return ()
         crash.suspects.update(new)
         for fingerprint in new:
-            crashes = self._by_suspect.setdefault(fingerprint, [])
-            crashes.append(crash)
-            if len(crashes) >= self._crashes_to_hold(fingerprint):
-                self._due_since_s.setdefault(fingerprint, now)
+            self._by_suspect.setdefault(fingerprint, []).append(crash)
+            self._update_due(fingerprint, now)
         return tuple(new)
 
     def answered(self, fingerprint: Fingerprint, now: float) -> None:
@@ -92,18 +100,24 @@
         self._answered_s.move_to_end(fingerprint)
         if len(self._answered_s) > MAX_ANSWERED:
             self._answered_s.popitem(last=False)
+        self._due_since_s.pop(fingerprint, None)
         for crash in self._by_suspect.pop(fingerprint, ()):
             crash.suspects.discard(fingerprint)
-        self._due_since_s.pop(fingerprint, None)
+            if not crash.is_answered_beside:
+                crash.is_answered_beside = True
+                for beside in crash.suspects:
+                    self._update_due(beside, now)
 
     def due(self, now: float) -> tuple[Fingerprint, ...]:
         """Return the requests to hold now."""
         wait_s = AMBIGUITY_WAIT_S if len(self._due_since_s) > 1 else REPORTS_SETTLE_S
         if not any(now - since_s >= wait_s - ROUNDING_S for since_s in self._due_since_s.values()):
             return ()
-        crashes = {each: len(self._by_suspect[each]) for each in self._due_since_s}
-        most = max(crashes.values())
-        return tuple(each for each, count in crashes.items() if count == most)
+        ranks = {
+            each: (len(self._by_suspect[each]), is_of_part(each)) for each in self._due_since_s
+        }
+        most = max(ranks.values())
+        return tuple(each for each, rank in ranks.items() if rank == most)
 
     def decided(self, quarantine: Quarantine) -> None:
         """Apply a decision of the root group; newly held requests explain their crashes."""
@@ -114,8 +128,20 @@
             for crash in list(self._by_suspect.get(fingerprint, ())):
                 self._mark_explained(crash)
 
-    def _crashes_to_hold(self, fingerprint: Fingerprint) -> int:
-        return CRASHES_TO_HOLD_AGAIN if fingerprint in self._ever_held else CRASHES_TO_HOLD
+    def _update_due(self, fingerprint: Fingerprint, now: float) -> None:
+        """Note since when a suspect is due to be held, or that it is not."""
+        if self._is_due(fingerprint):
+            self._due_since_s.setdefault(fingerprint, now)
+        else:
+            self._due_since_s.pop(fingerprint, None)
+
+    def _is_due(self, fingerprint: Fingerprint) -> bool:
+        crashes = self._by_suspect.get(fingerprint, [])
+        was_held = fingerprint in self._ever_held
+        needed = CRASHES_TO_HOLD_AGAIN if was_held else CRASHES_TO_HOLD
+        if not is_of_part(fingerprint) or len(crashes) >= CRASHES_TO_HOLD_PART_UNANSWERED:
+            return len(crashes) >= needed
+        return sum(crash.is_answered_beside for crash in crashes) >= needed
 
     def _crash_of(self, runner: str, at_s: float) -> _RunnerCrash:
         for crash in reversed(self._crashes):
@@ -136,7 +162,7 @@
             crashes.remove(crash)
             if not crashes:
                 del self._by_suspect[fingerprint]
-            if len(crashes) < self._crashes_to_hold(fingerprint):
+            if not self._is_due(fingerprint):
                 self._due_since_s.pop(fingerprint, None)
         crash.suspects.clear()
 
--- a/src/rainsail/relay/header_protocol.py
+++ b/src/rainsail/relay/header_protocol.py
@@ -15,8 +15,15 @@
     header_text,
     header_value,
 )
-from rainsail.relay.protocol import AnswerVerdict, ItemRequest, RequestFacts, RunnerTarget
+from rainsail.relay.protocol import (
+    AnswerVerdict,
+    ItemFacts,
+    ItemRequest,
+    RequestFacts,
+    RunnerTarget,
+)
 from rainsail.routing.facts import PromptPart, ServerLoad
+from rainsail.state.job_commands import RelayedItem
 from rainsail.tenancy.tenants import Identity, KeyDigest, digest_of
 
 HOST = b"Host"
@@ -46,6 +53,7 @@
     runner: bytes = b"Rainsail-Runner"
     last_event: bytes = b"Last-Event-ID"
     resumes: bytes = b"Rainsail-Resumes"
+    model: bytes = b"Rainsail-Model"
     prompt: bytes = b"Rainsail-Prompt"
     usage: bytes = b"Rainsail-Tokens"
     load: bytes = b"Rainsail-Load"
@@ -82,6 +90,7 @@
             answer_tokens,
             int(after) if _is_number(after) else None,
             header_text(fields, names.resumes.lower()),
+            header_text(fields, names.model.lower()),
             self._key(fields),
         )
 
@@ -120,6 +129,17 @@
             return str(max(1, math.floor(left))).encode()
         return f"{left:.3f}".encode()
 
+    def describe_item(self, item: RelayedItem) -> ItemFacts:
+        """Parse the headers of an item."""
+        fields = tuple(
+            (header.name.encode("latin-1"), header.value.encode("latin-1"))
+            for header in item.headers
+        )
+        return ItemFacts(
+            _prompt(header_text(fields, self._names.prompt.lower())),
+            header_text(fields, self._names.model.lower()),
+        )
+
     def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
         """Return an item's request as sent to a runner."""
         fields = [(HOST, item.host.encode()), (self._names.request, item.item.item.encode())]
--- a/src/rainsail/relay/protocol.py
+++ b/src/rainsail/relay/protocol.py
@@ -32,10 +32,20 @@
     after_event: int | None
     resumes: str = ""
     """The id of the attempt that brought the first event of a resumed stream, if it is stated."""
+    model: str = ""
+    """The name of the model that the request is for, if it is stated."""
     key: KeyDigest | None = None
     """The digest of the API key; None if there is none, more than one, or a malformed one."""
 
 
+@dataclass(frozen=True, slots=True)
+class ItemFacts:
+    """The contents of an item's headers, as in ``RequestFacts``."""
+
+    prompt: tuple[PromptPart, ...] = ()
+    model: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class RunnerTarget:
     """The runner that a request is meant for."""
@@ -89,6 +99,10 @@
         """Return the request as sent to a runner: with its tenant, without its API key."""
         ...
 
+    def describe_item(self, item: RelayedItem) -> ItemFacts:
+        """Parse the headers of an item."""
+        ...
+
     def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
         """Return an item's request as sent to a runner."""
         ...
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -8,7 +8,13 @@
 
 from rainsail.http.exchange import HttpRequest
 from rainsail.logs import logger
-from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_hex, fingerprint_of
+from rainsail.quarantine.fingerprint import (
+    Fingerprint,
+    fingerprint_hex,
+    fingerprint_of,
+    part_fingerprints,
+)
+from rainsail.quarantine.guard import Fingerprints
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.context import RelayContext
@@ -38,8 +44,14 @@
         self._identity = identity
         self.split_service = ""
         """The service chosen for the request if its route is split among several, else empty."""
+        self.service = ""
+        """The service chosen for the request, empty before."""
+        self._held = b""
+        """The fingerprint for which the request is held, if it is."""
         self._fingerprints: dict[str, Fingerprint] = {}
         """Cache of fingerprints by ``split_service``."""
+        self._part_fingerprints: dict[str, tuple[Fingerprint, ...]] = {}
+        """Cache of the prompt parts' fingerprints by service."""
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -61,18 +73,38 @@
         )
         return made
 
+    @property
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """The hashes of the prompt's parts at the chosen service; none before it is chosen."""
+        if not self.service or not self._facts.prompt:
+            return ()
+        known = self._part_fingerprints.get(self.service)
+        if known is not None:
+            return known
+        tenant, model, prompt = self._identity.tenant, self._facts.model, self._facts.prompt
+        made = part_fingerprints(tenant, self.service, model, prompt)
+        self._part_fingerprints[self.service] = made
+        return made
+
+    @property
+    def _all_fingerprints(self) -> Fingerprints:
+        return (self.fingerprint, *self.part_fingerprints)
+
     def is_quarantined(self) -> bool:
         """Tell whether the request is quarantined now, so that no runner may get it."""
         guard = self._context.guard
-        return guard.holds_any and guard.holds(self.fingerprint)
+        held = guard.held_among(self._all_fingerprints) if guard.holds_any else None
+        self._held = held or b""
+        return held is not None
 
     # --- attempts ------------------------------------------------------------------------
 
     def answered(self, attempt: Attempt) -> None:
         """Record a success; it shows that the request did not crash the runner."""
         self._context.loads.answered(attempt.record.runner)
-        if self._context.guard.wants_answers and attempt.proves_survival:
-            self._context.guard.answered(self.fingerprint)
+        guard = self._context.guard
+        if guard.wants_answers and not attempt.failed:
+            guard.answered(attempt.record, self._all_fingerprints, attempt.proves_survival)
 
     def failed(self, attempt: Attempt) -> None:
         """Record an answer with an error status."""
@@ -107,17 +139,24 @@
         self._context.pool.forget(attempt.record.address)
         may_resend = True
         if attempt.connection_ended:
-            may_resend = self._context.guard.connection_ended(attempt.record, self.fingerprint)
+            guard = self._context.guard
+            may_resend = guard.connection_ended(attempt.record, self._all_fingerprints)
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
             version=self._context.registry.versions.of(attempt.record),
             fingerprint=fingerprint_hex(self.fingerprint),
+            parts=self._parts_text(),
             reason=reason,
             last_event=last_event,
         ).info("attempt_broke")
         return may_resend
 
+    def _parts_text(self) -> str:
+        """Return the ids of the prompt's parts with their fingerprints, for the log."""
+        names = zip(self._facts.prompt, self.part_fingerprints, strict=False)
+        return ",".join(f"{part.part}:{fingerprint_hex(each)}" for part, each in names)
+
     def dropped_unconfirmed(self, attempt: Attempt) -> None:
         """Record that the stream is compared with another run; the runner may be without fault."""
         self.reason = UNCONFIRMED_BEGINNING
@@ -157,6 +196,7 @@
             last_event=answer.last_event,
             reason="" if outcome == RequestOutcome.COMPLETED else self.reason,
             fingerprint=fingerprint_hex(self._fingerprints.get(self.split_service, b"")),
+            held=fingerprint_hex(self._held),
             first_ms=None if first_s is None else round(first_s * MILLISECONDS_PER_S),
             took_ms=round(self._elapsed_s() * MILLISECONDS_PER_S),
         ).info(f"request_{outcome.value}")
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -233,6 +233,7 @@
 
     def _record_service(self) -> None:
         """Tell the recorder which service was chosen for the request."""
+        self._recorder.service = self._sender.service
         self._recorder.split_service = self._sender.route.split_service(self._sender.service)
 
     def _progress(self) -> RequestProgress:
