Report stream origins only while a service has several versions

A controller of a large fleet has little processor time left (docs/CAPACITY.md: 70 % at 300 machines), and two messages for each stream would go to the few that nodes follow.

Change: while all runners of a service that a gateway remembers have one version, gone ones for 600 s too, nothing is reported: a stream that nobody knows continues at that version. Otherwise a gateway reports its streams to the same two controllers, gathered in a message, and a gateway at which a stream is resumed asks all controllers that it follows.

features/platform/software_versions.feature and features/cluster/stream_origins.feature pass.

--- a/features/cluster/stream_origins.feature
+++ b/features/cluster/stream_origins.feature
@@ -42,10 +42,25 @@
     When the runner starts again under its id with version v2
     Then every node knows the runner's version v2
 
-  Scenario: Nodes of an earlier version get no messages that they don't know
+  Scenario: While all runners of a service have one version, no stream is reported
     Given a relaying fleet of 3 controllers and 2 gateways
-    And all its nodes but controller-1 announce no extensions
     When a runner of version v1 reports to controller-1
     And gateway-1 records that stream "s-1" began at version v1
+    Then gateway-2 finds nothing for "s-1", for certain
+    And gateway-2 knows v1 as the sole version
+    When another runner of version v2 reports to controller-1
+    Then gateway-2 knows no sole version
+    When gateway-1 records that stream "s-2" began at version v1
+    Then gateway-2 finds v1 for "s-2"
+    When the other runner is gone, and 9 minutes pass in the fleet
+    Then gateway-2 knows no sole version
+    When 2 minutes pass in the fleet, and the first runner reports a change
+    Then gateway-2 knows v1 as the sole version
+
+  Scenario: Nodes of an earlier version get no messages that they don't know
+    Given a relaying fleet of 3 controllers and 2 gateways
+    And all its nodes but controller-1 announce no extensions
+    When gateway-1 records that stream "s-1" began at version v1
+    And a runner of version v1 reports to controller-1
     Then no node but controller-1 has received a message of the extension
     And every node knows the runner
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -9,15 +9,15 @@
 from rainsail.cluster.runner_versions import RunnerVersions
 from rainsail.cluster.stream_origins import (
     FindStreamOrigin,
-    StreamBegun,
     StreamOrigin,
     StreamOriginReply,
+    StreamsBegun,
 )
 from rainsail.relay.origin_client import FoundOrigin, StreamOriginClient
 from rainsail.wire.extensions import EXTENSION_LEVEL, NO_EXTENSIONS
 
 SETTLE_S = 3.0
-EXTENSION_MESSAGES = (RunnerVersions, StreamBegun, FindStreamOrigin, StreamOriginReply)
+EXTENSION_MESSAGES = (RunnerVersions, StreamsBegun, FindStreamOrigin, StreamOriginReply)
 
 
 class OriginFleet(RelayedFleet):
@@ -102,8 +102,8 @@
 # --- versions of runners -------------------------------------------------------------------
 
 
-def _report(context, version, born):
-    fleet, report = context.fleet, replace(runner_record(1), born=born)
+def _report(context, version, born, number=1, **changes):
+    fleet, report = context.fleet, replace(runner_record(number), born=born, **changes)
     done = fleet.controller("controller-1").reports.take(report, version)
     fleet.result_of(done, "the report is acknowledged")
     fleet.run_for(SETTLE_S)
@@ -119,6 +119,35 @@
     _report(context, version, born=2_000)
 
 
+@when("another runner of version {version} reports to controller-1")
+def report_other(context, version):
+    _report(context, version, born=1_500, number=2)
+
+
+@when("the other runner is gone, and {minutes:d} minutes pass in the fleet")
+def other_gone(context, minutes):
+    fleet = context.fleet
+    done = fleet.controller("controller-1").reports.take_deregistration(runner_record(2).runner)
+    fleet.result_of(done, "the deregistration is acknowledged")
+    fleet.run_for(60.0 * minutes)
+
+
+@when("{minutes:d} minutes pass in the fleet, and the first runner reports a change")
+def pass_and_report(context, minutes):
+    context.fleet.run_for(60.0 * minutes)
+    _report(context, "v1", born=1_000, sequence=9, slots=5)
+
+
+@then("{name} knows {version} as the sole version")
+def knows_sole(context, name, version):
+    assert context.fleet.nodes[name].base.registry.sole_version(SERVICE) == version
+
+
+@then("{name} knows no sole version")
+def knows_none(context, name):
+    assert context.fleet.nodes[name].base.registry.sole_version(SERVICE) is None
+
+
 @then("every node knows the runner's version {version}")
 def all_know(context, version):
     for name, node in context.fleet.nodes.items():
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -31,6 +31,8 @@
 from rainsail.state.cluster_commands import ZoneDrain
 
 _STATE_RANK = {RunnerState.READY: 0, RunnerState.DRAINING: 1, RunnerState.GONE: 2}
+GONE_VERSION_TTL_S = 600.0
+"""For this long the software version of a runner that has gone may have begun a running stream."""
 MAX_GONE_RUNNERS = 2_000
 """Gone runners that are still remembered, so that a late report does not revive them."""
 
@@ -76,6 +78,11 @@
         self._seconds = seconds
         self._incarnations = IncarnationOrder()
         self._heard_s: dict[str, float] = {}
+        self._gone_s: dict[str, float] = {}
+        """When this node learned that a runner is gone."""
+        self._sole_versions: dict[str, str | None] = {}
+        self._sole_versions_at = (-1, -1)
+        """The revisions of records and versions by which these were found."""
         self._records: dict[str, RunnerRecord] = {}
         self._by_address: dict[str, str] = {}
         self._changed_at: dict[str, int] = {}
@@ -111,6 +118,10 @@
         if record is known and not refutes:
             return []
         self._records[report.runner] = record
+        if record.state == RunnerState.GONE:
+            self._gone_s.setdefault(record.runner, self._seconds())
+        else:
+            self._gone_s.pop(record.runner, None)
         changed: list[RunnerRecord] = []
         if (
             known is None
@@ -256,14 +267,26 @@
     def sole_version(self, service: str) -> str | None:
         """Return the software version of all runners of a service that this node remembers.
 
-        That includes those that are gone. None if there are several, or none at all.
+        That includes those that have gone lately. None if there are several, or none at all.
         """
-        versions = {
-            self.versions.of(record)
-            for record in self._records.values()
-            if record.service == service
-        }
-        return versions.pop() if len(versions) == 1 else None
+        state = (self.revision, self.versions.revision)
+        if state != self._sole_versions_at:
+            self._sole_versions_at = state
+            self._sole_versions = self._find_sole_versions()
+        return self._sole_versions.get(service)
+
+    def _find_sole_versions(self) -> dict[str, str | None]:
+        """Return the version of each service, None for one that has several."""
+        now = self._seconds()
+        found: dict[str, str | None] = {}
+        for record in self._records.values():
+            gone_s = self._gone_s.get(record.runner)
+            if gone_s is not None and now - gone_s > GONE_VERSION_TTL_S:
+                continue
+            version = self.versions.of(record)
+            is_same = found.setdefault(record.service, version) == version
+            found[record.service] = version if is_same else None
+        return found
 
     def is_warming(self, runner: str) -> bool:
         """Tell whether a runner is still warming up."""
@@ -292,6 +315,7 @@
             self._changed_at.pop(runner, None)
             self._restored.discard(runner)
             self._heard_s.pop(runner, None)
+            self._gone_s.pop(runner, None)
             self._incarnations.forget(runner)
             self.warm_ups.forget(runner)
             self.versions.forget(runner)
--- a/src/rainsail/cluster/runner_versions.py
+++ b/src/rainsail/cluster/runner_versions.py
@@ -55,6 +55,8 @@
     """The version of the latest known incarnation of each runner."""
 
     def __init__(self) -> None:
+        self.revision = 0
+        """Increases with each change."""
         self._versions: dict[str, RunnerVersion] = {}
 
     def take(self, version: RunnerVersion) -> bool:
@@ -63,6 +65,7 @@
         if known is not None and (known.born > version.born or known == version):
             return False
         self._versions[version.runner] = version
+        self.revision += 1
         return True
 
     def of(self, record: RunnerRecord) -> str:
--- a/src/rainsail/cluster/stream_origins.py
+++ b/src/rainsail/cluster/stream_origins.py
@@ -1,10 +1,10 @@
 """Where streams began: kept by controllers, so that any gateway can continue a stream correctly.
 
 What two software versions write does not fit together, so a stream continues only at the version
-that began it. A client may resume at any gateway, often because the first one has failed. So each
-gateway tells some controllers, chosen by the stream's name, which service and version sent the
-first event. The entries are soft state with a lifetime that the gateway renews while the stream
-runs. What no controller knows must not continue while several versions may have begun it.
+that began it. A client may resume at any gateway, often because the first one has failed. So while
+a service has several versions, each gateway tells two controllers which of them sent the first
+event of a stream. The entries are soft state with a lifetime that the gateway renews while the
+stream runs. What no controller knows must not continue while several versions may have begun it.
 """
 
 from collections import OrderedDict
@@ -23,9 +23,7 @@
 MAX_ORIGINS = 100_000
 """Limit on the entries of one node, above the streams of the design's peak within the lifetime."""
 COPIES = 2
-"""Controllers that are told of a stream, so that one of them may fail."""
-ASKED = 4
-"""Controllers that are asked for a stream; more, since gateways may know different ones."""
+"""Controllers that a gateway tells of its streams, so that one of them may fail."""
 
 
 @wire_type("StreamOrigin")
@@ -37,15 +35,23 @@
     version: str
 
 
-@wire_record("StreamBegun")
+@wire_type("BegunStream")
 @dataclass(frozen=True, slots=True)
-class StreamBegun:
-    """One-way, from a gateway: a client has the first event of a stream, or still reads it."""
+class BegunStream:
+    """A stream whose first event a client has, by its name, and its origin."""
 
     stream: str
     origin: StreamOrigin
 
 
+@wire_record("StreamsBegun")
+@dataclass(frozen=True, slots=True)
+class StreamsBegun:
+    """One-way, from a gateway: streams that have begun, or that still run."""
+
+    streams: tuple[BegunStream, ...]
+
+
 @wire_record("FindStreamOrigin")
 @dataclass(frozen=True, slots=True)
 class FindStreamOrigin:
@@ -100,18 +106,21 @@
 
     def __init__(self, messenger: Messenger, clock: Clock) -> None:
         self._table = StreamOriginTable(clock)
-        messenger.serve(StreamBegun, self._take)
+        messenger.serve(StreamsBegun, self._take)
         messenger.serve(FindStreamOrigin, self._find)
 
-    def _take(self, source: str, message: StreamBegun) -> None:
-        self._table.put(message.stream, message.origin)
+    def _take(self, source: str, message: StreamsBegun) -> None:
+        for begun in message.streams:
+            self._table.put(begun.stream, begun.origin)
 
     def _find(self, source: str, message: FindStreamOrigin) -> StreamOriginReply:
         return StreamOriginReply(self._table.get(message.stream))
 
 
-def rendezvous_order(stream: str, controllers: Iterable[str]) -> list[str]:
-    """Return controllers in the order in which all gateways choose them for a stream."""
-    return sorted(
-        controllers, key=lambda each: (xxhash.xxh3_64_intdigest(f"{each}/{stream}".encode()), each)
+def keepers_of(gateway: str, controllers: Iterable[str]) -> list[str]:
+    """Return the controllers that a gateway tells of its streams, by rendezvous hashing."""
+    order = sorted(
+        controllers,
+        key=lambda each: (xxhash.xxh3_64_intdigest(f"{each}/{gateway}".encode()), each),
     )
+    return order[:COPIES]
--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -11,15 +11,14 @@
 
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.stream_origins import (
-    ASKED,
-    COPIES,
     ORIGIN_TTL_S,
+    BegunStream,
     FindStreamOrigin,
-    StreamBegun,
     StreamOrigin,
     StreamOriginReply,
     StreamOriginTable,
-    rendezvous_order,
+    StreamsBegun,
+    keepers_of,
 )
 from rainsail.errors import Fault
 from rainsail.node_metrics import NodeMetrics
@@ -34,6 +33,14 @@
 """
 RENEWAL_PERIOD_S = ORIGIN_TTL_S / 3
 """A stream that still runs renews its entry this often."""
+MIN_REPORT_PERIOD_S = 0.01
+"""Streams that begin within this time are reported in one message.
+
+Short compared with the duration of a stream, as a gateway that fails takes what it has not reported
+with it.
+"""
+REPORTS_PER_S = 2500.0
+"""The maximum rate of these messages from all gateways together, as of their load reports."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,16 +113,27 @@
         metrics: NodeMetrics,
     ) -> None:
         self._messenger = messenger
+        self._clock = clock
         self._follower = follower
         self._metrics = metrics
         self._own = StreamOriginTable(clock)
+        self._unreported: list[BegunStream] = []
 
     def began(self, stream: str, origin: StreamOrigin) -> None:
         """Record that a client has a stream's first event, or renew the record."""
         self._own.put(stream, origin)
+        if self._follower.registry.sole_version(origin.service) is not None:
+            return  # What nobody knows continues at that version too.
+        if not self._unreported:
+            period_s = self._follower.view().gateways / REPORTS_PER_S
+            self._clock.callLater(max(MIN_REPORT_PERIOD_S, period_s), self._report_begun)
+        self._unreported.append(BegunStream(stream, origin))
+
+    def _report_begun(self) -> None:
+        begun, self._unreported = tuple(self._unreported), []
         able = self._able(self._follower.controllers.in_touch())
-        keepers = rendezvous_order(stream, able)[:COPIES]
-        self._messenger.send_all(keepers, StreamBegun(stream, origin))
+        keepers = keepers_of(self._messenger.name, able)
+        self._messenger.send_all(keepers, StreamsBegun(begun))
 
     def find(self, stream: str, found: Found) -> None:
         """Search for a stream's origin here and at controllers."""
@@ -123,8 +141,7 @@
         if own is not None:
             self._report(FoundOrigin(own, is_certain=True), found)
             return
-        known = self._follower.controllers.addresses()
-        asked = rendezvous_order(stream, known)[:ASKED]
+        asked = self._follower.heartbeat_targets()
         able = self._able(asked)
         if not able:
             self._report(FoundOrigin(None, is_certain=False), found)
