Tell operators the id and the service of a held prompt part

A fingerprint says nothing about the part that it stands for. Nodes tell controllers the names of suspected parts, in a record that only controllers get that know it; the list of held requests and quarantine_held show them. A runner that rejects a request with a 4xx has not begun to answer its prompt, so that clears none of its parts.

--- a/features/compatibility/http.feature
+++ b/features/compatibility/http.feature
@@ -20,6 +20,10 @@
     When an operator reads a list of one held request
     Then the answer's body is {"requests": [{"fingerprint": "000102030405060708090a0b0c0d0e0f", "held": true, "times": 2}]}
 
+  Scenario: held prompt parts as operators read them
+    When an operator reads a list of one held prompt part, whose name the controller knows
+    Then the answer's body is {"requests": [{"fingerprint": "000102030405060708090a0b0c0d0e0f10", "held": true, "times": 2, "service": "model", "part": "dead01"}]}
+
   Scenario: a storage node's emptying as operators read it
     When an operator asks for the emptying of a node that is under way
     Then the answer's body is {"done": false}
--- a/features/quarantine/fatal_parts.feature
+++ b/features/quarantine/fatal_parts.feature
@@ -61,7 +61,8 @@
     Given a fleet of 3 gateways whose runners crash at the part "dead01"
     And sound clients send 20 requests a second with prompts "aa01:172,bb{n}:300,own{n}:90"
     When requests with prompts "aa01:172,dead01:40,own{n}:90" come every 0.5 s for 10 s, at each gateway in turn
-    And all controllers of that fleet lose power and start again
+    Then the operator's list has the part "dead01" of the service "model"
+    When all controllers of that fleet lose power and start again
     And requests with prompts "aa01:172,dead01:40,own{n}:90" come every 0.5 s for 5 s, once more
     Then no run of the part began since the restart
     When the part is harmless and an operator releases it
--- a/features/quarantine/soak.feature
+++ b/features/quarantine/soak.feature
@@ -13,6 +13,27 @@
       | 11   |
       | 38   |
 
+  Scenario Outline: Random run with fatal prompt parts, seed <seed>
+    When a random run with fatal prompt parts and seed <seed> is made
+    Then no guarantee was broken, and a fatal part was checked
+
+    Examples: in each of these a part crashes five runners or more
+      | seed |
+      | 18   |
+      | 21   |
+      | 29   |
+
+  Scenario Outline: The random runs with fatal prompt parts detect a fleet in which <defect>
+    Given a fleet in which <defect>
+    When random runs with fatal prompt parts and seeds 18, 21, 29 and 2 are made
+    Then a guarantee was broken
+
+    Examples:
+      | defect                                 |
+      | no node reports crashes to controllers |
+      | responses clear no suspect             |
+      | held requests are sent nevertheless    |
+
   Scenario Outline: The random runs detect a fleet in which <defect>
     Given a fleet in which <defect>
     When random runs with seeds 7, 11, 38 and 2 are made
--- a/features/steps/compatibility_http_steps.py
+++ b/features/steps/compatibility_http_steps.py
@@ -23,7 +23,7 @@
 from rainsail.fleet_api.control import control_handler
 from rainsail.fleet_api.quarantine import take_quarantine_call
 from rainsail.http.exchange import HttpRequest
-from rainsail.quarantine.messages import QuarantineNotice
+from rainsail.quarantine.messages import NamedPart, QuarantineNotice
 from rainsail.relay.header_protocol import HeaderNames
 from rainsail.simulation.clock import VirtualClock
 from rainsail.state.cluster_commands import Quarantine, QuarantinedRequest
@@ -61,9 +61,21 @@
 
 @when("an operator reads a list of one held request")
 def step_held(context):
-    held = QuarantinedRequest(bytes(range(16)), 2, held=True)
+    _read_held(context, bytes(range(16)), None)
+
+
+@when("an operator reads a list of one held prompt part, whose name the controller knows")
+def step_held_part(context):
+    fingerprint = bytes(range(17))
+    _read_held(context, fingerprint, NamedPart(fingerprint, "model", "dead01"))
+
+
+def _read_held(context, fingerprint, named):
+    held = QuarantinedRequest(fingerprint, 2, held=True)
     notice = QuarantineNotice(Quarantine(3, (held,)))
-    quarantine = SimpleNamespace(read=lambda: succeed(Ok(notice)))
+    quarantine = SimpleNamespace(
+        read=lambda: succeed(Ok(notice)), name_of_part=lambda fingerprint: named
+    )
     request = HttpRequest(b"GET", b"/v1/held-requests", (), b"", 0.0)
     context.exchange = StandInExchange(request, VirtualClock())
     assert take_quarantine_call(context.exchange, quarantine)
--- a/features/steps/fatal_part_steps.py
+++ b/features/steps/fatal_part_steps.py
@@ -252,6 +252,15 @@
     assert longer[1:] == part_fingerprints("", "model", "", prompt), longer
 
 
+@then('the operator\'s list has the part "{part}" of the service "{service}"')
+def list_names(context, part, service):
+    (held,) = _held_parts(context)
+    for name in context.fleet.names("controller"):
+        quarantine = context.fleet.controller(name).quarantine
+        named = quarantine.name_of_part(held.fingerprint)
+        assert (named.service, named.part) == (service, part), (name, named)
+
+
 # --- items -----------------------------------------------------------------------------------
 
 
--- a/features/steps/quarantine_soak_steps.py
+++ b/features/steps/quarantine_soak_steps.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from behave import given, then, when
+from features.support.part_soak import PartSoak
 from features.support.quarantine_soak import QuarantineSoak
 
 from rainsail.quarantine.agent import QuarantineAgent
@@ -27,8 +28,8 @@
 }
 
 
-def _play(seed):
-    soak = QuarantineSoak(seed)
+def _play(seed, kind=QuarantineSoak):
+    soak = kind(seed)
     soak.run()
     return soak
 
@@ -51,6 +52,24 @@
     context.soaks = [_play(int(seed)) for seed in seeds.replace(" and ", ", ").split(", ")]
 
 
+@when("a random run with fatal prompt parts and seed {seed:d} is made")
+def play_parts(context, seed):
+    context.soaks = [_play(seed, PartSoak)]
+
+
+@when("random runs with fatal prompt parts and seeds {seeds} are made")
+def play_some_parts(context, seeds):
+    numbers = seeds.replace(" and ", ", ").split(", ")
+    context.soaks = [_play(int(seed), PartSoak) for seed in numbers]
+
+
+@then("no guarantee was broken, and a fatal part was checked")
+def no_part_broken(context):
+    (soak,) = context.soaks
+    assert not soak.violations, soak.violations
+    assert soak.counts["fatal parts judged"], soak.counts
+
+
 @then("no guarantee was broken, and a fatal body was checked")
 def nothing_broken(context):
     (soak,) = context.soaks
--- a/src/rainsail/fleet_api/quarantine.py
+++ b/src/rainsail/fleet_api/quarantine.py
@@ -13,6 +13,7 @@
     fingerprint_hex,
 )
 from rainsail.quarantine.messages import QuarantineNotice
+from rainsail.state.cluster_commands import QuarantinedRequest
 
 HELD_REQUESTS = "/v1/held-requests"
 
@@ -26,7 +27,10 @@
     path = exchange.request.target.decode("latin-1").partition("?")[0]
     if path == HELD_REQUESTS and method == b"GET":
         reply_when_done(
-            exchange, quarantine.read(), _list, unknown_outcome_status=STATUS_UNAVAILABLE
+            exchange,
+            quarantine.read(),
+            lambda notice: _list(quarantine, notice),
+            unknown_outcome_status=STATUS_UNAVAILABLE,
         )
         return True
     if path.startswith(f"{HELD_REQUESTS}/") and method == b"DELETE":
@@ -35,13 +39,24 @@
     return False
 
 
-def _list(notice: QuarantineNotice) -> dict[str, Any]:
-    """Return each request's fingerprint, whether it is held now, and how often it was held."""
-    requests = [
-        {"fingerprint": fingerprint_hex(each.fingerprint), "held": each.held, "times": each.times}
-        for each in notice.quarantine.requests
-    ]
-    return {"requests": requests}
+def _list(quarantine: QuarantineControl, notice: QuarantineNotice) -> dict[str, Any]:
+    """Return each request's fingerprint, whether it is held now, and how often it was held.
+
+    A prompt part comes with its service and id, if nodes have told this controller.
+    """
+    return {"requests": [_entry(quarantine, each) for each in notice.quarantine.requests]}
+
+
+def _entry(quarantine: QuarantineControl, request: QuarantinedRequest) -> dict[str, Any]:
+    entry = {
+        "fingerprint": fingerprint_hex(request.fingerprint),
+        "held": request.held,
+        "times": request.times,
+    }
+    named = quarantine.name_of_part(request.fingerprint)
+    if named is not None:
+        entry.update({"service": named.service, "part": named.part})
+    return entry
 
 
 def _release(exchange: Exchange, quarantine: QuarantineControl, name: str) -> None:
@@ -51,7 +66,12 @@
         reply_fault(exchange, Fault(FaultCode.INVALID, "fleet_api.quarantine", detail))
         return
     done = quarantine.release(fingerprint, watch_client(exchange))
-    reply_when_done(exchange, done, _list, unknown_outcome_status=STATUS_UNAVAILABLE)
+    reply_when_done(
+        exchange,
+        done,
+        lambda notice: _list(quarantine, notice),
+        unknown_outcome_status=STATUS_UNAVAILABLE,
+    )
 
 
 def _fingerprint(name: str) -> Fingerprint | None:
--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -63,6 +63,13 @@
         item.part_fingerprints[service] = made
         return made
 
+    def _part_ids(self, item: OpenItem) -> list[str]:
+        job = self._state.jobs.get(item.job)
+        if job is None:
+            return []
+        prompt = self._protocol.describe_item(job.items[item.index]).prompt
+        return [part.part for part in prompt[:-1]]
+
     def is_held(self, item: OpenItem, service: str = "") -> bool:
         """Tell whether an item must not be sent to runners of a service (empty: of any) now."""
         if not self._guard.holds_any:
@@ -75,7 +82,8 @@
         if run is None or record is None:
             return
         if run.connection_ended:
-            self._guard.connection_ended(record, self._all_fingerprints(item, record.service))
+            fingerprints = self._all_fingerprints(item, record.service)
+            self._guard.connection_ended(record, fingerprints, self._part_ids(item))
         elif run.is_whole and self._guard.wants_answers:
             fingerprints = self._all_fingerprints(item, record.service)
             self._guard.answered(record, fingerprints, run.proves_survival)
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -6,7 +6,7 @@
 which no request can cause.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -17,8 +17,15 @@
 from rainsail.node_metrics import NodeMetrics
 from rainsail.quarantine.fingerprint import Fingerprint, is_of_part
 from rainsail.quarantine.guard import Fingerprints
-from rainsail.quarantine.messages import RequestAnswered, RequestsWatched, RunnerEnded
+from rainsail.quarantine.messages import (
+    NamedPart,
+    PartsNamed,
+    RequestAnswered,
+    RequestsWatched,
+    RunnerEnded,
+)
 from rainsail.runtime.clock import Clock
+from rainsail.wire.extensions import PART_NAMES
 from rainsail.wire.messenger import Messenger
 
 PROBE_DELAYS_S = (0.05, 0.5)
@@ -43,6 +50,7 @@
     record: RunnerRecord
     began_s: float
     broken: dict[Fingerprint, None] = field(default_factory=dict)
+    names: dict[Fingerprint, NamedPart] = field(default_factory=dict)
     probes: int = 0
 
 
@@ -121,7 +129,9 @@
         self._metrics.count("runner_probes")
         self._connections.probe(record.address, probed)
 
-    def connection_ended(self, record: RunnerRecord, fingerprints: Fingerprints) -> bool:
+    def connection_ended(
+        self, record: RunnerRecord, fingerprints: Fingerprints, part_ids: Sequence[str]
+    ) -> bool:
         """Start a check whether the runner has crashed.
 
         Returns False for a request that was held before, or that holds such a part.
@@ -130,10 +140,12 @@
         """
         known = self._follower.registry.get(record.runner)
         if known is None or known.state == RunnerState.READY:
-            self._check_runner(record, fingerprints)
+            check = self._check_runner(record, fingerprints)
+            for fingerprint, part in zip(fingerprints[1:], part_ids, strict=False):
+                check.names[fingerprint] = NamedPart(fingerprint, record.service, part)
         return self._view.ever_held.isdisjoint(fingerprints)
 
-    def _check_runner(self, record: RunnerRecord, fingerprints: Fingerprints) -> None:
+    def _check_runner(self, record: RunnerRecord, fingerprints: Fingerprints) -> _CrashCheck:
         check = self._crash_checks.get(record.runner)
         if check is None:
             check = _CrashCheck(record, self._clock.seconds())
@@ -141,6 +153,7 @@
             self._probe_later(check)
         if len(check.broken) < MAX_REPORTED:
             check.broken.update(dict.fromkeys(fingerprints))
+        return check
 
     def _probe_later(self, check: _CrashCheck) -> None:
         due_s = check.began_s + PROBE_DELAYS_S[check.probes]
@@ -165,6 +178,11 @@
         logger.bind(runner=runner, requests=len(check.broken)).info("runner_ended")
         self._metrics.count("runner_ends_seen")
         self._send_to_controllers(RunnerEnded(runner, tuple(check.broken), age_s))
+        names = tuple(check.names[each] for each in check.broken if each in check.names)
+        level = self._messenger.extension_level
+        able = [each for each in self._follower.heartbeat_targets() if level(each) >= PART_NAMES]
+        if names:
+            self._messenger.send_all(able, PartsNamed(names))
 
     def _send_to_controllers(self, message: RunnerEnded | RequestAnswered) -> None:
         """Send to every controller that this node follows, so that a new leader has it as well."""
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -5,6 +5,7 @@
 and a power loss of all machines.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -20,7 +21,9 @@
 from rainsail.logs import logger
 from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_hex
 from rainsail.quarantine.messages import (
+    NamedPart,
     OrderRelease,
+    PartsNamed,
     QuarantineNotice,
     ReadQuarantine,
     RequestAnswered,
@@ -48,6 +51,8 @@
 WATCH_BATCH_S = 0.02
 """The reports of all nodes on one crash arrive within a few milliseconds; their suspects are sent
 in one message."""
+MAX_PART_NAMES = 4096
+"""Names of suspected parts that a controller keeps for operators, the newest ones."""
 STEP = "quarantine.release"
 
 
@@ -77,9 +82,11 @@
         self._held_since_s: dict[Fingerprint, float] = {}
         self._proposed: set[Fingerprint] = set()
         self._watched: dict[Fingerprint, None] = {}
+        self._part_names: OrderedDict[Fingerprint, NamedPart] = OrderedDict()
         self.applied()
         messenger.serve(RunnerEnded, self._on_runner_ended)
         messenger.serve(RequestAnswered, self._on_answered)
+        messenger.serve(PartsNamed, self._on_parts_named)
         messenger.serve(ReadQuarantine, lambda source, message: self._read_as_leader(message))
         messenger.serve(OrderRelease, lambda source, message: self._release_as_leader(message))
 
@@ -99,6 +106,17 @@
         self._watched.update(dict.fromkeys(watched))
         self._clock.callLater(REPORTS_SETTLE_S, self.look)
 
+    def _on_parts_named(self, source: str, message: PartsNamed) -> None:
+        for named in message.parts:
+            self._part_names[named.fingerprint] = named
+            self._part_names.move_to_end(named.fingerprint)
+        while len(self._part_names) > MAX_PART_NAMES:
+            self._part_names.popitem(last=False)
+
+    def name_of_part(self, fingerprint: Fingerprint) -> NamedPart | None:
+        """Return what a part's fingerprint stands for, None if no node has said it lately."""
+        return self._part_names.get(fingerprint)
+
     def _send_watched(self) -> None:
         """Ask the nodes to report responses to new suspects, in one message per crash."""
         watched, self._watched = tuple(self._watched), {}
@@ -156,6 +174,9 @@
             log = logger.bind(
                 fingerprint=fingerprint_hex(fingerprint), times=held[fingerprint].times
             )
+            named = self.name_of_part(fingerprint)
+            if named is not None:
+                log = log.bind(service=named.service, part=named.part)
             log.warning("quarantine_held")
         for fingerprint in sorted(self._held_since_s.keys() - held.keys()):
             logger.bind(fingerprint=fingerprint_hex(fingerprint)).info("quarantine_released")
--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -27,10 +27,13 @@
         """Return the fingerprint for which a request must not reach a runner, if there is one."""
         ...
 
-    def connection_ended(self, record: RunnerRecord, fingerprints: Fingerprints) -> bool:
+    def connection_ended(
+        self, record: RunnerRecord, fingerprints: Fingerprints, part_ids: Sequence[str]
+    ) -> bool:
         """Handle the end of a runner's connection during a request that may have been running.
 
-        Return whether the request may be sent to another runner before the cause is known.
+        ``part_ids`` has the ids of the parts, in the order of their fingerprints. Return whether
+        the request may be sent to another runner before the cause is known.
         """
         ...
 
@@ -60,7 +63,9 @@
         """Return None."""
         return None
 
-    def connection_ended(self, record: RunnerRecord, fingerprints: Fingerprints) -> bool:
+    def connection_ended(
+        self, record: RunnerRecord, fingerprints: Fingerprints, part_ids: Sequence[str]
+    ) -> bool:
         """Return True: any request may be sent again."""
         return True
 
--- a/src/rainsail/quarantine/messages.py
+++ b/src/rainsail/quarantine/messages.py
@@ -5,6 +5,7 @@
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.cluster_commands import Quarantine
 from rainsail.wire.codec import wire_record
+from rainsail.wire.names import wire_type
 
 
 @wire_record("RunnerEnded")
@@ -20,6 +21,24 @@
     age_s: float
 
 
+@wire_type("NamedPart")
+@dataclass(frozen=True, slots=True)
+class NamedPart:
+    """What the fingerprint of a prompt part stands for: the part's id, and the service."""
+
+    fingerprint: Fingerprint
+    service: str
+    part: str
+
+
+@wire_record("PartsNamed")
+@dataclass(frozen=True, slots=True)
+class PartsNamed:
+    """A node tells the controllers, one-way, the names of suspected parts, for operators."""
+
+    parts: tuple[NamedPart, ...]
+
+
 @wire_record("RequestAnswered")
 @dataclass(frozen=True, slots=True)
 class RequestAnswered:
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -24,6 +24,7 @@
 from rainsail.tenancy.tenants import Identity
 
 MILLISECONDS_PER_S = 1000
+STATUS_MIN_REJECTION = 400
 
 
 class RequestRecorder:
@@ -86,6 +87,10 @@
         self._part_fingerprints[self.service] = made
         return made
 
+    @property
+    def _part_ids(self) -> list[str]:
+        return [part.part for part in self._facts.prompt[:-1]]
+
     @property
     def _all_fingerprints(self) -> Fingerprints:
         return (self.fingerprint, *self.part_fingerprints)
@@ -103,8 +108,12 @@
         """Record a success; it shows that the request did not crash the runner."""
         self._context.loads.answered(attempt.record.runner)
         guard = self._context.guard
-        if guard.wants_answers and not attempt.failed:
-            guard.answered(attempt.record, self._all_fingerprints, attempt.proves_survival)
+        if not guard.wants_answers or attempt.failed or attempt.head is None:
+            return
+        # A runner may reject a request without beginning to answer its prompt.
+        is_rejected = attempt.head.status >= STATUS_MIN_REJECTION
+        cleared = (self.fingerprint,) if is_rejected else self._all_fingerprints
+        guard.answered(attempt.record, cleared, attempt.proves_survival)
 
     def failed(self, attempt: Attempt) -> None:
         """Record an answer with an error status."""
@@ -140,7 +149,9 @@
         may_resend = True
         if attempt.connection_ended:
             guard = self._context.guard
-            may_resend = guard.connection_ended(attempt.record, self._all_fingerprints)
+            may_resend = guard.connection_ended(
+                attempt.record, self._all_fingerprints, self._part_ids
+            )
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
@@ -154,8 +165,8 @@
 
     def _parts_text(self) -> str:
         """Return the ids of the prompt's parts with their fingerprints, for the log."""
-        names = zip(self._facts.prompt, self.part_fingerprints, strict=False)
-        return ",".join(f"{part.part}:{fingerprint_hex(each)}" for part, each in names)
+        names = zip(self._part_ids, self.part_fingerprints, strict=False)
+        return ",".join(f"{part}:{fingerprint_hex(each)}" for part, each in names)
 
     def dropped_unconfirmed(self, attempt: Attempt) -> None:
         """Record that the stream is compared with another run; the runner may be without fault."""
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -14,7 +14,9 @@
 NO_EXTENSIONS = 0
 STREAM_ORIGINS = 1
 """The software versions of runners, and the origins of streams."""
-EXTENSION_LEVEL = STREAM_ORIGINS
+PART_NAMES = 2
+"""The names of suspected prompt parts."""
+EXTENSION_LEVEL = PART_NAMES
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
