Wait for answers before a prompt part is held without a sign that its service answers

Five runners ended within 0.6 s, before any answer could have come, and five ends without an answer counted as proof against every part that was beside all of them.

Change: such a part is held only after 2 s in which no answer has cleared a suspect beside it.

--- a/features/quarantine/soak.feature
+++ b/features/quarantine/soak.feature
@@ -23,6 +23,11 @@
       | 21   |
       | 29   |
 
+    Examples: in each of these a part of all requests was held, as five runners ended before any answer came
+      | seed |
+      | 70   |
+      | 81   |
+
   Scenario Outline: The random runs with fatal prompt parts detect a fleet in which <defect>
     Given a fleet in which <defect>
     When random runs with fatal prompt parts and seeds 18, 21, 29 and 2 are made
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -13,7 +13,7 @@
 Many requests may hold one part, and to hold it would shut out all of them. So a part needs more
 than crashes: while its service answers, it is beside three crashes and in no answer. That the
 service answers shows as another suspect of the same crash that an answer has cleared. Without such
-an answer it takes five crashes.
+an answer it takes five crashes, and 2 s in which none comes.
 
 Does no I/O; the caller passes the time.
 """
@@ -42,6 +42,11 @@
 first report may not name all suspects."""
 MAX_ANSWERED = 1024
 """Maximum number of completed requests whose times are kept, as a crash report may arrive later."""
+UNANSWERED_WAIT_S = 2.0
+"""Time to wait for a response that clears a prompt part, while no suspect beside it was cleared.
+
+Longer than most responses take, and short enough to hold a part within 3 s of its fifth crash.
+"""
 AMBIGUITY_WAIT_S = 1.0
 """Time to wait for responses that clear harmless requests, while several requests are due."""
 
@@ -110,12 +115,15 @@
 
     def due(self, now: float) -> tuple[Fingerprint, ...]:
         """Return the requests to hold now."""
-        wait_s = AMBIGUITY_WAIT_S if len(self._due_since_s) > 1 else REPORTS_SETTLE_S
-        if not any(now - since_s >= wait_s - ROUNDING_S for since_s in self._due_since_s.values()):
-            return ()
-        ranks = {
-            each: (len(self._by_suspect[each]), is_of_part(each)) for each in self._due_since_s
+        due_since_s = {
+            each: since_s
+            for each, since_s in self._due_since_s.items()
+            if self._is_answered_beside(each) or now - since_s >= UNANSWERED_WAIT_S - ROUNDING_S
         }
+        wait_s = AMBIGUITY_WAIT_S if len(due_since_s) > 1 else REPORTS_SETTLE_S
+        if not any(now - since_s >= wait_s - ROUNDING_S for since_s in due_since_s.values()):
+            return ()
+        ranks = {each: (len(self._by_suspect[each]), is_of_part(each)) for each in due_since_s}
         most = max(ranks.values())
         return tuple(each for each, rank in ranks.items() if rank == most)
 
@@ -136,12 +144,24 @@
             self._due_since_s.pop(fingerprint, None)
 
     def _is_due(self, fingerprint: Fingerprint) -> bool:
-        crashes = self._by_suspect.get(fingerprint, [])
-        was_held = fingerprint in self._ever_held
-        needed = CRASHES_TO_HOLD_AGAIN if was_held else CRASHES_TO_HOLD
-        if not is_of_part(fingerprint) or len(crashes) >= CRASHES_TO_HOLD_PART_UNANSWERED:
-            return len(crashes) >= needed
-        return sum(crash.is_answered_beside for crash in crashes) >= needed
+        crashes = len(self._by_suspect.get(fingerprint, ()))
+        if self._is_answered_beside(fingerprint):
+            return crashes >= self._crashes_to_hold(fingerprint)
+        return crashes >= CRASHES_TO_HOLD_PART_UNANSWERED
+
+    def _crashes_to_hold(self, fingerprint: Fingerprint) -> int:
+        return CRASHES_TO_HOLD_AGAIN if fingerprint in self._ever_held else CRASHES_TO_HOLD
+
+    def _is_answered_beside(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether the service answers while a part's crashes go on; a request needs no sign.
+
+        The sign has to stand at as many crashes as it takes to hold the part.
+        """
+        if not is_of_part(fingerprint):
+            return True
+        crashes = self._by_suspect.get(fingerprint, ())
+        answered = sum(crash.is_answered_beside for crash in crashes)
+        return answered >= self._crashes_to_hold(fingerprint)
 
     def _crash_of(self, runner: str, at_s: float) -> _RunnerCrash:
         for crash in reversed(self._crashes):
