Know a peer's extensions while its connections are away

With a connection a gateway forgot which extensions the peer knows, so it had nobody to ask.

Change: the last announcement of a peer stays valid until a new connection brings something else first, as one to an earlier version does.

--- a/features/platform/software_versions.feature
+++ b/features/platform/software_versions.feature
@@ -14,3 +14,4 @@
       | 3     | 3      | 30    | gateways are killed in turn              |
       | 5     | 2      | 30    | runners of v1 are replaced one by one    |
       | 3     | 3      | 30    | all controllers are killed and restarted |
+      | 5     | 5      | 30    | 8 faults strike at random                |
--- a/features/steps/wire_extension_steps.py
+++ b/features/steps/wire_extension_steps.py
@@ -46,3 +46,10 @@
 @then('"{name}" no longer knows the extensions of "{peer}"')
 def forgotten(context, name, peer):
     wait_until(lambda: _level(context, name, peer) == NO_EXTENSIONS, f"{name} forgets {peer}")
+
+
+@then('"{name}" still knows the extensions of "{peer}"')
+def still_known(context, name, peer):
+    transport = nodes_of(context)[name].transport
+    wait_until(lambda: not transport._accepted, f"{name} has lost {peer}")
+    assert _level(context, name, peer) == EXTENSION_LEVEL
--- a/src/rainsail/wire/tcp.py
+++ b/src/rainsail/wire/tcp.py
@@ -65,6 +65,9 @@
         self._hello = LinkHello(name, fleet, transport_fingerprint(protocol_modules))
         self._announcement = encode_envelope(announcement(name, fleet))
         self._extension_levels: dict[ProcessName, int] = {}
+        """The last announcement of each peer; it stays valid while there is no connection."""
+        self._unannounced: set[ProcessName] = set()
+        """Peers of new connections from which nothing has arrived yet."""
         self._deliver: Callable[[ProcessName, Envelope], None] | None = None
         self._dialled: dict[ProcessName, PeerConnection] = {}
         self._accepted: dict[ProcessName, PeerConnection] = {}
@@ -150,6 +153,7 @@
         """Use an open connection for its peer."""
         peer = connection.peer
         connection.send_envelope(self._announcement)
+        self._unannounced.add(peer)
         if connection.was_dialled:
             self._dialled[peer] = connection
             for queued in self._dial_state(peer).opened():
@@ -165,6 +169,11 @@
         level = announced_level(envelope)
         if level is not None:
             self._extension_levels[peer] = level
+        elif peer in self._unannounced:
+            # An announcement comes first, so this peer has been replaced by an earlier version.
+            self._extension_levels.pop(peer, None)
+        self._unannounced.discard(peer)
+        if level is not None:
             return
         if envelope.kind == EnvelopeKind.REPLY:
             self._calls.answered(peer, envelope.call_id)
@@ -177,8 +186,6 @@
         for links in (self._dialled, self._accepted):
             if links.get(peer) is connection:
                 del links[peer]
-        if peer not in self._dialled and peer not in self._accepted:
-            self._extension_levels.pop(peer, None)
         if connection.was_dialled and self._dial_state(peer).dialling:
             self._dial_failed(peer, fault)
         for call_id in self._calls.pop_lost(peer, connection):
