Tell lost streams from those whose origin is about to be known

The controllers had just started, and most runners' versions were not known yet, so that runners seemed to have several. Found beside it by reading: while one of three controllers is down, no search ends for certain, and each stream resumed at another gateway would have been refused.

Change: controllers keep runners' versions in a file of their own and know them right after a start. A search is certain while fewer controllers are away than a gateway reports its streams to. While some ready runners have not said their versions, a stream that nobody knows is refused with a time to retry.

Evidence: new scenarios of features/cluster/stream_origins.feature (a loss of all power; one controller down) and of features/relay/software_versions.feature.

--- a/features/cluster/stream_origins.feature
+++ b/features/cluster/stream_origins.feature
@@ -17,6 +17,11 @@
     Given a relaying fleet of 3 controllers and 2 gateways
     Then gateway-2 finds nothing for "s-9", for certain
 
+  Scenario: A stream that no controller knows is certainly unknown while one controller is down
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When controller-2 of the fleet loses power
+    Then gateway-2 finds nothing for "s-9", for certain
+
   Scenario: While controllers don't answer, a stream is not certainly unknown
     Given a relaying fleet of 3 controllers and 2 gateways
     When gateway-1 records that stream "s-1" began at version v1
@@ -42,6 +47,12 @@
     When the runner starts again under its id with version v2
     Then every node knows the runner's version v2
 
+  Scenario: Versions are known right after a loss of all power, before any runner has reported
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When a runner of version v1 reports to controller-1
+    And all machines of the fleet lose power and start again
+    Then every node knows the runner's version v1
+
   Scenario: While all runners of a service have one version, no stream is reported
     Given a relaying fleet of 3 controllers and 2 gateways
     When a runner of version v1 reports to controller-1
--- a/features/compatibility/data_folders.feature
+++ b/features/compatibility/data_folders.feature
@@ -101,6 +101,11 @@
       runner-2 of model at 10.0.1.2:80 in zone-1: ready, 4 slots, born 1749999000000, sequence 1, warms up 30 s
       runner-1 of model at 10.0.1.1:80 in zone-1: draining, 4 slots, born 1749999000000, sequence 2, warms up 0 s
       """
+    And the controller's versions of runners read
+      """
+      runner-1 born 1749999000000: v1
+      runner-2 born 1749999000000: v1.2
+      """
     And the controller's copy of what is committed reads
       """
       table 1: {"version": 1, "services": []}
--- a/features/relay/software_versions.feature
+++ b/features/relay/software_versions.feature
@@ -68,6 +68,7 @@
       | is known to no node   | v1, v1, v2 | nothing is known       | it is refused with 503 and no time to retry      |
       | is known to no node   | v1, v1, v1 | nothing is known       | the request was sent to a runner of v1           |
       | may be known to nodes | v1, v1, v1 | it is not sure yet     | it is refused with 503 and a time to retry       |
+      | is known to no node   | v1, , v1   | nothing is known       | it is refused with 503 and a time to retry       |
 
   Scenario: A runner of an earlier version that is gone makes the version of an unknown stream ambiguous
     Given a relay with 3 runners and a resumable "stream" route
--- a/features/steps/compatibility_folder_steps.py
+++ b/features/steps/compatibility_folder_steps.py
@@ -23,6 +23,8 @@
 from rainsail.cluster.committed_copy import CommittedCopies
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.runner_journal import RunnerJournal
+from rainsail.cluster.runner_version_file import RunnerVersionFile
+from rainsail.cluster.runner_versions import RunnerVersionTable
 from rainsail.cluster.zone_drains import KnownZoneDrains
 from rainsail.quarantine.view import QuarantineView
 from rainsail.simulation.clock import VirtualClock
@@ -157,6 +159,14 @@
     _check_lines(list(runner_view(journal.load())), context.text)
 
 
+@then("the controller's versions of runners read")
+def step_versions(context):
+    table = RunnerVersionTable()
+    RunnerVersionFile(context.read_folder.files, VirtualClock(), table).load()
+    lines = [f"{each.runner} born {each.born}: {each.version}" for each in table.all()]
+    _check_lines(lines, context.text)
+
+
 @then("the controller's copy of what is committed reads")
 def step_committed(context):
     copies = CommittedCopies(
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -60,6 +60,17 @@
     context.fleet.run_for(SETTLE_S)
 
 
+@when("all machines of the fleet lose power and start again")
+def restart_all(context):
+    names = list(context.fleet.nodes)
+    for name in names:
+        context.fleet.crash(name)
+    for name in names:
+        context.fleet.start(name)
+    context.fleet.leader("controller")
+    context.fleet.run_for(SETTLE_S)
+
+
 @when("{name} of the fleet is partitioned")
 def partition(context, name):
     context.fleet.isolate(name)
--- a/features/support/compatibility_folders.py
+++ b/features/support/compatibility_folders.py
@@ -29,6 +29,8 @@
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.messages import RunnerRecord, RunnerState
 from rainsail.cluster.runner_journal import RunnerJournal
+from rainsail.cluster.runner_version_file import RunnerVersionFile
+from rainsail.cluster.runner_versions import RunnerVersion, RunnerVersionTable
 from rainsail.cluster.zone_drains import KnownZoneDrains
 from rainsail.consensus.membership import (
     Membership,
@@ -140,6 +142,7 @@
         _write_identity_and_groups(kind, rig)
         if kind is RELAYING_CONTROLLER:
             _write_runner_journal(rig)
+            _write_runner_versions(rig)
             _write_committed_copy(rig)
         _copy_out(rig.disk, "", target / kind.name)
 
@@ -227,6 +230,16 @@
     assert rig.wait(journal.sync()).is_ok()
 
 
+def _write_runner_versions(rig: StorageRig) -> None:
+    table = RunnerVersionTable()
+    file = RunnerVersionFile(rig.disk, rig.clock, table)
+    for number, version in ((1, "v1"), (2, "v1.2")):
+        record = _runner_record(number, RunnerState.READY, 1)
+        table.take(RunnerVersion(record.runner, record.born, version))
+    file.changed()
+    rig.clock.advance(1.0)
+
+
 def _runner_record(number: int, state: RunnerState, sequence: int) -> RunnerRecord:
     address = f"10.0.1.{number}:80"
     born_ms = 1_749_999_000_000
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -22,6 +22,7 @@
 from rainsail.cluster.node_heartbeats import NodeHeartbeats
 from rainsail.cluster.runner_journal import RunnerJournal
 from rainsail.cluster.runner_reports import RunnerReports
+from rainsail.cluster.runner_version_file import RunnerVersionFile
 from rainsail.cluster.stream_origins import StreamOriginService
 from rainsail.cluster.table_service import ServicesOf, TableService
 from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
@@ -52,6 +53,7 @@
         context: ControllerContext,
         journal: RunnerJournal,
         committed: CommittedCopies,
+        versions: RunnerVersionFile,
         services_of: ServicesOf = lambda content: None,
     ) -> None:
         self._context = context
@@ -59,7 +61,7 @@
         group, state, clock = context.group, context.state, context.clock
         losses = context.settings.losses
         calls = LeaderCaller(context.messenger, clock, group, views.other_controllers)
-        self.reports = RunnerReports(context, views, journal)
+        self.reports = RunnerReports(context, views, journal, versions)
         self.emptying = EmptyingOrders(group, state, context.directory, calls, clock, losses)
         self.zone_drains = ZoneDrainOrders(group, state, calls, clock, views.zones)
         self.quarantine = QuarantineControl(
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -288,6 +288,14 @@
             found[record.service] = version if is_same else None
         return found
 
+    def lacks_versions(self, service: str) -> bool:
+        """Tell whether runners that take work have not said their versions yet, but others have.
+
+        A controller that starts again knows them only once each runner has reported.
+        """
+        versions = {self.versions.of(each) for each in self.ready(service)}
+        return NO_VERSION in versions and len(versions) > 1
+
     def is_warming(self, runner: str) -> bool:
         """Tell whether a runner is still warming up."""
         return self.warm_ups.left_s(runner) > 0
--- a/src/rainsail/cluster/runner_reports.py
+++ b/src/rainsail/cluster/runner_reports.py
@@ -23,6 +23,7 @@
 from rainsail.cluster.push_queue import PushQueue
 from rainsail.cluster.quorum_wait import QuorumWait
 from rainsail.cluster.runner_journal import RunnerJournal
+from rainsail.cluster.runner_version_file import RunnerVersionFile
 from rainsail.cluster.runner_versions import NO_VERSION, RunnerVersions, encode_versions
 from rainsail.errors import Fault
 from rainsail.logs import logger
@@ -33,12 +34,17 @@
     """Handles reports from runners and from other controllers."""
 
     def __init__(
-        self, context: ControllerContext, views: FleetViews, journal: RunnerJournal
+        self,
+        context: ControllerContext,
+        views: FleetViews,
+        journal: RunnerJournal,
+        versions: RunnerVersionFile,
     ) -> None:
         self._context = context
         self._registry = context.registry
         self._views = views
         self._journal = journal
+        self._versions = versions
         self._pushed_revision = 0
         self._pushes = PushQueue(context.clock, self._count_followers, self._push_batch)
         self._unshared: set[str] = set()
@@ -130,6 +136,7 @@
 
     def _push(self, changed: list[RunnerRecord]) -> None:
         self._journal.note(changed)
+        self._versions.changed()
         self._pushes.add(changed)
 
     def _count_followers(self) -> int:
--- a/src/rainsail/cluster/runner_versions.py
+++ b/src/rainsail/cluster/runner_versions.py
@@ -73,6 +73,10 @@
         known = self._versions.get(record.runner)
         return known.version if known is not None and known.born == record.born else NO_VERSION
 
+    def all(self) -> tuple[RunnerVersion, ...]:
+        """Return all versions."""
+        return tuple(self._versions.values())
+
     def of_all(self, records: Iterable[RunnerRecord]) -> tuple[RunnerVersion, ...]:
         """Return the known versions of incarnations."""
         versions = (self._versions.get(record.runner) for record in records)
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -12,6 +12,7 @@
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.founders import voters_for
 from rainsail.cluster.runner_journal import RunnerJournal
+from rainsail.cluster.runner_version_file import RunnerVersionFile
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault
 from rainsail.fleet.base import NodeBase
@@ -40,6 +41,7 @@
         self._folder = GroupFolder(base, ROOT_GROUP, files)
         self.state = FleetState()
         self._journal = RunnerJournal(files, base.clock, unix_seconds, base.registry.records)
+        self._versions = RunnerVersionFile(files, base.clock, base.registry.versions)
         self._committed = CommittedCopies(
             files, self.state, base.registry.zone_drains, base.follower.quarantine
         )
@@ -57,6 +59,7 @@
             return Error(made.error)
         self.driver = driver = made.ok
         driver.on_fatal(self._fatal)
+        self._versions.load()
         base.registry.restore(self._journal.load())
         committed = self._committed.load()
         base.follower.take_zone_drains(committed.zone_drains)
@@ -66,7 +69,7 @@
             base.settings.seed_controllers(), voters_for(context.settings.losses)
         )
         self.controller = FleetController(
-            context, self._journal, self._committed, self._services_of
+            context, self._journal, self._committed, self._versions, self._services_of
         )
         quarantine = self.controller.quarantine
         base.metrics.gauge("requests_suspected", lambda: float(quarantine.suspects))
--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -11,6 +11,7 @@
 
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.stream_origins import (
+    COPIES,
     ORIGIN_TTL_S,
     BegunStream,
     FindStreamOrigin,
@@ -98,7 +99,8 @@
             origin = result.ok.origin
         if origin is not None or not self.waiting:
             self.over = True
-            is_certain = origin is not None or not self.failed
+            # A gateway reports to several controllers: with fewer away, one of them has answered.
+            is_certain = origin is not None or self.failed < COPIES
             self.found(FoundOrigin(origin, is_certain))
 
 
--- a/src/rainsail/relay/request_origin.py
+++ b/src/rainsail/relay/request_origin.py
@@ -31,7 +31,8 @@
         """Find where a resumed stream began; ``decided`` gets the reason if it can't continue."""
 
         def found(result: FoundOrigin) -> None:
-            decision = decide_origin(result, route, self._context.registry.sole_version)
+            registry = self._context.registry
+            decision = decide_origin(result, route, registry.sole_version, registry.lacks_versions)
             if isinstance(decision, LostStream):
                 decided(decision)
             else:
--- a/src/rainsail/relay/resumption.py
+++ b/src/rainsail/relay/resumption.py
@@ -44,9 +44,16 @@
 
 
 def decide_origin(
-    found: FoundOrigin, route: Route, sole_version: Callable[[str], str | None]
+    found: FoundOrigin,
+    route: Route,
+    sole_version: Callable[[str], str | None],
+    lacks_versions: Callable[[str], bool],
 ) -> StreamOrigin | LostStream:
-    """Return where a stream continues; ``sole_version`` returns that of a service, if any."""
+    """Return where a stream continues.
+
+    ``sole_version`` returns the version of all runners of a service, if they have the same one;
+    ``lacks_versions`` tells whether some of them are about to say theirs.
+    """
     if found.origin is not None:
         return found.origin
     services = [share.service for share in route.shares if share.weight > 0]
@@ -54,4 +61,5 @@
         version = sole_version(services[0])
         if version is not None:
             return StreamOrigin(services[0], version)
+        return LostStream(UNKNOWN_ORIGIN, not lacks_versions(services[0]))
     return LostStream(UNKNOWN_ORIGIN, found.is_certain)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -191,7 +191,8 @@
             self._sender.continue_at(self._origin.origin)
             self._try_next()
             return
-        retry_after_s = None if lost.is_certain else self._context.settings.retry_after_s
+        settings = self._context.settings
+        retry_after_s = None if lost.is_certain else settings.no_runner_retry_after_s
         self._end_lost_stream(lost.reason, retry_after_s)
 
     def _end_lost_stream(self, reason: str, retry_after_s: float | None) -> None:
--- a/src/rainsail/storage/records.py
+++ b/src/rainsail/storage/records.py
@@ -45,6 +45,7 @@
     IDENTITY = 11
     RUNNER = 12
     COMMITTED_COPY = 13
+    RUNNER_VERSIONS = 14
 
 
 @dataclass(frozen=True, slots=True)
