Report where streams of split routes began, and bind only streams

Found by reading: a stream of a route that is split between services was not reported while its service had one version, though a gateway that finds no record can't tell the service; the stream would have been refused when resumed there. And a request on a route of another kind that names an event was searched for.

Change: nothing is reported only where the route has one service and that one has one version, which is what a gateway without a record concludes too (resumption.implied_origin). Requests of other kinds go on as before.

Evidence: new scenarios of features/relay/software_versions.feature.

--- a/features/relay/software_versions.feature
+++ b/features/relay/software_versions.feature
@@ -78,6 +78,27 @@
     When a client resumes that stream after event 5
     Then it is refused with 503 and no time to retry
 
+  Scenario Outline: Where <what>, the origin of a stream is recorded <how>
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions <versions>
+    When <change>
+    And a client sends a request to the relay
+    And the runner sends events 1 to 3
+    Then the origin is recorded <how>
+
+    Examples:
+      | what                       | versions   | change                                  | how            |
+      | the version is known       | v1, v1, v1 | 0 seconds pass                          | as implied     |
+      | there are two versions     | v1, v1, v2 | 0 seconds pass                          | for all to ask |
+      | the route has two services | v1, v1, v1 | the route is split with another service | for all to ask |
+
+  Scenario: A request that is no stream goes on whatever number of an event it names
+    Given a relay with 3 runners and a "safe" route
+    And runners of versions v1, v2, v1
+    And of the stream nothing is known
+    When a client resumes that stream after event 5
+    Then 1 attempt was made
+
   Scenario: The record of a stream is renewed while the stream runs
     Given a relay with 3 runners and a resumable "stream" route of 60 seconds
     And runners of versions v1, v1, v1
--- a/features/steps/relay_software_version_steps.py
+++ b/features/steps/relay_software_version_steps.py
@@ -25,10 +25,12 @@
     def __init__(self, result=RESULTS["nothing is known"]):
         self.result = result
         self.recorded = []
+        self.implied = []
 
-    def began(self, stream, origin):
+    def began(self, stream, origin, is_implied):
         """Keep a record."""
         self.recorded.append((stream, origin))
+        self.implied.append(is_implied)
 
     def find(self, stream, found):
         """Return the fixed result."""
@@ -143,6 +145,17 @@
     assert [name for name, _ in context.exchange.headers] == [b"retry-after"], context.exchange
 
 
+@step("the route is split with another service")
+def split_route(context):
+    shares = (ServiceShare(SERVICE, 0.9), ServiceShare(OTHER_SERVICE, 0.1))
+    context.relay.put_route(RouteKind.STREAM.value, resumable=True, version=2, shares=shares)
+
+
+@then("the origin is recorded {once}")
+def recorded_how(context, once):
+    assert context.relay.context.origins.implied == [once == "as implied"]
+
+
 @then("its origin was recorded {count:d} times as {version}")
 def recorded(context, count, version):
     records = context.relay.context.origins.recorded
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -37,7 +37,9 @@
 
 @step('{gateway} records that stream "{stream}" began at version {version}')
 def record(context, gateway, stream, version):
-    context.fleet.nodes[gateway].role.began(stream, StreamOrigin(SERVICE, version))
+    node, origin = context.fleet.nodes[gateway], StreamOrigin(SERVICE, version)
+    is_implied = node.base.registry.sole_version(SERVICE) == version
+    node.role.began(stream, origin, is_implied)
     context.fleet.run_for(0.1)
 
 
--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -58,8 +58,11 @@
 class StreamOrigins(Protocol):
     """Records and finds the origins of streams, by the names of the streams."""
 
-    def began(self, stream: str, origin: StreamOrigin) -> None:
-        """Record that a client has a stream's first event, or renew the record."""
+    def began(self, stream: str, origin: StreamOrigin, is_implied: bool) -> None:
+        """Record that a client has a stream's first event, or renew the record.
+
+        ``is_implied``: a gateway that finds no record continues the stream at the same origin.
+        """
         ...
 
     def find(self, stream: str, found: Found) -> None:
@@ -70,7 +73,7 @@
 class UnknownOrigins:
     """``StreamOrigins`` of a gateway without controllers: nothing is known."""
 
-    def began(self, stream: str, origin: StreamOrigin) -> None:
+    def began(self, stream: str, origin: StreamOrigin, is_implied: bool) -> None:
         """Do nothing."""
 
     def find(self, stream: str, found: Found) -> None:
@@ -121,11 +124,14 @@
         self._own = StreamOriginTable(clock)
         self._unreported: list[BegunStream] = []
 
-    def began(self, stream: str, origin: StreamOrigin) -> None:
-        """Record that a client has a stream's first event, or renew the record."""
+    def began(self, stream: str, origin: StreamOrigin, is_implied: bool) -> None:
+        """Record that a client has a stream's first event, or renew the record.
+
+        The record goes to controllers unless ``is_implied``.
+        """
         self._own.put(stream, origin)
-        if self._follower.registry.sole_version(origin.service) is not None:
-            return  # What nobody knows continues at that version too.
+        if is_implied:
+            return
         if not self._unreported:
             period_s = self._follower.view().gateways / REPORTS_PER_S
             self._clock.callLater(max(MIN_REPORT_PERIOD_S, period_s), self._report_begun)
--- a/src/rainsail/relay/request_origin.py
+++ b/src/rainsail/relay/request_origin.py
@@ -7,7 +7,7 @@
 from rainsail.relay.context import RelayContext
 from rainsail.relay.origin_client import RENEWAL_PERIOD_S, FoundOrigin
 from rainsail.relay.protocol import RequestFacts
-from rainsail.relay.resumption import LostStream, decide_origin, stream_name
+from rainsail.relay.resumption import LostStream, decide_origin, implied_origin, stream_name
 from rainsail.relay.table import Route
 from rainsail.tenancy.tenants import Identity
 
@@ -48,7 +48,7 @@
     def _name(self) -> str:
         return stream_name(self._facts, self._identity, self._facts.resumes or self._facts.request)
 
-    def events_sent(self, attempt: Attempt) -> None:
+    def events_sent(self, attempt: Attempt, route: Route) -> None:
         """Record who began the stream whose events the client has; renew the record at times."""
         if self.origin is None:
             record = attempt.record
@@ -57,4 +57,5 @@
         now = self._context.clock.seconds()
         if now - self._renewed_s >= RENEWAL_PERIOD_S:
             self._renewed_s = now
-            self._context.origins.began(self._name, self.origin)
+            implied = implied_origin(route, self._context.registry.sole_version)
+            self._context.origins.began(self._name, self.origin, implied == self.origin)
--- a/src/rainsail/relay/resumption.py
+++ b/src/rainsail/relay/resumption.py
@@ -56,10 +56,17 @@
     """
     if found.origin is not None:
         return found.origin
+    implied = implied_origin(route, sole_version)
+    if found.is_certain and implied is not None:
+        return implied
+    is_settled = not any(lacks_versions(share.service) for share in route.shares)
+    return LostStream(UNKNOWN_ORIGIN, found.is_certain and is_settled)
+
+
+def implied_origin(route: Route, sole_version: Callable[[str], str | None]) -> StreamOrigin | None:
+    """Return the only origin that a route's streams can have, None if there may be several."""
     services = [share.service for share in route.shares if share.weight > 0]
-    if found.is_certain and len(services) == 1:
-        version = sole_version(services[0])
-        if version is not None:
-            return StreamOrigin(services[0], version)
-        return LostStream(UNKNOWN_ORIGIN, not lacks_versions(services[0]))
-    return LostStream(UNKNOWN_ORIGIN, found.is_certain)
+    if len(services) != 1:
+        return None
+    version = sole_version(services[0])
+    return None if version is None else StreamOrigin(services[0], version)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -179,7 +179,7 @@
 
     def _find_origin(self) -> None:
         """Find where a resumed stream began, then send the request."""
-        if self._origin.is_resumed:
+        if self._origin.is_resumed and self.kind == RouteKind.STREAM:
             self._origin.find(self._sender.route, self._origin_decided)
         else:
             self._try_next()
@@ -298,7 +298,7 @@
     def _note_origin(self, attempt: Attempt) -> None:
         """Bind a stream that can be resumed to the software that sent its first event."""
         if self._answer.client_has == ClientHas.NUMBERED_EVENTS and self._sender.route.resumable:
-            self._origin.events_sent(attempt)
+            self._origin.events_sent(attempt, self._sender.route)
             self._sender.continue_at(self._origin.origin)
 
     def body_received(self, attempt: Attempt) -> None:
