One rule for the origin that a route implies; bound the names of parts

Items under a new leader and streams that nobody knows conclude the same from the same facts: one function. Ids of prompt parts are chosen by clients, so what is kept of them for operators is cut at 64 characters. No other change of what is decided.

--- a/src/rainsail/jobs/item_origin.py
+++ b/src/rainsail/jobs/item_origin.py
@@ -1,4 +1,4 @@
-"""Decides whether an item's text continues at a runner, and which runners it prefers. Pure.
+"""Decides at which runners an item that has a text may start. Pure.
 
 What two software versions write does not fit together, so an item continues only at the service
 and version that wrote its text so far. Unlike a client's stream it may always begin anew instead.
@@ -18,20 +18,6 @@
 OriginOf = Callable[[RunnerRecord], StreamOrigin]
 
 
-def origin_of_committed_text(
-    services: Sequence[str], sole_version: Callable[[str], str | None]
-) -> StreamOrigin | None:
-    """Return who wrote text that a previous leader has committed; None if that is not known.
-
-    The ledger does not keep the version. It is known where the route has one service, and all
-    runners of that service that this node remembers have the same version.
-    """
-    if len(services) != 1:
-        return None
-    version = sole_version(services[0])
-    return None if version is None else StreamOrigin(services[0], version)
-
-
 def preferred_records(
     ready: Sequence[RunnerRecord],
     free: Sequence[RunnerRecord],
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -8,12 +8,13 @@
 from rainsail.jobs.context import DispatchNode, Ledger
 from rainsail.jobs.dispatch_state import DispatchState
 from rainsail.jobs.item_guard import ItemGuard
-from rainsail.jobs.item_origin import origin_of_committed_text, preferred_records
+from rainsail.jobs.item_origin import preferred_records
 from rainsail.jobs.item_planner import ItemPlanner
 from rainsail.jobs.item_recorder import ItemRecorder
 from rainsail.jobs.item_runs import ItemRuns
 from rainsail.jobs.open_item import OpenItem
 from rainsail.jobs.slot_use import choose_runner
+from rainsail.relay.resumption import implied_origin
 from rainsail.relay.split import WeightedServicePicker
 from rainsail.relay.table import Route
 from rainsail.routing.residency import AllowedRegions
@@ -130,9 +131,8 @@
         if not item.begun:
             return None
         if item.progress.from_previous_leader:
-            services = [share.service for share in route.shares if share.weight > 0]
-            sole_version = self._node.registry.sole_version
-            item.progress.origin = origin_of_committed_text(services, sole_version)
+            # The ledger does not keep who wrote the text.
+            item.progress.origin = implied_origin(route, self._node.registry.sole_version)
         return item.progress.origin
 
     def _choose_runner(
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -33,6 +33,8 @@
 shuts down in order may accept connections for a short time after it has closed others."""
 MAX_REPORTED = 1024
 """About the maximum number of requests and prompt parts that are reported for one crash."""
+MAX_PART_ID_LENGTH = 64
+"""Characters of a part's id that are kept for operators; clients choose the ids."""
 
 
 class AddressProbe(Protocol):
@@ -142,7 +144,8 @@
         if known is None or known.state == RunnerState.READY:
             check = self._check_runner(record, fingerprints)
             for fingerprint, part in zip(fingerprints[1:], part_ids, strict=False):
-                check.names[fingerprint] = NamedPart(fingerprint, record.service, part)
+                name = part[:MAX_PART_ID_LENGTH]
+                check.names[fingerprint] = NamedPart(fingerprint, record.service, name)
         return self._view.ever_held.isdisjoint(fingerprints)
 
     def _check_runner(self, record: RunnerRecord, fingerprints: Fingerprints) -> _CrashCheck:
--- a/src/rainsail/relay/continuation.py
+++ b/src/rainsail/relay/continuation.py
@@ -304,8 +304,7 @@
 ) -> Ending:
     """Return how a request ends whose stream can't continue at the version that began it.
 
-    Without ``retry_after_s`` the client is not asked to resume again: the stream is lost. No
-    runner has run the request if the client has nothing of this answer and none may have run it.
+    Without ``retry_after_s`` the client is not asked to resume again: the stream is lost.
     """
     if progress.client_has != ClientHas.NOTHING or progress.may_have_run:
         return give_up(replace(progress, reason=reason), settings)
--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 from expression import Result
@@ -41,7 +41,10 @@
 with it.
 """
 REPORTS_PER_S = 2500.0
-"""The maximum rate of these messages from all gateways together, as of their load reports."""
+"""The maximum rate of these messages from all gateways together.
+
+Few controllers get all of them, beside their other work.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +91,7 @@
     found: Found
     waiting: int
     failed: int = 0
-    over: bool = field(default=False)
+    over: bool = False
 
     def take(self, result: Result[StreamOriginReply, Fault]) -> None:
         """Handle one reply; the first origin ends the search, else the last reply does."""
--- a/src/rainsail/relay/resumption.py
+++ b/src/rainsail/relay/resumption.py
@@ -16,10 +16,10 @@
 from rainsail.tenancy.tenants import Identity
 
 UNKNOWN_ORIGIN = "the software version that began the stream is not known"
+NO_OTHER_RUNNER = "no other runner of the software version that began the stream may get it"
 NAME_BYTES = 16
 _LENGTH_BYTES = 8
 _PURPOSE = b"rainsail.stream"
-NO_OTHER_RUNNER = "no other runner of the software version that began the stream may get it"
 
 
 @dataclass(frozen=True, slots=True)
