--- a/src/rainsail/cluster/committed_copy.py
+++ b/src/rainsail/cluster/committed_copy.py
@@ -9,23 +9,22 @@
 
 from dataclasses import dataclass
 
-from expression import Error, Result
+from expression import Result
 from twisted.internet.defer import Deferred
 
 from rainsail.cluster.fleet_state import FleetState
 from rainsail.cluster.messages import TableDocument
 from rainsail.cluster.zone_drains import KnownZoneDrains
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault
 from rainsail.logs import logger
 from rainsail.quarantine.view import QuarantineView
 from rainsail.state.cluster_commands import NO_QUARANTINE, Quarantine, ZoneDrain
+from rainsail.storage.file_replacement import replace_file
 from rainsail.storage.interface import FileSystem
 from rainsail.storage.records import RecordKind, encode_record, scan
 from rainsail.wire.codec import CodecError, decode_body, encode_body, wire_record
 
-FOLDER = "committed"
-PATH = f"{FOLDER}/copy"
-NEW_PATH = f"{FOLDER}/copy.new"
+PATH = "committed/copy"
 NO_GROUP = 0
 
 
@@ -108,20 +107,8 @@
         Deferred.fromCoroutine(self._write(copy)).addCallback(self._end, copy)
 
     async def _write(self, copy: CommittedCopy) -> Result[None, Fault]:
-        try:
-            file = self._files.open(NEW_PATH)
-            try:
-                file.truncate(0)
-                file.append(encode_record(NO_GROUP, RecordKind.COMMITTED_COPY, encode_body(copy)))
-                synced = await file.sync()
-            finally:
-                file.close()
-            if synced.is_error():
-                return Error(synced.error)
-            self._files.rename(NEW_PATH, PATH)
-            return await self._files.sync_folder(FOLDER)
-        except OSError as error:
-            return Error(Fault(FaultCode.STORAGE, "cluster.committed_copy", str(error)))
+        content = encode_record(NO_GROUP, RecordKind.COMMITTED_COPY, encode_body(copy))
+        return await replace_file(self._files, PATH, content, "cluster.committed_copy")
 
     def _end(self, result: Result[None, Fault], copy: CommittedCopy) -> None:
         """Write what was applied in the meantime; after a fault, the next change retries."""
--- a/src/rainsail/cluster/runner_version_file.py
+++ b/src/rainsail/cluster/runner_version_file.py
@@ -6,20 +6,19 @@
 good as none for the runners that it lacks.
 """
 
-from expression import Error, Result
+from expression import Result
 from twisted.internet.defer import Deferred
 
 from rainsail.cluster.runner_versions import RunnerVersionPage, RunnerVersionTable
-from rainsail.errors import Fault, FaultCode
+from rainsail.errors import Fault
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
+from rainsail.storage.file_replacement import replace_file
 from rainsail.storage.interface import FileSystem
 from rainsail.storage.records import RecordKind, encode_record, scan
 from rainsail.wire.codec import CodecError, decode_body, encode_body
 
-FOLDER = "runners"
-PATH = f"{FOLDER}/versions"
-NEW_PATH = f"{FOLDER}/versions.new"
+PATH = "runners/versions"
 NO_GROUP = 0
 WRITE_AFTER_S = 0.5
 """Changes within this time are written together, as when many runners start at once."""
@@ -63,20 +62,8 @@
         Deferred.fromCoroutine(self._write(page)).addCallback(self._end, revision)
 
     async def _write(self, page: RunnerVersionPage) -> Result[None, Fault]:
-        try:
-            file = self._files.open(NEW_PATH)
-            try:
-                file.truncate(0)
-                file.append(encode_record(NO_GROUP, RecordKind.RUNNER_VERSIONS, encode_body(page)))
-                synced = await file.sync()
-            finally:
-                file.close()
-            if synced.is_error():
-                return Error(synced.error)
-            self._files.rename(NEW_PATH, PATH)
-            return await self._files.sync_folder(FOLDER)
-        except OSError as error:
-            return Error(Fault(FaultCode.STORAGE, "cluster.runner_version_file", str(error)))
+        content = encode_record(NO_GROUP, RecordKind.RUNNER_VERSIONS, encode_body(page))
+        return await replace_file(self._files, PATH, content, "cluster.runner_version_file")
 
     def _end(self, result: Result[None, Fault], revision: int) -> None:
         """Write what has changed meanwhile; after a fault the next change retries."""
