Prefer settled connections for streams that are bound to a software version

A runner that starts again under its id at another version gets streams by its former record until its first report is known, over a new connection; a connection that was open before is to the process that the record describes.

Change: among the runners of its version a bound stream prefers those to which a kept connection has been open for 3 s, and takes that connection.

Evidence: scenarios of features/relay/software_versions.feature and features/http/connections.feature.

--- a/features/http/connections.feature
+++ b/features/http/connections.feature
@@ -119,3 +119,10 @@
     When a request to server a is cancelled at once
     And a request to server b is cancelled at once
     Then a request to server c goes out on the idle connection
+
+  Scenario: Of two kept connections the one that has settled is taken where that is asked for
+    Given a pool with connections to servers a, b and c that have been idle for 1 second
+    When another connection to server a is opened after 2 seconds more
+    Then a request to server a that asks for a connection of 3 seconds goes over the first one
+    And a request to server a that asks for a connection of 9 seconds goes over a kept one
+    And server a has a settled connection of 3 seconds, and none of 9 seconds
--- a/features/relay/software_versions.feature
+++ b/features/relay/software_versions.feature
@@ -9,6 +9,15 @@
     Then 2 attempts were made, both at one version
     And the last attempt asks to resume after event 3
 
+  Scenario: Of the runners of its version one with a settled connection is preferred
+    Given a relay with 6 runners and a resumable "stream" route
+    And runners of versions v1, v1, v1, v1, v1, v1
+    When a client sends a request to the relay
+    And the runner sends events 1 to 3
+    And a connection to one other runner has settled
+    And the runner's connection breaks
+    Then the last attempt went to that runner
+
   Scenario: Without a runner of its version left, a broken stream is cut off at once
     Given a relay with 3 runners and a resumable "stream" route
     And runners of versions v1, v2, v3
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -123,3 +123,42 @@
     context.pool_clock.advance(0.005)
     call.cancel()
     assert not listener.failed
+
+
+@step("another connection to server {server} is opened after {rest_s:d} seconds more")
+def open_another(context, server, rest_s):
+    context.pool_clock.advance(rest_s)
+    (first,) = [each.connection for each in context.pool._servers[_address(server)].idle]
+    context.first_connection = first
+    busy = context.pool._take_idle(_address(server), 0.0)
+    _rest(context, server, 0)
+    context.pool.connection_idle(busy, None)
+    idle = context.pool._servers[_address(server)].idle
+    idle.sort(key=lambda each: each.connection is not first)
+
+
+def _connection_used(context, server, settled_s):
+    listener = _Listener()
+    call = context.pool.send(_address(server), REQUEST, listener, settled_s=settled_s)
+    connection = call._connection
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    return connection
+
+
+@then(
+    "a request to server {server} that asks for a connection of 3 seconds goes over the first one"
+)
+def goes_over_settled(context, server):
+    assert _connection_used(context, server, 3.0) is context.first_connection
+
+
+@then("a request to server {server} that asks for a connection of 9 seconds goes over a kept one")
+def goes_over_kept(context, server):
+    _connection_used(context, server, 9.0)
+    assert not context.pool_reactor.dialled, context.pool_reactor.dialled
+
+
+@then("server {server} has a settled connection of 3 seconds, and none of 9 seconds")
+def has_settled(context, server):
+    address = _address(server)
+    assert context.pool.has_settled(address, 3.0) and not context.pool.has_settled(address, 9.0)
--- a/features/steps/relay_software_version_steps.py
+++ b/features/steps/relay_software_version_steps.py
@@ -87,6 +87,19 @@
     context.exchange = context.relay.request(after_event=number, resumes="request-0")
 
 
+@step("a connection to one other runner has settled")
+def settle(context):
+    pool = context.relay.pool
+    records = context.relay.registry.records()
+    context.settled = max(each.address for each in records if each.address != pool.calls[0].address)
+    pool.settled.add(context.settled)
+
+
+@then("the last attempt went to that runner")
+def went_to_settled(context):
+    assert context.relay.last_call.address == context.settled, context.relay.last_call
+
+
 @step("the route moves to another service with a runner")
 def move_route(context):
     record = replace(runner_record(9), service=OTHER_SERVICE)
--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -239,7 +239,12 @@
             call.cancelled = True
 
     def send(
-        self, address: str, request: OutgoingRequest, listener: Any, fresh: bool = False
+        self,
+        address: str,
+        request: OutgoingRequest,
+        listener: Any,
+        fresh: bool = False,
+        settled_s: float = 0.0,
     ) -> StandInCall:
         """Send a request to a runner."""
         call = StandInCall(address, request, listener, self._sender)
@@ -249,6 +254,10 @@
         self._runners.clock.callLater(NETWORK_S, self._runners.take, call)
         return call
 
+    def has_settled(self, address: str, settled_s: float) -> bool:
+        """Keep no connections."""
+        return False
+
     def probe(self, address: str, told: Callable[[Reachability], None]) -> None:
         """Report whether a runner accepts connections."""
         self.probes += 1
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -139,10 +139,16 @@
         """With a ``clock`` the head of each answer is sent after ``HEAD_AFTER_S``."""
         self.calls: list[StandInCall] = []
         self.forgotten: list[str] = []
+        self.settled: set[str] = set()
         self.clock = clock
 
     def send(
-        self, address: str, request: OutgoingRequest, listener: Any, fresh: bool = False
+        self,
+        address: str,
+        request: OutgoingRequest,
+        listener: Any,
+        fresh: bool = False,
+        settled_s: float = 0.0,
     ) -> StandInCall:
         """Record a request."""
         call = StandInCall(address, request, listener)
@@ -156,6 +162,10 @@
         if not call.cancelled and not call.over:
             call.begin_stream()
 
+    def has_settled(self, address: str, settled_s: float) -> bool:
+        """Tell whether a test has named the server as one with a settled connection."""
+        return address in self.settled
+
     def forget(self, address: str) -> None:
         """Record that idle connections were closed."""
         self.forgotten.append(address)
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -92,22 +92,43 @@
         self._settings = settings
         self._servers: dict[str, _Server] = {}
         self._address_of: dict[ClientConnection, str] = {}
+        self._opened_s: dict[ClientConnection, float] = {}
         self._reuses: dict[ClientConnection, _Reuse] = {}
         self._idle_limit = IdleLimit()
         self.opened = 0
 
     def send(
-        self, address: str, request: OutgoingRequest, listener: UnsentListener, fresh: bool = False
+        self,
+        address: str,
+        request: OutgoingRequest,
+        listener: UnsentListener,
+        fresh: bool = False,
+        settled_s: float = 0.0,
     ) -> Call:
-        """Send a request to ``IP:PORT``; ``fresh`` asks for a new connection."""
+        """Send a request to ``IP:PORT``.
+
+        ``fresh`` asks for a new connection, ``settled_s`` for one that has been open for so long,
+        if there is one.
+        """
         call = Call(listener)
-        connection = None if fresh else self._take_idle(address)
+        connection = None if fresh else self._take_idle(address, settled_s)
+        if connection is None and not fresh and settled_s:
+            connection = self._take_idle(address, 0.0)
         if connection is not None:
             call.run_on(connection, request)
             return call
         self._connect(address, request, call)
         return call
 
+    def has_settled(self, address: str, settled_s: float) -> bool:
+        """Tell whether a kept connection to a server has been open for ``settled_s``."""
+        server = self._servers.get(address)
+        now = self._clock.seconds()
+        return server is not None and any(
+            self._is_settled(each, settled_s, now) and not each.connection.closed
+            for each in server.idle
+        )
+
     def probe(self, address: str, on_result: Callable[[Reachability], None]) -> None:
         """Report whether an address accepts connections; the probe's connection is closed."""
         self.opened += 1
@@ -138,11 +159,25 @@
 
     # --- opening -------------------------------------------------------------------------
 
-    def _take_idle(self, address: str) -> ClientConnection | None:
+    def _is_settled(self, idle: _Idle, settled_s: float, now: float) -> bool:
+        return idle.until_s > now and now - self._opened_s[idle.connection] >= settled_s
+
+    def _take_idle(self, address: str, settled_s: float) -> ClientConnection | None:
+        """Take the kept connection that was used last, of those open for ``settled_s``."""
         server = self._servers.get(address)
         now = self._clock.seconds()
         while server is not None and server.idle:
-            each = server.idle.pop()
+            place = len(server.idle) - 1
+            if settled_s:
+                settled = [
+                    index
+                    for index, each in enumerate(server.idle)
+                    if self._is_settled(each, settled_s, now)
+                ]
+                if not settled:
+                    return None
+                place = settled[-1]
+            each = server.idle.pop(place)
             idle_for_s = now - each.since_s
             usable = each.until_s > now and self._idle_limit.allows(idle_for_s, now)
             if usable and not each.connection.closed:
@@ -163,6 +198,7 @@
         """Return the protocol for a connection that was established."""
         connection = ClientConnection(self, self._settings.user_timeout_s)
         self._address_of[connection] = address
+        self._opened_s[connection] = self._clock.seconds()
         return connection
 
     def connected(self, connection: ClientConnection, request: OutgoingRequest, call: Call) -> None:
@@ -195,6 +231,7 @@
         """Remove a connection; a reset right after its reuse limits the idle times."""
         address = self._address_of.pop(connection, None)
         reuse = self._reuses.pop(connection, None)
+        self._opened_s.pop(connection, None)
         if address is None:
             return
         if reuse is not None and connection.lost_unanswered:
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -17,6 +17,11 @@
 from rainsail.routing.residency import AllowedRegions
 from rainsail.tenancy.tenants import Identity
 
+SETTLED_S = 3.0
+"""Age of a connection after which the report of the runner's process has certainly arrived.
+
+Longer than two of a runner's 1.2 s heartbeat periods.
+"""
 NO_SERVICE = ""
 """The service of a stream whose route no longer allows the one that began it."""
 ANY_WAIT = -1.0
@@ -205,6 +210,22 @@
         records = [
             record for record in self._ready() if not context.registry.warm_ups.is_limited(record)
         ]
+        if self.origin is not None:
+            records = self._settled(records)
         request = RoutedRequest(self._facts.prompt, context.zone)
         now = context.clock.seconds()
         return context.chooser.choose(records, frozenset(self.tried), request, now)
+
+    def _settled(self, records: list[RunnerRecord]) -> list[RunnerRecord]:
+        """Return the untried runners to which a settled connection is kept, all if there is none.
+
+        A runner may start again under its id at another version. By the time a connection has
+        settled, the report of the process behind it is known.
+        """
+        has_settled = self._context.pool.has_settled
+        settled = [
+            record
+            for record in records
+            if record.runner not in self.tried and has_settled(record.address, SETTLED_S)
+        ]
+        return settled or records
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -14,7 +14,7 @@
 from rainsail.relay.continuation import SendAgain
 from rainsail.relay.protocol import RequestFacts, RunnerTarget
 from rainsail.relay.response_timeout import ResponseTimeout
-from rainsail.relay.runner_finder import FindResult, RunnerFinder
+from rainsail.relay.runner_finder import SETTLED_S, FindResult, RunnerFinder
 from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.messages import Placement
 from rainsail.tenancy.tenants import Identity
@@ -109,7 +109,8 @@
         self.attempt = attempt
         self.attempts.append(attempt)
         self._timeout.request_sent(self.route, self.attempts_counted)
-        attempt.call = context.pool.send(record.address, request, attempt)
+        settled_s = 0.0 if self._finder.origin is None else SETTLED_S
+        attempt.call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
 
     def events_received(self) -> None:
         """Restart the time-out for the next events."""
