--- a/src/rainsail/cluster/runner_reports.py
+++ b/src/rainsail/cluster/runner_reports.py
@@ -154,8 +154,10 @@
         messenger = self._context.messenger
         page = encode_versions(self._registry.versions.of_all(records))
         if page:
-            able = [each for each in nodes if messenger.extension_level(each) >= STREAM_ORIGINS]
-            messenger.send_all(able, RunnerVersions(page))
+            supporting = [
+                each for each in nodes if messenger.extension_level(each) >= STREAM_ORIGINS
+            ]
+            messenger.send_all(supporting, RunnerVersions(page))
 
 
 def _without_repetitions(records: list[RunnerRecord]) -> list[RunnerRecord]:
--- a/src/rainsail/cluster/stream_origins.py
+++ b/src/rainsail/cluster/stream_origins.py
@@ -117,7 +117,7 @@
         return StreamOriginReply(self._table.get(message.stream))
 
 
-def keepers_of(gateway: str, controllers: Iterable[str]) -> list[str]:
+def assigned_controllers(gateway: str, controllers: Iterable[str]) -> list[str]:
     """Return the controllers that a gateway tells of its streams, by rendezvous hashing."""
     order = sorted(
         controllers,
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -117,8 +117,8 @@
             self._runs.start(item, job, record, now)
             return StartResult.WAITS_NO_LONGER
         # The runners that this item avoids may have free slots for other items.
-        is_choosy = bool(item.failed_at_s) or origin is not None
-        return StartResult.PASSED_OVER if is_choosy else StartResult.NO_SLOT
+        is_restricted = bool(item.failed_at_s) or origin is not None
+        return StartResult.PASSED_OVER if is_restricted else StartResult.NO_SLOT
 
     def _service_for(self, origin: StreamOrigin | None, route: Route) -> str:
         """Return the service that wrote the item's text so far, else the next one of the split."""
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -183,9 +183,11 @@
         self._send_to_controllers(RunnerEnded(runner, tuple(check.broken), age_s))
         names = tuple(check.names[each] for each in check.broken if each in check.names)
         level = self._messenger.extension_level
-        able = [each for each in self._follower.heartbeat_targets() if level(each) >= PART_NAMES]
+        supporting = [
+            each for each in self._follower.heartbeat_targets() if level(each) >= PART_NAMES
+        ]
         if names:
-            self._messenger.send_all(able, PartsNamed(names))
+            self._messenger.send_all(supporting, PartsNamed(names))
 
     def _send_to_controllers(self, message: RunnerEnded | RequestAnswered) -> None:
         """Send to every controller that this node follows, so that a new leader has it as well."""
--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -19,7 +19,7 @@
     StreamOriginReply,
     StreamOriginTable,
     StreamsBegun,
-    keepers_of,
+    assigned_controllers,
 )
 from rainsail.errors import Fault
 from rainsail.node_metrics import NodeMetrics
@@ -142,9 +142,9 @@
 
     def _report_begun(self) -> None:
         begun, self._unreported = tuple(self._unreported), []
-        able = self._able(self._follower.controllers.in_touch())
-        keepers = keepers_of(self._messenger.name, able)
-        self._messenger.send_all(keepers, StreamsBegun(begun))
+        supporting = self._supporting(self._follower.controllers.in_touch())
+        assigned = assigned_controllers(self._messenger.name, supporting)
+        self._messenger.send_all(assigned, StreamsBegun(begun))
 
     def find(self, stream: str, found: Found) -> None:
         """Search for a stream's origin here and at controllers."""
@@ -153,18 +153,20 @@
             self._report(FoundOrigin(own, is_certain=True), found)
             return
         asked = self._follower.heartbeat_targets()
-        able = self._able(asked)
-        if not able:
+        supporting = self._supporting(asked)
+        if not supporting:
             self._report(FoundOrigin(None, is_certain=False), found)
             return
         search = _Search(
-            lambda result: self._report(result, found), len(able), failed=len(asked) - len(able)
+            lambda result: self._report(result, found),
+            len(supporting),
+            failed=len(asked) - len(supporting),
         )
-        for controller in able:
+        for controller in supporting:
             reply = self._messenger.call(controller, FindStreamOrigin(stream), REPLY_TIMEOUT_S)
             reply.addCallback(search.take)
 
-    def _able(self, controllers: Sequence[str]) -> list[str]:
+    def _supporting(self, controllers: Sequence[str]) -> list[str]:
         """Return the controllers that keep origins; those of earlier versions do not."""
         level = self._messenger.extension_level
         return [each for each in controllers if level(each) >= STREAM_ORIGINS]
