--- a/features/support/warm_up_world.py
+++ b/features/support/warm_up_world.py
@@ -59,7 +59,18 @@
         self._world = world
         self._clock = clock
 
-    def send(self, address: str, request: Any, listener: Any, fresh: bool = False) -> StandInCall:
+    def has_settled(self, address: str, settled_s: float) -> bool:
+        """Keep no connections."""
+        return False
+
+    def send(
+        self,
+        address: str,
+        request: Any,
+        listener: Any,
+        fresh: bool = False,
+        settled_s: float = 0.0,
+    ) -> StandInCall:
         """Send a request after the connection delay."""
         call = StandInCall(address, request, listener)
         connects_s = CONNECTED_WITHIN_S * self._world.random.random() ** 8
