--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -95,19 +95,24 @@
 # --- batch jobs --------------------------------------------------------------------------
 
 
-def submit(fleet: Fleet, front: str, prefix: str, job: str, count: int) -> int:
-    """Hand a batch job in at a front machine; returns the status, 0 for no answer."""
+def submit(
+    fleet: Fleet, front: str, prefix: str, job: str, count: int, out: int = 40, part: str = "9c2e41"
+) -> int:
+    """Hand a batch job in at a front machine; returns the status, 0 for no answer.
+
+    Each item may have ``out`` tokens and shares the prompt part ``part`` with the others.
+    """
     items = [
         {
             "id": f"{job}-{number}",
             "path": f"{prefix}{job}/{number}",
             "headers": {
                 "Model": "m",
-                "Token-Usage": "540,40",
-                "Prompt-Prefix": f"9c2e41:300,{crc32(f'{job}-{number}'.encode()):08x}:240",
+                "Token-Usage": f"540,{out}",
+                "Prompt-Prefix": f"{part}:300,{crc32(f'{job}-{number}'.encode()):08x}:240",
             },
             "body": base64.b64encode(f"body of {job}-{number}".encode()).decode(),
-            "tokens": 580,
+            "tokens": 540 + out,
         }
         for number in range(count)
     ]
@@ -165,7 +170,7 @@
         "Host": HOST,
         "Request-Id": request,
         "Model": "m",
-        "Token-Usage": "1460,80",
+        "Token-Usage": "1050,30",
         "Prompt-Prefix": f"5c1e07a2:800,{stream.name}:250",
         "Deadline-Ms": str(int(left_s * 1000)),
         "Content-Length": "4",
--- a/review/common/runners.py
+++ b/review/common/runners.py
@@ -3,7 +3,8 @@
 A runner works on ``slots`` requests at once and queues a few more; the others are rejected with
 503 and ``Not-Run``. It answers 421 if ``Expect-Instance`` names another runner. A stream has one
 event every ``event_s``; with ``Last-Event-Id`` n it goes on at n + 1, at whatever version. The data
-of an event names the runner's software version, so that a reader can tell who wrote it.
+of an event may name the runner's software version, so that a reader can tell who wrote it. A runner
+with 0 ``events`` sends one for each ``STRIDE`` tokens that ``Token-Usage`` names as the most out.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
 PORT = 8080
 HEARTBEAT_S = 1.2
 QUEUE = 48
+STRIDE = 10
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 RESETS_S = 0.05
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
@@ -238,7 +240,7 @@
         )
         self._running += 1
         try:
-            await self._stream(writer, run, left)
+            await self._stream(writer, run, left, self._events or _events_of(headers))
         finally:
             run.ended_s = self._all.record.now_s()
             self._running = max(0, self._running - 1)
@@ -247,10 +249,10 @@
             await asyncio.gather(left, return_exceptions=True)
 
     async def _stream(
-        self, writer: asyncio.StreamWriter, run: Run, left: "asyncio.Future[bytes]"
+        self, writer: asyncio.StreamWriter, run: Run, left: "asyncio.Future[bytes]", events: int
     ) -> None:
         await self._write_head(writer, 200, run.request, {"Content-Type": "text/event-stream"})
-        for number in range(run.after + 1, self._events + 1):
+        for number in range(run.after + 1, events + 1):
             await _first(asyncio.sleep(self._event_s), left)
             version = f" of {run.version}" if self._all.names_version else ""
             data = f"id: {number}\ndata: text {number}{version}\n\n".encode()
@@ -295,10 +297,18 @@
     return method, path, {name.lower(): value.strip() for name, _, value in headers}
 
 
+def _events_of(headers: dict[str, str]) -> int:
+    """Return how many events the answer to a request has, by the tokens that it may have."""
+    most_out = headers.get("token-usage", "").rpartition(",")[2]
+    return max(1, int(most_out or STRIDE) // STRIDE)
+
+
 async def _first(work: Coroutine[Any, Any, Any], left: "asyncio.Future[bytes]") -> None:
     """Wait for some work; raises ``OSError`` if the caller's connection ends before."""
     task = asyncio.ensure_future(work)
     await asyncio.wait({task, left}, return_when=asyncio.FIRST_COMPLETED)
+    if left.done():
+        left.exception()  # Otherwise the loop reports it as not retrieved.
     if not task.done():
         task.cancel()
         raise ConnectionResetError("the caller has closed its connection")
