Put holds on weak evidence on trial, and weigh what a crashed run had written

A prompt part that all items of a job hold is held for 600 s; accepted items are left lying while runners are idle, and requests with the part get 502.

Cause: each runner that crashes beside a part counts against it, also at one moment, and the answers that would clear it take longer than the wait. What is held reaches no runner, so nothing can refute the hold. By the logs each hold came a second after the crash, with three or more runners, and was never released.

Change: a run that had written for 1 s is no evidence against its parts, and one that goes on writing clears them after a probe. A whole request counts crashes at the same point of its runs only. Other holds need three crashes in succession, early in their runs, without unexplained crashes of other runners; else the entry is released but not forgotten, and the leader, confirmed by a quorum, permits one run in the whole fleet at a time. The state is that of the group as it was, so it survives a change of the leader and a loss of power; new records go only to peers that know them.

Cost: a weakly suspected fatal part may cost up to three runners more for its trials; a node asks each followed controller at most five times a second for a request on trial.

--- a/features/steps/quarantine_soak_steps.py
+++ b/features/steps/quarantine_soak_steps.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from behave import given, then, when
+from features.support.common_cause_soak import CommonCauseSoak
 from features.support.part_soak import PartSoak
 from features.support.quarantine_soak import QuarantineSoak
 
@@ -63,6 +64,17 @@
     context.soaks = [_play(int(seed), PartSoak) for seed in numbers]
 
 
+@when("a random run with crashes of several runners and seed {seed:d} is made")
+def play_common_cause(context, seed):
+    context.soaks = [_play(seed, CommonCauseSoak)]
+
+
+@then("no guarantee was broken")
+def none_broken(context):
+    (soak,) = context.soaks
+    assert not soak.violations and soak.counts["jobs accepted"], soak.violations
+
+
 @then("no guarantee was broken, and a fatal part was checked")
 def no_part_broken(context):
     (soak,) = context.soaks
--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -73,13 +73,15 @@
         count: int,
         on_heartbeat: Callable[[RunnerRecord], None],
         immune_service: str = "",
+        slots: int = SLOTS,
     ) -> None:
-        """``on_heartbeat`` receives each heartbeat.
+        """``on_heartbeat`` receives each heartbeat; each runner has ``slots``.
 
         With an ``immune_service`` the runners with even numbers belong to it, and respond to a
         fatal body as to any other.
         """
         self._immune_service = immune_service
+        self._slots = slots
         self.clock = clock
         self._on_heartbeat = on_heartbeat
         self.runners = [CrashingRunner(number) for number in range(1, count + 1)]
@@ -89,6 +91,8 @@
         """Prompt parts that crash the runner, unless they are a prompt's last part."""
         self.head = AnswerHead(200, STREAM_FIELDS)
         """The head of each answer."""
+        self.item_events = EVENTS
+        """Events of an answer to an item."""
         self.abort_share = 0.0
         """Probability that a runner aborts a response at an event and keeps running."""
         self._draw = random.Random(count)
@@ -122,7 +126,7 @@
                 self._immune_service if self._is_immune(runner) else SERVICE,
                 runner.address,
                 f"zone-{runner.number % 3}",
-                SLOTS,
+                self._slots,
                 state,
                 0.0,
                 runner.sequence,
@@ -182,7 +186,8 @@
             runner.calls.remove(call)
             call.listener.answer_failed("connection reset")
             return
-        if number < EVENTS:
+        events = self.item_events if call.job else EVENTS
+        if number < events:
             self.clock.callLater(EVENT_PERIOD_S, self._send_event, runner, call, number + 1)
             return
         runner.calls.remove(call)
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from expression import Ok
-from features.support.crashing_runners import FATAL_BODY, CrashingRunners, RunnerPool
+from features.support.crashing_runners import FATAL_BODY, SLOTS, CrashingRunners, RunnerPool
 from features.support.relayed_fleet import COMPLETION_S, JOB_PREFIX, RelayedFleet
 from features.support.relaying import HOST, SERVICE, PlainProtocol, StandInExchange
 
@@ -111,6 +111,7 @@
         gateways: int = GATEWAYS,
         runners: int = RUNNERS,
         immune_service: str = "",
+        slots: int = SLOTS,
     ) -> None:
         """``immune_service`` gets half of the load; no body crashes its runners."""
         self._immune_service = immune_service
@@ -124,7 +125,7 @@
         super().__init__(seed, gateways=gateways)
         self.leader("controller")
         self.leader("storage")
-        self.runners = CrashingRunners(self.clock, runners, self._heartbeat, immune_service)
+        self.runners = CrashingRunners(self.clock, runners, self._heartbeat, immune_service, slots)
         self.put_table(1)
         self.run_for(2.0)
 
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -70,6 +70,7 @@
         self._planner.plan_if_due()
         self._preemptor.preempt_everywhere()
         self._runs.end_idle_runs()
+        self._runs.report_survival()
         self._runs.list_confirmed()
         self._starter.start_items()
         self._node.clock.callLater(DISPATCH_PERIOD_S, self._run_periodically)
--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -14,6 +14,8 @@
 from rainsail.relay.protocol import RelayProtocol
 
 ITEM_METHOD = b"POST"
+PERMIT_USE_S = 1.0
+"""How long a permit for a trial waits for a free slot; another item may ask after that."""
 
 
 class ItemGuard:
@@ -76,6 +78,34 @@
             return False
         return self._guard.held_among(self._all_fingerprints(item, service)) is not None
 
+    def may_try(self, item: OpenItem, service: str, now: float) -> bool:
+        """Tell whether an item that is not held may be sent to a runner of a service now.
+
+        One that was held needs a permit, for which this asks; it is there in one of the next
+        rounds.
+        """
+        if not self._guard.has_unproven:
+            return True
+        unproven = self._guard.unproven_among(self._all_fingerprints(item, service))
+        if not unproven:
+            return True
+        if now <= item.trial_until_s:
+            item.trial_until_s = 0.0
+            return True
+
+        def decided(may_run: bool) -> None:
+            if may_run:
+                item.trial_until_s = now + PERMIT_USE_S
+
+        self._guard.request_trial(unproven, decided)
+        return False
+
+    def on_run_goes_on(self, item: OpenItem, record: RunnerRecord | None) -> None:
+        """Report a run that has gone on for a while, as its runner has survived the prompt."""
+        if record is not None:
+            parts = self._part_fingerprints(item, record.service)
+            self._guard.answered(record, parts, proves_survival=False)
+
     def on_run_ended(self, item: OpenItem, record: RunnerRecord | None) -> None:
         """Report a connection that ended during a run, or a run that its runner survived."""
         run = item.run
@@ -83,7 +113,7 @@
             return
         if run.connection_ended:
             fingerprints = self._all_fingerprints(item, record.service)
-            self._guard.connection_ended(record, fingerprints, self._part_ids(item))
+            self._guard.connection_ended(record, fingerprints, self._part_ids(item), run.times)
         elif run.is_whole and self._guard.wants_answers:
             fingerprints = self._all_fingerprints(item, record.service)
             self._guard.answered(record, fingerprints, run.proves_survival)
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -8,6 +8,7 @@
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
 from rainsail.jobs.job_state import EVENT_SEPARATOR
+from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.continuation import (
     CLOSED_EARLY,
     FOREIGN_ANSWER,
@@ -157,9 +158,15 @@
         source: StreamSource,
         beginnings: StreamBeginnings,
         ended: Callable[["ItemRun", RunEnd, str], None],
-        on_load: Callable[[ServerLoad], None] = lambda load: None,
+        on_load: Callable[[ServerLoad], None],
+        seconds: Callable[[], float],
     ) -> None:
-        """``on_load`` is called with the load that the runner reports in the answer's head."""
+        """``on_load`` is called with the load that the runner reports in the answer's head.
+
+        ``seconds`` reads the clock.
+        """
+        self.times = RunTimes(seconds())
+        self._seconds = seconds
         self.item = item
         self.progress = progress
         self.verdict: AnswerVerdict | None = None
@@ -209,6 +216,7 @@
         """Append the complete events that these bytes bring."""
         if self._over or self._stream is None:
             return
+        self.times.output(self._seconds())
         self._take_events(self._stream.feed(data))
         if self._stream.is_overlong:
             self._end(RunEnd.BROKEN, OVERLONG_EVENT)
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -107,6 +107,7 @@
             self._beginnings,
             on_ended,
             on_load_report,
+            self._node.clock.seconds,
         )
 
     def end_idle_runs(self) -> None:
@@ -118,6 +119,15 @@
                 # Any other item sent there could also wait for the whole timeout.
                 self._slots.pause(item.runner, now + RUNNER_BACKOFF_MAX_S)
 
+    def report_survival(self) -> None:
+        """Report the runs that have gone on for a while, as far as the quarantine wants to know."""
+        if not self._node.guard.wants_answers:
+            return
+        now = self._node.clock.seconds()
+        for item in list(self._running):
+            if item.run is not None and item.run.times.is_survival_check_due(now):
+                self._guard.on_run_goes_on(item, self._node.registry.get(item.runner))
+
     def list_confirmed(self) -> None:
         """List the waiting items whose texts other streams' beginnings have confirmed meanwhile.
 
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -114,6 +114,9 @@
         allowed = self._routes.allowed_regions(route, job.tenant)
         record = self._choose_runner(item, origin, service, allowed, now)
         if record is not None:
+            if not self._guard.may_try(item, service, now):
+                self._keep_waiting(item, now)
+                return StartResult.PASSED_OVER
             self._runs.start(item, job, record, now)
             return StartResult.WAITS_NO_LONGER
         # The runners that this item avoids may have free slots for other items.
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -25,6 +25,8 @@
     """The runner of the current run, or of the last one."""
     run: ItemRun | None = None
     call: Call | None = None
+    trial_until_s: float = 0.0
+    """Until when the item may be sent although it was held before."""
     started_s: float = 0.0
     """Start of the current run, or of the last one."""
     ran_s: float = 0.0
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -4,28 +4,35 @@
 partition, and machines lose power. A runner counts as crashed if its address refuses connections
 shortly afterwards. An address that does not answer at all is behind a partition or without power,
 which no request can cause.
+
+A request that was held and released without an answer runs only as a trial, one at a time in the
+whole fleet: the leading controller permits it.
 """
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.messages import RunnerRecord, RunnerState
 from rainsail.http.reachability import Reachability
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
-from rainsail.quarantine.fingerprint import Fingerprint, is_of_part
-from rainsail.quarantine.guard import Fingerprints
+from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_hex, is_of_part
+from rainsail.quarantine.guard import Fingerprints, TrialDecided
 from rainsail.quarantine.messages import (
+    CrashedRun,
     NamedPart,
     PartsNamed,
     RequestAnswered,
     RequestsWatched,
+    RequestTrial,
+    RunnerCrashed,
     RunnerEnded,
 )
+from rainsail.quarantine.run_times import PROMPT_READ_AFTER_S, RunAge, RunTimes
 from rainsail.runtime.clock import Clock
-from rainsail.wire.extensions import PART_NAMES
+from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES
 from rainsail.wire.messenger import Messenger
 
 PROBE_DELAYS_S = (0.05, 0.5)
@@ -36,6 +43,13 @@
 MAX_PART_ID_LENGTH = 64
 """Characters of a part's id that are kept for operators; clients choose the ids."""
 
+TRIAL_TIMEOUT_S = 0.3
+"""How long a request waits for the permit of a trial; a few round trips between regions."""
+TRIAL_RETRY_S = 0.2
+"""After a refusal no other request with the same fingerprint asks for this long."""
+MAX_TRIALS_REFUSED = 1024
+"""Refusals that are remembered; there are at most as many as requests that were held."""
+
 
 class AddressProbe(Protocol):
     """Checks whether an address accepts connections."""
@@ -51,7 +65,7 @@
 
     record: RunnerRecord
     began_s: float
-    broken: dict[Fingerprint, None] = field(default_factory=dict)
+    broken: dict[Fingerprint, RunAge] = field(default_factory=dict)
     names: dict[Fingerprint, NamedPart] = field(default_factory=dict)
     probes: int = 0
 
@@ -73,6 +87,8 @@
         self._connections = connections
         self._metrics = metrics
         self._view = follower.quarantine
+        self._trial_refused_s: dict[Fingerprints, float] = {}
+        """When requests were last refused as trials; in the future while a call is under way."""
         self._crash_checks: dict[str, _CrashCheck] = {}
         self._survival_checks: set[str] = set()
         """Runners of which a check is pending whether they survived an unmarked end."""
@@ -89,6 +105,58 @@
         """Return the fingerprint for which a request must not reach a runner, if there is one."""
         return next((each for each in fingerprints if each in self._view.held), None)
 
+    @property
+    def has_unproven(self) -> bool:
+        """Whether any request may run only as a trial."""
+        return bool(self._view.unproven)
+
+    def unproven_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return the fingerprints for which a request may run only as a trial."""
+        return tuple(each for each in fingerprints if each in self._view.unproven)
+
+    def request_trial(self, fingerprints: Fingerprints, decided: TrialDecided) -> None:
+        """Ask the controllers; while all those in touch are of earlier versions it may run."""
+        supporting = self._supporting(HOLD_TRIALS)
+        now = self._clock.seconds()
+        if not supporting:
+            decided(bool(self._follower.controllers.in_touch()))
+        elif now - self._trial_refused_s.get(fingerprints, float("-inf")) < TRIAL_RETRY_S:
+            decided(False)
+        else:
+            self._trial_refused_s[fingerprints] = now + TRIAL_TIMEOUT_S
+            self._ask_for_trial(supporting, RequestTrial(tuple(fingerprints)), decided)
+
+    def _ask_for_trial(
+        self, controllers: Sequence[str], message: RequestTrial, decided: TrialDecided
+    ) -> None:
+        """Ask all controllers, as only the leader may permit it; the first permit decides."""
+        waiting = len(controllers)
+        is_decided = False
+
+        def replied(result: Any) -> None:
+            nonlocal waiting, is_decided
+            waiting -= 1
+            permitted = not result.is_error() and result.ok.permitted
+            if is_decided or not (permitted or not waiting):
+                return
+            is_decided = True
+            self._end_trial_call(message.fingerprints, permitted)
+            decided(permitted)
+
+        for controller in controllers:
+            reply = self._messenger.call(controller, message, TRIAL_TIMEOUT_S)
+            reply.addCallback(replied)
+
+    def _end_trial_call(self, fingerprints: Fingerprints, permitted: bool) -> None:
+        self._metrics.count("quarantine_trials", outcome="permitted" if permitted else "refused")
+        refused_s = self._trial_refused_s
+        refused_s[fingerprints] = self._clock.seconds()
+        while len(refused_s) > MAX_TRIALS_REFUSED:
+            del refused_s[next(iter(refused_s))]
+        if permitted:
+            names = ",".join(map(fingerprint_hex, fingerprints))
+            logger.bind(fingerprints=names).info("quarantine_trial_permitted")
+
     # --- reporting -----------------------------------------------------------------------
 
     @property
@@ -104,6 +172,8 @@
     ) -> None:
         """Report a complete response to the controllers, if they watch the request or its parts.
 
+        A response that has gone on for a while is reported as one that proves nothing yet.
+
         Without proof of the runner's survival its address is tried first, for the parts only: a
         part that many requests hold would otherwise never be cleared where runners mark no ends.
         """
@@ -132,30 +202,42 @@
         self._connections.probe(record.address, probed)
 
     def connection_ended(
-        self, record: RunnerRecord, fingerprints: Fingerprints, part_ids: Sequence[str]
+        self,
+        record: RunnerRecord,
+        fingerprints: Fingerprints,
+        part_ids: Sequence[str],
+        times: RunTimes,
     ) -> bool:
         """Start a check whether the runner has crashed.
 
         Returns False for a request that was held before, or that holds such a part.
 
-        A runner that has announced its shutdown is not checked.
+        A runner that has announced its shutdown is not checked. The parts of a run that had gone on
+        writing are no suspects.
         """
         known = self._follower.registry.get(record.runner)
         if known is None or known.state == RunnerState.READY:
-            check = self._check_runner(record, fingerprints)
-            for fingerprint, part in zip(fingerprints[1:], part_ids, strict=False):
+            has_read_prompt = times.wrote_s >= PROMPT_READ_AFTER_S
+            suspects = fingerprints[:1] if has_read_prompt else fingerprints
+            age = RunAge(self._clock.seconds() - times.sent_s, times.wrote_s)
+            check = self._check_runner(record, suspects, age)
+            for fingerprint, part in zip(suspects[1:], part_ids, strict=False):
                 name = part[:MAX_PART_ID_LENGTH]
                 check.names[fingerprint] = NamedPart(fingerprint, record.service, name)
         return self._view.ever_held.isdisjoint(fingerprints)
 
-    def _check_runner(self, record: RunnerRecord, fingerprints: Fingerprints) -> _CrashCheck:
+    def _check_runner(
+        self, record: RunnerRecord, fingerprints: Fingerprints, age: RunAge
+    ) -> _CrashCheck:
         check = self._crash_checks.get(record.runner)
         if check is None:
             check = _CrashCheck(record, self._clock.seconds())
             self._crash_checks[record.runner] = check
             self._probe_later(check)
         if len(check.broken) < MAX_REPORTED:
-            check.broken.update(dict.fromkeys(fingerprints))
+            for each in fingerprints:
+                known = check.broken.get(each)
+                check.broken[each] = age if known is None else known.youngest(age)
         return check
 
     def _probe_later(self, check: _CrashCheck) -> None:
@@ -180,15 +262,20 @@
         age_s = self._clock.seconds() - check.began_s
         logger.bind(runner=runner, requests=len(check.broken)).info("runner_ended")
         self._metrics.count("runner_ends_seen")
-        self._send_to_controllers(RunnerEnded(runner, tuple(check.broken), age_s))
         names = tuple(check.names[each] for each in check.broken if each in check.names)
-        level = self._messenger.extension_level
-        supporting = [
-            each for each in self._follower.heartbeat_targets() if level(each) >= PART_NAMES
-        ]
         if names:
-            self._messenger.send_all(supporting, PartsNamed(names))
+            self._messenger.send_all(self._supporting(PART_NAMES), PartsNamed(names))
+        runs = tuple(CrashedRun(each, age.ran_s, age.wrote_s) for each, age in check.broken.items())
+        with_ages = self._supporting(HOLD_TRIALS)
+        without = [each for each in self._follower.heartbeat_targets() if each not in with_ages]
+        self._messenger.send_all(with_ages, RunnerCrashed(runner, runs, age_s))
+        self._messenger.send_all(without, RunnerEnded(runner, tuple(check.broken), age_s))
+
+    def _supporting(self, extension: int) -> list[str]:
+        """Return the controllers that this node follows and that know an extension."""
+        level = self._messenger.extension_level
+        return [each for each in self._follower.heartbeat_targets() if level(each) >= extension]
 
-    def _send_to_controllers(self, message: RunnerEnded | RequestAnswered) -> None:
+    def _send_to_controllers(self, message: RequestAnswered) -> None:
         """Send to every controller that this node follows, so that a new leader has it as well."""
         self._messenger.send_all(self._follower.heartbeat_targets(), message)
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -3,6 +3,11 @@
 Every controller that nodes follow receives every crash report, so a new leader already has them.
 A hold is a replicated decision of the root group: it survives failures of controllers and gateways,
 and a power loss of all machines.
+
+A hold on weak evidence is put on trial, like a circuit breaker that is half open: it is released
+but not forgotten, and the leader permits one request at a time to run. An answer clears the
+suspect. A crash holds it again; after a few of them the hold lasts. That it is on trial is
+in the group's state too, and a new leader waits until a trial of the former one must have shown.
 """
 
 from collections import OrderedDict
@@ -28,14 +33,20 @@
     ReadQuarantine,
     RequestAnswered,
     RequestsWatched,
+    RequestTrial,
+    RunnerCrashed,
     RunnerEnded,
+    TrialReply,
 )
+from rainsail.quarantine.run_times import RunAge
 from rainsail.quarantine.suspects import REPORTS_SETTLE_S, SuspectTracker
+from rainsail.quarantine.trials import TrialPermits
 from rainsail.runtime.clock import Clock
 from rainsail.state.cluster_commands import (
     NO_QUARANTINE,
     HoldRequest,
     Quarantine,
+    QuarantinedRequest,
     ReleaseRequest,
 )
 from rainsail.state.quarantine import by_fingerprint
@@ -44,6 +55,8 @@
 FIRST_HOLD_S = 600.0
 """Duration of the first hold. A harmless request that was held by mistake is released after it; a
 harmful one then crashes one more runner."""
+HOLD_WITHOUT_EVIDENCE_S = 10.0
+"""The same, if the leader has restarted and does not know the evidence: it is put on trial then."""
 HOLD_GROWTH_FACTOR = 6
 """Each further hold is longer by this factor."""
 MAX_HOLD_S = 7 * 24 * 3600.0
@@ -51,6 +64,7 @@
 WATCH_BATCH_S = 0.02
 """The reports of all nodes on one crash arrive within a few milliseconds; their suspects are sent
 in one message."""
+MILLISECONDS_PER_S = 1000
 MAX_PART_NAMES = 4096
 """Names of suspected parts that a controller keeps for operators, the newest ones."""
 STEP = "quarantine.release"
@@ -83,8 +97,13 @@
         self._proposed: set[Fingerprint] = set()
         self._watched: dict[Fingerprint, None] = {}
         self._part_names: OrderedDict[Fingerprint, NamedPart] = OrderedDict()
+        self._permits = TrialPermits()
+        self.holds_refuted = 0
+        """How many requests or parts proved harmless after they had been held."""
         self.applied()
         messenger.serve(RunnerEnded, self._on_runner_ended)
+        messenger.serve(RunnerCrashed, self._on_runner_crashed)
+        messenger.serve(RequestTrial, lambda source, message: self._permit_as_leader(message))
         messenger.serve(RequestAnswered, self._on_answered)
         messenger.serve(PartsNamed, self._on_parts_named)
         messenger.serve(ReadQuarantine, lambda source, message: self._read_as_leader(message))
@@ -95,12 +114,30 @@
         """The number of requests that may have crashed a runner."""
         return self._suspects.count
 
+    @property
+    def on_trial(self) -> int:
+        """The number of requests and parts of which one at a time may run."""
+        return sum(not each.held for each in self._applied.requests)
+
     # --- reports of nodes ----------------------------------------------------------------
 
     def _on_runner_ended(self, source: str, message: RunnerEnded) -> None:
+        self._take_crash(message.runner, message.age_s, message.fingerprints, {})
+
+    def _on_runner_crashed(self, source: str, message: RunnerCrashed) -> None:
+        ages = {run.fingerprint: RunAge(run.ran_s, run.wrote_s) for run in message.runs}
+        self._take_crash(message.runner, message.age_s, tuple(ages), ages)
+
+    def _take_crash(
+        self,
+        runner: str,
+        age_s: float,
+        fingerprints: tuple[Fingerprint, ...],
+        ages: dict[Fingerprint, RunAge],
+    ) -> None:
         now = self._clock.seconds()
-        at_s = now - max(0.0, message.age_s)
-        watched = self._suspects.crashed(message.runner, message.fingerprints, at_s, now)
+        at_s = now - max(0.0, age_s)
+        watched = self._suspects.crashed(runner, fingerprints, at_s, now, ages)
         if watched and not self._watched:
             self._clock.callLater(WATCH_BATCH_S, self._send_watched)
         self._watched.update(dict.fromkeys(watched))
@@ -137,14 +174,16 @@
 
     def look(self) -> None:
         """Hold requests that are due and release expired holds; called periodically."""
+        now = self._clock.seconds()
+        self._permits.note_leadership(self._group.is_leader(), now)
         if not self._group.is_leader():
             return
-        now = self._clock.seconds()
         for fingerprint in self._suspects.due(now):
             self._propose(HoldRequest(fingerprint))
         for each in self._applied.requests:
             since_s = self._held_since_s.get(each.fingerprint, now)
-            if each.held and now - since_s >= _hold_duration_s(each.times):
+            is_over = now - since_s >= self._hold_duration_s(each)
+            if each.held and (is_over or self._suspects.is_on_trial(each.fingerprint)):
                 self._propose(ReleaseRequest(each.fingerprint, each.times, forget=False))
 
     def _propose(self, command: HoldRequest | ReleaseRequest) -> None:
@@ -154,7 +193,39 @@
             return
         self._proposed.add(fingerprint)
         done = self._group.propose(command)
-        done.addCallback(lambda _: self._proposed.discard(fingerprint))
+        done.addCallback(lambda _: self._on_decided(command))
+
+    def _on_decided(self, command: HoldRequest | ReleaseRequest) -> None:
+        """Put a hold on weak evidence on trial at once, so that a loss of power can't part them."""
+        self._proposed.discard(command.fingerprint)
+        if isinstance(command, ReleaseRequest) and command.forget:
+            self.holds_refuted += 1
+        if isinstance(command, HoldRequest) and self._suspects.is_on_trial(command.fingerprint):
+            self.look()
+
+    def _hold_duration_s(self, request: QuarantinedRequest) -> float:
+        """Return how long a request is held; holds that were put on trial do not count."""
+        if self._suspects.lacks_evidence(request.fingerprint, request.times):
+            return HOLD_WITHOUT_EVIDENCE_S
+        times = max(1, request.times - self._suspects.trials(request.fingerprint))
+        return min(MAX_HOLD_S, FIRST_HOLD_S * HOLD_GROWTH_FACTOR ** (times - 1))
+
+    # --- trials --------------------------------------------------------------------------
+
+    def _permit_as_leader(self, message: RequestTrial) -> "Deferred[Any]":
+        """Decide on a trial once a quorum has confirmed that no other controller leads."""
+        if not self._group.is_leader():
+            return succeed(TrialReply(False))
+        return confirmed_read(self._group, lambda: self._permit(message.fingerprints))
+
+    def _permit(self, fingerprints: tuple[Fingerprint, ...]) -> TrialReply:
+        now = self._clock.seconds()
+        self._permits.note_leadership(self._group.is_leader(), now)
+        if not self._permits.permit(fingerprints, now):
+            return TrialReply(False)
+        for each in fingerprints:
+            self._log_of(each).info("quarantine_trial")
+        return TrialReply(True)
 
     def applied(self) -> None:
         """Apply a new list of held requests, and send it to the nodes."""
@@ -164,24 +235,37 @@
         self._note_changes(quarantine)
         self._applied = quarantine
         self._suspects.decided(quarantine)
+        self._permits.decided(quarantine, self._clock.seconds())
         self._follower.take_quarantine(quarantine)
         self._messenger.send_all(self._followers(), QuarantineNotice(quarantine))
 
     def _note_changes(self, quarantine: Quarantine) -> None:
         now = self._clock.seconds()
         held = {each.fingerprint: each for each in quarantine.requests if each.held}
+        known = {each.fingerprint for each in quarantine.requests}
         for fingerprint in sorted(held.keys() - self._held_since_s.keys()):
-            log = logger.bind(
-                fingerprint=fingerprint_hex(fingerprint), times=held[fingerprint].times
+            crashes = self._suspects.crashes_of(fingerprint)
+            log = self._log_of(fingerprint).bind(
+                times=held[fingerprint].times,
+                runners=",".join(runner for runner, _ in crashes),
+                crashed_ms_ago=",".join(
+                    str(round((now - at_s) * MILLISECONDS_PER_S)) for _, at_s in crashes
+                ),
             )
-            named = self.name_of_part(fingerprint)
-            if named is not None:
-                log = log.bind(service=named.service, part=named.part)
             log.warning("quarantine_held")
         for fingerprint in sorted(self._held_since_s.keys() - held.keys()):
-            logger.bind(fingerprint=fingerprint_hex(fingerprint)).info("quarantine_released")
+            outcome = "on_trial" if fingerprint in known else "cleared"
+            self._log_of(fingerprint).bind(outcome=outcome).info("quarantine_released")
+        for fingerprint in sorted({each.fingerprint for each in self._applied.requests} - known):
+            self._log_of(fingerprint).info("quarantine_cleared")
         self._held_since_s = {name: self._held_since_s.get(name, now) for name in held}
 
+    def _log_of(self, fingerprint: Fingerprint) -> Any:
+        """Return a logger bound to a fingerprint, and to the name of the part if it is known."""
+        log = logger.bind(fingerprint=fingerprint_hex(fingerprint))
+        named = self.name_of_part(fingerprint)
+        return log if named is None else log.bind(service=named.service, part=named.part)
+
     # --- operators -----------------------------------------------------------------------
 
     def read(self) -> "Deferred[Result[QuarantineNotice, Fault]]":
@@ -237,7 +321,3 @@
 
     def _notice(self) -> QuarantineNotice:
         return QuarantineNotice(self._state.quarantine.snapshot())
-
-
-def _hold_duration_s(times: int) -> float:
-    return min(MAX_HOLD_S, FIRST_HOLD_S * HOLD_GROWTH_FACTOR ** (times - 1))
--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -1,13 +1,16 @@
 """The interface between senders of requests and the quarantine."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.quarantine.fingerprint import Fingerprint
+from rainsail.quarantine.run_times import RunTimes
 
 Fingerprints = Sequence[Fingerprint]
 """Those of one request: first its own, then those of its prompt's parts."""
+TrialDecided = Callable[[bool], None]
+"""Gets whether a request may run as a trial."""
 
 
 class RequestGuard(Protocol):
@@ -27,13 +30,31 @@
         """Return the fingerprint for which a request must not reach a runner, if there is one."""
         ...
 
+    @property
+    def has_unproven(self) -> bool:
+        """Whether any request may run only as a trial."""
+        ...
+
+    def unproven_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return the fingerprints for which a request may run only as a trial."""
+        ...
+
+    def request_trial(self, fingerprints: Fingerprints, decided: TrialDecided) -> None:
+        """Ask for the permit of one trial run; ``decided`` is called at once or later."""
+        ...
+
     def connection_ended(
-        self, record: RunnerRecord, fingerprints: Fingerprints, part_ids: Sequence[str]
+        self,
+        record: RunnerRecord,
+        fingerprints: Fingerprints,
+        part_ids: Sequence[str],
+        times: RunTimes,
     ) -> bool:
         """Handle the end of a runner's connection during a request that may have been running.
 
-        ``part_ids`` has the ids of the parts, in the order of their fingerprints. Return whether
-        the request may be sent to another runner before the cause is known.
+        ``part_ids`` has the ids of the parts, in the order of their fingerprints, and ``times``
+        are those of the run. Return whether the request may be sent to another runner before the
+        cause is known.
         """
         ...
 
@@ -45,7 +66,7 @@
     def answered(
         self, record: RunnerRecord, fingerprints: Fingerprints, proves_survival: bool
     ) -> None:
-        """Handle a complete response to a request.
+        """Handle a complete response to a request, or one that has gone on for a while.
 
         ``proves_survival``: the end of the response was not just the end of its connection, which a
         crash would cause too.
@@ -58,13 +79,26 @@
 
     holds_any = False
     wants_answers = False
+    has_unproven = False
 
     def held_among(self, fingerprints: Fingerprints) -> Fingerprint | None:
         """Return None."""
         return None
 
+    def unproven_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return nothing."""
+        return ()
+
+    def request_trial(self, fingerprints: Fingerprints, decided: TrialDecided) -> None:
+        """Permit it."""
+        decided(True)
+
     def connection_ended(
-        self, record: RunnerRecord, fingerprints: Fingerprints, part_ids: Sequence[str]
+        self,
+        record: RunnerRecord,
+        fingerprints: Fingerprints,
+        part_ids: Sequence[str],
+        times: RunTimes,
     ) -> bool:
         """Return True: any request may be sent again."""
         return True
--- a/src/rainsail/quarantine/messages.py
+++ b/src/rainsail/quarantine/messages.py
@@ -21,6 +21,45 @@
     age_s: float
 
 
+@wire_type("CrashedRun")
+@dataclass(frozen=True, slots=True)
+class CrashedRun:
+    """A request or prompt part that was running at a runner when it crashed.
+
+    ``ran_s`` and ``wrote_s`` are those of ``quarantine.run_times.RunAge``.
+    """
+
+    fingerprint: Fingerprint
+    ran_s: float
+    wrote_s: float
+
+
+@wire_record("RunnerCrashed")
+@dataclass(frozen=True, slots=True)
+class RunnerCrashed:
+    """``RunnerEnded`` with the ages of the runs, for controllers that know this record."""
+
+    runner: str
+    runs: tuple[CrashedRun, ...]
+    age_s: float
+
+
+@wire_record("RequestTrial")
+@dataclass(frozen=True, slots=True)
+class RequestTrial:
+    """Asks for the permit to run one request whose fingerprints are on trial."""
+
+    fingerprints: tuple[Fingerprint, ...]
+
+
+@wire_record("TrialReply")
+@dataclass(frozen=True, slots=True)
+class TrialReply:
+    """Whether the request may run now; only the root group's leader permits it."""
+
+    permitted: bool
+
+
 @wire_type("NamedPart")
 @dataclass(frozen=True, slots=True)
 class NamedPart:
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -3,7 +3,8 @@
 All requests that were running at a runner when it crashed are suspects, and so are the parts of
 their prompts. Three rules single out the cause:
 
-- The cause is running at several crashes; other requests at one, rarely at two.
+- The cause is running at several crashes; other requests at one, rarely at two. A request crashes
+  its runners at the same point of each run.
 - A request that is completed later at any runner did not cause the crash and is cleared. So nodes
   get a list of all suspects, and report responses to them.
 - A crash at which a held request was running is explained, and counts against no other request. So
@@ -15,14 +16,24 @@
 service answers shows as another suspect of the same crash that an answer has cleared. Without such
 an answer it takes five crashes, and 2 s in which none comes.
 
+None of this tells a fatal part from a sound one beside runners that crash at one moment for another
+reason. ``evidence`` weighs that; a suspect that is held on weak evidence is put on trial.
+
 Does no I/O; the caller passes the time.
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from rainsail.quarantine.evidence import (
+    SuspectCrash,
+    are_alone,
+    count_at_same_point,
+    is_strong,
+)
 from rainsail.quarantine.fingerprint import Fingerprint, is_of_part
+from rainsail.quarantine.run_times import UNKNOWN_AGE, RunAge
 from rainsail.state.cluster_commands import Quarantine
 
 CRASHES_TO_HOLD = 3
@@ -31,6 +42,12 @@
 """The same, for a request that was held before."""
 CRASHES_TO_HOLD_PART_UNANSWERED = 5
 """The same for a prompt part, while no other suspect of its crashes was cleared by an answer."""
+MAX_TRIALS = 1
+"""Trials of a request that is held on weak evidence, and one more if other runners crashed with the
+last one. Each may cost a runner, and a request that is known to crash runners may reach three more:
+two may be under way."""
+MAX_TRIALS_OF_PART = 2
+"""The same for a prompt part, which counts as known only after five crashes."""
 CRASH_MERGE_WINDOW_S = 1.0
 """Reports on one runner that are at most this far apart are about the same crash: nodes notice it
 within milliseconds, and a runner takes longer to restart."""
@@ -41,7 +58,8 @@
 """Within this time the reports of all nodes on one crash arrive. No request is held earlier, as the
 first report may not name all suspects."""
 MAX_ANSWERED = 1024
-"""Maximum number of completed requests whose times are kept, as a crash report may arrive later."""
+"""Maximum number of completed requests whose times are kept, as a crash report may arrive later,
+and of suspects whose crashes have been explained."""
 UNANSWERED_WAIT_S = 2.0
 """Time to wait for a response that clears a prompt part, while no suspect beside it was cleared.
 
@@ -57,7 +75,7 @@
 class _RunnerCrash:
     runner: str
     at_s: float
-    suspects: set[Fingerprint] = field(default_factory=set)
+    suspects: dict[Fingerprint, RunAge] = field(default_factory=dict)
     explained: bool = False
     is_answered_beside: bool = False
     """An answer has cleared one of the suspects: the service is answering requests."""
@@ -73,6 +91,11 @@
         self._answered_s: OrderedDict[Fingerprint, float] = OrderedDict()
         self._held: frozenset[Fingerprint] = frozenset()
         self._ever_held: frozenset[Fingerprint] = frozenset()
+        self._firmly_held: set[Fingerprint] = set()
+        """Suspects whose first hold was not put on trial."""
+        self._on_trial: set[Fingerprint] = set()
+        self._explained: OrderedDict[Fingerprint, None] = OrderedDict()
+        """Suspects of crashes that a held request has explained, the latest ones."""
 
     @property
     def count(self) -> int:
@@ -80,11 +103,25 @@
         return len(self._by_suspect)
 
     def crashed(
-        self, runner: str, fingerprints: Iterable[Fingerprint], at_s: float, now: float
+        self,
+        runner: str,
+        fingerprints: Iterable[Fingerprint],
+        at_s: float,
+        now: float,
+        ages: Mapping[Fingerprint, RunAge] | None = None,
     ) -> tuple[Fingerprint, ...]:
-        """Record a report on a crash; return its new suspects, to be watched by the nodes."""
+        """Record a report on a crash; return its new suspects, to be watched by the nodes.
+
+        ``ages`` has those of the suspects' runs, as far as the reporting node knows them.
+        """
+        ages = ages or {}
+        fingerprints = tuple(fingerprints)
         self._forget_old(now)
         crash = self._crash_of(runner, at_s)
+        for each in fingerprints:
+            known = crash.suspects.get(each)
+            if known is not None:
+                crash.suspects[each] = known.youngest(ages.get(each, UNKNOWN_AGE))
         new = [
             each
             for each in fingerprints
@@ -93,7 +130,7 @@
         if crash.explained or not self._held.isdisjoint(new):
             self._mark_explained(crash)
             return ()
-        crash.suspects.update(new)
+        crash.suspects.update({each: ages.get(each, UNKNOWN_AGE) for each in new})
         for fingerprint in new:
             self._by_suspect.setdefault(fingerprint, []).append(crash)
             self._update_due(fingerprint, now)
@@ -107,7 +144,7 @@
             self._answered_s.popitem(last=False)
         self._due_since_s.pop(fingerprint, None)
         for crash in self._by_suspect.pop(fingerprint, ()):
-            crash.suspects.discard(fingerprint)
+            crash.suspects.pop(fingerprint, None)
             if not crash.is_answered_beside:
                 crash.is_answered_beside = True
                 for beside in crash.suspects:
@@ -132,10 +169,81 @@
         held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
         self._ever_held = frozenset(each.fingerprint for each in quarantine.requests)
         newly_held, self._held = held - self._held, held
+        self._firmly_held &= self._ever_held
+        self._on_trial &= self._ever_held
+        for request in quarantine.requests:
+            if request.fingerprint in newly_held:
+                self._note_evidence(request.fingerprint, request.times)
         for fingerprint in sorted(newly_held):
             for crash in list(self._by_suspect.get(fingerprint, ())):
                 self._mark_explained(crash)
 
+    def is_on_trial(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether the evidence for the last hold was weak, so that a run may refute it.
+
+        Only a controller that has seen the crashes knows that.
+        """
+        return fingerprint in self._on_trial
+
+    def lacks_evidence(self, fingerprint: Fingerprint, times: int) -> bool:
+        """Tell whether nothing is known here of the crashes for which a suspect is held.
+
+        So it is after a restart of this controller. ``times`` is how often it has been held.
+        """
+        is_known = fingerprint in self._firmly_held or fingerprint in self._on_trial
+        return times <= _max_trials(fingerprint) and not is_known
+
+    def trials(self, fingerprint: Fingerprint) -> int:
+        """Return how many of a suspect's holds were put on trial, as far as known here."""
+        return 0 if fingerprint in self._firmly_held else _max_trials(fingerprint)
+
+    def crashes_of(self, fingerprint: Fingerprint) -> tuple[tuple[str, float], ...]:
+        """Return the runners that crashed beside a suspect, with the times, oldest first."""
+        crashes = self._by_suspect.get(fingerprint, ())
+        return tuple((crash.runner, crash.at_s) for crash in crashes)
+
+    def _note_evidence(self, fingerprint: Fingerprint, times: int) -> None:
+        """Note, for a suspect that is held now, whether the hold is put on trial.
+
+        Without evidence the hold is one from before this controller's start, or other holds that
+        were decided just before have explained all of its crashes.
+        """
+        crashes = self._by_suspect.get(fingerprint, [])
+        if times == 1:
+            is_weak = (
+                not self._is_strong(fingerprint) if crashes else fingerprint in self._explained
+            )
+        else:
+            is_weak = bool(crashes) and fingerprint not in self._firmly_held
+        # A crash of other runners at the same moment leaves open what the last trial has shown.
+        most = _max_trials(fingerprint)
+        if is_weak and times <= most + (times > most and not self._is_alone(crashes)):
+            self._on_trial.add(fingerprint)
+        else:
+            self._on_trial.discard(fingerprint)
+            if crashes and times == 1:
+                self._firmly_held.add(fingerprint)
+
+    def _is_alone(self, crashes: list[_RunnerCrash]) -> bool:
+        return are_alone([each.at_s for each in crashes], self._others_s(crashes))
+
+    def _others_s(self, crashes: list[_RunnerCrash]) -> list[float]:
+        """Return the times of the crashes without a known cause that are none of these."""
+        return [each.at_s for each in self._crashes if not each.explained and each not in crashes]
+
+    def _is_strong(self, fingerprint: Fingerprint) -> bool:
+        """Weigh the evidence; a part and another suspect of all its crashes look alike."""
+        crashes = self._by_suspect[fingerprint]
+        beside = [
+            each
+            for each in crashes[0].suspects
+            if each != fingerprint and (is_of_part(each) or is_of_part(fingerprint))
+        ]
+        if any(set(crashes) <= set(self._by_suspect[each]) for each in beside):
+            return False
+        evidence = [SuspectCrash(crash.at_s, crash.suspects[fingerprint]) for crash in crashes]
+        return is_strong(evidence, self._others_s(crashes))
+
     def _update_due(self, fingerprint: Fingerprint, now: float) -> None:
         """Note since when a suspect is due to be held, or that it is not."""
         if self._is_due(fingerprint):
@@ -144,7 +252,10 @@
             self._due_since_s.pop(fingerprint, None)
 
     def _is_due(self, fingerprint: Fingerprint) -> bool:
-        crashes = len(self._by_suspect.get(fingerprint, ()))
+        beside = self._by_suspect.get(fingerprint, ())
+        crashes = len(beside)
+        if not is_of_part(fingerprint) and fingerprint not in self._ever_held:
+            crashes = count_at_same_point(crash.suspects[fingerprint] for crash in beside)
         if self._is_answered_beside(fingerprint):
             return crashes >= self._crashes_to_hold(fingerprint)
         return crashes >= CRASHES_TO_HOLD_PART_UNANSWERED
@@ -155,9 +266,10 @@
     def _is_answered_beside(self, fingerprint: Fingerprint) -> bool:
         """Tell whether the service answers while a part's crashes go on; a request needs no sign.
 
-        The sign has to stand at as many crashes as it takes to hold the part.
+        Nor does a part that was held before: its runs are trials, one at a time. The sign has to
+        stand at as many crashes as it takes to hold the part.
         """
-        if not is_of_part(fingerprint):
+        if not is_of_part(fingerprint) or fingerprint in self._ever_held:
             return True
         crashes = self._by_suspect.get(fingerprint, ())
         answered = sum(crash.is_answered_beside for crash in crashes)
@@ -173,6 +285,11 @@
 
     def _mark_explained(self, crash: _RunnerCrash) -> None:
         crash.explained = True
+        for fingerprint in crash.suspects:
+            self._explained[fingerprint] = None
+            self._explained.move_to_end(fingerprint)
+        while len(self._explained) > MAX_ANSWERED:
+            self._explained.popitem(last=False)
         self._clear(crash)
 
     def _clear(self, crash: _RunnerCrash) -> None:
@@ -191,3 +308,7 @@
             len(self._crashes) >= MAX_CRASHES or now - self._crashes[0].at_s > CRASH_TTL_S
         ):
             self._clear(self._crashes.popleft())
+
+
+def _max_trials(fingerprint: Fingerprint) -> int:
+    return MAX_TRIALS_OF_PART if is_of_part(fingerprint) else MAX_TRIALS
--- a/src/rainsail/quarantine/view.py
+++ b/src/rainsail/quarantine/view.py
@@ -19,6 +19,7 @@
         self.current = NO_QUARANTINE
         self._held: frozenset[Fingerprint] = frozenset()
         self._ever_held: frozenset[Fingerprint] = frozenset()
+        self._unproven: frozenset[Fingerprint] = frozenset()
         self._watched: dict[Fingerprint, float] = {}
         """The time from which each suspect is watched, oldest first."""
 
@@ -29,6 +30,7 @@
         self.current = quarantine
         self._held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
         self._ever_held = frozenset(each.fingerprint for each in quarantine.requests)
+        self._unproven = self._ever_held - self._held
         return True
 
     def watch(self, fingerprints: Iterable[Fingerprint], now: float) -> None:
@@ -48,6 +50,11 @@
         """The requests that must not reach a runner."""
         return self._held
 
+    @property
+    def unproven(self) -> frozenset[Fingerprint]:
+        """The released requests that no answer has cleared: one at a time may run, as a trial."""
+        return self._unproven
+
     @property
     def ever_held(self) -> frozenset[Fingerprint]:
         """The requests that are held now or were held earlier."""
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -5,6 +5,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
 from rainsail.http.pool import Call
+from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.context import RelayContext
 from rainsail.relay.continuation import (
     CLOSED_EARLY,
@@ -82,7 +83,8 @@
         self._context = context
         self._request = request
         self._over = False
-        context.loads.sent(record.runner, context.clock.seconds(), idle_timeout_s)
+        self.times = RunTimes(context.clock.seconds())
+        context.loads.sent(record.runner, self.times.sent_s, idle_timeout_s)
 
     @property
     def failed(self) -> bool:
@@ -141,7 +143,9 @@
         """Buffer the body, or pass complete events on."""
         if self._over:
             return
-        self._context.loads.received(self.record.runner, self._context.clock.seconds())
+        now = self._context.clock.seconds()
+        self._context.loads.received(self.record.runner, now)
+        self.times.output(now)
         if self.stream is not None:
             self._take_events(self.stream, data)
             return
--- a/src/rainsail/relay/continuation.py
+++ b/src/rainsail/relay/continuation.py
@@ -45,6 +45,7 @@
 SILENT = "silent"
 ROUTE_REMOVED = "the route was removed"
 QUARANTINED = "quarantined, since runners crashed while running this request"
+ON_TRIAL = "on trial, since runners crashed while running this request"
 TIMED_OUT = "the deadline has passed"
 
 # --- classification of a runner's answer -----------------------------------------------------
@@ -299,6 +300,14 @@
     return give_up(replace(progress, reason=reason), settings)
 
 
+def give_up_untried(progress: RequestProgress, settings: RelaySettings) -> Ending:
+    """Return how a request ends that was held, while another one is run to test whether it may run.
+
+    The client may try again: the result is known soon.
+    """
+    return give_up(replace(progress, reason=ON_TRIAL), settings)
+
+
 def give_up_lost_stream(
     progress: RequestProgress, reason: str, retry_after_s: float | None, settings: RelaySettings
 ) -> Ending:
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -102,6 +102,11 @@
         self._held = held or b""
         return held is not None
 
+    def unproven_fingerprints(self) -> Fingerprints:
+        """Return the fingerprints for which the request may run only as a trial."""
+        guard = self._context.guard
+        return guard.unproven_among(self._all_fingerprints) if guard.has_unproven else ()
+
     # --- attempts ------------------------------------------------------------------------
 
     def answered(self, attempt: Attempt) -> None:
@@ -115,6 +120,14 @@
         cleared = (self.fingerprint,) if is_rejected else self._all_fingerprints
         guard.answered(attempt.record, cleared, attempt.proves_survival)
 
+    def goes_on(self, attempt: Attempt) -> None:
+        """Report a stream that has gone on for a while, as its runner has survived the prompt."""
+        guard = self._context.guard
+        if guard.wants_answers and attempt.times.is_survival_check_due(
+            self._context.clock.seconds()
+        ):
+            guard.answered(attempt.record, self.part_fingerprints, proves_survival=False)
+
     def failed(self, attempt: Attempt) -> None:
         """Record an answer with an error status."""
         assert attempt.head is not None
@@ -150,7 +163,7 @@
         if attempt.connection_ended:
             guard = self._context.guard
             may_resend = guard.connection_ended(
-                attempt.record, self._all_fingerprints, self._part_ids
+                attempt.record, self._all_fingerprints, self._part_ids, attempt.times
             )
         logger.bind(
             request=self._facts.request,
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -30,6 +30,7 @@
     forwards_answer,
     give_up,
     give_up_lost_stream,
+    give_up_untried,
     give_up_without_runner,
     may_compare_runs,
     may_leave_silent_runner,
@@ -90,6 +91,8 @@
         )
         self._origin = RequestOrigin(context, facts, identity)
         self._is_admitted = False
+        self._is_trial = False
+        """The request may run although it was held before."""
         self._may_have_run = False
         self._deadline_s = request.received_s + _time_allowed_s(route, facts)
         self._deadline_timer: Timer | None = None
@@ -219,6 +222,11 @@
         if not isinstance(decision, SendAgain):
             self._end(decision)
             return
+        unproven = self._recorder.unproven_fingerprints()
+        if unproven and not self._is_trial:
+            guard = self._context.guard
+            guard.request_trial(unproven, lambda may_run: self._trial_decided(may_run, placement))
+            return
         found = self._sender.find(decision.route, placement, self._time_left_s())
         if found.retry_after_s is not None:
             self._end(refuse_overloaded(self._sender.service, found.retry_after_s))
@@ -232,6 +240,16 @@
             self._record_service()
             self._sender.send(found.record, decision)
 
+    def _trial_decided(self, may_run: bool, placement: Placement | None) -> None:
+        """Send a request that was held as a trial, or end it while another one is tried."""
+        if self.outcome is not None:
+            return
+        if may_run:
+            self._is_trial = True
+            self._send_placed(placement)
+        else:
+            self._end(give_up_untried(self._progress(), self._context.settings))
+
     def _record_service(self) -> None:
         """Tell the recorder which service was chosen for the request."""
         self._recorder.service = self._sender.service
@@ -291,6 +309,7 @@
         self._note_origin(attempt)
         if flaw is None:
             self._sender.events_received()
+            self._recorder.goes_on(attempt)
         else:
             attempt.cancel()
             self._drop_flawed(attempt, flaw)
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -16,7 +16,9 @@
 """The software versions of runners, and the origins of streams."""
 PART_NAMES = 2
 """The names of suspected prompt parts."""
-EXTENSION_LEVEL = PART_NAMES
+HOLD_TRIALS = 3
+"""The ages of runs at a crash, and permits for trial runs of held requests."""
+EXTENSION_LEVEL = HOLD_TRIALS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
--- a/tools/quarantine_soak.py
+++ b/tools/quarantine_soak.py
@@ -1,6 +1,6 @@
 """Soak the quarantine of requests that end runners, in virtual time, seed by seed.
 
-    python tools/quarantine_soak.py --seeds 1-50
+    python tools/quarantine_soak.py --seeds 1-50 --kind bodies
 
 Prints a line for each seed: what there was to judge, and every broken promise. Ends with code 1
 when some promise was broken. The short run of CI is ``features/quarantine/soak.feature``.
@@ -14,21 +14,26 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from features.support.common_cause_soak import CommonCauseSoak  # noqa: E402
+from features.support.part_soak import PartSoak  # noqa: E402
 from features.support.quarantine_soak import QuarantineSoak  # noqa: E402
 from loguru import logger  # noqa: E402
 
+KINDS = {"bodies": QuarantineSoak, "parts": PartSoak, "common-cause": CommonCauseSoak}
+
 
 def main() -> int:
     """Run the seeds that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-20", help="the first and the last one")
+    parser.add_argument("--kind", choices=sorted(KINDS), default="bodies")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     logger.remove()
     counts: Counter[str] = Counter()
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = QuarantineSoak(seed)
+        soak = KINDS[arguments.kind](seed)
         soak.run()
         counts += soak.counts
         broken += bool(soak.violations)
