Keep the former versions of runners, and who writes the text of an item

Streams that clients take up at another gateway go on there, 8 of 8; with both leaders lost, items are listed as done with texts of both versions.

Cause: "all runners have one version" was asked about now and used for a stream that began earlier. A new incarnation's record replaces the former one's, and a gateway or a leader that starts after the change never knew it. Behind that, with all controllers killed at the crash, 4 of 8 streams were still mixed: controllers told the versions on their disks before any runner had reported.

Change: each node keeps the former versions of a runner for 600 s. They go ahead of the latest one in the records there were, on the wire and on controllers' disks, so that a node that starts later, or of an earlier version, takes them in order. A controller is not sure before the runners that it remembers have reported (4 s at most). A runner found crashed gets no bound stream or text before its new start is known (10 s at most). The ledger keeps the origin of a text as a note that follows no event, which earlier versions ignore; a text without one begins anew.

A scenario is replaced: "a new leader that can't tell the version of an item's text begins it anew" relied on the ledger not keeping it. It now has a leader that does not tell the ledger; in its old course the item must go on at its version.

Cost: no message while a service has one version; for 600 s after a change streams are recorded as before. One note for an item, some 60 bytes; one more entry in a page of versions for a runner that has changed its version.

--- a/features/cluster/stream_origins.feature
+++ b/features/cluster/stream_origins.feature
@@ -53,6 +53,49 @@
     And all machines of the fleet lose power and start again
     Then every node knows the runner's version v1
 
+  Scenario Outline: A runner starts again under its id at <again>, and <course>
+    # Guards against: streams of the former incarnation that continue at the version of the new one.
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When a runner of version v1 reports to controller-1
+    And gateway-1 records that stream "s-1" began at version v1
+    And the runner starts again under its id with version <again>
+    And <course>
+    And 5 seconds pass in the fleet
+    Then gateway-2 finds nothing for "s-1", for certain
+    And gateway-1 knows <known>
+    And gateway-2 knows <known>
+
+    Examples:
+      | again | course                                                  | known                  |
+      | v2    | 0 seconds pass in the fleet                             | no sole version        |
+      | v2    | gateway-2 of the fleet loses power and starts again     | no sole version        |
+      | v2    | all controllers lose power and start again              | no sole version        |
+      | v2    | all machines of the fleet lose power and start again    | no sole version        |
+      | v1    | 0 seconds pass in the fleet                             | v1 as the sole version |
+      | v1    | gateway-2 of the fleet loses power and starts again     | v1 as the sole version |
+      | v1    | all controllers lose power and start again              | v1 as the sole version |
+      | v1    | all machines of the fleet lose power and start again    | v1 as the sole version |
+
+  Scenario: Restarted controllers are not certain before the runners that they remember have reported
+    # Guards against: a stream that continues at a runner whose restart no controller has seen yet.
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When a runner of version v1 reports to controller-1
+    And all controllers lose power and start again, and 1.5 s pass
+    Then gateway-2 finds nothing for "s-1", not for certain
+    When the runner starts again under its id with version v2
+    Then gateway-2 finds nothing for "s-1", for certain
+    And gateway-2 knows no sole version
+
+  Scenario: All controllers and a gateway are away while a runner starts again at another version
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When a runner of version v1 reports to controller-1
+    And all controllers and gateway-2 start again, and the runner at version v2 meanwhile
+    Then gateway-1 knows no sole version
+    And gateway-2 knows no sole version
+    When 660 seconds pass in the fleet
+    Then gateway-1 knows v2 as the sole version
+    And gateway-2 knows v2 as the sole version
+
   Scenario: While all runners of a service have one version, no stream is reported
     Given a relaying fleet of 3 controllers and 2 gateways
     When a runner of version v1 reports to controller-1
--- a/features/relay/software_versions.feature
+++ b/features/relay/software_versions.feature
@@ -87,6 +87,15 @@
     When a client resumes that stream after event 5
     Then it is refused with 503 and no time to retry
 
+  Scenario: A stream does not continue at a runner that crashed, before its new start is known
+    # Guards against: a record of the former incarnation that leads to a process of another version.
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions v1, v2, v2
+    And of the stream v1 is known
+    And runner 1 is found crashed
+    When a client resumes that stream after event 5
+    Then it is refused with 503 and a time to retry
+
   Scenario Outline: Where <what>, the origin of a stream is recorded <how>
     Given a relay with 3 runners and a resumable "stream" route
     And runners of versions <versions>
--- a/features/steps/job_software_version_steps.py
+++ b/features/steps/job_software_version_steps.py
@@ -1,20 +1,30 @@
 """Steps on items at runners of several software versions, in virtual time."""
 
 from dataclasses import replace
+from unittest import mock
 
 from behave import given, then, when
 from features.support.relayed_fleet import RelayedFleet
 from features.support.relaying import runner_record
 
+from rainsail.jobs.job_state import JobState
 from rainsail.routing.messages import OnlineUse, RunnerUse
 
 SEED = 63
 JOB = "job-1"
 SLOTS = 4
+AGAIN_BORN = 2_000
 PROGRESS_S = 1.2
 """Longer than two periods in which progress is committed."""
 
 
+@given("a leader that does not tell the ledger who writes a text")
+def untold_origins(context):
+    patch = mock.patch.object(JobState, "_note_origin", lambda state, note: None)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @given("a relayed fleet with a table and runners of versions {versions}")
 def make_fleet(context, versions):
     context.fleet = fleet = RelayedFleet(SEED)
@@ -80,6 +90,32 @@
     context.first_after_failure = True
 
 
+@when("all runners start again under their ids at {version}, and {lost} at that moment")
+def all_again(context, version, lost):
+    fleet = context.fleet
+    leaders = [fleet.leader("storage"), fleet.leader("controller")]
+    names = {
+        "the ledger's leader loses power": leaders[:1],
+        "both leaders lose power": leaders,
+        "all controllers and storage nodes lose power": [
+            *fleet.names("storage"),
+            *fleet.names("controller"),
+        ],
+    }[lost]
+    for name in names:
+        fleet.crash(name)
+        fleet.pools.pop(name, None)
+    fleet.run_for(0.3)
+    for name in names:
+        fleet.start(name)
+    fleet.leader("controller")
+    for number in context.versions:
+        report = replace(_report(number), born=AGAIN_BORN)
+        fleet.controller(fleet.leader("controller")).reports.take(report, version)
+        context.versions[number] = version
+    context.first_after_failure = True
+
+
 def _next_call(context):
     """Return the run that follows the first one, at the same leader or at the next."""
     count = 1 if getattr(context, "first_after_failure", False) else 2
@@ -98,6 +134,13 @@
     assert first == second and call.field(b"after-event") == str(number), (first, second, call)
 
 
+@then("the item runs next at version {version}, after event {number:d}")
+def at_version(context, version, number):
+    call = _next_call(context)
+    assert context.versions[_number_of(call)] == version, call
+    assert call.field(b"after-event") == str(number), call.request.headers
+
+
 @then("the item runs next at another version, from its beginning")
 def other_version(context):
     from_the_beginning(context)
--- a/features/steps/relay_software_version_steps.py
+++ b/features/steps/relay_software_version_steps.py
@@ -52,6 +52,12 @@
     context.relay.registry.take((runner_record(number, "gone", 2),))
 
 
+@given("runner {number:d} is found crashed")
+def runner_crashed(context, number):
+    registry = context.relay.registry
+    registry.note_crash(registry.get(runner_record(number).runner))
+
+
 @given("of the stream {known}")
 def give_knowledge(context, known):
     context.relay.context.origins = RecordedOrigins(RESULTS[known])
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -73,6 +73,29 @@
     context.fleet.run_for(SETTLE_S)
 
 
+@when("all controllers lose power and start again, and {seconds:g} s pass")
+def restart_controllers(context, seconds):
+    fleet = context.fleet
+    names = fleet.names("controller")
+    for name in names:
+        fleet.crash(name)
+    for name in names:
+        fleet.start(name)
+    fleet.run_for(seconds)
+
+
+@when("all controllers and {gateway} start again, and the runner at version {version} meanwhile")
+def restart_with_runner(context, gateway, version):
+    fleet = context.fleet
+    names = [*fleet.names("controller"), gateway]
+    for name in names:
+        fleet.crash(name)
+    for name in names:
+        fleet.start(name)
+    fleet.leader("controller")
+    start_again(context, version)
+
+
 @when("{name} of the fleet is partitioned")
 def partition(context, name):
     context.fleet.isolate(name)
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -68,7 +68,7 @@
             context.messenger, clock, group, state, context.follower, calls, context.live_nodes
         )
         self.tables = TableService(context, calls, committed, services_of)
-        self.origins = StreamOriginService(context.messenger, clock)
+        self.origins = StreamOriginService(context.messenger, clock, context.registry.has_unheard)
         self._founding = LedgerFounding(group, state, context.directory, losses)
         self._heartbeats = NodeHeartbeats(context, views, committed)
         self._noticed_drains: tuple[ZoneDrain, ...] = ()
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -33,6 +33,10 @@
 _STATE_RANK = {RunnerState.READY: 0, RunnerState.DRAINING: 1, RunnerState.GONE: 2}
 GONE_VERSION_TTL_S = 600.0
 """For this long the software version of a runner that has gone may have begun a running stream."""
+SECONDS_PER_MINUTE = 60.0
+CRASH_DOUBT_S = 10.0
+"""For this long after a crash the process at a runner's address may not be the one of its record:
+three heartbeats, within which a new incarnation is known."""
 MAX_GONE_RUNNERS = 2_000
 """Gone runners that are still remembered, so that a late report does not revive them."""
 
@@ -71,18 +75,20 @@
         self.revision = 0
         self.zone_drains = KnownZoneDrains()
         self.warm_ups = WarmUpClock(seconds)
-        self.versions = RunnerVersionTable()
+        self.versions = RunnerVersionTable(seconds)
         self._resolves_address_conflicts = resolves_address_conflicts
         self.named_services: frozenset[str] | None = None
         """The services of the routing table; None until a table is known."""
         self._seconds = seconds
         self._incarnations = IncarnationOrder()
         self._heard_s: dict[str, float] = {}
+        self._crashed: dict[str, tuple[int, float]] = {}
+        """The incarnations that this node has found crashed (``born``), and when."""
         self._gone_s: dict[str, float] = {}
         """When this node learned that a runner is gone."""
         self._sole_versions: dict[str, str | None] = {}
-        self._sole_versions_at = (-1, -1)
-        """The revisions of records and versions by which these were found."""
+        self._sole_versions_at = (-1, -1, -1)
+        """The revisions of records and versions by which these were found, and the minute."""
         self._records: dict[str, RunnerRecord] = {}
         self._by_address: dict[str, str] = {}
         self._changed_at: dict[str, int] = {}
@@ -133,6 +139,7 @@
         self._restored.discard(report.runner)
         if known is not None and record.born > known.born:
             self.warm_ups.forget(record.runner)
+            self.versions.note_replaced(known)
             self._incarnations.on_replaced(known)
         if known is None or record.report_order > known.report_order:
             self.warm_ups.note_report(record)
@@ -267,9 +274,11 @@
     def sole_version(self, service: str) -> str | None:
         """Return the software version of all runners of a service that this node remembers.
 
-        That includes those that have gone lately. None if there are several, or none at all.
+        That includes those that have gone lately, and former incarnations. None if there are
+        several, or none at all.
         """
-        state = (self.revision, self.versions.revision)
+        minute = int(self._seconds() // SECONDS_PER_MINUTE)
+        state = (self.revision, self.versions.revision, minute)
         if state != self._sole_versions_at:
             self._sole_versions_at = state
             self._sole_versions = self._find_sole_versions()
@@ -283,7 +292,8 @@
             gone_s = self._gone_s.get(record.runner)
             if gone_s is not None and now - gone_s > GONE_VERSION_TTL_S:
                 continue
-            version = self.versions.of(record)
+            versions = self.versions.may_have_begun(record)
+            version = next(iter(versions)) if len(versions) == 1 else None
             is_same = found.setdefault(record.service, version) == version
             found[record.service] = version if is_same else None
         return found
@@ -296,6 +306,24 @@
         versions = {self.versions.of(each) for each in self.ready(service)}
         return NO_VERSION in versions and len(versions) > 1
 
+    def note_crash(self, record: RunnerRecord) -> None:
+        """Note that this node found an incarnation crashed; it may start again under its id."""
+        self._crashed[record.runner] = record.born, self._seconds()
+
+    def may_be_replaced(self, record: RunnerRecord) -> bool:
+        """Tell whether another process than the record's may answer at its address."""
+        born, at_s = self._crashed.get(record.runner, (None, 0.0))
+        if born is None:
+            return False
+        if born != record.born or self._seconds() - at_s > CRASH_DOUBT_S:
+            del self._crashed[record.runner]
+            return False
+        return True
+
+    def has_unheard(self) -> bool:
+        """Tell whether a runner that took work before this node's start has not reported since."""
+        return any(self._records[runner].takes_work for runner in self._restored)
+
     def is_warming(self, runner: str) -> bool:
         """Tell whether a runner is still warming up."""
         return self.warm_ups.left_s(runner) > 0
@@ -324,6 +352,7 @@
             self._restored.discard(runner)
             self._heard_s.pop(runner, None)
             self._gone_s.pop(runner, None)
+            self._crashed.pop(runner, None)
             self._incarnations.forget(runner)
             self.warm_ups.forget(runner)
             self.versions.forget(runner)
--- a/src/rainsail/cluster/stream_origins.py
+++ b/src/rainsail/cluster/stream_origins.py
@@ -8,11 +8,12 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import xxhash
 
+from rainsail.errors import Fault, FaultCode
 from rainsail.runtime.clock import Clock
 from rainsail.wire.codec import wire_record
 from rainsail.wire.messenger import Messenger
@@ -22,6 +23,10 @@
 """Lifetime of an entry after its last renewal; clients resume within their deadline of seconds."""
 MAX_ORIGINS = 100_000
 """Limit on the entries of one node, above the streams of the design's peak within the lifetime."""
+REPORTS_WAIT_S = 4.0
+"""Within this time after a controller's start each runner that lives has reported: three
+heartbeats."""
+STEP = "cluster.stream_origins"
 COPIES = 2
 """Controllers that a gateway tells of its streams, so that one of them may fail."""
 
@@ -102,10 +107,20 @@
 
 
 class StreamOriginService:
-    """A controller's part: takes what gateways tell, and answers them."""
+    """A controller's part: takes what gateways tell, and answers them.
 
-    def __init__(self, messenger: Messenger, clock: Clock) -> None:
+    After its start it does not say that it knows nothing before the runners that it restored from
+    its disk have reported: one of them may have started again at another version.
+    """
+
+    def __init__(
+        self, messenger: Messenger, clock: Clock, has_unheard: Callable[[], bool] = lambda: False
+    ) -> None:
+        """``has_unheard``: some restored runners have not reported since the start."""
         self._table = StreamOriginTable(clock)
+        self._clock = clock
+        self._has_unheard = has_unheard
+        self._settled_s = clock.seconds() + REPORTS_WAIT_S
         messenger.serve(StreamsBegun, self._take)
         messenger.serve(FindStreamOrigin, self._find)
 
@@ -113,8 +128,11 @@
         for begun in message.streams:
             self._table.put(begun.stream, begun.origin)
 
-    def _find(self, source: str, message: FindStreamOrigin) -> StreamOriginReply:
-        return StreamOriginReply(self._table.get(message.stream))
+    def _find(self, source: str, message: FindStreamOrigin) -> StreamOriginReply | Fault:
+        origin = self._table.get(message.stream)
+        if origin is None and self._clock.seconds() < self._settled_s and self._has_unheard():
+            return Fault(FaultCode.UNAVAILABLE, STEP, "runners have not reported since the start")
+        return StreamOriginReply(origin)
 
 
 def assigned_controllers(gateway: str, controllers: Iterable[str]) -> list[str]:
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -14,7 +14,6 @@
 from rainsail.jobs.item_runs import ItemRuns
 from rainsail.jobs.open_item import OpenItem
 from rainsail.jobs.slot_use import choose_runner
-from rainsail.relay.resumption import implied_origin
 from rainsail.relay.split import WeightedServicePicker
 from rainsail.relay.table import Route
 from rainsail.routing.residency import AllowedRegions
@@ -105,7 +104,8 @@
         if route is None:
             self._recorder.item_over(item, ItemOver(False, "no route"))
             return StartResult.WAITS_NO_LONGER
-        origin = self._origin_of_text(item, route)
+        # A text of unknown origin begins anew: the ledger keeps who wrote it.
+        origin = item.progress.origin if item.begun else None
         service = self._service_for(origin, route)
         if self._guard.is_held(item, service):
             # The next split decision may select another service.
@@ -129,15 +129,6 @@
             return origin.service
         return self._split.service(route)
 
-    def _origin_of_text(self, item: OpenItem, route: Route) -> StreamOrigin | None:
-        """Return who wrote an item's text so far; None if there is none, or nobody can tell."""
-        if not item.begun:
-            return None
-        if item.progress.from_previous_leader:
-            # The ledger does not keep who wrote the text.
-            item.progress.origin = implied_origin(route, self._node.registry.sole_version)
-        return item.progress.origin
-
     def _choose_runner(
         self,
         item: OpenItem,
@@ -163,6 +154,10 @@
         }
         free = [each for each in ready if each.runner in uses and uses[each.runner].free > 0]
         waited_s = now - item.ready_at_s
+        if origin is not None:
+            # A text may not go on at a process of which the version is not known.
+            replaced = self._node.registry.may_be_replaced
+            free = [each for each in free if not replaced(each)]
         usable = preferred_records(ready, free, origin, waited_s, self._origin_of)
         records = {record.runner: record for record in usable}
         chosen = choose_runner([uses[runner] for runner in records], self._node.zone)
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -3,11 +3,13 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
 
+from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.errors import Fault, FaultCode
 from rainsail.jobs.job_ids import client_id
 from rainsail.state.command_basics import Done, NoOperation
 from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
 from rainsail.state.job_commands import (
+    ORIGIN_NOTE,
     AcceptJob,
     DropRelayedJob,
     EndRelayedJob,
@@ -46,6 +48,8 @@
     """The tokens of all unlisted items, 0 once the job has ended."""
     notes: dict[int, ItemNote] = field(default_factory=dict)
     """The committed progress of unlisted items, from their first event on."""
+    origins: dict[int, StreamOrigin] = field(default_factory=dict)
+    """Who wrote the committed progress; an item without an entry has a text of unknown origin."""
 
     @property
     def client_id(self) -> str:
@@ -94,9 +98,7 @@
             case ListOutcomes():
                 self._list(command)
             case NoteProgress():
-                for note in command.notes:
-                    self._note(note)
-                self.observer.progressed(command.at_s, command.notes)
+                self._take_notes(command)
             case EndRelayedJob():
                 return self._end(command)
             case DropRelayedJob():
@@ -132,11 +134,30 @@
         job.unlisted.discard(outcome.index)
         job.open_tokens -= job.items[outcome.index].tokens
         job.notes.pop(outcome.index, None)
+        job.origins.pop(outcome.index, None)
         job.listed.append(ListedOutcome(outcome.index, outcome.done, outcome.text))
         job.items[outcome.index] = replace(job.items[outcome.index], body=b"")
         if outcome.done:
             self.observer.finished(outcome.text.count(EVENT_SEPARATOR) + 1)
 
+    def _take_notes(self, command: NoteProgress) -> None:
+        texts = []
+        for note in command.notes:
+            if is_origin_note(note):
+                self._note_origin(note)
+            else:
+                self._note(note)
+                texts.append(note)
+        self.observer.progressed(command.at_s, tuple(texts))
+
+    def _note_origin(self, note: ItemNote) -> None:
+        """Record who writes an item's text; ignored once a part of the text is committed."""
+        job = self.jobs.get(note.job)
+        if job is None or job.ended or note.index not in job.unlisted:
+            return
+        if note.index not in job.notes:
+            job.origins[note.index] = _origin_in(note)
+
     def _note(self, note: ItemNote) -> None:
         """Append a progress note that continues the item's last one; ignore any other."""
         job = self.jobs.get(note.job)
@@ -155,6 +176,7 @@
         job.ended = True
         job.open_tokens = 0
         job.notes.clear()
+        job.origins.clear()
         job.items = [replace(item, body=b"") for item in job.items]
         return Done()
 
@@ -181,6 +203,21 @@
             self.observer.accepted(job)
 
 
+def origin_note(job: str, index: int, origin: StreamOrigin) -> ItemNote:
+    """Return the note that tells who writes an item's text."""
+    return ItemNote(job, index, ORIGIN_NOTE, ORIGIN_NOTE, (origin.service, origin.version))
+
+
+def is_origin_note(note: ItemNote) -> bool:
+    """Tell whether a note has the origin of a text, not a part of it."""
+    return note.after_event == ORIGIN_NOTE
+
+
+def _origin_in(note: ItemNote) -> StreamOrigin:
+    service, version = note.texts
+    return StreamOrigin(service, version)
+
+
 def _snapshot_of(job: RelayedJob) -> RelayedJobSnapshot:
     return RelayedJobSnapshot(
         job.job,
@@ -190,11 +227,20 @@
         tuple(job.items),
         tuple(job.listed),
         job.ended,
-        tuple(job.notes.values()),
+        tuple(_notes_of(job)),
         job.accepted_s,
     )
 
 
+def _notes_of(job: RelayedJob) -> Iterator[ItemNote]:
+    """Yield the notes of a snapshot, each text behind its origin."""
+    for index, note in job.notes.items():
+        origin = job.origins.get(index)
+        if origin is not None:
+            yield origin_note(job.job, index, origin)
+        yield note
+
+
 def _job_of(snapshot: RelayedJobSnapshot) -> RelayedJob:
     job = RelayedJob(
         snapshot.job,
@@ -205,7 +251,8 @@
         list(snapshot.listed),
         ended=snapshot.ended,
         accepted_s=snapshot.accepted_s,
-        notes={note.index: note for note in snapshot.notes},
+        notes={note.index: note for note in snapshot.notes if not is_origin_note(note)},
+        origins={note.index: _origin_in(note) for note in snapshot.notes if is_origin_note(note)},
     )
     listed = {each.index for each in job.listed}
     job.unlisted = {index for index in range(len(job.items)) if index not in listed}
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -5,7 +5,7 @@
 from rainsail.http.pool import Call
 from rainsail.jobs.after_run import RUNNER_AVOIDANCE_S
 from rainsail.jobs.item_run import ItemProgress, ItemRun
-from rainsail.jobs.job_state import NO_EVENT, RelayedJob
+from rainsail.jobs.job_state import NO_EVENT, RelayedJob, origin_note
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.job_commands import ItemNote
 
@@ -113,17 +113,25 @@
         item.progress.last_event = note.last_event
         item.progress.texts = list(note.texts)
         item.progress.numbers = [note.last_event] * len(note.texts)
+        item.progress.origin = job.origins.get(index)
         item.progress.from_previous_leader = True
         item.events_committed = len(note.texts)
     return item
 
 
-def take_new_progress(item: OpenItem) -> ItemNote | None:
-    """Return the progress since the last call and count it as committed; None if there is none."""
+def take_new_progress(item: OpenItem) -> list[ItemNote]:
+    """Return the notes of the progress since the last call and count it as committed.
+
+    The first one is preceded by the origin of the text.
+    """
     progress = item.progress
     texts = tuple(progress.texts[item.events_committed :])
     if not texts or progress.last_event is None:
-        return None
+        return []
+    notes = []
+    if not item.events_committed and progress.origin is not None:
+        notes.append(origin_note(item.job, item.index, progress.origin))
     after = progress.numbers[item.events_committed - 1] if item.events_committed else NO_EVENT
     item.events_committed = len(progress.texts)
-    return ItemNote(item.job, item.index, after, progress.last_event, texts)
+    notes.append(ItemNote(item.job, item.index, after, progress.last_event, texts))
+    return notes
--- a/src/rainsail/jobs/progress_committer.py
+++ b/src/rainsail/jobs/progress_committer.py
@@ -47,9 +47,7 @@
         if self._node.settings.mechanisms.progress_notes:
             for item in self._running:
                 committed_before.append((item, item.events_committed))
-                note = take_new_progress(item)
-                if note is not None:
-                    notes.append(note)
+                notes += take_new_progress(item)
         if notes or len(self._waiting):
             ledger_s = self._ledger.time.at(self._node.clock.seconds())
             kept = self._ledger.commit_progress(NoteProgress(tuple(notes), ledger_s))
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -255,6 +255,7 @@
             return
         del self._crash_checks[check.record.runner]
         if reach == Reachability.REFUSED:
+            self._follower.registry.note_crash(check.record)
             self._report(check)
 
     def _report(self, check: _CrashCheck) -> None:
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -93,7 +93,7 @@
     def _ready(self) -> list[RunnerRecord]:
         """Return the runners that may get the request, including those tried already."""
         ready = self._context.ready(self.service, self._allowed)
-        return ready if self.origin is None else list(filter(self._may_continue, ready))
+        return ready if self.origin is None else list(filter(self._may_continue_now, ready))
 
     def _may_continue(self, record: RunnerRecord) -> bool:
         """Tell whether a runner may continue the stream: its software has begun it, if any has."""
@@ -102,12 +102,17 @@
         version = self._context.registry.versions.of(record)
         return StreamOrigin(record.service, version) == self.origin
 
+    def _may_continue_now(self, record: RunnerRecord) -> bool:
+        """Tell whether the process at a runner's address is known to be one that may continue."""
+        is_known = not self._context.registry.may_be_replaced(record)
+        return self.origin is None or (is_known and self._may_continue(record))
+
     def _other_versions(self) -> list[str]:
-        """Return the runners of the service that may not continue the stream."""
+        """Return the runners of the service that may not continue the stream, or not now."""
         if self.origin is None:
             return []
         ready = self._context.ready(self.service, self._allowed)
-        return [record.runner for record in ready if not self._may_continue(record)]
+        return [record.runner for record in ready if not self._may_continue_now(record)]
 
     def is_origin_gone(self) -> bool:
         """Tell whether no runner that takes work is of the version that began the stream."""
@@ -200,7 +205,7 @@
         record = context.registry.get(placement.runner)
         if record is None or not context.registry.is_ready(record.runner):
             return None
-        if not self._may_continue(record):
+        if not self._may_continue_now(record):
             return None
         return record if context.regions.allows(self._allowed, record.zone) else None
 
--- a/src/rainsail/state/job_commands.py
+++ b/src/rainsail/state/job_commands.py
@@ -59,6 +59,10 @@
     outcomes: tuple[ItemOutcome, ...]
 
 
+ORIGIN_NOTE = -2
+"""``after_event`` and ``last_event`` of a note that tells who writes an item's text."""
+
+
 @wire_type("ItemNote")
 @dataclass(frozen=True, slots=True)
 class ItemNote:
@@ -66,6 +70,10 @@
 
     ``after_event`` is the last event of the previous note (-1: none); ``texts`` holds the data of
     the events after it, up to ``last_event``.
+
+    A note with ``ORIGIN_NOTE`` in both numbers goes ahead of an item's first one and has the
+    service and the software version of the text's runner in ``texts``. Nodes of earlier versions
+    ignore it, as it follows no event, and in a snapshot the note behind it takes its place there.
     """
 
     job: str
