Quarantine: crashes within 0.1 s of each other are not successive

Runs that had been sent 24 to 25 ms before counted as begun after the crash before, within the tolerance of 50 ms for the times that controllers derive. So crashes at one moment made up a succession: strong evidence.

Change: a successive crash is at least 0.1 s, twice the tolerance, after the one before.

--- a/features/steps/common_cause_steps.py
+++ b/features/steps/common_cause_steps.py
@@ -9,6 +9,8 @@
 from features.support.relaying import HOST
 
 from rainsail.jobs.messages import QueueLimit
+from rainsail.quarantine.evidence import SuspectCrash, is_strong
+from rainsail.quarantine.run_times import RunAge
 from rainsail.state.job_commands import ItemHeader, RelayedItem
 
 SEED = 63
@@ -171,3 +173,15 @@
     up = [each for each in fleet.runners.runners if each.is_up and not each.ran_fatal]
     for runner in up[:2]:
         fleet.runners.crash(runner, runner.incarnation)
+
+
+# --- evidence --------------------------------------------------------------------------------
+
+
+@then('crashes "{crashes}" are {strength} evidence')
+def weigh(context, crashes, strength):
+    evidence = []
+    for text in crashes.split(", "):
+        at_s, ran_s, wrote_s = map(float, text.split())
+        evidence.append(SuspectCrash(at_s, RunAge(ran_s, wrote_s)))
+    assert is_strong(evidence, ()) == (strength == "strong"), evidence
--- a/src/rainsail/quarantine/evidence.py
+++ b/src/rainsail/quarantine/evidence.py
@@ -22,6 +22,8 @@
 """The same, relative to that time, as runners write at different speeds."""
 TOLERANCE_S = 0.05
 """Error of the times, which controllers derive from the ages in reports."""
+ONE_MOMENT_S = 2 * TOLERANCE_S
+"""Crashes that are closer together have no order."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +53,8 @@
     for crash in ordered:
         is_early = crash.age.wrote_s < PROMPT_READ_AFTER_S
         is_alone = are_alone([crash.at_s], others_s)
-        if is_early and is_alone and crash.began_s >= last_s - TOLERANCE_S:
+        is_later = crash.began_s >= last_s - TOLERANCE_S and crash.at_s - last_s >= ONE_MOMENT_S
+        if is_early and is_alone and is_later:
             successive += 1
             last_s = crash.at_s
     return successive >= SUCCESSIVE_CRASHES
