Runs at a runner found crashed have an unconfirmed version; a soak of changing versions

What callers saw: in random runs whose runners start again at newer versions while controllers, gateways and the ledger's nodes are killed, streams and items still have events of two versions after.

Cause: a run binds its stream or text to the version in the runner's record. Where a node found the runner crashed and does not know its new start yet, another process may answer.

--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -93,6 +93,8 @@
         """The head of each answer."""
         self.item_events = EVENTS
         """Events of an answer to an item."""
+        self.versions: dict[int, str] = {}
+        """The software version of each runner by number; with any, events name it."""
         self.abort_share = 0.0
         """Probability that a runner aborts a response at an event and keeps running."""
         self._draw = random.Random(count)
@@ -130,6 +132,7 @@
                 state,
                 0.0,
                 runner.sequence,
+                born=runner.incarnation if self.versions else 0,
             )
         )
 
@@ -179,7 +182,7 @@
     def _send_event(self, runner: CrashingRunner, call: StandInCall, number: int) -> None:
         if call.cancelled or call not in runner.calls:
             return
-        call.listener.answer_data(event(number))
+        call.listener.answer_data(self._event(runner, number))
         if call not in runner.calls:
             return
         if self._draw.random() < self.abort_share:
@@ -193,6 +196,11 @@
         runner.calls.remove(call)
         call.listener.answer_ended()
 
+    def _event(self, runner: CrashingRunner, number: int) -> bytes:
+        if not self.versions:
+            return event(number)
+        return f"id: {number}\ndata: {number} of {self.versions[runner.number]}\n\n".encode()
+
     # --- crashes -------------------------------------------------------------------------
 
     def crash(
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -37,6 +37,7 @@
 CRASH_DOUBT_S = 10.0
 """For this long after a crash the process at a runner's address may not be the one of its record:
 three heartbeats, within which a new incarnation is known."""
+UNCONFIRMED_VERSION = "unconfirmed"
 MAX_GONE_RUNNERS = 2_000
 """Gone runners that are still remembered, so that a late report does not revive them."""
 
@@ -320,6 +321,16 @@
             return False
         return True
 
+    def version_at_start(self, record: RunnerRecord) -> str:
+        """Return the version of a run that is sent to a runner now.
+
+        While another process may answer there, it is one that no runner has, and that differs from
+        each other run's: what the run writes can't be continued.
+        """
+        if self.may_be_replaced(record):
+            return f"{UNCONFIRMED_VERSION} {record.runner} {self._seconds()}"
+        return self.versions.of(record)
+
     def has_unheard(self) -> bool:
         """Tell whether a runner that took work before this node's start has not reported since."""
         return any(self._records[runner].takes_work for runner in self._restored)
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -56,7 +56,8 @@
         An item whose text another service or software version has written begins anew.
         """
         content = job.items[item.index]
-        self._bind_to(item, StreamOrigin(record.service, self._node.registry.versions.of(record)))
+        version = self._node.registry.version_at_start(record)
+        self._bind_to(item, StreamOrigin(record.service, version))
         request = self._node.protocol.item_request(
             ItemRequest(job.host, content, item.progress.last_event, job.tenant),
             RunnerTarget(record.runner, record.address),
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -77,6 +77,8 @@
         self.body_bytes = 0
         self.stream: EventStream | None = None
         self.call: Call | None = None
+        self.version = context.registry.version_at_start(record)
+        """The software version of the runner's process, as far as it is known."""
         self.connection_ended = False
         """The answer was interrupted by the end of the connection, as when a runner crashes."""
         self._owner = owner
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -168,7 +168,7 @@
         logger.bind(
             request=self._facts.request,
             runner=attempt.record.runner,
-            version=self._context.registry.versions.of(attempt.record),
+            version=attempt.version,
             fingerprint=fingerprint_hex(self.fingerprint),
             parts=self._parts_text(),
             reason=reason,
--- a/src/rainsail/relay/request_origin.py
+++ b/src/rainsail/relay/request_origin.py
@@ -52,8 +52,7 @@
         """Record who began the stream whose events the client has; renew the record at times."""
         if self.origin is None:
             record = attempt.record
-            version = self._context.registry.versions.of(record)
-            self.origin = StreamOrigin(record.service, version)
+            self.origin = StreamOrigin(record.service, attempt.version)
         now = self._context.clock.seconds()
         if now - self._renewed_s >= RENEWAL_PERIOD_S:
             self._renewed_s = now
