Ledger: a note is an origin only with its two texts

Cause, found by reading: a note with the number of an origin and any other count of texts would raise in the replicated state. Nothing writes one. Change: such a note is a progress note that follows no event, and is ignored as ever. Measured: the features on versions of items pass.

--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -38,6 +38,7 @@
 """For this long after a crash the process at a runner's address may not be the one of its record:
 three heartbeats, within which a new incarnation is known."""
 UNCONFIRMED_VERSION = "unconfirmed"
+"""The first word of the version of a run whose process is not known."""
 MAX_GONE_RUNNERS = 2_000
 """Gone runners that are still remembered, so that a late report does not revive them."""
 
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -25,6 +25,8 @@
 
 EVENT_SEPARATOR = "\n"
 """Separates the data of two events in an item's text."""
+ORIGIN_FIELDS = 2
+"""Texts of a note with an origin: service and version."""
 NO_EVENT = -1
 """Last event number of an item that has received no event."""
 
@@ -210,7 +212,7 @@
 
 def is_origin_note(note: ItemNote) -> bool:
     """Tell whether a note has the origin of a text, not a part of it."""
-    return note.after_event == ORIGIN_NOTE
+    return note.after_event == ORIGIN_NOTE and len(note.texts) == ORIGIN_FIELDS
 
 
 def _origin_in(note: ItemNote) -> StreamOrigin:
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -48,7 +48,7 @@
 TRIAL_RETRY_S = 0.2
 """After a refusal no other request with the same fingerprint asks for this long."""
 MAX_TRIALS_REFUSED = 1024
-"""Refusals that are remembered; there are at most as many as requests that were held."""
+"""Refusals that are remembered, the latest ones."""
 
 
 class AddressProbe(Protocol):
