Keep a runner's known incarnations, so that restarts at one version leave it the sole one

What callers would have seen: once a runner has started again twice at its version, its streams could not be taken up for 600 s, except those recorded since. Cause: of a version that was former already the new birth was dropped, so a node took that incarnation for one of an unknown version; nor was its time renewed.

Change: the births of incarnations whose version was known are kept (16 a runner), and a version that ends again is renewed.

--- a/features/cluster/stream_origins.feature
+++ b/features/cluster/stream_origins.feature
@@ -86,6 +86,14 @@
     Then gateway-2 finds nothing for "s-1", for certain
     And gateway-2 knows no sole version
 
+  Scenario: A runner that starts again several times at its version leaves it the sole version
+    # Guards against: a former incarnation that counts as one of an unknown version.
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When a runner of version v1 reports to controller-1
+    And the runner starts again 3 times under its id with version v1
+    Then gateway-1 knows v1 as the sole version
+    And gateway-2 knows v1 as the sole version
+
   Scenario: All controllers and a gateway are away while a runner starts again at another version
     Given a relaying fleet of 3 controllers and 2 gateways
     When a runner of version v1 reports to controller-1
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -155,6 +155,12 @@
     _report(context, version, born=2_000)
 
 
+@when("the runner starts again {times:d} times under its id with version {version}")
+def start_again_often(context, times, version):
+    for number in range(times):
+        _report(context, version, born=2_000 + 1_000 * number)
+
+
 @when("another runner of version {version} reports to controller-1")
 def report_other(context, version):
     _report(context, version, born=1_500, number=2)
--- a/src/rainsail/cluster/runner_versions.py
+++ b/src/rainsail/cluster/runner_versions.py
@@ -20,6 +20,8 @@
 """The version of a runner that has stated none, or none that this node has learned."""
 FORMER_VERSION_TTL_S = 600.0
 """For this long the version of a former incarnation may have begun a running stream."""
+MAX_BIRTHS = 16
+"""Incarnations of one runner that are remembered as ones whose version was known."""
 MAX_FORMER_VERSIONS = 4
 """Versions of former incarnations of one runner that are remembered, the latest ones."""
 
@@ -70,12 +72,18 @@
         self._versions: dict[str, RunnerVersion] = {}
         self._former: dict[str, dict[str, tuple[RunnerVersion, float]]] = {}
         """By runner and version, each with the time at which this node learned that it is over."""
+        self._births: dict[str, dict[int, None]] = {}
+        """The incarnations of each runner of which a version was known, the latest ones."""
 
     def take(self, version: RunnerVersion) -> bool:
         """Record a version; return whether it is a new one of the latest known incarnation."""
         known = self._versions.get(version.runner)
         if known == version:
             return False
+        births = self._births.setdefault(version.runner, {})
+        births[version.born] = None
+        if len(births) > MAX_BIRTHS:
+            del births[next(iter(births))]
         if known is not None and known.born > version.born:
             self._note_former(version)
             return False
@@ -87,15 +95,14 @@
 
     def note_replaced(self, record: RunnerRecord) -> None:
         """Note that an incarnation is over, of which no version may be known here."""
-        known = self._versions.get(record.runner)
-        formers = [each for each, _ in self._former.get(record.runner, {}).values()]
-        incarnations = {each.born for each in (*formers, *([known] if known else []))}
-        if record.born not in incarnations:
+        if record.born not in self._births.get(record.runner, {}):
             self._note_former(RunnerVersion(record.runner, record.born, NO_VERSION))
 
     def _note_former(self, version: RunnerVersion) -> None:
         former = self._former.setdefault(version.runner, {})
-        if version.version in former:
+        listed = former.pop(version.version, None)
+        if listed is not None and listed[0].born >= version.born:
+            former[version.version] = listed
             return
         former[version.version] = version, self._seconds()
         if len(former) > MAX_FORMER_VERSIONS:
@@ -144,3 +151,4 @@
         """Drop a runner that the registry no longer remembers."""
         self._versions.pop(runner, None)
         self._former.pop(runner, None)
+        self._births.pop(runner, None)
