Decide on an accepted job only by a table confirmed after its submission

Cause, two parts. (1) The ledger's leader took "no route in the table here" for the end of the route, for good. Nothing said whether that table was as new as the one by which a gateway had accepted the job; by the logs of the case the leader gave items up ("no route") before it took the table. (2) A node fetched a table from one controller at a time and took the same version from no other until that call had timed out (1 s), so a frozen controller delayed it, differently at each node.

Change: the leader asks the controllers' leader for the newest version, confirmed by a quorum, while a submitted job is being committed, and starts, holds or gives up items of the job only once its own table is at least that one. A job waits alone; the others go on (gauge jobs_awaiting_table). No record has changed: records are decoded by position, so that a node of an earlier version would refuse an added field, and a confirmed read also covers jobs from such nodes, from any third node and from before a change of the leader. A table is fetched from a second controller if the first does not answer within 0.2 s; one that has failed is asked again once it has been heard.

Ruled out: a version that travels with the job (see above; it also gives a job up that a gateway accepted by a table from before a removal, while the route is back already).

Cost: one small call and its reply for a submission, in parallel to the commit.

--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -36,9 +36,13 @@
 def table_of(content: bytes) -> Any:
     """Parse a test table: its version, and the allowed regions of jobs, if any.
 
-    ``7`` is version 7; ``8 east west`` is version 8 whose jobs may run in these two regions.
+    ``7`` is version 7; ``8 east west`` is version 8 whose jobs may run in these two regions;
+    ``9 none`` is version 9 without any route.
     """
     version, *regions = content.decode().split()
+    services = (Service("model", 10, True),)
+    if regions == ["none"]:
+        return Ok(RoutingTable(int(version), (), services, ClientLimits()))
     routes = (
         Route(
             "jobs",
@@ -53,7 +57,6 @@
             allowed_regions=frozenset(regions),
         ),
     )
-    services = (Service("model", 10, True),)
     return Ok(RoutingTable(int(version), routes, services, ClientLimits()))
 
 
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -32,7 +32,7 @@
 from rainsail.logs import logger
 from rainsail.quarantine.messages import QuarantineNotice
 from rainsail.quarantine.view import QuarantineView
-from rainsail.runtime.clock import Clock
+from rainsail.runtime.clock import Clock, Timer
 from rainsail.state.cluster_commands import Quarantine, ZoneDrain
 from rainsail.wire.codec import decode
 from rainsail.wire.messenger import Messenger
@@ -44,6 +44,11 @@
 """
 CALL_TIMEOUT_S = 1.0
 """Timeout of a heartbeat and of fetching a table: one heartbeat period."""
+FETCH_HEDGE_S = 0.2
+"""A table that has not arrived after this time is fetched from a second controller as well.
+
+A controller may freeze after it has told of a table. Longer than a round trip between regions.
+"""
 
 
 class FleetFollower:
@@ -65,7 +70,8 @@
         self.controllers = KnownControllers(node.address, seeds, clock)
         self._stopped = False
         self._rounds = 0
-        self._fetching_version = 0
+        self._fetch_timer: Timer | None = None
+        """Runs while the latest fetch may still be answered in time."""
         self._pushed_leader = (0, "")
         self.table_version = 0
         self.ledger_status: Callable[[], LedgerStatus | None] = lambda: None
@@ -161,7 +167,7 @@
             page: RunnerPage = decode(reply.runners)
             self._merge(page.runners)
         self.on_view(self.view())
-        self._fetch_if_newer(address, reply.table_version)
+        self._note_table_version(address, reply.table_version)
 
     # --- updates from controllers --------------------------------------------------------
 
@@ -187,7 +193,7 @@
             self.on_runners(changed)
 
     def _take_notice(self, source: str, notice: TableNotice) -> None:
-        self._fetch_if_newer(source, notice.version)
+        self._note_table_version(source, notice.version)
 
     def _take_drain_notice(self, source: str, notice: ZoneDrainNotice) -> None:
         self.take_zone_drains(notice.zone_drains)
@@ -219,25 +225,62 @@
         if in_touch:
             self._messenger.send(in_touch[0], RunnerPrefill(runner, reading_s))
 
-    def _fetch_if_newer(self, address: str, version: int) -> None:
+    # --- routing tables ------------------------------------------------------------------
+
+    def knows_of_newer_table(self) -> bool:
+        """Tell whether a controller has told of a newer table than the one here."""
+        return self.controllers.newest_told_version() > self.table_version
+
+    def learn_table_version(self, version: int) -> None:
+        """Fetch a table that was committed, from any controller in touch that has it."""
+        for address in self.controllers.in_touch():
+            controller = self.controllers.get_or_add(address)
+            controller.told_version = max(controller.told_version, version)
+        self._fetch_newer_table()
+
+    def _note_table_version(self, address: str, version: int) -> None:
         controller = self.controllers.get_or_add(address)
-        if version <= max(self.table_version, self._fetching_version) or controller.fetching:
+        controller.told_version = max(controller.told_version, version)
+        controller.fetch_failed = False
+        self._fetch_newer_table()
+
+    def _fetch_newer_table(self) -> None:
+        """Fetch a newer table, from one controller at a time as long as each answers soon."""
+        if self._stopped or self._fetch_timer is not None:
             return
-        controller.fetching = True
-        self._fetching_version = version
+        address = self.controllers.source_of_newer_table(self.table_version)
+        if not address:
+            return
+        self.controllers.get_or_add(address).fetching = True
+        self._fetch_timer = self._clock.callLater(FETCH_HEDGE_S, self._end_wait_for_table)
         reply = self._messenger.call(address, FetchTable(), CALL_TIMEOUT_S)
         reply.addCallback(self._take_table, address)
 
+    def _end_wait_for_table(self) -> None:
+        """Ask the next controller if the table has not arrived."""
+        if self._fetch_timer is not None and self._fetch_timer.active():
+            self._fetch_timer.cancel()
+        self._fetch_timer = None
+        self._fetch_newer_table()
+
     def _take_table(self, result: object, address: str) -> None:
-        self.controllers.get_or_add(address).fetching = False
-        self._fetching_version = 0
-        if self._stopped or result.is_error():  # type: ignore[attr-defined]
+        controller = self.controllers.get_or_add(address)
+        controller.fetching = False
+        if self._stopped:
+            return
+        if result.is_error():  # type: ignore[attr-defined]
+            controller.fetch_failed = True
+            log = logger.bind(controller=address, fault=str(result.error))  # type: ignore[attr-defined]
+            log.info("table_not_fetched")
+            self._end_wait_for_table()
             return
         document: TableDocument = result.ok  # type: ignore[attr-defined]
+        controller.told_version = document.version
         if document.version > self.table_version:
             self.table_version = document.version
             logger.bind(version=document.version, controller=address).info("table_taken")
             self.on_table(document)
+        self._end_wait_for_table()
 
 
 def _term_of(leader: tuple[int, str]) -> int:
--- a/src/rainsail/cluster/known_controllers.py
+++ b/src/rainsail/cluster/known_controllers.py
@@ -41,8 +41,12 @@
     last_answer_s: float = NEVER_S
     waiting: bool = False
     """Whether a heartbeat is unanswered so far."""
+    told_version: int = 0
+    """The newest routing table that it has told of."""
     fetching: bool = False
     """Whether a routing table is being fetched from it."""
+    fetch_failed: bool = False
+    """Whether it did not answer the last fetch, and has not been heard since."""
     view: FleetView = EMPTY_VIEW
 
     @property
@@ -86,6 +90,7 @@
     def note_answer(self, controller: KnownController, reply: NodeHeartbeatReply) -> None:
         """Record the reply to a heartbeat, and add the controllers that it lists."""
         controller.last_answer_s = self._clock.seconds()
+        controller.fetch_failed = False
         controller.epoch = reply.epoch
         controller.revision = reply.revision
         controller.view_number = reply.view_number
@@ -152,6 +157,24 @@
             last_answer_s, self.voters(), self._seeds, round_number, now
         )
 
+    # --- routing tables ------------------------------------------------------------------
+
+    def newest_told_version(self) -> int:
+        """Return the newest table that any controller has told of, 0 for none."""
+        return max((each.told_version for each in self._by_address.values()), default=0)
+
+    def source_of_newer_table(self, version: int) -> str:
+        """Return a controller to fetch a table newer than ``version`` from, "" for none.
+
+        Leaves out those that are being asked, and those that did not answer.
+        """
+        sources = [
+            (each.told_version, each.last_answer_s, address)
+            for address, each in self._by_address.items()
+            if each.told_version > version and not each.fetching and not each.fetch_failed
+        ]
+        return max(sources)[-1] if sources else ""
+
     # --- their views ---------------------------------------------------------------------
 
     def answered(self) -> list[KnownController]:
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -8,6 +8,7 @@
 from rainsail.cluster.founders import voters_for
 from rainsail.cluster.incarnation_tracker import IncarnationTracker
 from rainsail.cluster.messages import FleetView, LedgerStatus, RunnerRecord, TableDocument
+from rainsail.cluster.table_confirmation import TableConfirmation
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault
 from rainsail.fleet.base import NodeBase
@@ -66,6 +67,7 @@
         self._regions = RegionMap(base.settings.node.zones)
         self.dispatcher = self._make_dispatcher(protocol, ledger_time)
         self.state.observer = self.dispatcher.observer
+        self._service.on_submitted = self.dispatcher.job_submitted
         # Controllers push each table once, maybe while this node still opens its disk.
         base.follower.on_table = self._take_table
         base.follower.on_runners = self._runners_changed
@@ -90,6 +92,7 @@
             regions=self._regions,
             warm_ups=self._warm_ups,
             guard=guard,
+            tables=TableConfirmation(base.follower, base.messenger, base.clock),
             metrics=base.metrics,
             settings=DispatchSettings(mechanisms=base.settings.mechanisms),
         )
--- a/src/rainsail/jobs/context.py
+++ b/src/rainsail/jobs/context.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from rainsail.cluster.registry import RunnerRegistry
+from rainsail.cluster.table_confirmation import TableConfirmation
 from rainsail.http.pool import ConnectionPool
 from rainsail.jobs.job_state import JobState, RelayedJob
 from rainsail.jobs.ledger_time import LedgerTime
@@ -47,6 +48,7 @@
     regions: RegionMap
     warm_ups: WarmUpLimiter
     guard: RequestGuard
+    tables: TableConfirmation
     metrics: NodeMetrics
     settings: DispatchSettings
 
--- a/src/rainsail/jobs/dispatch_state.py
+++ b/src/rainsail/jobs/dispatch_state.py
@@ -4,6 +4,7 @@
 
 from rainsail.jobs.context import DispatchNode, Ledger
 from rainsail.jobs.item_routes import ItemRoutes
+from rainsail.jobs.job_tables import JobTables
 from rainsail.jobs.runner_slots import RunnerSlots
 from rainsail.jobs.running_items import RunningItems
 from rainsail.jobs.waiting_items import WaitingItems
@@ -12,12 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DispatchState:
-    """Waiting and running items, use of runner slots, the routing table, beginnings of streams."""
+    """Waiting and running items, use of runner slots, the routing table, beginnings of streams.
+
+    ``tables`` tells for which jobs that table is new enough.
+    """
 
     waiting: WaitingItems
     running: RunningItems
     slots: RunnerSlots
     routes: ItemRoutes
+    tables: JobTables
     beginnings: StreamBeginnings
 
 
@@ -26,4 +31,5 @@
     running = RunningItems()
     slots = RunnerSlots(node.warm_ups, node.settings, running)
     routes = ItemRoutes(ledger.state)
-    return DispatchState(WaitingItems(), running, slots, routes, StreamBeginnings())
+    tables = JobTables(node.tables, node.clock)
+    return DispatchState(WaitingItems(), running, slots, routes, tables, StreamBeginnings())
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -40,6 +40,7 @@
         self._active = False
         node.metrics.gauge("items_waiting", lambda: float(len(state.waiting)))
         node.metrics.gauge("items_running", lambda: float(len(state.running)))
+        node.metrics.gauge("jobs_awaiting_table", lambda: float(len(state.tables)))
 
     # --- leadership ----------------------------------------------------------------------
 
@@ -49,6 +50,7 @@
         self._state.waiting.clear()
         self._jobs.clear()
         self._state.slots.clear()
+        self._state.tables.begin_leadership()
         self._planner.begin_leadership()
         self._starter.begin_leadership()
         self._run_periodically()
@@ -61,6 +63,7 @@
         self._planner.end_leadership()
         self._state.running.stop_all(self._node.clock.seconds())
         self._state.waiting.clear()
+        self._state.tables.clear()
 
     def _run_periodically(self) -> None:
         if not self._active:
@@ -100,6 +103,10 @@
         """Preempt items at a runner to free the slots that online requests need there."""
         self._preemptor.preempt_at(runner)
 
+    def job_submitted(self, job: str) -> None:
+        """Prepare for a job that is about to be committed."""
+        self._state.tables.submitted(job)
+
     # --- changes of the fleet ------------------------------------------------------------
 
     def set_table(self, table: RoutingTable) -> None:
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -46,6 +46,7 @@
         self._node = node
         self._ledger = ledger
         self._routes = state.routes
+        self._tables = state.tables
         self._slots = state.slots
         self._waiting = state.waiting
         self._planner = planner
@@ -65,6 +66,8 @@
         if not self._may_start(now):
             return
         for item in self._waiting.by_urgency(self._planner.order):
+            if not self._tables.covers(item.job):
+                continue
             if self._guard.is_held(item):
                 self._keep_waiting(item, now)
             elif item.ready_at_s <= now:
--- a/src/rainsail/jobs/ledger_service.py
+++ b/src/rainsail/jobs/ledger_service.py
@@ -1,5 +1,6 @@
 """Serves the gateways' calls on the ledger's leader: job submissions and reads of results."""
 
+from collections.abc import Callable
 from typing import Any
 
 from expression import Error
@@ -48,6 +49,8 @@
         self._group: GroupDriver | None = None
         self._held = HeldReads(clock, self._read_now)
         self._limits = QueueLimits(state)
+        self.on_submitted: Callable[[str], None] = lambda job: None
+        """Called with each job, by its scoped id, before it is committed."""
         messenger.serve(SubmitRelayedJob, self._submit)
         messenger.serve(ReadResults, self._read)
         messenger.serve(ReadItemBody, self._read_body)
@@ -90,6 +93,7 @@
             message.job, message.tenant, message.host, message.path, message.items, at_s
         )
         self._limits.begin(message)
+        self.on_submitted(message.job)
         proposed = self._group.propose(command)
         proposed.addBoth(self._on_proposal_over, message.job)
         return proposed.addCallback(_reply, RelayedJobAccepted(message.job))
--- a/src/rainsail/jobs/open_jobs.py
+++ b/src/rainsail/jobs/open_jobs.py
@@ -14,11 +14,13 @@
         self._running = state.running
         self._waiting = state.waiting
         self._planner = planner
+        self._tables = state.tables
         self._enqueued: set[str] = set()
 
     def clear(self) -> None:
         """Forget which jobs were enqueued, so that the next round enqueues all of them."""
         self._enqueued.clear()
+        self._tables.clear()
 
     def enqueue_new(self) -> None:
         """Enqueue the unlisted items of each job that was not enqueued before."""
@@ -29,12 +31,14 @@
             if job.ended:
                 continue
             self._planner.update_due_time(job)
+            self._tables.add(job.job)
             items = [resume_item(job, index) for index in sorted(job.unlisted)]
             self._waiting.add_job(job.job, items)
 
     def drop_ended(self, now: float) -> None:
         """Drop the waiting items of ended jobs, and close the runs of items that are not open."""
         self._waiting.drop(self._ledger.is_job_open)
+        self._tables.keep_only(self._ledger.is_job_open)
         self._running.stop_where(lambda item: not self._ledger.is_open(item), now)
 
     def forget_dropped(self) -> None:
