Answer "not found" only by a routing table confirmed within the last second

What callers saw: 404 for up to 2.6 s on a route that was in force, from gateways that had not heard of the table, as while the controller that had acknowledged it is frozen and the others start again.

Change: a request without a route is held for 0.8 s at most while a quorum confirms the table, and then served, answered 404, or refused for now (503 with a time to retry) if it can't be confirmed; while that fails, at once. A confirmed table may reject for 1 s, so that clients of unknown paths cost the controllers one call a second for each gateway. An unknown key gets 503 while a newer table is known to be on its way.

--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -25,6 +25,9 @@
 
 PREFIX = "/a/"
 PATH = "/a/1"
+ADDED_PREFIX = "/added/"
+ADDED_PATH = "/added/1"
+WITH_ADDED_ROUTE = "+"
 RUNNERS = 8
 GATEWAYS = 3
 DEADLINE_S = 5.0
@@ -73,9 +76,11 @@
     """Parse a table: resumable streams, and jobs, of one service.
 
     ``7/other`` is version 7, in which half of the load goes to a service ``other``, and streams are
-    not repeatable.
+    not repeatable. ``7+`` is version 7 with one more route for streams.
     """
     version, _, other = content.decode().partition("/")
+    has_added = version.endswith(WITH_ADDED_ROUTE)
+    version = version.removesuffix(WITH_ADDED_ROUTE)
     names = [SERVICE, other] if other else [SERVICE]
     shares = tuple(ServiceShare(name, 1.0 / len(names)) for name in names)
     stream = Route(
@@ -99,7 +104,8 @@
         kept_s=KEPT_S,
     )
     services = tuple(Service(name, 100, True) for name in names)
-    return Ok(RoutingTable(int(version), (stream, jobs), services, ClientLimits()))
+    added = (replace(stream, name="added", prefix=ADDED_PREFIX),) if has_added else ()
+    return Ok(RoutingTable(int(version), (stream, jobs, *added), services, ClientLimits()))
 
 
 class FatalRequestFleet(RelayedFleet):
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -8,6 +8,7 @@
 from typing import TypeGuard
 
 from rainsail.cluster.follower import FleetFollower
+from rainsail.cluster.table_confirmation import TableConfirmation
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits
 from rainsail.logs import logger
@@ -23,6 +24,7 @@
 from rainsail.relay.run import RelayRun
 from rainsail.relay.table import Route, RouteKind
 from rainsail.relay.table_reader import TableReader
+from rainsail.relay.unrouted_requests import UnroutedRequests
 from rainsail.tenancy.quota_client import QuotaClient
 from rainsail.tenancy.tenants import Identity
 from rainsail.wire.messenger import Messenger
@@ -62,6 +64,12 @@
         self._started_s = context.clock.seconds()
         self._is_stopped = False
         self._early = EarlyRequests(context.clock, self._refuse_early)
+        self._unrouted = UnroutedRequests(
+            TableConfirmation(follower, messenger, context.clock),
+            context.clock,
+            self._decide_unrouted,
+            self._refuse_unrouted,
+        )
         self.under_way = 0
         self.draining = False
         self.on_batch: BatchHandler | None = None
@@ -101,6 +109,12 @@
         age_s = self._context.clock.seconds() - self._started_s
         return bool(self._follower.registry.records()) or age_s >= RUNNERS_EXPECTED_AFTER_S
 
+    @property
+    def table_version(self) -> int:
+        """The version of the routing table in force here, 0 without one."""
+        table = self._context.table
+        return 0 if table is None else table.version
+
     # --- requests ------------------------------------------------------------------------
 
     def handle(self, exchange: Exchange) -> None:
@@ -112,8 +126,10 @@
         facts = self._context.protocol.describe(exchange.request)
         route = table.match(facts.host, facts.path)
         if route is None:
-            logger.bind(request=facts.request, table=table.version).info("request_without_route")
-            self.answer_empty(exchange, STATUS_NOT_FOUND)
+            if self._unrouted.may_reject():
+                self._reject_unrouted(exchange)
+            else:
+                self._unrouted.hold(exchange)
             return
         identity = table.identify(route, facts.key)
         if not self._is_allowed(identity):
@@ -124,6 +140,25 @@
             self.under_way += 1
             RelayRun(self._context, exchange, facts, route, self._run_ended, identity).start()
 
+    def _decide_unrouted(self, exchange: Exchange) -> None:
+        """Handle a request that had no route by the table that has been confirmed since then."""
+        facts = self._context.protocol.describe(exchange.request)
+        table = self._context.table
+        if table is not None and table.match(facts.host, facts.path) is not None:
+            self.handle(exchange)
+        else:
+            self._reject_unrouted(exchange)
+
+    def _reject_unrouted(self, exchange: Exchange) -> None:
+        facts = self._context.protocol.describe(exchange.request)
+        log = logger.bind(request=facts.request, table=self.table_version)
+        log.info("request_without_route")
+        self.answer_empty(exchange, STATUS_NOT_FOUND)
+
+    def _refuse_unrouted(self, exchange: Exchange) -> None:
+        facts = self._context.protocol.describe(exchange.request)
+        self._refuse_unready(exchange, facts, "the routing table is not confirmed")
+
     def _refuse_early(self, exchange: Exchange) -> None:
         self._refuse_unready(exchange, self._context.protocol.describe(exchange.request))
 
@@ -162,6 +197,9 @@
         if identity is not None:
             self._refuse_unready(exchange, facts, "keys are too old while controllers are away")
             return
+        if self._follower.knows_of_newer_table():
+            self._refuse_unready(exchange, facts, "a newer routing table is on its way")
+            return
         reason = "no key" if facts.key is None else "unknown key"
         logger.bind(request=facts.request, reason=reason).info("request_unauthorized")
         self._metrics.count("requests_unauthorized", reason=reason)
