Do not continue a stream where a runner's start may have been missed

Cause: a node takes the record that it has for the process that answers.

(2) Controllers pass on that a runner was found crashed (RunnerDoubted, a new record for nodes that know it), also by refused connections that a probe confirms. (3) A stream's or a text's attempts are checked again before it goes on: a stream that can't be told is given up, a text begins anew. Found with it: after a text was discarded, later progress notes were appended to the discarded one in the ledger; none is committed any more for such an item.

--- a/features/relay/version_soak.feature
+++ b/features/relay/version_soak.feature
@@ -11,3 +11,10 @@
       | seed |
       | 9    |
       | 12   |
+
+    Examples: in each of these no controller ran for a while as runners started again
+      | seed |
+      | 19   |
+      | 22   |
+      | 41   |
+      | 76   |
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -20,6 +20,7 @@
 from rainsail.cluster.ledger_founding import LedgerFounding
 from rainsail.cluster.messages import ZoneDrainNotice
 from rainsail.cluster.node_heartbeats import NodeHeartbeats
+from rainsail.cluster.runner_doubts import RunnerDoubts
 from rainsail.cluster.runner_journal import RunnerJournal
 from rainsail.cluster.runner_reports import RunnerReports
 from rainsail.cluster.runner_version_file import RunnerVersionFile
@@ -67,6 +68,8 @@
         self.quarantine = QuarantineControl(
             context.messenger, clock, group, state, context.follower, calls, context.live_nodes
         )
+        doubts = RunnerDoubts(context.messenger, context.registry, context.live_nodes)
+        self.quarantine.on_crash = doubts.runner_crashed
         self.tables = TableService(context, calls, committed, services_of)
         self.origins = StreamOriginService(context.messenger, clock, context.registry.has_unheard)
         self._founding = LedgerFounding(group, state, context.directory, losses)
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -28,6 +28,7 @@
     ZoneDrainNotice,
 )
 from rainsail.cluster.registry import RunnerRegistry
+from rainsail.cluster.runner_doubts import RunnerDoubted, take_doubt
 from rainsail.cluster.runner_versions import RunnerVersionPage, RunnerVersions
 from rainsail.logs import logger
 from rainsail.quarantine.messages import QuarantineNotice
@@ -81,6 +82,7 @@
         self.on_ledger_leader: Callable[[str], None] = lambda address: None
         messenger.serve(RunnerUpdate, self._take_update)
         messenger.serve(RunnerVersions, self._take_versions)
+        messenger.serve(RunnerDoubted, lambda source, message: self._take_doubt(message))
         messenger.serve(TableNotice, self._take_notice)
         messenger.serve(ZoneDrainNotice, self._take_drain_notice)
         messenger.serve(QuarantineNotice, self._take_quarantine_notice)
@@ -154,7 +156,10 @@
     def _take_reply(self, result: object, address: str) -> None:
         controller = self.controllers.get_or_add(address)
         controller.waiting = False
-        if self._stopped or result.is_error():  # type: ignore[attr-defined]
+        if self._stopped:
+            return
+        if result.is_error():  # type: ignore[attr-defined]
+            self.registry.coverage.failed(address)
             return
         reply: NodeHeartbeatReply = result.ok  # type: ignore[attr-defined]
         if not controller.has_answered:
@@ -166,6 +171,7 @@
         if reply.runners:
             page: RunnerPage = decode(reply.runners)
             self._merge(page.runners)
+        self.registry.coverage.answered(address, reply.epoch, self._clock.seconds())
         self.on_view(self.view())
         self._note_table_version(address, reply.table_version)
 
@@ -187,6 +193,9 @@
         for version in page.versions:
             self.registry.versions.take(version)
 
+    def _take_doubt(self, message: RunnerDoubted) -> None:
+        take_doubt(self.registry, message)
+
     def _merge(self, records: tuple[RunnerRecord, ...]) -> None:
         changed = self.registry.take(records)
         if changed:
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -25,6 +25,7 @@
 
 from rainsail.cluster.incarnation_order import REPLACEABLE_AFTER_S, IncarnationOrder
 from rainsail.cluster.messages import RunnerRecord, RunnerState
+from rainsail.cluster.report_coverage import ReportCoverage
 from rainsail.cluster.runner_versions import NO_VERSION, RunnerVersion, RunnerVersionTable
 from rainsail.cluster.warm_up import WarmUpClock
 from rainsail.cluster.zone_drains import KnownZoneDrains
@@ -37,6 +38,8 @@
 CRASH_DOUBT_S = 10.0
 """For this long after a crash the process at a runner's address may not be the one of its record:
 three heartbeats, within which a new incarnation is known."""
+LATE_REPORT_S = 1.5
+"""A report that arrives so long after a crash is not one from before it: the runner lives."""
 UNCONFIRMED_VERSION = "unconfirmed"
 """The first word of the version of a run whose process is not known."""
 MAX_GONE_RUNNERS = 2_000
@@ -78,6 +81,8 @@
         self.zone_drains = KnownZoneDrains()
         self.warm_ups = WarmUpClock(seconds)
         self.versions = RunnerVersionTable(seconds)
+        self.coverage = ReportCoverage()
+        """When this node may have missed reports, as far as it learns them from controllers."""
         self._resolves_address_conflicts = resolves_address_conflicts
         self.named_services: frozenset[str] | None = None
         """The services of the routing table; None until a table is known."""
@@ -85,7 +90,7 @@
         self._incarnations = IncarnationOrder()
         self._heard_s: dict[str, float] = {}
         self._crashed: dict[str, tuple[int, float]] = {}
-        """The incarnations that this node has found crashed (``born``), and when."""
+        """The incarnations that were found crashed (``born``), and when this node learned it."""
         self._gone_s: dict[str, float] = {}
         """When this node learned that a runner is gone."""
         self._sole_versions: dict[str, str | None] = {}
@@ -309,19 +314,48 @@
         return NO_VERSION in versions and len(versions) > 1
 
     def note_crash(self, record: RunnerRecord) -> None:
-        """Note that this node found an incarnation crashed; it may start again under its id."""
+        """Note that an incarnation was found crashed; it may start again under its id."""
         self._crashed[record.runner] = record.born, self._seconds()
 
     def may_be_replaced(self, record: RunnerRecord) -> bool:
         """Tell whether another process than the record's may answer at its address."""
+        return self._may_have_missed_start(record.runner) or self.is_found_crashed(record)
+
+    def has_heard(self, runner: str, since_s: float) -> bool:
+        """Tell whether a new report of a runner has arrived since a time."""
+        return self._heard_s.get(runner, float("-inf")) > since_s
+
+    def is_found_crashed(self, record: RunnerRecord) -> bool:
+        """Tell whether an incarnation was found crashed lately, and no new one is known yet."""
         born, at_s = self._crashed.get(record.runner, (None, 0.0))
         if born is None:
             return False
-        if born != record.born or self._seconds() - at_s > CRASH_DOUBT_S:
+        if (
+            born != record.born
+            or self._seconds() - at_s > CRASH_DOUBT_S
+            or self.has_heard(record.runner, at_s + LATE_REPORT_S)
+        ):
             del self._crashed[record.runner]
             return False
         return True
 
+    def _may_have_missed_start(self, runner: str) -> bool:
+        """Tell whether a runner may have started again while no controller passed reports on."""
+        since_s = self.coverage.missed_since(self._seconds())
+        return since_s is not None and not self.has_heard(runner, since_s)
+
+    def is_version_confirmed(self, record: RunnerRecord, sent_s: float) -> bool:
+        """Tell whether a run that was sent to a runner has certainly reached its known process.
+
+        It has if no report was missed around that time, or if the same incarnation has reported
+        since then.
+        """
+        if not self.coverage.is_missed(sent_s, self._seconds()):
+            return True
+        known = self._records.get(record.runner)
+        is_same = known is not None and known.born == record.born
+        return is_same and self.has_heard(record.runner, sent_s)
+
     def version_at_start(self, record: RunnerRecord) -> str:
         """Return the version of a run that is sent to a runner now.
 
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
@@ -46,7 +47,10 @@
     """An answer listener that is also notified if the request could not be sent."""
 
     def request_unsent(self, reason: str) -> None:
-        """No connection could be opened; the request certainly has not run."""
+        """No connection could be opened; the request certainly has not run.
+
+        The reason is that of ``Reachability.REFUSED`` where no process listens at the address.
+        """
         ...
 
 
@@ -212,7 +216,9 @@
         """Report that the request was not sent."""
         self._servers[address].open_count -= 1
         if not call.cancelled:
-            call.listener.request_unsent(failure.getErrorMessage())
+            is_refused = failure.check(ConnectionRefusedError) is not None
+            reason = Reachability.REFUSED.value if is_refused else failure.getErrorMessage()
+            call.listener.request_unsent(reason)
 
     # --- ClientConnectionOwner ----------------------------------------------------------------
 
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
 from rainsail.jobs.job_state import EVENT_SEPARATOR
@@ -96,6 +97,8 @@
     origin: StreamOrigin | None = None
     """Who writes the text; None before the first run, or if the ledger's text has no known origin.
     """
+    runs: list[tuple[RunnerRecord, float]] = field(default_factory=list)
+    """The runners that wrote the text under this leader, and when each run was sent."""
     failures: int = 0
     impossible: int = 0
     rejected_beginnings: Counter[FirstEvent] = field(default_factory=Counter)
@@ -125,6 +128,7 @@
         self.last_event = None
         self.texts.clear()
         self.numbers.clear()
+        self.runs.clear()
 
     def set_unconfirmed(self, beginning: StreamBeginning) -> None:
         """Store the text as unconfirmed until its beginning is confirmed, and start anew."""
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -4,7 +4,9 @@
 """
 
 from rainsail.cluster.messages import RunnerRecord
+from rainsail.cluster.runner_versions import NO_VERSION
 from rainsail.cluster.stream_origins import StreamOrigin
+from rainsail.http.reachability import Reachability
 from rainsail.jobs.after_run import (
     CONFIRMATION_PAUSE_S,
     RUNNER_BACKOFF_MAX_S,
@@ -24,6 +26,8 @@
 from rainsail.relay.stream_beginnings import BeginningVerdict, StreamBeginning, StreamSource
 from rainsail.routing.facts import ServerLoad
 
+MIXABLE_RUNS = 2
+"""A text may be of two software versions only if so many runs have written it."""
 IDLE_TIMEOUT_S = 4.0
 """A run without a new event for this long is closed; the item is requeued.
 
@@ -58,6 +62,7 @@
         content = job.items[item.index]
         version = self._node.registry.version_at_start(record)
         self._bind_to(item, StreamOrigin(record.service, version))
+        item.progress.runs.append((record, now))
         request = self._node.protocol.item_request(
             ItemRequest(job.host, content, item.progress.last_event, job.tenant),
             RunnerTarget(record.runner, record.address),
@@ -80,6 +85,18 @@
             item.forget_dropped_events()
         item.progress.origin = origin
 
+    def is_origin_confirmed(self, item: OpenItem) -> bool:
+        """Tell whether another run may continue an item's text at the origin known for it."""
+        confirms = self._node.registry.is_version_confirmed
+        return all(confirms(record, at_s) for record, at_s in item.progress.runs)
+
+    def is_text_confirmed(self, item: OpenItem) -> bool:
+        """Tell whether all runs of an item's text have certainly reached one software version.
+
+        A text of one run is of one version whichever process wrote it.
+        """
+        return len(item.progress.runs) < MIXABLE_RUNS or self.is_origin_confirmed(item)
+
     def _source_of(self, item: OpenItem, job: RelayedJob, record: RunnerRecord) -> StreamSource:
         route = self._routes.of_item(job, item.index)
         return StreamSource(record.service, "" if route is None else route.name)
@@ -155,6 +172,11 @@
             item.close_run(now)
             item.forget_dropped_events()
         item.ran_s = item.running_s(now)
+        if item.events == item.events_at_start and item.progress.runs:
+            # This run has written nothing.
+            item.progress.runs.pop()
+        if end == RunEnd.UNREACHED and reason == Reachability.REFUSED and record is not None:
+            self._node.guard.connection_refused(record)
         item.run = None
         item.call = None
         if end not in (RunEnd.WHOLE, RunEnd.CONFIRMED):
@@ -170,6 +192,11 @@
         if end == RunEnd.FAILED:
             item.progress.failures += 1
             item.failed_at_s[item.runner] = now
+        if not self.is_text_confirmed(item):
+            self._recorder.text_dropped(item, NO_VERSION)
+            item.progress.start_anew()
+            item.forget_dropped_events()
+            end = RunEnd.BROKEN if end in (RunEnd.WHOLE, RunEnd.CONFIRMED) else end
         failures = item.progress.failures
         decision = decide_after_run(end, failures, self._routes.max_attempts(item))
         if isinstance(decision, ItemOver):
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -107,6 +107,8 @@
         if route is None:
             self._recorder.item_over(item, ItemOver(False, "no route"))
             return StartResult.WAITS_NO_LONGER
+        if item.begun and not self._runs.is_origin_confirmed(item):
+            item.progress.origin = None
         # A text of unknown origin begins anew: the ledger keeps who wrote it.
         origin = item.progress.origin if item.begun else None
         service = self._service_for(origin, route)
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -37,6 +37,8 @@
     """Time of the last check that found new events, or start of the run."""
     events_committed: int = 0
     """Events that are committed to the ledger, or proposed to it and not refused."""
+    is_note_stale: bool = False
+    """Whether the ledger has a text of the item that was discarded here."""
     events_at_start: int = 0
     runs_without_event: int = 0
     """Consecutive broken runs without a new event."""
@@ -88,11 +90,13 @@
     def forget_dropped_events(self) -> None:
         """Lower the count of committed events after a run was discarded from its start.
 
-        The ledger may still have a progress note of the discarded events. It then rejects further
-        notes of the item, and a new leader that resumes from that note checks the beginning again
-        at the end of the answer.
+        The ledger may still have a progress note of the discarded events. No further notes of the
+        item are committed then, as the ledger would append them to the discarded text; a new leader
+        that resumes from that note checks the beginning again at the end of the answer.
         """
-        self.events_committed = min(self.events_committed, self.events)
+        if self.events < self.events_committed:
+            self.events_committed = self.events
+            self.is_note_stale = True
 
     def close_run(self, now: float) -> None:
         """Close the run's connection and ignore whatever still arrives for it."""
@@ -126,7 +130,7 @@
     """
     progress = item.progress
     texts = tuple(progress.texts[item.events_committed :])
-    if not texts or progress.last_event is None:
+    if item.is_note_stale or not texts or progress.last_event is None:
         return []
     notes = []
     if not item.events_committed and progress.origin is not None:
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -30,7 +30,12 @@
     RunnerCrashed,
     RunnerEnded,
 )
-from rainsail.quarantine.run_times import PROMPT_READ_AFTER_S, RunAge, RunTimes
+from rainsail.quarantine.run_times import (
+    PROMPT_READ_AFTER_S,
+    UNKNOWN_AGE,
+    RunAge,
+    RunTimes,
+)
 from rainsail.runtime.clock import Clock
 from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES
 from rainsail.wire.messenger import Messenger
@@ -226,6 +231,14 @@
                 check.names[fingerprint] = NamedPart(fingerprint, record.service, name)
         return self._view.ever_held.isdisjoint(fingerprints)
 
+    def connection_refused(self, record: RunnerRecord) -> None:
+        """Check whether a runner has crashed that this node had no connection to.
+
+        Other nodes may have none either, and no request is a suspect.
+        """
+        if record.takes_work and not self._follower.registry.is_found_crashed(record):
+            self._check_runner(record, (), UNKNOWN_AGE)
+
     def _check_runner(
         self, record: RunnerRecord, fingerprints: Fingerprints, age: RunAge
     ) -> _CrashCheck:
@@ -270,7 +283,8 @@
         with_ages = self._supporting(HOLD_TRIALS)
         without = [each for each in self._follower.heartbeat_targets() if each not in with_ages]
         self._messenger.send_all(with_ages, RunnerCrashed(runner, runs, age_s))
-        self._messenger.send_all(without, RunnerEnded(runner, tuple(check.broken), age_s))
+        if check.broken:
+            self._messenger.send_all(without, RunnerEnded(runner, tuple(check.broken), age_s))
 
     def _supporting(self, extension: int) -> list[str]:
         """Return the controllers that this node follows and that know an extension."""
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -98,6 +98,8 @@
         self._watched: dict[Fingerprint, None] = {}
         self._part_names: OrderedDict[Fingerprint, NamedPart] = OrderedDict()
         self._permits = TrialPermits()
+        self.on_crash: Callable[[str, float], None] = lambda runner, at_s: None
+        """Called with each runner that a node has found crashed, and the time."""
         self.holds_refuted = 0
         """How many requests or parts proved harmless after they had been held."""
         self.applied()
@@ -137,6 +139,10 @@
     ) -> None:
         now = self._clock.seconds()
         at_s = now - max(0.0, age_s)
+        self.on_crash(runner, at_s)
+        if not fingerprints:
+            # Found by a refused connection; the time of the crash is not known.
+            return
         watched = self._suspects.crashed(runner, fingerprints, at_s, now, ages)
         if watched and not self._watched:
             self._clock.callLater(WATCH_BATCH_S, self._send_watched)
--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -58,6 +58,10 @@
         """
         ...
 
+    def connection_refused(self, record: RunnerRecord) -> None:
+        """Handle a refused connection: the runner's process may have ended unnoticed."""
+        ...
+
     @property
     def wants_answers(self) -> bool:
         """Whether responses to some requests have to be reported."""
@@ -103,6 +107,9 @@
         """Return True: any request may be sent again."""
         return True
 
+    def connection_refused(self, record: RunnerRecord) -> None:
+        """Do nothing."""
+
     def answered(
         self, record: RunnerRecord, fingerprints: Fingerprints, proves_survival: bool
     ) -> None:
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from rainsail.http.exchange import HttpRequest
+from rainsail.http.reachability import Reachability
 from rainsail.logs import logger
 from rainsail.quarantine.fingerprint import (
     Fingerprint,
@@ -147,6 +148,8 @@
     def unreachable(self, attempt: Attempt, reason: str) -> None:
         """Record that no connection to the runner could be opened."""
         self.reason = reason
+        if reason == Reachability.REFUSED:
+            self._context.guard.connection_refused(attempt.record)
         now = self._context.clock.seconds()
         self._context.loads.failed(attempt.record.runner, now, at_once=True)
         self._context.pool.forget(attempt.record.address)
--- a/src/rainsail/relay/request_origin.py
+++ b/src/rainsail/relay/request_origin.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from rainsail.cluster.registry import UNCONFIRMED_VERSION
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.context import RelayContext
@@ -21,6 +22,8 @@
         self._facts = facts
         self._identity = identity
         self._renewed_s = float("-inf")
+        self._attempts: list[Attempt] = []
+        """Those that brought events of which the client has some."""
 
     @property
     def is_resumed(self) -> bool:
@@ -53,8 +56,23 @@
         if self.origin is None:
             record = attempt.record
             self.origin = StreamOrigin(record.service, attempt.version)
+        if not self._attempts or self._attempts[-1] is not attempt:
+            self._attempts.append(attempt)
         now = self._context.clock.seconds()
         if now - self._renewed_s >= RENEWAL_PERIOD_S:
             self._renewed_s = now
             implied = implied_origin(route, self._context.registry.sole_version)
             self._context.origins.began(self._name, self.origin, implied == self.origin)
+
+    def is_confirmed(self) -> bool:
+        """Tell whether each attempt has certainly reached the process that its version is of."""
+        registry = self._context.registry
+        return all(
+            registry.is_version_confirmed(each.record, each.times.sent_s) for each in self._attempts
+        )
+
+    def withdraw(self) -> None:
+        """Record that nobody may continue the stream, as its software version is not known."""
+        service = self._attempts[-1].record.service if self._attempts else ""
+        self.origin = StreamOrigin(service, f"{UNCONFIRMED_VERSION} {self._name}")
+        self._context.origins.began(self._name, self.origin, is_implied=False)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -43,7 +43,7 @@
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.recorder import RequestRecorder
 from rainsail.relay.request_origin import RequestOrigin
-from rainsail.relay.resumption import NO_OTHER_RUNNER, LostStream
+from rainsail.relay.resumption import NO_OTHER_RUNNER, UNKNOWN_ORIGIN, LostStream
 from rainsail.relay.sender import RequestSender
 from rainsail.relay.stream_beginnings import StreamBeginning
 from rainsail.relay.table import Route, RouteKind
@@ -206,6 +206,10 @@
         """Ask for the next attempt's placement if it is allowed, else end the request."""
         if self.outcome is not None:
             return
+        if not self._origin.is_confirmed():
+            self._origin.withdraw()
+            self._end_lost_stream(UNKNOWN_ORIGIN, None)
+            return
         decision = decide_send(self._progress(), self._terms(), self._context.settings)
         if isinstance(decision, SendAgain):
             self._sender.ask_placement(decision.route, self._send_placed)
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -18,7 +18,9 @@
 """The names of suspected prompt parts."""
 HOLD_TRIALS = 3
 """The ages of runs at a crash, and permits for trial runs of held requests."""
-EXTENSION_LEVEL = HOLD_TRIALS
+RUNNER_DOUBTS = 4
+"""Runners that other nodes have found crashed."""
+EXTENSION_LEVEL = RUNNER_DOUBTS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
