Count the crashes of a suspect on trial against other prompt parts still

Change: a hold on weak evidence takes its crashes from whole requests only, not from other parts; after a release only crashes of runs that were sent after it count.

Tried and taken out: trials recorded in the group's state before each permit, at most three.

--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -240,7 +240,7 @@
             return
         self._note_changes(quarantine)
         self._applied = quarantine
-        self._suspects.decided(quarantine)
+        self._suspects.decided(quarantine, self._clock.seconds())
         self._permits.decided(quarantine, self._clock.seconds())
         self._follower.take_quarantine(quarantine)
         self._messenger.send_all(self._followers(), QuarantineNotice(quarantine))
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -27,6 +27,7 @@
 from dataclasses import dataclass, field
 
 from rainsail.quarantine.evidence import (
+    TOLERANCE_S,
     SuspectCrash,
     are_alone,
     count_at_same_point,
@@ -94,6 +95,8 @@
         self._firmly_held: set[Fingerprint] = set()
         """Suspects whose first hold was not put on trial."""
         self._on_trial: set[Fingerprint] = set()
+        self._released_s: dict[Fingerprint, float] = {}
+        """When each suspect that was held before was released."""
         self._explained: OrderedDict[Fingerprint, None] = OrderedDict()
         """Suspects of crashes that a held request has explained, the latest ones."""
 
@@ -164,20 +167,42 @@
         most = max(ranks.values())
         return tuple(each for each, rank in ranks.items() if rank == most)
 
-    def decided(self, quarantine: Quarantine) -> None:
+    def decided(self, quarantine: Quarantine, now: float) -> None:
         """Apply a decision of the root group; newly held requests explain their crashes."""
         held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
         self._ever_held = frozenset(each.fingerprint for each in quarantine.requests)
         newly_held, self._held = held - self._held, held
+        released = self._ever_held - held
+        self._released_s = {each: self._released_s.get(each, now) for each in released}
         self._firmly_held &= self._ever_held
         self._on_trial &= self._ever_held
         for request in quarantine.requests:
             if request.fingerprint in newly_held:
                 self._note_evidence(request.fingerprint, request.times)
-        for fingerprint in sorted(newly_held):
+        for fingerprint in sorted(newly_held & self._on_trial):
+            self._set_aside(fingerprint)
+        for fingerprint in sorted(newly_held - self._on_trial):
             for crash in list(self._by_suspect.get(fingerprint, ())):
                 self._mark_explained(crash)
 
+    def _set_aside(self, fingerprint: Fingerprint) -> None:
+        """Count the crashes of a suspect on trial against the other prompt parts still.
+
+        A trial may show that it has caused none of them, while a part that has goes on crashing
+        runners. Whole requests are explained by it for now: few of them cause crashes, and each
+        can be held by itself later.
+        """
+        for crash in list(self._by_suspect.get(fingerprint, ())):
+            kept = {each: age for each, age in crash.suspects.items() if is_of_part(each)}
+            kept.pop(fingerprint, None)
+            for each in crash.suspects.keys() - kept.keys():
+                self._explained[each] = None
+                self._explained.move_to_end(each)
+                self._drop(each, crash)
+            crash.suspects = kept
+        while len(self._explained) > MAX_ANSWERED:
+            self._explained.popitem(last=False)
+
     def is_on_trial(self, fingerprint: Fingerprint) -> bool:
         """Tell whether the evidence for the last hold was weak, so that a run may refute it.
 
@@ -254,6 +279,13 @@
     def _is_due(self, fingerprint: Fingerprint) -> bool:
         beside = self._by_suspect.get(fingerprint, ())
         crashes = len(beside)
+        released_s = self._released_s.get(fingerprint)
+        if released_s is not None:
+            # Runs that were under way at the hold are no trials.
+            crashes = sum(
+                crash.at_s - crash.suspects[fingerprint].ran_s >= released_s - TOLERANCE_S
+                for crash in beside
+            )
         if not is_of_part(fingerprint) and fingerprint not in self._ever_held:
             crashes = count_at_same_point(crash.suspects[fingerprint] for crash in beside)
         if self._is_answered_beside(fingerprint):
@@ -295,14 +327,18 @@
     def _clear(self, crash: _RunnerCrash) -> None:
         """Remove a crash from the counts of all its suspects."""
         for fingerprint in crash.suspects:
-            crashes = self._by_suspect[fingerprint]
-            crashes.remove(crash)
-            if not crashes:
-                del self._by_suspect[fingerprint]
-            if not self._is_due(fingerprint):
-                self._due_since_s.pop(fingerprint, None)
+            self._drop(fingerprint, crash)
         crash.suspects.clear()
 
+    def _drop(self, fingerprint: Fingerprint, crash: _RunnerCrash) -> None:
+        """Remove a crash from the count of a suspect."""
+        crashes = self._by_suspect[fingerprint]
+        crashes.remove(crash)
+        if not crashes:
+            del self._by_suspect[fingerprint]
+        if not self._is_due(fingerprint):
+            self._due_since_s.pop(fingerprint, None)
+
     def _forget_old(self, now: float) -> None:
         while self._crashes and (
             len(self._crashes) >= MAX_CRASHES or now - self._crashes[0].at_s > CRASH_TTL_S
