--- a/features/support/platform_stand_in.py
+++ b/features/support/platform_stand_in.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -52,6 +53,8 @@
 EVENTS = 5
 ZONE_DRAIN_S = 5.0
 """This long after the acknowledgement of a zone's drain its runners get no more requests."""
+LARGE_PATH = b"/large/"
+"""A request on this path is answered with as many bytes as its last segment says."""
 FATAL_BODY = b"fatal"
 """A runner process ends when it starts to run this body."""
 FATAL_PART_AFTER_S = 0.05
@@ -81,6 +84,7 @@
 
 [limits]
 disk_mb = 64
+memory_mb = {memory_mb}
 
 [bounds]
 grace_s = 8
@@ -117,6 +121,7 @@
     """The version of its software."""
     names_version: bool = False
     """Whether the data of its events ends with its version."""
+    slots: int = 8
     ran: list[str] = field(default_factory=list)
     drained_since_s: float | None = None
     """When the drain of its zone was acknowledged; None while the zone is not drained."""
@@ -184,6 +189,8 @@
             exchange.answer(500, tuple(answer), failure_body(request))
         elif b"/stream/" in target or b"/jobs/" in target:
             self._stream(exchange, answer, after)
+        elif LARGE_PATH in target:
+            exchange.answer(200, tuple(answer), b"x" * int(target.rpartition(b"/")[2]))
         else:
             exchange.answer(200, tuple(answer), b"echo " + exchange.request.body)
 
@@ -245,6 +252,11 @@
 class StandInPlatform:
     """Starts nodes, and simulates runners, clients and the operator."""
 
+    memory_mb: dict[str, int] = {}
+    """Memory of the machines of a role; none for no known limit."""
+    descriptors: dict[str, int] = {}
+    """Limit on the open descriptors of a role's processes; none for that of this process."""
+
     def __init__(
         self,
         controllers: int = 3,
@@ -298,25 +310,41 @@
                 ready_port=READY_PORT,
                 control_port=CONTROL_PORT,
                 metrics_port=METRICS_PORT,
+                memory_mb=self.memory_mb.get(role, 0),
             )
         )
         node = NodeProcess(name, role, ip, path)
         log = Path(self._folder.name) / f"{name}.log"
-        node.process = self._spawner.submit(self.spawn, path, log, self._program).result()
+        start = self._spawner.submit(
+            self.spawn, path, log, self._program, self.descriptors.get(role, 0)
+        )
+        node.process = start.result()
         self.nodes[name] = node
 
     @staticmethod
     def spawn(
-        path: Path, log: Path, program: Path = ROOT / "platform" / "serve.py"
+        path: Path,
+        log: Path,
+        program: Path = ROOT / "platform" / "serve.py",
+        descriptors: int = 0,
     ) -> subprocess.Popen[bytes]:
-        """Start the adapter's program on a settings file."""
+        """Start the adapter's program on a settings file.
+
+        ``descriptors`` is the limit on its open descriptors, 0 for that of this process.
+        """
+
+        def prepare() -> None:
+            die_with_parent()
+            if descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
         with log.open("ab") as output:
             return subprocess.Popen(
                 [sys.executable, str(program)],
                 env={**os.environ, "RAINSAIL_BOOT": str(path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                preexec_fn=die_with_parent,
+                preexec_fn=prepare,
             )
 
     def kill(self, name: str) -> None:
@@ -488,7 +516,7 @@
             "address": runner.address,
             "zone": runner.zone,
             "version": runner.version,
-            "slots": 8,
+            "slots": runner.slots,
             "state": state,
             "coldLeftMs": 0,
             "sequence": runner.sequence,
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,7 +1,8 @@
 """Run every behave feature in parallel worker processes and add up behave's own results.
 
 The features of an area share one process, since loading all steps takes longer than most features;
-those that take long run by themselves, and first.
+those that take long run by themselves, and first. Those that measure what processes hold run one
+after the other, when nothing else runs any more.
 
 Prints each failing worker's output whole, the slowest workers, and ends with one line,
 ``scenarios: N passed, N failed``. Exits 1 when a scenario failed, when a worker
@@ -34,6 +35,8 @@
     "compatibility",
 )
 """Areas whose features run in a process each."""
+APART_AREAS = ("crowds",)
+"""Areas whose features run one after the other, apart from all others."""
 SHOWN_SLOWEST = 5
 
 
@@ -59,11 +62,13 @@
 
 
 def grouped(features: list[Path]) -> list[tuple[Path, ...]]:
-    """Return the files of each process, those that take long first."""
+    """Return the files of each process that may run beside others, those that take long first."""
     areas: dict[str, list[Path]] = {}
     alone: list[tuple[Path, ...]] = []
     for feature in features:
         area = feature.parent.name
+        if area in APART_AREAS:
+            continue
         if area in LONG_AREAS:
             alone.append((feature,))
         else:
@@ -133,6 +138,8 @@
     features = [Path(name) for name in sys.argv[1:]] or sorted(Path("features").rglob("*.feature"))
     with ThreadPoolExecutor(os.cpu_count() or 2) as pool:
         results = list(pool.map(run_features, grouped(features)))
+    apart = [feature for feature in features if feature.parent.name in APART_AREAS]
+    results += [run_features((feature,)) for feature in apart]
     listed = known_red()
     failed = []
     broken = []
