Bodies count against one account per process, and are refused at the head

Callers saw: thirty clients with bodies over the limit, announced or just sent, or stopped short of their end, took a gateway of 88 MB to 176 to 203 MB, where its machine ends it.

Cause: each body was bounded by itself and nothing bounded their sum. Content-Length was not compared with the limit, so that a body of a gigabyte was read to 4 MiB. A body was a list of small byte strings, joined at its end while the list lived. A connection that was closed over unread bytes reset the refusal.

Change: rainsail.budget is the account (design/client_budget.md). An announced length over the limit is 413 before the body is read and before 100 Continue; what has no room is 503 with Retry-After, before it ran; the clients with the least progress for what they hold give way with 408. A body is collected in one buffer that becomes the body. What a refused client still sends is dropped for at most 2 s and 16 MiB. The template passes the platform's descriptors on, hence its new digest in features/compatibility; files without the key are read as before.

--- a/features/compatibility/settings.feature
+++ b/features/compatibility/settings.feature
@@ -28,5 +28,5 @@
     And the settings are accepted and have the pinned values
 
   Scenario: the files to deploy with
-    Then the file "deploy/node.toml.template" has the SHA-256 da5994d6d4a64a0f61c748525199bece6ee345c64138d5ef6924ad4133511b3b
+    Then the file "deploy/node.toml.template" has the SHA-256 92ace26798247316a9bded41248fcd3d202f31003deb461d89687b7dbffedb43
     And the file "deploy/system.toml" has the SHA-256 12e01fd7d20e2b4dde7715c9cb8306ae895caddd5450dbd33b05c6bf730ff6e9
--- a/features/support/relay_soak/wire.py
+++ b/features/support/relay_soak/wire.py
@@ -1,6 +1,6 @@
 """In-memory connections in virtual time; bytes are delayed, and a close arrives after them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.error import (
@@ -26,6 +26,9 @@
         self._protocol = protocol
         self._may_write = True
         self._lost = False
+        self._producer: Any = None
+        self._is_paused = False
+        self._arrived: list[bytes] = []
         self.peer: MemoryTransport
 
     def setTcpNoDelay(self, enabled: bool) -> None:
@@ -36,9 +39,36 @@
         if self._may_write:
             self._clock.callLater(DELAY_S, self.peer.deliver, data)
 
+    def writeSequence(self, parts: Iterable[bytes]) -> None:
+        """Send bytes to the other end."""
+        self.write(b"".join(parts))
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        """Have a producer that waits to be asked write everything: nothing is ever full here."""
+        self._producer = producer
+        while not streaming and self._producer is not None:
+            producer.resumeProducing()
+
+    def unregisterProducer(self) -> None:
+        """Forget the producer."""
+        self._producer = None
+
+    def pauseProducing(self) -> None:
+        """Keep what arrives until ``resumeProducing``."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:
+        """Pass on what has arrived."""
+        self._is_paused = False
+        arrived, self._arrived = self._arrived, []
+        for data in arrived:
+            self.deliver(data)
+
     def deliver(self, data: bytes) -> None:
         """Pass bytes to this end's protocol."""
-        if not self._lost:
+        if self._is_paused:
+            self._arrived.append(data)
+        elif not self._lost:
             self._protocol.dataReceived(data)
 
     def loseConnection(self) -> None:
--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -7,12 +7,17 @@
 from expression import Result
 from twisted.internet.defer import Deferred
 
+from rainsail.budget.client_budget import ClientBudget
+from rainsail.budget.gauges import budget_gauges
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.messages import NodeRecord, NodeRole
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.errors import Fault
+from rainsail.http.exchange import Handler
+from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.node_metrics import NodeMetrics
 from rainsail.runtime.clock import Clock, MonotonicClock
+from rainsail.runtime.process_limits import descriptor_limit, resident_bytes
 from rainsail.settings.node import NodeSettings
 from rainsail.wire.messenger import Messenger, Transport
 from rainsail.wire.protocol import FLEET_PROTOCOL_MODULES
@@ -65,16 +70,37 @@
     follower: FleetFollower
     started_s: float
     """Start time of the process, by ``clock``."""
+    budget: ClientBudget
+    """What all clients of the process hold together; every listener counts against it."""
     metrics: NodeMetrics = field(default_factory=NodeMetrics)
 
+    def size_budget(self) -> None:
+        """Derive the budget of clients from the memory that the process has beside its own."""
+        limits = self.settings.budget_limits(resident_bytes(), descriptor_limit())
+        self.budget.set_limits(limits)
+
+    def http_server(self, handler: Handler, limits: HttpLimits | None = None) -> HttpServer:
+        """Return a server whose connections count against the budget of the process."""
+        limits = limits or HttpLimits()
+        limits.stall_timeout_s = self.settings.limits.stall_timeout_s
+        return HttpServer(handler, self.clock, limits, self.budget)
+
     def listen(self) -> "Deferred[Result[int, Fault]]":
         """Accept connections from other nodes; requires a TCP transport."""
         assert isinstance(self.transport, TcpTransport)
         return self.transport.listen_on(self.settings.node.ip, self.settings.transport_port())
 
 
-def make_base(settings: NodeSettings, reactor: Any, started_s: float | None = None) -> NodeBase:
-    """Create the shared parts of a process without starting anything."""
+def make_base(
+    settings: NodeSettings,
+    reactor: Any,
+    started_s: float | None = None,
+    budget: ClientBudget | None = None,
+) -> NodeBase:
+    """Create the shared parts of a node without starting anything.
+
+    ``budget`` is that of the process, which other nodes in it share; by default it is created.
+    """
     random = random_module.Random(random_module.SystemRandom().getrandbits(64))
     name = settings.process_name()
     transport = TcpTransport(
@@ -87,7 +113,7 @@
         random,
         protocol_modules=FLEET_PROTOCOL_MODULES,
     )
-    return assemble_base(settings, MonotonicClock(reactor), random, transport, started_s)
+    return assemble_base(settings, MonotonicClock(reactor), random, transport, started_s, budget)
 
 
 def assemble_base(
@@ -96,6 +122,7 @@
     random: random_module.Random,
     transport: Transport,
     started_s: float | None = None,
+    budget: ClientBudget | None = None,
 ) -> NodeBase:
     """Assemble the shared parts over a given clock, random generator and transport."""
     messenger = Messenger(transport, clock)
@@ -110,9 +137,11 @@
     registry = RunnerRegistry(clock.seconds, resolves_address_conflicts=is_controller)
     follower = FleetFollower(node, settings.seed_controllers(), messenger, clock, registry)
     began_s = clock.seconds() if started_s is None else started_s
+    budget = budget or ClientBudget(clock.seconds)
     base = NodeBase(
-        settings, node, clock, random, transport, messenger, registry, follower, began_s
+        settings, node, clock, random, transport, messenger, registry, follower, began_s, budget
     )
+    budget_gauges(base.metrics, budget)
     base.metrics.gauge("table_version", lambda: float(follower.table_version))
     base.metrics.gauge("runners_known", lambda: float(len(registry.records())))
     base.metrics.gauge("registry_revision", lambda: float(registry.revision))
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -62,9 +62,7 @@
         )
         jobs = JobClient(calls)
         self.gateway.on_ledger_leader = jobs.set_leader
-        self._clients = HttpServer(
-            port.client_handler(self.gateway, jobs), base.clock, self._limits
-        )
+        self._clients = base.http_server(port.client_handler(self.gateway, jobs), self._limits)
         self._readiness = HttpServer(port.readiness_handler(self.gateway), base.clock, HttpLimits())
         self._client_port: Any = None
         base.metrics.gauge("runner_connections_opened", lambda: float(pool.opened))
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
+from rainsail.budget.client_budget import ClientBudget
 from rainsail.errors import Fault
 from rainsail.event_log import configure_event_log
 from rainsail.fleet.base import NodeBase, make_base
@@ -15,8 +16,9 @@
 from rainsail.http.exchange import Exchange
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.logs import dump_on_signal, logger
-from rainsail.runtime.clock import count_suspended_time
+from rainsail.runtime.clock import MonotonicClock, count_suspended_time
 from rainsail.runtime.garbage_collection import exempt_startup_objects
+from rainsail.runtime.process_limits import return_large_blocks
 from rainsail.settings.node import NodeKind, NodeSettings, load_node_settings
 
 EXIT_DONE = 0
@@ -37,12 +39,14 @@
         reactor: Any,
         ended: Callable[["FleetProcess"], None],
         started_s: float | None = None,
+        budget: ClientBudget | None = None,
     ) -> None:
+        """``budget`` is shared by the roles of a process; by default it is created."""
         self._path = path
         self._text = _content(path)
         self._reactor = reactor
         self._ended = ended
-        self._base = make_base(settings, reactor, started_s)
+        self._base = make_base(settings, reactor, started_s, budget)
         self._role = make_role(self._base, port, reactor, self.fail)
         self._stopping = False
         self.exit_code = EXIT_DONE
@@ -67,6 +71,8 @@
             self.fail(started.error)
             return
         exempt_startup_objects()
+        return_large_blocks()
+        self._base.size_budget()
         took_s = self._base.clock.seconds() - self._base.started_s
         log = logger.bind(address=self._base.node.address, took_ms=round(took_s * 1000))
         log.info("started")
@@ -220,7 +226,8 @@
     count_suspended_time(reactor)
     dump_on_signal(ring, reactor)
     runner = NodeRunner(reactor)
+    budget = ClientBudget(MonotonicClock(reactor).seconds)
     for path, result in loaded:
-        node = FleetProcess(path, result.ok, port, reactor, runner.ended, started_s)
+        node = FleetProcess(path, result.ok, port, reactor, runner.ended, started_s, budget)
         runner.nodes.append(node)
     return runner.run()
--- a/src/rainsail/runtime/sockets.py
+++ b/src/rainsail/runtime/sockets.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.python.failure import Failure
 
 from rainsail.logs import logger
@@ -38,6 +38,11 @@
 )
 """A BPF program of the kernel's ``sock_filter`` entries: code, two jumps, value."""
 
+UNREAD_BYTES = 64 * 1024
+"""What the kernel may hold of a connection that is not read for now.
+
+Not below the largest segment, that of a loopback interface, for which a sender would wait.
+"""
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 """Values of ``SO_LINGER``: whether it is on, and for how many seconds a close may linger."""
@@ -80,6 +85,37 @@
         return False
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Return how many written bytes the kernel has not taken yet; 0 without a socket (in tests)."""
+    buffered = getattr(transport, "dataBuffer", None)
+    if buffered is None:
+        return 0
+    return len(buffered) - int(transport.offset) + int(transport._tempDataLen)
+
+
+def limit_unread_bytes(transport: Any) -> None:
+    """Have the kernel hold about ``UNREAD_BYTES`` that the process does not read for now.
+
+    What has arrived already stays. A transport without a socket (in tests) is left unchanged.
+    """
+    handle = getattr(transport, "getHandle", None)
+    if handle is None:
+        return
+    try:
+        handle().setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+    except (AttributeError, OSError):
+        return
+
+
+def close_now(transport: Any) -> None:
+    """Reset a connection in this turn, so that its descriptor is free at once."""
+    if not hasattr(transport, "getHandle"):
+        transport.abortConnection()
+        return
+    reset_at_close(transport)
+    transport.connectionLost(Failure(ConnectionAborted()))
+
+
 def close_if_nothing_unread(transport: Any, close_behind_writes: Callable[[], None]) -> bool:
     """Close a connection in this turn unless it has unread bytes; tell whether it closes.
 
--- a/src/rainsail/settings/node.py
+++ b/src/rainsail/settings/node.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from rainsail.budget.sizing import MEGABYTE, BudgetLimits, budget_limits
 from rainsail.errors import Fault, FaultCode
 from rainsail.mechanisms import DEFAULTS, Mechanisms
 from rainsail.routing.warm_up_limiter import WarmUpBound
@@ -77,6 +78,28 @@
     memory_mb: int = Field(
         default=0, ge=0, description="Memory that the process may use in MB; 0: no known limit"
     )
+    descriptors: int = Field(
+        default=0,
+        ge=0,
+        description="Descriptors that the process may have open; 0: the operating system's limit",
+    )
+    held_mb: int = Field(
+        default=0,
+        ge=0,
+        description="Memory in MB that all clients may hold together; 0: 0.6 of what `memory_mb` "
+        "leaves beside the process itself, 8 at least, and 256 without a known limit",
+    )
+    client_connections: int = Field(
+        default=0,
+        ge=0,
+        description="Connections of clients; 0: 0.45 of the descriptors beside 64 of the process's "
+        "own, and 4096 without a known limit",
+    )
+    stall_timeout_s: float = Field(
+        default=10.0,
+        gt=0,
+        description="A client that takes nothing of its answer for this long is closed",
+    )
 
 
 class BoundsSection(_Section):
@@ -175,6 +198,22 @@
         """Return the port on which this node listens for other nodes."""
         return self.peers.first_port + PORT_OFFSETS[self.node.role]
 
+    def budget_limits(self, resident_bytes: int, descriptor_limit: int) -> BudgetLimits:
+        """Return what all clients of the process may hold together.
+
+        ``resident_bytes`` is what the process itself needs, ``descriptor_limit`` the operating
+        system's limit on open descriptors, 0 for none.
+        """
+        limits = self.limits
+        stated = [each for each in (limits.descriptors, descriptor_limit) if each]
+        return budget_limits(
+            limits.memory_mb * MEGABYTE,
+            resident_bytes,
+            min(stated, default=0),
+            limits.held_mb * MEGABYTE,
+            limits.client_connections,
+        )
+
     def process_name(self) -> str:
         """Return the name of the process: the IP:PORT that its transport listens on."""
         return f"{self.node.ip}:{self.transport_port()}"
