Reading from a runner pauses while its client is too slow

Callers saw: thirty clients that read nothing, or 4 KB a second, of answers of 8 MiB took a gateway of 88 MB to 186 and 201 MB.

Cause: what a runner sent was written to the client's connection whatever it held already.

Change: above 64 KiB unsent, 16 KiB once a client was slow, the runner's connection is not read; what is unsent counts against the account. A client that takes nothing for limits.stall_timeout_s is closed, one with little progress gives way. A runner whose answer is not read does not count as silent, and its time-out does not run. The client's connection is read on, so that its disconnect is noticed at once. The next request of a connection waits until the answers before it are taken.

--- a/features/http/limits.feature
+++ b/features/http/limits.feature
@@ -48,3 +48,43 @@
     Then the budget counts at least 40000 bytes
     When the server answers
     Then the client's connection is still open and nothing is held
+
+  Scenario: A slow reader pauses the source of its answer until it has caught up
+    Given an HTTP server on a full transport with room for 1000000 bytes, bodies of 50000
+    When a client sends "GET /x HTTP/1.1|Host: a||"
+    And the server begins an answer and sends 100000 bytes
+    Then the source of the answer is asked to pause
+    And the budget counts at least 100000 bytes
+    When the client takes 100100 bytes
+    Then the source of the answer may go on
+    And the client's connection is still open and nothing is held
+
+  Scenario: A client that takes nothing of its answer is closed after a while
+    Given an HTTP server on a full transport with room for 1000000 bytes, bodies of 50000
+    When a client sends "GET /x HTTP/1.1|Host: a||"
+    And the server begins an answer and sends 100000 bytes
+    And 12 seconds pass at the HTTP server
+    Then the server has closed the connection
+
+  Scenario: A client that takes its answer slowly is not closed for that
+    Given an HTTP server on a full transport with room for 1000000 bytes, bodies of 50000
+    When a client sends "GET /x HTTP/1.1|Host: a||"
+    And the server begins an answer and sends 100000 bytes
+    And the client takes 400 bytes a second for 30 seconds
+    Then the client's connection is still open
+
+  Scenario: The next request waits until the client has taken the answers before it
+    Given an HTTP server on a full transport with room for 1000000 bytes, bodies of 50000
+    When a client sends "GET /1 HTTP/1.1|Host: a||GET /2 HTTP/1.1|Host: a||"
+    And the server answers with 100000 bytes
+    And 1 seconds pass at the HTTP server
+    Then the server has seen the paths "/1"
+    When the client takes 90000 bytes
+    And 1 seconds pass at the HTTP server
+    Then the server has seen the paths "/1 /2"
+
+  Scenario: A reader without room in the budget is closed
+    Given an HTTP server on a full transport with room for 50000 bytes, bodies of 50000
+    When a client sends "GET /x HTTP/1.1|Host: a||"
+    And the server begins an answer and sends 100000 bytes
+    Then the server has closed the connection
--- a/features/steps/http_limits_steps.py
+++ b/features/steps/http_limits_steps.py
@@ -68,6 +68,7 @@
     def handle(exchange):
         context.http_exchanges.append(exchange)
         exchange.on_disconnect(lambda: context.http_disconnected.append(exchange))
+        exchange.on_slow_client(context.http_pauses.append)
 
     limits = BudgetLimits(room + CONNECTION_BYTES, 100)
     budget = ClientBudget(context.http_clock.seconds, limits)
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -105,11 +105,16 @@
     sender: str = ""
     cancelled: bool = False
     over: bool = False
+    is_paused: bool = False
 
     def cancel(self) -> None:
         """Record that the request was cancelled."""
         self.cancelled = True
 
+    def set_paused(self, is_paused: bool) -> None:
+        """Record whether the answer is read."""
+        self.is_paused = is_paused
+
     def field(self, name: bytes) -> str:
         """Return a field of the request as text."""
         return dict(self.request.headers).get(name, b"").decode()
@@ -224,6 +229,14 @@
         """Keep the listener; a test calls ``left`` to disconnect the client."""
         self.left = listener
 
+    def on_slow_client(self, listener: Any) -> None:
+        """Keep the listener; a test calls ``slow`` for a client that reads too slowly, or not."""
+        self.slow = listener
+
+    def take_body(self) -> bytes:
+        """Return the body of the request."""
+        return self.request.body
+
 
 @dataclass
 class RelayWorld:
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -19,11 +19,13 @@
 from zope.interface import implementer
 
 from rainsail.http.headers import HeaderFields, header_number, header_text, header_value
-from rainsail.runtime.sockets import set_user_timeout
+from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
 JOINED_BYTES = 64 * 1024
 """A request with a body up to this size is written at once, which copies the body."""
+SLOW_READ_BYTES = 16 * 1024
+"""How much is read at once of an answer to a slow client."""
 CONNECTION_CLOSED = "connection closed"
 CONNECTION_RESET = "connection reset"
 CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
@@ -113,6 +115,8 @@
         self.lost_unanswered = False
         """The server ended it before any byte of the answer to the current request."""
         self._unanswered = False
+        self._was_paused = False
+        """Its buffers are small since then, so that it is not used for another request."""
         self._unwritten: _PartWriter | None = None
         """The writer of a large request that may not have been passed on completely."""
         self.on_connected: Callable[[], None] = lambda: None
@@ -215,7 +219,8 @@
     def _is_reusable(self) -> bool:
         states = (self._http.our_state, self._http.their_state)
         surplus, _ = self._http.trailing_data
-        if self._unwritten is not None and not self._unwritten.is_done:
+        is_unwritten = self._unwritten is not None and not self._unwritten.is_done
+        if is_unwritten or self._was_paused:
             return False
         return states == (h11.DONE, h11.DONE) and not surplus and not self.closed
 
@@ -225,6 +230,19 @@
         if listener is not None:
             listener.answer_failed(reason)
 
+    def pause_reading(self) -> None:
+        """Read no more of the answer for now; its end, however it comes, is noticed afterwards."""
+        if not self.closed:
+            self._was_paused = True
+            self.transport.bufferSize = SLOW_READ_BYTES
+            limit_unread_bytes(self.transport)
+            self.transport.pauseProducing()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if not self.closed:
+            self.transport.resumeProducing()
+
     def abort(self) -> None:
         """Reset the connection; the listener gets no more callbacks."""
         self._listener = None
--- a/src/rainsail/http/exchange.py
+++ b/src/rainsail/http/exchange.py
@@ -54,6 +54,13 @@
         """Call ``listener`` when the client closes before the answer has ended."""
         ...
 
+    def on_slow_client(self, listener: Callable[[bool], None]) -> None:
+        """Call ``listener`` with True when the answer should pause, with False when it may go on.
+
+        What is written during a pause is sent all the same.
+        """
+        ...
+
 
 def watch_client(exchange: Exchange) -> Callable[[], bool]:
     """Return a function that tells whether the client still waits for its answer.
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -62,6 +62,7 @@
         self.sent = False
         self._connection: ClientConnection | None = None
         self._cancelled = False
+        self._is_paused = False
 
     def cancel(self) -> None:
         """Reset the request's connection; the listener gets no more callbacks."""
@@ -69,6 +70,17 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def set_paused(self, is_paused: bool) -> None:
+        """Pause or continue the reading of the answer."""
+        self._is_paused = is_paused
+        connection = self._connection
+        if connection is None or self._cancelled:
+            return
+        if is_paused:
+            connection.pause_reading()
+        else:
+            connection.resume_reading()
+
     @property
     def cancelled(self) -> bool:
         """Tell whether the call was cancelled."""
@@ -78,6 +90,8 @@
         """Send on an open connection."""
         self._connection = connection
         self.sent = True
+        if self._is_paused:
+            connection.pause_reading()
         connection.send(request, self.listener)
 
 
--- a/src/rainsail/http/server_connection.py
+++ b/src/rainsail/http/server_connection.py
@@ -24,6 +24,7 @@
 from rainsail.budget.eviction import Rank, Standing, slow_standing
 from rainsail.budget.memory import HeldKind
 from rainsail.budget.progress import ProgressMeter
+from rainsail.http.answer_flow import AnswerFlow
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.headers import HeaderFields, header_value
 from rainsail.http.refused_sender import RefusedSender
@@ -52,6 +53,7 @@
 TOO_SLOW = "too slow"
 INVALID = "invalid request"
 SENT_AHEAD = "sent ahead"
+TAKES_NOTHING = "takes nothing"
 
 
 @implementer(IHalfCloseableProtocol)
@@ -71,10 +73,13 @@
         self._received_s = 0.0
         self._body: RequestBody | None = None
         self._exchange: ServerExchange | None = None
+        self._flow: AnswerFlow | None = None
         self._refused: RefusedSender | None = None
         """Set once the client was refused; what it sends is dropped."""
         self._pipelined: deque[bytes] = deque()
         self._pipelined_bytes = 0
+        self._is_flushing = False
+        """The next request waits until the client has taken the answers before it."""
         self._timer: Timer | None = None
         self._lost = False
         self._opened_s = server.clock.seconds()
@@ -101,10 +106,12 @@
             return
         if self._lost:
             return
-        if self._exchange is not None:
-            self._buffer_pipelined(data)
+        if self._exchange is None and not self._is_flushing:
+            self._feed(data)
             return
-        self._feed(data)
+        self._buffer_pipelined(data)
+        if self._is_flushing:
+            self._process_pipelined()
 
     def readConnectionLost(self) -> None:
         """Treat a client that has ended its sending side as gone, since a close looks the same."""
@@ -129,6 +136,8 @@
         self._disarm()
         if self._refused is not None:
             self._refused.stop()
+        if self._flow is not None:
+            self._flow.close()
         self._pipelined.clear()
         self._body = None
         self._server.connections.discard(self)
@@ -267,6 +276,8 @@
             since_s = self._refused.since_s
             is_new = now - since_s < REFUSED_PROTECTED_S
             return None if is_new else Standing(Rank.REFUSED, 0.0, since_s)
+        if self._flow is not None and self._flow.meter is not None:
+            return slow_standing(Rank.ANSWER, self.held_bytes, self._flow.meter, now)
         if self._exchange is not None:
             return None
         if self._head is not None:
@@ -313,6 +324,7 @@
         if self._has_no_framing(fields):
             self._ends_by_close = True
             reset_at_close(self.transport)
+        self._answer_flow().begin()
         self.transport.write(self._http.send(head))
 
     def _has_no_framing(self, fields: list[tuple[bytes, bytes]]) -> bool:
@@ -320,11 +332,37 @@
         version = self._http.their_http_version or b"1.0"
         return version < b"1.1" and header_value(fields, b"content-length") is None
 
+    def _answer_flow(self) -> AnswerFlow:
+        if self._flow is None:
+            self._flow = AnswerFlow(
+                self.transport,
+                self._holding,
+                self._clock,
+                lambda: self._limits.stall_timeout_s,
+                self._stalled,
+            )
+        return self._flow
+
+    def watch_flow(self, paused: Callable[[bool], None]) -> None:
+        """Call ``paused`` with True when the client reads too slowly, with False afterwards."""
+        flow = self._answer_flow()
+        flow.paused = paused
+        if flow.is_paused:
+            paused(True)
+
+    def _stalled(self) -> None:
+        self._server.budget.refused(TAKES_NOTHING, 0, self._holding.held_bytes)
+        self.abort()
+
     def send_data(self, data: bytes) -> None:
         """Send a piece of the body."""
         sent = self._http.send(h11.Data(data=data))
-        if sent:
-            self.transport.write(sent)
+        if not sent:
+            return
+        self.transport.write(sent)
+        if not self._answer_flow().written():
+            self._server.budget.refused(NO_ROOM, 0, self._holding.held_bytes)
+            self.abort()
 
     def send_end(self) -> None:
         """End the answer, and process the next request or close."""
@@ -336,6 +374,10 @@
         self._exchange = None
         self._holding.set(HeldKind.REQUEST, 0)
         self._server.requests_under_way -= 1
+        flow = self._answer_flow()
+        flow.end()
+        if self._lost:
+            return
         if self._ends_by_close:
             self._lost = True
             self.transport.loseWriteConnection()
@@ -351,6 +393,11 @@
     def _process_pipelined(self) -> None:
         if self._lost or self._exchange is not None:
             return
+        if self._flow is not None and not self._flow.has_drained():
+            self._is_flushing = True
+            self._flow.when_drained(self._process_pipelined)
+            return
+        self._is_flushing = False
         pipelined, self._pipelined = b"".join(self._pipelined), deque()
         self._pipelined_bytes = 0
         if pipelined:
--- a/src/rainsail/http/server_exchange.py
+++ b/src/rainsail/http/server_exchange.py
@@ -28,6 +28,10 @@
         """Reset the connection."""
         ...
 
+    def watch_flow(self, paused: Callable[[bool], None]) -> None:
+        """Call ``paused`` with True when the client reads too slowly, with False afterwards."""
+        ...
+
 
 class ServerExchange:
     """Implements ``rainsail.http.exchange.Exchange`` on a connection."""
@@ -82,6 +86,14 @@
         """Call ``listener`` when the client closes before the answer has ended."""
         self._listener = listener
 
+    def on_slow_client(self, listener: Callable[[bool], None]) -> None:
+        """Call ``listener`` with True when the answer should pause, with False when it may go on.
+
+        What is written during a pause is sent all the same.
+        """
+        if not self._over:
+            self._connection.watch_flow(listener)
+
     def drop_body(self) -> None:
         """Drop the request's body: the request is over, or needs it no more."""
         self.request = self.request.without_body()
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -85,6 +85,7 @@
         self._context = context
         self._request = request
         self._over = False
+        self._is_paused = False
         self.times = RunTimes(context.clock.seconds())
         context.loads.sent(record.runner, self.times.sent_s, idle_timeout_s)
 
@@ -186,6 +187,14 @@
 
     # --- called by the owner -------------------------------------------------------------
 
+    def set_paused(self, is_paused: bool) -> None:
+        """Pause or continue the reading of the answer; a paused runner does not count as silent."""
+        if self._over or self.call is None or is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        self._context.loads.set_paused(self.record.runner, is_paused, self._context.clock.seconds())
+        self.call.set_paused(is_paused)
+
     def cancel(self) -> None:
         """Close the connection; the owner gets no more callbacks."""
         if self._end() and self.call is not None:
@@ -203,5 +212,7 @@
         if self._over:
             return False
         self._over = True
+        if self._is_paused:
+            self._context.loads.set_paused(self.record.runner, False, self._context.clock.seconds())
         self._context.loads.ended(self.record.runner, self._context.clock.seconds())
         return True
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -98,6 +98,7 @@
         self._deadline_timer: Timer | None = None
         self._held_end: HeldEnd | None = None
         exchange.on_disconnect(self._client_disconnected)
+        exchange.on_slow_client(self._sender.set_paused)
 
     @property
     def kind(self) -> RouteKind:
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -48,6 +48,8 @@
         self.attempts: list[Attempt] = []
         self.attempts_counted = 0
         """Attempts that count towards the route's maximum."""
+        self._is_paused = False
+        """The client takes its answer too slowly."""
         self._context = context
         self._request = request
         self._facts = facts
@@ -111,10 +113,24 @@
         self._timeout.request_sent(self.route, self.attempts_counted)
         settled_s = 0.0 if self._finder.origin is None else SETTLED_S
         attempt.call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
+        if self._is_paused:
+            self.set_paused(True)
 
     def events_received(self) -> None:
-        """Restart the time-out for the next events."""
-        self._timeout.events_received(self.route, self.attempts_counted)
+        """Restart the time-out for the next events, unless the answer is not read for now."""
+        if not self._is_paused:
+            self._timeout.events_received(self.route, self.attempts_counted)
+
+    def set_paused(self, is_paused: bool) -> None:
+        """Pause or continue the reading of answers; a runner is not silent during a pause."""
+        self._is_paused = is_paused
+        if self.attempt is None:
+            return
+        self.attempt.set_paused(is_paused)
+        if is_paused:
+            self._timeout.stop()
+        else:
+            self._timeout.events_received(self.route, self.attempts_counted)
 
     def uncount_attempt(self) -> None:
         """Take the last attempt out of the count: it has not reached the intended runner."""
--- a/src/rainsail/routing/load.py
+++ b/src/rainsail/routing/load.py
@@ -62,6 +62,8 @@
     """Estimated end of prefill of all prompts sent to the runner."""
     awaiting_since_s: float | None = None
     """Since when a response is outstanding without any data; None when none is outstanding."""
+    paused: int = 0
+    """Requests in flight whose answers are not read for now, as their clients are too slow."""
     idle_timeout_s: float = 0.0
     """A runner with an outstanding response times out after this long without data."""
 
@@ -109,6 +111,7 @@
         if former is not None:
             self._loads[runner] = RunnerLoad(
                 in_flight=former.in_flight,
+                paused=former.paused,
                 awaiting_since_s=former.awaiting_since_s,
                 idle_timeout_s=former.idle_timeout_s,
             )
@@ -144,6 +147,12 @@
         if load.awaiting_since_s is not None:
             load.awaiting_since_s = now
 
+    def set_paused(self, runner: str, is_paused: bool, now: float) -> None:
+        """Count an answer that is not read for now, or is read again."""
+        load = self.of(runner)
+        load.paused = max(0, load.paused + (1 if is_paused else -1))
+        self.received(runner, now)
+
     def take_report(self, runner: str, report: ServerLoad, now: float) -> None:
         """Record a runner's report of its own load."""
         load = self.of(runner)
@@ -234,5 +243,6 @@
             name
             for name, load in self._loads.items()
             if load.awaiting_since_s is not None
+            and not load.paused
             and now - max(load.awaiting_since_s, load.prefill_until_s) > load.idle_timeout_s
         ]
