All connections together parse a bounded number of chunks in a turn

Callers saw: beside thirty clients with chunks of 2 bytes a gateway went to 150 MB, and ordinary requests waited for seconds.

Cause: 64 KiB of such chunks are over nine thousand events, parsed in one turn of the reactor for each connection.

Change: a connection parses 32 events at once; with more it is not read and takes its turn in a queue that parses 256 events a turn. Its time-outs do not run meanwhile: nobody is refused for small chunks inside the limits.

--- a/features/crowds/bodies.feature
+++ b/features/crowds/bodies.feature
@@ -17,6 +17,8 @@
       | 30    | stop a kilobyte short of the limit              |
       | 30    | stop a byte short of the length                 |
       | 30    | send whole bodies at the limit                  |
+      | 30    | send tiny chunks                                |
+      | 30    | send chunk extensions and trailers without end  |
       | 30    | send a body that the head does not announce     |
 
   Scenario: A body over the limit is refused at its head, before it is asked for
--- a/features/http/limits.feature
+++ b/features/http/limits.feature
@@ -49,6 +49,27 @@
     When the server answers
     Then the client's connection is still open and nothing is held
 
+  Scenario: A client that sends very small chunks takes turns with others
+    Given an HTTP server on a full transport with room for 100000 bytes, bodies of 50000
+    When a client sends "POST /x HTTP/1.1|Host: a|Transfer-Encoding: chunked||"
+    And the client sends 9000 chunks of 2 bytes and their end
+    Then the server has seen the paths ""
+    And nothing more is read from the client
+    When another client asks for "/other"
+    Then the server has seen the paths "/other"
+    When the server has worked through what it has received
+    Then the server has seen the paths "/other /x"
+    And the last body has 18000 bytes
+    And more is read from the client
+
+  Scenario: A client that sends very small chunks is not too slow while it waits for its turn
+    Given an HTTP server on a full transport with room for 100000 bytes, bodies of 50000
+    When a client sends "POST /x HTTP/1.1|Host: a|Transfer-Encoding: chunked||"
+    And the client sends 9000 chunks of 2 bytes and their end
+    And the time-out of the request ends before the server has worked through it
+    And the server has worked through what it has received
+    Then the server has seen the paths "/x"
+
   Scenario: A slow reader pauses the source of its answer until it has caught up
     Given an HTTP server on a full transport with room for 1000000 bytes, bodies of 50000
     When a client sends "GET /x HTTP/1.1|Host: a||"
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -8,6 +8,7 @@
 from rainsail.budget.client_budget import ClientBudget
 from rainsail.http.exchange import Handler
 from rainsail.http.limits import HttpLimits
+from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.server_connection import ServerConnection
 from rainsail.runtime.clock import Clock
 
@@ -27,6 +28,7 @@
         """All servers of a process should share its ``budget``; by default they have their own."""
         self.handler = handler
         self.budget = budget or ClientBudget(clock.seconds)
+        self.parsing = ParsingQueue(clock)
         self.clock = clock
         self.limits = limits
         self.draining = False
--- a/src/rainsail/http/server_connection.py
+++ b/src/rainsail/http/server_connection.py
@@ -27,6 +27,7 @@
 from rainsail.http.answer_flow import AnswerFlow
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.headers import HeaderFields, header_value
+from rainsail.http.parsing_queue import EVENTS_AT_ONCE
 from rainsail.http.refused_sender import RefusedSender
 from rainsail.http.request_body import Refusal, RequestBody
 from rainsail.http.server_exchange import ServerExchange
@@ -34,9 +35,11 @@
 from rainsail.runtime.clock import Timer
 from rainsail.runtime.sockets import (
     FIRST_REQUEST_S,
+    UNREAD_BYTES,
     close_if_nothing_unread,
     close_in_order,
     close_now,
+    limit_unread_bytes,
     reset_at_close,
     set_user_timeout,
     unsent_bytes,
@@ -80,6 +83,8 @@
         self._pipelined_bytes = 0
         self._is_flushing = False
         """The next request waits until the client has taken the answers before it."""
+        self._is_parsing_later = False
+        """Received data waits in the server's parsing queue; nothing is read meanwhile."""
         self._timer: Timer | None = None
         self._lost = False
         self._opened_s = server.clock.seconds()
@@ -166,7 +171,7 @@
         if self._receive(data):
             if begins:
                 self._arm(self._limits.header_timeout_s, self._too_slow)
-            self._parse()
+            self._parse(EVENTS_AT_ONCE)
 
     def _receive(self, data: bytes) -> bool:
         try:
@@ -176,13 +181,39 @@
             return False
         return True
 
-    def _parse(self) -> None:
+    def _parse(self, max_events: int) -> None:
+        """Parse what was received; leave the rest of very small pieces to later turns."""
+        if self._parse_events(max_events):
+            self._is_parsing_later = True
+            self._holding.set(HeldKind.UNREAD, UNREAD_BYTES)
+            limit_unread_bytes(self.transport)
+            self.transport.pauseProducing()
+            self._server.parsing.add(self)
+
+    def parse_some(self, max_events: int) -> bool:
+        """Parse up to ``max_events``; return whether there is more to parse now."""
+        if self._lost or self._refused is not None:
+            return False
+        if self._parse_events(max_events):
+            return True
+        self._is_parsing_later = False
+        self._holding.set(HeldKind.UNREAD, 0)
+        if not self._lost:
+            self.transport.resumeProducing()
+        return False
+
+    def _parse_events(self, max_events: int) -> bool:
+        """Parse up to ``max_events``; return whether there may be more to parse now."""
         try:
-            while self._exchange is None and not self._lost:
+            for _ in range(max_events):
+                if self._exchange is not None or self._lost:
+                    return False
                 if not self._take_event(self._http.next_event()):
-                    return
+                    return False
         except h11.RemoteProtocolError as error:
             self._refuse_invalid(error)
+            return False
+        return self._exchange is None and not self._lost
 
     def _take_event(self, event: Any) -> bool:
         """Handle an event; return whether to look for the next one."""
@@ -222,6 +253,10 @@
             self._refuse(refusal)
 
     def _too_slow(self) -> None:
+        if self._is_parsing_later:
+            # The client is not slow: what it has sent waits for its turn here.
+            self._arm(self._limits.header_timeout_s, self._too_slow)
+            return
         self._refuse(Refusal(STATUS_TIMEOUT, TOO_SLOW))
 
     # --- refusing ------------------------------------------------------------------------
@@ -247,7 +282,8 @@
         self._drop_rest()
 
     def _give_back(self) -> None:
-        self._holding.set(HeldKind.BODY, 0)
+        for kind in (HeldKind.BODY, HeldKind.UNREAD):
+            self._holding.set(kind, 0)
 
     def _drop_rest(self) -> None:
         """Read and drop what the client still sends, so that the refusal is not reset."""
@@ -256,6 +292,9 @@
             return
         self._refused = RefusedSender(self._clock, self._close_refused)
         self._http = h11.Connection(h11.SERVER)
+        if self._is_parsing_later:
+            self._is_parsing_later = False
+            self.transport.resumeProducing()
         self.transport.loseWriteConnection()
 
     def _close_refused(self) -> None:
@@ -276,6 +315,8 @@
             since_s = self._refused.since_s
             is_new = now - since_s < REFUSED_PROTECTED_S
             return None if is_new else Standing(Rank.REFUSED, 0.0, since_s)
+        if self._is_parsing_later:
+            return None
         if self._flow is not None and self._flow.meter is not None:
             return slow_standing(Rank.ANSWER, self.held_bytes, self._flow.meter, now)
         if self._exchange is not None:
@@ -403,7 +444,7 @@
         if pipelined:
             self._feed(pipelined)
         elif self._http.trailing_data[0]:
-            self._parse()
+            self._parse(EVENTS_AT_ONCE)
 
     def abort(self) -> None:
         """Reset the connection."""
