Connections, partial heads and bytes sent ahead have a bound together

Callers saw: beside 400 clients that send nothing, or half a head, at a gateway with 200 descriptors no ordinary request was answered within 40 s. Clients of every kind at once, ten of each, took it to 428 MB.

Cause: connections were accepted until the descriptors were used up, which runners' connections need as well; 256 KiB sent ahead were allowed to each of any number of connections.

A new connection takes the place of one that has been idle, or slow with its head, which is closed in the same turn. Partial heads and bytes sent ahead count against the account.

--- a/features/http/limits.feature
+++ b/features/http/limits.feature
@@ -109,3 +109,30 @@
     When a client sends "GET /x HTTP/1.1|Host: a||"
     And the server begins an answer and sends 100000 bytes
     Then the server has closed the connection
+
+  Scenario: What a client sends ahead counts, and without room its connection is closed
+    Given an HTTP server on a full transport with room for 50000 bytes, bodies of 50000
+    When a client sends "GET /x HTTP/1.1|Host: a||"
+    And the client sends 20000 bytes more
+    Then the budget counts at least 20000 bytes
+    When the client sends 40000 bytes more
+    Then the server has closed the connection
+    And the server's handler was notified that the client disconnected
+
+  Scenario: A head that does not end counts, and gives way to others
+    Given an HTTP server on a full transport with room for 50000 bytes, bodies of 50000
+    When a client sends "GET /x HTTP/1.1|Host: a|Filler: "
+    And the client sends 36000 bytes more
+    And 2 seconds pass at the HTTP server
+    And another client asks for "/other" with a body of 20000 bytes
+    Then the server has seen the paths "/other"
+    And the server's bytes begin with "HTTP/1.1 408"
+
+  Scenario: A connection whose request was answered at once is idle, and its end is no time-out
+    Given an HTTP server on a full transport with room for 50000 bytes, bodies of 50000
+    And the server answers each request at once
+    When a client sends "GET /x HTTP/1.1|Host: a||"
+    And 2 seconds pass at the HTTP server
+    And its place is needed for others
+    Then the server has closed the connection
+    And the server has not answered 408
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -36,9 +36,9 @@
         self.requests_under_way = 0
         self._on_drained: Callable[[], None] | None = None
 
-    def buildProtocol(self, addr: Any) -> ServerConnection:
-        """Return the protocol of an accepted connection."""
-        return ServerConnection(self)
+    def buildProtocol(self, addr: Any) -> ServerConnection | None:
+        """Return the protocol of an accepted connection; None closes it, as there is no room."""
+        return ServerConnection(self) if self.budget.admit_connection() else None
 
     def drain(self) -> None:
         """Send ``Connection: close`` with every answer that begins from now on.
--- a/src/rainsail/http/server_connection.py
+++ b/src/rainsail/http/server_connection.py
@@ -20,8 +20,8 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from rainsail.budget.client_budget import NO_ROOM
-from rainsail.budget.eviction import Rank, Standing, slow_standing
+from rainsail.budget.client_budget import NO_CONNECTION, NO_ROOM
+from rainsail.budget.eviction import PROTECTED_S, Rank, Standing, slow_standing
 from rainsail.budget.memory import HeldKind
 from rainsail.budget.progress import ProgressMeter
 from rainsail.http.answer_flow import AnswerFlow
@@ -50,6 +50,8 @@
 
 MAX_PIPELINED_BYTES = 256 * 1024
 """Bytes that a client may send ahead while it is being answered; with more it is reset."""
+UNCOUNTED_BYTES = 4 * 1024
+"""A partial head, or bytes sent ahead, up to this size are covered by the connection."""
 REFUSED_PROTECTED_S = 0.2
 """A refused client is not closed for another one until its refusal had this time to arrive."""
 
@@ -75,6 +77,7 @@
         self._head: h11.Request | None = None
         self._received_s = 0.0
         self._body: RequestBody | None = None
+        self._head_bytes = 0
         self._exchange: ServerExchange | None = None
         self._flow: AnswerFlow | None = None
         self._refused: RefusedSender | None = None
@@ -162,16 +165,22 @@
     def _count_ahead(self, count: int) -> None:
         """Count bytes that were sent before the answer in progress has ended."""
         self._pipelined_bytes += count
-        if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+        if self._pipelined_bytes <= UNCOUNTED_BYTES:
+            return
+        is_over = self._pipelined_bytes > MAX_PIPELINED_BYTES
+        if is_over or not self._holding.grow_to(HeldKind.AHEAD, self._pipelined_bytes):
             self._server.budget.refused(SENT_AHEAD, 0, self._holding.held_bytes)
             self.abort()
 
     def _feed(self, data: bytes) -> None:
         begins = self._head is None and self._http.their_state is h11.IDLE
+        if begins and not self._head_bytes:
+            self._meter = ProgressMeter(self._clock.seconds())
         if self._receive(data):
             if begins:
                 self._arm(self._limits.header_timeout_s, self._too_slow)
             self._parse(EVENTS_AT_ONCE)
+            self._count_head()
 
     def _receive(self, data: bytes) -> bool:
         try:
@@ -181,6 +190,19 @@
             return False
         return True
 
+    def _count_head(self) -> None:
+        """Count the received part of a head that is not complete."""
+        before = self._head_bytes
+        is_partial = self._head is None and self._exchange is None and not self._lost
+        self._head_bytes = len(self._http.trailing_data[0]) if is_partial else 0
+        if self._head_bytes <= before:
+            return
+        self._meter.add(self._head_bytes - before, self._clock.seconds())
+        if self._head_bytes > UNCOUNTED_BYTES:
+            fits = self._holding.grow_to(HeldKind.HEAD, self._head_bytes)
+            if not fits:
+                self._refuse(Refusal(STATUS_TIMEOUT, NO_ROOM))
+
     def _parse(self, max_events: int) -> None:
         """Parse what was received; leave the rest of very small pieces to later turns."""
         if self._parse_events(max_events):
@@ -232,6 +254,7 @@
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
+        self._holding.set(HeldKind.HEAD, 0)
         self._received_s = self._clock.seconds()
         self._meter = ProgressMeter(self._received_s)
         length = _body_length(head)
@@ -282,7 +305,7 @@
         self._drop_rest()
 
     def _give_back(self) -> None:
-        for kind in (HeldKind.BODY, HeldKind.UNREAD):
+        for kind in (HeldKind.HEAD, HeldKind.BODY, HeldKind.UNREAD):
             self._holding.set(kind, 0)
 
     def _drop_rest(self) -> None:
@@ -321,19 +344,24 @@
             return slow_standing(Rank.ANSWER, self.held_bytes, self._flow.meter, now)
         if self._exchange is not None:
             return None
-        if self._head is not None:
+        if self._head is not None or self._head_bytes:
             return slow_standing(Rank.BODY, self.held_bytes, self._meter, now)
-        return None
+        if now - self._meter.since_s < PROTECTED_S:
+            return None
+        return Standing(Rank.IDLE, 0.0, self._meter.since_s)
 
     def give_way(self, at_once: bool) -> None:
         """Give back what the connection holds, as others need it."""
-        may_be_told = self._head is not None and self._refused is None and not self._lost
+        may_be_told = self._exchange is None and self._refused is None and not self._lost
         if at_once or not may_be_told:
-            self._server.budget.refused(NO_ROOM, 0, self._holding.held_bytes)
+            reason = NO_CONNECTION if at_once else NO_ROOM
+            self._server.budget.refused(reason, 0, self._holding.held_bytes)
             self._lost = True
             close_now(self.transport)
-        else:
+        elif self._head is not None or self._head_bytes:
             self._refuse(Refusal(STATUS_TIMEOUT, NO_ROOM))
+        else:
+            self.close_if_idle()
 
     # --- answering -----------------------------------------------------------------------
 
@@ -353,7 +381,9 @@
         exchange = ServerExchange(self, request)
         self._exchange = exchange
         self._server.requests_under_way += 1
-        self._server.handler(exchange)
+        self._count_ahead(len(self._http.trailing_data[0]))
+        if not self._lost:
+            self._server.handler(exchange)
 
     def send_head(self, status: int, headers: HeaderFields) -> None:
         """Send an answer's head."""
@@ -415,6 +445,7 @@
         self._exchange = None
         self._holding.set(HeldKind.REQUEST, 0)
         self._server.requests_under_way -= 1
+        self._meter = ProgressMeter(self._clock.seconds())
         flow = self._answer_flow()
         flow.end()
         if self._lost:
@@ -441,6 +472,7 @@
         self._is_flushing = False
         pipelined, self._pipelined = b"".join(self._pipelined), deque()
         self._pipelined_bytes = 0
+        self._holding.set(HeldKind.AHEAD, 0)
         if pipelined:
             self._feed(pipelined)
         elif self._http.trailing_data[0]:
