Jobs that are taken in have a bound at gateways and at the ledger's leader

Callers saw: three jobs of 3.9 MB, one after the other in calm, took storage nodes of 99 MB to 105 MB and the gateway of 88 MB to 90 MB.

Cause: a job is copied some ten times on its way: its JSON, the items, the encoded message, the frame, the command, the log entry, its record, and one copy for each follower; large frames were joined three times when they came; nothing bounded the jobs that are on their way, or the bodies of accepted ones.

Change: a gateway counts three copies of a job and answers 503 with Retry-After without room; the leader counts six copies of a proposed job and two of the bodies of accepted items and answers 429, which is final: the job was not accepted. One job always has room. A large frame is collected once, messages are encoded behind their prefix, and a job's text is dropped once it was read.

--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -15,9 +15,11 @@
 from platform_adapter.headers import PlatformHeaders
 from platform_adapter.jobs import client_handler
 from platform_adapter.routing import read_table
+from rainsail.budget.client_budget import ClientBudget
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.http.client import AnswerHead
 from rainsail.http.exchange import HttpRequest
+from rainsail.jobs.intake_budget import GatewayIntake
 from rainsail.jobs.messages import QueueLimit, RelayedJobAccepted
 from rainsail.relay.protocol import RunnerTarget
 from rainsail.relay.table import Route, RouteKind, ServiceShare
@@ -300,6 +302,7 @@
     def __init__(self, answer):
         self.answer = answer
         self.handed_in = []
+        self.intake = GatewayIntake(ClientBudget(lambda: 0.0))
 
     def submit(self, tenant, job, host, path, items, limit):
         """Record a job."""
--- a/features/steps/wire_links_steps.py
+++ b/features/steps/wire_links_steps.py
@@ -23,7 +23,7 @@
 from rainsail.wire.codec import encode
 from rainsail.wire.connection import PeerConnection
 from rainsail.wire.dialler import DialState, QueuedEnvelope
-from rainsail.wire.framing import FramedConnection
+from rainsail.wire.framing import LARGE_FRAME_BYTES, FramedConnection
 from rainsail.wire.hello import LinkHello
 from rainsail.wire.protocol import transport_fingerprint
 from rainsail.wire.settings import WireSettings
@@ -64,6 +64,31 @@
     run()
 
 
+@when(
+    "{examples:d} random sequences of small and large frames reach a framed link, split at "
+    "random places"
+)
+def step_large_frames_cut(context, examples):
+    context.wire_frame_runs = []
+    sizes = st.sampled_from([0, 1, 5, LARGE_FRAME_BYTES, LARGE_FRAME_BYTES + 5, 200_000, 300_000])
+
+    @seed(3)
+    @derandomized(examples)
+    @for_each(
+        st.lists(sizes, min_size=1, max_size=6), st.lists(st.integers(0, 900_000), max_size=20)
+    )
+    def run(lengths, cuts):
+        link = RecordingLink(max_frame_bytes=1_000_000, buffer_bytes=1000)
+        sent = [bytes([number]) * length for number, length in enumerate(lengths)]
+        data = b"".join(framed(frame) for frame in sent)
+        places = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
+        for start, end in itertools.pairwise(places):
+            link.dataReceived(data[start:end])
+        context.wire_frame_runs.append((sent, link.frames))
+
+    run()
+
+
 @then("each sequence of frames arrived whole and in order")
 def step_frames_whole(context):
     assert any(len(sent) > 2 for sent, _ in context.wire_frame_runs)
--- a/features/support/relayed_fleet.py
+++ b/features/support/relayed_fleet.py
@@ -15,6 +15,7 @@
 from rainsail.fleet.controller_role import ControllerRole
 from rainsail.fleet.storage_node import StorageNode
 from rainsail.jobs.client import JobClient
+from rainsail.jobs.intake_budget import GatewayIntake
 from rainsail.jobs.messages import QueueLimit
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
 from rainsail.settings.node import NodeSettings
@@ -158,7 +159,7 @@
     def make_gateway(self, base: NodeBase) -> Any:
         """Return a gateway's role; here it only submits jobs."""
         calls = LeaderCaller(base.messenger, base.clock, None, lambda: base.follower.view().storage)
-        return JobClient(calls)
+        return JobClient(calls, GatewayIntake(base.budget))
 
     def make_protocol(self) -> PlainProtocol:
         """Return the protocol of a storage node's requests to runners."""
--- a/features/wire/links.feature
+++ b/features/wire/links.feature
@@ -55,3 +55,7 @@
     And a wire node "gateway-1" that knows "replica-1"
     When "gateway-1" calls "replica-1" over the wire with "ping"
     Then the wire call ends with a fault "too_large" whose outcome is "unknown"
+
+  Scenario: Large frames arrive whole and in order beside small ones, split at random places
+    When 40 random sequences of small and large frames reach a framed link, split at random places
+    Then each sequence of frames arrived whole and in order
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -14,6 +14,7 @@
 from rainsail.http.pool import ConnectionPool, PoolSettings
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.jobs.client import JobClient
+from rainsail.jobs.intake_budget import GatewayIntake
 from rainsail.logs import logger
 from rainsail.quarantine.agent import QuarantineAgent
 from rainsail.relay.context import make_context
@@ -60,7 +61,7 @@
             lambda: _ledger_nodes(base.follower.view()),
             LEDGER_CALL_TIMEOUT_S,
         )
-        jobs = JobClient(calls)
+        jobs = JobClient(calls, GatewayIntake(base.budget))
         self.gateway.on_ledger_leader = jobs.set_leader
         self._clients = base.http_server(port.client_handler(self.gateway, jobs), self._limits)
         self._readiness = HttpServer(port.readiness_handler(self.gateway), base.clock, HttpLimits())
--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -59,7 +59,9 @@
         self._folder = GroupFolder(base, LEDGER_GROUP, files)
         self.state = JobState()
         ledger_time = LedgerTime()
-        self._service = LedgerService(base.messenger, base.clock, self.state, ledger_time)
+        self._service = LedgerService(
+            base.messenger, base.clock, self.state, ledger_time, base.budget
+        )
         self.driver: GroupDriver | None = None
         self._pool = pool
         self._outcomes = OutcomeBatcher(self._propose, base.clock)
@@ -76,6 +78,7 @@
         keeper = QuotaAllocator(base.settings.quota.terms())
         self._quotas = QuotaService(base.messenger, base.clock, keeper, self._leads)
         base.metrics.gauge("jobs_kept", lambda: float(len(self.state.jobs)))
+        base.metrics.gauge("job_body_bytes", lambda: float(self.state.body_bytes))
         self._retention = Retention(self.state, base.settings.bounds.results_kept_s)
         self._stopped = False
 
--- a/src/rainsail/fleet_api/job_calls.py
+++ b/src/rainsail/fleet_api/job_calls.py
@@ -11,8 +11,11 @@
 from rainsail.fleet_api.items import read_items
 from rainsail.fleet_api.replies import (
     EMPTY,
+    RETRY_AFTER_S,
     STATUS_ACCEPTED,
     STATUS_OK,
+    STATUS_UNAVAILABLE,
+    reply,
     reply_fault,
     reply_json,
     reply_when_done,
@@ -98,13 +101,20 @@
     ) -> None:
         """Submit a job; replies 202 once a quorum has synced all of it."""
         log = logger.bind(job=facts.request)
-        items = read_items(exchange.request.body)
+        holding = self._jobs.intake.begin(len(exchange.request.body))
+        if holding is None:
+            log.info("job_without_room")
+            reply(exchange, STATUS_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
+            return
+        items = read_items(exchange.take_body())
         if items.is_error():
+            self._jobs.intake.end(holding)
             log.bind(fault=str(items.error)).info("job_refused")
             reply_fault(exchange, items.error)
             return
 
         def answer(result: Any) -> None:
+            self._jobs.intake.end(holding)
             if result.is_ok():
                 log.info("job_accepted")
                 reply_json(exchange, STATUS_ACCEPTED, EMPTY)
--- a/src/rainsail/http/exchange.py
+++ b/src/rainsail/http/exchange.py
@@ -61,6 +61,10 @@
         """
         ...
 
+    def take_body(self) -> bytes:
+        """Return the request's body and drop it from the request, which needs it no more."""
+        ...
+
 
 def watch_client(exchange: Exchange) -> Callable[[], bool]:
     """Return a function that tells whether the client still waits for its answer.
--- a/src/rainsail/http/server_exchange.py
+++ b/src/rainsail/http/server_exchange.py
@@ -94,6 +94,12 @@
         if not self._over:
             self._connection.watch_flow(listener)
 
+    def take_body(self) -> bytes:
+        """Return the request's body and drop it from the request, which needs it no more."""
+        body = self.request.body
+        self.drop_body()
+        return body
+
     def drop_body(self) -> None:
         """Drop the request's body: the request is over, or needs it no more."""
         self.request = self.request.without_body()
--- a/src/rainsail/jobs/client.py
+++ b/src/rainsail/jobs/client.py
@@ -7,6 +7,7 @@
 
 from rainsail.cluster.leader_calls import LeaderCaller
 from rainsail.errors import Fault
+from rainsail.jobs.intake_budget import GatewayIntake
 from rainsail.jobs.job_ids import scoped_id
 from rainsail.jobs.messages import (
     EndJobCall,
@@ -33,8 +34,10 @@
     tenant, so that other tenants cannot address it.
     """
 
-    def __init__(self, calls: LeaderCaller) -> None:
+    def __init__(self, calls: LeaderCaller, intake: GatewayIntake) -> None:
         self._calls = calls
+        self.intake = intake
+        """The jobs that this gateway is taking in."""
 
     def set_leader(self, leader: str) -> None:
         """Set the node to try first: the last one reported to lead the ledger."""
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -63,6 +63,11 @@
         """Tell whether the job has items left to run."""
         return bool(self.unlisted) and not self.ended
 
+    @property
+    def body_bytes(self) -> int:
+        """The bytes of all request bodies that are kept; finished items have none."""
+        return sum(len(item.body) for item in self.items)
+
     def body(self, item: str) -> bytes | None:
         """Return the request body of an unlisted item, None for any other."""
         for index, each in enumerate(self.items):
@@ -89,6 +94,8 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, RelayedJob] = {}
+        self.body_bytes = 0
+        """The bytes of the request bodies of all items without a result."""
         self.observer = StateObserver()
         """Called for applied commands; not part of the replicated state."""
 
@@ -104,7 +111,8 @@
             case EndRelayedJob():
                 return self._end(command)
             case DropRelayedJob():
-                self.jobs.pop(command.job, None)
+                dropped = self.jobs.pop(command.job, None)
+                self.body_bytes -= 0 if dropped is None else dropped.body_bytes
             case NoOperation():
                 pass
             case _:
@@ -121,6 +129,7 @@
         job.accepted_s = command.at_s
         job.open_tokens = sum(item.tokens for item in items)
         self.jobs[command.job] = job
+        self.body_bytes += job.body_bytes
         self.observer.accepted(job)
 
     def _list(self, command: ListOutcomes) -> None:
@@ -138,6 +147,7 @@
         job.notes.pop(outcome.index, None)
         job.origins.pop(outcome.index, None)
         job.listed.append(ListedOutcome(outcome.index, outcome.done, outcome.text))
+        self.body_bytes -= len(job.items[outcome.index].body)
         job.items[outcome.index] = replace(job.items[outcome.index], body=b"")
         if outcome.done:
             self.observer.finished(outcome.text.count(EVENT_SEPARATOR) + 1)
@@ -179,6 +189,7 @@
         job.open_tokens = 0
         job.notes.clear()
         job.origins.clear()
+        self.body_bytes -= job.body_bytes
         job.items = [replace(item, body=b"") for item in job.items]
         return Done()
 
@@ -201,6 +212,7 @@
         """Replace the whole state with a snapshot."""
         jobs = [_job_of(decode(chunk)) for chunk in chunks if chunk]
         self.jobs = {job.job: job for job in jobs}
+        self.body_bytes = sum(job.body_bytes for job in jobs)
         for job in jobs:
             self.observer.accepted(job)
 
--- a/src/rainsail/jobs/ledger_service.py
+++ b/src/rainsail/jobs/ledger_service.py
@@ -6,9 +6,11 @@
 from expression import Error
 from twisted.internet.defer import Deferred, succeed
 
+from rainsail.budget.client_budget import ClientBudget
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault, FaultCode
 from rainsail.jobs.held_reads import HeldReads
+from rainsail.jobs.intake_budget import LedgerIntake
 from rainsail.jobs.job_ids import client_id
 from rainsail.jobs.job_state import JobState, RelayedJob
 from rainsail.jobs.ledger_time import LedgerTime
@@ -41,7 +43,12 @@
     """
 
     def __init__(
-        self, messenger: Messenger, clock: Clock, state: JobState, ledger_time: LedgerTime
+        self,
+        messenger: Messenger,
+        clock: Clock,
+        state: JobState,
+        ledger_time: LedgerTime,
+        budget: ClientBudget,
     ) -> None:
         self._clock = clock
         self._ledger_time = ledger_time
@@ -49,6 +56,7 @@
         self._group: GroupDriver | None = None
         self._held = HeldReads(clock, self._read_now)
         self._limits = QueueLimits(state)
+        self._intake = LedgerIntake(budget)
         self.on_submitted: Callable[[str], None] = lambda job: None
         """Called with each job, by its scoped id, before it is committed."""
         messenger.serve(SubmitRelayedJob, self._submit)
@@ -81,6 +89,10 @@
         over_limit = self._limits.refusal(message)
         if over_limit is not None:
             return succeed(over_limit)
+        body_bytes = sum(len(item.body) for item in message.items)
+        without_room = self._intake.begin(message.job, body_bytes, self._state.body_bytes)
+        if without_room is not None:
+            return succeed(without_room)
         job = client_id(message.tenant, message.job)
         log = logger.bind(job=job, tenant=message.tenant, items=len(message.items))
         log.bind(gateway=source).info("job_proposed")
@@ -100,6 +112,7 @@
 
     def _on_proposal_over(self, result: Any, job: str) -> Any:
         self._limits.end(job)
+        self._intake.end(job)
         return result
 
     def _end(self, source: str, message: EndJobCall) -> "Deferred[Any]":
--- a/src/rainsail/wire/codec.py
+++ b/src/rainsail/wire/codec.py
@@ -169,10 +169,11 @@
     return _reader(cls)(plain)
 
 
-def encode_body(message: Any) -> bytes:
-    """Encode a dataclass without a type prefix."""
+def encode_body(message: Any, prefix: bytes = b"") -> bytes:
+    """Encode a dataclass without a type id, after ``prefix``."""
     record: Any = type(message)
     buffer = io.BytesIO()
+    buffer.write(prefix)
     fastavro.schemaless_writer(buffer, parsed_schema(record), _writer(record)(message))
     return buffer.getvalue()
 
@@ -238,7 +239,7 @@
 
 def encode(message: Any, prefix: bytes = b"") -> bytes:
     """Encode a registered record with its type id, after ``prefix``."""
-    return b"".join((prefix, _TYPE_IDS[type(message)], encode_body(message)))
+    return encode_body(message, prefix + _TYPE_IDS[type(message)])
 
 
 def decode(data: bytes, offset: int = 0) -> Any:
--- a/src/rainsail/wire/framing.py
+++ b/src/rainsail/wire/framing.py
@@ -1,6 +1,7 @@
 """Length-prefixed frames on a connection, with a bounded size and a bounded outgoing buffer."""
 
 from collections import deque
+from io import BytesIO
 from typing import Any
 
 from twisted.internet.interfaces import IPushProducer
@@ -11,6 +12,8 @@
 
 STEP = "wire.framing"
 LENGTH_PREFIX_BYTES = Int32StringReceiver.prefixLength
+LARGE_FRAME_BYTES = 64 * 1024
+"""A frame that lacks more than this, or is larger, is not joined with other bytes."""
 HELLO_FRAME_BYTES = 4096
 """Largest frame accepted before the hello."""
 
@@ -32,7 +35,8 @@
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
         self._may_write = True
-        self._gathered: list[bytes] = []
+        self._large: BytesIO | None = None
+        """The received part of a large frame, without its length."""
         self._gathered_bytes = 0
         self._missing_bytes = 0
 
@@ -41,24 +45,40 @@
         self.transport.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse frames; the parts of a large one are joined once it is complete, to copy less."""
-        self._gathered.append(data)
-        self._gathered_bytes += len(data)
-        if self._gathered_bytes < self._missing_bytes:
-            return
-        joined = b"".join(self._gathered)
-        self._gathered.clear()
-        self._gathered_bytes = 0
-        super().dataReceived(joined)
-        self._missing_bytes = self._missing()
-
-    def _missing(self) -> int:
-        """Return how many bytes the current frame still lacks (0 while its length is unknown)."""
+        """Parse frames; a large one is collected in a buffer of its own, to copy it once only."""
+        while data:
+            if self._large is None:
+                super().dataReceived(data)
+                self._begin_large()
+                return
+            data = self._take_large(self._large, data)
+
+    def _begin_large(self) -> None:
+        """Collect the current frame in a buffer if it still lacks much."""
         partial = self._unprocessed
         if len(partial) < LENGTH_PREFIX_BYTES:
-            return 0
+            return
         length = int.from_bytes(partial[:LENGTH_PREFIX_BYTES], "big")
-        return LENGTH_PREFIX_BYTES + length - len(partial)
+        missing = LENGTH_PREFIX_BYTES + length - len(partial)
+        if missing <= LARGE_FRAME_BYTES or length > self.MAX_LENGTH:
+            return
+        self._large = BytesIO()
+        self._large.write(partial[LENGTH_PREFIX_BYTES:])
+        self._gathered_bytes = self._large.tell()
+        self._missing_bytes = missing
+        self._unprocessed = b""
+
+    def _take_large(self, large: BytesIO, data: bytes) -> bytes:
+        """Add to the large frame and pass it on once it is complete; return what follows it."""
+        part = data[: self._missing_bytes]
+        large.write(part)
+        self._gathered_bytes += len(part)
+        self._missing_bytes -= len(part)
+        if not self._missing_bytes:
+            self._large = None
+            self._gathered_bytes = 0
+            self.stringReceived(large.getvalue())
+        return data[len(part) :]
 
     def accept_large_frames(self) -> None:
         """Raise the limit on incoming frames from that of a hello to the full one."""
@@ -70,7 +90,7 @@
             detail = f"{len(data)} bytes are over the frame bound of {self._max_frame_bytes}"
             return Fault(FaultCode.TOO_LARGE, STEP, detail)
         if self._may_write:
-            self.sendString(data)
+            self._write(data)
             return None
         if self._waiting_bytes + len(data) > self._buffer_bytes:
             detail = f"{self._waiting_bytes} bytes wait for the peer already"
@@ -89,7 +109,14 @@
         while self._may_write and self._waiting:
             data = self._waiting.popleft()
             self._waiting_bytes -= len(data)
+            self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        """Pass a frame to the transport, which joins a large one with its length when it sends."""
+        if len(data) <= LARGE_FRAME_BYTES:
             self.sendString(data)
+        else:
+            self.transport.writeSequence((len(data).to_bytes(LENGTH_PREFIX_BYTES, "big"), data))
 
     def stopProducing(self) -> None:
         """Drop the queued frames: the connection has ended."""
