Control, readiness and metrics count against the same account

Callers saw: thirty clients that announced or stopped bodies at the control, readiness or metrics port took the process to 146 MB and more.

Cause: these ports used the same server with its default limits, 16 MiB a body, and nothing bounded the sum.

Change: every listener of a process takes its server from NodeBase, which hands it the process's account. Probes and readers of metrics may send 64 KiB; a read of the configuration or an order is bounded by the account.

--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -47,6 +47,15 @@
 """
 
 
+MAX_PROBE_BODY_BYTES = 64 * 1024
+"""Probes and readers of metrics send no bodies."""
+
+
+def probe_limits() -> HttpLimits:
+    """Return the limits on clients that only probe a node or read its metrics."""
+    return HttpLimits(max_body_bytes=MAX_PROBE_BODY_BYTES)
+
+
 def count_warming(registry: RunnerRegistry) -> int:
     """Return how many of the runners that may get work are warming up."""
     return sum(
--- a/src/rainsail/fleet/controller_node.py
+++ b/src/rainsail/fleet/controller_node.py
@@ -11,7 +11,6 @@
 from rainsail.fleet.listening import listen
 from rainsail.fleet.port import PlatformPort
 from rainsail.http.graceful_shutdown import GracefulShutdown
-from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.storage.interface import FileSystem
 
 LAST_REPLIES_TIMEOUT_S = 1.5
@@ -42,7 +41,7 @@
             return Error(started.error)
         assert self._role.controller is not None
         handler = self._port.control_handler(self._role.controller)
-        server = HttpServer(handler, self._base.clock, HttpLimits())
+        server = self._base.http_server(handler)
         control = listen(self._reactor, server, self._base.settings.listen.control)
         if control.is_error():
             return Error(control.error)
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -7,12 +7,12 @@
 from rainsail.cluster.leader_calls import LeaderCaller
 from rainsail.cluster.messages import FleetView
 from rainsail.errors import Fault
-from rainsail.fleet.base import NodeBase
+from rainsail.fleet.base import NodeBase, probe_limits
 from rainsail.fleet.listening import listen
 from rainsail.fleet.port import PlatformPort
 from rainsail.http.graceful_shutdown import GracefulShutdown
 from rainsail.http.pool import ConnectionPool, PoolSettings
-from rainsail.http.server import HttpLimits, HttpServer
+from rainsail.http.server import HttpLimits
 from rainsail.jobs.client import JobClient
 from rainsail.jobs.intake_budget import GatewayIntake
 from rainsail.logs import logger
@@ -64,7 +64,7 @@
         jobs = JobClient(calls, GatewayIntake(base.budget))
         self.gateway.on_ledger_leader = jobs.set_leader
         self._clients = base.http_server(port.client_handler(self.gateway, jobs), self._limits)
-        self._readiness = HttpServer(port.readiness_handler(self.gateway), base.clock, HttpLimits())
+        self._readiness = base.http_server(port.readiness_handler(self.gateway), probe_limits())
         self._client_port: Any = None
         base.metrics.gauge("runner_connections_opened", lambda: float(pool.opened))
 
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -10,11 +10,11 @@
 from rainsail.budget.client_budget import ClientBudget
 from rainsail.errors import Fault
 from rainsail.event_log import configure_event_log
-from rainsail.fleet.base import NodeBase, make_base
+from rainsail.fleet.base import NodeBase, make_base, probe_limits
 from rainsail.fleet.listening import listen
 from rainsail.fleet.port import PlatformPort
 from rainsail.http.exchange import Exchange
-from rainsail.http.server import HttpLimits, HttpServer
+from rainsail.http.server import HttpServer
 from rainsail.logs import dump_on_signal, logger
 from rainsail.runtime.clock import MonotonicClock, count_suspended_time
 from rainsail.runtime.garbage_collection import exempt_startup_objects
@@ -84,7 +84,7 @@
         def handle(exchange: Exchange) -> None:
             exchange.answer(200, (METRICS_TYPE,), self._base.metrics.exposition())
 
-        return HttpServer(handle, self._base.clock, HttpLimits())
+        return self._base.http_server(handle, probe_limits())
 
     def fail(self, fault: Fault) -> None:
         """End the process because of a fault."""
