The native fronts count their clients against one account per process

A client that announces a gigabyte and sends it did not get its 413: the connection was reset over unread bytes.

Cause: nothing bounded connections; the operator and status fronts had no limit on bodies; a refusal closed the connection at once.

Change: every web site of the process counts its connections, and bodies until Twisted spools them to the disk, against the budget of the process; a new connection takes the place of an idle or slow one. Refusals are sent behind a half-close, what still comes is dropped for at most 16 MiB. Section clients of the settings: held_bytes, connections.

Open: the sum of bodies that Twisted spools to the disk has no bound but max_file_bytes for each.

--- a/features/support/embedded_fleet.py
+++ b/features/support/embedded_fleet.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import subprocess
 import tempfile
@@ -67,7 +68,8 @@
 class EmbeddedFleet:
     """One replica, one gateway and two engines in a child process."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, descriptors: int = 0) -> None:
+        """``descriptors`` is the process's limit on open ones, 0 for that of this process."""
         draw = random.Random(os.getpid())
         ports = [f"127.0.0.1:{port}" for port in free_ports(4 + ENGINES, draw)]
         self.status, self.operator, self.caller, internal, *self._engines = ports
@@ -85,9 +87,15 @@
         settings = folder / "fleet.toml"
         settings.write_text(text)
         kept = {key: value for key, value in os.environ.items() if "RAINSAIL" not in key}
+
+        def limit() -> None:
+            if descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
         self.process = subprocess.Popen(
             [*PROGRAM, "up", str(settings)],
             env=kept,
+            preexec_fn=limit,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
--- a/src/rainsail/assembly/process.py
+++ b/src/rainsail/assembly/process.py
@@ -8,6 +8,7 @@
 from klein import Klein
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 
+from rainsail.assembly.client_connections import process_budget
 from rainsail.assembly.listening import listen_http
 from rainsail.assembly.role_metrics import register_role
 from rainsail.assembly.roles import RunningRole
@@ -76,7 +77,8 @@
         app.route("/readyz")(self._readyz)
         app.route("/metrics")(self._metrics_text)
         address = parse_address(self._settings.addresses.status)
-        return listen_http(self._reactor, app.resource(), address)
+        budget = process_budget(self._settings, self._reactor)
+        return listen_http(self._reactor, app.resource(), address, budget)
 
     def _readyz(self, request: Any) -> bytes:
         ready = self._ready and not self._stopping
--- a/src/rainsail/assembly/roles.py
+++ b/src/rainsail/assembly/roles.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.web.client import Agent
 
+from rainsail.assembly.client_connections import process_budget
 from rainsail.assembly.dependencies import (
     GatewayDependencies,
     NodeDependencies,
@@ -126,6 +127,7 @@
             settings.storage,
             settings.batch,
         )
+        self._budget = process_budget(settings, reactor)
         self._lock = FolderLock(data_folder)
         files = LocalFileSystem(data_folder, reactor)
         machine_list = machine_list_client(settings, reactor)
@@ -149,7 +151,7 @@
         assert self.node.operator_api is not None
         site = make_operator_site(self.node.operator_api.app.resource(), HTTP_IDLE_TIMEOUT_S)
         self._served = ServedConnections(site, self._dependencies.clock)
-        port = listen_site(self._reactor, site, self._operator_address)
+        port = listen_site(self._reactor, site, self._operator_address, self._budget)
         if port.is_error():
             return Error(port.error)
         self._ports.append(port.ok)
@@ -186,6 +188,7 @@
         self._reactor = reactor
         self._entry = entry
         self._dependencies = make_node_dependencies(settings, reactor, entry.name)
+        self._budget = process_budget(settings, reactor)
         self._engine = HttpEngineClient(self._dependencies.clock, reactor)
         config = GatewayConfig(
             entry.name,
@@ -231,7 +234,7 @@
         address = parse_address(self._entry.caller_api)
         site = self.caller_api.site()
         self._served = ServedConnections(site, self._dependencies.clock)
-        port = listen_site(self._reactor, site, address)
+        port = listen_site(self._reactor, site, address, self._budget)
         if port.is_error():
             return Error(port.error)
         self._port = port.ok
--- a/src/rainsail/control/operator_site.py
+++ b/src/rainsail/control/operator_site.py
@@ -6,13 +6,13 @@
 
 from rainsail.control.http_bodies import answer_fault
 from rainsail.errors import Fault, FaultCode
+from rainsail.runtime.client_requests import ClientRequest
 from rainsail.runtime.http_head import head_problem
-from rainsail.runtime.unframed_answers import UnframedAnswerRequest
 
 STEP = "operator_api.head"
 
 
-class OperatorRequest(UnframedAnswerRequest):
+class OperatorRequest(ClientRequest):
     """A request that is refused unless its method, path and headers are valid text."""
 
     def process(self) -> None:
--- a/src/rainsail/gateway/openai/site.py
+++ b/src/rainsail/gateway/openai/site.py
@@ -8,46 +8,22 @@
 from rainsail.gateway.openai.errors import error_body, error_headers
 from rainsail.gateway.openai.responses import encode_json
 from rainsail.gateway.openai.sinks import write_fault
+from rainsail.runtime.client_requests import RETRY_AFTER_S, STATUS_TOO_LARGE, ClientRequest
 from rainsail.runtime.http_head import head_problem
-from rainsail.runtime.unframed_answers import UnframedAnswerRequest
 
 _STEP = "caller_api.body"
 _HEAD_STEP = "caller_api.head"
 
 
-class BoundedRequest(UnframedAnswerRequest):
-    """A request with a body of at most ``max_body_bytes``.
+class BoundedRequest(ClientRequest):
+    """A request whose refusals are error objects.
 
-    A longer body is answered with 413 as soon as its length is known, and the connection is closed.
     Handlers parse the bodies themselves; Twisted's parsing of forms into memory is bypassed.
     """
 
-    max_body_bytes = 0
-
-    def __init__(self, *arguments: Any, **keywords: Any) -> None:
-        super().__init__(*arguments, **keywords)
-        self._taken_bytes = 0
-        self._refused = False
-
-    def gotLength(self, length: int | None) -> None:
-        """Refuse a body whose Content-Length is too large."""
-        super().gotLength(length)
-        if length is not None and length > self.max_body_bytes:
-            self._refuse()
-
-    def handleContentChunk(self, data: bytes) -> None:
-        """Store a piece of the body, unless the body is too long."""
-        self._taken_bytes += len(data)
-        if self._refused:
-            return
-        if self._taken_bytes > self.max_body_bytes:
-            self._refuse()
-            return
-        super().handleContentChunk(data)
-
-    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+    def take_request(self, command: bytes, path: bytes, version: bytes) -> None:
         """Process a completely received request."""
-        if self._refused or self.content is None:
+        if self.content is None:
             return
         self.content.seek(0, 0)
         self.args = {}
@@ -60,21 +36,16 @@
             return
         self.process()
 
-    def _refuse(self) -> None:
-        self._refused = True
-        detail = f"the body is longer than {self.max_body_bytes} bytes"
-        fault = Fault(FaultCode.TOO_LARGE, _STEP, detail)
+    def refusal(self, status: int) -> tuple[dict[str, str], bytes]:
+        """Return the header fields and the error object of a refusal."""
+        if status == STATUS_TOO_LARGE:
+            detail = f"the body is longer than {self.max_body_bytes} bytes"
+            fault = Fault(FaultCode.TOO_LARGE, _STEP, detail)
+        else:
+            detail = "there is no room for the body now"
+            fault = Fault(FaultCode.OVERLOADED, _STEP, detail, retry_after_s=float(RETRY_AFTER_S))
         body = encode_json(error_body(fault))
-        headers = {
-            "content-type": "application/json",
-            "content-length": str(len(body)),
-            "connection": "close",
-            **error_headers(fault),
-        }
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        transport: Any = self.transport
-        transport.write(f"HTTP/1.1 413 Request Entity Too Large\r\n{lines}\r\n".encode() + body)
-        transport.loseConnection()
+        return {"content-type": "application/json", **error_headers(fault)}, body
 
 
 def make_site(resource: Any, max_body_bytes: int) -> Site:
--- a/src/rainsail/settings/model.py
+++ b/src/rainsail/settings/model.py
@@ -19,6 +19,7 @@
 from rainsail.gateway.settings import GatewaySettings
 from rainsail.settings.process import (
     AddressSection,
+    ClientSection,
     EmulatorSection,
     EngineEntry,
     EnginePreset,
@@ -64,6 +65,9 @@
     engines: tuple[EngineEntry, ...] = Field(
         default=(), description="Emulated engines that the emulator role starts"
     )
+    clients: ClientSection = Field(
+        default=ClientSection(), description="What all clients of the process may hold together"
+    )
     tls: TlsSettings | None = Field(
         default=None, description="Files for mutual TLS; without them only loopback is allowed"
     )
--- a/src/rainsail/settings/process.py
+++ b/src/rainsail/settings/process.py
@@ -6,6 +6,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
+from rainsail.budget.sizing import DEFAULT_HELD_BYTES, BudgetLimits, budget_limits
 from rainsail.wire.address import parse_address
 
 FROZEN = ConfigDict(frozen=True, extra="forbid")
@@ -121,6 +122,25 @@
     )
 
 
+class ClientSection(BaseModel):
+    """What callers, operators and readers of metrics may hold together in this process."""
+
+    model_config = FROZEN
+
+    held_bytes: int = Field(
+        default=DEFAULT_HELD_BYTES, gt=0, description="Bytes that they may hold together"
+    )
+    connections: int = Field(
+        default=0,
+        ge=0,
+        description="Their connections; 0: 0.45 of the descriptors beside 64 of the process's own",
+    )
+
+    def limits(self, descriptors: int) -> BudgetLimits:
+        """Return the limits for a process that may have so many descriptors open, 0 for any."""
+        return budget_limits(0, 0, descriptors, self.held_bytes, self.connections)
+
+
 class EnginePreset(StrEnum):
     """Presets of the rates at which an emulated engine runs."""
 
