--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -3,7 +3,7 @@
 import itertools
 import signal
 
-from behave import given, step, then
+from behave import given, step, then, when
 from features.support.crowd_clients import (
     BODY_BYTES,
     ENDLESS_BYTES,
@@ -18,6 +18,7 @@
     half_head,
     unframed,
 )
+from features.support.crowd_soak import CrowdSoak
 from features.support.crowded_platform import CrowdedPlatform, settle
 from features.support.platform_stand_in import (
     CONTROL_PORT,
@@ -241,3 +242,15 @@
     wait_until(
         lambda: context.crowds[-1].statuses().count(status) >= count, f"{count} answers {status}"
     )
+
+
+@when("a soak with crowds of seed {seed:d} does {actions:d} actions")
+def soak(context, seed, actions):
+    context.crowd_soak = CrowdSoak(seed, KINDS)
+    context.add_cleanup(context.crowd_soak.close)
+    context.crowd_soak.run(actions)
+
+
+@then("every process stayed within its machine's memory, and ended only when it was told to")
+def soak_held(context):
+    assert not context.crowd_soak.problems, (context.crowd_soak.problems, context.crowd_soak.course)
