Streams begin and go on only at versions that a quorum of controllers knows

What callers saw: a stream that broke went on at a runner of another software version, at a gateway that was cut off from the controllers to which the new runners had reported.

Cause: a gateway took its own view for the fleet's. It called a stream "certainly unknown" while fewer than two controllers had failed to answer, though the first gateway may have reached one controller only, and then went on by the only version that it knew itself. If the first gateway knew one version only too, another one, nothing was reported at all, so acknowledging the reports of streams would not have helped.

Fix: a resumable stream begins only at a version that a majority of the voters has acknowledged, and a stream without a record goes on by the sole version only after a majority has said that it knows no other. Two majorities share a controller. New messages of extension level 5; while a controller of an earlier version is in touch, everything is as before.

Cost: a call to each voter for each new version that a gateway learns and each minute, and one more call to each voter for a resumed stream without a record. No state per stream, no timer, no commit.

--- a/features/support/version_soak.py
+++ b/features/support/version_soak.py
@@ -31,6 +31,7 @@
 from rainsail.relay.origin_client import StreamOriginClient
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.settings import RelaySettings
+from rainsail.relay.version_quorum import ControllerVersionQuorum
 from rainsail.state.job_commands import RelayedItem
 
 GATEWAYS = 4
@@ -80,6 +81,9 @@
             RelaySettings(),
             guard=QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics),
             origins=StreamOriginClient(base.messenger, base.clock, base.follower, base.metrics),
+            version_quorum=ControllerVersionQuorum(
+                base.messenger, base.clock, base.follower, base.metrics
+            ),
         )
         gateway = RelayGateway(
             context, base.follower, base.messenger, read_table, HttpLimits(), base.metrics
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -80,6 +80,8 @@
         self.on_table: Callable[[TableDocument], None] = lambda document: None
         self.on_view: Callable[[FleetView], None] = lambda view: None
         self.on_ledger_leader: Callable[[str], None] = lambda address: None
+        self.on_heard: Callable[[], None] = lambda: None
+        """Called after each update and each heartbeat reply of a controller was applied."""
         messenger.serve(RunnerUpdate, self._take_update)
         messenger.serve(RunnerVersions, self._take_versions)
         messenger.serve(RunnerDoubted, lambda source, message: self._take_doubt(message))
@@ -174,6 +176,7 @@
         self.registry.coverage.answered(address, reply.epoch, self._clock.seconds())
         self.on_view(self.view())
         self._note_table_version(address, reply.table_version)
+        self.on_heard()
 
     # --- updates from controllers --------------------------------------------------------
 
@@ -187,6 +190,7 @@
         if controller is not None and follows:
             controller.revision = update.revision
         self._merge(update.runners)
+        self.on_heard()
 
     def _take_versions(self, source: str, message: RunnerVersions) -> None:
         page: RunnerVersionPage = decode(message.page)
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -93,8 +93,8 @@
         """The incarnations that were found crashed (``born``), and when this node learned it."""
         self._gone_s: dict[str, float] = {}
         """When this node learned that a runner is gone."""
-        self._sole_versions: dict[str, str | None] = {}
-        self._sole_versions_at = (-1, -1, -1)
+        self._service_versions: dict[str, frozenset[str]] = {}
+        self._service_versions_at = (-1, -1, -1)
         """The revisions of records and versions by which these were found, and the minute."""
         self._records: dict[str, RunnerRecord] = {}
         self._by_address: dict[str, str] = {}
@@ -284,26 +284,30 @@
         That includes those that have gone lately, and former incarnations. None if there are
         several, or none at all.
         """
+        versions = self.versions_by_service().get(service, frozenset())
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def versions_by_service(self) -> dict[str, frozenset[str]]:
+        """Return the software versions of all runners that this node remembers, by service.
+
+        That includes those that have gone lately, and former incarnations.
+        """
         minute = int(self._seconds() // SECONDS_PER_MINUTE)
         state = (self.revision, self.versions.revision, minute)
-        if state != self._sole_versions_at:
-            self._sole_versions_at = state
-            self._sole_versions = self._find_sole_versions()
-        return self._sole_versions.get(service)
+        if state != self._service_versions_at:
+            self._service_versions_at = state
+            self._service_versions = self._find_service_versions()
+        return self._service_versions
 
-    def _find_sole_versions(self) -> dict[str, str | None]:
-        """Return the version of each service, None for one that has several."""
+    def _find_service_versions(self) -> dict[str, frozenset[str]]:
         now = self._seconds()
-        found: dict[str, str | None] = {}
+        found: dict[str, set[str]] = {}
         for record in self._records.values():
             gone_s = self._gone_s.get(record.runner)
             if gone_s is not None and now - gone_s > GONE_VERSION_TTL_S:
                 continue
-            versions = self.versions.may_have_begun(record)
-            version = next(iter(versions)) if len(versions) == 1 else None
-            is_same = found.setdefault(record.service, version) == version
-            found[record.service] = version if is_same else None
-        return found
+            found.setdefault(record.service, set()).update(self.versions.may_have_begun(record))
+        return {service: frozenset(versions) for service, versions in found.items()}
 
     def lacks_versions(self, service: str) -> bool:
         """Tell whether runners that take work have not said their versions yet, but others have.
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -21,6 +21,7 @@
 from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.origin_client import StreamOriginClient
 from rainsail.relay.settings import RelaySettings
+from rainsail.relay.version_quorum import ControllerVersionQuorum
 from rainsail.routing.residency import RegionMap
 from rainsail.runtime.clock import sleep
 
@@ -50,6 +51,7 @@
             RegionMap(base.settings.node.zones),
             QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics),
             StreamOriginClient(base.messenger, base.clock, base.follower, base.metrics),
+            ControllerVersionQuorum(base.messenger, base.clock, base.follower, base.metrics),
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -15,6 +15,7 @@
 from rainsail.relay.split import WeightedServicePicker
 from rainsail.relay.stream_beginnings import StreamBeginnings
 from rainsail.relay.table import Route, RoutingTable
+from rainsail.relay.version_quorum import NoVersionQuorum, VersionQuorum
 from rainsail.routing.choice import RunnerChooser
 from rainsail.routing.load import RunnerLoads
 from rainsail.routing.messages import PlaceRequest
@@ -49,6 +50,7 @@
     guard: RequestGuard
     beginnings: StreamBeginnings
     origins: StreamOrigins
+    version_quorum: VersionQuorum
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks the leader to place a request; calls back with None if the gateway has to choose."""
@@ -84,6 +86,7 @@
     regions: RegionMap = NO_REGIONS,
     guard: RequestGuard | None = None,
     origins: StreamOrigins | None = None,
+    version_quorum: VersionQuorum | None = None,
 ) -> RelayContext:
     """Build a gateway's context."""
     loads = RunnerLoads(settings.mechanisms)
@@ -108,4 +111,5 @@
         guard or NoGuard(),
         StreamBeginnings(),
         origins or UnknownOrigins(),
+        version_quorum or NoVersionQuorum(),
     )
--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from expression import Result
@@ -49,10 +49,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FoundOrigin:
-    """The result of a search; ``is_certain``: another search would find no more."""
+    """The result of a search; ``is_certain``: another search would find no more.
+
+    ``controllers`` are those that have answered, for the log; none if this gateway has the record.
+    """
 
     origin: StreamOrigin | None
     is_certain: bool
+    controllers: tuple[str, ...] = field(default=(), compare=False)
 
 
 Found = Callable[[FoundOrigin], None]
@@ -92,8 +96,9 @@
     waiting: int
     failed: int = 0
     over: bool = False
+    heard: list[str] = field(default_factory=list)
 
-    def take(self, result: Result[StreamOriginReply, Fault]) -> None:
+    def take(self, result: Result[StreamOriginReply, Fault], controller: str) -> None:
         """Handle one reply; the first origin ends the search, else the last reply does."""
         self.waiting -= 1
         if self.over:
@@ -102,12 +107,13 @@
         if result.is_error():
             self.failed += 1
         else:
+            self.heard.append(controller)
             origin = result.ok.origin
         if origin is not None or not self.waiting:
             self.over = True
             # A gateway reports to several controllers: with fewer away, one of them has answered.
             is_certain = origin is not None or self.failed < COPIES
-            self.found(FoundOrigin(origin, is_certain))
+            self.found(FoundOrigin(origin, is_certain, tuple(self.heard)))
 
 
 class StreamOriginClient:
@@ -164,7 +170,7 @@
         )
         for controller in supporting:
             reply = self._messenger.call(controller, FindStreamOrigin(stream), REPLY_TIMEOUT_S)
-            reply.addCallback(search.take)
+            reply.addCallback(search.take, controller)
 
     def _supporting(self, controllers: Sequence[str]) -> list[str]:
         """Return the controllers that keep origins; those of earlier versions do not."""
--- a/src/rainsail/relay/request_origin.py
+++ b/src/rainsail/relay/request_origin.py
@@ -4,12 +4,20 @@
 
 from rainsail.cluster.registry import UNCONFIRMED_VERSION
 from rainsail.cluster.stream_origins import StreamOrigin
+from rainsail.logs import logger
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.context import RelayContext
 from rainsail.relay.origin_client import RENEWAL_PERIOD_S, FoundOrigin
 from rainsail.relay.protocol import RequestFacts
-from rainsail.relay.resumption import LostStream, decide_origin, implied_origin, stream_name
+from rainsail.relay.resumption import (
+    UNKNOWN_ORIGIN,
+    LostStream,
+    decide_origin,
+    implied_origin,
+    stream_name,
+)
 from rainsail.relay.table import Route
+from rainsail.relay.version_quorum import SoleVersion, SoleVersionAnswer
 from rainsail.tenancy.tenants import Identity
 
 
@@ -37,16 +45,50 @@
             registry = self._context.registry
             decision = decide_origin(result, route, registry.sole_version, registry.lacks_versions)
             if isinstance(decision, LostStream):
+                self._log_lost(result.controllers, "no record")
                 decided(decision)
+            elif result.origin is not None:
+                self._continue_at(decision, "record", result.controllers, decided)
             else:
-                self.origin = decision
-                decided(None)
+                self._confirm_sole(decision, decided)
 
         if self._facts.resumes:
             self._context.origins.find(self._name, found)
         else:
             found(FoundOrigin(None, is_certain=True))
 
+    def _confirm_sole(
+        self, origin: StreamOrigin, decided: Callable[[LostStream | None], None]
+    ) -> None:
+        """Continue a stream of unknown origin if a quorum knows of no other than this one."""
+
+        def answered(answer: SoleVersionAnswer) -> None:
+            if answer.result == SoleVersion.CONFIRMED:
+                self._continue_at(origin, "sole version", answer.controllers, decided)
+            else:
+                self._log_lost(answer.controllers, answer.result.value)
+                decided(LostStream(UNKNOWN_ORIGIN, is_certain=False))
+
+        quorum = self._context.version_quorum
+        quorum.confirm_sole(origin.service, origin.version, answered)
+
+    def _continue_at(
+        self,
+        origin: StreamOrigin,
+        source: str,
+        controllers: tuple[str, ...],
+        decided: Callable[[LostStream | None], None],
+    ) -> None:
+        self.origin = origin
+        log = logger.bind(request=self._facts.request, resumes=self._facts.resumes, source=source)
+        log = log.bind(service=origin.service, version=origin.version, controllers=controllers)
+        log.info("stream_origin_found")
+        decided(None)
+
+    def _log_lost(self, controllers: tuple[str, ...], reason: str) -> None:
+        log = logger.bind(request=self._facts.request, resumes=self._facts.resumes, reason=reason)
+        log.bind(controllers=controllers).info("stream_origin_unknown")
+
     @property
     def _name(self) -> str:
         return stream_name(self._facts, self._identity, self._facts.resumes or self._facts.request)
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -11,7 +11,7 @@
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.relay.context import RelayContext
 from rainsail.relay.protocol import RequestFacts
-from rainsail.relay.table import Route
+from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.choice import MILLISECONDS_PER_S, RoutedRequest
 from rainsail.routing.messages import Placement, PlaceRequest
 from rainsail.routing.residency import AllowedRegions
@@ -50,6 +50,8 @@
         self._facts = facts
         self._identity = identity
         self._allowed: AllowedRegions = None
+        self._binds = False
+        """The first event binds the stream to a version: a client may resume it."""
         self._is_resent = context.overload.is_resent(route.name, facts.deadline_s)
 
     def ask(self, route: Route, answered: Callable[[Placement | None], None]) -> None:
@@ -93,7 +95,18 @@
     def _ready(self) -> list[RunnerRecord]:
         """Return the runners that may get the request, including those tried already."""
         ready = self._context.ready(self.service, self._allowed)
-        return ready if self.origin is None else list(filter(self._may_continue_now, ready))
+        return list(filter(self._may_get_now, ready))
+
+    def _may_get_now(self, record: RunnerRecord) -> bool:
+        """Tell whether a runner may begin or continue the request, as far as versions decide."""
+        if self.origin is not None:
+            return self._may_continue_now(record)
+        return not self._binds or self._may_begin(record)
+
+    def _may_begin(self, record: RunnerRecord) -> bool:
+        """Tell whether a stream that begins at a runner continues nowhere at another version."""
+        version = self._context.registry.versions.of(record)
+        return self._context.version_quorum.is_known(record.service, version)
 
     def _may_continue(self, record: RunnerRecord) -> bool:
         """Tell whether a runner may continue the stream: its software has begun it, if any has."""
@@ -108,11 +121,11 @@
         return self.origin is None or (is_known and self._may_continue(record))
 
     def _other_versions(self) -> list[str]:
-        """Return the runners of the service that may not continue the stream, or not now."""
-        if self.origin is None:
+        """Return the runners of the service that may not get the stream, or not now."""
+        if self.origin is None and not self._binds:
             return []
         ready = self._context.ready(self.service, self._allowed)
-        return [record.runner for record in ready if not self._may_continue_now(record)]
+        return [record.runner for record in ready if not self._may_get_now(record)]
 
     def is_origin_gone(self) -> bool:
         """Tell whether no runner that takes work is of the version that began the stream."""
@@ -128,7 +141,7 @@
     def no_runner_reason(self) -> str:
         """Return, for the log, why no runner may get the request now."""
         registry = self._context.registry
-        drained = outside = warming = other_version = 0
+        drained = outside = warming = other_version = unconfirmed = 0
         for record in registry.records():
             if record.service != self.service or not record.takes_work:
                 continue
@@ -142,6 +155,10 @@
                 outside += 1
             elif registry.warm_ups.is_limited(record):
                 warming += 1
+            elif not self._may_get_now(record):
+                unconfirmed += 1
+        if unconfirmed:
+            return f"{unconfirmed} runners of {self.service} are of a version without a quorum"
         if not drained + outside + warming + other_version:
             return f"no runner of {self.service} is known"
         return (
@@ -169,6 +186,7 @@
     def _use_route(self, route: Route) -> None:
         """Apply a route's current services and allowed regions."""
         self._allowed = self._context.allowed_regions(route, self._identity)
+        self._binds = route.kind == RouteKind.STREAM and route.resumable
         if self.origin is not None:
             self.service = self.origin.service if route.allows(self.origin.service) else NO_SERVICE
         elif not route.allows(self.service):
@@ -205,7 +223,7 @@
         record = context.registry.get(placement.runner)
         if record is None or not context.registry.is_ready(record.runner):
             return None
-        if not self._may_continue_now(record):
+        if not self._may_get_now(record):
             return None
         return record if context.regions.allows(self._allowed, record.zone) else None
 
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -20,7 +20,9 @@
 """The ages of runs at a crash, and permits for trial runs of held requests."""
 RUNNER_DOUBTS = 4
 """Runners that other nodes have found crashed."""
-EXTENSION_LEVEL = RUNNER_DOUBTS
+SERVICE_VERSIONS = 5
+"""The software versions of services, as a quorum of controllers knows them."""
+EXTENSION_LEVEL = SERVICE_VERSIONS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
