--- a/src/rainsail/jobs/item_recorder.py
+++ b/src/rainsail/jobs/item_recorder.py
@@ -20,7 +20,8 @@
 
     def item_sent(self, item: OpenItem) -> None:
         """Record that an item is sent to its runner."""
-        self._log_of(item).bind(after_event=item.progress.last_event).info("item_sent")
+        log = self._log_of(item).bind(failed_answers=item.progress.failures)
+        log.bind(after_event=item.progress.last_event).info("item_sent")
         self._metrics.count("item_runs")
 
     def item_preempted(self, item: OpenItem) -> None:
@@ -34,10 +35,11 @@
         log.info("item_text_dropped")
 
     def run_ended_early(
-        self, item: OpenItem, end: RunEnd, reason: str, fingerprint_name: str
+        self, item: OpenItem, end: RunEnd, reason: str, fingerprint_name: str, status: int
     ) -> None:
-        """Record a run that ended without the complete answer."""
+        """Record a run that ended without the complete answer; ``status`` is its answer's."""
         log = self._log_of(item).bind(reason=reason, fingerprint=fingerprint_name)
+        log = log.bind(status=status, failed_answers=item.progress.failures)
         log.bind(end=end.value, last_event=item.progress.last_event).info("item_run_ended")
 
     def item_over(self, item: OpenItem, over: ItemOver) -> None:
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -41,6 +41,8 @@
 from rainsail.routing.facts import ServerLoad
 
 NO_EVENTS = "no stream of events"
+NO_STATUS = 0
+"""Status of a run that has not been answered, or by something other than the item's runner."""
 MATCHING_RUNS_ACCEPTED = 3
 """Runs of one item with the same first event after which it is accepted as the true beginning.
 
@@ -180,6 +182,8 @@
         """The answer has come to its end."""
         self.proves_survival = False
         """The complete answer proves that the runner survived the item."""
+        self.answered_status = NO_STATUS
+        """The status of the item's answer, known once its head has arrived."""
         self._protocol = protocol
         self._source = source
         self._beginnings = beginnings
@@ -195,6 +199,8 @@
         self.verdict = verdict = self._protocol.judge(head, self.item)
         self._status = head.status
         kind = judge_head(head, verdict)
+        if kind in (HeadKind.EVENTS, HeadKind.BODY):
+            self.answered_status = head.status
         if kind == HeadKind.FOREIGN:
             self._end(RunEnd.BROKEN, FOREIGN_ANSWER)
         elif kind == HeadKind.NOT_RUN:
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -19,7 +19,7 @@
 from rainsail.jobs.dispatch_state import DispatchState
 from rainsail.jobs.item_guard import ItemGuard
 from rainsail.jobs.item_recorder import ItemRecorder
-from rainsail.jobs.item_run import ItemRun, RunEnd
+from rainsail.jobs.item_run import NO_STATUS, ItemRun, RunEnd
 from rainsail.jobs.job_state import RelayedJob
 from rainsail.jobs.open_item import OpenItem
 from rainsail.relay.protocol import ItemRequest, RunnerTarget
@@ -168,6 +168,10 @@
         self._running.remove(item)
         record = self._node.registry.get(item.runner)
         self._guard.on_run_ended(item, record)
+        status = NO_STATUS if item.run is None else item.run.answered_status
+        if end == RunEnd.FAILED:
+            item.progress.failures += 1
+            item.failed_at_s[item.runner] = now
         if end in (RunEnd.BROKEN, RunEnd.UNCONFIRMED, RunEnd.CONFIRMED):
             item.close_run(now)
             item.forget_dropped_events()
@@ -182,16 +186,13 @@
         if end not in (RunEnd.WHOLE, RunEnd.CONFIRMED):
             service = "" if record is None else record.service
             fingerprint_name = self._guard.fingerprint_name(item, service)
-            self._recorder.run_ended_early(item, end, reason, fingerprint_name)
+            self._recorder.run_ended_early(item, end, reason, fingerprint_name, status)
         failed_runs = self._slots.count_run_end(item.runner, end)
         self._slots.pause(item.runner, now + runner_pause_s(end, failed_runs))
         self._list_or_requeue(item, end, now)
 
     def _list_or_requeue(self, item: OpenItem, end: RunEnd, now: float) -> None:
         """List an item that is over; requeue any other for its next run."""
-        if end == RunEnd.FAILED:
-            item.progress.failures += 1
-            item.failed_at_s[item.runner] = now
         if not self.is_text_confirmed(item):
             self._recorder.text_dropped(item, NO_VERSION)
             item.progress.start_anew()
