Items: the count of failed runs outlives the ledger's leader

Callers saw an item that answers 500 on every run sent up to 85 times (59 answers) where each leader of the ledger was killed at its first answer; three times maxAttempts, nine, are allowed. With 422 likewise, and an item was never listed meanwhile.

Cause: the count lived in the leader's memory, so each leader began at 0. Class: a count that bounds repeats lives in one process.

An item that has not failed, under the leader that accepted it, is sent without a note, and a new leader assumes one unknown run. Any other item is sent only once the ledger counts that run as unknown; the run's end or the head of a stream replaces the count. So whatever a lost or suspended leader sent, its successor assumes at least that. An item is given up after maxAttempts complete answers of 500 over all leaders; it is held (event item_held, gauge rainsail_items_held), neither sent nor given up before keepS, once 3 x maxAttempts answers of 500 or three of 422 may have been given.

Earlier versions: the note has the complement of the item's index. The wire's fingerprints are the same.

Cost in calm: none for items that have not failed and were accepted under this leader. Others: one note (some 60 bytes) before a run and one after it, all of a turn in one command. After a change of leader that holds for the items that are open then. State: one record per item that has failed or was sent by a second leader, until it is listed.

--- a/features/jobs/decisions.feature
+++ b/features/jobs/decisions.feature
@@ -74,3 +74,39 @@
       | 2   | 2   | 8   | a-1    |
       | 0   | -1  | 1   | b-1    |
       | 0   | 0   | 0   |        |
+
+  Scenario Outline: Before a run of an item that failed <failed>, <broken_off>, <impossible> and <unknown> times
+    Given an item with <failed> answers of 500, <broken_off> broken off, <impossible> of 422 broken off and <unknown> unknown runs
+    Then with <most> attempts the decision before its next run is to <decision>
+
+    Examples:
+      | failed | broken_off | impossible | unknown | most | decision   |
+      | 0      | 0          | 0          | 0       | 1    | send       |
+      | 2      | 0          | 0          | 0       | 3    | send       |
+      | 3      | 0          | 0          | 0       | 3    | give_up    |
+      | 3      | 9          | 0          | 0       | 3    | give_up    |
+      | 2      | 6          | 0          | 0       | 3    | send       |
+      | 2      | 7          | 0          | 0       | 3    | hold       |
+      | 2      | 5          | 0          | 1       | 3    | send_alone |
+      | 2      | 5          | 0          | 2       | 3    | hold       |
+      | 0      | 0          | 2          | 0       | 3    | send       |
+      | 0      | 0          | 3          | 0       | 3    | hold       |
+      | 0      | 0          | 0          | 1       | 3    | send       |
+      | 0      | 0          | 0          | 2       | 3    | send_alone |
+      | 0      | 0          | 1          | 2       | 3    | hold       |
+      | 0      | 0          | 0          | 3       | 9    | hold       |
+      | 0      | 0          | 0          | 2       | 1    | send_alone |
+
+  Scenario Outline: A run that ends <end> with status <status> leaves an item with these failures
+    Given an item with 1 answers of 500, 1 broken off, 1 of 422 broken off and 1 unknown runs
+    When its run ends <end> with status <status>
+    Then it has <failed> answers of 500, <broken_off> broken off, <impossible> of 422 broken off and <unknown> unknown runs
+
+    Examples:
+      | end        | status | failed | broken_off | impossible | unknown |
+      | failed     | 500    | 2      | 1          | 1          | 1       |
+      | broken     | 0      | 1      | 1          | 1          | 1       |
+      | broken     | 200    | 1      | 1          | 1          | 1       |
+      | broken     | 502    | 1      | 1          | 1          | 1       |
+      | not_run    | 0      | 1      | 1          | 1          | 1       |
+      | unreached  | 0      | 1      | 1          | 1          | 1       |
--- a/features/steps/item_decision_steps.py
+++ b/features/steps/item_decision_steps.py
@@ -3,12 +3,16 @@
 from behave import given, then, when
 
 from rainsail.jobs.after_run import (
+    BeforeRun,
     ItemOver,
     RunAgain,
     decide_after_run,
+    decide_before_run,
+    failures_after_run,
     item_backoff_s,
     runner_pause_s,
 )
+from rainsail.jobs.failure_counts import FailureCounts
 from rainsail.jobs.item_run import RunEnd
 from rainsail.jobs.slot_use import SlotUse, choose_runner, items_to_preempt
 
@@ -48,6 +52,33 @@
     assert item_backoff_s(runs) == pause_s, item_backoff_s(runs)
 
 
+@given(
+    "an item with {failed:d} answers of 500, {broken_off:d} broken off,"
+    " {impossible:d} of 422 broken off and {unknown:d} unknown runs"
+)
+def item_with(context, failed, broken_off, impossible, unknown):
+    context.counts = FailureCounts(failed, broken_off, impossible, unknown)
+
+
+@then("with {most:d} attempts the decision before its next run is to {decision}")
+def before_run(context, most, decision):
+    assert decide_before_run(context.counts, most) == BeforeRun(decision), context.counts
+
+
+@when("its run ends {end} with status {status:d}")
+def run_ends_with(context, end, status):
+    context.counts = failures_after_run(context.counts, RunEnd(end), status)
+
+
+@then(
+    "it has {failed:d} answers of 500, {broken_off:d} broken off,"
+    " {impossible:d} of 422 broken off and {unknown:d} unknown runs"
+)
+def counts_are(context, failed, broken_off, impossible, unknown):
+    wanted = FailureCounts(failed, broken_off, impossible, unknown)
+    assert context.counts == wanted, context.counts
+
+
 @given(
     "a runner of {slots:d} slots with {online:d} online requests, {items:d} items"
     " and {others:d} of other callers"
--- a/src/rainsail/jobs/__init__.py
+++ b/src/rainsail/jobs/__init__.py
@@ -16,11 +16,13 @@
 * ``item_runs`` sends items, times out idle runs, and acts on the end of each run as ``after_run``
   decides; ``item_run`` is one run, ``item_recorder`` logs, counts and lists;
 * ``item_starter`` starts waiting items by urgency (``slot_use.choose_runner``);
+* ``failure_notes`` commits the failures of items (``failure_counts``), before runs where needed;
 * ``progress_committer`` commits the progress of running items, from which the next leader resumes.
 
 Who owns which state:
 
-* ``job_state.JobState``: jobs, their items, results and committed progress (replicated, on disk);
+* ``job_state.JobState``: jobs, their items, results, committed progress and failures (replicated,
+  on disk);
 * ``waiting_items`` and ``running_items``: each open item is in one of the two;
 * ``runner_slots``: online work, load from other callers, failed runs and pauses, by runner;
 * ``relay.stream_beginnings``: the number of the first event of streams, by service and route;
--- a/src/rainsail/jobs/after_run.py
+++ b/src/rainsail/jobs/after_run.py
@@ -3,9 +3,11 @@
 Pure functions.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import StrEnum
 from typing import assert_never
 
+from rainsail.jobs.failure_counts import FailureCounts
 from rainsail.jobs.item_run import RunEnd
 
 RUNNER_BACKOFF_MIN_S = 0.1
@@ -44,6 +46,11 @@
 With these limits (after 3 runs, from 0.5 s to 8 s) an item whose answer cannot be parsed runs 4 to
 14 times in 60 s; without a backoff it runs 38 times.
 """
+STEADY_LEADERSHIP_S = 5.0
+"""Age of a leadership from which items are sent that the loss of one more leader would hold.
+
+Longer than an election takes, so that such items sit out a series of leader changes.
+"""
 CONFIRMATION_PAUSE_S = 0.5
 """Wait of an item whose complete text is unconfirmed before it runs again.
 
@@ -121,6 +128,34 @@
             return RunAgain()
 
 
+class BeforeRun(StrEnum):
+    """What may be done with an item that waits for a run."""
+
+    SEND = "send"
+    SEND_ALONE = "send_alone"
+    """If this run's answer remained unknown, the attempts might be used up."""
+    HOLD = "hold"
+    """Its attempts may be used up, but not certainly: it is neither sent nor given up."""
+    GIVE_UP = "give_up"
+
+
+def decide_before_run(counts: FailureCounts, max_attempts: int) -> BeforeRun:
+    """Return what may be done with an item after so many failures, over all leaders."""
+    if counts.failed >= max_attempts:
+        return BeforeRun.GIVE_UP
+    if counts.may_be_used_up(max_attempts):
+        return BeforeRun.HOLD
+    is_at_risk = counts.unknown and counts.with_unknown_run().may_be_used_up(max_attempts)
+    return BeforeRun.SEND_ALONE if is_at_risk else BeforeRun.SEND
+
+
+def failures_after_run(counts: FailureCounts, end: RunEnd, status: int) -> FailureCounts:
+    """Return an item's counts after a run whose answer had this status, 0 if none had begun."""
+    if end == RunEnd.FAILED:
+        return replace(counts, failed=counts.failed + 1)
+    return counts
+
+
 def item_backoff_s(runs_without_event: int) -> float:
     """Return an item's backoff after so many consecutive broken runs without a new event.
 
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -8,6 +8,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.jobs.context import DispatchNode, Ledger
 from rainsail.jobs.dispatch_state import make_dispatch_state
+from rainsail.jobs.failure_notes import FailureNotes
 from rainsail.jobs.item_planner import ItemPlanner
 from rainsail.jobs.item_recorder import ItemRecorder
 from rainsail.jobs.item_runs import ItemRuns
@@ -33,13 +34,15 @@
         self._planner = planner = ItemPlanner(node, ledger, state)
         recorder = ItemRecorder(ledger, node.metrics)
         self._jobs = OpenJobs(ledger, state, planner)
-        self._preemptor = Preemptor(node, state, planner.order, recorder)
-        self._runs = runs = ItemRuns(node, ledger, state, recorder)
-        self._starter = ItemStarter(node, ledger, state, planner, runs, recorder)
+        self._notes = notes = FailureNotes(node, ledger, state.running)
+        self._preemptor = Preemptor(node, state, planner.order, recorder, notes)
+        self._runs = runs = ItemRuns(node, ledger, state, recorder, notes)
+        self._starter = ItemStarter(node, ledger, state, planner, runs, recorder, notes)
         self._progress = ProgressCommitter(node, ledger, state)
         self._active = False
         node.metrics.gauge("items_waiting", lambda: float(len(state.waiting)))
         node.metrics.gauge("items_running", lambda: float(len(state.running)))
+        node.metrics.gauge("items_held", lambda: float(state.waiting.count_held()))
         node.metrics.gauge("jobs_awaiting_table", lambda: float(len(state.tables)))
 
     # --- leadership ----------------------------------------------------------------------
@@ -53,6 +56,7 @@
         self._state.tables.begin_leadership()
         self._planner.begin_leadership()
         self._starter.begin_leadership()
+        self._notes.start()
         self._run_periodically()
         self._progress.start()
 
@@ -60,6 +64,7 @@
         """Close every run; the next leader runs the unlisted items."""
         self._active = False
         self._progress.stop()
+        self._notes.stop()
         self._planner.end_leadership()
         self._state.running.stop_all(self._node.clock.seconds())
         self._state.waiting.clear()
@@ -73,6 +78,7 @@
         self._planner.plan_if_due()
         self._preemptor.preempt_everywhere()
         self._runs.end_idle_runs()
+        self._notes.settle_begun()
         self._runs.report_survival()
         self._runs.list_confirmed()
         self._starter.start_items()
--- a/src/rainsail/jobs/item_recorder.py
+++ b/src/rainsail/jobs/item_recorder.py
@@ -20,7 +20,7 @@
 
     def item_sent(self, item: OpenItem) -> None:
         """Record that an item is sent to its runner."""
-        log = self._log_of(item).bind(failed_answers=item.progress.failures)
+        log = self._with_failures(self._log_of(item), item)
         log.bind(after_event=item.progress.last_event).info("item_sent")
         self._metrics.count("item_runs")
 
@@ -39,18 +39,30 @@
     ) -> None:
         """Record a run that ended without the complete answer; ``status`` is its answer's."""
         log = self._log_of(item).bind(reason=reason, fingerprint=fingerprint_name)
-        log = log.bind(status=status, failed_answers=item.progress.failures)
+        log = self._with_failures(log, item).bind(status=status)
         log.bind(end=end.value, last_event=item.progress.last_event).info("item_run_ended")
 
+    def item_held(self, item: OpenItem) -> None:
+        """Record that an item is not sent any more, since its attempts may be used up."""
+        self._with_failures(self._log_of(item), item).warning("item_held")
+
     def item_over(self, item: OpenItem, over: ItemOver) -> None:
         """Record that an item is done or given up, and list it in the ledger."""
-        log = self._log_of(item).bind(done=over.done, reason=over.reason)
+        log = self._with_failures(self._log_of(item), item)
+        log = log.bind(done=over.done, reason=over.reason)
         log = log.bind(tokens=self._tokens_of(item), ran_s=round(item.ran_s, 3))
         log.bind(events=item.events).info("item_ended")
         self._metrics.count("items_ended", state="done" if over.done else "given_up")
         text = item.progress.text if over.done else ""
         self._ledger.list_outcome(item.job, ItemOutcome(item.index, over.done, text))
 
+    @staticmethod
+    def _with_failures(log: Any, item: OpenItem) -> Any:
+        """Bind the failures that certainly have been answered, and those that may have been."""
+        counts = item.failures
+        log = log.bind(failed_answers=counts.failed, possible_failures=counts.possible_failures)
+        return log.bind(possible_impossible=counts.possible_impossible)
+
     def _log_of(self, item: OpenItem) -> Any:
         """Return a logger bound to the item's and the job's ids as the client knows them."""
         job = self._ledger.job_of(item)
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -101,8 +101,6 @@
     """
     runs: list[tuple[RunnerRecord, float]] = field(default_factory=list)
     """The runners that wrote the text under this leader, and when each run was sent."""
-    failures: int = 0
-    impossible: int = 0
     rejected_beginnings: Counter[FirstEvent] = field(default_factory=Counter)
     """How many runs were rejected because of their beginning, by their first event."""
     unconfirmed: UnconfirmedText | None = None
@@ -217,6 +215,11 @@
         if verdict.load is not None:
             self._on_load(verdict.load)
 
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the answer is a stream of events."""
+        return self._stream is not None
+
     @property
     def begun(self) -> bool:
         """Tell whether the runner has begun to answer; before that the item may be queued there."""
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -12,11 +12,13 @@
     RUNNER_BACKOFF_MAX_S,
     ItemOver,
     decide_after_run,
+    failures_after_run,
     item_backoff_s,
     runner_pause_s,
 )
 from rainsail.jobs.context import DispatchNode, Ledger
 from rainsail.jobs.dispatch_state import DispatchState
+from rainsail.jobs.failure_notes import FailureNotes
 from rainsail.jobs.item_guard import ItemGuard
 from rainsail.jobs.item_recorder import ItemRecorder
 from rainsail.jobs.item_run import NO_STATUS, ItemRun, RunEnd
@@ -44,7 +46,9 @@
         ledger: Ledger,
         state: DispatchState,
         recorder: ItemRecorder,
+        notes: FailureNotes,
     ) -> None:
+        self._notes = notes
         self._guard = ItemGuard(ledger.state, node.guard, state.routes, node.protocol)
         self._node = node
         self._routes = state.routes
@@ -169,8 +173,8 @@
         record = self._node.registry.get(item.runner)
         self._guard.on_run_ended(item, record)
         status = NO_STATUS if item.run is None else item.run.answered_status
+        item.failures = failures_after_run(item.failures, end, status)
         if end == RunEnd.FAILED:
-            item.progress.failures += 1
             item.failed_at_s[item.runner] = now
         if end in (RunEnd.BROKEN, RunEnd.UNCONFIRMED, RunEnd.CONFIRMED):
             item.close_run(now)
@@ -198,11 +202,12 @@
             item.progress.start_anew()
             item.forget_dropped_events()
             end = RunEnd.BROKEN if end in (RunEnd.WHOLE, RunEnd.CONFIRMED) else end
-        failures = item.progress.failures
+        failures = item.failures.failed
         decision = decide_after_run(end, failures, self._routes.max_attempts(item))
         if isinstance(decision, ItemOver):
             self._recorder.item_over(item, decision)
             return
+        self._notes.settle(item)
         item.ready_at_s = now
         if end == RunEnd.BROKEN:
             item.ready_at_s += item_backoff_s(item.count_runs_without_event())
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -4,9 +4,15 @@
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
-from rainsail.jobs.after_run import ItemOver
+from rainsail.jobs.after_run import (
+    STEADY_LEADERSHIP_S,
+    BeforeRun,
+    ItemOver,
+    decide_before_run,
+)
 from rainsail.jobs.context import DispatchNode, Ledger
 from rainsail.jobs.dispatch_state import DispatchState
+from rainsail.jobs.failure_notes import FailureNotes
 from rainsail.jobs.item_guard import ItemGuard
 from rainsail.jobs.item_origin import preferred_records
 from rainsail.jobs.item_planner import ItemPlanner
@@ -18,6 +24,9 @@
 from rainsail.relay.table import Route
 from rainsail.routing.residency import AllowedRegions
 
+QUARANTINED = "quarantined"
+HELD = "held, as its attempts may be used up,"
+
 
 class StartResult(StrEnum):
     """The result of trying to start an item."""
@@ -41,23 +50,28 @@
         planner: ItemPlanner,
         runs: ItemRuns,
         recorder: ItemRecorder,
+        notes: FailureNotes,
     ) -> None:
+        self._notes = notes
+        notes.on_start_noted = self._on_start_noted
         self._guard = ItemGuard(ledger.state, node.guard, state.routes, node.protocol)
         self._node = node
         self._ledger = ledger
         self._routes = state.routes
         self._tables = state.tables
         self._slots = state.slots
+        self._running = state.running
         self._waiting = state.waiting
         self._planner = planner
         self._runs = runs
         self._recorder = recorder
         self._split = WeightedServicePicker(node.random)
         self._wait_for_reports_until_s = 0.0
+        self._leads_since_s = 0.0
 
     def begin_leadership(self) -> None:
         """Delay the first start until a gateway has reported, at most by ``report_wait_s``."""
-        now = self._node.clock.seconds()
+        self._leads_since_s = now = self._node.clock.seconds()
         self._wait_for_reports_until_s = now + self._node.settings.report_wait_s
 
     def start_items(self) -> None:
@@ -69,7 +83,7 @@
             if not self._tables.covers(item.job):
                 continue
             if self._guard.is_held(item):
-                self._keep_waiting(item, now)
+                self._keep_waiting(item, now, QUARANTINED)
             elif item.ready_at_s <= now:
                 result = self._start_or_give_up(item, now)
                 if result == StartResult.WAITS_NO_LONGER:
@@ -82,8 +96,8 @@
             return False
         return self._slots.online.heard_any or now >= self._wait_for_reports_until_s
 
-    def _keep_waiting(self, item: OpenItem, now: float) -> None:
-        """Keep a quarantined item waiting; give it up once its route's time limit has passed."""
+    def _keep_waiting(self, item: OpenItem, now: float, cause: str) -> None:
+        """Keep an item waiting that must not be sent; give it up at its route's time limit."""
         self._waiting.skip(item)
         job = self._ledger.job_of(item)
         kept_s = 0.0 if job is None else self._routes.kept_s(job)
@@ -91,7 +105,7 @@
             return
         if self._ledger.time.at(now) - job.accepted_s >= kept_s:
             self._waiting.take(item)
-            self._recorder.item_over(item, ItemOver(False, "still quarantined at its time limit"))
+            self._recorder.item_over(item, ItemOver(False, f"still {cause} at its time limit"))
 
     def _start_or_give_up(self, item: OpenItem, now: float) -> StartResult:
         """Start an item if a runner has a free slot.
@@ -107,6 +121,18 @@
         if route is None:
             self._recorder.item_over(item, ItemOver(False, "no route"))
             return StartResult.WAITS_NO_LONGER
+        decision = decide_before_run(item.failures, self._routes.max_attempts(item))
+        if decision == BeforeRun.GIVE_UP:
+            self._recorder.item_over(item, ItemOver(False, "failed at every attempt"))
+            return StartResult.WAITS_NO_LONGER
+        if decision == BeforeRun.HOLD:
+            self._hold(item, now)
+            return StartResult.PASSED_OVER
+        item.is_held = False
+        item.is_sent_alone = decision == BeforeRun.SEND_ALONE
+        if item.is_sent_alone and not self._may_send_alone(now):
+            self._waiting.skip(item)
+            return StartResult.PASSED_OVER
         if item.begun and not self._runs.is_origin_confirmed(item):
             item.progress.origin = None
         # A text of unknown origin begins anew: the ledger keeps who wrote it.
@@ -114,13 +140,18 @@
         service = self._service_for(origin, route)
         if self._guard.is_held(item, service):
             # The next split decision may select another service.
-            self._keep_waiting(item, now)
+            self._keep_waiting(item, now, QUARANTINED)
             return StartResult.PASSED_OVER
         allowed = self._routes.allowed_regions(route, job.tenant)
         record = self._choose_runner(item, origin, service, allowed, now)
         if record is not None:
+            if not self._notes.may_send(item):
+                item.runner = record.runner
+                self._running.add(item)
+                self._notes.note_start(item)
+                return StartResult.WAITS_NO_LONGER
             if not self._guard.may_try(item, service, now):
-                self._keep_waiting(item, now)
+                self._keep_waiting(item, now, QUARANTINED)
                 return StartResult.PASSED_OVER
             self._runs.start(item, job, record, now)
             return StartResult.WAITS_NO_LONGER
@@ -128,6 +159,32 @@
         is_restricted = bool(item.failed_at_s) or origin is not None
         return StartResult.PASSED_OVER if is_restricted else StartResult.NO_SLOT
 
+    def _may_send_alone(self, now: float) -> bool:
+        """Tell whether an item may be sent that the loss of this leader would hold."""
+        if now - self._leads_since_s < STEADY_LEADERSHIP_S:
+            return False
+        return not any(item.is_sent_alone and item.awaits_answer for item in self._running)
+
+    def _hold(self, item: OpenItem, now: float) -> None:
+        """Hold an item whose attempts may be used up, but not certainly."""
+        if not item.is_held:
+            item.is_held = True
+            self._recorder.item_held(item)
+        self._keep_waiting(item, now, HELD)
+
+    def _on_start_noted(self, item: OpenItem) -> None:
+        """Send an item whose run the ledger counts by now, if it may still be sent."""
+        now = self._node.clock.seconds()
+        self._running.remove(item)
+        item.starting = 0
+        self._waiting.requeue(item)
+        if not self._may_start(now) or not self._tables.covers(item.job):
+            return
+        if self._guard.is_held(item):
+            return
+        if self._start_or_give_up(item, now) == StartResult.WAITS_NO_LONGER:
+            self._waiting.take(item)
+
     def _service_for(self, origin: StreamOrigin | None, route: Route) -> str:
         """Return the service that wrote the item's text so far, else the next one of the split."""
         if origin is not None and route.allows(origin.service):
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -5,6 +5,13 @@
 
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.errors import Fault, FaultCode
+from rainsail.jobs.failure_counts import (
+    FailureCounts,
+    counts_in,
+    failure_note,
+    is_failure_note,
+    item_of,
+)
 from rainsail.jobs.job_ids import client_id
 from rainsail.state.command_basics import Done, NoOperation
 from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
@@ -52,6 +59,8 @@
     """The committed progress of unlisted items, from their first event on."""
     origins: dict[int, StreamOrigin] = field(default_factory=dict)
     """Who wrote the committed progress; an item without an entry has a text of unknown origin."""
+    failures: dict[int, FailureCounts] = field(default_factory=dict)
+    """The committed counts of failed runs of unlisted items."""
 
     @property
     def client_id(self) -> str:
@@ -146,6 +155,7 @@
         job.open_tokens -= job.items[outcome.index].tokens
         job.notes.pop(outcome.index, None)
         job.origins.pop(outcome.index, None)
+        job.failures.pop(outcome.index, None)
         job.listed.append(ListedOutcome(outcome.index, outcome.done, outcome.text))
         self.body_bytes -= len(job.items[outcome.index].body)
         job.items[outcome.index] = replace(job.items[outcome.index], body=b"")
@@ -155,12 +165,21 @@
     def _take_notes(self, command: NoteProgress) -> None:
         texts = []
         for note in command.notes:
-            if is_origin_note(note):
+            if is_failure_note(note):
+                self._note_failures(note)
+            elif is_origin_note(note):
                 self._note_origin(note)
             else:
                 self._note(note)
                 texts.append(note)
-        self.observer.progressed(command.at_s, tuple(texts))
+        if texts or not command.notes:
+            self.observer.progressed(command.at_s, tuple(texts))
+
+    def _note_failures(self, note: ItemNote) -> None:
+        """Replace the counts of an item's failed runs."""
+        job = self.jobs.get(note.job)
+        if job is not None and not job.ended and item_of(note) in job.unlisted:
+            job.failures[item_of(note)] = counts_in(note)
 
     def _note_origin(self, note: ItemNote) -> None:
         """Record who writes an item's text; ignored once a part of the text is committed."""
@@ -189,6 +208,7 @@
         job.open_tokens = 0
         job.notes.clear()
         job.origins.clear()
+        job.failures.clear()
         self.body_bytes -= job.body_bytes
         job.items = [replace(item, body=b"") for item in job.items]
         return Done()
@@ -247,7 +267,9 @@
 
 
 def _notes_of(job: RelayedJob) -> Iterator[ItemNote]:
-    """Yield the notes of a snapshot, each text behind its origin."""
+    """Yield the notes of a snapshot: counts of failures, then each text behind its origin."""
+    for index, counts in job.failures.items():
+        yield failure_note(job.job, index, counts)
     for index, note in job.notes.items():
         origin = job.origins.get(index)
         if origin is not None:
@@ -256,6 +278,8 @@
 
 
 def _job_of(snapshot: RelayedJobSnapshot) -> RelayedJob:
+    counts = [note for note in snapshot.notes if is_failure_note(note)]
+    notes = [note for note in snapshot.notes if not is_failure_note(note)]
     job = RelayedJob(
         snapshot.job,
         snapshot.tenant,
@@ -265,11 +289,14 @@
         list(snapshot.listed),
         ended=snapshot.ended,
         accepted_s=snapshot.accepted_s,
-        notes={note.index: note for note in snapshot.notes if not is_origin_note(note)},
-        origins={note.index: _origin_in(note) for note in snapshot.notes if is_origin_note(note)},
+        notes={note.index: note for note in notes if not is_origin_note(note)},
+        origins={note.index: _origin_in(note) for note in notes if is_origin_note(note)},
     )
     listed = {each.index for each in job.listed}
     job.unlisted = {index for index in range(len(job.items)) if index not in listed}
+    job.failures = {
+        item_of(note): counts_in(note) for note in counts if item_of(note) not in listed
+    }
     if not job.ended:
         job.open_tokens = sum(job.items[index].tokens for index in job.unlisted)
     return job
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -4,6 +4,7 @@
 
 from rainsail.http.pool import Call
 from rainsail.jobs.after_run import RUNNER_AVOIDANCE_S
+from rainsail.jobs.failure_counts import NO_FAILURES, UNNOTED, FailureCounts
 from rainsail.jobs.item_run import ItemProgress, ItemRun
 from rainsail.jobs.job_state import NO_EVENT, RelayedJob, origin_note
 from rainsail.quarantine.fingerprint import Fingerprint
@@ -42,6 +43,16 @@
     events_at_start: int = 0
     runs_without_event: int = 0
     """Consecutive broken runs without a new event."""
+    failures: FailureCounts = NO_FAILURES
+    """What is known of its failed runs, without the current run."""
+    noted: FailureCounts | None = None
+    """The counts last proposed to the ledger; None: none, and ``UNNOTED`` is assumed."""
+    starting: int = 0
+    """Number of the start that waits for its note while the item holds a slot; 0: none does."""
+    is_held: bool = False
+    """Whether it is not sent since its attempts may be used up, though not certainly."""
+    is_sent_alone: bool = False
+    """Whether it is sent only while no other such item awaits its answer."""
     failed_at_s: dict[str, float] = field(default_factory=dict)
     """Time of the last failure that each runner answered for this item."""
     fingerprints: dict[str, Fingerprint] = field(default_factory=dict)
@@ -59,6 +70,11 @@
         """Tell whether part of the answer has been received, so that the next run is shorter."""
         return bool(self.progress.texts)
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Tell whether it holds a slot and its runner has not begun to answer."""
+        return bool(self.starting) or (self.run is not None and not self.run.begun)
+
     def running_s(self, now: float) -> float:
         """Return the total duration of the item's runs, including the current one."""
         return self.ran_s + (now - self.started_s if self.run is not None else 0.0)
@@ -107,6 +123,11 @@
             self.call.cancel()
         self.run = None
         self.call = None
+        self.starting = 0
+
+    def inherit_failures(self, job: RelayedJob) -> None:
+        """Go on from the counts that a previous leader committed."""
+        self.failures = self.noted = job.failures.get(self.index, UNNOTED)
 
 
 def resume_item(job: RelayedJob, index: int) -> OpenItem:
--- a/src/rainsail/jobs/open_jobs.py
+++ b/src/rainsail/jobs/open_jobs.py
@@ -16,9 +16,14 @@
         self._planner = planner
         self._tables = state.tables
         self._enqueued: set[str] = set()
+        self._inherits = False
 
     def clear(self) -> None:
-        """Forget which jobs were enqueued, so that the next round enqueues all of them."""
+        """Forget which jobs were enqueued, so that the next round enqueues all of them.
+
+        A previous leader may have sent the items of those jobs.
+        """
+        self._inherits = True
         self._enqueued.clear()
         self._tables.clear()
 
@@ -33,7 +38,11 @@
             self._planner.update_due_time(job)
             self._tables.add(job.job)
             items = [resume_item(job, index) for index in sorted(job.unlisted)]
+            if self._inherits:
+                for item in items:
+                    item.inherit_failures(job)
             self._waiting.add_job(job.job, items)
+        self._inherits = False
 
     def drop_ended(self, now: float) -> None:
         """Drop the waiting items of ended jobs, and close the runs of items that are not open."""
--- a/src/rainsail/jobs/preemptor.py
+++ b/src/rainsail/jobs/preemptor.py
@@ -3,10 +3,13 @@
 A preempted item is resumed later, after the last event received.
 """
 
+from rainsail.jobs.after_run import failures_after_run
 from rainsail.jobs.context import DispatchNode
 from rainsail.jobs.dispatch_state import DispatchState
+from rainsail.jobs.failure_notes import FailureNotes
 from rainsail.jobs.item_order import ItemOrder
 from rainsail.jobs.item_recorder import ItemRecorder
+from rainsail.jobs.item_run import RunEnd
 from rainsail.jobs.open_item import OpenItem
 from rainsail.jobs.slot_use import items_to_preempt
 
@@ -20,8 +23,10 @@
         state: DispatchState,
         order: ItemOrder,
         recorder: ItemRecorder,
+        notes: FailureNotes,
     ) -> None:
         self._node = node
+        self._notes = notes
         self._slots = state.slots
         self._running = state.running
         self._waiting = state.waiting
@@ -46,8 +51,13 @@
             self._preempt(item, now)
 
     def _preempt(self, item: OpenItem, now: float) -> None:
+        if item.run is not None:
+            item.failures = failures_after_run(
+                item.failures, RunEnd.BROKEN, item.run.answered_status
+            )
         item.close_run(now)
         self._running.remove(item)
+        self._notes.settle(item)
         settings = self._node.settings
         if settings.mechanisms.yield_pause:
             self._slots.pause(item.runner, now + settings.preemption_pause_s)
--- a/src/rainsail/jobs/runner_slots.py
+++ b/src/rainsail/jobs/runner_slots.py
@@ -111,7 +111,7 @@
             return False
         if self._paused_until_s.get(runner, 0.0) > now:
             return False
-        if any(item.run and not item.run.begun for item in self._running.at(runner)):
+        if any(item.awaits_answer for item in self._running.at(runner)):
             return False
         since_start_s = now - self._last_start_s.get(runner, float("-inf"))
         return since_start_s >= self._settings.start_interval_s
--- a/src/rainsail/jobs/waiting_items.py
+++ b/src/rainsail/jobs/waiting_items.py
@@ -66,6 +66,10 @@
         """The items whose runs ended early."""
         return self._requeued
 
+    def count_held(self) -> int:
+        """Return how many items are not sent since their attempts may be used up."""
+        return sum(item.is_held for item in self._requeued)
+
     def by_urgency(self, order: ItemOrder) -> Iterator[OpenItem]:
         """Yield the items, most urgent first; the fresh items of one job stay together.
 
--- a/src/rainsail/state/job_commands.py
+++ b/src/rainsail/state/job_commands.py
@@ -74,6 +74,11 @@
     A note with ``ORIGIN_NOTE`` in both numbers goes ahead of an item's first one and has the
     service and the software version of the text's runner in ``texts``. Nodes of earlier versions
     ignore it, as it follows no event, and in a snapshot the note behind it takes its place there.
+
+    A note with the bitwise complement of an item's index counts its failed runs instead: complete
+    answers of 500 in ``after_event``, those that broke off in ``last_event``, and in ``texts``
+    answers of 422 that broke off, and runs whose answers are unknown (``jobs.failure_counts``).
+    Nodes of earlier versions ignore it, as no item has such an index.
     """
 
     job: str
