Items: an answer of 500 or 422 that breaks off counts as one that may have been given

Callers saw items whose runs answer 500 and break off in the body (or never end) sent 9 to 11 times in 50 s, without end, and up to 55 times where leaders changed as well.

Cause: the run ended as `broken`, whatever status had come, and a broken run uses up nothing. Class: a status that is known from the head is dropped with the body.

The fix: a run's status counts from the head on, however it ends (reset, idle, preempted). Such an answer raises what may have been given, not what certainly has: an item is held after nine (three of 422), and given up after maxAttempts complete ones or at keepS. The item then avoids that runner for a while, as after a complete 500.

--- a/features/jobs/decisions.feature
+++ b/features/jobs/decisions.feature
@@ -105,6 +105,8 @@
     Examples:
       | end        | status | failed | broken_off | impossible | unknown |
       | failed     | 500    | 2      | 1          | 1          | 1       |
+      | broken     | 500    | 1      | 2          | 1          | 1       |
+      | broken     | 422    | 1      | 1          | 2          | 1       |
       | broken     | 0      | 1      | 1          | 1          | 1       |
       | broken     | 200    | 1      | 1          | 1          | 1       |
       | broken     | 502    | 1      | 1          | 1          | 1       |
--- a/features/jobs/items_beyond_their_attempts.feature
+++ b/features/jobs/items_beyond_their_attempts.feature
@@ -20,6 +20,14 @@
       | 422                       | nothing else happens                                 |
       | 422                       | each leader is killed at its first answer            |
       | 422                       | each leader freezes at its first answer              |
+      | 500 that breaks off       | nothing else happens                                 |
+      | 500 that breaks off       | each leader is killed at its first answer            |
+      | 500 that never ends       | nothing else happens                                 |
+      | 500, every other broken off | nothing else happens                               |
+      | 500, every other broken off | each leader is killed a moment after its first answer |
+      | 500, every other broken off | each leader freezes at its first answer            |
+      | 422 that breaks off       | nothing else happens                                 |
+      | 422 that breaks off       | each leader is killed a moment after its first answer |
 
   Scenario Outline: Runs that have not failed use up no attempts: <answer>, <event>
     Given items of a route with 3 attempts, whose first 12 runs end with <answer>
--- a/features/support/failing_items.py
+++ b/features/support/failing_items.py
@@ -37,6 +37,7 @@
 
     FAILED = "500"
     FAILED_BROKEN_OFF = "500 that breaks off"
+    FAILED_UNENDED = "500 that never ends"
     IMPOSSIBLE = "422"
     IMPOSSIBLE_BROKEN_OFF = "422 that breaks off"
     EVENTS = "events"
@@ -47,7 +48,7 @@
     SILENT = "nothing"
 
 
-FAILURES = (Answer.FAILED, Answer.FAILED_BROKEN_OFF)
+FAILURES = (Answer.FAILED, Answer.FAILED_BROKEN_OFF, Answer.FAILED_UNENDED)
 IMPOSSIBLES = (Answer.IMPOSSIBLE, Answer.IMPOSSIBLE_BROKEN_OFF)
 
 ChooseAnswer = Callable[[str, int], Answer]
@@ -288,6 +289,9 @@
     match call.kind:
         case Answer.FAILED | Answer.IMPOSSIBLE:
             call.answer(int(call.kind), b"failed")
+        case Answer.FAILED_UNENDED:
+            listener.answer_begun(AnswerHead(500, ()))
+            listener.answer_data(b"fai")
         case Answer.FAILED_BROKEN_OFF | Answer.IMPOSSIBLE_BROKEN_OFF:
             listener.answer_begun(AnswerHead(int(call.kind[:3]), ()))
             listener.answer_data(b"fai")
--- a/src/rainsail/jobs/after_run.py
+++ b/src/rainsail/jobs/after_run.py
@@ -9,6 +9,7 @@
 
 from rainsail.jobs.failure_counts import FailureCounts
 from rainsail.jobs.item_run import RunEnd
+from rainsail.relay.continuation import STATUS_IMPOSSIBLE, STATUS_SERVER_ERROR
 
 RUNNER_BACKOFF_MIN_S = 0.1
 """Backoff of a runner after one failed run; it doubles with each further consecutive failure.
@@ -150,9 +151,16 @@
 
 
 def failures_after_run(counts: FailureCounts, end: RunEnd, status: int) -> FailureCounts:
-    """Return an item's counts after a run whose answer had this status, 0 if none had begun."""
+    """Return an item's counts after a run whose answer had this status, 0 if none had begun.
+
+    An answer that breaks off may count as one or not: its status was given, its body was not.
+    """
     if end == RunEnd.FAILED:
         return replace(counts, failed=counts.failed + 1)
+    if status == STATUS_SERVER_ERROR:
+        return replace(counts, broken_off=counts.broken_off + 1)
+    if status == STATUS_IMPOSSIBLE:
+        return replace(counts, impossible=counts.impossible + 1)
     return counts
 
 
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -24,6 +24,7 @@
 from rainsail.jobs.item_run import NO_STATUS, ItemRun, RunEnd
 from rainsail.jobs.job_state import RelayedJob
 from rainsail.jobs.open_item import OpenItem
+from rainsail.relay.continuation import STATUS_SERVER_ERROR
 from rainsail.relay.protocol import ItemRequest, RunnerTarget
 from rainsail.relay.stream_beginnings import BeginningVerdict, StreamBeginning, StreamSource
 from rainsail.routing.facts import ServerLoad
@@ -174,7 +175,7 @@
         self._guard.on_run_ended(item, record)
         status = NO_STATUS if item.run is None else item.run.answered_status
         item.failures = failures_after_run(item.failures, end, status)
-        if end == RunEnd.FAILED:
+        if status == STATUS_SERVER_ERROR:
             item.failed_at_s[item.runner] = now
         if end in (RunEnd.BROKEN, RunEnd.UNCONFIRMED, RunEnd.CONFIRMED):
             item.close_run(now)
