--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -12,16 +12,19 @@
     RUNNER_BACKOFF_MAX_S,
     ItemOver,
     decide_after_run,
+    failures_after_run,
     item_backoff_s,
     runner_pause_s,
 )
 from rainsail.jobs.context import DispatchNode, Ledger
 from rainsail.jobs.dispatch_state import DispatchState
+from rainsail.jobs.failure_notes import FailureNotes
 from rainsail.jobs.item_guard import ItemGuard
 from rainsail.jobs.item_recorder import ItemRecorder
-from rainsail.jobs.item_run import ItemRun, RunEnd
+from rainsail.jobs.item_run import NO_STATUS, ItemRun, RunEnd
 from rainsail.jobs.job_state import RelayedJob
 from rainsail.jobs.open_item import OpenItem
+from rainsail.relay.continuation import STATUS_SERVER_ERROR
 from rainsail.relay.protocol import ItemRequest, RunnerTarget
 from rainsail.relay.stream_beginnings import BeginningVerdict, StreamBeginning, StreamSource
 from rainsail.routing.facts import ServerLoad
@@ -44,7 +47,9 @@
         ledger: Ledger,
         state: DispatchState,
         recorder: ItemRecorder,
+        notes: FailureNotes,
     ) -> None:
+        self._notes = notes
         self._guard = ItemGuard(ledger.state, node.guard, state.routes, node.protocol)
         self._node = node
         self._routes = state.routes
@@ -168,6 +173,10 @@
         self._running.remove(item)
         record = self._node.registry.get(item.runner)
         self._guard.on_run_ended(item, record)
+        status = NO_STATUS if item.run is None else item.run.answered_status
+        item.failures = failures_after_run(item.failures, end, status)
+        if status == STATUS_SERVER_ERROR:
+            item.failed_at_s[item.runner] = now
         if end in (RunEnd.BROKEN, RunEnd.UNCONFIRMED, RunEnd.CONFIRMED):
             item.close_run(now)
             item.forget_dropped_events()
@@ -182,26 +191,24 @@
         if end not in (RunEnd.WHOLE, RunEnd.CONFIRMED):
             service = "" if record is None else record.service
             fingerprint_name = self._guard.fingerprint_name(item, service)
-            self._recorder.run_ended_early(item, end, reason, fingerprint_name)
+            self._recorder.run_ended_early(item, end, reason, fingerprint_name, status)
         failed_runs = self._slots.count_run_end(item.runner, end)
         self._slots.pause(item.runner, now + runner_pause_s(end, failed_runs))
         self._list_or_requeue(item, end, now)
 
     def _list_or_requeue(self, item: OpenItem, end: RunEnd, now: float) -> None:
         """List an item that is over; requeue any other for its next run."""
-        if end == RunEnd.FAILED:
-            item.progress.failures += 1
-            item.failed_at_s[item.runner] = now
         if not self.is_text_confirmed(item):
             self._recorder.text_dropped(item, NO_VERSION)
             item.progress.start_anew()
             item.forget_dropped_events()
             end = RunEnd.BROKEN if end in (RunEnd.WHOLE, RunEnd.CONFIRMED) else end
-        failures = item.progress.failures
+        failures = item.failures.failed
         decision = decide_after_run(end, failures, self._routes.max_attempts(item))
         if isinstance(decision, ItemOver):
             self._recorder.item_over(item, decision)
             return
+        self._notes.settle(item)
         item.ready_at_s = now
         if end == RunEnd.BROKEN:
             item.ready_at_s += item_backoff_s(item.count_runs_without_event())
