--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -39,16 +39,15 @@
     time_out,
 )
 from rainsail.relay.events import Event
-from rainsail.relay.held_end import HeldEnd, max_end_hold_s
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.recorder import RequestRecorder
+from rainsail.relay.request_deadline import RequestDeadline
 from rainsail.relay.request_origin import RequestOrigin
 from rainsail.relay.resumption import NO_OTHER_RUNNER, UNKNOWN_ORIGIN, LostStream
 from rainsail.relay.sender import RequestSender
-from rainsail.relay.stream_beginnings import StreamBeginning
+from rainsail.relay.stream_ending import StreamEnding
 from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.messages import Placement
-from rainsail.runtime.clock import Timer
 from rainsail.tenancy.tenants import ANONYMOUS, Identity
 
 CLIENT_DISCONNECTED = "the client disconnected"
@@ -94,9 +93,15 @@
         self._is_trial = False
         """The request may run although it was held before."""
         self._may_have_run = False
-        self._deadline_s = request.received_s + _time_allowed_s(route, facts)
-        self._deadline_timer: Timer | None = None
-        self._held_end: HeldEnd | None = None
+        self._deadline = RequestDeadline(context.clock, request, facts, route)
+        self._stream_ending = StreamEnding(
+            context,
+            self._answer,
+            self._recorder,
+            self._sender,
+            self._complete_stream,
+            self._drop_flawed,
+        )
         exchange.on_disconnect(self._client_disconnected)
         exchange.on_slow_client(self._sender.set_paused)
 
@@ -119,8 +124,7 @@
 
     def start(self) -> None:
         """Start the deadline timer, and send the request once the tenant's quota admits it."""
-        left_s = max(0.0, self._time_left_s())
-        self._deadline_timer = self._context.clock.callLater(left_s, self._deadline_passed)
+        self._deadline.start(self._deadline_passed)
         self._context.admit(self._identity, self._quota_decided)
 
     def _quota_decided(self, wait_s: float) -> None:
@@ -164,10 +168,8 @@
             return
         self.outcome = outcome
         self._sender.stop_timeout()
-        if self._held_end is not None:
-            self._held_end.cancel()
-        if self._deadline_timer is not None and self._deadline_timer.active():
-            self._deadline_timer.cancel()
+        self._stream_ending.cancel()
+        self._deadline.cancel()
         self._sender.cancel()
         self._refund_if_not_run(outcome)
         self._recorder.log_end(outcome, self._sender, self._answer)
@@ -233,7 +235,7 @@
             guard = self._context.guard
             guard.request_trial(unproven, lambda may_run: self._trial_decided(may_run, placement))
             return
-        found = self._sender.find(decision.route, placement, self._time_left_s())
+        found = self._sender.find(decision.route, placement, self._deadline.left_s)
         if found.retry_after_s is not None:
             self._end(refuse_overloaded(self._sender.service, found.retry_after_s))
         elif found.record is None and self._origin.origin is not None:
@@ -274,16 +276,13 @@
     def _terms(self) -> SendTerms:
         """Return the current constraints: quarantine and routing table may have changed."""
         return SendTerms(
-            self._current_route(), self._recorder.is_quarantined(), self._time_left_s()
+            self._current_route(), self._recorder.is_quarantined(), self._deadline.left_s
         )
 
     def _current_route(self) -> Route | None:
         table = self._context.table
         return None if table is None else table.match(self._facts.host, self._facts.path)
 
-    def _time_left_s(self) -> float:
-        return self._deadline_s - self._context.clock.seconds()
-
     def _continue_after(self, end: AttemptEnd) -> None:
         """Retry or end the request after an attempt whose answer is not forwarded."""
         self._sender.attempt = None
@@ -344,40 +343,8 @@
         flaw = flaw or self._answer.check_end(attempt)
         if flaw is not None:
             self._drop_flawed(attempt, flaw)
-            return
-        self._recorder.streamed(self._sender.service, self.first_s)
-        unconfirmed = self._answer.unconfirmed
-        since_last_event_s = self._context.clock.seconds() - self._answer.last_sent_s
-        left_s = self._time_left_s() - self._context.settings.min_time_left_s
-        max_hold_s = max_end_hold_s(self._sender.route, since_last_event_s, left_s)
-        if unconfirmed is None:
-            self._complete_stream(attempt)
-        elif max_hold_s > 0:
-            self._hold_end(attempt, unconfirmed, max_hold_s)
         else:
-            self._end_unconfirmed(attempt)
-
-    def _hold_end(self, attempt: Attempt, unconfirmed: StreamBeginning, max_hold_s: float) -> None:
-        """Delay the end of a stream until other streams show whether its beginning is missing."""
-        self._sender.stop_timeout()
-        self._sender.attempt = None
-        self._recorder.end_held(attempt, max_hold_s)
-        context = self._context
-        self._held_end = HeldEnd(
-            context.clock,
-            context.beginnings,
-            unconfirmed,
-            max_hold_s,
-            lambda: self._end_unconfirmed(attempt),
-        )
-
-    def _end_unconfirmed(self, attempt: Attempt) -> None:
-        """End a stream whose end can't be held, or no longer, as complete or as flawed."""
-        flaw = self._answer.check_held_end(attempt)
-        if flaw is None:
-            self._complete_stream(attempt)
-        else:
-            self._drop_flawed(attempt, flaw)
+            self._stream_ending.run_ended(attempt, self._deadline.left_s)
 
     def _complete_stream(self, attempt: Attempt) -> None:
         self._recorder.answered(attempt)
@@ -461,9 +428,3 @@
         if attempt is not None and may_leave:
             attempt.cancel()
             self.answer_interrupted(attempt, SILENT)
-
-
-def _time_allowed_s(route: Route, facts: RequestFacts) -> float:
-    if facts.deadline_s is None:
-        return route.timeout_s
-    return min(route.timeout_s, facts.deadline_s)
