A short grace time doesn't end over the requests under way

What callers saw: with a grace time of 2.7 s or less a gateway's stop cut every request under way, found while the same cause was looked for. Cause: the connections were ended only if the time lasted beyond the 2.3 s for which new clients still arrive. stop_schedule derives all moments from the grace time; at 8 s they are as before.

Failed before: features/fleet/gateway_stop.feature, 'A grace time that ends before all clients know of the stop' (real processes, grace 2 s): RemoteDisconnected.

--- a/features/fleet/gateway_stop.feature
+++ b/features/fleet/gateway_stop.feature
@@ -12,3 +12,11 @@
       | sent           | status |
       | all of it      | 504    |
       | half of a body | 503    |
+
+  Scenario: A grace time that ends before all clients know of the stop
+    # Guards against: a short grace time that ends over the requests under way.
+    Given the nodes of examples/relaying run in one process with a grace time of 2 seconds
+    And a runner that reads requests and never answers
+    When a client of the gateway has sent all of it
+    And the process gets SIGTERM
+    Then the client has a complete answer of status 504, and the process ends with code 0
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -10,6 +10,7 @@
 from rainsail.fleet.base import NodeBase, probe_limits
 from rainsail.fleet.listening import listen
 from rainsail.fleet.port import PlatformPort
+from rainsail.fleet.stop_schedule import stop_schedule
 from rainsail.http.graceful_shutdown import GracefulShutdown
 from rainsail.http.pool import ConnectionPool, PoolSettings
 from rainsail.http.server import HttpLimits
@@ -25,9 +26,6 @@
 from rainsail.runtime.clock import sleep
 
 LEDGER_CALL_TIMEOUT_S = 1.6
-CLIENT_DRAIN_DELAY_S = 2.3
-"""After SIGTERM new clients still arrive until two readiness checks have failed."""
-GRACE_MARGIN_S = 0.4
 MILLISECONDS_PER_S = 1000.0
 
 
@@ -91,11 +89,10 @@
         self.gateway.draining = True
         self._clients.drain()
         clock = self._base.clock
-        limit_s = self._base.settings.bounds.grace_s - GRACE_MARGIN_S
-        await sleep(clock, min(limit_s, CLIENT_DRAIN_DELAY_S))
-        if limit_s > CLIENT_DRAIN_DELAY_S:
-            close = GracefulShutdown(self._clients, self._client_port, clock)
-            await close.finish(limit_s - CLIENT_DRAIN_DELAY_S, self._end_requests)
+        schedule = stop_schedule(self._base.settings.bounds.grace_s)
+        await sleep(clock, schedule.closes_s)
+        close = GracefulShutdown(self._clients, self._client_port, clock)
+        await close.finish(schedule.ends_s - schedule.closes_s, self._end_requests)
         logger.bind(under_way=self._outlasted).info("drain_ended")
         self.gateway.stop()
 
