Runners' very small chunks are parsed in turns, as clients' are

Cause: a connection to a runner parsed all events of a read in the turn of the read. A read of 64 KiB may hold nine thousand chunks, which took 0.1 s on this machine, for each of 60 connections in a turn. Connections of clients are bounded by http.parsing_queue; that bound belonged to one server only.

The queue now belongs to the node: its servers and its pool of connections to runners parse 32 events of a connection at once and 256 a turn together. A connection with more is not read on. Pieces of a body that are parsed together are passed on together, which makes small chunks cheaper for everything behind the parser. A connection that closes while its data waits has its answer ended once that data was parsed.

--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -7,6 +7,7 @@
 
 from rainsail.http.client import ClientConnection, OutgoingRequest
 from rainsail.http.headers import end_to_end
+from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.simulation.clock import VirtualClock
 
@@ -185,7 +186,7 @@
 def call(context):
     context.http_owner = _Owner()
     context.http_listener = _Listener()
-    context.http_caller = ClientConnection(context.http_owner, 0)
+    context.http_caller = ClientConnection(context.http_owner, 0, ParsingQueue(VirtualClock()))
     context.http_transport = _Transport()
     context.http_transport.protocol = context.http_caller
     context.http_caller.makeConnection(context.http_transport)
--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -14,6 +14,7 @@
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.errors import Fault
 from rainsail.http.exchange import Handler
+from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.node_metrics import NodeMetrics
 from rainsail.runtime.clock import Clock, MonotonicClock
@@ -81,6 +82,8 @@
     """Start time of the process, by ``clock``."""
     budget: ClientBudget
     """What all clients of the process hold together; every listener counts against it."""
+    parsing: ParsingQueue
+    """Shares the turns among the connections of clients and those to runners."""
     metrics: NodeMetrics = field(default_factory=NodeMetrics)
 
     def size_budget(self) -> None:
@@ -92,7 +95,7 @@
         """Return a server whose connections count against the budget of the process."""
         limits = limits or HttpLimits()
         limits.stall_timeout_s = self.settings.limits.stall_timeout_s
-        return HttpServer(handler, self.clock, limits, self.budget)
+        return HttpServer(handler, self.clock, limits, self.budget, self.parsing)
 
     def listen(self) -> "Deferred[Result[int, Fault]]":
         """Accept connections from other nodes; requires a TCP transport."""
@@ -148,7 +151,17 @@
     began_s = clock.seconds() if started_s is None else started_s
     budget = budget or ClientBudget(clock.seconds)
     base = NodeBase(
-        settings, node, clock, random, transport, messenger, registry, follower, began_s, budget
+        settings,
+        node,
+        clock,
+        random,
+        transport,
+        messenger,
+        registry,
+        follower,
+        began_s,
+        budget,
+        ParsingQueue(clock),
     )
     budget_gauges(base.metrics, budget)
     base.metrics.gauge("table_version", lambda: float(follower.table_version))
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -38,7 +38,9 @@
         self._base = base
         self._reactor = reactor
         self._limits = HttpLimits()
-        pool = ConnectionPool(reactor, base.clock, PoolSettings(connect_timeout_s=0.3))
+        pool = ConnectionPool(
+            reactor, base.clock, PoolSettings(connect_timeout_s=0.3), base.parsing
+        )
         context = make_context(
             base.settings.node.zone,
             base.clock,
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -150,7 +150,8 @@
             from rainsail.fleet.storage_node import StorageNode
             from rainsail.http.pool import ConnectionPool, PoolSettings
 
-            pool = ConnectionPool(reactor, base.clock, PoolSettings(connect_timeout_s=0.5))
+            settings = PoolSettings(connect_timeout_s=0.5)
+            pool = ConnectionPool(reactor, base.clock, settings, base.parsing)
             files = _files(base, reactor)
             return StorageNode(base, port.protocol, port.read_table, pool, files, fatal)
 
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -19,6 +19,7 @@
 from zope.interface import implementer
 
 from rainsail.http.headers import HeaderFields, header_number, header_text, header_value
+from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -105,9 +106,19 @@
 
     transport: Any
 
-    def __init__(self, owner: ClientConnectionOwner, user_timeout_s: float) -> None:
+    def __init__(
+        self, owner: ClientConnectionOwner, user_timeout_s: float, parsing: ParsingQueue
+    ) -> None:
+        """``parsing`` is shared with the other connections of the process."""
         self._owner = owner
         self._user_timeout_s = user_timeout_s
+        self._parsing = parsing
+        self._is_parsing_later = False
+        """Received data waits in the parsing queue; nothing is read meanwhile."""
+        self._is_paused = False
+        """The answer is not read for now, as its receiver is too slow."""
+        self._closed_in_order: bool | None = None
+        """How the connection closed, while data that was received before waits for its turn."""
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._listener: AnswerListener | None = None
         self._idle_s: float | None = None
@@ -156,44 +167,87 @@
             return
         try:
             self._http.receive_data(data)
-            self._take_events()
         except h11.RemoteProtocolError as error:
             self._fail(f"invalid HTTP response: {error}")
+            return
+        if not self._is_parsing_later and self._parse_events(EVENTS_AT_ONCE):
+            self._is_parsing_later = True
+            self.transport.pauseProducing()
+            self._parsing.add(self)
+
+    def parse_some(self, max_events: int) -> bool:
+        """Parse up to ``max_events``; return whether there is more to parse now."""
+        if self._parse_events(max_events):
+            return True
+        self._is_parsing_later = False
+        if self._closed_in_order is not None:
+            self._take_close(self._closed_in_order)
+        elif not self.closed and not self._is_paused:
+            self.transport.resumeProducing()
+        return False
 
     def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
         """End the answer: as complete only if it had no framing and the close was orderly."""
         already = self.closed
         self.closed = True
         self.lost_unanswered = self._unanswered and not already
+        in_order = reason is not None and reason.check(ConnectionDone) is not None
         if self._listener is not None and not already:
-            self._take_close(reason)
+            if self._is_parsing_later:
+                self._closed_in_order = in_order
+            else:
+                self._take_close(in_order)
         self._owner.connection_closed(self)
 
-    def _take_close(self, reason: Failure | None) -> None:
-        in_order = reason is not None and reason.check(ConnectionDone) is not None
-        try:
-            if in_order:
-                self._http.receive_data(b"")
-                self._take_events()
-        except h11.RemoteProtocolError:
-            pass
+    def _take_close(self, in_order: bool) -> None:
+        if in_order and self._listener is not None:
+            self._http.receive_data(b"")
+            self._parse_events(EVENTS_AT_ONCE, is_at_end=True)
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.answer_failed(CONNECTION_CLOSED if in_order else CONNECTION_RESET)
 
-    def _take_events(self) -> None:
-        while self._listener is not None:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Response):
-                self._take_head(event)
-            elif isinstance(event, h11.Data):
-                self._listener.answer_data(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._take_end()
-            elif isinstance(event, h11.ConnectionClosed):
-                return
+    def _parse_events(self, max_events: int, is_at_end: bool = False) -> bool:
+        """Parse up to ``max_events``; return whether there may be more to parse now.
+
+        Pieces of the body that follow each other are passed on together. With ``is_at_end`` the
+        connection has closed, and its close tells how an incomplete answer has ended.
+        """
+        pieces: list[bytes] = []
+        try:
+            for _ in range(max_events):
+                if self._listener is None:
+                    return False
+                event = self._http.next_event()
+                if isinstance(event, h11.Data):
+                    pieces.append(event.data)
+                    continue
+                self._pass_on(pieces)
+                if not self._take_event(event):
+                    return False
+        except h11.RemoteProtocolError as error:
+            self._pass_on(pieces)
+            if not is_at_end:
+                self._fail(f"invalid HTTP response: {error}")
+            return False
+        self._pass_on(pieces)
+        return self._listener is not None
+
+    def _pass_on(self, pieces: list[bytes]) -> None:
+        if pieces and self._listener is not None:
+            data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+            pieces.clear()
+            self._listener.answer_data(bytes(data))
+
+    def _take_event(self, event: Any) -> bool:
+        """Handle an event other than data; return whether to look for the next one."""
+        if self._listener is None or event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Response):
+            self._take_head(event)
+        elif isinstance(event, h11.EndOfMessage):
+            self._take_end()
+        return not isinstance(event, h11.ConnectionClosed)
 
     def _take_head(self, event: h11.Response) -> None:
         assert self._listener is not None
@@ -234,13 +288,15 @@
         """Read no more of the answer for now; its end, however it comes, is noticed afterwards."""
         if not self.closed:
             self._was_paused = True
+            self._is_paused = True
             self.transport.bufferSize = SLOW_READ_BYTES
             limit_unread_bytes(self.transport)
             self.transport.pauseProducing()
 
     def resume_reading(self) -> None:
         """Read on."""
-        if not self.closed:
+        self._is_paused = False
+        if not self.closed and not self._is_parsing_later:
             self.transport.resumeProducing()
 
     def abort(self) -> None:
--- a/src/rainsail/http/parsing_queue.py
+++ b/src/rainsail/http/parsing_queue.py
@@ -1,7 +1,8 @@
 """Shares the reactor's turns among the connections that have more to parse than fits into one.
 
-A client may cut its body into very small chunks, so that one read holds thousands of them. All
-connections together parse at most ``EVENTS_PER_TURN`` of such events in a turn.
+A client may cut its body into very small chunks, and a runner its answer, so that one read holds
+thousands of them. All connections together parse at most ``EVENTS_PER_TURN`` of such events in a
+turn.
 """
 
 from collections import deque
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -10,6 +10,7 @@
 
 from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
 from rainsail.http.idle_limit import IdleLimit
+from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.reachability import Reachability, probe_address
 from rainsail.runtime.clock import Clock
 from rainsail.wire.address import parse_address
@@ -104,8 +105,16 @@
 class ConnectionPool:
     """Opens, reuses and closes connections, by server address."""
 
-    def __init__(self, reactor: Any, clock: Clock, settings: PoolSettings) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        settings: PoolSettings,
+        parsing: ParsingQueue | None = None,
+    ) -> None:
+        """The servers and pools of a process should share ``parsing``; by default it is created."""
         self._reactor = reactor
+        self._parsing = parsing or ParsingQueue(clock)
         self._clock = clock
         self._settings = settings
         self._servers: dict[str, _Server] = {}
@@ -214,7 +223,7 @@
 
     def new_connection(self, address: str) -> ClientConnection:
         """Return the protocol for a connection that was established."""
-        connection = ClientConnection(self, self._settings.user_timeout_s)
+        connection = ClientConnection(self, self._settings.user_timeout_s, self._parsing)
         self._address_of[connection] = address
         self._opened_s[connection] = self._clock.seconds()
         return connection
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -24,11 +24,15 @@
         clock: Clock,
         limits: HttpLimits,
         budget: ClientBudget | None = None,
+        parsing: ParsingQueue | None = None,
     ) -> None:
-        """All servers of a process should share its ``budget``; by default they have their own."""
+        """All servers of a process should share its ``budget``; by default they have their own.
+
+        They should share ``parsing`` as well, also with the connections to runners.
+        """
         self.handler = handler
         self.budget = budget or ClientBudget(clock.seconds)
-        self.parsing = ParsingQueue(clock)
+        self.parsing = parsing or ParsingQueue(clock)
         self.clock = clock
         self.limits = limits
         self.draining = False
