Interim answers without end are no answer

Cause: interim answers were dropped without a count, so that a runner could send them as long as it liked, and all of a read were parsed in one turn.

The 33rd interim answer to a request makes the answer invalid ("too many interim answers"), as any bytes that are no answer do: the connection is reset, the runner counts as failing, and the request goes on as after any broken answer. The count begins anew with each request on a connection.

--- a/features/http/runner_answers.feature
+++ b/features/http/runner_answers.feature
@@ -52,3 +52,14 @@
     Then nothing more is read from the runners
     When the answer of each call goes on
     Then more is read from the runners
+
+  Scenario: Interim answers without end are no answer
+    Given calls to 1 runner that answers each call not at all so far
+    When each runner sends 100 interim answers
+    Then each call has failed: "too many interim answers"
+    And no runner's connection is open
+
+  Scenario: Interim answers are counted for each call on a connection
+    Given calls to 1 runner that answers each call not at all so far
+    When each runner answers 20 calls, one after the other, with 8 interim answers before each
+    Then each call has a whole answer of 2 bytes
--- a/features/steps/http_runner_answer_steps.py
+++ b/features/steps/http_runner_answer_steps.py
@@ -11,7 +11,10 @@
 from rainsail.simulation.clock import VirtualClock
 
 REQUEST = OutgoingRequest(b"GET", b"/x", ((b"Host", b"a"),), b"")
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 HEADS = {
+    "not at all so far": b"",
     "in chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
 READ_BYTES = 64 * 1024
@@ -99,12 +102,20 @@
 
     def __init__(self, pool, reactor, number):
         self.answer = _Answer()
-        self.call = pool.send(f"127.0.0.1:{number}", REQUEST, self.answer)
+        self.address = f"127.0.0.1:{number}"
+        self.call = pool.send(self.address, REQUEST, self.answer)
         self.connection = reactor.factories.pop().buildProtocol(None)
         self.transport = _RunnerTransport()
         self.transport.protocol = self.connection
         self.connection.makeConnection(self.transport)
 
+    def call_again(self, pool):
+        """Make another call on the connection, once it is idle."""
+        if self.answer.end:
+            self.answer = _Answer()
+            self.call = pool.send(self.address, REQUEST, self.answer)
+            assert self.call.sent
+
     def send(self, data):
         """Have the runner send bytes, in reads of bounded size."""
         for start in range(0, len(data), READ_BYTES):
@@ -125,6 +136,24 @@
         each.send(HEADS[framing])
 
 
+@step("each runner sends {count:d} interim answers")
+def send_interim(context, count):
+    for each in context.calls:
+        each.send(INTERIM * count)
+    work_through(context)
+
+
+@step(
+    "each runner answers {calls:d} calls, one after the other, "
+    "with {count:d} interim answers before each"
+)
+def answer_calls(context, calls, count):
+    for _ in range(calls):
+        for each in context.calls:
+            each.call_again(context.calls_pool)
+            each.send(INTERIM * count + WHOLE)
+
+
 @given("a server that shares its turns with these calls")
 def make_server(context):
     context.calls_requests = []
@@ -230,6 +259,11 @@
         assert context.calls_pool.has_settled(f"127.0.0.1:{number}", 0.0)
 
 
+@then("no runner's connection is open")
+def closed(context):
+    assert not any(each.transport.connected for each in context.calls)
+
+
 @then("nothing more is read from the runners")
 def not_read(context):
     assert not any(each.transport.is_read for each in context.calls)
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -27,6 +27,9 @@
 """A request with a body up to this size is written at once, which copies the body."""
 SLOW_READ_BYTES = 16 * 1024
 """How much is read at once of an answer to a slow client."""
+MAX_INTERIM_ANSWERS = 32
+"""Interim answers (1xx) before one answer; with more the answer is invalid."""
+TOO_MANY_INTERIM = "too many interim answers"
 CONNECTION_CLOSED = "connection closed"
 CONNECTION_RESET = "connection reset"
 CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
@@ -122,6 +125,8 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._listener: AnswerListener | None = None
         self._idle_s: float | None = None
+        self._interim_answers = 0
+        """Interim answers to the current request."""
         self.closed = False
         self.lost_unanswered = False
         """The server ended it before any byte of the answer to the current request."""
@@ -143,6 +148,7 @@
         """Send a complete request; its answer goes to ``listener``."""
         self._listener = listener
         self._idle_s = None
+        self._interim_answers = 0
         self._unanswered = True
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
@@ -245,6 +251,10 @@
             return False
         if isinstance(event, h11.Response):
             self._take_head(event)
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                self._fail(TOO_MANY_INTERIM)
         elif isinstance(event, h11.EndOfMessage):
             self._take_end()
         return not isinstance(event, h11.ConnectionClosed)
