A pending event is not copied and searched again for each piece of it

Callers saw: requests up to 3.8 s late beside answers whose event never ends (single play on, 60 answers in chunks of 64 KiB).

Cause: EventStream joined the pending event with each piece into new bytes and searched all of it again, so that an event of n bytes cost work by the square of n: 64 times 4 MiB for each answer in chunks of 64 KiB, more in smaller ones.

Evidence: features/relay/event_parsing.feature counts what is allocated.

The pending event is one buffer that grows in place; only its last three bytes are searched again with the next piece.

--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -65,17 +65,22 @@
 
 
 class EventStream:
-    """The events of one runner's answer; ``rest`` is the received part of the next one."""
+    """The events of one runner's answer, and the received part of the next one."""
 
     def __init__(self, framing: Framing) -> None:
-        self.rest = b""
+        self._pending = bytearray()
         self._framing = framing
         self._has_events = False
 
+    @property
+    def pending_bytes(self) -> int:
+        """The size of the received part of the next event."""
+        return len(self._pending)
+
     @property
     def is_overlong(self) -> bool:
         """Tell whether the pending event exceeds ``MAX_EVENT_BYTES``."""
-        return len(self.rest) > MAX_EVENT_BYTES
+        return len(self._pending) > MAX_EVENT_BYTES
 
     @property
     def may_end_here(self) -> bool:
@@ -90,35 +95,43 @@
 
     @property
     def _is_inside_event(self) -> bool:
-        return bool(self.rest.strip(LINE_ENDS))
+        return bool(self._pending.strip(LINE_ENDS))
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes."""
-        raw_events = _split(self.rest, data)
-        self.rest = raw_events.pop()
+        raw_events = self._continue_event(data) if self._pending else self._split(data)
         self._has_events = self._has_events or bool(raw_events)
         return [parse_event(raw) for raw in raw_events]
 
     def last_events(self) -> list[Event]:
         """Return the pending event, if any: a framed end completes it without a blank line."""
-        return [parse_event(self.rest)] if self.rest else []
+        return [parse_event(bytes(self._pending))] if self._pending else []
 
+    def _split(self, data: bytes) -> list[bytes]:
+        """Return the raw events in ``data``; the incomplete remainder becomes pending."""
+        if b"\r" in data:
+            return self._continue_event(data)
+        # Nearly all streams end lines with LF alone; for these ``split`` is much faster.
+        pieces = data.split(BLANK_LINE)
+        self._pending += pieces.pop()
+        return [piece + BLANK_LINE for piece in pieces]
 
-def _split(rest: bytes, data: bytes) -> list[bytes]:
-    """Return the raw events in ``rest`` and ``data``, followed by the incomplete remainder."""
-    gathered = rest + data
-    if b"\r" in gathered:
-        return _split_any(gathered, max(0, len(rest) - MAX_BLANK_LINE_BYTES))
-    # Nearly all streams end lines with LF alone; for these ``split`` is much faster.
-    pieces = gathered.split(BLANK_LINE)
-    left = pieces.pop()
-    return [*(piece + BLANK_LINE for piece in pieces), left]
+    def _continue_event(self, data: bytes) -> list[bytes]:
+        """Append ``data`` to the pending event; return the raw events that are complete then.
 
-
-def _split_any(gathered: bytes, search_from: int) -> list[bytes]:
-    ends = [match.end() for match in ANY_BLANK_LINE.finditer(gathered, search_from)]
-    starts = [0, *ends]
-    return [gathered[start:end] for start, end in zip(starts, [*ends, None], strict=True)]
+        What was pending before holds no blank line, and is neither copied nor searched again.
+        """
+        pending = self._pending
+        search_from = max(0, len(pending) - MAX_BLANK_LINE_BYTES)
+        pending += data
+        ends = [match.end() for match in ANY_BLANK_LINE.finditer(pending, search_from)]
+        if not ends:
+            return []
+        with memoryview(pending) as view:
+            starts = [0, *ends]
+            raw_events = [bytes(view[a:b]) for a, b in zip(starts, ends, strict=False)]
+        del pending[: ends[-1]]
+        return raw_events
 
 
 def parse_event(raw: bytes) -> Event:
