A buffered answer is one buffer, not a list of its pieces

Cause: Attempt.body was a list with an object for each piece that arrived, some 40 bytes for a piece of two.

The body is one buffer.

--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -73,8 +73,10 @@
         self.record = record
         self.head: AnswerHead | None = None
         self.verdict: AnswerVerdict | None = None
-        self.body: list[bytes] = []
+        self.body = bytearray()
+        """What has been buffered of an answer that is not a stream."""
         self.body_bytes = 0
+        """The size of what has arrived of that answer."""
         self.stream: EventStream | None = None
         self.call: Call | None = None
         self.version = context.registry.version_at_start(record)
@@ -152,7 +154,7 @@
         if self.stream is not None:
             self._take_events(self.stream, data)
             return
-        self.body.append(data)
+        self.body += data
         self.body_bytes += len(data)
         self._owner.body_received(self)
 
