--- a/features/relay/version_soak.feature
+++ b/features/relay/version_soak.feature
@@ -18,3 +18,12 @@
       | 22   |
       | 41   |
       | 76   |
+
+  Scenario Outline: Random run with partitions as runners of other versions join, seed <seed>
+    When a random run with partitions, changing software versions and seed <seed> is made
+    Then no stream and no text was of two versions
+
+    Examples: in each of these a stream went on at the only version that a gateway behind a cut knew
+      | seed |
+      | 27   |
+      | 41   |
--- a/features/steps/version_soak_steps.py
+++ b/features/steps/version_soak_steps.py
@@ -1,6 +1,7 @@
 """Steps for random runs of a fleet whose runners change their software versions."""
 
 from behave import then, when
+from features.support.version_partition_soak import VersionPartitionSoak
 from features.support.version_soak import VersionSoak
 
 
@@ -10,6 +11,12 @@
     context.soak.run()
 
 
+@when("a random run with partitions, changing software versions and seed {seed:d} is made")
+def play_partitions(context, seed):
+    context.soak = VersionPartitionSoak(seed)
+    context.soak.run()
+
+
 @then("no stream and no text was of two versions")
 def none_mixed(context):
     counts = context.soak.counts
--- a/features/support/version_soak.py
+++ b/features/support/version_soak.py
@@ -120,8 +120,11 @@
 class VersionSoak:
     """One random run; ``violations`` lists broken guarantees, ``counts`` what was checked."""
 
+    client_period_s = CLIENT_PERIOD_S
+    faults_for_s = FAULTS_FOR_S
+
     def __init__(self, seed: int) -> None:
-        self.fleet = fleet = VersionFleet(seed, GATEWAYS, RUNNERS)
+        self.fleet = fleet = self.make_fleet(seed)
         assert fleet.runners is not None
         self._runners = fleet.runners
         self._runners.versions = dict.fromkeys(range(1, RUNNERS + 1), "v1")
@@ -134,14 +137,26 @@
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
 
+    def make_fleet(self, seed: int) -> VersionFleet:
+        """Return a fleet whose runners report to any controller."""
+        return VersionFleet(seed, GATEWAYS, RUNNERS)
+
+    def faults(self) -> tuple[Callable[[], None], ...]:
+        """Return the faults that strike at random."""
+        return self._all_again, self._rolling, self._one_again, self._nodes_again
+
+    def begin_faults(self) -> None:
+        """Have the faults strike that come first in each run."""
+
     def run(self) -> None:
         """Run the faults and check the outcome."""
         fleet = self.fleet
         fleet.run_for(4.0)
-        ends_s = fleet.clock.seconds() + FAULTS_FOR_S
+        ends_s = fleet.clock.seconds() + self.faults_for_s
         self._begin_clients(ends_s)
         self._hand_in_jobs(ends_s)
-        faults = (self._all_again, self._rolling, self._one_again, self._nodes_again)
+        faults = self.faults()
+        self.begin_faults()
         while fleet.clock.seconds() < ends_s:
             fleet.run_for(self._draw.uniform(0.5, 5.0))
             for _ in range(self._draw.randint(1, 2)):
@@ -158,7 +173,7 @@
         client = _Client(f"stream-{len(self._clients)}", now + CLIENT_LIMIT_S)
         self._clients.append(client)
         self._attempt(client)
-        self.fleet.clock.callLater(CLIENT_PERIOD_S, self._begin_clients, until_s)
+        self.fleet.clock.callLater(self.client_period_s, self._begin_clients, until_s)
 
     def _attempt(self, client: _Client) -> None:
         fleet = self.fleet
@@ -172,6 +187,8 @@
             headers.append((b"after", str(client.events[-1][0]).encode()))
             headers.append((b"resumes", client.attempts[0].encode()))
             self.counts["resumed"] += 1
+        else:
+            self.counts["asked"] += 1
         client.attempts.append(request)
         seconds = fleet.nodes[gateway].clock.seconds()
         head = HttpRequest(b"POST", PATH.encode(), tuple(headers), request.encode(), seconds)
@@ -187,8 +204,8 @@
             return
         if exchange.status == 200:
             new = [(int(number), name.decode()) for number, name in EVENT.findall(exchange.body)]
-            if client.events and new:
-                self.counts["continued"] += 1
+            if new:
+                self.counts["continued" if client.events else "begun"] += 1
             client.events += new
             client.is_whole = exchange.ended
         if len(client.attempts) < CLIENT_TRIES and not client.is_whole:
