A stopping gateway doesn't send what can't end within its grace time

Cause: nothing compared the remaining grace time with what a request still needs, at its first send or any later one.

decide_send, the one place that allows an attempt, now also asks whether the request ends in time: by the run times of its route's last 64 requests (the longest where it may run only once, the median where it may be repeated), by its deadline if that comes first or if nothing is known. A request that was not sent is refused at once, 503 with Retry-After 0: nothing has run, another gateway takes it. Without an estimate the deadline decides: a request rejected in error is served elsewhere at once, one cut in error has an unknown outcome. A silent runner isn't left for a run that could not end in time.

Cost: up to 64 run times for each route of the table; no message, no timer.

--- a/features/steps/relay_planned_stop_steps.py
+++ b/features/steps/relay_planned_stop_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 from features.support.relaying import EVENT_STREAM_FIELDS, event
-from features.support.stopping_gateway import StoppingGateway, own_id
+from features.support.stopping_gateway import ANSWERS_S, StoppingGateway, own_id
 
 from rainsail.http.client import AnswerHead
 from rainsail.logs import logger
@@ -78,3 +78,69 @@
     exchange = context.exchange
     assert exchange.aborted and not exchange.ended
     assert exchange.body == b"".join(event(number) for number in range(1, last + 1))
+
+
+@given('its latest "{kind}" requests took {took_s:g} s')
+def requests_took(context, kind, took_s):
+    context.gateway.serve_one(kind, took_s)
+
+
+@when('SIGTERM comes, and a client\'s "{kind}" request is complete {since_s:g} s after it')
+def complete_late(context, kind, since_s):
+    _complete_late(context, kind, since_s, None)
+
+
+@when(
+    'SIGTERM comes, and a client\'s "{kind}" request with a deadline of {deadline_s:g} s '
+    "is complete {since_s:g} s after it"
+)
+def complete_with_deadline(context, kind, deadline_s, since_s):
+    _complete_late(context, kind, since_s, deadline_s)
+
+
+def _complete_late(context, kind, since_s, deadline_s):
+    gateway = context.gateway
+    gateway.stop()
+    gateway.pass_until(since_s)
+    context.sent_before = len(gateway.calls)
+    context.exchange = gateway.ask(kind, deadline_s)
+
+
+@when("its runner turns it away {later_s:g} s later")
+def turned_away(context, later_s):
+    context.gateway.clock.advance(later_s)
+    call = context.gateway.calls[-1]
+    call.answer(503, b"", (b"Rainsail-Not-Run", b"1"), *own_id(call))
+
+
+@when("its runner's connection ends {later_s:g} s later")
+def connection_ends(context, later_s):
+    context.gateway.clock.advance(later_s)
+    context.gateway.calls[-1].listener.answer_failed("reset")
+
+
+@when("its runner is silent for as long as the grace time lasts")
+def silent(context):
+    context.gateway.pass_until(ANSWERS_S)
+
+
+@then("the request was sent to one runner only")
+def sent_once(context):
+    assert len(context.gateway.calls) == context.sent_before + 1
+
+
+@then("the request is sent to a runner")
+def sent(context):
+    assert len(context.gateway.calls) == context.sent_before + 1
+    assert not context.exchange.status, context.exchange
+
+
+@then("the request is refused without a send")
+def refused_without_send(context):
+    assert len(context.gateway.calls) == context.sent_before
+    refused(context, 503)
+    assert context.exchange.answered_at_s <= context.gateway.clock.seconds()
+    page = context.gateway.metrics.exposition().decode()
+    assert "requests_refused_by_stop_total" in page
+    lines = [each for each in context.log if each["message"] == "request_refused"]
+    assert [line["extra"]["grace_left_ms"] >= 0 for line in lines] == [True], lines
--- a/features/support/stopping_gateway.py
+++ b/features/support/stopping_gateway.py
@@ -10,7 +10,9 @@
 
 KINDS = {"unsafe": "unsafe", "safe": "safe", "stream": "stream", "resumable": "stream"}
 TIMEOUT_S = 25.0
-TARGET_S = 3.0
+TARGET_S = 0.4
+ANSWERS_S = 7.2
+"""With a grace time of 8 s requests are ended so many seconds after SIGTERM."""
 
 
 def table_content(version: int) -> bytes:
@@ -60,6 +62,15 @@
         fields = {name.lower(): value.decode() for name, value in exchange.headers}
         return fields.get(b"retry-after")
 
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        self.stopped_s = self.clock.seconds()
+        self.gateway.begin_stop(ANSWERS_S)
+
+    def pass_until(self, since_stop_s: float) -> None:
+        """Run the time until so many seconds after SIGTERM."""
+        self.clock.run_until(self.stopped_s + since_stop_s)
+
     def serve_one(self, kind: str, took_s: float) -> None:
         """Have a request of a kind be answered by a runner after so many seconds."""
         exchange = self.ask(kind)
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -86,10 +86,10 @@
     async def planned_stop(self) -> None:
         """Report as not ready, finish the requests in progress, then return."""
         logger.bind(under_way=self._clients.requests_under_way).info("drain_begun")
-        self.gateway.draining = True
+        schedule = stop_schedule(self._base.settings.bounds.grace_s)
+        self.gateway.begin_stop(schedule.answers_s)
         self._clients.drain()
         clock = self._base.clock
-        schedule = stop_schedule(self._base.settings.bounds.grace_s)
         await sleep(clock, schedule.closes_s)
         close = GracefulShutdown(self._clients, self._client_port, clock)
         await close.finish(schedule.ends_s - schedule.closes_s, self._end_requests)
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -10,6 +10,7 @@
 from rainsail.quarantine.guard import NoGuard, RequestGuard
 from rainsail.relay.origin_client import StreamOrigins, UnknownOrigins
 from rainsail.relay.placement import Placed
+from rainsail.relay.planned_stop import PlannedStop
 from rainsail.relay.protocol import RelayProtocol
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.split import WeightedServicePicker
@@ -49,6 +50,7 @@
     guard: RequestGuard
     beginnings: StreamBeginnings
     origins: StreamOrigins
+    stop: PlannedStop
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks the leader to place a request; calls back with None if the gateway has to choose."""
@@ -108,4 +110,5 @@
         guard or NoGuard(),
         StreamBeginnings(),
         origins or UnknownOrigins(),
+        PlannedStop(clock),
     )
--- a/src/rainsail/relay/continuation.py
+++ b/src/rainsail/relay/continuation.py
@@ -47,6 +47,7 @@
 QUARANTINED = "quarantined, since runners crashed while running this request"
 ON_TRIAL = "on trial, since runners crashed while running this request"
 TIMED_OUT = "the deadline has passed"
+STOPPING = "this gateway is stopping, and the request may not end in time"
 STOPPED = "this gateway has stopped"
 
 OTHER_GATEWAY_AFTER_S = 0.0
@@ -169,12 +170,14 @@
 
     ``route`` comes from the current routing table; None means that the table no longer has one for
     the request. ``quarantined`` requests reach no runner. ``time_left_s`` is the time until the
-    deadline.
+    deadline. ``ends_in_time`` is False when the gateway is stopping and the request would probably
+    outlast its grace time.
     """
 
     route: Route | None
     quarantined: bool
     time_left_s: float
+    ends_in_time: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +265,8 @@
         return _end_quarantined(progress)
     if route is None:
         return _end_without_route(progress, settings)
+    if not terms.ends_in_time:
+        return _refuse_stopping(progress, settings)
     in_time = terms.time_left_s >= settings.min_time_left_s
     harmless = not progress.may_have_run or may_repeat(route, progress.client_has)
     if in_time and harmless and progress.attempts < route.max_attempts:
@@ -367,6 +372,13 @@
     return Refuse(STATUS_BAD_GATEWAY, None, RequestOutcome.HELD, QUARANTINED)
 
 
+def _refuse_stopping(progress: RequestProgress, settings: RelaySettings) -> Ending:
+    """End a request that a stopping gateway doesn't send any more."""
+    if progress.client_has != ClientHas.NOTHING or progress.may_have_run:
+        return give_up(progress, settings)
+    return Refuse(STATUS_UNAVAILABLE, OTHER_GATEWAY_AFTER_S, RequestOutcome.REFUSED, STOPPING)
+
+
 def _end_without_route(progress: RequestProgress, settings: RelaySettings) -> Ending:
     if progress.client_has != ClientHas.NOTHING or progress.may_have_run:
         return give_up(progress, settings)
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -19,6 +19,7 @@
     STATUS_NOT_FOUND,
     STATUS_UNAVAILABLE,
     STOPPED,
+    RequestOutcome,
 )
 from rainsail.relay.early_requests import EarlyRequests
 from rainsail.relay.fleet_updates import FleetUpdates
@@ -46,6 +47,11 @@
 Longer than the 1.2 s between two heartbeats of a runner.
 """
 
+ENDED_BY_ITSELF = frozenset(
+    {RequestOutcome.COMPLETED, RequestOutcome.FAILED, RequestOutcome.EXPIRED}
+)
+"""Outcomes of requests that tell how long those of their route take."""
+
 BatchHandler = Callable[[Exchange, Route, RequestFacts, Identity], None]
 """Handles a request on a batch route, which submits a job."""
 
@@ -88,7 +94,7 @@
         self._updates = FleetUpdates(
             context, follower, messenger, read_table, limits, quotas, placements, self._reporter
         )
-        self._updates.on_table = lambda: self._early.release(self.handle)
+        self._updates.on_table = self._table_changed
         self._updates.on_ledger_leader = lambda address: self.on_ledger_leader(address)
         context.loads.on_change = self._load_changed
         context.announce_prefill = follower.announce_prefill
@@ -97,6 +103,11 @@
         context.admit = quotas.admit
         context.give_back = quotas.give_back
 
+    def _table_changed(self) -> None:
+        if self._context.table is not None:
+            self._context.stop.run_times.keep_only(self._context.table.route_names())
+        self._early.release(self.handle)
+
     def start(self) -> None:
         """Start the periodic closing of stale idle connections to runners."""
         self._close_stale_connections()
@@ -125,6 +136,11 @@
         """The number of requests that are being relayed."""
         return len(self._runs)
 
+    def begin_stop(self, answers_for_s: float) -> None:
+        """Report as not ready; requests that are under way after so many seconds are ended."""
+        self.draining = True
+        self._context.stop.begin(answers_for_s)
+
     def end_requests(self) -> None:
         """End every request, with a complete answer where none has begun: the gateway stops.
 
@@ -275,6 +291,10 @@
         self._runs.discard(run)
         assert run.outcome is not None
         metrics = self._metrics
+        if run.attempts_counted and run.outcome in ENDED_BY_ITSELF:
+            self._context.stop.run_times.add(run.route, run.took_s)
+        if run.is_refused_by_stop:
+            metrics.count("requests_refused_by_stop", kind=run.kind.value)
         metrics.count("requests", kind=run.kind.value, outcome=run.outcome.value)
         metrics.count("request_sends", run.attempts_counted, kind=run.kind.value)
         if run.first_s is not None:
--- /dev/null
+++ b/src/rainsail/relay/planned_stop.py
@@ -0,0 +1,57 @@
+"""Decides which requests a stopping gateway still sends to runners.
+
+A request that has not ended when the grace time is over is cut off from its answer. One that is
+refused before it was sent goes to another gateway at once, so a request is sent only if it is
+expected to end in time. What that means depends on what a wrong guess costs:
+
+* A request that may run only once is cut with an unknown outcome, and its client may not repeat it.
+  It is sent if the longest of the latest run times of its route fits.
+* A request that may be repeated, or a stream that may be resumed, loses some time. It is sent if it
+  is more likely than not to end.
+* Without any run time, or if its deadline comes first, a request is sent if its deadline fits: it
+  is answered by then.
+"""
+
+from rainsail.relay.run_times import RunTimes
+from rainsail.relay.table import Route
+from rainsail.runtime.clock import Clock
+
+
+def ends_in_time(remaining_s: float, time_left_s: float, expected_s: float | None) -> bool:
+    """Tell whether a request that is sent now ends within the remaining grace time.
+
+    ``time_left_s`` is the time until its deadline, ``expected_s`` how long it is expected to take.
+    """
+    longest_s = time_left_s if expected_s is None else min(expected_s, time_left_s)
+    return longest_s <= remaining_s
+
+
+class PlannedStop:
+    """A gateway's planned stop, and what it needs to know beforehand."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.run_times = RunTimes()
+        self._clock = clock
+        self._answers_until_s: float | None = None
+
+    def begin(self, answers_for_s: float) -> None:
+        """Begin the stop: requests under way are ended after so many seconds."""
+        self._answers_until_s = self._clock.seconds() + answers_for_s
+
+    @property
+    def remaining_s(self) -> float | None:
+        """The time until the requests under way are ended; None while no stop has begun."""
+        if self._answers_until_s is None:
+            return None
+        return max(0.0, self._answers_until_s - self._clock.seconds())
+
+    def leaves_time(self, route: Route, time_left_s: float) -> bool:
+        """Tell whether a request may be sent now, ``time_left_s`` before its deadline."""
+        remaining_s = self.remaining_s
+        if remaining_s is None:
+            return True
+        return ends_in_time(remaining_s, time_left_s, self._expected_s(route))
+
+    def _expected_s(self, route: Route) -> float | None:
+        times = self.run_times
+        return times.usual_s(route.name) if route.repeatable else times.longest_s(route.name)
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -215,7 +215,7 @@
         """
         context = self._context
         first_s = answer.first_s
-        logger.bind(
+        log = logger.bind(
             request=self._facts.request,
             route=sender.route.name,
             tenant=self._identity.tenant,
@@ -229,7 +229,11 @@
             held=fingerprint_hex(self._held),
             first_ms=None if first_s is None else round(first_s * MILLISECONDS_PER_S),
             took_ms=round(self._elapsed_s() * MILLISECONDS_PER_S),
-        ).info(f"request_{outcome.value}")
+        )
+        grace_left_s = context.stop.remaining_s
+        if grace_left_s is not None:
+            log = log.bind(grace_left_ms=round(grace_left_s * MILLISECONDS_PER_S))
+        log.info(f"request_{outcome.value}")
         self._request = self._request.without_body()
 
     def _elapsed_s(self) -> float:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -15,6 +15,7 @@
 from rainsail.relay.continuation import (
     LOST_BEGINNING,
     SILENT,
+    STOPPING,
     UNCONFIRMED_BEGINNING,
     Abort,
     AttemptEnd,
@@ -94,6 +95,7 @@
         self._is_trial = False
         """The request may run although it was held before."""
         self._may_have_run = False
+        self._started_s = context.clock.seconds()
         self._deadline = RequestDeadline(context.clock, request, facts, route)
         self._stream_ending = StreamEnding(
             context,
@@ -111,6 +113,11 @@
         """The kind of the request's route, which decides what may be repeated."""
         return self._sender.route.kind
 
+    @property
+    def route(self) -> str:
+        """The name of the request's route."""
+        return self._sender.route.name
+
     @property
     def attempts_counted(self) -> int:
         """The number of attempts that reached the intended runner."""
@@ -121,6 +128,16 @@
         """The id that the client gave to the request."""
         return self._facts.request
 
+    @property
+    def is_refused_by_stop(self) -> bool:
+        """Tell whether the request was not sent, since it would have outlasted a planned stop."""
+        return self.outcome == RequestOutcome.REFUSED and self._recorder.reason == STOPPING
+
+    @property
+    def took_s(self) -> float:
+        """The seconds since the request was complete here."""
+        return self._context.clock.seconds() - self._started_s
+
     @property
     def first_s(self) -> float | None:
         """When the first byte of the answer was sent, in seconds since the request arrived."""
@@ -288,9 +305,9 @@
 
     def _terms(self) -> SendTerms:
         """Return the current constraints: quarantine and routing table may have changed."""
-        return SendTerms(
-            self._current_route(), self._recorder.is_quarantined(), self._deadline.left_s
-        )
+        route, left_s = self._current_route(), self._deadline.left_s
+        ends_in_time = route is None or self._context.stop.leaves_time(route, left_s)
+        return SendTerms(route, self._recorder.is_quarantined(), left_s, ends_in_time)
 
     def _current_route(self) -> Route | None:
         table = self._context.table
@@ -438,6 +455,6 @@
         attempt, route = self._sender.attempt, self._sender.route
         other_runner_left = self._sender.other_runner_left()
         may_leave = may_leave_silent_runner(route, self._answer.client_has, other_runner_left)
-        if attempt is not None and may_leave:
+        if attempt is not None and may_leave and self._terms().ends_in_time:
             attempt.cancel()
             self.answer_interrupted(attempt, SILENT)
