A stopping server answers requests that were sent behind another one

What callers saw: a client that pipelines got its first answer with Connection: close, and the connection closed over its second request, which the server had read. Cause: every answer that begins during a stop said that its connection closes, whatever had arrived behind its request. Now only an answer behind which nothing has arrived says so; a request of which a part has come is refused with 503 when the grace time is over.

Failed before: features/http/planned_stop_end.feature, 'A second request that was sent behind the first is answered too' and '... of which a half was sent ...': the first answer had ('Connection', 'close').

What is left: a request that arrives while the last bytes of an answer with Connection: close are on their way is dropped, as HTTP says.

--- a/features/http/planned_stop_end.feature
+++ b/features/http/planned_stop_end.feature
@@ -30,3 +30,21 @@
     When a caller sends a request, and SIGTERM comes
     And the grace time passes
     Then the caller's answer is broken off
+
+  Scenario: A second request that was sent behind the first is answered too
+    # Guards against: a connection closed behind an answer although the next request has been read.
+    Given a server with a grace time of 8 s whose handler never answers
+    When a caller sends two requests at once, and SIGTERM comes
+    And the handler answers the first request
+    Then the caller has a complete answer of status 200, and its connection stays open
+    And the handler has the second request
+    When the grace time passes
+    Then the caller has a complete answer of status 504 before the process ends
+
+  Scenario: A second request of which a half was sent behind the first is refused
+    Given a server with a grace time of 8 s whose handler never answers
+    When a caller sends one and a half requests at once, and SIGTERM comes
+    And the handler answers the first request
+    Then the caller has a complete answer of status 200, and its connection stays open
+    When the grace time passes
+    Then the caller has a complete answer of status 503 before the process ends
--- a/features/steps/http_planned_stop_end_steps.py
+++ b/features/steps/http_planned_stop_end_steps.py
@@ -14,6 +14,8 @@
 SOCKET_LIMIT_S = 20.0
 EXIT_MARGIN_S = 0.4
 """The process ends this long before the end of its grace time."""
+SOON_S = 0.5
+"""After SIGTERM: the port is closed, and idle connections are."""
 BODY = b"body"
 REQUEST = b"POST / HTTP/1.1\r\nHost: here\r\nContent-Length: 4\r\n\r\n" + BODY
 
@@ -120,6 +122,43 @@
     return bool(stopping.exchanges) or is_refused
 
 
+@when("a caller sends two requests at once, and SIGTERM comes")
+def send_two(context):
+    _send_ahead(context, REQUEST)
+
+
+@when("a caller sends one and a half requests at once, and SIGTERM comes")
+def send_one_and_a_half(context):
+    _send_ahead(context, REQUEST[: len(REQUEST) // 2])
+
+
+def _send_ahead(context, ahead):
+    _connect(context)
+    context.caller.sendall(REQUEST + ahead)
+    wait_until(lambda: in_reactor(lambda: len(context.stopping.exchanges)) == 1, "the request")
+    in_reactor(context.stopping.stop)
+
+
+@when("the handler answers the first request")
+def answers_first(context):
+    in_reactor(lambda: context.stopping.exchanges[0].answer(200, (), b"first"))
+    in_reactor(context.stopping.pass_until, SOON_S)
+
+
+@then("the caller has a complete answer of status {status:d}, and its connection stays open")
+def stays_open(context, status):
+    response = http.client.HTTPResponse(context.caller)
+    response.begin()
+    response.read()
+    assert response.status == status, response.status
+    assert response.getheader("Connection") is None, response.getheaders()
+
+
+@then("the handler has the second request")
+def has_second(context):
+    assert len(context.stopping.exchanges) == 2, context.stopping.exchanges
+
+
 @when("the grace time passes")
 def grace_passes(context):
     in_reactor(context.stopping.pass_until, context.stopping.ends_s)
--- a/src/rainsail/http/server_connection.py
+++ b/src/rainsail/http/server_connection.py
@@ -34,6 +34,7 @@
     UNREAD_BYTES,
     close_if_nothing_unread,
     close_now,
+    has_unread_bytes,
     limit_unread_bytes,
     set_user_timeout,
     unsent_bytes,
@@ -368,7 +369,13 @@
 
     def send_head(self, status: int, headers: HeaderFields) -> None:
         """Send an answer's head."""
-        self._writer.send_head(status, headers, closes=self._server.draining)
+        closes = self._server.draining and not self._has_next_request()
+        self._writer.send_head(status, headers, closes)
+
+    def _has_next_request(self) -> bool:
+        """Tell whether bytes of a request behind the one under way have arrived."""
+        has_read = bool(self._ahead or self._http.trailing_data[0])
+        return has_read or has_unread_bytes(self.transport)
 
     def watch_flow(self, paused: Callable[[bool], None]) -> None:
         """Call ``paused`` with True when the client reads too slowly, with False afterwards."""
