A stopping gateway refuses requests whose bodies would be complete too late

Cause: whether a request ends in time was asked once it was complete. During a stop the requests whose bodies are arriving are now looked at every 0.1 s, by the same decision, and refused with 503 and Retry-After 0 as soon as they are known to be lost. A job's body is read on: jobs may be handed in again.

Cost: during a stop, one look at each connection every 0.1 s.

--- a/features/http/planned_stop_end.feature
+++ b/features/http/planned_stop_end.feature
@@ -48,3 +48,11 @@
     Then the caller has a complete answer of status 200, and its connection stays open
     When the grace time passes
     Then the caller has a complete answer of status 503 before the process ends
+
+  Scenario: A request whose body arrives is refused as soon as it is known to be lost
+    # Guards against: a body that is read on to its end although its request is known to be lost.
+    Given a server with a grace time of 8 s whose handler never answers
+    When SIGTERM comes while the bodies of requests on "/lost" and "/kept" arrive
+    And requests on "/lost" are known to be lost
+    Then the caller of "/lost" has a complete answer of status 503 before it has sent its body
+    And the caller of "/kept" has none
--- a/features/relay/planned_stop.feature
+++ b/features/relay/planned_stop.feature
@@ -96,3 +96,23 @@
     And the grace time of the gateway is over
     Then the request was sent to one runner only
     And the client has a complete answer of status 504, which promises nothing
+
+  Scenario Outline: A <kind> request whose body still arrives <at> s after SIGTERM is <done>
+    # Guards against: a body that is read on to its end although its request is known to be lost.
+    Given a gateway with runners that is about to stop
+    And its latest "<kind>" requests took 2.2 s
+    When SIGTERM comes, and the body of a client's "<kind>" request still arrives <at> s after it
+    Then the request is <done>
+
+    Examples:
+      | kind      | at  | done    |
+      | unsafe    | 4.9 | read on |
+      | unsafe    | 5.1 | refused |
+      | safe      | 4.9 | read on |
+      | safe      | 5.1 | refused |
+
+  Scenario: The body of a job is read on for as long as the stop lasts
+    # A job may be handed in again, and is accepted soon after its body is complete.
+    Given a gateway with runners that is about to stop
+    When SIGTERM comes, and the body of a client's "batch" request still arrives 7.1 s after it
+    Then the request is read on
--- a/features/steps/http_planned_stop_end_steps.py
+++ b/features/steps/http_planned_stop_end_steps.py
@@ -17,6 +17,7 @@
 SOON_S = 0.5
 """After SIGTERM: the port is closed, and idle connections are."""
 BODY = b"body"
+HALF = 2
 REQUEST = b"POST / HTTP/1.1\r\nHost: here\r\nContent-Length: 4\r\n\r\n" + BODY
 
 
@@ -190,3 +191,39 @@
     except (http.client.HTTPException, ConnectionError):
         return
     raise AssertionError(f"looks complete: {body!r}")
+
+
+@when('SIGTERM comes while the bodies of requests on "{lost}" and "{kept}" arrive')
+def bodies_arrive(context, lost, kept):
+    context.callers = {}
+    for path in (lost, kept):
+        _connect(context)
+        context.callers[path] = context.caller
+        head = REQUEST[: -len(BODY)].replace(b"POST /", b"POST " + path.encode())
+        context.caller.sendall(head + BODY[:HALF])
+    wait_until(lambda: in_reactor(_arriving, context) == 2, "both heads are read")
+    in_reactor(context.stopping.stop)
+
+
+def _arriving(context):
+    return sum(each.arriving is not None for each in context.stopping.server.connections)
+
+
+@when('requests on "{path}" are known to be lost')
+def known_lost(context, path):
+    server = context.stopping.server
+    in_reactor(server.refuse_arriving, lambda request: request.target == path.encode())
+
+
+@then(
+    'the caller of "{path}" has a complete answer of status {status:d} before it has sent its body'
+)
+def early_answer(context, path, status):
+    context.caller = context.callers[path]
+    has_answer(context, status)
+
+
+@then('the caller of "{path}" has none')
+def no_answer(context, path):
+    assert in_reactor(_arriving, context) == 1
+    assert not context.stopping.exchanges
--- a/features/steps/relay_planned_stop_steps.py
+++ b/features/steps/relay_planned_stop_steps.py
@@ -144,3 +144,26 @@
     assert "requests_refused_by_stop_total" in page
     lines = [each for each in context.log if each["message"] == "request_refused"]
     assert [line["extra"]["grace_left_ms"] >= 0 for line in lines] == [True], lines
+
+
+@when(
+    'SIGTERM comes, and the body of a client\'s "{kind}" request still arrives {since_s:g} s '
+    "after it"
+)
+def body_arrives(context, kind, since_s):
+    gateway = context.gateway
+    gateway.stop()
+    gateway.pass_until(since_s)
+    context.is_lost = gateway.gateway.is_lost(gateway.arriving(kind))
+
+
+@then("the request is read on")
+def read_on(context):
+    assert not context.is_lost
+
+
+@then("the request is refused")
+def refused_early(context):
+    assert context.is_lost
+    lines = [each for each in context.log if each["message"] == "request_refused"]
+    assert [line["extra"]["request"] for line in lines] == ["arriving"], lines
--- a/features/support/stopping_gateway.py
+++ b/features/support/stopping_gateway.py
@@ -7,8 +7,15 @@
 from features.support.relaying import HOST, SERVICE, StandInExchange
 
 from rainsail.cluster.messages import TableDocument
-
-KINDS = {"unsafe": "unsafe", "safe": "safe", "stream": "stream", "resumable": "stream"}
+from rainsail.http.exchange import HttpRequest
+
+KINDS = {
+    "unsafe": "unsafe",
+    "safe": "safe",
+    "stream": "stream",
+    "resumable": "stream",
+    "batch": "batch",
+}
 TIMEOUT_S = 25.0
 TARGET_S = 0.4
 ANSWERS_S = 7.2
@@ -57,6 +64,12 @@
         self.answers[name] = exchange
         return exchange
 
+    def arriving(self, kind: str) -> HttpRequest:
+        """Return a request of a kind whose head has come a moment ago."""
+        fields = ((b"Host", HOST.encode()), (b"Rainsail-Request", b"arriving"))
+        target = f"/{kind}/1".encode()
+        return HttpRequest(b"POST", target, fields, b"", self.clock.seconds())
+
     def retry_after(self, exchange: StandInExchange) -> str | None:
         """Return the ``Retry-After`` field of an answer; None without one."""
         fields = {name.lower(): value.decode() for name, value in exchange.headers}
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -26,6 +26,8 @@
 from rainsail.runtime.clock import sleep
 
 LEDGER_CALL_TIMEOUT_S = 1.6
+REFUSE_LOST_PERIOD_S = 0.1
+"""How often the requests whose bodies are arriving are looked at during a stop."""
 MILLISECONDS_PER_S = 1000.0
 
 
@@ -64,6 +66,7 @@
         self._clients = base.http_server(port.client_handler(self.gateway, jobs), self._limits)
         self._readiness = base.http_server(port.readiness_handler(self.gateway), probe_limits())
         self._client_port: Any = None
+        self._is_stopped = False
         self._outlasted = 0
         """Requests that were still under way when the grace time was over."""
         base.metrics.gauge("runner_connections_opened", lambda: float(pool.opened))
@@ -89,13 +92,21 @@
         schedule = stop_schedule(self._base.settings.bounds.grace_s)
         self.gateway.begin_stop(schedule.answers_s)
         self._clients.drain()
+        self._refuse_lost()
         clock = self._base.clock
         await sleep(clock, schedule.closes_s)
         close = GracefulShutdown(self._clients, self._client_port, clock)
         await close.finish(schedule.ends_s - schedule.closes_s, self._end_requests)
         logger.bind(under_way=self._outlasted).info("drain_ended")
+        self._is_stopped = True
         self.gateway.stop()
 
+    def _refuse_lost(self) -> None:
+        """Refuse, as soon as that is known, requests whose bodies would be complete too late."""
+        if not self._is_stopped:
+            self._clients.refuse_arriving(self.gateway.is_lost)
+            self._base.clock.callLater(REFUSE_LOST_PERIOD_S, self._refuse_lost)
+
     def _end_requests(self) -> None:
         """End what outlasts the grace time."""
         self._outlasted = self._clients.requests_under_way
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -6,7 +6,7 @@
 from twisted.internet.protocol import Factory
 
 from rainsail.budget.client_budget import ClientBudget
-from rainsail.http.exchange import Exchange, Handler
+from rainsail.http.exchange import Exchange, Handler, HttpRequest
 from rainsail.http.limits import HttpLimits
 from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.request_body import Refusal
@@ -17,6 +17,7 @@
 STOPPING = "stopping"
 OTHER_SERVER_AFTER_S = 0.0
 """Told to a client that is refused by a planned stop: another server takes its request at once."""
+REFUSAL = Refusal(STATUS_UNAVAILABLE, STOPPING, OTHER_SERVER_AFTER_S)
 
 
 class HttpServer(Factory):
@@ -60,6 +61,16 @@
             if not connection.awaits_first_request:
                 connection.close_if_idle()
 
+    def refuse_arriving(self, is_lost: Callable[[HttpRequest], bool]) -> None:
+        """Refuse the requests whose bodies are arriving and of which ``is_lost`` says so.
+
+        ``is_lost`` gets each of them without its body.
+        """
+        for connection in list(self.connections):
+            request = connection.arriving
+            if request is not None and is_lost(request):
+                connection.end_request(REFUSAL)
+
     def end_requests(self) -> None:
         """End every request with a complete answer, and refuse those that come later.
 
@@ -67,9 +78,8 @@
         whether the request has run. An answer that has begun is reset.
         """
         self.handler = _refuse_late
-        refusal = Refusal(STATUS_UNAVAILABLE, STOPPING, OTHER_SERVER_AFTER_S)
         for connection in list(self.connections):
-            connection.end_request(refusal)
+            connection.end_request(REFUSAL)
 
     def abort_unframed(self) -> None:
         """Reset the connections whose answers an orderly close would make look complete."""
--- a/src/rainsail/http/server_connection.py
+++ b/src/rainsail/http/server_connection.py
@@ -351,13 +351,7 @@
         head, body = self._head, self._body
         assert head is not None and body is not None
         self._disarm()
-        request = HttpRequest(
-            bytes(head.method),
-            bytes(head.target),
-            tuple(head.headers.raw_items()),
-            body.finish(),
-            self._received_s,
-        )
+        request = self._request_of(head, body.finish())
         self._head, self._body = None, None
         self._has_carried_request = True
         exchange = ServerExchange(self, request)
@@ -367,6 +361,10 @@
         if not self._lost:
             self._server.handler(exchange)
 
+    def _request_of(self, head: h11.Request, body: bytes) -> HttpRequest:
+        fields = tuple(head.headers.raw_items())
+        return HttpRequest(bytes(head.method), bytes(head.target), fields, body, self._received_s)
+
     def send_head(self, status: int, headers: HeaderFields) -> None:
         """Send an answer's head."""
         closes = self._server.draining and not self._has_next_request()
@@ -440,6 +438,13 @@
         if close_if_nothing_unread(self.transport, self.transport.loseConnection):
             self._lost = True
 
+    @property
+    def arriving(self) -> HttpRequest | None:
+        """The request whose body is arriving, without its body; None if there is none."""
+        if self._head is None or self._lost:
+            return None
+        return self._request_of(self._head, b"")
+
     def end_request(self, refusal: Refusal) -> None:
         """End the request under way; refuse one of which only a part has arrived."""
         if self._exchange is not None:
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -9,7 +9,7 @@
 
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.table_confirmation import TableConfirmation
-from rainsail.http.exchange import Exchange
+from rainsail.http.exchange import Exchange, HttpRequest
 from rainsail.http.server import HttpLimits
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
@@ -19,6 +19,7 @@
     STATUS_NOT_FOUND,
     STATUS_UNAVAILABLE,
     STOPPED,
+    STOPPING,
     RequestOutcome,
 )
 from rainsail.relay.early_requests import EarlyRequests
@@ -27,6 +28,7 @@
 from rainsail.relay.load_reports import LoadReporter
 from rainsail.relay.placement import PlacementClient
 from rainsail.relay.protocol import RequestFacts
+from rainsail.relay.request_deadline import RequestDeadline
 from rainsail.relay.run import RelayRun
 from rainsail.relay.table import Route, RouteKind
 from rainsail.relay.table_reader import TableReader
@@ -141,6 +143,24 @@
         self.draining = True
         self._context.stop.begin(answers_for_s)
 
+    def is_lost(self, request: HttpRequest) -> bool:
+        """Tell whether a request could no longer end in time if its body were complete now.
+
+        It is then refused while its body arrives, and logged here.
+        """
+        table = self._context.table
+        facts = self._context.protocol.describe(request)
+        route = None if table is None else table.match(facts.host, facts.path)
+        if route is None or route.kind == RouteKind.BATCH:
+            return False
+        deadline = RequestDeadline(self._context.clock, request, facts, route)
+        if self._context.stop.leaves_time(route, deadline.left_s):
+            return False
+        log = logger.bind(request=facts.request, route=route.name, reason=STOPPING)
+        log.bind(grace_left_ms=self._context.stop.remaining_ms).info("request_refused")
+        self._metrics.count("requests_refused_by_stop", kind=route.kind.value)
+        return True
+
     def end_requests(self) -> None:
         """End every request, with a complete answer where none has begun: the gateway stops.
 
--- a/src/rainsail/relay/planned_stop.py
+++ b/src/rainsail/relay/planned_stop.py
@@ -16,6 +16,8 @@
 from rainsail.relay.table import Route
 from rainsail.runtime.clock import Clock
 
+MILLISECONDS_PER_S = 1000.0
+
 
 def ends_in_time(remaining_s: float, time_left_s: float, expected_s: float | None) -> bool:
     """Tell whether a request that is sent now ends within the remaining grace time.
@@ -45,6 +47,12 @@
             return None
         return max(0.0, self._answers_until_s - self._clock.seconds())
 
+    @property
+    def remaining_ms(self) -> int | None:
+        """``remaining_s`` in whole milliseconds, for the log."""
+        remaining_s = self.remaining_s
+        return None if remaining_s is None else round(remaining_s * MILLISECONDS_PER_S)
+
     def leaves_time(self, route: Route, time_left_s: float) -> bool:
         """Tell whether a request may be sent now, ``time_left_s`` before its deadline."""
         remaining_s = self.remaining_s
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -230,9 +230,9 @@
             first_ms=None if first_s is None else round(first_s * MILLISECONDS_PER_S),
             took_ms=round(self._elapsed_s() * MILLISECONDS_PER_S),
         )
-        grace_left_s = context.stop.remaining_s
-        if grace_left_s is not None:
-            log = log.bind(grace_left_ms=round(grace_left_s * MILLISECONDS_PER_S))
+        grace_left_ms = context.stop.remaining_ms
+        if grace_left_ms is not None:
+            log = log.bind(grace_left_ms=grace_left_ms)
         log.info(f"request_{outcome.value}")
         self._request = self._request.without_body()
 
