--- a/features/support/stopping_gateway.py
+++ b/features/support/stopping_gateway.py
@@ -7,10 +7,19 @@
 from features.support.relaying import HOST, SERVICE, StandInExchange
 
 from rainsail.cluster.messages import TableDocument
-
-KINDS = {"unsafe": "unsafe", "safe": "safe", "stream": "stream", "resumable": "stream"}
+from rainsail.http.exchange import HttpRequest
+
+KINDS = {
+    "unsafe": "unsafe",
+    "safe": "safe",
+    "stream": "stream",
+    "resumable": "stream",
+    "batch": "batch",
+}
 TIMEOUT_S = 25.0
-TARGET_S = 3.0
+TARGET_S = 0.4
+ANSWERS_S = 7.2
+"""With a grace time of 8 s requests are ended so many seconds after SIGTERM."""
 
 
 def table_content(version: int) -> bytes:
@@ -55,11 +64,26 @@
         self.answers[name] = exchange
         return exchange
 
+    def arriving(self, kind: str) -> HttpRequest:
+        """Return a request of a kind whose head has come a moment ago."""
+        fields = ((b"Host", HOST.encode()), (b"Rainsail-Request", b"arriving"))
+        target = f"/{kind}/1".encode()
+        return HttpRequest(b"POST", target, fields, b"", self.clock.seconds())
+
     def retry_after(self, exchange: StandInExchange) -> str | None:
         """Return the ``Retry-After`` field of an answer; None without one."""
         fields = {name.lower(): value.decode() for name, value in exchange.headers}
         return fields.get(b"retry-after")
 
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        self.stopped_s = self.clock.seconds()
+        self.gateway.begin_stop(ANSWERS_S)
+
+    def pass_until(self, since_stop_s: float) -> None:
+        """Run the time until so many seconds after SIGTERM."""
+        self.clock.run_until(self.stopped_s + since_stop_s)
+
     def serve_one(self, kind: str, took_s: float) -> None:
         """Have a request of a kind be answered by a runner after so many seconds."""
         exchange = self.ask(kind)
