What runners send counts in the process's account, and gives way first

Cause: each answer had its bound (an event 4 MiB, a buffered body 256 KiB), and nothing bounded the sum.

Evidence on the code before: features/crowds/runners.feature, real processes with 88 MB, 40 requests: gateway 230.8 MB (an event), 249.3 MB (an event without framing), 150.0 MB (a body in chunks of two bytes); 3 of 3 scenarios failed. They pass now.

The account gets one more kind, "runner": the pending event of a stream, or the buffered part of another answer, from 4 KiB on. When there is no room, answers with a pending event over 64 KiB, or any part older than a second, give way before any client, the largest first; one that its client does not take never does. A body without room is passed on early. An answer that gives way is broken off: the runner counts as failing, the request goes elsewhere where it may. Broken answers drop what they had buffered at once rather than with the request.

Metric: client_held_runner_bytes. Cost: none for an answer whose pending part stays below 4 KiB but one comparison for each read; above it one entry.

--- a/src/rainsail/budget/client_budget.py
+++ b/src/rainsail/budget/client_budget.py
@@ -1,6 +1,7 @@
-"""The account of what all clients of a process hold together: memory and connections."""
+"""The account of what clients, and answers of runners, hold together: memory and connections."""
 
 from collections.abc import Callable
+from itertools import chain
 
 from rainsail.budget.eviction import Claimant, choose
 from rainsail.budget.memory import HeldKind, Holding, MemoryAccount
@@ -31,6 +32,8 @@
         self.refusal_listeners: list[Callable[[str], None]] = []
         """Called with the reason of each refusal."""
         self._claimants: dict[Claimant, None] = {}
+        self._answers: dict[Claimant, None] = {}
+        """The answers of runners of which a part is counted."""
         self._next_search_s = float("-inf")
 
     def set_limits(self, limits: BudgetLimits) -> None:
@@ -68,6 +71,18 @@
         self._claimants.pop(claimant, None)
         holding.close()
 
+    # --- answers of runners --------------------------------------------------------------
+
+    def open_answer(self, claimant: Claimant) -> Holding:
+        """Begin to count what is held of a runner's answer; it is no connection of a client."""
+        self._answers[claimant] = None
+        return Holding(self.memory)
+
+    def close_answer(self, claimant: Claimant, holding: Holding) -> None:
+        """Stop counting a runner's answer."""
+        self._answers.pop(claimant, None)
+        holding.close()
+
     # --- refusals ------------------------------------------------------------------------
 
     def refused(self, reason: str, status: int, held_bytes: int = 0) -> None:
@@ -85,11 +100,12 @@
             self._evict(missing_bytes, 0, at_once=False)
 
     def _evict(self, needed_bytes: int, least_count: int, at_once: bool) -> bool:
-        """Have clients give way; return whether any did."""
+        """Have clients give way, answers of runners before them; return whether any did."""
         now = self.seconds()
         if now < self._next_search_s:
             return False
-        chosen = choose(self._claimants, needed_bytes, least_count, now)
+        among = self._claimants if least_count else chain(self._answers, self._claimants)
+        chosen = choose(among, needed_bytes, least_count, now)
         for claimant in chosen:
             claimant.give_way(at_once)
         if not chosen:
--- a/src/rainsail/budget/eviction.py
+++ b/src/rainsail/budget/eviction.py
@@ -1,6 +1,7 @@
-"""Which clients give way when there is no room for another.
+"""Which clients give way when there is no room for another, and which answers of runners.
 
-The clients that make the least progress for what they hold come first. A client whose request is
+Answers of which a large part is pending come first, since a sound runner completes what it begins.
+Then come the clients that make the least progress for what they hold. A client whose request is
 being answered, or that makes progress, never gives way to another.
 """
 
@@ -18,15 +19,17 @@
 
 
 class Rank(IntEnum):
-    """What a client is doing, in the order in which clients give way."""
+    """What a client or a runner is doing, in the order in which they give way."""
 
-    REFUSED = 0
+    RUNNER = 0
+    """A runner does not complete a part of its answer."""
+    REFUSED = 1
     """It was refused and still sends."""
-    BODY = 1
+    BODY = 2
     """Its request is arriving."""
-    ANSWER = 2
+    ANSWER = 3
     """It does not take its answer."""
-    IDLE = 3
+    IDLE = 4
     """Its connection has no request."""
 
 
@@ -36,12 +39,13 @@
 
     rank: Rank
     progress_per_byte: float
+    """For each byte held: bytes a second of a client; of a runner the one answer that would end."""
     since_s: float
     """When it began what it is doing."""
 
 
 class Claimant(Protocol):
-    """A client's connection, as seen by the budget."""
+    """A client's connection, or a runner's answer, as seen by the budget."""
 
     @property
     def held_bytes(self) -> int:
--- a/src/rainsail/budget/gauges.py
+++ b/src/rainsail/budget/gauges.py
@@ -20,4 +20,5 @@
     metrics.gauge("client_held_answer_bytes", lambda: float(held[HeldKind.ANSWER]))
     metrics.gauge("client_held_unread_bytes", lambda: float(held[HeldKind.UNREAD]))
     metrics.gauge("client_held_job_bytes", lambda: float(held[HeldKind.JOB]))
+    metrics.gauge("client_held_runner_bytes", lambda: float(held[HeldKind.RUNNER]))
     budget.refusal_listeners.append(lambda reason: metrics.count("clients_refused", reason=reason))
--- a/src/rainsail/budget/memory.py
+++ b/src/rainsail/budget/memory.py
@@ -1,4 +1,4 @@
-"""The account of the memory that clients hold, by kind."""
+"""The account of the memory that clients, and answers of runners, hold, by kind."""
 
 from collections.abc import Callable
 from enum import StrEnum
@@ -23,6 +23,8 @@
     """Bytes in the kernel that are not read for now."""
     JOB = "job"
     """Copies of a job that is being taken in."""
+    RUNNER = "runner"
+    """The part of runners' answers that can't be passed on yet."""
 
 
 LARGE_SHARE = 0.75
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -52,6 +52,7 @@
             RegionMap(base.settings.node.zones),
             QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics),
             StreamOriginClient(base.messenger, base.clock, base.follower, base.metrics),
+            base.budget,
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from rainsail.budget.runner_answer import UNCOUNTED_BYTES, RunnerAnswer
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
 from rainsail.http.pool import Call
@@ -10,6 +11,7 @@
 from rainsail.relay.continuation import (
     CLOSED_EARLY,
     FOREIGN_ANSWER,
+    NO_ROOM,
     OVERLONG_EVENT,
     AttemptEnd,
     HeadKind,
@@ -77,6 +79,10 @@
         """What has been buffered of an answer that is not a stream."""
         self.body_bytes = 0
         """The size of what has arrived of that answer."""
+        self.has_room = True
+        """Whether there is room to buffer more of that answer."""
+        self._held: RunnerAnswer | None = None
+        """Counts what is held of the answer, once that is worth counting."""
         self.stream: EventStream | None = None
         self.call: Call | None = None
         self.version = context.registry.version_at_start(record)
@@ -156,14 +162,32 @@
             return
         self.body += data
         self.body_bytes += len(data)
+        self.has_room = self._hold(len(self.body))
+        if self._over:
+            return
         self._owner.body_received(self)
 
     def _take_events(self, stream: EventStream, data: bytes) -> None:
         events = stream.feed(data)
-        if events:
+        has_room = self._hold(stream.pending_bytes)
+        if events and not self._over:
             self._owner.events_received(self, events)
         if stream.is_overlong:
             self._fail(OVERLONG_EVENT)
+        elif not has_room:
+            self._fail(NO_ROOM)
+
+    def _hold(self, amount: int) -> bool:
+        """Count what is held of the answer; return False if there is no room for it."""
+        if self._held is None:
+            if amount <= UNCOUNTED_BYTES:
+                return True
+            self._held = RunnerAnswer(self._context.budget, self._give_way, self.is_stream)
+            self._held.is_paused = self._is_paused
+        return self._held.hold(amount)
+
+    def _give_way(self) -> None:
+        self._fail(NO_ROOM)
 
     def answer_ended(self) -> None:
         """The answer has ended without an error, which a truncated stream may do too."""
@@ -189,31 +213,51 @@
 
     # --- called by the owner -------------------------------------------------------------
 
+    def take_body(self) -> bytes:
+        """Take what has been buffered of an answer that is not a stream."""
+        body, self.body = bytes(self.body), bytearray()
+        self._hold(0)
+        return body
+
     def set_paused(self, is_paused: bool) -> None:
         """Pause or continue the reading of the answer; a paused runner does not count as silent."""
         if self._over or self.call is None or is_paused == self._is_paused:
             return
         self._is_paused = is_paused
+        if self._held is not None:
+            self._held.is_paused = is_paused
         self._context.loads.set_paused(self.record.runner, is_paused, self._context.clock.seconds())
         self.call.set_paused(is_paused)
 
     def cancel(self) -> None:
         """Close the connection; the owner gets no more callbacks."""
-        if self._end() and self.call is not None:
+        if not self._end():
+            return
+        self._drop_held()
+        if self.call is not None:
             self.call.cancel()
 
     def _fail(self, reason: str) -> None:
         if not self._end():
             return
+        self._drop_held()
         if self.call is not None:
             self.call.cancel()
         self._owner.answer_interrupted(self, reason)
 
+    def _drop_held(self) -> None:
+        """Drop what has been buffered: objects that refer to each other keep the attempt longer."""
+        self.body = bytearray()
+        if self.stream is not None:
+            self.stream.drop_pending()
+
     def _end(self) -> bool:
         """Mark the attempt as ended; return False if it had ended already."""
         if self._over:
             return False
         self._over = True
+        if self._held is not None:
+            self._held.close()
         if self._is_paused:
             self._context.loads.set_paused(self.record.runner, False, self._context.clock.seconds())
         self._context.loads.ended(self.record.runner, self._context.clock.seconds())
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -211,8 +211,7 @@
     def write_body(self, attempt: Attempt) -> None:
         """Write what has been buffered of a body."""
         self._begin(attempt)
-        body, attempt.body = attempt.body, bytearray()
-        self._exchange.write(bytes(body))
+        self._exchange.write(attempt.take_body())
 
     def end_stream(self, attempt: Attempt) -> None:
         """End a stream as complete."""
@@ -230,7 +229,7 @@
         self._record_first_byte()
         self.state = AnswerState.OVER
         headers = self._protocol.answer_headers(attempt.head)
-        self._exchange.answer(attempt.head.status, headers, bytes(attempt.body))
+        self._exchange.answer(attempt.head.status, headers, attempt.take_body())
 
     def refuse(self, status: int, retry_after_s: float | None) -> None:
         """Answer with a status and no body; an answer that has begun is aborted instead."""
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from rainsail.budget.client_budget import ClientBudget
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
@@ -49,6 +50,8 @@
     guard: RequestGuard
     beginnings: StreamBeginnings
     origins: StreamOrigins
+    budget: ClientBudget
+    """Counts what is held of the answers of runners, as well as what clients hold."""
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks the leader to place a request; calls back with None if the gateway has to choose."""
@@ -84,8 +87,9 @@
     regions: RegionMap = NO_REGIONS,
     guard: RequestGuard | None = None,
     origins: StreamOrigins | None = None,
+    budget: ClientBudget | None = None,
 ) -> RelayContext:
-    """Build a gateway's context."""
+    """Build a gateway's context; ``budget`` is that of the process, by default one of its own."""
     loads = RunnerLoads(settings.mechanisms)
     prefixes = PrefixMemory(settings.mechanisms)
     chooser = RunnerChooser(
@@ -108,4 +112,5 @@
         guard or NoGuard(),
         StreamBeginnings(),
         origins or UnknownOrigins(),
+        budget or ClientBudget(clock.seconds),
     )
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -104,8 +104,14 @@
         return [parse_event(raw) for raw in raw_events]
 
     def last_events(self) -> list[Event]:
-        """Return the pending event, if any: a framed end completes it without a blank line."""
-        return [parse_event(bytes(self._pending))] if self._pending else []
+        """Take the pending event, if any: a framed end completes it without a blank line."""
+        events = [parse_event(bytes(self._pending))] if self._pending else []
+        self.drop_pending()
+        return events
+
+    def drop_pending(self) -> None:
+        """Drop the pending event: the answer has been given up."""
+        self._pending = bytearray()
 
     def _split(self, data: bytes) -> list[bytes]:
         """Return the raw events in ``data``; the incomplete remainder becomes pending."""
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -327,8 +327,11 @@
             self._sender.continue_at(self._origin.origin)
 
     def body_received(self, attempt: Attempt) -> None:
-        """Forward a large answer before its end, unless it is a failure that is not forwarded."""
-        if attempt.body_bytes < self._context.settings.buffered_bytes:
+        """Forward a large answer, or one without room, before its end.
+
+        A failure that is not forwarded is dropped instead.
+        """
+        if attempt.body_bytes < self._context.settings.buffered_bytes and attempt.has_room:
             return
         if self._forwards_answer(attempt):
             self._answer.write_body(attempt)
