Streams of very small events are passed on in turns

Cause: a read of 64 KiB may hold thirty thousand events. All of them were parsed and written in the turn of the read, about 0.1 s for each connection: the bound on a turn counted the events of HTTP, not the lines behind them.

Cost in calm: two counts of a byte in each piece of a stream.

--- a/features/http/runner_answers.feature
+++ b/features/http/runner_answers.feature
@@ -53,6 +53,27 @@
     When the answer of each call goes on
     Then more is read from the runners
 
+  Scenario Outline: A stream of very small events takes turns with others
+    Given calls to 20 runners that answer each call with a stream of events
+    When each runner sends <events> events "<event>" in one chunk and the end of its answer
+    Then no call has ended
+    And nothing more is read from the runners
+    And each turn brings at most 2048 lines of answers
+    When the process has worked through what it has received
+    Then each call has a whole answer of <bytes> bytes
+    And each connection may be used again
+
+    Examples:
+      | events | event   | bytes |
+      | 30000  | LF      | 30000 |
+      | 30000  | CR      | 30000 |
+      | 15000  | : LF LF | 45000 |
+
+  Scenario: A stream with a long line does not wait for turns
+    Given calls to 1 runner that answers each call with a stream of events
+    When each runner sends 1 events "60000 x LF LF" in one chunk and the end of its answer
+    Then each call has a whole answer of 60002 bytes
+
   Scenario: Interim answers without end are no answer
     Given calls to 1 runner that answers each call not at all so far
     When each runner sends 100 interim answers
--- a/features/steps/http_runner_answer_steps.py
+++ b/features/steps/http_runner_answer_steps.py
@@ -15,6 +15,8 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 HEADS = {
     "not at all so far": b"",
+    "with a stream of events": b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n",
     "in chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
 READ_BYTES = 64 * 1024
@@ -72,6 +74,7 @@
 
     def __init__(self):
         self.size = 0
+        self.lines = 0
         self.end = ""
         self.reason = ""
 
@@ -79,8 +82,9 @@
         """Nothing to do."""
 
     def answer_data(self, data):
-        """Count the bytes."""
+        """Count the bytes and the lines."""
         self.size += len(data)
+        self.lines += data.count(b"\n") + data.count(b"\r")
 
     def answer_ended(self):
         """Record the end."""
@@ -136,6 +140,28 @@
         each.send(HEADS[framing])
 
 
+WORDS = {"LF": b"\n", "CR": b"\r", ":": b":", "x": b"x"}
+
+
+@step('each runner sends {count:d} events "{event}" in one chunk and the end of its answer')
+def send_tiny_events(context, count, event):
+    words = event.split()
+    first = int(words.pop(0)) if words[0].isdigit() else 1
+    raw = WORDS[words[0]] * first + b"".join(WORDS[word] for word in words[1:])
+    data = raw * count
+    for each in context.calls:
+        each.send(f"{len(data):x}\r\n".encode() + data + b"\r\n0\r\n\r\n")
+
+
+@then("each turn brings at most {count:d} lines of answers")
+def bounded_lines(context, count):
+    for _ in range(20):
+        before = sum(each.answer.lines for each in context.calls)
+        context.calls_clock.turn()
+        brought = sum(each.answer.lines for each in context.calls) - before
+        assert 0 < brought <= count, brought
+
+
 @step("each runner sends {count:d} interim answers")
 def send_interim(context, count):
     for each in context.calls:
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -19,6 +19,7 @@
 from zope.interface import implementer
 
 from rainsail.http.headers import HeaderFields, header_number, header_text, header_value
+from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
 
@@ -30,6 +31,7 @@
 MAX_INTERIM_ANSWERS = 32
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
+EVENT_STREAM = b"text/event-stream"
 CONNECTION_CLOSED = "connection closed"
 CONNECTION_RESET = "connection reset"
 CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
@@ -71,6 +73,12 @@
             return Framing.LENGTH
         return Framing.CLOSE
 
+    @property
+    def has_lines(self) -> bool:
+        """Tell whether the work for the body grows with its lines: it is a stream of events."""
+        content_type = header_value(self.headers, b"content-type")
+        return content_type is not None and content_type.lower().startswith(EVENT_STREAM)
+
 
 class AnswerListener(TypingProtocol):
     """Receives one answer; ``answer_ended`` or ``answer_failed`` is the last callback."""
@@ -118,6 +126,11 @@
         self._parsing = parsing
         self._is_parsing_later = False
         """Received data waits in the parsing queue; nothing is read meanwhile."""
+        self._has_lines = False
+        """The answer is passed on by shares of bounded numbers of lines."""
+        self._unpassed = b""
+        """Parsed data of the answer that waits for its turn, ahead of ``_waiting_event``."""
+        self._waiting_event: Any = None
         self._is_paused = False
         """The answer is not read for now, as its receiver is too slow."""
         self._closed_in_order: bool | None = None
@@ -224,11 +237,19 @@
             for _ in range(max_events):
                 if self._listener is None:
                     return False
-                event = self._http.next_event()
+                if self._unpassed:
+                    self._pass_on([self._unpassed])
+                    return True
+                event, self._waiting_event = self._waiting_event, None
+                if event is None:
+                    event = self._http.next_event()
                 if isinstance(event, h11.Data):
                     pieces.append(event.data)
                     continue
                 self._pass_on(pieces)
+                if self._unpassed:
+                    self._waiting_event = event
+                    return True
                 if not self._take_event(event):
                     return False
         except h11.RemoteProtocolError as error:
@@ -240,10 +261,14 @@
         return self._listener is not None
 
     def _pass_on(self, pieces: list[bytes]) -> None:
-        if pieces and self._listener is not None:
-            data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
-            pieces.clear()
-            self._listener.answer_data(bytes(data))
+        """Pass pieces of the body on together; what is beyond a share of lines waits."""
+        if not pieces or self._listener is None:
+            return
+        data = bytes(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+        pieces.clear()
+        size = share_of(data) if self._has_lines else len(data)
+        self._unpassed = data[size:]
+        self._listener.answer_data(data[:size])
 
     def _take_event(self, event: Any) -> bool:
         """Handle an event other than data; return whether to look for the next one."""
@@ -264,7 +289,9 @@
         fields = tuple(event.headers.raw_items())
         keep_alive = header_text(fields, b"keep-alive")
         self._idle_s = _keep_alive_s(keep_alive)
-        self._listener.answer_begun(AnswerHead(event.status_code, fields))
+        head = AnswerHead(event.status_code, fields)
+        self._has_lines = head.has_lines
+        self._listener.answer_begun(head)
 
     def _take_end(self) -> None:
         listener, self._listener = self._listener, None
