--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -54,6 +54,7 @@
             QuarantineAgent(base.messenger, base.clock, base.follower, pool, base.metrics),
             StreamOriginClient(base.messenger, base.clock, base.follower, base.metrics),
             ControllerVersionQuorum(base.messenger, base.clock, base.follower, base.metrics),
+            base.budget,
         )
         self.gateway = RelayGateway(
             context, base.follower, base.messenger, port.read_table, self._limits, base.metrics
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from rainsail.budget.client_budget import ClientBudget
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.pool import ConnectionPool
@@ -53,6 +54,8 @@
     origins: StreamOrigins
     version_quorum: VersionQuorum
     stop: PlannedStop
+    budget: ClientBudget
+    """Counts what is held of the answers of runners, as well as what clients hold."""
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks the leader to place a request; calls back with None if the gateway has to choose."""
@@ -89,8 +92,9 @@
     guard: RequestGuard | None = None,
     origins: StreamOrigins | None = None,
     version_quorum: VersionQuorum | None = None,
+    budget: ClientBudget | None = None,
 ) -> RelayContext:
-    """Build a gateway's context."""
+    """Build a gateway's context; ``budget`` is that of the process, by default one of its own."""
     loads = RunnerLoads(settings.mechanisms)
     prefixes = PrefixMemory(settings.mechanisms)
     chooser = RunnerChooser(
@@ -115,4 +119,5 @@
         origins or UnknownOrigins(),
         version_quorum or NoVersionQuorum(),
         PlannedStop(clock),
+        budget or ClientBudget(clock.seconds),
     )
