--- a/src/rainsail/relay/planned_stop.py
+++ b/src/rainsail/relay/planned_stop.py
@@ -12,7 +12,7 @@
   is answered by then.
 """
 
-from rainsail.relay.run_times import RunTimes
+from rainsail.relay.run_times import RouteRunTimes
 from rainsail.relay.table import Route
 from rainsail.runtime.clock import Clock
 
@@ -32,7 +32,7 @@
     """A gateway's planned stop, and what it needs to know beforehand."""
 
     def __init__(self, clock: Clock) -> None:
-        self.run_times = RunTimes()
+        self.run_times = RouteRunTimes()
         self._clock = clock
         self._answers_until_s: float | None = None
 
--- a/src/rainsail/relay/run_times.py
+++ b/src/rainsail/relay/run_times.py
@@ -8,7 +8,7 @@
 """Latest run times of a route. Enough for the longest of them to be near the longest there is."""
 
 
-class RunTimes:
+class RouteRunTimes:
     """Run times by route, in seconds."""
 
     def __init__(self) -> None:
