Find the versions to share when one is new, else once a heartbeat period

A version of which the runner's record arrives after it is found at the first request that asks for it.

--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -111,7 +111,8 @@
             origin = result.ok.origin
         if origin is not None or not self.waiting:
             self.over = True
-            # A gateway reports to several controllers: with fewer away, one of them has answered.
+            # A gateway in touch reports to several controllers: with fewer away, one has answered.
+            # That tells whether another search may find more, not where the stream may go on.
             is_certain = origin is not None or self.failed < COPIES
             self.found(FoundOrigin(origin, is_certain, tuple(self.heard)))
 
--- a/src/rainsail/relay/version_quorum.py
+++ b/src/rainsail/relay/version_quorum.py
@@ -11,6 +11,7 @@
 from expression import Result
 
 from rainsail.cluster.follower import CALL_TIMEOUT_S, FleetFollower
+from rainsail.cluster.known_controllers import HEARTBEAT_PERIOD_S
 from rainsail.cluster.registry import GONE_VERSION_TTL_S
 from rainsail.cluster.runner_versions import NO_VERSION
 from rainsail.cluster.service_versions import (
@@ -26,6 +27,7 @@
 from rainsail.wire.extensions import SERVICE_VERSIONS
 from rainsail.wire.messenger import Messenger
 
+UPDATED_NEVER = (-1, float("-inf"))
 RENEWAL_PERIOD_S = GONE_VERSION_TTL_S / 10
 """A gateway shares the versions that it knows again after this time."""
 
@@ -139,6 +141,8 @@
         self._controllers: dict[str, _Shared] = {}
         self._pairs: frozenset[tuple[str, str]] = frozenset()
         self._revision = 0
+        self._updated_at = UPDATED_NEVER
+        """The revision of the registry's versions by which the pairs were found, and the time."""
         self._confirmed: set[tuple[str, str]] = set()
         follower.on_heard = self._share
 
@@ -151,8 +155,13 @@
         """
         if (service, version) in self._confirmed or self._is_unsupported():
             return True
-        versions = self._follower.registry.versions_by_service()
-        return version == NO_VERSION and versions.get(service) == {NO_VERSION}
+        if version == NO_VERSION:
+            versions = self._follower.registry.versions_by_service()
+            return versions.get(service) == {NO_VERSION}
+        if (service, version) not in self._pairs:
+            self._updated_at = UPDATED_NEVER
+            self._share()
+        return False
 
     def confirm_sole(
         self, service: str, version: str, answered: Callable[[SoleVersionAnswer], None]
@@ -188,6 +197,11 @@
                 self._share_with(controller)
 
     def _update_pairs(self) -> None:
+        """Find the known pairs anew when a version is new, else once in a heartbeat period."""
+        revision, now = self._follower.registry.versions.revision, self._clock.seconds()
+        if revision == self._updated_at[0] and now - self._updated_at[1] < HEARTBEAT_PERIOD_S:
+            return
+        self._updated_at = revision, now
         by_service = self._follower.registry.versions_by_service()
         pairs = frozenset(
             (service, version)
