Items that one more lost leader would hold sit out a longer series of leader changes

Callers saw a sound item held to its retention limit where leaders were lost every few seconds (some 15 losses in 50 s): three runs without a known answer may have been three answers of 422.

Cost: an item with two unknown runs is sent 8 s, not 5 s, after a leader's start. No other item waits.

--- a/src/rainsail/jobs/after_run.py
+++ b/src/rainsail/jobs/after_run.py
@@ -47,7 +47,7 @@
 With these limits (after 3 runs, from 0.5 s to 8 s) an item whose answer cannot be parsed runs 4 to
 14 times in 60 s; without a backoff it runs 38 times.
 """
-STEADY_LEADERSHIP_S = 5.0
+STEADY_LEADERSHIP_S = 8.0
 """Age of a leadership from which items are sent that the loss of one more leader would hold.
 
 Longer than an election takes, so that such items sit out a series of leader changes.
