A stopping native front answers requests that were sent behind another one

The same fault as in the relaying servers, looked for at the caller API and the operator's site: Twisted closes a connection behind an answer that says so, and what had been read of the next request is dropped. An answer behind which another request has been read doesn't announce the close any more; that request's answer does.

Failed before: features/http/planned_stop.feature, 'A request that was sent behind another one is answered: the caller API' (closed behind the first answer); passes now, as for a relaying gateway.

--- a/features/http/planned_stop.feature
+++ b/features/http/planned_stop.feature
@@ -84,3 +84,15 @@
       | server             |
       | the caller API     |
       | a relaying gateway |
+
+  Scenario Outline: A request that was sent behind another one is answered: <server>
+    # Guards against: a connection closed behind an answer although the next request has been read.
+    Given <server> that is about to stop
+    When a caller opens a connection that is accepted
+    And the caller sends two requests in the moment in which idle connections are closed
+    Then the caller is answered twice, and told that the connection closes behind the second answer
+
+    Examples:
+      | server             |
+      | the caller API     |
+      | a relaying gateway |
--- a/features/steps/http_planned_stop_steps.py
+++ b/features/steps/http_planned_stop_steps.py
@@ -156,6 +156,15 @@
     in_reactor(send_and_close)
 
 
+@when("the caller sends two requests in the moment in which idle connections are closed")
+def sends_two_while_closing(context):
+    def send_and_close():
+        _send(context, REQUEST + REQUEST)
+        context.stop.close_idle()
+
+    in_reactor(send_and_close)
+
+
 @when("a caller connects and sends a request in the moment in which the port is closed")
 def connects_while_closing(context):
     def connect_and_close():
@@ -218,6 +227,18 @@
     assert b"connection: close" in head, head
 
 
+@then("the caller is answered twice, and told that the connection closes behind the second answer")
+def answered_twice(context):
+    received = b""
+    while received.count(ANSWER) < 2:
+        piece = context.caller.recv(65536)
+        assert piece, f"closed behind {received!r}"
+        received += piece
+    first, second, _ = received.split(ANSWER)
+    assert b"connection: close" not in first.lower(), first
+    assert b"connection: close" in second.lower(), second
+
+
 @then("the caller is refused before it has sent anything")
 def refused(context):
     assert context.outcome == "refused", context.outcome
--- a/src/rainsail/assembly/served_connections.py
+++ b/src/rainsail/assembly/served_connections.py
@@ -155,9 +155,18 @@
     return bool(channel.requests or getattr(channel, "_buffer", b""))
 
 
+def _has_next_request(channel: Any) -> bool:
+    """Tell whether bytes of a request behind the one in progress have been read."""
+    # Twisted keeps the rest of one read in the first, and what comes later in the second.
+    return bool(getattr(channel, "_buffer", b"") or getattr(channel, "_dataBuffer", []))
+
+
 def _close_after(request: Any) -> None:
-    """Close a request's connection after its response, announced if no header is sent yet."""
-    if request.startedWriting:
+    """Close a request's connection after its response, announced if no header is sent yet.
+
+    It stays open if another request has been sent behind this one: that one is answered too.
+    """
+    if request.startedWriting or _has_next_request(request.channel):
         return
     request.responseHeaders.setRawHeaders(b"connection", [b"close"])
     request.channel.persistent = False
