A client that a stopping gateway refuses doesn't meet that gateway again

Found in a play of long streams (8.8 s, grace 8 s): all 40 are refused at SIGTERM with Retry-After 0, while new clients still come to this gateway for 2.3 s. Most clients retry only once; with few gateways a good part of them would meet the one that had just refused them. Retry-After now lasts until new clients no longer arrive here, and is 0 afterwards.

Test: features/relay/planned_stop.feature, 'A client that is refused ... s after SIGTERM doesn't meet the gateway again' (0 before in all three).

--- a/features/relay/planned_stop.feature
+++ b/features/relay/planned_stop.feature
@@ -116,3 +116,16 @@
     Given a gateway with runners that is about to stop
     When SIGTERM comes, and the body of a client's "batch" request still arrives 7.1 s after it
     Then the request is read on
+
+  Scenario Outline: A client that is refused <at> s after SIGTERM doesn't meet the gateway again
+    # Guards against: a client that retries only once, at the gateway that has just refused it.
+    Given a gateway with runners that is about to stop
+    And its latest "unsafe" requests took 7 s
+    When SIGTERM comes, and a client's "unsafe" request is complete <at> s after it
+    Then the request is refused, and its client may retry after "<after>" s
+
+    Examples:
+      | at  | after |
+      | 0.3 | 2     |
+      | 1.8 | 0.5   |
+      | 2.5 | 0     |
--- a/features/steps/http_planned_stop_end_steps.py
+++ b/features/steps/http_planned_stop_end_steps.py
@@ -212,7 +212,8 @@
 @when('requests on "{path}" are known to be lost')
 def known_lost(context, path):
     server = context.stopping.server
-    in_reactor(server.refuse_arriving, lambda request: request.target == path.encode())
+    lost = path.encode()
+    in_reactor(server.refuse_arriving, lambda each: 1.5 if each.target == lost else None)
 
 
 @then(
--- a/features/steps/relay_planned_stop_steps.py
+++ b/features/steps/relay_planned_stop_steps.py
@@ -124,6 +124,13 @@
     context.gateway.pass_until(ANSWERS_S)
 
 
+@then('the request is refused, and its client may retry after "{after_s}" s')
+def refused_with_delay(context, after_s):
+    refused_without_send(context)
+    retry_after = context.gateway.retry_after(context.exchange)
+    assert retry_after == after_s, retry_after
+
+
 @then("the request was sent to one runner only")
 def sent_once(context):
     assert len(context.gateway.calls) == context.sent_before + 1
@@ -138,7 +145,8 @@
 @then("the request is refused without a send")
 def refused_without_send(context):
     assert len(context.gateway.calls) == context.sent_before
-    refused(context, 503)
+    exchange = context.exchange
+    assert (exchange.status, exchange.ended) == (503, True), exchange
     assert context.exchange.answered_at_s <= context.gateway.clock.seconds()
     page = context.gateway.metrics.exposition().decode()
     assert "requests_refused_by_stop_total" in page
@@ -154,7 +162,8 @@
     gateway = context.gateway
     gateway.stop()
     gateway.pass_until(since_s)
-    context.is_lost = gateway.gateway.is_lost(gateway.arriving(kind))
+    retry_after_s = gateway.gateway.lost_retry_after_s(gateway.arriving(kind))
+    context.is_lost = retry_after_s is not None
 
 
 @then("the request is read on")
--- a/features/support/stopping_gateway.py
+++ b/features/support/stopping_gateway.py
@@ -18,6 +18,7 @@
 }
 TIMEOUT_S = 25.0
 TARGET_S = 0.4
+CLIENTS_S = 2.3
 ANSWERS_S = 7.2
 """With a grace time of 8 s requests are ended so many seconds after SIGTERM."""
 
@@ -78,7 +79,7 @@
     def stop(self) -> None:
         """Begin the planned stop."""
         self.stopped_s = self.clock.seconds()
-        self.gateway.begin_stop(ANSWERS_S)
+        self.gateway.begin_stop(CLIENTS_S, ANSWERS_S)
 
     def pass_until(self, since_stop_s: float) -> None:
         """Run the time until so many seconds after SIGTERM."""
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -90,7 +90,7 @@
         """Report as not ready, finish the requests in progress, then return."""
         logger.bind(under_way=self._clients.requests_under_way).info("drain_begun")
         schedule = stop_schedule(self._base.settings.bounds.grace_s)
-        self.gateway.begin_stop(schedule.answers_s)
+        self.gateway.begin_stop(schedule.closes_s, schedule.answers_s)
         self._clients.drain()
         self._refuse_lost()
         clock = self._base.clock
@@ -104,7 +104,7 @@
     def _refuse_lost(self) -> None:
         """Refuse, as soon as that is known, requests whose bodies would be complete too late."""
         if not self._is_stopped:
-            self._clients.refuse_arriving(self.gateway.is_lost)
+            self._clients.refuse_arriving(self.gateway.lost_retry_after_s)
             self._base.clock.callLater(REFUSE_LOST_PERIOD_S, self._refuse_lost)
 
     def _end_requests(self) -> None:
--- a/src/rainsail/http/server.py
+++ b/src/rainsail/http/server.py
@@ -16,7 +16,7 @@
 
 STOPPING = "stopping"
 OTHER_SERVER_AFTER_S = 0.0
-"""Told to a client that is refused by a planned stop: another server takes its request at once."""
+"""Told to clients that are refused at the end of a planned stop: none arrives here any more."""
 REFUSAL = Refusal(STATUS_UNAVAILABLE, STOPPING, OTHER_SERVER_AFTER_S)
 
 
@@ -61,15 +61,18 @@
             if not connection.awaits_first_request:
                 connection.close_if_idle()
 
-    def refuse_arriving(self, is_lost: Callable[[HttpRequest], bool]) -> None:
-        """Refuse the requests whose bodies are arriving and of which ``is_lost`` says so.
+    def refuse_arriving(self, retry_after_s: Callable[[HttpRequest], float | None]) -> None:
+        """Refuse the requests whose bodies are arriving and that can't be served any more.
 
-        ``is_lost`` gets each of them without its body.
+        ``retry_after_s`` gets each of them without its body, and returns None for those that can.
         """
         for connection in list(self.connections):
             request = connection.arriving
-            if request is not None and is_lost(request):
-                connection.end_request(REFUSAL)
+            if request is None:
+                continue
+            after_s = retry_after_s(request)
+            if after_s is not None:
+                connection.end_request(Refusal(STATUS_UNAVAILABLE, STOPPING, after_s))
 
     def end_requests(self) -> None:
         """End every request with a complete answer, and refuse those that come later.
--- a/src/rainsail/relay/continuation.py
+++ b/src/rainsail/relay/continuation.py
@@ -51,7 +51,7 @@
 STOPPED = "this gateway has stopped"
 
 OTHER_GATEWAY_AFTER_S = 0.0
-"""Retry delay of what a stopping gateway refuses: another gateway takes it at once."""
+"""Retry delay of what a gateway refuses at its end: no new client comes here any more."""
 
 # --- classification of a runner's answer -----------------------------------------------------
 
@@ -171,13 +171,14 @@
     ``route`` comes from the current routing table; None means that the table no longer has one for
     the request. ``quarantined`` requests reach no runner. ``time_left_s`` is the time until the
     deadline. ``ends_in_time`` is False when the gateway is stopping and the request would probably
-    outlast its grace time.
+    outlast its grace time; its client may retry after ``other_gateway_after_s``.
     """
 
     route: Route | None
     quarantined: bool
     time_left_s: float
     ends_in_time: bool = True
+    other_gateway_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -266,7 +267,7 @@
     if route is None:
         return _end_without_route(progress, settings)
     if not terms.ends_in_time:
-        return _refuse_stopping(progress, settings)
+        return _refuse_stopping(progress, terms.other_gateway_after_s, settings)
     in_time = terms.time_left_s >= settings.min_time_left_s
     harmless = not progress.may_have_run or may_repeat(route, progress.client_has)
     if in_time and harmless and progress.attempts < route.max_attempts:
@@ -372,11 +373,13 @@
     return Refuse(STATUS_BAD_GATEWAY, None, RequestOutcome.HELD, QUARANTINED)
 
 
-def _refuse_stopping(progress: RequestProgress, settings: RelaySettings) -> Ending:
+def _refuse_stopping(
+    progress: RequestProgress, retry_after_s: float, settings: RelaySettings
+) -> Ending:
     """End a request that a stopping gateway doesn't send any more."""
     if progress.client_has != ClientHas.NOTHING or progress.may_have_run:
         return give_up(progress, settings)
-    return Refuse(STATUS_UNAVAILABLE, OTHER_GATEWAY_AFTER_S, RequestOutcome.REFUSED, STOPPING)
+    return Refuse(STATUS_UNAVAILABLE, retry_after_s, RequestOutcome.REFUSED, STOPPING)
 
 
 def _end_without_route(progress: RequestProgress, settings: RelaySettings) -> Ending:
--- a/src/rainsail/relay/gateway.py
+++ b/src/rainsail/relay/gateway.py
@@ -138,28 +138,32 @@
         """The number of requests that are being relayed."""
         return len(self._runs)
 
-    def begin_stop(self, answers_for_s: float) -> None:
-        """Report as not ready; requests that are under way after so many seconds are ended."""
+    def begin_stop(self, clients_for_s: float, answers_for_s: float) -> None:
+        """Report as not ready; new clients still arrive for ``clients_for_s`` seconds.
+
+        Requests that are under way after ``answers_for_s`` seconds are ended.
+        """
         self.draining = True
-        self._context.stop.begin(answers_for_s)
+        self._context.stop.begin(clients_for_s, answers_for_s)
 
-    def is_lost(self, request: HttpRequest) -> bool:
-        """Tell whether a request could no longer end in time if its body were complete now.
+    def lost_retry_after_s(self, request: HttpRequest) -> float | None:
+        """Return the retry delay of a request that couldn't end in time if it were complete now.
 
-        It is then refused while its body arrives, and logged here.
+        It is then refused while its body arrives, and logged here. None for any other.
         """
         table = self._context.table
         facts = self._context.protocol.describe(request)
         route = None if table is None else table.match(facts.host, facts.path)
         if route is None or route.kind == RouteKind.BATCH:
-            return False
+            return None
         deadline = RequestDeadline(self._context.clock, request, facts, route)
-        if self._context.stop.leaves_time(route, deadline.left_s):
-            return False
+        stop = self._context.stop
+        if stop.leaves_time(route, deadline.left_s):
+            return None
         log = logger.bind(request=facts.request, route=route.name, reason=STOPPING)
-        log.bind(grace_left_ms=self._context.stop.remaining_ms).info("request_refused")
+        log.bind(grace_left_ms=stop.remaining_ms).info("request_refused")
         self._metrics.count("requests_refused_by_stop", kind=route.kind.value)
-        return True
+        return stop.retry_after_s
 
     def end_requests(self) -> None:
         """End every request, with a complete answer where none has begun: the gateway stops.
--- a/src/rainsail/relay/planned_stop.py
+++ b/src/rainsail/relay/planned_stop.py
@@ -35,10 +35,24 @@
         self.run_times = RunTimes()
         self._clock = clock
         self._answers_until_s: float | None = None
+        self._clients_until_s = 0.0
 
-    def begin(self, answers_for_s: float) -> None:
-        """Begin the stop: requests under way are ended after so many seconds."""
-        self._answers_until_s = self._clock.seconds() + answers_for_s
+    def begin(self, clients_for_s: float, answers_for_s: float) -> None:
+        """Begin the stop, with the seconds for which new clients still arrive here.
+
+        Requests under way are ended after ``answers_for_s`` seconds.
+        """
+        now = self._clock.seconds()
+        self._clients_until_s = now + clients_for_s
+        self._answers_until_s = now + answers_for_s
+
+    @property
+    def retry_after_s(self) -> float:
+        """The retry delay of what is refused: until its client can't meet this gateway again.
+
+        Most clients retry only once.
+        """
+        return max(0.0, self._clients_until_s - self._clock.seconds())
 
     @property
     def remaining_s(self) -> float | None:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -306,8 +306,10 @@
     def _terms(self) -> SendTerms:
         """Return the current constraints: quarantine and routing table may have changed."""
         route, left_s = self._current_route(), self._deadline.left_s
-        ends_in_time = route is None or self._context.stop.leaves_time(route, left_s)
-        return SendTerms(route, self._recorder.is_quarantined(), left_s, ends_in_time)
+        stop = self._context.stop
+        ends_in_time = route is None or stop.leaves_time(route, left_s)
+        is_quarantined = self._recorder.is_quarantined()
+        return SendTerms(route, is_quarantined, left_s, ends_in_time, stop.retry_after_s)
 
     def _current_route(self) -> Route | None:
         table = self._context.table
