--- a/features/fleet/gateway_stop.feature
+++ b/features/fleet/gateway_stop.feature
@@ -20,3 +20,11 @@
     When a client of the gateway has sent all of it
     And the process gets SIGTERM
     Then the client has a complete answer of status 504, and the process ends with code 0
+
+  Scenario: A second SIGTERM and a SIGHUP during a stop cut nothing
+    Given the nodes of examples/relaying run in one process with a grace time of 2 seconds
+    And a runner that reads requests and never answers
+    When a client of the gateway has sent all of it
+    And the process gets SIGTERM
+    And the process gets SIGTERM and SIGHUP while it stops
+    Then the client has a complete answer of status 504, and the process ends with code 0
--- a/features/steps/fleet_gateway_stop_steps.py
+++ b/features/steps/fleet_gateway_stop_steps.py
@@ -1,6 +1,7 @@
 """Steps on the planned stop of a relaying gateway's process."""
 
 import http.client
+import signal
 import socket
 
 from behave import given, then, when
@@ -70,6 +71,13 @@
     context.own.process.terminate()
 
 
+@when("the process gets SIGTERM and SIGHUP while it stops")
+def signals_while_stopping(context):
+    wait_until(lambda: "drain_begun" in context.own.log.read_text(), "the stop has begun")
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        context.own.process.send_signal(number)
+
+
 @then("the client has a complete answer of status {status:d}, and the process ends with code 0")
 def has_answer(context, status):
     response = http.client.HTTPResponse(context.client)
