The text of an item has a largest size, and what its run holds counts

Cause: ItemProgress.texts had no bound, neither in bytes nor in events, and nothing of it was in the account of the process. A run ended only with its runner or after 4 s of silence.

It is checked at each event.

--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -98,6 +98,7 @@
             tables=TableConfirmation(base.follower, base.messenger, base.clock),
             metrics=base.metrics,
             settings=DispatchSettings(mechanisms=base.settings.mechanisms),
+            budget=base.budget,
         )
         ledger = Ledger(
             state=self.state,
--- a/src/rainsail/jobs/context.py
+++ b/src/rainsail/jobs/context.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
+from rainsail.budget.client_budget import ClientBudget
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.cluster.table_confirmation import TableConfirmation
 from rainsail.http.pool import ConnectionPool
@@ -51,6 +52,8 @@
     tables: TableConfirmation
     metrics: NodeMetrics
     settings: DispatchSettings
+    budget: ClientBudget
+    """Counts what is held of the items' answers, as well as what clients hold."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -5,9 +5,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from rainsail.budget.client_budget import ClientBudget
+from rainsail.budget.runner_answer import RunnerAnswer
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
+from rainsail.jobs.item_text import MAX_TEXT_BYTES, held_bytes, served_bytes
 from rainsail.jobs.job_state import EVENT_SEPARATOR
 from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.continuation import (
@@ -15,7 +18,9 @@
     FOREIGN_ANSWER,
     LOST_BEGINNING,
     MISSING_EVENT,
+    NO_ROOM,
     OVERLONG_EVENT,
+    OVERLONG_TEXT,
     UNCONFIRMED_BEGINNING,
     AttemptEnd,
     HeadKind,
@@ -118,6 +123,11 @@
         self.texts.append(event.data)
         self.numbers.append(event.number)
 
+    @property
+    def served_bytes(self) -> int:
+        """The size of the text in a result; it is counted anew for each call."""
+        return sum(map(served_bytes, self.texts))
+
     @property
     def first_event(self) -> int | None:
         """The number of the first event, derived from the last one: there are no gaps."""
@@ -164,11 +174,14 @@
         ended: Callable[["ItemRun", RunEnd, str], None],
         on_load: Callable[[ServerLoad], None],
         seconds: Callable[[], float],
+        budget: ClientBudget,
     ) -> None:
         """``on_load`` is called with the load that the runner reports in the answer's head.
 
-        ``seconds`` reads the clock.
+        ``seconds`` reads the clock. What the run holds counts against ``budget``.
         """
+        self._served_bytes = progress.served_bytes
+        self._held = RunnerAnswer(budget, lambda: self._give_up_text(NO_ROOM), is_event=True)
         self.times = RunTimes(seconds())
         self._seconds = seconds
         self.item = item
@@ -224,6 +237,17 @@
         self._take_events(self._stream.feed(data))
         if self._stream.is_overlong:
             self._end(RunEnd.BROKEN, OVERLONG_EVENT)
+        elif not self._over and not self._held.hold(self._held_bytes(self._stream)):
+            self._give_up_text(NO_ROOM)
+
+    def _held_bytes(self, stream: EventStream) -> int:
+        return stream.pending_bytes + held_bytes(len(self.progress.texts), self._served_bytes)
+
+    def _give_up_text(self, reason: str) -> None:
+        """End the run and drop the text, so that a waiting item holds no more than others."""
+        if not self._over:
+            self.progress.start_anew()
+            self._end(RunEnd.BROKEN, reason)
 
     def _take_events(self, events: list[Event]) -> None:
         for event in events:
@@ -234,7 +258,20 @@
             if unnumbered or leaves_gap(event, self.progress.last_event):
                 self._end(RunEnd.BROKEN, MISSING_EVENT)
                 return
-            self.progress.take(event)
+            if not self._take_text(event):
+                return
+
+    def _take_text(self, event: Event) -> bool:
+        """Append an event's text; return False if that ended the run."""
+        before = len(self.progress.texts)
+        self.progress.take(event)
+        if len(self.progress.texts) == before:
+            return True
+        self._served_bytes += served_bytes(event.data)
+        if self._served_bytes <= MAX_TEXT_BYTES:
+            return True
+        self._give_up_text(OVERLONG_TEXT)
+        return False
 
     def _begin_text(self, first: FirstEvent) -> bool:
         """Check the first event of a run from the start; return False if that ended the run."""
@@ -324,9 +361,16 @@
     def stop(self) -> None:
         """Ignore everything that still comes of this run."""
         self._over = True
+        self._drop_held()
+
+    def _drop_held(self) -> None:
+        self._held.close()
+        if self._stream is not None:
+            self._stream.drop_pending()
 
     def _end(self, end: RunEnd, reason: str) -> None:
         if self._over:
             return
         self._over = True
+        self._drop_held()
         self._ended(self, end, reason)
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -126,6 +126,7 @@
             on_ended,
             on_load_report,
             self._node.clock.seconds,
+            self._node.budget,
         )
 
     def end_idle_runs(self) -> None:
