Reports may be missed as soon as all controllers answer in new lives

Cause: a node that got the first answers of restarted controllers within one heartbeat period, so that no call had failed, took the time behind the last covered answer for covered until the second answers showed the gap. For that second it sent bound streams by the records from before.

Fix: while each controller has either failed or begun its life after the last covered moment, nobody will cover what follows that moment, so the gap is open at once. It was known a second later in any case.

No cost: one more number a controller.

--- a/features/cluster/report_coverage.feature
+++ b/features/cluster/report_coverage.feature
@@ -14,6 +14,8 @@
       | one after the other, with one always there    | a1@0 b1@0 a2@1 b1@1 a2@2 b2@3 a2@3 | 1.5    | no     |
       | the node was suspended or cut off             | a1@0 b1@0 a1@5 b1@5 a1@6 b1@6      | 2      | no     |
       | their answers arrive in another order         | a1@0 b1@0.4 b1@1.4 a1@1.5 a1@2     | 0.2    | no     |
+      | both have started again a moment ago          | a1@0 b1@0 a1@1 b1@1 a2@2 b2@2      | 2.3    | yes    |
+      | one of two has started again a moment ago     | a1@0 b1@0 a1@1 b1@1 a2@2 b1@2      | 2.3    | no     |
       | nothing has followed the last answer yet      | a1@0 a1@1                          | 1.8    | no     |
       | nothing has followed the last answer for long | a1@0 a1@1 now@5                    | 4      | yes    |
 
--- a/src/rainsail/cluster/report_coverage.py
+++ b/src/rainsail/cluster/report_coverage.py
@@ -19,10 +19,14 @@
 
 @dataclass(slots=True)
 class _Controller:
-    """The last answer of one controller; ``failed``: it has not answered the call after it."""
+    """The last answer of one controller; ``failed``: it has not answered the call after it.
+
+    ``life_began_s`` is the time of the first answer in the same life of its process.
+    """
 
     epoch: int
     answered_s: float
+    life_began_s: float
     failed: bool = False
 
 
@@ -38,8 +42,10 @@
     def answered(self, controller: str, epoch: int, now: float) -> None:
         """Record an answer; ``epoch`` identifies the life of the controller's process."""
         known = self._controllers.get(controller)
-        self._controllers[controller] = _Controller(epoch, now)
-        if known is None or known.epoch != epoch:
+        is_same_life = known is not None and known.epoch == epoch
+        life_began_s = known.life_began_s if known is not None and is_same_life else now
+        self._controllers[controller] = _Controller(epoch, now, life_began_s)
+        if known is None or not is_same_life:
             if self._covered_s == NEVER_S:
                 self._covered_s = now
             return
@@ -69,8 +75,12 @@
         """Tell whether reports may be missed now."""
         if self._covered_s == NEVER_S:
             return False
-        no_answer = all(each.failed for each in self._controllers.values())
-        return no_answer or now - self._covered_s > OPEN_AFTER_S
+        # A controller whose life began later will cover nothing of the time right after that.
+        none_covers = all(
+            each.failed or each.life_began_s > self._covered_s
+            for each in self._controllers.values()
+        )
+        return none_covers or now - self._covered_s > OPEN_AFTER_S
 
     def missed_since(self, now: float) -> float | None:
         """Return since when reports may have been missed that have not been made up for yet.
