--- a/src/rainsail/jobs/failure_notes.py
+++ b/src/rainsail/jobs/failure_notes.py
@@ -66,7 +66,7 @@
     def settle_begun(self) -> None:
         """Settle the items whose current runs bring events: those are no failures."""
         for item in self._running:
-            if item.run is not None and item.run.is_stream:
+            if item.noted is not None and item.run is not None and item.run.is_stream:
                 item.failures = item.failures.without_unknown_runs()
                 self.settle(item)
 
