The committed progress of items is bounded, at each replica

Cause: the ledger kept all of a text in progress, in one object for each event, for every item that was ever begun and not listed, until its job ends. A text that its run had lost stayed as well.

Of each item 256 KiB of progress are committed at most, and of all items a quarter of what clients may hold. The rest is left out: an item goes on as before, and a new leader asks runners to go on behind the last event that was kept, as after any loss of a leader.

Cost: the sizes of new events once more each half second, and one sum over the jobs with progress.

--- a/features/jobs/text_limits.feature
+++ b/features/jobs/text_limits.feature
@@ -25,3 +25,21 @@
     And both bring 100 events of 1000 bytes more
     Then the first item's run was broken off, and the other's goes on
     And the leader holds at most 600000 bytes of their texts
+
+  Scenario: The ledger keeps a bounded part of an item's progress
+    Given a relayed fleet with a table and 2 runners that answer nothing yet
+    And a job of 1 item is handed in
+    When the item's run brings 50000 events of 4 bytes within 10 seconds
+    Then each storage node keeps at most 262144 bytes of progress, and some
+    When the item's run ends, and another one begins alike
+    Then the item is listed with 50000 events
+    And each storage node keeps no progress
+
+  Scenario: The ledger keeps a bounded part of the progress of all items, and resumes there
+    Given a relayed fleet with a table and 2 runners that answer nothing yet
+    And the storage nodes have room for 1200000 bytes
+    And a job of 2 items is handed in
+    When each of 2 runs brings 200 events of 1000 bytes within 10 seconds
+    Then each storage node keeps at most 300000 bytes of progress, and some
+    When the ledger's leader crashes
+    Then each next run resumes behind the progress that was kept
--- a/features/steps/item_text_steps.py
+++ b/features/steps/item_text_steps.py
@@ -140,3 +140,82 @@
 def first_broken(context):
     first, other = context.two_calls
     assert first.cancelled and not other.cancelled
+
+
+@step("the item's run brings {count:d} events of {size:d} bytes within {seconds:d} seconds")
+def bring_within(context, count, size, seconds):
+    context.text_call = _wait_for_call(context)
+    _bring_within(context, [context.text_call], count, size, seconds)
+
+
+def _bring_within(context, calls, count, size, seconds):
+    """Have runners bring events at an even pace, so that the leader commits some in between."""
+    for call in calls:
+        call.begin_stream()
+    steps = seconds * 2
+    for step_number in range(steps):
+        for call in calls:
+            assert _bring(call, step_number * count // steps + 1, count // steps, size)
+        context.fleet.run_for(0.5)
+
+
+@step("each of {runs:d} runs brings {count:d} events of {size:d} bytes within {seconds:d} seconds")
+def each_brings_within(context, runs, count, size, seconds):
+    context.fleet.run_until(lambda: len(_open_calls(context)) == runs, "runs", 30)
+    _bring_within(context, _open_calls(context), count, size, seconds)
+
+
+def _kept(context):
+    notes = [node.role.state.jobs[JOB].notes.values() for node in _storage_nodes(context)]
+    return [sum(len(text) + 120 for note in each for text in note.texts) for each in notes]
+
+
+@then("each storage node keeps at most {most:d} bytes of progress, and some")
+def keeps_at_most(context, most):
+    context.fleet.run_for(1.0)
+    kept = _kept(context)
+    assert len(kept) == 3 and all(0 < each <= most for each in kept), kept
+
+
+@then("each storage node keeps no progress")
+def keeps_none(context):
+    context.fleet.run_for(1.0)
+    assert _kept(context) == [0, 0, 0], _kept(context)
+    assert not any(node.role.state.count_note_bytes() for node in _storage_nodes(context))
+
+
+@step("the item's run ends, and another one begins alike")
+def end_run(context):
+    context.text_call.over = True
+    context.text_call.listener.answer_ended()
+    call = _wait_for_call(context)
+    call.begin_stream()
+    _bring(call, 1, 1, 4)
+
+
+@then("the item is listed with {count:d} events")
+def listed_events(context, count):
+    context.fleet.run_until(lambda: _listed(context), "a result", 30)
+    (outcome,) = _listed(context)
+    assert outcome.done and outcome.text.count("\n") == count - 1
+
+
+@step("the ledger's leader crashes")
+def leader_crashes(context):
+    fleet = context.fleet
+    context.kept_events = {
+        index: note.last_event
+        for index, note in _storage_nodes(context)[0].role.state.jobs[JOB].notes.items()
+    }
+    context.calls_before = len(fleet.calls())
+    fleet.crash(fleet.leader("storage"))
+
+
+@then("each next run resumes behind the progress that was kept")
+def resumes_there(context):
+    fleet = context.fleet
+    fleet.run_until(lambda: len(fleet.calls()) >= context.calls_before + 2, "next runs", 30)
+    for call in fleet.calls()[context.calls_before :]:
+        index = int(call.field(b"item").rpartition("-")[2])
+        after = call.field(b"after-event")
+        assert int(after or -1) == context.kept_events.get(index, -1), (index, after)
--- a/src/rainsail/jobs/job_state.py
+++ b/src/rainsail/jobs/job_state.py
@@ -5,6 +5,7 @@
 
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.errors import Fault, FaultCode
+from rainsail.jobs.item_text import note_bytes
 from rainsail.jobs.job_ids import client_id
 from rainsail.state.command_basics import Done, NoOperation
 from rainsail.state.fleet_commands import FleetCommand, FleetCommandOutcome
@@ -50,6 +51,8 @@
     """The tokens of all unlisted items, 0 once the job has ended."""
     notes: dict[int, ItemNote] = field(default_factory=dict)
     """The committed progress of unlisted items, from their first event on."""
+    note_bytes: dict[int, int] = field(default_factory=dict)
+    """What the committed progress of each item takes in memory."""
     origins: dict[int, StreamOrigin] = field(default_factory=dict)
     """Who wrote the committed progress; an item without an entry has a text of unknown origin."""
 
@@ -145,6 +148,7 @@
         job.unlisted.discard(outcome.index)
         job.open_tokens -= job.items[outcome.index].tokens
         job.notes.pop(outcome.index, None)
+        job.note_bytes.pop(outcome.index, None)
         job.origins.pop(outcome.index, None)
         job.listed.append(ListedOutcome(outcome.index, outcome.done, outcome.text))
         self.body_bytes -= len(job.items[outcome.index].body)
@@ -179,6 +183,7 @@
         if note.after_event != (NO_EVENT if known is None else known.last_event):
             return
         texts = note.texts if known is None else known.texts + note.texts
+        job.note_bytes[note.index] = job.note_bytes.get(note.index, 0) + note_bytes(note.texts)
         job.notes[note.index] = replace(note, after_event=NO_EVENT, texts=texts)
 
     def _end(self, command: EndRelayedJob) -> FleetCommandOutcome:
@@ -188,11 +193,16 @@
         job.ended = True
         job.open_tokens = 0
         job.notes.clear()
+        job.note_bytes.clear()
         job.origins.clear()
         self.body_bytes -= job.body_bytes
         job.items = [replace(item, body=b"") for item in job.items]
         return Done()
 
+    def count_note_bytes(self) -> int:
+        """Return what the committed progress of all items takes in memory."""
+        return sum(sum(job.note_bytes.values()) for job in self.jobs.values() if job.note_bytes)
+
     def waiting_tokens(self, tenant: str, host: str, prefix: str) -> int:
         """Return the tokens of the unlisted items of a tenant's jobs on a route."""
         return sum(
@@ -268,6 +278,7 @@
         notes={note.index: note for note in snapshot.notes if not is_origin_note(note)},
         origins={note.index: _origin_in(note) for note in snapshot.notes if is_origin_note(note)},
     )
+    job.note_bytes = {index: note_bytes(note.texts) for index, note in job.notes.items()}
     listed = {each.index for each in job.listed}
     job.unlisted = {index for index in range(len(job.items)) if index not in listed}
     if not job.ended:
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -5,6 +5,7 @@
 from rainsail.http.pool import Call
 from rainsail.jobs.after_run import RUNNER_AVOIDANCE_S
 from rainsail.jobs.item_run import ItemProgress, ItemRun
+from rainsail.jobs.item_text import MAX_ITEM_NOTE_BYTES, note_bytes
 from rainsail.jobs.job_state import NO_EVENT, RelayedJob, origin_note
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.job_commands import ItemNote
@@ -123,19 +124,33 @@
     return item
 
 
-def take_new_progress(item: OpenItem) -> list[ItemNote]:
+def take_new_progress(item: OpenItem, max_bytes: int = MAX_ITEM_NOTE_BYTES) -> list[ItemNote]:
     """Return the notes of the progress since the last call and count it as committed.
 
-    The first one is preceded by the origin of the text.
+    They take ``max_bytes`` of memory at most. The first one is preceded by the origin of the text.
     """
     progress = item.progress
-    texts = tuple(progress.texts[item.events_committed :])
+    texts = _first_texts(progress.texts[item.events_committed :], max_bytes)
     if item.is_note_stale or not texts or progress.last_event is None:
         return []
     notes = []
     if not item.events_committed and progress.origin is not None:
         notes.append(origin_note(item.job, item.index, progress.origin))
     after = progress.numbers[item.events_committed - 1] if item.events_committed else NO_EVENT
-    item.events_committed = len(progress.texts)
-    notes.append(ItemNote(item.job, item.index, after, progress.last_event, texts))
+    item.events_committed += len(texts)
+    is_all = item.events_committed == len(progress.texts)
+    last_event = progress.last_event if is_all else progress.numbers[item.events_committed - 1]
+    notes.append(ItemNote(item.job, item.index, after, last_event, texts))
     return notes
+
+
+def _first_texts(texts: list[str], max_bytes: int) -> tuple[str, ...]:
+    """Return as many of the first texts as take ``max_bytes`` at most."""
+    if note_bytes(texts) <= max_bytes:
+        return tuple(texts)
+    left = max_bytes
+    for count, text in enumerate(texts):
+        left -= note_bytes((text,))
+        if left < 0:
+            return tuple(texts[:count])
+    return tuple(texts)
