Texts of items that wait for their next run are bounded together

A runner that breaks off each text before it is too large leaves it at the ledger's leader: up to 999,000 bytes as served for each item of each job, 17 MB in memory if its events are small.

Cause: what a run holds counts until it ends; what it leaves to the item's next run did not, and there was no bound on the sum.

Evidence: "The texts of items whose runs broke off take a bounded part of the leader" failed on the commit before: both items of 224 kB each went on behind event 200 with room for 300 kB. It passes now.

The texts of waiting items count in each round of the dispatcher, as "runner", and may take a quarter of what clients may hold. The largest are dropped beyond that (item_text_dropped); their items begin anew.

Cost: one sum over the items that wait for another run, 20 times a second, and the sizes of a text at the end of its run.

--- a/features/jobs/text_limits.feature
+++ b/features/jobs/text_limits.feature
@@ -43,3 +43,11 @@
     Then each storage node keeps at most 300000 bytes of progress, and some
     When the ledger's leader crashes
     Then each next run resumes behind the progress that was kept
+
+  Scenario: The texts of items whose runs broke off take a bounded part of the leader
+    Given a relayed fleet with a table and 2 runners that answer nothing yet
+    And the storage nodes have room for 1200000 bytes
+    And a job of 2 items is handed in
+    When each of 2 runs brings 200 events of 1000 bytes within 1 seconds
+    And both runs break off
+    Then one of the next runs resumes behind event 200, and the other one begins anew
--- a/features/steps/item_text_steps.py
+++ b/features/steps/item_text_steps.py
@@ -219,3 +219,20 @@
         index = int(call.field(b"item").rpartition("-")[2])
         after = call.field(b"after-event")
         assert int(after or -1) == context.kept_events.get(index, -1), (index, after)
+
+
+@step("both runs break off")
+def both_break(context):
+    calls = _open_calls(context)
+    context.calls_before = len(context.fleet.calls())
+    for call in calls:
+        call.over = True
+        call.listener.answer_failed("connection reset")
+
+
+@then("one of the next runs resumes behind event {last:d}, and the other one begins anew")
+def one_resumes(context, last):
+    fleet = context.fleet
+    fleet.run_until(lambda: len(fleet.calls()) >= context.calls_before + 2, "next runs", 30)
+    after = {call.field(b"after-event") for call in fleet.calls()[context.calls_before :]}
+    assert after == {str(last), ""}, after
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -16,6 +16,7 @@
 from rainsail.jobs.open_jobs import OpenJobs
 from rainsail.jobs.preemptor import Preemptor
 from rainsail.jobs.progress_committer import ProgressCommitter
+from rainsail.jobs.waiting_texts import WaitingTexts
 from rainsail.relay.table import RoutingTable
 from rainsail.routing.online_use import OnlineUseTracker
 
@@ -35,6 +36,7 @@
         self._jobs = OpenJobs(ledger, state, planner)
         self._preemptor = Preemptor(node, state, planner.order, recorder)
         self._runs = runs = ItemRuns(node, ledger, state, recorder)
+        self._texts = WaitingTexts(node.budget, state.waiting, recorder)
         self._starter = ItemStarter(node, ledger, state, planner, runs, recorder)
         self._progress = ProgressCommitter(node, ledger, state)
         self._active = False
@@ -63,6 +65,7 @@
         self._planner.end_leadership()
         self._state.running.stop_all(self._node.clock.seconds())
         self._state.waiting.clear()
+        self._texts.clear()
         self._state.tables.clear()
 
     def _run_periodically(self) -> None:
@@ -75,6 +78,7 @@
         self._runs.end_idle_runs()
         self._runs.report_survival()
         self._runs.list_confirmed()
+        self._texts.review()
         self._starter.start_items()
         self._node.clock.callLater(DISPATCH_PERIOD_S, self._run_periodically)
 
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -10,7 +10,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
-from rainsail.jobs.item_text import MAX_TEXT_BYTES, held_bytes, served_bytes
+from rainsail.jobs.item_text import MAX_TEXT_BYTES, held_bytes, note_bytes, served_bytes
 from rainsail.jobs.job_state import EVENT_SEPARATOR
 from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.continuation import (
@@ -112,6 +112,8 @@
     """An earlier run's text; the item's next run from the start is compared with it."""
     from_previous_leader: bool = False
     """Whether the text was received by a previous leader."""
+    kept_bytes: int = 0
+    """What the text takes in memory since the last run under this leader ended."""
 
     def take(self, event: Event) -> None:
         """Append an event; ignore one that is already there or has no number."""
@@ -136,6 +138,7 @@
     def start_anew(self) -> None:
         """Discard the text, so that the next run begins from the start."""
         self.last_event = None
+        self.kept_bytes = 0
         self.texts.clear()
         self.numbers.clear()
         self.runs.clear()
@@ -365,6 +368,9 @@
 
     def _drop_held(self) -> None:
         self._held.close()
+        unconfirmed = self.progress.unconfirmed
+        kept = (*self.progress.texts, *(() if unconfirmed is None else unconfirmed.texts))
+        self.progress.kept_bytes = note_bytes(kept)
         if self._stream is not None:
             self._stream.drop_pending()
 
