Replies of engines and machine lists are read up to their limit only

The body of an engine's error had no limit at all.

http.bounded_body counts what arrives, and closes the connection beyond the limit. The body of an engine's error may have max_frame_bytes; that of a refused subscription is not read.

--- a/features/engine/http_client.feature
+++ b/features/engine/http_client.feature
@@ -124,3 +124,8 @@
   Scenario: An OpenAI client may use the engine directly
     Given an engine server on loopback
     Then the OpenAI client gets the engine's answer whole and streamed
+
+  Scenario: A reply that announces no length is not read beyond the largest one
+    Given a scripted engine that replies with 20 megabytes and no length
+    When the engine client takes replies of at most 1000000 bytes
+    Then the engine client's order ends as "too_large" with outcome "unknown"
--- a/features/steps/engine_http_steps.py
+++ b/features/steps/engine_http_steps.py
@@ -22,6 +22,7 @@
 from rainsail.engine.interface import EngineOrder, OrderKind
 from rainsail.engine.prefix import block_hashes
 
+HTTP_END = b"0\r\n\r\n"
 QUIET_POLLS = 50
 COMMENTS = 12
 
@@ -56,6 +57,20 @@
     context.rig.serve_script(context.flood.begin)
 
 
+@given("a scripted engine that replies with {size:d} megabytes and no length")
+def serve_large_reply(context, size):
+    make_rig(context)
+    chunk = http_chunk(b"x" * FLOOD_CHUNK_BYTES)
+    count = size * 1_000_000 // FLOOD_CHUNK_BYTES
+    context.rig.serve_script(lambda transport: transport.write(HEAD + chunk * count + HTTP_END))
+
+
+@when("the engine client takes replies of at most {size:d} bytes")
+def take_at_most(context, size):
+    client = context.rig.client
+    client._settings = client._settings.model_copy(update={"max_reply_bytes": size})
+
+
 class Flood:
     """Sends chunks while the connection accepts them, and the end when ``finish`` is called."""
 
--- a/src/rainsail/engine/http_client.py
+++ b/src/rainsail/engine/http_client.py
@@ -21,7 +21,6 @@
     FileBodyProducer,
     HTTPConnectionPool,
     RequestNotSent,
-    readBody,
 )
 from twisted.web.error import SchemeNotSupported
 from twisted.web.http_headers import Headers
@@ -42,6 +41,7 @@
 from rainsail.engine.settings import EngineClientSettings
 from rainsail.engine.watched_stream import StreamWatch, describe_failure
 from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.http.bounded_body import BodyTooLargeError, read_body
 from rainsail.runtime.clock import Clock
 
 _OK = 200
@@ -136,7 +136,7 @@
         if response.code == _OK:
             response.deliverBody(stream)
             return
-        reading = readBody(response)
+        reading = read_body(response, self._settings.max_frame_bytes)
         stream.set_abort(reading.cancel)
         reading.addCallback(_handle_error_response, response.code, stream)
         reading.addErrback(lambda failure: stream.lose(describe_failure(failure)))
@@ -182,11 +182,13 @@
             data=body,
             headers=_CALL_HEADERS,
             timeout=self._settings.call_timeout_s,
+            unbuffered=True,
         )
-        if isinstance(response.length, int) and response.length > self._settings.max_reply_bytes:
-            detail = f"the reply has {response.length} bytes"
+        try:
+            reply = await read_body(response, self._settings.max_reply_bytes)
+        except BodyTooLargeError as error:
+            detail = f"the reply is too large: {error}"
             return Error(Fault(FaultCode.TOO_LARGE, step, detail, url, Outcome.UNKNOWN))
-        reply = await response.content()
         if response.code != _OK:
             return Error(_read_fault(reply, response.code, step).at(url))
         return _read_reply(reply, read, step).map_error(lambda fault: fault.at(url))
@@ -212,7 +214,7 @@
                 response.deliverBody(stream)
                 return
             stream.lose(f"status {response.code}")
-            readBody(response).addErrback(lambda _: None)
+            read_body(response, 0).addErrback(lambda _: None)
 
         responding.addCallback(responded)
         responding.addErrback(lambda failure: stream.lose(describe_failure(failure)))
--- a/src/rainsail/machines/machine_list.py
+++ b/src/rainsail/machines/machine_list.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure
 
 from rainsail.errors import Fault, FaultCode
+from rainsail.http.bounded_body import BodyTooLargeError, read_body
 
 MAX_LIST_BYTES = 8 * 1024 * 1024
 """Largest response accepted; 12,000 machines take about 1.5 MB."""
@@ -64,10 +65,11 @@
         return fetched.addErrback(self._failed)
 
     async def _fetch(self) -> Result[tuple[Machine, ...], Fault]:
-        response = await self._http.get(self._url, timeout=self._timeout_s)
-        if response.length > MAX_LIST_BYTES if isinstance(response.length, int) else False:
-            return Error(self._fault(FaultCode.TOO_LARGE, f"{response.length} bytes"))
-        body = await response.content()
+        response = await self._http.get(self._url, timeout=self._timeout_s, unbuffered=True)
+        try:
+            body = await read_body(response, MAX_LIST_BYTES)
+        except BodyTooLargeError as error:
+            return Error(self._fault(FaultCode.TOO_LARGE, str(error)))
         if response.code != 200:
             return Error(self._fault(FaultCode.UNAVAILABLE, f"status {response.code}"))
         try:
