--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -17,6 +17,7 @@
 from rainsail.jobs.open_jobs import OpenJobs
 from rainsail.jobs.preemptor import Preemptor
 from rainsail.jobs.progress_committer import ProgressCommitter
+from rainsail.jobs.waiting_texts import WaitingTexts
 from rainsail.relay.table import RoutingTable
 from rainsail.routing.online_use import OnlineUseTracker
 
@@ -37,6 +38,7 @@
         self._notes = notes = FailureNotes(node, ledger, state.running)
         self._preemptor = Preemptor(node, state, planner.order, recorder, notes)
         self._runs = runs = ItemRuns(node, ledger, state, recorder, notes)
+        self._texts = WaitingTexts(node.budget, state.waiting, recorder)
         self._starter = ItemStarter(node, ledger, state, planner, runs, recorder, notes)
         self._progress = ProgressCommitter(node, ledger, state)
         self._active = False
@@ -68,6 +70,7 @@
         self._planner.end_leadership()
         self._state.running.stop_all(self._node.clock.seconds())
         self._state.waiting.clear()
+        self._texts.clear()
         self._state.tables.clear()
 
     def _run_periodically(self) -> None:
@@ -81,6 +84,7 @@
         self._notes.settle_begun()
         self._runs.report_survival()
         self._runs.list_confirmed()
+        self._texts.review()
         self._starter.start_items()
         self._node.clock.callLater(DISPATCH_PERIOD_S, self._run_periodically)
 
