--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -72,6 +72,11 @@
         self._framing = framing
         self._has_events = False
 
+    @property
+    def rest(self) -> bytes:
+        """A copy of the received part of the next event."""
+        return bytes(self._pending)
+
     @property
     def pending_bytes(self) -> int:
         """The size of the received part of the next event."""
