--- a/features/steps/fuzz_protocol_steps.py
+++ b/features/steps/fuzz_protocol_steps.py
@@ -157,11 +157,12 @@
         strategies.binary(max_size=80),
     ).map(lambda data: len(data).to_bytes(4, "big") + data)
     unframed = strategies.binary(min_size=1, max_size=30)
-    huge = strategies.sampled_from([b"\xff\xff\xff\xff", b"\x00\x01\x86\xa0" + bytes(50_000)])
+    large = b"\x00\x01\x86\xa0" + bytes(50_000)
+    huge = strategies.sampled_from([b"\xff\xff\xff\xff", large])
     rest = strategies.lists(strategies.one_of(framed, framed, unframed, huge), max_size=5)
     opened = len(hello).to_bytes(4, "big") + hello
     used = opened + len(reply).to_bytes(4, "big") + reply
-    start = strategies.sampled_from([b"", opened, used])
+    start = strategies.sampled_from([b"", opened, used, used + large])
     return strategies.builds(lambda first, more: first + b"".join(more), start, rest)
 
 
