Controllers store the versions that gateways share before they acknowledge them

Streams of two versions where a gateway was cut off from a controller that had acknowledged a version and then started again, or had kept it for longer than 600 s.

Why it works: what a controller has acknowledged is on its disk, so two majorities share a controller that knows the version across restarts. A gateway counts an acknowledgement for 300 s, which it renews each minute; the controller keeps the version for 600 s, so that streams that began meanwhile have ended.

Cost: one small file a controller, written when a version is new; no cost for each request but one look at the clock.

--- a/features/relay/version_partition.feature
+++ b/features/relay/version_partition.feature
@@ -122,3 +122,53 @@
     And 12 clients read streams at gateway-1 until it is lost
     And the clients resume at gateway-2
     Then all streams are whole, each of one version
+
+  Scenario Outline: A controller restarts while the gateway that shared a version is cut off, <seconds> s before streams begin
+    # Guards against: an acknowledgement that a controller forgets while a gateway relies on it.
+    When 3 runners of version v1 report to all controllers
+    And controller-1 are cut off from controller-2, controller-3, gateway-2
+    And gateway-1 are cut off from controller-3
+    And 3 seconds pass in the fleet
+    And 2 runners of version v2 report to controller-1
+    And 2 seconds pass in the fleet
+    And gateway-1 are cut off from controller-2
+    And controller-2 of the fleet loses power and starts again at once
+    And <seconds> seconds pass in the fleet
+    And 12 clients read streams at gateway-1 until it is lost
+    And the clients resume at gateway-2
+    Then no stream has events of two versions
+
+    Examples:
+      | seconds |
+      | 5       |
+      | 8       |
+
+  Scenario: A controller restarts behind the beginning of streams, while their gateway is cut off from it
+    # Guards against: an acknowledgement that a controller forgets while a stream relies on it.
+    When 3 runners of version v1 report to all controllers
+    And controller-1 are cut off from controller-2, controller-3, gateway-2
+    And gateway-1 are cut off from controller-3
+    And 3 seconds pass in the fleet
+    And 2 runners of version v2 report to controller-1
+    And 12 clients read streams at gateway-1
+    And gateway-1 are cut off from controller-2
+    And controller-2 of the fleet loses power and starts again at once
+    And 5 seconds pass in the fleet
+    And gateway-1 of the fleet loses power
+    And the clients resume at gateway-2
+    Then each stream has begun
+    And no stream has events of two versions
+
+  Scenario: A shared version expires at a controller while the gateway that shared it is cut off
+    # Guards against: an acknowledgement on which a gateway relies for longer than it is kept.
+    When 3 runners of version v1 report to all controllers
+    And controller-1 are cut off from controller-2, controller-3, gateway-2
+    And gateway-1 are cut off from controller-3
+    And 3 seconds pass in the fleet
+    And 2 runners of version v2 report to controller-1
+    And 2 seconds pass in the fleet
+    And gateway-1 are cut off from controller-2
+    And 610 seconds pass in the fleet
+    And 12 clients read streams at gateway-1 until it is lost
+    And the clients resume at gateway-2
+    Then no stream has events of two versions
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -24,7 +24,7 @@
 from rainsail.cluster.runner_journal import RunnerJournal
 from rainsail.cluster.runner_reports import RunnerReports
 from rainsail.cluster.runner_version_file import RunnerVersionFile
-from rainsail.cluster.service_versions import ServiceVersionKeeper
+from rainsail.cluster.service_versions import ServiceVersionKeeper, SharedVersionStore
 from rainsail.cluster.stream_origins import StreamOriginService
 from rainsail.cluster.table_service import ServicesOf, TableService
 from rainsail.cluster.zone_drain_orders import ZoneDrainOrders
@@ -56,6 +56,7 @@
         journal: RunnerJournal,
         committed: CommittedCopies,
         versions: RunnerVersionFile,
+        shared_versions: SharedVersionStore,
         services_of: ServicesOf = lambda content: None,
     ) -> None:
         self._context = context
@@ -73,7 +74,9 @@
         self.quarantine.on_crash = doubts.runner_crashed
         self.tables = TableService(context, calls, committed, services_of)
         self.origins = StreamOriginService(context.messenger, clock, context.registry.has_unheard)
-        self.service_versions = ServiceVersionKeeper(context.messenger, clock, context.registry)
+        self.service_versions = ServiceVersionKeeper(
+            context.messenger, clock, context.registry, shared_versions
+        )
         self._founding = LedgerFounding(group, state, context.directory, losses)
         self._heartbeats = NodeHeartbeats(context, views, committed)
         self._noticed_drains: tuple[ZoneDrain, ...] = ()
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -13,6 +13,7 @@
 from rainsail.cluster.founders import voters_for
 from rainsail.cluster.runner_journal import RunnerJournal
 from rainsail.cluster.runner_version_file import RunnerVersionFile
+from rainsail.cluster.service_version_file import ServiceVersionFile
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault
 from rainsail.fleet.base import NodeBase
@@ -42,6 +43,7 @@
         self.state = FleetState()
         self._journal = RunnerJournal(files, base.clock, unix_seconds, base.registry.records)
         self._versions = RunnerVersionFile(files, base.clock, base.registry.versions)
+        self._shared_versions = ServiceVersionFile(files)
         self._committed = CommittedCopies(
             files, self.state, base.registry.zone_drains, base.follower.quarantine
         )
@@ -69,7 +71,12 @@
             base.settings.seed_controllers(), voters_for(context.settings.losses)
         )
         self.controller = FleetController(
-            context, self._journal, self._committed, self._versions, self._services_of
+            context,
+            self._journal,
+            self._committed,
+            self._versions,
+            self._shared_versions,
+            self._services_of,
         )
         quarantine = self.controller.quarantine
         base.metrics.gauge("requests_suspected", lambda: float(quarantine.suspects))
--- a/src/rainsail/relay/version_quorum.py
+++ b/src/rainsail/relay/version_quorum.py
@@ -30,6 +30,9 @@
 UPDATED_NEVER = (-1, float("-inf"))
 RENEWAL_PERIOD_S = GONE_VERSION_TTL_S / 10
 """A gateway shares the versions that it knows again after this time."""
+ACKNOWLEDGED_S = GONE_VERSION_TTL_S / 2
+"""For this long a controller's acknowledgement counts. The controller keeps the version for twice
+as long, so that streams that began meanwhile have ended before it is dropped."""
 
 
 class SoleVersion(StrEnum):
@@ -116,7 +119,6 @@
     """What one controller has acknowledged in one life of its process (``epoch``)."""
 
     epoch: int
-    pairs: set[tuple[str, str]] = field(default_factory=set)
     revision: int = -1
     """That of the pairs that it has acknowledged last."""
     at_s: float = float("-inf")
@@ -143,7 +145,10 @@
         self._revision = 0
         self._updated_at = UPDATED_NEVER
         """The revision of the registry's versions by which the pairs were found, and the time."""
-        self._confirmed: set[tuple[str, str]] = set()
+        self._acknowledged: dict[tuple[str, str], dict[str, float]] = {}
+        """When each controller has acknowledged each service and version last."""
+        self._confirmed_until_s: dict[tuple[str, str], float] = {}
+        """Until when the acknowledgements of a quorum count."""
         follower.on_heard = self._share
 
     # --- VersionQuorum ---------------------------------------------------------------------
@@ -153,7 +158,10 @@
 
         Runners that state no version count as one version only where none states any.
         """
-        if (service, version) in self._confirmed or self._is_unsupported():
+        until_s = self._confirmed_until_s.get((service, version))
+        if until_s is not None and self._clock.seconds() < until_s:
+            return True
+        if self._is_unsupported():
             return True
         if version == NO_VERSION:
             versions = self._follower.registry.versions_by_service()
@@ -212,7 +220,9 @@
         if pairs != self._pairs:
             self._pairs = pairs
             self._revision += 1
-            self._confirmed &= pairs
+            for pair in self._acknowledged.keys() - pairs:
+                del self._acknowledged[pair]
+                self._confirmed_until_s.pop(pair, None)
 
     def _share_with(self, controller: str) -> None:
         known = self._follower.controllers.get(controller)
@@ -226,11 +236,12 @@
             return
         shared.is_waiting = True
         reply = self._messenger.call(controller, _message(set(self._pairs)), CALL_TIMEOUT_S)
-        reply.addCallback(self._shared, shared, self._pairs, self._revision)
+        reply.addCallback(self._shared, controller, shared, self._pairs, self._revision)
 
     def _shared(
         self,
         result: Result[KnownServiceVersions, Fault],
+        controller: str,
         shared: _Shared,
         pairs: frozenset[tuple[str, str]],
         revision: int,
@@ -238,25 +249,31 @@
         shared.is_waiting = False
         if result.is_error():
             return
-        shared.pairs |= pairs
-        shared.revision, shared.at_s = revision, self._clock.seconds()
+        now = self._clock.seconds()
+        shared.revision, shared.at_s = revision, now
+        for pair in pairs & self._pairs:
+            self._acknowledged.setdefault(pair, {})[controller] = now
         self._confirm(pairs & self._pairs)
         if revision != self._revision:
             self._share()
 
     def _confirm(self, pairs: frozenset[tuple[str, str]]) -> None:
-        """Note which versions a quorum has acknowledged by now."""
+        """Note until when the acknowledgements of a quorum count for these versions."""
         voters = self._voters()
-        for service, version in sorted(pairs - self._confirmed):
-            knowing = [
-                name
-                for name in voters
-                if name in self._controllers and (service, version) in self._controllers[name].pairs
-            ]
-            if len(knowing) >= _quorum(voters):
-                self._confirmed.add((service, version))
+        quorum = _quorum(voters)
+        for service, version in sorted(pairs):
+            acknowledged = self._acknowledged[service, version]
+            knowing = sorted(
+                (name for name in voters if name in acknowledged),
+                key=lambda name: -acknowledged[name],
+            )
+            if len(knowing) < quorum:
+                continue
+            if (service, version) not in self._confirmed_until_s:
                 log = logger.bind(service=service, version=version, controllers=knowing)
                 log.info("service_version_confirmed")
+            oldest_s = acknowledged[knowing[quorum - 1]]
+            self._confirmed_until_s[service, version] = oldest_s + ACKNOWLEDGED_S
 
     # --- controllers ---------------------------------------------------------------------------
 
