--- a/src/rainsail/http/request_body.py
+++ b/src/rainsail/http/request_body.py
@@ -1,13 +1,11 @@
 """The body of a request while it arrives: bounded by itself and by what all clients hold."""
 
 import io
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from rainsail.budget.client_budget import NO_ROOM
 from rainsail.budget.memory import HeldKind, Holding
 from rainsail.budget.progress import ProgressMeter
-from rainsail.http.headers import header_value
 
 STATUS_TOO_LARGE = 413
 STATUS_UNAVAILABLE = 503
@@ -95,11 +93,3 @@
             return self._first
         body, self._buffer = self._buffer.getvalue(), None
         return body
-
-
-def body_length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
-    """Return the announced length of a request's body in bytes; None for a chunked one."""
-    if header_value(headers, b"transfer-encoding") is not None:
-        return None
-    length = header_value(headers, b"content-length")
-    return 0 if length is None else int(length)
--- a/src/rainsail/http/server_connection.py
+++ b/src/rainsail/http/server_connection.py
@@ -4,8 +4,13 @@
 the answer has ended. Meanwhile the connection keeps reading, so that a client's disconnect is
 noticed at once. What it holds counts against the budget of all clients, and it gives way to others
 when the budget asks it to.
+
+An answer without a length to an HTTP/1.0 client ends with the orderly close of its connection.
+Until such an answer has been sent, any other close is a reset, including the kernel's when the
+process ends.
 """
 
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -19,13 +24,12 @@
 from rainsail.budget.eviction import PROTECTED_S, Rank, Standing, slow_standing
 from rainsail.budget.memory import HeldKind
 from rainsail.budget.progress import ProgressMeter
-from rainsail.http.answer_writer import AnswerWriter
+from rainsail.http.answer_flow import AnswerFlow
 from rainsail.http.exchange import HttpRequest
-from rainsail.http.headers import HeaderFields
+from rainsail.http.headers import HeaderFields, header_value
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE
 from rainsail.http.refused_sender import RefusedSender
-from rainsail.http.request_body import Refusal, RequestBody, body_length
-from rainsail.http.sent_ahead import SentAhead
+from rainsail.http.request_body import Refusal, RequestBody
 from rainsail.http.server_exchange import ServerExchange
 from rainsail.http.statuses import REASONS, STATUS_BAD_REQUEST, STATUS_TIMEOUT
 from rainsail.runtime.clock import Timer
@@ -33,9 +37,11 @@
     FIRST_REQUEST_S,
     UNREAD_BYTES,
     close_if_nothing_unread,
+    close_in_order,
     close_now,
     has_unread_bytes,
     limit_unread_bytes,
+    reset_at_close,
     set_user_timeout,
     unsent_bytes,
 )
@@ -43,14 +49,17 @@
 if TYPE_CHECKING:
     from rainsail.http.server import HttpServer
 
+MAX_PIPELINED_BYTES = 256 * 1024
+"""Bytes that a client may send ahead while it is being answered; with more it is reset."""
 UNCOUNTED_BYTES = 4 * 1024
-"""A partial head up to this size is covered by the connection."""
+"""A partial head, or bytes sent ahead, up to this size are covered by the connection."""
 REFUSED_PROTECTED_S = 0.2
 """A refused client is not closed for another one until its refusal had this time to arrive."""
 
 TOO_SLOW = "too slow"
 INVALID = "invalid request"
 SENT_AHEAD = "sent ahead"
+TAKES_NOTHING = "takes nothing"
 
 
 @implementer(IHalfCloseableProtocol)
@@ -71,9 +80,11 @@
         self._body: RequestBody | None = None
         self._head_bytes = 0
         self._exchange: ServerExchange | None = None
-        self._writer: AnswerWriter
+        self._flow: AnswerFlow | None = None
         self._refused: RefusedSender | None = None
         """Set once the client was refused; what it sends is dropped."""
+        self._pipelined: deque[bytes] = deque()
+        self._pipelined_bytes = 0
         self._is_flushing = False
         """The next request waits until the client has taken the answers before it."""
         self._is_parsing_later = False
@@ -84,17 +95,15 @@
         self._meter = ProgressMeter(self._opened_s)
         """Progress of the request that is arriving, or how long the connection has been idle."""
         self._has_carried_request = False
+        self._ends_by_close = False
+        """An answer that ends with the close of the connection was not sent completely yet."""
         self._holding = server.budget.open(self)
-        self._ahead = SentAhead(self._holding)
 
     # --- Twisted's callbacks -------------------------------------------------------------
 
     def connectionMade(self) -> None:
         """Wait for a request."""
         self._server.connections.add(self)
-        self._writer = AnswerWriter(
-            self._server, self.transport, self._http, self._holding, self.abort
-        )
         self.transport.setTcpNoDelay(True)
         set_user_timeout(self.transport, self._limits.user_timeout_s)
         self._arm(self._limits.idle_timeout_s, self.close_if_idle)
@@ -109,7 +118,7 @@
         if self._exchange is None and not self._is_flushing:
             self._feed(data)
             return
-        self._count_ahead(self._ahead.add(data))
+        self._buffer_pipelined(data)
         if self._is_flushing:
             self._process_pipelined()
 
@@ -117,7 +126,7 @@
         """Treat a client that has ended its sending side as gone, since a close looks the same."""
         if self._exchange is not None:
             self.abort()
-        elif not self._writer.ends_by_close:
+        elif not self._ends_by_close:
             self._lost = True
             self._disarm()
             self.transport.loseConnection()
@@ -126,7 +135,8 @@
         """Close in an orderly way: an answer that ends with the close was sent completely."""
         if self._refused is not None:
             return
-        self._writer.allow_orderly_close()
+        self._ends_by_close = False
+        close_in_order(self.transport)
         self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
@@ -135,8 +145,9 @@
         self._disarm()
         if self._refused is not None:
             self._refused.stop()
-        self._writer.close()
-        self._ahead.clear()
+        if self._flow is not None:
+            self._flow.close()
+        self._pipelined.clear()
         self._body = None
         self._server.connections.discard(self)
         exchange, self._exchange = self._exchange, None
@@ -148,9 +159,17 @@
 
     # --- reading -------------------------------------------------------------------------
 
-    def _count_ahead(self, fits: bool) -> None:
-        """Reset a client that has sent too much before the answer in progress has ended."""
-        if not fits:
+    def _buffer_pipelined(self, data: bytes) -> None:
+        self._pipelined.append(data)
+        self._count_ahead(len(data))
+
+    def _count_ahead(self, count: int) -> None:
+        """Count bytes that were sent before the answer in progress has ended."""
+        self._pipelined_bytes += count
+        if self._pipelined_bytes <= UNCOUNTED_BYTES:
+            return
+        is_over = self._pipelined_bytes > MAX_PIPELINED_BYTES
+        if is_over or not self._holding.grow_to(HeldKind.AHEAD, self._pipelined_bytes):
             self._server.budget.refused(SENT_AHEAD, 0, self._holding.held_bytes)
             self.abort()
 
@@ -239,7 +258,7 @@
         self._holding.set(HeldKind.HEAD, 0)
         self._received_s = self._clock.seconds()
         self._meter = ProgressMeter(self._received_s)
-        length = body_length(head.headers)
+        length = _body_length(head)
         body = RequestBody(self._holding, self._limits.max_body_bytes, length, self._meter)
         self._body = body
         refusal = body.admit()
@@ -322,8 +341,8 @@
             return None if is_new else Standing(Rank.REFUSED, 0.0, since_s)
         if self._is_parsing_later:
             return None
-        if self._writer.meter is not None:
-            return slow_standing(Rank.ANSWER, self.held_bytes, self._writer.meter, now)
+        if self._flow is not None and self._flow.meter is not None:
+            return slow_standing(Rank.ANSWER, self.held_bytes, self._flow.meter, now)
         if self._exchange is not None:
             return None
         if self._head is not None or self._head_bytes:
@@ -357,7 +376,7 @@
         exchange = ServerExchange(self, request)
         self._exchange = exchange
         self._server.requests_under_way += 1
-        self._count_ahead(self._ahead.count(len(self._http.trailing_data[0])))
+        self._count_ahead(len(self._http.trailing_data[0]))
         if not self._lost:
             self._server.handler(exchange)
 
@@ -367,39 +386,79 @@
 
     def send_head(self, status: int, headers: HeaderFields) -> None:
         """Send an answer's head."""
-        closes = self._server.draining and not self._has_next_request()
-        self._writer.send_head(status, headers, closes)
+        fields = list(headers)
+        if self._server.draining and not self._has_next_request():
+            fields.append((b"Connection", b"close"))
+        reason = REASONS.get(status, b"")
+        head = h11.Response(status_code=status, reason=reason, headers=fields)
+        if self._has_no_framing(fields):
+            self._ends_by_close = True
+            reset_at_close(self.transport)
+        self._answer_flow().begin()
+        self.transport.write(self._http.send(head))
+
+    def _has_no_framing(self, fields: list[tuple[bytes, bytes]]) -> bool:
+        """Tell whether an answer has no length and can't be chunked, as in HTTP/1.0."""
+        version = self._http.their_http_version or b"1.0"
+        return version < b"1.1" and header_value(fields, b"content-length") is None
+
+    def _answer_flow(self) -> AnswerFlow:
+        if self._flow is None:
+            self._flow = AnswerFlow(
+                self.transport,
+                self._holding,
+                self._clock,
+                lambda: self._limits.stall_timeout_s,
+                self._stalled,
+            )
+        return self._flow
 
     def _has_next_request(self) -> bool:
         """Tell whether bytes of a request behind the one under way have arrived."""
-        has_read = bool(self._ahead or self._http.trailing_data[0])
+        has_read = bool(self._pipelined or self._http.trailing_data[0])
         return has_read or has_unread_bytes(self.transport)
 
     def watch_flow(self, paused: Callable[[bool], None]) -> None:
         """Call ``paused`` with True when the client reads too slowly, with False afterwards."""
-        self._writer.watch(paused)
+        flow = self._answer_flow()
+        flow.paused = paused
+        if flow.is_paused:
+            paused(True)
+
+    def _stalled(self) -> None:
+        self._server.budget.refused(TAKES_NOTHING, 0, self._holding.held_bytes)
+        self.abort()
 
     def send_data(self, data: bytes) -> None:
         """Send a piece of the body."""
-        self._writer.send_data(data)
+        sent = self._http.send(h11.Data(data=data))
+        if not sent:
+            return
+        self.transport.write(sent)
+        if not self._answer_flow().written():
+            self._server.budget.refused(NO_ROOM, 0, self._holding.held_bytes)
+            self.abort()
 
     def send_end(self) -> None:
         """End the answer, and process the next request or close."""
-        self._writer.send_end()
+        sent = self._http.send(h11.EndOfMessage())
+        if sent:
+            self.transport.write(sent)
         if self._exchange is not None:
             self._exchange.drop_body()
         self._exchange = None
         self._holding.set(HeldKind.REQUEST, 0)
         self._server.requests_under_way -= 1
         self._meter = ProgressMeter(self._clock.seconds())
-        self._writer.answer_ended()
+        flow = self._answer_flow()
+        flow.end()
         if self._lost:
             return
-        if self._writer.ends_by_close:
+        if self._ends_by_close:
             self._lost = True
             self.transport.loseWriteConnection()
             return
-        if self._writer.must_close:
+        if self._http.our_state is h11.MUST_CLOSE:
             self._lost = True
             self.transport.loseConnection()
             return
@@ -410,12 +469,14 @@
     def _process_pipelined(self) -> None:
         if self._lost or self._exchange is not None:
             return
-        if not self._writer.has_drained():
+        if self._flow is not None and not self._flow.has_drained():
             self._is_flushing = True
-            self._writer.when_drained(self._process_pipelined)
+            self._flow.when_drained(self._process_pipelined)
             return
         self._is_flushing = False
-        pipelined = self._ahead.take()
+        pipelined, self._pipelined = b"".join(self._pipelined), deque()
+        self._pipelined_bytes = 0
+        self._holding.set(HeldKind.AHEAD, 0)
         if pipelined:
             self._feed(pipelined)
         elif self._http.trailing_data[0]:
@@ -428,7 +489,7 @@
 
     def abort_unframed(self) -> None:
         """Reset the connection if an orderly close would make its answer look complete."""
-        if self._writer.ends_by_close:
+        if self._ends_by_close:
             self.abort()
 
     def close_if_idle(self) -> None:
@@ -462,7 +523,7 @@
         """Tell whether bytes of an unanswered request have been read."""
         if self._exchange is not None or self._head is not None:
             return True
-        return bool(self._ahead or self._http.trailing_data[0])
+        return bool(self._pipelined or self._http.trailing_data[0])
 
     # --- timers --------------------------------------------------------------------------
 
@@ -474,3 +535,11 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
+
+
+def _body_length(head: h11.Request) -> int | None:
+    """Return the announced length of a request's body; None for a chunked one."""
+    if header_value(head.headers, b"transfer-encoding") is not None:
+        return None
+    length = header_value(head.headers, b"content-length")
+    return 0 if length is None else int(length)
