A stopping gateway begins no stream late that it would have to cut

A resumable stream complete 4.5 s after SIGTERM was sent because half of its route's streams end in time, began, and was cut at the end of the grace time (its client resumes it, which costs a pause; it had not been sent by a client that had no other gateway).

Cause: the usual run time counted for everything that may be repeated, but a cut in the middle of a stream is no complete answer. Now the longest run time counts for such a stream once no new client comes to this gateway, as a refusal then costs nothing. While new clients still come the usual one counts: the refused client might meet this gateway again.

Evidence: two of three examples of the new scenario fail without the change. features/relay/planned_stop.feature: 34 passed.

--- a/features/relay/planned_stop.feature
+++ b/features/relay/planned_stop.feature
@@ -129,3 +129,18 @@
       | 0.3 | 2     |
       | 1.8 | 0.5   |
       | 2.5 | 0     |
+
+  Scenario Outline: A resumable stream that is complete <at> s after SIGTERM, where one of three took 6 s, is <done>
+    # Guards against: a stream that begins late at a stopping gateway, only to be cut there.
+    Given a gateway with runners that is about to stop
+    And its latest "resumable" requests took 2 s
+    And its latest "resumable" requests took 2.6 s
+    And its latest "resumable" requests took 6 s
+    When SIGTERM comes, and a client's "resumable" request is complete <at> s after it
+    Then the request is <done>
+
+    Examples:
+      | at  | done                   |
+      | 2   | sent to a runner       |
+      | 2.5 | refused without a send |
+      | 4.5 | refused without a send |
--- a/src/rainsail/relay/planned_stop.py
+++ b/src/rainsail/relay/planned_stop.py
@@ -6,14 +6,16 @@
 
 * A request that may run only once is cut with an unknown outcome, and its client may not repeat it.
   It is sent if the longest of the latest run times of its route fits.
-* A request that may be repeated, or a stream that may be resumed, loses some time. It is sent if it
-  is more likely than not to end.
+* A request that may be repeated loses some time. It is sent if it is more likely than not to end.
+* A stream that may be resumed is cut in the middle of its answer. That is better than a late start
+  while its client could meet this gateway again, so until then it is sent like one that may be
+  repeated, and later like one that may run only once.
 * Without any run time, or if its deadline comes first, a request is sent if its deadline fits: it
   is answered by then.
 """
 
 from rainsail.relay.run_times import RouteRunTimes
-from rainsail.relay.table import Route
+from rainsail.relay.table import Route, RouteKind
 from rainsail.runtime.clock import Clock
 
 MILLISECONDS_PER_S = 1000.0
@@ -75,5 +77,7 @@
         return ends_in_time(remaining_s, time_left_s, self._expected_s(route))
 
     def _expected_s(self, route: Route) -> float | None:
-        times = self.run_times
-        return times.usual_s(route.name) if route.repeatable else times.longest_s(route.name)
+        is_late_stream = route.kind == RouteKind.STREAM and not self.retry_after_s
+        if route.repeatable and not is_late_stream:
+            return self.run_times.usual_s(route.name)
+        return self.run_times.longest_s(route.name)
