--- a/features/jobs/items_beyond_their_attempts.feature
+++ b/features/jobs/items_beyond_their_attempts.feature
@@ -89,3 +89,16 @@
       | 3    |
       | 15   |
       | 31   |
+
+  Scenario Outline: Sound items are done although <count> leaders are lost between a send and its answer
+    Given items of a route with 3 attempts, whose first 0 runs end with 500
+    When <count> leaders are killed at their first send, and calm follows for 18 seconds
+    Then every item is done by then
+
+    Examples:
+      | count |
+      | 2     |
+      | 3     |
+      | 4     |
+      | 5     |
+      | 6     |
--- a/features/relay/version_partition.feature
+++ b/features/relay/version_partition.feature
@@ -172,3 +172,19 @@
     And 12 clients read streams at gateway-1 until it is lost
     And the clients resume at gateway-2
     Then no stream has events of two versions
+
+  Scenario Outline: One of three controllers is of an earlier version at a cut: <name>
+    When the <name> knows no quorums of versions
+    And 3 runners of version v1 report to all controllers
+    And gateway-1, controller-1 are cut off from gateway-2, controller-2, controller-3
+    And 3 seconds pass in the fleet
+    And 2 runners of version v2 report to controller-1
+    And 12 clients read streams at gateway-1 until it is lost
+    And the clients resume at gateway-2
+    Then no stream has events of two versions
+
+    Examples:
+      | name         |
+      | controller-1 |
+      | controller-2 |
+      | controller-3 |
--- a/features/steps/failing_item_steps.py
+++ b/features/steps/failing_item_steps.py
@@ -34,6 +34,7 @@
 FROZEN_S = 3.5
 A_MOMENT_S = 0.1
 SETTLE_S = 10.0
+KILLS_WITHIN_S = 300.0
 
 
 def _always(answer):
@@ -163,6 +164,19 @@
     assert all(done for record in world.items.values() for _, done in record.listed), _told(world)
 
 
+@when("{count:d} leaders are killed at their first send, and calm follows for {seconds:d} seconds")
+def kill_at_sends(context, count, seconds):
+    context.world.kill_leaders_at_sends(count, KILLS_WITHIN_S)
+    context.world.play(seconds)
+
+
+@then("every item is done by then")
+def done_by_then(context):
+    items = context.world.items.values()
+    done = [each.listed[0][1] for each in items if each.listed]
+    assert len(done) == ITEMS and all(done), f"{sum(done)} of {ITEMS} items are done"
+
+
 @then("each item is listed as given up after {least:d} to {most:d} runs")
 def listed_after(context, least, most):
     world = context.world
--- a/features/steps/version_partition_steps.py
+++ b/features/steps/version_partition_steps.py
@@ -24,8 +24,16 @@
 
 @when("the controllers know no quorums of versions")
 def earlier_controllers(context):
-    fleet = context.fleet
-    controllers = [fleet.address(name) for name in fleet.names("controller")]
+    _make_earlier(context.fleet, context.fleet.names("controller"))
+
+
+@when("the {controller} knows no quorums of versions")
+def earlier_controller(context, controller):
+    _make_earlier(context.fleet, [controller])
+
+
+def _make_earlier(fleet, names):
+    controllers = [fleet.address(name) for name in names]
     for node in fleet.nodes.values():
         level = node.base.transport.extension_level
         node.base.transport.extension_level = lambda peer, level=level: (
--- a/features/support/failing_items.py
+++ b/features/support/failing_items.py
@@ -30,6 +30,7 @@
 COMMITTED_S = 0.2
 """Time for which the ledger may not yet know of an answer: a dispatch round and a commit."""
 EVENT_EVERY_S = 0.1
+KILLED_AFTER_S = 0.02
 RUNNERS = 2
 BROKEN_OFF = "connection reset"
 STREAM_HEAD = AnswerHead(200, (*EVENT_STREAM_FIELDS, (b"transfer-encoding", b"chunked")))
@@ -121,6 +122,8 @@
         self.violations: list[str] = []
         self.on_answer: Callable[[str], None] = lambda sender: None
         """Called with the sender of a run when its runner has answered, before that arrives."""
+        self.on_sent: Callable[[str], None] = lambda sender: None
+        """Called with the sender of each run."""
         self.strikes = 0
         self.frozen: set[str] = set()
         self._late: dict[str, list[Callable[[], None]]] = defaultdict(list)
@@ -205,6 +208,22 @@
 
     # --- losses --------------------------------------------------------------------------
 
+    def kill_leaders_at_sends(self, count: int, limit_s: float) -> None:
+        """Kill so many leaders, each right after the first item that it sends."""
+        struck: set[tuple[str, int]] = set()
+        until_s = self.now + limit_s
+
+        def on_sent(sender: str) -> None:
+            term = (sender, self.fleet.nodes[sender].role.driver.term())
+            if len(struck) < count and term not in struck:
+                struck.add(term)
+                self.fleet.clock.callLater(KILLED_AFTER_S, self.kill, sender)
+
+        self.on_sent = on_sent
+        while len(struck) < count and self.now < until_s:
+            self.step()
+        assert len(struck) == count, f"{len(struck)} leaders have sent an item"
+
     def kill(self, name: str) -> None:
         """Kill a storage node and start it again at once."""
         self.strikes += 1
@@ -257,6 +276,7 @@
         self._check_send(item, record)
         call.kind = self._choose(item, record.sends)
         record.sends += 1
+        self.on_sent(sender)
         call.due_s = self.now + self.random.uniform(*ANSWER_AFTER_S)
         call.next_event = 0
 
