An acknowledged version does not expire at the gateway

Regions lose each other for an hour now and then; that loses far more streams than the order which it closes, a cut of more than 600 s behind which a controller has forgotten a version that only that gateway knew.

Acknowledgements count until the version is gone from the gateway's own table, as before.

--- a/src/rainsail/relay/version_quorum.py
+++ b/src/rainsail/relay/version_quorum.py
@@ -30,9 +30,6 @@
 UPDATED_NEVER = (-1, float("-inf"))
 RENEWAL_PERIOD_S = GONE_VERSION_TTL_S / 10
 """A gateway shares the versions that it knows again after this time."""
-ACKNOWLEDGED_S = GONE_VERSION_TTL_S / 2
-"""For this long a controller's acknowledgement counts. The controller keeps the version for twice
-as long, so that streams that began meanwhile have ended before it is dropped."""
 
 
 class SoleVersion(StrEnum):
@@ -145,10 +142,13 @@
         self._revision = 0
         self._updated_at = UPDATED_NEVER
         """The revision of the registry's versions by which the pairs were found, and the time."""
-        self._acknowledged: dict[tuple[str, str], dict[str, float]] = {}
-        """When each controller has acknowledged each service and version last."""
-        self._confirmed_until_s: dict[tuple[str, str], float] = {}
-        """Until when the acknowledgements of a quorum count."""
+        self._acknowledged: dict[tuple[str, str], set[str]] = {}
+        """The controllers that have acknowledged each service and version."""
+        self._confirmed: set[tuple[str, str]] = set()
+        """What a quorum has acknowledged.
+
+        This does not expire: a gateway that is cut off for an hour goes on beginning streams.
+        """
         follower.on_heard = self._share
 
     # --- VersionQuorum ---------------------------------------------------------------------
@@ -158,10 +158,7 @@
 
         Runners that state no version count as one version only where none states any.
         """
-        until_s = self._confirmed_until_s.get((service, version))
-        if until_s is not None and self._clock.seconds() < until_s:
-            return True
-        if self._is_unsupported():
+        if (service, version) in self._confirmed or self._is_unsupported():
             return True
         if version == NO_VERSION:
             versions = self._follower.registry.versions_by_service()
@@ -222,7 +219,7 @@
             self._revision += 1
             for pair in self._acknowledged.keys() - pairs:
                 del self._acknowledged[pair]
-                self._confirmed_until_s.pop(pair, None)
+                self._confirmed.discard(pair)
 
     def _share_with(self, controller: str) -> None:
         known = self._follower.controllers.get(controller)
@@ -249,31 +246,22 @@
         shared.is_waiting = False
         if result.is_error():
             return
-        now = self._clock.seconds()
-        shared.revision, shared.at_s = revision, now
+        shared.revision, shared.at_s = revision, self._clock.seconds()
         for pair in pairs & self._pairs:
-            self._acknowledged.setdefault(pair, {})[controller] = now
+            self._acknowledged.setdefault(pair, set()).add(controller)
         self._confirm(pairs & self._pairs)
         if revision != self._revision:
             self._share()
 
     def _confirm(self, pairs: frozenset[tuple[str, str]]) -> None:
-        """Note until when the acknowledgements of a quorum count for these versions."""
+        """Note which versions a quorum has acknowledged by now."""
         voters = self._voters()
-        quorum = _quorum(voters)
-        for service, version in sorted(pairs):
-            acknowledged = self._acknowledged[service, version]
-            knowing = sorted(
-                (name for name in voters if name in acknowledged),
-                key=lambda name: -acknowledged[name],
-            )
-            if len(knowing) < quorum:
-                continue
-            if (service, version) not in self._confirmed_until_s:
+        for service, version in sorted(pairs - self._confirmed):
+            knowing = [name for name in voters if name in self._acknowledged[service, version]]
+            if len(knowing) >= _quorum(voters):
+                self._confirmed.add((service, version))
                 log = logger.bind(service=service, version=version, controllers=knowing)
                 log.info("service_version_confirmed")
-            oldest_s = acknowledged[knowing[quorum - 1]]
-            self._confirmed_until_s[service, version] = oldest_s + ACKNOWLEDGED_S
 
     # --- controllers ---------------------------------------------------------------------------
 
