--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -170,5 +170,6 @@
     base.metrics.gauge("runners_warming", lambda: float(count_warming(registry)))
     base.metrics.gauge("zones_draining", lambda: float(len(registry.zone_drains.draining())))
     base.metrics.gauge("requests_held", lambda: float(len(follower.quarantine.held)))
+    base.metrics.gauge("quarantine_revision", lambda: float(follower.quarantine.current.revision))
     base.metrics.gauge("controllers_heard", lambda: float(follower.controllers.count_in_touch()))
     return base
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -13,6 +13,7 @@
 from rainsail.jobs.item_recorder import ItemRecorder
 from rainsail.jobs.item_runs import ItemRuns
 from rainsail.jobs.item_starter import ItemStarter
+from rainsail.jobs.item_wait import WaitCause
 from rainsail.jobs.job_state import StateObserver
 from rainsail.jobs.open_jobs import OpenJobs
 from rainsail.jobs.preemptor import Preemptor
@@ -46,6 +47,13 @@
         node.metrics.gauge("items_running", lambda: float(len(state.running)))
         node.metrics.gauge("items_held", lambda: float(state.waiting.count_held()))
         node.metrics.gauge("jobs_awaiting_table", lambda: float(len(state.tables)))
+        waits = self._count_waits
+        node.metrics.gauge("items_waiting_for_slot", lambda: waits(WaitCause.SLOT))
+        node.metrics.gauge("items_waiting_in_backoff", lambda: waits(WaitCause.BACKOFF))
+        node.metrics.gauge("items_waiting_for_table", lambda: waits(WaitCause.TABLE))
+        node.metrics.gauge("items_waiting_in_quarantine", lambda: waits(WaitCause.HELD))
+        node.metrics.gauge("items_waiting_for_trial", lambda: waits(WaitCause.TRIAL))
+        node.metrics.gauge("items_waiting_to_go_alone", lambda: waits(WaitCause.SENT_ALONE))
 
     # --- leadership ----------------------------------------------------------------------
 
@@ -88,6 +96,11 @@
         self._starter.start_items()
         self._node.clock.callLater(DISPATCH_PERIOD_S, self._run_periodically)
 
+    def _count_waits(self, cause: WaitCause) -> float:
+        state = self._state
+        now = self._node.clock.seconds()
+        return float(state.waiting.count_by_cause(state.tables.awaits, now)[cause])
+
     # --- access for other components -----------------------------------------------------
 
     @property
--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -2,6 +2,7 @@
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.jobs.item_routes import ItemRoutes
+from rainsail.jobs.item_wait import ItemWait
 from rainsail.jobs.job_state import JobState
 from rainsail.jobs.open_item import OpenItem
 from rainsail.quarantine.fingerprint import (
@@ -72,33 +73,57 @@
         prompt = self._protocol.describe_item(job.items[item.index]).prompt
         return [part.part for part in prompt[:-1]]
 
-    def is_held(self, item: OpenItem, service: str = "") -> bool:
-        """Tell whether an item must not be sent to runners of a service (empty: of any) now."""
+    def held_entry(self, item: OpenItem, service: str = "") -> Fingerprint | None:
+        """Return the fingerprint for which an item must not be sent to runners of a service now.
+
+        Without a service it is one for which no runner of any service may get it.
+        """
         if not self._guard.holds_any:
-            return False
-        return self._guard.held_among(self._all_fingerprints(item, service)) is not None
+            return None
+        return self._guard.held_among(self._all_fingerprints(item, service))
+
+    def unproven_entries(self, item: OpenItem, service: str) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints for which an item may run at a service only as a trial."""
+        if not self._guard.has_unproven:
+            return ()
+        return tuple(self._guard.unproven_among(self._all_fingerprints(item, service)))
 
-    def may_try(self, item: OpenItem, service: str, now: float) -> bool:
-        """Tell whether an item that is not held may be sent to a runner of a service now.
+    def may_try(self, item: OpenItem, unproven: tuple[Fingerprint, ...], now: float) -> bool:
+        """Tell whether an item that is not held may be sent now.
 
         One that was held needs a permit, for which this asks; it is there in one of the next
         rounds.
         """
-        if not self._guard.has_unproven:
-            return True
-        unproven = self._guard.unproven_among(self._all_fingerprints(item, service))
         if not unproven:
             return True
         if now <= item.trial_until_s:
             item.trial_until_s = 0.0
             return True
+        self._ask_for_trial(item, unproven, now)
+        return False
+
+    def _ask_for_trial(self, item: OpenItem, unproven: tuple[Fingerprint, ...], now: float) -> None:
+        if item.wait is None:
+            item.wait = ItemWait()
+        trials = item.wait.trials
+        if item.trial_until_s:
+            item.trial_until_s = 0.0
+            trials.unused += 1
+        is_decided = is_asked = False
 
         def decided(may_run: bool) -> None:
+            nonlocal is_decided
+            is_decided = True
             if may_run:
                 item.trial_until_s = now + PERMIT_USE_S
+                trials.granted += 1
+            elif is_asked:
+                trials.refused += 1
 
         self._guard.request_trial(unproven, decided)
-        return False
+        # A request that was refused lately is refused at once, without asking.
+        is_asked = not is_decided
+        trials.asked += is_asked
 
     def on_run_goes_on(self, item: OpenItem, record: RunnerRecord | None) -> None:
         """Report a run that has gone on for a while, as its runner has survived the prompt."""
--- a/src/rainsail/jobs/item_recorder.py
+++ b/src/rainsail/jobs/item_recorder.py
@@ -5,9 +5,12 @@
 from rainsail.jobs.after_run import ItemOver
 from rainsail.jobs.context import Ledger
 from rainsail.jobs.item_run import RunEnd
+from rainsail.jobs.item_wait import ItemWait
 from rainsail.jobs.open_item import OpenItem
+from rainsail.jobs.slot_use import SlotUse
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
+from rainsail.quarantine.fingerprint import fingerprint_hex
 from rainsail.state.job_commands import ItemOutcome
 
 
@@ -18,9 +21,23 @@
         self._ledger = ledger
         self._metrics = metrics
 
-    def item_sent(self, item: OpenItem) -> None:
-        """Record that an item is sent to its runner."""
+    def item_waits(self, item: OpenItem, wait: ItemWait) -> None:
+        """Record why an item waits now, and its permits for trials since its last run."""
+        trials = wait.trials
+        log = self._log_of(item).bind(cause=wait.cause.value, entry=fingerprint_hex(wait.entry))
+        log = log.bind(asked=trials.asked, refused=trials.refused)
+        log.bind(granted=trials.granted, unused=trials.unused).info("item_waits")
+
+    def item_sent(self, item: OpenItem, beside: SlotUse) -> None:
+        """Record that an item is sent to its runner, and what runs there beside a trial."""
         log = self._with_failures(self._log_of(item), item)
+        if item.trial_of:
+            log = log.bind(
+                trial_of=",".join(map(fingerprint_hex, item.trial_of)),
+                items_beside=beside.items,
+                online_beside=beside.online,
+            )
+            self._metrics.count("item_trials")
         log.bind(after_event=item.progress.last_event).info("item_sent")
         self._metrics.count("item_runs")
 
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -75,10 +75,11 @@
         source = self._source_of(item, job, record)
         self._learn_from_previous_leader(item, source)
         item.begin_run(record.runner, now)
+        beside = self._slots.use_of(record, now)
         self._slots.on_item_started(record, now)
         self._running.add(item)
         item.run = self._new_run(item, content.item, source)
-        self._recorder.item_sent(item)
+        self._recorder.item_sent(item, beside)
         item.call = self._node.pool.send(record.address, request, item.run)
 
     def _bind_to(self, item: OpenItem, origin: StreamOrigin) -> None:
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -18,13 +18,17 @@
 from rainsail.jobs.item_planner import ItemPlanner
 from rainsail.jobs.item_recorder import ItemRecorder
 from rainsail.jobs.item_runs import ItemRuns
+from rainsail.jobs.item_wait import ItemWait, WaitCause
 from rainsail.jobs.open_item import OpenItem
 from rainsail.jobs.slot_use import choose_runner
+from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.relay.split import WeightedServicePicker
 from rainsail.relay.table import Route
 from rainsail.routing.residency import AllowedRegions
 
 QUARANTINED = "quarantined"
+NO_ENTRY = b""
+"""An item that waits by no entry of the quarantine's list."""
 HELD = "held, as its attempts may be used up,"
 
 
@@ -82,7 +86,9 @@
         for item in self._waiting.by_urgency(self._planner.order):
             if not self._tables.covers(item.job):
                 continue
-            if self._guard.is_held(item):
+            held = self._guard.held_entry(item)
+            if held is not None:
+                self._note_wait(item, WaitCause.HELD, held, now)
                 self._keep_waiting(item, now, QUARANTINED)
             elif item.ready_at_s <= now:
                 result = self._start_or_give_up(item, now)
@@ -131,6 +137,7 @@
         item.is_held = False
         item.is_sent_alone = decision == BeforeRun.SEND_ALONE
         if item.is_sent_alone and not self._may_send_alone(now):
+            self._note_wait(item, WaitCause.SENT_ALONE, NO_ENTRY, now)
             self._waiting.skip(item)
             return StartResult.PASSED_OVER
         if item.begun and not self._runs.is_origin_confirmed(item):
@@ -138,8 +145,10 @@
         # A text of unknown origin begins anew: the ledger keeps who wrote it.
         origin = item.progress.origin if item.begun else None
         service = self._service_for(origin, route)
-        if self._guard.is_held(item, service):
+        held = self._guard.held_entry(item, service)
+        if held is not None:
             # The next split decision may select another service.
+            self._note_wait(item, WaitCause.HELD, held, now)
             self._keep_waiting(item, now, QUARANTINED)
             return StartResult.PASSED_OVER
         allowed = self._routes.allowed_regions(route, job.tenant)
@@ -150,15 +159,27 @@
                 self._running.add(item)
                 self._notes.note_start(item)
                 return StartResult.WAITS_NO_LONGER
-            if not self._guard.may_try(item, service, now):
+            unproven = self._guard.unproven_entries(item, service)
+            if not self._guard.may_try(item, unproven, now):
+                self._note_wait(item, WaitCause.TRIAL, unproven[0], now)
                 self._keep_waiting(item, now, QUARANTINED)
                 return StartResult.PASSED_OVER
+            item.trial_of = unproven
             self._runs.start(item, job, record, now)
             return StartResult.WAITS_NO_LONGER
+        if item.wait is not None:
+            item.wait.note(WaitCause.SLOT, NO_ENTRY, now)
         # The runners that this item avoids may have free slots for other items.
         is_restricted = bool(item.failed_at_s) or origin is not None
         return StartResult.PASSED_OVER if is_restricted else StartResult.NO_SLOT
 
+    def _note_wait(self, item: OpenItem, cause: WaitCause, entry: Fingerprint, now: float) -> None:
+        """Note why an item waits; log each change of the cause."""
+        if item.wait is None:
+            item.wait = ItemWait(since_s=now)
+        if item.wait.note(cause, entry, now):
+            self._recorder.item_waits(item, item.wait)
+
     def _may_send_alone(self, now: float) -> bool:
         """Tell whether an item may be sent that the loss of this leader would hold."""
         if now - self._leads_since_s < STEADY_LEADERSHIP_S:
@@ -180,7 +201,7 @@
         self._waiting.requeue(item)
         if not self._may_start(now) or not self._tables.covers(item.job):
             return
-        if self._guard.is_held(item):
+        if self._guard.held_entry(item) is not None:
             return
         if self._start_or_give_up(item, now) == StartResult.WAITS_NO_LONGER:
             self._waiting.take(item)
--- a/src/rainsail/jobs/job_tables.py
+++ b/src/rainsail/jobs/job_tables.py
@@ -59,6 +59,10 @@
             recent = {job: at_s for job, at_s in self._submitted_s.items() if at_s > oldest_s}
             self._submitted_s = recent
 
+    def awaits(self, job: str) -> bool:
+        """Tell whether a job waits for the confirmation of the table, as far as known by now."""
+        return job in self._unconfirmed
+
     def covers(self, job: str) -> bool:
         """Tell whether items of a job may be decided on by the table here."""
         since_s = self._unconfirmed.get(job)
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -7,6 +7,7 @@
 from rainsail.jobs.failure_counts import NO_FAILURES, UNNOTED, FailureCounts
 from rainsail.jobs.item_run import ItemProgress, ItemRun
 from rainsail.jobs.item_text import MAX_ITEM_NOTE_BYTES, note_bytes
+from rainsail.jobs.item_wait import LOGGED_CAUSES, ItemWait, WaitCause
 from rainsail.jobs.job_state import NO_EVENT, RelayedJob, origin_note
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.job_commands import ItemNote
@@ -29,6 +30,10 @@
     call: Call | None = None
     trial_until_s: float = 0.0
     """Until when the item may be sent although it was held before."""
+    trial_of: tuple[Fingerprint, ...] = ()
+    """The quarantine's entries of which the current run, or the last one, is a trial."""
+    wait: ItemWait | None = None
+    """Why it waits; None if neither the quarantine nor ``is_sent_alone`` has kept it waiting."""
     started_s: float = 0.0
     """Start of the current run, or of the last one."""
     ran_s: float = 0.0
@@ -76,12 +81,21 @@
         """Tell whether it holds a slot and its runner has not begun to answer."""
         return bool(self.starting) or (self.run is not None and not self.run.begun)
 
+    def wait_cause(self, now: float) -> WaitCause:
+        """Return why the item waits, as far as it was found by itself and not by its job."""
+        if self.is_held:
+            return WaitCause.POSSIBLE_FAILURES
+        if self.wait is not None and self.wait.cause in LOGGED_CAUSES:
+            return self.wait.cause
+        return WaitCause.BACKOFF if self.ready_at_s > now else WaitCause.SLOT
+
     def running_s(self, now: float) -> float:
         """Return the total duration of the item's runs, including the current one."""
         return self.ran_s + (now - self.started_s if self.run is not None else 0.0)
 
     def begin_run(self, runner: str, now: float) -> None:
         """Reset the state of the current run."""
+        self.wait = None
         self.runner = runner
         self.started_s = self.last_event_s = now
         self.events_seen = self.events_at_start = self.events
--- a/src/rainsail/jobs/waiting_items.py
+++ b/src/rainsail/jobs/waiting_items.py
@@ -4,12 +4,13 @@
 more to examine than a small one. Requeued items are few and are examined one by one.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from itertools import chain
 
 from rainsail.jobs.item_order import FreshItems, ItemOrder, Urgency
+from rainsail.jobs.item_wait import WaitCause
 from rainsail.jobs.open_item import OpenItem
 
 
@@ -70,6 +71,15 @@
         """Return how many items are not sent since their attempts may be used up."""
         return sum(item.is_held for item in self._requeued)
 
+    def count_by_cause(self, awaits_table: Callable[[str], bool], now: float) -> Counter[WaitCause]:
+        """Return how many items wait for each cause."""
+        counts: Counter[WaitCause] = Counter()
+        for job, queue in self._fresh.items():
+            counts[WaitCause.TABLE if awaits_table(job) else WaitCause.SLOT] += len(queue)
+        for item in self._requeued:
+            counts[WaitCause.TABLE if awaits_table(item.job) else item.wait_cause(now)] += 1
+        return counts
+
     def by_urgency(self, order: ItemOrder) -> Iterator[OpenItem]:
         """Yield the items, most urgent first; the fresh items of one job stay together.
 
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Any, Protocol
 
 from rainsail.cluster.follower import FleetFollower
@@ -47,6 +48,8 @@
 """About the maximum number of requests and prompt parts that are reported for one crash."""
 MAX_PART_ID_LENGTH = 64
 """Characters of a part's id that are kept for operators; clients choose the ids."""
+MAX_FINGERPRINTS_SHOWN = 32
+"""Requests and parts that the log line on a crash names; it is cut at some 1 kB."""
 
 TRIAL_TIMEOUT_S = 0.3
 """How long a request waits for the permit of a trial; a few round trips between regions."""
@@ -274,7 +277,9 @@
     def _report(self, check: _CrashCheck) -> None:
         runner = check.record.runner
         age_s = self._clock.seconds() - check.began_s
-        logger.bind(runner=runner, requests=len(check.broken)).info("runner_ended")
+        shown = ",".join(map(fingerprint_hex, islice(check.broken, MAX_FINGERPRINTS_SHOWN)))
+        log = logger.bind(runner=runner, requests=len(check.broken), fingerprints=shown)
+        log.info("runner_ended")
         self._metrics.count("runner_ends_seen")
         names = tuple(check.names[each] for each in check.broken if each in check.names)
         if names:
