--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -5,7 +5,9 @@
 """
 
 from collections.abc import Sequence
+from typing import Any
 
+from rainsail.cluster.messages import RunnerRecord
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.reachability import Reachability
 from rainsail.logs import logger
@@ -108,6 +110,20 @@
         guard = self._context.guard
         return guard.unproven_among(self._all_fingerprints) if guard.has_unproven else ()
 
+    def trial_sent(self, record: RunnerRecord, unproven: Fingerprints) -> None:
+        """Record that the request is sent as a trial, and what this gateway runs beside it."""
+        beside = self._context.loads.of(record.runner).in_flight
+        log = self._log_trial(unproven).bind(runner=record.runner, online_beside=beside)
+        log.info("request_trial_sent")
+
+    def trial_unused(self, unproven: Fingerprints, reason: str) -> None:
+        """Record a permit for a trial with which the request was not sent."""
+        self._log_trial(unproven).bind(reason=reason).info("request_trial_unused")
+
+    def _log_trial(self, unproven: Fingerprints) -> Any:
+        names = ",".join(map(fingerprint_hex, unproven))
+        return logger.bind(request=self._facts.request, trial_of=names)
+
     # --- attempts ------------------------------------------------------------------------
 
     def answered(self, attempt: Attempt) -> None:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -9,6 +9,7 @@
 from typing import assert_never
 
 from rainsail.http.exchange import Exchange
+from rainsail.quarantine.guard import Fingerprints
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.context import RelayContext
@@ -53,6 +54,8 @@
 from rainsail.tenancy.tenants import ANONYMOUS, Identity
 
 CLIENT_DISCONNECTED = "the client disconnected"
+NO_RUNNER = "no runner takes the request now"
+REQUEST_OVER = "the request ended before its trial was permitted"
 
 
 class RelayRun:
@@ -263,9 +266,13 @@
         unproven = self._recorder.unproven_fingerprints()
         if unproven and not self._is_trial:
             guard = self._context.guard
-            guard.request_trial(unproven, lambda may_run: self._trial_decided(may_run, placement))
+            guard.request_trial(
+                unproven, lambda may_run: self._trial_decided(may_run, unproven, placement)
+            )
             return
         found = self._sender.find(decision.route, placement, self._deadline.left_s)
+        if unproven and found.record is None:
+            self._recorder.trial_unused(unproven, NO_RUNNER)
         if found.retry_after_s is not None:
             self._end(refuse_overloaded(self._sender.service, found.retry_after_s))
         elif found.record is None and self._origin.origin is not None:
@@ -276,11 +283,17 @@
             self._end(give_up_without_runner(self._progress(), no_runner_reason, settings))
         else:
             self._record_service()
+            if unproven:
+                self._recorder.trial_sent(found.record, unproven)
             self._sender.send(found.record, decision)
 
-    def _trial_decided(self, may_run: bool, placement: Placement | None) -> None:
+    def _trial_decided(
+        self, may_run: bool, unproven: Fingerprints, placement: Placement | None
+    ) -> None:
         """Send a request that was held as a trial, or end it while another one is tried."""
         if self.outcome is not None:
+            if may_run:
+                self._recorder.trial_unused(unproven, REQUEST_OVER)
             return
         if may_run:
             self._is_trial = True
