Items wait for runners of their own service and region only

What callers see: accepted items lie while the runners of their service are idle, as long as more urgent items of another service, or of a narrower region, find no free slot.

Cause: a dispatch round ended at the first item that found no slot, for the items of all services. Class: one queue's head blocks others. Now a round remembers where an item found no slot (service and allowed regions), starts no less urgent one there, and ends once each batch service is full.

--- /dev/null
+++ b/features/jobs/several_services.feature
@@ -0,0 +1,24 @@
+Feature: Items wait for the runners that may get them, and for no others
+
+  Guards against: an item that finds no free slot ends the dispatch round, so that the items of all
+  other services and regions wait until its service has a slot.
+
+  Scenario Outline: Items go to free slots while more urgent items of <others> find none
+    Given a fleet with a batch route for "model", "other" and "model" in the east, and runners of <runners>
+    When a job of 20 items comes for <first>
+    And 0.3 s later one of 4 items for <second>
+    And 1.5 s of the two jobs pass
+    Then all 4 items of the second job run, and <count> of the first
+
+    Examples:
+      | others          | runners             | first             | second            | count |
+      | another service | other               | model             | other             | 0     |
+      | another service | model, other        | model             | other             | 8     |
+      | another region  | model in the west   | model in the east | model             | 0     |
+
+  Scenario: Less urgent items of the same service don't overtake
+    Given a fleet with a batch route for "model", "other" and "model" in the east, and runners of model
+    When a job of 20 items comes for model
+    And 0.3 s later one of 4 items for model
+    And 1.5 s of the two jobs pass
+    Then all 0 items of the second job run, and 8 of the first
--- /dev/null
+++ b/features/steps/several_service_steps.py
@@ -0,0 +1,102 @@
+"""Steps on batch items of several services and regions."""
+
+from dataclasses import replace
+from typing import Any
+
+from behave import given, step, then, when
+from expression import Ok
+from features.support.relayed_fleet import COMPLETION_S, RelayedFleet
+from features.support.relaying import HOST, runner_record
+
+from rainsail.jobs.messages import QueueLimit
+from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
+from rainsail.state.job_commands import RelayedItem
+
+SEED = 41
+SLOTS = 8
+PATHS = {"model": "/model/", "other": "/other/", "model in the east": "/east/"}
+RUNNERS = {
+    "model": ("model", "zone-1"),
+    "model in the west": ("model", "zone-1"),
+    "other": ("other", "zone-1"),
+}
+"""Service and zone of a runner; zone-1 lies in the west."""
+
+
+class TwoServiceFleet(RelayedFleet):
+    """A fleet with a batch route for each of two services, and one for a region of the first."""
+
+    def table_of(self, content: bytes) -> Any:
+        """Return the table."""
+        model = Route(
+            "model",
+            HOST,
+            PATHS["model"],
+            RouteKind.BATCH,
+            (ServiceShare("model", 1.0),),
+            30.0,
+            1.0,
+            max_attempts=2,
+            completion_s=COMPLETION_S,
+        )
+        other = replace(
+            model, name="other", prefix=PATHS["other"], shares=(ServiceShare("other", 1.0),)
+        )
+        east = replace(
+            model,
+            name="east",
+            prefix=PATHS["model in the east"],
+            allowed_regions=frozenset(["east"]),
+        )
+        services = (Service("model", 10, True), Service("other", 10, True))
+        return Ok(RoutingTable(int(content), (model, other, east), services, ClientLimits()))
+
+
+@given(
+    'a fleet with a batch route for "model", "other" and "model" in the east, '
+    "and runners of {runners}"
+)
+def make_fleet(context, runners):
+    context.fleet = fleet = TwoServiceFleet(SEED)
+    fleet.leader("controller")
+    fleet.leader("storage")
+    controller = fleet.controller("controller-1")
+    assert fleet.result_of(controller.tables.replace(1, b"1"), "a table").is_ok()
+    for number, name in enumerate(runners.split(", "), start=1):
+        service, zone = RUNNERS[name]
+        record = replace(runner_record(number, zone=zone), service=service, slots=SLOTS)
+        controller.reports.take(record)
+    fleet.run_for(1.5)
+    context.jobs = []
+
+
+@when("a job of {count:d} items comes for {route}")
+def hand_in(context, count, route):
+    fleet = context.fleet
+    path = PATHS[route]
+    name = f"job-{len(context.jobs) + 1}"
+    items = tuple(
+        RelayedItem(f"{name}-{number}", f"{path}{number}", (), b"body", 10)
+        for number in range(count)
+    )
+    context.jobs.append(name)
+    done = fleet.nodes["gateway-1"].role.submit("", name, HOST, path, items, QueueLimit(path, 0))
+    assert fleet.result_of(done, "an answer to the job").is_ok()
+
+
+@step("{later_s:g} s later one of {count:d} items for {route}")
+def hand_in_later(context, later_s, count, route):
+    context.fleet.run_for(later_s)
+    hand_in(context, count, route)
+
+
+@step("{seconds:g} s of the two jobs pass")
+def pass_time(context, seconds):
+    context.fleet.run_for(seconds)
+
+
+@then("all {second:d} items of the second job run, and {first:d} of the first")
+def items_run(context, second, first):
+    running = [call for call in context.fleet.calls() if not (call.cancelled or call.over)]
+    counts = [sum(call.job == name for call in running) for name in context.jobs]
+    assert counts == [first, second], counts
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -37,12 +37,14 @@
 
     WAITS_NO_LONGER = "waits_no_longer"
     """It has started or is over, and leaves the queue."""
-    NO_SLOT = "no_slot"
-    """No runner has a free slot for it, nor for the items after it."""
     PASSED_OVER = "passed_over"
     """It has to wait, but the items after it may start."""
 
 
+_Places = tuple[str, AllowedRegions]
+"""A service, and the regions in which items may run."""
+
+
 class ItemStarter:
     """Assigns items to runners, which ``slot_use.choose_runner`` selects."""
 
@@ -79,10 +81,12 @@
         self._wait_for_reports_until_s = now + self._node.settings.report_wait_s
 
     def start_items(self) -> None:
-        """Start items until the most urgent one that may start finds no free slot."""
+        """Start items until no service has a free slot for the next most urgent one."""
         now = self._node.clock.seconds()
-        if not self._may_start(now):
+        if not self._may_start(now) or self._routes.table is None:
             return
+        full: set[_Places] = set()
+        everywhere: set[_Places] = {(name, None) for name in self._routes.batch_services()}
         for item in self._waiting.by_urgency(self._planner.order):
             if not self._tables.covers(item.job):
                 continue
@@ -91,10 +95,9 @@
                 self._note_wait(item, WaitCause.HELD, held, now)
                 self._keep_waiting(item, now, QUARANTINED)
             elif item.ready_at_s <= now:
-                result = self._start_or_give_up(item, now)
-                if result == StartResult.WAITS_NO_LONGER:
+                if self._start_or_give_up(item, now, full) == StartResult.WAITS_NO_LONGER:
                     self._waiting.take(item)
-                elif result == StartResult.NO_SLOT:
+                elif full >= everywhere:
                     return
 
     def _may_start(self, now: float) -> bool:
@@ -113,15 +116,14 @@
             self._waiting.take(item)
             self._recorder.item_over(item, ItemOver(False, f"still {cause} at its time limit"))
 
-    def _start_or_give_up(self, item: OpenItem, now: float) -> StartResult:
+    def _start_or_give_up(self, item: OpenItem, now: float, full: set[_Places]) -> StartResult:
         """Start an item if a runner has a free slot.
 
-        An item that is not open any more, or that has no route, leaves the queue as well.
+        An item that is not open any more, or that has no route, leaves the queue as well. ``full``
+        collects where an item found no slot, so that no less urgent one is started there.
         """
         if not self._ledger.is_open(item):
             return StartResult.WAITS_NO_LONGER
-        if self._routes.table is None:
-            return StartResult.NO_SLOT
         job = self._ledger.state.jobs[item.job]
         route = self._routes.of_item(job, item.index)
         if route is None:
@@ -152,7 +154,9 @@
             self._keep_waiting(item, now, QUARANTINED)
             return StartResult.PASSED_OVER
         allowed = self._routes.allowed_regions(route, job.tenant)
-        record = self._choose_runner(item, origin, service, allowed, now)
+        record = None
+        if (service, allowed) not in full:
+            record = self._choose_runner(item, origin, service, allowed, now)
         if record is not None:
             if not self._notes.may_send(item):
                 item.runner = record.runner
@@ -171,7 +175,9 @@
             item.wait.note(WaitCause.SLOT, NO_ENTRY, now)
         # The runners that this item avoids may have free slots for other items.
         is_restricted = bool(item.failed_at_s) or origin is not None
-        return StartResult.PASSED_OVER if is_restricted else StartResult.NO_SLOT
+        if not is_restricted:
+            full.add((service, allowed))
+        return StartResult.PASSED_OVER
 
     def _note_wait(self, item: OpenItem, cause: WaitCause, entry: Fingerprint, now: float) -> None:
         """Note why an item waits; log each change of the cause."""
@@ -201,9 +207,11 @@
         self._waiting.requeue(item)
         if not self._may_start(now) or not self._tables.covers(item.job):
             return
+        if self._routes.table is None:
+            return
         if self._guard.held_entry(item) is not None:
             return
-        if self._start_or_give_up(item, now) == StartResult.WAITS_NO_LONGER:
+        if self._start_or_give_up(item, now, set()) == StartResult.WAITS_NO_LONGER:
             self._waiting.take(item)
 
     def _service_for(self, origin: StreamOrigin | None, route: Route) -> str:
