Controllers that have just founded their fleet count for a quorum that knows software versions at once

Cause: a controller doesn't count before gateways have had the time to share their versions again, since its disk may have been lost. It could not tell a disk that was lost from a fleet that is new.

Fix: entry 1 of the root group's log names the founders by the identities that voted, and a replica that has lost its disk has another identity. A controller that appends entry 1 with its own identity since its start has founded the fleet in this run; no stream began before the first routing table, so there is nothing that it could have forgotten.

--- a/features/cluster/service_versions.feature
+++ b/features/cluster/service_versions.feature
@@ -40,6 +40,21 @@
     When 3 seconds pass in the fleet
     Then the sole version v1 is confirmed at gateway-2
 
+  Scenario: Controllers that have just founded their fleet count at once
+    # Guards against: resumed streams that a fleet refuses for its first seconds.
+    Given a fleet of 3 controllers and 2 gateways that share versions, founded at this moment
+    When a runner of version v1 has reported to controller-1
+    Then the sole version v1 is confirmed at gateway-2
+
+  Scenario: Controllers that have lost their disks do not count at once
+    # Guards against: a quorum that includes a controller which has forgotten what it acknowledged.
+    When a runner of version v1 has reported to controller-1
+    And gateway-2 loses touch with controller-2
+    And the disk of controller-3 is lost, and it starts again as a founder
+    Then the sole version v1 is unsure at gateway-2
+    When 3 seconds pass in the fleet
+    Then the sole version v1 is confirmed at gateway-2
+
   Scenario: A gateway shares its versions again with a controller that has started again
     When a runner of version v1 has reported to controller-1
     And gateway-1 has shared a version v2 that no runner of the controllers has
--- a/features/steps/service_version_steps.py
+++ b/features/steps/service_version_steps.py
@@ -7,6 +7,7 @@
 from features.support.relaying import SERVICE, runner_record
 
 from rainsail.cluster.runner_versions import RunnerVersion
+from rainsail.cluster.service_versions import SHARED_AGAIN_WITHIN_S
 from rainsail.relay.version_quorum import ControllerVersionQuorum
 
 SETTLE_S = 3.0
@@ -30,6 +31,22 @@
     context.reported = 0
 
 
+@given(
+    "a fleet of {count:d} controllers and {gateways:d} gateways that share versions, "
+    "founded at this moment"
+)
+def found_fleet(context, count, gateways):
+    context.fleet = fleet = QuorumFleet(64, controllers=count, storage=1, gateways=gateways)
+    fleet.leader("controller")
+    followers = [fleet.nodes[name].base.follower for name in fleet.names("gateway")]
+    fleet.run_until(
+        lambda: all(len(each.controllers.in_touch()) == count for each in followers),
+        "the gateways are in touch with all controllers",
+    )
+    assert fleet.clock.seconds() < SHARED_AGAIN_WITHIN_S - 2 * REPORTED_S, fleet.clock.seconds()
+    context.reported = 0
+
+
 @step("a runner of version {version} has reported to {controller}")
 def report(context, version, controller):
     fleet = context.fleet
@@ -71,6 +88,13 @@
     context.fleet.run_for(1.0)
 
 
+@step("the disk of {controller} is lost, and it starts again as a founder")
+def restart_without_disk(context, controller):
+    context.fleet.lose_disk(controller)
+    context.fleet.start(controller, founding=True)
+    context.fleet.run_for(1.0)
+
+
 @then("a quorum knows {version}, as {gateway} sees it")
 def is_known(context, version, gateway):
     assert _is_known(context, version, gateway)
--- a/src/rainsail/cluster/controller.py
+++ b/src/rainsail/cluster/controller.py
@@ -75,7 +75,11 @@
         self.tables = TableService(context, calls, committed, services_of)
         self.origins = StreamOriginService(context.messenger, clock, context.registry.has_unheard)
         self.service_versions = ServiceVersionKeeper(
-            context.messenger, clock, context.registry, shared_versions
+            context.messenger,
+            clock,
+            context.registry,
+            shared_versions,
+            group.was_founded_in_this_run,
         )
         self._founding = LedgerFounding(group, state, context.directory, losses)
         self._heartbeats = NodeHeartbeats(context, views, committed)
--- a/src/rainsail/cluster/service_versions.py
+++ b/src/rainsail/cluster/service_versions.py
@@ -8,11 +8,13 @@
 A controller knows the versions of the runners in its registry, and those that gateways have shared
 with it and renew. It stores the latter before it acknowledges them, since a gateway that relies on
 the acknowledgement may not reach it again after a restart. After its start it does not count for a
-quorum before gateways have had the time to share again, as its disk may have been lost.
+quorum before gateways have had the time to share again, as its disk may have been lost. That is
+ruled out where it has founded the fleet since its start: no stream began before the first routing
+table.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -98,10 +100,13 @@
         clock: Clock,
         registry: RunnerRegistry,
         store: SharedVersionStore | None = None,
+        has_founded: Callable[[], bool] = lambda: False,
     ) -> None:
+        """``has_founded``: this controller has founded the fleet since its start."""
         self._clock = clock
         self._registry = registry
         self._store = store or NoSharedVersionStore()
+        self._has_founded = has_founded
         self._started_s = clock.seconds()
         self._durable = frozenset(self._store.load())
         self._shared = OrderedDict.fromkeys(sorted(self._durable), self._started_s)
@@ -168,7 +173,7 @@
         return tuple(sorted((shared | own) - {NO_VERSION}))
 
     def _is_settled(self, now: float) -> bool:
-        if now < self._started_s + SHARED_AGAIN_WITHIN_S:
+        if now < self._started_s + SHARED_AGAIN_WITHIN_S and not self._has_founded():
             return False
         return now >= self._started_s + REPORTS_WAIT_S or not self._registry.has_unheard()
 
--- a/src/rainsail/consensus/core_state.py
+++ b/src/rainsail/consensus/core_state.py
@@ -14,6 +14,9 @@
 from rainsail.storage.interface import HardState, LogEntry
 from rainsail.storage.snapshot_checksum import SnapshotChecksum
 
+FOUNDING_INDEX = 1
+"""The log's first entry: it names the founders with the identities that voted."""
+
 
 class Role(StrEnum):
     """The role of a member in the consensus protocol."""
@@ -198,6 +201,8 @@
         self.founding_votes: dict[str, str] = {}
         self.founding_refused = False
         self.group_exists = False
+        self.founded_in_this_run = False
+        """The group was founded since this process started, with this replica as a founder."""
         self.campaign_is_transfer = False
         self.progress: dict[str, Progress] = {}
         self.round = 0
@@ -267,6 +272,9 @@
         """Append to the log; durable with the next sync."""
         self.log.append(entry)
         self.effects.append.append(entry)
+        if entry.index == FOUNDING_INDEX:
+            # A replica that lost its disk has another identity than the entry names.
+            self.founded_in_this_run = self.log.membership.find(self.identity) is not None
 
     def truncate_from(self, index: int) -> None:
         """Drop entries that conflict with a leader's log; committed entries are never dropped."""
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -204,6 +204,10 @@
         """Return the latest membership in this member's log."""
         return self.core.state.membership
 
+    def was_founded_in_this_run(self) -> bool:
+        """Return whether the group was founded, with this replica, since this process started."""
+        return self.core.state.founded_in_this_run
+
     # --- inputs --------------------------------------------------------------------------
 
     def _receive(self, source: str, message: GroupMessage) -> None:
--- a/src/rainsail/consensus/leading.py
+++ b/src/rainsail/consensus/leading.py
@@ -1,7 +1,7 @@
 """Becoming leader, after a won election or when founding a group."""
 
 from rainsail.consensus import append_sending
-from rainsail.consensus.core_state import CoreState, Progress, Role
+from rainsail.consensus.core_state import FOUNDING_INDEX, CoreState, Progress, Role
 from rainsail.consensus.membership import Membership, MemberSpec, encode_membership
 from rainsail.state.command_basics import NoOperation
 from rainsail.storage.interface import LogEntry
@@ -35,5 +35,5 @@
     """Found the group and lead it: entry 1 binds each replica name to the identity that voted."""
     members = [MemberSpec(name, state.founding_votes[name]) for name in state.bootstrap]
     payload = encode_membership(Membership(tuple(members)))
-    state.append(LogEntry(1, state.term, payload))
+    state.append(LogEntry(FOUNDING_INDEX, state.term, payload))
     become_leader(state, now)
