Logs: the time that a client has stated and what each runner was told is left of it

Whether a request handed on more time than remained could not be told from the log of its end (hypothesis 4 of docs/incidents/repeats-and-requests-without-an-answer.md). No decision changes.

--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -87,6 +87,8 @@
         self.call: Call | None = None
         self.version = context.registry.version_at_start(record)
         """The software version of the runner's process, as far as it is known."""
+        self.deadline_left_s: float | None = None
+        """The time that the runner was told is left for the request, if the client states one."""
         self.connection_ended = False
         """The answer was interrupted by the end of the connection, as when a runner crashes."""
         self._owner = owner
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -223,11 +223,13 @@
             runners=",".join(sorted(sender.tried)),
             sends=sender.attempts_counted,
             answers=_summaries(sender.attempts),
+            deadline_ms=_milliseconds(self._facts.deadline_s),
+            deadlines_sent_ms=_deadlines_sent(sender.attempts),
             last_event=answer.last_event,
             reason="" if outcome == RequestOutcome.COMPLETED else self.reason,
             fingerprint=fingerprint_hex(self._fingerprints.get(self.split_service, b"")),
             held=fingerprint_hex(self._held),
-            first_ms=None if first_s is None else round(first_s * MILLISECONDS_PER_S),
+            first_ms=_milliseconds(first_s),
             took_ms=round(self._elapsed_s() * MILLISECONDS_PER_S),
         )
         grace_left_ms = context.stop.remaining_ms
@@ -240,5 +242,15 @@
         return self._context.clock.seconds() - self._request.received_s
 
 
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * MILLISECONDS_PER_S)
+
+
+def _deadlines_sent(attempts: Sequence[Attempt]) -> str:
+    """Return the time left that each attempt's runner was told; empty if the client stated none."""
+    stated = (_milliseconds(attempt.deadline_left_s) for attempt in attempts)
+    return ",".join(str(each) for each in stated if each is not None)
+
+
 def _summaries(attempts: Sequence[Attempt]) -> str:
     return ",".join(attempt.summary for attempt in attempts)
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -98,16 +98,18 @@
         """Start an attempt at a runner."""
         context = self._context
         self.attempts_counted += 1
+        deadline_left_s = self._deadline_left_s()
         request = context.protocol.relayed(
             self._request,
             RunnerTarget(record.runner, record.address),
-            self._deadline_left_s(),
+            deadline_left_s,
             how.after_event,
             self._identity,
         )
         self._finder.record_sent(record)
         response_within_s = self._response_within_s()
         attempt = Attempt(self._owner, context, record, self._facts.request, response_within_s)
+        attempt.deadline_left_s = deadline_left_s
         self.attempt = attempt
         self.attempts.append(attempt)
         self._timeout.request_sent(self.route, self.attempts_counted)
