A request's time counts from the arrival of its first byte

What callers saw (shown by tests, not in a report): a runner was told of more time than the client had left, and a request was held beyond its client's deadline.

Cause: the server took the time when it had parsed a head for the time when the request came.

Fix: a connection notes when the first byte of the next request came, for bytes sent ahead too, less the time for which the kernel has held it (TCP_INFO's tcpi_last_data_recv; one call a request, 0 where the system does not tell). A deadline that counts from too early is at most the client's own.

--- a/features/http/connections.feature
+++ b/features/http/connections.feature
@@ -14,6 +14,43 @@
     When the server answers
     Then the server has seen the paths "/1 /2"
 
+  Scenario Outline: A request's time counts from its first byte: <course>
+    # Guards against: runners that are told of more time than the client has left.
+    Given an HTTP server that answers later
+    When a client sends "<first>"
+    And <seconds> seconds pass at the HTTP server
+    And a client sends "<rest>"
+    And <last>
+    Then the last request was received <seconds> seconds ago
+
+    Examples:
+      | course                              | first                              | seconds | rest                             | last                                   |
+      | its head comes in two parts         | GET /1 HTTP/1.1\|Host             | 2       | : a\|\|                        | 0 seconds pass at the HTTP server      |
+      | its body comes later                | PUT /1 HTTP/1.1\|Host: a\|Content-Length: 2\|\| | 2 | ok                         | 0 seconds pass at the HTTP server      |
+
+  Scenario Outline: A request that is sent ahead counts from its arrival, not from the end of the answer before it: <course>
+    # Guards against: the same, behind a long answer on one connection.
+    Given an HTTP server that answers later
+    When a client sends "GET /1 HTTP/1.1|Host: a||<with it>"
+    And a client sends "<after it>"
+    And 3 seconds pass at the HTTP server
+    And the server answers
+    Then the server has seen the paths "/1 /2"
+    And the last request was received 3 seconds ago
+    When a client sends nothing for 1 second after its answer, then "GET /3 HTTP/1.1|Host: a||"
+    Then the last request was received 0 seconds ago
+
+    Examples:
+      | course                         | with it             | after it                      |
+      | begun in the same packet       | GET /2 HTTP/1.1\|Ho | st: a\|\|                     |
+      | in a later one                 |                     | GET /2 HTTP/1.1\|Host: a\|\| |
+
+  Scenario: A request that has waited unread in the kernel counts from its arrival there
+    # Guards against: the same, at a process that stood still or was busy.
+    Given an HTTP server that answers later, over a socket
+    When a client of that socket sends a request that is not read for 0.3 seconds
+    Then the request was received between the moment it was sent and 0.25 seconds before it was read
+
   Scenario: A client's disconnect is noticed while its request is in progress
     Given an HTTP server that answers later
     When a client sends "GET /1 HTTP/1.1|Host: a||"
--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -1,6 +1,9 @@
 """Steps on HTTP connections over Twisted's in-memory transports."""
 
-from behave import given, step, then
+import socket
+import time
+
+from behave import given, step, then, when
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import StringTransportWithDisconnection
 from twisted.python.failure import Failure
@@ -9,8 +12,12 @@
 from rainsail.http.headers import end_to_end
 from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.server import HttpLimits, HttpServer
+from rainsail.runtime.clock import MonotonicClock
 from rainsail.simulation.clock import VirtualClock
 
+KERNEL_TICK_S = 0.02
+"""The kernel counts a socket's times in ticks, at the longest of a hundredth of a second."""
+
 
 class _Transport(StringTransportWithDisconnection):
     """Accepts the socket options that the product sets."""
@@ -77,6 +84,72 @@
     context.http_clock.advance(0)
 
 
+@then("the last request was received {seconds:g} seconds ago")
+def received_ago(context, seconds):
+    received_s = context.http_exchanges[-1].request.received_s
+    assert received_s == context.http_clock.seconds() - seconds, received_s
+
+
+@step('a client sends nothing for 1 second after its answer, then "{text}"')
+def sends_later(context, text):
+    server_answers(context)
+    context.http_clock.advance(1.0)
+    client_sends(context, text)
+
+
+class _SocketTransport(_Transport):
+    """An in-memory transport with the server's end of a real connection."""
+
+    def __init__(self, connection):
+        super().__init__()
+        self._connection = connection
+
+    def getHandle(self):
+        """Return the socket."""
+        return self._connection
+
+
+@given("an HTTP server that answers later, over a socket")
+def serve_socket(context):
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        context.http_client = socket.create_connection(listening.getsockname())
+        connection, _ = listening.accept()
+    context.add_cleanup(context.http_client.close)
+    context.add_cleanup(connection.close)
+    context.http_exchanges = []
+    context.http_clock = MonotonicClock(VirtualClock())
+    server = HttpServer(context.http_exchanges.append, context.http_clock, HttpLimits())
+    context.http_transport = _SocketTransport(connection)
+    context.http_connection = server.buildProtocol(None)
+    context.http_transport.protocol = context.http_connection
+    context.http_connection.makeConnection(context.http_transport)
+
+
+@when("a client of that socket sends a request that is not read for {seconds:g} seconds")
+def send_unread(context, seconds):
+    context.http_sent_s = context.http_clock.seconds()
+    context.http_client.sendall(_bytes("GET /1 HTTP/1.1|Host: a||"))
+    time.sleep(seconds)
+    context.http_read_s = context.http_clock.seconds()
+    data = context.http_transport.getHandle().recv(1024)
+    context.http_connection.dataReceived(data)
+    context.http_handled_s = context.http_clock.seconds()
+
+
+@then(
+    "the request was received between the moment it was sent and {seconds:g} seconds before it was "
+    "read"
+)
+def received_between(context, seconds):
+    received_s = context.http_exchanges[-1].request.received_s
+    took_s = context.http_handled_s - context.http_read_s
+    early_s = context.http_sent_s - KERNEL_TICK_S - took_s
+    assert early_s <= received_s <= context.http_read_s - seconds, (
+        received_s - context.http_sent_s,
+        context.http_read_s - received_s,
+    )
+
+
 @step("the server drains")
 def server_drains(context):
     context.http_server.drain()
--- a/src/rainsail/http/exchange.py
+++ b/src/rainsail/http/exchange.py
@@ -11,7 +11,7 @@
 class HttpRequest:
     """A complete request, including its body.
 
-    ``received_s`` is the clock time at which its head had arrived.
+    ``received_s`` is the clock time at which its first byte had arrived at this machine.
     """
 
     method: bytes
--- a/src/rainsail/http/server_connection.py
+++ b/src/rainsail/http/server_connection.py
@@ -43,6 +43,7 @@
     limit_unread_bytes,
     reset_at_close,
     set_user_timeout,
+    unread_for_s,
     unsent_bytes,
 )
 
@@ -76,7 +77,10 @@
             h11.SERVER, max_incomplete_event_size=server.limits.max_header_bytes
         )
         self._head: h11.Request | None = None
-        self._received_s = 0.0
+        self._begun_s: float | None = None
+        """When the first byte of the request that is arriving had arrived; None without one."""
+        self._read_s = 0.0
+        """When the bytes that were read last had arrived."""
         self._body: RequestBody | None = None
         self._head_bytes = 0
         self._exchange: ServerExchange | None = None
@@ -115,6 +119,10 @@
             return
         if self._lost:
             return
+        self._read_s = self._clock.seconds()
+        if self._begun_s is None:
+            self._read_s -= unread_for_s(self.transport)
+            self._begun_s = self._read_s
         if self._exchange is None and not self._is_flushing:
             self._feed(data)
             return
@@ -256,8 +264,7 @@
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
         self._holding.set(HeldKind.HEAD, 0)
-        self._received_s = self._clock.seconds()
-        self._meter = ProgressMeter(self._received_s)
+        self._meter = ProgressMeter(self._clock.seconds())
         length = _body_length(head)
         body = RequestBody(self._holding, self._limits.max_body_bytes, length, self._meter)
         self._body = body
@@ -372,6 +379,8 @@
         self._disarm()
         request = self._request_of(head, body.finish())
         self._head, self._body = None, None
+        is_next_begun = bool(self._pipelined or self._http.trailing_data[0])
+        self._begun_s = self._read_s if is_next_begun else None
         self._has_carried_request = True
         exchange = ServerExchange(self, request)
         self._exchange = exchange
@@ -382,7 +391,8 @@
 
     def _request_of(self, head: h11.Request, body: bytes) -> HttpRequest:
         fields = tuple(head.headers.raw_items())
-        return HttpRequest(bytes(head.method), bytes(head.target), fields, body, self._received_s)
+        assert self._begun_s is not None
+        return HttpRequest(bytes(head.method), bytes(head.target), fields, body, self._begun_s)
 
     def send_head(self, status: int, headers: HeaderFields) -> None:
         """Send an answer's head."""
--- a/src/rainsail/runtime/sockets.py
+++ b/src/rainsail/runtime/sockets.py
@@ -43,6 +43,9 @@
 
 Not below the largest segment, that of a loopback interface, for which a sender would wait.
 """
+LAST_DATA_RECEIVED_OFFSET = 52
+"""Place of ``tcpi_last_data_recv``, in milliseconds, in Linux's ``tcp_info``."""
+TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + 4
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 """Values of ``SO_LINGER``: whether it is on, and for how many seconds a close may linger."""
@@ -85,6 +88,26 @@
         return False
 
 
+def unread_for_s(transport: Any) -> float:
+    """Return for how long the bytes that came last have been in the kernel, in seconds.
+
+    Where they have not been read yet, or just now, that is how long they waited for this process.
+    0 without a socket (in tests), and where the system does not tell.
+    """
+    handle = getattr(transport, "getHandle", None)
+    option = getattr(socket, "TCP_INFO", None)
+    if handle is None or option is None:
+        return 0.0
+    try:
+        info = handle().getsockopt(socket.IPPROTO_TCP, option, TCP_INFO_BYTES)
+    except (AttributeError, OSError):
+        return 0.0
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0
+    (milliseconds,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)
+    return float(milliseconds) / MILLISECONDS_PER_S
+
+
 def unsent_bytes(transport: Any) -> int:
     """Return how many written bytes the kernel has not taken yet; 0 without a socket (in tests)."""
     buffered = getattr(transport, "dataBuffer", None)
