Tests of answers that stop inside their heads, on each kind of route, for items and for requests behind each other

Reported by other operators: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Not reproduced: with the relay between connections in memory, six kinds of routes, heads cut at ten classes of places or after every byte, framing by chunks, length or neither, HTTP/1.1 and 1.0, alone and behind a 100, on a new connection and on one that has carried an answer, closed in order, by reset or after a silence, no client got a success.

--- /dev/null
+++ b/features/steps/cut_head_steps.py
@@ -0,0 +1,278 @@
+"""Steps on answers of runners that stop inside their heads, over connections in memory."""
+
+import itertools
+import json
+
+from behave import given, then, when
+from features.support import platform_adapter_path  # noqa: F401
+from features.support.cut_answers import (
+    FRAMINGS,
+    INTERIM,
+    content_of,
+    places_in,
+    runner_answer,
+)
+from features.support.relayed_connections import HOST, SERVICE, RelayedConnections
+from features.support.relaying import event
+
+from platform_adapter.routing import read_table
+from rainsail.budget.client_budget import ClientBudget
+from rainsail.jobs.item_run import ItemProgress, ItemRun, RunEnd
+from rainsail.relay.protocol import ItemRequest, RunnerTarget
+from rainsail.relay.stream_beginnings import StreamBeginnings, StreamSource
+from rainsail.state.job_commands import RelayedItem
+
+ROUTES = {
+    "resumable stream": ("streaming", True),
+    "run-once stream": ("streaming", False),
+    "safe": ("safe", False),
+    "keyed": ("keyed", False),
+    "unsafe": ("unsafe", False),
+    "cached": ("cached", False),
+}
+CLOSES = ("in order", "by reset", "silent, then in order")
+VERSIONS = ("1.1", "1.0")
+PLAYED_IN_FULL = ("run-once stream", "safe")
+"""The routes whose plays have every way of closing at each place of each variant."""
+MAX_ATTEMPTS = 2
+MAY_HAVE_RUN = {502, 504}
+
+
+def _table(route):
+    kind, resumable = ROUTES[route]
+    document = {
+        "version": 1,
+        "routes": [
+            {
+                "name": "r",
+                "host": HOST,
+                "pathPrefix": "/a/",
+                "kind": kind,
+                "timeoutMs": 4000,
+                "targetLatencyMs": 300,
+                "priority": 0,
+                "service": SERVICE,
+                "maxAttempts": MAX_ATTEMPTS,
+                "resumable": resumable,
+                "gapTargetMs": 500,
+            }
+        ],
+        "services": [{"name": SERVICE, "healthPath": "/", "maxConnections": 100, "engine": {}}],
+    }
+    return read_table(json.dumps(document).encode()).ok
+
+
+@given('a relay whose connections are real, with a "{route}" route')
+def choose_route(context, route):
+    context.cut_route = route
+    context.cut_kind = "stream" if "stream" in route else "body"
+    context.cut_relay = lambda: RelayedConnections(_table(route))
+    context.cut_plays = []
+
+
+class Play:
+    """One client's request, and what its runners did."""
+
+    def __init__(self, relay, name):
+        self.relay = relay
+        self.name = name
+        self.client = relay.client()
+        self.attempts = 0
+        self.runners = set()
+
+    def asked(self):
+        """Return the next runner's connection with the request; None if none gets it any more."""
+        connection = self.relay.next_asked()
+        if connection is not None:
+            self.attempts += 1
+            self.runners.add(connection.address)
+        return connection
+
+    def cut(self, data, how):
+        """Have the next runner send a part of its answer, then end its connection."""
+        connection = self.asked()
+        if connection is not None:
+            connection.send(data)
+            self.relay.close_later(connection, how)
+        return connection
+
+    @property
+    def answer(self):
+        """What the client has of its answer by now."""
+        (answer,) = self.client.answers()
+        return answer
+
+
+def _cuts(kind, request="r-1", closes_in_turn=True):
+    """Yield the name of each variant, what a runner sends, whether on a kept connection, its end.
+
+    With ``closes_in_turn`` each place has one way of closing in each variant of the answer, and
+    every way over all of them; otherwise every way in each variant.
+    """
+    variants = itertools.product(FRAMINGS, VERSIONS, (b"", INTERIM), (False, True))
+    for number, (framing, version, before, is_kept) in enumerate(variants):
+        answer = runner_answer(kind, request, framing, version)
+        for index, (place, cut) in enumerate(places_in(answer.head).items()):
+            first = (number // 3 + number + index) % len(CLOSES)
+            for how in CLOSES[first:][:1] if closes_in_turn else CLOSES:
+                name = (framing, version, before, is_kept, place, how)
+                yield name, before + answer.head[:cut], is_kept, how
+
+
+def _relay(context, is_kept):
+    relay = context.cut_relay()
+    if is_kept:
+        relay.keep_connections()
+    return relay
+
+
+@when("every runner cuts each answer in its head, at one place of each class")
+def cut_all(context):
+    in_turn = context.cut_route not in PLAYED_IN_FULL
+    for name, data, is_kept, how in _cuts(context.cut_kind, closes_in_turn=in_turn):
+        play = Play(_relay(context, is_kept), name)
+        play.client.send("r-1")
+        while play.cut(data, how) is not None:
+            pass
+        context.cut_plays.append(play)
+
+
+@when("the first runner of each request cuts its answer after every number of bytes of its head")
+def cut_everywhere(context):
+    for framing in FRAMINGS:
+        head = runner_answer(context.cut_kind, "r-1", framing).head
+        for cut in range(len(head)):
+            play = Play(context.cut_relay(), (framing, cut))
+            play.client.send("r-1")
+            play.cut(head[:cut], "in order")
+            connection = play.asked()
+            if connection is not None:
+                connection.send(runner_answer(context.cut_kind, "r-1", "a length").whole)
+            while play.asked() is not None:
+                raise AssertionError(play.name)
+            context.cut_plays.append(play)
+
+
+@then("every client has been told 502 or 504, and none of them anything of an answer")
+def told_failure(context):
+    assert context.cut_plays
+    for play in context.cut_plays:
+        answer = play.answer
+        assert answer.status in MAY_HAVE_RUN and not answer.body, (play.name, answer)
+        assert answer.is_whole, (play.name, answer)
+
+
+@then("no request was sent more often than its route allows")
+def sent_as_allowed(context):
+    repeatable = context.cut_route in ("resumable stream", "safe")
+    for play in context.cut_plays:
+        assert play.attempts == (MAX_ATTEMPTS if repeatable else 1), (play.name, play.attempts)
+        assert len(play.runners) == play.attempts, (play.name, play.runners)
+
+
+@then("every client has the whole answer of the second runner")
+def has_second(context):
+    assert context.cut_plays
+    for play in context.cut_plays:
+        answer = play.answer
+        expected = (200, content_of(context.cut_kind), True)
+        assert (answer.status, answer.body, answer.is_whole) == expected, (play.name, answer)
+        assert play.attempts == MAX_ATTEMPTS, (play.name, play.attempts)
+
+
+@when(
+    "a stream breaks off after its first event, and the next runner cuts its head "
+    "at one place of each class"
+)
+def cut_continuation(context):
+    begun = runner_answer("stream", "r-1", "chunks")
+    first = begun.head + b"%x\r\n%s\r\n" % (len(event(1)), event(1))
+    for name, data, is_kept, how in _cuts("stream"):
+        play = Play(_relay(context, is_kept), name)
+        play.client.send("r-1")
+        play.cut(first, "in order")
+        play.cut(data, how)
+        assert play.asked() is None, play.name
+        context.cut_plays.append(play)
+
+
+@then("every client's stream was broken off after its first event")
+def broken_stream(context):
+    assert context.cut_plays
+    for play in context.cut_plays:
+        answer = play.answer
+        assert (answer.status, answer.body) == (200, event(1)), (play.name, answer)
+        assert not answer.is_whole and play.client.transport.is_reset, (play.name, answer)
+
+
+@when(
+    "a client sends three requests at once, of which the second is cut in its head "
+    "at one place of each class"
+)
+def cut_second_of_three(context):
+    for name, data, is_kept, how in _cuts("body", "r-2"):
+        play = Play(_relay(context, is_kept), name)
+        play.client.send("r-1", "r-2", "r-3")
+        while (connection := play.asked()) is not None:
+            request = connection.field(b"request-id")
+            if request == "r-2":
+                connection.send(data)
+                play.relay.close_later(connection, how)
+            else:
+                connection.send(runner_answer("body", request, "a length").whole)
+        context.cut_plays.append(play)
+
+
+@then("the first and the third are answered whole, and the second with 502")
+def first_and_third(context):
+    assert context.cut_plays
+    for play in context.cut_plays:
+        answers = play.client.answers()
+        assert [each.status for each in answers] == [200, 502, 200], (play.name, answers)
+        bodies = [each.body for each in answers]
+        assert bodies == [content_of("body"), b"", content_of("body")], (play.name, answers)
+        assert all(each.is_whole for each in answers), (play.name, answers)
+
+
+@when("the runner of an item cuts its answer in its head, at one place of each class")
+def cut_item(context):
+    for name, data, is_kept, how in _cuts("item", "item-1", closes_in_turn=False):
+        relay = _relay(context, is_kept)
+        play = ItemPlay(relay, name)
+        connection = relay.next_asked()
+        connection.send(data)
+        relay.close_later(connection, how)
+        context.cut_plays.append(play)
+
+
+class ItemPlay:
+    """One run of one item."""
+
+    def __init__(self, relay, name):
+        self.name = name
+        self.ends = []
+        self.progress = ItemProgress()
+        self.run = ItemRun(
+            "item-1",
+            self.progress,
+            relay.protocol,
+            StreamSource(SERVICE, "r"),
+            StreamBeginnings(),
+            lambda run, end, reason: self.ends.append(end),
+            lambda load: None,
+            relay.clock.seconds,
+            ClientBudget(relay.clock.seconds),
+        )
+        item = RelayedItem("item-1", "/a/1", (), b"body", 0)
+        target = RunnerTarget("runner-1", "10.0.0.1:80")
+        request = relay.protocol.item_request(ItemRequest(HOST, item, None, ""), target)
+        relay.pool.send(target.address, request, self.run)
+
+
+@then("every run of the item has broken off without a text, and may be repeated")
+def item_broken(context):
+    assert context.cut_plays
+    for play in context.cut_plays:
+        assert play.ends == [RunEnd.BROKEN], (play.name, play.ends)
+        assert not play.progress.texts and not play.run.proves_survival, play.name
+        assert play.run.connection_ended, play.name
