A success whose body never began is broken off, not an empty answer

Callers got a 200 with Content-Length: 0 where a runner had sent a whole head with neither a length nor chunks and its connection had closed before the first byte of the body, in order: as whole, on routes that may be repeated and on others. A runner that crashes behind its head looks like that.

Cause: where only the connection's close marks the end, a close at any place was the end of a body. For streams a close before the first event has not been the end since the incident of streams that ended too early; other answers had no such rule.

relay.continuation.may_end_body says whether an answer that is no stream may end there; the attempt ends as interrupted by its connection, so that the request goes to another runner or ends with 502, and the runner counts as one that may have crashed. An answer to HEAD, a 204 and a 304 end with their heads (Framing.HEAD): they prove that the runner survived, which they did not, and the rule leaves them alone. Failures and redirections without a body pass as before: their status is the answer.

--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -276,3 +276,74 @@
         assert play.ends == [RunEnd.BROKEN], (play.name, play.ends)
         assert not play.progress.texts and not play.run.proves_survival, play.name
         assert play.run.connection_ended, play.name
+
+
+# --- whole heads without a body ------------------------------------------------------------
+
+
+@when("the first runner of each request closes behind a head with neither a length nor chunks")
+def close_behind_head(context):
+    variants = itertools.product(VERSIONS, (b"", INTERIM), (False, True), CLOSES)
+    for version, before, is_kept, how in variants:
+        head = runner_answer(context.cut_kind, "r-1", "neither", version).head
+        play = Play(_relay(context, is_kept), (version, before, is_kept, how))
+        play.client.send("r-1")
+        play.cut(before + head, how)
+        connection = play.asked()
+        if connection is not None:
+            connection.send(runner_answer(context.cut_kind, "r-1", "a length").whole)
+        assert play.asked() is None, play.name
+        context.cut_plays.append(play)
+
+
+def _one_play(context, method=b"POST"):
+    context.cut_play = Play(context.cut_relay(), "one")
+    context.cut_play.client.send("r-1", method=method)
+    return context.cut_play.asked()
+
+
+BODIES = {"a body": content_of("body"), "nothing": b""}
+
+
+def _head(status, *fields):
+    lines = [b"HTTP/1.1 %d Status" % status, b"Request-Id: r-1", *fields]
+    return b"".join(line + b"\r\n" for line in lines) + b"\r\n"
+
+
+@when(
+    "a runner answers {status:d} with neither a length nor chunks, sends {body} and closes in order"
+)
+def answer_unframed(context, status, body):
+    connection = _one_play(context)
+    connection.send(_head(status) + BODIES[body])
+    context.cut_play.relay.close_later(connection, "in order")
+
+
+@when("a runner answers {status:d} with an empty body in {framing}")
+def answer_empty(context, status, framing):
+    fields = {"chunks": (b"Transfer-Encoding: chunked", b"0\r\n\r\n")}
+    field, body = fields.get(framing, (b"Content-Length: 0", b""))
+    _one_play(context).send(_head(status, field) + body)
+
+
+@when(
+    "a client sends a request of method {method}, and its runner answers {status:d} "
+    "without framing and stays"
+)
+def answer_without_body(context, method, status):
+    _one_play(context, method.encode()).send(_head(status))
+
+
+@then("the client has the whole answer {status:d} with {body}")
+def has_whole(context, status, body):
+    play = context.cut_play
+    answer = play.answer
+    assert (answer.status, answer.body) == (status, BODIES[body]), answer
+    assert answer.is_whole and play.attempts == 1 and play.asked() is None, (answer, play.attempts)
+
+
+@then("the answer proves that its runner survived")
+def proves(context):
+    (run,) = context.cut_play.relay.ended
+    (attempt,) = run._sender.attempts
+    assert attempt.proves_survival, attempt.summary
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -32,6 +32,8 @@
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
 EVENT_STREAM = b"text/event-stream"
+HEAD_METHOD = b"HEAD"
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 CONNECTION_CLOSED = "connection closed"
 CONNECTION_RESET = "connection reset"
 CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
@@ -53,6 +55,8 @@
 
     CHUNKED = "chunked"
     LENGTH = "length"
+    HEAD = "head"
+    """The end of its head: no body follows, whatever length the head states."""
     CLOSE = "close"
     """Only the close of the connection, so a crashed server looks like one that has finished."""
 
@@ -63,10 +67,14 @@
 
     status: int
     headers: HeaderFields
+    is_to_head: bool = False
+    """Whether it answers a ``HEAD`` request."""
 
     @property
     def framing(self) -> Framing:
         """What marks the end of the answer."""
+        if self.is_to_head or self.status in STATUSES_WITHOUT_BODY:
+            return Framing.HEAD
         if header_value(self.headers, b"transfer-encoding") is not None:
             return Framing.CHUNKED
         if header_value(self.headers, b"content-length") is not None:
@@ -137,6 +145,7 @@
         """How the connection closed, while data that was received before waits for its turn."""
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._listener: AnswerListener | None = None
+        self._is_head_request = False
         self._idle_s: float | None = None
         self._interim_answers = 0
         """Interim answers to the current request."""
@@ -160,6 +169,7 @@
     def send(self, request: OutgoingRequest, listener: AnswerListener) -> None:
         """Send a complete request; its answer goes to ``listener``."""
         self._listener = listener
+        self._is_head_request = request.method == HEAD_METHOD
         self._idle_s = None
         self._interim_answers = 0
         self._unanswered = True
@@ -289,7 +299,7 @@
         fields = tuple(event.headers.raw_items())
         keep_alive = header_text(fields, b"keep-alive")
         self._idle_s = _keep_alive_s(keep_alive)
-        head = AnswerHead(event.status_code, fields)
+        head = AnswerHead(event.status_code, fields, self._is_head_request)
         self._has_lines = head.has_lines
         self._listener.answer_begun(head)
 
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -9,6 +9,7 @@
 from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.context import RelayContext
 from rainsail.relay.continuation import (
+    CLOSED_BEFORE_BODY,
     CLOSED_EARLY,
     FOREIGN_ANSWER,
     NO_ROOM,
@@ -17,6 +18,7 @@
     HeadKind,
     judge_body,
     judge_head,
+    may_end_body,
 )
 from rainsail.relay.events import Event, EventStream
 from rainsail.relay.protocol import AnswerVerdict
@@ -119,8 +121,8 @@
     def proves_survival(self) -> bool:
         """Tell whether the complete answer proves that the runner survived the request.
 
-        Without a length or chunks only the end of the connection marks the end of the answer, and
-        a runner that crashes closes its connections too.
+        Without a length or chunks only the end of the connection marks the end of a body, and a
+        runner that crashes closes its connections too.
         """
         return self.head is not None and not self.failed and self.head.framing != Framing.CLOSE
 
@@ -190,16 +192,23 @@
         self._fail(NO_ROOM)
 
     def answer_ended(self) -> None:
-        """The answer has ended without an error, which a truncated stream may do too."""
+        """The answer has ended without an error, which a truncated one may do too."""
         if not self._end():
             return
+        assert self.head is not None
         if self.stream is None:
-            self._owner.answer_received(self)
+            if may_end_body(self.head, self.body_bytes):
+                self._owner.answer_received(self)
+            else:
+                self._closed_early(CLOSED_BEFORE_BODY)
         elif self.stream.may_end_here:
             self._owner.stream_ended(self)
         else:
-            self.connection_ended = True
-            self._owner.answer_interrupted(self, CLOSED_EARLY)
+            self._closed_early(CLOSED_EARLY)
+
+    def _closed_early(self, reason: str) -> None:
+        self.connection_ended = True
+        self._owner.answer_interrupted(self, reason)
 
     def answer_failed(self, reason: str) -> None:
         """The answer was interrupted."""
--- a/src/rainsail/relay/continuation.py
+++ b/src/rainsail/relay/continuation.py
@@ -22,12 +22,14 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from rainsail.http.client import AnswerHead
+from rainsail.http.client import AnswerHead, Framing
 from rainsail.relay.events import is_event_stream
 from rainsail.relay.protocol import AnswerVerdict
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.table import Route, RouteKind
 
+STATUS_MIN_SUCCESS = 200
+STATUS_MIN_REDIRECTION = 300
 STATUS_NOT_FOUND = 404
 STATUS_IMPOSSIBLE = 422
 STATUS_OVER_QUOTA = 429
@@ -44,6 +46,7 @@
 NO_ROOM = "no room for what the runner sends"
 OVERLONG_TEXT = "the text exceeds the maximum size"
 CLOSED_EARLY = "the connection closed before the end of the stream"
+CLOSED_BEFORE_BODY = "the connection closed before the body of the answer"
 SILENT = "silent"
 ROUTE_REMOVED = "the route was removed"
 QUARANTINED = "quarantined, since runners crashed while running this request"
@@ -108,6 +111,18 @@
     return AttemptEnd.FAILED if status >= STATUS_SERVER_ERROR else AttemptEnd.ANSWERED
 
 
+def may_end_body(head: AnswerHead, body_bytes: int) -> bool:
+    """Tell whether an orderly end of an answer that is not a stream may complete it.
+
+    Where only the connection's close marks the end, a runner that crashed behind its head looks
+    like one that has finished: a close before the first byte does not complete a success. The
+    status of a failure says what there is to say.
+    """
+    if head.framing != Framing.CLOSE or body_bytes:
+        return True
+    return not STATUS_MIN_SUCCESS <= head.status < STATUS_MIN_REDIRECTION
+
+
 def judge_item_body(status: int) -> AttemptEnd:
     """Classify a complete answer to an item that is not an event stream, and so not its text.
 
