The remains of a head are not joined with the head of the next answer

Callers got a 200 with 2 of 35 bytes framed as whole, or a 204 without the body, and an item ended without its text, where a runner had stopped inside the head of one answer and then answered on the same connection: the length of the first head framed the body of the second, which had neither a length nor chunks of its own.

Cause: a cut inside a field's value, or in the reason phrase, takes the next status line for the rest of that value; the two heads read as one valid head, with the id of the second request. Cuts at all other places give an invalid head.

A head with a status line in a value or in the reason phrase is invalid now, final or interim: the connection is given up and the request ends as after any invalid answer. Fields that name a protocol, like Via, don't match.

--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from features.support import platform_adapter_path  # noqa: F401
 from features.support.cut_answers import (
+    EVENTS,
     FRAMINGS,
     INTERIM,
     content_of,
@@ -347,3 +348,92 @@
     (run,) = context.cut_play.relay.ended
     (attempt,) = run._sender.attempts
     assert attempt.proves_survival, attempt.summary
+
+
+# --- heads that are joined -----------------------------------------------------------------
+
+REMAINS = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Field: value\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Field: value\r\n",
+    b"HTTP/1.1 204 No Content\r\nX-Field: value\r\n",
+    b"HTTP/1.1 304 Not Modified\r\nX-Field: value\r\n",
+    b"HTTP/1.1 100 Continue\r\nX-Field: value\r\n",
+    b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\nX-Field: value\r\n",
+)
+
+
+def _joined(kind, request):
+    """Yield the name of each variant, what a runner sends, in one read or two, if it closes."""
+    for remains, framing in itertools.product(REMAINS, FRAMINGS):
+        answer = runner_answer(kind, request, framing)
+        cuts = {*range(3, len(remains), 7), *range(remains.index(b"X-Field"), len(remains) + 1)}
+        for number, cut in enumerate(sorted(cuts)):
+            parts = [remains[:cut], answer.whole]
+            is_apart = bool(number % 2)
+            name = (remains[:cut], framing, is_apart)
+            yield name, parts if is_apart else [b"".join(parts)], framing == "neither"
+
+
+@when(
+    "the first runner of each request sends the remains of a head, cut at many places, "
+    "before its answer"
+)
+def answer_behind_remains(context):
+    for name, parts, closes in _joined(context.cut_kind, "r-1"):
+        play = Play(_relay(context, is_kept=True), name)
+        play.client.send("r-1")
+        connection = play.asked()
+        for part in parts:
+            connection.send(part)
+        if closes:
+            connection.close(by_reset=False)
+        connection = play.asked()
+        if connection is not None:
+            connection.send(runner_answer(context.cut_kind, "r-1", "a length").whole)
+        assert play.asked() is None, name
+        context.cut_plays.append(play)
+
+
+@then("every client has its whole answer, or has been told 502 or 504")
+def whole_or_failed(context):
+    assert context.cut_plays
+    for play in context.cut_plays:
+        answer = play.answer
+        if answer.status in MAY_HAVE_RUN:
+            continue
+        expected = (200, content_of(context.cut_kind))
+        assert (answer.status, answer.body) == expected, (play.name, answer)
+        assert answer.is_whole, (play.name, answer)
+
+
+@when("the runner of an item sends the remains of a head, cut at many places, before its answer")
+def item_behind_remains(context):
+    for name, parts, closes in _joined("item", "item-1"):
+        relay = _relay(context, is_kept=True)
+        play = ItemPlay(relay, name)
+        connection = relay.next_asked()
+        for part in parts:
+            connection.send(part)
+        if closes:
+            connection.close(by_reset=False)
+        context.cut_plays.append(play)
+
+
+@then("every run of the item has its whole text, or has broken off")
+def whole_or_broken(context):
+    assert context.cut_plays
+    for play in context.cut_plays:
+        texts = [f"text {number}" for number in range(1, EVENTS + 1)]
+        if play.ends in ([RunEnd.WHOLE], [RunEnd.UNCONFIRMED]):
+            unconfirmed = play.progress.unconfirmed
+            found = play.progress.texts if unconfirmed is None else list(unconfirmed.texts)
+            assert found == texts, (play.name, found)
+        else:
+            assert play.ends in ([], [RunEnd.BROKEN]), (play.name, play.ends)
+
+
+@when('a runner answers 200 with a body and the field "{line}"')
+def answer_with_field(context, line):
+    body = content_of("body")
+    length = b"Content-Length: %d" % len(body)
+    _one_play(context).send(_head(200, line.encode(), length) + body)
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -18,7 +18,13 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from rainsail.http.headers import HeaderFields, header_number, header_text, header_value
+from rainsail.http.headers import (
+    HeaderFields,
+    header_number,
+    header_text,
+    header_value,
+    holds_status_line,
+)
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
@@ -31,6 +37,7 @@
 MAX_INTERIM_ANSWERS = 32
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
+STATUS_LINE_INSIDE = "a status line inside the head"
 EVENT_STREAM = b"text/event-stream"
 HEAD_METHOD = b"HEAD"
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -287,6 +294,8 @@
         if isinstance(event, h11.Response):
             self._take_head(event)
         elif isinstance(event, h11.InformationalResponse):
+            if self._fail_if_joined(event):
+                return False
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 self._fail(TOO_MANY_INTERIM)
@@ -294,8 +303,17 @@
             self._take_end()
         return not isinstance(event, h11.ConnectionClosed)
 
+    def _fail_if_joined(self, event: Any) -> bool:
+        """Fail an answer whose head is the remains of another one, joined with its own."""
+        is_joined = holds_status_line((event.reason, *(value for _, value in event.headers)))
+        if is_joined:
+            self._fail(f"invalid HTTP response: {STATUS_LINE_INSIDE}")
+        return is_joined
+
     def _take_head(self, event: h11.Response) -> None:
         assert self._listener is not None
+        if self._fail_if_joined(event):
+            return
         fields = tuple(event.headers.raw_items())
         keep_alive = header_text(fields, b"keep-alive")
         self._idle_s = _keep_alive_s(keep_alive)
--- a/src/rainsail/http/headers.py
+++ b/src/rainsail/http/headers.py
@@ -1,5 +1,6 @@
 """Header fields as transmitted: pairs of bytes, in order, names in the sender's case."""
 
+import re
 from collections.abc import Iterable
 
 HeaderFields = tuple[tuple[bytes, bytes], ...]
@@ -21,6 +22,17 @@
 )
 """Fields that concern one connection only and are never forwarded."""
 
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}\b")
+
+
+def holds_status_line(values: Iterable[bytes]) -> bool:
+    """Tell whether a status line stands in a reason phrase or in the value of a field.
+
+    A server that stops inside a head and answers again on the same connection leaves the new status
+    line in the last value, and fields of the first head that may frame the second body.
+    """
+    return any(STATUS_LINE.search(value) is not None for value in values)
+
 
 def header_value(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
     """Return the value of the first field with a (lower-case) name."""
