An answer without a body keeps the length that its runner states

Callers of HEAD, and those that got a 304, were told Content-Length: 0 whatever their runner had stated: a 200 that says that the body is empty. A 204 stated a length, which HTTP forbids.

Cause: a complete answer is forwarded with the length of what was buffered of its body; for an answer without a body that is not the length that the field means.

Answers that end with their heads (Framing.HEAD) are forwarded with their runner's fields, without a body; a 204 without a length. An answer to HEAD that has the type of a stream is no stream: it has no events that could be missing.

--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -437,3 +437,33 @@
     body = content_of("body")
     length = b"Content-Length: %d" % len(body)
     _one_play(context).send(_head(200, line.encode(), length) + body)
+
+
+# --- answers without a body ----------------------------------------------------------------
+
+
+@when(
+    'a client sends a request of method {method}, and its runner answers {status:d} with "{field}"'
+)
+def answer_head_only(context, method, status, field):
+    _one_play(context, method.encode()).send(_head(status, field.encode()))
+
+
+@then('the answer states the length "{length}"')
+def states_length(context, length):
+    stated = [value for name, value in context.cut_play.answer.headers if name == b"content-length"]
+    assert stated == ([length.encode()] if length else []), stated
+
+
+@then('the answer states the length ""')
+def states_none(context):
+    states_length(context, "")
+
+
+@then("the next request of the client is answered too")
+def next_answered(context):
+    play = context.cut_play
+    play.client.send("r-2")
+    play.asked().send(runner_answer("body", "r-2", "a length").whole)
+    answers = play.client.answers()
+    assert (answers[1].status, answers[1].body) == (200, content_of("body")), answers
--- a/src/rainsail/relay/client_answer.py
+++ b/src/rainsail/relay/client_answer.py
@@ -8,6 +8,7 @@
 
 from rainsail.http.client import Framing
 from rainsail.http.exchange import Exchange
+from rainsail.http.headers import HeaderFields
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.continuation import (
     LOST_BEGINNING,
@@ -26,6 +27,7 @@
 from rainsail.runtime.clock import Clock
 
 CONTENT_LENGTH = b"content-length"
+STATUS_NO_CONTENT = 204
 
 
 class AnswerState(StrEnum):
@@ -228,8 +230,14 @@
         assert attempt.head is not None
         self._record_first_byte()
         self.state = AnswerState.OVER
-        headers = self._protocol.answer_headers(attempt.head)
-        self._exchange.answer(attempt.head.status, headers, attempt.take_body())
+        status, headers = attempt.head.status, self._protocol.answer_headers(attempt.head)
+        if attempt.head.framing == Framing.HEAD:
+            # A length is that of the body that is left out; only a 204 may not state one.
+            fields = headers if status != STATUS_NO_CONTENT else _without_length(headers)
+            self._exchange.begin(status, fields)
+            self._exchange.end()
+        else:
+            self._exchange.answer(status, headers, attempt.take_body())
 
     def refuse(self, status: int, retry_after_s: float | None) -> None:
         """Answer with a status and no body; an answer that has begun is aborted instead."""
@@ -257,8 +265,12 @@
         self._record_first_byte()
         headers = self._protocol.answer_headers(attempt.head)
         if attempt.head.framing != Framing.LENGTH or attempt.is_stream:
-            headers = tuple(each for each in headers if each[0].lower() != CONTENT_LENGTH)
+            headers = _without_length(headers)
         self._exchange.begin(attempt.head.status, headers)
 
     def _record_first_byte(self) -> None:
         self.first_s = self._clock.seconds() - self._exchange.request.received_s
+
+
+def _without_length(headers: HeaderFields) -> HeaderFields:
+    return tuple(each for each in headers if each[0].lower() != CONTENT_LENGTH)
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -57,10 +57,14 @@
 
 
 def is_event_stream(head: AnswerHead) -> bool:
-    """Tell whether an answer is a successful event stream."""
-    return head.status == STATUS_OK and any(
-        name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
-        for name, value in head.headers
+    """Tell whether an answer is a successful event stream; the answer to a HEAD has no events."""
+    return (
+        not head.is_to_head
+        and head.status == STATUS_OK
+        and any(
+            name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
+            for name, value in head.headers
+        )
     )
 
 
