--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -18,7 +18,13 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from rainsail.http.headers import HeaderFields, header_number, header_text, header_value
+from rainsail.http.headers import (
+    HeaderFields,
+    header_number,
+    header_text,
+    header_value,
+    holds_status_line,
+)
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
@@ -31,7 +37,10 @@
 MAX_INTERIM_ANSWERS = 32
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
+STATUS_LINE_INSIDE = "a status line inside the head"
 EVENT_STREAM = b"text/event-stream"
+HEAD_METHOD = b"HEAD"
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 CONNECTION_CLOSED = "connection closed"
 CONNECTION_RESET = "connection reset"
 CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
@@ -53,6 +62,8 @@
 
     CHUNKED = "chunked"
     LENGTH = "length"
+    HEAD = "head"
+    """The end of its head: no body follows, whatever length the head states."""
     CLOSE = "close"
     """Only the close of the connection, so a crashed server looks like one that has finished."""
 
@@ -63,10 +74,14 @@
 
     status: int
     headers: HeaderFields
+    is_to_head: bool = False
+    """Whether it answers a ``HEAD`` request."""
 
     @property
     def framing(self) -> Framing:
         """What marks the end of the answer."""
+        if self.is_to_head or self.status in STATUSES_WITHOUT_BODY:
+            return Framing.HEAD
         if header_value(self.headers, b"transfer-encoding") is not None:
             return Framing.CHUNKED
         if header_value(self.headers, b"content-length") is not None:
@@ -137,6 +152,7 @@
         """How the connection closed, while data that was received before waits for its turn."""
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._listener: AnswerListener | None = None
+        self._is_head_request = False
         self._idle_s: float | None = None
         self._interim_answers = 0
         """Interim answers to the current request."""
@@ -160,6 +176,7 @@
     def send(self, request: OutgoingRequest, listener: AnswerListener) -> None:
         """Send a complete request; its answer goes to ``listener``."""
         self._listener = listener
+        self._is_head_request = request.method == HEAD_METHOD
         self._idle_s = None
         self._interim_answers = 0
         self._unanswered = True
@@ -277,6 +294,8 @@
         if isinstance(event, h11.Response):
             self._take_head(event)
         elif isinstance(event, h11.InformationalResponse):
+            if self._fail_if_joined(event):
+                return False
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 self._fail(TOO_MANY_INTERIM)
@@ -284,12 +303,21 @@
             self._take_end()
         return not isinstance(event, h11.ConnectionClosed)
 
+    def _fail_if_joined(self, event: Any) -> bool:
+        """Fail an answer whose head is the remains of another one, joined with its own."""
+        is_joined = holds_status_line((event.reason, *(value for _, value in event.headers)))
+        if is_joined:
+            self._fail(f"invalid HTTP response: {STATUS_LINE_INSIDE}")
+        return is_joined
+
     def _take_head(self, event: h11.Response) -> None:
         assert self._listener is not None
+        if self._fail_if_joined(event):
+            return
         fields = tuple(event.headers.raw_items())
         keep_alive = header_text(fields, b"keep-alive")
         self._idle_s = _keep_alive_s(keep_alive)
-        head = AnswerHead(event.status_code, fields)
+        head = AnswerHead(event.status_code, fields, self._is_head_request)
         self._has_lines = head.has_lines
         self._listener.answer_begun(head)
 
