--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -125,6 +125,10 @@
         is_asked = not is_decided
         trials.asked += is_asked
 
+    def is_on_trial(self, item: OpenItem) -> bool:
+        """Tell whether an item's run is a trial that has not told anything yet."""
+        return bool(item.trial_of and self._guard.unproven_among(item.trial_of))
+
     def on_run_goes_on(self, item: OpenItem, record: RunnerRecord | None) -> None:
         """Report a run that has gone on for a while, as its runner has survived the prompt."""
         if record is not None:
