--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -69,6 +69,8 @@
       | ends half an event as complete        |
       | lets a gap through                    |
       | answers 503 after a run               |
+      | counts no attempts                    |
+      | states the whole deadline at each attempt |
 
   Scenario Outline: A history in which <what> is reported as a violation
     Given a history of relaying in which <what>
@@ -80,6 +82,9 @@
       | a request was cut after its deadline              | too late                      |
       | an unsafe request ran at two runners              | ran 2 times                   |
       | a request that had run was answered 503           | answered 503 after a run      |
+      | a request ran at more runners than its route allows | it ran at 5 runners         |
+      | a runner was told of more time than was left      | 4.0 s of 3.40 are left        |
+      | a runner was told of no deadline                  | told of no deadline           |
       | bytes came after an answer                        | bytes after its end           |
       | a body lacks its end                              | not its answer                |
       | a whole answer was cut                            | cut though its runner's       |
--- a/features/steps/relay_soak_check_steps.py
+++ b/features/steps/relay_soak_check_steps.py
@@ -31,7 +31,9 @@
 
 
 def _run(request, body):
-    return RunnerRun(request, RUNNER, None, True, 200, Framing.CHUNKS, body, True, Ending.KEEP)
+    return RunnerRun(
+        request, RUNNER, None, True, 200, Framing.CHUNKS, body, True, Ending.KEEP, 1.0, 4.0
+    )
 
 
 def _clean():
@@ -68,6 +70,14 @@
             plain.outcome, plain.ended_s = Outcome.CUT, 5.2
         case "an unsafe request ran at two runners":
             history.runs.append(history.runs[0])
+        case "a request ran at more runners than its route allows":
+            others = (replace(history.runs[1], runner=f"runner-{n}") for n in range(2, 6))
+            history.runs += others
+        case "a runner was told of more time than was left":
+            late = replace(history.runs[1], runner="runner-2", began_s=1.6, told_left_s=4.0)
+            history.runs.append(late)
+        case "a runner was told of no deadline":
+            history.runs[1] = replace(history.runs[1], told_left_s=None)
         case "a request that had run was answered 503":
             plain.status, plain.body = 503, b""
         case "bytes came after an answer":
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -56,6 +56,23 @@
             words.append(f"it ran {ran} times")
         if asked.status in PROMISES_NOT_RUN and ran:
             words.append(f"it was answered {asked.status} after a run")
+        reached = {run.runner for run in self._runs[asked.request] if run.ran}
+        if len(reached) > asked.max_attempts:
+            words.append(f"it ran at {len(reached)} runners, of {asked.max_attempts} allowed")
+        return words + self._told_left(asked)
+
+    def _told_left(self, asked: ClientRequest) -> list[str]:
+        """Check that each runner was told of no more time than the client had left."""
+        words = []
+        for run in self._runs[asked.request]:
+            if run.told_left_s is None:
+                words.append(f"{run.runner} was told of no deadline")
+                continue
+            left_s = asked.sent_s + asked.timeout_s - run.began_s
+            if run.told_left_s > max(0.0, left_s) + SLACK_S:
+                words.append(
+                    f"{run.runner} was told that {run.told_left_s} s of {left_s:.2f} are left"
+                )
         return words
 
     def _answer(self, asked: ClientRequest) -> list[str]:
--- a/features/support/relay_soak/client.py
+++ b/features/support/relay_soak/client.py
@@ -45,6 +45,7 @@
         fields = [
             (b"Host", HOST),
             (b"Rainsail-Request", current.request.encode()),
+            (b"Rainsail-Deadline-S", f"{current.timeout_s:g}".encode()),
             (b"Content-Length", str(len(body)).encode()),
         ]
         if current.after_event is not None:
--- a/features/support/relay_soak/defects.py
+++ b/features/support/relay_soak/defects.py
@@ -2,15 +2,16 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from unittest import mock
 
-from rainsail.relay import client_answer, continuation
+from rainsail.relay import client_answer, continuation, run
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.continuation import STATUS_UNAVAILABLE, RequestOutcome
 from rainsail.relay.run import RelayRun
+from rainsail.relay.sender import RequestSender
 
 
 @dataclass(frozen=True)
@@ -90,6 +91,16 @@
     return lambda status, *others: original(STATUS_UNAVAILABLE, *others)
 
 
+def _count_no_attempts(original: Any) -> Any:
+    """Never reach a route's maximum of attempts."""
+    return lambda progress, *others: original(replace(progress, attempts=0), *others)
+
+
+def _state_whole_deadline(original: Any) -> Any:
+    """Tell each runner of the client's whole deadline."""
+    return lambda self: self._facts.deadline_s
+
+
 DEFECTS = {
     "appends a failure to a resumed stream": Defect(
         "a runner's failure in it",
@@ -104,6 +115,12 @@
     "lets a gap through": Defect(
         "events missing or repeated", (Patch(client_answer, "leaves_gap", _allow_gaps),)
     ),
+    "counts no attempts": Defect(
+        "runners, of 4 allowed", (Patch(run, "decide_send", _count_no_attempts),)
+    ),
+    "states the whole deadline at each attempt": Defect(
+        "are left", (Patch(RequestSender, "_deadline_left_s", _state_whole_deadline),)
+    ),
     "answers 503 after a run": Defect(
         "answered 503 after a run", (Patch(continuation, "_refuse", _always_promise),)
     ),
--- a/features/support/relay_soak/history.py
+++ b/features/support/relay_soak/history.py
@@ -68,11 +68,17 @@
     """The body as far as it was meant to be sent."""
     whole: bool
     ending: Ending
+    began_s: float = 0.0
+    told_left_s: float | None = None
+    """The time that the runner was told is left; None if it was told of no deadline."""
 
 
 @dataclass
 class ClientRequest:
-    """One request of a client, and the answer as the client received it."""
+    """One request of a client, and the answer as the client received it.
+
+    ``timeout_s`` is the time-out of its route and the deadline that the client states.
+    """
 
     request: str
     kind: Kind
@@ -83,6 +89,8 @@
     body: bytes = b""
     outcome: Outcome = Outcome.WAITING
     ended_s: float | None = None
+    max_attempts: int = 4
+    """Of its route."""
     surplus: bytes = b""
     """Bytes received after the end of the answer."""
 
--- a/features/support/relay_soak/runner.py
+++ b/features/support/relay_soak/runner.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from rainsail.http.headers import header_text
+from rainsail.http.headers import header_number, header_text
 from rainsail.simulation.clock import VirtualClock
 
 REFUSED_CONNECTIONS_SHARE = 0.03
@@ -65,6 +65,8 @@
                 answer.body,
                 answer.whole,
                 answer.ending,
+                self.clock.seconds(),
+                header_number(fields, b"rainsail-deadline-s"),
             )
         )
         return answer
