--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -1,7 +1,7 @@
 """Steps on HTTP connections over Twisted's in-memory transports."""
 
+import select
 import socket
-import time
 
 from behave import given, step, then, when
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -13,6 +13,7 @@
 from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.server import HttpLimits, HttpServer
 from rainsail.runtime.clock import MonotonicClock
+from rainsail.runtime.sockets import unread_for_s
 from rainsail.simulation.clock import VirtualClock
 
 KERNEL_TICK_S = 0.02
@@ -129,7 +130,8 @@
 def send_unread(context, seconds):
     context.http_sent_s = context.http_clock.seconds()
     context.http_client.sendall(_bytes("GET /1 HTTP/1.1|Host: a||"))
-    time.sleep(seconds)
+    while unread_for_s(context.http_transport) < seconds:
+        select.select([], [], [], KERNEL_TICK_S)
     context.http_read_s = context.http_clock.seconds()
     data = context.http_transport.getHandle().recv(1024)
     context.http_connection.dataReceived(data)
