Trials wait for a time without crashes, one at a time, and the third one is used

What callers saw: accepted items are neither done nor given up, as a common part is held for 600 s: five runners crash at once, then the runners of its two trials, each for a reason of its own.

Cause: trials came 1 s and 4 s after a hold, in the middle of the crashes, so they showed nothing; a part had two and a request one, though three late runs may be had. Two suspects could be tried at one runner, whose crash spent both.

Now a trial waits until no runner has crashed for 1, 2 and 4 s, for 5, 10 and 60 s at most (pauses of the first, second and third trial), no other trial begins within 2 s, and each suspect has three. Crashes at the permits of two leaders count as two trials, though one hold follows both; the number of holds in the group's state bounds the trials as before where the crashes are not known.

--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -140,6 +140,7 @@
         now = self._clock.seconds()
         at_s = now - max(0.0, age_s)
         self.on_crash(runner, at_s)
+        self._permits.note_crash(at_s)
         if not fingerprints:
             # Found by a refused connection; the time of the crash is not known.
             return
@@ -227,7 +228,8 @@
     def _permit(self, fingerprints: tuple[Fingerprint, ...]) -> TrialReply:
         now = self._clock.seconds()
         self._permits.note_leadership(self._group.is_leader(), now)
-        if not self._permits.permit(fingerprints, now):
+        may_be_tried = all(map(self._suspects.may_be_tried, fingerprints))
+        if not may_be_tried or not self._permits.permit(fingerprints, now):
             return TrialReply(False)
         for each in fingerprints:
             self._log_of(each).info("quarantine_trial")
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -29,7 +29,6 @@
 from rainsail.quarantine.evidence import (
     TOLERANCE_S,
     SuspectCrash,
-    are_alone,
     count_at_same_point,
     is_strong,
 )
@@ -43,12 +42,9 @@
 """The same, for a request that was held before."""
 CRASHES_TO_HOLD_PART_UNANSWERED = 5
 """The same for a prompt part, while no other suspect of its crashes was cleared by an answer."""
-MAX_TRIALS = 1
-"""Trials of a request that is held on weak evidence, and one more if other runners crashed with the
-last one. Each may cost a runner, and a request that is known to crash runners may reach three more:
-two may be under way."""
-MAX_TRIALS_OF_PART = 2
-"""The same for a prompt part, which counts as known only after five crashes."""
+MAX_TRIALS = 3
+"""Trials of a request or prompt part that is held on weak evidence. Each may cost a runner, so the
+number holds over all leaders; a hold that follows the last one stays."""
 CRASH_MERGE_WINDOW_S = 1.0
 """Reports on one runner that are at most this far apart are about the same crash: nodes notice it
 within milliseconds, and a runner takes longer to restart."""
@@ -78,6 +74,8 @@
     at_s: float
     suspects: dict[Fingerprint, RunAge] = field(default_factory=dict)
     explained: bool = False
+    trials: set[Fingerprint] = field(default_factory=set)
+    """Suspects of which it ended a run that had been permitted as a trial."""
     is_answered_beside: bool = False
     """An answer has cleared one of the suspects: the service is answering requests."""
 
@@ -96,7 +94,11 @@
         """Suspects whose first hold was not put on trial."""
         self._on_trial: set[Fingerprint] = set()
         self._released_s: dict[Fingerprint, float] = {}
-        """When each suspect that was held before was released."""
+        """When each suspect that was held before was first released, as far as known here."""
+        self._held_s: dict[Fingerprint, float] = {}
+        """When each of these was last held."""
+        self._trials_failed: dict[Fingerprint, int] = {}
+        """Crashes under runs that were sent after that time."""
         self._explained: OrderedDict[Fingerprint, None] = OrderedDict()
         """Suspects of crashes that a held request has explained, the latest ones."""
 
@@ -130,6 +132,7 @@
             for each in fingerprints
             if each not in crash.suspects and self._answered_s.get(each, crash.at_s) <= crash.at_s
         ]
+        self._count_failed_trials(crash, new, ages)
         if crash.explained or not self._held.isdisjoint(new):
             self._mark_explained(crash)
             return ()
@@ -139,6 +142,32 @@
             self._update_due(fingerprint, now)
         return tuple(new)
 
+    def _count_failed_trials(
+        self,
+        crash: _RunnerCrash,
+        fingerprints: Iterable[Fingerprint],
+        ages: Mapping[Fingerprint, RunAge],
+    ) -> None:
+        """Count a crash against the trials of the suspects whose runs had been permitted.
+
+        Two of them may run at the permits of two leaders, and then only one is followed by a hold.
+        """
+        for each in fingerprints:
+            if each in crash.trials or each not in self._released_s:
+                continue
+            if self._is_sent_after_release(each, crash, ages.get(each, UNKNOWN_AGE)):
+                crash.trials.add(each)
+                self._trials_failed[each] = self._trials_failed.get(each, 0) + 1
+
+    def _is_sent_after_release(
+        self, fingerprint: Fingerprint, crash: _RunnerCrash, age: RunAge
+    ) -> bool:
+        return crash.at_s - age.ran_s >= self._released_s[fingerprint] - TOLERANCE_S
+
+    def may_be_tried(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether as few of a suspect's trials have failed that it may have another one."""
+        return self._trials_failed.get(fingerprint, 0) < MAX_TRIALS
+
     def answered(self, fingerprint: Fingerprint, now: float) -> None:
         """Clear a request that a runner has completed: it caused none of the crashes so far."""
         self._answered_s[fingerprint] = now
@@ -171,9 +200,21 @@
         """Apply a decision of the root group; newly held requests explain their crashes."""
         held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
         self._ever_held = frozenset(each.fingerprint for each in quarantine.requests)
-        newly_held, self._held = held - self._held, held
-        released = self._ever_held - held
-        self._released_s = {each: self._released_s.get(each, now) for each in released}
+        newly_held, newly_released = held - self._held, self._held - held
+        self._held = held
+        for each in self._ever_held - held:
+            self._released_s.setdefault(each, now)
+        for each in newly_released - self._on_trial:
+            # The hold has lasted its time.
+            self._trials_failed.pop(each, None)
+        for each in self._released_s.keys() - self._ever_held:
+            del self._released_s[each]
+            self._trials_failed.pop(each, None)
+        self._held_s = {each: now for each in newly_held} | {
+            each: at_s
+            for each, at_s in self._held_s.items()
+            if each in self._ever_held and each not in newly_held
+        }
         self._firmly_held &= self._ever_held
         self._on_trial &= self._ever_held
         for request in quarantine.requests:
@@ -216,11 +257,11 @@
         So it is after a restart of this controller. ``times`` is how often it has been held.
         """
         is_known = fingerprint in self._firmly_held or fingerprint in self._on_trial
-        return times <= _max_trials(fingerprint) and not is_known
+        return times <= MAX_TRIALS and not is_known
 
     def trials(self, fingerprint: Fingerprint) -> int:
         """Return how many of a suspect's holds were put on trial, as far as known here."""
-        return 0 if fingerprint in self._firmly_held else _max_trials(fingerprint)
+        return 0 if fingerprint in self._firmly_held else MAX_TRIALS
 
     def crashes_of(self, fingerprint: Fingerprint) -> tuple[tuple[str, float], ...]:
         """Return the runners that crashed beside a suspect, with the times, oldest first."""
@@ -240,18 +281,13 @@
             )
         else:
             is_weak = bool(crashes) and fingerprint not in self._firmly_held
-        # A crash of other runners at the same moment leaves open what the last trial has shown.
-        most = _max_trials(fingerprint)
-        if is_weak and times <= most + (times > most and not self._is_alone(crashes)):
+        if is_weak and times <= MAX_TRIALS and self.may_be_tried(fingerprint):
             self._on_trial.add(fingerprint)
         else:
             self._on_trial.discard(fingerprint)
             if crashes and times == 1:
                 self._firmly_held.add(fingerprint)
 
-    def _is_alone(self, crashes: list[_RunnerCrash]) -> bool:
-        return are_alone([each.at_s for each in crashes], self._others_s(crashes))
-
     def _others_s(self, crashes: list[_RunnerCrash]) -> list[float]:
         """Return the times of the crashes without a known cause that are none of these."""
         return [each.at_s for each in self._crashes if not each.explained and each not in crashes]
@@ -279,11 +315,11 @@
     def _is_due(self, fingerprint: Fingerprint) -> bool:
         beside = self._by_suspect.get(fingerprint, ())
         crashes = len(beside)
-        released_s = self._released_s.get(fingerprint)
-        if released_s is not None:
-            # Runs that were under way at the hold are no trials.
+        if fingerprint in self._released_s:
+            # Runs that were under way at the first hold are no trials, and one hold follows each.
             crashes = sum(
-                crash.at_s - crash.suspects[fingerprint].ran_s >= released_s - TOLERANCE_S
+                self._is_sent_after_release(fingerprint, crash, crash.suspects[fingerprint])
+                and crash.at_s > self._held_s.get(fingerprint, float("-inf"))
                 for crash in beside
             )
         if not is_of_part(fingerprint) and fingerprint not in self._ever_held:
@@ -344,7 +380,3 @@
             len(self._crashes) >= MAX_CRASHES or now - self._crashes[0].at_s > CRASH_TTL_S
         ):
             self._clear(self._crashes.popleft())
-
-
-def _max_trials(fingerprint: Fingerprint) -> int:
-    return MAX_TRIALS_OF_PART if is_of_part(fingerprint) else MAX_TRIALS
--- a/src/rainsail/quarantine/trials.py
+++ b/src/rainsail/quarantine/trials.py
@@ -2,18 +2,38 @@
 
 Only the root group's leader permits them, one run at a time for each fingerprint. A permit ends
 with the decision that follows its run, or after ``PERMIT_S`` if the run tells nothing.
+
+A crash during a trial counts against the request, whatever its cause, as the number of trials is
+limited. So a trial waits until no runner has crashed for a while.
 """
 
+from dataclasses import dataclass
+
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.cluster_commands import Quarantine
 
-TRIAL_DELAYS_S = (1.0, 4.0, 8.0)
-"""Time from a release to the first trial, by how often the request was held.
+
+@dataclass(frozen=True, slots=True)
+class TrialPause:
+    """What has to pass before a trial, in seconds."""
+
+    since_release_s: float
+    without_crash_s: float
+    """Time since the last crash of any runner."""
+    at_most_s: float
+    """Time since the release after which a trial is permitted although runners go on crashing."""
+
+
+TRIAL_PAUSES = (TrialPause(1.0, 1.0, 5.0), TrialPause(2.0, 2.0, 10.0), TrialPause(4.0, 4.0, 60.0))
+"""Pauses before the first and each further trial, the last one for all that follow.
 
 Runners that crash for a reason of their own often do so several times in a row.
 """
 PERMIT_S = 8.0
 """Longer than most requests wait for a runner and for their first event."""
+ALONE_S = 2.0
+"""No other trial begins for this long, as one crash would spend both of two at one runner. Most
+show within this time whether a runner survives them."""
 FORMER_LEADER_S = 2.0
 """A new leader waits this long: until then a run that the former one permitted has mostly begun,
 and a crash at its beginning has been reported."""
@@ -23,8 +43,9 @@
     """The requests on trial, as one controller knows them, and the permits that it gave."""
 
     def __init__(self) -> None:
-        self._from_s: dict[Fingerprint, float] = {}
-        """The earliest time of the next trial of each request that is remembered but not held."""
+        self._released: dict[Fingerprint, tuple[float, TrialPause]] = {}
+        """When each request that is remembered but not held was released, and what it waits for."""
+        self._last_crash_s = float("-inf")
         self._held: frozenset[Fingerprint] = frozenset()
         self._permitted_s: dict[Fingerprint, float] = {}
         self._leading_since_s: float | None = None
@@ -37,12 +58,16 @@
         elif self._leading_since_s is None:
             self._leading_since_s = now
 
+    def note_crash(self, at_s: float) -> None:
+        """Note the time at which a runner crashed, whatever ran there."""
+        self._last_crash_s = max(self._last_crash_s, at_s)
+
     def decided(self, quarantine: Quarantine, now: float) -> None:
         """Apply a decision of the root group, which ends the permits of what it changed."""
         self._held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
         released = {each.fingerprint: each for each in quarantine.requests if not each.held}
-        self._from_s = {
-            fingerprint: self._from_s.get(fingerprint, now + _trial_delay_s(request.times))
+        self._released = {
+            fingerprint: self._released.get(fingerprint, (now, _pause(request.times)))
             for fingerprint, request in released.items()
         }
         for fingerprint in self._permitted_s.keys() - released.keys():
@@ -54,14 +79,29 @@
             return False
         if not all(self._may_run(each, now) for each in fingerprints):
             return False
+        if any(now - at_s < ALONE_S for at_s in self._permitted_s.values()):
+            return False
         self._permitted_s.update(dict.fromkeys(fingerprints, now))
         return True
 
     def _may_run(self, fingerprint: Fingerprint, now: float) -> bool:
-        if fingerprint in self._held or now < self._from_s.get(fingerprint, now):
+        if fingerprint in self._held or not self._is_calm(fingerprint, now):
             return False
         return now - self._permitted_s.get(fingerprint, float("-inf")) >= PERMIT_S
 
+    def _is_calm(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Tell whether a crash during a trial that begins now is likely to be its own."""
+        known = self._released.get(fingerprint)
+        if known is None:
+            return True
+        released_s, pause = known
+        waited_s = now - released_s
+        if waited_s < pause.since_release_s:
+            return False
+        is_quiet = now - self._last_crash_s >= pause.without_crash_s
+        return is_quiet or waited_s >= pause.at_most_s
+
 
-def _trial_delay_s(times: int) -> float:
-    return TRIAL_DELAYS_S[min(times, len(TRIAL_DELAYS_S)) - 1]
+def _pause(times: int) -> TrialPause:
+    """Return the pause before the next trial of a request that was held ``times`` times."""
+    return TRIAL_PAUSES[min(times, len(TRIAL_PAUSES)) - 1]
