Crashes that a refuted hold has explained count against the other suspects again

Cause: a held suspect explains its crashes, which then count against nobody else. A sound part that all requests shared was held on evidence that looked strong, after a restart of all controllers had lost the earlier counts; an answer cleared it 0.5 s later, but the crashes of the two fatal parts beside it stayed explained, and these needed three or more new ones.

Now a crash remembers the suspects that it explains and the holds that explain it, and counts against them again when an answer or an operator refutes the last of these.

--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -73,7 +73,10 @@
     runner: str
     at_s: float
     suspects: dict[Fingerprint, RunAge] = field(default_factory=dict)
-    explained: bool = False
+    explained_by: set[Fingerprint] = field(default_factory=set)
+    """Held suspects that ran there."""
+    explained: dict[Fingerprint, RunAge] = field(default_factory=dict)
+    """All its suspects, while one of them is held."""
     trials: set[Fingerprint] = field(default_factory=set)
     """Suspects of which it ended a run that had been permitted as a trial."""
     is_answered_beside: bool = False
@@ -133,8 +136,10 @@
             if each not in crash.suspects and self._answered_s.get(each, crash.at_s) <= crash.at_s
         ]
         self._count_failed_trials(crash, new, ages)
-        if crash.explained or not self._held.isdisjoint(new):
-            self._mark_explained(crash)
+        held = self._held.intersection(new)
+        if crash.explained_by or held:
+            crash.explained.update({each: ages.get(each, UNKNOWN_AGE) for each in new})
+            self._mark_explained(crash, held)
             return ()
         crash.suspects.update({each: ages.get(each, UNKNOWN_AGE) for each in new})
         for fingerprint in new:
@@ -181,6 +186,24 @@
                 crash.is_answered_beside = True
                 for beside in crash.suspects:
                     self._update_due(beside, now)
+        self._count_again(fingerprint, now)
+
+    def _count_again(self, fingerprint: Fingerprint, now: float) -> None:
+        """Count the crashes that a refuted hold explained against the other suspects again."""
+        for crash in self._crashes:
+            if fingerprint not in crash.explained_by:
+                continue
+            crash.explained_by.remove(fingerprint)
+            crash.explained_by.update(self._held.intersection(crash.explained) - {fingerprint})
+            if crash.explained_by:
+                continue
+            crash.is_answered_beside = True
+            suspects, crash.explained = crash.explained, {}
+            for each, age in suspects.items():
+                if self._answered_s.get(each, crash.at_s) <= crash.at_s:
+                    crash.suspects[each] = age
+                    self._by_suspect.setdefault(each, []).append(crash)
+                    self._update_due(each, now)
 
     def due(self, now: float) -> tuple[Fingerprint, ...]:
         """Return the requests to hold now."""
@@ -224,7 +247,7 @@
             self._set_aside(fingerprint)
         for fingerprint in sorted(newly_held - self._on_trial):
             for crash in list(self._by_suspect.get(fingerprint, ())):
-                self._mark_explained(crash)
+                self._mark_explained(crash, {fingerprint})
 
     def _set_aside(self, fingerprint: Fingerprint) -> None:
         """Count the crashes of a suspect on trial against the other prompt parts still.
@@ -290,7 +313,9 @@
 
     def _others_s(self, crashes: list[_RunnerCrash]) -> list[float]:
         """Return the times of the crashes without a known cause that are none of these."""
-        return [each.at_s for each in self._crashes if not each.explained and each not in crashes]
+        return [
+            each.at_s for each in self._crashes if not each.explained_by and each not in crashes
+        ]
 
     def _is_strong(self, fingerprint: Fingerprint) -> bool:
         """Weigh the evidence; a part and another suspect of all its crashes look alike."""
@@ -351,8 +376,9 @@
         self._crashes.append(crash)
         return crash
 
-    def _mark_explained(self, crash: _RunnerCrash) -> None:
-        crash.explained = True
+    def _mark_explained(self, crash: _RunnerCrash, held: Iterable[Fingerprint]) -> None:
+        crash.explained_by.update(held)
+        crash.explained.update(crash.suspects)
         for fingerprint in crash.suspects:
             self._explained[fingerprint] = None
             self._explained.move_to_end(fingerprint)
