A silent runner is given up only for one that takes the request

What callers saw (shown by tests, not in a report): a resumable stream was cut in the middle, or a safe request failed with 502, because its runner had sent nothing for a second, although that runner went on a moment later. A pause alone ended the answer: the gateway closed the connection first and then asked another runner, which was full. Around a planned stop or a change of the configuration that is a request that ends without an answer.

Cause: the move had two steps that can fail apart, and the one that can't be undone came first. Class: what works is given up before its replacement has been accepted.

Fix: the silent attempt is kept while another runner is asked. It is given up when that one begins to answer, or has not refused within 0.05 s, so that two runners don't work on one request for long. If no other runner takes it (refused, unreachable, broken, a failure, no runner, over the maximum), the request stays where it was; if the silent runner goes on first, the other attempt is cancelled. Event silent_runner_kept.

--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -274,6 +274,46 @@
     assert [str(line["extra"][field]) for line in lines] == [value], lines
 
 
+# --- the runner that was sent to first -----------------------------------------------------
+
+
+@step("the silent runner sends events {first:d} to {last:d}")
+def silent_sends(context, first, last):
+    call = context.relay.pool.calls[0]
+    for number in range(first, last + 1):
+        if not call.cancelled:
+            call.listener.answer_data(event(number))
+
+
+@step("the silent runner ends its stream")
+def silent_ends(context):
+    call = context.relay.pool.calls[0]
+    if not call.cancelled:
+        call.listener.answer_ended()
+
+
+@step("the silent runner's connection breaks")
+def silent_breaks(context):
+    call = context.relay.pool.calls[0]
+    call.over = True
+    call.listener.answer_failed("connection reset")
+
+
+@step('the silent runner answers {status:d} with "{body}"')
+def silent_answers(context, status, body):
+    call = context.relay.pool.calls[0]
+    call.over = True
+    if not call.cancelled:
+        call.answer(status, body.encode())
+
+
+@then("each attempt's connection has ended")
+def all_closed(context):
+    calls = context.relay.pool.calls
+    refused = [call.listener.verdict is not None for call in calls]
+    assert all(call.cancelled or done for call, done in zip(calls, refused, strict=True)), calls
+
+
 # --- what the client has -------------------------------------------------------------------
 
 
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -179,6 +179,14 @@
         ).info("attempt_broke")
         return may_resend
 
+    def returned(self, attempt: Attempt) -> None:
+        """Record that a silent runner is not given up: it sends again, or no other one takes over.
+
+        It is not what the request ends by, so the reason for that stays.
+        """
+        log = logger.bind(request=self._facts.request, runner=attempt.record.runner)
+        log.bind(reason=self.reason).info("silent_runner_kept")
+
     def _parts_text(self) -> str:
         """Return the ids of the prompt's parts with their fingerprints, for the log."""
         names = zip(self._part_ids, self.part_fingerprints, strict=False)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -88,7 +88,14 @@
         )
         self._recorder = RequestRecorder(context, request, facts, identity)
         self._sender = RequestSender(
-            context, request, facts, route, identity, self, self._response_timed_out
+            context,
+            request,
+            facts,
+            route,
+            identity,
+            self,
+            self._response_timed_out,
+            self._leave_silent,
         )
         self._origin = RequestOrigin(context, facts, identity)
         self._is_admitted = False
@@ -170,15 +177,14 @@
 
     def _deadline_passed(self) -> None:
         if self.outcome is None:
-            is_sent = self._sender.attempt is not None
+            is_sent = self._sender.is_sent
             self._end(time_out(self._progress(), is_sent, self._context.settings))
 
     def end_by_stop(self) -> None:
         """End the request with a complete answer, or an aborted one: the gateway stops."""
         self._stream_ending.release()
         if self.outcome is None:
-            is_sent = self._sender.attempt is not None
-            self._end(end_by_stop(self._progress(), is_sent))
+            self._end(end_by_stop(self._progress(), self._sender.is_sent))
 
     def _end(self, ending: Ending) -> None:
         """Carry out the decided end of the request."""
@@ -234,31 +240,47 @@
 
     def _end_lost_stream(self, reason: str, retry_after_s: float | None) -> None:
         settings = self._context.settings
-        self._end(give_up_lost_stream(self._progress(), reason, retry_after_s, settings))
+        self._end_untaken(give_up_lost_stream(self._progress(), reason, retry_after_s, settings))
+
+    def _end_untaken(self, ending: Ending) -> None:
+        """End a request that no other runner gets, unless a silent one may still answer it."""
+        if self._sender.silent is None:
+            self._end(ending)
+        else:
+            self._return_to_silent()
+
+    def _return_to_silent(self) -> None:
+        assert self._sender.silent is not None
+        self._recorder.returned(self._sender.silent)
+        self._sender.return_to_silent()
 
     def _try_next(self) -> None:
         """Ask for the next attempt's placement if it is allowed, else end the request."""
         if self.outcome is not None:
             return
         if not self._origin.is_confirmed():
-            self._origin.withdraw()
+            if self._sender.silent is None:
+                self._origin.withdraw()
             self._end_lost_stream(UNKNOWN_ORIGIN, None)
             return
         decision = decide_send(self._progress(), self._terms(), self._context.settings)
         if isinstance(decision, SendAgain):
             self._sender.ask_placement(decision.route, self._send_placed)
         else:
-            self._end(decision)
+            self._end_untaken(decision)
 
     def _send_placed(self, placement: Placement | None) -> None:
-        """Send to a runner, after deciding again: the terms may have changed meanwhile."""
-        if self.outcome is not None:
+        """Send to a runner, after deciding again: the terms may have changed meanwhile.
+
+        A silent runner may have gone on as well.
+        """
+        if self.outcome is not None or self._sender.attempt is not None:
             return
         settings = self._context.settings
         self._record_service()
         decision = decide_send(self._progress(), self._terms(), settings)
         if not isinstance(decision, SendAgain):
-            self._end(decision)
+            self._end_untaken(decision)
             return
         unproven = self._recorder.unproven_fingerprints()
         if unproven and not self._is_trial:
@@ -267,26 +289,27 @@
             return
         found = self._sender.find(decision.route, placement, self._deadline.left_s)
         if found.retry_after_s is not None:
-            self._end(refuse_overloaded(self._sender.service, found.retry_after_s))
+            self._end_untaken(refuse_overloaded(self._sender.service, found.retry_after_s))
         elif found.record is None and self._origin.origin is not None:
             retry_after_s = None if self._sender.is_origin_gone() else settings.retry_after_s
             self._end_lost_stream(NO_OTHER_RUNNER, retry_after_s)
         elif found.record is None:
             no_runner_reason = self._sender.no_runner_reason()
-            self._end(give_up_without_runner(self._progress(), no_runner_reason, settings))
+            ending = give_up_without_runner(self._progress(), no_runner_reason, settings)
+            self._end_untaken(ending)
         else:
             self._record_service()
             self._sender.send(found.record, decision)
 
     def _trial_decided(self, may_run: bool, placement: Placement | None) -> None:
         """Send a request that was held as a trial, or end it while another one is tried."""
-        if self.outcome is not None:
+        if self.outcome is not None or self._sender.attempt is not None:
             return
         if may_run:
             self._is_trial = True
             self._send_placed(placement)
         else:
-            self._end(give_up_untried(self._progress(), self._context.settings))
+            self._end_untaken(give_up_untried(self._progress(), self._context.settings))
 
     def _record_service(self) -> None:
         """Tell the recorder which service was chosen for the request."""
@@ -319,6 +342,9 @@
         """Retry or end the request after an attempt whose answer is not forwarded."""
         self._sender.attempt = None
         self._may_have_run = self._may_have_run or end != AttemptEnd.NOT_RUN
+        if self._sender.silent is not None:
+            self._return_to_silent()
+            return
         sent_by, settings = self._sender.route, self._context.settings
         ending = end_after_attempt(end, sent_by, self._progress(), settings)
         if ending is None:
@@ -328,19 +354,35 @@
 
     # --- AttemptOwner: answers -----------------------------------------------------------
 
+    def _counts(self, attempt: Attempt) -> bool:
+        """Go on with a silent runner that sends again; False if it sends a failure.
+
+        The other runner that was tried meanwhile has not begun.
+        """
+        if attempt is not self._sender.silent:
+            return True
+        if attempt.failed:
+            return False
+        self._return_to_silent()
+        return True
+
     def head_received(self, attempt: Attempt) -> None:
         """Drop an answer that can't continue the one that the client has received in part.
 
         It is dropped at its head: the end of an error's body, for example, would look like the end
         of the stream.
         """
+        if not self._counts(attempt):
+            return
         if not self._answer.may_include(attempt):
             attempt.cancel()
             self._drop_answer(attempt, AttemptEnd.UNUSABLE)
+        elif not attempt.failed:
+            self._leave_silent()
 
     def events_received(self, attempt: Attempt, events: list[Event]) -> None:
         """Write complete events to the client without buffering."""
-        if self.outcome is not None:
+        if self.outcome is not None or not self._counts(attempt):
             return
         flaw = self._answer.write_events(attempt, events)
         self._note_origin(attempt)
@@ -362,6 +404,8 @@
 
         A failure that is not forwarded is dropped instead.
         """
+        if not self._counts(attempt):
+            return
         if attempt.body_bytes < self._context.settings.buffered_bytes and attempt.has_room:
             return
         if self._forwards_answer(attempt):
@@ -373,6 +417,9 @@
     def stream_ended(self, attempt: Attempt) -> None:
         """Write the last event, then complete the answer, hold its end, or drop a flawed stream."""
         assert attempt.stream is not None
+        if not self._counts(attempt):
+            self._silent_failed(attempt)
+            return
         flaw = self._answer.write_events(attempt, attempt.stream.last_events())
         self._note_origin(attempt)
         flaw = flaw or self._answer.check_end(attempt)
@@ -410,6 +457,9 @@
 
     def answer_received(self, attempt: Attempt) -> None:
         """Forward a complete answer, or retry if its status calls for that."""
+        if not self._counts(attempt):
+            self._silent_failed(attempt)
+            return
         if not self._forwards_answer(attempt):
             self._drop_answer(attempt, attempt.body_end)
             return
@@ -428,6 +478,12 @@
     def _forwards_answer(self, attempt: Attempt) -> bool:
         return forwards_answer(attempt.body_end, self._sender.route, self._answer.client_has)
 
+    def _silent_failed(self, attempt: Attempt) -> None:
+        """Forget a silent runner that has answered with a failure: another one is tried."""
+        self._sender.take_silent()
+        attempt.body.clear()
+        self._recorder.failed(attempt)
+
     def _drop_answer(self, attempt: Attempt, end: AttemptEnd) -> None:
         """Drop an answer that is not forwarded; the request may have run."""
         attempt.body.clear()
@@ -442,24 +498,43 @@
         if attempt.verdict.other_runner:
             self._sender.uncount_attempt()
         self._recorder.refused(attempt)
-        self._continue_after(AttemptEnd.NOT_RUN)
+        self._attempt_failed(attempt, AttemptEnd.NOT_RUN)
 
     def runner_unreachable(self, attempt: Attempt, reason: str) -> None:
         """Try another runner: the request was not sent to this one."""
         self._sender.uncount_attempt()
         self._recorder.unreachable(attempt, reason)
-        self._continue_after(AttemptEnd.NOT_RUN)
+        self._attempt_failed(attempt, AttemptEnd.NOT_RUN)
 
     def answer_interrupted(self, attempt: Attempt, reason: str) -> None:
         """Retry on another runner where that is allowed, otherwise end the request."""
         may_resend = self._recorder.interrupted(attempt, reason, self._answer.last_event)
-        self._continue_after(AttemptEnd.BROKEN if may_resend else AttemptEnd.BROKEN_SUSPECT)
+        end = AttemptEnd.BROKEN if may_resend else AttemptEnd.BROKEN_SUSPECT
+        self._attempt_failed(attempt, end)
+
+    def _attempt_failed(self, attempt: Attempt, end: AttemptEnd) -> None:
+        """Continue after a failed attempt; nothing is to do if another runner is tried already."""
+        if attempt is self._sender.silent:
+            self._sender.take_silent()
+        else:
+            self._continue_after(end)
 
     def _response_timed_out(self) -> None:
-        """Move away from a runner that sends nothing, if another runner can take over."""
+        """Try another runner than one that sends nothing, which is given up once that takes over.
+
+        A runner's silence alone ends no answer: it may go on.
+        """
         attempt, route = self._sender.attempt, self._sender.route
         other_runner_left = self._sender.other_runner_left()
         may_leave = may_leave_silent_runner(route, self._answer.client_has, other_runner_left)
         if attempt is not None and may_leave and self._terms().ends_in_time:
+            self._may_have_run = True
+            self._sender.keep_silent()
+            self._try_next()
+
+    def _leave_silent(self) -> None:
+        """Give up a silent runner: another one has taken the request."""
+        attempt = self._sender.take_silent()
+        if attempt is not None:
             attempt.cancel()
-            self.answer_interrupted(attempt, SILENT)
+            self._recorder.interrupted(attempt, SILENT, self._answer.last_event)
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -17,6 +17,7 @@
 from rainsail.relay.runner_finder import SETTLED_S, FindResult, RunnerFinder
 from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.messages import Placement
+from rainsail.runtime.clock import Timer
 from rainsail.tenancy.tenants import Identity
 
 MIN_DEADLINE_S = 0.001
@@ -24,12 +25,19 @@
 
 The shortest time that the platform's header can state.
 """
+REFUSAL_WITHIN_S = 0.05
+"""A runner that has no room for a request refuses it within this time.
+
+Until then a silent runner is not given up for it; longer, and two would work on one request.
+"""
 
 
 class RequestSender:
     """The attempts of one request; ``attempt`` is the current one.
 
-    ``route`` is that of the last attempt, or of the next one while that is being placed.
+    ``silent`` is an earlier attempt at a runner that sends nothing, while another runner is tried:
+    it is given up once that one takes the request. ``route`` is that of the last attempt, or of the
+    next one while that is being placed.
     """
 
     def __init__(
@@ -41,10 +49,15 @@
         identity: Identity,
         owner: AttemptOwner,
         response_timed_out: Callable[[], None],
+        not_refused: Callable[[], None],
     ) -> None:
-        """``response_timed_out`` is called when a runner has sent nothing for too long."""
+        """``response_timed_out`` is called when a runner has sent nothing for too long.
+
+        ``not_refused`` is called when another one had the time to refuse the request.
+        """
         self.route = route
         self.attempt: Attempt | None = None
+        self.silent: Attempt | None = None
         self.attempts: list[Attempt] = []
         self.attempts_counted = 0
         """Attempts that count towards the route's maximum."""
@@ -57,12 +70,19 @@
         self._owner = owner
         self._finder = RunnerFinder(context, facts, route, identity)
         self._timeout = ResponseTimeout(context, response_timed_out)
+        self._not_refused = not_refused
+        self._refusal_timer: Timer | None = None
 
     @property
     def service(self) -> str:
         """The service that serves the request; empty before the first placement."""
         return self._finder.service
 
+    @property
+    def is_sent(self) -> bool:
+        """Tell whether a runner has the request now."""
+        return self.attempt is not None or self.silent is not None
+
     @property
     def tried(self) -> set[str]:
         """The runners that the request was sent to."""
@@ -114,10 +134,32 @@
         self.attempts.append(attempt)
         self._timeout.request_sent(self.route, self.attempts_counted)
         settled_s = 0.0 if self._finder.origin is None else SETTLED_S
+        if self.silent is not None:
+            self._refusal_timer = context.clock.callLater(REFUSAL_WITHIN_S, self._not_refused)
         attempt.call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
         if self._is_paused:
             self.set_paused(True)
 
+    def keep_silent(self) -> None:
+        """Keep the current attempt as the silent one, to try another runner."""
+        self.silent, self.attempt = self.attempt, None
+
+    def return_to_silent(self) -> None:
+        """Go on with the silent attempt, and cancel the one at the other runner."""
+        other, silent = self.attempt, self.take_silent()
+        self.attempt = silent
+        if other is not None:
+            other.cancel()
+        self.events_received()
+
+    def take_silent(self) -> Attempt | None:
+        """Return the silent attempt, and forget it: it is over or is given up."""
+        if self._refusal_timer is not None and self._refusal_timer.active():
+            self._refusal_timer.cancel()
+        self._refusal_timer = None
+        silent, self.silent = self.silent, None
+        return silent
+
     def events_received(self) -> None:
         """Restart the time-out for the next events, unless the answer is not read for now."""
         if not self._is_paused:
@@ -126,6 +168,8 @@
     def set_paused(self, is_paused: bool) -> None:
         """Pause or continue the reading of answers; a runner is not silent during a pause."""
         self._is_paused = is_paused
+        if self.silent is not None:
+            self.silent.set_paused(is_paused)
         if self.attempt is None:
             return
         self.attempt.set_paused(is_paused)
@@ -147,10 +191,11 @@
         self._request = self._request.without_body()
 
     def cancel(self) -> None:
-        """Cancel the current attempt, if there is one."""
+        """Cancel the attempts that are under way."""
         attempt, self.attempt = self.attempt, None
-        if attempt is not None:
-            attempt.cancel()
+        for each in (attempt, self.take_silent()):
+            if each is not None:
+                each.cancel()
 
     def _response_within_s(self) -> float:
         """Return how long the runner may send nothing before it is ejected for all requests."""
