An import of a session whose reply is not whole has not succeeded

A gateway counted a session as moved where the engine's reply to the import was a 200 with an empty body, or with a part of one, because the connection had ended: in order or by reset, which Twisted doesn't tell apart for a body with neither a length nor chunks.

Cause: every other reply of an engine is decoded, and a part of a JSON object decodes to nothing; this one was not looked at.

The reply has to be a JSON object, as the protocol says; otherwise the call has failed with an unknown outcome, as an order does.

--- a/features/support/cutting_proxy.py
+++ b/features/support/cutting_proxy.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from features.support.reactor_thread import in_reactor, reactor
+from twisted.internet.protocol import Factory, Protocol
 from twisted.protocols.portforward import ProxyFactory, ProxyServer
 
 from rainsail.benchmarks.child import LOOPBACK
@@ -25,8 +26,16 @@
 class CuttingProxy:
     """Forwards connections to a port; requests whose line begins with ``path`` get ``cut``."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int | None = None) -> None:
+        """``port`` None: there is nothing to forward to."""
+        self._sink = None
+        if port is None:
+            sink = Factory.forProtocol(Protocol)
+            self._sink = in_reactor(lambda: reactor.listenTCP(0, sink, interface=LOOPBACK))
+            port = self._sink.getHost().port
         self.cut: Cut | None = None
+        self.later: Cut | None = None
+        """What the requests after the first one get that was cut; None for the same."""
         self.path = b""
         self.answered = 0
         """Requests that were answered with a cut."""
@@ -44,6 +53,15 @@
     def close(self) -> None:
         """Stop listening."""
         in_reactor(self._port.stopListening)
+        if self._sink is not None:
+            in_reactor(self._sink.stopListening)
+
+    def take_cut(self) -> Cut:
+        """Return what the next request gets."""
+        cut = self.cut
+        assert cut is not None
+        self.cut = self.later or cut
+        return cut
 
 
 class _Connection(ProxyServer):
@@ -71,7 +89,7 @@
         self._is_cut = True
         proxy.answered += 1
         proxy.kept += self._has_forwarded
-        self._send(proxy.cut)
+        self._send(proxy.take_cut())
 
     def _send(self, cut: Cut) -> None:
         transport: Any = self.transport
--- a/src/rainsail/engine/http_client.py
+++ b/src/rainsail/engine/http_client.py
@@ -166,7 +166,7 @@
         """Import a session's KV cache."""
         url = f"{address}{protocol.KV_IMPORT_PATH}"
         body = protocol.kv_document(state)
-        return self._call("engine.kv_import", url, body, lambda _: None)
+        return self._call("engine.kv_import", url, body, protocol.read_import_reply)
 
     def _call(
         self, step: str, url: str, body: bytes, read: Callable[[bytes], Any]
--- a/src/rainsail/engine/protocol.py
+++ b/src/rainsail/engine/protocol.py
@@ -56,6 +56,7 @@
 
 
 CANCEL_REPLY = TypeAdapter(CancelReply)
+IMPORT_REPLY = TypeAdapter(dict[str, Any])
 
 _encode_string = json.encoder.encode_basestring_ascii
 
@@ -256,6 +257,11 @@
     return CANCEL_REPLY.validate_json(body).known
 
 
+def read_import_reply(body: bytes) -> None:
+    """Check that the reply to an import is a whole JSON object; raises ``ValueError``."""
+    IMPORT_REPLY.validate_json(body)
+
+
 def read_kv_document(body: bytes) -> KvState:
     """Return the session in an export's reply; raises ``ValueError``."""
     document = KV_DOCUMENT.validate_json(body)
