A truncated answer to an operator's command is not its result

An operator's command got a 200 whose body was empty or a part, as its connection had ended behind the head: it printed nothing, or the text of the part as a detail, and exited as done; a change was told as taken.

Cause: the client took a body that is not JSON for text to show, also from a success, and treq takes a body with neither a length nor chunks as whole wherever its connection ends, by reset too.

A success whose body is not JSON is a broken response: it is retried like a lost connection, with the same change ID.

features/http/truncated_bodies.feature: 3 of the 3 scenarios of commands failed on the code before (nothing, and two parts, for each of four ways in which the connection ends); now they have the whole answer at the second attempt.

--- a/features/http/truncated_bodies.feature
+++ b/features/http/truncated_bodies.feature
@@ -18,3 +18,14 @@
     Given a server that answers every request with a whole head and the length 2, then "{}"
     When the engine client imports a session, for each way in which the connection ends
     Then every import has succeeded
+
+  Scenario Outline: An operator's command: <body>
+    Given a server that answers the first request with a whole head without framing, then <body>, and the next ones whole
+    When an operator's command is run, for each way in which the connection ends
+    Then every command has the whole answer, at its second attempt
+
+    Examples:
+      | body            |
+      | nothing         |
+      | "{"             |
+      | "{'rows': [1, " |
--- a/src/rainsail/cli/operator_client.py
+++ b/src/rainsail/cli/operator_client.py
@@ -29,7 +29,14 @@
 UNAUTHENTICATED_STATUS = 401
 
 Value = TypeVar("Value")
+
+
+class BrokenResponse(Exception):
+    """The body of a 2xx response is not JSON, as when a part of it is missing."""
+
+
 TRANSPORT_ERRORS = (
+    BrokenResponse,
     ConnectError,
     ConnectionClosed,
     ResponseFailed,
@@ -60,7 +67,8 @@
     async def request(self, method: str, path: str, body: Any = None, **query: str) -> Any:
         """Send a request and return the body of its 2xx response.
 
-        Transport errors and the statuses 502, 503 and 504 are retried with exponential backoff.
+        Transport errors, 2xx responses whose body is not whole, and the statuses 502, 503 and 504
+        are retried with exponential backoff.
         A retry sends the same body, so a change keeps its change ID and takes effect once.
 
         Raises:
@@ -127,6 +135,8 @@
         )
         response = await call
         text = await response.text()
+        if response.code < 300 and not _is_json(text):
+            raise BrokenResponse(f"status {response.code} with {len(text)} characters of a body")
         return OperatorResponse(response.code, _decode_body(text))
 
 
@@ -193,6 +203,14 @@
     return Headers({"Authorization": [f"Bearer {key}"]} if key else {})
 
 
+def _is_json(text: str) -> bool:
+    try:
+        json.loads(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _decode_body(text: str) -> Any:
     try:
         return json.loads(text) if text else None
