Lines of a batch's results are whole only if their answer is framed

A replay and the demonstration read a batch's results as lines. An answer with neither a length nor chunks whose connection ended between two lines was the whole file to them: results would count as missing, or not be looked at.

http.bounded_body refuses bodies without framing for readers that ask for it, and those calls do. Readers that decode JSON objects or arrays (engines' replies, the list of machines) notice a part by its content, and go on to take bodies without framing.

features/http/truncated_bodies.feature: 1 of the 2 scenarios of lines failed on the code before; now all 9 of the feature pass.

--- a/features/http/truncated_bodies.feature
+++ b/features/http/truncated_bodies.feature
@@ -29,3 +29,13 @@
       | nothing         |
       | "{"             |
       | "{'rows': [1, " |
+
+  Scenario Outline: The results of a batch as lines: <framing>
+    Given a server that answers every request with a whole head <framing>, then "{'line': 1}/"
+    When a caller reads the lines, for each way in which the connection ends
+    Then every read has <result>
+
+    Examples:
+      | framing             | result                          |
+      | without framing     | failed with an unknown outcome  |
+      | and the length 12   | succeeded                       |
--- a/src/rainsail/experiment/http_calls.py
+++ b/src/rainsail/experiment/http_calls.py
@@ -18,11 +18,13 @@
 from rainsail.engine.sse import SseError
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.experiment.answer_stream import STEP, AnswerStream, StreamEnd, fault_of
+from rainsail.http.bounded_body import BodyTooLargeError, UnframedBodyError, read_body
 
 CONNECT_TIMEOUT_S = 3.0
 """Not measured; chosen so that one lost SYN is sent again before the call is given up."""
 CONNECTIONS_PER_HOST = 64
 """Not measured; chosen to be above what one replay or demonstration has open at a gateway."""
+MAX_CONTENT_BYTES = 1024 * 1024 * 1024
 OK_STATUSES = range(200, 300)
 
 _NO_ANSWER = (
@@ -33,6 +35,8 @@
     CancelledError,
     TimeoutError,
     SseError,
+    BodyTooLargeError,
+    UnframedBodyError,
     ValueError,
 )
 """What a call without a whole, readable answer raises."""
@@ -74,7 +78,8 @@
         """
         try:
             response = await self._request(method, url, key, timeout_s, headers or {}, **body)
-            content = await response.content().addTimeout(timeout_s, self._reactor)
+            reading = read_body(response, MAX_CONTENT_BYTES, must_be_framed=True)
+            content = await reading.addTimeout(timeout_s, self._reactor)
             if response.code not in OK_STATUSES:
                 return Error(fault_of(response.code, content))
             return Ok(decode(content))
--- a/src/rainsail/http/bounded_body.py
+++ b/src/rainsail/http/bounded_body.py
@@ -1,4 +1,8 @@
-"""Reads the bodies of Twisted's responses up to a size, whether they announce it or not."""
+"""Reads the bodies of Twisted's responses up to a size, whether they announce it or not.
+
+A body with neither a length nor chunks ends with its connection. Twisted doesn't tell whether that
+was closed or reset, so what has come may be a part of the body.
+"""
 
 from typing import Any
 
@@ -13,12 +17,20 @@
     """The body exceeds the size up to which it is read."""
 
 
-def read_body(response: Any, max_bytes: int) -> "Deferred[bytes]":
+class UnframedBodyError(Exception):
+    """Nothing but the end of the connection marked the end of the body."""
+
+
+def read_body(response: Any, max_bytes: int, must_be_framed: bool = False) -> "Deferred[bytes]":
     """Read a response's body; cancelling closes its connection.
 
-    Errors: ``BodyTooLargeError``, or what ended the connection before the end of the body.
+    ``must_be_framed`` refuses a body that only the end of the connection ends. A reader that
+    doesn't has to notice by the content that a part is missing, as JSON objects and arrays show.
+
+    Errors: ``BodyTooLargeError``, ``UnframedBodyError``, or what ended the connection before the
+    end of the body.
     """
-    body = _Body(max_bytes)
+    body = _Body(max_bytes, must_be_framed)
     length = response.length
     if isinstance(length, int) and length > max_bytes:
         body.refuse(f"{length} bytes are announced")
@@ -29,8 +41,9 @@
 class _Body(Protocol):
     transport: Any
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, must_be_framed: bool) -> None:
         self._max_bytes = max_bytes
+        self._must_be_framed = must_be_framed
         self._received = bytearray()
         self._refused = ""
         self._is_over = False
@@ -60,7 +73,11 @@
         if self._is_over:
             return
         self._is_over = True
-        if reason.check(ResponseDone, PotentialDataLoss):
+        if reason.check(PotentialDataLoss) and self._must_be_framed:
+            self.done.errback(
+                Failure(UnframedBodyError("the body has neither a length nor chunks"))
+            )
+        elif reason.check(ResponseDone, PotentialDataLoss):
             self.done.callback(bytes(self._received))
         else:
             self.done.errback(reason)
