Tests of cut heads on real sockets, while a gateway stops, and without memory left

Not reproduced: a connection of the pool reports a cut head as failed for each way in which a real connection ends, half closed too; a gateway whose stop ends requests behind a part of a head, and one without memory for answers, tell their clients 502 or 504.

--- a/features/relay/cut_heads.feature
+++ b/features/relay/cut_heads.feature
@@ -45,3 +45,26 @@
     Given a relay whose connections are real, with a "run-once stream" route
     When the runner of an item cuts its answer in its head, at one place of each class
     Then every run of the item has broken off without a text, and may be repeated
+
+  Scenario Outline: The gateway stops while a part of a head has come: <route>
+    Given a relay whose connections are real, with a "<route>" route
+    When the gateway's stop ends every request whose runner has sent a part of its head
+    Then every client has been told 502 or 504, and none of them anything of an answer
+
+    Examples:
+      | route            |
+      | resumable stream |
+      | run-once stream  |
+      | safe             |
+      | unsafe           |
+
+  Scenario Outline: There is no memory left when the head is cut: <route>
+    Given a relay whose connections are real, with a "<route>" route
+    And its gateway has no memory left for the answers of runners
+    When every runner cuts each answer in its head, at one place of each class
+    Then every client has been told 502 or 504, and none of them anything of an answer
+
+    Examples:
+      | route            |
+      | resumable stream |
+      | unsafe           |
--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -17,7 +17,7 @@
 from features.support.relaying import event
 
 from platform_adapter.routing import read_table
-from rainsail.budget.client_budget import ClientBudget
+from rainsail.budget.client_budget import CONNECTION_BYTES, ClientBudget
 from rainsail.jobs.item_run import ItemProgress, ItemRun, RunEnd
 from rainsail.relay.protocol import ItemRequest, RunnerTarget
 from rainsail.relay.stream_beginnings import StreamBeginnings, StreamSource
@@ -279,6 +279,38 @@
         assert play.run.connection_ended, play.name
 
 
+# --- while the gateway stops, or has no memory left ----------------------------------------
+
+
+@when("the gateway's stop ends every request whose runner has sent a part of its head")
+def stop_gateway(context):
+    for name, data, is_kept, how in _cuts(context.cut_kind):
+        relay = _relay(context, is_kept)
+        play = Play(relay, name)
+        play.client.send("r-1")
+        connection = play.asked()
+        connection.send(data)
+        for run in list(relay.runs):
+            run.end_by_stop()
+        assert not connection.transport.connected, name
+        relay.close_later(connection, how)
+        assert play.asked() is None, name
+        context.cut_plays.append(play)
+
+
+@given("its gateway has no memory left for the answers of runners")
+def no_memory(context):
+    make = context.cut_relay
+
+    def make_full():
+        relay = make()
+        memory = relay.context.budget.memory
+        memory.limit_bytes = CONNECTION_BYTES
+        return relay
+
+    context.cut_relay = make_full
+
+
 # --- whole heads without a body ------------------------------------------------------------
 
 
--- a/features/support/relayed_connections.py
+++ b/features/support/relayed_connections.py
@@ -12,7 +12,6 @@
 
 from platform_adapter.headers import PlatformHeaders
 from rainsail.budget.client_budget import ClientBudget
-from rainsail.budget.sizing import BudgetLimits
 from rainsail.cluster.messages import RunnerRecord, RunnerState
 from rainsail.cluster.registry import RunnerRegistry
 from rainsail.http.client import OutgoingRequest
@@ -185,9 +184,9 @@
 
     table: RoutingTable
     runners: int = 2
-    limits: BudgetLimits = BudgetLimits()
-    """The memory for all clients and answers."""
     clock: VirtualClock = field(default_factory=VirtualClock)
+    runs: list[RelayRun] = field(default_factory=list)
+    """All requests in the order of their arrival."""
     ended: list[RelayRun] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -195,7 +194,7 @@
         self.pool = ConnectionPool(self.reactor, self.clock, PoolSettings())
         registry = RunnerRegistry()
         self.protocol = PlatformHeaders()
-        budget = ClientBudget(self.clock.seconds, self.limits)
+        budget = ClientBudget(self.clock.seconds)
         self.context = make_context(
             "zone-1",
             self.clock,
@@ -215,7 +214,9 @@
         facts = self.protocol.describe(exchange.request)
         route = self.table.match(facts.host, facts.path)
         assert route is not None
-        RelayRun(self.context, exchange, facts, route, self.ended.append).start()
+        run = RelayRun(self.context, exchange, facts, route, self.ended.append)
+        self.runs.append(run)
+        run.start()
 
     def client(self) -> WireClient:
         """Connect a client."""
