Strong evidence leaves out resets before a crash and crashes that have another likely cause

Now a node says which runs had ended while the runner was still open (RunsReset, extension level 6, sent to peers that know it); such a crash counts as before for a hold, but is not strong evidence, and is a crash elsewhere for the others. Reports without suspects are crashes elsewhere.

--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -29,6 +29,7 @@
     RequestTrial,
     RunnerCrashed,
     RunnerEnded,
+    RunsReset,
 )
 from rainsail.quarantine.run_times import (
     PROMPT_READ_AFTER_S,
@@ -37,7 +38,7 @@
     RunTimes,
 )
 from rainsail.runtime.clock import Clock
-from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES
+from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES, RESET_RUNS
 from rainsail.wire.messenger import Messenger
 
 PROBE_DELAYS_S = (0.05, 0.5)
@@ -73,6 +74,8 @@
     broken: dict[Fingerprint, RunAge] = field(default_factory=dict)
     names: dict[Fingerprint, NamedPart] = field(default_factory=dict)
     probes: int = 0
+    reset: set[Fingerprint] = field(default_factory=set)
+    """Those whose connections had ended when a probe found the runner alive."""
 
 
 class QuarantineAgent:
@@ -250,6 +253,7 @@
         if len(check.broken) < MAX_REPORTED:
             for each in fingerprints:
                 known = check.broken.get(each)
+                check.reset.discard(each)
                 check.broken[each] = age if known is None else known.youngest(age)
         return check
 
@@ -263,6 +267,8 @@
         self._connections.probe(check.record.address, lambda reach: self._probed(check, reach))
 
     def _probed(self, check: _CrashCheck, reach: Reachability) -> None:
+        if reach == Reachability.OPEN:
+            check.reset.update(check.broken)
         if reach != Reachability.REFUSED and check.probes < len(PROBE_DELAYS_S):
             self._probe_later(check)
             return
@@ -279,6 +285,9 @@
         names = tuple(check.names[each] for each in check.broken if each in check.names)
         if names:
             self._messenger.send_all(self._supporting(PART_NAMES), PartsNamed(names))
+        if check.reset:
+            reset = RunsReset(runner, tuple(check.reset))
+            self._messenger.send_all(self._supporting(RESET_RUNS), reset)
         runs = tuple(CrashedRun(each, age.ran_s, age.wrote_s) for each, age in check.broken.items())
         with_ages = self._supporting(HOLD_TRIALS)
         without = [each for each in self._follower.heartbeat_targets() if each not in with_ages]
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -11,7 +11,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from expression import Error, Result
@@ -36,10 +36,11 @@
     RequestTrial,
     RunnerCrashed,
     RunnerEnded,
+    RunsReset,
     TrialReply,
 )
 from rainsail.quarantine.run_times import RunAge
-from rainsail.quarantine.suspects import REPORTS_SETTLE_S, SuspectTracker
+from rainsail.quarantine.suspects import MAX_CRASHES, REPORTS_SETTLE_S, SuspectTracker
 from rainsail.quarantine.trials import TrialPermits
 from rainsail.runtime.clock import Clock
 from rainsail.state.cluster_commands import (
@@ -98,12 +99,15 @@
         self._watched: dict[Fingerprint, None] = {}
         self._part_names: OrderedDict[Fingerprint, NamedPart] = OrderedDict()
         self._permits = TrialPermits()
+        self._reset_runs: dict[tuple[str, str], tuple[Fingerprint, ...]] = {}
+        """What nodes have said of the runs at a runner whose crash they report next."""
         self.on_crash: Callable[[str, float], None] = lambda runner, at_s: None
         """Called with each runner that a node has found crashed, and the time."""
         self.holds_refuted = 0
         """How many requests or parts proved harmless after they had been held."""
         self.applied()
         messenger.serve(RunnerEnded, self._on_runner_ended)
+        messenger.serve(RunsReset, self._on_runs_reset)
         messenger.serve(RunnerCrashed, self._on_runner_crashed)
         messenger.serve(RequestTrial, lambda source, message: self._permit_as_leader(message))
         messenger.serve(RequestAnswered, self._on_answered)
@@ -126,9 +130,15 @@
     def _on_runner_ended(self, source: str, message: RunnerEnded) -> None:
         self._take_crash(message.runner, message.age_s, message.fingerprints, {})
 
+    def _on_runs_reset(self, source: str, message: RunsReset) -> None:
+        self._reset_runs[(source, message.runner)] = message.fingerprints
+        while len(self._reset_runs) > MAX_CRASHES:
+            del self._reset_runs[next(iter(self._reset_runs))]
+
     def _on_runner_crashed(self, source: str, message: RunnerCrashed) -> None:
         ages = {run.fingerprint: RunAge(run.ran_s, run.wrote_s) for run in message.runs}
-        self._take_crash(message.runner, message.age_s, tuple(ages), ages)
+        reset_before = self._reset_runs.pop((source, message.runner), ())
+        self._take_crash(message.runner, message.age_s, tuple(ages), ages, reset_before)
 
     def _take_crash(
         self,
@@ -136,15 +146,17 @@
         age_s: float,
         fingerprints: tuple[Fingerprint, ...],
         ages: dict[Fingerprint, RunAge],
+        reset_before: Collection[Fingerprint] = (),
     ) -> None:
         now = self._clock.seconds()
         at_s = now - max(0.0, age_s)
         self.on_crash(runner, at_s)
         self._permits.note_crash(at_s)
         if not fingerprints:
-            # Found by a refused connection; the time of the crash is not known.
+            # Found by a refused connection, some time after the crash.
+            self._suspects.crashed_idle(runner, at_s)
             return
-        watched = self._suspects.crashed(runner, fingerprints, at_s, now, ages)
+        watched = self._suspects.crashed(runner, fingerprints, at_s, now, ages, reset_before)
         if watched and not self._watched:
             self._clock.callLater(WATCH_BATCH_S, self._send_watched)
         self._watched.update(dict.fromkeys(watched))
--- a/src/rainsail/quarantine/messages.py
+++ b/src/rainsail/quarantine/messages.py
@@ -44,6 +44,16 @@
     age_s: float
 
 
+@wire_record("RunsReset")
+@dataclass(frozen=True, slots=True)
+class RunsReset:
+    """Sent one-way before ``RunnerCrashed``: the runs whose connections had ended while the runner
+    still accepted others, so that something else may have ended them."""
+
+    runner: str
+    fingerprints: tuple[Fingerprint, ...]
+
+
 @wire_record("RequestTrial")
 @dataclass(frozen=True, slots=True)
 class RequestTrial:
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -23,7 +23,7 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from rainsail.quarantine.evidence import (
@@ -77,6 +77,8 @@
     """Held suspects that ran there."""
     explained: dict[Fingerprint, RunAge] = field(default_factory=dict)
     """All its suspects, while one of them is held."""
+    certain: set[Fingerprint] = field(default_factory=set)
+    """Suspects whose runs ended by it, and not by a reset shortly before."""
     trials: set[Fingerprint] = field(default_factory=set)
     """Suspects of which it ended a run that had been permitted as a trial."""
     is_answered_beside: bool = False
@@ -88,6 +90,8 @@
 
     def __init__(self) -> None:
         self._crashes: deque[_RunnerCrash] = deque()
+        self._idle_crashes: deque[tuple[str, float]] = deque(maxlen=MAX_CRASHES)
+        """Runners that were found crashed by a node that ran nothing there, with the times."""
         self._by_suspect: dict[Fingerprint, list[_RunnerCrash]] = {}
         self._due_since_s: dict[Fingerprint, float] = {}
         self._answered_s: OrderedDict[Fingerprint, float] = OrderedDict()
@@ -117,15 +121,18 @@
         at_s: float,
         now: float,
         ages: Mapping[Fingerprint, RunAge] | None = None,
+        reset_before: Collection[Fingerprint] = (),
     ) -> tuple[Fingerprint, ...]:
         """Record a report on a crash; return its new suspects, to be watched by the nodes.
 
-        ``ages`` has those of the suspects' runs, as far as the reporting node knows them.
+        ``ages`` has those of the suspects' runs, as far as the reporting node knows them;
+        ``reset_before`` has the suspects whose runs may have ended before the crash.
         """
         ages = ages or {}
         fingerprints = tuple(fingerprints)
         self._forget_old(now)
         crash = self._crash_of(runner, at_s)
+        crash.certain.update(each for each in fingerprints if each not in reset_before)
         for each in fingerprints:
             known = crash.suspects.get(each)
             if known is not None:
@@ -147,6 +154,10 @@
             self._update_due(fingerprint, now)
         return tuple(new)
 
+    def crashed_idle(self, runner: str, at_s: float) -> None:
+        """Record that a node has found a runner crashed at which it ran nothing."""
+        self._idle_crashes.append((runner, at_s))
+
     def _count_failed_trials(
         self,
         crash: _RunnerCrash,
@@ -313,22 +324,38 @@
 
     def _others_s(self, crashes: list[_RunnerCrash]) -> list[float]:
         """Return the times of the crashes without a known cause that are none of these."""
-        return [
+        own = [(crash.runner, crash.at_s) for crash in crashes]
+        with_suspects = [
             each.at_s for each in self._crashes if not each.explained_by and each not in crashes
         ]
+        idle = [
+            at_s
+            for runner, at_s in self._idle_crashes
+            if not any(
+                runner == other and abs(at_s - other_s) <= CRASH_MERGE_WINDOW_S
+                for other, other_s in own
+            )
+        ]
+        return with_suspects + idle
 
     def _is_strong(self, fingerprint: Fingerprint) -> bool:
-        """Weigh the evidence; a part and another suspect of all its crashes look alike."""
-        crashes = self._by_suspect[fingerprint]
-        beside = [
-            each
-            for each in crashes[0].suspects
-            if each != fingerprint and (is_of_part(each) or is_of_part(fingerprint))
+        """Weigh the evidence: the crashes that no other likely suspect can have caused."""
+        ended = [crash for crash in self._by_suspect[fingerprint] if fingerprint in crash.certain]
+        evidence = [
+            SuspectCrash(crash.at_s, crash.suspects[fingerprint])
+            for crash in ended
+            if not self._has_rival(fingerprint, crash)
         ]
-        if any(set(crashes) <= set(self._by_suspect[each]) for each in beside):
-            return False
-        evidence = [SuspectCrash(crash.at_s, crash.suspects[fingerprint]) for crash in crashes]
-        return is_strong(evidence, self._others_s(crashes))
+        return is_strong(evidence, self._others_s(ended))
+
+    def _has_rival(self, fingerprint: Fingerprint, crash: _RunnerCrash) -> bool:
+        """Tell whether a crash may be due to another suspect of several crashes, one a part."""
+        return any(
+            each != fingerprint
+            and (is_of_part(each) or is_of_part(fingerprint))
+            and len(self._by_suspect[each]) >= CRASHES_TO_HOLD
+            for each in crash.suspects
+        )
 
     def _update_due(self, fingerprint: Fingerprint, now: float) -> None:
         """Note since when a suspect is due to be held, or that it is not."""
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -22,7 +22,9 @@
 """Runners that other nodes have found crashed."""
 SERVICE_VERSIONS = 5
 """The software versions of services, as a quorum of controllers knows them."""
-EXTENSION_LEVEL = SERVICE_VERSIONS
+RESET_RUNS = 6
+"""The runs at a crashed runner that had ended before its crash."""
+EXTENSION_LEVEL = RESET_RUNS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
