--- a/features/steps/item_wait_steps.py
+++ b/features/steps/item_wait_steps.py
@@ -101,6 +101,8 @@
     told = _story(context, item)
     held = [line for line in told if "quarantine_held" in line and wait["entry"] in line]
     assert held, told
+    others = [line for line in told if "item_waits" in line and f"item={item} " not in line]
+    assert not others, others
     assert told[-1].startswith(f"{item} waits since "), told[-1]
     assert told[-1].endswith(f": {wait['cause']} by {wait['entry']}"), told[-1]
 
--- a/src/rainsail/cli/story.py
+++ b/src/rainsail/cli/story.py
@@ -31,7 +31,8 @@
     """Print every log line that mentions an ID, in order of time.
 
     The story of an item or a job includes the lines about the quarantine's entries by which its
-    items have waited, and ends with the reason for which the item waits, if it does.
+    items have waited, but not those about other items that wait by them. That of an item ends with
+    the reason for which it waits, if it does.
 
     Args:
         identifier: ID of a request, job, item or runner, or a fingerprint.
@@ -43,9 +44,9 @@
     told = [line for line in lines if mentions(line, identifier)]
     if not told:
         raise CommandEnd(ExitCode.FAILED, f"no log line mentions {identifier}")
-    ids = (identifier, *entries_of(told, identifier))
+    entries = entries_of(told, identifier)
     for line in lines:
-        if any(mentions(line, each) for each in ids):
+        if mentions(line, identifier) or any(is_about_entry(line, each) for each in entries):
             print(shown(line))
     reason = reason_of_wait(told, identifier)
     if reason:
@@ -61,6 +62,11 @@
     return False
 
 
+def is_about_entry(line: dict[str, Any], entry: str) -> bool:
+    """Return whether a line is about an entry itself: not about a wait of some item for it."""
+    return line.get("event") != ITEM_WAITS and mentions(line, entry)
+
+
 def entries_of(lines: Iterable[dict[str, Any]], identifier: str) -> tuple[str, ...]:
     """Return the quarantine's entries by which an item, or the items of a job, have waited."""
     entries = (
