An item that can't be sent as an HTTP request no longer ends the dispatch of all items

What callers see: one job is accepted (202) whose item has a header that is not Latin-1 or has a line feed; from then on no item of any job is run, until the ledger's leader changes, and then again.

Cause: building the request raised in the dispatch round, and the round planned the next one only at its end. Class: an error in one part of a periodic round ends the series.

Rounds and the commits of progress are planned first, so that any other error costs one round and its line unhandled_error.

--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -21,6 +21,7 @@
 from rainsail.jobs.waiting_texts import WaitingTexts
 from rainsail.relay.table import RoutingTable
 from rainsail.routing.online_use import OnlineUseTracker
+from rainsail.runtime.clock import Timer
 
 DISPATCH_PERIOD_S = 0.05
 """Time between two rounds; a freed slot stays empty only for a small part of an item's run time."""
@@ -42,7 +43,7 @@
         self._texts = WaitingTexts(node.budget, state.waiting, recorder)
         self._starter = ItemStarter(node, ledger, state, planner, runs, recorder, notes)
         self._progress = ProgressCommitter(node, ledger, state)
-        self._active = False
+        self._timer: Timer | None = None
         node.metrics.gauge("items_waiting", lambda: float(len(state.waiting)))
         node.metrics.gauge("items_running", lambda: float(len(state.running)))
         node.metrics.gauge("items_held", lambda: float(state.waiting.count_held()))
@@ -59,7 +60,6 @@
 
     def start(self) -> None:
         """Begin to dispatch: every open job is enqueued in the first round."""
-        self._active = True
         self._state.waiting.clear()
         self._jobs.clear()
         self._state.slots.clear()
@@ -72,7 +72,8 @@
 
     def stop(self) -> None:
         """Close every run; the next leader runs the unlisted items."""
-        self._active = False
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         self._progress.stop()
         self._notes.stop()
         self._planner.end_leadership()
@@ -82,8 +83,8 @@
         self._state.tables.clear()
 
     def _run_periodically(self) -> None:
-        if not self._active:
-            return
+        # Planned before the round, so that an error in one does not end the dispatch.
+        self._timer = self._node.clock.callLater(DISPATCH_PERIOD_S, self._run_periodically)
         self._jobs.enqueue_new()
         self._jobs.drop_ended(self._node.clock.seconds())
         self._planner.plan_if_due()
@@ -94,7 +95,6 @@
         self._runs.list_confirmed()
         self._texts.review()
         self._starter.start_items()
-        self._node.clock.callLater(DISPATCH_PERIOD_S, self._run_periodically)
 
     def _count_waits(self, cause: WaitCause) -> float:
         state = self._state
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -22,6 +22,7 @@
 from rainsail.jobs.open_item import OpenItem
 from rainsail.jobs.slot_use import choose_runner
 from rainsail.quarantine.fingerprint import Fingerprint
+from rainsail.relay.item_fields import is_sendable
 from rainsail.relay.split import WeightedServicePicker
 from rainsail.relay.table import Route
 from rainsail.routing.residency import AllowedRegions
@@ -129,6 +130,9 @@
         if route is None:
             self._recorder.item_over(item, ItemOver(False, "no route"))
             return StartResult.WAITS_NO_LONGER
+        if not is_sendable(job.items[item.index]):
+            self._recorder.item_over(item, ItemOver(False, "it can't be sent as an HTTP request"))
+            return StartResult.WAITS_NO_LONGER
         decision = decide_before_run(item.failures, self._routes.max_attempts(item))
         if decision == BeforeRun.GIVE_UP:
             self._recorder.item_over(item, ItemOver(False, "failed at every attempt"))
--- a/src/rainsail/jobs/progress_committer.py
+++ b/src/rainsail/jobs/progress_committer.py
@@ -34,8 +34,9 @@
     def _commit_periodically(self) -> None:
         if not self._active:
             return
-        self._commit_progress()
+        # Planned before the commit, so that an error in one does not end the series.
         self._node.clock.callLater(self._node.settings.progress_period_s, self._commit_periodically)
+        self._commit_progress()
 
     def _commit_progress(self) -> None:
         """Commit the progress since the last call.
--- a/src/rainsail/relay/header_protocol.py
+++ b/src/rainsail/relay/header_protocol.py
@@ -15,6 +15,7 @@
     header_text,
     header_value,
 )
+from rainsail.relay.item_fields import header_bytes
 from rainsail.relay.protocol import (
     AnswerVerdict,
     ItemFacts,
@@ -131,10 +132,7 @@
 
     def describe_item(self, item: RelayedItem) -> ItemFacts:
         """Parse the headers of an item."""
-        fields = tuple(
-            (header.name.encode("latin-1"), header.value.encode("latin-1"))
-            for header in item.headers
-        )
+        fields = tuple(map(header_bytes, item.headers))
         return ItemFacts(
             _prompt(header_text(fields, self._names.prompt.lower())),
             header_text(fields, self._names.model.lower()),
@@ -143,11 +141,8 @@
     def item_request(self, item: ItemRequest, target: RunnerTarget) -> OutgoingRequest:
         """Return an item's request as sent to a runner."""
         fields = [(HOST, item.host.encode()), (self._names.request, item.item.item.encode())]
-        stated = [
-            (header.name.encode("latin-1"), header.value.encode("latin-1"))
-            for header in item.item.headers
-        ]
-        fields += end_to_end(stated, self._kept_from_items)
+        stated = map(header_bytes, item.item.headers)
+        fields += end_to_end(tuple(stated), self._kept_from_items)
         fields += self._sent_fields(target, item.after_event, item.tenant, item.item.body)
         path = item.item.path.encode("latin-1")
         return OutgoingRequest(b"POST", path, tuple(fields), item.item.body)
