Trials go to the waiting request that tells most about a held entry

What callers saw: sound items of a prompt part are neither done nor given up, and nothing works on them, while their part is held for 600 s.

Cause: a crash during a trial counts against every entry of the list that the request holds. Items that hold a fatal part too, or are fatal themselves, ask first (they are older) and use up the two trials of the sound part. Class: a verdict on evidence that another cause explains.

Now a request that holds more entries than another that asks at the same node, or the same ones after more ends of connections, lets that one go first, for as long as it goes on asking.

Evidence, features/jobs/trial_order.feature in virtual time: a fatal and a sound part on trial, four items of both and four of the sound one; and two fatal items that have met a crash, beside four sound ones of their part.

Not covered: requests at other nodes (each node orders its own), and a part that is held firmly at once, without any trial.

--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -120,7 +120,7 @@
             elif is_asked:
                 trials.refused += 1
 
-        self._guard.request_trial(unproven, decided)
+        self._guard.request_trial(unproven, decided, item.ends)
         # A request that was refused lately is refused at once, without asking.
         is_asked = not is_decided
         trials.asked += is_asked
@@ -137,6 +137,7 @@
         if run is None or record is None:
             return
         if run.connection_ended:
+            item.ends += 1
             fingerprints = self._all_fingerprints(item, record.service)
             self._guard.connection_ended(record, fingerprints, self._part_ids(item), run.times)
         elif run.is_whole and self._guard.wants_answers:
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -47,6 +47,8 @@
     is_note_stale: bool = False
     """Whether the ledger has a text of the item that was discarded here."""
     events_at_start: int = 0
+    ends: int = 0
+    """During how many of its runs the connection has ended."""
     runs_without_event: int = 0
     """Consecutive broken runs without a new event."""
     failures: FailureCounts = NO_FAILURES
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -37,6 +37,7 @@
     RunAge,
     RunTimes,
 )
+from rainsail.quarantine.trial_order import TrialAsk, TrialOrder
 from rainsail.runtime.clock import Clock
 from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES
 from rainsail.wire.messenger import Messenger
@@ -97,6 +98,7 @@
         self._view = follower.quarantine
         self._trial_refused_s: dict[Fingerprints, float] = {}
         """When requests were last refused as trials; in the future while a call is under way."""
+        self._trial_order = TrialOrder()
         self._crash_checks: dict[str, _CrashCheck] = {}
         self._survival_checks: set[str] = set()
         """Runners of which a check is pending whether they survived an unmarked end."""
@@ -122,13 +124,19 @@
         """Return the fingerprints for which a request may run only as a trial."""
         return tuple(each for each in fingerprints if each in self._view.unproven)
 
-    def request_trial(self, fingerprints: Fingerprints, decided: TrialDecided) -> None:
+    def request_trial(
+        self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
+    ) -> None:
         """Ask the controllers; while all those in touch are of earlier versions it may run."""
         supporting = self._supporting(HOLD_TRIALS)
         now = self._clock.seconds()
+        ask = TrialAsk(frozenset(fingerprints), ends)
         if not supporting:
             decided(bool(self._follower.controllers.in_touch()))
-        elif now - self._trial_refused_s.get(fingerprints, float("-inf")) < TRIAL_RETRY_S:
+        elif (
+            not self._trial_order.is_next(ask, now)
+            or now - self._trial_refused_s.get(fingerprints, float("-inf")) < TRIAL_RETRY_S
+        ):
             decided(False)
         else:
             self._trial_refused_s[fingerprints] = now + TRIAL_TIMEOUT_S
--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -39,8 +39,13 @@
         """Return the fingerprints for which a request may run only as a trial."""
         ...
 
-    def request_trial(self, fingerprints: Fingerprints, decided: TrialDecided) -> None:
-        """Ask for the permit of one trial run; ``decided`` is called at once or later."""
+    def request_trial(
+        self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
+    ) -> None:
+        """Ask for the permit of one trial run; ``decided`` is called at once or later.
+
+        ``ends`` is during how many of the request's runs the connection has ended.
+        """
         ...
 
     def connection_ended(
@@ -93,7 +98,9 @@
         """Return nothing."""
         return ()
 
-    def request_trial(self, fingerprints: Fingerprints, decided: TrialDecided) -> None:
+    def request_trial(
+        self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
+    ) -> None:
         """Permit it."""
         decided(True)
 
