The survival of each run at a runner is reported, not only that of the first to ask

What callers saw: a sound part stays on the list, or is held, although runs of it go on writing.

Cause: while one check of a runner's survival was pending, other runs that had gone on for as long were dropped; they ask again 0.5 s later, if they still run by then, and may meet the next check. Class: evidence that refutes a verdict is thrown away.

Now they wait for the next check of that runner, so that there is at most one probe each 0.5 s as before. One whose connection ends meanwhile is taken out.

features/jobs/survival_reports.feature: of two parts whose runs go on at one runner, the second stays on the list on the code before, none does now.

--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -100,8 +100,9 @@
         """When requests were last refused as trials; in the future while a call is under way."""
         self._trial_order = TrialOrder()
         self._crash_checks: dict[str, _CrashCheck] = {}
-        self._survival_checks: set[str] = set()
-        """Runners of which a check is pending whether they survived an unmarked end."""
+        self._survival_checks: dict[str, set[Fingerprint]] = {}
+        """By runner of which a check is pending whether it survives: parts that wait for the next
+        check, as their runs were not known at the beginning of this one."""
         messenger.serve(RequestsWatched, self._watch)
 
     # --- enforcement ---------------------------------------------------------------------
@@ -198,21 +199,31 @@
             self._report_answered(wanted)
             return
         parts = [each for each in wanted if is_of_part(each)]
-        if parts and record.runner not in self._survival_checks:
-            self._survival_checks.add(record.runner)
-            self._clock.callLater(PROBE_DELAYS_S[-1], self._check_survival, record, parts)
+        waiting = self._survival_checks.get(record.runner)
+        if waiting is not None:
+            waiting.update(parts)
+        elif parts:
+            self._check_survival_later(record, parts)
 
     def _report_answered(self, fingerprints: Fingerprints) -> None:
         for fingerprint in fingerprints:
             self._view.unwatch(fingerprint)
             self._send_to_controllers(RequestAnswered(fingerprint))
 
+    def _check_survival_later(self, record: RunnerRecord, parts: Fingerprints) -> None:
+        self._survival_checks[record.runner] = set()
+        self._clock.callLater(PROBE_DELAYS_S[-1], self._check_survival, record, parts)
+
     def _check_survival(self, record: RunnerRecord, parts: Fingerprints) -> None:
         def probed(reach: Reachability) -> None:
-            self._survival_checks.discard(record.runner)
+            waiting = self._survival_checks.pop(record.runner)
             known = self._follower.registry.get(record.runner)
-            if reach == Reachability.OPEN and known is not None and known.born == record.born:
-                self._report_answered(parts)
+            if reach != Reachability.OPEN or known is None or known.born != record.born:
+                return
+            self._report_answered(parts)
+            still_wanted = sorted(filter(self._view.wants_answer, waiting))
+            if still_wanted:
+                self._check_survival_later(record, still_wanted)
 
         self._metrics.count("runner_probes")
         self._connections.probe(record.address, probed)
@@ -231,6 +242,7 @@
         A runner that has announced its shutdown is not checked. The parts of a run that had gone on
         writing are no suspects.
         """
+        self._survival_checks.get(record.runner, set()).difference_update(fingerprints)
         known = self._follower.registry.get(record.runner)
         if known is None or known.state == RunnerState.READY:
             has_read_prompt = times.wrote_s >= PROMPT_READ_AFTER_S
