--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -38,6 +38,7 @@
     RunAge,
     RunTimes,
 )
+from rainsail.quarantine.trial_order import TrialAsk, TrialOrder
 from rainsail.runtime.clock import Clock
 from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES, RESET_RUNS
 from rainsail.wire.messenger import Messenger
@@ -100,9 +101,11 @@
         self._view = follower.quarantine
         self._trial_refused_s: dict[Fingerprints, float] = {}
         """When requests were last refused as trials; in the future while a call is under way."""
+        self._trial_order = TrialOrder()
         self._crash_checks: dict[str, _CrashCheck] = {}
-        self._survival_checks: set[str] = set()
-        """Runners of which a check is pending whether they survived an unmarked end."""
+        self._survival_checks: dict[str, set[Fingerprint]] = {}
+        """By runner of which a check is pending whether it survives: parts that wait for the next
+        check, as their runs were not known at the beginning of this one."""
         messenger.serve(RequestsWatched, self._watch)
 
     # --- enforcement ---------------------------------------------------------------------
@@ -125,13 +128,19 @@
         """Return the fingerprints for which a request may run only as a trial."""
         return tuple(each for each in fingerprints if each in self._view.unproven)
 
-    def request_trial(self, fingerprints: Fingerprints, decided: TrialDecided) -> None:
+    def request_trial(
+        self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
+    ) -> None:
         """Ask the controllers; while all those in touch are of earlier versions it may run."""
         supporting = self._supporting(HOLD_TRIALS)
         now = self._clock.seconds()
+        ask = TrialAsk(frozenset(fingerprints), ends)
         if not supporting:
             decided(bool(self._follower.controllers.in_touch()))
-        elif now - self._trial_refused_s.get(fingerprints, float("-inf")) < TRIAL_RETRY_S:
+        elif (
+            not self._trial_order.is_next(ask, now)
+            or now - self._trial_refused_s.get(fingerprints, float("-inf")) < TRIAL_RETRY_S
+        ):
             decided(False)
         else:
             self._trial_refused_s[fingerprints] = now + TRIAL_TIMEOUT_S
@@ -193,21 +202,31 @@
             self._report_answered(wanted)
             return
         parts = [each for each in wanted if is_of_part(each)]
-        if parts and record.runner not in self._survival_checks:
-            self._survival_checks.add(record.runner)
-            self._clock.callLater(PROBE_DELAYS_S[-1], self._check_survival, record, parts)
+        waiting = self._survival_checks.get(record.runner)
+        if waiting is not None:
+            waiting.update(parts)
+        elif parts:
+            self._check_survival_later(record, parts)
 
     def _report_answered(self, fingerprints: Fingerprints) -> None:
         for fingerprint in fingerprints:
             self._view.unwatch(fingerprint)
             self._send_to_controllers(RequestAnswered(fingerprint))
 
+    def _check_survival_later(self, record: RunnerRecord, parts: Fingerprints) -> None:
+        self._survival_checks[record.runner] = set()
+        self._clock.callLater(PROBE_DELAYS_S[-1], self._check_survival, record, parts)
+
     def _check_survival(self, record: RunnerRecord, parts: Fingerprints) -> None:
         def probed(reach: Reachability) -> None:
-            self._survival_checks.discard(record.runner)
+            waiting = self._survival_checks.pop(record.runner)
             known = self._follower.registry.get(record.runner)
-            if reach == Reachability.OPEN and known is not None and known.born == record.born:
-                self._report_answered(parts)
+            if reach != Reachability.OPEN or known is None or known.born != record.born:
+                return
+            self._report_answered(parts)
+            still_wanted = sorted(filter(self._view.wants_answer, waiting))
+            if still_wanted:
+                self._check_survival_later(record, still_wanted)
 
         self._metrics.count("runner_probes")
         self._connections.probe(record.address, probed)
@@ -226,6 +245,7 @@
         A runner that has announced its shutdown is not checked. The parts of a run that had gone on
         writing are no suspects.
         """
+        self._survival_checks.get(record.runner, set()).difference_update(fingerprints)
         known = self._follower.registry.get(record.runner)
         if known is None or known.state == RunnerState.READY:
             has_read_prompt = times.wrote_s >= PROMPT_READ_AFTER_S
