A gateway asks for a trial only with a runner at hand

What callers saw: the items and requests of a part on trial wait 8 s for the next permit, again and again under overload or while runners are away.

Cause: a gateway asked for the permit before it looked for a runner. A request that was then refused for overload, or found no runner, had used up the permit (PERMIT_S, 8 s) without a run. Class: a scarce grant is taken before it is known that it can be used.

--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -263,15 +263,9 @@
         if not isinstance(decision, SendAgain):
             self._end(decision)
             return
-        unproven = self._recorder.unproven_fingerprints()
-        if unproven and not self._is_trial:
-            guard = self._context.guard
-            guard.request_trial(
-                unproven, lambda may_run: self._trial_decided(may_run, unproven, placement)
-            )
-            return
         found = self._sender.find(decision.route, placement, self._deadline.left_s)
-        if unproven and found.record is None:
+        unproven = self._recorder.unproven_fingerprints()
+        if unproven and found.record is None and self._is_trial:
             self._recorder.trial_unused(unproven, NO_RUNNER)
         if found.retry_after_s is not None:
             self._end(refuse_overloaded(self._sender.service, found.retry_after_s))
@@ -281,6 +275,11 @@
         elif found.record is None:
             no_runner_reason = self._sender.no_runner_reason()
             self._end(give_up_without_runner(self._progress(), no_runner_reason, settings))
+        elif unproven and not self._is_trial:
+            # Only with a runner at hand: the permit is lost for others if it is not used.
+            self._context.guard.request_trial(
+                unproven, lambda may_run: self._trial_decided(may_run, unproven, placement)
+            )
         else:
             self._record_service()
             if unproven:
