--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -285,15 +285,9 @@
         if not isinstance(decision, SendAgain):
             self._end_untaken(decision)
             return
-        unproven = self._recorder.unproven_fingerprints()
-        if unproven and not self._is_trial:
-            guard = self._context.guard
-            guard.request_trial(
-                unproven, lambda may_run: self._trial_decided(may_run, unproven, placement)
-            )
-            return
         found = self._sender.find(decision.route, placement, self._deadline.left_s)
-        if unproven and found.record is None:
+        unproven = self._recorder.unproven_fingerprints()
+        if unproven and found.record is None and self._is_trial:
             self._recorder.trial_unused(unproven, NO_RUNNER)
         if found.retry_after_s is not None:
             self._end_untaken(refuse_overloaded(self._sender.service, found.retry_after_s))
@@ -304,6 +298,11 @@
             no_runner_reason = self._sender.no_runner_reason()
             ending = give_up_without_runner(self._progress(), no_runner_reason, settings)
             self._end_untaken(ending)
+        elif unproven and not self._is_trial:
+            # Only with a runner at hand: the permit is lost for others if it is not used.
+            self._context.guard.request_trial(
+                unproven, lambda may_run: self._trial_decided(may_run, unproven, placement)
+            )
         else:
             self._record_service()
             if unproven:
