--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -20,7 +20,7 @@
 from rainsail.budget.client_budget import CONNECTION_BYTES, ClientBudget
 from rainsail.jobs.item_run import ItemProgress, ItemRun, RunEnd
 from rainsail.relay.protocol import ItemRequest, RunnerTarget
-from rainsail.relay.stream_beginnings import StreamBeginnings, StreamSource
+from rainsail.relay.stream_beginnings import StreamBeginning, StreamBeginnings, StreamSource
 from rainsail.state.job_commands import RelayedItem
 
 ROUTES = {
@@ -36,6 +36,8 @@
 PLAYED_IN_FULL = ("run-once stream", "safe")
 """The routes whose plays have every way of closing at each place of each variant."""
 MAX_ATTEMPTS = 2
+OTHER_STREAMS = 4
+"""Streams of the item's route that have begun with event 1, so that its own first event counts."""
 MAY_HAVE_RUN = {502, 504}
 
 
@@ -253,12 +255,15 @@
         self.name = name
         self.ends = []
         self.progress = ItemProgress()
+        source, beginnings = StreamSource(SERVICE, "r"), StreamBeginnings()
+        for _ in range(OTHER_STREAMS):
+            beginnings.observe(StreamBeginning(source, 1))
         self.run = ItemRun(
             "item-1",
             self.progress,
             relay.protocol,
-            StreamSource(SERVICE, "r"),
-            StreamBeginnings(),
+            source,
+            beginnings,
             lambda run, end, reason: self.ends.append(end),
             lambda load: None,
             relay.clock.seconds,
@@ -385,6 +390,7 @@
 # --- heads that are joined -----------------------------------------------------------------
 
 REMAINS = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Field: value\r\n" % len(event(1)),
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Field: value\r\n",
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Field: value\r\n",
     b"HTTP/1.1 204 No Content\r\nX-Field: value\r\n",
