A silent runner of a begun answer is kept for 0.2 s while another one may refuse; the relay's soak has runners that pause

An answer that has begun can't be refused any more, so its silent runner is kept longer: 0.2 s, half of the time for which two runners may work on one request.

Soak: a mode in which a tenth of the answers pause for 0.9 to 1.4 s, at most two attempts, and runners without room say so at once; the judge also finds a repeatable request that fails although its only run was whole, and looks at runs only that ran.

--- a/features/relay/silent_runners.feature
+++ b/features/relay/silent_runners.feature
@@ -69,17 +69,27 @@
     Given a relay with 3 runners and a resumable "stream" route
     When a client sends a request to the relay
     And the runner sends events 1 to 2
-    And 1.06 seconds pass
+    And 1.19 seconds pass
+    Then the first attempt's connection is open
+    When 0.02 seconds pass
     Then the first attempt's connection was closed
     And the last attempt asks to resume after event 2
 
+  Scenario: The other runner has neither refused nor begun for a while, and the client has nothing yet
+    Given a relay with 3 runners and a "safe" route
+    When a client sends a request to the relay
+    And 0.79 seconds pass
+    Then the first attempt's connection is open
+    When 0.02 seconds pass
+    Then the first attempt's connection was closed
+
   Scenario: A runner that stays silent is left for a third one
     Given a relay with 3 runners and a resumable "stream" route of 3 attempts
     When a client sends a request to the relay
     And the runner sends events 1 to 2
     And 1.02 seconds pass
     And the runner refuses it as not run
-    And 1.1 seconds pass
+    And 1.25 seconds pass
     Then the third attempt asks to resume after event 2
     And the first attempt's connection was closed
     When the runner sends events 3 to 4
--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -16,6 +16,22 @@
       | 7    |
       | 8    |
 
+  Scenario Outline: Runners that also pause for as long as a gateway waits, and go on, seed <seed>
+    When clients of a relay meet runners that also pause, drawn from seed <seed>
+    Then no guarantee of the relay was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
+  Scenario: The soak catches a relay that gives a silent runner up before another one takes the request
+    Given a relay that gives a silent runner up before another one takes the request
+    When its clients meet runners that pause, drawn from seed 7, with the defect and without it
+    Then the check on this defect finds it, and finds nothing without it
+
   Scenario: Runners that also lose or corrupt the first event, or send none, seeds 1 to 4
     When clients of a relay meet runners that also corrupt beginnings, drawn from each of the seeds 1 to 4
     Then no guarantee of any of these relays was violated
@@ -89,6 +105,7 @@
       | a body lacks its end                              | not its answer                |
       | a whole answer was cut                            | cut though its runner's       |
       | a failure lacks its end                           | 500 is not whole              |
+      | a safe request failed though its run was whole    | it failed though              |
       | an event came twice                               | events missing or repeated    |
       | a stream in chunks ends between two events        | its last events missing       |
       | an unframed stream ends before its runner's close | its last events missing       |
--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -363,6 +363,12 @@
     assert context.relay.pool.calls[0].cancelled
 
 
+@then("the first attempt's connection is open")
+def first_open(context):
+    assert len(context.relay.pool.calls) > 1
+    assert not context.relay.pool.calls[0].cancelled
+
+
 @then("no request is in flight at any runner")
 def nothing_under_way(context):
     assert context.relay.context.loads.in_flight() == {}
--- a/features/steps/relay_soak_check_steps.py
+++ b/features/steps/relay_soak_check_steps.py
@@ -88,6 +88,8 @@
             plain.outcome = Outcome.CUT
         case "a failure lacks its end":
             _fail(history, b"half")
+        case "a safe request failed though its run was whole":
+            plain.kind, plain.status, plain.body = Kind.SAFE, 502, b""
         case "a complete failure was forwarded":
             _fail(history, failure_body(PLAIN, 500, 9))
         case "an event came twice":
--- a/features/steps/relay_soak_steps.py
+++ b/features/steps/relay_soak_steps.py
@@ -23,6 +23,23 @@
     context.sound.run()
 
 
+@when(
+    "its clients meet runners that pause, drawn from seed {seed:d}, with the defect and without it"
+)
+def run_relay_soaks_of_pauses(context, seed):
+    context.defective = RelaySoak(seed, spoils_beginnings=False, pauses=True)
+    with context.relay_defect.in_place():
+        context.defective.run()
+    context.sound = RelaySoak(seed, spoils_beginnings=False, pauses=True)
+    context.sound.run()
+
+
+@when("clients of a relay meet runners that also pause, drawn from seed {seed:d}")
+def run_relay_soak_of_pauses(context, seed):
+    context.relay_soak = RelaySoak(seed, spoils_beginnings=False, pauses=True)
+    context.relay_soak.run()
+
+
 @when("clients of a relay meet such runners, drawn from seed {seed:d}")
 def run_relay_soak(context, seed):
     context.relay_soak = RelaySoak(seed, spoils_beginnings=False)
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -89,18 +89,26 @@
 
     def _cut(self, asked: ClientRequest) -> list[str]:
         """Check that a success is not cut before its deadline if its only run was complete."""
-        runs = self._runs[asked.request]
+        only_run = self._only_run_in_time(asked)
+        did_well = only_run is not None and only_run.whole
+        return ["it was cut though its runner's answer was whole"] if did_well else []
+
+    def _only_run_in_time(self, asked: ClientRequest) -> RunnerRun | None:
+        """Return the only run of a request that ended before its deadline."""
+        runs = [run for run in self._runs[asked.request] if run.ran]
         assert asked.ended_s is not None
         in_time = asked.ended_s - asked.sent_s < asked.timeout_s - SLACK_S
-        did_well = len(runs) == 1 and runs[0].whole
-        return ["it was cut though its runner's answer was whole"] if in_time and did_well else []
+        return runs[0] if in_time and len(runs) == 1 else None
 
     # --- failures ------------------------------------------------------------------------
 
     def _failure(self, asked: ClientRequest) -> list[str]:
         """Check that a failure is a runner's, complete, or the gateway's own, without a body."""
         if asked.outcome == Outcome.COMPLETE and not asked.body and asked.status in OWN_STATUSES:
-            return []
+            only_run = self._only_run_in_time(asked)
+            did_well = only_run is not None and only_run.whole and only_run.status == 200
+            did_well = did_well and not asked.kind.runs_once
+            return ["it failed though its runner's answer was whole"] if did_well else []
         same = [run for run in self._runs[asked.request] if run.status == asked.status]
         if asked.outcome == Outcome.COMPLETE:
             whole = any(run.whole and run.body == asked.body for run in same)
--- a/features/support/relay_soak/defects.py
+++ b/features/support/relay_soak/defects.py
@@ -101,6 +101,18 @@
     return lambda self: self._facts.deadline_s
 
 
+def _leave_silent_first(original: Any) -> Any:
+    """Give a silent runner up before another one is asked."""
+
+    def keep_silent(self: RequestSender, has_begun: bool) -> None:
+        original(self, has_begun)
+        silent = self.take_silent()
+        assert silent is not None
+        silent.cancel()
+
+    return keep_silent
+
+
 DEFECTS = {
     "appends a failure to a resumed stream": Defect(
         "a runner's failure in it",
@@ -115,6 +127,10 @@
     "lets a gap through": Defect(
         "events missing or repeated", (Patch(client_answer, "leaves_gap", _allow_gaps),)
     ),
+    "gives a silent runner up before another one takes the request": Defect(
+        "though its runner's answer was whole",
+        (Patch(RequestSender, "keep_silent", _leave_silent_first),),
+    ),
     "counts no attempts": Defect(
         "runners, of 4 allowed", (Patch(run, "decide_send", _count_no_attempts),)
     ),
--- a/features/support/relay_soak/runner.py
+++ b/features/support/relay_soak/runner.py
@@ -16,6 +16,10 @@
 CLIENT_HAS = b"client-has"
 """Header with the event after which the client itself resumes."""
 THINKS_S = (0.0, 0.01, 0.05, 0.3)
+PAUSE_SHARE = 0.1
+"""The share of answers that pause once, where runners pause."""
+LONG_PAUSES_S = (0.9, 1.1, 1.4)
+"""Around the time after which a gateway tries another runner."""
 
 
 class SoakRunner:
@@ -28,7 +32,10 @@
         history: History,
         draw: random.Random,
         drawer: AnswerDrawer,
+        pauses: random.Random | None = None,
     ) -> None:
+        """``pauses`` draws which answers pause for long, and where; None: none does."""
+        self._pauses = pauses
         self.name = name
         self.clock = clock
         self._history = history
@@ -45,6 +52,18 @@
         """Draw the time until the first byte of an answer."""
         return self._draw.choice(THINKS_S)
 
+    @property
+    def may_pause(self) -> bool:
+        """Whether some answers pause for long; a runner without room says so at once then."""
+        return self._pauses is not None
+
+    def pauses_before(self, answer: RunnerAnswer) -> tuple[int, float]:
+        """Draw a piece before which the runner pauses, and for how long; 0 s: it does not."""
+        if not answer.ran or self._pauses is None or self._pauses.random() >= PAUSE_SHARE:
+            return 0, 0.0
+        piece = self._pauses.randrange(len(answer.pieces) or 1)
+        return piece, self._pauses.choice(LONG_PAUSES_S)
+
     def answer(self, head: h11.Request) -> RunnerAnswer:
         """Draw the answer to a request, and record it."""
         fields = tuple(head.headers.raw_items())
@@ -80,6 +99,7 @@
         self._gone = False
         self._playing = False
         self._due: deque[RunnerAnswer] = deque()
+        self._pause_at, self._pause_s = 0, 0.0
         self._await_request()
 
     def _await_request(self) -> None:
@@ -110,9 +130,17 @@
         """Begin the next answer once the one before it has been sent."""
         if self._due and not self._playing:
             self._playing = True
-            self._runner.clock.callLater(
-                self._runner.thinks_s(), self._play, self._due.popleft(), 0
-            )
+            answer = self._due.popleft()
+            self._pause_at, self._pause_s = self._runner.pauses_before(answer)
+            thinks_s = self._runner.thinks_s()
+            refuses_at_once = self._runner.may_pause and not answer.ran
+            self._play_later(0.0 if refuses_at_once else thinks_s, answer, 0)
+
+    def _play_later(self, delay_s: float, answer: RunnerAnswer, number: int) -> None:
+        """Send a piece after a delay, and a long pause if one was drawn before it."""
+        if number == self._pause_at:
+            delay_s += self._pause_s
+        self._runner.clock.callLater(delay_s, self._play, answer, number)
 
     def _play(self, answer: RunnerAnswer, number: int) -> None:
         """Send one piece and schedule the next one; after the last one, end as drawn."""
@@ -120,7 +148,7 @@
             return
         if number < len(answer.pieces):
             self.transport.write(answer.pieces[number])
-            self._runner.clock.callLater(answer.pause_s, self._play, answer, number + 1)
+            self._play_later(answer.pause_s, answer, number + 1)
         else:
             self._end(answer.ending)
 
--- a/features/support/relay_soak/soak.py
+++ b/features/support/relay_soak/soak.py
@@ -34,6 +34,9 @@
 """Per connection, one after the other."""
 SECONDS = 20.0
 TIMEOUT_S = 4.0
+MAX_ATTEMPTS = 4
+MAX_ATTEMPTS_BESIDE_PAUSES = 2
+"""So that one runner without room is enough to leave a request without a further attempt."""
 LEAVE_SHARE = 0.1
 LEAVES_AFTER_S = (0.005, 0.5)
 TAKES_UP_SHARE = 0.15
@@ -51,9 +54,15 @@
     """One soak; ``violations`` lists what went wrong, ``counts`` what was covered."""
 
     def __init__(
-        self, seed: int, spoils_beginnings: bool = True, connections: int = CONNECTIONS
+        self,
+        seed: int,
+        spoils_beginnings: bool = True,
+        connections: int = CONNECTIONS,
+        pauses: bool = False,
     ) -> None:
+        """``pauses``: some answers pause for about as long as a gateway waits, and go on."""
         self._seed = seed
+        self._pauses = random.Random(seed) if pauses else None
         self._connections = connections
         self._draw = random.Random(seed)
         self._clock = VirtualClock()
@@ -97,7 +106,8 @@
             random.Random(self._seed),
             RelaySettings(buffered_bytes=BUFFERED_BYTES),
         )
-        routes = tuple(map(_route, Kind))
+        max_attempts = MAX_ATTEMPTS if self._pauses is None else MAX_ATTEMPTS_BESIDE_PAUSES
+        routes = tuple(_route(kind, max_attempts) for kind in Kind)
         self._context.table = RoutingTable(
             1, routes, (Service(SERVICE, 100, True),), ClientLimits()
         )
@@ -112,7 +122,7 @@
 
     def _start_runner(self, number: int) -> None:
         name, host = f"runner-{number}", f"10.0.0.{number}"
-        runner = SoakRunner(name, self._clock, self.history, self._draw, self._drawer)
+        runner = SoakRunner(name, self._clock, self.history, self._draw, self._drawer, self._pauses)
         self._reactor.listen(host, runner.accept)
         self._registry.take(
             (RunnerRecord(name, SERVICE, f"{host}:80", "zone-1", 8, RunnerState.READY, 0.0, 1),)
@@ -160,7 +170,7 @@
             counts["taken_up_and_failed"] += taken_up and run.ran and run.status != 200
 
 
-def _route(kind: Kind) -> Route:
+def _route(kind: Kind, max_attempts: int) -> Route:
     return Route(
         name=kind.value,
         host=HOST.decode(),
@@ -169,7 +179,7 @@
         shares=(ServiceShare(SERVICE, 1.0),),
         timeout_s=TIMEOUT_S,
         target_s=0.3,
-        max_attempts=4,
+        max_attempts=max_attempts,
         resumable=kind == Kind.RESUMABLE,
         gap_target_s=0.3,
     )
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -529,7 +529,7 @@
         may_leave = may_leave_silent_runner(route, self._answer.client_has, other_runner_left)
         if attempt is not None and may_leave and self._terms().ends_in_time:
             self._may_have_run = True
-            self._sender.keep_silent()
+            self._sender.keep_silent(self._answer.begun)
             self._try_next()
 
     def _leave_silent(self) -> None:
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -26,10 +26,12 @@
 The shortest time that the platform's header can state.
 """
 REFUSAL_WITHIN_S = 0.05
-"""A runner that has no room for a request refuses it within this time.
+"""A runner that has no room for a request usually refuses it within this time.
 
 Until then a silent runner is not given up for it; longer, and two would work on one request.
 """
+REFUSAL_OF_BEGUN_WITHIN_S = 0.2
+"""The same for an answer that has begun, which would be cut: the client can't be refused then."""
 
 
 class RequestSender:
@@ -72,6 +74,7 @@
         self._timeout = ResponseTimeout(context, response_timed_out)
         self._not_refused = not_refused
         self._refusal_timer: Timer | None = None
+        self._refusal_within_s = REFUSAL_WITHIN_S
 
     @property
     def service(self) -> str:
@@ -135,13 +138,18 @@
         self._timeout.request_sent(self.route, self.attempts_counted)
         settled_s = 0.0 if self._finder.origin is None else SETTLED_S
         if self.silent is not None:
-            self._refusal_timer = context.clock.callLater(REFUSAL_WITHIN_S, self._not_refused)
+            within_s = self._refusal_within_s
+            self._refusal_timer = context.clock.callLater(within_s, self._not_refused)
         attempt.call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
         if self._is_paused:
             self.set_paused(True)
 
-    def keep_silent(self) -> None:
-        """Keep the current attempt as the silent one, to try another runner."""
+    def keep_silent(self, has_begun: bool) -> None:
+        """Keep the current attempt as the silent one, to try another runner.
+
+        ``has_begun``: the client has a part of its answer.
+        """
+        self._refusal_within_s = REFUSAL_OF_BEGUN_WITHIN_S if has_begun else REFUSAL_WITHIN_S
         self.silent, self.attempt = self.attempt, None
 
     def return_to_silent(self) -> None:
