The hold after a part's last trial lasts, also if two of its trials crashed at once

What callers saw: a request or part that crashes runners may be tried a fourth time 10 s after its third failed trial, and costs one more runner.

Cause: two trials that crash at once (the permits of two leaders, or a run that was still under way at the next permit) are followed by one hold. After a third crash the entry has been held three times only. It is not put on trial, as its trials are used up, and it is not firmly held, as only first holds are. lacks_evidence took it for a hold of which this controller knows nothing, as after a restart: HOLD_WITHOUT_EVIDENCE_S (10 s) instead of 600 s, and its release forgets the failed trials.

Why it works: a controller that has counted the failed trials has seen their crashes, so it does not lack the evidence.

--- a/features/quarantine/trial_permits.feature
+++ b/features/quarantine/trial_permits.feature
@@ -38,3 +38,10 @@
     Given a part that is on trial
     When 2 runners crash at once under its trials, and 1 more after the next hold
     Then the part may have no further trial
+
+  Scenario: The hold that follows the last trial lasts, also if two of the trials crashed at once
+    # Guards against: a fatal part that is released and tried again 10 s after its last trial, as if
+    # nothing were known of its crashes.
+    Given a part that is on trial
+    When 2 runners crash at once under its trials, and 1 more after the next hold
+    Then the next hold of the part is not one without evidence
--- a/features/steps/trial_permit_steps.py
+++ b/features/steps/trial_permit_steps.py
@@ -119,3 +119,12 @@
     assert not context.tracker.may_be_tried(PART)
     _hold_and_release(context.tracker, 3, 8.5)
     assert not context.tracker.is_on_trial(PART)
+
+
+@then("the next hold of the part is not one without evidence")
+def hold_lasts(context):
+    tracker = context.tracker
+    held = QuarantinedRequest(PART, 3, True)
+    tracker.decided(Quarantine(6, (held,)), 8.5)
+    assert not tracker.is_on_trial(PART)
+    assert not tracker.lacks_evidence(PART, held.times)
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -279,7 +279,11 @@
 
         So it is after a restart of this controller. ``times`` is how often it has been held.
         """
-        is_known = fingerprint in self._firmly_held or fingerprint in self._on_trial
+        is_known = (
+            fingerprint in self._firmly_held
+            or fingerprint in self._on_trial
+            or not self.may_be_tried(fingerprint)
+        )
         return times <= MAX_TRIALS and not is_known
 
     def trials(self, fingerprint: Fingerprint) -> int:
