--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -354,10 +354,10 @@
 
     # --- AttemptOwner: answers -----------------------------------------------------------
 
-    def _counts(self, attempt: Attempt) -> bool:
-        """Go on with a silent runner that sends again; False if it sends a failure.
+    def _is_current(self, attempt: Attempt) -> bool:
+        """Return whether an attempt is the current one; a silent one that sends again becomes it.
 
-        The other runner that was tried meanwhile has not begun.
+        A failure of a silent one does not: the other runner that is tried may still answer.
         """
         if attempt is not self._sender.silent:
             return True
@@ -372,7 +372,7 @@
         It is dropped at its head: the end of an error's body, for example, would look like the end
         of the stream.
         """
-        if not self._counts(attempt):
+        if not self._is_current(attempt):
             return
         if not self._answer.may_include(attempt):
             attempt.cancel()
@@ -382,7 +382,7 @@
 
     def events_received(self, attempt: Attempt, events: list[Event]) -> None:
         """Write complete events to the client without buffering."""
-        if self.outcome is not None or not self._counts(attempt):
+        if self.outcome is not None or not self._is_current(attempt):
             return
         flaw = self._answer.write_events(attempt, events)
         self._note_origin(attempt)
@@ -404,7 +404,7 @@
 
         A failure that is not forwarded is dropped instead.
         """
-        if not self._counts(attempt):
+        if not self._is_current(attempt):
             return
         if attempt.body_bytes < self._context.settings.buffered_bytes and attempt.has_room:
             return
@@ -417,7 +417,7 @@
     def stream_ended(self, attempt: Attempt) -> None:
         """Write the last event, then complete the answer, hold its end, or drop a flawed stream."""
         assert attempt.stream is not None
-        if not self._counts(attempt):
+        if not self._is_current(attempt):
             self._silent_failed(attempt)
             return
         flaw = self._answer.write_events(attempt, attempt.stream.last_events())
@@ -457,7 +457,7 @@
 
     def answer_received(self, attempt: Attempt) -> None:
         """Forward a complete answer, or retry if its status calls for that."""
-        if not self._counts(attempt):
+        if not self._is_current(attempt):
             self._silent_failed(attempt)
             return
         if not self._forwards_answer(attempt):
