--- a/tools/quarantine_soak.py
+++ b/tools/quarantine_soak.py
@@ -17,9 +17,15 @@
 from features.support.common_cause_soak import CommonCauseSoak  # noqa: E402
 from features.support.part_soak import PartSoak  # noqa: E402
 from features.support.quarantine_soak import QuarantineSoak  # noqa: E402
+from features.support.trial_crash_soak import TrialCrashSoak  # noqa: E402
 from loguru import logger  # noqa: E402
 
-KINDS = {"bodies": QuarantineSoak, "parts": PartSoak, "common-cause": CommonCauseSoak}
+KINDS = {
+    "bodies": QuarantineSoak,
+    "parts": PartSoak,
+    "common-cause": CommonCauseSoak,
+    "trial-crashes": TrialCrashSoak,
+}
 
 
 def main() -> int:
