A controller that may have missed crashes leaves one trial of three

Cause: all controllers had restarted, so that crashes counted anew. By the time of the hold two runs were late that no controller knew of, and three trials followed.

Now a controller that started within 3 s before the first of the crashes holds the suspect three times in the group's log before its first trial. The number of holds says then to every later leader that two trials are spent. No record changes.

--- a/features/quarantine/trial_permits.feature
+++ b/features/quarantine/trial_permits.feature
@@ -38,3 +38,14 @@
     Given a part that is on trial
     When 2 runners crash at once under its trials, and 1 more after the next hold
     Then the part may have no further trial
+
+  Scenario Outline: A controller started <before> s before the first of a part's crashes
+    # Guards against: three trials after two late runs that no controller knows of any more.
+    Given a controller that started <before> s before the first of a part's crashes
+    When the part is held on weak evidence
+    Then it is held <times> times before its first trial
+
+    Examples:
+      | before | times |
+      | 1      | 3     |
+      | 60     | 1     |
--- a/features/steps/quarantine_soak_steps.py
+++ b/features/steps/quarantine_soak_steps.py
@@ -6,6 +6,7 @@
 from features.support.common_cause_soak import CommonCauseSoak
 from features.support.part_soak import PartSoak
 from features.support.quarantine_soak import QuarantineSoak
+from features.support.trial_crash_soak import TrialCrashSoak
 
 from rainsail.quarantine.agent import QuarantineAgent
 from rainsail.quarantine.suspects import SuspectTracker
@@ -53,6 +54,11 @@
     context.soaks = [_play(int(seed)) for seed in seeds.replace(" and ", ", ").split(", ")]
 
 
+@when("a random run with crashes in series and during trials, seed {seed:d}, is made")
+def play_trial_crashes(context, seed):
+    context.soaks = [_play(seed, TrialCrashSoak)]
+
+
 @when("a random run with fatal prompt parts and seed {seed:d} is made")
 def play_parts(context, seed):
     context.soaks = [_play(seed, PartSoak)]
--- a/features/steps/trial_permit_steps.py
+++ b/features/steps/trial_permit_steps.py
@@ -119,3 +119,27 @@
     assert not context.tracker.may_be_tried(PART)
     _hold_and_release(context.tracker, 3, 8.5)
     assert not context.tracker.is_on_trial(PART)
+
+
+@given("a controller that started {before_s:g} s before the first of a part's crashes")
+def started_before(context, before_s):
+    context.tracker = SuspectTracker(-before_s)
+    for number in range(5):
+        context.tracker.crashed(f"runner-{number}", (PART,), 0.0, 0.0, {PART: YOUNG})
+
+
+@when("the part is held on weak evidence")
+def hold_weakly(context):
+    _hold_and_release(context.tracker, 1, 3.0)
+    assert context.tracker.is_on_trial(PART)
+
+
+@then("it is held {times:d} times before its first trial")
+def held_times(context, times):
+    tracker = context.tracker
+    assert tracker.times_to_begin_with(PART) == times
+    for number in range(2, times + 1):
+        _hold_and_release(tracker, number, 3.0 + number)
+        assert tracker.is_on_trial(PART)
+    _hold_and_release(tracker, times + 1, 10.0)
+    assert not tracker.is_on_trial(PART)
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -92,7 +92,7 @@
         self._follower = follower
         self._calls = calls
         self._followers = followers
-        self._suspects = SuspectTracker()
+        self._suspects = SuspectTracker(clock.seconds())
         self._applied = NO_QUARANTINE
         self._held_since_s: dict[Fingerprint, float] = {}
         self._proposed: set[Fingerprint] = set()
@@ -201,6 +201,8 @@
             self._propose(HoldRequest(fingerprint))
         for each in self._applied.requests:
             since_s = self._held_since_s.get(each.fingerprint, now)
+            if not each.held and each.times < self._suspects.times_to_begin_with(each.fingerprint):
+                self._propose(HoldRequest(each.fingerprint))
             is_over = now - since_s >= self._hold_duration_s(each)
             if each.held and (is_over or self._suspects.is_on_trial(each.fingerprint)):
                 self._propose(ReleaseRequest(each.fingerprint, each.times, forget=False))
@@ -219,7 +221,10 @@
         self._proposed.discard(command.fingerprint)
         if isinstance(command, ReleaseRequest) and command.forget:
             self.holds_refuted += 1
-        if isinstance(command, HoldRequest) and self._suspects.is_on_trial(command.fingerprint):
+        if not self._suspects.is_on_trial(command.fingerprint):
+            return
+        is_release = isinstance(command, ReleaseRequest)
+        if not is_release or self._suspects.times_to_begin_with(command.fingerprint) > 1:
             self.look()
 
     def _hold_duration_s(self, request: QuarantinedRequest) -> float:
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -45,6 +45,10 @@
 MAX_TRIALS = 3
 """Trials of a request or prompt part that is held on weak evidence. Each may cost a runner, so the
 number holds over all leaders; a hold that follows the last one stays."""
+MAX_TRIALS_UNINFORMED = 1
+"""The same, if crashes before the first hold may be unknown: two runs may have been late."""
+INFORMED_AFTER_S = 3.0
+"""A controller may have missed crashes of a suspect that has one this shortly after its start."""
 CRASH_MERGE_WINDOW_S = 1.0
 """Reports on one runner that are at most this far apart are about the same crash: nodes notice it
 within milliseconds, and a runner takes longer to restart."""
@@ -88,7 +92,11 @@
 class SuspectTracker:
     """Tracks the crashes that are not explained yet, and the requests that were running at them."""
 
-    def __init__(self) -> None:
+    def __init__(self, started_s: float = float("-inf")) -> None:
+        """``started_s`` is the time from which all reports on crashes arrive here."""
+        self._started_s = started_s
+        self._uninformed: set[Fingerprint] = set()
+        """Suspects of which crashes before their first hold may be missing here."""
         self._crashes: deque[_RunnerCrash] = deque()
         self._idle_crashes: deque[tuple[str, float]] = deque(maxlen=MAX_CRASHES)
         """Runners that were found crashed by a node that ran nothing there, with the times."""
@@ -250,6 +258,7 @@
             if each in self._ever_held and each not in newly_held
         }
         self._firmly_held &= self._ever_held
+        self._uninformed &= self._ever_held
         self._on_trial &= self._ever_held
         for request in quarantine.requests:
             if request.fingerprint in newly_held:
@@ -293,6 +302,16 @@
         is_known = fingerprint in self._firmly_held or fingerprint in self._on_trial
         return times <= MAX_TRIALS and not is_known
 
+    def times_to_begin_with(self, fingerprint: Fingerprint) -> int:
+        """Return how often a suspect has to be held before its first trial.
+
+        Holds beyond the first stand for trials that it can't have any more, as late runs may be
+        unknown: their number is in the group's state, which all later leaders know.
+        """
+        if fingerprint not in self._uninformed:
+            return 1
+        return 1 + MAX_TRIALS - MAX_TRIALS_UNINFORMED
+
     def trials(self, fingerprint: Fingerprint) -> int:
         """Return how many of a suspect's holds were put on trial, as far as known here."""
         return 0 if fingerprint in self._firmly_held else MAX_TRIALS
@@ -310,9 +329,13 @@
         """
         crashes = self._by_suspect.get(fingerprint, [])
         if times == 1:
+            if any(each.at_s < self._started_s + INFORMED_AFTER_S for each in crashes):
+                self._uninformed.add(fingerprint)
             is_weak = (
                 not self._is_strong(fingerprint) if crashes else fingerprint in self._explained
             )
+        elif times <= self.times_to_begin_with(fingerprint):
+            is_weak = fingerprint in self._on_trial
         else:
             is_weak = bool(crashes) and fingerprint not in self._firmly_held
         if is_weak and times <= MAX_TRIALS and self.may_be_tried(fingerprint):
