An item that has a permit for a trial goes first

What callers saw: items of a part on trial wait 8 s for the next permit, while nobody has used the last.

Cause: an item asks for the permit when it has found a slot, and looks again in the next round; a more urgent item takes the slot meanwhile. After a second the permit is lost, and nobody gets another one for 8 s. Class: a scarce grant is given to one that can't use it. Now the items with a permit come first in a round.

Evidence: features/jobs/unused_permits.feature, 'although other items are more urgent', has 2 permits and 1 run on the code before, now a run for each permit.

--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -1,5 +1,6 @@
 """Starts waiting items on free runner slots, most urgent first."""
 
+from collections.abc import Iterator
 from enum import StrEnum
 
 from rainsail.cluster.messages import RunnerRecord
@@ -88,7 +89,7 @@
             return
         full: set[_Places] = set()
         everywhere: set[_Places] = {(name, None) for name in self._routes.batch_services()}
-        for item in self._waiting.by_urgency(self._planner.order):
+        for item in self._in_order(now):
             if not self._tables.covers(item.job):
                 continue
             held = self._guard.held_entry(item)
@@ -101,6 +102,14 @@
                 elif full >= everywhere:
                     return
 
+    def _in_order(self, now: float) -> Iterator[OpenItem]:
+        """Yield the waiting items, first those with a permit that others wait for, then by urgency.
+
+        The caller may take the last yielded item.
+        """
+        yield from [each for each in self._waiting.requeued_items if each.trial_until_s >= now]
+        yield from self._waiting.by_urgency(self._planner.order)
+
     def _may_start(self, now: float) -> bool:
         if not self._ledger.may_start():
             return False
