A silent runner is not given up for one that has not got the request, nor for one that fails; a trial stays at one runner

What callers saw: an answer that a slow runner would have finished is cut, or begins anew, although no other runner has taken the request.

Causes: the 0.05 s in which another runner may refuse ran while its connection was not open (behind a cut link that takes 1 s to fail); at their end the silent runner was given up although the other one had begun to answer 500; and a request that ran by a permit for one trial went on to a second runner by the same permit as its runner was silent, also if that one had crashed meanwhile.

Why it works: nobody has the request while its connection is not open; a failure is dropped as at its end, and the run goes back to the silent runner; a second run of a trial needs a permit of its own.

--- a/features/relay/silent_runners.feature
+++ b/features/relay/silent_runners.feature
@@ -73,6 +73,66 @@
     Then the first attempt's connection was closed
     And the last attempt asks to resume after event 2
 
+  Scenario: The other runner's connection is not open for a while
+    # Guards against: an answer that is cut for a runner that no request has reached, as behind a cut
+    # link.
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And no connection to a runner opens any more
+    And 1.9 seconds pass
+    And the silent runner sends events 3 to 4
+    And the silent runner ends its stream
+    Then the client has the whole stream of events 1 to 4
+    And 2 attempts were made, each to another runner
+    And no request is in flight at any runner
+
+  Scenario: The other runner's connection opens late
+    # Two runners must not work on one request for long.
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And no connection to a runner opens any more
+    And 1.3 seconds pass
+    And the runner's connection opens
+    And 0.11 seconds pass
+    Then the first attempt's connection was closed
+
+  Scenario: The other runner begins to answer 500, and its body comes later
+    # Guards against: an answer that is given up for a failure whose head has arrived.
+    Given a relay with 3 runners and a "safe" route
+    When a client sends a request to the relay
+    And 0.77 seconds pass
+    And the runner begins to answer 500
+    And 0.1 seconds pass
+    And the silent runner answers 200 with "late"
+    Then the client has the whole answer 200 "late"
+    And no request is in flight at any runner
+
+  Scenario: The other runner is in another region and refuses after 0.1 s
+    # Guards against: an answer that is cut for a runner that is full, and 80 ms away.
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2
+    And 1.1 seconds pass
+    And the runner refuses it as not run
+    And the silent runner sends events 3 to 4
+    And the silent runner ends its stream
+    Then the client has the whole stream of events 1 to 4
+    And 2 attempts were made, each to another runner
+
+  Scenario: A trial of a held request is not sent on while its runner is silent
+    # Guards against: a request that hangs runners before it ends them, and that is at two of them by
+    # one permit.
+    Given a relay with 3 runners and a "safe" route
+    And the quarantine permits one trial of each request
+    When a client sends a request to the relay
+    And 0.8 seconds pass
+    Then 1 attempt was made
+    When the silent runner answers 200 with "late"
+    Then the client has the whole answer 200 "late"
+    And no request is in flight at any runner
+
   Scenario: A runner that stays silent is left for a third one
     Given a relay with 3 runners and a resumable "stream" route of 3 attempts
     When a client sends a request to the relay
--- a/features/steps/relay_request_steps.py
+++ b/features/steps/relay_request_steps.py
@@ -5,12 +5,31 @@
 
 from rainsail.http.client import AnswerHead
 from rainsail.logs import logger
+from rainsail.quarantine.guard import NoGuard
 
 CHUNKED_FIELDS = ((b"transfer-encoding", b"chunked"),)
 
 TOLERANCE_S = 0.001
 
 
+class OneTrialGuard(NoGuard):
+    """A quarantine in which each request may run as a trial, once."""
+
+    has_unproven = True
+
+    def __init__(self):
+        self._has_permitted = False
+
+    def unproven_among(self, fingerprints):
+        """Return all of them."""
+        return tuple(fingerprints)
+
+    def request_trial(self, fingerprints, decided):
+        """Permit the first trial."""
+        is_first, self._has_permitted = not self._has_permitted, True
+        decided(is_first)
+
+
 @given('a relay with {runners:d} runners and a "{kind}" route')
 @given('a relay with {runners:d} runners and an "{kind}" route')
 def make_relay(context, runners, kind):
@@ -307,6 +326,21 @@
         call.answer(status, body.encode())
 
 
+@step("no connection to a runner opens any more")
+def open_none(context):
+    context.relay.pool.opens_connections = False
+
+
+@step("the runner's connection opens")
+def open_late(context):
+    context.relay.last_call.sent = True
+
+
+@given("the quarantine permits one trial of each request")
+def permit_one_trial(context):
+    context.relay.context.guard = OneTrialGuard()
+
+
 @then("each attempt's connection has ended")
 def all_closed(context):
     calls = context.relay.pool.calls
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -106,6 +106,7 @@
     cancelled: bool = False
     over: bool = False
     is_paused: bool = False
+    sent: bool = True
 
     def cancel(self) -> None:
         """Record that the request was cancelled."""
@@ -145,6 +146,7 @@
         self.calls: list[StandInCall] = []
         self.forgotten: list[str] = []
         self.settled: set[str] = set()
+        self.opens_connections = True
         self.clock = clock
 
     def send(
@@ -156,7 +158,7 @@
         settled_s: float = 0.0,
     ) -> StandInCall:
         """Record a request."""
-        call = StandInCall(address, request, listener)
+        call = StandInCall(address, request, listener, sent=self.opens_connections)
         self.calls.append(call)
         if self.clock is not None:
             self.clock.callLater(HEAD_AFTER_S, self._begin, call)
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -98,7 +98,7 @@
             identity,
             self,
             self._response_timed_out,
-            self._leave_silent,
+            self._not_refused,
         )
         self._origin = RequestOrigin(context, facts, identity)
         self._is_admitted = False
@@ -542,9 +542,20 @@
         may_leave = may_leave_silent_runner(route, self._answer.client_has, other_runner_left)
         if attempt is not None and may_leave and self._terms().ends_in_time:
             self._may_have_run = True
+            # The other runner needs a permit of its own.
+            self._is_trial = False
             self._sender.keep_silent()
             self._try_next()
 
+    def _not_refused(self) -> None:
+        """Give up a silent runner, unless the other one has begun to answer with a failure."""
+        other = self._sender.attempt
+        if other is not None and other.failed:
+            other.cancel()
+            self._drop_answer(other, other.body_end)
+        else:
+            self._leave_silent()
+
     def _leave_silent(self) -> None:
         """Give up a silent runner: another one has taken the request."""
         attempt = self._sender.take_silent()
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -9,6 +9,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.exchange import HttpRequest
+from rainsail.http.pool import Call
 from rainsail.relay.attempt import Attempt, AttemptOwner
 from rainsail.relay.context import RelayContext
 from rainsail.relay.continuation import SendAgain
@@ -134,12 +135,26 @@
         self.attempts.append(attempt)
         self._timeout.request_sent(self.route, self.attempts_counted)
         settled_s = 0.0 if self._finder.origin is None else SETTLED_S
-        if self.silent is not None:
-            self._refusal_timer = context.clock.callLater(REFUSAL_WITHIN_S, self._not_refused)
-        attempt.call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
+        call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
+        attempt.call = call
+        if self.silent is not None and self.attempt is attempt:
+            self._await_refusal(call)
         if self._is_paused:
             self.set_paused(True)
 
+    def _await_refusal(self, call: Call) -> None:
+        """Give a runner the time to refuse the request."""
+        self._refusal_timer = self._context.clock.callLater(
+            REFUSAL_WITHIN_S, self._check_refusal, call
+        )
+
+    def _check_refusal(self, call: Call) -> None:
+        """Wait on while no connection is open: nobody has got the request then."""
+        if call.sent:
+            self._not_refused()
+        else:
+            self._await_refusal(call)
+
     def keep_silent(self) -> None:
         """Keep the current attempt as the silent one, to try another runner."""
         self.silent, self.attempt = self.attempt, None
