Failing test: an item without a slot keeps its own job's items for other services waiting

What callers would see: items of a job that are neither done nor given up, although runners that may get them are idle, for as long as the service of the job's first fresh item has no slot.

Cause: WaitingItems.by_urgency gives out a job's first fresh item only, unless the caller takes it; an item that finds no slot is passed over and stays first.

Not fixed: to skip the item would move each item of a large job into the list that is examined one by one; the groups of by_urgency have to be by route instead.

--- a/features/jobs/several_services.feature
+++ b/features/jobs/several_services.feature
@@ -22,3 +22,10 @@
     And 0.3 s later one of 4 items for model
     And 1.5 s of the two jobs pass
     Then all 0 items of the second job run, and 8 of the first
+
+  Scenario: Items of one job go to several services, and the first of them finds no slot
+    # Guards against: the same within a job, whose first item finds no slot.
+    Given a fleet with a batch route for "model", "other" and "model" in the east, and runners of other
+    When a mixed job comes, with 4 items for model before 4 for other
+    And 1.5 s of the two jobs pass
+    Then 4 items of the mixed job run
--- a/features/steps/several_service_steps.py
+++ b/features/steps/several_service_steps.py
@@ -100,3 +100,23 @@
     running = [call for call in context.fleet.calls() if not (call.cancelled or call.over)]
     counts = [sum(call.job == name for call in running) for name in context.jobs]
     assert counts == [first, second], counts
+
+
+@when("a mixed job comes, with {first:d} items for {one} before {second:d} for {other}")
+def hand_in_mixed(context, first, one, second, other):
+    fleet = context.fleet
+    paths = [PATHS[one]] * first + [PATHS[other]] * second
+    items = tuple(
+        RelayedItem(f"mixed-{number}", f"{path}{number}", (), b"body", 10)
+        for number, path in enumerate(paths)
+    )
+    context.jobs.append("mixed")
+    role = fleet.nodes["gateway-1"].role
+    done = role.submit("", "mixed", HOST, PATHS[one], items, QueueLimit(PATHS[one], 0))
+    assert fleet.result_of(done, "an answer to the job").is_ok()
+
+
+@then("{count:d} items of the mixed job run")
+def mixed_run(context, count):
+    running = [call for call in context.fleet.calls() if not (call.cancelled or call.over)]
+    assert len(running) == count, len(running)
