--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -9,6 +9,7 @@
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.http.exchange import HttpRequest
+from rainsail.http.pool import Call
 from rainsail.relay.attempt import Attempt, AttemptOwner
 from rainsail.relay.context import RelayContext
 from rainsail.relay.continuation import SendAgain
@@ -25,12 +26,14 @@
 
 The shortest time that the platform's header can state.
 """
-REFUSAL_WITHIN_S = 0.05
-"""A runner that has no room for a request usually refuses it within this time.
-
-Until then a silent runner is not given up for it; longer, and two would work on one request.
-"""
-REFUSAL_OF_BEGUN_WITHIN_S = 0.2
+REFUSAL_CHECK_S = 0.05
+"""Period of the checks whether another runner has refused the request of a silent one.
+
+A runner that has no room for a request usually refuses it within this time."""
+REFUSAL_CHECKS = 1
+"""After so many of them since the request was sent the silent runner is given up: for longer, two
+would work on one request."""
+REFUSAL_CHECKS_OF_BEGUN = 4
 """The same for an answer that has begun, which would be cut: the client can't be refused then."""
 
 
@@ -74,7 +77,7 @@
         self._timeout = ResponseTimeout(context, response_timed_out)
         self._not_refused = not_refused
         self._refusal_timer: Timer | None = None
-        self._refusal_within_s = REFUSAL_WITHIN_S
+        self._refusal_checks = REFUSAL_CHECKS
 
     @property
     def service(self) -> str:
@@ -137,19 +140,33 @@
         self.attempts.append(attempt)
         self._timeout.request_sent(self.route, self.attempts_counted)
         settled_s = 0.0 if self._finder.origin is None else SETTLED_S
-        if self.silent is not None:
-            within_s = self._refusal_within_s
-            self._refusal_timer = context.clock.callLater(within_s, self._not_refused)
-        attempt.call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
+        call = context.pool.send(record.address, request, attempt, settled_s=settled_s)
+        attempt.call = call
+        if self.silent is not None and self.attempt is attempt:
+            self._await_refusal(call, self._refusal_checks)
         if self._is_paused:
             self.set_paused(True)
 
+    def _await_refusal(self, call: Call, checks_left: int) -> None:
+        """Give a runner the time to refuse the request."""
+        self._refusal_timer = self._context.clock.callLater(
+            REFUSAL_CHECK_S, self._check_refusal, call, checks_left
+        )
+
+    def _check_refusal(self, call: Call, checks_left: int) -> None:
+        """Wait on while no connection is open: nobody has got the request then."""
+        checks_left -= call.sent
+        if checks_left:
+            self._await_refusal(call, checks_left)
+        else:
+            self._not_refused()
+
     def keep_silent(self, has_begun: bool) -> None:
         """Keep the current attempt as the silent one, to try another runner.
 
         ``has_begun``: the client has a part of its answer.
         """
-        self._refusal_within_s = REFUSAL_OF_BEGUN_WITHIN_S if has_begun else REFUSAL_WITHIN_S
+        self._refusal_checks = REFUSAL_CHECKS_OF_BEGUN if has_begun else REFUSAL_CHECKS
         self.silent, self.attempt = self.attempt, None
 
     def return_to_silent(self) -> None:
