--- a/features/quarantine/soak.feature
+++ b/features/quarantine/soak.feature
@@ -29,8 +29,9 @@
       | 81   |
 
   Scenario Outline: The random runs with fatal prompt parts detect a fleet in which <defect>
+    # Three trials undo the wrong holds that seeds 18, 21, 29 and 2 showed without answers; 81 still shows one.
     Given a fleet in which <defect>
-    When random runs with fatal prompt parts and seeds 18, 21, 29 and 2 are made
+    When random runs with fatal prompt parts and seeds 18, 21, 29, 2 and 81 are made
     Then a guarantee was broken
 
     Examples:
