A job's items for one service don't wait for its items of another service

Cause: the fresh items of a job were one queue, and WaitingItems.by_urgency left out the others of the queue once the first one had not been taken, so that a round with thousands of items costs little.

Change: a job's fresh items have a queue for each route (FreshQueue). Items of one route wait for the same runners, so one of them that finds no slot stands for the others of its route only. Routes with slots start their items by index. A new routing table sorts the queues again.

--- a/features/jobs/several_services.feature
+++ b/features/jobs/several_services.feature
@@ -29,3 +29,28 @@
     When a mixed job comes, with 4 items for model before 4 for other
     And 1.5 s of the two jobs pass
     Then 4 items of the mixed job run
+
+  Scenario: The routes of a job's items change while the items wait
+    # Guards against: items that wait by the routes of an earlier table.
+    Given a fleet with a batch route for "model", "other" and "model" in the east, and runners of other
+    When a mixed job comes, with 4 items for model before 4 for model in the east
+    And 1.5 s of the two jobs pass
+    And the route for "model" in the east leads to "other"
+    And 1.5 s of the two jobs pass
+    Then 4 items of the mixed job run
+
+  Scenario Outline: A round examines one waiting item for each job and route
+    # Guards against: rounds whose cost grows with the number of waiting items.
+    Given <jobs> jobs of <items> waiting items each, for <routes> routes by turns
+    When no item of a round finds a slot
+    Then <examined> items are examined in the round
+
+    Examples:
+      | jobs | items | routes | examined |
+      | 1    | 4     | 1      | 1        |
+      | 3    | 10000 | 4      | 12       |
+
+  Scenario: The items of a job's routes with slots go by their index
+    Given 1 jobs of 6 waiting items each, for 3 routes by turns
+    When no item of route 1 finds a slot, and those of the others do
+    Then the items 0, 2, 3, 5 are started
--- a/features/steps/several_service_steps.py
+++ b/features/steps/several_service_steps.py
@@ -8,7 +8,10 @@
 from features.support.relayed_fleet import COMPLETION_S, RelayedFleet
 from features.support.relaying import HOST, runner_record
 
+from rainsail.jobs.item_order import ItemOrder
 from rainsail.jobs.messages import QueueLimit
+from rainsail.jobs.open_item import OpenItem
+from rainsail.jobs.waiting_items import WaitingItems
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, Service, ServiceShare
 from rainsail.state.job_commands import RelayedItem
 
@@ -48,6 +51,8 @@
             prefix=PATHS["model in the east"],
             allowed_regions=frozenset(["east"]),
         )
+        if int(content) > 1:
+            east = replace(other, name="east", prefix=PATHS["model in the east"])
         services = (Service("model", 10, True), Service("other", 10, True))
         return Ok(RoutingTable(int(content), (model, other, east), services, ClientLimits()))
 
@@ -120,3 +125,42 @@
 def mixed_run(context, count):
     running = [call for call in context.fleet.calls() if not (call.cancelled or call.over)]
     assert len(running) == count, len(running)
+
+
+@step('the route for "model" in the east leads to "other"')
+def change_routes(context):
+    fleet = context.fleet
+    controller = fleet.controller("controller-1")
+    assert fleet.result_of(controller.tables.replace(2, b"2"), "a table").is_ok()
+
+
+@given("{jobs:d} jobs of {items:d} waiting items each, for {routes:d} routes by turns")
+def waiting_items(context, jobs, items, routes):
+    context.route_of = lambda item: f"route {item.index % routes}"
+    context.waiting = WaitingItems(context.route_of)
+    for job in (f"job-{number}" for number in range(jobs)):
+        context.waiting.add_job(job, [OpenItem(job, index) for index in range(items)])
+
+
+@when("no item of a round finds a slot")
+def examine(context):
+    context.examined = list(context.waiting.by_urgency(ItemOrder()))
+
+
+@then("{count:d} items are examined in the round")
+def examined(context, count):
+    assert len(context.examined) == count, len(context.examined)
+
+
+@when("no item of route {full:d} finds a slot, and those of the others do")
+def start_others(context, full):
+    context.started = []
+    for item in context.waiting.by_urgency(ItemOrder()):
+        if context.route_of(item) != f"route {full}":
+            context.waiting.take(item)
+            context.started.append(item.index)
+
+
+@then("the items {indexes} are started")
+def started(context, indexes):
+    assert context.started == [int(each) for each in indexes.split(", ")], context.started
--- a/src/rainsail/jobs/dispatch_state.py
+++ b/src/rainsail/jobs/dispatch_state.py
@@ -32,4 +32,5 @@
     slots = RunnerSlots(node.warm_ups, node.settings, running)
     routes = ItemRoutes(ledger.state)
     tables = JobTables(node.tables, node.clock)
-    return DispatchState(WaitingItems(), running, slots, routes, tables, StreamBeginnings())
+    waiting = WaitingItems(routes.name_of)
+    return DispatchState(waiting, running, slots, routes, tables, StreamBeginnings())
--- a/src/rainsail/jobs/dispatcher.py
+++ b/src/rainsail/jobs/dispatcher.py
@@ -137,6 +137,7 @@
     def set_table(self, table: RoutingTable) -> None:
         """Use this routing table from now on."""
         self._state.routes.table = table
+        self._state.waiting.update_routes()
         self._state.beginnings.keep_only(table.services, table.route_names())
         self._node.registry.warm_ups.set_terms(table.warm_up_terms())
         for job in self._ledger.state.jobs.values():
--- a/src/rainsail/jobs/item_routes.py
+++ b/src/rainsail/jobs/item_routes.py
@@ -38,6 +38,12 @@
             return None
         return self.table.match(job.host, job.items[index].path) or self.of_job(job)
 
+    def name_of(self, item: OpenItem) -> str:
+        """Return the name of an item's route; empty if there is none."""
+        job = self._state.jobs.get(item.job)
+        route = None if job is None else self.of_item(job, item.index)
+        return "" if route is None else route.name
+
     def due_within_s(self, job: RelayedJob) -> float:
         """Return how long after its acceptance a job is due; 0: no due time."""
         route = self.of_job(job)
--- a/src/rainsail/jobs/waiting_items.py
+++ b/src/rainsail/jobs/waiting_items.py
@@ -1,14 +1,16 @@
 """The queue of items that wait for a run.
 
-The fresh items of a job (those that have not begun) form one queue, so that a large job costs no
-more to examine than a small one. Requeued items are few and are examined one by one.
+The fresh items of a job (those that have not begun) form one queue for each of their routes, so
+that a large job costs no more to examine than a small one. Requeued items are few and are examined
+one by one.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from itertools import chain
 
+from rainsail.jobs.fresh_queue import FreshQueue, RouteOf, one_route
 from rainsail.jobs.item_order import FreshItems, ItemOrder, Urgency
 from rainsail.jobs.item_wait import WaitCause
 from rainsail.jobs.open_item import OpenItem
@@ -25,8 +27,9 @@
 class WaitingItems:
     """Waiting items by job, yielded by urgency."""
 
-    def __init__(self) -> None:
-        self._fresh: dict[str, deque[OpenItem]] = {}
+    def __init__(self, route_of: RouteOf = one_route) -> None:
+        self._route_of = route_of
+        self._fresh: dict[str, FreshQueue] = {}
         self._requeued: list[OpenItem] = []
 
     def __len__(self) -> int:
@@ -39,14 +42,15 @@
 
     def add_job(self, job: str, items: Iterable[OpenItem]) -> None:
         """Add a job's items; those that have already begun are added as requeued ones."""
-        fresh: deque[OpenItem] = deque()
+        fresh: list[OpenItem] = []
         for item in items:
-            if item.begun:
-                self._requeued.append(item)
-            else:
-                fresh.append(item)
+            (self._requeued if item.begun else fresh).append(item)
         if fresh:
-            self._fresh[job] = fresh
+            self._fresh[job] = FreshQueue(fresh, self._route_of)
+
+    def update_routes(self) -> None:
+        """Look up the routes of all fresh items again, after a change of the routing table."""
+        self._fresh = {job: FreshQueue(queue, self._route_of) for job, queue in self._fresh.items()}
 
     def requeue(self, item: OpenItem) -> None:
         """Add an item whose run ended early."""
@@ -84,7 +88,7 @@
         """Yield the items, most urgent first; the fresh items of one job stay together.
 
         The caller may ``take`` the last yielded item before it requests the next one. If it does
-        not take a job's first fresh item, the job's other fresh items are skipped.
+        not take a fresh item, the other fresh items of that job and route are skipped.
         """
         groups = [_Group(order.urgency(item), (item,)) for item in self._requeued]
         for job, queue in self._fresh.items():
@@ -94,36 +98,28 @@
 
     def skip(self, item: OpenItem) -> None:
         """Move an item out of its job's queue, so that the fresh items after it are considered."""
-        queue = self._fresh.get(item.job)
-        if queue and queue[0] is item:
-            self.take(item)
+        if self._take_fresh(item):
             self.requeue(item)
 
     def take(self, item: OpenItem) -> None:
         """Remove an item."""
-        queue = self._fresh.get(item.job)
-        if queue and queue[0] is item:
-            queue.popleft()
-            if not queue:
-                del self._fresh[item.job]
-        else:
+        if not self._take_fresh(item):
             self._requeued.remove(item)
 
+    def _take_fresh(self, item: OpenItem) -> bool:
+        """Remove an item that is the first fresh one of its job and route; tell whether it was."""
+        queue = self._fresh.get(item.job)
+        if queue is None or not queue.remove(item):
+            return False
+        if not queue:
+            del self._fresh[item.job]
+        return True
 
-def _fresh_groups(job: str, queue: deque[OpenItem], order: ItemOrder) -> Iterator[_Group]:
+
+def _fresh_groups(job: str, queue: FreshQueue, order: ItemOrder) -> Iterator[_Group]:
     """Yield a job's fresh items in up to two groups: the feasible ones, and the rest."""
     kept = order.fresh_admitted(job)
     if kept is None or kept > 0:
-        yield _Group(order.fresh_urgency(job, infeasible=False), _from_the_front(queue, kept))
+        yield _Group(order.fresh_urgency(job, infeasible=False), queue.startable(kept))
     if kept is not None and kept < len(queue):
-        yield _Group(order.fresh_urgency(job, infeasible=True), _from_the_front(queue))
-
-
-def _from_the_front(queue: deque[OpenItem], most: int | None = None) -> Iterator[OpenItem]:
-    given = 0
-    while queue and (most is None or given < most):
-        item = queue[0]
-        given += 1
-        yield item
-        if queue and queue[0] is item:
-            return
+        yield _Group(order.fresh_urgency(job, infeasible=True), queue.startable())
