Logs tell how the run of each trial ended, and for how long its runner was known

What operators saw: after an incident the log names the runner of an item's trial (item_sent), but the end of that run (item_run_ended) doesn't say that it was a trial, and nothing tells whether the runner had just come back.

item_run_ended has trial_of; item_sent and request_trial_sent have runner_known_ms, the time since the node first heard of the runner's process.

--- a/features/steps/item_wait_steps.py
+++ b/features/steps/item_wait_steps.py
@@ -127,6 +127,13 @@
     for each in trials:
         assert each["runner"] and each["trial_of"], each
         assert each["items_beside"] >= 0 and each["online_beside"] >= 0, each
+        assert each["runner_known_ms"] >= 0, each
+    sent: dict[str, dict] = {}
+    for _, name, line in context.log_records:
+        if name == "item_sent":
+            sent[line["item"]] = line
+        elif name == "item_run_ended":
+            assert line.get("trial_of") == sent[line["item"]].get("trial_of"), line
 
 
 @then("the log has at most {most:d} line on the wait of an item for each change of its entry")
--- a/src/rainsail/cluster/registry.py
+++ b/src/rainsail/cluster/registry.py
@@ -26,6 +26,7 @@
 from rainsail.cluster.incarnation_order import REPLACEABLE_AFTER_S, IncarnationOrder
 from rainsail.cluster.messages import RunnerRecord, RunnerState
 from rainsail.cluster.report_coverage import ReportCoverage
+from rainsail.cluster.runner_history import RunnerHistory
 from rainsail.cluster.runner_versions import NO_VERSION, RunnerVersion, RunnerVersionTable
 from rainsail.cluster.warm_up import WarmUpClock
 from rainsail.cluster.zone_drains import KnownZoneDrains
@@ -81,6 +82,7 @@
         self.zone_drains = KnownZoneDrains()
         self.warm_ups = WarmUpClock(seconds)
         self.versions = RunnerVersionTable(seconds)
+        self.history = RunnerHistory()
         self.coverage = ReportCoverage()
         """When this node may have missed reports, as far as it learns them from controllers."""
         self._resolves_address_conflicts = resolves_address_conflicts
@@ -151,6 +153,7 @@
         if known is None or record.report_order > known.report_order:
             self.warm_ups.note_report(record)
             self._heard_s[record.runner] = self._seconds()
+            self.history.note_report(record, self._seconds())
             changed += self._assign_address(record)
         for each in changed:
             self._note_change(each.runner)
@@ -320,6 +323,7 @@
     def note_crash(self, record: RunnerRecord) -> None:
         """Note that an incarnation was found crashed; it may start again under its id."""
         self._crashed[record.runner] = record.born, self._seconds()
+        self.history.note_crash(record, self._seconds())
 
     def may_be_replaced(self, record: RunnerRecord) -> bool:
         """Tell whether another process than the record's may answer at its address."""
@@ -403,6 +407,7 @@
             self._heard_s.pop(runner, None)
             self._gone_s.pop(runner, None)
             self._crashed.pop(runner, None)
+            self.history.forget(runner)
             self._incarnations.forget(runner)
             self.warm_ups.forget(runner)
             self.versions.forget(runner)
--- a/src/rainsail/jobs/item_recorder.py
+++ b/src/rainsail/jobs/item_recorder.py
@@ -13,6 +13,8 @@
 from rainsail.quarantine.fingerprint import fingerprint_hex
 from rainsail.state.job_commands import ItemOutcome
 
+MILLISECONDS_PER_S = 1000
+
 
 class ItemRecorder:
     """Logs each event of an item and updates its counter."""
@@ -28,14 +30,18 @@
         log = log.bind(asked=trials.asked, refused=trials.refused)
         log.bind(granted=trials.granted, unused=trials.unused).info("item_waits")
 
-    def item_sent(self, item: OpenItem, beside: SlotUse) -> None:
-        """Record that an item is sent to its runner, and what runs there beside a trial."""
+    def item_sent(self, item: OpenItem, beside: SlotUse, known_s: float) -> None:
+        """Record that an item is sent to its runner, and what runs there beside a trial.
+
+        ``known_s`` is for how long this node has known the runner's incarnation.
+        """
         log = self._with_failures(self._log_of(item), item)
         if item.trial_of:
             log = log.bind(
                 trial_of=",".join(map(fingerprint_hex, item.trial_of)),
                 items_beside=beside.items,
                 online_beside=beside.online,
+                runner_known_ms=round(known_s * MILLISECONDS_PER_S),
             )
             self._metrics.count("item_trials")
         log.bind(after_event=item.progress.last_event).info("item_sent")
@@ -57,6 +63,8 @@
         """Record a run that ended without the complete answer; ``status`` is its answer's."""
         log = self._log_of(item).bind(reason=reason, fingerprint=fingerprint_name)
         log = self._with_failures(log, item).bind(status=status)
+        if item.trial_of:
+            log = log.bind(trial_of=",".join(map(fingerprint_hex, item.trial_of)))
         log.bind(end=end.value, last_event=item.progress.last_event).info("item_run_ended")
 
     def item_held(self, item: OpenItem) -> None:
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -79,7 +79,8 @@
         self._slots.on_item_started(record, now)
         self._running.add(item)
         item.run = self._new_run(item, content.item, source)
-        self._recorder.item_sent(item, beside)
+        known_s = self._node.registry.history.known_s(record, now)
+        self._recorder.item_sent(item, beside, known_s)
         item.call = self._node.pool.send(record.address, request, item.run)
 
     def _bind_to(self, item: OpenItem, origin: StreamOrigin) -> None:
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -112,9 +112,13 @@
 
     def trial_sent(self, record: RunnerRecord, unproven: Fingerprints) -> None:
         """Record that the request is sent as a trial, and what this gateway runs beside it."""
-        beside = self._context.loads.of(record.runner).in_flight
-        log = self._log_trial(unproven).bind(runner=record.runner, online_beside=beside)
-        log.info("request_trial_sent")
+        context = self._context
+        known_s = context.registry.history.known_s(record, context.clock.seconds())
+        self._log_trial(unproven).bind(
+            runner=record.runner,
+            online_beside=context.loads.of(record.runner).in_flight,
+            runner_known_ms=round(known_s * MILLISECONDS_PER_S),
+        ).info("request_trial_sent")
 
     def trial_unused(self, unproven: Fingerprints, reason: str) -> None:
         """Record a permit for a trial with which the request was not sent."""
