quarantine_held tells why a hold has a trial or none; releases tell for how long it was held

New fields only: trial (yes, no), reason (quarantine.trial_status), requests (different whole requests at the crashes) of quarantine_held, held_ms of quarantine_released, times of quarantine_cleared. The decision is applied before it is logged, and the crashes behind it are read before, since a hold explains them.

--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -257,32 +257,57 @@
         quarantine = self._state.quarantine.snapshot()
         if quarantine.revision == self._applied.revision:
             return
-        self._note_changes(quarantine)
-        self._applied = quarantine
+        former, self._applied = self._applied, quarantine
+        # A decision may explain the crashes for which it was taken.
+        crashes = {
+            each.fingerprint: self._crashes_at(each.fingerprint)
+            for each in quarantine.requests
+            if each.held and each.fingerprint not in self._held_since_s
+        }
         self._suspects.decided(quarantine, self._clock.seconds())
+        self._note_changes(former, quarantine, crashes)
         self._permits.decided(quarantine, self._clock.seconds())
         self._follower.take_quarantine(quarantine)
         self._messenger.send_all(self._followers(), QuarantineNotice(quarantine))
 
-    def _note_changes(self, quarantine: Quarantine) -> None:
+    def _crashes_at(self, fingerprint: Fingerprint) -> dict[str, Any]:
+        """Return the log fields on the crashes beside a suspect."""
+        now = self._clock.seconds()
+        crashes = self._suspects.crashes_of(fingerprint)
+        ago_s = [now - at_s for _, at_s in crashes]
+        return {
+            "runners": ",".join(runner for runner, _ in crashes),
+            "crashed_ms_ago": ",".join(str(round(each * MILLISECONDS_PER_S)) for each in ago_s),
+            "requests": self._suspects.requests_at_crashes_of(fingerprint),
+        }
+
+    def _note_changes(
+        self,
+        former: Quarantine,
+        quarantine: Quarantine,
+        crashes: dict[Fingerprint, dict[str, Any]],
+    ) -> None:
+        """Log what has changed; ``crashes`` has the fields on those behind each new hold."""
         now = self._clock.seconds()
         held = {each.fingerprint: each for each in quarantine.requests if each.held}
         known = {each.fingerprint for each in quarantine.requests}
+        times = {each.fingerprint: each.times for each in former.requests}
         for fingerprint in sorted(held.keys() - self._held_since_s.keys()):
-            crashes = self._suspects.crashes_of(fingerprint)
+            status = self._suspects.trial_status(fingerprint, held[fingerprint].times)
             log = self._log_of(fingerprint).bind(
                 times=held[fingerprint].times,
-                runners=",".join(runner for runner, _ in crashes),
-                crashed_ms_ago=",".join(
-                    str(round((now - at_s) * MILLISECONDS_PER_S)) for _, at_s in crashes
-                ),
+                **crashes[fingerprint],
+                trial="yes" if status.has_trial else "no",
+                reason=status.value,
             )
             log.warning("quarantine_held")
         for fingerprint in sorted(self._held_since_s.keys() - held.keys()):
             outcome = "on_trial" if fingerprint in known else "cleared"
-            self._log_of(fingerprint).bind(outcome=outcome).info("quarantine_released")
-        for fingerprint in sorted({each.fingerprint for each in self._applied.requests} - known):
-            self._log_of(fingerprint).info("quarantine_cleared")
+            held_ms = round((now - self._held_since_s[fingerprint]) * MILLISECONDS_PER_S)
+            log = self._log_of(fingerprint).bind(outcome=outcome, held_ms=held_ms)
+            log.info("quarantine_released")
+        for fingerprint in sorted(times.keys() - known):
+            self._log_of(fingerprint).bind(times=times[fingerprint]).info("quarantine_cleared")
         self._held_since_s = {name: self._held_since_s.get(name, now) for name in held}
 
     def _log_of(self, fingerprint: Fingerprint) -> Any:
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -34,6 +34,7 @@
 )
 from rainsail.quarantine.fingerprint import Fingerprint, is_of_part
 from rainsail.quarantine.run_times import UNKNOWN_AGE, RunAge
+from rainsail.quarantine.trial_status import TrialStatus
 from rainsail.state.cluster_commands import Quarantine
 
 CRASHES_TO_HOLD = 3
@@ -328,6 +329,26 @@
         crashes = self._by_suspect.get(fingerprint, ())
         return tuple((crash.runner, crash.at_s) for crash in crashes)
 
+    def requests_at_crashes_of(self, fingerprint: Fingerprint) -> int:
+        """Return how many different whole requests ran at the crashes beside a suspect.
+
+        A request that an answer has cleared is not among them.
+        """
+        crashes = self._by_suspect.get(fingerprint, ())
+        return len({each for crash in crashes for each in crash.suspects if not is_of_part(each)})
+
+    def trial_status(self, fingerprint: Fingerprint, times: int) -> TrialStatus:
+        """Return why the hold that was decided last is on trial or not."""
+        if self.is_on_trial(fingerprint):
+            if times < self.times_to_begin_with(fingerprint):
+                return TrialStatus.CRASHES_MAY_BE_UNKNOWN
+            return TrialStatus.WEAK_EVIDENCE
+        if self.lacks_evidence(fingerprint, times):
+            return TrialStatus.NO_CRASH_KNOWN
+        if fingerprint in self._firmly_held:
+            return TrialStatus.STRONG_EVIDENCE
+        return TrialStatus.TRIALS_SPENT
+
     def _note_evidence(self, fingerprint: Fingerprint, times: int) -> None:
         """Note, for a suspect that is held now, whether the hold is put on trial.
 
