Placement: a runner that was found crashed gets requests only in place of a queue

Cause: a crashed runner has no requests, so it looks like the emptiest one. Nodes know within 0.05 to 0.6 s that it has crashed (RunnerDoubted), but neither the leader's placer nor a gateway's choice asked the registry. The placer relied on ejections alone, and these are ignored once more than a third of the runners have one.

Four scenarios (choice.feature, placement.feature) failed before.

A refuted verdict costs nothing for long: the registry drops it with the new start, with a report from 1.5 s after the crash on, or after 10 s. It is a preference, not an exclusion: before a request has to queue, a runner found crashed is tried, so one gateway whose connections are rejected on the way can't take capacity from all others.

Run: features/relay, routing, jobs and cluster, 956 scenarios passed.

--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -98,7 +98,13 @@
     loads = RunnerLoads(settings.mechanisms)
     prefixes = PrefixMemory(settings.mechanisms)
     chooser = RunnerChooser(
-        loads, prefixes, random, settings.choice, settings.mechanisms, registry.is_warming
+        loads,
+        prefixes,
+        random,
+        settings.choice,
+        settings.mechanisms,
+        registry.is_warming,
+        registry.is_found_crashed,
     )
     split = WeightedServicePicker(random)
     return RelayContext(
