Choice: a prompt that a runner has not run neither occupies it nor counts as cached there

Seen by callers: a long prompt that a full runner refuses, or that can't be sent, keeps all gateways away from that runner for its prefill, although it is idle: 4 of 4 short requests went to the third runner of three for the 1.2 s of a prompt of 60,000 tokens. Later requests with the same part are sent where it has never been read.

Cause: the prompt's parts and its prefill are noted when the request is sent, and the prefill of a long one is announced to the other gateways; neither was taken back when the runner refused the request as not run, or could not be reached.

Now the sender takes back what this request has added: the parts that were not known at that runner before, and the time of the prefill, by an announcement with negative seconds.

--- a/features/relay/choice.feature
+++ b/features/relay/choice.feature
@@ -87,6 +87,46 @@
     When a client sends a request to the relay with an unshared prompt part of 20000 tokens
     Then one long prompt was announced to the other gateways
 
+  Scenario Outline: A long prompt does not occupy a runner that <course>
+    # Guards against: a prefill that never began keeps all gateways away from an idle runner.
+    Given a relay with 3 runners and a "stream" route
+    When a client sends a request to the relay with an unshared prompt part of 60000 tokens
+    And <step>
+    And <seconds> seconds pass
+    And 4 clients send requests to the relay with a shared prompt part of 200 tokens
+    Then some of the last 4 went where the first went
+    And the prefill announced for that runner was taken back
+
+    Examples:
+      | course               | step                             | seconds |
+      | was full             | the runner refuses it as not run | 0.2     |
+      | could not be reached | the runner can't be reached      | 1.05    |
+
+  Scenario: A prefill that another gateway takes back occupies the runner no longer
+    # Guards against: a refused prompt that only its own gateway knows to be refused.
+    Given a relay with 2 runners and a "stream" route
+    When another gateway's notice of a prefill of 0.9 seconds at runner 1 arrives
+    And 3 clients send requests to the relay with a shared prompt part of 200 tokens
+    Then all of them went to runner 2
+    When another gateway's notice of a prefill of -0.9 seconds at runner 1 arrives
+    And 1 clients send requests to the relay with a shared prompt part of 200 tokens
+    Then the last one went to runner 1
+
+  Scenario: A prompt does not count as cached at a runner that has not run it
+    # Guards against: requests are attracted by a cache entry that a refused request left behind.
+    Given a relay with 3 runners and a "stream" route
+    When 1 clients send requests to the relay with a shared prompt part of 13000 tokens
+    And the runner refuses it as not run
+    Then the shared part counts as cached at the second runner only
+    When the runner can't be reached
+    Then the shared part counts as cached at the third runner only
+
+  Scenario: A refused request leaves what earlier requests have cached
+    Given a relay with 3 runners and a "stream" route
+    When 2 clients send requests to the relay with a shared prompt part of 13000 tokens
+    And the runner refuses it as not run
+    Then the shared part counts as cached at the first and the third runner
+
   Scenario: A runner that has pending answers and sends nothing is ejected
     Given a relay with 2 runners and a "stream" route
     When 4 clients send requests to the relay with a shared prompt part of 200 tokens
--- a/features/steps/relay_choice_steps.py
+++ b/features/steps/relay_choice_steps.py
@@ -6,12 +6,43 @@
 from behave import given, then, when
 from features.support.relaying import event
 
+from rainsail.cluster.messages import RunnerPrefill
+from rainsail.node_metrics import NodeMetrics
+from rainsail.relay.gateway import RelayGateway
 from rainsail.relay.split import WeightedServicePicker
 from rainsail.relay.table import ClientLimits, Route, RouteKind, RoutingTable, ServiceShare
 from rainsail.routing.facts import PromptPart
 from rainsail.routing.prefix_memory import preferred_runner
 
 
+class _Notices:
+    """A messenger without a network, which delivers notices of other gateways."""
+
+    def __init__(self):
+        self._handlers = {}
+
+    def serve(self, message_type, handler):
+        """Keep the handler."""
+        self._handlers[message_type] = handler
+
+    def send(self, destination, message):
+        """Drop the message."""
+
+    def deliver(self, message):
+        """Have the handler of its type take a message."""
+        self._handlers[type(message)]("controller-1", message)
+
+
+class _Follower:
+    """Provides what a gateway needs of its follower."""
+
+    def __init__(self, registry):
+        self.registry = registry
+
+    def announce_prefill(self, runner, reading_s):
+        """Drop the notice."""
+
+
 def _by_runner(calls):
     return Counter(call.field(b"runner") for call in calls)
 
@@ -135,11 +166,27 @@
     loads.add_prefill(f"runner-{number}", seconds, context.relay.clock.seconds())
 
 
+@when("another gateway's notice of a prefill of {seconds:g} seconds at runner {number:d} arrives")
+def notice_arrives(context, seconds, number):
+    if not hasattr(context, "notices"):
+        relay, context.notices = context.relay, _Notices()
+        follower = _Follower(relay.registry)
+        RelayGateway(
+            relay.context, follower, context.notices, lambda content: None, None, NodeMetrics()
+        )
+    context.notices.deliver(RunnerPrefill(f"runner-{number}", seconds))
+
+
 @then("all of them went to runner {number:d}")
 def all_went(context, number):
     assert set(_by_runner(context.relay.pool.calls)) == {f"runner-{number}"}
 
 
+@then("the last one went to runner {number:d}")
+def last_went(context, number):
+    assert context.relay.last_call.field(b"runner") == f"runner-{number}"
+
+
 @then("nothing was announced to the other gateways")
 def nothing_announced(context):
     context.announced = getattr(context, "announced", [])
@@ -151,6 +198,35 @@
     assert len(context.announced) == 1 and context.announced[0][1] > 0.2, context.announced
 
 
+@then("the prefill announced for that runner was taken back")
+def announcement_taken_back(context):
+    announced = [seconds for runner, seconds in context.announced if runner == context.long_runner]
+    assert len(announced) == 2 and announced[0] > 0 and sum(announced) == 0, announced
+
+
+@then("the shared part counts as cached at the {which} runner only")
+def cached_only_at(context, which):
+    place = {"second": 1, "third": 2}[which]
+    _expect_cached(context, {context.relay.pool.calls[place].field(b"runner")})
+
+
+@then("the shared part counts as cached at the first and the third runner")
+def cached_at_both(context):
+    first, second, third = (call.field(b"runner") for call in context.relay.pool.calls)
+    assert first == second != third, (first, second, third)
+    _expect_cached(context, {first, third})
+
+
+def _expect_cached(context, runners):
+    relay = context.relay
+    holders = {
+        record.runner
+        for record in relay.registry.records()
+        if relay.context.prefixes.holds("shared", record.runner)
+    }
+    assert holders == runners, holders
+
+
 @when(
     "runner {number:d} sends an event on all its streams every {step:g} seconds, "
     "for {seconds:g} seconds"
--- a/src/rainsail/cluster/messages.py
+++ b/src/rainsail/cluster/messages.py
@@ -289,7 +289,10 @@
 @wire_record("RunnerReads")
 @dataclass(frozen=True, slots=True)
 class RunnerPrefill:
-    """A gateway's notice that a runner processes a long prompt; a controller relays it."""
+    """A gateway's notice that a runner processes a long prompt; a controller relays it.
+
+    A negative time takes an earlier notice back: the runner has not run that request.
+    """
 
     runner: str
     reading_s: float
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -67,7 +67,10 @@
     give_back: Callable[[Identity], None] = lambda identity: None
     """Refunds the quota of a request that was admitted and will not run."""
     announce_prefill: Callable[[str, float], None] = lambda runner, prefill_s: None
-    """Announces to the other gateways for how many seconds a long prefill occupies a runner."""
+    """Announces to the other gateways for how many seconds a long prefill occupies a runner.
+
+    Negative seconds take an earlier announcement back.
+    """
 
     def allowed_regions(self, route: Route, identity: Identity) -> AllowedRegions:
         """Return the regions that the current table allows for a request; None means all."""
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -510,12 +510,14 @@
         if attempt.verdict.other_runner:
             self._sender.uncount_attempt()
         self._recorder.refused(attempt)
+        self._sender.not_run(attempt)
         self._attempt_failed(attempt, AttemptEnd.NOT_RUN)
 
     def runner_unreachable(self, attempt: Attempt, reason: str) -> None:
         """Try another runner: the request was not sent to this one."""
         self._sender.uncount_attempt()
         self._recorder.unreachable(attempt, reason)
+        self._sender.not_run(attempt)
         self._attempt_failed(attempt, AttemptEnd.NOT_RUN)
 
     def answer_interrupted(self, attempt: Attempt, reason: str) -> None:
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -36,6 +36,17 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _SentPrompt:
+    """What was noted when a prompt was sent to a runner."""
+
+    added_parts: tuple[str, ...]
+    """The parts that the runner was not known to have cached."""
+    prefill_s: float
+    is_announced: bool
+    """The other gateways were told of the prefill."""
+
+
 class RunnerFinder:
     """Finds runners for one request; ``tried`` has the names of those that it was sent to."""
 
@@ -53,6 +64,8 @@
         self._binds = False
         """The first event binds the stream to a version: a client may resume it."""
         self._is_resent = context.overload.is_resent(route.name, facts.deadline_s)
+        self._sent: dict[str, _SentPrompt] = {}
+        """What was noted of the prompt at each runner that it was sent to."""
 
     def ask(self, route: Route, answered: Callable[[Placement | None], None]) -> None:
         """Ask the ledger's leader for a placement, unless a runner may have the prompt cached.
@@ -178,10 +191,23 @@
         context = self._context
         prefill_ms = context.chooser.prefill_ms(self._facts.prompt, record.runner)
         prefill_s = prefill_ms / MILLISECONDS_PER_S
-        context.prefixes.sent(self._facts.prompt, record.runner)
+        added = context.prefixes.sent(self._facts.prompt, record.runner)
         context.loads.add_prefill(record.runner, prefill_s, context.clock.seconds())
-        if prefill_ms >= context.settings.announced_prefill_ms:
+        is_announced = prefill_ms >= context.settings.announced_prefill_ms
+        if is_announced:
             context.announce_prefill(record.runner, prefill_s)
+        self._sent[record.runner] = _SentPrompt(added, prefill_s, is_announced)
+
+    def record_not_run(self, record: RunnerRecord) -> None:
+        """Take back what ``record_sent`` has noted of the prompt: the runner does not have it."""
+        sent = self._sent.pop(record.runner, None)
+        if sent is None:
+            return
+        context = self._context
+        context.prefixes.not_run(sent.added_parts, record.runner)
+        context.loads.add_prefill(record.runner, -sent.prefill_s, context.clock.seconds())
+        if sent.is_announced:
+            context.announce_prefill(record.runner, -sent.prefill_s)
 
     def _use_route(self, route: Route) -> None:
         """Apply a route's current services and allowed regions."""
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -201,6 +201,10 @@
         """Take the last attempt out of the count: it has not reached the intended runner."""
         self.attempts_counted -= 1
 
+    def not_run(self, attempt: Attempt) -> None:
+        """Take back what was noted of the prompt at a runner that has not run the request."""
+        self._finder.record_not_run(attempt.record)
+
     def stop_timeout(self) -> None:
         """Cancel the response time-out."""
         self._timeout.stop()
--- a/src/rainsail/routing/load.py
+++ b/src/rainsail/routing/load.py
@@ -161,7 +161,10 @@
         load.in_flight_at_report = load.in_flight
 
     def add_prefill(self, runner: str, for_s: float, now: float) -> None:
-        """Add the prefill time of a prompt that was sent to a runner, in seconds."""
+        """Add the prefill time of a prompt that was sent to a runner, in seconds.
+
+        A negative time takes back that of a prompt that the runner has not run after all.
+        """
         if not self._mechanisms.reading_clock:
             return
         load = self.of(runner)
--- a/src/rainsail/routing/prefix_memory.py
+++ b/src/rainsail/routing/prefix_memory.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import xxhash
 
@@ -27,16 +28,28 @@
         self._max_parts = max_parts
         self._holders: OrderedDict[str, dict[str, None]] = OrderedDict()
 
-    def sent(self, prompt: tuple[PromptPart, ...], runner: str) -> None:
-        """Record that a prompt was sent to a runner, which caches its parts."""
+    def sent(self, prompt: tuple[PromptPart, ...], runner: str) -> tuple[str, ...]:
+        """Record that a prompt was sent to a runner, which caches its parts.
+
+        Returns the parts that the runner was not known to have cached.
+        """
         if not self._remembers:
-            return
+            return ()
+        added = []
         for part in prompt:
             holders = self._holders.setdefault(part.part, {})
-            holders[runner] = None
+            if runner not in holders:
+                holders[runner] = None
+                added.append(part.part)
             self._holders.move_to_end(part.part)
         while len(self._holders) > self._max_parts:
             self._holders.popitem(last=False)
+        return tuple(added)
+
+    def not_run(self, parts: Iterable[str], runner: str) -> None:
+        """Drop parts that ``sent`` has added: the runner has not run the request."""
+        for part in parts:
+            self._holders.get(part, {}).pop(runner, None)
 
     def forget(self, runner: str) -> None:
         """Drop a runner that has left."""
