Sound items that wait behind fatal ones of their part: plays in virtual time

Callers see accepted sound items that are not done 18 s after the last fault, and fatal items that run again and again after they were known. Known so far: the part that two fatal items share is held for 600 s at its first hold, and crashes that a verdict has explained are not given back when it is refuted (docs/incidents/sound-items-behind-fatal-ones.md).

Ten runners of three slots, 30 short streams a second for 15 s, a runner is back after 2 s.

--- /dev/null
+++ b/features/steps/fatal_items_steps.py
@@ -0,0 +1,42 @@
+"""Steps for jobs some items of which crash the runners that begin to run them, in virtual time."""
+
+from behave import then, use_step_matcher, when
+from features.support.fatal_items import LATE_RUNS_ALLOWED, FatalItemsPlan, FatalItemsPlay
+
+use_step_matcher("re")
+
+
+@when(
+    r"(?P<jobs>\d+) jobs of (?P<items>\d+) items with (?P<fatal>\d+) fatal ones each"
+    r"(?: that get (?P<events>\d+) events further)?(?P<preempted>, preempted ones too,)?"
+    r" are handed in(?P<others> beside other crashes)?"
+    r", crash after (?P<after_s>[0-9.]+) s, seed (?P<seed>\d+)"
+)
+def hand_in(context, jobs, items, fatal, events, preempted, others, after_s, seed):
+    plan = FatalItemsPlan(
+        int(jobs),
+        int(items),
+        int(fatal),
+        float(after_s),
+        bool(others),
+        int(events or 0),
+        bool(preempted),
+    )
+    context.play = FatalItemsPlay(int(seed), plan)
+    context.play.run()
+
+
+use_step_matcher("parse")
+
+
+@then("all sound items were done 18 s after the streams had ended")
+def sound_done(context):
+    play = context.play
+    assert not play.sound_left, f"sound items left {play.sound_left}; late runs {play.late_runs}"
+
+
+@then("each fatal item ran at most 3 times later than 3 s after its third crash")
+def few_late(context):
+    late = context.play.late_runs
+    assert late, "no fatal item crashed three runners"
+    assert max(late.values()) <= LATE_RUNS_ALLOWED, f"late runs {late}"
--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -95,6 +95,14 @@
         """Events of an answer to an item."""
         self.versions: dict[int, str] = {}
         """The software version of each runner by number; with any, events name it."""
+        self.crash_after_s = CRASH_AFTER_S
+        """Time from the beginning of a fatal run, or from its last event, to the crash."""
+        self.restart_after_s = RESTART_AFTER_S
+        """How long a runner is down after a crash by a fatal run."""
+        self.events_before_crash = 0
+        """Events that each fatal run writes; a run that resumes another one goes on behind it."""
+        self.cancelled_runs_crash = True
+        """Whether a fatal run crashes its runner although its sender has closed the connection."""
         self.abort_share = 0.0
         """Probability that a runner aborts a response at an event and keeps running."""
         self._draw = random.Random(count)
@@ -169,12 +177,34 @@
         if is_fatal and not self._is_immune(runner):
             run = FatalRun(self.clock.seconds(), call.sender, call.request.body, part)
             self.fatal_runs.append(run)
-            runner.ran_fatal = part.encode() or call.request.body
-            self.clock.callLater(CRASH_AFTER_S, self.crash, runner, runner.incarnation)
+            self._run_fatal(runner, call, part.encode() or call.request.body)
             return
         first = int(call.field(b"after-event") or 0) + 1
         self.clock.callLater(EVENT_PERIOD_S, self._send_event, runner, call, first)
 
+    def _run_fatal(self, runner: CrashingRunner, call: StandInCall, cause: bytes) -> None:
+        """Write the events that come before the crash, then crash."""
+        runner.ran_fatal = cause
+        first = int(call.field(b"after-event") or 0) + 1
+        for number in range(self.events_before_crash):
+            at_s = (number + 1) * EVENT_PERIOD_S
+            self.clock.callLater(at_s, self._send_fatal_event, runner, call, first + number)
+        crash_s = self.events_before_crash * EVENT_PERIOD_S + self.crash_after_s
+        self.clock.callLater(crash_s, self._crash_by, runner, runner.incarnation, call, cause)
+
+    def _send_fatal_event(self, runner: CrashingRunner, call: StandInCall, number: int) -> None:
+        if not call.cancelled and call in runner.calls:
+            call.listener.answer_data(self._event(runner, number))
+
+    def _crash_by(
+        self, runner: CrashingRunner, incarnation: int, call: StandInCall, cause: bytes
+    ) -> None:
+        if call.cancelled and not self.cancelled_runs_crash:
+            return
+        if runner.is_up and runner.incarnation == incarnation:
+            runner.ran_fatal = cause
+            self.crash(runner, incarnation, self.restart_after_s)
+
     def _fatal_part(self, call: StandInCall) -> str:
         parts = [text.partition(":")[0] for text in call.field(b"prompt").split(",")[:-1]]
         return next((part for part in parts if part in self.fatal_parts), "")
