Quotas: a request that has not run is refunded to the gateway's own share when that has paid for it

Seen by callers: while no allocator answers, requests that are refused for want of a runner (503) use up the gateway's share of their tenant's rate; later ones get 429 although nothing has run. It meets callers when they can least use it: without a leader of the ledger no runner that warms up is granted either.

Cause: a refund was reported to the allocator alone, and the bucket of the share kept the token.

The decision on a request now says which bucket paid (QuotaDecision), and the refund goes there.

"A request that has not run does not count at a gateway without an allocator" failed without the refund to the share. The other two scenarios guard the bound and the way from the request to the bucket.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -4,7 +4,9 @@
 
 from behave import given, then, when
 from features.support.quota_world import STORAGE_NODES, TENANT, QuotaWorld
+from features.support.relaying import RelayWorld
 
+from rainsail.tenancy.quota_decision import QuotaDecision
 from rainsail.tenancy.tenants import Identity, RateLimit
 
 FIRST, SECOND = STORAGE_NODES
@@ -172,10 +174,47 @@
     for _ in range(count):
         world.request(world.gateways[0])
         world.clock.advance(0.01)
-        client.give_back(Identity(TENANT, True, world.limit))
+        client.give_back(Identity(TENANT, True, world.limit), world.last_decision)
     assert world.admissions.refused == 0, world.admissions
 
 
+@when(
+    "{count:d} requests are admitted by the allocator, "
+    "and refunded once none answers and the share is used up"
+)
+def refund_late(context, count):
+    world = context.world
+    gateway = world.gateways[0]
+    decisions = []
+    for _ in range(count):
+        world.request(gateway)
+        world.clock.advance(0.01)
+        decisions.append(world.last_decision)
+    stop_allocator(context)
+    while world.last_decision.is_admitted:
+        world.request(gateway)
+    for decision in decisions:
+        gateway.client.give_back(Identity(TENANT, True, world.limit), decision)
+
+
+@when("no allocator answers any more")
+def stop_allocator(context):
+    context.world.lead("")
+    for gateway in context.world.gateways:
+        gateway.client.set_allocator("")
+
+
+@then("{count:d} of the next {asked:d} requests are admitted")
+def some_admitted(context, count, asked):
+    world = context.world
+    before = len(world.admissions.admitted_s)
+    for _ in range(asked):
+        world.request(world.gateways[0])
+    world.clock.advance(0.01)
+    admitted = len(world.admissions.admitted_s) - before
+    assert admitted == count, admitted
+
+
 @then("the next {count:d} requests are admitted")
 def next_admitted(context, count):
     world = context.world
@@ -222,3 +261,23 @@
 @then("no window of these runs exceeds the quota terms")
 def none_over_in_runs(context):
     assert context.over == [], context.over
+
+
+@given("a relay without runners whose requests are admitted by the gateway's share")
+def make_relay(context):
+    context.relay = relay = RelayWorld(runners=0)
+    relay.put_route("safe")
+    context.refunds = []
+    relay.context.admit = lambda identity, decided: decided(QuotaDecision(by_share=True))
+    relay.context.give_back = lambda identity, decision: context.refunds.append(decision)
+
+
+@when("a client sends a request to that relay")
+def send(context):
+    context.exchange = context.relay.request()
+
+
+@then("it is refused with 503, and refunded to the gateway's share once")
+def refused_and_refunded(context):
+    assert context.exchange.status == 503, context.exchange.status
+    assert context.refunds == [QuotaDecision(by_share=True)], context.refunds
--- a/features/support/quota_world.py
+++ b/features/support/quota_world.py
@@ -10,6 +10,7 @@
 from rainsail.simulation.network import LinkConditions, SimulatedNetwork
 from rainsail.tenancy.quota_allocator import QuotaAllocator
 from rainsail.tenancy.quota_client import QuotaClient
+from rainsail.tenancy.quota_decision import ADMITTED, QuotaDecision
 from rainsail.tenancy.quota_service import QuotaService
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.tenancy.tenants import Identity, RateLimit
@@ -63,6 +64,7 @@
         self.limit = limit
         self.limits: list[tuple[float, RateLimit]] = [(0.0, limit)]
         self.admissions = Admissions()
+        self.last_decision = ADMITTED
         self.leading = ""
         self.led_since_s = 0.0
         self.services: dict[str, QuotaService] = {}
@@ -117,10 +119,11 @@
             self._ideal.take(1.0, now)
         self.admissions.asked += 1
         identity = Identity(TENANT, True, self.limit)
-        gateway.client.admit(identity, lambda wait_s: self._decided(wait_s, within))
+        gateway.client.admit(identity, lambda decision: self._decided(decision, within))
 
-    def _decided(self, wait_s: float, within: bool) -> None:
-        if wait_s <= 0:
+    def _decided(self, decision: QuotaDecision, within: bool) -> None:
+        self.last_decision = decision
+        if decision.is_admitted:
             self.admissions.admitted_s.append(self.clock.seconds())
             return
         self.admissions.refused += 1
--- a/features/tenancy/quota.feature
+++ b/features/tenancy/quota.feature
@@ -62,3 +62,21 @@
     Given 1 gateways and a limit of 5 a second and a burst of 5
     When 10 requests are admitted and refunded one by one
     Then the next 5 requests are admitted
+
+  Scenario: A request that has not run does not count at a gateway without an allocator
+    # Guards against: requests refused for want of a runner use up the gateway's share, and later ones get 429.
+    Given 1 gateways and a limit of 5 a second and a burst of 5
+    When no allocator answers any more
+    And 10 requests are admitted and refunded one by one
+    Then 1 of the next 3 requests are admitted
+
+  Scenario: A refund of what the allocator has granted does not add to the gateway's share
+    # Guards against: more requests than the share allows, paid for by another bucket's refunds.
+    Given 1 gateways and a limit of 5 a second and a burst of 5
+    When 4 requests are admitted by the allocator, and refunded once none answers and the share is used up
+    Then 0 of the next 3 requests are admitted
+
+  Scenario: A request that no runner takes is refunded to the bucket that paid for it
+    Given a relay without runners whose requests are admitted by the gateway's share
+    When a client sends a request to that relay
+    Then it is refused with 503, and refunded to the gateway's share once
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -25,6 +25,7 @@
 from rainsail.routing.prefix_memory import PrefixMemory
 from rainsail.routing.residency import AllowedRegions, RegionMap
 from rainsail.runtime.clock import Clock
+from rainsail.tenancy.quota_decision import ADMITTED, QuotaDecision
 from rainsail.tenancy.tenants import Identity
 
 NO_REGIONS = RegionMap({})
@@ -59,12 +60,11 @@
     table: RoutingTable | None = None
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks the leader to place a request; calls back with None if the gateway has to choose."""
-    admit: Callable[[Identity, Callable[[float], None]], None] = lambda identity, done: done(0.0)
-    """Checks a request against its tenant's quota.
-
-    Calls back with 0 if it is admitted, otherwise with the seconds to wait.
-    """
-    give_back: Callable[[Identity], None] = lambda identity: None
+    admit: Callable[[Identity, Callable[[QuotaDecision], None]], None] = lambda identity, decided: (
+        decided(ADMITTED)
+    )
+    """Checks a request against its tenant's quota; calls back with the decision."""
+    give_back: Callable[[Identity, QuotaDecision], None] = lambda identity, decision: None
     """Refunds the quota of a request that was admitted and will not run."""
     announce_prefill: Callable[[str, float], None] = lambda runner, prefill_s: None
     """Announces to the other gateways for how many seconds a long prefill occupies a runner.
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -51,6 +51,7 @@
 from rainsail.relay.stream_ending import StreamEnding
 from rainsail.relay.table import Route, RouteKind
 from rainsail.routing.messages import Placement
+from rainsail.tenancy.quota_decision import QuotaDecision
 from rainsail.tenancy.tenants import ANONYMOUS, Identity
 
 CLIENT_DISCONNECTED = "the client disconnected"
@@ -101,7 +102,8 @@
             self._not_refused,
         )
         self._origin = RequestOrigin(context, facts, identity)
-        self._is_admitted = False
+        self._admission: QuotaDecision | None = None
+        """The quota's decision that admitted the request; None before."""
         self._is_trial = False
         """The request may run although it was held before."""
         self._may_have_run = False
@@ -160,18 +162,17 @@
         self._deadline.start(self._deadline_passed)
         self._context.admit(self._identity, self._quota_decided)
 
-    def _quota_decided(self, wait_s: float) -> None:
+    def _quota_decided(self, decision: QuotaDecision) -> None:
         """Send the request, or refuse it with the time to wait for the quota."""
-        is_allowed = wait_s <= 0
         if self.outcome is not None:
-            if is_allowed:
-                self._context.give_back(self._identity)
+            if decision.is_admitted:
+                self._context.give_back(self._identity, decision)
             return
-        if is_allowed:
-            self._is_admitted = True
+        if decision.is_admitted:
+            self._admission = decision
             self._find_origin()
         else:
-            self._end(refuse_over_quota(self._identity.tenant, wait_s))
+            self._end(refuse_over_quota(self._identity.tenant, decision.wait_s))
 
     def _client_disconnected(self) -> None:
         self._recorder.reason = CLIENT_DISCONNECTED
@@ -218,8 +219,8 @@
     def _refund_if_not_run(self, outcome: RequestOutcome) -> None:
         """Refund the tenant's quota for a request that has certainly not run."""
         never_sent = not self._sender.attempts_counted and not self._may_have_run
-        if self._is_admitted and (outcome == RequestOutcome.REFUSED or never_sent):
-            self._context.give_back(self._identity)
+        if self._admission is not None and (outcome == RequestOutcome.REFUSED or never_sent):
+            self._context.give_back(self._identity, self._admission)
 
     # --- deciding and sending ------------------------------------------------------------
 
--- a/src/rainsail/tenancy/local_share.py
+++ b/src/rainsail/tenancy/local_share.py
@@ -39,6 +39,12 @@
             bucket.take(1.0, now)
         return wait_s
 
+    def give_back(self, tenant: str) -> None:
+        """Refund a request that was admitted from the share and has not run."""
+        bucket = self._buckets.get(tenant)
+        if bucket is not None:
+            bucket.give_back(1.0)
+
     def _bucket(self, tenant: str, limit: RateLimit, now: float) -> TokenBucket:
         share = self._shares.get(tenant, 1.0 / max(MIN_GATEWAYS, self.gateways))
         rate = share * limit.rate_per_s
--- a/src/rainsail/tenancy/quota_client.py
+++ b/src/rainsail/tenancy/quota_client.py
@@ -15,6 +15,7 @@
 from rainsail.runtime.clock import Clock
 from rainsail.tenancy.local_share import LocalShares
 from rainsail.tenancy.messages import QuotaAsk, QuotaGrant, QuotaGrants, QuotaNeed
+from rainsail.tenancy.quota_decision import ADMITTED, QuotaDecision
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.tenancy.tenants import Identity, RateLimit
 from rainsail.wire.messenger import Messenger
@@ -24,11 +25,13 @@
 ASK_RETRY_AFTER_S = 0.2
 """Pause after a call without a reply; meanwhile the gateway decides by its own share."""
 MAX_RETRY_AFTER_S = 1.0
+BY_SHARE = "gateway"
+"""Metric label of the decisions that this gateway makes by its own share."""
 MAX_CLOSED_S = 0.05
 """A tenant over its quota is refused without a call to the allocator for at most this long."""
 
-Decided = Callable[[float], None]
-"""Called with 0 when a request is admitted, otherwise with the seconds until it may be retried."""
+Decided = Callable[[QuotaDecision], None]
+"""Called with the decision on a request."""
 
 
 @dataclass(slots=True)
@@ -69,7 +72,7 @@
     def admit(self, identity: Identity, decided: Decided) -> None:
         """Decide on a request, now or as soon as the allocator has replied."""
         if not identity.limit.limits:
-            decided(0.0)
+            decided(ADMITTED)
             return
         tenant, now = identity.tenant, self._clock.seconds()
         closed_s = self._closed_until_s.get(tenant, 0.0) - now
@@ -87,12 +90,15 @@
     def _decide(self, decided: Decided, tenant: str, wait_s: float, source: str) -> None:
         outcome = "admitted" if wait_s <= 0 else "refused"
         self._metrics.count("quota_decisions", outcome=outcome, by=source)
-        decided(min(wait_s, MAX_RETRY_AFTER_S))
+        decided(QuotaDecision(min(wait_s, MAX_RETRY_AFTER_S), by_share=source == BY_SHARE))
 
-    def give_back(self, identity: Identity) -> None:
-        """Refund a request that was admitted but will never run."""
-        if identity.limit.limits:
-            self._spend(identity.tenant, identity.limit, -1)
+    def give_back(self, identity: Identity, decision: QuotaDecision) -> None:
+        """Refund a request that was admitted but will never run, to the bucket that paid for it."""
+        if not identity.limit.limits:
+            return
+        self._spend(identity.tenant, identity.limit, -1)
+        if decision.by_share:
+            self._local.give_back(identity.tenant)
 
     def _spend(self, tenant: str, limit: RateLimit, amount: int) -> None:
         """Add to the amount that the next call reports to the allocator."""
@@ -103,7 +109,7 @@
         wait_s = self._local.admit(tenant, limit, self._clock.seconds())
         if wait_s <= 0:
             self._spend(tenant, limit, 1)
-        self._decide(decided, tenant, wait_s, "gateway")
+        self._decide(decided, tenant, wait_s, BY_SHARE)
 
     # --- calls to the allocator ----------------------------------------------------------
 
