Trials go to runners that are up for a while, and not to where other suspects run

Cause: only resumed streams ask whether a runner was found crashed. For all others a crashed runner, or one that is back, looks like the emptiest one, and all suspects go there.

Now quarantine.trial_placement decides for items and requests: never at a runner that was found crashed or is being probed; before others those without another suspect of this leader's items, up and known for 5 s, with the fewest other requests, in a zone without a crash. Other items avoid runners found crashed, and suspects among them runners with another suspect, if there are others.

--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -125,6 +125,14 @@
         is_asked = not is_decided
         trials.asked += is_asked
 
+    def is_suspect(self, item: OpenItem, service: str) -> bool:
+        """Tell whether an item's run at a service may crash its runner, as far as is known."""
+        if item.ends:
+            return True
+        if not self._guard.wants_answers:
+            return False
+        return bool(self._guard.suspects_among(self._all_fingerprints(item, service)))
+
     def is_on_trial(self, item: OpenItem) -> bool:
         """Tell whether an item's run is a trial that has not told anything yet."""
         return bool(item.trial_of and self._guard.unproven_among(item.trial_of))
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -22,6 +22,7 @@
 from rainsail.jobs.item_wait import ItemWait, WaitCause
 from rainsail.jobs.open_item import OpenItem
 from rainsail.jobs.slot_use import choose_runner
+from rainsail.jobs.suspect_placement import SuspectPlacement
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.relay.item_fields import is_sendable
 from rainsail.relay.split import WeightedServicePicker
@@ -63,6 +64,7 @@
         self._notes = notes
         notes.on_start_noted = self._on_start_noted
         self._guard = ItemGuard(ledger.state, node.guard, state.routes, node.protocol)
+        self._placement = SuspectPlacement(node, state.running, self._guard)
         self._node = node
         self._ledger = ledger
         self._routes = state.routes
@@ -87,6 +89,7 @@
         now = self._node.clock.seconds()
         if not self._may_start(now) or self._routes.table is None:
             return
+        self._placement.begin_round()
         full: set[_Places] = set()
         everywhere: set[_Places] = {(name, None) for name in self._routes.batch_services()}
         for item in self._in_order(now):
@@ -167,27 +170,29 @@
             self._keep_waiting(item, now, QUARANTINED)
             return StartResult.PASSED_OVER
         allowed = self._routes.allowed_regions(route, job.tenant)
+        unproven = self._guard.unproven_entries(item, service)
         record = None
         if (service, allowed) not in full:
-            record = self._choose_runner(item, origin, service, allowed, now)
+            is_trial = bool(unproven)
+            record = self._choose_runner(item, origin, service, allowed, now, is_trial)
         if record is not None:
             if not self._notes.may_send(item):
                 item.runner = record.runner
                 self._running.add(item)
                 self._notes.note_start(item)
                 return StartResult.WAITS_NO_LONGER
-            unproven = self._guard.unproven_entries(item, service)
             if not self._guard.may_try(item, unproven, now):
                 self._note_wait(item, WaitCause.TRIAL, unproven[0], now)
                 self._keep_waiting(item, now, QUARANTINED)
                 return StartResult.PASSED_OVER
             item.trial_of = unproven
             self._runs.start(item, job, record, now)
+            self._placement.count(item)
             return StartResult.WAITS_NO_LONGER
         if item.wait is not None:
             item.wait.note(WaitCause.SLOT, NO_ENTRY, now)
         # The runners that this item avoids may have free slots for other items.
-        is_restricted = bool(item.failed_at_s) or origin is not None
+        is_restricted = bool(item.failed_at_s or unproven) or origin is not None
         if not is_restricted:
             full.add((service, allowed))
         return StartResult.PASSED_OVER
@@ -224,6 +229,7 @@
             return
         if self._guard.held_entry(item) is not None:
             return
+        self._placement.begin_round()
         if self._start_or_give_up(item, now, set()) == StartResult.WAITS_NO_LONGER:
             self._waiting.take(item)
 
@@ -240,6 +246,7 @@
         service: str,
         allowed: AllowedRegions,
         now: float,
+        is_trial: bool,
     ) -> RunnerRecord | None:
         if not self._planner.may_run_more(service):
             return None
@@ -263,6 +270,10 @@
             replaced = self._node.registry.may_be_replaced
             free = [each for each in free if not replaced(each)]
         usable = preferred_records(ready, free, origin, waited_s, self._origin_of)
+        if is_trial:
+            usable = self._placement.for_trial(usable, uses, now)
+        else:
+            usable = self._placement.for_other(item, service, usable)
         records = {record.runner: record for record in usable}
         chosen = choose_runner([uses[runner] for runner in records], self._node.zone)
         return None if chosen is None else records[chosen.runner]
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -128,6 +128,15 @@
         """Return the fingerprints for which a request may run only as a trial."""
         return tuple(each for each in fingerprints if each in self._view.unproven)
 
+    def suspects_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return the fingerprints that are watched or on the list."""
+        return tuple(filter(self._view.wants_answer, fingerprints))
+
+    def may_have_crashed(self, record: RunnerRecord) -> bool:
+        """Tell whether a runner was found crashed, or whether a check of that is pending."""
+        is_checked = record.runner in self._crash_checks
+        return is_checked or self._follower.registry.is_found_crashed(record)
+
     def request_trial(
         self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
     ) -> None:
--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -39,6 +39,14 @@
         """Return the fingerprints for which a request may run only as a trial."""
         ...
 
+    def suspects_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return the fingerprints of which a run may crash its runner, as far as is known."""
+        ...
+
+    def may_have_crashed(self, record: RunnerRecord) -> bool:
+        """Tell whether a runner was found crashed, or whether a check of that is pending."""
+        ...
+
     def request_trial(
         self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
     ) -> None:
@@ -98,6 +106,14 @@
         """Return nothing."""
         return ()
 
+    def suspects_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return nothing."""
+        return ()
+
+    def may_have_crashed(self, record: RunnerRecord) -> bool:
+        """Return False."""
+        return False
+
     def request_trial(
         self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
     ) -> None:
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -287,6 +287,8 @@
             return
         found = self._sender.find(decision.route, placement, self._deadline.left_s)
         unproven = self._recorder.unproven_fingerprints()
+        if unproven:
+            found = self._sender.suit_trial(found)
         if unproven and found.record is None and self._is_trial:
             self._recorder.trial_unused(unproven, NO_RUNNER)
         if found.retry_after_s is not None:
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -9,6 +9,7 @@
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
+from rainsail.quarantine.trial_placement import TrialSite, best_trial_sites
 from rainsail.relay.context import RelayContext
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.table import Route, RouteKind
@@ -87,6 +88,41 @@
             return FindResult(retry_after_s=retry_after_s)
         return FindResult(self._placed_record(placement) or self._choose())
 
+    def suit_trial(self, found: FindResult) -> FindResult:
+        """Replace a runner that was found by the one that suits a trial best.
+
+        It stays if there is none that needs no grant of the leader; none is left if it may have
+        crashed.
+        """
+        if found.record is None:
+            return found
+        best = {site.runner for site in best_trial_sites(list(map(self._site, self._untried())))}
+        record = self._choose(lambda each: each.runner in best) or found.record
+        return FindResult(None if self._context.guard.may_have_crashed(record) else record)
+
+    def _untried(self) -> list[RunnerRecord]:
+        """Return the runners that may get the request now without a grant of the leader."""
+        is_limited = self._context.registry.warm_ups.is_limited
+        return [
+            record
+            for record in self._ready()
+            if record.runner not in self.tried and not is_limited(record)
+        ]
+
+    def _site(self, record: RunnerRecord) -> TrialSite:
+        context = self._context
+        now = context.clock.seconds()
+        return TrialSite(
+            record.runner,
+            record.zone,
+            context.guard.may_have_crashed(record),
+            context.registry.may_be_replaced(record),
+            context.registry.history.known_s(record, now),
+            context.registry.history.since_crash_s(record, now),
+            0,
+            context.loads.of(record.runner).estimate(now),
+        )
+
     def _only_granted_left(self) -> bool:
         """Tell whether all remaining runners are warming up, which need a grant of the leader."""
         left = [each for each in self._ready() if each.runner not in self.tried]
@@ -227,11 +263,15 @@
             return None
         return record if context.regions.allows(self._allowed, record.zone) else None
 
-    def _choose(self) -> RunnerRecord | None:
+    def _choose(
+        self, is_allowed: Callable[[RunnerRecord], bool] = lambda record: True
+    ) -> RunnerRecord | None:
         """Choose by this gateway's own data, among the runners that need no grant of the leader."""
         context = self._context
         records = [
-            record for record in self._ready() if not context.registry.warm_ups.is_limited(record)
+            record
+            for record in self._ready()
+            if not context.registry.warm_ups.is_limited(record) and is_allowed(record)
         ]
         if self.origin is not None:
             records = self._settled(records)
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -112,6 +112,10 @@
         self.route = route
         return self._finder.find(route, placement, left_s)
 
+    def suit_trial(self, found: FindResult) -> FindResult:
+        """Replace a runner that was found by the one that suits a trial best."""
+        return self._finder.suit_trial(found)
+
     def no_runner_reason(self) -> str:
         """Return, for the log, why no runner may get the request now."""
         return self._finder.no_runner_reason()
