A permit whose run never began is given back, and one without any word counts as a failed trial

And a fatal part runs a fourth time late when the sender of a trial is lost with its report on the crash.

Cause: the leader hears of a permit only by a crash or an answer.

Now each permit has a number of its sender (RequestPermit; extension level 7), which says what became of it (PermitEnded): given back if the request has certainly not reached a runner, or if the call for it was not answered in time, so that the next trial may begin; else known to have run without a crash, and the permit lapses after 8 s as before. Without any word for 8 s the run counts as a failed trial, by one more hold in the group's state, and no other permit is given for 1 s until that is decided. Nodes and controllers of earlier versions go on as they did. A permit isn't used with entries that were added since.

--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -81,6 +81,7 @@
         quarantine = self.controller.quarantine
         base.metrics.gauge("requests_suspected", lambda: float(quarantine.suspects))
         base.metrics.gauge("requests_on_trial", lambda: float(quarantine.on_trial))
+        base.metrics.gauge("permits_lapsed", lambda: float(quarantine.permits_lapsed))
         base.metrics.gauge("holds_refuted", lambda: float(quarantine.holds_refuted))
         driver.start()
         self.controller.start()
--- a/src/rainsail/jobs/item_guard.py
+++ b/src/rainsail/jobs/item_guard.py
@@ -96,19 +96,30 @@
         """
         if not unproven:
             return True
-        if now <= item.trial_until_s:
+        if now <= item.trial_until_s and set(item.permit).issuperset(unproven):
             item.trial_until_s = 0.0
             return True
         self._ask_for_trial(item, unproven, now)
         return False
 
+    def return_permit(self, item: OpenItem) -> None:
+        """Give back a permit with which an item was not sent."""
+        item.trial_until_s = 0.0
+        if item.wait is not None:
+            item.wait.trials.unused += 1
+        self._end_trial(item, has_run=False)
+
+    def _end_trial(self, item: OpenItem, has_run: bool) -> None:
+        if item.permit:
+            self._guard.trial_ended(item.permit, has_run)
+            item.permit = ()
+
     def _ask_for_trial(self, item: OpenItem, unproven: tuple[Fingerprint, ...], now: float) -> None:
         if item.wait is None:
             item.wait = ItemWait()
         trials = item.wait.trials
         if item.trial_until_s:
-            item.trial_until_s = 0.0
-            trials.unused += 1
+            self.return_permit(item)
         is_decided = is_asked = False
 
         def decided(may_run: bool) -> None:
@@ -116,6 +127,7 @@
             is_decided = True
             if may_run:
                 item.trial_until_s = now + PERMIT_USE_S
+                item.permit = unproven
                 trials.granted += 1
             elif is_asked:
                 trials.refused += 1
@@ -139,6 +151,7 @@
 
     def on_run_goes_on(self, item: OpenItem, record: RunnerRecord | None) -> None:
         """Report a run that has gone on for a while, as its runner has survived the prompt."""
+        self._end_trial(item, has_run=True)
         if record is not None:
             parts = self._part_fingerprints(item, record.service)
             self._guard.answered(record, parts, proves_survival=False)
@@ -146,6 +159,8 @@
     def on_run_ended(self, item: OpenItem, record: RunnerRecord | None) -> None:
         """Report a connection that ended during a run, or a run that its runner survived."""
         run = item.run
+        if run is not None and not run.connection_ended:
+            self._end_trial(item, run.was_sent)
         if run is None or record is None:
             return
         if run.connection_ended:
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -192,6 +192,8 @@
         self.verdict: AnswerVerdict | None = None
         self.connection_ended = False
         """The run broke off because the connection ended, as it does when a runner crashes."""
+        self.was_sent = True
+        """The request may have reached the runner."""
         self.is_whole = False
         """The answer has come to its end."""
         self.proves_survival = False
@@ -368,6 +370,7 @@
 
     def request_unsent(self, reason: str) -> None:
         """End the run: the request was not sent."""
+        self.was_sent = False
         self._end(RunEnd.UNREACHED, reason)
 
     def stop(self) -> None:
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -92,6 +92,7 @@
         self._placement.begin_round()
         full: set[_Places] = set()
         everywhere: set[_Places] = {(name, None) for name in self._routes.batch_services()}
+        self._return_permits(now)
         for item in self._in_order(now):
             if not self._tables.covers(item.job):
                 continue
@@ -113,6 +114,12 @@
         yield from [each for each in self._waiting.requeued_items if each.trial_until_s >= now]
         yield from self._waiting.by_urgency(self._planner.order)
 
+    def _return_permits(self, now: float) -> None:
+        """Give back the permits for which no slot was found in time."""
+        for item in self._waiting.requeued_items:
+            if item.permit and 0.0 < item.trial_until_s < now:
+                self._guard.return_permit(item)
+
     def _may_start(self, now: float) -> bool:
         if not self._ledger.may_start():
             return False
--- a/src/rainsail/jobs/open_item.py
+++ b/src/rainsail/jobs/open_item.py
@@ -30,6 +30,8 @@
     call: Call | None = None
     trial_until_s: float = 0.0
     """Until when the item may be sent although it was held before."""
+    permit: tuple[Fingerprint, ...] = ()
+    """The quarantine's entries of its last permit, until that is used up or given back."""
     trial_of: tuple[Fingerprint, ...] = ()
     """The quarantine's entries of which the current run, or the last one, is a trial."""
     wait: ItemWait | None = None
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import islice
-from typing import Any, Protocol
+from typing import Protocol
 
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.messages import RunnerRecord, RunnerState
@@ -27,7 +27,6 @@
     PartsNamed,
     RequestAnswered,
     RequestsWatched,
-    RequestTrial,
     RunnerCrashed,
     RunnerEnded,
     RunsReset,
@@ -38,7 +37,7 @@
     RunAge,
     RunTimes,
 )
-from rainsail.quarantine.trial_order import TrialAsk, TrialOrder
+from rainsail.quarantine.trial_client import TrialClient
 from rainsail.runtime.clock import Clock
 from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES, RESET_RUNS
 from rainsail.wire.messenger import Messenger
@@ -53,13 +52,6 @@
 MAX_FINGERPRINTS_SHOWN = 32
 """Requests and parts that the log line on a crash names; it is cut at some 1 kB."""
 
-TRIAL_TIMEOUT_S = 0.3
-"""How long a request waits for the permit of a trial; a few round trips between regions."""
-TRIAL_RETRY_S = 0.2
-"""After a refusal no other request with the same fingerprint asks for this long."""
-MAX_TRIALS_REFUSED = 1024
-"""Refusals that are remembered, the latest ones."""
-
 
 class AddressProbe(Protocol):
     """Checks whether an address accepts connections."""
@@ -78,6 +70,8 @@
     broken: dict[Fingerprint, RunAge] = field(default_factory=dict)
     names: dict[Fingerprint, NamedPart] = field(default_factory=dict)
     probes: int = 0
+    permits: list[int] = field(default_factory=list)
+    """The permits of trials among them."""
     reset: set[Fingerprint] = field(default_factory=set)
     """Those whose connections had ended when a probe found the runner alive."""
 
@@ -99,9 +93,7 @@
         self._connections = connections
         self._metrics = metrics
         self._view = follower.quarantine
-        self._trial_refused_s: dict[Fingerprints, float] = {}
-        """When requests were last refused as trials; in the future while a call is under way."""
-        self._trial_order = TrialOrder()
+        self._trials = TrialClient(messenger, clock, follower, metrics)
         self._crash_checks: dict[str, _CrashCheck] = {}
         self._survival_checks: dict[str, set[Fingerprint]] = {}
         """By runner of which a check is pending whether it survives: parts that wait for the next
@@ -140,51 +132,12 @@
     def request_trial(
         self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
     ) -> None:
-        """Ask the controllers; while all those in touch are of earlier versions it may run."""
-        supporting = self._supporting(HOLD_TRIALS)
-        now = self._clock.seconds()
-        ask = TrialAsk(frozenset(fingerprints), ends)
-        if not supporting:
-            decided(bool(self._follower.controllers.in_touch()))
-        elif (
-            not self._trial_order.is_next(ask, now)
-            or now - self._trial_refused_s.get(fingerprints, float("-inf")) < TRIAL_RETRY_S
-        ):
-            decided(False)
-        else:
-            self._trial_refused_s[fingerprints] = now + TRIAL_TIMEOUT_S
-            self._ask_for_trial(supporting, RequestTrial(tuple(fingerprints)), decided)
-
-    def _ask_for_trial(
-        self, controllers: Sequence[str], message: RequestTrial, decided: TrialDecided
-    ) -> None:
-        """Ask all controllers, as only the leader may permit it; the first permit decides."""
-        waiting = len(controllers)
-        is_decided = False
-
-        def replied(result: Any) -> None:
-            nonlocal waiting, is_decided
-            waiting -= 1
-            permitted = not result.is_error() and result.ok.permitted
-            if is_decided or not (permitted or not waiting):
-                return
-            is_decided = True
-            self._end_trial_call(message.fingerprints, permitted)
-            decided(permitted)
-
-        for controller in controllers:
-            reply = self._messenger.call(controller, message, TRIAL_TIMEOUT_S)
-            reply.addCallback(replied)
-
-    def _end_trial_call(self, fingerprints: Fingerprints, permitted: bool) -> None:
-        self._metrics.count("quarantine_trials", outcome="permitted" if permitted else "refused")
-        refused_s = self._trial_refused_s
-        refused_s[fingerprints] = self._clock.seconds()
-        while len(refused_s) > MAX_TRIALS_REFUSED:
-            del refused_s[next(iter(refused_s))]
-        if permitted:
-            names = ",".join(map(fingerprint_hex, fingerprints))
-            logger.bind(fingerprints=names).info("quarantine_trial_permitted")
+        """Ask the controllers for a permit."""
+        self._trials.request(fingerprints, decided, ends)
+
+    def trial_ended(self, fingerprints: Fingerprints, has_run: bool) -> None:
+        """Tell the controllers what became of a permit, unless a check is pending."""
+        self._trials.ended(fingerprints, has_run)
 
     # --- reporting -----------------------------------------------------------------------
 
@@ -261,6 +214,7 @@
             suspects = fingerprints[:1] if has_read_prompt else fingerprints
             age = RunAge(self._clock.seconds() - times.sent_s, times.wrote_s)
             check = self._check_runner(record, suspects, age)
+            check.permits += self._trials.take_open(fingerprints)
             for fingerprint, part in zip(suspects[1:], part_ids, strict=False):
                 name = part[:MAX_PART_ID_LENGTH]
                 check.names[fingerprint] = NamedPart(fingerprint, record.service, name)
@@ -301,6 +255,8 @@
     def _probed(self, check: _CrashCheck, reach: Reachability) -> None:
         if reach == Reachability.OPEN:
             check.reset.update(check.broken)
+            # If the runner crashes later all the same, the report on that counts.
+            self._end_trials(check)
         if reach != Reachability.REFUSED and check.probes < len(PROBE_DELAYS_S):
             self._probe_later(check)
             return
@@ -308,6 +264,14 @@
         if reach == Reachability.REFUSED:
             self._follower.registry.note_crash(check.record)
             self._report(check)
+            return
+        self._end_trials(check)
+
+    def _end_trials(self, check: _CrashCheck) -> None:
+        """Tell the controllers that the runner of some trials has survived them."""
+        permits, check.permits = check.permits, []
+        for permit in permits:
+            self._trials.tell_end(permit, has_run=True)
 
     def _report(self, check: _CrashCheck) -> None:
         runner = check.record.runner
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -29,9 +29,11 @@
     NamedPart,
     OrderRelease,
     PartsNamed,
+    PermitEnded,
     QuarantineNotice,
     ReadQuarantine,
     RequestAnswered,
+    RequestPermit,
     RequestsWatched,
     RequestTrial,
     RunnerCrashed,
@@ -41,7 +43,7 @@
 )
 from rainsail.quarantine.run_times import RunAge
 from rainsail.quarantine.suspects import MAX_CRASHES, REPORTS_SETTLE_S, SuspectTracker
-from rainsail.quarantine.trials import TrialPermits
+from rainsail.quarantine.trials import PERMIT_S, UNNUMBERED, TrialPermits
 from rainsail.runtime.clock import Clock
 from rainsail.state.cluster_commands import (
     NO_QUARANTINE,
@@ -103,13 +105,23 @@
         """What nodes have said of the runs at a runner whose crash they report next."""
         self.on_crash: Callable[[str, float], None] = lambda runner, at_s: None
         """Called with each runner that a node has found crashed, and the time."""
+        self.permits_lapsed = 0
+        """How many permits for trials have lapsed here without a word on what became of them."""
         self.holds_refuted = 0
         """How many requests or parts proved harmless after they had been held."""
         self.applied()
         messenger.serve(RunnerEnded, self._on_runner_ended)
         messenger.serve(RunsReset, self._on_runs_reset)
         messenger.serve(RunnerCrashed, self._on_runner_crashed)
-        messenger.serve(RequestTrial, lambda source, message: self._permit_as_leader(message))
+        messenger.serve(
+            RequestTrial,
+            lambda source, message: self._permit_as_leader(source, UNNUMBERED, message),
+        )
+        messenger.serve(
+            RequestPermit,
+            lambda source, message: self._permit_as_leader(source, message.number, message),
+        )
+        messenger.serve(PermitEnded, self._on_permit_ended)
         messenger.serve(RequestAnswered, self._on_answered)
         messenger.serve(PartsNamed, self._on_parts_named)
         messenger.serve(ReadQuarantine, lambda source, message: self._read_as_leader(message))
@@ -236,22 +248,43 @@
 
     # --- trials --------------------------------------------------------------------------
 
-    def _permit_as_leader(self, message: RequestTrial) -> "Deferred[Any]":
+    def _permit_as_leader(
+        self, sender: str, number: int, message: RequestTrial | RequestPermit
+    ) -> "Deferred[Any]":
         """Decide on a trial once a quorum has confirmed that no other controller leads."""
         if not self._group.is_leader():
             return succeed(TrialReply(False))
-        return confirmed_read(self._group, lambda: self._permit(message.fingerprints))
+        fingerprints = message.fingerprints
+        return confirmed_read(self._group, lambda: self._permit(sender, number, fingerprints))
 
-    def _permit(self, fingerprints: tuple[Fingerprint, ...]) -> TrialReply:
+    def _permit(
+        self, sender: str, number: int, fingerprints: tuple[Fingerprint, ...]
+    ) -> TrialReply:
         now = self._clock.seconds()
         self._permits.note_leadership(self._group.is_leader(), now)
         may_be_tried = all(map(self._suspects.may_be_tried, fingerprints))
-        if not may_be_tried or not self._permits.permit(fingerprints, now):
+        if not may_be_tried or not self._permits.permit(fingerprints, now, sender, number):
             return TrialReply(False)
         for each in fingerprints:
             self._log_of(each).info("quarantine_trial")
+        if number != UNNUMBERED:
+            self._clock.callLater(PERMIT_S, self._permit_lapsed, sender, number)
         return TrialReply(True)
 
+    def _on_permit_ended(self, source: str, message: PermitEnded) -> None:
+        if self._permits.ended(source, message.number, message.has_run):
+            logger.bind(sender=source).info("quarantine_permit_returned")
+
+    def _permit_lapsed(self, sender: str, number: int) -> None:
+        """Count a run as a failed trial if its sender may be lost with its report on a crash."""
+        lapsed = self._permits.lapsed(sender, number)
+        if not lapsed or not self._group.is_leader():
+            return
+        self.permits_lapsed += 1
+        for fingerprint in lapsed:
+            self._log_of(fingerprint).bind(sender=sender).warning("quarantine_permit_lapsed")
+            self._propose(HoldRequest(fingerprint))
+
     def applied(self) -> None:
         """Apply a new list of held requests, and send it to the nodes."""
         quarantine = self._state.quarantine.snapshot()
--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -56,6 +56,14 @@
         """
         ...
 
+    def trial_ended(self, fingerprints: Fingerprints, has_run: bool) -> None:
+        """Handle the end of a trial that was permitted for these fingerprints.
+
+        ``has_run`` is false if the request has certainly not reached a runner. Not needed for a run
+        whose connection has ended, and without effect after ``connection_ended``.
+        """
+        ...
+
     def connection_ended(
         self,
         record: RunnerRecord,
@@ -120,6 +128,9 @@
         """Permit it."""
         decided(True)
 
+    def trial_ended(self, fingerprints: Fingerprints, has_run: bool) -> None:
+        """Do nothing."""
+
     def connection_ended(
         self,
         record: RunnerRecord,
--- a/src/rainsail/quarantine/messages.py
+++ b/src/rainsail/quarantine/messages.py
@@ -62,6 +62,31 @@
     fingerprints: tuple[Fingerprint, ...]
 
 
+@wire_record("RequestPermit")
+@dataclass(frozen=True, slots=True)
+class RequestPermit:
+    """``RequestTrial`` with a number, unique at its sender, for controllers that know this record.
+
+    The reply is a ``TrialReply``.
+    """
+
+    number: int
+    fingerprints: tuple[Fingerprint, ...]
+
+
+@wire_record("PermitEnded")
+@dataclass(frozen=True, slots=True)
+class PermitEnded:
+    """Sent one-way by the sender of a ``RequestPermit``: what became of the permit, if any.
+
+    ``has_run`` is false if the request has certainly not reached a runner; another one may be tried
+    at once then. Otherwise the run went on or ended without a crash.
+    """
+
+    number: int
+    has_run: bool
+
+
 @wire_record("TrialReply")
 @dataclass(frozen=True, slots=True)
 class TrialReply:
--- a/src/rainsail/quarantine/trials.py
+++ b/src/rainsail/quarantine/trials.py
@@ -1,12 +1,15 @@
 """Permits for trial runs of requests that were held and released without an answer. Pure.
 
 Only the root group's leader permits them, one run at a time for each fingerprint. A permit ends
-with the decision that follows its run, or after ``PERMIT_S`` if the run tells nothing.
+with the decision that follows its run, when its sender says that the run never began, or after
+``PERMIT_S``. If the sender has said nothing by then, it may be lost together with its report on a
+crash.
 
 A crash during a trial counts against the request, whatever its cause, as the number of trials is
 limited. So a trial waits until no runner has crashed for a while.
 """
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from rainsail.quarantine.fingerprint import Fingerprint
@@ -31,12 +34,36 @@
 """
 PERMIT_S = 8.0
 """Longer than most requests wait for a runner and for their first event."""
+DECISION_S = 1.0
+"""A run of which nothing is known after ``PERMIT_S`` is counted by a decision of the group, which
+takes a round trip."""
 ALONE_S = 2.0
 """No other trial begins for this long, as one crash would spend both of two at one runner. Most
 show within this time whether a runner survives them."""
 FORMER_LEADER_S = 2.0
 """A new leader waits this long: until then a run that the former one permitted has mostly begun,
 and a crash at its beginning has been reported."""
+MAX_ENDED = 1024
+"""Permits that are remembered as ended before they were given, the latest ones."""
+UNNUMBERED = 0
+"""The number of permits that a node of an earlier version asks for: it does not tell their end."""
+
+_PermitId = tuple[str, int]
+"""The node that asked for a permit, and its number there."""
+
+
+@dataclass(slots=True)
+class _Permit:
+    identity: _PermitId
+    at_s: float
+    is_told: bool = False
+    """Its sender has said that the run went on or ended without a crash."""
+
+    @property
+    def lasts_s(self) -> float:
+        """For how long no other permit is given for the same request."""
+        is_counted = self.identity[1] != UNNUMBERED and not self.is_told
+        return PERMIT_S + (DECISION_S if is_counted else 0.0)
 
 
 class TrialPermits:
@@ -47,14 +74,16 @@
         """When each request that is remembered but not held was released, and what it waits for."""
         self._last_crash_s = float("-inf")
         self._held: frozenset[Fingerprint] = frozenset()
-        self._permitted_s: dict[Fingerprint, float] = {}
+        self._permits: dict[Fingerprint, _Permit] = {}
+        self._ended_early: OrderedDict[_PermitId, None] = OrderedDict()
+        """Permits whose senders had given up waiting for them."""
         self._leading_since_s: float | None = None
 
     def note_leadership(self, is_leader: bool, now: float) -> None:
         """Note whether this controller leads the root group now."""
         if not is_leader:
             self._leading_since_s = None
-            self._permitted_s.clear()
+            self._permits.clear()
         elif self._leading_since_s is None:
             self._leading_since_s = now
 
@@ -70,24 +99,63 @@
             fingerprint: self._released.get(fingerprint, (now, _pause(request.times)))
             for fingerprint, request in released.items()
         }
-        for fingerprint in self._permitted_s.keys() - released.keys():
-            del self._permitted_s[fingerprint]
-
-    def permit(self, fingerprints: tuple[Fingerprint, ...], now: float) -> bool:
+        for fingerprint in self._permits.keys() - released.keys():
+            del self._permits[fingerprint]
+
+    def permit(
+        self,
+        fingerprints: tuple[Fingerprint, ...],
+        now: float,
+        sender: str = "",
+        number: int = UNNUMBERED,
+    ) -> bool:
         """Permit one run of a request with these fingerprints, if each of them may run now."""
         if self._leading_since_s is None or now - self._leading_since_s < FORMER_LEADER_S:
             return False
+        if (sender, number) in self._ended_early:
+            return False
         if not all(self._may_run(each, now) for each in fingerprints):
             return False
-        if any(now - at_s < ALONE_S for at_s in self._permitted_s.values()):
+        if any(now - each.at_s < ALONE_S for each in self._permits.values()):
             return False
-        self._permitted_s.update(dict.fromkeys(fingerprints, now))
+        permit = _Permit((sender, number), now)
+        self._permits.update(dict.fromkeys(fingerprints, permit))
         return True
 
+    def ended(self, sender: str, number: int, has_run: bool) -> bool:
+        """Apply a sender's word on a permit; tell whether it has been given back unused.
+
+        A permit of which the sender no longer waits for the reply is not given any more.
+        """
+        identity = sender, number
+        own = [name for name, each in self._permits.items() if each.identity == identity]
+        if not own and not has_run:
+            self._ended_early[identity] = None
+            while len(self._ended_early) > MAX_ENDED:
+                self._ended_early.popitem(last=False)
+        for fingerprint in own:
+            if has_run:
+                self._permits[fingerprint].is_told = True
+            else:
+                del self._permits[fingerprint]
+        return bool(own) and not has_run
+
+    def lapsed(self, sender: str, number: int) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of a permit whose time is over and of which nothing is known.
+
+        None if a decision followed the run, or if the sender has said how it ended.
+        """
+        return tuple(
+            fingerprint
+            for fingerprint, each in self._permits.items()
+            if each.identity == (sender, number) and not each.is_told
+        )
+
     def _may_run(self, fingerprint: Fingerprint, now: float) -> bool:
         if fingerprint in self._held or not self._is_calm(fingerprint, now):
             return False
-        return now - self._permitted_s.get(fingerprint, float("-inf")) >= PERMIT_S
+        permit = self._permits.get(fingerprint)
+        return permit is None or now - permit.at_s >= permit.lasts_s
 
     def _is_calm(self, fingerprint: Fingerprint, now: float) -> bool:
         """Tell whether a crash during a trial that begins now is likely to be its own."""
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -141,13 +141,18 @@
         cleared = (self.fingerprint,) if is_rejected else self._all_fingerprints
         guard.answered(attempt.record, cleared, attempt.proves_survival)
 
-    def goes_on(self, attempt: Attempt) -> None:
-        """Report a stream that has gone on for a while, as its runner has survived the prompt."""
+    def goes_on(self, attempt: Attempt) -> bool:
+        """Report a stream that has gone on for a while, as its runner has survived the prompt.
+
+        Return whether that was reported now.
+        """
         guard = self._context.guard
-        if guard.wants_answers and attempt.times.is_survival_check_due(
+        if not guard.wants_answers or not attempt.times.is_survival_check_due(
             self._context.clock.seconds()
         ):
-            guard.answered(attempt.record, self.part_fingerprints, proves_survival=False)
+            return False
+        guard.answered(attempt.record, self.part_fingerprints, proves_survival=False)
+        return True
 
     def failed(self, attempt: Attempt) -> None:
         """Record an answer with an error status."""
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -104,6 +104,10 @@
         self._is_admitted = False
         self._is_trial = False
         """The request may run although it was held before."""
+        self._permits: dict[Fingerprints, bool] = {}
+        """The permits for trials that it got, and whether a runner may have got it by them."""
+        self._was_sent_before = False
+        """A runner may have got the request by a permit before the last attempt."""
         self._may_have_run = False
         self._started_s = context.clock.seconds()
         self._deadline = RequestDeadline(context.clock, request, facts, route)
@@ -210,11 +214,18 @@
         self._stream_ending.cancel()
         self._deadline.cancel()
         self._sender.cancel()
+        self._end_trials()
         self._refund_if_not_run(outcome)
         self._recorder.log_end(outcome, self._sender, self._answer)
         self._sender.drop_body()
         self._on_ended(self)
 
+    def _end_trials(self) -> None:
+        """Tell what became of the permits for trials, and forget them."""
+        permits, self._permits = self._permits, {}
+        for unproven, has_run in permits.items():
+            self._context.guard.trial_ended(unproven, has_run)
+
     def _refund_if_not_run(self, outcome: RequestOutcome) -> None:
         """Refund the tenant's quota for a request that has certainly not run."""
         never_sent = not self._sender.attempts_counted and not self._may_have_run
@@ -309,6 +320,8 @@
             self._record_service()
             if unproven:
                 self._recorder.trial_sent(found.record, unproven)
+                self._was_sent_before = any(self._permits.values())
+                self._permits = dict.fromkeys(self._permits, True)
             self._sender.send(found.record, decision)
 
     def _trial_decided(
@@ -318,9 +331,11 @@
         if self.outcome is not None or self._sender.attempt is not None:
             if may_run:
                 self._recorder.trial_unused(unproven, REQUEST_OVER)
+                self._context.guard.trial_ended(unproven, has_run=False)
             return
         if may_run:
             self._is_trial = True
+            self._permits[unproven] = False
             self._send_placed(placement)
         else:
             self._end_untaken(give_up_untried(self._progress(), self._context.settings))
@@ -402,7 +417,8 @@
         self._note_origin(attempt)
         if flaw is None:
             self._sender.events_received()
-            self._recorder.goes_on(attempt)
+            if self._recorder.goes_on(attempt):
+                self._end_trials()
         else:
             attempt.cancel()
             self._drop_flawed(attempt, flaw)
@@ -517,6 +533,7 @@
     def runner_unreachable(self, attempt: Attempt, reason: str) -> None:
         """Try another runner: the request was not sent to this one."""
         self._sender.uncount_attempt()
+        self._permits = dict.fromkeys(self._permits, self._was_sent_before)
         self._recorder.unreachable(attempt, reason)
         self._attempt_failed(attempt, AttemptEnd.NOT_RUN)
 
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -24,7 +24,9 @@
 """The software versions of services, as a quorum of controllers knows them."""
 RESET_RUNS = 6
 """The runs at a crashed runner that had ended before its crash."""
-EXTENSION_LEVEL = RESET_RUNS
+TRIAL_PERMITS = 7
+"""Numbered permits for trial runs, of which the sender tells how they ended."""
+EXTENSION_LEVEL = TRIAL_PERMITS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
