--- a/src/rainsail/quarantine/guard.py
+++ b/src/rainsail/quarantine/guard.py
@@ -39,6 +39,14 @@
         """Return the fingerprints for which a request may run only as a trial."""
         ...
 
+    def suspects_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return the fingerprints of which a run may crash its runner, as far as is known."""
+        ...
+
+    def may_have_crashed(self, record: RunnerRecord) -> bool:
+        """Tell whether a runner was found crashed, or whether a check of that is pending."""
+        ...
+
     def request_trial(
         self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
     ) -> None:
@@ -48,6 +56,14 @@
         """
         ...
 
+    def trial_ended(self, fingerprints: Fingerprints, has_run: bool) -> None:
+        """Handle the end of a trial that was permitted for these fingerprints.
+
+        ``has_run`` is false if the request has certainly not reached a runner. Not needed for a run
+        whose connection has ended, and without effect after ``connection_ended``.
+        """
+        ...
+
     def connection_ended(
         self,
         record: RunnerRecord,
@@ -98,12 +114,23 @@
         """Return nothing."""
         return ()
 
+    def suspects_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return nothing."""
+        return ()
+
+    def may_have_crashed(self, record: RunnerRecord) -> bool:
+        """Return False."""
+        return False
+
     def request_trial(
         self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
     ) -> None:
         """Permit it."""
         decided(True)
 
+    def trial_ended(self, fingerprints: Fingerprints, has_run: bool) -> None:
+        """Do nothing."""
+
     def connection_ended(
         self,
         record: RunnerRecord,
