Drawn courses of crashes against the quarantine's decisions, without a network

A drawn course plays the product's QuarantineControl, with its SuspectTracker and TrialPermits, the group's commands, the node's list and the trial order at 25 to 35 ms: items of up to four jobs, fatal ones, fatal parts, fatal requests of clients, streams, preemptions, crashes for other reasons in series, leaders changed and lost.

Left out by construction: a second trial of one entry that is struck by a crash for another reason, as nothing tells such a sound suspect from a fatal one; and streams that need more than half of all slots.

--- a/tools/quarantine_soak.py
+++ b/tools/quarantine_soak.py
@@ -1,9 +1,11 @@
 """Soak the quarantine of requests that end runners, in virtual time, seed by seed.
 
     python tools/quarantine_soak.py --seeds 1-50 --kind bodies
+    python tools/quarantine_soak.py --seeds 17 --kind courses --trace
 
 Prints a line for each seed: what there was to judge, and every broken promise. Ends with code 1
-when some promise was broken. The short run of CI is ``features/quarantine/soak.feature``.
+when some promise was broken. The short runs of CI are ``features/quarantine/soak.feature`` and, for
+the courses, which have no network and no groups, ``features/quarantine/drawn_courses.feature``.
 """
 
 import argparse
@@ -16,6 +18,7 @@
 
 from features.support.common_cause_soak import CommonCauseSoak  # noqa: E402
 from features.support.part_soak import PartSoak  # noqa: E402
+from features.support.quarantine_courses import QuarantineCourse  # noqa: E402
 from features.support.quarantine_soak import QuarantineSoak  # noqa: E402
 from features.support.trial_crash_soak import TrialCrashSoak  # noqa: E402
 from loguru import logger  # noqa: E402
@@ -25,6 +28,7 @@
     "parts": PartSoak,
     "common-cause": CommonCauseSoak,
     "trial-crashes": TrialCrashSoak,
+    "courses": QuarantineCourse,
 }
 
 
@@ -33,6 +37,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-20", help="the first and the last one")
     parser.add_argument("--kind", choices=sorted(KINDS), default="bodies")
+    parser.add_argument("--trace", action="store_true", help="print the events of each course")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     logger.remove()
@@ -43,6 +48,8 @@
         soak.run()
         counts += soak.counts
         broken += bool(soak.violations)
+        if arguments.trace and isinstance(soak, QuarantineCourse):
+            print("\n".join(soak.trace))
         print(f"seed {seed}: {soak.violations or 'clean'} {dict(soak.counts)}", flush=True)
     print(f"{broken} seeds broken; {dict(counts)}")
     return 1 if broken else 0
