--- a/features/quarantine/fatal_items_of_one_part.feature
+++ b/features/quarantine/fatal_items_of_one_part.feature
@@ -53,6 +53,26 @@
       | 5    |
       | 12   |
 
+  Scenario Outline: Two of eight items of one job are fatal, beside answers of 4 s, seed <seed>
+    When 1 jobs of 8 items of 40 events with 2 fatal ones each are handed in, crash after 0.05 s, seed <seed>
+    Then all sound items were done 18 s after the streams had ended
+    And each fatal item ran at most 3 times later than 3 s after its third crash
+
+    Examples:
+      | seed |
+      | 6    |
+      | 10   |
+
+  Scenario Outline: One fatal item in each of four jobs beside other crashes and answers of 2 s, seed <seed>
+    When 4 jobs of 6 items of 20 events with 1 fatal ones each are handed in beside other crashes, crash after 0.05 s, seed <seed>
+    Then all sound items were done 18 s after the streams had ended
+    And each fatal item ran at most 3 times later than 3 s after its third crash
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario Outline: Fatal items get two events further with each run, beside other crashes, seed <seed>
     When 2 jobs of 6 items with 2 fatal ones each that get 2 events further are handed in beside other crashes, crash after 0.05 s, seed <seed>
     Then all sound items were done 18 s after the streams had ended
--- a/features/steps/fatal_items_steps.py
+++ b/features/steps/fatal_items_steps.py
@@ -1,18 +1,20 @@
 """Steps for jobs some items of which crash the runners that begin to run them, in virtual time."""
 
 from behave import then, use_step_matcher, when
+from features.support.crashing_runners import EVENTS
 from features.support.fatal_items import LATE_RUNS_ALLOWED, FatalItemsPlan, FatalItemsPlay
 
 use_step_matcher("re")
 
 
 @when(
-    r"(?P<jobs>\d+) jobs of (?P<items>\d+) items with (?P<fatal>\d+) fatal ones each"
+    r"(?P<jobs>\d+) jobs of (?P<items>\d+) items(?: of (?P<length>\d+) events)?"
+    r" with (?P<fatal>\d+) fatal ones each"
     r"(?: that get (?P<events>\d+) events further)?(?P<preempted>, preempted ones too,)?"
     r" are handed in(?P<others> beside other crashes)?"
     r", crash after (?P<after_s>[0-9.]+) s, seed (?P<seed>\d+)"
 )
-def hand_in(context, jobs, items, fatal, events, preempted, others, after_s, seed):
+def hand_in(context, jobs, items, length, fatal, events, preempted, others, after_s, seed):
     plan = FatalItemsPlan(
         int(jobs),
         int(items),
@@ -20,6 +22,7 @@
         float(after_s),
         bool(others),
         int(events or 0),
+        int(length or EVENTS),
         bool(preempted),
     )
     context.play = FatalItemsPlay(int(seed), plan)
--- a/features/support/fatal_items.py
+++ b/features/support/fatal_items.py
@@ -8,6 +8,7 @@
 import random
 from dataclasses import dataclass
 
+from features.support.crashing_runners import EVENTS
 from features.support.fatal_request_fleet import FatalRequestFleet
 from features.support.relayed_fleet import JOB_PATH
 from features.support.relaying import HOST
@@ -48,6 +49,8 @@
     has_other_crashes: bool
     events_before_crash: int = 0
     """Events by which a fatal item gets further with each run."""
+    item_events: int = EVENTS
+    """Length of the answer to a sound item, 0.1 s for each event."""
     preempted_runs_crash: bool = False
     """Whether a fatal run crashes its runner although it was preempted before."""
 
@@ -65,6 +68,7 @@
         runners.crash_after_s = plan.crash_after_s
         runners.restart_after_s = RESTART_AFTER_S
         runners.events_before_crash = plan.events_before_crash
+        runners.item_events = plan.item_events
         runners.cancelled_runs_crash = plan.preempted_runs_crash
         runners.fatal_bodies = {
             _body(job, item) for job in range(plan.jobs) for item in self._fatal_items()
