A request whose entries were cleared spends no permit for a trial

Cause: the sender had not heard of the clearing, and the leader permitted what isn't on its list like any other entry. Now it says yes to a request none of whose entries is listed, without a permit, and permits only those that are. A quorum has confirmed the list by then.

features/quarantine/returned_permits.feature, 'A node that has not heard of a clearing yet': failed before (the trial of the other part is refused), passes now.

--- a/features/quarantine/returned_permits.feature
+++ b/features/quarantine/returned_permits.feature
@@ -20,6 +20,16 @@
     And a request with the part "dead01" comes every 0.5 s for 90 s
     Then at most 3 runs of a fatal part or item began
 
+  Scenario: A node that has not heard of a clearing yet keeps no other trial waiting
+    # Guards against: a permit for entries that were cleared some milliseconds before, which grants
+    # nothing and keeps all other trials waiting for 2 s.
+    Given a fleet of 3 gateways and 10 runners with 3 slots each
+    When the part "cleared01" is held and put on trial
+    And the part "other01" is held and put on trial
+    And 3 s go by in that fleet
+    And the part "cleared01" is cleared
+    Then a trial of the part "cleared01" and then one of the part "other01" are permitted at once
+
   Scenario Outline: A permit that <end>
     Given a leader of controllers since 0 s
     When a request that was held 1 times is released at 10 s
--- a/features/steps/returned_permit_steps.py
+++ b/features/steps/returned_permit_steps.py
@@ -3,6 +3,11 @@
 from behave import given, step, then, when
 from features.steps.trial_permit_steps import FIRST
 
+from rainsail.quarantine.fingerprint import part_fingerprints
+from rainsail.quarantine.messages import RequestPermit
+from rainsail.routing.facts import PromptPart
+from rainsail.state.cluster_commands import ReleaseRequest
+
 SENDER, OTHER, NUMBER = "node-1", "node-2", 7
 PERMITTED_S = 11.0
 LAPSE_S = 8.0
@@ -48,6 +53,31 @@
         fleet.run_for(period_s)
 
 
+def _fingerprint(part):
+    prompt = (PromptPart(part, 1), PromptPart("own", 1))
+    (fingerprint,) = part_fingerprints("", "model", "", prompt)
+    return fingerprint
+
+
+@step('the part "{part}" is cleared')
+def clear(context, part):
+    fleet = context.fleet
+    driver = fleet.nodes[fleet.leader("controller")].role.driver
+    done = driver.propose(ReleaseRequest(_fingerprint(part), 1, forget=True))
+    assert fleet.result_of(done, "a decision on the part").is_ok()
+
+
+@then('a trial of the part "{first}" and then one of the part "{second}" are permitted at once')
+def permitted_at_once(context, first, second):
+    fleet = context.fleet
+    leader = fleet.address(fleet.leader("controller"))
+    messenger = fleet.nodes["gateway-1"].base.messenger
+    for number, part in enumerate((first, second), 1):
+        done = messenger.call(leader, RequestPermit(number, (_fingerprint(part),)), 0.3)
+        reply = fleet.result_of(done, "a reply")
+        assert reply.is_ok() and reply.ok.permitted, (part, reply)
+
+
 def _permit(context):
     assert context.permits.permit((FIRST,), PERMITTED_S, SENDER, NUMBER)
 
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -262,6 +262,10 @@
     ) -> TrialReply:
         now = self._clock.seconds()
         self._permits.note_leadership(self._group.is_leader(), now)
+        fingerprints = self._permits.listed(fingerprints)
+        if not fingerprints:
+            # The sender has not heard yet that they were cleared.
+            return TrialReply(True)
         may_be_tried = all(map(self._suspects.may_be_tried, fingerprints))
         if not may_be_tried or not self._permits.permit(fingerprints, now, sender, number):
             return TrialReply(False)
--- a/src/rainsail/quarantine/trials.py
+++ b/src/rainsail/quarantine/trials.py
@@ -102,6 +102,10 @@
         for fingerprint in self._permits.keys() - released.keys():
             del self._permits[fingerprint]
 
+    def listed(self, fingerprints: tuple[Fingerprint, ...]) -> tuple[Fingerprint, ...]:
+        """Return those that are on the list; a node may not have heard that others were cleared."""
+        return tuple(each for each in fingerprints if each in self._held or each in self._released)
+
     def permit(
         self,
         fingerprints: tuple[Fingerprint, ...],
