A trial that runs on without output is not counted as one whose report is lost

What callers would see: a sound part or request is held once more for each trial whose runner takes longer than 8 s to begin to write, and for 600 s after the last.

Cause: a permit without any word for 8 s counts as a failed trial, as its sender may be lost with a report; a sender says how a run has ended, or that it has begun to write, but nothing of a run that is still silent.

Now a node tells the controllers 5 s after a permit that its run goes on. It is not lost then, and reports a crash that follows by itself.

--- a/features/quarantine/returned_permits.feature
+++ b/features/quarantine/returned_permits.feature
@@ -30,6 +30,15 @@
     And the part "cleared01" is cleared
     Then a trial of the part "cleared01" and then one of the part "other01" are permitted at once
 
+  Scenario: A trial runs for 12 s without a sign of its runner
+    # Guards against: a sound part that is held again, as its trial is slow to begin to write.
+    Given a fleet of 3 gateways and 10 runners with 3 slots each
+    When the part "shared01" is held and put on trial
+    And 3 s go by in that fleet
+    And a gateway gets a permit for the part "shared01"
+    And 12 s go by in that fleet
+    Then the part "shared01" was held 1 times
+
   Scenario Outline: A permit that <end>
     Given a leader of controllers since 0 s
     When a request that was held 1 times is released at 10 s
--- a/features/steps/returned_permit_steps.py
+++ b/features/steps/returned_permit_steps.py
@@ -78,6 +78,24 @@
         assert reply.is_ok() and reply.ok.permitted, (part, reply)
 
 
+@when('a gateway gets a permit for the part "{part}"')
+def get_permit(context, part):
+    fleet = context.fleet
+    decisions = []
+    fleet.guards["gateway-1"].request_trial((_fingerprint(part),), decisions.append)
+    fleet.run_until(lambda: decisions, "a decision on the permit")
+    assert decisions == [True], decisions
+
+
+@then('the part "{part}" was held {times:d} times')
+def held_times(context, part, times):
+    fingerprint = _fingerprint(part)
+    known = [
+        each.times for each in context.fleet.decided().requests if each.fingerprint == fingerprint
+    ]
+    assert known == [times], known
+
+
 def _permit(context):
     assert context.permits.permit((FIRST,), PERMITTED_S, SENDER, NUMBER)
 
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -122,6 +122,8 @@
         """``immune_service`` gets half of the load; no body crashes its runners."""
         self._immune_service = immune_service
         self.relays: dict[str, RelayGateway] = {}
+        self.guards: dict[str, QuarantineAgent] = {}
+        """That of each gateway, by node."""
         self.jobs: dict[str, JobClient] = {}
         self.runner_pools: dict[str, _LazyPool] = {}
         self.runners: CrashingRunners | None = None
@@ -183,6 +185,7 @@
         gateway.start()
         name = base.settings.node.name
         self.relays[name] = gateway
+        self.guards[name] = guard
         self.jobs[name] = super().make_gateway(base)
         return gateway
 
--- a/src/rainsail/quarantine/trial_client.py
+++ b/src/rainsail/quarantine/trial_client.py
@@ -21,6 +21,9 @@
 """After a refusal no other request with the same fingerprint asks for this long."""
 MAX_TRIALS_REFUSED = 1024
 """Refusals that are remembered, the latest ones."""
+RUNS_ON_AFTER_S = 5.0
+"""A permit whose run has not ended by then is known to have run: its sender is not lost, and will
+report a crash. Well before the permit lapses at the controllers."""
 MAX_PERMITS = 256
 """Permits that are remembered until their runs have ended, the latest ones."""
 MICROSECONDS_PER_S = 1_000_000
@@ -102,9 +105,15 @@
         self._permits.move_to_end(names)
         while len(self._permits) > MAX_PERMITS:
             self._permits.popitem(last=False)
+        self._clock.callLater(RUNS_ON_AFTER_S, self._runs_on, names, number)
         shown = ",".join(map(fingerprint_hex, names))
         logger.bind(fingerprints=shown).info("quarantine_trial_permitted")
 
+    def _runs_on(self, names: _Names, number: int) -> None:
+        """Tell the controllers that a run goes on, as its runner may be slow to begin to write."""
+        if self._permits.get(names) == number:
+            self.ended(names, has_run=True)
+
     def ended(self, fingerprints: Fingerprints, has_run: bool) -> None:
         """Tell the controllers that a permit was not used, or that its runner has survived.
 
