Nodes report their latest crashes to controllers that start anew

Cause: the counts of crashes are in the controllers' memory, and a trial counts once the hold that follows its crash is decided, 0.2 s later. Nodes reported each crash once, so what the lost controllers had heard was gone.

Change: a node keeps its crash reports and answers of 10 s, and its failed trials until the list counts them (crash_reports). It reports them again to a controller whose heartbeat answers have a new epoch. Controllers merge reports on one crash, so a repeated one counts once. A failed trial names how often its entry had been held (TrialsFailed, a new record and protocol extension): the leader holds the entry again if it is on trial with that number (failed_trials), which holds over leaders and restarts.

--- a/features/steps/lost_evidence_steps.py
+++ b/features/steps/lost_evidence_steps.py
@@ -13,19 +13,20 @@
 
 
 @given("a fleet whose clients send requests with a fatal part, seed {seed:d}")
-def make_fleet(context, seed):
+@given("a fleet whose clients send requests with a fatal part every {period_s:g} s, seed {seed:d}")
+def make_fleet(context, seed, period_s=PERIOD_S):
     context.fleet = fleet = FatalRequestFleet(seed, 3, 10, slots=3)
     fleet.runners.fatal_parts.add(PART)
     until_s = fleet.clock.seconds() + PLAY_S
     fleet.send_others(1 / 15, until_s)
-    _send(fleet, until_s, 0)
+    _send(fleet, until_s, period_s, 0)
 
 
-def _send(fleet, until_s, number):
+def _send(fleet, until_s, period_s, number):
     if fleet.clock.seconds() < until_s:
         prompt = f"{PART}:40,own{number}:9"
         fleet.request(fleet.any_gateway(), f"fatal {number}".encode(), prompt=prompt)
-        fleet.clock.callLater(PERIOD_S, _send, fleet, until_s, number + 1)
+        fleet.clock.callLater(period_s, _send, fleet, until_s, period_s, number + 1)
 
 
 @when(
@@ -52,9 +53,33 @@
         fleet.clock.callLater(DOWN_S, fleet.start, name)
 
 
+@when("all controllers are killed {delay_s:g} s after the fifth crash, and {seconds:g} s pass")
+def kill_after_fifth_crash(context, delay_s, seconds):
+    fleet = context.fleet
+    fleet.run_until(lambda: len(fleet.runners.crashes) >= CRASHES_COUNTED, "five crashes", 30.0)
+    assert not fleet.decided().requests, "the part is held before the kill"
+    fleet.run_for(delay_s)
+    _kill_all(fleet)
+    fleet.run_for(seconds)
+
+
 @then("the fatal part ran at most {most:d} times later than {after_s:g} s after its fifth crash")
 def few_late_runs(context, most, after_s):
+    late = _late_runs(context, after_s)
+    assert late and len(late) <= most, late
+
+
+@then(
+    "the fatal part ran at most {most:d} times later than {after_s:g} s after its fifth crash, "
+    "or never"
+)
+def few_late_runs_or_none(context, most, after_s):
+    late = _late_runs(context, after_s)
+    assert len(late) <= most, late
+
+
+def _late_runs(context, after_s):
+    """Return when the fatal part ran too late, in seconds after the end of the time allowed."""
     runners = context.fleet.runners
     known_s = runners.crashes[CRASHES_COUNTED - 1] + after_s
-    late = [round(run.at_s - known_s, 1) for run in runners.fatal_runs if run.at_s > known_s]
-    assert late and len(late) <= most, late
+    return [round(run.at_s - known_s, 1) for run in runners.fatal_runs if run.at_s > known_s]
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -82,6 +82,8 @@
         self.on_ledger_leader: Callable[[str], None] = lambda address: None
         self.on_heard: Callable[[], None] = lambda: None
         """Called after each update and each heartbeat reply of a controller was applied."""
+        self.on_controller_started: Callable[[str], None] = lambda address: None
+        """Called with a controller of which no reply had been received since its start."""
         messenger.serve(RunnerUpdate, self._take_update)
         messenger.serve(RunnerVersions, self._take_versions)
         messenger.serve(RunnerDoubted, lambda source, message: self._take_doubt(message))
@@ -166,6 +168,7 @@
         reply: NodeHeartbeatReply = result.ok  # type: ignore[attr-defined]
         if not controller.has_answered:
             logger.bind(controller=address, revision=reply.revision).info("controller_found")
+        is_new = not controller.has_answered or controller.epoch != reply.epoch
         self.controllers.note_answer(controller, reply)
         if reply.view is not None:
             self.take_zone_drains(reply.view.zone_drains)
@@ -176,6 +179,8 @@
         self.registry.coverage.answered(address, reply.epoch, self._clock.seconds())
         self.on_view(self.view())
         self._note_table_version(address, reply.table_version)
+        if is_new:
+            self.on_controller_started(address)
         self.on_heard()
 
     # --- updates from controllers --------------------------------------------------------
@@ -222,7 +227,7 @@
 
     def take_quarantine(self, quarantine: Quarantine) -> None:
         """Apply the list of held requests if it is newer than the known one."""
-        if self.quarantine.take(quarantine):
+        if self.quarantine.take(quarantine, self._clock.seconds()):
             log = logger.bind(revision=quarantine.revision, held=len(self.quarantine.held))
             log.info("quarantine_obeyed")
 
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -19,6 +19,7 @@
 from rainsail.http.reachability import Reachability
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
+from rainsail.quarantine.crash_reports import CrashReport, CrashReports
 from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_hex, is_of_part
 from rainsail.quarantine.guard import Fingerprints, TrialDecided
 from rainsail.quarantine.messages import (
@@ -31,6 +32,7 @@
     RunnerCrashed,
     RunnerEnded,
     RunsReset,
+    TrialsFailed,
 )
 from rainsail.quarantine.run_times import (
     PROMPT_READ_AFTER_S,
@@ -40,7 +42,7 @@
 )
 from rainsail.quarantine.trial_order import TrialAsk, TrialOrder
 from rainsail.runtime.clock import Clock
-from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES, RESET_RUNS
+from rainsail.wire.extensions import FAILED_TRIALS, HOLD_TRIALS, PART_NAMES, RESET_RUNS
 from rainsail.wire.messenger import Messenger
 
 PROBE_DELAYS_S = (0.05, 0.5)
@@ -106,7 +108,9 @@
         self._survival_checks: dict[str, set[Fingerprint]] = {}
         """By runner of which a check is pending whether it survives: parts that wait for the next
         check, as their runs were not known at the beginning of this one."""
+        self._reports = CrashReports(self._view)
         messenger.serve(RequestsWatched, self._watch)
+        follower.on_controller_started = self._report_again
 
     # --- enforcement ---------------------------------------------------------------------
 
@@ -209,6 +213,7 @@
             self._check_survival_later(record, parts)
 
     def _report_answered(self, fingerprints: Fingerprints) -> None:
+        self._reports.answered(fingerprints, self._clock.seconds())
         for fingerprint in fingerprints:
             self._view.unwatch(fingerprint)
             self._send_to_controllers(RequestAnswered(fingerprint))
@@ -302,28 +307,53 @@
 
     def _report(self, check: _CrashCheck) -> None:
         runner = check.record.runner
-        age_s = self._clock.seconds() - check.began_s
         shown = ",".join(map(fingerprint_hex, islice(check.broken, MAX_FINGERPRINTS_SHOWN)))
         log = logger.bind(runner=runner, requests=len(check.broken), fingerprints=shown)
         log.info("runner_ended")
         self._metrics.count("runner_ends_seen")
-        names = tuple(check.names[each] for each in check.broken if each in check.names)
+        report = CrashReport(runner, check.began_s, check.broken, check.names, check.reset)
+        if report.runs:
+            self._reports.add(report)
+        self._send_report(report, self._follower.heartbeat_targets())
+
+    def _send_report(self, report: CrashReport, controllers: Sequence[str]) -> None:
+        """Send a report to controllers, in the form that each of them knows."""
+        age_s = self._clock.seconds() - report.at_s
+        names = tuple(report.names[each] for each in report.runs if each in report.names)
         if names:
-            self._messenger.send_all(self._supporting(PART_NAMES), PartsNamed(names))
-        if check.reset:
-            reset = RunsReset(runner, tuple(check.reset))
-            self._messenger.send_all(self._supporting(RESET_RUNS), reset)
-        runs = tuple(CrashedRun(each, age.ran_s, age.wrote_s) for each, age in check.broken.items())
-        with_ages = self._supporting(HOLD_TRIALS)
-        without = [each for each in self._follower.heartbeat_targets() if each not in with_ages]
-        self._messenger.send_all(with_ages, RunnerCrashed(runner, runs, age_s))
-        if check.broken:
-            self._messenger.send_all(without, RunnerEnded(runner, tuple(check.broken), age_s))
-
-    def _supporting(self, extension: int) -> list[str]:
-        """Return the controllers that this node follows and that know an extension."""
+            named = PartsNamed(names)
+            self._messenger.send_all(self._supporting(PART_NAMES, controllers), named)
+        if report.reset:
+            reset = RunsReset(report.runner, tuple(report.reset))
+            self._messenger.send_all(self._supporting(RESET_RUNS, controllers), reset)
+        runs = tuple(CrashedRun(each, age.ran_s, age.wrote_s) for each, age in report.runs.items())
+        with_ages = self._supporting(HOLD_TRIALS, controllers)
+        without = [each for each in controllers if each not in with_ages]
+        self._messenger.send_all(with_ages, RunnerCrashed(report.runner, runs, age_s))
+        if report.runs:
+            ended = RunnerEnded(report.runner, tuple(report.runs), age_s)
+            self._messenger.send_all(without, ended)
+
+    def _report_again(self, controller: str) -> None:
+        """Report the latest crashes, answers and failed trials to a controller that has started."""
+        now = self._clock.seconds()
+        crashes, answers = self._reports.crashes(now), self._reports.answers(now)
+        trials = self._reports.failed_trials()
+        for report in crashes:
+            self._send_report(report, (controller,))
+        for fingerprint in answers:
+            self._messenger.send(controller, RequestAnswered(fingerprint))
+        if trials and self._supporting(FAILED_TRIALS, (controller,)):
+            self._messenger.send(controller, TrialsFailed(trials))
+        if crashes or trials:
+            log = logger.bind(controller=controller, crashes=len(crashes), answers=len(answers))
+            log.bind(failed_trials=len(trials)).info("crashes_reported_again")
+
+    def _supporting(self, extension: int, controllers: Sequence[str] | None = None) -> list[str]:
+        """Return the controllers that know an extension, of all that this node follows."""
         level = self._messenger.extension_level
-        return [each for each in self._follower.heartbeat_targets() if level(each) >= extension]
+        asked = self._follower.heartbeat_targets() if controllers is None else controllers
+        return [each for each in asked if level(each) >= extension]
 
     def _send_to_controllers(self, message: RequestAnswered) -> None:
         """Send to every controller that this node follows, so that a new leader has it as well."""
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -24,6 +24,8 @@
 from rainsail.consensus.driver import GroupDriver
 from rainsail.errors import Fault, FaultCode
 from rainsail.logs import logger
+from rainsail.quarantine.crash_reports import KEPT_S as CRASHES_KEPT_S
+from rainsail.quarantine.failed_trials import FailedTrials
 from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_hex
 from rainsail.quarantine.messages import (
     NamedPart,
@@ -38,6 +40,7 @@
     RunnerEnded,
     RunsReset,
     TrialReply,
+    TrialsFailed,
 )
 from rainsail.quarantine.run_times import RunAge
 from rainsail.quarantine.suspects import MAX_CRASHES, REPORTS_SETTLE_S, SuspectTracker
@@ -65,6 +68,8 @@
 WATCH_BATCH_S = 0.02
 """The reports of all nodes on one crash arrive within a few milliseconds; their suspects are sent
 in one message."""
+DOUBT_WITHIN_S = 2.0
+"""An older crash is reported again, and its runner may have started since."""
 MILLISECONDS_PER_S = 1000
 MAX_PART_NAMES = 4096
 """Names of suspected parts that a controller keeps for operators, the newest ones."""
@@ -92,13 +97,14 @@
         self._follower = follower
         self._calls = calls
         self._followers = followers
-        self._suspects = SuspectTracker(clock.seconds())
+        self._suspects = SuspectTracker(clock.seconds() - CRASHES_KEPT_S)
         self._applied = NO_QUARANTINE
         self._held_since_s: dict[Fingerprint, float] = {}
         self._proposed: set[Fingerprint] = set()
         self._watched: dict[Fingerprint, None] = {}
         self._part_names: OrderedDict[Fingerprint, NamedPart] = OrderedDict()
         self._permits = TrialPermits()
+        self._failed_trials = FailedTrials()
         self._reset_runs: dict[tuple[str, str], tuple[Fingerprint, ...]] = {}
         """What nodes have said of the runs at a runner whose crash they report next."""
         self.on_crash: Callable[[str, float], None] = lambda runner, at_s: None
@@ -110,6 +116,7 @@
         messenger.serve(RunsReset, self._on_runs_reset)
         messenger.serve(RunnerCrashed, self._on_runner_crashed)
         messenger.serve(RequestTrial, lambda source, message: self._permit_as_leader(message))
+        messenger.serve(TrialsFailed, self._on_trials_failed)
         messenger.serve(RequestAnswered, self._on_answered)
         messenger.serve(PartsNamed, self._on_parts_named)
         messenger.serve(ReadQuarantine, lambda source, message: self._read_as_leader(message))
@@ -150,7 +157,8 @@
     ) -> None:
         now = self._clock.seconds()
         at_s = now - max(0.0, age_s)
-        self.on_crash(runner, at_s)
+        if age_s <= DOUBT_WITHIN_S:
+            self.on_crash(runner, at_s)
         self._permits.note_crash(at_s)
         if not fingerprints:
             # Found by a refused connection, some time after the crash.
@@ -162,6 +170,10 @@
         self._watched.update(dict.fromkeys(watched))
         self._clock.callLater(REPORTS_SETTLE_S, self.look)
 
+    def _on_trials_failed(self, source: str, message: TrialsFailed) -> None:
+        self._failed_trials.take(message.trials, self._clock.seconds())
+        self.look()
+
     def _on_parts_named(self, source: str, message: PartsNamed) -> None:
         for named in message.parts:
             self._part_names[named.fingerprint] = named
@@ -199,6 +211,8 @@
             return
         for fingerprint in self._suspects.due(now):
             self._propose(HoldRequest(fingerprint))
+        for fingerprint in self._failed_trials.uncounted(self._applied, now):
+            self._propose(HoldRequest(fingerprint))
         for each in self._applied.requests:
             since_s = self._held_since_s.get(each.fingerprint, now)
             if not each.held and each.times < self._suspects.times_to_begin_with(each.fingerprint):
--- a/src/rainsail/quarantine/messages.py
+++ b/src/rainsail/quarantine/messages.py
@@ -54,6 +54,23 @@
     fingerprints: tuple[Fingerprint, ...]
 
 
+@wire_type("FailedTrial")
+@dataclass(frozen=True, slots=True)
+class FailedTrial:
+    """A run that crashed its runner as the trial of an entry that was held ``times`` times."""
+
+    fingerprint: Fingerprint
+    times: int
+
+
+@wire_record("TrialsFailed")
+@dataclass(frozen=True, slots=True)
+class TrialsFailed:
+    """A node tells a controller that has started, one-way, of trials that no hold has followed."""
+
+    trials: tuple[FailedTrial, ...]
+
+
 @wire_record("RequestTrial")
 @dataclass(frozen=True, slots=True)
 class RequestTrial:
--- a/src/rainsail/quarantine/view.py
+++ b/src/rainsail/quarantine/view.py
@@ -1,6 +1,7 @@
 """One node's view of the quarantine: the held requests and the suspects. Does no I/O."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from rainsail.quarantine.fingerprint import Fingerprint
 from rainsail.state.cluster_commands import NO_QUARANTINE, Quarantine
@@ -12,6 +13,17 @@
 response costs a digest of its request's body: 4 us, and 5 us more for each kB."""
 
 
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The release of a request that had been held ``times`` times.
+
+    ``known_s`` is when the node learned of it.
+    """
+
+    times: int
+    known_s: float
+
+
 class QuarantineView:
     """The newest list from the controllers, in whatever order lists arrive, and the suspects."""
 
@@ -20,10 +32,12 @@
         self._held: frozenset[Fingerprint] = frozenset()
         self._ever_held: frozenset[Fingerprint] = frozenset()
         self._unproven: frozenset[Fingerprint] = frozenset()
+        self._releases: dict[Fingerprint, Release] = {}
+        """Those of the unproven requests."""
         self._watched: dict[Fingerprint, float] = {}
         """The time from which each suspect is watched, oldest first."""
 
-    def take(self, quarantine: Quarantine) -> bool:
+    def take(self, quarantine: Quarantine, now: float = 0.0) -> bool:
         """Replace the list of held requests; return False if it is not newer than the current."""
         if quarantine.revision <= self.current.revision:
             return False
@@ -31,8 +45,21 @@
         self._held = frozenset(each.fingerprint for each in quarantine.requests if each.held)
         self._ever_held = frozenset(each.fingerprint for each in quarantine.requests)
         self._unproven = self._ever_held - self._held
+        known = self._releases
+        self._releases = {}
+        for each in quarantine.requests:
+            if each.held:
+                continue
+            release = known.get(each.fingerprint)
+            if release is None or release.times != each.times:
+                release = Release(each.times, now)
+            self._releases[each.fingerprint] = release
         return True
 
+    def release_of(self, fingerprint: Fingerprint) -> Release | None:
+        """Return the release of an unproven request, None for any other."""
+        return self._releases.get(fingerprint)
+
     def watch(self, fingerprints: Iterable[Fingerprint], now: float) -> None:
         """Add suspects: a response to one of them has to be reported."""
         for fingerprint in fingerprints:
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -24,7 +24,9 @@
 """The software versions of services, as a quorum of controllers knows them."""
 RESET_RUNS = 6
 """The runs at a crashed runner that had ended before its crash."""
-EXTENSION_LEVEL = RESET_RUNS
+FAILED_TRIALS = 7
+"""Trials that failed before a controller started."""
+EXTENSION_LEVEL = FAILED_TRIALS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
