--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -26,7 +26,9 @@
 """The runs at a crashed runner that had ended before its crash."""
 TRIAL_PERMITS = 7
 """Numbered permits for trial runs, of which the sender tells how they ended."""
-EXTENSION_LEVEL = TRIAL_PERMITS
+FAILED_TRIALS = 8
+"""Trials that failed before a controller started."""
+EXTENSION_LEVEL = FAILED_TRIALS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
