Quotas: a refund at one gateway is available at the others after 0.1 s

Cause: a gateway keeps a refund until its next request asks the allocator.

Now the refunds that no request has taken along within 0.1 s are reported by a call of their own: at most one call a gateway each 0.1 s, and only while requests are refunded. If the call fails, the next one reports them.

--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -124,13 +124,23 @@
             context.over.append((seed, over))
 
 
-def _random_run(seed):
+@when("{runs:d} such runs are made in which {percent:d} of 100 admitted requests do not run")
+def make_runs_with_refunds(context, runs, percent):
+    context.over = []
+    for seed in range(runs):
+        over = _random_run(seed, percent / 100)
+        if over > 0:
+            context.over.append((seed, over))
+
+
+def _random_run(seed, unused_share=0.0):
     """Make one random run; return by how much its busiest window exceeds the bound."""
     draw = random.Random(seed)
     rate = draw.choice((1.0, 4.0, 12.0))
     limit = RateLimit(rate, rate * draw.choice((1.0, 1.0, 2.0)))
     world = QuotaWorld(seed, draw.choice((3, 8, 20)), limit)
     world.lead(FIRST)
+    world.unused_share = unused_share
     few = world.gateways[: draw.choice((1, 3, 20))]
     world.offer_load(rate * draw.choice((1.5, 4.0, 10.0)), RUN_S, draw.choice((None, few)))
     until_s = 0.0
@@ -197,6 +207,35 @@
         gateway.client.give_back(Identity(TENANT, True, world.limit), decision)
 
 
+@when("{count:d} requests at gateway {number:d} are admitted at one moment and refunded")
+def refund_together(context, count, number):
+    world = context.world
+    assert _admitted_at(world, number, count) == count, world.admissions
+    for _ in range(count):
+        identity = Identity(TENANT, True, world.limit)
+        world.gateways[number - 1].client.give_back(identity, world.last_decision)
+
+
+def _admitted_at(world, number, count):
+    """Send requests to a gateway at one moment; return how many of them are admitted."""
+    before = len(world.admissions.admitted_s)
+    for _ in range(count):
+        world.request(world.gateways[number - 1])
+    world.clock.advance(0.01)
+    return len(world.admissions.admitted_s) - before
+
+
+@when("{seconds:g} seconds pass at the gateways")
+def pass_time(context, seconds):
+    context.world.clock.advance(seconds)
+
+
+@then("{admitted:d} of {count:d} requests at gateway {number:d} are admitted")
+def admitted_there(context, admitted, count, number):
+    found = _admitted_at(context.world, number, count)
+    assert found == admitted, found
+
+
 @when("no allocator answers any more")
 def stop_allocator(context):
     context.world.lead("")
@@ -206,12 +245,7 @@
 
 @then("{count:d} of the next {asked:d} requests are admitted")
 def some_admitted(context, count, asked):
-    world = context.world
-    before = len(world.admissions.admitted_s)
-    for _ in range(asked):
-        world.request(world.gateways[0])
-    world.clock.advance(0.01)
-    admitted = len(world.admissions.admitted_s) - before
+    admitted = _admitted_at(context.world, 1, asked)
     assert admitted == count, admitted
 
 
--- a/features/support/quota_world.py
+++ b/features/support/quota_world.py
@@ -17,6 +17,8 @@
 from rainsail.wire.messenger import Messenger
 
 TENANT = "tenant-1"
+MAX_REFUND_S = 0.3
+"""The time from an admission to its refund."""
 STORAGE_NODES = ("storage-1", "storage-2")
 GATEWAY_LINK = LinkConditions(delay_s=0.0009, jitter_s=0.0003)
 
@@ -57,6 +59,7 @@
 
     def __init__(self, seed: int, gateways: int, limit: RateLimit) -> None:
         self.random = random.Random(seed)
+        self._refund_random = random.Random(seed + 2)
         self.clock = VirtualClock()
         self.network = SimulatedNetwork(self.clock, random.Random(seed + 1), GATEWAY_LINK)
         self.terms = QuotaTerms()
@@ -65,6 +68,8 @@
         self.limits: list[tuple[float, RateLimit]] = [(0.0, limit)]
         self.admissions = Admissions()
         self.last_decision = ADMITTED
+        self.unused_share = 0.0
+        """The share of the admitted requests that do not run, and are refunded."""
         self.leading = ""
         self.led_since_s = 0.0
         self.services: dict[str, QuotaService] = {}
@@ -119,7 +124,15 @@
             self._ideal.take(1.0, now)
         self.admissions.asked += 1
         identity = Identity(TENANT, True, self.limit)
-        gateway.client.admit(identity, lambda decision: self._decided(decision, within))
+
+        def decided(decision: QuotaDecision) -> None:
+            if decision.is_admitted and self._refund_random.random() < self.unused_share:
+                delay_s = self._refund_random.uniform(0.0, MAX_REFUND_S)
+                self.clock.callLater(delay_s, gateway.client.give_back, identity, decision)
+            else:
+                self._decided(decision, within)
+
+        gateway.client.admit(identity, decided)
 
     def _decided(self, decision: QuotaDecision, within: bool) -> None:
         self.last_decision = decision
--- a/features/tenancy/quota.feature
+++ b/features/tenancy/quota.feature
@@ -58,6 +58,10 @@
     When a thousand random runs are made with excess load, lost allocators, partitions and restarts
     Then no window of these runs exceeds the quota terms
 
+  Scenario: Refunds of requests that do not run let no more requests run than the limit
+    When 300 such runs are made in which 30 of 100 admitted requests do not run
+    Then no window of these runs exceeds the quota terms
+
   Scenario: A request that has not run does not count
     Given 1 gateways and a limit of 5 a second and a burst of 5
     When 10 requests are admitted and refunded one by one
@@ -76,6 +80,13 @@
     When 4 requests are admitted by the allocator, and refunded once none answers and the share is used up
     Then 0 of the next 3 requests are admitted
 
+  Scenario: A refund at one gateway is soon available at the others
+    # Guards against: a refused client that returns at another gateway is over a quota that nobody has used.
+    Given 2 gateways and a limit of 1 a second and a burst of 1
+    When 6 requests at gateway 1 are admitted at one moment and refunded
+    And 0.2 seconds pass at the gateways
+    Then 6 of 6 requests at gateway 2 are admitted
+
   Scenario: A request that no runner takes is refunded to the bucket that paid for it
     Given a relay without runners whose requests are admitted by the gateway's share
     When a client sends a request to that relay
--- a/src/rainsail/tenancy/quota_client.py
+++ b/src/rainsail/tenancy/quota_client.py
@@ -22,6 +22,11 @@
 
 REPLY_TIMEOUT_S = 0.12
 """Longer than a busy allocator takes, and short compared with any time-to-first-byte target."""
+REFUND_REPORT_S = 0.1
+"""Refunds that no request takes to the allocator until then are reported by themselves.
+
+A refused client waits longer than that before it returns, perhaps at another gateway.
+"""
 ASK_RETRY_AFTER_S = 0.2
 """Pause after a call without a reply; meanwhile the gateway decides by its own share."""
 MAX_RETRY_AFTER_S = 1.0
@@ -54,6 +59,7 @@
         self._ask_after_s = float("-inf")
         self._asking = False
         self._planned = False
+        self._report_planned = False
         self._waiting: dict[str, _Waiting] = {}
         self._spent: dict[str, int] = {}
         self._limits: dict[str, RateLimit] = {}
@@ -99,6 +105,19 @@
         self._spend(identity.tenant, identity.limit, -1)
         if decision.by_share:
             self._local.give_back(identity.tenant)
+        if not self._report_planned:
+            self._report_planned = True
+            self._clock.callLater(REFUND_REPORT_S, self._report_refunds)
+
+    def _report_refunds(self) -> None:
+        """Report what has been refunded since the last call, for requests at other gateways.
+
+        If the call fails, the next one reports it.
+        """
+        self._report_planned = False
+        has_refunds = any(amount < 0 for amount in self._spent.values())
+        if has_refunds and self._allocator and self._clock.seconds() >= self._ask_after_s:
+            self._plan_ask()
 
     def _spend(self, tenant: str, limit: RateLimit, amount: int) -> None:
         """Add to the amount that the next call reports to the allocator."""
@@ -120,7 +139,7 @@
 
     def _ask(self) -> None:
         self._planned = False
-        if self._asking or not self._waiting:
+        if self._asking or not (self._waiting or self._spent):
             return
         asked, self._waiting = self._waiting, {}
         spent, self._spent = self._spent, {}
