A permit lapses as a possible crash only if no report on a crash of its run has come

Cause: only the sender's word or a decision ended the wait for one. A report that names the entry now does too, and the evidence alone decides what the crash counts for, as before the lapses were counted.

--- a/features/quarantine/returned_permits.feature
+++ b/features/quarantine/returned_permits.feature
@@ -54,4 +54,5 @@
       | end                                       | counts        |
       | is mentioned no more                      | counts        |
       | is known to have been used                | does not count |
+      | is followed by a report on a crash of it  | does not count |
       | is given back unused 0.3 s later          | does not count |
--- a/features/steps/returned_permit_steps.py
+++ b/features/steps/returned_permit_steps.py
@@ -117,6 +117,12 @@
     context.released_s = PERMITTED_S + 0.1
 
 
+@step("its permit is followed by a report on a crash of it")
+def report_crash(context):
+    _permit(context)
+    context.permits.crash_reported([FIRST])
+
+
 @step("its permit is mentioned no more")
 def say_nothing(context):
     _permit(context)
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -164,6 +164,7 @@
         at_s = now - max(0.0, age_s)
         self.on_crash(runner, at_s)
         self._permits.note_crash(at_s)
+        self._permits.crash_reported(fingerprints)
         if not fingerprints:
             # Found by a refused connection, some time after the crash.
             self._suspects.crashed_idle(runner, at_s)
--- a/src/rainsail/quarantine/trials.py
+++ b/src/rainsail/quarantine/trials.py
@@ -10,6 +10,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from rainsail.quarantine.fingerprint import Fingerprint
@@ -57,7 +58,7 @@
     identity: _PermitId
     at_s: float
     is_told: bool = False
-    """Its sender has said that the run went on or ended without a crash."""
+    """Its sender has said that the run went on or ended without a crash, or has reported one."""
 
     @property
     def lasts_s(self) -> float:
@@ -144,6 +145,11 @@
                 del self._permits[fingerprint]
         return bool(own) and not has_run
 
+    def crash_reported(self, fingerprints: Collection[Fingerprint]) -> None:
+        """Note that a crash was reported with these: its evidence decides, and no lapse is due."""
+        for fingerprint in self._permits.keys() & set(fingerprints):
+            self._permits[fingerprint].is_told = True
+
     def lapsed(self, sender: str, number: int) -> tuple[Fingerprint, ...]:
         """Return the fingerprints of a permit whose time is over and of which nothing is known.
 
