--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -166,6 +166,7 @@
         if age_s <= DOUBT_WITHIN_S:
             self.on_crash(runner, at_s)
         self._permits.note_crash(at_s)
+        self._permits.crash_reported(fingerprints)
         if not fingerprints:
             return
         watched = self._suspects.crashed(runner, fingerprints, at_s, now, ages)
