An answer counts although a decision on the same entry is under way, and what it makes due is held first

Cause: an answer was proposed at the moment it came, once: not if its entry's hold was still being decided, and not by the next leader if no controller led. And the release of a cleared part was proposed before the hold of what its end makes due.

The leader now forgets, at each look, every entry that was answered since its last hold or after the last of its crashes, and it looks at what is due before it proposes that. Each controller has the answers, so the next leader does the same.

--- /dev/null
+++ b/features/quarantine/answers_and_holds.feature
@@ -0,0 +1,26 @@
+Feature: An answer counts although a decision on the same request is under way
+
+  Scenario: An answer that arrives while the hold is being decided clears the request
+    # Guards against: a sound request that stays in the list, as its answer came between the proposal
+    # of a hold and the decision.
+    Given a leading controller whose decisions take a while
+    When 3 runners crash under one request, and its hold is proposed
+    And the request is answered before the hold is decided
+    And all proposals are decided
+    Then the list is empty
+
+  Scenario: An answer that arrives while no controller leads clears the request under the next leader
+    Given a leading controller whose decisions take a while
+    When 3 runners crash under one request, and its hold is proposed
+    And all proposals are decided
+    And the controller leads no more, and the request is answered
+    And the controller leads again
+    And all proposals are decided
+    Then the list is empty
+
+  Scenario: An item whose part is cleared is held before the part is forgotten
+    # Guards against: a fatal item that runs once more between the decisions on its part and on itself.
+    Given a leading controller whose decisions take a while
+    When a part is held for crashes of three items, and one of them crashes two more runners
+    And the part is answered
+    Then the item's hold is proposed before the part's release
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -172,9 +172,8 @@
 
     def _on_answered(self, source: str, message: RequestAnswered) -> None:
         self._suspects.answered(message.fingerprint, self._clock.seconds())
-        times = self._times_held(message.fingerprint)
-        if times and self._group.is_leader():
-            self._propose(ReleaseRequest(message.fingerprint, times, forget=True))
+        if self._times_held(message.fingerprint):
+            self.look()
 
     def _times_held(self, fingerprint: Fingerprint) -> int:
         """Return how often a request was held, 0 if it is not on the list."""
@@ -184,7 +183,10 @@
     # --- decisions -----------------------------------------------------------------------
 
     def look(self) -> None:
-        """Hold requests that are due and release expired holds; called periodically."""
+        """Hold what is due, forget what is refuted, release expired holds; called periodically.
+
+        What an answer makes due is held before what it refutes is forgotten, or it would run.
+        """
         now = self._clock.seconds()
         self._permits.note_leadership(self._group.is_leader(), now)
         if not self._group.is_leader():
@@ -192,6 +194,9 @@
         for fingerprint in self._suspects.due(now):
             self._propose(HoldRequest(fingerprint))
         for each in self._applied.requests:
+            if self._suspects.is_refuted(each.fingerprint):
+                self._propose(ReleaseRequest(each.fingerprint, each.times, forget=True))
+                continue
             since_s = self._held_since_s.get(each.fingerprint, now)
             if not each.held and each.times < self._suspects.times_to_begin_with(each.fingerprint):
                 self._propose(HoldRequest(each.fingerprint))
@@ -213,6 +218,10 @@
         self._proposed.discard(command.fingerprint)
         if isinstance(command, ReleaseRequest) and command.forget:
             self.holds_refuted += 1
+        if self._suspects.is_refuted(command.fingerprint):
+            # The answer came while another decision was under way.
+            self.look()
+            return
         if not self._suspects.is_on_trial(command.fingerprint):
             return
         is_release = isinstance(command, ReleaseRequest)
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -92,6 +92,8 @@
     """Crashes of runs that were sent later are failed trials; None before the first release."""
     is_informed: bool = True
     """No crash before its first hold can be missing here."""
+    is_answered: bool = False
+    """It was answered after the last hold."""
     are_trials_spent: bool = False
     """All trials had failed when it was held last: the hold lasts, and explains its crashes."""
 
@@ -140,6 +142,8 @@
         """Clear a request that a runner has completed: it caused none of the crashes so far."""
         self._due = None
         self._log.answered(fingerprint, now)
+        if fingerprint in self._entries:
+            self._entries[fingerprint].is_answered = True
 
     def crashes_of(self, fingerprint: Fingerprint) -> tuple[tuple[str, float], ...]:
         """Return the runners that crashed beside a suspect, with the times, oldest first."""
@@ -232,6 +236,7 @@
                 fingerprint
             ) or not self._has_trials_left(fingerprint, entry)
             entry.held_s = now
+            entry.is_answered = False
             if request.times == 1:
                 entry.is_informed = self._is_informed(fingerprint)
         # A hold whose trials are spent has lasted its time once it is released.
@@ -276,6 +281,17 @@
             and bool(self._log.open_of(fingerprint))
         )
 
+    def is_refuted(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether an entry of the list has been answered since it was last held.
+
+        Or before it was held, but after the last of the crashes behind that.
+        """
+        entry = self._entries.get(fingerprint)
+        if entry is None:
+            return False
+        crashes = self._log.all_of(fingerprint)
+        return entry.is_answered or (bool(crashes) and not self._log.open_of(fingerprint))
+
     def lacks_evidence(self, fingerprint: Fingerprint) -> bool:
         """Tell whether nothing is known here of the crashes for which a suspect is held.
 
