--- a/features/quarantine/trial_placement.feature
+++ b/features/quarantine/trial_placement.feature
@@ -36,3 +36,15 @@
 
   Scenario: A trial beside another request is better than one beside another suspect
     Then a trial is sent beside 2 requests rather than beside a suspect
+
+  Scenario Outline: <item> with slots at a runner that crashed, at one with a suspect and at another one
+    # Guards against: items whose runs are refused one after the other, and suspects that are all hit
+    # by one crash.
+    Then <item> may start at "<may start>" of the free runners "<free>"
+
+    Examples:
+      | item          | free                    | may start       |
+      | a plain item  | crashed,suspected,other | suspected,other |
+      | a plain item  | crashed                 | crashed         |
+      | a suspect     | crashed,suspected,other | other           |
+      | a suspect     | crashed,suspected       | suspected       |
--- a/features/steps/trial_placement_steps.py
+++ b/features/steps/trial_placement_steps.py
@@ -1,12 +1,14 @@
 """Steps on the runners to which trials are sent."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import step, then
 from features.support.relayed_fleet import JOB_PATH
 from features.support.relaying import HOST
 
 from rainsail.jobs.messages import QueueLimit
+from rainsail.jobs.suspect_placement import SuspectPlacement
 from rainsail.quarantine.fingerprint import part_fingerprints
 from rainsail.quarantine.trial_placement import TrialSite, best_trial_sites
 from rainsail.routing.facts import PromptPart
@@ -102,3 +104,21 @@
     busy = replace(SUITABLE, runner="busy", others=float(others))
     suspected = replace(SUITABLE, runner="suspected", suspects=1)
     assert best_trial_sites([suspected, busy]) == [busy]
+
+
+@then('{item} may start at "{expected}" of the free runners "{free}"')
+def may_start_at(context, item, expected, free):
+    node = SimpleNamespace(
+        guard=SimpleNamespace(
+            wants_answers=True, may_have_crashed=lambda record: record.runner == "crashed"
+        ),
+        registry=SimpleNamespace(get=lambda runner: None),
+    )
+    guard = SimpleNamespace(is_suspect=lambda each, service: each.is_suspect)
+    running = [SimpleNamespace(runner="suspected", is_suspect=True)]
+    placement = SuspectPlacement(node, running, guard)
+    placement.begin_round()
+    records = [SimpleNamespace(runner=runner) for runner in free.split(",")]
+    new = SimpleNamespace(is_suspect=item == "a suspect")
+    chosen = [each.runner for each in placement.for_other(new, "model", records)]
+    assert chosen == expected.split(","), chosen
