--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -112,9 +112,13 @@
 
     def trial_sent(self, record: RunnerRecord, unproven: Fingerprints) -> None:
         """Record that the request is sent as a trial, and what this gateway runs beside it."""
-        beside = self._context.loads.of(record.runner).in_flight
-        log = self._log_trial(unproven).bind(runner=record.runner, online_beside=beside)
-        log.info("request_trial_sent")
+        context = self._context
+        known_s = context.registry.history.known_s(record, context.clock.seconds())
+        self._log_trial(unproven).bind(
+            runner=record.runner,
+            online_beside=context.loads.of(record.runner).in_flight,
+            runner_known_ms=round(known_s * MILLISECONDS_PER_S),
+        ).info("request_trial_sent")
 
     def trial_unused(self, unproven: Fingerprints, reason: str) -> None:
         """Record a permit for a trial with which the request was not sent."""
@@ -137,13 +141,18 @@
         cleared = (self.fingerprint,) if is_rejected else self._all_fingerprints
         guard.answered(attempt.record, cleared, attempt.proves_survival)
 
-    def goes_on(self, attempt: Attempt) -> None:
-        """Report a stream that has gone on for a while, as its runner has survived the prompt."""
+    def goes_on(self, attempt: Attempt) -> bool:
+        """Report a stream that has gone on for a while, as its runner has survived the prompt.
+
+        Return whether that was reported now.
+        """
         guard = self._context.guard
-        if guard.wants_answers and attempt.times.is_survival_check_due(
+        if not guard.wants_answers or not attempt.times.is_survival_check_due(
             self._context.clock.seconds()
         ):
-            guard.answered(attempt.record, self.part_fingerprints, proves_survival=False)
+            return False
+        guard.answered(attempt.record, self.part_fingerprints, proves_survival=False)
+        return True
 
     def failed(self, attempt: Attempt) -> None:
         """Record an answer with an error status."""
