Drawn courses: permits are given back, and trials go where the product places them

A course's sender asks with numbered permits, tells how each has ended, and chooses runners for trials and suspects by the product's rules, so the courses play what callers get with returned permits.

--- a/features/support/course_controllers.py
+++ b/features/support/course_controllers.py
@@ -14,7 +14,7 @@
 from rainsail.cluster.controller import PLAN_PERIOD_S
 from rainsail.errors import Fault, FaultCode
 from rainsail.quarantine.control import QuarantineControl
-from rainsail.quarantine.messages import QuarantineNotice, RequestsWatched, RequestTrial
+from rainsail.quarantine.messages import QuarantineNotice, RequestPermit, RequestsWatched
 from rainsail.quarantine.view import QuarantineView
 from rainsail.simulation.clock import VirtualClock
 from rainsail.state.cluster_commands import HoldRequest, ReleaseRequest
@@ -133,11 +133,11 @@
         for messenger in self._messengers:
             messenger.handlers[type(message)](NODE, message)
 
-    def ask(self, message: RequestTrial, decided: Callable[[bool], None]) -> None:
+    def ask(self, message: RequestPermit, decided: Callable[[bool], None]) -> None:
         """Ask the leader for the permit of a trial."""
 
         def receive() -> None:
-            reply = self._messengers[self.leader].handlers[RequestTrial](NODE, message)
+            reply = self._messengers[self.leader].handlers[RequestPermit](NODE, message)
             reply.addCallback(lambda result: decided(result.permitted))
 
         self.clock.callLater(2 * NETWORK_S, receive)
--- a/features/support/course_world.py
+++ b/features/support/course_world.py
@@ -23,6 +23,9 @@
     cause: Fingerprint | None = None
     """The fingerprint by which it crashes its runners."""
     ends: int = 0
+    permit: int = 0
+    """The number of its permit, 0 without one."""
+    permit_of: tuple[Fingerprint, ...] = ()
     permit_until_s: float = -1.0
     asked: int = 0
     """How many rounds it has asked for a permit."""
@@ -49,7 +52,10 @@
     """A runner, and what the sender knows of it."""
 
     name: str
+    zone: str
     incarnation: int = 1
+    started_s: float = float("-inf")
+    crashed_s: float = float("-inf")
     is_up: bool = True
     is_known_down: bool = False
     runs: list[CourseRun] = field(default_factory=list)
--- a/features/support/quarantine_courses.py
+++ b/features/support/quarantine_courses.py
@@ -10,6 +10,7 @@
 
 from features.support.course_controllers import CourseControllers
 from features.support.course_plans import FAULTS_FOR_S, STREAM_S, CoursePlan, draw_plan
+from features.support.course_sender import CoursePermits, CoursePlacement
 from features.support.course_world import (
     SURVIVAL_SHOWN_AFTER_S,
     CourseRequest,
@@ -25,10 +26,8 @@
 from rainsail.quarantine.fingerprint import Fingerprint, is_of_part
 from rainsail.quarantine.messages import (
     RequestAnswered,
-    RequestTrial,
     RunnerCrashed,
 )
-from rainsail.quarantine.trial_order import TrialAsk, TrialOrder
 from rainsail.simulation.clock import VirtualClock
 from rainsail.state.cluster_commands import HoldRequest, ReleaseRequest
 
@@ -40,8 +39,6 @@
 """Controllers that have started just before count evidence in another way."""
 SEEN_AFTER_S = 0.05
 """Time until the sender knows that a connection has ended by a crash."""
-PERMIT_USE_S = 1.0
-ASK_AGAIN_S = 0.2
 STREAM_ATTEMPTS = 2
 SOUND_WITHIN_S = 18.0
 WATCHED_FOR_S = 45.0
@@ -63,11 +60,15 @@
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
         self.trace: list[str] = []
-        self._runners = [CourseRunner(f"r{number}") for number in range(self.plan.runners)]
+        self._runners = [
+            CourseRunner(f"r{number}", f"zone-{number % 3}") for number in range(self.plan.runners)
+        ]
         self._items: list[CourseRequest] = []
         self._waiting: list[CourseRequest] = []
-        self._order = TrialOrder()
-        self._refused_s: dict[tuple[Fingerprint, ...], float] = {}
+        self._permits = CoursePermits(self.controllers, self._say)
+        self._placement = CoursePlacement(
+            self._draw, self._runners, self.plan.slots, self.controllers
+        )
         self._crashes: dict[Fingerprint, list[float]] = {}
         """The times of the crashes that each fatal suspect has caused."""
         self._runs: dict[Fingerprint, list[tuple[float, bool]]] = {}
@@ -134,8 +135,12 @@
         """Send the requests that may run, online ones first."""
         waiting, self._waiting = self._waiting, []
         for request in sorted(waiting, key=lambda each: each.is_item):
-            if not self._is_sent(request) and (request.is_item or self._may_wait(request)):
+            if self._is_sent(request):
+                continue
+            if request.is_item or self._may_wait(request):
                 self._waiting.append(request)
+            else:
+                self._permits.end(request, has_run=False)
         self.clock.callLater(ROUND_S, self._look)
 
     def _may_wait(self, request: CourseRequest) -> bool:
@@ -148,53 +153,21 @@
         if not view.held.isdisjoint(request.fingerprints):
             return False
         unproven = tuple(each for each in request.fingerprints if each in view.unproven)
-        if unproven and not self._has_permit(request, unproven):
+        if unproven and not self._permits.may_run(request, unproven):
             return False
-        runner = self._place()
+        runner = self._placement.place(request, bool(unproven))
         if runner is None:
             return False
-        request.permit_until_s = -1.0
         self._send(request, runner, unproven)
         return True
 
-    def _has_permit(self, request: CourseRequest, unproven: tuple[Fingerprint, ...]) -> bool:
-        now = self.clock.seconds()
-        if now <= request.permit_until_s:
-            return True
-        request.asked += 1
-        ask = TrialAsk(frozenset(unproven), request.ends)
-        if not self._order.is_next(ask, now):
-            return False
-        if now - self._refused_s.get(unproven, float("-inf")) < ASK_AGAIN_S:
-            return False
-        self._refused_s[unproven] = now
-
-        def decided(is_permitted: bool) -> None:
-            if is_permitted:
-                self._say(f"permit of {names_of(unproven)} for {request.name}")
-                request.permit_until_s = self.clock.seconds() + PERMIT_USE_S
-
-        self.controllers.ask(RequestTrial(unproven), decided)
-        return False
-
-    def _place(self) -> CourseRunner | None:
-        """Return the runner with the most free slots."""
-        free = {
-            runner: self.plan.slots - len(runner.runs)
-            for runner in self._runners
-            if not runner.is_known_down
-        }
-        most = max(free.values(), default=0)
-        if most <= 0:
-            return None
-        return self._draw.choice([runner for runner, slots in free.items() if slots == most])
-
     def _send(
         self, request: CourseRequest, runner: CourseRunner, unproven: tuple[Fingerprint, ...]
     ) -> None:
         now = self.clock.seconds()
         if not runner.is_up:
             self._say(f"{request.name} refused by {runner.name}")
+            self._permits.end(request, has_run=False)
             self._leave_out(runner, runner.incarnation)
             self._note_down(runner, ())
             self._waiting.append(request)
@@ -231,6 +204,7 @@
 
     def _survive(self, runner: CourseRunner, run: CourseRun) -> None:
         if run in runner.runs:
+            self._permits.end(run.request, has_run=True)
             self._report_answered(run.request.fingerprints[1:])
 
     def _finish(self, runner: CourseRunner, run: CourseRun) -> None:
@@ -239,6 +213,7 @@
         runner.runs.remove(run)
         run.request.is_running = False
         run.request.is_done = True
+        self._permits.end(run.request, has_run=True)
         self._report_answered(run.request.fingerprints)
 
     def _report_answered(self, fingerprints: tuple[Fingerprint, ...]) -> None:
@@ -270,7 +245,7 @@
         runs, runner.runs = runner.runs, []
         self._say(f"{runner.name} crashes by {reason}, runs {[run.request.name for run in runs]}")
         runner.is_up = False
-        now = self.clock.seconds()
+        now = runner.crashed_s = self.clock.seconds()
         self.clock.callLater(SEEN_AFTER_S, self._note_down, runner, tuple(runs), now)
         self.clock.callLater(
             self.plan.left_out_after_s, self._leave_out, runner, runner.incarnation
@@ -297,6 +272,7 @@
         for run in runs:
             run.request.is_running = False
             run.request.ends += 1
+            self._permits.forget(run.request)
             run.request.left_s = max(0.0, run.request.left_s - run.wrote_s(at_s))
             if run.request.is_item or run.request.ends < STREAM_ATTEMPTS:
                 self._waiting.append(run.request)
@@ -309,6 +285,7 @@
         runner.incarnation += 1
         runner.is_up = True
         runner.is_known_down = False
+        runner.started_s = self.clock.seconds()
 
     # --- other faults --------------------------------------------------------------------
 
