--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -200,6 +200,7 @@
         self, runner: CrashingRunner, incarnation: int, call: StandInCall, cause: bytes
     ) -> None:
         if call.cancelled and not self.cancelled_runs_crash:
+            runner.ran_fatal = b""
             return
         if runner.is_up and runner.incarnation == incarnation:
             runner.ran_fatal = cause
