--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -158,6 +158,7 @@
         at_s = now - max(0.0, age_s)
         self.on_crash(runner, at_s)
         self._permits.note_crash(at_s)
+        self._permits.crash_reported(fingerprints)
         if not fingerprints:
             return
         watched = self._suspects.crashed(runner, fingerprints, at_s, now, ages)
