--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -207,8 +207,12 @@
             different = of_different_requests(answered)
             since_s = enough_reports_s(fingerprint, different, CRASHES_TO_HOLD)
             if since_s is None:
-                wait_s = UNANSWERED_WAIT_S
-                since_s = enough_reports_s(fingerprint, crashes, CRASHES_TO_HOLD_PART_UNANSWERED)
+                count = CRASHES_TO_HOLD_PART_UNANSWERED
+                since_s = enough_reports_s(fingerprint, crashes, count)
+                if since_s is not None:
+                    # Nodes repeat answers with the crashes, to a controller that has started.
+                    crashed_s = sorted(each.at_s for each in crashes)[count - 1]
+                    wait_s = max(0.0, UNANSWERED_WAIT_S - (since_s - crashed_s))
         if since_s is None:
             return None
         return _Due(since_s, wait_s, (len(crashes), is_of_part(fingerprint)))
