A leader proposes again what the root group has refused at its next look only

Cause: the result of a proposal was ignored. For an answered entry the leader looked again at once, proposed the same release, and was refused again in the same call. Releases that were refused counted as refuted holds.

Now a proposal that failed is logged (quarantine_not_decided) and left to the next look, which is periodic.

--- a/features/quarantine/answers_and_holds.feature
+++ b/features/quarantine/answers_and_holds.feature
@@ -24,3 +24,11 @@
     When a part is held for crashes of three items, and one of them crashes two more runners
     And the part is answered
     Then the item's hold is proposed before the part's release
+
+  Scenario: The group refuses the release of a request that was answered
+    # Guards against: a leader that proposes the same release again and again within one call.
+    Given a leading controller whose decisions take a while
+    When 3 runners crash under one request, and its hold is proposed
+    And all proposals are decided
+    And the group refuses proposals, and the request is answered
+    Then each look proposes its release once, and nothing counts as refuted
--- a/features/steps/answers_and_holds_steps.py
+++ b/features/steps/answers_and_holds_steps.py
@@ -3,9 +3,11 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from expression import Error, Ok
 from features.support.tracker_course import suspect
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
+from rainsail.errors import Fault, FaultCode
 from rainsail.quarantine.control import QuarantineControl
 from rainsail.quarantine.messages import CrashedRun, RequestAnswered, RunnerCrashed
 from rainsail.simulation.clock import VirtualClock
@@ -24,12 +26,17 @@
 
     def __init__(self):
         self.leads = True
+        self.is_overloaded = False
+        self.refused = 0
         self.proposed = []
 
     def is_leader(self):
         return self.leads
 
     def propose(self, command):
+        if self.is_overloaded:
+            self.refused += 1
+            return succeed(Error(Fault(FaultCode.OVERLOADED, "group.propose", "too many")))
         done = Deferred()
         self.proposed.append((command, done))
         return done
@@ -130,7 +137,20 @@
         else:
             context.list.release(command.fingerprint, command.times, command.forget)
         context.control.applied()
-        done.callback(None)
+        done.callback(Ok(None))
+
+
+@when("the group refuses proposals, and the request is answered")
+def answer_overloaded(context):
+    context.group.is_overloaded = True
+    _answer(context, REQUEST)
+    _look(context, WAIT_S)
+
+
+@then("each look proposes its release once, and nothing counts as refuted")
+def proposed_once(context):
+    assert context.group.refused == 2, context.group.refused
+    assert context.control.holds_refuted == 0, context.control.holds_refuted
 
 
 @then("the list is empty")
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -238,11 +238,21 @@
             return
         self._proposed.add(fingerprint)
         done = self._group.propose(command)
-        done.addCallback(lambda _: self._on_decided(command))
+        done.addCallback(lambda result: self._on_decided(command, result))
 
-    def _on_decided(self, command: HoldRequest | ReleaseRequest) -> None:
-        """Put a hold on trial at once, so that a loss of power can't part them."""
+    def _on_decided(
+        self, command: HoldRequest | ReleaseRequest, result: Result[Any, Fault]
+    ) -> None:
+        """Put a hold on trial at once, so that a loss of power can't part them.
+
+        A proposal that failed is made again by the next look, if it is still needed.
+        """
         self._proposed.discard(command.fingerprint)
+        if result.is_error():
+            self._log_of(command.fingerprint).bind(fault=str(result.error)).warning(
+                "quarantine_not_decided"
+            )
+            return
         if isinstance(command, ReleaseRequest) and command.forget:
             self.holds_refuted += 1
         if self._suspects.is_refuted(command.fingerprint):
