A request whose trials are spent is held, also if one hold followed several of them

Cause: two trials that crash at about the same time are followed by one hold, if the report on the second one comes after it. The entry is put on trial again, all its trials have failed, and nothing counts for a further hold.

Now the leader holds such an entry.

Evidence: 'Several trials crash before the hold that follows the first of them' failed before (held 2 times, released) and passes.

--- a/features/quarantine/answers_and_holds.feature
+++ b/features/quarantine/answers_and_holds.feature
@@ -32,3 +32,11 @@
     And all proposals are decided
     And the group refuses proposals, and the request is answered
     Then each look proposes its release once, and nothing counts as refuted
+
+  Scenario: Several trials crash before the hold that follows the first of them
+    # Guards against: a request on trial that is neither tried nor held, so that it waits for ever.
+    Given a leading controller whose decisions take a while
+    When 3 runners crash under one request, and its hold is proposed
+    And all proposals are decided
+    And all its trials crash, of which all but the first are reported after the next hold
+    Then the request is held, as it may not be tried any more
--- a/features/steps/answers_and_holds_steps.py
+++ b/features/steps/answers_and_holds_steps.py
@@ -10,6 +10,7 @@
 from rainsail.errors import Fault, FaultCode
 from rainsail.quarantine.control import QuarantineControl
 from rainsail.quarantine.messages import CrashedRun, RequestAnswered, RunnerCrashed
+from rainsail.quarantine.suspects import MAX_TRIALS
 from rainsail.simulation.clock import VirtualClock
 from rainsail.state.cluster_commands import HoldRequest, ReleaseRequest
 from rainsail.state.quarantine import QuarantineState
@@ -19,6 +20,7 @@
 WAIT_S = 3.0
 STARTED_AFTER_S = 60.0
 BEGAN_BEFORE_S = 30.0
+TRIAL_AFTER_S = 5.0
 
 
 class _Group:
@@ -72,9 +74,9 @@
     context.clock.advance(STARTED_AFTER_S)
 
 
-def _crash(context, number, fingerprints, ran_s=0.1):
+def _crash(context, number, fingerprints, ran_s=0.1, age_s=REPORT_DELAY_S):
     runs = tuple(CrashedRun(each, ran_s, 0.0) for each in fingerprints)
-    message = RunnerCrashed(f"runner-{number}", runs, REPORT_DELAY_S)
+    message = RunnerCrashed(f"runner-{number}", runs, age_s)
     context.messenger.handlers[RunnerCrashed]("gateway-1", message)
     context.clock.advance(REPORT_DELAY_S)
 
@@ -153,6 +155,24 @@
     assert context.control.holds_refuted == 0, context.control.holds_refuted
 
 
+@when("all its trials crash, of which all but the first are reported after the next hold")
+def crash_trials(context):
+    context.clock.advance(TRIAL_AFTER_S)
+    _crash(context, 10, (REQUEST,))
+    _look(context, WAIT_S)
+    decide(context)
+    for number in range(1, MAX_TRIALS):
+        _crash(context, 10 + number, (REQUEST,), age_s=WAIT_S + 2 * REPORT_DELAY_S)
+    _look(context, WAIT_S)
+    decide(context)
+
+
+@then("the request is held, as it may not be tried any more")
+def held_for_good(context):
+    (entry,) = context.list.snapshot().requests
+    assert entry.held, entry
+
+
 @then("the list is empty")
 def is_empty(context):
     assert not context.list.snapshot().requests, context.list.snapshot()
--- a/src/rainsail/quarantine/control.py
+++ b/src/rainsail/quarantine/control.py
@@ -225,12 +225,21 @@
                 self._propose(ReleaseRequest(each.fingerprint, each.times, forget=True))
                 continue
             since_s = self._held_since_s.get(each.fingerprint, now)
-            if not each.held and each.times < self._suspects.times_to_begin_with(each.fingerprint):
+            if not each.held and self._lacks_hold(each):
                 self._propose(HoldRequest(each.fingerprint))
             is_over = now - since_s >= self._hold_duration_s(each)
             if each.held and (is_over or self._suspects.is_on_trial(each.fingerprint)):
                 self._propose(ReleaseRequest(each.fingerprint, each.times, forget=False))
 
+    def _lacks_hold(self, request: QuarantinedRequest) -> bool:
+        """Tell whether a request that is on trial may not run any more.
+
+        One hold follows several trials that crash at about the same time.
+        """
+        if request.times < self._suspects.times_to_begin_with(request.fingerprint):
+            return True
+        return not self._suspects.may_be_tried(request.fingerprint)
+
     def _propose(self, command: HoldRequest | ReleaseRequest) -> None:
         """Propose a command to the group, at most one at a time for each request."""
         fingerprint = command.fingerprint
