A request on trial explains no crashes of other requests

Cause: each entry of the list explained the crashes at which it ran to all other whole requests, a suspect that may be cleared by its next trial too.

Now a request explains them once its trials have all failed; parts do from their hold on, as they are on trial for all that share them.

Evidence: 'A request on trial explains no crashes of another request' failed before.

--- a/features/quarantine/evidence_per_crash.feature
+++ b/features/quarantine/evidence_per_crash.feature
@@ -137,3 +137,18 @@
     And time goes on to 3 s
     Then item-1 is in the list
     And nothing is held without a trial
+
+  Scenario: A request on trial explains no crashes of another request
+    # Guards against: a fatal item that runs on while another item, beside which it crashed, is tried.
+    When these happen:
+      | s    | event  | suspects            |
+      | 0.0  | crash  | item-1              |
+      | 0.5  | crash  | item-1, item-2      |
+      | 1.0  | crash  | item-1, item-2      |
+    And time goes on to 2 s
+    Then item-1 is in the list
+    When these happen:
+      | s    | event  | suspects            |
+      | 2.5  | crash  | item-2              |
+    And time goes on to 4 s
+    Then item-1, item-2 are in the list
--- a/src/rainsail/quarantine/evidence.py
+++ b/src/rainsail/quarantine/evidence.py
@@ -23,14 +23,16 @@
 ) -> list[Crash]:
     """Return the crashes that count against a suspect that is not in the list, oldest first.
 
-    ``entries`` are those of the list: they explain the crashes at which they ran to other requests,
-    of which few cause crashes. A part that crashes runners could go on meanwhile for all requests
-    that share it. So to a part only those parts explain a crash that are in ``convicted``, as no
-    trial has cleared them; and a request never does, as the part may be why it crashes.
+    ``entries`` are those of the list: parts among them explain the crashes at which they ran to
+    whole requests, of which few cause crashes. An entry of ``convicted``, which no trial has
+    cleared, explains them too. A part that crashes runners could go on meanwhile for all requests
+    that share it. So to a part only convicted parts explain a crash; a request never does, as the
+    part may be why it crashes.
     """
     crashes = log.open_of(fingerprint)
     if not is_of_part(fingerprint):
-        return [each for each in crashes if not _is_explained(each, entries)]
+        explaining = [each for each in entries if is_of_part(each) or each in convicted]
+        return [each for each in crashes if not _is_explained(each, explaining)]
     parts = [each for each in convicted if is_of_part(each)]
     crashes = [each for each in crashes if not _is_explained(each, parts)]
     return _without_known_others(fingerprint, crashes, log.all_of(fingerprint))
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -7,8 +7,9 @@
   its runners at the same point of each run.
 - A request that is completed later at any runner did not cause the crash and is cleared. So nodes
   get a list of all suspects, and report responses to them.
-- A hold explains the crashes at which it ran to other requests, as long as it is in the list. It is
-  put on trial, so that a run can refute it; its crashes count against the others again then.
+- A part that is held, and a request whose trials have all failed, explain the crashes at which they
+  ran to other requests, as long as they are in the list. Each hold is put on trial, so that a run
+  can refute it; its crashes count against the others again then.
 
 Many requests may hold one part, and to hold it would shut out all of them. So a part needs more
 than crashes: while its service answers, it is beside three crashes of different requests and in no
