A whole request has three trials, like a prompt part

Cause: the third late run that a request may have was spared for a trial whose crash is not counted. Since permits without any word and trials that the controllers have missed are counted by one more hold, so that run can tell something.

Tests that state the number of trials: decisions (four crashes and the trials, as before), two scenarios of evidence_per_crash.

--- a/features/quarantine/decisions.feature
+++ b/features/quarantine/decisions.feature
@@ -4,8 +4,8 @@
     Given a fleet of 3 gateways whose runners crash when they run the fatal body
     And the fatal body has crashed 2 runners
     When the leading controller loses power
-    And the fatal body is sent every 0.7 s for 20 s, at each gateway in turn
-    Then at most 6 runners have crashed, two of them at its trials
+    And the fatal body is sent every 0.7 s for 30 s, at each gateway in turn
+    Then at most 7 runners have crashed, three of them at its trials
     And the fatal body is held
 
   Scenario: All gateways restart
--- a/features/quarantine/evidence_per_crash.feature
+++ b/features/quarantine/evidence_per_crash.feature
@@ -64,6 +64,7 @@
       | 2.0  | crash  | item-1              |
       | 5.0  | crash  | item-1              |
       | 9.0  | crash  | item-1              |
+      | 15.0 | crash  | item-1              |
     And time goes on to 20 s
     Then item-1 is held without a trial
     When these happen:
@@ -109,7 +110,7 @@
       | of one request         | item-1 | item-1 | item-1 | item-1 is |
       | of different requests  | item-1 | item-2 | item-3 | part is   |
 
-  Scenario: A fatal request is held for good after its two trials
+  Scenario: A fatal request is held for good after its three trials
     When these happen:
       | s    | event  | suspects            |
       | 0.0  | crash  | item-1              |
@@ -122,7 +123,13 @@
     When these happen:
       | s    | event  | suspects            |
       | 8.0  | crash  | item-1              |
-    And time goes on to 9 s
+    And time goes on to 10 s
+    Then nothing is held without a trial
+    And item-1 is in the list
+    When these happen:
+      | s    | event  | suspects            |
+      | 14.0 | crash  | item-1              |
+    And time goes on to 16 s
     Then item-1 is held without a trial
 
   Scenario: A run that a node sends before it has heard of the hold is no trial
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -422,7 +422,7 @@
     assert len(job.items) == count + 1
 
 
-@then("at most {most:d} runners have crashed, two of them at its trials")
+@then("at most {most:d} runners have crashed, three of them at its trials")
 @then("at most {most:d} runners have crashed")
 def ended_at_most(context, most):
     assert 1 <= len(context.fleet.runners.crashes) <= most, context.fleet.runners.crashes
--- a/src/rainsail/quarantine/suspects.py
+++ b/src/rainsail/quarantine/suspects.py
@@ -43,12 +43,10 @@
 """The same, for a request that was held before."""
 CRASHES_TO_HOLD_PART_UNANSWERED = 5
 """The same for a prompt part, while no other suspect of its crashes was cleared by an answer."""
-MAX_TRIALS = 2
-"""Trials of a request that is held. Each may cost a runner, so the number holds over all leaders; a
-hold that follows the last one stays. A crash whose report is lost with its sender, or with all
-controllers, is not counted: one of three late runs is left for that."""
-MAX_TRIALS_OF_PART = 3
-"""The same for a prompt part, which counts as known only after five crashes."""
+MAX_TRIALS = 3
+"""Trials of a suspect that is held. Each may cost a runner, so the number holds over all leaders,
+and permits and crashes of which no report arrives are counted as well. A hold that follows the last
+one stays."""
 MAX_TRIALS_UNINFORMED = 1
 """The same, if crashes before the first hold may be unknown: two runs may have been late."""
 INFORMED_AFTER_S = 3.0
@@ -237,9 +235,9 @@
             entry = _Entry(QuarantinedRequest(fingerprint, 0, False))
         known, entry.request = entry.request, request
         if request.times != known.times:
-            entry.are_trials_spent = request.times > _max_trials(
-                fingerprint
-            ) or not self._has_trials_left(fingerprint, entry)
+            entry.are_trials_spent = request.times > MAX_TRIALS or not self._has_trials_left(
+                fingerprint, entry
+            )
             entry.held_s = now
             entry.is_answered = False
             if request.times == 1:
@@ -265,7 +263,7 @@
         return entry is None or self._has_trials_left(fingerprint, entry)
 
     def _has_trials_left(self, fingerprint: Fingerprint, entry: _Entry) -> bool:
-        return len(self._failed_trials(fingerprint, entry)) < _max_trials(fingerprint)
+        return len(self._failed_trials(fingerprint, entry)) < MAX_TRIALS
 
     def _failed_trials(self, fingerprint: Fingerprint, entry: _Entry) -> list[Crash]:
         if entry.trials_since_s is None:
@@ -316,11 +314,11 @@
         entry = self._entries.get(fingerprint)
         if entry is None or entry.is_informed:
             return 1
-        return 1 + _max_trials(fingerprint) - MAX_TRIALS_UNINFORMED
+        return 1 + MAX_TRIALS - MAX_TRIALS_UNINFORMED
 
     def trials(self, fingerprint: Fingerprint) -> int:
         """Return how many of a suspect's holds are put on trial."""
-        return _max_trials(fingerprint)
+        return MAX_TRIALS
 
     def trial_status(self, fingerprint: Fingerprint, times: int) -> TrialStatus:
         """Return why the hold that was decided last is on trial or not."""
@@ -331,7 +329,3 @@
         if self.lacks_evidence(fingerprint):
             return TrialStatus.NO_CRASH_KNOWN
         return TrialStatus.TRIALS_SPENT
-
-
-def _max_trials(fingerprint: Fingerprint) -> int:
-    return MAX_TRIALS_OF_PART if is_of_part(fingerprint) else MAX_TRIALS
