A dispatcher's round examines running items only if a suspect is to be started

Cause: the suspects at each runner were counted at the begin of each round, and again for each item whose start was noted.

Now they are counted once in a round, when the first suspect or trial is placed; items whose start was noted use the counts of the last round.

--- a/features/quarantine/trial_placement.feature
+++ b/features/quarantine/trial_placement.feature
@@ -48,3 +48,11 @@
       | a plain item  | crashed                 | crashed         |
       | a suspect     | crashed,suspected,other | other           |
       | a suspect     | crashed,suspected       | suspected       |
+
+  Scenario: Running items are examined only if a suspect is to be started
+    # Guards against: rounds of the dispatcher that examine thousands of running items for nothing.
+    Given 1000 items run, of which some are suspects
+    When 20 plain items are placed in a round
+    Then no running item was examined
+    When 20 suspects are placed in a round
+    Then each running item was examined once
--- a/features/steps/trial_placement_steps.py
+++ b/features/steps/trial_placement_steps.py
@@ -1,9 +1,10 @@
 """Steps on the runners to which trials are sent."""
 
+from collections import Counter
 from dataclasses import replace
 from types import SimpleNamespace
 
-from behave import step, then
+from behave import given, step, then, when
 from features.support.relayed_fleet import JOB_PATH
 from features.support.relaying import HOST
 
@@ -122,3 +123,42 @@
     new = SimpleNamespace(is_suspect=item == "a suspect")
     chosen = [each.runner for each in placement.for_other(new, "model", records)]
     assert chosen == expected.split(","), chosen
+
+
+@given("{count:d} items run, of which some are suspects")
+def running_items(context, count):
+    guard = SimpleNamespace(wants_answers=True, may_have_crashed=lambda record: False)
+    context.examined = Counter()
+
+    def is_suspect(item, service):
+        context.examined[item.name] += 1
+        return item.is_suspect
+
+    running = [
+        SimpleNamespace(name=number, runner=f"runner-{number % 7}", is_suspect=number % 3 == 0)
+        for number in range(count)
+    ]
+    registry = SimpleNamespace(get=lambda runner: None)
+    node = SimpleNamespace(guard=guard, registry=registry)
+    context.running = running
+    context.placement = SuspectPlacement(node, running, SimpleNamespace(is_suspect=is_suspect))
+
+
+@when("{count:d} {kind} are placed in a round")
+def place_round(context, count, kind):
+    context.placement.begin_round()
+    records = [SimpleNamespace(runner=f"runner-{number}") for number in range(7)]
+    for _ in range(count):
+        new = SimpleNamespace(name="new", runner="runner-1", is_suspect=kind == "suspects")
+        context.placement.for_other(new, "model", records)
+        context.placement.count(new)
+
+
+@then("no running item was examined")
+def none_examined(context):
+    assert not [each for each in context.running if context.examined[each.name]]
+
+
+@then("each running item was examined once")
+def examined_once(context):
+    assert all(context.examined[each.name] == 1 for each in context.running)
--- a/src/rainsail/jobs/item_starter.py
+++ b/src/rainsail/jobs/item_starter.py
@@ -236,7 +236,6 @@
             return
         if self._guard.held_entry(item) is not None:
             return
-        self._placement.begin_round()
         if self._start_or_give_up(item, now, set()) == StartResult.WAITS_NO_LONGER:
             self._waiting.take(item)
 
--- a/src/rainsail/jobs/suspect_placement.py
+++ b/src/rainsail/jobs/suspect_placement.py
@@ -4,6 +4,7 @@
 have free slots.
 """
 
+from collections import Counter
 from collections.abc import Mapping
 
 from rainsail.cluster.messages import RunnerRecord
@@ -22,19 +23,30 @@
         self._node = node
         self._running = running
         self._guard = guard
-        self._suspects_at: dict[str, int] = {}
+        self._suspects_at: Counter[str] | None = None
+        """Suspects that run at each runner; None from the begin of a round until it is needed."""
 
     def begin_round(self) -> None:
-        """Count the suspects that run at each runner; called before items are started."""
-        self._suspects_at.clear()
-        if self._node.guard.wants_answers:
-            for item in self._running:
-                self.count(item)
+        """Forget what ran at the runners; called before items are started."""
+        self._suspects_at = None
 
     def count(self, item: OpenItem) -> None:
-        """Count an item that runs, or that is about to be sent, if it is a suspect."""
-        if self._guard.is_suspect(item, self._service_at(item.runner)):
-            self._suspects_at[item.runner] = self._suspects_at.get(item.runner, 0) + 1
+        """Count an item that is sent, if it is a suspect."""
+        if self._suspects_at is not None and self._is_suspect(item):
+            self._suspects_at[item.runner] += 1
+
+    def _count_all(self) -> Counter[str]:
+        """Return how many suspects run at each runner.
+
+        All running items are examined once in a round, and only if a suspect is to be started.
+        """
+        if self._suspects_at is None:
+            suspects = filter(self._is_suspect, self._running)
+            self._suspects_at = Counter(item.runner for item in suspects)
+        return self._suspects_at
+
+    def _is_suspect(self, item: OpenItem) -> bool:
+        return self._guard.is_suspect(item, self._service_at(item.runner))
 
     def _service_at(self, runner: str) -> str:
         record = self._node.registry.get(runner)
@@ -60,7 +72,7 @@
             registry.may_be_replaced(record),
             registry.history.known_s(record, now),
             registry.history.since_crash_s(record, now),
-            self._suspects_at.get(record.runner, 0),
+            self._count_all()[record.runner],
             use.slots - use.free,
         )
 
@@ -73,7 +85,8 @@
         """
         guard = self._node.guard
         records = [each for each in records if not guard.may_have_crashed(each)] or records
-        if not self._suspects_at or not self._guard.is_suspect(item, service):
+        if not guard.wants_answers or not self._guard.is_suspect(item, service):
             return records
-        apart = [each for each in records if not self._suspects_at.get(each.runner)]
+        suspects_at = self._count_all()
+        apart = [each for each in records if not suspects_at[each.runner]]
         return apart or records
