--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -4,7 +4,9 @@
 
 from behave import given, then, when
 from features.support.quota_world import STORAGE_NODES, TENANT, QuotaWorld
+from features.support.relaying import RelayWorld
 
+from rainsail.tenancy.quota_decision import QuotaDecision
 from rainsail.tenancy.tenants import Identity, RateLimit
 
 FIRST, SECOND = STORAGE_NODES
@@ -122,13 +124,23 @@
             context.over.append((seed, over))
 
 
-def _random_run(seed):
+@when("{runs:d} such runs are made in which {percent:d} of 100 admitted requests do not run")
+def make_runs_with_refunds(context, runs, percent):
+    context.over = []
+    for seed in range(runs):
+        over = _random_run(seed, percent / 100)
+        if over > 0:
+            context.over.append((seed, over))
+
+
+def _random_run(seed, unused_share=0.0):
     """Make one random run; return by how much its busiest window exceeds the bound."""
     draw = random.Random(seed)
     rate = draw.choice((1.0, 4.0, 12.0))
     limit = RateLimit(rate, rate * draw.choice((1.0, 1.0, 2.0)))
     world = QuotaWorld(seed, draw.choice((3, 8, 20)), limit)
     world.lead(FIRST)
+    world.unused_share = unused_share
     few = world.gateways[: draw.choice((1, 3, 20))]
     world.offer_load(rate * draw.choice((1.5, 4.0, 10.0)), RUN_S, draw.choice((None, few)))
     until_s = 0.0
@@ -172,10 +184,71 @@
     for _ in range(count):
         world.request(world.gateways[0])
         world.clock.advance(0.01)
-        client.give_back(Identity(TENANT, True, world.limit))
+        client.give_back(Identity(TENANT, True, world.limit), world.last_decision)
     assert world.admissions.refused == 0, world.admissions
 
 
+@when(
+    "{count:d} requests are admitted by the allocator, "
+    "and refunded once none answers and the share is used up"
+)
+def refund_late(context, count):
+    world = context.world
+    gateway = world.gateways[0]
+    decisions = []
+    for _ in range(count):
+        world.request(gateway)
+        world.clock.advance(0.01)
+        decisions.append(world.last_decision)
+    stop_allocator(context)
+    while world.last_decision.is_admitted:
+        world.request(gateway)
+    for decision in decisions:
+        gateway.client.give_back(Identity(TENANT, True, world.limit), decision)
+
+
+@when("{count:d} requests at gateway {number:d} are admitted at one moment and refunded")
+def refund_together(context, count, number):
+    world = context.world
+    assert _admitted_at(world, number, count) == count, world.admissions
+    for _ in range(count):
+        identity = Identity(TENANT, True, world.limit)
+        world.gateways[number - 1].client.give_back(identity, world.last_decision)
+
+
+def _admitted_at(world, number, count):
+    """Send requests to a gateway at one moment; return how many of them are admitted."""
+    before = len(world.admissions.admitted_s)
+    for _ in range(count):
+        world.request(world.gateways[number - 1])
+    world.clock.advance(0.01)
+    return len(world.admissions.admitted_s) - before
+
+
+@when("{seconds:g} seconds pass at the gateways")
+def pass_time(context, seconds):
+    context.world.clock.advance(seconds)
+
+
+@then("{admitted:d} of {count:d} requests at gateway {number:d} are admitted")
+def admitted_there(context, admitted, count, number):
+    found = _admitted_at(context.world, number, count)
+    assert found == admitted, found
+
+
+@when("no allocator answers any more")
+def stop_allocator(context):
+    context.world.lead("")
+    for gateway in context.world.gateways:
+        gateway.client.set_allocator("")
+
+
+@then("{count:d} of the next {asked:d} requests are admitted")
+def some_admitted(context, count, asked):
+    admitted = _admitted_at(context.world, 1, asked)
+    assert admitted == count, admitted
+
+
 @then("the next {count:d} requests are admitted")
 def next_admitted(context, count):
     world = context.world
@@ -222,3 +295,23 @@
 @then("no window of these runs exceeds the quota terms")
 def none_over_in_runs(context):
     assert context.over == [], context.over
+
+
+@given("a relay without runners whose requests are admitted by the gateway's share")
+def make_relay(context):
+    context.relay = relay = RelayWorld(runners=0)
+    relay.put_route("safe")
+    context.refunds = []
+    relay.context.admit = lambda identity, decided: decided(QuotaDecision(by_share=True))
+    relay.context.give_back = lambda identity, decision: context.refunds.append(decision)
+
+
+@when("a client sends a request to that relay")
+def send(context):
+    context.exchange = context.relay.request()
+
+
+@then("it is refused with 503, and refunded to the gateway's share once")
+def refused_and_refunded(context):
+    assert context.exchange.status == 503, context.exchange.status
+    assert context.refunds == [QuotaDecision(by_share=True)], context.refunds
--- a/src/rainsail/quarantine/agent.py
+++ b/src/rainsail/quarantine/agent.py
@@ -12,13 +12,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import islice
-from typing import Any, Protocol
+from typing import Protocol
 
 from rainsail.cluster.follower import FleetFollower
 from rainsail.cluster.messages import RunnerRecord, RunnerState
 from rainsail.http.reachability import Reachability
 from rainsail.logs import logger
 from rainsail.node_metrics import NodeMetrics
+from rainsail.quarantine.crash_reports import CrashReport, CrashReports
 from rainsail.quarantine.fingerprint import Fingerprint, fingerprint_hex, is_of_part
 from rainsail.quarantine.guard import Fingerprints, TrialDecided
 from rainsail.quarantine.messages import (
@@ -27,10 +28,10 @@
     PartsNamed,
     RequestAnswered,
     RequestsWatched,
-    RequestTrial,
     RunnerCrashed,
     RunnerEnded,
     RunsReset,
+    TrialsFailed,
 )
 from rainsail.quarantine.run_times import (
     PROMPT_READ_AFTER_S,
@@ -38,9 +39,9 @@
     RunAge,
     RunTimes,
 )
-from rainsail.quarantine.trial_order import TrialAsk, TrialOrder
+from rainsail.quarantine.trial_client import TrialClient
 from rainsail.runtime.clock import Clock
-from rainsail.wire.extensions import HOLD_TRIALS, PART_NAMES, RESET_RUNS
+from rainsail.wire.extensions import FAILED_TRIALS, HOLD_TRIALS, PART_NAMES, RESET_RUNS
 from rainsail.wire.messenger import Messenger
 
 PROBE_DELAYS_S = (0.05, 0.5)
@@ -53,13 +54,6 @@
 MAX_FINGERPRINTS_SHOWN = 32
 """Requests and parts that the log line on a crash names; it is cut at some 1 kB."""
 
-TRIAL_TIMEOUT_S = 0.3
-"""How long a request waits for the permit of a trial; a few round trips between regions."""
-TRIAL_RETRY_S = 0.2
-"""After a refusal no other request with the same fingerprint asks for this long."""
-MAX_TRIALS_REFUSED = 1024
-"""Refusals that are remembered, the latest ones."""
-
 
 class AddressProbe(Protocol):
     """Checks whether an address accepts connections."""
@@ -78,6 +72,8 @@
     broken: dict[Fingerprint, RunAge] = field(default_factory=dict)
     names: dict[Fingerprint, NamedPart] = field(default_factory=dict)
     probes: int = 0
+    permits: list[int] = field(default_factory=list)
+    """The permits of trials among them."""
     reset: set[Fingerprint] = field(default_factory=set)
     """Those whose connections had ended when a probe found the runner alive."""
 
@@ -99,14 +95,14 @@
         self._connections = connections
         self._metrics = metrics
         self._view = follower.quarantine
-        self._trial_refused_s: dict[Fingerprints, float] = {}
-        """When requests were last refused as trials; in the future while a call is under way."""
-        self._trial_order = TrialOrder()
+        self._trials = TrialClient(messenger, clock, follower, metrics)
         self._crash_checks: dict[str, _CrashCheck] = {}
         self._survival_checks: dict[str, set[Fingerprint]] = {}
         """By runner of which a check is pending whether it survives: parts that wait for the next
         check, as their runs were not known at the beginning of this one."""
+        self._reports = CrashReports(self._view)
         messenger.serve(RequestsWatched, self._watch)
+        follower.on_controller_started = self._report_again
 
     # --- enforcement ---------------------------------------------------------------------
 
@@ -128,54 +124,24 @@
         """Return the fingerprints for which a request may run only as a trial."""
         return tuple(each for each in fingerprints if each in self._view.unproven)
 
+    def suspects_among(self, fingerprints: Fingerprints) -> Fingerprints:
+        """Return the fingerprints that are watched or on the list."""
+        return tuple(filter(self._view.wants_answer, fingerprints))
+
+    def may_have_crashed(self, record: RunnerRecord) -> bool:
+        """Tell whether a runner was found crashed, or whether a check of that is pending."""
+        is_checked = record.runner in self._crash_checks
+        return is_checked or self._follower.registry.is_found_crashed(record)
+
     def request_trial(
         self, fingerprints: Fingerprints, decided: TrialDecided, ends: int = 0
     ) -> None:
-        """Ask the controllers; while all those in touch are of earlier versions it may run."""
-        supporting = self._supporting(HOLD_TRIALS)
-        now = self._clock.seconds()
-        ask = TrialAsk(frozenset(fingerprints), ends)
-        if not supporting:
-            decided(bool(self._follower.controllers.in_touch()))
-        elif (
-            not self._trial_order.is_next(ask, now)
-            or now - self._trial_refused_s.get(fingerprints, float("-inf")) < TRIAL_RETRY_S
-        ):
-            decided(False)
-        else:
-            self._trial_refused_s[fingerprints] = now + TRIAL_TIMEOUT_S
-            self._ask_for_trial(supporting, RequestTrial(tuple(fingerprints)), decided)
-
-    def _ask_for_trial(
-        self, controllers: Sequence[str], message: RequestTrial, decided: TrialDecided
-    ) -> None:
-        """Ask all controllers, as only the leader may permit it; the first permit decides."""
-        waiting = len(controllers)
-        is_decided = False
-
-        def replied(result: Any) -> None:
-            nonlocal waiting, is_decided
-            waiting -= 1
-            permitted = not result.is_error() and result.ok.permitted
-            if is_decided or not (permitted or not waiting):
-                return
-            is_decided = True
-            self._end_trial_call(message.fingerprints, permitted)
-            decided(permitted)
-
-        for controller in controllers:
-            reply = self._messenger.call(controller, message, TRIAL_TIMEOUT_S)
-            reply.addCallback(replied)
-
-    def _end_trial_call(self, fingerprints: Fingerprints, permitted: bool) -> None:
-        self._metrics.count("quarantine_trials", outcome="permitted" if permitted else "refused")
-        refused_s = self._trial_refused_s
-        refused_s[fingerprints] = self._clock.seconds()
-        while len(refused_s) > MAX_TRIALS_REFUSED:
-            del refused_s[next(iter(refused_s))]
-        if permitted:
-            names = ",".join(map(fingerprint_hex, fingerprints))
-            logger.bind(fingerprints=names).info("quarantine_trial_permitted")
+        """Ask the controllers for a permit."""
+        self._trials.request(fingerprints, decided, ends)
+
+    def trial_ended(self, fingerprints: Fingerprints, has_run: bool) -> None:
+        """Tell the controllers what became of a permit, unless a check is pending."""
+        self._trials.ended(fingerprints, has_run)
 
     # --- reporting -----------------------------------------------------------------------
 
@@ -209,6 +175,7 @@
             self._check_survival_later(record, parts)
 
     def _report_answered(self, fingerprints: Fingerprints) -> None:
+        self._reports.answered(fingerprints, self._clock.seconds())
         for fingerprint in fingerprints:
             self._view.unwatch(fingerprint)
             self._send_to_controllers(RequestAnswered(fingerprint))
@@ -252,6 +219,7 @@
             suspects = fingerprints[:1] if has_read_prompt else fingerprints
             age = RunAge(self._clock.seconds() - times.sent_s, times.wrote_s)
             check = self._check_runner(record, suspects, age)
+            check.permits += self._trials.take_open(fingerprints)
             for fingerprint, part in zip(suspects[1:], part_ids, strict=False):
                 name = part[:MAX_PART_ID_LENGTH]
                 check.names[fingerprint] = NamedPart(fingerprint, record.service, name)
@@ -292,6 +260,8 @@
     def _probed(self, check: _CrashCheck, reach: Reachability) -> None:
         if reach == Reachability.OPEN:
             check.reset.update(check.broken)
+            # If the runner crashes later all the same, the report on that counts.
+            self._end_trials(check)
         if reach != Reachability.REFUSED and check.probes < len(PROBE_DELAYS_S):
             self._probe_later(check)
             return
@@ -299,31 +269,64 @@
         if reach == Reachability.REFUSED:
             self._follower.registry.note_crash(check.record)
             self._report(check)
+            return
+        self._end_trials(check)
+
+    def _end_trials(self, check: _CrashCheck) -> None:
+        """Tell the controllers that the runner of some trials has survived them."""
+        permits, check.permits = check.permits, []
+        for permit in permits:
+            self._trials.tell_end(permit, has_run=True)
 
     def _report(self, check: _CrashCheck) -> None:
         runner = check.record.runner
-        age_s = self._clock.seconds() - check.began_s
         shown = ",".join(map(fingerprint_hex, islice(check.broken, MAX_FINGERPRINTS_SHOWN)))
         log = logger.bind(runner=runner, requests=len(check.broken), fingerprints=shown)
         log.info("runner_ended")
         self._metrics.count("runner_ends_seen")
-        names = tuple(check.names[each] for each in check.broken if each in check.names)
+        report = CrashReport(runner, check.began_s, check.broken, check.names, check.reset)
+        if report.runs:
+            self._reports.add(report)
+        self._send_report(report, self._follower.heartbeat_targets())
+
+    def _send_report(self, report: CrashReport, controllers: Sequence[str]) -> None:
+        """Send a report to controllers, in the form that each of them knows."""
+        age_s = self._clock.seconds() - report.at_s
+        names = tuple(report.names[each] for each in report.runs if each in report.names)
         if names:
-            self._messenger.send_all(self._supporting(PART_NAMES), PartsNamed(names))
-        if check.reset:
-            reset = RunsReset(runner, tuple(check.reset))
-            self._messenger.send_all(self._supporting(RESET_RUNS), reset)
-        runs = tuple(CrashedRun(each, age.ran_s, age.wrote_s) for each, age in check.broken.items())
-        with_ages = self._supporting(HOLD_TRIALS)
-        without = [each for each in self._follower.heartbeat_targets() if each not in with_ages]
-        self._messenger.send_all(with_ages, RunnerCrashed(runner, runs, age_s))
-        if check.broken:
-            self._messenger.send_all(without, RunnerEnded(runner, tuple(check.broken), age_s))
-
-    def _supporting(self, extension: int) -> list[str]:
-        """Return the controllers that this node follows and that know an extension."""
+            named = PartsNamed(names)
+            self._messenger.send_all(self._supporting(PART_NAMES, controllers), named)
+        if report.reset:
+            reset = RunsReset(report.runner, tuple(report.reset))
+            self._messenger.send_all(self._supporting(RESET_RUNS, controllers), reset)
+        runs = tuple(CrashedRun(each, age.ran_s, age.wrote_s) for each, age in report.runs.items())
+        with_ages = self._supporting(HOLD_TRIALS, controllers)
+        without = [each for each in controllers if each not in with_ages]
+        self._messenger.send_all(with_ages, RunnerCrashed(report.runner, runs, age_s))
+        if report.runs:
+            ended = RunnerEnded(report.runner, tuple(report.runs), age_s)
+            self._messenger.send_all(without, ended)
+
+    def _report_again(self, controller: str) -> None:
+        """Report the latest crashes, answers and failed trials to a controller that has started."""
+        now = self._clock.seconds()
+        crashes, answers = self._reports.crashes(now), self._reports.answers(now)
+        trials = self._reports.failed_trials()
+        for report in crashes:
+            self._send_report(report, (controller,))
+        for fingerprint in answers:
+            self._messenger.send(controller, RequestAnswered(fingerprint))
+        if trials and self._supporting(FAILED_TRIALS, (controller,)):
+            self._messenger.send(controller, TrialsFailed(trials))
+        if crashes or trials:
+            log = logger.bind(controller=controller, crashes=len(crashes), answers=len(answers))
+            log.bind(failed_trials=len(trials)).info("crashes_reported_again")
+
+    def _supporting(self, extension: int, controllers: Sequence[str] | None = None) -> list[str]:
+        """Return the controllers that know an extension, of all that this node follows."""
         level = self._messenger.extension_level
-        return [each for each in self._follower.heartbeat_targets() if level(each) >= extension]
+        asked = self._follower.heartbeat_targets() if controllers is None else controllers
+        return [each for each in asked if level(each) >= extension]
 
     def _send_to_controllers(self, message: RequestAnswered) -> None:
         """Send to every controller that this node follows, so that a new leader has it as well."""
--- a/src/rainsail/relay/runner_finder.py
+++ b/src/rainsail/relay/runner_finder.py
@@ -9,6 +9,7 @@
 
 from rainsail.cluster.messages import RunnerRecord
 from rainsail.cluster.stream_origins import StreamOrigin
+from rainsail.quarantine.trial_placement import TrialSite, best_trial_sites
 from rainsail.relay.context import RelayContext
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.table import Route, RouteKind
@@ -36,6 +37,17 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _SentPrompt:
+    """What was noted when a prompt was sent to a runner."""
+
+    added_parts: tuple[str, ...]
+    """The parts that the runner was not known to have cached."""
+    prefill_s: float
+    is_announced: bool
+    """The other gateways were told of the prefill."""
+
+
 class RunnerFinder:
     """Finds runners for one request; ``tried`` has the names of those that it was sent to."""
 
@@ -53,6 +65,8 @@
         self._binds = False
         """The first event binds the stream to a version: a client may resume it."""
         self._is_resent = context.overload.is_resent(route.name, facts.deadline_s)
+        self._sent: dict[str, _SentPrompt] = {}
+        """What was noted of the prompt at each runner that it was sent to."""
 
     def ask(self, route: Route, answered: Callable[[Placement | None], None]) -> None:
         """Ask the ledger's leader for a placement, unless a runner may have the prompt cached.
@@ -87,6 +101,41 @@
             return FindResult(retry_after_s=retry_after_s)
         return FindResult(self._placed_record(placement) or self._choose())
 
+    def suit_trial(self, found: FindResult) -> FindResult:
+        """Replace a runner that was found by the one that suits a trial best.
+
+        It stays if there is none that needs no grant of the leader; none is left if it may have
+        crashed.
+        """
+        if found.record is None:
+            return found
+        best = {site.runner for site in best_trial_sites(list(map(self._site, self._untried())))}
+        record = self._choose(lambda each: each.runner in best) or found.record
+        return FindResult(None if self._context.guard.may_have_crashed(record) else record)
+
+    def _untried(self) -> list[RunnerRecord]:
+        """Return the runners that may get the request now without a grant of the leader."""
+        is_limited = self._context.registry.warm_ups.is_limited
+        return [
+            record
+            for record in self._ready()
+            if record.runner not in self.tried and not is_limited(record)
+        ]
+
+    def _site(self, record: RunnerRecord) -> TrialSite:
+        context = self._context
+        now = context.clock.seconds()
+        return TrialSite(
+            record.runner,
+            record.zone,
+            context.guard.may_have_crashed(record),
+            context.registry.may_be_replaced(record),
+            context.registry.history.known_s(record, now),
+            context.registry.history.since_crash_s(record, now),
+            0,
+            context.loads.of(record.runner).estimate(now),
+        )
+
     def _only_granted_left(self) -> bool:
         """Tell whether all remaining runners are warming up, which need a grant of the leader."""
         left = [each for each in self._ready() if each.runner not in self.tried]
@@ -178,10 +227,23 @@
         context = self._context
         prefill_ms = context.chooser.prefill_ms(self._facts.prompt, record.runner)
         prefill_s = prefill_ms / MILLISECONDS_PER_S
-        context.prefixes.sent(self._facts.prompt, record.runner)
+        added = context.prefixes.sent(self._facts.prompt, record.runner)
         context.loads.add_prefill(record.runner, prefill_s, context.clock.seconds())
-        if prefill_ms >= context.settings.announced_prefill_ms:
+        is_announced = prefill_ms >= context.settings.announced_prefill_ms
+        if is_announced:
             context.announce_prefill(record.runner, prefill_s)
+        self._sent[record.runner] = _SentPrompt(added, prefill_s, is_announced)
+
+    def record_not_run(self, record: RunnerRecord) -> None:
+        """Take back what ``record_sent`` has noted of the prompt: the runner does not have it."""
+        sent = self._sent.pop(record.runner, None)
+        if sent is None:
+            return
+        context = self._context
+        context.prefixes.not_run(sent.added_parts, record.runner)
+        context.loads.add_prefill(record.runner, -sent.prefill_s, context.clock.seconds())
+        if sent.is_announced:
+            context.announce_prefill(record.runner, -sent.prefill_s)
 
     def _use_route(self, route: Route) -> None:
         """Apply a route's current services and allowed regions."""
@@ -227,11 +289,15 @@
             return None
         return record if context.regions.allows(self._allowed, record.zone) else None
 
-    def _choose(self) -> RunnerRecord | None:
+    def _choose(
+        self, is_allowed: Callable[[RunnerRecord], bool] = lambda record: True
+    ) -> RunnerRecord | None:
         """Choose by this gateway's own data, among the runners that need no grant of the leader."""
         context = self._context
         records = [
-            record for record in self._ready() if not context.registry.warm_ups.is_limited(record)
+            record
+            for record in self._ready()
+            if not context.registry.warm_ups.is_limited(record) and is_allowed(record)
         ]
         if self.origin is not None:
             records = self._settled(records)
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -112,6 +112,10 @@
         self.route = route
         return self._finder.find(route, placement, left_s)
 
+    def suit_trial(self, found: FindResult) -> FindResult:
+        """Replace a runner that was found by the one that suits a trial best."""
+        return self._finder.suit_trial(found)
+
     def no_runner_reason(self) -> str:
         """Return, for the log, why no runner may get the request now."""
         return self._finder.no_runner_reason()
@@ -201,6 +205,10 @@
         """Take the last attempt out of the count: it has not reached the intended runner."""
         self.attempts_counted -= 1
 
+    def not_run(self, attempt: Attempt) -> None:
+        """Take back what was noted of the prompt at a runner that has not run the request."""
+        self._finder.record_not_run(attempt.record)
+
     def stop_timeout(self) -> None:
         """Cancel the response time-out."""
         self._timeout.stop()
--- a/src/rainsail/tenancy/quota_client.py
+++ b/src/rainsail/tenancy/quota_client.py
@@ -15,20 +15,28 @@
 from rainsail.runtime.clock import Clock
 from rainsail.tenancy.local_share import LocalShares
 from rainsail.tenancy.messages import QuotaAsk, QuotaGrant, QuotaGrants, QuotaNeed
+from rainsail.tenancy.quota_decision import ADMITTED, QuotaDecision
 from rainsail.tenancy.quota_terms import QuotaTerms
 from rainsail.tenancy.tenants import Identity, RateLimit
 from rainsail.wire.messenger import Messenger
 
 REPLY_TIMEOUT_S = 0.12
 """Longer than a busy allocator takes, and short compared with any time-to-first-byte target."""
+REFUND_REPORT_S = 0.1
+"""Refunds that no request takes to the allocator until then are reported by themselves.
+
+A refused client waits longer than that before it returns, perhaps at another gateway.
+"""
 ASK_RETRY_AFTER_S = 0.2
 """Pause after a call without a reply; meanwhile the gateway decides by its own share."""
 MAX_RETRY_AFTER_S = 1.0
+BY_SHARE = "gateway"
+"""Metric label of the decisions that this gateway makes by its own share."""
 MAX_CLOSED_S = 0.05
 """A tenant over its quota is refused without a call to the allocator for at most this long."""
 
-Decided = Callable[[float], None]
-"""Called with 0 when a request is admitted, otherwise with the seconds until it may be retried."""
+Decided = Callable[[QuotaDecision], None]
+"""Called with the decision on a request."""
 
 
 @dataclass(slots=True)
@@ -51,6 +59,7 @@
         self._ask_after_s = float("-inf")
         self._asking = False
         self._planned = False
+        self._report_planned = False
         self._waiting: dict[str, _Waiting] = {}
         self._spent: dict[str, int] = {}
         self._limits: dict[str, RateLimit] = {}
@@ -69,7 +78,7 @@
     def admit(self, identity: Identity, decided: Decided) -> None:
         """Decide on a request, now or as soon as the allocator has replied."""
         if not identity.limit.limits:
-            decided(0.0)
+            decided(ADMITTED)
             return
         tenant, now = identity.tenant, self._clock.seconds()
         closed_s = self._closed_until_s.get(tenant, 0.0) - now
@@ -87,12 +96,28 @@
     def _decide(self, decided: Decided, tenant: str, wait_s: float, source: str) -> None:
         outcome = "admitted" if wait_s <= 0 else "refused"
         self._metrics.count("quota_decisions", outcome=outcome, by=source)
-        decided(min(wait_s, MAX_RETRY_AFTER_S))
+        decided(QuotaDecision(min(wait_s, MAX_RETRY_AFTER_S), by_share=source == BY_SHARE))
 
-    def give_back(self, identity: Identity) -> None:
-        """Refund a request that was admitted but will never run."""
-        if identity.limit.limits:
-            self._spend(identity.tenant, identity.limit, -1)
+    def give_back(self, identity: Identity, decision: QuotaDecision) -> None:
+        """Refund a request that was admitted but will never run, to the bucket that paid for it."""
+        if not identity.limit.limits:
+            return
+        self._spend(identity.tenant, identity.limit, -1)
+        if decision.by_share:
+            self._local.give_back(identity.tenant)
+        if not self._report_planned:
+            self._report_planned = True
+            self._clock.callLater(REFUND_REPORT_S, self._report_refunds)
+
+    def _report_refunds(self) -> None:
+        """Report what has been refunded since the last call, for requests at other gateways.
+
+        If the call fails, the next one reports it.
+        """
+        self._report_planned = False
+        has_refunds = any(amount < 0 for amount in self._spent.values())
+        if has_refunds and self._allocator and self._clock.seconds() >= self._ask_after_s:
+            self._plan_ask()
 
     def _spend(self, tenant: str, limit: RateLimit, amount: int) -> None:
         """Add to the amount that the next call reports to the allocator."""
@@ -103,7 +128,7 @@
         wait_s = self._local.admit(tenant, limit, self._clock.seconds())
         if wait_s <= 0:
             self._spend(tenant, limit, 1)
-        self._decide(decided, tenant, wait_s, "gateway")
+        self._decide(decided, tenant, wait_s, BY_SHARE)
 
     # --- calls to the allocator ----------------------------------------------------------
 
@@ -114,7 +139,7 @@
 
     def _ask(self) -> None:
         self._planned = False
-        if self._asking or not self._waiting:
+        if self._asking or not (self._waiting or self._spent):
             return
         asked, self._waiting = self._waiting, {}
         spent, self._spent = self._spent, {}
