The line of a request tells how many events each run brought, and how each run ended

The line of a request had the status and framing of each runner's answer and the client's last event. A stream that ended by a crash of its runner's process, one whose resumed run brought no event, and one that broke off looked alike where the framing was the same.

run_events counts the events of each run (0 for a resumed run without any), run_ends says how each ended: 'ended' as its framing states, or the reason why it broke off.

Test: features/relay/whole_answers.feature, failed before (no such fields).

--- a/features/relay/whole_answers.feature
+++ b/features/relay/whole_answers.feature
@@ -17,6 +17,16 @@
     Then the line "request_completed" of the request has "answers" = "200 chunked,200 chunked"
     And the line "request_completed" of the request has "last_event" = "4"
 
+  Scenario: The log line of a request has how many events each run brought, and how it ended
+    Given a relay with 3 runners and a resumable "stream" route
+    When a client sends a request to the relay
+    And the runner sends events 1 to 2 in chunks
+    And the runner's connection breaks
+    And the runner sends events 3 to 4 in chunks
+    And the runner ends its stream
+    Then the line "request_completed" of the request has "run_events" = "2,2"
+    And the line "request_completed" of the request has "run_ends" = "connection reset,ended"
+
   Scenario: A failure of the runner that was to resume a stream is not the end of the stream
     Given a relay with 3 runners and a resumable "stream" route
     When a client sends a request to the relay
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -23,6 +23,9 @@
 from rainsail.relay.events import Event, EventStream
 from rainsail.relay.protocol import AnswerVerdict
 
+ENDED = "ended"
+"""The logged end of an attempt whose answer has come to the end that its framing states."""
+
 
 class AttemptOwner(Protocol):
     """Receives the callbacks of an attempt; one of the last five ends it.
@@ -93,6 +96,11 @@
         """The time that the runner was told is left for the request, if the client states one."""
         self.connection_ended = False
         """The answer was interrupted by the end of the connection, as when a runner crashes."""
+        self.event_count = 0
+        """How many events of a stream have arrived, comments included."""
+        self.end_reason = ""
+        """How the attempt ended, for the log; empty while it is under way or if it was cancelled.
+        """
         self._owner = owner
         self._context = context
         self._request = request
@@ -173,6 +181,7 @@
 
     def _take_events(self, stream: EventStream, data: bytes) -> None:
         events = stream.feed(data)
+        self.event_count += len(events)
         has_room = self._hold(stream.pending_bytes)
         if events and not self._over:
             self._owner.events_received(self, events)
@@ -198,6 +207,7 @@
         if not self._end():
             return
         assert self.head is not None
+        self.end_reason = ENDED
         if self.stream is None:
             if may_end_body(self.head, self.body_bytes):
                 self._owner.answer_received(self)
@@ -210,6 +220,7 @@
 
     def _closed_early(self, reason: str) -> None:
         self.connection_ended = True
+        self.end_reason = reason
         self._owner.answer_interrupted(self, reason)
 
     def answer_failed(self, reason: str) -> None:
@@ -220,6 +231,7 @@
     def request_unsent(self, reason: str) -> None:
         """No connection could be opened; nothing was sent."""
         if self._end():
+            self.end_reason = reason
             self._owner.runner_unreachable(self, reason)
 
     # --- called by the owner -------------------------------------------------------------
@@ -251,6 +263,7 @@
     def _fail(self, reason: str) -> None:
         if not self._end():
             return
+        self.end_reason = reason
         self._drop_held()
         if self.call is not None:
             self.call.cancel()
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -256,6 +256,8 @@
             runners=",".join(sorted(sender.tried)),
             sends=sender.attempts_counted,
             answers=_summaries(sender.attempts),
+            run_events=",".join(str(attempt.event_count) for attempt in sender.attempts),
+            run_ends=",".join(attempt.end_reason for attempt in sender.attempts),
             deadline_ms=_milliseconds(self._facts.deadline_s),
             deadlines_sent_ms=_deadlines_sent(sender.attempts),
             last_event=answer.last_event,
