An answer that ends with trailers its head does not announce is broken

What callers saw: a stream told as complete without its last events. The size of the second chunk of a runner's answer was damaged to 00, so h11 read the lines of its event ('id: 2', 'data: ...', which have the form of fields) as trailers and ended the answer.

Cause: the end that framing states was believed whatever came with it. No answer here needs trailers (the gateway forwards none), and a sender that uses some names them in Trailer. http.answer_end decides from the head's fields and the trailers' names; a contradicted end is answer_failed with a reason of its own, not one of CONNECTION_ENDS: damaged data is no sign of a crash, so the quarantine does not count it. Nothing of the event that was read as trailers reaches a client or a text. A resumable stream goes on at another runner, one that may run once is cut, an item runs again. The reason has the number of the trailer fields and not their names, which are content where the answer was damaged.

--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from rainsail.http.answer_end import AnswerEnd, contradiction
 from rainsail.http.headers import (
     HeaderFields,
     header_number,
@@ -36,6 +37,7 @@
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
 STATUS_LINE_INSIDE = "a status line inside the head"
+DOUBTFUL_END = "the end of the answer is contradicted"
 EVENT_STREAM = b"text/event-stream"
 HEAD_METHOD = b"HEAD"
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -139,6 +141,8 @@
         self._parsing = parsing
         self._is_parsing_later = False
         """Received data waits in the parsing queue; nothing is read meanwhile."""
+        self._head: AnswerHead | None = None
+        """The head of the answer that is received, or of the last one."""
         self._has_lines = False
         """The answer is passed on by shares of bounded numbers of lines."""
         self._unpassed = b""
@@ -298,7 +302,7 @@
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 self._fail(TOO_MANY_INTERIM)
         elif isinstance(event, h11.EndOfMessage):
-            self._take_end()
+            self._take_end(event)
         return not isinstance(event, h11.ConnectionClosed)
 
     def _fail_if_joined(self, event: Any) -> bool:
@@ -315,11 +319,17 @@
         fields = tuple(event.headers.raw_items())
         keep_alive = header_text(fields, b"keep-alive")
         self._idle_s = _keep_alive_s(keep_alive)
-        head = AnswerHead(event.status_code, fields, self._is_head_request)
+        self._head = head = AnswerHead(event.status_code, fields, self._is_head_request)
         self._has_lines = head.has_lines
         self._listener.answer_begun(head)
 
-    def _take_end(self) -> None:
+    def _take_end(self, event: h11.EndOfMessage) -> None:
+        assert self._head is not None
+        trailers = tuple(name for name, _ in event.headers)
+        flaw = contradiction(AnswerEnd(self._head.headers, trailers))
+        if flaw:
+            self._fail(f"{DOUBTFUL_END}: {flaw}")
+            return
         listener, self._listener = self._listener, None
         assert listener is not None
         reusable = self._is_reusable()
--- a/src/rainsail/http/headers.py
+++ b/src/rainsail/http/headers.py
@@ -62,7 +62,7 @@
 
     Hop-by-hop fields and those that ``Connection`` lists are removed.
     """
-    listed = listed_in_connection(fields)
+    listed = listed_in(fields, b"connection")
     return tuple(
         (name, value)
         for name, value in fields
@@ -72,10 +72,10 @@
     )
 
 
-def listed_in_connection(fields: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
-    """Return the lower-case names that ``Connection`` fields list."""
+def listed_in(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> frozenset[bytes]:
+    """Return the lower-case names that the fields of a (lower-case) name list."""
     names: set[bytes] = set()
-    for name, value in fields:
-        if name.lower() == b"connection":
+    for each, value in fields:
+        if each.lower() == name:
             names.update(token.strip().lower() for token in value.split(b","))
     return frozenset(names)
