Bytes behind the end of an answer contradict it, unless another answer begins there

What callers saw: a stream told as complete without its last events, and a body told as complete without its end. The rest of the answer was left over behind the end; that only kept the connection from being used again, and the answer stood.

Bytes that may be the beginning of a status line are a surplus answer, as faulty runners send: the answer before it is whole, and its connection is not used again, as before. Anything else contradicts the end: the answer is broken, with the number of bytes in the reason and never the bytes. Line ends alone count as well: an event whose blank line is a chunk of its own leaves just those behind a size damaged to 0. All of an answer to HEAD is its head, so nothing behind it contradicts it.

Where nothing but line ends or junk follows a whole answer, the answer is now broken where it stood before: a gateway can't tell that from a short one.

Tests: features/http/answer_ends.feature, and more examples in damaged_framing.feature of relay and jobs.

--- /dev/null
+++ b/features/http/answer_ends.feature
@@ -0,0 +1,80 @@
+Feature: An answer is over where it says so, unless what has been received contradicts that
+
+  A size or a length that was damaged in transit ends an answer early, and what is left over stands behind its end.
+  A server may also send a surplus answer behind a whole one; that does not make the first one less whole.
+
+  Scenario Outline: Bytes behind the end of an answer: <behind>
+    Given an HTTP client connection with a request under way
+    When the other side sends "HTTP/1.1 200 OK|Content-Length: 2||hi<behind>"
+    Then the answer <end>
+    And the connection is not used again
+
+    Examples:
+      | behind                   | end                |
+      | H                        | is whole with "hi" |
+      | HTTP/1.                  | is whole with "hi" |
+      | HTTP/1.0 50              | is whole with "hi" |
+      | HTTP/1.1 200 OK\|A: b    | is whole with "hi" |
+      | HTTP/1.1 999 Odd\|\|     | is whole with "hi" |
+      | HTTP/2                   | broke              |
+      | HTTP/1.1 OK              | broke              |
+      | http/1.1 200 OK          | broke              |
+      | h                        | broke              |
+      | !                        | broke              |
+      | \|                       | broke              |
+      | \|HTTP/1.1 200 OK\|A: b  | broke              |
+      | 0\|\|                    | broke              |
+
+  Scenario Outline: Bytes behind an answer that has no body by its status: <status>
+    Given an HTTP client connection with a request under way
+    When the other side sends "HTTP/1.1 <status>|Content-Length: 2||<behind>"
+    Then the answer <end>
+
+    Examples:
+      | status           | behind                | end                     |
+      | 204 No Content   | hi                    | broke                   |
+      | 304 Not Modified | hi                    | broke                   |
+      | 204 No Content   |                       | is whole without a body |
+      | 304 Not Modified | HTTP/1.1 200 OK\|A: b | is whole without a body |
+
+  Scenario: A server sends a body behind its answer to HEAD, all of which the head is
+    Given an HTTP client connection with a HEAD request under way
+    When the other side sends "HTTP/1.1 200 OK|Content-Length: 2||hi"
+    Then the answer is whole without a body
+    And the connection is not used again
+
+  Scenario Outline: Bytes behind an end that waits for its turn to be parsed: <behind>
+    Given calls to 3 runners that answer each call in chunks
+    When each runner sends 100 chunks of 2 bytes, their end and "<behind>"
+    Then no call has ended
+    When the process has worked through what it has received
+    Then each call <end>
+
+    Examples:
+      | behind             | end                                                                               |
+      | id: 4              | has failed: "the end of the answer is contradicted: 5 bytes behind its end"       |
+      | HTTP/1.1 200 OK    | has a whole answer of 200 bytes                                                   |
+
+  Scenario Outline: Bytes behind an end that waits for the lines before it: <behind>
+    Given calls to 3 runners that answer each call with a stream of events
+    When each runner sends 1000 lines in one chunk, the end of its answer and "<behind>"
+    Then no call has ended
+    When the process has worked through what it has received
+    Then each call <end>
+
+    Examples:
+      | behind             | end                                                                               |
+      | id: 4              | has failed: "the end of the answer is contradicted: 5 bytes behind its end"       |
+      | HTTP/1.1 200 OK    | has a whole answer of 1000 bytes                                                  |
+
+  Scenario Outline: The connection closes in order while the bytes behind an end wait: <behind>
+    Given calls to 1 runner that answers each call in chunks
+    When each runner sends 100 chunks of 2 bytes, their end and "<behind>"
+    And each runner closes in order
+    And the process has worked through what it has received
+    Then each call <end>
+
+    Examples:
+      | behind             | end                                                                               |
+      | id: 4              | has failed: "the end of the answer is contradicted: 5 bytes behind its end"       |
+      | HTTP/1.1 200 OK    | has a whole answer of 200 bytes                                                   |
--- a/features/jobs/damaged_framing.feature
+++ b/features/jobs/damaged_framing.feature
@@ -8,6 +8,8 @@
     Examples:
       | damage                                      |
       | its second chunk has the size 00            |
+      | a last chunk stands in the place of a size  |
+      | a last chunk and half of the content follow |
       | its second chunk has the size 4             |
       | its length is too large                     |
       | its lengths differ                          |
@@ -25,3 +27,6 @@
       | a last chunk with an extension        |
       | trailers that its head announces      |
       | a length that its chunks hold         |
+      | another answer behind it in chunks    |
+      | another answer behind its length      |
+      | the begin of another answer behind it |
--- a/features/relay/damaged_framing.feature
+++ b/features/relay/damaged_framing.feature
@@ -15,6 +15,13 @@
       | run-once stream  | its second chunk has the size 00            |
       | safe             | its second chunk has the size 00            |
       | unsafe           | its second chunk has the size 00            |
+      | resumable stream | a last chunk stands in the place of a size  |
+      | run-once stream  | a last chunk stands in the place of a size  |
+      | safe             | a last chunk stands in the place of a size  |
+      | unsafe           | a last chunk stands in the place of a size  |
+      | resumable stream | a last chunk and half of the content follow |
+      | run-once stream  | a last chunk and half of the content follow |
+      | safe             | a last chunk and half of the content follow |
       | resumable stream | its second chunk has the size 4             |
       | run-once stream  | its second chunk has the size 4             |
       | safe             | its second chunk has the size 4             |
@@ -43,6 +50,7 @@
     Examples:
       | damage                                     | what                                               |
       | its second chunk has the size 00           | 2 trailer fields that its head does not announce   |
+      | a last chunk stands in the place of a size | 53 bytes behind its end                            |
 
   Scenario Outline: An answer is whole that ends with <what>: <route>
     Given a relay whose connections are real, with a "<route>" route
@@ -56,6 +64,12 @@
       | run-once stream | trailers that its head announces      |
       | run-once stream | a length that its chunks hold         |
       | run-once stream | the same length twice                 |
+      | run-once stream | another answer behind it in chunks    |
+      | run-once stream | another answer behind its length      |
+      | run-once stream | the begin of another answer behind it |
       | unsafe          | a last chunk with an extension        |
       | unsafe          | trailers that its head announces      |
       | unsafe          | a length that its chunks hold         |
+      | unsafe          | another answer behind it in chunks    |
+      | unsafe          | another answer behind its length      |
+      | unsafe          | the begin of another answer behind it |
--- /dev/null
+++ b/features/steps/http_answer_end_steps.py
@@ -0,0 +1,31 @@
+"""Steps on the ends of answers: what stands behind them, in reads, queues and sockets."""
+
+from behave import given, step, then
+from features.steps.http_connection_steps import call_with, is_whole
+from features.steps.http_runner_answer_steps import close_all, send_all
+
+
+@given("an HTTP client connection with a HEAD request under way")
+def head_call(context):
+    call_with(context, b"HEAD")
+
+
+@then("the answer is whole without a body")
+def whole_without_body(context):
+    is_whole(context, "")
+
+
+@step('each runner sends {count:d} chunks of 2 bytes, their end and "{behind}"')
+def send_chunks_and(context, count, behind):
+    send_all(context, b"2\r\nxx\r\n" * count + b"0\r\n\r\n" + behind.encode())
+
+
+@step('each runner sends {count:d} lines in one chunk, the end of its answer and "{behind}"')
+def send_lines_and(context, count, behind):
+    data = b"\n" * count
+    send_all(context, b"%x\r\n%s\r\n0\r\n\r\n" % (count, data) + behind.encode())
+
+
+@step("each runner closes in order")
+def close_each(context):
+    close_all(context, "in order")
--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -259,13 +259,18 @@
 
 @given("an HTTP client connection with a request under way")
 def call(context):
+    call_with(context, b"GET")
+
+
+def call_with(context, method):
+    """Send a request of a method over a connection in memory."""
     context.http_owner = _Owner()
     context.http_listener = _Listener()
     context.http_caller = ClientConnection(context.http_owner, 0, ParsingQueue(VirtualClock()))
     context.http_transport = _Transport()
     context.http_transport.protocol = context.http_caller
     context.http_caller.makeConnection(context.http_transport)
-    request = OutgoingRequest(b"GET", b"/x", ((b"Host", b"a"),), b"")
+    request = OutgoingRequest(method, b"/x", ((b"Host", b"a"),), b"")
     context.http_caller.send(request, context.http_listener)
 
 
--- a/features/steps/http_runner_answer_steps.py
+++ b/features/steps/http_runner_answer_steps.py
@@ -206,6 +206,18 @@
             _close(each, closing)
 
 
+def send_all(context, data):
+    """Have each runner send the same bytes."""
+    for each in context.calls:
+        each.send(data)
+
+
+def close_all(context, how):
+    """Have each runner close its connection."""
+    for each in context.calls:
+        _close(each, how)
+
+
 def _close(exchanged, how):
     reason = ConnectionDone() if how == "in order" else ConnectionLost()
     exchanged.connection.connectionLost(Failure(reason))
--- a/src/rainsail/http/answer_end.py
+++ b/src/rainsail/http/answer_end.py
@@ -9,6 +9,10 @@
 
 from rainsail.http.headers import HeaderFields, listed_in
 
+DIGITS = b"0123456789"
+STATUS_LINE_BEGIN = (b"H", b"T", b"T", b"P", b"/", b"1", b".", DIGITS, b" ", *3 * (DIGITS,))
+"""The bytes that may stand at each place of the beginning of an answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerEnd:
@@ -18,6 +22,10 @@
     """Those of its head."""
     trailers: tuple[bytes, ...]
     """The names of its trailer fields."""
+    surplus: bytes
+    """What has been received behind it."""
+    is_to_head: bool = False
+    """Whether it answers a ``HEAD`` request, so that its head is all of it."""
 
 
 def contradiction(end: AnswerEnd) -> str:
@@ -29,4 +37,14 @@
     unannounced = sum(name.lower() not in announced for name in end.trailers)
     if unannounced:
         return f"{unannounced} trailer fields that its head does not announce"
+    if end.surplus and not end.is_to_head and not begins_like_answer(end.surplus):
+        return f"{len(end.surplus)} bytes behind its end"
     return ""
+
+
+def begins_like_answer(data: bytes) -> bool:
+    """Tell whether these bytes, of which there may be few, are the beginning of another answer.
+
+    A server that sends a surplus answer has ended the one before it.
+    """
+    return all(byte in allowed for byte, allowed in zip(data, STATUS_LINE_BEGIN, strict=False))
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -326,7 +326,9 @@
     def _take_end(self, event: h11.EndOfMessage) -> None:
         assert self._head is not None
         trailers = tuple(name for name, _ in event.headers)
-        flaw = contradiction(AnswerEnd(self._head.headers, trailers))
+        surplus, _ = self._http.trailing_data
+        end = AnswerEnd(self._head.headers, trailers, surplus, self._is_head_request)
+        flaw = contradiction(end)
         if flaw:
             self._fail(f"{DOUBTFUL_END}: {flaw}")
             return
