A length that an answer's chunks do not hold contradicts its end

What callers would see: an answer with both Transfer-Encoding: chunked and Content-Length, of which a last chunk came too early, was told as complete although its head stated more bytes.

Cause: chunks take precedence over a length, which was then looked at no more. RFC 9112 (6.3) asks to treat such an answer as an error. A sender that states the right length beside its chunks is sound in all else, so http.answer_end compares the two at the end: an answer with as many bytes as its head states stays whole, any other is broken, with both numbers in the reason.

Tests: examples in damaged_framing.feature of relay and jobs. Failed before: the five on 'its length and its chunks differ' and the one on the log line (told as whole).

--- a/features/jobs/damaged_framing.feature
+++ b/features/jobs/damaged_framing.feature
@@ -11,9 +11,11 @@
       | a last chunk stands in the place of a size  |
       | a last chunk and half of the content follow |
       | its second chunk has the size 4             |
+      | its length is too small                     |
       | its length is too large                     |
       | its lengths differ                          |
       | its length is no number                     |
+      | its length and its chunks differ            |
       | its transfer coding is another one          |
       | a size is no hexadecimal number             |
 
--- a/features/relay/damaged_framing.feature
+++ b/features/relay/damaged_framing.feature
@@ -25,6 +25,12 @@
       | resumable stream | its second chunk has the size 4             |
       | run-once stream  | its second chunk has the size 4             |
       | safe             | its second chunk has the size 4             |
+      | resumable stream | its length is too small                     |
+      | run-once stream  | its length is too small                     |
+      | safe             | its length is too small                     |
+      | unsafe           | its length is too small                     |
+      | keyed            | its length is too small                     |
+      | cached           | its length is too small                     |
       | resumable stream | its length is too large                     |
       | run-once stream  | its length is too large                     |
       | safe             | its length is too large                     |
@@ -33,6 +39,10 @@
       | unsafe           | its lengths differ                          |
       | resumable stream | its length is no number                     |
       | safe             | its length is no number                     |
+      | resumable stream | its length and its chunks differ            |
+      | run-once stream  | its length and its chunks differ            |
+      | safe             | its length and its chunks differ            |
+      | unsafe           | its length and its chunks differ            |
       | resumable stream | its transfer coding is another one          |
       | safe             | its transfer coding is another one          |
       | unsafe           | its transfer coding is another one          |
@@ -51,6 +61,7 @@
       | damage                                     | what                                               |
       | its second chunk has the size 00           | 2 trailer fields that its head does not announce   |
       | a last chunk stands in the place of a size | 53 bytes behind its end                            |
+      | its length and its chunks differ           | 40 bytes in chunks against a stated length of 61   |
 
   Scenario Outline: An answer is whole that ends with <what>: <route>
     Given a relay whose connections are real, with a "<route>" route
@@ -70,6 +81,7 @@
       | unsafe          | a last chunk with an extension        |
       | unsafe          | trailers that its head announces      |
       | unsafe          | a length that its chunks hold         |
+      | safe            | a length that its chunks hold         |
       | unsafe          | another answer behind it in chunks    |
       | unsafe          | another answer behind its length      |
       | unsafe          | the begin of another answer behind it |
--- a/src/rainsail/http/answer_end.py
+++ b/src/rainsail/http/answer_end.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from rainsail.http.headers import HeaderFields, listed_in
+from rainsail.http.headers import HeaderFields, header_value, listed_in
 
 DIGITS = b"0123456789"
 STATUS_LINE_BEGIN = (b"H", b"T", b"T", b"P", b"/", b"1", b".", DIGITS, b" ", *3 * (DIGITS,))
@@ -24,6 +24,8 @@
     """The names of its trailer fields."""
     surplus: bytes
     """What has been received behind it."""
+    chunked_bytes: int | None
+    """The size of its body; None where it has not come in chunks."""
     is_to_head: bool = False
     """Whether it answers a ``HEAD`` request, so that its head is all of it."""
 
@@ -39,6 +41,9 @@
         return f"{unannounced} trailer fields that its head does not announce"
     if end.surplus and not end.is_to_head and not begins_like_answer(end.surplus):
         return f"{len(end.surplus)} bytes behind its end"
+    stated = header_value(end.fields, b"content-length")
+    if stated is not None and end.chunked_bytes not in (None, int(stated)):
+        return f"{end.chunked_bytes} bytes in chunks against a stated length of {int(stated)}"
     return ""
 
 
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -143,6 +143,8 @@
         """Received data waits in the parsing queue; nothing is read meanwhile."""
         self._head: AnswerHead | None = None
         """The head of the answer that is received, or of the last one."""
+        self._body_bytes = 0
+        """How much of the body of that answer has been parsed."""
         self._has_lines = False
         """The answer is passed on by shares of bounded numbers of lines."""
         self._unpassed = b""
@@ -263,6 +265,7 @@
                 if event is None:
                     event = self._http.next_event()
                 if isinstance(event, h11.Data):
+                    self._body_bytes += len(event.data)
                     pieces.append(event.data)
                     continue
                 self._pass_on(pieces)
@@ -320,6 +323,7 @@
         keep_alive = header_text(fields, b"keep-alive")
         self._idle_s = _keep_alive_s(keep_alive)
         self._head = head = AnswerHead(event.status_code, fields, self._is_head_request)
+        self._body_bytes = 0
         self._has_lines = head.has_lines
         self._listener.answer_begun(head)
 
@@ -327,7 +331,9 @@
         assert self._head is not None
         trailers = tuple(name for name, _ in event.headers)
         surplus, _ = self._http.trailing_data
-        end = AnswerEnd(self._head.headers, trailers, surplus, self._is_head_request)
+        is_chunked = self._head.framing == Framing.CHUNKED
+        size = self._body_bytes if is_chunked else None
+        end = AnswerEnd(self._head.headers, trailers, surplus, size, self._is_head_request)
         flaw = contradiction(end)
         if flaw:
             self._fail(f"{DOUBTFUL_END}: {flaw}")
