--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -4,7 +4,6 @@
 complete at its end.
 """
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -13,11 +12,10 @@
 
 import h11
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
-from zope.interface import implementer
 
+from rainsail.http.answer_end import AnswerEnd, contradiction
 from rainsail.http.headers import (
     HeaderFields,
     header_number,
@@ -27,6 +25,7 @@
 )
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
+from rainsail.http.part_writer import PartWriter
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -38,6 +37,7 @@
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
 STATUS_LINE_INSIDE = "a status line inside the head"
+DOUBTFUL_END = "the end of the answer is contradicted"
 EVENT_STREAM = b"text/event-stream"
 HEAD_METHOD = b"HEAD"
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -141,6 +141,10 @@
         self._parsing = parsing
         self._is_parsing_later = False
         """Received data waits in the parsing queue; nothing is read meanwhile."""
+        self._head: AnswerHead | None = None
+        """The head of the answer that is received, or of the last one."""
+        self._body_bytes = 0
+        """How much of the body of that answer has been parsed."""
         self._has_lines = False
         """The answer is passed on by shares of bounded numbers of lines."""
         self._unpassed = b""
@@ -162,7 +166,7 @@
         self._unanswered = False
         self._was_paused = False
         """Its buffers are small since then, so that it is not used for another request."""
-        self._unwritten: _PartWriter | None = None
+        self._unwritten: PartWriter | None = None
         """The writer of a large request that may not have been passed on completely."""
         self.on_connected: Callable[[], None] = lambda: None
 
@@ -191,7 +195,7 @@
         if len(request.body) <= JOINED_BYTES:
             self.transport.write(b"".join(sent))
         else:
-            self._unwritten = _PartWriter(self.transport, sent)
+            self._unwritten = PartWriter(self.transport, sent)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse data of an answer; data without a pending request ends the connection."""
@@ -261,6 +265,7 @@
                 if event is None:
                     event = self._http.next_event()
                 if isinstance(event, h11.Data):
+                    self._body_bytes += len(event.data)
                     pieces.append(event.data)
                     continue
                 self._pass_on(pieces)
@@ -300,7 +305,7 @@
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 self._fail(TOO_MANY_INTERIM)
         elif isinstance(event, h11.EndOfMessage):
-            self._take_end()
+            self._take_end(event)
         return not isinstance(event, h11.ConnectionClosed)
 
     def _fail_if_joined(self, event: Any) -> bool:
@@ -317,11 +322,22 @@
         fields = tuple(event.headers.raw_items())
         keep_alive = header_text(fields, b"keep-alive")
         self._idle_s = _keep_alive_s(keep_alive)
-        head = AnswerHead(event.status_code, fields, self._is_head_request)
+        self._head = head = AnswerHead(event.status_code, fields, self._is_head_request)
+        self._body_bytes = 0
         self._has_lines = head.has_lines
         self._listener.answer_begun(head)
 
-    def _take_end(self) -> None:
+    def _take_end(self, event: h11.EndOfMessage) -> None:
+        assert self._head is not None
+        trailers = tuple(name for name, _ in event.headers)
+        surplus, _ = self._http.trailing_data
+        is_chunked = self._head.framing == Framing.CHUNKED
+        size = self._body_bytes if is_chunked else None
+        end = AnswerEnd(self._head.headers, trailers, surplus, size, self._is_head_request)
+        flaw = contradiction(end)
+        if flaw:
+            self._fail(f"{DOUBTFUL_END}: {flaw}")
+            return
         listener, self._listener = self._listener, None
         assert listener is not None
         reusable = self._is_reusable()
@@ -373,32 +389,6 @@
                 self.transport.abortConnection()
 
 
-@implementer(IPullProducer)
-class _PartWriter:
-    """Writes parts one after the other, so that the transport needs no joined copy of them."""
-
-    def __init__(self, transport: Any, parts: list[bytes]) -> None:
-        self._transport = transport
-        self._parts = deque(parts)
-        transport.registerProducer(self, False)
-
-    @property
-    def is_done(self) -> bool:
-        """Tell whether all parts were passed to the transport."""
-        return not self._parts
-
-    def resumeProducing(self) -> None:
-        """Write the next part: the transport has sent the one before it."""
-        if self._parts:
-            self._transport.write(self._parts.popleft())
-        if not self._parts:
-            self._transport.unregisterProducer()
-
-    def stopProducing(self) -> None:
-        """Drop the other parts: the connection has ended."""
-        self._parts.clear()
-
-
 def _keep_alive_s(value: str) -> float | None:
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
