Relay: an answer whose status HTTP gives no meaning to is invalid

Cause: nothing said which status an answer may have. h11 refuses final answers below 200 and takes up to 999; judge_body holds any status from 500 on for a failure of the runner, which is forwarded where no other runner may get the request.

Now http.statuses.is_final_status says it (200 to 599, RFC 9110), and a connection refuses another head where it takes it, with the reason "invalid HTTP response: status 600". So nothing in such a head is believed, and every reader of runners' answers has the rule: requests, items, trials of held requests. It is an ordinary failure, as an invalid head is: its reason is none of CONNECTION_ENDS, so the quarantine counts no crash. It costs two comparisons for each answer.

--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -27,6 +27,7 @@
 )
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
+from rainsail.http.statuses import STATUSES_WITHOUT_BODY, invalid_status, is_final_status
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -40,7 +41,6 @@
 STATUS_LINE_INSIDE = "a status line inside the head"
 EVENT_STREAM = b"text/event-stream"
 HEAD_METHOD = b"HEAD"
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 CONNECTION_CLOSED = "connection closed"
 CONNECTION_RESET = "connection reset"
 CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
@@ -314,9 +314,11 @@
         assert self._listener is not None
         if self._fail_if_joined(event):
             return
+        if not is_final_status(event.status_code):
+            self._fail(invalid_status(event.status_code))
+            return
         fields = tuple(event.headers.raw_items())
-        keep_alive = header_text(fields, b"keep-alive")
-        self._idle_s = _keep_alive_s(keep_alive)
+        self._idle_s = _keep_alive_s(header_text(fields, b"keep-alive"))
         head = AnswerHead(event.status_code, fields, self._is_head_request)
         self._has_lines = head.has_lines
         self._listener.answer_begun(head)
--- a/src/rainsail/http/statuses.py
+++ b/src/rainsail/http/statuses.py
@@ -1,5 +1,8 @@
-"""Statuses that the server itself answers with, and the reason phrases of all that it sends."""
+"""Statuses: which an answer may have, those of the server itself, and their reason phrases."""
 
+STATUS_MIN_FINAL = 200
+STATUS_MAX = 599
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_UNAVAILABLE = 503
@@ -23,3 +26,13 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+
+
+def is_final_status(status: int) -> bool:
+    """Tell whether HTTP gives a final answer with this status a meaning."""
+    return STATUS_MIN_FINAL <= status <= STATUS_MAX
+
+
+def invalid_status(status: int) -> str:
+    """Return why an answer with this status, which is not that of a final answer, is invalid."""
+    return f"invalid HTTP response: status {status}"
