HTTP server: no status that HTTP gives no meaning to is sent

Seen: none by callers. A handler that answers 600 or 999 had it sent; with 0, 99 or 199 h11 raised an error out of the handler, so that the client got nothing and its connection stayed.

Cause: the server left the bounds of a status to h11 (200 to 999), which raises where no one expects it.

Now ServerExchange.begin resets the connection, which promises nothing, and logs answer_status_invalid with the status and the target. answer() writes its body by write(), which does nothing behind that.

--- a/src/rainsail/http/server_exchange.py
+++ b/src/rainsail/http/server_exchange.py
@@ -7,7 +7,8 @@
 
 from rainsail.http.exchange import HttpRequest
 from rainsail.http.headers import HeaderFields
-from rainsail.http.statuses import STATUS_GATEWAY_TIMEOUT
+from rainsail.http.statuses import STATUS_GATEWAY_TIMEOUT, is_final_status
+from rainsail.logs import logger
 
 
 class AnswerConnection(Protocol):
@@ -52,13 +53,21 @@
         length = (b"Content-Length", str(len(body)).encode())
         self.begin(status, (*fields, length))
         if body and self.request.method != b"HEAD":
-            self._connection.send_data(body)
+            self.write(body)
         self.end()
 
     def begin(self, status: int, headers: HeaderFields) -> None:
-        """Send the head of an answer whose body follows in pieces."""
+        """Send the head of an answer whose body follows in pieces.
+
+        Instead of a status that no final answer may have the connection is reset.
+        """
         if self._over or self._begun:
             return
+        if not is_final_status(status):
+            target = self.request.target.decode("latin-1")
+            logger.bind(status=status, target=target).error("answer_status_invalid")
+            self.abort()
+            return
         self._begun = True
         self._connection.send_head(status, headers)
 
