Engines, operators' commands: nothing is believed beside a status that HTTP gives no meaning to

Seen by callers (tests): a caller of the native front is told that its request has not run, and may repeat it, where the engine's answer had the status 000, 600 or 999 and a fault that says "not run"; an attempt counts as refused and goes to another engine. An operator's command takes 000 and 099 with any JSON for a success, and gives up at 600 and 999, where it asks again behind every other sign of a gateway in trouble.

Cause: Twisted's parser takes any number for a status. Engines' faults were read without a look at it, commands took anything below 300 for a success.

Now both use http.statuses.is_final_status: an engine's fault is of unknown outcome, so an attempt is lost; a command asks again, with the same change ID. The experiment's client had the fault of the engines too. The list of machines, engines' events and streams take 200 alone (by reading). Calls between nodes are no HTTP.

--- a/src/rainsail/cli/operator_client.py
+++ b/src/rainsail/cli/operator_client.py
@@ -16,6 +16,7 @@
 from twisted.web.http_headers import Headers
 
 from rainsail.cli.exit_codes import CommandEnd, bad_input, failed
+from rainsail.http.statuses import invalid_status, is_final_status
 from rainsail.wire.address import parse_address
 
 ADDRESS_VARIABLE = "RAINSAIL_ADDRESS"
@@ -32,7 +33,10 @@
 
 
 class BrokenResponse(Exception):
-    """The body of a 2xx response is not JSON, as when a part of it is missing."""
+    """The status is not that of a final response, or the body of a 2xx response is not JSON.
+
+    A body without a part of it, for example, is not JSON.
+    """
 
 
 TRANSPORT_ERRORS = (
@@ -67,8 +71,8 @@
     async def request(self, method: str, path: str, body: Any = None, **query: str) -> Any:
         """Send a request and return the body of its 2xx response.
 
-        Transport errors, 2xx responses whose body is not whole, and the statuses 502, 503 and 504
-        are retried with exponential backoff.
+        Transport errors, 2xx responses whose body is not whole, statuses that HTTP gives no meaning
+        to, and 502, 503 and 504 are retried with exponential backoff.
         A retry sends the same body, so a change keeps its change ID and takes effect once.
 
         Raises:
@@ -107,6 +111,7 @@
                 response = await self._http.get(
                     self._base + path, params=query, headers=_headers(), unbuffered=True
                 )
+                _check_status(response.code)
             except TRANSPORT_ERRORS as error:
                 problem = f"{type(error).__name__}: {error}"
                 continue
@@ -135,6 +140,7 @@
         )
         response = await call
         text = await response.text()
+        _check_status(response.code)
         if response.code < 300 and not _is_json(text):
             raise BrokenResponse(f"status {response.code} with {len(text)} characters of a body")
         return OperatorResponse(response.code, _decode_body(text))
@@ -203,6 +209,11 @@
     return Headers({"Authorization": [f"Bearer {key}"]} if key else {})
 
 
+def _check_status(status: int) -> None:
+    if not is_final_status(status):
+        raise BrokenResponse(invalid_status(status))
+
+
 def _is_json(text: str) -> bool:
     try:
         json.loads(text)
--- a/src/rainsail/engine/http_client.py
+++ b/src/rainsail/engine/http_client.py
@@ -42,6 +42,7 @@
 from rainsail.engine.watched_stream import StreamWatch, describe_failure
 from rainsail.errors import Fault, FaultCode, Outcome
 from rainsail.http.bounded_body import BodyTooLargeError, read_body
+from rainsail.http.statuses import invalid_status, is_final_status
 from rainsail.runtime.clock import Clock
 
 _OK = 200
@@ -252,6 +253,8 @@
 
 
 def _read_fault(body: bytes, status: int, step: str) -> Fault:
+    if not is_final_status(status):
+        return Fault(FaultCode.INTERNAL, step, invalid_status(status), "", Outcome.UNKNOWN)
     try:
         return protocol.FAULT.validate_json(body)
     except ValidationError:
--- a/src/rainsail/experiment/answer_stream.py
+++ b/src/rainsail/experiment/answer_stream.py
@@ -9,6 +9,7 @@
 
 from rainsail.engine.sse import SseParser
 from rainsail.errors import Fault, FaultCode, Outcome
+from rainsail.http.statuses import invalid_status, is_final_status
 
 STEP = "caller.http"
 MAX_ANSWER_CHARACTERS = 16 * 1024 * 1024
@@ -92,6 +93,9 @@
 
     The operator API's error object is the fault itself, the caller API's holds it.
     """
+    if not is_final_status(status):
+        detail = invalid_status(status)
+        return Fault(FaultCode.INTERNAL, STEP, detail, outcome=Outcome.UNKNOWN)
     try:
         error = json.loads(content)["error"]
         fault = _FAULT.validate_python(error.get("rainsail", error), strict=False)
