A client's stream whose end is in doubt is complete only once another run has confirmed it

Cause: the end of an answer's carrier was held for the end of the stream. A run that takes a stream up was never checked (check_end returns at once behind a first event), and an orderly close behind any event counted as the stream's end.

The fix: end_confirmation (pure) takes the ends of a stream's runs as statements. A framed end behind an event of the same run completes a stream, as before. An unframed end behind an event has another run asked after it: empty confirms, events go on and refute. If no other run can tell within the time that a client waits for a held end, it stands, unless an end of this stream was wrong before or a part of the next event had come. An empty run behind a break is no proof, not even two of them: a fault that empties 60 % of such runs would bring two in 36 % of the cases. So the next run is asked to resume one event earlier. It has to repeat event n: a framed end behind that is proof by itself, an answer without it is certainly wrong, and nothing has to be learned of a source. Its events are never used (a text goes on after n only with a run that was asked after n); if it shows that more exist, another one is asked after n. The only runner left may be asked again, so that a client that resumes a whole stream gets its end on a fleet of one, and at once on a route of one attempt, which can't ask. An unframed answer without an event to a run that was to resume is such an empty run now, by the contract that the pool reports an orderly end only if the process survived; before it counted as a suspected crash. Refuted runs count as failed, confirmed ones don't.

Changes to existing tests: - beginnings.feature, "A resumed stream is not checked for its beginning", resumption.feature (two) and silent_runners.feature (one outline): not about framing; the stand-in ends in chunks now. - beginnings.feature, "A client that resumes after the last event gets the end": asserted the fault (one empty run ends a resumption); now the second run repeats event 3, then the end comes. - The soak's judge held "502 to a resumption whose only run was whole" for a fault.

--- a/features/relay/beginnings.feature
+++ b/features/relay/beginnings.feature
@@ -451,7 +451,7 @@
     Given a relay with 3 runners and a resumable "stream" route
     And 2 earlier streams of the service began with event 1
     When a client resumes its stream after event 3
-    And the runner sends events 4 to 6
+    And the runner sends events 4 to 6 in chunks
     And the runner ends its stream
     Then the client has the whole stream of events 4 to 6
 
@@ -461,6 +461,9 @@
     When a client resumes its stream after event 3
     And the runner sends a stream of no events
     And the runner ends its stream
+    Then the last attempt asks to resume after event 2
+    When the runner sends events 3 to 3 in chunks
+    And the runner ends its stream
     Then the client has an empty stream, and the end
 
   Scenario: A service whose streams have no event numbers is served
--- a/features/relay/resumption.feature
+++ b/features/relay/resumption.feature
@@ -4,14 +4,14 @@
     Given a relay with 3 runners and a resumable "stream" route
     When a client resumes its stream after event 5
     Then the first runner is asked to resume after event 5
-    When the runner sends events 6 to 7
+    When the runner sends events 6 to 7 in chunks
     And the runner ends its stream
     Then the client has the whole stream of events 6 to 7
 
   Scenario: Events that the client has already are not sent to it again
     Given a relay with 3 runners and a resumable "stream" route
     When a client resumes its stream after event 5
-    And the runner sends events 4 to 7
+    And the runner sends events 4 to 7 in chunks
     And the runner ends its stream
     Then the client has the whole stream of events 6 to 7
 
--- a/features/relay/silent_runners.feature
+++ b/features/relay/silent_runners.feature
@@ -7,7 +7,7 @@
     # Guards against: an answer that is cut because of a runner's silence, although the runner goes on.
     Given a relay with 3 runners and a resumable "stream" route
     When a client sends a request to the relay
-    And the runner sends events 1 to 2
+    And the runner sends events 1 to 2 in chunks
     And 1.02 seconds pass
     And <course>
     And the silent runner sends events 3 to 4
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -108,6 +108,7 @@
             only_run = self._only_run_in_time(asked)
             did_well = only_run is not None and only_run.whole and only_run.status == 200
             did_well = did_well and not asked.kind.runs_once
+            did_well = did_well and not _proves_nothing(asked, only_run)
             return ["it failed though its runner's answer was whole"] if did_well else []
         same = [run for run in self._runs[asked.request] if run.status == asked.status]
         if asked.outcome == Outcome.COMPLETE:
@@ -120,7 +121,7 @@
 
     def _stream(self, asked: ClientRequest) -> list[str]:
         if asked.body == whole_stream(asked.request, asked.after_event):
-            return []
+            return self._proof(asked)
         if self._could_be_whole(asked):
             self.unclear += 1
             return []
@@ -129,6 +130,17 @@
             return ["ended as complete with a runner's failure in it"]
         return [f"ended as complete with {_what_is_wrong(asked)}"]
 
+    def _proof(self, asked: ClientRequest) -> list[str]:
+        """Check that a resumption was not ended by one run without an event, though it was whole.
+
+        Such an answer may as well have lost its events.
+        """
+        only_run = self._only_run_in_time(asked)
+        may_ask_another = asked.max_attempts > 1
+        if may_ask_another and only_run is not None and _proves_nothing(asked, only_run):
+            return ["ended as complete by one run without an event"]
+        return []
+
     def _could_be_whole(self, asked: ClientRequest) -> bool:
         """Tell whether the stream ends where a runner closed in an orderly way between two events.
 
@@ -151,6 +163,11 @@
         return False
 
 
+def _proves_nothing(asked: ClientRequest, run: RunnerRun) -> bool:
+    """Tell whether a run has answered a resumption without an event."""
+    return asked.kind.is_stream and asked.after_event is not None and not run.body
+
+
 def _what_is_wrong(asked: ClientRequest) -> str:
     whole = whole_stream(asked.request, asked.after_event)
     if whole.startswith(asked.body):
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -249,6 +249,8 @@
     pool: StandInPool = field(default_factory=StandInPool)
     registry: RunnerRegistry = field(default_factory=RunnerRegistry)
     ended: list[RelayRun] = field(default_factory=list)
+    last_run: RelayRun | None = None
+    """The run of the latest request."""
 
     def __post_init__(self) -> None:
         self.context = make_context(
@@ -302,7 +304,8 @@
         facts = RequestFacts(request, HOST, PATH, deadline_s, prompt, 0, 0, after_event, resumes)
         route = self.context.table.match(HOST, PATH)
         assert route is not None
-        RelayRun(self.context, exchange, facts, route, self.ended.append).start()
+        self.last_run = RelayRun(self.context, exchange, facts, route, self.ended.append)
+        self.last_run.start()
         return exchange
 
     @property
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -25,6 +25,8 @@
 
 ENDED = "ended"
 """The logged end of an attempt whose answer has come to the end that its framing states."""
+MAX_PARTIAL_BYTES = 256
+"""So much of an event that broke off is kept to read its number."""
 
 
 class AttemptOwner(Protocol):
@@ -94,6 +96,12 @@
         """The software version of the runner's process, as far as it is known."""
         self.deadline_left_s: float | None = None
         """The time that the runner was told is left for the request, if the client states one."""
+        self.after_event: int | None = None
+        """The event that the runner was asked to resume after, if any."""
+        self.last_number: int | None = None
+        """The number of the last event that this run has sent."""
+        self.partial = b""
+        """The received part of an event within which the answer broke off."""
         self.connection_ended = False
         """The answer was interrupted by the end of the connection, as when a runner crashes."""
         self.event_count = 0
@@ -181,7 +189,7 @@
 
     def _take_events(self, stream: EventStream, data: bytes) -> None:
         events = stream.feed(data)
-        self.event_count += len(events)
+        self._count(events)
         has_room = self._hold(stream.pending_bytes)
         if events and not self._over:
             self._owner.events_received(self, events)
@@ -190,6 +198,12 @@
         elif not has_room:
             self._fail(NO_ROOM)
 
+    def _count(self, events: list[Event]) -> None:
+        self.event_count += len(events)
+        for event in events:
+            if event.number is not None:
+                self.last_number = event.number
+
     def _hold(self, amount: int) -> bool:
         """Count what is held of the answer; return False if there is no room for it."""
         if self._held is None:
@@ -213,11 +227,18 @@
                 self._owner.answer_received(self)
             else:
                 self._closed_early(CLOSED_BEFORE_BODY)
-        elif self.stream.may_end_here:
+        elif self.stream.may_end_here or self._has_nothing_to_resume:
             self._owner.stream_ended(self)
         else:
+            self.partial = self.stream.rest[:MAX_PARTIAL_BYTES]
             self._closed_early(CLOSED_EARLY)
 
+    @property
+    def _has_nothing_to_resume(self) -> bool:
+        """Tell whether the runner was asked to resume a stream and has ended without an event."""
+        assert self.stream is not None
+        return self.after_event is not None and self.stream.is_empty
+
     def _closed_early(self, reason: str) -> None:
         self.connection_ended = True
         self.end_reason = reason
@@ -236,6 +257,14 @@
 
     # --- called by the owner -------------------------------------------------------------
 
+    def take_last_events(self) -> list[Event]:
+        """Take the event that a framed end completes without a blank line, if there is one."""
+        assert self.stream is not None
+        events = self.stream.last_events()
+        for event in events:
+            self.last_number = self.last_number if event.number is None else event.number
+        return events
+
     def take_body(self) -> bytes:
         """Take what has been buffered of an answer that is not a stream."""
         body, self.body = bytes(self.body), bytearray()
@@ -273,6 +302,7 @@
         """Drop what has been buffered: objects that refer to each other keep the attempt longer."""
         self.body = bytearray()
         if self.stream is not None:
+            self.partial = self.stream.rest[:MAX_PARTIAL_BYTES]
             self.stream.drop_pending()
 
     def _end(self) -> bool:
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -102,6 +102,11 @@
             return True
         return self._has_events and not self._is_inside_event
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether neither an event nor a part of one has arrived."""
+        return not self._has_events and not self._is_inside_event
+
     @property
     def _is_inside_event(self) -> bool:
         return bool(self._pending.strip(LINE_ENDS))
--- a/src/rainsail/relay/recorder.py
+++ b/src/rainsail/relay/recorder.py
@@ -21,7 +21,12 @@
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.client_answer import ClientAnswer
 from rainsail.relay.context import RelayContext
-from rainsail.relay.continuation import UNCONFIRMED_BEGINNING, RequestOutcome
+from rainsail.relay.continuation import (
+    REFUTED_END,
+    UNCONFIRMED_BEGINNING,
+    UNCONFIRMED_END,
+    RequestOutcome,
+)
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.sender import RequestSender
 from rainsail.tenancy.tenants import Identity
@@ -228,6 +233,32 @@
         log = logger.bind(request=self._facts.request, runner=attempt.record.runner)
         log.bind(most_ms=round(max_hold_s * MILLISECONDS_PER_S)).info("stream_end_held")
 
+    def end_unconfirmed(self, attempt: Attempt, last_event: int | None) -> None:
+        """Record that another run is asked whether the stream ends here; the runner may be right.
+
+        ``last_event`` is the number of the last event that the client has.
+        """
+        self.reason = UNCONFIRMED_END
+        log = logger.bind(request=self._facts.request, runner=attempt.record.runner)
+        log = log.bind(run_events=attempt.event_count, answer=attempt.summary)
+        log.bind(last_event=last_event).info("stream_end_checked")
+
+    def end_refuted(self, attempt: Attempt, last_event: int | None) -> None:
+        """Record that the runner has ended the stream before its last event."""
+        self.reason = REFUTED_END
+        self._count_failure(attempt)
+        log = logger.bind(request=self._facts.request, runner=attempt.record.runner)
+        log = log.bind(run_events=attempt.event_count, answer=attempt.summary)
+        log.bind(last_event=last_event).info("stream_end_refuted")
+
+    def end_accepted(self, last_event: int | None, runners: str, is_confirmed: bool) -> None:
+        """Record that an end that was checked completes the stream.
+
+        ``runners`` have stated it; without ``is_confirmed`` no other run could tell.
+        """
+        log = logger.bind(request=self._facts.request, runners=runners, last_event=last_event)
+        log.bind(is_confirmed=is_confirmed).info("stream_end_accepted")
+
     def _count_failure(self, attempt: Attempt) -> None:
         self._context.loads.failed(attempt.record.runner, self._context.clock.seconds())
 
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -15,6 +15,7 @@
 from rainsail.relay.context import RelayContext
 from rainsail.relay.continuation import (
     LOST_BEGINNING,
+    MORE_EVENTS,
     SILENT,
     STOPPING,
     UNCONFIRMED_BEGINNING,
@@ -41,6 +42,8 @@
     refuse_overloaded,
     time_out,
 )
+from rainsail.relay.end_check import EndCheck
+from rainsail.relay.end_confirmation import EndVerdict
 from rainsail.relay.events import Event
 from rainsail.relay.protocol import RequestFacts
 from rainsail.relay.recorder import RequestRecorder
@@ -121,6 +124,9 @@
             self._complete_stream,
             self._drop_flawed,
         )
+        self._end_check = EndCheck(
+            context, self._answer, self._recorder, self._sender, self._complete_standing
+        )
         exchange.on_disconnect(self._client_disconnected)
         exchange.on_slow_client(self._sender.set_paused)
 
@@ -186,13 +192,15 @@
     def _deadline_passed(self) -> None:
         if self.outcome is None:
             is_sent = self._sender.is_sent
-            self._end(time_out(self._progress(), is_sent, self._context.settings))
+            ending = time_out(self._progress(), is_sent, self._context.settings)
+            self._end_unless_standing(ending)
 
     def end_by_stop(self) -> None:
         """End the request with a complete answer, or an aborted one: the gateway stops."""
         self._stream_ending.release()
         if self.outcome is None:
-            self._end(end_by_stop(self._progress(), self._sender.is_sent))
+            ending = end_by_stop(self._progress(), self._sender.is_sent)
+            self._end_unless_standing(ending)
 
     def _end(self, ending: Ending) -> None:
         """Carry out the decided end of the request."""
@@ -213,6 +221,7 @@
         self.outcome = outcome
         self._sender.stop_timeout()
         self._stream_ending.cancel()
+        self._end_check.cancel()
         self._deadline.cancel()
         self._sender.cancel()
         self._end_trials()
@@ -260,7 +269,7 @@
     def _end_untaken(self, ending: Ending) -> None:
         """End a request that no other runner gets, unless a silent one may still answer it."""
         if self._sender.silent is None:
-            self._end(ending)
+            self._end_unless_standing(ending)
         else:
             self._return_to_silent()
 
@@ -323,7 +332,7 @@
                 self._recorder.trial_sent(found.record, unproven)
                 self._was_sent_before = any(self._permits.values())
                 self._permits = dict.fromkeys(self._permits, True)
-            self._sender.send(found.record, decision)
+            self._sender.send(found.record, self._end_check.resume(decision))
 
     def _trial_decided(
         self, may_run: bool, unproven: Fingerprints, placement: Placement | None
@@ -380,7 +389,7 @@
         if ending is None:
             self._try_next()
         else:
-            self._end(ending)
+            self._end_unless_standing(ending)
 
     # --- AttemptOwner: answers -----------------------------------------------------------
 
@@ -404,7 +413,7 @@
         """
         if not self._is_current(attempt):
             return
-        if not self._answer.may_include(attempt):
+        if not self._answer.may_include(attempt) or not self._end_check.may_include(attempt):
             attempt.cancel()
             self._drop_answer(attempt, AttemptEnd.UNUSABLE)
         elif not attempt.failed:
@@ -414,8 +423,7 @@
         """Write complete events to the client without buffering."""
         if self.outcome is not None or not self._is_current(attempt):
             return
-        flaw = self._answer.write_events(attempt, events)
-        self._note_origin(attempt)
+        flaw = self._write_events(attempt, events)
         if flaw is None:
             self._sender.events_received()
             if self._recorder.goes_on(attempt):
@@ -424,6 +432,15 @@
             attempt.cancel()
             self._drop_flawed(attempt, flaw)
 
+    def _write_events(self, attempt: Attempt, events: list[Event]) -> str | None:
+        """Write the new events; return the reason if the run can't be used any more."""
+        flaw = self._end_check.flaw_of(attempt, events)
+        if flaw is None:
+            flaw = self._answer.write_events(attempt, events)
+            self._end_check.events_written()
+            self._note_origin(attempt)
+        return flaw
+
     def _note_origin(self, attempt: Attempt) -> None:
         """Bind a stream that can be resumed to the software that sent its first event."""
         if self._answer.client_has == ClientHas.NUMBERED_EVENTS and self._sender.route.resumable:
@@ -446,19 +463,56 @@
             self._drop_answer(attempt, attempt.body_end)
 
     def stream_ended(self, attempt: Attempt) -> None:
-        """Write the last event, then complete the answer, hold its end, or drop a flawed stream."""
+        """Write the last event, then end the answer, check or hold its end, or drop the run."""
         assert attempt.stream is not None
         if not self._is_current(attempt):
             self._silent_failed(attempt)
             return
-        flaw = self._answer.write_events(attempt, attempt.stream.last_events())
-        self._note_origin(attempt)
+        flaw = self._write_events(attempt, attempt.take_last_events())
         flaw = flaw or self._answer.check_end(attempt)
         if flaw is not None:
             self._drop_flawed(attempt, flaw)
+            return
+        verdict = self._end_check.run_ended(attempt)
+        if verdict == EndVerdict.ASK:
+            self._ask_about_end(attempt)
+        elif verdict == EndVerdict.WRONG:
+            self._continue_after(AttemptEnd.BROKEN)
+        else:
+            self._stream_ending.run_ended(attempt, self._deadline.left_s)
+
+    def _ask_about_end(self, attempt: Attempt) -> None:
+        """Ask another run whether the stream ends here, as far as one is allowed."""
+        stands_alone = self._end_check.stands_alone
+        if not stands_alone and not self._sender.other_runner_left():
+            # The run before has sent nothing; the next one has to repeat an event.
+            self._sender.allow_again(attempt.record)
+        if self._may_compare_runs() and self._end_check.hold(self._deadline.left_s):
+            self._recorder.end_unconfirmed(attempt, self._answer.last_event)
+            self._continue_after(AttemptEnd.BROKEN)
+        elif stands_alone:
+            self._complete_standing()
+        elif self._answer.begun or self._sender.route.max_attempts > 1:
+            self._recorder.end_unconfirmed(attempt, self._answer.last_event)
+            self._continue_after(AttemptEnd.BROKEN)
         else:
+            # No request of the client that resumes could be checked either.
             self._stream_ending.run_ended(attempt, self._deadline.left_s)
 
+    def _complete_standing(self) -> None:
+        """Complete a stream whose end no other run has confirmed in time."""
+        standing = self._end_check.take_standing()
+        if standing is not None:
+            self._sender.cancel()
+            self._stream_ending.run_ended(standing, self._deadline.left_s)
+
+    def _end_unless_standing(self, ending: Ending) -> None:
+        """End a request that no other runner gets, unless its stream has ended by itself."""
+        if self._end_check.stands_alone:
+            self._complete_standing()
+        else:
+            self._end(ending)
+
     def _complete_stream(self, attempt: Attempt) -> None:
         self._recorder.answered(attempt)
         self._sender.attempt = None
@@ -479,6 +533,8 @@
         if flaw == UNCONFIRMED_BEGINNING:
             self._recorder.dropped_unconfirmed(attempt)
             self._continue_after(AttemptEnd.BROKEN)
+        elif flaw == MORE_EVENTS:
+            self._continue_after(AttemptEnd.BROKEN)
         elif flaw == LOST_BEGINNING and self._answer.client_has != ClientHas.NOTHING:
             self._recorder.interrupted(attempt, flaw, self._answer.last_event)
             self._sender.attempt = None
@@ -542,6 +598,7 @@
 
     def answer_interrupted(self, attempt: Attempt, reason: str) -> None:
         """Retry on another runner where that is allowed, otherwise end the request."""
+        self._end_check.broke_off(attempt)
         may_resend = self._recorder.interrupted(attempt, reason, self._answer.last_event)
         end = AttemptEnd.BROKEN if may_resend else AttemptEnd.BROKEN_SUSPECT
         self._attempt_failed(attempt, end)
--- a/src/rainsail/relay/sender.py
+++ b/src/rainsail/relay/sender.py
@@ -124,6 +124,10 @@
         """Tell whether a runner that may get the request was not tried yet."""
         return self._finder.has_untried_runner()
 
+    def allow_again(self, record: RunnerRecord) -> None:
+        """Let a runner that the request was sent to get it once more."""
+        self._finder.tried.discard(record.runner)
+
     def send(self, record: RunnerRecord, how: SendAgain) -> None:
         """Start an attempt at a runner."""
         context = self._context
@@ -140,6 +144,7 @@
         response_within_s = self._response_within_s()
         attempt = Attempt(self._owner, context, record, self._facts.request, response_within_s)
         attempt.deadline_left_s = deadline_left_s
+        attempt.after_event = how.after_event
         self.attempt = attempt
         self.attempts.append(attempt)
         self._timeout.request_sent(self.route, self.attempts_counted)
