The soak of relaying plays crashes, empty runs, damaged framing and statuses; unclear only without evidence

The judge: a stream that was told as complete too early is unclear only if it ends where a run ended in order without a crash, and nobody could say more: its route runs once, two runners state the same end, or there was no attempt, no second of time or no other runner left. A whole answer without framing must not be cut unless its runner crashed meanwhile, also if it was checked by further runs. Statuses outside 200 to 599 are violations.

Changes to existing checks: none is relaxed. The history of an unframed stream that ends between two events stays unclear where no other runner is known; with another one it is a violation. Requests of the courses with pauses are judged by their route's two attempts instead of four. A crash of its runner now excuses a failure, or a whole answer that is cut; there were none before.

Two new defects pass: a relay that cuts whole unframed answers, and one that drops a whole answer with a second one behind it, are both found.

--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -87,6 +87,39 @@
       | answers 503 after a run               |
       | counts no attempts                    |
       | states the whole deadline at each attempt |
+      | cuts whole answers that have neither a length nor chunks |
+
+  Scenario: The soak catches a relay that drops a whole answer with a second one behind it
+    Given a relay that drops a whole answer with a second one behind it
+    When its clients meet runners whose framing is damaged, drawn from seed 1, with the defect and without it
+    Then the check on this defect finds it, and finds nothing without it
+
+  Scenario Outline: <course>: no answer is told as complete too early, <connections> connections
+    # Guards against: streams and bodies told as complete though a part of them was missing.
+    When a relay's clients on <connections> connections meet runners <faults>, drawn from each of the seeds 1 to 4
+    Then <least> answers or more have met the fault "<fault>"
+    And no guarantee of any of these relays was violated
+
+    Examples: crashes
+      | course  | faults               | fault       | connections | least |
+      | Crashes | whose processes end  | crashed_run | 150         | 100   |
+      | Crashes | whose processes end  | crashed_run | 15          | 5     |
+
+    Examples: runs that go on with a stream
+      | course     | faults                               | fault     | connections | least |
+      | Empty runs | that go on with streams and bring nothing | empty_run | 150    | 50    |
+
+    Examples: damaged framing
+      | course          | faults                  | fault           | connections | least |
+      | Damaged framing | whose framing is damaged | damaged_framing | 150        | 50    |
+
+    Examples: statuses
+      | course   | faults                     | fault          | connections | least |
+      | Statuses | whose statuses mean nothing | invalid_status | 150        | 100   |
+
+    Examples: all of them, beside lone closes
+      | course     | faults                   | fault       | connections | least |
+      | All faults | with all of these faults | crashed_run | 150         | 100   |
 
   Scenario Outline: A history in which <what> is reported as a violation
     Given a history of relaying in which <what>
@@ -110,6 +143,23 @@
       | a stream in chunks ends between two events        | its last events missing       |
       | an unframed stream ends before its runner's close | its last events missing       |
       | an unframed stream ends without any event         | no event                      |
+      | a stream with a length ends between two events    | its last events missing       |
+      | an unframed stream ends between two events, and another runner is free | though another runner could be asked |
+      | an unframed stream that may run once ends with its runner's process | its last events missing, behind a crash |
+      | an unframed resumable stream ends with its runner's process | its last events missing, behind a crash |
+      | a stream in chunks ends with its runner's process | its last events missing, behind a crash |
+      | an unframed body ends with its runner's process   | not its answer                |
+      | an unframed failure ends with its runner's process | 500 is not whole             |
+      | a run that goes on with a stream brings nothing, in chunks | though another runner could be asked |
+      | a run that goes on with a stream brings nothing, unframed | its last events missing |
+      | one runner twice brings nothing when it goes on with a stream | though another runner could be asked |
+      | a client that goes on with its stream gets nothing | no event, though another runner could be asked |
+      | an answer has status 600                          | answered 600, which means nothing |
+      | an answer has status 099                          | answered 99, which means nothing |
+      | a whole unframed body was cut                     | cut though its runner's       |
+      | a whole unframed stream was cut                   | cut though its runner's       |
+      | a whole unframed stream was cut though another runner agrees | cut though the answers of its runners |
+      | a whole unframed stream was cut before a crash of its runner | cut though its runner's |
 
   Scenario Outline: A history in which <what> is accepted
     Given a history of relaying in which <what>
@@ -120,3 +170,10 @@
       | all went well                              | 0       |
       | a complete failure was forwarded           | 0       |
       | an unframed stream ends between two events | 1       |
+      | an unframed stream that may run once ends between two events | 1 |
+      | an unframed stream ends between two events, and no attempt is left | 1 |
+      | an unframed stream ends between two events, and no time is left | 1 |
+      | an unframed stream ends between two events, and all other runners are down | 1 |
+      | a run that goes on with a stream brings nothing, and no other runner is left | 1 |
+      | two runs that go on with a stream bring nothing | 1  |
+      | a whole unframed stream was cut at a crash of its runner | 0 |
--- a/features/steps/relay_soak_check_steps.py
+++ b/features/steps/relay_soak_check_steps.py
@@ -14,6 +14,7 @@
 )
 from features.support.relay_soak.history import (
     ClientRequest,
+    Crash,
     Ending,
     Framing,
     History,
@@ -24,6 +25,7 @@
 
 PLAIN, STREAM = "plain-1", "stream-3"
 RUNNER = "runner-1"
+RUNNERS = (RUNNER, "runner-2", "runner-3")
 
 
 def _request(request, kind, body):
@@ -51,6 +53,43 @@
     )
 
 
+def _end_with_process(history, place, framing):
+    """Let a runner's process end inside an answer that its client got as complete."""
+    request, run = history.requests[place], history.runs[place]
+    request.body = events(STREAM, 1, last_event(STREAM) - 1) if place else request.body[:-1]
+    history.runs[place] = replace(run, framing=framing, whole=False, crashed_s=1.5)
+    history.crashes.append(Crash(RUNNER, 1.5, 3.5))
+
+
+def _end_with_empty_runs(history, count, framing=Framing.CHUNKS):
+    """Break a stream off; ``count`` runs that go on with it bring nothing."""
+    begun_behind = last_event(STREAM) - 1
+    _end_between_events(history, Framing.CHUNKS)
+    history.requests[1].body = events(STREAM, 1, begun_behind)
+    _go_on_with_nothing(history, begun_behind, count, framing)
+
+
+def _go_on_with_nothing(history, begun_behind, count, framing):
+    is_framed = framing != Framing.CLOSE
+    for number in range(2, 2 + count):
+        empty = replace(
+            history.runs[1],
+            runner=f"runner-{number}",
+            after_event=begun_behind,
+            framing=framing,
+            body=b"",
+            whole=False,
+            ending=Ending.KEEP if is_framed else Ending.CLOSE,
+            states_early_end=is_framed,
+        )
+        history.runs.append(empty)
+
+
+def _cut_whole_unframed(history, place):
+    history.requests[place].outcome = Outcome.CUT
+    history.runs[place] = replace(history.runs[place], framing=Framing.CLOSE, ending=Ending.CLOSE)
+
+
 def _fail(history, body):
     history.requests[0].status = 500
     history.requests[0].body = body
@@ -105,6 +144,76 @@
             _end_between_events(history, Framing.CLOSE)
             stream.body = b""
             history.runs[1] = replace(history.runs[1], body=b"")
+        case "a stream with a length ends between two events":
+            _end_between_events(history, Framing.LENGTH)
+        case "an unframed stream ends between two events, and another runner is free":
+            _end_between_events(history, Framing.CLOSE)
+            history.runners = RUNNERS
+        case "an unframed stream that may run once ends between two events":
+            _end_between_events(history, Framing.CLOSE)
+            stream.kind, history.runners = Kind.STREAM, RUNNERS
+        case "an unframed stream ends between two events, and no attempt is left":
+            _end_between_events(history, Framing.CLOSE)
+            stream.max_attempts, history.runners = 1, RUNNERS
+        case "an unframed stream ends between two events, and no time is left":
+            _end_between_events(history, Framing.CLOSE)
+            stream.ended_s, history.runners = 4.5, RUNNERS
+        case "an unframed stream ends between two events, and all other runners are down":
+            _end_between_events(history, Framing.CLOSE)
+            history.runners = RUNNERS
+            history.crashes = [Crash(name, 1.5, 3.5) for name in RUNNERS[1:]]
+        case "an unframed stream that may run once ends with its runner's process":
+            _end_with_process(history, 1, Framing.CLOSE)
+            stream.kind = Kind.STREAM
+        case "an unframed resumable stream ends with its runner's process":
+            _end_with_process(history, 1, Framing.CLOSE)
+        case "a stream in chunks ends with its runner's process":
+            _end_with_process(history, 1, Framing.CHUNKS)
+        case "an unframed body ends with its runner's process":
+            _end_with_process(history, 0, Framing.CLOSE)
+        case "an unframed failure ends with its runner's process":
+            _fail(history, b"half")
+            history.runs[0] = replace(history.runs[0], framing=Framing.CLOSE, crashed_s=1.5)
+        case "a run that goes on with a stream brings nothing, in chunks":
+            _end_with_empty_runs(history, 1)
+            history.runners = RUNNERS
+        case "a run that goes on with a stream brings nothing, unframed":
+            _end_with_empty_runs(history, 1, Framing.CLOSE)
+        case "a run that goes on with a stream brings nothing, and no other runner is left":
+            _end_with_empty_runs(history, 1)
+        case "two runs that go on with a stream bring nothing":
+            _end_with_empty_runs(history, 2)
+            history.runners = RUNNERS
+        case "one runner twice brings nothing when it goes on with a stream":
+            _end_with_empty_runs(history, 1)
+            history.runs.append(history.runs[-1])
+            history.runners = RUNNERS
+        case "a client that goes on with its stream gets nothing":
+            stream.after_event, stream.body = 1, b""
+            del history.runs[1]
+            history.runs.append(replace(_run(STREAM, b""), whole=False, after_event=1))
+            history.runs[1] = replace(history.runs[1], states_early_end=True)
+            history.runners = RUNNERS
+        case "an answer has status 600":
+            plain.status = 600
+            history.runs[0] = replace(history.runs[0], status=600)
+        case "an answer has status 099":
+            plain.status = 99
+            history.runs[0] = replace(history.runs[0], status=99)
+        case "a whole unframed body was cut":
+            _cut_whole_unframed(history, 0)
+        case "a whole unframed stream was cut":
+            _cut_whole_unframed(history, 1)
+        case "a whole unframed stream was cut though another runner agrees":
+            _cut_whole_unframed(history, 1)
+            _go_on_with_nothing(history, last_event(STREAM), 1, Framing.CHUNKS)
+            history.runs[-1] = replace(history.runs[-1], whole=True, states_early_end=False)
+        case "a whole unframed stream was cut at a crash of its runner":
+            _cut_whole_unframed(history, 1)
+            history.crashes = [Crash(RUNNER, 1.9, 3.9)]
+        case "a whole unframed stream was cut before a crash of its runner":
+            _cut_whole_unframed(history, 1)
+            history.crashes = [Crash(RUNNER, 2.1, 4.1)]
         case _:
             raise AssertionError(f"no such history: {what}")
 
--- /dev/null
+++ b/features/steps/relay_soak_fault_steps.py
@@ -0,0 +1,45 @@
+"""Steps on the soak test of the relay under crashes and other faults drawn by themselves."""
+
+from behave import then, when
+from features.support.relay_soak.course_faults import FaultKinds
+from features.support.relay_soak.soak import RelaySoak
+
+FAULTS = {
+    "whose processes end": FaultKinds(crashes=True),
+    "that go on with streams and bring nothing": FaultKinds(empty_runs=True),
+    "whose framing is damaged": FaultKinds(damaged_framing=True),
+    "whose statuses mean nothing": FaultKinds(statuses=True),
+    "with all of these faults": FaultKinds(True, True, True, True, True),
+}
+
+
+@when(
+    "its clients meet runners whose framing is damaged, drawn from seed {seed:d}, "
+    "with the defect and without it"
+)
+def run_relay_soaks_of_framing(context, seed):
+    faults = FAULTS["whose framing is damaged"]
+    context.defective = RelaySoak(seed, spoils_beginnings=False, faults=faults)
+    with context.relay_defect.in_place():
+        context.defective.run()
+    context.sound = RelaySoak(seed, spoils_beginnings=False, faults=faults)
+    context.sound.run()
+
+
+@when(
+    "a relay's clients on {connections:d} connections meet runners {faults}, "
+    "drawn from each of the seeds {first:d} to {last:d}"
+)
+def run_relay_soaks_of_faults(context, connections, faults, first, last):
+    context.relay_soaks = [
+        RelaySoak(seed, False, connections, faults=FAULTS[faults])
+        for seed in range(first, last + 1)
+    ]
+    for soak in context.relay_soaks:
+        soak.run()
+
+
+@then('{least:d} answers or more have met the fault "{fault}"')
+def faults_met(context, least, fault):
+    met = sum(soak.counts[fault] for soak in context.relay_soaks)
+    assert met >= least, met
--- a/features/support/relay_soak/answers.py
+++ b/features/support/relay_soak/answers.py
@@ -2,11 +2,13 @@
 
 Faults that no gateway can detect are not drawn: the loss of a stream's last event before an orderly
 end; bytes changed within an event's text or within a body; and a body that is not a stream, without
-a length or chunks, truncated by an orderly close.
+a length or chunks, truncated by an orderly close of its connection alone. Crashes, runs that go on
+with nothing, damaged framing and statuses without a meaning are drawn by ``course_faults``.
 """
 
 import random
 from dataclasses import dataclass
+from typing import Protocol
 
 from features.support.relay_soak.content import (
     event,
@@ -63,6 +65,10 @@
     pieces: tuple[bytes, ...]
     pause_s: float
     ending: Ending
+    states_early_end: bool = False
+    """Its framing states its end rightly, though events are missing behind it."""
+    crash_at: int | None = None
+    """The index of the piece in whose place the runner's process ends."""
 
 
 @dataclass(frozen=True)
@@ -108,6 +114,23 @@
         self.before_head = not self.has_body and draw.random() < 0.5
 
 
+class OtherFaults(Protocol):
+    """Draws further faults, from a random generator of its own."""
+
+    @property
+    def closes_alone(self) -> bool:
+        """Whether an answer without framing may be truncated by the close of its connection."""
+        ...
+
+    def replaced(self, message: Message, framing: Framing) -> RunnerAnswer | None:
+        """Return what is sent in place of an answer, None to leave it."""
+        ...
+
+    def crashing(self, answer: RunnerAnswer) -> RunnerAnswer:
+        """Return the answer, some with a crash of the runner's process in it."""
+        ...
+
+
 class AnswerDrawer:
     """Draws answers from one random generator.
 
@@ -115,14 +138,26 @@
     no events.
     """
 
-    def __init__(self, draw: random.Random, spoils_beginnings: bool) -> None:
+    def __init__(
+        self,
+        draw: random.Random,
+        spoils_beginnings: bool,
+        other_faults: OtherFaults | None = None,
+    ) -> None:
         self._draw = draw
         self._spoils_beginnings = spoils_beginnings
+        self._other_faults = other_faults
 
     def answer(self, asked: Asked) -> RunnerAnswer:
         """Draw the answer to a request."""
         message = self._message(asked)
         framing = self._draw.choice(tuple(Framing))
+        if self._other_faults is None:
+            return self._drawn(message, framing)
+        replaced = self._other_faults.replaced(message, framing)
+        return self._other_faults.crashing(replaced or self._drawn(message, framing))
+
+    def _drawn(self, message: Message, framing: Framing) -> RunnerAnswer:
         if self._draw.random() < FAULT_SHARE:
             return self._broken(message, framing)
         return self._ended(message, framing)
@@ -173,7 +208,7 @@
     def _ended(self, message: Message, framing: Framing) -> RunnerAnswer:
         """Send the complete answer, sometimes twice; the second copy is surplus data."""
         count = len(message.pieces)
-        wire = [_head(message, framing), *self._framed(message, framing, count)]
+        wire = [answer_head(message, framing), *self._framed(message, framing, count)]
         if framing == Framing.CHUNKS:
             wire.append(b"0\r\n\r\n")
         if framing != Framing.CLOSE and self._draw.random() < SURPLUS_SHARE:
@@ -192,7 +227,9 @@
 
     def _broken(self, message: Message, framing: Framing) -> RunnerAnswer:
         """Send a part of the answer."""
-        may_close = framing != Framing.CLOSE or message.content_type == EVENT_STREAM
+        closes_alone = self._other_faults is None or self._other_faults.closes_alone
+        is_stream = message.content_type == EVENT_STREAM
+        may_close = framing != Framing.CLOSE or (is_stream and closes_alone)
         broken = Break(self._draw, message.pieces, may_close)
         if not (broken.has_body or self._spoils_beginnings or message.asked.after_event):
             broken.before_head = broken.before_head or framing == Framing.CLOSE
@@ -210,9 +247,9 @@
         )
 
     def _part_of_wire(self, message: Message, framing: Framing, broken: Break) -> list[bytes]:
-        wire = [_head(message, framing), *self._framed(message, framing, broken.count)]
+        wire = [answer_head(message, framing), *self._framed(message, framing, broken.count)]
         if broken.part and framing == Framing.CHUNKS:
-            chunk = _chunk(broken.part)
+            chunk = chunk_of(broken.part)
             wire.append(chunk[:-3] if broken.cut_chunk else chunk)
         elif broken.part:
             wire.append(broken.part)
@@ -225,7 +262,7 @@
             if number == message.corrupted:
                 wire.append(JUNK)
             for part in self._parts(piece):
-                wire.append(_chunk(part) if framing == Framing.CHUNKS else part)
+                wire.append(chunk_of(part) if framing == Framing.CHUNKS else part)
         return wire
 
     def _parts(self, piece: bytes) -> list[bytes]:
@@ -235,18 +272,21 @@
         return [piece[:middle], piece[middle:]]
 
 
-def _chunk(data: bytes) -> bytes:
+def chunk_of(data: bytes) -> bytes:
+    """Return a chunk with its size."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def _head(message: Message, framing: Framing) -> bytes:
+def answer_head(message: Message, framing: Framing, length: int | None = None) -> bytes:
+    """Return the head of an answer; ``length`` is the stated one, by default the true one."""
+    true_length = sum(map(len, message.pieces))
     frames = {
         Framing.CHUNKS: b"Transfer-Encoding: chunked",
-        Framing.LENGTH: b"Content-Length: %d" % sum(map(len, message.pieces)),
+        Framing.LENGTH: b"Content-Length: %d" % (true_length if length is None else length),
         Framing.CLOSE: b"Connection: close",
     }
     lines = [
-        b"HTTP/1.1 %d Said" % message.status,
+        b"HTTP/1.1 %03d Said" % message.status,
         b"Rainsail-Request: " + message.asked.request.encode(),
         b"Content-Type: " + message.content_type,
         frames[framing],
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -23,10 +23,20 @@
 """Statuses that a gateway sends itself, without a body."""
 SLACK_S = 0.05
 """Tolerance on a route's time-out for the transfer of the bytes."""
+ASK_AGAIN_S = 1.0
+"""With less time left at its end, a stream can't be asked for at another runner any more."""
+AGREEING_RUNNERS = 2
+"""So many runners that state the same end of a stream can't be told from its true end."""
+MIN_STATUS, MIN_INVALID_STATUS = 200, 600
+"""Final answers have a status from the first to below the second one."""
 
 
 class Judge:
-    """Checks a history; ``unclear`` counts the streams whose true end can't be known."""
+    """Checks a history; ``unclear`` counts the streams whose true end can't be known.
+
+    A stream that is told as complete too early is unclear only if no evidence was to be had. A
+    crash of its runner is evidence, and so is another runner that could have been asked to go on.
+    """
 
     def __init__(self, history: History) -> None:
         self._history = history
@@ -79,6 +89,8 @@
         words = ["bytes after its end"] if asked.surplus else []
         if not asked.status or asked.outcome == Outcome.LEFT:
             return words
+        if not MIN_STATUS <= asked.status < MIN_INVALID_STATUS:
+            return [*words, f"answered {asked.status}, which means nothing in HTTP"]
         if not 200 <= asked.status < 300:
             return words + self._failure(asked)
         if asked.outcome != Outcome.COMPLETE:
@@ -88,17 +100,38 @@
         return words if asked.body == whole_body(asked.request) else [*words, "not its answer"]
 
     def _cut(self, asked: ClientRequest) -> list[str]:
-        """Check that a success is not cut before its deadline if its only run was complete."""
-        only_run = self._only_run_in_time(asked)
-        did_well = only_run is not None and only_run.whole
-        return ["it was cut though its runner's answer was whole"] if did_well else []
+        """Check that a success is not cut before its deadline if its runs were complete."""
+        runs = self._runs_in_time(asked)
+        did_well = all(run.whole for run in runs) and not self._crashed_since(asked, runs)
+        if did_well and len(runs) == 1:
+            return ["it was cut though its runner's answer was whole"]
+        did_well = did_well and all(_is_rest_of_stream(run) for run in runs)
+        if did_well and runs and runs[0].framing == Framing.CLOSE:
+            return ["it was cut though the answers of its runners were whole"]
+        return []
+
+    def _runs_in_time(self, asked: ClientRequest) -> list[RunnerRun]:
+        """Return the runs of a request that ended before its deadline, of others none."""
+        assert asked.ended_s is not None
+        in_time = asked.ended_s - asked.sent_s < asked.timeout_s - SLACK_S
+        return [run for run in self._runs[asked.request] if run.ran and in_time]
 
     def _only_run_in_time(self, asked: ClientRequest) -> RunnerRun | None:
         """Return the only run of a request that ended before its deadline."""
-        runs = [run for run in self._runs[asked.request] if run.ran]
+        runs = self._runs_in_time(asked)
+        return runs[0] if len(runs) == 1 else None
+
+    def _crashed_since(self, asked: ClientRequest, runs: list[RunnerRun]) -> bool:
+        """Tell whether one of these runners crashed between the run's begin and the answer's end.
+
+        Behind a whole answer without framing, such a crash may have been its end.
+        """
         assert asked.ended_s is not None
-        in_time = asked.ended_s - asked.sent_s < asked.timeout_s - SLACK_S
-        return runs[0] if in_time and len(runs) == 1 else None
+        return any(
+            run.runner == crash.runner and run.began_s <= crash.at_s <= asked.ended_s
+            for run in runs
+            for crash in self._history.crashes
+        )
 
     # --- failures ------------------------------------------------------------------------
 
@@ -108,12 +141,13 @@
             only_run = self._only_run_in_time(asked)
             did_well = only_run is not None and only_run.whole and only_run.status == 200
             did_well = did_well and not asked.kind.runs_once
+            did_well = did_well and not self._crashed_since(asked, self._runs[asked.request])
             return ["it failed though its runner's answer was whole"] if did_well else []
         same = [run for run in self._runs[asked.request] if run.status == asked.status]
         if asked.outcome == Outcome.COMPLETE:
             whole = any(run.whole and run.body == asked.body for run in same)
             return [] if whole else [f"an answer {asked.status} is not whole"]
-        broke = any(not run.whole for run in same)
+        broke = any(not run.whole or run.crashed_s is not None for run in same)
         return [] if broke else [f"an answer {asked.status} was cut though its runner's was whole"]
 
     # --- streams -------------------------------------------------------------------------
@@ -121,34 +155,84 @@
     def _stream(self, asked: ClientRequest) -> list[str]:
         if asked.body == whole_stream(asked.request, asked.after_event):
             return []
-        if self._could_be_whole(asked):
+        last = _last_event_of(asked)
+        if last is not None and self._is_unclear(asked, last):
             self.unclear += 1
             return []
-        statuses = {run.status for run in self._runs[asked.request]}
-        if any(failure_body(asked.request, each, 0) in asked.body for each in statuses):
+        runs = self._runs[asked.request]
+        if any(failure_body(asked.request, run.status, 0) in asked.body for run in runs):
             return ["ended as complete with a runner's failure in it"]
-        return [f"ended as complete with {_what_is_wrong(asked)}"]
+        evidence = "" if last is None else _evidence(runs, last)
+        return [f"ended as complete with {_what_is_wrong(asked)}{evidence}"]
 
-    def _could_be_whole(self, asked: ClientRequest) -> bool:
-        """Tell whether the stream ends where a runner closed in an orderly way between two events.
+    def _is_unclear(self, asked: ClientRequest, last: int) -> bool:
+        """Tell whether nothing showed that a stream has events behind the ``last`` one it brought.
 
-        Without a length or chunks such a close can't be told from the end of the stream.
+        Without a length or chunks, the close of one connection between two events can't be told
+        from the end of the stream by this run. Another runner can tell, if it can be asked.
         """
-        return any(
-            self._ends_between(run, asked)
-            for run in self._runs[asked.request]
-            if run.framing == Framing.CLOSE and run.ending == Ending.CLOSE and run.status == 200
-        )
+        stating = [run for run in self._runs[asked.request] if _states_end(run, last)]
+        if asked.kind.runs_once:
+            return bool(stating)
+        if len({run.runner for run in stating}) >= AGREEING_RUNNERS:
+            return True
+        is_stated = any(run.body or run.states_early_end for run in stating)
+        return is_stated and not self._could_ask_again(asked)
 
-    def _ends_between(self, run: RunnerRun, asked: ClientRequest) -> bool:
-        begun_behind = run.after_event or 0
-        first = (asked.after_event or 0) + 1
-        for last in range(max(begun_behind, 1), last_event(asked.request)):
-            behind = events(asked.request, begun_behind + 1, last)
-            repeated = events(asked.request, max(begun_behind, 1), last)
-            if run.body in (behind, repeated):
-                return asked.body == events(asked.request, first, last)
+    def _could_ask_again(self, asked: ClientRequest) -> bool:
+        """Tell whether another runner could be asked to go on when the answer ended."""
+        runs = self._runs[asked.request]
+        assert asked.ended_s is not None
+        if len(runs) >= asked.max_attempts:
+            return False
+        if asked.ended_s > asked.sent_s + asked.timeout_s - ASK_AGAIN_S:
+            return False
+        down = {
+            crash.runner
+            for crash in self._history.crashes
+            if crash.at_s <= asked.ended_s < crash.back_s
+        }
+        return bool(set(self._history.runners) - down - {run.runner for run in runs})
+
+
+def _states_end(run: RunnerRun, last: int) -> bool:
+    """Tell whether a run has ended in order behind event ``last``, its runner's process alive.
+
+    An answer with a length or chunks states its end by these only.
+    """
+    if run.status != 200 or run.crashed_s is not None:
+        return False
+    if not run.states_early_end and (run.framing, run.ending) != (Framing.CLOSE, Ending.CLOSE):
+        return False
+    begun_behind = run.after_event or 0
+    if last < max(begun_behind, 1):
         return False
+    behind = events(run.request, begun_behind + 1, last)
+    repeated = events(run.request, max(begun_behind, 1), last)
+    return run.body in (behind, repeated)
+
+
+def _evidence(runs: list[RunnerRun], last: int) -> str:
+    """Tell what showed that a stream has events behind the ``last`` one."""
+    if any(_states_end(run, last) for run in runs):
+        return ", though another runner could be asked"
+    return ", behind a crash" if any(run.crashed_s is not None for run in runs) else ""
+
+
+def _is_rest_of_stream(run: RunnerRun) -> bool:
+    """Tell whether a run brought all events behind its first one."""
+    begun_behind, last = run.after_event or 0, last_event(run.request)
+    rest = events(run.request, begun_behind + 1, last)
+    return run.body in (rest, events(run.request, max(begun_behind, 1), last))
+
+
+def _last_event_of(asked: ClientRequest) -> int | None:
+    """Return the event behind which a stream ends too early; None if it has another fault."""
+    first = (asked.after_event or 0) + 1
+    for last in range(max(first - 1, 1), last_event(asked.request)):
+        if asked.body == events(asked.request, first, last):
+            return last
+    return None
 
 
 def _what_is_wrong(asked: ClientRequest) -> str:
--- a/features/support/relay_soak/defects.py
+++ b/features/support/relay_soak/defects.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest import mock
 
+from rainsail.http.client import ClientConnection
 from rainsail.relay import client_answer, continuation, run
 from rainsail.relay.attempt import Attempt
 from rainsail.relay.client_answer import ClientAnswer
@@ -113,6 +114,23 @@
     return keep_silent
 
 
+def _fail_unframed(original: Any) -> Any:
+    """Take the close behind an answer without a length or chunks for a failure."""
+    return lambda self, in_order: original(self, False)
+
+
+def _fail_at_surplus(original: Any) -> Any:
+    """Take any bytes behind the end of an answer for damage."""
+
+    def take_end(self: ClientConnection) -> None:
+        if self._http.trailing_data[0]:
+            self._fail("bytes behind the end")
+        else:
+            original(self)
+
+    return take_end
+
+
 DEFECTS = {
     "appends a failure to a resumed stream": Defect(
         "a runner's failure in it",
@@ -131,6 +149,14 @@
         "though its runner's answer was whole",
         (Patch(RequestSender, "keep_silent", _leave_silent_first),),
     ),
+    "cuts whole answers that have neither a length nor chunks": Defect(
+        "cut though its runner's answer was whole",
+        (Patch(ClientConnection, "_take_close", _fail_unframed),),
+    ),
+    "drops a whole answer with a second one behind it": Defect(
+        "cut though its runner's answer was whole",
+        (Patch(ClientConnection, "_take_end", _fail_at_surplus),),
+    ),
     "counts no attempts": Defect(
         "runners, of 4 allowed", (Patch(run, "decide_send", _count_no_attempts),)
     ),
--- a/features/support/relay_soak/history.py
+++ b/features/support/relay_soak/history.py
@@ -71,6 +71,19 @@
     began_s: float = 0.0
     told_left_s: float | None = None
     """The time that the runner was told is left; None if it was told of no deadline."""
+    states_early_end: bool = False
+    """Its framing states its end rightly, though events are missing behind it."""
+    crashed_s: float | None = None
+    """When the runner's process ended before the answer had; ``body`` is what was meant then."""
+
+
+@dataclass(frozen=True)
+class Crash:
+    """The end of a runner's process: all its connections end, and none is accepted until later."""
+
+    runner: str
+    at_s: float
+    back_s: float
 
 
 @dataclass
@@ -97,7 +110,9 @@
 
 @dataclass
 class History:
-    """All requests and runs, in the order in which they began."""
+    """All requests, runs and crashes, in the order in which they began, and the runners."""
 
     requests: list[ClientRequest] = field(default_factory=list)
     runs: list[RunnerRun] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
+    runners: tuple[str, ...] = ()
--- a/features/support/relay_soak/runner.py
+++ b/features/support/relay_soak/runner.py
@@ -2,10 +2,12 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
 
 import h11
 from features.support.relay_soak.answers import AnswerDrawer, Asked, RunnerAnswer
-from features.support.relay_soak.history import Ending, History, Kind, RunnerRun
+from features.support.relay_soak.history import Crash, Ending, History, Kind, RunnerRun
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
@@ -33,9 +35,19 @@
         draw: random.Random,
         drawer: AnswerDrawer,
         pauses: random.Random | None = None,
+        down_s: Callable[[], float] = lambda: 0.0,
+        came_back: Callable[["SoakRunner"], None] = lambda runner: None,
     ) -> None:
-        """``pauses`` draws which answers pause for long, and where; None: none does."""
+        """``pauses`` draws which answers pause for long, and where; None: none does.
+
+        ``down_s`` draws how long the address refuses behind a crash, ``came_back`` is called then.
+        """
         self._pauses = pauses
+        self._down_s = down_s
+        self._came_back = came_back
+        self._is_down = False
+        self.connections: list[RunnerConnection] = []
+        """The open ones."""
         self.name = name
         self.clock = clock
         self._history = history
@@ -44,10 +56,28 @@
 
     def accept(self) -> Protocol | None:
         """Accept a connection, or sometimes refuse it."""
-        if self._draw.random() < REFUSED_CONNECTIONS_SHARE:
+        if self._is_down or self._draw.random() < REFUSED_CONNECTIONS_SHARE:
             return None
         return RunnerConnection(self)
 
+    def crash(self) -> None:
+        """End the process: all its connections end in order at once, as a kernel closes them."""
+        now, down_s = self.clock.seconds(), self._down_s()
+        self._is_down = True
+        self._history.crashes.append(Crash(self.name, now, now + down_s))
+        for connection in list(self.connections):
+            connection.end_with_process()
+        self.clock.callLater(down_s, self._start_again)
+
+    def _start_again(self) -> None:
+        self._is_down = False
+        self._came_back(self)
+
+    def record_crash(self, place: int) -> None:
+        """Record that a run, by its place in the history, was under way at a crash."""
+        runs = self._history.runs
+        runs[place] = replace(runs[place], crashed_s=self.clock.seconds())
+
     def thinks_s(self) -> float:
         """Draw the time until the first byte of an answer."""
         return self._draw.choice(THINKS_S)
@@ -64,8 +94,8 @@
         piece = self._pauses.randrange(len(answer.pieces) or 1)
         return piece, self._pauses.choice(LONG_PAUSES_S)
 
-    def answer(self, head: h11.Request) -> RunnerAnswer:
-        """Draw the answer to a request, and record it."""
+    def answer(self, head: h11.Request) -> tuple[RunnerAnswer, int]:
+        """Draw the answer to a request, and record it; return its place in the history, too."""
         fields = tuple(head.headers.raw_items())
         after = header_text(fields, b"last-event-id")
         kind = Kind(head.target.decode().split("/")[1])
@@ -86,9 +116,10 @@
                 answer.ending,
                 self.clock.seconds(),
                 header_number(fields, b"rainsail-deadline-s"),
+                answer.states_early_end,
             )
         )
-        return answer
+        return answer, len(self._history.runs) - 1
 
 
 class RunnerConnection(Protocol):
@@ -98,7 +129,9 @@
         self._runner = runner
         self._gone = False
         self._playing = False
-        self._due: deque[RunnerAnswer] = deque()
+        self._due: deque[tuple[RunnerAnswer, int]] = deque()
+        self._current: int | None = None
+        """The place in the history of the run that is being answered."""
         self._pause_at, self._pause_s = 0, 0.0
         self._await_request()
 
@@ -106,6 +139,18 @@
         self._http = h11.Connection(h11.SERVER)
         self._head: h11.Request | None = None
 
+    def connectionMade(self) -> None:
+        """Count it with the open ones."""
+        self._runner.connections.append(self)
+
+    def end_with_process(self) -> None:
+        """Close in order, since the runner's process ends; what is under way is not answered."""
+        self._gone = True
+        under_way = [] if self._current is None else [self._current]
+        for place in (*under_way, *(place for _, place in self._due)):
+            self._runner.record_crash(place)
+        self.transport.loseConnection()
+
     def dataReceived(self, data: bytes) -> None:
         """Read a request; answer it once it is complete."""
         self._http.receive_data(data)
@@ -125,12 +170,13 @@
     def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
         """Stop sending."""
         self._gone = True
+        self._runner.connections.remove(self)
 
     def _play_next(self) -> None:
         """Begin the next answer once the one before it has been sent."""
         if self._due and not self._playing:
             self._playing = True
-            answer = self._due.popleft()
+            answer, self._current = self._due.popleft()
             self._pause_at, self._pause_s = self._runner.pauses_before(answer)
             thinks_s = self._runner.thinks_s()
             refuses_at_once = self._runner.may_pause and not answer.ran
@@ -146,13 +192,17 @@
         """Send one piece and schedule the next one; after the last one, end as drawn."""
         if self._gone:
             return
-        if number < len(answer.pieces):
+        if number == answer.crash_at:
+            self._runner.crash()
+        elif number < len(answer.pieces):
             self.transport.write(answer.pieces[number])
             self._play_later(answer.pause_s, answer, number + 1)
         else:
             self._end(answer.ending)
 
     def _end(self, ending: Ending) -> None:
+        if ending != Ending.SILENT:
+            self._current = None
         if ending == Ending.CLOSE:
             self.transport.loseConnection()
         elif ending == Ending.RESET:
--- a/features/support/relay_soak/soak.py
+++ b/features/support/relay_soak/soak.py
@@ -6,11 +6,13 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 from features.support.relay_soak.answers import AnswerDrawer
 from features.support.relay_soak.checks import Judge
 from features.support.relay_soak.client import HOST, SoakClient
 from features.support.relay_soak.content import last_event
+from features.support.relay_soak.course_faults import NO_FAULTS, CourseFaults, FaultKinds
 from features.support.relay_soak.history import ClientRequest, History, Kind, Outcome
 from features.support.relay_soak.runner import SoakRunner
 from features.support.relay_soak.wire import MemoryReactor, connect
@@ -59,8 +61,12 @@
         spoils_beginnings: bool = True,
         connections: int = CONNECTIONS,
         pauses: bool = False,
+        faults: FaultKinds = NO_FAULTS,
     ) -> None:
-        """``pauses``: some answers pause for about as long as a gateway waits, and go on."""
+        """``pauses``: some answers pause for about as long as a gateway waits, and go on.
+
+        ``faults`` are drawn from a generator of their own: without any, a seed plays as ever.
+        """
         self._seed = seed
         self._pauses = random.Random(seed) if pauses else None
         self._connections = connections
@@ -72,7 +78,10 @@
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
         self._asked = 0
-        self._drawer = AnswerDrawer(self._draw, spoils_beginnings)
+        self._faults = CourseFaults(seed, faults)
+        other_faults = self._faults if faults != NO_FAULTS else None
+        self._drawer = AnswerDrawer(self._draw, spoils_beginnings, other_faults)
+        self._max_attempts = MAX_ATTEMPTS if pauses is False else MAX_ATTEMPTS_BESIDE_PAUSES
         self._start_gateway()
         for number in range(1, RUNNERS + 1):
             self._start_runner(number)
@@ -106,8 +115,7 @@
             random.Random(self._seed),
             RelaySettings(buffered_bytes=BUFFERED_BYTES),
         )
-        max_attempts = MAX_ATTEMPTS if self._pauses is None else MAX_ATTEMPTS_BESIDE_PAUSES
-        routes = tuple(_route(kind, max_attempts) for kind in Kind)
+        routes = tuple(_route(kind, self._max_attempts) for kind in Kind)
         self._context.table = RoutingTable(
             1, routes, (Service(SERVICE, 100, True),), ClientLimits()
         )
@@ -122,11 +130,25 @@
 
     def _start_runner(self, number: int) -> None:
         name, host = f"runner-{number}", f"10.0.0.{number}"
-        runner = SoakRunner(name, self._clock, self.history, self._draw, self._drawer, self._pauses)
-        self._reactor.listen(host, runner.accept)
-        self._registry.take(
-            (RunnerRecord(name, SERVICE, f"{host}:80", "zone-1", 8, RunnerState.READY, 0.0, 1),)
+        record = RunnerRecord(name, SERVICE, f"{host}:80", "zone-1", 8, RunnerState.READY, 0.0, 1)
+
+        def came_back(runner: SoakRunner) -> None:
+            born = round(self._clock.seconds() * 1000)
+            self._registry.take((replace(record, born=born),))
+
+        runner = SoakRunner(
+            name,
+            self._clock,
+            self.history,
+            self._draw,
+            self._drawer,
+            self._pauses,
+            self._faults.down_s,
+            came_back,
         )
+        self._reactor.listen(host, runner.accept)
+        self.history.runners += (name,)
+        self._registry.take((record,))
 
     # --- clients -------------------------------------------------------------------------
 
@@ -150,7 +172,7 @@
         after = None
         if kind == Kind.RESUMABLE and self._draw.random() < TAKES_UP_SHARE:
             after = self._draw.randint(1, last_event(name))
-        return ClientRequest(name, kind, after, TIMEOUT_S, 0.0)
+        return ClientRequest(name, kind, after, TIMEOUT_S, 0.0, max_attempts=self._max_attempts)
 
     # --- coverage ------------------------------------------------------------------------
 
@@ -158,6 +180,9 @@
         counts = self.counts
         counts["unclear"] = judge.unclear
         counts["requests"] = len(self.history.requests)
+        counts.update(self._faults.counts)
+        counts["crash"] += len(self.history.crashes)
+        counts["crashed_run"] += sum(run.crashed_s is not None for run in self.history.runs)
         for request in self.history.requests:
             counts[request.outcome.value] += 1
             if request.outcome == Outcome.COMPLETE and request.status == 200:
--- a/tools/relay_soak.py
+++ b/tools/relay_soak.py
@@ -1,6 +1,7 @@
 """Soak a gateway's relay in virtual time under runners that break, fail and refuse, seed by seed.
 
     python tools/relay_soak.py --seeds 1-100
+    python tools/relay_soak.py --seeds 1-50 --whole-beginnings --crashes
 
 Prints a line for each seed: what there was to judge, and every broken promise. Ends with code 1
 when some promise was broken. The short run of CI is ``features/relay/soak.feature``.
@@ -14,6 +15,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from features.support.relay_soak.course_faults import FaultKinds  # noqa: E402
 from features.support.relay_soak.soak import CONNECTIONS, RelaySoak  # noqa: E402
 
 
@@ -22,6 +24,12 @@
     return list(range(int(first), int(last or first) + 1))
 
 
+def _without_request(violation: str) -> str:
+    """Return a violation with the kind of its request, but not the request's name."""
+    kind, _, rest = violation.partition(" request ")
+    return f"{kind}: {rest.partition(': ')[2]}" if rest else violation
+
+
 def main() -> int:
     """Run the seeds that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -34,16 +42,51 @@
     parser.add_argument(
         "--connections", type=int, default=CONNECTIONS, help="clients' connections in each soak"
     )
+    parser.add_argument(
+        "--crashes", action="store_true", help="have processes of runners end inside answers"
+    )
+    parser.add_argument(
+        "--empty-runs",
+        action="store_true",
+        help="have runs that go on with a stream answered 200 without an event",
+    )
+    parser.add_argument(
+        "--damaged-framing",
+        action="store_true",
+        help="have sizes of chunks and lengths damaged, with the rest behind the stated end",
+    )
+    parser.add_argument(
+        "--statuses",
+        action="store_true",
+        help="have answers with a status to which HTTP gives no meaning",
+    )
+    parser.add_argument(
+        "--lone-closes",
+        action="store_true",
+        help="with one of these: truncate unframed streams by the close of their connection, too",
+    )
     arguments = parser.parse_args()
+    faults = FaultKinds(
+        arguments.crashes,
+        arguments.empty_runs,
+        arguments.damaged_framing,
+        arguments.statuses,
+        arguments.lone_closes,
+    )
     counts: Counter[str] = Counter()
+    words: Counter[str] = Counter()
     broken = []
     for seed in _seeds(arguments.seeds):
-        soak = RelaySoak(seed, not arguments.whole_beginnings, arguments.connections)
+        spoils_beginnings = not arguments.whole_beginnings
+        soak = RelaySoak(seed, spoils_beginnings, arguments.connections, faults=faults)
         soak.run()
         counts += soak.counts
+        words.update(_without_request(each) for each in soak.violations)
         if soak.violations:
             broken.append(seed)
         print(f"seed {seed}: {dict(soak.counts)}", *soak.violations, sep="\n  ", flush=True)
+    for each, count in words.most_common():
+        print(f"{count} times: {each}")
     print(f"seeds with broken promises: {broken or 'none'}; in all: {dict(counts)}")
     return 1 if broken else 0
 
