--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -4,7 +4,6 @@
 complete at its end.
 """
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -13,10 +12,8 @@
 
 import h11
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
-from zope.interface import implementer
 
 from rainsail.http.headers import (
     HeaderFields,
@@ -27,6 +24,7 @@
 )
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
+from rainsail.http.part_writer import PartWriter
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -162,7 +160,7 @@
         self._unanswered = False
         self._was_paused = False
         """Its buffers are small since then, so that it is not used for another request."""
-        self._unwritten: _PartWriter | None = None
+        self._unwritten: PartWriter | None = None
         """The writer of a large request that may not have been passed on completely."""
         self.on_connected: Callable[[], None] = lambda: None
 
@@ -191,7 +189,7 @@
         if len(request.body) <= JOINED_BYTES:
             self.transport.write(b"".join(sent))
         else:
-            self._unwritten = _PartWriter(self.transport, sent)
+            self._unwritten = PartWriter(self.transport, sent)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse data of an answer; data without a pending request ends the connection."""
@@ -373,32 +371,6 @@
                 self.transport.abortConnection()
 
 
-@implementer(IPullProducer)
-class _PartWriter:
-    """Writes parts one after the other, so that the transport needs no joined copy of them."""
-
-    def __init__(self, transport: Any, parts: list[bytes]) -> None:
-        self._transport = transport
-        self._parts = deque(parts)
-        transport.registerProducer(self, False)
-
-    @property
-    def is_done(self) -> bool:
-        """Tell whether all parts were passed to the transport."""
-        return not self._parts
-
-    def resumeProducing(self) -> None:
-        """Write the next part: the transport has sent the one before it."""
-        if self._parts:
-            self._transport.write(self._parts.popleft())
-        if not self._parts:
-            self._transport.unregisterProducer()
-
-    def stopProducing(self) -> None:
-        """Drop the other parts: the connection has ended."""
-        self._parts.clear()
-
-
 def _keep_alive_s(value: str) -> float | None:
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
