--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -29,7 +29,7 @@
 
   Scenario: The soak catches a relay that gives a silent runner up before another one takes the request
     Given a relay that gives a silent runner up before another one takes the request
-    When its clients meet runners that pause, drawn from seed 7, with the defect and without it
+    When its clients meet runners that pause, drawn from seed 21, with the defect and without it
     Then the check on this defect finds it, and finds nothing without it
 
   Scenario: Runners that also lose or corrupt the first event, or send none, seeds 1 to 4
@@ -104,6 +104,10 @@
       | bytes came after an answer                        | bytes after its end           |
       | a body lacks its end                              | not its answer                |
       | a whole answer was cut                            | cut though its runner's       |
+      | a whole unframed answer was cut                   | cut though its runner's       |
+      | a whole unframed answer was cut, and its runner lost others at other times | cut though its runner's |
+      | a whole unframed answer was cut, and another runner lost one with it | cut though its runner's |
+      | a whole answer in chunks was cut, and its runner lost another connection with it | cut though its runner's |
       | a failure lacks its end                           | 500 is not whole              |
       | a safe request failed though its run was whole    | it failed though              |
       | an event came twice                               | events missing or repeated    |
@@ -120,3 +124,6 @@
       | all went well                              | 0       |
       | a complete failure was forwarded           | 0       |
       | an unframed stream ends between two events | 1       |
+      | a whole unframed answer was cut, and its runner lost another connection with it | 0 |
+      | a whole unframed answer was cut, and its runner refused a connection behind it  | 0 |
+      | an answer was cut that its runner never began to send                           | 0 |
--- a/features/steps/cut_head_steps.py
+++ b/features/steps/cut_head_steps.py
@@ -340,6 +340,8 @@
     return context.cut_play.asked()
 
 
+UNFRAMED_END_CONFIRMED_S = 0.2
+"""By then a gateway knows whether the runner has survived the end of an unframed answer."""
 BODIES = {"a body": content_of("body"), "nothing": b""}
 
 
@@ -355,6 +357,7 @@
     connection = _one_play(context)
     connection.send(_head(status) + BODIES[body])
     context.cut_play.relay.close_later(connection, "in order")
+    context.cut_play.relay.clock.advance(UNFRAMED_END_CONFIRMED_S)
 
 
 @when("a runner answers {status:d} with an empty body in {framing}")
--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -256,6 +256,21 @@
         """Record a closed connection."""
         self.closed.append(connection)
 
+    def unframed_answer_begun(self, connection):
+        """Have the end of an unframed answer confirmed at once."""
+        return _ConfirmedEnd()
+
+
+class _ConfirmedEnd:
+    """Tells the end of an unframed answer as its connection closes."""
+
+    def connection_closed(self, listener):
+        """Leave the rest of the answer to its listener."""
+        return listener
+
+    def cancel(self):
+        """Nothing to do."""
+
 
 @given("an HTTP client connection with a request under way")
 def call(context):
--- a/features/steps/relay_soak_check_steps.py
+++ b/features/steps/relay_soak_check_steps.py
@@ -14,6 +14,7 @@
 )
 from features.support.relay_soak.history import (
     ClientRequest,
+    ConnectionLoss,
     Ending,
     Framing,
     History,
@@ -51,6 +52,14 @@
     )
 
 
+def _cut_unframed(history, *other_losses):
+    """Cut the client's answer, though its runner sent all of it unframed, and then closed."""
+    history.requests[0].outcome = Outcome.CUT
+    run = replace(history.runs[0], framing=Framing.CLOSE, ending=Ending.CLOSE)
+    history.runs[0] = run
+    history.losses += [ConnectionLoss(RUNNER, 2.0, False, run), *other_losses]
+
+
 def _fail(history, body):
     history.requests[0].status = 500
     history.requests[0].body = body
@@ -86,6 +95,23 @@
             plain.body = plain.body[:-1]
         case "a whole answer was cut":
             plain.outcome = Outcome.CUT
+        case "a whole unframed answer was cut":
+            _cut_unframed(history)
+        case "a whole unframed answer was cut, and its runner lost others at other times":
+            losses = ((1.9, False), (2.1, False), (1.9, True), (2.1, True))
+            _cut_unframed(history, *(ConnectionLoss(RUNNER, at_s, how) for at_s, how in losses))
+        case "a whole unframed answer was cut, and another runner lost one with it":
+            _cut_unframed(history, ConnectionLoss("runner-2", 2.0, False))
+        case "a whole answer in chunks was cut, and its runner lost another connection with it":
+            _cut_unframed(history, ConnectionLoss(RUNNER, 2.0, False))
+            history.runs[0] = replace(history.runs[0], framing=Framing.CHUNKS)
+        case "a whole unframed answer was cut, and its runner lost another connection with it":
+            _cut_unframed(history, ConnectionLoss(RUNNER, 2.0, False))
+        case "a whole unframed answer was cut, and its runner refused a connection behind it":
+            _cut_unframed(history, ConnectionLoss(RUNNER, 2.01, True))
+        case "an answer was cut that its runner never began to send":
+            plain.outcome = Outcome.CUT
+            history.unsent.append(history.runs[0])
         case "a failure lacks its end":
             _fail(history, b"half")
         case "a safe request failed though its run was whole":
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -23,6 +23,11 @@
 """Statuses that a gateway sends itself, without a body."""
 SLACK_S = 0.05
 """Tolerance on a route's time-out for the transfer of the bytes."""
+SAME_MOMENT_S = 0.01
+"""The most between the ends of connections that a crash ends."""
+REFUSED_WITHIN_S = 0.06
+"""The time behind the end of an unframed answer in which a gateway looks whether its runner lives.
+"""
 
 
 class Judge:
@@ -34,6 +39,8 @@
         for run in history.runs:
             self._runs[run.request].append(run)
         self.unclear = 0
+        self.seemingly_crashed = 0
+        """How many whole unframed answers were cut since their runners did what a crash does."""
 
     def violations(self) -> list[str]:
         """Return every violation in words."""
@@ -90,9 +97,36 @@
     def _cut(self, asked: ClientRequest) -> list[str]:
         """Check that a success is not cut before its deadline if its only run was complete."""
         only_run = self._only_run_in_time(asked)
-        did_well = only_run is not None and only_run.whole
+        did_well = only_run is not None and self._was_told_whole(only_run)
         return ["it was cut though its runner's answer was whole"] if did_well else []
 
+    def _was_told_whole(self, run: RunnerRun) -> bool:
+        """Tell whether a gateway can know that an answer was whole."""
+        if not run.whole or any(run is unsent for unsent in self._history.unsent):
+            return False
+        if self._seems_crashed(run):
+            self.seemingly_crashed += 1
+            return False
+        return True
+
+    def _seems_crashed(self, run: RunnerRun) -> bool:
+        """Tell whether the runner did at the end of an unframed answer what one that crashes does.
+
+        It ended another connection at the same moment, or refused one right behind it.
+        """
+        losses = [each for each in self._history.losses if each.runner == run.runner]
+        ends = [each for each in losses if each.run is run]
+        if run.framing != Framing.CLOSE or not ends:
+            return False
+        after_s = [
+            each.at_s - ends[0].at_s
+            for each in losses
+            if each is not ends[0] and not each.is_refusal
+        ]
+        refused_s = [each.at_s - ends[0].at_s for each in losses if each.is_refusal]
+        same_moment = any(abs(each) <= SAME_MOMENT_S for each in after_s)
+        return same_moment or any(0 <= each <= REFUSED_WITHIN_S for each in refused_s)
+
     def _only_run_in_time(self, asked: ClientRequest) -> RunnerRun | None:
         """Return the only run of a request that ended before its deadline."""
         runs = [run for run in self._runs[asked.request] if run.ran]
@@ -106,7 +140,8 @@
         """Check that a failure is a runner's, complete, or the gateway's own, without a body."""
         if asked.outcome == Outcome.COMPLETE and not asked.body and asked.status in OWN_STATUSES:
             only_run = self._only_run_in_time(asked)
-            did_well = only_run is not None and only_run.whole and only_run.status == 200
+            did_well = only_run is not None and self._was_told_whole(only_run)
+            did_well = did_well and only_run.status == 200
             did_well = did_well and not asked.kind.runs_once
             return ["it failed though its runner's answer was whole"] if did_well else []
         same = [run for run in self._runs[asked.request] if run.status == asked.status]
--- a/features/support/relay_soak/history.py
+++ b/features/support/relay_soak/history.py
@@ -73,6 +73,16 @@
     """The time that the runner was told is left; None if it was told of no deadline."""
 
 
+@dataclass(frozen=True)
+class ConnectionLoss:
+    """A connection that a runner closed, reset or refused, and the run whose answer that ended."""
+
+    runner: str
+    at_s: float
+    is_refusal: bool
+    run: RunnerRun | None = None
+
+
 @dataclass
 class ClientRequest:
     """One request of a client, and the answer as the client received it.
@@ -101,3 +111,6 @@
 
     requests: list[ClientRequest] = field(default_factory=list)
     runs: list[RunnerRun] = field(default_factory=list)
+    losses: list[ConnectionLoss] = field(default_factory=list)
+    unsent: list[RunnerRun] = field(default_factory=list)
+    """The runs whose answers never began: their connections ended with an answer before them."""
--- a/features/support/relay_soak/runner.py
+++ b/features/support/relay_soak/runner.py
@@ -5,7 +5,13 @@
 
 import h11
 from features.support.relay_soak.answers import AnswerDrawer, Asked, RunnerAnswer
-from features.support.relay_soak.history import Ending, History, Kind, RunnerRun
+from features.support.relay_soak.history import (
+    ConnectionLoss,
+    Ending,
+    History,
+    Kind,
+    RunnerRun,
+)
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
@@ -45,9 +51,17 @@
     def accept(self) -> Protocol | None:
         """Accept a connection, or sometimes refuse it."""
         if self._draw.random() < REFUSED_CONNECTIONS_SHARE:
+            loss = ConnectionLoss(self.name, self.clock.seconds(), is_refusal=True)
+            self._history.losses.append(loss)
             return None
         return RunnerConnection(self)
 
+    def lost(self, run: RunnerRun, due: list[RunnerRun]) -> None:
+        """Record that the end of an answer ends its connection, with the answers ``due`` there."""
+        loss = ConnectionLoss(self.name, self.clock.seconds(), is_refusal=False, run=run)
+        self._history.losses.append(loss)
+        self._history.unsent += due
+
     def thinks_s(self) -> float:
         """Draw the time until the first byte of an answer."""
         return self._draw.choice(THINKS_S)
@@ -64,7 +78,7 @@
         piece = self._pauses.randrange(len(answer.pieces) or 1)
         return piece, self._pauses.choice(LONG_PAUSES_S)
 
-    def answer(self, head: h11.Request) -> RunnerAnswer:
+    def answer(self, head: h11.Request) -> tuple[RunnerAnswer, RunnerRun]:
         """Draw the answer to a request, and record it."""
         fields = tuple(head.headers.raw_items())
         after = header_text(fields, b"last-event-id")
@@ -73,22 +87,21 @@
         taken_up = after != header_text(fields, CLIENT_HAS)
         asked = Asked(request, kind, int(after) if after else None, taken_up)
         answer = self._drawer.answer(asked)
-        self._history.runs.append(
-            RunnerRun(
-                request,
-                self.name,
-                asked.after_event,
-                answer.ran,
-                answer.status,
-                answer.framing,
-                answer.body,
-                answer.whole,
-                answer.ending,
-                self.clock.seconds(),
-                header_number(fields, b"rainsail-deadline-s"),
-            )
+        run = RunnerRun(
+            request,
+            self.name,
+            asked.after_event,
+            answer.ran,
+            answer.status,
+            answer.framing,
+            answer.body,
+            answer.whole,
+            answer.ending,
+            self.clock.seconds(),
+            header_number(fields, b"rainsail-deadline-s"),
         )
-        return answer
+        self._history.runs.append(run)
+        return answer, run
 
 
 class RunnerConnection(Protocol):
@@ -98,7 +111,9 @@
         self._runner = runner
         self._gone = False
         self._playing = False
-        self._due: deque[RunnerAnswer] = deque()
+        self._due: deque[tuple[RunnerAnswer, RunnerRun]] = deque()
+        self._run: RunnerRun | None = None
+        """The run whose answer is being sent, or was sent last."""
         self._pause_at, self._pause_s = 0, 0.0
         self._await_request()
 
@@ -130,7 +145,7 @@
         """Begin the next answer once the one before it has been sent."""
         if self._due and not self._playing:
             self._playing = True
-            answer = self._due.popleft()
+            answer, self._run = self._due.popleft()
             self._pause_at, self._pause_s = self._runner.pauses_before(answer)
             thinks_s = self._runner.thinks_s()
             refuses_at_once = self._runner.may_pause and not answer.ran
@@ -153,6 +168,9 @@
             self._end(answer.ending)
 
     def _end(self, ending: Ending) -> None:
+        if ending in (Ending.CLOSE, Ending.RESET):
+            assert self._run is not None
+            self._runner.lost(self._run, [run for _, run in self._due])
         if ending == Ending.CLOSE:
             self.transport.loseConnection()
         elif ending == Ending.RESET:
--- a/features/support/relay_soak/soak.py
+++ b/features/support/relay_soak/soak.py
@@ -157,6 +157,7 @@
     def _count(self, judge: Judge) -> None:
         counts = self.counts
         counts["unclear"] = judge.unclear
+        counts["seemingly_crashed"] = judge.seemingly_crashed
         counts["requests"] = len(self.history.requests)
         for request in self.history.requests:
             counts[request.outcome.value] += 1
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from rainsail.http.connection_owner import ClientConnectionOwner, UnframedAnswerEnd
 from rainsail.http.headers import (
     HeaderFields,
     header_number,
@@ -25,6 +26,7 @@
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
 from rainsail.http.part_writer import PartWriter
+from rainsail.http.unframed_end import Closing
 from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -41,7 +43,9 @@
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 CONNECTION_CLOSED = "connection closed"
 CONNECTION_RESET = "connection reset"
-CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET))
+PROCESS_ENDED = "the server's process has ended"
+"""An unframed answer ended in order, and so did the process, so that a part may be missing."""
+CONNECTION_ENDS = frozenset((CONNECTION_CLOSED, CONNECTION_RESET, PROCESS_ENDED))
 """Failure reasons for the end of the connection, as opposed to invalid data."""
 
 
@@ -105,7 +109,7 @@
         ...
 
     def answer_ended(self) -> None:
-        """The answer is complete."""
+        """The answer is complete; behind an unframed one the server's process was found alive."""
         ...
 
     def answer_failed(self, reason: str) -> None:
@@ -113,18 +117,6 @@
         ...
 
 
-class ClientConnectionOwner(TypingProtocol):
-    """Receives the state changes of a connection; implemented by the pool."""
-
-    def connection_idle(self, connection: "ClientConnection", idle_s: float | None) -> None:
-        """The connection may be reused; the server keeps it open for ``idle_s`` if it says so."""
-        ...
-
-    def connection_closed(self, connection: "ClientConnection") -> None:
-        """The connection has closed."""
-        ...
-
-
 class ClientConnection(Protocol):
     """One connection to a server."""
 
@@ -158,6 +150,13 @@
         self.lost_unanswered = False
         """The server ended it before any byte of the answer to the current request."""
         self._unanswered = False
+        self._has_received = False
+        self._unframed: UnframedAnswerEnd | None = None
+        """Set while an unframed answer is under way, and afterwards."""
+        self.closing = Closing.NOTHING
+        """What the close of the connection tells of the server's process, once it has closed."""
+        self._was_parsed_later = False
+        """Reading has stopped for a while, as received data waited in the parsing queue."""
         self._was_paused = False
         """Its buffers are small since then, so that it is not used for another request."""
         self._unwritten: PartWriter | None = None
@@ -178,6 +177,7 @@
         self._idle_s = None
         self._interim_answers = 0
         self._unanswered = True
+        self._was_parsed_later = False
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
@@ -196,6 +196,7 @@
         if self.closed:
             return
         self._unanswered = False
+        self._has_received = True
         if self._listener is None:
             self.abort()
             return
@@ -206,6 +207,7 @@
             return
         if not self._is_parsing_later and self._parse_events(EVENTS_AT_ONCE):
             self._is_parsing_later = True
+            self._was_parsed_later = True
             self.transport.pauseProducing()
             self._parsing.add(self)
 
@@ -226,6 +228,8 @@
         self.closed = True
         self.lost_unanswered = self._unanswered and not already
         in_order = reason is not None and reason.check(ConnectionDone) is not None
+        if not already:
+            self.closing = self._judge_closing(in_order)
         if self._listener is not None and not already:
             if self._is_parsing_later:
                 self._closed_in_order = in_order
@@ -233,8 +237,16 @@
                 self._take_close(in_order)
         self._owner.connection_closed(self)
 
+    def _judge_closing(self, in_order: bool) -> Closing:
+        is_refusal = not in_order and not self._has_received
+        if self._unframed is not None or self._is_parsing_later or is_refusal:
+            return Closing.NOTHING
+        return Closing.IDLE if self._listener is None else Closing.BROKEN_OFF
+
     def _take_close(self, in_order: bool) -> None:
         if in_order and self._listener is not None:
+            if self._unframed is not None:
+                self._listener = self._unframed.connection_closed(self._listener)
             self._http.receive_data(b"")
             self._parse_events(EVENTS_AT_ONCE, is_at_end=True)
         listener, self._listener = self._listener, None
@@ -317,6 +329,8 @@
         self._idle_s = _keep_alive_s(keep_alive)
         head = AnswerHead(event.status_code, fields, self._is_head_request)
         self._has_lines = head.has_lines
+        if head.framing == Framing.CLOSE:
+            self._unframed = self._owner.unframed_answer_begun(self)
         self._listener.answer_begun(head)
 
     def _take_end(self) -> None:
@@ -347,6 +361,16 @@
         if listener is not None:
             listener.answer_failed(reason)
 
+    @property
+    def is_unframed(self) -> bool:
+        """Tell whether the connection carries an unframed answer."""
+        return self._unframed is not None
+
+    @property
+    def is_read_late(self) -> bool:
+        """Tell whether its close may be noticed late: it is not read at times."""
+        return self._was_paused or self._was_parsed_later
+
     def pause_reading(self) -> None:
         """Read no more of the answer for now; its end, however it comes, is noticed afterwards."""
         if not self.closed:
@@ -365,6 +389,8 @@
     def abort(self) -> None:
         """Reset the connection; the listener gets no more callbacks."""
         self._listener = None
+        if self._unframed is not None:
+            self._unframed.cancel()
         if not self.closed:
             self.closed = True
             if self.transport is not None:
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -1,5 +1,6 @@
 """A pool of persistent connections to servers, each used by one request at a time."""
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -12,11 +13,15 @@
 from rainsail.http.idle_limit import IdleLimit
 from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.reachability import Reachability, probe_address
+from rainsail.http.unframed_answer import UnframedAnswer
+from rainsail.http.unframed_end import Closing, OtherConnections
 from rainsail.runtime.clock import Clock
 from rainsail.wire.address import parse_address
 
 KEEP_ALIVE_SHARE = 0.7
 """Share of the server's idle time-out after which a connection is no longer reused."""
+KEPT_CLOSINGS = 8
+"""Closes by one server that are kept to judge the ends of its unframed answers by."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +105,12 @@
 class _Server:
     idle: list[_Idle] = field(default_factory=list)
     open_count: int = 0
+    connections: set[ClientConnection] = field(default_factory=set)
+    """Those that were established, until they are closed."""
+    closings: deque[tuple[Closing, float]] = field(
+        default_factory=lambda: deque(maxlen=KEPT_CLOSINGS)
+    )
+    """The last connections that the server closed: what that tells of its process, and when."""
 
 
 class ConnectionPool:
@@ -122,6 +133,8 @@
         self._opened_s: dict[ClientConnection, float] = {}
         self._reuses: dict[ClientConnection, _Reuse] = {}
         self._idle_limit = IdleLimit()
+        self._unframed_ends: set[UnframedAnswer] = set()
+        """The unframed answers whose ends are being confirmed."""
         self.opened = 0
 
     def send(
@@ -180,7 +193,9 @@
                 each.connection.abort()
 
     def stop(self) -> None:
-        """Close every idle connection."""
+        """Close every idle connection; ends that are being confirmed are told as failed."""
+        for answer in list(self._unframed_ends):
+            answer.give_up()
         for address in list(self._servers):
             self.forget(address)
 
@@ -226,6 +241,7 @@
         connection = ClientConnection(self, self._settings.user_timeout_s, self._parsing)
         self._address_of[connection] = address
         self._opened_s[connection] = self._clock.seconds()
+        self._servers[address].connections.add(connection)
         return connection
 
     def connected(self, connection: ClientConnection, request: OutgoingRequest, call: Call) -> None:
@@ -268,8 +284,42 @@
             self._idle_limit.reset(reuse.idle_for_s, now - reuse.at_s, now)
         server = self._servers[address]
         server.open_count -= 1
+        server.connections.discard(connection)
+        if connection.closing != Closing.NOTHING:
+            server.closings.append((connection.closing, self._clock.seconds()))
         server.idle = [each for each in server.idle if each.connection is not connection]
 
+    def unframed_answer_begun(self, connection: ClientConnection) -> UnframedAnswer:
+        """Return what confirms the end of an unframed answer."""
+        address = self._address_of[connection]
+        return UnframedAnswer(self, self._clock, address, connection)
+
+    # --- ServerKnowledge ----------------------------------------------------------------------
+
+    def other_connections(self, address: str, than: ClientConnection) -> OtherConnections:
+        """Return what is known of the connections to an address other than ``than``."""
+        server = self._servers[address]
+        others = [
+            each
+            for each in server.connections
+            if each is not than and not each.closed and not each.is_read_late
+        ]
+        opened_s = [self._opened_s[each] for each in others]
+        return OtherConnections(
+            len(others),
+            sum(not each.is_unframed for each in others),
+            min(opened_s, default=None),
+            tuple(server.closings),
+        )
+
+    def unframed_end_begun(self, answer: UnframedAnswer) -> None:
+        """Note an end that is being confirmed."""
+        self._unframed_ends.add(answer)
+
+    def unframed_end_over(self, answer: UnframedAnswer) -> None:
+        """Forget an end that was confirmed or cancelled."""
+        self._unframed_ends.discard(answer)
+
 
 class _OneConnection(ClientFactory):
     """Opens one connection for one request.
--- /dev/null
+++ b/src/rainsail/http/unframed_end.py
@@ -0,0 +1,109 @@
+"""Decides whether a server's process has survived the end of an unframed answer. Pure.
+
+Without a length or chunks only the close of its connection marks the end of an answer, and a
+process that ends closes its connections in the same way. It closes all of them, and its listening
+socket, at nearly the same moment; a new process at the address can't keep an older connection open.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from rainsail.http.reachability import Reachability
+
+UNFRAMED_END_SETTLE_S = 0.05
+"""The time behind a close within which the other closes of a process that ends are noticed."""
+SAME_MOMENT_S = 0.01
+"""The most between the closes of two connections, as noticed, that one process closed at its end.
+"""
+
+
+class Closing(StrEnum):
+    """What a close by the server tells of its process."""
+
+    NOTHING = "nothing"
+    """It ended an unframed answer, or refused a connection that had not been used yet."""
+    IDLE = "idle"
+    """No request was under way on the connection."""
+    BROKEN_OFF = "broken_off"
+    """A request was under way whose answer does not end with the connection."""
+
+
+class EndVerdict(StrEnum):
+    """Whether the server's process has survived the end of an unframed answer."""
+
+    SURVIVED = "survived"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+    """No connection tells; a probe of the address may."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnframedEnd:
+    """The close of the connection of an unframed answer."""
+
+    begun_s: float
+    """When the head of the answer arrived."""
+    noticed_s: float
+    is_noticed_late: bool
+    """The answer was not always read, so that the close may be older by any part of its time."""
+
+    @property
+    def earliest_s(self) -> float:
+        """The earliest time at which the connection may have closed."""
+        before_s = self.noticed_s - SAME_MOMENT_S
+        return min(self.begun_s, before_s) if self.is_noticed_late else before_s
+
+    def is_end_of_process(self, closing: Closing, closed_s: float) -> bool:
+        """Tell whether the close of another connection shows that the process has ended.
+
+        One that broke off an answer does so too if this close may be as old. Servers close idle
+        connections at any time, so that those have to close at the same moment.
+        """
+        if abs(closed_s - self.noticed_s) <= SAME_MOMENT_S:
+            return True
+        is_broken_off = closing == Closing.BROKEN_OFF
+        return self.is_noticed_late and is_broken_off and closed_s >= self.earliest_s
+
+
+@dataclass(frozen=True, slots=True)
+class OtherConnections:
+    """What is known of the other connections to the same address."""
+
+    open: int
+    """How many are open, and are read, so that their close would have been noticed."""
+    framed_open: int
+    """How many of these carry no unframed answer, so that their close would tell something."""
+    oldest_open_s: float | None
+    """When the oldest of those that are open was opened."""
+    closings: tuple[tuple[Closing, float], ...]
+    """The last ones that the server closed, without ``Closing.NOTHING``, and when."""
+
+    def last_s(self, closing: Closing) -> float | None:
+        """Return when the server last closed one in this way."""
+        return max((at_s for how, at_s in self.closings if how == closing), default=None)
+
+
+def judge_unframed_end(
+    end: UnframedEnd, others: OtherConnections, reach: Reachability | None
+) -> EndVerdict:
+    """Judge once the closes of a process that ends were noticed.
+
+    ``reach`` is the result of a probe right behind the close, if there was one. An open address
+    does not confirm the end: the process may not have closed it yet. A server that stops in a
+    planned way may refuse new connections while it goes on with those that it has.
+    """
+    if others.oldest_open_s is not None and others.oldest_open_s <= end.earliest_s:
+        return EndVerdict.SURVIVED
+    if any(end.is_end_of_process(how, at_s) for how, at_s in others.closings):
+        return EndVerdict.ENDED
+    if reach is not None and judge_probe(reach) == EndVerdict.ENDED:
+        return EndVerdict.ENDED
+    return EndVerdict.SURVIVED if others.open else EndVerdict.UNKNOWN
+
+
+def judge_probe(reach: Reachability) -> EndVerdict:
+    """Judge by a probe of the address where no connection tells.
+
+    A process that listens there is taken for the same one.
+    """
+    return EndVerdict.SURVIVED if reach == Reachability.OPEN else EndVerdict.ENDED
