--- a/features/relay/soak.feature
+++ b/features/relay/soak.feature
@@ -137,6 +137,10 @@
       | bytes came after an answer                        | bytes after its end           |
       | a body lacks its end                              | not its answer                |
       | a whole answer was cut                            | cut though its runner's       |
+      | a whole unframed answer was cut                   | cut though its runner's       |
+      | a whole unframed answer was cut, and its runner lost others at other times | cut though its runner's |
+      | a whole unframed answer was cut, and another runner lost one with it | cut though its runner's |
+      | a whole answer in chunks was cut, and its runner lost another connection with it | cut though its runner's |
       | a failure lacks its end                           | 500 is not whole              |
       | a safe request failed though its run was whole    | it failed though              |
       | an event came twice                               | events missing or repeated    |
@@ -177,3 +181,6 @@
       | a run that goes on with a stream brings nothing, and no other runner is left | 1 |
       | two runs that go on with a stream bring nothing | 1  |
       | a whole unframed stream was cut at a crash of its runner | 0 |
+      | a whole unframed answer was cut, and its runner lost another connection with it | 0 |
+      | a whole unframed answer was cut, and its runner refused a connection behind it  | 0 |
+      | an answer was cut that its runner never began to send                           | 0 |
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -29,6 +29,11 @@
 """So many runners that state the same end of a stream can't be told from its true end."""
 MIN_STATUS, MIN_INVALID_STATUS = 200, 600
 """Final answers have a status from the first to below the second one."""
+SAME_MOMENT_S = 0.01
+"""The most between the ends of connections that a crash ends."""
+REFUSED_WITHIN_S = 0.06
+"""The time behind the end of an unframed answer in which a gateway looks whether its runner lives.
+"""
 
 
 class Judge:
@@ -44,6 +49,8 @@
         for run in history.runs:
             self._runs[run.request].append(run)
         self.unclear = 0
+        self.seemingly_crashed = 0
+        """How many whole unframed answers were cut since their runners did what a crash does."""
 
     def violations(self) -> list[str]:
         """Return every violation in words."""
@@ -102,7 +109,7 @@
     def _cut(self, asked: ClientRequest) -> list[str]:
         """Check that a success is not cut before its deadline if its runs were complete."""
         runs = self._runs_in_time(asked)
-        did_well = all(run.whole for run in runs) and not self._crashed_since(asked, runs)
+        did_well = all(map(self._was_told_whole, runs)) and not self._crashed_since(asked, runs)
         if did_well and len(runs) == 1:
             return ["it was cut though its runner's answer was whole"]
         did_well = did_well and all(_is_rest_of_stream(run) for run in runs)
@@ -116,6 +123,33 @@
         in_time = asked.ended_s - asked.sent_s < asked.timeout_s - SLACK_S
         return [run for run in self._runs[asked.request] if run.ran and in_time]
 
+    def _was_told_whole(self, run: RunnerRun) -> bool:
+        """Tell whether a gateway can know that an answer was whole."""
+        if not run.whole or any(run is unsent for unsent in self._history.unsent):
+            return False
+        if self._seems_crashed(run):
+            self.seemingly_crashed += 1
+            return False
+        return True
+
+    def _seems_crashed(self, run: RunnerRun) -> bool:
+        """Tell whether the runner did at the end of an unframed answer what one that crashes does.
+
+        It ended another connection at the same moment, or refused one right behind it.
+        """
+        losses = [each for each in self._history.losses if each.runner == run.runner]
+        ends = [each for each in losses if each.run is run]
+        if run.framing != Framing.CLOSE or not ends:
+            return False
+        after_s = [
+            each.at_s - ends[0].at_s
+            for each in losses
+            if each is not ends[0] and not each.is_refusal
+        ]
+        refused_s = [each.at_s - ends[0].at_s for each in losses if each.is_refusal]
+        same_moment = any(abs(each) <= SAME_MOMENT_S for each in after_s)
+        return same_moment or any(0 <= each <= REFUSED_WITHIN_S for each in refused_s)
+
     def _only_run_in_time(self, asked: ClientRequest) -> RunnerRun | None:
         """Return the only run of a request that ended before its deadline."""
         runs = self._runs_in_time(asked)
@@ -139,7 +173,8 @@
         """Check that a failure is a runner's, complete, or the gateway's own, without a body."""
         if asked.outcome == Outcome.COMPLETE and not asked.body and asked.status in OWN_STATUSES:
             only_run = self._only_run_in_time(asked)
-            did_well = only_run is not None and only_run.whole and only_run.status == 200
+            did_well = only_run is not None and self._was_told_whole(only_run)
+            did_well = did_well and only_run.status == 200
             did_well = did_well and not asked.kind.runs_once
             did_well = did_well and not _proves_nothing(asked, only_run)
             did_well = did_well and not self._crashed_since(asked, self._runs[asked.request])
--- a/features/support/relay_soak/history.py
+++ b/features/support/relay_soak/history.py
@@ -86,6 +86,16 @@
     back_s: float
 
 
+@dataclass(frozen=True)
+class ConnectionLoss:
+    """A connection that a runner closed, reset or refused, and the run whose answer that ended."""
+
+    runner: str
+    at_s: float
+    is_refusal: bool
+    run: RunnerRun | None = None
+
+
 @dataclass
 class ClientRequest:
     """One request of a client, and the answer as the client received it.
@@ -116,3 +126,6 @@
     runs: list[RunnerRun] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
     runners: tuple[str, ...] = ()
+    losses: list[ConnectionLoss] = field(default_factory=list)
+    unsent: list[RunnerRun] = field(default_factory=list)
+    """The runs whose answers never began: their connections ended with an answer before them."""
--- a/features/support/relay_soak/runner.py
+++ b/features/support/relay_soak/runner.py
@@ -7,7 +7,14 @@
 
 import h11
 from features.support.relay_soak.answers import AnswerDrawer, Asked, RunnerAnswer
-from features.support.relay_soak.history import Crash, Ending, History, Kind, RunnerRun
+from features.support.relay_soak.history import (
+    ConnectionLoss,
+    Crash,
+    Ending,
+    History,
+    Kind,
+    RunnerRun,
+)
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
@@ -57,6 +64,8 @@
     def accept(self) -> Protocol | None:
         """Accept a connection, or sometimes refuse it."""
         if self._is_down or self._draw.random() < REFUSED_CONNECTIONS_SHARE:
+            loss = ConnectionLoss(self.name, self.clock.seconds(), is_refusal=True)
+            self._history.losses.append(loss)
             return None
         return RunnerConnection(self)
 
@@ -78,6 +87,16 @@
         runs = self._history.runs
         runs[place] = replace(runs[place], crashed_s=self.clock.seconds())
 
+    def lost(self, place: int, due: list[int]) -> None:
+        """Record that the end of an answer ends its connection, with the answers ``due`` there.
+
+        Runs are named by their places in the history.
+        """
+        runs = self._history.runs
+        loss = ConnectionLoss(self.name, self.clock.seconds(), is_refusal=False, run=runs[place])
+        self._history.losses.append(loss)
+        self._history.unsent += [runs[each] for each in due]
+
     def thinks_s(self) -> float:
         """Draw the time until the first byte of an answer."""
         return self._draw.choice(THINKS_S)
@@ -201,6 +220,9 @@
             self._end(answer.ending)
 
     def _end(self, ending: Ending) -> None:
+        if ending in (Ending.CLOSE, Ending.RESET):
+            assert self._current is not None
+            self._runner.lost(self._current, [place for _, place in self._due])
         if ending != Ending.SILENT:
             self._current = None
         if ending == Ending.CLOSE:
--- a/features/support/relay_soak/soak.py
+++ b/features/support/relay_soak/soak.py
@@ -179,6 +179,7 @@
     def _count(self, judge: Judge) -> None:
         counts = self.counts
         counts["unclear"] = judge.unclear
+        counts["seemingly_crashed"] = judge.seemingly_crashed
         counts["requests"] = len(self.history.requests)
         counts.update(self._faults.counts)
         counts["crash"] += len(self.history.crashes)
