The events of a chunk are passed on only once the chunk has come whole

What callers would see: framing inside their events. A chunk's size that was damaged to a larger one takes the framing behind its chunk, and the next chunks, for data; the error shows where the chunk ends, but its events had gone on before. A client got '14' and a line end as a line of its stream, also in the answer that was resumed behind it, and where an event comes in two chunks, a text cut in the middle counted as whole: the next run resumed behind it.

Fix: http.chunk_hold keeps the data of a chunk of a stream until the chunk and the line end behind it have come, up to 4 KiB, which is what a connection may hold uncounted. Nothing of a chunk whose end is not valid is passed on. Whole events aren't later for that where a sender writes a chunk at once: size, data and line end come together. Other bodies are passed on as they come, since their requests end as broken anyway. What stays: a chunk over 4 KiB, a chunk that ends with a larger read, and a size whose false end is that of a later chunk, which is valid framing (the module says so).

Tests: five examples of a chunk that takes the begin of the next one (whole events and halves of events as chunks, eight or nine sizes for each chunk, in one read and in reads of 16 bytes) and three scenarios in features/http/answer_ends. Failed before: the two kinds of streams and the item, and the two scenarios on what is passed on when (5 of 119).

--- a/features/http/answer_ends.feature
+++ b/features/http/answer_ends.feature
@@ -78,3 +78,28 @@
       | behind             | end                                                                               |
       | id: 4              | has failed: "the end of the answer is contradicted: 5 bytes behind its end"       |
       | HTTP/1.1 200 OK    | has a whole answer of 200 bytes                                                   |
+
+  Scenario: The events of a chunk are passed on once the chunk has come whole
+    Given an HTTP client connection with a request under way
+    When the other side sends "HTTP/1.1 200 OK|Content-Type: text/event-stream|Transfer-Encoding: chunked||"
+    And the other side sends "5|abc"
+    Then the answer has brought nothing so far
+    When the other side sends "de|"
+    Then the answer has brought "abcde" so far
+    When the other side sends "3|fgh|2;x=y|i"
+    Then the answer has brought "abcdefgh" so far
+    When the other side sends "j|0||"
+    Then the answer is whole with "abcdefghij"
+    And the connection may be used again
+
+  Scenario: A large chunk of a stream is passed on as it comes
+    Given calls to 1 runner that answers each call with a stream of events
+    When each runner sends the first 4096 of 9000 bytes of a chunk
+    Then each call has got 0 bytes so far
+    When each runner sends the next 1000 bytes of its chunk
+    Then each call has got 5096 bytes so far
+
+  Scenario: A chunk of another body is passed on as it comes
+    Given calls to 1 runner that answers each call in chunks
+    When each runner sends the first 10 of 9000 bytes of a chunk
+    Then each call has got 10 bytes so far
--- a/features/jobs/damaged_framing.feature
+++ b/features/jobs/damaged_framing.feature
@@ -11,6 +11,7 @@
       | a last chunk stands in the place of a size  |
       | a last chunk and half of the content follow |
       | its second chunk has the size 4             |
+      | a chunk takes the begin of the next one     |
       | its length is too small                     |
       | its length is too large                     |
       | its lengths differ                          |
--- a/features/relay/damaged_framing.feature
+++ b/features/relay/damaged_framing.feature
@@ -25,6 +25,10 @@
       | resumable stream | its second chunk has the size 4             |
       | run-once stream  | its second chunk has the size 4             |
       | safe             | its second chunk has the size 4             |
+      | resumable stream | a chunk takes the begin of the next one     |
+      | run-once stream  | a chunk takes the begin of the next one     |
+      | safe             | a chunk takes the begin of the next one     |
+      | unsafe           | a chunk takes the begin of the next one     |
       | resumable stream | its length is too small                     |
       | run-once stream  | its length is too small                     |
       | safe             | its length is too small                     |
--- a/features/steps/damaged_framing_steps.py
+++ b/features/steps/damaged_framing_steps.py
@@ -3,7 +3,7 @@
 from behave import then, when
 from features.steps.cut_head_steps import MAY_HAVE_RUN, ItemPlay, Play
 from features.support.cut_answers import EVENTS, content_of
-from features.support.damaged_framing import ALSO_APART, DAMAGES, SOUND, head_of
+from features.support.damaged_framing import DAMAGES, READ_BYTES, SOUND, head_of
 from features.support.relaying import event
 
 from rainsail.jobs.item_run import RunEnd
@@ -23,18 +23,19 @@
     return head_of(kind, request, b"Content-Length: %d" % len(content)) + content
 
 
-def _send_parts(connection, data, is_apart):
-    """Send bytes at once, or each as a read of its own."""
-    for part in [data[index : index + 1] for index in range(len(data))] if is_apart else [data]:
-        connection.send(part)
+def _send_in_reads(connection, data, size):
+    """Send bytes in reads of a size, or all at once where it is None."""
+    size = size or len(data)
+    for begin in range(0, len(data), size):
+        connection.send(data[begin : begin + size])
 
 
-def _play(context, name, make, is_apart=False, is_silent=False):
+def _play(context, name, make, read_bytes=None, is_silent=False):
     kind = context.cut_kind
     play = Play(context.cut_relay(), name)
     play.client.send("r-1")
     connection = play.asked()
-    _send_parts(connection, make(kind, "r-1"), is_apart)
+    _send_in_reads(connection, make(kind, "r-1"), read_bytes)
     if not is_silent:
         play.relay.close_later(connection, "in order")
     play.first_answer = connection
@@ -48,8 +49,8 @@
     for name, make in DAMAGES[damage].items():
         _play(context, name, make)
         _play(context, (name, "stays"), make, is_silent=True)
-        if damage in ALSO_APART:
-            _play(context, (name, "in small reads"), make, is_apart=True)
+        if damage in READ_BYTES:
+            _play(context, (name, "in small reads"), make, READ_BYTES[damage])
 
 
 @when("a runner sends an answer of which {damage}, and its log is kept")
@@ -109,11 +110,11 @@
         assert play.attempts == 1, (play.name, play.attempts)
 
 
-def _item_play(context, name, make, is_apart=False):
+def _item_play(context, name, make, read_bytes=None):
     relay = context.cut_relay()
     play = ItemPlay(relay, name)
     connection = relay.next_asked()
-    _send_parts(connection, make("item", "item-1"), is_apart)
+    _send_in_reads(connection, make("item", "item-1"), read_bytes)
     relay.close_later(connection, "in order")
     context.cut_plays.append(play)
 
@@ -122,8 +123,8 @@
 def item_damaged(context, damage):
     for name, make in DAMAGES[damage].items():
         _item_play(context, name, make)
-        if damage in ALSO_APART:
-            _item_play(context, (name, "in small reads"), make, is_apart=True)
+        if damage in READ_BYTES:
+            _item_play(context, (name, "in small reads"), make, READ_BYTES[damage])
 
 
 @when("the runner of an item sends a whole answer with {what}")
--- a/features/steps/http_answer_end_steps.py
+++ b/features/steps/http_answer_end_steps.py
@@ -29,3 +29,28 @@
 @step("each runner closes in order")
 def close_each(context):
     close_all(context, "in order")
+
+
+@then("the answer has brought nothing so far")
+def brought_nothing(context):
+    has_brought(context, "")
+
+
+@then('the answer has brought "{text}" so far')
+def has_brought(context, text):
+    assert context.http_listener.body == text.encode(), context.http_listener.body
+
+
+@step("each runner sends the first {count:d} of {size:d} bytes of a chunk")
+def send_begin(context, count, size):
+    send_all(context, b"%x\r\n" % size + b"x" * count)
+
+
+@step("each runner sends the next {count:d} bytes of its chunk")
+def send_next(context, count):
+    send_all(context, b"x" * count)
+
+
+@then("each call has got {count:d} bytes so far")
+def got_so_far(context, count):
+    assert {each.answer.size for each in context.calls} == {count}
--- a/features/support/damaged_framing.py
+++ b/features/support/damaged_framing.py
@@ -65,12 +65,16 @@
     return make
 
 
-def _swallowing(number: int, extra: int) -> Damage:
-    """Return a damage by which a chunk takes the bytes up to ``extra`` behind its own end."""
+def _swallowing(number: int, extra: int, parts: int = 1) -> Damage:
+    """Return a damage by which a chunk takes the bytes up to ``extra`` behind its own end.
+
+    Each piece of the content is sent in a number of parts, which are chunks.
+    """
 
     def make(kind: str, request: str) -> bytes:
         body = b""
-        for index, piece in enumerate(pieces_of(kind)):
+        chunks = [part for piece in pieces_of(kind) for part in _in_parts(piece, parts)]
+        for index, piece in enumerate(chunks):
             size = b"%x" % (len(piece) + extra) if index == number else None
             body += chunk(piece, size)
         return head_of(kind, request, CHUNKED) + body + LAST_CHUNK
@@ -78,6 +82,11 @@
     return make
 
 
+def _in_parts(data: bytes, count: int) -> list[bytes]:
+    size = -(-len(data) // count)
+    return [data[begin : begin + size] for begin in range(0, len(data), size)]
+
+
 def _length_off_by(difference: int) -> Damage:
     def make(kind: str, request: str) -> bytes:
         return with_length(kind, request, LENGTH % (len(content_of(kind)) + difference))
@@ -108,8 +117,12 @@
 
 
 TAKES_NEXT = "a chunk takes the begin of the next one"
-ALSO_APART = (TAKES_NEXT, "its second chunk has the size 00", "its second chunk has the size 4")
-"""Damages that show wherever the connection's reads end; others leave bytes behind an end."""
+READ_BYTES = {
+    TAKES_NEXT: 16,
+    "its second chunk has the size 00": 1,
+    "its second chunk has the size 4": 1,
+}
+"""The size of small reads in which damages show too; others leave bytes behind an end."""
 
 DAMAGES: dict[str, dict[str, Damage]] = {
     "its second chunk has the size 00": {
@@ -127,6 +140,10 @@
     TAKES_NEXT: {
         f"chunk {number + 1} takes {extra} more bytes": _swallowing(number, extra)
         for number, extra in itertools.product(range(EVENTS), (1, 2, 3, 6, 14, 29, 34, 60))
+    }
+    | {
+        f"half {number + 1} takes {extra} more bytes": _swallowing(number, extra, parts=2)
+        for number, extra in itertools.product(range(2 * EVENTS), (1, 3, 9, 16, 19, 24, 31, 38, 46))
     },
     "its length is too small": {
         f"{count} less": _length_off_by(-count)
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -16,12 +16,12 @@
 from twisted.python.failure import Failure
 
 from rainsail.http.answer_end import AnswerEnd, contradiction
+from rainsail.http.chunk_hold import LINE_END_BYTES, MAX_HELD_BYTES, ChunkHold
 from rainsail.http.headers import (
     HeaderFields,
-    header_number,
-    header_text,
     header_value,
     holds_status_line,
+    keep_alive_s,
 )
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
@@ -147,6 +147,9 @@
         """How much of the body of that answer has been parsed."""
         self._has_lines = False
         """The answer is passed on by shares of bounded numbers of lines."""
+        self._hold = ChunkHold(is_holding=False)
+        self._read_bytes = 0
+        """The size of the last read."""
         self._unpassed = b""
         """Parsed data of the answer that waits for its turn, ahead of ``_waiting_event``."""
         self._waiting_event: Any = None
@@ -205,6 +208,8 @@
         if self._listener is None:
             self.abort()
             return
+        self._read_bytes = len(data)
+        self._hold.received(len(data))
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -253,7 +258,6 @@
         Pieces of the body that follow each other are passed on together. With ``is_at_end`` the
         connection has closed, and its close tells how an incomplete answer has ended.
         """
-        pieces: list[bytes] = []
         try:
             for _ in range(max_events):
                 if self._listener is None:
@@ -265,29 +269,35 @@
                 if event is None:
                     event = self._http.next_event()
                 if isinstance(event, h11.Data):
-                    self._body_bytes += len(event.data)
-                    pieces.append(event.data)
+                    self._take_data(event)
                     continue
-                self._pass_on(pieces)
+                self._pass_on(self._hold.take())
                 if self._unpassed:
                     self._waiting_event = event
                     return True
                 if not self._take_event(event):
                     return False
         except h11.RemoteProtocolError as error:
-            self._pass_on(pieces)
+            self._pass_on(self._hold.take_checked())
             if not is_at_end:
                 self._fail(f"invalid HTTP response: {error}")
             return False
-        self._pass_on(pieces)
+        self._pass_on(self._hold.take())
         return self._listener is not None
 
+    def _take_data(self, event: h11.Data) -> None:
+        self._body_bytes += len(event.data)
+        unparsed = LINE_END_BYTES
+        if event.chunk_end and self._hold.is_holding and self._read_bytes <= MAX_HELD_BYTES:
+            # The parser copies what it has not parsed: of a large read, too much for each chunk.
+            unparsed = len(self._http.trailing_data[0])
+        self._hold.add(event.data, event.chunk_end, unparsed)
+
     def _pass_on(self, pieces: list[bytes]) -> None:
         """Pass pieces of the body on together; what is beyond a share of lines waits."""
         if not pieces or self._listener is None:
             return
         data = bytes(pieces[0] if len(pieces) == 1 else b"".join(pieces))
-        pieces.clear()
         size = share_of(data) if self._has_lines else len(data)
         self._unpassed = data[size:]
         self._listener.answer_data(data[:size])
@@ -320,11 +330,11 @@
         if self._fail_if_joined(event):
             return
         fields = tuple(event.headers.raw_items())
-        keep_alive = header_text(fields, b"keep-alive")
-        self._idle_s = _keep_alive_s(keep_alive)
+        self._idle_s = keep_alive_s(fields)
         self._head = head = AnswerHead(event.status_code, fields, self._is_head_request)
         self._body_bytes = 0
         self._has_lines = head.has_lines
+        self._hold = ChunkHold(head.has_lines and head.framing == Framing.CHUNKED)
         self._listener.answer_begun(head)
 
     def _take_end(self, event: h11.EndOfMessage) -> None:
@@ -387,11 +397,3 @@
             self.closed = True
             if self.transport is not None:
                 self.transport.abortConnection()
-
-
-def _keep_alive_s(value: str) -> float | None:
-    for part in value.split(","):
-        name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout":
-            return header_number(((b"t", number.encode()),), b"t")
-    return None
--- a/src/rainsail/http/headers.py
+++ b/src/rainsail/http/headers.py
@@ -57,6 +57,15 @@
         return None
 
 
+def keep_alive_s(fields: Iterable[tuple[bytes, bytes]]) -> float | None:
+    """Return for how many seconds the sender keeps an idle connection; None if it does not say."""
+    for part in header_text(fields, b"keep-alive").split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout":
+            return header_number(((b"t", number.encode()),), b"t")
+    return None
+
+
 def end_to_end(fields: Iterable[tuple[bytes, bytes]], without: frozenset[bytes]) -> HeaderFields:
     """Return the end-to-end fields except ``without``.
 
