What has arrived behind an answer's end contradicts it, also while it is unread

The answer was told as whole, or a surplus answer that had arrived was left on a connection that went back to the pool.

Fix: at the end of an answer the connection looks at what its socket holds (recv with MSG_PEEK, 64 bytes, no waiting) and decides on that together with what was read: one system call for each answer, none of them later. has_unread_bytes now uses the same function. What comes still later finds an answer that has been told; that is left.

Tests: three scenarios over a socket pair in features/http/answer_ends.

--- a/features/http/answer_ends.feature
+++ b/features/http/answer_ends.feature
@@ -79,6 +79,24 @@
       | id: 4              | has failed: "the end of the answer is contradicted: 5 bytes behind its end"       |
       | HTTP/1.1 200 OK    | has a whole answer of 200 bytes                                                   |
 
+  Scenario Outline: Bytes behind an end that have arrived and were not read yet: <behind>
+    Given an HTTP client connection with a request under way, over a socket
+    When the other side's bytes "<behind>" have arrived at the socket
+    And the other side sends "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|hi|0||"
+    Then the answer <end>
+    And the connection is not used again
+
+    Examples:
+      | behind          | end                |
+      | id: 4           | broke              |
+      | HTTP/1.1 200 OK | is whole with "hi" |
+
+  Scenario: Nothing has arrived behind the end of an answer
+    Given an HTTP client connection with a request under way, over a socket
+    When the other side sends "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|hi|0||"
+    Then the answer is whole with "hi"
+    And the connection may be used again
+
   Scenario: The events of a chunk are passed on once the chunk has come whole
     Given an HTTP client connection with a request under way
     When the other side sends "HTTP/1.1 200 OK|Content-Type: text/event-stream|Transfer-Encoding: chunked||"
--- a/features/steps/http_answer_end_steps.py
+++ b/features/steps/http_answer_end_steps.py
@@ -1,7 +1,9 @@
 """Steps on the ends of answers: what stands behind them, in reads, queues and sockets."""
 
+import socket
+
 from behave import given, step, then
-from features.steps.http_connection_steps import call_with, is_whole
+from features.steps.http_connection_steps import SocketTransport, call_with, is_whole
 from features.steps.http_runner_answer_steps import close_all, send_all
 
 
@@ -10,6 +12,19 @@
     call_with(context, b"HEAD")
 
 
+@given("an HTTP client connection with a request under way, over a socket")
+def socket_call(context):
+    context.http_server_end, client_end = socket.socketpair()
+    context.add_cleanup(context.http_server_end.close)
+    context.add_cleanup(client_end.close)
+    call_with(context, b"GET", SocketTransport(client_end))
+
+
+@step('the other side\'s bytes "{text}" have arrived at the socket')
+def bytes_arrived(context, text):
+    context.http_server_end.sendall(text.encode())
+
+
 @then("the answer is whole without a body")
 def whole_without_body(context):
     is_whole(context, "")
--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -98,7 +98,7 @@
     client_sends(context, text)
 
 
-class _SocketTransport(_Transport):
+class SocketTransport(_Transport):
     """An in-memory transport with the server's end of a real connection."""
 
     def __init__(self, connection):
@@ -120,7 +120,7 @@
     context.http_exchanges = []
     context.http_clock = MonotonicClock(VirtualClock())
     server = HttpServer(context.http_exchanges.append, context.http_clock, HttpLimits())
-    context.http_transport = _SocketTransport(connection)
+    context.http_transport = SocketTransport(connection)
     context.http_connection = server.buildProtocol(None)
     context.http_transport.protocol = context.http_connection
     context.http_connection.makeConnection(context.http_transport)
@@ -262,12 +262,12 @@
     call_with(context, b"GET")
 
 
-def call_with(context, method):
-    """Send a request of a method over a connection in memory."""
+def call_with(context, method, transport=None):
+    """Send a request of a method over a connection in memory, or over another transport."""
     context.http_owner = _Owner()
     context.http_listener = _Listener()
     context.http_caller = ClientConnection(context.http_owner, 0, ParsingQueue(VirtualClock()))
-    context.http_transport = _Transport()
+    context.http_transport = transport or _Transport()
     context.http_transport.protocol = context.http_caller
     context.http_caller.makeConnection(context.http_transport)
     request = OutgoingRequest(method, b"/x", ((b"Host", b"a"),), b"")
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -26,13 +26,15 @@
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
 from rainsail.http.part_writer import PartWriter
-from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
+from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout, unread_bytes
 
 MAX_HEAD_BYTES = 64 * 1024
 JOINED_BYTES = 64 * 1024
 """A request with a body up to this size is written at once, which copies the body."""
 SLOW_READ_BYTES = 16 * 1024
 """How much is read at once of an answer to a slow client."""
+PEEKED_BYTES = 64
+"""How much is looked at behind the end of an answer of what has arrived and was not read yet."""
 MAX_INTERIM_ANSWERS = 32
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
@@ -340,7 +342,8 @@
     def _take_end(self, event: h11.EndOfMessage) -> None:
         assert self._head is not None
         trailers = tuple(name for name, _ in event.headers)
-        surplus, _ = self._http.trailing_data
+        unparsed, _ = self._http.trailing_data
+        surplus = unparsed + unread_bytes(self.transport, PEEKED_BYTES)
         is_chunked = self._head.framing == Framing.CHUNKED
         size = self._body_bytes if is_chunked else None
         end = AnswerEnd(self._head.headers, trailers, surplus, size, self._is_head_request)
@@ -350,7 +353,7 @@
             return
         listener, self._listener = self._listener, None
         assert listener is not None
-        reusable = self._is_reusable()
+        reusable = not surplus and self._is_reusable()
         if reusable:
             self._http.start_next_cycle()
         listener.answer_ended()
@@ -363,11 +366,10 @@
 
     def _is_reusable(self) -> bool:
         states = (self._http.our_state, self._http.their_state)
-        surplus, _ = self._http.trailing_data
         is_unwritten = self._unwritten is not None and not self._unwritten.is_done
         if is_unwritten or self._was_paused:
             return False
-        return states == (h11.DONE, h11.DONE) and not surplus and not self.closed
+        return states == (h11.DONE, h11.DONE) and not self.closed
 
     def _fail(self, reason: str) -> None:
         listener, self._listener = self._listener, None
--- a/src/rainsail/runtime/sockets.py
+++ b/src/rainsail/runtime/sockets.py
@@ -73,19 +73,27 @@
         return
 
 
-def has_unread_bytes(transport: Any) -> bool:
-    """Tell whether the socket holds bytes that the reactor has not read yet.
+def unread_bytes(transport: Any, most: int) -> bytes:
+    """Return up to ``most`` bytes that the socket holds and the reactor has not read yet.
 
-    Closing such a connection resets it, and the peer's request is never answered. A transport
-    without a socket (in tests) has none.
+    They stay there to be read. A transport without a socket (in tests) has none.
     """
     handle = getattr(transport, "getHandle", None)
     if handle is None:
-        return False
+        return b""
     try:
-        return bool(handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return bytes(handle().recv(most, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except (AttributeError, OSError):
-        return False
+        return b""
+
+
+def has_unread_bytes(transport: Any) -> bool:
+    """Tell whether the socket holds bytes that the reactor has not read yet.
+
+    Closing such a connection resets it, and the peer's request is never answered. A transport
+    without a socket (in tests) has none.
+    """
+    return bool(unread_bytes(transport, 1))
 
 
 def unread_for_s(transport: Any) -> float:
