--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -16,26 +16,28 @@
 from twisted.python.failure import Failure
 
 from rainsail.http.answer_end import AnswerEnd, contradiction
+from rainsail.http.chunk_hold import LINE_END_BYTES, MAX_HELD_BYTES, ChunkHold
 from rainsail.http.connection_owner import ClientConnectionOwner, UnframedAnswerEnd
 from rainsail.http.headers import (
     HeaderFields,
-    header_number,
-    header_text,
     header_value,
     holds_status_line,
+    keep_alive_s,
 )
 from rainsail.http.line_share import share_of
 from rainsail.http.parsing_queue import EVENTS_AT_ONCE, ParsingQueue
 from rainsail.http.part_writer import PartWriter
 from rainsail.http.statuses import STATUSES_WITHOUT_BODY, invalid_status, is_final_status
 from rainsail.http.unframed_end import Closing
-from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout
+from rainsail.runtime.sockets import limit_unread_bytes, set_user_timeout, unread_bytes
 
 MAX_HEAD_BYTES = 64 * 1024
 JOINED_BYTES = 64 * 1024
 """A request with a body up to this size is written at once, which copies the body."""
 SLOW_READ_BYTES = 16 * 1024
 """How much is read at once of an answer to a slow client."""
+PEEKED_BYTES = 64
+"""How much is looked at behind the end of an answer of what has arrived and was not read yet."""
 MAX_INTERIM_ANSWERS = 32
 """Interim answers (1xx) before one answer; with more the answer is invalid."""
 TOO_MANY_INTERIM = "too many interim answers"
@@ -139,6 +141,9 @@
         """How much of the body of that answer has been parsed."""
         self._has_lines = False
         """The answer is passed on by shares of bounded numbers of lines."""
+        self._hold = ChunkHold(is_holding=False)
+        self._read_bytes = 0
+        """The size of the last read."""
         self._unpassed = b""
         """Parsed data of the answer that waits for its turn, ahead of ``_waiting_event``."""
         self._waiting_event: Any = None
@@ -204,8 +209,11 @@
         self._unanswered = False
         self._has_received = True
         if self._listener is None:
+            self._owner.late_bytes(self, data)
             self.abort()
             return
+        self._read_bytes = len(data)
+        self._hold.received(len(data))
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -265,7 +273,6 @@
         Pieces of the body that follow each other are passed on together. With ``is_at_end`` the
         connection has closed, and its close tells how an incomplete answer has ended.
         """
-        pieces: list[bytes] = []
         try:
             for _ in range(max_events):
                 if self._listener is None:
@@ -277,29 +284,35 @@
                 if event is None:
                     event = self._http.next_event()
                 if isinstance(event, h11.Data):
-                    self._body_bytes += len(event.data)
-                    pieces.append(event.data)
+                    self._take_data(event)
                     continue
-                self._pass_on(pieces)
+                self._pass_on(self._hold.take())
                 if self._unpassed:
                     self._waiting_event = event
                     return True
                 if not self._take_event(event):
                     return False
         except h11.RemoteProtocolError as error:
-            self._pass_on(pieces)
+            self._pass_on(self._hold.take_checked())
             if not is_at_end:
                 self._fail(f"invalid HTTP response: {error}")
             return False
-        self._pass_on(pieces)
+        self._pass_on(self._hold.take())
         return self._listener is not None
 
+    def _take_data(self, event: h11.Data) -> None:
+        self._body_bytes += len(event.data)
+        unparsed = LINE_END_BYTES
+        if event.chunk_end and self._hold.is_holding and self._read_bytes <= MAX_HELD_BYTES:
+            # The parser copies what it has not parsed: of a large read, too much for each chunk.
+            unparsed = len(self._http.trailing_data[0])
+        self._hold.add(event.data, event.chunk_end, unparsed)
+
     def _pass_on(self, pieces: list[bytes]) -> None:
         """Pass pieces of the body on together; what is beyond a share of lines waits."""
         if not pieces or self._listener is None:
             return
         data = bytes(pieces[0] if len(pieces) == 1 else b"".join(pieces))
-        pieces.clear()
         size = share_of(data) if self._has_lines else len(data)
         self._unpassed = data[size:]
         self._listener.answer_data(data[:size])
@@ -335,10 +348,11 @@
             self._fail(invalid_status(event.status_code))
             return
         fields = tuple(event.headers.raw_items())
-        self._idle_s = _keep_alive_s(header_text(fields, b"keep-alive"))
+        self._idle_s = keep_alive_s(fields)
         self._head = head = AnswerHead(event.status_code, fields, self._is_head_request)
         self._body_bytes = 0
         self._has_lines = head.has_lines
+        self._hold = ChunkHold(head.has_lines and head.framing == Framing.CHUNKED)
         if head.framing == Framing.CLOSE:
             self._unframed = self._owner.unframed_answer_begun(self)
         self._listener.answer_begun(head)
@@ -346,7 +360,8 @@
     def _take_end(self, event: h11.EndOfMessage) -> None:
         assert self._head is not None
         trailers = tuple(name for name, _ in event.headers)
-        surplus, _ = self._http.trailing_data
+        unparsed, _ = self._http.trailing_data
+        surplus = unparsed + unread_bytes(self.transport, PEEKED_BYTES)
         is_chunked = self._head.framing == Framing.CHUNKED
         size = self._body_bytes if is_chunked else None
         end = AnswerEnd(self._head.headers, trailers, surplus, size, self._is_head_request)
@@ -356,7 +371,7 @@
             return
         listener, self._listener = self._listener, None
         assert listener is not None
-        reusable = self._is_reusable()
+        reusable = not surplus and self._is_reusable()
         if reusable:
             self._http.start_next_cycle()
         listener.answer_ended()
@@ -369,11 +384,10 @@
 
     def _is_reusable(self) -> bool:
         states = (self._http.our_state, self._http.their_state)
-        surplus, _ = self._http.trailing_data
         is_unwritten = self._unwritten is not None and not self._unwritten.is_done
         if is_unwritten or self._was_paused:
             return False
-        return states == (h11.DONE, h11.DONE) and not surplus and not self.closed
+        return states == (h11.DONE, h11.DONE) and not self.closed
 
     def _fail(self, reason: str) -> None:
         listener, self._listener = self._listener, None
@@ -415,11 +429,3 @@
             self.closed = True
             if self.transport is not None:
                 self.transport.abortConnection()
-
-
-def _keep_alive_s(value: str) -> float | None:
-    for part in value.split(","):
-        name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout":
-            return header_number(((b"t", number.encode()),), b"t")
-    return None
--- a/src/rainsail/http/connection_owner.py
+++ b/src/rainsail/http/connection_owner.py
@@ -25,6 +25,10 @@
         """The connection may be reused; the server keeps it open for ``idle_s`` if it says so."""
         ...
 
+    def late_bytes(self, connection: "ClientConnection", data: bytes) -> None:
+        """Bytes have come without a request; the connection is about to be closed."""
+        ...
+
     def connection_closed(self, connection: "ClientConnection") -> None:
         """The connection has closed."""
         ...
