A body with a length is passed on to its end only if nothing contradicts that end

What callers saw: a body told as whole without its end, from a runner whose stated length was too small.

Cause: the pieces of a read were passed on before the end that follows them was judged. For a stream that does not matter, the gateway states its end by itself; a body goes on with its runner's length.

The end of a body is judged before its last pieces are passed on.

--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -286,6 +286,8 @@
                 if isinstance(event, h11.Data):
                     self._take_data(event)
                     continue
+                if not self._has_lines and self._fail_if_contradicted(event):
+                    return False
                 self._pass_on(self._hold.take())
                 if self._unpassed:
                     self._waiting_event = event
@@ -357,21 +359,38 @@
             self._unframed = self._owner.unframed_answer_begun(self)
         self._listener.answer_begun(head)
 
-    def _take_end(self, event: h11.EndOfMessage) -> None:
+    def _fail_if_contradicted(self, event: Any) -> bool:
+        """Fail an answer whose end is contradicted; return whether this is such an end.
+
+        The last piece of a body with a length completes it for whoever gets the length, so the end
+        is judged before that piece is passed on. Events of a stream are complete by themselves.
+        """
+        if not isinstance(event, h11.EndOfMessage):
+            return False
+        flaw = contradiction(self._answer_end(event))
+        if flaw:
+            self._fail(f"{DOUBTFUL_END}: {flaw}")
+        return bool(flaw)
+
+    def _answer_end(self, event: h11.EndOfMessage) -> AnswerEnd:
         assert self._head is not None
         trailers = tuple(name for name, _ in event.headers)
-        unparsed, _ = self._http.trailing_data
-        surplus = unparsed + unread_bytes(self.transport, PEEKED_BYTES)
         is_chunked = self._head.framing == Framing.CHUNKED
         size = self._body_bytes if is_chunked else None
-        end = AnswerEnd(self._head.headers, trailers, surplus, size, self._is_head_request)
-        flaw = contradiction(end)
-        if flaw:
-            self._fail(f"{DOUBTFUL_END}: {flaw}")
+        surplus = self._surplus()
+        return AnswerEnd(self._head.headers, trailers, surplus, size, self._is_head_request)
+
+    def _surplus(self) -> bytes:
+        """Return what has been received behind the end of the answer, or its beginning."""
+        unparsed, _ = self._http.trailing_data
+        return unparsed + unread_bytes(self.transport, PEEKED_BYTES)
+
+    def _take_end(self, event: h11.EndOfMessage) -> None:
+        if self._has_lines and self._fail_if_contradicted(event):
             return
         listener, self._listener = self._listener, None
         assert listener is not None
-        reusable = not surplus and self._is_reusable()
+        reusable = not self._surplus() and self._is_reusable()
         if reusable:
             self._http.start_next_cycle()
         listener.answer_ended()
