Platform's stand-in: its steps wait for every controller, and for a leader

"An operator's call of which a half has been sent is answered" failed with a refused connection at controller-1. Cause: the stand-in asks the controllers in turn until one answers below 500. While all say 503 the last one's status is what the step's wait sees, and the step that follows connects to the first. Now the wait asks each controller by itself and ends when each has answered 503, so it waits for more than before and takes nothing else. Four other waits of this form (soaks, crowds) are followed by calls that go on to another controller, and stay.

"From an empty disk to served requests ...": no node led when the metrics were read. Cause: the step waits for the voters of all and then reads once, node by node, who leads. Now it reads again while no node says so, and asserts as before that exactly one does in the read that it takes.

--- a/features/steps/platform_whole_path_steps.py
+++ b/features/steps/platform_whole_path_steps.py
@@ -7,7 +7,12 @@
 
 from behave import given, then, when
 from features.support.command_line import rainsail_here
-from features.support.platform_stand_in import EVENTS, StandInPlatform, wait_until
+from features.support.platform_stand_in import (
+    CONTROL_PORT,
+    EVENTS,
+    StandInPlatform,
+    wait_until,
+)
 
 WHOLE_STREAM = "".join(f"id: {n}\ndata: text {n}\n\n" for n in range(1, EVENTS + 1)).encode()
 ITEM_TEXT = "\n".join(f"text {n}" for n in range(1, EVENTS + 1))
@@ -20,11 +25,18 @@
 def start(context, controllers, storage, gateways, runners):
     context.platform = platform = StandInPlatform(controllers, storage, gateways)
     context.add_cleanup(platform.close)
-    wait_until(lambda: platform.control("GET", "/api/Config.Read")[0] == 503, "controllers")
+    wait_until(lambda: _all_controllers_answer(platform), "controllers")
     for _ in range(runners):
         platform.add_runner()
 
 
+def _all_controllers_answer(platform):
+    """Tell whether each controller by itself answers that there is no configuration yet."""
+    ips = [node.ip for node in platform.nodes.values() if node.role == "controller"]
+    calls = [platform.call(ip, CONTROL_PORT, "GET", "/api/Config.Read") for ip in ips]
+    return [status for status, _, _ in calls] == [503] * len(ips)
+
+
 @then("an invalid configuration is refused with 400, and a read is unavailable before the first")
 def refuse_invalid(context):
     body = context.platform.configuration(1)
@@ -165,10 +177,25 @@
         names = [name for name in platform.nodes if name.startswith(role)]
         # Two of three controllers suffice; the third one that was killed may still be starting.
         wait_until(lambda names=names: _all_have_voters(platform, names), f"every {role}'s voters")
-        leads = [platform.metric(name, "group_leads") for name in names]
+        leads = _known_leads(platform, names)
         assert sum(leads) == 1, leads
 
 
+def _known_leads(platform, names):
+    """Return which nodes lead their group, read again while the reads show none.
+
+    The nodes are read one after the other, and the leadership may move meanwhile.
+    """
+    reads = []
+
+    def any_leads():
+        reads.append([platform.metric(name, "group_leads") for name in names])
+        return any(reads[-1])
+
+    wait_until(any_leads, f"a leader among {names}")
+    return reads[-1]
+
+
 def _all_have_voters(platform, names):
     return [platform.metric(name, "group_voters") for name in names] == [3] * len(names)
 
