Plays of fatal items: a crash is not counted for an item that its sender had given up

A run counts as late from 3 s behind the item's third crash on, and one of the three was not the item's: its run had been preempted, and the runner crashed for another reason before the time at which the item would have crashed it. The stand-in still had the preempted run noted as what crashes the runner.

Now the note names the call of the run, and a crash counts only if that call was not cancelled, in the plays in which preempted runs don't crash their runners. Where they do, and for runs that are under way when the runner crashes for another reason, all counts as before. The bounds are the same (three late runs, 3 s behind the third crash). A note of a run that had been given up could also remove that of the next one; it doesn't now.

Test: "A runner crashes for another reason, and a fatal item ...", three scenarios, one of which failed before ("its sender has given up").

--- a/features/quarantine/fatal_items_of_one_part.feature
+++ b/features/quarantine/fatal_items_of_one_part.feature
@@ -92,3 +92,14 @@
       | seed |
       | 6    |
       | 7    |
+
+  Scenario Outline: A runner crashes for another reason, and a fatal item <state>
+    # Guards against: a count of late runs that begins before the item has crashed three runners.
+    When a runner has begun to run a fatal item that <state>, and crashes for another reason
+    Then <count> crash of that item is counted
+
+    Examples:
+      | state                       | count |
+      | is still under way          | 1     |
+      | its sender has given up     | 0     |
+      | has crashed its runner      | 1     |
--- a/features/steps/fatal_items_steps.py
+++ b/features/steps/fatal_items_steps.py
@@ -1,8 +1,12 @@
 """Steps for jobs some items of which crash the runners that begin to run them, in virtual time."""
 
 from behave import then, use_step_matcher, when
-from features.support.crashing_runners import EVENTS
+from features.support.crashing_runners import EVENTS, FATAL_BODY, CrashingRunners
 from features.support.fatal_items import LATE_RUNS_ALLOWED, FatalItemsPlan, FatalItemsPlay
+from features.support.relaying import StandInCall
+
+from rainsail.http.client import OutgoingRequest
+from rainsail.simulation.clock import VirtualClock
 
 use_step_matcher("re")
 
@@ -43,3 +47,39 @@
     late = context.play.late_runs
     assert late, "no fatal item crashed three runners"
     assert max(late.values()) <= LATE_RUNS_ALLOWED, f"late runs {late}"
+
+
+# --- how the crashes of an item are counted --------------------------------------------------
+
+
+class _NoListener:
+    """Takes an answer."""
+
+    def answer_begun(self, head):
+        """Nothing to do."""
+
+    def answer_failed(self, reason):
+        """Nothing to do."""
+
+
+@when("a runner has begun to run a fatal item that {state}, and crashes for another reason")
+def crash_beside(context, state):
+    clock = VirtualClock()
+    context.runners = runners = CrashingRunners(clock, 1, lambda record: None)
+    runners.crash_after_s, runners.cancelled_runs_crash = 0.3, False
+    (runner,) = runners.runners
+    call = StandInCall(
+        runner.address, OutgoingRequest(b"POST", b"/", (), FATAL_BODY), _NoListener()
+    )
+    runners.take(call)
+    clock.run_until(0.4 if state == "has crashed its runner" else 0.2)
+    assert len(runners.fatal_runs) == 1, runners.fatal_runs
+    if state == "its sender has given up":
+        call.cancel()
+    runners.crash(runner, runner.incarnation)
+
+
+@then("{count:d} crash of that item is counted")
+def crashes_counted(context, count):
+    crashes = context.runners.fatal_crashes.get(FATAL_BODY, [])
+    assert len(crashes) == count, crashes
--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -51,8 +51,15 @@
     sequence: int = 0
     calls: list[StandInCall] = field(default_factory=list)
     ran_fatal: bytes = b""
+    """What runs here and crashes the runner; empty if nothing does."""
+    fatal_call: StandInCall | None = None
+    """The call of that run; None if the runner crashes even if the run is cancelled."""
     crashes: list[float] = field(default_factory=list)
 
+    def note_fatal(self, cause: bytes, call: StandInCall | None) -> None:
+        """Note what crashes the runner; without a cause, that nothing does."""
+        self.ran_fatal, self.fatal_call = cause, call
+
     @property
     def address(self) -> str:
         """The address, the same for all incarnations."""
@@ -184,7 +191,7 @@
 
     def _run_fatal(self, runner: CrashingRunner, call: StandInCall, cause: bytes) -> None:
         """Write the events that come before the crash, then crash."""
-        runner.ran_fatal = cause
+        runner.note_fatal(cause, call)
         first = int(call.field(b"after-event") or 0) + 1
         for number in range(self.events_before_crash):
             at_s = (number + 1) * EVENT_PERIOD_S
@@ -200,10 +207,11 @@
         self, runner: CrashingRunner, incarnation: int, call: StandInCall, cause: bytes
     ) -> None:
         if call.cancelled and not self.cancelled_runs_crash:
-            runner.ran_fatal = b""
+            if runner.fatal_call is call:
+                runner.note_fatal(b"", None)
             return
         if runner.is_up and runner.incarnation == incarnation:
-            runner.ran_fatal = cause
+            runner.note_fatal(cause, call)
             self.crash(runner, incarnation, self.restart_after_s)
 
     def _fatal_part(self, call: StandInCall) -> str:
@@ -242,15 +250,19 @@
             return
         runner.is_up = False
         runner.crashes.append(self.clock.seconds())
-        if runner.ran_fatal:
+        if runner.ran_fatal and not self._was_given_up(runner.fatal_call):
             self.fatal_crashes.setdefault(runner.ran_fatal, []).append(self.clock.seconds())
-            runner.ran_fatal = b""
+        runner.note_fatal(b"", None)
         calls, runner.calls = runner.calls, []
         for call in calls:
             if not call.cancelled:
                 call.listener.answer_failed("connection closed")
         self.clock.callLater(restart_after_s, self._restart, runner)
 
+    def _was_given_up(self, call: StandInCall | None) -> bool:
+        """Tell whether a fatal run had been cancelled, so that it has not crashed its runner."""
+        return call is not None and call.cancelled and not self.cancelled_runs_crash
+
     def lose_power(self, runner: CrashingRunner, for_s: float) -> None:
         """Cut a runner's power: it sends nothing, and connections neither close nor open."""
         runner.is_up = False
--- a/features/support/trial_crashes.py
+++ b/features/support/trial_crashes.py
@@ -88,7 +88,7 @@
             return
         body, prompt = other.request.body, other.field(b"prompt")
         fleet.runners.fatal_bodies.add(body)
-        runner.ran_fatal = body
+        runner.note_fatal(body, None)
         fleet.clock.callLater(CRASH_AFTER_S, self._crash_now, runner, call)
         for number in range(FATAL_SENDINGS):
             fleet.clock.callLater(1.0 + number * FATAL_PERIOD_S, self._send_again, body, prompt)
