--- a/features/support/relayed_connections.py
+++ b/features/support/relayed_connections.py
@@ -1,6 +1,7 @@
 """A gateway's relay between HTTP connections in memory: real bytes from runners and to clients."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -188,9 +189,10 @@
     runs: list[RelayRun] = field(default_factory=list)
     """All requests in the order of their arrival."""
     ended: list[RelayRun] = field(default_factory=list)
+    make_reactor: Callable[[VirtualClock], Any] = MemoryReactor
 
     def __post_init__(self) -> None:
-        self.reactor = MemoryReactor(self.clock)
+        self.reactor = self.make_reactor(self.clock)
         self.pool = ConnectionPool(self.reactor, self.clock, PoolSettings())
         registry = RunnerRegistry()
         self.protocol = PlatformHeaders()
