--- a/features/http/unframed_ends.feature
+++ b/features/http/unframed_ends.feature
@@ -86,6 +86,37 @@
     And 2 seconds pass at the pool
     Then the answer is told as whole: "all of it"
 
+  Scenario Outline: A server that resets connections beyond its maximum <afterwards>
+    Given a server with no other connection
+    And an unframed answer under way of which "all of it" has come
+    When the server resets each new connection
+    And the server closes the answer's connection in order
+    And 10 milliseconds pass at the pool
+    And <afterwards>
+    And 2 seconds pass at the pool
+    Then the answer <result>
+
+    Examples:
+      | afterwards                          | result                                        |
+      | 0 seconds pass at the pool          | is told as whole: "all of it"                 |
+      | the server refuses new connections  | has failed: "the server's process has ended"  |
+
+  Scenario Outline: How many connections a confirmation opens: <others>
+    # New connections take a server's room: one that is held, where no connection that is open can tell.
+    Given a server with <others>
+    And an unframed answer under way of which "all of it" has come
+    When the server closes the answer's connection in order
+    And 2 seconds pass at the pool
+    Then the answer is told as whole: "all of it"
+    And the confirmation has opened <count> connections, of which none is open
+
+    Examples:
+      | others                              | count |
+      | no other connection                 | 1     |
+      | 1 other unframed answer under way   | 1     |
+      | 1 idle connection                   | 0     |
+      | 1 other answer in chunks under way  | 0     |
+
   Scenario: An idle connection that the pool itself closes is no evidence
     Given a server with 1 idle connection
     And an unframed answer under way of which "all of it" has come
--- a/features/steps/http_unframed_end_steps.py
+++ b/features/steps/http_unframed_end_steps.py
@@ -140,6 +140,11 @@
     context.reactor.refusing.add(ADDRESS)
 
 
+@step("the server resets each new connection")
+def reset_each(context):
+    context.reactor.is_full = True
+
+
 @step("the pool forgets the server's idle connections")
 def forget(context):
     context.pool.forget(ADDRESS)
@@ -164,6 +169,11 @@
     context.pool_clock.advance(seconds)
 
 
+@step("{ms:d} milliseconds pass at the pool")
+def milliseconds_pass(context, ms):
+    context.pool_clock.advance(ms / MILLISECONDS_PER_S)
+
+
 @step("the answer is paused")
 def pause(context):
     context.call.set_paused(True)
@@ -235,6 +245,14 @@
     assert all(each.ends == ["whole"] for each in answers), answers
 
 
+@then("the confirmation has opened {count:d} connections, of which none is open")
+def opened(context, count):
+    known = [context.connection, *(connection for _, connection in context.others)]
+    opened = [each for each in context.reactor.connections if each not in known]
+    assert len(opened) == count, opened
+    assert not any(each.transport.connected for each in opened)
+
+
 @then("the answer has not ended")
 def has_not_ended(context):
     assert not context.answer.ends, context.answer
--- a/features/steps/relay_soak_steps.py
+++ b/features/steps/relay_soak_steps.py
@@ -16,22 +16,28 @@
 
 @when("its clients meet such runners, drawn from seed {seed:d}, with the defect and without it")
 def run_relay_soaks(context, seed):
-    context.defective = RelaySoak(seed, spoils_beginnings=False)
-    with context.relay_defect.in_place():
-        context.defective.run()
-    context.sound = RelaySoak(seed, spoils_beginnings=False)
-    context.sound.run()
+    _run_defective_and_sound(context, seed, seed, pauses=False)
 
 
 @when(
-    "its clients meet runners that pause, drawn from seed {seed:d}, with the defect and without it"
+    "its clients meet runners that pause, drawn from each of the seeds {first:d} to {last:d}, "
+    "with the defect and without it"
 )
-def run_relay_soaks_of_pauses(context, seed):
-    context.defective = RelaySoak(seed, spoils_beginnings=False, pauses=True)
-    with context.relay_defect.in_place():
-        context.defective.run()
-    context.sound = RelaySoak(seed, spoils_beginnings=False, pauses=True)
-    context.sound.run()
+def run_relay_soaks_of_pauses(context, first, last):
+    _run_defective_and_sound(context, first, last, pauses=True)
+
+
+def _run_defective_and_sound(context, first, last, pauses):
+    """Run each seed with the defect and without it, and collect the violations."""
+    context.defective_violations, context.sound_violations = [], []
+    for seed in range(first, last + 1):
+        defective = RelaySoak(seed, spoils_beginnings=False, pauses=pauses)
+        with context.relay_defect.in_place():
+            defective.run()
+        sound = RelaySoak(seed, spoils_beginnings=False, pauses=pauses)
+        sound.run()
+        context.defective_violations += defective.violations
+        context.sound_violations += sound.violations
 
 
 @when("clients of a relay meet runners that also pause, drawn from seed {seed:d}")
@@ -90,7 +96,7 @@
 @then("the check on this defect finds it, and finds nothing without it")
 def defect_found(context):
     words = context.relay_defect.words
-    found = context.defective.violations
+    found = context.defective_violations
     assert any(words in each for each in found), found
-    found = context.sound.violations
+    found = context.sound_violations
     assert not any(words in each for each in found), found
--- a/features/support/server_processes.py
+++ b/features/support/server_processes.py
@@ -26,6 +26,8 @@
         """Every connection that was established, with those of probes."""
         self.refusing: set[str] = set()
         self.silent: set[str] = set()
+        self.is_full = False
+        """New connections are reset right behind their opening."""
 
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> None:
         """Connect after a moment."""
@@ -38,7 +40,10 @@
         elif address in self.refusing:
             factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
         else:
-            self.connections.append(RunnerConnection(factory, address))
+            connection = RunnerConnection(factory, address)
+            self.connections.append(connection)
+            if self.is_full:
+                self._clock.callLater(CONNECT_S, connection.close, True)
 
     def open_at(self, address: str) -> list[RunnerConnection]:
         """Return the open connections to an address, in the order of their opening."""
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -12,7 +12,7 @@
 from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
 from rainsail.http.idle_limit import IdleLimit
 from rainsail.http.parsing_queue import ParsingQueue
-from rainsail.http.reachability import Reachability, probe_address
+from rainsail.http.reachability import HeldProbe, Reachability, hold_address, probe_address
 from rainsail.http.unframed_answer import UnframedAnswer
 from rainsail.http.unframed_end import Closing, OtherConnections
 from rainsail.runtime.clock import Clock
@@ -174,6 +174,11 @@
         self.opened += 1
         probe_address(self._reactor, address, self._settings.connect_timeout_s, on_result)
 
+    def hold(self, address: str, on_result: Callable[[Reachability], None]) -> HeldProbe:
+        """Report whether an address accepts connections, and hold the one that was opened."""
+        self.opened += 1
+        return hold_address(self._reactor, address, self._settings.connect_timeout_s, on_result)
+
     def forget(self, address: str) -> None:
         """Close the idle connections to a server."""
         server = self._servers.get(address)
--- a/src/rainsail/http/unframed_answer.py
+++ b/src/rainsail/http/unframed_answer.py
@@ -14,7 +14,7 @@
     AnswerListener,
     ClientConnection,
 )
-from rainsail.http.reachability import Reachability
+from rainsail.http.reachability import HeldProbe, Reachability
 from rainsail.http.unframed_end import (
     UNFRAMED_END_SETTLE_S,
     Closing,
@@ -42,6 +42,10 @@
         """Report whether an address accepts connections."""
         ...
 
+    def hold(self, address: str, on_result: Callable[[Reachability], None]) -> HeldProbe:
+        """Report whether an address accepts connections, and hold the one that was opened."""
+        ...
+
     def unframed_end_begun(self, answer: "UnframedAnswer") -> None:
         """The confirmation of an end has begun."""
         ...
@@ -66,6 +70,7 @@
         self._end: UnframedEnd | None = None
         self._listener: AnswerListener | None = None
         self._timer: Timer | None = None
+        self._held: HeldProbe | None = None
         self._is_probed = False
         self._has_settled = False
         self._reach: Reachability | None = None
@@ -98,7 +103,8 @@
         self._servers.unframed_end_begun(self)
         self._timer = self._clock.callLater(UNFRAMED_END_SETTLE_S, self._wait_for_poll)
         if not self._others().framed_open:
-            self._probe()
+            self._is_probed = True
+            self._held = self._servers.hold(self._address, self._probed)
 
     # --- confirmation --------------------------------------------------------------------
 
@@ -113,18 +119,16 @@
         self._timer = None
         self._has_settled = True
         assert self._end is not None
-        verdict = judge_unframed_end(self._end, self._others(), self._reach)
+        is_held = self._held is not None and self._held.is_open
+        verdict = judge_unframed_end(self._end, self._others(), self._reach, is_held)
         if verdict != EndVerdict.UNKNOWN:
             self._finish(verdict)
         elif not self._is_probed:
-            self._probe()
-
-    def _probe(self) -> None:
-        self._is_probed = True
-        self._servers.probe(self._address, self._probed)
+            self._is_probed = True
+            self._servers.probe(self._address, self._probed)
 
     def _probed(self, reach: Reachability) -> None:
-        """Take a result; an early one counts beside what the other connections tell later."""
+        """Take a result; an early one counts together with what is known later."""
         self._is_probed = False
         if self._listener is None:
             return
@@ -150,6 +154,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        if self._held is not None:
+            self._held.close()
         self._servers.unframed_end_over(self)
         return listener
 
--- a/src/rainsail/http/unframed_end.py
+++ b/src/rainsail/http/unframed_end.py
@@ -84,13 +84,14 @@
 
 
 def judge_unframed_end(
-    end: UnframedEnd, others: OtherConnections, reach: Reachability | None
+    end: UnframedEnd, others: OtherConnections, reach: Reachability | None, is_held: bool
 ) -> EndVerdict:
     """Judge once the closes of a process that ends were noticed.
 
-    ``reach`` is the result of a probe right behind the close, if there was one. An open address
-    does not confirm the end: the process may not have closed it yet. A server that stops in a
-    planned way may refuse new connections while it goes on with those that it has.
+    ``reach`` is the result of a probe right behind the close, if there was one, and ``is_held``
+    tells that its connection is still open. One that was lost again confirms nothing: the process
+    had not closed its address yet, or takes no more connections. A server that stops in a planned
+    way may refuse new connections while it goes on with those that it has.
     """
     if others.oldest_open_s is not None and others.oldest_open_s <= end.earliest_s:
         return EndVerdict.SURVIVED
@@ -98,7 +99,7 @@
         return EndVerdict.ENDED
     if reach is not None and judge_probe(reach) == EndVerdict.ENDED:
         return EndVerdict.ENDED
-    return EndVerdict.SURVIVED if others.open else EndVerdict.UNKNOWN
+    return EndVerdict.SURVIVED if others.open or is_held else EndVerdict.UNKNOWN
 
 
 def judge_probe(reach: Reachability) -> EndVerdict:
