A soak of items at runners whose answers break: done with a part of the text is a violation

No soak could show it: the runners of the jobs' soaks answer through a stand-in of the pool, so that an answer has no framing that could be damaged, and no connection that a process closes when it ends.

Its judge knows what clients read and what runners sent: an item must be listed, whole if done, and be given up only behind three answers of 500. A short text is unclear only if two runners ended in order behind the same event.

The earlier courses of tools/jobs_soak.py are as they were.

--- a/features/jobs/soak.feature
+++ b/features/jobs/soak.feature
@@ -57,3 +57,58 @@
       | nodes send to drained zones                   |
       | a zone drain order is acknowledged but not stored |
       | the last report at an address ends the previous runner there |
+
+  Scenario Outline: <course>: no item is done with a part of its text
+    # Guards against: items that were done for ever though the last events of their texts were missing.
+    When items of jobs meet runners <faults>, drawn from each of the seeds 1 to 4
+    Then <least> answers to items or more have met the fault "<fault>"
+    And no guarantee to the clients of these jobs was violated
+
+    Examples: crashes
+      | course           | faults              | fault       | least |
+      | Items at crashes | whose processes end | crashed_run | 100   |
+
+    Examples: runs that go on with a text
+      | course              | faults                                    | fault     | least |
+      | Items at empty runs | that go on with streams and bring nothing | empty_run | 50    |
+
+    Examples: damaged framing
+      | course                   | faults                   | fault           | least |
+      | Items at damaged framing | whose framing is damaged | damaged_framing | 50    |
+
+    Examples: statuses
+      | course            | faults                      | fault          | least |
+      | Items at statuses | whose statuses mean nothing | invalid_status | 100   |
+
+    Examples: lone closes
+      | course               | faults                        | fault      | least |
+      | Items at lone closes | whose connections close alone | lone_close | 10    |
+
+    Examples: all of them, beside lone closes
+      | course              | faults                   | fault       | least |
+      | Items at all faults | with all of these faults | crashed_run | 50    |
+
+  Scenario Outline: A history of items in which <what> is reported as a violation
+    Given a history of items in which <what>
+    Then the judge of items finds "<words>"
+
+    Examples:
+      | what                                              | words                                |
+      | an item is not listed                             | not listed                           |
+      | an item was given up after two failures           | given up without enough failures     |
+      | a text has another item's event                   | done with another text               |
+      | a text in chunks lacks its last event             | its last events missing              |
+      | a text lacks its last event behind a crash        | its last events missing, behind a crash |
+      | a text lacks its last event, as one runner said   | its last events missing              |
+      | a text lacks its last event, as one runner said twice | its last events missing          |
+      | a run that went on brought nothing                | its last events missing              |
+
+  Scenario Outline: A history of items in which <what> is accepted
+    Given a history of items in which <what>
+    Then the judge of items finds nothing, and <unclear> texts whose end is unclear
+
+    Examples:
+      | what                                             | unclear |
+      | all went well                                    | 0       |
+      | an item was given up after three failures        | 0       |
+      | a text lacks its last event, as two runners said | 1       |
--- a/features/steps/relay_soak_fault_steps.py
+++ b/features/steps/relay_soak_fault_steps.py
@@ -1,17 +1,9 @@
 """Steps on the soak test of the relay under crashes and other faults drawn by themselves."""
 
 from behave import then, when
-from features.support.relay_soak.course_faults import FaultKinds
+from features.support.relay_soak.fault_options import FAULTS
 from features.support.relay_soak.soak import RelaySoak
 
-FAULTS = {
-    "whose processes end": FaultKinds(crashes=True),
-    "that go on with streams and bring nothing": FaultKinds(empty_runs=True),
-    "whose framing is damaged": FaultKinds(damaged_framing=True),
-    "whose statuses mean nothing": FaultKinds(statuses=True),
-    "with all of these faults": FaultKinds(True, True, True, True, True),
-}
-
 
 @when(
     "its clients meet runners whose framing is damaged, drawn from seed {seed:d}, "
--- a/features/support/relay_soak/checks.py
+++ b/features/support/relay_soak/checks.py
@@ -171,7 +171,7 @@
         Without a length or chunks, the close of one connection between two events can't be told
         from the end of the stream by this run. Another runner can tell, if it can be asked.
         """
-        stating = [run for run in self._runs[asked.request] if _states_end(run, last)]
+        stating = [run for run in self._runs[asked.request] if states_end(run, last)]
         if asked.kind.runs_once:
             return bool(stating)
         if len({run.runner for run in stating}) >= AGREEING_RUNNERS:
@@ -195,7 +195,7 @@
         return bool(set(self._history.runners) - down - {run.runner for run in runs})
 
 
-def _states_end(run: RunnerRun, last: int) -> bool:
+def states_end(run: RunnerRun, last: int) -> bool:
     """Tell whether a run has ended in order behind event ``last``, its runner's process alive.
 
     An answer with a length or chunks states its end by these only.
@@ -214,7 +214,7 @@
 
 def _evidence(runs: list[RunnerRun], last: int) -> str:
     """Tell what showed that a stream has events behind the ``last`` one."""
-    if any(_states_end(run, last) for run in runs):
+    if any(states_end(run, last) for run in runs):
         return ", though another runner could be asked"
     return ", behind a crash" if any(run.crashed_s is not None for run in runs) else ""
 
--- a/tools/jobs_soak.py
+++ b/tools/jobs_soak.py
@@ -5,7 +5,10 @@
 
     python tools/jobs_soak.py --seeds 1-50 --failing-items
 
-With ``--failing-items`` most items fail at every run while leaders of the ledger are lost.
+    python tools/jobs_soak.py --seeds 1-50 --crashes
+
+With ``--failing-items`` most items fail at every run while leaders of the ledger are lost. With
+``--crashes`` and the other kinds of faults, answers of runners break, and no node does.
 
 Prints a line for each seed: how many faults struck, what was accepted and finished, and every
 broken promise. Ends with code 1 when some promise was broken. The short run of CI is
@@ -20,6 +23,9 @@
 sys.path.insert(0, str(ROOT))
 
 from features.support import failing_item_soak  # noqa: E402
+from features.support.item_answer_soak import ItemAnswerSoak  # noqa: E402
+from features.support.relay_soak.course_faults import NO_FAULTS  # noqa: E402
+from features.support.relay_soak.fault_options import add_fault_options, faults_of  # noqa: E402
 from features.support.relayed_soak import RelayedSoak, SoakPlan  # noqa: E402
 from features.support.relayed_soak_plans import long_items, play, play_long_items  # noqa: E402
 
@@ -40,6 +46,11 @@
 
 def _played(seed: int, arguments: argparse.Namespace) -> tuple[str, list[str]]:
     """Play a seed; return what it has seen, and each broken promise."""
+    faults = faults_of(arguments)
+    if faults != NO_FAULTS:
+        answers = ItemAnswerSoak(seed, faults)
+        answers.run()
+        return str(dict(answers.counts)), answers.violations
     if arguments.failing_items:
         failing = failing_item_soak.play(seed, arguments.seconds)
         return failing.summary(), failing.violations
@@ -57,14 +68,16 @@
     parser.add_argument("--seconds", type=float, default=60, help="virtual seconds under faults")
     parser.add_argument("--long-items", type=int, default=0, help="events of each item, if long")
     parser.add_argument("--failing-items", action="store_true", help="items that fail")
+    add_fault_options(parser)
     arguments = parser.parse_args()
-    broken = []
+    broken, violated = [], 0
     for seed in _seeds(arguments.seeds):
         told, violations = _played(seed, arguments)
+        violated += len(violations)
         if violations:
             broken.append(seed)
         print(f"seed {seed}: {told}", *violations, sep="\n  ", flush=True)
-    print(f"seeds with broken promises: {broken or 'none'}")
+    print(f"seeds with broken promises: {broken or 'none'}; {violated} broken promises in all")
     return 1 if broken else 0
 
 
--- a/tools/relay_soak.py
+++ b/tools/relay_soak.py
@@ -15,7 +15,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from features.support.relay_soak.course_faults import FaultKinds  # noqa: E402
+from features.support.relay_soak.fault_options import add_fault_options, faults_of  # noqa: E402
 from features.support.relay_soak.soak import CONNECTIONS, RelaySoak  # noqa: E402
 
 
@@ -42,37 +42,9 @@
     parser.add_argument(
         "--connections", type=int, default=CONNECTIONS, help="clients' connections in each soak"
     )
-    parser.add_argument(
-        "--crashes", action="store_true", help="have processes of runners end inside answers"
-    )
-    parser.add_argument(
-        "--empty-runs",
-        action="store_true",
-        help="have runs that go on with a stream answered 200 without an event",
-    )
-    parser.add_argument(
-        "--damaged-framing",
-        action="store_true",
-        help="have sizes of chunks and lengths damaged, with the rest behind the stated end",
-    )
-    parser.add_argument(
-        "--statuses",
-        action="store_true",
-        help="have answers with a status to which HTTP gives no meaning",
-    )
-    parser.add_argument(
-        "--lone-closes",
-        action="store_true",
-        help="with one of these: truncate unframed streams by the close of their connection, too",
-    )
+    add_fault_options(parser)
     arguments = parser.parse_args()
-    faults = FaultKinds(
-        arguments.crashes,
-        arguments.empty_runs,
-        arguments.damaged_framing,
-        arguments.statuses,
-        arguments.lone_closes,
-    )
+    faults = faults_of(arguments)
     counts: Counter[str] = Counter()
     words: Counter[str] = Counter()
     broken = []
