A client of the relay's soak sends no request on a connection that has been lost

The gateway reset the connection at the moment at which the client had read its answer's stated length (that answer was short, a violation of its own); the client then sent its next request on the lost connection, and counted it as never answered. Not the gateway's fault.

--- a/features/support/relay_soak/client.py
+++ b/features/support/relay_soak/client.py
@@ -29,13 +29,14 @@
         self._current: ClientRequest | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._framed = False
+        self._is_lost = False
 
     def connectionMade(self) -> None:
         """Send the first request."""
         self._send_next()
 
     def _send_next(self) -> None:
-        if not self._waiting:
+        if not self._waiting or self._is_lost:
             self.transport.loseConnection()
             return
         self._current = current = self._waiting.pop(0)
@@ -73,6 +74,7 @@
 
     def connectionLost(self, reason: Failure = None) -> None:  # type: ignore[assignment]
         """Record an unfinished answer as cut."""
+        self._is_lost = True
         self._end(Outcome.CUT)
 
     def _read(self) -> None:
