--- a/features/http/unframed_ends.feature
+++ b/features/http/unframed_ends.feature
@@ -40,6 +40,35 @@
       | 1  |
       | 5  |
 
+  Scenario Outline: A busy gateway notices the closes of a process that has ended one turn after the other: <first> first
+    Given a server with 1 idle connection
+    And an unframed answer under way of which "a part" has come
+    And the turns of the gateway's reactor take 40 ms from now on
+    When the server closes <first>
+    And 60 milliseconds pass at the pool
+    And the server closes <second>
+    And 2 seconds pass at the pool
+    Then the answer has failed: "the server's process has ended"
+
+    Examples:
+      | first                              | second                             |
+      | the answer's connection in order   | its idle connections in order      |
+      | its idle connections in order      | the answer's connection in order   |
+
+  Scenario Outline: Closes that an idle gateway notices 60 ms apart are not of one moment: <first> first
+    Given a server with 1 idle connection
+    And an unframed answer under way of which "all of it" has come
+    When the server closes <first>
+    And 60 milliseconds pass at the pool
+    And the server closes <second>
+    And 2 seconds pass at the pool
+    Then the answer is told as whole: "all of it"
+
+    Examples:
+      | first                              | second                             |
+      | the answer's connection in order   | its idle connections in order      |
+      | its idle connections in order      | the answer's connection in order   |
+
   Scenario Outline: Only the connection of a whole unframed answer closes: <others>
     Given a server with <others>
     And an unframed answer under way of which "all of it" has come
--- a/features/steps/http_unframed_end_steps.py
+++ b/features/steps/http_unframed_end_steps.py
@@ -48,6 +48,16 @@
         raise AssertionError(reason)
 
 
+class _TurningClock(VirtualClock):
+    """Virtual time in which a call without delay takes a turn of the reactor."""
+
+    turn_s = 0.0
+
+    def callLater(self, delay, callable, *arguments, **keywords):
+        """Call after a delay, or in the next turn."""
+        return super().callLater(delay or self.turn_s, callable, *arguments, **keywords)
+
+
 def _send(context, method=b"GET"):
     """Send a request over a new connection; return its answer, its call and the server's end."""
     answer = _Answer()
@@ -60,7 +70,7 @@
 
 @given("a server with {others}")
 def make_server(context, others):
-    context.pool_clock = VirtualClock()
+    context.pool_clock = _TurningClock()
     context.reactor = ProcessReactor(context.pool_clock)
     context.pool = ConnectionPool(context.reactor, context.pool_clock, PoolSettings())
     context.log_records = []
@@ -135,6 +145,11 @@
         connection.close(by_reset=False)
 
 
+@step("the turns of the gateway's reactor take {ms:d} ms from now on")
+def slow_turns(context, ms):
+    context.pool_clock.turn_s = ms / MILLISECONDS_PER_S
+
+
 @step("the server refuses new connections")
 def refuse(context):
     context.reactor.refusing.add(ADDRESS)
@@ -188,12 +203,18 @@
 @step("the call is cancelled")
 def cancel(context):
     context.call.cancel()
-    _no_timer(context)
+    _no_timer_behind_turns(context)
 
 
 @step("the pool is stopped")
 def stop(context):
     context.pool.stop()
+    _no_timer_behind_turns(context)
+
+
+def _no_timer_behind_turns(context):
+    """Check that nothing is left but the next turns, which end by themselves."""
+    context.pool_clock.advance(0)
     _no_timer(context)
 
 
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -10,11 +10,12 @@
 from twisted.python.failure import Failure
 
 from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
+from rainsail.http.close_notice import note_close
 from rainsail.http.idle_limit import IdleLimit
 from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.reachability import HeldProbe, Reachability, hold_address, probe_address
 from rainsail.http.unframed_answer import UnframedAnswer
-from rainsail.http.unframed_end import Closing, OtherConnections
+from rainsail.http.unframed_end import CloseNotice, Closing, OtherConnections
 from rainsail.runtime.clock import Clock
 from rainsail.wire.address import parse_address
 
@@ -107,10 +108,10 @@
     open_count: int = 0
     connections: set[ClientConnection] = field(default_factory=set)
     """Those that were established, until they are closed."""
-    closings: deque[tuple[Closing, float]] = field(
+    closings: deque[tuple[Closing, CloseNotice]] = field(
         default_factory=lambda: deque(maxlen=KEPT_CLOSINGS)
     )
-    """The last connections that the server closed: what that tells of its process, and when."""
+    """The last connections that the server closed, with what that tells of its process."""
 
 
 class ConnectionPool:
@@ -291,7 +292,7 @@
         server.open_count -= 1
         server.connections.discard(connection)
         if connection.closing != Closing.NOTHING:
-            server.closings.append((connection.closing, self._clock.seconds()))
+            server.closings.append((connection.closing, note_close(self._clock)))
         server.idle = [each for each in server.idle if each.connection is not connection]
 
     def unframed_answer_begun(self, connection: ClientConnection) -> UnframedAnswer:
--- a/src/rainsail/http/unframed_answer.py
+++ b/src/rainsail/http/unframed_answer.py
@@ -14,6 +14,7 @@
     AnswerListener,
     ClientConnection,
 )
+from rainsail.http.close_notice import note_close
 from rainsail.http.reachability import HeldProbe, Reachability
 from rainsail.http.unframed_end import (
     UNFRAMED_END_SETTLE_S,
@@ -99,7 +100,7 @@
     def answer_ended(self) -> None:
         """Begin to confirm the end."""
         late = self._connection.is_read_late
-        self._end = UnframedEnd(self._begun_s, self._clock.seconds(), late)
+        self._end = UnframedEnd(self._begun_s, note_close(self._clock), late)
         self._servers.unframed_end_begun(self)
         self._timer = self._clock.callLater(UNFRAMED_END_SETTLE_S, self._wait_for_poll)
         if not self._others().framed_open:
--- a/src/rainsail/http/unframed_end.py
+++ b/src/rainsail/http/unframed_end.py
@@ -13,8 +13,7 @@
 UNFRAMED_END_SETTLE_S = 0.05
 """The time behind a close within which the other closes of a process that ends are noticed."""
 SAME_MOMENT_S = 0.01
-"""The most between the closes of two connections, as noticed, that one process closed at its end.
-"""
+"""The most between the closes of two connections that one process closed at its end."""
 
 
 class Closing(StrEnum):
@@ -37,32 +36,44 @@
     """No connection tells; a probe of the address may."""
 
 
+@dataclass(slots=True)
+class CloseNotice:
+    """When a close was noticed, and until when one of the same moment may be noticed behind it."""
+
+    at_s: float
+    until_s: float
+
+    def is_with(self, other: "CloseNotice") -> bool:
+        """Tell whether two closes may be of the same moment."""
+        return self.at_s <= other.until_s and other.at_s <= self.until_s
+
+
 @dataclass(frozen=True, slots=True)
 class UnframedEnd:
     """The close of the connection of an unframed answer."""
 
     begun_s: float
     """When the head of the answer arrived."""
-    noticed_s: float
+    notice: CloseNotice
     is_noticed_late: bool
     """The answer was not always read, so that the close may be older by any part of its time."""
 
     @property
     def earliest_s(self) -> float:
         """The earliest time at which the connection may have closed."""
-        before_s = self.noticed_s - SAME_MOMENT_S
+        before_s = self.notice.at_s - SAME_MOMENT_S
         return min(self.begun_s, before_s) if self.is_noticed_late else before_s
 
-    def is_end_of_process(self, closing: Closing, closed_s: float) -> bool:
+    def is_end_of_process(self, closing: Closing, notice: CloseNotice) -> bool:
         """Tell whether the close of another connection shows that the process has ended.
 
         One that broke off an answer does so too if this close may be as old. Servers close idle
         connections at any time, so that those have to close at the same moment.
         """
-        if abs(closed_s - self.noticed_s) <= SAME_MOMENT_S:
+        if self.notice.is_with(notice):
             return True
         is_broken_off = closing == Closing.BROKEN_OFF
-        return self.is_noticed_late and is_broken_off and closed_s >= self.earliest_s
+        return self.is_noticed_late and is_broken_off and notice.at_s >= self.earliest_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,12 +86,12 @@
     """How many of these carry no unframed answer, so that their close would tell something."""
     oldest_open_s: float | None
     """When the oldest of those that are open was opened."""
-    closings: tuple[tuple[Closing, float], ...]
-    """The last ones that the server closed, without ``Closing.NOTHING``, and when."""
+    closings: tuple[tuple[Closing, CloseNotice], ...]
+    """The last ones that the server closed, without ``Closing.NOTHING``."""
 
     def last_s(self, closing: Closing) -> float | None:
         """Return when the server last closed one in this way."""
-        return max((at_s for how, at_s in self.closings if how == closing), default=None)
+        return max((notice.at_s for how, notice in self.closings if how == closing), default=None)
 
 
 def judge_unframed_end(
@@ -95,7 +106,7 @@
     """
     if others.oldest_open_s is not None and others.oldest_open_s <= end.earliest_s:
         return EndVerdict.SURVIVED
-    if any(end.is_end_of_process(how, at_s) for how, at_s in others.closings):
+    if any(end.is_end_of_process(how, notice) for how, notice in others.closings):
         return EndVerdict.ENDED
     if reach is not None and judge_probe(reach) == EndVerdict.ENDED:
         return EndVerdict.ENDED
