--- a/features/relay/end_confirmation.feature
+++ b/features/relay/end_confirmation.feature
@@ -100,6 +100,16 @@
     And the runner ends its stream
     Then the client has the whole stream of events 1 to 1
 
+  Scenario Outline: Streams that break at random are complete, though <percent> % of the runs that resume one send nothing
+    When 200 clients read streams of <events> events that break at random, while <percent> % of the runs that resume one send nothing
+    Then every stream was complete, and many runs sent nothing
+
+    Examples:
+      | percent | events |
+      | 20      | 12     |
+      | 60      | 12     |
+      | 60      | 4      |
+
   # --- a client that resumes by itself ---
 
   Scenario: A client's own resumption gets the end only from a run that repeats its last event
--- a/features/steps/relay_resumption_steps.py
+++ b/features/steps/relay_resumption_steps.py
@@ -27,6 +27,25 @@
         client.run()
 
 
+@when(
+    "{count:d} clients read streams of {events:d} events that break at random, "
+    "while {percent:d} % of the runs that resume one send nothing"
+)
+def read_streams_with_empty_runs(context, count, events, percent):
+    context.clients = [ResumingClient(seed, events, percent / 100) for seed in range(count)]
+    for client in context.clients:
+        client.run()
+
+
+@then("every stream was complete, and many runs sent nothing")
+def all_whole_beside_empty_runs(context):
+    clients = context.clients
+    faults = [(seed, client.faults[:2]) for seed, client in enumerate(clients) if client.faults]
+    assert not faults, (len(faults), faults[:5])
+    struck = [client for client in clients if client.empty_runs]
+    assert len(struck) > len(clients) // 3, len(struck)
+
+
 @then("every stream was complete, and many were assembled from several runs")
 def all_whole(context):
     clients = context.clients
--- a/features/support/resuming_client.py
+++ b/features/support/resuming_client.py
@@ -24,7 +24,13 @@
     repeat the last one, stop sending or refuse. The client disconnects and resumes.
     """
 
-    def __init__(self, seed: int, events: int) -> None:
+    def __init__(self, seed: int, events: int, empty_chance: float = 0.0) -> None:
+        """``empty_chance``: how often a run that is to resume ends in chunks without an event.
+
+        With it, all answers are in chunks.
+        """
+        self.empty_runs = 0
+        self._empty_chance = empty_chance
         self.runs = RunLog(events)
         self.requests = 0
         self.faults: list[str] = []
@@ -96,7 +102,11 @@
         after = int(call.field(b"after-event") or 0)
         call.run_number = self.runs.begin(STREAM, after)
         call.next_event = max(1, after + self._random.randint(0, 1))
-        call.begin_stream()
+        call.begin_stream(is_framed=bool(self._empty_chance))
+        if self._empty_chance and after and self._random.random() < self._empty_chance:
+            self.empty_runs += 1
+            call.over = True
+            call.listener.answer_ended()
 
     def _break(self, call: StandInCall) -> None:
         call.over = True
