--- a/features/jobs/end_confirmation.feature
+++ b/features/jobs/end_confirmation.feature
@@ -129,3 +129,15 @@
     And 6 runs of the item end without an event
     Then the item is sent again after event 1
     And no result is listed
+
+  Scenario Outline: Items whose runs break off at random are whole, though <percent> % of the runs that resume one send nothing
+    Given a relayed fleet with a table and 2 runners of 8 slots
+    And a job of 30 items is accepted
+    When each run breaks off at random, and <percent> % of those that resume send nothing, seed <seed>
+    Then each item's text is whole, and many runs sent nothing
+
+    Examples:
+      | percent | seed |
+      | 20      | 1    |
+      | 60      | 2    |
+      | 60      | 3    |
