Bytes that come behind an answer that has been told are logged and counted

What an operator sees: nothing, so far. Where a damaged size or length ends an answer early and the rest comes a moment later, the answer has been told and can't be taken back. The connection in the pool was closed on such bytes without a word, so that a report of a short stream could not be told from others.

late_bytes names the runner's address, how many bytes one read brought, whether they begin another answer (a surplus one, which says nothing against the first), and how long ago the last answer on that connection ended; a warning where they begin none. rainsail_answers_with_late_bytes counts those at gateways and storage nodes. Never the bytes themselves. Whole answers do not wait for what may come: at no wait has a look a bound that would be enough, as a stream's next event may be seconds away.

Cost at the size to design for: nothing unless such bytes come; one gauge for each node.

Tests: two scenarios in features/http/answer_ends (failed before: no such line).

--- a/features/http/answer_ends.feature
+++ b/features/http/answer_ends.feature
@@ -121,3 +121,17 @@
     Given calls to 1 runner that answers each call in chunks
     When each runner sends the first 10 of 9000 bytes of a chunk
     Then each call has got 10 bytes so far
+
+  Scenario Outline: Bytes that come once an answer has been told are logged and counted: <behind>
+    Given calls to 2 runners that answer each call in chunks
+    When each runner sends 3 chunks of 2 bytes and their end
+    Then each call has a whole answer of 6 bytes
+    When each runner sends "<behind>" behind its answer, and the log is kept
+    Then the log has 2 lines "late_bytes" of the level <level>, each with <count> bytes
+    And <counted> answers count as followed by bytes that begin no other answer
+    And no runner's connection is open
+
+    Examples:
+      | behind          | level   | count | counted |
+      | id: 4           | WARNING | 5     | 2       |
+      | HTTP/1.1 200 OK | INFO    | 15    | 0       |
--- a/features/steps/http_answer_end_steps.py
+++ b/features/steps/http_answer_end_steps.py
@@ -6,6 +6,8 @@
 from features.steps.http_connection_steps import SocketTransport, call_with, is_whole
 from features.steps.http_runner_answer_steps import close_all, send_all
 
+from rainsail.logs import logger
+
 
 @given("an HTTP client connection with a HEAD request under way")
 def head_call(context):
@@ -69,3 +71,24 @@
 @then("each call has got {count:d} bytes so far")
 def got_so_far(context, count):
     assert {each.answer.size for each in context.calls} == {count}
+
+
+@step('each runner sends "{text}" behind its answer, and the log is kept')
+def send_late(context, text):
+    context.late_records = []
+    sink = logger.add(lambda message: context.late_records.append(message.record))
+    context.add_cleanup(logger.remove, sink)
+    send_all(context, text.encode())
+
+
+@then('the log has {count:d} lines "{event}" of the level {level}, each with {size:d} bytes')
+def has_late_lines(context, count, event, level, size):
+    lines = [each for each in context.late_records if each["message"] == event]
+    found = {(each["extra"]["address"], each["extra"]["bytes"]) for each in lines}
+    assert found == {(each.address, size) for each in context.calls}, found
+    assert len(lines) == count and {each["level"].name for each in lines} == {level}, lines
+
+
+@then("{count:d} answers count as followed by bytes that begin no other answer")
+def counted_late(context, count):
+    assert context.calls_pool.answers_with_late_bytes == count
--- a/features/steps/http_connection_steps.py
+++ b/features/steps/http_connection_steps.py
@@ -252,6 +252,9 @@
         """Record an idle connection."""
         self.idle.append(connection)
 
+    def late_bytes(self, connection, data):
+        """Bytes without a request need nothing here."""
+
     def connection_closed(self, connection):
         """Record a closed connection."""
         self.closed.append(connection)
--- a/src/rainsail/fleet/gateway_node.py
+++ b/src/rainsail/fleet/gateway_node.py
@@ -75,6 +75,7 @@
         self._outlasted = 0
         """Requests that were still under way when the grace time was over."""
         base.metrics.gauge("runner_connections_opened", lambda: float(pool.opened))
+        base.metrics.gauge("answers_with_late_bytes", lambda: float(pool.answers_with_late_bytes))
 
     async def start(self) -> Result[None, Fault]:
         """Listen on all addresses and start to follow the controllers."""
--- a/src/rainsail/fleet/process.py
+++ b/src/rainsail/fleet/process.py
@@ -152,6 +152,9 @@
 
             settings = PoolSettings(connect_timeout_s=0.5)
             pool = ConnectionPool(reactor, base.clock, settings, base.parsing)
+            base.metrics.gauge(
+                "answers_with_late_bytes", lambda: float(pool.answers_with_late_bytes)
+            )
             files = _files(base, reactor)
             return StorageNode(base, port.protocol, port.read_table, pool, files, fatal)
 
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -124,6 +124,10 @@
         """The connection may be reused; the server keeps it open for ``idle_s`` if it says so."""
         ...
 
+    def late_bytes(self, connection: "ClientConnection", data: bytes) -> None:
+        """Bytes have come without a request; the connection is about to be closed."""
+        ...
+
     def connection_closed(self, connection: "ClientConnection") -> None:
         """The connection has closed."""
         ...
@@ -208,6 +212,7 @@
             return
         self._unanswered = False
         if self._listener is None:
+            self._owner.late_bytes(self, data)
             self.abort()
             return
         self._read_bytes = len(data)
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -8,13 +8,16 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
+from rainsail.http.answer_end import begins_like_answer
 from rainsail.http.client import AnswerListener, ClientConnection, OutgoingRequest
 from rainsail.http.idle_limit import IdleLimit
 from rainsail.http.parsing_queue import ParsingQueue
 from rainsail.http.reachability import Reachability, probe_address
+from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.wire.address import parse_address
 
+MILLISECONDS_PER_S = 1000
 KEEP_ALIVE_SHARE = 0.7
 """Share of the server's idle time-out after which a connection is no longer reused."""
 
@@ -123,6 +126,8 @@
         self._reuses: dict[ClientConnection, _Reuse] = {}
         self._idle_limit = IdleLimit()
         self.opened = 0
+        self.answers_with_late_bytes = 0
+        """Answers behind which bytes came, once they had been told, that begin no other answer."""
 
     def send(
         self,
@@ -256,6 +261,20 @@
         now = self._clock.seconds()
         self._servers[address].idle.append(_Idle(connection, now, now + max_idle_s))
 
+    def late_bytes(self, connection: ClientConnection, data: bytes) -> None:
+        """Log bytes on an idle connection: the answer before them may have ended too early."""
+        address = self._address_of.get(connection)
+        if address is None:
+            return
+        now = self._clock.seconds()
+        idle = self._servers[address].idle
+        since_s = next((each.since_s for each in idle if each.connection is connection), now)
+        begins_answer = begins_like_answer(data)
+        self.answers_with_late_bytes += not begins_answer
+        log = logger.bind(address=address, bytes=len(data), begins_answer=begins_answer)
+        log = log.bind(idle_ms=round((now - since_s) * MILLISECONDS_PER_S))
+        log.log("INFO" if begins_answer else "WARNING", "late_bytes")
+
     def connection_closed(self, connection: ClientConnection) -> None:
         """Remove a connection; a reset right after its reuse limits the idle times."""
         address = self._address_of.pop(connection, None)
