A stated length that ends inside an event is not the end of its stream

What callers would see: a part of an event as a whole one, and the end. A stream came with a length that was damaged to a smaller one, and the rest of the event not in the same read: nothing contradicted the end, and a framed end completes the event that is pending.

Cause: that completion is for servers that leave out the last blank line. With chunks nothing is known against it, and it stays. Who states a length knows the whole stream, and by its grammar a stream ends with a blank line; a client that reads by the standard drops an event without one anyway. So an end by length inside an event breaks the answer ('the stated length ends inside an event'), which is no sign of a crash.

What stays: a length that ends behind an event, with the rest in a later read (late_bytes tells then).

Tests: three examples in damaged_framing.feature of relay and jobs (six lengths, in one read and byte by byte).

--- a/features/jobs/damaged_framing.feature
+++ b/features/jobs/damaged_framing.feature
@@ -13,6 +13,7 @@
       | its second chunk has the size 4             |
       | a chunk takes the begin of the next one     |
       | its length is too small                     |
+      | its length ends inside an event             |
       | its length is too large                     |
       | its lengths differ                          |
       | its length is no number                     |
--- a/features/relay/damaged_framing.feature
+++ b/features/relay/damaged_framing.feature
@@ -35,6 +35,8 @@
       | unsafe           | its length is too small                     |
       | keyed            | its length is too small                     |
       | cached           | its length is too small                     |
+      | resumable stream | its length ends inside an event             |
+      | run-once stream  | its length ends inside an event             |
       | resumable stream | its length is too large                     |
       | run-once stream  | its length is too large                     |
       | safe             | its length is too large                     |
--- a/features/support/damaged_framing.py
+++ b/features/support/damaged_framing.py
@@ -117,7 +117,9 @@
 
 
 TAKES_NEXT = "a chunk takes the begin of the next one"
+CUTS_EVENT = "its length ends inside an event"
 READ_BYTES = {
+    CUTS_EVENT: 1,
     TAKES_NEXT: 16,
     "its second chunk has the size 00": 1,
     "its second chunk has the size 4": 1,
@@ -149,6 +151,7 @@
         f"{count} less": _length_off_by(-count)
         for count in (1, 2, 3, 9, len(event(3)), len(event(3)) + 1)
     },
+    CUTS_EVENT: {f"{count} less": _length_off_by(-count) for count in (1, 2, 7, 13, 19, 21)},
     "its length is too large": {f"{count} more": _length_off_by(count) for count in (1, 40, 4000)},
     "its lengths differ": {
         "two fields": _framed_by(LENGTH % 5, LENGTH % 21),
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -15,6 +15,7 @@
 from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.continuation import (
     CLOSED_EARLY,
+    CUT_BY_LENGTH,
     FOREIGN_ANSWER,
     LOST_BEGINNING,
     MISSING_EVENT,
@@ -328,6 +329,9 @@
             self._end(BODY_ENDS[judge_item_body(self._status)], f"status {self._status}")
 
     def _end_stream(self, stream: EventStream) -> None:
+        if stream.is_cut_by_length:
+            self._end(RunEnd.BROKEN, CUT_BY_LENGTH)
+            return
         if not stream.may_end_here:
             self.connection_ended = True
             self._end(RunEnd.BROKEN, CLOSED_EARLY)
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -11,6 +11,7 @@
 from rainsail.relay.continuation import (
     CLOSED_BEFORE_BODY,
     CLOSED_EARLY,
+    CUT_BY_LENGTH,
     FOREIGN_ANSWER,
     NO_ROOM,
     OVERLONG_EVENT,
@@ -213,6 +214,9 @@
                 self._owner.answer_received(self)
             else:
                 self._closed_early(CLOSED_BEFORE_BODY)
+        elif self.stream.is_cut_by_length:
+            self.end_reason = CUT_BY_LENGTH
+            self._owner.answer_interrupted(self, CUT_BY_LENGTH)
         elif self.stream.may_end_here:
             self._owner.stream_ended(self)
         else:
--- a/src/rainsail/relay/events.py
+++ b/src/rainsail/relay/events.py
@@ -102,6 +102,15 @@
             return True
         return self._has_events and not self._is_inside_event
 
+    @property
+    def is_cut_by_length(self) -> bool:
+        """Tell whether an end at this point would be that of a length, and inside an event.
+
+        Who states a length knows the whole stream, and a stream ends with a blank line. An end
+        in chunks may come without one, as some servers leave out the last.
+        """
+        return self._framing == Framing.LENGTH and self._is_inside_event
+
     @property
     def _is_inside_event(self) -> bool:
         return bool(self._pending.strip(LINE_ENDS))
