--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -12,6 +12,7 @@
 from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.continuation import (
     CLOSED_EARLY,
+    CUT_BY_LENGTH,
     FOREIGN_ANSWER,
     LOST_BEGINNING,
     MISSING_EVENT,
@@ -296,6 +297,9 @@
             self._end(BODY_ENDS[judge_item_body(self._status)], f"status {self._status}")
 
     def _end_stream(self, stream: EventStream) -> None:
+        if stream.is_cut_by_length:
+            self._end(RunEnd.BROKEN, CUT_BY_LENGTH)
+            return
         has_nothing_to_resume = self._asked.after_event is not None and stream.is_empty
         if not stream.may_end_here and not has_nothing_to_resume:
             self.connection_ended = True
