Quarantine: a part on trial explains nothing to a request that alone may have caused another crash

Cause: any part on the list explains to whole requests the crashes at which it ran, as few requests cause crashes. That does not hold for a request which nothing else can explain one crash of.

Now, if answers have cleared all else that ran at one of its crashes, only entries that trials have convicted explain the others. Such a request is held at the third crash at the same point of its runs, and put on trial; an answer clears a sound one. It costs a look at the runs of each crash of a suspect, which ends at the first other one that isn't cleared, in the same pass as before; no message, timer or state.

--- a/features/quarantine/drawn_courses.feature
+++ b/features/quarantine/drawn_courses.feature
@@ -12,6 +12,8 @@
       | first | last |
       | 1     | 100  |
       | 201   | 300  |
+      | 673   | 673  |
+      | 871   | 871  |
 
   Scenario Outline: The drawn courses detect a product in which <defect>
     Given a product in which <defect>
--- a/features/quarantine/evidence_per_crash.feature
+++ b/features/quarantine/evidence_per_crash.feature
@@ -78,6 +78,67 @@
     And time goes on to 33 s
     Then item-2 is in the list
 
+  Scenario: A request that alone may have caused one crash has its crashes beside a part on trial counted
+    # Guards against: a fatal item that runs three times more without a trial, since a part that was
+    # held for crashes of its own explains all crashes of the item but one.
+    When these happen:
+      | s    | event  | suspects                         |
+      | 0.0  | crash  | item-1, part-1                   |
+      | 0.0  | crash  | item-2, part-2, other            |
+      | 0.0  | crash  | item-3, part-2, other            |
+      | 0.1  | crash  | item-4, part-2, other            |
+      | 0.3  | answer | other                            |
+    And time goes on to 4 s
+    Then part-2 is in the list
+    When these happen:
+      | s    | event  | suspects                         |
+      | 4.5  | crash  | item-1, part-1, item-2, part-2   |
+      | 5.5  | crash  | item-1, part-1, item-3, part-2   |
+    And time goes on to 7 s
+    Then item-1 is not in the list
+    When these happen:
+      | s    | event  | suspects                         |
+      | 7.1  | answer | part-1                           |
+    And time goes on to 8 s
+    Then item-1, part-2 are in the list
+
+  Scenario: A request whose own part may have caused that crash is not held beside a part on trial
+    When these happen:
+      | s    | event  | suspects                         |
+      | 0.0  | crash  | item-1, part-1                   |
+      | 0.0  | crash  | item-2, part-2, other            |
+      | 0.0  | crash  | item-3, part-2, other            |
+      | 0.1  | crash  | item-4, part-2, other            |
+      | 0.3  | answer | other                            |
+    And time goes on to 4 s
+    Then part-2 is in the list
+    When these happen:
+      | s    | event  | suspects                         |
+      | 4.5  | crash  | item-1, part-1, item-2, part-2   |
+      | 5.5  | crash  | item-1, part-1, item-3, part-2   |
+    And time goes on to 12 s
+    Then item-1 is not in the list
+
+  Scenario: A request that alone may have caused one crash is not held for those of a part held for good
+    When these happen:
+      | s    | event  | suspects                         |
+      | 0.0  | crash  | item-1, part-1                   |
+      | 0.0  | crash  | item-2, part-2, other            |
+      | 0.0  | crash  | item-3, part-2, other            |
+      | 0.1  | crash  | item-4, part-2, other            |
+      | 0.3  | answer | other                            |
+    And time goes on to 4 s
+    Then part-2 is in the list
+    When these happen:
+      | s    | event  | suspects                         |
+      | 4.5  | crash  | item-1, part-1, item-2, part-2   |
+      | 5.5  | crash  | item-1, part-1, item-3, part-2   |
+      | 6.5  | crash  | item-4, part-2                   |
+      | 7.1  | answer | part-1                           |
+    And time goes on to 12 s
+    Then part-2 is held without a trial
+    And item-1 is not in the list
+
   Scenario: A fatal part of requests that come again and again is in the list 3 s after its fifth crash
     # Guards against: a fatal part that goes on, as its requests explain its crashes.
     When these happen:
--- a/src/rainsail/quarantine/evidence.py
+++ b/src/rainsail/quarantine/evidence.py
@@ -24,20 +24,27 @@
     """Return the crashes that count against a suspect that is not in the list, oldest first.
 
     ``entries`` are those of the list: parts among them explain the crashes at which they ran to
-    whole requests, of which few cause crashes. An entry of ``convicted``, which no trial has
-    cleared, explains them too. A part that crashes runners could go on meanwhile for all requests
-    that share it. So to a part only convicted parts explain a crash; a request never does, as the
-    part may be why it crashes.
+    whole requests, of which few cause crashes, but not to one that alone may have caused another
+    crash. An entry of ``convicted``, which no trial has cleared, explains them to all. A part that
+    crashes runners could go on meanwhile for all requests that share it. So to a part only
+    convicted parts explain a crash; a request never does, as the part may be why it crashes.
     """
     crashes = log.open_of(fingerprint)
     if not is_of_part(fingerprint):
-        explaining = [each for each in entries if is_of_part(each) or each in convicted]
+        explaining = list(convicted)
+        if not any(_is_sole_suspect(fingerprint, crash) for crash in crashes):
+            explaining += [each for each in entries if is_of_part(each)]
         return [each for each in crashes if not _is_explained(each, explaining)]
     parts = [each for each in convicted if is_of_part(each)]
     crashes = [each for each in crashes if not _is_explained(each, parts)]
     return _without_known_others(fingerprint, crashes, log.all_of(fingerprint))
 
 
+def _is_sole_suspect(fingerprint: Fingerprint, crash: Crash) -> bool:
+    """Tell whether answers have cleared all else that ran at a crash."""
+    return all(each == fingerprint or each in crash.answered for each in crash.runs)
+
+
 def _is_explained(crash: Crash, entries: Iterable[Fingerprint]) -> bool:
     return any(each in crash.runs and each not in crash.answered for each in entries)
 
