An event that seemed to follow is given up after three ends against it; a refuted end costs an item 1 s

What would have been seen: an item that is never done. A part of an event that broke off, or a number out of order, was taken for good as proof that more events follow; where that was damage, every run after the last event was refuted, for ever. Found by reading; the new scenario "What looked like a part of the next event was damage" asks for event 1 again after three such ends, which never does: there resume_after returns the last event as long as more are held to follow. Now, after three orderly ends, the ends are judged as if nothing were known; the run that has to repeat the last event still is the proof, so no text gets short by it (the drawn courses stay whole).

An item whose runs end in order before its last event waited up to 8 s between them, like one whose answers can't be parsed. Such a run takes hardly any time of a slot: 1 s at most now (END_REFUTED, which otherwise counts as a broken run).

A stream whose end was checked does not tell the overload guard how long its slot was held: the check takes up to the time that a client waits.

--- a/features/jobs/end_confirmation.feature
+++ b/features/jobs/end_confirmation.feature
@@ -72,6 +72,17 @@
     Then the item is sent again after event 2
     And no result is listed
 
+  Scenario: What looked like a part of the next event was damage, so the text is done in the end
+    Given a relayed fleet with a table and 2 runners of 8 slots
+    And a job of 1 item is accepted
+    When the item's run sends 2 events and breaks
+    Then the item is sent again after event 2
+    When 3 runs of the item end without an event
+    Then the item is sent again after event 1
+    When the item's run sends events 2 to 2 and ends in chunks
+    And a second run of the item begins with event 1 too
+    Then the item's text has 2 events
+
   Scenario: A new leader knows the text and no statement
     Given a relayed fleet with a table and 2 runners of 8 slots
     And a job of 1 item is accepted
--- a/src/rainsail/jobs/after_run.py
+++ b/src/rainsail/jobs/after_run.py
@@ -60,6 +60,12 @@
 ITEM_BACKOFF_MAX_S = 8.0
 """Maximum backoff of an item; short compared to the completion time of jobs."""
 
+REFUTED_BACKOFF_MAX_S = 1.0
+"""The same after a run that ended in order before the text's last event.
+
+Such a run is over at once and takes hardly any time of a slot.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class ItemOver:
@@ -76,7 +82,7 @@
 
 def indicates_runner_failure(end: RunEnd) -> bool:
     """Tell whether the end of a run suggests a failing runner; the cause may lie elsewhere."""
-    return end in (RunEnd.BROKEN, RunEnd.UNREACHED, RunEnd.FAILED)
+    return end in (RunEnd.BROKEN, RunEnd.END_REFUTED, RunEnd.UNREACHED, RunEnd.FAILED)
 
 
 def runner_backoff_s(failed_runs: int) -> float:
@@ -97,7 +103,7 @@
     this one.
     """
     match end:
-        case RunEnd.BROKEN:
+        case RunEnd.BROKEN | RunEnd.END_REFUTED:
             return runner_backoff_s(failed_runs)
         case RunEnd.UNREACHED:
             return max(NOT_RUN_PAUSE_S, runner_backoff_s(failed_runs))
@@ -166,7 +172,7 @@
     return counts
 
 
-def item_backoff_s(runs_without_event: int) -> float:
+def item_backoff_s(runs_without_event: int, end: RunEnd = RunEnd.BROKEN) -> float:
     """Return an item's backoff after so many consecutive broken runs without a new event.
 
     Without a backoff, an item whose answer cannot be parsed would occupy slots forever, and its
@@ -175,4 +181,6 @@
     doublings = runs_without_event - RUNS_BEFORE_ITEM_BACKOFF
     if doublings < 0:
         return 0.0
-    return min(ITEM_BACKOFF_MIN_S * 2**doublings, ITEM_BACKOFF_MAX_S)
+    is_refuted = end == RunEnd.END_REFUTED
+    maximum_s = REFUTED_BACKOFF_MAX_S if is_refuted else ITEM_BACKOFF_MAX_S
+    return min(ITEM_BACKOFF_MIN_S * 2**doublings, maximum_s)
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -65,6 +65,8 @@
     """The answer ended properly, but it is not yet known whether its first events were lost."""
     END_UNCONFIRMED = "end_unconfirmed"
     """The answer ended properly, but another run has to tell whether more events follow."""
+    END_REFUTED = "end_refuted"
+    """The answer ended properly, but before the text's last event."""
     CONFIRMED = "confirmed"
     """The run begins like an earlier one, and so confirms that one's text as complete."""
     BROKEN = "broken"
@@ -324,7 +326,7 @@
         if verdict == EndVerdict.ASK:
             self._end(RunEnd.END_UNCONFIRMED, UNCONFIRMED_END)
         elif verdict == EndVerdict.WRONG:
-            self._end(RunEnd.BROKEN, REFUTED_END)
+            self._end(RunEnd.END_REFUTED, REFUTED_END)
         elif self._is_unconfirmed(beginning):
             self.progress.set_unconfirmed(beginning)
             self._end(RunEnd.UNCONFIRMED, UNCONFIRMED_BEGINNING)
--- a/src/rainsail/jobs/item_runs.py
+++ b/src/rainsail/jobs/item_runs.py
@@ -41,6 +41,7 @@
     RunEnd.BROKEN,
     RunEnd.UNCONFIRMED,
     RunEnd.END_UNCONFIRMED,
+    RunEnd.END_REFUTED,
     RunEnd.CONFIRMED,
 )
 """Ends of runs of which something may still arrive, or whose text may be dropped."""
@@ -218,7 +219,7 @@
         self._count_run_end(item.runner, end, now)
         for runner in item.progress.ends.take_refuted():
             self._recorder.end_refuted(item, runner)
-            self._count_run_end(runner, RunEnd.BROKEN, now)
+            self._count_run_end(runner, RunEnd.END_REFUTED, now)
         self._list_or_requeue(item, end, now)
 
     def _count_run_end(self, runner: str, end: RunEnd, now: float) -> None:
@@ -239,8 +240,8 @@
             return
         self._notes.settle(item)
         item.ready_at_s = now
-        if end == RunEnd.BROKEN:
-            item.ready_at_s += item_backoff_s(item.count_runs_without_event())
+        if end in (RunEnd.BROKEN, RunEnd.END_REFUTED):
+            item.ready_at_s += item_backoff_s(item.count_runs_without_event(), end)
         elif end == RunEnd.UNCONFIRMED:
             item.ready_at_s += CONFIRMATION_PAUSE_S
         self._waiting.requeue(item)
--- a/src/rainsail/relay/end_check.py
+++ b/src/rainsail/relay/end_check.py
@@ -52,6 +52,8 @@
         self._standing: Attempt | None = None
         """The run whose end completes the stream if no other run can tell."""
         self._timer: Timer | None = None
+        self.has_asked = False
+        """Another run was to be asked about an end."""
 
     @property
     def stands_alone(self) -> bool:
@@ -148,6 +150,7 @@
         ``time_left_s`` is the time until the request's deadline. An end that does not stand alone
         holds nothing up.
         """
+        self.has_asked = True
         if self._standing is None or self._timer is not None:
             return True
         context, route = self._context, self._sender.route
--- a/src/rainsail/relay/end_confirmation.py
+++ b/src/rainsail/relay/end_confirmation.py
@@ -23,6 +23,9 @@
 AGREEING_RUNS = 2
 AGREEING_RUNS_OF_ONE_RUNNER = 3
 """Runs that complete a stream if all were at one runner although there are others."""
+ENDS_AGAINST_A_PART = 3
+"""Orderly ends of runs after which an event that came in part, or out of order, counts as damaged.
+"""
 FIELD_START = re.compile(rb"[A-Za-z][A-Za-z-]*(:|$)")
 
 
@@ -69,6 +72,8 @@
         """The runners whose statements turned out to be wrong since ``take_refuted``."""
         self._has_more = False
         """An event after that one is known to exist."""
+        self._ends_despite_more = 0
+        """Runs that ended behind the last event although another one seems to exist."""
         self._was_refuted = False
         """More events came behind an earlier statement."""
 
@@ -102,7 +107,9 @@
         self.received(last_event)
         is_control = run.after_event is None or run.after_event < last_event
         is_behind = run.last_number == last_event
-        if self._has_more or (is_control and not is_behind):
+        if is_control and not is_behind:
+            return EndVerdict.WRONG
+        if self._has_more and not self._is_disproved():
             return EndVerdict.WRONG
         if is_behind and run.is_framed:
             return EndVerdict.COMPLETE
@@ -110,6 +117,17 @@
         self._statements += 1
         return EndVerdict.COMPLETE if self._is_agreed(run) else EndVerdict.ASK
 
+    def _is_disproved(self) -> bool:
+        """Count an end against the event that is held to follow; tell whether it is given up.
+
+        What was taken for a part of it may have been damaged, and an item would wait for it for
+        ever. From then on the ends are judged as if nothing were known.
+        """
+        self._ends_despite_more += 1
+        if self._ends_despite_more >= ENDS_AGAINST_A_PART:
+            self._has_more = False
+        return not self._has_more
+
     def _is_agreed(self, run: EndedRun) -> bool:
         if not self._with_event:
             return False
@@ -125,12 +143,14 @@
         self._refute()
         self._last_event = last_event
         self._has_more = False
+        self._ends_despite_more = 0
 
     def more_follow(self, last_event: int) -> None:
         """Note that an event after ``last_event`` exists: all that was stated is wrong."""
         self.received(last_event)
         self._refute()
         self._has_more = True
+        self._ends_despite_more = 0
 
     def _refute(self) -> None:
         self._was_refuted = self._was_refuted or self.has_statements
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -479,7 +479,7 @@
         elif verdict == EndVerdict.WRONG:
             self._continue_after(AttemptEnd.BROKEN)
         else:
-            self._stream_ending.run_ended(attempt, self._deadline.left_s)
+            self._end_stream(attempt)
 
     def _ask_about_end(self, attempt: Attempt) -> None:
         """Ask another run whether the stream ends here, as far as one is allowed."""
@@ -497,14 +497,18 @@
             self._continue_after(AttemptEnd.BROKEN)
         else:
             # No request of the client that resumes could be checked either.
-            self._stream_ending.run_ended(attempt, self._deadline.left_s)
+            self._end_stream(attempt)
+
+    def _end_stream(self, attempt: Attempt) -> None:
+        was_checked = self._end_check.has_asked
+        self._stream_ending.run_ended(attempt, self._deadline.left_s, was_checked)
 
     def _complete_standing(self) -> None:
         """Complete a stream whose end no other run has confirmed in time."""
         standing = self._end_check.take_standing()
         if standing is not None:
             self._sender.cancel()
-            self._stream_ending.run_ended(standing, self._deadline.left_s)
+            self._end_stream(standing)
 
     def _end_unless_standing(self, ending: Ending) -> None:
         """End a request that no other runner gets, unless its stream has ended by itself."""
--- a/src/rainsail/relay/stream_ending.py
+++ b/src/rainsail/relay/stream_ending.py
@@ -39,9 +39,14 @@
         self._held: Attempt | None = None
         """The run whose end is held."""
 
-    def run_ended(self, attempt: Attempt, time_left_s: float) -> None:
-        """End a stream all of whose events were written, ``time_left_s`` before its deadline."""
-        self._recorder.streamed(self._sender.service, self._answer.first_s)
+    def run_ended(self, attempt: Attempt, time_left_s: float, was_checked: bool) -> None:
+        """End a stream all of whose events were written, ``time_left_s`` before its deadline.
+
+        ``was_checked``: other runs were asked about its end, so that it took longer than its slot
+        was held.
+        """
+        if not was_checked:
+            self._recorder.streamed(self._sender.service, self._answer.first_s)
         unconfirmed = self._answer.unconfirmed
         since_last_event_s = self._context.clock.seconds() - self._answer.last_sent_s
         left_s = time_left_s - self._context.settings.min_time_left_s
