A whole unframed answer clears a suspected part of its prompt: its runner has survived it

Their crashes are noticed now, and whole answers still counted as no proof of survival, so that a part of a prompt which all requests share was held and not cleared.

Cause: proves_survival was False for an answer that ends with its connection, as a crash looks the same. The pool reports such an end only if the server's process survived it, so it is proof like any other.

The new check of unframed_ends.feature failed before.

--- a/features/relay/unframed_ends.feature
+++ b/features/relay/unframed_ends.feature
@@ -36,6 +36,7 @@
     Given a relay before runner processes, with a "<route>" route
     When a runner sends the whole answer unframed and closes its connection in order
     Then the client has the whole <answer>, of 1 runner
+    And the answer counts as proof that the runner survived the request
 
     Examples:
       | route            | answer |
--- a/features/steps/relay_unframed_end_steps.py
+++ b/features/steps/relay_unframed_end_steps.py
@@ -146,6 +146,13 @@
     assert answer.status == 502 or not answer.is_whole, answer
 
 
+@then("the answer counts as proof that the runner survived the request")
+def survival_proved(context):
+    (run,) = context.relay.ended
+    (attempt,) = run._sender.attempts
+    assert attempt.proves_survival, attempt.summary
+
+
 @step("the crash of the first runner's connection was noticed")
 def crash_noticed(context):
     (run,) = context.relay.runs
--- a/src/rainsail/jobs/item_run.py
+++ b/src/rainsail/jobs/item_run.py
@@ -312,7 +312,7 @@
             self._begin_text(None)
         if not self._over:
             self.is_whole = True
-            self.proves_survival = self._framing != Framing.CLOSE
+            self.proves_survival = True
             self._end_whole_answer(StreamBeginning(self._source, self.progress.first_event))
 
     def _end_whole_answer(self, beginning: StreamBeginning) -> None:
--- a/src/rainsail/relay/attempt.py
+++ b/src/rainsail/relay/attempt.py
@@ -4,7 +4,7 @@
 
 from rainsail.budget.runner_answer import UNCOUNTED_BYTES, RunnerAnswer
 from rainsail.cluster.messages import RunnerRecord
-from rainsail.http.client import CONNECTION_ENDS, AnswerHead, Framing
+from rainsail.http.client import CONNECTION_ENDS, AnswerHead
 from rainsail.http.pool import Call
 from rainsail.quarantine.run_times import RunTimes
 from rainsail.relay.context import RelayContext
@@ -140,10 +140,9 @@
     def proves_survival(self) -> bool:
         """Tell whether the complete answer proves that the runner survived the request.
 
-        Without a length or chunks only the end of the connection marks the end of a body, and a
-        runner that crashes closes its connections too.
+        The pool reports the end of an unframed answer only if the runner's process survived it.
         """
-        return self.head is not None and not self.failed and self.head.framing != Framing.CLOSE
+        return self.head is not None and not self.failed
 
     @property
     def summary(self) -> str:
--- a/tools/answer_plays.py
+++ b/tools/answer_plays.py
@@ -68,6 +68,8 @@
     """The same, and all the runner's connections with it; it is back after two seconds."""
     CRASH_BRIEFLY = "crash-briefly"
     """The same, and it is back under its id after a tenth of a second."""
+    CRASH_FRAMED = "crash-framed"
+    """As ``CRASH_BRIEFLY``, of answers in chunks."""
     EMPTY = "empty"
     """A run from the start breaks off; a run that takes it up has no event and ends in chunks."""
     EMPTY_UNFRAMED = "empty-unframed"
@@ -85,6 +87,7 @@
     Fault.CRASH_BRIEFLY,
     Fault.EMPTY_UNFRAMED,
 )
+CRASHES = (Fault.CRASH, Fault.CRASH_BRIEFLY, Fault.CRASH_FRAMED)
 
 
 class FaultyRunner(Runner):
@@ -124,7 +127,7 @@
             if number == last and fault in (Fault.CLOSE, Fault.EMPTY, Fault.EMPTY_UNFRAMED):
                 self._close(writer)
                 return
-            if number == last and fault in (Fault.CRASH, Fault.CRASH_BRIEFLY):
+            if number == last and fault in CRASHES:
                 await self._crash_in_order(fault)
                 return
         if unframed:
