A planned stop ends a stream whose beginning and end are both to be confirmed

Cause: end_by_stop released held ends first and completed an end that stood alone afterwards; where the beginning was not confirmed either, that began a new hold, and the request had no outcome.

A hold that begins so is released at once, and whatever still has no outcome is ended by the stop's own rule. Test: the scenario of that name in features/relay/end_confirmation.feature, failed before.

--- a/features/relay/end_confirmation.feature
+++ b/features/relay/end_confirmation.feature
@@ -238,6 +238,16 @@
     Then the client has 1 events and the end
     And 1 attempt was made
 
+  Scenario: A stop of the gateway ends a stream whose beginning and end are both to be confirmed
+    # Guards against: requests behind such a stream that a planned stop left without an answer.
+    Given a relay with 4 runners and a resumable "stream" route of 4 attempts
+    When a client sends a request to the relay
+    And the runner sends events 5 to 7 in pieces
+    And the runner sends events 5 to 7 in pieces
+    And the runner ends its stream
+    And the gateway's grace time has passed
+    Then the request is over
+
   Scenario: A stop of the gateway does not wait for the check
     Given a relay with 3 runners and a resumable "stream" route
     When a client sends a request to the relay
--- a/features/steps/end_confirmation_steps.py
+++ b/features/steps/end_confirmation_steps.py
@@ -62,3 +62,8 @@
 @step("the gateway's grace time has passed")
 def stop(context):
     context.relay.last_run.end_by_stop()
+
+
+@then("the request is over")
+def is_over(context):
+    assert context.relay.last_run.outcome is not None
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -199,8 +199,11 @@
         """End the request with a complete answer, or an aborted one: the gateway stops."""
         self._stream_ending.release()
         if self.outcome is None:
-            ending = end_by_stop(self._progress(), self._sender.is_sent)
-            self._end_unless_standing(ending)
+            self._end_unless_standing(end_by_stop(self._progress(), self._sender.is_sent))
+            # An end that stood may be held again, until its stream's beginning is known.
+            self._stream_ending.release()
+        if self.outcome is None:
+            self._end(end_by_stop(self._progress(), self._sender.is_sent))
 
     def _end(self, ending: Ending) -> None:
         """Carry out the decided end of the request."""
