Line ends behind a body with a length, and bytes behind an answer that is all head, are no damage

Cause: any bytes behind an end that begin no other answer contradicted it. A line end says nothing against a body with a length, and no body can be missing behind a 204 or 304. Behind chunks a line end still does: it may be the rest of an event whose size was damaged to 0.

--- a/features/http/answer_ends.feature
+++ b/features/http/answer_ends.feature
@@ -21,7 +21,8 @@
       | http/1.1 200 OK          | broke              |
       | h                        | broke              |
       | !                        | broke              |
-      | \|                       | broke              |
+      | \|                       | is whole with "hi" |
+      | \|\|                     | is whole with "hi" |
       | \|HTTP/1.1 200 OK\|A: b  | broke              |
       | 0\|\|                    | broke              |
 
@@ -32,8 +33,8 @@
 
     Examples:
       | status           | behind                | end                     |
-      | 204 No Content   | hi                    | broke                   |
-      | 304 Not Modified | hi                    | broke                   |
+      | 204 No Content   | hi                    | is whole without a body |
+      | 304 Not Modified | hi                    | is whole without a body |
       | 204 No Content   |                       | is whole without a body |
       | 304 Not Modified | HTTP/1.1 200 OK\|A: b | is whole without a body |
 
--- a/src/rainsail/http/answer_end.py
+++ b/src/rainsail/http/answer_end.py
@@ -9,6 +9,7 @@
 
 from rainsail.http.headers import HeaderFields, header_value, listed_in
 
+LINE_ENDS = b"\r\n"
 DIGITS = b"0123456789"
 STATUS_LINE_BEGIN = (b"H", b"T", b"T", b"P", b"/", b"1", b".", DIGITS, b" ", *3 * (DIGITS,))
 """The bytes that may stand at each place of the beginning of an answer."""
@@ -26,8 +27,8 @@
     """What has been received behind it."""
     chunked_bytes: int | None
     """The size of its body; None where it has not come in chunks."""
-    is_to_head: bool = False
-    """Whether it answers a ``HEAD`` request, so that its head is all of it."""
+    is_head_only: bool = False
+    """Whether its head is all of it, by its status or its request."""
 
 
 def contradiction(end: AnswerEnd) -> str:
@@ -39,7 +40,7 @@
     unannounced = sum(name.lower() not in announced for name in end.trailers)
     if unannounced:
         return f"{unannounced} trailer fields that its head does not announce"
-    if end.surplus and not end.is_to_head and not begins_like_answer(end.surplus):
+    if not end.is_head_only and not is_harmless(end.surplus, end.chunked_bytes is not None):
         return f"{len(end.surplus)} bytes behind its end"
     stated = header_value(end.fields, b"content-length")
     if stated is not None and end.chunked_bytes not in (None, int(stated)):
@@ -47,6 +48,17 @@
     return ""
 
 
+def is_harmless(surplus: bytes, is_chunked: bool) -> bool:
+    """Tell whether bytes behind an end don't contradict it.
+
+    Some servers send a line end behind a body with a length. Behind chunks it may be the rest of an
+    event whose size was damaged.
+    """
+    if not is_chunked and not surplus.strip(LINE_ENDS):
+        return True
+    return begins_like_answer(surplus)
+
+
 def begins_like_answer(data: bytes) -> bool:
     """Tell whether these bytes, of which there may be few, are the beginning of another answer.
 
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -377,8 +377,8 @@
         trailers = tuple(name for name, _ in event.headers)
         is_chunked = self._head.framing == Framing.CHUNKED
         size = self._body_bytes if is_chunked else None
-        surplus = self._surplus()
-        return AnswerEnd(self._head.headers, trailers, surplus, size, self._is_head_request)
+        is_head_only = self._head.framing == Framing.HEAD
+        return AnswerEnd(self._head.headers, trailers, self._surplus(), size, is_head_only)
 
     def _surplus(self) -> bytes:
         """Return what has been received behind the end of the answer, or its beginning."""
