Unframed ends: what a process that ended leaves behind is not taken for its survival

Where a close may be as old as the answer's head, any close by the server since then counts as the end of its process, unless an older connection is open. - A connection that had not been answered was reset with the process. Its reset tells nothing (a server without room does so), but it kept the pool from probing the address at once, and a process back after 30 ms passed for the old one. Only connections that have been answered spare the probe now. - 32 interim answers and an unframed one in one read, and a close: the head was parsed after the connection had gone from the pool, a KeyError left the request without an end and stopped the parsing queue. The connection knows its address itself.

--- a/features/http/unframed_ends.feature
+++ b/features/http/unframed_ends.feature
@@ -26,6 +26,31 @@
       | 1 other unframed answer under way   | its address refuses            |
       | 1 other unframed answer under way   | another one listens after 2 ms |
 
+  Scenario: A process resets a request that it has not answered, and another one listens after 30 ms
+    # Guards against: a stream told as complete, where the reset counted as that of a server without room.
+    Given a server with no other connection
+    And an unframed answer under way of which "a part" has come
+    And a later request that is not answered, and whose connection the end of the process resets
+    When the server's process ends and another one listens after 30 ms
+    And 2 seconds pass at the pool
+    Then the answer has failed: "the server's process has ended"
+
+  Scenario: A process ends and another one listens while a slow client keeps the answer from being read
+    # Guards against: the end of one process confirmed by the connections of the next.
+    Given a server with 1 idle connection
+    And an unframed answer under way of which "a part" has come
+    When reading is paused, the server's process ends unnoticed on the answer's connection, and another one listens
+    And reading goes on, and the close is noticed
+    And 2 seconds pass at the pool
+    Then the answer has failed: "the server's process has ended"
+
+  Scenario: An unframed answer behind 32 interim answers closes in the same read
+    # Guards against: an exception in the parsing queue, as the address was gone when the head was parsed.
+    Given a server with no other connection
+    When a server sends 32 interim answers and an unframed one in one read, and closes
+    And 2 seconds pass at the pool
+    Then the answer is told as whole: "all of it"
+
   Scenario Outline: A process ends behind the close of one unframed answer by <ms> ms and is back at once
     Given a server with 1 idle connection
     And an unframed answer under way of which "a part" has come
--- a/features/steps/http_unframed_end_steps.py
+++ b/features/steps/http_unframed_end_steps.py
@@ -99,6 +99,11 @@
     assert context.answer.framing == Framing.CLOSE and not context.answer.ends
 
 
+@given("a later request that is not answered, and whose connection the end of the process resets")
+def leave_unanswered(context):
+    context.reactor.resetting.append(_send(context)[2])
+
+
 def _end_process(context, afterwards, unnoticed=None):
     back_after_s = None
     if afterwards == "its address is silent":
@@ -117,6 +122,31 @@
     _end_process(context, afterwards)
 
 
+@step(
+    "reading is paused, the server's process ends unnoticed on the answer's connection, "
+    "and another one listens"
+)
+def end_process_paused(context):
+    context.call.set_paused(True)
+    _end_process(context, "another one listens after 100 ms", context.connection)
+    context.pool_clock.advance(EARLIER_S)
+    context.others.append((None, _send(context)[2]))
+
+
+@step("reading goes on, and the close is noticed")
+def notice_close(context):
+    context.call.set_paused(False)
+    context.connection.close(by_reset=False)
+
+
+@step("a server sends {count:d} interim answers and an unframed one in one read, and closes")
+def send_interim(context, count):
+    context.answer, context.call, context.connection = _send(context)
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n" * count
+    context.connection.send(interim + UNFRAMED + b"all of it")
+    context.connection.close(by_reset=False)
+
+
 @step("the server's process ends unnoticed by the answer, and {afterwards}")
 def end_process_unnoticed(context, afterwards):
     _end_process(context, afterwards, context.connection)
--- a/features/support/server_processes.py
+++ b/features/support/server_processes.py
@@ -1,7 +1,7 @@
 """Server processes at addresses, over in-memory connections of a pool in virtual time.
 
-A process that ends closes all its connections in order, one right after the other, and its address
-refuses until a new one listens there.
+A process that ends closes all its connections, one right after the other, in order unless it has
+data that it has not read, and its address refuses until a new one listens there.
 """
 
 from typing import Any
@@ -26,6 +26,8 @@
         """Every connection that was established, with those of probes."""
         self.refusing: set[str] = set()
         self.silent: set[str] = set()
+        self.resetting: list[RunnerConnection] = []
+        """The connections with data that a process has not read: its end resets these."""
         self.is_full = False
         """New connections are reset right behind their opening."""
 
@@ -70,4 +72,5 @@
             self._clock.callLater(back_after_s, self.refusing.discard, address)
         ending = [each for each in self.open_at(address) if each is not unnoticed]
         for number, each in enumerate(ending):
-            self._clock.callLater(number * CLOSE_S, each.close, False)
+            by_reset = each in self.resetting
+            self._clock.callLater(number * CLOSE_S, each.close, by_reset)
--- a/src/rainsail/http/client.py
+++ b/src/rainsail/http/client.py
@@ -131,6 +131,8 @@
     ) -> None:
         """``parsing`` is shared with the other connections of the process."""
         self._owner = owner
+        self.address = ""
+        """The server's address, ``IP:PORT``, set by the owner."""
         self._user_timeout_s = user_timeout_s
         self._parsing = parsing
         self._is_parsing_later = False
@@ -415,9 +417,12 @@
             listener.answer_failed(reason)
 
     @property
-    def is_unframed(self) -> bool:
-        """Tell whether the connection carries an unframed answer."""
-        return self._unframed is not None
+    def tells_by_close(self) -> bool:
+        """Tell whether its close would show that the server's process has ended.
+
+        Not where it would be the end of an unframed answer, or that of a connection without room.
+        """
+        return self._unframed is None and self._has_received
 
     @property
     def is_read_late(self) -> bool:
--- a/src/rainsail/http/pool.py
+++ b/src/rainsail/http/pool.py
@@ -250,6 +250,7 @@
     def new_connection(self, address: str) -> ClientConnection:
         """Return the protocol for a connection that was established."""
         connection = ClientConnection(self, self._settings.user_timeout_s, self._parsing)
+        connection.address = address
         self._address_of[connection] = address
         self._opened_s[connection] = self._clock.seconds()
         self._servers[address].connections.add(connection)
@@ -316,8 +317,8 @@
 
     def unframed_answer_begun(self, connection: ClientConnection) -> UnframedAnswer:
         """Return what confirms the end of an unframed answer."""
-        address = self._address_of[connection]
-        return UnframedAnswer(self, self._clock, address, connection)
+        # The connection may have closed before its head was parsed.
+        return UnframedAnswer(self, self._clock, connection.address, connection)
 
     # --- ServerKnowledge ----------------------------------------------------------------------
 
@@ -332,7 +333,7 @@
         opened_s = [self._opened_s[each] for each in others]
         return OtherConnections(
             len(others),
-            sum(not each.is_unframed for each in others),
+            sum(each.tells_by_close for each in others),
             min(opened_s, default=None),
             tuple(server.closings),
         )
--- a/src/rainsail/http/unframed_end.py
+++ b/src/rainsail/http/unframed_end.py
@@ -64,16 +64,14 @@
         before_s = self.notice.at_s - SAME_MOMENT_S
         return min(self.begun_s, before_s) if self.is_noticed_late else before_s
 
-    def is_end_of_process(self, closing: Closing, notice: CloseNotice) -> bool:
+    def is_end_of_process(self, notice: CloseNotice) -> bool:
         """Tell whether the close of another connection shows that the process has ended.
 
-        One that broke off an answer does so too if this close may be as old. Servers close idle
-        connections at any time, so that those have to close at the same moment.
+        It does so at the same moment; where this close may be older, from its earliest time on.
         """
         if self.notice.is_with(notice):
             return True
-        is_broken_off = closing == Closing.BROKEN_OFF
-        return self.is_noticed_late and is_broken_off and notice.at_s >= self.earliest_s
+        return self.is_noticed_late and notice.at_s >= self.earliest_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +81,7 @@
     open: int
     """How many are open, and are read, so that their close would have been noticed."""
     framed_open: int
-    """How many of these carry no unframed answer, so that their close would tell something."""
+    """How many of these have been answered and carry no unframed answer: their close tells."""
     oldest_open_s: float | None
     """When the oldest of those that are open was opened."""
     closings: tuple[tuple[Closing, CloseNotice], ...]
@@ -106,7 +104,7 @@
     """
     if others.oldest_open_s is not None and others.oldest_open_s <= end.earliest_s:
         return EndVerdict.SURVIVED
-    if any(end.is_end_of_process(how, notice) for how, notice in others.closings):
+    if any(end.is_end_of_process(notice) for _, notice in others.closings):
         return EndVerdict.ENDED
     if reach is not None and judge_probe(reach) == EndVerdict.ENDED:
         return EndVerdict.ENDED
