The verdict on a server's process has a name of its own

EndVerdict stood twice, for the process behind an unframed end (http.unframed_end) and for the end of a stream (relay.end_confirmation).

--- a/src/rainsail/http/unframed_answer.py
+++ b/src/rainsail/http/unframed_answer.py
@@ -19,8 +19,8 @@
 from rainsail.http.unframed_end import (
     UNFRAMED_END_SETTLE_S,
     Closing,
-    EndVerdict,
     OtherConnections,
+    ProcessVerdict,
     UnframedEnd,
     judge_probe,
     judge_unframed_end,
@@ -122,7 +122,7 @@
         assert self._end is not None
         is_held = self._held is not None and self._held.is_open
         verdict = judge_unframed_end(self._end, self._others(), self._reach, is_held)
-        if verdict != EndVerdict.UNKNOWN:
+        if verdict != ProcessVerdict.UNKNOWN:
             self._finish(verdict)
         elif not self._is_probed:
             self._is_probed = True
@@ -135,19 +135,19 @@
             return
         self._reach = reach
         verdict = judge_probe(reach)
-        if self._has_settled or (verdict == EndVerdict.ENDED and not self._others().open):
+        if self._has_settled or (verdict == ProcessVerdict.ENDED and not self._others().open):
             self._finish(verdict)
 
-    def _finish(self, verdict: EndVerdict) -> None:
+    def _finish(self, verdict: ProcessVerdict) -> None:
         self._log(verdict)
         listener = self._stop()
         if listener is None:
             return
-        if verdict == EndVerdict.SURVIVED:
+        if verdict == ProcessVerdict.SURVIVED:
             listener.answer_ended()
         else:
             listener.answer_failed(
-                PROCESS_ENDED if verdict == EndVerdict.ENDED else CONNECTION_CLOSED
+                PROCESS_ENDED if verdict == ProcessVerdict.ENDED else CONNECTION_CLOSED
             )
 
     def _stop(self) -> AnswerListener | None:
@@ -162,13 +162,13 @@
 
     def give_up(self) -> None:
         """Report the end as not confirmed: the pool stops."""
-        self._finish(EndVerdict.UNKNOWN)
+        self._finish(ProcessVerdict.UNKNOWN)
 
     def cancel(self) -> None:
         """Report nothing more: the call was cancelled."""
         self._stop()
 
-    def _log(self, verdict: EndVerdict) -> None:
+    def _log(self, verdict: ProcessVerdict) -> None:
         """Write what was known: busy fleets have a line only for what was not told as whole."""
         others = self._others()
         log = logger.bind(
@@ -180,7 +180,7 @@
             read_late=self._connection.is_read_late,
             verdict=verdict.value,
         )
-        log.log("DEBUG" if verdict == EndVerdict.SURVIVED else "INFO", "unframed_end")
+        log.log("DEBUG" if verdict == ProcessVerdict.SURVIVED else "INFO", "unframed_end")
 
     def _ms_ago(self, then_s: float | None) -> int | None:
         if then_s is None:
--- a/src/rainsail/http/unframed_end.py
+++ b/src/rainsail/http/unframed_end.py
@@ -27,7 +27,7 @@
     """A request was under way whose answer does not end with the connection."""
 
 
-class EndVerdict(StrEnum):
+class ProcessVerdict(StrEnum):
     """Whether the server's process has survived the end of an unframed answer."""
 
     SURVIVED = "survived"
@@ -94,7 +94,7 @@
 
 def judge_unframed_end(
     end: UnframedEnd, others: OtherConnections, reach: Reachability | None, is_held: bool
-) -> EndVerdict:
+) -> ProcessVerdict:
     """Judge once the closes of a process that ends were noticed.
 
     ``reach`` is the result of a probe right behind the close, if there was one, and ``is_held``
@@ -103,17 +103,17 @@
     way may refuse new connections while it goes on with those that it has.
     """
     if others.oldest_open_s is not None and others.oldest_open_s <= end.earliest_s:
-        return EndVerdict.SURVIVED
+        return ProcessVerdict.SURVIVED
     if any(end.is_end_of_process(notice) for _, notice in others.closings):
-        return EndVerdict.ENDED
-    if reach is not None and judge_probe(reach) == EndVerdict.ENDED:
-        return EndVerdict.ENDED
-    return EndVerdict.SURVIVED if others.open or is_held else EndVerdict.UNKNOWN
+        return ProcessVerdict.ENDED
+    if reach is not None and judge_probe(reach) == ProcessVerdict.ENDED:
+        return ProcessVerdict.ENDED
+    return ProcessVerdict.SURVIVED if others.open or is_held else ProcessVerdict.UNKNOWN
 
 
-def judge_probe(reach: Reachability) -> EndVerdict:
+def judge_probe(reach: Reachability) -> ProcessVerdict:
     """Judge by a probe of the address where no connection tells.
 
     A process that listens there is taken for the same one.
     """
-    return EndVerdict.SURVIVED if reach == Reachability.OPEN else EndVerdict.ENDED
+    return ProcessVerdict.SURVIVED if reach == Reachability.OPEN else ProcessVerdict.ENDED
