--- a/src/rainsail/fleet/storage_node.py
+++ b/src/rainsail/fleet/storage_node.py
@@ -77,7 +77,6 @@
         self._placements: PlacementService | None = None
         keeper = QuotaAllocator(base.settings.quota.terms())
         self._quotas = QuotaService(base.messenger, base.clock, keeper, self._leads)
-        base.metrics.gauge("answers_with_late_bytes", lambda: float(pool.answers_with_late_bytes))
         base.metrics.gauge("jobs_kept", lambda: float(len(self.state.jobs)))
         base.metrics.gauge("job_body_bytes", lambda: float(self.state.body_bytes))
         self._retention = Retention(self.state, base.settings.bounds.results_kept_s)
