--- a/review/common2/runners.py
+++ b/review/common2/runners.py
@@ -13,6 +13,8 @@
 RUNNER_PORT = 17700
 HEARTBEAT_S = 1.2
 NO_ROOM = 503
+LOOK_S = 0.05
+"""How often a runner looks whether the connection of a request has closed."""
 
 
 @dataclass
@@ -39,6 +41,7 @@
     version: str
     began_s: float
     after: str = ""
+    ended_s: float | None = None
     ended: str = "under way"
 
 
@@ -60,6 +63,8 @@
     events: int = 20
     pause_s: float = 0.1
     work_s: float = 0.02
+    first_s: float = 0.0
+    """How long a runner reads an item's prompt before its first event."""
     names_version: bool = True
     is_fatal: Callable[[Request], bool] = lambda request: False
     on_fatal: Callable[["Runner", Request], None] = lambda runner, request: None
@@ -209,14 +214,21 @@
         )
         if self.is_fatal(request):
             self.on_fatal(self, request)
-            run.ended = "crashed"
+            run.ended, run.ended_s = "crashed", self.record.now_s
             return
+        work = asyncio.ensure_future(self._work(request, run, writer))
         try:
-            await self._work(request, run, writer)
+            while not (await asyncio.wait({work}, timeout=LOOK_S))[0]:
+                if reader.at_eof() or reader.exception() is not None:
+                    self.record.note(f"runner {self.name} drops {request.name}: its sender left")
+                    raise ConnectionResetError
+            work.result()
             run.ended = "whole"
         finally:
+            work.cancel()
             if run.ended == "under way":
                 run.ended = "broken off"
+            run.ended_s = self.record.now_s
 
     async def _answer_other(self, request: Request, writer: asyncio.StreamWriter) -> None:
         fields = {"Instance-Id": self.name, "Content-Type": "application/json"}
@@ -232,12 +244,14 @@
         head = {"Request-Id": request.name, "Response-Stamp": f"stamp.{run.runner}"}
         running = sum(each.ended == "under way" for each in self.runs)
         head["Server-Load"] = f"{running},0,{self.slots}"
-        if not request.path.startswith("/stream/"):
+        if not request.path.startswith(("/stream/", "/jobs/")):
             await asyncio.sleep(self.work_s)
             await _send(writer, 200, head, f"answer to {request.name}".encode())
             return
         head["Content-Type"] = "text/event-stream"
         head["Transfer-Encoding"] = "chunked"
+        if request.path.startswith("/jobs/"):
+            await asyncio.sleep(self.first_s)
         writer.write(_head(200, head))
         for number in range(int(run.after or 0) + 1, self.events + 1):
             await asyncio.sleep(self.pause_s)
