--- a/review/common3/fleet.py
+++ b/review/common3/fleet.py
@@ -374,6 +374,10 @@
         finally:
             self.running -= 1
 
+    def pause_s(self, request: "Request") -> float:
+        """Return the pause between two events of a request's stream."""
+        return self.event_pause_s
+
     async def stream(
         self, request: "Request", writer: asyncio.StreamWriter, own: list[str]
     ) -> None:
@@ -389,12 +393,13 @@
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(head) + "\r\n\r\n").encode())
         events = self.events_of(request)
         after = int(request.headers.get("last-event-id", "0") or "0")
+        pause_s = self.pause_s(request)
         for number, data in enumerate(events[after:], start=after + 1):
             event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            if self.event_pause_s or not number % 16:
+            if pause_s or not number % 16:
                 await writer.drain()
-                await asyncio.sleep(self.event_pause_s)
+                await asyncio.sleep(pause_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
