Streams under way when a release begins go on at another gateway

Cause: a gateway reported where a stream began only if there were several possible origins then. The gateway at which it was resumed looked for the only possible origin at that later time. A version or a service that appears in between leaves the stream without a record. With two versions from the start, controllers that start again had no records until gateways renewed theirs after up to 20 s.

Change: each resumable stream is reported once its first event is at the client, gathered for 0.1 s and more while its origin is the only one. A controller that has started, that a gateway tells for the first time, or that a message could not be sent to, gets all streams that may still be resumed. In its first 2.5 s a controller does not say that it knows nothing. Messenger.send_all returns its faults. Metrics stream_origins_reported and stream_origins_kept, log events stream_origins_reported_again and stream_origins_not_reported.

Two scenarios of features/cluster/stream_origins.feature stated that no stream is reported beside one version, which is the fault: they state that it is found.

--- a/features/cluster/stream_origins.feature
+++ b/features/cluster/stream_origins.feature
@@ -61,20 +61,20 @@
     And the runner starts again under its id with version <again>
     And <course>
     And 5 seconds pass in the fleet
-    Then gateway-2 finds nothing for "s-1", for certain
+    Then gateway-2 finds <found> for "s-1"
     And gateway-1 knows <known>
     And gateway-2 knows <known>
 
     Examples:
-      | again | course                                                  | known                  |
-      | v2    | 0 seconds pass in the fleet                             | no sole version        |
-      | v2    | gateway-2 of the fleet loses power and starts again     | no sole version        |
-      | v2    | all controllers lose power and start again              | no sole version        |
-      | v2    | all machines of the fleet lose power and start again    | no sole version        |
-      | v1    | 0 seconds pass in the fleet                             | v1 as the sole version |
-      | v1    | gateway-2 of the fleet loses power and starts again     | v1 as the sole version |
-      | v1    | all controllers lose power and start again              | v1 as the sole version |
-      | v1    | all machines of the fleet lose power and start again    | v1 as the sole version |
+      | again | course                                                  | known                  | found   |
+      | v2    | 0 seconds pass in the fleet                             | no sole version        | v1      |
+      | v2    | gateway-2 of the fleet loses power and starts again     | no sole version        | v1      |
+      | v2    | all controllers lose power and start again              | no sole version        | v1      |
+      | v2    | all machines of the fleet lose power and start again    | no sole version        | nothing |
+      | v1    | 0 seconds pass in the fleet                             | v1 as the sole version | v1      |
+      | v1    | gateway-2 of the fleet loses power and starts again     | v1 as the sole version | v1      |
+      | v1    | all controllers lose power and start again              | v1 as the sole version | v1      |
+      | v1    | all machines of the fleet lose power and start again    | v1 as the sole version | nothing |
 
   Scenario: Restarted controllers are not certain before the runners that they remember have reported
     # Guards against: a stream that continues at a runner whose restart no controller has seen yet.
@@ -104,12 +104,21 @@
     Then gateway-1 knows v2 as the sole version
     And gateway-2 knows v2 as the sole version
 
-  Scenario: While all runners of a service have one version, no stream is reported
+  Scenario: A stream that began while its version was the only one is found beside another version
+    # Guards against: streams whose origin is told to nobody, as it is the only one for now.
     Given a relaying fleet of 3 controllers and 2 gateways
     When a runner of version v1 reports to controller-1
     And gateway-1 records that stream "s-1" began at version v1
-    Then gateway-2 finds nothing for "s-1", for certain
-    And gateway-2 knows v1 as the sole version
+    And 1 seconds pass in the fleet
+    And gateway-1 of the fleet loses power
+    And another runner of version v2 reports to controller-1
+    Then gateway-2 knows no sole version
+    And gateway-2 finds v1 for "s-1"
+
+  Scenario: A version is the sole one again when the other has been gone for ten minutes
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When a runner of version v1 reports to controller-1
+    Then gateway-2 knows v1 as the sole version
     When another runner of version v2 reports to controller-1
     Then gateway-2 knows no sole version
     When gateway-1 records that stream "s-2" began at version v1
@@ -119,6 +128,24 @@
     When 2 minutes pass in the fleet, and the first runner reports a change
     Then gateway-2 knows v1 as the sole version
 
+  Scenario: A stream that a client has whole is told to no controller that starts later
+    # Guards against: records of streams that nobody takes up again, sent to each new controller.
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When gateway-1 records that stream "s-1" began at version v1
+    And gateway-1 records that stream "s-2" began at version v1
+    And gateway-1 completes stream "s-1"
+    And all controllers lose power and start again, and 5 s pass
+    Then gateway-2 finds nothing for "s-1"
+    And gateway-2 finds v1 for "s-2"
+
+  Scenario: Right after the start of all controllers no stream is certainly unknown
+    # Guards against: a refusal for good, before gateways have told again of their streams.
+    Given a relaying fleet of 3 controllers and 2 gateways
+    When all controllers lose power and start again, and 1.5 s pass
+    Then gateway-2 finds nothing for "s-9", not for certain
+    When 3 seconds pass in the fleet
+    Then gateway-2 finds nothing for "s-9", for certain
+
   Scenario: Nodes of an earlier version get no messages that they don't know
     Given a relaying fleet of 3 controllers and 2 gateways
     And all its nodes but controller-1 announce no extensions
--- a/features/steps/relay_software_version_steps.py
+++ b/features/steps/relay_software_version_steps.py
@@ -32,6 +32,9 @@
         self.recorded.append((stream, origin))
         self.implied.append(is_implied)
 
+    def completed(self, stream):
+        """Do nothing."""
+
     def find(self, stream, found):
         """Return the fixed result."""
         found(self.result)
--- a/features/steps/service_version_steps.py
+++ b/features/steps/service_version_steps.py
@@ -7,7 +7,7 @@
 from features.support.relaying import SERVICE, runner_record
 
 from rainsail.cluster.runner_versions import RunnerVersion
-from rainsail.cluster.service_versions import SHARED_AGAIN_WITHIN_S
+from rainsail.cluster.stream_origins import TOLD_AGAIN_WITHIN_S
 from rainsail.relay.version_quorum import ControllerVersionQuorum
 
 SETTLE_S = 3.0
@@ -43,7 +43,7 @@
         lambda: all(len(each.controllers.in_touch()) == count for each in followers),
         "the gateways are in touch with all controllers",
     )
-    assert fleet.clock.seconds() < SHARED_AGAIN_WITHIN_S - 2 * REPORTED_S, fleet.clock.seconds()
+    assert fleet.clock.seconds() < TOLD_AGAIN_WITHIN_S - 2 * REPORTED_S, fleet.clock.seconds()
     context.reported = 0
 
 
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -50,6 +50,11 @@
         record(context, gateway, stream, version)
 
 
+@when('{gateway} completes stream "{stream}"')
+def complete(context, gateway, stream):
+    context.fleet.nodes[gateway].role.completed(stream)
+
+
 @step("{name} of the fleet loses power")
 def lose_power(context, name):
     context.fleet.crash(name)
@@ -116,7 +121,8 @@
 @then('{gateway} finds {version} for "{stream}"')
 def finds(context, gateway, version, stream):
     found = _found(context, gateway, stream)
-    assert found == FoundOrigin(StreamOrigin(SERVICE, version), True), found
+    origin = None if version == "nothing" else StreamOrigin(SERVICE, version)
+    assert found == FoundOrigin(origin, True), found
 
 
 @then("{gateway} finds {version} for each of them")
--- a/features/support/crashing_runners.py
+++ b/features/support/crashing_runners.py
@@ -100,6 +100,8 @@
         """The head of each answer."""
         self.item_events = EVENTS
         """Events of an answer to an item."""
+        self.stream_events = EVENTS
+        """Events of an answer to a client."""
         self.versions: dict[int, str] = {}
         """The software version of each runner by number; with any, events name it."""
         self.crash_after_s = CRASH_AFTER_S
@@ -228,7 +230,7 @@
             runner.calls.remove(call)
             call.listener.answer_failed("connection reset")
             return
-        events = self.item_events if call.job else EVENTS
+        events = self.item_events if call.job else self.stream_events
         if number < events:
             self.clock.callLater(EVENT_PERIOD_S, self._send_event, runner, call, number + 1)
             return
--- a/features/support/fatal_request_fleet.py
+++ b/features/support/fatal_request_fleet.py
@@ -28,6 +28,7 @@
 ADDED_PREFIX = "/added/"
 ADDED_PATH = "/added/1"
 WITH_ADDED_ROUTE = "+"
+RESUMABLE_SPLIT = "&"
 RUNNERS = 8
 GATEWAYS = 3
 DEADLINE_S = 5.0
@@ -76,9 +77,12 @@
     """Parse a table: resumable streams, and jobs, of one service.
 
     ``7/other`` is version 7, in which half of the load goes to a service ``other``, and streams are
-    not repeatable. ``7+`` is version 7 with one more route for streams.
+    not repeatable; ``7&other`` is the same with resumable streams. ``7+`` is version 7 with one
+    more route for streams.
     """
-    version, _, other = content.decode().partition("/")
+    text = content.decode()
+    stays_resumable = RESUMABLE_SPLIT in text
+    version, _, other = text.replace(RESUMABLE_SPLIT, "/").partition("/")
     has_added = version.endswith(WITH_ADDED_ROUTE)
     version = version.removesuffix(WITH_ADDED_ROUTE)
     names = [SERVICE, other] if other else [SERVICE]
@@ -92,7 +96,7 @@
         4.0,
         0.3,
         max_attempts=2,
-        resumable=not other,
+        resumable=stays_resumable or not other,
     )
     jobs = replace(
         stream,
--- a/features/support/partitioned_versions.py
+++ b/features/support/partitioned_versions.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from features.support.crashing_runners import CrashingRunner
-from features.support.fatal_request_fleet import PATH
+from features.support.fatal_request_fleet import PATH, RESUMABLE_SPLIT
 from features.support.relaying import StandInExchange
 from features.support.version_soak import EVENT, VersionFleet
 
@@ -46,6 +46,12 @@
         self.report_version(runner.number, version)
         self.runners._send_heartbeats(runner, runner.incarnation)
 
+    def move_half(self, service: str) -> None:
+        """Split the route of the streams with another service, which has no runners."""
+        controller = self.controller(self.names("controller")[0])
+        done = controller.tables.replace(2, f"2{RESUMABLE_SPLIT}{service}".encode())
+        assert self.result_of(done, "a table").is_ok()
+
     def cut_one_way(self, sources: list[str], targets: list[str]) -> None:
         """Drop in silence what some nodes send to others."""
         for source in sources:
@@ -66,6 +72,8 @@
         self.answers: list[StandInExchange] = []
         self.first = ""
         """The id of the attempt that brought the first event."""
+        self.has_resumed = False
+        """Whether an attempt after the first has brought events."""
         self._fleet = fleet
         self._name = name
 
@@ -92,5 +100,13 @@
         found = [(int(n), name.decode()) for n, name in EVENT.findall(self.answers[-1].body)]
         if found and not self.events:
             self.first = f"{self._name}-{len(self.answers) - 1}"
+        elif found:
+            self.has_resumed = True
         self.events += found
         return found
+
+    def read_on(self) -> None:
+        """Take the further events of the attempt of which some have been taken."""
+        found = [(int(n), name.decode()) for n, name in EVENT.findall(self.answers[-1].body)]
+        known = {number for number, _ in self.events}
+        self.events += [(number, name) for number, name in found if number not in known]
--- a/src/rainsail/cluster/follower.py
+++ b/src/rainsail/cluster/follower.py
@@ -80,7 +80,7 @@
         self.on_table: Callable[[TableDocument], None] = lambda document: None
         self.on_view: Callable[[FleetView], None] = lambda view: None
         self.on_ledger_leader: Callable[[str], None] = lambda address: None
-        self.on_heard: Callable[[], None] = lambda: None
+        self.on_heard: list[Callable[[], None]] = []
         """Called after each update and each heartbeat reply of a controller was applied."""
         self.on_controller_started: Callable[[str], None] = lambda address: None
         """Called with a controller of which no reply had been received since its start."""
@@ -181,7 +181,11 @@
         self._note_table_version(address, reply.table_version)
         if is_new:
             self.on_controller_started(address)
-        self.on_heard()
+        self._heard()
+
+    def _heard(self) -> None:
+        for listener in self.on_heard:
+            listener()
 
     # --- updates from controllers --------------------------------------------------------
 
@@ -195,7 +199,7 @@
         if controller is not None and follows:
             controller.revision = update.revision
         self._merge(update.runners)
-        self.on_heard()
+        self._heard()
 
     def _take_versions(self, source: str, message: RunnerVersions) -> None:
         page: RunnerVersionPage = decode(message.page)
--- a/src/rainsail/cluster/service_versions.py
+++ b/src/rainsail/cluster/service_versions.py
@@ -23,7 +23,7 @@
 
 from rainsail.cluster.registry import GONE_VERSION_TTL_S, RunnerRegistry
 from rainsail.cluster.runner_versions import NO_VERSION
-from rainsail.cluster.stream_origins import REPORTS_WAIT_S
+from rainsail.cluster.stream_origins import REPORTS_WAIT_S, TOLD_AGAIN_WITHIN_S
 from rainsail.errors import Fault
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
@@ -31,9 +31,6 @@
 from rainsail.wire.messenger import Messenger
 from rainsail.wire.names import wire_type
 
-SHARED_AGAIN_WITHIN_S = 2.5
-"""Within this time after a controller's start each gateway in touch has shared its versions again:
-two heartbeats and their replies."""
 MAX_SHARED = 10_000
 """Limit on the versions that gateways have shared with one controller."""
 
@@ -173,7 +170,7 @@
         return tuple(sorted((shared | own) - {NO_VERSION}))
 
     def _is_settled(self, now: float) -> bool:
-        if now < self._started_s + SHARED_AGAIN_WITHIN_S and not self._has_founded():
+        if now < self._started_s + TOLD_AGAIN_WITHIN_S and not self._has_founded():
             return False
         return now >= self._started_s + REPORTS_WAIT_S or not self._registry.has_unheard()
 
--- a/src/rainsail/fleet/controller_role.py
+++ b/src/rainsail/fleet/controller_role.py
@@ -83,6 +83,8 @@
         base.metrics.gauge("requests_on_trial", lambda: float(quarantine.on_trial))
         base.metrics.gauge("permits_lapsed", lambda: float(quarantine.permits_lapsed))
         base.metrics.gauge("holds_refuted", lambda: float(quarantine.holds_refuted))
+        origins = self.controller.origins
+        base.metrics.gauge("stream_origins_kept", lambda: float(len(origins)))
         driver.start()
         self.controller.start()
         base.follower.start()
--- a/src/rainsail/relay/origin_client.py
+++ b/src/rainsail/relay/origin_client.py
@@ -13,16 +13,14 @@
 from rainsail.cluster.stream_origins import (
     COPIES,
     ORIGIN_TTL_S,
-    BegunStream,
     FindStreamOrigin,
     StreamOrigin,
     StreamOriginReply,
     StreamOriginTable,
-    StreamsBegun,
-    assigned_controllers,
 )
 from rainsail.errors import Fault
 from rainsail.node_metrics import NodeMetrics
+from rainsail.relay.origin_reports import OriginReports
 from rainsail.runtime.clock import Clock
 from rainsail.wire.extensions import STREAM_ORIGINS
 from rainsail.wire.messenger import Messenger
@@ -34,17 +32,6 @@
 """
 RENEWAL_PERIOD_S = ORIGIN_TTL_S / 3
 """A stream that still runs renews its entry this often."""
-MIN_REPORT_PERIOD_S = 0.01
-"""Streams that begin within this time are reported in one message.
-
-Short compared with the duration of a stream, as a gateway that fails takes what it has not reported
-with it.
-"""
-REPORTS_PER_S = 2500.0
-"""The maximum rate of these messages from all gateways together.
-
-Few controllers get all of them, beside their other work.
-"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +55,15 @@
     def began(self, stream: str, origin: StreamOrigin, is_implied: bool) -> None:
         """Record that a client has a stream's first event, or renew the record.
 
-        ``is_implied``: a gateway that finds no record continues the stream at the same origin.
+        ``is_implied``: for now, a gateway that finds no record continues the stream at the same
+        origin.
         """
         ...
 
+    def completed(self, stream: str) -> None:
+        """Forget a stream whose client has all of it."""
+        ...
+
     def find(self, stream: str, found: Found) -> None:
         """Search for a stream's origin; always calls ``found``, at once or later."""
         ...
@@ -83,6 +75,9 @@
     def began(self, stream: str, origin: StreamOrigin, is_implied: bool) -> None:
         """Do nothing."""
 
+    def completed(self, stream: str) -> None:
+        """Do nothing."""
+
     def find(self, stream: str, found: Found) -> None:
         """Report that nothing is known, and never will be."""
         found(FoundOrigin(None, is_certain=True))
@@ -128,30 +123,20 @@
         metrics: NodeMetrics,
     ) -> None:
         self._messenger = messenger
-        self._clock = clock
         self._follower = follower
         self._metrics = metrics
         self._own = StreamOriginTable(clock)
-        self._unreported: list[BegunStream] = []
+        self._reports = OriginReports(messenger, clock, follower, metrics, self._own.entries)
 
     def began(self, stream: str, origin: StreamOrigin, is_implied: bool) -> None:
-        """Record that a client has a stream's first event, or renew the record.
-
-        The record goes to controllers unless ``is_implied``.
-        """
+        """Record that a client has a stream's first event, or renew the record."""
         self._own.put(stream, origin)
-        if is_implied:
-            return
-        if not self._unreported:
-            period_s = self._follower.view().gateways / REPORTS_PER_S
-            self._clock.callLater(max(MIN_REPORT_PERIOD_S, period_s), self._report_begun)
-        self._unreported.append(BegunStream(stream, origin))
-
-    def _report_begun(self) -> None:
-        begun, self._unreported = tuple(self._unreported), []
-        supporting = self._supporting(self._follower.controllers.in_touch())
-        assigned = assigned_controllers(self._messenger.name, supporting)
-        self._messenger.send_all(assigned, StreamsBegun(begun))
+        self._reports.add(stream, origin, is_implied)
+
+    def completed(self, stream: str) -> None:
+        """Forget a stream whose client has all of it; records at controllers expire."""
+        self._own.remove(stream)
+        self._reports.drop(stream)
 
     def find(self, stream: str, found: Found) -> None:
         """Search for a stream's origin here and at controllers."""
--- a/src/rainsail/relay/request_origin.py
+++ b/src/rainsail/relay/request_origin.py
@@ -106,6 +106,11 @@
             implied = implied_origin(route, self._context.registry.sole_version)
             self._context.origins.began(self._name, self.origin, implied == self.origin)
 
+    def completed(self) -> None:
+        """Forget the record: the client has the whole stream."""
+        if self.origin is not None:
+            self._context.origins.completed(self._name)
+
     def is_confirmed(self) -> bool:
         """Tell whether each attempt has certainly reached the process that its version is of."""
         registry = self._context.registry
--- a/src/rainsail/relay/run.py
+++ b/src/rainsail/relay/run.py
@@ -524,6 +524,7 @@
         self._recorder.answered(attempt)
         self._sender.attempt = None
         self._answer.end_stream(attempt)
+        self._origin.completed()
         self._finish(RequestOutcome.COMPLETED)
 
     def _may_compare_runs(self) -> bool:
--- a/src/rainsail/relay/version_quorum.py
+++ b/src/rainsail/relay/version_quorum.py
@@ -149,7 +149,7 @@
 
         This does not expire: a gateway that is cut off for an hour goes on beginning streams.
         """
-        follower.on_heard = self._share
+        follower.on_heard.append(self._share)
 
     # --- VersionQuorum ---------------------------------------------------------------------
 
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -80,11 +80,20 @@
         self._next_call_id = 1
         transport.listen(self._deliver)
 
-    def send_all(self, destinations: Iterable[ProcessName], message: Any) -> None:
-        """Send one message to many; a transport encodes it once. Faults are ignored."""
+    def send_all(
+        self, destinations: Iterable[ProcessName], message: Any
+    ) -> dict[ProcessName, Fault]:
+        """Send one message to many; a transport encodes it once.
+
+        Returns a fault for each destination that nothing was sent to.
+        """
         envelope = Envelope(EnvelopeKind.ONE_WAY, 0, message)
+        faults: dict[ProcessName, Fault] = {}
         for destination in destinations:
-            self._transport.send(destination, envelope)
+            fault = self._transport.send(destination, envelope)
+            if fault is not None:
+                faults[destination] = fault
+        return faults
 
     def extension_level(self, peer: ProcessName) -> int:
         """Return the highest protocol extension that a peer has announced (``extensions``)."""
