A member catches up beside a job whose results exceed one message

After two storage nodes have lost their disks one after the other no read of either job is answered with 200 any more.

The fault TOO_LARGE of the send was dropped, and the leader sent the same chunk with each heartbeat: the member never caught up, the ledger bore no further loss, and nothing was logged.

Change: chunks are sent in parts of 1 MiB (consensus.snapshot_part_bytes) to members that announce that they know them; a transfer goes on behind the last part that has arrived. Files and the chunks in them are as before. Messenger logs and counts what is too large (message_too_large, messages_too_large); a follower that makes no progress for 5 s is logged and counted (snapshot_transfer_stalled, snapshot_transfers_stalled).

--- a/features/consensus/snapshots.feature
+++ b/features/consensus/snapshots.feature
@@ -17,6 +17,45 @@
     Then every replica of the consensus group applies all of them
     And the follower of the consensus group got every chunk of a snapshot in order, none twice
 
+  Scenario: A chunk that is larger than a message is sent in parts
+    # Guards against: a follower that never catches up, as a chunk does not fit into a message.
+    Given a consensus group of 3 replicas with chunks of 400 numbers and messages of 500 bytes
+    When a follower of the consensus group is cut off by dropped packets
+    And 900 numbers are committed in the consensus group
+    And the cut-off replica of the consensus group is connected again
+    Then every replica of the consensus group applies all of them
+    And the follower of the consensus group got every chunk of a snapshot in order, none twice
+
+  Scenario: A lost part is sent again, and those before it are not
+    Given a consensus group of 3 replicas with chunks of 400 numbers and messages of 500 bytes
+    When a follower of the consensus group is cut off by dropped packets
+    And 900 numbers are committed in the consensus group
+    And the cut-off replica of the consensus group is connected again, but its chunk 10 is lost once
+    Then every replica of the consensus group applies all of them
+    And the follower of the consensus group got every chunk of a snapshot in order, none twice
+
+  Scenario: A member of an earlier version gets whole chunks
+    # Guards against: parts that a member of an earlier version can't read.
+    Given a consensus group of 3 replicas that snapshots every 50 entries
+    And the members of the consensus group know no snapshots in parts
+    When a follower of the consensus group is cut off by dropped packets
+    And 400 numbers are committed in the consensus group
+    And the cut-off replica of the consensus group is connected again
+    Then every replica of the consensus group applies all of them
+    And the follower of the consensus group got no part of a snapshot
+
+  Scenario: A member of an earlier version for which a chunk is too large is named in the log
+    # Guards against: a member that can't catch up, of which nothing tells.
+    Given a consensus group of 3 replicas with chunks of 400 numbers and messages of 500 bytes
+    And the members of the consensus group know no snapshots in parts
+    When a follower of the consensus group is cut off by dropped packets
+    And 900 numbers are committed in the consensus group
+    And the cut-off replica of the consensus group is connected again
+    And 12 seconds pass in the consensus group
+    Then the log says that a message to that follower is too large
+    And the log says that the follower does not catch up
+    And the leader of the consensus group counts 1 stalled snapshot transfer
+
   Scenario: A follower that restarts during a snapshot transfer starts it again
     Given a consensus group of 3 replicas that snapshots every 50 entries
     When a follower of the consensus group is cut off by dropped packets
--- a/features/steps/consensus_snapshot_reading_steps.py
+++ b/features/steps/consensus_snapshot_reading_steps.py
@@ -273,8 +273,8 @@
     replaced = []
     context.consensus_rejoined = False
 
-    def piece(index, identity, offset):
-        found = original(index, identity, offset)
+    def piece(index, identity, offset, part_bytes):
+        found = original(index, identity, offset, part_bytes)
         if offset != number or replaced or not context.consensus_rejoined:
             return found
         replaced.append(offset)
--- a/features/steps/consensus_snapshot_steps.py
+++ b/features/steps/consensus_snapshot_steps.py
@@ -15,8 +15,13 @@
 SLOW_SYNC_S = 20.0
 
 
+def snapshotting_settings(entries, **more):
+    """Return the settings of a group that snapshots every ``entries`` entries."""
+    return ConsensusSettings(snapshot_log_entries=entries, retained_entries=entries // 5, **more)
+
+
 def _group(replicas, entries, seed=9):
-    settings = ConsensusSettings(snapshot_log_entries=entries, retained_entries=entries // 5)
+    settings = snapshotting_settings(entries)
     names = [f"replica-{number}" for number in range(1, replicas + 1)]
     return SimulatedGroup(names, seed, settings, numbers_per_chunk=max(10, entries // 10))
 
--- a/features/support/consensus.py
+++ b/features/support/consensus.py
@@ -11,9 +11,9 @@
 from rainsail.consensus.driver import GroupDriver
 from rainsail.consensus.group_status import GroupStatusReply
 from rainsail.consensus.member_dependencies import GroupMember, MemberDependencies
-from rainsail.consensus.messages import SnapshotChunk
 from rainsail.consensus.router import GroupRouter
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.consensus.snapshot_transfer_part import SnapshotTransferPart
 from rainsail.errors import Fault
 from rainsail.simulation.clock import SkewedClock, VirtualClock
 from rainsail.simulation.disk import SimulatedDisk
@@ -261,18 +261,18 @@
 def watch_chunks(
     group: SimulatedGroup,
     name: str,
-    arrives: Callable[[SnapshotChunk], bool] = lambda chunk: True,
-) -> list[SnapshotChunk]:
+    arrives: Callable[[SnapshotTransferPart], bool] = lambda chunk: True,
+) -> list[SnapshotTransferPart]:
     """Return a list to which every snapshot chunk that arrives at a replica is appended.
 
     ``arrives`` is called with each chunk first; the chunk is dropped when it returns False.
     """
     transport = group.running[name].transport
     deliver = transport._deliver
-    chunks: list[SnapshotChunk] = []
+    chunks: list[SnapshotTransferPart] = []
 
     def watch(source: str, envelope: Any) -> None:
-        if isinstance(envelope.message, SnapshotChunk):
+        if isinstance(envelope.message, SnapshotTransferPart):
             if not arrives(envelope.message):
                 return
             chunks.append(envelope.message)
--- a/src/rainsail/consensus/core.py
+++ b/src/rainsail/consensus/core.py
@@ -40,6 +40,7 @@
     VoteRequest,
 )
 from rainsail.consensus.settings import ConsensusSettings
+from rainsail.consensus.snapshot_transfer_part import SnapshotTransferPart
 from rainsail.errors import Fault
 from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import HardState, LogEntry, SnapshotMeta
@@ -139,7 +140,7 @@
                 election.handle_vote_request(state, source, message, now)
             case VoteReply():
                 election.handle_vote_reply(state, message, now)
-            case SnapshotChunk():
+            case SnapshotChunk() | SnapshotTransferPart():
                 snapshots.handle_chunk(state, source, message, now)
             case SnapshotReply():
                 snapshot_sending.handle_reply(state, message, now)
--- a/src/rainsail/consensus/core_state.py
+++ b/src/rainsail/consensus/core_state.py
@@ -141,16 +141,30 @@
 
 @dataclass(slots=True)
 class IncomingSnapshot:
-    """The chunks received so far of a leader's snapshot."""
+    """What has been received so far of a leader's snapshot.
+
+    It comes as whole chunks, or in parts of these if ``in_parts``.
+    """
 
     sender: str
     last_index: int
     last_term: int
+    in_parts: bool = False
+    offset: int = 0
+    """The chunks or parts received."""
     chunks: list[bytes] = field(default_factory=list)
     received: SnapshotChecksum = field(default_factory=SnapshotChecksum)
-
-    def take(self, chunk: bytes) -> None:
-        """Add the next chunk."""
+    _unfinished: list[bytes] = field(default_factory=list)
+    """The parts received of the chunk that follows ``chunks``."""
+
+    def take(self, data: bytes, ends_chunk: bool = True) -> None:
+        """Add the next chunk or part."""
+        self.offset += 1
+        self._unfinished.append(data)
+        if not ends_chunk:
+            return
+        chunk = data if len(self._unfinished) == 1 else b"".join(self._unfinished)
+        self._unfinished.clear()
         self.chunks.append(chunk)
         self.received = self.received.with_chunk(chunk)
 
--- a/src/rainsail/consensus/driver.py
+++ b/src/rainsail/consensus/driver.py
@@ -74,6 +74,7 @@
             self._send,
             self._take,
             self._fatal,
+            self._router.takes_snapshot_parts,
         )
         self._apply_loop = ApplyLoop(
             self.core.state,
@@ -125,6 +126,10 @@
         for listener in self._fatal_listeners:
             listener(fault)
 
+    def stalled_transfers(self) -> int:
+        """Return how many members that need a snapshot make no progress with it."""
+        return self._snapshots.stalled_transfers()
+
     # --- the Group interface -------------------------------------------------------------
 
     def is_leader(self) -> bool:
--- a/src/rainsail/consensus/messages.py
+++ b/src/rainsail/consensus/messages.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from rainsail.consensus.snapshot_transfer_part import SnapshotTransferPart
 from rainsail.state.command_basics import GroupId
 from rainsail.storage.interface import LogEntry
 from rainsail.storage.snapshot_checksum import SnapshotChecksum
@@ -172,7 +173,10 @@
 @wire_record("SnapshotReply")
 @dataclass(frozen=True, slots=True)
 class SnapshotReply:
-    """How many chunks of which snapshot the follower has; the leader continues from there."""
+    """How many chunks of which snapshot the follower has; the leader continues from there.
+
+    Parts are counted instead if the follower gets the snapshot in parts.
+    """
 
     group: GroupId
     term: int
@@ -214,6 +218,7 @@
     | AppendRequest
     | AppendReply
     | SnapshotChunk
+    | SnapshotTransferPart
     | SnapshotReply
     | TimeoutNow
 )
@@ -229,6 +234,7 @@
     AppendRequest,
     AppendReply,
     SnapshotChunk,
+    SnapshotTransferPart,
     SnapshotReply,
     TimeoutNow,
 )
--- a/src/rainsail/consensus/router.py
+++ b/src/rainsail/consensus/router.py
@@ -16,6 +16,7 @@
 )
 from rainsail.runtime.clock import Clock
 from rainsail.state.command_basics import GroupId
+from rainsail.wire.extensions import SNAPSHOT_PARTS
 from rainsail.wire.messenger import Messenger
 
 GroupHandler = Callable[[str, GroupMessage], None]
@@ -42,6 +43,10 @@
         """Drop messages of a group from now on."""
         self._handlers.pop(group, None)
 
+    def takes_snapshot_parts(self, replica: str) -> bool:
+        """Tell whether a replica knows snapshots in parts."""
+        return self._messenger.extension_level(replica) >= SNAPSHOT_PARTS
+
     # --- sending -------------------------------------------------------------------------
 
     def send(self, replica: str, message: GroupMessage) -> None:
--- a/src/rainsail/consensus/settings.py
+++ b/src/rainsail/consensus/settings.py
@@ -61,6 +61,11 @@
         gt=0,
         description="Accepted but not used: `state.snapshot_chunk_bytes` limits the chunk size.",
     )
+    snapshot_part_bytes: int = Field(
+        1024 * 1024,
+        gt=0,
+        description="Maximum bytes of a snapshot in one message; larger chunks are sent in parts.",
+    )
     retained_entries: int = Field(
         5_000,
         ge=0,
--- a/src/rainsail/consensus/snapshot_worker.py
+++ b/src/rainsail/consensus/snapshot_worker.py
@@ -8,16 +8,18 @@
 from rainsail.consensus.core import ConsensusCore
 from rainsail.consensus.core_state import Role
 from rainsail.consensus.effects import Effects, Outgoing, SnapshotInstall, SnapshotOrder
-from rainsail.consensus.member_log import log_snapshot_unreadable
+from rainsail.consensus.member_log import log_snapshot_unreadable, log_transfer_stalled
 from rainsail.consensus.membership import encode_membership
 from rainsail.consensus.messages import SnapshotChunk
-from rainsail.consensus.snapshot_source import SnapshotSource
+from rainsail.consensus.snapshot_source import PieceRead, SnapshotSource
+from rainsail.consensus.snapshot_transfer_part import SnapshotTransferPart
+from rainsail.consensus.snapshot_transfers import SnapshotTransfers
 from rainsail.errors import Fault, FaultCode, RainsailError
 from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.state.state_machine import StateMachine
 from rainsail.storage.interface import GroupStorage, SnapshotMeta
-from rainsail.storage.snapshot_checksum import SnapshotChecksum, SnapshotPiece
+from rainsail.storage.snapshot_checksum import SnapshotChecksum
 from rainsail.wire.codec import CodecError
 
 TRANSFER_ACTIVE_S = 1.0
@@ -50,7 +52,9 @@
         send: Callable[[list[Outgoing]], None],
         take: Callable[[Effects], None],
         on_fault: Callable[[Fault], None],
+        takes_parts: Callable[[str], bool],
     ) -> None:
+        """``takes_parts`` tells whether a replica knows snapshots in parts."""
         self._storage = storage
         self._state_machine = state_machine
         self._applier = applier
@@ -59,14 +63,14 @@
         self._send = send
         self._take = take
         self._on_fault = on_fault
+        self._takes_parts = takes_parts
         self._source = SnapshotSource(storage)
         self._writing = False
         self._waiting_install: SnapshotInstall | None = None
         self._stopped = False
         self._last_index = self._core.state.log.base_index
         self._retry_index = 0
-        self._transfer_progress_at_s = float("-inf")
-        self._requested_offsets: dict[str, int] = {}
+        self._transfers = SnapshotTransfers()
         self._read_failures: dict[str, int] = {}
         self._renewal_due = False
         self._next_renewal_index = 0
@@ -77,6 +81,10 @@
         """Return whether a received snapshot is being stored; applying entries has to pause."""
         return self._core.state.installing
 
+    def stalled_transfers(self) -> int:
+        """Return how many followers that need the snapshot make no progress with it."""
+        return self._transfers.stalled(self._clock.seconds())
+
     def stop(self) -> None:
         """Stop reporting results."""
         self._stopped = True
@@ -88,7 +96,7 @@
         applied = self._applier.applied_index
         if self._stopped or applied < self._retry_index or self._writing or self.installing:
             return
-        transferring = self._clock.seconds() - self._transfer_progress_at_s < TRANSFER_ACTIVE_S
+        transferring = self._clock.seconds() - self._transfers.last_progress_s < TRANSFER_ACTIVE_S
         if self._may_renew():
             self._renewal_due = False
             self._next_renewal_index = applied + MIN_ENTRIES_BETWEEN_RENEWALS
@@ -163,30 +171,33 @@
     # --- snapshots to others -------------------------------------------------------------
 
     def send_chunk(self, order: SnapshotOrder) -> None:
-        """Send one chunk of the stored snapshot, unless leadership has ended meanwhile.
+        """Send one part of the stored snapshot, unless leadership has ended meanwhile.
 
-        A chunk that can't be read doesn't stop this member: it still has the acknowledged state in
-        memory, possibly as the only complete copy while a follower is behind. The follower gets a
-        message without data as a heartbeat, and the next heartbeat retries the chunk.
+        A follower of an earlier version gets the whole chunk in place of its parts. A chunk that
+        can't be read doesn't stop this member: it still has the acknowledged state in memory,
+        possibly as the only complete copy while a follower is behind. The follower gets a message
+        without data as a heartbeat, and the next heartbeat retries the chunk.
         """
         meta = self._storage.snapshot_meta
         if self._core.state.role != Role.LEADER or meta is None:
             return
-        self._note_progress(order)
-        read = self._source.piece(meta.last_index, order.identity, order.offset)
+        self._note_order(order, meta)
+        in_parts = self._takes_parts(order.replica)
+        part_bytes = self._core.state.settings.snapshot_part_bytes if in_parts else 0
+        read = self._source.piece(meta.last_index, order.identity, order.offset, part_bytes)
         if read.is_error():
             self._handle_read_failure(order, meta, read.error)
-            self._send_piece(order, meta, order.offset, None)
+            self._send_part(order, meta, PieceRead(order.offset, None), in_parts)
             return
         if self._read_failures.pop(order.identity, 0):
             self._renewal_due = False
-        self._send_piece(order, meta, read.ok.offset, read.ok.piece)
+        self._send_part(order, meta, read.ok, in_parts)
 
-    def _send_piece(
-        self, order: SnapshotOrder, meta: SnapshotMeta, offset: int, piece: SnapshotPiece | None
+    def _send_part(
+        self, order: SnapshotOrder, meta: SnapshotMeta, part: PieceRead, in_parts: bool
     ) -> None:
         state = self._core.state
-        message = SnapshotChunk(
+        begin = (
             state.group,
             state.term,
             state.identity,
@@ -194,11 +205,15 @@
             meta.last_index,
             meta.last_term,
             meta.membership,
-            offset,
-            piece if isinstance(piece, bytes) else None,
-            piece if isinstance(piece, SnapshotChecksum) else None,
-            order.round,
+            part.offset,
         )
+        data = part.piece if isinstance(part.piece, bytes) else None
+        whole = part.piece if isinstance(part.piece, SnapshotChecksum) else None
+        message: SnapshotChunk | SnapshotTransferPart
+        if in_parts:
+            message = SnapshotTransferPart(*begin, data, part.ends_chunk, whole, order.round)
+        else:
+            message = SnapshotChunk(*begin, data, whole, order.round)
         self._send([Outgoing(order.replica, message)])
 
     def _handle_read_failure(self, order: SnapshotOrder, meta: SnapshotMeta, fault: Fault) -> None:
@@ -218,11 +233,11 @@
         self._read_failures.clear()
         self._renewal_due = False
 
-    def _note_progress(self, order: SnapshotOrder) -> None:
-        """Record that a follower has requested a further chunk; repeated orders don't count."""
-        if order.offset > self._requested_offsets.get(order.identity, 0):
-            self._transfer_progress_at_s = self._clock.seconds()
-        self._requested_offsets[order.identity] = order.offset
+    def _note_order(self, order: SnapshotOrder, meta: SnapshotMeta) -> None:
+        """Record what a follower requests; log it if the follower makes no progress."""
+        stalled_s = self._transfers.note_order(order, self._clock.seconds())
+        if stalled_s is not None:
+            log_transfer_stalled(order, meta.last_index, stalled_s)
 
     # --- snapshots from the leader -------------------------------------------------------
 
--- a/src/rainsail/consensus/snapshots.py
+++ b/src/rainsail/consensus/snapshots.py
@@ -5,12 +5,15 @@
 from rainsail.consensus.effects import SnapshotInstall, SnapshotRefused
 from rainsail.consensus.membership import EMPTY_MEMBERSHIP, membership_of_payload
 from rainsail.consensus.messages import AppendReply, SnapshotChunk, SnapshotReply
+from rainsail.consensus.snapshot_transfer_part import SnapshotTransferPart
 from rainsail.storage.interface import SnapshotMeta
 from rainsail.storage.snapshot_checksum import SnapshotChecksum
 
+SnapshotMessage = SnapshotChunk | SnapshotTransferPart
 
-def handle_chunk(state: CoreState, source: str, message: SnapshotChunk, now: float) -> None:
-    """Take the next chunk; a complete snapshot is passed to the driver to be stored."""
+
+def handle_chunk(state: CoreState, source: str, message: SnapshotMessage, now: float) -> None:
+    """Take the next chunk or part; a complete snapshot is passed to the driver to be stored."""
     if message.term < state.term:
         reply(state, source, message, 0)
         return
@@ -22,26 +25,27 @@
         report_position(state, source, message.sender, message.round)
         return
     incoming = incoming_for(state, message)
-    if message.whole is not None and message.offset <= len(incoming.chunks):
+    if message.whole is not None and message.offset <= incoming.offset:
         finish(state, source, message, message.whole)
         return
-    if message.data is not None and message.offset == len(incoming.chunks):
-        incoming.take(message.data)
-    reply(state, source, message, len(incoming.chunks))
+    if message.data is not None and message.offset == incoming.offset:
+        incoming.take(message.data, isinstance(message, SnapshotChunk) or message.ends_chunk)
+    reply(state, source, message, incoming.offset)
 
 
-def incoming_for(state: CoreState, message: SnapshotChunk) -> IncomingSnapshot:
-    """Return the chunks received so far of the message's snapshot, empty for a new snapshot."""
+def incoming_for(state: CoreState, message: SnapshotMessage) -> IncomingSnapshot:
+    """Return what was received so far of the message's snapshot, empty for a new snapshot."""
     known = state.incoming
-    key = (message.sender, message.last_index, message.last_term)
-    if known is None or (known.sender, known.last_index, known.last_term) != key:
+    in_parts = isinstance(message, SnapshotTransferPart)
+    key = (message.sender, message.last_index, message.last_term, in_parts)
+    if known is None or (known.sender, known.last_index, known.last_term, known.in_parts) != key:
         known = IncomingSnapshot(*key)
         state.incoming = known
     return known
 
 
 def finish(
-    state: CoreState, source: str, message: SnapshotChunk, expected: SnapshotChecksum
+    state: CoreState, source: str, message: SnapshotMessage, expected: SnapshotChecksum
 ) -> None:
     """Install the received chunks if they match the checksum; otherwise drop them.
 
@@ -51,7 +55,7 @@
     state.incoming = None
     if is_whole(incoming, expected):
         install(state, message, incoming)
-        reply(state, source, message, len(incoming.chunks))
+        reply(state, source, message, incoming.offset)
         return
     state.effects.snapshot_refused = SnapshotRefused(
         source, message.last_index, incoming.received, expected
@@ -63,7 +67,7 @@
     return incoming.received == expected
 
 
-def install(state: CoreState, message: SnapshotChunk, incoming: IncomingSnapshot) -> None:
+def install(state: CoreState, message: SnapshotMessage, incoming: IncomingSnapshot) -> None:
     """Pass the complete snapshot to the driver; appends wait until it is stored.
 
     No log entry is dropped before the snapshot is durable, because entries that this member has
@@ -75,7 +79,7 @@
     state.effects.install = SnapshotInstall(meta, tuple(incoming.chunks))
 
 
-def reply(state: CoreState, source: str, message: SnapshotChunk, next_offset: int) -> None:
+def reply(state: CoreState, source: str, message: SnapshotMessage, next_offset: int) -> None:
     """Tell the leader which chunk to send next."""
     answer = SnapshotReply(
         state.group,
--- a/src/rainsail/fleet/base.py
+++ b/src/rainsail/fleet/base.py
@@ -169,6 +169,7 @@
     base.metrics.gauge("registry_revision", lambda: float(registry.revision))
     base.metrics.gauge("runners_warming", lambda: float(count_warming(registry)))
     base.metrics.gauge("zones_draining", lambda: float(len(registry.zone_drains.draining())))
+    base.metrics.gauge("messages_too_large", lambda: float(messenger.too_large))
     base.metrics.gauge("requests_held", lambda: float(len(follower.quarantine.held)))
     base.metrics.gauge("quarantine_revision", lambda: float(follower.quarantine.current.revision))
     base.metrics.gauge("controllers_heard", lambda: float(follower.controllers.count_in_touch()))
--- a/src/rainsail/fleet/group_folder.py
+++ b/src/rainsail/fleet/group_folder.py
@@ -102,6 +102,7 @@
         gauge("group_voters", lambda: float(len(driver.members().voters())))
         clock = self._base.clock
         gauge("group_losses_borne", lambda: float(losses_borne(state, clock.seconds())))
+        gauge("snapshot_transfers_stalled", lambda: float(driver.stalled_transfers()))
         gauge("group_unsynced_writes", lambda: float(not state.writes.all_synced()))
 
 
--- a/src/rainsail/simulation/network.py
+++ b/src/rainsail/simulation/network.py
@@ -103,6 +103,8 @@
         count_bytes: bool = False,
     ) -> None:
         self.clock = clock
+        self.max_message_bytes: int | None = None
+        """Messages beyond this size are refused, as real connections do; None: without limit."""
         self._random = random
         self._count_bytes = count_bytes
         self._conditions = conditions if conditions is not None else LinkConditions()
@@ -209,7 +211,11 @@
         if not cut and (target is None or destination in self._refused):
             detail = "connection refused"
             return Fault(FaultCode.UNAVAILABLE, "network.send", detail, destination)
-        size = len(encode(envelope.message)) if self._count_bytes else 0
+        is_measured = self._count_bytes or self.max_message_bytes is not None
+        size = len(encode(envelope.message)) if is_measured else 0
+        if self.max_message_bytes is not None and size > self.max_message_bytes:
+            detail = f"{size} bytes are over the bound of {self.max_message_bytes}"
+            return Fault(FaultCode.TOO_LARGE, "network.send", detail, destination)
         source.traffic.messages_sent += 1
         source.traffic.bytes_sent += size
         if cut:
--- a/src/rainsail/wire/extensions.py
+++ b/src/rainsail/wire/extensions.py
@@ -28,7 +28,9 @@
 """Numbered permits for trial runs, of which the sender tells how they ended."""
 FAILED_TRIALS = 8
 """Trials that failed before a controller started."""
-EXTENSION_LEVEL = FAILED_TRIALS
+SNAPSHOT_PARTS = 9
+"""Snapshots in parts that are smaller than their chunks."""
+EXTENSION_LEVEL = SNAPSHOT_PARTS
 """The highest extension that this process knows; it knows all lower ones too."""
 
 
--- a/src/rainsail/wire/messenger.py
+++ b/src/rainsail/wire/messenger.py
@@ -18,6 +18,7 @@
 from twisted.python.failure import Failure
 
 from rainsail.errors import Fault, FaultCode, Outcome, RainsailError
+from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 from rainsail.wire.codec import wire_record
 from rainsail.wire.names import wire_name
@@ -25,6 +26,8 @@
 ProcessName = str
 """The unique name of a process, for instance ``replica-2`` or ``gateway-a1``."""
 
+TOO_LARGE_LOG_INTERVAL_S = 10.0
+"""Minimum interval between two log lines about too large messages of one type to one peer."""
 Reply = TypeVar("Reply")
 Handler = Callable[[ProcessName, Any], Any]
 """Takes (source, message). For calls: returns a reply record, a Fault, a Result or a Deferred."""
@@ -78,6 +81,9 @@
         self._handlers: dict[type, Handler] = {}
         self._waiting: dict[int, tuple[Deferred[Any], Any, ProcessName]] = {}
         self._next_call_id = 1
+        self.too_large = 0
+        """Messages that were not sent as they exceed the bound on one message."""
+        self._too_large_logged_s: dict[tuple[str, ProcessName], float] = {}
         transport.listen(self._deliver)
 
     def send_all(
@@ -90,11 +96,27 @@
         envelope = Envelope(EnvelopeKind.ONE_WAY, 0, message)
         faults: dict[ProcessName, Fault] = {}
         for destination in destinations:
-            fault = self._transport.send(destination, envelope)
+            fault = self._send(destination, envelope)
             if fault is not None:
                 faults[destination] = fault
         return faults
 
+    def _send(self, destination: ProcessName, envelope: Envelope) -> Fault | None:
+        """Pass an envelope on; one that is too large never arrives, whoever sends it again."""
+        fault = self._transport.send(destination, envelope)
+        if fault is not None and fault.code == FaultCode.TOO_LARGE:
+            self._note_too_large(destination, envelope, fault)
+        return fault
+
+    def _note_too_large(self, peer: ProcessName, envelope: Envelope, fault: Fault) -> None:
+        self.too_large += 1
+        now, name = self._clock.seconds(), wire_name(type(envelope.message))
+        logged_s = self._too_large_logged_s.get((name, peer), float("-inf"))
+        if now - logged_s >= TOO_LARGE_LOG_INTERVAL_S:
+            self._too_large_logged_s[name, peer] = now
+            log = logger.bind(message=name, peer=peer, detail=fault.detail)
+            log.error("message_too_large")
+
     def extension_level(self, peer: ProcessName) -> int:
         """Return the highest protocol extension that a peer has announced (``extensions``)."""
         return self._transport.extension_level(peer)
@@ -105,7 +127,7 @@
 
     def send(self, destination: ProcessName, message: Any) -> Fault | None:
         """Send one way; a fault means that nothing was sent."""
-        return self._transport.send(destination, Envelope(EnvelopeKind.ONE_WAY, 0, message))
+        return self._send(destination, Envelope(EnvelopeKind.ONE_WAY, 0, message))
 
     def call(
         self, destination: ProcessName, message: Any, timeout_s: float
@@ -113,7 +135,7 @@
         """Send and wait for the reply; never errbacks."""
         call_id = self._next_call_id
         self._next_call_id += 1
-        fault = self._transport.send(destination, Envelope(EnvelopeKind.CALL, call_id, message))
+        fault = self._send(destination, Envelope(EnvelopeKind.CALL, call_id, message))
         if fault is not None:
             return succeed(Error(fault))
         done: Deferred[Any] = Deferred()
@@ -161,7 +183,7 @@
     def _reply(self, destination: ProcessName, call_id: int, reply: Any) -> None:
         if isinstance(reply, Result):
             reply = reply.ok if reply.is_ok() else reply.error
-        fault = self._transport.send(destination, Envelope(EnvelopeKind.REPLY, call_id, reply))
+        fault = self._send(destination, Envelope(EnvelopeKind.REPLY, call_id, reply))
         if fault is not None and fault.code == FaultCode.TOO_LARGE:
             unknown = replace(fault, outcome=Outcome.UNKNOWN, peer=self.name)
             self._transport.send(destination, Envelope(EnvelopeKind.REPLY, call_id, unknown))
