An entry that no message holds is refused instead of blocking its group

What callers would see: behind a job or a configuration of over 8 MiB in the log nothing more is committed, as no follower can get the entry. It needs an operator who allows bodies of that size; found by the same cause as 'A member catches up beside a job whose results exceed one message'.

Cause: a message is bounded and an entry was not. The leader appended it, its sends failed with TOO_LARGE, and it lost its lease.

Change: a proposal over consensus.max_entry_bytes (7 MiB) is refused with TOO_LARGE, outcome NOT_RUN, which callers get as 413; log event entry_too_large.

Test: features/jobs/large_results.feature, 'An entry that no message holds is refused, and later ones are committed'. Before: not_leader, 'leadership was lost while the entry was under way'.

--- a/features/jobs/large_results.feature
+++ b/features/jobs/large_results.feature
@@ -22,3 +22,11 @@
     And a job of 150 items with 20 MB of results
     When storage-3 starts again and catches up within 4.7 s
     Then each storage node has all results of the job
+
+  Scenario: An entry that no message holds is refused, and later ones are committed
+    # Guards against: a group that commits nothing more behind an entry that no follower can get.
+    Given a relaying fleet whose nodes refuse messages over 8 MiB
+    When a job with a body of 9 MB is proposed to the ledger
+    Then it is refused as too large
+    Given a job of 10 items with 1 MB of results
+    Then each storage node has all results of the job
--- a/features/steps/large_message_steps.py
+++ b/features/steps/large_message_steps.py
@@ -11,6 +11,7 @@
 from rainsail.consensus.messages import SnapshotChunk
 from rainsail.consensus.snapshot_transfer_part import SnapshotTransferPart
 from rainsail.consensus.status import losses_borne
+from rainsail.errors import FaultCode, Outcome
 from rainsail.state.job_commands import AcceptJob, ItemOutcome, ListOutcomes, RelayedItem
 from rainsail.wire.extensions import SNAPSHOT_PARTS
 
@@ -166,3 +167,21 @@
         listed = fleet.nodes[name].role.state.jobs["job-1"].listed
         assert len(listed) == context.results, (name, len(listed))
         assert all(len(each.text) == context.text_bytes for each in listed), name
+
+
+@when("a job with a body of {size:d} MB is proposed to the ledger")
+def propose_large(context, size):
+    fleet = context.fleet
+    item = RelayedItem("item-0", f"{JOB_PATH}/0", (), bytes(size * MEGABYTE), 10)
+    command = AcceptJob("job-0", "", HOST, JOB_PATH, (item,), 1.0)
+    done = fleet.nodes[fleet.leader("storage")].role.driver.propose(command)
+    context.proposed = []
+    done.addCallback(context.proposed.append)
+    fleet.run_for(2.0)
+
+
+@then("it is refused as too large")
+def refused_as_too_large(context):
+    assert [each.is_error() for each in context.proposed] == [True], context.proposed
+    fault = context.proposed[0].error
+    assert (fault.code, fault.outcome) == (FaultCode.TOO_LARGE, Outcome.NOT_RUN), fault
--- a/src/rainsail/consensus/proposal_queue.py
+++ b/src/rainsail/consensus/proposal_queue.py
@@ -12,6 +12,7 @@
 from rainsail.consensus.effects import Effects
 from rainsail.consensus.sync_queue import SyncQueue
 from rainsail.errors import Fault, FaultCode
+from rainsail.logs import logger
 from rainsail.runtime.clock import Clock
 
 STEP = "consensus.propose"
@@ -47,6 +48,11 @@
         if fault is not None:
             return succeed(Error(fault))
         payload = self._encode_command(command)
+        limit = self._core.state.settings.max_entry_bytes
+        if len(payload) > limit:
+            detail = f"{len(payload)} bytes are over the bound on an entry of {limit}"
+            logger.bind(bytes=len(payload), limit=limit).warning("entry_too_large")
+            return succeed(Error(Fault(FaultCode.TOO_LARGE, STEP, detail)))
         done: Deferred[ProposalResult] = Deferred()
         self._waiting.append(Proposal(command, payload, done))
         self._plan_flush()
--- a/src/rainsail/consensus/settings.py
+++ b/src/rainsail/consensus/settings.py
@@ -40,6 +40,12 @@
         gt=0,
         description="Maximum payload bytes in one append message; a larger entry is sent alone.",
     )
+    max_entry_bytes: int = Field(
+        7 * 1024 * 1024,
+        gt=0,
+        description="Payload bytes of an entry beyond which a proposal is refused. Less than a "
+        "message holds (`wire.max_frame_bytes`): no follower could get a larger one.",
+    )
     max_in_flight_bytes: int = Field(
         2 * 1024 * 1024,
         gt=0,
