A stream of unknown origin does not go on at a service that its route got later

What callers would see: a stream whose record is lost goes on at another service than the one that began it, after its route has moved or a split has ended.

Cause: the only origin that there can be was taken from the route's present services, which may differ from those at the stream's beginning.

Change: a gateway remembers which services each route has had for 600 s, as long as it remembers versions of gone runners. A stream without a record goes on only if there was one in that time.

--- a/features/relay/software_versions.feature
+++ b/features/relay/software_versions.feature
@@ -79,6 +79,32 @@
       | may be known to nodes | v1, v1, v1 | it is not sure yet     | it is refused with 503 and a time to retry       |
       | is known to no node   | v1, , v1   | nothing is known       | it is refused with 503 and a time to retry       |
 
+  Scenario Outline: A stream of unknown origin on a route whose services have changed <when>
+    # Guards against: a stream that goes on at a service that its route did not have when it began.
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions v1, v1, v1
+    And of the stream nothing is known
+    When the route moves to another service with a runner
+    And <when>
+    And a client resumes that stream after event 5
+    Then <result>
+
+    Examples:
+      | when               | result                                      |
+      | 0 seconds pass     | it is refused with 503 and no time to retry |
+      | 590 seconds pass   | it is refused with 503 and no time to retry |
+      | 610 seconds pass   | 1 attempt was made                          |
+
+  Scenario: A stream of unknown origin on a route that was split before
+    # Guards against: the same, where one of two services is left.
+    Given a relay with 3 runners and a resumable "stream" route
+    And runners of versions v1, v1, v1
+    And of the stream nothing is known
+    When the route is split with another service
+    And the route has its first service only again
+    And a client resumes that stream after event 5
+    Then it is refused with 503 and no time to retry
+
   Scenario: A runner of an earlier version that is gone makes the version of an unknown stream ambiguous
     Given a relay with 3 runners and a resumable "stream" route
     And runners of versions v1, v2, v2
--- a/features/steps/relay_software_version_steps.py
+++ b/features/steps/relay_software_version_steps.py
@@ -173,6 +173,11 @@
     context.relay.put_route(RouteKind.STREAM.value, resumable=True, version=2, shares=shares)
 
 
+@step("the route has its first service only again")
+def join_route(context):
+    context.relay.put_route(RouteKind.STREAM.value, resumable=True, version=3)
+
+
 @then("the origin is recorded {once}")
 def recorded_how(context, once):
     assert context.relay.context.origins.implied == [once == "as implied"]
--- a/features/support/relaying.py
+++ b/features/support/relaying.py
@@ -289,7 +289,9 @@
         }
         values.update(more)
         services = (Service(SERVICE, 100, True),)
-        self.context.table = RoutingTable(version, (Route(**values),), services, ClientLimits())
+        self.context.put_in_force(
+            RoutingTable(version, (Route(**values),), services, ClientLimits())
+        )
 
     def drop_routes(self) -> None:
         """Install a table without routes."""
--- a/src/rainsail/relay/context.py
+++ b/src/rainsail/relay/context.py
@@ -1,7 +1,7 @@
 """State and dependencies that all relayed requests of a gateway share."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from rainsail.budget.client_budget import ClientBudget
@@ -13,6 +13,7 @@
 from rainsail.relay.placement import Placed
 from rainsail.relay.planned_stop import PlannedStop
 from rainsail.relay.protocol import RelayProtocol
+from rainsail.relay.route_services import RouteServices
 from rainsail.relay.settings import RelaySettings
 from rainsail.relay.split import WeightedServicePicker
 from rainsail.relay.stream_beginnings import StreamBeginnings
@@ -58,6 +59,7 @@
     budget: ClientBudget
     """Counts what is held of the answers of runners, as well as what clients hold."""
     table: RoutingTable | None = None
+    route_services: RouteServices = field(default_factory=RouteServices)
     place: Callable[[PlaceRequest, Placed, bool], None] = lambda request, placed, must: placed(None)
     """Asks the leader to place a request; calls back with None if the gateway has to choose."""
     admit: Callable[[Identity, Callable[[QuotaDecision], None]], None] = lambda identity, decided: (
@@ -72,6 +74,11 @@
     Negative seconds take an earlier announcement back.
     """
 
+    def put_in_force(self, table: RoutingTable) -> None:
+        """Replace the routing table."""
+        self.table = table
+        self.route_services.put_in_force(table.routes, self.clock.seconds())
+
     def allowed_regions(self, route: Route, identity: Identity) -> AllowedRegions:
         """Return the regions that the current table allows for a request; None means all."""
         assert self.table is not None
--- a/src/rainsail/relay/fleet_updates.py
+++ b/src/rainsail/relay/fleet_updates.py
@@ -81,7 +81,7 @@
         self.on_table()
 
     def _put_in_force(self, table: RoutingTable) -> None:
-        self._context.table = table
+        self._context.put_in_force(table)
         self._context.beginnings.keep_only(table.services, table.route_names())
         self._registry.warm_ups.set_terms(table.warm_up_terms())
         self._quotas.table_version = table.version
--- a/src/rainsail/relay/request_origin.py
+++ b/src/rainsail/relay/request_origin.py
@@ -43,7 +43,9 @@
 
         def found(result: FoundOrigin) -> None:
             registry = self._context.registry
-            decision = decide_origin(result, route, registry.sole_version, registry.lacks_versions)
+            decision = decide_origin(
+                result, self._services(route), registry.sole_version, registry.lacks_versions
+            )
             if isinstance(decision, LostStream):
                 self._log_lost(result.controllers, "no record")
                 decided(decision)
@@ -89,6 +91,10 @@
         log = logger.bind(request=self._facts.request, resumes=self._facts.resumes, reason=reason)
         log.bind(controllers=controllers).info("stream_origin_unknown")
 
+    def _services(self, route: Route) -> frozenset[str]:
+        """Return the services at which a stream of a route may have begun."""
+        return self._context.route_services.possible(route, self._context.clock.seconds())
+
     @property
     def _name(self) -> str:
         return stream_name(self._facts, self._identity, self._facts.resumes or self._facts.request)
@@ -103,7 +109,7 @@
         now = self._context.clock.seconds()
         if now - self._renewed_s >= RENEWAL_PERIOD_S:
             self._renewed_s = now
-            implied = implied_origin(route, self._context.registry.sole_version)
+            implied = implied_origin(self._services(route), self._context.registry.sole_version)
             self._context.origins.began(self._name, self.origin, implied == self.origin)
 
     def completed(self) -> None:
--- a/src/rainsail/relay/resumption.py
+++ b/src/rainsail/relay/resumption.py
@@ -1,8 +1,9 @@
 """Decides at which software version a client's stream continues. Pure.
 
 A client names the attempt that brought the first event of its stream. The stream continues only at
-the service and version that sent that event. If that is not known, it continues only where all
-runners that the gateway remembers have the same version.
+the service and version that sent that event. If that is not known, it continues only where the
+route has had one service lately, and all its runners that the gateway remembers have the same
+version.
 """
 
 from collections.abc import Callable
@@ -12,7 +13,6 @@
 from rainsail.cluster.stream_origins import StreamOrigin
 from rainsail.relay.origin_client import FoundOrigin
 from rainsail.relay.protocol import RequestFacts
-from rainsail.relay.table import Route
 from rainsail.tenancy.tenants import Identity
 
 UNKNOWN_ORIGIN = "the software version that began the stream is not known"
@@ -45,28 +45,34 @@
 
 def decide_origin(
     found: FoundOrigin,
-    route: Route,
+    services: frozenset[str],
     sole_version: Callable[[str], str | None],
     lacks_versions: Callable[[str], bool],
 ) -> StreamOrigin | LostStream:
     """Return where a stream continues.
 
-    ``sole_version`` returns the version of all runners of a service, if they have the same one;
-    ``lacks_versions`` tells whether some of them are about to say theirs.
+    ``services`` are those at which a stream of its route may have begun. ``sole_version`` returns
+    the version of all runners of a service, if they have the same one; ``lacks_versions`` tells
+    whether some of them are about to say theirs.
     """
     if found.origin is not None:
         return found.origin
-    implied = implied_origin(route, sole_version)
+    implied = implied_origin(services, sole_version)
     if found.is_certain and implied is not None:
         return implied
-    is_settled = not any(lacks_versions(share.service) for share in route.shares)
+    is_settled = not any(map(lacks_versions, services))
     return LostStream(UNKNOWN_ORIGIN, found.is_certain and is_settled)
 
 
-def implied_origin(route: Route, sole_version: Callable[[str], str | None]) -> StreamOrigin | None:
-    """Return the only origin that a route's streams can have, None if there may be several."""
-    services = [share.service for share in route.shares if share.weight > 0]
+def implied_origin(
+    services: frozenset[str], sole_version: Callable[[str], str | None]
+) -> StreamOrigin | None:
+    """Return the only origin that a stream can have, None if there may be several.
+
+    ``services`` are those at which it may have begun.
+    """
     if len(services) != 1:
         return None
-    version = sole_version(services[0])
-    return None if version is None else StreamOrigin(services[0], version)
+    (service,) = services
+    version = sole_version(service)
+    return None if version is None else StreamOrigin(service, version)
