Streams that began while their gateway was cut off are told once it is back

What callers would see: streams that began while their gateway was out of touch with a controller are refused elsewhere until the gateway renews its records, up to 20 s later. Found in reading 'Streams under way when a release begins go on at another gateway'.

Cause: the gateway took the controller for one that has all of its streams, although reports had passed it by meanwhile.

Change: a controller that misses a report, as it is not in touch, gets all streams once it is again.

Test: features/cluster/stream_origins.feature, 'A stream that began while its gateway was cut off from 1 controllers is told later' found nothing before; with three controllers it passed before too.

--- a/features/cluster/stream_origins.feature
+++ b/features/cluster/stream_origins.feature
@@ -28,6 +28,22 @@
     And gateway-2 of the fleet is partitioned
     Then gateway-2 finds nothing for "s-1", not for certain
 
+  Scenario Outline: A stream that began while its gateway was cut off from <controllers> controllers is told later
+    # Guards against: reports that reach nobody and are sent again only with their renewal.
+    Given a relaying fleet of <controllers> controllers and 2 gateways
+    When gateway-1 of the fleet is partitioned
+    And 4 seconds pass in the fleet
+    And gateway-1 records that stream "s-1" began at version v1
+    And gateway-1 is in touch again
+    And 2 seconds pass in the fleet
+    And gateway-1 of the fleet loses power
+    Then gateway-2 finds v1 for "s-1"
+
+    Examples:
+      | controllers |
+      | 1           |
+      | 3           |
+
   Scenario: A record expires unless it is renewed
     Given a relaying fleet of 3 controllers and 2 gateways
     When gateway-1 records that stream "s-1" began at version v1
--- a/src/rainsail/relay/origin_reports.py
+++ b/src/rainsail/relay/origin_reports.py
@@ -93,7 +93,12 @@
     def _report(self) -> None:
         self._cancel_timer()
         unreported, self._unreported = self._unreported, {}
-        self._send(self._assigned(), unreported.items())
+        assigned = self._assigned()
+        # Those that miss this report get all streams once they are in touch again.
+        self._told = {
+            name: epoch for name, epoch in self._told.items() if assigned.get(name) == epoch
+        }
+        self._send(assigned, unreported.items())
 
     def _tell_new_controllers(self) -> None:
         """Tell each controller of all streams once it is assigned, and after each start of it."""
